--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements against plain baselines."""
--- /dev/null
+++ b/models/__init__.py
@@ -0,0 +1,1 @@
+"""Specifications of the core protocol for the model checker."""
--- /dev/null
+++ b/sassafrasgate/__init__.py
@@ -0,0 +1,1 @@
+"""A cluster scheduler for unlike workloads."""
--- /dev/null
+++ b/sassafrasgate/core/__init__.py
@@ -0,0 +1,1 @@
+"""Frozen data types and small helpers that every package shares."""
--- /dev/null
+++ b/sassafrasgate/core/identifiers.py
@@ -0,0 +1,59 @@
+"""Identifiers that are derived, so that repeats of a request agree."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from xxhash import xxh3_64_intdigest
+from xxhash import xxh3_128_hexdigest
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+
+def make_job_id(team: str, key: str) -> str:
+    """Return the job id of a team's key.
+
+    The id is a digest of both, so that duplicates that enter through
+    different entry hosts get the same id without any exchange.
+
+    Examples
+    --------
+    >>> make_job_id('a', 'b') == make_job_id('a', 'b')
+    True
+    """
+    return 'j' + xxh3_128_hexdigest(f'{len(team)}:{team}{key}'.encode())
+
+
+def make_task_id(job_id: str, index: int, attempt: int) -> str:
+    """Return the id of one task of one attempt."""
+    return f'{job_id}.{index}.{attempt}'
+
+
+def split_task_id(task: str) -> tuple[str, int, int]:
+    """Return job id, index and attempt of a task id."""
+    job_id, index, attempt = task.rsplit('.', 2)
+    return job_id, int(index), int(attempt)
+
+
+def rank_names(key: str, names: Iterable[str]) -> list[str]:
+    """Order ``names`` by rendezvous hash with ``key``, best first."""
+    return sorted(
+        names,
+        key=lambda name: (
+            xxh3_64_intdigest(f'{key}\x00{name}'.encode()),
+            name,
+        ),
+        reverse=True,
+    )
+
+
+def find_home_shard(job_id: str, shards: Iterable[str]) -> str:
+    """Return the shard where duplicates of a job meet.
+
+    Raises
+    ------
+    ValueError
+        When ``shards`` is empty.
+    """
+    return rank_names(job_id, shards)[0]
--- /dev/null
+++ b/sassafrasgate/core/jobs.py
@@ -0,0 +1,122 @@
+"""Jobs as callers submit them, and the states they pass through."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from sassafrasgate.core.resources import Resources
+
+
+class JobClass(StrEnum):
+    """The kinds of work; each has a registered policy."""
+
+    QUICK = 'quick'
+    URGENT = 'urgent'
+    SERVICE = 'service'
+    BATCH = 'batch'
+    GANG = 'gang'
+
+
+class JobState(StrEnum):
+    """The states of a job that callers see."""
+
+    ACCEPTED = 'accepted'
+    QUEUED = 'queued'
+    RUNNING = 'running'
+    FINISHED = 'finished'
+    FAILED = 'failed'
+    CANCELLED = 'cancelled'
+    NOT_RUN = 'not-run'
+    UNKNOWN = 'unknown'
+
+
+FINAL_STATES = frozenset(
+    {
+        JobState.FINISHED,
+        JobState.FAILED,
+        JobState.CANCELLED,
+        JobState.NOT_RUN,
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class JobSpec:
+    """What a caller asks for.
+
+    Parameters
+    ----------
+    team : str
+        The team whose quota and fair share the job counts against.
+    key : str
+        The caller's idempotency key; unique within the team.
+    job_class : JobClass
+        Selects the policy.
+    demand : Resources
+        What each task needs.
+    tasks : int
+        Number of tasks; more than one only for services and gangs.
+    idempotent : bool
+        Whether the job may run again after a failed or lost attempt.
+    priority : int
+        Order within the team, higher first; -100 to 100.
+    deadline_s : float
+        Seconds after submission by which the job must have started; 0 for
+        none. For quick requests, the time until the whole answer.
+    run_time_s : float
+        The caller's estimate; used for order only.
+    failure_domains : tuple of str
+        Where the job may run; empty for anywhere.
+    payload : bytes
+        Handed to the worker as it is.
+    """
+
+    team: str
+    key: str
+    job_class: JobClass = JobClass.BATCH
+    demand: Resources = Resources(1000, 512, 0, 1, 1)
+    tasks: int = 1
+    idempotent: bool = True
+    priority: int = 0
+    deadline_s: float = 0.0
+    run_time_s: float = 0.0
+    failure_domains: tuple[str, ...] = ()
+    payload: bytes = b''
+
+
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """One task of one attempt on one host."""
+
+    task: str
+    host: str
+    demand: Resources
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """How a job ended.
+
+    Parameters
+    ----------
+    state : JobState
+        A final state, or `JobState.UNKNOWN`.
+    reason : str
+        Empty for success.
+    output : bytes
+        The output if it is small enough for the journal.
+    chunks : int
+        Number of chunks in the store for a large output.
+    size : int
+        Length of the whole output in bytes.
+    digest : str
+        xxh128 of the whole output, in hexadecimal.
+    """
+
+    state: JobState
+    reason: str = ''
+    output: bytes = b''
+    chunks: int = 0
+    size: int = 0
+    digest: str = ''
--- /dev/null
+++ b/sassafrasgate/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""The protocol between sassafrasgate's own processes."""
--- /dev/null
+++ b/sassafrasgate/protocol/codec.py
@@ -0,0 +1,99 @@
+"""Encoding of envelopes for the inner protocol (msgspec MessagePack)."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+from msgspec import convert
+from msgspec import DecodeError
+from msgspec import ValidationError
+from msgspec.msgpack import Decoder
+from msgspec.msgpack import Encoder
+
+from sassafrasgate.core.errors import MessageError
+from sassafrasgate.core.errors import UnknownNameError
+from sassafrasgate.protocol.messages import MESSAGES
+
+PROTOCOL_VERSION = 1
+
+
+@dataclass(frozen=True, slots=True)
+class Envelope:
+    """One message with what the link needs to route and match it.
+
+    Parameters
+    ----------
+    request : int
+        Id of the request; 0 for a message that expects no answer.
+    answer : bool
+        Whether this is the answer to request ``request``.
+    attempt : int
+        Number of the try, from 1.
+    timeout_ms : int
+        How long the sender waits from now on, in milliseconds; 0 for
+        messages without an answer.
+    body : object
+        A registered message.
+    """
+
+    request: int
+    answer: bool
+    attempt: int
+    timeout_ms: int
+    body: Any
+
+
+@dataclass(frozen=True, slots=True)
+class _Frame:
+    protocol: int
+    kind: str
+    request: int
+    answer: bool
+    attempt: int
+    timeout_ms: int
+    body: Any
+
+
+_ENCODER = Encoder()
+_DECODER = Decoder(_Frame)
+
+
+def encode_envelope(envelope: Envelope) -> bytes:
+    """Return the frame for an envelope."""
+    return _ENCODER.encode(
+        _Frame(
+            PROTOCOL_VERSION,
+            envelope.body.kind,
+            envelope.request,
+            envelope.answer,
+            envelope.attempt,
+            envelope.timeout_ms,
+            envelope.body,
+        )
+    )
+
+
+def decode_envelope(frame: bytes) -> Envelope:
+    """Return the envelope of a frame.
+
+    Raises
+    ------
+    MessageError
+        When the frame is not MessagePack, is of another protocol version,
+        or its body does not have the fields of its kind.
+    """
+    try:
+        raw = _DECODER.decode(frame)
+        if raw.protocol != PROTOCOL_VERSION:
+            raise MessageError(
+                f'protocol version {raw.protocol!r} is not supported; run '
+                f'version {PROTOCOL_VERSION} on every entry host'
+            )
+        body = convert(raw.body, MESSAGES.find(raw.kind))
+    except (DecodeError, ValidationError, UnknownNameError) as error:
+        raise MessageError(
+            f'cannot decode a frame of {len(frame)} bytes: {error}; check '
+            'that all processes run the same release'
+        ) from error
+    return Envelope(raw.request, raw.answer, raw.attempt, raw.timeout_ms, body)
--- /dev/null
+++ b/sassafrasgate/protocol/messages.py
@@ -0,0 +1,266 @@
+"""Messages between processes, in a registry by kind."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import Any
+from typing import dataclass_transform
+from typing import TYPE_CHECKING
+
+from sassafrasgate.core.errors import RefusalKind
+from sassafrasgate.core.jobs import JobSpec
+from sassafrasgate.core.jobs import JobState
+from sassafrasgate.core.jobs import Outcome
+from sassafrasgate.core.registries import Registry
+from sassafrasgate.core.resources import Resources
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+MESSAGES: Registry[str, type[Any]] = Registry('message kind')
+
+
+@dataclass_transform(frozen_default=True)
+def register_message(kind: str) -> Callable[[type[Any]], type[Any]]:
+    """Return a decorator that makes a frozen message class of ``kind``."""
+
+    def add_message(cls: type[Any]) -> type[Any]:
+        message = dataclass(frozen=True, slots=True)(cls)
+        message.kind = kind
+        return MESSAGES.register(kind)(message)
+
+    return add_message
+
+
+@register_message('heartbeat')
+class Heartbeat:
+    """Shows that the sender lives; carries what it knows cheaply.
+
+    Parameters
+    ----------
+    sender : str
+        Process name.
+    configuration : int
+        Highest configuration version the sender holds.
+    """
+
+    sender: str
+    configuration: int = 0
+
+
+@register_message('refused')
+class Refused:
+    """A request was refused; the text of a `Refusal` on the wire."""
+
+    refusal: RefusalKind
+    reason: str
+    remedy: str
+
+
+@register_message('submit')
+class Submit:
+    """Asks a job's home shard to accept it.
+
+    Parameters
+    ----------
+    shard : str
+        Home shard.
+    job_id : str
+        Derived from team and key.
+    spec : JobSpec
+        What the caller asks for.
+    wait_s : float
+        How long the caller waits for an answer, in seconds.
+    """
+
+    shard: str
+    job_id: str
+    spec: JobSpec
+    wait_s: float
+
+
+@register_message('job-view')
+class JobView:
+    """The state of a job as its home shard knows it."""
+
+    job_id: str
+    state: JobState
+    reason: str = ''
+    attempt: int = 0
+    hosts: tuple[str, ...] = ()
+    shard: str = ''
+    epoch: int = 0
+    duplicate: bool = False
+    outcome: Outcome | None = None
+    team: str = ''
+    job_class: str = ''
+
+
+@register_message('query')
+class Query:
+    """Asks for a job's state, waiting up to ``wait_s`` for its end."""
+
+    shard: str
+    job_id: str
+    wait_s: float = 0.0
+
+
+@register_message('cancel')
+class Cancel:
+    """Asks for the end of a job."""
+
+    shard: str
+    job_id: str
+
+
+@register_message('list-jobs')
+class ListJobs:
+    """Asks a shard for its jobs."""
+
+    shard: str
+    state: str = ''
+    limit: int = 200
+
+
+@register_message('job-list')
+class JobList:
+    """Jobs of a shard."""
+
+    jobs: tuple[JobView, ...] = ()
+
+
+@register_message('list-hosts')
+class ListHosts:
+    """Asks a shard for its hosts."""
+
+    shard: str
+
+
+@register_message('host-view')
+class HostView:
+    """A host as its shard's owner knows it."""
+
+    name: str
+    failure_domain: str
+    rack: str
+    status: str
+    capacity: Resources
+    reserved: Resources
+    used: Resources
+    tasks: int
+    shard: str
+    epoch: int
+
+
+@register_message('host-list')
+class HostList:
+    """Hosts of a shard."""
+
+    hosts: tuple[HostView, ...] = ()
+
+
+@register_message('explain')
+class Explain:
+    """Asks why a job waits or where it was placed."""
+
+    shard: str
+    job_id: str
+
+
+@register_message('explanation')
+class Explanation:
+    """Decisions taken for a job, oldest first."""
+
+    job_id: str
+    state: JobState
+    lines: tuple[str, ...] = ()
+
+
+@register_message('transfer')
+class Transfer:
+    """Asks another shard to run one attempt of a job."""
+
+    shard: str
+    home: str
+    home_epoch: int
+    job_id: str
+    attempt: int
+    spec: JobSpec
+
+
+@register_message('transfer-reply')
+class TransferReply:
+    """Tells whether the other shard has taken the attempt for good."""
+
+    job_id: str
+    attempt: int
+    accepted: bool
+    reason: str = ''
+
+
+@register_message('transfer-ended')
+class TransferEnded:
+    """Reports the end of a transferred attempt to its home shard."""
+
+    shard: str
+    job_id: str
+    attempt: int
+    outcome: Outcome
+
+
+@register_message('recall')
+class Recall:
+    """Asks what became of a transferred attempt, or refuses it for good."""
+
+    shard: str
+    home: str
+    job_id: str
+    attempt: int
+    cancel: bool = False
+
+
+@register_message('acknowledged')
+class Acknowledged:
+    """The receiver has durably noted a report."""
+
+
+@register_message('summary')
+class Summary:
+    """Free capacity of a shard, for transfer decisions elsewhere."""
+
+    shard: str
+    epoch: int
+    free: Resources
+    largest: Resources
+    queued: int
+    failure_domain: str
+
+
+@register_message('fetch-configuration')
+class FetchConfiguration:
+    """Asks a peer for its configuration."""
+
+
+@register_message('configuration-reply')
+class ConfigurationReply:
+    """A whole configuration in its encoded form, with its version."""
+
+    version: int
+    encoded: bytes = b''
+
+
+@register_message('status')
+class Status:
+    """Asks a scheduler what it owns."""
+
+
+@register_message('status-reply')
+class StatusReply:
+    """What a scheduler owns and how it fares."""
+
+    name: str
+    configuration: int
+    shards: dict[str, int] = field(default_factory=dict)
+    jobs: int = 0
+    store_up: bool = True
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, which mirror the packages."""
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, run as programs of their own."""
