--- /dev/null
+++ b/sassafrasgate/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of a process and the operators' declared configuration."""
--- /dev/null
+++ b/sassafrasgate/journal/__init__.py
@@ -0,0 +1,1 @@
+"""A shard's journal in the platform's store."""
--- /dev/null
+++ b/sassafrasgate/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters for the platform's store, host list and workers."""
--- /dev/null
+++ b/sassafrasgate/shards/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions of a shard: no I/O, no clock, no encoding."""
--- /dev/null
+++ b/sassafrasgate/shards/attempts.py
@@ -0,0 +1,93 @@
+"""Rules for leases and attempts; the model checker drives these too."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+LEASE_MS = 10_000
+START_WINDOW_MS = 5_000
+DRIFT = 0.01
+LAPSE_MARGIN_MS = 250
+
+
+class AttemptFate(StrEnum):
+    """What is known of an attempt that no longer runs as planned."""
+
+    REFUSED = 'refused'
+    NOT_SENT = 'not-sent'
+    FAILED = 'failed'
+    LAPSED = 'lapsed'
+    OPEN = 'open'
+
+
+class NextStep(StrEnum):
+    """What may follow an attempt."""
+
+    RETRY = 'retry'
+    END_FAILED = 'end-failed'
+    END_UNKNOWN = 'end-unknown'
+    WAIT = 'wait'
+
+
+@dataclass(frozen=True, slots=True)
+class ClockReading:
+    """A worker's clock with the owner's time when it arrived, in ms."""
+
+    clock: int
+    received_at: int
+
+
+def grant_until(reading: ClockReading, lease_ms: int = LEASE_MS) -> int:
+    """Return the worker-clock deadline of a lease granted on a reading."""
+    return reading.clock + lease_ms
+
+
+def find_lapse_time(lease_clock: int, reading: ClockReading) -> int:
+    """Return the owner's time from which a lease has certainly lapsed.
+
+    The worker's clock stood at ``reading.clock`` or later when the reading
+    arrived, and runs at most ``DRIFT`` slower than the owner's.
+    """
+    remaining = max(0, lease_clock - reading.clock)
+    return reading.received_at + int(remaining * (1 + DRIFT)) + LAPSE_MARGIN_MS
+
+
+def find_takeover_lapse(takeover_at: int, lease_ms: int = LEASE_MS) -> int:
+    """Return when leases granted by earlier owners have surely lapsed.
+
+    Parameters
+    ----------
+    takeover_at : int
+        The new owner's time when its takeover record was known to be in
+        the journal, in ms. Earlier owners granted leases only on readings
+        that they received before that.
+    """
+    return takeover_at + int(lease_ms * (1 + DRIFT)) + LAPSE_MARGIN_MS
+
+
+def choose_next_step(
+    idempotent: bool, fate: AttemptFate, attempt: int, max_attempts: int
+) -> NextStep:
+    """Tell what may follow an attempt without running work twice.
+
+    Parameters
+    ----------
+    idempotent : bool
+        Whether the job may run again after an attempt that started.
+    fate : AttemptFate
+        What is certain about the attempt.
+    attempt, max_attempts : int
+        Number of this attempt, from 1, and the most that may fail.
+    """
+    if fate is AttemptFate.OPEN:
+        return NextStep.WAIT
+    if fate in (AttemptFate.REFUSED, AttemptFate.NOT_SENT):
+        return NextStep.RETRY
+    if not idempotent:
+        if fate is AttemptFate.FAILED:
+            return NextStep.END_FAILED
+        return NextStep.END_UNKNOWN
+    if fate is AttemptFate.FAILED and attempt >= max_attempts:
+        return NextStep.END_FAILED
+    return NextStep.RETRY
