Bound how long an owner acts past its lease in a store outage

Cause: an owner that alone cannot reach the store looks the same, from its own side, as a store that is down; without a bound a successor could never treat the leases on a silent host as lapsed. Change: an outage grace of 120 s, recorded in the takeover record, which the successor waits out for silent hosts. Conclusion: the rule has a bound that the specification can check.

--- a/sassafrasgate/journal/records.py
+++ b/sassafrasgate/journal/records.py
@@ -41,10 +41,21 @@
 
 @register_record('takeover')
 class Takeover:
-    """A new owner has taken the shard; its epoch fences earlier owners."""
+    """A new owner has taken the shard; its epoch fences earlier owners.
+
+    Parameters
+    ----------
+    epoch : int
+        One more than the previous owner's.
+    owner : str
+        Process name and incarnation.
+    grace_ms : int
+        How long past its lease the owner may act in a store outage.
+    """
 
     epoch: int
     owner: str
+    grace_ms: int = 0
 
 
 @register_record('accepted')
--- a/sassafrasgate/shards/attempts.py
+++ b/sassafrasgate/shards/attempts.py
@@ -53,17 +53,22 @@
     return reading.received_at + int(remaining * (1 + DRIFT)) + LAPSE_MARGIN_MS
 
 
-def find_takeover_lapse(takeover_at: int, lease_ms: int = LEASE_MS) -> int:
+def find_takeover_lapse(
+    takeover_at: int, grace_ms: int, lease_ms: int = LEASE_MS
+) -> int:
     """Return when leases granted by earlier owners have surely lapsed.
 
     Parameters
     ----------
     takeover_at : int
         The new owner's time when its takeover record was known to be in
-        the journal, in ms. Earlier owners granted leases only on readings
-        that they received before that.
+        the journal, in ms.
+    grace_ms : int
+        How long past its lease the previous owner may have renewed tasks
+        during a store outage; from its own takeover record.
     """
-    return takeover_at + int(lease_ms * (1 + DRIFT)) + LAPSE_MARGIN_MS
+    granted = int(lease_ms * (1 + DRIFT))
+    return takeover_at + grace_ms + granted + LAPSE_MARGIN_MS
 
 
 def choose_next_step(
--- a/sassafrasgate/shards/ownership.py
+++ b/sassafrasgate/shards/ownership.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 OWNER_TTL_MS = 3_000
+OUTAGE_GRACE_MS = 120_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,17 +31,26 @@
     checked_at: int = 0
 
 
-def may_send(lease: OwnerLease, now: int, ttl_ms: int = OWNER_TTL_MS) -> bool:
+def may_send(
+    lease: OwnerLease,
+    now: int,
+    ttl_ms: int = OWNER_TTL_MS,
+    grace_ms: int = OUTAGE_GRACE_MS,
+) -> bool:
     """Tell whether an owner may send a command to a worker.
 
     Within its lease it may. Past it, it may only while the store has been
-    failing since before the lease ended and the owner itself was not
-    paused: then nobody can have appended a takeover record.
+    failing since before the lease ended, the owner itself was not paused,
+    and the outage grace has not run out. Another process may still reach
+    the store, so a successor waits out the same grace before it gives up
+    the leases on a host that does not answer it.
     """
     if now < lease.renewed_at + ttl_ms:
         return True
     if now >= lease.checked_at + ttl_ms:
         return False
+    if now >= lease.renewed_at + ttl_ms + grace_ms:
+        return False
     return 0 < lease.store_failing_since < lease.renewed_at + ttl_ms
 
 
