--- /dev/null
+++ b/sassafrasgate/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Pure placement decisions: no I/O, no clock, no encoding."""
--- /dev/null
+++ b/sassafrasgate/placement/index.py
@@ -0,0 +1,262 @@
+"""Hosts of a shard with what is reserved and free on each."""
+
+from __future__ import annotations
+
+from types import MappingProxyType
+from typing import TYPE_CHECKING
+
+from sassafrasgate.core.errors import SassafrasgateError
+from sassafrasgate.core.errors import UnknownNameError
+from sassafrasgate.core.resources import NOTHING
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from sassafrasgate.core.hosts import Host
+    from sassafrasgate.core.resources import Resources
+
+_NO_TASKS: Mapping[str, Resources] = MappingProxyType({})
+
+
+class NoRoomError(SassafrasgateError):
+    """A reservation would exceed what is free on a host."""
+
+    def __init__(
+        self, name: str, task: str, demand: Resources, free: Resources
+    ) -> None:
+        super().__init__(
+            f'host {name!r} has {free!r} free, too little for {demand!r} of '
+            f'task {task!r}; choose a host again with choose_hosts'
+        )
+
+
+class HostIndex:
+    """Hosts with their reservations; the only place that counts them.
+
+    A task counts from its reservation until its release, whether or not it
+    is known to run. Hosts are open for new work or closed; closing a host
+    keeps its reservations.
+
+    Examples
+    --------
+    >>> from sassafrasgate.core.hosts import Host
+    >>> from sassafrasgate.core.resources import Resources
+    >>> index = HostIndex()
+    >>> index.add_host(Host('h1', '', 'r1', 'd1', Resources(4000, 1024)))
+    >>> index.reserve('h1', 'job.0.1', Resources(1000, 256))
+    >>> index.find_free('h1').millicores
+    3000
+    """
+
+    def __init__(self) -> None:
+        self._hosts: dict[str, Host] = {}
+        # Free amounts of open hosts are kept apart, since the scan for
+        # candidates reads only these.
+        self._open: dict[str, Resources] = {}
+        self._closed: dict[str, Resources] = {}
+        self._removed: dict[str, bool] = {}
+        self._tasks: dict[str, dict[str, Resources]] = {}
+        self._first: dict[tuple[str, str], Resources] = {}
+        self._total = NOTHING
+        self._hosts_view = MappingProxyType(self._hosts)
+        self._open_view = MappingProxyType(self._open)
+
+    @property
+    def hosts(self) -> Mapping[str, Host]:
+        """Hosts by name, including closed ones."""
+        return self._hosts_view
+
+    @property
+    def open_free(self) -> Mapping[str, Resources]:
+        """Free amounts of the open hosts by name."""
+        return self._open_view
+
+    def add_host(self, host: Host) -> None:
+        """Add a host, open unless drained, or replace its description.
+
+        Reservations and openness of a host that is already known stay; a
+        smaller capacity may leave a negative amount free.
+        """
+        name = host.name
+        known = self._hosts.get(name)
+        self._hosts[name] = host
+        if known is None:
+            self._tasks[name] = {}
+            self._closed[name] = host.capacity
+            self.set_open(name, not host.drained)
+            return
+        self._change_free(name, host.capacity - known.capacity)
+        if name in self._removed:
+            self.set_open(name, self._removed.pop(name))
+
+    def remove_host(self, name: str) -> None:
+        """Close a host and forget it once its last task is released.
+
+        Reservations outlive the inventory entry, because their tasks may
+        still run when the host is added again.
+        """
+        self._check_known(name)
+        if name in self._removed:
+            return
+        self._removed[name] = self.is_open(name)
+        self._close(name)
+        self._forget_if_empty(name)
+
+    def set_open(self, name: str, is_open: bool) -> None:
+        """Allow or stop new work on a host; reservations stay.
+
+        A host that was removed from the inventory stays closed.
+        """
+        self._check_known(name)
+        if name in self._removed:
+            self._removed[name] = is_open
+            return
+        if not is_open:
+            self._close(name)
+            return
+        if name in self._open:
+            return
+        free = self._closed.pop(name)
+        self._open[name] = free
+        self._total = self._total + free.cover(NOTHING)
+
+    def is_open(self, name: str) -> bool:
+        """Tell whether a host gets new work."""
+        self._check_known(name)
+        return name in self._open
+
+    def reserve(
+        self,
+        name: str,
+        task: str,
+        demand: Resources,
+        force: bool = False,
+    ) -> None:
+        """Reserve an amount for a task; a repeat keeps the larger amount.
+
+        Parameters
+        ----------
+        force : bool
+            Reserve even beyond what is free, or on a closed host whose
+            capacity is exceeded. Only for recovery, where the task may
+            already run.
+
+        Raises
+        ------
+        NoRoomError
+            When the amount exceeds what is free and ``force`` is not set.
+        UnknownNameError
+            When the host is unknown.
+        """
+        self._check_known(name)
+        held = self._tasks[name].get(task, NOTHING)
+        self._set_reservation(name, task, held.cover(demand), force)
+        self._first.setdefault((name, task), demand)
+
+    def resize(
+        self,
+        name: str,
+        task: str,
+        demand: Resources,
+        force: bool = False,
+    ) -> None:
+        """Change a reservation, never below the task's first one.
+
+        Raises
+        ------
+        NoRoomError
+            When the growth exceeds what is free and ``force`` is not set.
+        UnknownNameError
+            When the host is unknown or holds no such task.
+        """
+        self._check_known(name)
+        if task not in self._tasks[name]:
+            raise UnknownNameError('task', task, tuple(self._tasks[name]))
+        amount = demand.cover(self._first[name, task])
+        self._set_reservation(name, task, amount, force)
+
+    def release(self, name: str, task: str) -> bool:
+        """Free a task's reservation; False when there is none."""
+        held = self._tasks.get(name, {}).pop(task, None)
+        if held is None:
+            return False
+        del self._first[name, task]
+        self._change_free(name, held)
+        self._forget_if_empty(name)
+        return True
+
+    def find_free(self, name: str) -> Resources:
+        """Return what is free on a host; negative after forced amounts."""
+        self._check_known(name)
+        free = self._open.get(name)
+        return self._closed[name] if free is None else free
+
+    def find_reserved(self, name: str) -> Resources:
+        """Return the sum of a host's reservations."""
+        return self._hosts_view[name].capacity - self.find_free(name)
+
+    def tasks_on(self, name: str) -> Mapping[str, Resources]:
+        """Return the reservations of a host by task; empty if unknown."""
+        return MappingProxyType(self._tasks.get(name, _NO_TASKS))
+
+    def total_free(self) -> Resources:
+        """Return the sum of what is free on open hosts.
+
+        A host with a negative amount free counts as having none.
+        """
+        return self._total
+
+    def largest_free(self) -> Resources:
+        """Return the most that is free of each resource on an open host.
+
+        The amounts may come from different hosts, so a demand that does
+        not fit in them fits on no host, but not the reverse.
+        """
+        largest = NOTHING
+        for free in self._open.values():
+            largest = largest.cover(free)
+        return largest
+
+    def _check_known(self, name: str) -> None:
+        if name not in self._hosts:
+            raise UnknownNameError('host', name, tuple(sorted(self._hosts)))
+
+    def _close(self, name: str) -> None:
+        free = self._open.pop(name, None)
+        if free is None:
+            return
+        self._closed[name] = free
+        self._total = self._total - free.cover(NOTHING)
+
+    def _set_reservation(
+        self, name: str, task: str, amount: Resources, force: bool
+    ) -> None:
+        tasks = self._tasks[name]
+        held = tasks.get(task, NOTHING)
+        growth = amount - held
+        free = self.find_free(name)
+        # Only resources that grow need room: a host whose other resources
+        # are over-reserved by recovery may still shrink or move in these.
+        if not force and not growth.fits_in(free.cover(NOTHING)):
+            raise NoRoomError(name, task, growth, free)
+        tasks[task] = amount
+        self._change_free(name, NOTHING - growth)
+
+    def _change_free(self, name: str, change: Resources) -> None:
+        free = self._open.get(name)
+        if free is None:
+            self._closed[name] = self._closed[name] + change
+            return
+        changed = free + change
+        self._open[name] = changed
+        self._total = (
+            self._total + changed.cover(NOTHING) - free.cover(NOTHING)
+        )
+
+    def _forget_if_empty(self, name: str) -> None:
+        if name not in self._removed or self._tasks[name]:
+            return
+        del self._removed[name]
+        del self._tasks[name]
+        del self._closed[name]
+        del self._hosts[name]
