--- a/sassafrasgate/core/jobs.py
+++ b/sassafrasgate/core/jobs.py
@@ -87,11 +87,26 @@
 
 @dataclass(frozen=True, slots=True)
 class Placement:
-    """One task of one attempt on one host."""
+    """One task of one attempt on one host.
+
+    Parameters
+    ----------
+    task : str
+        Task id.
+    host : str
+        The host that may run it.
+    demand : Resources
+        What is reserved there.
+    incarnation : str
+        The worker's incarnation when the host was chosen. A start is valid
+        for this incarnation only, so that a successor can tell a task that
+        never started from one that a restart has wiped out.
+    """
 
     task: str
     host: str
     demand: Resources
+    incarnation: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/sassafrasgate/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""Long-running tasks that own sockets and state and talk by messages."""
--- /dev/null
+++ b/sassafrasgate/daemons/configurations.py
@@ -0,0 +1,184 @@
+"""The task that keeps a process's configuration; versions only grow."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+from typing import TYPE_CHECKING
+
+import anyio
+
+from sassafrasgate.configuration.versions import advance
+from sassafrasgate.configuration.versions import decode_configuration
+from sassafrasgate.configuration.versions import MANIFEST_KEY
+from sassafrasgate.configuration.versions import read_configuration
+from sassafrasgate.core.cells import Configuration
+from sassafrasgate.core.errors import SassafrasgateError
+from sassafrasgate.daemons.control import ControlChanged
+from sassafrasgate.daemons.control import ControlListed
+from sassafrasgate.observability.clocks import now_ms
+from sassafrasgate.protocol.messages import ConfigurationReply
+from sassafrasgate.protocol.messages import FetchConfiguration
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from anyio.streams.memory import MemoryObjectReceiveStream
+    from anyio.streams.memory import MemoryObjectSendStream
+
+    from sassafrasgate.platform.store import Store
+
+FETCH_TIMEOUT_S = 2.0
+RETRY_S = 0.5
+LAG_ALLOWANCE_MS = 3_000
+
+
+@dataclass(frozen=True, slots=True)
+class VersionHeard:
+    """A peer's heartbeat names its configuration version."""
+
+    peer: str
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationOffered:
+    """A configuration that this process has published itself."""
+
+    configuration: Configuration
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationStatus:
+    """What the task tells its listeners.
+
+    Parameters
+    ----------
+    configuration : Configuration
+        The newest version held.
+    is_current : bool
+        Whether no peer has been known for long to hold a newer one.
+    """
+
+    configuration: Configuration
+    is_current: bool
+
+
+class ConfigurationTask:
+    """Owns the process's configuration.
+
+    Parameters
+    ----------
+    store : Store
+        Where accepted versions are.
+    ask_peers : callable
+        Sends a message to every known peer and returns the answers, for
+        times when the store does not answer.
+    inbox : MemoryObjectReceiveStream
+        Of `ControlListed`, `ControlChanged`, `VersionHeard` and
+        `ConfigurationOffered`.
+    listeners : tuple of MemoryObjectSendStream
+        Get `ConfigurationStatus`.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        ask_peers: Callable[[Any, float], Awaitable[tuple[Any, ...]]],
+        inbox: MemoryObjectReceiveStream[Any],
+        listeners: tuple[MemoryObjectSendStream[Any], ...],
+    ) -> None:
+        self._store = store
+        self._ask_peers = ask_peers
+        self._inbox = inbox
+        self._listeners = listeners
+        self.current = Configuration()
+        self._heard = 0
+        self._behind_since = 0
+        self._has_loaded = False
+        self._told_current = True
+
+    async def run(self) -> None:
+        """Load the first version, then follow changes until cancelled."""
+        await self._load_first()
+        while True:
+            message = None
+            with anyio.move_on_after(RETRY_S):
+                message = await self._inbox.receive()
+            await self._handle(message)
+
+    async def _load_first(self) -> None:
+        """Read the store or, when it is silent, ask every peer."""
+        while not self._has_loaded:
+            if await self._read_store() or await self._read_peers():
+                self._has_loaded = True
+                continue
+            await anyio.sleep(RETRY_S)
+        await self._tell()
+
+    async def _handle(self, message: Any) -> None:
+        if isinstance(message, VersionHeard):
+            self._heard = max(self._heard, message.version)
+        if isinstance(message, ConfigurationOffered):
+            await self._take(message.configuration)
+        if isinstance(message, ControlListed | ControlChanged) and any(
+            item.key == MANIFEST_KEY for item in message.items
+        ):
+            await self._read_store()
+        if self._heard > self.current.version and not await self._read_peers():
+            await self._read_store()
+        await self._note_lag()
+
+    async def _note_lag(self) -> None:
+        """Tell the listeners when this process falls behind or catches up."""
+        if self._heard <= self.current.version:
+            self._behind_since = 0
+        elif not self._behind_since:
+            self._behind_since = now_ms()
+        if self._is_current() != self._told_current:
+            await self._tell()
+
+    def _is_current(self) -> bool:
+        if not self._behind_since:
+            return True
+        return now_ms() - self._behind_since < LAG_ALLOWANCE_MS
+
+    async def _read_store(self) -> bool:
+        try:
+            found = await read_configuration(self._store)
+        except SassafrasgateError:
+            return False
+        if found is not None:
+            await self._take(found)
+        return True
+
+    async def _read_peers(self) -> bool:
+        """Take the newest configuration that any peer holds."""
+        answers = await self._ask_peers(FetchConfiguration(), FETCH_TIMEOUT_S)
+        replies = [
+            answer
+            for answer in answers
+            if isinstance(answer, ConfigurationReply)
+        ]
+        if not replies:
+            return False
+        newest = max(replies, key=lambda reply: reply.version)
+        self._heard = max(self._heard, newest.version)
+        if newest.version > self.current.version:
+            await self._take(decode_configuration(newest.encoded))
+        return newest.version > 0 and self.current.version >= self._heard
+
+    async def _take(self, offered: Configuration) -> None:
+        newer = advance(self.current, offered)
+        if newer.version == self.current.version:
+            return
+        self.current = newer
+        if self._has_loaded:
+            await self._tell()
+
+    async def _tell(self) -> None:
+        self._told_current = self._is_current()
+        status = ConfigurationStatus(self.current, self._told_current)
+        for listener in self._listeners:
+            await listener.send(status)
--- /dev/null
+++ b/sassafrasgate/daemons/control.py
@@ -0,0 +1,81 @@
+"""The one waiting watch of a process: members, owners, configuration."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+from typing import TYPE_CHECKING
+
+import anyio
+
+from sassafrasgate.core.errors import StoreError
+from sassafrasgate.core.errors import StoreLogTrimmedError
+from sassafrasgate.platform.items import Item
+
+if TYPE_CHECKING:
+    from anyio.streams.memory import MemoryObjectSendStream
+
+    from sassafrasgate.platform.store import Store
+
+CONTROL_PREFIX = 'control/'
+WATCH_WAIT_S = 20.0
+RETRY_S = 0.3
+
+
+@dataclass(frozen=True, slots=True)
+class ControlListed:
+    """All control keys at one moment; keys not listed do not exist."""
+
+    items: tuple[Item, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ControlChanged:
+    """Control keys that changed; a value of None means deleted."""
+
+    items: tuple[Item, ...]
+
+
+class ControlTask:
+    """Owns the watch and tells its listeners what it sees.
+
+    Parameters
+    ----------
+    store : Store
+        A client for the watch.
+    listeners : tuple of MemoryObjectSendStream
+        Get `ControlListed` and `ControlChanged`.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        listeners: tuple[MemoryObjectSendStream[Any], ...],
+    ) -> None:
+        self._store = store
+        self._listeners = listeners
+
+    async def run(self) -> None:
+        """List, then watch, until cancelled."""
+        while True:
+            try:
+                listed = await self._store.read_prefix(CONTROL_PREFIX)
+                await self._tell(ControlListed(listed.items))
+                await self._follow(listed.revision)
+            except StoreLogTrimmedError:
+                continue
+            except StoreError:
+                await anyio.sleep(RETRY_S)
+
+    async def _follow(self, revision: int) -> None:
+        while True:
+            changes = await self._store.watch(
+                CONTROL_PREFIX, revision, WATCH_WAIT_S
+            )
+            revision = changes.revision
+            if changes.items:
+                await self._tell(ControlChanged(changes.items))
+
+    async def _tell(self, message: Any) -> None:
+        for listener in self._listeners:
+            await listener.send(message)
--- /dev/null
+++ b/sassafrasgate/daemons/hosts.py
@@ -0,0 +1,337 @@
+"""The task that talks to one worker for one shard.
+
+It owns the worker's client, the last clock reading, and the list of ended
+tasks to release. It renews leases and learns news with one long poll.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import uniform
+from typing import Any
+from typing import TYPE_CHECKING
+
+import anyio
+
+from sassafrasgate.core.errors import SassafrasgateError
+from sassafrasgate.core.errors import StoreConflictError
+from sassafrasgate.core.errors import WorkerUnavailableError
+from sassafrasgate.core.registries import Registry
+from sassafrasgate.observability.clocks import now_ms
+from sassafrasgate.platform.tasks import StartRequest
+from sassafrasgate.platform.tasks import SyncReply
+from sassafrasgate.platform.tasks import SyncRequest
+from sassafrasgate.shards.actions import FetchOutput
+from sassafrasgate.shards.actions import LimitTask
+from sassafrasgate.shards.actions import ReleaseTask
+from sassafrasgate.shards.actions import StartTask
+from sassafrasgate.shards.actions import StopTask
+from sassafrasgate.shards.actions import StoreOutput
+from sassafrasgate.shards.attempts import ClockReading
+from sassafrasgate.shards.attempts import grant_until
+from sassafrasgate.shards.attempts import START_WINDOW_MS
+from sassafrasgate.shards.events import HostSilent
+from sassafrasgate.shards.events import HostSynced
+from sassafrasgate.shards.events import OutputFetched
+from sassafrasgate.shards.events import OutputStored
+from sassafrasgate.shards.events import StartAnswered
+from sassafrasgate.shards.events import StartNotSent
+from sassafrasgate.shards.events import StartUnanswered
+from sassafrasgate.shards.ownership import may_send
+from sassafrasgate.shards.ownership import OwnerLease
+
+if TYPE_CHECKING:
+    from anyio.streams.memory import MemoryObjectReceiveStream
+    from anyio.streams.memory import MemoryObjectSendStream
+
+    from sassafrasgate.platform.store import Store
+    from sassafrasgate.platform.workers import WorkerClient
+
+SYNC_WAIT_MS = 2_000
+RETRY_MIN_S = 0.1
+RETRY_MAX_S = 1.0
+START_TRIES = 2
+OUTPUT_CHUNK_BYTES = 512 * 1024
+
+Command = Callable[['HostTask', Any], Awaitable[None]]
+
+COMMANDS: Registry[type[Any], Command] = Registry('host command')
+
+
+@dataclass(frozen=True, slots=True)
+class OwnerLeaseChanged:
+    """The owner's lease has been renewed, or the store's state changed."""
+
+    lease: OwnerLease
+
+
+class HostTask:
+    """Owns the client of one worker.
+
+    Parameters
+    ----------
+    host, shard, epoch
+        Whom the task talks to, and as which owner.
+    client : WorkerClient
+        Client of the worker.
+    store : Store
+        For large outputs.
+    inbox : MemoryObjectReceiveStream
+        Commands: host actions of `sassafrasgate.shards.actions` and
+        `OwnerLeaseChanged`.
+    events : MemoryObjectSendStream
+        The shard task's inbox.
+    lease : OwnerLease
+        The owner's lease when the task starts.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        shard: str,
+        epoch: int,
+        client: WorkerClient,
+        store: Store,
+        inbox: MemoryObjectReceiveStream[Any],
+        events: MemoryObjectSendStream[Any],
+        lease: OwnerLease,
+    ) -> None:
+        self.host = host
+        self.shard = shard
+        self.epoch = epoch
+        self._client = client
+        self._store = store
+        self._inbox = inbox
+        self._events = events
+        self._lease = lease
+        self._reading: ClockReading | None = None
+        self._incarnation = ''
+        self._known: set[str] = set()
+        self._releases: set[str] = set()
+
+    async def run(self) -> None:
+        """Serve commands until the inbox closes; then finish open calls."""
+        async with self._client, anyio.create_task_group() as tasks:
+            sync_scope = anyio.CancelScope()
+            tasks.start_soon(self._sync_forever, sync_scope)
+            async for command in self._inbox:
+                if isinstance(command, OwnerLeaseChanged):
+                    self._lease = command.lease
+                    continue
+                handle = COMMANDS.find(type(command))
+                tasks.start_soon(handle, self, command)
+            sync_scope.cancel()
+
+    def may_send(self) -> bool:
+        """Tell whether this owner may still command the worker."""
+        return may_send(self._lease, now_ms())
+
+    async def _sync_forever(self, scope: anyio.CancelScope) -> None:
+        with scope:
+            delay_s = RETRY_MIN_S
+            while True:
+                if self.may_send() and await self._sync():
+                    delay_s = RETRY_MIN_S
+                    continue
+                await anyio.sleep(uniform(0, delay_s))  # noqa: S311
+                delay_s = min(delay_s * 2, RETRY_MAX_S)
+
+    async def _sync(self) -> bool:
+        """Make one sync call; tell whether the worker answered."""
+        reading = self._reading
+        release = tuple(self._releases)
+        request = SyncRequest(
+            self.shard,
+            self.epoch,
+            grant_until(reading) if reading else 0,
+            release,
+            # The first answer opens the host, so it must not be held.
+            SYNC_WAIT_MS if reading else 0,
+            tuple(self._known),
+        )
+        try:
+            reply = await self._client.sync(request)
+        except WorkerUnavailableError:
+            await self._events.send(HostSilent(self.host))
+            return False
+        received_at = now_ms()
+        self._releases.difference_update(release)
+        self._known = {task.task for task in reply.ended}
+        self._known.difference_update(release)
+        # The event goes first: a lease granted on this reading must not be
+        # older than what the shard knows.
+        await self._events.send(HostSynced(self.host, reply, received_at))
+        self._note_reading(reply, received_at)
+        return True
+
+    def _note_reading(self, reply: SyncReply, received_at: int) -> None:
+        self._incarnation = reply.incarnation
+        self._reading = ClockReading(reply.clock, received_at)
+
+    async def start_task(self, command: StartTask) -> None:
+        """Start a task; repeat once when no answer comes."""
+        reason = self._find_start_obstacle(command)
+        if reason:
+            await self._events.send(
+                StartNotSent(self.host, command.task, reason)
+            )
+            return
+        request = self._make_start(command)
+        for _ in range(START_TRIES):
+            try:
+                reply = await self._client.start(request)
+            except WorkerUnavailableError as error:
+                if not error.sent:
+                    await self._events.send(
+                        StartNotSent(self.host, command.task, str(error))
+                    )
+                    return
+                await self._events.send(
+                    StartUnanswered(
+                        self.host, command.task, request.start_before_clock
+                    )
+                )
+                if not self.may_send():
+                    return
+                continue
+            await self._events.send(
+                StartAnswered(self.host, command.task, reply, now_ms())
+            )
+            return
+
+    def _make_start(self, command: StartTask) -> StartRequest:
+        assert self._reading is not None
+        clock = self._reading.clock + now_ms() - self._reading.received_at
+        # No grant reaches beyond what the shard counts from this reading.
+        lease_clock = grant_until(self._reading)
+        if command.lease_ms:
+            lease_clock = min(lease_clock, clock + command.lease_ms)
+        return StartRequest(
+            command.task,
+            self.shard,
+            self.epoch,
+            command.incarnation,
+            min(clock + START_WINDOW_MS, lease_clock),
+            lease_clock,
+            command.demand,
+            command.payload,
+            command.wait_ms,
+        )
+
+    def _find_start_obstacle(self, command: StartTask) -> str:
+        if not self.may_send():
+            return 'the owner lease has lapsed'
+        if self._reading is None:
+            return 'the worker has not answered yet'
+        if self._incarnation != command.incarnation:
+            return 'the worker has restarted'
+        return ''
+
+    async def stop_task(self, command: StopTask) -> None:
+        """Ask the worker to stop a task; its end comes with a sync."""
+        if not self.may_send():
+            return
+        try:
+            await self._client.stop(command.task, self.epoch, self.shard)
+        except WorkerUnavailableError:
+            # The shard repeats stops as long as the task is not ended.
+            return
+
+    async def limit_task(self, command: LimitTask) -> None:
+        """Throttle or checkpoint a task."""
+        if not self.may_send():
+            return
+        try:
+            if command.measure == 'checkpoint':
+                await self._client.checkpoint(
+                    command.task, self.epoch, self.shard
+                )
+                return
+            await self._client.throttle(
+                command.task, self.epoch, self.shard, command.millicores
+            )
+        except WorkerUnavailableError:
+            return
+
+    def release_task(self, command: ReleaseTask) -> None:
+        """Let the next sync release an ended task."""
+        self._releases.add(command.task)
+
+    async def fetch_output(self, command: FetchOutput) -> None:
+        """Fetch a quick request's large output whole."""
+        try:
+            data = await self._client.fetch_output(
+                command.task, command.size, command.digest
+            )
+        except SassafrasgateError:
+            return
+        await self._events.send(
+            OutputFetched(command.task, data, command.digest)
+        )
+
+    async def store_output(self, command: StoreOutput) -> None:
+        """Copy a large output into the store, chunk by chunk."""
+        try:
+            data = await self._client.fetch_output(
+                command.task, command.size, command.digest
+            )
+            chunks = await self._write_chunks(command.job_id, data)
+        except SassafrasgateError:
+            chunks = 0
+        await self._events.send(
+            OutputStored(command.task, chunks, command.size, command.digest)
+        )
+
+    async def _write_chunks(self, job_id: str, data: bytes) -> int:
+        count = -(-len(data) // OUTPUT_CHUNK_BYTES)
+        for number in range(count):
+            begin = number * OUTPUT_CHUNK_BYTES
+            part = data[begin : begin + OUTPUT_CHUNK_BYTES]
+            await self._write_chunk(make_output_key(job_id, number), part)
+        return count
+
+    async def _write_chunk(self, key: str, part: bytes) -> None:
+        try:
+            await self._store.create(key, part)
+        except StoreConflictError:
+            item = await self._store.get(key)
+            if item is None or item.value == part:
+                return
+            await self._store.swap(key, part, item.revision)
+
+
+def make_output_key(job_id: str, number: int) -> str:
+    """Return the key of one chunk of a job's output."""
+    return f'output/{job_id}/{number:04d}'
+
+
+@COMMANDS.register(StartTask)
+async def _start_task(task: HostTask, command: StartTask) -> None:
+    await task.start_task(command)
+
+
+@COMMANDS.register(StopTask)
+async def _stop_task(task: HostTask, command: StopTask) -> None:
+    await task.stop_task(command)
+
+
+@COMMANDS.register(LimitTask)
+async def _limit_task(task: HostTask, command: LimitTask) -> None:
+    await task.limit_task(command)
+
+
+@COMMANDS.register(ReleaseTask)
+async def _release_task(task: HostTask, command: ReleaseTask) -> None:
+    task.release_task(command)
+
+
+@COMMANDS.register(FetchOutput)
+async def _fetch_output(task: HostTask, command: FetchOutput) -> None:
+    await task.fetch_output(command)
+
+
+@COMMANDS.register(StoreOutput)
+async def _store_output(task: HostTask, command: StoreOutput) -> None:
+    await task.store_output(command)
--- /dev/null
+++ b/sassafrasgate/daemons/journals.py
@@ -0,0 +1,205 @@
+"""The task that writes one shard's journal.
+
+While one entry is being written, records gather for the next one, so that
+the number of writes follows the store's speed and not the load.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+from typing import Any
+from typing import TYPE_CHECKING
+
+import anyio
+
+from sassafrasgate.core.errors import ShardLostError
+from sassafrasgate.core.errors import StoreUnavailableError
+from sassafrasgate.journal.chain import encode_snapshot
+from sassafrasgate.observability.clocks import wall_ms
+from sassafrasgate.shards.events import RecordsDurable
+from sassafrasgate.shards.events import WithdrawalAnswered
+
+if TYPE_CHECKING:
+    from anyio.streams.memory import MemoryObjectReceiveStream
+    from anyio.streams.memory import MemoryObjectSendStream
+
+    from sassafrasgate.journal.chain import Journal
+
+MAX_ENTRY_RECORDS = 2_000
+MAX_ENTRY_PAYLOAD_BYTES = 512 * 1024
+
+
+@dataclass(frozen=True, slots=True)
+class AppendRecord:
+    """Make a record durable; answered by `RecordsDurable`."""
+
+    record: Any
+
+
+@dataclass(frozen=True, slots=True)
+class WithdrawJob:
+    """Drop a job's unsent records; answered by `WithdrawalAnswered`."""
+
+    job_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class SnapshotEnded:
+    """Tells the shard task whether a snapshot is in place."""
+
+    written: bool
+
+
+@dataclass(frozen=True, slots=True)
+class WriteSnapshot:
+    """Write a snapshot of the state after all records sent so far."""
+
+    records: tuple[Any, ...]
+
+
+class JournalTask:
+    """Owns the journal's writing end and the records not yet written.
+
+    Parameters
+    ----------
+    journal : Journal
+        Positioned after this owner's takeover record.
+    inbox : MemoryObjectReceiveStream
+        Of `AppendRecord`, `WithdrawJob` and `WriteSnapshot`.
+    shard : MemoryObjectSendStream
+        The shard task's inbox.
+    """
+
+    def __init__(
+        self,
+        journal: Journal,
+        inbox: MemoryObjectReceiveStream[Any],
+        shard: MemoryObjectSendStream[Any],
+    ) -> None:
+        self._journal = journal
+        self._inbox = inbox
+        self._shard = shard
+        self._waiting: deque[Any] = deque()
+        self._snapshot_running = False
+        self._wakeup = anyio.Event()
+
+    async def run(self) -> None:
+        """Write until the inbox closes and everything is written.
+
+        Raises
+        ------
+        ShardLostError
+            When another process has taken the shard over.
+        """
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._write_entries, tasks)
+            async for message in self._inbox:
+                await self._take(message)
+            self._waiting.append(None)
+            self._wakeup.set()
+
+    async def _take(self, message: Any) -> None:
+        if isinstance(message, WithdrawJob):
+            await self._withdraw(message.job_id)
+            return
+        self._waiting.append(message)
+        self._wakeup.set()
+
+    async def _withdraw(self, job_id: str) -> None:
+        """Drop a job's records if its acceptance is among the unsent."""
+        mine = [
+            message
+            for message in self._waiting
+            if isinstance(message, AppendRecord)
+            and getattr(message.record, 'job_id', '') == job_id
+        ]
+        accepted = any(m.record.kind == 'accepted' for m in mine)
+        if accepted:
+            dropped = {id(message) for message in mine}
+            self._waiting = deque(
+                message
+                for message in self._waiting
+                if id(message) not in dropped
+            )
+        await self._shard.send(WithdrawalAnswered(job_id, accepted))
+
+    async def _write_entries(self, tasks: anyio.abc.TaskGroup) -> None:
+        while True:
+            while not self._waiting:
+                self._wakeup = anyio.Event()
+                await self._wakeup.wait()
+            first = self._waiting[0]
+            if first is None:
+                return
+            if isinstance(first, WriteSnapshot):
+                self._waiting.popleft()
+                self._start_snapshot(tasks, first)
+                continue
+            if not self._journal.has_room:
+                # Overwriting a slot that no snapshot covers would lose it.
+                self._wakeup = anyio.Event()
+                await self._wakeup.wait()
+                continue
+            records = self._take_batch()
+            await self._journal.append(records)
+            await self._shard.send(RecordsDurable(records, wall_ms()))
+
+    def _take_batch(self) -> tuple[Any, ...]:
+        """Remove and return records for one entry."""
+        records = []
+        payload = 0
+        while self._waiting and len(records) < MAX_ENTRY_RECORDS:
+            message = self._waiting[0]
+            if not isinstance(message, AppendRecord):
+                break
+            payload += measure_payload(message.record)
+            if records and payload > MAX_ENTRY_PAYLOAD_BYTES:
+                break
+            records.append(message.record)
+            self._waiting.popleft()
+        return tuple(records)
+
+    def _start_snapshot(
+        self, tasks: anyio.abc.TaskGroup, message: WriteSnapshot
+    ) -> None:
+        if self._snapshot_running:
+            return
+        self._snapshot_running = True
+        sequence = self._journal.next_sequence - 1
+        tasks.start_soon(self._write_snapshot, sequence, message.records)
+
+    async def _write_snapshot(
+        self, sequence: int, records: tuple[Any, ...]
+    ) -> None:
+        written = False
+        try:
+            await self._journal.write_snapshot(
+                sequence, encode_snapshot(records)
+            )
+            written = True
+        except StoreUnavailableError:
+            # The old snapshot stays valid, and the shard asks again.
+            written = False
+        self._snapshot_running = False
+        self._wakeup.set()
+        await self._shard.send(SnapshotEnded(written))
+
+
+def measure_payload(record: Any) -> int:
+    """Return the length of a record's variable part in bytes."""
+    spec = getattr(record, 'spec', None)
+    outcome = getattr(record, 'outcome', None)
+    payload = len(spec.payload) if spec is not None else 0
+    output = len(outcome.output) if outcome is not None else 0
+    return 256 + payload + output
+
+
+async def run_journal(task: JournalTask) -> str:
+    """Run a journal task; return why it gave the shard up, or ''."""
+    reason = ''
+    try:
+        await task.run()
+    except* ShardLostError as group:
+        reason = str(group.exceptions[0])
+    return reason
--- a/sassafrasgate/journal/records.py
+++ b/sassafrasgate/journal/records.py
@@ -100,12 +100,28 @@
 
 @register_record('requeued')
 class JobRequeued:
-    """An attempt has certainly ended and another one is wanted."""
+    """Tasks of an attempt have certainly ended and others are wanted.
+
+    Parameters
+    ----------
+    job_id, attempt
+        The job and the attempt that ended.
+    reason : str
+        For explanations.
+    tasks : tuple of str
+        The tasks that ended without success.
+    failed_hosts : tuple of str
+        Hosts to avoid for the next attempt.
+    counted : int
+        Failures of the job that this adds: 1 when the task itself failed.
+    """
 
     job_id: str
     attempt: int
     reason: str
-    failed_host: str = ''
+    tasks: tuple[str, ...] = ()
+    failed_hosts: tuple[str, ...] = ()
+    counted: int = 0
 
 
 @register_record('ended')
--- /dev/null
+++ b/sassafrasgate/shards/endings.py
@@ -0,0 +1,294 @@
+"""Ends of tasks, attempts and jobs."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from sassafrasgate.core.identifiers import split_task_id
+from sassafrasgate.core.jobs import JobClass
+from sassafrasgate.core.jobs import JobState
+from sassafrasgate.core.jobs import Outcome
+from sassafrasgate.journal.records import JobEnded
+from sassafrasgate.journal.records import JobRequeued
+from sassafrasgate.platform.tasks import EndedTask
+from sassafrasgate.platform.tasks import TaskOutcome
+from sassafrasgate.protocol.messages import TransferEnded
+from sassafrasgate.shards.actions import LogDecision
+from sassafrasgate.shards.actions import ReleaseTask
+from sassafrasgate.shards.actions import SendPeer
+from sassafrasgate.shards.actions import StopTask
+from sassafrasgate.shards.actions import StoreOutput
+from sassafrasgate.shards.attempts import AttemptFate
+from sassafrasgate.shards.attempts import choose_next_step
+from sassafrasgate.shards.attempts import NextStep
+from sassafrasgate.shards.events import OutputStored
+from sassafrasgate.shards.handlers import DURABLE_HANDLERS
+from sassafrasgate.shards.handlers import EVENT_HANDLERS
+from sassafrasgate.shards.handlers import write_record
+from sassafrasgate.shards.quick import end_quick_request
+from sassafrasgate.shards.quick import retry_quick_request
+from sassafrasgate.shards.state import ClosedTask
+from sassafrasgate.shards.state import FinishedTask
+from sassafrasgate.shards.state import JobEntry
+from sassafrasgate.shards.state import MAX_FAILED_ATTEMPTS
+from sassafrasgate.shards.state import TaskEntry
+from sassafrasgate.shards.state import TaskPhase
+from sassafrasgate.shards.views import answer_waiters
+
+if TYPE_CHECKING:
+    from sassafrasgate.shards.handlers import Actions
+    from sassafrasgate.shards.state import ShardState
+
+# Certainty grows from left to right: the attempt as a whole is as bad as
+# its worst task.
+_FATE_ORDER = (
+    AttemptFate.NOT_SENT,
+    AttemptFate.REFUSED,
+    AttemptFate.FAILED,
+    AttemptFate.LAPSED,
+)
+
+
+def settle_ended_task(
+    state: ShardState, host: str, report: EndedTask, now: int
+) -> Actions:
+    """Note the end of a task that its worker has confirmed."""
+    task = state.drop_task(report.task)
+    state.room_changed = True
+    job_id = task.job_id if task else find_job_id(report.task)
+    if task is not None:
+        _note_health(state, host, job_id, report.outcome)
+    quick = state.quick.get(job_id)
+    if quick is not None and quick.task == report.task:
+        yield from end_quick_request(state, job_id, report, now)
+        return
+    entry = state.jobs.get(job_id)
+    if entry is None or not _is_current(entry, report.task):
+        yield ReleaseTask(host, report.task)
+        return
+    if report.outcome is TaskOutcome.FINISHED:
+        yield from _note_finished(state, host, entry, report)
+        return
+    if entry.is_over or entry.state is JobState.UNKNOWN:
+        yield ReleaseTask(host, report.task)
+        return
+    fate = (
+        AttemptFate.FAILED
+        if report.outcome is TaskOutcome.FAILED
+        else AttemptFate.LAPSED
+    )
+    reason = report.reason or str(report.outcome)
+    closed = ClosedTask(report.task, host, fate, reason)
+    yield from _close(state, entry, closed, now)
+
+
+def find_job_id(task: str) -> str:
+    """Return the job id of a task id, also of a quick request's."""
+    return split_task_id(task)[0].partition('~')[0]
+
+
+def _is_current(entry: JobEntry, task: str) -> bool:
+    return any(placement.task == task for placement in entry.placements)
+
+
+def _note_health(
+    state: ShardState, host: str, job_id: str, outcome: TaskOutcome
+) -> None:
+    if outcome is TaskOutcome.FINISHED:
+        state.health.note_success(host, job_id)
+    if outcome is TaskOutcome.FAILED:
+        state.health.note_failure(host, job_id)
+
+
+def _note_finished(
+    state: ShardState, host: str, entry: JobEntry, report: EndedTask
+) -> Actions:
+    if entry.state is JobState.FINISHED:
+        yield ReleaseTask(host, report.task)
+        return
+    if any(task.task == report.task for task in entry.finished):
+        return
+    if report.size > len(report.output):
+        if report.task in state.storing:
+            return
+        state.storing[report.task] = report
+        yield StoreOutput(
+            host, report.task, entry.job_id, report.size, report.digest
+        )
+        return
+    outcome = Outcome(
+        JobState.FINISHED, '', report.output, 0, report.size, report.digest
+    )
+    yield from _finish_task(state, entry, report.task, outcome)
+
+
+@EVENT_HANDLERS.register(OutputStored)
+def note_stored_output(
+    state: ShardState, event: OutputStored, now: int
+) -> Actions:
+    """Finish a task whose large output is in the store."""
+    if state.storing.pop(event.task, None) is None:
+        return
+    job_id, _, _ = split_task_id(event.task)
+    entry = state.jobs.get(job_id)
+    if entry is None or not event.chunks:
+        # Without chunks the copy failed; the worker's next report of the
+        # ended task starts it again.
+        return
+    outcome = Outcome(
+        JobState.FINISHED, '', b'', event.chunks, event.size, event.digest
+    )
+    yield from _finish_task(state, entry, event.task, outcome)
+
+
+def _finish_task(
+    state: ShardState, entry: JobEntry, task: str, outcome: Outcome
+) -> Actions:
+    finished = (*entry.finished, FinishedTask(task, outcome))
+    entry = state.update_job(entry.job_id, finished=finished)
+    if len(finished) < entry.spec.tasks:
+        return
+    yield from end_job(state, entry, _merge_outcomes(finished))
+
+
+def _merge_outcomes(finished: tuple[FinishedTask, ...]) -> Outcome:
+    """Return a job's outcome: the one with output, lowest task first."""
+    ordered = sorted(finished, key=lambda item: split_task_id(item.task)[1])
+    for item in ordered:
+        if item.outcome.size:
+            return item.outcome
+    return ordered[0].outcome
+
+
+def end_job(state: ShardState, entry: JobEntry, outcome: Outcome) -> Actions:
+    """Write a job's end; callers hear of it once it is durable."""
+    yield LogDecision(
+        'end',
+        entry.job_id,
+        entry.attempt,
+        ','.join(placement.host for placement in entry.placements),
+        f'{outcome.state} {outcome.reason}'.strip(),
+    )
+    yield from write_record(
+        state,
+        JobEnded(entry.job_id, entry.attempt, outcome, state.wall_ms),
+    )
+
+
+@DURABLE_HANDLERS.register('ended')
+def confirm_ended(state: ShardState, record: JobEnded, now: int) -> Actions:
+    """Answer callers and let the workers forget the tasks."""
+    entry = state.jobs.get(record.job_id)
+    if entry is None:
+        return
+    yield from answer_waiters(state, record.job_id)
+    for placement in entry.placements:
+        yield ReleaseTask(placement.host, placement.task)
+    if entry.home:
+        yield SendPeer(
+            entry.home,
+            TransferEnded(
+                entry.home,
+                entry.job_id,
+                entry.home_attempt,
+                record.outcome,
+            ),
+        )
+
+
+def close_task(
+    state: ShardState,
+    task: TaskEntry,
+    fate: AttemptFate,
+    reason: str,
+    now: int,
+) -> Actions:
+    """Give up a task that certainly does not run any more."""
+    state.drop_task(task.task)
+    state.room_changed = True
+    quick = state.quick.get(task.job_id)
+    if quick is not None and quick.task == task.task:
+        yield from retry_quick_request(state, task.job_id, reason, now)
+        return
+    entry = state.jobs.get(task.job_id)
+    if entry is None or not _is_current(entry, task.task) or entry.is_over:
+        return
+    yield from _close(
+        state, entry, ClosedTask(task.task, task.host, fate, reason), now
+    )
+
+
+def _close(
+    state: ShardState, entry: JobEntry, closed: ClosedTask, now: int
+) -> Actions:
+    entry = state.update_job(entry.job_id, closed=(*entry.closed, closed))
+    if entry.spec.job_class is not JobClass.SERVICE:
+        yield from _stop_others(state, entry)
+    if entry.cancelling:
+        yield from finish_cancel(state, entry)
+        return
+    if entry.spec.job_class is not JobClass.SERVICE and any(
+        True for _ in state.tasks_of(entry.job_id)
+    ):
+        # All tasks of a gang end before any of them may start again.
+        return
+    yield from _end_attempt(state, entry)
+
+
+def _stop_others(state: ShardState, entry: JobEntry) -> Actions:
+    for task in state.tasks_of(entry.job_id):
+        if task.stopping or task.phase is TaskPhase.PLANNED:
+            continue
+        state.tasks[task.task] = replace(task, stopping=True)
+        yield StopTask(task.host, task.task)
+
+
+def _end_attempt(state: ShardState, entry: JobEntry) -> Actions:
+    fate = max((c.fate for c in entry.closed), key=_FATE_ORDER.index)
+    reason = next(c.reason for c in entry.closed if c.fate is fate)
+    step = choose_next_step(
+        entry.spec.idempotent, fate, entry.failures + 1, MAX_FAILED_ATTEMPTS
+    )
+    if step is NextStep.END_FAILED:
+        yield from end_job(state, entry, Outcome(JobState.FAILED, reason))
+        return
+    if step is NextStep.END_UNKNOWN:
+        yield from end_job(state, entry, Outcome(JobState.UNKNOWN, reason))
+        return
+    failed = fate is AttemptFate.FAILED
+    gone = [c.task for c in entry.closed]
+    if entry.spec.job_class is not JobClass.SERVICE:
+        gone = [placement.task for placement in entry.placements]
+    failed_hosts = entry.failed_hosts
+    if failed:
+        hosts = tuple(c.host for c in entry.closed if c.fate is fate)
+        failed_hosts = (*failed_hosts, *hosts)[-MAX_FAILED_ATTEMPTS:]
+    yield LogDecision(
+        'retry', entry.job_id, entry.attempt, reason=f'{fate}: {reason}'
+    )
+    for task in gone:
+        host = next(
+            p.host for p in entry.placements if p.task == task
+        )
+        yield ReleaseTask(host, task)
+    yield from write_record(
+        state,
+        JobRequeued(
+            entry.job_id,
+            entry.attempt,
+            reason,
+            tuple(gone),
+            failed_hosts,
+            int(failed),
+        ),
+    )
+
+
+def finish_cancel(state: ShardState, entry: JobEntry) -> Actions:
+    """End a cancelled job once none of its tasks can run any more."""
+    if any(True for _ in state.tasks_of(entry.job_id)):
+        return
+    yield from end_job(
+        state, entry, Outcome(JobState.CANCELLED, 'cancelled by its caller')
+    )
--- /dev/null
+++ b/sassafrasgate/shards/handlers.py
@@ -0,0 +1,43 @@
+"""Registries of handlers, by event, request, and journal record."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Generator
+from typing import Any
+from typing import TYPE_CHECKING
+
+from sassafrasgate.core.errors import Refusal
+from sassafrasgate.core.registries import Registry
+from sassafrasgate.protocol.messages import Refused
+from sassafrasgate.shards.actions import Persist
+from sassafrasgate.shards.actions import Reply
+
+if TYPE_CHECKING:
+    from sassafrasgate.shards.state import ShardState
+
+Actions = Generator[Any, None, None]
+Handler = Callable[['ShardState', Any, int], Actions]
+Applier = Callable[['ShardState', Any], None]
+
+EVENT_HANDLERS: Registry[type[Any], Handler] = Registry('shard event')
+REQUEST_HANDLERS: Registry[str, Handler] = Registry('shard request')
+DURABLE_HANDLERS: Registry[str, Handler] = Registry('durable record')
+APPLIERS: Registry[str, Applier] = Registry('journal record applier')
+
+
+def write_record(state: ShardState, record: Any) -> Actions:
+    """Apply a record to the state and ask for its persistence.
+
+    Replay after a takeover applies records with the same function, so that
+    a successor's state cannot differ from what the record meant.
+    """
+    APPLIERS.find(record.kind)(state, record)
+    yield Persist(record)
+
+
+def reply_refusal(reply_to: int, refusal: Refusal) -> Reply:
+    """Return the answer that carries a refusal."""
+    return Reply(
+        reply_to, Refused(refusal.kind, refusal.reason, refusal.remedy)
+    )
--- /dev/null
+++ b/sassafrasgate/shards/placements.py
@@ -0,0 +1,221 @@
+"""Placing jobs: at once, from the queue, or not at all."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Any
+from typing import TYPE_CHECKING
+
+from sassafrasgate.core.errors import Refusal
+from sassafrasgate.core.errors import RefusalKind
+from sassafrasgate.core.identifiers import make_task_id
+from sassafrasgate.core.identifiers import split_task_id
+from sassafrasgate.core.jobs import JobClass
+from sassafrasgate.core.jobs import JobSpec
+from sassafrasgate.core.jobs import Placement
+from sassafrasgate.journal.records import JobPlaced
+from sassafrasgate.placement.policies import Assignment
+from sassafrasgate.placement.policies import choose_hosts
+from sassafrasgate.placement.policies import PlacementRequest
+from sassafrasgate.shards.actions import LogDecision
+from sassafrasgate.shards.handlers import write_record
+from sassafrasgate.shards.state import MAX_EXPLANATION_LINES
+
+if TYPE_CHECKING:
+    from collections.abc import Generator
+
+    from sassafrasgate.shards.handlers import Actions
+    from sassafrasgate.shards.state import JobEntry
+    from sassafrasgate.shards.state import ShardState
+
+MAX_PLACEMENTS_PER_PASS = 200
+
+
+def choose_for_job(
+    state: ShardState,
+    spec: JobSpec,
+    tasks: int,
+    excluded: frozenset[str] = frozenset(),
+    occupied: tuple[str, ...] = (),
+) -> Assignment | Refusal:
+    """Return hosts for ``tasks`` tasks of a job, or why there are none."""
+    demand = state.sizes.find_demand(spec)
+    refusal = state.quotas.may_reserve(spec.team, demand.scale(tasks))
+    if refusal is not None:
+        return refusal
+    labels, domains = find_rule_limits(state, spec)
+    request = PlacementRequest(
+        spec,
+        local_domain=state.failure_domain,
+        excluded=excluded,
+        labels=labels,
+        failure_domains=domains,
+        demand=demand,
+        tasks=tasks,
+        occupied=occupied,
+    )
+    chosen = choose_hosts(state.index, request)
+    if not isinstance(chosen, Refusal) or not excluded:
+        return chosen
+    # A host that failed the job before is better than no host at all.
+    return choose_hosts(state.index, replace(request, excluded=frozenset()))
+
+
+def find_rule_limits(
+    state: ShardState, spec: JobSpec
+) -> tuple[tuple[str, ...], tuple[str, ...]]:
+    """Return the labels and failure domains that the rules ask for."""
+    labels: tuple[str, ...] = ()
+    domains: tuple[str, ...] = ()
+    for rule in state.configuration.rules:
+        if rule.team not in ('', spec.team):
+            continue
+        if rule.job_class not in ('', spec.job_class):
+            continue
+        labels += rule.labels
+        if rule.failure_domains:
+            domains = _narrow_domains(domains, rule.failure_domains)
+    return labels, domains
+
+
+def _narrow_domains(
+    domains: tuple[str, ...], allowed: tuple[str, ...]
+) -> tuple[str, ...]:
+    if not domains:
+        return allowed
+    return tuple(name for name in domains if name in allowed) or ('',)
+
+
+def make_placements(
+    state: ShardState,
+    job_id: str,
+    attempt: int,
+    spec: JobSpec,
+    assignment: Assignment,
+    standing: tuple[Placement, ...] = (),
+) -> tuple[Placement, ...]:
+    """Return the placements of an assignment, for the journal.
+
+    Task indexes that no standing placement uses are filled lowest first.
+    """
+    demand = state.sizes.find_demand(spec)
+    used = {split_task_id(placement.task)[1] for placement in standing}
+    free = (index for index in range(spec.tasks) if index not in used)
+    return tuple(
+        Placement(
+            make_task_id(job_id, index, attempt),
+            host,
+            demand,
+            state.hosts[host].incarnation,
+        )
+        for index, host in zip(free, assignment.hosts, strict=False)
+    )
+
+
+def place_queued_jobs(state: ShardState, now: int) -> Actions:
+    """Place waiting jobs in fair order, at most one batch per call.
+
+    A job that does not fit now is passed over and blocks nobody.
+    """
+    placed = 0
+    for job_id in state.queue.pick(now):
+        entry = state.jobs.get(job_id)
+        if entry is None:
+            continue
+        refusal = yield from place_job(state, entry)
+        if refusal is not None:
+            state.queue.pass_over(job_id)
+            continue
+        placed += 1
+        if placed >= MAX_PLACEMENTS_PER_PASS:
+            state.room_changed = True
+            return
+
+
+def place_job(
+    state: ShardState, entry: JobEntry
+) -> Generator[Any, None, Refusal | None]:
+    """Place a queued job's missing tasks; return a refusal or None."""
+    tasks = count_wanted(entry)
+    chosen = choose_for_job(
+        state,
+        entry.spec,
+        tasks,
+        frozenset(entry.failed_hosts),
+        tuple(placement.host for placement in entry.placements),
+    )
+    if isinstance(chosen, Refusal):
+        if entry.reason != chosen.reason:
+            state.update_job(entry.job_id, reason=chosen.reason)
+            yield from note_decision(
+                state,
+                LogDecision(
+                    'queue', entry.job_id, entry.attempt, reason=chosen.reason
+                ),
+            )
+        return chosen
+    attempt = entry.attempt + 1
+    placements = make_placements(
+        state,
+        entry.job_id,
+        attempt,
+        entry.spec,
+        chosen,
+        entry.placements,
+    )
+    yield from write_record(
+        state, JobPlaced(entry.job_id, attempt, placements)
+    )
+    yield from note_placement(state, entry.job_id, attempt, chosen)
+    return None
+
+
+def count_wanted(entry: JobEntry) -> int:
+    """Return how many tasks one decision must place together.
+
+    Gangs need all their tasks at once; a service takes what it gets, one
+    task at a time.
+    """
+    if entry.spec.job_class is JobClass.SERVICE:
+        return 1
+    return entry.missing_tasks
+
+
+def note_placement(
+    state: ShardState, job_id: str, attempt: int, chosen: Assignment
+) -> Actions:
+    """Log a placement and keep it for explanations."""
+    yield from note_decision(
+        state,
+        LogDecision(
+            'place',
+            job_id,
+            attempt,
+            host=','.join(chosen.hosts),
+            reason=f'score={chosen.score:.3f}',
+            candidates=chosen.candidates,
+        ),
+    )
+
+
+def note_decision(state: ShardState, decision: LogDecision) -> Actions:
+    """Log a decision and keep the newest ones of each job."""
+    line = ' '.join(
+        part
+        for part in (
+            decision.kind,
+            f'attempt {decision.attempt}' if decision.attempt else '',
+            f'host {decision.host}' if decision.host else '',
+            decision.reason,
+        )
+        if part
+    )
+    if decision.job in state.jobs:
+        lines = (*state.explanations.get(decision.job, ()), line)
+        state.explanations[decision.job] = lines[-MAX_EXPLANATION_LINES:]
+    yield decision
+
+
+def fits_nowhere(refusal: Refusal) -> bool:
+    """Tell whether no host of the shard could ever run the job."""
+    return refusal.kind is RefusalKind.FITS_NOWHERE
--- /dev/null
+++ b/sassafrasgate/shards/quick.py
@@ -0,0 +1,265 @@
+"""Quick requests: placed and answered without a journal record."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Any
+from typing import TYPE_CHECKING
+
+from sassafrasgate.core.errors import Refusal
+from sassafrasgate.core.errors import RefusalKind
+from sassafrasgate.core.identifiers import make_task_id
+from sassafrasgate.core.jobs import JobState
+from sassafrasgate.core.jobs import Outcome
+from sassafrasgate.platform.tasks import EndedTask
+from sassafrasgate.platform.tasks import TaskOutcome
+from sassafrasgate.protocol.messages import JobView
+from sassafrasgate.protocol.messages import Submit
+from sassafrasgate.shards.actions import FetchOutput
+from sassafrasgate.shards.actions import LogDecision
+from sassafrasgate.shards.actions import ReleaseTask
+from sassafrasgate.shards.actions import Reply
+from sassafrasgate.shards.actions import StartTask
+from sassafrasgate.shards.events import OutputFetched
+from sassafrasgate.shards.handlers import EVENT_HANDLERS
+from sassafrasgate.shards.handlers import reply_refusal
+from sassafrasgate.shards.placements import choose_for_job
+from sassafrasgate.shards.state import QuickRequest
+from sassafrasgate.shards.state import TaskEntry
+
+if TYPE_CHECKING:
+    from collections.abc import Generator
+
+    from sassafrasgate.core.jobs import JobSpec
+    from sassafrasgate.shards.events import RequestReceived
+    from sassafrasgate.shards.handlers import Actions
+    from sassafrasgate.shards.state import ShardState
+
+DEFAULT_DEADLINE_MS = 5_000
+MAX_DEADLINE_MS = 9_000
+REPLY_MARGIN_MS = 100
+MAX_TRIES = 3
+
+
+def start_quick_request(
+    state: ShardState, request: RequestReceived, now: int
+) -> Actions:
+    """Place a quick request at once, or refuse it at once."""
+    submit: Submit = request.message
+    refusal = _find_refusal(state, submit.spec)
+    if refusal is not None:
+        yield from _refuse(state, request, refusal)
+        return
+    running = state.quick.get(submit.job_id)
+    if running is not None:
+        state.quick[submit.job_id] = replace(
+            running, reply_to=(*running.reply_to, request.reply_to)
+        )
+        return
+    quick = QuickRequest(
+        submit.job_id,
+        submit.spec,
+        (request.reply_to,),
+        now + find_deadline_ms(submit.spec) - REPLY_MARGIN_MS,
+        0,
+        '',
+        '',
+    )
+    refusal = yield from _place(state, quick, now)
+    if refusal is not None:
+        yield from _refuse(state, request, refusal)
+
+
+def find_deadline_ms(spec: JobSpec) -> int:
+    """Return how long a quick request may take, in milliseconds."""
+    if spec.deadline_s <= 0:
+        return DEFAULT_DEADLINE_MS
+    return min(int(spec.deadline_s * 1000), MAX_DEADLINE_MS)
+
+
+def _find_refusal(state: ShardState, spec: JobSpec) -> Refusal | None:
+    if state.stopping:
+        return Refusal(
+            RefusalKind.STOPPING,
+            f'the owner of shard {state.name!r} is stopping',
+            'send the request again; another process takes over',
+        )
+    if state.find_team(spec.team) is None:
+        return Refusal(
+            RefusalKind.INVALID,
+            f'unknown team {spec.team!r}',
+            'name a team of the quotas file, or add it there and apply',
+        )
+    if not spec.idempotent or spec.tasks != 1:
+        return Refusal(
+            RefusalKind.INVALID,
+            f'a quick request must be idempotent and have one task, not '
+            f'idempotent={spec.idempotent!r} tasks={spec.tasks!r}',
+            'submit it as a job of class urgent instead',
+        )
+    return None
+
+
+def _refuse(
+    state: ShardState, request: RequestReceived, refusal: Refusal
+) -> Actions:
+    yield LogDecision(
+        'refuse', request.message.job_id, reason=refusal.reason
+    )
+    yield reply_refusal(request.reply_to, refusal)
+
+
+def _place(
+    state: ShardState, quick: QuickRequest, now: int
+) -> Generator[Any, None, Refusal | None]:
+    chosen = choose_for_job(
+        state, quick.spec, 1, frozenset(quick.tried)
+    )
+    if isinstance(chosen, Refusal):
+        return chosen
+    host = chosen.hosts[0]
+    attempt = quick.attempt + 1
+    # The epoch keeps task ids of successive owners apart.
+    task = make_task_id(f'{quick.job_id}~{state.epoch}', 0, attempt)
+    demand = state.sizes.find_demand(quick.spec)
+    incarnation = state.hosts[host].incarnation
+    state.add_task(TaskEntry(task, quick.job_id, host, demand, incarnation))
+    state.quick[quick.job_id] = replace(
+        quick, attempt=attempt, task=task, host=host
+    )
+    wait_ms = max(1, quick.expires_at - now)
+    yield LogDecision(
+        'route',
+        quick.job_id,
+        attempt,
+        host,
+        f'score={chosen.score:.3f}',
+        chosen.candidates,
+    )
+    yield StartTask(
+        host,
+        task,
+        incarnation,
+        demand,
+        quick.spec.payload,
+        wait_ms=wait_ms,
+        lease_ms=wait_ms + REPLY_MARGIN_MS,
+    )
+    return None
+
+
+def retry_quick_request(
+    state: ShardState, job_id: str, reason: str, now: int
+) -> Actions:
+    """Place a quick request elsewhere after a certain refusal."""
+    quick = state.quick[job_id]
+    tried = replace(quick, tried=(*quick.tried, quick.host))
+    if now >= quick.expires_at or len(tried.tried) >= MAX_TRIES:
+        refusal: Refusal | None = Refusal(
+            RefusalKind.OVERLOADED,
+            f'{len(tried.tried)} workers refused the request: {reason}',
+            'send the request again later',
+        )
+    else:
+        refusal = yield from _place(state, tried, now)
+    if refusal is None:
+        return
+    del state.quick[job_id]
+    yield LogDecision('refuse', job_id, quick.attempt, reason=refusal.reason)
+    for reply_to in quick.reply_to:
+        yield reply_refusal(reply_to, refusal)
+
+
+def end_quick_request(
+    state: ShardState, job_id: str, ended: EndedTask, now: int
+) -> Actions:
+    """Answer a quick request with its task's output."""
+    quick = state.quick[job_id]
+    if quick.ended is not None:
+        return
+    if ended.outcome is TaskOutcome.FINISHED and ended.size > len(
+        ended.output
+    ):
+        state.quick[job_id] = replace(quick, ended=ended)
+        yield FetchOutput(quick.host, quick.task, ended.size, ended.digest)
+        return
+    succeeded = ended.outcome is TaskOutcome.FINISHED
+    if not succeeded and len(quick.tried) + 1 < MAX_TRIES:
+        yield ReleaseTask(quick.host, quick.task)
+        reason = ended.reason or str(ended.outcome)
+        yield from retry_quick_request(state, job_id, reason, now)
+        return
+    outcome = Outcome(
+        JobState.FINISHED if succeeded else JobState.FAILED,
+        '' if succeeded else (ended.reason or str(ended.outcome)),
+        ended.output,
+        0,
+        ended.size,
+        ended.digest,
+    )
+    yield from _answer(state, quick, outcome)
+
+
+@EVENT_HANDLERS.register(OutputFetched)
+def answer_fetched(
+    state: ShardState, event: OutputFetched, now: int
+) -> Actions:
+    """Answer a quick request whose large output has arrived."""
+    for quick in list(state.quick.values()):
+        if quick.task != event.task:
+            continue
+        outcome = Outcome(
+            JobState.FINISHED,
+            '',
+            event.data,
+            0,
+            len(event.data),
+            event.digest,
+        )
+        yield from _answer(state, quick, outcome)
+
+
+def _answer(
+    state: ShardState, quick: QuickRequest, outcome: Outcome
+) -> Actions:
+    state.quick.pop(quick.job_id, None)
+    yield ReleaseTask(quick.host, quick.task)
+    view = JobView(
+        quick.job_id,
+        outcome.state,
+        outcome.reason,
+        quick.attempt,
+        (quick.host,),
+        state.name,
+        state.epoch,
+        False,
+        outcome,
+        quick.spec.team,
+        quick.spec.job_class,
+    )
+    for reply_to in quick.reply_to:
+        yield Reply(reply_to, view)
+
+
+def expire_quick_requests(state: ShardState, now: int) -> Actions:
+    """Answer "unknown" to callers whose time is over.
+
+    The reservation stays until the worker confirms the task's end.
+    """
+    late = [q for q in state.quick.values() if q.expires_at <= now]
+    for quick in late:
+        del state.quick[quick.job_id]
+        view = JobView(
+            quick.job_id,
+            JobState.UNKNOWN,
+            'the worker has not answered in time',
+            quick.attempt,
+            (quick.host,),
+            state.name,
+            state.epoch,
+        )
+        yield LogDecision(
+            'expire', quick.job_id, quick.attempt, quick.host, view.reason
+        )
+        for reply_to in quick.reply_to:
+            yield Reply(reply_to, view)
--- /dev/null
+++ b/sassafrasgate/shards/recovery.py
@@ -0,0 +1,253 @@
+"""How journal records change a shard's state, now and in replay."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+from sassafrasgate.core.jobs import JobState
+from sassafrasgate.journal.records import AttemptRefused
+from sassafrasgate.journal.records import JobAccepted
+from sassafrasgate.journal.records import JobEnded
+from sassafrasgate.journal.records import JobPlaced
+from sassafrasgate.journal.records import JobRequeued
+from sassafrasgate.journal.records import JobsForgotten
+from sassafrasgate.journal.records import JobTransferred
+from sassafrasgate.journal.records import Takeover
+from sassafrasgate.shards.attempts import find_takeover_lapse
+from sassafrasgate.shards.handlers import APPLIERS
+from sassafrasgate.shards.state import HostEntry
+from sassafrasgate.shards.state import JobEntry
+from sassafrasgate.shards.state import TaskEntry
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Iterator
+
+    from sassafrasgate.core.jobs import Placement
+    from sassafrasgate.shards.state import ShardState
+
+MAX_TOMBSTONES = 10_000
+
+
+def replay_records(state: ShardState, records: Iterable[Any]) -> None:
+    """Apply records of a snapshot or the journal, oldest first."""
+    for record in records:
+        APPLIERS.find(record.kind)(state, record)
+
+
+def begin_ownership(state: ShardState, now: int) -> None:
+    """Set the lapse times of hosts once the takeover record is durable."""
+    lapse_at = find_takeover_lapse(now, state.previous_grace_ms)
+    for name in state.hosts:
+        state.update_host(name, lapse_at=lapse_at)
+
+
+def list_records(state: ShardState) -> Iterator[Any]:
+    """Yield records from which the durable state can be rebuilt."""
+    yield Takeover(state.epoch, state.owner, state.grace_ms)
+    for entry in state.jobs.values():
+        yield from _list_job_records(entry)
+    for job_id, home, attempt in state.tombstones:
+        yield AttemptRefused(job_id, home, attempt)
+
+
+def _list_job_records(entry: JobEntry) -> Iterator[Any]:
+    yield JobAccepted(
+        entry.job_id,
+        entry.spec,
+        0,
+        (),
+        entry.accepted_at_ms,
+        entry.home,
+        entry.home_attempt,
+    )
+    if entry.transferred_to:
+        yield JobTransferred(
+            entry.job_id, entry.attempt, entry.transferred_to
+        )
+    if entry.attempt and not entry.transferred_to:
+        yield JobPlaced(entry.job_id, entry.attempt, entry.placements)
+    if entry.failures and not entry.is_over:
+        yield JobRequeued(
+            entry.job_id,
+            entry.attempt,
+            entry.reason,
+            (),
+            entry.failed_hosts,
+            entry.failures,
+        )
+    if entry.outcome is not None:
+        yield JobEnded(
+            entry.job_id, entry.attempt, entry.outcome, entry.ended_at_ms
+        )
+
+
+def _add_placements(
+    state: ShardState, job_id: str, placements: Iterable[Placement]
+) -> None:
+    for placement in placements:
+        state.add_task(
+            TaskEntry(
+                placement.task,
+                job_id,
+                placement.host,
+                placement.demand,
+                placement.incarnation,
+            )
+        )
+
+
+def _requeue(state: ShardState, entry: JobEntry) -> None:
+    state.queue.add(entry.job_id, entry.spec, entry.accepted_at_ms)
+
+
+@APPLIERS.register('takeover')
+def apply_takeover(state: ShardState, record: Takeover) -> None:
+    """Note the epoch and what the previous owner was allowed."""
+    state.previous_grace_ms = state.grace_ms
+    state.epoch = record.epoch
+    state.grace_ms = record.grace_ms
+
+
+@APPLIERS.register('accepted')
+def apply_accepted(state: ShardState, record: JobAccepted) -> None:
+    """Add a job, queued or with its first placements."""
+    entry = JobEntry(
+        record.job_id,
+        record.spec,
+        attempt=record.attempt,
+        placements=record.placements,
+        accepted_at_ms=record.accepted_at_ms,
+        home=record.home,
+        home_attempt=record.home_attempt,
+        state=JobState.ACCEPTED if record.placements else JobState.QUEUED,
+    )
+    state.jobs[record.job_id] = entry
+    _add_placements(state, record.job_id, record.placements)
+    if not record.placements:
+        _requeue(state, entry)
+
+
+@APPLIERS.register('placed')
+def apply_placed(state: ShardState, record: JobPlaced) -> None:
+    """Add placements of a new attempt to those that still stand."""
+    entry = state.jobs[record.job_id]
+    state.queue.remove(record.job_id)
+    entry = state.update_job(
+        record.job_id,
+        attempt=record.attempt,
+        placements=entry.placements + record.placements,
+        state=JobState.ACCEPTED,
+        reason='',
+    )
+    _add_placements(state, record.job_id, record.placements)
+    if entry.missing_tasks > 0:
+        _requeue(state, entry)
+
+
+@APPLIERS.register('requeued')
+def apply_requeued(state: ShardState, record: JobRequeued) -> None:
+    """Drop the tasks that ended and queue the job for others."""
+    entry = state.jobs[record.job_id]
+    gone = set(record.tasks)
+    for task in record.tasks:
+        state.drop_task(task)
+    entry = state.update_job(
+        record.job_id,
+        placements=tuple(p for p in entry.placements if p.task not in gone),
+        finished=tuple(f for f in entry.finished if f.task not in gone),
+        closed=(),
+        failures=entry.failures + record.counted,
+        failed_hosts=record.failed_hosts,
+        transferred_to='',
+        state=JobState.QUEUED,
+        reason=record.reason,
+    )
+    state.transfers_in_flight.pop(record.job_id, None)
+    _requeue(state, entry)
+
+
+@APPLIERS.register('ended')
+def apply_ended(state: ShardState, record: JobEnded) -> None:
+    """End a job; all its tasks have certainly ended."""
+    entry = state.jobs[record.job_id]
+    for placement in entry.placements:
+        state.drop_task(placement.task)
+    state.queue.remove(record.job_id)
+    state.transfers_in_flight.pop(record.job_id, None)
+    state.update_job(
+        record.job_id,
+        state=record.outcome.state,
+        reason=record.outcome.reason,
+        outcome=record.outcome,
+        ended_at_ms=record.ended_at_ms,
+        finished=(),
+        closed=(),
+    )
+    state.ended_order[record.job_id] = None
+
+
+@APPLIERS.register('transferred')
+def apply_transferred(state: ShardState, record: JobTransferred) -> None:
+    """Hand an attempt to another shard."""
+    state.queue.remove(record.job_id)
+    state.update_job(
+        record.job_id,
+        attempt=record.attempt,
+        transferred_to=record.shard,
+        state=JobState.ACCEPTED,
+        reason=f'transferred to shard {record.shard!r}',
+    )
+
+
+@APPLIERS.register('tombstone')
+def apply_tombstone(state: ShardState, record: AttemptRefused) -> None:
+    """Refuse a transferred attempt for good."""
+    state.tombstones[(record.job_id, record.home, record.home_attempt)] = None
+    if len(state.tombstones) > MAX_TOMBSTONES:
+        state.tombstones.pop(next(iter(state.tombstones)))
+
+
+@APPLIERS.register('forgotten')
+def apply_forgotten(state: ShardState, record: JobsForgotten) -> None:
+    """Drop jobs whose retention has ended."""
+    for job_id in record.job_ids:
+        state.jobs.pop(job_id, None)
+        state.ended_order.pop(job_id, None)
+        state.explanations.pop(job_id, None)
+
+
+def sync_hosts(state: ShardState, lapse_at: int) -> None:
+    """Bring the host index in line with the configuration.
+
+    Hosts that left the inventory stay, closed, while tasks may run there.
+    """
+    shard = _find_shard(state)
+    if shard is None:
+        return
+    state.failure_domain = shard.failure_domain
+    racks = set(shard.racks)
+    wanted = {
+        host.name: host
+        for host in state.configuration.hosts
+        if host.rack in racks and host.failure_domain == shard.failure_domain
+    }
+    for name, host in wanted.items():
+        if state.index.hosts.get(name) != host:
+            state.index.add_host(host)
+        if name not in state.hosts:
+            state.hosts[name] = HostEntry(name, lapse_at=lapse_at)
+    for name in [name for name in state.hosts if name not in wanted]:
+        if not state.index.tasks_on(name):
+            state.index.remove_host(name)
+            del state.hosts[name]
+            continue
+        state.index.set_open(name, False)
+
+
+def _find_shard(state: ShardState) -> Any:
+    for shard in state.configuration.shards:
+        if shard.name == state.name:
+            return shard
+    return None
--- /dev/null
+++ b/sassafrasgate/shards/state.py
@@ -0,0 +1,328 @@
+"""The state of one shard, owned by one task.
+
+Values are frozen; the containers belong to the shard's task alone.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from dataclasses import replace
+from enum import StrEnum
+from typing import Any
+from typing import TYPE_CHECKING
+
+from sassafrasgate.core.cells import Configuration
+from sassafrasgate.core.cells import Team
+from sassafrasgate.core.identifiers import split_task_id
+from sassafrasgate.core.jobs import FINAL_STATES
+from sassafrasgate.core.jobs import JobSpec
+from sassafrasgate.core.jobs import JobState
+from sassafrasgate.core.jobs import Outcome
+from sassafrasgate.core.jobs import Placement
+from sassafrasgate.core.resources import Resources
+from sassafrasgate.platform.tasks import EndedTask
+from sassafrasgate.platform.tasks import RunningTask
+from sassafrasgate.platform.tasks import TaskUsage
+from sassafrasgate.placement.index import HostIndex
+from sassafrasgate.placement.quarantine import HostHealth
+from sassafrasgate.placement.queues import JobQueue
+from sassafrasgate.placement.quotas import QuotaLedger
+from sassafrasgate.shards.attempts import AttemptFate
+from sassafrasgate.shards.attempts import ClockReading
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from sassafrasgate.protocol.messages import Summary
+
+MAX_FAILED_ATTEMPTS = 3
+MAX_EXPLANATION_LINES = 12
+
+
+class TaskPhase(StrEnum):
+    """What the owner knows of a task."""
+
+    PLANNED = 'planned'
+    SENT = 'sent'
+    RUNNING = 'running'
+    STORING = 'storing'
+
+
+@dataclass(frozen=True, slots=True)
+class TaskEntry:
+    """A task that may be running and holds a reservation.
+
+    Parameters
+    ----------
+    start_before_clock : int
+        For a start without an answer: when the worker will refuse it.
+    started_clock : int
+        The worker's clock when it confirmed the start. An older sync that
+        does not list the task says nothing about it.
+    stopping : bool
+        Whether the owner has asked the worker to stop it.
+    """
+
+    task: str
+    job_id: str
+    host: str
+    demand: Resources
+    incarnation: str
+    phase: TaskPhase = TaskPhase.PLANNED
+    start_before_clock: int = 0
+    started_clock: int = 0
+    stopping: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ClosedTask:
+    """A task that ended without success, and what is certain about it."""
+
+    task: str
+    host: str
+    fate: AttemptFate
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class FinishedTask:
+    """A task that ended with success."""
+
+    task: str
+    outcome: Outcome
+
+
+@dataclass(frozen=True, slots=True)
+class JobEntry:
+    """One job as this shard knows it.
+
+    Parameters
+    ----------
+    attempt : int
+        Highest attempt number used so far.
+    failures : int
+        Attempts that counted as failures.
+    placements : tuple of Placement
+        Tasks that may run or have finished.
+    finished, closed : tuple
+        Tasks of the current placements that ended with and without success.
+    durable : bool
+        Whether the acceptance is in the journal.
+    transferred_to : str
+        Shard that runs the current attempt, or empty.
+    cancelling : bool
+        Whether a caller has asked for its end.
+    """
+
+    job_id: str
+    spec: JobSpec
+    state: JobState = JobState.ACCEPTED
+    reason: str = ''
+    attempt: int = 0
+    failures: int = 0
+    placements: tuple[Placement, ...] = ()
+    finished: tuple[FinishedTask, ...] = ()
+    closed: tuple[ClosedTask, ...] = ()
+    outcome: Outcome | None = None
+    accepted_at_ms: int = 0
+    ended_at_ms: int = 0
+    failed_hosts: tuple[str, ...] = ()
+    home: str = ''
+    home_attempt: int = 0
+    transferred_to: str = ''
+    durable: bool = False
+    cancelling: bool = False
+    queued_at: int = 0
+
+    @property
+    def is_over(self) -> bool:
+        """Whether the job has ended for good."""
+        return self.state in FINAL_STATES
+
+    @property
+    def missing_tasks(self) -> int:
+        """Number of tasks that still have to be placed."""
+        return self.spec.tasks - len(self.placements)
+
+
+@dataclass(frozen=True, slots=True)
+class HostEntry:
+    """What the owner knows of a host.
+
+    Parameters
+    ----------
+    fenced : bool
+        Whether the worker has answered under this owner's epoch.
+    reading : ClockReading or None
+        The last clock reading under this epoch.
+    silent_since : int
+        Owner's clock of the first missed answer, or 0.
+    lapse_at : int
+        Owner's clock from which everything granted to the host by earlier
+        owners has lapsed; 0 once the host has answered.
+    """
+
+    name: str
+    fenced: bool = False
+    incarnation: str = ''
+    reading: ClockReading | None = None
+    silent_since: int = 0
+    lapse_at: int = 0
+    leaving: bool = False
+    listed_leaving: bool = False
+    lapsed: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class PendingSubmit:
+    """Callers that wait for a job's acceptance to become durable."""
+
+    expires_at: int
+    reply_to: tuple[int, ...]
+    withdrawing: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class JobWaiter:
+    """A caller that waits for a job's end."""
+
+    reply_to: int
+    expires_at: int
+
+
+@dataclass(frozen=True, slots=True)
+class QuickRequest:
+    """A quick request that runs without a journal record."""
+
+    job_id: str
+    spec: JobSpec
+    reply_to: tuple[int, ...]
+    expires_at: int
+    attempt: int
+    task: str
+    host: str
+    tried: tuple[str, ...] = ()
+    ended: EndedTask | None = None
+
+
+@dataclass
+class ShardState:
+    """Everything a shard's decisions depend on.
+
+    Parameters
+    ----------
+    name : str
+        Shard name.
+    owner : str
+        Process name and incarnation of the owner.
+    """
+
+    name: str
+    owner: str
+    epoch: int = 0
+    grace_ms: int = 0
+    previous_grace_ms: int = 0
+    configuration: Configuration = field(default_factory=Configuration)
+    failure_domain: str = ''
+    index: HostIndex = field(default_factory=HostIndex)
+    queue: JobQueue = field(default_factory=JobQueue)
+    quotas: QuotaLedger = field(default_factory=QuotaLedger)
+    health: HostHealth = field(default_factory=HostHealth)
+    jobs: dict[str, JobEntry] = field(default_factory=dict)
+    tasks: dict[str, TaskEntry] = field(default_factory=dict)
+    hosts: dict[str, HostEntry] = field(default_factory=dict)
+    pending: dict[str, PendingSubmit] = field(default_factory=dict)
+    waiters: dict[str, tuple[JobWaiter, ...]] = field(default_factory=dict)
+    quick: dict[str, QuickRequest] = field(default_factory=dict)
+    storing: dict[str, EndedTask] = field(default_factory=dict)
+    explanations: dict[str, tuple[str, ...]] = field(default_factory=dict)
+    usage: dict[str, TaskUsage] = field(default_factory=dict)
+    tombstones: dict[tuple[str, str, int], None] = field(default_factory=dict)
+    summaries: dict[str, Summary] = field(default_factory=dict)
+    transfers_in_flight: dict[str, int] = field(default_factory=dict)
+    ended_order: dict[str, None] = field(default_factory=dict)
+    stopping: bool = False
+    room_changed: bool = False
+    wall_ms: int = 0
+
+    def find_team(self, name: str) -> Team | None:
+        """Return a team of the configuration, or None."""
+        for team in self.configuration.teams:
+            if team.name == name:
+                return team
+        return None
+
+    def update_job(self, job_id: str, **changes: Any) -> JobEntry:
+        """Replace fields of a job and return the new entry."""
+        entry = replace(self.jobs[job_id], **changes)
+        self.jobs[job_id] = entry
+        return entry
+
+    def update_host(self, name: str, **changes: Any) -> HostEntry:
+        """Replace fields of a host and return the new entry."""
+        entry = replace(self.hosts[name], **changes)
+        self.hosts[name] = entry
+        return entry
+
+    def add_task(self, entry: TaskEntry) -> None:
+        """Hold a reservation for a task that may run from now on."""
+        self.tasks[entry.task] = entry
+        if entry.host in self.index.hosts:
+            self.index.reserve(
+                entry.host, entry.task, entry.demand, force=True
+            )
+
+    def drop_task(self, task: str) -> TaskEntry | None:
+        """Give back the reservation of a task that certainly ended."""
+        entry = self.tasks.pop(task, None)
+        if entry is None:
+            return None
+        if entry.host in self.index.hosts:
+            self.index.release(entry.host, task)
+        self.usage.pop(task, None)
+        return entry
+
+    def note_running(self, job_id: str) -> None:
+        """Show a job as running once all its tasks have been started."""
+        entry = self.jobs.get(job_id)
+        if entry is None or entry.state is not JobState.ACCEPTED:
+            return
+        if entry.missing_tasks > 0:
+            return
+        phases = {task.phase for task in self.tasks_of(job_id)}
+        if phases <= {TaskPhase.RUNNING}:
+            self.update_job(job_id, state=JobState.RUNNING)
+
+    def is_settled(self, task: str) -> bool:
+        """Tell whether a task's end is no news and is durable."""
+        job_id, _, _ = split_task_id(task)
+        entry = self.jobs.get(job_id)
+        if entry is None:
+            return not job_id.partition('~')[0] in self.quick
+        return entry.is_over
+
+    def must_stop(self, report: RunningTask) -> bool:
+        """Tell whether an unexpected task belongs to a job that is over."""
+        job_id, _, _ = split_task_id(report.task)
+        entry = self.jobs.get(job_id)
+        return entry is not None
+
+    def stopping_tasks(self) -> Iterable[TaskEntry]:
+        """Return the tasks that have been asked to stop."""
+        return [task for task in self.tasks.values() if task.stopping]
+
+    def fits_elsewhere(self, spec: JobSpec) -> bool:
+        """Tell whether another shard says that it could hold a task."""
+        return any(
+            spec.demand.fits_in(summary.largest)
+            for summary in self.summaries.values()
+        )
+
+    def tasks_of(self, job_id: str) -> Iterable[TaskEntry]:
+        """Return the tasks of a job that may be running."""
+        entry = self.jobs.get(job_id)
+        if entry is None:
+            return ()
+        found = (self.tasks.get(item.task) for item in entry.placements)
+        return [task for task in found if task is not None]
--- /dev/null
+++ b/sassafrasgate/shards/submissions.py
@@ -0,0 +1,250 @@
+"""Accepting jobs: duplicates, admission, acceptance, withdrawal."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sassafrasgate.core.errors import Refusal
+from sassafrasgate.core.errors import RefusalKind
+from sassafrasgate.core.jobs import JobClass
+from sassafrasgate.core.jobs import JobSpec
+from sassafrasgate.core.jobs import JobState
+from sassafrasgate.core.jobs import Placement
+from sassafrasgate.journal.records import JobAccepted
+from sassafrasgate.placement.policies import Assignment
+from sassafrasgate.protocol.messages import JobView
+from sassafrasgate.protocol.messages import Submit
+from sassafrasgate.shards.actions import LogDecision
+from sassafrasgate.shards.actions import Reply
+from sassafrasgate.shards.actions import StartTask
+from sassafrasgate.shards.actions import Withdraw
+from sassafrasgate.shards.handlers import DURABLE_HANDLERS
+from sassafrasgate.shards.handlers import EVENT_HANDLERS
+from sassafrasgate.shards.handlers import reply_refusal
+from sassafrasgate.shards.handlers import REQUEST_HANDLERS
+from sassafrasgate.shards.handlers import write_record
+from sassafrasgate.shards.events import WithdrawalAnswered
+from sassafrasgate.shards.placements import choose_for_job
+from sassafrasgate.shards.placements import fits_nowhere
+from sassafrasgate.shards.placements import make_placements
+from sassafrasgate.shards.placements import note_decision
+from sassafrasgate.shards.placements import note_placement
+from sassafrasgate.shards.quick import start_quick_request
+from sassafrasgate.shards.state import PendingSubmit
+from sassafrasgate.shards.state import TaskPhase
+from sassafrasgate.shards.views import view_job
+
+if TYPE_CHECKING:
+    from sassafrasgate.shards.events import RequestReceived
+    from sassafrasgate.shards.handlers import Actions
+    from sassafrasgate.shards.state import ShardState
+
+REPLY_MARGIN_MS = 300
+
+
+@REQUEST_HANDLERS.register('submit')
+def accept_submit(
+    state: ShardState, request: RequestReceived, now: int
+) -> Actions:
+    """Accept a job, or refuse it with the certainty that it will not run."""
+    submit: Submit = request.message
+    if submit.spec.job_class is JobClass.QUICK:
+        yield from start_quick_request(state, request, now)
+        return
+    if submit.job_id in state.jobs:
+        yield from _answer_duplicate(state, request)
+        return
+    refusal = _find_refusal(state, submit.spec, now)
+    if refusal is not None:
+        yield from refuse_submit(state, request, refusal)
+        return
+    yield from _accept_job(state, request, now)
+
+
+def refuse_submit(
+    state: ShardState, request: RequestReceived, refusal: Refusal
+) -> Actions:
+    """Refuse a job that has left no trace."""
+    submit: Submit = request.message
+    yield from note_decision(
+        state, LogDecision('refuse', submit.job_id, reason=refusal.reason)
+    )
+    yield reply_refusal(request.reply_to, refusal)
+
+
+def _find_refusal(
+    state: ShardState, spec: JobSpec, now: int
+) -> Refusal | None:
+    if state.stopping:
+        return Refusal(
+            RefusalKind.STOPPING,
+            f'the owner of shard {state.name!r} is stopping',
+            'submit again; another process takes the shard over',
+        )
+    team = state.find_team(spec.team)
+    if team is None:
+        return Refusal(
+            RefusalKind.INVALID,
+            f'unknown team {spec.team!r}',
+            'name a team of the quotas file, or add it there and apply',
+        )
+    return state.admission.check(spec, team, state.queue, now)
+
+
+def _answer_duplicate(state: ShardState, request: RequestReceived) -> Actions:
+    submit: Submit = request.message
+    entry = state.jobs[submit.job_id]
+    if entry.spec != submit.spec:
+        yield reply_refusal(
+            request.reply_to,
+            Refusal(
+                RefusalKind.CONFLICT,
+                f'key {submit.spec.key!r} of team {submit.spec.team!r} '
+                'belongs to a job with another description',
+                'use a new key for a new job, or repeat the first request',
+            ),
+        )
+        return
+    pending = state.pending.get(submit.job_id)
+    if pending is not None:
+        state.pending[submit.job_id] = PendingSubmit(
+            pending.expires_at,
+            (*pending.reply_to, request.reply_to),
+            pending.withdrawing,
+        )
+        return
+    yield Reply(request.reply_to, view_job(state, entry, duplicate=True))
+
+
+def _accept_job(
+    state: ShardState, request: RequestReceived, now: int
+) -> Actions:
+    submit: Submit = request.message
+    spec = submit.spec
+    chosen = choose_for_job(state, spec, spec.tasks)
+    if isinstance(chosen, Refusal) and fits_nowhere(chosen):
+        if not state.fits_elsewhere(spec):
+            yield from refuse_submit(state, request, chosen)
+            return
+    # Waiting jobs keep their order: a new one overtakes the queue only when
+    # its class says so.
+    may_overtake = spec.job_class is JobClass.URGENT or not len(state.queue)
+    placements: tuple[Placement, ...] = ()
+    if isinstance(chosen, Assignment) and may_overtake:
+        placements = make_placements(state, submit.job_id, 1, spec, chosen)
+    yield from write_record(
+        state,
+        JobAccepted(
+            submit.job_id,
+            spec,
+            1 if placements else 0,
+            placements,
+            request.wall_ms,
+        ),
+    )
+    expires_at = now + int(submit.wait_s * 1000) - REPLY_MARGIN_MS
+    if request.reply_to:
+        state.pending[submit.job_id] = PendingSubmit(
+            expires_at, (request.reply_to,)
+        )
+    if isinstance(chosen, Assignment) and placements:
+        yield from note_placement(state, submit.job_id, 1, chosen)
+        return
+    state.room_changed = True
+    reason = chosen.reason if isinstance(chosen, Refusal) else 'behind others'
+    state.update_job(submit.job_id, reason=reason, queued_at=now)
+    yield from note_decision(
+        state, LogDecision('queue', submit.job_id, reason=reason)
+    )
+
+
+@DURABLE_HANDLERS.register('accepted')
+def confirm_accepted(
+    state: ShardState, record: JobAccepted, now: int
+) -> Actions:
+    """Answer the callers and start the tasks the record names."""
+    if record.job_id not in state.jobs:
+        return
+    entry = state.update_job(record.job_id, durable=True)
+    pending = state.pending.pop(record.job_id, None)
+    if pending is not None:
+        for position, reply_to in enumerate(pending.reply_to):
+            yield Reply(
+                reply_to, view_job(state, entry, duplicate=position > 0)
+            )
+    yield from start_placed(state, record.job_id, record.placements)
+
+
+@DURABLE_HANDLERS.register('placed')
+def confirm_placed(state: ShardState, record: object, now: int) -> Actions:
+    """Start the tasks of a placement that is in the journal."""
+    yield from start_placed(state, record.job_id, record.placements)  # type: ignore[attr-defined]
+
+
+def start_placed(
+    state: ShardState, job_id: str, placements: tuple[Placement, ...]
+) -> Actions:
+    """Send the starts of placements that are still wanted."""
+    spec = state.jobs[job_id].spec
+    for placement in placements:
+        task = state.tasks.get(placement.task)
+        if task is None or task.phase is not TaskPhase.PLANNED:
+            continue
+        yield StartTask(
+            placement.host,
+            placement.task,
+            placement.incarnation,
+            placement.demand,
+            spec.payload,
+        )
+
+
+def expire_submits(state: ShardState, now: int) -> Actions:
+    """Ask the journal to drop acceptances whose callers give up."""
+    for job_id, pending in list(state.pending.items()):
+        if pending.expires_at > now or pending.withdrawing:
+            continue
+        state.pending[job_id] = PendingSubmit(
+            pending.expires_at, pending.reply_to, withdrawing=True
+        )
+        yield Withdraw(job_id)
+
+
+@EVENT_HANDLERS.register(WithdrawalAnswered)
+def finish_withdrawal(
+    state: ShardState, event: WithdrawalAnswered, now: int
+) -> Actions:
+    """Tell callers "not run" when that is certain, else "unknown"."""
+    pending = state.pending.pop(event.job_id, None)
+    entry = state.jobs.get(event.job_id)
+    if entry is None:
+        return
+    if not event.withdrawn:
+        if pending is None:
+            return
+        view = JobView(
+            event.job_id,
+            JobState.UNKNOWN,
+            'the store has not confirmed the acceptance',
+            shard=state.name,
+            epoch=state.epoch,
+        )
+        for reply_to in pending.reply_to:
+            yield Reply(reply_to, view)
+        return
+    for placement in entry.placements:
+        state.drop_task(placement.task)
+    state.queue.remove(event.job_id)
+    state.jobs.pop(event.job_id)
+    state.explanations.pop(event.job_id, None)
+    state.room_changed = True
+    view = JobView(
+        event.job_id,
+        JobState.NOT_RUN,
+        'the store did not answer in time; nothing was written',
+        shard=state.name,
+        epoch=state.epoch,
+    )
+    yield LogDecision('withdraw', event.job_id, reason=view.reason)
+    for reply_to in pending.reply_to if pending else ():
+        yield Reply(reply_to, view)
--- /dev/null
+++ b/sassafrasgate/shards/timers.py
@@ -0,0 +1,102 @@
+"""What a shard does as time passes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sassafrasgate.journal.records import JobsForgotten
+from sassafrasgate.shards.actions import LogDecision
+from sassafrasgate.shards.actions import StopTask
+from sassafrasgate.shards.events import ConfigurationChanged
+from sassafrasgate.shards.events import RecordsDurable
+from sassafrasgate.shards.events import StopRequested
+from sassafrasgate.shards.events import Ticked
+from sassafrasgate.shards.handlers import DURABLE_HANDLERS
+from sassafrasgate.shards.handlers import EVENT_HANDLERS
+from sassafrasgate.shards.handlers import write_record
+from sassafrasgate.shards.quick import expire_quick_requests
+from sassafrasgate.shards.recovery import sync_hosts
+from sassafrasgate.shards.submissions import expire_submits
+from sassafrasgate.shards.views import expire_waiters
+from sassafrasgate.shards.workers import lapse_hosts
+from sassafrasgate.shards.workers import update_openness
+
+if TYPE_CHECKING:
+    from sassafrasgate.shards.handlers import Actions
+    from sassafrasgate.shards.state import ShardState
+
+RETENTION_MS = 24 * 3600 * 1000
+MAX_FORGOTTEN_PER_TICK = 500
+
+
+@EVENT_HANDLERS.register(Ticked)
+def note_time(state: ShardState, event: Ticked, now: int) -> Actions:
+    """Expire what is due."""
+    state.wall_ms = event.wall_ms
+    yield from expire_submits(state, now)
+    yield from expire_quick_requests(state, now)
+    yield from expire_waiters(state, now)
+    yield from lapse_hosts(state, now)
+    yield from _repeat_stops(state)
+    yield from _forget_old_jobs(state)
+    for name in state.health.update(now):
+        if name in state.hosts:
+            update_openness(state, name)
+            yield LogDecision('health', '', host=name, reason='reviewed')
+
+
+def _repeat_stops(state: ShardState) -> Actions:
+    """Send stops again, since their answers are not awaited."""
+    for task in list(state.stopping_tasks()):
+        yield StopTask(task.host, task.task)
+
+
+def _forget_old_jobs(state: ShardState) -> Actions:
+    oldest = state.wall_ms - RETENTION_MS
+    due = []
+    for job_id in state.ended_order:
+        if state.jobs[job_id].ended_at_ms > oldest:
+            break
+        due.append(job_id)
+        if len(due) >= MAX_FORGOTTEN_PER_TICK:
+            break
+    if due:
+        yield from write_record(state, JobsForgotten(tuple(due)))
+
+
+@EVENT_HANDLERS.register(RecordsDurable)
+def note_durable(
+    state: ShardState, event: RecordsDurable, now: int
+) -> Actions:
+    """Release the effects of records that are in the journal."""
+    for record in event.records:
+        if record.kind in DURABLE_HANDLERS:
+            yield from DURABLE_HANDLERS.find(record.kind)(state, record, now)
+
+
+@EVENT_HANDLERS.register(ConfigurationChanged)
+def note_configuration(
+    state: ShardState, event: ConfigurationChanged, now: int
+) -> Actions:
+    """Take over a newer configuration; an older one changes nothing."""
+    if event.configuration.version <= state.configuration.version:
+        return
+    state.configuration = event.configuration
+    sync_hosts(state, now)
+    state.quotas.set_teams(
+        event.configuration.teams, len(event.configuration.shards)
+    )
+    state.queue.set_teams(event.configuration.teams)
+    for name in list(state.hosts):
+        update_openness(state, name)
+    state.room_changed = True
+    yield LogDecision(
+        'configure', '', reason=f'version {event.configuration.version}'
+    )
+
+
+@EVENT_HANDLERS.register(StopRequested)
+def note_stop(state: ShardState, event: StopRequested, now: int) -> Actions:
+    """Accept nothing new from now on."""
+    state.stopping = True
+    yield LogDecision('stop', '', reason='the process is stopping')
--- /dev/null
+++ b/sassafrasgate/shards/views.py
@@ -0,0 +1,194 @@
+"""What callers and operators see of a shard."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sassafrasgate.core.errors import Refusal
+from sassafrasgate.core.errors import RefusalKind
+from sassafrasgate.core.jobs import FINAL_STATES
+from sassafrasgate.core.jobs import JobState
+from sassafrasgate.core.resources import NOTHING
+from sassafrasgate.core.resources import Resources
+from sassafrasgate.protocol.messages import Explain
+from sassafrasgate.protocol.messages import Explanation
+from sassafrasgate.protocol.messages import HostList
+from sassafrasgate.protocol.messages import HostView
+from sassafrasgate.protocol.messages import JobList
+from sassafrasgate.protocol.messages import JobView
+from sassafrasgate.protocol.messages import ListJobs
+from sassafrasgate.protocol.messages import Query
+from sassafrasgate.shards.actions import Reply
+from sassafrasgate.shards.handlers import reply_refusal
+from sassafrasgate.shards.handlers import REQUEST_HANDLERS
+from sassafrasgate.shards.state import JobWaiter
+
+if TYPE_CHECKING:
+    from sassafrasgate.shards.events import RequestReceived
+    from sassafrasgate.shards.handlers import Actions
+    from sassafrasgate.shards.state import HostEntry
+    from sassafrasgate.shards.state import JobEntry
+    from sassafrasgate.shards.state import ShardState
+
+MAX_LISTED_JOBS = 1_000
+WAIT_MARGIN_MS = 200
+
+
+def view_job(
+    state: ShardState, entry: JobEntry, duplicate: bool = False
+) -> JobView:
+    """Return what a caller sees of a job."""
+    hosts = tuple(placement.host for placement in entry.placements)
+    return JobView(
+        entry.job_id,
+        entry.state,
+        entry.reason,
+        entry.attempt,
+        hosts,
+        state.name,
+        state.epoch,
+        duplicate,
+        entry.outcome,
+        entry.spec.team,
+        entry.spec.job_class,
+    )
+
+
+def refuse_unknown_job(job_id: str) -> Refusal:
+    """Return the refusal for a job that this shard does not know."""
+    return Refusal(
+        RefusalKind.NOT_FOUND,
+        f'no job {job_id!r}',
+        'check the id; ended jobs are kept for a day',
+    )
+
+
+@REQUEST_HANDLERS.register('query')
+def answer_query(
+    state: ShardState, request: RequestReceived, now: int
+) -> Actions:
+    """Answer with a job's state, at once or when it ends."""
+    query: Query = request.message
+    entry = state.jobs.get(query.job_id)
+    if entry is None or not entry.durable:
+        yield reply_refusal(
+            request.reply_to, refuse_unknown_job(query.job_id)
+        )
+        return
+    if entry.state in FINAL_STATES or query.wait_s <= 0:
+        yield Reply(request.reply_to, view_job(state, entry))
+        return
+    expires_at = now + int(query.wait_s * 1000) - WAIT_MARGIN_MS
+    waiters = state.waiters.get(query.job_id, ())
+    waiter = JobWaiter(request.reply_to, expires_at)
+    state.waiters[query.job_id] = (*waiters, waiter)
+
+
+def answer_waiters(state: ShardState, job_id: str) -> Actions:
+    """Answer every caller that waits for a job."""
+    view = view_job(state, state.jobs[job_id])
+    for waiter in state.waiters.pop(job_id, ()):
+        yield Reply(waiter.reply_to, view)
+
+
+def expire_waiters(state: ShardState, now: int) -> Actions:
+    """Answer callers whose waiting time is over with the current state."""
+    for job_id in list(state.waiters):
+        waiters = state.waiters[job_id]
+        entry = state.jobs.get(job_id)
+        late = [waiter for waiter in waiters if waiter.expires_at <= now]
+        if not late or entry is None:
+            continue
+        for waiter in late:
+            yield Reply(waiter.reply_to, view_job(state, entry))
+        kept = tuple(w for w in waiters if w.expires_at > now)
+        if kept:
+            state.waiters[job_id] = kept
+        else:
+            del state.waiters[job_id]
+
+
+@REQUEST_HANDLERS.register('explain')
+def answer_explain(
+    state: ShardState, request: RequestReceived, now: int
+) -> Actions:
+    """Answer with the newest decisions taken for a job."""
+    message: Explain = request.message
+    entry = state.jobs.get(message.job_id)
+    if entry is None:
+        yield reply_refusal(
+            request.reply_to, refuse_unknown_job(message.job_id)
+        )
+        return
+    lines = state.explanations.get(message.job_id, ())
+    if entry.reason and entry.state is JobState.QUEUED:
+        lines = (*lines, f'waits: {entry.reason}')
+    yield Reply(
+        request.reply_to, Explanation(entry.job_id, entry.state, lines)
+    )
+
+
+@REQUEST_HANDLERS.register('list-jobs')
+def answer_list_jobs(
+    state: ShardState, request: RequestReceived, now: int
+) -> Actions:
+    """Answer with jobs of this shard, newest last."""
+    message: ListJobs = request.message
+    limit = min(message.limit, MAX_LISTED_JOBS)
+    found = [
+        view_job(state, entry)
+        for entry in state.jobs.values()
+        if message.state in ('', entry.state)
+    ]
+    yield Reply(request.reply_to, JobList(tuple(found[-limit:])))
+
+
+@REQUEST_HANDLERS.register('list-hosts')
+def answer_list_hosts(
+    state: ShardState, request: RequestReceived, now: int
+) -> Actions:
+    """Answer with the hosts of this shard."""
+    views = tuple(
+        _view_host(state, entry) for entry in state.hosts.values()
+    )
+    yield Reply(request.reply_to, HostList(views))
+
+
+def _view_host(state: ShardState, entry: HostEntry) -> HostView:
+    host = state.index.hosts[entry.name]
+    return HostView(
+        entry.name,
+        host.failure_domain,
+        host.rack,
+        find_host_status(state, entry),
+        host.capacity,
+        state.index.find_reserved(entry.name),
+        _sum_usage(state, entry.name),
+        len(state.index.tasks_on(entry.name)),
+        state.name,
+        state.epoch,
+    )
+
+
+def _sum_usage(state: ShardState, host: str) -> Resources:
+    total = NOTHING
+    for task in state.index.tasks_on(host):
+        usage = state.usage.get(task)
+        if usage is not None:
+            total = total + Resources(usage.millicores, usage.memory_mb)
+    return total
+
+
+def find_host_status(state: ShardState, entry: HostEntry) -> str:
+    """Return one word on why a host does or does not get new work."""
+    if state.index.hosts[entry.name].drained:
+        return 'drained'
+    if entry.leaving or entry.listed_leaving:
+        return 'leaving'
+    if entry.silent_since:
+        return 'silent'
+    if not entry.fenced:
+        return 'unknown'
+    if state.health.is_quarantined(entry.name):
+        return 'quarantined'
+    return 'open'
--- /dev/null
+++ b/sassafrasgate/shards/workers.py
@@ -0,0 +1,292 @@
+"""What workers report: fences, clocks, running and ended tasks."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from sassafrasgate.platform.tasks import EndedTask
+from sassafrasgate.platform.tasks import StartStatus
+from sassafrasgate.platform.tasks import SyncReply
+from sassafrasgate.shards.actions import GiveUpShard
+from sassafrasgate.shards.actions import LogDecision
+from sassafrasgate.shards.actions import ReleaseTask
+from sassafrasgate.shards.actions import StopTask
+from sassafrasgate.shards.attempts import AttemptFate
+from sassafrasgate.shards.attempts import ClockReading
+from sassafrasgate.shards.attempts import find_lapse_time
+from sassafrasgate.shards.attempts import LEASE_MS
+from sassafrasgate.shards.endings import close_task
+from sassafrasgate.shards.endings import settle_ended_task
+from sassafrasgate.shards.events import HostListed
+from sassafrasgate.shards.events import HostSilent
+from sassafrasgate.shards.events import HostSynced
+from sassafrasgate.shards.events import StartAnswered
+from sassafrasgate.shards.events import StartNotSent
+from sassafrasgate.shards.events import StartUnanswered
+from sassafrasgate.shards.handlers import EVENT_HANDLERS
+from sassafrasgate.shards.ownership import may_place
+from sassafrasgate.shards.state import HostEntry
+from sassafrasgate.shards.state import TaskEntry
+from sassafrasgate.shards.state import TaskPhase
+
+if TYPE_CHECKING:
+    from sassafrasgate.shards.handlers import Actions
+    from sassafrasgate.shards.state import ShardState
+
+
+def update_openness(state: ShardState, name: str) -> None:
+    """Open or close a host for new work by all that is known of it."""
+    entry = state.hosts[name]
+    host = state.index.hosts[name]
+    is_open = may_place(
+        entry.fenced and not entry.silent_since,
+        entry.leaving or entry.listed_leaving,
+        host.drained,
+        state.health.is_quarantined(name),
+    )
+    if is_open == state.index.is_open(name):
+        return
+    state.index.set_open(name, is_open)
+    state.room_changed = state.room_changed or is_open
+
+
+@EVENT_HANDLERS.register(HostSynced)
+def note_sync(state: ShardState, event: HostSynced, now: int) -> Actions:
+    """Bring a host's tasks in line with what its worker reports."""
+    if event.host not in state.hosts:
+        return
+    reply = event.reply
+    if not reply.accepted:
+        yield GiveUpShard(
+            f'host {event.host!r} has seen epoch {reply.epoch}, '
+            f'this owner has {state.epoch}'
+        )
+        return
+    entry = state.hosts[event.host]
+    first = not entry.fenced
+    state.update_host(
+        event.host,
+        fenced=True,
+        incarnation=reply.incarnation,
+        reading=ClockReading(reply.clock, event.received_at),
+        silent_since=0,
+        lapse_at=0,
+        lapsed=False,
+        leaving=reply.leaving,
+    )
+    if entry.incarnation and entry.incarnation != reply.incarnation:
+        yield LogDecision(
+            'restart', '', host=event.host, reason='new incarnation'
+        )
+    yield from _settle_tasks(state, event.host, reply, first, now)
+    yield from _adopt_tasks(state, event.host, reply)
+    for usage in reply.usage:
+        if usage.task in state.tasks:
+            state.usage[usage.task] = usage
+    update_openness(state, event.host)
+
+
+def _settle_tasks(
+    state: ShardState, host: str, reply: SyncReply, first: bool, now: int
+) -> Actions:
+    running = {task.task for task in reply.running}
+    ended = {task.task: task for task in reply.ended}
+    for task_id in list(state.index.tasks_on(host)):
+        task = state.tasks.get(task_id)
+        if task is None or task_id in ended:
+            continue
+        if task_id in running:
+            _mark_running(state, task, reply.clock)
+            continue
+        fate = find_unlisted_fate(task, reply, first)
+        if fate is not AttemptFate.OPEN:
+            yield from close_task(
+                state, task, fate, 'the worker no longer lists it', now
+            )
+    for report in ended.values():
+        yield from _settle_ended(state, host, report, now)
+
+
+def find_unlisted_fate(
+    task: TaskEntry, reply: SyncReply, first: bool
+) -> AttemptFate:
+    """Tell what is certain about a task that a worker does not list.
+
+    Parameters
+    ----------
+    first : bool
+        Whether this is the worker's first answer under this owner's epoch;
+        from then on it refuses starts of earlier owners.
+    """
+    if task.incarnation != reply.incarnation:
+        return AttemptFate.LAPSED
+    if task.phase is TaskPhase.RUNNING:
+        if reply.clock <= task.started_clock:
+            return AttemptFate.OPEN
+        return AttemptFate.LAPSED
+    if task.phase is TaskPhase.SENT:
+        if 0 < task.start_before_clock <= reply.clock:
+            return AttemptFate.REFUSED
+        return AttemptFate.OPEN
+    return AttemptFate.REFUSED if first else AttemptFate.OPEN
+
+
+def _mark_running(state: ShardState, task: TaskEntry, clock: int) -> None:
+    if task.phase is TaskPhase.RUNNING:
+        return
+    state.tasks[task.task] = replace(
+        task, phase=TaskPhase.RUNNING, started_clock=clock
+    )
+    state.note_running(task.job_id)
+
+
+def _settle_ended(
+    state: ShardState, host: str, report: EndedTask, now: int
+) -> Actions:
+    task = state.tasks.get(report.task)
+    if task is None and state.is_settled(report.task):
+        yield ReleaseTask(host, report.task)
+        return
+    yield from settle_ended_task(state, host, report, now)
+
+
+def _adopt_tasks(state: ShardState, host: str, reply: SyncReply) -> Actions:
+    """Count tasks that this owner has not started.
+
+    They are quick requests of an earlier owner, or starts of an attempt
+    that has been given up since.
+    """
+    for report in reply.running:
+        if report.task in state.tasks:
+            continue
+        state.add_task(
+            TaskEntry(
+                report.task,
+                '',
+                host,
+                report.resources,
+                reply.incarnation,
+                TaskPhase.RUNNING,
+                started_clock=reply.clock,
+            )
+        )
+        yield LogDecision(
+            'adopt', report.task, host=host, reason='runs without a record'
+        )
+        if state.must_stop(report):
+            yield StopTask(host, report.task)
+
+
+@EVENT_HANDLERS.register(HostSilent)
+def note_silence(state: ShardState, event: HostSilent, now: int) -> Actions:
+    """Stop placing on a host that does not answer."""
+    entry = state.hosts.get(event.host)
+    if entry is None or entry.silent_since:
+        return
+    state.update_host(event.host, silent_since=now)
+    update_openness(state, event.host)
+    yield LogDecision('silent', '', host=event.host, reason='no answer')
+
+
+@EVENT_HANDLERS.register(HostListed)
+def note_host_list(
+    state: ShardState, event: HostListed, now: int
+) -> Actions:
+    """Stop placing on hosts that the platform lists as leaving."""
+    for name, entry in list(state.hosts.items()):
+        listed = name in event.leaving
+        if listed == entry.listed_leaving:
+            continue
+        state.update_host(name, listed_leaving=listed)
+        update_openness(state, name)
+        yield LogDecision(
+            'leaving' if listed else 'staying',
+            '',
+            host=name,
+            reason='platform host list',
+        )
+
+
+@EVENT_HANDLERS.register(StartAnswered)
+def note_start(state: ShardState, event: StartAnswered, now: int) -> Actions:
+    """Note a worker's answer to a start."""
+    task = state.tasks.get(event.task)
+    if task is None:
+        return
+    reply = event.reply
+    if reply.status is StartStatus.REFUSED:
+        fate = AttemptFate.REFUSED
+        if reply.incarnation != task.incarnation and task.phase in (
+            TaskPhase.SENT,
+            TaskPhase.RUNNING,
+        ):
+            # An earlier send of the same start may have run before the
+            # worker restarted.
+            fate = AttemptFate.LAPSED
+        yield from close_task(state, task, fate, reply.reason, now)
+        return
+    if reply.status is StartStatus.ENDED and reply.ended is not None:
+        yield from settle_ended_task(state, event.host, reply.ended, now)
+        return
+    _mark_running(state, task, reply.clock)
+
+
+@EVENT_HANDLERS.register(StartUnanswered)
+def note_lost_start(
+    state: ShardState, event: StartUnanswered, now: int
+) -> Actions:
+    """Keep a task whose start may have taken effect; a sync settles it."""
+    task = state.tasks.get(event.task)
+    if task is None or task.phase is TaskPhase.RUNNING:
+        return
+    state.tasks[event.task] = replace(
+        task,
+        phase=TaskPhase.SENT,
+        start_before_clock=max(
+            task.start_before_clock, event.start_before_clock
+        ),
+    )
+    yield LogDecision(
+        'unanswered', task.job_id, host=event.host, reason='start not answered'
+    )
+
+
+@EVENT_HANDLERS.register(StartNotSent)
+def note_unsent_start(
+    state: ShardState, event: StartNotSent, now: int
+) -> Actions:
+    """Give up a task whose start never left this process."""
+    task = state.tasks.get(event.task)
+    if task is None or task.phase is not TaskPhase.PLANNED:
+        return
+    yield from close_task(
+        state, task, AttemptFate.NOT_SENT, event.reason, now
+    )
+
+
+def lapse_hosts(state: ShardState, now: int) -> Actions:
+    """Give up the tasks of hosts whose leases have certainly lapsed."""
+    for name, entry in list(state.hosts.items()):
+        if entry.lapsed or now < find_host_lapse(entry):
+            continue
+        state.update_host(name, lapsed=True)
+        yield LogDecision('lapse', '', host=name, reason='leases lapsed')
+        for task_id in list(state.index.tasks_on(name)):
+            task = state.tasks.get(task_id)
+            if task is None or task.phase is TaskPhase.PLANNED and entry.fenced:
+                continue
+            yield from close_task(
+                state, task, AttemptFate.LAPSED, 'lease lapsed', now
+            )
+
+
+def find_host_lapse(entry: HostEntry) -> int:
+    """Return the owner's time from which nothing can run on a host.
+
+    A host that answers always has a lapse time in the future, since each
+    answer brings a newer reading.
+    """
+    if entry.reading is None:
+        return entry.lapse_at
+    return find_lapse_time(entry.reading.clock + LEASE_MS, entry.reading)
