Add the store and worker adapters and their stand-ins

Cause: an end-to-end path needs the platform's store and workers, and the only ones allowed are stand-ins over the published APIs.

Change: Store and WorkerClient over httpx, registries of adapters by URL scheme, and stand-in programs for both. Errors tell whether a call was sent at all. SyncRequest names the incarnation that its deadline was computed for, and StartRequest can rule out renewal, so that neither a delayed sync nor a sync for other tasks can extend a lease beyond what its owner reckons with.

--- a/sassafrasgate/core/errors.py
+++ b/sassafrasgate/core/errors.py
@@ -78,15 +78,53 @@
 
 
 class StoreUnavailableError(StoreError):
-    """The store gave no answer, so the effect of a write is not known."""
+    """The store gave no answer, so the effect of a write is not known.
+
+    Parameters
+    ----------
+    message : str
+        What failed, with the remedy.
+    sent : bool
+        False when no connection was made, so that the call certainly had
+        no effect.
+    """
+
+    def __init__(self, message: str, sent: bool = True) -> None:
+        super().__init__(message)
+        self.sent = sent
 
 
 class StoreConflictError(StoreError):
     """A compare-and-swap found another revision than the expected one."""
 
 
+class StoreLeaseLostError(StoreError):
+    """A write names a lease that has expired; it had no effect."""
+
+
+class StoreLogTrimmedError(StoreError):
+    """A watch starts before the store's change log; list the prefix anew."""
+
+
 class WorkerUnavailableError(SassafrasgateError):
-    """A worker gave no answer, so the effect of a command is not known."""
+    """A worker gave no answer, so the effect of a command is not known.
+
+    Parameters
+    ----------
+    message : str
+        What failed, with the remedy.
+    sent : bool
+        False when no connection was made, so that the command certainly
+        had no effect.
+    """
+
+    def __init__(self, message: str, sent: bool = True) -> None:
+        super().__init__(message)
+        self.sent = sent
+
+
+class WorkerOutputError(SassafrasgateError):
+    """A task's output is gone from its worker or damaged."""
 
 
 class LinkClosedError(SassafrasgateError):
--- /dev/null
+++ b/sassafrasgate/platform/adapters.py
@@ -0,0 +1,52 @@
+"""Adapters of the platform's store and workers, by URL scheme."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+from urllib.parse import urlsplit
+
+from sassafrasgate.core.registries import Registry
+from sassafrasgate.platform.store import Store
+from sassafrasgate.platform.workers import WorkerClient
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+STORES: Registry[str, Callable[..., Store]] = Registry('store URL scheme')
+WORKERS: Registry[str, Callable[..., WorkerClient]] = Registry(
+    'worker URL scheme'
+)
+
+
+@STORES.register('http')
+def _open_http_store(url: str, **options: Any) -> Store:
+    return Store(url, **options)
+
+
+@WORKERS.register('http')
+def _open_http_worker(url: str, **options: Any) -> WorkerClient:
+    return WorkerClient(url, **options)
+
+
+def open_store(url: str, **options: Any) -> Store:
+    """Return the store adapter for a URL.
+
+    Parameters
+    ----------
+    url : str
+        Base URL; its scheme selects the adapter.
+    **options
+        Keyword arguments of the adapter, such as ``timeout_s``.
+
+    Raises
+    ------
+    UnknownNameError
+        When no adapter has the URL's scheme.
+    """
+    return STORES.find(urlsplit(url).scheme)(url, **options)
+
+
+def open_worker(url: str, **options: Any) -> WorkerClient:
+    """Return the worker adapter for a URL; see `open_store`."""
+    return WORKERS.find(urlsplit(url).scheme)(url, **options)
--- /dev/null
+++ b/sassafrasgate/platform/store.py
@@ -0,0 +1,445 @@
+"""Client of the platform's key-value store."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+from typing import Any
+from typing import Protocol
+from typing import TYPE_CHECKING
+from typing import TypeVar
+from urllib.parse import quote
+
+from msgspec import DecodeError
+from msgspec.json import decode
+from msgspec.json import encode
+
+from sassafrasgate.core.errors import StoreConflictError
+from sassafrasgate.core.errors import StoreError
+from sassafrasgate.core.errors import StoreLeaseLostError
+from sassafrasgate.core.errors import StoreLogTrimmedError
+from sassafrasgate.core.errors import StoreUnavailableError
+from sassafrasgate.journal.budget import CallKind
+from sassafrasgate.journal.budget import CallPriority
+from sassafrasgate.platform.connections import HttpConnections
+from sassafrasgate.platform.connections import NoAnswerError
+from sassafrasgate.platform.items import Changes
+from sassafrasgate.platform.items import HostStatus
+from sassafrasgate.platform.items import Item
+
+if TYPE_CHECKING:
+    from types import TracebackType
+    from typing import Self
+
+    from httpx import Response
+
+TIMEOUT_S = 1.0
+CONNECTIONS = 16
+
+Value = TypeVar('Value')
+
+
+class CallBudget(Protocol):
+    """What limits the calls of a `Store`."""
+
+    async def acquire(self, kind: str, priority: int) -> None:
+        """Wait until a call of ``kind`` may be made."""
+
+
+class _NoBudget:
+    async def acquire(self, kind: str, priority: int) -> None:
+        return
+
+
+@dataclass(frozen=True, slots=True)
+class _Page:
+    revision: int
+    items: tuple[Item, ...]
+    more: bool
+
+
+@dataclass(frozen=True, slots=True)
+class _GrantedLease:
+    lease: str
+
+
+class Store:
+    """Calls to the platform's store; each is made once and never repeated.
+
+    Parameters
+    ----------
+    base_url : str
+        Such as ``http://127.0.0.1:2400``.
+    timeout_s : float
+        How long a call may take, beyond the time that a watch waits.
+    budget : CallBudget, optional
+        Asked before each call; by default there is no limit.
+
+    Attributes
+    ----------
+    calls : collections.Counter
+        Number of calls made, by the name of the method.
+
+    Notes
+    -----
+    Every method raises `StoreUnavailableError` when no answer came, with
+    ``sent`` false if it certainly had no effect, and `StoreError` when the
+    store refused the call.
+
+    Examples
+    --------
+    >>> async with Store('http://127.0.0.1:2400') as store:
+    ...     revision = await store.create('owners/s1', b'host-3')
+    ...     await store.swap('owners/s1', b'host-4', revision)
+    """
+
+    def __init__(
+        self,
+        base_url: str,
+        timeout_s: float = TIMEOUT_S,
+        budget: CallBudget | None = None,
+    ) -> None:
+        self._connections = HttpConnections(base_url, CONNECTIONS)
+        self._timeout_s = timeout_s
+        self._budget = budget or _NoBudget()
+        self.calls: Counter[str] = Counter()
+
+    async def __aenter__(self) -> Self:
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        await self.close()
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._connections.close()
+
+    async def get(
+        self, key: str, priority: int = CallPriority.NORMAL
+    ) -> Item | None:
+        """Return a key's item, or None when there is no such key."""
+        response = await self._read('get', _key_path(key), priority=priority)
+        if response.status_code == 404:
+            return None
+        _check_status(response, 200)
+        return Item(key, response.content, _read_revision(response))
+
+    async def create(
+        self,
+        key: str,
+        value: bytes,
+        lease: str = '',
+        priority: int = CallPriority.NORMAL,
+    ) -> int:
+        """Write a new key and return its revision.
+
+        Raises
+        ------
+        StoreConflictError
+            When the key exists.
+        StoreLeaseLostError
+            When the lease has expired.
+        """
+        headers = {'If-None-Match': '*'}
+        return await self._put('create', key, value, headers, lease, priority)
+
+    async def swap(
+        self,
+        key: str,
+        value: bytes,
+        revision: int,
+        lease: str = '',
+        priority: int = CallPriority.NORMAL,
+    ) -> int:
+        """Replace the value at ``revision`` and return the new revision.
+
+        Without ``lease`` the key is no longer bound to any lease.
+
+        Raises
+        ------
+        StoreConflictError
+            When the key is gone or has another revision.
+        StoreLeaseLostError
+            When the lease has expired.
+        """
+        headers = {'If-Match': f'"{revision}"'}
+        return await self._put('swap', key, value, headers, lease, priority)
+
+    async def delete(
+        self,
+        key: str,
+        revision: int | None = None,
+        priority: int = CallPriority.NORMAL,
+    ) -> bool:
+        """Delete a key; tells whether it was there.
+
+        Raises
+        ------
+        StoreConflictError
+            When ``revision`` is given and the key has another one.
+        """
+        headers = {} if revision is None else {'If-Match': f'"{revision}"'}
+        response = await self._write(
+            'delete',
+            'DELETE',
+            _key_path(key),
+            headers=headers,
+            priority=priority,
+        )
+        _check_status(response, 204, 404)
+        return response.status_code == 204
+
+    async def list(
+        self, prefix: str, priority: int = CallPriority.NORMAL
+    ) -> tuple[Item, ...]:
+        """Return the items under a prefix, in the order of their keys."""
+        return (await self.read_prefix(prefix, priority)).items
+
+    async def read_prefix(
+        self,
+        prefix: str,
+        priority: int = CallPriority.NORMAL,
+        values: bool = True,
+    ) -> Changes:
+        """Return the items under a prefix and where to watch from.
+
+        Makes one call per megabyte of values. The revision is that of the
+        first call, so that a watch from there misses no change; it may
+        repeat some that later calls have already shown.
+
+        Parameters
+        ----------
+        prefix : str
+            Start of the keys.
+        values : bool
+            Whether to read the values; if not, each is None.
+        """
+        items: list[Item] = []
+        revision = 0
+        params = {'prefix': prefix, 'values': 'true' if values else 'false'}
+        while True:
+            response = await self._read(
+                'list', '/v1/keys', params=params, priority=priority
+            )
+            page = _decode_body(_check_status(response, 200), _Page)
+            revision = revision or page.revision
+            items.extend(page.items)
+            if not page.more:
+                return Changes(revision, tuple(items))
+            params = {**params, 'after': items[-1].key}
+
+    async def watch(
+        self,
+        prefix: str,
+        after: int,
+        wait_s: float,
+        priority: int = CallPriority.NORMAL,
+    ) -> Changes:
+        """Return changes under a prefix, waiting for the first one.
+
+        Parameters
+        ----------
+        prefix : str
+            Start of the keys.
+        after : int
+            Revision of the last change seen, from the previous answer or
+            `read_prefix`.
+        wait_s : float
+            How long the store holds the call when there is no change, in
+            seconds. The answer then has no items.
+
+        Raises
+        ------
+        StoreLogTrimmedError
+            When the store has dropped changes after ``after``.
+        """
+        response = await self._read(
+            'watch',
+            '/v1/watch',
+            params={
+                'prefix': prefix,
+                'after': str(after),
+                'wait': f'{wait_s:g}',
+            },
+            priority=priority,
+            wait_s=wait_s,
+        )
+        if response.status_code == 410:
+            raise StoreLogTrimmedError(
+                f'the store has no changes of {prefix!r} after revision '
+                f'{after!r}; list the prefix and watch from there'
+            )
+        return _decode_body(_check_status(response, 200), Changes)
+
+    async def grant_lease(
+        self, ttl_s: float, priority: int = CallPriority.HIGH
+    ) -> str:
+        """Return the id of a new lease of ``ttl_s`` seconds."""
+        response = await self._write(
+            'grant_lease',
+            'POST',
+            '/v1/leases',
+            content=encode({'ttl': ttl_s}),
+            priority=priority,
+        )
+        return _decode_body(_check_status(response, 201), _GrantedLease).lease
+
+    async def renew_lease(
+        self, lease: str, priority: int = CallPriority.HIGH
+    ) -> bool:
+        """Give a lease its whole time again; False if it has expired."""
+        response = await self._write(
+            'renew_lease',
+            'POST',
+            f'/v1/leases/{quote(lease, safe="")}/renew',
+            priority=priority,
+        )
+        if response.status_code == 409:
+            return False
+        _check_status(response, 204)
+        return True
+
+    async def revoke_lease(
+        self, lease: str, priority: int = CallPriority.NORMAL
+    ) -> None:
+        """End a lease, which deletes its keys; an expired one is no error."""
+        response = await self._write(
+            'revoke_lease',
+            'DELETE',
+            f'/v1/leases/{quote(lease, safe="")}',
+            priority=priority,
+        )
+        _check_status(response, 204, 409)
+
+    async def list_hosts(
+        self, priority: int = CallPriority.NORMAL
+    ) -> tuple[HostStatus, ...]:
+        """Return the platform's lagging host list."""
+        response = await self._read(
+            'list_hosts', '/v1/hosts', priority=priority
+        )
+        return _decode_body(
+            _check_status(response, 200), tuple[HostStatus, ...]
+        )
+
+    async def _put(
+        self,
+        name: str,
+        key: str,
+        value: bytes,
+        headers: dict[str, str],
+        lease: str,
+        priority: int,
+    ) -> int:
+        if lease:
+            headers['Lease'] = lease
+        response = await self._write(
+            name,
+            'PUT',
+            _key_path(key),
+            content=value,
+            headers=headers,
+            priority=priority,
+        )
+        if response.status_code == 409:
+            raise StoreLeaseLostError(
+                f'lease {lease!r} of {key!r} has expired; grant a new one'
+            )
+        return _read_revision(_check_status(response, 200))
+
+    async def _read(
+        self,
+        name: str,
+        path: str,
+        priority: int,
+        params: dict[str, str] | None = None,
+        wait_s: float = 0.0,
+    ) -> Response:
+        await self._budget.acquire(CallKind.READ, priority)
+        return await self._call(
+            name, 'GET', path, params=params, wait_s=wait_s
+        )
+
+    async def _write(
+        self,
+        name: str,
+        method: str,
+        path: str,
+        priority: int,
+        content: bytes | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> Response:
+        await self._budget.acquire(CallKind.WRITE, priority)
+        return await self._call(
+            name, method, path, content=content, headers=headers
+        )
+
+    async def _call(
+        self,
+        name: str,
+        method: str,
+        path: str,
+        wait_s: float = 0.0,
+        **options: Any,
+    ) -> Response:
+        self.calls[name] += 1
+        try:
+            response = await self._connections.call(
+                method, path, self._timeout_s + wait_s, **options
+            )
+        except NoAnswerError as error:
+            raise StoreUnavailableError(
+                f'the store did not answer: {error}; read back what was '
+                'written once it answers',
+                sent=error.sent,
+            ) from error
+        if response.status_code >= 500:
+            raise StoreUnavailableError(
+                f'the store answered {method} {path} with '
+                f'{response.status_code!r}; read back what was written once '
+                'it has recovered'
+            )
+        if response.status_code == 412:
+            raise StoreConflictError(
+                f'{path!r} is not at the expected revision; read it again'
+            )
+        return response
+
+
+def _key_path(key: str) -> str:
+    return f'/v1/keys/{quote(key)}'
+
+
+def _check_status(response: Response, *expected: int) -> Response:
+    if response.status_code in expected:
+        return response
+    raise StoreError(
+        f'the store refused {response.request.method} '
+        f'{response.request.url.path!r} with {response.status_code!r} '
+        f'{response.text[:200]!r}; correct the request'
+    )
+
+
+def _read_revision(response: Response) -> int:
+    tag = response.headers.get('ETag', '')
+    if not (revision := tag.strip('"')).isdecimal():
+        raise StoreUnavailableError(
+            f'the store answered with ETag {tag!r}, which is no revision; '
+            'check that the store URL leads to the store'
+        )
+    return int(revision)
+
+
+def _decode_body(response: Response, kind: type[Value]) -> Value:
+    try:
+        return decode(response.content, type=kind)
+    except DecodeError as error:
+        raise StoreUnavailableError(
+            f'cannot decode an answer of the store: {error}; check that the '
+            'store URL leads to the store'
+        ) from error
--- a/sassafrasgate/platform/tasks.py
+++ b/sassafrasgate/platform/tasks.py
@@ -95,6 +95,11 @@
         How long the worker may hold the answer when it has no news.
     known : tuple of str
         Ended tasks that the shard has already seen, which are no news.
+    incarnation : str
+        The incarnation whose clock ``lease_clock`` was computed from. The
+        worker does not renew leases for another one: a delayed request
+        from before a restart would name a deadline far in the new clock's
+        future. Empty skips the check.
     """
 
     shard: str
@@ -103,6 +108,7 @@
     release: tuple[str, ...] = ()
     wait_ms: int = 0
     known: tuple[str, ...] = ()
+    incarnation: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -133,6 +139,9 @@
         The worker refuses a start meant for another incarnation.
     wait_ms : int
         How long to hold the answer for the task's end; 0 to answer at once.
+    renewable : bool
+        Whether a sync extends the lease. A quick request is not renewed, so
+        that its first lease bounds how long it can run.
     """
 
     task: str
@@ -144,6 +153,7 @@
     resources: Resources
     payload: bytes = b''
     wait_ms: int = 0
+    renewable: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -155,3 +165,40 @@
     clock: int
     reason: str = ''
     ended: EndedTask | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class TaskCommand:
+    """Stops, throttles or checkpoints one task.
+
+    Parameters
+    ----------
+    shard, epoch
+        The worker refuses an epoch below the highest one seen for the shard.
+    millicores : int
+        The limit that a throttle sets; unused by other commands.
+    """
+
+    shard: str
+    epoch: int
+    millicores: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class CommandReply:
+    """The worker's answer to a command about one task.
+
+    Parameters
+    ----------
+    accepted : bool
+        False for a stale epoch and for a task that does not run.
+    incarnation, clock
+        As in the other answers.
+    reason : str
+        Why the command was not accepted.
+    """
+
+    accepted: bool
+    incarnation: str
+    clock: int
+    reason: str = ''
--- /dev/null
+++ b/sassafrasgate/platform/workers.py
@@ -0,0 +1,205 @@
+"""Client of the workers' API."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import TypeVar
+from urllib.parse import quote
+
+from msgspec import DecodeError
+from msgspec.json import Decoder
+from msgspec.json import Encoder
+from xxhash import xxh3_128_hexdigest
+
+from sassafrasgate.core.errors import WorkerOutputError
+from sassafrasgate.core.errors import WorkerUnavailableError
+from sassafrasgate.platform.connections import HttpConnections
+from sassafrasgate.platform.connections import NoAnswerError
+from sassafrasgate.platform.tasks import CommandReply
+from sassafrasgate.platform.tasks import StartReply
+from sassafrasgate.platform.tasks import SyncReply
+from sassafrasgate.platform.tasks import TaskCommand
+
+if TYPE_CHECKING:
+    from types import TracebackType
+    from typing import Any
+    from typing import Self
+
+    from httpx import Response
+
+    from sassafrasgate.platform.tasks import StartRequest
+    from sassafrasgate.platform.tasks import SyncRequest
+
+TIMEOUT_S = 2.0
+CONNECTIONS = 64
+
+Reply = TypeVar('Reply')
+
+_ENCODER = Encoder()
+_SYNC_DECODER = Decoder(SyncReply)
+_START_DECODER = Decoder(StartReply)
+_COMMAND_DECODER = Decoder(CommandReply)
+
+
+class WorkerClient:
+    """Calls to one worker; each is made once and never repeated.
+
+    Parameters
+    ----------
+    url : str
+        Base URL of the worker's API.
+    connections : int
+        The most connections to open.
+    timeout_s : float
+        How long a call may take beyond its ``wait_ms``, in seconds.
+
+    Notes
+    -----
+    Every method raises `WorkerUnavailableError` when no answer came, with
+    ``sent`` false if the call certainly had no effect.
+
+    Examples
+    --------
+    >>> async with WorkerClient('http://127.0.0.1:2600') as worker:
+    ...     reply = await worker.sync(SyncRequest('s1', 1, 0))
+    """
+
+    def __init__(
+        self,
+        url: str,
+        connections: int = CONNECTIONS,
+        timeout_s: float = TIMEOUT_S,
+    ) -> None:
+        self._connections = HttpConnections(url, connections)
+        self._timeout_s = timeout_s
+
+    async def __aenter__(self) -> Self:
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        await self.close()
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._connections.close()
+
+    async def sync(self, request: SyncRequest) -> SyncReply:
+        """Raise the fence, renew leases and wait for news."""
+        response = await self._post('/v1/sync', request, request.wait_ms)
+        return _decode_body(response, _SYNC_DECODER)
+
+    async def start(self, request: StartRequest) -> StartReply:
+        """Start a task; a refusal means that it does not run."""
+        response = await self._post('/v1/tasks', request, request.wait_ms)
+        return _decode_body(response, _START_DECODER)
+
+    async def fetch_output(
+        self, task: str, size: int | None = None, digest: str = ''
+    ) -> bytes:
+        """Return an ended task's output.
+
+        Parameters
+        ----------
+        task : str
+            Task id.
+        size : int, optional
+            Expected length in bytes.
+        digest : str
+            Expected xxh3-128 in hexadecimal; empty to skip the check.
+
+        Raises
+        ------
+        WorkerOutputError
+            When the worker no longer has the output, or it has another
+            length or digest.
+        """
+        response = await self._call('GET', _task_path(task, 'output'))
+        if response.status_code != 200:
+            raise WorkerOutputError(
+                f'the worker has no output of task {task!r} '
+                f'(status {response.status_code!r}); it was released or lost'
+            )
+        output = response.content
+        if size is not None and len(output) != size:
+            raise WorkerOutputError(
+                f'output of task {task!r} has {len(output)} bytes instead '
+                f'of {size!r}; fetch it again'
+            )
+        if digest and xxh3_128_hexdigest(output) != digest:
+            raise WorkerOutputError(
+                f'output of task {task!r} does not have digest {digest!r}; '
+                'fetch it again'
+            )
+        return output
+
+    async def stop(self, task: str, epoch: int, shard: str) -> CommandReply:
+        """Stop a running task."""
+        return await self._command('stop', task, TaskCommand(shard, epoch))
+
+    async def throttle(
+        self, task: str, epoch: int, shard: str, millicores: int
+    ) -> CommandReply:
+        """Limit a running task's processor time."""
+        command = TaskCommand(shard, epoch, millicores)
+        return await self._command('throttle', task, command)
+
+    async def checkpoint(
+        self, task: str, epoch: int, shard: str
+    ) -> CommandReply:
+        """Save a running task's progress; the task goes on."""
+        command = TaskCommand(shard, epoch)
+        return await self._command('checkpoint', task, command)
+
+    async def _command(
+        self, name: str, task: str, command: TaskCommand
+    ) -> CommandReply:
+        response = await self._post(_task_path(task, name), command)
+        return _decode_body(response, _COMMAND_DECODER)
+
+    async def _post(self, path: str, body: Any, wait_ms: int = 0) -> Response:
+        response = await self._call(
+            'POST', path, _ENCODER.encode(body), wait_ms
+        )
+        if response.status_code in (200, 201, 409):
+            return response
+        raise WorkerUnavailableError(
+            f'the worker answered {path!r} with {response.status_code!r} '
+            f'{response.text[:200]!r}; check that the URL leads to a worker'
+        )
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        content: bytes | None = None,
+        wait_ms: int = 0,
+    ) -> Response:
+        try:
+            return await self._connections.call(
+                method, path, self._timeout_s + wait_ms / 1000, content=content
+            )
+        except NoAnswerError as error:
+            raise WorkerUnavailableError(
+                f'the worker did not answer: {error}; sync with it to learn '
+                'what runs there',
+                sent=error.sent,
+            ) from error
+
+
+def _task_path(task: str, name: str) -> str:
+    return f'/v1/tasks/{quote(task, safe="")}/{name}'
+
+
+def _decode_body(response: Response, decoder: Decoder[Reply]) -> Reply:
+    try:
+        return decoder.decode(response.content)
+    except DecodeError as error:
+        raise WorkerUnavailableError(
+            f'cannot decode an answer of the worker: {error}; check that the '
+            'URL leads to a worker'
+        ) from error
--- /dev/null
+++ b/tests/standins/serving.py
@@ -0,0 +1,270 @@
+"""Serves the stand-ins over HTTP and puts faults between caller and API."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import replace
+from functools import partial
+from signal import SIGINT
+from signal import SIGTERM
+from socket import AF_INET
+from socket import IPPROTO_TCP
+from socket import SHUT_RDWR
+from socket import SO_REUSEADDR
+from socket import SOCK_STREAM
+from socket import socket
+from socket import SOL_SOCKET
+from typing import Any
+from typing import TYPE_CHECKING
+from weakref import WeakValueDictionary
+
+from anyio import create_task_group
+from anyio import Event
+from anyio import open_signal_receiver
+from anyio import sleep
+from anyio import sleep_forever
+from hypercorn.asyncio import serve
+from hypercorn.config import Config
+from hypercorn.config import Sockets
+from msgspec import convert
+from msgspec import ValidationError
+from msgspec.json import decode
+from msgspec.json import encode
+from starlette.responses import Response
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Coroutine
+    from collections.abc import Sequence
+
+    from starlette.requests import Request
+    from starlette.types import ASGIApp
+    from starlette.types import Receive
+    from starlette.types import Scope
+    from starlette.types import Send
+
+Peer = tuple[str, int]
+
+JSON = 'application/json'
+CONTROL_PREFIX = '/control/'
+
+
+def reply_json(value: Any, status: int = 200) -> Response:
+    """Return a response with ``value`` as msgspec encodes it."""
+    return Response(encode(value), status, media_type=JSON)
+
+
+async def read_json(request: Request, kind: type[Any]) -> Any:
+    """Return the body of a request as a value of ``kind``."""
+    return decode(await request.body(), type=kind)
+
+
+def split_address(address: str) -> Peer:
+    """Return host and port of ``IP:PORT``."""
+    host, _, port = address.rpartition(':')
+    return host, int(port)
+
+
+class _ListeningSocket(socket):
+    """Remembers accepted connections, so that faults can drop them."""
+
+    def __init__(self) -> None:
+        # asyncio turns off Nagle's algorithm only for sockets whose protocol
+        # is stated; with it each answer waits 40 ms for a delayed
+        # acknowledgement, since hypercorn sends head and body separately.
+        super().__init__(AF_INET, SOCK_STREAM, IPPROTO_TCP)
+        self.accepted: WeakValueDictionary[Peer, socket] = (
+            WeakValueDictionary()
+        )
+
+    def accept(self) -> tuple[socket, Any]:
+        connection, peer = super().accept()
+        self.accepted[peer] = connection
+        return connection, peer
+
+
+class Listener(Config):
+    """The listening socket of one stand-in.
+
+    Parameters
+    ----------
+    address : str
+        IP number and port; port 0 lets the system choose.
+    """
+
+    def __init__(self, address: str) -> None:
+        super().__init__()
+        self._socket = _ListeningSocket()
+        self._socket.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
+        self._socket.bind(split_address(address))
+        self.graceful_timeout = 0.2
+        self.keep_alive_timeout = 120
+        self.errorlog = None
+        host, port = self._socket.getsockname()
+        self.address = f'{host}:{port}'
+
+    def create_sockets(self) -> Sockets:
+        """Return the socket that is already bound."""
+        self._socket.setblocking(False)
+        return Sockets([], [self._socket], [])
+
+    def drop(self, peer: Peer) -> None:
+        """End a connection without an answer."""
+        connection = self._socket.accepted.get(peer)
+        if connection is None:
+            return
+        try:
+            connection.shutdown(SHUT_RDWR)
+        except OSError:
+            return
+
+    @property
+    def peers(self) -> tuple[Peer, ...]:
+        """The open connections."""
+        return tuple(self._socket.accepted)
+
+
+@dataclass(frozen=True, slots=True)
+class Faults:
+    """Faults of the path between callers and a stand-in.
+
+    Parameters
+    ----------
+    down : bool
+        Drop every connection that carries a call.
+    frozen : bool
+        Hold calls; they are performed once the fault ends, even when the
+        caller has gone.
+    silent : bool
+        Never answer; connections used meanwhile stay silent for good,
+        while connections opened after the fault work.
+    delay_ms : int
+        Time before a call is performed.
+    lose_replies : int
+        How many of the next writes are performed and not answered.
+    """
+
+    down: bool = False
+    frozen: bool = False
+    silent: bool = False
+    delay_ms: int = 0
+    lose_replies: int = 0
+
+
+class FaultGate:
+    """ASGI middleware that applies `Faults`, except on control paths."""
+
+    def __init__(self, application: ASGIApp, listener: Listener) -> None:
+        self._application = application
+        self._listener = listener
+        self._faults = Faults()
+        self._changed = Event()
+        self._callers: set[Peer] = set()
+        self._silent: set[Peer] = set()
+
+    def change(self, changes: dict[str, Any]) -> None:
+        """Replace some of the faults.
+
+        Raises
+        ------
+        ValidationError
+            When a value has the wrong type.
+        """
+        known = {
+            name: value
+            for name, value in changes.items()
+            if name in Faults.__dataclass_fields__
+        }
+        self._faults = convert(
+            {
+                name: known.get(name, getattr(self._faults, name))
+                for name in Faults.__dataclass_fields__
+            },
+            Faults,
+        )
+        if self._faults.down:
+            self.drop_callers()
+        if changes.get('silence_connections'):
+            self._silent.update(self._callers)
+        self._changed.set()
+        self._changed = Event()
+
+    def drop_callers(self) -> None:
+        """Drop every connection that has carried a call."""
+        for peer in self._callers & set(self._listener.peers):
+            self._listener.drop(peer)
+        self._callers.clear()
+
+    async def __call__(
+        self, scope: Scope, receive: Receive, send: Send
+    ) -> None:
+        """Serve one call under the present faults."""
+        if scope['type'] != 'http' or scope['path'].startswith(CONTROL_PREFIX):
+            await self._application(scope, receive, send)
+            return
+        peer: Peer = tuple(scope['client'])
+        self._callers.add(peer)
+        if self._faults.silent:
+            self._silent.add(peer)
+        if peer in self._silent:
+            await sleep_forever()
+        if self._faults.delay_ms:
+            await sleep(self._faults.delay_ms / 1000)
+        while self._faults.frozen:
+            await self._changed.wait()
+        if self._faults.down:
+            self._listener.drop(peer)
+            return
+        if self._faults.lose_replies and scope['method'] != 'GET':
+            self._faults = replace(
+                self._faults, lose_replies=self._faults.lose_replies - 1
+            )
+            await self._application(scope, receive, _discard)
+            self._listener.drop(peer)
+            return
+        await self._application(scope, receive, send)
+
+
+async def _discard(message: Any) -> None:
+    """Take the place of ``send`` when a reply is lost."""
+
+
+def reply_invalid(error: ValidationError) -> Response:
+    """Return the answer to a body that does not match its type."""
+    return reply_json({'reason': str(error)}, 400)
+
+
+async def serve_applications(
+    applications: Sequence[tuple[ASGIApp, Listener]],
+    background: Callable[[], Coroutine[Any, Any, None]],
+) -> None:
+    """Serve until the process gets SIGTERM or SIGINT.
+
+    Prints one line ``serving IP:PORT`` for each listener once it is bound.
+    """
+    stopping = Event()
+
+    async def watch_signals() -> None:
+        with open_signal_receiver(SIGTERM, SIGINT) as signals:
+            async for _ in signals:
+                stopping.set()
+                return
+
+    async def serve_all() -> None:
+        async with create_task_group() as servers:
+            for application, listener in applications:
+                servers.start_soon(
+                    partial(
+                        serve,
+                        application,  # type: ignore[arg-type]
+                        listener,
+                        shutdown_trigger=stopping.wait,
+                    )
+                )
+                print(f'serving {listener.address}', flush=True)
+        tasks.cancel_scope.cancel()
+
+    async with create_task_group() as tasks:
+        tasks.start_soon(watch_signals)
+        tasks.start_soon(background)
+        tasks.start_soon(serve_all)
