--- /dev/null
+++ b/sassafrasgate/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP for callers and operators."""
--- /dev/null
+++ b/sassafrasgate/http/health.py
@@ -0,0 +1,45 @@
+"""Routes for the load balancer and for the metrics scrape."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from starlette.responses import Response
+
+from sassafrasgate.http.problems import describe_refusal
+from sassafrasgate.http.routes import register_route
+from sassafrasgate.http.routes import RouteGroup
+from sassafrasgate.http.views import render_json
+from sassafrasgate.observability.metrics import CONTENT_TYPE
+
+if TYPE_CHECKING:
+    from starlette.requests import Request
+
+    from sassafrasgate.http.problems import Problem
+    from sassafrasgate.http.routes import Context
+
+
+@register_route('GET', '/healthz', RouteGroup.HEALTH)
+async def report_health(request: Request, context: Context) -> Response:
+    """Answer 200 for as long as the process handles requests."""
+    return render_json({'status': 'alive'})
+
+
+@register_route('GET', '/readyz', RouteGroup.HEALTH)
+async def report_readiness(
+    request: Request, context: Context
+) -> Response | Problem:
+    """Answer 503 while not ready or stopping, else 200."""
+    refusal = context.gateway.is_ready()
+    if refusal is not None:
+        return describe_refusal(refusal)
+    version = context.gateway.configuration().version
+    return render_json({'status': 'ready', 'configuration': version})
+
+
+@register_route('GET', '/metrics', RouteGroup.HEALTH)
+async def report_metrics(request: Request, context: Context) -> Response:
+    """Return all metrics in the Prometheus text format."""
+    return Response(
+        context.metrics.render(), headers={'Content-Type': CONTENT_TYPE}
+    )
--- /dev/null
+++ b/sassafrasgate/http/requests.py
@@ -0,0 +1,91 @@
+"""Route for quick requests: the response body is the task's output."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+from uuid import uuid4
+
+from sassafrasgate.core.jobs import JobClass
+from sassafrasgate.core.jobs import JobState
+from sassafrasgate.http.bodies import describe_faults
+from sassafrasgate.http.bodies import read_fields
+from sassafrasgate.http.limits import DEFAULT_QUICK_DEADLINE_S
+from sassafrasgate.http.outputs import build_output
+from sassafrasgate.http.problems import describe_unknown
+from sassafrasgate.http.problems import Problem
+from sassafrasgate.http.routes import register_route
+from sassafrasgate.http.routes import RouteGroup
+from sassafrasgate.http.specifications import check_spec
+from sassafrasgate.http.specifications import Faults
+from sassafrasgate.http.submissions import Submission
+from sassafrasgate.http.submissions import submit
+
+if TYPE_CHECKING:
+    from starlette.requests import Request
+    from starlette.responses import Response
+
+    from sassafrasgate.http.routes import Context
+    from sassafrasgate.protocol.messages import JobView
+
+_QUICK = frozenset({JobClass.QUICK})
+
+
+@register_route('POST', '/v1/requests', RouteGroup.CALLERS)
+async def run_request(
+    request: Request, context: Context
+) -> Response | Problem:
+    """Run a quick request and return the output of its task."""
+    submission = await _read_submission(request, context)
+    if isinstance(submission, Problem):
+        return submission
+    view = await submit(context, submission)
+    if isinstance(view, Problem):
+        return view
+    if view.state is JobState.FINISHED and view.outcome is not None:
+        return await build_output(context, view, view.outcome)
+    return _describe_end(view)
+
+
+async def _read_submission(
+    request: Request, context: Context
+) -> Submission | Problem:
+    limits = context.limits
+    fields = await read_fields(
+        request, limits.max_request_body, limits.body_timeout_s
+    )
+    if isinstance(fields, Problem):
+        return fields
+    fresh = 'key' not in fields
+    if fresh:
+        fields['key'] = uuid4().hex
+    spec = check_spec(fields, _QUICK, JobClass.QUICK)
+    if isinstance(spec, Faults):
+        return describe_faults(tuple(str(fault) for fault in spec.faults))
+    if spec.deadline_s > limits.max_wait_s:
+        text = f'must be at most {limits.max_wait_s:g} for class quick'
+        return describe_faults((f'deadline_s: {text}',))
+    deadline_s = spec.deadline_s or DEFAULT_QUICK_DEADLINE_S
+    spec = replace(spec, deadline_s=deadline_s)
+    return Submission(spec, deadline_s, fresh)
+
+
+def _describe_end(view: JobView) -> Problem:
+    reason = view.reason or f'its state is {str(view.state)!r}'
+    if view.state is JobState.FAILED:
+        return Problem(
+            'task-failed',
+            f'job {view.job_id!r} failed: {reason}',
+            'correct the payload, or submit it with a new key',
+            view.job_id,
+            str(view.state),
+        )
+    if view.state is JobState.CANCELLED:
+        return Problem(
+            'cancelled',
+            f'job {view.job_id!r} was cancelled: {reason}',
+            'submit it with a new key',
+            view.job_id,
+            str(view.state),
+        )
+    return describe_unknown(reason, view.job_id)
--- /dev/null
+++ b/sassafrasgate/http/server.py
@@ -0,0 +1,106 @@
+"""Serving of an ASGI application with hypercorn."""
+
+from __future__ import annotations
+
+from logging import getLogger
+from socket import AF_INET
+from socket import AF_INET6
+from socket import SO_REUSEADDR
+from socket import socket
+from socket import SOL_SOCKET
+from typing import Any
+from typing import cast
+from typing import TYPE_CHECKING
+
+from anyio import TASK_STATUS_IGNORED
+from hypercorn.asyncio import serve
+from hypercorn.config import Config
+
+from sassafrasgate.core.errors import SassafrasgateError
+
+if TYPE_CHECKING:
+    from anyio import Event
+    from anyio.abc import TaskStatus
+    from starlette.types import ASGIApp
+
+BACKLOG = 1024
+DRAIN_S = 20.0
+# Longer than the idle time of usual load balancers, so that the balancer
+# closes idle connections first and never sends into a closing one.
+KEEP_ALIVE_S = 75.0
+
+
+class AddressError(SassafrasgateError):
+    """A listening address is not usable."""
+
+    def __init__(self, address: str, reason: str) -> None:
+        super().__init__(
+            f'cannot listen on {address!r}: {reason}; give an IP number and '
+            'a free port, such as 127.0.0.1:8080'
+        )
+
+
+async def serve_http(
+    application: ASGIApp,
+    address: str,
+    shutdown_event: Event,
+    drain_s: float = DRAIN_S,
+    *,
+    task_status: TaskStatus[str] = TASK_STATUS_IGNORED,
+) -> None:
+    """Serve an application until ``shutdown_event`` is set.
+
+    Then it closes the listening socket and idle connections, and lets open
+    requests end. The caller reports itself as not ready a few seconds
+    before, so that the load balancer has stopped sending by then.
+
+    Parameters
+    ----------
+    application : ASGI application
+        What to serve.
+    address : str
+        IP number and port; port 0 lets the system choose one.
+    shutdown_event : Event
+        Starts the stop.
+    drain_s : float
+        How long open requests may take to end, in seconds.
+    task_status : TaskStatus
+        For ``TaskGroup.start``: gets the bound address once connections
+        are accepted.
+
+    Raises
+    ------
+    AddressError
+        When the address is not an IP number with a port, or is in use.
+    """
+    listener = _open_listener(address)
+    host, port = listener.getsockname()[:2]
+    bound = f'[{host}]:{port}' if ':' in host else f'{host}:{port}'
+    config = Config()
+    # hypercorn takes over the descriptor and closes it.
+    config.bind = [f'fd://{listener.detach()}']
+    config.backlog = BACKLOG
+    config.graceful_timeout = drain_s
+    config.keep_alive_timeout = KEEP_ALIVE_S
+    config.include_server_header = False
+    config.errorlog = getLogger('hypercorn.error')
+    task_status.started(bound)
+    # hypercorn's own ASGI types name every event; starlette's are plain.
+    framework = cast('Any', application)
+    await serve(framework, config, shutdown_trigger=shutdown_event.wait)
+
+
+def _open_listener(address: str) -> socket:
+    host, _, port = address.rpartition(':')
+    host = host.strip('[]')
+    if not host or not port.isdecimal():
+        raise AddressError(address, 'it has no IP number or no port')
+    listener = socket(AF_INET6 if ':' in host else AF_INET)
+    try:
+        listener.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
+        listener.bind((host, int(port)))
+        listener.listen(BACKLOG)
+    except (OSError, OverflowError) as error:
+        listener.close()
+        raise AddressError(address, str(error)) from error
+    return listener
--- /dev/null
+++ b/sassafrasgate/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and clocks."""
--- /dev/null
+++ b/sassafrasgate/observability/metrics.py
@@ -0,0 +1,235 @@
+"""Metrics of one process, over aioprometheus."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import StrEnum
+from typing import Any
+
+from aioprometheus.collectors import Counter
+from aioprometheus.collectors import Gauge
+from aioprometheus.collectors import Histogram
+from aioprometheus.collectors import Registry as CollectorRegistry
+from aioprometheus.formats.text import TextFormatter
+
+from sassafrasgate.core.registries import Registry
+
+PREFIX = 'sassafrasgate_'
+CONTENT_TYPE = 'text/plain; version=0.0.4; charset=utf-8'
+
+# Decisions take fractions of a millisecond, long polls up to a minute.
+SECONDS_BUCKETS = (
+    0.0005,
+    0.001,
+    0.0025,
+    0.005,
+    0.01,
+    0.025,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1.0,
+    2.5,
+    5.0,
+    10.0,
+    60.0,
+    float('inf'),
+)
+
+
+class MetricKind(StrEnum):
+    """The kinds of metrics that processes publish."""
+
+    COUNTER = 'counter'
+    GAUGE = 'gauge'
+    HISTOGRAM = 'histogram'
+
+
+@dataclass(frozen=True, slots=True)
+class Metric:
+    """Definition of one metric.
+
+    Parameters
+    ----------
+    name : str
+        Name without the common prefix; ends in its unit.
+    kind : MetricKind
+        Selects the collector.
+    help : str
+        One sentence for the scrape.
+    labels : tuple of str
+        Label names, in the order in which values are given. Values must be
+        few: kinds and reasons, never job ids or team names.
+    """
+
+    name: str
+    kind: MetricKind
+    help: str
+    labels: tuple[str, ...] = ()
+
+
+METRICS: Registry[str, Metric] = Registry('metric')
+_COLLECTORS: Registry[MetricKind, type[Any]] = Registry('metric kind')
+
+_COLLECTORS.register(MetricKind.COUNTER)(Counter)
+_COLLECTORS.register(MetricKind.GAUGE)(Gauge)
+
+
+@_COLLECTORS.register(MetricKind.HISTOGRAM)
+class _SecondsHistogram(Histogram):
+    def __init__(self, name: str, doc: str, registry: Any) -> None:
+        super().__init__(name, doc, registry=registry, buckets=SECONDS_BUCKETS)
+
+
+def define_metric(
+    kind: MetricKind, name: str, text: str, *labels: str
+) -> Metric:
+    """Register a metric and return its definition.
+
+    Raises
+    ------
+    DuplicateNameError
+        When the name is taken.
+    """
+    return METRICS.register(name)(Metric(name, kind, text, labels))
+
+
+DECISIONS = define_metric(
+    MetricKind.COUNTER, 'decisions_total', 'Decisions by kind.', 'kind'
+)
+REFUSALS = define_metric(
+    MetricKind.COUNTER, 'refusals_total', 'Refusals by reason.', 'reason'
+)
+JOBS = define_metric(MetricKind.GAUGE, 'jobs', 'Jobs by state.', 'state')
+STARTS = define_metric(
+    MetricKind.COUNTER, 'starts_total', 'Task starts by result.', 'result'
+)
+ATTEMPTS = define_metric(
+    MetricKind.COUNTER, 'attempts_total', 'Ended attempts by fate.', 'fate'
+)
+STORE_CALLS = define_metric(
+    MetricKind.COUNTER,
+    'store_calls_total',
+    'Calls to the store by kind and result.',
+    'kind',
+    'result',
+)
+LINK_MESSAGES = define_metric(
+    MetricKind.COUNTER,
+    'link_messages_total',
+    'Messages on links by direction and kind.',
+    'direction',
+    'kind',
+)
+LINK_BYTES = define_metric(
+    MetricKind.COUNTER,
+    'link_bytes_total',
+    'Bytes of frames on links by direction.',
+    'direction',
+)
+DROPPED_ANSWERS = define_metric(
+    MetricKind.COUNTER,
+    'dropped_answers_total',
+    'Answers that matched no open request.',
+)
+REQUESTS = define_metric(
+    MetricKind.COUNTER,
+    'http_requests_total',
+    'HTTP requests by route and status.',
+    'route',
+    'status',
+)
+REQUEST_SECONDS = define_metric(
+    MetricKind.HISTOGRAM,
+    'http_request_seconds',
+    'Time from the request head to the end of the response.',
+    'route',
+)
+OPEN_REQUESTS = define_metric(
+    MetricKind.GAUGE, 'http_open_requests', 'Open requests by group.', 'group'
+)
+DECISION_SECONDS = define_metric(
+    MetricKind.HISTOGRAM,
+    'decision_seconds',
+    'Time to take one decision.',
+    'kind',
+)
+APPEND_SECONDS = define_metric(
+    MetricKind.HISTOGRAM,
+    'journal_append_seconds',
+    'Time from a record being handed over to its append being confirmed.',
+)
+QUEUE_LENGTH = define_metric(
+    MetricKind.GAUGE, 'queue_length', 'Queued jobs by shard.', 'shard'
+)
+OWNED_SHARDS = define_metric(
+    MetricKind.GAUGE, 'owned_shards', 'Shards that this process owns.'
+)
+CONFIGURATION_VERSION = define_metric(
+    MetricKind.GAUGE,
+    'configuration_version',
+    'Configuration version in force in this process.',
+)
+
+
+class Metrics:
+    """The metrics of one process.
+
+    Examples
+    --------
+    >>> metrics = Metrics()
+    >>> metrics.count(DECISIONS, 'place')
+    >>> b'decisions_total{kind="place"} 1' in metrics.render()
+    True
+    """
+
+    def __init__(self) -> None:
+        self._registry = CollectorRegistry()
+        self._collectors = {
+            name: _make_collector(METRICS.find(name), self._registry)
+            for name in METRICS
+        }
+
+    def count(self, metric: Metric, *labels: str, amount: int = 1) -> None:
+        """Add ``amount`` to a counter.
+
+        Parameters
+        ----------
+        metric : Metric
+            A registered counter.
+        *labels : str
+            One value for each label, in the order of the definition.
+        amount : int
+            What to add; not negative.
+
+        Raises
+        ------
+        ValueError
+            When the number of label values does not match.
+        """
+        self._collectors[metric.name].add(_name_labels(metric, labels), amount)
+
+    def set_gauge(self, metric: Metric, value: float, *labels: str) -> None:
+        """Set a gauge; see `count` for the labels."""
+        self._collectors[metric.name].set(_name_labels(metric, labels), value)
+
+    def observe(self, metric: Metric, seconds: float, *labels: str) -> None:
+        """Add a duration in seconds to a histogram."""
+        self._collectors[metric.name].observe(
+            _name_labels(metric, labels), seconds
+        )
+
+    def render(self) -> bytes:
+        """Return all metrics in the Prometheus text format 0.0.4."""
+        body: bytes = TextFormatter().marshall(self._registry)
+        return body
+
+
+def _make_collector(metric: Metric, registry: CollectorRegistry) -> Any:
+    collector = _COLLECTORS.find(metric.kind)
+    return collector(f'{PREFIX}{metric.name}', metric.help, registry=registry)
+
+
+def _name_labels(metric: Metric, values: tuple[str, ...]) -> dict[str, str]:
+    return dict(zip(metric.labels, values, strict=True))
