Check a process's settings before use and name every fault at once

Cause: settings were converted without checks, so a bad address would only fail once a daemon tried to use it, one fault at a time. Change: a YAML-to-data-class reader that keeps line numbers from PyYAML's node tree, checks of single values in a registry filled by decorators, checks between settings in another, frozen faults with file, line, path, value and remedy, and SettingsError that carries all of them. Conclusion: a daemon either gets checked settings or prints every fault.

--- a/sassafrasgate/configuration/settings.py
+++ b/sassafrasgate/configuration/settings.py
@@ -3,21 +3,38 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from msgspec import convert
-from yaml import safe_load
+from sassafrasgate.configuration.documents import read_document
+from sassafrasgate.configuration.documents import read_documents
+from sassafrasgate.configuration.faults import Fault
+from sassafrasgate.configuration.values import Address
+from sassafrasgate.configuration.values import check_address
+from sassafrasgate.configuration.values import Flaw
+from sassafrasgate.configuration.values import ListenAddress
+from sassafrasgate.configuration.values import LogLevel
+from sassafrasgate.configuration.values import Name
+from sassafrasgate.configuration.values import NotNegative
+from sassafrasgate.configuration.values import Positive
+from sassafrasgate.configuration.values import Url
+from sassafrasgate.core.errors import SassafrasgateError
+from sassafrasgate.core.registries import Registry
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterator
     from pathlib import Path
 
+    from sassafrasgate.configuration.documents import Reading
+
 
 @dataclass(frozen=True, slots=True)
 class Peer:
     """Another entry host's scheduler, by IP number and port."""
 
-    name: str
-    address: str
+    name: Name
+    address: Address
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,18 +65,145 @@
         As logbook names it.
     """
 
-    name: str
-    failure_domain: str
-    store_url: str
-    http_address: str
-    link_address: str = ''
+    name: Name
+    failure_domain: Name
+    store_url: Url
+    http_address: ListenAddress
+    link_address: Address = ''
     peers: tuple[Peer, ...] = ()
-    writes_per_s: float = 300.0
-    reads_per_s: float = 1500.0
-    drain_s: float = 20.0
-    log_level: str = 'INFO'
+    writes_per_s: Positive = 300.0
+    reads_per_s: Positive = 1500.0
+    drain_s: NotNegative = 20.0
+    log_level: LogLevel = 'INFO'
+
+
+class SettingsError(SassafrasgateError):
+    """A settings file has faults.
+
+    Parameters
+    ----------
+    faults : tuple of Fault
+        All of them, in the order of their lines.
+    """
+
+    def __init__(self, faults: tuple[Fault, ...]) -> None:
+        noun = 'fault' if len(faults) == 1 else 'faults'
+        lines = [f'{len(faults)} {noun} in the settings:']
+        lines += [f'  {fault}' for fault in faults]
+        super().__init__('\n'.join(lines))
+        self.faults = faults
+
+
+@dataclass(frozen=True, slots=True)
+class SettingsFlaw:
+    """What is wrong between settings that are each right by themselves."""
+
+    path: str
+    value: str
+    flaw: Flaw
+
+
+SETTINGS_CHECKS: Registry[
+    str, Callable[[Settings], Iterator[SettingsFlaw]]
+] = Registry('settings check')
 
 
 def load_settings(path: Path) -> Settings:
-    """Return the settings of a YAML file."""
-    return convert(safe_load(path.read_text()), Settings)
+    """Return the settings of a YAML file.
+
+    A peer with the process's own name and link address is left out, so
+    that all settings files of a cell can carry the same list of peers.
+
+    Parameters
+    ----------
+    path : Path
+        A file with one YAML document.
+
+    Returns
+    -------
+    Settings
+        With every value checked.
+
+    Raises
+    ------
+    SettingsError
+        When the file has faults; it names all of them.
+    """
+    documents, fault = read_documents(path)
+    if fault is not None:
+        raise SettingsError((fault,))
+    if len(documents) != 1:
+        problem = f'holds {len(documents)} YAML documents'
+        remedy = 'write the settings of one process in one document'
+        raise SettingsError((Fault(str(path), 0, '', '', problem, remedy),))
+    reading = read_document(documents[0], Settings)
+    faults = reading.faults + _check_together(reading)
+    if faults:
+        raise SettingsError(
+            tuple(sorted(faults, key=lambda fault: fault.line))
+        )
+    settings: Settings = reading.value
+    others = tuple(
+        peer for peer in settings.peers if peer.name != settings.name
+    )
+    return replace(settings, peers=others)
+
+
+def _check_together(reading: Reading) -> tuple[Fault, ...]:
+    found = []
+    for name in SETTINGS_CHECKS:
+        for flaw in SETTINGS_CHECKS.find(name)(reading.value):
+            found.append(
+                Fault(
+                    reading.file,
+                    reading.find_line(flaw.path),
+                    flaw.path,
+                    flaw.value,
+                    flaw.flaw.problem,
+                    flaw.flaw.remedy,
+                )
+            )
+    return tuple(found)
+
+
+@SETTINGS_CHECKS.register('own addresses')
+def check_own_addresses(settings: Settings) -> Iterator[SettingsFlaw]:
+    """Find one address for two purposes."""
+    address = settings.link_address
+    if address and address == settings.http_address:
+        flaw = Flaw('is also http_address', 'use another port')
+        yield SettingsFlaw('link_address', repr(address), flaw)
+
+
+@SETTINGS_CHECKS.register('peers')
+def check_peers(settings: Settings) -> Iterator[SettingsFlaw]:
+    """Find peers that share a name or an address."""
+    own = Peer(settings.name, settings.link_address)
+    names = {own.name: own.address}
+    addresses = {own.address: own.name}
+    for index, peer in enumerate(settings.peers):
+        if peer == own:
+            continue
+        # An empty value has a fault of its own already.
+        if peer.name and peer.name in names:
+            flaw = Flaw(
+                f'already stands for {names[peer.name]!r}',
+                'give each process a name of its own',
+            )
+            path = f'peers[{index}].name'
+            yield SettingsFlaw(path, repr(peer.name), flaw)
+        if peer.address and peer.address in addresses:
+            flaw = Flaw(
+                f'is already the address of {addresses[peer.address]!r}',
+                'give each process an address of its own',
+            )
+            path = f'peers[{index}].address'
+            yield SettingsFlaw(path, repr(peer.address), flaw)
+        names.setdefault(peer.name, peer.address)
+        addresses.setdefault(peer.address, peer.name)
+
+
+def check_link_address(settings: Settings) -> Flaw | None:
+    """Return what is wrong with a scheduler's link address, if anything."""
+    result = check_address(settings.link_address)
+    return result if isinstance(result, Flaw) else None
--- /dev/null
+++ b/sassafrasgate/configuration/values.py
@@ -0,0 +1,244 @@
+"""Checks of single values, in a registry by name.
+
+A field of a data class names its check with `Annotated`; a field without
+one is checked by the check that is named like its type.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from ipaddress import ip_address
+from math import isfinite
+import re
+from typing import Annotated
+from urllib.parse import urlsplit
+
+from sassafrasgate.configuration.faults import suggest_name
+from sassafrasgate.configuration.units import parse_cores
+from sassafrasgate.configuration.units import parse_memory
+from sassafrasgate.core.jobs import JobClass
+from sassafrasgate.core.registries import Registry
+
+PORTS = range(1, 2**16)
+URL_SCHEMES = ('http', 'https')
+LOG_LEVELS = (
+    'CRITICAL',
+    'ERROR',
+    'WARNING',
+    'NOTICE',
+    'INFO',
+    'DEBUG',
+    'TRACE',
+)
+# Names become parts of store keys and of URL paths without quoting.
+_NAME = re.compile(r'[A-Za-z0-9][A-Za-z0-9._-]{0,62}')
+_ADDRESS = re.compile(r'(?:\[(?P<v6>[^][]+)\]|(?P<v4>[^][:]+)):(?P<port>\d+)')
+
+
+@dataclass(frozen=True, slots=True)
+class Flaw:
+    """What is wrong with a value, and what to write instead."""
+
+    problem: str
+    remedy: str
+
+
+Check = Callable[[object], object]
+"""Returns the value to use, possibly converted, or a `Flaw`."""
+
+CHECKS: Registry[str, Check] = Registry('check')
+
+Name = Annotated[str, 'name']
+ListenAddress = Annotated[str, 'listen-address']
+Address = Annotated[str, 'address']
+Url = Annotated[str, 'url']
+LogLevel = Annotated[str, 'log-level']
+Positive = Annotated[float, 'positive']
+NotNegative = Annotated[float, 'not-negative']
+Count = Annotated[int, 'count']
+Cores = Annotated[int, 'cores']
+Memory = Annotated[int, 'memory']
+JobClassName = Annotated[str, 'job-class']
+
+
+@CHECKS.register('str')
+def check_text(value: object) -> object:
+    """Accept text."""
+    if isinstance(value, str):
+        return value
+    return Flaw('is not text', 'put it in quotes')
+
+
+@CHECKS.register('int')
+def check_integer(value: object) -> object:
+    """Accept a whole number."""
+    if isinstance(value, int) and not isinstance(value, bool):
+        return value
+    return Flaw('is not a whole number', 'write digits only')
+
+
+@CHECKS.register('float')
+def check_number(value: object) -> object:
+    """Accept a finite number."""
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return Flaw('is not a number', 'write a number such as 2.5')
+    if not isfinite(value):
+        return Flaw('is not finite', 'write a number such as 2.5')
+    return float(value)
+
+
+@CHECKS.register('bool')
+def check_switch(value: object) -> object:
+    """Accept true or false."""
+    if isinstance(value, bool):
+        return value
+    return Flaw('is neither true nor false', 'write true or false')
+
+
+@CHECKS.register('name')
+def check_name(value: object) -> object:
+    """Accept a name that can stand in a store key and in a URL."""
+    if not isinstance(value, str):
+        return check_text(value)
+    if _NAME.fullmatch(value):
+        return value
+    return Flaw(
+        'is not a name',
+        'use 1 to 63 letters, digits, dots, dashes and underscores, '
+        'beginning with a letter or digit',
+    )
+
+
+@CHECKS.register('listen-address')
+def check_listen_address(value: object) -> object:
+    """Accept an IP number and port to listen on."""
+    flaw = Flaw(
+        'is not an IP number with a port',
+        "write for example '127.0.0.1:8080' or '[::1]:8080'",
+    )
+    match = _ADDRESS.fullmatch(value) if isinstance(value, str) else None
+    if match is None:
+        return flaw
+    try:
+        address = ip_address(match['v6'] or match['v4'])
+    except ValueError:
+        return flaw
+    if (address.version == 6) != (match['v6'] is not None):
+        return flaw
+    if int(match['port']) not in PORTS:
+        return Flaw('has no usable port', 'use a port from 1 to 65535')
+    return value
+
+
+@CHECKS.register('address')
+def check_address(value: object) -> object:
+    """Accept an IP number and port that other processes can connect to."""
+    accepted = check_listen_address(value)
+    if isinstance(accepted, Flaw):
+        return accepted
+    number = str(accepted).rpartition(':')[0].strip('[]')
+    if ip_address(number).is_unspecified:
+        return Flaw(
+            'is no address that others can connect to',
+            "write the entry host's own IP number",
+        )
+    return accepted
+
+
+@CHECKS.register('url')
+def check_url(value: object) -> object:
+    """Accept a base URL with an IP number and a port."""
+    if not isinstance(value, str):
+        return check_text(value)
+    flaw = Flaw(
+        'is not a base URL', "write for example 'http://127.0.0.1:8080'"
+    )
+    try:
+        parts = urlsplit(value)
+    except ValueError:
+        return flaw
+    if parts.scheme not in URL_SCHEMES:
+        return Flaw(
+            f'has the scheme {parts.scheme!r}',
+            f'use {" or ".join(URL_SCHEMES)}',
+        )
+    if parts.query or parts.fragment or parts.path not in ('', '/'):
+        return Flaw('has more than a scheme and an address', flaw.remedy)
+    accepted = check_address(parts.netloc)
+    if isinstance(accepted, Flaw):
+        return Flaw(accepted.problem, flaw.remedy)
+    return value.rstrip('/')
+
+
+@CHECKS.register('log-level')
+def check_log_level(value: object) -> object:
+    """Accept the name of one of logbook's levels."""
+    if value in LOG_LEVELS:
+        return value
+    return Flaw(
+        'is not a log level', suggest_name(str(value).upper(), LOG_LEVELS)
+    )
+
+
+@CHECKS.register('job-class')
+def check_job_class(value: object) -> object:
+    """Accept the name of a job class."""
+    known = tuple(str(job_class) for job_class in JobClass)
+    if value in known:
+        return value
+    return Flaw('is not a job class', suggest_name(str(value), known))
+
+
+@CHECKS.register('positive')
+def check_positive(value: object) -> object:
+    """Accept a finite number above 0."""
+    number = check_number(value)
+    if isinstance(number, float) and number <= 0:
+        return Flaw('is not above 0', 'write a number above 0')
+    return number
+
+
+@CHECKS.register('not-negative')
+def check_not_negative(value: object) -> object:
+    """Accept a finite number of at least 0."""
+    number = check_number(value)
+    if isinstance(number, float) and number < 0:
+        return Flaw('is below 0', 'write 0 or more')
+    return number
+
+
+@CHECKS.register('count')
+def check_count(value: object) -> object:
+    """Accept a whole number of at least 0."""
+    number = check_integer(value)
+    if isinstance(number, int) and number < 0:
+        return Flaw('is below 0', 'write 0 or more')
+    return number
+
+
+@CHECKS.register('cores')
+def check_cores(value: object) -> object:
+    """Accept a number of cores; returns millicores."""
+    millicores = parse_cores(value)
+    if millicores is None:
+        return Flaw(
+            'is not a number of cores',
+            'write a number of at most three decimals, such as 16 or 0.5',
+        )
+    if millicores < 0:
+        return Flaw('is below 0', 'write 0 or more')
+    return millicores
+
+
+@CHECKS.register('memory')
+def check_memory(value: object) -> object:
+    """Accept an amount of memory with its unit; returns mebibytes."""
+    memory_mb = parse_memory(value)
+    if memory_mb is not None:
+        return memory_mb
+    return Flaw(
+        'is not an amount of memory',
+        "write a whole number of mebibytes with its unit, such as '32GiB' "
+        "or '512MiB'",
+    )
