--- a/sassafrasgate/core/errors.py
+++ b/sassafrasgate/core/errors.py
@@ -46,6 +46,19 @@
     remedy: str
 
 
+@dataclass(frozen=True, slots=True)
+class NoAnswer:
+    """A sentinel: a request got no answer, so its effect is not known.
+
+    Parameters
+    ----------
+    reason : str
+        Why there is no answer, such as a link that went silent.
+    """
+
+    reason: str
+
+
 class SassafrasgateError(Exception):
     """Base of all errors that this library raises."""
 
--- /dev/null
+++ b/sassafrasgate/daemons/directory.py
@@ -0,0 +1,171 @@
+"""Who is alive and who owns which shard, and the links to them."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+import anyio
+from msgspec.json import decode
+from msgspec import DecodeError
+from msgspec import ValidationError
+
+from sassafrasgate.core.errors import NoAnswer
+from sassafrasgate.core.errors import Refusal
+from sassafrasgate.core.errors import RefusalKind
+from sassafrasgate.daemons.control import ControlChanged
+from sassafrasgate.daemons.control import ControlListed
+from sassafrasgate.daemons.leases import Member
+from sassafrasgate.protocol.links import Link
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from anyio.abc import TaskGroup
+
+    from sassafrasgate.configuration.settings import Peer
+    from sassafrasgate.platform.items import Item
+    from sassafrasgate.protocol.messages import Heartbeat
+
+MEMBER_PREFIX = 'control/members/'
+OWNER_PREFIX = 'control/owners/'
+
+
+def make_owner_key(shard: str) -> str:
+    """Return the key that names a shard's owner."""
+    return f'{OWNER_PREFIX}{shard}'
+
+
+class Directory:
+    """What the control keys say, and one link per scheduler.
+
+    It belongs to one task of its process, which feeds it with the watch's
+    messages. The links run in that process's task group.
+
+    Parameters
+    ----------
+    group : TaskGroup
+        Where links run.
+    peers : tuple of Peer
+        Schedulers of the settings, known also without the store.
+    greet, hear : callable
+        Heartbeats of the links.
+    """
+
+    def __init__(
+        self,
+        group: TaskGroup,
+        peers: tuple[Peer, ...],
+        greet: Callable[[], Heartbeat],
+        hear: Callable[[Heartbeat], None],
+    ) -> None:
+        self._group = group
+        self._greet = greet
+        self._hear = hear
+        self.members: dict[str, Member] = {}
+        self.owners: dict[str, tuple[Member, int]] = {}
+        self._links: dict[str, Link] = {}
+        self._peers = peers
+
+    def connect_peers(self) -> None:
+        """Open links to the schedulers of the settings."""
+        for peer in self._peers:
+            self.find_link(peer.address)
+
+    def note(self, message: Any) -> None:
+        """Take a message of the control watch."""
+        if isinstance(message, ControlListed):
+            self.members.clear()
+            self.owners.clear()
+        if not isinstance(message, ControlListed | ControlChanged):
+            return
+        for item in message.items:
+            self._note_item(item)
+
+    def _note_item(self, item: Item) -> None:
+        if item.key.startswith(MEMBER_PREFIX):
+            self._note_member(item.key.removeprefix(MEMBER_PREFIX), item)
+        if item.key.startswith(OWNER_PREFIX):
+            self._note_owner(item.key.removeprefix(OWNER_PREFIX), item)
+
+    def _note_member(self, name: str, item: Item) -> None:
+        member = read_member(item)
+        if member is None:
+            self.members.pop(name, None)
+            return
+        self.members[name] = member
+
+    def _note_owner(self, shard: str, item: Item) -> None:
+        member = read_member(item)
+        if member is None:
+            self.owners.pop(shard, None)
+            return
+        self.owners[shard] = (member, item.revision)
+
+    def list_schedulers(self) -> tuple[Member, ...]:
+        """Return the live schedulers, by name."""
+        return tuple(
+            self.members[name]
+            for name in sorted(self.members)
+            if self.members[name].role == 'scheduler'
+        )
+
+    def find_link(self, address: str) -> Link:
+        """Return the link to an address, opened on first use."""
+        link = self._links.get(address)
+        if link is None:
+            link = Link(address, self._greet, self._hear)
+            self._links[address] = link
+            self._group.start_soon(link.run)
+        return link
+
+    def list_links(self) -> tuple[Link, ...]:
+        """Return all open links."""
+        return tuple(self._links.values())
+
+    async def ask_owner(
+        self, shard: str, message: Any, timeout_s: float, attempt: int = 1
+    ) -> Any:
+        """Send a message to a shard's owner and return its answer.
+
+        Returns
+        -------
+        object
+            The answer; `NoAnswer` when the effect is not known; or a
+            `Refusal` when there is no owner, so that nothing was sent.
+        """
+        owner = self.owners.get(shard)
+        if owner is None:
+            return Refusal(
+                RefusalKind.NOT_READY,
+                f'shard {shard!r} has no owner at the moment',
+                'send the request again after a second',
+            )
+        link = self.find_link(owner[0].link_address)
+        return await link.ask(message, timeout_s, attempt)
+
+    async def ask_all(
+        self, message: Any, timeout_s: float
+    ) -> tuple[Any, ...]:
+        """Send a message on every link and return the answers that came."""
+        answers: list[Any] = []
+
+        async def ask_one(link: Link) -> None:
+            answer = await link.ask(message, timeout_s)
+            if not isinstance(answer, NoAnswer):
+                answers.append(answer)
+
+        async with anyio.create_task_group() as group:
+            for link in self.list_links():
+                group.start_soon(ask_one, link)
+        return tuple(answers)
+
+
+def read_member(item: Item) -> Member | None:
+    """Return the member that a key's value describes, or None."""
+    if item.value is None:
+        return None
+    try:
+        return decode(item.value, type=Member)
+    except (DecodeError, ValidationError):
+        return None
--- /dev/null
+++ b/sassafrasgate/daemons/shards.py
@@ -0,0 +1,467 @@
+"""The task that owns one shard: its state, its journal, its hosts."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from dataclasses import dataclass
+from math import inf
+from time import perf_counter
+from typing import Any
+from typing import TYPE_CHECKING
+
+import anyio
+
+from sassafrasgate.core.errors import MessageError
+from sassafrasgate.core.errors import NoAnswer
+from sassafrasgate.core.errors import Refusal
+from sassafrasgate.core.errors import RefusalKind
+from sassafrasgate.core.errors import ShardLostError
+from sassafrasgate.core.errors import StoreUnavailableError
+from sassafrasgate.core.registries import Registry
+from sassafrasgate.daemons.hosts import HostTask
+from sassafrasgate.daemons.hosts import OwnerLeaseChanged
+from sassafrasgate.daemons.journals import AppendRecord
+from sassafrasgate.daemons.journals import JournalTask
+from sassafrasgate.daemons.journals import run_journal
+from sassafrasgate.daemons.journals import SnapshotEnded
+from sassafrasgate.daemons.journals import WithdrawJob
+from sassafrasgate.daemons.journals import WriteSnapshot
+from sassafrasgate.journal.chain import Journal
+from sassafrasgate.journal.chain import load_journal
+from sassafrasgate.journal.records import Takeover
+from sassafrasgate.observability.clocks import now_ms
+from sassafrasgate.observability.clocks import wall_ms
+from sassafrasgate.observability.logs import Decision
+from sassafrasgate.observability.logs import log_decision
+from sassafrasgate.observability.metrics import DECISION_SECONDS
+from sassafrasgate.observability.metrics import DECISIONS
+from sassafrasgate.observability.metrics import QUEUE_LENGTH
+from sassafrasgate.platform.adapters import open_worker
+from sassafrasgate.protocol.links import OutgoingReply
+from sassafrasgate.protocol.messages import Refused
+from sassafrasgate.shards.actions import FetchOutput
+from sassafrasgate.shards.actions import GiveUpShard
+from sassafrasgate.shards.actions import LimitTask
+from sassafrasgate.shards.actions import LogDecision
+from sassafrasgate.shards.actions import Persist
+from sassafrasgate.shards.actions import ReleaseTask
+from sassafrasgate.shards.actions import Reply
+from sassafrasgate.shards.actions import SendPeer
+from sassafrasgate.shards.actions import StartTask
+from sassafrasgate.shards.actions import StopTask
+from sassafrasgate.shards.actions import StoreOutput
+from sassafrasgate.shards.actions import Withdraw
+from sassafrasgate.shards.events import ConfigurationChanged
+from sassafrasgate.shards.events import PeerAnswered
+from sassafrasgate.shards.events import RecordsDurable
+from sassafrasgate.shards.events import RequestReceived
+from sassafrasgate.shards.events import StartNotSent
+from sassafrasgate.shards.events import StopRequested
+from sassafrasgate.shards.events import Ticked
+from sassafrasgate.shards.handlers import APPLIERS
+from sassafrasgate.shards.ownership import OUTAGE_GRACE_MS
+from sassafrasgate.shards.recovery import begin_ownership
+from sassafrasgate.shards.recovery import list_records
+from sassafrasgate.shards.recovery import replay_records
+from sassafrasgate.shards.state import ShardState
+from sassafrasgate.shards.transitions import decide
+
+if TYPE_CHECKING:
+    from anyio.abc import TaskGroup
+    from anyio.streams.memory import MemoryObjectReceiveStream
+    from anyio.streams.memory import MemoryObjectSendStream
+    from logbook import Logger
+
+    from sassafrasgate.core.cells import Configuration
+    from sassafrasgate.observability.metrics import Metrics
+    from sassafrasgate.platform.store import Store
+    from sassafrasgate.protocol.links import IncomingRequest
+    from sassafrasgate.shards.ownership import OwnerLease
+
+TICK_S = 0.2
+SNAPSHOT_ENTRIES = 200
+LOAD_RETRY_S = 0.3
+PEER_TIMEOUT_S = 2.0
+MAX_INBOX = 20_000
+DRAIN_POLL_S = 0.05
+
+ActionHandler = Callable[['ShardTask', Any], Awaitable[None]]
+
+ACTION_HANDLERS: Registry[type[Any], ActionHandler] = Registry('shard action')
+
+
+@dataclass(frozen=True, slots=True)
+class ShardServices:
+    """What a shard task needs from its process.
+
+    Parameters
+    ----------
+    owner : str
+        Process name and incarnation.
+    store : Store
+        For the journal and outputs.
+    reply : callable
+        Queues an `OutgoingReply` on the link server.
+    ask_owner : callable
+        Sends a message to the owner of another shard; returns its answer
+        or `NoAnswer`.
+    grace_ms : int
+        Outage grace in milliseconds.
+    """
+
+    owner: str
+    store: Store
+    reply: Callable[[OutgoingReply], Awaitable[None]]
+    ask_owner: Callable[[str, Any, float], Awaitable[Any]]
+    logger: Logger
+    metrics: Metrics
+    grace_ms: int = OUTAGE_GRACE_MS
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseUpdated:
+    """The process's lease as it stands now."""
+
+    lease: OwnerLease
+
+
+@dataclass(frozen=True, slots=True)
+class ShardAbandoned:
+    """Another owner has the shard, or the process has lost its lease."""
+
+    reason: str
+
+
+class ShardTask:
+    """Owns one shard from takeover to release.
+
+    Parameters
+    ----------
+    shard : str
+        Shard name.
+    configuration : Configuration
+        In force when the shard was claimed.
+    lease : OwnerLease
+        The process's lease when the shard was claimed.
+    services : ShardServices
+        What the process provides.
+    inbox, events : streams
+        Both ends of the task's inbox.
+    """
+
+    def __init__(
+        self,
+        shard: str,
+        configuration: Configuration,
+        lease: OwnerLease,
+        services: ShardServices,
+    ) -> None:
+        self.shard = shard
+        self.services = services
+        self.state = ShardState(shard, services.owner)
+        self.events, self._inbox = _make_inbox()
+        self._configuration = configuration
+        self._lease = lease
+        self._replies: dict[int, IncomingRequest] = {}
+        self._next_reply = 1
+        self._hosts: dict[str, MemoryObjectSendStream[Any]] = {}
+        self._journal_box, self._journal_inbox = _make_inbox(inf)
+        self._entries = 0
+        self._snapshot_at = 0
+        self._unwritten = 0
+        self._given_up = ''
+        self._group: TaskGroup | None = None
+
+    async def run(self) -> str:
+        """Take the shard over and serve it; return why it ended.
+
+        An empty reason means a planned release, after which every record
+        is durable and a successor may take over at once.
+        """
+        journal = await self._take_over()
+        if journal is None:
+            return self._given_up
+        async with anyio.create_task_group() as group:
+            self._group = group
+            writer = JournalTask(journal, self._journal_inbox, self.events)
+            group.start_soon(self._run_journal, writer)
+            group.start_soon(self._tick)
+            self._follow_hosts()
+            await self._serve()
+            group.cancel_scope.cancel()
+        return self._given_up
+
+    async def _take_over(self) -> Journal | None:
+        """Read the journal and append the takeover record."""
+        await self._step(ConfigurationChanged(self._configuration))
+        while True:
+            try:
+                loaded = await load_journal(self.services.store, self.shard)
+                break
+            except StoreUnavailableError:
+                await anyio.sleep(LOAD_RETRY_S)
+            except MessageError as error:
+                self._given_up = str(error)
+                return None
+        replay_records(self.state, loaded.records)
+        for entry in list(self.state.jobs.values()):
+            self.state.update_job(entry.job_id, durable=True)
+        takeover = Takeover(
+            self.state.epoch + 1, self.services.owner, self.services.grace_ms
+        )
+        journal = Journal(
+            self.services.store, self.shard, self.services.owner, loaded
+        )
+        journal.epoch = takeover.epoch
+        try:
+            await journal.append((takeover,))
+        except ShardLostError as error:
+            self._given_up = str(error)
+            return None
+        APPLIERS.find(takeover.kind)(self.state, takeover)
+        begin_ownership(self.state, now_ms())
+        self._log(
+            LogDecision(
+                'takeover',
+                '',
+                reason=f'{len(self.state.jobs)} jobs, '
+                f'{len(loaded.records)} records',
+            )
+        )
+        return journal
+
+    async def _run_journal(self, writer: JournalTask) -> None:
+        reason = await run_journal(writer)
+        if reason:
+            await self.events.send(ShardAbandoned(reason))
+
+    async def _tick(self) -> None:
+        while True:
+            await anyio.sleep(TICK_S)
+            await self.events.send(Ticked(wall_ms()))
+
+    async def _serve(self) -> None:
+        async for event in self._inbox:
+            await self._step(event)
+            if self._given_up or self._is_drained():
+                return
+
+    async def _step(self, event: Any) -> None:
+        """Handle one event: decide, then hand out the actions."""
+        event = self._handle_own_event(event)
+        if event is None:
+            return
+        started = perf_counter()
+        actions = decide(self.state, event, now_ms())
+        self.services.metrics.observe(
+            DECISION_SECONDS, perf_counter() - started, type(event).__name__
+        )
+        for action in actions:
+            await ACTION_HANDLERS.find(type(action))(self, action)
+        if isinstance(event, ConfigurationChanged):
+            self._follow_hosts()
+        if isinstance(event, Ticked):
+            self._note_gauges()
+
+    def _handle_own_event(self, event: Any) -> Any:
+        """Handle events that are not decisions; return the others."""
+        if isinstance(event, RecordsDurable):
+            self._note_durable(event)
+        if isinstance(event, SnapshotEnded):
+            self._snapshot_at = 0 if not event.written else self._entries
+            return None
+        if isinstance(event, LeaseUpdated):
+            self._lease = event.lease
+            for box in self._hosts.values():
+                box.send_nowait(OwnerLeaseChanged(event.lease))
+            return None
+        if isinstance(event, ShardAbandoned):
+            self._given_up = event.reason
+            return None
+        return event
+
+    def _note_durable(self, event: RecordsDurable) -> None:
+        self._unwritten -= len(event.records)
+        self._entries += 1
+        if self._entries - self._snapshot_at >= SNAPSHOT_ENTRIES:
+            self._snapshot_at = self._entries
+            self._journal_box.send_nowait(
+                WriteSnapshot(tuple(list_records(self.state)))
+            )
+
+    def _is_drained(self) -> bool:
+        return self.state.stopping and self._unwritten <= 0
+
+    def _note_gauges(self) -> None:
+        self.services.metrics.set_gauge(
+            QUEUE_LENGTH, len(self.state.queue), self.shard
+        )
+
+    def _follow_hosts(self) -> None:
+        """Run one host task per host of the state, no more."""
+        if self._group is None:
+            return
+        for name in self.state.hosts:
+            if name not in self._hosts:
+                self._start_host(name, self._group)
+        for name in list(self._hosts):
+            if name not in self.state.hosts:
+                self._hosts.pop(name).close()
+
+    def _start_host(self, name: str, group: TaskGroup) -> None:
+        box, inbox = _make_inbox(inf)
+        self._hosts[name] = box
+        task = HostTask(
+            name,
+            self.shard,
+            self.state.epoch,
+            open_worker(self.state.index.hosts[name].url),
+            self.services.store,
+            inbox,
+            self.events,
+            self._lease,
+        )
+        group.start_soon(task.run)
+
+    async def take_request(self, request: IncomingRequest) -> None:
+        """Queue a request from the link server for a decision."""
+        token = 0
+        if request.request:
+            token = self._next_reply
+            self._next_reply += 1
+            self._replies[token] = request
+        try:
+            self.events.send_nowait(
+                RequestReceived(token, request.message, wall_ms())
+            )
+        except anyio.WouldBlock:
+            await self.send_reply(
+                token,
+                Refused(
+                    RefusalKind.OVERLOADED,
+                    f'shard {self.shard!r} has too many waiting requests',
+                    'send the request again after a second',
+                ),
+            )
+
+    async def send_reply(self, token: int, message: Any) -> None:
+        """Answer a request by its token; a token is used once."""
+        request = self._replies.pop(token, None)
+        if request is None:
+            return
+        await self.services.reply(
+            OutgoingReply(request.client, request.request, message)
+        )
+
+    def request_stop(self) -> None:
+        """Ask for a planned release."""
+        self.events.send_nowait(StopRequested())
+
+    def append(self, record: Any) -> None:
+        """Hand a record to the journal task."""
+        self._unwritten += 1
+        self._journal_box.send_nowait(AppendRecord(record))
+
+    def withdraw(self, job_id: str) -> None:
+        """Ask the journal task to drop a job's unsent records."""
+        self._journal_box.send_nowait(WithdrawJob(job_id))
+
+    def command_host(self, host: str, command: Any) -> bool:
+        """Hand a command to a host's task; False when there is none."""
+        box = self._hosts.get(host)
+        if box is None:
+            return False
+        box.send_nowait(command)
+        return True
+
+    def ask_peer(self, action: SendPeer) -> None:
+        """Send a message to another shard's owner in the background."""
+        if self._group is not None:
+            self._group.start_soon(self._ask_peer, action)
+
+    async def _ask_peer(self, action: SendPeer) -> None:
+        answer = await self.services.ask_owner(
+            action.shard, action.message, PEER_TIMEOUT_S
+        )
+        if isinstance(answer, NoAnswer | Refusal):
+            answer = None
+        await self.events.send(PeerAnswered(action.message, answer))
+
+    def give_up(self, reason: str) -> None:
+        """End the task without any further send."""
+        self._given_up = reason
+
+    def _log(self, action: LogDecision) -> None:
+        self.services.metrics.count(DECISIONS, action.kind)
+        log_decision(
+            self.services.logger,
+            Decision(
+                action.kind,
+                action.job,
+                action.attempt,
+                action.host,
+                action.reason,
+                action.candidates,
+                self.shard,
+                self.state.epoch,
+                self.state.configuration.version,
+            ),
+        )
+
+    def log(self, action: LogDecision) -> None:
+        """Write one decision line and count it."""
+        self._log(action)
+
+
+def _make_inbox(
+    size: float = MAX_INBOX,
+) -> tuple[MemoryObjectSendStream[Any], MemoryObjectReceiveStream[Any]]:
+    return anyio.create_memory_object_stream[Any](size)
+
+
+@ACTION_HANDLERS.register(Persist)
+async def _persist(task: ShardTask, action: Persist) -> None:
+    task.append(action.record)
+
+
+@ACTION_HANDLERS.register(Withdraw)
+async def _withdraw(task: ShardTask, action: Withdraw) -> None:
+    task.withdraw(action.job_id)
+
+
+@ACTION_HANDLERS.register(Reply)
+async def _reply(task: ShardTask, action: Reply) -> None:
+    await task.send_reply(action.reply_to, action.message)
+
+
+@ACTION_HANDLERS.register(StartTask)
+async def _start(task: ShardTask, action: StartTask) -> None:
+    if not task.command_host(action.host, action):
+        task.events.send_nowait(
+            StartNotSent(action.host, action.task, 'the host is gone')
+        )
+
+
+@ACTION_HANDLERS.register(StopTask)
+@ACTION_HANDLERS.register(LimitTask)
+@ACTION_HANDLERS.register(ReleaseTask)
+@ACTION_HANDLERS.register(FetchOutput)
+@ACTION_HANDLERS.register(StoreOutput)
+async def _command(task: ShardTask, action: Any) -> None:
+    task.command_host(action.host, action)
+
+
+@ACTION_HANDLERS.register(SendPeer)
+async def _send_peer(task: ShardTask, action: SendPeer) -> None:
+    task.ask_peer(action)
+
+
+@ACTION_HANDLERS.register(LogDecision)
+async def _log_decision(task: ShardTask, action: LogDecision) -> None:
+    task.log(action)
+
+
+@ACTION_HANDLERS.register(GiveUpShard)
+async def _give_up(task: ShardTask, action: GiveUpShard) -> None:
+    task.give_up(action.reason)
--- a/sassafrasgate/http/gateways.py
+++ b/sassafrasgate/http/gateways.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import Any
 from typing import Protocol
 from typing import TYPE_CHECKING
@@ -11,24 +10,12 @@
     from collections.abc import AsyncIterator
 
     from sassafrasgate.core.cells import Configuration
+    from sassafrasgate.core.errors import NoAnswer
     from sassafrasgate.core.errors import Refusal
     from sassafrasgate.core.jobs import Outcome
     from sassafrasgate.protocol.messages import StatusReply
 
 
-@dataclass(frozen=True, slots=True)
-class NoAnswer:
-    """A request was sent and its effect is not known.
-
-    Parameters
-    ----------
-    reason : str
-        Why there is no answer, such as a closed link.
-    """
-
-    reason: str
-
-
 class Gateway(Protocol):
     """Access to the shards, the configuration and the outputs."""
 
--- a/sassafrasgate/http/questions.py
+++ b/sassafrasgate/http/questions.py
@@ -11,7 +11,7 @@
 from sassafrasgate.core.errors import RefusalKind
 from sassafrasgate.core.errors import SassafrasgateError
 from sassafrasgate.core.jobs import JobState
-from sassafrasgate.http.gateways import NoAnswer
+from sassafrasgate.core.errors import NoAnswer
 from sassafrasgate.http.problems import describe_refusal
 from sassafrasgate.http.problems import describe_refused
 from sassafrasgate.http.problems import describe_unknown
--- a/sassafrasgate/protocol/links.py
+++ b/sassafrasgate/protocol/links.py
@@ -18,6 +18,7 @@
 import zmq.asyncio
 
 from sassafrasgate.core.errors import MessageError
+from sassafrasgate.core.errors import NoAnswer
 from sassafrasgate.observability.clocks import now_ms
 from sassafrasgate.protocol.codec import decode_envelope
 from sassafrasgate.protocol.codec import encode_envelope
@@ -34,13 +35,6 @@
 HIGH_WATER_MARK = 4096
 
 
-@dataclass(frozen=True, slots=True)
-class NoAnswer:
-    """A request got no answer, so its effect is not known."""
-
-    reason: str
-
-
 @dataclass(frozen=True, slots=True)
 class IncomingRequest:
     """A request from another process.
--- a/tests/http/test_jobs.py
+++ b/tests/http/test_jobs.py
@@ -6,7 +6,7 @@
 from sassafrasgate.core.errors import RefusalKind
 from sassafrasgate.core.identifiers import make_job_id
 from sassafrasgate.core.jobs import JobState
-from sassafrasgate.http.gateways import NoAnswer
+from sassafrasgate.core.errors import NoAnswer
 from sassafrasgate.protocol.messages import JobView
 from sassafrasgate.protocol.messages import Refused
 
