--- /dev/null
+++ b/sassafrasgate/placement/admission.py
@@ -0,0 +1,217 @@
+"""Admission of jobs that would have to wait."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import fields
+from math import exp
+from math import isfinite
+from typing import TYPE_CHECKING
+
+from sassafrasgate.core.errors import Refusal
+from sassafrasgate.core.errors import RefusalKind
+from sassafrasgate.core.jobs import JobClass
+from sassafrasgate.core.jobs import JobSpec
+from sassafrasgate.core.registries import Registry
+from sassafrasgate.core.resources import Resources
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+MAX_KEY_LENGTH = 512
+# A journal value holds 512 KiB, and one job must leave room for others.
+MAX_PAYLOAD_BYTES = 256 * 1024
+MAX_TASKS = 10_000
+MAX_PRIORITY = 100
+
+# The rate of starts is averaged over about this time, so that it follows a
+# change of load within seconds but not each burst.
+RATE_WINDOW_MS = 10_000
+
+_PARALLEL = frozenset({JobClass.SERVICE, JobClass.GANG})
+
+
+@dataclass(frozen=True, slots=True)
+class AdmissionLoad:
+    """The queue as a new job would find it.
+
+    Parameters
+    ----------
+    team_queued, team_limit : int
+        Jobs of the team that wait, and the most that may.
+    shard_queued, shard_limit : int
+        Jobs of the shard that wait, and the most that may.
+    ahead : int
+        Jobs that would be offered before this one; see
+        `JobQueue.count_ahead`.
+    starts_per_s : float
+        Recent rate of starts of the jobs that are counted in ``ahead``; 0
+        when it is not known, and then nothing is shed by deadline.
+    """
+
+    team_queued: int
+    team_limit: int
+    shard_queued: int
+    shard_limit: int
+    ahead: int = 0
+    starts_per_s: float = 0.0
+
+
+SPEC_CHECKS: Registry[str, Callable[[JobSpec], str]] = Registry('spec check')
+
+
+@SPEC_CHECKS.register('identity')
+def check_identity(spec: JobSpec) -> str:
+    """Return what is wrong with team and key; empty when nothing is."""
+    if not spec.team:
+        return "field 'team' is empty"
+    if not spec.key:
+        return "field 'key' is empty"
+    if len(spec.key) > MAX_KEY_LENGTH:
+        return f"field 'key' is longer than {MAX_KEY_LENGTH}"
+    return ''
+
+
+@SPEC_CHECKS.register('demand')
+def check_demand(spec: JobSpec) -> str:
+    """Return what is wrong with the demand; empty when nothing is."""
+    for field in fields(Resources):
+        if getattr(spec.demand, field.name) < 0:
+            return f'demand {spec.demand!r} has a negative {field.name}'
+    if spec.demand.slots < 1:
+        return f'demand {spec.demand!r} takes no slot'
+    if spec.demand.millicores < 1 or spec.demand.memory_mb < 1:
+        return f'demand {spec.demand!r} takes no processor or no memory'
+    return ''
+
+
+@SPEC_CHECKS.register('tasks')
+def check_tasks(spec: JobSpec) -> str:
+    """Return what is wrong with the task count; empty when nothing is."""
+    if not 1 <= spec.tasks <= MAX_TASKS:
+        return f'{spec.tasks!r} tasks are not between 1 and {MAX_TASKS}'
+    if spec.tasks > 1 and spec.job_class not in _PARALLEL:
+        return f'class {spec.job_class.value!r} has {spec.tasks!r} tasks'
+    return ''
+
+
+@SPEC_CHECKS.register('times')
+def check_times(spec: JobSpec) -> str:
+    """Return what is wrong with times; empty when nothing is."""
+    for name in ('deadline_s', 'run_time_s'):
+        value: float = getattr(spec, name)
+        if not isfinite(value) or value < 0:
+            return f'field {name!r} is {value!r}'
+    return ''
+
+
+@SPEC_CHECKS.register('priority')
+def check_priority(spec: JobSpec) -> str:
+    """Return what is wrong with the priority; empty when nothing is."""
+    if abs(spec.priority) > MAX_PRIORITY:
+        return f'priority {spec.priority!r} is beyond +-{MAX_PRIORITY}'
+    return ''
+
+
+@SPEC_CHECKS.register('payload')
+def check_payload(spec: JobSpec) -> str:
+    """Return what is wrong with the payload; empty when nothing is."""
+    if len(spec.payload) > MAX_PAYLOAD_BYTES:
+        return (
+            f'payload of {len(spec.payload)} bytes is longer than '
+            f'{MAX_PAYLOAD_BYTES}'
+        )
+    return ''
+
+
+def check_spec(spec: JobSpec) -> Refusal | None:
+    """Return a refusal with the first fault of a spec, or None."""
+    for name in SPEC_CHECKS:
+        if fault := SPEC_CHECKS.find(name)(spec):
+            return Refusal(
+                RefusalKind.INVALID, fault, 'correct the job and resubmit it'
+            )
+    return None
+
+
+def check_admission(spec: JobSpec, load: AdmissionLoad) -> Refusal | None:
+    """Tell whether a job that can't start at once may wait.
+
+    Returns
+    -------
+    Refusal or None
+        `RefusalKind.INVALID`, `OVERLOADED` when a queue is full, or
+        `DEADLINE` when the job would time out while it waits; None when it
+        may wait.
+
+    Examples
+    --------
+    >>> load = AdmissionLoad(0, 10, 0, 100, ahead=50, starts_per_s=10.0)
+    >>> spec = JobSpec('orders', 'k', deadline_s=4.0)
+    >>> check_admission(spec, load).kind.value
+    'deadline'
+    """
+    if refusal := check_spec(spec):
+        return refusal
+    if load.team_queued >= load.team_limit:
+        return Refusal(
+            RefusalKind.OVERLOADED,
+            f'team {spec.team!r} has {load.team_queued} jobs waiting, '
+            f'limit {load.team_limit}',
+            'retry later, or raise max_queued of the team',
+        )
+    if load.shard_queued >= load.shard_limit:
+        return Refusal(
+            RefusalKind.OVERLOADED,
+            f'{load.shard_queued} jobs wait in the shard, '
+            f'limit {load.shard_limit}',
+            'retry later with increasing delays',
+        )
+    wait_s = expect_wait(load.ahead, load.starts_per_s)
+    if spec.deadline_s and wait_s > spec.deadline_s:
+        return Refusal(
+            RefusalKind.DEADLINE,
+            f'expected wait {wait_s:.1f} s exceeds the deadline of '
+            f'{spec.deadline_s!r} s',
+            'retry later, or allow a later deadline',
+        )
+    return None
+
+
+def expect_wait(ahead: int, starts_per_s: float) -> float:
+    """Return the expected wait in seconds; 0 while the rate is unknown."""
+    if starts_per_s <= 0:
+        return 0.0
+    return ahead / starts_per_s
+
+
+class StartRate:
+    """Recent rate of starts, from the times of the starts.
+
+    An exponentially weighted count. While the queue is stalled the rate
+    decays, and so the expected wait grows.
+    """
+
+    def __init__(self) -> None:
+        self._weight = 0.0
+        self._updated_at = 0
+        self._first_at: int | None = None
+
+    def note_start(self, now: int, jobs: int = 1) -> None:
+        """Count starts at ``now``, in ms."""
+        if self._first_at is None:
+            self._first_at = now
+        self._weight = self._decay(now) + jobs
+        self._updated_at = max(now, self._updated_at)
+
+    def find_rate(self, now: int) -> float:
+        """Return starts per second; 0 when none was seen yet."""
+        if self._first_at is None:
+            return 0.0
+        # Until a whole window has passed, only what has passed counts.
+        seen = 1 - exp(-max(now - self._first_at, 1000) / RATE_WINDOW_MS)
+        return self._decay(now) / (RATE_WINDOW_MS / 1000 * seen)
+
+    def _decay(self, now: int) -> float:
+        elapsed = max(0, now - self._updated_at)
+        return self._weight * exp(-elapsed / RATE_WINDOW_MS)
--- /dev/null
+++ b/sassafrasgate/placement/gangs.py
@@ -0,0 +1,469 @@
+"""Reservations of one gang across shards: all tasks start, or none.
+
+The home shard reserves in shard-name order, so that two gangs never wait
+for each other in a circle. Reservations are short and lapse by themselves.
+Once all are held, the home shard records its intent, and each shard turns
+its reservation into a firm one. Only when all are firm do tasks start. A
+reservation that lapsed before it was firm ends the whole try, so no task
+has started by then. A firm reservation does not lapse, since the recorded
+intent lets a successor of the home shard finish or release it.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import replace
+from enum import StrEnum
+from typing import Any
+from typing import TYPE_CHECKING
+
+from sassafrasgate.core.registries import Registry
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+RESERVATION_MS = 2_000
+# A shard that has not replied by then counts as having refused.
+REPLY_MS = 1_000
+RESEND_MS = 500
+
+
+class GangPhase(StrEnum):
+    """How far the home shard has come."""
+
+    RESERVING = 'reserving'
+    RECORDING = 'recording'
+    CONFIRMING = 'confirming'
+    STARTING = 'starting'
+    STARTED = 'started'
+    RELEASING = 'releasing'
+    REFUSED = 'refused'
+
+
+@dataclass(frozen=True, slots=True)
+class GangPart:
+    """The tasks of a gang that one shard is to run."""
+
+    shard: str
+    tasks: int
+
+
+@dataclass(frozen=True, slots=True)
+class GangState:
+    """One try to start a gang, as its home shard knows it.
+
+    Parameters
+    ----------
+    job_id : str
+        The gang.
+    attempt : int
+        Number of the try; shards ignore messages of another one.
+    parts : tuple of GangPart
+        In shard-name order; made by `begin_gang`.
+    phase : GangPhase
+        Where the try stands.
+    waiting : tuple of str
+        Shards whose reply the phase waits for.
+    asked_at : int
+        When they were first asked, in ms.
+    sent_at : int
+        When they were last asked, in ms.
+    reason : str
+        Why the try was given up.
+    """
+
+    job_id: str
+    attempt: int
+    parts: tuple[GangPart, ...]
+    phase: GangPhase = GangPhase.RESERVING
+    waiting: tuple[str, ...] = ()
+    asked_at: int = 0
+    sent_at: int = 0
+    reason: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class PartReserved:
+    """A shard holds its part for `RESERVATION_MS`."""
+
+    shard: str
+
+
+@dataclass(frozen=True, slots=True)
+class PartRefused:
+    """A shard can't hold its part, or no longer holds it."""
+
+    shard: str
+    reason: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class IntentRecorded:
+    """The home shard's journal holds the intent to start the gang."""
+
+
+@dataclass(frozen=True, slots=True)
+class PartConfirmed:
+    """A shard's reservation is firm."""
+
+    shard: str
+
+
+@dataclass(frozen=True, slots=True)
+class PartStarted:
+    """A shard has taken over the start of its tasks for good."""
+
+    shard: str
+
+
+@dataclass(frozen=True, slots=True)
+class PartReleased:
+    """A shard holds nothing for this try any more."""
+
+    shard: str
+
+
+@dataclass(frozen=True, slots=True)
+class TimePassed:
+    """A timer; sent at least every `RESEND_MS` while a try is open."""
+
+
+@dataclass(frozen=True, slots=True)
+class GangCancelled:
+    """The caller has cancelled the gang."""
+
+
+@dataclass(frozen=True, slots=True)
+class SendReserve:
+    """Ask a shard to hold its part for a short time."""
+
+    shard: str
+    tasks: int
+    hold_ms: int = RESERVATION_MS
+
+
+@dataclass(frozen=True, slots=True)
+class RecordIntent:
+    """Write the intent to the home shard's journal."""
+
+
+@dataclass(frozen=True, slots=True)
+class SendConfirm:
+    """Ask a shard to make its reservation firm."""
+
+    shard: str
+
+
+@dataclass(frozen=True, slots=True)
+class SendStart:
+    """Tell a shard to start its tasks."""
+
+    shard: str
+
+
+@dataclass(frozen=True, slots=True)
+class SendRelease:
+    """Tell a shard to drop its reservation."""
+
+    shard: str
+
+
+@dataclass(frozen=True, slots=True)
+class ReportStarted:
+    """The gang runs: all shards have taken over their tasks."""
+
+
+@dataclass(frozen=True, slots=True)
+class ReportRefused:
+    """No task has started or will start in this try."""
+
+    reason: str
+
+
+Event = (
+    PartReserved
+    | PartRefused
+    | IntentRecorded
+    | PartConfirmed
+    | PartStarted
+    | PartReleased
+    | TimePassed
+    | GangCancelled
+)
+Action = (
+    SendReserve
+    | RecordIntent
+    | SendConfirm
+    | SendStart
+    | SendRelease
+    | ReportStarted
+    | ReportRefused
+)
+Step = tuple[GangState, tuple[Action, ...]]
+HANDLERS: Registry[type[Any], Callable[[GangState, Any, int], Step]] = (
+    Registry('gang event')
+)
+
+
+def begin_gang(
+    job_id: str, attempt: int, parts: tuple[GangPart, ...], now: int
+) -> Step:
+    """Return the first state and actions of a try.
+
+    Raises
+    ------
+    ValueError
+        When there are no parts.
+    """
+    if not parts:
+        raise ValueError(f'gang {job_id!r} has no parts; name at least one')
+    ordered = tuple(sorted(parts, key=lambda part: part.shard))
+    state = GangState(job_id, attempt, ordered)
+    return _ask_next(state, 0, now)
+
+
+def resume_gang(
+    job_id: str, attempt: int, parts: tuple[GangPart, ...], now: int
+) -> Step:
+    """Return the state of a successor that finds a recorded intent.
+
+    Whether all parts were firm is not known, so each shard is asked to
+    confirm again; a shard whose tasks have started confirms too.
+    """
+    ordered = tuple(sorted(parts, key=lambda part: part.shard))
+    return _confirm_all(GangState(job_id, attempt, ordered), now)
+
+
+def step_gang(state: GangState, event: Event, now: int) -> Step:
+    """Return the state after an event, and what to do.
+
+    Late and repeated events change nothing.
+
+    Parameters
+    ----------
+    now : int
+        Time in ms.
+    """
+    return HANDLERS.find(type(event))(state, event, now)
+
+
+@HANDLERS.register(PartReserved)
+def _note_reserved(state: GangState, event: PartReserved, now: int) -> Step:
+    if state.phase is not GangPhase.RESERVING:
+        return state, ()
+    if event.shard not in state.waiting:
+        return state, ()
+    number = _find_number(state, event.shard) + 1
+    if number < len(state.parts):
+        return _ask_next(state, number, now)
+    state = replace(state, phase=GangPhase.RECORDING, waiting=())
+    return state, (RecordIntent(),)
+
+
+@HANDLERS.register(PartRefused)
+def _note_refused(state: GangState, event: PartRefused, now: int) -> Step:
+    if event.shard not in state.waiting:
+        return state, ()
+    if state.phase not in (GangPhase.RESERVING, GangPhase.CONFIRMING):
+        return state, ()
+    return _give_up(state, f'shard {event.shard!r}: {event.reason}', now)
+
+
+@HANDLERS.register(IntentRecorded)
+def _note_recorded(state: GangState, event: IntentRecorded, now: int) -> Step:
+    if state.phase is not GangPhase.RECORDING:
+        return state, ()
+    return _confirm_all(state, now)
+
+
+@HANDLERS.register(PartConfirmed)
+def _note_confirmed(state: GangState, event: PartConfirmed, now: int) -> Step:
+    if state.phase is not GangPhase.CONFIRMING:
+        return state, ()
+    state = _drop_waiting(state, event.shard)
+    if state.waiting:
+        return state, ()
+    shards = _list_shards(state)
+    state = replace(
+        state,
+        phase=GangPhase.STARTING,
+        waiting=shards,
+        asked_at=now,
+        sent_at=now,
+    )
+    return state, tuple(SendStart(shard) for shard in shards)
+
+
+@HANDLERS.register(PartStarted)
+def _note_started(state: GangState, event: PartStarted, now: int) -> Step:
+    if state.phase is not GangPhase.STARTING:
+        return state, ()
+    state = _drop_waiting(state, event.shard)
+    if state.waiting:
+        return state, ()
+    return replace(state, phase=GangPhase.STARTED), (ReportStarted(),)
+
+
+@HANDLERS.register(PartReleased)
+def _note_released(state: GangState, event: PartReleased, now: int) -> Step:
+    if state.phase is not GangPhase.RELEASING:
+        return state, ()
+    state = _drop_waiting(state, event.shard)
+    if state.waiting:
+        return state, ()
+    state = replace(state, phase=GangPhase.REFUSED)
+    return state, (ReportRefused(state.reason),)
+
+
+@HANDLERS.register(GangCancelled)
+def _note_cancelled(state: GangState, event: GangCancelled, now: int) -> Step:
+    """Give up a try that has not started; later ones end as running jobs."""
+    if state.phase in (
+        GangPhase.RESERVING,
+        GangPhase.RECORDING,
+        GangPhase.CONFIRMING,
+    ):
+        return _give_up(state, 'cancelled', now)
+    return state, ()
+
+
+@HANDLERS.register(TimePassed)
+def _note_time(state: GangState, event: TimePassed, now: int) -> Step:
+    late = now >= state.asked_at + REPLY_MS
+    if state.phase is GangPhase.RESERVING and late:
+        shards = ', '.join(state.waiting)
+        return _give_up(state, f'no reply from shard {shards}', now)
+    send = _RESENT.get(state.phase)
+    if send is None or now < state.sent_at + RESEND_MS:
+        return state, ()
+    actions = tuple(send(shard) for shard in state.waiting)
+    return replace(state, sent_at=now), actions
+
+
+# A reservation is asked for once, since it would lapse before long anyway.
+# From the recorded intent on, each shard is asked until it has replied:
+# giving up on a silent one could leave tasks started there.
+_RESENT: dict[GangPhase, Callable[[str], Action]] = {
+    GangPhase.CONFIRMING: SendConfirm,
+    GangPhase.STARTING: SendStart,
+    GangPhase.RELEASING: SendRelease,
+}
+
+
+def _ask_next(state: GangState, number: int, now: int) -> Step:
+    part = state.parts[number]
+    state = replace(state, waiting=(part.shard,), asked_at=now, sent_at=now)
+    return state, (SendReserve(part.shard, part.tasks),)
+
+
+def _confirm_all(state: GangState, now: int) -> Step:
+    shards = _list_shards(state)
+    state = replace(
+        state,
+        phase=GangPhase.CONFIRMING,
+        waiting=shards,
+        asked_at=now,
+        sent_at=now,
+    )
+    return state, tuple(SendConfirm(shard) for shard in shards)
+
+
+def _give_up(state: GangState, reason: str, now: int) -> Step:
+    """Release every part that was asked for, replied or not."""
+    shards = _list_shards(state)
+    if state.phase is GangPhase.RESERVING:
+        asked = max(_find_number(state, shard) for shard in state.waiting)
+        shards = shards[: asked + 1]
+    state = replace(
+        state,
+        phase=GangPhase.RELEASING,
+        waiting=shards,
+        asked_at=now,
+        sent_at=now,
+        reason=reason,
+    )
+    return state, tuple(SendRelease(shard) for shard in shards)
+
+
+def _list_shards(state: GangState) -> tuple[str, ...]:
+    return tuple(part.shard for part in state.parts)
+
+
+def _find_number(state: GangState, shard: str) -> int:
+    return _list_shards(state).index(shard)
+
+
+def _drop_waiting(state: GangState, shard: str) -> GangState:
+    return replace(
+        state, waiting=tuple(name for name in state.waiting if name != shard)
+    )
+
+
+class HoldPhase(StrEnum):
+    """What a shard holds for a gang of another home shard."""
+
+    NOTHING = 'nothing'
+    SHORT = 'short'
+    FIRM = 'firm'
+    STARTED = 'started'
+    RELEASED = 'released'
+
+
+@dataclass(frozen=True, slots=True)
+class Hold:
+    """One part at the shard that is to run it.
+
+    Parameters
+    ----------
+    phase : HoldPhase
+        ``RELEASED`` is kept as a tombstone, so that a late request of the
+        same try finds nothing to hold again.
+    until : int
+        When a short reservation lapses, in ms of this shard's clock.
+    """
+
+    phase: HoldPhase = HoldPhase.NOTHING
+    until: int = 0
+
+
+def reserve_hold(
+    hold: Hold, has_room: bool, hold_ms: int, now: int
+) -> tuple[Hold, bool]:
+    """Answer a request to reserve; False for a refusal."""
+    if hold.phase is HoldPhase.NOTHING and has_room:
+        return Hold(HoldPhase.SHORT, now + hold_ms), True
+    return hold, hold.phase is HoldPhase.SHORT and now < hold.until
+
+
+def confirm_hold(hold: Hold, now: int) -> tuple[Hold, bool]:
+    """Answer a request to make a reservation firm; False for a refusal.
+
+    The firm reservation must be in this shard's journal before the reply
+    is sent, since the home shard starts the gang on it.
+    """
+    if hold.phase is HoldPhase.SHORT and now < hold.until:
+        return Hold(HoldPhase.FIRM), True
+    if hold.phase in (HoldPhase.FIRM, HoldPhase.STARTED):
+        return hold, True
+    return Hold(HoldPhase.RELEASED), False
+
+
+def start_hold(hold: Hold) -> tuple[Hold, bool]:
+    """Answer the start of a part; True when its tasks run or will run."""
+    if hold.phase in (HoldPhase.FIRM, HoldPhase.STARTED):
+        return Hold(HoldPhase.STARTED), True
+    return hold, False
+
+
+def release_hold(hold: Hold) -> Hold:
+    """Drop a reservation; started tasks are not affected."""
+    if hold.phase is HoldPhase.STARTED:
+        return hold
+    return Hold(HoldPhase.RELEASED)
+
+
+def lapse_hold(hold: Hold, now: int) -> Hold:
+    """Drop a short reservation whose time is over."""
+    if hold.phase is HoldPhase.SHORT and now >= hold.until:
+        return Hold(HoldPhase.RELEASED)
+    return hold
--- a/sassafrasgate/placement/index.py
+++ b/sassafrasgate/placement/index.py
@@ -199,6 +199,12 @@
         """Return the reservations of a host by task; empty if unknown."""
         return MappingProxyType(self._tasks.get(name, _NO_TASKS))
 
+    def list_fitting(self, demand: Resources) -> list[str]:
+        """Return the open hosts that have room for a demand."""
+        return [
+            name for name, free in self._open.items() if demand.fits_in(free)
+        ]
+
     def total_free(self) -> Resources:
         """Return the sum of what is free on open hosts.
 
--- /dev/null
+++ b/sassafrasgate/placement/quarantine.py
@@ -0,0 +1,313 @@
+"""Health of hosts, judged by results that other hosts disagree with."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from dataclasses import replace
+from enum import StrEnum
+
+# Jobs that failed on a host and then finished elsewhere, without a success
+# on the host in between, before it is quarantined.
+CONFIRMED_FAILURES = 2
+# Distinct jobs that failed in a row are enough without confirmation, since
+# jobs that may not run again never confirm anything.
+FAILURES_IN_A_ROW = 6
+# A job that failed on this many healthy hosts is at fault itself. A host
+# with failures of several other jobs since its last success is a suspect,
+# and proves nothing: two hosts that fail every task would otherwise blame
+# each job that tries both.
+HOSTS_FOR_JOB_FAULT = 2
+SUSPECT_FAILURES = 2
+
+FIRST_DELAY_MS = 30_000
+MAX_DELAY_MS = 3_600_000
+PROBATION_TASKS = 2
+PROBATION_SUCCESSES = 3
+
+MAX_QUARANTINED_SHARE = 0.1
+# Jobs whose results are remembered; the oldest are forgotten first.
+MAX_JOBS = 20_000
+
+
+class HostStatus(StrEnum):
+    """What a host's results say about it."""
+
+    HEALTHY = 'healthy'
+    QUARANTINED = 'quarantined'
+    PROBATION = 'probation'
+
+
+@dataclass(frozen=True, slots=True)
+class HostRecord:
+    """Results of one host.
+
+    Parameters
+    ----------
+    status : HostStatus
+        Whether it gets work.
+    failed : tuple of str
+        Jobs that failed here since the last success, oldest first.
+    confirmed : tuple of str
+        Those that finished on another host afterwards.
+    delay_ms : int
+        Length of the latest quarantine; 0 for never.
+    until : int
+        End of the quarantine in ms.
+    successes : int
+        Successes during probation.
+    """
+
+    status: HostStatus = HostStatus.HEALTHY
+    failed: tuple[str, ...] = ()
+    confirmed: tuple[str, ...] = ()
+    delay_ms: int = 0
+    until: int = 0
+    successes: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class JobResults:
+    """Hosts where one job failed.
+
+    Parameters
+    ----------
+    failed_on : tuple of str
+        All of them, in order.
+    healthy : tuple of str
+        Those that were neither suspect nor in probation then.
+    """
+
+    failed_on: tuple[str, ...] = ()
+    healthy: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class HealthChange:
+    """A host's status has changed; for logs.
+
+    Parameters
+    ----------
+    host : str
+        Name of the host.
+    status : HostStatus
+        The new status.
+    reason : str
+        The results behind it.
+    """
+
+    host: str
+    status: HostStatus
+    reason: str = field(default='')
+
+
+class HostHealth:
+    """Judges hosts by the results of their tasks.
+
+    Parameters
+    ----------
+    hosts : int
+        Number of hosts in the shard, for the cap on quarantine.
+
+    Examples
+    --------
+    >>> health = HostHealth(hosts=24)
+    >>> for job in ('a', 'b'):
+    ...     _ = health.note_result('h1', job, False, 0)
+    ...     changes = health.note_result('h2', job, True, 0)
+    >>> changes[0].status.value
+    'quarantined'
+    >>> health.find_allowance('h1', 0)
+    0
+    """
+
+    def __init__(self, hosts: int = 0) -> None:
+        self._hosts = hosts
+        self._records: dict[str, HostRecord] = {}
+        self._jobs: dict[str, JobResults] = {}
+
+    def set_hosts(self, hosts: int) -> None:
+        """Change the number of hosts that the cap is taken of."""
+        self._hosts = hosts
+
+    def note_result(
+        self, host: str, job_id: str, succeeded: bool, now: int
+    ) -> tuple[HealthChange, ...]:
+        """Note how a task of a job ended on a host.
+
+        Only ends that the worker reported count. Lost leases, refusals and
+        cancellations say nothing about whether the host can run tasks.
+
+        Returns
+        -------
+        tuple of HealthChange
+            Hosts whose status changed, not always ``host`` itself.
+        """
+        if succeeded:
+            return self._note_success(host, job_id, now)
+        return self._note_failure(host, job_id, now)
+
+    def find_status(self, host: str, now: int) -> HostStatus:
+        """Return a host's status at ``now``, in ms."""
+        record = self._find(host)
+        if record.status is HostStatus.QUARANTINED and now >= record.until:
+            return HostStatus.PROBATION
+        return record.status
+
+    def find_allowance(self, host: str, now: int) -> int | None:
+        """Return how many tasks may run on a host at once.
+
+        None for no limit; 0 in quarantine; a few in probation.
+        """
+        status = self.find_status(host, now)
+        if status is HostStatus.HEALTHY:
+            return None
+        return 0 if status is HostStatus.QUARANTINED else PROBATION_TASKS
+
+    def find_next_change(self, now: int) -> int | None:
+        """Return when the next quarantine ends, in ms; None for never."""
+        return min(
+            (
+                record.until
+                for record in self._records.values()
+                if record.status is HostStatus.QUARANTINED
+                and record.until > now
+            ),
+            default=None,
+        )
+
+    def is_job_at_fault(self, job_id: str) -> bool:
+        """Tell whether a job has failed on several healthy hosts."""
+        results = self._jobs.get(job_id, JobResults())
+        return len(results.healthy) >= HOSTS_FOR_JOB_FAULT
+
+    def list_quarantined(self, now: int) -> tuple[str, ...]:
+        """Return the hosts that get no work, by name."""
+        return tuple(
+            sorted(
+                host
+                for host in self._records
+                if self.find_status(host, now) is HostStatus.QUARANTINED
+            )
+        )
+
+    def forget_host(self, host: str) -> None:
+        """Drop what is known of a host, for example when it was replaced."""
+        self._records.pop(host, None)
+
+    def forget_job(self, job_id: str) -> None:
+        """Drop what is known of a job that has ended."""
+        self._jobs.pop(job_id, None)
+
+    def _find(self, host: str) -> HostRecord:
+        return self._records.get(host, HostRecord())
+
+    def _note_success(
+        self, host: str, job_id: str, now: int
+    ) -> tuple[HealthChange, ...]:
+        changes: list[HealthChange] = []
+        results = self._jobs.pop(job_id, JobResults())
+        for other in results.failed_on:
+            if other != host:
+                changes.extend(self._confirm(other, job_id, now))
+        record = self._find(host)
+        if self.find_status(host, now) is not HostStatus.PROBATION:
+            # A success shows that the host can run tasks, so failures
+            # before it do not count; a late one does not end a quarantine.
+            self._records[host] = replace(record, failed=(), confirmed=())
+            return tuple(changes)
+        successes = record.successes + 1
+        if successes < PROBATION_SUCCESSES:
+            self._records[host] = replace(
+                record, status=HostStatus.PROBATION, successes=successes
+            )
+            return tuple(changes)
+        # The delay is kept, so that a host that fails again soon after its
+        # probation waits longer than before.
+        self._records[host] = HostRecord(delay_ms=record.delay_ms // 2)
+        reason = f'{successes} tasks finished in probation'
+        changes.append(HealthChange(host, HostStatus.HEALTHY, reason))
+        return tuple(changes)
+
+    def _note_failure(
+        self, host: str, job_id: str, now: int
+    ) -> tuple[HealthChange, ...]:
+        status = self.find_status(host, now)
+        if status is HostStatus.PROBATION and not self.is_job_at_fault(job_id):
+            return self._quarantine(host, now, f'job {job_id} failed again')
+        if status is not HostStatus.HEALTHY:
+            return ()
+        record = self._find(host)
+        results = _add_failure(
+            self._jobs.pop(job_id, JobResults()), host, record, job_id
+        )
+        self._remember(job_id, results)
+        if job_id not in record.failed:
+            failed = (*record.failed, job_id)[-FAILURES_IN_A_ROW:]
+            self._records[host] = replace(record, failed=failed)
+        if self.is_job_at_fault(job_id):
+            self._absolve(job_id, results.failed_on)
+            return ()
+        if len(self._find(host).failed) < FAILURES_IN_A_ROW:
+            return ()
+        reason = f'{FAILURES_IN_A_ROW} jobs failed in a row'
+        return self._quarantine(host, now, reason)
+
+    def _confirm(
+        self, host: str, job_id: str, now: int
+    ) -> tuple[HealthChange, ...]:
+        """Count a failure that another host has disproved."""
+        record = self._find(host)
+        if record.status is not HostStatus.HEALTHY:
+            return ()
+        if job_id not in record.failed or job_id in record.confirmed:
+            return ()
+        record = replace(record, confirmed=(*record.confirmed, job_id))
+        self._records[host] = record
+        if len(record.confirmed) < CONFIRMED_FAILURES:
+            return ()
+        reason = f'{len(record.confirmed)} jobs failed here, not elsewhere'
+        return self._quarantine(host, now, reason)
+
+    def _absolve(self, job_id: str, hosts: tuple[str, ...]) -> None:
+        """Take a faulty job's failures off the hosts."""
+        for host in hosts:
+            record = self._find(host)
+            failed = tuple(job for job in record.failed if job != job_id)
+            self._records[host] = replace(record, failed=failed)
+
+    def _quarantine(
+        self, host: str, now: int, reason: str
+    ) -> tuple[HealthChange, ...]:
+        others = [
+            other for other in self.list_quarantined(now) if other != host
+        ]
+        if len(others) >= self._find_cap():
+            return ()
+        record = self._find(host)
+        delay = max(FIRST_DELAY_MS, record.delay_ms * 2)
+        delay = min(delay, MAX_DELAY_MS)
+        self._records[host] = HostRecord(
+            HostStatus.QUARANTINED, delay_ms=delay, until=now + delay
+        )
+        return (HealthChange(host, HostStatus.QUARANTINED, reason),)
+
+    def _find_cap(self) -> int:
+        return max(1, int(self._hosts * MAX_QUARANTINED_SHARE))
+
+    def _remember(self, job_id: str, results: JobResults) -> None:
+        self._jobs[job_id] = results
+        if len(self._jobs) > MAX_JOBS:
+            del self._jobs[next(iter(self._jobs))]
+
+
+def _add_failure(
+    results: JobResults, host: str, record: HostRecord, job_id: str
+) -> JobResults:
+    if host in results.failed_on:
+        return results
+    results = replace(results, failed_on=(*results.failed_on, host))
+    others = [job for job in record.failed if job != job_id]
+    if len(others) >= SUSPECT_FAILURES:
+        return results
+    return replace(results, healthy=(*results.healthy, host))
--- /dev/null
+++ b/sassafrasgate/placement/quotas.py
@@ -0,0 +1,267 @@
+"""Quotas of teams in a shard, and how shards share a cell-wide quota."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import fields
+from types import MappingProxyType
+from typing import TYPE_CHECKING
+
+from sassafrasgate.core.errors import Refusal
+from sassafrasgate.core.errors import RefusalKind
+from sassafrasgate.core.errors import SassafrasgateError
+from sassafrasgate.core.resources import NOTHING
+from sassafrasgate.core.resources import Resources
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+
+    from sassafrasgate.core.cells import Team
+
+_NAMES = tuple(field.name for field in fields(Resources))
+
+
+class QuotaReleaseError(SassafrasgateError):
+    """More was released than a team had reserved."""
+
+    def __init__(
+        self, team: str, amount: Resources, reserved: Resources
+    ) -> None:
+        super().__init__(
+            f'team {team!r} released {amount!r} but has only {reserved!r} '
+            f'reserved; release each reservation exactly once'
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class DemandSummary:
+    """A team's demand in one shard.
+
+    Parameters
+    ----------
+    shard : str
+        Name of the shard.
+    reserved : Resources
+        What the team's tasks hold there.
+    waiting : Resources
+        What its queued jobs there need in all.
+    """
+
+    shard: str
+    reserved: Resources = NOTHING
+    waiting: Resources = NOTHING
+
+
+class QuotaLedger:
+    """What each team has reserved in a shard, against its share.
+
+    Parameters
+    ----------
+    teams : iterable of Team
+        Cell-wide quotas; zero in a resource means no limit there.
+    shards : int
+        Number of shards that share each quota.
+
+    Examples
+    --------
+    >>> from sassafrasgate.core.cells import Team
+    >>> ledger = QuotaLedger([Team('a', quota=Resources(4000))], shards=2)
+    >>> ledger.may_reserve('a', Resources(2000)) is None
+    True
+    >>> ledger.may_reserve('a', Resources(2001)).kind.value
+    'quota'
+    """
+
+    def __init__(self, teams: Iterable[Team] = (), shards: int = 1) -> None:
+        self._quotas: dict[str, Resources] = {}
+        self._shares: dict[str, Resources] = {}
+        self._reserved: dict[str, Resources] = {}
+        self._view = MappingProxyType(self._reserved)
+        self.set_teams(teams, shards)
+
+    @property
+    def reserved(self) -> Mapping[str, Resources]:
+        """What each team has reserved; a live, read-only view."""
+        return self._view
+
+    def set_teams(self, teams: Iterable[Team], shards: int) -> None:
+        """Replace all quotas, each divided evenly over the shards.
+
+        The division rounds down, so that the shares never add up to more
+        than the quota.
+        """
+        self._quotas = {team.name: team.quota for team in teams}
+        self._shares = {
+            name: _map_amounts(quota, lambda amount: amount // max(1, shards))
+            for name, quota in self._quotas.items()
+        }
+
+    def set_share(self, team: str, share: Resources) -> Resources:
+        """Change a team's share; return the share in force.
+
+        The share in force is never below what is reserved, since running
+        tasks can't be undone; whoever divides the quota must count the
+        returned amount. Resources without a quota stay without a limit.
+        """
+        in_force = share.cover(self.find_reserved(team))
+        self._shares[team] = in_force
+        self._quotas.setdefault(team, share)
+        return in_force
+
+    def find_share(self, team: str) -> Resources:
+        """Return a team's share; zero where there is no limit or none."""
+        return self._shares.get(team, NOTHING)
+
+    def find_reserved(self, team: str) -> Resources:
+        """Return what a team has reserved in this shard."""
+        return self._reserved.get(team, NOTHING)
+
+    def may_reserve(self, team: str, demand: Resources) -> Refusal | None:
+        """Return a refusal when a team's share is too small for a demand."""
+        quota = self._quotas.get(team, NOTHING)
+        if quota == NOTHING:
+            return None
+        wanted = self.find_reserved(team) + demand
+        share = self.find_share(team)
+        short = [
+            name
+            for name in _NAMES
+            if getattr(demand, name) > 0
+            and getattr(quota, name) > 0
+            and getattr(wanted, name) > getattr(share, name)
+        ]
+        if not short:
+            return None
+        limits = ', '.join(
+            f'{name} {getattr(wanted, name)} > {getattr(share, name)}'
+            for name in short
+        )
+        return Refusal(
+            RefusalKind.QUOTA,
+            f'team {team!r} would exceed its share in this shard: {limits}',
+            "wait for the team's work to end, or raise its quota",
+        )
+
+    def reserve(self, team: str, demand: Resources) -> None:
+        """Count an amount, even beyond the share: the task may run."""
+        self._reserved[team] = self.find_reserved(team) + demand
+
+    def release(self, team: str, demand: Resources) -> None:
+        """Count an amount as free again.
+
+        Raises
+        ------
+        QuotaReleaseError
+            When the team has not reserved as much.
+        """
+        reserved = self.find_reserved(team)
+        if not demand.fits_in(reserved):
+            raise QuotaReleaseError(team, demand, reserved)
+        left = reserved - demand
+        if left == NOTHING:
+            del self._reserved[team]
+            return
+        self._reserved[team] = left
+
+
+def divide_quota(
+    quota: Resources, summaries: Iterable[DemandSummary]
+) -> dict[str, Resources]:
+    """Divide a team's quota over shards by demand.
+
+    Each shard first gets what is reserved there, then a part of the rest
+    for what waits there, and what nobody needs is divided evenly. The
+    shares add up to the quota exactly, resource by resource. When more is
+    reserved than the quota, for example because it was lowered, the quota
+    is divided in proportion to what is reserved.
+
+    Returns
+    -------
+    dict of str to Resources
+        The share of each shard.
+    """
+    ordered = sorted(summaries, key=lambda summary: summary.shard)
+    columns: dict[str, list[int]] = {}
+    for name in _NAMES:
+        columns[name] = _divide_amount(
+            getattr(quota, name),
+            [getattr(summary.reserved, name) for summary in ordered],
+            [getattr(summary.waiting, name) for summary in ordered],
+        )
+    return {
+        summary.shard: Resources(
+            **{name: column[number] for name, column in columns.items()}
+        )
+        for number, summary in enumerate(ordered)
+    }
+
+
+def plan_share_change(
+    current: Mapping[str, Resources], target: Mapping[str, Resources]
+) -> tuple[dict[str, Resources], dict[str, Resources]]:
+    """Return two steps from one division to another.
+
+    The first step only lowers shares, the second one raises them. When no
+    shard takes the second step before every shard has confirmed the first,
+    the shares in force never add up to more than the quota.
+    """
+    first = {
+        shard: _find_smaller(current.get(shard, NOTHING), share)
+        for shard, share in target.items()
+    }
+    first.update({shard: NOTHING for shard in current if shard not in target})
+    return first, dict(target)
+
+
+def _divide_amount(
+    total: int, reserved: list[int], waiting: list[int]
+) -> list[int]:
+    if not reserved:
+        return []
+    held = sum(reserved)
+    if held >= total:
+        return _divide_in_proportion(total, reserved)
+    spare = total - held
+    wanted = sum(waiting)
+    if wanted >= spare:
+        extra = _divide_in_proportion(spare, waiting)
+    else:
+        even = [1] * len(waiting)
+        rest = _divide_in_proportion(spare - wanted, even)
+        extra = [a + b for a, b in zip(waiting, rest, strict=True)]
+    return [a + b for a, b in zip(reserved, extra, strict=True)]
+
+
+def _divide_in_proportion(total: int, weights: list[int]) -> list[int]:
+    """Divide by largest remainder; the parts add up to the total."""
+    whole = sum(weights)
+    if whole == 0:
+        weights = [1] * len(weights)
+        whole = len(weights)
+    parts = [total * weight // whole for weight in weights]
+    by_remainder = sorted(
+        range(len(weights)),
+        key=lambda number: (-(total * weights[number] % whole), number),
+    )
+    for number in by_remainder[: total - sum(parts)]:
+        parts[number] += 1
+    return parts
+
+
+def _find_smaller(one: Resources, other: Resources) -> Resources:
+    return Resources(
+        **{
+            name: min(getattr(one, name), getattr(other, name))
+            for name in _NAMES
+        }
+    )
+
+
+def _map_amounts(
+    amounts: Resources, change: Callable[[int], int]
+) -> Resources:
+    return Resources(
+        **{name: change(getattr(amounts, name)) for name in _NAMES}
+    )
--- a/sassafrasgate/placement/scores.py
+++ b/sassafrasgate/placement/scores.py
@@ -32,3 +32,16 @@
     """Return the share of a resource that stays free on a host, 0 to 1."""
     left: int = getattr(free, resource) - getattr(demand, resource)
     return left / (getattr(capacity, resource) or 1)
+
+
+def find_dominant_share(amount: Resources, total: Resources) -> float:
+    """Return the largest share of any resource that an amount takes.
+
+    Without a total, the task slots stand for the share.
+    """
+    shares = [
+        getattr(amount, name) / whole
+        for name in _NAMES
+        if (whole := getattr(total, name)) > 0
+    ]
+    return max(shares, default=float(amount.slots))
