--- /dev/null
+++ b/sassafrasgate/composition.py
@@ -0,0 +1,288 @@
+"""The composition root: the one place where the parts are wired."""
+
+from __future__ import annotations
+
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from signal import SIGINT
+from signal import SIGTERM
+from typing import Any
+from typing import TYPE_CHECKING
+
+import anyio
+from anyio.streams.memory import MemoryObjectReceiveStream
+from anyio.streams.memory import MemoryObjectSendStream
+from logbook import Logger
+
+from sassafrasgate.configuration.settings import Settings
+from sassafrasgate.core.identifiers import make_incarnation
+from sassafrasgate.daemons.configurations import ConfigurationTask
+from sassafrasgate.daemons.configurations import VersionHeard
+from sassafrasgate.daemons.control import ControlTask
+from sassafrasgate.daemons.directory import Directory
+from sassafrasgate.daemons.leases import LeaseTask
+from sassafrasgate.daemons.leases import Member
+from sassafrasgate.observability.logs import configure_logging
+from sassafrasgate.observability.metrics import Metrics
+from sassafrasgate.platform.adapters import open_store
+from sassafrasgate.protocol.messages import Heartbeat
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from collections.abc import Callable
+
+    from anyio.abc import TaskGroup
+
+LEASE_TIMEOUT_S = 0.8
+FRONTEND_TTL_MS = 10_000
+INBOX_SIZE = 10_000
+READY_DRAIN_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Inbox:
+    """Both ends of a task's inbox."""
+
+    send: MemoryObjectSendStream[Any]
+    receive: MemoryObjectReceiveStream[Any]
+
+
+def make_inbox(size: int = INBOX_SIZE) -> Inbox:
+    """Return a bounded inbox for one task."""
+    send, receive = anyio.create_memory_object_stream[Any](size)
+    return Inbox(send, receive)
+
+
+@dataclass(frozen=True, slots=True)
+class Process:
+    """What front ends and schedulers have in common.
+
+    Parameters
+    ----------
+    settings : Settings
+        Of this process.
+    member : Member
+        How it announces itself.
+    store, watch_store, lease_store : Store
+        Clients for general calls, the watch, and the lease, which must
+        not wait for one another.
+    """
+
+    settings: Settings
+    member: Member
+    store: Any
+    watch_store: Any
+    lease_store: Any
+    metrics: Metrics
+    logger: Logger
+
+
+@asynccontextmanager
+async def open_process(
+    settings: Settings, role: str
+) -> AsyncIterator[Process]:
+    """Open logs, metrics and store clients of a process."""
+    configure_logging(settings.log_level, settings.name)
+    member = Member(
+        settings.name,
+        make_incarnation(),
+        role,
+        settings.link_address,
+        settings.failure_domain,
+    )
+    async with (
+        open_store(settings.store_url) as store,
+        open_store(settings.store_url) as watch_store,
+        open_store(
+            settings.store_url, timeout_s=LEASE_TIMEOUT_S
+        ) as lease_store,
+    ):
+        yield Process(
+            settings,
+            member,
+            store,
+            watch_store,
+            lease_store,
+            Metrics(),
+            Logger(f'sassafrasgate.{role}'),
+        )
+
+
+def make_greeting(
+    name: str, find_version: Callable[[], int]
+) -> Callable[[], Heartbeat]:
+    """Return the function that makes this process's heartbeats."""
+
+    def greet() -> Heartbeat:
+        return Heartbeat(name, find_version())
+
+    return greet
+
+
+def make_listener(
+    configurations: MemoryObjectSendStream[Any],
+) -> Callable[[Heartbeat], None]:
+    """Return the function that passes heard versions on."""
+    heard: dict[str, int] = {}
+
+    def hear(heartbeat: Heartbeat) -> None:
+        # Only news is passed on, so that the inbox can't fill up.
+        if heard.get(heartbeat.sender, -1) >= heartbeat.configuration:
+            return
+        heard[heartbeat.sender] = heartbeat.configuration
+        try:
+            configurations.send_nowait(
+                VersionHeard(heartbeat.sender, heartbeat.configuration)
+            )
+        except anyio.WouldBlock:
+            del heard[heartbeat.sender]
+
+    return hear
+
+
+def start_common_tasks(
+    process: Process,
+    directory: Directory,
+    group: TaskGroup,
+    main: Inbox,
+    configurations: Inbox,
+    ttl_ms: int,
+) -> None:
+    """Start the lease, the watch and the configuration of a process."""
+    lease = LeaseTask(process.lease_store, process.member, main.send, ttl_ms)
+    control = ControlTask(
+        process.watch_store, (main.send, configurations.send)
+    )
+    configuration = ConfigurationTask(
+        process.store,
+        directory.ask_all,
+        configurations.receive,
+        (main.send,),
+    )
+    group.start_soon(lease.run)
+    group.start_soon(control.run)
+    group.start_soon(configuration.run)
+    directory.connect_peers()
+
+
+async def wait_for_stop(event: anyio.Event) -> None:
+    """Set an event at the first SIGTERM or SIGINT."""
+    with anyio.open_signal_receiver(SIGTERM, SIGINT) as signals:
+        async for _ in signals:
+            event.set()
+
+
+async def serve_frontend(settings: Settings) -> None:
+    """Run a front end process until it is told to stop."""
+    # HTTP is imported here, since a scheduler's callers do not need it.
+    from sassafrasgate.daemons.frontend import FrontendTask
+    from sassafrasgate.http.application import build_application
+    from sassafrasgate.http.limits import Limits
+    from sassafrasgate.http.server import serve_http
+
+    stop = anyio.Event()
+    closed = anyio.Event()
+    async with (
+        open_process(settings, 'frontend') as process,
+        anyio.create_task_group() as group,
+    ):
+        main, configurations = make_inbox(), make_inbox()
+        directory = Directory(
+            group,
+            settings.peers,
+            make_greeting(settings.name, lambda: task.version),
+            make_listener(configurations.send),
+        )
+        task = FrontendTask(
+            settings.name,
+            directory,
+            process.store,
+            main.receive,
+            configurations.send,
+            process.logger,
+            process.metrics,
+        )
+        application = build_application(task, process.metrics, Limits())
+        start_common_tasks(
+            process, directory, group, main, configurations, FRONTEND_TTL_MS
+        )
+        group.start_soon(task.run)
+        group.start_soon(wait_for_stop, stop)
+
+        async def close_later() -> None:
+            await stop.wait()
+            task.stop()
+            # The load balancer needs to see that the process is not ready
+            # before the listening socket closes.
+            await anyio.sleep(READY_DRAIN_S)
+            closed.set()
+
+        group.start_soon(close_later)
+        await serve_http(
+            application, settings.http_address, closed, settings.drain_s
+        )
+        group.cancel_scope.cancel()
+
+
+async def serve_scheduler(settings: Settings) -> None:
+    """Run a scheduler process until it is told to stop."""
+    from sassafrasgate.daemons.scheduler import SchedulerTask
+    from sassafrasgate.daemons.scheduler import StopProcess
+    from sassafrasgate.daemons.shards import ShardServices
+    from sassafrasgate.protocol.links import LinkServer
+
+    stop = anyio.Event()
+    async with (
+        open_process(settings, 'scheduler') as process,
+        anyio.create_task_group() as group,
+    ):
+        main, configurations = make_inbox(), make_inbox()
+        greet = make_greeting(settings.name, lambda: task.version)
+        hear = make_listener(configurations.send)
+        directory = Directory(group, settings.peers, greet, hear)
+        server = LinkServer(
+            settings.link_address,
+            lambda request: task.take_request(request),
+            greet,
+            hear,
+        )
+        services = ShardServices(
+            f'{process.member.name}/{process.member.incarnation}',
+            process.store,
+            server.reply,
+            directory.ask_owner,
+            process.logger,
+            process.metrics,
+            int(settings.outage_grace_s * 1000),
+        )
+        task = SchedulerTask(process.member, services, directory, main.receive)
+        start_common_tasks(
+            process,
+            directory,
+            group,
+            main,
+            configurations,
+            int(settings.owner_ttl_s * 1000),
+        )
+        group.start_soon(server.run)
+        group.start_soon(wait_for_stop, stop)
+
+        async def pass_stop_on() -> None:
+            await stop.wait()
+            await main.send.send(StopProcess())
+
+        group.start_soon(pass_stop_on)
+        await task.run()
+        # Answers that are queued on the link server still have to leave.
+        await anyio.sleep(READY_DRAIN_S)
+        group.cancel_scope.cancel()
+
+
+def run_frontend(settings: Settings) -> None:
+    """Run a front end process; blocks until it has stopped."""
+    anyio.run(serve_frontend, settings)
+
+
+def run_scheduler(settings: Settings) -> None:
+    """Run a scheduler process; blocks until it has stopped."""
+    anyio.run(serve_scheduler, settings)
--- a/sassafrasgate/configuration/settings.py
+++ b/sassafrasgate/configuration/settings.py
@@ -61,6 +61,13 @@
         The whole cell's share of the store.
     drain_s : float
         How long a planned stop may take.
+    owner_ttl_s : float
+        Length of a scheduler's lease in the store. A frozen owner's shards
+        are taken over after this time.
+    outage_grace_s : float
+        How long past its lease an owner goes on with running and covered
+        work while the store is down. A successor waits as long before it
+        gives up work on a host that does not answer.
     log_level : str
         As logbook names it.
     """
@@ -74,6 +81,8 @@
     writes_per_s: Positive = 300.0
     reads_per_s: Positive = 1500.0
     drain_s: NotNegative = 20.0
+    owner_ttl_s: Positive = 3.0
+    outage_grace_s: NotNegative = 120.0
     log_level: LogLevel = 'INFO'
 
 
--- a/sassafrasgate/core/identifiers.py
+++ b/sassafrasgate/core/identifiers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from secrets import token_hex
 from typing import TYPE_CHECKING
 
 from xxhash import xxh3_64_intdigest
@@ -36,6 +37,11 @@
     return job_id, int(index), int(attempt)
 
 
+def make_incarnation() -> str:
+    """Return an id that is new with each start of a process."""
+    return token_hex(8)
+
+
 def rank_names(key: str, names: Iterable[str]) -> list[str]:
     """Order ``names`` by rendezvous hash with ``key``, best first."""
     return sorted(
--- a/sassafrasgate/daemons/directory.py
+++ b/sassafrasgate/daemons/directory.py
@@ -6,9 +6,9 @@
 from typing import TYPE_CHECKING
 
 import anyio
-from msgspec.json import decode
 from msgspec import DecodeError
 from msgspec import ValidationError
+from msgspec.json import decode
 
 from sassafrasgate.core.errors import NoAnswer
 from sassafrasgate.core.errors import Refusal
@@ -144,9 +144,7 @@
         link = self.find_link(owner[0].link_address)
         return await link.ask(message, timeout_s, attempt)
 
-    async def ask_all(
-        self, message: Any, timeout_s: float
-    ) -> tuple[Any, ...]:
+    async def ask_all(self, message: Any, timeout_s: float) -> tuple[Any, ...]:
         """Send a message on every link and return the answers that came."""
         answers: list[Any] = []
 
--- /dev/null
+++ b/sassafrasgate/daemons/frontend.py
@@ -0,0 +1,255 @@
+"""The front end process: routes requests to the owners of shards."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from random import Random
+from typing import Any
+from typing import TYPE_CHECKING
+
+import anyio
+
+from sassafrasgate.configuration.versions import publish_configuration
+from sassafrasgate.core.cells import Configuration
+from sassafrasgate.core.errors import NoAnswer
+from sassafrasgate.core.errors import Refusal
+from sassafrasgate.core.errors import RefusalKind
+from sassafrasgate.core.errors import StoreError
+from sassafrasgate.core.identifiers import find_home_shard
+from sassafrasgate.core.jobs import JobClass
+from sassafrasgate.daemons.configurations import ConfigurationOffered
+from sassafrasgate.daemons.configurations import ConfigurationStatus
+from sassafrasgate.daemons.control import ControlChanged
+from sassafrasgate.daemons.control import ControlListed
+from sassafrasgate.daemons.hosts import make_output_key
+from sassafrasgate.observability.clocks import now_ms
+from sassafrasgate.observability.logs import Decision
+from sassafrasgate.observability.logs import log_decision
+from sassafrasgate.observability.metrics import CONFIGURATION_VERSION
+from sassafrasgate.protocol.messages import Refused
+from sassafrasgate.protocol.messages import Status
+from sassafrasgate.protocol.messages import StatusReply
+from sassafrasgate.protocol.messages import Submit
+from sassafrasgate.protocol.retries import choose_backoff_s
+from sassafrasgate.protocol.retries import RetryBudget
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from anyio.streams.memory import MemoryObjectReceiveStream
+    from anyio.streams.memory import MemoryObjectSendStream
+    from logbook import Logger
+
+    from sassafrasgate.core.jobs import Outcome
+    from sassafrasgate.daemons.directory import Directory
+    from sassafrasgate.observability.metrics import Metrics
+    from sassafrasgate.platform.store import Store
+
+STATUS_TIMEOUT_S = 2.0
+MIN_TRY_S = 0.05
+
+# The process that answered so has done nothing with the message.
+RETRIED_REFUSALS = frozenset({RefusalKind.NOT_OWNER, RefusalKind.STOPPING})
+
+
+class FrontendTask:
+    """Owns what a front end knows, and routes for the HTTP handlers.
+
+    Parameters
+    ----------
+    name : str
+        Process name.
+    directory : Directory
+        Fed by this task.
+    store : Store
+        For publishing configurations and for large outputs.
+    inbox : MemoryObjectReceiveStream
+        Control and configuration messages.
+    configurations : MemoryObjectSendStream
+        The configuration task's inbox.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        directory: Directory,
+        store: Store,
+        inbox: MemoryObjectReceiveStream[Any],
+        configurations: MemoryObjectSendStream[Any],
+        logger: Logger,
+        metrics: Metrics,
+    ) -> None:
+        self._name = name
+        self._directory = directory
+        self._store = store
+        self._inbox = inbox
+        self._configurations = configurations
+        self._logger = logger
+        self._metrics = metrics
+        self._configuration = Configuration()
+        self._is_current = False
+        self._stopping = False
+        self._budget = RetryBudget()
+        self._random = Random()
+
+    async def run(self) -> None:
+        """Follow control and configuration messages until cancelled."""
+        async for message in self._inbox:
+            if isinstance(message, ControlListed | ControlChanged):
+                self._directory.note(message)
+            if isinstance(message, ConfigurationStatus):
+                self._configuration = message.configuration
+                self._is_current = message.is_current
+                self._metrics.set_gauge(
+                    CONFIGURATION_VERSION, self._configuration.version
+                )
+
+    def stop(self) -> None:
+        """Report not ready from now on; open requests go on."""
+        self._stopping = True
+
+    @property
+    def version(self) -> int:
+        """Configuration version in force."""
+        return self._configuration.version
+
+    def shards(self) -> tuple[str, ...]:
+        """Return the names of all shards of the configuration."""
+        return tuple(shard.name for shard in self._configuration.shards)
+
+    def find_home(self, job_id: str) -> str:
+        """Return the home shard of a job."""
+        return find_home_shard(job_id, self.shards())
+
+    def configuration(self) -> Configuration:
+        """Return the configuration in force in this process."""
+        return self._configuration
+
+    def is_ready(self) -> Refusal | None:
+        """Return None when the process may serve, else the reason."""
+        if self._stopping:
+            return Refusal(
+                RefusalKind.STOPPING,
+                f'front end {self._name!r} is stopping',
+                'use another entry host',
+            )
+        if self._configuration.version and self._is_current:
+            return None
+        return Refusal(
+            RefusalKind.NOT_READY,
+            f'front end {self._name!r} holds configuration version '
+            f'{self.version}, which is not known to be the newest',
+            'use another entry host, or apply a first configuration',
+        )
+
+    async def ask_shard(self, message: Any, timeout_s: float) -> Any:
+        """Route a message to its shard's owner; see `Gateway`."""
+        if not message.shard:
+            if not self.shards():
+                return Refusal(
+                    RefusalKind.NOT_READY,
+                    'no configuration has been applied yet',
+                    'apply a declaration first',
+                )
+            message = replace(message, shard=self.find_home(message.job_id))
+        self._budget.note_first_try()
+        deadline = now_ms() + int(timeout_s * 1000)
+        return await self._ask_until(message, deadline)
+
+    async def _ask_until(self, message: Any, deadline: int) -> Any:
+        """Try until an answer, the deadline, or the retry budget's end."""
+        attempt = 0
+        unknown: NoAnswer | None = None
+        while True:
+            attempt += 1
+            left_s = (deadline - now_ms()) / 1000
+            answer = await self._directory.ask_owner(
+                message.shard, message, max(left_s, MIN_TRY_S), attempt
+            )
+            if isinstance(answer, NoAnswer):
+                unknown = answer
+            if not self._may_repeat(message, answer):
+                return answer
+            backoff_s = choose_backoff_s(attempt, self._random)
+            if now_ms() + backoff_s * 1000 >= deadline:
+                return unknown or answer
+            if not isinstance(answer, Refusal) and not (
+                self._budget.may_retry()
+            ):
+                return unknown or answer
+            self._log_retry(message, attempt, answer)
+            await anyio.sleep(backoff_s)
+
+    def _may_repeat(self, message: Any, answer: Any) -> bool:
+        if isinstance(answer, Refusal):
+            return answer.kind is RefusalKind.NOT_READY
+        if isinstance(answer, Refused):
+            return answer.refusal in RETRIED_REFUSALS
+        if not isinstance(answer, NoAnswer):
+            return False
+        # Everything but a quick request is idempotent by its job id. A
+        # quick request may still be running where the first try went.
+        return not (
+            isinstance(message, Submit)
+            and message.spec.job_class is JobClass.QUICK
+        )
+
+    def _log_retry(self, message: Any, attempt: int, answer: Any) -> None:
+        owner = self._directory.owners.get(message.shard)
+        log_decision(
+            self._logger,
+            Decision(
+                'reroute',
+                getattr(message, 'job_id', ''),
+                attempt,
+                owner[0].name if owner else '',
+                getattr(answer, 'reason', ''),
+                shard=message.shard,
+                configuration=self.version,
+            ),
+        )
+
+    async def publish(
+        self, configuration: Configuration, expected_version: int
+    ) -> Configuration | Refusal | NoAnswer:
+        """Put a new configuration in force by compare-and-swap."""
+        try:
+            published = await publish_configuration(
+                self._store, configuration, expected_version
+            )
+        except StoreError as error:
+            return NoAnswer(str(error))
+        if isinstance(published, Configuration):
+            await self._configurations.send(ConfigurationOffered(published))
+        return published
+
+    async def read_output(
+        self, job_id: str, outcome: Outcome
+    ) -> AsyncIterator[bytes]:
+        """Yield the chunks of an output in order.
+
+        Raises
+        ------
+        StoreError
+            When a chunk can't be read.
+        """
+        for number in range(outcome.chunks):
+            item = await self._store.get(make_output_key(job_id, number))
+            if item is None or item.value is None:
+                raise StoreError(
+                    f'chunk {number} of the output of job {job_id!r} is gone; '
+                    'outputs are kept for a day'
+                )
+            yield item.value
+
+    async def list_status(self) -> tuple[StatusReply, ...]:
+        """Return the status of every scheduler that answers."""
+        for member in self._directory.list_schedulers():
+            self._directory.find_link(member.link_address)
+        answers = await self._directory.ask_all(Status(), STATUS_TIMEOUT_S)
+        found = {
+            answer.name: answer
+            for answer in answers
+            if isinstance(answer, StatusReply)
+        }
+        return tuple(found[name] for name in sorted(found))
--- a/sassafrasgate/daemons/hosts.py
+++ b/sassafrasgate/daemons/hosts.py
@@ -6,8 +6,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Coroutine
 from dataclasses import dataclass
 from random import uniform
 from typing import Any
@@ -55,7 +55,7 @@
 START_TRIES = 2
 OUTPUT_CHUNK_BYTES = 512 * 1024
 
-Command = Callable[['HostTask', Any], Awaitable[None]]
+Command = Callable[['HostTask', Any], Coroutine[Any, Any, None]]
 
 COMMANDS: Registry[type[Any], Command] = Registry('host command')
 
@@ -67,6 +67,11 @@
     lease: OwnerLease
 
 
+@dataclass(frozen=True, slots=True)
+class StopSyncing:
+    """A successor may take over; only open calls are still served."""
+
+
 class HostTask:
     """Owns the client of one worker.
 
@@ -120,6 +125,9 @@
                 if isinstance(command, OwnerLeaseChanged):
                     self._lease = command.lease
                     continue
+                if isinstance(command, StopSyncing):
+                    sync_scope.cancel()
+                    continue
                 handle = COMMANDS.find(type(command))
                 tasks.start_soon(handle, self, command)
             sync_scope.cancel()
@@ -135,7 +143,7 @@
                 if self.may_send() and await self._sync():
                     delay_s = RETRY_MIN_S
                     continue
-                await anyio.sleep(uniform(0, delay_s))  # noqa: S311
+                await anyio.sleep(uniform(0, delay_s))
                 delay_s = min(delay_s * 2, RETRY_MAX_S)
 
     async def _sync(self) -> bool:
--- a/sassafrasgate/daemons/journals.py
+++ b/sassafrasgate/daemons/journals.py
@@ -147,7 +147,7 @@
 
     def _take_batch(self) -> tuple[Any, ...]:
         """Remove and return records for one entry."""
-        records = []
+        records: list[Any] = []
         payload = 0
         while self._waiting and len(records) < MAX_ENTRY_RECORDS:
             message = self._waiting[0]
--- a/sassafrasgate/daemons/leases.py
+++ b/sassafrasgate/daemons/leases.py
@@ -118,7 +118,7 @@
                     self._ttl_ms / 1000
                 ), sent_at
             except StoreError:
-                await anyio.sleep(uniform(RETRY_S / 2, RETRY_S))  # noqa: S311
+                await anyio.sleep(uniform(RETRY_S / 2, RETRY_S))
 
     async def _announce(self, lease_id: str) -> None:
         """Write the member key, over that of an earlier incarnation."""
@@ -141,7 +141,7 @@
             except StoreLeaseLostError:
                 return
             except StoreUnavailableError:
-                await anyio.sleep(uniform(RETRY_S / 2, RETRY_S))  # noqa: S311
+                await anyio.sleep(uniform(RETRY_S / 2, RETRY_S))
 
     async def _keep(self, lease_id: str, sent_at: int) -> None:
         """Renew the lease until the store says that it is gone."""
--- /dev/null
+++ b/sassafrasgate/daemons/scheduler.py
@@ -0,0 +1,378 @@
+"""The scheduler process: claims shards and routes requests to them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+from typing import TYPE_CHECKING
+
+import anyio
+from msgspec.json import encode
+
+from sassafrasgate.configuration.versions import encode_configuration
+from sassafrasgate.core.cells import Configuration
+from sassafrasgate.core.errors import RefusalKind
+from sassafrasgate.core.errors import StoreConflictError
+from sassafrasgate.core.errors import StoreError
+from sassafrasgate.core.identifiers import rank_names
+from sassafrasgate.daemons.configurations import ConfigurationStatus
+from sassafrasgate.daemons.control import ControlChanged
+from sassafrasgate.daemons.control import ControlListed
+from sassafrasgate.daemons.directory import Directory
+from sassafrasgate.daemons.directory import make_owner_key
+from sassafrasgate.daemons.leases import LeaseChanged
+from sassafrasgate.daemons.leases import LeaseLost
+from sassafrasgate.daemons.leases import Member
+from sassafrasgate.daemons.shards import LeaseUpdated
+from sassafrasgate.daemons.shards import ShardAbandoned
+from sassafrasgate.daemons.shards import ShardServices
+from sassafrasgate.daemons.shards import ShardTask
+from sassafrasgate.journal.budget import CallPriority
+from sassafrasgate.observability.clocks import now_ms
+from sassafrasgate.observability.metrics import CONFIGURATION_VERSION
+from sassafrasgate.observability.metrics import OWNED_SHARDS
+from sassafrasgate.protocol.links import OutgoingReply
+from sassafrasgate.protocol.messages import ConfigurationReply
+from sassafrasgate.protocol.messages import FetchConfiguration
+from sassafrasgate.protocol.messages import Refused
+from sassafrasgate.protocol.messages import Status
+from sassafrasgate.protocol.messages import StatusReply
+from sassafrasgate.shards.events import ConfigurationChanged
+from sassafrasgate.shards.events import HostListed
+
+if TYPE_CHECKING:
+    from anyio.abc import TaskGroup
+    from anyio.streams.memory import MemoryObjectReceiveStream
+
+    from sassafrasgate.protocol.links import IncomingRequest
+    from sassafrasgate.shards.ownership import OwnerLease
+
+CLAIM_INTERVAL_S = 0.25
+CLAIM_STEP_MS = 500
+HOST_LIST_INTERVAL_S = 1.0
+REBALANCE_INTERVAL_MS = 3_000
+SETTLE_MS = 4_000
+
+
+@dataclass(frozen=True, slots=True)
+class ShardEnded:
+    """A shard task has ended."""
+
+    shard: str
+    task: ShardTask
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class StopProcess:
+    """The process should release its shards and end."""
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimDue:
+    """It is time to look for shards without an owner."""
+
+
+class SchedulerTask:
+    """Owns the set of shards that this process serves.
+
+    Parameters
+    ----------
+    member : Member
+        This process.
+    services : ShardServices
+        For the shard tasks.
+    directory : Directory
+        Fed by this task.
+    inbox : MemoryObjectReceiveStream
+        Control, lease and configuration messages, `StopProcess`.
+    """
+
+    def __init__(
+        self,
+        member: Member,
+        services: ShardServices,
+        directory: Directory,
+        inbox: MemoryObjectReceiveStream[Any],
+    ) -> None:
+        self._member = member
+        self._services = services
+        self._directory = directory
+        self._inbox = inbox
+        self._shards: dict[str, ShardTask] = {}
+        self._releasing: set[str] = set()
+        self._configuration = Configuration()
+        self._is_current = False
+        self._lease_id = ''
+        self._lease: OwnerLease | None = None
+        self._orphaned_at: dict[str, int] = {}
+        self._members_at = 0
+        self._rebalanced_at = 0
+        self._leaving: frozenset[str] = frozenset()
+        self._stopping = False
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the process may serve."""
+        return self._is_current and bool(self._lease_id)
+
+    @property
+    def version(self) -> int:
+        """Configuration version in force."""
+        return self._configuration.version
+
+    async def run(self) -> None:
+        """Serve until a planned stop has released every shard."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._remind)
+            group.start_soon(self._follow_host_list)
+            while not (self._stopping and not self._shards):
+                message = await self._receive()
+                await self._handle(message, group)
+            group.cancel_scope.cancel()
+
+    async def _receive(self) -> Any:
+        with anyio.move_on_after(CLAIM_INTERVAL_S):
+            return await self._inbox.receive()
+        return ClaimDue()
+
+    async def _remind(self) -> None:
+        """Keep claims going while messages arrive all the time."""
+        while True:
+            await anyio.sleep(CLAIM_INTERVAL_S)
+            await self._claim_shards()
+
+    async def _handle(self, message: Any, group: TaskGroup) -> None:
+        if isinstance(message, ControlListed | ControlChanged):
+            self._note_control(message)
+        if isinstance(message, LeaseChanged):
+            self._note_lease(message)
+        if isinstance(message, LeaseLost):
+            self._lose_lease()
+        if isinstance(message, ConfigurationStatus):
+            await self._note_configuration(message)
+        if isinstance(message, StopProcess):
+            self._stop()
+        self._start_claimed(group)
+
+    def _note_control(self, message: Any) -> None:
+        before = {member.name for member in self._directory.list_schedulers()}
+        self._directory.note(message)
+        after = {member.name for member in self._directory.list_schedulers()}
+        if before != after:
+            self._members_at = now_ms()
+        for shard in list(self._shards):
+            owner = self._directory.owners.get(shard)
+            if shard in self._releasing:
+                # A successor is expected; open quick requests go on.
+                continue
+            if owner is not None and not self._is_me(owner[0]):
+                self._abandon(shard, f'{owner[0].name!r} owns the shard')
+
+    def _is_me(self, member: Member) -> bool:
+        return member.incarnation == self._member.incarnation
+
+    def _note_lease(self, message: LeaseChanged) -> None:
+        self._lease_id = message.lease_id
+        self._lease = message.lease
+        for task in self._shards.values():
+            task.events.send_nowait(LeaseUpdated(message.lease))
+
+    def _lose_lease(self) -> None:
+        self._lease_id = ''
+        for shard in list(self._shards):
+            self._abandon(shard, 'the store lease has expired')
+
+    def _abandon(self, shard: str, reason: str) -> None:
+        self._shards[shard].events.send_nowait(ShardAbandoned(reason))
+
+    async def _note_configuration(self, status: ConfigurationStatus) -> None:
+        self._is_current = status.is_current
+        self._configuration = status.configuration
+        self._services.metrics.set_gauge(CONFIGURATION_VERSION, self.version)
+        for task in self._shards.values():
+            await task.events.send(ConfigurationChanged(self._configuration))
+
+    def _stop(self) -> None:
+        self._stopping = True
+        for shard in list(self._shards):
+            self._release(shard)
+
+    def _release(self, shard: str) -> None:
+        if shard in self._releasing:
+            return
+        self._releasing.add(shard)
+        self._shards[shard].request_stop()
+
+    async def _claim_shards(self) -> None:
+        """Claim shards without an owner, the best ranked process first."""
+        if self._stopping or not self.is_ready:
+            return
+        names = {shard.name for shard in self._configuration.shards}
+        for shard in sorted(names):
+            owner = self._directory.owners.get(shard)
+            if owner is not None or shard in self._shards:
+                self._orphaned_at.pop(shard, None)
+                continue
+            orphaned_at = self._orphaned_at.setdefault(shard, now_ms())
+            delay_ms = self._find_rank(shard) * CLAIM_STEP_MS
+            if now_ms() - orphaned_at >= delay_ms:
+                await self._claim(shard)
+        self._rebalance()
+
+    def _find_rank(self, shard: str) -> int:
+        """Return this process's place among the live schedulers."""
+        ranked = self._rank_members(shard)
+        if self._member.name not in ranked:
+            return len(ranked)
+        return ranked.index(self._member.name)
+
+    def _rank_members(self, shard: str) -> list[str]:
+        domain = next(
+            entry.failure_domain
+            for entry in self._configuration.shards
+            if entry.name == shard
+        )
+        members = self._directory.list_schedulers()
+        local = [m.name for m in members if m.failure_domain == domain]
+        others = [m.name for m in members if m.failure_domain != domain]
+        return rank_names(shard, local) + rank_names(shard, others)
+
+    async def _claim(self, shard: str) -> None:
+        key = make_owner_key(shard)
+        try:
+            revision = await self._services.store.create(
+                key, encode(self._member), self._lease_id, CallPriority.HIGH
+            )
+        except StoreConflictError:
+            return
+        except StoreError:
+            # The watch shows the key if the write took effect after all.
+            return
+        self._directory.owners[shard] = (self._member, revision)
+
+    def _start_claimed(self, group: TaskGroup) -> None:
+        """Run a task for each shard whose owner key is this process's."""
+        if self._lease is None or self._stopping:
+            return
+        for shard, (owner, _) in list(self._directory.owners.items()):
+            if shard in self._shards or not self._is_me(owner):
+                continue
+            if not self._knows_shard(shard):
+                continue
+            task = ShardTask(
+                shard, self._configuration, self._lease, self._services
+            )
+            self._shards[shard] = task
+            task.events.send_nowait(HostListed(self._leaving))
+            group.start_soon(self._run_shard, shard, task)
+        self._services.metrics.set_gauge(OWNED_SHARDS, len(self._shards))
+
+    def _knows_shard(self, shard: str) -> bool:
+        return any(s.name == shard for s in self._configuration.shards)
+
+    async def _run_shard(self, shard: str, task: ShardTask) -> None:
+        async def release() -> None:
+            await self._delete_owner_key(shard)
+
+        reason = await task.run(release)
+        if reason:
+            self._services.logger.warning(
+                'shard {!r} is given up: {}', shard, reason
+            )
+            await self._delete_owner_key(shard)
+        del self._shards[shard]
+        self._releasing.discard(shard)
+
+    async def _delete_owner_key(self, shard: str) -> None:
+        """Let another process claim the shard; only if the key is ours."""
+        owner = self._directory.owners.get(shard)
+        if owner is None or not self._is_me(owner[0]):
+            return
+        try:
+            await self._services.store.delete(
+                make_owner_key(shard), owner[1], CallPriority.HIGH
+            )
+        except StoreError:
+            # The key goes with the lease.
+            return
+        if self._directory.owners.get(shard) == owner:
+            del self._directory.owners[shard]
+
+    def _rebalance(self) -> None:
+        """Hand one shard over to a better ranked process, now and then."""
+        now = now_ms()
+        if now - self._members_at < SETTLE_MS:
+            return
+        if now - self._rebalanced_at < REBALANCE_INTERVAL_MS:
+            return
+        members = len(self._directory.list_schedulers())
+        fair = -(-len(self._configuration.shards) // max(1, members))
+        for shard in sorted(self._shards):
+            best = self._rank_members(shard)[:1]
+            if best == [self._member.name] or len(self._shards) <= fair:
+                continue
+            self._rebalanced_at = now
+            self._release(shard)
+            return
+
+    async def _follow_host_list(self) -> None:
+        """Tell the shards which hosts the platform lists as leaving."""
+        while True:
+            await anyio.sleep(HOST_LIST_INTERVAL_S)
+            if not self._shards:
+                continue
+            try:
+                listed = await self._services.store.list_hosts()
+            except StoreError:
+                continue
+            leaving = frozenset(h.name for h in listed if h.leaving)
+            if leaving == self._leaving:
+                continue
+            self._leaving = leaving
+            for task in self._shards.values():
+                await task.events.send(HostListed(leaving))
+
+    async def take_request(self, request: IncomingRequest) -> None:
+        """Route one request of the inner protocol."""
+        message = request.message
+        if isinstance(message, FetchConfiguration):
+            await self._reply(
+                request,
+                ConfigurationReply(
+                    self.version, encode_configuration(self._configuration)
+                ),
+            )
+            return
+        if isinstance(message, Status):
+            await self._reply(request, self._describe_status())
+            return
+        task = self._shards.get(getattr(message, 'shard', ''))
+        if task is not None:
+            await task.take_request(request)
+            return
+        await self._reply(
+            request,
+            Refused(
+                RefusalKind.NOT_OWNER,
+                f'this process does not own shard {message.shard!r}',
+                'send the request to the owner',
+            ),
+        )
+
+    async def _reply(self, request: IncomingRequest, message: Any) -> None:
+        await self._services.reply(
+            OutgoingReply(request.client, request.request, message)
+        )
+
+    def _describe_status(self) -> StatusReply:
+        shards = {
+            name: task.state.epoch for name, task in self._shards.items()
+        }
+        jobs = sum(len(task.state.jobs) for task in self._shards.values())
+        store_up = (
+            self._lease is not None and not self._lease.store_failing_since
+        )
+        return StatusReply(
+            self._member.name, self.version, shards, jobs, store_up
+        )
--- a/sassafrasgate/daemons/shards.py
+++ b/sassafrasgate/daemons/shards.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 import anyio
+from logbook import Logger
 
 from sassafrasgate.core.errors import MessageError
 from sassafrasgate.core.errors import NoAnswer
@@ -21,6 +22,7 @@
 from sassafrasgate.core.registries import Registry
 from sassafrasgate.daemons.hosts import HostTask
 from sassafrasgate.daemons.hosts import OwnerLeaseChanged
+from sassafrasgate.daemons.hosts import StopSyncing
 from sassafrasgate.daemons.journals import AppendRecord
 from sassafrasgate.daemons.journals import JournalTask
 from sassafrasgate.daemons.journals import run_journal
@@ -36,8 +38,10 @@
 from sassafrasgate.observability.logs import log_decision
 from sassafrasgate.observability.metrics import DECISION_SECONDS
 from sassafrasgate.observability.metrics import DECISIONS
+from sassafrasgate.observability.metrics import Metrics
 from sassafrasgate.observability.metrics import QUEUE_LENGTH
 from sassafrasgate.platform.adapters import open_worker
+from sassafrasgate.platform.store import Store
 from sassafrasgate.protocol.links import OutgoingReply
 from sassafrasgate.protocol.messages import Refused
 from sassafrasgate.shards.actions import FetchOutput
@@ -59,8 +63,8 @@
 from sassafrasgate.shards.events import StartNotSent
 from sassafrasgate.shards.events import StopRequested
 from sassafrasgate.shards.events import Ticked
-from sassafrasgate.shards.handlers import APPLIERS
 from sassafrasgate.shards.ownership import OUTAGE_GRACE_MS
+from sassafrasgate.shards.ownership import OwnerLease
 from sassafrasgate.shards.recovery import begin_ownership
 from sassafrasgate.shards.recovery import list_records
 from sassafrasgate.shards.recovery import replay_records
@@ -71,20 +75,15 @@
     from anyio.abc import TaskGroup
     from anyio.streams.memory import MemoryObjectReceiveStream
     from anyio.streams.memory import MemoryObjectSendStream
-    from logbook import Logger
 
     from sassafrasgate.core.cells import Configuration
-    from sassafrasgate.observability.metrics import Metrics
-    from sassafrasgate.platform.store import Store
     from sassafrasgate.protocol.links import IncomingRequest
-    from sassafrasgate.shards.ownership import OwnerLease
 
 TICK_S = 0.2
 SNAPSHOT_ENTRIES = 200
 LOAD_RETRY_S = 0.3
 PEER_TIMEOUT_S = 2.0
 MAX_INBOX = 20_000
-DRAIN_POLL_S = 0.05
 
 ActionHandler = Callable[['ShardTask', Any], Awaitable[None]]
 
@@ -146,8 +145,6 @@
         The process's lease when the shard was claimed.
     services : ShardServices
         What the process provides.
-    inbox, events : streams
-        Both ends of the task's inbox.
     """
 
     def __init__(
@@ -173,11 +170,20 @@
         self._given_up = ''
         self._group: TaskGroup | None = None
 
-    async def run(self) -> str:
+    async def run(self, release: Callable[[], Awaitable[None]]) -> str:
         """Take the shard over and serve it; return why it ended.
 
-        An empty reason means a planned release, after which every record
-        is durable and a successor may take over at once.
+        Parameters
+        ----------
+        release : callable
+            Awaited in a planned stop once every record is durable and
+            nothing new is started; it lets a successor take over while
+            this task still answers open quick requests.
+
+        Returns
+        -------
+        str
+            Empty after a planned stop.
         """
         journal = await self._take_over()
         if journal is None:
@@ -189,6 +195,8 @@
             group.start_soon(self._tick)
             self._follow_hosts()
             await self._serve()
+            if not self._given_up:
+                await self._hand_over(release)
             group.cancel_scope.cancel()
         return self._given_up
 
@@ -219,7 +227,7 @@
         except ShardLostError as error:
             self._given_up = str(error)
             return None
-        APPLIERS.find(takeover.kind)(self.state, takeover)
+        replay_records(self.state, (takeover,))
         begin_ownership(self.state, now_ms())
         self._log(
             LogDecision(
@@ -247,6 +255,28 @@
             if self._given_up or self._is_drained():
                 return
 
+    async def _hand_over(self, release: Callable[[], Awaitable[None]]) -> None:
+        """Release the shard, then finish what can't be handed over."""
+        for box in self._hosts.values():
+            box.send_nowait(StopSyncing())
+        quick = {
+            token
+            for request in self.state.quick.values()
+            for token in request.reply_to
+        }
+        for token in set(self._replies) - quick:
+            await self.send_reply(token, self._describe_stop())
+        await release()
+        while self.state.quick and not self._given_up:
+            await self._step(await self._inbox.receive())
+
+    def _describe_stop(self) -> Refused:
+        return Refused(
+            RefusalKind.STOPPING,
+            f'shard {self.shard!r} moves to another process',
+            'send the request again',
+        )
+
     async def _step(self, event: Any) -> None:
         """Handle one event: decide, then hand out the actions."""
         event = self._handle_own_event(event)
--- a/sassafrasgate/http/questions.py
+++ b/sassafrasgate/http/questions.py
@@ -7,11 +7,11 @@
 
 from anyio import move_on_after
 
+from sassafrasgate.core.errors import NoAnswer
 from sassafrasgate.core.errors import Refusal
 from sassafrasgate.core.errors import RefusalKind
 from sassafrasgate.core.errors import SassafrasgateError
 from sassafrasgate.core.jobs import JobState
-from sassafrasgate.core.errors import NoAnswer
 from sassafrasgate.http.problems import describe_refusal
 from sassafrasgate.http.problems import describe_refused
 from sassafrasgate.http.problems import describe_unknown
--- a/sassafrasgate/journal/chain.py
+++ b/sassafrasgate/journal/chain.py
@@ -259,9 +259,7 @@
             )
         self._revisions[number] = slot.revision
 
-    async def _write_slot(
-        self, key: str, value: bytes, revision: int
-    ) -> int:
+    async def _write_slot(self, key: str, value: bytes, revision: int) -> int:
         if revision == 0:
             return await self._store.create(
                 key, value, priority=CallPriority.HIGH
--- a/sassafrasgate/journal/records.py
+++ b/sassafrasgate/journal/records.py
@@ -114,6 +114,8 @@
         Hosts to avoid for the next attempt.
     counted : int
         Failures of the job that this adds: 1 when the task itself failed.
+    may_have_run : bool
+        Whether the attempt started, or may have.
     """
 
     job_id: str
@@ -122,6 +124,7 @@
     tasks: tuple[str, ...] = ()
     failed_hosts: tuple[str, ...] = ()
     counted: int = 0
+    may_have_run: bool = False
 
 
 @register_record('ended')
--- a/sassafrasgate/protocol/links.py
+++ b/sassafrasgate/protocol/links.py
@@ -7,13 +7,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable
-from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 from typing import TYPE_CHECKING
 
 import anyio
+from anyio.streams.memory import MemoryObjectSendStream
 import zmq
 import zmq.asyncio
 
@@ -26,8 +25,10 @@
 from sassafrasgate.protocol.messages import Heartbeat
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
     from anyio.streams.memory import MemoryObjectReceiveStream
-    from anyio.streams.memory import MemoryObjectSendStream
 
 HEARTBEAT_S = 0.5
 SILENCE_S = 2.0
--- a/sassafrasgate/shards/endings.py
+++ b/sassafrasgate/shards/endings.py
@@ -58,7 +58,7 @@
     state.room_changed = True
     job_id = task.job_id if task else find_job_id(report.task)
     if task is not None:
-        _note_health(state, host, job_id, report.outcome)
+        _note_result(state, task, report.outcome, now)
     quick = state.quick.get(job_id)
     if quick is not None and quick.task == report.task:
         yield from end_quick_request(state, job_id, report, now)
@@ -92,13 +92,17 @@
     return any(placement.task == task for placement in entry.placements)
 
 
-def _note_health(
-    state: ShardState, host: str, job_id: str, outcome: TaskOutcome
+def _note_result(
+    state: ShardState, task: TaskEntry, outcome: TaskOutcome, now: int
 ) -> None:
-    if outcome is TaskOutcome.FINISHED:
-        state.health.note_success(host, job_id)
-    if outcome is TaskOutcome.FAILED:
-        state.health.note_failure(host, job_id)
+    """Learn from an end that the worker has reported."""
+    if outcome in (TaskOutcome.FINISHED, TaskOutcome.FAILED):
+        succeeded = outcome is TaskOutcome.FINISHED
+        state.health.note_result(task.host, task.job_id, succeeded, now)
+    entry = state.jobs.get(task.job_id)
+    peak = state.peaks.pop(task.task, None)
+    if entry is not None and peak is not None:
+        state.sizes.note_peak(entry.spec, peak)
 
 
 def _note_finished(
@@ -247,8 +251,12 @@
 def _end_attempt(state: ShardState, entry: JobEntry) -> Actions:
     fate = max((c.fate for c in entry.closed), key=_FATE_ORDER.index)
     reason = next(c.reason for c in entry.closed if c.fate is fate)
+    failures = entry.failures + 1
+    if state.health.is_job_at_fault(entry.job_id):
+        # It failed on several healthy hosts; more tries would only cost.
+        failures = MAX_FAILED_ATTEMPTS
     step = choose_next_step(
-        entry.spec.idempotent, fate, entry.failures + 1, MAX_FAILED_ATTEMPTS
+        entry.spec.idempotent, fate, failures, MAX_FAILED_ATTEMPTS
     )
     if step is NextStep.END_FAILED:
         yield from end_job(state, entry, Outcome(JobState.FAILED, reason))
@@ -268,9 +276,7 @@
         'retry', entry.job_id, entry.attempt, reason=f'{fate}: {reason}'
     )
     for task in gone:
-        host = next(
-            p.host for p in entry.placements if p.task == task
-        )
+        host = next(p.host for p in entry.placements if p.task == task)
         yield ReleaseTask(host, task)
     yield from write_record(
         state,
@@ -281,6 +287,7 @@
             tuple(gone),
             failed_hosts,
             int(failed),
+            fate in (AttemptFate.FAILED, AttemptFate.LAPSED),
         ),
     )
 
--- a/sassafrasgate/shards/handlers.py
+++ b/sassafrasgate/shards/handlers.py
@@ -7,13 +7,13 @@
 from typing import Any
 from typing import TYPE_CHECKING
 
-from sassafrasgate.core.errors import Refusal
 from sassafrasgate.core.registries import Registry
 from sassafrasgate.protocol.messages import Refused
 from sassafrasgate.shards.actions import Persist
 from sassafrasgate.shards.actions import Reply
 
 if TYPE_CHECKING:
+    from sassafrasgate.core.errors import Refusal
     from sassafrasgate.shards.state import ShardState
 
 Actions = Generator[Any, None, None]
--- a/sassafrasgate/shards/placements.py
+++ b/sassafrasgate/shards/placements.py
@@ -39,7 +39,7 @@
     occupied: tuple[str, ...] = (),
 ) -> Assignment | Refusal:
     """Return hosts for ``tasks`` tasks of a job, or why there are none."""
-    demand = state.sizes.find_demand(spec)
+    demand = state.sizes.find_size(spec)
     refusal = state.quotas.may_reserve(spec.team, demand.scale(tasks))
     if refusal is not None:
         return refusal
@@ -98,7 +98,7 @@
 
     Task indexes that no standing placement uses are filled lowest first.
     """
-    demand = state.sizes.find_demand(spec)
+    demand = state.sizes.find_size(spec)
     used = {split_task_id(placement.task)[1] for placement in standing}
     free = (index for index in range(spec.tasks) if index not in used)
     return tuple(
@@ -118,14 +118,14 @@
     A job that does not fit now is passed over and blocks nobody.
     """
     placed = 0
-    for job_id in state.queue.pick(now):
-        entry = state.jobs.get(job_id)
-        if entry is None:
-            continue
-        refusal = yield from place_job(state, entry)
+    jobs = state.queue.pick(now, state.quotas.reserved)
+    for job in jobs:
+        refusal = yield from place_job(state, state.jobs[job.job_id])
         if refusal is not None:
-            state.queue.pass_over(job_id)
+            if refusal.kind is RefusalKind.QUOTA:
+                jobs.skip_team(job.spec.team)
             continue
+        state.start_rate.note_start(now)
         placed += 1
         if placed >= MAX_PLACEMENTS_PER_PASS:
             state.room_changed = True
--- a/sassafrasgate/shards/quick.py
+++ b/sassafrasgate/shards/quick.py
@@ -103,27 +103,32 @@
 def _refuse(
     state: ShardState, request: RequestReceived, refusal: Refusal
 ) -> Actions:
-    yield LogDecision(
-        'refuse', request.message.job_id, reason=refusal.reason
-    )
+    yield LogDecision('refuse', request.message.job_id, reason=refusal.reason)
     yield reply_refusal(request.reply_to, refusal)
 
 
 def _place(
     state: ShardState, quick: QuickRequest, now: int
 ) -> Generator[Any, None, Refusal | None]:
-    chosen = choose_for_job(
-        state, quick.spec, 1, frozenset(quick.tried)
-    )
+    chosen = choose_for_job(state, quick.spec, 1, frozenset(quick.tried))
     if isinstance(chosen, Refusal):
         return chosen
     host = chosen.hosts[0]
     attempt = quick.attempt + 1
     # The epoch keeps task ids of successive owners apart.
     task = make_task_id(f'{quick.job_id}~{state.epoch}', 0, attempt)
-    demand = state.sizes.find_demand(quick.spec)
+    demand = state.sizes.find_size(quick.spec)
     incarnation = state.hosts[host].incarnation
-    state.add_task(TaskEntry(task, quick.job_id, host, demand, incarnation))
+    state.add_task(
+        TaskEntry(
+            task,
+            quick.job_id,
+            host,
+            demand,
+            incarnation,
+            team=quick.spec.team,
+        )
+    )
     state.quick[quick.job_id] = replace(
         quick, attempt=attempt, task=task, host=host
     )
--- a/sassafrasgate/shards/recovery.py
+++ b/sassafrasgate/shards/recovery.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from sassafrasgate.core.jobs import JobState
+from sassafrasgate.core.resources import NOTHING
 from sassafrasgate.journal.records import AttemptRefused
 from sassafrasgate.journal.records import JobAccepted
 from sassafrasgate.journal.records import JobEnded
@@ -24,6 +25,7 @@
     from collections.abc import Iterable
     from collections.abc import Iterator
 
+    from sassafrasgate.core.hosts import Host
     from sassafrasgate.core.jobs import Placement
     from sassafrasgate.shards.state import ShardState
 
@@ -63,12 +65,10 @@
         entry.home_attempt,
     )
     if entry.transferred_to:
-        yield JobTransferred(
-            entry.job_id, entry.attempt, entry.transferred_to
-        )
+        yield JobTransferred(entry.job_id, entry.attempt, entry.transferred_to)
     if entry.attempt and not entry.transferred_to:
         yield JobPlaced(entry.job_id, entry.attempt, entry.placements)
-    if entry.failures and not entry.is_over:
+    if (entry.failures or entry.may_have_run) and not entry.is_over:
         yield JobRequeued(
             entry.job_id,
             entry.attempt,
@@ -76,6 +76,7 @@
             (),
             entry.failed_hosts,
             entry.failures,
+            entry.may_have_run,
         )
     if entry.outcome is not None:
         yield JobEnded(
@@ -94,12 +95,22 @@
                 placement.host,
                 placement.demand,
                 placement.incarnation,
+                team=state.jobs[job_id].spec.team,
             )
         )
 
 
 def _requeue(state: ShardState, entry: JobEntry) -> None:
-    state.queue.add(entry.job_id, entry.spec, entry.accepted_at_ms)
+    # Deadlines count from acceptance, which only the wall clock can tell
+    # across owners.
+    waited_ms = max(0, state.wall_ms - entry.accepted_at_ms)
+    group = (entry.spec.team, entry.spec.job_class, entry.failed_hosts)
+    state.queue.add(
+        entry.job_id,
+        entry.spec,
+        state.now - waited_ms,
+        group if entry.failed_hosts else None,
+    )
 
 
 @APPLIERS.register('takeover')
@@ -159,6 +170,7 @@
         finished=tuple(f for f in entry.finished if f.task not in gone),
         closed=(),
         failures=entry.failures + record.counted,
+        may_have_run=entry.may_have_run or record.may_have_run,
         failed_hosts=record.failed_hosts,
         transferred_to='',
         state=JobState.QUEUED,
@@ -238,6 +250,8 @@
             state.index.add_host(host)
         if name not in state.hosts:
             state.hosts[name] = HostEntry(name, lapse_at=lapse_at)
+            state.index.set_open(name, False)
+    _set_totals(state, list(wanted.values()))
     for name in [name for name in state.hosts if name not in wanted]:
         if not state.index.tasks_on(name):
             state.index.remove_host(name)
@@ -246,6 +260,14 @@
         state.index.set_open(name, False)
 
 
+def _set_totals(state: ShardState, hosts: list[Host]) -> None:
+    total = NOTHING
+    for host in hosts:
+        total = total + host.capacity
+    state.queue.set_total(total)
+    state.health.set_hosts(len(hosts))
+
+
 def _find_shard(state: ShardState) -> Any:
     for shard in state.configuration.shards:
         if shard.name == state.name:
--- a/sassafrasgate/shards/state.py
+++ b/sassafrasgate/shards/state.py
@@ -21,20 +21,23 @@
 from sassafrasgate.core.jobs import Outcome
 from sassafrasgate.core.jobs import Placement
 from sassafrasgate.core.resources import Resources
-from sassafrasgate.platform.tasks import EndedTask
-from sassafrasgate.platform.tasks import RunningTask
-from sassafrasgate.platform.tasks import TaskUsage
+from sassafrasgate.placement.admission import StartRate
 from sassafrasgate.placement.index import HostIndex
 from sassafrasgate.placement.quarantine import HostHealth
 from sassafrasgate.placement.queues import JobQueue
 from sassafrasgate.placement.quotas import QuotaLedger
+from sassafrasgate.placement.sizes import GrowthAction
+from sassafrasgate.placement.sizes import LearnedSizes
+from sassafrasgate.platform.tasks import EndedTask
+from sassafrasgate.platform.tasks import RunningTask
+from sassafrasgate.platform.tasks import TaskUsage
+from sassafrasgate.protocol.messages import Summary
 from sassafrasgate.shards.attempts import AttemptFate
 from sassafrasgate.shards.attempts import ClockReading
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from sassafrasgate.protocol.messages import Summary
 
 MAX_FAILED_ATTEMPTS = 3
 MAX_EXPLANATION_LINES = 12
@@ -62,6 +65,9 @@
         does not list the task says nothing about it.
     stopping : bool
         Whether the owner has asked the worker to stop it.
+    team : str
+        Whose quota the reservation counts against; empty for tasks that
+        an earlier owner started without a record.
     """
 
     task: str
@@ -73,6 +79,7 @@
     start_before_clock: int = 0
     started_clock: int = 0
     stopping: bool = False
+    team: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,6 +120,8 @@
         Shard that runs the current attempt, or empty.
     cancelling : bool
         Whether a caller has asked for its end.
+    may_have_run : bool
+        Whether an earlier attempt started, or may have.
     """
 
     job_id: str
@@ -133,7 +142,7 @@
     transferred_to: str = ''
     durable: bool = False
     cancelling: bool = False
-    queued_at: int = 0
+    may_have_run: bool = False
 
     @property
     def is_over(self) -> bool:
@@ -243,7 +252,12 @@
     transfers_in_flight: dict[str, int] = field(default_factory=dict)
     ended_order: dict[str, None] = field(default_factory=dict)
     stopping: bool = False
+    sizes: LearnedSizes = field(default_factory=LearnedSizes)
+    start_rate: StartRate = field(default_factory=StartRate)
+    growth: dict[str, tuple[GrowthAction, int]] = field(default_factory=dict)
+    peaks: dict[str, Resources] = field(default_factory=dict)
     room_changed: bool = False
+    now: int = 0
     wall_ms: int = 0
 
     def find_team(self, name: str) -> Team | None:
@@ -267,7 +281,11 @@
 
     def add_task(self, entry: TaskEntry) -> None:
         """Hold a reservation for a task that may run from now on."""
+        if entry.task in self.tasks:
+            return
         self.tasks[entry.task] = entry
+        if entry.team:
+            self.quotas.reserve(entry.team, entry.demand)
         if entry.host in self.index.hosts:
             self.index.reserve(
                 entry.host, entry.task, entry.demand, force=True
@@ -280,7 +298,10 @@
             return None
         if entry.host in self.index.hosts:
             self.index.release(entry.host, task)
+        if entry.team:
+            self.quotas.release(entry.team, entry.demand)
         self.usage.pop(task, None)
+        self.growth.pop(task, None)
         return entry
 
     def note_running(self, job_id: str) -> None:
@@ -299,7 +320,7 @@
         job_id, _, _ = split_task_id(task)
         entry = self.jobs.get(job_id)
         if entry is None:
-            return not job_id.partition('~')[0] in self.quick
+            return job_id.partition('~')[0] not in self.quick
         return entry.is_over
 
     def must_stop(self, report: RunningTask) -> bool:
--- a/sassafrasgate/shards/submissions.py
+++ b/sassafrasgate/shards/submissions.py
@@ -11,6 +11,9 @@
 from sassafrasgate.core.jobs import JobState
 from sassafrasgate.core.jobs import Placement
 from sassafrasgate.journal.records import JobAccepted
+from sassafrasgate.journal.records import JobPlaced
+from sassafrasgate.placement.admission import AdmissionLoad
+from sassafrasgate.placement.admission import check_admission
 from sassafrasgate.placement.policies import Assignment
 from sassafrasgate.protocol.messages import JobView
 from sassafrasgate.protocol.messages import Submit
@@ -18,12 +21,12 @@
 from sassafrasgate.shards.actions import Reply
 from sassafrasgate.shards.actions import StartTask
 from sassafrasgate.shards.actions import Withdraw
+from sassafrasgate.shards.events import WithdrawalAnswered
 from sassafrasgate.shards.handlers import DURABLE_HANDLERS
 from sassafrasgate.shards.handlers import EVENT_HANDLERS
 from sassafrasgate.shards.handlers import reply_refusal
 from sassafrasgate.shards.handlers import REQUEST_HANDLERS
 from sassafrasgate.shards.handlers import write_record
-from sassafrasgate.shards.events import WithdrawalAnswered
 from sassafrasgate.shards.placements import choose_for_job
 from sassafrasgate.shards.placements import fits_nowhere
 from sassafrasgate.shards.placements import make_placements
@@ -40,6 +43,7 @@
     from sassafrasgate.shards.state import ShardState
 
 REPLY_MARGIN_MS = 300
+MAX_QUEUED_JOBS = 100_000
 
 
 @REQUEST_HANDLERS.register('submit')
@@ -88,7 +92,15 @@
             f'unknown team {spec.team!r}',
             'name a team of the quotas file, or add it there and apply',
         )
-    return state.admission.check(spec, team, state.queue, now)
+    load = AdmissionLoad(
+        state.queue.count_queued(spec.team),
+        team.max_queued,
+        len(state.queue),
+        MAX_QUEUED_JOBS,
+        state.queue.count_ahead(spec.team, spec.job_class),
+        state.start_rate.find_rate(now),
+    )
+    return check_admission(spec, load)
 
 
 def _answer_duplicate(state: ShardState, request: RequestReceived) -> Actions:
@@ -122,10 +134,13 @@
     submit: Submit = request.message
     spec = submit.spec
     chosen = choose_for_job(state, spec, spec.tasks)
-    if isinstance(chosen, Refusal) and fits_nowhere(chosen):
-        if not state.fits_elsewhere(spec):
-            yield from refuse_submit(state, request, chosen)
-            return
+    if (
+        isinstance(chosen, Refusal)
+        and fits_nowhere(chosen)
+        and not state.fits_elsewhere(spec)
+    ):
+        yield from refuse_submit(state, request, chosen)
+        return
     # Waiting jobs keep their order: a new one overtakes the queue only when
     # its class says so.
     may_overtake = spec.job_class is JobClass.URGENT or not len(state.queue)
@@ -148,11 +163,12 @@
             expires_at, (request.reply_to,)
         )
     if isinstance(chosen, Assignment) and placements:
+        state.start_rate.note_start(now)
         yield from note_placement(state, submit.job_id, 1, chosen)
         return
     state.room_changed = True
     reason = chosen.reason if isinstance(chosen, Refusal) else 'behind others'
-    state.update_job(submit.job_id, reason=reason, queued_at=now)
+    state.update_job(submit.job_id, reason=reason)
     yield from note_decision(
         state, LogDecision('queue', submit.job_id, reason=reason)
     )
@@ -176,9 +192,9 @@
 
 
 @DURABLE_HANDLERS.register('placed')
-def confirm_placed(state: ShardState, record: object, now: int) -> Actions:
+def confirm_placed(state: ShardState, record: JobPlaced, now: int) -> Actions:
     """Start the tasks of a placement that is in the journal."""
-    yield from start_placed(state, record.job_id, record.placements)  # type: ignore[attr-defined]
+    yield from start_placed(state, record.job_id, record.placements)
 
 
 def start_placed(
--- a/sassafrasgate/shards/timers.py
+++ b/sassafrasgate/shards/timers.py
@@ -4,9 +4,12 @@
 
 from typing import TYPE_CHECKING
 
+from sassafrasgate.core.jobs import JobState
+from sassafrasgate.core.jobs import Outcome
 from sassafrasgate.journal.records import JobsForgotten
 from sassafrasgate.shards.actions import LogDecision
 from sassafrasgate.shards.actions import StopTask
+from sassafrasgate.shards.endings import end_job
 from sassafrasgate.shards.events import ConfigurationChanged
 from sassafrasgate.shards.events import RecordsDurable
 from sassafrasgate.shards.events import StopRequested
@@ -39,10 +42,9 @@
     yield from lapse_hosts(state, now)
     yield from _repeat_stops(state)
     yield from _forget_old_jobs(state)
-    for name in state.health.update(now):
-        if name in state.hosts:
-            update_openness(state, name)
-            yield LogDecision('health', '', host=name, reason='reviewed')
+    yield from _expire_queued(state, now)
+    for name in state.hosts:
+        update_openness(state, name)
 
 
 def _repeat_stops(state: ShardState) -> Actions:
@@ -51,6 +53,19 @@
         yield StopTask(task.host, task.task)
 
 
+def _expire_queued(state: ShardState, now: int) -> Actions:
+    """End jobs that have not started by their deadline."""
+    for job in state.queue.list_expired(now):
+        entry = state.jobs[job.job_id]
+        if not entry.durable:
+            continue
+        reason = f'not started within {entry.spec.deadline_s:g} s'
+        outcome = Outcome(JobState.NOT_RUN, reason)
+        if entry.may_have_run:
+            outcome = Outcome(JobState.FAILED, reason)
+        yield from end_job(state, entry, outcome)
+
+
 def _forget_old_jobs(state: ShardState) -> Actions:
     oldest = state.wall_ms - RETENTION_MS
     due = []
--- a/sassafrasgate/shards/transitions.py
+++ b/sassafrasgate/shards/transitions.py
@@ -38,6 +38,7 @@
         Actions of `sassafrasgate.shards.actions`, in order.
     """
     state.room_changed = False
+    state.now = now
     actions = list(EVENT_HANDLERS.find(type(event))(state, event, now))
     if state.room_changed and len(state.queue):
         state.room_changed = False
--- /dev/null
+++ b/sassafrasgate/shards/usage.py
@@ -0,0 +1,103 @@
+"""Usage reports: learned sizes, and answers to growth."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from sassafrasgate.core.registries import Registry
+from sassafrasgate.core.resources import Resources
+from sassafrasgate.placement.sizes import GrowthAction
+from sassafrasgate.placement.sizes import GrowthStep
+from sassafrasgate.placement.sizes import plan_growth
+from sassafrasgate.placement.sizes import TaskUsage
+from sassafrasgate.shards.actions import LimitTask
+from sassafrasgate.shards.actions import LogDecision
+from sassafrasgate.shards.actions import StopTask
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from sassafrasgate.platform.tasks import TaskUsage as UsageReport
+    from sassafrasgate.shards.handlers import Actions
+    from sassafrasgate.shards.state import ShardState
+    from sassafrasgate.shards.state import TaskEntry
+
+GROWTH_STEPS: Registry[
+    GrowthStep, Callable[[ShardState, TaskEntry, GrowthAction], Actions]
+] = Registry('growth step')
+
+
+def note_usage(
+    state: ShardState, host: str, reports: Iterable[UsageReport], now: int
+) -> Actions:
+    """Learn from a worker's usage report and answer growth."""
+    for report in reports:
+        if report.task not in state.tasks:
+            continue
+        state.usage[report.task] = report
+        used = Resources(report.millicores, report.memory_mb)
+        peak = state.peaks.get(report.task, used)
+        state.peaks[report.task] = peak.cover(used)
+    growing = [
+        usage
+        for task in state.index.tasks_on(host)
+        if (usage := _find_usage(state, task)) is not None
+    ]
+    if all(usage.used.fits_in(usage.reserved) for usage in growing):
+        return
+    free = state.index.find_free(host)
+    for action in plan_growth(free, growing, now):
+        task = state.tasks[action.task]
+        state.growth[action.task] = (action, now)
+        yield LogDecision(
+            action.step, task.job_id, host=host, reason=action.reason
+        )
+        yield from GROWTH_STEPS.find(action.step)(state, task, action)
+
+
+def _find_usage(state: ShardState, task: str) -> TaskUsage | None:
+    report = state.usage.get(task)
+    entry = state.tasks.get(task)
+    job = state.jobs.get(entry.job_id) if entry is not None else None
+    if report is None or entry is None or job is None:
+        return None
+    last = state.growth.get(task)
+    return TaskUsage(
+        task,
+        job.spec.job_class,
+        state.index.tasks_on(entry.host)[task],
+        Resources(report.millicores, report.memory_mb),
+        job.spec.priority,
+        last[0].step if last else None,
+        last[1] if last else 0,
+    )
+
+
+@GROWTH_STEPS.register(GrowthStep.RESIZE)
+def _resize(
+    state: ShardState, task: TaskEntry, action: GrowthAction
+) -> Actions:
+    state.index.resize(task.host, task.task, action.size)
+    yield from ()
+
+
+@GROWTH_STEPS.register(GrowthStep.THROTTLE)
+def _throttle(
+    state: ShardState, task: TaskEntry, action: GrowthAction
+) -> Actions:
+    yield LimitTask(task.host, task.task, 'throttle', action.size.millicores)
+
+
+@GROWTH_STEPS.register(GrowthStep.CHECKPOINT)
+def _checkpoint(
+    state: ShardState, task: TaskEntry, action: GrowthAction
+) -> Actions:
+    yield LimitTask(task.host, task.task, 'checkpoint')
+
+
+@GROWTH_STEPS.register(GrowthStep.STOP)
+def _stop(state: ShardState, task: TaskEntry, action: GrowthAction) -> Actions:
+    state.tasks[task.task] = replace(task, stopping=True)
+    yield StopTask(task.host, task.task)
--- a/sassafrasgate/shards/views.py
+++ b/sassafrasgate/shards/views.py
@@ -10,6 +10,7 @@
 from sassafrasgate.core.jobs import JobState
 from sassafrasgate.core.resources import NOTHING
 from sassafrasgate.core.resources import Resources
+from sassafrasgate.placement.quarantine import HostStatus
 from sassafrasgate.protocol.messages import Explain
 from sassafrasgate.protocol.messages import Explanation
 from sassafrasgate.protocol.messages import HostList
@@ -71,9 +72,7 @@
     query: Query = request.message
     entry = state.jobs.get(query.job_id)
     if entry is None or not entry.durable:
-        yield reply_refusal(
-            request.reply_to, refuse_unknown_job(query.job_id)
-        )
+        yield reply_refusal(request.reply_to, refuse_unknown_job(query.job_id))
         return
     if entry.state in FINAL_STATES or query.wait_s <= 0:
         yield Reply(request.reply_to, view_job(state, entry))
@@ -148,9 +147,7 @@
     state: ShardState, request: RequestReceived, now: int
 ) -> Actions:
     """Answer with the hosts of this shard."""
-    views = tuple(
-        _view_host(state, entry) for entry in state.hosts.values()
-    )
+    views = tuple(_view_host(state, entry) for entry in state.hosts.values())
     yield Reply(request.reply_to, HostList(views))
 
 
@@ -189,6 +186,7 @@
         return 'silent'
     if not entry.fenced:
         return 'unknown'
-    if state.health.is_quarantined(entry.name):
-        return 'quarantined'
+    health = state.health.find_status(entry.name, state.now)
+    if health is not HostStatus.HEALTHY:
+        return str(health)
     return 'open'
--- a/sassafrasgate/shards/workers.py
+++ b/sassafrasgate/shards/workers.py
@@ -29,6 +29,7 @@
 from sassafrasgate.shards.state import HostEntry
 from sassafrasgate.shards.state import TaskEntry
 from sassafrasgate.shards.state import TaskPhase
+from sassafrasgate.shards.usage import note_usage
 
 if TYPE_CHECKING:
     from sassafrasgate.shards.handlers import Actions
@@ -43,7 +44,7 @@
         entry.fenced and not entry.silent_since,
         entry.leaving or entry.listed_leaving,
         host.drained,
-        state.health.is_quarantined(name),
+        not has_allowance(state, name),
     )
     if is_open == state.index.is_open(name):
         return
@@ -51,6 +52,12 @@
     state.room_changed = state.room_changed or is_open
 
 
+def has_allowance(state: ShardState, name: str) -> bool:
+    """Tell whether a host's results allow it another task."""
+    allowance = state.health.find_allowance(name, state.now)
+    return allowance is None or len(state.index.tasks_on(name)) < allowance
+
+
 @EVENT_HANDLERS.register(HostSynced)
 def note_sync(state: ShardState, event: HostSynced, now: int) -> Actions:
     """Bring a host's tasks in line with what its worker reports."""
@@ -81,9 +88,7 @@
         )
     yield from _settle_tasks(state, event.host, reply, first, now)
     yield from _adopt_tasks(state, event.host, reply)
-    for usage in reply.usage:
-        if usage.task in state.tasks:
-            state.usage[usage.task] = usage
+    yield from note_usage(state, event.host, reply.usage, now)
     update_openness(state, event.host)
 
 
@@ -190,9 +195,7 @@
 
 
 @EVENT_HANDLERS.register(HostListed)
-def note_host_list(
-    state: ShardState, event: HostListed, now: int
-) -> Actions:
+def note_host_list(state: ShardState, event: HostListed, now: int) -> Actions:
     """Stop placing on hosts that the platform lists as leaving."""
     for name, entry in list(state.hosts.items()):
         listed = name in event.leaving
@@ -260,9 +263,7 @@
     task = state.tasks.get(event.task)
     if task is None or task.phase is not TaskPhase.PLANNED:
         return
-    yield from close_task(
-        state, task, AttemptFate.NOT_SENT, event.reason, now
-    )
+    yield from close_task(state, task, AttemptFate.NOT_SENT, event.reason, now)
 
 
 def lapse_hosts(state: ShardState, now: int) -> Actions:
@@ -274,7 +275,11 @@
         yield LogDecision('lapse', '', host=name, reason='leases lapsed')
         for task_id in list(state.index.tasks_on(name)):
             task = state.tasks.get(task_id)
-            if task is None or task.phase is TaskPhase.PLANNED and entry.fenced:
+            if (
+                task is None
+                or task.phase is TaskPhase.PLANNED
+                and entry.fenced
+            ):
                 continue
             yield from close_task(
                 state, task, AttemptFate.LAPSED, 'lease lapsed', now
--- a/tests/http/test_jobs.py
+++ b/tests/http/test_jobs.py
@@ -2,11 +2,11 @@
 
 import pytest
 
+from sassafrasgate.core.errors import NoAnswer
 from sassafrasgate.core.errors import Refusal
 from sassafrasgate.core.errors import RefusalKind
 from sassafrasgate.core.identifiers import make_job_id
 from sassafrasgate.core.jobs import JobState
-from sassafrasgate.core.errors import NoAnswer
 from sassafrasgate.protocol.messages import JobView
 from sassafrasgate.protocol.messages import Refused
 
