Add the operator API, bounds on open bodies, and tests of the HTTP package

Cause: operators need configuration, drain, hosts, shards, jobs and status; the first version read bodies without a bound for the whole process, and a response to an unread large body could block in hypercorn's body queue.

Change: operator routes with compare-and-swap and bounded retries; partial answers are marked with the reason of each silent shard; bytes of open bodies are bounded; unread bodies are discarded before and while responding; a wait for a job ends with its caller's connection.

--- a/sassafrasgate/http/application.py
+++ b/sassafrasgate/http/application.py
@@ -7,16 +7,19 @@
 from typing import Any
 from typing import TYPE_CHECKING
 
+from anyio import create_task_group
 from anyio import fail_after
 from starlette.applications import Starlette
 from starlette.requests import ClientDisconnect
-from starlette.requests import Request
 from starlette.routing import Route
 
 from sassafrasgate.core.errors import RefusalKind
+from sassafrasgate.http.bodies import CallerRequest
+import sassafrasgate.http.configurations
 import sassafrasgate.http.health
 import sassafrasgate.http.jobs
 from sassafrasgate.http.limits import OpenRequests
+import sassafrasgate.http.operators
 from sassafrasgate.http.problems import describe_refusal
 from sassafrasgate.http.problems import Problem
 from sassafrasgate.http.problems import render_problem
@@ -31,6 +34,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from starlette.requests import Request
     from starlette.responses import Response
     from starlette.types import Receive
     from starlette.types import Scope
@@ -62,6 +66,7 @@
         RouteGroup.CALLERS: OpenRequests(limits.max_open_callers),
         RouteGroup.OPERATORS: OpenRequests(limits.max_open_operators),
     }
+    open_bytes = OpenRequests(limits.max_open_body_bytes)
     definitions: dict[str, dict[str, RouteDefinition]] = {}
     for key in ROUTES:
         definition = ROUTES.find(key)
@@ -70,7 +75,7 @@
         )
     return Starlette(
         routes=[
-            Route(path, _Endpoint(methods, context, open_by_group))
+            Route(path, _Endpoint(methods, context, open_by_group, open_bytes))
             for path, methods in definitions.items()
         ],
         exception_handlers={404: _handle_no_route, 500: _handle_error},
@@ -89,10 +94,12 @@
         methods: dict[str, RouteDefinition],
         context: Context,
         open_by_group: dict[RouteGroup, OpenRequests],
+        open_bytes: OpenRequests,
     ) -> None:
         self._methods = methods
         self._context = context
         self._open_by_group = open_by_group
+        self._open_bytes = open_bytes
 
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
@@ -103,19 +110,22 @@
             response = render_problem(_describe_method(method, self._methods))
             await response(scope, receive, send)
             return
+        limits = self._context.limits
         started = perf_counter()
-        request = Request(scope, receive)
+        request = CallerRequest(scope, receive, self._open_bytes)
         status = 'disconnected'
         try:
             with self._count_open(definition.group) as refusal:
                 response = await self._respond(definition, request, refusal)
                 status = str(response.status_code)
-                with fail_after(self._context.limits.send_timeout_s):
-                    await response(scope, receive, send)
+                await request.discard_body(limits.body_timeout_s)
+                with fail_after(limits.send_timeout_s):
+                    await _send_response(request, response, send)
         except ClientDisconnect:
-            # Nobody is left to answer, and nothing was sent to a shard.
+            # Nobody is left to answer.
             pass
         finally:
+            request.release_bytes()
             metrics = self._context.metrics
             elapsed = perf_counter() - started
             metrics.observe(REQUEST_SECONDS, elapsed, definition.path)
@@ -124,7 +134,7 @@
     async def _respond(
         self,
         definition: RouteDefinition,
-        request: Request,
+        request: CallerRequest,
         refusal: Problem | None,
     ) -> Response:
         answer = refusal or self._check_ready(definition.group)
@@ -166,6 +176,17 @@
             metrics.set_gauge(OPEN_REQUESTS, requests.count(group), group)
 
 
+async def _send_response(
+    request: CallerRequest, response: Response, send: Send
+) -> None:
+    if request.is_received:
+        await response(request.scope, request.receive, send)
+        return
+    async with create_task_group() as group:
+        group.start_soon(request.discard_messages)
+        await response(request.scope, request.receive, send)
+
+
 def _describe_method(
     method: str, methods: dict[str, RouteDefinition]
 ) -> Problem:
--- /dev/null
+++ b/sassafrasgate/http/configurations.py
@@ -0,0 +1,259 @@
+"""Routes that read and change the configuration."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from importlib import import_module
+from random import uniform
+from typing import Any
+from typing import TYPE_CHECKING
+
+from anyio import sleep
+from msgspec import convert
+from msgspec import DecodeError
+from msgspec import to_builtins
+from msgspec import ValidationError
+from msgspec.json import decode
+
+from sassafrasgate.core.cells import Configuration
+from sassafrasgate.core.errors import Refusal
+from sassafrasgate.core.errors import RefusalKind
+from sassafrasgate.http.bodies import describe_faults
+from sassafrasgate.http.bodies import read_body
+from sassafrasgate.http.gateways import NoAnswer
+from sassafrasgate.http.problems import describe_refusal
+from sassafrasgate.http.problems import describe_unknown
+from sassafrasgate.http.problems import Problem
+from sassafrasgate.http.routes import register_route
+from sassafrasgate.http.routes import RouteGroup
+from sassafrasgate.http.views import render_json
+
+if TYPE_CHECKING:
+    from starlette.responses import Response
+
+    from sassafrasgate.http.bodies import CallerRequest
+    from sassafrasgate.http.routes import Context
+
+# A process learns of a newer version within seconds, so the waits between
+# the tries add up to about five.
+DRAIN_TRIES = 6
+FIRST_PAUSE_S = 0.16
+
+_FLAGS = {'': True, 'true': True, '1': True, 'false': False, '0': False}
+
+
+@register_route('GET', '/v1/configuration', RouteGroup.OPERATORS)
+async def show_configuration(
+    request: CallerRequest, context: Context
+) -> Response:
+    """Return the configuration in force, with its version as ETag."""
+    configuration = context.gateway.configuration()
+    return render_json(configuration, headers=_tag(configuration.version))
+
+
+@register_route('PUT', '/v1/configuration', RouteGroup.OPERATORS)
+async def replace_configuration(
+    request: CallerRequest, context: Context
+) -> Response | Problem:
+    """Put a whole configuration in force, or only show what it changes."""
+    dry_run = _FLAGS.get(request.query_params.get('dry_run', 'false').lower())
+    if dry_run is None:
+        return describe_faults(('dry_run: must be true or false',))
+    expected = _read_version(request)
+    if isinstance(expected, Problem):
+        return expected
+    limits = context.limits
+    body = await read_body(
+        request, limits.max_configuration_body, limits.body_timeout_s
+    )
+    if isinstance(body, Problem):
+        return body
+    configuration = parse_configuration(body, expected)
+    if isinstance(configuration, Problem):
+        return configuration
+    current = context.gateway.configuration()
+    if dry_run:
+        return _show_difference(current, configuration, expected)
+    accepted = await context.gateway.publish(configuration, expected)
+    if isinstance(accepted, Configuration):
+        return _render_accepted(accepted)
+    return _describe_failed_publish(context, accepted)
+
+
+@register_route('POST', '/v1/hosts/{name}/drain', RouteGroup.OPERATORS)
+async def drain_host(
+    request: CallerRequest, context: Context
+) -> Response | Problem:
+    """Keep new work away from a host."""
+    return await _set_drained(context, request.path_params['name'], True)
+
+
+@register_route('POST', '/v1/hosts/{name}/restore', RouteGroup.OPERATORS)
+async def restore_host(
+    request: CallerRequest, context: Context
+) -> Response | Problem:
+    """Let a drained host get new work again."""
+    return await _set_drained(context, request.path_params['name'], False)
+
+
+def parse_configuration(
+    body: bytes, expected_version: int
+) -> Configuration | Problem:
+    """Return the configuration of a JSON body.
+
+    Parameters
+    ----------
+    body : bytes
+        What ``GET /v1/configuration`` returns, with changes. ``version``
+        may be left out; ``change`` is ignored.
+    expected_version : int
+        The version that the change is based on.
+    """
+    try:
+        plain = decode(body)
+        configuration = convert(plain, Configuration)
+    except (DecodeError, ValidationError, UnicodeDecodeError) as error:
+        return describe_faults((f'body: {error}',))
+    faults = find_unknown_members(plain, to_builtins(configuration), '')
+    if configuration.version not in (0, expected_version):
+        faults += (
+            f'version: is {configuration.version}, but If-Match is '
+            f'{expected_version}',
+        )
+    if faults:
+        return describe_faults(faults)
+    return replace(configuration, version=expected_version, change='')
+
+
+def find_unknown_members(given: Any, known: Any, path: str) -> tuple[str, ...]:
+    """Return a fault for every member of ``given`` that was not used.
+
+    Parameters
+    ----------
+    given : object
+        Decoded JSON.
+    known : object
+        The same data after a conversion to data classes and back.
+    path : str
+        Where both stand in the document.
+    """
+    faults: tuple[str, ...] = ()
+    if isinstance(given, dict) and isinstance(known, dict):
+        for name, value in given.items():
+            below = f'{path}.{name}' if path else name
+            if name in known:
+                faults += find_unknown_members(value, known[name], below)
+            else:
+                faults += (f'{below}: unknown member; remove it',)
+    if isinstance(given, list):
+        for index, (value, used) in enumerate(zip(given, known, strict=True)):
+            faults += find_unknown_members(value, used, f'{path}[{index}]')
+    return faults
+
+
+async def _set_drained(
+    context: Context, name: str, drained: bool
+) -> Response | Problem:
+    pause_s = FIRST_PAUSE_S
+    accepted: Any = None
+    for _ in range(DRAIN_TRIES):
+        current = context.gateway.configuration()
+        changed = _change_host(current, name, drained)
+        if changed is None:
+            return _describe_unknown_host(name)
+        # A host that already is as asked is published too: this process may
+        # not know yet that a newer version has changed it back.
+        accepted = await context.gateway.publish(changed, current.version)
+        if isinstance(accepted, Configuration):
+            return _render_accepted(accepted)
+        if isinstance(accepted, NoAnswer) or (
+            accepted.kind is not RefusalKind.CONFLICT
+        ):
+            break
+        # The winner of the race is not in force in this process yet.
+        await sleep(uniform(pause_s / 2, pause_s))
+        pause_s *= 2
+    return _describe_failed_publish(context, accepted)
+
+
+def _change_host(
+    configuration: Configuration, name: str, drained: bool
+) -> Configuration | None:
+    if name not in {host.name for host in configuration.hosts}:
+        return None
+    hosts = tuple(
+        replace(host, drained=drained) if host.name == name else host
+        for host in configuration.hosts
+    )
+    return replace(configuration, hosts=hosts)
+
+
+def _read_version(request: CallerRequest) -> int | Problem:
+    header = request.headers.get('if-match', '')
+    if not header:
+        return Problem(
+            'version-required',
+            'the request has no If-Match header',
+            'send the ETag of the GET that the change is based on',
+        )
+    text = header.strip().removeprefix('"').removesuffix('"')
+    if text.isascii() and text.isdecimal():
+        return int(text)
+    return describe_faults(
+        (f'If-Match: must be one version in quotes, not {header!r:.80}',)
+    )
+
+
+def _show_difference(
+    current: Configuration, changed: Configuration, expected: int
+) -> Response | Problem:
+    if expected != current.version:
+        return _describe_lost_race(
+            f'the change is based on version {expected}', current.version
+        )
+    # Imported here, since only operators' requests need the checks.
+    versions = import_module('sassafrasgate.configuration.versions')
+    difference = versions.diff_configurations(current, changed)
+    return render_json(
+        {'version': current.version, 'dry_run': True, 'diff': difference},
+        headers=_tag(current.version),
+    )
+
+
+def _render_accepted(configuration: Configuration) -> Response:
+    return render_json(
+        {'version': configuration.version, 'change': configuration.change},
+        headers=_tag(configuration.version),
+    )
+
+
+def _tag(version: int) -> dict[str, str]:
+    return {'ETag': f'"{version}"'}
+
+
+def _describe_failed_publish(
+    context: Context, failure: Refusal | NoAnswer
+) -> Problem:
+    if isinstance(failure, NoAnswer):
+        return describe_unknown(failure.reason)
+    if failure.kind is not RefusalKind.CONFLICT:
+        return describe_refusal(failure)
+    version = context.gateway.configuration().version
+    return _describe_lost_race(failure.reason, version)
+
+
+def _describe_lost_race(reason: str, version: int) -> Problem:
+    return Problem(
+        'version-changed',
+        f'{reason}; version {version} is in force in this process',
+        'GET /v1/configuration, apply the change to it and send it again',
+        version=version,
+    )
+
+
+def _describe_unknown_host(name: str) -> Problem:
+    return Problem(
+        RefusalKind.NOT_FOUND,
+        f'no host {name!r} is in the inventory',
+        'see GET /v1/configuration for the names',
+    )
--- a/sassafrasgate/http/health.py
+++ b/sassafrasgate/http/health.py
@@ -13,21 +13,20 @@
 from sassafrasgate.observability.metrics import CONTENT_TYPE
 
 if TYPE_CHECKING:
-    from starlette.requests import Request
-
+    from sassafrasgate.http.bodies import CallerRequest
     from sassafrasgate.http.problems import Problem
     from sassafrasgate.http.routes import Context
 
 
 @register_route('GET', '/healthz', RouteGroup.HEALTH)
-async def report_health(request: Request, context: Context) -> Response:
+async def report_health(request: CallerRequest, context: Context) -> Response:
     """Answer 200 for as long as the process handles requests."""
     return render_json({'status': 'alive'})
 
 
 @register_route('GET', '/readyz', RouteGroup.HEALTH)
 async def report_readiness(
-    request: Request, context: Context
+    request: CallerRequest, context: Context
 ) -> Response | Problem:
     """Answer 503 while not ready or stopping, else 200."""
     refusal = context.gateway.is_ready()
@@ -38,7 +37,7 @@
 
 
 @register_route('GET', '/metrics', RouteGroup.HEALTH)
-async def report_metrics(request: Request, context: Context) -> Response:
+async def report_metrics(request: CallerRequest, context: Context) -> Response:
     """Return all metrics in the Prometheus text format."""
     return Response(
         context.metrics.render(), headers={'Content-Type': CONTENT_TYPE}
--- a/sassafrasgate/http/jobs.py
+++ b/sassafrasgate/http/jobs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING
 
 from sassafrasgate.core.jobs import JobClass
@@ -26,17 +27,19 @@
 from sassafrasgate.protocol.messages import Query
 
 if TYPE_CHECKING:
-    from starlette.requests import Request
     from starlette.responses import Response
 
     from sassafrasgate.core.jobs import JobSpec
+    from sassafrasgate.http.bodies import CallerRequest
     from sassafrasgate.http.routes import Context
 
 _JOB_CLASSES = frozenset(JobClass) - {JobClass.QUICK}
 
 
 @register_route('POST', '/v1/jobs', RouteGroup.CALLERS)
-async def submit_job(request: Request, context: Context) -> Response | Problem:
+async def submit_job(
+    request: CallerRequest, context: Context
+) -> Response | Problem:
     """Accept a job: 202, or 200 with the same job for a duplicate key."""
     limits = context.limits
     wait_s = read_seconds(request, 'wait', limits.max_wait_s)
@@ -57,14 +60,17 @@
 
 @register_route('GET', '/v1/jobs/{job_id}', RouteGroup.CALLERS)
 async def show_job_state(
-    request: Request, context: Context
+    request: CallerRequest, context: Context
 ) -> Response | Problem:
     """Return a job's view, after waiting up to ``wait`` for its end."""
     wait_s = read_seconds(request, 'wait', context.limits.max_wait_s)
     if isinstance(wait_s, Problem):
         return wait_s
     job_id = request.path_params['job_id']
-    view = await ask(context, Query('', job_id, wait_s), job_id, wait_s)
+    query = Query('', job_id, wait_s)
+    view = await request.wait_unless_disconnected(
+        partial(ask, context, query, job_id, wait_s)
+    )
     if isinstance(view, Problem):
         return view
     return render_json(show_job(view))
@@ -72,7 +78,7 @@
 
 @register_route('GET', '/v1/jobs/{job_id}/output', RouteGroup.CALLERS)
 async def send_output(
-    request: Request, context: Context
+    request: CallerRequest, context: Context
 ) -> Response | Problem:
     """Return the whole output of a finished job."""
     job_id = request.path_params['job_id']
@@ -91,7 +97,9 @@
 
 
 @register_route('DELETE', '/v1/jobs/{job_id}', RouteGroup.CALLERS)
-async def cancel_job(request: Request, context: Context) -> Response | Problem:
+async def cancel_job(
+    request: CallerRequest, context: Context
+) -> Response | Problem:
     """Cancel a job and return its view."""
     job_id = request.path_params['job_id']
     view = await ask(context, Cancel('', job_id), job_id)
@@ -102,7 +110,7 @@
 
 @register_route('GET', '/v1/jobs/{job_id}/explanation', RouteGroup.CALLERS)
 async def explain_job(
-    request: Request, context: Context
+    request: CallerRequest, context: Context
 ) -> Response | Problem:
     """Return the decisions taken for a job, oldest first."""
     job_id = request.path_params['job_id']
@@ -118,7 +126,9 @@
     )
 
 
-async def _read_spec(request: Request, context: Context) -> JobSpec | Problem:
+async def _read_spec(
+    request: CallerRequest, context: Context
+) -> JobSpec | Problem:
     limits = context.limits
     fields = await read_fields(
         request, limits.max_job_body, limits.body_timeout_s
--- a/sassafrasgate/http/limits.py
+++ b/sassafrasgate/http/limits.py
@@ -21,6 +21,10 @@
 MAX_OPEN_PER_TEAM = 400
 MAX_OPEN_OPERATORS = 32
 
+# Bodies are held until their requests end; without this bound, many large
+# ones could exhaust a small entry host's memory.
+MAX_OPEN_BODY_BYTES = 64 * 1024 * KIB
+
 MAX_WAIT_S = 60.0
 ANSWER_TIMEOUT_S = 10.0
 ANSWER_MARGIN_S = 0.5
@@ -39,6 +43,8 @@
         Most open requests of each group in this process.
     max_open_per_team : int
         Most open submissions and quick requests of one team.
+    max_open_body_bytes : int
+        Most bytes of bodies of all open requests together.
     max_payload : int
         Longest payload of a journaled job.
     max_job_body, max_request_body, max_configuration_body : int
@@ -58,6 +64,7 @@
     max_open_callers: int = MAX_OPEN_CALLERS
     max_open_operators: int = MAX_OPEN_OPERATORS
     max_open_per_team: int = MAX_OPEN_PER_TEAM
+    max_open_body_bytes: int = MAX_OPEN_BODY_BYTES
     max_payload: int = MAX_PAYLOAD_BYTES
     max_job_body: int = MAX_JOB_BODY_BYTES
     max_request_body: int = MAX_REQUEST_BODY_BYTES
@@ -70,12 +77,12 @@
 
 
 class OpenRequests:
-    """Counts open requests by key against a bound.
+    """Counts open requests, or their bytes, by key against a bound.
 
     Parameters
     ----------
     bound : int
-        Most open requests of one key.
+        Most requests or bytes of one key.
 
     Examples
     --------
@@ -88,20 +95,20 @@
         self._bound = bound
         self._open: Counter[str] = Counter()
 
-    def enter(self, key: str) -> bool:
-        """Count one more request, unless ``key`` is at its bound."""
-        if self._open[key] >= self._bound:
+    def enter(self, key: str, amount: int = 1) -> bool:
+        """Count ``amount`` more, unless that takes ``key`` over its bound."""
+        if self.count(key) + amount > self._bound:
             return False
-        self._open[key] += 1
+        self._open[key] += amount
         return True
 
-    def leave(self, key: str) -> None:
-        """Count one request less."""
-        self._open[key] -= 1
+    def leave(self, key: str, amount: int = 1) -> None:
+        """Count ``amount`` less."""
+        self._open[key] -= amount
         # Keys come from callers, so a key without requests is dropped.
         if not self._open[key]:
             del self._open[key]
 
     def count(self, key: str) -> int:
-        """Return the number of open requests of a key."""
+        """Return what is open for a key."""
         return self._open.get(key, 0)
--- /dev/null
+++ b/sassafrasgate/http/operators.py
@@ -0,0 +1,109 @@
+"""Routes for operators: hosts, shards, jobs and processes."""
+
+from __future__ import annotations
+
+from functools import partial
+from typing import Any
+from typing import TYPE_CHECKING
+
+from sassafrasgate.core.jobs import JobState
+from sassafrasgate.http.bodies import describe_faults
+from sassafrasgate.http.bodies import read_whole
+from sassafrasgate.http.problems import Problem
+from sassafrasgate.http.questions import ask_every_shard
+from sassafrasgate.http.routes import register_route
+from sassafrasgate.http.routes import RouteGroup
+from sassafrasgate.http.views import render_json
+from sassafrasgate.http.views import show_job
+from sassafrasgate.protocol.messages import ListHosts
+from sassafrasgate.protocol.messages import ListJobs
+
+if TYPE_CHECKING:
+    from starlette.responses import Response
+
+    from sassafrasgate.core.cells import Shard
+    from sassafrasgate.http.bodies import CallerRequest
+    from sassafrasgate.http.questions import ShardAnswers
+    from sassafrasgate.http.routes import Context
+    from sassafrasgate.protocol.messages import StatusReply
+
+DEFAULT_LISTED_JOBS = 200
+MAX_LISTED_JOBS = 1000
+
+
+@register_route('GET', '/v1/hosts', RouteGroup.OPERATORS)
+async def list_hosts(request: CallerRequest, context: Context) -> Response:
+    """Return the hosts of all shards that answer."""
+    answers = await ask_every_shard(context, ListHosts)
+    hosts = [host for reply in answers.replies for host in reply.hosts]
+    hosts.sort(key=lambda host: host.name)
+    return _render_list('hosts', hosts, answers)
+
+
+@register_route('GET', '/v1/jobs', RouteGroup.OPERATORS)
+async def list_jobs(
+    request: CallerRequest, context: Context
+) -> Response | Problem:
+    """Return up to ``limit`` jobs of each shard that answers."""
+    limit = read_whole(request, 'limit', DEFAULT_LISTED_JOBS, MAX_LISTED_JOBS)
+    if isinstance(limit, Problem):
+        return limit
+    state = request.query_params.get('state', '')
+    states = tuple(str(known) for known in JobState)
+    if state and state not in states:
+        text = f'must be one of {", ".join(states)}, not {state!r:.80}'
+        return describe_faults((f'state: {text}',))
+    message = partial(ListJobs, state=state, limit=limit)
+    answers = await ask_every_shard(context, message)
+    jobs = [show_job(job) for reply in answers.replies for job in reply.jobs]
+    return _render_list('jobs', jobs, answers)
+
+
+@register_route('GET', '/v1/shards', RouteGroup.OPERATORS)
+async def list_shards(request: CallerRequest, context: Context) -> Response:
+    """Return the configured shards with their owners, where known."""
+    status = await context.gateway.list_status()
+    shards = context.gateway.configuration().shards
+    return render_json(
+        {'shards': [_show_shard(shard, status) for shard in shards]}
+    )
+
+
+@register_route('GET', '/v1/status', RouteGroup.OPERATORS)
+async def show_status(request: CallerRequest, context: Context) -> Response:
+    """Return the schedulers that answer and what they own."""
+    status = await context.gateway.list_status()
+    version = context.gateway.configuration().version
+    processes = sorted(status, key=lambda reply: reply.name)
+    return render_json({'configuration': version, 'schedulers': processes})
+
+
+def _show_shard(
+    shard: Shard, status: tuple[StatusReply, ...]
+) -> dict[str, Any]:
+    owners = [
+        (reply.shards[shard.name], reply.name)
+        for reply in status
+        if shard.name in reply.shards
+    ]
+    # A stale owner may still name the shard; the highest epoch is in force.
+    epoch, owner = max(owners, default=(0, ''))
+    return {
+        'name': shard.name,
+        'failure_domain': shard.failure_domain,
+        'racks': shard.racks,
+        'owner': owner,
+        'epoch': epoch,
+    }
+
+
+def _render_list(
+    name: str, items: list[Any], answers: ShardAnswers
+) -> Response:
+    return render_json(
+        {
+            name: items,
+            'partial': bool(answers.missing),
+            'missing': answers.missing,
+        }
+    )
--- a/sassafrasgate/http/questions.py
+++ b/sassafrasgate/http/questions.py
@@ -2,9 +2,13 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import Any
 from typing import TYPE_CHECKING
 
+from anyio import CapacityLimiter
+from anyio import create_memory_object_stream
+from anyio import create_task_group
 from anyio import move_on_after
 
 from sassafrasgate.core.errors import Refusal
@@ -20,8 +24,13 @@
 from sassafrasgate.protocol.messages import Refused
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from sassafrasgate.http.routes import Context
 
+# Bounds what one operator request puts on the links at once.
+MAX_CONCURRENT_SHARDS = 16
+
 # An owner refuses for these reasons only after it has looked the job up, so
 # no earlier submission with the same key has run either. The other reasons
 # say nothing about earlier submissions.
@@ -104,3 +113,61 @@
     if isinstance(answer, Refused):
         return fresh or answer.refusal in _LOOKED_UP
     return isinstance(answer, JobView) and answer.state is JobState.NOT_RUN
+
+
+@dataclass(frozen=True, slots=True)
+class ShardAnswers:
+    """What all shards answered together.
+
+    Parameters
+    ----------
+    replies : tuple
+        Answer messages, in the order of the shards.
+    missing : dict of str to str
+        Why each other shard is not included.
+    """
+
+    replies: tuple[Any, ...]
+    missing: dict[str, str]
+
+
+async def ask_every_shard(
+    context: Context, make_message: Callable[[str], Any]
+) -> ShardAnswers:
+    """Ask all shards concurrently and return what came.
+
+    Parameters
+    ----------
+    context : Context
+        The application's context.
+    make_message : callable
+        Takes the name of a shard and returns the message for it.
+    """
+    shards = context.gateway.shards()
+    send, receive = create_memory_object_stream[tuple[str, Any]](len(shards))
+    limiter = CapacityLimiter(MAX_CONCURRENT_SHARDS)
+
+    async def ask_one(shard: str) -> None:
+        async with limiter:
+            answer = await ask_plainly(context, make_message(shard))
+        await send.send((shard, answer))
+
+    async with create_task_group() as group:
+        for shard in shards:
+            group.start_soon(ask_one, shard)
+    send.close()
+    with receive:
+        answers = dict([pair async for pair in receive])
+    failures = (NoAnswer, Refusal, Refused)
+    return ShardAnswers(
+        tuple(
+            answers[shard]
+            for shard in shards
+            if not isinstance(answers[shard], failures)
+        ),
+        {
+            shard: answers[shard].reason
+            for shard in shards
+            if isinstance(answers[shard], failures)
+        },
+    )
--- a/sassafrasgate/http/requests.py
+++ b/sassafrasgate/http/requests.py
@@ -22,9 +22,9 @@
 from sassafrasgate.http.submissions import submit
 
 if TYPE_CHECKING:
-    from starlette.requests import Request
     from starlette.responses import Response
 
+    from sassafrasgate.http.bodies import CallerRequest
     from sassafrasgate.http.routes import Context
     from sassafrasgate.protocol.messages import JobView
 
@@ -33,7 +33,7 @@
 
 @register_route('POST', '/v1/requests', RouteGroup.CALLERS)
 async def run_request(
-    request: Request, context: Context
+    request: CallerRequest, context: Context
 ) -> Response | Problem:
     """Run a quick request and return the output of its task."""
     submission = await _read_submission(request, context)
@@ -48,7 +48,7 @@
 
 
 async def _read_submission(
-    request: Request, context: Context
+    request: CallerRequest, context: Context
 ) -> Submission | Problem:
     limits = context.limits
     fields = await read_fields(
--- a/sassafrasgate/http/routes.py
+++ b/sassafrasgate/http/routes.py
@@ -8,10 +8,10 @@
 from enum import StrEnum
 from typing import TypeAlias
 
-from starlette.requests import Request
 from starlette.responses import Response
 
 from sassafrasgate.core.registries import Registry
+from sassafrasgate.http.bodies import CallerRequest
 from sassafrasgate.http.gateways import Gateway
 from sassafrasgate.http.limits import Limits
 from sassafrasgate.http.limits import OpenRequests
@@ -38,7 +38,7 @@
 
 
 Handler: TypeAlias = Callable[
-    [Request, Context], Awaitable[Response | Problem]
+    [CallerRequest, Context], Awaitable[Response | Problem]
 ]
 
 
--- a/sassafrasgate/observability/logs.py
+++ b/sassafrasgate/observability/logs.py
@@ -136,7 +136,7 @@
 
 def configure_logging(
     level: str, process_name: str, stream: TextIO | None = None
-) -> None:
+) -> StreamHandler:
     """Send the log lines of the whole process to one stream.
 
     Records of the standard library's `logging`, which hypercorn uses, are
@@ -151,6 +151,11 @@
     stream : TextIO, optional
         Where to write; standard error by default.
 
+    Returns
+    -------
+    StreamHandler
+        The handler, already in force; ``pop_application`` removes it.
+
     Raises
     ------
     LogLevelError
@@ -166,6 +171,7 @@
     root = logging.getLogger()
     root.handlers = [RedirectLoggingHandler()]
     root.setLevel(logging.DEBUG if level.upper() == 'DEBUG' else logging.INFO)
+    return handler
 
 
 _DECISION = 'decision'
--- /dev/null
+++ b/tests/http/test_problems.py
@@ -0,0 +1,43 @@
+"""Guards against a refusal or a failed route without problem details."""
+
+import pytest
+
+from sassafrasgate.core.errors import Refusal
+from sassafrasgate.core.errors import RefusalKind
+from sassafrasgate.http.problems import describe_refusal
+from sassafrasgate.http.problems import PROBLEM_TYPES
+from sassafrasgate.http.problems import render_problem
+
+pytestmark = pytest.mark.anyio
+
+MEMBERS = {'type', 'title', 'status', 'detail', 'remedy'}
+
+
+@pytest.mark.parametrize('kind', RefusalKind)
+async def test_every_refusal_has_a_problem(kind):
+    problem = describe_refusal(Refusal(kind, 'a reason', 'a remedy'), 'j1')
+    response = render_problem(problem)
+    assert 400 <= response.status_code < 600
+    assert PROBLEM_TYPES.find(kind).title
+    assert b'"remedy":"a remedy"' in response.body
+    assert b'"job_id":"j1"' in response.body
+    if response.status_code in (429, 503):
+        assert int(response.headers['retry-after']) > 0
+
+
+@pytest.mark.parametrize(
+    ('method', 'path', 'status'),
+    [
+        ('GET', '/v2/jobs', 404),
+        ('PATCH', '/v1/jobs', 405),
+        ('POST', '/v1/jobs', 400),
+        ('GET', '/v1/jobs/j1?wait=nan', 400),
+        ('GET', '/v1/jobs/j1?wait=-1', 400),
+    ],
+)
+async def test_failed_route_has_problem_details(client, method, path, status):
+    reply = await client.request(method, path, content=b'[1]')
+    assert reply.status_code == status
+    assert reply.headers['content-type'] == 'application/problem+json'
+    assert reply.json().keys() >= MEMBERS
+    assert (status == 405) == ('allow' in reply.headers)
