Read declarations of hosts, shards, rules and quotas with all their faults

Cause: operators keep inventory, rules and quotas in version control and need every fault before anything is applied. Conclusion: a declaration gives either a configuration or all its faults; a fault that only follows from another is left out.

--- /dev/null
+++ b/sassafrasgate/configuration/checks.py
@@ -0,0 +1,351 @@
+"""Checks of a whole configuration, in a registry filled by decorators.
+
+They work on `Configuration` itself, so that a declaration's files and a
+configuration that arrives by HTTP pass the same checks.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from sassafrasgate.configuration.faults import suggest_name
+from sassafrasgate.configuration.units import format_cores
+from sassafrasgate.configuration.units import format_memory
+from sassafrasgate.configuration.values import check_job_class
+from sassafrasgate.configuration.values import check_name
+from sassafrasgate.configuration.values import check_url
+from sassafrasgate.configuration.values import Flaw
+from sassafrasgate.core.registries import Registry
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+    from collections.abc import Iterator
+
+    from sassafrasgate.core.cells import Configuration
+    from sassafrasgate.core.resources import Resources
+
+# Larger than any single machine on sale; a value above it is a slip of unit.
+MAX_MILLICORES = 4_096_000
+MAX_MEMORY_MB = 64 * 2**20
+MAX_ACCELERATORS = 1_024
+MAX_SLOTS = 65_536
+# A worker has one port, and a client address has this many ports towards it.
+MAX_CONNECTIONS = 65_535
+MIN_WEIGHT, MAX_WEIGHT = 1, 10_000
+MAX_PRIORITY = 100
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationFlaw:
+    """What is wrong with one entry of a configuration.
+
+    Parameters
+    ----------
+    group : str
+        Field of `Configuration` that holds the entry.
+    index : int
+        Position of the entry in the group.
+    field : str
+        Field of the entry; empty for the entry as a whole.
+    value : str
+        The bad value by ``repr``.
+    flaw : Flaw
+        Problem and remedy.
+    """
+
+    group: str
+    index: int
+    field: str
+    value: str
+    flaw: Flaw
+
+    def __str__(self) -> str:
+        field = f'.{self.field}' if self.field else ''
+        return (
+            f'{self.group}[{self.index}]{field}: {self.value} '
+            f'{self.flaw.problem}; {self.flaw.remedy}'
+        )
+
+
+CONFIGURATION_CHECKS: Registry[
+    str, Callable[[Configuration], Iterator[ConfigurationFlaw]]
+] = Registry('configuration check')
+
+
+def check_configuration(
+    configuration: Configuration,
+) -> tuple[ConfigurationFlaw, ...]:
+    """Return all flaws of a configuration; empty when it can be used.
+
+    Parameters
+    ----------
+    configuration : Configuration
+        Of any version.
+
+    Examples
+    --------
+    >>> check_configuration(Configuration(cell='brazos'))
+    ()
+    """
+    return tuple(
+        flaw
+        for name in CONFIGURATION_CHECKS
+        for flaw in CONFIGURATION_CHECKS.find(name)(configuration)
+    )
+
+
+def _find_repeats(
+    group: str, field: str, values: Iterable[str], noun: str
+) -> Iterator[ConfigurationFlaw]:
+    seen: set[str] = set()
+    for index, value in enumerate(values):
+        if value in seen:
+            flaw = Flaw(f'names two {noun}', 'rename or remove one of them')
+            yield ConfigurationFlaw(group, index, field, repr(value), flaw)
+        seen.add(value)
+
+
+def _apply(
+    check: Callable[[object], object],
+    group: str,
+    field: str,
+    values: Iterable[str],
+) -> Iterator[ConfigurationFlaw]:
+    for index, value in enumerate(values):
+        result = check(value)
+        if isinstance(result, Flaw):
+            yield ConfigurationFlaw(group, index, field, repr(value), result)
+
+
+@CONFIGURATION_CHECKS.register('names')
+def check_names(
+    configuration: Configuration,
+) -> Iterator[ConfigurationFlaw]:
+    """Find names that are unusable or used twice."""
+    for group, noun in (
+        ('hosts', 'hosts'),
+        ('shards', 'shards'),
+        ('teams', 'teams'),
+        ('rules', 'rules'),
+    ):
+        names = [entry.name for entry in getattr(configuration, group)]
+        yield from _apply(check_name, group, 'name', names)
+        yield from _find_repeats(group, 'name', names, noun)
+
+
+@CONFIGURATION_CHECKS.register('urls')
+def check_urls(configuration: Configuration) -> Iterator[ConfigurationFlaw]:
+    """Find workers without a usable address of their own."""
+    urls = [host.url for host in configuration.hosts]
+    yield from _apply(check_url, 'hosts', 'url', urls)
+    used: dict[str, str] = {}
+    for index, host in enumerate(configuration.hosts):
+        other = used.setdefault(host.url, host.name)
+        if other != host.name:
+            flaw = Flaw(
+                f'is already the url of {other!r}',
+                'give each host a url of its own',
+            )
+            yield ConfigurationFlaw(
+                'hosts', index, 'url', repr(host.url), flaw
+            )
+
+
+@CONFIGURATION_CHECKS.register('racks')
+def check_racks(configuration: Configuration) -> Iterator[ConfigurationFlaw]:
+    """Find racks that stand in two failure domains."""
+    homes: dict[str, str] = {}
+    reported: set[tuple[str, str]] = set()
+    for index, host in enumerate(configuration.hosts):
+        home = homes.setdefault(host.rack, host.failure_domain)
+        pair = (host.rack, host.failure_domain)
+        if home == host.failure_domain or pair in reported:
+            continue
+        reported.add(pair)
+        flaw = Flaw(
+            f'stands in the failure domains {home!r} and '
+            f'{host.failure_domain!r}',
+            'rename one of the racks',
+        )
+        yield ConfigurationFlaw('hosts', index, 'rack', repr(host.rack), flaw)
+
+
+def _find_rack_homes(configuration: Configuration) -> dict[str, str]:
+    homes: dict[str, str] = {}
+    for host in configuration.hosts:
+        homes.setdefault(host.rack, host.failure_domain)
+    return homes
+
+
+@CONFIGURATION_CHECKS.register('shards')
+def check_shards(configuration: Configuration) -> Iterator[ConfigurationFlaw]:
+    """Find shards that share racks or span failure domains."""
+    homes = _find_rack_homes(configuration)
+    domains = tuple(dict.fromkeys(homes.values()))
+    owners: dict[str, str] = {}
+    for index, shard in enumerate(configuration.shards):
+        if shard.failure_domain not in domains:
+            yield ConfigurationFlaw(
+                'shards',
+                index,
+                'failure_domain',
+                repr(shard.failure_domain),
+                Flaw(
+                    'is not in the inventory',
+                    suggest_name(shard.failure_domain, domains),
+                ),
+            )
+        if not shard.racks:
+            flaw = Flaw('has no racks', 'name its racks or remove it')
+            yield ConfigurationFlaw(
+                'shards', index, 'racks', repr(shard.name), flaw
+            )
+        for rack in shard.racks:
+            problem = _judge_rack(shard.failure_domain, rack, homes, owners)
+            owners.setdefault(rack, shard.name)
+            if problem is not None:
+                yield ConfigurationFlaw(
+                    'shards', index, 'racks', repr(rack), problem
+                )
+
+
+def _judge_rack(
+    domain: str, rack: str, homes: dict[str, str], owners: dict[str, str]
+) -> Flaw | None:
+    if rack not in homes:
+        remedy = suggest_name(rack, tuple(homes))
+        return Flaw('is not in the inventory', remedy)
+    if rack in owners:
+        return Flaw(
+            f'is already in the shard {owners[rack]!r}',
+            'name each rack in one shard',
+        )
+    if homes[rack] != domain and domain in homes.values():
+        return Flaw(
+            f'stands in {homes[rack]!r} and not in {domain!r}',
+            'keep a shard within one failure domain',
+        )
+    return None
+
+
+@CONFIGURATION_CHECKS.register('racks without a shard')
+def check_rack_cover(
+    configuration: Configuration,
+) -> Iterator[ConfigurationFlaw]:
+    """Find racks whose hosts no shard would use."""
+    covered = {rack for shard in configuration.shards for rack in shard.racks}
+    for index, host in enumerate(configuration.hosts):
+        if host.rack in covered:
+            continue
+        covered.add(host.rack)
+        flaw = Flaw('is in no shard', 'add it to a shard of its domain')
+        yield ConfigurationFlaw('hosts', index, 'rack', repr(host.rack), flaw)
+
+
+@CONFIGURATION_CHECKS.register('capacities')
+def check_capacities(
+    configuration: Configuration,
+) -> Iterator[ConfigurationFlaw]:
+    """Find hosts of an impossible size."""
+    for index, host in enumerate(configuration.hosts):
+        for value, flaw in _judge_capacity(host.capacity):
+            yield ConfigurationFlaw('hosts', index, 'capacity', value, flaw)
+
+
+def _judge_capacity(capacity: Resources) -> Iterator[tuple[str, Flaw]]:
+    bounds = (
+        ('cores', capacity.millicores, 1, MAX_MILLICORES, format_cores),
+        ('memory', capacity.memory_mb, 1, MAX_MEMORY_MB, format_memory),
+        ('accelerators', capacity.accelerators, 0, MAX_ACCELERATORS, str),
+        ('slots', capacity.slots, 1, MAX_SLOTS, str),
+        ('connections', capacity.connections, 1, MAX_CONNECTIONS, str),
+    )
+    for noun, amount, least, most, show in bounds:
+        if least <= amount <= most:
+            continue
+        flaw = Flaw(
+            f'is an impossible amount of {noun} for a host',
+            f'write from {show(least)} to {show(most)}',
+        )
+        yield repr(show(amount)), flaw
+
+
+@CONFIGURATION_CHECKS.register('teams')
+def check_teams(configuration: Configuration) -> Iterator[ConfigurationFlaw]:
+    """Find quotas below zero and weights that give no share."""
+    for index, team in enumerate(configuration.teams):
+        quota = team.quota
+        for noun, amount, show in (
+            ('cores', quota.millicores, format_cores),
+            ('memory', quota.memory_mb, format_memory),
+            ('accelerators', quota.accelerators, str),
+            ('slots', quota.slots, str),
+            ('connections', quota.connections, str),
+        ):
+            if amount < 0:
+                flaw = Flaw(
+                    f'is a quota of {noun} below 0',
+                    'write 0 for no limit, or an amount',
+                )
+                yield ConfigurationFlaw(
+                    'teams', index, 'quota', repr(show(amount)), flaw
+                )
+        if not MIN_WEIGHT <= team.weight <= MAX_WEIGHT:
+            flaw = Flaw(
+                'is not a usable weight',
+                f'write a weight from {MIN_WEIGHT} to {MAX_WEIGHT}',
+            )
+            yield ConfigurationFlaw(
+                'teams', index, 'weight', repr(team.weight), flaw
+            )
+        if team.max_queued < 0:
+            flaw = Flaw('is below 0', 'write 0 or more jobs')
+            yield ConfigurationFlaw(
+                'teams', index, 'max_queued', repr(team.max_queued), flaw
+            )
+
+
+@CONFIGURATION_CHECKS.register('rules')
+def check_rules(configuration: Configuration) -> Iterator[ConfigurationFlaw]:
+    """Find rules that name what does not exist."""
+    known = {
+        'team': tuple(team.name for team in configuration.teams),
+        'failure_domains': tuple(
+            dict.fromkeys(host.failure_domain for host in configuration.hosts)
+        ),
+        'labels': tuple(
+            dict.fromkeys(
+                label for host in configuration.hosts for label in host.labels
+            )
+        ),
+    }
+    for index, rule in enumerate(configuration.rules):
+        for field, names in (
+            ('team', (rule.team,) if rule.team else ()),
+            ('failure_domains', rule.failure_domains),
+            ('labels', rule.labels),
+        ):
+            for name in names:
+                if name in known[field]:
+                    continue
+                flaw = Flaw(
+                    'is not declared', suggest_name(name, known[field])
+                )
+                yield ConfigurationFlaw(
+                    'rules', index, field, repr(name), flaw
+                )
+        result = check_job_class(rule.job_class) if rule.job_class else None
+        if isinstance(result, Flaw):
+            yield ConfigurationFlaw(
+                'rules', index, 'job_class', repr(rule.job_class), result
+            )
+        if abs(rule.priority) > MAX_PRIORITY:
+            flaw = Flaw(
+                'is outside the range of priorities',
+                f'write from -{MAX_PRIORITY} to {MAX_PRIORITY}',
+            )
+            yield ConfigurationFlaw(
+                'rules', index, 'priority', repr(rule.priority), flaw
+            )
--- /dev/null
+++ b/sassafrasgate/configuration/declarations.py
@@ -0,0 +1,166 @@
+"""Declarations that operators keep in version control.
+
+A declaration is a directory with ``inventory*.yaml``, ``rules.yaml`` and
+``quotas.yaml``, or one file whose documents carry ``kind``.
+"""
+
+from __future__ import annotations
+
+from fnmatch import fnmatch
+from typing import Any
+from typing import TYPE_CHECKING
+
+from yaml import MappingNode
+
+from sassafrasgate.configuration.builders import build_entries
+from sassafrasgate.configuration.builders import find_cell
+from sassafrasgate.configuration.checks import check_configuration
+from sassafrasgate.configuration.documents import read_document
+from sassafrasgate.configuration.documents import read_documents
+from sassafrasgate.configuration.entries import SCHEMAS
+from sassafrasgate.configuration.faults import Fault
+from sassafrasgate.configuration.faults import suggest_name
+from sassafrasgate.core.cells import Configuration
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from pathlib import Path
+
+    from sassafrasgate.configuration.builders import Entry
+    from sassafrasgate.configuration.documents import Document
+    from sassafrasgate.configuration.documents import Reading
+
+FILE_KINDS = {
+    'inventory*.yaml': 'inventory',
+    'rules.yaml': 'rules',
+    'quotas.yaml': 'quotas',
+}
+GROUPS = ('hosts', 'shards', 'teams', 'rules')
+
+
+def check_declaration(path: Path) -> Configuration | tuple[Fault, ...]:
+    """Return the configuration that a declaration describes, or its faults.
+
+    Parameters
+    ----------
+    path : Path
+        A directory, or one file whose documents carry ``kind``.
+
+    Returns
+    -------
+    Configuration or tuple of Fault
+        The configuration has version 0 and no change id. The faults are all
+        that could be found, by file and line. While a document can't be
+        read at all, entries are not compared with each other, since some
+        of them are missing.
+    """
+    files, faults = _list_files(path)
+    readings: list[Reading] = []
+    unreadable: list[Fault] = []
+    for file, kind in files:
+        documents, fault = read_documents(file)
+        unreadable += [fault] if fault else []
+        for document in documents:
+            found = _find_kind(document, kind)
+            if isinstance(found, Fault):
+                unreadable.append(found)
+                continue
+            readings.append(read_document(document, SCHEMAS.find(found)))
+    faults += unreadable
+    for reading in readings:
+        faults += reading.faults
+    if unreadable or not readings:
+        return _sort_faults(faults)
+    entries, found_faults = build_entries(tuple(readings))
+    faults += found_faults
+    configuration, sources = _join_entries(find_cell(tuple(readings)), entries)
+    faults += _locate_flaws(configuration, sources, tuple(faults))
+    return _sort_faults(faults) if faults else configuration
+
+
+def _sort_faults(faults: list[Fault]) -> tuple[Fault, ...]:
+    return tuple(sorted(faults, key=lambda fault: (fault.file, fault.line)))
+
+
+def _list_files(path: Path) -> tuple[list[tuple[Path, str]], list[Fault]]:
+    """Return the files with the kind of document that each should hold."""
+    if not path.is_dir():
+        return [(path, '')], []
+    files: list[tuple[Path, str]] = []
+    faults = []
+    for file in sorted(path.iterdir()):
+        kinds = [
+            kind
+            for pattern, kind in FILE_KINDS.items()
+            if fnmatch(file.name, pattern)
+        ]
+        if kinds:
+            files.append((file, kinds[0]))
+        elif file.suffix in ('.yaml', '.yml'):
+            remedy = f'name it as one of {", ".join(FILE_KINDS)}'
+            problem = 'is not the name of a file of a declaration'
+            faults.append(
+                Fault(str(file), 0, '', repr(file.name), problem, remedy)
+            )
+    if not files:
+        remedy = 'write inventory.yaml, rules.yaml and quotas.yaml'
+        problem = 'the directory holds no files of a declaration'
+        faults.append(Fault(str(path), 0, '', '', problem, remedy))
+    return files, faults
+
+
+def _find_kind(document: Document, expected: str) -> str | Fault:
+    """Return the kind that a document gives, or that its file's name does."""
+    root = document.root
+    given, line = expected, root.start_mark.line + 1
+    if isinstance(root, MappingNode):
+        for key, value in root.value:
+            if key.value == 'kind':
+                given, line = str(value.value), value.start_mark.line + 1
+    known = tuple(SCHEMAS)
+    if not given:
+        problem = "the key 'kind' is missing"
+        remedy = f'write the kind of the document: {", ".join(known)}'
+        return Fault(document.file, line, '', '', problem, remedy)
+    if given not in known or (expected and given != expected):
+        remedy = suggest_name(given, (expected,) if expected else known)
+        problem = 'is the wrong kind of document here'
+        return Fault(document.file, line, 'kind', repr(given), problem, remedy)
+    return given
+
+
+def _join_entries(
+    cell: str, entries: tuple[Entry, ...]
+) -> tuple[Configuration, dict[str, tuple[Entry, ...]]]:
+    """Return the configuration and the entries of each of its groups."""
+    sources = {
+        group: tuple(entry for entry in entries if entry.group == group)
+        for group in GROUPS
+    }
+    groups: dict[str, Any] = {
+        group: tuple(entry.value for entry in source)
+        for group, source in sources.items()
+    }
+    return Configuration(cell=cell, **groups), sources
+
+
+def _locate_flaws(
+    configuration: Configuration,
+    sources: dict[str, tuple[Entry, ...]],
+    known: tuple[Fault, ...],
+) -> Iterator[Fault]:
+    """Yield the faults of the whole, without those that follow from others.
+
+    A part with a fault of its own holds an empty value; what the checks say
+    about that value is left out. A flaw of a host class is listed once and
+    not for each of its hosts.
+    """
+    listed = set()
+    for flaw in check_configuration(configuration):
+        place = sources[flaw.group][flaw.index].find_place(flaw.field)
+        if any(place.covers(fault) for fault in known):
+            continue
+        fault = place.make_fault(flaw.value, flaw.flaw)
+        if fault not in listed:
+            listed.add(fault)
+            yield fault
