--- a/sassafrasgate/__main__.py
+++ b/sassafrasgate/__main__.py
@@ -8,7 +8,7 @@
 from sassafrasgate.configuration.settings import load_settings
 
 if __name__ == '__main__':
-    settings = load_settings(Path(sys.argv[3]))
-    {'frontend': run_frontend, 'scheduler': run_scheduler}[sys.argv[1]](
+    settings = load_settings(Path(sys.argv[4]))
+    {'frontend': run_frontend, 'scheduler': run_scheduler}[sys.argv[2]](
         settings
     )
--- a/sassafrasgate/composition.py
+++ b/sassafrasgate/composition.py
@@ -255,7 +255,13 @@
             process.metrics,
             int(settings.outage_grace_s * 1000),
         )
-        task = SchedulerTask(process.member, services, directory, main.receive)
+        task = SchedulerTask(
+            process.member,
+            services,
+            directory,
+            main.receive,
+            int(settings.drain_s * 1000),
+        )
         start_common_tasks(
             process,
             directory,
--- a/sassafrasgate/daemons/frontend.py
+++ b/sassafrasgate/daemons/frontend.py
@@ -135,6 +135,9 @@
             )
         if self._configuration.version and self._is_current:
             return None
+        return self._refuse_unready()
+
+    def _refuse_unready(self) -> Refusal:
         return Refusal(
             RefusalKind.NOT_READY,
             f'front end {self._name!r} holds configuration version '
@@ -142,6 +145,12 @@
             'use another entry host, or apply a first configuration',
         )
 
+    def may_operate(self) -> Refusal | None:
+        """Return None when operators may be served, else the reason."""
+        if self._stopping or not self._is_current:
+            return self.is_ready() or self._refuse_unready()
+        return None
+
     async def ask_shard(self, message: Any, timeout_s: float) -> Any:
         """Route a message to its shard's owner; see `Gateway`."""
         if not message.shard:
--- a/sassafrasgate/daemons/scheduler.py
+++ b/sassafrasgate/daemons/scheduler.py
@@ -86,6 +86,8 @@
         Fed by this task.
     inbox : MemoryObjectReceiveStream
         Control, lease and configuration messages, `StopProcess`.
+    drain_ms : int
+        How long a planned stop may take.
     """
 
     def __init__(
@@ -94,6 +96,7 @@
         services: ShardServices,
         directory: Directory,
         inbox: MemoryObjectReceiveStream[Any],
+        drain_ms: int,
     ) -> None:
         self._member = member
         self._services = services
@@ -110,6 +113,8 @@
         self._rebalanced_at = 0
         self._leaving: frozenset[str] = frozenset()
         self._stopping = False
+        self._drain_ms = drain_ms
+        self._stop_by = 0
 
     @property
     def is_ready(self) -> bool:
@@ -126,11 +131,16 @@
         async with anyio.create_task_group() as group:
             group.start_soon(self._remind)
             group.start_soon(self._follow_host_list)
-            while not (self._stopping and not self._shards):
+            while not self._has_stopped():
                 message = await self._receive()
                 await self._handle(message, group)
             group.cancel_scope.cancel()
 
+    def _has_stopped(self) -> bool:
+        if not self._stopping:
+            return False
+        return not self._shards or now_ms() >= self._stop_by
+
     async def _receive(self) -> Any:
         with anyio.move_on_after(CLAIM_INTERVAL_S):
             return await self._inbox.receive()
@@ -194,7 +204,10 @@
             await task.events.send(ConfigurationChanged(self._configuration))
 
     def _stop(self) -> None:
+        if self._stopping:
+            return
         self._stopping = True
+        self._stop_by = now_ms() + self._drain_ms
         for shard in list(self._shards):
             self._release(shard)
 
--- a/sassafrasgate/daemons/shards.py
+++ b/sassafrasgate/daemons/shards.py
@@ -202,6 +202,8 @@
 
     async def _take_over(self) -> Journal | None:
         """Read the journal and append the takeover record."""
+        # Ends are dated and deadlines counted from the first record on.
+        self.state.wall_ms = wall_ms()
         await self._step(ConfigurationChanged(self._configuration))
         while True:
             try:
--- a/sassafrasgate/http/application.py
+++ b/sassafrasgate/http/application.py
@@ -147,7 +147,11 @@
     def _check_ready(self, group: RouteGroup) -> Any:
         if group is RouteGroup.HEALTH:
             return None
-        refusal = self._context.gateway.is_ready()
+        gateway = self._context.gateway
+        if group is RouteGroup.OPERATORS:
+            refusal = gateway.may_operate()
+        else:
+            refusal = gateway.is_ready()
         # While it stops, a process still serves what the load balancer
         # sends before it has taken notice.
         if refusal is None or refusal.kind is RefusalKind.STOPPING:
--- a/sassafrasgate/http/configurations.py
+++ b/sassafrasgate/http/configurations.py
@@ -16,11 +16,11 @@
 from msgspec.json import decode
 
 from sassafrasgate.core.cells import Configuration
+from sassafrasgate.core.errors import NoAnswer
 from sassafrasgate.core.errors import Refusal
 from sassafrasgate.core.errors import RefusalKind
 from sassafrasgate.http.bodies import describe_faults
 from sassafrasgate.http.bodies import read_body
-from sassafrasgate.http.gateways import NoAnswer
 from sassafrasgate.http.problems import describe_refusal
 from sassafrasgate.http.problems import describe_unknown
 from sassafrasgate.http.problems import Problem
--- a/sassafrasgate/http/gateways.py
+++ b/sassafrasgate/http/gateways.py
@@ -51,6 +51,14 @@
         """Return None when the process may serve, else the reason."""
         ...
 
+    def may_operate(self) -> Refusal | None:
+        """Return None when operators may be served, else the reason.
+
+        Unlike `is_ready` it needs no configuration, so that the first one
+        can be applied.
+        """
+        ...
+
     def configuration(self) -> Configuration:
         """Return the configuration in force in this process."""
         ...
--- a/sassafrasgate/observability/logs.py
+++ b/sassafrasgate/observability/logs.py
@@ -171,6 +171,10 @@
     root = logging.getLogger()
     root.handlers = [RedirectLoggingHandler()]
     root.setLevel(logging.DEBUG if level.upper() == 'DEBUG' else logging.INFO)
+    # httpx logs each call at INFO, which would bury the decisions.
+    logging.getLogger('httpx').setLevel(
+        logging.DEBUG if level.upper() == 'DEBUG' else logging.WARNING
+    )
     return handler
 
 
--- a/sassafrasgate/shards/state.py
+++ b/sassafrasgate/shards/state.py
@@ -185,16 +185,24 @@
 
 @dataclass(frozen=True, slots=True)
 class PendingSubmit:
-    """Callers that wait for a job's acceptance to become durable."""
+    """Callers that wait for a job's acceptance to become durable.
+
+    Parameters
+    ----------
+    expires_at : int
+        Owner's clock at which the records are withdrawn.
+    callers : tuple of JobWaiter
+        Whom to answer; those with time left then wait for the job's end.
+    """
 
     expires_at: int
-    reply_to: tuple[int, ...]
+    callers: tuple[JobWaiter, ...]
     withdrawing: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class JobWaiter:
-    """A caller that waits for a job's end."""
+    """A caller that waits for a job's end until ``expires_at``."""
 
     reply_to: int
     expires_at: int
--- a/sassafrasgate/shards/submissions.py
+++ b/sassafrasgate/shards/submissions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from sassafrasgate.core.errors import Refusal
@@ -35,14 +36,17 @@
 from sassafrasgate.shards.quick import start_quick_request
 from sassafrasgate.shards.state import PendingSubmit
 from sassafrasgate.shards.state import TaskPhase
-from sassafrasgate.shards.views import view_job
+from sassafrasgate.shards.views import answer_or_wait
+from sassafrasgate.shards.views import make_waiter
 
 if TYPE_CHECKING:
     from sassafrasgate.shards.events import RequestReceived
     from sassafrasgate.shards.handlers import Actions
     from sassafrasgate.shards.state import ShardState
 
-REPLY_MARGIN_MS = 300
+# Below the time that a front end waits for an acceptance, so that callers
+# get "not run" rather than no answer.
+ACCEPT_MS = 8_000
 MAX_QUEUED_JOBS = 100_000
 
 
@@ -56,7 +60,7 @@
         yield from start_quick_request(state, request, now)
         return
     if submit.job_id in state.jobs:
-        yield from _answer_duplicate(state, request)
+        yield from _answer_duplicate(state, request, now)
         return
     refusal = _find_refusal(state, submit.spec, now)
     if refusal is not None:
@@ -103,7 +107,9 @@
     return check_admission(spec, load)
 
 
-def _answer_duplicate(state: ShardState, request: RequestReceived) -> Actions:
+def _answer_duplicate(
+    state: ShardState, request: RequestReceived, now: int
+) -> Actions:
     submit: Submit = request.message
     entry = state.jobs[submit.job_id]
     if entry.spec != submit.spec:
@@ -117,15 +123,14 @@
             ),
         )
         return
+    caller = make_waiter(request, submit.wait_s, now)
     pending = state.pending.get(submit.job_id)
     if pending is not None:
-        state.pending[submit.job_id] = PendingSubmit(
-            pending.expires_at,
-            (*pending.reply_to, request.reply_to),
-            pending.withdrawing,
+        state.pending[submit.job_id] = replace(
+            pending, callers=(*pending.callers, caller)
         )
         return
-    yield Reply(request.reply_to, view_job(state, entry, duplicate=True))
+    yield from answer_or_wait(state, submit.job_id, caller, now, True)
 
 
 def _accept_job(
@@ -157,10 +162,10 @@
             request.wall_ms,
         ),
     )
-    expires_at = now + int(submit.wait_s * 1000) - REPLY_MARGIN_MS
     if request.reply_to:
+        caller = make_waiter(request, submit.wait_s, now)
         state.pending[submit.job_id] = PendingSubmit(
-            expires_at, (request.reply_to,)
+            now + ACCEPT_MS, (caller,)
         )
     if isinstance(chosen, Assignment) and placements:
         state.start_rate.note_start(now)
@@ -181,12 +186,12 @@
     """Answer the callers and start the tasks the record names."""
     if record.job_id not in state.jobs:
         return
-    entry = state.update_job(record.job_id, durable=True)
+    state.update_job(record.job_id, durable=True)
     pending = state.pending.pop(record.job_id, None)
     if pending is not None:
-        for position, reply_to in enumerate(pending.reply_to):
-            yield Reply(
-                reply_to, view_job(state, entry, duplicate=position > 0)
+        for position, caller in enumerate(pending.callers):
+            yield from answer_or_wait(
+                state, record.job_id, caller, now, position > 0
             )
     yield from start_placed(state, record.job_id, record.placements)
 
@@ -220,9 +225,7 @@
     for job_id, pending in list(state.pending.items()):
         if pending.expires_at > now or pending.withdrawing:
             continue
-        state.pending[job_id] = PendingSubmit(
-            pending.expires_at, pending.reply_to, withdrawing=True
-        )
+        state.pending[job_id] = replace(pending, withdrawing=True)
         yield Withdraw(job_id)
 
 
@@ -245,8 +248,8 @@
             shard=state.name,
             epoch=state.epoch,
         )
-        for reply_to in pending.reply_to:
-            yield Reply(reply_to, view)
+        for caller in pending.callers:
+            yield Reply(caller.reply_to, view)
         return
     for placement in entry.placements:
         state.drop_task(placement.task)
@@ -262,5 +265,5 @@
         epoch=state.epoch,
     )
     yield LogDecision('withdraw', event.job_id, reason=view.reason)
-    for reply_to in pending.reply_to if pending else ():
-        yield Reply(reply_to, view)
+    for caller in pending.callers if pending else ():
+        yield Reply(caller.reply_to, view)
--- a/sassafrasgate/shards/views.py
+++ b/sassafrasgate/shards/views.py
@@ -74,13 +74,32 @@
     if entry is None or not entry.durable:
         yield reply_refusal(request.reply_to, refuse_unknown_job(query.job_id))
         return
-    if entry.state in FINAL_STATES or query.wait_s <= 0:
-        yield Reply(request.reply_to, view_job(state, entry))
+    caller = make_waiter(request, query.wait_s, now)
+    yield from answer_or_wait(state, query.job_id, caller, now)
+
+
+def make_waiter(
+    request: RequestReceived, wait_s: float, now: int
+) -> JobWaiter:
+    """Return who waits for a job, and until when."""
+    expires_at = now + max(0, int(wait_s * 1000) - WAIT_MARGIN_MS)
+    return JobWaiter(request.reply_to, expires_at)
+
+
+def answer_or_wait(
+    state: ShardState,
+    job_id: str,
+    caller: JobWaiter,
+    now: int,
+    duplicate: bool = False,
+) -> Actions:
+    """Answer a caller now, or when the job ends if it has time left."""
+    entry = state.jobs[job_id]
+    if entry.state in FINAL_STATES or caller.expires_at <= now:
+        yield Reply(caller.reply_to, view_job(state, entry, duplicate))
         return
-    expires_at = now + int(query.wait_s * 1000) - WAIT_MARGIN_MS
-    waiters = state.waiters.get(query.job_id, ())
-    waiter = JobWaiter(request.reply_to, expires_at)
-    state.waiters[query.job_id] = (*waiters, waiter)
+    waiters = state.waiters.get(job_id, ())
+    state.waiters[job_id] = (*waiters, caller)
 
 
 def answer_waiters(state: ShardState, job_id: str) -> Actions:
--- /dev/null
+++ b/tests/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of whole processes and of the daemon tasks."""
--- a/tests/http/gateways.py
+++ b/tests/http/gateways.py
@@ -51,6 +51,10 @@
     def is_ready(self) -> Refusal | None:
         return self.refusal
 
+    def may_operate(self) -> Refusal | None:
+        """Return the refusal that the test has set."""
+        return self.is_ready()
+
     def configuration(self) -> Configuration:
         return self.current
 
--- a/tests/http/test_configurations.py
+++ b/tests/http/test_configurations.py
@@ -4,10 +4,10 @@
 
 import pytest
 
+from sassafrasgate.core.errors import NoAnswer
 from sassafrasgate.core.errors import Refusal
 from sassafrasgate.core.errors import RefusalKind
 from sassafrasgate.http import configurations
-from sassafrasgate.http.gateways import NoAnswer
 from tests.http.gateways import HOST
 
 pytestmark = pytest.mark.anyio
--- a/tests/http/test_operators.py
+++ b/tests/http/test_operators.py
@@ -2,9 +2,9 @@
 
 import pytest
 
+from sassafrasgate.core.errors import NoAnswer
 from sassafrasgate.core.jobs import JobState
 from sassafrasgate.core.resources import NOTHING
-from sassafrasgate.http.gateways import NoAnswer
 from sassafrasgate.protocol.messages import HostList
 from sassafrasgate.protocol.messages import HostView
 from sassafrasgate.protocol.messages import JobList
--- a/tests/http/test_requests.py
+++ b/tests/http/test_requests.py
@@ -3,13 +3,13 @@
 import pytest
 from xxhash import xxh3_128_hexdigest
 
+from sassafrasgate.core.errors import NoAnswer
 from sassafrasgate.core.errors import Refusal
 from sassafrasgate.core.errors import RefusalKind
 from sassafrasgate.core.identifiers import make_job_id
 from sassafrasgate.core.jobs import JobClass
 from sassafrasgate.core.jobs import JobState
 from sassafrasgate.core.jobs import Outcome
-from sassafrasgate.http.gateways import NoAnswer
 from sassafrasgate.protocol.messages import JobView
 from sassafrasgate.protocol.messages import Refused
 
