Publish versions of the configuration as parts under a swapped manifest

Cause: a change must take effect once, be complete when it can be seen, and never be lost to a missing reply or a race. Change: one part per failure domain plus one for rules and quotas, named by xxh3-128; hosts are stored as rows that refer to racks, capacities and labels by position. The manifest is swapped last and keeps the ids of the last 64 changes, so a writer whose reply was lost finds its change even after others have followed. Processes read only the parts that differ.

--- /dev/null
+++ b/sassafrasgate/configuration/versions.py
@@ -0,0 +1,491 @@
+"""Versions of a cell's configuration: parts, manifest, differences.
+
+The store holds a manifest and one part per failure domain plus one for
+rules and quotas. A part is named by its digest, so a change writes and a
+process reads only the parts that differ.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import fields
+from itertools import groupby
+from typing import Any
+from typing import TYPE_CHECKING
+from typing import TypeVar
+
+from msgspec import DecodeError
+from msgspec import ValidationError
+from msgspec.msgpack import Decoder
+from msgspec.msgpack import Encoder
+from xxhash import xxh3_128_hexdigest
+
+from sassafrasgate.core.cells import Configuration
+from sassafrasgate.core.cells import Rule
+from sassafrasgate.core.cells import Shard
+from sassafrasgate.core.cells import Team
+from sassafrasgate.core.errors import SassafrasgateError
+from sassafrasgate.core.hosts import Host
+from sassafrasgate.core.resources import Resources
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from collections.abc import Mapping
+    from collections.abc import Sequence
+
+# The store holds values of up to a megabyte.
+MAX_PART_BYTES = 1_000_000
+# Changes whose ids the manifest keeps. A writer whose reply was lost finds
+# its own id here even when this many later changes have taken effect.
+KEPT_CHANGES = 64
+
+Parts = dict[str, bytes]
+Decoded = TypeVar('Decoded')
+
+
+class ConfigurationError(SassafrasgateError):
+    """A stored or received configuration can't be put together."""
+
+
+@dataclass(frozen=True, slots=True)
+class PartReference:
+    """Names a part by its digest.
+
+    Parameters
+    ----------
+    digest : str
+        xxh3-128 of the whole part, in hexadecimal.
+    pieces : int
+        1, or the number of sub-parts of a part that is too large for one
+        value of the store.
+    """
+
+    digest: str
+    pieces: int = 1
+
+    def list_names(self) -> tuple[str, ...]:
+        """Return the names under which the store holds the part."""
+        if self.pieces == 1:
+            return (self.digest,)
+        return tuple(
+            f'{self.digest}/{number}' for number in range(self.pieces)
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class Manifest:
+    """What a version consists of.
+
+    Parameters
+    ----------
+    version : int
+        Grows by one with each accepted change.
+    change : str
+        Id of the change that made this version.
+    cell : str
+        Name of the cell.
+    domains : tuple of PartReference
+        One part for each failure domain, in the order of their names.
+    policy : PartReference
+        The part with rules and quotas.
+    earlier : tuple of str
+        Ids of the changes before this one, latest first.
+    """
+
+    version: int
+    change: str
+    cell: str
+    domains: tuple[PartReference, ...]
+    policy: PartReference
+    earlier: tuple[str, ...] = ()
+
+    def list_names(self) -> tuple[str, ...]:
+        """Return the names of everything that this version consists of."""
+        names = [
+            name
+            for reference in (*self.domains, self.policy)
+            for name in reference.list_names()
+        ]
+        return tuple(dict.fromkeys(names))
+
+    def find_change(self, version: int) -> str | None:
+        """Return the id of the change that made a version.
+
+        Returns
+        -------
+        str or None
+            None for a later version, or one too early to be remembered.
+        """
+        changes = (self.change, *self.earlier)
+        age = self.version - version
+        return changes[age] if 0 <= age < len(changes) else None
+
+
+# Name, url, then positions of rack, capacity and labels in their columns,
+# then whether the host is drained.
+_HostRow = tuple[str, str, int, int, int, bool]
+
+
+@dataclass(frozen=True, slots=True)
+class _DomainPart:
+    """Hosts and shards of one failure domain, as columns."""
+
+    failure_domain: str
+    racks: tuple[str, ...]
+    capacities: tuple[Resources, ...]
+    labels: tuple[tuple[str, ...], ...]
+    hosts: tuple[_HostRow, ...]
+    shards: tuple[tuple[str, tuple[str, ...]], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class _PolicyPart:
+    teams: tuple[Team, ...]
+    rules: tuple[Rule, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class _Whole:
+    manifest: Manifest
+    parts: dict[str, bytes]
+
+
+_ENCODER = Encoder()
+_MANIFEST = Decoder(Manifest)
+_DOMAIN = Decoder(_DomainPart)
+_POLICY = Decoder(_PolicyPart)
+_WHOLE = Decoder(_Whole)
+
+
+def arrange_configuration(configuration: Configuration) -> Configuration:
+    """Return the same configuration in the order of its parts.
+
+    Hosts and shards are ordered by failure domain and name, so that equal
+    content gives equal parts whatever the order of the declaration. Teams
+    and rules keep their order.
+    """
+    return Configuration(
+        configuration.version,
+        configuration.change,
+        configuration.cell,
+        tuple(sorted(configuration.hosts, key=_find_order)),
+        tuple(sorted(configuration.shards, key=_find_order)),
+        configuration.teams,
+        configuration.rules,
+    )
+
+
+def _find_order(entry: Host | Shard) -> tuple[str, str]:
+    return entry.failure_domain, entry.name
+
+
+def split_configuration(
+    configuration: Configuration, earlier: tuple[str, ...] = ()
+) -> tuple[Manifest, Parts]:
+    """Return the manifest and the parts of a configuration.
+
+    Parameters
+    ----------
+    configuration : Configuration
+        In any order; see `arrange_configuration`.
+    earlier : tuple of str
+        Ids of the changes before it, latest first.
+
+    Returns
+    -------
+    Manifest
+        Names the parts by digest.
+    dict of str to bytes
+        Parts by name, each of at most `MAX_PART_BYTES`.
+
+    Examples
+    --------
+    >>> manifest, parts = split_configuration(configuration)
+    >>> join_configuration(manifest, parts) == configuration
+    True
+    """
+    arranged = arrange_configuration(configuration)
+    hosts = _group(arranged.hosts)
+    shards = _group(arranged.shards)
+    parts: Parts = {}
+    references = tuple(
+        _add_part(
+            parts,
+            _make_domain_part(
+                domain, hosts.get(domain, ()), shards.get(domain, ())
+            ),
+        )
+        for domain in sorted({*hosts, *shards})
+    )
+    policy = _add_part(parts, _PolicyPart(arranged.teams, arranged.rules))
+    manifest = Manifest(
+        arranged.version,
+        arranged.change,
+        arranged.cell,
+        references,
+        policy,
+        earlier[: KEPT_CHANGES - 1],
+    )
+    return manifest, parts
+
+
+Placed = TypeVar('Placed', Host, Shard)
+
+
+def _group(entries: tuple[Placed, ...]) -> dict[str, tuple[Placed, ...]]:
+    return {
+        domain: tuple(group)
+        for domain, group in groupby(
+            entries, key=lambda entry: entry.failure_domain
+        )
+    }
+
+
+def _make_domain_part(
+    domain: str, hosts: Sequence[Host], shards: Sequence[Shard]
+) -> _DomainPart:
+    racks: dict[str, int] = {}
+    capacities: dict[Resources, int] = {}
+    labels: dict[tuple[str, ...], int] = {}
+    rows = tuple(
+        (
+            host.name,
+            host.url,
+            racks.setdefault(host.rack, len(racks)),
+            capacities.setdefault(host.capacity, len(capacities)),
+            labels.setdefault(host.labels, len(labels)),
+            host.drained,
+        )
+        for host in hosts
+    )
+    return _DomainPart(
+        domain,
+        tuple(racks),
+        tuple(capacities),
+        tuple(labels),
+        rows,
+        tuple((shard.name, shard.racks) for shard in shards),
+    )
+
+
+def _add_part(parts: Parts, part: object) -> PartReference:
+    encoded = _ENCODER.encode(part)
+    starts = range(0, len(encoded), MAX_PART_BYTES)
+    reference = PartReference(xxh3_128_hexdigest(encoded), len(starts))
+    for name, start in zip(reference.list_names(), starts, strict=True):
+        parts[name] = encoded[start : start + MAX_PART_BYTES]
+    return reference
+
+
+def join_configuration(
+    manifest: Manifest, parts: Mapping[str, bytes]
+) -> Configuration:
+    """Return the configuration of a manifest and its parts.
+
+    Parameters
+    ----------
+    manifest : Manifest
+        From `split_configuration` or `decode_manifest`.
+    parts : mapping of str to bytes
+        At least the parts that the manifest names.
+
+    Raises
+    ------
+    ConfigurationError
+        When a part is missing, has another digest or can't be decoded.
+    """
+    hosts: list[Host] = []
+    shards: list[Shard] = []
+    for reference in manifest.domains:
+        part = _decode(_DOMAIN, _find_part(reference, parts))
+        hosts += _list_hosts(part)
+        shards += (
+            Shard(name, part.failure_domain, racks)
+            for name, racks in part.shards
+        )
+    policy = _decode(_POLICY, _find_part(manifest.policy, parts))
+    return Configuration(
+        manifest.version,
+        manifest.change,
+        manifest.cell,
+        tuple(hosts),
+        tuple(shards),
+        policy.teams,
+        policy.rules,
+    )
+
+
+def _list_hosts(part: _DomainPart) -> Iterator[Host]:
+    try:
+        for name, url, rack, capacity, labels, drained in part.hosts:
+            yield Host(
+                name,
+                url,
+                part.racks[rack],
+                part.failure_domain,
+                part.capacities[capacity],
+                part.labels[labels],
+                drained,
+            )
+    except IndexError as error:
+        raise ConfigurationError(
+            f'the part of failure domain {part.failure_domain!r} refers to '
+            'an entry it does not hold; apply the declaration again'
+        ) from error
+
+
+def _find_part(reference: PartReference, parts: Mapping[str, bytes]) -> bytes:
+    missing = [name for name in reference.list_names() if name not in parts]
+    if missing:
+        raise ConfigurationError(
+            f'the part {missing[0]!r} is missing; apply the declaration again'
+        )
+    encoded = b''.join(parts[name] for name in reference.list_names())
+    digest = xxh3_128_hexdigest(encoded)
+    if digest != reference.digest:
+        raise ConfigurationError(
+            f'the part {reference.digest!r} has the digest {digest!r}; '
+            'apply the declaration again'
+        )
+    return encoded
+
+
+def _decode(decoder: Decoder[Decoded], encoded: bytes) -> Decoded:
+    try:
+        return decoder.decode(encoded)
+    except (DecodeError, ValidationError) as error:
+        raise ConfigurationError(
+            f'cannot decode {len(encoded)} bytes of a configuration: {error}; '
+            'check that all processes run the same release'
+        ) from error
+
+
+def encode_manifest(manifest: Manifest) -> bytes:
+    """Return the value of the manifest's key."""
+    return _ENCODER.encode(manifest)
+
+
+def decode_manifest(encoded: bytes) -> Manifest:
+    """Return the manifest of its key's value.
+
+    Raises
+    ------
+    ConfigurationError
+        When it can't be decoded.
+    """
+    return _decode(_MANIFEST, encoded)
+
+
+def encode_configuration(configuration: Configuration) -> bytes:
+    """Return a whole configuration as one message for a peer."""
+    return _ENCODER.encode(_Whole(*split_configuration(configuration)))
+
+
+def decode_configuration(encoded: bytes) -> Configuration:
+    """Return the configuration that a peer sent.
+
+    Raises
+    ------
+    ConfigurationError
+        When it can't be decoded or is damaged.
+    """
+    whole = _decode(_WHOLE, encoded)
+    return join_configuration(whole.manifest, whole.parts)
+
+
+def advance(current: Configuration, offered: Configuration) -> Configuration:
+    """Return the configuration to hold after another one was offered.
+
+    The result never has a lower version than ``current``. With equal
+    versions ``current`` stays: a version is made by one change only.
+
+    Examples
+    --------
+    >>> advance(Configuration(version=2), Configuration(version=1)).version
+    2
+    """
+    return offered if offered.version > current.version else current
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeLine:
+    """One difference between two configurations.
+
+    Parameters
+    ----------
+    action : str
+        ``added``, ``removed``, ``changed`` or ``moved``.
+    group : str
+        Field of `Configuration`.
+    name : str
+        Name of the entry.
+    details : tuple of str
+        For a changed entry, ``field: old -> new``.
+    """
+
+    action: str
+    group: str
+    name: str
+    details: tuple[str, ...] = ()
+
+    def __str__(self) -> str:
+        details = f': {", ".join(self.details)}' if self.details else ''
+        return f'{self.action} {self.group} {self.name}{details}'
+
+
+GROUPS = ('hosts', 'shards', 'teams', 'rules')
+
+
+def diff_configurations(
+    old: Configuration, new: Configuration
+) -> tuple[ChangeLine, ...]:
+    """Return the differences in content; versions are not compared.
+
+    Parameters
+    ----------
+    old, new : Configuration
+        In any order of hosts and shards.
+
+    Examples
+    --------
+    >>> diff_configurations(old, old)
+    ()
+    """
+    lines: list[ChangeLine] = []
+    if old.cell != new.cell:
+        detail = f'cell: {old.cell!r} -> {new.cell!r}'
+        lines.append(ChangeLine('changed', 'cell', new.cell, (detail,)))
+    for group in GROUPS:
+        before = {entry.name: entry for entry in getattr(old, group)}
+        after = {entry.name: entry for entry in getattr(new, group)}
+        lines += _diff_entries(group, before, after)
+    kept = [rule.name for rule in old.rules if rule in new.rules]
+    order = [rule.name for rule in new.rules if rule in old.rules]
+    if kept != order:
+        detail = f'order: {", ".join(order)}'
+        lines.append(ChangeLine('moved', 'rules', new.cell, (detail,)))
+    return tuple(lines)
+
+
+def _diff_entries(
+    group: str, before: Mapping[str, Any], after: Mapping[str, Any]
+) -> Iterator[ChangeLine]:
+    for name in sorted({*before, *after}):
+        if name not in before:
+            yield ChangeLine('added', group, name)
+        elif name not in after:
+            yield ChangeLine('removed', group, name)
+        elif before[name] != after[name]:
+            details = tuple(_diff_fields('', before[name], after[name]))
+            yield ChangeLine('changed', group, name, details)
+
+
+def _diff_fields(path: str, before: Any, after: Any) -> Iterator[str]:
+    for item in fields(before):
+        old, new = getattr(before, item.name), getattr(after, item.name)
+        if old == new:
+            continue
+        if isinstance(old, Resources):
+            yield from _diff_fields(f'{path}{item.name}.', old, new)
+            continue
+        yield f'{path}{item.name}: {old!r} -> {new!r}'
