Add the command line for daemons, declarations and operators

Cause: operators need one tool that checks, compares and applies declarations, and that tells conflicts from refusals and silence.

--- /dev/null
+++ b/sassafrasgate/commands/views.py
@@ -0,0 +1,168 @@
+"""Commands that show what a cell holds and does."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from sassafrasgate.commands.registries import Output
+from sassafrasgate.commands.registries import print_report
+from sassafrasgate.commands.registries import register_command
+from sassafrasgate.commands.registries import Url
+from sassafrasgate.commands.results import Column
+from sassafrasgate.commands.results import ExitCode
+from sassafrasgate.commands.results import Report
+
+PAIR_COLUMNS = (Column('item', 'item'), Column('value', 'value'))
+HOST_COLUMNS = (
+    Column('host', 'name'),
+    Column('domain', 'failure_domain'),
+    Column('rack', 'rack'),
+    Column('status', 'status'),
+    Column('cores', 'reserved.millicores capacity.millicores', 'cores'),
+    Column('memory', 'reserved.memory_mb capacity.memory_mb', 'memory'),
+    Column('slots', 'reserved.slots capacity.slots'),
+    Column('tasks', 'tasks'),
+    Column('shard', 'shard'),
+    Column('epoch', 'epoch'),
+)
+SHARD_COLUMNS = (
+    Column('shard', 'name'),
+    Column('domain', 'failure_domain'),
+    Column('owner', 'owner'),
+    Column('epoch', 'epoch'),
+    Column('racks', 'racks'),
+)
+JOB_COLUMNS = (
+    Column('job', 'job_id'),
+    Column('team', 'team'),
+    Column('class', 'job_class'),
+    Column('state', 'state'),
+    Column('attempt', 'attempt'),
+    Column('hosts', 'hosts'),
+    Column('reason', 'reason'),
+)
+
+
+@register_command('show')
+def show(*, url: Url = '', output: Output = 'table') -> ExitCode:
+    """Show the configuration in force; all of it with --output json."""
+    found = _get(url, 'configuration').document
+    found = found if isinstance(found, dict) else {}
+    pairs = {key: found.get(key) for key in ('cell', 'version', 'change')}
+    hosts = found.get('hosts') or []
+    pairs['hosts'] = len(hosts)
+    pairs['drained'] = sum(bool(host.get('drained')) for host in hosts)
+    for key in ('shards', 'teams', 'rules'):
+        pairs[key] = len(found.get(key) or [])
+    return print_report(_report_pairs(found, pairs), output)
+
+
+@register_command('hosts')
+def list_hosts(*, url: Url = '', output: Output = 'table') -> ExitCode:
+    """List hosts with what is reserved of what they carry."""
+    return _list_rows(url, output, 'hosts', HOST_COLUMNS)
+
+
+@register_command('shards')
+def list_shards(*, url: Url = '', output: Output = 'table') -> ExitCode:
+    """List shards with owner and epoch."""
+    return _list_rows(url, output, 'shards', SHARD_COLUMNS)
+
+
+@register_command('jobs')
+def list_jobs(
+    *, state: str = '', url: Url = '', output: Output = 'table'
+) -> ExitCode:
+    """List jobs.
+
+    Parameters
+    ----------
+    state
+        Only jobs in this state, for example queued.
+    """
+    params = {'state': check_state(state)} if state else {}
+    return _list_rows(url, output, 'jobs', JOB_COLUMNS, params)
+
+
+@register_command('explain')
+def explain(job: str, *, url: Url = '', output: Output = 'table') -> ExitCode:
+    """Show the decisions taken for a job, oldest first.
+
+    Parameters
+    ----------
+    job
+        Id of the job.
+    """
+    document = _get(url, 'jobs', job, 'explanation').document
+    found = document if isinstance(document, dict) else {}
+    lines = tuple(str(line) for line in found.get('lines') or ())
+    heading = f'job {job} is {found.get("state", "unknown")}'
+    return print_report(Report(document, notes=(heading, *lines)), output)
+
+
+@register_command('status')
+def show_status(*, url: Url = '', output: Output = 'table') -> ExitCode:
+    """Show whether a front end is healthy and ready to serve."""
+    from sassafrasgate.commands.clients import Call
+    from sassafrasgate.commands.clients import call_front_end
+
+    pairs: dict[str, Any] = {'front end': url}
+    ready = True
+    for name, path in (('healthy', '/healthz'), ('ready', '/readyz')):
+        reply = call_front_end(url, Call('GET', path, accepted=(503,)))
+        ready = ready and reply.status < 400
+        pairs[name] = reply.status < 400
+        if isinstance(reply.document, dict):
+            pairs |= reply.document
+    print_report(_report_pairs(pairs, pairs), output)
+    return ExitCode.OK if ready else ExitCode.REFUSED
+
+
+def check_state(state: str) -> str:
+    """Return the name of a job state.
+
+    Raises
+    ------
+    CommandError
+        When there is no such state.
+    """
+    from sassafrasgate.commands.results import CommandError
+    from sassafrasgate.configuration.faults import suggest_name
+    from sassafrasgate.core.jobs import JobState
+
+    known = tuple(str(each) for each in JobState)
+    if state in known:
+        return state
+    raise CommandError(
+        f'--state: {state!r} is not a job state; {suggest_name(state, known)}',
+        ExitCode.BAD_INPUT,
+    )
+
+
+def _get(url: str, *parts: str, params: dict[str, str] | None = None) -> Any:
+    from sassafrasgate.commands.clients import Call
+    from sassafrasgate.commands.clients import call_front_end
+    from sassafrasgate.commands.clients import make_path
+
+    call = Call('GET', make_path(*parts), params=params)
+    return call_front_end(url, call)
+
+
+def _list_rows(
+    url: str,
+    output: str,
+    noun: str,
+    columns: tuple[Column, ...],
+    params: dict[str, str] | None = None,
+) -> ExitCode:
+    reply = _get(url, noun, params=params)
+    rows = reply.list_rows(noun)
+    note = f'{len(rows)} {noun}'
+    return print_report(Report(reply.document, columns, rows, (note,)), output)
+
+
+def _report_pairs(document: Any, pairs: dict[str, Any]) -> Report:
+    rows = tuple(
+        {'item': item, 'value': value} for item, value in pairs.items()
+    )
+    return Report(document, PAIR_COLUMNS, rows)
