--- a/sassafrasgate/configuration/builders.py
+++ b/sassafrasgate/configuration/builders.py
@@ -307,7 +307,15 @@
     for (name, name_place), (url, url_place) in pairs:
         yield Entry(
             'hosts',
-            Host(name, url, rack, domain, capacity, labels, group.drained),
+            Host(
+                name,
+                url.rstrip('/'),
+                rack,
+                domain,
+                capacity,
+                labels,
+                group.drained,
+            ),
             place,
             {
                 'name': name_place,
--- a/sassafrasgate/configuration/checks.py
+++ b/sassafrasgate/configuration/checks.py
@@ -140,10 +140,13 @@
     """Find workers without a usable address of their own."""
     urls = [host.url for host in configuration.hosts]
     yield from _apply(check_url, 'hosts', 'url', urls)
-    used: dict[str, str] = {}
+    used: dict[str, int] = {}
     for index, host in enumerate(configuration.hosts):
-        other = used.setdefault(host.url, host.name)
-        if other != host.name:
+        # One worker can be written with two schemes, but has one address.
+        address = host.url.partition('://')[2].rstrip('/')
+        first = used.setdefault(address, index)
+        if first != index:
+            other = configuration.hosts[first].name
             flaw = Flaw(
                 f'is already the url of {other!r}',
                 'give each host a url of its own',
--- a/sassafrasgate/configuration/values.py
+++ b/sassafrasgate/configuration/values.py
@@ -9,10 +9,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from ipaddress import ip_address
+from ipaddress import IPv4Address
+from ipaddress import IPv6Address
 from math import isfinite
 import re
 from typing import Annotated
-from urllib.parse import urlsplit
 
 from sassafrasgate.configuration.faults import suggest_name
 from sassafrasgate.configuration.units import parse_cores
@@ -33,7 +34,12 @@
 )
 # Names become parts of store keys and of URL paths without quoting.
 _NAME = re.compile(r'[A-Za-z0-9][A-Za-z0-9._-]{0,62}')
-_ADDRESS = re.compile(r'(?:\[(?P<v6>[^][]+)\]|(?P<v4>[^][:]+)):(?P<port>\d+)')
+_ADDRESS = re.compile(
+    r'(?:\[(?P<v6>[^][]+)\]|(?P<v4>[^][:]+)):(?P<port>[1-9][0-9]{0,4})'
+)
+_BASE_URL = re.compile(
+    r'(?P<scheme>[A-Za-z][A-Za-z0-9+.-]*)://(?P<address>[^/?#]+)/?'
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,9 +116,7 @@
     )
 
 
-@CHECKS.register('listen-address')
-def check_listen_address(value: object) -> object:
-    """Accept an IP number and port to listen on."""
+def _parse_address(value: object) -> IPv4Address | IPv6Address | Flaw:
     flaw = Flaw(
         'is not an IP number with a port',
         "write for example '127.0.0.1:8080' or '[::1]:8080'",
@@ -126,24 +130,33 @@
         return flaw
     if (address.version == 6) != (match['v6'] is not None):
         return flaw
+    # With one spelling for each address, equal addresses are equal texts.
+    if str(address) != (match['v6'] or match['v4']):
+        return Flaw('is spelt in an unusual way', f"write '{address}'")
     if int(match['port']) not in PORTS:
         return Flaw('has no usable port', 'use a port from 1 to 65535')
-    return value
+    return address
+
+
+@CHECKS.register('listen-address')
+def check_listen_address(value: object) -> object:
+    """Accept an IP number and port to listen on."""
+    address = _parse_address(value)
+    return address if isinstance(address, Flaw) else value
 
 
 @CHECKS.register('address')
 def check_address(value: object) -> object:
     """Accept an IP number and port that other processes can connect to."""
-    accepted = check_listen_address(value)
-    if isinstance(accepted, Flaw):
-        return accepted
-    number = str(accepted).rpartition(':')[0].strip('[]')
-    if ip_address(number).is_unspecified:
+    address = _parse_address(value)
+    if isinstance(address, Flaw):
+        return address
+    if address.is_unspecified:
         return Flaw(
             'is no address that others can connect to',
             "write the entry host's own IP number",
         )
-    return accepted
+    return value
 
 
 @CHECKS.register('url')
@@ -151,23 +164,18 @@
     """Accept a base URL with an IP number and a port."""
     if not isinstance(value, str):
         return check_text(value)
-    flaw = Flaw(
-        'is not a base URL', "write for example 'http://127.0.0.1:8080'"
-    )
-    try:
-        parts = urlsplit(value)
-    except ValueError:
-        return flaw
-    if parts.scheme not in URL_SCHEMES:
+    match = _BASE_URL.fullmatch(value)
+    remedy = "write for example 'http://127.0.0.1:8080'"
+    if match is None:
+        return Flaw('is not a scheme with an address only', remedy)
+    if match['scheme'] not in URL_SCHEMES:
         return Flaw(
-            f'has the scheme {parts.scheme!r}',
+            f'has the scheme {match["scheme"]!r}',
             f'use {" or ".join(URL_SCHEMES)}',
         )
-    if parts.query or parts.fragment or parts.path not in ('', '/'):
-        return Flaw('has more than a scheme and an address', flaw.remedy)
-    accepted = check_address(parts.netloc)
+    accepted = check_address(match['address'])
     if isinstance(accepted, Flaw):
-        return Flaw(accepted.problem, flaw.remedy)
+        return Flaw(accepted.problem, remedy)
     return value.rstrip('/')
 
 
--- a/tests/commands/test_main.py
+++ b/tests/commands/test_main.py
@@ -8,7 +8,9 @@
 
 import pytest
 
+from sassafrasgate.commands.jobs import load_job
 from sassafrasgate.commands.main import run_command_line
+from sassafrasgate.configuration.declarations import check_declaration
 from tests.commands.frontends import run_frontend
 
 EXAMPLES = Path(__file__).parents[2] / 'examples'
@@ -212,6 +214,15 @@
     assert run(answers, 'submit', str(file))[0] == 2
 
 
+@pytest.mark.parametrize('cell', ['brazos', 'suenario'])
+def test_example_jobs_belong_to_declared_teams(cell):
+    declared = check_declaration(EXAMPLES / cell / 'declaration')
+    teams = {team.name for team in declared.teams}
+    jobs = [load_job(path) for path in (EXAMPLES / cell / 'jobs').iterdir()]
+    assert len(jobs) == 3
+    assert {job.team for job in jobs} <= teams
+
+
 def test_serve_hands_checked_settings_to_the_composition_root(monkeypatch):
     served = []
 
@@ -232,6 +243,7 @@
     # Each module would stay resident in every daemon of the cell.
     script = f"""\
 import sys, types
+from sassafrasgate.commands.jobs import load_job
 from sassafrasgate.commands.main import run_command_line
 root = types.ModuleType('sassafrasgate.composition')
 root.run_scheduler = lambda settings: None
--- a/tests/configuration/test_declarations.py
+++ b/tests/configuration/test_declarations.py
@@ -156,6 +156,21 @@
     assert len(check_declaration(tmp_path / name)) == 1
 
 
+@pytest.mark.parametrize(
+    'url', ['http://[::1]:80/', 'https://[::1]:80', 'http://[0::1]:80']
+)
+def test_a_second_spelling_of_a_url_is_a_fault(tmp_path, url):
+    # Two names for one worker would reserve its resources twice.
+    path = tmp_path / 'cell.yaml'
+    path.write_text(
+        ONE_FILE.replace('127.0.0.[1-2]:80', '127.0.0.1:80')
+        .replace("'w-[09-10]'", 'a, b')
+        .replace("'http://[::1]:80'", f"'http://[::1]:80', '{url}'")
+    )
+    (fault,) = check_declaration(path)
+    assert fault.path.endswith('urls[2]')
+
+
 def test_a_configuration_from_elsewhere_passes_the_same_checks():
     host = Host('w', 'http://worker:80', 'r', 'd', Resources(1, 1, 0, 1, -1))
     found = check_configuration(Configuration(cell='c', hosts=(host,)))
