--- a/sassafrasgate/daemons/configurations.py
+++ b/sassafrasgate/daemons/configurations.py
@@ -8,10 +8,10 @@
 
 import anyio
 
+from sassafrasgate.configuration.publication import MANIFEST_KEY
+from sassafrasgate.configuration.publication import read_configuration
 from sassafrasgate.configuration.versions import advance
 from sassafrasgate.configuration.versions import decode_configuration
-from sassafrasgate.configuration.versions import MANIFEST_KEY
-from sassafrasgate.configuration.versions import read_configuration
 from sassafrasgate.core.cells import Configuration
 from sassafrasgate.core.errors import SassafrasgateError
 from sassafrasgate.daemons.control import ControlChanged
--- a/sassafrasgate/daemons/frontend.py
+++ b/sassafrasgate/daemons/frontend.py
@@ -9,7 +9,7 @@
 
 import anyio
 
-from sassafrasgate.configuration.versions import publish_configuration
+from sassafrasgate.configuration.publication import publish_configuration
 from sassafrasgate.core.cells import Configuration
 from sassafrasgate.core.errors import NoAnswer
 from sassafrasgate.core.errors import Refusal
