--- a/sassafrasgate/placement/gangs.py
+++ b/sassafrasgate/placement/gangs.py
@@ -6,7 +6,9 @@
 its reservation into a firm one. Only when all are firm do tasks start. A
 reservation that lapsed before it was firm ends the whole try, so no task
 has started by then. A firm reservation does not lapse, since the recorded
-intent lets a successor of the home shard finish or release it.
+intent lets a successor of the home shard finish or release it. Commands and
+replies carry the home shard's epoch: a command that an earlier owner sent
+before it gave up must not undo what its successor confirms.
 """
 
 from __future__ import annotations
@@ -57,7 +59,9 @@
     job_id : str
         The gang.
     attempt : int
-        Number of the try; shards ignore messages of another one.
+        Number of the try; shards keep a `Hold` for each.
+    epoch : int
+        Epoch of the home shard's owner.
     parts : tuple of GangPart
         In shard-name order; made by `begin_gang`.
     phase : GangPhase
@@ -70,16 +74,20 @@
         When they were last asked, in ms.
     reason : str
         Why the try was given up.
+    resumed : bool
+        Whether an earlier owner may have sent starts.
     """
 
     job_id: str
     attempt: int
+    epoch: int
     parts: tuple[GangPart, ...]
     phase: GangPhase = GangPhase.RESERVING
     waiting: tuple[str, ...] = ()
     asked_at: int = 0
     sent_at: int = 0
     reason: str = ''
+    resumed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,6 +95,7 @@
     """A shard holds its part for `RESERVATION_MS`."""
 
     shard: str
+    epoch: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,6 +103,7 @@
     """A shard can't hold its part, or no longer holds it."""
 
     shard: str
+    epoch: int
     reason: str = ''
 
 
@@ -107,6 +117,7 @@
     """A shard's reservation is firm."""
 
     shard: str
+    epoch: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,6 +125,7 @@
     """A shard has taken over the start of its tasks for good."""
 
     shard: str
+    epoch: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -121,6 +133,7 @@
     """A shard holds nothing for this try any more."""
 
     shard: str
+    epoch: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,6 +151,7 @@
     """Ask a shard to hold its part for a short time."""
 
     shard: str
+    epoch: int
     tasks: int
     hold_ms: int = RESERVATION_MS
 
@@ -152,6 +166,7 @@
     """Ask a shard to make its reservation firm."""
 
     shard: str
+    epoch: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -159,6 +174,7 @@
     """Tell a shard to start its tasks."""
 
     shard: str
+    epoch: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -166,6 +182,7 @@
     """Tell a shard to drop its reservation."""
 
     shard: str
+    epoch: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -206,7 +223,11 @@
 
 
 def begin_gang(
-    job_id: str, attempt: int, parts: tuple[GangPart, ...], now: int
+    job_id: str,
+    attempt: int,
+    epoch: int,
+    parts: tuple[GangPart, ...],
+    now: int,
 ) -> Step:
     """Return the first state and actions of a try.
 
@@ -218,32 +239,43 @@
     if not parts:
         raise ValueError(f'gang {job_id!r} has no parts; name at least one')
     ordered = tuple(sorted(parts, key=lambda part: part.shard))
-    state = GangState(job_id, attempt, ordered)
+    state = GangState(job_id, attempt, epoch, ordered)
     return _ask_next(state, 0, now)
 
 
 def resume_gang(
-    job_id: str, attempt: int, parts: tuple[GangPart, ...], now: int
+    job_id: str,
+    attempt: int,
+    epoch: int,
+    parts: tuple[GangPart, ...],
+    now: int,
 ) -> Step:
     """Return the state of a successor that finds a recorded intent.
 
     Whether all parts were firm is not known, so each shard is asked to
-    confirm again; a shard whose tasks have started confirms too.
+    confirm again; a shard whose tasks have started confirms too. When one
+    refuses, not all were firm, so no start was sent. When all confirm, the
+    gang starts even if the caller has cancelled it meanwhile, since some
+    tasks may have started; the cancellation then ends a running gang.
     """
     ordered = tuple(sorted(parts, key=lambda part: part.shard))
-    return _confirm_all(GangState(job_id, attempt, ordered), now)
+    state = GangState(job_id, attempt, epoch, ordered, resumed=True)
+    return _confirm_all(state, now)
 
 
 def step_gang(state: GangState, event: Event, now: int) -> Step:
     """Return the state after an event, and what to do.
 
-    Late and repeated events change nothing.
+    Late and repeated events, and replies to an earlier owner, change
+    nothing.
 
     Parameters
     ----------
     now : int
         Time in ms.
     """
+    if getattr(event, 'epoch', state.epoch) != state.epoch:
+        return state, ()
     return HANDLERS.find(type(event))(state, event, now)
 
 
@@ -291,7 +323,7 @@
         asked_at=now,
         sent_at=now,
     )
-    return state, tuple(SendStart(shard) for shard in shards)
+    return state, tuple(SendStart(shard, state.epoch) for shard in shards)
 
 
 @HANDLERS.register(PartStarted)
@@ -318,7 +350,7 @@
 @HANDLERS.register(GangCancelled)
 def _note_cancelled(state: GangState, event: GangCancelled, now: int) -> Step:
     """Give up a try that has not started; later ones end as running jobs."""
-    if state.phase in (
+    if not state.resumed and state.phase in (
         GangPhase.RESERVING,
         GangPhase.RECORDING,
         GangPhase.CONFIRMING,
@@ -336,14 +368,14 @@
     send = _RESENT.get(state.phase)
     if send is None or now < state.sent_at + RESEND_MS:
         return state, ()
-    actions = tuple(send(shard) for shard in state.waiting)
+    actions = tuple(send(shard, state.epoch) for shard in state.waiting)
     return replace(state, sent_at=now), actions
 
 
 # A reservation is asked for once, since it would lapse before long anyway.
 # From the recorded intent on, each shard is asked until it has replied:
 # giving up on a silent one could leave tasks started there.
-_RESENT: dict[GangPhase, Callable[[str], Action]] = {
+_RESENT: dict[GangPhase, Callable[[str, int], Action]] = {
     GangPhase.CONFIRMING: SendConfirm,
     GangPhase.STARTING: SendStart,
     GangPhase.RELEASING: SendRelease,
@@ -353,7 +385,7 @@
 def _ask_next(state: GangState, number: int, now: int) -> Step:
     part = state.parts[number]
     state = replace(state, waiting=(part.shard,), asked_at=now, sent_at=now)
-    return state, (SendReserve(part.shard, part.tasks),)
+    return state, (SendReserve(part.shard, state.epoch, part.tasks),)
 
 
 def _confirm_all(state: GangState, now: int) -> Step:
@@ -365,7 +397,7 @@
         asked_at=now,
         sent_at=now,
     )
-    return state, tuple(SendConfirm(shard) for shard in shards)
+    return state, tuple(SendConfirm(shard, state.epoch) for shard in shards)
 
 
 def _give_up(state: GangState, reason: str, now: int) -> Step:
@@ -382,7 +414,7 @@
         sent_at=now,
         reason=reason,
     )
-    return state, tuple(SendRelease(shard) for shard in shards)
+    return state, tuple(SendRelease(shard, state.epoch) for shard in shards)
 
 
 def _list_shards(state: GangState) -> tuple[str, ...]:
@@ -411,7 +443,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Hold:
-    """One part at the shard that is to run it.
+    """One part at the shard that is to run it, for one try.
 
     Parameters
     ----------
@@ -420,50 +452,66 @@
         same try finds nothing to hold again.
     until : int
         When a short reservation lapses, in ms of this shard's clock.
+    epoch : int
+        Highest epoch of the home shard that sent a command; commands with
+        a lower one are refused.
     """
 
     phase: HoldPhase = HoldPhase.NOTHING
     until: int = 0
+    epoch: int = 0
 
 
 def reserve_hold(
-    hold: Hold, has_room: bool, hold_ms: int, now: int
+    hold: Hold, command: SendReserve, has_room: bool, now: int
 ) -> tuple[Hold, bool]:
     """Answer a request to reserve; False for a refusal."""
+    if command.epoch < hold.epoch:
+        return hold, False
     if hold.phase is HoldPhase.NOTHING and has_room:
-        return Hold(HoldPhase.SHORT, now + hold_ms), True
+        until = now + command.hold_ms
+        return Hold(HoldPhase.SHORT, until, command.epoch), True
     return hold, hold.phase is HoldPhase.SHORT and now < hold.until
 
 
-def confirm_hold(hold: Hold, now: int) -> tuple[Hold, bool]:
+def confirm_hold(
+    hold: Hold, command: SendConfirm, now: int
+) -> tuple[Hold, bool]:
     """Answer a request to make a reservation firm; False for a refusal.
 
     The firm reservation must be in this shard's journal before the reply
     is sent, since the home shard starts the gang on it.
     """
+    if command.epoch < hold.epoch:
+        return hold, False
     if hold.phase is HoldPhase.SHORT and now < hold.until:
-        return Hold(HoldPhase.FIRM), True
+        return Hold(HoldPhase.FIRM, epoch=command.epoch), True
     if hold.phase in (HoldPhase.FIRM, HoldPhase.STARTED):
-        return hold, True
-    return Hold(HoldPhase.RELEASED), False
+        return replace(hold, epoch=command.epoch), True
+    return Hold(HoldPhase.RELEASED, epoch=command.epoch), False
 
 
-def start_hold(hold: Hold) -> tuple[Hold, bool]:
+def start_hold(hold: Hold, command: SendStart) -> tuple[Hold, bool]:
     """Answer the start of a part; True when its tasks run or will run."""
+    if command.epoch < hold.epoch:
+        return hold, False
     if hold.phase in (HoldPhase.FIRM, HoldPhase.STARTED):
-        return Hold(HoldPhase.STARTED), True
+        return Hold(HoldPhase.STARTED, epoch=command.epoch), True
     return hold, False
 
 
-def release_hold(hold: Hold) -> Hold:
-    """Drop a reservation; started tasks are not affected."""
-    if hold.phase is HoldPhase.STARTED:
-        return hold
-    return Hold(HoldPhase.RELEASED)
+def release_hold(hold: Hold, command: SendRelease) -> tuple[Hold, bool]:
+    """Answer the release of a part; True when nothing is held any more.
+
+    Started tasks are not affected: their end is a cancellation.
+    """
+    if command.epoch < hold.epoch or hold.phase is HoldPhase.STARTED:
+        return hold, False
+    return Hold(HoldPhase.RELEASED, epoch=command.epoch), True
 
 
 def lapse_hold(hold: Hold, now: int) -> Hold:
     """Drop a short reservation whose time is over."""
     if hold.phase is HoldPhase.SHORT and now >= hold.until:
-        return Hold(HoldPhase.RELEASED)
+        return Hold(HoldPhase.RELEASED, epoch=hold.epoch)
     return hold
--- a/sassafrasgate/placement/quarantine.py
+++ b/sassafrasgate/placement/quarantine.py
@@ -199,6 +199,10 @@
         """Drop what is known of a job that has ended."""
         self._jobs.pop(job_id, None)
 
+    def count_jobs(self) -> int:
+        """Return how many jobs with failures are remembered."""
+        return len(self._jobs)
+
     def _find(self, host: str) -> HostRecord:
         return self._records.get(host, HostRecord())
 
--- /dev/null
+++ b/tests/placement/test_policies.py
@@ -0,0 +1,153 @@
+"""Guards where tasks are placed and why a placement is refused."""
+
+from dataclasses import replace
+
+import pytest
+
+from sassafrasgate.core.errors import RefusalKind
+from sassafrasgate.core.jobs import JobClass
+from sassafrasgate.core.resources import Resources
+from sassafrasgate.placement.policies import choose_hosts
+from sassafrasgate.placement.policies import fits_inventory
+from sassafrasgate.placement.policies import PlacementRequest
+from tests.placement.builders import CAPACITY
+from tests.placement.builders import DEMAND
+from tests.placement.builders import make_host
+from tests.placement.builders import make_index
+from tests.placement.builders import make_spec
+
+
+def choose(index, spec, **fields):
+    return choose_hosts(index, PlacementRequest(spec, **fields))
+
+
+@pytest.mark.parametrize('job_class', list(JobClass))
+def test_every_class_has_a_policy_that_respects_free_room(job_class):
+    index = make_index(4)
+    for number in range(3):
+        index.reserve(f'h{number}', 'j.0.1', CAPACITY)
+    assignment = choose(index, make_spec(job_class))
+    assert assignment.hosts == ('h3',)
+    assert assignment.candidates == 1
+
+
+def test_closed_excluded_and_overcommitted_hosts_are_not_used():
+    index = make_index(4)
+    index.set_open('h0', False)
+    index.reserve('h1', 'j.0.1', Resources(17000), force=True)
+    chosen = choose(index, make_spec(), excluded=frozenset({'h2'}))
+    assert chosen.hosts == ('h3',)
+
+
+def test_best_fit_fills_hosts_before_it_opens_empty_ones():
+    index = make_index(6)
+    index.reserve('h4', 'j.0.1', DEMAND)
+    assert choose(index, make_spec()).hosts == ('h4',)
+
+
+def test_fit_is_judged_by_the_scarce_resource():
+    # h0 is fuller in memory, h1 in processors; processors are scarce.
+    index = make_index(3)
+    index.reserve('h0', 'j.0.1', Resources(0, 20000))
+    index.reserve('h1', 'j.0.1', Resources(8000, 0))
+    spec = make_spec(demand=Resources(4000, 1024, 0, 1, 1))
+    assert choose(index, spec).hosts == ('h1',)
+
+
+@pytest.mark.parametrize('job_class', [JobClass.QUICK, JobClass.URGENT])
+def test_a_waiting_caller_gets_a_local_host_however_it_fits(job_class):
+    index = make_index(24)
+    index.reserve('h0', 'j.0.1', Resources(14000, 1024, 0, 1, 1))
+    chosen = choose(index, make_spec(job_class), local_domain='d2')
+    assert index.hosts[chosen.hosts[0]].failure_domain == 'd2'
+    for number in range(12, 18):
+        index.set_open(f'h{number}', False)
+    assert choose(index, make_spec(job_class), local_domain='d2').hosts == (
+        'h0',
+    )
+
+
+def test_service_is_spread_over_domains_then_racks_then_hosts():
+    index = make_index(48)
+    spec = make_spec(JobClass.SERVICE, tasks=8)
+    hosts = [index.hosts[name] for name in choose(index, spec).hosts]
+    assert len({host.failure_domain for host in hosts[:4]}) == 4
+    assert len({host.rack for host in hosts}) == 8
+    more = choose(index, replace(spec, tasks=10)).hosts
+    assert len(set(more)) == 10
+
+
+def test_replaced_service_task_avoids_the_domains_of_the_others():
+    index = make_index(24)
+    spec = make_spec(JobClass.SERVICE, tasks=4)
+    chosen = choose(index, spec, tasks=1, occupied=('h0', 'h6', 'h12'))
+    assert index.hosts[chosen.hosts[0]].failure_domain == 'd3'
+
+
+def test_gang_is_all_or_nothing_and_stays_close_together():
+    index = make_index(24)
+    spec = make_spec(JobClass.GANG, tasks=16)
+    hosts = [index.hosts[name] for name in choose(index, spec).hosts]
+    assert len({host.failure_domain for host in hosts}) == 1
+    for number in range(24):
+        index.reserve(f'h{number}', 'j.0.1', Resources(0, 0, 0, 8, 8))
+    index.release('h3', 'j.0.1')
+    refusal = choose(index, spec)
+    assert refusal.kind is RefusalKind.NO_ROOM
+
+
+def test_several_tasks_on_one_host_fit_there_together():
+    index = make_index(2)
+    spec = make_spec(
+        JobClass.GANG, tasks=5, demand=Resources(6000, 1024, 0, 1, 1)
+    )
+    refusal = choose(index, spec)
+    assert refusal.kind is RefusalKind.FITS_NOWHERE
+    hosts = choose(index, replace(spec, tasks=4)).hosts
+    assert sorted(hosts) == ['h0', 'h0', 'h1', 'h1']
+
+
+@pytest.mark.parametrize(
+    ('fields', 'kind'),
+    [
+        ({'demand': Resources(17000, 1, 0, 1, 1)}, RefusalKind.FITS_NOWHERE),
+        ({'demand': Resources(1000, 1, 1, 1, 1)}, RefusalKind.FITS_NOWHERE),
+        ({'failure_domains': ('d9',)}, RefusalKind.FITS_NOWHERE),
+        ({'demand': Resources(16000, 1, 0, 1, 1)}, RefusalKind.NO_ROOM),
+    ],
+)
+def test_refusal_tells_never_from_not_now(fields, kind):
+    index = make_index(24)
+    for number in range(24):
+        index.reserve(f'h{number}', 'j.0.1', DEMAND)
+    assert choose(index, make_spec(**fields)).kind is kind
+
+
+def test_excluded_hosts_do_not_make_a_job_unplaceable_for_good():
+    # A job that failed on the only large host must wait, not be refused.
+    index = make_index(1)
+    refusal = choose(index, make_spec(), excluded=frozenset({'h0'}))
+    assert refusal.kind is RefusalKind.NO_ROOM
+
+
+def test_rules_narrow_domains_and_labels():
+    index = make_index(24)
+    index.add_host(make_host(30, labels=('press', 'colour')))
+    spec = make_spec()
+    assert choose(index, spec, labels=('press',)).hosts == ('h30',)
+    both = choose(
+        index,
+        replace(spec, failure_domains=('d1', 'd2')),
+        failure_domains=('d2', 'd3'),
+    )
+    assert index.hosts[both.hosts[0]].failure_domain == 'd2'
+    request = PlacementRequest(spec, labels=('press', 'large'))
+    assert not fits_inventory(index.hosts.values(), request)
+
+
+def test_learned_size_only_raises_the_demand():
+    index = make_index(1)
+    learned = Resources(17000, 1)
+    refusal = choose(index, make_spec(), demand=learned)
+    assert refusal.kind is RefusalKind.FITS_NOWHERE
+    assert choose(index, make_spec(), demand=Resources(1, 1)).hosts
