--- /dev/null
+++ b/models/ownership.py
@@ -0,0 +1,669 @@
+"""Owning a shard: the journal's chain, its snapshot, and the worker's fence.
+
+`ownership.journal` has no clock: a process may claim the shard whenever it
+likes, which covers every lapse of a lease and every pause of an owner.
+`ownership.fence` adds the store lease and a worker.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import NamedTuple
+from typing import TYPE_CHECKING
+
+from models.specifications import Machine
+from models.specifications import register_specification
+from sassafrasgate.shards.ownership import may_send
+from sassafrasgate.shards.ownership import OwnerLease
+
+if TYPE_CHECKING:
+    from models.specifications import Predicate
+    from models.specifications import Step
+
+TAKEOVER = -1
+LENGTH = 5
+RECORDS = 2
+
+CREATE_ONLY = 'create-only append'
+READ_BACK_REWRITE = 'read-back before a rewrite'
+READ_BACK_ANSWER = 'read-back before an answer'
+SLOT_TAKEN = 'not run only when the slot is taken'
+SLOT_KEPT = 'not run only above the snapshot'
+TAKEOVER_FIRST = 'takeover record before serving'
+KEEP_TAKEOVERS = 'trimming keeps takeover records'
+VERIFY_TAKEOVER = 'takeover compared with the snapshot'
+SNAPSHOT_SWAP = 'compare-and-swap of the snapshot'
+
+
+class Entry(NamedTuple):
+    """One journal key: a takeover, or a record by its number."""
+
+    writer: int
+    content: int
+    epoch: int
+
+
+class Process(NamedTuple):
+    """A scheduler process and what it believes.
+
+    Parameters
+    ----------
+    phase : str
+        ``idle``, ``read`` (has the snapshot), ``claim`` (has the chain),
+        ``wait`` (a write is under way), ``unsure`` (its reply is missing),
+        ``ok``, ``exists``, ``serve``, ``snap``, ``trim``, ``stopped``.
+    epoch, at : int
+        Its epoch and the next sequence number.
+    view : frozenset of int
+        Records that it knows of.
+    pending : int
+        What it is appending: a record's number or `TAKEOVER`.
+    seen : int
+        Sequence number of the snapshot that it last saw.
+    """
+
+    phase: str
+    epoch: int
+    at: int
+    view: frozenset[int]
+    pending: int = TAKEOVER
+    seen: int = 0
+
+
+class Journal(NamedTuple):
+    """The store and the processes.
+
+    Parameters
+    ----------
+    keys : tuple of Entry or None
+        The chain; None where no key exists.
+    base, kept, base_epoch
+        The snapshot: entries below ``base`` are in it, with these records.
+    processes : tuple of Process
+        The first one owns the shard at the start.
+    late : frozenset of (int, Entry)
+        Writes that may still take effect though nobody waits for them.
+    wins : frozenset of (int, int)
+        Sequence number and writer of each append believed to be done.
+    acked, denied : frozenset of int
+        Records acknowledged to callers, and those answered as not run.
+    used : int
+        Number of records submitted.
+    """
+
+    keys: tuple[Entry | None, ...]
+    base: int
+    kept: frozenset[int]
+    base_epoch: int
+    processes: tuple[Process, ...]
+    late: frozenset[tuple[int, Entry]]
+    wins: frozenset[tuple[int, int]]
+    acked: frozenset[int]
+    denied: frozenset[int]
+    used: int
+
+
+Moves = Iterator[tuple[str, Journal, Process]]
+NOTHING: frozenset[int] = frozenset()
+SERVING = ('serve', 'snap', 'trim')
+
+
+def _is_serving(process: Process) -> bool:
+    if process.phase in SERVING:
+        return True
+    return process.pending != TAKEOVER and process.phase != 'stopped'
+
+
+def _read_chain(state: Journal, base: int) -> list[Entry]:
+    """Return the entries without a gap from ``base`` on."""
+    entries: list[Entry] = []
+    for entry in state.keys[base:]:
+        if entry is None:
+            break
+        entries.append(entry)
+    return entries
+
+
+def _list_durable(state: Journal) -> list[int]:
+    """Return the records that a reader of the store finds."""
+    chain = _read_chain(state, state.base)
+    records = [entry.content for entry in chain if entry.content != TAKEOVER]
+    return [*state.kept, *records]
+
+
+def _put_key(
+    state: Journal, at: int, entry: Entry, create_only: bool
+) -> tuple[Journal, bool]:
+    """Return the store after a write and whether it took effect."""
+    if state.keys[at] is not None and create_only:
+        return state, False
+    keys = (*state.keys[:at], entry, *state.keys[at + 1 :])
+    return state._replace(keys=keys), True
+
+
+class _JournalSteps:
+    """The steps of one process, with some guards active.
+
+    Parameters
+    ----------
+    guards : frozenset of str
+        Active guards.
+    snapshots, delays : bool
+        Whether owners take snapshots, and whether a write may take effect
+        after its writer gave up waiting.
+    """
+
+    def __init__(
+        self, guards: frozenset[str], snapshots: bool, delays: bool
+    ) -> None:
+        self.guards = guards
+        self.snapshots = snapshots
+        self.delays = delays
+        self.create_only = CREATE_ONLY in guards
+
+    def list_steps(self, state: Journal) -> Iterator[Step]:
+        """Return the successors of a state."""
+        for number, process in enumerate(state.processes):
+            step = getattr(self, f'_leave_{process.phase}')
+            for label, store, after in step(state, number, process):
+                processes = (
+                    *state.processes[:number],
+                    after,
+                    *state.processes[number + 1 :],
+                )
+                yield (
+                    f'process {number}: {label}',
+                    store._replace(processes=processes),
+                )
+        for at, entry in state.late:
+            rest = state._replace(late=state.late - {(at, entry)})
+            after, _ = _put_key(rest, at, entry, self.create_only)
+            yield f'late write of process {entry.writer} at {at}', after
+
+    def _leave_idle(
+        self, state: Journal, number: int, process: Process
+    ) -> Moves:
+        # The idle processes are alike, so one order of claims is enough.
+        if state.processes[number - 1].phase == 'idle':
+            return
+        after = Process(
+            'read', state.base_epoch, state.base, state.kept, seen=state.base
+        )
+        yield 'reads the snapshot', state, after
+
+    def _leave_read(
+        self, state: Journal, number: int, process: Process
+    ) -> Moves:
+        chain = _read_chain(state, process.at)
+        at = process.at + len(chain)
+        if at >= LENGTH:
+            return
+        records = {e.content for e in chain if e.content != TAKEOVER}
+        epoch = max([process.epoch, *(entry.epoch for entry in chain)])
+        after = process._replace(
+            phase='claim' if TAKEOVER_FIRST in self.guards else 'serve',
+            at=at,
+            epoch=epoch + 1,
+            view=process.view | records,
+        )
+        yield 'reads the chain', state, after
+
+    def _leave_claim(
+        self, state: Journal, number: int, process: Process
+    ) -> Moves:
+        yield 'sends a takeover', state, process._replace(phase='wait')
+
+    def _leave_wait(
+        self, state: Journal, number: int, process: Process
+    ) -> Moves:
+        entry = Entry(number, process.pending, process.epoch)
+        after, done = _put_key(state, process.at, entry, self.create_only)
+        phase = 'ok' if done else 'exists'
+        yield f'write: {phase}', after, process._replace(phase=phase)
+        unsure = process._replace(phase='unsure')
+        yield 'write done, reply lost', after, unsure
+        if not self.delays:
+            return
+        late = state.late | {(process.at, entry)}
+        yield 'no reply yet', state._replace(late=late), unsure
+
+    def _leave_ok(
+        self, state: Journal, number: int, process: Process
+    ) -> Moves:
+        wins = state.wins | {(process.at, number)}
+        if process.pending == TAKEOVER:
+            if VERIFY_TAKEOVER in self.guards and state.base != process.seen:
+                yield self._recover(state, process)
+                return
+            after = process._replace(phase='serve', at=process.at + 1)
+            yield 'serves', state._replace(wins=wins), after
+            return
+        store = state._replace(
+            wins=wins, acked=state.acked | {process.pending}
+        )
+        yield 'acknowledges', store, self._finish(process, process.at + 1)
+
+    def _recover(
+        self, state: Journal, process: Process
+    ) -> tuple[str, Journal, Process]:
+        """Leave a takeover below the snapshot, else read all again."""
+        if state.base > process.at:
+            return 'takeover too late', state, self._stop(process)
+        chain = state.keys[state.base : process.at]
+        after = process._replace(
+            view=state.kept | {e.content for e in chain if e} - {TAKEOVER},
+            seen=state.base,
+        )
+        return 'reads the moved snapshot', state, after
+
+    def _leave_exists(
+        self, state: Journal, number: int, process: Process
+    ) -> Moves:
+        yield from self._compare(state, number, process)
+
+    def _leave_unsure(
+        self, state: Journal, number: int, process: Process
+    ) -> Moves:
+        if process.pending == TAKEOVER:
+            yield from self._compare(state, number, process)
+            return
+        if READ_BACK_REWRITE not in self.guards and process.at + 1 < LENGTH:
+            after = process._replace(phase='wait', at=process.at + 1)
+            yield 'writes again at the next number', state, after
+        if READ_BACK_ANSWER not in self.guards:
+            yield self._deny(state, process)
+        yield from self._compare(state, number, process)
+
+    def _compare(self, state: Journal, number: int, process: Process) -> Moves:
+        """Read the key back after a conflict or a missing reply."""
+        entry = state.keys[process.at]
+        if entry is None:
+            again = process._replace(phase='wait')
+            yield 'reads back nothing, writes again', state, again
+            if SLOT_TAKEN not in self.guards and process.pending != TAKEOVER:
+                yield self._deny(state, process)
+            return
+        if entry == Entry(number, process.pending, process.epoch):
+            yield 'reads back its own', state, process._replace(phase='ok')
+            return
+        certain = SLOT_KEPT not in self.guards or process.at >= state.base
+        if process.pending != TAKEOVER and certain:
+            label, store, _ = self._deny(state, process)
+            yield label, store, self._stop(process)
+            return
+        yield 'lost the shard', state, self._stop(process)
+
+    def _leave_serve(
+        self, state: Journal, number: int, process: Process
+    ) -> Moves:
+        if process.at >= LENGTH:
+            return
+        if state.used < RECORDS:
+            after = process._replace(phase='wait', pending=state.used)
+            yield 'appends', state._replace(used=state.used + 1), after
+        if self.snapshots and process.at > process.seen + 1:
+            yield 'takes a snapshot', state, process._replace(phase='snap')
+
+    def _leave_snap(
+        self, state: Journal, number: int, process: Process
+    ) -> Moves:
+        if SNAPSHOT_SWAP in self.guards and state.base != process.seen:
+            if state.base > process.at:
+                yield 'lost the shard', state, self._stop(process)
+                return
+            after = process._replace(phase='serve', seen=state.base)
+            yield 'snapshot has moved', state, after
+            return
+        store = state._replace(
+            base=process.at, kept=process.view, base_epoch=process.epoch
+        )
+        after = process._replace(phase='trim', seen=process.at)
+        yield 'writes the snapshot', store, after
+
+    def _leave_trim(
+        self, state: Journal, number: int, process: Process
+    ) -> Moves:
+        keep = KEEP_TAKEOVERS in self.guards
+        keys = tuple(
+            entry
+            if at >= process.seen
+            or (keep and entry is not None and entry.content == TAKEOVER)
+            else None
+            for at, entry in enumerate(state.keys)
+        )
+        after = process._replace(phase='serve')
+        yield 'trims', state._replace(keys=keys), after
+
+    def _leave_stopped(
+        self, state: Journal, number: int, process: Process
+    ) -> Moves:
+        yield from ()
+
+    def _deny(
+        self, state: Journal, process: Process
+    ) -> tuple[str, Journal, Process]:
+        store = state._replace(denied=state.denied | {process.pending})
+        after = process._replace(phase='serve', pending=TAKEOVER)
+        return 'answers not run', store, after
+
+    def _finish(self, process: Process, at: int) -> Process:
+        return process._replace(
+            phase='serve',
+            at=at,
+            view=process.view | {process.pending},
+            pending=TAKEOVER,
+        )
+
+    def _stop(self, process: Process) -> Process:
+        return Process('stopped', 0, 0, NOTHING)
+
+
+def _owner_knows_all(state: Journal) -> bool:
+    """Tell whether the owner of the last epoch has every answered record."""
+    last = max([state.base_epoch, *(e.epoch for e in state.keys if e)])
+    return all(
+        state.acked <= process.view
+        for process in state.processes
+        if _is_serving(process) and process.epoch >= last
+    )
+
+
+def _is_epoch_unique(state: Journal) -> bool:
+    epochs = [p.epoch for p in state.processes if _is_serving(p)]
+    return len(epochs) == len(set(epochs))
+
+
+def _build(steps: _JournalSteps, witnesses: dict[str, Predicate]) -> Machine:
+    """Return a journal of one shard with an owner and two claimants."""
+    owner = Process('serve', 1, 1, NOTHING)
+    idle = Process('idle', 0, 0, NOTHING)
+    initial = Journal(
+        keys=(Entry(0, TAKEOVER, 1), *(None,) * (LENGTH - 1)),
+        base=0,
+        kept=NOTHING,
+        base_epoch=0,
+        processes=(owner, idle, idle),
+        late=frozenset(),
+        wins=frozenset({(0, 0)}),
+        acked=NOTHING,
+        denied=NOTHING,
+        used=0,
+    )
+    invariants: dict[str, Predicate] = {
+        'one append wins per number': lambda s: (
+            len({at for at, _ in s.wins}) == len(s.wins)
+        ),
+        'an acknowledged record is kept': lambda s: (
+            s.acked <= set(_list_durable(s))
+        ),
+        'a record is kept once': lambda s: (
+            len(_list_durable(s)) == len(set(_list_durable(s)))
+        ),
+        'a record answered as not run is not kept': lambda s: (
+            not s.denied & set(_list_durable(s))
+        ),
+        'the owner knows acknowledged records': _owner_knows_all,
+        'one owner per epoch': _is_epoch_unique,
+    }
+    return Machine(initial, steps.list_steps, invariants, witnesses)
+
+
+def _has_successor_record(state: Journal) -> bool:
+    return len(state.acked) == RECORDS and any(
+        entry and entry.writer and entry.content in state.acked
+        for entry in state.keys
+    )
+
+
+@register_specification(
+    'ownership.append',
+    (
+        CREATE_ONLY,
+        READ_BACK_REWRITE,
+        READ_BACK_ANSWER,
+        SLOT_TAKEN,
+        TAKEOVER_FIRST,
+    ),
+)
+def build_append(guards: frozenset[str]) -> Machine:
+    """Build a journal with delayed writes and without snapshots."""
+    always = {SLOT_KEPT, KEEP_TAKEOVERS, VERIFY_TAKEOVER, SNAPSHOT_SWAP}
+    return _build(
+        _JournalSteps(guards | always, snapshots=False, delays=True),
+        {
+            'a successor acknowledges': _has_successor_record,
+            'a record is answered as not run': lambda s: bool(s.denied),
+        },
+    )
+
+
+@register_specification(
+    'ownership.snapshot',
+    (SLOT_KEPT, KEEP_TAKEOVERS, VERIFY_TAKEOVER, SNAPSHOT_SWAP),
+)
+def build_snapshot(guards: frozenset[str]) -> Machine:
+    """Build a journal with snapshots and lost, but not delayed, replies."""
+    always = {
+        CREATE_ONLY,
+        READ_BACK_REWRITE,
+        READ_BACK_ANSWER,
+        SLOT_TAKEN,
+        TAKEOVER_FIRST,
+    }
+    return _build(
+        _JournalSteps(guards | always, snapshots=True, delays=False),
+        {
+            'a successor acknowledges': _has_successor_record,
+            'the chain is trimmed': lambda s: s.base > 0 and s.keys[1] is None,
+            'a successor trims': lambda s: s.base_epoch > 1,
+        },
+    )
+
+
+TTL = 2
+HORIZON = 8
+
+FENCE = 'worker epoch fence'
+LEASE_BEFORE = 'lease timed from before the renewal'
+
+
+class Claimant(NamedTuple):
+    """A process that may own the shard, as seen in time.
+
+    Parameters
+    ----------
+    phase : str
+        ``idle``, ``claim``, ``serve`` or ``checked`` (about to send).
+    epoch : int
+        Its epoch once it has claimed.
+    renewed_at : int
+        Start of its store lease by its own reckoning.
+    asked_at : int
+        When it sent the renewal that is under way; 0 for none.
+    done : bool
+        Whether the store has done that renewal.
+    turn : int
+        Order in which processes began to serve; not known to them.
+    """
+
+    phase: str = 'idle'
+    epoch: int = 0
+    renewed_at: int = 0
+    asked_at: int = 0
+    done: bool = False
+    turn: int = 0
+
+
+class Fence(NamedTuple):
+    """The store lease, the claimants and one worker.
+
+    Parameters
+    ----------
+    now : int
+        True time.
+    holder, until
+        Holder of the store lease and its end on the store's clock.
+    epoch : int
+        Epoch of the last takeover record.
+    turns : int
+        Processes that have begun to serve.
+    processes : tuple of Claimant
+        The first one owns the shard at the start.
+    flight : frozenset of (int, int)
+        Commands under way: epoch and turn; they may arrive again.
+    fence, answered : int
+        The worker's highest epoch, and the last turn that it answered.
+    stale : bool
+        Whether it accepted a command of an earlier turn than that.
+    """
+
+    now: int
+    holder: int
+    until: int
+    epoch: int
+    turns: int
+    processes: tuple[Claimant, ...]
+    flight: frozenset[tuple[int, int]]
+    fence: int
+    answered: int
+    stale: bool
+
+
+def _may_send(process: Claimant, now: int) -> bool:
+    lease = OwnerLease(process.renewed_at, checked_at=now)
+    return may_send(lease, now, ttl_ms=TTL, grace_ms=TTL)
+
+
+class _FenceSteps:
+    """The steps of claimants, store and worker."""
+
+    def __init__(self, guards: frozenset[str]) -> None:
+        self.guards = guards
+
+    def list_steps(self, state: Fence) -> Iterator[Step]:
+        """Return the successors of a state."""
+        if state.now < HORIZON:
+            yield 'time passes', state._replace(now=state.now + 1)
+        for number, process in enumerate(state.processes):
+            for label, after, changed in self._move(state, number, process):
+                processes = (
+                    *state.processes[:number],
+                    changed,
+                    *state.processes[number + 1 :],
+                )
+                yield (
+                    f'process {number}: {label}',
+                    after._replace(processes=processes),
+                )
+        for epoch, turn in state.flight:
+            yield from self._deliver(state, epoch, turn)
+
+    def _move(
+        self, state: Fence, number: int, process: Claimant
+    ) -> Iterator[tuple[str, Fence, Claimant]]:
+        if process.phase == 'idle':
+            yield from self._claim(state, number)
+            return
+        if number == 0:
+            yield from self._renew(state, number, process)
+        if process.phase == 'claim':
+            yield from self._take_over(state, process)
+        if process.phase == 'serve' and _may_send(process, state.now):
+            yield 'checks', state, process._replace(phase='checked')
+        if process.phase == 'checked':
+            command = (process.epoch, process.turn)
+            sent = state._replace(flight=state.flight | {command})
+            yield 'sends', sent, process._replace(phase='serve')
+
+    def _claim(
+        self, state: Fence, number: int
+    ) -> Iterator[tuple[str, Fence, Claimant]]:
+        # The idle processes are alike, so one order of claims is enough.
+        if state.processes[number - 1].phase == 'idle' and number > 1:
+            return
+        if state.now < state.until:
+            return
+        leased = state._replace(holder=number, until=state.now + TTL)
+        after = Claimant('claim', state.epoch + 1, state.now)
+        yield 'claims', leased, after
+
+    def _renew(
+        self, state: Fence, number: int, process: Claimant
+    ) -> Iterator[tuple[str, Fence, Claimant]]:
+        held = state.holder == number and state.now < state.until
+        if not process.asked_at and held:
+            asked = process._replace(asked_at=state.now, done=False)
+            yield 'asks to renew', state, asked
+        if process.asked_at and not process.done and held:
+            renewed = state._replace(until=state.now + TTL)
+            yield 'is renewed', renewed, process._replace(done=True)
+        if process.done:
+            since = process.asked_at
+            if LEASE_BEFORE not in self.guards:
+                since = state.now
+            after = process._replace(renewed_at=since, asked_at=0, done=False)
+            yield 'learns of the renewal', state, after
+
+    def _take_over(
+        self, state: Fence, process: Claimant
+    ) -> Iterator[tuple[str, Fence, Claimant]]:
+        if TAKEOVER_FIRST in self.guards:
+            if state.epoch >= process.epoch:
+                yield 'lost the shard', state, Claimant()
+                return
+            state = state._replace(epoch=process.epoch)
+        after = process._replace(phase='serve', turn=state.turns + 1)
+        yield 'serves', state._replace(turns=state.turns + 1), after
+
+    def _deliver(self, state: Fence, epoch: int, turn: int) -> Iterator[Step]:
+        if FENCE in self.guards and epoch < state.fence:
+            return
+        after = state._replace(
+            fence=max(state.fence, epoch),
+            answered=max(state.answered, turn),
+            stale=state.stale or turn < state.answered,
+        )
+        yield f'worker accepts turn {turn}', after
+
+
+def _has_one_sender(state: Fence) -> bool:
+    senders = [
+        process
+        for process in state.processes
+        if process.turn and _may_send(process, state.now)
+    ]
+    return len(senders) <= 1
+
+
+@register_specification(
+    'ownership.fence', (FENCE, TAKEOVER_FIRST, LEASE_BEFORE)
+)
+def build_fence(guards: frozenset[str]) -> Machine:
+    """Build a store lease, three processes and a worker."""
+    owner = Claimant('serve', epoch=1, renewed_at=1, turn=1)
+    initial = Fence(
+        now=1,
+        holder=0,
+        until=1 + TTL,
+        epoch=1,
+        turns=1,
+        processes=(owner, Claimant(), Claimant()),
+        flight=frozenset(),
+        fence=0,
+        answered=0,
+        stale=False,
+    )
+    return Machine(
+        initial,
+        _FenceSteps(guards).list_steps,
+        {
+            'a stale command is refused': lambda s: not s.stale,
+            'one process passes the lease check': _has_one_sender,
+        },
+        {
+            'a third owner is answered': lambda s: s.answered == 3,
+            'a stale command arrives': lambda s: any(
+                turn < s.answered for _, turn in s.flight
+            ),
+        },
+    )
