Count the grace with clock drift after a takeover

Cause: find_takeover_lapse added the outage grace without drift. An owner whose clock is slow within the bound renews for 121.2 s of the successor's time instead of 120 s, and its store lease ends late in the same way; the margin is 0.25 s. Change: the drift bound applies to the store lease, the grace and the task lease; the wait grows from 130.35 s to 134.58 s with the default values.

--- a/sassafrasgate/shards/attempts.py
+++ b/sassafrasgate/shards/attempts.py
@@ -4,6 +4,9 @@
 
 from dataclasses import dataclass
 from enum import StrEnum
+from math import ceil
+
+from sassafrasgate.shards.ownership import OWNER_TTL_MS
 
 LEASE_MS = 10_000
 START_WINDOW_MS = 5_000
@@ -43,21 +46,47 @@
     return reading.clock + lease_ms
 
 
-def find_lapse_time(lease_clock: int, reading: ClockReading) -> int:
+def find_lapse_time(
+    lease_clock: int,
+    reading: ClockReading,
+    drift: float = DRIFT,
+    margin_ms: int = LAPSE_MARGIN_MS,
+) -> int:
     """Return the owner's time from which a lease has certainly lapsed.
 
     The worker's clock stood at ``reading.clock`` or later when the reading
-    arrived, and runs at most ``DRIFT`` slower than the owner's.
+    arrived, and runs at most ``drift`` slower than the owner's.
+
+    Parameters
+    ----------
+    lease_clock : int
+        The longest deadline that was *sent* for the task, on the worker's
+        clock; a renewal without a reply may have taken effect.
+    reading : ClockReading
+        A reading of the same incarnation.
+    drift : float
+        Bound on the relative rate of the two clocks.
+    margin_ms : int
+        Allowance for the worker's timer.
     """
     remaining = max(0, lease_clock - reading.clock)
-    return reading.received_at + int(remaining * (1 + DRIFT)) + LAPSE_MARGIN_MS
+    return reading.received_at + ceil(remaining * (1 + drift)) + margin_ms
 
 
 def find_takeover_lapse(
-    takeover_at: int, grace_ms: int, lease_ms: int = LEASE_MS
+    takeover_at: int,
+    grace_ms: int,
+    lease_ms: int = LEASE_MS,
+    ttl_ms: int = OWNER_TTL_MS,
+    drift: float = DRIFT,
+    margin_ms: int = LAPSE_MARGIN_MS,
 ) -> int:
     """Return when leases granted by earlier owners have surely lapsed.
 
+    The previous owner times its store lease and its grace by its own
+    clock, which may be slow too, so the drift bound applies to all three
+    durations and not only to the task lease.
+
     Parameters
     ----------
     takeover_at : int
@@ -66,9 +95,17 @@
     grace_ms : int
         How long past its lease the previous owner may have renewed tasks
         during a store outage; from its own takeover record.
+    lease_ms : int
+        Longest lease that a start or renewal grants.
+    ttl_ms : int
+        Duration of the previous owner's store lease.
+    drift : float
+        Bound on the relative rate of any two clocks.
+    margin_ms : int
+        Allowance for the worker's timer.
     """
-    granted = int(lease_ms * (1 + DRIFT))
-    return takeover_at + grace_ms + granted + LAPSE_MARGIN_MS
+    longest = ceil((ttl_ms + grace_ms + lease_ms) * (1 + drift))
+    return takeover_at + longest + margin_ms
 
 
 def choose_next_step(
