--- a/tests/placement/test_index.py
+++ b/tests/placement/test_index.py
@@ -174,3 +174,16 @@
     index.reserve('h1', 'j.0.1', Resources(1000, 10))
     index.reserve('h1', 'j.0.1', Resources(500, 20), force=True)
     assert index.find_reserved('h1') == Resources(1000, 20)
+
+
+def test_resize_never_goes_below_the_first_reservation():
+    # A learned size may raise what was declared, never lower it.
+    index = HostIndex()
+    index.add_host(make_host(1))
+    index.reserve('h1', 'j.0.1', Resources(1000, 100))
+    index.resize('h1', 'j.0.1', Resources(3000, 50))
+    assert index.find_reserved('h1') == Resources(3000, 100)
+    index.resize('h1', 'j.0.1', Resources(500, 200))
+    assert index.find_reserved('h1') == Resources(1000, 200)
+    with pytest.raises(NoRoomError):
+        index.resize('h1', 'j.0.1', Resources(17000))
--- a/tests/placement/test_queues.py
+++ b/tests/placement/test_queues.py
@@ -216,3 +216,21 @@
         assert queue.remove(f'j{number}')
     assert queue.count_stored() < 500
     assert [job.job_id for job in start_all(queue)] == ['kept']
+
+
+def test_a_pass_that_ends_at_its_bound_is_not_followed_by_an_empty_one():
+    queue = JobQueue()
+    for number in range(MAX_REFUSALS):
+        demand = Resources(5000 + number, 9000 - number)
+        queue.add(f'j{number}', make_spec(demand=demand), 0)
+    assert len(start_all(queue, fits=lambda spec: False)) == MAX_REFUSALS
+    assert len(start_all(queue)) == MAX_REFUSALS
+
+
+def test_order_holds_after_the_first_of_equal_jobs_is_cancelled():
+    queue = JobQueue()
+    queue.add('first', make_spec(priority=5), 0)
+    queue.add('last', make_spec(priority=-1), 0)
+    queue.add('middle', make_spec(demand=Resources(2, 2)), 0)
+    queue.remove('first')
+    assert [job.job_id for job in start_all(queue)] == ['middle', 'last']
