Offer every shape again after a queue pass that a caller broke off

Cause: a pass that ends early left refused shapes parked, and the next pass took that for its own bound and skipped them once. Found by the queue's state machine once its examples were fixed. Conclusion: a job that fits is offered in the next full pass.

--- a/sassafrasgate/placement/queues.py
+++ b/sassafrasgate/placement/queues.py
@@ -203,6 +203,7 @@
     ) -> None:
         self._jobs: dict[str, QueuedJob] = {}
         self._stages: tuple[dict[str, _Lane], dict[str, _Lane]] = ({}, {})
+        self._bounded = [False for _ in self._stages]
         self._expiry: list[tuple[float, int, QueuedJob]] = []
         self._counts: Counter[tuple[str, JobClass]] = Counter()
         self._team_counts: Counter[str] = Counter()
@@ -438,8 +439,12 @@
         self._stage += 1
         self._refusals = 0
         self._looked_at = 0
+        resumes = self._queue._bounded[self._stage]
+        self._queue._bounded[self._stage] = False
         for team, lane in self._queue._stages[self._stage].items():
-            if not lane.heads:
+            # Only a pass that met its bound leaves the rest to the next
+            # one; after a caller broke off, every shape is offered again.
+            if not resumes or not lane.heads:
                 lane.unpark()
             self._push(team)
         return True
@@ -467,7 +472,7 @@
             lane.park(shape)
             self._looked_at += 1
             if self._looked_at >= MAX_LOOKED_AT:
-                self._order.clear()
+                self._end_stage()
                 return None
         # Every shape of the team was offered: the next pass starts over.
         lane.unpark()
@@ -500,7 +505,12 @@
             lane.park(shape)
         self._refusals += 1
         if self._refusals >= MAX_REFUSALS:
-            self._order.clear()
+            self._end_stage()
+
+    def _end_stage(self) -> None:
+        """Stop at a bound; the next pass goes on from here."""
+        self._order.clear()
+        self._queue._bounded[self._stage] = True
 
     def _is_refused(self, shape: _Shape) -> bool:
         return any(
--- a/tests/placement/test_queues.py
+++ b/tests/placement/test_queues.py
@@ -234,3 +234,15 @@
     queue.add('middle', make_spec(demand=Resources(2, 2)), 0)
     queue.remove('first')
     assert [job.job_id for job in start_all(queue)] == ['middle', 'last']
+
+
+def test_pass_that_was_broken_off_hides_no_job_from_the_next():
+    # A caller that stops early left refused shapes parked, so the next
+    # pass did not offer a job that fitted by then.
+    queue = JobQueue()
+    queue.add('large', make_spec(demand=Resources(1, 2)), 0)
+    queue.add('small', make_spec(demand=Resources(1, 1)), 0)
+    for job in queue.pick(0):
+        if job.job_id == 'small':
+            break
+    assert [job.job_id for job in queue.pick(0)][0] == 'large'
