--- a/tests/cells.py
+++ b/tests/cells.py
@@ -230,6 +230,19 @@
             return 0
         return sum(h['status'] == 'open' for h in response.json()['hosts'])
 
+    def find_owner(self, shard: str, frontend: str = '') -> str:
+        """Return the name of a shard's owner, '' when none is known."""
+        response = self.processes.client.get(
+            f'{self.find_url(frontend)}/v1/shards'
+        )
+        if response.status_code != 200:
+            return ''
+        owners = {
+            entry['name']: entry['owner']
+            for entry in response.json()['shards']
+        }
+        return str(owners.get(shard, ''))
+
     def kill_all(self) -> None:
         """Kill our own processes, which have nothing left to drain."""
         for process in (*self.schedulers.values(), *self.frontends.values()):
