Run attempts on other shards when the home shard has no room

Cause: a shard with a full queue could not use another shard's free hosts. Change: transfers with a journaled intent, a journaled acceptance or refusal on the other side, recalls, and reports that are repeated until they are acknowledged; shards publish their free capacity, which rides on the heartbeats between schedulers.

--- a/sassafrasgate/composition.py
+++ b/sassafrasgate/composition.py
@@ -237,8 +237,18 @@
         anyio.create_task_group() as group,
     ):
         main, configurations = make_inbox(), make_inbox()
-        greet = make_greeting(settings.name, lambda: task.version)
-        hear = make_listener(configurations.send)
+        hear_version = make_listener(configurations.send)
+
+        def greet() -> Heartbeat:
+            # Summaries ride on the heartbeats, which flow anyway.
+            return Heartbeat(
+                settings.name, task.version, task.list_summaries()
+            )
+
+        def hear(heartbeat: Heartbeat) -> None:
+            hear_version(heartbeat)
+            task.hear_summaries(heartbeat.summaries)
+
         directory = Directory(group, settings.peers, greet, hear)
         server = LinkServer(
             settings.link_address,
@@ -251,6 +261,7 @@
             process.store,
             server.reply,
             directory.ask_owner,
+            lambda summary: task.note_summary(summary),
             process.logger,
             process.metrics,
             int(settings.outage_grace_s * 1000),
--- a/sassafrasgate/daemons/scheduler.py
+++ b/sassafrasgate/daemons/scheduler.py
@@ -39,12 +39,14 @@
 from sassafrasgate.protocol.messages import StatusReply
 from sassafrasgate.shards.events import ConfigurationChanged
 from sassafrasgate.shards.events import HostListed
+from sassafrasgate.shards.events import SummaryReceived
 
 if TYPE_CHECKING:
     from anyio.abc import TaskGroup
     from anyio.streams.memory import MemoryObjectReceiveStream
 
     from sassafrasgate.protocol.links import IncomingRequest
+    from sassafrasgate.protocol.messages import Summary
     from sassafrasgate.shards.ownership import OwnerLease
 
 CLAIM_INTERVAL_S = 0.25
@@ -115,12 +117,32 @@
         self._stopping = False
         self._drain_ms = drain_ms
         self._stop_by = 0
+        self._summaries: dict[str, Summary] = {}
 
     @property
     def is_ready(self) -> bool:
         """Whether the process may serve."""
         return self._is_current and bool(self._lease_id)
 
+    def note_summary(self, summary: Summary) -> None:
+        """Keep a shard's newest summary for the next heartbeats."""
+        self._summaries[summary.shard] = summary
+
+    def list_summaries(self) -> tuple[Summary, ...]:
+        """Return the summaries of the shards of this process."""
+        return tuple(
+            summary
+            for shard, summary in self._summaries.items()
+            if shard in self._shards
+        )
+
+    def hear_summaries(self, summaries: tuple[Summary, ...]) -> None:
+        """Pass on what a peer's heartbeat says of its shards."""
+        for task in self._shards.values():
+            for summary in summaries:
+                if summary.shard != task.shard:
+                    task.offer(SummaryReceived(summary))
+
     @property
     def version(self) -> int:
         """Configuration version in force."""
--- a/sassafrasgate/daemons/shards.py
+++ b/sassafrasgate/daemons/shards.py
@@ -49,6 +49,7 @@
 from sassafrasgate.shards.actions import LimitTask
 from sassafrasgate.shards.actions import LogDecision
 from sassafrasgate.shards.actions import Persist
+from sassafrasgate.shards.actions import PublishSummary
 from sassafrasgate.shards.actions import ReleaseTask
 from sassafrasgate.shards.actions import Reply
 from sassafrasgate.shards.actions import SendPeer
@@ -69,6 +70,7 @@
 from sassafrasgate.shards.recovery import list_records
 from sassafrasgate.shards.recovery import replay_records
 from sassafrasgate.shards.state import ShardState
+from sassafrasgate.shards.transfers import resume_transfers
 from sassafrasgate.shards.transitions import decide
 
 if TYPE_CHECKING:
@@ -105,6 +107,8 @@
     ask_owner : callable
         Sends a message to the owner of another shard; returns its answer
         or `NoAnswer`.
+    publish : callable
+        Lets other processes know a shard's `Summary`.
     grace_ms : int
         Outage grace in milliseconds.
     """
@@ -113,6 +117,7 @@
     store: Store
     reply: Callable[[OutgoingReply], Awaitable[None]]
     ask_owner: Callable[[str, Any, float], Awaitable[Any]]
+    publish: Callable[[Any], None]
     logger: Logger
     metrics: Metrics
     grace_ms: int = OUTAGE_GRACE_MS
@@ -231,6 +236,7 @@
             return None
         replay_records(self.state, (takeover,))
         begin_ownership(self.state, now_ms())
+        resume_transfers(self.state)
         self._log(
             LogDecision(
                 'takeover',
@@ -377,6 +383,13 @@
                 ),
             )
 
+    def offer(self, event: Any) -> None:
+        """Queue an event that a full inbox may drop."""
+        try:
+            self.events.send_nowait(event)
+        except anyio.WouldBlock:
+            return
+
     async def send_reply(self, token: int, message: Any) -> None:
         """Answer a request by its token; a token is used once."""
         request = self._replies.pop(token, None)
@@ -489,6 +502,11 @@
     task.ask_peer(action)
 
 
+@ACTION_HANDLERS.register(PublishSummary)
+async def _publish_summary(task: ShardTask, action: PublishSummary) -> None:
+    task.services.publish(action.summary)
+
+
 @ACTION_HANDLERS.register(LogDecision)
 async def _log_decision(task: ShardTask, action: LogDecision) -> None:
     task.log(action)
--- a/sassafrasgate/protocol/messages.py
+++ b/sassafrasgate/protocol/messages.py
@@ -33,6 +33,18 @@
     return add_message
 
 
+@register_message('summary')
+class Summary:
+    """Free capacity of a shard, for transfer decisions elsewhere."""
+
+    shard: str
+    epoch: int
+    free: Resources
+    largest: Resources
+    queued: int
+    failure_domain: str
+
+
 @register_message('heartbeat')
 class Heartbeat:
     """Shows that the sender lives; carries what it knows cheaply.
@@ -43,10 +55,13 @@
         Process name.
     configuration : int
         Highest configuration version the sender holds.
+    summaries : tuple of Summary
+        Free capacity of the sender's shards.
     """
 
     sender: str
     configuration: int = 0
+    summaries: tuple[Summary, ...] = ()
 
 
 @register_message('refused')
@@ -225,18 +240,6 @@
     """The receiver has durably noted a report."""
 
 
-@register_message('summary')
-class Summary:
-    """Free capacity of a shard, for transfer decisions elsewhere."""
-
-    shard: str
-    epoch: int
-    free: Resources
-    largest: Resources
-    queued: int
-    failure_domain: str
-
-
 @register_message('fetch-configuration')
 class FetchConfiguration:
     """Asks a peer for its configuration."""
--- a/sassafrasgate/shards/actions.py
+++ b/sassafrasgate/shards/actions.py
@@ -114,6 +114,13 @@
     message: Any
 
 
+@dataclass(frozen=True, slots=True)
+class PublishSummary:
+    """Let other shards know this shard's free capacity."""
+
+    summary: Any
+
+
 @dataclass(frozen=True, slots=True)
 class LogDecision:
     """One line for the decision log.
--- a/sassafrasgate/shards/cancellations.py
+++ b/sassafrasgate/shards/cancellations.py
@@ -7,11 +7,8 @@
 
 from sassafrasgate.core.jobs import JobState
 from sassafrasgate.core.jobs import Outcome
-from sassafrasgate.protocol.messages import Cancel
-from sassafrasgate.protocol.messages import Recall
 from sassafrasgate.shards.actions import LogDecision
 from sassafrasgate.shards.actions import Reply
-from sassafrasgate.shards.actions import SendPeer
 from sassafrasgate.shards.actions import StopTask
 from sassafrasgate.shards.endings import end_job
 from sassafrasgate.shards.handlers import reply_refusal
@@ -21,8 +18,10 @@
 from sassafrasgate.shards.views import view_job
 
 if TYPE_CHECKING:
+    from sassafrasgate.protocol.messages import Cancel
     from sassafrasgate.shards.events import RequestReceived
     from sassafrasgate.shards.handlers import Actions
+    from sassafrasgate.shards.state import JobEntry
     from sassafrasgate.shards.state import ShardState
 
 CANCEL_WAIT_MS = 5_000
@@ -52,19 +51,17 @@
     state.waiters[message.job_id] = (*waiters, waiter)
     if entry.cancelling:
         return
-    entry = state.update_job(message.job_id, cancelling=True)
+    yield from begin_cancel(state, entry)
+
+
+def begin_cancel(state: ShardState, entry: JobEntry) -> Actions:
+    """Cancel a job; its end follows when no task can run any more."""
+    entry = state.update_job(entry.job_id, cancelling=True)
     yield LogDecision('cancel', entry.job_id, entry.attempt)
     if entry.transferred_to:
-        yield SendPeer(
-            entry.transferred_to,
-            Recall(
-                entry.transferred_to,
-                state.name,
-                entry.job_id,
-                entry.attempt,
-                cancel=True,
-            ),
-        )
+        # The next tick recalls the attempt from the other shard.
+        transfer = state.transfers[entry.job_id]
+        state.transfers[entry.job_id] = replace(transfer, next_at=0)
         return
     tasks = list(state.tasks_of(entry.job_id))
     if not tasks and entry.state is not JobState.UNKNOWN:
--- a/sassafrasgate/shards/endings.py
+++ b/sassafrasgate/shards/endings.py
@@ -40,6 +40,8 @@
     from sassafrasgate.shards.handlers import Actions
     from sassafrasgate.shards.state import ShardState
 
+REPORT_RESEND_MS = 1_000
+
 # Certainty grows from left to right: the attempt as a whole is as bad as
 # its worst task.
 _FATE_ORDER = (
@@ -190,15 +192,11 @@
     for placement in entry.placements:
         yield ReleaseTask(placement.host, placement.task)
     if entry.home:
-        yield SendPeer(
-            entry.home,
-            TransferEnded(
-                entry.home,
-                entry.job_id,
-                entry.home_attempt,
-                record.outcome,
-            ),
+        report = TransferEnded(
+            entry.home, entry.job_id, entry.home_attempt, record.outcome
         )
+        state.unreported[entry.job_id] = (report, now + REPORT_RESEND_MS)
+        yield SendPeer(entry.home, report)
 
 
 def close_task(
--- /dev/null
+++ b/sassafrasgate/shards/passes.py
@@ -0,0 +1,69 @@
+"""Passes over the queue: place, transfer, or leave waiting."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sassafrasgate.core.errors import RefusalKind
+from sassafrasgate.core.jobs import JobClass
+from sassafrasgate.shards.placements import place_job
+from sassafrasgate.shards.transfers import begin_transfer
+from sassafrasgate.shards.transfers import find_transfer_target
+from sassafrasgate.shards.transfers import TRANSFER_AFTER_MS
+
+if TYPE_CHECKING:
+    from sassafrasgate.core.errors import Refusal
+    from sassafrasgate.placement.queues import QueuedJob
+    from sassafrasgate.shards.handlers import Actions
+    from sassafrasgate.shards.state import ShardState
+
+MAX_PLACEMENTS_PER_PASS = 200
+MAX_TRANSFERS_PER_PASS = 20
+
+
+def place_queued_jobs(state: ShardState, now: int) -> Actions:
+    """Place waiting jobs in fair order, at most one batch per call.
+
+    A job that does not fit now is passed over and blocks nobody.
+    """
+    placed = 0
+    transferred = 0
+    jobs = state.queue.pick(now, state.quotas.reserved)
+    for job in jobs:
+        refusal = yield from place_job(state, state.jobs[job.job_id])
+        if refusal is None:
+            state.start_rate.note_start(now)
+            placed += 1
+            if placed >= MAX_PLACEMENTS_PER_PASS:
+                state.room_changed = True
+                return
+            continue
+        if refusal.kind is RefusalKind.QUOTA:
+            jobs.skip_team(job.spec.team)
+            continue
+        if transferred < MAX_TRANSFERS_PER_PASS and may_transfer(
+            state, job, refusal, now
+        ):
+            target = find_transfer_target(state, job.spec, now)
+            if target is not None:
+                transferred += 1
+                entry = state.jobs[job.job_id]
+                yield from begin_transfer(state, entry, target)
+
+
+def may_transfer(
+    state: ShardState, job: QueuedJob, refusal: Refusal, now: int
+) -> bool:
+    """Tell whether a job may leave its home shard now.
+
+    Another failure domain costs a hop, so a job that could run at home
+    waits there first, unless it is urgent.
+    """
+    entry = state.jobs[job.job_id]
+    if entry.placements or entry.home or entry.cancelling:
+        return False
+    if job.spec.job_class is JobClass.URGENT:
+        return True
+    if refusal.kind is RefusalKind.FITS_NOWHERE:
+        return True
+    return now - job.queued_at >= TRANSFER_AFTER_MS
--- a/sassafrasgate/shards/placements.py
+++ b/sassafrasgate/shards/placements.py
@@ -28,8 +28,6 @@
     from sassafrasgate.shards.state import JobEntry
     from sassafrasgate.shards.state import ShardState
 
-MAX_PLACEMENTS_PER_PASS = 200
-
 
 def choose_for_job(
     state: ShardState,
@@ -112,26 +110,6 @@
     )
 
 
-def place_queued_jobs(state: ShardState, now: int) -> Actions:
-    """Place waiting jobs in fair order, at most one batch per call.
-
-    A job that does not fit now is passed over and blocks nobody.
-    """
-    placed = 0
-    jobs = state.queue.pick(now, state.quotas.reserved)
-    for job in jobs:
-        refusal = yield from place_job(state, state.jobs[job.job_id])
-        if refusal is not None:
-            if refusal.kind is RefusalKind.QUOTA:
-                jobs.skip_team(job.spec.team)
-            continue
-        state.start_rate.note_start(now)
-        placed += 1
-        if placed >= MAX_PLACEMENTS_PER_PASS:
-            state.room_changed = True
-            return
-
-
 def place_job(
     state: ShardState, entry: JobEntry
 ) -> Generator[Any, None, Refusal | None]:
--- a/sassafrasgate/shards/recovery.py
+++ b/sassafrasgate/shards/recovery.py
@@ -20,6 +20,7 @@
 from sassafrasgate.shards.state import HostEntry
 from sassafrasgate.shards.state import JobEntry
 from sassafrasgate.shards.state import TaskEntry
+from sassafrasgate.shards.state import TransferEntry
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -176,7 +177,7 @@
         state=JobState.QUEUED,
         reason=record.reason,
     )
-    state.transfers_in_flight.pop(record.job_id, None)
+    state.transfers.pop(record.job_id, None)
     _requeue(state, entry)
 
 
@@ -187,7 +188,7 @@
     for placement in entry.placements:
         state.drop_task(placement.task)
     state.queue.remove(record.job_id)
-    state.transfers_in_flight.pop(record.job_id, None)
+    state.transfers.pop(record.job_id, None)
     state.update_job(
         record.job_id,
         state=record.outcome.state,
@@ -211,6 +212,9 @@
         state=JobState.ACCEPTED,
         reason=f'transferred to shard {record.shard!r}',
     )
+    state.transfers[record.job_id] = TransferEntry(
+        record.attempt, record.shard
+    )
 
 
 @APPLIERS.register('tombstone')
--- a/sassafrasgate/shards/state.py
+++ b/sassafrasgate/shards/state.py
@@ -32,6 +32,7 @@
 from sassafrasgate.platform.tasks import RunningTask
 from sassafrasgate.platform.tasks import TaskUsage
 from sassafrasgate.protocol.messages import Summary
+from sassafrasgate.protocol.messages import TransferEnded
 from sassafrasgate.shards.attempts import AttemptFate
 from sassafrasgate.shards.attempts import ClockReading
 
@@ -223,6 +224,24 @@
     ended: EndedTask | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class TransferEntry:
+    """An attempt that was sent to another shard.
+
+    Parameters
+    ----------
+    accepted : bool
+        Whether the other shard has taken it for good.
+    next_at : int
+        Owner's clock from which the message is sent again.
+    """
+
+    attempt: int
+    shard: str
+    accepted: bool = False
+    next_at: int = 0
+
+
 @dataclass
 class ShardState:
     """Everything a shard's decisions depend on.
@@ -256,8 +275,15 @@
     explanations: dict[str, tuple[str, ...]] = field(default_factory=dict)
     usage: dict[str, TaskUsage] = field(default_factory=dict)
     tombstones: dict[tuple[str, str, int], None] = field(default_factory=dict)
-    summaries: dict[str, Summary] = field(default_factory=dict)
-    transfers_in_flight: dict[str, int] = field(default_factory=dict)
+    summaries: dict[str, tuple[Summary, int]] = field(default_factory=dict)
+    summary_at: int = 0
+    transfers: dict[str, TransferEntry] = field(default_factory=dict)
+    transfer_callers: dict[tuple[str, str, int], list[int]] = field(
+        default_factory=dict
+    )
+    unreported: dict[str, tuple[TransferEnded, int]] = field(
+        default_factory=dict
+    )
     ended_order: dict[str, None] = field(default_factory=dict)
     stopping: bool = False
     sizes: LearnedSizes = field(default_factory=LearnedSizes)
@@ -345,7 +371,7 @@
         """Tell whether another shard says that it could hold a task."""
         return any(
             spec.demand.fits_in(summary.largest)
-            for summary in self.summaries.values()
+            for summary, _ in self.summaries.values()
         )
 
     def tasks_of(self, job_id: str) -> Iterable[TaskEntry]:
--- a/sassafrasgate/shards/submissions.py
+++ b/sassafrasgate/shards/submissions.py
@@ -36,6 +36,7 @@
 from sassafrasgate.shards.quick import start_quick_request
 from sassafrasgate.shards.state import PendingSubmit
 from sassafrasgate.shards.state import TaskPhase
+from sassafrasgate.shards.transfers import answer_transfer_callers
 from sassafrasgate.shards.views import answer_or_wait
 from sassafrasgate.shards.views import make_waiter
 
@@ -193,6 +194,7 @@
             yield from answer_or_wait(
                 state, record.job_id, caller, now, position > 0
             )
+    yield from answer_transfer_callers(state, state.jobs[record.job_id])
     yield from start_placed(state, record.job_id, record.placements)
 
 
--- a/sassafrasgate/shards/timers.py
+++ b/sassafrasgate/shards/timers.py
@@ -20,6 +20,8 @@
 from sassafrasgate.shards.quick import expire_quick_requests
 from sassafrasgate.shards.recovery import sync_hosts
 from sassafrasgate.shards.submissions import expire_submits
+from sassafrasgate.shards.transfers import publish_summary
+from sassafrasgate.shards.transfers import repeat_transfers
 from sassafrasgate.shards.views import expire_waiters
 from sassafrasgate.shards.workers import lapse_hosts
 from sassafrasgate.shards.workers import update_openness
@@ -41,6 +43,8 @@
     yield from expire_waiters(state, now)
     yield from lapse_hosts(state, now)
     yield from _repeat_stops(state)
+    yield from repeat_transfers(state, now)
+    yield from publish_summary(state, now)
     yield from _forget_old_jobs(state)
     yield from _expire_queued(state, now)
     for name in state.hosts:
--- /dev/null
+++ b/sassafrasgate/shards/transfers.py
@@ -0,0 +1,415 @@
+"""Running an attempt on another shard's hosts, at most once.
+
+The home shard journals the transfer before it sends it. The other shard
+journals either the acceptance or a refusal for good before it answers, so
+that a repeated or late message can't start the attempt a second time.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from sassafrasgate.core.errors import Refusal
+from sassafrasgate.core.jobs import JobClass
+from sassafrasgate.core.jobs import JobState
+from sassafrasgate.core.jobs import Outcome
+from sassafrasgate.journal.records import AttemptRefused
+from sassafrasgate.journal.records import JobAccepted
+from sassafrasgate.journal.records import JobRequeued
+from sassafrasgate.journal.records import JobTransferred
+from sassafrasgate.protocol.messages import Acknowledged
+from sassafrasgate.protocol.messages import Recall
+from sassafrasgate.protocol.messages import Summary
+from sassafrasgate.protocol.messages import Transfer
+from sassafrasgate.protocol.messages import TransferEnded
+from sassafrasgate.protocol.messages import TransferReply
+from sassafrasgate.shards.actions import LogDecision
+from sassafrasgate.shards.actions import PublishSummary
+from sassafrasgate.shards.actions import Reply
+from sassafrasgate.shards.actions import SendPeer
+from sassafrasgate.shards.cancellations import begin_cancel
+from sassafrasgate.shards.endings import end_job
+from sassafrasgate.shards.events import PeerAnswered
+from sassafrasgate.shards.events import SummaryReceived
+from sassafrasgate.shards.handlers import DURABLE_HANDLERS
+from sassafrasgate.shards.handlers import EVENT_HANDLERS
+from sassafrasgate.shards.handlers import REQUEST_HANDLERS
+from sassafrasgate.shards.handlers import write_record
+from sassafrasgate.shards.placements import choose_for_job
+from sassafrasgate.shards.placements import find_rule_limits
+from sassafrasgate.shards.placements import make_placements
+from sassafrasgate.shards.placements import note_decision
+from sassafrasgate.shards.placements import note_placement
+from sassafrasgate.shards.state import JobEntry
+from sassafrasgate.shards.state import TransferEntry
+
+if TYPE_CHECKING:
+    from sassafrasgate.core.jobs import JobSpec
+    from sassafrasgate.shards.events import RequestReceived
+    from sassafrasgate.shards.handlers import Actions
+    from sassafrasgate.shards.state import ShardState
+
+TRANSFER_AFTER_MS = 1_000
+SUMMARY_AGE_MS = 3_000
+SUMMARY_INTERVAL_MS = 1_000
+RESEND_MS = 1_000
+# Attempt numbers of one home attempt on another shard; they never meet
+# those of the home shard or of another home attempt.
+ATTEMPTS_PER_TRANSFER = 1_000
+
+
+def find_transfer_target(
+    state: ShardState, spec: JobSpec, now: int
+) -> str | None:
+    """Return the shard that has most room for a job, or None.
+
+    Parameters
+    ----------
+    now : int
+        Owner's clock; older summaries than `SUMMARY_AGE_MS` do not count.
+    """
+    if spec.job_class is JobClass.SERVICE and spec.tasks > 1:
+        return None
+    _, domains = find_rule_limits(state, spec)
+    need = spec.demand.scale(spec.tasks)
+    best: Summary | None = None
+    for name, (summary, received_at) in state.summaries.items():
+        if name == state.name or now - received_at > SUMMARY_AGE_MS:
+            continue
+        if domains and summary.failure_domain not in domains:
+            continue
+        if spec.failure_domains and (
+            summary.failure_domain not in spec.failure_domains
+        ):
+            continue
+        if not spec.demand.fits_in(summary.largest):
+            continue
+        if summary.queued or not need.fits_in(summary.free):
+            continue
+        if best is None or summary.free.millicores > best.free.millicores:
+            best = summary
+    return best.shard if best is not None else None
+
+
+def begin_transfer(state: ShardState, entry: JobEntry, shard: str) -> Actions:
+    """Journal a transfer; the message follows when that is durable."""
+    summary, received_at = state.summaries[shard]
+    need = entry.spec.demand.scale(entry.spec.tasks)
+    # Until the next summary, what is sent there counts as used.
+    left = replace(
+        summary, free=summary.free - need, largest=summary.largest - need
+    )
+    state.summaries[shard] = (left, received_at)
+    yield from note_decision(
+        state,
+        LogDecision(
+            'transfer', entry.job_id, entry.attempt + 1, reason=f'to {shard}'
+        ),
+    )
+    yield from write_record(
+        state, JobTransferred(entry.job_id, entry.attempt + 1, shard)
+    )
+
+
+@DURABLE_HANDLERS.register('transferred')
+def send_transfer(
+    state: ShardState, record: JobTransferred, now: int
+) -> Actions:
+    """Send a transfer that is in the journal."""
+    yield from _resend(state, record.job_id, now)
+
+
+def repeat_transfers(state: ShardState, now: int) -> Actions:
+    """Repeat what another shard has not answered."""
+    for job_id, transfer in list(state.transfers.items()):
+        if transfer.next_at <= now:
+            yield from _resend(state, job_id, now)
+    for ended, next_at in list(state.unreported.values()):
+        if next_at <= now:
+            state.unreported[ended.job_id] = (ended, now + RESEND_MS)
+            yield SendPeer(ended.shard, ended)
+
+
+def _resend(state: ShardState, job_id: str, now: int) -> Actions:
+    transfer = state.transfers.get(job_id)
+    entry = state.jobs.get(job_id)
+    if transfer is None or entry is None:
+        return
+    state.transfers[job_id] = replace(transfer, next_at=now + RESEND_MS)
+    if entry.cancelling:
+        yield SendPeer(
+            transfer.shard,
+            Recall(
+                transfer.shard,
+                state.name,
+                job_id,
+                transfer.attempt,
+                cancel=True,
+            ),
+        )
+        return
+    if transfer.accepted:
+        return
+    yield SendPeer(
+        transfer.shard,
+        Transfer(
+            transfer.shard,
+            state.name,
+            state.epoch,
+            job_id,
+            transfer.attempt,
+            entry.spec,
+        ),
+    )
+
+
+@EVENT_HANDLERS.register(PeerAnswered)
+def note_peer_answer(
+    state: ShardState, event: PeerAnswered, now: int
+) -> Actions:
+    """Note the answer to a transfer, a recall or a report."""
+    message, answer = event.message, event.answer
+    if isinstance(message, TransferEnded):
+        if isinstance(answer, Acknowledged):
+            state.unreported.pop(message.job_id, None)
+        return
+    transfer = state.transfers.get(message.job_id)
+    if transfer is None or transfer.attempt != message.attempt:
+        return
+    if isinstance(answer, TransferEnded):
+        yield from _take_end(state, answer)
+        return
+    if not isinstance(answer, TransferReply):
+        return
+    if answer.accepted:
+        state.transfers[message.job_id] = replace(transfer, accepted=True)
+        return
+    yield from _take_back(state, message.job_id, answer.reason)
+
+
+def _take_back(state: ShardState, job_id: str, reason: str) -> Actions:
+    """Go on with a job whose transfer was refused for good."""
+    entry = state.jobs[job_id]
+    if entry.cancelling:
+        yield from end_job(
+            state,
+            entry,
+            Outcome(JobState.CANCELLED, 'cancelled by its caller'),
+        )
+        return
+    state.room_changed = True
+    yield from write_record(
+        state, JobRequeued(job_id, entry.attempt, f'not taken: {reason}')
+    )
+
+
+@REQUEST_HANDLERS.register('transfer-ended')
+def note_transfer_end(
+    state: ShardState, request: RequestReceived, now: int
+) -> Actions:
+    """End a job that another shard has run; answer when that is durable."""
+    message: TransferEnded = request.message
+    entry = state.jobs.get(message.job_id)
+    if entry is None or entry.is_over or not _is_current(state, message):
+        yield Reply(request.reply_to, Acknowledged())
+        return
+    # The sender repeats its report until the job is over here.
+    yield from _take_end(state, message)
+
+
+def _is_current(state: ShardState, message: TransferEnded) -> bool:
+    transfer = state.transfers.get(message.job_id)
+    return transfer is not None and transfer.attempt == message.attempt
+
+
+def _take_end(state: ShardState, message: TransferEnded) -> Actions:
+    entry = state.jobs[message.job_id]
+    if message.outcome.state is JobState.NOT_RUN:
+        yield from _take_back(state, message.job_id, message.outcome.reason)
+        return
+    yield from end_job(state, entry, message.outcome)
+
+
+@REQUEST_HANDLERS.register('transfer')
+def accept_transfer(
+    state: ShardState, request: RequestReceived, now: int
+) -> Actions:
+    """Take an attempt of another shard's job, or refuse it for good."""
+    message: Transfer = request.message
+    key = (message.job_id, message.home, message.attempt)
+    entry = state.jobs.get(message.job_id)
+    if key in state.tombstones:
+        yield from _answer_refused(state, request, 'refused before')
+        return
+    if entry is not None and entry.home_attempt == message.attempt:
+        yield from _answer_taken(state, request, entry)
+        return
+    if entry is not None and not entry.is_over:
+        # An earlier attempt still stands here; home asks again.
+        return
+    spec = message.spec
+    chosen = choose_for_job(state, spec, spec.tasks)
+    if isinstance(chosen, Refusal) or state.stopping:
+        reason = 'stopping' if state.stopping else str(chosen.reason)  # type: ignore[union-attr]
+        state.transfer_callers.setdefault(key, []).append(request.reply_to)
+        yield from write_record(
+            state,
+            AttemptRefused(message.job_id, message.home, message.attempt),
+        )
+        yield LogDecision('refuse', message.job_id, reason=reason)
+        return
+    attempt = message.attempt * ATTEMPTS_PER_TRANSFER + 1
+    placements = make_placements(state, message.job_id, attempt, spec, chosen)
+    state.transfer_callers.setdefault(key, []).append(request.reply_to)
+    yield from write_record(
+        state,
+        JobAccepted(
+            message.job_id,
+            spec,
+            attempt,
+            placements,
+            request.wall_ms,
+            message.home,
+            message.attempt,
+        ),
+    )
+    yield from note_placement(state, message.job_id, attempt, chosen)
+
+
+def _answer_taken(
+    state: ShardState, request: RequestReceived, entry: JobEntry
+) -> Actions:
+    if not entry.durable:
+        key = (entry.job_id, entry.home, entry.home_attempt)
+        state.transfer_callers.setdefault(key, []).append(request.reply_to)
+        return
+    yield Reply(
+        request.reply_to, TransferReply(entry.job_id, entry.home_attempt, True)
+    )
+
+
+def _answer_refused(
+    state: ShardState, request: RequestReceived, reason: str
+) -> Actions:
+    message = request.message
+    key = (message.job_id, message.home, message.attempt)
+    callers = state.transfer_callers.get(key)
+    if callers is not None:
+        callers.append(request.reply_to)
+        return
+    yield Reply(
+        request.reply_to,
+        TransferReply(message.job_id, message.attempt, False, reason),
+    )
+
+
+@DURABLE_HANDLERS.register('tombstone')
+def confirm_refusal(
+    state: ShardState, record: AttemptRefused, now: int
+) -> Actions:
+    """Answer home once the refusal is in the journal."""
+    key = (record.job_id, record.home, record.home_attempt)
+    for reply_to in state.transfer_callers.pop(key, ()):
+        yield Reply(
+            reply_to,
+            TransferReply(
+                record.job_id, record.home_attempt, False, 'no room there'
+            ),
+        )
+
+
+def answer_transfer_callers(state: ShardState, entry: JobEntry) -> Actions:
+    """Answer home once the acceptance is in the journal."""
+    key = (entry.job_id, entry.home, entry.home_attempt)
+    for reply_to in state.transfer_callers.pop(key, ()):
+        yield Reply(
+            reply_to, TransferReply(entry.job_id, entry.home_attempt, True)
+        )
+
+
+@REQUEST_HANDLERS.register('recall')
+def answer_recall(
+    state: ShardState, request: RequestReceived, now: int
+) -> Actions:
+    """Say what became of an attempt, or refuse it for good."""
+    message: Recall = request.message
+    entry = state.jobs.get(message.job_id)
+    if entry is None or entry.home_attempt != message.attempt:
+        yield from _refuse_recalled(state, request)
+        return
+    if entry.is_over:
+        outcome = entry.outcome or Outcome(entry.state, entry.reason)
+        yield Reply(
+            request.reply_to,
+            TransferEnded(
+                message.home, entry.job_id, entry.home_attempt, outcome
+            ),
+        )
+        return
+    yield Reply(
+        request.reply_to, TransferReply(entry.job_id, entry.home_attempt, True)
+    )
+    if message.cancel:
+        yield from begin_cancel(state, entry)
+
+
+def _refuse_recalled(state: ShardState, request: RequestReceived) -> Actions:
+    message: Recall = request.message
+    key = (message.job_id, message.home, message.attempt)
+    if key in state.tombstones:
+        yield from _answer_refused(state, request, 'recalled')
+        return
+    state.transfer_callers.setdefault(key, []).append(request.reply_to)
+    yield from write_record(
+        state, AttemptRefused(message.job_id, message.home, message.attempt)
+    )
+
+
+@EVENT_HANDLERS.register(SummaryReceived)
+def note_summary(
+    state: ShardState, event: SummaryReceived, now: int
+) -> Actions:
+    """Keep another shard's newest summary."""
+    summary: Summary = event.summary
+    known = state.summaries.get(summary.shard)
+    if known is not None and known[0].epoch > summary.epoch:
+        return
+    state.summaries[summary.shard] = (summary, now)
+    yield from ()
+
+
+def publish_summary(state: ShardState, now: int) -> Actions:
+    """Publish this shard's free capacity once a second."""
+    if now - state.summary_at < SUMMARY_INTERVAL_MS:
+        return
+    state.summary_at = now
+    yield PublishSummary(
+        Summary(
+            state.name,
+            state.epoch,
+            state.index.total_free(),
+            state.index.largest_free(),
+            len(state.queue),
+            state.failure_domain,
+        )
+    )
+
+
+def resume_transfers(state: ShardState) -> None:
+    """Set up what a new owner has to send again after its takeover."""
+    for entry in state.jobs.values():
+        if entry.transferred_to and not entry.is_over:
+            state.transfers[entry.job_id] = TransferEntry(
+                entry.attempt, entry.transferred_to
+            )
+        if entry.home and entry.is_over and entry.outcome is not None:
+            state.unreported[entry.job_id] = (
+                TransferEnded(
+                    entry.home,
+                    entry.job_id,
+                    entry.home_attempt,
+                    entry.outcome,
+                ),
+                0,
+            )
--- a/sassafrasgate/shards/transitions.py
+++ b/sassafrasgate/shards/transitions.py
@@ -13,7 +13,7 @@
 from sassafrasgate.shards.handlers import EVENT_HANDLERS
 from sassafrasgate.shards.handlers import reply_refusal
 from sassafrasgate.shards.handlers import REQUEST_HANDLERS
-from sassafrasgate.shards.placements import place_queued_jobs
+from sassafrasgate.shards.passes import place_queued_jobs
 
 if TYPE_CHECKING:
     from sassafrasgate.shards.handlers import Actions
--- a/sassafrasgate/shards/views.py
+++ b/sassafrasgate/shards/views.py
@@ -156,7 +156,7 @@
     found = [
         view_job(state, entry)
         for entry in state.jobs.values()
-        if message.state in ('', entry.state)
+        if message.state in ('', entry.state) and not entry.home
     ]
     yield Reply(request.reply_to, JobList(tuple(found[-limit:])))
 
