--- a/models/configurations.py
+++ b/models/configurations.py
@@ -79,8 +79,8 @@
                 )
         for write in state.late:
             rest = state._replace(late=state.late - {write})
-            after, _ = self._put(rest, *write)
-            yield f'late write of operator {write[0]}', after
+            stored, _ = self._put(rest, *write)
+            yield f'late write of operator {write[0]}', stored
 
     def _put(
         self, state: Manifest, number: int, base: tuple[int, ...]
