Specify the transfer of an attempt to another shard

Cause: a transfer crosses two journals and a network that loses messages. Change: a model of one transferred attempt with recall, tombstone, takeovers of both shards and forgetting.

--- a/models/run.py
+++ b/models/run.py
@@ -18,7 +18,14 @@
     from models.specifications import Specification
     from sassafrasgate.core.registries import Registry
 
-MODULES = ('ownership', 'attempts', 'takeovers', 'capacity', 'configurations')
+MODULES = (
+    'ownership',
+    'attempts',
+    'takeovers',
+    'capacity',
+    'configurations',
+    'transfers',
+)
 # The test machine has 10 cores; half of them keeps the run under a minute.
 PROCESSES = 5
 
