--- a/models/run.py
+++ b/models/run.py
@@ -26,7 +26,8 @@
     'configurations',
     'transfers',
 )
-# The test machine has 10 cores; half of them keeps the run under a minute.
+# Half of the 10 cores that the tests are meant to share; the longest single
+# check, not the number of processes, sets the duration of the run.
 PROCESSES = 5
 
 
@@ -69,12 +70,12 @@
 def format_results(results: Iterable[Result]) -> str:
     """Return the table of results, with a trace for each unexpected one."""
     lines = [
-        f'{"model":<22} {"variant":<38} {"states":>7} {"depth":>5} '
+        f'{"model":<24} {"variant":<46} {"states":>7} {"depth":>5} '
         f'{"seconds":>7}  {"verdict":<12} expected  detail'
     ]
     for result in results:
         lines.append(
-            f'{result.model:<22} {result.variant:<38} {result.states:>7} '
+            f'{result.model:<24} {result.variant:<46} {result.states:>7} '
             f'{result.depth:>5} {result.seconds:>7.1f}  '
             f'{result.verdict:<12} {result.expected:<9} {result.detail}'
         )
