--- a/models/takeovers.py
+++ b/models/takeovers.py
@@ -44,7 +44,7 @@
 FENCE_ANSWERED = 'host answers the fence before placing'
 EPOCH = 'worker epoch fence'
 BOUND_START = 'covered start bound to an incarnation'
-ABSENT_IS_LOST = 'absent after a takeover counts as lost'
+ABSENT_IS_LOST = 'absent on another incarnation counts as lost'
 AT_MOST_ONCE = 'non-idempotent rule'
 
 
@@ -224,8 +224,8 @@
     intent : bool
         Whether the journal names host A for attempt 1.
     bound, known : int
-        Incarnation of host A when that was journaled, and as the old owner
-        last heard.
+        Incarnation of host A that the journal names, and that the old owner
+        last heard of.
     starts : frozenset of int
         Starts of attempt 1 sent, by the incarnation that they name.
     incarnation : int
@@ -307,11 +307,11 @@
             fenced = state._replace(fenced=True)
             yield (
                 'host A answers successor',
-                fenced._replace(fate=self._conclude(state.task)),
+                fenced._replace(fate=self._conclude(state, state.task)),
             )
             waits = FENCE_ANSWERED in self.guards
             if may_place(not waits, False, False, False):
-                absent = state._replace(fate=self._conclude('absent'))
+                absent = state._replace(fate=self._conclude(state, 'absent'))
                 yield 'successor goes on without an answer', absent
             return
         if state.step:
@@ -320,13 +320,14 @@
         step = choose_next_step(idempotent, AttemptFate(state.fate), 1, 2)
         yield f'successor: {step}', state._replace(step=step)
 
-    def _conclude(self, task: str) -> AttemptFate:
+    def _conclude(self, state: Takeover, task: str) -> AttemptFate:
         """Return what host A's answer tells of attempt 1."""
         if task == 'running':
             return AttemptFate.OPEN
         if task == 'ended':
             return AttemptFate.FAILED
-        if ABSENT_IS_LOST in self.guards:
+        # A start names the incarnation that the journal names for it.
+        if state.incarnation != state.bound and ABSENT_IS_LOST in self.guards:
             return AttemptFate.LAPSED
         return AttemptFate.NOT_SENT
 
@@ -346,6 +347,9 @@
         )
     witnesses = {
         'the successor finds the task': lambda s: s.fate == AttemptFate.OPEN,
+        'the successor knows that it never ran': lambda s: (
+            s.intent and s.fate == AttemptFate.NOT_SENT
+        ),
         'the successor starts another attempt': lambda s: (
             s.step == NextStep.RETRY
         ),
