--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapters against the stand-ins."""
--- /dev/null
+++ b/tests/platform/test_adapters.py
@@ -0,0 +1,22 @@
+"""Guards the choice of adapters by URL scheme."""
+
+import pytest
+
+from sassafrasgate.core.errors import UnknownNameError
+from sassafrasgate.platform.adapters import open_store
+from sassafrasgate.platform.adapters import open_worker
+from sassafrasgate.platform.store import Store
+from sassafrasgate.platform.workers import WorkerClient
+
+
+async def test_scheme_selects_the_adapter_and_passes_its_options():
+    async with open_store('http://127.0.0.1:1', timeout_s=2.0) as store:
+        assert type(store) is Store
+    async with open_worker('http://127.0.0.1:1', connections=2) as worker:
+        assert type(worker) is WorkerClient
+
+
+@pytest.mark.parametrize('open_adapter', [open_store, open_worker])
+def test_unknown_scheme_names_the_known_ones(open_adapter):
+    with pytest.raises(UnknownNameError, match='use one of http'):
+        open_adapter('gopher://127.0.0.1:1')
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,232 @@
+"""Guards the store adapter's promises about writes that may have happened."""
+
+from anyio import create_task_group
+from anyio import sleep
+import pytest
+
+from sassafrasgate.core.errors import StoreConflictError
+from sassafrasgate.core.errors import StoreError
+from sassafrasgate.core.errors import StoreLeaseLostError
+from sassafrasgate.core.errors import StoreLogTrimmedError
+from sassafrasgate.core.errors import StoreUnavailableError
+from sassafrasgate.platform.items import HostStatus
+from sassafrasgate.platform.items import Item
+from sassafrasgate.platform.store import Store
+from tests.processes import find_free_address
+
+LOG_LENGTH = 40
+
+
+@pytest.fixture(scope='module')
+def standin(processes):
+    return processes.start_store(log_length=LOG_LENGTH, hosts_lag_ms=200)
+
+
+@pytest.fixture
+async def store(standin):
+    async with Store(standin.url, timeout_s=0.5) as client:
+        yield client
+    standin.set_faults(
+        down=False, frozen=False, delay_ms=0, lose_replies=0, silent=False
+    )
+
+
+async def test_writes_need_the_revision_that_was_read(store):
+    key = 'a/ b?%/é'
+    first = await store.create(key, b'\x00one')
+    with pytest.raises(StoreConflictError, match='read it again'):
+        await store.create(key, b'two')
+    second = await store.swap(key, b'two', first)
+    with pytest.raises(StoreConflictError):
+        await store.swap(key, b'three', first)
+    with pytest.raises(StoreConflictError):
+        await store.delete(key, first)
+    assert await store.get(key) == Item(key, b'two', second)
+    assert await store.delete(key, second)
+    assert not await store.delete(key)
+    assert await store.get(key) is None
+
+
+async def test_of_concurrent_creates_one_wins(store):
+    results = []
+
+    async def create(number):
+        try:
+            await store.create('race', b'%d' % number)
+        except StoreConflictError:
+            return
+        results.append(b'%d' % number)
+
+    async with create_task_group() as tasks:
+        for number in range(10):
+            tasks.start_soon(create, number)
+    assert [(await store.get('race')).value] == results
+
+
+async def test_value_over_a_megabyte_is_an_error_with_a_remedy(store):
+    with pytest.raises(StoreError, match='413'):
+        await store.create('large', bytes((1 << 20) + 1))
+
+
+async def test_expired_lease_deletes_its_keys_and_tells_watches(store):
+    lease = await store.grant_lease(0.5)
+    revision = await store.create('leased/k', b'v', lease)
+    await sleep(0.3)
+    assert await store.renew_lease(lease)
+    await sleep(0.3)
+    # Only the renewal has kept it for longer than its time to live.
+    assert await store.get('leased/k') is not None
+    changes = await store.watch('leased/', revision, 10)
+    assert changes.items == (Item('leased/k', None, changes.revision),)
+    assert not await store.renew_lease(lease)
+    with pytest.raises(StoreLeaseLostError, match='grant a new one'):
+        await store.create('leased/k', b'v', lease)
+    await store.revoke_lease(lease)
+
+
+async def test_watch_returns_each_change_under_its_prefix_in_order(store):
+    start = (await store.read_prefix('w/')).revision
+    seen = []
+
+    async def follow():
+        after = start
+        while len(seen) < 5:
+            changes = await store.watch('w/', after, 10)
+            after = changes.revision
+            seen.extend(item.value for item in changes.items)
+
+    async with create_task_group() as tasks:
+        tasks.start_soon(follow)
+        for number in range(5):
+            await store.create(f'x/{number}', b'other prefix')
+            await store.create(f'w/{number}', b'%d' % number)
+    assert seen == [b'0', b'1', b'2', b'3', b'4']
+
+
+async def test_watch_without_changes_answers_after_its_wait(store):
+    start = (await store.read_prefix('quiet/')).revision
+    changes = await store.watch('quiet/', start, 0.1)
+    assert changes.items == ()
+
+
+async def test_watch_from_before_the_log_is_told_to_list(store):
+    # A watch that went on silently would miss the trimmed changes.
+    start = (await store.read_prefix('t/')).revision
+    for number in range(LOG_LENGTH + 1):
+        await store.create(f't/{number}', b'')
+    with pytest.raises(StoreLogTrimmedError, match='list the prefix'):
+        await store.watch('t/', start, 1)
+
+
+async def test_list_is_complete_beyond_one_answer(store):
+    expected = {
+        f'p/{number}': bytes([number]) * 400_000 for number in range(7)
+    }
+    for key, value in expected.items():
+        await store.create(key, value)
+    await store.create('q', b'other prefix')
+    items = await store.list('p/')
+    assert {item.key: item.value for item in items} == expected
+    assert [item.key for item in items] == sorted(expected)
+
+
+async def test_lost_reply_is_unknown_and_the_write_stands(store, standin):
+    standin.set_faults(lose_replies=1)
+    with pytest.raises(StoreUnavailableError) as caught:
+        await store.create('lost', b'v')
+    assert caught.value.sent
+    assert (await store.get('lost')).value == b'v'
+
+
+async def test_outage_ends_waiting_watches_and_is_over_at_once(store, standin):
+    start = (await store.read_prefix('d/')).revision
+    failures = []
+
+    async def watch():
+        try:
+            await store.watch('d/', start, 30)
+        except StoreUnavailableError as error:
+            failures.append(error)
+
+    async with create_task_group() as tasks:
+        tasks.start_soon(watch)
+        await sleep(0.2)
+        standin.set_faults(down=True)
+    assert len(failures) == 1
+    with pytest.raises(StoreUnavailableError):
+        await store.get('d/k')
+    standin.set_faults(down=False)
+    assert await store.get('d/k') is None
+
+
+async def test_refused_connection_is_known_to_have_had_no_effect():
+    async with Store(f'http://{find_free_address()}') as store:
+        with pytest.raises(StoreUnavailableError) as caught:
+            await store.create('k', b'v')
+    assert not caught.value.sent
+
+
+async def test_write_to_a_frozen_store_may_take_effect_late(store, standin):
+    standin.set_faults(frozen=True)
+    with pytest.raises(StoreUnavailableError) as caught:
+        await store.create('late', b'v')
+    assert caught.value.sent
+    standin.set_faults(frozen=False)
+    assert (await store.get('late')).value == b'v'
+
+
+async def test_next_call_uses_a_new_connection_after_silence(store, standin):
+    await store.get('k')
+    standin.set_faults(silence_connections=True)
+    with pytest.raises(StoreUnavailableError):
+        await store.get('k')
+    assert await store.get('k') is None
+
+
+async def test_host_list_lags(store, standin):
+    hosts = (HostStatus('h1'), HostStatus('h2', leaving=True))
+    standin.set_hosts(hosts)
+    assert await store.list_hosts() == ()
+    await sleep(0.3)
+    assert await store.list_hosts() == hosts
+
+
+class _Budget:
+    def __init__(self):
+        self.acquired = []
+
+    async def acquire(self, kind, priority):
+        self.acquired.append((kind, priority))
+
+
+async def test_every_call_asks_the_budget_and_is_counted_once(standin):
+    # Calls that bypass the budget would exceed the store's shared rate.
+    budget = _Budget()
+    before = standin.read_counts()
+    async with Store(standin.url, budget=budget) as store:
+        lease = await store.grant_lease(5)
+        revision = await store.create('b', b'', lease)
+        await store.swap('b', b'', revision, priority=0)
+        await store.get('b')
+        changes = await store.read_prefix('b')
+        await store.watch('b', changes.revision, 0.2)
+        await store.renew_lease(lease)
+        await store.revoke_lease(lease)
+        await store.delete('b')
+        await store.list_hosts()
+    assert budget.acquired == [
+        ('write', 0),
+        ('write', 1),
+        ('write', 0),
+        ('read', 1),
+        ('read', 1),
+        ('read', 1),
+        ('write', 0),
+        ('write', 1),
+        ('write', 1),
+        ('read', 1),
+    ]
+    after = standin.read_counts()
+    made = sum(after.values()) - sum(before.values())
+    assert made == len(budget.acquired) == sum(store.calls.values())
+    assert after['get watch'] - before.get('get watch', 0) == 1
--- a/tests/standins/serving.py
+++ b/tests/standins/serving.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
 from dataclasses import dataclass
 from dataclasses import replace
 from functools import partial
@@ -16,6 +17,7 @@
 from socket import SOL_SOCKET
 from typing import Any
 from typing import TYPE_CHECKING
+from weakref import WeakSet
 from weakref import WeakValueDictionary
 
 from anyio import create_task_group
@@ -97,9 +99,10 @@
         self._socket = _ListeningSocket()
         self._socket.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
         self._socket.bind(split_address(address))
+        self._socket.listen(self.backlog)
         self.graceful_timeout = 0.2
         self.keep_alive_timeout = 120
-        self.errorlog = None
+        self.loglevel = 'ERROR'
         host, port = self._socket.getsockname()
         self.address = f'{host}:{port}'
 
@@ -108,20 +111,16 @@
         self._socket.setblocking(False)
         return Sockets([], [self._socket], [])
 
-    def drop(self, peer: Peer) -> None:
-        """End a connection without an answer."""
-        connection = self._socket.accepted.get(peer)
-        if connection is None:
-            return
-        try:
-            connection.shutdown(SHUT_RDWR)
-        except OSError:
-            return
+    def find_connection(self, peer: Peer) -> socket | None:
+        """Return the open connection from a peer."""
+        return self._socket.accepted.get(peer)
 
-    @property
-    def peers(self) -> tuple[Peer, ...]:
-        """The open connections."""
-        return tuple(self._socket.accepted)
+
+def _drop(connection: socket) -> None:
+    """End a connection without an answer."""
+    # The other side may have closed it already.
+    with suppress(OSError):
+        connection.shutdown(SHUT_RDWR)
 
 
 @dataclass(frozen=True, slots=True)
@@ -131,7 +130,7 @@
     Parameters
     ----------
     down : bool
-        Drop every connection that carries a call.
+        Drop every connection that carries a call, also a waiting one.
     frozen : bool
         Hold calls; they are performed once the fault ends, even when the
         caller has gone.
@@ -152,15 +151,31 @@
 
 
 class FaultGate:
-    """ASGI middleware that applies `Faults`, except on control paths."""
+    """ASGI middleware that applies `Faults`, except on control paths.
 
-    def __init__(self, application: ASGIApp, listener: Listener) -> None:
+    Parameters
+    ----------
+    application : ASGIApp
+        The API behind the faults.
+    listener : Listener
+        Where its connections come from.
+    count_call : callable
+        Told of each call when it arrives, also of those that fail.
+    """
+
+    def __init__(
+        self,
+        application: ASGIApp,
+        listener: Listener,
+        count_call: Callable[[Scope], None],
+    ) -> None:
         self._application = application
         self._listener = listener
+        self._count_call = count_call
         self._faults = Faults()
         self._changed = Event()
-        self._callers: set[Peer] = set()
-        self._silent: set[Peer] = set()
+        self._callers: WeakSet[socket] = WeakSet()
+        self._silent: WeakSet[socket] = WeakSet()
 
     def change(self, changes: dict[str, Any]) -> None:
         """Replace some of the faults.
@@ -191,9 +206,8 @@
 
     def drop_callers(self) -> None:
         """Drop every connection that has carried a call."""
-        for peer in self._callers & set(self._listener.peers):
-            self._listener.drop(peer)
-        self._callers.clear()
+        for connection in self._callers:
+            _drop(connection)
 
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
@@ -202,25 +216,28 @@
         if scope['type'] != 'http' or scope['path'].startswith(CONTROL_PREFIX):
             await self._application(scope, receive, send)
             return
-        peer: Peer = tuple(scope['client'])
-        self._callers.add(peer)
+        self._count_call(scope)
+        connection = self._listener.find_connection(tuple(scope['client']))
+        if connection is None:
+            return
+        self._callers.add(connection)
         if self._faults.silent:
-            self._silent.add(peer)
-        if peer in self._silent:
+            self._silent.add(connection)
+        if connection in self._silent:
             await sleep_forever()
         if self._faults.delay_ms:
             await sleep(self._faults.delay_ms / 1000)
         while self._faults.frozen:
             await self._changed.wait()
         if self._faults.down:
-            self._listener.drop(peer)
+            _drop(connection)
             return
         if self._faults.lose_replies and scope['method'] != 'GET':
             self._faults = replace(
                 self._faults, lose_replies=self._faults.lose_replies - 1
             )
             await self._application(scope, receive, _discard)
-            self._listener.drop(peer)
+            _drop(connection)
             return
         await self._application(scope, receive, send)
 
--- a/tests/standins/store.py
+++ b/tests/standins/store.py
@@ -35,6 +35,7 @@
 
 if TYPE_CHECKING:
     from starlette.requests import Request
+    from starlette.types import Scope
 
 MEGABYTE = 1 << 20
 LOG_LENGTH = 20_000
@@ -216,8 +217,10 @@
 class StoreProgram:
     """HTTP routes over `StoreState`."""
 
-    def __init__(self, listener: Listener, hosts_lag_ms: int) -> None:
-        self._state = StoreState()
+    def __init__(
+        self, listener: Listener, hosts_lag_ms: int, log_length: int
+    ) -> None:
+        self._state = StoreState(log_length)
         self._counts: Counter[str] = Counter()
         self._leases_changed = Event()
         self._hosts_lag_ms = hosts_lag_ms
@@ -265,6 +268,7 @@
                 },
             ),
             listener,
+            lambda scope: self._counts.update([_name_call(scope)]),
         )
         self._listener = listener
 
@@ -283,16 +287,15 @@
             with move_on_after(wait_s):
                 await self._leases_changed.wait()
 
-    def _begin(self, kind: str) -> int:
-        """Count a call and expire leases before it sees the state."""
-        self._counts[kind] += 1
+    def _begin(self) -> int:
+        """Expire leases before a call sees the state."""
         now = read_clock_ms()
         self._state.expire(now)
         return now
 
     async def list_keys(self, request: Request) -> Response:
         """Answer a list of a prefix."""
-        self._begin('list')
+        self._begin()
         query = request.query_params
         page, more = self._state.list_prefix(
             query.get('prefix', ''),
@@ -309,7 +312,7 @@
 
     async def get_key(self, request: Request) -> Response:
         """Answer a read of one key."""
-        self._begin('get')
+        self._begin()
         item = self._state.find(request.path_params['key'])
         if item is None:
             return Response(status_code=404)
@@ -318,7 +321,7 @@
     async def put_key(self, request: Request) -> Response:
         """Answer a compare-and-swap."""
         value = await request.body()
-        self._begin('put')
+        self._begin()
         if len(value) > MEGABYTE:
             return Response(status_code=413)
         revision = self._state.put(
@@ -331,7 +334,7 @@
 
     async def delete_key(self, request: Request) -> Response:
         """Answer a delete."""
-        self._begin('delete')
+        self._begin()
         found = self._state.delete(
             request.path_params['key'], _read_condition(request)
         )
@@ -339,7 +342,7 @@
 
     async def watch(self, request: Request) -> Response:
         """Answer a watch once there are changes."""
-        self._begin('watch')
+        self._begin()
         query = request.query_params
         changes = await self._state.wait_for_changes(
             query.get('prefix', ''),
@@ -353,25 +356,25 @@
     async def grant_lease(self, request: Request) -> Response:
         """Answer a request for a lease."""
         body = await read_json(request, dict[str, float])
-        now = self._begin('grant')
+        now = self._begin()
         lease = self._state.grant(body['ttl'], now)
         self._leases_changed.set()
         return reply_json({'lease': lease}, 201)
 
     async def renew_lease(self, request: Request) -> Response:
         """Answer a renewal."""
-        self._state.renew(request.path_params['lease'], self._begin('renew'))
+        self._state.renew(request.path_params['lease'], self._begin())
         return Response(status_code=204)
 
     async def revoke_lease(self, request: Request) -> Response:
         """Answer a revocation."""
-        self._begin('revoke')
+        self._begin()
         self._state.revoke(request.path_params['lease'])
         return Response(status_code=204)
 
     async def list_hosts(self, request: Request) -> Response:
         """Answer with the host list as it was before the lag."""
-        visible = self._begin('hosts') - self._hosts_lag_ms
+        visible = self._begin() - self._hosts_lag_ms
         while len(self._hosts) > 1 and self._hosts[1][0] <= visible:
             self._hosts.pop(0)
         return reply_json(self._hosts[0][1])
@@ -392,6 +395,15 @@
         return Response(status_code=204)
 
 
+def _name_call(scope: Scope) -> str:
+    """Return the kind of a call, such as ``put keys`` or ``get list``."""
+    parts = scope['path'].split('/')
+    noun = 'renew' if parts[-1] == 'renew' else parts[2]
+    if scope['path'] == '/v1/keys':
+        noun = 'list'
+    return f'{scope["method"].lower()} {noun}'
+
+
 def _read_condition(request: Request) -> int | None:
     if request.headers.get('if-none-match') == '*':
         return 0
@@ -417,9 +429,14 @@
     parser = ArgumentParser()
     parser.add_argument('--address', required=True)
     parser.add_argument('--hosts-lag-ms', type=int, default=0)
+    parser.add_argument('--log-length', type=int, default=LOG_LENGTH)
     arguments = parser.parse_args()
-    listener = Listener(arguments.address)
-    run(StoreProgram(listener, arguments.hosts_lag_ms).serve)
+    program = StoreProgram(
+        Listener(arguments.address),
+        arguments.hosts_lag_ms,
+        arguments.log_length,
+    )
+    run(program.serve)
 
 
 if __name__ == '__main__':
--- a/tests/standins/worker.py
+++ b/tests/standins/worker.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from argparse import ArgumentParser
+from collections import Counter
 from time import monotonic
 from typing import TYPE_CHECKING
 
@@ -35,6 +36,7 @@
     from collections.abc import Callable
 
     from starlette.requests import Request
+    from starlette.types import Scope
 
     from sassafrasgate.platform.tasks import StartReply
 
@@ -50,6 +52,7 @@
 
     def __init__(self, capacity: Resources, listener: Listener) -> None:
         self._worker = Worker(capacity)
+        self._calls: Counter[str] = Counter()
         self.listener = listener
         self.gate = FaultGate(
             Starlette(
@@ -63,6 +66,7 @@
                         methods=['POST'],
                     ),
                     Route('/control/record', self.show_record),
+                    Route('/control/counts', self.show_counts),
                     Route(
                         '/control/faults',
                         self.change_faults,
@@ -72,6 +76,7 @@
                 exception_handlers={ValidationError: _reply_bad_body},
             ),
             listener,
+            lambda scope: self._calls.update([_name_call(scope)]),
         )
 
     async def run_tasks(self) -> None:
@@ -158,6 +163,10 @@
         """Answer with what the worker has seen."""
         return reply_json(self._worker.build_record())
 
+    async def show_counts(self, request: Request) -> Response:
+        """Answer with the number of calls of each kind."""
+        return reply_json(self._calls)
+
     async def change_faults(self, request: Request) -> Response:
         """Set faults."""
         changes = await read_json(request, dict[str, object])
@@ -169,6 +178,12 @@
         return Response(status_code=204)
 
 
+def _name_call(scope: Scope) -> str:
+    """Return the kind of a call: sync, tasks, output, stop and so on."""
+    name: str = scope['path'].rpartition('/')[2]
+    return name
+
+
 def _reply_bad_body(request: Request, error: Exception) -> Response:
     assert isinstance(error, ValidationError)
     return reply_invalid(error)
