Keep open hosts sorted by each free resource

Change: per failure domain, bisected lists by each free resource; best fit is the first host that fits. Several tasks of one job use a heap per rack.

--- a/sassafrasgate/placement/index.py
+++ b/sassafrasgate/placement/index.py
@@ -2,18 +2,22 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left
+from bisect import insort
 from types import MappingProxyType
 from typing import TYPE_CHECKING
 
 from sassafrasgate.core.errors import SassafrasgateError
 from sassafrasgate.core.errors import UnknownNameError
 from sassafrasgate.core.resources import NOTHING
+from sassafrasgate.core.resources import Resources
+from sassafrasgate.placement.scores import RESOURCE_NAMES
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Mapping
 
     from sassafrasgate.core.hosts import Host
-    from sassafrasgate.core.resources import Resources
 
 _NO_TASKS: Mapping[str, Resources] = MappingProxyType({})
 
@@ -30,6 +34,37 @@
         )
 
 
+class _DomainOrder:
+    """Open hosts of one failure domain, sorted by each free resource.
+
+    Plain lists with bisection: at a few hundred hosts, moving the tail of
+    a list on insertion costs less than a tree or nested lists.
+    """
+
+    def __init__(self) -> None:
+        self.lists: dict[str, list[tuple[int, str]]] = {
+            resource: [] for resource in RESOURCE_NAMES
+        }
+
+    def add(self, name: str, free: Resources) -> None:
+        for resource, entries in self.lists.items():
+            insort(entries, (getattr(free, resource), name))
+
+    def remove(self, name: str, free: Resources) -> None:
+        for resource, entries in self.lists.items():
+            entry = (getattr(free, resource), name)
+            del entries[bisect_left(entries, entry)]
+
+    def change(self, name: str, old: Resources, new: Resources) -> None:
+        for resource, entries in self.lists.items():
+            before: int = getattr(old, resource)
+            after: int = getattr(new, resource)
+            if before == after:
+                continue
+            del entries[bisect_left(entries, (before, name))]
+            insort(entries, (after, name))
+
+
 class HostIndex:
     """Hosts with their reservations; the only place that counts them.
 
@@ -57,7 +92,9 @@
         self._removed: dict[str, bool] = {}
         self._tasks: dict[str, dict[str, Resources]] = {}
         self._first: dict[tuple[str, str], Resources] = {}
+        self._orders: dict[str, _DomainOrder] = {}
         self._total = NOTHING
+        self._largest: Resources | None = NOTHING
         self._hosts_view = MappingProxyType(self._hosts)
         self._open_view = MappingProxyType(self._open)
 
@@ -78,16 +115,20 @@
         smaller capacity may leave a negative amount free.
         """
         name = host.name
-        known = self._hosts.get(name)
-        self._hosts[name] = host
-        if known is None:
+        self._largest = None
+        if name not in self._hosts:
+            self._hosts[name] = host
             self._tasks[name] = {}
             self._closed[name] = host.capacity
             self.set_open(name, not host.drained)
             return
-        self._change_free(name, host.capacity - known.capacity)
-        if name in self._removed:
-            self.set_open(name, self._removed.pop(name))
+        # Closed while it changes, since it may move between domains.
+        is_open = self._removed.pop(name, name in self._open)
+        self._close(name)
+        change = host.capacity - self._hosts[name].capacity
+        self._hosts[name] = host
+        self._change_free(name, change)
+        self.set_open(name, is_open)
 
     def remove_host(self, name: str) -> None:
         """Close a host and forget it once its last task is released.
@@ -118,6 +159,7 @@
             return
         free = self._closed.pop(name)
         self._open[name] = free
+        self._find_order(name).add(name, free)
         self._total = self._total + free.cover(NOTHING)
 
     def is_open(self, name: str) -> bool:
@@ -199,6 +241,65 @@
         """Return the reservations of a host by task; empty if unknown."""
         return MappingProxyType(self._tasks.get(name, _NO_TASKS))
 
+    def find_tightest(
+        self,
+        domain: str,
+        resource: str,
+        demand: Resources,
+        is_usable: Callable[[str], bool] | None = None,
+    ) -> tuple[int, str] | None:
+        """Return the open host where a demand leaves least of a resource.
+
+        Parameters
+        ----------
+        domain : str
+            Failure domain to look in.
+        resource : str
+            Name of a field of `Resources`.
+        is_usable : callable, optional
+            Tells for a host name whether the host may be used.
+
+        Returns
+        -------
+        tuple of int and str, or None
+            What is free of the resource, and the host; of equal hosts the
+            first by name.
+        """
+        order = self._orders.get(domain)
+        if order is None:
+            return None
+        entries = order.lists[resource]
+        start = bisect_left(entries, (getattr(demand, resource), ''))
+        free = self._open
+        for number in range(start, len(entries)):
+            name = entries[number][1]
+            if demand.fits_in(free[name]) and (
+                is_usable is None or is_usable(name)
+            ):
+                return entries[number]
+        return None
+
+    def count_open(self, resource: str, least: int) -> int:
+        """Return how many open hosts have so much free of a resource."""
+        return sum(
+            len(entries) - bisect_left(entries, (least, ''))
+            for order in self._orders.values()
+            for entries in (order.lists[resource],)
+        )
+
+    def list_domains(self) -> list[str]:
+        """Return the failure domains that have had open hosts."""
+        return list(self._orders)
+
+    def find_largest_capacity(self) -> Resources:
+        """Return the largest capacity of any host, by resource."""
+        if self._largest is None:
+            largest = NOTHING
+            for host in self._hosts.values():
+                largest = largest.cover(host.capacity)
+            self._largest = largest
+        return self._largest
+
     def list_fitting(self, demand: Resources) -> list[str]:
         """Return the open hosts that have room for a demand."""
         return [
@@ -218,20 +319,30 @@
         The amounts may come from different hosts, so a demand that does
         not fit in them fits on no host, but not the reverse.
         """
-        largest = NOTHING
-        for free in self._open.values():
-            largest = largest.cover(free)
-        return largest
+        amounts = {}
+        for resource in RESOURCE_NAMES:
+            lists = [order.lists[resource] for order in self._orders.values()]
+            tops = [entries[-1][0] for entries in lists if entries]
+            amounts[resource] = max(0, *tops) if tops else 0
+        return Resources(**amounts)
 
     def _check_known(self, name: str) -> None:
         if name not in self._hosts:
             raise UnknownNameError('host', name, tuple(sorted(self._hosts)))
 
+    def _find_order(self, name: str) -> _DomainOrder:
+        domain = self._hosts[name].failure_domain
+        order = self._orders.get(domain)
+        if order is None:
+            order = self._orders[domain] = _DomainOrder()
+        return order
+
     def _close(self, name: str) -> None:
         free = self._open.pop(name, None)
         if free is None:
             return
         self._closed[name] = free
+        self._find_order(name).remove(name, free)
         self._total = self._total - free.cover(NOTHING)
 
     def _set_reservation(
@@ -255,6 +366,10 @@
             return
         changed = free + change
         self._open[name] = changed
+        self._find_order(name).change(name, free, changed)
+        if NOTHING.fits_in(free) and NOTHING.fits_in(changed):
+            self._total = self._total + change
+            return
         self._total = (
             self._total + changed.cover(NOTHING) - free.cover(NOTHING)
         )
@@ -266,3 +381,4 @@
         del self._tasks[name]
         del self._closed[name]
         del self._hosts[name]
+        self._largest = None
--- a/sassafrasgate/placement/policies.py
+++ b/sassafrasgate/placement/policies.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass
+from heapq import heapify
+from heapq import heappop
+from heapq import heapreplace
 from typing import TYPE_CHECKING
 
 from sassafrasgate.core.errors import Refusal
@@ -13,12 +17,11 @@
 from sassafrasgate.core.resources import NOTHING
 from sassafrasgate.core.resources import Resources
 from sassafrasgate.placement.scores import find_scarcest
-from sassafrasgate.placement.scores import find_share
+from sassafrasgate.placement.scores import Weights
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Iterable
-    from collections.abc import Mapping
 
     from sassafrasgate.core.hosts import Host
     from sassafrasgate.placement.index import HostIndex
@@ -70,7 +73,8 @@
     score : float
         Cost of the choice, lower is better; for logs.
     candidates : int
-        Number of hosts that the first task fitted on.
+        Number of open hosts that had enough of the scarcest resource for a
+        task; for several tasks, of all resources.
     """
 
     hosts: tuple[str, ...]
@@ -78,62 +82,58 @@
     candidates: int
 
 
-@dataclass(frozen=True, slots=True)
-class Policy:
-    """Weights of one job class; all costs add up, the lowest wins.
-
-    Parameters
-    ----------
-    hop_cost : float
-        Cost of a host outside the local failure domain. The fit costs 0 to
-        1, so a cost above 1 makes locality decide and a lower one lets a
-        clearly better fit win.
-    domain_cost, rack_cost, host_cost : float
-        Cost for each of the job's tasks that is already in the same
-        failure domain, rack or host; negative to keep tasks together.
-    """
-
-    hop_cost: float = 0.0
-    domain_cost: float = 0.0
-    rack_cost: float = 0.0
-    host_cost: float = 0.0
+POLICIES: Registry[
+    JobClass, Callable[[HostIndex, PlacementRequest], Assignment | None]
+] = Registry('job class policy')
 
-
-POLICIES: Registry[JobClass, Callable[[], Policy]] = Registry(
-    'job class policy'
-)
+# A caller waits for quick and urgent work, so local hosts go first however
+# they fit. Batch work and gangs take a hop when it saves a quarter of a host.
+WAITING_WEIGHTS = Weights(hop=2.0)
+BATCH_WEIGHTS = Weights(hop=0.25)
+GANG_WEIGHTS = Weights(hop=0.25, domain=-0.5, rack=-0.25)
+# The loss of a domain, a rack or a host should take the fewest tasks of a
+# service, in this order; each cost outweighs all below it.
+SERVICE_WEIGHTS = Weights(hop=0.5, domain=100.0, rack=10.0, host=2.0)
 
 
 @POLICIES.register(JobClass.QUICK)
-def make_quick_policy() -> Policy:
-    """Return the policy for callers that wait: local before well packed."""
-    return Policy(hop_cost=2.0)
+def place_quick(
+    index: HostIndex, request: PlacementRequest
+) -> Assignment | None:
+    """Place a quick request: local before well packed."""
+    return place_one(index, request, WAITING_WEIGHTS)
 
 
 @POLICIES.register(JobClass.URGENT)
-def make_urgent_policy() -> Policy:
-    """Return the policy for urgent work: local before well packed."""
-    return Policy(hop_cost=2.0)
+def place_urgent(
+    index: HostIndex, request: PlacementRequest
+) -> Assignment | None:
+    """Place urgent work: local before well packed."""
+    return place_one(index, request, WAITING_WEIGHTS)
 
 
-@POLICIES.register(JobClass.SERVICE)
-def make_service_policy() -> Policy:
-    """Return the policy for services: spread over domains, then racks."""
-    return Policy(
-        hop_cost=0.5, domain_cost=100.0, rack_cost=10.0, host_cost=2.0
-    )
+@POLICIES.register(JobClass.BATCH)
+def place_batch(
+    index: HostIndex, request: PlacementRequest
+) -> Assignment | None:
+    """Place batch work: well packed, local when that costs little."""
+    return place_one(index, request, BATCH_WEIGHTS)
 
 
-@POLICIES.register(JobClass.BATCH)
-def make_batch_policy() -> Policy:
-    """Return the policy for batch work: packed, local when alike."""
-    return Policy(hop_cost=0.25)
+@POLICIES.register(JobClass.SERVICE)
+def place_service(
+    index: HostIndex, request: PlacementRequest
+) -> Assignment | None:
+    """Place a service: spread over domains, then racks, then hosts."""
+    return place_together(index, request, SERVICE_WEIGHTS)
 
 
 @POLICIES.register(JobClass.GANG)
-def make_gang_policy() -> Policy:
-    """Return the policy for gangs: close together, all or nothing."""
-    return Policy(hop_cost=0.25, domain_cost=-0.5, rack_cost=-0.25)
+def place_gang(
+    index: HostIndex, request: PlacementRequest
+) -> Assignment | None:
+    """Place a gang: close together, all or nothing."""
+    return place_together(index, request, GANG_WEIGHTS)
 
 
 def choose_hosts(
@@ -148,16 +148,8 @@
         could not hold the tasks even when empty, otherwise
         `RefusalKind.NO_ROOM`. Nothing is reserved.
     """
-    policy = POLICIES.find(request.spec.job_class)()
-    demand = find_demand(request)
-    count = request.tasks or request.spec.tasks
-    free = _list_free(index, request, demand)
-    if not free:
-        return _explain_refusal(index, request, demand, count)
-    chosen = _place_tasks(index, request, policy, demand, count, free)
-    if chosen is None:
-        return _explain_refusal(index, request, demand, count)
-    return Assignment(*chosen, candidates=len(free))
+    policy = POLICIES.find(request.spec.job_class)
+    return policy(index, request) or explain_refusal(index, request)
 
 
 def find_demand(request: PlacementRequest) -> Resources:
@@ -211,101 +203,165 @@
     return count
 
 
-def _list_free(
-    index: HostIndex, request: PlacementRequest, demand: Resources
-) -> dict[str, Resources]:
-    hosts = index.hosts
+def place_one(
+    index: HostIndex, request: PlacementRequest, weights: Weights
+) -> Assignment | None:
+    """Place a single task by best fit over the scarcest resource.
+
+    In each domain, the index yields the host that is left with least of
+    that resource; the cost of a hop decides between the domains.
+    """
+    demand = find_demand(request)
+    resource = find_scarcest(demand, index.total_free())
+    whole = getattr(index.find_largest_capacity(), resource) or 1
+    need = getattr(demand, resource)
+    is_usable = _make_filter(index, request)
+    found = []
+    for domain in index.list_domains():
+        tightest = index.find_tightest(domain, resource, demand, is_usable)
+        if tightest is None:
+            continue
+        score = (tightest[0] - need) / whole
+        if request.local_domain and domain != request.local_domain:
+            score += weights.hop
+        found.append((score, tightest[1]))
+    if not found:
+        return None
+    score, name = min(found)
+    return Assignment((name,), score, index.count_open(resource, need))
+
+
+def place_together(
+    index: HostIndex, request: PlacementRequest, weights: Weights
+) -> Assignment | None:
+    """Place several tasks, one by one, all or nothing.
+
+    Each rack keeps its hosts in a heap by fit, since only the fit of a
+    chosen host changes; a task then costs one comparison for each rack.
+    """
+    demand = find_demand(request)
+    count = request.tasks or request.spec.tasks
+    table = _RackTable(index, request, weights, demand)
+    candidates = table.count_hosts()
+    chosen = []
+    total = 0.0
+    for _ in range(count):
+        best = table.take_best()
+        if best is None:
+            return None
+        total += best[0]
+        chosen.append(best[1])
+    return Assignment(tuple(chosen), total, candidates)
+
+
+class _RackTable:
+    """Hosts with room by rack, while one job's tasks are placed."""
+
+    def __init__(
+        self,
+        index: HostIndex,
+        request: PlacementRequest,
+        weights: Weights,
+        demand: Resources,
+    ) -> None:
+        self._hosts = index.hosts
+        self._weights = weights
+        self._demand = demand
+        self._local = request.local_domain
+        self._resource = find_scarcest(demand, index.total_free())
+        largest = index.find_largest_capacity()
+        self._whole = getattr(largest, self._resource) or 1
+        self._near = Counter[str]()
+        self._free: dict[str, Resources] = {}
+        self._racks: dict[tuple[str, str], list[tuple[float, str]]] = {}
+        for name in request.occupied:
+            if name in self._hosts:
+                self._count_near(name)
+        self._fill(index, _make_filter(index, request))
+
+    def count_hosts(self) -> int:
+        return len(self._free)
+
+    def take_best(self) -> tuple[float, str] | None:
+        """Return cost and name of the best host, and place a task there."""
+        if not self._racks:
+            return None
+        cost, rack = min(
+            (heap[0][0] + self._find_rack_cost(rack), rack)
+            for rack, heap in self._racks.items()
+        )
+        heap = self._racks[rack]
+        name = heap[0][1]
+        self._count_near(name)
+        self._free[name] = self._free[name] - self._demand
+        if self._demand.fits_in(self._free[name]):
+            heapreplace(heap, (self._find_host_cost(name), name))
+            return cost, name
+        heappop(heap)
+        if not heap:
+            del self._racks[rack]
+        return cost, name
+
+    def _fill(
+        self, index: HostIndex, is_usable: Callable[[str], bool] | None
+    ) -> None:
+        free = index.open_free
+        for name in index.list_fitting(self._demand):
+            if is_usable is not None and not is_usable(name):
+                continue
+            self._free[name] = free[name]
+            host = self._hosts[name]
+            heap = self._racks.setdefault((host.failure_domain, host.rack), [])
+            heap.append((self._find_host_cost(name), name))
+        for heap in self._racks.values():
+            heapify(heap)
+
+    def _count_near(self, name: str) -> None:
+        host = self._hosts[name]
+        self._near[f'domain {host.failure_domain}'] += 1
+        self._near[f'rack {host.rack}'] += 1
+        self._near[f'host {name}'] += 1
+
+    def _find_host_cost(self, name: str) -> float:
+        left: int = getattr(self._free[name], self._resource)
+        left -= getattr(self._demand, self._resource)
+        near = self._near[f'host {name}'] if self._near else 0
+        return left / self._whole + self._weights.host * near
+
+    def _find_rack_cost(self, rack: tuple[str, str]) -> float:
+        domain, name = rack
+        cost = 0.0
+        if self._local and domain != self._local:
+            cost = self._weights.hop
+        return (
+            cost
+            + self._weights.domain * self._near[f'domain {domain}']
+            + self._weights.rack * self._near[f'rack {name}']
+        )
+
+
+def _make_filter(
+    index: HostIndex, request: PlacementRequest
+) -> Callable[[str], bool] | None:
+    """Return what tells whether a host may be used; None when all may."""
     excluded = request.excluded
-    unconstrained = not (
-        request.labels
+    if not (
+        excluded
+        or request.labels
         or request.failure_domains
         or request.spec.failure_domains
-    )
-    return {
-        name: free
-        for name, free in index.open_free.items()
-        if demand.fits_in(free)
-        and name not in excluded
-        and (unconstrained or is_allowed(hosts[name], request))
-    }
-
-
-def _place_tasks(
-    index: HostIndex,
-    request: PlacementRequest,
-    policy: Policy,
-    demand: Resources,
-    count: int,
-    free: dict[str, Resources],
-) -> tuple[tuple[str, ...], float] | None:
-    scarcest = find_scarcest(demand, index.total_free())
+    ):
+        return None
     hosts = index.hosts
-    near = [hosts[name] for name in request.occupied if name in hosts]
-    room = dict(free) if count > 1 else free
-    chosen: list[str] = []
-    total = 0.0
-    while len(chosen) < count:
-        if not room:
-            return None
-        counts = _count_near(near, policy)
-        score, name = min(
-            (
-                find_share(left, demand, scarcest, hosts[name].capacity)
-                + _find_cost(hosts[name], request, policy, counts),
-                name,
-            )
-            for name, left in room.items()
-        )
-        chosen.append(name)
-        total += score
-        if len(chosen) == count:
-            break
-        near.append(hosts[name])
-        room[name] = room[name] - demand
-        if not demand.fits_in(room[name]):
-            del room[name]
-    return tuple(chosen), total
-
-
-def _count_near(near: list[Host], policy: Policy) -> Mapping[str, float]:
-    """Return the cost of each domain, rack and host with the job's tasks."""
-    costs: dict[str, float] = {}
-    for host in near:
-        for key, cost in (
-            (f'd:{host.failure_domain}', policy.domain_cost),
-            (f'r:{host.rack}', policy.rack_cost),
-            (f'h:{host.name}', policy.host_cost),
-        ):
-            costs[key] = costs.get(key, 0.0) + cost
-    return costs
-
-
-def _find_cost(
-    host: Host,
-    request: PlacementRequest,
-    policy: Policy,
-    near: Mapping[str, float],
-) -> float:
-    cost = 0.0
-    if request.local_domain and host.failure_domain != request.local_domain:
-        cost = policy.hop_cost
-    if not near:
-        return cost
-    return (
-        cost
-        + near.get(f'd:{host.failure_domain}', 0.0)
-        + near.get(f'r:{host.rack}', 0.0)
-        + near.get(f'h:{host.name}', 0.0)
+    return lambda name: (
+        name not in excluded and is_allowed(hosts[name], request)
     )
 
 
-def _explain_refusal(
-    index: HostIndex,
-    request: PlacementRequest,
-    demand: Resources,
-    count: int,
-) -> Refusal:
-    tasks = f'{count} tasks of {demand!r}'
+def explain_refusal(index: HostIndex, request: PlacementRequest) -> Refusal:
+    """Return why a request can't be placed: never, or not now."""
+    count = request.tasks or request.spec.tasks
+    tasks = f'{count} tasks of {find_demand(request)!r}'
     if fits_inventory(index.hosts.values(), request):
         return Refusal(
             RefusalKind.NO_ROOM,
--- a/sassafrasgate/placement/scores.py
+++ b/sassafrasgate/placement/scores.py
@@ -2,12 +2,40 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     from sassafrasgate.core.resources import Resources
 
-_NAMES = ('millicores', 'memory_mb', 'accelerators', 'slots', 'connections')
+RESOURCE_NAMES = (
+    'millicores',
+    'memory_mb',
+    'accelerators',
+    'slots',
+    'connections',
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Weights:
+    """Weights of one job class; all costs add up, the lowest wins.
+
+    Parameters
+    ----------
+    hop : float
+        Cost of a host outside the local failure domain. The fit costs 0 to
+        1, so a cost above 1 makes locality decide, and a lower one lets a
+        clearly better fit win.
+    domain, rack, host : float
+        Cost for each of the job's tasks that is already in the same
+        failure domain, rack or host; negative to keep tasks together.
+    """
+
+    hop: float = 0.0
+    domain: float = 0.0
+    rack: float = 0.0
+    host: float = 0.0
 
 
 def find_scarcest(demand: Resources, total_free: Resources) -> str:
@@ -20,20 +48,12 @@
     """
     ratios = [
         (getattr(total_free, name) / need, name)
-        for name in _NAMES
+        for name in RESOURCE_NAMES
         if (need := getattr(demand, name)) > 0
     ]
     return min(ratios)[1] if ratios else 'millicores'
 
 
-def find_share(
-    free: Resources, demand: Resources, resource: str, capacity: Resources
-) -> float:
-    """Return the share of a resource that stays free on a host, 0 to 1."""
-    left: int = getattr(free, resource) - getattr(demand, resource)
-    return left / (getattr(capacity, resource) or 1)
-
-
 def find_dominant_share(amount: Resources, total: Resources) -> float:
     """Return the largest share of any resource that an amount takes.
 
@@ -41,7 +61,7 @@
     """
     shares = [
         getattr(amount, name) / whole
-        for name in _NAMES
+        for name in RESOURCE_NAMES
         if (whole := getattr(total, name)) > 0
     ]
     return max(shares, default=float(amount.slots))
