Divide the store's rates among live processes; serve health on schedulers

Cause: nothing bounded a process's store calls, schedulers had no health or metrics address, and renewals did not carry the worker's incarnation, which the model of restarts asks for. Change: one store budget per process, its share taken from the count of live members; the health routes on schedulers; syncs name the incarnation; quick requests are not renewed; the takeover record carries the lease's length too.

--- a/sassafrasgate/composition.py
+++ b/sassafrasgate/composition.py
@@ -7,6 +7,7 @@
 from signal import SIGINT
 from signal import SIGTERM
 from typing import Any
+from typing import cast
 from typing import TYPE_CHECKING
 
 import anyio
@@ -22,6 +23,7 @@
 from sassafrasgate.daemons.directory import Directory
 from sassafrasgate.daemons.leases import LeaseTask
 from sassafrasgate.daemons.leases import Member
+from sassafrasgate.journal.budget import StoreBudget
 from sassafrasgate.observability.logs import configure_logging
 from sassafrasgate.observability.metrics import Metrics
 from sassafrasgate.platform.adapters import open_store
@@ -33,10 +35,13 @@
 
     from anyio.abc import TaskGroup
 
+    from sassafrasgate.http.gateways import Gateway
+
 LEASE_TIMEOUT_S = 0.8
 FRONTEND_TTL_MS = 10_000
 INBOX_SIZE = 10_000
 READY_DRAIN_S = 1.0
+SHARE_INTERVAL_S = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,6 +68,8 @@
         Of this process.
     member : Member
         How it announces itself.
+    budget : StoreBudget
+        Its share of the store's calls, which all clients draw on.
     store, watch_store, lease_store : Store
         Clients for general calls, the watch, and the lease, which must
         not wait for one another.
@@ -70,6 +77,7 @@
 
     settings: Settings
     member: Member
+    budget: StoreBudget
     store: Any
     watch_store: Any
     lease_store: Any
@@ -90,16 +98,23 @@
         settings.link_address,
         settings.failure_domain,
     )
+    # Until the live processes are known, the settings' peers are taken for
+    # the entry hosts, each with a front end and a scheduler.
+    share = 2 * (len(settings.peers) + 1)
+    budget = StoreBudget(
+        settings.writes_per_s / share, settings.reads_per_s / share
+    )
     async with (
-        open_store(settings.store_url) as store,
-        open_store(settings.store_url) as watch_store,
+        open_store(settings.store_url, budget=budget) as store,
+        open_store(settings.store_url, budget=budget) as watch_store,
         open_store(
-            settings.store_url, timeout_s=LEASE_TIMEOUT_S
+            settings.store_url, timeout_s=LEASE_TIMEOUT_S, budget=budget
         ) as lease_store,
     ):
         yield Process(
             settings,
             member,
+            budget,
             store,
             watch_store,
             lease_store,
@@ -148,8 +163,14 @@
     configurations: Inbox,
     ttl_ms: int,
 ) -> None:
-    """Start the lease, the watch and the configuration of a process."""
-    lease = LeaseTask(process.lease_store, process.member, main.send, ttl_ms)
+    """Start the budget, the lease, the watch and the configuration."""
+    lease = LeaseTask(
+        process.lease_store,
+        process.member,
+        main.send,
+        ttl_ms,
+        int(process.settings.outage_grace_s * 1000),
+    )
     control = ControlTask(
         process.watch_store, (main.send, configurations.send)
     )
@@ -159,12 +180,29 @@
         configurations.receive,
         (main.send,),
     )
+    group.start_soon(process.budget.run)
     group.start_soon(lease.run)
     group.start_soon(control.run)
     group.start_soon(configuration.run)
+    group.start_soon(follow_share, process, directory)
     directory.connect_peers()
 
 
+async def follow_share(process: Process, directory: Directory) -> None:
+    """Divide the cell's share of the store among the live processes."""
+    settings = process.settings
+    known = 0
+    while True:
+        await anyio.sleep(SHARE_INTERVAL_S)
+        members = len(directory.members)
+        if not members or members == known:
+            continue
+        known = members
+        await process.budget.set_share(
+            settings.writes_per_s / members, settings.reads_per_s / members
+        )
+
+
 async def wait_for_stop(event: anyio.Event) -> None:
     """Set an event at the first SIGTERM or SIGINT."""
     with anyio.open_signal_receiver(SIGTERM, SIGINT) as signals:
@@ -229,6 +267,10 @@
     from sassafrasgate.daemons.scheduler import SchedulerTask
     from sassafrasgate.daemons.scheduler import StopProcess
     from sassafrasgate.daemons.shards import ShardServices
+    from sassafrasgate.http.application import build_application
+    from sassafrasgate.http.limits import Limits
+    from sassafrasgate.http.routes import RouteGroup
+    from sassafrasgate.http.server import serve_http
     from sassafrasgate.protocol.links import LinkServer
 
     stop = anyio.Event()
@@ -264,7 +306,6 @@
             lambda summary: task.note_summary(summary),
             process.logger,
             process.metrics,
-            int(settings.outage_grace_s * 1000),
         )
         task = SchedulerTask(
             process.member,
@@ -282,6 +323,16 @@
             int(settings.owner_ttl_s * 1000),
         )
         group.start_soon(server.run)
+        application = build_application(
+            cast('Gateway', task),
+            process.metrics,
+            Limits(),
+            frozenset({RouteGroup.HEALTH}),
+        )
+        closed = anyio.Event()
+        group.start_soon(
+            serve_http, application, settings.http_address, closed, 0.0
+        )
         group.start_soon(wait_for_stop, stop)
 
         async def pass_stop_on() -> None:
@@ -292,6 +343,7 @@
         await task.run()
         # Answers that are queued on the link server still have to leave.
         await anyio.sleep(READY_DRAIN_S)
+        closed.set()
         group.cancel_scope.cancel()
 
 
--- a/sassafrasgate/daemons/hosts.py
+++ b/sassafrasgate/daemons/hosts.py
@@ -134,7 +134,8 @@
 
     def may_send(self) -> bool:
         """Tell whether this owner may still command the worker."""
-        return may_send(self._lease, now_ms())
+        lease = self._lease
+        return may_send(lease, now_ms(), lease.ttl_ms, lease.grace_ms)
 
     async def _sync_forever(self, scope: anyio.CancelScope) -> None:
         with scope:
@@ -158,6 +159,7 @@
             # The first answer opens the host, so it must not be held.
             SYNC_WAIT_MS if reading else 0,
             tuple(self._known),
+            self._incarnation,
         )
         try:
             reply = await self._client.sync(request)
@@ -226,6 +228,8 @@
             command.demand,
             command.payload,
             command.wait_ms,
+            # A quick request's first lease bounds how long it can run.
+            renewable=not command.lease_ms,
         )
 
     def _find_start_obstacle(self, command: StartTask) -> str:
--- a/sassafrasgate/daemons/leases.py
+++ b/sassafrasgate/daemons/leases.py
@@ -17,6 +17,7 @@
 from sassafrasgate.core.errors import StoreUnavailableError
 from sassafrasgate.journal.budget import CallPriority
 from sassafrasgate.observability.clocks import now_ms
+from sassafrasgate.shards.ownership import OUTAGE_GRACE_MS
 from sassafrasgate.shards.ownership import OWNER_TTL_MS
 from sassafrasgate.shards.ownership import OwnerLease
 
@@ -27,7 +28,6 @@
 
 RENEWALS_PER_TTL = 3
 RETRY_S = 0.25
-FRONTEND_TTL_MS = 10_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,8 +86,8 @@
         This process.
     listener : MemoryObjectSendStream
         Gets `LeaseChanged` and `LeaseLost`.
-    ttl_ms : int
-        Length of the lease in milliseconds.
+    ttl_ms, grace_ms : int
+        Length of the lease and outage grace, in milliseconds.
     """
 
     def __init__(
@@ -96,11 +96,13 @@
         member: Member,
         listener: MemoryObjectSendStream[Any],
         ttl_ms: int = OWNER_TTL_MS,
+        grace_ms: int = OUTAGE_GRACE_MS,
     ) -> None:
         self._store = store
         self._member = member
         self._listener = listener
         self._ttl_ms = ttl_ms
+        self._grace_ms = grace_ms
 
     async def run(self) -> None:
         """Hold a lease until cancelled, a new one after each loss."""
@@ -145,7 +147,7 @@
 
     async def _keep(self, lease_id: str, sent_at: int) -> None:
         """Renew the lease until the store says that it is gone."""
-        lease = OwnerLease(sent_at, now_ms(), 0, now_ms())
+        lease = self._make_lease(sent_at)
         await self._listener.send(LeaseChanged(lease_id, lease))
         interval_s = self._ttl_ms / 1000 / RENEWALS_PER_TTL
         while True:
@@ -156,25 +158,27 @@
             try:
                 if not await self._store.renew_lease(lease_id):
                     return
-                lease = OwnerLease(sent_at, now_ms(), 0, now_ms())
+                lease = self._make_lease(sent_at)
             except StoreError:
-                lease = note_failed_renewal(
-                    lease, sent_at, now_ms(), self._ttl_ms
-                )
+                lease = note_failed_renewal(lease, sent_at, now_ms())
             await self._listener.send(LeaseChanged(lease_id, lease))
 
+    def _make_lease(self, sent_at: int) -> OwnerLease:
+        now = now_ms()
+        return OwnerLease(sent_at, now, 0, now, self._ttl_ms, self._grace_ms)
+
 
 def note_failed_renewal(
-    lease: OwnerLease, sent_at: int, now: int, ttl_ms: int = OWNER_TTL_MS
+    lease: OwnerLease, sent_at: int, now: int
 ) -> OwnerLease:
     """Return the lease after a renewal without an answer.
 
     A process that was paused for longer than the lease does not know what
     the store did meanwhile, so the outage grace is no longer its own.
     """
-    paused = sent_at >= lease.checked_at + ttl_ms
+    paused = sent_at >= lease.checked_at + lease.ttl_ms
     failing_since = lease.store_failing_since or sent_at
     if paused:
         # A failure that began after the lease's end gives no grace.
-        failing_since = max(now, lease.renewed_at + ttl_ms)
+        failing_since = max(now, lease.renewed_at + lease.ttl_ms)
     return replace(lease, store_failing_since=failing_since, checked_at=now)
--- a/sassafrasgate/daemons/scheduler.py
+++ b/sassafrasgate/daemons/scheduler.py
@@ -11,6 +11,7 @@
 
 from sassafrasgate.configuration.versions import encode_configuration
 from sassafrasgate.core.cells import Configuration
+from sassafrasgate.core.errors import Refusal
 from sassafrasgate.core.errors import RefusalKind
 from sassafrasgate.core.errors import StoreConflictError
 from sassafrasgate.core.errors import StoreError
@@ -119,10 +120,24 @@
         self._stop_by = 0
         self._summaries: dict[str, Summary] = {}
 
-    @property
-    def is_ready(self) -> bool:
-        """Whether the process may serve."""
-        return self._is_current and bool(self._lease_id)
+    def is_ready(self) -> Refusal | None:
+        """Return None when the process may serve, else the reason."""
+        if self._is_current and self._lease_id and not self._stopping:
+            return None
+        return Refusal(
+            RefusalKind.NOT_READY,
+            f'scheduler {self._member.name!r} has no lease, is stopping, or '
+            'does not hold the newest configuration',
+            'wait; if it lasts, check the store and the peers of its settings',
+        )
+
+    def may_operate(self) -> Refusal | None:
+        """Return why operators are not served here; see `Gateway`."""
+        return self.is_ready()
+
+    def configuration(self) -> Configuration:
+        """Return the configuration in force in this process."""
+        return self._configuration
 
     def note_summary(self, summary: Summary) -> None:
         """Keep a shard's newest summary for the next heartbeats."""
@@ -241,7 +256,7 @@
 
     async def _claim_shards(self) -> None:
         """Claim shards without an owner, the best ranked process first."""
-        if self._stopping or not self.is_ready:
+        if self.is_ready() is not None:
             return
         names = {shard.name for shard in self._configuration.shards}
         for shard in sorted(names):
--- a/sassafrasgate/daemons/shards.py
+++ b/sassafrasgate/daemons/shards.py
@@ -64,7 +64,6 @@
 from sassafrasgate.shards.events import StartNotSent
 from sassafrasgate.shards.events import StopRequested
 from sassafrasgate.shards.events import Ticked
-from sassafrasgate.shards.ownership import OUTAGE_GRACE_MS
 from sassafrasgate.shards.ownership import OwnerLease
 from sassafrasgate.shards.recovery import begin_ownership
 from sassafrasgate.shards.recovery import list_records
@@ -109,8 +108,6 @@
         or `NoAnswer`.
     publish : callable
         Lets other processes know a shard's `Summary`.
-    grace_ms : int
-        Outage grace in milliseconds.
     """
 
     owner: str
@@ -120,7 +117,6 @@
     publish: Callable[[Any], None]
     logger: Logger
     metrics: Metrics
-    grace_ms: int = OUTAGE_GRACE_MS
 
 
 @dataclass(frozen=True, slots=True)
@@ -223,7 +219,10 @@
         for entry in list(self.state.jobs.values()):
             self.state.update_job(entry.job_id, durable=True)
         takeover = Takeover(
-            self.state.epoch + 1, self.services.owner, self.services.grace_ms
+            self.state.epoch + 1,
+            self.services.owner,
+            self._lease.grace_ms,
+            self._lease.ttl_ms,
         )
         journal = Journal(
             self.services.store, self.shard, self.services.owner, loaded
--- a/sassafrasgate/http/application.py
+++ b/sassafrasgate/http/application.py
@@ -47,9 +47,12 @@
 
 
 def build_application(
-    gateway: Gateway, metrics: Metrics, limits: Limits
+    gateway: Gateway,
+    metrics: Metrics,
+    limits: Limits,
+    groups: frozenset[RouteGroup] = frozenset(RouteGroup),
 ) -> Starlette:
-    """Return the ASGI application of a front end.
+    """Return the ASGI application of a process.
 
     Parameters
     ----------
@@ -59,6 +62,8 @@
         Where requests are counted, and what ``/metrics`` shows.
     limits : Limits
         Bounds of the process.
+    groups : frozenset of RouteGroup
+        Which routes to serve: all on a front end, health on a scheduler.
     """
     per_team = OpenRequests(limits.max_open_per_team)
     context = Context(gateway, metrics, limits, per_team)
@@ -70,6 +75,8 @@
     definitions: dict[str, dict[str, RouteDefinition]] = {}
     for key in ROUTES:
         definition = ROUTES.find(key)
+        if definition.group not in groups:
+            continue
         definitions.setdefault(definition.path, {})[definition.method] = (
             definition
         )
--- a/sassafrasgate/journal/records.py
+++ b/sassafrasgate/journal/records.py
@@ -51,11 +51,14 @@
         Process name and incarnation.
     grace_ms : int
         How long past its lease the owner may act in a store outage.
+    ttl_ms : int
+        Length of its store lease.
     """
 
     epoch: int
     owner: str
     grace_ms: int = 0
+    ttl_ms: int = 0
 
 
 @register_record('accepted')
--- a/sassafrasgate/shards/ownership.py
+++ b/sassafrasgate/shards/ownership.py
@@ -23,12 +23,17 @@
         it answers.
     checked_at : int
         When the owner last ran its own check, to notice a pause.
+    ttl_ms, grace_ms : int
+        Length of the lease, and how long the owner may go on past it while
+        the store is down.
     """
 
     renewed_at: int
     store_answered_at: int = 0
     store_failing_since: int = 0
     checked_at: int = 0
+    ttl_ms: int = OWNER_TTL_MS
+    grace_ms: int = OUTAGE_GRACE_MS
 
 
 def may_send(
--- a/sassafrasgate/shards/quick.py
+++ b/sassafrasgate/shards/quick.py
@@ -36,7 +36,9 @@
     from sassafrasgate.shards.state import ShardState
 
 DEFAULT_DEADLINE_MS = 5_000
-MAX_DEADLINE_MS = 9_000
+# The lease of a quick request is not renewed, and its start may use a clock
+# reading that is as old as one held sync.
+MAX_DEADLINE_MS = 7_000
 REPLY_MARGIN_MS = 100
 MAX_TRIES = 3
 
@@ -74,7 +76,7 @@
     """Return how long a quick request may take, in milliseconds."""
     if spec.deadline_s <= 0:
         return DEFAULT_DEADLINE_MS
-    return min(int(spec.deadline_s * 1000), MAX_DEADLINE_MS)
+    return int(spec.deadline_s * 1000)
 
 
 def _find_refusal(state: ShardState, spec: JobSpec) -> Refusal | None:
@@ -90,6 +92,13 @@
             f'unknown team {spec.team!r}',
             'name a team of the quotas file, or add it there and apply',
         )
+    if spec.deadline_s * 1000 > MAX_DEADLINE_MS:
+        return Refusal(
+            RefusalKind.INVALID,
+            f'deadline_s of a quick request is {spec.deadline_s!r}',
+            f'use at most {MAX_DEADLINE_MS / 1000:g}, or submit a job of '
+            'class urgent',
+        )
     if not spec.idempotent or spec.tasks != 1:
         return Refusal(
             RefusalKind.INVALID,
--- a/sassafrasgate/shards/recovery.py
+++ b/sassafrasgate/shards/recovery.py
@@ -41,14 +41,16 @@
 
 def begin_ownership(state: ShardState, now: int) -> None:
     """Set the lapse times of hosts once the takeover record is durable."""
-    lapse_at = find_takeover_lapse(now, state.previous_grace_ms)
+    lapse_at = find_takeover_lapse(
+        now, state.previous_grace_ms, ttl_ms=state.previous_ttl_ms
+    )
     for name in state.hosts:
         state.update_host(name, lapse_at=lapse_at)
 
 
 def list_records(state: ShardState) -> Iterator[Any]:
     """Yield records from which the durable state can be rebuilt."""
-    yield Takeover(state.epoch, state.owner, state.grace_ms)
+    yield Takeover(state.epoch, state.owner, state.grace_ms, state.ttl_ms)
     for entry in state.jobs.values():
         yield from _list_job_records(entry)
     for job_id, home, attempt in state.tombstones:
@@ -118,8 +120,10 @@
 def apply_takeover(state: ShardState, record: Takeover) -> None:
     """Note the epoch and what the previous owner was allowed."""
     state.previous_grace_ms = state.grace_ms
+    state.previous_ttl_ms = state.ttl_ms
     state.epoch = record.epoch
     state.grace_ms = record.grace_ms
+    state.ttl_ms = record.ttl_ms
 
 
 @APPLIERS.register('accepted')
--- a/sassafrasgate/shards/state.py
+++ b/sassafrasgate/shards/state.py
@@ -258,7 +258,9 @@
     owner: str
     epoch: int = 0
     grace_ms: int = 0
+    ttl_ms: int = 0
     previous_grace_ms: int = 0
+    previous_ttl_ms: int = 0
     configuration: Configuration = field(default_factory=Configuration)
     failure_domain: str = ''
     index: HostIndex = field(default_factory=HostIndex)
