--- a/sassafrasgate/shards/views.py
+++ b/sassafrasgate/shards/views.py
@@ -38,11 +38,15 @@
 def view_job(
     state: ShardState, entry: JobEntry, duplicate: bool = False
 ) -> JobView:
-    """Return what a caller sees of a job."""
+    """Return what a caller sees of a job.
+
+    Until its acceptance is in the journal a job is unknown to callers, since
+    a successor may never hear of it.
+    """
     hosts = tuple(placement.host for placement in entry.placements)
     return JobView(
         entry.job_id,
-        entry.state,
+        entry.state if entry.durable else JobState.UNKNOWN,
         entry.reason,
         entry.attempt,
         hosts,
--- /dev/null
+++ b/tests/shards/simulation.py
@@ -0,0 +1,450 @@
+"""One shard, its workers and its journal in memory, with faults.
+
+Time is a number, messages wait until a test delivers, loses or repeats
+them, and workers keep a record of what really ran.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from dataclasses import replace
+from typing import Any
+
+from sassafrasgate.core.cells import Configuration
+from sassafrasgate.core.cells import Shard
+from sassafrasgate.core.cells import Team
+from sassafrasgate.core.hosts import Host
+from sassafrasgate.core.identifiers import make_job_id
+from sassafrasgate.core.jobs import JobClass
+from sassafrasgate.core.jobs import JobSpec
+from sassafrasgate.core.resources import NOTHING
+from sassafrasgate.core.resources import Resources
+from sassafrasgate.journal.records import Takeover
+from sassafrasgate.platform.tasks import EndedTask
+from sassafrasgate.platform.tasks import RunningTask
+from sassafrasgate.platform.tasks import StartReply
+from sassafrasgate.platform.tasks import StartRequest
+from sassafrasgate.platform.tasks import StartStatus
+from sassafrasgate.platform.tasks import SyncReply
+from sassafrasgate.platform.tasks import TaskOutcome
+from sassafrasgate.protocol.messages import Cancel
+from sassafrasgate.protocol.messages import Submit
+from sassafrasgate.shards.actions import GiveUpShard
+from sassafrasgate.shards.actions import Persist
+from sassafrasgate.shards.actions import ReleaseTask
+from sassafrasgate.shards.actions import Reply
+from sassafrasgate.shards.actions import StartTask
+from sassafrasgate.shards.actions import StopTask
+from sassafrasgate.shards.attempts import ClockReading
+from sassafrasgate.shards.attempts import grant_until
+from sassafrasgate.shards.attempts import START_WINDOW_MS
+from sassafrasgate.shards.events import ConfigurationChanged
+from sassafrasgate.shards.events import HostSilent
+from sassafrasgate.shards.events import HostSynced
+from sassafrasgate.shards.events import RecordsDurable
+from sassafrasgate.shards.events import RequestReceived
+from sassafrasgate.shards.events import StartAnswered
+from sassafrasgate.shards.events import StartNotSent
+from sassafrasgate.shards.events import StartUnanswered
+from sassafrasgate.shards.events import Ticked
+from sassafrasgate.shards.recovery import begin_ownership
+from sassafrasgate.shards.recovery import replay_records
+from sassafrasgate.shards.state import ShardState
+from sassafrasgate.shards.transfers import resume_transfers
+from sassafrasgate.shards.transitions import decide
+
+SHARD = 'north'
+CAPACITY = Resources(2000, 2000, 0, 2, 2)
+DEMAND = Resources(1000, 1000, 0, 1, 1)
+GRACE_MS = 5_000
+TTL_MS = 3_000
+
+
+@dataclass
+class SimulatedTask:
+    """A task that runs, or has run, on a simulated worker."""
+
+    request: StartRequest
+    started_at: int
+    lease_clock: int
+    ended: EndedTask | None = None
+
+
+@dataclass
+class SimulatedWorker:
+    """A worker that keeps the rules of the workers' API."""
+
+    name: str
+    rate: float
+    incarnation: int = 1
+    born_at: int = 0
+    fence: int = 0
+    tasks: dict[str, SimulatedTask] = field(default_factory=dict)
+    refusals: set[str] = field(default_factory=set)
+    started: list[str] = field(default_factory=list)
+    finished: list[str] = field(default_factory=list)
+
+    def read_clock(self, now: int) -> int:
+        return int((now - self.born_at) * self.rate)
+
+    def lapse(self, now: int) -> None:
+        clock = self.read_clock(now)
+        for task in self.tasks.values():
+            if task.ended is None and clock >= task.lease_clock:
+                self.end(task.request.task, TaskOutcome.LAPSED)
+
+    def end(self, name: str, outcome: TaskOutcome) -> None:
+        self.tasks[name].ended = EndedTask(name, outcome)
+        if outcome is TaskOutcome.FINISHED:
+            self.finished.append(name)
+
+    def list_running(self) -> list[SimulatedTask]:
+        return [task for task in self.tasks.values() if task.ended is None]
+
+    def start(self, request: StartRequest, now: int) -> StartReply:
+        self.lapse(now)
+        clock = self.read_clock(now)
+        incarnation = str(self.incarnation)
+        known = self.tasks.get(request.task)
+        if known is not None:
+            status = StartStatus.ENDED if known.ended else StartStatus.STARTED
+            return StartReply(status, incarnation, clock, '', known.ended)
+        if (
+            request.task in self.refusals
+            or request.epoch < self.fence
+            or request.incarnation != incarnation
+            or clock >= min(request.start_before_clock, request.lease_clock)
+        ):
+            self.refusals.add(request.task)
+            return StartReply(
+                StartStatus.REFUSED, incarnation, clock, 'refused'
+            )
+        self.fence = request.epoch
+        self.tasks[request.task] = SimulatedTask(
+            request, now, request.lease_clock
+        )
+        self.started.append(request.task)
+        return StartReply(StartStatus.STARTED, incarnation, clock)
+
+    def sync(
+        self,
+        epoch: int,
+        lease_clock: int,
+        incarnation: str,
+        release: tuple[str, ...],
+        now: int,
+    ) -> SyncReply:
+        self.lapse(now)
+        clock = self.read_clock(now)
+        mine = str(self.incarnation)
+        if epoch < self.fence:
+            return SyncReply(False, mine, clock, self.fence)
+        self.fence = epoch
+        for name in release:
+            if name in self.tasks and self.tasks[name].ended:
+                # The id stays refused, so that a late start can't run.
+                del self.tasks[name]
+                self.refusals.add(name)
+        for task in self.list_running():
+            if incarnation == mine:
+                task.lease_clock = max(task.lease_clock, lease_clock)
+        return SyncReply(
+            True,
+            mine,
+            clock,
+            self.fence,
+            False,
+            tuple(
+                RunningTask(
+                    task.request.task,
+                    SHARD,
+                    task.request.epoch,
+                    task.request.resources,
+                    task.lease_clock,
+                )
+                for task in self.list_running()
+            ),
+            tuple(task.ended for task in self.tasks.values() if task.ended),
+        )
+
+    def restart(self, now: int) -> None:
+        self.incarnation += 1
+        self.born_at = now
+        self.fence = 0
+        self.tasks.clear()
+        self.refusals.clear()
+
+
+@dataclass
+class Owner:
+    """One owner's state and what its host tasks know."""
+
+    state: ShardState
+    readings: dict[str, ClockReading] = field(default_factory=dict)
+    incarnations: dict[str, str] = field(default_factory=dict)
+    releases: dict[str, set[str]] = field(default_factory=dict)
+    unwritten: list[Any] = field(default_factory=list)
+    may_act_until: int = 2**62
+
+
+class SimulatedShard:
+    """A shard with its workers, driven step by step.
+
+    Parameters
+    ----------
+    rates : tuple of float
+        Clock rate of each worker relative to the owner's clock.
+    """
+
+    def __init__(self, rates: tuple[float, ...] = (1.0, 0.99)) -> None:
+        self.now = 1_000_000
+        self.workers = {
+            f'h{number}': SimulatedWorker(f'h{number}', rate, born_at=self.now)
+            for number, rate in enumerate(rates)
+        }
+        self.journal: list[Any] = []
+        self.starts: list[StartRequest] = []
+        self.replies: list[Any] = []
+        self.accepted: set[str] = set()
+        self.specs: dict[str, JobSpec] = {}
+        self.owner = self._make_owner(0)
+        self.former: Owner | None = None
+
+    def _make_owner(self, epoch: int) -> Owner:
+        hosts = tuple(
+            Host(name, f'http://{name}', 'r1', 'd1', CAPACITY)
+            for name in self.workers
+        )
+        configuration = Configuration(
+            1, '', 'c', hosts, (Shard(SHARD, 'd1', ('r1',)),), (Team('t'),)
+        )
+        state = ShardState(SHARD, f'owner-{epoch + 1}')
+        state.wall_ms = self.now
+        decide(state, ConfigurationChanged(configuration), self.now)
+        replay_records(state, self.journal)
+        for entry in list(state.jobs.values()):
+            state.update_job(entry.job_id, durable=True)
+        takeover = Takeover(epoch + 1, state.owner, GRACE_MS, TTL_MS)
+        self.journal.append(takeover)
+        replay_records(state, (takeover,))
+        begin_ownership(state, self.now)
+        resume_transfers(state)
+        return Owner(state)
+
+    def take_over(self, written: int) -> None:
+        """Replace the owner; ``written`` of its last records are durable.
+
+        The old owner may go on for its grace, as in a store outage that
+        only it sees.
+        """
+        old = self.owner
+        self.journal.extend(old.unwritten[:written])
+        old.unwritten.clear()
+        old.may_act_until = self.now + GRACE_MS
+        self.former = old
+        self.owner = self._make_owner(old.state.epoch)
+
+    def feed(self, event: Any) -> None:
+        """Let the owner decide and carry its actions out."""
+        owner = self.owner
+        for action in decide(owner.state, event, self.now):
+            self._carry_out(owner, action)
+
+    def _carry_out(self, owner: Owner, action: Any) -> None:
+        if isinstance(action, Persist):
+            owner.unwritten.append(action.record)
+        if isinstance(action, StartTask):
+            self._send_start(owner, action)
+        if isinstance(action, StopTask):
+            self._stop(owner, action)
+        if isinstance(action, ReleaseTask):
+            owner.releases.setdefault(action.host, set()).add(action.task)
+        if isinstance(action, Reply):
+            self.replies.append(action.message)
+            self._note_view(action.message)
+        assert not isinstance(action, GiveUpShard), action
+
+    def _note_view(self, view: Any) -> None:
+        if getattr(view, 'kind', '') != 'job-view':
+            return
+        if view.state not in ('not-run', 'unknown'):
+            self.accepted.add(view.job_id)
+
+    def _send_start(self, owner: Owner, action: StartTask) -> None:
+        reading = owner.readings[action.host]
+        if owner.incarnations[action.host] != action.incarnation:
+            self.feed(StartNotSent(action.host, action.task, 'restarted'))
+            return
+        clock = reading.clock + self.now - reading.received_at
+        lease_clock = grant_until(reading)
+        self.starts.append(
+            StartRequest(
+                action.task,
+                action.host,
+                owner.state.epoch,
+                action.incarnation,
+                min(clock + START_WINDOW_MS, lease_clock),
+                lease_clock,
+                action.demand,
+            )
+        )
+
+    def _stop(self, owner: Owner, action: StopTask) -> None:
+        worker = self.workers[action.host]
+        worker.lapse(self.now)
+        task = worker.tasks.get(action.task)
+        if owner.state.epoch < worker.fence or task is None or task.ended:
+            return
+        worker.end(action.task, TaskOutcome.STOPPED)
+
+    def deliver_start(self, number: int, lose_reply: bool) -> None:
+        """Deliver a start; without a reply the owner does not know."""
+        request = self.starts.pop(number % len(self.starts))
+        host = request.shard
+        worker = self.workers[host]
+        reply = worker.start(replace(request, shard=SHARD), self.now)
+        if request.epoch != self.owner.state.epoch:
+            return
+        if lose_reply:
+            self.feed(
+                StartUnanswered(host, request.task, request.start_before_clock)
+            )
+            return
+        self.feed(StartAnswered(host, request.task, reply, self.now))
+
+    def delay_start(self, number: int) -> None:
+        """Tell the owner of no answer while the start is on its way."""
+        request = self.starts[number % len(self.starts)]
+        if request.epoch == self.owner.state.epoch:
+            self.feed(
+                StartUnanswered(
+                    request.shard, request.task, request.start_before_clock
+                )
+            )
+
+    def repeat_start(self, number: int) -> None:
+        """Put a second copy of a start on its way."""
+        self.starts.append(self.starts[number % len(self.starts)])
+
+    def sync(self, host: str, lose_reply: bool = False) -> None:
+        """Make one sync call of the owner."""
+        reply = self._call_sync(self.owner, host, lose_reply)
+        if reply is None:
+            self.feed(HostSilent(host))
+            return
+        self.feed(HostSynced(host, reply, self.now))
+
+    def sync_former(self, host: str) -> None:
+        """Let the former owner renew, within its grace."""
+        former = self.former
+        if former is None or self.now >= former.may_act_until:
+            return
+        if host in former.readings:
+            self._call_sync(former, host, False)
+
+    def _call_sync(
+        self, owner: Owner, host: str, lose_reply: bool
+    ) -> SyncReply | None:
+        reading = owner.readings.get(host)
+        release = tuple(owner.releases.get(host, ()))
+        reply = self.workers[host].sync(
+            owner.state.epoch,
+            grant_until(reading) if reading else 0,
+            owner.incarnations.get(host, ''),
+            release,
+            self.now,
+        )
+        if lose_reply:
+            return None
+        if owner is self.former and not reply.accepted:
+            owner.may_act_until = 0
+            return None
+        owner.readings[host] = ClockReading(reply.clock, self.now)
+        owner.incarnations[host] = reply.incarnation
+        owner.releases[host] = owner.releases.get(host, set()) - set(release)
+        return reply
+
+    def commit(self, count: int) -> None:
+        """Make the owner's oldest unwritten records durable."""
+        records = tuple(self.owner.unwritten[:count])
+        del self.owner.unwritten[:count]
+        self.journal.extend(records)
+        if records:
+            self.feed(RecordsDurable(records, self.now))
+
+    def advance(self, elapsed_ms: int) -> None:
+        """Let time pass for everybody."""
+        self.now += elapsed_ms
+        for worker in self.workers.values():
+            worker.lapse(self.now)
+        self.feed(Ticked(self.now))
+
+    def submit(self, key: str, **fields: Any) -> str:
+        """Submit a job and return its id."""
+        fields.setdefault('demand', DEMAND)
+        spec = JobSpec('t', key, **fields)
+        job_id = make_job_id('t', key)
+        self.specs.setdefault(job_id, spec)
+        message = Submit(SHARD, job_id, self.specs[job_id], 0.0)
+        self.feed(RequestReceived(1, message, self.now))
+        return job_id
+
+    def cancel(self, job_id: str) -> None:
+        """Ask for a job's end."""
+        self.feed(RequestReceived(2, Cancel(SHARD, job_id), self.now))
+
+    def end_task(self, host: str, number: int, outcome: TaskOutcome) -> None:
+        """End one of a worker's running tasks."""
+        running = self.workers[host].list_running()
+        if running:
+            name = running[number % len(running)].request.task
+            self.workers[host].end(name, outcome)
+
+    def settle(self) -> None:
+        """End all faults and let everything that can finish do so."""
+        for _ in range(60):
+            while self.starts:
+                self.deliver_start(0, False)
+            for host in self.workers:
+                self.sync(host)
+            self.commit(len(self.owner.unwritten))
+            for host, worker in self.workers.items():
+                for _ in worker.list_running():
+                    self.end_task(host, 0, TaskOutcome.FINISHED)
+            self.advance(1_000)
+
+    def check_capacity(self) -> None:
+        """Check that no worker runs more than it has room for."""
+        for worker in self.workers.values():
+            total = NOTHING
+            for task in worker.list_running():
+                total = total + task.request.resources
+            assert total.fits_in(CAPACITY), (worker.name, total)
+
+    def check_single_place(self) -> None:
+        """Check that no task index of a job runs in two places."""
+        places: dict[str, str] = {}
+        for worker in self.workers.values():
+            for task in worker.list_running():
+                place = task.request.task.rpartition('.')[0]
+                assert place not in places, (place, worker.name, places)
+                places[place] = worker.name
+
+    def check_at_most_once(self) -> None:
+        """Check that non-idempotent jobs have started at most once."""
+        counts: dict[str, int] = {}
+        for worker in self.workers.values():
+            for name in worker.started:
+                job_id = name.split('.')[0]
+                counts[job_id] = counts.get(job_id, 0) + 1
+        for job_id, spec in self.specs.items():
+            if not spec.idempotent and spec.job_class is not JobClass.GANG:
+                assert counts.get(job_id, 0) <= 1, (job_id, counts)
+
+    def check_not_run(self) -> None:
+        """Check that jobs reported as not run have never started."""
+        for worker in self.workers.values():
+            for name in worker.started:
+                entry = self.owner.state.jobs.get(name.split('.')[0])
+                assert entry is None or entry.state != 'not-run', entry
