--- a/sassafrasgate/shards/recovery.py
+++ b/sassafrasgate/shards/recovery.py
@@ -20,6 +20,7 @@
 from sassafrasgate.shards.state import HostEntry
 from sassafrasgate.shards.state import JobEntry
 from sassafrasgate.shards.state import TaskEntry
+from sassafrasgate.shards.state import TransferEntry
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -40,14 +41,16 @@
 
 def begin_ownership(state: ShardState, now: int) -> None:
     """Set the lapse times of hosts once the takeover record is durable."""
-    lapse_at = find_takeover_lapse(now, state.previous_grace_ms)
+    lapse_at = find_takeover_lapse(
+        now, state.previous_grace_ms, ttl_ms=state.previous_ttl_ms
+    )
     for name in state.hosts:
         state.update_host(name, lapse_at=lapse_at)
 
 
 def list_records(state: ShardState) -> Iterator[Any]:
     """Yield records from which the durable state can be rebuilt."""
-    yield Takeover(state.epoch, state.owner, state.grace_ms)
+    yield Takeover(state.epoch, state.owner, state.grace_ms, state.ttl_ms)
     for entry in state.jobs.values():
         yield from _list_job_records(entry)
     for job_id, home, attempt in state.tombstones:
@@ -117,8 +120,10 @@
 def apply_takeover(state: ShardState, record: Takeover) -> None:
     """Note the epoch and what the previous owner was allowed."""
     state.previous_grace_ms = state.grace_ms
+    state.previous_ttl_ms = state.ttl_ms
     state.epoch = record.epoch
     state.grace_ms = record.grace_ms
+    state.ttl_ms = record.ttl_ms
 
 
 @APPLIERS.register('accepted')
@@ -176,7 +181,7 @@
         state=JobState.QUEUED,
         reason=record.reason,
     )
-    state.transfers_in_flight.pop(record.job_id, None)
+    state.transfers.pop(record.job_id, None)
     _requeue(state, entry)
 
 
@@ -187,7 +192,7 @@
     for placement in entry.placements:
         state.drop_task(placement.task)
     state.queue.remove(record.job_id)
-    state.transfers_in_flight.pop(record.job_id, None)
+    state.transfers.pop(record.job_id, None)
     state.update_job(
         record.job_id,
         state=record.outcome.state,
@@ -211,6 +216,9 @@
         state=JobState.ACCEPTED,
         reason=f'transferred to shard {record.shard!r}',
     )
+    state.transfers[record.job_id] = TransferEntry(
+        record.attempt, record.shard
+    )
 
 
 @APPLIERS.register('tombstone')
