--- /dev/null
+++ b/benchmarks/placement.py
@@ -0,0 +1,392 @@
+"""Measures placement: decision time, packing, waits, quarantine, waves."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import replace
+from random import Random
+from statistics import median
+from time import perf_counter
+from time import perf_counter_ns
+from typing import TYPE_CHECKING
+
+from hdrh.histogram import HdrHistogram
+
+from benchmarks.baselines import choose_best_fit_by_scan
+from benchmarks.baselines import choose_first_fit
+from benchmarks.loop import LIBRARY
+from benchmarks.loop import Loop
+from benchmarks.loop import NO_QUARANTINE
+from benchmarks.loop import Outcome
+from benchmarks.loop import VARIANTS
+from benchmarks.registry import register_measurement
+from benchmarks.registry import Table
+from benchmarks.streams import BRAZOS
+from benchmarks.streams import make_hosts
+from benchmarks.streams import make_stream
+from benchmarks.streams import WORKLOADS
+from sassafrasgate.core.jobs import JobClass
+from sassafrasgate.core.jobs import JobSpec
+from sassafrasgate.core.resources import Resources
+from sassafrasgate.placement.index import HostIndex
+from sassafrasgate.placement.policies import Assignment
+from sassafrasgate.placement.policies import choose_hosts
+from sassafrasgate.placement.policies import PlacementRequest
+from sassafrasgate.placement.queues import JobQueue
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from benchmarks.loop import Variant
+    from benchmarks.streams import Arrival
+    from benchmarks.streams import Workload
+
+SEEDS = (1, 2, 3, 4, 5)
+LOADS = (0.8, 1.0, 1.3)
+HORIZON_MS = 45_000
+HOST_COUNTS = (24, 100, 300, 700)
+DECISIONS = 400
+FULL = 0.7
+REFUSALS = 50
+WAVE_SIZES = (3_000, 30_000, 120_000)
+
+
+@register_measurement('decision time')
+def measure_decision_time() -> Table:
+    """Time one decision with its reservation and release."""
+    rows = []
+    for job_class, tasks in (
+        (JobClass.BATCH, 1),
+        (JobClass.SERVICE, 3),
+        (JobClass.GANG, 16),
+    ):
+        for hosts in HOST_COUNTS:
+            library = _time_decisions(choose_hosts, hosts, job_class, tasks)
+            scan = _time_decisions(
+                choose_best_fit_by_scan, hosts, job_class, tasks
+            )
+            rows.append(
+                (
+                    f'{job_class.value} of {tasks}',
+                    hosts,
+                    *library,
+                    *scan,
+                    library[0] / scan[0],
+                )
+            )
+    return Table(
+        'Decision with reservation and release, us, hosts 70% full',
+        (
+            'job',
+            'hosts',
+            'p50',
+            'p99',
+            'refusal p50',
+            'scan p50',
+            'scan p99',
+            'scan refusal p50',
+            'p50 to scan',
+        ),
+        tuple(rows),
+        ('Medians over 5 seeds. The scan places by fit and hop alone.',),
+    )
+
+
+def _time_decisions(
+    choose: Callable[[HostIndex, PlacementRequest], object],
+    hosts: int,
+    job_class: JobClass,
+    tasks: int,
+) -> tuple[float, float, float]:
+    """Return p50, p99 and p50 of refusals in us, medians over the seeds."""
+    figures = [
+        _time_seed(choose, hosts, job_class, tasks, seed) for seed in SEEDS
+    ]
+    p50, p99, refusal = (
+        median(column) for column in zip(*figures, strict=True)
+    )
+    return p50, p99, refusal
+
+
+def _time_seed(
+    choose: Callable[[HostIndex, PlacementRequest], object],
+    hosts: int,
+    job_class: JobClass,
+    tasks: int,
+    seed: int,
+) -> tuple[float, float, float]:
+    random = Random(seed)
+    index = _fill_hosts(hosts, random)
+    histogram = HdrHistogram(1, 10**10, 3)
+    refusals = HdrHistogram(1, 10**10, 3)
+    for number in range(DECISIONS):
+        demand = Resources(
+            random.choice((250, 500, 1000, 2000)),
+            random.choice((256, 1024, 3072)),
+            0,
+            1,
+            1,
+        )
+        spec = JobSpec('t', f'{number}', job_class, demand, tasks)
+        request = PlacementRequest(spec, f'd{random.randrange(4)}')
+        started = perf_counter_ns()
+        chosen = choose(index, request)
+        if not isinstance(chosen, Assignment):
+            refusals.record_value(perf_counter_ns() - started)
+            continue
+        for task, name in enumerate(chosen.hosts):
+            index.reserve(name, f'n{number}.{task}.1', demand)
+        for task, name in enumerate(chosen.hosts):
+            index.release(name, f'n{number}.{task}.1')
+        histogram.record_value(perf_counter_ns() - started)
+        # Fits on a host, but on none of these hosts as full as they are.
+        large = replace(spec, demand=Resources(16000, 16384, 0, 8, 8))
+        started = perf_counter_ns()
+        choose(index, replace(request, spec=large))
+        refusals.record_value(perf_counter_ns() - started)
+    return (
+        histogram.get_value_at_percentile(50) / 1000,
+        histogram.get_value_at_percentile(99) / 1000,
+        refusals.get_value_at_percentile(50) / 1000,
+    )
+
+
+def _fill_hosts(hosts: int, random: Random) -> HostIndex:
+    """Return hosts whose slots are taken at random up to `FULL`."""
+    index = HostIndex()
+    for host in make_hosts(BRAZOS, hosts):
+        index.add_host(host)
+    names = list(index.hosts)
+    for name in names:
+        index.reserve(name, 'f.0.1', Resources(500, 512, 0, 1, 1))
+    for number in range(int(hosts * 8 * FULL) - hosts):
+        demand = Resources(
+            random.choice((500, 1000, 2000, 3000)),
+            random.choice((512, 2048, 4096)),
+            0,
+            1,
+            1,
+        )
+        name = random.choice(names)
+        if demand.fits_in(index.find_free(name)):
+            index.reserve(name, f'f{number}.0.1', demand)
+    return index
+
+
+@register_measurement('packing')
+def measure_packing() -> Table:
+    """Offer jobs that do not end until the same number was refused."""
+    rows = []
+    for workload in WORKLOADS:
+        for name, choose in (
+            ('library', choose_hosts),
+            ('first fit', choose_first_fit),
+        ):
+            figures = [_fill_up(workload, choose, seed) for seed in SEEDS]
+            columns = [median(column) for column in zip(*figures, strict=True)]
+            rows.append((workload.name, name, *columns))
+    return Table(
+        f'Share of all hosts reserved when {REFUSALS} jobs were refused',
+        ('workload', 'way', 'processors', 'memory', 'slots', 'largest'),
+        tuple(rows),
+        ('Medians over 5 seeds; jobs arrive as in the streams.',),
+    )
+
+
+def _fill_up(
+    workload: Workload,
+    choose: Callable[[HostIndex, PlacementRequest], object],
+    seed: int,
+) -> tuple[float, float, float, float]:
+    index = HostIndex()
+    for host in make_hosts(workload):
+        index.add_host(host)
+    refused = 0
+    for arrival in make_stream(workload, 3.0, seed, 120_000):
+        # Quick requests are too small and short to fill hosts.
+        if arrival.spec.job_class is JobClass.QUICK:
+            continue
+        request = PlacementRequest(arrival.spec, arrival.domain)
+        chosen = choose(index, request)
+        if not isinstance(chosen, Assignment):
+            refused += 1
+            if refused == REFUSALS:
+                break
+            continue
+        for number, name in enumerate(chosen.hosts):
+            task = f'{arrival.job_id}.{number}.1'
+            index.reserve(name, task, arrival.spec.demand)
+    whole = workload.capacity.scale(len(index.hosts))
+    held = whole - index.total_free()
+    shares = (
+        held.millicores / whole.millicores,
+        held.memory_mb / whole.memory_mb,
+        held.slots / whole.slots,
+    )
+    return *shares, max(shares)
+
+
+@register_measurement('waiting time')
+def measure_waits() -> Table:
+    """Run the streams at rising load, with one part replaced at a time."""
+    rows: list[tuple[str | int | float, ...]] = []
+    for workload in WORKLOADS:
+        for load in LOADS:
+            streams = [
+                make_stream(workload, load, seed, HORIZON_MS) for seed in SEEDS
+            ]
+            for variant in VARIANTS:
+                outcomes = _run_streams(workload, variant, streams)
+                rows.append((workload.name, load, *_sum_up(variant, outcomes)))
+    return Table(
+        'Waiting time in ms by class (p50, p99), and what it cost',
+        (
+            'workload',
+            'load',
+            'way',
+            *(
+                f'{job_class.value} {percentile}'
+                for job_class in JobClass
+                for percentile in ('p50', 'p99')
+            ),
+            'busy',
+            'started',
+            'late',
+            'remote',
+        ),
+        tuple(rows),
+        (
+            f'Medians over 5 seeds of runs of {HORIZON_MS / 1000:.0f} s, the '
+            f'same streams for each way. At load 1 the scarcest resource is '
+            f'offered exactly as much work as it can do.',
+            'A job that has not started at the end counts with its wait so '
+            'far, and one that passed its deadline with its wait until then.',
+            'busy: share of the scarcest resource reserved, over time; '
+            'started: share of offered jobs; late: share that passed their '
+            'deadline unstarted; remote: share of tasks in another failure '
+            'domain than the caller.',
+        ),
+    )
+
+
+def _run_streams(
+    workload: Workload,
+    variant: Variant,
+    streams: Iterable[list[Arrival]],
+    bad_hosts: tuple[str, ...] = (),
+) -> list[Outcome]:
+    return [
+        Loop(workload, variant, bad_hosts).run(stream, HORIZON_MS)
+        for stream in streams
+    ]
+
+
+def _sum_up(
+    variant: Variant, outcomes: list[Outcome]
+) -> tuple[str | float, ...]:
+    waits = [
+        median(
+            outcome.waits[job_class].get_value_at_percentile(percentile)
+            for outcome in outcomes
+        )
+        for job_class in JobClass
+        for percentile in (50, 99)
+    ]
+    return (
+        variant.name,
+        *waits,
+        median(outcome.busy for outcome in outcomes),
+        median(outcome.started / outcome.offered for outcome in outcomes),
+        median(outcome.missed / outcome.offered for outcome in outcomes),
+        median(outcome.remote_tasks / outcome.tasks for outcome in outcomes),
+    )
+
+
+@register_measurement('quarantine')
+def measure_quarantine() -> Table:
+    """Let two hosts fail every task shortly after its start."""
+    rows = []
+    for workload in WORKLOADS:
+        streams = [
+            make_stream(workload, 0.7, seed, HORIZON_MS) for seed in SEEDS
+        ]
+        for variant in (LIBRARY, NO_QUARANTINE):
+            outcomes = _run_streams(
+                workload, variant, streams, ('h003', 'h010')
+            )
+            rows.append(
+                (
+                    workload.name,
+                    variant.name,
+                    median(item.failed_attempts for item in outcomes),
+                    median(item.failed_jobs for item in outcomes),
+                    median(
+                        item.waits[JobClass.QUICK].get_value_at_percentile(99)
+                        for item in outcomes
+                    ),
+                    median(
+                        item.waits[JobClass.BATCH].get_value_at_percentile(99)
+                        for item in outcomes
+                    ),
+                    median(item.offered for item in outcomes),
+                )
+            )
+    return Table(
+        'Two of 24 hosts fail every task after 50 ms; load 0.7',
+        (
+            'workload',
+            'way',
+            'failed attempts',
+            'failed jobs',
+            'quick p99 ms',
+            'batch p99 ms',
+            'jobs',
+        ),
+        tuple(rows),
+        (
+            'Medians over 5 seeds. Waits are until the start of the first '
+            'attempt that does not fail; a job has 3 attempts on different '
+            'hosts.',
+        ),
+    )
+
+
+@register_measurement('cancellation wave')
+def measure_cancellations() -> Table:
+    """Cancel every queued job in random order."""
+    rows = []
+    for size in WAVE_SIZES:
+        figures = [_cancel_wave(size, seed) for seed in SEEDS]
+        each, longest, total = (
+            median(column) for column in zip(*figures, strict=True)
+        )
+        rows.append((size, each, longest / 1000, total))
+    return Table(
+        'Cancellation of all queued jobs',
+        ('jobs', 'mean us each', 'longest ms', 'all ms'),
+        tuple(rows),
+        ('Medians over 5 seeds. The longest one drops cancelled entries.',),
+    )
+
+
+def _cancel_wave(size: int, seed: int) -> tuple[float, float, float]:
+    """Return mean and longest time in us, and the sum in ms."""
+    queue = JobQueue(BRAZOS.teams)
+    counter = Counter[str]()
+    stream = make_stream(BRAZOS, 1.0, seed, 20_000)
+    while len(queue) < size:
+        for arrival in stream[: size - len(queue)]:
+            counter[arrival.job_id] += 1
+            job_id = f'{arrival.job_id}/{counter[arrival.job_id]}'
+            queue.add(job_id, arrival.spec, arrival.at)
+    job_ids = [job.job_id for job in queue]
+    Random(seed).shuffle(job_ids)
+    longest = 0.0
+    began = perf_counter()
+    for job_id in job_ids:
+        started = perf_counter()
+        queue.remove(job_id)
+        longest = max(longest, perf_counter() - started)
+    total = perf_counter() - began
+    return total * 1e6 / size, longest * 1e6, total * 1000
--- /dev/null
+++ b/benchmarks/registry.py
@@ -0,0 +1,61 @@
+"""Measurements, in a registry that decorators fill."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from sassafrasgate.core.registries import Registry
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
+@dataclass(frozen=True, slots=True)
+class Table:
+    """Figures of one measurement.
+
+    Parameters
+    ----------
+    title : str
+        What was measured, with units.
+    columns : tuple of str
+        Heads of the columns.
+    rows : tuple of tuple
+        Cells of each row: text, whole numbers or floats.
+    notes : tuple of str
+        How to read the figures.
+    """
+
+    title: str
+    columns: tuple[str, ...]
+    rows: tuple[tuple[str | int | float, ...], ...]
+    notes: tuple[str, ...] = ()
+
+
+MEASUREMENTS: Registry[str, Callable[[], Table]] = Registry('measurement')
+register_measurement = MEASUREMENTS.register
+
+
+def format_table(table: Table) -> str:
+    """Return a table as aligned text."""
+    cells = [table.columns, *(map(format_cell, row) for row in table.rows)]
+    lines = [list(line) for line in cells]
+    widths = [max(map(len, column)) for column in zip(*lines, strict=True)]
+    text = [
+        '  '.join(
+            cell.ljust(width) if number == 0 else cell.rjust(width)
+            for number, (cell, width) in enumerate(
+                zip(line, widths, strict=True)
+            )
+        ).rstrip()
+        for line in lines
+    ]
+    return '\n'.join([table.title, *text, *table.notes, ''])
+
+
+def format_cell(cell: str | int | float) -> str:
+    """Return one cell as text, floats with three significant digits."""
+    if not isinstance(cell, float):
+        return str(cell)
+    return f'{cell:.0f}' if abs(cell) >= 100 else f'{cell:.3g}'
--- a/sassafrasgate/placement/queues.py
+++ b/sassafrasgate/placement/queues.py
@@ -70,9 +70,13 @@
     expires_at: float
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, slots=True, eq=False)
 class _Shape:
-    """Jobs of a team that fit exactly where the others of the shape fit."""
+    """Jobs of a team that fit exactly where the others of the shape fit.
+
+    There is one object for each shape of a lane, so that comparing and
+    hashing don't look at the amounts.
+    """
 
     group: Hashable
     demand: Resources
@@ -87,6 +91,7 @@
     """One team's jobs of one stage: a heap of jobs for each shape."""
 
     def __init__(self) -> None:
+        self.shapes: dict[tuple[Hashable, Resources, int], _Shape] = {}
         self.buckets: dict[_Shape, list[tuple[_Key, QueuedJob]]] = {}
         self.heads: list[tuple[_Key, int, _Shape]] = []
         self.head_keys: dict[_Shape, _Key] = {}
@@ -95,8 +100,13 @@
         self.stale = 0
         self._ties = count()
 
-    def add(self, shape: _Shape, key: _Key, job: QueuedJob) -> None:
+    def add(self, group: Hashable, key: _Key, job: QueuedJob) -> None:
         self.live += 1
+        spec = job.spec
+        shape = self.shapes.setdefault(
+            (group, spec.demand, spec.tasks),
+            _Shape(group, spec.demand, spec.tasks),
+        )
         bucket = self.buckets.setdefault(shape, [])
         heappush(bucket, (key, job))
         if bucket[0][0] == key and shape not in self.parked:
@@ -146,7 +156,7 @@
                 item for item in bucket if jobs.get(item[1].job_id) is item[1]
             ]
             if not live:
-                self.parked.discard(shape)
+                self._forget(shape)
                 continue
             heapify(live)
             self.buckets[shape] = live
@@ -170,8 +180,13 @@
                 self.stale -= 1
             heappop(bucket)
         del self.buckets[shape]
+        self._forget(shape)
         return bucket
 
+    def _forget(self, shape: _Shape) -> None:
+        self.parked.discard(shape)
+        del self.shapes[shape.group, shape.demand, shape.tasks]
+
 
 class JobQueue:
     """Jobs that wait, offered in weighted fair order over teams.
@@ -247,7 +262,6 @@
         job = QueuedJob(job_id, spec, now, expires_at)
         if group is None:
             group = (spec.team, spec.job_class, spec.failure_domains)
-        shape = _Shape(group, spec.demand, spec.tasks)
         sequence = next(self._sequence)
         key = (
             URGENCY[spec.job_class],
@@ -263,7 +277,7 @@
         self._jobs[job_id] = job
         self._count(job, 1)
         lanes = self._find_lanes(spec)
-        lanes.setdefault(team, _Lane()).add(shape, key, job)
+        lanes.setdefault(team, _Lane()).add(group, key, job)
         if expires_at < inf:
             heappush(self._expiry, (expires_at, sequence, job))
 
