Bound stops of the HTTP server and end waits when the process stops

Cause: a cancelled hypercorn ends in an InvalidStateError; a name such as localhost was resolved and bound; a wait of 60 s outlives the drain time of a planned stop, which then interrupts it.

Change: hypercorn runs shielded and is told to stop; addresses have to be IP numbers; waits ask the shard in slices of 5 s and end when the process stops; deadlines of quick requests stay below the drain time.

Conclusion: no open wait or quick request is cut by a planned stop with the default drain time.

--- a/sassafrasgate/http/jobs.py
+++ b/sassafrasgate/http/jobs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -22,6 +23,9 @@
 from sassafrasgate.http.views import make_job_path
 from sassafrasgate.http.views import render_json
 from sassafrasgate.http.views import show_job
+from sassafrasgate.http.waits import follow_accepted
+from sassafrasgate.http.waits import follow_job
+from sassafrasgate.http.waits import WAIT_SLICE_S
 from sassafrasgate.protocol.messages import Cancel
 from sassafrasgate.protocol.messages import Explain
 from sassafrasgate.protocol.messages import Query
@@ -48,12 +52,15 @@
     spec = await _read_spec(request, context)
     if isinstance(spec, Problem):
         return spec
-    view = await submit(context, Submission(spec, wait_s))
-    if isinstance(view, Problem):
-        return view
+    first = await submit(context, Submission(spec, min(wait_s, WAIT_SLICE_S)))
+    if isinstance(first, Problem):
+        return first
+    view = await request.wait_unless_disconnected(
+        partial(follow_accepted, context, first, wait_s)
+    )
     return render_json(
-        show_job(view),
-        200 if view.duplicate else 202,
+        show_job(replace(view, duplicate=first.duplicate)),
+        200 if first.duplicate else 202,
         {'Location': make_job_path(view.job_id)},
     )
 
@@ -67,9 +74,8 @@
     if isinstance(wait_s, Problem):
         return wait_s
     job_id = request.path_params['job_id']
-    query = Query('', job_id, wait_s)
     view = await request.wait_unless_disconnected(
-        partial(ask, context, query, job_id, wait_s)
+        partial(follow_job, context, job_id, wait_s)
     )
     if isinstance(view, Problem):
         return view
--- a/sassafrasgate/http/limits.py
+++ b/sassafrasgate/http/limits.py
@@ -26,6 +26,8 @@
 MAX_OPEN_BODY_BYTES = 64 * 1024 * KIB
 
 MAX_WAIT_S = 60.0
+# Below the drain time of a stop, which therefore interrupts no quick request.
+MAX_QUICK_DEADLINE_S = 15.0
 ANSWER_TIMEOUT_S = 10.0
 ANSWER_MARGIN_S = 0.5
 BODY_TIMEOUT_S = 30.0
@@ -51,7 +53,9 @@
         Longest bodies of ``POST /v1/jobs``, ``POST /v1/requests`` and
         ``PUT /v1/configuration``.
     max_wait_s : float
-        Longest ``wait`` and longest deadline of a quick request.
+        Longest ``wait`` for the end of a job.
+    max_quick_deadline_s : float
+        Longest deadline of a quick request.
     answer_timeout_s : float
         How long to wait for an answer that needs no waiting for a job.
     answer_margin_s : float
@@ -70,6 +74,7 @@
     max_request_body: int = MAX_REQUEST_BODY_BYTES
     max_configuration_body: int = MAX_CONFIGURATION_BYTES
     max_wait_s: float = MAX_WAIT_S
+    max_quick_deadline_s: float = MAX_QUICK_DEADLINE_S
     answer_timeout_s: float = ANSWER_TIMEOUT_S
     answer_margin_s: float = ANSWER_MARGIN_S
     body_timeout_s: float = BODY_TIMEOUT_S
--- a/sassafrasgate/http/requests.py
+++ b/sassafrasgate/http/requests.py
@@ -62,8 +62,9 @@
     spec = check_spec(fields, _QUICK, JobClass.QUICK)
     if isinstance(spec, Faults):
         return describe_faults(tuple(str(fault) for fault in spec.faults))
-    if spec.deadline_s > limits.max_wait_s:
-        text = f'must be at most {limits.max_wait_s:g} for class quick'
+    if spec.deadline_s > limits.max_quick_deadline_s:
+        most = limits.max_quick_deadline_s
+        text = f'must be at most {most:g} for class quick'
         return describe_faults((f'deadline_s: {text}',))
     deadline_s = spec.deadline_s or DEFAULT_QUICK_DEADLINE_S
     spec = replace(spec, deadline_s=deadline_s)
--- a/sassafrasgate/http/server.py
+++ b/sassafrasgate/http/server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from ipaddress import ip_address
 from logging import getLogger
 from socket import AF_INET
 from socket import AF_INET6
@@ -12,6 +13,10 @@
 from typing import cast
 from typing import TYPE_CHECKING
 
+from anyio import CancelScope
+from anyio import create_task_group
+from anyio import Event
+from anyio import get_cancelled_exc_class
 from anyio import TASK_STATUS_IGNORED
 from hypercorn.asyncio import serve
 from hypercorn.config import Config
@@ -19,10 +24,10 @@
 from sassafrasgate.core.errors import SassafrasgateError
 
 if TYPE_CHECKING:
-    from anyio import Event
     from anyio.abc import TaskStatus
     from starlette.types import ASGIApp
 
+IPV6 = 6
 BACKLOG = 1024
 DRAIN_S = 20.0
 # Longer than the idle time of usual load balancers, so that the balancer
@@ -84,23 +89,44 @@
     config.keep_alive_timeout = KEEP_ALIVE_S
     config.include_server_header = False
     config.errorlog = getLogger('hypercorn.error')
-    task_status.started(bound)
+    stop = Event()
+    async with create_task_group() as group:
+        group.start_soon(_run_hypercorn, application, config, stop)
+        task_status.started(bound)
+        try:
+            await shutdown_event.wait()
+        except get_cancelled_exc_class():
+            # A cancelled caller does not wait for open requests.
+            config.graceful_timeout = 0
+            raise
+        finally:
+            stop.set()
+
+
+async def _run_hypercorn(
+    application: ASGIApp, config: Config, stop: Event
+) -> None:
     # hypercorn's own ASGI types name every event; starlette's are plain.
     framework = cast('Any', application)
-    await serve(framework, config, shutdown_trigger=shutdown_event.wait)
+    # A cancellation in the middle of hypercorn's stop ends in an
+    # InvalidStateError, so it is told to stop instead.
+    with CancelScope(shield=True):
+        await serve(framework, config, shutdown_trigger=stop.wait)
 
 
 def _open_listener(address: str) -> socket:
     host, _, port = address.rpartition(':')
     host = host.strip('[]')
-    if not host or not port.isdecimal():
-        raise AddressError(address, 'it has no IP number or no port')
-    listener = socket(AF_INET6 if ':' in host else AF_INET)
+    try:
+        version = ip_address(host).version
+        listener = socket(AF_INET6 if version == IPV6 else AF_INET)
+    except ValueError as error:
+        raise AddressError(address, str(error)) from error
     try:
         listener.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
         listener.bind((host, int(port)))
         listener.listen(BACKLOG)
-    except (OSError, OverflowError) as error:
+    except (OSError, OverflowError, ValueError) as error:
         listener.close()
         raise AddressError(address, str(error)) from error
     return listener
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -1,16 +1,24 @@
-"""Guards the server: large bodies arrive whole, a stop is graceful."""
+"""Guards the server: whole bodies, broken transfers, graceful stops."""
+
+from contextlib import asynccontextmanager
+from contextlib import suppress
+from dataclasses import dataclass
 
 import anyio
 from httpx import AsyncClient
 from httpx import ConnectError
+from httpx import RemoteProtocolError
 from httpx import TransportError
 import pytest
 from xxhash import xxh3_128_hexdigest
 
+from sassafrasgate.core.errors import Refusal
+from sassafrasgate.core.errors import RefusalKind
 from sassafrasgate.core.jobs import JobState
 from sassafrasgate.core.jobs import Outcome
 from sassafrasgate.http.application import build_application
 from sassafrasgate.http.limits import Limits
+from sassafrasgate.http.server import AddressError
 from sassafrasgate.http.server import serve_http
 from sassafrasgate.observability.metrics import Metrics
 from sassafrasgate.protocol.messages import JobView
@@ -18,48 +26,59 @@
 pytestmark = pytest.mark.anyio
 
 LARGE = bytes(range(256)) * 4_096
+TEXT = LARGE.decode('latin-1')
 
 
-async def test_stop_lets_an_open_request_end(gateway):
-    arrived = anyio.Event()
-    go_on = anyio.Event()
+@dataclass(frozen=True)
+class Server:
+    """A running server with a client for it."""
 
-    async def answer(message):
-        arrived.set()
-        await go_on.wait()
-        spec = message.spec
-        digest = xxh3_128_hexdigest(spec.payload)
-        outcome = Outcome(
-            JobState.FINISHED, '', spec.payload, 0, len(spec.payload), digest
-        )
-        return JobView(message.job_id, JobState.FINISHED, outcome=outcome)
+    client: AsyncClient
+    address: str
+    stop: anyio.Event
+    scope: anyio.CancelScope
 
-    gateway.answer = answer
-    application = build_application(gateway, Metrics(), Limits())
+
+@asynccontextmanager
+async def run_server(gateway, limits=None, drain_s=20.0):
+    application = build_application(gateway, Metrics(), limits or Limits())
     stop = anyio.Event()
-    replies = []
 
-    async def send():
-        body = {'team': 'pages', 'payload': LARGE.decode('latin-1')}
-        replies.append(await client.post('/v1/requests', json=body))
+    scope = anyio.CancelScope()
 
-    async with (
-        anyio.create_task_group() as server_group,
-        AsyncClient(timeout=30) as client,
-    ):
-        address = await server_group.start(
-            serve_http, application, '127.0.0.1:0', stop
-        )
-        client.base_url = f'http://{address}'
+    async def serve(*, task_status):
+        with scope:
+            await serve_http(
+                application,
+                '127.0.0.1:0',
+                stop,
+                drain_s,
+                task_status=task_status,
+            )
+
+    with anyio.fail_after(30):
         async with anyio.create_task_group() as group:
-            group.start_soon(send)
-            await arrived.wait()
+            address = await group.start(serve)
+            url = f'http://{address}'
+            async with AsyncClient(base_url=url, timeout=30) as client:
+                yield Server(client, address, stop, scope)
             stop.set()
-            with anyio.fail_after(10):
-                await wait_until_closed(address)
-            go_on.set()
-    assert replies[0].status_code == 200
-    assert replies[0].content == LARGE.decode('latin-1').encode()
+
+
+async def echo(message):
+    payload = message.spec.payload
+    digest = xxh3_128_hexdigest(payload)
+    outcome = Outcome(JobState.FINISHED, '', payload, 0, len(payload), digest)
+    return JobView(message.job_id, JobState.FINISHED, outcome=outcome)
+
+
+def set_chunks(gateway, chunks, whole):
+    digest = xxh3_128_hexdigest(whole)
+    outcome = Outcome(
+        JobState.FINISHED, '', b'', len(chunks), len(whole), digest
+    )
+    gateway.answer = JobView('j', JobState.FINISHED, outcome=outcome)
+    gateway.chunks = chunks
 
 
 async def wait_until_closed(address):
@@ -70,6 +89,156 @@
             except ConnectError:
                 return
             except TransportError:
-                # The connection was waiting when the socket was closed.
-                continue
+                # The connection was still waiting when the socket closed.
+                pass
             await anyio.sleep(0.01)
+
+
+async def test_large_bodies_arrive_whole_both_ways(gateway):
+    gateway.answer = echo
+    async with run_server(gateway) as server:
+        for _ in range(3):
+            reply = await server.client.post(
+                '/v1/requests', json={'team': 'pages', 'payload': TEXT}
+            )
+            assert reply.content == TEXT.encode()
+
+
+async def test_large_chunked_output_arrives_whole(gateway):
+    set_chunks(gateway, (LARGE,) * 8, LARGE * 8)
+    async with run_server(gateway) as server:
+        reply = await server.client.get('/v1/jobs/j/output')
+    assert reply.content == LARGE * 8
+
+
+async def test_damaged_output_is_a_broken_transfer(gateway):
+    set_chunks(gateway, (LARGE, LARGE[:-1] + b'x'), LARGE * 2)
+    async with run_server(gateway) as server:
+        with pytest.raises(RemoteProtocolError, match='without sending'):
+            await server.client.get('/v1/jobs/j/output')
+
+
+async def test_refused_large_body_still_gets_its_response(gateway):
+    gateway.refusal = Refusal(RefusalKind.NOT_READY, 'a', 'b')
+    async with run_server(gateway) as server:
+        for path in ('/v1/requests', '/v1/jobs', '/nowhere'):
+            reply = await server.client.post(path, content=LARGE * 4)
+            assert reply.status_code == (404 if path == '/nowhere' else 503)
+        gateway.refusal = None
+        reply = await server.client.post('/v1/jobs', content=LARGE * 4)
+        assert reply.status_code == 413
+
+
+async def test_callers_that_go_away_leave_nothing_open(gateway):
+    arrived = anyio.Event()
+    stopped = anyio.Event()
+
+    async def answer(message):
+        arrived.set()
+        try:
+            await anyio.sleep_forever()
+        finally:
+            stopped.set()
+
+    gateway.answer = answer
+    async with run_server(gateway, Limits(max_open_callers=1)) as server:
+        async with anyio.create_task_group() as group:
+            group.start_soon(server.client.get, '/v1/jobs/j?wait=60')
+            await arrived.wait()
+            group.cancel_scope.cancel()
+        await stopped.wait()
+        gateway.answer = JobView('j', JobState.RUNNING)
+        reply = await server.client.get('/v1/jobs/j')
+        assert reply.status_code == 200
+
+
+async def test_caller_of_a_quick_request_that_goes_away_breaks_nothing(
+    gateway,
+):
+    arrived = anyio.Event()
+    go_on = anyio.Event()
+
+    async def answer(message):
+        arrived.set()
+        await go_on.wait()
+        return await echo(message)
+
+    gateway.answer = answer
+    body = {'team': 'pages', 'payload': TEXT}
+    async with run_server(gateway) as server:
+
+        async def send():
+            await server.client.post('/v1/requests', json=body)
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(send)
+            await arrived.wait()
+            group.cancel_scope.cancel()
+        go_on.set()
+        reply = await server.client.post('/v1/requests', json=body)
+        assert reply.content == TEXT.encode()
+
+
+async def test_stop_closes_the_socket_and_lets_open_requests_end(gateway):
+    arrived = anyio.Event()
+    go_on = anyio.Event()
+    replies = []
+
+    async def answer(message):
+        arrived.set()
+        await go_on.wait()
+        return await echo(message)
+
+    async def send(client):
+        body = {'team': 'pages', 'payload': TEXT}
+        replies.append(await client.post('/v1/requests', json=body))
+
+    gateway.answer = answer
+    async with (
+        run_server(gateway) as server,
+        anyio.create_task_group() as group,
+    ):
+        group.start_soon(send, server.client)
+        await arrived.wait()
+        server.stop.set()
+        await wait_until_closed(server.address)
+        go_on.set()
+    assert replies[0].content == TEXT.encode()
+
+
+@pytest.mark.parametrize('cancel', [False, True], ids=['drain', 'cancel'])
+async def test_stop_is_bounded_by_the_drain_time_and_by_cancellation(
+    gateway, cancel
+):
+    arrived = anyio.Event()
+
+    async def answer(message):
+        arrived.set()
+        await anyio.sleep_forever()
+
+    async def send(client):
+        with suppress(TransportError):
+            reply = await client.get('/v1/jobs/j?wait=60')
+            assert reply.status_code == 500
+
+    gateway.answer = answer
+    async with (
+        run_server(gateway, drain_s=60 if cancel else 0.05) as server,
+        anyio.create_task_group() as group,
+    ):
+        group.start_soon(send, server.client)
+        await arrived.wait()
+        if cancel:
+            server.scope.cancel()
+        else:
+            server.stop.set()
+
+
+@pytest.mark.parametrize(
+    'address', ['localhost:80', '127.0.0.1', '127.0.0.1:99999', ':80']
+)
+async def test_bad_address_names_the_remedy(address):
+    stop = anyio.Event()
+    stop.set()
+    with pytest.raises(AddressError, match='IP number'):
+        await serve_http(None, address, stop)
--- /dev/null
+++ b/tests/http/test_waits.py
@@ -0,0 +1,69 @@
+"""Guards waits against spinning, outliving a stop, or losing the job."""
+
+import pytest
+
+from sassafrasgate.core.errors import Refusal
+from sassafrasgate.core.errors import RefusalKind
+from sassafrasgate.core.jobs import JobState
+from sassafrasgate.http import waits
+from sassafrasgate.http.gateways import NoAnswer
+from sassafrasgate.protocol.messages import JobView
+from sassafrasgate.protocol.messages import Submit
+
+pytestmark = pytest.mark.anyio
+
+RUNNING = JobView('j', JobState.RUNNING)
+FINISHED = JobView('j', JobState.FINISHED)
+JOB = {'team': 'orders', 'key': '17'}
+
+
+@pytest.fixture(autouse=True)
+def short_slices(monkeypatch):
+    monkeypatch.setattr(waits, 'WAIT_SLICE_S', 0.05)
+    monkeypatch.setattr(waits, 'MIN_PAUSE_S', 0.05)
+
+
+async def test_shard_that_answers_early_is_not_asked_in_a_tight_loop(
+    gateway, client
+):
+    gateway.answer = RUNNING
+    reply = await client.get('/v1/jobs/j?wait=0.2')
+    assert reply.json()['state'] == 'running'
+    assert len(gateway.asked) <= 6
+
+
+async def test_wait_goes_on_after_a_question_without_an_answer(
+    gateway, client
+):
+    answers = [RUNNING, NoAnswer('owner died'), FINISHED]
+
+    async def answer(message):
+        return answers.pop(0)
+
+    gateway.answer = answer
+    reply = await client.get('/v1/jobs/j?wait=60')
+    assert reply.json()['state'] == 'finished'
+
+
+async def test_stop_of_the_process_ends_a_wait(gateway, client):
+    gateway.answer = RUNNING
+    gateway.refusal = Refusal(RefusalKind.STOPPING, 'stop', 'try another')
+    reply = await client.get('/v1/jobs/j?wait=60')
+    assert reply.json()['state'] == 'running'
+
+
+async def test_submission_that_waits_is_sent_once(gateway, client):
+    answers = [JobView('j', JobState.QUEUED, duplicate=True), FINISHED]
+
+    async def answer(message):
+        return answers.pop(0)
+
+    gateway.answer = answer
+    reply = await client.post('/v1/jobs?wait=60', json=JOB)
+    assert reply.status_code == 200
+    assert reply.json()['duplicate'] is True
+    assert reply.json()['state'] == 'finished'
+    assert [type(message) is Submit for message in gateway.asked] == [
+        True,
+        False,
+    ]
