--- a/sassafrasgate/shards/endings.py
+++ b/sassafrasgate/shards/endings.py
@@ -138,7 +138,9 @@
         return
     job_id, _, _ = split_task_id(event.task)
     entry = state.jobs.get(job_id)
-    if entry is None or not event.chunks:
+    if entry is None or not _is_current(entry, event.task):
+        return
+    if not event.chunks:
         # Without chunks the copy failed; the worker's next report of the
         # ended task starts it again.
         return
@@ -153,9 +155,11 @@
 ) -> Actions:
     finished = (*entry.finished, FinishedTask(task, outcome))
     entry = state.update_job(entry.job_id, finished=finished)
-    if len(finished) < entry.spec.tasks:
+    if len(finished) == entry.spec.tasks:
+        yield from end_job(state, entry, _merge_outcomes(finished))
         return
-    yield from end_job(state, entry, _merge_outcomes(finished))
+    if entry.closed or entry.cancelling:
+        yield from _settle_attempt(state, entry)
 
 
 def _merge_outcomes(finished: tuple[FinishedTask, ...]) -> Outcome:
@@ -227,6 +231,11 @@
     entry = state.update_job(entry.job_id, closed=(*entry.closed, closed))
     if entry.spec.job_class is not JobClass.SERVICE:
         yield from _stop_others(state, entry)
+    yield from _settle_attempt(state, entry)
+
+
+def _settle_attempt(state: ShardState, entry: JobEntry) -> Actions:
+    """Go on once the tasks that ended allow it."""
     if entry.cancelling:
         yield from finish_cancel(state, entry)
         return
