--- a/sassafrasgate/daemons/hosts.py
+++ b/sassafrasgate/daemons/hosts.py
@@ -168,8 +168,12 @@
             return False
         received_at = now_ms()
         self._releases.difference_update(release)
-        self._known = {task.task for task in reply.ended}
+        # A task stays known until the worker forgets it, or every second
+        # sync would return at once with the same news.
+        self._known.update(task.task for task in reply.ended)
         self._known.difference_update(release)
+        if reply.incarnation != self._incarnation:
+            self._known = {task.task for task in reply.ended}
         # The event goes first: a lease granted on this reading must not be
         # older than what the shard knows.
         await self._events.send(HostSynced(self.host, reply, received_at))
@@ -292,6 +296,8 @@
             chunks = await self._write_chunks(command.job_id, data)
         except SassafrasgateError:
             chunks = 0
+            # The worker's next report of the end starts the copy again.
+            self._known.discard(command.task)
         await self._events.send(
             OutputStored(command.task, chunks, command.size, command.digest)
         )
--- a/sassafrasgate/shards/endings.py
+++ b/sassafrasgate/shards/endings.py
@@ -72,8 +72,9 @@
     if report.outcome is TaskOutcome.FINISHED:
         yield from _note_finished(state, host, entry, report)
         return
-    if entry.is_over or entry.state is JobState.UNKNOWN:
-        yield ReleaseTask(host, report.task)
+    if entry.outcome is not None:
+        if entry.end_durable:
+            yield ReleaseTask(host, report.task)
         return
     fate = (
         AttemptFate.FAILED
@@ -111,7 +112,8 @@
     state: ShardState, host: str, entry: JobEntry, report: EndedTask
 ) -> Actions:
     if entry.state is JobState.FINISHED:
-        yield ReleaseTask(host, report.task)
+        if entry.end_durable:
+            yield ReleaseTask(host, report.task)
         return
     if any(task.task == report.task for task in entry.finished):
         return
@@ -188,6 +190,7 @@
     entry = state.jobs.get(record.job_id)
     if entry is None:
         return
+    state.update_job(record.job_id, end_durable=True)
     yield from answer_waiters(state, record.job_id)
     for placement in entry.placements:
         yield ReleaseTask(placement.host, placement.task)
--- a/sassafrasgate/shards/quick.py
+++ b/sassafrasgate/shards/quick.py
@@ -275,5 +275,8 @@
         yield LogDecision(
             'expire', quick.job_id, quick.attempt, quick.host, view.reason
         )
+        if quick.ended is not None:
+            # Its end has been reported; its output could not be fetched.
+            yield ReleaseTask(quick.host, quick.task)
         for reply_to in quick.reply_to:
             yield Reply(reply_to, view)
--- a/sassafrasgate/shards/recovery.py
+++ b/sassafrasgate/shards/recovery.py
@@ -46,6 +46,9 @@
     )
     for name in state.hosts:
         state.update_host(name, lapse_at=lapse_at)
+    for entry in list(state.jobs.values()):
+        if entry.outcome is not None:
+            state.update_job(entry.job_id, end_durable=True)
 
 
 def list_records(state: ShardState) -> Iterator[Any]:
@@ -198,6 +201,7 @@
         state=record.outcome.state,
         reason=record.outcome.reason,
         outcome=record.outcome,
+        end_durable=False,
         ended_at_ms=record.ended_at_ms,
         finished=(),
         closed=(),
--- a/sassafrasgate/shards/state.py
+++ b/sassafrasgate/shards/state.py
@@ -117,6 +117,10 @@
         Tasks of the current placements that ended with and without success.
     durable : bool
         Whether the acceptance is in the journal.
+    end_durable : bool
+        Whether the end is in the journal. Only then may workers forget the
+        job's tasks: a successor that neither reads the end nor finds the
+        task on its worker takes it for one that never started.
     transferred_to : str
         Shard that runs the current attempt, or empty.
     cancelling : bool
@@ -142,6 +146,7 @@
     home_attempt: int = 0
     transferred_to: str = ''
     durable: bool = False
+    end_durable: bool = False
     cancelling: bool = False
     may_have_run: bool = False
 
@@ -357,7 +362,7 @@
         entry = self.jobs.get(job_id)
         if entry is None:
             return job_id.partition('~')[0] not in self.quick
-        return entry.is_over
+        return entry.end_durable
 
     def must_stop(self, report: RunningTask) -> bool:
         """Tell whether an unexpected task belongs to a job that is over."""
