Answer 'unknown' to a submission whose acceptance is not confirmed

Cause: when an owner could neither confirm nor withdraw an acceptance in time, it answered with a view in state unknown, which POST /v1/jobs passed on as 202 accepted. Ruled out: a view of an accepted job that ended as unknown; that one has an outcome and is still shown as a job.

Before: in a store outage of 11 s, submissions sent meanwhile got 202 with state unknown.

--- a/sassafrasgate/http/submissions.py
+++ b/sassafrasgate/http/submissions.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 from dataclasses import replace
+from typing import Any
 from typing import cast
 from typing import TYPE_CHECKING
 
@@ -11,15 +12,16 @@
 from sassafrasgate.core.identifiers import make_job_id
 from sassafrasgate.core.jobs import JobSpec
 from sassafrasgate.core.jobs import JobState
+from sassafrasgate.http.problems import describe_unknown
 from sassafrasgate.http.problems import Problem
 from sassafrasgate.http.questions import ask_plainly
 from sassafrasgate.http.questions import describe_failure
 from sassafrasgate.http.questions import is_certainly_not_run
+from sassafrasgate.protocol.messages import JobView
 from sassafrasgate.protocol.messages import Submit
 
 if TYPE_CHECKING:
     from sassafrasgate.http.routes import Context
-    from sassafrasgate.protocol.messages import JobView
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,6 +61,8 @@
         plain = await ask_plainly(context, message, submission.wait_s)
     finally:
         context.open_by_team.leave(spec.team)
+    if _is_unconfirmed(plain):
+        return describe_unknown(plain.reason, job_id)
     answer = describe_failure(context, plain, job_id)
     if not is_certainly_not_run(plain, submission.fresh):
         return cast('JobView | Problem', answer)
@@ -67,6 +71,18 @@
     return describe_not_run(answer)
 
 
+def _is_unconfirmed(answer: Any) -> bool:
+    """Tell whether an owner can't say if it has accepted the job.
+
+    A job that ended as unknown after its acceptance has an outcome.
+    """
+    return (
+        isinstance(answer, JobView)
+        and answer.state is JobState.UNKNOWN
+        and answer.outcome is None
+    )
+
+
 def describe_not_run(view: JobView) -> Problem:
     """Return the problem for a job that certainly never runs."""
     return Problem(
