Choose the fullest host by all resources together

Cause: best fit by the scarcest resource alone packed like first fit. It needs one sorted list for each failure domain instead of five, and several tasks of a job use a heap of racks for each domain.

--- a/benchmarks/streams.py
+++ b/benchmarks/streams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from dataclasses import replace
 from math import exp
 from random import Random
 
@@ -12,6 +13,8 @@
 from sassafrasgate.core.jobs import JobSpec
 from sassafrasgate.core.resources import Resources
 
+# Tasks of one kind differ in size; the mean factor is 1.
+SIZE_FACTORS = (0.5, 0.75, 1.0, 1.0, 1.25, 1.5)
 # Run times spread widely around their mean, as declared ones are wrong.
 RUN_TIME_SIGMA = 0.8
 
@@ -263,7 +266,7 @@
         kind.team,
         job_id,
         kind.job_class,
-        kind.demand,
+        _vary_demand(kind.demand, random),
         random.choice(kind.tasks),
         deadline_s=kind.deadline_s,
         run_time_s=kind.run_s,
@@ -275,3 +278,11 @@
         max(1, int(kind.run_s * 1000 * exp(spread))),
         f'd{random.randrange(workload.domains)}',
     )
+
+
+def _vary_demand(demand: Resources, random: Random) -> Resources:
+    return replace(
+        demand,
+        millicores=int(demand.millicores * random.choice(SIZE_FACTORS)),
+        memory_mb=int(demand.memory_mb * random.choice(SIZE_FACTORS)),
+    )
--- a/sassafrasgate/placement/index.py
+++ b/sassafrasgate/placement/index.py
@@ -11,7 +11,7 @@
 from sassafrasgate.core.errors import UnknownNameError
 from sassafrasgate.core.resources import NOTHING
 from sassafrasgate.core.resources import Resources
-from sassafrasgate.placement.scores import RESOURCE_NAMES
+from sassafrasgate.placement.scores import weigh_amount
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -19,6 +19,8 @@
 
     from sassafrasgate.core.hosts import Host
 
+_ROUNDING = 1e-9
+_NO_HOSTS: list[tuple[float, str]] = []
 _NO_TASKS: Mapping[str, Resources] = MappingProxyType({})
 
 
@@ -34,37 +36,6 @@
         )
 
 
-class _DomainOrder:
-    """Open hosts of one failure domain, sorted by each free resource.
-
-    Plain lists with bisection: at a few hundred hosts, moving the tail of
-    a list on insertion costs less than a tree or nested lists.
-    """
-
-    def __init__(self) -> None:
-        self.lists: dict[str, list[tuple[int, str]]] = {
-            resource: [] for resource in RESOURCE_NAMES
-        }
-
-    def add(self, name: str, free: Resources) -> None:
-        for resource, entries in self.lists.items():
-            insort(entries, (getattr(free, resource), name))
-
-    def remove(self, name: str, free: Resources) -> None:
-        for resource, entries in self.lists.items():
-            entry = (getattr(free, resource), name)
-            del entries[bisect_left(entries, entry)]
-
-    def change(self, name: str, old: Resources, new: Resources) -> None:
-        for resource, entries in self.lists.items():
-            before: int = getattr(old, resource)
-            after: int = getattr(new, resource)
-            if before == after:
-                continue
-            del entries[bisect_left(entries, (before, name))]
-            insort(entries, (after, name))
-
-
 class HostIndex:
     """Hosts with their reservations; the only place that counts them.
 
@@ -92,9 +63,12 @@
         self._removed: dict[str, bool] = {}
         self._tasks: dict[str, dict[str, Resources]] = {}
         self._first: dict[tuple[str, str], Resources] = {}
-        self._orders: dict[str, _DomainOrder] = {}
+        # Open hosts by failure domain, fullest first. Plain lists with
+        # bisection: at a few hundred hosts, moving the tail of a list on
+        # insertion costs less than a tree or nested lists.
+        self._orders: dict[str, list[tuple[float, str]]] = {}
         self._total = NOTHING
-        self._largest: Resources | None = NOTHING
+        self._largest = NOTHING
         self._hosts_view = MappingProxyType(self._hosts)
         self._open_view = MappingProxyType(self._open)
 
@@ -115,7 +89,7 @@
         smaller capacity may leave a negative amount free.
         """
         name = host.name
-        self._largest = None
+        self._raise_largest(host.capacity)
         if name not in self._hosts:
             self._hosts[name] = host
             self._tasks[name] = {}
@@ -159,7 +133,7 @@
             return
         free = self._closed.pop(name)
         self._open[name] = free
-        self._find_order(name).add(name, free)
+        insort(self._find_order(name), (self.weigh(free), name))
         self._total = self._total + free.cover(NOTHING)
 
     def is_open(self, name: str) -> bool:
@@ -244,34 +218,29 @@
     def find_tightest(
         self,
         domain: str,
-        resource: str,
         demand: Resources,
         is_usable: Callable[[str], bool] | None = None,
-    ) -> tuple[int, str] | None:
-        """Return the open host where a demand leaves least of a resource.
+    ) -> tuple[float, str] | None:
+        """Return the fullest open host of a domain with room for a demand.
 
         Parameters
         ----------
         domain : str
             Failure domain to look in.
-        resource : str
-            Name of a field of `Resources`.
+        demand : Resources
+            What must be free.
         is_usable : callable, optional
             Tells for a host name whether the host may be used.
 
         Returns
         -------
-        tuple of int and str, or None
-            What is free of the resource, and the host; of equal hosts the
-            first by name.
+        tuple of float and str, or None
+            The weight of what is free before, see `weigh`, and the host;
+            of equal hosts the first by name.
         """
-        order = self._orders.get(domain)
-        if order is None:
-            return None
-        entries = order.lists[resource]
-        start = bisect_left(entries, (getattr(demand, resource), ''))
+        entries = self._orders.get(domain, _NO_HOSTS)
         free = self._open
-        for number in range(start, len(entries)):
+        for number in range(self._find_start(entries, demand), len(entries)):
             name = entries[number][1]
             if demand.fits_in(free[name]) and (
                 is_usable is None or is_usable(name)
@@ -279,26 +248,24 @@
                 return entries[number]
         return None
 
-    def count_open(self, resource: str, least: int) -> int:
-        """Return how many open hosts have so much free of a resource."""
+    def count_candidates(self, demand: Resources) -> int:
+        """Return how many open hosts are not plainly too full."""
         return sum(
-            len(entries) - bisect_left(entries, (least, ''))
-            for order in self._orders.values()
-            for entries in (order.lists[resource],)
+            len(entries) - self._find_start(entries, demand)
+            for entries in self._orders.values()
         )
 
     def list_domains(self) -> list[str]:
         """Return the failure domains that have had open hosts."""
         return list(self._orders)
 
-    def find_largest_capacity(self) -> Resources:
-        """Return the largest capacity of any host, by resource."""
-        if self._largest is None:
-            largest = NOTHING
-            for host in self._hosts.values():
-                largest = largest.cover(host.capacity)
-            self._largest = largest
-        return self._largest
+    def weigh(self, amount: Resources) -> float:
+        """Return the mean share of the largest host that an amount takes.
+
+        Linear in the amount, so that hosts sorted by the weight of what is
+        free are also sorted by what would be left after any one demand.
+        """
+        return weigh_amount(amount, self._largest)
 
     def list_fitting(self, demand: Resources) -> list[str]:
         """Return the open hosts that have room for a demand."""
@@ -319,30 +286,48 @@
         The amounts may come from different hosts, so a demand that does
         not fit in them fits on no host, but not the reverse.
         """
-        amounts = {}
-        for resource in RESOURCE_NAMES:
-            lists = [order.lists[resource] for order in self._orders.values()]
-            tops = [entries[-1][0] for entries in lists if entries]
-            amounts[resource] = max(0, *tops) if tops else 0
-        return Resources(**amounts)
+        largest = NOTHING
+        for free in self._open.values():
+            largest = largest.cover(free)
+        return largest
 
     def _check_known(self, name: str) -> None:
         if name not in self._hosts:
             raise UnknownNameError('host', name, tuple(sorted(self._hosts)))
 
-    def _find_order(self, name: str) -> _DomainOrder:
+    def _find_order(self, name: str) -> list[tuple[float, str]]:
         domain = self._hosts[name].failure_domain
-        order = self._orders.get(domain)
-        if order is None:
-            order = self._orders[domain] = _DomainOrder()
-        return order
+        return self._orders.setdefault(domain, [])
+
+    def _remove_from_order(self, name: str, free: Resources) -> None:
+        entries = self._find_order(name)
+        del entries[bisect_left(entries, (self.weigh(free), name))]
+
+    def _find_start(
+        self, entries: list[tuple[float, str]], demand: Resources
+    ) -> int:
+        # The margin covers rounding; a host before the start has less
+        # free, all resources together, than the demand takes.
+        return bisect_left(entries, (self.weigh(demand) - _ROUNDING, ''))
+
+    def _raise_largest(self, capacity: Resources) -> None:
+        """Sort all hosts again when the unit of their weights changes."""
+        largest = self._largest.cover(capacity)
+        if largest == self._largest:
+            return
+        self._largest = largest
+        self._orders = {}
+        for name, free in self._open.items():
+            self._find_order(name).append((self.weigh(free), name))
+        for entries in self._orders.values():
+            entries.sort()
 
     def _close(self, name: str) -> None:
         free = self._open.pop(name, None)
         if free is None:
             return
         self._closed[name] = free
-        self._find_order(name).remove(name, free)
+        self._remove_from_order(name, free)
         self._total = self._total - free.cover(NOTHING)
 
     def _set_reservation(
@@ -366,7 +351,8 @@
             return
         changed = free + change
         self._open[name] = changed
-        self._find_order(name).change(name, free, changed)
+        self._remove_from_order(name, free)
+        insort(self._find_order(name), (self.weigh(changed), name))
         if NOTHING.fits_in(free) and NOTHING.fits_in(changed):
             self._total = self._total + change
             return
@@ -381,4 +367,3 @@
         del self._tasks[name]
         del self._closed[name]
         del self._hosts[name]
-        self._largest = None
--- a/sassafrasgate/placement/policies.py
+++ b/sassafrasgate/placement/policies.py
@@ -16,7 +16,6 @@
 from sassafrasgate.core.registries import Registry
 from sassafrasgate.core.resources import NOTHING
 from sassafrasgate.core.resources import Resources
-from sassafrasgate.placement.scores import find_scarcest
 from sassafrasgate.placement.scores import Weights
 
 if TYPE_CHECKING:
@@ -73,8 +72,8 @@
     score : float
         Cost of the choice, lower is better; for logs.
     candidates : int
-        Number of open hosts that had enough of the scarcest resource for a
-        task; for several tasks, of all resources.
+        Number of open hosts that were not plainly too full for a task; for
+        several tasks, of those with room for one.
     """
 
     hosts: tuple[str, ...]
@@ -206,42 +205,38 @@
 def place_one(
     index: HostIndex, request: PlacementRequest, weights: Weights
 ) -> Assignment | None:
-    """Place a single task by best fit over the scarcest resource.
+    """Place a single task by best fit.
 
-    In each domain, the index yields the host that is left with least of
-    that resource; the cost of a hop decides between the domains.
+    In each domain the index yields the fullest host with room; the cost of
+    a hop decides between the domains.
     """
     demand = find_demand(request)
-    resource = find_scarcest(demand, index.total_free())
-    whole = getattr(index.find_largest_capacity(), resource) or 1
-    need = getattr(demand, resource)
     is_usable = _make_filter(index, request)
+    local = request.local_domain
     found = []
     for domain in index.list_domains():
-        tightest = index.find_tightest(domain, resource, demand, is_usable)
+        tightest = index.find_tightest(domain, demand, is_usable)
         if tightest is None:
             continue
-        score = (tightest[0] - need) / whole
-        if request.local_domain and domain != request.local_domain:
+        score, name = tightest
+        if local and domain != local:
             score += weights.hop
-        found.append((score, tightest[1]))
+        found.append((score, name))
     if not found:
         return None
     score, name = min(found)
-    return Assignment((name,), score, index.count_open(resource, need))
+    return Assignment(
+        (name,), score - index.weigh(demand), index.count_candidates(demand)
+    )
 
 
 def place_together(
     index: HostIndex, request: PlacementRequest, weights: Weights
 ) -> Assignment | None:
-    """Place several tasks, one by one, all or nothing.
-
-    Each rack keeps its hosts in a heap by fit, since only the fit of a
-    chosen host changes; a task then costs one comparison for each rack.
-    """
+    """Place several tasks, one by one, all or nothing."""
     demand = find_demand(request)
     count = request.tasks or request.spec.tasks
-    table = _RackTable(index, request, weights, demand)
+    table = _HostTable(index, request, weights, demand)
     candidates = table.count_hosts()
     chosen = []
     total = 0.0
@@ -254,8 +249,13 @@
     return Assignment(tuple(chosen), total, candidates)
 
 
-class _RackTable:
-    """Hosts with room by rack, while one job's tasks are placed."""
+class _HostTable:
+    """Hosts with room while one job's tasks are placed.
+
+    A heap of hosts for each rack and a heap of racks for each domain, since
+    a chosen host changes the cost of its own rack and domain only. A task
+    costs one comparison for each domain and two heap operations.
+    """
 
     def __init__(
         self,
@@ -265,79 +265,106 @@
         demand: Resources,
     ) -> None:
         self._hosts = index.hosts
+        self._weigh = index.weigh
         self._weights = weights
         self._demand = demand
         self._local = request.local_domain
-        self._resource = find_scarcest(demand, index.total_free())
-        largest = index.find_largest_capacity()
-        self._whole = getattr(largest, self._resource) or 1
-        self._near = Counter[str]()
-        self._free: dict[str, Resources] = {}
-        self._racks: dict[tuple[str, str], list[tuple[float, str]]] = {}
+        self._near_domain = Counter[str]()
+        self._near_rack = Counter[str]()
+        self._near_host = Counter[str]()
+        self._racks: dict[str, dict[str, list[tuple[float, str]]]] = {}
+        self._free = _list_usable(index, request, demand)
         for name in request.occupied:
             if name in self._hosts:
-                self._count_near(name)
-        self._fill(index, _make_filter(index, request))
+                self._count_near(self._hosts[name])
+        for name in self._free:
+            self._add_host(self._hosts[name])
+        self._domains = {
+            domain: self._sort_racks(racks)
+            for domain, racks in self._racks.items()
+        }
 
     def count_hosts(self) -> int:
         return len(self._free)
 
     def take_best(self) -> tuple[float, str] | None:
         """Return cost and name of the best host, and place a task there."""
-        if not self._racks:
+        costs = [
+            (self._find_domain_cost(domain) + order[0][0], domain)
+            for domain, order in self._domains.items()
+            if order
+        ]
+        if not costs:
             return None
-        cost, rack = min(
-            (heap[0][0] + self._find_rack_cost(rack), rack)
-            for rack, heap in self._racks.items()
-        )
-        heap = self._racks[rack]
-        name = heap[0][1]
-        self._count_near(name)
+        cost, domain = min(costs)
+        order = self._domains[domain]
+        rack = order[0][1]
+        hosts = self._racks[domain][rack]
+        name = hosts[0][1]
+        self._count_near(self._hosts[name])
         self._free[name] = self._free[name] - self._demand
         if self._demand.fits_in(self._free[name]):
-            heapreplace(heap, (self._find_host_cost(name), name))
-            return cost, name
-        heappop(heap)
-        if not heap:
-            del self._racks[rack]
+            heapreplace(hosts, (self._find_host_cost(name), name))
+        else:
+            heappop(hosts)
+        if hosts:
+            heapreplace(order, (self._find_rack_cost(rack, hosts), rack))
+        else:
+            heappop(order)
         return cost, name
 
-    def _fill(
-        self, index: HostIndex, is_usable: Callable[[str], bool] | None
-    ) -> None:
-        free = index.open_free
-        for name in index.list_fitting(self._demand):
-            if is_usable is not None and not is_usable(name):
-                continue
-            self._free[name] = free[name]
-            host = self._hosts[name]
-            heap = self._racks.setdefault((host.failure_domain, host.rack), [])
-            heap.append((self._find_host_cost(name), name))
-        for heap in self._racks.values():
-            heapify(heap)
-
-    def _count_near(self, name: str) -> None:
-        host = self._hosts[name]
-        self._near[f'domain {host.failure_domain}'] += 1
-        self._near[f'rack {host.rack}'] += 1
-        self._near[f'host {name}'] += 1
+    def _add_host(self, host: Host) -> None:
+        racks = self._racks.setdefault(host.failure_domain, {})
+        hosts = racks.setdefault(host.rack, [])
+        hosts.append((self._find_host_cost(host.name), host.name))
+
+    def _sort_racks(
+        self, racks: dict[str, list[tuple[float, str]]]
+    ) -> list[tuple[float, str]]:
+        for hosts in racks.values():
+            heapify(hosts)
+        order = [
+            (self._find_rack_cost(rack, hosts), rack)
+            for rack, hosts in racks.items()
+        ]
+        heapify(order)
+        return order
+
+    def _count_near(self, host: Host) -> None:
+        self._near_domain[host.failure_domain] += 1
+        self._near_rack[host.rack] += 1
+        self._near_host[host.name] += 1
+
+    def _find_domain_cost(self, domain: str) -> float:
+        cost = self._weights.domain * self._near_domain[domain]
+        if self._local and domain != self._local:
+            cost += self._weights.hop
+        return cost
+
+    def _find_rack_cost(
+        self, rack: str, hosts: list[tuple[float, str]]
+    ) -> float:
+        return hosts[0][0] + self._weights.rack * self._near_rack[rack]
 
     def _find_host_cost(self, name: str) -> float:
-        left: int = getattr(self._free[name], self._resource)
-        left -= getattr(self._demand, self._resource)
-        near = self._near[f'host {name}'] if self._near else 0
-        return left / self._whole + self._weights.host * near
-
-    def _find_rack_cost(self, rack: tuple[str, str]) -> float:
-        domain, name = rack
-        cost = 0.0
-        if self._local and domain != self._local:
-            cost = self._weights.hop
-        return (
-            cost
-            + self._weights.domain * self._near[f'domain {domain}']
-            + self._weights.rack * self._near[f'rack {name}']
-        )
+        # The weight of the demand is the same on all hosts and left out.
+        cost = self._weigh(self._free[name])
+        if near := self._near_host.get(name):
+            cost += self._weights.host * near
+        return cost
+
+
+def _list_usable(
+    index: HostIndex, request: PlacementRequest, demand: Resources
+) -> dict[str, Resources]:
+    """Return what is free on each host that may take a task."""
+    is_usable = _make_filter(index, request)
+    free = index.open_free
+    return {
+        name: free[name]
+        for name in index.list_fitting(demand)
+        if is_usable is None or is_usable(name)
+    }
 
 
 def _make_filter(
--- a/sassafrasgate/placement/scores.py
+++ b/sassafrasgate/placement/scores.py
@@ -1,4 +1,4 @@
-"""Scores of hosts for a demand: best fit over the scarcest resource."""
+"""Weights of amounts and hosts in placement scores."""
 
 from __future__ import annotations
 
@@ -38,20 +38,35 @@
     host: float = 0.0
 
 
-def find_scarcest(demand: Resources, total_free: Resources) -> str:
-    """Return the demanded resource of which the fewest tasks would fit.
+def weigh_amount(amount: Resources, unit: Resources) -> float:
+    """Return the mean share of a unit that an amount takes.
+
+    Best fit by this weight looks at all resources together. Best fit by
+    the scarcest resource alone packs no better than first fit, because a
+    host that is tight in one resource may strand the others.
 
     Parameters
     ----------
-    demand, total_free : Resources
-        One task's need, and what all open hosts have free together.
+    amount : Resources
+        May be negative.
+    unit : Resources
+        Resources that it has none of are left out.
     """
-    ratios = [
-        (getattr(total_free, name) / need, name)
-        for name in RESOURCE_NAMES
-        if (need := getattr(demand, name)) > 0
-    ]
-    return min(ratios)[1] if ratios else 'millicores'
+    total = 0.0
+    count = 0
+    if unit.millicores:
+        total += amount.millicores / unit.millicores
+        count += 1
+    if unit.memory_mb:
+        total += amount.memory_mb / unit.memory_mb
+        count += 1
+    if unit.accelerators:
+        total += amount.accelerators / unit.accelerators
+        count += 1
+    if unit.slots:
+        total += amount.slots / unit.slots
+        count += 1
+    return total / (count or 1)
 
 
 def find_dominant_share(amount: Resources, total: Resources) -> float:
