Guard two bounds of the HTTP server that no test failed without

Cause: with the concurrent discard of unread bodies, or the end of a wait with its caller's connection, removed, all tests still passed.

Change: a held request with an unread body of 16 MiB, and a wait that would outlast the test, now fail without these guards.

--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -13,11 +13,14 @@
 
 from sassafrasgate.core.errors import Refusal
 from sassafrasgate.core.errors import RefusalKind
+from sassafrasgate.core.jobs import JobState
+from sassafrasgate.http import bodies
 from sassafrasgate.http.application import build_application
 from sassafrasgate.http.limits import Limits
 from sassafrasgate.http.server import AddressError
 from sassafrasgate.http.server import serve_http
 from sassafrasgate.observability.metrics import Metrics
+from sassafrasgate.protocol.messages import JobView
 from tests.http.gateways import echo
 from tests.http.gateways import make_finished
 
@@ -111,6 +114,21 @@
         assert reply.status_code == 413
 
 
+async def test_unread_body_does_not_block_the_response(gateway, monkeypatch):
+    async def answer(message):
+        # Time for hypercorn's queue of body messages to fill up.
+        await anyio.sleep(0.3)
+        return JobView('j', JobState.CANCELLED)
+
+    monkeypatch.setattr(bodies, 'MAX_DISCARDED_BYTES', 0)
+    gateway.answer = answer
+    async with run_server(gateway, drain_s=60) as server:
+        with suppress(TransportError):
+            request = server.client.request
+            reply = await request('DELETE', '/v1/jobs/j', content=LARGE * 16)
+            assert reply.status_code == 200
+
+
 async def post_until_served(client):
     # A place is free once the server has noticed that a caller has left;
     # run_server fails the test when that never happens.
@@ -123,7 +141,8 @@
 
 async def test_callers_that_leave_break_nothing_and_end_their_waits(gateway):
     gateway.answer = gateway.hold
-    async with run_server(gateway, Limits(max_open_callers=1)) as server:
+    limits = Limits(max_open_callers=1, answer_timeout_s=60)
+    async with run_server(gateway, limits) as server:
         get, post = server.client.get, server.client.post
         await leave_after_arrival(gateway, get, '/v1/jobs/j?wait=60')
         await gateway.ended.wait()
