--- a/sassafrasgate/http/application.py
+++ b/sassafrasgate/http/application.py
@@ -47,9 +47,12 @@
 
 
 def build_application(
-    gateway: Gateway, metrics: Metrics, limits: Limits
+    gateway: Gateway,
+    metrics: Metrics,
+    limits: Limits,
+    groups: frozenset[RouteGroup] = frozenset(RouteGroup),
 ) -> Starlette:
-    """Return the ASGI application of a front end.
+    """Return the ASGI application of a process.
 
     Parameters
     ----------
@@ -59,6 +62,8 @@
         Where requests are counted, and what ``/metrics`` shows.
     limits : Limits
         Bounds of the process.
+    groups : frozenset of RouteGroup
+        Which routes to serve: all on a front end, health on a scheduler.
     """
     per_team = OpenRequests(limits.max_open_per_team)
     context = Context(gateway, metrics, limits, per_team)
@@ -72,6 +77,8 @@
     # ones.
     for key in sorted(ROUTES, key=_rank_route):
         definition = ROUTES.find(key)
+        if definition.group not in groups:
+            continue
         definitions.setdefault(definition.path, {})[definition.method] = (
             definition
         )
@@ -155,7 +162,11 @@
     def _check_ready(self, group: RouteGroup) -> Any:
         if group is RouteGroup.HEALTH:
             return None
-        refusal = self._context.gateway.is_ready()
+        gateway = self._context.gateway
+        if group is RouteGroup.OPERATORS:
+            refusal = gateway.may_operate()
+        else:
+            refusal = gateway.is_ready()
         # While it stops, a process still serves what the load balancer
         # sends before it has taken notice.
         if refusal is None or refusal.kind is RefusalKind.STOPPING:
--- a/sassafrasgate/journal/records.py
+++ b/sassafrasgate/journal/records.py
@@ -51,11 +51,14 @@
         Process name and incarnation.
     grace_ms : int
         How long past its lease the owner may act in a store outage.
+    ttl_ms : int
+        Length of its store lease.
     """
 
     epoch: int
     owner: str
     grace_ms: int = 0
+    ttl_ms: int = 0
 
 
 @register_record('accepted')
@@ -100,12 +103,31 @@
 
 @register_record('requeued')
 class JobRequeued:
-    """An attempt has certainly ended and another one is wanted."""
+    """Tasks of an attempt have certainly ended and others are wanted.
+
+    Parameters
+    ----------
+    job_id, attempt
+        The job and the attempt that ended.
+    reason : str
+        For explanations.
+    tasks : tuple of str
+        The tasks that ended without success.
+    failed_hosts : tuple of str
+        Hosts to avoid for the next attempt.
+    counted : int
+        Failures of the job that this adds: 1 when the task itself failed.
+    may_have_run : bool
+        Whether the attempt started, or may have.
+    """
 
     job_id: str
     attempt: int
     reason: str
-    failed_host: str = ''
+    tasks: tuple[str, ...] = ()
+    failed_hosts: tuple[str, ...] = ()
+    counted: int = 0
+    may_have_run: bool = False
 
 
 @register_record('ended')
--- /dev/null
+++ b/sassafrasgate/placement/policies.py
@@ -0,0 +1,402 @@
+"""Placement policies by job class, in a registry."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+from heapq import heapify
+from heapq import heappop
+from heapq import heapreplace
+from typing import TYPE_CHECKING
+
+from sassafrasgate.core.errors import Refusal
+from sassafrasgate.core.errors import RefusalKind
+from sassafrasgate.core.jobs import JobClass
+from sassafrasgate.core.jobs import JobSpec
+from sassafrasgate.core.registries import Registry
+from sassafrasgate.core.resources import NOTHING
+from sassafrasgate.core.resources import Resources
+from sassafrasgate.placement.scores import Weights
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from sassafrasgate.core.hosts import Host
+    from sassafrasgate.placement.index import HostIndex
+
+
+@dataclass(frozen=True, slots=True)
+class PlacementRequest:
+    """What a decision needs to know of a job.
+
+    Parameters
+    ----------
+    spec : JobSpec
+        What the caller asked for.
+    local_domain : str
+        Failure domain of the caller or the data; empty for no preference.
+    excluded : frozenset of str
+        Hosts that must not be used, for example after a failure there.
+    labels : tuple of str
+        Labels that a host must all carry, from the rules.
+    failure_domains : tuple of str
+        Where rules allow the job, besides ``spec.failure_domains``; empty
+        for anywhere.
+    demand : Resources
+        Learned size of a task; covered with the declared one.
+    tasks : int
+        Number of tasks to place; 0 for all of the job's.
+    occupied : tuple of str
+        Hosts of the job's tasks that keep running, for spreading.
+    """
+
+    spec: JobSpec
+    local_domain: str = ''
+    excluded: frozenset[str] = frozenset()
+    labels: tuple[str, ...] = ()
+    failure_domains: tuple[str, ...] = ()
+    demand: Resources = NOTHING
+    tasks: int = 0
+    occupied: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Assignment:
+    """Hosts for the tasks of one attempt.
+
+    Parameters
+    ----------
+    hosts : tuple of str
+        One host name for each task, in task order; names may repeat.
+    score : float
+        Cost of the choice, lower is better; for logs.
+    candidates : int
+        Number of open hosts that were not plainly too full for a task; for
+        several tasks, of those with room for one.
+    """
+
+    hosts: tuple[str, ...]
+    score: float
+    candidates: int
+
+
+POLICIES: Registry[
+    JobClass, Callable[[HostIndex, PlacementRequest], Assignment | None]
+] = Registry('job class policy')
+
+# A caller waits for quick and urgent work, so local hosts go first however
+# they fit. Batch work and gangs take a hop when it saves a quarter of a host.
+WAITING_WEIGHTS = Weights(hop=2.0)
+BATCH_WEIGHTS = Weights(hop=0.25)
+GANG_WEIGHTS = Weights(hop=0.25, domain=-0.5, rack=-0.25)
+# The loss of a domain, a rack or a host should take the fewest tasks of a
+# service, in this order; each cost outweighs all below it.
+SERVICE_WEIGHTS = Weights(hop=0.5, domain=100.0, rack=10.0, host=2.0)
+
+
+@POLICIES.register(JobClass.QUICK)
+def place_quick(
+    index: HostIndex, request: PlacementRequest
+) -> Assignment | None:
+    """Place a quick request: local before well packed."""
+    return place_one(index, request, WAITING_WEIGHTS)
+
+
+@POLICIES.register(JobClass.URGENT)
+def place_urgent(
+    index: HostIndex, request: PlacementRequest
+) -> Assignment | None:
+    """Place urgent work: local before well packed."""
+    return place_one(index, request, WAITING_WEIGHTS)
+
+
+@POLICIES.register(JobClass.BATCH)
+def place_batch(
+    index: HostIndex, request: PlacementRequest
+) -> Assignment | None:
+    """Place batch work: well packed, local when that costs little."""
+    return place_one(index, request, BATCH_WEIGHTS)
+
+
+@POLICIES.register(JobClass.SERVICE)
+def place_service(
+    index: HostIndex, request: PlacementRequest
+) -> Assignment | None:
+    """Place a service: spread over domains, then racks, then hosts."""
+    return place_together(index, request, SERVICE_WEIGHTS)
+
+
+@POLICIES.register(JobClass.GANG)
+def place_gang(
+    index: HostIndex, request: PlacementRequest
+) -> Assignment | None:
+    """Place a gang: close together, all or nothing."""
+    return place_together(index, request, GANG_WEIGHTS)
+
+
+def choose_hosts(
+    index: HostIndex, request: PlacementRequest
+) -> Assignment | Refusal:
+    """Choose a host for each task of a job, all or nothing.
+
+    Returns
+    -------
+    Assignment or Refusal
+        A refusal is `RefusalKind.FITS_NOWHERE` when the hosts of the index
+        could not hold the tasks even when empty, otherwise
+        `RefusalKind.NO_ROOM`. Nothing is reserved.
+    """
+    policy = POLICIES.find(request.spec.job_class)
+    return policy(index, request) or explain_refusal(index, request)
+
+
+def find_demand(request: PlacementRequest) -> Resources:
+    """Return what each task reserves: never less than was declared."""
+    if request.demand is NOTHING:
+        return request.spec.demand
+    return request.spec.demand.cover(request.demand)
+
+
+def is_allowed(host: Host, request: PlacementRequest) -> bool:
+    """Tell whether rules and the caller allow a host for a job."""
+    domains = request.spec.failure_domains
+    if domains and host.failure_domain not in domains:
+        return False
+    domains = request.failure_domains
+    if domains and host.failure_domain not in domains:
+        return False
+    return all(label in host.labels for label in request.labels)
+
+
+def fits_inventory(hosts: Iterable[Host], request: PlacementRequest) -> bool:
+    """Tell whether empty hosts could hold all tasks of a job together.
+
+    Usable with the hosts of one shard or of the whole cell.
+    """
+    demand = find_demand(request)
+    missing = request.tasks or request.spec.tasks
+    for host in hosts:
+        if not is_allowed(host, request):
+            continue
+        missing -= count_fitting(demand, host.capacity, missing)
+        if missing <= 0:
+            return True
+    return False
+
+
+def count_fitting(demand: Resources, room: Resources, most: int) -> int:
+    """Return how many times a demand fits in some room, at most ``most``."""
+    count = most
+    for need, have in (
+        (demand.millicores, room.millicores),
+        (demand.memory_mb, room.memory_mb),
+        (demand.accelerators, room.accelerators),
+        (demand.slots, room.slots),
+        (demand.connections, room.connections),
+    ):
+        if have < 0:
+            return 0
+        if need > 0:
+            count = min(count, have // need)
+    return count
+
+
+def place_one(
+    index: HostIndex, request: PlacementRequest, weights: Weights
+) -> Assignment | None:
+    """Place a single task by best fit.
+
+    In each domain the index yields the fullest host with room; the cost of
+    a hop decides between the domains.
+    """
+    demand = find_demand(request)
+    is_usable = _make_filter(index, request)
+    local = request.local_domain
+    found = []
+    for domain in index.list_domains():
+        tightest = index.find_tightest(domain, demand, is_usable)
+        if tightest is None:
+            continue
+        score, name = tightest
+        if local and domain != local:
+            score += weights.hop
+        found.append((score, name))
+    if not found:
+        return None
+    score, name = min(found)
+    return Assignment(
+        (name,), score - index.weigh(demand), index.count_candidates(demand)
+    )
+
+
+def place_together(
+    index: HostIndex, request: PlacementRequest, weights: Weights
+) -> Assignment | None:
+    """Place several tasks, one by one, all or nothing."""
+    demand = find_demand(request)
+    count = request.tasks or request.spec.tasks
+    table = _HostTable(index, request, weights, demand)
+    candidates = table.count_hosts()
+    chosen = []
+    total = 0.0
+    for _ in range(count):
+        best = table.take_best()
+        if best is None:
+            return None
+        total += best[0]
+        chosen.append(best[1])
+    return Assignment(tuple(chosen), total, candidates)
+
+
+class _HostTable:
+    """Hosts with room while one job's tasks are placed.
+
+    A heap of hosts for each rack and a heap of racks for each domain, since
+    a chosen host changes the cost of its own rack and domain only. A task
+    costs one comparison for each domain and two heap operations.
+    """
+
+    def __init__(
+        self,
+        index: HostIndex,
+        request: PlacementRequest,
+        weights: Weights,
+        demand: Resources,
+    ) -> None:
+        self._hosts = index.hosts
+        self._weigh = index.weigh
+        self._weights = weights
+        self._demand = demand
+        self._local = request.local_domain
+        self._near_domain = Counter[str]()
+        self._near_rack = Counter[str]()
+        self._near_host = Counter[str]()
+        self._racks: dict[str, dict[str, list[tuple[float, str]]]] = {}
+        self._free = _list_usable(index, request, demand)
+        for name in request.occupied:
+            if name in self._hosts:
+                self._count_near(self._hosts[name])
+        for name in self._free:
+            self._add_host(self._hosts[name])
+        self._domains = {
+            domain: self._sort_racks(racks)
+            for domain, racks in self._racks.items()
+        }
+
+    def count_hosts(self) -> int:
+        return len(self._free)
+
+    def take_best(self) -> tuple[float, str] | None:
+        """Return cost and name of the best host, and place a task there."""
+        costs = [
+            (self._find_domain_cost(domain) + order[0][0], domain)
+            for domain, order in self._domains.items()
+            if order
+        ]
+        if not costs:
+            return None
+        cost, domain = min(costs)
+        order = self._domains[domain]
+        rack = order[0][1]
+        hosts = self._racks[domain][rack]
+        name = hosts[0][1]
+        self._count_near(self._hosts[name])
+        self._free[name] = self._free[name] - self._demand
+        if self._demand.fits_in(self._free[name]):
+            heapreplace(hosts, (self._find_host_cost(name), name))
+        else:
+            heappop(hosts)
+        if hosts:
+            heapreplace(order, (self._find_rack_cost(rack, hosts), rack))
+        else:
+            heappop(order)
+        return cost, name
+
+    def _add_host(self, host: Host) -> None:
+        racks = self._racks.setdefault(host.failure_domain, {})
+        hosts = racks.setdefault(host.rack, [])
+        hosts.append((self._find_host_cost(host.name), host.name))
+
+    def _sort_racks(
+        self, racks: dict[str, list[tuple[float, str]]]
+    ) -> list[tuple[float, str]]:
+        for hosts in racks.values():
+            heapify(hosts)
+        order = [
+            (self._find_rack_cost(rack, hosts), rack)
+            for rack, hosts in racks.items()
+        ]
+        heapify(order)
+        return order
+
+    def _count_near(self, host: Host) -> None:
+        self._near_domain[host.failure_domain] += 1
+        self._near_rack[host.rack] += 1
+        self._near_host[host.name] += 1
+
+    def _find_domain_cost(self, domain: str) -> float:
+        cost = self._weights.domain * self._near_domain[domain]
+        if self._local and domain != self._local:
+            cost += self._weights.hop
+        return cost
+
+    def _find_rack_cost(
+        self, rack: str, hosts: list[tuple[float, str]]
+    ) -> float:
+        return hosts[0][0] + self._weights.rack * self._near_rack[rack]
+
+    def _find_host_cost(self, name: str) -> float:
+        # The weight of the demand is the same on all hosts and left out.
+        cost = self._weigh(self._free[name])
+        if near := self._near_host.get(name):
+            cost += self._weights.host * near
+        return cost
+
+
+def _list_usable(
+    index: HostIndex, request: PlacementRequest, demand: Resources
+) -> dict[str, Resources]:
+    """Return what is free on each host that may take a task."""
+    is_usable = _make_filter(index, request)
+    free = index.open_free
+    return {
+        name: free[name]
+        for name in index.list_fitting(demand)
+        if is_usable is None or is_usable(name)
+    }
+
+
+def _make_filter(
+    index: HostIndex, request: PlacementRequest
+) -> Callable[[str], bool] | None:
+    """Return what tells whether a host may be used; None when all may."""
+    excluded = request.excluded
+    if not (
+        excluded
+        or request.labels
+        or request.failure_domains
+        or request.spec.failure_domains
+    ):
+        return None
+    hosts = index.hosts
+    return lambda name: (
+        name not in excluded and is_allowed(hosts[name], request)
+    )
+
+
+def explain_refusal(index: HostIndex, request: PlacementRequest) -> Refusal:
+    """Return why a request can't be placed: never, or not now."""
+    count = request.tasks or request.spec.tasks
+    tasks = f'{count} tasks of {find_demand(request)!r}'
+    if fits_inventory(index.hosts.values(), request):
+        return Refusal(
+            RefusalKind.NO_ROOM,
+            f'no room now for {tasks} on {len(index.hosts)} hosts',
+            'wait for running work to end, or ask for less',
+        )
+    return Refusal(
+        RefusalKind.FITS_NOWHERE,
+        f'no hosts of {len(index.hosts)} could ever hold {tasks}',
+        'ask for less per task, or relax failure domains and labels',
+    )
--- a/tests/http/gateways.py
+++ b/tests/http/gateways.py
@@ -74,6 +74,9 @@
     def is_ready(self):
         return self.refusal
 
+    def may_operate(self):
+        return self.refusal
+
     def configuration(self):
         return self.current
 
--- a/tests/http/test_submissions.py
+++ b/tests/http/test_submissions.py
@@ -2,12 +2,12 @@
 
 import pytest
 
+from sassafrasgate.core.errors import NoAnswer
 from sassafrasgate.core.errors import Refusal
 from sassafrasgate.core.errors import RefusalKind as Kind
 from sassafrasgate.core.identifiers import make_job_id
 from sassafrasgate.core.jobs import JobClass
 from sassafrasgate.core.jobs import JobState
-from sassafrasgate.http.gateways import NoAnswer
 from sassafrasgate.protocol.messages import Cancel
 from sassafrasgate.protocol.messages import Explain
 from sassafrasgate.protocol.messages import Explanation
--- a/tests/http/test_waits.py
+++ b/tests/http/test_waits.py
@@ -2,11 +2,11 @@
 
 import pytest
 
+from sassafrasgate.core.errors import NoAnswer
 from sassafrasgate.core.errors import Refusal
 from sassafrasgate.core.errors import RefusalKind
 from sassafrasgate.core.jobs import JobState
 from sassafrasgate.http import waits
-from sassafrasgate.http.gateways import NoAnswer
 from sassafrasgate.http.limits import Limits
 from sassafrasgate.protocol.messages import JobView
 from sassafrasgate.protocol.messages import Query
