--- a/tests/http/test_operators.py
+++ b/tests/http/test_operators.py
@@ -5,6 +5,8 @@
 import pytest
 
 from sassafrasgate.core.errors import NoAnswer
+from sassafrasgate.core.errors import Refusal
+from sassafrasgate.core.errors import RefusalKind
 from sassafrasgate.core.jobs import JobState
 from sassafrasgate.core.resources import NOTHING
 from sassafrasgate.http import configurations
@@ -96,18 +98,25 @@
     assert gateway.lost_races == 99 - configurations.DRAIN_TRIES
 
 
-async def test_drain_without_an_answer_is_not_repeated(
-    gateway, client, monkeypatch
+@pytest.mark.parametrize(
+    ('answer', 'status'),
+    [
+        (NoAnswer('store is silent'), 504),
+        (Refusal(RefusalKind.STORE_UNAVAILABLE, 'down', 'wait'), 503),
+    ],
+)
+async def test_drain_is_not_repeated_after_other_failures(
+    gateway, client, monkeypatch, answer, status
 ):
     calls = []
 
     async def publish(configuration, expected_version):
         calls.append(expected_version)
-        return NoAnswer('store is silent')
+        return answer
 
     monkeypatch.setattr(gateway, 'publish', publish)
     reply = await client.post('/v1/hosts/h1/drain')
-    assert (reply.status_code, calls) == (504, [3])
+    assert (reply.status_code, calls) == (status, [3])
     reply = await client.post('/v1/hosts/h9/drain')
     assert (reply.status_code, calls) == (404, [3])
 
--- a/tests/http/test_submissions.py
+++ b/tests/http/test_submissions.py
@@ -51,6 +51,7 @@
         # not claim that the job has not.
         (Refused(Kind.CONFLICT, 'a', 'b'), 409, None),
         (Refused(Kind.NOT_OWNER, 'a', 'b'), 503, None),
+        (Refused(Kind.OVERLOADED, 'a', 'b'), 503, None),
         (Refusal(Kind.DEADLINE, 'a', 'b'), 503, None),
         (Refusal(Kind.OVERLOADED, 'a', 'b'), 503, None),
     ],
