Divide the bounds of a queue pass over the teams

Cause: one team with many different demands that do not fit used up a whole pass, so other teams waited for several passes. Change: the bounds on refusals and on groups looked at hold for each team. A test offers another team's job behind 192 misfits in one pass.

--- a/sassafrasgate/placement/queues.py
+++ b/sassafrasgate/placement/queues.py
@@ -34,11 +34,14 @@
     JobClass.BATCH: 4,
 }
 
-# A pass offers at most this many jobs that are refused, and looks at most
-# at this many groups of equal jobs, per stage. The next pass goes on with
-# the rest, so the bounds delay a job but never starve it.
+# A stage of a pass offers at most this many jobs that are refused, and looks
+# at most at this many groups of equal jobs, divided evenly over the teams, so
+# that no team uses up what others need. The next pass goes on with the rest:
+# the bounds delay a job but never starve it.
 MAX_REFUSALS = 64
 MAX_LOOKED_AT = 256
+_MIN_REFUSALS = 4
+_MIN_LOOKED_AT = 16
 
 # Cancelled entries are dropped when they surface, or all at once when they
 # are more than the live ones; this floor spares small queues.
@@ -423,8 +426,10 @@
         self._offered: tuple[_Lane, _Shape, QueuedJob] | None = None
         self._stage = -1
         self._order: list[tuple[float, float, str]] = []
-        self._refusals = 0
-        self._looked_at = 0
+        self._refusals = Counter[str]()
+        self._looked_at = Counter[str]()
+        self._max_refusals = MAX_REFUSALS
+        self._max_looked_at = MAX_LOOKED_AT
 
     def __iter__(self) -> QueuePass:
         return self
@@ -450,9 +455,13 @@
         if self._stage == len(self._queue._stages) - 1:
             return False
         self._stage += 1
-        self._refusals = 0
-        self._looked_at = 0
-        for team, lane in self._queue._stages[self._stage].items():
+        self._refusals.clear()
+        self._looked_at.clear()
+        lanes = self._queue._stages[self._stage]
+        teams = max(1, len(lanes))
+        self._max_refusals = max(_MIN_REFUSALS, MAX_REFUSALS // teams)
+        self._max_looked_at = max(_MIN_LOOKED_AT, MAX_LOOKED_AT // teams)
+        for team, lane in lanes.items():
             if not lane.heads:
                 lane.unpark()
             self._push(team)
@@ -479,9 +488,9 @@
                 self._offered = lane, shape, job
                 return job
             lane.park(shape)
-            self._looked_at += 1
-            if self._looked_at >= MAX_LOOKED_AT:
-                self._order.clear()
+            self._looked_at[team] += 1
+            if self._looked_at[team] >= self._max_looked_at:
+                heappop(self._order)
                 return None
         # Every shape of the team was offered: the next pass starts over.
         lane.unpark()
@@ -504,6 +513,9 @@
         if team in self._skipped:
             return
         self._refuse(lane, shape)
+        self._refusals[team] += 1
+        if self._refusals[team] >= self._max_refusals:
+            heappop(self._order)
 
     def _refuse(self, lane: _Lane, shape: _Shape) -> None:
         shapes = self._refused.get(shape.group, [])
@@ -512,9 +524,6 @@
         found = lane.find_first(self._queue._jobs, self._now)
         if found and found[0] == shape:
             lane.park(shape)
-        self._refusals += 1
-        if self._refusals >= MAX_REFUSALS:
-            self._order.clear()
 
     def _is_refused(self, shape: _Shape) -> bool:
         return any(
--- a/tests/placement/test_queues.py
+++ b/tests/placement/test_queues.py
@@ -207,6 +207,21 @@
     assert len(set(seen)) == count + 1
 
 
+def test_a_team_with_many_misfits_does_not_use_up_the_pass_of_others():
+    queue = JobQueue([Team('a', 100)])
+    for number in range(3 * MAX_REFUSALS):
+        demand = Resources(5000 + number, 9000 - number)
+        queue.add(f'j{number}', make_spec(demand=demand, team='a'), 0)
+    queue.add('b', make_spec(team='b'), 0)
+    offered = start_all(
+        queue,
+        fits=lambda spec: spec.team == 'b',
+        reserved={'b': Resources(1, 1, 0, 1, 1)},
+    )
+    assert offered[-1].job_id == 'b'
+    assert len(offered) <= MAX_REFUSALS + 1
+
+
 def test_cancelled_jobs_do_not_pile_up():
     queue = JobQueue()
     queue.add('kept', make_spec(), 0)
