--- a/sassafrasgate/http/limits.py
+++ b/sassafrasgate/http/limits.py
@@ -27,7 +27,7 @@
 
 MAX_WAIT_S = 60.0
 # Below the drain time of a stop, which therefore interrupts no quick request.
-MAX_QUICK_DEADLINE_S = 15.0
+MAX_QUICK_DEADLINE_S = 7.0
 ANSWER_TIMEOUT_S = 10.0
 ANSWER_MARGIN_S = 0.5
 BODY_TIMEOUT_S = 30.0
--- a/sassafrasgate/placement/queues.py
+++ b/sassafrasgate/placement/queues.py
@@ -34,11 +34,14 @@
     JobClass.BATCH: 4,
 }
 
-# A pass offers at most this many jobs that are refused, and looks at most
-# at this many groups of equal jobs, per stage. The next pass goes on with
-# the rest, so the bounds delay a job but never starve it.
+# A stage of a pass offers at most this many jobs that are refused, and looks
+# at most at this many groups of equal jobs, divided evenly over the teams, so
+# that no team uses up what others need. The next pass goes on with the rest:
+# the bounds delay a job but never starve it.
 MAX_REFUSALS = 64
 MAX_LOOKED_AT = 256
+_MIN_REFUSALS = 4
+_MIN_LOOKED_AT = 16
 
 # Cancelled entries are dropped when they surface, or all at once when they
 # are more than the live ones; this floor spares small queues.
@@ -96,6 +99,7 @@
         self.heads: list[tuple[_Key, int, _Shape]] = []
         self.head_keys: dict[_Shape, _Key] = {}
         self.parked: set[_Shape] = set()
+        self.bounded = False
         self.live = 0
         self.stale = 0
         self._ties = count()
@@ -218,7 +222,6 @@
     ) -> None:
         self._jobs: dict[str, QueuedJob] = {}
         self._stages: tuple[dict[str, _Lane], dict[str, _Lane]] = ({}, {})
-        self._bounded = [False for _ in self._stages]
         self._expiry: list[tuple[float, int, QueuedJob]] = []
         self._counts: Counter[tuple[str, JobClass]] = Counter()
         self._team_counts: Counter[str] = Counter()
@@ -424,8 +427,10 @@
         self._offered: tuple[_Lane, _Shape, QueuedJob] | None = None
         self._stage = -1
         self._order: list[tuple[float, float, str]] = []
-        self._refusals = 0
-        self._looked_at = 0
+        self._refusals = Counter[str]()
+        self._looked_at = Counter[str]()
+        self._max_refusals = MAX_REFUSALS
+        self._max_looked_at = MAX_LOOKED_AT
 
     def __iter__(self) -> QueuePass:
         return self
@@ -451,15 +456,18 @@
         if self._stage == len(self._queue._stages) - 1:
             return False
         self._stage += 1
-        self._refusals = 0
-        self._looked_at = 0
-        resumes = self._queue._bounded[self._stage]
-        self._queue._bounded[self._stage] = False
-        for team, lane in self._queue._stages[self._stage].items():
+        self._refusals.clear()
+        self._looked_at.clear()
+        lanes = self._queue._stages[self._stage]
+        teams = max(1, len(lanes))
+        self._max_refusals = max(_MIN_REFUSALS, MAX_REFUSALS // teams)
+        self._max_looked_at = max(_MIN_LOOKED_AT, MAX_LOOKED_AT // teams)
+        for team, lane in lanes.items():
             # Only a pass that met its bound leaves the rest to the next
             # one; after a caller broke off, every shape is offered again.
-            if not resumes or not lane.heads:
+            if not lane.bounded or not lane.heads:
                 lane.unpark()
+            lane.bounded = False
             self._push(team)
         return True
 
@@ -484,9 +492,10 @@
                 self._offered = lane, shape, job
                 return job
             lane.park(shape)
-            self._looked_at += 1
-            if self._looked_at >= MAX_LOOKED_AT:
-                self._end_stage()
+            self._looked_at[team] += 1
+            if self._looked_at[team] >= self._max_looked_at:
+                lane.bounded = True
+                heappop(self._order)
                 return None
         # Every shape of the team was offered: the next pass starts over.
         lane.unpark()
@@ -509,6 +518,10 @@
         if team in self._skipped:
             return
         self._refuse(lane, shape)
+        self._refusals[team] += 1
+        if self._refusals[team] >= self._max_refusals:
+            lane.bounded = True
+            heappop(self._order)
 
     def _refuse(self, lane: _Lane, shape: _Shape) -> None:
         shapes = self._refused.get(shape.group, [])
@@ -517,14 +530,6 @@
         found = lane.find_first(self._queue._jobs, self._now)
         if found and found[0] == shape:
             lane.park(shape)
-        self._refusals += 1
-        if self._refusals >= MAX_REFUSALS:
-            self._end_stage()
-
-    def _end_stage(self) -> None:
-        """Stop at a bound; the next pass goes on from here."""
-        self._order.clear()
-        self._queue._bounded[self._stage] = True
 
     def _is_refused(self, shape: _Shape) -> bool:
         return any(
