--- a/tests/daemons/test_outages.py
+++ b/tests/daemons/test_outages.py
@@ -3,11 +3,16 @@
 | test | promises of the design page |
 | --- | --- |
 | store outage | 2, 4, 5, 9 |
+| lost store replies, jobs | 2, 5, 9 |
+| lost store replies, configuration | 8 |
 """
 
 from concurrent.futures import ThreadPoolExecutor
+from dataclasses import replace
+from functools import partial
 from time import monotonic
 
+from sassafrasgate.core.cells import Team
 from tests.loads import find_faults
 from tests.loads import Load
 from tests.loads import make_job
@@ -53,3 +58,57 @@
             'unknown',
         ), view
         assert view['state'] == 'unknown' or view['job_id'] not in started
+
+
+def test_lost_store_replies_while_jobs_are_submitted(start_cell):
+    # Guards against a second write, and so a second run, after a write
+    # that took effect without a reply.
+    cell = start_cell()
+    load = Load(tuple(cell.urls.values()), make_jobs(150, 4, (50, 400)))
+    load.start()
+    for count in range(10, 150, 20):
+        load.wait_for_accepted(count)
+        cell.store.set_faults(lose_replies=3)
+    load.finish()
+    assert find_faults(load, cell.workers) == []
+    assert set(load.states.values()) == {'finished'}
+
+
+def test_lost_store_replies_while_a_configuration_is_applied(start_cell):
+    # Guards against an accepted version that is lost, repeated or reverted.
+    cell = start_cell(domains=1, schedulers=1)
+    first = cell.make_configuration()
+    for number in range(8):
+        name = f'team-{number}'
+        wanted = replace(first, teams=(*first.teams, Team(name)))
+        cell.store.set_faults(lose_replies=1 + number % 3)
+        frontend = f'frontend-{number % 2}'
+        version = number + 1
+        # A conflict says that an earlier try took effect.
+        wait_until(
+            partial(apply_surely, cell, wanted, version, frontend),
+            f'applying version {version + 1}',
+        )
+        for reader in cell.urls:
+            wait_until(
+                partial(holds_team, cell, reader, version + 1, name),
+                f'{reader} holding version {version + 1} with {name}',
+            )
+
+
+def apply_surely(cell, wanted, version, frontend):
+    """Tell whether an apply has succeeded, or an earlier one has."""
+    status = cell.apply(wanted, version, frontend).status_code
+    assert status in (200, 412, 504)
+    return status != 504
+
+
+def holds_team(cell, frontend, version, team):
+    """Tell whether a front end holds a version, which has the team."""
+    url = f'{cell.find_url(frontend)}/v1/configuration'
+    found = cell.processes.client.get(url).json()
+    if found['version'] < version:
+        return False
+    teams = [entry['name'] for entry in found['teams']]
+    assert (found['version'], team in teams) == (version, True)
+    return True
