--- /dev/null
+++ b/tests/daemons/test_hosts.py
@@ -0,0 +1,85 @@
+"""Guards jobs against the faults of workers and of the way to them.
+
+| test | promises of the design page |
+| --- | --- |
+| lost start replies | 1, 2, 5, 9 |
+| worker restarted | 1, 2, 5, 9 |
+| worker silent, then back | 1, 2, 5, 9 |
+"""
+
+from tests.loads import find_faults
+from tests.loads import Load
+from tests.loads import make_job
+from tests.loads import make_jobs
+from tests.loads import read_tasks
+from tests.processes import wait_until
+
+
+def find_running(cell, host):
+    """Return the jobs that run on a host."""
+    return {
+        task.job_id
+        for task in read_tasks({host: cell.workers[host]})
+        if not task.record.ended_ms
+    }
+
+
+def test_lost_start_replies(start_cell):
+    # Guards against a second start when only the reply to one was lost.
+    cell = start_cell()
+    load = Load(tuple(cell.urls.values()), make_jobs(150, 5, (50, 600)))
+    load.start()
+    for count in range(10, 150, 20):
+        load.wait_for_accepted(count)
+        for worker in cell.workers.values():
+            worker.set_faults(lose_replies=2)
+    load.finish()
+    assert find_faults(load, cell.workers) == []
+    assert set(load.states.values()) == {'finished'}
+
+
+def test_worker_restarts_with_running_tasks(start_cell):
+    # Guards against a second run of a non-idempotent job whose attempt a
+    # restart has wiped out, and against losing an idempotent one.
+    cell = start_cell()
+    load = Load(tuple(cell.urls.values()), make_jobs(60, 6, (800, 1500)))
+    load.start()
+    wait_until(
+        lambda: len(find_running(cell, 'host-0-0')) >= 6, 'a loaded host'
+    )
+    cell.workers['host-0-0'].set_faults(restart=True)
+    load.finish()
+    assert find_faults(load, cell.workers, repeats=True) == []
+    tasks = read_tasks(cell.workers)
+    lost = {task.job_id for task in tasks if task.record.outcome == 'lost'}
+    for key, job_id in load.accepted.items():
+        repeatable = load.jobs[key]['idempotent'] or job_id not in lost
+        expected = 'finished' if repeatable else 'unknown'
+        assert (key, load.states[key]) == (key, expected)
+    kinds = {
+        load.jobs[key]['idempotent']
+        for key, job_id in load.accepted.items()
+        if job_id in lost
+    }
+    assert kinds == {True, False}
+
+
+def test_worker_silent_until_its_leases_have_lapsed(start_cell):
+    # Guards against a second attempt before the first has surely ended.
+    cell = start_cell(domains=1, schedulers=1)
+    jobs = [
+        make_job(f'job-{number}', 11_000, idempotent=number % 2 == 0)
+        for number in range(8)
+    ]
+    load = Load(tuple(cell.urls.values()), jobs).start()
+    wait_until(lambda: len(read_tasks(cell.workers)) == 8, 'starting all')
+    tasks = read_tasks(cell.workers)
+    host = max(cell.workers, key=[task.host for task in tasks].count)
+    cell.workers[host].set_faults(silent=True)
+    wait_until(
+        lambda: len(read_tasks(cell.workers)) > 8, 'a second attempt', 40
+    )
+    cell.workers[host].set_faults(silent=False)
+    load.finish()
+    assert find_faults(load, cell.workers, repeats=True) == []
+    assert set(load.states.values()) == {'finished', 'unknown'}
