Test that leaving hosts get no new work, for each of the three signs

Promise 6: from 3 s after the signs every start is on the one host that stays, and the worker that reports its leaving refuses no further start.

--- a/tests/daemons/test_hosts.py
+++ b/tests/daemons/test_hosts.py
@@ -5,8 +5,12 @@
 | lost start replies | 1, 2, 5, 9 |
 | worker restarted | 1, 2, 5, 9 |
 | worker silent, then back | 1, 2, 5, 9 |
+| leaving hosts | 6 |
 """
 
+from time import time_ns
+
+from sassafrasgate.platform.items import HostStatus
 from tests.loads import find_faults
 from tests.loads import Load
 from tests.loads import make_job
@@ -14,6 +18,8 @@
 from tests.loads import read_tasks
 from tests.processes import wait_until
 
+LEAVING_LIMIT_MS = 3_000
+
 
 def find_running(cell, host):
     """Return the jobs that run on a host."""
@@ -83,3 +89,36 @@
     load.finish()
     assert find_faults(load, cell.workers, repeats=True) == []
     assert set(load.states.values()) == {'finished', 'unknown'}
+
+
+def test_leaving_hosts_get_no_new_work(start_cell):
+    # Guards against starts on a host that any of the three signs names.
+    cell = start_cell()
+    leaving = ('host-0-0', 'host-0-1', 'host-1-0')
+    listed, reporting, drained = leaving
+    load = Load(tuple(cell.urls.values()), make_jobs(160, 7, (50, 300)))
+    load.start()
+    wait_until(
+        lambda: (
+            {task.host for task in read_tasks(cell.workers)}
+            == set(cell.workers)
+        ),
+        'work on every host',
+    )
+    cell.store.set_hosts(
+        HostStatus(name, name == listed) for name in cell.workers
+    )
+    cell.workers[reporting].set_faults(leaving=True)
+    url = f'{cell.find_url()}/v1/hosts/{drained}/drain'
+    assert cell.processes.client.post(url).status_code == 200
+    limit_ms = time_ns() // 1_000_000 + LEAVING_LIMIT_MS
+    wait_until(lambda: time_ns() // 1_000_000 > limit_ms, 'the limit')
+    refused = cell.workers[reporting].read_record().refusals.get('leaving', 0)
+    load.finish()
+    tasks = read_tasks(cell.workers)
+    late = [task for task in tasks if task.record.started_ms > limit_ms]
+    assert {task.host for task in late} == {'host-1-1'}
+    # The worker that reports its leaving refuses starts; none may come.
+    refusals = cell.workers[reporting].read_record().refusals
+    assert refusals.get('leaving', 0) == refused
+    assert find_faults(load, cell.workers) == []
