Let urgent work displace idempotent batch tasks where a rule allows it

Cause: an urgent job waited behind batch work that holds every slot. Change: the fewest idempotent batch tasks on one host are checkpointed, stopped and queued again; a transfer to another shard is preferred.

--- a/sassafrasgate/shards/passes.py
+++ b/sassafrasgate/shards/passes.py
@@ -7,11 +7,16 @@
 from sassafrasgate.core.errors import RefusalKind
 from sassafrasgate.core.jobs import JobClass
 from sassafrasgate.shards.placements import place_job
+from sassafrasgate.shards.preemption import may_preempt
+from sassafrasgate.shards.preemption import preempt_for
 from sassafrasgate.shards.transfers import begin_transfer
 from sassafrasgate.shards.transfers import find_transfer_target
 from sassafrasgate.shards.transfers import TRANSFER_AFTER_MS
 
 if TYPE_CHECKING:
+    from collections.abc import Generator
+    from typing import Any
+
     from sassafrasgate.core.errors import Refusal
     from sassafrasgate.placement.queues import QueuedJob
     from sassafrasgate.shards.handlers import Actions
@@ -41,14 +46,29 @@
         if refusal.kind is RefusalKind.QUOTA:
             jobs.skip_team(job.spec.team)
             continue
-        if transferred < MAX_TRANSFERS_PER_PASS and may_transfer(
-            state, job, refusal, now
-        ):
-            target = find_transfer_target(state, job.spec, now)
-            if target is not None:
-                transferred += 1
-                entry = state.jobs[job.job_id]
-                yield from begin_transfer(state, entry, target)
+        may_move = transferred < MAX_TRANSFERS_PER_PASS
+        transferred += yield from _help_refused(
+            state, job, refusal, may_move, now
+        )
+
+
+def _help_refused(
+    state: ShardState,
+    job: QueuedJob,
+    refusal: Refusal,
+    may_move: bool,
+    now: int,
+) -> Generator[Any, None, int]:
+    """Transfer a refused job, or make room for it; count transfers."""
+    entry = state.jobs[job.job_id]
+    if may_move and may_transfer(state, job, refusal, now):
+        target = find_transfer_target(state, job.spec, now)
+        if target is not None:
+            yield from begin_transfer(state, entry, target)
+            return 1
+    if refusal.kind is RefusalKind.NO_ROOM and may_preempt(state, job.spec):
+        yield from preempt_for(state, entry, now)
+    return 0
 
 
 def may_transfer(
--- a/sassafrasgate/shards/placements.py
+++ b/sassafrasgate/shards/placements.py
@@ -24,6 +24,7 @@
 if TYPE_CHECKING:
     from collections.abc import Generator
 
+    from sassafrasgate.core.cells import Rule
     from sassafrasgate.shards.handlers import Actions
     from sassafrasgate.shards.state import JobEntry
     from sassafrasgate.shards.state import ShardState
@@ -66,9 +67,7 @@
     labels: tuple[str, ...] = ()
     domains: tuple[str, ...] = ()
     for rule in state.configuration.rules:
-        if rule.team not in ('', spec.team):
-            continue
-        if rule.job_class not in ('', spec.job_class):
+        if not is_rule_for(rule, spec):
             continue
         labels += rule.labels
         if rule.failure_domains:
@@ -76,6 +75,14 @@
     return labels, domains
 
 
+def is_rule_for(rule: Rule, spec: JobSpec) -> bool:
+    """Tell whether a rule matches a job."""
+    return rule.team in ('', spec.team) and rule.job_class in (
+        '',
+        spec.job_class,
+    )
+
+
 def _narrow_domains(
     domains: tuple[str, ...], allowed: tuple[str, ...]
 ) -> tuple[str, ...]:
--- /dev/null
+++ b/sassafrasgate/shards/preemption.py
@@ -0,0 +1,126 @@
+"""Making room for urgent work, where the rules allow it.
+
+Only idempotent batch tasks give way: they are checkpointed, stopped and
+queued again. A preemption is not counted as a failure of their job.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from sassafrasgate.core.jobs import JobClass
+from sassafrasgate.shards.actions import LimitTask
+from sassafrasgate.shards.actions import LogDecision
+from sassafrasgate.shards.actions import StopTask
+from sassafrasgate.shards.placements import find_rule_limits
+from sassafrasgate.shards.placements import is_rule_for
+from sassafrasgate.shards.state import TaskPhase
+
+if TYPE_CHECKING:
+    from sassafrasgate.core.hosts import Host
+    from sassafrasgate.core.jobs import JobSpec
+    from sassafrasgate.core.resources import Resources
+    from sassafrasgate.shards.handlers import Actions
+    from sassafrasgate.shards.state import JobEntry
+    from sassafrasgate.shards.state import ShardState
+    from sassafrasgate.shards.state import TaskEntry
+
+# Stops take a round trip and a sync; until then the same job asks for no
+# more victims.
+PREEMPTION_WAIT_MS = 3_000
+MAX_VICTIMS = 8
+
+
+def may_preempt(state: ShardState, spec: JobSpec) -> bool:
+    """Tell whether a rule lets a job displace batch work."""
+    return spec.tasks == 1 and any(
+        rule.may_preempt and is_rule_for(rule, spec)
+        for rule in state.configuration.rules
+    )
+
+
+def preempt_for(state: ShardState, entry: JobEntry, now: int) -> Actions:
+    """Stop batch tasks on one host so that a job fits there."""
+    if state.preemptions.get(entry.job_id, 0) > now:
+        return
+    victims = choose_victims(state, entry.spec)
+    if not victims:
+        return
+    state.preemptions[entry.job_id] = now + PREEMPTION_WAIT_MS
+    for task in victims:
+        state.tasks[task.task] = replace(task, stopping=True)
+        yield LogDecision(
+            'preempt',
+            task.job_id,
+            host=task.host,
+            reason=f'for {entry.job_id}',
+        )
+        yield LimitTask(task.host, task.task, 'checkpoint')
+        yield StopTask(task.host, task.task)
+
+
+def choose_victims(state: ShardState, spec: JobSpec) -> tuple[TaskEntry, ...]:
+    """Return the fewest batch tasks whose end makes room on some host.
+
+    Among hosts that need equally many, the one whose victims started last
+    loses the least work.
+    """
+    labels, domains = find_rule_limits(state, spec)
+    best: tuple[TaskEntry, ...] = ()
+    for name in state.index.open_free:
+        host = state.index.hosts[name]
+        if not _is_allowed(host, spec, labels, domains):
+            continue
+        victims = _choose_on_host(state, name, spec.demand)
+        if victims and (not best or len(victims) < len(best)):
+            best = victims
+    return best
+
+
+def _is_allowed(
+    host: Host,
+    spec: JobSpec,
+    labels: tuple[str, ...],
+    domains: tuple[str, ...],
+) -> bool:
+    if domains and host.failure_domain not in domains:
+        return False
+    if spec.failure_domains and (
+        host.failure_domain not in spec.failure_domains
+    ):
+        return False
+    return set(labels) <= set(host.labels) and spec.demand.fits_in(
+        host.capacity
+    )
+
+
+def _choose_on_host(
+    state: ShardState, host: str, demand: Resources
+) -> tuple[TaskEntry, ...]:
+    room = state.index.find_free(host)
+    candidates = [
+        task
+        for name in state.index.tasks_on(host)
+        if (task := state.tasks.get(name)) is not None
+        and _is_victim(state, task)
+    ]
+    candidates.sort(key=lambda task: task.started_clock, reverse=True)
+    chosen: list[TaskEntry] = []
+    for task in candidates[:MAX_VICTIMS]:
+        if demand.fits_in(room):
+            break
+        chosen.append(task)
+        room = room + state.index.tasks_on(host)[task.task]
+    return tuple(chosen) if demand.fits_in(room) else ()
+
+
+def _is_victim(state: ShardState, task: TaskEntry) -> bool:
+    if task.phase is not TaskPhase.RUNNING or task.stopping:
+        return False
+    job = state.jobs.get(task.job_id)
+    return (
+        job is not None
+        and job.spec.job_class is JobClass.BATCH
+        and job.spec.idempotent
+    )
--- a/sassafrasgate/shards/recovery.py
+++ b/sassafrasgate/shards/recovery.py
@@ -196,6 +196,7 @@
         state.drop_task(placement.task)
     state.queue.remove(record.job_id)
     state.transfers.pop(record.job_id, None)
+    state.preemptions.pop(record.job_id, None)
     state.update_job(
         record.job_id,
         state=record.outcome.state,
--- a/sassafrasgate/shards/state.py
+++ b/sassafrasgate/shards/state.py
@@ -279,6 +279,7 @@
     waiters: dict[str, tuple[JobWaiter, ...]] = field(default_factory=dict)
     quick: dict[str, QuickRequest] = field(default_factory=dict)
     quick_serial: int = 0
+    preemptions: dict[str, int] = field(default_factory=dict)
     storing: dict[str, EndedTask] = field(default_factory=dict)
     explanations: dict[str, tuple[str, ...]] = field(default_factory=dict)
     usage: dict[str, TaskUsage] = field(default_factory=dict)
