--- a/tests/shards/simulation.py
+++ b/tests/shards/simulation.py
@@ -34,6 +34,7 @@
 from sassafrasgate.shards.actions import Persist
 from sassafrasgate.shards.actions import ReleaseTask
 from sassafrasgate.shards.actions import Reply
+from sassafrasgate.shards.actions import SendPeer
 from sassafrasgate.shards.actions import StartTask
 from sassafrasgate.shards.actions import StopTask
 from sassafrasgate.shards.attempts import ClockReading
@@ -54,7 +55,6 @@
 from sassafrasgate.shards.transfers import resume_transfers
 from sassafrasgate.shards.transitions import decide
 
-SHARD = 'north'
 CAPACITY = Resources(2000, 2000, 0, 2, 2)
 DEMAND = Resources(1000, 1000, 0, 1, 1)
 GRACE_MS = 5_000
@@ -77,6 +77,7 @@
 
     name: str
     rate: float
+    shard: str
     incarnation: int = 1
     born_at: int = 0
     fence: int = 0
@@ -158,7 +159,7 @@
             tuple(
                 RunningTask(
                     task.request.task,
-                    SHARD,
+                    self.shard,
                     task.request.epoch,
                     task.request.resources,
                     task.lease_clock,
@@ -195,12 +196,25 @@
     ----------
     rates : tuple of float
         Clock rate of each worker relative to the owner's clock.
+    name : str
+        Shard name.
+    prefix : str
+        Of the worker names.
     """
 
-    def __init__(self, rates: tuple[float, ...] = (1.0, 0.99)) -> None:
+    def __init__(
+        self,
+        rates: tuple[float, ...] = (1.0, 0.99),
+        name: str = 'north',
+        prefix: str = 'h',
+    ) -> None:
+        self.name = name
         self.now = 1_000_000
+        self.outbox: list[Any] = []
         self.workers = {
-            f'h{number}': SimulatedWorker(f'h{number}', rate, born_at=self.now)
+            f'{prefix}{number}': SimulatedWorker(
+                f'{prefix}{number}', rate, name, born_at=self.now
+            )
             for number, rate in enumerate(rates)
         }
         self.journal: list[Any] = []
@@ -218,9 +232,9 @@
             for name in self.workers
         )
         configuration = Configuration(
-            1, '', 'c', hosts, (Shard(SHARD, 'd1', ('r1',)),), (Team('t'),)
+            1, '', 'c', hosts, (Shard(self.name, 'd1', ('r1',)),), (Team('t'),)
         )
-        state = ShardState(SHARD, f'owner-{epoch + 1}')
+        state = ShardState(self.name, f'owner-{epoch + 1}')
         state.wall_ms = self.now
         decide(state, ConfigurationChanged(configuration), self.now)
         replay_records(state, self.journal)
@@ -261,8 +275,10 @@
             self._stop(owner, action)
         if isinstance(action, ReleaseTask):
             owner.releases.setdefault(action.host, set()).add(action.task)
+        if isinstance(action, SendPeer):
+            self.outbox.append(action.message)
         if isinstance(action, Reply):
-            self.replies.append(action.message)
+            self.replies.append((action.reply_to, action.message))
             self._note_view(action.message)
         assert not isinstance(action, GiveUpShard), action
 
@@ -314,7 +330,7 @@
             self.delay_start(-1)
             return
         worker = self.workers[host]
-        reply = worker.start(replace(request, shard=SHARD), self.now)
+        reply = worker.start(replace(request, shard=self.name), self.now)
         if request.epoch != self.owner.state.epoch:
             return
         if lose_reply:
@@ -400,13 +416,13 @@
         spec = JobSpec('t', key, **fields)
         job_id = make_job_id('t', key)
         self.specs.setdefault(job_id, spec)
-        message = Submit(SHARD, job_id, self.specs[job_id], 0.0)
+        message = Submit(self.name, job_id, self.specs[job_id], 0.0)
         self.feed(RequestReceived(1, message, self.now))
         return job_id
 
     def cancel(self, job_id: str) -> None:
         """Ask for a job's end."""
-        self.feed(RequestReceived(2, Cancel(SHARD, job_id), self.now))
+        self.feed(RequestReceived(2, Cancel(self.name, job_id), self.now))
 
     def end_task(self, host: str, number: int, outcome: TaskOutcome) -> None:
         """End one of a worker's running tasks."""
