Tell the sender of a lost message that no answer came

Cause: the test's lost messages were silent, so a home shard that takes a missing answer for a refusal passed. Change: losses reach the sender as a missing answer.

--- a/tests/shards/test_transfers.py
+++ b/tests/shards/test_transfers.py
@@ -66,10 +66,11 @@
             replies, shard.replies = shard.replies, []
             for token, answer in replies:
                 waiting = self.waiting.pop(token, None)
-                if waiting is None or lose:
+                if waiting is None:
                     continue
                 sender, message = waiting
-                self.shards[sender].feed(PeerAnswered(message, answer))
+                heard = None if lose else answer
+                self.shards[sender].feed(PeerAnswered(message, heard))
 
     def settle(self):
         for _ in range(80):
@@ -121,7 +122,8 @@
         position = random.randrange(len(pair.sent))
         pair.deliver(position, keep=random.random() < 0.3)
     elif step < 10 and pair.sent:
-        del pair.sent[random.randrange(len(pair.sent))]
+        sender, message = pair.sent.pop(random.randrange(len(pair.sent)))
+        pair.shards[sender].feed(PeerAnswered(message, None))
     elif step < 13:
         shard.commit(random.randint(1, 9))
         pair.answer(lose=random.random() < 0.2)
