Let quick requests wait for a new owner's first answers from its hosts

Cause: between a planned handover and the first sync of its hosts a new owner has no open host, and refused quick requests with 'no room', which the front end passes on at once. Ruled out: a full shard; the load had room to spare. Change: that refusal is 'not ready' while hosts have not answered yet, and the front end repeats it within the request's deadline, since the owner has done nothing with the message.

--- a/sassafrasgate/daemons/frontend.py
+++ b/sassafrasgate/daemons/frontend.py
@@ -49,7 +49,9 @@
 MIN_TRY_S = 0.05
 
 # The process that answered so has done nothing with the message.
-RETRIED_REFUSALS = frozenset({RefusalKind.NOT_OWNER, RefusalKind.STOPPING})
+RETRIED_REFUSALS = frozenset(
+    {RefusalKind.NOT_OWNER, RefusalKind.NOT_READY, RefusalKind.STOPPING}
+)
 
 
 class FrontendTask:
--- a/sassafrasgate/shards/quick.py
+++ b/sassafrasgate/shards/quick.py
@@ -72,9 +72,24 @@
     )
     refusal = yield from _place(state, quick, now)
     if refusal is not None:
+        if refusal.kind is RefusalKind.NO_ROOM and _awaits_hosts(state):
+            refusal = Refusal(
+                RefusalKind.NOT_READY,
+                f'the new owner of shard {state.name!r} waits for the first '
+                'answers of its hosts',
+                'send the request again after a second',
+            )
         yield from _refuse(state, request, refusal)
 
 
+def _awaits_hosts(state: ShardState) -> bool:
+    """Tell whether hosts that are not known to be silent are not open yet."""
+    return any(
+        not host.fenced and not host.silent_since
+        for host in state.hosts.values()
+    )
+
+
 def find_deadline_ms(spec: JobSpec) -> int:
     """Return how long a quick request may take, in milliseconds."""
     if spec.deadline_s <= 0:
