--- a/sassafrasgate/daemons/frontend.py
+++ b/sassafrasgate/daemons/frontend.py
@@ -51,7 +51,9 @@
 MAX_NAMED_FLAWS = 20
 
 # The process that answered so has done nothing with the message.
-RETRIED_REFUSALS = frozenset({RefusalKind.NOT_OWNER, RefusalKind.STOPPING})
+RETRIED_REFUSALS = frozenset(
+    {RefusalKind.NOT_OWNER, RefusalKind.NOT_READY, RefusalKind.STOPPING}
+)
 
 
 class FrontendTask:
