Let shards lend each other their shares of a team's quota

Cause: an equal split strands quota: a team with room in the cell waited in one shard, and a job larger than its share could never run. Change: a shard asks the others, one at a time, for what its waiting job lacks; the lender journals the total it has lent before it answers, so the shares never add up to more than the quota.

--- a/sassafrasgate/journal/records.py
+++ b/sassafrasgate/journal/records.py
@@ -19,6 +19,7 @@
 from sassafrasgate.core.jobs import Outcome
 from sassafrasgate.core.jobs import Placement
 from sassafrasgate.core.registries import Registry
+from sassafrasgate.core.resources import Resources
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -158,6 +159,15 @@
     home_attempt: int
 
 
+@register_record('share-lent')
+class ShareLent:
+    """All that this shard has lent to another one of a team's quota."""
+
+    borrower: str
+    team: str
+    total: Resources
+
+
 @register_record('forgotten')
 class JobsForgotten:
     """Ended jobs past their retention are dropped."""
--- a/sassafrasgate/protocol/messages.py
+++ b/sassafrasgate/protocol/messages.py
@@ -240,6 +240,30 @@
     """The receiver has durably noted a report."""
 
 
+@register_message('borrow-share')
+class BorrowShare:
+    """Asks another shard to lend a part of its share of a team's quota.
+
+    Parameters
+    ----------
+    missing : Resources
+        What the borrower lacks for its next job.
+    """
+
+    shard: str
+    borrower: str
+    team: str
+    missing: Resources
+
+
+@register_message('share-total')
+class ShareTotal:
+    """All that a shard has ever lent to the borrower for a team."""
+
+    team: str
+    total: Resources
+
+
 @register_message('fetch-configuration')
 class FetchConfiguration:
     """Asks a peer for its configuration."""
--- a/sassafrasgate/shards/passes.py
+++ b/sassafrasgate/shards/passes.py
@@ -9,6 +9,7 @@
 from sassafrasgate.shards.placements import place_job
 from sassafrasgate.shards.preemption import may_preempt
 from sassafrasgate.shards.preemption import preempt_for
+from sassafrasgate.shards.shares import borrow_share
 from sassafrasgate.shards.transfers import begin_transfer
 from sassafrasgate.shards.transfers import find_transfer_target
 from sassafrasgate.shards.transfers import TRANSFER_AFTER_MS
@@ -45,6 +46,7 @@
             continue
         if refusal.kind is RefusalKind.QUOTA:
             jobs.skip_team(job.spec.team)
+            yield from borrow_share(state, job.spec, now)
             continue
         may_move = transferred < MAX_TRANSFERS_PER_PASS
         transferred += yield from _help_refused(
--- a/sassafrasgate/shards/recovery.py
+++ b/sassafrasgate/shards/recovery.py
@@ -14,6 +14,7 @@
 from sassafrasgate.journal.records import JobRequeued
 from sassafrasgate.journal.records import JobsForgotten
 from sassafrasgate.journal.records import JobTransferred
+from sassafrasgate.journal.records import ShareLent
 from sassafrasgate.journal.records import Takeover
 from sassafrasgate.shards.attempts import find_takeover_lapse
 from sassafrasgate.shards.handlers import APPLIERS
@@ -58,6 +59,8 @@
         yield from _list_job_records(entry)
     for job_id, home, attempt in state.tombstones:
         yield AttemptRefused(job_id, home, attempt)
+    for (borrower, team), total in state.lent.items():
+        yield ShareLent(borrower, team, total)
 
 
 def _list_job_records(entry: JobEntry) -> Iterator[Any]:
@@ -74,7 +77,7 @@
         yield JobTransferred(entry.job_id, entry.attempt, entry.transferred_to)
     if entry.attempt and not entry.transferred_to:
         yield JobPlaced(entry.job_id, entry.attempt, entry.placements)
-    if (entry.failures or entry.may_have_run) and not entry.is_over:
+    if entry.attempt and entry.state is JobState.QUEUED:
         yield JobRequeued(
             entry.job_id,
             entry.attempt,
--- /dev/null
+++ b/sassafrasgate/shards/shares.py
@@ -0,0 +1,144 @@
+"""Quotas that hold across shards: shards lend each other their shares.
+
+Each shard starts with an equal share of a team's quota. A shard whose share
+is too small for a waiting job asks the others, one at a time, for what they
+do not use. The lender journals the total that it has lent to a shard before
+it answers with that total, so a lost answer or a takeover can leave a part
+of the quota unused for a while but never lets the shares exceed it.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sassafrasgate.core.resources import NOTHING
+from sassafrasgate.core.resources import Resources
+from sassafrasgate.journal.records import ShareLent
+from sassafrasgate.protocol.messages import BorrowShare
+from sassafrasgate.protocol.messages import ShareTotal
+from sassafrasgate.shards.actions import LogDecision
+from sassafrasgate.shards.actions import Reply
+from sassafrasgate.shards.actions import SendPeer
+from sassafrasgate.shards.handlers import APPLIERS
+from sassafrasgate.shards.handlers import DURABLE_HANDLERS
+from sassafrasgate.shards.handlers import REQUEST_HANDLERS
+from sassafrasgate.shards.handlers import write_record
+
+if TYPE_CHECKING:
+    from sassafrasgate.core.jobs import JobSpec
+    from sassafrasgate.shards.events import RequestReceived
+    from sassafrasgate.shards.handlers import Actions
+    from sassafrasgate.shards.state import ShardState
+
+BORROW_INTERVAL_MS = 200
+
+
+def set_shares(state: ShardState) -> None:
+    """Give the ledger the equal shares of the configuration's quotas."""
+    shards = len(state.configuration.shards)
+    state.quotas.set_teams(state.configuration.teams, shards)
+    for team in state.configuration.teams:
+        state.base_shares[team.name] = state.quotas.find_share(team.name)
+        _adjust_share(state, team.name)
+
+
+def _adjust_share(state: ShardState, team: str) -> None:
+    base = state.base_shares.get(team)
+    if base is None or base == NOTHING:
+        return
+    share = base
+    for (_, name), total in state.borrowed.items():
+        if name == team:
+            share = share + total
+    for (_, name), total in state.lent.items():
+        if name == team:
+            share = share - total
+    state.quotas.set_share(team, share.cover(NOTHING))
+
+
+def borrow_share(state: ShardState, spec: JobSpec, now: int) -> Actions:
+    """Ask the next shard for what a waiting job's team lacks here."""
+    peers = [
+        shard.name
+        for shard in state.configuration.shards
+        if shard.name != state.name
+    ]
+    turn, next_at = state.borrowing.get(spec.team, (0, 0))
+    if not peers or now < next_at:
+        return
+    state.borrowing[spec.team] = (turn + 1, now + BORROW_INTERVAL_MS)
+    demand = state.sizes.find_size(spec).scale(spec.tasks)
+    wanted = state.quotas.find_reserved(spec.team) + demand
+    missing = (wanted - state.quotas.find_share(spec.team)).cover(NOTHING)
+    peer = peers[turn % len(peers)]
+    yield SendPeer(peer, BorrowShare(peer, state.name, spec.team, missing))
+
+
+@REQUEST_HANDLERS.register('borrow-share')
+def lend_share(
+    state: ShardState, request: RequestReceived, now: int
+) -> Actions:
+    """Lend what is asked for, as far as it is free here."""
+    message: BorrowShare = request.message
+    key = (message.borrower, message.team)
+    total = state.lent.get(key, NOTHING)
+    free = state.quotas.find_share(message.team) - (
+        state.quotas.find_reserved(message.team)
+    )
+    grant = _find_smaller(message.missing, free).cover(NOTHING)
+    state.share_callers.setdefault(key, []).append(request.reply_to)
+    if grant == NOTHING and len(state.share_callers[key]) == 1:
+        yield from _answer_borrower(state, key, total)
+        return
+    yield LogDecision(
+        'lend', '', reason=f'{message.team} to {message.borrower}: {grant}'
+    )
+    yield from write_record(
+        state, ShareLent(message.borrower, message.team, total + grant)
+    )
+
+
+def _find_smaller(one: Resources, other: Resources) -> Resources:
+    return Resources(
+        min(one.millicores, other.millicores),
+        min(one.memory_mb, other.memory_mb),
+        min(one.accelerators, other.accelerators),
+        min(one.slots, other.slots),
+        min(one.connections, other.connections),
+    )
+
+
+@APPLIERS.register('share-lent')
+def apply_share_lent(state: ShardState, record: ShareLent) -> None:
+    """Lower this shard's share by what it has lent in all."""
+    state.lent[(record.borrower, record.team)] = record.total
+    _adjust_share(state, record.team)
+
+
+@DURABLE_HANDLERS.register('share-lent')
+def confirm_share_lent(
+    state: ShardState, record: ShareLent, now: int
+) -> Actions:
+    """Answer the borrower once the loan is in the journal."""
+    key = (record.borrower, record.team)
+    yield from _answer_borrower(state, key, record.total)
+
+
+def _answer_borrower(
+    state: ShardState, key: tuple[str, str], total: Resources
+) -> Actions:
+    for reply_to in state.share_callers.pop(key, ()):
+        yield Reply(reply_to, ShareTotal(key[1], total))
+
+
+def note_share_total(
+    state: ShardState, message: BorrowShare, answer: ShareTotal
+) -> None:
+    """Raise this shard's share by what a peer has lent in all.
+
+    Totals only grow, so a late answer with a smaller one changes nothing.
+    """
+    key = (message.shard, message.team)
+    state.borrowed[key] = state.borrowed.get(key, NOTHING).cover(answer.total)
+    _adjust_share(state, message.team)
+    state.room_changed = True
--- a/sassafrasgate/shards/state.py
+++ b/sassafrasgate/shards/state.py
@@ -279,6 +279,14 @@
     waiters: dict[str, tuple[JobWaiter, ...]] = field(default_factory=dict)
     quick: dict[str, QuickRequest] = field(default_factory=dict)
     quick_serial: int = 0
+    passed_at: int = 0
+    base_shares: dict[str, Resources] = field(default_factory=dict)
+    lent: dict[tuple[str, str], Resources] = field(default_factory=dict)
+    borrowed: dict[tuple[str, str], Resources] = field(default_factory=dict)
+    borrowing: dict[str, tuple[int, int]] = field(default_factory=dict)
+    share_callers: dict[tuple[str, str], list[int]] = field(
+        default_factory=dict
+    )
     preemptions: dict[str, int] = field(default_factory=dict)
     storing: dict[str, EndedTask] = field(default_factory=dict)
     explanations: dict[str, tuple[str, ...]] = field(default_factory=dict)
--- a/sassafrasgate/shards/timers.py
+++ b/sassafrasgate/shards/timers.py
@@ -19,6 +19,7 @@
 from sassafrasgate.shards.handlers import write_record
 from sassafrasgate.shards.quick import expire_quick_requests
 from sassafrasgate.shards.recovery import sync_hosts
+from sassafrasgate.shards.shares import set_shares
 from sassafrasgate.shards.submissions import expire_submits
 from sassafrasgate.shards.transfers import publish_summary
 from sassafrasgate.shards.transfers import repeat_transfers
@@ -30,6 +31,7 @@
     from sassafrasgate.shards.handlers import Actions
     from sassafrasgate.shards.state import ShardState
 
+PASS_INTERVAL_MS = 1_000
 RETENTION_MS = 24 * 3600 * 1000
 MAX_FORGOTTEN_PER_TICK = 500
 
@@ -38,6 +40,10 @@
 def note_time(state: ShardState, event: Ticked, now: int) -> Actions:
     """Expire what is due."""
     state.wall_ms = event.wall_ms
+    if now - state.passed_at >= PASS_INTERVAL_MS:
+        # Quotas, transfers and preemption depend on more than free hosts.
+        state.passed_at = now
+        state.room_changed = True
     yield from expire_submits(state, now)
     yield from expire_quick_requests(state, now)
     yield from expire_waiters(state, now)
@@ -102,9 +108,7 @@
         return
     state.configuration = event.configuration
     sync_hosts(state, now)
-    state.quotas.set_teams(
-        event.configuration.teams, len(event.configuration.shards)
-    )
+    set_shares(state)
     state.queue.set_teams(event.configuration.teams)
     for name in list(state.hosts):
         update_openness(state, name)
--- a/sassafrasgate/shards/transfers.py
+++ b/sassafrasgate/shards/transfers.py
@@ -19,7 +19,9 @@
 from sassafrasgate.journal.records import JobRequeued
 from sassafrasgate.journal.records import JobTransferred
 from sassafrasgate.protocol.messages import Acknowledged
+from sassafrasgate.protocol.messages import BorrowShare
 from sassafrasgate.protocol.messages import Recall
+from sassafrasgate.protocol.messages import ShareTotal
 from sassafrasgate.protocol.messages import Summary
 from sassafrasgate.protocol.messages import Transfer
 from sassafrasgate.protocol.messages import TransferEnded
@@ -41,6 +43,7 @@
 from sassafrasgate.shards.placements import make_placements
 from sassafrasgate.shards.placements import note_decision
 from sassafrasgate.shards.placements import note_placement
+from sassafrasgate.shards.shares import note_share_total
 from sassafrasgate.shards.state import JobEntry
 from sassafrasgate.shards.state import TransferEntry
 
@@ -170,6 +173,10 @@
 ) -> Actions:
     """Note the answer to a transfer, a recall or a report."""
     message, answer = event.message, event.answer
+    if isinstance(message, BorrowShare):
+        if isinstance(answer, ShareTotal):
+            note_share_total(state, message, answer)
+        return
     if isinstance(message, TransferEnded):
         if isinstance(answer, Acknowledged):
             state.unreported.pop(message.job_id, None)
