--- a/tests/cells.py
+++ b/tests/cells.py
@@ -204,6 +204,10 @@
             headers={'If-Match': f'"{version}"'},
         )
 
+    def find_link(self, name: str) -> str:
+        """Return the address where a scheduler serves other processes."""
+        return self._links[name]
+
     def find_url(self, frontend: str = '') -> str:
         """Return the base URL of a front end, by default the first."""
         return self.urls[frontend or 'frontend-0']
--- /dev/null
+++ b/tests/relays.py
@@ -0,0 +1,71 @@
+"""A TCP relay that can stop forwarding without closing anything."""
+
+from __future__ import annotations
+
+from contextlib import suppress
+from typing import TYPE_CHECKING
+
+import anyio
+
+from tests.processes import find_loopback
+
+if TYPE_CHECKING:
+    from anyio.abc import SocketStream
+
+CHUNK_BYTES = 65_536
+
+
+class Relay:
+    """Forwards connections to one address.
+
+    Parameters
+    ----------
+    target : str
+        IP number and port to connect to.
+    """
+
+    def __init__(self, target: str) -> None:
+        self._target = target
+        self._silent: set[int] = set()
+        self.connections = 0
+        self.address = ''
+        self.ready = anyio.Event()
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        listener = await anyio.create_tcp_listener(
+            local_host=find_loopback(), local_port=0
+        )
+        host, port = listener.extra(anyio.abc.SocketAttribute.local_address)
+        self.address = f'{host}:{port}'
+        self.ready.set()
+        async with listener:
+            await listener.serve(self._forward)
+
+    def silence(self) -> None:
+        """Forward nothing more on the connections opened so far."""
+        self._silent.update(range(1, self.connections + 1))
+
+    async def _forward(self, near: SocketStream) -> None:
+        self.connections += 1
+        number = self.connections
+        host, _, port = self._target.rpartition(':')
+        # Either end may reset the connection at any time.
+        with suppress(OSError):
+            far = await anyio.connect_tcp(host, int(port))
+            async with near, far, anyio.create_task_group() as group:
+                group.start_soon(self._copy, number, near, far)
+                group.start_soon(self._copy, number, far, near)
+
+    async def _copy(
+        self, number: int, source: SocketStream, sink: SocketStream
+    ) -> None:
+        with suppress(
+            anyio.EndOfStream,
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+        ):
+            while True:
+                data = await source.receive(CHUNK_BYTES)
+                if number not in self._silent:
+                    await sink.send(data)
