Send jobs in the caller API's form from the command line; fill the metrics

Cause: 'sassafrasgate submit' sent job_class, demand and payload, the front end takes class, resources and payload_base64 and refused every job file. Metrics for store calls, links, starts, attempts and appends were defined and never counted. Ruled out: the front end's checks; its fields are the documented ones. Change: one translation in the command; a test against a real front end; a task that publishes counts. The command's test now expects the new names. Conclusion: the command line works against a running cell.

--- a/sassafrasgate/commands/jobs.py
+++ b/sassafrasgate/commands/jobs.py
@@ -77,15 +77,13 @@
     file
         YAML file with team, key, job_class, demand and payload.
     """
-    from msgspec import to_builtins
-
     from sassafrasgate.commands.clients import Call
     from sassafrasgate.commands.clients import call_front_end
     from sassafrasgate.commands.clients import make_path
     from sassafrasgate.core.jobs import JobClass
 
     spec = load_job(file)
-    body = to_builtins(spec)
+    body = make_job_body(spec)
     if spec.job_class == JobClass.QUICK:
         timeout_s = spec.deadline_s + REPLY_MARGIN_S
         path = make_path('requests')
@@ -100,6 +98,20 @@
     return print_report(Report(reply.document, notes=(note,)), output)
 
 
+def make_job_body(spec: JobSpec) -> dict[str, object]:
+    """Return a job in the form of the caller API."""
+    from msgspec import to_builtins
+
+    # The API names these fields for callers, the core for its own use.
+    names = {
+        'job_class': 'class',
+        'demand': 'resources',
+        'payload': 'payload_base64',
+    }
+    fields = to_builtins(spec)
+    return {names.get(name, name): value for name, value in fields.items()}
+
+
 @register_command('cancel')
 def cancel(job: str, *, url: Url = '', output: Output = 'table') -> ExitCode:
     """Cancel a job.
--- a/sassafrasgate/commands/views.py
+++ b/sassafrasgate/commands/views.py
@@ -35,7 +35,7 @@
 JOB_COLUMNS = (
     Column('job', 'job_id'),
     Column('team', 'team'),
-    Column('class', 'job_class'),
+    Column('class', 'class'),
     Column('state', 'state'),
     Column('attempt', 'attempt'),
     Column('hosts', 'hosts'),
--- a/sassafrasgate/composition.py
+++ b/sassafrasgate/composition.py
@@ -20,6 +20,7 @@
 from sassafrasgate.daemons.configurations import ConfigurationTask
 from sassafrasgate.daemons.configurations import VersionHeard
 from sassafrasgate.daemons.control import ControlTask
+from sassafrasgate.daemons.counts import CountsTask
 from sassafrasgate.daemons.directory import Directory
 from sassafrasgate.daemons.leases import LeaseTask
 from sassafrasgate.daemons.leases import Member
@@ -185,6 +186,12 @@
     group.start_soon(control.run)
     group.start_soon(configuration.run)
     group.start_soon(follow_share, process, directory)
+    counts = CountsTask(
+        (process.store, process.watch_store, process.lease_store),
+        lambda: (link.counts for link in directory.list_links()),
+        process.metrics,
+    )
+    group.start_soon(counts.run)
     directory.connect_peers()
 
 
--- /dev/null
+++ b/sassafrasgate/daemons/counts.py
@@ -0,0 +1,82 @@
+"""The task that publishes what adapters and links have counted."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+import anyio
+
+from sassafrasgate.observability.metrics import DROPPED_ANSWERS
+from sassafrasgate.observability.metrics import LINK_BYTES
+from sassafrasgate.observability.metrics import LINK_MESSAGES
+from sassafrasgate.observability.metrics import STORE_CALLS
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from sassafrasgate.observability.metrics import Metrics
+    from sassafrasgate.platform.store import Store
+    from sassafrasgate.protocol.links import LinkCounts
+
+INTERVAL_S = 2.0
+
+
+class CountsTask:
+    """Turns running totals into metrics every few seconds.
+
+    Parameters
+    ----------
+    stores : tuple of Store
+        Clients whose calls are counted.
+    list_links : callable
+        Returns the counts of all links of the process.
+    metrics : Metrics
+        Where the counts are published.
+    """
+
+    def __init__(
+        self,
+        stores: tuple[Store, ...],
+        list_links: Callable[[], Iterable[LinkCounts]],
+        metrics: Metrics,
+    ) -> None:
+        self._stores = stores
+        self._list_links = list_links
+        self._metrics = metrics
+        self._published: Counter[tuple[str, str]] = Counter()
+
+    async def run(self) -> None:
+        """Publish until cancelled."""
+        while True:
+            await anyio.sleep(INTERVAL_S)
+            self._publish(self._count())
+
+    def _count(self) -> Counter[tuple[str, str]]:
+        totals: Counter[tuple[str, str]] = Counter()
+        for store in self._stores:
+            for name, calls in store.calls.items():
+                totals['store', name] += calls
+        for counts in self._list_links():
+            totals['messages', 'sent'] += counts.sent_messages
+            totals['messages', 'received'] += counts.received_messages
+            totals['bytes', 'sent'] += counts.sent_bytes
+            totals['bytes', 'received'] += counts.received_bytes
+            totals['dropped', ''] += counts.dropped_answers
+        return totals
+
+    def _publish(self, totals: Counter[tuple[str, str]]) -> None:
+        for (group, name), total in totals.items():
+            new = total - self._published[group, name]
+            if new <= 0:
+                continue
+            self._published[group, name] = total
+            if group == 'store':
+                self._metrics.count(STORE_CALLS, name, 'made', amount=new)
+            if group == 'messages':
+                self._metrics.count(LINK_MESSAGES, name, 'any', amount=new)
+            if group == 'bytes':
+                self._metrics.count(LINK_BYTES, name, amount=new)
+            if group == 'dropped':
+                self._metrics.count(DROPPED_ANSWERS, amount=new)
--- a/sassafrasgate/daemons/journals.py
+++ b/sassafrasgate/daemons/journals.py
@@ -8,6 +8,7 @@
 
 from collections import deque
 from dataclasses import dataclass
+from time import perf_counter
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -21,6 +22,8 @@
 from sassafrasgate.shards.events import WithdrawalAnswered
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from anyio.streams.memory import MemoryObjectReceiveStream
     from anyio.streams.memory import MemoryObjectSendStream
 
@@ -69,6 +72,8 @@
         Of `AppendRecord`, `WithdrawJob` and `WriteSnapshot`.
     shard : MemoryObjectSendStream
         The shard task's inbox.
+    observe : callable
+        Gets the seconds that each append took.
     """
 
     def __init__(
@@ -76,10 +81,12 @@
         journal: Journal,
         inbox: MemoryObjectReceiveStream[Any],
         shard: MemoryObjectSendStream[Any],
+        observe: Callable[[float], None],
     ) -> None:
         self._journal = journal
         self._inbox = inbox
         self._shard = shard
+        self._observe = observe
         self._waiting: deque[Any] = deque()
         self._snapshot_running = False
         self._wakeup = anyio.Event()
@@ -142,7 +149,9 @@
                 await self._wakeup.wait()
                 continue
             records = self._take_batch()
+            started = perf_counter()
             await self._journal.append(records)
+            self._observe(perf_counter() - started)
             await self._shard.send(RecordsDurable(records, wall_ms()))
 
     def _take_batch(self) -> tuple[Any, ...]:
--- a/sassafrasgate/daemons/shards.py
+++ b/sassafrasgate/daemons/shards.py
@@ -36,10 +36,13 @@
 from sassafrasgate.observability.clocks import wall_ms
 from sassafrasgate.observability.logs import Decision
 from sassafrasgate.observability.logs import log_decision
+from sassafrasgate.observability.metrics import APPEND_SECONDS
+from sassafrasgate.observability.metrics import ATTEMPTS
 from sassafrasgate.observability.metrics import DECISION_SECONDS
 from sassafrasgate.observability.metrics import DECISIONS
 from sassafrasgate.observability.metrics import Metrics
 from sassafrasgate.observability.metrics import QUEUE_LENGTH
+from sassafrasgate.observability.metrics import STARTS
 from sassafrasgate.platform.adapters import open_worker
 from sassafrasgate.platform.store import Store
 from sassafrasgate.protocol.links import OutgoingReply
@@ -61,7 +64,9 @@
 from sassafrasgate.shards.events import PeerAnswered
 from sassafrasgate.shards.events import RecordsDurable
 from sassafrasgate.shards.events import RequestReceived
+from sassafrasgate.shards.events import StartAnswered
 from sassafrasgate.shards.events import StartNotSent
+from sassafrasgate.shards.events import StartUnanswered
 from sassafrasgate.shards.events import StopRequested
 from sassafrasgate.shards.events import Ticked
 from sassafrasgate.shards.ownership import OwnerLease
@@ -85,6 +90,8 @@
 LOAD_RETRY_S = 0.3
 PEER_TIMEOUT_S = 2.0
 MAX_INBOX = 20_000
+# Decisions whose reason starts with what became of the attempt.
+ENDED_ATTEMPTS = frozenset({'end', 'retry'})
 
 ActionHandler = Callable[['ShardTask', Any], Awaitable[None]]
 
@@ -191,7 +198,12 @@
             return self._given_up
         async with anyio.create_task_group() as group:
             self._group = group
-            writer = JournalTask(journal, self._journal_inbox, self.events)
+            writer = JournalTask(
+                journal,
+                self._journal_inbox,
+                self.events,
+                self._observe_append,
+            )
             group.start_soon(self._run_journal, writer)
             group.start_soon(self._tick)
             self._follow_hosts()
@@ -301,8 +313,7 @@
             await ACTION_HANDLERS.find(type(action))(self, action)
         if isinstance(event, ConfigurationChanged):
             self._follow_hosts()
-        if isinstance(event, Ticked):
-            self._note_gauges()
+        self._note_metrics(event)
 
     def _handle_own_event(self, event: Any) -> Any:
         """Handle events that are not decisions; return the others."""
@@ -333,10 +344,14 @@
     def _is_drained(self) -> bool:
         return self.state.stopping and self._unwritten <= 0
 
-    def _note_gauges(self) -> None:
-        self.services.metrics.set_gauge(
-            QUEUE_LENGTH, len(self.state.queue), self.shard
-        )
+    def _note_metrics(self, event: Any) -> None:
+        metrics = self.services.metrics
+        if isinstance(event, StartAnswered):
+            metrics.count(STARTS, event.reply.status)
+        if isinstance(event, StartUnanswered):
+            metrics.count(STARTS, 'unanswered')
+        if isinstance(event, Ticked):
+            metrics.set_gauge(QUEUE_LENGTH, len(self.state.queue), self.shard)
 
     def _follow_hosts(self) -> None:
         """Run one host task per host of the state, no more."""
@@ -439,8 +454,14 @@
         """End the task without any further send."""
         self._given_up = reason
 
+    def _observe_append(self, seconds: float) -> None:
+        self.services.metrics.observe(APPEND_SECONDS, seconds)
+
     def _log(self, action: LogDecision) -> None:
         self.services.metrics.count(DECISIONS, action.kind)
+        if action.kind in ENDED_ATTEMPTS:
+            fate = action.reason.partition(':')[0].partition(' ')[0]
+            self.services.metrics.count(ATTEMPTS, fate)
         log_decision(
             self.services.logger,
             Decision(
--- a/tests/commands/test_main.py
+++ b/tests/commands/test_main.py
@@ -202,8 +202,8 @@
     code, requests = run(answers, 'submit', str(file))
     body = requests[-1][3]
     assert code == 0
-    assert base64.b64decode(body['payload']) == b'\x00\xff'
-    assert (body['key'], body['demand']['millicores']) == ('order-17', 500)
+    assert base64.b64decode(body['payload_base64']) == b'\x00\xff'
+    assert (body['key'], body['resources']['millicores']) == ('order-17', 500)
     assert b'job j1 is known already' in capsysbinary.readouterr().out
     file.write_text(JOB.format(job_class='quick'))
     assert run(answers, 'submit', str(file))[0] == 0
--- a/tests/daemons/test_path.py
+++ b/tests/daemons/test_path.py
@@ -62,3 +62,20 @@
     view = cell.processes.client.get(url, params={'wait': 20}).json()
     assert view.get('state') == 'finished', view
     assert len(cell.processes.client.get(f'{url}/output').content) == size
+
+
+def test_command_line_submits_what_the_front_end_accepts(start_cell, tmp_path):
+    # The two once named the fields of a job differently.
+    cell = start_cell(frontends=1)
+    job = tmp_path / 'job.yaml'
+    job.write_text(
+        'team: orders\nkey: a1\njob_class: batch\n'
+        'demand: {cores: 1, memory: 128MiB}\npayload: text\n'
+    )
+    program = cell.processes.start_program(
+        'submit', 'submit', str(job), '--url', cell.find_url()
+    )
+    program.wait_for_log('is accepted')
+    client = cell.processes.client
+    listed = client.get(f'{cell.find_url()}/v1/jobs').json()['jobs']
+    assert [entry['team'] for entry in listed] == ['orders']
