--- a/tests/loads.py
+++ b/tests/loads.py
@@ -267,11 +267,19 @@
     ----------
     url : callable
         Returns the base URL of the front end for the next request.
+    run_ms : int
+        Run time of each task.
+    **fields
+        Further fields of each request.
     """
 
-    def __init__(self, url: Callable[[], str], run_ms: int = 10) -> None:
+    def __init__(
+        self, url: Callable[[], str], run_ms: int = 10, **fields: Any
+    ) -> None:
         self._url = url
         self._run_ms = run_ms
+        self._fields = {'deadline_s': 5, **fields}
+        self.latencies_s: list[float] = []
         self._stopping = False
         self._client = Client(timeout=20.0, trust_env=False)
         self._pool = ThreadPoolExecutor(1)
@@ -286,12 +294,14 @@
             sent_at = monotonic()
             answer = self.call(key)
             good = answer == f'output of {key}'
+            if good:
+                self.latencies_s.append(monotonic() - sent_at)
             self.answers.append((sent_at, '' if good else answer))
             sleep(0.02)
 
     def call(self, key: str) -> str:
         """Return the body of the answer, or why there is none."""
-        job = make_job(key, self._run_ms, deadline_s=5)
+        job = make_job(key, self._run_ms, **self._fields)
         try:
             response: Response = self._client.post(
                 f'{self._url()}/v1/requests', json=job
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -63,11 +63,17 @@
     return f'127.{1 + (pid >> 16)}.{pid >> 8 & 255}.{pid & 255}'
 
 
-def find_free_address() -> str:
-    """Return IP number and port that nothing listens on."""
+def find_free_address(ip: str = '') -> str:
+    """Return IP number and port that nothing listens on.
+
+    Parameters
+    ----------
+    ip : str
+        By default a number that only this process uses.
+    """
     while True:
         with socket(AF_INET, SOCK_STREAM) as probe:
-            probe.bind((find_loopback(), 0))
+            probe.bind((ip or find_loopback(), 0))
             host, port = probe.getsockname()
         if port not in _issued_ports:
             _issued_ports.add(port)
