--- a/benchmarks/registry.py
+++ b/benchmarks/registry.py
@@ -11,6 +11,25 @@
     from collections.abc import Callable
 
 
+@dataclass(frozen=True, slots=True)
+class Slope:
+    """A straight line through measured points.
+
+    Parameters
+    ----------
+    name : str
+        What grows, with its unit, and against what.
+    per_unit : float
+        Slope of the line.
+    at_zero : float
+        Its value at size 0.
+    """
+
+    name: str
+    per_unit: float
+    at_zero: float
+
+
 @dataclass(frozen=True, slots=True)
 class Table:
     """Figures of one measurement.
@@ -25,12 +44,15 @@
         Cells of each row: text, whole numbers or floats.
     notes : tuple of str
         How to read the figures.
+    slopes : tuple of Slope
+        Lines through the rows, where a measurement has several sizes.
     """
 
     title: str
     columns: tuple[str, ...]
     rows: tuple[tuple[str | int | float, ...], ...]
     notes: tuple[str, ...] = ()
+    slopes: tuple[Slope, ...] = ()
 
 
 MEASUREMENTS: Registry[str, Callable[[], Table]] = Registry('measurement')
@@ -51,7 +73,11 @@
         ).rstrip()
         for line in lines
     ]
-    return '\n'.join([table.title, *text, *table.notes, ''])
+    lines_through = [
+        f'{slope.name}: {slope.at_zero:.4g} + {slope.per_unit:.4g} each'
+        for slope in table.slopes
+    ]
+    return '\n'.join([table.title, *text, *lines_through, *table.notes, ''])
 
 
 def format_cell(cell: str | int | float) -> str:
--- a/benchmarks/run.py
+++ b/benchmarks/run.py
@@ -21,7 +21,7 @@
 
 RESULTS = Path(__file__).parent / 'results.json'
 # Modules that register measurements when they are imported.
-MODULES = ('benchmarks.placement',)
+MODULES = ('benchmarks.placement', 'benchmarks.capacity')
 
 
 def run_measurements(names: list[str]) -> dict[str, object]:
