--- a/sassafrasgate/core/errors.py
+++ b/sassafrasgate/core/errors.py
@@ -140,9 +140,5 @@
     """A task's output is gone from its worker or damaged."""
 
 
-class LinkClosedError(SassafrasgateError):
-    """A request to another process got no answer before its deadline."""
-
-
 class ShardLostError(SassafrasgateError):
     """Another process has taken over a shard's journal."""
--- a/sassafrasgate/daemons/shards.py
+++ b/sassafrasgate/daemons/shards.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Awaitable
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -19,6 +20,7 @@
 from sassafrasgate.core.errors import RefusalKind
 from sassafrasgate.core.errors import ShardLostError
 from sassafrasgate.core.errors import StoreUnavailableError
+from sassafrasgate.core.jobs import JobState
 from sassafrasgate.core.registries import Registry
 from sassafrasgate.daemons.hosts import HostTask
 from sassafrasgate.daemons.hosts import OwnerLeaseChanged
@@ -40,12 +42,14 @@
 from sassafrasgate.observability.metrics import ATTEMPTS
 from sassafrasgate.observability.metrics import DECISION_SECONDS
 from sassafrasgate.observability.metrics import DECISIONS
+from sassafrasgate.observability.metrics import JOBS
 from sassafrasgate.observability.metrics import Metrics
 from sassafrasgate.observability.metrics import QUEUE_LENGTH
 from sassafrasgate.observability.metrics import STARTS
 from sassafrasgate.platform.adapters import open_worker
 from sassafrasgate.platform.store import Store
 from sassafrasgate.protocol.links import OutgoingReply
+from sassafrasgate.protocol.messages import JobView
 from sassafrasgate.protocol.messages import Refused
 from sassafrasgate.shards.actions import FetchOutput
 from sassafrasgate.shards.actions import GiveUpShard
@@ -90,6 +94,7 @@
 LOAD_RETRY_S = 0.3
 PEER_TIMEOUT_S = 2.0
 MAX_INBOX = 20_000
+JOB_COUNT_INTERVAL_MS = 5_000
 # Decisions whose reason starts with what became of the attempt.
 ENDED_ATTEMPTS = frozenset({'end', 'retry'})
 
@@ -175,6 +180,7 @@
         self._entries = 0
         self._snapshot_at = 0
         self._unwritten = 0
+        self._jobs_counted_at = 0
         self._given_up = ''
         self._group: TaskGroup | None = None
 
@@ -210,6 +216,7 @@
             await self._serve()
             if not self._given_up:
                 await self._hand_over(release)
+            await self._dismiss_callers()
             group.cancel_scope.cancel()
         return self._given_up
 
@@ -289,6 +296,27 @@
         while self._has_quick_callers() and not self._given_up:
             await self._step(await self._inbox.receive())
 
+    async def _dismiss_callers(self) -> None:
+        """Answer everybody who still waits, so that they can ask again.
+
+        Submissions and queries are idempotent by job id. A quick request
+        may still run where it was sent.
+        """
+        for quick in list(self.state.quick.values()):
+            view = JobView(
+                quick.job_id,
+                JobState.UNKNOWN,
+                'the shard has moved to another process',
+                quick.attempt,
+                (quick.host,),
+                self.shard,
+                self.state.epoch,
+            )
+            for token in quick.reply_to:
+                await self.send_reply(token, view)
+        for token in list(self._replies):
+            await self.send_reply(token, self._describe_stop())
+
     def _has_quick_callers(self) -> bool:
         return any(quick.reply_to for quick in self.state.quick.values())
 
@@ -352,6 +380,18 @@
             metrics.count(STARTS, 'unanswered')
         if isinstance(event, Ticked):
             metrics.set_gauge(QUEUE_LENGTH, len(self.state.queue), self.shard)
+            self._note_jobs()
+
+    def _note_jobs(self) -> None:
+        """Count jobs by state, which takes a pass over all of them."""
+        if now_ms() < self._jobs_counted_at + JOB_COUNT_INTERVAL_MS:
+            return
+        self._jobs_counted_at = now_ms()
+        counts = Counter(entry.state for entry in self.state.jobs.values())
+        for state in JobState:
+            self.services.metrics.set_gauge(
+                JOBS, counts[state], self.shard, state
+            )
 
     def _follow_hosts(self) -> None:
         """Run one host task per host of the state, no more."""
--- a/sassafrasgate/journal/records.py
+++ b/sassafrasgate/journal/records.py
@@ -120,6 +120,8 @@
         Failures of the job that this adds: 1 when the task itself failed.
     may_have_run : bool
         Whether the attempt started, or may have.
+    hosts : tuple of str
+        Host of each of ``tasks``.
     """
 
     job_id: str
@@ -129,6 +131,7 @@
     failed_hosts: tuple[str, ...] = ()
     counted: int = 0
     may_have_run: bool = False
+    hosts: tuple[str, ...] = ()
 
 
 @register_record('ended')
--- a/sassafrasgate/observability/metrics.py
+++ b/sassafrasgate/observability/metrics.py
@@ -101,7 +101,9 @@
 REFUSALS = define_metric(
     MetricKind.COUNTER, 'refusals_total', 'Refusals by reason.', 'reason'
 )
-JOBS = define_metric(MetricKind.GAUGE, 'jobs', 'Jobs by state.', 'state')
+JOBS = define_metric(
+    MetricKind.GAUGE, 'jobs', 'Jobs by state.', 'shard', 'state'
+)
 STARTS = define_metric(
     MetricKind.COUNTER, 'starts_total', 'Task starts by result.', 'result'
 )
--- a/sassafrasgate/placement/quotas.py
+++ b/sassafrasgate/placement/quotas.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from dataclasses import fields
 from types import MappingProxyType
 from typing import TYPE_CHECKING
@@ -35,25 +34,6 @@
         )
 
 
-@dataclass(frozen=True, slots=True)
-class DemandSummary:
-    """A team's demand in one shard.
-
-    Parameters
-    ----------
-    shard : str
-        Name of the shard.
-    reserved : Resources
-        What the team's tasks hold there.
-    waiting : Resources
-        What its queued jobs there need in all.
-    """
-
-    shard: str
-    reserved: Resources = NOTHING
-    waiting: Resources = NOTHING
-
-
 class QuotaLedger:
     """What each team has reserved in a shard, against its share.
 
@@ -166,99 +146,6 @@
         self._reserved[team] = left
 
 
-def divide_quota(
-    quota: Resources, summaries: Iterable[DemandSummary]
-) -> dict[str, Resources]:
-    """Divide a team's quota over shards by demand.
-
-    Each shard first gets what is reserved there, then a part of the rest
-    for what waits there, and what nobody needs is divided evenly. The
-    shares add up to the quota exactly, resource by resource. When more is
-    reserved than the quota, for example because it was lowered, the quota
-    is divided in proportion to what is reserved.
-
-    Returns
-    -------
-    dict of str to Resources
-        The share of each shard.
-    """
-    ordered = sorted(summaries, key=lambda summary: summary.shard)
-    columns: dict[str, list[int]] = {}
-    for name in _NAMES:
-        columns[name] = _divide_amount(
-            getattr(quota, name),
-            [getattr(summary.reserved, name) for summary in ordered],
-            [getattr(summary.waiting, name) for summary in ordered],
-        )
-    return {
-        summary.shard: Resources(
-            **{name: column[number] for name, column in columns.items()}
-        )
-        for number, summary in enumerate(ordered)
-    }
-
-
-def plan_share_change(
-    current: Mapping[str, Resources], target: Mapping[str, Resources]
-) -> tuple[dict[str, Resources], dict[str, Resources]]:
-    """Return two steps from one division to another.
-
-    The first step only lowers shares, the second one raises them. When no
-    shard takes the second step before every shard has confirmed the first,
-    the shares in force never add up to more than the quota.
-    """
-    first = {
-        shard: _find_smaller(current.get(shard, NOTHING), share)
-        for shard, share in target.items()
-    }
-    first.update({shard: NOTHING for shard in current if shard not in target})
-    return first, dict(target)
-
-
-def _divide_amount(
-    total: int, reserved: list[int], waiting: list[int]
-) -> list[int]:
-    if not reserved:
-        return []
-    held = sum(reserved)
-    if held >= total:
-        return _divide_in_proportion(total, reserved)
-    spare = total - held
-    wanted = sum(waiting)
-    if wanted >= spare:
-        extra = _divide_in_proportion(spare, waiting)
-    else:
-        even = [1] * len(waiting)
-        rest = _divide_in_proportion(spare - wanted, even)
-        extra = [a + b for a, b in zip(waiting, rest, strict=True)]
-    return [a + b for a, b in zip(reserved, extra, strict=True)]
-
-
-def _divide_in_proportion(total: int, weights: list[int]) -> list[int]:
-    """Divide by largest remainder; the parts add up to the total."""
-    whole = sum(weights)
-    if whole == 0:
-        weights = [1] * len(weights)
-        whole = len(weights)
-    parts = [total * weight // whole for weight in weights]
-    by_remainder = sorted(
-        range(len(weights)),
-        key=lambda number: (-(total * weights[number] % whole), number),
-    )
-    for number in by_remainder[: total - sum(parts)]:
-        parts[number] += 1
-    return parts
-
-
-def _find_smaller(one: Resources, other: Resources) -> Resources:
-    return Resources(
-        **{
-            name: min(getattr(one, name), getattr(other, name))
-            for name in _NAMES
-        }
-    )
-
-
 def _map_amounts(
     amounts: Resources, change: Callable[[int], int]
 ) -> Resources:
--- a/sassafrasgate/shards/endings.py
+++ b/sassafrasgate/shards/endings.py
@@ -285,9 +285,7 @@
     yield LogDecision(
         'retry', entry.job_id, entry.attempt, reason=f'{fate}: {reason}'
     )
-    for task in gone:
-        host = next(p.host for p in entry.placements if p.task == task)
-        yield ReleaseTask(host, task)
+    hosts_of = {p.task: p.host for p in entry.placements}
     yield from write_record(
         state,
         JobRequeued(
@@ -298,10 +296,20 @@
             failed_hosts,
             int(failed),
             fate in (AttemptFate.FAILED, AttemptFate.LAPSED),
+            tuple(hosts_of[task] for task in gone),
         ),
     )
 
 
+@DURABLE_HANDLERS.register('requeued')
+def confirm_requeued(
+    state: ShardState, record: JobRequeued, now: int
+) -> Actions:
+    """Let the workers forget tasks whose end is in the journal."""
+    for task, host in zip(record.tasks, record.hosts, strict=True):
+        yield ReleaseTask(host, task)
+
+
 def finish_cancel(state: ShardState, entry: JobEntry) -> Actions:
     """End a cancelled job once none of its tasks can run any more."""
     if any(True for _ in state.tasks_of(entry.job_id)):
--- a/sassafrasgate/shards/recovery.py
+++ b/sassafrasgate/shards/recovery.py
@@ -242,6 +242,7 @@
     """Drop jobs whose retention has ended."""
     for job_id in record.job_ids:
         state.jobs.pop(job_id, None)
+        state.health.forget_job(job_id)
         state.ended_order.pop(job_id, None)
         state.explanations.pop(job_id, None)
 
@@ -271,6 +272,7 @@
     for name in [name for name in state.hosts if name not in wanted]:
         if not state.index.tasks_on(name):
             state.index.remove_host(name)
+            state.health.forget_host(name)
             del state.hosts[name]
             continue
         state.index.set_open(name, False)
