--- a/sassafrasgate/journal/chain.py
+++ b/sassafrasgate/journal/chain.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import StrEnum
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -34,6 +35,9 @@
     from sassafrasgate.platform.store import Store
 
 RING_SLOTS = 512
+# Slots that only takeover records use, so that a ring full of entries that no
+# snapshot covers can still be taken over; each takeover needs one.
+TAKEOVER_SLOTS = 64
 CHUNK_BYTES = 512 * 1024
 READ_WINDOW = 16
 FIRST_RETRY_S = 0.05
@@ -80,6 +84,73 @@
     entry: JournalEntry | None
     revision: int
 
+    def classify(self, expected: int) -> SlotState:
+        found = None if self.entry is None else self.entry.sequence
+        return classify_slot(found, expected)
+
+
+class SlotState(StrEnum):
+    """What a slot of the ring holds, seen from an expected number."""
+
+    FREE = 'free'
+    PRESENT = 'present'
+    NEWER = 'newer'
+
+
+def classify_slot(found: int | None, expected: int) -> SlotState:
+    """Compare the entry of a slot with an expected entry.
+
+    Parameters
+    ----------
+    found : int or None
+        Number of the entry in the slot; None when the slot is empty.
+    expected : int
+        Number of an entry that belongs into the slot.
+
+    Returns
+    -------
+    SlotState
+        ``FREE`` when the slot is empty or holds an earlier entry.
+
+    Examples
+    --------
+    >>> classify_slot(7, 7 + RING_SLOTS)
+    <SlotState.FREE: 'free'>
+    """
+    if found is None or found < expected:
+        return SlotState.FREE
+    return SlotState.PRESENT if found == expected else SlotState.NEWER
+
+
+def is_slot_covered(sequence: int, snapshot_sequence: int, slots: int) -> bool:
+    """Tell whether writing an entry overwrites only what a snapshot covers.
+
+    Parameters
+    ----------
+    sequence, snapshot_sequence : int
+        Number of the entry, and the last one that the snapshot covers.
+    slots : int
+        Length of the ring.
+    """
+    return sequence - snapshot_sequence <= slots
+
+
+def is_successor_pointer(sequence: int, next_sequence: int) -> bool:
+    """Tell whether another owner's snapshot follows this owner's chain.
+
+    A successor's snapshots cover its takeover record, which has this owner's
+    next number or a later one. A pointer below that number was written by
+    this owner, whose reply was lost, or late by an earlier one.
+
+    Parameters
+    ----------
+    sequence : int
+        Last number that the found snapshot covers.
+    next_sequence : int
+        The number that this owner writes next.
+    """
+    return sequence >= next_sequence
+
 
 def make_entry_key(shard: str, sequence: int) -> str:
     """Return the key of the slot of one journal entry."""
@@ -121,10 +192,11 @@
         slots = await _read_slots(store, shard, sequence)
         for slot in slots:
             entry = slot.entry
-            if entry is not None and entry.sequence > sequence:
+            found = slot.classify(sequence)
+            if found is SlotState.NEWER:
                 # The owner has lapped this reader, and has a newer snapshot.
                 return await load_journal(store, shard)
-            if entry is None or entry.sequence < sequence:
+            if entry is None or found is SlotState.FREE:
                 return LoadedJournal(
                     tuple(records),
                     sequence,
@@ -197,8 +269,17 @@
 
     @property
     def has_room(self) -> bool:
-        """Whether the next entry's slot is covered by the snapshot."""
-        return self.next_sequence - self._snapshot_sequence <= RING_SLOTS
+        """Whether there is room for an entry besides takeover records."""
+        return is_slot_covered(
+            self.next_sequence,
+            self._snapshot_sequence,
+            RING_SLOTS - TAKEOVER_SLOTS,
+        )
+
+    @property
+    def uncovered_entries(self) -> int:
+        """Number of entries that the snapshot does not cover."""
+        return self.next_sequence - 1 - self._snapshot_sequence
 
     async def append(self, records: Iterable[Any]) -> None:
         """Append records as the next entry; retry until that is certain.
@@ -209,8 +290,17 @@
         Raises
         ------
         ShardLostError
-            When another process has written the entry's number.
+            When another process has written the entry's number, or when the
+            entry's slot holds an entry that no snapshot covers.
         """
+        if not is_slot_covered(
+            self.next_sequence, self._snapshot_sequence, RING_SLOTS
+        ):
+            raise ShardLostError(
+                f'the journal of shard {self._shard!r} has {RING_SLOTS} '
+                'entries after its snapshot; a further entry would '
+                'overwrite one of them'
+            )
         entry = JournalEntry(
             self._writer, self.epoch, self.next_sequence, tuple(records)
         )
@@ -227,8 +317,8 @@
         try:
             if number not in self._revisions:
                 await self._learn_revision(number)
-            self._revisions[number] = await self._write_slot(
-                key, value, self._revisions[number]
+            self._revisions[number] = await self._write_key(
+                key, value, self._revisions[number], CallPriority.HIGH
             )
             return True
         except StoreUnavailableError:
@@ -250,23 +340,19 @@
     async def _learn_revision(self, number: int) -> None:
         """Read a slot that was last written by an earlier owner."""
         slot = await _read_slot(self._store, self._shard, self.next_sequence)
-        if slot.entry is not None and (
-            slot.entry.sequence >= self.next_sequence
-        ):
+        if slot.classify(self.next_sequence) is not SlotState.FREE:
             raise ShardLostError(
                 f'entry {self.next_sequence!r} of shard {self._shard!r} was '
                 'written by another owner; this process stops serving it'
             )
         self._revisions[number] = slot.revision
 
-    async def _write_slot(self, key: str, value: bytes, revision: int) -> int:
+    async def _write_key(
+        self, key: str, value: bytes, revision: int, priority: CallPriority
+    ) -> int:
         if revision == 0:
-            return await self._store.create(
-                key, value, priority=CallPriority.HIGH
-            )
-        return await self._store.swap(
-            key, value, revision, priority=CallPriority.HIGH
-        )
+            return await self._store.create(key, value, priority=priority)
+        return await self._store.swap(key, value, revision, priority=priority)
 
     async def write_snapshot(self, sequence: int, data: bytes) -> None:
         """Write a snapshot that covers entries up to ``sequence``.
@@ -282,16 +368,22 @@
         for chunk in range(chunks):
             part = data[chunk * CHUNK_BYTES : (chunk + 1) * CHUNK_BYTES]
             await self._create_chunk(sequence, chunk, part)
-        old_sequence = self._snapshot_sequence
-        old_chunks = self._snapshot_chunks
-        await self._swap_pointer(sequence, chunks)
+        replaced = {self._snapshot_sequence: self._snapshot_chunks}
+        while not await self._swap_pointer(sequence, chunks):
+            pointer = await self._find_own_pointer()
+            self._snapshot_revision = pointer.revision
+            if (pointer.sequence, pointer.chunks) == (sequence, chunks):
+                break
+            replaced[pointer.sequence] = pointer.chunks
         self._snapshot_sequence = sequence
         self._snapshot_chunks = chunks
-        for chunk in range(old_chunks):
-            await self._store.delete(
-                make_chunk_key(self._shard, old_sequence, chunk),
-                priority=CallPriority.LOW,
-            )
+        replaced.pop(sequence, None)
+        for old_sequence, old_chunks in replaced.items():
+            for chunk in range(old_chunks):
+                await self._store.delete(
+                    make_chunk_key(self._shard, old_sequence, chunk),
+                    priority=CallPriority.LOW,
+                )
 
     async def _create_chunk(
         self, sequence: int, chunk: int, part: bytes
@@ -304,30 +396,27 @@
             # sequence, whose content only one owner could have written.
             return
 
-    async def _swap_pointer(self, sequence: int, chunks: int) -> None:
+    async def _swap_pointer(self, sequence: int, chunks: int) -> bool:
+        """Return False when the pointer has another revision."""
         key = make_snapshot_key(self._shard)
         value = encode((sequence, chunks))
         try:
-            if self._snapshot_revision == 0:
-                revision = await self._store.create(
-                    key, value, priority=CallPriority.LOW
-                )
-            else:
-                revision = await self._store.swap(
-                    key,
-                    value,
-                    self._snapshot_revision,
-                    priority=CallPriority.LOW,
-                )
+            self._snapshot_revision = await self._write_key(
+                key, value, self._snapshot_revision, CallPriority.LOW
+            )
         except StoreConflictError:
-            item = await self._store.get(key)
-            if item is None or item.value != value:
-                raise ShardLostError(
-                    f'snapshot key {key!r} was written by another owner; '
-                    'this process stops serving the shard'
-                ) from None
-            revision = item.revision
-        self._snapshot_revision = revision
+            return False
+        return True
+
+    async def _find_own_pointer(self) -> SnapshotPointer:
+        """Read a pointer that has moved, unless a successor has moved it."""
+        pointer = await _read_pointer(self._store, self._shard)
+        if is_successor_pointer(pointer.sequence, self.next_sequence):
+            raise ShardLostError(
+                f'the snapshot of shard {self._shard!r} was written by '
+                'another owner; this process stops serving the shard'
+            )
+        return pointer
 
 
 def encode_snapshot(records: Iterable[Any]) -> bytes:
--- /dev/null
+++ b/tests/journal/test_chain.py
@@ -0,0 +1,105 @@
+"""Guards the journal's ring against lost replies and lost entries."""
+
+import pytest
+
+from sassafrasgate.core.errors import ShardLostError
+from sassafrasgate.core.errors import StoreConflictError
+from sassafrasgate.core.errors import StoreUnavailableError
+from sassafrasgate.journal import chain
+from sassafrasgate.journal.chain import encode_snapshot
+from sassafrasgate.journal.chain import Journal
+from sassafrasgate.journal.chain import load_journal
+from sassafrasgate.journal.records import Takeover
+from sassafrasgate.platform.store import Item
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def anyio_backend():
+    return 'asyncio'
+
+
+class MemoryStore:
+    """Keys with revisions; loses the reply of one write on request."""
+
+    def __init__(self):
+        self.items = {}
+        self.revision = 0
+        self.lost_reply = ''
+
+    async def get(self, key, priority=0):
+        return self.items.get(key)
+
+    async def create(self, key, value, priority=0):
+        return await self.swap(key, value, 0, priority)
+
+    async def swap(self, key, value, revision, priority=0):
+        found = self.items[key].revision if key in self.items else 0
+        if found != revision:
+            raise StoreConflictError(key)
+        self.revision += 1
+        self.items[key] = Item(key, value, self.revision)
+        if self.lost_reply and key.startswith(self.lost_reply):
+            self.lost_reply = ''
+            raise StoreUnavailableError(key)
+        return self.revision
+
+    async def delete(self, key, priority=0):
+        self.items.pop(key, None)
+
+
+async def take_over(store, epoch):
+    loaded = await load_journal(store, 's1')
+    journal = Journal(store, 's1', f'owner-{epoch}', loaded)
+    journal.epoch = epoch
+    await journal.append((Takeover(epoch, f'owner-{epoch}'),))
+    return journal
+
+
+async def write_snapshot(journal):
+    data = encode_snapshot([Takeover(journal.epoch, 'snapshot')])
+    await journal.write_snapshot(journal.next_sequence - 1, data)
+
+
+@pytest.mark.parametrize('appended', [0, 1])
+async def test_a_lost_reply_of_the_pointer_does_not_end_ownership(appended):
+    # The next snapshot finds the pointer at a revision it does not know.
+    store = MemoryStore()
+    journal = await take_over(store, 1)
+    store.lost_reply = 'snapshot/'
+    with pytest.raises(StoreUnavailableError):
+        await write_snapshot(journal)
+    for _ in range(appended):
+        await journal.append(())
+    await write_snapshot(journal)
+    await journal.append(())
+    await write_snapshot(journal)
+    loaded = await load_journal(store, 's1')
+    assert loaded.snapshot_sequence == journal.next_sequence - 1
+    chunks = [key for key in store.items if key.startswith('snapshot-chunk')]
+    assert len(chunks) == 1
+
+
+async def test_a_late_pointer_of_a_successor_ends_ownership():
+    store = MemoryStore()
+    stale = await take_over(store, 1)
+    await write_snapshot(await take_over(store, 2))
+    with pytest.raises(ShardLostError, match='another owner'):
+        await write_snapshot(stale)
+
+
+async def test_a_takeover_never_overwrites_an_uncovered_entry(monkeypatch):
+    # Owners that end before their first snapshot fill the ring together.
+    monkeypatch.setattr(chain, 'RING_SLOTS', 8)
+    monkeypatch.setattr(chain, 'TAKEOVER_SLOTS', 2)
+    store = MemoryStore()
+    journal = await take_over(store, 1)
+    while journal.has_room:
+        await journal.append(())
+    assert journal.uncovered_entries == 6
+    for epoch in (2, 3):
+        assert not (await take_over(store, epoch)).has_room
+    with pytest.raises(ShardLostError, match='overwrite'):
+        await take_over(store, 4)
+    assert (await load_journal(store, 's1')).next_sequence == 9
