--- a/sassafrasgate/daemons/journals.py
+++ b/sassafrasgate/daemons/journals.py
@@ -16,6 +16,7 @@
 from sassafrasgate.core.errors import ShardLostError
 from sassafrasgate.core.errors import StoreUnavailableError
 from sassafrasgate.journal.chain import encode_snapshot
+from sassafrasgate.journal.records import AttemptRefused
 from sassafrasgate.observability.clocks import wall_ms
 from sassafrasgate.shards.events import RecordsDurable
 from sassafrasgate.shards.events import WithdrawalAnswered
@@ -28,6 +29,7 @@
 
 MAX_ENTRY_RECORDS = 2_000
 MAX_ENTRY_PAYLOAD_BYTES = 512 * 1024
+SNAPSHOT_RETRY_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,9 +48,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SnapshotEnded:
-    """Tells the shard task whether a snapshot is in place."""
-
-    written: bool
+    """Tells the shard task that the snapshot it asked for is in place."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,7 +90,8 @@
         Raises
         ------
         ShardLostError
-            When another process has taken the shard over.
+            When another process has taken the shard over, or should: the
+            ring is full and the next snapshot waits behind records.
         """
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._write_entries, tasks)
@@ -118,7 +119,7 @@
         if accepted:
             dropped = {id(message) for message in mine}
             self._waiting = deque(
-                message
+                _strip_job(message, job_id)
                 for message in self._waiting
                 if id(message) not in dropped
             )
@@ -138,6 +139,7 @@
                 continue
             if not self._journal.has_room:
                 # Overwriting a slot that no snapshot covers would lose it.
+                self._check_snapshot()
                 self._wakeup = anyio.Event()
                 await self._wakeup.wait()
                 continue
@@ -145,6 +147,14 @@
             await self._journal.append(records)
             await self._shard.send(RecordsDurable(records, wall_ms()))
 
+    def _check_snapshot(self) -> None:
+        """Give up when no snapshot can make room; a new owner starts one."""
+        if not self._snapshot_running:
+            raise ShardLostError(
+                'the journal has no room for the records before the next '
+                'snapshot; this process gives the shard up'
+            )
+
     def _take_batch(self) -> tuple[Any, ...]:
         """Remove and return records for one entry."""
         records: list[Any] = []
@@ -172,18 +182,34 @@
     async def _write_snapshot(
         self, sequence: int, records: tuple[Any, ...]
     ) -> None:
-        written = False
-        try:
-            await self._journal.write_snapshot(
-                sequence, encode_snapshot(records)
-            )
-            written = True
-        except StoreUnavailableError:
-            # The old snapshot stays valid, and the shard asks again.
-            written = False
+        data = encode_snapshot(records)
+        # The same content again: a try may have written some of its chunks.
+        while True:
+            try:
+                await self._journal.write_snapshot(sequence, data)
+                break
+            except StoreUnavailableError:
+                await anyio.sleep(SNAPSHOT_RETRY_S)
         self._snapshot_running = False
         self._wakeup.set()
-        await self._shard.send(SnapshotEnded(written))
+        await self._shard.send(SnapshotEnded())
+
+
+def _strip_job(message: Any, job_id: str) -> Any:
+    """Return a message without the job's records in a waiting snapshot.
+
+    The snapshot was made when the job was still to be accepted; a successor
+    that read it there would run a job that was answered as not run.
+    """
+    if not isinstance(message, WriteSnapshot):
+        return message
+    kept = (
+        record
+        for record in message.records
+        if getattr(record, 'job_id', '') != job_id
+        or isinstance(record, AttemptRefused)
+    )
+    return WriteSnapshot(tuple(kept))
 
 
 def measure_payload(record: Any) -> int:
--- a/sassafrasgate/daemons/shards.py
+++ b/sassafrasgate/daemons/shards.py
@@ -167,6 +167,8 @@
         self._journal_box, self._journal_inbox = _make_inbox(inf)
         self._entries = 0
         self._snapshot_at = 0
+        self._asked_at = 0
+        self._snapshot_asked = False
         self._unwritten = 0
         self._given_up = ''
         self._group: TaskGroup | None = None
@@ -233,8 +235,11 @@
         except ShardLostError as error:
             self._given_up = str(error)
             return None
+        # Entries of earlier owners fill the ring as well.
+        self._entries = journal.uncovered_entries
         replay_records(self.state, (takeover,))
         begin_ownership(self.state, now_ms())
+        self._request_snapshot()
         resume_transfers(self.state)
         self._log(
             LogDecision(
@@ -309,7 +314,7 @@
         if isinstance(event, RecordsDurable):
             self._note_durable(event)
         if isinstance(event, SnapshotEnded):
-            self._snapshot_at = 0 if not event.written else self._entries
+            self._note_snapshot()
             return None
         if isinstance(event, LeaseUpdated):
             self._lease = event.lease
@@ -324,11 +329,24 @@
     def _note_durable(self, event: RecordsDurable) -> None:
         self._unwritten -= len(event.records)
         self._entries += 1
-        if self._entries - self._snapshot_at >= SNAPSHOT_ENTRIES:
-            self._snapshot_at = self._entries
-            self._journal_box.send_nowait(
-                WriteSnapshot(tuple(list_records(self.state)))
-            )
+        self._request_snapshot()
+
+    def _request_snapshot(self) -> None:
+        """Ask for a snapshot when enough entries are uncovered by one."""
+        uncovered = self._entries - self._snapshot_at
+        if self._snapshot_asked or uncovered < SNAPSHOT_ENTRIES:
+            return
+        self._snapshot_asked = True
+        self._asked_at = self._entries
+        self._journal_box.send_nowait(
+            WriteSnapshot(tuple(list_records(self.state)))
+        )
+
+    def _note_snapshot(self) -> None:
+        # Entries written since it was asked for are not covered.
+        self._snapshot_asked = False
+        self._snapshot_at = self._asked_at
+        self._request_snapshot()
 
     def _is_drained(self) -> bool:
         return self.state.stopping and self._unwritten <= 0
--- /dev/null
+++ b/tests/daemons/test_journals.py
@@ -0,0 +1,116 @@
+"""Guards what the journal task writes, withdraws and retries."""
+
+from math import inf
+
+import anyio
+import pytest
+
+from sassafrasgate.core.errors import StoreUnavailableError
+from sassafrasgate.core.jobs import JobSpec
+from sassafrasgate.daemons import journals
+from sassafrasgate.daemons.journals import AppendRecord
+from sassafrasgate.daemons.journals import JournalTask
+from sassafrasgate.daemons.journals import run_journal
+from sassafrasgate.daemons.journals import SnapshotEnded
+from sassafrasgate.daemons.journals import WithdrawJob
+from sassafrasgate.daemons.journals import WriteSnapshot
+from sassafrasgate.journal.records import AttemptRefused
+from sassafrasgate.journal.records import decode_records
+from sassafrasgate.journal.records import JobAccepted
+from sassafrasgate.shards.events import WithdrawalAnswered
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def anyio_backend():
+    return 'asyncio'
+
+
+class RecordedJournal:
+    """A journal whose appends wait and whose snapshots fail on request."""
+
+    def __init__(self):
+        self.has_room = True
+        self.next_sequence = 2
+        self.appending = anyio.Event()
+        self.release = anyio.Event()
+        self.snapshots = []
+        self.failures = 0
+
+    async def append(self, records):
+        self.appending.set()
+        await self.release.wait()
+        self.next_sequence += 1
+
+    async def write_snapshot(self, sequence, data):
+        self.snapshots.append((sequence, data))
+        if self.failures:
+            self.failures -= 1
+            raise StoreUnavailableError('no answer')
+
+
+@pytest.fixture
+def parts():
+    box, inbox = anyio.create_memory_object_stream(inf)
+    events, shard = anyio.create_memory_object_stream(inf)
+    journal = RecordedJournal()
+    yield journal, JournalTask(journal, inbox, events), box, shard
+    for stream in (box, inbox, events, shard):
+        stream.close()
+
+
+def make_acceptance(job_id):
+    return JobAccepted(job_id, JobSpec(team='t', key=job_id))
+
+
+async def receive(shard, kind):
+    with anyio.fail_after(30):
+        while not isinstance(event := await shard.receive(), kind):
+            pass
+    return event
+
+
+async def test_a_withdrawn_job_is_not_in_a_waiting_snapshot(parts):
+    # A successor would run the job from the snapshot after "not run".
+    journal, task, box, shard = parts
+    kept, withdrawn = make_acceptance('kept'), make_acceptance('withdrawn')
+    refused = AttemptRefused('withdrawn', 's2', 1)
+    async with anyio.create_task_group() as group:
+        group.start_soon(task.run)
+        box.send_nowait(AppendRecord(kept))
+        await journal.appending.wait()
+        box.send_nowait(AppendRecord(withdrawn))
+        box.send_nowait(WriteSnapshot((kept, withdrawn, refused)))
+        box.send_nowait(WithdrawJob('withdrawn'))
+        assert (await receive(shard, WithdrawalAnswered)).withdrawn
+        journal.release.set()
+        await receive(shard, SnapshotEnded)
+        group.cancel_scope.cancel()
+    ((_, data),) = journal.snapshots
+    assert decode_records(data) == (kept, refused)
+
+
+async def test_a_failed_snapshot_is_written_again_as_it_was(
+    parts, monkeypatch
+):
+    # Chunks of the first try stay; other content would mix with them.
+    monkeypatch.setattr(journals, 'SNAPSHOT_RETRY_S', 0)
+    journal, task, box, shard = parts
+    journal.failures = 2
+    async with anyio.create_task_group() as group:
+        group.start_soon(task.run)
+        box.send_nowait(WriteSnapshot((make_acceptance('a'),)))
+        await receive(shard, SnapshotEnded)
+        group.cancel_scope.cancel()
+    assert len(journal.snapshots) == 3
+    assert len(set(journal.snapshots)) == 1
+
+
+async def test_a_full_ring_without_a_snapshot_ends_the_ownership(parts):
+    # The snapshot that would make room waits behind the record forever.
+    journal, task, box, _ = parts
+    journal.has_room = False
+    box.send_nowait(AppendRecord(make_acceptance('a')))
+    with anyio.fail_after(30):
+        assert 'no room' in await run_journal(task)
