--- a/models/run.py
+++ b/models/run.py
@@ -20,6 +20,7 @@
 
 MODULES = (
     'ownership',
+    'trimming',
     'fences',
     'attempts',
     'takeovers',
--- a/models/trimming.py
+++ b/models/trimming.py
@@ -1,8 +1,8 @@
-"""Owning a shard: the chain of journal keys and its snapshot.
+"""The rejected form of the journal: keys created once, then trimmed.
 
-There is no clock: a process may claim the shard whenever it likes, which
-covers every lapse of a lease and every pause of an owner. `fences` has the
-store lease and a worker.
+The code keeps a ring instead, which `ownership` models. This model shows
+which rules trimming needs besides: without them a stale owner creates a key
+that trimming has deleted and acknowledges a lost record.
 """
 
 from __future__ import annotations
@@ -80,8 +80,6 @@
         The snapshot: entries below ``base`` are in it, with these records.
     processes : tuple of Process
         The first one owns the shard at the start.
-    late : frozenset of (int, Entry)
-        Writes that may still take effect though nobody waits for them.
     wins : frozenset of (int, int)
         Sequence number and writer of each append believed to be done.
     acked, denied : frozenset of int
@@ -95,7 +93,6 @@
     kept: frozenset[int]
     base_epoch: int
     processes: tuple[Process, ...]
-    late: frozenset[tuple[int, Entry]]
     wins: frozenset[tuple[int, int]]
     acked: frozenset[int]
     denied: frozenset[int]
@@ -147,17 +144,10 @@
     ----------
     guards : frozenset of str
         Active guards.
-    snapshots, delays : bool
-        Whether owners take snapshots, and whether a write may take effect
-        after its writer gave up waiting.
     """
 
-    def __init__(
-        self, guards: frozenset[str], snapshots: bool, delays: bool
-    ) -> None:
+    def __init__(self, guards: frozenset[str]) -> None:
         self.guards = guards
-        self.snapshots = snapshots
-        self.delays = delays
         self.create_only = CREATE_ONLY in guards
 
     def list_steps(self, state: Journal) -> Iterator[Step]:
@@ -174,10 +164,6 @@
                     f'process {number}: {label}',
                     store._replace(processes=processes),
                 )
-        for at, entry in state.late:
-            rest = state._replace(late=state.late - {(at, entry)})
-            after, _ = _put_key(rest, at, entry, self.create_only)
-            yield f'late write of process {entry.writer} at {at}', after
 
     def _leave_idle(
         self, state: Journal, number: int, process: Process
@@ -221,10 +207,6 @@
         yield f'write: {phase}', after, process._replace(phase=phase)
         unsure = process._replace(phase='unsure')
         yield 'write done, reply lost', after, unsure
-        if not self.delays:
-            return
-        late = state.late | {(process.at, entry)}
-        yield 'no reply yet', state._replace(late=late), unsure
 
     def _leave_ok(
         self, state: Journal, number: int, process: Process
@@ -306,7 +288,7 @@
         if state.used < RECORDS:
             after = process._replace(phase='wait', pending=state.used)
             yield 'appends', state._replace(used=state.used + 1), after
-        if self.snapshots and process.at > process.seen + 1:
+        if process.at > process.seen + 1:
             yield 'takes a snapshot', state, process._replace(phase='snap')
 
     def _leave_snap(
@@ -388,7 +370,6 @@
         kept=NOTHING,
         base_epoch=0,
         processes=(owner, idle, idle),
-        late=frozenset(),
         wins=frozenset({(0, 0)}),
         acked=NOTHING,
         denied=NOTHING,
@@ -421,34 +402,11 @@
 
 
 @register_specification(
-    'ownership.append',
-    (
-        CREATE_ONLY,
-        READ_BACK_REWRITE,
-        READ_BACK_ANSWER,
-        SAME_CONTENT,
-        SLOT_TAKEN,
-        TAKEOVER_FIRST,
-    ),
-)
-def build_append(guards: frozenset[str]) -> Machine:
-    """Build a journal with delayed writes and without snapshots."""
-    always = {SLOT_KEPT, KEEP_TAKEOVERS, VERIFY_TAKEOVER, SNAPSHOT_SWAP}
-    return _build(
-        _JournalSteps(guards | always, snapshots=False, delays=True),
-        {
-            'a successor acknowledges': _has_successor_record,
-            'a record is answered as not run': lambda s: bool(s.denied),
-        },
-    )
-
-
-@register_specification(
-    'ownership.snapshot',
+    'ownership.trimming',
     (SLOT_KEPT, KEEP_TAKEOVERS, VERIFY_TAKEOVER, SNAPSHOT_SWAP),
 )
-def build_snapshot(guards: frozenset[str]) -> Machine:
-    """Build a journal with snapshots and lost, but not delayed, replies."""
+def build_trimming(guards: frozenset[str]) -> Machine:
+    """Build a trimmed journal with lost, but not delayed, replies."""
     always = {
         CREATE_ONLY,
         READ_BACK_REWRITE,
@@ -458,7 +416,7 @@
         TAKEOVER_FIRST,
     }
     return _build(
-        _JournalSteps(guards | always, snapshots=True, delays=False),
+        _JournalSteps(guards | always),
         {
             'a successor acknowledges': _has_successor_record,
             'the chain is trimmed': lambda s: s.base > 0 and s.keys[1] is None,
