--- a/models/ownership.py
+++ b/models/ownership.py
@@ -1,8 +1,8 @@
-"""Owning a shard: the chain of journal keys and its snapshot.
+"""Owning a shard: the chain of entries in a ring of slots.
 
 There is no clock: a process may claim the shard whenever it likes, which
 covers every lapse of a lease and every pause of an owner. `fences` has the
-store lease and a worker.
+store lease and a worker. The rules of slots are those of the code.
 """
 
 from __future__ import annotations
@@ -13,33 +13,87 @@
 
 from models.specifications import Machine
 from models.specifications import register_specification
+from sassafrasgate.journal.chain import classify_slot
+from sassafrasgate.journal.chain import is_slot_covered
+from sassafrasgate.journal.chain import is_successor_pointer
+from sassafrasgate.journal.chain import SlotState
 
 if TYPE_CHECKING:
     from models.specifications import Predicate
     from models.specifications import Step
 
 TAKEOVER = -1
-LENGTH = 5
-RECORDS = 2
+UNKNOWN = -1
 
-CREATE_ONLY = 'create-only append'
+SLOT_SWAP = 'compare-and-swap of the slot'
 READ_BACK_REWRITE = 'read-back before a rewrite'
-READ_BACK_ANSWER = 'read-back before an answer'
+READ_BACK_GIVE_UP = 'read-back before giving up'
 SAME_CONTENT = 'rewrite with the same content'
-SLOT_TAKEN = 'not run only when the slot is taken'
-SLOT_KEPT = 'not run only above the snapshot'
+COVERED = 'no overwrite of an uncovered slot'
+TAKEOVER_COVERED = 'no takeover over an uncovered slot'
+START_OVER = 'reader of a newer entry starts over'
+POINTER_SWAP = 'compare-and-swap of the snapshot pointer'
+POINTER_READ = 'moved pointer compared with the number'
 TAKEOVER_FIRST = 'takeover record before serving'
-KEEP_TAKEOVERS = 'trimming keeps takeover records'
-VERIFY_TAKEOVER = 'takeover compared with the snapshot'
-SNAPSHOT_SWAP = 'compare-and-swap of the snapshot'
+SLOT_READ = 'unknown slot read before it is written'
+SLOT_COMPARED = 'unknown slot compared with the number'
+UNSENT = 'not run only while unsent'
+APPEND_GUARDS = (
+    SLOT_SWAP,
+    READ_BACK_REWRITE,
+    READ_BACK_GIVE_UP,
+    SAME_CONTENT,
+    UNSENT,
+    TAKEOVER_FIRST,
+    SLOT_READ,
+    SLOT_COMPARED,
+)
+RING_GUARDS = (
+    SLOT_SWAP,
+    READ_BACK_REWRITE,
+    READ_BACK_GIVE_UP,
+    SAME_CONTENT,
+    COVERED,
+    TAKEOVER_COVERED,
+    START_OVER,
+    POINTER_SWAP,
+    POINTER_READ,
+    TAKEOVER_FIRST,
+    SLOT_READ,
+    SLOT_COMPARED,
+)
 
 
 class Entry(NamedTuple):
-    """One journal key: a takeover, or a record by its number."""
+    """A journal entry: a takeover, or one record by its number."""
 
     writer: int
+    epoch: int
+    sequence: int
     content: int
+
+
+class Slot(NamedTuple):
+    """A key of the ring; revision 0 is an empty one."""
+
+    entry: Entry | None = None
+    revision: int = 0
+
+
+class Write(NamedTuple):
+    """A write of a slot at a revision that may still take effect."""
+
+    entry: Entry
+    revision: int
+
+
+class Pointer(NamedTuple):
+    """The snapshot pointer with the content of its chunks."""
+
+    sequence: int
+    records: frozenset[int]
     epoch: int
+    revision: int
 
 
 class Process(NamedTuple):
@@ -48,39 +102,43 @@
     Parameters
     ----------
     phase : str
-        ``idle``, ``read`` (has the snapshot), ``claim`` (has the chain),
-        ``wait`` (a write is under way), ``unsure`` (its reply is missing),
-        ``ok``, ``exists``, ``serve``, ``snap``, ``trim``, ``stopped``.
-    epoch, at : int
+        ``idle``, ``read`` (reads slot after slot), ``send`` (an append is
+        to be sent), ``unsure`` (its reply is missing), ``conflict``,
+        ``serve``, ``snap`` (its chunks are written), ``stopped``.
+    epoch, next : int
         Its epoch and the next sequence number.
     view : frozenset of int
         Records that it knows of.
     pending : int
         What it is appending: a record's number or `TAKEOVER`.
-    seen : int
-        Sequence number of the snapshot that it last saw.
+    revisions : tuple of int
+        Revision of each slot as it knows it, or `UNKNOWN`.
+    covered, pointer : int
+        Sequence number and revision of the snapshot as it knows it.
     """
 
     phase: str
     epoch: int
-    at: int
+    next: int
     view: frozenset[int]
-    pending: int = TAKEOVER
-    seen: int = 0
+    pending: int
+    revisions: tuple[int, ...]
+    covered: int
+    pointer: int
 
 
-class Journal(NamedTuple):
+class Ring(NamedTuple):
     """The store and the processes.
 
     Parameters
     ----------
-    keys : tuple of Entry or None
-        The chain; None where no key exists.
-    base, kept, base_epoch
-        The snapshot: entries below ``base`` are in it, with these records.
+    slots : tuple of Slot
+        The ring.
+    pointer : Pointer
+        The snapshot.
     processes : tuple of Process
         The first one owns the shard at the start.
-    late : frozenset of (int, Entry)
+    late : frozenset of Write
         Writes that may still take effect though nobody waits for them.
     wins : frozenset of (int, int)
         Sequence number and writer of each append believed to be done.
@@ -88,79 +146,86 @@
         Records acknowledged to callers, and those answered as not run.
     used : int
         Number of records submitted.
+    deceived : bool
+        Whether a process has given the shard up without a successor.
     """
 
-    keys: tuple[Entry | None, ...]
-    base: int
-    kept: frozenset[int]
-    base_epoch: int
+    slots: tuple[Slot, ...]
+    pointer: Pointer
     processes: tuple[Process, ...]
-    late: frozenset[tuple[int, Entry]]
+    late: frozenset[Write]
     wins: frozenset[tuple[int, int]]
     acked: frozenset[int]
     denied: frozenset[int]
     used: int
+    deceived: bool
 
 
-Moves = Iterator[tuple[str, Journal, Process]]
+Moves = Iterator[tuple[str, Ring, Process]]
 NOTHING: frozenset[int] = frozenset()
-SERVING = ('serve', 'snap', 'trim')
 
 
 def _is_serving(process: Process) -> bool:
-    if process.phase in SERVING:
+    if process.phase in ('serve', 'snap'):
         return True
     return process.pending != TAKEOVER and process.phase != 'stopped'
 
 
-def _read_chain(state: Journal, base: int) -> list[Entry]:
-    """Return the entries without a gap from ``base`` on."""
-    entries: list[Entry] = []
-    for entry in state.keys[base:]:
-        if entry is None:
-            break
-        entries.append(entry)
-    return entries
+def _classify(slot: Slot, expected: int) -> SlotState:
+    found = None if slot.entry is None else slot.entry.sequence
+    return classify_slot(found, expected)
 
 
-def _list_durable(state: Journal) -> list[int]:
+def _read_chain(state: Ring) -> list[Entry]:
+    """Return the entries after the snapshot that a reader finds."""
+    entries: list[Entry] = []
+    sequence = state.pointer.sequence + 1
+    while True:
+        slot = state.slots[sequence % len(state.slots)]
+        if slot.entry is None or (
+            _classify(slot, sequence) is not SlotState.PRESENT
+        ):
+            return entries
+        entries.append(slot.entry)
+        sequence += 1
+
+
+def _list_durable(state: Ring) -> list[int]:
     """Return the records that a reader of the store finds."""
-    chain = _read_chain(state, state.base)
-    records = [entry.content for entry in chain if entry.content != TAKEOVER]
-    return [*state.kept, *records]
+    records = [entry.content for entry in _read_chain(state)]
+    return [*state.pointer.records, *(r for r in records if r != TAKEOVER)]
 
 
-def _put_key(
-    state: Journal, at: int, entry: Entry, create_only: bool
-) -> tuple[Journal, bool]:
-    """Return the store after a write and whether it took effect."""
-    if state.keys[at] is not None and create_only:
-        return state, False
-    keys = (*state.keys[:at], entry, *state.keys[at + 1 :])
-    return state._replace(keys=keys), True
-
-
-class _JournalSteps:
-    """The steps of one process, with some guards active.
+class _RingSteps:
+    """The steps of the processes, with some guards active.
 
     Parameters
     ----------
     guards : frozenset of str
         Active guards.
-    snapshots, delays : bool
-        Whether owners take snapshots, and whether a write may take effect
-        after its writer gave up waiting.
+    length, records : int
+        Highest sequence number, and how many records are submitted.
+    delays : int
+        How many writes may be under way after their writers gave up waiting.
+    snapshots : bool
+        Whether owners take snapshots; else they withdraw unsent records.
     """
 
     def __init__(
-        self, guards: frozenset[str], snapshots: bool, delays: bool
+        self,
+        guards: frozenset[str],
+        length: int,
+        records: int,
+        delays: int,
+        snapshots: bool,
     ) -> None:
         self.guards = guards
-        self.snapshots = snapshots
+        self.length = length
+        self.records = records
         self.delays = delays
-        self.create_only = CREATE_ONLY in guards
+        self.snapshots = snapshots
 
-    def list_steps(self, state: Journal) -> Iterator[Step]:
+    def list_steps(self, state: Ring) -> Iterator[Step]:
         """Return the successors of a state."""
         for number, process in enumerate(state.processes):
             step = getattr(self, f'_leave_{process.phase}')
@@ -174,198 +239,207 @@
                     f'process {number}: {label}',
                     store._replace(processes=processes),
                 )
-        for at, entry in state.late:
-            rest = state._replace(late=state.late - {(at, entry)})
-            after, _ = _put_key(rest, at, entry, self.create_only)
-            yield f'late write of process {entry.writer} at {at}', after
-
-    def _leave_idle(
-        self, state: Journal, number: int, process: Process
-    ) -> Moves:
+        for write in state.late:
+            rest = state._replace(late=state.late - {write})
+            after, _ = self._write_slot(rest, write)
+            yield f'late write {write.entry}', after
+
+    def _write_slot(self, state: Ring, write: Write) -> tuple[Ring, bool]:
+        """Return the store after a write and whether it took effect."""
+        number = write.entry.sequence % len(state.slots)
+        revision = state.slots[number].revision
+        blind = SLOT_SWAP not in self.guards or write.revision == UNKNOWN
+        if revision != write.revision and not blind:
+            return state, False
+        slots = list(state.slots)
+        slots[number] = Slot(write.entry, revision + 1)
+        return state._replace(slots=tuple(slots)), True
+
+    def _leave_idle(self, state: Ring, number: int, process: Process) -> Moves:
         # The idle processes are alike, so one order of claims is enough.
-        if state.processes[number - 1].phase == 'idle':
+        if number and state.processes[number - 1].phase == 'idle':
             return
-        after = Process(
-            'read', state.base_epoch, state.base, state.kept, seen=state.base
+        pointer = state.pointer
+        after = process._replace(
+            phase='read',
+            epoch=pointer.epoch,
+            next=pointer.sequence + 1,
+            view=pointer.records,
+            covered=pointer.sequence,
+            pointer=pointer.revision,
         )
         yield 'reads the snapshot', state, after
 
-    def _leave_read(
-        self, state: Journal, number: int, process: Process
-    ) -> Moves:
-        chain = _read_chain(state, process.at)
-        at = process.at + len(chain)
-        if at >= LENGTH:
+    def _leave_read(self, state: Ring, number: int, process: Process) -> Moves:
+        slot = state.slots[process.next % len(state.slots)]
+        found = _classify(slot, process.next)
+        if found is SlotState.PRESENT and slot.entry is not None:
+            after = process._replace(
+                epoch=max(process.epoch, slot.entry.epoch),
+                next=process.next + 1,
+                view=process.view | ({slot.entry.content} - {TAKEOVER}),
+            )
+            yield 'reads an entry', state, after
             return
-        records = {e.content for e in chain if e.content != TAKEOVER}
-        epoch = max([process.epoch, *(entry.epoch for entry in chain)])
-        after = process._replace(
-            phase='claim' if TAKEOVER_FIRST in self.guards else 'serve',
-            at=at,
-            epoch=epoch + 1,
-            view=process.view | records,
-        )
-        yield 'reads the chain', state, after
-
-    def _leave_claim(
-        self, state: Journal, number: int, process: Process
-    ) -> Moves:
-        yield 'sends a takeover', state, process._replace(phase='wait')
-
-    def _leave_wait(
-        self, state: Journal, number: int, process: Process
-    ) -> Moves:
-        entry = Entry(number, process.pending, process.epoch)
-        after, done = _put_key(state, process.at, entry, self.create_only)
-        phase = 'ok' if done else 'exists'
-        yield f'write: {phase}', after, process._replace(phase=phase)
-        unsure = process._replace(phase='unsure')
-        yield 'write done, reply lost', after, unsure
-        if not self.delays:
+        if found is SlotState.NEWER and START_OVER in self.guards:
+            yield 'starts over', state, self._make_idle(state)
             return
-        late = state.late | {(process.at, entry)}
-        yield 'no reply yet', state._replace(late=late), unsure
-
-    def _leave_ok(
-        self, state: Journal, number: int, process: Process
-    ) -> Moves:
-        wins = state.wins | {(process.at, number)}
-        if process.pending == TAKEOVER:
-            if VERIFY_TAKEOVER in self.guards and state.base != process.seen:
-                yield self._recover(state, process)
-                return
-            after = process._replace(phase='serve', at=process.at + 1)
-            yield 'serves', state._replace(wins=wins), after
+        if not self._fits(process, 0, TAKEOVER_COVERED):
             return
-        store = state._replace(
-            wins=wins, acked=state.acked | {process.pending}
-        )
-        yield 'acknowledges', store, self._finish(process, process.at + 1)
-
-    def _recover(
-        self, state: Journal, process: Process
-    ) -> tuple[str, Journal, Process]:
-        """Leave a takeover below the snapshot, else read all again."""
-        if state.base > process.at:
-            return 'takeover too late', state, self._stop(process)
-        chain = state.keys[state.base : process.at]
-        after = process._replace(
-            view=state.kept | {e.content for e in chain if e} - {TAKEOVER},
-            seen=state.base,
+        after = self._learn(process, slot.revision)._replace(
+            phase='send' if TAKEOVER_FIRST in self.guards else 'serve',
+            epoch=process.epoch + 1,
         )
-        return 'reads the moved snapshot', state, after
-
-    def _leave_exists(
-        self, state: Journal, number: int, process: Process
-    ) -> Moves:
-        yield from self._compare(state, number, process)
+        yield 'reads the end of the chain', state, after
+
+    def _leave_send(self, state: Ring, number: int, process: Process) -> Moves:
+        place = process.next % len(state.slots)
+        if process.revisions[place] == UNKNOWN and SLOT_READ in self.guards:
+            slot = state.slots[place]
+            found = _classify(slot, process.next)
+            if found is SlotState.FREE or SLOT_COMPARED not in self.guards:
+                learned = self._learn(process, slot.revision)
+                yield 'reads the slot', state, learned
+                return
+            yield self._give_up(state, number, process, 'slot is taken')
+            return
+        entry = Entry(number, process.epoch, process.next, process.pending)
+        write = Write(entry, process.revisions[place])
+        store, done = self._write_slot(state, write)
+        if done:
+            yield self._finish(store, number, process)
+        else:
+            yield 'conflict', state, process._replace(phase='conflict')
+        unsure = process._replace(phase='unsure')
+        if done:
+            yield 'write done, reply lost', store, unsure
+        if len(state.late) < self.delays:
+            late = state.late | {write}
+            yield 'no reply yet', state._replace(late=late), unsure
 
     def _leave_unsure(
-        self, state: Journal, number: int, process: Process
+        self, state: Ring, number: int, process: Process
     ) -> Moves:
+        again = process._replace(phase='send')
+        yield 'writes again', state, again
         if process.pending == TAKEOVER:
-            yield from self._compare(state, number, process)
             return
-        if READ_BACK_REWRITE not in self.guards and process.at + 1 < LENGTH:
-            after = process._replace(phase='wait', at=process.at + 1)
+        if UNSENT not in self.guards:
+            denied = state.denied | {process.pending}
+            yield 'withdraws', state._replace(denied=denied), process
+        if READ_BACK_REWRITE not in self.guards and self._fits(again, 1):
+            after = again._replace(next=process.next + 1)
             yield 'writes again at the next number', state, after
-        if READ_BACK_ANSWER not in self.guards:
-            yield self._deny(state, process)
-        yield from self._compare(state, number, process)
-
-    def _compare(self, state: Journal, number: int, process: Process) -> Moves:
-        """Read the key back after a conflict or a missing reply."""
-        entry = state.keys[process.at]
-        if entry is None:
-            again = process._replace(phase='wait')
-            yield 'reads back nothing, writes again', state, again
-            grows = process.pending != TAKEOVER and state.used < RECORDS
-            if SAME_CONTENT not in self.guards and grows:
-                other = again._replace(pending=state.used)
-                used = state._replace(used=state.used + 1)
-                yield 'reads back nothing, writes another', used, other
-            if SLOT_TAKEN not in self.guards and process.pending != TAKEOVER:
-                yield self._deny(state, process)
-            return
-        # Writer, epoch and sequence number identify an entry.
-        if (entry.writer, entry.epoch) == (number, process.epoch):
-            yield 'reads back its own', state, process._replace(phase='ok')
-            return
-        certain = SLOT_KEPT not in self.guards or process.at >= state.base
-        if process.pending != TAKEOVER and certain:
-            label, store, _ = self._deny(state, process)
-            yield label, store, self._stop(process)
-            return
-        yield 'lost the shard', state, self._stop(process)
+        if SAME_CONTENT not in self.guards and state.used < self.records:
+            used = state._replace(used=state.used + 1)
+            other = again._replace(pending=state.used)
+            yield 'writes another record', used, other
 
-    def _leave_serve(
-        self, state: Journal, number: int, process: Process
+    def _leave_conflict(
+        self, state: Ring, number: int, process: Process
     ) -> Moves:
-        if process.at >= LENGTH:
+        slot = state.slots[process.next % len(state.slots)]
+        entry = Entry(number, process.epoch, process.next, process.pending)
+        if READ_BACK_GIVE_UP in self.guards and slot.entry == entry:
+            yield self._finish(state, number, process)
             return
-        if state.used < RECORDS:
-            after = process._replace(phase='wait', pending=state.used)
-            yield 'appends', state._replace(used=state.used + 1), after
-        if self.snapshots and process.at > process.seen + 1:
-            yield 'takes a snapshot', state, process._replace(phase='snap')
+        yield self._give_up(state, number, process, 'lost the number')
 
-    def _leave_snap(
-        self, state: Journal, number: int, process: Process
+    def _leave_serve(
+        self, state: Ring, number: int, process: Process
     ) -> Moves:
-        if SNAPSHOT_SWAP in self.guards and state.base != process.seen:
-            if state.base > process.at:
-                yield 'lost the shard', state, self._stop(process)
+        if state.used < self.records and self._fits(process, 0):
+            after = process._replace(phase='send', pending=state.used)
+            yield 'appends', state._replace(used=state.used + 1), after
+        if state.used < self.records and not self.snapshots:
+            denied = state.denied | {state.used}
+            used = state._replace(used=state.used + 1, denied=denied)
+            yield 'withdraws an unsent record', used, process
+        if self.snapshots and process.next - 1 > process.covered:
+            yield 'writes chunks', state, process._replace(phase='snap')
+
+    def _leave_snap(self, state: Ring, number: int, process: Process) -> Moves:
+        old = state.pointer
+        if POINTER_SWAP in self.guards and old.revision != process.pointer:
+            own = not is_successor_pointer(old.sequence, process.next)
+            if own and POINTER_READ in self.guards:
+                known = process._replace(pointer=old.revision)
+                if old.sequence == process.next - 1:
+                    known = known._replace(phase='serve', covered=old.sequence)
+                yield 'reads the moved pointer', state, known
                 return
-            after = process._replace(phase='serve', seen=state.base)
-            yield 'snapshot has moved', state, after
+            yield self._give_up(state, number, process, 'lost the pointer')
             return
-        store = state._replace(
-            base=process.at, kept=process.view, base_epoch=process.epoch
+        new = Pointer(
+            process.next - 1, process.view, process.epoch, old.revision + 1
         )
-        after = process._replace(phase='trim', seen=process.at)
-        yield 'writes the snapshot', store, after
-
-    def _leave_trim(
-        self, state: Journal, number: int, process: Process
-    ) -> Moves:
-        keep = KEEP_TAKEOVERS in self.guards
-        keys = tuple(
-            entry
-            if at >= process.seen
-            or (keep and entry is not None and entry.content == TAKEOVER)
-            else None
-            for at, entry in enumerate(state.keys)
+        store = state._replace(pointer=new)
+        after = process._replace(
+            phase='serve', covered=new.sequence, pointer=new.revision
         )
-        after = process._replace(phase='serve')
-        yield 'trims', state._replace(keys=keys), after
+        yield 'swaps the pointer', store, after
+        unsure = process._replace(phase='serve')
+        yield 'pointer swapped, reply lost', store, unsure
 
     def _leave_stopped(
-        self, state: Journal, number: int, process: Process
+        self, state: Ring, number: int, process: Process
     ) -> Moves:
         yield from ()
 
-    def _deny(
-        self, state: Journal, process: Process
-    ) -> tuple[str, Journal, Process]:
-        store = state._replace(denied=state.denied | {process.pending})
-        after = process._replace(phase='serve', pending=TAKEOVER)
-        return 'answers not run', store, after
-
-    def _finish(self, process: Process, at: int) -> Process:
-        return process._replace(
-            phase='serve',
-            at=at,
-            view=process.view | {process.pending},
-            pending=TAKEOVER,
+    def _fits(
+        self, process: Process, ahead: int, guard: str = COVERED
+    ) -> bool:
+        """Tell whether the owner may write the next number, or one on."""
+        sequence = process.next + ahead
+        if sequence > self.length:
+            return False
+        slots = len(process.revisions)
+        return guard not in self.guards or (
+            is_slot_covered(sequence, process.covered, slots)
+        )
+
+    def _finish(
+        self, state: Ring, number: int, process: Process
+    ) -> tuple[str, Ring, Process]:
+        """Believe the append; the slot's revision becomes known."""
+        slot = state.slots[process.next % len(state.slots)]
+        store = state._replace(wins=state.wins | {(process.next, number)})
+        after = self._learn(process, slot.revision)._replace(
+            phase='serve', next=process.next + 1, pending=TAKEOVER
         )
+        if process.pending == TAKEOVER:
+            return 'serves', store, after
+        record = {process.pending}
+        store = store._replace(acked=state.acked | record)
+        return 'acknowledges', store, after._replace(view=after.view | record)
+
+    def _learn(self, process: Process, revision: int) -> Process:
+        revisions = list(process.revisions)
+        revisions[process.next % len(revisions)] = revision
+        return process._replace(revisions=tuple(revisions))
+
+    def _give_up(
+        self, state: Ring, number: int, process: Process, label: str
+    ) -> tuple[str, Ring, Process]:
+        """Stop; without an entry of another process that is a mistake."""
+        lost = any(
+            slot.entry is not None
+            and slot.entry.writer != number
+            and slot.entry.sequence >= process.next
+            for slot in state.slots
+        )
+        store = state._replace(deceived=state.deceived or not lost)
+        return label, store, self._make_idle(state)._replace(phase='stopped')
 
-    def _stop(self, process: Process) -> Process:
-        return Process('stopped', 0, 0, NOTHING)
+    def _make_idle(self, state: Ring) -> Process:
+        unknown = (UNKNOWN,) * len(state.slots)
+        return Process('idle', 0, 0, NOTHING, TAKEOVER, unknown, 0, 0)
 
 
-def _owner_knows_all(state: Journal) -> bool:
+def _owner_knows_all(state: Ring) -> bool:
     """Tell whether the owner of the last epoch has every answered record."""
-    last = max([state.base_epoch, *(e.epoch for e in state.keys if e)])
+    epochs = [slot.entry.epoch for slot in state.slots if slot.entry]
+    last = max([state.pointer.epoch, *epochs])
     return all(
         state.acked <= process.view
         for process in state.processes
@@ -373,95 +447,104 @@
     )
 
 
-def _is_epoch_unique(state: Journal) -> bool:
+def _is_epoch_unique(state: Ring) -> bool:
     epochs = [p.epoch for p in state.processes if _is_serving(p)]
     return len(epochs) == len(set(epochs))
 
 
-def _build(steps: _JournalSteps, witnesses: dict[str, Predicate]) -> Machine:
-    """Return a journal of one shard with an owner and two claimants."""
-    owner = Process('serve', 1, 1, NOTHING)
-    idle = Process('idle', 0, 0, NOTHING)
-    initial = Journal(
-        keys=(Entry(0, TAKEOVER, 1), *(None,) * (LENGTH - 1)),
-        base=0,
-        kept=NOTHING,
-        base_epoch=0,
-        processes=(owner, idle, idle),
+INVARIANTS: dict[str, Predicate] = {
+    'one append wins per number': lambda s: (
+        len({at for at, _ in s.wins}) == len(s.wins)
+    ),
+    'an acknowledged record is kept': lambda s: (
+        s.acked <= set(_list_durable(s))
+    ),
+    'a record is kept once': lambda s: (
+        len(_list_durable(s)) == len(set(_list_durable(s)))
+    ),
+    'a record answered as not run is not kept': lambda s: (
+        not s.denied & set(_list_durable(s))
+    ),
+    'the owner knows acknowledged records': _owner_knows_all,
+    'one owner per epoch': _is_epoch_unique,
+    'only a successor ends an ownership': lambda s: not s.deceived,
+}
+
+
+def _make_initial(slots: int, processes: int) -> Ring:
+    """Return a ring whose first entry is the first process's takeover."""
+    ring = [Slot()] * slots
+    ring[1] = Slot(Entry(0, 1, 1, TAKEOVER), 1)
+    unknown = (UNKNOWN,) * slots
+    known = (UNKNOWN, 1, *unknown[2:])
+    owner = Process('serve', 1, 2, NOTHING, TAKEOVER, known, 0, 0)
+    idle = Process('idle', 0, 0, NOTHING, TAKEOVER, unknown, 0, 0)
+    return Ring(
+        slots=tuple(ring),
+        pointer=Pointer(0, NOTHING, 0, 0),
+        processes=(owner, *(idle,) * (processes - 1)),
         late=frozenset(),
-        wins=frozenset({(0, 0)}),
+        wins=frozenset({(1, 0)}),
         acked=NOTHING,
         denied=NOTHING,
         used=0,
+        deceived=False,
     )
-    invariants: dict[str, Predicate] = {
-        'one append wins per number': lambda s: (
-            len({at for at, _ in s.wins}) == len(s.wins)
-        ),
-        'an acknowledged record is kept': lambda s: (
-            s.acked <= set(_list_durable(s))
-        ),
-        'a record is kept once': lambda s: (
-            len(_list_durable(s)) == len(set(_list_durable(s)))
-        ),
-        'a record answered as not run is not kept': lambda s: (
-            not s.denied & set(_list_durable(s))
-        ),
-        'the owner knows acknowledged records': _owner_knows_all,
-        'one owner per epoch': _is_epoch_unique,
-    }
-    return Machine(initial, steps.list_steps, invariants, witnesses)
-
-
-def _has_successor_record(state: Journal) -> bool:
-    return len(state.acked) == RECORDS and any(
-        entry and entry.writer and entry.content in state.acked
-        for entry in state.keys
+
+
+def _has_lapped_late_write(state: Ring) -> bool:
+    """Tell whether a write is late by a lap of the ring."""
+    return any(
+        _classify(
+            state.slots[write.entry.sequence % len(state.slots)],
+            write.entry.sequence,
+        )
+        is SlotState.NEWER
+        for write in state.late
     )
 
 
-@register_specification(
-    'ownership.append',
-    (
-        CREATE_ONLY,
-        READ_BACK_REWRITE,
-        READ_BACK_ANSWER,
-        SAME_CONTENT,
-        SLOT_TAKEN,
-        TAKEOVER_FIRST,
-    ),
-)
+def _has_successor_record(state: Ring) -> bool:
+    return any(
+        slot.entry and slot.entry.writer and slot.entry.content in state.acked
+        for slot in state.slots
+    )
+
+
+@register_specification('ownership.append', APPEND_GUARDS)
 def build_append(guards: frozenset[str]) -> Machine:
-    """Build a journal with delayed writes and without snapshots."""
-    always = {SLOT_KEPT, KEEP_TAKEOVERS, VERIFY_TAKEOVER, SNAPSHOT_SWAP}
-    return _build(
-        _JournalSteps(guards | always, snapshots=False, delays=True),
+    """Build a ring that does not go round, with two claimants."""
+    always = frozenset(RING_GUARDS) - frozenset(APPEND_GUARDS)
+    steps = _RingSteps(
+        guards | always, length=4, records=2, delays=2, snapshots=False
+    )
+    return Machine(
+        _make_initial(slots=5, processes=3),
+        steps.list_steps,
+        INVARIANTS,
         {
             'a successor acknowledges': _has_successor_record,
+            'a second successor serves': lambda s: (
+                s.processes[2].phase == 'serve'
+            ),
             'a record is answered as not run': lambda s: bool(s.denied),
         },
     )
 
 
-@register_specification(
-    'ownership.snapshot',
-    (SLOT_KEPT, KEEP_TAKEOVERS, VERIFY_TAKEOVER, SNAPSHOT_SWAP),
-)
-def build_snapshot(guards: frozenset[str]) -> Machine:
-    """Build a journal with snapshots and lost, but not delayed, replies."""
-    always = {
-        CREATE_ONLY,
-        READ_BACK_REWRITE,
-        READ_BACK_ANSWER,
-        SAME_CONTENT,
-        SLOT_TAKEN,
-        TAKEOVER_FIRST,
-    }
-    return _build(
-        _JournalSteps(guards | always, snapshots=True, delays=False),
+@register_specification('ownership.ring', RING_GUARDS)
+def build_ring(guards: frozenset[str]) -> Machine:
+    """Build a ring that goes round, with writes late by a whole lap."""
+    steps = _RingSteps(
+        guards | {UNSENT}, length=5, records=3, delays=2, snapshots=True
+    )
+    return Machine(
+        _make_initial(slots=2, processes=2),
+        steps.list_steps,
+        INVARIANTS,
         {
             'a successor acknowledges': _has_successor_record,
-            'the chain is trimmed': lambda s: s.base > 0 and s.keys[1] is None,
-            'a successor trims': lambda s: s.base_epoch > 1,
+            'a successor writes a snapshot': lambda s: s.pointer.epoch > 1,
+            'a write is late by a lap': _has_lapped_late_write,
         },
     )
