--- a/sassafrasgate/daemons/shards.py
+++ b/sassafrasgate/daemons/shards.py
@@ -73,6 +73,7 @@
 from sassafrasgate.shards.events import StartUnanswered
 from sassafrasgate.shards.events import StopRequested
 from sassafrasgate.shards.events import Ticked
+from sassafrasgate.shards.ownership import may_send
 from sassafrasgate.shards.ownership import OwnerLease
 from sassafrasgate.shards.recovery import begin_ownership
 from sassafrasgate.shards.recovery import list_records
@@ -334,7 +335,7 @@
 
     async def _step(self, event: Any) -> None:
         """Handle one event: decide, then hand out the actions."""
-        event = self._handle_own_event(event)
+        event = await self._handle_own_event(event)
         if event is None:
             return
         started = perf_counter()
@@ -348,8 +349,11 @@
             self._follow_hosts()
         self._note_metrics(event)
 
-    def _handle_own_event(self, event: Any) -> Any:
+    async def _handle_own_event(self, event: Any) -> Any:
         """Handle events that are not decisions; return the others."""
+        if isinstance(event, RequestReceived) and not self._may_answer():
+            await self.send_reply(event.reply_to, self._describe_loss())
+            return None
         if isinstance(event, RecordsDurable):
             self._note_durable(event)
         if isinstance(event, SnapshotEnded):
@@ -365,6 +369,22 @@
             return None
         return event
 
+    def _may_answer(self) -> bool:
+        """Tell whether another process may own the shard by now.
+
+        A process that was paused past its lease must not refuse a job that
+        its successor has accepted.
+        """
+        lease = self._lease
+        return may_send(lease, now_ms(), lease.ttl_ms, lease.grace_ms)
+
+    def _describe_loss(self) -> Refused:
+        return Refused(
+            RefusalKind.NOT_OWNER,
+            f'the lease of this owner of shard {self.shard!r} has lapsed',
+            'send the request to the new owner',
+        )
+
     def _note_durable(self, event: RecordsDurable) -> None:
         self._unwritten -= len(event.records)
         self._entries += 1
--- a/sassafrasgate/shards/state.py
+++ b/sassafrasgate/shards/state.py
@@ -235,6 +235,8 @@
 
     Parameters
     ----------
+    durable : bool
+        Whether the transfer is in the journal, so that it may be sent.
     accepted : bool
         Whether the other shard has taken it for good.
     next_at : int
@@ -243,6 +245,7 @@
 
     attempt: int
     shard: str
+    durable: bool = False
     accepted: bool = False
     next_at: int = 0
 
--- a/sassafrasgate/shards/transfers.py
+++ b/sassafrasgate/shards/transfers.py
@@ -120,13 +120,17 @@
     state: ShardState, record: JobTransferred, now: int
 ) -> Actions:
     """Send a transfer that is in the journal."""
+    transfer = state.transfers.get(record.job_id)
+    if transfer is None or transfer.attempt != record.attempt:
+        return
+    state.transfers[record.job_id] = replace(transfer, durable=True)
     yield from _resend(state, record.job_id, now)
 
 
 def repeat_transfers(state: ShardState, now: int) -> Actions:
     """Repeat what another shard has not answered."""
     for job_id, transfer in list(state.transfers.items()):
-        if transfer.next_at <= now:
+        if transfer.durable and transfer.next_at <= now:
             yield from _resend(state, job_id, now)
     for ended, next_at in list(state.unreported.values()):
         if next_at <= now:
@@ -423,7 +427,7 @@
     for entry in state.jobs.values():
         if entry.transferred_to and not entry.is_over:
             state.transfers[entry.job_id] = TransferEntry(
-                entry.attempt, entry.transferred_to
+                entry.attempt, entry.transferred_to, durable=True
             )
         if entry.home and entry.is_over and entry.outcome is not None:
             state.unreported[entry.job_id] = (
--- a/tests/shards/test_transfers.py
+++ b/tests/shards/test_transfers.py
@@ -183,3 +183,21 @@
                 shard.deliver_start(0, False)
     started = [len(w.started) for w in pair.south.workers.values()]
     assert sum(started) == 2, started
+
+
+def test_transfer_is_not_sent_before_it_is_in_the_journal():
+    # An owner that was paused past a takeover sent a transfer whose record
+    # could not be written any more, and the job ran a second time.
+    pair = Pair()
+    for number in range(6):
+        pair.north.submit(f'k{number}', idempotent=False)
+    pair.north.commit(99)
+    for _ in range(4):
+        pair.north.advance(1_000)
+        pair.offer_room()
+    assert pair.north.owner.state.transfers
+    pair.collect()
+    assert not [m for _, m in pair.sent if m.kind == 'transfer']
+    pair.north.commit(99)
+    pair.collect()
+    assert [m for _, m in pair.sent if m.kind == 'transfer']
