--- a/sassafrasgate/journal/chain.py
+++ b/sassafrasgate/journal/chain.py
@@ -154,7 +154,12 @@
 
 def make_entry_key(shard: str, sequence: int) -> str:
     """Return the key of the slot of one journal entry."""
-    return f'journal/{shard}/{sequence % RING_SLOTS:04d}'
+    return f'{make_ring_prefix(shard)}{sequence % RING_SLOTS:04d}'
+
+
+def make_ring_prefix(shard: str) -> str:
+    """Return the prefix of all slots of a shard's ring."""
+    return f'journal/{shard}/'
 
 
 def make_snapshot_key(shard: str) -> str:
@@ -188,25 +193,27 @@
             data += item.value
         records.extend(decode_records(bytes(data)))
     sequence = pointer.sequence + 1
+    slots = await _read_window(store, shard, sequence)
     while True:
-        slots = await _read_slots(store, shard, sequence)
-        for slot in slots:
-            entry = slot.entry
-            found = slot.classify(sequence)
-            if found is SlotState.NEWER:
-                # The owner has lapped this reader, and has a newer snapshot.
-                return await load_journal(store, shard)
-            if entry is None or found is SlotState.FREE:
-                return LoadedJournal(
-                    tuple(records),
-                    sequence,
-                    slot.revision,
-                    pointer.sequence,
-                    pointer.chunks,
-                    pointer.revision,
-                )
-            records.extend(entry.records)
-            sequence += 1
+        slot = slots.get(sequence % RING_SLOTS, _Slot(None, 0))
+        entry = slot.entry
+        found = slot.classify(sequence)
+        if found is SlotState.NEWER:
+            # The owner has lapped this reader, and has a newer snapshot.
+            return await load_journal(store, shard)
+        if entry is None or found is SlotState.FREE:
+            return LoadedJournal(
+                tuple(records),
+                sequence,
+                slot.revision,
+                pointer.sequence,
+                pointer.chunks,
+                pointer.revision,
+            )
+        records.extend(entry.records)
+        sequence += 1
+        if sequence == pointer.sequence + 1 + READ_WINDOW:
+            slots = await _read_ring(store, shard)
 
 
 async def _read_pointer(store: Store, shard: str) -> SnapshotPointer:
@@ -217,21 +224,44 @@
     return SnapshotPointer(sequence, chunks, item.revision)
 
 
-async def _read_slots(store: Store, shard: str, first: int) -> list[_Slot]:
-    """Read `READ_WINDOW` slots from entry ``first`` on."""
+async def _read_window(
+    store: Store, shard: str, first: int
+) -> dict[int, _Slot]:
+    """Read `READ_WINDOW` slots from entry ``first`` on, by slot number."""
     found: dict[int, _Slot] = {}
 
     async def read_slot(sequence: int) -> None:
-        found[sequence] = await _read_slot(store, shard, sequence)
+        slot = await _read_slot(store, shard, sequence)
+        found[sequence % RING_SLOTS] = slot
 
     async with anyio.create_task_group() as tasks:
         for sequence in range(first, first + READ_WINDOW):
             tasks.start_soon(read_slot, sequence)
-    return [found[sequence] for sequence in sorted(found)]
+    return found
+
+
+async def _read_ring(store: Store, shard: str) -> dict[int, _Slot]:
+    """Read the whole ring, in one call per megabyte.
+
+    A chain that is longer than the first window would take one call for
+    each entry, which a process's share of the store spreads over many
+    seconds. Slots that are written meanwhile have another revision, so that
+    the takeover record fails and the reader starts over.
+    """
+    prefix = make_ring_prefix(shard)
+    listed = await store.read_prefix(prefix, CallPriority.HIGH)
+    return {
+        int(item.key.removeprefix(prefix)): _Slot(
+            decode_entry(item.value), item.revision
+        )
+        for item in listed.items
+        if item.value is not None
+    }
 
 
 async def _read_slot(store: Store, shard: str, sequence: int) -> _Slot:
-    item = await store.get(make_entry_key(shard, sequence))
+    key = make_entry_key(shard, sequence)
+    item = await store.get(key, priority=CallPriority.HIGH)
     if item is None or item.value is None:
         return _Slot(None, 0)
     return _Slot(decode_entry(item.value), item.revision)
--- a/tests/journal/test_chain.py
+++ b/tests/journal/test_chain.py
@@ -10,7 +10,8 @@
 from sassafrasgate.journal.chain import Journal
 from sassafrasgate.journal.chain import load_journal
 from sassafrasgate.journal.records import Takeover
-from sassafrasgate.platform.store import Item
+from sassafrasgate.platform.items import Changes
+from sassafrasgate.platform.items import Item
 
 pytestmark = pytest.mark.anyio
 
@@ -27,10 +28,19 @@
         self.items = {}
         self.revision = 0
         self.lost_reply = ''
+        self.reads = 0
 
     async def get(self, key, priority=0):
+        self.reads += 1
         return self.items.get(key)
 
+    async def read_prefix(self, prefix, priority=0):
+        self.reads += 1
+        found = [
+            self.items[k] for k in sorted(self.items) if k.startswith(prefix)
+        ]
+        return Changes(self.revision, tuple(found))
+
     async def create(self, key, value, priority=0):
         return await self.swap(key, value, 0, priority)
 
@@ -103,3 +113,17 @@
     with pytest.raises(ShardLostError, match='overwrite'):
         await take_over(store, 4)
     assert (await load_journal(store, 's1')).next_sequence == 9
+
+
+@pytest.mark.parametrize('entries', [3, 15, 16, 17, 300])
+async def test_a_long_chain_is_read_whole_in_few_calls(entries):
+    # One call for each entry took longer than urgent work may wait.
+    store = MemoryStore()
+    journal = await take_over(store, 1)
+    for _ in range(entries):
+        await journal.append((Takeover(1, 'filler'),))
+    store.reads = 0
+    loaded = await load_journal(store, 's1')
+    assert len(loaded.records) == entries + 1
+    assert loaded.next_sequence == entries + 2
+    assert store.reads <= 18
