Keep a process alive over bad frames; split the shard task's action handlers

Cause: a request with another number of frame parts, a message without a shard, or a full call queue ended the task that owns the socket, and with it the process. Found by reading. Change: such frames are counted and dropped; one function reads frames on both ends; the handlers that carry out a shard's actions have their own module; the element-wise minimum is a method of Resources. Conclusion: nothing that arrives on a link ends a process.

--- a/sassafrasgate/core/resources.py
+++ b/sassafrasgate/core/resources.py
@@ -77,5 +77,15 @@
             max(self.connections, other.connections),
         )
 
+    def limit(self, other: Resources) -> Resources:
+        """Return the smaller of the two amounts, resource by resource."""
+        return Resources(
+            min(self.millicores, other.millicores),
+            min(self.memory_mb, other.memory_mb),
+            min(self.accelerators, other.accelerators),
+            min(self.slots, other.slots),
+            min(self.connections, other.connections),
+        )
+
 
 NOTHING = Resources()
--- /dev/null
+++ b/sassafrasgate/daemons/actions.py
@@ -0,0 +1,83 @@
+"""How a shard task carries out the actions of its decisions."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import Any
+from typing import TYPE_CHECKING
+
+from sassafrasgate.core.registries import Registry
+from sassafrasgate.shards.actions import FetchOutput
+from sassafrasgate.shards.actions import GiveUpShard
+from sassafrasgate.shards.actions import LimitTask
+from sassafrasgate.shards.actions import LogDecision
+from sassafrasgate.shards.actions import Persist
+from sassafrasgate.shards.actions import PublishSummary
+from sassafrasgate.shards.actions import ReleaseTask
+from sassafrasgate.shards.actions import Reply
+from sassafrasgate.shards.actions import SendPeer
+from sassafrasgate.shards.actions import StartTask
+from sassafrasgate.shards.actions import StopTask
+from sassafrasgate.shards.actions import StoreOutput
+from sassafrasgate.shards.actions import Withdraw
+from sassafrasgate.shards.events import StartNotSent
+
+if TYPE_CHECKING:
+    from sassafrasgate.daemons.shards import ShardTask
+
+ActionHandler = Callable[['ShardTask', Any], Awaitable[None]]
+
+ACTION_HANDLERS: Registry[type[Any], ActionHandler] = Registry('shard action')
+
+
+@ACTION_HANDLERS.register(Persist)
+async def _persist(task: ShardTask, action: Persist) -> None:
+    task.append(action.record)
+
+
+@ACTION_HANDLERS.register(Withdraw)
+async def _withdraw(task: ShardTask, action: Withdraw) -> None:
+    task.withdraw(action.job_id)
+
+
+@ACTION_HANDLERS.register(Reply)
+async def _reply(task: ShardTask, action: Reply) -> None:
+    await task.send_reply(action.reply_to, action.message)
+
+
+@ACTION_HANDLERS.register(StartTask)
+async def _start(task: ShardTask, action: StartTask) -> None:
+    if not task.command_host(action.host, action):
+        task.events.send_nowait(
+            StartNotSent(action.host, action.task, 'the host is gone')
+        )
+
+
+@ACTION_HANDLERS.register(StopTask)
+@ACTION_HANDLERS.register(LimitTask)
+@ACTION_HANDLERS.register(ReleaseTask)
+@ACTION_HANDLERS.register(FetchOutput)
+@ACTION_HANDLERS.register(StoreOutput)
+async def _command(task: ShardTask, action: Any) -> None:
+    task.command_host(action.host, action)
+
+
+@ACTION_HANDLERS.register(SendPeer)
+async def _send_peer(task: ShardTask, action: SendPeer) -> None:
+    task.ask_peer(action)
+
+
+@ACTION_HANDLERS.register(PublishSummary)
+async def _publish_summary(task: ShardTask, action: PublishSummary) -> None:
+    task.services.publish(action.summary)
+
+
+@ACTION_HANDLERS.register(LogDecision)
+async def _log_decision(task: ShardTask, action: LogDecision) -> None:
+    task.log(action)
+
+
+@ACTION_HANDLERS.register(GiveUpShard)
+async def _give_up(task: ShardTask, action: GiveUpShard) -> None:
+    task.give_up(action.reason)
--- a/sassafrasgate/daemons/scheduler.py
+++ b/sassafrasgate/daemons/scheduler.py
@@ -397,7 +397,8 @@
         if isinstance(message, Status):
             await self._reply(request, self._describe_status())
             return
-        task = self._shards.get(getattr(message, 'shard', ''))
+        shard = getattr(message, 'shard', '')
+        task = self._shards.get(shard)
         if task is not None:
             await task.take_request(request)
             return
@@ -405,7 +406,7 @@
             request,
             Refused(
                 RefusalKind.NOT_OWNER,
-                f'this process does not own shard {message.shard!r}',
+                f'this process does not own shard {shard!r}',
                 'send the request to the owner',
             ),
         )
--- a/sassafrasgate/daemons/shards.py
+++ b/sassafrasgate/daemons/shards.py
@@ -21,7 +21,7 @@
 from sassafrasgate.core.errors import ShardLostError
 from sassafrasgate.core.errors import StoreUnavailableError
 from sassafrasgate.core.jobs import JobState
-from sassafrasgate.core.registries import Registry
+from sassafrasgate.daemons.actions import ACTION_HANDLERS
 from sassafrasgate.daemons.hosts import HostTask
 from sassafrasgate.daemons.hosts import OwnerLeaseChanged
 from sassafrasgate.daemons.hosts import StopSyncing
@@ -51,25 +51,13 @@
 from sassafrasgate.protocol.links import OutgoingReply
 from sassafrasgate.protocol.messages import JobView
 from sassafrasgate.protocol.messages import Refused
-from sassafrasgate.shards.actions import FetchOutput
-from sassafrasgate.shards.actions import GiveUpShard
-from sassafrasgate.shards.actions import LimitTask
 from sassafrasgate.shards.actions import LogDecision
-from sassafrasgate.shards.actions import Persist
-from sassafrasgate.shards.actions import PublishSummary
-from sassafrasgate.shards.actions import ReleaseTask
-from sassafrasgate.shards.actions import Reply
 from sassafrasgate.shards.actions import SendPeer
-from sassafrasgate.shards.actions import StartTask
-from sassafrasgate.shards.actions import StopTask
-from sassafrasgate.shards.actions import StoreOutput
-from sassafrasgate.shards.actions import Withdraw
 from sassafrasgate.shards.events import ConfigurationChanged
 from sassafrasgate.shards.events import PeerAnswered
 from sassafrasgate.shards.events import RecordsDurable
 from sassafrasgate.shards.events import RequestReceived
 from sassafrasgate.shards.events import StartAnswered
-from sassafrasgate.shards.events import StartNotSent
 from sassafrasgate.shards.events import StartUnanswered
 from sassafrasgate.shards.events import StopRequested
 from sassafrasgate.shards.events import Ticked
@@ -99,10 +87,6 @@
 # Decisions whose reason starts with what became of the attempt.
 ENDED_ATTEMPTS = frozenset({'end', 'retry'})
 
-ActionHandler = Callable[['ShardTask', Any], Awaitable[None]]
-
-ACTION_HANDLERS: Registry[type[Any], ActionHandler] = Registry('shard action')
-
 
 @dataclass(frozen=True, slots=True)
 class ShardServices:
@@ -564,55 +548,3 @@
     size: float = MAX_INBOX,
 ) -> tuple[MemoryObjectSendStream[Any], MemoryObjectReceiveStream[Any]]:
     return anyio.create_memory_object_stream[Any](size)
-
-
-@ACTION_HANDLERS.register(Persist)
-async def _persist(task: ShardTask, action: Persist) -> None:
-    task.append(action.record)
-
-
-@ACTION_HANDLERS.register(Withdraw)
-async def _withdraw(task: ShardTask, action: Withdraw) -> None:
-    task.withdraw(action.job_id)
-
-
-@ACTION_HANDLERS.register(Reply)
-async def _reply(task: ShardTask, action: Reply) -> None:
-    await task.send_reply(action.reply_to, action.message)
-
-
-@ACTION_HANDLERS.register(StartTask)
-async def _start(task: ShardTask, action: StartTask) -> None:
-    if not task.command_host(action.host, action):
-        task.events.send_nowait(
-            StartNotSent(action.host, action.task, 'the host is gone')
-        )
-
-
-@ACTION_HANDLERS.register(StopTask)
-@ACTION_HANDLERS.register(LimitTask)
-@ACTION_HANDLERS.register(ReleaseTask)
-@ACTION_HANDLERS.register(FetchOutput)
-@ACTION_HANDLERS.register(StoreOutput)
-async def _command(task: ShardTask, action: Any) -> None:
-    task.command_host(action.host, action)
-
-
-@ACTION_HANDLERS.register(SendPeer)
-async def _send_peer(task: ShardTask, action: SendPeer) -> None:
-    task.ask_peer(action)
-
-
-@ACTION_HANDLERS.register(PublishSummary)
-async def _publish_summary(task: ShardTask, action: PublishSummary) -> None:
-    task.services.publish(action.summary)
-
-
-@ACTION_HANDLERS.register(LogDecision)
-async def _log_decision(task: ShardTask, action: LogDecision) -> None:
-    task.log(action)
-
-
-@ACTION_HANDLERS.register(GiveUpShard)
-async def _give_up(task: ShardTask, action: GiveUpShard) -> None:
-    task.give_up(action.reason)
--- a/sassafrasgate/protocol/links.py
+++ b/sassafrasgate/protocol/links.py
@@ -34,6 +34,8 @@
 SILENCE_S = 2.0
 MAX_QUEUED_CALLS = 4096
 HIGH_WATER_MARK = 4096
+# The identity of the connection and one frame.
+REQUEST_PARTS = 2
 
 
 @dataclass(frozen=True, slots=True)
@@ -183,7 +185,8 @@
             tasks.start_soon(self._receive_answers, socket)
             while self.is_alive:
                 if now_ms() - self._sent_at >= HEARTBEAT_S * 1000:
-                    self._calls.send_nowait(_Call(self._greet(), 0, None, 1))
+                    # A full queue sends something soon anyway.
+                    self.tell(self._greet())
                 await anyio.sleep(HEARTBEAT_S / 2)
             tasks.cancel_scope.cancel()
 
@@ -211,16 +214,9 @@
         while True:
             frame = await socket.recv()
             self._heard_at = now_ms()
-            self._counts.note_received(frame)
-            try:
-                envelope = decode_envelope(frame)
-            except MessageError:
-                self._counts.bad_frames += 1
-                continue
-            if isinstance(envelope.body, Heartbeat):
-                self._hear(envelope.body)
-                continue
-            self._deliver(envelope)
+            envelope = _read_frame(frame, self._counts, self._hear)
+            if envelope is not None:
+                self._deliver(envelope)
 
     def _deliver(self, envelope: Envelope) -> None:
         reply_to = self._open.pop(envelope.request, None)
@@ -301,16 +297,14 @@
 
     async def _receive_requests(self, socket: zmq.asyncio.Socket) -> None:
         while True:
-            client, frame = await socket.recv_multipart()
-            self._clients[client] = now_ms()
-            self._counts.note_received(frame)
-            try:
-                envelope = decode_envelope(frame)
-            except MessageError:
+            parts = await socket.recv_multipart()
+            if len(parts) != REQUEST_PARTS:
                 self._counts.bad_frames += 1
                 continue
-            if isinstance(envelope.body, Heartbeat):
-                self._hear(envelope.body)
+            client, frame = parts
+            self._clients[client] = now_ms()
+            envelope = _read_frame(frame, self._counts, self._hear)
+            if envelope is None:
                 continue
             await self._handle(
                 IncomingRequest(
@@ -364,6 +358,22 @@
         return LinkCounts(**vars(self))
 
 
+def _read_frame(
+    frame: bytes, counts: _Counter, hear: Callable[[Heartbeat], None]
+) -> Envelope | None:
+    """Count a frame and return its envelope, unless it is a heartbeat."""
+    counts.note_received(frame)
+    try:
+        envelope = decode_envelope(frame)
+    except MessageError:
+        counts.bad_frames += 1
+        return None
+    if isinstance(envelope.body, Heartbeat):
+        hear(envelope.body)
+        return None
+    return envelope
+
+
 def _make_call_stream() -> tuple[
     MemoryObjectSendStream[_Call], MemoryObjectReceiveStream[_Call]
 ]:
--- a/sassafrasgate/shards/shares.py
+++ b/sassafrasgate/shards/shares.py
@@ -85,7 +85,7 @@
     free = state.quotas.find_share(message.team) - (
         state.quotas.find_reserved(message.team)
     )
-    grant = _find_smaller(message.missing, free).cover(NOTHING)
+    grant = message.missing.limit(free).cover(NOTHING)
     state.share_callers.setdefault(key, []).append(request.reply_to)
     if grant == NOTHING and len(state.share_callers[key]) == 1:
         yield from _answer_borrower(state, key, total)
@@ -98,16 +98,6 @@
     )
 
 
-def _find_smaller(one: Resources, other: Resources) -> Resources:
-    return Resources(
-        min(one.millicores, other.millicores),
-        min(one.memory_mb, other.memory_mb),
-        min(one.accelerators, other.accelerators),
-        min(one.slots, other.slots),
-        min(one.connections, other.connections),
-    )
-
-
 @APPLIERS.register('share-lent')
 def apply_share_lent(state: ShardState, record: ShareLent) -> None:
     """Lower this shard's share by what it has lent in all."""
