Keep a failed task at its worker until the record of its end is durable

Cause: a sync that repeated the end of a failed task, while its record was still being written, released the task because the job no longer named it. A takeover at that moment found neither the record nor the task. Ruled out: the release with the record itself, which already waits.

--- a/sassafrasgate/shards/endings.py
+++ b/sassafrasgate/shards/endings.py
@@ -65,6 +65,9 @@
     if quick is not None and quick.task == report.task:
         yield from end_quick_request(state, job_id, report, now)
         return
+    if report.task in state.requeueing:
+        # Released with its record; a worker lists it until then.
+        return
     entry = state.jobs.get(job_id)
     if entry is None or not _is_current(entry, report.task):
         yield ReleaseTask(host, report.task)
@@ -286,6 +289,7 @@
         'retry', entry.job_id, entry.attempt, reason=f'{fate}: {reason}'
     )
     hosts_of = {p.task: p.host for p in entry.placements}
+    state.requeueing.update(gone)
     yield from write_record(
         state,
         JobRequeued(
@@ -306,6 +310,7 @@
     state: ShardState, record: JobRequeued, now: int
 ) -> Actions:
     """Let the workers forget tasks whose end is in the journal."""
+    state.requeueing.difference_update(record.tasks)
     for task, host in zip(record.tasks, record.hosts, strict=True):
         yield ReleaseTask(host, task)
 
--- a/sassafrasgate/shards/state.py
+++ b/sassafrasgate/shards/state.py
@@ -292,6 +292,8 @@
     )
     preemptions: dict[str, int] = field(default_factory=dict)
     storing: dict[str, EndedTask] = field(default_factory=dict)
+    # Ended tasks whose records are not in the journal yet.
+    requeueing: set[str] = field(default_factory=set)
     explanations: dict[str, tuple[str, ...]] = field(default_factory=dict)
     usage: dict[str, TaskUsage] = field(default_factory=dict)
     tombstones: dict[tuple[str, str, int], None] = field(default_factory=dict)
--- a/tests/shards/test_takeovers.py
+++ b/tests/shards/test_takeovers.py
@@ -2,6 +2,7 @@
 
 from sassafrasgate.core.jobs import JobClass
 from sassafrasgate.core.jobs import JobState
+from sassafrasgate.platform.tasks import TaskOutcome
 from sassafrasgate.shards.ownership import OUTAGE_GRACE_MS
 from tests.shards.simulation import DEMAND
 from tests.shards.simulation import GRACE_MS
@@ -90,3 +91,20 @@
     run_job(shard, 'q', job_class=JobClass.QUICK, deadline_s=1.0)
     shard.check_single_place()
     assert sum(len(w.started) for w in shard.workers.values()) == 1
+
+
+def test_failed_task_is_released_only_after_its_record():
+    # A successor that finds neither record nor task would take the job for
+    # one that never ran.
+    shard = start_shard()
+    run_job(shard, 'k')
+    host = find_busy(shard)
+    shard.end_task(host, 0, TaskOutcome.FAILED)
+    for _ in range(3):
+        shard.sync(host)
+    assert shard.workers[host].tasks
+    shard.commit(9)
+    for _ in range(2):
+        shard.sync(host)
+    ended = [t for t in shard.workers[host].tasks.values() if t.ended]
+    assert not ended
