Refuse declarations without hosts and quotas that no reader can hold

Cause: an inventory without failure domains passed as a cell of no hosts, whose apply would remove every host; a quota of 10^30 cores passed the check and could not be encoded; a cell without a name passed over HTTP. Change: these are faults, as are groups of hosts that name none; the cell's name belongs to the checks of a whole configuration.

--- a/sassafrasgate/configuration/builders.py
+++ b/sassafrasgate/configuration/builders.py
@@ -227,6 +227,14 @@
 @DECLARATION_CHECKS.register('failure domains')
 def check_failure_domains(readings: Readings) -> Iterator[Fault]:
     """Find failure domains that are declared twice or have no racks."""
+    for reading in tuple(_list_inventories(readings))[:1]:
+        place = Place(reading, '')
+        if not any(_list_domains(readings)) and not reading.faults:
+            flaw = Flaw(
+                'the inventory has no failure domains',
+                'declare the hosts of the cell',
+            )
+            yield place.make_fault('', flaw)
     named = (
         (domain.name, place.find_inner('name'))
         for domain, place in _list_domains(readings)
@@ -287,6 +295,9 @@
     urls, url_faults = _expand(group.urls, place.find_inner('urls'))
     yield from name_faults
     yield from url_faults
+    if not group.names and not place.has_fault():
+        flaw = Flaw('names no hosts', 'add names and urls or remove it')
+        yield place.find_inner('names').make_fault('', flaw)
     if len(names) != len(urls) and not (
         name_faults
         or url_faults
--- a/sassafrasgate/configuration/checks.py
+++ b/sassafrasgate/configuration/checks.py
@@ -35,6 +35,8 @@
 MAX_CONNECTIONS = 65_535
 MIN_WEIGHT, MAX_WEIGHT = 1, 10_000
 MAX_PRIORITY = 100
+# The largest whole number that every JSON reader keeps exactly.
+MAX_AMOUNT = 2**53 - 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,8 +47,8 @@
     ----------
     group : str
         Field of `Configuration` that holds the entry.
-    index : int
-        Position of the entry in the group.
+    index : int or None
+        Position of the entry in the group; None for the cell's name.
     field : str
         Field of the entry; empty for the entry as a whole.
     value : str
@@ -56,15 +58,16 @@
     """
 
     group: str
-    index: int
+    index: int | None
     field: str
     value: str
     flaw: Flaw
 
     def __str__(self) -> str:
+        index = f'[{self.index}]' if self.index is not None else ''
         field = f'.{self.field}' if self.field else ''
         return (
-            f'{self.group}[{self.index}]{field}: {self.value} '
+            f'{self.group}{index}{field}: {self.value} '
             f'{self.flaw.problem}; {self.flaw.remedy}'
         )
 
@@ -119,6 +122,17 @@
             yield ConfigurationFlaw(group, index, field, repr(value), result)
 
 
+@CONFIGURATION_CHECKS.register('cell')
+def check_cell_name(
+    configuration: Configuration,
+) -> Iterator[ConfigurationFlaw]:
+    """Find an unusable name of the cell."""
+    result = check_name(configuration.cell)
+    if isinstance(result, Flaw):
+        value = repr(configuration.cell)
+        yield ConfigurationFlaw('cell', None, '', value, result)
+
+
 @CONFIGURATION_CHECKS.register('names')
 def check_names(
     configuration: Configuration,
@@ -287,9 +301,9 @@
             ('slots', quota.slots, str),
             ('connections', quota.connections, str),
         ):
-            if amount < 0:
+            if not 0 <= amount <= MAX_AMOUNT:
                 flaw = Flaw(
-                    f'is a quota of {noun} below 0',
+                    f'is an impossible quota of {noun}',
                     'write 0 for no limit, or an amount',
                 )
                 yield ConfigurationFlaw(
@@ -303,8 +317,10 @@
             yield ConfigurationFlaw(
                 'teams', index, 'weight', repr(team.weight), flaw
             )
-        if team.max_queued < 0:
-            flaw = Flaw('is below 0', 'write 0 or more jobs')
+        if not 0 <= team.max_queued <= MAX_AMOUNT:
+            flaw = Flaw(
+                'is an impossible number of jobs', 'write 0 or more jobs'
+            )
             yield ConfigurationFlaw(
                 'teams', index, 'max_queued', repr(team.max_queued), flaw
             )
--- a/sassafrasgate/configuration/declarations.py
+++ b/sassafrasgate/configuration/declarations.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 from yaml import MappingNode
+from yaml import ScalarNode
 
 from sassafrasgate.configuration.builders import build_entries
 from sassafrasgate.configuration.builders import find_cell
@@ -115,7 +116,7 @@
     given, line = expected, root.start_mark.line + 1
     if isinstance(root, MappingNode):
         for key, value in root.value:
-            if key.value == 'kind':
+            if key.value == 'kind' and isinstance(value, ScalarNode):
                 given, line = str(value.value), value.start_mark.line + 1
     known = tuple(SCHEMAS)
     if not given:
@@ -157,6 +158,9 @@
     """
     listed = set()
     for flaw in check_configuration(configuration):
+        if flaw.index is None:
+            # The name of the cell has a fault in a document already.
+            continue
         place = sources[flaw.group][flaw.index].find_place(flaw.field)
         if any(place.covers(fault) for fault in known):
             continue
--- a/tests/configuration/test_declarations.py
+++ b/tests/configuration/test_declarations.py
@@ -141,6 +141,9 @@
         ('kind: inventory', '[]\n---\nkind: inventory', "'kind' is missing"),
         ('labels: [gpu]', 'host_class: x', 'beside capacity'),
         ('w-[09-10]', 'w-[1-2]-[3-4]', 'more than one range'),
+        ('cores: 2,', 'cores: 1e30,', 'not a number of cores'),
+        ('cores: 2,', f'cores: {10**30},', 'impossible quota'),
+        ('kind: rules', 'kind: [rules]', "'kind' is missing"),
     ],
 )
 def test_a_single_slip_is_one_fault(tmp_path, old, new, problem):
@@ -151,6 +154,14 @@
     assert problem in fault.problem
 
 
+def test_a_declaration_without_hosts_is_a_fault(tmp_path):
+    # Applied by mistake, it would remove every host of a cell.
+    path = tmp_path / 'cell.yaml'
+    path.write_text('kind: inventory\ncell: c\nfailure_domains: []\n')
+    (fault,) = check_declaration(path)
+    assert 'no failure domains' in fault.problem
+
+
 @pytest.mark.parametrize('name', ['', 'none'])
 def test_a_path_without_a_declaration_is_a_fault(tmp_path, name):
     assert len(check_declaration(tmp_path / name)) == 1
@@ -173,10 +184,11 @@
 
 def test_a_configuration_from_elsewhere_passes_the_same_checks():
     host = Host('w', 'http://worker:80', 'r', 'd', Resources(1, 1, 0, 1, -1))
-    found = check_configuration(Configuration(cell='c', hosts=(host,)))
+    found = check_configuration(Configuration(hosts=(host,)))
     assert [(flaw.field, flaw.value) for flaw in found] == [
+        ('', "''"),
         ('url', "'http://worker:80'"),
         ('rack', "'r'"),
         ('capacity', "'-1'"),
     ]
-    assert str(found[2]).startswith("hosts[0].capacity: '-1' is an imposs")
+    assert str(found[3]).startswith("hosts[0].capacity: '-1' is an imposs")
