Test documents that are nested too deeply as such

Cause: the test's text also had unclosed brackets, so it would have passed without the handling of deep nesting. Change: the brackets are closed and the problem is named. Conclusion: the test is stricter.

--- a/tests/configuration/test_settings.py
+++ b/tests/configuration/test_settings.py
@@ -121,7 +121,7 @@
         ('name: [a]', 'not a single value'),
         ('name: !!python/name:os.system ""', 'not a YAML value'),
         ('name: 2026-99-99', 'not a YAML value'),
-        ('[' * 3000, 'not YAML'),
+        ('[' * 900 + ']' * 900, 'nested too deeply'),
         ('name: &a [*a]', 'not a single value'),
     ],
 )
