Drop a field that nothing read and a method that only passed on

Cause: the read-through of the whole change: OwnerLease.store_answered_at was set and never read; ShardTask had log and _log for the same thing. Change: both are removed; behaviour stays as it is. Conclusion: a removal only.

--- a/sassafrasgate/daemons/leases.py
+++ b/sassafrasgate/daemons/leases.py
@@ -165,7 +165,7 @@
 
     def _make_lease(self, sent_at: int) -> OwnerLease:
         now = now_ms()
-        return OwnerLease(sent_at, now, 0, now, self._ttl_ms, self._grace_ms)
+        return OwnerLease(sent_at, 0, now, self._ttl_ms, self._grace_ms)
 
 
 def note_failed_renewal(
--- a/sassafrasgate/daemons/shards.py
+++ b/sassafrasgate/daemons/shards.py
@@ -245,7 +245,7 @@
         begin_ownership(self.state, now_ms())
         self._request_snapshot()
         resume_transfers(self.state)
-        self._log(
+        self.log(
             LogDecision(
                 'takeover',
                 '',
@@ -519,7 +519,8 @@
     def _observe_append(self, seconds: float) -> None:
         self.services.metrics.observe(APPEND_SECONDS, seconds)
 
-    def _log(self, action: LogDecision) -> None:
+    def log(self, action: LogDecision) -> None:
+        """Write one decision line and count it."""
         self.services.metrics.count(DECISIONS, action.kind)
         if action.kind in ENDED_ATTEMPTS:
             fate = action.reason.partition(':')[0].partition(' ')[0]
@@ -539,10 +540,6 @@
             ),
         )
 
-    def log(self, action: LogDecision) -> None:
-        """Write one decision line and count it."""
-        self._log(action)
-
 
 def _make_inbox(
     size: float = MAX_INBOX,
--- a/sassafrasgate/shards/ownership.py
+++ b/sassafrasgate/shards/ownership.py
@@ -16,8 +16,6 @@
     ----------
     renewed_at : int
         When the last successful renewal was *sent*, in ms.
-    store_answered_at : int
-        When the store last answered any call, in ms.
     store_failing_since : int
         When calls to the store began to fail without an answer; 0 while
         it answers.
@@ -29,7 +27,6 @@
     """
 
     renewed_at: int
-    store_answered_at: int = 0
     store_failing_since: int = 0
     checked_at: int = 0
     ttl_ms: int = OWNER_TTL_MS
