--- a/sassafrasgate/platform/adapters.py
+++ b/sassafrasgate/adapters/schemes.py
@@ -6,9 +6,9 @@
 from typing import TYPE_CHECKING
 from urllib.parse import urlsplit
 
+from sassafrasgate.adapters.store import Store
+from sassafrasgate.adapters.workers import WorkerClient
 from sassafrasgate.core.registries import Registry
-from sassafrasgate.platform.store import Store
-from sassafrasgate.platform.workers import WorkerClient
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/sassafrasgate/platform/store.py
+++ b/sassafrasgate/adapters/store.py
@@ -14,24 +14,25 @@
 from msgspec.json import decode
 from msgspec.json import encode
 
+from sassafrasgate.adapters.connections import HttpConnections
+from sassafrasgate.adapters.connections import NoAnswerError
 from sassafrasgate.core.errors import StoreConflictError
 from sassafrasgate.core.errors import StoreError
 from sassafrasgate.core.errors import StoreLeaseLostError
 from sassafrasgate.core.errors import StoreLogTrimmedError
 from sassafrasgate.core.errors import StoreUnavailableError
+from sassafrasgate.core.items import Changes
+from sassafrasgate.core.items import HostStatus
+from sassafrasgate.core.items import Item
 from sassafrasgate.journal.budget import CallKind
 from sassafrasgate.journal.budget import CallPriority
-from sassafrasgate.platform.connections import HttpConnections
-from sassafrasgate.platform.connections import NoAnswerError
-from sassafrasgate.platform.items import Changes
-from sassafrasgate.platform.items import HostStatus
-from sassafrasgate.platform.items import Item
 
 if TYPE_CHECKING:
     from types import TracebackType
     from typing import Self
 
-    from httpx import Response
+    from sassafrasgate.adapters.connections import HttpAnswer
+
 
 TIMEOUT_S = 1.0
 CONNECTIONS = 16
@@ -124,7 +125,7 @@
     ) -> Item | None:
         """Return a key's item, or None when there is no such key."""
         response = await self._read('get', _key_path(key), priority=priority)
-        if response.status_code == 404:
+        if response.status == 404:
             return None
         _check_status(response, 200)
         return Item(key, response.content, _read_revision(response))
@@ -192,7 +193,7 @@
             priority=priority,
         )
         _check_status(response, 204, 404)
-        return response.status_code == 204
+        return response.status == 204
 
     async def list(
         self, prefix: str, priority: int = CallPriority.NORMAL
@@ -269,7 +270,7 @@
             priority=priority,
             wait_s=wait_s,
         )
-        if response.status_code == 410:
+        if response.status == 410:
             raise StoreLogTrimmedError(
                 f'the store has no changes of {prefix!r} after revision '
                 f'{after!r}; list the prefix and watch from there'
@@ -299,7 +300,7 @@
             f'/v1/leases/{quote(lease, safe="")}/renew',
             priority=priority,
         )
-        if response.status_code == 409:
+        if response.status == 409:
             return False
         _check_status(response, 204)
         return True
@@ -346,7 +347,7 @@
             headers=headers,
             priority=priority,
         )
-        if response.status_code == 409:
+        if response.status == 409:
             raise StoreLeaseLostError(
                 f'lease {lease!r} of {key!r} has expired; grant a new one'
             )
@@ -359,7 +360,7 @@
         priority: int,
         params: dict[str, str] | None = None,
         wait_s: float = 0.0,
-    ) -> Response:
+    ) -> HttpAnswer:
         await self._budget.acquire(CallKind.READ, priority)
         return await self._call(
             name, 'GET', path, params=params, wait_s=wait_s
@@ -373,7 +374,7 @@
         priority: int,
         content: bytes | None = None,
         headers: dict[str, str] | None = None,
-    ) -> Response:
+    ) -> HttpAnswer:
         await self._budget.acquire(CallKind.WRITE, priority)
         return await self._call(
             name, method, path, content=content, headers=headers
@@ -386,7 +387,7 @@
         path: str,
         wait_s: float = 0.0,
         **options: Any,
-    ) -> Response:
+    ) -> HttpAnswer:
         self.calls[name] += 1
         try:
             response = await self._connections.call(
@@ -398,13 +399,13 @@
                 'written once it answers',
                 sent=error.sent,
             ) from error
-        if response.status_code >= 500:
+        if response.status >= 500:
             raise StoreUnavailableError(
                 f'the store answered {method} {path} with '
-                f'{response.status_code!r}; read back what was written once '
+                f'{response.status!r}; read back what was written once '
                 'it has recovered'
             )
-        if response.status_code == 412:
+        if response.status == 412:
             raise StoreConflictError(
                 f'{path!r} is not at the expected revision; read it again'
             )
@@ -415,17 +416,17 @@
     return f'/v1/keys/{quote(key)}'
 
 
-def _check_status(response: Response, *expected: int) -> Response:
-    if response.status_code in expected:
+def _check_status(response: HttpAnswer, *expected: int) -> HttpAnswer:
+    if response.status in expected:
         return response
     raise StoreError(
-        f'the store refused {response.request.method} '
-        f'{response.request.url.path!r} with {response.status_code!r} '
+        f'the store refused {response.call!r} with '
+        f'{response.status!r} '
         f'{response.text[:200]!r}; correct the request'
     )
 
 
-def _read_revision(response: Response) -> int:
+def _read_revision(response: HttpAnswer) -> int:
     tag = response.headers.get('ETag', '')
     if not (revision := tag.strip('"')).isdecimal():
         raise StoreUnavailableError(
@@ -435,7 +436,7 @@
     return int(revision)
 
 
-def _decode_body(response: Response, kind: type[Value]) -> Value:
+def _decode_body(response: HttpAnswer, kind: type[Value]) -> Value:
     try:
         return decode(response.content, type=kind)
     except DecodeError as error:
--- a/sassafrasgate/platform/workers.py
+++ b/sassafrasgate/adapters/workers.py
@@ -11,24 +11,23 @@
 from msgspec.json import Encoder
 from xxhash import xxh3_128_hexdigest
 
+from sassafrasgate.adapters.connections import HttpConnections
+from sassafrasgate.adapters.connections import NoAnswerError
 from sassafrasgate.core.errors import WorkerOutputError
 from sassafrasgate.core.errors import WorkerUnavailableError
-from sassafrasgate.platform.connections import HttpConnections
-from sassafrasgate.platform.connections import NoAnswerError
-from sassafrasgate.platform.tasks import CommandReply
-from sassafrasgate.platform.tasks import StartReply
-from sassafrasgate.platform.tasks import SyncReply
-from sassafrasgate.platform.tasks import TaskCommand
+from sassafrasgate.core.tasks import CommandReply
+from sassafrasgate.core.tasks import StartReply
+from sassafrasgate.core.tasks import SyncReply
+from sassafrasgate.core.tasks import TaskCommand
 
 if TYPE_CHECKING:
     from types import TracebackType
     from typing import Any
     from typing import Self
 
-    from httpx import Response
-
-    from sassafrasgate.platform.tasks import StartRequest
-    from sassafrasgate.platform.tasks import SyncRequest
+    from sassafrasgate.adapters.connections import HttpAnswer
+    from sassafrasgate.core.tasks import StartRequest
+    from sassafrasgate.core.tasks import SyncRequest
 
 TIMEOUT_S = 2.0
 CONNECTIONS = 64
@@ -119,10 +118,10 @@
             length or digest.
         """
         response = await self._call('GET', _task_path(task, 'output'))
-        if response.status_code != 200:
+        if response.status != 200:
             raise WorkerOutputError(
                 f'the worker has no output of task {task!r} '
-                f'(status {response.status_code!r}); it was released or lost'
+                f'(status {response.status!r}); it was released or lost'
             )
         output = response.content
         if size is not None and len(output) != size:
@@ -161,14 +160,16 @@
         response = await self._post(_task_path(task, name), command)
         return _decode_body(response, _COMMAND_DECODER)
 
-    async def _post(self, path: str, body: Any, wait_ms: int = 0) -> Response:
+    async def _post(
+        self, path: str, body: Any, wait_ms: int = 0
+    ) -> HttpAnswer:
         response = await self._call(
             'POST', path, _ENCODER.encode(body), wait_ms
         )
-        if response.status_code in (200, 201, 409):
+        if response.status in (200, 201, 409):
             return response
         raise WorkerUnavailableError(
-            f'the worker answered {path!r} with {response.status_code!r} '
+            f'the worker answered {path!r} with {response.status!r} '
             f'{response.text[:200]!r}; check that the URL leads to a worker'
         )
 
@@ -178,7 +179,7 @@
         path: str,
         content: bytes | None = None,
         wait_ms: int = 0,
-    ) -> Response:
+    ) -> HttpAnswer:
         try:
             return await self._connections.call(
                 method, path, self._timeout_s + wait_ms / 1000, content=content
@@ -195,7 +196,7 @@
     return f'/v1/tasks/{quote(task, safe="")}/{name}'
 
 
-def _decode_body(response: Response, decoder: Decoder[Reply]) -> Reply:
+def _decode_body(response: HttpAnswer, decoder: Decoder[Reply]) -> Reply:
     try:
         return decoder.decode(response.content)
     except DecodeError as error:
--- a/sassafrasgate/composition.py
+++ b/sassafrasgate/composition.py
@@ -15,6 +15,7 @@
 from anyio.streams.memory import MemoryObjectSendStream
 from logbook import Logger
 
+from sassafrasgate.adapters.schemes import open_store
 from sassafrasgate.configuration.settings import Settings
 from sassafrasgate.core.identifiers import make_incarnation
 from sassafrasgate.daemons.configurations import ConfigurationTask
@@ -27,7 +28,6 @@
 from sassafrasgate.journal.budget import StoreBudget
 from sassafrasgate.observability.logs import configure_logging
 from sassafrasgate.observability.metrics import Metrics
-from sassafrasgate.platform.adapters import open_store
 from sassafrasgate.protocol.messages import Heartbeat
 
 if TYPE_CHECKING:
--- a/sassafrasgate/configuration/publication.py
+++ b/sassafrasgate/configuration/publication.py
@@ -28,7 +28,7 @@
 if TYPE_CHECKING:
     from sassafrasgate.configuration.versions import Manifest
     from sassafrasgate.core.cells import Configuration
-    from sassafrasgate.platform.items import Item
+    from sassafrasgate.core.items import Item
 
 # Under the prefix of the one watch that each process keeps.
 MANIFEST_KEY = 'control/configuration'
--- a/sassafrasgate/daemons/configurations.py
+++ b/sassafrasgate/daemons/configurations.py
@@ -27,7 +27,7 @@
     from anyio.streams.memory import MemoryObjectReceiveStream
     from anyio.streams.memory import MemoryObjectSendStream
 
-    from sassafrasgate.platform.store import Store
+    from sassafrasgate.adapters.store import Store
 
 FETCH_TIMEOUT_S = 2.0
 RETRY_S = 0.5
--- a/sassafrasgate/daemons/control.py
+++ b/sassafrasgate/daemons/control.py
@@ -10,12 +10,12 @@
 
 from sassafrasgate.core.errors import StoreError
 from sassafrasgate.core.errors import StoreLogTrimmedError
-from sassafrasgate.platform.items import Item
+from sassafrasgate.core.items import Item
 
 if TYPE_CHECKING:
     from anyio.streams.memory import MemoryObjectSendStream
 
-    from sassafrasgate.platform.store import Store
+    from sassafrasgate.adapters.store import Store
 
 CONTROL_PREFIX = 'control/'
 WATCH_WAIT_S = 20.0
--- a/sassafrasgate/daemons/counts.py
+++ b/sassafrasgate/daemons/counts.py
@@ -16,8 +16,8 @@
     from collections.abc import Callable
     from collections.abc import Iterable
 
+    from sassafrasgate.adapters.store import Store
     from sassafrasgate.observability.metrics import Metrics
-    from sassafrasgate.platform.store import Store
     from sassafrasgate.protocol.links import LinkCounts
 
 INTERVAL_S = 2.0
--- a/sassafrasgate/daemons/directory.py
+++ b/sassafrasgate/daemons/directory.py
@@ -24,7 +24,7 @@
     from anyio.abc import TaskGroup
 
     from sassafrasgate.configuration.settings import Peer
-    from sassafrasgate.platform.items import Item
+    from sassafrasgate.core.items import Item
     from sassafrasgate.protocol.messages import Heartbeat
 
 MEMBER_PREFIX = 'control/members/'
--- a/sassafrasgate/daemons/frontend.py
+++ b/sassafrasgate/daemons/frontend.py
@@ -41,10 +41,10 @@
     from anyio.streams.memory import MemoryObjectSendStream
     from logbook import Logger
 
+    from sassafrasgate.adapters.store import Store
     from sassafrasgate.core.jobs import Outcome
     from sassafrasgate.daemons.directory import Directory
     from sassafrasgate.observability.metrics import Metrics
-    from sassafrasgate.platform.store import Store
 
 STATUS_TIMEOUT_S = 2.0
 MIN_TRY_S = 0.05
--- a/sassafrasgate/daemons/hosts.py
+++ b/sassafrasgate/daemons/hosts.py
@@ -19,10 +19,10 @@
 from sassafrasgate.core.errors import StoreConflictError
 from sassafrasgate.core.errors import WorkerUnavailableError
 from sassafrasgate.core.registries import Registry
+from sassafrasgate.core.tasks import StartRequest
+from sassafrasgate.core.tasks import SyncReply
+from sassafrasgate.core.tasks import SyncRequest
 from sassafrasgate.observability.clocks import now_ms
-from sassafrasgate.platform.tasks import StartRequest
-from sassafrasgate.platform.tasks import SyncReply
-from sassafrasgate.platform.tasks import SyncRequest
 from sassafrasgate.shards.actions import FetchOutput
 from sassafrasgate.shards.actions import LimitTask
 from sassafrasgate.shards.actions import ReleaseTask
@@ -46,8 +46,8 @@
     from anyio.streams.memory import MemoryObjectReceiveStream
     from anyio.streams.memory import MemoryObjectSendStream
 
-    from sassafrasgate.platform.store import Store
-    from sassafrasgate.platform.workers import WorkerClient
+    from sassafrasgate.adapters.store import Store
+    from sassafrasgate.adapters.workers import WorkerClient
 
 SYNC_WAIT_MS = 2_000
 RETRY_MIN_S = 0.1
--- a/sassafrasgate/daemons/leases.py
+++ b/sassafrasgate/daemons/leases.py
@@ -24,7 +24,7 @@
 if TYPE_CHECKING:
     from anyio.streams.memory import MemoryObjectSendStream
 
-    from sassafrasgate.platform.store import Store
+    from sassafrasgate.adapters.store import Store
 
 RENEWALS_PER_TTL = 3
 RETRY_S = 0.25
--- a/sassafrasgate/daemons/shards.py
+++ b/sassafrasgate/daemons/shards.py
@@ -14,6 +14,8 @@
 import anyio
 from logbook import Logger
 
+from sassafrasgate.adapters.schemes import open_worker
+from sassafrasgate.adapters.store import Store
 from sassafrasgate.core.errors import MessageError
 from sassafrasgate.core.errors import NoAnswer
 from sassafrasgate.core.errors import Refusal
@@ -46,8 +48,6 @@
 from sassafrasgate.observability.metrics import Metrics
 from sassafrasgate.observability.metrics import QUEUE_LENGTH
 from sassafrasgate.observability.metrics import STARTS
-from sassafrasgate.platform.adapters import open_worker
-from sassafrasgate.platform.store import Store
 from sassafrasgate.protocol.links import OutgoingReply
 from sassafrasgate.protocol.messages import JobView
 from sassafrasgate.protocol.messages import Refused
--- a/sassafrasgate/journal/chain.py
+++ b/sassafrasgate/journal/chain.py
@@ -32,7 +32,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from sassafrasgate.platform.store import Store
+    from sassafrasgate.adapters.store import Store
 
 RING_SLOTS = 512
 # Slots that only takeover records use, so that a ring full of entries that no
--- a/sassafrasgate/platform/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Adapters for the platform's store, host list and workers."""
--- a/sassafrasgate/shards/endings.py
+++ b/sassafrasgate/shards/endings.py
@@ -9,10 +9,10 @@
 from sassafrasgate.core.jobs import JobClass
 from sassafrasgate.core.jobs import JobState
 from sassafrasgate.core.jobs import Outcome
+from sassafrasgate.core.tasks import EndedTask
+from sassafrasgate.core.tasks import TaskOutcome
 from sassafrasgate.journal.records import JobEnded
 from sassafrasgate.journal.records import JobRequeued
-from sassafrasgate.platform.tasks import EndedTask
-from sassafrasgate.platform.tasks import TaskOutcome
 from sassafrasgate.protocol.messages import TransferEnded
 from sassafrasgate.shards.actions import LogDecision
 from sassafrasgate.shards.actions import ReleaseTask
--- a/sassafrasgate/shards/events.py
+++ b/sassafrasgate/shards/events.py
@@ -6,8 +6,8 @@
 from typing import Any
 
 from sassafrasgate.core.cells import Configuration
-from sassafrasgate.platform.tasks import StartReply
-from sassafrasgate.platform.tasks import SyncReply
+from sassafrasgate.core.tasks import StartReply
+from sassafrasgate.core.tasks import SyncReply
 
 
 @dataclass(frozen=True, slots=True)
--- a/sassafrasgate/shards/quick.py
+++ b/sassafrasgate/shards/quick.py
@@ -11,8 +11,8 @@
 from sassafrasgate.core.identifiers import make_task_id
 from sassafrasgate.core.jobs import JobState
 from sassafrasgate.core.jobs import Outcome
-from sassafrasgate.platform.tasks import EndedTask
-from sassafrasgate.platform.tasks import TaskOutcome
+from sassafrasgate.core.tasks import EndedTask
+from sassafrasgate.core.tasks import TaskOutcome
 from sassafrasgate.protocol.messages import JobView
 from sassafrasgate.protocol.messages import Submit
 from sassafrasgate.shards.actions import FetchOutput
--- a/sassafrasgate/shards/state.py
+++ b/sassafrasgate/shards/state.py
@@ -21,6 +21,9 @@
 from sassafrasgate.core.jobs import Outcome
 from sassafrasgate.core.jobs import Placement
 from sassafrasgate.core.resources import Resources
+from sassafrasgate.core.tasks import EndedTask
+from sassafrasgate.core.tasks import RunningTask
+from sassafrasgate.core.tasks import TaskUsage
 from sassafrasgate.placement.admission import StartRate
 from sassafrasgate.placement.index import HostIndex
 from sassafrasgate.placement.quarantine import HostHealth
@@ -28,9 +31,6 @@
 from sassafrasgate.placement.quotas import QuotaLedger
 from sassafrasgate.placement.sizes import GrowthAction
 from sassafrasgate.placement.sizes import LearnedSizes
-from sassafrasgate.platform.tasks import EndedTask
-from sassafrasgate.platform.tasks import RunningTask
-from sassafrasgate.platform.tasks import TaskUsage
 from sassafrasgate.protocol.messages import Summary
 from sassafrasgate.protocol.messages import TransferEnded
 from sassafrasgate.shards.attempts import AttemptFate
--- a/sassafrasgate/shards/usage.py
+++ b/sassafrasgate/shards/usage.py
@@ -19,7 +19,7 @@
     from collections.abc import Callable
     from collections.abc import Iterable
 
-    from sassafrasgate.platform.tasks import TaskUsage as UsageReport
+    from sassafrasgate.core.tasks import TaskUsage as UsageReport
     from sassafrasgate.shards.handlers import Actions
     from sassafrasgate.shards.state import ShardState
     from sassafrasgate.shards.state import TaskEntry
--- a/sassafrasgate/shards/workers.py
+++ b/sassafrasgate/shards/workers.py
@@ -5,9 +5,9 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from sassafrasgate.platform.tasks import EndedTask
-from sassafrasgate.platform.tasks import StartStatus
-from sassafrasgate.platform.tasks import SyncReply
+from sassafrasgate.core.tasks import EndedTask
+from sassafrasgate.core.tasks import StartStatus
+from sassafrasgate.core.tasks import SyncReply
 from sassafrasgate.shards.actions import GiveUpShard
 from sassafrasgate.shards.actions import LogDecision
 from sassafrasgate.shards.actions import ReleaseTask
--- a/tests/platform/test_adapters.py
+++ b/tests/adapters/test_schemes.py
@@ -2,11 +2,11 @@
 
 import pytest
 
+from sassafrasgate.adapters.schemes import open_store
+from sassafrasgate.adapters.schemes import open_worker
+from sassafrasgate.adapters.store import Store
+from sassafrasgate.adapters.workers import WorkerClient
 from sassafrasgate.core.errors import UnknownNameError
-from sassafrasgate.platform.adapters import open_store
-from sassafrasgate.platform.adapters import open_worker
-from sassafrasgate.platform.store import Store
-from sassafrasgate.platform.workers import WorkerClient
 
 
 async def test_scheme_selects_the_adapter_and_passes_its_options():
--- a/tests/platform/test_store.py
+++ b/tests/adapters/test_store.py
@@ -4,14 +4,14 @@
 from anyio import sleep
 import pytest
 
+from sassafrasgate.adapters.store import Store
 from sassafrasgate.core.errors import StoreConflictError
 from sassafrasgate.core.errors import StoreError
 from sassafrasgate.core.errors import StoreLeaseLostError
 from sassafrasgate.core.errors import StoreLogTrimmedError
 from sassafrasgate.core.errors import StoreUnavailableError
-from sassafrasgate.platform.items import HostStatus
-from sassafrasgate.platform.items import Item
-from sassafrasgate.platform.store import Store
+from sassafrasgate.core.items import HostStatus
+from sassafrasgate.core.items import Item
 from tests.processes import find_free_address
 
 LOG_LENGTH = 40
--- a/tests/platform/test_workers.py
+++ b/tests/adapters/test_workers.py
@@ -12,15 +12,15 @@
 from anyio import to_thread
 import pytest
 
+from sassafrasgate.adapters.workers import WorkerClient
 from sassafrasgate.core.errors import WorkerOutputError
 from sassafrasgate.core.errors import WorkerUnavailableError
 from sassafrasgate.core.resources import Resources
-from sassafrasgate.platform.tasks import StartRequest
-from sassafrasgate.platform.tasks import StartStatus
-from sassafrasgate.platform.tasks import SyncRequest
-from sassafrasgate.platform.tasks import TaskOutcome
-from sassafrasgate.platform.tasks import TaskUsage
-from sassafrasgate.platform.workers import WorkerClient
+from sassafrasgate.core.tasks import StartRequest
+from sassafrasgate.core.tasks import StartStatus
+from sassafrasgate.core.tasks import SyncRequest
+from sassafrasgate.core.tasks import TaskOutcome
+from sassafrasgate.core.tasks import TaskUsage
 from tests.processes import find_free_address
 from tests.processes import wait_until
 
--- a/tests/configuration/stores.py
+++ b/tests/configuration/stores.py
@@ -3,7 +3,7 @@
 from sassafrasgate.configuration.publication import MANIFEST_KEY
 from sassafrasgate.core.errors import StoreConflictError
 from sassafrasgate.core.errors import StoreUnavailableError
-from sassafrasgate.platform.items import Item
+from sassafrasgate.core.items import Item
 
 
 class FakeStore:
--- a/tests/daemons/test_hosts.py
+++ b/tests/daemons/test_hosts.py
@@ -10,7 +10,7 @@
 
 from time import time_ns
 
-from sassafrasgate.platform.items import HostStatus
+from sassafrasgate.core.items import HostStatus
 from tests.loads import find_faults
 from tests.loads import Load
 from tests.loads import make_job
--- a/tests/journal/test_chain.py
+++ b/tests/journal/test_chain.py
@@ -5,13 +5,13 @@
 from sassafrasgate.core.errors import ShardLostError
 from sassafrasgate.core.errors import StoreConflictError
 from sassafrasgate.core.errors import StoreUnavailableError
+from sassafrasgate.core.items import Changes
+from sassafrasgate.core.items import Item
 from sassafrasgate.journal import chain
 from sassafrasgate.journal.chain import encode_snapshot
 from sassafrasgate.journal.chain import Journal
 from sassafrasgate.journal.chain import load_journal
 from sassafrasgate.journal.records import Takeover
-from sassafrasgate.platform.items import Changes
-from sassafrasgate.platform.items import Item
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -44,7 +44,7 @@
     from types import TracebackType
     from typing import Self
 
-    from sassafrasgate.platform.items import HostStatus
+    from sassafrasgate.core.items import HostStatus
 
 ROOT = Path(__file__).parent.parent
 START_TIMEOUT_S = 30.0
--- a/tests/shards/test_machine.py
+++ b/tests/shards/test_machine.py
@@ -17,7 +17,7 @@
 from sassafrasgate.core.jobs import FINAL_STATES
 from sassafrasgate.core.jobs import JobClass
 from sassafrasgate.core.jobs import JobState
-from sassafrasgate.platform.tasks import TaskOutcome
+from sassafrasgate.core.tasks import TaskOutcome
 from tests.shards.simulation import SimulatedShard
 
 HOSTS = sampled_from(['h0', 'h1'])
--- a/tests/shards/test_takeovers.py
+++ b/tests/shards/test_takeovers.py
@@ -2,7 +2,7 @@
 
 from sassafrasgate.core.jobs import JobClass
 from sassafrasgate.core.jobs import JobState
-from sassafrasgate.platform.tasks import TaskOutcome
+from sassafrasgate.core.tasks import TaskOutcome
 from sassafrasgate.shards.ownership import OUTAGE_GRACE_MS
 from tests.shards.simulation import DEMAND
 from tests.shards.simulation import GRACE_MS
--- a/tests/shards/test_transfers.py
+++ b/tests/shards/test_transfers.py
@@ -11,7 +11,7 @@
 from sassafrasgate.core.jobs import FINAL_STATES
 from sassafrasgate.core.jobs import JobState
 from sassafrasgate.core.resources import Resources
-from sassafrasgate.platform.tasks import TaskOutcome
+from sassafrasgate.core.tasks import TaskOutcome
 from sassafrasgate.protocol.messages import Summary
 from sassafrasgate.shards.events import PeerAnswered
 from sassafrasgate.shards.events import RequestReceived
--- a/tests/shards/test_walks.py
+++ b/tests/shards/test_walks.py
@@ -13,7 +13,7 @@
 from sassafrasgate.core.jobs import JobClass
 from sassafrasgate.core.jobs import JobState
 from sassafrasgate.core.registries import Registry
-from sassafrasgate.platform.tasks import TaskOutcome
+from sassafrasgate.core.tasks import TaskOutcome
 from tests.shards.simulation import SimulatedShard
 
 STEPS = 120
--- a/tests/standins/simulation.py
+++ b/tests/standins/simulation.py
@@ -21,17 +21,17 @@
 
 from sassafrasgate.core.resources import NOTHING
 from sassafrasgate.core.resources import Resources
-from sassafrasgate.platform.tasks import CommandReply
-from sassafrasgate.platform.tasks import EndedTask
-from sassafrasgate.platform.tasks import RunningTask
-from sassafrasgate.platform.tasks import StartReply
-from sassafrasgate.platform.tasks import StartRequest
-from sassafrasgate.platform.tasks import StartStatus
-from sassafrasgate.platform.tasks import SyncReply
-from sassafrasgate.platform.tasks import SyncRequest
-from sassafrasgate.platform.tasks import TaskCommand
-from sassafrasgate.platform.tasks import TaskOutcome
-from sassafrasgate.platform.tasks import TaskUsage
+from sassafrasgate.core.tasks import CommandReply
+from sassafrasgate.core.tasks import EndedTask
+from sassafrasgate.core.tasks import RunningTask
+from sassafrasgate.core.tasks import StartReply
+from sassafrasgate.core.tasks import StartRequest
+from sassafrasgate.core.tasks import StartStatus
+from sassafrasgate.core.tasks import SyncReply
+from sassafrasgate.core.tasks import SyncRequest
+from sassafrasgate.core.tasks import TaskCommand
+from sassafrasgate.core.tasks import TaskOutcome
+from sassafrasgate.core.tasks import TaskUsage
 
 INLINE_BYTES = 16 * 1024
 MEMORY_OF_ANSWERS = 2_000
--- a/tests/standins/store.py
+++ b/tests/standins/store.py
@@ -23,9 +23,9 @@
 from starlette.responses import Response
 from starlette.routing import Route
 
-from sassafrasgate.platform.items import Changes
-from sassafrasgate.platform.items import HostStatus
-from sassafrasgate.platform.items import Item
+from sassafrasgate.core.items import Changes
+from sassafrasgate.core.items import HostStatus
+from sassafrasgate.core.items import Item
 from tests.standins.serving import FaultGate
 from tests.standins.serving import Listener
 from tests.standins.serving import read_json
--- a/tests/standins/worker.py
+++ b/tests/standins/worker.py
@@ -20,10 +20,10 @@
 from starlette.routing import Route
 
 from sassafrasgate.core.resources import Resources
-from sassafrasgate.platform.tasks import StartRequest
-from sassafrasgate.platform.tasks import StartStatus
-from sassafrasgate.platform.tasks import SyncRequest
-from sassafrasgate.platform.tasks import TaskCommand
+from sassafrasgate.core.tasks import StartRequest
+from sassafrasgate.core.tasks import StartStatus
+from sassafrasgate.core.tasks import SyncRequest
+from sassafrasgate.core.tasks import TaskCommand
 from tests.standins.serving import FaultGate
 from tests.standins.serving import Listener
 from tests.standins.serving import read_json
@@ -38,7 +38,7 @@
     from starlette.requests import Request
     from starlette.types import Scope
 
-    from sassafrasgate.platform.tasks import StartReply
+    from sassafrasgate.core.tasks import StartReply
 
 STATUS_CODES = {
     StartStatus.STARTED: 201,
