--- a/sassafrasgate/__main__.py
+++ b/sassafrasgate/__main__.py
@@ -1,8 +1,9 @@
-"""Runs the command line with ``python -m sassafrasgate``."""
+"""Runs the command line as ``python -m sassafrasgate``."""
+
+from __future__ import annotations
 
 import sys
 
 from sassafrasgate.commands.main import run_command_line
 
-if __name__ == '__main__':
-    sys.exit(run_command_line())
+sys.exit(run_command_line())
--- /dev/null
+++ b/sassafrasgate/adapters/calls.py
@@ -0,0 +1,148 @@
+"""What clients of the platform's store have in common."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import Any
+from typing import ClassVar
+from typing import Protocol
+from typing import TYPE_CHECKING
+
+from sassafrasgate.adapters.connections import HttpConnections
+from sassafrasgate.adapters.connections import NoAnswerError
+from sassafrasgate.core.errors import StoreConflictError
+from sassafrasgate.core.errors import StoreUnavailableError
+from sassafrasgate.journal.budget import CallKind
+
+if TYPE_CHECKING:
+    from types import TracebackType
+    from typing import Self
+
+    from sassafrasgate.adapters.connections import HttpAnswer
+
+TIMEOUT_S = 1.0
+CONNECTIONS = 16
+
+
+class CallBudget(Protocol):
+    """What limits the calls of a `Store`."""
+
+    async def acquire(self, kind: str, priority: int) -> None:
+        """Wait until a call of ``kind`` may be made."""
+
+
+class _NoBudget:
+    async def acquire(self, kind: str, priority: int) -> None:
+        return
+
+
+class StoreCalls:
+    """Calls to a store over HTTP, within a budget.
+
+    Parameters
+    ----------
+    base_url : str
+        Such as ``http://127.0.0.1:2400``.
+    timeout_s : float
+        How long a call may take, beyond the time that a watch waits.
+    budget : CallBudget, optional
+        Asked before each call; by default there is no limit.
+
+    Attributes
+    ----------
+    calls : collections.Counter
+        Number of calls made, by the name of the method.
+    """
+
+    # Statuses of answers that tell that a call had no effect.
+    NO_EFFECT: ClassVar[frozenset[int]] = frozenset()
+
+    def __init__(
+        self,
+        base_url: str,
+        timeout_s: float = TIMEOUT_S,
+        budget: CallBudget | None = None,
+    ) -> None:
+        self._connections = HttpConnections(base_url, CONNECTIONS)
+        self._timeout_s = timeout_s
+        self._budget = budget or _NoBudget()
+        self.calls: Counter[str] = Counter()
+
+    async def __aenter__(self) -> Self:
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        await self.close()
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._connections.close()
+
+    async def _read(
+        self,
+        name: str,
+        path: str,
+        priority: int,
+        params: dict[str, str] | None = None,
+        wait_s: float = 0.0,
+    ) -> HttpAnswer:
+        await self._budget.acquire(CallKind.READ, priority)
+        return await self._call(
+            name, 'GET', path, params=params, wait_s=wait_s
+        )
+
+    async def _write(
+        self,
+        name: str,
+        method: str,
+        path: str,
+        priority: int,
+        content: bytes | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> HttpAnswer:
+        await self._budget.acquire(CallKind.WRITE, priority)
+        return await self._call(
+            name, method, path, content=content, headers=headers
+        )
+
+    async def _call(
+        self,
+        name: str,
+        method: str,
+        path: str,
+        wait_s: float = 0.0,
+        **options: Any,
+    ) -> HttpAnswer:
+        self.calls[name] += 1
+        try:
+            response = await self._connections.call(
+                method, path, self._timeout_s + wait_s, **options
+            )
+        except NoAnswerError as error:
+            raise StoreUnavailableError(
+                f'the store did not answer: {error}; read back what was '
+                'written once it answers',
+                sent=error.sent,
+            ) from error
+        if response.status in self.NO_EFFECT:
+            raise StoreUnavailableError(
+                f'the store refused {method} {path} with '
+                f'{response.status!r}; try again later',
+                sent=False,
+            )
+        if response.status >= 500:
+            raise StoreUnavailableError(
+                f'the store answered {method} {path} with '
+                f'{response.status!r}; read back what was written once '
+                'it has recovered'
+            )
+        if response.status == 412:
+            raise StoreConflictError(
+                f'{path!r} is not at the expected revision; read it again'
+            )
+        return response
--- /dev/null
+++ b/sassafrasgate/adapters/entry.py
@@ -0,0 +1,46 @@
+"""What an entry process needs of a platform, by name of the platform."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from sassafrasgate.core.registries import Registry
+from sassafrasgate.daemons.watches import RegistrationSource
+from sassafrasgate.daemons.watches import TableSource
+
+
+@dataclass(frozen=True, slots=True)
+class EntryAdapters:
+    """The adapters of one platform.
+
+    Parameters
+    ----------
+    open_store : callable
+        Returns a client of the store, from its address and the keyword
+        arguments of `sassafrasgate.adapters.calls.StoreCalls`.
+    open_worker : callable
+        Returns a client of a worker, from its id, its address and a time
+        limit in seconds.
+    open_adviser : callable
+        Returns a client of the advice service, from its address.
+    table : TableSource
+        Where the operators' routing table lies.
+    registrations : RegistrationSource
+        Where workers register themselves.
+    build_caller_application, build_ready_application : callable
+        Return the ASGI applications of an entry host, from its gateway and
+        a logger.
+    """
+
+    open_store: Callable[..., Any]
+    open_worker: Callable[[str, str, float], Any]
+    open_adviser: Callable[[str], Any]
+    table: TableSource
+    registrations: RegistrationSource
+    build_caller_application: Callable[..., Any]
+    build_ready_application: Callable[..., Any]
+
+
+ENTRY_ADAPTERS: Registry[str, EntryAdapters] = Registry('platform')
--- a/sassafrasgate/adapters/store.py
+++ b/sassafrasgate/adapters/store.py
@@ -2,10 +2,7 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from dataclasses import dataclass
-from typing import Any
-from typing import Protocol
 from typing import TYPE_CHECKING
 from typing import TypeVar
 from urllib.parse import quote
@@ -14,9 +11,7 @@
 from msgspec.json import decode
 from msgspec.json import encode
 
-from sassafrasgate.adapters.connections import HttpConnections
-from sassafrasgate.adapters.connections import NoAnswerError
-from sassafrasgate.core.errors import StoreConflictError
+from sassafrasgate.adapters.calls import StoreCalls
 from sassafrasgate.core.errors import StoreError
 from sassafrasgate.core.errors import StoreLeaseLostError
 from sassafrasgate.core.errors import StoreLogTrimmedError
@@ -24,34 +19,15 @@
 from sassafrasgate.core.items import Changes
 from sassafrasgate.core.items import HostStatus
 from sassafrasgate.core.items import Item
-from sassafrasgate.journal.budget import CallKind
 from sassafrasgate.journal.budget import CallPriority
 
 if TYPE_CHECKING:
-    from types import TracebackType
-    from typing import Self
-
     from sassafrasgate.adapters.connections import HttpAnswer
 
 
-TIMEOUT_S = 1.0
-CONNECTIONS = 16
-
 Value = TypeVar('Value')
 
 
-class CallBudget(Protocol):
-    """What limits the calls of a `Store`."""
-
-    async def acquire(self, kind: str, priority: int) -> None:
-        """Wait until a call of ``kind`` may be made."""
-
-
-class _NoBudget:
-    async def acquire(self, kind: str, priority: int) -> None:
-        return
-
-
 @dataclass(frozen=True, slots=True)
 class _Page:
     revision: int
@@ -64,7 +40,7 @@
     lease: str
 
 
-class Store:
+class Store(StoreCalls):
     """Calls to the platform's store; each is made once and never repeated.
 
     Parameters
@@ -94,32 +70,6 @@
     ...     await store.swap('owners/s1', b'host-4', revision)
     """
 
-    def __init__(
-        self,
-        base_url: str,
-        timeout_s: float = TIMEOUT_S,
-        budget: CallBudget | None = None,
-    ) -> None:
-        self._connections = HttpConnections(base_url, CONNECTIONS)
-        self._timeout_s = timeout_s
-        self._budget = budget or _NoBudget()
-        self.calls: Counter[str] = Counter()
-
-    async def __aenter__(self) -> Self:
-        return self
-
-    async def __aexit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
-        await self.close()
-
-    async def close(self) -> None:
-        """Close the connections."""
-        await self._connections.close()
-
     async def get(
         self, key: str, priority: int = CallPriority.NORMAL
     ) -> Item | None:
@@ -353,64 +303,6 @@
             )
         return _read_revision(_check_status(response, 200))
 
-    async def _read(
-        self,
-        name: str,
-        path: str,
-        priority: int,
-        params: dict[str, str] | None = None,
-        wait_s: float = 0.0,
-    ) -> HttpAnswer:
-        await self._budget.acquire(CallKind.READ, priority)
-        return await self._call(
-            name, 'GET', path, params=params, wait_s=wait_s
-        )
-
-    async def _write(
-        self,
-        name: str,
-        method: str,
-        path: str,
-        priority: int,
-        content: bytes | None = None,
-        headers: dict[str, str] | None = None,
-    ) -> HttpAnswer:
-        await self._budget.acquire(CallKind.WRITE, priority)
-        return await self._call(
-            name, method, path, content=content, headers=headers
-        )
-
-    async def _call(
-        self,
-        name: str,
-        method: str,
-        path: str,
-        wait_s: float = 0.0,
-        **options: Any,
-    ) -> HttpAnswer:
-        self.calls[name] += 1
-        try:
-            response = await self._connections.call(
-                method, path, self._timeout_s + wait_s, **options
-            )
-        except NoAnswerError as error:
-            raise StoreUnavailableError(
-                f'the store did not answer: {error}; read back what was '
-                'written once it answers',
-                sent=error.sent,
-            ) from error
-        if response.status >= 500:
-            raise StoreUnavailableError(
-                f'the store answered {method} {path} with '
-                f'{response.status!r}; read back what was written once '
-                'it has recovered'
-            )
-        if response.status == 412:
-            raise StoreConflictError(
-                f'{path!r} is not at the expected revision; read it again'
-            )
-        return response
-
 
 def _key_path(key: str) -> str:
     return f'/v1/keys/{quote(key)}'
--- a/sassafrasgate/commands/roles.py
+++ b/sassafrasgate/commands/roles.py
@@ -16,25 +16,44 @@
 
     from sassafrasgate.configuration.settings import Settings
 
-ROLES: Registry[str, Callable[[Settings], None]] = Registry('role')
+ROLES: Registry[str, Callable[[Path], None]] = Registry('role')
+
+
+@ROLES.register('entry')
+def run_entry(path: Path) -> None:
+    """Run the process of an entry host until it is stopped."""
+    from sassafrasgate.configuration.entry_settings import load_entry_settings
+
+    # The adapters register themselves.
+    import_module('sassafrasgate.platform.adapters')
+    composition = import_module('sassafrasgate.composition.entry')
+    composition.run_entry(load_entry_settings(path))
 
 
 @ROLES.register('frontend')
-def run_frontend(settings: Settings) -> None:
+def run_frontend(path: Path) -> None:
     """Run a front end until it is stopped."""
-    import_module('sassafrasgate.composition').run_frontend(settings)
+    settings = _load(path)
+    import_module('sassafrasgate.composition.daemons').run_frontend(settings)
 
 
 @ROLES.register('scheduler')
-def run_scheduler(settings: Settings) -> None:
+def run_scheduler(path: Path) -> None:
     """Run a scheduler until it is stopped."""
+    settings = _load(path)
     if not settings.link_address:
         raise CommandError(
             "the key 'link_address' is missing in the settings of a "
             "scheduler; add for example link_address: '127.0.0.1:9000'",
             ExitCode.BAD_INPUT,
         )
-    import_module('sassafrasgate.composition').run_scheduler(settings)
+    import_module('sassafrasgate.composition.daemons').run_scheduler(settings)
+
+
+def _load(path: Path) -> Settings:
+    from sassafrasgate.configuration.settings import load_settings
+
+    return load_settings(path)
 
 
 @register_command('serve')
@@ -44,17 +63,15 @@
     Parameters
     ----------
     role
-        frontend or scheduler.
+        entry, frontend or scheduler.
     settings
         YAML file with the settings of this process.
     """
-    from sassafrasgate.configuration.settings import load_settings
     from sassafrasgate.configuration.settings import SettingsError
 
     run = ROLES.find(role)
     try:
-        loaded = load_settings(settings)
+        run(settings)
     except SettingsError as error:
         raise CommandError(str(error), ExitCode.BAD_INPUT) from error
-    run(loaded)
     return ExitCode.OK
--- /dev/null
+++ b/sassafrasgate/composition/entry.py
@@ -0,0 +1,210 @@
+"""Wires the process of an entry host."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import cast
+from typing import TYPE_CHECKING
+
+import anyio
+from logbook import Logger
+
+from sassafrasgate.adapters.entry import ENTRY_ADAPTERS
+from sassafrasgate.composition.processes import make_inbox
+from sassafrasgate.composition.processes import wait_for_stop
+from sassafrasgate.core.identifiers import make_incarnation
+from sassafrasgate.daemons.advisers import AdviceTask
+from sassafrasgate.daemons.control import ControlTask
+from sassafrasgate.daemons.counts import CountsTask
+from sassafrasgate.daemons.directory import Directory
+from sassafrasgate.daemons.dispatcher import DispatcherServices
+from sassafrasgate.daemons.entry import EntryTask
+from sassafrasgate.daemons.leases import LeaseTask
+from sassafrasgate.daemons.leases import Member
+from sassafrasgate.daemons.scheduler import StopProcess
+from sassafrasgate.daemons.watches import PrefixWatch
+from sassafrasgate.daemons.watches import RegistrationTask
+from sassafrasgate.daemons.watches import TableTask
+from sassafrasgate.daemons.workers import CALL_TIMEOUT_S
+from sassafrasgate.http.application import build_application
+from sassafrasgate.http.limits import Limits
+from sassafrasgate.http.routes import RouteGroup
+from sassafrasgate.http.server import serve_http
+from sassafrasgate.journal.budget import StoreBudget
+from sassafrasgate.observability.logs import configure_logging
+from sassafrasgate.observability.logs import log_facts
+from sassafrasgate.observability.logs import open_standard_output
+from sassafrasgate.observability.metrics import Metrics
+from sassafrasgate.protocol.links import LinkServer
+from sassafrasgate.protocol.messages import Heartbeat
+
+if TYPE_CHECKING:
+    from sassafrasgate.configuration.entry_settings import EntrySettings
+    from sassafrasgate.http.gateways import Gateway
+
+LEASE_TIMEOUT_S = 0.7
+# One host, the owner, makes most of the calls; the others renew and watch.
+BUDGET_SHARE = 0.6
+# Operators' changes that come in quick succession share a call.
+TABLE_PAUSE_S = 0.2
+REGISTRATION_PAUSE_S = 0.4
+# The load balancer takes a host out after two misses, a second apart.
+READY_DRAIN_S = 2.6
+# Time for open requests to end before the process is killed.
+STOP_MARGIN_S = 0.6
+
+
+async def serve_entry(settings: EntrySettings) -> None:
+    """Run the process of an entry host until it is told to stop."""
+    configure_logging(
+        settings.log_level, settings.name, open_standard_output()
+    )
+    logger = Logger('sassafrasgate.entry')
+    adapters = ENTRY_ADAPTERS.find(settings.platform)
+    metrics = Metrics()
+    member = Member(
+        settings.name,
+        make_incarnation(),
+        'entry',
+        settings.link_address,
+        settings.failure_domain,
+        settings.processors,
+    )
+    log_facts(
+        logger,
+        'start',
+        (('incarnation', member.incarnation), ('settings', repr(settings))),
+    )
+    budget = StoreBudget(
+        settings.writes_per_s * BUDGET_SHARE,
+        settings.reads_per_s * BUDGET_SHARE,
+    )
+    stop = anyio.Event()
+    closed = anyio.Event()
+
+    def open_store(**options: Any) -> Any:
+        return adapters.open_store(
+            settings.store_address, budget=budget, **options
+        )
+
+    async with (
+        open_store() as store,
+        open_store() as watch_store,
+        open_store() as table_store,
+        open_store() as registration_store,
+        open_store(timeout_s=LEASE_TIMEOUT_S) as lease_store,
+        anyio.create_task_group() as group,
+    ):
+        main, advisers = make_inbox(), make_inbox()
+
+        def greet() -> Heartbeat:
+            return Heartbeat(settings.name, task.version)
+
+        def hear(heartbeat: Heartbeat) -> None:
+            return
+
+        async def follow_workers(listener: Any) -> None:
+            watch = PrefixWatch(
+                registration_store,
+                adapters.registrations.prefix,
+                REGISTRATION_PAUSE_S,
+            )
+            await RegistrationTask(
+                watch, adapters.registrations, listener
+            ).run()
+
+        directory = Directory(group, (), greet, hear)
+        server = LinkServer(
+            settings.link_address,
+            lambda request: task.take_request(request),
+            greet,
+            hear,
+        )
+        services = DispatcherServices(
+            f'{member.name}/{member.incarnation}',
+            member.name,
+            store,
+            server.reply,
+            lambda worker, address: adapters.open_worker(
+                worker, address, CALL_TIMEOUT_S
+            ),
+            lambda name, question: task.ask_lane(name, question),
+            follow_workers,
+            logger,
+            metrics,
+        )
+        task = EntryTask(
+            member, services, directory, main.receive, advisers.send
+        )
+        lease = LeaseTask(
+            lease_store,
+            member,
+            main.send,
+            int(settings.owner_ttl_s * 1000),
+            int(settings.outage_grace_s * 1000),
+        )
+        table = TableTask(
+            PrefixWatch(table_store, adapters.table.prefix, TABLE_PAUSE_S),
+            adapters.table,
+            main.send,
+            logger,
+        )
+        counts = CountsTask(
+            (store, watch_store, table_store, registration_store, lease_store),
+            lambda: (link.counts for link in directory.list_links()),
+            metrics,
+        )
+        group.start_soon(budget.run)
+        group.start_soon(lease.run)
+        group.start_soon(ControlTask(watch_store, (main.send,)).run)
+        group.start_soon(table.run)
+        group.start_soon(counts.run)
+        group.start_soon(
+            AdviceTask(
+                adapters.open_adviser(settings.advice_address),
+                advisers.receive,
+            ).run
+        )
+        group.start_soon(server.run)
+        group.start_soon(task.run)
+        group.start_soon(wait_for_stop, stop)
+        group.start_soon(
+            serve_http,
+            build_application(
+                cast('Gateway', task),
+                metrics,
+                Limits(),
+                frozenset({RouteGroup.HEALTH}),
+            ),
+            settings.metrics_address,
+            closed,
+            0.0,
+        )
+        group.start_soon(
+            serve_http,
+            adapters.build_ready_application(task),
+            settings.ready_address,
+            closed,
+            0.0,
+        )
+
+        async def close_later() -> None:
+            await stop.wait()
+            await main.send.send(StopProcess())
+            await anyio.sleep(READY_DRAIN_S)
+            closed.set()
+
+        group.start_soon(close_later)
+        await serve_http(
+            adapters.build_caller_application(task, logger),
+            settings.caller_address,
+            closed,
+            max(0.0, settings.stop_s - READY_DRAIN_S - STOP_MARGIN_S),
+        )
+        log_facts(logger, 'stopped', (('incarnation', member.incarnation),))
+        group.cancel_scope.cancel()
+
+
+def run_entry(settings: EntrySettings) -> None:
+    """Run the process of an entry host; blocks until it has stopped."""
+    anyio.run(serve_entry, settings)
--- /dev/null
+++ b/sassafrasgate/configuration/entry_settings.py
@@ -0,0 +1,84 @@
+"""Settings of an entry process, read from YAML."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from sassafrasgate.configuration.settings import load_document
+from sassafrasgate.configuration.values import Address
+from sassafrasgate.configuration.values import ListenAddress
+from sassafrasgate.configuration.values import LogLevel
+from sassafrasgate.configuration.values import Name
+from sassafrasgate.configuration.values import NotNegative
+from sassafrasgate.configuration.values import Positive
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+
+@dataclass(frozen=True, slots=True)
+class EntrySettings:
+    """Settings of the process of one entry host.
+
+    Parameters
+    ----------
+    name : str
+        Unique name of the entry host.
+    failure_domain : str
+        Where it stands.
+    caller_address, ready_address, metrics_address : str
+        IP number and port for callers, for the load balancer's questions,
+        and for metrics.
+    link_address : str
+        IP number and port of the inner protocol.
+    store_address, advice_address : str
+        IP number and port of the platform's services; the latter is empty
+        where there is no advice.
+    processors : float
+        Processors of the host, as a share of one core times their number.
+    writes_per_s, reads_per_s : float
+        The store's rates for all entry hosts together.
+    owner_ttl_s : float
+        Length of the process's lease in the store. A frozen owner's shard
+        is taken over after this time.
+    outage_grace_s : float
+        How long past its lease an owner goes on while the store is down. A
+        successor waits as long for a worker that does not answer.
+    stop_s : float
+        Longest time from a request to stop to the end of the process.
+    platform : str
+        Name of the adapters for the store, the workers and the callers.
+    log_level : str
+        As logbook names it.
+    """
+
+    name: Name
+    failure_domain: Name
+    caller_address: ListenAddress
+    ready_address: ListenAddress
+    metrics_address: ListenAddress
+    link_address: Address
+    store_address: Address
+    advice_address: str = ''
+    processors: Positive = 1.0
+    writes_per_s: Positive = 400.0
+    reads_per_s: Positive = 2000.0
+    owner_ttl_s: Positive = 1.5
+    outage_grace_s: NotNegative = 8.0
+    stop_s: Positive = 6.0
+    platform: str = 'kv'
+    log_level: LogLevel = 'INFO'
+
+
+def load_entry_settings(path: Path) -> EntrySettings:
+    """Return the settings of a YAML file.
+
+    Raises
+    ------
+    SettingsError
+        When the file has faults; it names all of them.
+    """
+    reading = load_document(path, EntrySettings)
+    settings: EntrySettings = reading.value
+    return settings
--- a/sassafrasgate/configuration/settings.py
+++ b/sassafrasgate/configuration/settings.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from collections.abc import Iterator
 from dataclasses import dataclass
 from dataclasses import replace
+from typing import Any
 from typing import TYPE_CHECKING
 
 from sassafrasgate.configuration.documents import read_document
@@ -22,8 +25,6 @@
 from sassafrasgate.core.registries import Registry
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-    from collections.abc import Iterator
     from pathlib import Path
 
     from sassafrasgate.configuration.documents import Reading
@@ -112,9 +113,9 @@
     flaw: Flaw
 
 
-SETTINGS_CHECKS: Registry[
-    str, Callable[[Settings], Iterator[SettingsFlaw]]
-] = Registry('settings check')
+SettingsChecks = Registry[str, Callable[[Any], Iterator[SettingsFlaw]]]
+
+SETTINGS_CHECKS: SettingsChecks = Registry('settings check')
 
 
 def load_settings(path: Path) -> Settings:
@@ -133,6 +134,31 @@
     Settings
         With every value checked.
 
+    Raises
+    ------
+    SettingsError
+        When the file has faults; it names all of them.
+    """
+    reading = load_document(path, Settings, SETTINGS_CHECKS)
+    settings: Settings = reading.value
+    others = tuple(
+        peer for peer in settings.peers if peer.name != settings.name
+    )
+    return replace(settings, peers=others)
+
+
+def load_document(
+    path: Path, kind: type[Any], checks: SettingsChecks | None = None
+) -> Reading:
+    """Read a file with one YAML document into a settings class.
+
+    Parameters
+    ----------
+    kind : type
+        A data class whose fields have checked types.
+    checks : Registry, optional
+        Of checks of the whole document.
+
     Raises
     ------
     SettingsError
@@ -145,23 +171,23 @@
         problem = f'holds {len(documents)} YAML documents'
         remedy = 'write the settings of one process in one document'
         raise SettingsError((Fault(str(path), 0, '', '', problem, remedy),))
-    reading = read_document(documents[0], Settings)
-    faults = reading.faults + _check_together(reading)
+    reading = read_document(documents[0], kind)
+    faults = reading.faults
+    if checks is not None:
+        faults += _check_together(reading, checks)
     if faults:
         raise SettingsError(
             tuple(sorted(faults, key=lambda fault: fault.line))
         )
-    settings: Settings = reading.value
-    others = tuple(
-        peer for peer in settings.peers if peer.name != settings.name
-    )
-    return replace(settings, peers=others)
+    return reading
 
 
-def _check_together(reading: Reading) -> tuple[Fault, ...]:
+def _check_together(
+    reading: Reading, checks: SettingsChecks
+) -> tuple[Fault, ...]:
     found = []
-    for name in SETTINGS_CHECKS:
-        for flaw in SETTINGS_CHECKS.find(name)(reading.value):
+    for name in checks:
+        for flaw in checks.find(name)(reading.value):
             found.append(
                 Fault(
                     reading.file,
--- a/sassafrasgate/core/errors.py
+++ b/sassafrasgate/core/errors.py
@@ -136,6 +136,10 @@
         self.sent = sent
 
 
+class AdviceUnavailableError(SassafrasgateError):
+    """The advice service gave no usable answer."""
+
+
 class WorkerOutputError(SassafrasgateError):
     """A task's output is gone from its worker or damaged."""
 
--- /dev/null
+++ b/sassafrasgate/daemons/advisers.py
@@ -0,0 +1,78 @@
+"""The task that calls the advice service from this entry host."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+from typing import TYPE_CHECKING
+
+import anyio
+
+from sassafrasgate.core.errors import AdviceUnavailableError
+from sassafrasgate.core.errors import Refusal
+from sassafrasgate.core.errors import RefusalKind
+from sassafrasgate.protocol.workflows import AdviceGiven
+from sassafrasgate.protocol.workflows import SeekAdvice
+
+if TYPE_CHECKING:
+    from anyio.streams.memory import MemoryObjectReceiveStream
+
+
+@dataclass(frozen=True, slots=True)
+class AdviceWanted:
+    """A call to make, and where its answer goes.
+
+    Parameters
+    ----------
+    answer : callable
+        Gets an `AdviceGiven` or a `Refusal`.
+    """
+
+    question: SeekAdvice
+    answer: Callable[[AdviceGiven | Refusal], Awaitable[None]]
+
+
+class AdviceTask:
+    """Owns the client of the advice service.
+
+    The service keeps the calls of one host in a queue, so calls are handed
+    to it as they come.
+
+    Parameters
+    ----------
+    client : object
+        With the methods of `sassafrasgate.platform.advice.AdviceClient`.
+    inbox : MemoryObjectReceiveStream
+        Of `AdviceWanted`.
+    """
+
+    def __init__(
+        self, client: Any, inbox: MemoryObjectReceiveStream[Any]
+    ) -> None:
+        self._client = client
+        self._inbox = inbox
+
+    async def run(self) -> None:
+        """Make calls until the inbox closes."""
+        async with self._client, anyio.create_task_group() as tasks:
+            async for wanted in self._inbox:
+                tasks.start_soon(self._ask, wanted)
+
+    async def _ask(self, wanted: AdviceWanted) -> None:
+        question = wanted.question
+        try:
+            advice = await self._client.ask(
+                question.step, question.workers, question.timeout_ms / 1000
+            )
+        except AdviceUnavailableError as error:
+            await wanted.answer(
+                Refusal(
+                    RefusalKind.NOT_READY, str(error), 'ask from another host'
+                )
+            )
+            return
+        await wanted.answer(
+            AdviceGiven(question.step, advice.tickets, advice.valid_ms)
+        )
--- /dev/null
+++ b/sassafrasgate/daemons/dispatcher.py
@@ -0,0 +1,524 @@
+"""The task that owns the dispatcher's state, its journal and its workers."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Coroutine
+from dataclasses import dataclass
+from math import inf
+from time import perf_counter
+from typing import Any
+from typing import TYPE_CHECKING
+
+import anyio
+from logbook import Logger
+
+from sassafrasgate.core.errors import MessageError
+from sassafrasgate.core.errors import Refusal
+from sassafrasgate.core.errors import RefusalKind
+from sassafrasgate.core.errors import ShardLostError
+from sassafrasgate.core.errors import StoreError
+from sassafrasgate.core.workflows import Advice
+from sassafrasgate.daemons.dispatching import DISPATCH_ACTIONS
+from sassafrasgate.daemons.hosts import OwnerLeaseChanged
+from sassafrasgate.daemons.hosts import StopSyncing
+from sassafrasgate.daemons.journals import AppendRecord
+from sassafrasgate.daemons.journals import JournalTask
+from sassafrasgate.daemons.journals import run_journal
+from sassafrasgate.daemons.journals import SnapshotEnded
+from sassafrasgate.daemons.journals import WriteSnapshot
+from sassafrasgate.daemons.replies import ReplyTable
+from sassafrasgate.daemons.replies import wait_for_answer
+from sassafrasgate.daemons.shards import LeaseUpdated
+from sassafrasgate.daemons.shards import ShardAbandoned
+from sassafrasgate.daemons.snapshots import SnapshotSchedule
+from sassafrasgate.daemons.workers import HOLD_WAIT_MS
+from sassafrasgate.daemons.workers import WorkerTask
+from sassafrasgate.dispatch.actions import Note
+from sassafrasgate.dispatch.events import AdviceAnswered
+from sassafrasgate.dispatch.events import AdviceFailed
+from sassafrasgate.dispatch.events import JournalStalled
+from sassafrasgate.dispatch.events import PassDue
+from sassafrasgate.dispatch.events import PeersChanged
+from sassafrasgate.dispatch.events import TableChanged
+from sassafrasgate.dispatch.leases import find_grant_bound
+from sassafrasgate.dispatch.recovery import begin_ownership
+from sassafrasgate.dispatch.recovery import list_records
+from sassafrasgate.dispatch.recovery import replay_records
+from sassafrasgate.dispatch.registrations import watch_known_workers
+from sassafrasgate.dispatch.state import DispatchState
+from sassafrasgate.dispatch.transitions import decide
+from sassafrasgate.journal.chain import Journal
+from sassafrasgate.journal.chain import load_journal
+from sassafrasgate.journal.records import Takeover
+from sassafrasgate.journal.workflows import Released
+from sassafrasgate.observability.clocks import now_ms
+from sassafrasgate.observability.clocks import wall_ms
+from sassafrasgate.observability.logs import log_facts
+from sassafrasgate.observability.metrics import APPEND_SECONDS
+from sassafrasgate.observability.metrics import DECISION_SECONDS
+from sassafrasgate.observability.metrics import DECISIONS
+from sassafrasgate.observability.metrics import Metrics
+from sassafrasgate.protocol.links import OutgoingReply
+from sassafrasgate.protocol.messages import Refused
+from sassafrasgate.protocol.workflows import AdviceGiven
+from sassafrasgate.protocol.workflows import SeekAdvice
+from sassafrasgate.shards.events import RecordsDurable
+from sassafrasgate.shards.events import RequestReceived
+from sassafrasgate.shards.events import StopRequested
+from sassafrasgate.shards.events import Ticked
+from sassafrasgate.shards.ownership import may_send
+from sassafrasgate.shards.ownership import OwnerLease
+
+if TYPE_CHECKING:
+    from anyio.abc import TaskGroup
+    from anyio.streams.memory import MemoryObjectReceiveStream
+    from anyio.streams.memory import MemoryObjectSendStream
+
+    from sassafrasgate.core.routing import RoutingTable
+    from sassafrasgate.dispatch.actions import AskAdvice
+    from sassafrasgate.dispatch.actions import WatchWorker
+    from sassafrasgate.protocol.links import IncomingRequest
+
+TICK_S = 0.1
+LOAD_RETRY_S = 0.1
+MAX_INBOX = 20_000
+# Events that are handled before waiting steps are looked at again.
+BATCH_EVENTS = 64
+ADVICE_MARGIN_MS = 400
+# A record that is not durable by then delays what waits for it.
+STALL_REPORT_MS = 200
+
+
+@dataclass(frozen=True, slots=True)
+class DispatcherServices:
+    """What the dispatcher needs from its process.
+
+    Parameters
+    ----------
+    owner : str
+        Process name and incarnation.
+    name : str
+        Process name, which is also the name of its advice lane.
+    store : object
+        For the journal.
+    reply : callable
+        Queues an `OutgoingReply` on the link server.
+    open_worker : callable
+        Returns the client of a worker, from its id and address.
+    ask_lane : callable
+        Sends a `SeekAdvice` to an entry host by name; returns its
+        `AdviceGiven`, or something else when there is none.
+    follow_workers : callable
+        Runs the watch of workers' entries for a listener.
+    """
+
+    owner: str
+    name: str
+    store: Any
+    reply: Callable[[OutgoingReply], Awaitable[None]]
+    open_worker: Callable[[str, str], Any]
+    ask_lane: Callable[[str, SeekAdvice], Awaitable[Any]]
+    follow_workers: Callable[[Any], Coroutine[Any, Any, None]]
+    logger: Logger
+    metrics: Metrics
+
+
+class DispatcherTask:
+    """Owns a shard of workflows from takeover to release.
+
+    Parameters
+    ----------
+    shard : str
+        Name of the journal.
+    table : RoutingTable
+        In force when the shard was claimed.
+    lease : OwnerLease
+        The process's lease when the shard was claimed.
+    services : DispatcherServices
+        What the process provides.
+    """
+
+    def __init__(
+        self,
+        shard: str,
+        table: RoutingTable,
+        lease: OwnerLease,
+        services: DispatcherServices,
+    ) -> None:
+        self.shard = shard
+        self.services = services
+        self.state = DispatchState(shard, services.owner)
+        self.events, self._inbox = _make_inbox()
+        self._table = table
+        self._lease = lease
+        self._replies = ReplyTable(services.reply)
+        self._workers: dict[str, MemoryObjectSendStream[Any]] = {}
+        self._journal_box, self._journal_inbox = _make_inbox(inf)
+        self._snapshots = SnapshotSchedule()
+        self._unwritten: deque[int] = deque()
+        self._stalled_since = 0
+        self._given_up = ''
+        self._group: TaskGroup | None = None
+        self.serving = False
+
+    async def run(self, release: Callable[[], Awaitable[None]]) -> str:
+        """Take the shard over and serve it; return why it ended.
+
+        Parameters
+        ----------
+        release : callable
+            Awaited in a planned stop once every record is durable; it lets
+            a successor take over.
+
+        Returns
+        -------
+        str
+            Empty after a planned stop.
+        """
+        journal = await self._take_over()
+        if journal is None:
+            await self._dismiss_callers()
+            return self._given_up
+        async with anyio.create_task_group() as group:
+            self._group = group
+            writer = JournalTask(
+                journal,
+                self._journal_inbox,
+                self.events,
+                self._observe_append,
+            )
+            group.start_soon(self._run_journal, writer)
+            group.start_soon(self._tick)
+            group.start_soon(self.services.follow_workers, self.events)
+            await self._carry_out(watch_known_workers(self.state))
+            self.serving = True
+            await self._serve()
+            self.serving = False
+            if not self._given_up:
+                await self._hand_over(release)
+            await self._dismiss_callers()
+            group.cancel_scope.cancel()
+        return self._given_up
+
+    async def _take_over(self) -> Journal | None:
+        """Read the journal and append the takeover record."""
+        self.state.now, self.state.wall_ms = now_ms(), wall_ms()
+        began = now_ms()
+        await self._step(TableChanged(self._table))
+        loaded = await self._load_journal()
+        if loaded is None:
+            return None
+        replay_records(self.state, loaded.records)
+        takeover = Takeover(
+            self.state.epoch + 1,
+            self.services.owner,
+            self._lease.grace_ms,
+            self._lease.ttl_ms,
+        )
+        journal = Journal(
+            self.services.store, self.shard, self.services.owner, loaded
+        )
+        journal.epoch = takeover.epoch
+        try:
+            await journal.append((takeover,))
+        except ShardLostError as error:
+            self._given_up = str(error)
+            return None
+        self._snapshots = SnapshotSchedule(journal.uncovered_entries)
+        replay_records(self.state, (takeover,))
+        self.state.now, self.state.wall_ms = now_ms(), wall_ms()
+        begin_ownership(self.state)
+        self._request_snapshot()
+        self.log(
+            Note(
+                'takeover',
+                '',
+                (
+                    ('jobs', len(self.state.jobs)),
+                    ('records', len(loaded.records)),
+                    ('workers', len(self.state.known_workers)),
+                    ('unsettled', len(self.state.unsettled)),
+                    ('released', self.state.released_ms >= 0),
+                    ('took_ms', now_ms() - began),
+                ),
+            )
+        )
+        return journal
+
+    async def _load_journal(self) -> Any:
+        while True:
+            try:
+                return await load_journal(self.services.store, self.shard)
+            except StoreError:
+                await anyio.sleep(LOAD_RETRY_S)
+            except MessageError as error:
+                self._given_up = str(error)
+                return None
+
+    async def _run_journal(self, writer: JournalTask) -> None:
+        reason = await run_journal(writer)
+        if reason:
+            await self.events.send(ShardAbandoned(reason))
+
+    async def _tick(self) -> None:
+        while True:
+            await anyio.sleep(TICK_S)
+            await self.events.send(Ticked(wall_ms()))
+
+    async def _serve(self) -> None:
+        """Handle events; look at waiting steps once none are at hand."""
+        while not self._given_up and not self._is_drained():
+            await self._step(await self._inbox.receive())
+            for _ in range(BATCH_EVENTS):
+                if self._given_up:
+                    return
+                try:
+                    event = self._inbox.receive_nowait()
+                except anyio.WouldBlock:
+                    break
+                await self._step(event)
+            if self.state.dirty and self._may_act():
+                await self._step(PassDue())
+
+    async def _step(self, event: Any) -> None:
+        """Handle one event: decide, then hand out the actions."""
+        if await self._handle_own_event(event):
+            return
+        started = perf_counter()
+        actions = decide(self.state, event, now_ms(), wall_ms())
+        self.services.metrics.observe(
+            DECISION_SECONDS, perf_counter() - started, type(event).__name__
+        )
+        await self._carry_out(actions)
+
+    async def _carry_out(self, actions: Any) -> None:
+        for action in actions:
+            await DISPATCH_ACTIONS.find(type(action))(self, action)
+
+    async def _handle_own_event(self, event: Any) -> bool:
+        """Handle events that are not decisions; tell whether it was one."""
+        if isinstance(event, RequestReceived) and not self._may_act():
+            await self.send_reply(event.reply_to, self._describe_loss())
+            return True
+        if isinstance(event, LeaseUpdated):
+            self._lease = event.lease
+            for box in self._workers.values():
+                box.send_nowait(OwnerLeaseChanged(event.lease))
+            return True
+        if isinstance(event, ShardAbandoned):
+            self._given_up = event.reason
+            return True
+        if isinstance(event, SnapshotEnded):
+            self._snapshots.note_snapshot()
+            self._request_snapshot()
+            return True
+        if isinstance(event, RecordsDurable):
+            for _ in event.records:
+                self._unwritten.popleft()
+            self._snapshots.note_entry()
+            self._request_snapshot()
+        if isinstance(event, Ticked):
+            await self._note_stall()
+        return False
+
+    async def _note_stall(self) -> None:
+        oldest = self._unwritten[0] if self._unwritten else 0
+        stalled = oldest if oldest + STALL_REPORT_MS < now_ms() else 0
+        if stalled == self._stalled_since:
+            return
+        self._stalled_since = stalled
+        await self._step(JournalStalled(stalled))
+
+    def _may_act(self) -> bool:
+        """Tell whether another process may own the shard by now."""
+        lease = self._lease
+        return may_send(lease, now_ms(), lease.ttl_ms, lease.grace_ms)
+
+    def _describe_loss(self) -> Refused:
+        return Refused(
+            RefusalKind.NOT_OWNER,
+            f'the lease of this owner of shard {self.shard!r} has lapsed',
+            'send the request to the new owner',
+        )
+
+    def _request_snapshot(self) -> None:
+        if self._snapshots.is_due():
+            self._journal_box.send_nowait(
+                WriteSnapshot(tuple(list_records(self.state)))
+            )
+
+    def _is_drained(self) -> bool:
+        return self.state.stopping and not self._unwritten
+
+    async def _hand_over(self, release: Callable[[], Awaitable[None]]) -> None:
+        """Tell the successor what it can't learn from the workers' lists."""
+        for box in self._workers.values():
+            box.send_nowait(StopSyncing())
+        self._workers.clear()
+        # Calls that were sent up to now may still be carried out.
+        lapse_ms = find_grant_bound(0, HOLD_WAIT_MS)
+        self.append(Released(lapse_ms))
+        while self._unwritten and not self._given_up:
+            await self._step(await self._inbox.receive())
+        if not self._given_up:
+            await release()
+
+    async def _dismiss_callers(self) -> None:
+        """Answer everybody who still waits; requests can be repeated."""
+        message = Refused(
+            RefusalKind.STOPPING,
+            f'shard {self.shard!r} moves to another process',
+            'send the request again',
+        )
+        for token in self._replies.list_open():
+            await self.send_reply(token, message)
+
+    async def take_request(self, request: IncomingRequest) -> None:
+        """Queue a request from the link server for a decision."""
+        await self._put_request(
+            self._replies.add_request(request), request.message
+        )
+
+    async def ask(self, message: Any, timeout_s: float) -> Any:
+        """Put a request of this process and return its answer."""
+
+        def add(caller: MemoryObjectSendStream[Any]) -> int:
+            token = self._replies.add_caller(caller)
+            self._offer_request(token, message)
+            return token
+
+        return await wait_for_answer(add, self._replies.forget, timeout_s)
+
+    async def _put_request(self, token: int, message: Any) -> None:
+        if not self._offer_request(token, message):
+            await self.send_reply(token, self._describe_overload())
+
+    def _offer_request(self, token: int, message: Any) -> bool:
+        try:
+            self.events.send_nowait(RequestReceived(token, message, wall_ms()))
+        except anyio.WouldBlock:
+            return False
+        return True
+
+    def _describe_overload(self) -> Refused:
+        return Refused(
+            RefusalKind.OVERLOADED,
+            f'shard {self.shard!r} has too many waiting requests',
+            'send the request again after a second',
+        )
+
+    async def send_reply(self, token: int, message: Any) -> None:
+        """Answer a request by its token; a token is used once."""
+        await self._replies.send(token, message)
+
+    def request_stop(self) -> None:
+        """Ask for a planned release."""
+        self.events.send_nowait(StopRequested())
+
+    def note_peers(self, names: tuple[str, ...]) -> None:
+        """Tell which entry hosts can call the advice service."""
+        self.events.send_nowait(PeersChanged(names))
+
+    def append(self, record: Any) -> None:
+        """Hand a record to the journal task."""
+        self._unwritten.append(now_ms())
+        self._journal_box.send_nowait(AppendRecord(record))
+
+    def give_up(self, reason: str) -> None:
+        """End the task without any further send."""
+        self._given_up = reason
+
+    def watch_worker(self, action: WatchWorker) -> None:
+        """Run a task for a worker, in place of one for an older address."""
+        self.forget_worker(action.registration.worker)
+        if self._group is None:
+            return
+        box, inbox = _make_inbox(inf)
+        worker = action.registration.worker
+        self._workers[worker] = box
+        task = WorkerTask(
+            worker,
+            self.state.epoch,
+            self.services.open_worker(worker, action.registration.address),
+            inbox,
+            self.events,
+            self._lease,
+        )
+        self._group.start_soon(task.run)
+
+    def forget_worker(self, worker: str) -> None:
+        """End a worker's task."""
+        box = self._workers.pop(worker, None)
+        if box is not None:
+            box.close()
+
+    def command_worker(self, worker: str, command: Any) -> bool:
+        """Hand a command to a worker's task; False when there is none."""
+        box = self._workers.get(worker)
+        if box is None:
+            return False
+        box.send_nowait(command)
+        return True
+
+    def ask_advice(self, action: AskAdvice) -> None:
+        """Have an entry host call the advice service."""
+        if self._group is not None:
+            self._group.start_soon(self._ask_advice, action)
+
+    async def _ask_advice(self, action: AskAdvice) -> None:
+        step = f'{action.step.job_id}.{action.step.occurrence}'
+        question = SeekAdvice(
+            f'{step}.{action.step.step}',
+            action.workers,
+            action.expected_ms + ADVICE_MARGIN_MS,
+        )
+        answer = await self.services.ask_lane(action.lane, question)
+        if isinstance(answer, AdviceGiven):
+            await self.events.send(
+                AdviceAnswered(
+                    action.step,
+                    action.lane,
+                    action.workers,
+                    Advice(answer.tickets, answer.valid_ms),
+                    now_ms(),
+                )
+            )
+            return
+        reason = getattr(answer, 'reason', repr(answer))
+        await self.events.send(
+            AdviceFailed(action.step, action.lane, action.workers, reason)
+        )
+
+    def _observe_append(self, seconds: float) -> None:
+        self.services.metrics.observe(APPEND_SECONDS, seconds)
+
+    def log(self, action: Note) -> None:
+        """Write one decision line and count it."""
+        self.services.metrics.count(DECISIONS, action.kind)
+        log_facts(
+            self.services.logger,
+            action.kind,
+            (
+                ('job', action.job),
+                *action.facts,
+                ('epoch', self.state.epoch),
+            ),
+        )
+
+
+def refuse_not_owner(shard: str) -> Refusal:
+    """Return the refusal of a process that does not own a shard."""
+    return Refusal(
+        RefusalKind.NOT_OWNER,
+        f'this process does not own shard {shard!r}',
+        'send the request to the owner',
+    )
+
+
+def _make_inbox(
+    size: float = MAX_INBOX,
+) -> tuple[MemoryObjectSendStream[Any], MemoryObjectReceiveStream[Any]]:
+    return anyio.create_memory_object_stream[Any](size)
--- a/sassafrasgate/daemons/leases.py
+++ b/sassafrasgate/daemons/leases.py
@@ -41,11 +41,13 @@
     incarnation : str
         New with each start of the process.
     role : str
-        'frontend' or 'scheduler'.
+        'frontend', 'scheduler' or 'entry'.
     link_address : str
         Where a scheduler serves the inner protocol.
     failure_domain : str
         Where its entry host stands.
+    weight : float
+        Processors of its entry host; owners are chosen where there is more.
     """
 
     name: str
@@ -53,6 +55,7 @@
     role: str
     link_address: str
     failure_domain: str
+    weight: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/sassafrasgate/daemons/replies.py
@@ -0,0 +1,109 @@
+"""Requests that wait for an answer, by token."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+import anyio
+
+from sassafrasgate.core.errors import NoAnswer
+from sassafrasgate.protocol.links import OutgoingReply
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from anyio.streams.memory import MemoryObjectSendStream
+
+    from sassafrasgate.protocol.links import IncomingRequest
+
+
+class ReplyTable:
+    """Gives each request a token, and answers it once.
+
+    Parameters
+    ----------
+    reply : callable
+        Queues an `OutgoingReply` for a request that came over a link.
+    """
+
+    def __init__(
+        self, reply: Callable[[OutgoingReply], Awaitable[None]]
+    ) -> None:
+        self._reply = reply
+        self._open: dict[int, Callable[[Any], Awaitable[None]]] = {}
+        self._next = 1
+
+    def add_request(self, request: IncomingRequest) -> int:
+        """Return a token for a request of a link; 0 if it expects none."""
+        if not request.request:
+            return 0
+
+        async def answer(message: Any) -> None:
+            await self._reply(
+                OutgoingReply(request.client, request.request, message)
+            )
+
+        return self._add(answer)
+
+    def add_caller(self, caller: MemoryObjectSendStream[Any]) -> int:
+        """Return a token for a request of this process."""
+
+        async def answer(message: Any) -> None:
+            try:
+                caller.send_nowait(message)
+            except (anyio.BrokenResourceError, anyio.WouldBlock):
+                # The caller has gone.
+                return
+
+        return self._add(answer)
+
+    def _add(self, answer: Callable[[Any], Awaitable[None]]) -> int:
+        token = self._next
+        self._next += 1
+        self._open[token] = answer
+        return token
+
+    def forget(self, token: int) -> None:
+        """Drop a request whose caller waits no longer."""
+        self._open.pop(token, None)
+
+    def list_open(self) -> tuple[int, ...]:
+        """Return the tokens of requests without an answer."""
+        return tuple(self._open)
+
+    async def send(self, token: int, message: Any) -> None:
+        """Answer a request; a token is used once."""
+        answer = self._open.pop(token, None)
+        if answer is not None:
+            await answer(message)
+
+
+async def wait_for_answer(
+    add: Callable[[MemoryObjectSendStream[Any]], int],
+    forget: Callable[[int], None],
+    timeout_s: float,
+) -> Any:
+    """Put a request of this process and return its answer.
+
+    Parameters
+    ----------
+    add : callable
+        Hands the request over, with where to send the answer; returns its
+        token.
+    forget : callable
+        Called with the token when no answer came in time.
+
+    Returns
+    -------
+    object
+        The answer, or `NoAnswer`.
+    """
+    caller, answers = anyio.create_memory_object_stream[Any](1)
+    with caller, answers:
+        token = add(caller)
+        with anyio.move_on_after(timeout_s):
+            return await answers.receive()
+        forget(token)
+    return NoAnswer(f'there was no answer within {timeout_s:.1f} s')
--- a/sassafrasgate/daemons/shards.py
+++ b/sassafrasgate/daemons/shards.py
@@ -33,6 +33,8 @@
 from sassafrasgate.daemons.journals import SnapshotEnded
 from sassafrasgate.daemons.journals import WithdrawJob
 from sassafrasgate.daemons.journals import WriteSnapshot
+from sassafrasgate.daemons.replies import ReplyTable
+from sassafrasgate.daemons.snapshots import SnapshotSchedule
 from sassafrasgate.journal.chain import Journal
 from sassafrasgate.journal.chain import load_journal
 from sassafrasgate.journal.records import Takeover
@@ -79,7 +81,6 @@
     from sassafrasgate.protocol.links import IncomingRequest
 
 TICK_S = 0.2
-SNAPSHOT_ENTRIES = 200
 LOAD_RETRY_S = 0.3
 PEER_TIMEOUT_S = 2.0
 MAX_INBOX = 20_000
@@ -158,14 +159,10 @@
         self.events, self._inbox = _make_inbox()
         self._configuration = configuration
         self._lease = lease
-        self._replies: dict[int, IncomingRequest] = {}
-        self._next_reply = 1
+        self._replies = ReplyTable(services.reply)
         self._hosts: dict[str, MemoryObjectSendStream[Any]] = {}
         self._journal_box, self._journal_inbox = _make_inbox(inf)
-        self._entries = 0
-        self._snapshot_at = 0
-        self._asked_at = 0
-        self._snapshot_asked = False
+        self._snapshots = SnapshotSchedule()
         self._unwritten = 0
         self._jobs_counted_at = 0
         self._given_up = ''
@@ -239,8 +236,7 @@
         except ShardLostError as error:
             self._given_up = str(error)
             return None
-        # Entries of earlier owners fill the ring as well.
-        self._entries = journal.uncovered_entries
+        self._snapshots = SnapshotSchedule(journal.uncovered_entries)
         replay_records(self.state, (takeover,))
         begin_ownership(self.state, now_ms())
         self._request_snapshot()
@@ -280,7 +276,7 @@
             for request in self.state.quick.values()
             for token in request.reply_to
         }
-        for token in set(self._replies) - quick:
+        for token in set(self._replies.list_open()) - quick:
             await self.send_reply(token, self._describe_stop())
         await release()
         while self._has_quick_callers() and not self._given_up:
@@ -304,7 +300,7 @@
             )
             for token in quick.reply_to:
                 await self.send_reply(token, view)
-        for token in list(self._replies):
+        for token in self._replies.list_open():
             await self.send_reply(token, self._describe_stop())
 
     def _has_quick_callers(self) -> bool:
@@ -371,24 +367,19 @@
 
     def _note_durable(self, event: RecordsDurable) -> None:
         self._unwritten -= len(event.records)
-        self._entries += 1
+        self._snapshots.note_entry()
         self._request_snapshot()
 
     def _request_snapshot(self) -> None:
         """Ask for a snapshot when enough entries are uncovered by one."""
-        uncovered = self._entries - self._snapshot_at
-        if self._snapshot_asked or uncovered < SNAPSHOT_ENTRIES:
+        if not self._snapshots.is_due():
             return
-        self._snapshot_asked = True
-        self._asked_at = self._entries
         self._journal_box.send_nowait(
             WriteSnapshot(tuple(list_records(self.state)))
         )
 
     def _note_snapshot(self) -> None:
-        # Entries written since it was asked for are not covered.
-        self._snapshot_asked = False
-        self._snapshot_at = self._asked_at
+        self._snapshots.note_snapshot()
         self._request_snapshot()
 
     def _is_drained(self) -> bool:
@@ -443,11 +434,7 @@
 
     async def take_request(self, request: IncomingRequest) -> None:
         """Queue a request from the link server for a decision."""
-        token = 0
-        if request.request:
-            token = self._next_reply
-            self._next_reply += 1
-            self._replies[token] = request
+        token = self._replies.add_request(request)
         try:
             self.events.send_nowait(
                 RequestReceived(token, request.message, wall_ms())
@@ -471,12 +458,7 @@
 
     async def send_reply(self, token: int, message: Any) -> None:
         """Answer a request by its token; a token is used once."""
-        request = self._replies.pop(token, None)
-        if request is None:
-            return
-        await self.services.reply(
-            OutgoingReply(request.client, request.request, message)
-        )
+        await self._replies.send(token, message)
 
     def request_stop(self) -> None:
         """Ask for a planned release."""
--- /dev/null
+++ b/sassafrasgate/daemons/watches.py
@@ -0,0 +1,187 @@
+"""Tasks that follow what operators and workers write into the store."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+from typing import TYPE_CHECKING
+
+import anyio
+
+from sassafrasgate.core.errors import StoreError
+from sassafrasgate.core.errors import StoreLogTrimmedError
+from sassafrasgate.core.items import Item
+from sassafrasgate.core.routing import RoutingTable
+from sassafrasgate.core.workers import Registration
+from sassafrasgate.dispatch.events import TableChanged
+from sassafrasgate.dispatch.events import WorkerRegistered
+from sassafrasgate.dispatch.events import WorkersListed
+from sassafrasgate.dispatch.events import WorkerUnregistered
+
+if TYPE_CHECKING:
+    from anyio.streams.memory import MemoryObjectSendStream
+    from logbook import Logger
+
+WATCH_WAIT_S = 20.0
+RETRY_S = 0.3
+
+
+@dataclass(frozen=True, slots=True)
+class TableSource:
+    """Where the operators' routing table lies, and how to read it."""
+
+    prefix: str
+    key: str
+    read: Callable[[bytes], RoutingTable | None]
+
+
+@dataclass(frozen=True, slots=True)
+class RegistrationSource:
+    """Where workers register themselves, and how to read an entry."""
+
+    prefix: str
+    read: Callable[[Item], Registration | None]
+
+
+class PrefixWatch:
+    """Lists a prefix and then follows it.
+
+    Parameters
+    ----------
+    store : object
+        A client for the watch.
+    prefix : str
+        Start of the keys.
+    pause_s : float
+        Time between an answer with changes and the next call. Changes that
+        come in quick succession then share a call, which is priced.
+    """
+
+    def __init__(self, store: Any, prefix: str, pause_s: float) -> None:
+        self._store = store
+        self._prefix = prefix
+        self._pause_s = pause_s
+
+    async def run(
+        self,
+        note_list: Callable[[tuple[Item, ...]], Any],
+        note_changes: Callable[[tuple[Item, ...]], Any],
+    ) -> None:
+        """Call back with all items, then with changes, until cancelled."""
+        while True:
+            try:
+                listed = await self._store.read_prefix(self._prefix)
+                await note_list(listed.items)
+                await self._follow(listed.revision, note_changes)
+            except StoreLogTrimmedError:
+                continue
+            except StoreError:
+                await anyio.sleep(RETRY_S)
+
+    async def _follow(
+        self,
+        revision: int,
+        note_changes: Callable[[tuple[Item, ...]], Any],
+    ) -> None:
+        while True:
+            changes = await self._store.watch(
+                self._prefix, revision, WATCH_WAIT_S
+            )
+            revision = changes.revision
+            if not changes.items:
+                continue
+            await note_changes(changes.items)
+            await anyio.sleep(self._pause_s)
+
+
+class TableTask:
+    """Tells a listener of each newer routing table.
+
+    Parameters
+    ----------
+    watch : PrefixWatch
+        Of the prefix of the table's key.
+    source : TableSource
+        How to read it.
+    listener : MemoryObjectSendStream
+        Gets `TableChanged`.
+    """
+
+    def __init__(
+        self,
+        watch: PrefixWatch,
+        source: TableSource,
+        listener: MemoryObjectSendStream[Any],
+        logger: Logger,
+    ) -> None:
+        self._watch = watch
+        self._source = source
+        self._listener = listener
+        self._logger = logger
+        self._version = 0
+
+    async def run(self) -> None:
+        """Follow the key until cancelled."""
+        await self._watch.run(self._note_items, self._note_items)
+
+    async def _note_items(self, items: tuple[Item, ...]) -> None:
+        for item in items:
+            if item.key != self._source.key or item.value is None:
+                continue
+            table = self._source.read(item.value)
+            if table is None:
+                self._logger.warning(
+                    'the routing table at revision {} is unreadable and is '
+                    'left out; write a valid one',
+                    item.revision,
+                )
+                continue
+            if table.version > self._version:
+                self._version = table.version
+                await self._listener.send(TableChanged(table))
+
+
+class RegistrationTask:
+    """Tells the dispatcher which workers there are.
+
+    Parameters
+    ----------
+    watch : PrefixWatch
+        Of the prefix of workers' entries.
+    source : RegistrationSource
+        How to read an entry.
+    listener : MemoryObjectSendStream
+        Gets `WorkersListed`, `WorkerRegistered` and `WorkerUnregistered`.
+    """
+
+    def __init__(
+        self,
+        watch: PrefixWatch,
+        source: RegistrationSource,
+        listener: MemoryObjectSendStream[Any],
+    ) -> None:
+        self._watch = watch
+        self._source = source
+        self._listener = listener
+
+    async def run(self) -> None:
+        """Follow the entries until cancelled."""
+        await self._watch.run(self._note_list, self._note_changes)
+
+    async def _note_list(self, items: tuple[Item, ...]) -> None:
+        found = (self._source.read(item) for item in items)
+        await self._listener.send(
+            WorkersListed(tuple(entry for entry in found if entry))
+        )
+
+    async def _note_changes(self, items: tuple[Item, ...]) -> None:
+        newest = {item.key: item for item in items}
+        for key, item in newest.items():
+            entry = None if item.value is None else self._source.read(item)
+            if entry is not None:
+                await self._listener.send(WorkerRegistered(entry))
+                continue
+            await self._listener.send(
+                WorkerUnregistered(key.removeprefix(self._source.prefix))
+            )
--- /dev/null
+++ b/sassafrasgate/daemons/workers.py
@@ -0,0 +1,293 @@
+"""The task that talks to one worker for the dispatcher.
+
+It owns the worker's client and the last clock reading. One long poll renews
+the lease, acknowledges ends and brings news; starts and stops are calls of
+their own.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from collections.abc import Coroutine
+from random import uniform
+from typing import Any
+from typing import TYPE_CHECKING
+
+import anyio
+
+from sassafrasgate.core.errors import WorkerUnavailableError
+from sassafrasgate.core.registries import Registry
+from sassafrasgate.core.workflows import HoldRequest
+from sassafrasgate.core.workflows import RunRequest
+from sassafrasgate.core.workflows import StartRefusal
+from sassafrasgate.core.workflows import WorkerReport
+from sassafrasgate.daemons.hosts import OwnerLeaseChanged
+from sassafrasgate.daemons.hosts import StopSyncing
+from sassafrasgate.dispatch.actions import AcknowledgeEnds
+from sassafrasgate.dispatch.actions import StartRun
+from sassafrasgate.dispatch.actions import StopRun
+from sassafrasgate.dispatch.events import EpochRefused
+from sassafrasgate.dispatch.events import RunAnswered
+from sassafrasgate.dispatch.events import RunNotSent
+from sassafrasgate.dispatch.events import RunUnanswered
+from sassafrasgate.dispatch.events import StopAnswered
+from sassafrasgate.dispatch.events import WorkerReported
+from sassafrasgate.dispatch.events import WorkerSilent
+from sassafrasgate.dispatch.leases import find_deadline
+from sassafrasgate.dispatch.leases import find_grant_bound
+from sassafrasgate.observability.clocks import now_ms
+from sassafrasgate.shards.attempts import ClockReading
+from sassafrasgate.shards.ownership import may_send
+
+if TYPE_CHECKING:
+    from anyio.streams.memory import MemoryObjectReceiveStream
+    from anyio.streams.memory import MemoryObjectSendStream
+
+    from sassafrasgate.core.workflows import RunAnswer
+    from sassafrasgate.shards.ownership import OwnerLease
+
+# How long a worker holds a look while nothing ends.
+HOLD_WAIT_MS = 1_500
+# A worker that answers does so within a few milliseconds; a call that has
+# no answer by then is repeated on a new connection.
+CALL_TIMEOUT_S = 0.3
+START_TRIES = 4
+STOP_TRIES = 3
+RETRY_MIN_S = 0.05
+RETRY_MAX_S = 0.5
+# While the journal can't confirm ends, looks would return at once.
+UNCONFIRMED_WAIT_S = 1.0
+
+Command = Callable[['WorkerTask', Any], Coroutine[Any, Any, None]]
+
+COMMANDS: Registry[type[Any], Command] = Registry('worker command')
+
+
+class WorkerTask:
+    """Owns the client of one worker.
+
+    Parameters
+    ----------
+    worker : str
+        Its id.
+    epoch : int
+        Of the owner that this task acts for.
+    client : object
+        With the methods of `sassafrasgate.platform.workers.WorkerOrders`.
+    inbox : MemoryObjectReceiveStream
+        Commands: actions of `sassafrasgate.dispatch.actions`,
+        `OwnerLeaseChanged` and `StopSyncing`.
+    events : MemoryObjectSendStream
+        The dispatcher's inbox.
+    lease : OwnerLease
+        The owner's lease when the task starts.
+    """
+
+    def __init__(
+        self,
+        worker: str,
+        epoch: int,
+        client: Any,
+        inbox: MemoryObjectReceiveStream[Any],
+        events: MemoryObjectSendStream[Any],
+        lease: OwnerLease,
+    ) -> None:
+        self.worker = worker
+        self.epoch = epoch
+        self._client = client
+        self._inbox = inbox
+        self._events = events
+        self._lease = lease
+        self._reading: ClockReading | None = None
+        self._born_ms = 0
+        self._lapse_at = 0
+        self._seen = 0
+        self._acknowledged = 0
+        self._news = anyio.Event()
+
+    async def run(self) -> None:
+        """Serve commands until the inbox closes."""
+        async with self._client, anyio.create_task_group() as tasks:
+            tasks.start_soon(self._look_forever)
+            async for command in self._inbox:
+                if isinstance(command, OwnerLeaseChanged):
+                    self._lease = command.lease
+                    continue
+                if isinstance(command, StopSyncing):
+                    break
+                if isinstance(command, AcknowledgeEnds):
+                    self._note_acknowledged(command)
+                    continue
+                handle = COMMANDS.find(type(command))
+                tasks.start_soon(handle, self, command)
+            tasks.cancel_scope.cancel()
+
+    def may_send(self) -> bool:
+        """Tell whether this owner may still command the worker."""
+        lease = self._lease
+        return may_send(lease, now_ms(), lease.ttl_ms, lease.grace_ms)
+
+    def _note_acknowledged(self, command: AcknowledgeEnds) -> None:
+        if command.born_ms != self._born_ms:
+            return
+        self._acknowledged = max(self._acknowledged, command.number)
+        if self._acknowledged >= self._seen:
+            self._news.set()
+
+    async def _look_forever(self) -> None:
+        delay_s = RETRY_MIN_S
+        silent = True
+        while True:
+            if self.may_send() and await self._look(silent):
+                delay_s = RETRY_MIN_S
+                silent = False
+                await self._wait_for_records()
+                continue
+            silent = True
+            await anyio.sleep(uniform(0, delay_s))
+            delay_s = min(delay_s * 2, RETRY_MAX_S)
+
+    async def _wait_for_records(self) -> None:
+        """Wait until ends are durable; a look would only repeat them."""
+        if self._acknowledged >= self._seen:
+            return
+        self._news = anyio.Event()
+        with anyio.move_on_after(UNCONFIRMED_WAIT_S):
+            await self._news.wait()
+
+    async def _look(self, silent: bool) -> bool:
+        """Make one hold call; tell whether the worker answered.
+
+        Calls to a silent worker renew nothing: one that is carried out
+        late would make its runs last longer than the owner counts with.
+        """
+        request = HoldRequest(self.epoch, self._acknowledged)
+        if not silent and self._reading is not None:
+            request = HoldRequest(
+                self.epoch,
+                self._acknowledged,
+                self._grant(),
+                HOLD_WAIT_MS if self._acknowledged >= self._seen else 0,
+            )
+        try:
+            report = await self._client.hold(request)
+        except WorkerUnavailableError as error:
+            await self._events.send(
+                WorkerSilent(self.worker, self._lapse_at, str(error))
+            )
+            return False
+        if not isinstance(report, WorkerReport):
+            await self._refuse_look(report)
+            return False
+        received_at = now_ms()
+        if report.born_ms != self._born_ms:
+            self._born_ms = report.born_ms
+            self._seen = 0
+            self._acknowledged = 0
+        self._reading = ClockReading(report.clock_ms, received_at)
+        self._seen = max(
+            self._seen, max((end.number for end in report.ended), default=0)
+        )
+        await self._events.send(
+            WorkerReported(self.worker, report, received_at, self._lapse_at)
+        )
+        return True
+
+    async def _refuse_look(self, refusal: StartRefusal) -> None:
+        if refusal is StartRefusal.STALE_EPOCH:
+            await self._events.send(EpochRefused(self.worker))
+            return
+        await self._events.send(
+            WorkerSilent(self.worker, self._lapse_at, f'refused: {refusal}')
+        )
+
+    def _grant(self) -> int:
+        """Return a deadline on the worker's clock and count with it."""
+        assert self._reading is not None
+        now = now_ms()
+        age_ms = now - self._reading.received_at
+        self._lapse_at = max(self._lapse_at, find_grant_bound(now, age_ms))
+        return find_deadline(self._reading.clock, age_ms)
+
+    async def start_run(self, command: StartRun) -> None:
+        """Start a run; repeat it while no answer comes."""
+        for number in range(1, START_TRIES + 1):
+            reason = self._find_obstacle(command.born_ms)
+            if reason:
+                await self._report_unsent(command, number, reason)
+                return
+            try:
+                answer: RunAnswer = await self._client.start(
+                    RunRequest(
+                        command.run.task,
+                        command.run.run,
+                        command.payload,
+                        self._grant(),
+                        self.epoch,
+                        command.checkpoint,
+                        command.ticket,
+                    )
+                )
+            except WorkerUnavailableError as error:
+                if not error.sent and number == 1:
+                    await self._report_unsent(command, number, str(error))
+                    return
+                await self._events.send(
+                    RunUnanswered(
+                        self.worker, command.run, number == START_TRIES
+                    )
+                )
+                continue
+            await self._events.send(
+                RunAnswered(self.worker, command.run, answer)
+            )
+            return
+
+    async def _report_unsent(
+        self, command: StartRun, number: int, reason: str
+    ) -> None:
+        if number == 1:
+            await self._events.send(
+                RunNotSent(self.worker, command.run, reason)
+            )
+            return
+        await self._events.send(RunUnanswered(self.worker, command.run, True))
+
+    def _find_obstacle(self, born_ms: int) -> str:
+        if not self.may_send():
+            return 'the owner lease has lapsed'
+        if self._reading is None:
+            return 'the worker has not answered yet'
+        if self._born_ms != born_ms:
+            return 'the worker has restarted'
+        return ''
+
+    async def stop_run(self, command: StopRun) -> None:
+        """End a run; the dispatcher repeats it when nothing follows."""
+        for _ in range(STOP_TRIES):
+            if not self.may_send():
+                return
+            try:
+                answer: RunAnswer = await self._client.stop(
+                    command.run.task, command.run.run, self.epoch
+                )
+            except WorkerUnavailableError:
+                continue
+            if answer.refusal is StartRefusal.STALE_EPOCH:
+                await self._events.send(EpochRefused(self.worker))
+                return
+            if answer.refusal is None:
+                await self._events.send(
+                    StopAnswered(self.worker, command.run, answer.clock_ms)
+                )
+            return
+
+
+@COMMANDS.register(StartRun)
+async def _start_run(task: WorkerTask, command: StartRun) -> None:
+    await task.start_run(command)
+
+
+@COMMANDS.register(StopRun)
+async def _stop_run(task: WorkerTask, command: StopRun) -> None:
+    await task.stop_run(command)
--- /dev/null
+++ b/sassafrasgate/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions about workflows: which task starts where, and when."""
--- /dev/null
+++ b/sassafrasgate/dispatch/advice.py
@@ -0,0 +1,173 @@
+"""Which steps to ask advice for, about which workers, from which host.
+
+The service answers one call at a time for each host that calls it, so calls
+are spread. Short calls stay on the owner; long ones go to other hosts, where
+they keep no short call waiting.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from sassafrasgate.dispatch.actions import AskAdvice
+from sassafrasgate.dispatch.actions import Note
+from sassafrasgate.dispatch.events import AdviceAnswered
+from sassafrasgate.dispatch.events import AdviceFailed
+from sassafrasgate.dispatch.events import PeersChanged
+from sassafrasgate.dispatch.handlers import EVENT_HANDLERS
+from sassafrasgate.dispatch.state import Lane
+from sassafrasgate.dispatch.state import StepAdvice
+from sassafrasgate.dispatch.state import Ticket
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from sassafrasgate.core.routing import AdviceTerms
+    from sassafrasgate.dispatch.handlers import Actions
+    from sassafrasgate.dispatch.state import DispatchState
+    from sassafrasgate.dispatch.state import StepKey
+
+# Most workers that one call may name.
+MOST_NAMED = 100
+# A call that takes longer is not made by the owner while it has peers.
+LONG_CALL_MS = 60
+# Time for a message to another entry host and back, and to the service.
+PEER_MS = 15
+SERVICE_MS = 8
+# Calls are not queued behind others for longer than this; the step asks
+# again when a host is free.
+MOST_BACKLOG_MS = 1_200
+# A ticket must last for the way to the worker.
+TICKET_MARGIN_MS = 80
+# A failed call is repeated after this time, doubled with each failure.
+RETRY_MS = 100
+LONGEST_RETRY_MS = 1_000
+# A call without an answer counts as lost after this long past its time.
+LOST_MS = 1_000
+
+
+def is_live(state: DispatchState, worker: str, ticket: Ticket) -> bool:
+    """Tell whether a ticket will be valid when a start arrives."""
+    entry = state.workers.get(worker)
+    if entry is None or entry.born_ms != ticket.born_ms:
+        return False
+    return state.now + TICKET_MARGIN_MS < ticket.expires_at
+
+
+def may_ask(state: DispatchState, key: StepKey) -> bool:
+    """Tell whether a call about a step may be made now."""
+    advice = state.advice.get(key)
+    if advice is None:
+        return True
+    if advice.asking:
+        return False
+    if not advice.failures:
+        return True
+    delay = min(RETRY_MS << min(advice.failures, 5), LONGEST_RETRY_MS)
+    return state.now >= advice.asked_at + delay
+
+
+def ask_advice(
+    state: DispatchState,
+    key: StepKey,
+    terms: AdviceTerms,
+    workers: Iterable[str],
+) -> Actions:
+    """Ask about workers, unless every host is busy for too long."""
+    named = tuple(workers)[:MOST_NAMED]
+    if not named:
+        return
+    call_ms = int(terms.decide_ms + terms.each_ms * len(named)) + SERVICE_MS
+    lane = _choose_lane(state, call_ms)
+    if lane is None:
+        return
+    ready_at = max(lane.busy_until, state.now) + call_ms
+    state.lanes[lane.name] = replace(lane, busy_until=ready_at)
+    advice = state.advice.get(key, StepAdvice())
+    state.advice[key] = replace(
+        advice,
+        asking=frozenset(named),
+        asked=advice.asked | frozenset(named),
+        asked_at=state.now,
+    )
+    yield AskAdvice(key, named, lane.name, ready_at - state.now)
+
+
+def _choose_lane(state: DispatchState, call_ms: int) -> Lane | None:
+    """Return the host that can answer first; None when all are too busy."""
+    best: Lane | None = None
+    best_at = state.now + MOST_BACKLOG_MS
+    for number, lane in enumerate(state.lanes.values()):
+        own = number == 0
+        if own and call_ms > LONG_CALL_MS and len(state.lanes) > 1:
+            continue
+        begin = max(lane.busy_until, state.now) + (0 if own else PEER_MS)
+        if begin < best_at:
+            best, best_at = lane, begin
+    return best
+
+
+@EVENT_HANDLERS.register(PeersChanged)
+def note_peers(state: DispatchState, event: PeersChanged) -> Actions:
+    """Keep one lane for each entry host."""
+    state.lanes = {
+        name: state.lanes.get(name, Lane(name)) for name in event.names
+    }
+    yield from ()
+
+
+@EVENT_HANDLERS.register(AdviceAnswered)
+def note_advice(state: DispatchState, event: AdviceAnswered) -> Actions:
+    """Keep the tickets; workers that were named and have none are not good."""
+    advice = state.advice.get(event.step)
+    if advice is None or event.step not in state.steps:
+        return
+    expires_at = event.answered_at + event.advice.valid_ms
+    tickets = dict(advice.tickets)
+    for worker in event.workers:
+        tickets.pop(worker, None)
+    for worker, ticket in event.advice.tickets:
+        entry = state.workers.get(worker)
+        if entry is not None:
+            tickets[worker] = Ticket(ticket, expires_at, entry.born_ms)
+    state.advice[event.step] = replace(
+        advice, tickets=tickets, asking=frozenset(), failures=0
+    )
+    state.dirty = True
+    yield Note(
+        'advice',
+        event.step.job_id,
+        (
+            ('step', f'{event.step.occurrence}.{event.step.step}'),
+            ('named', len(event.workers)),
+            ('good', len(event.advice.tickets)),
+            ('lane', event.lane),
+            ('took_ms', state.now - advice.asked_at),
+        ),
+    )
+
+
+@EVENT_HANDLERS.register(AdviceFailed)
+def note_failed_advice(state: DispatchState, event: AdviceFailed) -> Actions:
+    """Let the step ask again; what was not answered was not asked."""
+    advice = state.advice.get(event.step)
+    if advice is None or event.step not in state.steps:
+        return
+    named = frozenset(event.workers) - advice.tickets.keys()
+    state.advice[event.step] = replace(
+        advice,
+        asking=frozenset(),
+        asked=advice.asked - named,
+        failures=advice.failures + 1,
+    )
+    state.dirty = True
+    yield Note(
+        'advice-failed',
+        event.step.job_id,
+        (
+            ('step', f'{event.step.occurrence}.{event.step.step}'),
+            ('lane', event.lane),
+            ('reason', event.reason),
+        ),
+    )
--- /dev/null
+++ b/sassafrasgate/dispatch/leases.py
@@ -0,0 +1,42 @@
+"""Lengths of workers' leases, and when they have certainly lapsed."""
+
+from __future__ import annotations
+
+from math import ceil
+
+# A longer lease lets runs survive longer cuts; a shorter one lets the tasks
+# of a worker that is gone start elsewhere sooner.
+LEASE_MS = 4_500
+# A worker's steady clock may be this much slow.
+DRIFT = 0.02
+# Allowance for timers on both sides.
+MARGIN_MS = 300
+
+
+def find_grant_bound(sent_at: int, reading_age_ms: int) -> int:
+    """Return the owner's clock at which a grant has certainly lapsed.
+
+    Parameters
+    ----------
+    sent_at : int
+        Owner's clock when the grant was sent.
+    reading_age_ms : int
+        Age of the worker's clock reading that its deadline is based on.
+    """
+    slow_ms = DRIFT * (reading_age_ms + LEASE_MS)
+    return sent_at + LEASE_MS + ceil(slow_ms) + MARGIN_MS
+
+
+def find_deadline(clock_ms: int, reading_age_ms: int) -> int:
+    """Return the worker-clock deadline of a lease that begins now."""
+    return clock_ms + reading_age_ms + LEASE_MS
+
+
+def find_takeover_bound(now: int, ttl_ms: int, grace_ms: int) -> int:
+    """Return when everything granted by an earlier owner has lapsed.
+
+    The earlier owner may have sent its last grant at the end of its lease
+    and its outage grace, on a clock that may be slow too.
+    """
+    longest = ttl_ms + grace_ms + LEASE_MS
+    return now + ceil(longest * (1 + DRIFT)) + 2 * MARGIN_MS
--- /dev/null
+++ b/sassafrasgate/dispatch/passes.py
@@ -0,0 +1,593 @@
+"""The pass over waiting steps that places what there is room for."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from sassafrasgate.core.resources import NOTHING
+from sassafrasgate.core.resources import Resources
+from sassafrasgate.dispatch.actions import Note
+from sassafrasgate.dispatch.actions import StartRun
+from sassafrasgate.dispatch.advice import ask_advice
+from sassafrasgate.dispatch.advice import is_live
+from sassafrasgate.dispatch.advice import may_ask
+from sassafrasgate.dispatch.advice import SERVICE_MS
+from sassafrasgate.dispatch.events import PassDue
+from sassafrasgate.dispatch.handlers import EVENT_HANDLERS
+from sassafrasgate.dispatch.health import find_allowance
+from sassafrasgate.dispatch.ordering import rank_step
+from sassafrasgate.dispatch.recovery import find_next_run
+from sassafrasgate.dispatch.reports import reserve_demand
+from sassafrasgate.dispatch.state import name_task
+from sassafrasgate.dispatch.state import RunEntry
+from sassafrasgate.dispatch.state import RunKey
+from sassafrasgate.dispatch.state import StepAdvice
+from sassafrasgate.dispatch.state import WorkerEntry
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from sassafrasgate.core.routing import Queue
+    from sassafrasgate.core.workflows import Step
+    from sassafrasgate.dispatch.handlers import Actions
+    from sassafrasgate.dispatch.state import DispatchState
+    from sassafrasgate.dispatch.state import JobEntry
+    from sassafrasgate.dispatch.state import StepKey
+
+# Gangs that may hold room at once; more would keep too much of it idle.
+MOST_HOLDS = 4
+# Room that a gang can only have later than this is not held for it.
+HOLD_HORIZON_MS = 8_000
+# A run with less progress than this says little about its speed.
+LEAST_PERCENT = 10
+# A run past its expected end is expected to take this share of it more.
+OVERDUE_SHARE = 0.25
+# Time on another rack than the one that holds the data, as a factor.
+FAR_FACTOR = 1.5
+
+
+@dataclass(slots=True)
+class Hold:
+    """Room on a worker that a gang is to get.
+
+    Parameters
+    ----------
+    at : int
+        Owner's clock when the gang is expected to start.
+    spare : Resources
+        What the gang leaves free at that time.
+    """
+
+    at: int
+    spare: Resources
+
+
+@dataclass(slots=True)
+class PassPlan:
+    """What one pass works with.
+
+    Parameters
+    ----------
+    usable : dict
+        Workers that may get new runs, by pool.
+    allowances : dict
+        Most further runs of workers in probation.
+    """
+
+    usable: dict[str, list[WorkerEntry]]
+    allowances: dict[str, int]
+    holds: dict[str, Hold] = field(default_factory=dict)
+    holding: int = 0
+    ends: dict[str, list[tuple[int, Resources]]] = field(default_factory=dict)
+
+
+@EVENT_HANDLERS.register(PassDue)
+def place_waiting(state: DispatchState, event: PassDue) -> Actions:
+    """Go through the waiting steps in order and start what fits."""
+    state.dirty = False
+    if state.stopping or not state.waiting:
+        return
+    plan = _make_plan(state)
+    for key in sorted(state.waiting, key=lambda key: rank_step(state, key)):
+        job = state.jobs[key.job_id]
+        if job.inherited and state.unsettled:
+            continue
+        terms = state.find_terms(job)
+        workers = plan.usable.get(terms.pool)
+        if not workers:
+            continue
+        step = state.find_step(key)
+        if step.gang:
+            yield from _place_gang(state, plan, key, step, terms, workers)
+        else:
+            yield from _place_tasks(state, plan, key, step, terms, workers)
+
+
+def _make_plan(state: DispatchState) -> PassPlan:
+    usable: dict[str, list[WorkerEntry]] = {}
+    allowances: dict[str, int] = {}
+    for worker, entry in state.workers.items():
+        if not _is_usable(state, entry):
+            continue
+        allowance = find_allowance(state, worker)
+        if allowance == 0:
+            continue
+        if allowance is not None:
+            allowances[worker] = allowance
+        usable.setdefault(entry.registration.pool, []).append(entry)
+    return PassPlan(usable, allowances)
+
+
+def _is_usable(state: DispatchState, entry: WorkerEntry) -> bool:
+    return (
+        entry.fenced
+        and entry.registered
+        and entry.recorded
+        and not entry.silent_since
+        and not entry.foreign
+        and not entry.registration.leaving
+        and entry.avoid_until <= state.now
+    )
+
+
+def _match_workers(
+    step: Step, workers: list[WorkerEntry]
+) -> list[WorkerEntry]:
+    if not step.label:
+        return workers
+    return [w for w in workers if step.label in w.registration.labels]
+
+
+def _split_by_ticket(
+    state: DispatchState, key: StepKey, workers: list[WorkerEntry]
+) -> tuple[list[WorkerEntry], list[WorkerEntry], list[WorkerEntry]]:
+    """Return workers with a valid ticket, good ones, and unknown ones."""
+    advice = state.advice.get(key)
+    if advice is None:
+        return [], [], workers
+    live: list[WorkerEntry] = []
+    good: list[WorkerEntry] = []
+    unknown: list[WorkerEntry] = []
+    for worker in workers:
+        name = worker.registration.worker
+        ticket = advice.tickets.get(name)
+        if ticket is not None:
+            (live if is_live(state, name, ticket) else good).append(worker)
+        elif name not in advice.asked:
+            unknown.append(worker)
+    return live, good, unknown
+
+
+def _place_tasks(
+    state: DispatchState,
+    plan: PassPlan,
+    key: StepKey,
+    step: Step,
+    terms: Queue,
+    workers: list[WorkerEntry],
+) -> Actions:
+    """Start as many tasks of a step as there is room for."""
+    workers = _match_workers(step, workers)
+    live = workers
+    good: list[WorkerEntry] = []
+    unknown: list[WorkerEntry] = []
+    if terms.advice is not None:
+        live, good, unknown = _split_by_ticket(state, key, workers)
+    job = state.jobs[key.job_id]
+    if job.durable:
+        yield from _start_tasks(state, plan, key, step, job, live)
+    if terms.advice is None or not state.steps[key].pending:
+        return
+    if not may_ask(state, key):
+        return
+    demand = reserve_demand(step)
+    with_room = [
+        worker
+        for worker in (*good, *unknown)
+        if demand.fits_in(state.free[worker.registration.worker])
+    ]
+    if key not in state.advice:
+        with_room = unknown
+    yield from ask_advice(
+        state,
+        key,
+        terms.advice,
+        (worker.registration.worker for worker in with_room),
+    )
+
+
+def _start_tasks(
+    state: DispatchState,
+    plan: PassPlan,
+    key: StepKey,
+    step: Step,
+    job: JobEntry,
+    workers: list[WorkerEntry],
+) -> Actions:
+    demand = reserve_demand(step)
+    open_workers = [
+        worker
+        for worker in workers
+        if demand.fits_in(state.free[worker.registration.worker])
+    ]
+    if not open_workers:
+        return
+    on_worker = _count_on_workers(state, key) if step.max_per_worker else {}
+    for index in sorted(state.steps[key].pending):
+        task = state.find_task(name_task(key, index))
+        best = _choose_worker(
+            state, plan, step, demand, open_workers, on_worker, task.failed_on
+        )
+        if best is None:
+            return
+        name = best.registration.worker
+        on_worker[name] = on_worker.get(name, 0) + 1
+        _charge_plan(state, plan, step, best, demand)
+        yield from _start_run(
+            state, key, step, job, best, index, task.next_run, demand
+        )
+
+
+def _count_on_workers(state: DispatchState, key: StepKey) -> dict[str, int]:
+    counts: dict[str, int] = {}
+    for run in state.list_runs_of(key):
+        counts[run.worker] = counts.get(run.worker, 0) + 1
+    return counts
+
+
+def _choose_worker(
+    state: DispatchState,
+    plan: PassPlan,
+    step: Step,
+    demand: Resources,
+    workers: list[WorkerEntry],
+    on_worker: dict[str, int],
+    failed_on: tuple[str, ...],
+) -> WorkerEntry | None:
+    """Return the fullest worker that has room, near the data if possible."""
+    best: WorkerEntry | None = None
+    best_score: tuple[bool, bool, int] | None = None
+    for worker in workers:
+        name = worker.registration.worker
+        free = state.free[name]
+        if not demand.fits_in(free):
+            continue
+        if plan.allowances.get(name, 1) <= 0:
+            continue
+        if step.max_per_worker and (
+            on_worker.get(name, 0) >= step.max_per_worker
+        ):
+            continue
+        if not _respects_hold(state, plan, step, worker, demand):
+            continue
+        far = bool(step.rack) and worker.registration.rack != step.rack
+        score = (name in failed_on, far, free.millicores)
+        if best_score is None or score < best_score:
+            best, best_score = worker, score
+    return best
+
+
+def _expect_ms(step: Step, worker: WorkerEntry) -> int:
+    if step.rack and worker.registration.rack != step.rack:
+        return int(step.estimate_ms * FAR_FACTOR)
+    return step.estimate_ms
+
+
+def _respects_hold(
+    state: DispatchState,
+    plan: PassPlan,
+    step: Step,
+    worker: WorkerEntry,
+    demand: Resources,
+) -> bool:
+    hold = plan.holds.get(worker.registration.worker)
+    if hold is None:
+        return True
+    if state.now + _expect_ms(step, worker) <= hold.at:
+        return True
+    return demand.fits_in(hold.spare)
+
+
+def _charge_plan(
+    state: DispatchState,
+    plan: PassPlan,
+    step: Step,
+    worker: WorkerEntry,
+    demand: Resources,
+) -> None:
+    name = worker.registration.worker
+    if name in plan.allowances:
+        plan.allowances[name] -= 1
+    plan.ends.pop(name, None)
+    hold = plan.holds.get(name)
+    if hold is None or state.now + _expect_ms(step, worker) <= hold.at:
+        return
+    hold.spare = hold.spare - demand
+
+
+def _start_run(
+    state: DispatchState,
+    key: StepKey,
+    step: Step,
+    job: JobEntry,
+    worker: WorkerEntry,
+    index: int,
+    number: int,
+    demand: Resources,
+) -> Actions:
+    name = worker.registration.worker
+    run = RunKey(name_task(key, index), number)
+    task = state.update_task(run.task, next_run=number + 1)
+    entry = state.steps[key]
+    state.update_step(key, pending=entry.pending - {index})
+    if not state.steps[key].pending:
+        state.waiting.pop(key, None)
+    state.add_run(
+        RunEntry(
+            run,
+            key,
+            index,
+            name,
+            worker.born_ms,
+            demand,
+            started_at=state.now,
+            expected_ms=_expect_ms(step, worker),
+        )
+    )
+    advice = state.advice.get(key, StepAdvice())
+    ticket = advice.tickets.get(name)
+    checkpoint = entry.checkpoint if step.gang else task.checkpoint
+    yield Note(
+        'start',
+        run.task,
+        (
+            ('run', number),
+            ('worker', name),
+            ('free', state.free[name].millicores),
+            ('slack_ms', job.due_at - job.tails[key.step] - state.now),
+            ('waited_ms', state.now - entry.ready_at),
+            ('ticket_ms', ticket.expires_at - state.now if ticket else 0),
+            ('checkpoint', bool(checkpoint)),
+        ),
+    )
+    yield StartRun(
+        name,
+        run,
+        job.workflow.payload,
+        checkpoint,
+        ticket.ticket if ticket else '',
+        worker.born_ms,
+    )
+
+
+def _place_gang(
+    state: DispatchState,
+    plan: PassPlan,
+    key: StepKey,
+    step: Step,
+    terms: Queue,
+    workers: list[WorkerEntry],
+) -> Actions:
+    """Start a gang whole, or hold room for it."""
+    workers = _match_workers(step, workers)
+    live = workers
+    good: list[WorkerEntry] = []
+    unknown: list[WorkerEntry] = []
+    if terms.advice is not None:
+        live, good, unknown = _split_by_ticket(state, key, workers)
+        if key not in state.advice:
+            yield from ask_advice(
+                state,
+                key,
+                terms.advice,
+                (worker.registration.worker for worker in unknown),
+            )
+            return
+    job = state.jobs[key.job_id]
+    demand = reserve_demand(step)
+    chosen = _assign_gang(state, plan, step, demand, live)
+    if chosen and job.durable:
+        yield from _start_gang(state, plan, key, step, job, chosen, demand)
+        return
+    admitted = [*live, *good]
+    chosen = chosen or _assign_gang(state, plan, step, demand, admitted)
+    at = state.now
+    if not chosen:
+        at, chosen = _find_start(state, plan, step, demand, admitted)
+    if not chosen:
+        # The known good workers can never hold it; others may be good.
+        if terms.advice is not None and unknown and may_ask(state, key):
+            yield from ask_advice(
+                state,
+                key,
+                terms.advice,
+                (worker.registration.worker for worker in unknown),
+            )
+        return
+    _hold_room(state, plan, demand, chosen, at)
+    if terms.advice is None or not may_ask(state, key):
+        return
+    stale = {worker.registration.worker for worker in good} & chosen.keys()
+    call_ms = int(terms.advice.decide_ms + terms.advice.each_ms * len(stale))
+    if stale and at - state.now <= call_ms + SERVICE_MS:
+        yield from ask_advice(state, key, terms.advice, sorted(stale))
+
+
+def _count_slots(room: Resources, demand: Resources, most: int) -> int:
+    """Return how many times a demand fits into a room."""
+    slots = most
+    if demand.millicores:
+        slots = min(slots, room.millicores // demand.millicores)
+    if demand.memory_mb:
+        slots = min(slots, room.memory_mb // demand.memory_mb)
+    if demand.accelerators:
+        slots = min(slots, room.accelerators // demand.accelerators)
+    return max(0, slots)
+
+
+def _assign_gang(
+    state: DispatchState,
+    plan: PassPlan,
+    step: Step,
+    demand: Resources,
+    workers: list[WorkerEntry],
+) -> dict[str, int]:
+    """Return tasks by worker if the whole gang fits now, else nothing."""
+    slots: dict[str, int] = {}
+    racks: dict[str, str] = {}
+    for worker in workers:
+        name = worker.registration.worker
+        room = state.free[name]
+        if not _respects_hold(state, plan, step, worker, demand):
+            continue
+        hold = plan.holds.get(name)
+        if hold is not None and (
+            state.now + _expect_ms(step, worker) > hold.at
+        ):
+            room = room.limit(hold.spare)
+        most = plan.allowances.get(name, step.tasks)
+        most = min(most, step.max_per_worker or step.tasks)
+        count = _count_slots(room, demand, most)
+        if count:
+            slots[name] = count
+            racks[name] = worker.registration.rack
+    return _share_out(slots, racks, step)
+
+
+def _share_out(
+    slots: dict[str, int], racks: dict[str, str], step: Step
+) -> dict[str, int]:
+    """Divide a gang among workers with slots, on one rack if it should."""
+    if sum(slots.values()) < step.tasks:
+        return {}
+    if step.same_rack:
+        for rack in sorted(set(racks.values())):
+            inside = {
+                name: count
+                for name, count in slots.items()
+                if racks[name] == rack
+            }
+            if sum(inside.values()) >= step.tasks:
+                slots = inside
+                break
+    chosen: dict[str, int] = {}
+    left = step.tasks
+    for name in sorted(slots, key=lambda name: (-slots[name], name)):
+        chosen[name] = min(left, slots[name])
+        left -= chosen[name]
+        if not left:
+            break
+    return chosen
+
+
+def _start_gang(
+    state: DispatchState,
+    plan: PassPlan,
+    key: StepKey,
+    step: Step,
+    job: JobEntry,
+    chosen: dict[str, int],
+    demand: Resources,
+) -> Actions:
+    number = find_next_run(state, key)
+    indexes = iter(range(step.tasks))
+    for name, count in chosen.items():
+        worker = state.workers[name]
+        for _ in range(count):
+            _charge_plan(state, plan, step, worker, demand)
+            yield from _start_run(
+                state, key, step, job, worker, next(indexes), number, demand
+            )
+
+
+def expect_end(state: DispatchState, run: RunEntry) -> int:
+    """Return the owner's clock at which a run is expected to end."""
+    elapsed = state.now - run.started_at
+    if run.percent >= LEAST_PERCENT:
+        worked = max(1, run.percent_at - run.started_at)
+        return run.started_at + worked * 100 // run.percent
+    if elapsed < run.expected_ms:
+        return run.started_at + run.expected_ms
+    return state.now + int(run.expected_ms * OVERDUE_SHARE)
+
+
+def _list_ends(
+    state: DispatchState, plan: PassPlan, worker: str
+) -> list[tuple[int, Resources]]:
+    if worker not in plan.ends:
+        plan.ends[worker] = sorted(
+            (
+                (max(state.now, expect_end(state, run)), run.demand)
+                for run in state.list_runs_on(worker)
+            ),
+            key=lambda end: end[0],
+        )
+    return plan.ends[worker]
+
+
+def _find_start(
+    state: DispatchState,
+    plan: PassPlan,
+    step: Step,
+    demand: Resources,
+    workers: list[WorkerEntry],
+) -> tuple[int, dict[str, int]]:
+    """Return when and where a gang is expected to fit; nothing if never."""
+    if plan.holding >= MOST_HOLDS:
+        return 0, {}
+    rooms: dict[str, Resources] = {}
+    slots: dict[str, int] = {}
+    racks: dict[str, str] = {}
+    for worker in workers:
+        name = worker.registration.worker
+        if name in plan.holds:
+            continue
+        rooms[name] = state.free[name]
+        slots[name] = _count_slots(rooms[name], demand, step.tasks)
+        racks[name] = worker.registration.rack
+    total = sum(slots.values())
+    for at, name, freed in _merge_ends(state, plan, rooms):
+        if total >= step.tasks or at > state.now + HOLD_HORIZON_MS:
+            break
+        rooms[name] = rooms[name] + freed
+        count = _count_slots(rooms[name], demand, step.tasks)
+        total += count - slots[name]
+        slots[name] = count
+        if total >= step.tasks:
+            return at, _share_out(slots, racks, step)
+    return 0, {}
+
+
+def _merge_ends(
+    state: DispatchState, plan: PassPlan, rooms: dict[str, Resources]
+) -> Iterator[tuple[int, str, Resources]]:
+    ends = [
+        (at, name, demand)
+        for name in rooms
+        for at, demand in _list_ends(state, plan, name)
+    ]
+    ends.sort(key=lambda end: end[:2])
+    return iter(ends)
+
+
+def _hold_room(
+    state: DispatchState,
+    plan: PassPlan,
+    demand: Resources,
+    chosen: dict[str, int],
+    at: int,
+) -> None:
+    plan.holding += 1
+    for name, count in chosen.items():
+        room = state.free[name]
+        for end, freed in _list_ends(state, plan, name):
+            if end <= at:
+                room = room + freed
+        known = plan.holds.get(name)
+        if known is not None:
+            room = room.limit(known.spare)
+            at = max(at, known.at)
+        spare = room - demand.scale(count)
+        plan.holds[name] = Hold(at, spare.cover(NOTHING))
--- /dev/null
+++ b/sassafrasgate/dispatch/progress.py
@@ -0,0 +1,247 @@
+"""How jobs, steps and tasks advance."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sassafrasgate.core.workflows import EndKind
+from sassafrasgate.core.workflows import WorkflowState
+from sassafrasgate.dispatch.state import name_task
+from sassafrasgate.dispatch.state import StepEntry
+from sassafrasgate.dispatch.state import StepKey
+
+if TYPE_CHECKING:
+    from sassafrasgate.core.workflows import Workflow
+    from sassafrasgate.dispatch.state import DispatchState
+    from sassafrasgate.dispatch.state import JobEntry
+    from sassafrasgate.dispatch.state import RunKey
+    from sassafrasgate.journal.workflows import RunEnded
+
+# A job that completes later than this many objectives earns nothing.
+LATE_OBJECTIVES = 3
+# The objective's chain counts one call for advice on this many workers.
+ADVISED_WORKERS = 30
+
+
+def measure_tails(workflow: Workflow, advice_ms: int) -> tuple[int, ...]:
+    """Return the longest chain of estimates from each step's start, in ms.
+
+    Parameters
+    ----------
+    advice_ms : int
+        Added for each step.
+    """
+    count = len(workflow.steps)
+    tails = [0] * count
+    for number in reversed(range(count)):
+        following = [
+            tails[later]
+            for later in range(number + 1, count)
+            if number in workflow.steps[later].after
+        ]
+        estimate = workflow.steps[number].estimate_ms
+        tails[number] = advice_ms + estimate + max(following, default=0)
+    return tuple(tails)
+
+
+def open_job(state: DispatchState, entry: JobEntry) -> None:
+    """Set a new job's objective and open its first occurrence."""
+    terms = entry.queue
+    advice_ms = 0
+    if terms.advice is not None:
+        advice_ms = int(
+            terms.advice.decide_ms + terms.advice.each_ms * ADVISED_WORKERS
+        )
+    tails = measure_tails(entry.workflow, advice_ms)
+    objective = int(terms.stretch * max(tails)) + terms.target_latency_ms
+    accepted = to_owner_clock(state, entry.accepted_at_ms)
+    start = accepted
+    if entry.workflow.start_at_ms:
+        start = max(start, to_owner_clock(state, entry.workflow.start_at_ms))
+    state.update_job(
+        entry.job_id,
+        tails=tails,
+        due_at=start + objective,
+        late_at=start + LATE_OBJECTIVES * objective,
+    )
+    open_due_occurrences(state, entry.job_id)
+
+
+def to_owner_clock(state: DispatchState, wall_ms: int) -> int:
+    """Return the owner's clock at a wall time."""
+    return state.now + wall_ms - state.wall_ms
+
+
+def find_occurrence_due(entry: JobEntry, occurrence: int) -> int:
+    """Return the wall time at which an occurrence may start, or 0."""
+    workflow = entry.workflow
+    if not workflow.start_at_ms and occurrence == 0:
+        return 0
+    return workflow.start_at_ms + occurrence * workflow.interval_ms
+
+
+def open_due_occurrences(state: DispatchState, job_id: str) -> None:
+    """Open the occurrences of a job whose time has come."""
+    entry = state.jobs[job_id]
+    while entry.occurrences < entry.workflow.occurrences and not entry.is_over:
+        if find_occurrence_due(entry, entry.occurrences) > state.wall_ms:
+            return
+        entry = _open_occurrence(state, entry)
+
+
+def _open_occurrence(state: DispatchState, entry: JobEntry) -> JobEntry:
+    occurrence = entry.occurrences
+    for number, step in enumerate(entry.workflow.steps):
+        key = StepKey(entry.job_id, occurrence, number)
+        state.steps[key] = StepEntry(
+            key, frozenset(range(step.tasks)), step.tasks
+        )
+    entry = state.update_job(
+        entry.job_id,
+        occurrences=occurrence + 1,
+        open_steps=entry.open_steps + len(entry.workflow.steps),
+    )
+    for number in range(len(entry.workflow.steps)):
+        ready_if_due(state, StepKey(entry.job_id, occurrence, number))
+    return entry
+
+
+def ready_if_due(state: DispatchState, key: StepKey) -> None:
+    """Mark a step ready once all its predecessors are done."""
+    step = state.find_step(key)
+    entry = state.steps[key]
+    if entry.ready or not entry.open:
+        return
+    for number in step.after:
+        if state.steps[key._replace(step=number)].open:
+            return
+    state.update_step(key, ready=True, ready_at=state.now)
+    queue_step(state, key)
+
+
+def queue_step(state: DispatchState, key: StepKey) -> None:
+    """Put a step among the waiting ones if it wants runs."""
+    entry = state.steps.get(key)
+    if entry is None or not entry.ready or not entry.pending:
+        return
+    state.waiting[key] = None
+    state.dirty = True
+
+
+def note_end(state: DispatchState, record: RunEnded, key: StepKey) -> None:
+    """Apply the end of a run to its task, step and job."""
+    job = state.jobs[key.job_id]
+    index = int(record.task.rpartition('.')[2])
+    task = state.find_task(record.task)
+    if record.run in task.ended_runs or key not in state.steps:
+        return
+    state.update_task(
+        record.task,
+        ended_runs=(*task.ended_runs, record.run),
+        next_run=max(task.next_run, record.run + 1),
+        checkpoint=record.checkpoint or task.checkpoint,
+        failed_on=(*task.failed_on, record.worker)
+        if record.how is EndKind.FAILED
+        else task.failed_on,
+    )
+    if state.find_step(key).gang and record.checkpoint:
+        state.update_step(key, checkpoint=record.checkpoint)
+    if job.is_over:
+        return
+    if record.how is EndKind.FINISHED:
+        _note_finished(state, key, index)
+    if record.how is EndKind.FAILED:
+        _note_failed(state, key, record)
+
+
+def _note_finished(state: DispatchState, key: StepKey, index: int) -> None:
+    step = state.find_step(key)
+    if step.long_running:
+        return
+    # A gang ends together: one member's end stands for all.
+    indexes = range(step.tasks) if step.gang else (index,)
+    for number in indexes:
+        finish_task(state, key, number)
+    advance_job(state, key)
+
+
+def finish_task(state: DispatchState, key: StepKey, index: int) -> None:
+    """Note that a task has finished for good."""
+    task = name_task(key, index)
+    if state.find_task(task).finished:
+        return
+    state.update_task(task, finished=True)
+    entry = state.steps[key]
+    state.update_step(
+        key, open=entry.open - 1, pending=entry.pending - {index}
+    )
+
+
+def advance_job(state: DispatchState, key: StepKey) -> None:
+    """Open what follows a step that has finished."""
+    entry = state.steps[key]
+    if entry.open or not entry.ready:
+        return
+    state.waiting.pop(key, None)
+    job = state.update_job(
+        key.job_id, open_steps=state.jobs[key.job_id].open_steps - 1
+    )
+    state.update_step(key, ready=False)
+    for number in range(key.step + 1, len(job.workflow.steps)):
+        ready_if_due(state, key._replace(step=number))
+    if job.open_steps or job.occurrences < job.workflow.occurrences:
+        return
+    close_job(state, key.job_id, WorkflowState.COMPLETED)
+
+
+def _note_failed(state: DispatchState, key: StepKey, record: RunEnded) -> None:
+    job = state.jobs[key.job_id]
+    step = state.find_step(key)
+    task = state.update_task(
+        record.task, failures=state.find_task(record.task).failures + 1
+    )
+    failures = task.failures
+    if step.gang:
+        entry = state.steps[key]
+        if record.run in entry.failed_gang_runs:
+            return
+        failures = entry.gang_failures + 1
+        state.update_step(
+            key,
+            gang_failures=failures,
+            failed_gang_runs=(*entry.failed_gang_runs, record.run),
+        )
+    if step.long_running:
+        return
+    if failures >= state.find_terms(job).max_attempts:
+        close_job(state, key.job_id, WorkflowState.FAILED)
+
+
+def close_job(
+    state: DispatchState, job_id: str, outcome: WorkflowState
+) -> None:
+    """End a job for good; its remaining runs are stopped by the caller."""
+    entry = state.update_job(job_id, state=outcome, ended_at_ms=state.wall_ms)
+    state.ended_order[job_id] = None
+    for key in state.list_steps_of(entry):
+        state.waiting.pop(key, None)
+        state.advice.pop(key, None)
+
+
+def note_closing_run(state: DispatchState, job_id: str, run: RunKey) -> None:
+    """Remember which run's end closed a job."""
+    entry = state.jobs[job_id]
+    if entry.is_over and entry.closed_by is None:
+        state.update_job(job_id, closed_by=run)
+
+
+def want_task(state: DispatchState, key: StepKey, index: int) -> None:
+    """Ask for a new run of a task that has none."""
+    job = state.jobs.get(key.job_id)
+    entry = state.steps.get(key)
+    if job is None or job.is_over or entry is None:
+        return
+    if state.find_task(name_task(key, index)).finished:
+        return
+    state.update_step(key, pending=entry.pending | {index})
+    queue_step(state, key)
--- /dev/null
+++ b/sassafrasgate/dispatch/recovery.py
@@ -0,0 +1,230 @@
+"""Journal records of workflows: how they apply, and what a snapshot holds."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+from sassafrasgate.core.workflows import split_step_task_id
+from sassafrasgate.core.workflows import Workflow
+from sassafrasgate.core.workflows import WorkflowState
+from sassafrasgate.dispatch.handlers import APPLIERS
+from sassafrasgate.dispatch.leases import find_takeover_bound
+from sassafrasgate.dispatch.progress import advance_job
+from sassafrasgate.dispatch.progress import close_job
+from sassafrasgate.dispatch.progress import finish_task
+from sassafrasgate.dispatch.progress import note_closing_run
+from sassafrasgate.dispatch.progress import note_end
+from sassafrasgate.dispatch.progress import open_due_occurrences
+from sassafrasgate.dispatch.progress import open_job
+from sassafrasgate.dispatch.state import FRESH_TASK
+from sassafrasgate.dispatch.state import JobEntry
+from sassafrasgate.dispatch.state import name_task
+from sassafrasgate.dispatch.state import RunKey
+from sassafrasgate.dispatch.state import StepKey
+from sassafrasgate.journal.records import Takeover
+from sassafrasgate.journal.workflows import Released
+from sassafrasgate.journal.workflows import RunEnded
+from sassafrasgate.journal.workflows import StepProgress
+from sassafrasgate.journal.workflows import WorkerForgotten
+from sassafrasgate.journal.workflows import WorkerSeen
+from sassafrasgate.journal.workflows import WorkflowAccepted
+from sassafrasgate.journal.workflows import WorkflowCancelled
+from sassafrasgate.journal.workflows import WorkflowClosed
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Iterator
+
+    from sassafrasgate.dispatch.state import DispatchState
+
+GANG_INDEX = -1
+
+
+def replay_records(state: DispatchState, records: Iterable[Any]) -> None:
+    """Apply records that are in the journal."""
+    for record in records:
+        APPLIERS.find(record.kind)(state, record)
+
+
+def begin_ownership(state: DispatchState) -> None:
+    """Prepare a replayed state for its new owner.
+
+    Everything replayed is durable. Tasks of these jobs may run wherever an
+    earlier owner started them, so each worker that the journal names is
+    unsettled until it answers or its leases have lapsed.
+    """
+    for job_id, entry in list(state.jobs.items()):
+        state.update_job(
+            job_id, durable=True, inherited=True, shown=entry.state
+        )
+    bound = find_takeover_bound(
+        state.now, state.previous_ttl_ms, state.previous_grace_ms
+    )
+    if state.released_ms >= 0:
+        bound = state.now + state.released_ms
+    for worker in state.known_workers:
+        state.unsettled[worker] = bound
+    state.dirty = True
+
+
+def list_records(state: DispatchState) -> Iterator[Any]:
+    """Yield records that restore the durable part of the state."""
+    yield Takeover(state.epoch, state.owner, state.grace_ms, state.ttl_ms)
+    for worker, (pool, address) in state.known_workers.items():
+        yield WorkerSeen(worker, pool, address)
+    for entry in state.jobs.values():
+        if entry.is_over:
+            yield WorkflowClosed(
+                entry.job_id, entry.queue, entry.state, entry.ended_at_ms
+            )
+            continue
+        yield WorkflowAccepted(
+            entry.job_id, entry.queue, entry.workflow, entry.accepted_at_ms
+        )
+        for key in state.list_steps_of(entry):
+            yield from _list_progress(state, key)
+
+
+def _list_progress(
+    state: DispatchState, key: StepKey
+) -> Iterator[StepProgress]:
+    step = state.find_step(key)
+    entry = state.steps[key]
+    tasks = [
+        (index, state.tasks[name])
+        for index in range(step.tasks)
+        if (name := name_task(key, index)) in state.tasks
+    ]
+    if not tasks:
+        return
+    failures = [
+        (index, task.failures) for index, task in tasks if task.failures
+    ]
+    checkpoints = [
+        (index, task.checkpoint) for index, task in tasks if task.checkpoint
+    ]
+    if step.gang:
+        failures = [(GANG_INDEX, entry.gang_failures)]
+        checkpoints = [(GANG_INDEX, entry.checkpoint)]
+    yield StepProgress(
+        key.job_id,
+        key.occurrence,
+        key.step,
+        tuple(index for index, task in tasks if task.finished),
+        tuple(failures),
+        tuple(
+            (index, task.next_run)
+            for index, task in tasks
+            if task.next_run > 1
+        ),
+        tuple(checkpoints),
+    )
+
+
+@APPLIERS.register('takeover')
+def _apply_takeover(state: DispatchState, record: Takeover) -> None:
+    state.previous_ttl_ms = state.ttl_ms
+    state.previous_grace_ms = state.grace_ms
+    state.ttl_ms = record.ttl_ms
+    state.grace_ms = record.grace_ms
+    state.epoch = record.epoch
+    if record.owner != state.owner:
+        state.released_ms = -1
+
+
+@APPLIERS.register('released')
+def _apply_released(state: DispatchState, record: Released) -> None:
+    state.released_ms = record.lapse_ms
+
+
+@APPLIERS.register('worker-seen')
+def _apply_worker_seen(state: DispatchState, record: WorkerSeen) -> None:
+    state.known_workers[record.worker] = (record.pool, record.address)
+
+
+@APPLIERS.register('worker-forgotten')
+def _apply_worker_forgotten(
+    state: DispatchState, record: WorkerForgotten
+) -> None:
+    state.known_workers.pop(record.worker, None)
+
+
+@APPLIERS.register('workflow-accepted')
+def _apply_accepted(state: DispatchState, record: WorkflowAccepted) -> None:
+    if record.job_id in state.jobs:
+        return
+    entry = JobEntry(
+        record.job_id, record.queue, record.workflow, record.accepted_at_ms
+    )
+    state.jobs[record.job_id] = entry
+    open_job(state, entry)
+
+
+@APPLIERS.register('workflow-cancelled')
+def _apply_cancelled(state: DispatchState, record: WorkflowCancelled) -> None:
+    entry = state.jobs.get(record.job_id)
+    if entry is None or entry.is_over:
+        return
+    close_job(state, record.job_id, WorkflowState.CANCELLED)
+
+
+@APPLIERS.register('run-ended')
+def _apply_run_ended(state: DispatchState, record: RunEnded) -> None:
+    job_id, occurrence, step, _ = split_step_task_id(record.task)
+    if job_id not in state.jobs:
+        return
+    # An occurrence that an earlier owner has opened was due then.
+    entry = state.jobs[job_id]
+    if occurrence >= entry.occurrences:
+        open_due_occurrences(state, job_id)
+    note_end(state, record, StepKey(job_id, occurrence, step))
+    note_closing_run(state, job_id, RunKey(record.task, record.run))
+
+
+@APPLIERS.register('step-progress')
+def _apply_progress(state: DispatchState, record: StepProgress) -> None:
+    key = StepKey(record.job_id, record.occurrence, record.step)
+    if key not in state.steps:
+        open_due_occurrences(state, record.job_id)
+    if key not in state.steps:
+        return
+    for index, next_run in record.next_runs:
+        state.update_task(name_task(key, index), next_run=next_run)
+    for index, failures in record.failures:
+        if index == GANG_INDEX:
+            state.update_step(key, gang_failures=failures)
+        else:
+            state.update_task(name_task(key, index), failures=failures)
+    for index, checkpoint in record.checkpoints:
+        if index == GANG_INDEX:
+            state.update_step(key, checkpoint=checkpoint)
+        else:
+            state.update_task(name_task(key, index), checkpoint=checkpoint)
+    for index in record.finished:
+        finish_task(state, key, index)
+    advance_job(state, key)
+
+
+@APPLIERS.register('workflow-closed')
+def _apply_closed(state: DispatchState, record: WorkflowClosed) -> None:
+    state.jobs[record.job_id] = JobEntry(
+        record.job_id,
+        record.queue,
+        Workflow('', ()),
+        0,
+        state=record.state,
+        shown=record.state,
+        durable=True,
+        ended_at_ms=record.ended_at_ms,
+    )
+    state.ended_order[record.job_id] = None
+
+
+def find_next_run(state: DispatchState, key: StepKey) -> int:
+    """Return the number for a gang's next run."""
+    step = state.find_step(key)
+    return max(
+        state.tasks.get(name_task(key, index), FRESH_TASK).next_run
+        for index in range(step.tasks)
+    )
--- /dev/null
+++ b/sassafrasgate/dispatch/registrations.py
@@ -0,0 +1,182 @@
+"""Which workers there are, by their entries in the store."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from sassafrasgate.core.resources import NOTHING
+from sassafrasgate.core.workers import Registration
+from sassafrasgate.dispatch.actions import ForgetWorker
+from sassafrasgate.dispatch.actions import Note
+from sassafrasgate.dispatch.actions import WatchWorker
+from sassafrasgate.dispatch.events import TableChanged
+from sassafrasgate.dispatch.events import WorkerRegistered
+from sassafrasgate.dispatch.events import WorkersListed
+from sassafrasgate.dispatch.events import WorkerUnregistered
+from sassafrasgate.dispatch.handlers import DURABLE_HANDLERS
+from sassafrasgate.dispatch.handlers import EVENT_HANDLERS
+from sassafrasgate.dispatch.handlers import write_record
+from sassafrasgate.dispatch.state import WorkerEntry
+from sassafrasgate.journal.workflows import WorkerForgotten
+from sassafrasgate.journal.workflows import WorkerSeen
+
+if TYPE_CHECKING:
+    from sassafrasgate.dispatch.handlers import Actions
+    from sassafrasgate.dispatch.state import DispatchState
+
+
+@EVENT_HANDLERS.register(TableChanged)
+def note_table(state: DispatchState, event: TableChanged) -> Actions:
+    """Put a newer routing table in force."""
+    if event.table.version <= state.table.version:
+        return
+    previous = state.table.version
+    state.table = event.table
+    state.dirty = True
+    yield Note(
+        'table',
+        '',
+        (('version', event.table.version), ('previous', previous)),
+    )
+
+
+@EVENT_HANDLERS.register(WorkersListed)
+def note_list(state: DispatchState, event: WorkersListed) -> Actions:
+    """Take a whole list; workers that it lacks have no entry any more."""
+    listed = {entry.worker for entry in event.registrations}
+    for registration in event.registrations:
+        yield from note_registered(state, WorkerRegistered(registration))
+    for worker, entry in list(state.workers.items()):
+        if entry.registered and worker not in listed:
+            yield from note_unregistered(state, WorkerUnregistered(worker))
+
+
+@EVENT_HANDLERS.register(WorkerRegistered)
+def note_registered(state: DispatchState, event: WorkerRegistered) -> Actions:
+    """Add a worker, or take what has changed in its entry."""
+    registration = event.registration
+    worker = registration.worker
+    entry = state.workers.get(worker)
+    if entry is None:
+        state.workers[worker] = WorkerEntry(registration)
+        state.measure_free(worker)
+        yield from _record_worker(state, registration)
+        yield WatchWorker(registration)
+        yield _describe_worker('worker-added', registration)
+        return
+    known = entry.registration
+    if entry.registered and known == registration:
+        return
+    state.update_worker(worker, registration=registration, registered=True)
+    state.measure_free(worker)
+    state.dirty = True
+    if known.address != registration.address:
+        yield from _record_worker(state, registration)
+        yield WatchWorker(registration)
+    if replace(known, remaining_ms=0) != replace(registration, remaining_ms=0):
+        yield _describe_worker('worker-changed', registration)
+
+
+def _record_worker(
+    state: DispatchState, registration: Registration
+) -> Actions:
+    """Name a worker in the journal, which a start there has to wait for."""
+    pool, address = state.known_workers.get(registration.worker, ('', ''))
+    if (pool, address) == (registration.pool, registration.address):
+        state.update_worker(registration.worker, recorded=True)
+        return
+    state.update_worker(registration.worker, recorded=False)
+    yield from write_record(
+        state,
+        WorkerSeen(
+            registration.worker, registration.pool, registration.address
+        ),
+    )
+
+
+def _describe_worker(kind: str, registration: Registration) -> Note:
+    return Note(
+        kind,
+        '',
+        (
+            ('worker', registration.worker),
+            ('pool', registration.pool),
+            ('address', registration.address),
+            ('leaving', registration.leaving),
+            ('millicores', registration.capacity.millicores),
+            ('memory_mb', registration.capacity.memory_mb),
+            ('labels', ','.join(registration.labels)),
+        ),
+    )
+
+
+@DURABLE_HANDLERS.register('worker-seen')
+def note_recorded(state: DispatchState, record: WorkerSeen) -> Actions:
+    """Let a worker be used, since a successor will know of it."""
+    entry = state.workers.get(record.worker)
+    if entry is not None and entry.registration.address == record.address:
+        state.update_worker(record.worker, recorded=True)
+        state.dirty = True
+    yield from ()
+
+
+@EVENT_HANDLERS.register(WorkerUnregistered)
+def note_unregistered(
+    state: DispatchState, event: WorkerUnregistered
+) -> Actions:
+    """Start nothing on a worker without an entry.
+
+    It may be cut off from the store alone, so calls to it go on until its
+    runs are known to be gone.
+    """
+    entry = state.workers.get(event.worker)
+    if entry is None or not entry.registered:
+        return
+    state.update_worker(event.worker, registered=False)
+    yield Note(
+        'worker-unregistered',
+        '',
+        (
+            ('worker', event.worker),
+            ('silent', bool(entry.silent_since)),
+            ('runs', len(state.runs_on.get(event.worker, ()))),
+        ),
+    )
+
+
+def watch_known_workers(state: DispatchState) -> Actions:
+    """Keep in touch with workers that only the journal names.
+
+    An entry may have lapsed while its worker still runs what an earlier
+    owner started there.
+    """
+    for worker, (pool, address) in state.known_workers.items():
+        if worker in state.workers:
+            continue
+        registration = Registration(worker, pool, address, '', NOTHING)
+        state.workers[worker] = WorkerEntry(
+            registration, registered=False, recorded=True
+        )
+        state.measure_free(worker)
+        yield WatchWorker(registration)
+
+
+def forget_gone_workers(state: DispatchState) -> Actions:
+    """Forget workers without an entry that can't run anything any more."""
+    for worker, entry in list(state.workers.items()):
+        if entry.registered or state.runs_on.get(worker):
+            continue
+        if worker in state.unsettled or not _is_gone(entry):
+            continue
+        del state.workers[worker]
+        state.free.pop(worker, None)
+        state.health.pop(worker, None)
+        if worker in state.known_workers:
+            yield from write_record(state, WorkerForgotten(worker))
+        yield ForgetWorker(worker)
+        yield Note('worker-forgotten', '', (('worker', worker),))
+
+
+def _is_gone(entry: WorkerEntry) -> bool:
+    return bool(entry.silent_since) and (entry.lapsed or not entry.fenced)
--- /dev/null
+++ b/sassafrasgate/dispatch/reports.py
@@ -0,0 +1,437 @@
+"""What workers report: ends, runs that are present, and silence."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from sassafrasgate.core.workflows import split_step_task_id
+from sassafrasgate.dispatch.actions import AcknowledgeEnds
+from sassafrasgate.dispatch.actions import Note
+from sassafrasgate.dispatch.actions import StopRun
+from sassafrasgate.dispatch.events import EpochRefused
+from sassafrasgate.dispatch.events import WorkerReported
+from sassafrasgate.dispatch.events import WorkerSilent
+from sassafrasgate.dispatch.handlers import DURABLE_HANDLERS
+from sassafrasgate.dispatch.handlers import EVENT_HANDLERS
+from sassafrasgate.dispatch.handlers import write_record
+from sassafrasgate.dispatch.health import note_run_end
+from sassafrasgate.dispatch.progress import want_task
+from sassafrasgate.dispatch.requests import show_end
+from sassafrasgate.dispatch.state import RunEntry
+from sassafrasgate.dispatch.state import RunKey
+from sassafrasgate.dispatch.state import RunPhase
+from sassafrasgate.dispatch.state import StepKey
+from sassafrasgate.dispatch.stops import is_gone
+from sassafrasgate.dispatch.stops import stop_job_runs
+from sassafrasgate.dispatch.stops import stop_step_runs
+from sassafrasgate.journal.workflows import RunEnded
+from sassafrasgate.shards.actions import GiveUpShard
+from sassafrasgate.shards.attempts import ClockReading
+
+if TYPE_CHECKING:
+    from sassafrasgate.core.resources import Resources
+    from sassafrasgate.core.workflows import EndedRun
+    from sassafrasgate.core.workflows import RunningRun
+    from sassafrasgate.core.workflows import Step
+    from sassafrasgate.dispatch.handlers import Actions
+    from sassafrasgate.dispatch.state import DispatchState
+
+
+@EVENT_HANDLERS.register(WorkerReported)
+def note_report(state: DispatchState, event: WorkerReported) -> Actions:
+    """Take a worker's lists as the truth about its runs."""
+    entry = state.workers.get(event.worker)
+    if entry is None:
+        return
+    report = event.report
+    reborn = bool(entry.born_ms) and report.born_ms != entry.born_ms
+    if not reborn and entry.reading and report.clock_ms < entry.reading.clock:
+        return
+    if entry.silent_since or not entry.fenced or reborn:
+        yield _describe_return(state, event, reborn)
+    if reborn:
+        yield from drop_worker_runs(
+            state, event.worker, 'the worker restarted'
+        )
+    state.update_worker(
+        event.worker,
+        fenced=True,
+        born_ms=report.born_ms,
+        reading=ClockReading(report.clock_ms, event.received_at),
+        seen=0 if reborn else entry.seen,
+        silent_since=0,
+        lapse_at=event.lapse_at,
+        lapsed=False,
+    )
+    for ended in report.ended:
+        yield from _note_ended(state, event, ended)
+    yield from _note_running(state, event)
+    if state.unsettled.pop(event.worker, None) is not None:
+        state.dirty = True
+    if reborn or not entry.fenced or entry.silent_since:
+        state.measure_free(event.worker)
+        state.dirty = True
+
+
+def _describe_return(
+    state: DispatchState, event: WorkerReported, reborn: bool
+) -> Note:
+    entry = state.workers[event.worker]
+    silent_ms = state.now - entry.silent_since if entry.silent_since else 0
+    return Note(
+        'worker-answers',
+        '',
+        (
+            ('worker', event.worker),
+            ('restarted', reborn),
+            ('first', not entry.fenced),
+            ('silent_ms', silent_ms),
+            ('running', len(event.report.running)),
+            ('ended', len(event.report.ended)),
+        ),
+    )
+
+
+def _note_ended(
+    state: DispatchState, event: WorkerReported, ended: EndedRun
+) -> Actions:
+    entry = state.workers[event.worker]
+    if ended.number <= entry.seen:
+        return
+    state.update_worker(event.worker, seen=ended.number)
+    key = RunKey(ended.task, ended.run)
+    if key in entry.foreign:
+        state.update_worker(event.worker, foreign=entry.foreign - {key})
+        state.dirty = True
+    yield from write_record(
+        state,
+        RunEnded(
+            ended.task,
+            ended.run,
+            ended.how,
+            ended.checkpoint,
+            event.worker,
+            event.report.born_ms,
+            ended.number,
+            state.wall_ms,
+        ),
+    )
+    run = state.runs.get(key)
+    yield _describe_end(state, event, ended, run)
+    if run is None or run.worker != event.worker:
+        return
+    note_run_end(state, run, ended.how)
+    state.drop_run(key)
+    yield from settle_step(state, run)
+
+
+def _describe_end(
+    state: DispatchState,
+    event: WorkerReported,
+    ended: EndedRun,
+    run: RunEntry | None,
+) -> Note:
+    facts: tuple[tuple[str, object], ...] = (
+        ('run', ended.run),
+        ('worker', event.worker),
+        ('how', ended.how),
+        ('number', ended.number),
+    )
+    if run is not None:
+        facts += (
+            ('ran_ms', state.now - run.started_at),
+            ('expected_ms', run.expected_ms),
+        )
+    return Note('end', ended.task, facts)
+
+
+def settle_step(state: DispatchState, run: RunEntry) -> Actions:
+    """Decide what follows for a step after one of its runs is gone."""
+    job = state.jobs.get(run.step.job_id)
+    entry = state.steps.get(run.step)
+    if job is None or entry is None:
+        return
+    if job.is_over:
+        yield from stop_job_runs(state, job.job_id)
+        return
+    step = state.find_step(run.step)
+    if not step.gang:
+        if not _has_run(state, run.step, run.index):
+            want_task(state, run.step, run.index)
+        return
+    if entry.open and run.step in state.runs_of:
+        yield from stop_step_runs(
+            state, run.step, 'another member of the gang is gone'
+        )
+        return
+    for index in range(step.tasks):
+        want_task(state, run.step, index)
+
+
+def _has_run(state: DispatchState, key: StepKey, index: int) -> bool:
+    return any(run.index == index for run in state.list_runs_of(key))
+
+
+def _note_running(state: DispatchState, event: WorkerReported) -> Actions:
+    listed: set[RunKey] = set()
+    for running in event.report.running:
+        key = RunKey(running.task, running.run)
+        listed.add(key)
+        run = state.runs.get(key)
+        if run is None or run.worker != event.worker:
+            yield from _adopt_run(state, event, running)
+            continue
+        state.update_run(
+            key,
+            phase=RunPhase.PRESENT,
+            present_clock=run.present_clock or event.report.clock_ms,
+            percent=running.percent,
+            percent_at=event.received_at,
+            checkpoint=running.checkpoint or run.checkpoint,
+        )
+    clock_ms = event.report.clock_ms
+    for run in state.list_runs_on(event.worker):
+        if run.key in listed or not is_gone(run, clock_ms):
+            continue
+        yield from lose_run(state, run, 'the worker does not list it')
+
+
+def _adopt_run(
+    state: DispatchState, event: WorkerReported, running: RunningRun
+) -> Actions:
+    """Take over a run that an earlier owner has started, or end it."""
+    key = RunKey(running.task, running.run)
+    step_key, index = _parse_task(running.task)
+    entry = state.workers[event.worker]
+    job = state.jobs.get(step_key.job_id) if step_key else None
+    known = job is not None and step_key in state.steps
+    if not known or step_key is None or job is None:
+        if key in entry.foreign:
+            return
+        state.update_worker(event.worker, foreign=entry.foreign | {key})
+        yield Note(
+            'stop',
+            running.task,
+            (
+                ('run', running.run),
+                ('worker', event.worker),
+                ('reason', 'no such task was accepted'),
+            ),
+        )
+        yield StopRun(event.worker, key)
+        return
+    step = state.find_step(step_key)
+    task = state.find_task(running.task)
+    percent = max(1, running.percent)
+    run = RunEntry(
+        key,
+        step_key,
+        index,
+        event.worker,
+        event.report.born_ms,
+        reserve_demand(step),
+        RunPhase.PRESENT,
+        started_at=state.now - step.estimate_ms * percent // 100,
+        expected_ms=step.estimate_ms,
+        present_clock=event.report.clock_ms,
+        percent=running.percent,
+        percent_at=event.received_at,
+        checkpoint=running.checkpoint,
+    )
+    duplicate = any(
+        other.index == index for other in state.list_runs_of(step_key)
+    )
+    state.add_run(run)
+    state.update_task(
+        running.task, next_run=max(task.next_run, running.run + 1)
+    )
+    if not _wants_adopted(state, run, duplicate):
+        yield from _stop_adopted(state, run)
+        return
+    entry_step = state.steps[step_key]
+    state.update_step(step_key, pending=entry_step.pending - {index})
+    if not state.steps[step_key].pending:
+        state.waiting.pop(step_key, None)
+    note_begun(state, step_key.job_id)
+    yield Note(
+        'adopt',
+        running.task,
+        (
+            ('run', running.run),
+            ('worker', event.worker),
+            ('percent', running.percent),
+        ),
+    )
+
+
+def _wants_adopted(
+    state: DispatchState, run: RunEntry, duplicate: bool
+) -> bool:
+    job = state.jobs[run.step.job_id]
+    if job.is_over or state.find_task(run.key.task).finished:
+        return False
+    return not duplicate or state.find_step(run.step).speculative
+
+
+def _stop_adopted(state: DispatchState, run: RunEntry) -> Actions:
+    state.update_run(run.key, stopping=True, stop_sent_at=state.now)
+    yield Note(
+        'stop',
+        run.key.task,
+        (
+            ('run', run.key.run),
+            ('worker', run.worker),
+            ('reason', 'the task is done, or runs elsewhere'),
+        ),
+    )
+    yield StopRun(run.worker, run.key)
+
+
+def _parse_task(task: str) -> tuple[StepKey | None, int]:
+    try:
+        job_id, occurrence, step, index = split_step_task_id(task)
+    except ValueError:
+        return None, 0
+    return StepKey(job_id, occurrence, step), index
+
+
+def note_begun(state: DispatchState, job_id: str) -> None:
+    """Show a job as running from its first confirmed run on."""
+    entry = state.jobs[job_id]
+    if entry.state is entry.state.QUEUED:
+        state.update_job(job_id, state=entry.state.RUNNING)
+
+
+def reserve_demand(step: Step) -> Resources:
+    """Return what a run of a step takes from its worker's capacity."""
+    if step.fills:
+        return replace(step.demand, millicores=0)
+    return step.demand
+
+
+def lose_run(state: DispatchState, run: RunEntry, reason: str) -> Actions:
+    """Give up a run that is certainly gone without a listed end."""
+    state.drop_run(run.key)
+    task = state.find_task(run.key.task)
+    state.update_task(
+        run.key.task,
+        next_run=max(task.next_run, run.key.run + 1),
+        checkpoint=run.checkpoint or task.checkpoint,
+    )
+    if run.checkpoint and run.step in state.steps:
+        state.update_step(run.step, checkpoint=run.checkpoint)
+    yield Note(
+        'lose',
+        run.key.task,
+        (
+            ('run', run.key.run),
+            ('worker', run.worker),
+            ('ran_ms', state.now - run.started_at),
+            ('percent', run.percent),
+            ('reason', reason),
+        ),
+    )
+    yield from settle_step(state, run)
+
+
+def drop_worker_runs(
+    state: DispatchState, worker: str, reason: str
+) -> Actions:
+    """Give up all runs of a worker that are certainly gone."""
+    for run in state.list_runs_on(worker):
+        if run.key in state.runs:
+            yield from lose_run(state, run, reason)
+    state.update_worker(worker, foreign=frozenset())
+
+
+@EVENT_HANDLERS.register(WorkerSilent)
+def note_silence(state: DispatchState, event: WorkerSilent) -> Actions:
+    """Start nothing on a worker that does not answer."""
+    entry = state.workers.get(event.worker)
+    if entry is None:
+        return
+    state.update_worker(
+        event.worker,
+        silent_since=entry.silent_since or state.now,
+        lapse_at=max(entry.lapse_at, event.lapse_at),
+    )
+    if entry.silent_since:
+        return
+    yield Note(
+        'worker-silent',
+        '',
+        (
+            ('worker', event.worker),
+            ('runs', len(state.runs_on.get(event.worker, ()))),
+            ('lapse_in_ms', event.lapse_at - state.now),
+            ('reason', event.reason),
+        ),
+    )
+
+
+def note_lapses(state: DispatchState) -> Actions:
+    """Give up runs on silent workers whose leases have lapsed."""
+    for worker, entry in list(state.workers.items()):
+        if not entry.silent_since or entry.lapsed:
+            continue
+        if not entry.lapse_at or state.now < entry.lapse_at:
+            continue
+        state.update_worker(worker, lapsed=True)
+        yield from drop_worker_runs(
+            state, worker, 'the lease of its silent worker has lapsed'
+        )
+    for worker, bound in list(state.unsettled.items()):
+        if state.now < bound:
+            continue
+        del state.unsettled[worker]
+        state.dirty = True
+        yield Note(
+            'worker-settled',
+            '',
+            (
+                ('worker', worker),
+                ('reason', 'leases of earlier owners have lapsed'),
+            ),
+        )
+
+
+@EVENT_HANDLERS.register(EpochRefused)
+def note_deposed(state: DispatchState, event: EpochRefused) -> Actions:
+    """Give the shard up: a worker obeys a later owner."""
+    yield GiveUpShard(
+        f'worker {event.worker!r} obeys an owner with a higher epoch than '
+        f'{state.epoch!r}'
+    )
+
+
+@DURABLE_HANDLERS.register('run-ended')
+def acknowledge_end(state: DispatchState, record: RunEnded) -> Actions:
+    """Let the worker forget a durable end, and show the job's end."""
+    job_id = record.task.split('.', 1)[0]
+    entry = state.jobs.get(job_id)
+    if entry is not None and entry.closed_by == RunKey(
+        record.task, record.run
+    ):
+        yield from show_end(state, job_id)
+    yield AcknowledgeEnds(record.worker, record.born_ms, record.number)
+
+
+def list_incomplete_gangs(state: DispatchState) -> list[StepKey]:
+    """Return gangs of which only some members are present or on the way."""
+    found = []
+    for key, runs in state.runs_of.items():
+        if key not in state.steps or not state.steps[key].open:
+            continue
+        step = state.find_step(key)
+        if step.gang and len(runs) < step.tasks:
+            found.append(key)
+    return found
+
+
+def stop_incomplete_gangs(state: DispatchState) -> Actions:
+    """End what an earlier owner left of a gang; it starts again whole."""
+    if state.unsettled:
+        return
+    for key in list_incomplete_gangs(state):
+        yield from stop_step_runs(state, key, 'the gang is incomplete')
--- /dev/null
+++ b/sassafrasgate/dispatch/requests.py
@@ -0,0 +1,219 @@
+"""Requests of callers: submit, query, cancel and count workflows."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+from sassafrasgate.core.errors import Refusal
+from sassafrasgate.core.errors import RefusalKind
+from sassafrasgate.core.workflows import WorkflowState
+from sassafrasgate.dispatch.actions import Note
+from sassafrasgate.dispatch.handlers import DURABLE_HANDLERS
+from sassafrasgate.dispatch.handlers import EVENT_HANDLERS
+from sassafrasgate.dispatch.handlers import REQUEST_HANDLERS
+from sassafrasgate.dispatch.handlers import write_record
+from sassafrasgate.dispatch.stops import stop_job_runs
+from sassafrasgate.journal.workflows import WorkflowAccepted
+from sassafrasgate.journal.workflows import WorkflowCancelled
+from sassafrasgate.protocol.workflows import PendingCount
+from sassafrasgate.protocol.workflows import SubmitWorkflow
+from sassafrasgate.protocol.workflows import WorkflowView
+from sassafrasgate.shards.actions import Reply
+from sassafrasgate.shards.events import RequestReceived
+from sassafrasgate.shards.handlers import reply_refusal
+
+if TYPE_CHECKING:
+    from sassafrasgate.dispatch.handlers import Actions
+    from sassafrasgate.dispatch.state import DispatchState
+    from sassafrasgate.dispatch.state import JobEntry
+
+# A journal that has not moved for so long is taken for a store outage.
+STALL_MS = 400
+
+
+@EVENT_HANDLERS.register(RequestReceived)
+def dispatch_request(state: DispatchState, event: RequestReceived) -> Actions:
+    """Hand a request to the handler of its kind."""
+    kind = event.message.kind
+    if kind not in REQUEST_HANDLERS:
+        yield reply_refusal(
+            event.reply_to,
+            Refusal(
+                RefusalKind.INVALID,
+                f'the dispatcher does not handle messages of kind {kind!r}',
+                'run the same release on every entry host',
+            ),
+        )
+        return
+    yield from REQUEST_HANDLERS.find(kind)(state, event)
+
+
+@REQUEST_HANDLERS.register('submit-workflow')
+def accept_workflow(state: DispatchState, event: RequestReceived) -> Actions:
+    """Accept a workflow once; repeats get the first one's answer."""
+    message: SubmitWorkflow = event.message
+    entry = state.jobs.get(message.job_id)
+    if entry is not None:
+        yield from _answer_repeat(state, event, entry)
+        return
+    refusal = _find_refusal(state, message)
+    if refusal is not None:
+        yield Note(
+            'refuse',
+            message.job_id,
+            (
+                ('queue', message.queue),
+                ('kind', refusal.kind),
+                ('reason', refusal.reason),
+            ),
+        )
+        yield reply_refusal(event.reply_to, refusal)
+        return
+    queue = state.table.name_queue(message.queue)
+    assert queue is not None
+    state.accept_callers[message.job_id] = [event.reply_to]
+    yield from write_record(
+        state,
+        WorkflowAccepted(
+            message.job_id, queue, message.workflow, event.wall_ms
+        ),
+    )
+    yield Note(
+        'accept',
+        message.job_id,
+        (
+            ('queue', queue.name),
+            ('steps', len(message.workflow.steps)),
+            ('tasks', sum(step.tasks for step in message.workflow.steps)),
+            ('table', state.table.version),
+            ('due_ms', state.jobs[message.job_id].due_at - state.now),
+        ),
+    )
+
+
+def _answer_repeat(
+    state: DispatchState, event: RequestReceived, entry: JobEntry
+) -> Actions:
+    if entry.durable:
+        yield Reply(event.reply_to, make_view(state, entry))
+        return
+    callers = state.accept_callers.setdefault(entry.job_id, [])
+    callers.append(event.reply_to)
+
+
+def _find_refusal(
+    state: DispatchState, message: SubmitWorkflow
+) -> Refusal | None:
+    if state.stopping:
+        return Refusal(
+            RefusalKind.STOPPING,
+            'the dispatcher moves to another process',
+            'send the request again',
+        )
+    if state.table.name_queue(message.queue) is None:
+        return Refusal(
+            RefusalKind.NOT_READY,
+            f'queue {message.queue!r} is not in version '
+            f'{state.table.version!r} of the routing table',
+            'send the request again once the owner has the newest version',
+        )
+    if state.stalled_since and state.now - state.stalled_since > STALL_MS:
+        return Refusal(
+            RefusalKind.STORE_UNAVAILABLE,
+            f'the store has not confirmed a record for '
+            f'{state.now - state.stalled_since} ms',
+            'send the request again after the time in Retry-After',
+        )
+    return None
+
+
+def make_view(state: DispatchState, entry: JobEntry) -> WorkflowView:
+    """Return what callers may see of a workflow."""
+    shown = entry.shown
+    if not entry.is_over and entry.state is WorkflowState.RUNNING:
+        shown = WorkflowState.RUNNING
+    return WorkflowView(entry.job_id, shown, state.epoch)
+
+
+@DURABLE_HANDLERS.register('workflow-accepted')
+def answer_accepted(state: DispatchState, record: WorkflowAccepted) -> Actions:
+    """Answer the callers of an acceptance that is durable."""
+    entry = state.update_job(record.job_id, durable=True)
+    state.dirty = True
+    for caller in state.accept_callers.pop(record.job_id, ()):
+        yield Reply(caller, make_view(state, entry))
+
+
+@REQUEST_HANDLERS.register('query-workflow')
+def answer_query(state: DispatchState, event: RequestReceived) -> Actions:
+    """Tell a workflow's state, or that there is none."""
+    entry = state.jobs.get(event.message.job_id)
+    if entry is None:
+        yield Reply(
+            event.reply_to,
+            WorkflowView(event.message.job_id, None, state.epoch),
+        )
+        return
+    yield Reply(event.reply_to, make_view(state, entry))
+
+
+@REQUEST_HANDLERS.register('cancel-workflow')
+def cancel_workflow(state: DispatchState, event: RequestReceived) -> Actions:
+    """End a workflow; its runs are stopped at once."""
+    job_id = event.message.job_id
+    entry = state.jobs.get(job_id)
+    if entry is None:
+        yield Reply(event.reply_to, WorkflowView(job_id, None, state.epoch))
+        return
+    if entry.shown is entry.state and entry.is_over:
+        yield Reply(event.reply_to, make_view(state, entry))
+        return
+    state.cancel_callers.setdefault(job_id, []).append(event.reply_to)
+    if entry.is_over:
+        return
+    yield from write_record(state, WorkflowCancelled(job_id, event.wall_ms))
+    yield Note('cancel', job_id, (('queue', entry.queue.name),))
+    yield from stop_job_runs(state, job_id)
+
+
+@DURABLE_HANDLERS.register('workflow-cancelled')
+def answer_cancelled(
+    state: DispatchState, record: WorkflowCancelled
+) -> Actions:
+    """Answer the callers of a cancellation that is durable."""
+    yield from show_end(state, record.job_id)
+
+
+def show_end(state: DispatchState, job_id: str) -> Actions:
+    """Let callers see a job's end, whose record is durable."""
+    entry = state.jobs.get(job_id)
+    if entry is None or not entry.is_over:
+        return
+    entry = state.update_job(job_id, shown=entry.state)
+    for caller in state.cancel_callers.pop(job_id, ()):
+        yield Reply(caller, make_view(state, entry))
+
+
+@REQUEST_HANDLERS.register('count-pending')
+def count_pending(state: DispatchState, event: RequestReceived) -> Actions:
+    """Count a queue's workflows that have not begun."""
+    queue = event.message.queue
+    count = sum(
+        1
+        for entry in state.jobs.values()
+        if entry.state is WorkflowState.QUEUED
+        and entry.durable
+        and entry.queue.name == queue
+    )
+    yield Reply(event.reply_to, PendingCount(queue, count))
+
+
+def list_open_callers(state: DispatchState) -> list[Any]:
+    """Return the tokens of all callers that still wait for a record."""
+    tokens: list[Any] = []
+    for callers in state.accept_callers.values():
+        tokens.extend(callers)
+    for callers in state.cancel_callers.values():
+        tokens.extend(callers)
+    return tokens
--- /dev/null
+++ b/sassafrasgate/dispatch/starts.py
@@ -0,0 +1,129 @@
+"""Answers to starts, and starts that got none."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sassafrasgate.core.workflows import StartRefusal
+from sassafrasgate.dispatch.actions import Note
+from sassafrasgate.dispatch.events import RunAnswered
+from sassafrasgate.dispatch.events import RunNotSent
+from sassafrasgate.dispatch.events import RunUnanswered
+from sassafrasgate.dispatch.handlers import EVENT_HANDLERS
+from sassafrasgate.dispatch.reports import lose_run
+from sassafrasgate.dispatch.reports import note_begun
+from sassafrasgate.dispatch.state import RunPhase
+from sassafrasgate.dispatch.stops import stop_run
+from sassafrasgate.shards.actions import GiveUpShard
+
+if TYPE_CHECKING:
+    from sassafrasgate.dispatch.handlers import Actions
+    from sassafrasgate.dispatch.state import DispatchState
+    from sassafrasgate.dispatch.state import RunEntry
+
+# How long a worker that refused a start as unhealthy gets no other.
+UNHEALTHY_PAUSE_MS = 500
+
+
+@EVENT_HANDLERS.register(RunAnswered)
+def note_answer(state: DispatchState, event: RunAnswered) -> Actions:
+    """Confirm a run, or take it back when the worker refused it."""
+    run = state.runs.get(event.run)
+    if run is None or run.worker != event.worker:
+        return
+    refusal = event.answer.refusal
+    if refusal is None:
+        _confirm_run(state, run, event.answer.clock_ms)
+        return
+    yield Note(
+        'start-refused',
+        run.key.task,
+        (
+            ('run', run.key.run),
+            ('worker', run.worker),
+            ('reason', refusal),
+            ('uncertain', run.uncertain),
+        ),
+    )
+    if refusal is StartRefusal.STALE_EPOCH:
+        yield GiveUpShard(
+            f'worker {run.worker!r} obeys an owner with a higher epoch than '
+            f'{state.epoch!r}'
+        )
+        return
+    _learn_refusal(state, run, refusal)
+    if run.phase is RunPhase.PRESENT:
+        # A report has listed the run since; the refused copy was a repeat.
+        return
+    if run.uncertain:
+        # Another copy may still be carried out.
+        state.update_run(run.key, phase=RunPhase.UNSURE)
+        yield from stop_run(
+            state, state.runs[run.key], 'a copy of its start is open'
+        )
+        return
+    yield from lose_run(state, run, f'refused: {refusal}')
+
+
+def _confirm_run(state: DispatchState, run: RunEntry, clock_ms: int) -> None:
+    state.update_run(
+        run.key,
+        phase=RunPhase.PRESENT,
+        present_clock=max(run.present_clock, clock_ms),
+    )
+    if run.step in state.steps:
+        note_begun(state, run.step.job_id)
+
+
+def _learn_refusal(
+    state: DispatchState, run: RunEntry, refusal: StartRefusal
+) -> None:
+    if refusal is StartRefusal.NO_TICKET:
+        advice = state.advice.get(run.step)
+        if advice is not None:
+            advice.tickets.pop(run.worker, None)
+    if refusal in (StartRefusal.UNHEALTHY, StartRefusal.OTHER_INCARNATION):
+        _avoid_worker(state, run.worker)
+
+
+def _avoid_worker(state: DispatchState, worker: str) -> None:
+    if worker in state.workers:
+        state.update_worker(worker, avoid_until=state.now + UNHEALTHY_PAUSE_MS)
+
+
+@EVENT_HANDLERS.register(RunUnanswered)
+def note_unanswered(state: DispatchState, event: RunUnanswered) -> Actions:
+    """Keep the reservation of a run that may start at any moment."""
+    run = state.runs.get(event.run)
+    if run is None or run.worker != event.worker:
+        return
+    state.update_run(event.run, uncertain=True)
+    yield Note(
+        'start-unanswered',
+        run.key.task,
+        (
+            ('run', run.key.run),
+            ('worker', run.worker),
+            ('sent_ms_ago', state.now - run.started_at),
+            ('last_try', event.last),
+        ),
+    )
+    if not event.last:
+        return
+    _avoid_worker(state, run.worker)
+    if run.phase is RunPhase.PRESENT:
+        return
+    state.update_run(event.run, phase=RunPhase.UNSURE)
+    yield from stop_run(
+        state, state.runs[event.run], 'its start got no answer'
+    )
+
+
+@EVENT_HANDLERS.register(RunNotSent)
+def note_not_sent(state: DispatchState, event: RunNotSent) -> Actions:
+    """Take back a run whose start was never sent."""
+    run = state.runs.get(event.run)
+    if run is None or run.worker != event.worker:
+        return
+    _avoid_worker(state, run.worker)
+    yield from lose_run(state, run, event.reason)
--- /dev/null
+++ b/sassafrasgate/dispatch/stops.py
@@ -0,0 +1,93 @@
+"""Ending of runs on purpose."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sassafrasgate.dispatch.actions import Note
+from sassafrasgate.dispatch.actions import StopRun
+from sassafrasgate.dispatch.events import StopAnswered
+from sassafrasgate.dispatch.handlers import EVENT_HANDLERS
+from sassafrasgate.dispatch.state import RunPhase
+
+if TYPE_CHECKING:
+    from sassafrasgate.dispatch.handlers import Actions
+    from sassafrasgate.dispatch.state import DispatchState
+    from sassafrasgate.dispatch.state import RunEntry
+    from sassafrasgate.dispatch.state import StepKey
+
+# A worker takes up to 900 ms to stop a run; a stop without any effect after
+# this time is sent again.
+STOP_RETRY_MS = 1_000
+
+
+def stop_run(state: DispatchState, run: RunEntry, reason: str) -> Actions:
+    """End one run; its reservation stays until the run is known gone."""
+    if run.stopping:
+        return
+    state.update_run(run.key, stopping=True, stop_sent_at=state.now)
+    yield Note(
+        'stop',
+        run.key.task,
+        (
+            ('run', run.key.run),
+            ('worker', run.worker),
+            ('phase', run.phase),
+            ('percent', run.percent),
+            ('reason', reason),
+        ),
+    )
+    yield StopRun(run.worker, run.key)
+
+
+def stop_job_runs(state: DispatchState, job_id: str) -> Actions:
+    """End all runs of a job that is over."""
+    job = state.jobs[job_id]
+    for key in state.list_steps_of(job):
+        yield from stop_step_runs(state, key, f'the job is {job.state}')
+
+
+def stop_step_runs(state: DispatchState, key: StepKey, reason: str) -> Actions:
+    """End all runs of one step."""
+    for run in state.list_runs_of(key):
+        yield from stop_run(state, run, reason)
+
+
+def repeat_stops(state: DispatchState) -> Actions:
+    """Send stops again that have had no effect."""
+    for run in state.runs.values():
+        if not run.stopping:
+            continue
+        if state.now - run.stop_sent_at < STOP_RETRY_MS:
+            continue
+        worker = state.workers.get(run.worker)
+        if worker is None or worker.silent_since:
+            continue
+        state.update_run(run.key, stop_sent_at=state.now)
+        yield StopRun(run.worker, run.key)
+
+
+@EVENT_HANDLERS.register(StopAnswered)
+def note_stop(state: DispatchState, event: StopAnswered) -> Actions:
+    """Note that a run can't start any more.
+
+    Whether it is there and ends, or never was, the next report tells.
+    """
+    run = state.runs.get(event.run)
+    if run is None or run.worker != event.worker:
+        return
+    state.update_run(event.run, stop_clock=max(1, event.clock_ms))
+    yield from ()
+
+
+def is_gone(run: RunEntry, clock_ms: int) -> bool:
+    """Tell whether a run that a report does not list is certainly gone.
+
+    Parameters
+    ----------
+    clock_ms : int
+        The worker's clock in the report.
+    """
+    if run.stop_clock:
+        return clock_ms > run.stop_clock
+    return run.phase is RunPhase.PRESENT and clock_ms > run.present_clock
--- /dev/null
+++ b/sassafrasgate/dispatch/timers.py
@@ -0,0 +1,83 @@
+"""What happens as time passes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sassafrasgate.dispatch.events import JournalStalled
+from sassafrasgate.dispatch.handlers import EVENT_HANDLERS
+from sassafrasgate.dispatch.progress import open_due_occurrences
+from sassafrasgate.dispatch.registrations import forget_gone_workers
+from sassafrasgate.dispatch.reports import note_lapses
+from sassafrasgate.dispatch.reports import stop_incomplete_gangs
+from sassafrasgate.dispatch.state import name_task
+from sassafrasgate.dispatch.stops import repeat_stops
+from sassafrasgate.shards.events import StopRequested
+from sassafrasgate.shards.events import Ticked
+
+if TYPE_CHECKING:
+    from sassafrasgate.dispatch.handlers import Actions
+    from sassafrasgate.dispatch.state import DispatchState
+    from sassafrasgate.dispatch.state import JobEntry
+
+# Callers may ask for the state of a job for two minutes after its end.
+RETENTION_MS = 150_000
+
+
+@EVENT_HANDLERS.register(Ticked)
+def note_tick(state: DispatchState, event: Ticked) -> Actions:
+    """Do what is due."""
+    yield from note_lapses(state)
+    yield from repeat_stops(state)
+    yield from stop_incomplete_gangs(state)
+    yield from forget_gone_workers(state)
+    for job_id, entry in list(state.jobs.items()):
+        if not entry.is_over and (
+            entry.occurrences < entry.workflow.occurrences
+        ):
+            open_due_occurrences(state, job_id)
+    _forget_jobs(state)
+    # Tickets expire and workers come back from pauses without an event.
+    if state.waiting:
+        state.dirty = True
+
+
+def _forget_jobs(state: DispatchState) -> None:
+    """Drop the parts of ended jobs that nothing asks for any more."""
+    for job_id in list(state.ended_order):
+        entry = state.jobs[job_id]
+        if entry.shown is entry.state:
+            _forget_steps(state, entry)
+        if state.wall_ms - entry.ended_at_ms < RETENTION_MS:
+            continue
+        if entry.shown is not entry.state or entry.occurrences:
+            continue
+        del state.jobs[job_id]
+        del state.ended_order[job_id]
+
+
+def _forget_steps(state: DispatchState, entry: JobEntry) -> None:
+    keys = list(state.list_steps_of(entry))
+    if any(key in state.runs_of for key in keys):
+        return
+    for key in keys:
+        for index in range(state.find_step(key).tasks):
+            state.tasks.pop(name_task(key, index), None)
+        del state.steps[key]
+        state.advice.pop(key, None)
+    if entry.occurrences:
+        state.update_job(entry.job_id, occurrences=0)
+
+
+@EVENT_HANDLERS.register(JournalStalled)
+def note_stall(state: DispatchState, event: JournalStalled) -> Actions:
+    """Refuse new jobs while records do not become durable."""
+    state.stalled_since = event.since
+    yield from ()
+
+
+@EVENT_HANDLERS.register(StopRequested)
+def note_stop_request(state: DispatchState, event: StopRequested) -> Actions:
+    """Accept and start nothing any more; records are still written."""
+    state.stopping = True
+    yield from ()
--- a/sassafrasgate/observability/logs.py
+++ b/sassafrasgate/observability/logs.py
@@ -7,8 +7,12 @@
 from functools import partial
 from json import dumps
 import logging
+from os import write
 import re
+from select import poll
+from select import POLLOUT
 import sys
+from time import monotonic
 from typing import TYPE_CHECKING
 
 from logbook import Logger
@@ -23,6 +27,9 @@
 
     from logbook import LogRecord
 
+MAX_LINES_PER_S = 2_000
+PIPE_BYTES = 4096
+
 _PLAIN = re.compile(r'[^\s"=\\\x00-\x1f\x7f]+')
 _CONTROL = re.compile(r'[\x7f-\x9f\u2028\u2029\ud800-\udfff]')
 
@@ -134,8 +141,76 @@
     logger.info(decision.kind, extra={_DECISION: decision})
 
 
+class BoundedOutput:
+    """A text stream that leaves lines out where a write would block.
+
+    The number of lines left out is written with the next line that is not.
+
+    Parameters
+    ----------
+    descriptor : int
+        Open file descriptor.
+    lines_per_s : int
+        Most lines in a second.
+    """
+
+    def __init__(
+        self, descriptor: int, lines_per_s: int = MAX_LINES_PER_S
+    ) -> None:
+        self._descriptor = descriptor
+        self._poll = poll()
+        self._poll.register(descriptor, POLLOUT)
+        self._lines_per_s = lines_per_s
+        self._second = 0
+        self._lines = 0
+        self._left_out = 0
+
+    def write(self, text: str) -> int:
+        """Write whole lines, or leave them out."""
+        second = int(monotonic())
+        if second != self._second:
+            self._second, self._lines = second, 0
+        self._lines += 1
+        if self._lines > self._lines_per_s or not self._poll.poll(0):
+            self._left_out += 1
+            return len(text)
+        if self._left_out:
+            text = f'{text.rstrip()} left_out={self._left_out}\n'
+            self._left_out = 0
+        # A pipe that polls as writable takes at least this much at once.
+        write(self._descriptor, text.encode()[:PIPE_BYTES])
+        return len(text)
+
+    def flush(self) -> None:
+        """Do nothing; every line is written at once."""
+
+
+def open_standard_output() -> BoundedOutput:
+    """Return standard output as a stream that never blocks."""
+    return BoundedOutput(sys.stdout.fileno())
+
+
+def log_facts(
+    logger: Logger, kind: str, facts: tuple[tuple[str, object], ...]
+) -> None:
+    """Write one line of named values at level INFO.
+
+    Parameters
+    ----------
+    logger : Logger
+        Logger of the module that decided.
+    kind : str
+        What was decided or has happened.
+    facts : tuple of (str, object)
+        Names and values; those with an empty text are left out.
+    """
+    logger.info(kind, extra={_FACTS: facts})
+
+
 def configure_logging(
-    level: str, process_name: str, stream: TextIO | None = None
+    level: str,
+    process_name: str,
+    stream: TextIO | BoundedOutput | None = None,
 ) -> StreamHandler:
     """Send the log lines of the whole process to one stream.
 
@@ -179,6 +254,7 @@
 
 
 _DECISION = 'decision'
+_FACTS = 'facts'
 
 
 def _format_record(process: str, record: LogRecord, handler: object) -> str:
@@ -191,6 +267,14 @@
     if _DECISION in record.extra:
         decision = format_decision(record.extra[_DECISION])
         return f'{format_pairs(head)} {decision}'
+    if _FACTS in record.extra:
+        head['kind'] = record.message
+        head.update(
+            (name, value)
+            for name, value in record.extra[_FACTS]
+            if value != ''
+        )
+        return format_pairs(head)
     head['message'] = record.message
     if record.formatted_exception:
         head['exception'] = record.formatted_exception
--- /dev/null
+++ b/sassafrasgate/platform/store.py
@@ -0,0 +1,278 @@
+"""Client of the platform's key-value store."""
+
+from __future__ import annotations
+
+from base64 import b64decode
+from base64 import b64encode
+from typing import TYPE_CHECKING
+from typing import TypeVar
+
+from msgspec import DecodeError
+from msgspec import Struct
+from msgspec.json import decode
+from msgspec.json import encode
+
+from sassafrasgate.adapters.calls import StoreCalls
+from sassafrasgate.core.errors import StoreError
+from sassafrasgate.core.errors import StoreLeaseLostError
+from sassafrasgate.core.errors import StoreLogTrimmedError
+from sassafrasgate.core.errors import StoreUnavailableError
+from sassafrasgate.core.items import Changes
+from sassafrasgate.core.items import Item
+from sassafrasgate.journal.budget import CallPriority
+
+if TYPE_CHECKING:
+    from sassafrasgate.adapters.connections import HttpAnswer
+
+HEADERS = {'Content-Type': 'application/json'}
+OK = 200
+NOT_FOUND = 404
+CONFLICT = 412
+TRIMMED = 410
+
+Value = TypeVar('Value')
+
+
+class _Item(Struct, frozen=True, rename='camel'):
+    key: str
+    revision: int
+    value: str = ''
+    deleted: bool = False
+
+
+class _Range(Struct, frozen=True, rename='camel'):
+    items: list[_Item]
+    truncated: bool
+    current_rev: int
+
+
+class _Events(Struct, frozen=True, rename='camel'):
+    events: list[_Item]
+    current_rev: int
+
+
+class _Written(Struct, frozen=True, rename='camel'):
+    revision: int
+
+
+class _Lease(Struct, frozen=True, rename='camel'):
+    lease: int
+
+
+class PlatformStore(StoreCalls):
+    """Calls to the platform's store; each is made once and never repeated.
+
+    It has the methods of `sassafrasgate.adapters.store.Store` and raises the
+    same errors.
+
+    Parameters
+    ----------
+    base_url : str
+        Such as ``http://10.200.1.7:8169``.
+    timeout_s : float
+        How long a call may take, beyond the time that a watch waits.
+    budget : CallBudget, optional
+        Asked before each call; by default there is no limit.
+    """
+
+    # A store that is busy or over its rates says that nothing was done.
+    NO_EFFECT = frozenset({429, 503})
+
+    async def get(
+        self, key: str, priority: int = CallPriority.NORMAL
+    ) -> Item | None:
+        """Return a key's item, or None when there is no such key."""
+        answer = await self._read(
+            'get', '/api/kv-key', priority, params={'key': key}
+        )
+        if answer.status == NOT_FOUND:
+            return None
+        return _make_item(_read_body(answer, _Item))
+
+    async def create(
+        self,
+        key: str,
+        value: bytes,
+        lease: str = '',
+        priority: int = CallPriority.NORMAL,
+    ) -> int:
+        """Write a new key and return its revision."""
+        return await self._put('create', key, value, 0, lease, priority)
+
+    async def swap(
+        self,
+        key: str,
+        value: bytes,
+        revision: int,
+        lease: str = '',
+        priority: int = CallPriority.NORMAL,
+    ) -> int:
+        """Replace the value at ``revision`` and return the new revision."""
+        return await self._put('swap', key, value, revision, lease, priority)
+
+    async def delete(
+        self,
+        key: str,
+        revision: int | None = None,
+        priority: int = CallPriority.NORMAL,
+    ) -> bool:
+        """Delete a key; always tells that it was there."""
+        conditions = []
+        if revision is not None:
+            conditions = [{'key': key, 'revision': revision}]
+        await self._change('delete', conditions, [], [key], priority)
+        return True
+
+    async def read_prefix(
+        self,
+        prefix: str,
+        priority: int = CallPriority.NORMAL,
+        values: bool = True,
+    ) -> Changes:
+        """Return the items under a prefix and where to watch from."""
+        items: list[Item] = []
+        revision = 0
+        params = {'prefix': prefix}
+        while True:
+            answer = await self._read(
+                'list', '/api/kv-range', priority, params=params
+            )
+            page = _read_body(answer, _Range)
+            revision = revision or page.current_rev
+            items.extend(_make_item(item) for item in page.items)
+            if not page.truncated or not items:
+                return Changes(revision, tuple(items))
+            params = {'prefix': prefix, 'after': items[-1].key}
+
+    async def watch(
+        self,
+        prefix: str,
+        after: int,
+        wait_s: float,
+        priority: int = CallPriority.NORMAL,
+    ) -> Changes:
+        """Return changes under a prefix, waiting for the first one."""
+        answer = await self._read(
+            'watch',
+            '/api/kv-watch',
+            priority,
+            params={
+                'prefix': prefix,
+                'after': str(after),
+                'waitMs': str(int(wait_s * 1000)),
+            },
+            wait_s=wait_s,
+        )
+        if answer.status == TRIMMED:
+            raise StoreLogTrimmedError(
+                f'the store has no changes of {prefix!r} after revision '
+                f'{after!r}; list the prefix and watch from there'
+            )
+        found = _read_body(answer, _Events)
+        return Changes(
+            found.current_rev, tuple(_make_item(item) for item in found.events)
+        )
+
+    async def grant_lease(
+        self, ttl_s: float, priority: int = CallPriority.HIGH
+    ) -> str:
+        """Return the id of a new lease of ``ttl_s`` seconds."""
+        answer = await self._write(
+            'grant_lease',
+            'POST',
+            '/api/kv-lease',
+            priority,
+            encode({'ttlMs': int(ttl_s * 1000)}),
+            HEADERS,
+        )
+        return str(_read_body(answer, _Lease).lease)
+
+    async def renew_lease(
+        self, lease: str, priority: int = CallPriority.HIGH
+    ) -> bool:
+        """Give a lease its whole time again; False if it has expired."""
+        answer = await self._write(
+            'renew_lease', 'POST', f'/api/kv-keep/{lease}', priority
+        )
+        return _check_lease(answer)
+
+    async def revoke_lease(
+        self, lease: str, priority: int = CallPriority.NORMAL
+    ) -> None:
+        """End a lease, which deletes its keys; an expired one is no error."""
+        answer = await self._write(
+            'revoke_lease', 'DELETE', f'/api/kv-lease-end/{lease}', priority
+        )
+        _check_lease(answer)
+
+    async def _put(
+        self,
+        name: str,
+        key: str,
+        value: bytes,
+        revision: int,
+        lease: str,
+        priority: int,
+    ) -> int:
+        put: dict[str, object] = {
+            'key': key,
+            'value': b64encode(value).decode(),
+        }
+        if lease:
+            put['lease'] = int(lease)
+        answer = await self._change(
+            name, [{'key': key, 'revision': revision}], [put], [], priority
+        )
+        return _read_body(answer, _Written).revision
+
+    async def _change(
+        self,
+        name: str,
+        conditions: list[dict[str, object]],
+        puts: list[dict[str, object]],
+        deletes: list[str],
+        priority: int,
+    ) -> HttpAnswer:
+        body = encode(
+            {'ifRevision': conditions, 'puts': puts, 'deletes': deletes}
+        )
+        answer = await self._write(
+            name, 'POST', '/api/kv-txn', priority, body, HEADERS
+        )
+        if answer.status == NOT_FOUND:
+            raise StoreLeaseLostError(
+                'the lease of a write has expired; grant a new one'
+            )
+        return answer
+
+
+def _check_lease(answer: HttpAnswer) -> bool:
+    if answer.status == NOT_FOUND:
+        return False
+    if answer.status != OK:
+        raise _refuse(answer)
+    return True
+
+
+def _refuse(answer: HttpAnswer) -> StoreError:
+    return StoreError(
+        f'the store refused {answer.call!r} with {answer.status!r} '
+        f'{answer.text[:200]!r}; correct the request'
+    )
+
+
+def _read_body(answer: HttpAnswer, kind: type[Value]) -> Value:
+    if answer.status != OK:
+        raise _refuse(answer)
+    try:
+        return decode(answer.content, type=kind)
+    except DecodeError as error:
+        raise StoreUnavailableError(
+            f'cannot decode an answer of the store: {error}; check that the '
+            'store address leads to the store'
+        ) from error
+
+
+def _make_item(item: _Item) -> Item:
+    value = None if item.deleted else b64decode(item.value)
+    return Item(item.key, value, item.revision)
--- /dev/null
+++ b/sassafrasgate/platform/workers.py
@@ -0,0 +1,226 @@
+"""Client of one worker's orders."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+from msgspec import DecodeError
+from msgspec import Struct
+from msgspec.json import Decoder
+from msgspec.json import Encoder
+
+from sassafrasgate.adapters.connections import HttpConnections
+from sassafrasgate.adapters.connections import NoAnswerError
+from sassafrasgate.core.errors import WorkerUnavailableError
+from sassafrasgate.core.workflows import EndedRun
+from sassafrasgate.core.workflows import EndKind
+from sassafrasgate.core.workflows import RunAnswer
+from sassafrasgate.core.workflows import RunningRun
+from sassafrasgate.core.workflows import StartRefusal
+from sassafrasgate.core.workflows import WorkerReport
+
+if TYPE_CHECKING:
+    from types import TracebackType
+    from typing import Self
+
+    from sassafrasgate.adapters.connections import HttpAnswer
+    from sassafrasgate.core.workflows import HoldRequest
+    from sassafrasgate.core.workflows import RunRequest
+
+# A worker takes 64 connections from all callers together.
+CONNECTIONS = 16
+
+END_KINDS = {
+    'done': EndKind.FINISHED,
+    'failed': EndKind.FAILED,
+    'stopped': EndKind.STOPPED,
+    'lapsed': EndKind.LAPSED,
+    'broken': EndKind.PEER_ENDED,
+    'alone': EndKind.INCOMPLETE_GANG,
+}
+REFUSALS = {
+    'fence': StartRefusal.STALE_EPOCH,
+    'old': StartRefusal.OLD_RUN,
+    'late': StartRefusal.DEADLINE_PASSED,
+    'room': StartRefusal.NO_ROOM,
+    'ticket': StartRefusal.NO_TICKET,
+}
+OK = 200
+BAD_REQUEST = 400
+CONFLICT = 409
+OTHER_INSTANCE = 421
+UNHEALTHY = frozenset({429, 503})
+
+
+class _Refused(Struct, frozen=True, rename='camel'):
+    clock_ms: int = 0
+    reason: str = ''
+
+
+class _Lists(Struct, frozen=True, rename='camel'):
+    clock_ms: int
+    running: list[list[Any]]
+    ended: list[list[Any]]
+    # The start of the worker's life identifies its incarnation.
+    born: int = 0
+
+
+_ENCODER = Encoder()
+_REFUSED = Decoder(_Refused)
+_LISTS = Decoder(_Lists)
+
+
+class WorkerOrders:
+    """Calls to one worker; each is made once and never repeated.
+
+    Parameters
+    ----------
+    worker : str
+        Id of the worker; another one at the address refuses the calls.
+    address : str
+        IP number and port.
+    timeout_s : float
+        How long a call may take beyond the time that it asks to wait.
+
+    Notes
+    -----
+    Every method raises `WorkerUnavailableError` when no answer came, with
+    ``sent`` false if the call certainly had no effect.
+    """
+
+    def __init__(self, worker: str, address: str, timeout_s: float) -> None:
+        self._connections = HttpConnections(f'http://{address}', CONNECTIONS)
+        self._timeout_s = timeout_s
+        self._headers = {
+            'Content-Type': 'application/json',
+            'Expected-Instance': worker,
+        }
+
+    async def __aenter__(self) -> Self:
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        await self._connections.close()
+
+    async def hold(self, request: HoldRequest) -> WorkerReport | StartRefusal:
+        """Renew the lease and learn what runs and what has ended.
+
+        Returns
+        -------
+        WorkerReport or StartRefusal
+            The latter when the worker obeys another owner or is another
+            worker.
+        """
+        body: dict[str, object] = {
+            'fencingToken': request.epoch,
+            'ackCursor': request.acknowledged,
+        }
+        if request.deadline_ms:
+            body['deadlineMs'] = request.deadline_ms
+        if request.wait_ms:
+            body['waitMs'] = request.wait_ms
+        answer = await self._post('/api/hold', body, request.wait_ms)
+        if answer.status != OK:
+            return self._read_refusal(answer).refusal or StartRefusal.INVALID
+        return _read_lists(answer)
+
+    async def start(self, request: RunRequest) -> RunAnswer:
+        """Start a run; a refusal means that this copy has no effect."""
+        body: dict[str, object] = {
+            'task': request.task,
+            'run': request.run,
+            'spec': request.payload,
+            'deadlineMs': request.deadline_ms,
+            'fencingToken': request.epoch,
+        }
+        if request.checkpoint:
+            body['checkpoint'] = request.checkpoint
+        if request.ticket:
+            body['ticket'] = request.ticket
+        return self._read_refusal(await self._post('/api/run-start', body))
+
+    async def stop(self, task: str, run: int, epoch: int) -> RunAnswer:
+        """End a run, or keep it from starting."""
+        body = {'task': task, 'run': run, 'fencingToken': epoch}
+        return self._read_refusal(await self._post('/api/run-stop', body))
+
+    async def pace(
+        self, task: str, run: int, percent: int, epoch: int
+    ) -> RunAnswer:
+        """Let a run work at a share of its speed, from 0 to 100 percent."""
+        body = {
+            'task': task,
+            'run': run,
+            'percent': percent,
+            'fencingToken': epoch,
+        }
+        return self._read_refusal(await self._post('/api/pace', body))
+
+    def _read_refusal(self, answer: HttpAnswer) -> RunAnswer:
+        if answer.status in UNHEALTHY:
+            return RunAnswer(0, StartRefusal.UNHEALTHY)
+        if answer.status == OTHER_INSTANCE:
+            return RunAnswer(0, StartRefusal.OTHER_INCARNATION)
+        if answer.status == BAD_REQUEST:
+            return RunAnswer(0, StartRefusal.INVALID)
+        if answer.status not in (OK, CONFLICT):
+            raise WorkerUnavailableError(
+                f'the worker answered {answer.call!r} with '
+                f'{answer.status!r} {answer.text[:200]!r}; check that the '
+                'address leads to a worker'
+            )
+        try:
+            found = _REFUSED.decode(answer.content)
+        except DecodeError as error:
+            raise _describe_damage(error) from error
+        if answer.status == OK:
+            return RunAnswer(found.clock_ms)
+        refusal = REFUSALS.get(found.reason, StartRefusal.INVALID)
+        return RunAnswer(found.clock_ms, refusal)
+
+    async def _post(
+        self, path: str, body: dict[str, object], wait_ms: int = 0
+    ) -> HttpAnswer:
+        try:
+            return await self._connections.call(
+                'POST',
+                path,
+                self._timeout_s + wait_ms / 1000,
+                content=_ENCODER.encode(body),
+                headers=self._headers,
+            )
+        except NoAnswerError as error:
+            raise WorkerUnavailableError(
+                f'the worker did not answer: {error}; look at its lists to '
+                'learn what runs there',
+                sent=error.sent,
+            ) from error
+
+
+def _read_lists(answer: HttpAnswer) -> WorkerReport:
+    try:
+        found = _LISTS.decode(answer.content)
+        return WorkerReport(
+            found.clock_ms,
+            found.born,
+            tuple(RunningRun(*row[:4]) for row in found.running),
+            tuple(
+                EndedRun(row[0], row[1], row[2], END_KINDS[row[3]], row[4])
+                for row in found.ended
+            ),
+        )
+    except (DecodeError, KeyError, IndexError, TypeError) as error:
+        raise _describe_damage(error) from error
+
+
+def _describe_damage(error: Exception) -> WorkerUnavailableError:
+    return WorkerUnavailableError(
+        f'cannot decode an answer of the worker: {error!r}; check that the '
+        'address leads to a worker'
+    )
--- /dev/null
+++ b/sassafrasgate/protocol/workflows.py
@@ -0,0 +1,101 @@
+"""Messages about workflows between entry hosts."""
+
+from __future__ import annotations
+
+from sassafrasgate.core.workflows import Workflow
+from sassafrasgate.core.workflows import WorkflowState
+from sassafrasgate.protocol.messages import register_message
+
+
+@register_message('submit-workflow')
+class SubmitWorkflow:
+    """Asks the owner to accept a workflow; answered by `WorkflowView`.
+
+    Parameters
+    ----------
+    version : int
+        Version of the sender's routing table.
+    """
+
+    job_id: str
+    queue: str
+    version: int
+    workflow: Workflow
+
+
+@register_message('query-workflow')
+class QueryWorkflow:
+    """Asks for a workflow's state."""
+
+    job_id: str
+
+
+@register_message('cancel-workflow')
+class CancelWorkflow:
+    """Asks for the end of a workflow; answered once it is durable."""
+
+    job_id: str
+
+
+@register_message('workflow-view')
+class WorkflowView:
+    """A workflow as its owner knows it.
+
+    Parameters
+    ----------
+    state : WorkflowState or None
+        None when no such workflow was accepted, or it ended long ago.
+    epoch : int
+        Of the owner that answers.
+    """
+
+    job_id: str
+    state: WorkflowState | None
+    epoch: int = 0
+
+
+@register_message('count-pending')
+class CountPending:
+    """Asks for the number of a queue's workflows that have not begun."""
+
+    queue: str
+
+
+@register_message('pending-count')
+class PendingCount:
+    """The number of a queue's workflows that have not begun."""
+
+    queue: str
+    count: int
+
+
+@register_message('seek-advice')
+class SeekAdvice:
+    """Asks an entry host to call the advice service about a step.
+
+    Parameters
+    ----------
+    step : str
+        Id of the step.
+    workers : tuple of str
+        Those to ask about.
+    """
+
+    step: str
+    workers: tuple[str, ...]
+    timeout_ms: int
+
+
+@register_message('advice-given')
+class AdviceGiven:
+    """What the advice service has answered.
+
+    Parameters
+    ----------
+    tickets : tuple of (str, str)
+        Worker and ticket, for those that may run the step.
+    """
+
+    step: str
+    tickets: tuple[tuple[str, str], ...]
+    valid_ms: int
--- a/tests/commands/test_main.py
+++ b/tests/commands/test_main.py
@@ -229,7 +229,9 @@
     class Composition:
         run_frontend = run_scheduler = staticmethod(served.append)
 
-    monkeypatch.setitem(sys.modules, 'sassafrasgate.composition', Composition)
+    monkeypatch.setitem(
+        sys.modules, 'sassafrasgate.composition.daemons', Composition
+    )
     frontend = SETTINGS.with_name('frontend-2.yaml')
     for role, path in (('scheduler', SETTINGS), ('frontend', frontend)):
         assert run_command_line(['serve', role, '--settings', str(path)]) == 0
@@ -245,9 +247,9 @@
 import sys, types
 from sassafrasgate.commands.jobs import load_job
 from sassafrasgate.commands.main import run_command_line
-root = types.ModuleType('sassafrasgate.composition')
+root = types.ModuleType('sassafrasgate.composition.daemons')
 root.run_scheduler = lambda settings: None
-sys.modules['sassafrasgate.composition'] = root
+sys.modules['sassafrasgate.composition.daemons'] = root
 path = {str(SETTINGS)!r}
 code = run_command_line(['serve', 'scheduler', '--settings', path])
 unwanted = {{'httpx', 'rich', 'difflib', 'sassafrasgate.commands.outputs',
