Take over from an own predecessor at once; keep processes alive over unread slots

A slot read without an answer came out of a task group as a group of errors that no caller expects; an advice answer met the closed stream of a dispatcher that had ended. After a kill of all processes the shard waited for the lease of an owner whose own host was back (2.5 s). Members of a gang that had finished were stopped while they ended by themselves.

--- a/sassafrasgate/daemons/entry.py
+++ b/sassafrasgate/daemons/entry.py
@@ -11,7 +11,6 @@
 from sassafrasgate.core.errors import NoAnswer
 from sassafrasgate.core.errors import Refusal
 from sassafrasgate.core.errors import RefusalKind
-from sassafrasgate.core.errors import StoreConflictError
 from sassafrasgate.core.errors import StoreError
 from sassafrasgate.core.identifiers import rank_names
 from sassafrasgate.core.routing import RoutingTable
@@ -23,6 +22,8 @@
 from sassafrasgate.daemons.dispatcher import refuse_not_owner
 from sassafrasgate.daemons.leases import LeaseChanged
 from sassafrasgate.daemons.leases import LeaseLost
+from sassafrasgate.daemons.replies import ReplyTable
+from sassafrasgate.daemons.replies import wait_for_answer
 from sassafrasgate.daemons.scheduler import ClaimDue
 from sassafrasgate.daemons.scheduler import StopProcess
 from sassafrasgate.daemons.shards import LeaseUpdated
@@ -43,6 +44,8 @@
 from sassafrasgate.shards.ownership import may_send
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
+
     from anyio.abc import TaskGroup
     from anyio.streams.memory import MemoryObjectReceiveStream
     from anyio.streams.memory import MemoryObjectSendStream
@@ -244,10 +247,14 @@
                 # The store has dropped the key while its lease goes on.
                 await self._write_owner_key()
             return
-        if owner is not None and not self._is_me(owner[0]):
+        if owner is not None and self._is_predecessor(owner[0]):
+            # The platform starts a process only after its predecessor ended.
+            if not await self._replace_owner_key(owner[1]):
+                return
+        elif owner is not None and not self._is_me(owner[0]):
             self._orphaned_at = 0
             return
-        if owner is None:
+        elif owner is None:
             self._orphaned_at = self._orphaned_at or now_ms()
             delay_ms = self._find_rank() * CLAIM_STEP_MS
             if now_ms() - self._orphaned_at < delay_ms:
@@ -268,21 +275,38 @@
         return ranked.index(self._member.name)
 
     async def _write_owner_key(self) -> bool:
-        try:
-            revision = await self._services.store.create(
+        return await self._note_owner_key(
+            self._services.store.create(
                 make_owner_key(SHARD),
                 encode(self._member),
                 self._lease_id,
                 CallPriority.HIGH,
             )
-        except StoreConflictError:
-            return False
+        )
+
+    async def _replace_owner_key(self, revision: int) -> bool:
+        return await self._note_owner_key(
+            self._services.store.swap(
+                make_owner_key(SHARD),
+                encode(self._member),
+                revision,
+                self._lease_id,
+                CallPriority.HIGH,
+            )
+        )
+
+    async def _note_owner_key(self, write: Awaitable[int]) -> bool:
+        try:
+            revision = await write
         except StoreError:
             # The watch shows the key if the write took effect after all.
             return False
         self._directory.owners[SHARD] = (self._member, revision)
         return True
 
+    def _is_predecessor(self, member: Member) -> bool:
+        return member.name == self._member.name and not self._is_me(member)
+
     def _start_dispatcher(self, group: TaskGroup) -> None:
         lease = self._lease
         if lease is None or not may_send(
@@ -420,10 +444,23 @@
                 return NoAnswer(f'entry host {name!r} is gone')
             link = self._directory.find_link(member.link_address)
             return await link.ask(question, timeout_s)
-        caller, answers = anyio.create_memory_object_stream[Any](1)
-        with caller, answers:
-            await self._advisers.send(AdviceWanted(question, caller.send))
-            return await answers.receive()
+        return await self._ask_own_adviser(question, timeout_s)
+
+    async def _ask_own_adviser(
+        self, question: SeekAdvice, timeout_s: float
+    ) -> Any:
+        answers = ReplyTable(self._services.reply)
+
+        def add(caller: MemoryObjectSendStream[Any]) -> int:
+            token = answers.add_caller(caller)
+
+            async def answer(message: Any) -> None:
+                await answers.send(token, message)
+
+            self._advisers.send_nowait(AdviceWanted(question, answer))
+            return token
+
+        return await wait_for_answer(add, answers.forget, timeout_s)
 
 
 def _may_repeat(answer: Any) -> bool:
--- a/sassafrasgate/dispatch/reports.py
+++ b/sassafrasgate/dispatch/reports.py
@@ -152,10 +152,12 @@
     entry = state.steps.get(run.step)
     if job is None or entry is None:
         return
+    step = state.find_step(run.step)
     if job.is_over:
-        yield from stop_job_runs(state, job.job_id)
+        # The members of a gang that has finished end by themselves.
+        if not (step.gang and not entry.open):
+            yield from stop_job_runs(state, job.job_id)
         return
-    step = state.find_step(run.step)
     if not step.gang:
         if not _has_run(state, run.step, run.index):
             want_task(state, run.step, run.index)
--- a/sassafrasgate/dispatch/requests.py
+++ b/sassafrasgate/dispatch/requests.py
@@ -64,7 +64,7 @@
             message.job_id,
             (
                 ('queue', message.queue),
-                ('kind', refusal.kind),
+                ('refusal', refusal.kind),
                 ('reason', refusal.reason),
             ),
         )
--- a/sassafrasgate/journal/chain.py
+++ b/sassafrasgate/journal/chain.py
@@ -41,7 +41,8 @@
 CHUNK_BYTES = 512 * 1024
 READ_WINDOW = 16
 FIRST_RETRY_S = 0.05
-LONGEST_RETRY_S = 1.0
+# Acceptance waits for the next try once the store is back.
+LONGEST_RETRY_S = 0.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -234,9 +235,15 @@
         slot = await _read_slot(store, shard, sequence)
         found[sequence % RING_SLOTS] = slot
 
-    async with anyio.create_task_group() as tasks:
-        for sequence in range(first, first + READ_WINDOW):
-            tasks.start_soon(read_slot, sequence)
+    try:
+        async with anyio.create_task_group() as tasks:
+            for sequence in range(first, first + READ_WINDOW):
+                tasks.start_soon(read_slot, sequence)
+    except* StoreUnavailableError as group:
+        raise StoreUnavailableError(
+            f'the journal of shard {shard!r} was not read: '
+            f'{group.exceptions[0]}; read it again'
+        ) from group
     return found
 
 
--- a/tests/journal/test_chain.py
+++ b/tests/journal/test_chain.py
@@ -127,3 +127,16 @@
     assert len(loaded.records) == entries + 1
     assert loaded.next_sequence == entries + 2
     assert store.reads <= 18
+
+
+async def test_unanswered_slot_read_is_a_plain_error():
+    """A new owner retries it; a group of errors would end its process."""
+
+    class DeafStore(MemoryStore):
+        async def get(self, key, priority=0):
+            if key.startswith('journal/'):
+                raise StoreUnavailableError(key)
+            return await super().get(key, priority)
+
+    with pytest.raises(StoreUnavailableError, match='read it again'):
+        await load_journal(DeafStore(), 's1')
