Take over at once from an ended owner; tell cut-off hosts who owns the shard

A takeover needs a lease that the store has renewed, and its own view is dropped with the shard; - hosts that are cut off from the store kept asking the old owner. They now ask the other hosts, and an owner without a fresh lease asks for its successor.

--- a/sassafrasgate/composition/entry.py
+++ b/sassafrasgate/composition/entry.py
@@ -23,6 +23,7 @@
 from sassafrasgate.daemons.directory import Directory
 from sassafrasgate.daemons.dispatcher import DispatcherServices
 from sassafrasgate.daemons.entry import EntryTask
+from sassafrasgate.daemons.entry import LinkClosed
 from sassafrasgate.daemons.leases import LeaseTask
 from sassafrasgate.daemons.leases import Member
 from sassafrasgate.daemons.scheduler import StopProcess
@@ -158,7 +159,14 @@
                 watch, adapters.registrations, listener
             ).run()
 
-        directory = Directory(group, (), greet, hear)
+        def note_closed(address: str) -> None:
+            try:
+                main.send.send_nowait(LinkClosed(address))
+            except anyio.WouldBlock:
+                # The owner's lease shows its end a little later.
+                return
+
+        directory = Directory(group, (), greet, hear, note_closed)
         server = LinkServer(
             settings.link_address,
             lambda request: task.take_request(request),
@@ -179,7 +187,12 @@
             metrics,
         )
         task = EntryTask(
-            member, services, directory, main.receive, advisers.send
+            member,
+            services,
+            directory,
+            main.receive,
+            advisers.send,
+            main.send.send,
         )
         lease = LeaseTask(
             lease_store,
--- a/sassafrasgate/daemons/directory.py
+++ b/sassafrasgate/daemons/directory.py
@@ -50,6 +50,8 @@
         Schedulers of the settings, known also without the store.
     greet, hear : callable
         Heartbeats of the links.
+    note_closed : callable, optional
+        As for `Link`.
     """
 
     def __init__(
@@ -58,10 +60,12 @@
         peers: tuple[Peer, ...],
         greet: Callable[[], Heartbeat],
         hear: Callable[[Heartbeat], None],
+        note_closed: Callable[[str], None] | None = None,
     ) -> None:
         self._group = group
         self._greet = greet
         self._hear = hear
+        self._note_closed = note_closed
         self.members: dict[str, Member] = {}
         self.owners: dict[str, tuple[Member, int]] = {}
         self._links: dict[str, Link] = {}
@@ -114,7 +118,7 @@
         """Return the link to an address, opened on first use."""
         link = self._links.get(address)
         if link is None:
-            link = Link(address, self._greet, self._hear)
+            link = Link(address, self._greet, self._hear, self._note_closed)
             self._links[address] = link
             self._group.start_soon(link.run)
         return link
--- a/sassafrasgate/daemons/dispatcher.py
+++ b/sassafrasgate/daemons/dispatcher.py
@@ -211,7 +211,13 @@
         loaded = await self._load_journal()
         if loaded is None:
             return None
+        read_ms = now_ms() - began
+        self._note_leases()
+        if not self._has_lease():
+            self._given_up = 'the lease has lapsed before the takeover'
+            return None
         replay_records(self.state, loaded.records)
+        replayed_ms = now_ms() - began
         takeover = Takeover(
             self.state.epoch + 1,
             self.services.owner,
@@ -242,6 +248,8 @@
                     ('workers', len(self.state.known_workers)),
                     ('unsettled', len(self.state.unsettled)),
                     ('released', self.state.released_ms >= 0),
+                    ('read_ms', read_ms),
+                    ('replayed_ms', replayed_ms),
                     ('took_ms', now_ms() - began),
                 ),
             )
@@ -249,14 +257,36 @@
         return journal
 
     async def _load_journal(self) -> Any:
-        while True:
+        while self._has_lease():
             try:
                 return await load_journal(self.services.store, self.shard)
             except StoreError:
                 await anyio.sleep(LOAD_RETRY_S)
+                self._note_leases()
             except MessageError as error:
                 self._given_up = str(error)
                 return None
+        self._given_up = 'the lease has lapsed before the takeover'
+        return None
+
+    def _has_lease(self) -> bool:
+        """Tell whether the store has renewed the lease, without any grace."""
+        return now_ms() < self._lease.renewed_at + self._lease.ttl_ms
+
+    def _note_leases(self) -> None:
+        """Take lease changes out of the inbox while nothing is served yet."""
+        kept = []
+        while True:
+            try:
+                event = self._inbox.receive_nowait()
+            except anyio.WouldBlock:
+                break
+            if isinstance(event, LeaseUpdated):
+                self._lease = event.lease
+            else:
+                kept.append(event)
+        for event in kept:
+            self.events.send_nowait(event)
 
     async def _run_journal(self, writer: JournalTask) -> None:
         reason = await run_journal(writer)
--- a/sassafrasgate/daemons/entry.py
+++ b/sassafrasgate/daemons/entry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -11,8 +12,10 @@
 from sassafrasgate.core.errors import NoAnswer
 from sassafrasgate.core.errors import Refusal
 from sassafrasgate.core.errors import RefusalKind
+from sassafrasgate.core.errors import StoreConflictError
 from sassafrasgate.core.errors import StoreError
 from sassafrasgate.core.identifiers import rank_names
+from sassafrasgate.core.items import Item
 from sassafrasgate.core.routing import RoutingTable
 from sassafrasgate.daemons.advisers import AdviceWanted
 from sassafrasgate.daemons.control import ControlChanged
@@ -38,13 +41,15 @@
 from sassafrasgate.protocol.messages import Refused
 from sassafrasgate.protocol.workflows import CancelWorkflow
 from sassafrasgate.protocol.workflows import CountPending
+from sassafrasgate.protocol.workflows import FindOwner
+from sassafrasgate.protocol.workflows import OwnerFound
 from sassafrasgate.protocol.workflows import QueryWorkflow
 from sassafrasgate.protocol.workflows import SeekAdvice
 from sassafrasgate.protocol.workflows import SubmitWorkflow
-from sassafrasgate.shards.ownership import may_send
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
+    from collections.abc import Callable
 
     from anyio.abc import TaskGroup
     from anyio.streams.memory import MemoryObjectReceiveStream
@@ -66,12 +71,28 @@
 # known meanwhile, and every request can be repeated.
 TRY_S = 0.7
 RETRY_S = 0.05
+PROBE_S = 0.3
+FIND_S = 0.2
 # Refusals of a process that has done nothing with the request.
 RETRIED_REFUSALS = frozenset(
     {RefusalKind.NOT_OWNER, RefusalKind.NOT_READY, RefusalKind.STOPPING}
 )
 
 
+@dataclass(frozen=True, slots=True)
+class LinkClosed:
+    """The other end of a link has closed its connection."""
+
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class ProcessEnded:
+    """Nothing listens any more where a process served its links."""
+
+    incarnation: str
+
+
 class EntryTask:
     """Owns what an entry host knows of the others, and its dispatcher.
 
@@ -87,6 +108,8 @@
         Control, lease and table messages, `StopProcess`.
     advisers : MemoryObjectSendStream
         The advice task's inbox.
+    tell_self : callable
+        Puts a message into this task's inbox.
     """
 
     def __init__(
@@ -96,17 +119,21 @@
         directory: Directory,
         inbox: MemoryObjectReceiveStream[Any],
         advisers: MemoryObjectSendStream[Any],
+        tell_self: Callable[[Any], Awaitable[None]],
     ) -> None:
         self._member = member
         self._services = services
         self._directory = directory
         self._inbox = inbox
         self._advisers = advisers
+        self._tell_self = tell_self
         self._table = RoutingTable()
         self._lease_id = ''
         self._lease: OwnerLease | None = None
         self._dispatcher: DispatcherTask | None = None
         self._orphaned_at = 0
+        self._ended = ''
+        self._finding = False
         self._stopping = False
         self._peers: tuple[str, ...] = ()
 
@@ -164,18 +191,21 @@
             self._note_table(message)
         if isinstance(message, StopProcess):
             self._stop()
+        if isinstance(message, LinkClosed):
+            self._check_owner(message, group)
+        if isinstance(message, ProcessEnded):
+            self._ended = message.incarnation
         await self._claim(group)
 
     def _note_control(self, message: Any) -> None:
         self._directory.note(message)
-        dispatcher = self._dispatcher
-        if dispatcher is None:
-            return
         owner = self._directory.owners.get(SHARD)
         if owner is not None and not self._is_me(owner[0]):
-            dispatcher.events.send_nowait(
-                ShardAbandoned(f'{owner[0].name!r} owns the shard')
-            )
+            # The link shows when the owner's process ends.
+            self._directory.find_link(owner[0].link_address)
+        if self._dispatcher is None:
+            return
+        self._check_successor()
         self._tell_peers()
 
     def _tell_peers(self) -> None:
@@ -237,9 +267,32 @@
         if self._dispatcher is not None:
             self._dispatcher.request_stop()
 
+    def _check_owner(self, message: LinkClosed, group: TaskGroup) -> None:
+        """Find out whether the owner's process has ended."""
+        owner = self._directory.owners.get(SHARD)
+        if owner is None or owner[0].link_address != message.address:
+            return
+        group.start_soon(self._probe_process, owner[0])
+
+    async def _probe_process(self, member: Member) -> None:
+        host, _, port = member.link_address.rpartition(':')
+        try:
+            with anyio.fail_after(PROBE_S):
+                stream = await anyio.connect_tcp(host, int(port))
+                await stream.aclose()
+        except (OSError, TimeoutError) as error:
+            # Silence proves nothing; the owner's lease will lapse.
+            if not isinstance(error.__cause__, ConnectionRefusedError):
+                return
+            self._log('owner-ended', (('owner', member.name),))
+            await self._tell_self(ProcessEnded(member.incarnation))
+
     async def _claim(self, group: TaskGroup) -> None:
         """Claim the shard when it has no owner, the best host first."""
-        if self._stopping or not self._lease_id or not self._table.version:
+        if self._stopping or not self._table.version:
+            return
+        if not self._has_fresh_lease():
+            self._check_ownership(group)
             return
         owner = self._directory.owners.get(SHARD)
         if self._dispatcher is not None:
@@ -247,21 +300,61 @@
                 # The store has dropped the key while its lease goes on.
                 await self._write_owner_key()
             return
-        if owner is not None and self._is_predecessor(owner[0]):
-            # The platform starts a process only after its predecessor ended.
-            if not await self._replace_owner_key(owner[1]):
-                return
-        elif owner is not None and not self._is_me(owner[0]):
+        if owner is not None and self._is_me(owner[0]):
+            self._start_dispatcher(group)
+            return
+        if owner is not None and not self._has_ended(owner[0]):
             self._orphaned_at = 0
             return
-        elif owner is None:
-            self._orphaned_at = self._orphaned_at or now_ms()
-            delay_ms = self._find_rank() * CLAIM_STEP_MS
-            if now_ms() - self._orphaned_at < delay_ms:
-                return
-            if not await self._write_owner_key():
-                return
-        self._start_dispatcher(group)
+        self._orphaned_at = self._orphaned_at or now_ms()
+        delay_ms = self._find_rank() * CLAIM_STEP_MS
+        if now_ms() - self._orphaned_at < delay_ms:
+            return
+        if await self._write_owner_key(owner[1] if owner else 0):
+            self._start_dispatcher(group)
+
+    def _has_ended(self, member: Member) -> bool:
+        """Tell whether an owner's process is known to have ended.
+
+        The platform starts a process only after its predecessor ended.
+        """
+        return (
+            member.incarnation == self._ended
+            or member.name == self._member.name
+        )
+
+    def _check_ownership(self, group: TaskGroup) -> None:
+        """Learn from other hosts whether the shard has another owner.
+
+        An owner that is cut off from the store goes on for its grace, and
+        its callers wait for records that it can't write.
+        """
+        if self._dispatcher is None or self._finding:
+            return
+        self._finding = True
+        group.start_soon(self._find_successor)
+
+    async def _find_successor(self) -> None:
+        await self._ask_others_for_owner()
+        await anyio.sleep(FIND_S)
+        self._finding = False
+        self._check_successor()
+
+    def _check_successor(self) -> None:
+        owner = self._directory.owners.get(SHARD)
+        if self._dispatcher is None or owner is None:
+            return
+        if not self._is_me(owner[0]):
+            self._dispatcher.events.send_nowait(
+                ShardAbandoned(f'{owner[0].name!r} owns the shard')
+            )
+
+    def _has_fresh_lease(self) -> bool:
+        """Tell whether the store has renewed the lease, without any grace."""
+        lease = self._lease
+        if lease is None or not self._lease_id:
+            return False
+        return now_ms() < lease.renewed_at + lease.ttl_ms
 
     def _find_rank(self) -> int:
         """Return this host's place; hosts with more processor come first."""
@@ -274,44 +367,42 @@
             return len(ranked)
         return ranked.index(self._member.name)
 
-    async def _write_owner_key(self) -> bool:
-        return await self._note_owner_key(
-            self._services.store.create(
-                make_owner_key(SHARD),
-                encode(self._member),
-                self._lease_id,
-                CallPriority.HIGH,
+    async def _write_owner_key(self, revision: int = 0) -> bool:
+        """Name this process the owner, in place of one that has ended."""
+        key, value = make_owner_key(SHARD), encode(self._member)
+        store, lease = self._services.store, self._lease_id
+        if not revision:
+            return await self._note_owner_key(
+                store.create(key, value, lease, CallPriority.HIGH)
             )
-        )
-
-    async def _replace_owner_key(self, revision: int) -> bool:
         return await self._note_owner_key(
-            self._services.store.swap(
-                make_owner_key(SHARD),
-                encode(self._member),
-                revision,
-                self._lease_id,
-                CallPriority.HIGH,
-            )
+            store.swap(key, value, revision, lease, CallPriority.HIGH)
         )
 
     async def _note_owner_key(self, write: Awaitable[int]) -> bool:
         try:
             revision = await write
+        except StoreConflictError:
+            await self._read_owner_key()
+            return False
         except StoreError:
             # The watch shows the key if the write took effect after all.
             return False
         self._directory.owners[SHARD] = (self._member, revision)
         return True
 
-    def _is_predecessor(self, member: Member) -> bool:
-        return member.name == self._member.name and not self._is_me(member)
+    async def _read_owner_key(self) -> None:
+        """Learn who holds the key, which may be this process itself."""
+        try:
+            item = await self._services.store.get(make_owner_key(SHARD))
+        except StoreError:
+            return
+        if item is not None:
+            self._directory.note(ControlChanged((item,)))
 
     def _start_dispatcher(self, group: TaskGroup) -> None:
         lease = self._lease
-        if lease is None or not may_send(
-            lease, now_ms(), lease.ttl_ms, lease.grace_ms
-        ):
+        if lease is None:
             return
         self._orphaned_at = 0
         self._peers = ()
@@ -327,9 +418,20 @@
             await self._delete_owner_key()
         if self._dispatcher is dispatcher:
             self._dispatcher = None
+            self._forget_ownership()
         self._services.metrics.set_gauge(OWNED_SHARDS, 0)
         self._log('released', (('reason', reason),))
 
+    def _forget_ownership(self) -> None:
+        """Claim anew before the next takeover.
+
+        The own view of the owner may be from before a cut, while another
+        process serves the shard.
+        """
+        owner = self._directory.owners.get(SHARD)
+        if owner is not None and self._is_me(owner[0]):
+            del self._directory.owners[SHARD]
+
     async def _delete_owner_key(self) -> None:
         """Let another process claim the shard; only if the key is ours."""
         owner = self._directory.owners.get(SHARD)
@@ -408,8 +510,52 @@
                 return answer
             if now_ms() + RETRY_S * 1000 >= deadline:
                 return unknown or answer
+            await self._find_owner()
             await anyio.sleep(RETRY_S)
 
+    async def _find_owner(self) -> None:
+        """Learn from other entry hosts who the owner is.
+
+        A host that is cut off from the store would otherwise go on asking
+        the owner that it knew.
+        """
+        if self._dispatcher is not None or self._has_fresh_lease():
+            return
+        await self._ask_others_for_owner()
+
+    async def _ask_others_for_owner(self) -> None:
+        others = [
+            member
+            for member in self._directory.members.values()
+            if not self._is_me(member)
+        ]
+        async with anyio.create_task_group() as group:
+            for member in others:
+                group.start_soon(self._ask_for_owner, member)
+
+    async def _ask_for_owner(self, member: Member) -> None:
+        link = self._directory.find_link(member.link_address)
+        answer = await link.ask(FindOwner(SHARD), FIND_S)
+        if not isinstance(answer, OwnerFound) or not answer.member:
+            return
+        known = self._directory.owners.get(SHARD)
+        if known is not None and known[1] >= answer.revision:
+            return
+        key = make_owner_key(SHARD)
+        item = Item(key, answer.member, answer.revision)
+        self._directory.note(ControlChanged((item,)))
+        self._log(
+            'owner-found',
+            (('told_by', member.name), ('revision', answer.revision)),
+        )
+
+    def _describe_owner(self) -> OwnerFound:
+        """Tell another host who the owner is, if the store can be reached."""
+        owner = self._directory.owners.get(SHARD)
+        if owner is None or not self._has_fresh_lease():
+            return OwnerFound(SHARD, b'', 0)
+        return OwnerFound(SHARD, encode(owner[0]), owner[1])
+
     async def _ask_once(self, message: Any, timeout_s: float) -> Any:
         dispatcher = self._dispatcher
         if dispatcher is not None:
@@ -427,6 +573,9 @@
                 OutgoingReply(request.client, request.request, answer)
             )
 
+        if isinstance(message, FindOwner):
+            await reply(self._describe_owner())
+            return
         if isinstance(message, SeekAdvice):
             await self._advisers.send(AdviceWanted(message, reply))
             return
--- a/sassafrasgate/journal/chain.py
+++ b/sassafrasgate/journal/chain.py
@@ -38,8 +38,12 @@
 # Slots that only takeover records use, so that a ring full of entries that no
 # snapshot covers can still be taken over; each takeover needs one.
 TAKEOVER_SLOTS = 64
-CHUNK_BYTES = 512 * 1024
-READ_WINDOW = 16
+# Chunks are read side by side, since a connection's window is small.
+CHUNK_BYTES = 128 * 1024
+# Slots that one call reads, and the blocks that a reader asks for at once:
+# with a snapshot every 200 entries a chain mostly lies within three.
+BLOCK_SLOTS = 100
+FIRST_BLOCKS = 3
 FIRST_RETRY_S = 0.05
 # Acceptance waits for the next try once the store is back.
 LONGEST_RETRY_S = 0.25
@@ -182,21 +186,29 @@
         When a read gets no answer.
     """
     pointer = await _read_pointer(store, shard)
-    records: list[Any] = []
-    if pointer.chunks:
-        data = bytearray()
-        for chunk in range(pointer.chunks):
-            key = make_chunk_key(shard, pointer.sequence, chunk)
-            item = await store.get(key)
-            if item is None or item.value is None:
-                # A newer snapshot has replaced this one meanwhile.
-                return await load_journal(store, shard)
-            data += item.value
-        records.extend(decode_records(bytes(data)))
     sequence = pointer.sequence + 1
-    slots = await _read_window(store, shard, sequence)
+    reader = _JournalReader(store, shard)
+    try:
+        async with anyio.create_task_group() as tasks:
+            for chunk in range(pointer.chunks):
+                tasks.start_soon(reader.read_chunk, pointer.sequence, chunk)
+            for block in _list_blocks(sequence, FIRST_BLOCKS):
+                tasks.start_soon(reader.read_block, block)
+    except* StoreUnavailableError as group:
+        raise StoreUnavailableError(
+            f'the journal of shard {shard!r} was not read: '
+            f'{group.exceptions[0]}; read it again'
+        ) from group
+    if len(reader.chunks) < pointer.chunks:
+        # A newer snapshot has replaced this one meanwhile.
+        return await load_journal(store, shard)
+    records: list[Any] = []
+    if reader.chunks:
+        data = b''.join(reader.chunks[n] for n in range(pointer.chunks))
+        records.extend(decode_records(data))
     while True:
-        slot = slots.get(sequence % RING_SLOTS, _Slot(None, 0))
+        await reader.read_block(_find_block(sequence))
+        slot = reader.slots.get(sequence % RING_SLOTS, _Slot(None, 0))
         entry = slot.entry
         found = slot.classify(sequence)
         if found is SlotState.NEWER:
@@ -213,57 +225,65 @@
             )
         records.extend(entry.records)
         sequence += 1
-        if sequence == pointer.sequence + 1 + READ_WINDOW:
-            slots = await _read_ring(store, shard)
 
 
-async def _read_pointer(store: Store, shard: str) -> SnapshotPointer:
-    item = await store.get(make_snapshot_key(shard))
-    if item is None or item.value is None:
-        return SnapshotPointer(0, 0)
-    sequence, chunks = decode(item.value)
-    return SnapshotPointer(sequence, chunks, item.revision)
+def _find_block(sequence: int) -> int:
+    return sequence % RING_SLOTS // BLOCK_SLOTS
 
 
-async def _read_window(
-    store: Store, shard: str, first: int
-) -> dict[int, _Slot]:
-    """Read `READ_WINDOW` slots from entry ``first`` on, by slot number."""
-    found: dict[int, _Slot] = {}
+def _list_blocks(first: int, count: int) -> list[int]:
+    """Return the blocks of the ring from an entry on, without repeats."""
+    blocks = (_find_block(first + n * BLOCK_SLOTS) for n in range(count))
+    return list(dict.fromkeys(blocks))
 
-    async def read_slot(sequence: int) -> None:
-        slot = await _read_slot(store, shard, sequence)
-        found[sequence % RING_SLOTS] = slot
 
-    try:
-        async with anyio.create_task_group() as tasks:
-            for sequence in range(first, first + READ_WINDOW):
-                tasks.start_soon(read_slot, sequence)
-    except* StoreUnavailableError as group:
-        raise StoreUnavailableError(
-            f'the journal of shard {shard!r} was not read: '
-            f'{group.exceptions[0]}; read it again'
-        ) from group
-    return found
+class _JournalReader:
+    """Reads parts of a journal, each once.
+
+    A call for each slot would take a process's share of the store for many
+    seconds, and one call for the whole ring is as slow as its bytes on one
+    connection. Slots that are written meanwhile have another revision, so
+    that the takeover record fails and the reader starts over.
+    """
 
+    def __init__(self, store: Store, shard: str) -> None:
+        self._store = store
+        self._shard = shard
+        self._blocks: set[int] = set()
+        self.slots: dict[int, _Slot] = {}
+        self.chunks: dict[int, bytes] = {}
 
-async def _read_ring(store: Store, shard: str) -> dict[int, _Slot]:
-    """Read the whole ring, in one call per megabyte.
+    async def read_chunk(self, sequence: int, chunk: int) -> None:
+        """Read a chunk of the snapshot, unless it has been deleted."""
+        key = make_chunk_key(self._shard, sequence, chunk)
+        item = await self._store.get(key, priority=CallPriority.HIGH)
+        if item is not None and item.value is not None:
+            self.chunks[chunk] = item.value
 
-    A chain that is longer than the first window would take one call for
-    each entry, which a process's share of the store spreads over many
-    seconds. Slots that are written meanwhile have another revision, so that
-    the takeover record fails and the reader starts over.
-    """
-    prefix = make_ring_prefix(shard)
-    listed = await store.read_prefix(prefix, CallPriority.HIGH)
-    return {
-        int(item.key.removeprefix(prefix)): _Slot(
-            decode_entry(item.value), item.revision
+    async def read_block(self, block: int) -> None:
+        """Read neighbouring slots with one call, unless that was done."""
+        if block in self._blocks:
+            return
+        self._blocks.add(block)
+        prefix = make_ring_prefix(self._shard)
+        # Slot numbers have four digits; a block shares the first two.
+        listed = await self._store.read_prefix(
+            f'{prefix}{block:02d}', CallPriority.HIGH
         )
-        for item in listed.items
-        if item.value is not None
-    }
+        for item in listed.items:
+            if item.value is not None:
+                number = int(item.key.removeprefix(prefix))
+                self.slots[number] = _Slot(
+                    decode_entry(item.value), item.revision
+                )
+
+
+async def _read_pointer(store: Store, shard: str) -> SnapshotPointer:
+    item = await store.get(make_snapshot_key(shard))
+    if item is None or item.value is None:
+        return SnapshotPointer(0, 0)
+    sequence, chunks = decode(item.value)
+    return SnapshotPointer(sequence, chunks, item.revision)
 
 
 async def _read_slot(store: Store, shard: str, sequence: int) -> _Slot:
--- a/sassafrasgate/protocol/links.py
+++ b/sassafrasgate/protocol/links.py
@@ -15,6 +15,7 @@
 from anyio.streams.memory import MemoryObjectSendStream
 import zmq
 import zmq.asyncio
+from zmq.utils.monitor import recv_monitor_message
 
 from sassafrasgate.core.errors import MessageError
 from sassafrasgate.core.errors import NoAnswer
@@ -97,6 +98,9 @@
         Returns the `Heartbeat` to send, with what this process knows.
     hear : callable
         Called with each `Heartbeat` of the peer.
+    note_closed : callable, optional
+        Called with the address when the peer's end has closed the
+        connection, as when its process has ended.
 
     Examples
     --------
@@ -111,10 +115,12 @@
         address: str,
         greet: Callable[[], Heartbeat],
         hear: Callable[[Heartbeat], None],
+        note_closed: Callable[[str], None] | None = None,
     ) -> None:
         self.address = address
         self._greet = greet
         self._hear = hear
+        self._note_closed = note_closed
         self._calls, self._inbox = _make_call_stream()
         self._open: dict[int, MemoryObjectSendStream[Any]] = {}
         self._next_request = 1
@@ -170,17 +176,23 @@
             socket = context.socket(zmq.DEALER)
             socket.set(zmq.LINGER, 0)
             socket.set(zmq.SNDHWM, HIGH_WATER_MARK)
+            monitor = socket.get_monitor_socket(zmq.EVENT_DISCONNECTED)
             socket.connect(f'tcp://{self.address}')
             self._heard_at = now_ms()
             try:
-                await self._serve_socket(socket)
+                await self._serve_socket(socket, monitor)
             finally:
+                socket.disable_monitor()
+                monitor.close()
                 socket.close()
             self._counts.reopened += 1
-            self._fail_open_requests()
+            self._fail_open_requests(f'the link to {self.address} went silent')
 
-    async def _serve_socket(self, socket: zmq.asyncio.Socket) -> None:
+    async def _serve_socket(
+        self, socket: zmq.asyncio.Socket, monitor: Any
+    ) -> None:
         async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._watch_connection, monitor)
             tasks.start_soon(self._send_calls, socket)
             tasks.start_soon(self._receive_answers, socket)
             while self.is_alive:
@@ -190,6 +202,17 @@
                 await anyio.sleep(HEARTBEAT_S / 2)
             tasks.cancel_scope.cancel()
 
+    async def _watch_connection(self, monitor: Any) -> None:
+        """Fail open requests as soon as the connection is closed.
+
+        zmq opens a new one by itself.
+        """
+        while True:
+            await recv_monitor_message(monitor)
+            self._fail_open_requests(f'{self.address} closed the connection')
+            if self._note_closed is not None:
+                self._note_closed(self.address)
+
     async def _send_calls(self, socket: zmq.asyncio.Socket) -> None:
         async for call in self._inbox:
             request = 0
@@ -229,13 +252,11 @@
             self._counts.dropped_answers += 1
         reply_to.close()
 
-    def _fail_open_requests(self) -> None:
+    def _fail_open_requests(self, reason: str) -> None:
         """Answer open requests, whose answers can't arrive any more."""
         for reply_to in self._open.values():
             try:
-                reply_to.send_nowait(
-                    NoAnswer(f'the link to {self.address} went silent')
-                )
+                reply_to.send_nowait(NoAnswer(reason))
             except (anyio.BrokenResourceError, anyio.WouldBlock):
                 continue
             finally:
--- a/sassafrasgate/protocol/workflows.py
+++ b/sassafrasgate/protocol/workflows.py
@@ -99,3 +99,27 @@
     step: str
     tickets: tuple[tuple[str, str], ...]
     valid_ms: int
+
+
+@register_message('find-owner')
+class FindOwner:
+    """Asks an entry host who owns the shard; answered by `OwnerFound`."""
+
+    shard: str
+
+
+@register_message('owner-found')
+class OwnerFound:
+    """Who owns a shard, as an entry host has it from the store.
+
+    Parameters
+    ----------
+    member : bytes
+        The owner as its key in the store describes it; empty for none.
+    revision : int
+        Revision of that key.
+    """
+
+    shard: str
+    member: bytes
+    revision: int
--- a/tests/journal/test_chain.py
+++ b/tests/journal/test_chain.py
@@ -133,10 +133,8 @@
     """A new owner retries it; a group of errors would end its process."""
 
     class DeafStore(MemoryStore):
-        async def get(self, key, priority=0):
-            if key.startswith('journal/'):
-                raise StoreUnavailableError(key)
-            return await super().get(key, priority)
+        async def read_prefix(self, prefix, priority=0):
+            raise StoreUnavailableError(prefix)
 
     with pytest.raises(StoreUnavailableError, match='read it again'):
         await load_journal(DeafStore(), 's1')
