--- a/sassafrasgate/composition/entry.py
+++ b/sassafrasgate/composition/entry.py
@@ -36,6 +36,7 @@
 from sassafrasgate.http.routes import RouteGroup
 from sassafrasgate.http.server import serve_http
 from sassafrasgate.journal.budget import StoreBudget
+from sassafrasgate.observability.clocks import wall_ms
 from sassafrasgate.observability.logs import configure_logging
 from sassafrasgate.observability.logs import log_facts
 from sassafrasgate.observability.logs import open_standard_output
@@ -115,6 +116,7 @@
         settings.link_address,
         settings.failure_domain,
         settings.processors,
+        wall_ms(),
     )
     log_facts(
         logger,
@@ -183,6 +185,7 @@
             ),
             lambda name, question: task.ask_lane(name, question),
             follow_workers,
+            lambda message: task.hand_over(message),
             logger,
             metrics,
         )
--- a/sassafrasgate/daemons/dispatcher.py
+++ b/sassafrasgate/daemons/dispatcher.py
@@ -52,6 +52,8 @@
 from sassafrasgate.dispatch.transitions import decide
 from sassafrasgate.journal.chain import Journal
 from sassafrasgate.journal.chain import load_journal
+from sassafrasgate.journal.chain import LoadedJournal
+from sassafrasgate.journal.records import encode_records
 from sassafrasgate.journal.records import Takeover
 from sassafrasgate.journal.workflows import Released
 from sassafrasgate.observability.clocks import now_ms
@@ -64,6 +66,7 @@
 from sassafrasgate.protocol.links import OutgoingReply
 from sassafrasgate.protocol.messages import Refused
 from sassafrasgate.protocol.workflows import AdviceGiven
+from sassafrasgate.protocol.workflows import HandOver
 from sassafrasgate.protocol.workflows import SeekAdvice
 from sassafrasgate.shards.events import RecordsDurable
 from sassafrasgate.shards.events import RequestReceived
@@ -88,8 +91,8 @@
 # Events that are handled before waiting steps are looked at again.
 BATCH_EVENTS = 64
 ADVICE_MARGIN_MS = 400
-# A record that is not durable by then delays what waits for it.
-STALL_REPORT_MS = 200
+# A store that answers, but only after this time, counts as failing too.
+SLOW_APPEND_MS = 1_500
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,6 +116,9 @@
         `AdviceGiven`, or something else when there is none.
     follow_workers : callable
         Runs the watch of workers' entries for a listener.
+    hand_over : callable
+        Finds a successor for a `HandOver`; tells whether one has taken the
+        shard over.
     """
 
     owner: str
@@ -122,6 +128,7 @@
     open_worker: Callable[[str, str], Any]
     ask_lane: Callable[[str, SeekAdvice], Awaitable[Any]]
     follow_workers: Callable[[Any], Coroutine[Any, Any, None]]
+    hand_over: Callable[[HandOver], Awaitable[bool]]
     logger: Logger
     metrics: Metrics
 
@@ -139,6 +146,9 @@
         The process's lease when the shard was claimed.
     services : DispatcherServices
         What the process provides.
+    inherited : LoadedJournal, optional
+        What the previous owner has handed over; the journal is read if
+        there is nothing.
     """
 
     def __init__(
@@ -147,6 +157,7 @@
         table: RoutingTable,
         lease: OwnerLease,
         services: DispatcherServices,
+        inherited: LoadedJournal | None = None,
     ) -> None:
         self.shard = shard
         self.services = services
@@ -154,15 +165,17 @@
         self.events, self._inbox = _make_inbox()
         self._table = table
         self._lease = lease
+        self._inherited = inherited
         self._replies = ReplyTable(services.reply)
         self._workers: dict[str, MemoryObjectSendStream[Any]] = {}
         self._journal_box, self._journal_inbox = _make_inbox(inf)
         self._snapshots = SnapshotSchedule()
         self._unwritten: deque[int] = deque()
         self._stalled_since = 0
+        self._failing_since = 0
         self._given_up = ''
         self._group: TaskGroup | None = None
-        self.serving = False
+        self.taken_over = anyio.Event()
 
     async def run(self, release: Callable[[], Awaitable[None]]) -> str:
         """Take the shard over and serve it; return why it ended.
@@ -179,6 +192,7 @@
             Empty after a planned stop.
         """
         journal = await self._take_over()
+        self.taken_over.set()
         if journal is None:
             await self._dismiss_callers()
             return self._given_up
@@ -194,11 +208,9 @@
             group.start_soon(self._tick)
             group.start_soon(self.services.follow_workers, self.events)
             await self._carry_out(watch_known_workers(self.state))
-            self.serving = True
             await self._serve()
-            self.serving = False
             if not self._given_up:
-                await self._hand_over(release)
+                await self._hand_over(journal, release)
             await self._dismiss_callers()
             group.cancel_scope.cancel()
         return self._given_up
@@ -225,7 +237,11 @@
             self._lease.ttl_ms,
         )
         journal = Journal(
-            self.services.store, self.shard, self.services.owner, loaded
+            self.services.store,
+            self.shard,
+            self.services.owner,
+            loaded,
+            self._note_failed_append,
         )
         journal.epoch = takeover.epoch
         try:
@@ -257,6 +273,8 @@
         return journal
 
     async def _load_journal(self) -> Any:
+        if self._inherited is not None:
+            return self._inherited
         while self._has_lease():
             try:
                 return await load_journal(self.services.store, self.shard)
@@ -348,15 +366,24 @@
         if isinstance(event, RecordsDurable):
             for _ in event.records:
                 self._unwritten.popleft()
+            self._failing_since = 0
             self._snapshots.note_entry()
             self._request_snapshot()
         if isinstance(event, Ticked):
             await self._note_stall()
+        if isinstance(event, StopRequested):
+            # Ends that are listed from now on are the successor's.
+            self._stop_workers()
         return False
 
+    def _note_failed_append(self) -> None:
+        self._failing_since = self._failing_since or now_ms()
+
     async def _note_stall(self) -> None:
+        stalled = self._failing_since
         oldest = self._unwritten[0] if self._unwritten else 0
-        stalled = oldest if oldest + STALL_REPORT_MS < now_ms() else 0
+        if oldest and oldest + SLOW_APPEND_MS < now_ms():
+            stalled = stalled or oldest
         if stalled == self._stalled_since:
             return
         self._stalled_since = stalled
@@ -383,19 +410,43 @@
     def _is_drained(self) -> bool:
         return self.state.stopping and not self._unwritten
 
-    async def _hand_over(self, release: Callable[[], Awaitable[None]]) -> None:
-        """Tell the successor what it can't learn from the workers' lists."""
-        for box in self._workers.values():
-            box.send_nowait(StopSyncing())
-        self._workers.clear()
-        # Calls that were sent up to now may still be carried out.
-        lapse_ms = find_grant_bound(0, HOLD_WAIT_MS)
-        self.append(Released(lapse_ms))
+    async def _hand_over(
+        self, journal: Journal, release: Callable[[], Awaitable[None]]
+    ) -> None:
+        """Give the shard to a successor, or leave it to be claimed.
+
+        Every record is durable by now, and the workers are left alone, but
+        calls that were sent before may still be carried out.
+        """
+        released = Released(find_grant_bound(0, HOLD_WAIT_MS))
+        try:
+            position = await journal.describe_position()
+        except (StoreError, ShardLostError):
+            # Whoever claims the shard reads the journal.
+            await release()
+            return
+        message = HandOver(
+            self.shard,
+            encode_records((*list_records(self.state), released)),
+            position.next_sequence,
+            position.slot_revision,
+            position.snapshot_sequence,
+            position.snapshot_chunks,
+            position.snapshot_revision,
+        )
+        if await self.services.hand_over(message):
+            return
+        self.append(released)
         while self._unwritten and not self._given_up:
             await self._step(await self._inbox.receive())
         if not self._given_up:
             await release()
 
+    def _stop_workers(self) -> None:
+        for box in self._workers.values():
+            box.send_nowait(StopSyncing())
+        self._workers.clear()
+
     async def _dismiss_callers(self) -> None:
         """Answer everybody who still waits; requests can be repeated."""
         message = Refused(
--- a/sassafrasgate/daemons/entry.py
+++ b/sassafrasgate/daemons/entry.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable
+from collections.abc import Callable
 from dataclasses import dataclass
+from dataclasses import replace
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -33,24 +36,25 @@
 from sassafrasgate.daemons.shards import ShardAbandoned
 from sassafrasgate.dispatch.events import TableChanged
 from sassafrasgate.journal.budget import CallPriority
+from sassafrasgate.journal.chain import LoadedJournal
+from sassafrasgate.journal.records import decode_records
 from sassafrasgate.observability.clocks import now_ms
 from sassafrasgate.observability.logs import log_facts
 from sassafrasgate.observability.metrics import CONFIGURATION_VERSION
 from sassafrasgate.observability.metrics import OWNED_SHARDS
 from sassafrasgate.protocol.links import OutgoingReply
+from sassafrasgate.protocol.messages import Acknowledged
 from sassafrasgate.protocol.messages import Refused
 from sassafrasgate.protocol.workflows import CancelWorkflow
 from sassafrasgate.protocol.workflows import CountPending
 from sassafrasgate.protocol.workflows import FindOwner
+from sassafrasgate.protocol.workflows import HandOver
 from sassafrasgate.protocol.workflows import OwnerFound
 from sassafrasgate.protocol.workflows import QueryWorkflow
 from sassafrasgate.protocol.workflows import SeekAdvice
 from sassafrasgate.protocol.workflows import SubmitWorkflow
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable
-    from collections.abc import Callable
-
     from anyio.abc import TaskGroup
     from anyio.streams.memory import MemoryObjectReceiveStream
     from anyio.streams.memory import MemoryObjectSendStream
@@ -73,6 +77,9 @@
 RETRY_S = 0.05
 PROBE_S = 0.3
 FIND_S = 0.2
+# Time for a successor to write its takeover record in a slow store.
+OFFER_S = 1.5
+MOST_OFFERS = 2
 # Refusals of a process that has done nothing with the request.
 RETRIED_REFUSALS = frozenset(
     {RefusalKind.NOT_OWNER, RefusalKind.NOT_READY, RefusalKind.STOPPING}
@@ -93,6 +100,21 @@
     incarnation: str
 
 
+@dataclass(frozen=True, slots=True)
+class ShardOffered:
+    """The owner hands the shard over to this process.
+
+    Parameters
+    ----------
+    answer : callable
+        Gets `Acknowledged` once this process has taken the shard over, else
+        a `Refusal`.
+    """
+
+    offer: HandOver
+    answer: Callable[[Any], Awaitable[None]]
+
+
 class EntryTask:
     """Owns what an entry host knows of the others, and its dispatcher.
 
@@ -195,6 +217,8 @@
             self._check_owner(message, group)
         if isinstance(message, ProcessEnded):
             self._ended = message.incarnation
+        if isinstance(message, ShardOffered):
+            group.start_soon(self._take_shard, message, group)
         await self._claim(group)
 
     def _note_control(self, message: Any) -> None:
@@ -400,18 +424,90 @@
         if item is not None:
             self._directory.note(ControlChanged((item,)))
 
-    def _start_dispatcher(self, group: TaskGroup) -> None:
+    def _start_dispatcher(
+        self, group: TaskGroup, inherited: LoadedJournal | None = None
+    ) -> None:
         lease = self._lease
         if lease is None:
             return
         self._orphaned_at = 0
         self._peers = ()
-        dispatcher = DispatcherTask(SHARD, self._table, lease, self._services)
+        dispatcher = DispatcherTask(
+            SHARD, self._table, lease, self._services, inherited
+        )
         self._dispatcher = dispatcher
         self._services.metrics.set_gauge(OWNED_SHARDS, 1)
         self._tell_peers()
         group.start_soon(self._run_dispatcher, dispatcher)
 
+    async def _take_shard(
+        self, message: ShardOffered, group: TaskGroup
+    ) -> None:
+        """Take the shard over from an owner that stops."""
+        offer = message.offer
+        if (
+            self._stopping
+            or self._dispatcher is not None
+            or not self._table.version
+            or not self._has_fresh_lease()
+        ):
+            await message.answer(self._refuse_unready())
+            return
+        inherited = LoadedJournal(
+            decode_records(offer.records),
+            offer.next_sequence,
+            offer.slot_revision,
+            offer.snapshot_sequence,
+            offer.snapshot_chunks,
+            offer.snapshot_revision,
+        )
+        self._start_dispatcher(group, inherited)
+        dispatcher = self._dispatcher
+        if not await self._write_owner_key(offer.owner_revision):
+            await self._read_owner_key()
+        if dispatcher is None:
+            await message.answer(self._refuse_unready())
+            return
+        await dispatcher.taken_over.wait()
+        answer: Any = Acknowledged()
+        if self._dispatcher is not dispatcher:
+            answer = self._refuse_unready()
+        await message.answer(answer)
+
+    async def hand_over(self, message: HandOver) -> bool:
+        """Offer the shard to the other entry hosts, the best one first.
+
+        Where hosts have the same processors, the one that has started last
+        is best: in restarts one after the other it is the last to stop.
+        """
+        owner = self._directory.owners.get(SHARD)
+        if owner is None or not self._is_me(owner[0]):
+            return False
+        offer = replace(message, owner_revision=owner[1])
+        members = [
+            member
+            for member in self._directory.members.values()
+            if not self._is_me(member)
+        ]
+        members.sort(key=lambda m: (m.weight, m.started_ms), reverse=True)
+        for member in members[:MOST_OFFERS]:
+            link = self._directory.find_link(member.link_address)
+            answer = await link.ask(offer, OFFER_S)
+            self._log(
+                'hand-over',
+                (
+                    ('to', member.name),
+                    ('taken', isinstance(answer, Acknowledged)),
+                    ('reason', getattr(answer, 'reason', '')),
+                ),
+            )
+            if isinstance(answer, Acknowledged):
+                return True
+            if isinstance(answer, NoAnswer):
+                # It may have taken the shard; the journal decides.
+                return False
+        return False
+
     async def _run_dispatcher(self, dispatcher: DispatcherTask) -> None:
         reason = await dispatcher.run(self._delete_owner_key)
         if reason:
@@ -573,6 +669,9 @@
                 OutgoingReply(request.client, request.request, answer)
             )
 
+        if isinstance(message, HandOver):
+            await self._tell_self(ShardOffered(message, reply))
+            return
         if isinstance(message, FindOwner):
             await reply(self._describe_owner())
             return
--- a/sassafrasgate/daemons/leases.py
+++ b/sassafrasgate/daemons/leases.py
@@ -48,6 +48,8 @@
         Where its entry host stands.
     weight : float
         Processors of its entry host; owners are chosen where there is more.
+    started_ms : int
+        Unix ms of the process's start.
     """
 
     name: str
@@ -56,6 +58,7 @@
     link_address: str
     failure_domain: str
     weight: float = 0.0
+    started_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/sassafrasgate/dispatch/events.py
+++ b/sassafrasgate/dispatch/events.py
@@ -180,8 +180,7 @@
     Parameters
     ----------
     since : int
-        Owner's clock when the oldest unwritten record was handed over; 0
-        when records become durable in good time.
+        Owner's clock when writes began to fail; 0 while they succeed.
     """
 
     since: int
--- a/sassafrasgate/dispatch/recovery.py
+++ b/sassafrasgate/dispatch/recovery.py
@@ -104,9 +104,13 @@
     checkpoints = [
         (index, task.checkpoint) for index, task in tasks if task.checkpoint
     ]
+    ended = [
+        (index, task.ended_runs) for index, task in tasks if task.ended_runs
+    ]
     if step.gang:
         failures = [(GANG_INDEX, entry.gang_failures)]
         checkpoints = [(GANG_INDEX, entry.checkpoint)]
+        ended.append((GANG_INDEX, entry.failed_gang_runs))
     yield StepProgress(
         key.job_id,
         key.occurrence,
@@ -119,6 +123,7 @@
             if task.next_run > 1
         ),
         tuple(checkpoints),
+        tuple(ended),
     )
 
 
@@ -201,6 +206,11 @@
             state.update_step(key, checkpoint=checkpoint)
         else:
             state.update_task(name_task(key, index), checkpoint=checkpoint)
+    for index, runs in record.ended:
+        if index == GANG_INDEX:
+            state.update_step(key, failed_gang_runs=runs)
+        else:
+            state.update_task(name_task(key, index), ended_runs=runs)
     for index in record.finished:
         finish_task(state, key, index)
     advance_job(state, key)
--- a/sassafrasgate/dispatch/requests.py
+++ b/sassafrasgate/dispatch/requests.py
@@ -28,8 +28,8 @@
     from sassafrasgate.dispatch.state import DispatchState
     from sassafrasgate.dispatch.state import JobEntry
 
-# A journal that has not moved for so long is taken for a store outage.
-STALL_MS = 400
+# A journal whose writes have failed for so long is taken for a store outage.
+STALL_MS = 300
 
 
 @EVENT_HANDLERS.register(RequestReceived)
@@ -121,7 +121,7 @@
     if state.stalled_since and state.now - state.stalled_since > STALL_MS:
         return Refusal(
             RefusalKind.STORE_UNAVAILABLE,
-            f'the store has not confirmed a record for '
+            f'the store has confirmed no record for '
             f'{state.now - state.stalled_since} ms',
             'send the request again after the time in Retry-After',
         )
--- a/sassafrasgate/journal/chain.py
+++ b/sassafrasgate/journal/chain.py
@@ -30,6 +30,7 @@
 from sassafrasgate.journal.records import JournalEntry
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterable
 
     from sassafrasgate.adapters.store import Store
@@ -307,14 +308,22 @@
         Process name and incarnation.
     loaded : LoadedJournal
         What this owner has read.
+    note_failure : callable, optional
+        Called after each try of an append that got no answer.
     """
 
     def __init__(
-        self, store: Store, shard: str, writer: str, loaded: LoadedJournal
+        self,
+        store: Store,
+        shard: str,
+        writer: str,
+        loaded: LoadedJournal,
+        note_failure: Callable[[], None] | None = None,
     ) -> None:
         self._store = store
         self._shard = shard
         self._writer = writer
+        self._note_failure = note_failure
         self._snapshot_sequence = loaded.snapshot_sequence
         self._snapshot_revision = loaded.snapshot_revision
         self._snapshot_chunks = loaded.snapshot_chunks
@@ -324,6 +333,30 @@
         self.next_sequence = loaded.next_sequence
         self.epoch = 0
 
+    async def describe_position(self) -> LoadedJournal:
+        """Return what a successor needs to go on without reading.
+
+        Its records are left out; they are those of the owner's state.
+
+        Raises
+        ------
+        StoreUnavailableError
+            When the next slot has to be read and there is no answer.
+        ShardLostError
+            When another process has written the next entry.
+        """
+        number = self.next_sequence % RING_SLOTS
+        if number not in self._revisions:
+            await self._learn_revision(number)
+        return LoadedJournal(
+            (),
+            self.next_sequence,
+            self._revisions[number],
+            self._snapshot_sequence,
+            self._snapshot_chunks,
+            self._snapshot_revision,
+        )
+
     @property
     def has_room(self) -> bool:
         """Whether there is room for an entry besides takeover records."""
@@ -364,6 +397,8 @@
         value = encode_entry(entry)
         delay_s = FIRST_RETRY_S
         while not await self._try_append(value):
+            if self._note_failure is not None:
+                self._note_failure()
             await anyio.sleep(delay_s)
             delay_s = min(delay_s * 2, LONGEST_RETRY_S)
         self.next_sequence += 1
--- a/sassafrasgate/journal/workflows.py
+++ b/sassafrasgate/journal/workflows.py
@@ -73,6 +73,9 @@
         Index and lowest number for the next run, where it is above 1.
     checkpoints : tuple of (int, str)
         Index and newest checkpoint; index -1 for a gang.
+    ended : tuple of (int, tuple of int)
+        Index and runs whose end is noted; index -1 and the failed runs for
+        a gang. Workers list an end again until it is acknowledged.
     """
 
     job_id: str
@@ -82,6 +85,7 @@
     failures: tuple[tuple[int, int], ...]
     next_runs: tuple[tuple[int, int], ...]
     checkpoints: tuple[tuple[int, str], ...]
+    ended: tuple[tuple[int, tuple[int, ...]], ...] = ()
 
 
 @register_record('workflow-closed')
--- a/sassafrasgate/protocol/workflows.py
+++ b/sassafrasgate/protocol/workflows.py
@@ -123,3 +123,31 @@
     shard: str
     member: bytes
     revision: int
+
+
+@register_message('hand-over')
+class HandOver:
+    """Asks an entry host to take the shard over in a planned stop.
+
+    It is answered by `Acknowledged` once the takeover is in the journal.
+
+    Parameters
+    ----------
+    records : bytes
+        Encoded journal records that restore the owner's state, all durable.
+    next_sequence, slot_revision, snapshot_sequence, snapshot_chunks
+        As in `sassafrasgate.journal.chain.LoadedJournal`.
+    snapshot_revision : int
+        As in `LoadedJournal`.
+    owner_revision : int
+        Revision of the owner key, which the successor replaces.
+    """
+
+    shard: str
+    records: bytes
+    next_sequence: int
+    slot_revision: int
+    snapshot_sequence: int
+    snapshot_chunks: int
+    snapshot_revision: int
+    owner_revision: int = 0
--- a/tests/dispatch/simulation.py
+++ b/tests/dispatch/simulation.py
@@ -123,9 +123,19 @@
         self.finished: set[str] = set()
         self.noted: set[str] = set()
         self.failures: dict[str, int] = {}
+        self.gang_failures: dict[str, int] = {}
         self.present: dict[str, list[str]] = {}
         self.starts = 0
 
+    def has_failed(self, job_id: str) -> bool:
+        """Tell whether a task or a gang of a job has used its attempts."""
+        counts = (*self.failures.items(), *self.gang_failures.items())
+        return any(
+            failures >= QUEUE.max_attempts
+            for name, failures in counts
+            if name.startswith(f'{job_id}.')
+        )
+
     def check_start(self, task: str, worker: str) -> None:
         """Check a start that a worker is about to carry out."""
         self.starts += 1
@@ -686,6 +696,10 @@
         if not run.gang:
             worker.finish(run, how)
             return
+        if run.fails:
+            step = run.task.rpartition('.')[0]
+            failures = self.rules.gang_failures
+            failures[step] = failures.get(step, 0) + 1
         for other, member in self._find_members(run):
             kind = how
             if run.fails and member is not run:
@@ -759,6 +773,8 @@
 
     def new_owner(self, kill: bool = True) -> SimOwner:
         """Let a new owner take over; the old one dies or goes on unaware."""
+        if self.random.random() < 0.5:
+            self.snapshot()
         if self.owner is not None and kill:
             self.owner.dead = True
         self.owner = SimOwner(self, f'owner-{next(self._owners)}')
--- a/tests/dispatch/test_walks.py
+++ b/tests/dispatch/test_walks.py
@@ -153,6 +153,8 @@
         assert shown in FINAL_WORKFLOW_STATES, caller.job_id
         if caller.cancelled:
             assert shown is WorkflowState.CANCELLED
+        if shown is WorkflowState.FAILED:
+            assert world.rules.has_failed(caller.job_id)
         if shown is WorkflowState.COMPLETED:
             for number, step in enumerate(caller.workflow.steps):
                 for index in range(step.tasks):
