--- a/tests/dispatch/simulation.py
+++ b/tests/dispatch/simulation.py
@@ -173,6 +173,10 @@
 
     def restart(self, now: int) -> None:
         """Lose everything and begin a new life."""
+        # Failures that nobody has noted are lost with the list of ends.
+        for end in getattr(self, 'ended', ()):
+            if end.how is EndKind.FAILED:
+                self.rules.failures[end.task] -= 1
         for run in list(getattr(self, 'runs', {}).values()):
             self.rules.present[run.task].remove(self.name)
         self.born_ms = WALL_MS + now
