Wait less after a takeover: for ended owners, and only for workers in use

The grace is waited for only while an earlier owner's process may still act; the platform starts a process after its predecessor of the same name has ended.

Walks drain and unlist workers as well. Eight guards, removed one at a time, turn the walks red (tests/dispatch/test_guards.py).

--- a/sassafrasgate/composition/entry.py
+++ b/sassafrasgate/composition/entry.py
@@ -115,7 +115,7 @@
         'entry',
         settings.link_address,
         settings.failure_domain,
-        settings.processors,
+        settings.processor_share * settings.processor_speed,
         wall_ms(),
     )
     log_facts(
@@ -185,6 +185,7 @@
             ),
             lambda name, question: task.ask_lane(name, question),
             follow_workers,
+            lambda owner: task.has_ended(owner),
             lambda message: task.hand_over(message),
             logger,
             metrics,
--- a/sassafrasgate/configuration/entry_settings.py
+++ b/sassafrasgate/configuration/entry_settings.py
@@ -35,8 +35,8 @@
     store_address, advice_address : str
         IP number and port of the platform's services; the latter is empty
         where there is no advice.
-    processors : float
-        Processors of the host, as a share of one core times their number.
+    processor_share, processor_speed : float
+        Share of a core that the host has, and how fast that core is.
     writes_per_s, reads_per_s : float
         The store's rates for all entry hosts together.
     owner_ttl_s : float
@@ -61,7 +61,8 @@
     link_address: Address
     store_address: Address
     advice_address: str = ''
-    processors: Positive = 1.0
+    processor_share: Positive = 1.0
+    processor_speed: Positive = 1.0
     writes_per_s: Positive = 400.0
     reads_per_s: Positive = 2000.0
     owner_ttl_s: Positive = 1.5
--- a/sassafrasgate/daemons/dispatcher.py
+++ b/sassafrasgate/daemons/dispatcher.py
@@ -40,11 +40,13 @@
 from sassafrasgate.dispatch.events import AdviceAnswered
 from sassafrasgate.dispatch.events import AdviceFailed
 from sassafrasgate.dispatch.events import JournalStalled
+from sassafrasgate.dispatch.events import OwnersEnded
 from sassafrasgate.dispatch.events import PassDue
 from sassafrasgate.dispatch.events import PeersChanged
 from sassafrasgate.dispatch.events import TableChanged
 from sassafrasgate.dispatch.leases import find_grant_bound
 from sassafrasgate.dispatch.recovery import begin_ownership
+from sassafrasgate.dispatch.recovery import list_earlier_owners
 from sassafrasgate.dispatch.recovery import list_records
 from sassafrasgate.dispatch.recovery import replay_records
 from sassafrasgate.dispatch.registrations import watch_known_workers
@@ -116,6 +118,9 @@
         `AdviceGiven`, or something else when there is none.
     follow_workers : callable
         Runs the watch of workers' entries for a listener.
+    has_ended : callable
+        Tells whether a process, by name and incarnation, is known to have
+        ended.
     hand_over : callable
         Finds a successor for a `HandOver`; tells whether one has taken the
         shard over.
@@ -128,6 +133,7 @@
     open_worker: Callable[[str, str], Any]
     ask_lane: Callable[[str, SeekAdvice], Awaitable[Any]]
     follow_workers: Callable[[Any], Coroutine[Any, Any, None]]
+    has_ended: Callable[[str], bool]
     hand_over: Callable[[HandOver], Awaitable[bool]]
     logger: Logger
     metrics: Metrics
@@ -371,6 +377,7 @@
             self._request_snapshot()
         if isinstance(event, Ticked):
             await self._note_stall()
+            await self._note_ended_owners()
         if isinstance(event, StopRequested):
             # Ends that are listed from now on are the successor's.
             self._stop_workers()
@@ -389,6 +396,13 @@
         self._stalled_since = stalled
         await self._step(JournalStalled(stalled))
 
+    async def _note_ended_owners(self) -> None:
+        if not self.state.unsettled or self.state.shortened:
+            return
+        earlier = list_earlier_owners(self.state)
+        if all(self.services.has_ended(owner) for owner in earlier):
+            await self._step(OwnersEnded())
+
     def _may_act(self) -> bool:
         """Tell whether another process may own the shard by now."""
         lease = self._lease
--- a/sassafrasgate/daemons/entry.py
+++ b/sassafrasgate/daemons/entry.py
@@ -424,6 +424,23 @@
         if item is not None:
             self._directory.note(ControlChanged((item,)))
 
+    def has_ended(self, owner: str) -> bool:
+        """Tell whether a process is known to have ended.
+
+        The platform starts a process only after its predecessor of the same
+        name has ended.
+
+        Parameters
+        ----------
+        owner : str
+            Its name and incarnation, separated by a slash.
+        """
+        name, _, incarnation = owner.rpartition('/')
+        if name == self._member.name:
+            return incarnation != self._member.incarnation
+        member = self._directory.members.get(name)
+        return member is not None and member.incarnation != incarnation
+
     def _start_dispatcher(
         self, group: TaskGroup, inherited: LoadedJournal | None = None
     ) -> None:
--- a/sassafrasgate/dispatch/events.py
+++ b/sassafrasgate/dispatch/events.py
@@ -173,6 +173,11 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class OwnersEnded:
+    """The processes of all earlier owners are known to have ended."""
+
+
 @dataclass(frozen=True, slots=True)
 class JournalStalled:
     """Whether the journal has been waiting for the store.
--- a/sassafrasgate/dispatch/recovery.py
+++ b/sassafrasgate/dispatch/recovery.py
@@ -8,7 +8,10 @@
 from sassafrasgate.core.workflows import split_step_task_id
 from sassafrasgate.core.workflows import Workflow
 from sassafrasgate.core.workflows import WorkflowState
+from sassafrasgate.dispatch.actions import Note
+from sassafrasgate.dispatch.events import OwnersEnded
 from sassafrasgate.dispatch.handlers import APPLIERS
+from sassafrasgate.dispatch.handlers import EVENT_HANDLERS
 from sassafrasgate.dispatch.leases import find_takeover_bound
 from sassafrasgate.dispatch.progress import advance_job
 from sassafrasgate.dispatch.progress import close_job
@@ -36,9 +39,12 @@
     from collections.abc import Iterable
     from collections.abc import Iterator
 
+    from sassafrasgate.dispatch.handlers import Actions
     from sassafrasgate.dispatch.state import DispatchState
 
 GANG_INDEX = -1
+# Owners before these have lost their leases and graces long ago.
+MOST_OWNERS = 4
 
 
 def replay_records(state: DispatchState, records: Iterable[Any]) -> None:
@@ -68,8 +74,41 @@
     state.dirty = True
 
 
+def list_earlier_owners(state: DispatchState) -> tuple[str, ...]:
+    """Return the owners that may go on unaware of this one."""
+    return tuple(owner for owner in state.owners if owner != state.owner)
+
+
+@EVENT_HANDLERS.register(OwnersEnded)
+def note_ended_owners(state: DispatchState, event: OwnersEnded) -> Actions:
+    """Wait only for the leases that earlier owners have granted."""
+    if state.shortened:
+        return
+    state.shortened = True
+    bound = find_takeover_bound(state.now, 0, 0)
+    for worker, known in state.unsettled.items():
+        state.unsettled[worker] = min(known, bound)
+    yield Note(
+        'owners-ended',
+        '',
+        (
+            ('owners', ','.join(list_earlier_owners(state))),
+            ('unsettled', len(state.unsettled)),
+            ('settled_in_ms', bound - state.now),
+        ),
+    )
+
+
 def list_records(state: DispatchState) -> Iterator[Any]:
     """Yield records that restore the durable part of the state."""
+    for number, owner in enumerate(reversed(state.owners)):
+        if number:
+            yield Takeover(
+                max(0, state.epoch - number),
+                owner,
+                state.grace_ms,
+                state.ttl_ms,
+            )
     yield Takeover(state.epoch, state.owner, state.grace_ms, state.ttl_ms)
     for worker, (pool, address) in state.known_workers.items():
         yield WorkerSeen(worker, pool, address)
@@ -134,6 +173,8 @@
     state.ttl_ms = record.ttl_ms
     state.grace_ms = record.grace_ms
     state.epoch = record.epoch
+    others = tuple(owner for owner in state.owners if owner != record.owner)
+    state.owners = (*others, record.owner)[-MOST_OWNERS:]
     if record.owner != state.owner:
         state.released_ms = -1
 
@@ -141,6 +182,7 @@
 @APPLIERS.register('released')
 def _apply_released(state: DispatchState, record: Released) -> None:
     state.released_ms = record.lapse_ms
+    state.owners = state.owners[:-1]
 
 
 @APPLIERS.register('worker-seen')
--- a/sassafrasgate/dispatch/registrations.py
+++ b/sassafrasgate/dispatch/registrations.py
@@ -115,7 +115,8 @@
 def note_recorded(state: DispatchState, record: WorkerSeen) -> Actions:
     """Let a worker be used, since a successor will know of it."""
     entry = state.workers.get(record.worker)
-    if entry is not None and entry.registration.address == record.address:
+    named = state.known_workers.get(record.worker)
+    if entry is not None and named == (record.pool, record.address):
         state.update_worker(record.worker, recorded=True)
         state.dirty = True
     yield from ()
@@ -163,20 +164,45 @@
 
 
 def forget_gone_workers(state: DispatchState) -> Actions:
-    """Forget workers without an entry that can't run anything any more."""
+    """Let the journal name only workers where something may run.
+
+    A successor waits for each named worker that does not answer. One that
+    comes back into use is named again before its next start.
+    """
     for worker, entry in list(state.workers.items()):
-        if entry.registered or state.runs_on.get(worker):
+        if state.runs_on.get(worker) or worker in state.unsettled:
             continue
-        if worker in state.unsettled or not _is_gone(entry):
+        if entry.foreign or not _is_idle_for_good(entry):
+            continue
+        if worker in state.known_workers:
+            yield from write_record(state, WorkerForgotten(worker))
+            state.update_worker(worker, recorded=False)
+        if entry.registered or not _is_silent_for_good(entry):
             continue
         del state.workers[worker]
         state.free.pop(worker, None)
         state.health.pop(worker, None)
-        if worker in state.known_workers:
-            yield from write_record(state, WorkerForgotten(worker))
         yield ForgetWorker(worker)
         yield Note('worker-forgotten', '', (('worker', worker),))
 
 
-def _is_gone(entry: WorkerEntry) -> bool:
+def _is_idle_for_good(entry: WorkerEntry) -> bool:
+    """Tell whether a worker without runs gets no further start."""
+    return (
+        entry.registration.leaving
+        or not entry.registered
+        or _is_silent_for_good(entry)
+    )
+
+
+def _is_silent_for_good(entry: WorkerEntry) -> bool:
     return bool(entry.silent_since) and (entry.lapsed or not entry.fenced)
+
+
+def record_used_workers(state: DispatchState) -> Actions:
+    """Name workers in the journal that have come back into use."""
+    for worker, entry in list(state.workers.items()):
+        if worker in state.known_workers or _is_idle_for_good(entry):
+            continue
+        if entry.registered and not entry.silent_since:
+            yield from _record_worker(state, entry.registration)
--- a/sassafrasgate/dispatch/state.py
+++ b/sassafrasgate/dispatch/state.py
@@ -334,6 +334,12 @@
     released_ms : int
         How long the leases of an earlier owner, who has handed over, last
         from the takeover on; -1 when it has not.
+    owners : tuple of str
+        Latest owners, the newest last, without those that handed over; one
+        that has not ended may go on unaware for a while.
+    shortened : bool
+        Whether the waiting time of ``unsettled`` was cut down since all of
+        them have ended.
     unsettled : dict
         Workers where an earlier owner's runs may be, with the owner's clock
         at which everything there has lapsed.
@@ -347,6 +353,8 @@
     previous_ttl_ms: int = 0
     previous_grace_ms: int = 0
     released_ms: int = -1
+    owners: tuple[str, ...] = ()
+    shortened: bool = False
     table: RoutingTable = field(default_factory=RoutingTable)
     jobs: dict[str, JobEntry] = field(default_factory=dict)
     steps: dict[StepKey, StepEntry] = field(default_factory=dict)
--- a/sassafrasgate/dispatch/timers.py
+++ b/sassafrasgate/dispatch/timers.py
@@ -8,6 +8,7 @@
 from sassafrasgate.dispatch.handlers import EVENT_HANDLERS
 from sassafrasgate.dispatch.progress import open_due_occurrences
 from sassafrasgate.dispatch.registrations import forget_gone_workers
+from sassafrasgate.dispatch.registrations import record_used_workers
 from sassafrasgate.dispatch.reports import note_lapses
 from sassafrasgate.dispatch.reports import stop_incomplete_gangs
 from sassafrasgate.dispatch.state import name_task
@@ -31,6 +32,7 @@
     yield from repeat_stops(state)
     yield from stop_incomplete_gangs(state)
     yield from forget_gone_workers(state)
+    yield from record_used_workers(state)
     for job_id, entry in list(state.jobs.items()):
         if not entry.is_over and (
             entry.occurrences < entry.workflow.occurrences
--- a/tests/dispatch/simulation.py
+++ b/tests/dispatch/simulation.py
@@ -53,6 +53,7 @@
 from sassafrasgate.dispatch.events import WorkerReported
 from sassafrasgate.dispatch.events import WorkerSilent
 from sassafrasgate.dispatch.events import WorkersListed
+from sassafrasgate.dispatch.events import WorkerUnregistered
 from sassafrasgate.dispatch.leases import find_deadline
 from sassafrasgate.dispatch.leases import find_grant_bound
 from sassafrasgate.dispatch.leases import make_fence
@@ -344,7 +345,9 @@
         self.feed(
             WorkersListed(
                 tuple(
-                    world.register(worker) for worker in world.workers.values()
+                    world.register(worker)
+                    for name, worker in world.workers.items()
+                    if name not in world.unlisted
                 )
             )
         )
@@ -628,6 +631,8 @@
         self.owner: SimOwner | None = None
         self.workers: dict[str, SimWorker] = {}
         self.cut: set[str] = set()
+        self.leaving: set[str] = set()
+        self.unlisted: set[str] = set()
         self.callers: dict[str, Caller] = {}
         self.tokens: dict[int, tuple[Caller, str]] = {}
         self.lossy = 0.0
@@ -773,8 +778,18 @@
             worker.capacity,
             ('a', 'r1'),
             'r1',
+            worker.name in self.leaving,
         )
 
+    def announce(self, name: str) -> None:
+        """Tell the owner what has become of a worker's entry."""
+        if self.owner is None:
+            return
+        if name in self.unlisted:
+            self.owner.feed(WorkerUnregistered(name))
+            return
+        self.owner.feed(WorkerRegistered(self.register(self.workers[name])))
+
     def new_owner(self, kill: bool = True) -> SimOwner:
         """Let a new owner take over; the old one dies or goes on unaware."""
         if self.random.random() < 0.5:
@@ -791,8 +806,7 @@
         worker.restart(self.now)
         for entry in self._news.pop(name, []):
             self.later(CALL_MS, entry[3])
-        if self.owner is not None:
-            self.owner.feed(WorkerRegistered(self.register(worker)))
+        self.announce(name)
 
     def snapshot(self) -> None:
         """Replace the journal by what a snapshot keeps of the state."""
--- /dev/null
+++ b/tests/dispatch/test_guards.py
@@ -0,0 +1,128 @@
+"""Shows that the walks turn red when a guard of the dispatcher is removed."""
+
+import pytest
+
+from sassafrasgate.core.workflows import EndKind
+from sassafrasgate.dispatch import passes
+from sassafrasgate.dispatch import recovery
+from sassafrasgate.dispatch import reports
+from sassafrasgate.dispatch import starts
+from sassafrasgate.dispatch.actions import AcknowledgeEnds
+from sassafrasgate.dispatch.handlers import EVENT_HANDLERS
+from sassafrasgate.dispatch.state import DispatchState
+from tests.dispatch import simulation
+from tests.dispatch.simulation import RuleBroken
+from tests.dispatch.test_walks import check_outcome
+from tests.dispatch.test_walks import walk
+
+SEEDS = range(150)
+FAULTS = 12
+GUARDS = {}
+# Faults to draw from, for guards that few of the walks need.
+KINDS = {'fence_each_life': ('restart_worker', 'lose_calls')}
+
+
+def guard(remove):
+    """Register the removal of a guard."""
+    GUARDS[remove.__name__] = remove
+    return remove
+
+
+@guard
+def wait_for_unsettled_workers(patch):
+    """A new owner waits for what an earlier one may have started."""
+    patch.setattr(recovery, 'find_takeover_bound', lambda *_: 0)
+
+
+@guard
+def keep_uncertain_starts(patch):
+    """A start without an answer may still be carried out."""
+
+    def forget(state, event):
+        run = state.runs.get(event.run)
+        if run is not None:
+            yield from reports.lose_run(state, run, 'no answer')
+
+    patch.setitem(EVENT_HANDLERS._items, starts.RunUnanswered, forget)
+
+
+@guard
+def fence_each_life(patch):
+    """A restarted worker obeys calls from before its restart."""
+    patch.setattr(simulation, 'make_fence', lambda epoch, lives: epoch * 1000)
+
+
+@guard
+def reserve_room(patch):
+    """Runs hold their room until they are known to be gone."""
+    add_run = DispatchState.add_run
+
+    def add(self, entry):
+        free = dict(self.free)
+        add_run(self, entry)
+        self.free = free
+
+    patch.setattr(DispatchState, 'add_run', add)
+
+
+@guard
+def wait_for_lapse(patch):
+    """Runs of a silent worker go on until their lease has lapsed."""
+
+    def lose(state, event):
+        entry = state.workers.get(event.worker)
+        if entry is not None:
+            yield from reports.drop_worker_runs(state, event.worker, 'silent')
+
+    patch.setitem(EVENT_HANDLERS._items, reports.WorkerSilent, lose)
+
+
+@guard
+def acknowledge_durable_ends(patch):
+    """An end may be forgotten only once its record is in the journal."""
+    note_ended = reports._note_ended
+
+    def note(state, event, ended):
+        yield from note_ended(state, event, ended)
+        yield AcknowledgeEnds(event.worker, event.report.born_ms, ended.number)
+
+    patch.setattr(reports, '_note_ended', note)
+
+
+@guard
+def count_failures(patch):
+    """A task gets a limited number of attempts."""
+    note_end = recovery.note_end
+
+    def note(state, record, key):
+        if record.how is not EndKind.FAILED:
+            note_end(state, record, key)
+
+    patch.setattr(recovery, 'note_end', note)
+
+
+@guard
+def keep_gangs_whole(patch):
+    """A gang starts again only when no member of it is left."""
+    place = passes._place_gang
+
+    def place_again(state, plan, key, step, terms, workers):
+        runs = state.runs_of.pop(key, None)
+        try:
+            yield from place(state, plan, key, step, terms, workers)
+        finally:
+            if runs:
+                state.runs_of.setdefault(key, set()).update(runs)
+
+    patch.setattr(passes, '_place_gang', place_again)
+
+
+@pytest.mark.parametrize('name', GUARDS)
+def test_walks_are_red_without_the_guard(name, monkeypatch):
+    GUARDS[name](monkeypatch)
+    for seed in SEEDS:
+        try:
+            check_outcome(walk(seed, FAULTS, KINDS.get(name)))
+        except (RuleBroken, AssertionError, KeyError):
+            return
+    pytest.fail(f'no walk shows that the guard {name!r} is gone')
--- a/tests/dispatch/test_walks.py
+++ b/tests/dispatch/test_walks.py
@@ -98,6 +98,31 @@
     world.later(3_000, recover)
 
 
+@fault
+def drain_worker(world, random):
+    """A worker takes no new work for a while."""
+    change_entry(world, world.leaving, random)
+
+
+@fault
+def unlist_worker(world, random):
+    """A worker's entry is gone for a while; the worker runs on."""
+    change_entry(world, world.unlisted, random)
+
+
+def change_entry(world, names, random):
+    """Put a worker among some names, and take it out later."""
+    name = random.choice(sorted(world.workers))
+    names.add(name)
+    world.announce(name)
+
+    def recover():
+        names.discard(name)
+        world.announce(name)
+
+    world.later(random.choice((500, 3_000, 9_000)), recover)
+
+
 @fault
 def take_snapshot(world, random):
     """The journal is cut down to a snapshot."""
@@ -112,8 +137,9 @@
         self.lossy = 0.0
 
 
-def walk(seed, faults):
+def walk(seed, faults, kinds=None):
     """Run one day with faults, then wait until every job has ended."""
+    kinds = sorted(kinds or FAULTS)
     random = Random(seed)
     world = Walk(seed)
     world.new_owner()
@@ -133,7 +159,7 @@
 
         world.later(at, hand_in)
     for _ in range(faults):
-        make = FAULTS[random.choice(sorted(FAULTS))]
+        make = FAULTS[random.choice(kinds)]
         world.later(
             random.randint(0, DAY_MS), lambda make=make: make(world, random)
         )
@@ -143,7 +169,11 @@
 
 @pytest.mark.parametrize('seed', SEEDS)
 def test_every_accepted_job_ends_once_whatever_fails(seed):
-    world = walk(seed, faults=12)
+    check_outcome(walk(seed, faults=12))
+
+
+def check_outcome(world):
+    """Check the ends of all jobs once a day is over."""
     for caller in world.callers.values():
         assert caller.accepted
         shown = world.shown(caller.job_id)
