--- a/sassafrasgate/composition/entry.py
+++ b/sassafrasgate/composition/entry.py
@@ -26,6 +26,7 @@
 from sassafrasgate.daemons.entry import LinkClosed
 from sassafrasgate.daemons.leases import LeaseTask
 from sassafrasgate.daemons.leases import Member
+from sassafrasgate.daemons.relays import RelayedStore
 from sassafrasgate.daemons.scheduler import StopProcess
 from sassafrasgate.daemons.watches import PrefixWatch
 from sassafrasgate.daemons.watches import RegistrationTask
@@ -136,15 +137,25 @@
         )
 
     async with (
-        open_store() as store,
+        open_store() as direct_store,
         open_store() as watch_store,
         open_store() as table_store,
-        open_store() as registration_store,
-        open_store(timeout_s=LEASE_TIMEOUT_S) as lease_store,
+        open_store() as direct_registration_store,
+        open_store(timeout_s=LEASE_TIMEOUT_S) as direct_lease_store,
         anyio.create_task_group() as group,
     ):
         main, advisers = make_inbox(), make_inbox()
 
+        def relay(store: Any) -> RelayedStore:
+            return RelayedStore(
+                store,
+                lambda call, timeout_s: task.ask_relay(call, timeout_s),
+                logger,
+            )
+
+        store, lease_store = relay(direct_store), relay(direct_lease_store)
+        registration_store = relay(direct_registration_store)
+
         def greet() -> Heartbeat:
             return Heartbeat(settings.name, task.version)
 
@@ -179,6 +190,7 @@
             f'{member.name}/{member.incarnation}',
             member.name,
             store,
+            direct_store,
             server.reply,
             lambda worker, address: adapters.open_worker(
                 worker, address, CALL_TIMEOUT_S
--- a/sassafrasgate/daemons/control.py
+++ b/sassafrasgate/daemons/control.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     from anyio.streams.memory import MemoryObjectSendStream
 
-    from sassafrasgate.adapters.store import Store
+    from sassafrasgate.core.stores import KeyStore
 
 CONTROL_PREFIX = 'control/'
 WATCH_WAIT_S = 20.0
@@ -41,7 +41,7 @@
 
     Parameters
     ----------
-    store : Store
+    store : KeyStore
         A client for the watch.
     listeners : tuple of MemoryObjectSendStream
         Get `ControlListed` and `ControlChanged`.
@@ -49,7 +49,7 @@
 
     def __init__(
         self,
-        store: Store,
+        store: KeyStore,
         listeners: tuple[MemoryObjectSendStream[Any], ...],
     ) -> None:
         self._store = store
--- a/sassafrasgate/daemons/counts.py
+++ b/sassafrasgate/daemons/counts.py
@@ -16,7 +16,7 @@
     from collections.abc import Callable
     from collections.abc import Iterable
 
-    from sassafrasgate.adapters.store import Store
+    from sassafrasgate.core.stores import KeyStore
     from sassafrasgate.observability.metrics import Metrics
     from sassafrasgate.protocol.links import LinkCounts
 
@@ -28,7 +28,7 @@
 
     Parameters
     ----------
-    stores : tuple of Store
+    stores : tuple of KeyStore
         Clients whose calls are counted.
     list_links : callable
         Returns the counts of all links of the process.
@@ -38,7 +38,7 @@
 
     def __init__(
         self,
-        stores: tuple[Store, ...],
+        stores: tuple[KeyStore, ...],
         list_links: Callable[[], Iterable[LinkCounts]],
         metrics: Metrics,
     ) -> None:
--- a/sassafrasgate/daemons/dispatcher.py
+++ b/sassafrasgate/daemons/dispatcher.py
@@ -109,6 +109,8 @@
         Process name, which is also the name of its advice lane.
     store : object
         For the journal.
+    relay_store : object
+        For calls that this host makes for others.
     reply : callable
         Queues an `OutgoingReply` on the link server.
     open_worker : callable
@@ -129,6 +131,7 @@
     owner: str
     name: str
     store: Any
+    relay_store: Any
     reply: Callable[[OutgoingReply], Awaitable[None]]
     open_worker: Callable[[str, str], Any]
     ask_lane: Callable[[str, SeekAdvice], Awaitable[Any]]
--- a/sassafrasgate/daemons/entry.py
+++ b/sassafrasgate/daemons/entry.py
@@ -28,6 +28,7 @@
 from sassafrasgate.daemons.dispatcher import refuse_not_owner
 from sassafrasgate.daemons.leases import LeaseChanged
 from sassafrasgate.daemons.leases import LeaseLost
+from sassafrasgate.daemons.relays import make_relayed_call
 from sassafrasgate.daemons.replies import ReplyTable
 from sassafrasgate.daemons.replies import wait_for_answer
 from sassafrasgate.daemons.scheduler import ClaimDue
@@ -45,6 +46,8 @@
 from sassafrasgate.protocol.links import OutgoingReply
 from sassafrasgate.protocol.messages import Acknowledged
 from sassafrasgate.protocol.messages import Refused
+from sassafrasgate.protocol.relays import RelayAnswer
+from sassafrasgate.protocol.relays import RelayCall
 from sassafrasgate.protocol.workflows import CancelWorkflow
 from sassafrasgate.protocol.workflows import CountPending
 from sassafrasgate.protocol.workflows import FindOwner
@@ -80,6 +83,8 @@
 # Time for a successor to write its takeover record in a slow store.
 OFFER_S = 1.5
 MOST_OFFERS = 2
+# Hosts that are asked to call the store, one after the other.
+MOST_RELAYS = 2
 # Refusals of a process that has done nothing with the request.
 RETRIED_REFUSALS = frozenset(
     {RefusalKind.NOT_OWNER, RefusalKind.NOT_READY, RefusalKind.STOPPING}
@@ -115,6 +120,14 @@
     answer: Callable[[Any], Awaitable[None]]
 
 
+@dataclass(frozen=True, slots=True)
+class CallRelayed:
+    """Another entry host can't reach the store."""
+
+    call: RelayCall
+    answer: Callable[[Any], Awaitable[None]]
+
+
 class EntryTask:
     """Owns what an entry host knows of the others, and its dispatcher.
 
@@ -217,6 +230,8 @@
             self._check_owner(message, group)
         if isinstance(message, ProcessEnded):
             self._ended = message.incarnation
+        if isinstance(message, CallRelayed):
+            group.start_soon(self._relay_call, message)
         if isinstance(message, ShardOffered):
             group.start_soon(self._take_shard, message, group)
         await self._claim(group)
@@ -669,6 +684,34 @@
             return OwnerFound(SHARD, b'', 0)
         return OwnerFound(SHARD, encode(owner[0]), owner[1])
 
+    async def _relay_call(self, message: CallRelayed) -> None:
+        await message.answer(
+            await make_relayed_call(self._services.relay_store, message.call)
+        )
+
+    async def ask_relay(
+        self, call: RelayCall, timeout_s: float
+    ) -> RelayAnswer | None:
+        """Have another entry host call the store.
+
+        Returns
+        -------
+        RelayAnswer or None
+            None when none of the hosts that were asked has reached it.
+        """
+        names = rank_names(self._member.name, self._directory.members)
+        best: RelayAnswer | None = None
+        for name in [n for n in names if n != self._member.name][:MOST_RELAYS]:
+            member = self._directory.members[name]
+            link = self._directory.find_link(member.link_address)
+            answer = await link.ask(call, timeout_s)
+            if not isinstance(answer, RelayAnswer):
+                continue
+            if answer.failure != 'unavailable':
+                return answer
+            best = answer
+        return best
+
     async def _ask_once(self, message: Any, timeout_s: float) -> Any:
         dispatcher = self._dispatcher
         if dispatcher is not None:
@@ -686,6 +729,9 @@
                 OutgoingReply(request.client, request.request, answer)
             )
 
+        if isinstance(message, RelayCall):
+            await self._tell_self(CallRelayed(message, reply))
+            return
         if isinstance(message, HandOver):
             await self._tell_self(ShardOffered(message, reply))
             return
--- a/sassafrasgate/daemons/leases.py
+++ b/sassafrasgate/daemons/leases.py
@@ -24,7 +24,7 @@
 if TYPE_CHECKING:
     from anyio.streams.memory import MemoryObjectSendStream
 
-    from sassafrasgate.adapters.store import Store
+    from sassafrasgate.core.stores import KeyStore
 
 RENEWALS_PER_TTL = 3
 RETRY_S = 0.25
@@ -86,7 +86,7 @@
 
     Parameters
     ----------
-    store : Store
+    store : KeyStore
         A client of its own, with a timeout well below the lease.
     member : Member
         This process.
@@ -98,7 +98,7 @@
 
     def __init__(
         self,
-        store: Store,
+        store: KeyStore,
         member: Member,
         listener: MemoryObjectSendStream[Any],
         ttl_ms: int = OWNER_TTL_MS,
--- /dev/null
+++ b/sassafrasgate/daemons/relays.py
@@ -0,0 +1,243 @@
+"""Calls to the store that go through another entry host when they fail.
+
+The store may turn single hosts away, or be cut off from them, while it
+serves the others. A write that is tried on both ways takes effect once, since
+every write has a condition; its caller reads back after a conflict anyway.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import Any
+from typing import TYPE_CHECKING
+
+import anyio
+from msgspec import convert
+
+from sassafrasgate.core.errors import StoreConflictError
+from sassafrasgate.core.errors import StoreError
+from sassafrasgate.core.errors import StoreLeaseLostError
+from sassafrasgate.core.errors import StoreLogTrimmedError
+from sassafrasgate.core.errors import StoreUnavailableError
+from sassafrasgate.core.items import Changes
+from sassafrasgate.core.items import Item
+from sassafrasgate.core.registries import Registry
+from sassafrasgate.journal.budget import CallPriority
+from sassafrasgate.observability.clocks import now_ms
+from sassafrasgate.observability.logs import log_facts
+from sassafrasgate.protocol.relays import RelayAnswer
+from sassafrasgate.protocol.relays import RelayCall
+
+if TYPE_CHECKING:
+    from collections import Counter
+
+    from logbook import Logger
+
+    from sassafrasgate.core.stores import KeyStore
+
+# Results of the methods that can be relayed.
+RESULTS: Registry[str, Any] = Registry('relayed store method')
+FAILURES: Registry[str, type[StoreError]] = Registry('store failure')
+
+RESULTS.register('get')(Item | None)
+RESULTS.register('create')(int)
+RESULTS.register('swap')(int)
+RESULTS.register('delete')(bool)
+RESULTS.register('read_prefix')(Changes)
+RESULTS.register('watch')(Changes)
+RESULTS.register('grant_lease')(str)
+RESULTS.register('renew_lease')(bool)
+RESULTS.register('revoke_lease')(type(None))
+
+FAILURES.register('conflict')(StoreConflictError)
+FAILURES.register('lease-lost')(StoreLeaseLostError)
+FAILURES.register('log-trimmed')(StoreLogTrimmedError)
+FAILURES.register('unavailable')(StoreUnavailableError)
+FAILURES.register('refused')(StoreError)
+
+# A store that answers does so within this time even while it is slow.
+PATIENCE_S = 0.4
+# After a failure the other way is preferred for so long.
+PREFERENCE_MS = 2_000
+RELAY_TIMEOUT_S = 1.0
+
+Relay = Callable[[RelayCall, float], Awaitable[RelayAnswer | None]]
+
+
+class RelayedStore:
+    """A store client with a second way to the store.
+
+    Parameters
+    ----------
+    store : KeyStore
+        The direct client.
+    relay : callable
+        Has another entry host make a `RelayCall`; returns its answer, or
+        None when no host has given one.
+    logger : Logger
+        For the changes between the two ways.
+    """
+
+    def __init__(self, store: KeyStore, relay: Relay, logger: Logger) -> None:
+        self._store = store
+        self._relay = relay
+        self._logger = logger
+        self._relay_until = 0
+        self._relaying = False
+
+    @property
+    def calls(self) -> Counter[str]:
+        """Calls made directly, by the name of the method."""
+        return self._store.calls
+
+    async def get(
+        self, key: str, priority: int = CallPriority.NORMAL
+    ) -> Item | None:
+        """Return a key's item, or None when there is no such key."""
+        found: Item | None = await self._call('get', key, priority)
+        return found
+
+    async def create(
+        self,
+        key: str,
+        value: bytes,
+        lease: str = '',
+        priority: int = CallPriority.NORMAL,
+    ) -> int:
+        """Write a new key and return its revision."""
+        return int(await self._call('create', key, value, lease, priority))
+
+    async def swap(
+        self,
+        key: str,
+        value: bytes,
+        revision: int,
+        lease: str = '',
+        priority: int = CallPriority.NORMAL,
+    ) -> int:
+        """Replace the value at ``revision`` and return the new revision."""
+        return int(
+            await self._call('swap', key, value, revision, lease, priority)
+        )
+
+    async def delete(
+        self,
+        key: str,
+        revision: int | None = None,
+        priority: int = CallPriority.NORMAL,
+    ) -> bool:
+        """Delete a key."""
+        return bool(await self._call('delete', key, revision, priority))
+
+    async def read_prefix(
+        self, prefix: str, priority: int = CallPriority.NORMAL
+    ) -> Changes:
+        """Return the items under a prefix and where to watch from."""
+        found: Changes = await self._call('read_prefix', prefix, priority)
+        return found
+
+    async def watch(
+        self,
+        prefix: str,
+        after: int,
+        wait_s: float,
+        priority: int = CallPriority.NORMAL,
+    ) -> Changes:
+        """Return changes under a prefix, waiting for the first one."""
+        found: Changes = await self._call(
+            'watch', prefix, after, wait_s, priority, wait_s=wait_s
+        )
+        return found
+
+    async def grant_lease(
+        self, ttl_s: float, priority: int = CallPriority.HIGH
+    ) -> str:
+        """Return the id of a new lease of ``ttl_s`` seconds."""
+        return str(await self._call('grant_lease', ttl_s, priority))
+
+    async def renew_lease(
+        self, lease: str, priority: int = CallPriority.HIGH
+    ) -> bool:
+        """Give a lease its whole time again; False if it has expired."""
+        return bool(await self._call('renew_lease', lease, priority))
+
+    async def revoke_lease(
+        self, lease: str, priority: int = CallPriority.NORMAL
+    ) -> None:
+        """End a lease, which deletes its keys."""
+        await self._call('revoke_lease', lease, priority)
+
+    async def _call(
+        self, method: str, *arguments: Any, wait_s: float = 0.0
+    ) -> Any:
+        if now_ms() < self._relay_until:
+            return await self._call_relay(method, arguments, wait_s)
+        try:
+            with anyio.fail_after(PATIENCE_S + wait_s):
+                result = await getattr(self._store, method)(*arguments)
+            self._note_way(False, method, '')
+            return result
+        except TimeoutError:
+            failure = StoreUnavailableError(
+                f'the store gave no answer to {method!r}; read back what was '
+                'written'
+            )
+        except StoreUnavailableError as error:
+            failure = error
+        try:
+            result = await self._call_relay(method, arguments, wait_s)
+        except StoreUnavailableError:
+            # The store is away for the other hosts as well.
+            raise failure from None
+        self._note_way(True, method, str(failure))
+        self._relay_until = now_ms() + PREFERENCE_MS
+        return result
+
+    def _note_way(self, relaying: bool, method: str, reason: str) -> None:
+        if relaying == self._relaying:
+            return
+        self._relaying = relaying
+        log_facts(
+            self._logger,
+            'store-relayed' if relaying else 'store-direct',
+            (('method', method), ('reason', reason)),
+        )
+
+    async def _call_relay(
+        self, method: str, arguments: tuple[Any, ...], wait_s: float
+    ) -> Any:
+        answer = await self._relay(
+            RelayCall(method, arguments), RELAY_TIMEOUT_S + wait_s
+        )
+        if answer is None:
+            self._relay_until = 0
+            raise StoreUnavailableError(
+                f'no entry host has relayed {method!r} to the store; read '
+                'back what was written'
+            )
+        if not answer.failure:
+            return convert(answer.result, RESULTS.find(method))
+        if answer.failure == 'unavailable':
+            self._relay_until = 0
+        raise FAILURES.find(answer.failure)(answer.reason)
+
+
+async def make_relayed_call(store: KeyStore, call: RelayCall) -> RelayAnswer:
+    """Make a call for another entry host.
+
+    Parameters
+    ----------
+    store : KeyStore
+        A direct client.
+    """
+    if call.method not in RESULTS:
+        return RelayAnswer('refused', f'{call.method!r} is not relayed')
+    try:
+        result = await getattr(store, call.method)(*call.arguments)
+    except StoreError as error:
+        for name in FAILURES:
+            if type(error) is FAILURES.find(name):
+                return RelayAnswer(name, str(error))
+        return RelayAnswer('refused', str(error))
+    return RelayAnswer(result=result)
--- a/sassafrasgate/journal/chain.py
+++ b/sassafrasgate/journal/chain.py
@@ -33,7 +33,7 @@
     from collections.abc import Callable
     from collections.abc import Iterable
 
-    from sassafrasgate.adapters.store import Store
+    from sassafrasgate.core.stores import KeyStore
 
 RING_SLOTS = 512
 # Slots that only takeover records use, so that a ring full of entries that no
@@ -178,7 +178,7 @@
     return f'snapshot-chunk/{shard}/{sequence:012d}/{chunk:04d}'
 
 
-async def load_journal(store: Store, shard: str) -> LoadedJournal:
+async def load_journal(store: KeyStore, shard: str) -> LoadedJournal:
     """Read a shard's snapshot and chain.
 
     Raises
@@ -247,7 +247,7 @@
     that the takeover record fails and the reader starts over.
     """
 
-    def __init__(self, store: Store, shard: str) -> None:
+    def __init__(self, store: KeyStore, shard: str) -> None:
         self._store = store
         self._shard = shard
         self._blocks: set[int] = set()
@@ -279,7 +279,7 @@
                 )
 
 
-async def _read_pointer(store: Store, shard: str) -> SnapshotPointer:
+async def _read_pointer(store: KeyStore, shard: str) -> SnapshotPointer:
     item = await store.get(make_snapshot_key(shard))
     if item is None or item.value is None:
         return SnapshotPointer(0, 0)
@@ -287,7 +287,7 @@
     return SnapshotPointer(sequence, chunks, item.revision)
 
 
-async def _read_slot(store: Store, shard: str, sequence: int) -> _Slot:
+async def _read_slot(store: KeyStore, shard: str, sequence: int) -> _Slot:
     key = make_entry_key(shard, sequence)
     item = await store.get(key, priority=CallPriority.HIGH)
     if item is None or item.value is None:
@@ -300,7 +300,7 @@
 
     Parameters
     ----------
-    store : Store
+    store : KeyStore
         The platform's store.
     shard : str
         Shard name.
@@ -314,7 +314,7 @@
 
     def __init__(
         self,
-        store: Store,
+        store: KeyStore,
         shard: str,
         writer: str,
         loaded: LoadedJournal,
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of sassafrasgate.platform."""
