Move runs off slow workers by their progress; short looks while calls are lost

Cause: runs on workers that turn slow or stand still were left there, and a look whose answer is lost keeps the owner blind for its whole wait.

--- a/sassafrasgate/daemons/dispatcher.py
+++ b/sassafrasgate/daemons/dispatcher.py
@@ -34,8 +34,8 @@
 from sassafrasgate.daemons.shards import LeaseUpdated
 from sassafrasgate.daemons.shards import ShardAbandoned
 from sassafrasgate.daemons.snapshots import SnapshotSchedule
-from sassafrasgate.daemons.workers import HOLD_WAIT_MS
 from sassafrasgate.daemons.workers import WorkerTask
+from sassafrasgate.dispatch.actions import ChangeHoldWait
 from sassafrasgate.dispatch.actions import Note
 from sassafrasgate.dispatch.events import AdviceAnswered
 from sassafrasgate.dispatch.events import AdviceFailed
@@ -52,6 +52,7 @@
 from sassafrasgate.dispatch.registrations import watch_known_workers
 from sassafrasgate.dispatch.state import DispatchState
 from sassafrasgate.dispatch.transitions import decide
+from sassafrasgate.dispatch.waits import CALM_WAIT_MS
 from sassafrasgate.journal.chain import Journal
 from sassafrasgate.journal.chain import load_journal
 from sassafrasgate.journal.chain import LoadedJournal
@@ -435,7 +436,7 @@
         Every record is durable by now, and the workers are left alone, but
         calls that were sent before may still be carried out.
         """
-        released = Released(find_grant_bound(0, HOLD_WAIT_MS))
+        released = Released(find_grant_bound(0, CALM_WAIT_MS))
         try:
             position = await journal.describe_position()
         except (StoreError, ShardLostError):
@@ -544,9 +545,15 @@
             inbox,
             self.events,
             self._lease,
+            self.state.hold_wait_ms or CALM_WAIT_MS,
         )
         self._group.start_soon(task.run)
 
+    def change_hold_wait(self, action: ChangeHoldWait) -> None:
+        """Tell all workers' tasks how long their looks may wait."""
+        for box in self._workers.values():
+            box.send_nowait(action)
+
     def forget_worker(self, worker: str) -> None:
         """End a worker's task."""
         box = self._workers.pop(worker, None)
--- a/sassafrasgate/daemons/dispatching.py
+++ b/sassafrasgate/daemons/dispatching.py
@@ -10,6 +10,7 @@
 from sassafrasgate.core.registries import Registry
 from sassafrasgate.dispatch.actions import AcknowledgeEnds
 from sassafrasgate.dispatch.actions import AskAdvice
+from sassafrasgate.dispatch.actions import ChangeHoldWait
 from sassafrasgate.dispatch.actions import ForgetWorker
 from sassafrasgate.dispatch.actions import Note
 from sassafrasgate.dispatch.actions import StartRun
@@ -54,6 +55,11 @@
     task.command_worker(action.worker, action)
 
 
+@DISPATCH_ACTIONS.register(ChangeHoldWait)
+async def _change_wait(task: DispatcherTask, action: ChangeHoldWait) -> None:
+    task.change_hold_wait(action)
+
+
 @DISPATCH_ACTIONS.register(WatchWorker)
 async def _watch(task: DispatcherTask, action: WatchWorker) -> None:
     task.watch_worker(action)
--- a/sassafrasgate/daemons/workers.py
+++ b/sassafrasgate/daemons/workers.py
@@ -24,6 +24,7 @@
 from sassafrasgate.daemons.hosts import OwnerLeaseChanged
 from sassafrasgate.daemons.hosts import StopSyncing
 from sassafrasgate.dispatch.actions import AcknowledgeEnds
+from sassafrasgate.dispatch.actions import ChangeHoldWait
 from sassafrasgate.dispatch.actions import StartRun
 from sassafrasgate.dispatch.actions import StopRun
 from sassafrasgate.dispatch.events import EpochRefused
@@ -47,8 +48,6 @@
     from sassafrasgate.core.workflows import RunAnswer
     from sassafrasgate.shards.ownership import OwnerLease
 
-# How long a worker holds a look while nothing ends.
-HOLD_WAIT_MS = 1_500
 # A worker that answers does so within a few milliseconds; a call that has
 # no answer by then is repeated on a new connection.
 CALL_TIMEOUT_S = 0.3
@@ -82,6 +81,8 @@
         The dispatcher's inbox.
     lease : OwnerLease
         The owner's lease when the task starts.
+    wait_ms : int
+        How long the worker may hold a look while nothing ends.
     """
 
     def __init__(
@@ -92,6 +93,7 @@
         inbox: MemoryObjectReceiveStream[Any],
         events: MemoryObjectSendStream[Any],
         lease: OwnerLease,
+        wait_ms: int,
     ) -> None:
         self.worker = worker
         self.epoch = epoch
@@ -99,6 +101,7 @@
         self._inbox = inbox
         self._events = events
         self._lease = lease
+        self._wait_ms = wait_ms
         self._reading: ClockReading | None = None
         self._born_ms = 0
         self._lives = 0
@@ -117,6 +120,9 @@
                     continue
                 if isinstance(command, StopSyncing):
                     break
+                if isinstance(command, ChangeHoldWait):
+                    self._wait_ms = command.wait_ms
+                    continue
                 if isinstance(command, AcknowledgeEnds):
                     self._note_acknowledged(command)
                     continue
@@ -173,7 +179,7 @@
                 self._fence,
                 self._acknowledged,
                 self._grant(),
-                HOLD_WAIT_MS if self._acknowledged >= self._seen else 0,
+                self._wait_ms if self._acknowledged >= self._seen else 0,
             )
         try:
             report = await self._client.hold(request)
--- a/sassafrasgate/dispatch/actions.py
+++ b/sassafrasgate/dispatch/actions.py
@@ -62,6 +62,13 @@
     number: int
 
 
+@dataclass(frozen=True, slots=True)
+class ChangeHoldWait:
+    """Let looks at all workers wait so long for news, in ms."""
+
+    wait_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class AskAdvice:
     """Ask the advice service about a step.
--- a/sassafrasgate/dispatch/passes.py
+++ b/sassafrasgate/dispatch/passes.py
@@ -20,6 +20,7 @@
 from sassafrasgate.dispatch.ordering import rank_step
 from sassafrasgate.dispatch.recovery import find_next_run
 from sassafrasgate.dispatch.reports import reserve_demand
+from sassafrasgate.dispatch.speeds import is_paused
 from sassafrasgate.dispatch.state import name_task
 from sassafrasgate.dispatch.state import RunEntry
 from sassafrasgate.dispatch.state import RunKey
@@ -129,6 +130,7 @@
         and not entry.foreign
         and not entry.registration.leaving
         and entry.avoid_until <= state.now
+        and not is_paused(state, entry.registration.worker)
     )
 
 
--- a/sassafrasgate/dispatch/reports.py
+++ b/sassafrasgate/dispatch/reports.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
+from sassafrasgate.core.workflows import EndKind
 from sassafrasgate.core.workflows import split_step_task_id
 from sassafrasgate.dispatch.actions import AcknowledgeEnds
 from sassafrasgate.dispatch.actions import Note
@@ -18,6 +19,8 @@
 from sassafrasgate.dispatch.health import note_run_end
 from sassafrasgate.dispatch.progress import want_task
 from sassafrasgate.dispatch.requests import show_end
+from sassafrasgate.dispatch.speeds import measure_run
+from sassafrasgate.dispatch.speeds import note_finished_run
 from sassafrasgate.dispatch.state import RunEntry
 from sassafrasgate.dispatch.state import RunKey
 from sassafrasgate.dispatch.state import RunPhase
@@ -25,6 +28,7 @@
 from sassafrasgate.dispatch.stops import is_gone
 from sassafrasgate.dispatch.stops import stop_job_runs
 from sassafrasgate.dispatch.stops import stop_step_runs
+from sassafrasgate.dispatch.waits import note_unanswered_call
 from sassafrasgate.journal.workflows import RunEnded
 from sassafrasgate.shards.actions import GiveUpShard
 from sassafrasgate.shards.attempts import ClockReading
@@ -122,6 +126,8 @@
     if run is None or run.worker != event.worker:
         return
     note_run_end(state, run, ended.how)
+    if ended.how is EndKind.FINISHED:
+        note_finished_run(state, run)
     state.drop_run(key)
     yield from settle_step(state, run)
 
@@ -184,12 +190,10 @@
         if run is None or run.worker != event.worker:
             yield from _adopt_run(state, event, running)
             continue
-        state.update_run(
-            key,
+        state.runs[key] = replace(
+            measure_run(run, running.percent, event.received_at),
             phase=RunPhase.PRESENT,
             present_clock=run.present_clock or event.report.clock_ms,
-            percent=running.percent,
-            percent_at=event.received_at,
             checkpoint=running.checkpoint or run.checkpoint,
         )
     clock_ms = event.report.clock_ms
@@ -350,6 +354,7 @@
 @EVENT_HANDLERS.register(WorkerSilent)
 def note_silence(state: DispatchState, event: WorkerSilent) -> Actions:
     """Start nothing on a worker that does not answer."""
+    note_unanswered_call(state)
     entry = state.workers.get(event.worker)
     if entry is None:
         return
--- /dev/null
+++ b/sassafrasgate/dispatch/speeds.py
@@ -0,0 +1,182 @@
+"""Workers that run tasks slowly or not at all, by the progress of runs.
+
+Estimates are too rough to judge a single run by, so a run is compared with
+other runs of its step where there are any. Progress that stands still needs
+no comparison. Members of a gang advance together, so they say nothing about
+the worker of one of them.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from statistics import median
+from typing import TYPE_CHECKING
+
+from sassafrasgate.dispatch.actions import Note
+from sassafrasgate.dispatch.state import RunPhase
+from sassafrasgate.dispatch.state import SlowMark
+from sassafrasgate.dispatch.stops import stop_run
+from sassafrasgate.dispatch.stops import stop_step_runs
+
+if TYPE_CHECKING:
+    from sassafrasgate.core.workflows import Step
+    from sassafrasgate.dispatch.handlers import Actions
+    from sassafrasgate.dispatch.state import DispatchState
+    from sassafrasgate.dispatch.state import RunEntry
+    from sassafrasgate.dispatch.state import StepKey
+
+# Least time between two reports that a rate is taken from, and the time
+# without any progress after which a run counts as standing still. A percent
+# of the longest usual task takes a sixth of that.
+WINDOW_MS = 500
+STILL_MS = 800
+# Rates older than this say nothing any more.
+FRESH_MS = 2_500
+# A worker at less than this share of the usual speed is slow.
+SLOW_SHARE = 0.35
+# Runs of two steps, or one that has others to compare with, make a case.
+CASES = 2
+FIRST_PAUSE_MS = 2_500
+LONGEST_PAUSE_MS = 10_000
+# A run moves if it would take this many times longer where it is.
+MOVE_FACTOR = 1.5
+MOVE_MARGIN_MS = 500
+# Time to stop a run and start it elsewhere.
+MOVE_MS = 1_000
+
+
+def measure_run(run: RunEntry, percent: int, received_at: int) -> RunEntry:
+    """Return a run with the progress and rate of a new report."""
+    run = replace(run, percent=percent, percent_at=received_at)
+    if not run.base_at:
+        return replace(run, base_percent=percent, base_at=received_at)
+    window_ms = received_at - run.base_at
+    gained = percent - run.base_percent
+    if window_ms < (WINDOW_MS if gained else STILL_MS):
+        return run
+    return replace(
+        run,
+        rate=gained * 1000 / window_ms,
+        rate_at=received_at,
+        base_percent=percent,
+        base_at=received_at,
+    )
+
+
+def note_finished_run(state: DispatchState, run: RunEntry) -> None:
+    """Remember how fast a step's tasks are, for those that go on."""
+    ran_ms = max(1, state.now - run.started_at)
+    state.step_rates[run.step] = 100_000 / ran_ms
+
+
+def judge_workers(state: DispatchState) -> Actions:
+    """Mark slow workers, and move runs that are better off elsewhere."""
+    for worker in list(state.runs_on):
+        share = _find_share(state, worker)
+        if share is None or share >= SLOW_SHARE:
+            continue
+        mark = state.slow.get(worker)
+        if mark is None or state.now >= mark.until:
+            yield _mark_worker(state, worker, share, mark)
+        yield from _move_runs(state, worker)
+    for worker, mark in list(state.slow.items()):
+        # The length of a pause is kept for a while, to double it.
+        if state.now >= mark.until + mark.pause_ms:
+            del state.slow[worker]
+
+
+def is_paused(state: DispatchState, worker: str) -> bool:
+    """Tell whether a worker gets no new runs for being slow."""
+    mark = state.slow.get(worker)
+    return mark is not None and state.now < mark.until
+
+
+def _mark_worker(
+    state: DispatchState, worker: str, share: float, mark: SlowMark | None
+) -> Note:
+    pause_ms = FIRST_PAUSE_MS
+    if mark is not None:
+        pause_ms = min(2 * mark.pause_ms, LONGEST_PAUSE_MS)
+    state.slow[worker] = SlowMark(share, state.now + pause_ms, pause_ms)
+    return Note(
+        'worker-slow',
+        '',
+        (
+            ('worker', worker),
+            ('share', round(share, 2)),
+            ('runs', len(state.runs_on.get(worker, ()))),
+            ('pause_ms', pause_ms),
+        ),
+    )
+
+
+def _find_share(state: DispatchState, worker: str) -> float | None:
+    """Return a worker's share of the usual speed, or None if unknown."""
+    shares: dict[StepKey, list[float]] = {}
+    compared = 0
+    still = 0
+    for run in state.list_runs_on(worker):
+        if not _is_evidence(state, run):
+            continue
+        usual = _find_usual_rate(state, run)
+        compared += usual is not None
+        still += run.rate == 0
+        nominal = 100_000 / max(1, run.expected_ms)
+        shares.setdefault(run.step, []).append(run.rate / (usual or nominal))
+    if not shares:
+        return None
+    values = [value for found in shares.values() for value in found]
+    if still == len(values):
+        return 0.0
+    if compared or len(shares) >= CASES:
+        return median(values)
+    return None
+
+
+def _is_evidence(state: DispatchState, run: RunEntry) -> bool:
+    if run.phase is not RunPhase.PRESENT or run.stopping:
+        return False
+    if run.rate < 0 or state.now - run.rate_at > FRESH_MS:
+        return False
+    if run.step not in state.steps:
+        return False
+    step = state.find_step(run.step)
+    return not step.gang and not step.long_running
+
+
+def _find_usual_rate(state: DispatchState, run: RunEntry) -> float | None:
+    """Return the rate of a step's tasks on other workers, if known."""
+    others = [
+        other.rate
+        for other in state.list_runs_of(run.step)
+        if other.worker != run.worker
+        and other.rate > 0
+        and state.now - other.rate_at <= FRESH_MS
+    ]
+    if others:
+        return median(others)
+    return state.step_rates.get(run.step)
+
+
+def _move_runs(state: DispatchState, worker: str) -> Actions:
+    for run in state.list_runs_on(worker):
+        if run.stopping or run.phase is not RunPhase.PRESENT:
+            continue
+        if run.step not in state.steps or run.rate < 0:
+            continue
+        step = state.find_step(run.step)
+        if step.long_running or not _is_better_elsewhere(run, step):
+            continue
+        reason = f'worker {worker} is slow'
+        if step.gang:
+            yield from stop_step_runs(state, run.step, reason)
+        else:
+            yield from stop_run(state, run, reason)
+
+
+def _is_better_elsewhere(run: RunEntry, step: Step) -> bool:
+    left = 100 - run.percent
+    stay_ms = left * 1000 / max(run.rate, 0.01)
+    share = left / 100 if step.checkpointing else 1.0
+    move_ms = run.expected_ms * share + MOVE_MS
+    return stay_ms > MOVE_FACTOR * move_ms + MOVE_MARGIN_MS
--- a/sassafrasgate/dispatch/starts.py
+++ b/sassafrasgate/dispatch/starts.py
@@ -14,6 +14,7 @@
 from sassafrasgate.dispatch.reports import note_begun
 from sassafrasgate.dispatch.state import RunPhase
 from sassafrasgate.dispatch.stops import stop_run
+from sassafrasgate.dispatch.waits import note_unanswered_call
 from sassafrasgate.shards.actions import GiveUpShard
 
 if TYPE_CHECKING:
@@ -94,6 +95,7 @@
 @EVENT_HANDLERS.register(RunUnanswered)
 def note_unanswered(state: DispatchState, event: RunUnanswered) -> Actions:
     """Keep the reservation of a run that may start at any moment."""
+    note_unanswered_call(state)
     run = state.runs.get(event.run)
     if run is None or run.worker != event.worker:
         return
--- a/sassafrasgate/dispatch/state.py
+++ b/sassafrasgate/dispatch/state.py
@@ -92,6 +92,12 @@
         Last reported progress, and the owner's clock of that report.
     checkpoint : str
         Newest checkpoint that the worker has reported.
+    base_percent, base_at : int
+        Progress and time that the next rate is taken from.
+    rate : float
+        Percent per second between two reports; negative before the second.
+    rate_at : int
+        Owner's clock of the later of them.
     """
 
     key: RunKey
@@ -111,6 +117,10 @@
     percent: int = 0
     percent_at: int = 0
     checkpoint: str = ''
+    base_percent: int = 0
+    base_at: int = 0
+    rate: float = -1.0
+    rate_at: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -273,6 +283,25 @@
     avoid_until: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class SlowMark:
+    """A worker that gets no new runs for being slow.
+
+    Parameters
+    ----------
+    share : float
+        Its speed as a share of the usual one; 0 when runs stand still.
+    until : int
+        Owner's clock of the end of the pause.
+    pause_ms : int
+        Length of the pause.
+    """
+
+    share: float
+    until: int
+    pause_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class Ticket:
     """Proof that a worker may run a step, for one life of the worker."""
@@ -370,9 +399,13 @@
     advice: dict[StepKey, StepAdvice] = field(default_factory=dict)
     lanes: dict[str, Lane] = field(default_factory=dict)
     health: dict[str, WorkerHealth] = field(default_factory=dict)
+    slow: dict[str, SlowMark] = field(default_factory=dict)
+    step_rates: dict[StepKey, float] = field(default_factory=dict)
     accept_callers: dict[str, list[int]] = field(default_factory=dict)
     cancel_callers: dict[str, list[int]] = field(default_factory=dict)
     ended_order: dict[str, None] = field(default_factory=dict)
+    unanswered: list[int] = field(default_factory=list)
+    hold_wait_ms: int = 0
     stalled_since: int = 0
     stopping: bool = False
     dirty: bool = False
--- a/sassafrasgate/dispatch/timers.py
+++ b/sassafrasgate/dispatch/timers.py
@@ -11,8 +11,10 @@
 from sassafrasgate.dispatch.registrations import record_used_workers
 from sassafrasgate.dispatch.reports import note_lapses
 from sassafrasgate.dispatch.reports import stop_incomplete_gangs
+from sassafrasgate.dispatch.speeds import judge_workers
 from sassafrasgate.dispatch.state import name_task
 from sassafrasgate.dispatch.stops import repeat_stops
+from sassafrasgate.dispatch.waits import choose_wait
 from sassafrasgate.shards.events import StopRequested
 from sassafrasgate.shards.events import Ticked
 
@@ -31,6 +33,8 @@
     yield from note_lapses(state)
     yield from repeat_stops(state)
     yield from stop_incomplete_gangs(state)
+    yield from judge_workers(state)
+    yield from choose_wait(state)
     yield from forget_gone_workers(state)
     yield from record_used_workers(state)
     for job_id, entry in list(state.jobs.items()):
@@ -67,6 +71,7 @@
             state.tasks.pop(name_task(key, index), None)
         del state.steps[key]
         state.advice.pop(key, None)
+        state.step_rates.pop(key, None)
     if entry.occurrences:
         state.update_job(entry.job_id, occurrences=0)
 
--- /dev/null
+++ b/sassafrasgate/dispatch/waits.py
@@ -0,0 +1,45 @@
+"""How long a look at a worker may wait for news.
+
+A long wait saves looks, which are priced. A look whose answer is lost keeps
+the owner blind until its time limit, so looks are short while calls go
+unanswered.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sassafrasgate.dispatch.actions import ChangeHoldWait
+from sassafrasgate.dispatch.actions import Note
+
+if TYPE_CHECKING:
+    from sassafrasgate.dispatch.handlers import Actions
+    from sassafrasgate.dispatch.state import DispatchState
+
+CALM_WAIT_MS = 2_000
+SHORT_WAIT_MS = 400
+# So many calls without an answer in so much time call for short waits.
+MOST_UNANSWERED = 2
+WATCHED_MS = 4_000
+
+
+def note_unanswered_call(state: DispatchState) -> None:
+    """Count a call to a worker that got no answer."""
+    state.unanswered.append(state.now)
+
+
+def choose_wait(state: DispatchState) -> Actions:
+    """Change the length of looks when calls go unanswered, or no longer."""
+    oldest = state.now - WATCHED_MS
+    state.unanswered = [at for at in state.unanswered if at > oldest]
+    short = len(state.unanswered) >= MOST_UNANSWERED
+    wait_ms = SHORT_WAIT_MS if short else CALM_WAIT_MS
+    if wait_ms == state.hold_wait_ms:
+        return
+    state.hold_wait_ms = wait_ms
+    yield ChangeHoldWait(wait_ms)
+    yield Note(
+        'hold-wait',
+        '',
+        (('wait_ms', wait_ms), ('unanswered', len(state.unanswered))),
+    )
--- /dev/null
+++ b/tests/dispatch/drivers.py
@@ -0,0 +1,135 @@
+"""Drives the dispatcher's decisions one event at a time."""
+
+from sassafrasgate.core.resources import Resources
+from sassafrasgate.core.workers import Registration
+from sassafrasgate.core.workflows import EndedRun
+from sassafrasgate.core.workflows import EndKind
+from sassafrasgate.core.workflows import RunAnswer
+from sassafrasgate.core.workflows import RunningRun
+from sassafrasgate.core.workflows import WorkerReport
+from sassafrasgate.core.workflows import Workflow
+from sassafrasgate.dispatch.actions import StartRun
+from sassafrasgate.dispatch.events import PassDue
+from sassafrasgate.dispatch.events import PeersChanged
+from sassafrasgate.dispatch.events import RunAnswered
+from sassafrasgate.dispatch.events import TableChanged
+from sassafrasgate.dispatch.events import WorkerReported
+from sassafrasgate.dispatch.events import WorkersListed
+from sassafrasgate.dispatch.state import DispatchState
+from sassafrasgate.dispatch.transitions import decide
+from sassafrasgate.protocol.workflows import SubmitWorkflow
+from sassafrasgate.shards.actions import Persist
+from sassafrasgate.shards.actions import Reply
+from sassafrasgate.shards.events import RecordsDurable
+from sassafrasgate.shards.events import RequestReceived
+from sassafrasgate.shards.events import Ticked
+from tests.dispatch.simulation import TABLE
+from tests.dispatch.simulation import WALL_MS
+
+BORN_MS = 7
+CAPACITY = Resources(8_000, 8_000)
+
+
+class Driver:
+    """An owner whose records are durable at once."""
+
+    def __init__(self, workers=2, capacity=CAPACITY, peers=1):
+        self.now = 1_000
+        self.state = DispatchState('cell', 'a/1', epoch=1)
+        self.actions = []
+        self.ends = {}
+        self.running = {}
+        self.feed(TableChanged(TABLE))
+        names = tuple(f'host-{number}' for number in range(peers))
+        self.feed(PeersChanged(names))
+        entries = tuple(
+            Registration(
+                f'w{number}',
+                'p',
+                f'10.0.0.{number}:1',
+                'd1',
+                capacity,
+                ('a', 'r1'),
+                'r1',
+            )
+            for number in range(workers)
+        )
+        self.feed(WorkersListed(entries))
+        for entry in entries:
+            self.running[entry.worker] = {}
+            self.report(entry.worker)
+
+    def feed(self, event):
+        """Decide about an event and about what follows; return actions."""
+        actions = list(self._decide(event))
+        if self.state.dirty:
+            actions.extend(self._decide(PassDue()))
+        self.actions.extend(actions)
+        return actions
+
+    def _decide(self, event):
+        actions = decide(self.state, event, self.now, WALL_MS + self.now)
+        yield from actions
+        records = tuple(a.record for a in actions if isinstance(a, Persist))
+        if records:
+            yield from self._decide(RecordsDurable(records))
+
+    def wait(self, milliseconds):
+        """Let time pass, with a tick at its end."""
+        self.now += milliseconds
+        return self.feed(Ticked(0))
+
+    def submit(self, job_id, *steps, queue='q'):
+        """Hand a job in; returns the actions."""
+        message = SubmitWorkflow(job_id, queue, 1, Workflow('payload', steps))
+        return self.feed(RequestReceived(1, message, WALL_MS + self.now))
+
+    def confirm(self, actions):
+        """Let the workers confirm the starts among some actions."""
+        starts = [a for a in actions if isinstance(a, StartRun)]
+        for start in starts:
+            self.running[start.worker][start.run] = 0
+            self.feed(RunAnswered(start.worker, start.run, self.answer()))
+        return starts
+
+    def answer(self, refusal=None):
+        """Return a worker's answer to a start."""
+        return RunAnswer(self.now, refusal)
+
+    def report(self, worker, ended=(), born_ms=BORN_MS, **progress):
+        """Let a worker report; ``ended`` has pairs of run and end."""
+        number = self.ends.get(worker, 0)
+        rows = []
+        for run, how in ended:
+            number += 1
+            self.running[worker].pop(run, None)
+            rows.append(EndedRun(number, run.task, run.run, how, ''))
+        self.ends[worker] = number
+        running = tuple(
+            RunningRun(run.task, run.run, '', percent)
+            for run, percent in self.running[worker].items()
+        )
+        return self.feed(
+            WorkerReported(
+                worker,
+                WorkerReport(self.now, born_ms, running, tuple(rows)),
+                self.now,
+                self.now + 5_000,
+            )
+        )
+
+    def finish(self, start):
+        """Let a run finish on its worker."""
+        return self.report(
+            start.worker, ended=((start.run, EndKind.FINISHED),)
+        )
+
+
+def pick(actions, kind):
+    """Return the actions of one kind."""
+    return [action for action in actions if isinstance(action, kind)]
+
+
+def answers(actions):
+    """Return the messages of all replies."""
+    return [action.message for action in pick(actions, Reply)]
--- a/tests/dispatch/simulation.py
+++ b/tests/dispatch/simulation.py
@@ -115,6 +115,11 @@
     gang: int
     stop_at: int = 0
 
+    def find_percent(self, now: int) -> int:
+        """Return the progress that a worker reports."""
+        whole = max(1, self.ends_at - self.born_at)
+        return max(0, min(99, (now - self.born_at) * 100 // whole))
+
 
 class Rules:
     """What all workers together must never show."""
@@ -241,7 +246,7 @@
             self.clock(now),
             self.born_ms,
             tuple(
-                RunningRun(run.task, run.run, '', 1)
+                RunningRun(run.task, run.run, '', run.find_percent(now))
                 for run in self.runs.values()
             ),
             tuple(self.ended),
--- /dev/null
+++ b/tests/dispatch/test_speeds.py
@@ -0,0 +1,68 @@
+"""Guards runs on workers that turn slow or stand still."""
+
+from sassafrasgate.dispatch.actions import StopRun
+from sassafrasgate.dispatch.speeds import FIRST_PAUSE_MS
+from sassafrasgate.dispatch.speeds import STILL_MS
+from sassafrasgate.dispatch.speeds import WINDOW_MS
+from tests.dispatch.drivers import Driver
+from tests.dispatch.drivers import pick
+from tests.dispatch.simulation import make_step
+
+JOB = '00000000000000aa'
+
+
+def advance(driver, window_ms, gains):
+    """Report progress of all runs twice; ``gains`` are by worker."""
+    for worker in driver.running:
+        driver.report(worker)
+    driver.now += window_ms
+    for worker, runs in driver.running.items():
+        for run in runs:
+            runs[run] += gains.get(worker, 0)
+        driver.report(worker)
+    return driver.wait(1)
+
+
+def start_spread(driver, tasks, **fields):
+    step = make_step(tasks, 4_000, max_per_worker=2, **fields)
+    return driver.confirm(driver.submit(JOB, step))
+
+
+def test_runs_that_stand_still_move_to_another_worker():
+    driver = Driver(workers=3)
+    starts = start_spread(driver, 4)
+    workers = {start.worker for start in starts}
+    still = starts[0].worker
+    gains = {worker: 25 for worker in workers - {still}}
+    stops = pick(advance(driver, STILL_MS, gains), StopRun)
+    assert {stop.worker for stop in stops} == {still}
+    assert len(stops) == 2
+
+
+def test_a_worker_that_is_slower_than_others_gets_nothing_for_a_while():
+    driver = Driver(workers=2)
+    start_spread(driver, 4)
+    advance(driver, WINDOW_MS, {'w0': 2, 'w1': 30})
+    fast = driver.confirm(driver.submit('00000000000000bb', make_step(2)))
+    assert {start.worker for start in fast} == {'w1'}
+    driver.wait(2 * FIRST_PAUSE_MS + WINDOW_MS)
+    later = driver.submit('00000000000000cc', make_step(8))
+    assert {start.worker for start in driver.confirm(later)} == {'w0', 'w1'}
+
+
+def test_a_wrong_estimate_alone_moves_nothing():
+    # All tasks of the step take ten times what its caller has estimated.
+    driver = Driver(workers=2)
+    start_spread(driver, 4)
+    actions = advance(driver, WINDOW_MS, {'w0': 1, 'w1': 1})
+    assert not pick(actions, StopRun)
+    assert not driver.state.slow
+
+
+def test_members_of_a_gang_say_nothing_about_their_worker():
+    # A gang stands still on all its workers when one of them does.
+    driver = Driver(workers=2)
+    start_spread(driver, 4, gang=True)
+    actions = advance(driver, STILL_MS, {})
+    assert not pick(actions, StopRun)
+    assert not driver.state.slow
