--- a/sassafrasgate/daemons/dispatcher.py
+++ b/sassafrasgate/daemons/dispatcher.py
@@ -91,6 +91,10 @@
 TICK_S = 0.1
 LOAD_RETRY_S = 0.1
 MAX_INBOX = 20_000
+# Store calls are priced, and a quick job has 0.6 s beyond its work.
+GATHER_S = 0.02
+# Entries under way at once, so that a slow store delays a record once only.
+JOURNAL_DEPTH = 4
 # Events that are handled before waiting steps are looked at again.
 BATCH_EVENTS = 64
 ADVICE_MARGIN_MS = 400
@@ -213,6 +217,8 @@
                 self._journal_inbox,
                 self.events,
                 self._observe_append,
+                GATHER_S,
+                JOURNAL_DEPTH,
             )
             group.start_soon(self._run_journal, writer)
             group.start_soon(self._tick)
@@ -376,7 +382,6 @@
         if isinstance(event, RecordsDurable):
             for _ in event.records:
                 self._unwritten.popleft()
-            self._failing_since = 0
             self._snapshots.note_entry()
             self._request_snapshot()
         if isinstance(event, Ticked):
@@ -598,6 +603,7 @@
         )
 
     def _observe_append(self, seconds: float) -> None:
+        self._failing_since = 0
         self.services.metrics.observe(APPEND_SECONDS, seconds)
 
     def log(self, action: Note) -> None:
--- a/sassafrasgate/daemons/entry.py
+++ b/sassafrasgate/daemons/entry.py
@@ -702,7 +702,10 @@
         names = rank_names(self._member.name, self._directory.members)
         best: RelayAnswer | None = None
         for name in [n for n in names if n != self._member.name][:MOST_RELAYS]:
-            member = self._directory.members[name]
+            member = self._directory.members.get(name)
+            if member is None:
+                # It has gone while another host was asked.
+                continue
             link = self._directory.find_link(member.link_address)
             answer = await link.ask(call, timeout_s)
             if not isinstance(answer, RelayAnswer):
--- a/sassafrasgate/daemons/journals.py
+++ b/sassafrasgate/daemons/journals.py
@@ -29,6 +29,7 @@
     from anyio.streams.memory import MemoryObjectSendStream
 
     from sassafrasgate.journal.chain import Journal
+    from sassafrasgate.journal.chain import PendingEntry
 
 MAX_ENTRY_RECORDS = 2_000
 MAX_ENTRY_PAYLOAD_BYTES = 512 * 1024
@@ -74,6 +75,10 @@
         The shard task's inbox.
     observe : callable
         Gets the seconds that each append took.
+    gather_s : float
+        Time that a record waits for others before its append.
+    depth : int
+        Most entries that are written side by side.
     """
 
     def __init__(
@@ -82,11 +87,18 @@
         inbox: MemoryObjectReceiveStream[Any],
         shard: MemoryObjectSendStream[Any],
         observe: Callable[[float], None],
+        gather_s: float = 0.0,
+        depth: int = 1,
     ) -> None:
         self._journal = journal
         self._inbox = inbox
         self._shard = shard
         self._observe = observe
+        self._gather_s = gather_s
+        self._depth = depth
+        # Entries under way, oldest first, and those of them that are written.
+        self._under_way: deque[PendingEntry] = deque()
+        self._written: set[int] = set()
         self._waiting: deque[Any] = deque()
         self._snapshot_running = False
         self._wakeup = anyio.Event()
@@ -139,22 +151,51 @@
                 await self._wakeup.wait()
             first = self._waiting[0]
             if first is None:
+                # The task group waits for the entries under way.
                 return
-            if isinstance(first, WriteSnapshot):
+            if isinstance(first, WriteSnapshot) and not self._under_way:
                 self._waiting.popleft()
                 self._start_snapshot(tasks, first)
                 continue
-            if not self._journal.has_room:
-                # Overwriting a slot that no snapshot covers would lose it.
-                self._check_snapshot()
+            if not self._may_write(first):
                 self._wakeup = anyio.Event()
                 await self._wakeup.wait()
                 continue
-            records = self._take_batch()
-            started = perf_counter()
-            await self._journal.append(records)
-            self._observe(perf_counter() - started)
-            await self._shard.send(RecordsDurable(records, wall_ms()))
+            if self._gather_s:
+                await anyio.sleep(self._gather_s)
+                if not _begins_with_record(self._waiting):
+                    # The record has been withdrawn meanwhile.
+                    continue
+            entry = self._journal.prepare(self._take_batch())
+            self._under_way.append(entry)
+            tasks.start_soon(self._write_entry, entry)
+
+    def _may_write(self, first: Any) -> bool:
+        """Tell whether the next entry may be written now."""
+        if isinstance(first, WriteSnapshot):
+            # It covers what was handed over before it.
+            return False
+        if len(self._under_way) >= self._depth:
+            return False
+        if not self._journal.has_room:
+            # Overwriting a slot that no snapshot covers would lose it.
+            self._check_snapshot()
+            return False
+        return True
+
+    async def _write_entry(self, entry: PendingEntry) -> None:
+        started = perf_counter()
+        await self._journal.write(entry)
+        self._observe(perf_counter() - started)
+        self._written.add(entry.sequence)
+        # An entry counts only once all entries before it are written.
+        while self._under_way and (
+            self._under_way[0].sequence in self._written
+        ):
+            done = self._under_way.popleft()
+            self._written.discard(done.sequence)
+            await self._shard.send(RecordsDurable(done.records, wall_ms()))
+        self._wakeup.set()
 
     def _check_snapshot(self) -> None:
         """Give up when no snapshot can make room; a new owner starts one."""
@@ -204,6 +245,10 @@
         await self._shard.send(SnapshotEnded())
 
 
+def _begins_with_record(waiting: deque[Any]) -> bool:
+    return bool(waiting) and isinstance(waiting[0], AppendRecord)
+
+
 def _strip_job(message: Any, job_id: str) -> Any:
     """Return a message without the job's records in a waiting snapshot.
 
--- a/sassafrasgate/daemons/relays.py
+++ b/sassafrasgate/daemons/relays.py
@@ -9,6 +9,8 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+from dataclasses import dataclass
+from functools import partial
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -32,6 +34,7 @@
 if TYPE_CHECKING:
     from collections import Counter
 
+    from anyio.abc import TaskGroup
     from logbook import Logger
 
     from sassafrasgate.core.stores import KeyStore
@@ -56,8 +59,16 @@
 FAILURES.register('unavailable')(StoreUnavailableError)
 FAILURES.register('refused')(StoreError)
 
+DIRECT = 'direct'
+RELAY = 'relay'
 # A store that answers does so within this time even while it is slow.
 PATIENCE_S = 0.4
+# Calls that can be repeated without any harm, and when that is done.
+REPEATED = frozenset({'renew_lease', 'get'})
+REPEAT_S = 0.15
+# So many calls in a row that only the other way has answered tell that the
+# direct way is silent.
+SILENT_CALLS = 2
 # After a failure the other way is preferred for so long.
 PREFERENCE_MS = 2_000
 RELAY_TIMEOUT_S = 1.0
@@ -85,6 +96,7 @@
         self._logger = logger
         self._relay_until = 0
         self._relaying = False
+        self._silent = 0
 
     @property
     def calls(self) -> Counter[str]:
@@ -171,28 +183,43 @@
     async def _call(
         self, method: str, *arguments: Any, wait_s: float = 0.0
     ) -> Any:
-        if now_ms() < self._relay_until:
-            return await self._call_relay(method, arguments, wait_s)
-        try:
-            with anyio.fail_after(PATIENCE_S + wait_s):
-                result = await getattr(self._store, method)(*arguments)
+        """Make a call on the way that answers first.
+
+        Raises
+        ------
+        StoreUnavailableError
+            When no way has brought an answer in time.
+        """
+        race = _Race()
+        direct = partial(getattr(self._store, method), *arguments)
+        relay = partial(self._call_relay, method, arguments, wait_s)
+        preferred = now_ms() < self._relay_until
+        async with anyio.create_task_group() as tasks:
+            if not preferred:
+                tasks.start_soon(race.run, DIRECT, 0.0, direct, tasks)
+            if method in REPEATED and not preferred:
+                tasks.start_soon(race.run, DIRECT, REPEAT_S, direct, tasks)
+            delay_s = 0.0 if preferred else PATIENCE_S + wait_s
+            tasks.start_soon(race.run, RELAY, delay_s, relay, tasks)
+        if race.winner is None:
+            self._relay_until = 0
+            raise race.find_failure()
+        self._note_winner(race, method)
+        if isinstance(race.winner.result, StoreError):
+            raise race.winner.result
+        return race.winner.result
+
+    def _note_winner(self, race: _Race, method: str) -> None:
+        assert race.winner is not None
+        if race.winner.way == DIRECT:
+            self._silent = 0
             self._note_way(False, method, '')
-            return result
-        except TimeoutError:
-            failure = StoreUnavailableError(
-                f'the store gave no answer to {method!r}; read back what was '
-                'written'
-            )
-        except StoreUnavailableError as error:
-            failure = error
-        try:
-            result = await self._call_relay(method, arguments, wait_s)
-        except StoreUnavailableError:
-            # The store is away for the other hosts as well.
-            raise failure from None
-        self._note_way(True, method, str(failure))
-        self._relay_until = now_ms() + PREFERENCE_MS
-        return result
+            return
+        refused = race.has_failed(DIRECT)
+        self._silent += 1
+        if refused or self._silent >= SILENT_CALLS:
+            self._note_way(True, method, str(race.find_failure()))
+            self._relay_until = now_ms() + PREFERENCE_MS
 
     def _note_way(self, relaying: bool, method: str, reason: str) -> None:
         if relaying == self._relaying:
@@ -211,18 +238,73 @@
             RelayCall(method, arguments), RELAY_TIMEOUT_S + wait_s
         )
         if answer is None:
-            self._relay_until = 0
             raise StoreUnavailableError(
                 f'no entry host has relayed {method!r} to the store; read '
                 'back what was written'
             )
         if not answer.failure:
             return convert(answer.result, RESULTS.find(method))
-        if answer.failure == 'unavailable':
-            self._relay_until = 0
         raise FAILURES.find(answer.failure)(answer.reason)
 
 
+@dataclass(frozen=True, slots=True)
+class _Finish:
+    """The first answer of a call, and the way that brought it."""
+
+    way: str
+    result: Any
+
+
+class _Race:
+    """Tries that run side by side until one of them has an answer."""
+
+    def __init__(self) -> None:
+        self.winner: _Finish | None = None
+        self._failures: list[tuple[str, StoreUnavailableError]] = []
+        self._failed = anyio.Event()
+
+    async def run(
+        self,
+        way: str,
+        delay_s: float,
+        make: Callable[[], Awaitable[Any]],
+        tasks: TaskGroup,
+    ) -> None:
+        """Make one try, after a delay or an earlier try's failure.
+
+        A way on which a try has failed is not tried again.
+        """
+        if delay_s:
+            with anyio.move_on_after(delay_s):
+                await self._failed.wait()
+        if self.has_failed(way):
+            return
+        try:
+            result = await make()
+        except StoreUnavailableError as error:
+            self._failures.append((way, error))
+            self._failed.set()
+            return
+        except StoreError as error:
+            # The store has answered, if not as the caller hoped.
+            result = error
+        if self.winner is None:
+            self.winner = _Finish(way, result)
+        tasks.cancel_scope.cancel()
+
+    def has_failed(self, way: str) -> bool:
+        """Tell whether a try on a way has ended without an answer."""
+        return any(known == way for known, _ in self._failures)
+
+    def find_failure(self) -> StoreUnavailableError:
+        """Return the first failure."""
+        if self._failures:
+            return self._failures[0][1]
+        return StoreUnavailableError(
+            'the store gave no answer in time; read back what was written'
+        )
+
+
 async def make_relayed_call(store: KeyStore, call: RelayCall) -> RelayAnswer:
     """Make a call for another entry host.
 
--- a/sassafrasgate/journal/chain.py
+++ b/sassafrasgate/journal/chain.py
@@ -6,12 +6,17 @@
 lap of the ring finds another revision. Keys that are created once and
 deleted by trimming would let such a late write succeed, and would cost a
 second write for each entry.
+
+An owner may write several entries at a time. An entry counts only once all
+entries before it are in their slots; a successor may find a later one behind
+a gap, whose epoch is lower than its own, and writes over it.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 from enum import StrEnum
+from time import monotonic
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -21,6 +26,7 @@
 
 from sassafrasgate.core.errors import ShardLostError
 from sassafrasgate.core.errors import StoreConflictError
+from sassafrasgate.core.errors import StoreError
 from sassafrasgate.core.errors import StoreUnavailableError
 from sassafrasgate.journal.budget import CallPriority
 from sassafrasgate.journal.records import decode_entry
@@ -46,6 +52,12 @@
 BLOCK_SLOTS = 100
 FIRST_BLOCKS = 3
 FIRST_RETRY_S = 0.05
+# An answer is overdue after this many times the usual latency, within bounds.
+PATIENCE_FACTOR = 4.0
+LEAST_PATIENCE_S = 0.06
+MOST_PATIENCE_S = 0.6
+# Weight of the newest latency in the usual one.
+LATENCY_WEIGHT = 0.2
 # Acceptance waits for the next try once the store is back.
 LONGEST_RETRY_S = 0.25
 
@@ -82,6 +94,7 @@
 
     sequence: int
     chunks: int
+    epoch: int = 0
     revision: int = 0
 
 
@@ -90,9 +103,29 @@
     entry: JournalEntry | None
     revision: int
 
-    def classify(self, expected: int) -> SlotState:
-        found = None if self.entry is None else self.entry.sequence
-        return classify_slot(found, expected)
+    def classify(self, expected: int, epoch: int) -> SlotState:
+        if self.entry is None or self.entry.epoch < epoch:
+            return SlotState.FREE
+        return classify_slot(self.entry.sequence, expected)
+
+
+@dataclass(frozen=True, slots=True)
+class PendingEntry:
+    """An entry with a number, to be written.
+
+    Parameters
+    ----------
+    sequence : int
+        Its number in the chain.
+    records : tuple
+        Its records.
+    value : bytes
+        Encoded entry.
+    """
+
+    sequence: int
+    records: tuple[Any, ...]
+    value: bytes
 
 
 class SlotState(StrEnum):
@@ -207,11 +240,12 @@
     if reader.chunks:
         data = b''.join(reader.chunks[n] for n in range(pointer.chunks))
         records.extend(decode_records(data))
+    epoch = pointer.epoch
     while True:
         await reader.read_block(_find_block(sequence))
         slot = reader.slots.get(sequence % RING_SLOTS, _Slot(None, 0))
         entry = slot.entry
-        found = slot.classify(sequence)
+        found = slot.classify(sequence, epoch)
         if found is SlotState.NEWER:
             # The owner has lapped this reader, and has a newer snapshot.
             return await load_journal(store, shard)
@@ -225,6 +259,7 @@
                 pointer.revision,
             )
         records.extend(entry.records)
+        epoch = entry.epoch
         sequence += 1
 
 
@@ -283,8 +318,8 @@
     item = await store.get(make_snapshot_key(shard))
     if item is None or item.value is None:
         return SnapshotPointer(0, 0)
-    sequence, chunks = decode(item.value)
-    return SnapshotPointer(sequence, chunks, item.revision)
+    sequence, chunks, epoch = decode(item.value)
+    return SnapshotPointer(sequence, chunks, epoch, item.revision)
 
 
 async def _read_slot(store: KeyStore, shard: str, sequence: int) -> _Slot:
@@ -330,6 +365,7 @@
         self._revisions = {
             loaded.next_sequence % RING_SLOTS: loaded.slot_revision
         }
+        self._latency_s = 0.0
         self.next_sequence = loaded.next_sequence
         self.epoch = 0
 
@@ -347,7 +383,7 @@
         """
         number = self.next_sequence % RING_SLOTS
         if number not in self._revisions:
-            await self._learn_revision(number)
+            await self._learn_revision(self.next_sequence)
         return LoadedJournal(
             (),
             self.next_sequence,
@@ -374,14 +410,20 @@
     async def append(self, records: Iterable[Any]) -> None:
         """Append records as the next entry; retry until that is certain.
 
-        A lost reply is resolved by the next try: if the slot has another
-        revision, it is read back and compared.
+        Raises
+        ------
+        ShardLostError
+            As `prepare` and `write`.
+        """
+        await self.write(self.prepare(records))
+
+    def prepare(self, records: Iterable[Any]) -> PendingEntry:
+        """Give the next number to an entry with some records.
 
         Raises
         ------
         ShardLostError
-            When another process has written the entry's number, or when the
-            entry's slot holds an entry that no snapshot covers.
+            When the entry's slot holds an entry that no snapshot covers.
         """
         if not is_slot_covered(
             self.next_sequence, self._snapshot_sequence, RING_SLOTS
@@ -394,50 +436,131 @@
         entry = JournalEntry(
             self._writer, self.epoch, self.next_sequence, tuple(records)
         )
-        value = encode_entry(entry)
-        delay_s = FIRST_RETRY_S
-        while not await self._try_append(value):
-            if self._note_failure is not None:
-                self._note_failure()
-            await anyio.sleep(delay_s)
-            delay_s = min(delay_s * 2, LONGEST_RETRY_S)
         self.next_sequence += 1
+        return PendingEntry(entry.sequence, entry.records, encode_entry(entry))
 
-    async def _try_append(self, value: bytes) -> bool:
-        number = self.next_sequence % RING_SLOTS
-        key = make_entry_key(self._shard, self.next_sequence)
+    async def write(self, entry: PendingEntry) -> None:
+        """Write an entry; retry until that is certain.
+
+        Entries may be written side by side. The records of an entry are
+        durable once it and all entries before it are written.
+
+        Raises
+        ------
+        ShardLostError
+            When another process has written the entry's number.
+        """
+        delay_s = FIRST_RETRY_S
+        while True:
+            try:
+                if await self._try_write(entry):
+                    return
+            except StoreUnavailableError:
+                if self._note_failure is not None:
+                    self._note_failure()
+                await anyio.sleep(delay_s)
+                delay_s = min(delay_s * 2, LONGEST_RETRY_S)
+
+    async def _try_write(self, entry: PendingEntry) -> bool:
+        """Write an entry once; False when it should be tried again now."""
+        number = entry.sequence % RING_SLOTS
+        key = make_entry_key(self._shard, entry.sequence)
         try:
-            if number not in self._revisions:
-                await self._learn_revision(number)
-            self._revisions[number] = await self._write_key(
-                key, value, self._revisions[number], CallPriority.HIGH
+            # Most slots that this owner has not seen are empty; reading them
+            # first would delay each entry of the ring's first lap.
+            revision = await self._write_watched(
+                key, entry, self._revisions.get(number, 0)
             )
-            return True
-        except StoreUnavailableError:
-            return False
         except StoreConflictError:
-            pass
-        try:
-            item = await self._store.get(key, priority=CallPriority.HIGH)
-        except StoreUnavailableError:
+            return await self._resolve_conflict(key, entry)
+        if revision is None:
             return False
-        if item is not None and item.value == value:
-            self._revisions[number] = item.revision
+        self._revisions[number] = revision
+        return True
+
+    async def _write_watched(
+        self, key: str, entry: PendingEntry, revision: int
+    ) -> int | None:
+        """Write a slot; read it back when the answer is overdue.
+
+        Returns
+        -------
+        int or None
+            The slot's new revision; None when the write has to be repeated.
+        """
+        outcome: list[int | StoreError | None] = []
+
+        async def write(scope: anyio.CancelScope) -> None:
+            began = monotonic()
+            try:
+                outcome.append(
+                    await self._write_key(
+                        key, entry.value, revision, CallPriority.HIGH
+                    )
+                )
+                self._note_latency(monotonic() - began)
+            except StoreError as error:
+                outcome.append(error)
+            scope.cancel()
+
+        async def read_back(scope: anyio.CancelScope) -> None:
+            await anyio.sleep(self._find_patience_s())
+            try:
+                item = await self._store.get(key, priority=CallPriority.HIGH)
+            except StoreError:
+                # The write itself may still be answered.
+                return
+            if item is not None and item.value == entry.value:
+                outcome.append(item.revision)
+            # A write that is not there may be carried out later, after the
+            # next try has changed the slot's revision.
+            scope.cancel()
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(write, tasks.cancel_scope)
+            tasks.start_soon(read_back, tasks.cancel_scope)
+        result = outcome[0] if outcome else None
+        if isinstance(result, StoreError):
+            raise result
+        return result
+
+    def _find_patience_s(self) -> float:
+        """Return when the answer to a write is overdue."""
+        patience_s = PATIENCE_FACTOR * self._latency_s
+        return min(max(patience_s, LEAST_PATIENCE_S), MOST_PATIENCE_S)
+
+    def _note_latency(self, seconds: float) -> None:
+        self._latency_s += LATENCY_WEIGHT * (seconds - self._latency_s)
+
+    async def _resolve_conflict(self, key: str, entry: PendingEntry) -> bool:
+        """Find out who has written the slot; True if this entry is in it."""
+        item = await self._store.get(key, priority=CallPriority.HIGH)
+        number = entry.sequence % RING_SLOTS
+        if item is None or item.value is None:
+            self._revisions[number] = 0
+            return False
+        self._revisions[number] = item.revision
+        if item.value == entry.value:
             return True
+        slot = _Slot(decode_entry(item.value), item.revision)
+        if slot.classify(entry.sequence, self.epoch) is SlotState.FREE:
+            # An entry of an earlier lap, or a late write of an earlier owner
+            # behind a gap in its chain.
+            return False
         raise ShardLostError(
             f'journal key {key!r} was written by another owner; this '
             'process stops serving the shard'
         )
 
-    async def _learn_revision(self, number: int) -> None:
+    async def _learn_revision(self, sequence: int) -> None:
         """Read a slot that was last written by an earlier owner."""
-        slot = await _read_slot(self._store, self._shard, self.next_sequence)
-        if slot.classify(self.next_sequence) is not SlotState.FREE:
+        slot = await _read_slot(self._store, self._shard, sequence)
+        if slot.classify(sequence, self.epoch) is not SlotState.FREE:
             raise ShardLostError(
-                f'entry {self.next_sequence!r} of shard {self._shard!r} was '
+                f'entry {sequence!r} of shard {self._shard!r} was '
                 'written by another owner; this process stops serving it'
             )
-        self._revisions[number] = slot.revision
+        self._revisions[sequence % RING_SLOTS] = slot.revision
 
     async def _write_key(
         self, key: str, value: bytes, revision: int, priority: CallPriority
@@ -491,7 +614,7 @@
     async def _swap_pointer(self, sequence: int, chunks: int) -> bool:
         """Return False when the pointer has another revision."""
         key = make_snapshot_key(self._shard)
-        value = encode((sequence, chunks))
+        value = encode((sequence, chunks, self.epoch))
         try:
             self._snapshot_revision = await self._write_key(
                 key, value, self._snapshot_revision, CallPriority.LOW
--- a/tests/daemons/test_journals.py
+++ b/tests/daemons/test_journals.py
@@ -14,9 +14,11 @@
 from sassafrasgate.daemons.journals import SnapshotEnded
 from sassafrasgate.daemons.journals import WithdrawJob
 from sassafrasgate.daemons.journals import WriteSnapshot
+from sassafrasgate.journal.chain import PendingEntry
 from sassafrasgate.journal.records import AttemptRefused
 from sassafrasgate.journal.records import decode_records
 from sassafrasgate.journal.records import JobAccepted
+from sassafrasgate.shards.events import RecordsDurable
 from sassafrasgate.shards.events import WithdrawalAnswered
 
 pytestmark = pytest.mark.anyio
@@ -38,10 +40,13 @@
         self.snapshots = []
         self.failures = 0
 
-    async def append(self, records):
+    def prepare(self, records):
+        self.next_sequence += 1
+        return PendingEntry(self.next_sequence - 1, tuple(records), b'')
+
+    async def write(self, entry):
         self.appending.set()
         await self.release.wait()
-        self.next_sequence += 1
 
     async def write_snapshot(self, sequence, data):
         self.snapshots.append((sequence, data))
@@ -65,6 +70,19 @@
     return JobAccepted(job_id, JobSpec(team='t', key=job_id))
 
 
+class SlowJournal(RecordedJournal):
+    """A journal whose entries are written in any order."""
+
+    def __init__(self):
+        super().__init__()
+        self.writes = {}
+
+    async def write(self, entry):
+        done = self.writes.setdefault(entry.records, anyio.Event())
+        self.appending.set()
+        await done.wait()
+
+
 async def receive(shard, kind):
     with anyio.fail_after(30):
         while not isinstance(event := await shard.receive(), kind):
@@ -115,3 +133,29 @@
     box.send_nowait(AppendRecord(make_acceptance('a')))
     with anyio.fail_after(30):
         assert 'no room' in await run_journal(task)
+
+
+async def test_records_count_only_behind_all_earlier_ones():
+    # A successor does not see an entry behind a gap.
+    box, inbox = anyio.create_memory_object_stream(inf)
+    events, shard = anyio.create_memory_object_stream(inf)
+    journal = SlowJournal()
+    task = JournalTask(journal, inbox, events, lambda seconds: None, depth=2)
+    first, second, third = (make_acceptance(name) for name in 'abc')
+    async with anyio.create_task_group() as group:
+        group.start_soon(task.run)
+        for record in (first, second, third):
+            box.send_nowait(AppendRecord(record))
+            await anyio.wait_all_tasks_blocked()
+        # No more than the depth is under way; the third entry waits.
+        assert set(journal.writes) == {(first,), (second,)}
+        journal.writes[second,].set()
+        await anyio.wait_all_tasks_blocked()
+        with pytest.raises(anyio.WouldBlock):
+            shard.receive_nowait()
+        journal.writes[first,].set()
+        durable = [await receive(shard, RecordsDurable) for _ in range(2)]
+        assert [event.records for event in durable] == [(first,), (second,)]
+        group.cancel_scope.cancel()
+    for stream in (box, inbox, events, shard):
+        stream.close()
--- a/tests/journal/test_chain.py
+++ b/tests/journal/test_chain.py
@@ -1,5 +1,6 @@
 """Guards the journal's ring against lost replies and lost entries."""
 
+import anyio
 import pytest
 
 from sassafrasgate.core.errors import ShardLostError
@@ -138,3 +139,72 @@
 
     with pytest.raises(StoreUnavailableError, match='read it again'):
         await load_journal(DeafStore(), 's1')
+
+
+async def test_an_entry_behind_a_gap_does_not_count_for_a_successor():
+    store = MemoryStore()
+    stale = await take_over(store, 1)
+    lost = stale.prepare((Takeover(1, 'lost'),))
+    orphan = stale.prepare((Takeover(1, 'orphan'),))
+    await stale.write(orphan)
+    successor = await take_over(store, 2)
+    loaded = await load_journal(store, 's1')
+    assert [record.owner for record in loaded.records] == [
+        'owner-1',
+        'owner-2',
+    ]
+    with pytest.raises(ShardLostError, match='another owner'):
+        await stale.write(lost)
+    # The next owner writes over the orphan, and reads only its own entry.
+    await successor.append((Takeover(2, 'next'),))
+    loaded = await load_journal(store, 's1')
+    assert [record.owner for record in loaded.records] == [
+        'owner-1',
+        'owner-2',
+        'next',
+    ]
+
+
+async def test_a_late_write_behind_a_gap_is_written_over():
+    store = MemoryStore()
+    stale = await take_over(store, 1)
+    stale.prepare(())
+    orphan = stale.prepare((Takeover(1, 'orphan'),))
+    successor = await take_over(store, 2)
+    await write_snapshot(successor)
+    # The write arrives when the successor already knows the empty slot.
+    await stale.write(orphan)
+    await successor.append((Takeover(2, 'next'),))
+    (*_, last) = (await load_journal(store, 's1')).records
+    assert last.owner == 'next'
+
+
+async def test_an_orphan_right_behind_a_snapshot_does_not_count():
+    store = MemoryStore()
+    stale = await take_over(store, 1)
+    stale.prepare(())
+    orphan = stale.prepare((Takeover(1, 'orphan'),))
+    await stale.write(orphan)
+    successor = await take_over(store, 2)
+    await write_snapshot(successor)
+    loaded = await load_journal(store, 's1')
+    assert [record.owner for record in loaded.records] == ['snapshot']
+    assert loaded.next_sequence == orphan.sequence
+
+
+async def test_a_write_whose_answer_is_overdue_is_read_back(monkeypatch):
+    # Waiting for the time limit would delay every record behind it.
+    monkeypatch.setattr(chain, 'LEAST_PATIENCE_S', 0.01)
+
+    class MuteStore(MemoryStore):
+        async def swap(self, key, value, revision, priority=0):
+            await super().swap(key, value, revision, priority)
+            await anyio.sleep(30)
+
+    store = MuteStore()
+    loaded = await load_journal(store, 's1')
+    journal = Journal(store, 's1', 'owner', loaded)
+    with anyio.fail_after(10):
+        await journal.append((Takeover(1, 'owner'),))
+        await journal.append((Takeover(1, 'again'),))
+    assert (await load_journal(store, 's1')).next_sequence == 3
