Refuse at once what was not sent to a failing store; slack by occurrence

Occurrences of a timed job have due times of their own, and long-running tasks neither slack nor an end. A process that stops leaves 1.2 s of its grace.

--- a/sassafrasgate/composition/entry.py
+++ b/sassafrasgate/composition/entry.py
@@ -62,7 +62,7 @@
 # Settings that a reload puts in force.
 APPLIED = frozenset({'writes_per_s', 'reads_per_s'})
 # Time for open requests to end before the process is killed.
-STOP_MARGIN_S = 0.6
+STOP_MARGIN_S = 1.2
 
 
 async def follow_reloads(
--- a/sassafrasgate/daemons/dispatcher.py
+++ b/sassafrasgate/daemons/dispatcher.py
@@ -28,6 +28,7 @@
 from sassafrasgate.daemons.journals import JournalTask
 from sassafrasgate.daemons.journals import run_journal
 from sassafrasgate.daemons.journals import SnapshotEnded
+from sassafrasgate.daemons.journals import WithdrawJob
 from sassafrasgate.daemons.journals import WriteSnapshot
 from sassafrasgate.daemons.replies import ReplyTable
 from sassafrasgate.daemons.replies import wait_for_answer
@@ -75,6 +76,7 @@
 from sassafrasgate.shards.events import RequestReceived
 from sassafrasgate.shards.events import StopRequested
 from sassafrasgate.shards.events import Ticked
+from sassafrasgate.shards.events import WithdrawalAnswered
 from sassafrasgate.shards.ownership import may_send
 from sassafrasgate.shards.ownership import OwnerLease
 
@@ -98,6 +100,8 @@
 # Events that are handled before waiting steps are looked at again.
 BATCH_EVENTS = 64
 ADVICE_MARGIN_MS = 400
+# Writes that have failed for so long are taken for an outage of the store.
+FAILING_MS = 150
 # A store that answers, but only after this time, counts as failing too.
 SLOW_APPEND_MS = 1_500
 
@@ -384,6 +388,9 @@
                 self._unwritten.popleft()
             self._snapshots.note_entry()
             self._request_snapshot()
+        if isinstance(event, WithdrawalAnswered):
+            for _ in range(event.records):
+                self._unwritten.pop()
         if isinstance(event, Ticked):
             await self._note_stall()
             await self._note_ended_owners()
@@ -397,6 +404,8 @@
 
     async def _note_stall(self) -> None:
         stalled = self._failing_since
+        if stalled and now_ms() - stalled < FAILING_MS:
+            stalled = 0
         oldest = self._unwritten[0] if self._unwritten else 0
         if oldest and oldest + SLOW_APPEND_MS < now_ms():
             stalled = stalled or oldest
@@ -531,6 +540,10 @@
         self._unwritten.append(now_ms())
         self._journal_box.send_nowait(AppendRecord(record))
 
+    def withdraw(self, job_id: str) -> None:
+        """Ask the journal task to drop a job's unsent records."""
+        self._journal_box.send_nowait(WithdrawJob(job_id))
+
     def give_up(self, reason: str) -> None:
         """End the task without any further send."""
         self._given_up = reason
--- a/sassafrasgate/daemons/dispatching.py
+++ b/sassafrasgate/daemons/dispatching.py
@@ -20,6 +20,7 @@
 from sassafrasgate.shards.actions import GiveUpShard
 from sassafrasgate.shards.actions import Persist
 from sassafrasgate.shards.actions import Reply
+from sassafrasgate.shards.actions import Withdraw
 
 if TYPE_CHECKING:
     from sassafrasgate.daemons.dispatcher import DispatcherTask
@@ -36,6 +37,11 @@
     task.append(action.record)
 
 
+@DISPATCH_ACTIONS.register(Withdraw)
+async def _withdraw(task: DispatcherTask, action: Withdraw) -> None:
+    task.withdraw(action.job_id)
+
+
 @DISPATCH_ACTIONS.register(Reply)
 async def _reply(task: DispatcherTask, action: Reply) -> None:
     await task.send_reply(action.reply_to, action.message)
--- a/sassafrasgate/daemons/journals.py
+++ b/sassafrasgate/daemons/journals.py
@@ -34,6 +34,8 @@
 MAX_ENTRY_RECORDS = 2_000
 MAX_ENTRY_PAYLOAD_BYTES = 512 * 1024
 SNAPSHOT_RETRY_S = 1.0
+# Kinds of records without which a job does not exist.
+ACCEPTANCES = frozenset({'accepted', 'workflow-accepted'})
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,7 +136,7 @@
             if isinstance(message, AppendRecord)
             and getattr(message.record, 'job_id', '') == job_id
         ]
-        accepted = any(m.record.kind == 'accepted' for m in mine)
+        accepted = any(m.record.kind in ACCEPTANCES for m in mine)
         if accepted:
             dropped = {id(message) for message in mine}
             self._waiting = deque(
@@ -142,7 +144,10 @@
                 for message in self._waiting
                 if id(message) not in dropped
             )
-        await self._shard.send(WithdrawalAnswered(job_id, accepted))
+        dropped_records = len(mine) if accepted else 0
+        await self._shard.send(
+            WithdrawalAnswered(job_id, accepted, dropped_records)
+        )
 
     async def _write_entries(self, tasks: anyio.abc.TaskGroup) -> None:
         while True:
--- a/sassafrasgate/dispatch/ordering.py
+++ b/sassafrasgate/dispatch/ordering.py
@@ -16,12 +16,20 @@
 Rank = tuple[int, int, int]
 
 
-def find_slack(entry: JobEntry, step: int, now: int) -> int:
+def find_due(entry: JobEntry, key: StepKey) -> int:
+    """Return the owner's clock by which an occurrence should complete."""
+    return entry.due_at + key.occurrence * entry.workflow.interval_ms
+
+
+def find_slack(entry: JobEntry, key: StepKey, now: int) -> int:
     """Return how long a step may still wait to meet the objective, in ms.
 
-    Negative when the job is expected to be late.
+    Negative when the job is expected to be late. A long-running task serves
+    its users from its start on and has no time to wait.
     """
-    return entry.due_at - entry.tails[step] - now
+    if entry.workflow.steps[key.step].long_running:
+        return 0
+    return find_due(entry, key) - entry.tails[key.step] - now
 
 
 def rank_step(state: DispatchState, key: StepKey) -> Rank:
@@ -32,10 +40,10 @@
     until it earns nothing; it goes by priority and age.
     """
     entry = state.jobs[key.job_id]
-    slack = find_slack(entry, key.step, state.now)
+    slack = find_slack(entry, key, state.now)
     priority = state.find_terms(entry).priority
     if slack >= -TOLERANCE * entry.tails[key.step]:
         return (0, slack, priority)
     if state.now + entry.tails[key.step] <= entry.late_at:
-        return (1, priority, entry.due_at)
-    return (2, priority, entry.due_at)
+        return (1, priority, find_due(entry, key))
+    return (2, priority, find_due(entry, key))
--- a/sassafrasgate/dispatch/passes.py
+++ b/sassafrasgate/dispatch/passes.py
@@ -17,6 +17,7 @@
 from sassafrasgate.dispatch.events import PassDue
 from sassafrasgate.dispatch.handlers import EVENT_HANDLERS
 from sassafrasgate.dispatch.health import find_allowance
+from sassafrasgate.dispatch.ordering import find_slack
 from sassafrasgate.dispatch.ordering import rank_step
 from sassafrasgate.dispatch.recovery import find_next_run
 from sassafrasgate.dispatch.reports import reserve_demand
@@ -45,6 +46,8 @@
 LEAST_PERCENT = 10
 # A run past its expected end is expected to take this share of it more.
 OVERDUE_SHARE = 0.25
+# A long-running task ends when its job is cancelled.
+FOREVER_MS = 10**9
 # Time on another rack than the one that holds the data, as a factor.
 FAR_FACTOR = 1.5
 
@@ -348,7 +351,7 @@
             ('run', number),
             ('worker', name),
             ('free', state.free[name].millicores),
-            ('slack_ms', job.due_at - job.tails[key.step] - state.now),
+            ('slack_ms', find_slack(job, key, state.now)),
             ('waited_ms', state.now - entry.ready_at),
             ('ticket_ms', ticket.expires_at - state.now if ticket else 0),
             ('checkpoint', bool(checkpoint)),
@@ -509,6 +512,8 @@
 
 def expect_end(state: DispatchState, run: RunEntry) -> int:
     """Return the owner's clock at which a run is expected to end."""
+    if run.step in state.steps and state.find_step(run.step).long_running:
+        return state.now + FOREVER_MS
     elapsed = state.now - run.started_at
     if run.percent >= LEAST_PERCENT:
         worked = max(1, run.percent_at - run.started_at)
--- a/sassafrasgate/dispatch/progress.py
+++ b/sassafrasgate/dispatch/progress.py
@@ -245,3 +245,21 @@
         return
     state.update_step(key, pending=entry.pending | {index})
     queue_step(state, key)
+
+
+def forget_step(state: DispatchState, key: StepKey) -> None:
+    """Drop a step without runs, and all that is known of its tasks."""
+    for index in range(state.find_step(key).tasks):
+        state.tasks.pop(name_task(key, index), None)
+    del state.steps[key]
+    state.waiting.pop(key, None)
+    state.advice.pop(key, None)
+    state.step_rates.pop(key, None)
+
+
+def forget_job(state: DispatchState, job_id: str) -> None:
+    """Drop a job that was never accepted, so that none of its tasks ran."""
+    for key in list(state.list_steps_of(state.jobs[job_id])):
+        forget_step(state, key)
+    del state.jobs[job_id]
+    state.ended_order.pop(job_id, None)
--- a/sassafrasgate/dispatch/requests.py
+++ b/sassafrasgate/dispatch/requests.py
@@ -9,10 +9,12 @@
 from sassafrasgate.core.errors import RefusalKind
 from sassafrasgate.core.workflows import WorkflowState
 from sassafrasgate.dispatch.actions import Note
+from sassafrasgate.dispatch.events import JournalStalled
 from sassafrasgate.dispatch.handlers import DURABLE_HANDLERS
 from sassafrasgate.dispatch.handlers import EVENT_HANDLERS
 from sassafrasgate.dispatch.handlers import REQUEST_HANDLERS
 from sassafrasgate.dispatch.handlers import write_record
+from sassafrasgate.dispatch.progress import forget_job
 from sassafrasgate.dispatch.stops import stop_job_runs
 from sassafrasgate.journal.workflows import WorkflowAccepted
 from sassafrasgate.journal.workflows import WorkflowCancelled
@@ -20,7 +22,9 @@
 from sassafrasgate.protocol.workflows import SubmitWorkflow
 from sassafrasgate.protocol.workflows import WorkflowView
 from sassafrasgate.shards.actions import Reply
+from sassafrasgate.shards.actions import Withdraw
 from sassafrasgate.shards.events import RequestReceived
+from sassafrasgate.shards.events import WithdrawalAnswered
 from sassafrasgate.shards.handlers import reply_refusal
 
 if TYPE_CHECKING:
@@ -28,9 +32,6 @@
     from sassafrasgate.dispatch.state import DispatchState
     from sassafrasgate.dispatch.state import JobEntry
 
-# A journal whose writes have failed for so long is taken for a store outage.
-STALL_MS = 300
-
 
 @EVENT_HANDLERS.register(RequestReceived)
 def dispatch_request(state: DispatchState, event: RequestReceived) -> Actions:
@@ -118,16 +119,49 @@
             f'{state.table.version!r} of the routing table',
             'send the request again once the owner has the newest version',
         )
-    if state.stalled_since and state.now - state.stalled_since > STALL_MS:
-        return Refusal(
-            RefusalKind.STORE_UNAVAILABLE,
-            f'the store has confirmed no record for '
-            f'{state.now - state.stalled_since} ms',
-            'send the request again after the time in Retry-After',
-        )
+    if state.stalled_since:
+        return _refuse_stalled(state)
     return None
 
 
+@EVENT_HANDLERS.register(JournalStalled)
+def note_stall(state: DispatchState, event: JournalStalled) -> Actions:
+    """Give jobs up whose records have not been sent to a failing store.
+
+    What has been sent may take effect, so its callers have to wait.
+    """
+    state.stalled_since = event.since
+    if not event.since:
+        return
+    for job_id in state.accept_callers:
+        yield Withdraw(job_id)
+
+
+@EVENT_HANDLERS.register(WithdrawalAnswered)
+def note_withdrawal(
+    state: DispatchState, event: WithdrawalAnswered
+) -> Actions:
+    """Refuse a job that has left no trace."""
+    if not event.withdrawn or event.job_id not in state.jobs:
+        return
+    forget_job(state, event.job_id)
+    refusal = _refuse_stalled(state)
+    yield Note('withdraw', event.job_id, (('reason', refusal.reason),))
+    for caller in state.accept_callers.pop(event.job_id, ()):
+        yield reply_refusal(caller, refusal)
+    for caller in state.cancel_callers.pop(event.job_id, ()):
+        yield Reply(caller, WorkflowView(event.job_id, None, state.epoch))
+
+
+def _refuse_stalled(state: DispatchState) -> Refusal:
+    return Refusal(
+        RefusalKind.STORE_UNAVAILABLE,
+        f'the store has confirmed no record for '
+        f'{state.now - state.stalled_since} ms',
+        'send the request again after the time in Retry-After',
+    )
+
+
 def make_view(state: DispatchState, entry: JobEntry) -> WorkflowView:
     """Return what callers may see of a workflow."""
     shown = entry.shown
--- a/sassafrasgate/dispatch/timers.py
+++ b/sassafrasgate/dispatch/timers.py
@@ -4,15 +4,14 @@
 
 from typing import TYPE_CHECKING
 
-from sassafrasgate.dispatch.events import JournalStalled
 from sassafrasgate.dispatch.handlers import EVENT_HANDLERS
+from sassafrasgate.dispatch.progress import forget_step
 from sassafrasgate.dispatch.progress import open_due_occurrences
 from sassafrasgate.dispatch.registrations import forget_gone_workers
 from sassafrasgate.dispatch.registrations import record_used_workers
 from sassafrasgate.dispatch.reports import note_lapses
 from sassafrasgate.dispatch.reports import stop_incomplete_gangs
 from sassafrasgate.dispatch.speeds import judge_workers
-from sassafrasgate.dispatch.state import name_task
 from sassafrasgate.dispatch.stops import repeat_stops
 from sassafrasgate.dispatch.waits import choose_wait
 from sassafrasgate.shards.events import StopRequested
@@ -67,22 +66,11 @@
     if any(key in state.runs_of for key in keys):
         return
     for key in keys:
-        for index in range(state.find_step(key).tasks):
-            state.tasks.pop(name_task(key, index), None)
-        del state.steps[key]
-        state.advice.pop(key, None)
-        state.step_rates.pop(key, None)
+        forget_step(state, key)
     if entry.occurrences:
         state.update_job(entry.job_id, occurrences=0)
 
 
-@EVENT_HANDLERS.register(JournalStalled)
-def note_stall(state: DispatchState, event: JournalStalled) -> Actions:
-    """Refuse new jobs while records do not become durable."""
-    state.stalled_since = event.since
-    yield from ()
-
-
 @EVENT_HANDLERS.register(StopRequested)
 def note_stop_request(state: DispatchState, event: StopRequested) -> Actions:
     """Accept and start nothing any more; records are still written."""
--- a/sassafrasgate/shards/events.py
+++ b/sassafrasgate/shards/events.py
@@ -46,10 +46,17 @@
 
 @dataclass(frozen=True, slots=True)
 class WithdrawalAnswered:
-    """The journal has, or has not, dropped a job's unsent records."""
+    """The journal has, or has not, dropped a job's unsent records.
+
+    Parameters
+    ----------
+    records : int
+        How many it has dropped.
+    """
 
     job_id: str
     withdrawn: bool
+    records: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/dispatch/test_requests.py
@@ -0,0 +1,116 @@
+"""Guards what callers are told while the store fails."""
+
+from sassafrasgate.core.errors import RefusalKind
+from sassafrasgate.core.workflows import Workflow
+from sassafrasgate.core.workflows import WorkflowState
+from sassafrasgate.dispatch.events import JournalStalled
+from sassafrasgate.dispatch.events import PassDue
+from sassafrasgate.dispatch.events import TableChanged
+from sassafrasgate.dispatch.state import DispatchState
+from sassafrasgate.dispatch.transitions import decide
+from sassafrasgate.journal.workflows import WorkflowAccepted
+from sassafrasgate.protocol.messages import Refused
+from sassafrasgate.protocol.workflows import CancelWorkflow
+from sassafrasgate.protocol.workflows import QueryWorkflow
+from sassafrasgate.protocol.workflows import SubmitWorkflow
+from sassafrasgate.shards.actions import Persist
+from sassafrasgate.shards.actions import Reply
+from sassafrasgate.shards.actions import Withdraw
+from sassafrasgate.shards.events import RecordsDurable
+from sassafrasgate.shards.events import RequestReceived
+from sassafrasgate.shards.events import WithdrawalAnswered
+from tests.dispatch.drivers import pick
+from tests.dispatch.simulation import make_step
+from tests.dispatch.simulation import TABLE
+from tests.dispatch.simulation import WALL_MS
+
+JOB = '00000000000000aa'
+
+
+class Owner:
+    """An owner whose records wait to become durable."""
+
+    def __init__(self):
+        self.now = 1_000
+        self.state = DispatchState('cell', 'a/1', epoch=1)
+        self.feed(TableChanged(TABLE))
+
+    def feed(self, event):
+        return decide(self.state, event, self.now, WALL_MS + self.now)
+
+    def ask(self, token, message):
+        return self.feed(RequestReceived(token, message, WALL_MS + self.now))
+
+    def submit(self, token, job_id=JOB, queue='q'):
+        workflow = Workflow('payload', (make_step(2),))
+        return self.ask(token, SubmitWorkflow(job_id, queue, 1, workflow))
+
+
+def replies(actions):
+    return {reply.reply_to: reply.message for reply in pick(actions, Reply)}
+
+
+def test_an_acceptance_is_told_once_it_is_durable():
+    owner = Owner()
+    first = owner.submit(1)
+    repeat = owner.submit(2)
+    assert not replies(first) and not replies(repeat)
+    (record,) = [action.record for action in pick(first, Persist)]
+    assert isinstance(record, WorkflowAccepted)
+    assert not pick(repeat, Persist)
+    told = replies(owner.feed(RecordsDurable((record,))))
+    assert told.keys() == {1, 2}
+    assert replies(owner.submit(3))[3].state is WorkflowState.QUEUED
+
+
+def test_nothing_is_accepted_while_the_store_fails():
+    owner = Owner()
+    owner.feed(JournalStalled(owner.now))
+    answer = replies(owner.submit(1))[1]
+    assert answer.refusal is RefusalKind.STORE_UNAVAILABLE
+    assert owner.ask(2, QueryWorkflow(JOB))[0].message.state is None
+    owner.feed(JournalStalled(0))
+    assert pick(owner.submit(3), Persist)
+
+
+def test_a_job_that_was_not_sent_to_the_store_is_refused_at_once():
+    # It would be held until its caller gives up.
+    owner = Owner()
+    owner.submit(1)
+    assert pick(owner.feed(JournalStalled(owner.now)), Withdraw) == [
+        Withdraw(JOB)
+    ]
+    told = replies(owner.feed(WithdrawalAnswered(JOB, True, 1)))
+    assert isinstance(told[1], Refused)
+    assert not owner.state.jobs and not owner.state.steps
+    owner.feed(PassDue())
+
+
+def test_a_job_that_may_be_in_the_store_is_not_refused():
+    # "Not accepted" would be untrue when the write takes effect.
+    owner = Owner()
+    (record,) = [action.record for action in pick(owner.submit(1), Persist)]
+    owner.feed(JournalStalled(owner.now))
+    assert not replies(owner.feed(WithdrawalAnswered(JOB, False)))
+    assert replies(owner.feed(RecordsDurable((record,)))).keys() == {1}
+
+
+def test_a_cancelled_job_stays_cancelled_and_is_told_once_durable():
+    owner = Owner()
+    (accepted,) = [a.record for a in pick(owner.submit(1), Persist)]
+    owner.feed(RecordsDurable((accepted,)))
+    cancelled = owner.ask(2, CancelWorkflow(JOB))
+    assert not replies(cancelled)
+    (record,) = [action.record for action in pick(cancelled, Persist)]
+    assert not pick(owner.ask(3, CancelWorkflow(JOB)), Persist)
+    told = replies(owner.feed(RecordsDurable((record,))))
+    assert {view.state for view in told.values()} == {WorkflowState.CANCELLED}
+    assert told.keys() == {2, 3}
+
+
+def test_unknown_jobs_and_queues_are_told_so():
+    owner = Owner()
+    assert replies(owner.ask(1, CancelWorkflow(JOB)))[1].state is None
+    refused = replies(owner.submit(2, queue='nowhere'))[2]
+    assert refused.refusal is RefusalKind.NOT_READY
+    assert not owner.state.jobs
