Renew all tickets of a gang that expire before the answer

Its tickets last 1.5 s and a call about nine workers takes 0.8 s; renewing only expired tickets lets the others expire meanwhile, so that they are never valid all at once. A call now names every chosen worker whose ticket would not outlast it, and a few to spare.

tests/dispatch/test_gangs.py fails without the change.

--- a/sassafrasgate/dispatch/advice.py
+++ b/sassafrasgate/dispatch/advice.py
@@ -78,7 +78,7 @@
     named = tuple(workers)[:MOST_NAMED]
     if not named:
         return
-    call_ms = int(terms.decide_ms + terms.each_ms * len(named)) + SERVICE_MS
+    call_ms = measure_call(terms, len(named))
     lane = _choose_lane(state, call_ms)
     if lane is None:
         return
@@ -94,6 +94,11 @@
     yield AskAdvice(key, named, lane.name, ready_at - state.now)
 
 
+def measure_call(terms: AdviceTerms, workers: int) -> int:
+    """Return how long a call about some workers takes, in ms."""
+    return int(terms.decide_ms + terms.each_ms * workers) + SERVICE_MS
+
+
 def _choose_lane(state: DispatchState, call_ms: int) -> Lane | None:
     """Return the host that can answer first; None when all are too busy."""
     best: Lane | None = None
--- a/sassafrasgate/dispatch/passes.py
+++ b/sassafrasgate/dispatch/passes.py
@@ -13,7 +13,7 @@
 from sassafrasgate.dispatch.advice import ask_advice
 from sassafrasgate.dispatch.advice import is_live
 from sassafrasgate.dispatch.advice import may_ask
-from sassafrasgate.dispatch.advice import SERVICE_MS
+from sassafrasgate.dispatch.advice import measure_call
 from sassafrasgate.dispatch.events import PassDue
 from sassafrasgate.dispatch.handlers import EVENT_HANDLERS
 from sassafrasgate.dispatch.health import find_allowance
@@ -31,6 +31,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from sassafrasgate.core.routing import AdviceTerms
     from sassafrasgate.core.routing import Queue
     from sassafrasgate.core.workflows import Step
     from sassafrasgate.dispatch.handlers import Actions
@@ -42,6 +43,10 @@
 MOST_HOLDS = 4
 # Room that a gang can only have later than this is not held for it.
 HOLD_HORIZON_MS = 8_000
+# A ticket must outlast the call for others by this time.
+RENEWAL_MARGIN_MS = 250
+# One further worker is named for so many that a gang needs.
+SPARE_SHARE = 3
 # A run with less progress than this says little about its speed.
 LEAST_PERCENT = 10
 # A run past its expected end is expected to take this share of it more.
@@ -417,10 +422,41 @@
     _hold_room(state, plan, demand, chosen, at)
     if terms.advice is None or not may_ask(state, key):
         return
-    stale = {worker.registration.worker for worker in good} & chosen.keys()
-    call_ms = int(terms.advice.decide_ms + terms.advice.each_ms * len(stale))
-    if stale and at - state.now <= call_ms + SERVICE_MS:
-        yield from ask_advice(state, key, terms.advice, sorted(stale))
+    names = _list_renewals(state, key, terms.advice, chosen, admitted)
+    call_ms = measure_call(terms.advice, len(names))
+    if names and at - state.now <= call_ms:
+        yield from ask_advice(state, key, terms.advice, names)
+
+
+def _list_renewals(
+    state: DispatchState,
+    key: StepKey,
+    terms: AdviceTerms,
+    chosen: dict[str, int],
+    admitted: list[WorkerEntry],
+) -> list[str]:
+    """Return the workers that a gang needs new tickets of.
+
+    All of its tickets have to be valid at one moment, so those that expire
+    before the answer are renewed with it. A few more workers are named in
+    case others take room of the chosen ones meanwhile.
+    """
+    tickets = state.advice[key].tickets
+    answered_at = state.now + measure_call(terms, len(chosen))
+    expired = [
+        name
+        for name in chosen
+        if tickets[name].expires_at <= answered_at + RENEWAL_MARGIN_MS
+    ]
+    if not expired:
+        return []
+    spare = [
+        worker.registration.worker
+        for worker in admitted
+        if worker.registration.worker not in chosen
+    ]
+    spare.sort(key=lambda name: -state.free[name].millicores)
+    return sorted(expired) + spare[: 1 + len(chosen) // SPARE_SHARE]
 
 
 def _count_slots(room: Resources, demand: Resources, most: int) -> int:
--- /dev/null
+++ b/tests/dispatch/test_gangs.py
@@ -0,0 +1,96 @@
+"""Guards gangs against tickets that are never valid all at once."""
+
+from dataclasses import replace
+
+from sassafrasgate.core.resources import Resources
+from sassafrasgate.core.routing import AdviceTerms
+from sassafrasgate.core.routing import RoutingTable
+from sassafrasgate.core.workflows import Advice
+from sassafrasgate.core.workflows import EndKind
+from sassafrasgate.core.workflows import RunAnswer
+from sassafrasgate.core.workflows import StartRefusal
+from sassafrasgate.dispatch.actions import AskAdvice
+from sassafrasgate.dispatch.actions import StartRun
+from sassafrasgate.dispatch.actions import StopRun
+from sassafrasgate.dispatch.events import AdviceAnswered
+from sassafrasgate.dispatch.events import RunAnswered
+from sassafrasgate.dispatch.events import TableChanged
+from tests.dispatch.drivers import Driver
+from tests.dispatch.drivers import pick
+from tests.dispatch.simulation import ADVISED
+from tests.dispatch.simulation import make_step
+from tests.dispatch.simulation import QUEUE
+from tests.dispatch.simulation import TABLE
+
+JOB = '00000000000000aa'
+BIG = Resources(7_000, 1_000)
+VALID_MS = 1_500
+SLOW_ADVICE = replace(ADVISED, advice=AdviceTerms(700.0, 10.0, VALID_MS))
+
+
+def make_driver(workers):
+    driver = Driver(workers=workers, peers=3)
+    table = RoutingTable(2, (QUEUE, SLOW_ADVICE), TABLE.pools)
+    driver.feed(TableChanged(table))
+    return driver
+
+
+def answer(driver, ask, good=None):
+    """Let the advice service answer a call after its time."""
+    driver.now += ask.expected_ms
+    named = (
+        ask.workers
+        if good is None
+        else [worker for worker in ask.workers if worker in good]
+    )
+    tickets = tuple((worker, f'{worker}@{driver.now}') for worker in named)
+    return driver.feed(
+        AdviceAnswered(
+            ask.step,
+            ask.lane,
+            ask.workers,
+            Advice(tickets, VALID_MS),
+            driver.now,
+        )
+    )
+
+
+def occupy(driver, worker_count):
+    """Fill some workers with single tasks; return their starts."""
+    step = make_step(worker_count, 60_000, demand=BIG, max_per_worker=1)
+    return driver.confirm(driver.submit('00000000000000bb', step))
+
+
+def test_tickets_that_expire_before_the_answer_are_renewed_with_it():
+    # Renewing only what has expired leaves the others to expire meanwhile.
+    driver = make_driver(3)
+    (busy,) = occupy(driver, 1)
+    gang = make_step(3, 4_000, demand=BIG, gang=True)
+    (ask,) = pick(driver.submit(JOB, gang, queue='advised'), AskAdvice)
+    answer(driver, ask)
+    driver.wait(VALID_MS - 400)
+    tickets = driver.state.advice[ask.step].tickets
+    tickets['w0'] = replace(tickets['w0'], expires_at=driver.now)
+    (renewal,) = pick(driver.finish(busy), AskAdvice)
+    assert set(renewal.workers) == {'w0', 'w1', 'w2'}
+    starts = pick(answer(driver, renewal), StartRun)
+    assert len(starts) == 3
+    assert {start.run.run for start in starts} == {1}
+
+
+def test_a_refused_member_ends_the_launch_and_the_gang_starts_again_whole():
+    driver = Driver(workers=2)
+    gang = make_step(2, 4_000, demand=BIG, gang=True)
+    first, second = pick(driver.submit(JOB, gang), StartRun)
+    driver.confirm([first])
+    refused = RunAnswer(driver.now, StartRefusal.UNHEALTHY)
+    stops = driver.feed(RunAnswered(second.worker, second.run, refused))
+    assert [stop.run for stop in pick(stops, StopRun)] == [first.run]
+    assert not pick(stops, StartRun)
+    driver.now += 1_000
+    again = pick(
+        driver.report(first.worker, ended=((first.run, EndKind.STOPPED),)),
+        StartRun,
+    )
+    assert {start.run.run for start in again} == {2}
+    assert len(again) == 2
