Add a soak of real processes under random faults

The walks inject faults into a simulated world, so they cannot show faults of sockets, signals and start-up. It checks that no task runs twice, that every accepted job ends, that a refused job never starts, and that states never go back.

Removing the wait for the lapse of a silent worker's runs turns it red (tests/soak/test_soak.py).

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV ?= .venv
 BIN := $(VENV)/bin
 
-.PHONY: setup lint test model demo bench format
+.PHONY: setup lint test model demo bench soak format
 
 setup: $(VENV)/.installed
 
@@ -19,7 +19,7 @@
 lint: setup
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/flake8 sassafrasgate tests benchmarks models
+	$(BIN)/flake8 sassafrasgate tests benchmarks models soak
 	$(BIN)/mypy
 
 test: lint model
@@ -33,3 +33,10 @@
 
 bench: setup
 	$(BIN)/python -m benchmarks.run
+
+SEED ?= 1
+SEEDS ?= 5
+SECONDS ?= 30
+
+soak: setup
+	$(BIN)/python -m soak.run --seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS)
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak of the real programs with faults from outside."""
--- a/tests/dispatch/simulation.py
+++ b/tests/dispatch/simulation.py
@@ -131,6 +131,7 @@
         self.failures: dict[str, int] = {}
         self.gang_failures: dict[str, int] = {}
         self.present: dict[str, list[str]] = {}
+        self.started: set[str] = set()
         self.starts = 0
 
     def has_failed(self, job_id: str) -> bool:
@@ -145,6 +146,7 @@
     def check_start(self, task: str, worker: str) -> None:
         """Check a start that a worker is about to carry out."""
         self.starts += 1
+        self.started.add(task)
         job_id, occurrence, number, _ = split_step_task_id(task)
         workflow = self.workflows.get(job_id)
         if workflow is None:
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the soak."""
--- /dev/null
+++ b/tests/soak/test_soak.py
@@ -0,0 +1,58 @@
+"""Short soaks of real processes under faults.
+
+Longer ones run by hand: ``make soak``.
+"""
+
+from pathlib import Path
+
+import anyio
+import pytest
+
+from soak.cells import PROGRAM
+from soak.faults import FAULTS
+from soak.run import Account
+from soak.run import main
+from soak.run import run_soak
+
+SECONDS = 8.0
+
+
+def run(
+    directory: Path,
+    seed: int,
+    kinds: tuple[str, ...] = (),
+    program: str = PROGRAM,
+) -> Account:
+    async def soak() -> Account:
+        return await run_soak(
+            directory, seed, SECONDS, kinds=kinds, program=program
+        )
+
+    return anyio.run(soak)
+
+
+def test_promises_hold_under_faults(tmp_path):
+    # Guards against a loss, a second run or a wrong state under faults that
+    # only real processes, sockets and signals show.
+    account = run(tmp_path, seed=5)
+
+    assert account.broken == ()
+    assert account.completed
+    assert account.faults
+
+
+def test_soak_notices_a_missing_guard(tmp_path):
+    # Guards against a soak that passes whatever the product does.
+    account = run(tmp_path, 5, ('cut-worker',), program='tests.soak.unguarded')
+
+    assert any(' and [' in line for line in account.broken)
+
+
+def test_unknown_fault_is_reported(capsys):
+    # Guards against a soak that silently injects nothing.
+    with pytest.raises(SystemExit):
+        main(['--fault', 'meteor'])
+
+    message = capsys.readouterr().err
+    assert "'meteor'" in message
+    assert all(name in message for name in FAULTS)
--- /dev/null
+++ b/tests/standins/platform_store.py
@@ -0,0 +1,196 @@
+"""Stand-in for the users' platform's key-value store, all in memory.
+
+Run ``python -m tests.standins.platform_store --address 127.0.0.1:PORT``.
+Faults come from outside: signals, and a proxy in front of it.
+"""
+
+from __future__ import annotations
+
+from argparse import ArgumentParser
+from base64 import b64decode
+from base64 import b64encode
+from json import dumps
+from json import loads
+from typing import Any
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+import anyio
+
+from tests.standins.store import read_clock_ms
+from tests.standins.store import RevisionMismatch
+from tests.standins.store import StoreState
+from tests.standins.store import UnknownLease
+
+if TYPE_CHECKING:
+    from sassafrasgate.core.items import Item
+
+EXPIRY_S = 0.02
+MOST_ITEMS = 500
+
+
+class StoreProgram:
+    """The platform's calls over `StoreState`."""
+
+    def __init__(self) -> None:
+        self._state = StoreState()
+        self._numbers: dict[str, int] = {}
+        self._leases: dict[int, str] = {}
+
+    def build(self) -> web.Application:
+        """Return the HTTP application."""
+        application = web.Application(client_max_size=4 << 20)
+        application.add_routes(
+            [
+                web.get('/api/kv-key', self.get_key),
+                web.get('/api/kv-range', self.list_range),
+                web.get('/api/kv-watch', self.watch),
+                web.post('/api/kv-txn', self.change),
+                web.post('/api/kv-lease', self.grant),
+                web.post('/api/kv-keep/{lease}', self.keep),
+                web.delete('/api/kv-lease-end/{lease}', self.end_lease),
+                web.post('/control/put', self.put),
+            ]
+        )
+        return application
+
+    async def expire(self) -> None:
+        """End leases when they are due, until cancelled."""
+        while True:
+            self._state.expire(read_clock_ms())
+            await anyio.sleep(EXPIRY_S)
+
+    def _describe(self, item: Item) -> dict[str, Any]:
+        if item.value is None:
+            return {
+                'key': item.key,
+                'revision': item.revision,
+                'deleted': True,
+            }
+        return {
+            'key': item.key,
+            'value': b64encode(item.value).decode(),
+            'revision': item.revision,
+            'createdRev': item.revision,
+            'lease': 0,
+        }
+
+    async def get_key(self, request: web.Request) -> web.Response:
+        """Answer a read of one key."""
+        item = self._state.find(request.query['key'])
+        if item is None:
+            return web.Response(status=404)
+        return _reply(
+            {**self._describe(item), 'currentRev': self._state.revision}
+        )
+
+    async def list_range(self, request: web.Request) -> web.Response:
+        """Answer a page of a prefix."""
+        page, more = self._state.list_prefix(
+            request.query['prefix'], request.query.get('after', ''), True
+        )
+        more = more or len(page) > MOST_ITEMS
+        return _reply(
+            {
+                'items': [self._describe(item) for item in page[:MOST_ITEMS]],
+                'truncated': more,
+                'currentRev': self._state.revision,
+            }
+        )
+
+    async def watch(self, request: web.Request) -> web.Response:
+        """Answer once there are changes, or after the wait."""
+        changes = await self._state.wait_for_changes(
+            request.query['prefix'],
+            int(request.query['after']),
+            int(request.query['waitMs']) / 1000,
+        )
+        if changes is None:
+            return web.Response(status=410)
+        return _reply(
+            {
+                'events': [self._describe(item) for item in changes.items],
+                'currentRev': changes.revision,
+            }
+        )
+
+    async def change(self, request: web.Request) -> web.Response:
+        """Carry a conditional change out, whole or not at all."""
+        body = loads(await request.read())
+        self._state.expire(read_clock_ms())
+        for row in body['ifRevision']:
+            item = self._state.find(row['key'])
+            if (item.revision if item else 0) != row['revision']:
+                return _reply({'items': []}, 412)
+        try:
+            for put in body['puts']:
+                lease = self._leases.get(put.get('lease', 0), '')
+                if put.get('lease') and not lease:
+                    return web.Response(status=404)
+                self._state.put(
+                    put['key'], b64decode(put['value']), None, lease
+                )
+        except UnknownLease:
+            return web.Response(status=404)
+        for key in body['deletes']:
+            self._state.delete(key, None)
+        return _reply({'revision': self._state.revision})
+
+    async def put(self, request: web.Request) -> web.Response:
+        """Write a key as operators and workers do; deletes without value."""
+        body = loads(await request.read())
+        if body['value'] is None:
+            self._state.delete(body['key'], None)
+        else:
+            value = dumps(body['value']).encode()
+            self._state.put(body['key'], value, None, '')
+        return _reply({'revision': self._state.revision})
+
+    async def grant(self, request: web.Request) -> web.Response:
+        """Grant a lease."""
+        ttl_ms = loads(await request.read())['ttlMs']
+        number = len(self._leases) + 1
+        self._leases[number] = self._state.grant(
+            ttl_ms / 1000, read_clock_ms()
+        )
+        return _reply({'lease': number, 'ttlMs': ttl_ms})
+
+    async def keep(self, request: web.Request) -> web.Response:
+        """Renew a lease."""
+        lease = self._leases.get(int(request.match_info['lease']), '')
+        try:
+            self._state.expire(read_clock_ms())
+            self._state.renew(lease, read_clock_ms())
+        except UnknownLease:
+            return web.Response(status=404)
+        return _reply({'ttlMs': 0})
+
+    async def end_lease(self, request: web.Request) -> web.Response:
+        """End a lease."""
+        lease = self._leases.pop(int(request.match_info['lease']), '')
+        try:
+            self._state.revoke(lease)
+        except (UnknownLease, RevisionMismatch):
+            return web.Response(status=404)
+        return _reply({})
+
+
+def _reply(body: Any, status: int = 200) -> web.Response:
+    return web.json_response(body, status=status)
+
+
+async def serve(address: str) -> None:
+    """Serve until cancelled."""
+    program = StoreProgram()
+    runner = web.AppRunner(program.build(), access_log=None)
+    await runner.setup()
+    host, _, port = address.rpartition(':')
+    await web.TCPSite(runner, host, int(port)).start()
+    print(f'serving {address}', flush=True)
+    await program.expire()
+
+
+if __name__ == '__main__':
+    parser = ArgumentParser()
+    parser.add_argument('--address', required=True)
+    anyio.run(serve, parser.parse_args().address)
