Refuse jobs with negative amounts; test the platform adapters

A step with a negative demand was accepted, and its run would have added room to the worker's books.

--- a/sassafrasgate/platform/callers.py
+++ b/sassafrasgate/platform/callers.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import re
+from typing import Annotated
 from typing import Any
 from typing import Protocol
 from typing import TYPE_CHECKING
 
 from msgspec import DecodeError
+from msgspec import Meta
 from msgspec import Struct
 from msgspec.json import Decoder
 from msgspec.json import encode
@@ -46,12 +48,16 @@
 MOST_BODY_BYTES = 1_048_576
 
 
+_Count = Annotated[int, Meta(ge=0)]
+_Duration = Annotated[float, Meta(ge=0)]
+
+
 class _Step(Struct, frozen=True, rename='camel'):
     count: int
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
-    estimate_ms: float = 0
+    cpu: _Count = 0
+    mem_mb: _Count = 0
+    gpu: _Count = 0
+    estimate_ms: _Duration = 0
     after: tuple[int, ...] = ()
     checkpointing: bool = False
     gang: bool = False
@@ -61,22 +67,22 @@
     # The rack that holds the data.
     affinity: str = ''
     # Most tasks on one worker.
-    anti_affinity: int = 0
+    anti_affinity: _Count = 0
     speculative: bool = False
     long_running: bool = False
     image: str = ''
-    target_ms: float = 0
+    target_ms: _Duration = 0
     fills: bool = False
-    may_miss: int = 0
+    may_miss: _Count = 0
 
 
 class _Job(Struct, frozen=True, rename='camel'):
     # Opaque to the system; the workers get it with each task.
     spec: str
     steps: list[_Step]
-    repeats: int = 0
-    start_at_ms: int = 0
-    interval_ms: int = 0
+    repeats: _Count = 0
+    start_at_ms: _Count = 0
+    interval_ms: _Count = 0
 
 
 _DECODER = Decoder(_Job)
--- /dev/null
+++ b/tests/platform/conftest.py
@@ -0,0 +1,27 @@
+"""Stand-ins shared by the tests of one module."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+
+from tests.processes import Processes
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+
+@pytest.fixture(scope='module')
+def processes(
+    tmp_path_factory: pytest.TempPathFactory,
+) -> Iterator[Processes]:
+    """Return a starter of processes that end with the module."""
+    with Processes(tmp_path_factory.mktemp('processes')) as started:
+        yield started
+
+
+@pytest.fixture(scope='module')
+def anyio_backend() -> str:
+    """Return the event loop that the library's processes use."""
+    return 'asyncio'
--- /dev/null
+++ b/tests/platform/test_routing.py
@@ -0,0 +1,64 @@
+"""Guards the reading of the operators' configuration."""
+
+from json import dumps
+
+import pytest
+
+from sassafrasgate.core.routing import AdviceTerms
+from sassafrasgate.core.routing import Pool
+from sassafrasgate.core.routing import Queue
+from sassafrasgate.platform.routing import read_routing_table
+
+ROUTE = {
+    'name': 'q',
+    'host': 'h.example',
+    'prefix': '/q/',
+    'kind': 'non_idempotent',
+    'timeoutMs': 3000,
+    'targetLatencyMs': 300.5,
+    'priority': 2,
+    'service': 'pool',
+    'maxAttempts': 3,
+    'stretch': 2.5,
+    'advice': {'decideMs': 20, 'eachMs': 0.5, 'validMs': 2000},
+}
+
+
+def test_configuration_becomes_a_table():
+    table = read_routing_table(
+        dumps(
+            {
+                'version': 4,
+                'routes': [ROUTE],
+                'services': [{'name': 'pool', 'enforcesCapacity': True}],
+                'limits': {'unknown': 1},
+            }
+        ).encode()
+    )
+
+    assert table is not None
+    assert table.version == 4
+    assert table.pools == (Pool('pool', enforces_capacity=True),)
+    assert table.queues == (
+        Queue(
+            'q',
+            'h.example',
+            '/q/',
+            'pool',
+            2,
+            3,
+            2.5,
+            300,
+            3000,
+            AdviceTerms(20, 0.5, 2000),
+        ),
+    )
+
+
+@pytest.mark.parametrize(
+    'value',
+    [b'', b'{}', b'\xff', b'{"version": "x", "routes": [], "services": []}'],
+)
+def test_damaged_configuration_is_not_used(value):
+    # Guards against serving by half a table; the last good one stays.
+    assert read_routing_table(value) is None
