Keep a process that is told to reload while it starts

A signal in the first milliseconds, before any of our code runs, still ends the process; the soak leaves these out.

--- a/sassafrasgate/composition/entry.py
+++ b/sassafrasgate/composition/entry.py
@@ -4,6 +4,7 @@
 
 from dataclasses import fields
 from signal import SIGHUP
+from signal import Signals
 from typing import Any
 from typing import cast
 from typing import TYPE_CHECKING
@@ -46,6 +47,7 @@
 from sassafrasgate.protocol.messages import Heartbeat
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
     from pathlib import Path
 
     from sassafrasgate.configuration.entry_settings import EntrySettings
@@ -66,43 +68,52 @@
 
 
 async def follow_reloads(
-    path: Path, settings: EntrySettings, budget: StoreBudget, logger: Logger
+    signals: AsyncIterator[Signals],
+    path: Path,
+    settings: EntrySettings,
+    budget: StoreBudget,
+    logger: Logger,
 ) -> None:
-    """Read the settings again at each SIGHUP.
+    """Read the settings again at each signal.
 
     The store's rates take effect at once; other settings need a restart,
     which the log line says.
     """
-    with anyio.open_signal_receiver(SIGHUP) as signals:
-        async for _ in signals:
-            try:
-                changed = load_entry_settings(path)
-            except SettingsError as error:
-                logger.warning('the settings are left as they were: {}', error)
-                continue
-            names = tuple(
-                field.name
-                for field in fields(changed)
-                if getattr(changed, field.name)
-                != getattr(settings, field.name)
-            )
-            settings = changed
-            await budget.set_share(
-                settings.writes_per_s * BUDGET_SHARE,
-                settings.reads_per_s * BUDGET_SHARE,
-            )
-            log_facts(
-                logger,
-                'reload',
-                (
-                    ('changed', ','.join(names)),
-                    ('needs_restart', ','.join(set(names) - APPLIED)),
-                ),
-            )
+    async for _ in signals:
+        try:
+            changed = load_entry_settings(path)
+        except SettingsError as error:
+            logger.warning('the settings are left as they were: {}', error)
+            continue
+        names = tuple(
+            field.name
+            for field in fields(changed)
+            if getattr(changed, field.name) != getattr(settings, field.name)
+        )
+        settings = changed
+        await budget.set_share(
+            settings.writes_per_s * BUDGET_SHARE,
+            settings.reads_per_s * BUDGET_SHARE,
+        )
+        log_facts(
+            logger,
+            'reload',
+            (
+                ('changed', ','.join(names)),
+                ('needs_restart', ','.join(set(names) - APPLIED)),
+            ),
+        )
 
 
 async def serve_entry(path: Path) -> None:
     """Run the process of an entry host until it is told to stop."""
+    # A reload that is asked for from here on is carried out: the settings
+    # are read after this point.
+    with anyio.open_signal_receiver(SIGHUP) as signals:
+        await _serve_entry(path, signals)
+
+
+async def _serve_entry(path: Path, signals: AsyncIterator[Signals]) -> None:
     settings = load_entry_settings(path)
     configure_logging(
         settings.log_level, settings.name, open_standard_output()
@@ -242,7 +253,9 @@
         group.start_soon(server.run)
         group.start_soon(task.run)
         group.start_soon(wait_for_stop, stop)
-        group.start_soon(follow_reloads, path, settings, budget, logger)
+        group.start_soon(
+            follow_reloads, signals, path, settings, budget, logger
+        )
         group.start_soon(
             serve_http,
             build_application(
--- a/soak/cells.py
+++ b/soak/cells.py
@@ -216,6 +216,8 @@
 
     async def kill(self, entry: Entry) -> None:
         """Kill an entry host's process; the platform starts it again."""
+        if entry.ending:
+            return
         entry.ending = True
         entry.process.resume()
         await anyio.to_thread.run_sync(entry.process.kill)
@@ -223,6 +225,8 @@
 
     async def stop(self, entry: Entry) -> None:
         """Stop an entry host's process as planned work does."""
+        if entry.ending:
+            return
         entry.ending = True
         entry.process.send_signal(SIGTERM)
         with anyio.move_on_after(STOP_S) as scope:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -47,9 +47,7 @@
 @FAULTS.register('kill-entry')
 async def kill_entry(cell: Cell, random: Random) -> None:
     """A process is killed and started again."""
-    entry = _pick_entry(cell, random)
-    if not entry.ending:
-        await cell.kill(entry)
+    await cell.kill(_pick_entry(cell, random))
 
 
 @FAULTS.register('kill-all')
@@ -57,16 +55,13 @@
     """All processes are killed at the same moment."""
     async with anyio.create_task_group() as group:
         for entry in cell.entries.values():
-            if not entry.ending:
-                group.start_soon(cell.kill, entry)
+            group.start_soon(cell.kill, entry)
 
 
 @FAULTS.register('stop-entry')
 async def stop_entry(cell: Cell, random: Random) -> None:
     """A process is asked to stop and started again."""
-    entry = _pick_entry(cell, random)
-    if not entry.ending:
-        await cell.stop(entry)
+    await cell.stop(_pick_entry(cell, random))
 
 
 @FAULTS.register('stop-in-turn')
@@ -74,9 +69,8 @@
     """Processes are stopped one after the other, overlapping."""
     async with anyio.create_task_group() as group:
         for entry in cell.entries.values():
-            if not entry.ending:
-                group.start_soon(cell.stop, entry)
-                await anyio.sleep(random.uniform(0.3, 1.5))
+            group.start_soon(cell.stop, entry)
+            await anyio.sleep(random.uniform(0.3, 1.5))
 
 
 @FAULTS.register('pause-entry')
@@ -93,7 +87,9 @@
 async def hup_entry(cell: Cell, random: Random) -> None:
     """A process is told to read its settings again."""
     entry = _pick_entry(cell, random)
-    if not entry.ending:
+    # Until the interpreter runs our code, nothing can keep the signal from
+    # ending the process.
+    if not entry.ending and entry.process.read_log():
         entry.process.send_signal(SIGHUP)
 
 
