Hand the shard over only to hosts that answer; ignore older owner news

The offer waited until that host was back.

A host is now asked for the owner, with 0.15 s for the answer, before it gets the offer. News of the owner that a successor replaces no longer makes it give up, and the directory ignores revisions older than the one it knows.

--- a/sassafrasgate/daemons/control.py
+++ b/sassafrasgate/daemons/control.py
@@ -24,9 +24,16 @@
 
 @dataclass(frozen=True, slots=True)
 class ControlListed:
-    """All control keys at one moment; keys not listed do not exist."""
+    """All control keys at one moment; keys not listed do not exist.
+
+    Parameters
+    ----------
+    revision : int
+        Of the store at that moment.
+    """
 
     items: tuple[Item, ...]
+    revision: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,7 +67,7 @@
         while True:
             try:
                 listed = await self._store.read_prefix(CONTROL_PREFIX)
-                await self._tell(ControlListed(listed.items))
+                await self._tell(ControlListed(listed.items, listed.revision))
                 await self._follow(listed.revision)
             except StoreLogTrimmedError:
                 continue
--- a/sassafrasgate/daemons/directory.py
+++ b/sassafrasgate/daemons/directory.py
@@ -80,7 +80,11 @@
         """Take a message of the control watch."""
         if isinstance(message, ControlListed):
             self.members.clear()
-            self.owners.clear()
+            self.owners = {
+                shard: owner
+                for shard, owner in self.owners.items()
+                if owner[1] > message.revision
+            }
         if not isinstance(message, ControlListed | ControlChanged):
             return
         for item in message.items:
@@ -100,6 +104,10 @@
         self.members[name] = member
 
     def _note_owner(self, shard: str, item: Item) -> None:
+        known = self.owners.get(shard)
+        if known is not None and item.revision < known[1]:
+            # A watch may lag behind this process's own write of the key.
+            return
         member = read_member(item)
         if member is None:
             self.owners.pop(shard, None)
--- a/sassafrasgate/daemons/entry.py
+++ b/sassafrasgate/daemons/entry.py
@@ -83,6 +83,9 @@
 # Time for a successor to write its takeover record in a slow store.
 OFFER_S = 1.5
 MOST_OFFERS = 2
+# Time for the answer of a host that may have gone; crossing zones and back
+# takes about 8 ms.
+GREETING_S = 0.15
 # Hosts that are asked to call the store, one after the other.
 MOST_RELAYS = 2
 # Refusals of a process that has done nothing with the request.
@@ -171,6 +174,8 @@
         self._finding = False
         self._stopping = False
         self._peers: tuple[str, ...] = ()
+        # The key of the owner that this process takes the shard over from.
+        self._replaced_revision = 0
 
     @property
     def version(self) -> int:
@@ -383,6 +388,9 @@
         owner = self._directory.owners.get(SHARD)
         if self._dispatcher is None or owner is None:
             return
+        if owner[1] <= self._replaced_revision:
+            # The own key is still being written in place of this one.
+            return
         if not self._is_me(owner[0]):
             self._dispatcher.events.send_nowait(
                 ShardAbandoned(f'{owner[0].name!r} owns the shard')
@@ -493,6 +501,7 @@
             offer.snapshot_chunks,
             offer.snapshot_revision,
         )
+        self._replaced_revision = offer.owner_revision
         self._start_dispatcher(group, inherited)
         dispatcher = self._dispatcher
         if not await self._write_owner_key(offer.owner_revision):
@@ -522,8 +531,17 @@
             if not self._is_me(member)
         ]
         members.sort(key=lambda m: (m.weight, m.started_ms), reverse=True)
-        for member in members[:MOST_OFFERS]:
+        offers = 0
+        for member in members:
+            if offers == MOST_OFFERS:
+                break
             link = self._directory.find_link(member.link_address)
+            greeting = await link.ask(FindOwner(SHARD), GREETING_S)
+            if not isinstance(greeting, OwnerFound):
+                # An offer to a host that has just gone would wait until the
+                # host is back, and nobody serves meanwhile.
+                continue
+            offers += 1
             answer = await link.ask(offer, OFFER_S)
             self._log(
                 'hand-over',
--- /dev/null
+++ b/tests/daemons/test_entry.py
@@ -0,0 +1,191 @@
+"""Guards the succession of owners among entry hosts."""
+
+from dataclasses import replace
+
+import anyio
+from logbook import Logger
+from msgspec.json import encode
+import pytest
+
+from sassafrasgate.core.errors import NoAnswer
+from sassafrasgate.core.items import Item
+from sassafrasgate.core.routing import RoutingTable
+from sassafrasgate.daemons import entry
+from sassafrasgate.daemons.control import ControlChanged
+from sassafrasgate.daemons.control import ControlListed
+from sassafrasgate.daemons.directory import Directory
+from sassafrasgate.daemons.directory import make_owner_key
+from sassafrasgate.daemons.dispatcher import DispatcherServices
+from sassafrasgate.daemons.entry import EntryTask
+from sassafrasgate.daemons.entry import SHARD
+from sassafrasgate.daemons.entry import ShardOffered
+from sassafrasgate.daemons.leases import LeaseChanged
+from sassafrasgate.daemons.leases import Member
+from sassafrasgate.dispatch.events import TableChanged
+from sassafrasgate.journal.records import encode_records
+from sassafrasgate.observability.clocks import now_ms
+from sassafrasgate.observability.metrics import Metrics
+from sassafrasgate.protocol.messages import Acknowledged
+from sassafrasgate.protocol.workflows import FindOwner
+from sassafrasgate.protocol.workflows import HandOver
+from sassafrasgate.protocol.workflows import OwnerFound
+from sassafrasgate.shards.ownership import OwnerLease
+from tests.journal.test_chain import MemoryStore
+
+pytestmark = pytest.mark.anyio
+
+ME = Member('e1', 'life-1', 'entry', '127.0.0.1:1', 'z1', 1.0, 10)
+OWNER = Member('e2', 'life-2', 'entry', '127.0.0.1:2', 'z1', 1.0, 20)
+NEXT = Member('e3', 'life-3', 'entry', '127.0.0.1:3', 'z1', 1.0, 30)
+LEASE = OwnerLease(renewed_at=0, ttl_ms=1000, grace_ms=4000)
+
+
+@pytest.fixture
+def anyio_backend():
+    return 'asyncio'
+
+
+def own(member, revision):
+    return Item(make_owner_key(SHARD), encode(member), revision)
+
+
+def make_directory():
+    return Directory(None, (), lambda: None, lambda _: None)
+
+
+def test_older_news_does_not_replace_the_own_claim():
+    # Guards against a new owner that gives up at once, because its watch
+    # lags behind its own write.
+    directory = make_directory()
+    directory.owners[SHARD] = (ME, 9)
+
+    directory.note(ControlChanged((own(OWNER, 8),)))
+    assert directory.owners[SHARD] == (ME, 9)
+    directory.note(ControlListed((own(OWNER, 8),), 8))
+    assert directory.owners[SHARD] == (ME, 9)
+
+    directory.note(ControlChanged((own(OWNER, 10),)))
+    assert directory.owners[SHARD] == (OWNER, 10)
+    directory.note(ControlListed((), 11))
+    assert not directory.owners
+
+
+class StubDispatcher:
+    """Stands for the task that serves the shard."""
+
+    def __init__(self, *_):
+        self.events, self.inbox = anyio.create_memory_object_stream(100)
+        self.taken_over = anyio.Event()
+
+    def note_peers(self, _):
+        pass
+
+    async def run(self, _):
+        self.taken_over.set()
+        await anyio.sleep_forever()
+
+
+class StubLink:
+    """Answers as a test has it; None stands for silence."""
+
+    def __init__(self, answers):
+        self.answers = answers
+        self.asked = []
+
+    async def ask(self, message, timeout_s):
+        self.asked.append(type(message))
+        answer = self.answers.get(type(message))
+        if answer is None:
+            await anyio.sleep(timeout_s)
+            return NoAnswer('silence')
+        return answer
+
+
+class SlowStore(MemoryStore):
+    """A store whose writes wait for a test."""
+
+    def __init__(self):
+        super().__init__()
+        self.go_on = anyio.Event()
+
+    async def swap(self, key, value, revision, lease='', priority=0):
+        await self.go_on.wait()
+        return 9
+
+
+def make_task(store, directory):
+    services = DispatcherServices(
+        *(f'{ME.name}/{ME.incarnation}', ME.name, store, store),
+        *(None, None, None, None, None, None),
+        Logger('test'),
+        Metrics(),
+    )
+    return EntryTask(ME, services, directory, None, None, None)
+
+
+async def test_a_successor_keeps_the_shard_while_it_writes_its_key(
+    monkeypatch,
+):
+    # Guards against a second takeover, with an outage, in a planned stop.
+    monkeypatch.setattr(entry, 'DispatcherTask', StubDispatcher)
+    store, answers = SlowStore(), []
+    directory = make_directory()
+    directory.find_link = lambda _: StubLink({})
+    task = make_task(store, directory)
+
+    async def answer(message):
+        answers.append(message)
+
+    async with anyio.create_task_group() as group:
+        task._note_control(ControlListed((own(OWNER, 5),), 5))
+        await task._handle(TableChanged(RoutingTable(1)), group)
+        lease = replace(LEASE, renewed_at=now_ms())
+        await task._handle(LeaseChanged('1', lease), group)
+        offer = HandOver(
+            SHARD, encode_records(()), 1, 1, 0, 0, 0, owner_revision=5
+        )
+        await task._handle(ShardOffered(offer, answer), group)
+        await anyio.sleep(0.05)
+        dispatcher = task._dispatcher
+        task._note_control(ControlChanged((own(OWNER, 5),)))
+        store.go_on.set()
+        await anyio.sleep(0.05)
+        kinds = [
+            type(event).__name__ for event in iter_waiting(dispatcher.inbox)
+        ]
+        group.cancel_scope.cancel()
+
+    assert 'ShardAbandoned' not in kinds
+    assert [type(item) for item in answers] == [Acknowledged]
+
+
+def iter_waiting(inbox):
+    while True:
+        try:
+            yield inbox.receive_nowait()
+        except anyio.WouldBlock:
+            return
+
+
+async def test_a_shard_is_not_offered_to_a_host_that_does_not_answer():
+    # Guards against an offer that waits until a killed host is back.
+    directory = make_directory()
+    directory.members = {m.name: m for m in (ME, OWNER, NEXT)}
+    directory.owners[SHARD] = (ME, 9)
+    links = {
+        NEXT.link_address: StubLink({}),
+        OWNER.link_address: StubLink(
+            {
+                FindOwner: OwnerFound(SHARD, b'', 0),
+                HandOver: Acknowledged(),
+            }
+        ),
+    }
+    directory.find_link = links.__getitem__
+    task = make_task(MemoryStore(), directory)
+
+    taken = await task.hand_over(HandOver(SHARD, b'', 1, 1, 0, 0, 0))
+
+    assert taken
+    assert links[NEXT.link_address].asked == [FindOwner]
+    assert links[OWNER.link_address].asked == [FindOwner, HandOver]
