Split the entry task; fill its message handlers through registries

The claims and hand-overs are daemons/succession.py now, the gateway daemons/gateways.py, the lanes daemons/lanes.py, and what is done with each message stands in daemons/entry_messages.py. Failed writes of the owner's key get a log line; they were silent. The soak moves to tests/soak. No other change of behaviour; tests/daemons/test_entry.py and the soak pass.

--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 lint: setup
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
-	$(BIN)/flake8 sassafrasgate tests benchmarks models soak
+	$(BIN)/flake8 sassafrasgate tests benchmarks models
 	$(BIN)/mypy
 
 test: lint model
@@ -39,4 +39,4 @@
 SECONDS ?= 30
 
 soak: setup
-	$(BIN)/python -m soak.run --seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS)
+	$(BIN)/python -m tests.soak.run --seed $(SEED) --seeds $(SEEDS) --seconds $(SECONDS)
--- a/sassafrasgate/composition/entry.py
+++ b/sassafrasgate/composition/entry.py
@@ -24,11 +24,15 @@
 from sassafrasgate.daemons.directory import Directory
 from sassafrasgate.daemons.dispatcher import DispatcherServices
 from sassafrasgate.daemons.entry import EntryTask
-from sassafrasgate.daemons.entry import LinkClosed
+from sassafrasgate.daemons.entry_messages import LinkClosed
+from sassafrasgate.daemons.gateways import EntryGateway
+from sassafrasgate.daemons.lanes import Lanes
 from sassafrasgate.daemons.leases import LeaseTask
 from sassafrasgate.daemons.leases import Member
+from sassafrasgate.daemons.relays import ask_relay
 from sassafrasgate.daemons.relays import RelayedStore
 from sassafrasgate.daemons.scheduler import StopProcess
+from sassafrasgate.daemons.succession import Succession
 from sassafrasgate.daemons.watches import PrefixWatch
 from sassafrasgate.daemons.watches import RegistrationTask
 from sassafrasgate.daemons.watches import TableTask
@@ -160,7 +164,9 @@
         def relay(store: Any) -> RelayedStore:
             return RelayedStore(
                 store,
-                lambda call, timeout_s: task.ask_relay(call, timeout_s),
+                lambda call, timeout_s: ask_relay(
+                    directory, member.name, call, timeout_s
+                ),
                 logger,
             )
 
@@ -197,6 +203,8 @@
             greet,
             hear,
         )
+        succession = Succession(member, store, directory, logger)
+        lanes = Lanes(member.name, directory, advisers.send, server.reply)
         services = DispatcherServices(
             f'{member.name}/{member.incarnation}',
             member.name,
@@ -206,10 +214,10 @@
             lambda worker, address: adapters.open_worker(
                 worker, address, CALL_TIMEOUT_S
             ),
-            lambda name, question: task.ask_lane(name, question),
+            lanes.ask,
             follow_workers,
-            lambda owner: task.has_ended(owner),
-            lambda message: task.hand_over(message),
+            succession.has_ended,
+            succession.hand_over,
             logger,
             metrics,
         )
@@ -217,10 +225,12 @@
             member,
             services,
             directory,
+            succession,
             main.receive,
             advisers.send,
             main.send.send,
         )
+        gateway = EntryGateway(member.name, task)
         lease = LeaseTask(
             lease_store,
             member,
@@ -259,7 +269,7 @@
         group.start_soon(
             serve_http,
             build_application(
-                cast('Gateway', task),
+                cast('Gateway', gateway),
                 metrics,
                 Limits(),
                 frozenset({RouteGroup.HEALTH}),
@@ -270,7 +280,7 @@
         )
         group.start_soon(
             serve_http,
-            adapters.build_ready_application(task),
+            adapters.build_ready_application(gateway),
             settings.ready_address,
             closed,
             0.0,
@@ -284,7 +294,7 @@
 
         group.start_soon(close_later)
         await serve_http(
-            adapters.build_caller_application(task, logger),
+            adapters.build_caller_application(gateway, logger),
             settings.caller_address,
             closed,
             max(0.0, settings.stop_s - READY_DRAIN_S - STOP_MARGIN_S),
--- /dev/null
+++ b/sassafrasgate/daemons/entry_messages.py
@@ -0,0 +1,199 @@
+"""What an entry host does with each message and each request."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+from typing import TYPE_CHECKING
+
+from sassafrasgate.core.registries import Registry
+from sassafrasgate.daemons.advisers import AdviceWanted
+from sassafrasgate.daemons.control import ControlChanged
+from sassafrasgate.daemons.control import ControlListed
+from sassafrasgate.daemons.leases import LeaseChanged
+from sassafrasgate.daemons.leases import LeaseLost
+from sassafrasgate.daemons.scheduler import ClaimDue
+from sassafrasgate.daemons.scheduler import StopProcess
+from sassafrasgate.daemons.shards import LeaseUpdated
+from sassafrasgate.daemons.shards import ShardAbandoned
+from sassafrasgate.dispatch.events import TableChanged
+from sassafrasgate.observability.metrics import CONFIGURATION_VERSION
+from sassafrasgate.protocol.relays import RelayCall
+from sassafrasgate.protocol.workflows import FindOwner
+from sassafrasgate.protocol.workflows import HandOver
+from sassafrasgate.protocol.workflows import SeekAdvice
+
+if TYPE_CHECKING:
+    from anyio.abc import TaskGroup
+
+    from sassafrasgate.daemons.entry import EntryTask
+
+Answer = Callable[[Any], Awaitable[None]]
+
+
+@dataclass(frozen=True, slots=True)
+class LinkClosed:
+    """The other end of a link has closed its connection."""
+
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class ProcessEnded:
+    """Nothing listens any more where a process served its links."""
+
+    incarnation: str
+
+
+@dataclass(frozen=True, slots=True)
+class ShardOffered:
+    """The owner hands the shard over to this process.
+
+    Parameters
+    ----------
+    answer : callable
+        Gets `Acknowledged` once this process has taken the shard over, else
+        a `Refusal`.
+    """
+
+    offer: HandOver
+    answer: Answer
+
+
+@dataclass(frozen=True, slots=True)
+class CallRelayed:
+    """Another entry host can't reach the store."""
+
+    call: RelayCall
+    answer: Answer
+
+
+EntryHandler = Callable[['EntryTask', Any, 'TaskGroup'], None]
+
+# What the task does with each message of its inbox, by the message's type.
+ENTRY_MESSAGES: Registry[type[Any], EntryHandler] = Registry('entry message')
+# Requests of other entry hosts that any host serves; the owner's dispatcher
+# gets the others.
+ENTRY_REQUESTS: Registry[
+    type[Any], Callable[[EntryTask, Any, Answer], Awaitable[None]]
+] = Registry('entry request')
+
+
+@ENTRY_MESSAGES.register(ClaimDue)
+def _do_nothing(task: EntryTask, message: ClaimDue, group: TaskGroup) -> None:
+    """Look only at whether a claim is due."""
+
+
+@ENTRY_MESSAGES.register(ControlListed)
+@ENTRY_MESSAGES.register(ControlChanged)
+def _note_control(task: EntryTask, message: Any, group: TaskGroup) -> None:
+    task.directory.note(message)
+    owner = task.succession.owner
+    if owner is not None and not task.succession.is_me(owner[0]):
+        # The link shows when the owner's process ends.
+        task.directory.find_link(owner[0].link_address)
+    task.check_rival()
+    task.tell_peers()
+
+
+@ENTRY_MESSAGES.register(LeaseChanged)
+def _note_lease(
+    task: EntryTask, message: LeaseChanged, group: TaskGroup
+) -> None:
+    task.succession.note_lease(message)
+    task.tell_dispatcher(LeaseUpdated(message.lease))
+
+
+@ENTRY_MESSAGES.register(LeaseLost)
+def _lose_lease(task: EntryTask, message: LeaseLost, group: TaskGroup) -> None:
+    task.succession.lose_lease()
+    task.tell_dispatcher(ShardAbandoned('the store lease has expired'))
+
+
+@ENTRY_MESSAGES.register(TableChanged)
+def _note_table(
+    task: EntryTask, message: TableChanged, group: TaskGroup
+) -> None:
+    if message.table.version <= task.version:
+        return
+    task.table = message.table
+    task.services.metrics.set_gauge(CONFIGURATION_VERSION, task.version)
+    task.log(
+        'table',
+        (
+            ('version', task.version),
+            ('queues', len(task.table.queues)),
+            ('pools', len(task.table.pools)),
+        ),
+    )
+    task.tell_dispatcher(message)
+
+
+@ENTRY_MESSAGES.register(StopProcess)
+def _stop(task: EntryTask, message: StopProcess, group: TaskGroup) -> None:
+    if task.is_stopping:
+        return
+    task.is_stopping = True
+    task.log('stop', (('owner', task.dispatcher is not None),))
+    if task.dispatcher is not None:
+        task.dispatcher.request_stop()
+
+
+@ENTRY_MESSAGES.register(LinkClosed)
+def _check_owner(
+    task: EntryTask, message: LinkClosed, group: TaskGroup
+) -> None:
+    owner = task.succession.owner
+    if owner is not None and owner[0].link_address == message.address:
+        group.start_soon(task.probe_owner)
+
+
+@ENTRY_MESSAGES.register(ProcessEnded)
+def _note_ended(
+    task: EntryTask, message: ProcessEnded, group: TaskGroup
+) -> None:
+    task.succession.note_ended(message.incarnation)
+
+
+@ENTRY_MESSAGES.register(CallRelayed)
+def _relay_call(
+    task: EntryTask, message: CallRelayed, group: TaskGroup
+) -> None:
+    group.start_soon(task.relay_call, message)
+
+
+@ENTRY_MESSAGES.register(ShardOffered)
+def _take_shard(
+    task: EntryTask, message: ShardOffered, group: TaskGroup
+) -> None:
+    group.start_soon(task.take_shard, message, group)
+
+
+@ENTRY_REQUESTS.register(RelayCall)
+async def _accept_relay(
+    task: EntryTask, message: RelayCall, answer: Answer
+) -> None:
+    await task.tell_self(CallRelayed(message, answer))
+
+
+@ENTRY_REQUESTS.register(HandOver)
+async def _accept_offer(
+    task: EntryTask, message: HandOver, answer: Answer
+) -> None:
+    await task.tell_self(ShardOffered(message, answer))
+
+
+@ENTRY_REQUESTS.register(FindOwner)
+async def _tell_owner(
+    task: EntryTask, message: FindOwner, answer: Answer
+) -> None:
+    await answer(task.succession.describe_owner())
+
+
+@ENTRY_REQUESTS.register(SeekAdvice)
+async def _seek_advice(
+    task: EntryTask, message: SeekAdvice, answer: Answer
+) -> None:
+    await task.advisers.send(AdviceWanted(message, answer))
--- /dev/null
+++ b/sassafrasgate/daemons/gateways.py
@@ -0,0 +1,133 @@
+"""What the callers' interface of an entry host asks of the product."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+import anyio
+
+from sassafrasgate.core.errors import NoAnswer
+from sassafrasgate.core.errors import Refusal
+from sassafrasgate.core.errors import RefusalKind
+from sassafrasgate.observability.clocks import now_ms
+from sassafrasgate.protocol.messages import Refused
+from sassafrasgate.protocol.workflows import CancelWorkflow
+from sassafrasgate.protocol.workflows import CountPending
+from sassafrasgate.protocol.workflows import QueryWorkflow
+from sassafrasgate.protocol.workflows import SubmitWorkflow
+
+if TYPE_CHECKING:
+    from sassafrasgate.core.routing import Queue
+    from sassafrasgate.core.routing import RoutingTable
+    from sassafrasgate.core.workflows import Workflow
+    from sassafrasgate.daemons.entry import EntryTask
+
+# An owner that has not answered by then may be gone; its successor may be
+# known meanwhile, and every request can be repeated.
+TRY_S = 0.7
+RETRY_S = 0.05
+# Refusals of a process that has done nothing with the request.
+RETRIED_REFUSALS = frozenset(
+    {RefusalKind.NOT_OWNER, RefusalKind.NOT_READY, RefusalKind.STOPPING}
+)
+
+
+class EntryGateway:
+    """Answers the requests of callers through the owner.
+
+    Parameters
+    ----------
+    name : str
+        Of this entry host.
+    task : EntryTask
+        Knows the owner and the routing table.
+    """
+
+    def __init__(self, name: str, task: EntryTask) -> None:
+        self._name = name
+        self._task = task
+
+    @property
+    def version(self) -> int:
+        """Version of the routing table in force."""
+        return self._task.version
+
+    def configuration(self) -> RoutingTable:
+        """Return the routing table in force, whose version routes show."""
+        return self._task.table
+
+    def is_ready(self) -> Refusal | None:
+        """Return None when the process may serve, else the reason."""
+        if self._task.is_stopping:
+            return Refusal(
+                RefusalKind.STOPPING,
+                f'entry host {self._name!r} is stopping',
+                'use another entry host',
+            )
+        return self._task.refuse_unready()
+
+    def find_queue(self, host: str, path: str) -> Queue | Refusal:
+        """Return the queue of a request by its host and path."""
+        if not self.version:
+            return self._task.refuse_without_table()
+        queue = self._task.table.find_queue(host, path)
+        if queue is None:
+            return Refusal(
+                RefusalKind.NOT_FOUND,
+                f'no queue serves {path!r} of host {host!r} in version '
+                f'{self.version!r} of the routing table',
+                'use the host and prefix of a queue',
+            )
+        return queue
+
+    async def submit(
+        self, queue: Queue, job_id: str, workflow: Workflow, timeout_s: float
+    ) -> Any:
+        """Have the owner accept a workflow."""
+        return await self._ask_owner(
+            SubmitWorkflow(job_id, queue.name, self.version, workflow),
+            timeout_s,
+        )
+
+    async def query(self, job_id: str, timeout_s: float) -> Any:
+        """Return a workflow's state as its owner knows it."""
+        return await self._ask_owner(QueryWorkflow(job_id), timeout_s)
+
+    async def cancel(self, job_id: str, timeout_s: float) -> Any:
+        """Have the owner end a workflow."""
+        return await self._ask_owner(CancelWorkflow(job_id), timeout_s)
+
+    async def count(self, queue: Queue, timeout_s: float) -> Any:
+        """Return how many workflows of a queue have not begun."""
+        return await self._ask_owner(CountPending(queue.name), timeout_s)
+
+    async def _ask_owner(self, message: Any, timeout_s: float) -> Any:
+        """Ask until an answer or the deadline; requests can be repeated.
+
+        Returns
+        -------
+        object
+            The answer; a `Refusal` when the request certainly has no
+            effect; `NoAnswer` when that is not known.
+        """
+        deadline = now_ms() + int(timeout_s * 1000)
+        unknown: NoAnswer | None = None
+        while True:
+            left_s = (deadline - now_ms()) / 1000
+            answer = await self._task.ask_once(message, min(left_s, TRY_S))
+            if isinstance(answer, Refused):
+                answer = Refusal(answer.refusal, answer.reason, answer.remedy)
+            if isinstance(answer, NoAnswer):
+                unknown = answer
+            elif not _may_repeat(answer):
+                return answer
+            if now_ms() + RETRY_S * 1000 >= deadline:
+                return unknown or answer
+            await self._task.find_owner()
+            await anyio.sleep(RETRY_S)
+
+
+def _may_repeat(answer: Any) -> bool:
+    """Tell whether a process that answered so has done nothing."""
+    return isinstance(answer, Refusal) and answer.kind in RETRIED_REFUSALS
--- /dev/null
+++ b/sassafrasgate/daemons/lanes.py
@@ -0,0 +1,76 @@
+"""Calls for advice through the entry hosts, each of which is a lane."""
+
+from __future__ import annotations
+
+from typing import Any
+from typing import TYPE_CHECKING
+
+from sassafrasgate.core.errors import NoAnswer
+from sassafrasgate.daemons.advisers import AdviceWanted
+from sassafrasgate.daemons.replies import ReplyTable
+from sassafrasgate.daemons.replies import wait_for_answer
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from anyio.streams.memory import MemoryObjectSendStream
+
+    from sassafrasgate.daemons.directory import Directory
+    from sassafrasgate.protocol.links import OutgoingReply
+    from sassafrasgate.protocol.workflows import SeekAdvice
+
+
+class Lanes:
+    """Finds the entry host that makes a call for advice.
+
+    Parameters
+    ----------
+    name : str
+        Of this entry host.
+    directory : Directory
+        Knows the others.
+    advisers : MemoryObjectSendStream
+        The own advice task's inbox.
+    reply : callable
+        Queues an `OutgoingReply` on the link server.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        directory: Directory,
+        advisers: MemoryObjectSendStream[Any],
+        reply: Callable[[OutgoingReply], Awaitable[None]],
+    ) -> None:
+        self._name = name
+        self._directory = directory
+        self._advisers = advisers
+        self._reply = reply
+
+    async def ask(self, name: str, question: SeekAdvice) -> Any:
+        """Have an entry host, or this one, call the advice service."""
+        timeout_s = question.timeout_ms / 1000
+        if name == self._name:
+            return await self._ask_own_adviser(question, timeout_s)
+        member = self._directory.members.get(name)
+        if member is None:
+            return NoAnswer(f'entry host {name!r} is gone')
+        link = self._directory.find_link(member.link_address)
+        return await link.ask(question, timeout_s)
+
+    async def _ask_own_adviser(
+        self, question: SeekAdvice, timeout_s: float
+    ) -> Any:
+        answers = ReplyTable(self._reply)
+
+        def add(caller: MemoryObjectSendStream[Any]) -> int:
+            token = answers.add_caller(caller)
+
+            async def answer(message: Any) -> None:
+                await answers.send(token, message)
+
+            self._advisers.send_nowait(AdviceWanted(question, answer))
+            return token
+
+        return await wait_for_answer(add, answers.forget, timeout_s)
--- a/sassafrasgate/daemons/relays.py
+++ b/sassafrasgate/daemons/relays.py
@@ -22,6 +22,7 @@
 from sassafrasgate.core.errors import StoreLeaseLostError
 from sassafrasgate.core.errors import StoreLogTrimmedError
 from sassafrasgate.core.errors import StoreUnavailableError
+from sassafrasgate.core.identifiers import rank_names
 from sassafrasgate.core.items import Changes
 from sassafrasgate.core.items import Item
 from sassafrasgate.core.registries import Registry
@@ -38,7 +39,10 @@
     from logbook import Logger
 
     from sassafrasgate.core.stores import KeyStore
+    from sassafrasgate.daemons.directory import Directory
 
+# Hosts that are asked to call the store, one after the other.
+MOST_RELAYS = 2
 # Results of the methods that can be relayed.
 RESULTS: Registry[str, Any] = Registry('relayed store method')
 FAILURES: Registry[str, type[StoreError]] = Registry('store failure')
@@ -323,3 +327,35 @@
                 return RelayAnswer(name, str(error))
         return RelayAnswer('refused', str(error))
     return RelayAnswer(result=result)
+
+
+async def ask_relay(
+    directory: Directory, name: str, call: RelayCall, timeout_s: float
+) -> RelayAnswer | None:
+    """Have another entry host call the store.
+
+    Parameters
+    ----------
+    name : str
+        Of this entry host; each host asks the others in an order of its own.
+
+    Returns
+    -------
+    RelayAnswer or None
+        None when none of the hosts that were asked has reached it.
+    """
+    best: RelayAnswer | None = None
+    names = rank_names(name, directory.members)
+    for other in [n for n in names if n != name][:MOST_RELAYS]:
+        member = directory.members.get(other)
+        if member is None:
+            # It has gone while another host was asked.
+            continue
+        link = directory.find_link(member.link_address)
+        answer = await link.ask(call, timeout_s)
+        if not isinstance(answer, RelayAnswer):
+            continue
+        if answer.failure != 'unavailable':
+            return answer
+        best = answer
+    return best
--- /dev/null
+++ b/sassafrasgate/daemons/succession.py
@@ -0,0 +1,363 @@
+"""Which entry host owns the shard: claims, hand-overs and what is known."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import Any
+from typing import TYPE_CHECKING
+
+import anyio
+from msgspec.json import encode
+
+from sassafrasgate.core.errors import NoAnswer
+from sassafrasgate.core.errors import StoreConflictError
+from sassafrasgate.core.errors import StoreError
+from sassafrasgate.core.identifiers import rank_names
+from sassafrasgate.core.items import Item
+from sassafrasgate.daemons.control import ControlChanged
+from sassafrasgate.daemons.directory import make_owner_key
+from sassafrasgate.journal.budget import CallPriority
+from sassafrasgate.observability.clocks import now_ms
+from sassafrasgate.observability.logs import log_facts
+from sassafrasgate.protocol.messages import Acknowledged
+from sassafrasgate.protocol.workflows import FindOwner
+from sassafrasgate.protocol.workflows import OwnerFound
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+
+    from logbook import Logger
+
+    from sassafrasgate.core.stores import KeyStore
+    from sassafrasgate.daemons.directory import Directory
+    from sassafrasgate.daemons.leases import LeaseChanged
+    from sassafrasgate.daemons.leases import Member
+    from sassafrasgate.protocol.workflows import HandOver
+    from sassafrasgate.shards.ownership import OwnerLease
+
+SHARD = 'cell'
+# How much later each host of lower rank claims a shard without an owner.
+CLAIM_STEP_MS = 120
+PROBE_S = 0.3
+FIND_S = 0.2
+# Time for a successor to write its takeover record in a slow store.
+OFFER_S = 1.5
+MOST_OFFERS = 2
+# Time for the answer of a host that may have gone; crossing zones and back
+# takes about 8 ms.
+GREETING_S = 0.15
+
+
+class Succession:
+    """What an entry host knows of the owner, and how it becomes the owner.
+
+    Parameters
+    ----------
+    member : Member
+        This process.
+    store : KeyStore
+        Holds the owner's key.
+    directory : Directory
+        Fed by the entry task.
+    logger : Logger
+        For each decision.
+    """
+
+    def __init__(
+        self,
+        member: Member,
+        store: KeyStore,
+        directory: Directory,
+        logger: Logger,
+    ) -> None:
+        self._member = member
+        self._store = store
+        self._directory = directory
+        self._logger = logger
+        self._lease_id = ''
+        self._orphaned_at = 0
+        self._ended = ''
+        # The key of the owner that this process takes the shard over from.
+        self._replaced_revision = 0
+        self.lease: OwnerLease | None = None
+
+    @property
+    def owner(self) -> tuple[Member, int] | None:
+        """The owner as this process knows it, and its key's revision."""
+        return self._directory.owners.get(SHARD)
+
+    def is_me(self, member: Member) -> bool:
+        """Tell whether a member is this process."""
+        return member.incarnation == self._member.incarnation
+
+    def note_lease(self, message: LeaseChanged) -> None:
+        """Take a lease, or its renewal."""
+        known = self.lease
+        failing = bool(message.lease.store_failing_since)
+        if known is None or bool(known.store_failing_since) != failing:
+            self._log(
+                'store-lost' if failing else 'store-reached',
+                (('lease', message.lease_id),),
+            )
+        self._lease_id = message.lease_id
+        self.lease = message.lease
+
+    def lose_lease(self) -> None:
+        """Note that the store has ended the lease."""
+        self._log('lease-lost', (('lease', self._lease_id),))
+        self._lease_id = ''
+
+    def note_ended(self, incarnation: str) -> None:
+        """Note that an owner's process has ended."""
+        self._ended = incarnation
+
+    def has_fresh_lease(self) -> bool:
+        """Tell whether the store has renewed the lease, without any grace."""
+        lease = self.lease
+        if lease is None or not self._lease_id:
+            return False
+        return now_ms() < lease.renewed_at + lease.ttl_ms
+
+    def find_claim(self) -> int | None:
+        """Return the revision that a claim replaces, or None for no claim.
+
+        The best host claims first; 0 means that there is no key.
+        """
+        owner = self.owner
+        if owner is not None and not self._is_gone(owner[0]):
+            self._orphaned_at = 0
+            return None
+        self._orphaned_at = self._orphaned_at or now_ms()
+        delay_ms = self._find_rank() * CLAIM_STEP_MS
+        if now_ms() - self._orphaned_at < delay_ms:
+            return None
+        return owner[1] if owner else 0
+
+    def _is_gone(self, member: Member) -> bool:
+        """Tell whether an owner's process is known to have ended.
+
+        The platform starts a process only after its predecessor ended.
+        """
+        return (
+            member.incarnation == self._ended
+            or member.name == self._member.name
+        )
+
+    def _find_rank(self) -> int:
+        """Return this host's place; hosts with more processor come first."""
+        members = self._directory.members
+        ranked = sorted(
+            rank_names(SHARD, members),
+            key=lambda name: -members[name].weight,
+        )
+        if self._member.name not in ranked:
+            return len(ranked)
+        return ranked.index(self._member.name)
+
+    def has_ended(self, owner: str) -> bool:
+        """Tell whether a process is known to have ended.
+
+        The platform starts a process only after its predecessor of the same
+        name has ended.
+
+        Parameters
+        ----------
+        owner : str
+            Its name and incarnation, separated by a slash.
+        """
+        name, _, incarnation = owner.rpartition('/')
+        if name == self._member.name:
+            return incarnation != self._member.incarnation
+        member = self._directory.members.get(name)
+        return member is not None and member.incarnation != incarnation
+
+    def begin_takeover(self, revision: int) -> None:
+        """Note which owner's key this process is about to replace."""
+        self._orphaned_at = 0
+        self._replaced_revision = revision
+
+    def find_rival(self) -> str:
+        """Return the name of another process that owns the shard, or ''."""
+        owner = self.owner
+        if owner is None or self.is_me(owner[0]):
+            return ''
+        if owner[1] <= self._replaced_revision:
+            # The own key is still being written in place of this one.
+            return ''
+        return owner[0].name
+
+    async def write_key(self, revision: int = 0) -> bool:
+        """Name this process the owner, in place of one that has ended."""
+        key, value = make_owner_key(SHARD), encode(self._member)
+        if not revision:
+            return await self._note_key(
+                self._store.create(
+                    key, value, self._lease_id, CallPriority.HIGH
+                )
+            )
+        return await self._note_key(
+            self._store.swap(
+                key, value, revision, self._lease_id, CallPriority.HIGH
+            )
+        )
+
+    async def _note_key(self, write: Awaitable[int]) -> bool:
+        try:
+            revision = await write
+        except StoreConflictError:
+            await self.read_key()
+            return False
+        except StoreError as error:
+            # The watch shows the key if the write took effect after all.
+            self._log('claim-failed', (('reason', str(error)),))
+            return False
+        self._directory.owners[SHARD] = (self._member, revision)
+        return True
+
+    async def read_key(self) -> None:
+        """Learn who holds the key, which may be this process itself."""
+        try:
+            item = await self._store.get(make_owner_key(SHARD))
+        except StoreError as error:
+            self._log('claim-failed', (('reason', str(error)),))
+            return
+        if item is not None:
+            self._directory.note(ControlChanged((item,)))
+
+    async def delete_key(self) -> None:
+        """Let another process claim the shard; only if the key is ours."""
+        owner = self.owner
+        if owner is None or not self.is_me(owner[0]):
+            return
+        try:
+            await self._store.delete(
+                make_owner_key(SHARD), owner[1], CallPriority.HIGH
+            )
+        except StoreError as error:
+            # The key goes with the lease.
+            self._log('release-failed', (('reason', str(error)),))
+            return
+        if self.owner == owner:
+            self.forget()
+
+    def forget(self) -> None:
+        """Claim anew before the next takeover.
+
+        The own view of the owner may be from before a cut, while another
+        process serves the shard.
+        """
+        owner = self.owner
+        if owner is not None and self.is_me(owner[0]):
+            del self._directory.owners[SHARD]
+
+    async def hand_over(self, message: HandOver) -> bool:
+        """Offer the shard to the other entry hosts, the best one first.
+
+        Where hosts have the same processors, the one that has started last
+        is best: in restarts one after the other it is the last to stop.
+        """
+        owner = self.owner
+        if owner is None or not self.is_me(owner[0]):
+            return False
+        offer = replace(message, owner_revision=owner[1])
+        members = sorted(
+            self._list_others(),
+            key=lambda member: (member.weight, member.started_ms),
+            reverse=True,
+        )
+        offers = 0
+        for member in members:
+            if offers == MOST_OFFERS:
+                break
+            link = self._directory.find_link(member.link_address)
+            greeting = await link.ask(FindOwner(SHARD), GREETING_S)
+            if not isinstance(greeting, OwnerFound):
+                # An offer to a host that has just gone would wait until the
+                # host is back, and nobody serves meanwhile.
+                continue
+            offers += 1
+            answer = await link.ask(offer, OFFER_S)
+            self._log(
+                'hand-over',
+                (
+                    ('to', member.name),
+                    ('taken', isinstance(answer, Acknowledged)),
+                    ('reason', getattr(answer, 'reason', '')),
+                ),
+            )
+            if isinstance(answer, Acknowledged):
+                return True
+            if isinstance(answer, NoAnswer):
+                # It may have taken the shard; the journal decides.
+                return False
+        return False
+
+    def _list_others(self) -> list[Member]:
+        return [
+            member
+            for member in self._directory.members.values()
+            if not self.is_me(member)
+        ]
+
+    async def ask_others(self) -> None:
+        """Learn from other entry hosts who the owner is.
+
+        An owner that is cut off from the store goes on for its grace, and a
+        host that is cut off would go on asking the owner that it knew.
+        """
+        async with anyio.create_task_group() as group:
+            for member in self._list_others():
+                group.start_soon(self._ask_for_owner, member)
+
+    async def _ask_for_owner(self, member: Member) -> None:
+        link = self._directory.find_link(member.link_address)
+        answer = await link.ask(FindOwner(SHARD), FIND_S)
+        if not isinstance(answer, OwnerFound) or not answer.member:
+            return
+        known = self.owner
+        if known is not None and known[1] >= answer.revision:
+            return
+        item = Item(make_owner_key(SHARD), answer.member, answer.revision)
+        self._directory.note(ControlChanged((item,)))
+        self._log(
+            'owner-found',
+            (('told_by', member.name), ('revision', answer.revision)),
+        )
+
+    def describe_owner(self) -> OwnerFound:
+        """Tell another host who the owner is, if the store can be reached."""
+        owner = self.owner
+        if owner is None or not self.has_fresh_lease():
+            return OwnerFound(SHARD, b'', 0)
+        return OwnerFound(SHARD, encode(owner[0]), owner[1])
+
+    async def probe_owner(self) -> str:
+        """Find out whether the owner's process has ended.
+
+        Returns
+        -------
+        str
+            The incarnation that has ended, or empty. Silence proves
+            nothing; the owner's lease will lapse.
+        """
+        owner = self.owner
+        if owner is None:
+            return ''
+        host, _, port = owner[0].link_address.rpartition(':')
+        try:
+            with anyio.fail_after(PROBE_S):
+                stream = await anyio.connect_tcp(host, int(port))
+                await stream.aclose()
+        except (OSError, TimeoutError) as error:
+            if not isinstance(error.__cause__, ConnectionRefusedError):
+                return ''
+            self._log('owner-ended', (('owner', owner[0].name),))
+            return owner[0].incarnation
+        return ''
+
+    def _log(self, kind: str, facts: tuple[tuple[str, object], ...]) -> None:
+        log_facts(self._logger, kind, facts)
+
+    async def ask_owner(self, message: Any, timeout_s: float) -> Any:
+        """Send a message to the owner; see `Directory.ask_owner`."""
+        return await self._directory.ask_owner(SHARD, message, timeout_s)
--- a/tests/daemons/test_entry.py
+++ b/tests/daemons/test_entry.py
@@ -17,10 +17,11 @@
 from sassafrasgate.daemons.directory import make_owner_key
 from sassafrasgate.daemons.dispatcher import DispatcherServices
 from sassafrasgate.daemons.entry import EntryTask
-from sassafrasgate.daemons.entry import SHARD
-from sassafrasgate.daemons.entry import ShardOffered
+from sassafrasgate.daemons.entry_messages import ShardOffered
 from sassafrasgate.daemons.leases import LeaseChanged
 from sassafrasgate.daemons.leases import Member
+from sassafrasgate.daemons.succession import SHARD
+from sassafrasgate.daemons.succession import Succession
 from sassafrasgate.dispatch.events import TableChanged
 from sassafrasgate.journal.records import encode_records
 from sassafrasgate.observability.clocks import now_ms
@@ -120,7 +121,8 @@
         Logger('test'),
         Metrics(),
     )
-    return EntryTask(ME, services, directory, None, None, None)
+    succession = Succession(ME, store, directory, Logger('test'))
+    return EntryTask(ME, services, directory, succession, None, None, None)
 
 
 async def test_a_successor_keeps_the_shard_while_it_writes_its_key(
@@ -137,17 +139,17 @@
         answers.append(message)
 
     async with anyio.create_task_group() as group:
-        task._note_control(ControlListed((own(OWNER, 5),), 5))
-        await task._handle(TableChanged(RoutingTable(1)), group)
+        await task.handle(ControlListed((own(OWNER, 5),), 5), group)
+        await task.handle(TableChanged(RoutingTable(1)), group)
         lease = replace(LEASE, renewed_at=now_ms())
-        await task._handle(LeaseChanged('1', lease), group)
+        await task.handle(LeaseChanged('1', lease), group)
         offer = HandOver(
             SHARD, encode_records(()), 1, 1, 0, 0, 0, owner_revision=5
         )
-        await task._handle(ShardOffered(offer, answer), group)
+        await task.handle(ShardOffered(offer, answer), group)
         await anyio.sleep(0.05)
-        dispatcher = task._dispatcher
-        task._note_control(ControlChanged((own(OWNER, 5),)))
+        dispatcher = task.dispatcher
+        await task.handle(ControlChanged((own(OWNER, 5),)), group)
         store.go_on.set()
         await anyio.sleep(0.05)
         kinds = [
@@ -184,7 +186,9 @@
     directory.find_link = links.__getitem__
     task = make_task(MemoryStore(), directory)
 
-    taken = await task.hand_over(HandOver(SHARD, b'', 1, 1, 0, 0, 0))
+    taken = await task.succession.hand_over(
+        HandOver(SHARD, b'', 1, 1, 0, 0, 0)
+    )
 
     assert taken
     assert links[NEXT.link_address].asked == [FindOwner]
--- a/tests/soak/__init__.py
+++ b/tests/soak/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the soak."""
+"""A soak: real processes under random faults, and the promises checked."""
--- a/soak/callers.py
+++ b/tests/soak/callers.py
@@ -12,13 +12,13 @@
 from aiohttp import ClientTimeout
 import anyio
 
-from soak.cells import HOST
-from soak.cells import QUEUES
+from tests.soak.cells import HOST
+from tests.soak.cells import QUEUES
 
 if TYPE_CHECKING:
     from random import Random
 
-    from soak.cells import Cell
+    from tests.soak.cells import Cell
 
 DEADLINE_S = 3.0
 TRIES = 5
--- a/soak/cells.py
+++ b/tests/soak/cells.py
@@ -15,11 +15,11 @@
 import anyio
 from yaml import safe_dump
 
-from soak.proxies import Proxy
 from tests.processes import find_free_address
 from tests.processes import find_loopback
 from tests.processes import ManagedProcess
 from tests.processes import Processes
+from tests.soak.proxies import Proxy
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
--- a/soak/faults.py
+++ b/tests/soak/faults.py
@@ -10,15 +10,15 @@
 import anyio
 
 from sassafrasgate.core.registries import Registry
-from soak.proxies import CALM
-from soak.proxies import Trouble
+from tests.soak.proxies import CALM
+from tests.soak.proxies import Trouble
 
 if TYPE_CHECKING:
     from random import Random
 
-    from soak.cells import Cell
-    from soak.cells import Entry
-    from soak.proxies import Proxy
+    from tests.soak.cells import Cell
+    from tests.soak.cells import Entry
+    from tests.soak.proxies import Proxy
 
 Fault = Callable[['Cell', 'Random'], Awaitable[None]]
 
--- a/soak/run.py
+++ b/tests/soak/run.py
@@ -1,7 +1,7 @@
 """Runs a soak: real processes, random faults, and checks of the promises.
 
-``python -m soak.run --seed 7 --seconds 60`` prints an account and ends with
-status 1 when a promise was broken. Logs stay in the given directory.
+``python -m tests.soak.run --seed 7 --seconds 60`` prints an account and ends
+with status 1 when a promise was broken. Logs stay in the given directory.
 """
 
 from __future__ import annotations
@@ -16,14 +16,14 @@
 
 import anyio
 
-from soak.callers import Callers
-from soak.cells import open_cell
-from soak.cells import PROGRAM
-from soak.faults import FAULTS
+from tests.soak.callers import Callers
+from tests.soak.cells import open_cell
+from tests.soak.cells import PROGRAM
+from tests.soak.faults import FAULTS
 
 if TYPE_CHECKING:
-    from soak.callers import Job
-    from soak.cells import Cell
+    from tests.soak.callers import Job
+    from tests.soak.cells import Cell
 
 SETTLE_S = 40.0
 LOOK_S = 0.5
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -8,11 +8,11 @@
 import anyio
 import pytest
 
-from soak.cells import PROGRAM
-from soak.faults import FAULTS
-from soak.run import Account
-from soak.run import main
-from soak.run import run_soak
+from tests.soak.cells import PROGRAM
+from tests.soak.faults import FAULTS
+from tests.soak.run import Account
+from tests.soak.run import main
+from tests.soak.run import run_soak
 
 SECONDS = 8.0
 
