Refuse at once where the owner has not been heard

A host that was cut off from the others sent each request to an owner that could not answer, three tries of 0.7 s each, and ended with 504: whether the job was accepted was unknown, so the caller could not hand it in elsewhere. It also stayed ready.

Links tell how long their peer has been silent. After 0.7 s (a heartbeat is due each 0.5 s) requests wait for news of the owner and are not sent; after 1.5 s, when a successor would have taken over, they are refused with 503 and the host is not ready.

--- a/sassafrasgate/daemons/entry.py
+++ b/sassafrasgate/daemons/entry.py
@@ -47,6 +47,12 @@
     Answer = Callable[[Any], Awaitable[None]]
 
 CLAIM_INTERVAL_S = 0.1
+# The owner sends a heartbeat each 500 ms, and a successor has taken over
+# 1.2 s after an owner is lost. A host that hears nobody for longer is cut off.
+OWNER_LOST_MS = 1_500
+# A request that is sent to an owner that has gone has an unknown effect; one
+# that waits for news of the owner can still be refused.
+OWNER_DOUBTED_MS = 700
 
 
 class EntryTask:
@@ -102,6 +108,15 @@
         """Return why requests can't be served now, or None."""
         if not self.version:
             return self.refuse_without_table()
+        silent_ms = self.succession.silent_ms
+        if self.dispatcher is None and silent_ms > OWNER_LOST_MS:
+            return Refusal(
+                RefusalKind.NOT_READY,
+                f'entry host {self.member.name!r} has not heard the owner '
+                f'for {silent_ms} ms',
+                'use another entry host, or send the request again after a '
+                'second',
+            )
         return None
 
     def refuse_without_table(self) -> Refusal:
@@ -274,6 +289,12 @@
         dispatcher = self.dispatcher
         if dispatcher is not None:
             return await dispatcher.ask(message, timeout_s)
+        if self.succession.silent_ms > OWNER_DOUBTED_MS:
+            return Refusal(
+                RefusalKind.NOT_READY,
+                'the owner has not been heard for a while',
+                'send the request again after a second',
+            )
         return await self.succession.ask_owner(message, timeout_s)
 
     async def find_owner(self) -> None:
--- a/sassafrasgate/daemons/gateways.py
+++ b/sassafrasgate/daemons/gateways.py
@@ -124,6 +124,9 @@
                 return answer
             if now_ms() + RETRY_S * 1000 >= deadline:
                 return unknown or answer
+            cut_off = self._task.refuse_unready()
+            if cut_off is not None and unknown is None:
+                return cut_off
             await self._task.find_owner()
             await anyio.sleep(RETRY_S)
 
--- a/sassafrasgate/daemons/succession.py
+++ b/sassafrasgate/daemons/succession.py
@@ -86,6 +86,14 @@
         """The owner as this process knows it, and its key's revision."""
         return self._directory.owners.get(SHARD)
 
+    @property
+    def silent_ms(self) -> int:
+        """How long the owner has not been heard; 0 without another owner."""
+        owner = self.owner
+        if owner is None or self.is_me(owner[0]):
+            return 0
+        return self._directory.find_link(owner[0].link_address).silent_ms
+
     def is_me(self, member: Member) -> bool:
         """Tell whether a member is this process."""
         return member.incarnation == self._member.incarnation
--- a/sassafrasgate/protocol/links.py
+++ b/sassafrasgate/protocol/links.py
@@ -125,6 +125,7 @@
         self._open: dict[int, MemoryObjectSendStream[Any]] = {}
         self._next_request = 1
         self._heard_at = 0
+        self._last_heard_at = now_ms()
         self._sent_at = 0
         self._counts = _Counter()
 
@@ -138,6 +139,11 @@
         """Whether the peer has been heard within `SILENCE_S`."""
         return now_ms() - self._heard_at < SILENCE_S * 1000
 
+    @property
+    def silent_ms(self) -> int:
+        """Time since the peer was heard, or since the link was made."""
+        return now_ms() - self._last_heard_at
+
     async def ask(
         self, message: Any, timeout_s: float, attempt: int = 1
     ) -> Any:
@@ -236,7 +242,7 @@
     async def _receive_answers(self, socket: zmq.asyncio.Socket) -> None:
         while True:
             frame = await socket.recv()
-            self._heard_at = now_ms()
+            self._heard_at = self._last_heard_at = now_ms()
             envelope = _read_frame(frame, self._counts, self._hear)
             if envelope is not None:
                 self._deliver(envelope)
--- a/tests/daemons/test_entry.py
+++ b/tests/daemons/test_entry.py
@@ -8,6 +8,8 @@
 import pytest
 
 from sassafrasgate.core.errors import NoAnswer
+from sassafrasgate.core.errors import Refusal
+from sassafrasgate.core.errors import RefusalKind
 from sassafrasgate.core.items import Item
 from sassafrasgate.core.routing import RoutingTable
 from sassafrasgate.daemons import entry
@@ -18,6 +20,7 @@
 from sassafrasgate.daemons.dispatcher import DispatcherServices
 from sassafrasgate.daemons.entry import EntryTask
 from sassafrasgate.daemons.entry_messages import ShardOffered
+from sassafrasgate.daemons.gateways import EntryGateway
 from sassafrasgate.daemons.leases import LeaseChanged
 from sassafrasgate.daemons.leases import Member
 from sassafrasgate.daemons.succession import SHARD
@@ -30,6 +33,8 @@
 from sassafrasgate.protocol.workflows import FindOwner
 from sassafrasgate.protocol.workflows import HandOver
 from sassafrasgate.protocol.workflows import OwnerFound
+from sassafrasgate.protocol.workflows import QueryWorkflow
+from sassafrasgate.protocol.workflows import WorkflowView
 from sassafrasgate.shards.ownership import OwnerLease
 from tests.journal.test_chain import MemoryStore
 
@@ -89,11 +94,12 @@
 class StubLink:
     """Answers as a test has it; None stands for silence."""
 
-    def __init__(self, answers):
+    def __init__(self, answers, silent_ms=0):
         self.answers = answers
+        self.silent_ms = silent_ms
         self.asked = []
 
-    async def ask(self, message, timeout_s):
+    async def ask(self, message, timeout_s, _attempt=1):
         self.asked.append(type(message))
         answer = self.answers.get(type(message))
         if answer is None:
@@ -193,3 +199,51 @@
     assert taken
     assert links[NEXT.link_address].asked == [FindOwner]
     assert links[OWNER.link_address].asked == [FindOwner, HandOver]
+
+
+def make_gateway(links, owner):
+    directory = make_directory()
+    directory.members = {m.name: m for m in (ME, OWNER, NEXT)}
+    directory.owners[SHARD] = (owner, 9)
+    directory.find_link = links.__getitem__
+    task = make_task(MemoryStore(), directory)
+    task.table = RoutingTable(1)
+    return EntryGateway(ME.name, task), directory
+
+
+async def test_a_host_that_is_cut_off_refuses_at_once_and_is_not_ready():
+    # Guards against 504 for requests that were never sent, and against
+    # clients that go on asking a host that can't serve them.
+    link = StubLink({}, silent_ms=2_000)
+    gateway, _ = make_gateway({OWNER.link_address: link}, OWNER)
+
+    with anyio.fail_after(0.3):
+        answer = await gateway.query('0123456789abcdef', 3.0)
+
+    assert isinstance(answer, Refusal)
+    assert answer.kind is RefusalKind.NOT_READY
+    assert QueryWorkflow not in link.asked
+    assert isinstance(gateway.is_ready(), Refusal)
+
+
+async def test_a_request_waits_for_the_successor_of_a_silent_owner():
+    # Guards against a request that is sent to an owner that has gone, whose
+    # effect nobody can tell.
+    view = WorkflowView('0123456789abcdef', None, 2)
+    links = {
+        OWNER.link_address: StubLink({}, silent_ms=900),
+        NEXT.link_address: StubLink({QueryWorkflow: view}),
+    }
+    gateway, directory = make_gateway(links, OWNER)
+
+    async def change_owner():
+        await anyio.sleep(0.3)
+        directory.note(ControlChanged((own(NEXT, 10),)))
+
+    async with anyio.create_task_group() as group:
+        group.start_soon(change_owner)
+        answer = await gateway.query('0123456789abcdef', 3.0)
+
+    assert answer == view
+    assert QueryWorkflow not in links[OWNER.link_address].asked
+    assert gateway.is_ready() is None
