Go on counting a worker's lives when its entry changes

The worker had restarted and obeyed a call for its second life; then its entry showed another address, and the new task for it began with the first life, whose fence is lower. The count now goes on over all tasks for a worker, and what the earlier task may have granted is counted with. Late calls and a second owner were ruled out: the epoch was the highest.

--- a/sassafrasgate/daemons/dispatcher.py
+++ b/sassafrasgate/daemons/dispatcher.py
@@ -564,6 +564,7 @@
             self.events,
             self._lease,
             self.state.hold_wait_ms or CALM_WAIT_MS,
+            action.lives,
         )
         self._group.start_soon(task.run)
 
--- a/sassafrasgate/daemons/workers.py
+++ b/sassafrasgate/daemons/workers.py
@@ -73,7 +73,8 @@
     epoch : int
         Of the owner that this task acts for.
     client : object
-        With the methods of `sassafrasgate.platform.workers.WorkerOrders`.
+        With methods ``hold``, ``start`` and ``stop``; closes with its
+        context.
     inbox : MemoryObjectReceiveStream
         Commands: actions of `sassafrasgate.dispatch.actions`,
         `OwnerLeaseChanged` and `StopSyncing`.
@@ -83,6 +84,8 @@
         The owner's lease when the task starts.
     wait_ms : int
         How long the worker may hold a look while nothing ends.
+    lives : int
+        Where the count of the worker's restarts begins.
     """
 
     def __init__(
@@ -94,6 +97,7 @@
         events: MemoryObjectSendStream[Any],
         lease: OwnerLease,
         wait_ms: int,
+        lives: int = 0,
     ) -> None:
         self.worker = worker
         self.epoch = epoch
@@ -104,7 +108,7 @@
         self._wait_ms = wait_ms
         self._reading: ClockReading | None = None
         self._born_ms = 0
-        self._lives = 0
+        self._lives = lives
         self._lapse_at = 0
         self._seen = 0
         self._acknowledged = 0
--- a/sassafrasgate/dispatch/actions.py
+++ b/sassafrasgate/dispatch/actions.py
@@ -15,9 +15,17 @@
 
 @dataclass(frozen=True, slots=True)
 class WatchWorker:
-    """Keep in touch with a worker from now on, or under a new address."""
+    """Keep in touch with a worker from now on, or under a new address.
+
+    Parameters
+    ----------
+    lives : int
+        Where the count of the worker's restarts begins; higher than for
+        any earlier action about the worker.
+    """
 
     registration: Registration
+    lives: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/sassafrasgate/dispatch/leases.py
+++ b/sassafrasgate/dispatch/leases.py
@@ -12,7 +12,9 @@
 # Allowance for timers on both sides.
 MARGIN_MS = 300
 # Lives of one worker that one owner can tell apart by the fence.
-LIVES_PER_EPOCH = 1_000
+LIVES_PER_EPOCH = 1_000_000
+# Restarts that may be counted before the owner gets in touch anew.
+LIVES_PER_WATCH = 1_000
 
 
 def find_grant_bound(sent_at: int, reading_age_ms: int) -> int:
--- a/sassafrasgate/dispatch/registrations.py
+++ b/sassafrasgate/dispatch/registrations.py
@@ -17,7 +17,10 @@
 from sassafrasgate.dispatch.handlers import DURABLE_HANDLERS
 from sassafrasgate.dispatch.handlers import EVENT_HANDLERS
 from sassafrasgate.dispatch.handlers import write_record
+from sassafrasgate.dispatch.leases import find_grant_bound
+from sassafrasgate.dispatch.leases import LIVES_PER_WATCH
 from sassafrasgate.dispatch.state import WorkerEntry
+from sassafrasgate.dispatch.waits import CALM_WAIT_MS
 from sassafrasgate.journal.workflows import WorkerForgotten
 from sassafrasgate.journal.workflows import WorkerSeen
 
@@ -62,7 +65,7 @@
         state.workers[worker] = WorkerEntry(registration)
         state.measure_free(worker)
         yield from _record_worker(state, registration)
-        yield WatchWorker(registration)
+        yield _watch_worker(state, registration)
         yield _describe_worker('worker-added', registration)
         return
     known = entry.registration
@@ -73,11 +76,30 @@
     state.dirty = True
     if known.address != registration.address:
         yield from _record_worker(state, registration)
-        yield WatchWorker(registration)
+        yield _watch_worker(state, registration)
     if replace(known, remaining_ms=0) != replace(registration, remaining_ms=0):
         yield _describe_worker('worker-changed', registration)
 
 
+def _watch_worker(
+    state: DispatchState, registration: Registration
+) -> WatchWorker:
+    """Begin calls to a worker, in place of any earlier ones.
+
+    The worker may have obeyed a call for a later life than the first, so
+    the count of its lives goes on. What the earlier calls have granted is
+    not known exactly.
+    """
+    worker = registration.worker
+    number = state.watches.get(worker, 0)
+    state.watches[worker] = number + 1
+    if number:
+        entry = state.workers[worker]
+        bound = find_grant_bound(state.now, CALM_WAIT_MS)
+        state.update_worker(worker, lapse_at=max(entry.lapse_at, bound))
+    return WatchWorker(registration, number * LIVES_PER_WATCH)
+
+
 def _record_worker(
     state: DispatchState, registration: Registration
 ) -> Actions:
@@ -160,7 +182,7 @@
             registration, registered=False, recorded=True
         )
         state.measure_free(worker)
-        yield WatchWorker(registration)
+        yield _watch_worker(state, registration)
 
 
 def forget_gone_workers(state: DispatchState) -> Actions:
--- a/sassafrasgate/dispatch/state.py
+++ b/sassafrasgate/dispatch/state.py
@@ -410,6 +410,8 @@
     health: dict[str, WorkerHealth] = field(default_factory=dict)
     slow: dict[str, SlowMark] = field(default_factory=dict)
     step_rates: dict[StepKey, float] = field(default_factory=dict)
+    # How often calls to a worker were begun under this owner.
+    watches: dict[str, int] = field(default_factory=dict)
     # When a run last finished on a worker, on the owner's clock.
     finished_at: dict[str, int] = field(default_factory=dict)
     accept_callers: dict[str, list[int]] = field(default_factory=dict)
--- a/tests/dispatch/simulation.py
+++ b/tests/dispatch/simulation.py
@@ -405,7 +405,9 @@
                     )
                     self.look(action.worker)
             elif isinstance(action, WatchWorker):
-                self.contacts[action.registration.worker] = Contact()
+                self.contacts[action.registration.worker] = Contact(
+                    lives=action.lives
+                )
                 self.look(action.registration.worker)
             elif isinstance(action, ForgetWorker):
                 self.contacts.pop(action.worker, None)
