Keep starts that may reach the new life of a restarted worker

Cause: soak ran a task on two workers. A start was sent while its worker restarted under its id; the new life, which has seen no fence, carried it out. The report with the new life's birth time made the owner give up all runs of the earlier life, this one too, and start it elsewhere.

Ruled out: a late order (the start was answered in 3 ms), a takeover (one epoch all along), the fence of the new life (it is only raised by the look after the one that shows the restart).

Change: runs that no report of the earlier life has listed stay until the next report, whose call carries the higher fence and does not wait; looks at silent workers acknowledge nothing; starts are not repeated after a report; a fence refusal for a call from before the restart does not depose the owner. A worker that calls a start invalid is avoided for half a second: the soak saw the same start every 3 ms.

--- a/sassafrasgate/daemons/workers.py
+++ b/sassafrasgate/daemons/workers.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Callable
 from collections.abc import Coroutine
+from dataclasses import replace
 from random import uniform
 from typing import Any
 from typing import TYPE_CHECKING
@@ -37,6 +38,7 @@
 from sassafrasgate.dispatch.leases import find_deadline
 from sassafrasgate.dispatch.leases import find_grant_bound
 from sassafrasgate.dispatch.leases import make_fence
+from sassafrasgate.dispatch.state import RunKey
 from sassafrasgate.observability.clocks import now_ms
 from sassafrasgate.shards.attempts import ClockReading
 from sassafrasgate.shards.ownership import may_send
@@ -112,6 +114,9 @@
         self._lapse_at = 0
         self._seen = 0
         self._acknowledged = 0
+        self._restarted = False
+        # Starts without an answer that no report has shown either.
+        self._unconfirmed: set[RunKey] = set()
         self._news = anyio.Event()
 
     async def run(self) -> None:
@@ -176,14 +181,16 @@
 
         Calls to a silent worker renew nothing: one that is carried out
         late would make its runs last longer than the owner counts with.
+        They acknowledge nothing either: the worker may have restarted, and
+        would forget ends of its new life that nobody has seen.
         """
-        request = HoldRequest(self._fence, self._acknowledged)
+        request = HoldRequest(self._fence)
         if not silent and self._reading is not None:
             request = HoldRequest(
                 self._fence,
                 self._acknowledged,
                 self._grant(),
-                self._wait_ms if self._acknowledged >= self._seen else 0,
+                self._choose_wait(),
             )
         try:
             report = await self._client.hold(request)
@@ -196,8 +203,10 @@
             await self._refuse_look(report)
             return False
         received_at = now_ms()
-        if report.born_ms != self._born_ms:
-            self._lives += 1 if self._born_ms else 0
+        known_ms = self._born_ms
+        self._restarted = bool(known_ms) and report.born_ms != known_ms
+        if report.born_ms != known_ms:
+            self._lives += 1 if known_ms else 0
             self._born_ms = report.born_ms
             self._seen = 0
             self._acknowledged = 0
@@ -205,11 +214,26 @@
         self._seen = max(
             self._seen, max((end.number for end in report.ended), default=0)
         )
+        self._unconfirmed.difference_update(
+            RunKey(running.task, running.run) for running in report.running
+        )
+        self._unconfirmed.difference_update(
+            RunKey(ended.task, ended.run) for ended in report.ended
+        )
         await self._events.send(
             WorkerReported(self.worker, report, received_at, self._lapse_at)
         )
         return True
 
+    def _choose_wait(self) -> int:
+        """Return how long the next look may wait for news, in ms.
+
+        The look after a restart tells which starts the new life has got.
+        """
+        if self._restarted or self._acknowledged < self._seen:
+            return 0
+        return self._wait_ms
+
     async def _refuse_look(self, refusal: StartRefusal) -> None:
         if refusal is StartRefusal.STALE_EPOCH:
             await self._events.send(EpochRefused(self.worker))
@@ -227,12 +251,24 @@
         return find_deadline(self._reading.clock, age_ms)
 
     async def start_run(self, command: StartRun) -> None:
-        """Start a run; repeat it while no answer comes."""
+        """Start a run; repeat it while neither answer nor report comes.
+
+        A repetition after a report might start what has ended, on a worker
+        that has restarted since.
+        """
+        self._unconfirmed.add(command.run)
+        await self._try_start(command)
+        self._unconfirmed.discard(command.run)
+
+    async def _try_start(self, command: StartRun) -> None:
         for number in range(1, START_TRIES + 1):
+            if command.run not in self._unconfirmed:
+                return
             reason = self._find_obstacle(command.born_ms)
             if reason:
                 await self._report_unsent(command, number, reason)
                 return
+            fence = self._fence
             try:
                 answer: RunAnswer = await self._client.start(
                     RunRequest(
@@ -240,7 +276,7 @@
                         command.run.run,
                         command.payload,
                         self._grant(),
-                        self._fence,
+                        fence,
                         command.checkpoint,
                         command.ticket,
                     )
@@ -255,11 +291,23 @@
                     )
                 )
                 continue
+            if self._is_outdated(answer, fence):
+                answer = replace(
+                    answer, refusal=StartRefusal.OTHER_INCARNATION
+                )
             await self._events.send(
                 RunAnswered(self.worker, command.run, answer)
             )
             return
 
+    def _is_outdated(self, answer: RunAnswer, fence: int) -> bool:
+        """Tell whether a call was refused for a restart since it was sent.
+
+        A later call of this owner has then reached the new life first.
+        """
+        stale = answer.refusal is StartRefusal.STALE_EPOCH
+        return stale and fence < self._fence
+
     async def _report_unsent(
         self, command: StartRun, number: int, reason: str
     ) -> None:
@@ -284,12 +332,15 @@
         for _ in range(STOP_TRIES):
             if not self.may_send():
                 return
+            fence = self._fence
             try:
                 answer: RunAnswer = await self._client.stop(
-                    command.run.task, command.run.run, self._fence
+                    command.run.task, command.run.run, fence
                 )
             except WorkerUnavailableError:
                 continue
+            if self._is_outdated(answer, fence):
+                continue
             if answer.refusal is StartRefusal.STALE_EPOCH:
                 await self._events.send(EpochRefused(self.worker))
                 return
--- a/sassafrasgate/dispatch/reports.py
+++ b/sassafrasgate/dispatch/reports.py
@@ -55,9 +55,7 @@
     if entry.silent_since or not entry.fenced or reborn:
         yield _describe_return(state, event, reborn)
     if reborn:
-        yield from drop_worker_runs(
-            state, event.worker, 'the worker restarted'
-        )
+        yield from _note_restart(state, event)
     state.update_worker(
         event.worker,
         fenced=True,
@@ -78,6 +76,30 @@
         state.dirty = True
 
 
+def _note_restart(state: DispatchState, event: WorkerReported) -> Actions:
+    """Give up the runs of a worker's earlier life.
+
+    A start that no report has listed, or a copy of one, may reach the new
+    life. Calls for the new life carry a higher fence, so the next report
+    tells whether it did.
+    """
+    for run in state.list_runs_on(event.worker):
+        if run.key not in state.runs:
+            continue
+        if run.listed and not run.uncertain:
+            yield from lose_run(state, run, 'the worker restarted')
+            continue
+        state.update_run(
+            run.key,
+            born_ms=event.report.born_ms,
+            phase=RunPhase.PRESENT,
+            present_clock=event.report.clock_ms,
+            stop_clock=0,
+            listed=False,
+        )
+    state.update_worker(event.worker, foreign=frozenset())
+
+
 def _describe_return(
     state: DispatchState, event: WorkerReported, reborn: bool
 ) -> Note:
@@ -194,6 +216,7 @@
             measure_run(run, running.percent, event.received_at),
             phase=RunPhase.PRESENT,
             present_clock=run.present_clock or event.report.clock_ms,
+            listed=True,
             checkpoint=running.checkpoint or run.checkpoint,
         )
     clock_ms = event.report.clock_ms
@@ -241,6 +264,7 @@
         started_at=state.now - step.estimate_ms * percent // 100,
         expected_ms=step.estimate_ms,
         present_clock=event.report.clock_ms,
+        listed=True,
         percent=running.percent,
         percent_at=event.received_at,
         checkpoint=running.checkpoint,
--- a/sassafrasgate/dispatch/starts.py
+++ b/sassafrasgate/dispatch/starts.py
@@ -22,8 +22,16 @@
     from sassafrasgate.dispatch.state import DispatchState
     from sassafrasgate.dispatch.state import RunEntry
 
-# How long a worker that refused a start as unhealthy gets no other.
+# How long a worker that refused a start for a reason of its own, which an
+# immediate repetition would meet again, gets no other.
 UNHEALTHY_PAUSE_MS = 500
+AVOIDED_REFUSALS = frozenset(
+    {
+        StartRefusal.UNHEALTHY,
+        StartRefusal.OTHER_INCARNATION,
+        StartRefusal.INVALID,
+    }
+)
 
 
 @EVENT_HANDLERS.register(RunAnswered)
@@ -83,7 +91,7 @@
         advice = state.advice.get(run.step)
         if advice is not None:
             advice.tickets.pop(run.worker, None)
-    if refusal in (StartRefusal.UNHEALTHY, StartRefusal.OTHER_INCARNATION):
+    if refusal in AVOIDED_REFUSALS:
         _avoid_worker(state, run.worker)
 
 
--- a/sassafrasgate/dispatch/state.py
+++ b/sassafrasgate/dispatch/state.py
@@ -82,6 +82,8 @@
     present_clock : int
         Worker's clock when it confirmed the run; a later report that does
         not list the run means that it is gone.
+    listed : bool
+        Whether a report of the worker's present life has listed it.
     stopping : bool
         Whether the owner wants it to end.
     stop_sent_at : int
@@ -111,6 +113,7 @@
     expected_ms: int = 0
     uncertain: bool = False
     present_clock: int = 0
+    listed: bool = False
     stopping: bool = False
     stop_sent_at: int = 0
     stop_clock: int = 0
--- /dev/null
+++ b/tests/daemons/test_workers.py
@@ -0,0 +1,195 @@
+"""Guards the calls to one worker, against a client that answers as told."""
+
+import anyio
+import pytest
+
+from sassafrasgate.core.errors import WorkerUnavailableError
+from sassafrasgate.core.workflows import EndedRun
+from sassafrasgate.core.workflows import EndKind
+from sassafrasgate.core.workflows import RunAnswer
+from sassafrasgate.core.workflows import StartRefusal
+from sassafrasgate.core.workflows import WorkerReport
+from sassafrasgate.daemons.workers import WorkerTask
+from sassafrasgate.dispatch.actions import AcknowledgeEnds
+from sassafrasgate.dispatch.actions import StartRun
+from sassafrasgate.dispatch.actions import StopRun
+from sassafrasgate.dispatch.events import EpochRefused
+from sassafrasgate.dispatch.events import RunAnswered
+from sassafrasgate.dispatch.events import RunUnanswered
+from sassafrasgate.dispatch.events import WorkerReported
+from sassafrasgate.dispatch.events import WorkerSilent
+from sassafrasgate.dispatch.state import RunKey
+from sassafrasgate.observability.clocks import now_ms
+from sassafrasgate.shards.ownership import OwnerLease
+
+pytestmark = pytest.mark.anyio
+
+RUN = RunKey('5c0e7a21d94b36f8.0.0.0', 1)
+START = StartRun('w', RUN, 'payload', '', '', 1)
+
+
+@pytest.fixture
+def anyio_backend():
+    return 'asyncio'
+
+
+class Client:
+    """A worker whose looks answer when the test lets them."""
+
+    def __init__(self):
+        self.born_ms = 1
+        self.ended = ()
+        self.holds = []
+        self.starts = 0
+        self.silent = False
+        self.looked = anyio.Event()
+        self.start_answer = None
+        self.stop_answers = []
+
+    async def __aenter__(self):
+        return self
+
+    async def __aexit__(self, *error):
+        return None
+
+    async def hold(self, request):
+        self.holds.append(request)
+        if request.wait_ms and not self.silent:
+            await self.looked.wait()
+            self.looked = anyio.Event()
+        if self.silent:
+            raise WorkerUnavailableError('no answer')
+        return WorkerReport(now_ms(), self.born_ms, (), self.ended)
+
+    async def start(self, request):
+        self.starts += 1
+        return await self.start_answer()
+
+    async def stop(self, task, run, fence):
+        return await self.stop_answers.pop(0)()
+
+
+class Bench:
+    """One worker task with its inbox, its events and its client."""
+
+    def __init__(self, group):
+        self.client = Client()
+        self.commands, inbox = anyio.create_memory_object_stream(100)
+        sender, self.events = anyio.create_memory_object_stream(100)
+        lease = OwnerLease(now_ms(), ttl_ms=60_000)
+        task = WorkerTask('w', 1, self.client, inbox, sender, lease, 2_000)
+        group.start_soon(task.run)
+
+    async def find(self, kind):
+        """Return the next event of a kind."""
+        with anyio.fail_after(5):
+            while True:
+                event = await self.events.receive()
+                if isinstance(event, kind):
+                    return event
+
+    async def restart(self):
+        """Let the worker report from a new life."""
+        self.client.born_ms += 1
+        self.client.ended = ()
+        self.client.looked.set()
+        return await self.find(WorkerReported)
+
+
+@pytest.fixture
+async def bench():
+    async with anyio.create_task_group() as group:
+        bench = Bench(group)
+        await bench.find(WorkerReported)
+        yield bench
+        group.cancel_scope.cancel()
+
+
+async def test_a_look_at_a_silent_worker_acknowledges_nothing(bench):
+    # Guards against a worker that restarts unseen and forgets an end of its
+    # new life, so that a finished task starts again.
+    bench.client.ended = (EndedRun(7, *RUN, EndKind.FINISHED, ''),)
+    bench.client.looked.set()
+    await bench.find(WorkerReported)
+    bench.commands.send_nowait(AcknowledgeEnds('w', 1, 7))
+    bench.client.silent = True
+    bench.client.looked.set()
+    await bench.find(WorkerSilent)
+    bench.client.holds.clear()
+
+    await bench.find(WorkerSilent)
+
+    assert [hold.acknowledged for hold in bench.client.holds][:1] == [0]
+
+
+async def test_a_start_is_not_repeated_after_a_report_of_its_end(bench):
+    # Guards against starting what has ended on a worker that has restarted.
+    reported = anyio.Event()
+
+    async def lose_answer():
+        await reported.wait()
+        raise WorkerUnavailableError('no answer')
+
+    bench.client.start_answer = lose_answer
+    bench.commands.send_nowait(START)
+    await anyio.wait_all_tasks_blocked()
+    bench.client.ended = (EndedRun(1, *RUN, EndKind.FINISHED, ''),)
+    bench.client.looked.set()
+    await bench.find(WorkerReported)
+    reported.set()
+    await bench.find(RunUnanswered)
+    await anyio.wait_all_tasks_blocked()
+
+    assert bench.client.starts == 1
+
+
+async def test_a_start_that_a_restart_overtakes_does_not_depose(bench):
+    # Guards against giving the shard up for a fence of this owner itself.
+    answered = anyio.Event()
+
+    async def refuse_late():
+        await answered.wait()
+        return RunAnswer(5, StartRefusal.STALE_EPOCH)
+
+    bench.client.start_answer = refuse_late
+    bench.commands.send_nowait(START)
+    await anyio.wait_all_tasks_blocked()
+    await bench.restart()
+    answered.set()
+
+    event = await bench.find(RunAnswered)
+    assert event.answer.refusal is StartRefusal.OTHER_INCARNATION
+
+
+async def test_a_stop_that_a_restart_overtakes_is_sent_again(bench):
+    # Guards against giving the shard up for a fence of this owner itself.
+    answered = anyio.Event()
+
+    async def refuse_late():
+        await answered.wait()
+        return RunAnswer(5, StartRefusal.STALE_EPOCH)
+
+    async def accept():
+        return RunAnswer(6)
+
+    bench.client.stop_answers = [refuse_late, accept]
+    bench.commands.send_nowait(StopRun('w', RUN))
+    await anyio.wait_all_tasks_blocked()
+    await bench.restart()
+    answered.set()
+    await anyio.wait_all_tasks_blocked()
+
+    assert not bench.client.stop_answers
+    kinds = []
+    while bench.events.statistics().current_buffer_used:
+        kinds.append(type(bench.events.receive_nowait()))
+    assert EpochRefused not in kinds
+
+
+async def test_the_look_after_a_restart_does_not_wait(bench):
+    # Guards against tasks that wait two seconds until it is known whether
+    # the new life has got their starts.
+    await bench.restart()
+    await anyio.wait_all_tasks_blocked()
+
+    assert 0 in [hold.wait_ms for hold in bench.client.holds[2:]]
--- a/tests/dispatch/simulation.py
+++ b/tests/dispatch/simulation.py
@@ -320,6 +320,8 @@
     lapse_at: int = 0
     silent: bool = True
     waiting: bool = False
+    # Starts without an answer that no report has shown either.
+    unconfirmed: set[Any] = field(default_factory=set)
 
 
 class SimOwner:
@@ -454,10 +456,11 @@
         if not self.may_send():
             contact.waiting = False
             return
-        deadline = 0
+        deadline = acknowledged = 0
         if not contact.silent:
             deadline = self.grant(contact)
-        request = (self.fence(contact), contact.acknowledged, deadline)
+            acknowledged = contact.acknowledged
+        request = (self.fence(contact), acknowledged, deadline)
         sim = world.workers[worker]
 
         def answer(report: Any) -> None:
@@ -476,6 +479,8 @@
             contact.seen = max(
                 contact.seen, max((e.number for e in report.ended), default=0)
             )
+            for row in (*report.running, *report.ended):
+                contact.unconfirmed.discard((row.task, row.run))
             self.feed(
                 WorkerReported(worker, report, world.now, contact.lapse_at)
             )
@@ -522,6 +527,8 @@
         """Send a start; repeat it while no answer comes."""
         contact = self.contacts.get(command.worker)
         world = self.world
+        if contact is not None and not sent:
+            contact.unconfirmed.add(command.run)
         if (
             contact is None
             or not self.may_send()
@@ -539,21 +546,28 @@
         sim = world.workers[command.worker]
 
         def carry_out(late: bool) -> None:
-            answer = RunAnswer(0, StartRefusal.OTHER_INCARNATION)
-            if sim.born_ms == command.born_ms:
-                answer = sim.start(world.now, epoch, command, deadline)
+            # An order that a worker has put off is lost with its life; one
+            # that has just been sent reaches whichever life there is.
+            if late and sim.born_ms != command.born_ms:
+                return
+            answer = sim.start(world.now, epoch, command, deadline)
             if not late:
                 world.reply(
-                    command.worker,
-                    lambda: self.feed(
-                        RunAnswered(command.worker, command.run, answer)
-                    ),
-                    give_up,
+                    command.worker, lambda: note_answer(answer), give_up
                 )
 
-        def give_up() -> None:
+        def note_answer(answer: RunAnswer) -> None:
             if self.dead:
                 return
+            contact.unconfirmed.discard(command.run)
+            stale = answer.refusal is StartRefusal.STALE_EPOCH
+            if stale and epoch < self.fence(contact):
+                answer = RunAnswer(0, StartRefusal.OTHER_INCARNATION)
+            self.feed(RunAnswered(command.worker, command.run, answer))
+
+        def give_up() -> None:
+            if self.dead or command.run not in contact.unconfirmed:
+                return
             last = number == 3
             self.feed(RunUnanswered(command.worker, command.run, last))
             if not last:
--- /dev/null
+++ b/tests/dispatch/test_restarts.py
@@ -0,0 +1,78 @@
+"""Guards tasks on a worker that starts again under its id."""
+
+from sassafrasgate.core.workflows import EndKind
+from sassafrasgate.core.workflows import StartRefusal
+from sassafrasgate.dispatch.actions import StartRun
+from sassafrasgate.dispatch.events import RunAnswered
+from tests.dispatch.drivers import Driver
+from tests.dispatch.drivers import pick
+from tests.dispatch.simulation import make_step
+
+JOB = '5c0e7a21d94b36f8'
+LATER_MS = 9
+
+
+def start_one():
+    """Return a driver and the start of its only task, without an answer."""
+    driver = Driver(workers=2)
+    (start,) = pick(driver.submit(JOB, make_step(1, 500)), StartRun)
+    driver.now += 10
+    return driver, start
+
+
+def restart(driver, start, lists=False):
+    """Let the worker report from a new life, and once more."""
+    driver.running[start.worker] = {start.run: 0} if lists else {}
+    driver.ends[start.worker] = 0
+    first = driver.report(start.worker, born_ms=LATER_MS)
+    driver.now += 10
+    return first, driver.report(start.worker, born_ms=LATER_MS)
+
+
+def test_a_start_that_may_reach_the_new_life_is_not_repeated_elsewhere():
+    # Guards against a second run of a task whose first start was on its way
+    # while the worker restarted.
+    driver, start = start_one()
+
+    first, second = restart(driver, start)
+
+    assert not pick(first, StartRun)
+    (again,) = pick(second, StartRun)
+    assert again.run.task == start.run.task
+
+
+def test_a_run_that_the_new_life_lists_goes_on():
+    # Guards against stopping or repeating a run that the new life has got.
+    driver, start = start_one()
+
+    first, second = restart(driver, start, lists=True)
+    third = driver.report(
+        start.worker,
+        ended=((start.run, EndKind.FINISHED),),
+        born_ms=LATER_MS,
+    )
+
+    assert not pick(first + second + third, StartRun)
+    assert driver.state.jobs[JOB].is_over
+
+
+def test_a_run_that_the_earlier_life_has_listed_starts_again_at_once():
+    # Guards against waiting for a run that is certainly gone.
+    driver, start = start_one()
+    driver.running[start.worker] = {start.run: 0}
+    driver.report(start.worker)
+    driver.now += 10
+
+    first, _ = restart(driver, start)
+
+    assert pick(first, StartRun)
+
+
+def test_a_worker_that_calls_a_start_invalid_gets_no_other_at_once():
+    # Guards against a start every few milliseconds on such a worker.
+    driver, start = start_one()
+
+    answer = driver.answer(StartRefusal.INVALID)
+    actions = driver.feed(RunAnswered(start.worker, start.run, answer))
+
+    assert all(a.worker != start.worker for a in pick(actions, StartRun))
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -15,6 +15,14 @@
 from tests.soak.run import run_soak
 
 SECONDS = 8.0
+# Seeds that have failed, with the fault behind it and the cause.
+REGRESSIONS = {
+    2026120403: (
+        'restart-worker',
+        'a start that reached the new life of a restarted worker was taken '
+        'for lost and repeated elsewhere',
+    ),
+}
 
 
 def run(
@@ -41,6 +49,17 @@
     assert account.faults
 
 
+@pytest.mark.parametrize('seed', REGRESSIONS)
+def test_seeds_that_have_failed(tmp_path, seed):
+    # Guards against the causes that `REGRESSIONS` names.
+    kind, cause = REGRESSIONS[seed]
+
+    account = run(tmp_path, seed, (kind,))
+
+    assert account.broken == (), cause
+    assert account.completed
+
+
 def test_soak_notices_a_missing_guard(tmp_path):
     # Guards against a soak that passes whatever the product does.
     account = run(tmp_path, 5, ('cut-worker',), program='tests.soak.unguarded')
