Listen for callers before the daemon's modules are imported

Change: the daemon of an entry host is a module of its own. It reads the settings, listens on the callers' address, and only then imports the rest; callers are served once the first routing table is there, or after a second. Messages between tasks moved to daemons/messages.py and inboxes to composition/runtime.py, so that the daemon does not import the other daemons, the command line or certificates.

--- a/sassafrasgate/composition/daemons.py
+++ b/sassafrasgate/composition/daemons.py
@@ -9,14 +9,14 @@
 import anyio
 
 from sassafrasgate.composition.processes import FRONTEND_TTL_MS
-from sassafrasgate.composition.processes import Inbox
-from sassafrasgate.composition.processes import make_inbox
 from sassafrasgate.composition.processes import open_process
 from sassafrasgate.composition.processes import Process
 from sassafrasgate.composition.processes import READY_DRAIN_S
 from sassafrasgate.composition.processes import SHARE_INTERVAL_S
 from sassafrasgate.composition.processes import SHARE_WEIGHTS
-from sassafrasgate.composition.processes import wait_for_stop
+from sassafrasgate.composition.runtime import Inbox
+from sassafrasgate.composition.runtime import make_inbox
+from sassafrasgate.composition.runtime import wait_for_stop
 from sassafrasgate.daemons.configurations import ConfigurationTask
 from sassafrasgate.daemons.configurations import VersionHeard
 from sassafrasgate.daemons.control import ControlTask
@@ -181,8 +181,8 @@
 
 async def serve_scheduler(settings: Settings) -> None:
     """Run a scheduler process until it is told to stop."""
+    from sassafrasgate.daemons.messages import StopProcess
     from sassafrasgate.daemons.scheduler import SchedulerTask
-    from sassafrasgate.daemons.scheduler import StopProcess
     from sassafrasgate.daemons.shards import ShardServices
     from sassafrasgate.http.application import build_application
     from sassafrasgate.http.limits import Limits
--- a/sassafrasgate/composition/entry.py
+++ b/sassafrasgate/composition/entry.py
@@ -13,8 +13,8 @@
 from logbook import Logger
 
 from sassafrasgate.adapters.entry import ENTRY_ADAPTERS
-from sassafrasgate.composition.processes import make_inbox
-from sassafrasgate.composition.processes import wait_for_stop
+from sassafrasgate.composition.runtime import make_inbox
+from sassafrasgate.composition.runtime import wait_for_stop
 from sassafrasgate.configuration.entry_settings import load_entry_settings
 from sassafrasgate.configuration.settings import SettingsError
 from sassafrasgate.core.identifiers import make_incarnation
@@ -29,9 +29,9 @@
 from sassafrasgate.daemons.lanes import Lanes
 from sassafrasgate.daemons.leases import LeaseTask
 from sassafrasgate.daemons.leases import Member
+from sassafrasgate.daemons.messages import StopProcess
 from sassafrasgate.daemons.relays import ask_relay
 from sassafrasgate.daemons.relays import RelayedStore
-from sassafrasgate.daemons.scheduler import StopProcess
 from sassafrasgate.daemons.succession import Succession
 from sassafrasgate.daemons.watches import PrefixWatch
 from sassafrasgate.daemons.watches import RegistrationTask
@@ -53,6 +53,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
     from pathlib import Path
+    from socket import socket
 
     from sassafrasgate.configuration.entry_settings import EntrySettings
     from sassafrasgate.http.gateways import Gateway
@@ -67,6 +68,8 @@
 READY_DRAIN_S = 2.6
 # Settings that a reload puts in force.
 APPLIED = frozenset({'writes_per_s', 'reads_per_s'})
+# Longest time that callers' connections wait for the first routing table.
+TABLE_WAIT_S = 1.0
 # Time for open requests to end before the process is killed.
 STOP_MARGIN_S = 1.2
 
@@ -109,15 +112,17 @@
         )
 
 
-async def serve_entry(path: Path) -> None:
+async def serve_entry(path: Path, listener: socket | None = None) -> None:
     """Run the process of an entry host until it is told to stop."""
     # A reload that is asked for from here on is carried out: the settings
     # are read after this point.
     with anyio.open_signal_receiver(SIGHUP) as signals:
-        await _serve_entry(path, signals)
+        await _serve_entry(path, signals, listener)
 
 
-async def _serve_entry(path: Path, signals: AsyncIterator[Signals]) -> None:
+async def _serve_entry(
+    path: Path, signals: AsyncIterator[Signals], listener: socket | None
+) -> None:
     settings = load_entry_settings(path)
     configure_logging(
         settings.log_level, settings.name, open_standard_output()
@@ -293,27 +298,33 @@
             closed.set()
 
         group.start_soon(close_later)
+        with anyio.move_on_after(TABLE_WAIT_S):
+            # Until then every request would be refused.
+            await task.has_table.wait()
         await serve_http(
             adapters.build_caller_application(gateway, logger),
             settings.caller_address,
             closed,
             max(0.0, settings.stop_s - READY_DRAIN_S - STOP_MARGIN_S),
+            listener=listener,
         )
         log_facts(logger, 'stopped', (('incarnation', member.incarnation),))
         group.cancel_scope.cancel()
 
 
-def run_entry(path: Path) -> None:
+def run_entry(path: Path, listener: socket | None = None) -> None:
     """Run the process of an entry host; blocks until it has stopped.
 
     Parameters
     ----------
     path : Path
         YAML file with its settings.
+    listener : socket, optional
+        Listens on the callers' address already.
 
     Raises
     ------
     SettingsError
         When the file has faults.
     """
-    anyio.run(serve_entry, path)
+    anyio.run(serve_entry, path, listener)
--- a/sassafrasgate/composition/processes.py
+++ b/sassafrasgate/composition/processes.py
@@ -4,14 +4,9 @@
 
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
-from signal import SIGINT
-from signal import SIGTERM
 from typing import Any
 from typing import TYPE_CHECKING
 
-import anyio
-from anyio.streams.memory import MemoryObjectReceiveStream
-from anyio.streams.memory import MemoryObjectSendStream
 from logbook import Logger
 
 from sassafrasgate.adapters.schemes import open_store
@@ -27,27 +22,12 @@
 
 LEASE_TIMEOUT_S = 0.8
 FRONTEND_TTL_MS = 10_000
-INBOX_SIZE = 10_000
 READY_DRAIN_S = 1.0
 SHARE_INTERVAL_S = 2.0
 # A front end only keeps its lease and publishes configurations.
 SHARE_WEIGHTS = {'scheduler': 8, 'frontend': 1}
 
 
-@dataclass(frozen=True, slots=True)
-class Inbox:
-    """Both ends of a task's inbox."""
-
-    send: MemoryObjectSendStream[Any]
-    receive: MemoryObjectReceiveStream[Any]
-
-
-def make_inbox(size: int = INBOX_SIZE) -> Inbox:
-    """Return a bounded inbox for one task."""
-    send, receive = anyio.create_memory_object_stream[Any](size)
-    return Inbox(send, receive)
-
-
 @dataclass(frozen=True, slots=True)
 class Process:
     """What front ends and schedulers have in common.
@@ -111,10 +91,3 @@
             Metrics(),
             Logger(f'sassafrasgate.{role}'),
         )
-
-
-async def wait_for_stop(event: anyio.Event) -> None:
-    """Set an event at the first SIGTERM or SIGINT."""
-    with anyio.open_signal_receiver(SIGTERM, SIGINT) as signals:
-        async for _ in signals:
-            event.set()
--- a/sassafrasgate/daemons/entry.py
+++ b/sassafrasgate/daemons/entry.py
@@ -17,9 +17,9 @@
 from sassafrasgate.daemons.entry_messages import ENTRY_REQUESTS
 from sassafrasgate.daemons.entry_messages import ProcessEnded
 from sassafrasgate.daemons.entry_messages import ShardOffered
+from sassafrasgate.daemons.messages import ClaimDue
+from sassafrasgate.daemons.messages import ShardAbandoned
 from sassafrasgate.daemons.relays import make_relayed_call
-from sassafrasgate.daemons.scheduler import ClaimDue
-from sassafrasgate.daemons.shards import ShardAbandoned
 from sassafrasgate.daemons.succession import FIND_S
 from sassafrasgate.daemons.succession import SHARD
 from sassafrasgate.journal.chain import LoadedJournal
@@ -95,6 +95,7 @@
         self.table = RoutingTable()
         self.dispatcher: DispatcherTask | None = None
         self.is_stopping = False
+        self.has_table = anyio.Event()
         self._inbox = inbox
         self._finding = False
         self._peers: tuple[str, ...] = ()
--- a/sassafrasgate/daemons/entry_messages.py
+++ b/sassafrasgate/daemons/entry_messages.py
@@ -14,10 +14,10 @@
 from sassafrasgate.daemons.control import ControlListed
 from sassafrasgate.daemons.leases import LeaseChanged
 from sassafrasgate.daemons.leases import LeaseLost
-from sassafrasgate.daemons.scheduler import ClaimDue
-from sassafrasgate.daemons.scheduler import StopProcess
-from sassafrasgate.daemons.shards import LeaseUpdated
-from sassafrasgate.daemons.shards import ShardAbandoned
+from sassafrasgate.daemons.messages import ClaimDue
+from sassafrasgate.daemons.messages import LeaseUpdated
+from sassafrasgate.daemons.messages import ShardAbandoned
+from sassafrasgate.daemons.messages import StopProcess
 from sassafrasgate.dispatch.events import TableChanged
 from sassafrasgate.observability.metrics import CONFIGURATION_VERSION
 from sassafrasgate.protocol.relays import RelayCall
@@ -119,6 +119,7 @@
     if message.table.version <= task.version:
         return
     task.table = message.table
+    task.has_table.set()
     task.services.metrics.set_gauge(CONFIGURATION_VERSION, task.version)
     task.log(
         'table',
--- a/sassafrasgate/daemons/hosts.py
+++ b/sassafrasgate/daemons/hosts.py
@@ -8,7 +8,6 @@
 
 from collections.abc import Callable
 from collections.abc import Coroutine
-from dataclasses import dataclass
 from random import uniform
 from typing import Any
 from typing import TYPE_CHECKING
@@ -22,6 +21,8 @@
 from sassafrasgate.core.tasks import StartRequest
 from sassafrasgate.core.tasks import SyncReply
 from sassafrasgate.core.tasks import SyncRequest
+from sassafrasgate.daemons.messages import OwnerLeaseChanged
+from sassafrasgate.daemons.messages import StopSyncing
 from sassafrasgate.observability.clocks import now_ms
 from sassafrasgate.shards.actions import FetchOutput
 from sassafrasgate.shards.actions import LimitTask
@@ -60,18 +61,6 @@
 COMMANDS: Registry[type[Any], Command] = Registry('host command')
 
 
-@dataclass(frozen=True, slots=True)
-class OwnerLeaseChanged:
-    """The owner's lease has been renewed, or the store's state changed."""
-
-    lease: OwnerLease
-
-
-@dataclass(frozen=True, slots=True)
-class StopSyncing:
-    """A successor may take over; only open calls are still served."""
-
-
 class HostTask:
     """Owns the client of one worker.
 
--- a/sassafrasgate/daemons/scheduler.py
+++ b/sassafrasgate/daemons/scheduler.py
@@ -24,8 +24,10 @@
 from sassafrasgate.daemons.leases import LeaseChanged
 from sassafrasgate.daemons.leases import LeaseLost
 from sassafrasgate.daemons.leases import Member
-from sassafrasgate.daemons.shards import LeaseUpdated
-from sassafrasgate.daemons.shards import ShardAbandoned
+from sassafrasgate.daemons.messages import ClaimDue
+from sassafrasgate.daemons.messages import LeaseUpdated
+from sassafrasgate.daemons.messages import ShardAbandoned
+from sassafrasgate.daemons.messages import StopProcess
 from sassafrasgate.daemons.shards import ShardServices
 from sassafrasgate.daemons.shards import ShardTask
 from sassafrasgate.journal.budget import CallPriority
@@ -66,16 +68,6 @@
     reason: str
 
 
-@dataclass(frozen=True, slots=True)
-class StopProcess:
-    """The process should release its shards and end."""
-
-
-@dataclass(frozen=True, slots=True)
-class ClaimDue:
-    """It is time to look for shards without an owner."""
-
-
 class SchedulerTask:
     """Owns the set of shards that this process serves.
 
--- a/sassafrasgate/daemons/shards.py
+++ b/sassafrasgate/daemons/shards.py
@@ -25,14 +25,16 @@
 from sassafrasgate.core.jobs import JobState
 from sassafrasgate.daemons.actions import ACTION_HANDLERS
 from sassafrasgate.daemons.hosts import HostTask
-from sassafrasgate.daemons.hosts import OwnerLeaseChanged
-from sassafrasgate.daemons.hosts import StopSyncing
 from sassafrasgate.daemons.journals import AppendRecord
 from sassafrasgate.daemons.journals import JournalTask
 from sassafrasgate.daemons.journals import run_journal
 from sassafrasgate.daemons.journals import SnapshotEnded
 from sassafrasgate.daemons.journals import WithdrawJob
 from sassafrasgate.daemons.journals import WriteSnapshot
+from sassafrasgate.daemons.messages import LeaseUpdated
+from sassafrasgate.daemons.messages import OwnerLeaseChanged
+from sassafrasgate.daemons.messages import ShardAbandoned
+from sassafrasgate.daemons.messages import StopSyncing
 from sassafrasgate.daemons.replies import ReplyTable
 from sassafrasgate.daemons.snapshots import SnapshotSchedule
 from sassafrasgate.journal.chain import Journal
@@ -117,20 +119,6 @@
     metrics: Metrics
 
 
-@dataclass(frozen=True, slots=True)
-class LeaseUpdated:
-    """The process's lease as it stands now."""
-
-    lease: OwnerLease
-
-
-@dataclass(frozen=True, slots=True)
-class ShardAbandoned:
-    """Another owner has the shard, or the process has lost its lease."""
-
-    reason: str
-
-
 class ShardTask:
     """Owns one shard from takeover to release.
 
--- a/sassafrasgate/daemons/workers.py
+++ b/sassafrasgate/daemons/workers.py
@@ -22,8 +22,8 @@
 from sassafrasgate.core.workflows import RunRequest
 from sassafrasgate.core.workflows import StartRefusal
 from sassafrasgate.core.workflows import WorkerReport
-from sassafrasgate.daemons.hosts import OwnerLeaseChanged
-from sassafrasgate.daemons.hosts import StopSyncing
+from sassafrasgate.daemons.messages import OwnerLeaseChanged
+from sassafrasgate.daemons.messages import StopSyncing
 from sassafrasgate.dispatch.actions import AcknowledgeEnds
 from sassafrasgate.dispatch.actions import ChangeHoldWait
 from sassafrasgate.dispatch.actions import StartRun
--- /dev/null
+++ b/sassafrasgate/http/listeners.py
@@ -0,0 +1,55 @@
+"""Listening sockets for HTTP."""
+
+from __future__ import annotations
+
+from ipaddress import ip_address
+from socket import AF_INET
+from socket import AF_INET6
+from socket import SO_REUSEADDR
+from socket import socket
+from socket import SOL_SOCKET
+
+from sassafrasgate.core.errors import SassafrasgateError
+
+IPV6 = 6
+BACKLOG = 1024
+
+
+class AddressError(SassafrasgateError):
+    """A listening address is not usable."""
+
+    def __init__(self, address: str, reason: str) -> None:
+        super().__init__(
+            f'cannot listen on {address!r}: {reason}; give an IP number and '
+            'a free port, such as 127.0.0.1:8080'
+        )
+
+
+def open_listener(address: str) -> socket:
+    """Return a socket that queues connections until they are served.
+
+    Parameters
+    ----------
+    address : str
+        IP number and port; port 0 lets the system choose one.
+
+    Raises
+    ------
+    AddressError
+        When the address is not an IP number with a port, or is in use.
+    """
+    host, _, port = address.rpartition(':')
+    host = host.strip('[]')
+    try:
+        version = ip_address(host).version
+        listener = socket(AF_INET6 if version == IPV6 else AF_INET)
+    except ValueError as error:
+        raise AddressError(address, str(error)) from error
+    try:
+        listener.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
+        listener.bind((host, int(port)))
+        listener.listen(BACKLOG)
+    except (OSError, OverflowError, ValueError) as error:
+        listener.close()
+        raise AddressError(address, str(error)) from error
+    return listener
--- a/sassafrasgate/http/server.py
+++ b/sassafrasgate/http/server.py
@@ -2,13 +2,7 @@
 
 from __future__ import annotations
 
-from ipaddress import ip_address
 from logging import getLogger
-from socket import AF_INET
-from socket import AF_INET6
-from socket import SO_REUSEADDR
-from socket import socket
-from socket import SOL_SOCKET
 from typing import Any
 from typing import cast
 from typing import TYPE_CHECKING
@@ -21,14 +15,15 @@
 from hypercorn.asyncio import serve
 from hypercorn.config import Config
 
-from sassafrasgate.core.errors import SassafrasgateError
+from sassafrasgate.http.listeners import BACKLOG
+from sassafrasgate.http.listeners import open_listener
 
 if TYPE_CHECKING:
+    from socket import socket
+
     from anyio.abc import TaskStatus
     from starlette.types import ASGIApp
 
-IPV6 = 6
-BACKLOG = 1024
 DRAIN_S = 20.0
 # Longer than the idle time of usual load balancers, so that the balancer
 # closes idle connections first and never sends into a closing one.
@@ -38,22 +33,13 @@
 KEEP_ALIVE_REQUESTS = 10**9
 
 
-class AddressError(SassafrasgateError):
-    """A listening address is not usable."""
-
-    def __init__(self, address: str, reason: str) -> None:
-        super().__init__(
-            f'cannot listen on {address!r}: {reason}; give an IP number and '
-            'a free port, such as 127.0.0.1:8080'
-        )
-
-
 async def serve_http(
     application: ASGIApp,
     address: str,
     shutdown_event: Event,
     drain_s: float = DRAIN_S,
     *,
+    listener: socket | None = None,
     task_status: TaskStatus[str] = TASK_STATUS_IGNORED,
 ) -> None:
     """Serve an application until ``shutdown_event`` is set.
@@ -72,6 +58,8 @@
         Starts the stop.
     drain_s : float
         How long open requests may take to end, in seconds.
+    listener : socket, optional
+        Listens on the address already; it is closed with the server.
     task_status : TaskStatus
         For ``TaskGroup.start``: gets the bound address once connections
         are accepted.
@@ -81,7 +69,8 @@
     AddressError
         When the address is not an IP number with a port, or is in use.
     """
-    listener = _open_listener(address)
+    if listener is None:
+        listener = open_listener(address)
     host, port = listener.getsockname()[:2]
     bound = f'[{host}]:{port}' if ':' in host else f'{host}:{port}'
     config = Config()
@@ -116,21 +105,3 @@
     # InvalidStateError, so it is told to stop instead.
     with CancelScope(shield=True):
         await serve(framework, config, shutdown_trigger=stop.wait)
-
-
-def _open_listener(address: str) -> socket:
-    host, _, port = address.rpartition(':')
-    host = host.strip('[]')
-    try:
-        version = ip_address(host).version
-        listener = socket(AF_INET6 if version == IPV6 else AF_INET)
-    except ValueError as error:
-        raise AddressError(address, str(error)) from error
-    try:
-        listener.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
-        listener.bind((host, int(port)))
-        listener.listen(BACKLOG)
-    except (OSError, OverflowError, ValueError) as error:
-        listener.close()
-        raise AddressError(address, str(error)) from error
-    return listener
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -17,7 +17,7 @@
 from sassafrasgate.http import bodies
 from sassafrasgate.http.application import build_application
 from sassafrasgate.http.limits import Limits
-from sassafrasgate.http.server import AddressError
+from sassafrasgate.http.listeners import AddressError
 from sassafrasgate.http.server import serve_http
 from sassafrasgate.observability.metrics import Metrics
 from sassafrasgate.protocol.messages import JobView
--- /dev/null
+++ b/tests/test_entry.py
@@ -0,0 +1,85 @@
+"""Guards the start of an entry host's daemon."""
+
+from socket import create_connection
+from socket import socket
+from types import SimpleNamespace
+
+from sassafrasgate import entry
+from sassafrasgate.commands.results import ExitCode
+
+
+def find_address():
+    """Return an address that nothing listens on."""
+    with socket() as free:
+        free.bind(('127.0.0.1', 0))
+        host, port = free.getsockname()
+    return f'{host}:{port}'
+
+
+def write_settings(path, **changes):
+    """Write the settings of an entry host; return the callers' address."""
+    settings = {
+        name: find_address()
+        for name in (
+            'caller_address',
+            'ready_address',
+            'metrics_address',
+            'link_address',
+            'store_address',
+        )
+    }
+    settings |= {'name': 'e1', 'failure_domain': 'd1', **changes}
+    text = ''.join(f"{key}: '{value}'\n" for key, value in settings.items())
+    path.write_text(text)
+    return settings['caller_address']
+
+
+def test_callers_can_connect_while_the_daemon_is_imported(
+    tmp_path, monkeypatch
+):
+    # Guards against callers that are turned away during the longest part of
+    # a start, and use up their retries.
+    path = tmp_path / 'settings.yaml'
+    address = write_settings(path)
+    listeners = []
+
+    def import_slowly(name):
+        host, port = address.split(':')
+        create_connection((host, int(port)), 1).close()
+        return SimpleNamespace(
+            run_entry=lambda path, listener: listeners.append(listener)
+        )
+
+    monkeypatch.setattr(entry, 'import_module', import_slowly)
+
+    assert entry.main([str(path)]) == ExitCode.OK
+    (listener,) = listeners
+    listener.close()
+
+
+def test_bad_settings_are_reported_before_anything_listens(tmp_path, capsys):
+    # Guards against a daemon that takes callers it can never serve.
+    path = tmp_path / 'settings.yaml'
+    write_settings(path, stop_s='soon')
+
+    assert entry.main([str(path)]) == ExitCode.BAD_INPUT
+    assert "'soon'" in capsys.readouterr().err
+
+
+def test_a_missing_argument_is_reported(capsys):
+    # Guards against a start without settings that fails with a trace.
+    assert entry.main([]) == ExitCode.BAD_INPUT
+    assert entry.USAGE in capsys.readouterr().err
+
+
+def test_an_address_in_use_is_reported(tmp_path, capsys):
+    # Guards against a trace where a port is taken.
+    path = tmp_path / 'settings.yaml'
+    with socket() as taken:
+        taken.bind(('127.0.0.1', 0))
+        taken.listen()
+        host, port = taken.getsockname()
+        write_settings(path, caller_address=f'{host}:{port}')
+
+        assert entry.main([str(path)]) == ExitCode.BAD_INPUT
+    assert f'{host}:{port}' in capsys.readouterr().err
