Say in the log why a caller's request was not served; count callers' requests

Cause: the line of a refused request had its status but no reason, routes that are not found left no line, and the callers' interface had no counters.

--- a/sassafrasgate/adapters/entry.py
+++ b/sassafrasgate/adapters/entry.py
@@ -29,9 +29,11 @@
         Where the operators' routing table lies.
     registrations : RegistrationSource
         Where workers register themselves.
-    build_caller_application, build_ready_application : callable
-        Return the ASGI applications of an entry host, from its gateway and
-        a logger.
+    build_caller_application : callable
+        Returns the ASGI application for callers, from the gateway, a logger
+        and the process's metrics.
+    build_ready_application : callable
+        Returns the ASGI application for the load balancer, from the gateway.
     """
 
     open_store: Callable[..., Any]
--- a/sassafrasgate/composition/entry.py
+++ b/sassafrasgate/composition/entry.py
@@ -302,7 +302,7 @@
             # Until then every request would be refused.
             await task.has_table.wait()
         await serve_http(
-            adapters.build_caller_application(gateway, logger),
+            adapters.build_caller_application(gateway, logger, metrics),
             settings.caller_address,
             closed,
             max(0.0, settings.stop_s - READY_DRAIN_S - STOP_MARGIN_S),
--- a/sassafrasgate/platform/callers.py
+++ b/sassafrasgate/platform/callers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 import re
 from typing import Annotated
 from typing import Any
@@ -24,6 +25,10 @@
 from sassafrasgate.core.resources import Resources
 from sassafrasgate.core.workflows import Step
 from sassafrasgate.core.workflows import Workflow
+from sassafrasgate.observability.clocks import now_ms
+from sassafrasgate.observability.logs import log_facts
+from sassafrasgate.observability.metrics import REQUEST_SECONDS
+from sassafrasgate.observability.metrics import REQUESTS
 
 if TYPE_CHECKING:
     from logbook import Logger
@@ -32,6 +37,7 @@
     from starlette.types import Send
 
     from sassafrasgate.core.routing import Queue
+    from sassafrasgate.observability.metrics import Metrics
     from sassafrasgate.protocol.workflows import PendingCount
     from sassafrasgate.protocol.workflows import WorkflowView
 
@@ -43,6 +49,7 @@
 ANSWER_MARGIN_MS = 60
 # When to come back after a refusal that says that nothing has run.
 RETRY_AFTER_S = 1
+RETRIED_STATUSES = frozenset({429, 503})
 MOST_STEPS = 256
 MOST_TASKS = 100_000
 MOST_BODY_BYTES = 1_048_576
@@ -91,6 +98,10 @@
 class WorkflowGateway(Protocol):
     """What the callers' interface needs of the product."""
 
+    @property
+    def version(self) -> int:
+        """Version of the routing table in force; 0 before the first."""
+
     def is_ready(self) -> Refusal | None:
         """Return None when the process may serve, else the reason."""
 
@@ -118,6 +129,36 @@
         """Count a queue's workflows that have not begun."""
 
 
+@dataclass(frozen=True, slots=True)
+class CallerAnswer:
+    """The answer to one request.
+
+    Parameters
+    ----------
+    status : int
+        HTTP status.
+    body : dict
+        Becomes a JSON document.
+    reason : str
+        Why the request has failed; empty when it has not.
+    """
+
+    status: int
+    body: dict[str, object]
+    reason: str = ''
+
+    def render(self) -> Response:
+        """Return the answer as the callers' interface sends it."""
+        response = Response(
+            encode(self.body),
+            status_code=self.status,
+            media_type='application/json',
+        )
+        if self.status in RETRIED_STATUSES:
+            response.headers['Retry-After'] = str(RETRY_AFTER_S)
+        return response
+
+
 METHODS: Registry[str, Any] = Registry('caller method')
 
 
@@ -129,12 +170,17 @@
     gateway : WorkflowGateway
         The product.
     logger : Logger
-        For refused requests.
+        For requests that are not served.
+    metrics : Metrics
+        Counts requests and their time, by method.
     """
 
-    def __init__(self, gateway: WorkflowGateway, logger: Logger) -> None:
+    def __init__(
+        self, gateway: WorkflowGateway, logger: Logger, metrics: Metrics
+    ) -> None:
         self._gateway = gateway
         self._logger = logger
+        self._metrics = metrics
 
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
@@ -143,13 +189,27 @@
         if scope['type'] != 'http':
             return
         request = Request(scope, receive)
+        began = now_ms()
         try:
-            response = await self._respond(request)
+            answer = await self._answer(request)
         except ClientDisconnect:
+            self._log('caller-left', request, began, ())
             return
-        await response(scope, receive, send)
+        if answer.reason:
+            self._log(
+                'caller-refused',
+                request,
+                began,
+                (('status', answer.status), ('reason', answer.reason)),
+            )
+        await answer.render()(scope, receive, send)
+        route = f'callers {request.method}'
+        self._metrics.count(REQUESTS, route, str(answer.status))
+        self._metrics.observe(
+            REQUEST_SECONDS, (now_ms() - began) / 1000, route
+        )
 
-    async def _respond(self, request: Request) -> Response:
+    async def _answer(self, request: Request) -> CallerAnswer:
         if request.method not in METHODS:
             return _describe(405, f'method {request.method!r} is not served')
         host = request.headers.get('host', '').partition(':')[0]
@@ -158,22 +218,35 @@
         if isinstance(queue, Refusal):
             return _refuse(queue)
         job_id = path.removeprefix(queue.prefix)
-        response: Response = await METHODS.find(request.method)(
+        answer: CallerAnswer = await METHODS.find(request.method)(
             self._gateway, request, queue, job_id
         )
-        if response.status_code >= 400:
-            self._logger.info(
-                'caller-refused',
-                extra={
-                    'facts': (
-                        ('job', job_id),
-                        ('method', request.method),
-                        ('status', response.status_code),
-                        ('queue', queue.name),
-                    )
-                },
-            )
-        return response
+        return answer
+
+    def _log(
+        self,
+        kind: str,
+        request: Request,
+        began: int,
+        facts: tuple[tuple[str, object], ...],
+    ) -> None:
+        """Write a line about a request that was not served.
+
+        The job's id is the last part of the path.
+        """
+        log_facts(
+            self._logger,
+            kind,
+            (
+                ('job', request.url.path.rpartition('/')[2]),
+                ('method', request.method),
+                ('path', request.url.path),
+                ('table', self._gateway.version),
+                ('deadline_ms', request.headers.get(DEADLINE_HEADER, '')),
+                ('took_ms', now_ms() - began),
+                *facts,
+            ),
+        )
 
 
 class ReadyApplication:
@@ -188,20 +261,19 @@
         """Serve one request."""
         if scope['type'] != 'http':
             return
+        answer = CallerAnswer(200, {})
+        refusal = self._gateway.is_ready()
         if scope['path'] != READY_PATH:
-            response = _describe(404, f'use {READY_PATH}')
-        else:
-            refusal = self._gateway.is_ready()
-            response = Response(status_code=200)
-            if refusal is not None:
-                response = _refuse(refusal)
-        await response(scope, receive, send)
+            answer = _describe(404, f'use {READY_PATH}')
+        elif refusal is not None:
+            answer = _refuse(refusal)
+        await answer.render()(scope, receive, send)
 
 
 @METHODS.register('POST')
 async def submit_job(
     gateway: WorkflowGateway, request: Request, queue: Queue, job_id: str
-) -> Response:
+) -> CallerAnswer:
     """Hand a job in."""
     if not JOB_ID.fullmatch(job_id):
         return _describe(400, f'{job_id!r} is not 16 hexadecimal digits')
@@ -217,13 +289,13 @@
     if isinstance(answer, NoAnswer):
         # Whether the job was accepted is not known: the caller asks again.
         return _describe(504, answer.reason)
-    return _render(200, {})
+    return CallerAnswer(200, {})
 
 
 @METHODS.register('GET')
 async def show_job(
     gateway: WorkflowGateway, request: Request, queue: Queue, job_id: str
-) -> Response:
+) -> CallerAnswer:
     """Tell a job's state, or how many jobs of a queue have not begun."""
     timeout_s = _find_timeout_s(request)
     if not job_id:
@@ -232,14 +304,14 @@
             return _refuse(count)
         if isinstance(count, NoAnswer):
             return _describe(504, count.reason)
-        return _render(200, {'pending': count.count})
+        return CallerAnswer(200, {'pending': count.count})
     return _render_view(await gateway.query(job_id, timeout_s))
 
 
 @METHODS.register('DELETE')
 async def cancel_job(
     gateway: WorkflowGateway, request: Request, queue: Queue, job_id: str
-) -> Response:
+) -> CallerAnswer:
     """Cancel a job."""
     return _render_view(await gateway.cancel(job_id, _find_timeout_s(request)))
 
@@ -309,14 +381,14 @@
     return max(ANSWER_MARGIN_MS, wait_ms - ANSWER_MARGIN_MS) / 1000
 
 
-def _render_view(answer: WorkflowView | Refusal | NoAnswer) -> Response:
+def _render_view(answer: WorkflowView | Refusal | NoAnswer) -> CallerAnswer:
     if isinstance(answer, Refusal):
         return _refuse(answer)
     if isinstance(answer, NoAnswer):
         return _describe(504, answer.reason)
     if answer.state is None:
         return _describe(410, 'no such job')
-    return _render(200, {'state': answer.state})
+    return CallerAnswer(200, {'state': answer.state})
 
 
 STATUSES = {
@@ -326,19 +398,10 @@
 }
 
 
-def _refuse(refusal: Refusal) -> Response:
+def _refuse(refusal: Refusal) -> CallerAnswer:
     status = STATUSES.get(refusal.kind, 503)
-    response = _describe(status, f'{refusal.reason}; {refusal.remedy}')
-    if status in (429, 503):
-        response.headers['Retry-After'] = str(RETRY_AFTER_S)
-    return response
-
+    return _describe(status, f'{refusal.reason}; {refusal.remedy}')
 
-def _describe(status: int, reason: str) -> Response:
-    return _render(status, {'error': reason})
 
-
-def _render(status: int, body: dict[str, object]) -> Response:
-    return Response(
-        encode(body), status_code=status, media_type='application/json'
-    )
+def _describe(status: int, reason: str) -> CallerAnswer:
+    return CallerAnswer(status, {'error': reason}, reason)
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -5,6 +5,7 @@
 from httpx import ASGITransport
 from httpx import AsyncClient
 from logbook import Logger
+from logbook import TestHandler
 import pytest
 
 from sassafrasgate.core.errors import NoAnswer
@@ -13,6 +14,7 @@
 from sassafrasgate.core.resources import Resources
 from sassafrasgate.core.routing import Queue
 from sassafrasgate.core.workflows import WorkflowState
+from sassafrasgate.observability.metrics import Metrics
 from sassafrasgate.platform.callers import CallerApplication
 from sassafrasgate.platform.callers import MOST_BODY_BYTES
 from sassafrasgate.platform.callers import read_workflow
@@ -29,6 +31,8 @@
 class Gateway:
     """Answers each request with what a test has set."""
 
+    version = 3
+
     def __init__(self):
         self.answer = WorkflowView(JOB, WorkflowState.QUEUED, 1)
         self.ready = None
@@ -66,7 +70,7 @@
 
 @pytest.fixture
 async def client(gateway):
-    application = CallerApplication(gateway, Logger('test'))
+    application = CallerApplication(gateway, Logger('test'), Metrics())
     async with AsyncClient(
         transport=ASGITransport(application), base_url='http://h.example'
     ) as found:
@@ -206,3 +210,57 @@
     assert isinstance(
         read_workflow(dumps({**BODY, name: -1}).encode()), Refusal
     )
+
+
+async def test_a_failed_request_leaves_a_line_with_its_cause(client, gateway):
+    # Guards against a complaint that nobody can explain afterwards.
+    gateway.answer = NoAnswer('the owner has not answered in 0.7 s')
+    with TestHandler() as handler:
+        await client.post(
+            f'/q/{JOB}', json=BODY, headers={'Request-Deadline': '900'}
+        )
+
+    (record,) = handler.records
+    assert record.message == 'caller-refused'
+    facts = dict(record.extra['facts'])
+    assert facts['job'] == JOB
+    assert facts['status'] == 504
+    assert facts['reason'] == gateway.answer.reason
+    assert facts['table'] == gateway.version
+    assert facts['deadline_ms'] == '900'
+    assert facts['took_ms'] >= 0
+
+
+async def test_a_request_for_an_unknown_route_leaves_a_line(client):
+    # Guards against a 404 after a change of the table without a trace.
+    with TestHandler() as handler:
+        await client.get(f'/unknown/{JOB}')
+
+    (record,) = handler.records
+    assert dict(record.extra['facts'])['status'] == 404
+
+
+async def test_a_served_request_leaves_no_line_here(client):
+    # Guards against a line for each look; the owner logs its decisions.
+    with TestHandler() as handler:
+        await client.get(f'/q/{JOB}')
+
+    assert not handler.records
+
+
+async def test_requests_are_counted_by_method_and_status(gateway):
+    # Guards against an outage that no counter of the callers' interface
+    # shows.
+    metrics = Metrics()
+    application = CallerApplication(gateway, Logger('test'), metrics)
+    transport = ASGITransport(application)
+    async with AsyncClient(
+        transport=transport, base_url=f'http://{QUEUE.host}'
+    ) as client:
+        await client.get(f'/q/{JOB}')
+        await client.post('/q/not-an-id', json=BODY)
+
+    text = metrics.render().decode()
+    assert 'route="callers GET",status="200"' in text
+    assert 'route="callers POST",status="400"' in text
+    assert 'http_request_seconds_count' in text
