Pace tasks that fill beside tasks that serve users

Cause: filling tasks reserve no processor time and were started beside serving tasks without any regard to the latency of these, which the users' rules forbid to spoil; the load that workers report was dropped.

Change: the load is decoded into RunningRun. Their progress is no evidence about workers: the judge of slow workers would have stopped a filling task that is paced down.

--- a/sassafrasgate/core/workflows.py
+++ b/sassafrasgate/core/workflows.py
@@ -155,12 +155,16 @@
     percent : int
         Share of the work that is done; for a long-running task 100 once it
         is at work.
+    load : int
+        For the last half second: tail latency in ms of a task that serves
+        users, millicores in use of any other.
     """
 
     task: str
     run: int
     checkpoint: str
     percent: int
+    load: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/sassafrasgate/daemons/dispatching.py
+++ b/sassafrasgate/daemons/dispatching.py
@@ -13,6 +13,7 @@
 from sassafrasgate.dispatch.actions import ChangeHoldWait
 from sassafrasgate.dispatch.actions import ForgetWorker
 from sassafrasgate.dispatch.actions import Note
+from sassafrasgate.dispatch.actions import PaceRun
 from sassafrasgate.dispatch.actions import StartRun
 from sassafrasgate.dispatch.actions import StopRun
 from sassafrasgate.dispatch.actions import WatchWorker
@@ -56,6 +57,7 @@
 
 
 @DISPATCH_ACTIONS.register(StopRun)
+@DISPATCH_ACTIONS.register(PaceRun)
 @DISPATCH_ACTIONS.register(AcknowledgeEnds)
 async def _command(task: DispatcherTask, action: Any) -> None:
     task.command_worker(action.worker, action)
--- a/sassafrasgate/daemons/workers.py
+++ b/sassafrasgate/daemons/workers.py
@@ -26,9 +26,11 @@
 from sassafrasgate.daemons.messages import StopSyncing
 from sassafrasgate.dispatch.actions import AcknowledgeEnds
 from sassafrasgate.dispatch.actions import ChangeHoldWait
+from sassafrasgate.dispatch.actions import PaceRun
 from sassafrasgate.dispatch.actions import StartRun
 from sassafrasgate.dispatch.actions import StopRun
 from sassafrasgate.dispatch.events import EpochRefused
+from sassafrasgate.dispatch.events import PaceAnswered
 from sassafrasgate.dispatch.events import RunAnswered
 from sassafrasgate.dispatch.events import RunNotSent
 from sassafrasgate.dispatch.events import RunUnanswered
@@ -350,12 +352,34 @@
                 )
             return
 
+    async def pace_run(self, command: PaceRun) -> None:
+        """Set a run's pace; the dispatcher repeats it when nothing follows."""
+        if not self.may_send():
+            return
+        fence = self._fence
+        try:
+            answer: RunAnswer = await self._client.pace(
+                command.run.task, command.run.run, command.percent, fence
+            )
+        except WorkerUnavailableError:
+            # The next look tells whether the worker is silent.
+            return
+        if answer.refusal is None:
+            await self._events.send(
+                PaceAnswered(self.worker, command.run, command.percent)
+            )
+
 
 @COMMANDS.register(StartRun)
 async def _start_run(task: WorkerTask, command: StartRun) -> None:
     await task.start_run(command)
 
 
+@COMMANDS.register(PaceRun)
+async def _pace_run(task: WorkerTask, command: PaceRun) -> None:
+    await task.pace_run(command)
+
+
 @COMMANDS.register(StopRun)
 async def _stop_run(task: WorkerTask, command: StopRun) -> None:
     await task.stop_run(command)
--- a/sassafrasgate/dispatch/actions.py
+++ b/sassafrasgate/dispatch/actions.py
@@ -55,6 +55,15 @@
     run: RunKey
 
 
+@dataclass(frozen=True, slots=True)
+class PaceRun:
+    """Let a run work at a share of its speed, from 0 to 100 percent."""
+
+    worker: str
+    run: RunKey
+    percent: int
+
+
 @dataclass(frozen=True, slots=True)
 class AcknowledgeEnds:
     """Let a worker forget its ends up to a number.
--- a/sassafrasgate/dispatch/events.py
+++ b/sassafrasgate/dispatch/events.py
@@ -127,6 +127,15 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class PaceAnswered:
+    """A worker has put a run's pace in force."""
+
+    worker: str
+    run: RunKey
+    percent: int
+
+
 @dataclass(frozen=True, slots=True)
 class StopAnswered:
     """A worker answered a stop: the run will not start there any more.
--- a/sassafrasgate/dispatch/passes.py
+++ b/sassafrasgate/dispatch/passes.py
@@ -21,6 +21,7 @@
 from sassafrasgate.dispatch.ordering import rank_step
 from sassafrasgate.dispatch.recovery import find_next_run
 from sassafrasgate.dispatch.reports import reserve_demand
+from sassafrasgate.dispatch.sharing import choose_first_pace
 from sassafrasgate.dispatch.speeds import is_paused
 from sassafrasgate.dispatch.state import name_task
 from sassafrasgate.dispatch.state import RunEntry
@@ -256,9 +257,13 @@
     on_worker: dict[str, int],
     failed_on: tuple[str, ...],
 ) -> WorkerEntry | None:
-    """Return the fullest worker that has room, near the data if possible."""
+    """Return the fullest worker that has room, near the data if possible.
+
+    Filling tasks go where nothing serves, and tasks that serve where least
+    works beside them.
+    """
     best: WorkerEntry | None = None
-    best_score: tuple[bool, bool, int] | None = None
+    best_score: tuple[bool, bool, bool, int] | None = None
     for worker in workers:
         name = worker.registration.worker
         free = state.free[name]
@@ -273,7 +278,9 @@
         if not _respects_hold(state, plan, step, worker, demand):
             continue
         far = bool(step.rack) and worker.registration.rack != step.rack
-        score = (name in failed_on, far, free.millicores)
+        beside = step.fills and name in state.serving
+        room = -free.millicores if step.target_ms else free.millicores
+        score = (name in failed_on, far, beside, room)
         if best_score is None or score < best_score:
             best, best_score = worker, score
     return best
@@ -344,6 +351,10 @@
             demand,
             started_at=state.now,
             expected_ms=_expect_ms(step, worker),
+            target_ms=step.target_ms,
+            fills=step.fills,
+            pace=choose_first_pace(state, name, step.fills),
+            paced_at=state.now,
         )
     )
     advice = state.advice.get(key, StepAdvice())
--- a/sassafrasgate/dispatch/reports.py
+++ b/sassafrasgate/dispatch/reports.py
@@ -19,6 +19,9 @@
 from sassafrasgate.dispatch.health import note_run_end
 from sassafrasgate.dispatch.progress import want_task
 from sassafrasgate.dispatch.requests import show_end
+from sassafrasgate.dispatch.sharing import choose_first_pace
+from sassafrasgate.dispatch.sharing import FULL_PACE
+from sassafrasgate.dispatch.sharing import UNKNOWN_PACE
 from sassafrasgate.dispatch.speeds import measure_run
 from sassafrasgate.dispatch.speeds import note_finished_run
 from sassafrasgate.dispatch.state import RunEntry
@@ -218,6 +221,8 @@
             present_clock=run.present_clock or event.report.clock_ms,
             listed=True,
             checkpoint=running.checkpoint or run.checkpoint,
+            load=running.load,
+            load_at=event.received_at,
         )
     clock_ms = event.report.clock_ms
     for run in state.list_runs_on(event.worker):
@@ -268,6 +273,14 @@
         percent=running.percent,
         percent_at=event.received_at,
         checkpoint=running.checkpoint,
+        target_ms=step.target_ms,
+        fills=step.fills,
+        load=running.load,
+        load_at=event.received_at,
+        pace=choose_first_pace(state, event.worker, step.fills),
+        paced_at=state.now,
+        # The earlier owner may have set any.
+        confirmed_pace=UNKNOWN_PACE if step.fills else FULL_PACE,
     )
     duplicate = any(
         other.index == index for other in state.list_runs_of(step_key)
--- a/sassafrasgate/dispatch/speeds.py
+++ b/sassafrasgate/dispatch/speeds.py
@@ -3,7 +3,8 @@
 Estimates are too rough to judge a single run by, so a run is compared with
 other runs of its step where there are any. Progress that stands still needs
 no comparison. Members of a gang advance together, so they say nothing about
-the worker of one of them.
+the worker of one of them. A filling task gets what others leave, which says
+nothing about its worker either.
 """
 
 from __future__ import annotations
@@ -143,7 +144,7 @@
 
 
 def _is_evidence(state: DispatchState, run: RunEntry) -> bool:
-    if run.phase is not RunPhase.PRESENT or run.stopping:
+    if run.phase is not RunPhase.PRESENT or run.stopping or run.fills:
         return False
     if run.rate < 0 or state.now - run.rate_at > FRESH_MS:
         return False
@@ -169,7 +170,7 @@
 
 def _move_runs(state: DispatchState, worker: str) -> Actions:
     for run in state.list_runs_on(worker):
-        if run.stopping or run.phase is not RunPhase.PRESENT:
+        if run.stopping or run.phase is not RunPhase.PRESENT or run.fills:
             continue
         if run.step not in state.steps or run.rate < 0:
             continue
@@ -186,6 +187,8 @@
 def _is_overdue(state: DispatchState, run: RunEntry) -> bool:
     if state.now - run.started_at < run.expected_ms + OVERDUE_MS:
         return False
+    if run.fills:
+        return False
     if run.stopping or run.phase is not RunPhase.PRESENT or run.rate < 0:
         return False
     if run.step not in state.steps or state.find_step(run.step).long_running:
--- a/sassafrasgate/dispatch/state.py
+++ b/sassafrasgate/dispatch/state.py
@@ -100,6 +100,19 @@
         Percent per second between two reports; negative before the second.
     rate_at : int
         Owner's clock of the later of them.
+    target_ms : int
+        Bound of the tail latency of a task that serves users; 0 for others.
+    fills : bool
+        Whether the task uses what others leave of the processors.
+    load, load_at : int
+        Last reported load, see `RunningRun`, and the owner's clock of it.
+    pace, paced_at : int
+        Percent of its speed at which a filling task is to work, and the
+        owner's clock when that was decided.
+    confirmed_pace : int
+        What the worker has put in force.
+    pace_sent_at : int
+        Owner's clock of the call under way; 0 when there is none.
     """
 
     key: RunKey
@@ -124,6 +137,14 @@
     base_at: int = 0
     rate: float = -1.0
     rate_at: int = 0
+    target_ms: int = 0
+    fills: bool = False
+    load: int = 0
+    load_at: int = 0
+    pace: int = 100
+    paced_at: int = 0
+    confirmed_pace: int = 100
+    pace_sent_at: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -403,6 +424,9 @@
     runs: dict[RunKey, RunEntry] = field(default_factory=dict)
     runs_on: dict[str, set[RunKey]] = field(default_factory=dict)
     runs_of: dict[StepKey, set[RunKey]] = field(default_factory=dict)
+    # Runs that serve users, by worker, and filling runs with a set pace.
+    serving: dict[str, set[RunKey]] = field(default_factory=dict)
+    paced: set[RunKey] = field(default_factory=set)
     waiting: dict[StepKey, None] = field(default_factory=dict)
     workers: dict[str, WorkerEntry] = field(default_factory=dict)
     free: dict[str, Resources] = field(default_factory=dict)
@@ -475,6 +499,10 @@
         self.runs[entry.key] = entry
         self.runs_on.setdefault(entry.worker, set()).add(entry.key)
         self.runs_of.setdefault(entry.step, set()).add(entry.key)
+        if entry.target_ms:
+            self.serving.setdefault(entry.worker, set()).add(entry.key)
+        if entry.fills:
+            self.paced.add(entry.key)
         if entry.worker in self.free:
             self.free[entry.worker] = self.free[entry.worker] - entry.demand
 
@@ -488,6 +516,11 @@
         siblings.discard(key)
         if not siblings:
             self.runs_of.pop(entry.step, None)
+        self.paced.discard(key)
+        if entry.target_ms:
+            self.serving[entry.worker].discard(key)
+            if not self.serving[entry.worker]:
+                del self.serving[entry.worker]
         if entry.worker in self.free:
             self.free[entry.worker] = self.free[entry.worker] + entry.demand
         self.dirty = True
--- a/sassafrasgate/dispatch/timers.py
+++ b/sassafrasgate/dispatch/timers.py
@@ -11,6 +11,7 @@
 from sassafrasgate.dispatch.registrations import record_used_workers
 from sassafrasgate.dispatch.reports import note_lapses
 from sassafrasgate.dispatch.reports import stop_incomplete_gangs
+from sassafrasgate.dispatch.sharing import adjust_paces
 from sassafrasgate.dispatch.speeds import judge_workers
 from sassafrasgate.dispatch.stops import repeat_stops
 from sassafrasgate.dispatch.waits import choose_wait
@@ -33,6 +34,7 @@
     yield from repeat_stops(state)
     yield from stop_incomplete_gangs(state)
     yield from judge_workers(state)
+    yield from adjust_paces(state)
     yield from choose_wait(state)
     yield from forget_gone_workers(state)
     yield from record_used_workers(state)
--- a/sassafrasgate/platform/workers.py
+++ b/sassafrasgate/platform/workers.py
@@ -209,16 +209,28 @@
         return WorkerReport(
             found.clock_ms,
             found.born,
-            tuple(RunningRun(*row[:4]) for row in found.running),
+            tuple(_read_running(row) for row in found.running),
             tuple(
                 EndedRun(row[0], row[1], row[2], END_KINDS[row[3]], row[4])
                 for row in found.ended
             ),
         )
-    except (DecodeError, KeyError, IndexError, TypeError) as error:
+    except (
+        DecodeError,
+        KeyError,
+        IndexError,
+        TypeError,
+        ValueError,
+    ) as error:
         raise _describe_damage(error) from error
 
 
+def _read_running(row: list[Any]) -> RunningRun:
+    # The fifth entry came later than the others.
+    load = int(row[4]) if len(row) > 4 else 0
+    return RunningRun(row[0], row[1], row[2], row[3], load)
+
+
 def _describe_damage(error: Exception) -> WorkerUnavailableError:
     return WorkerUnavailableError(
         f'cannot decode an answer of the worker: {error!r}; check that the '
