--- a/sassafrasgate/core/routing.py
+++ b/sassafrasgate/core/routing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from functools import cached_property
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,7 +80,8 @@
     spare: bool = False
 
 
-@dataclass(frozen=True, slots=True)
+# Without slots, so that its indexes can be kept.
+@dataclass(frozen=True)
 class RoutingTable:
     """One version of the queues and pools.
 
@@ -87,6 +89,11 @@
     ----------
     version : int
         Only increases; 0 for none yet.
+
+    Notes
+    -----
+    A table may have more than a thousand queues, and each request and each
+    waiting step looks one up.
     """
 
     version: int = 0
@@ -95,17 +102,31 @@
 
     def find_queue(self, host: str, path: str) -> Queue | None:
         """Return the queue with the longest prefix of a request's path."""
-        best: Queue | None = None
-        for queue in self.queues:
-            if queue.host != host or not path.startswith(queue.prefix):
-                continue
-            if best is None or len(queue.prefix) > len(best.prefix):
-                best = queue
-        return best
+        prefixes = self._by_host.get(host, {})
+        for length in self._lengths:
+            queue = prefixes.get(path[:length])
+            if queue is not None:
+                return queue
+        return None
 
     def name_queue(self, name: str) -> Queue | None:
         """Return a queue by its name, or None."""
-        for queue in self.queues:
-            if queue.name == name:
-                return queue
-        return None
+        return self._by_name.get(name)
+
+    @cached_property
+    def _by_name(self) -> dict[str, Queue]:
+        return {queue.name: queue for queue in reversed(self.queues)}
+
+    @cached_property
+    def _by_host(self) -> dict[str, dict[str, Queue]]:
+        """Queues by host and prefix."""
+        found: dict[str, dict[str, Queue]] = {}
+        for queue in reversed(self.queues):
+            found.setdefault(queue.host, {})[queue.prefix] = queue
+        return found
+
+    @cached_property
+    def _lengths(self) -> list[int]:
+        """Lengths of prefixes, the longest first."""
+        lengths = {len(queue.prefix) for queue in self.queues}
+        return sorted(lengths, reverse=True)
