Skip what has no room in a pass; look at tickets instead of workers

Change: a pass knows the most free room of each pool and leaves out steps that exceed it; admitted workers are listed by ticket; the first call for advice names the freest workers, not always the same 100; a report makes one copy of a run's entry; workers are judged every 400 ms; looks that are short because calls get lost are limited to 120 a second, 440 at 176 workers before.

--- a/sassafrasgate/dispatch/advice.py
+++ b/sassafrasgate/dispatch/advice.py
@@ -47,12 +47,19 @@
 LOST_MS = 1_000
 
 
-def is_live(state: DispatchState, worker: str, ticket: Ticket) -> bool:
-    """Tell whether a ticket will be valid when a start arrives."""
-    entry = state.workers.get(worker)
-    if entry is None or entry.born_ms != ticket.born_ms:
+def is_valid(ticket: Ticket, born_ms: int, now: int) -> bool:
+    """Tell whether a ticket will be valid when a start arrives.
+
+    Parameters
+    ----------
+    born_ms : int
+        The worker's present incarnation.
+    now : int
+        Owner's clock.
+    """
+    if born_ms != ticket.born_ms:
         return False
-    return state.now + TICKET_MARGIN_MS < ticket.expires_at
+    return now + TICKET_MARGIN_MS < ticket.expires_at
 
 
 def may_ask(state: DispatchState, key: StepKey) -> bool:
--- a/sassafrasgate/dispatch/passes.py
+++ b/sassafrasgate/dispatch/passes.py
@@ -11,7 +11,7 @@
 from sassafrasgate.dispatch.actions import Note
 from sassafrasgate.dispatch.actions import StartRun
 from sassafrasgate.dispatch.advice import ask_advice
-from sassafrasgate.dispatch.advice import is_live
+from sassafrasgate.dispatch.advice import is_valid
 from sassafrasgate.dispatch.advice import may_ask
 from sassafrasgate.dispatch.advice import measure_call
 from sassafrasgate.dispatch.events import PassDue
@@ -40,6 +40,7 @@
     from sassafrasgate.dispatch.state import JobEntry
     from sassafrasgate.dispatch.state import StepKey
 
+NO_ADVICE = StepAdvice()
 # Gangs that may hold room at once; more would keep too much of it idle.
 MOST_HOLDS = 4
 # Room that a gang can only have later than this is not held for it.
@@ -81,13 +82,18 @@
     Parameters
     ----------
     usable : dict
-        Workers that may get new runs, by pool.
+        Workers that may get new runs, by pool and id.
     allowances : dict
         Most further runs of workers in probation.
+    most, total : dict
+        The most that is free on one usable worker of a pool, and on all of
+        them, when the pass began. Nothing that exceeds them can be placed.
     """
 
-    usable: dict[str, list[WorkerEntry]]
+    usable: dict[str, dict[str, WorkerEntry]]
     allowances: dict[str, int]
+    most: dict[str, Resources]
+    total: dict[str, Resources]
     holds: dict[str, Hold] = field(default_factory=dict)
     holding: int = 0
     ends: dict[str, list[tuple[int, Resources]]] = field(default_factory=dict)
@@ -116,8 +122,10 @@
 
 
 def _make_plan(state: DispatchState) -> PassPlan:
-    usable: dict[str, list[WorkerEntry]] = {}
+    usable: dict[str, dict[str, WorkerEntry]] = {}
     allowances: dict[str, int] = {}
+    most: dict[str, Resources] = {}
+    total: dict[str, Resources] = {}
     for worker, entry in state.workers.items():
         if not _is_usable(state, entry):
             continue
@@ -126,8 +134,11 @@
             continue
         if allowance is not None:
             allowances[worker] = allowance
-        usable.setdefault(entry.registration.pool, []).append(entry)
-    return PassPlan(usable, allowances)
+        pool, free = entry.registration.pool, state.free[worker]
+        usable.setdefault(pool, {})[worker] = entry
+        most[pool] = most.get(pool, NOTHING).cover(free)
+        total[pool] = total.get(pool, NOTHING) + free.cover(NOTHING)
+    return PassPlan(usable, allowances, most, total)
 
 
 def _is_usable(state: DispatchState, entry: WorkerEntry) -> bool:
@@ -144,31 +155,38 @@
 
 
 def _match_workers(
-    step: Step, workers: list[WorkerEntry]
-) -> list[WorkerEntry]:
+    step: Step, workers: dict[str, WorkerEntry]
+) -> dict[str, WorkerEntry]:
     if not step.label:
         return workers
-    return [w for w in workers if step.label in w.registration.labels]
+    return {
+        name: worker
+        for name, worker in workers.items()
+        if step.label in worker.registration.labels
+    }
 
 
-def _split_by_ticket(
-    state: DispatchState, key: StepKey, workers: list[WorkerEntry]
-) -> tuple[list[WorkerEntry], list[WorkerEntry], list[WorkerEntry]]:
-    """Return workers with a valid ticket, good ones, and unknown ones."""
-    advice = state.advice.get(key)
-    if advice is None:
-        return [], [], workers
+def _list_admitted(
+    state: DispatchState, advice: StepAdvice, workers: dict[str, WorkerEntry]
+) -> tuple[list[WorkerEntry], list[WorkerEntry]]:
+    """Return the good workers with a valid ticket, and those without."""
     live: list[WorkerEntry] = []
     good: list[WorkerEntry] = []
-    unknown: list[WorkerEntry] = []
-    for worker in workers:
-        name = worker.registration.worker
-        ticket = advice.tickets.get(name)
-        if ticket is not None:
-            (live if is_live(state, name, ticket) else good).append(worker)
-        elif name not in advice.asked:
-            unknown.append(worker)
-    return live, good, unknown
+    for name, ticket in advice.tickets.items():
+        worker = workers.get(name)
+        if worker is not None:
+            valid = is_valid(ticket, worker.born_ms, state.now)
+            (live if valid else good).append(worker)
+    return live, good
+
+
+def _list_unknown(
+    state: DispatchState, advice: StepAdvice, workers: dict[str, WorkerEntry]
+) -> list[str]:
+    """Return the workers that nothing was asked about, the freest first."""
+    unknown = [name for name in workers if name not in advice.asked]
+    unknown.sort(key=lambda name: -state.free[name].millicores)
+    return unknown
 
 
 def _place_tasks(
@@ -177,15 +195,23 @@
     key: StepKey,
     step: Step,
     terms: Queue,
-    workers: list[WorkerEntry],
+    workers: dict[str, WorkerEntry],
 ) -> Actions:
     """Start as many tasks of a step as there is room for."""
+    advice = state.advice.get(key, NO_ADVICE)
+    demand = reserve_demand(step)
+    if terms.advice is not None and advice is NO_ADVICE:
+        workers = _match_workers(step, workers)
+        names = _list_unknown(state, advice, workers)
+        yield from ask_advice(state, key, terms.advice, names)
+        return
+    if not demand.fits_in(plan.most[terms.pool]):
+        return
     workers = _match_workers(step, workers)
-    live = workers
+    live: list[WorkerEntry] = list(workers.values())
     good: list[WorkerEntry] = []
-    unknown: list[WorkerEntry] = []
     if terms.advice is not None:
-        live, good, unknown = _split_by_ticket(state, key, workers)
+        live, good = _list_admitted(state, advice, workers)
     job = state.jobs[key.job_id]
     if job.durable:
         yield from _start_tasks(state, plan, key, step, job, live)
@@ -193,20 +219,10 @@
         return
     if not may_ask(state, key):
         return
-    demand = reserve_demand(step)
-    with_room = [
-        worker
-        for worker in (*good, *unknown)
-        if demand.fits_in(state.free[worker.registration.worker])
-    ]
-    if key not in state.advice:
-        with_room = unknown
-    yield from ask_advice(
-        state,
-        key,
-        terms.advice,
-        (worker.registration.worker for worker in with_room),
-    )
+    names = [worker.registration.worker for worker in good]
+    names += _list_unknown(state, advice, workers)
+    with_room = [name for name in names if demand.fits_in(state.free[name])]
+    yield from ask_advice(state, key, terms.advice, with_room)
 
 
 def _start_tasks(
@@ -389,46 +405,40 @@
     key: StepKey,
     step: Step,
     terms: Queue,
-    workers: list[WorkerEntry],
+    workers: dict[str, WorkerEntry],
 ) -> Actions:
     """Start a gang whole, or hold room for it."""
     if key in state.runs_of:
         # Members of an earlier run are present and have to be gone first.
         return
     workers = _match_workers(step, workers)
-    live = workers
+    advice = state.advice.get(key, NO_ADVICE)
+    if terms.advice is not None and advice is NO_ADVICE:
+        names = _list_unknown(state, advice, workers)
+        yield from ask_advice(state, key, terms.advice, names)
+        return
+    live: list[WorkerEntry] = list(workers.values())
     good: list[WorkerEntry] = []
-    unknown: list[WorkerEntry] = []
     if terms.advice is not None:
-        live, good, unknown = _split_by_ticket(state, key, workers)
-        if key not in state.advice:
-            yield from ask_advice(
-                state,
-                key,
-                terms.advice,
-                (worker.registration.worker for worker in unknown),
-            )
-            return
+        live, good = _list_admitted(state, advice, workers)
     job = state.jobs[key.job_id]
     demand = reserve_demand(step)
-    chosen = _assign_gang(state, plan, step, demand, live)
-    if chosen and job.durable:
-        yield from _start_gang(state, plan, key, step, job, chosen, demand)
-        return
+    chosen: dict[str, int] = {}
     admitted = [*live, *good]
-    chosen = chosen or _assign_gang(state, plan, step, demand, admitted)
+    if demand.scale(step.tasks).fits_in(plan.total[terms.pool]):
+        chosen = _assign_gang(state, plan, step, demand, live)
+        if chosen and job.durable:
+            yield from _start_gang(state, plan, key, step, job, chosen, demand)
+            return
+        chosen = chosen or _assign_gang(state, plan, step, demand, admitted)
     at = state.now
     if not chosen:
         at, chosen = _find_start(state, plan, step, demand, admitted)
     if not chosen:
         # The known good workers can never hold it; others may be good.
-        if terms.advice is not None and unknown and may_ask(state, key):
-            yield from ask_advice(
-                state,
-                key,
-                terms.advice,
-                (worker.registration.worker for worker in unknown),
-            )
+        if terms.advice is not None and may_ask(state, key):
+            names = _list_unknown(state, advice, workers)
+            yield from ask_advice(state, key, terms.advice, names)
         return
     _hold_room(state, plan, demand, chosen, at)
     if terms.advice is None or not may_ask(state, key):
--- a/sassafrasgate/dispatch/reports.py
+++ b/sassafrasgate/dispatch/reports.py
@@ -216,13 +216,14 @@
             yield from _adopt_run(state, event, running)
             continue
         state.runs[key] = replace(
-            measure_run(run, running.percent, event.received_at),
+            run,
             phase=RunPhase.PRESENT,
             present_clock=run.present_clock or event.report.clock_ms,
             listed=True,
             checkpoint=running.checkpoint or run.checkpoint,
             load=running.load,
             load_at=event.received_at,
+            **measure_run(run, running.percent, event.received_at),
         )
     clock_ms = event.report.clock_ms
     for run in state.list_runs_on(event.worker):
--- a/sassafrasgate/dispatch/speeds.py
+++ b/sassafrasgate/dispatch/speeds.py
@@ -11,6 +11,7 @@
 
 from dataclasses import replace
 from statistics import median
+from typing import Any
 from typing import TYPE_CHECKING
 
 from sassafrasgate.dispatch.actions import Note
@@ -35,6 +36,8 @@
 FRESH_MS = 2_500
 # A worker at less than this share of the usual speed is slow.
 SLOW_SHARE = 0.35
+# How often workers are judged; rates change no faster.
+JUDGE_MS = 400
 # Runs of two steps, or one that has others to compare with, make a case.
 CASES = 2
 FIRST_PAUSE_MS = 2_500
@@ -51,22 +54,20 @@
 OVERDUE_MS = 2_000
 
 
-def measure_run(run: RunEntry, percent: int, received_at: int) -> RunEntry:
-    """Return a run with the progress and rate of a new report."""
-    run = replace(run, percent=percent, percent_at=received_at)
+def measure_run(
+    run: RunEntry, percent: int, received_at: int
+) -> dict[str, Any]:
+    """Return the fields of a run that a new report of progress changes."""
+    changes: dict[str, Any] = {'percent': percent, 'percent_at': received_at}
+    base = {'base_percent': percent, 'base_at': received_at}
     if not run.base_at:
-        return replace(run, base_percent=percent, base_at=received_at)
+        return changes | base
     window_ms = received_at - run.base_at
     gained = percent - run.base_percent
     if window_ms < (WINDOW_MS if gained else STILL_MS):
-        return run
-    return replace(
-        run,
-        rate=gained * 1000 / window_ms,
-        rate_at=received_at,
-        base_percent=percent,
-        base_at=received_at,
-    )
+        return changes
+    rate = {'rate': gained * 1000 / window_ms, 'rate_at': received_at}
+    return changes | base | rate
 
 
 def note_finished_run(state: DispatchState, run: RunEntry) -> None:
@@ -78,6 +79,9 @@
 
 def judge_workers(state: DispatchState) -> Actions:
     """Mark slow workers, and move runs that are better off elsewhere."""
+    if state.now < state.judged_at + JUDGE_MS:
+        return
+    state.judged_at = state.now
     for worker in list(state.runs_on):
         share = _find_share(state, worker)
         if share is None or share >= SLOW_SHARE:
--- a/sassafrasgate/dispatch/state.py
+++ b/sassafrasgate/dispatch/state.py
@@ -446,6 +446,7 @@
     ended_order: dict[str, None] = field(default_factory=dict)
     unanswered: list[int] = field(default_factory=list)
     hold_wait_ms: int = 0
+    judged_at: int = 0
     stalled_since: int = 0
     stopping: bool = False
     dirty: bool = False
--- a/sassafrasgate/dispatch/waits.py
+++ b/sassafrasgate/dispatch/waits.py
@@ -18,6 +18,8 @@
 
 CALM_WAIT_MS = 2_000
 SHORT_WAIT_MS = 400
+# Looks at all workers together; more would take too much of the owner's time.
+MOST_LOOKS_PER_S = 120
 # So many calls without an answer in so much time call for short waits.
 MOST_UNANSWERED = 2
 WATCHED_MS = 4_000
@@ -33,7 +35,10 @@
     oldest = state.now - WATCHED_MS
     state.unanswered = [at for at in state.unanswered if at > oldest]
     short = len(state.unanswered) >= MOST_UNANSWERED
-    wait_ms = SHORT_WAIT_MS if short else CALM_WAIT_MS
+    wait_ms = CALM_WAIT_MS
+    if short:
+        least_ms = len(state.workers) * 1_000 // MOST_LOOKS_PER_S
+        wait_ms = min(max(SHORT_WAIT_MS, least_ms), CALM_WAIT_MS)
     if wait_ms == state.hold_wait_ms:
         return
     state.hold_wait_ms = wait_ms
