Leave time for events between passes over waiting steps

Change: after a pass, events have twice its time before the next one; the plan adds up free room by dimension.

--- a/sassafrasgate/daemons/dispatcher.py
+++ b/sassafrasgate/daemons/dispatcher.py
@@ -97,6 +97,9 @@
 GATHER_S = 0.02
 # Entries under way at once, so that a slow store delays a record once only.
 JOURNAL_DEPTH = 4
+# Passes over many waiting steps take milliseconds. Events have this many
+# times as long before the next one.
+PASS_REST = 2.0
 # Events that are handled before waiting steps are looked at again.
 BATCH_EVENTS = 64
 ADVICE_MARGIN_MS = 400
@@ -191,6 +194,7 @@
         self._unwritten: deque[int] = deque()
         self._stalled_since = 0
         self._failing_since = 0
+        self._next_pass = 0.0
         self._given_up = ''
         self._group: TaskGroup | None = None
         self.taken_over = anyio.Event()
@@ -339,7 +343,9 @@
     async def _serve(self) -> None:
         """Handle events; look at waiting steps once none are at hand."""
         while not self._given_up and not self._is_drained():
-            await self._step(await self._inbox.receive())
+            event = await self._receive()
+            if event is not None:
+                await self._step(event)
             for _ in range(BATCH_EVENTS):
                 if self._given_up:
                     return
@@ -348,8 +354,26 @@
                 except anyio.WouldBlock:
                     break
                 await self._step(event)
-            if self.state.dirty and self._may_act():
+            if self._find_pass_delay() == 0:
+                began = perf_counter()
                 await self._step(PassDue())
+                ended = perf_counter()
+                self._next_pass = ended + (ended - began) * PASS_REST
+
+    async def _receive(self) -> Any:
+        """Return the next event, or None once a pass is due."""
+        delay_s = self._find_pass_delay()
+        if delay_s == inf:
+            return await self._inbox.receive()
+        with anyio.move_on_after(delay_s):
+            return await self._inbox.receive()
+        return None
+
+    def _find_pass_delay(self) -> float:
+        """Return the seconds until waiting steps are to be looked at."""
+        if not self.state.dirty or not self._may_act():
+            return inf
+        return max(0.0, self._next_pass - perf_counter())
 
     async def _step(self, event: Any) -> None:
         """Handle one event: decide, then hand out the actions."""
--- a/sassafrasgate/dispatch/passes.py
+++ b/sassafrasgate/dispatch/passes.py
@@ -30,6 +30,7 @@
 from sassafrasgate.dispatch.state import WorkerEntry
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Iterator
 
     from sassafrasgate.core.routing import AdviceTerms
@@ -124,8 +125,6 @@
 def _make_plan(state: DispatchState) -> PassPlan:
     usable: dict[str, dict[str, WorkerEntry]] = {}
     allowances: dict[str, int] = {}
-    most: dict[str, Resources] = {}
-    total: dict[str, Resources] = {}
     for worker, entry in state.workers.items():
         if not _is_usable(state, entry):
             continue
@@ -134,11 +133,28 @@
             continue
         if allowance is not None:
             allowances[worker] = allowance
-        pool, free = entry.registration.pool, state.free[worker]
-        usable.setdefault(pool, {})[worker] = entry
-        most[pool] = most.get(pool, NOTHING).cover(free)
-        total[pool] = total.get(pool, NOTHING) + free.cover(NOTHING)
-    return PassPlan(usable, allowances, most, total)
+        usable.setdefault(entry.registration.pool, {})[worker] = entry
+    rooms = {
+        pool: [state.free[worker] for worker in workers]
+        for pool, workers in usable.items()
+    }
+    return PassPlan(
+        usable,
+        allowances,
+        {pool: _combine(max, found) for pool, found in rooms.items()},
+        {pool: _combine(sum, found) for pool, found in rooms.items()},
+    )
+
+
+def _combine(
+    combine: Callable[[list[int]], int], rooms: list[Resources]
+) -> Resources:
+    """Combine free amounts by dimension; what is overdrawn counts as 0."""
+    return Resources(
+        combine([max(0, room.millicores) for room in rooms]),
+        combine([max(0, room.memory_mb) for room in rooms]),
+        combine([max(0, room.accelerators) for room in rooms]),
+    )
 
 
 def _is_usable(state: DispatchState, entry: WorkerEntry) -> bool:
--- a/tests/daemons/test_workers.py
+++ b/tests/daemons/test_workers.py
@@ -11,9 +11,11 @@
 from sassafrasgate.core.workflows import WorkerReport
 from sassafrasgate.daemons.workers import WorkerTask
 from sassafrasgate.dispatch.actions import AcknowledgeEnds
+from sassafrasgate.dispatch.actions import PaceRun
 from sassafrasgate.dispatch.actions import StartRun
 from sassafrasgate.dispatch.actions import StopRun
 from sassafrasgate.dispatch.events import EpochRefused
+from sassafrasgate.dispatch.events import PaceAnswered
 from sassafrasgate.dispatch.events import RunAnswered
 from sassafrasgate.dispatch.events import RunUnanswered
 from sassafrasgate.dispatch.events import WorkerReported
@@ -45,6 +47,7 @@
         self.looked = anyio.Event()
         self.start_answer = None
         self.stop_answers = []
+        self.pace_refusal = None
 
     async def __aenter__(self):
         return self
@@ -65,6 +68,9 @@
         self.starts += 1
         return await self.start_answer()
 
+    async def pace(self, task, run, percent, fence):
+        return RunAnswer(5, self.pace_refusal)
+
     async def stop(self, task, run, fence):
         return await self.stop_answers.pop(0)()
 
@@ -193,3 +199,24 @@
     await anyio.wait_all_tasks_blocked()
 
     assert 0 in [hold.wait_ms for hold in bench.client.holds[2:]]
+
+
+async def test_a_pace_is_told_once_the_worker_has_put_it_in_force(bench):
+    # Guards against a filling task that goes on at full speed while the
+    # owner believes that it was slowed down.
+    bench.commands.send_nowait(PaceRun('w', RUN, 25))
+
+    event = await bench.find(PaceAnswered)
+    assert event == PaceAnswered('w', RUN, 25)
+
+
+async def test_a_refused_pace_is_not_in_force(bench):
+    # Guards against the same after a refusal.
+    bench.client.pace_refusal = StartRefusal.STALE_EPOCH
+    bench.commands.send_nowait(PaceRun('w', RUN, 25))
+    await anyio.wait_all_tasks_blocked()
+
+    kinds = []
+    while bench.events.statistics().current_buffer_used:
+        kinds.append(type(bench.events.receive_nowait()))
+    assert PaceAnswered not in kinds
--- a/tests/dispatch/test_guards.py
+++ b/tests/dispatch/test_guards.py
@@ -19,7 +19,10 @@
 FAULTS = 12
 GUARDS = {}
 # Faults to draw from, for guards that few of the walks need.
-KINDS = {'fence_each_life': ('restart_worker', 'lose_calls')}
+KINDS = {
+    'fence_each_life': ('restart_worker', 'lose_calls'),
+    'keep_starts_over_restarts': ('restart_worker', 'lose_calls'),
+}
 
 
 def guard(remove):
@@ -52,6 +55,16 @@
     patch.setattr(simulation, 'make_fence', lambda epoch, lives: epoch * 1000)
 
 
+@guard
+def keep_starts_over_restarts(patch):
+    """A start may reach the new life of a worker that restarts."""
+
+    def drop(state, event):
+        yield from reports.drop_worker_runs(state, event.worker, 'restarted')
+
+    patch.setattr(reports, '_note_restart', drop)
+
+
 @guard
 def reserve_room(patch):
     """Runs hold their room until they are known to be gone."""
