Ask for advice once until a job's record is durable

Each call keeps an entry host's place in the queue of the service.

Ruled out: a failing service (each call was answered within 50 ms).

Change: a step asks once when its job comes in and then waits for the record; a gang without a record holds no room.

--- a/sassafrasgate/dispatch/passes.py
+++ b/sassafrasgate/dispatch/passes.py
@@ -221,6 +221,9 @@
         names = _list_unknown(state, advice, workers)
         yield from ask_advice(state, key, terms.advice, names)
         return
+    if not state.jobs[key.job_id].durable:
+        # Tickets would lapse unused while the store is down.
+        return
     if not demand.fits_in(plan.most[terms.pool]):
         return
     workers = _match_workers(step, workers)
@@ -229,8 +232,7 @@
     if terms.advice is not None:
         live, good = _list_admitted(state, advice, workers)
     job = state.jobs[key.job_id]
-    if job.durable:
-        yield from _start_tasks(state, plan, key, step, job, live)
+    yield from _start_tasks(state, plan, key, step, job, live)
     if terms.advice is None or not state.steps[key].pending:
         return
     if not may_ask(state, key):
@@ -433,20 +435,23 @@
         names = _list_unknown(state, advice, workers)
         yield from ask_advice(state, key, terms.advice, names)
         return
+    job = state.jobs[key.job_id]
+    if not job.durable:
+        # As for single tasks; no room is held either.
+        return
     live: list[WorkerEntry] = list(workers.values())
     good: list[WorkerEntry] = []
     if terms.advice is not None:
         live, good = _list_admitted(state, advice, workers)
-    job = state.jobs[key.job_id]
     demand = reserve_demand(step)
     chosen: dict[str, int] = {}
     admitted = [*live, *good]
     if demand.scale(step.tasks).fits_in(plan.total[terms.pool]):
         chosen = _assign_gang(state, plan, step, demand, live)
-        if chosen and job.durable:
+        if chosen:
             yield from _start_gang(state, plan, key, step, job, chosen, demand)
             return
-        chosen = chosen or _assign_gang(state, plan, step, demand, admitted)
+        chosen = _assign_gang(state, plan, step, demand, admitted)
     at = state.now
     if not chosen:
         at, chosen = _find_start(state, plan, step, demand, admitted)
