--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -5,7 +5,7 @@
 from httpx import ASGITransport
 from httpx import AsyncClient
 from logbook import Logger
-from logbook import TestHandler
+from logbook import TestHandler as Recorder
 import pytest
 
 from sassafrasgate.core.errors import NoAnswer
@@ -215,7 +215,7 @@
 async def test_a_failed_request_leaves_a_line_with_its_cause(client, gateway):
     # Guards against a complaint that nobody can explain afterwards.
     gateway.answer = NoAnswer('the owner has not answered in 0.7 s')
-    with TestHandler() as handler:
+    with Recorder() as handler:
         await client.post(
             f'/q/{JOB}', json=BODY, headers={'Request-Deadline': '900'}
         )
@@ -233,7 +233,7 @@
 
 async def test_a_request_for_an_unknown_route_leaves_a_line(client):
     # Guards against a 404 after a change of the table without a trace.
-    with TestHandler() as handler:
+    with Recorder() as handler:
         await client.get(f'/unknown/{JOB}')
 
     (record,) = handler.records
@@ -242,7 +242,7 @@
 
 async def test_a_served_request_leaves_no_line_here(client):
     # Guards against a line for each look; the owner logs its decisions.
-    with TestHandler() as handler:
+    with Recorder() as handler:
         await client.get(f'/q/{JOB}')
 
     assert not handler.records
