--- /dev/null
+++ b/sassafrasgate/dispatch/launches.py
@@ -0,0 +1,84 @@
+"""The start of one run, once its place is chosen."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sassafrasgate.dispatch.actions import Note
+from sassafrasgate.dispatch.actions import StartRun
+from sassafrasgate.dispatch.ordering import find_slack
+from sassafrasgate.dispatch.plans import expect_ms
+from sassafrasgate.dispatch.sharing import choose_first_pace
+from sassafrasgate.dispatch.state import DispatchState
+from sassafrasgate.dispatch.state import JobEntry
+from sassafrasgate.dispatch.state import name_task
+from sassafrasgate.dispatch.state import RunEntry
+from sassafrasgate.dispatch.state import RunKey
+from sassafrasgate.dispatch.state import StepAdvice
+from sassafrasgate.dispatch.state import StepKey
+from sassafrasgate.dispatch.state import WorkerEntry
+
+if TYPE_CHECKING:
+    from sassafrasgate.core.resources import Resources
+    from sassafrasgate.core.workflows import Step
+    from sassafrasgate.dispatch.handlers import Actions
+
+
+def start_run(
+    state: DispatchState,
+    key: StepKey,
+    step: Step,
+    job: JobEntry,
+    worker: WorkerEntry,
+    index: int,
+    number: int,
+    demand: Resources,
+) -> Actions:
+    """Place one run and have it started."""
+    name = worker.registration.worker
+    run = RunKey(name_task(key, index), number)
+    task = state.update_task(run.task, next_run=number + 1)
+    entry = state.steps[key]
+    state.update_step(key, pending=entry.pending - {index})
+    if not state.steps[key].pending:
+        state.waiting.pop(key, None)
+    state.add_run(
+        RunEntry(
+            run,
+            key,
+            index,
+            name,
+            worker.born_ms,
+            demand,
+            started_at=state.now,
+            expected_ms=expect_ms(step, worker),
+            target_ms=step.target_ms,
+            fills=step.fills,
+            pace=choose_first_pace(state, name, step.fills),
+            paced_at=state.now,
+        )
+    )
+    advice = state.advice.get(key, StepAdvice())
+    ticket = advice.tickets.get(name)
+    checkpoint = entry.checkpoint if step.gang else task.checkpoint
+    yield Note(
+        'start',
+        run.task,
+        (
+            ('run', number),
+            ('worker', name),
+            ('free', state.free[name].millicores),
+            ('slack_ms', find_slack(job, key, state.now)),
+            ('waited_ms', state.now - entry.ready_at),
+            ('ticket_ms', ticket.expires_at - state.now if ticket else 0),
+            ('checkpoint', bool(checkpoint)),
+        ),
+    )
+    yield StartRun(
+        name,
+        run,
+        job.workflow.payload,
+        checkpoint,
+        ticket.ticket if ticket else '',
+        worker.born_ms,
+    )
--- a/tests/dispatch/test_guards.py
+++ b/tests/dispatch/test_guards.py
@@ -3,6 +3,7 @@
 import pytest
 
 from sassafrasgate.core.workflows import EndKind
+from sassafrasgate.dispatch import gangs
 from sassafrasgate.dispatch import passes
 from sassafrasgate.dispatch import recovery
 from sassafrasgate.dispatch import reports
@@ -117,7 +118,7 @@
 @guard
 def keep_gangs_whole(patch):
     """A gang starts again only when no member of it is left."""
-    place = passes._place_gang
+    place = gangs.place_gang
 
     def place_again(state, plan, key, step, terms, workers):
         runs = state.runs_of.pop(key, None)
@@ -127,7 +128,7 @@
             if runs:
                 state.runs_of.setdefault(key, set()).update(runs)
 
-    patch.setattr(passes, '_place_gang', place_again)
+    patch.setattr(passes, 'place_gang', place_again)
 
 
 @pytest.mark.parametrize('name', GUARDS)
