Send the pace of a filling task that has worked at full pace

Cause: read in the change: a task leaves the set of paces to send once full pace is confirmed, and a later decision to slow it down was never sent.

Change: each decision puts the task back into the set.

--- a/sassafrasgate/dispatch/sharing.py
+++ b/sassafrasgate/dispatch/sharing.py
@@ -81,6 +81,7 @@
     changed = [run for run in fillers if run.pace != pace]
     for run in changed:
         state.update_run(run.key, pace=pace, paced_at=state.now)
+        state.paced.add(run.key)
     if changed:
         yield Note(
             'pace',
--- a/tests/dispatch/test_sharing.py
+++ b/tests/dispatch/test_sharing.py
@@ -138,3 +138,12 @@
 
     assert pick(actions, StartRun)
     assert not pick(driver.wait(100), PaceRun)
+
+
+def test_filling_tasks_at_full_pace_can_be_stopped_again(shared):
+    # Guards against a decision that is never sent, once a filling task has
+    # worked at full pace.
+    for _ in range(4):
+        look(shared, CALM_MS, RAISE_MS)
+
+    assert look(shared, STRAINED_MS) == [0]
