--- a/sassafrasgate/daemons/dispatcher.py
+++ b/sassafrasgate/daemons/dispatcher.py
@@ -37,7 +37,7 @@
 from sassafrasgate.daemons.snapshots import SnapshotSchedule
 from sassafrasgate.daemons.workers import WorkerTask
 from sassafrasgate.dispatch.actions import ChangeHoldWait
-from sassafrasgate.dispatch.actions import Note
+from sassafrasgate.dispatch.actions import LogEvent
 from sassafrasgate.dispatch.events import AdviceAnswered
 from sassafrasgate.dispatch.events import AdviceFailed
 from sassafrasgate.dispatch.events import JournalStalled
@@ -45,15 +45,15 @@
 from sassafrasgate.dispatch.events import PassDue
 from sassafrasgate.dispatch.events import PeersChanged
 from sassafrasgate.dispatch.events import TableChanged
-from sassafrasgate.dispatch.leases import find_grant_bound
+from sassafrasgate.dispatch.hold_waits import NORMAL_HOLD_WAIT_MS
+from sassafrasgate.dispatch.leases import compute_worker_lease_expiry
 from sassafrasgate.dispatch.recovery import begin_ownership
-from sassafrasgate.dispatch.recovery import list_earlier_owners
-from sassafrasgate.dispatch.recovery import list_records
+from sassafrasgate.dispatch.recovery import list_previous_owners
+from sassafrasgate.dispatch.recovery import list_snapshot_records
 from sassafrasgate.dispatch.recovery import replay_records
-from sassafrasgate.dispatch.registrations import watch_known_workers
+from sassafrasgate.dispatch.registrations import watch_recorded_workers
 from sassafrasgate.dispatch.state import DispatchState
 from sassafrasgate.dispatch.transitions import decide
-from sassafrasgate.dispatch.waits import CALM_WAIT_MS
 from sassafrasgate.journal.chain import Journal
 from sassafrasgate.journal.chain import load_journal
 from sassafrasgate.journal.chain import LoadedJournal
@@ -231,7 +231,7 @@
             group.start_soon(self._run_journal, writer)
             group.start_soon(self._tick)
             group.start_soon(self.services.follow_workers, self.events)
-            await self._carry_out(watch_known_workers(self.state))
+            await self._carry_out(watch_recorded_workers(self.state))
             await self._serve()
             if not self._given_up:
                 await self._hand_over(journal, release)
@@ -279,15 +279,15 @@
         begin_ownership(self.state)
         self._request_snapshot()
         self.log(
-            Note(
+            LogEvent(
                 'takeover',
                 '',
                 (
                     ('jobs', len(self.state.jobs)),
                     ('records', len(loaded.records)),
-                    ('workers', len(self.state.known_workers)),
-                    ('unsettled', len(self.state.unsettled)),
-                    ('released', self.state.released_ms >= 0),
+                    ('workers', len(self.state.recorded_workers)),
+                    ('unsettled', len(self.state.unreconciled_workers)),
+                    ('released', self.state.handover_lease_ms >= 0),
                     ('read_ms', read_ms),
                     ('replayed_ms', replayed_ms),
                     ('took_ms', now_ms() - began),
@@ -371,7 +371,7 @@
 
     def _find_pass_delay(self) -> float:
         """Return the seconds until waiting steps are to be looked at."""
-        if not self.state.dirty or not self._may_act():
+        if not self.state.needs_pass or not self._may_act():
             return inf
         return max(0.0, self._next_pass - perf_counter())
 
@@ -439,9 +439,12 @@
         await self._step(JournalStalled(stalled))
 
     async def _note_ended_owners(self) -> None:
-        if not self.state.unsettled or self.state.shortened:
+        if (
+            not self.state.unreconciled_workers
+            or self.state.previous_owners_ended
+        ):
             return
-        earlier = list_earlier_owners(self.state)
+        earlier = list_previous_owners(self.state)
         if all(self.services.has_ended(owner) for owner in earlier):
             await self._step(OwnersEnded())
 
@@ -460,7 +463,7 @@
     def _request_snapshot(self) -> None:
         if self._snapshots.is_due():
             self._journal_box.send_nowait(
-                WriteSnapshot(tuple(list_records(self.state)))
+                WriteSnapshot(tuple(list_snapshot_records(self.state)))
             )
 
     def _is_drained(self) -> bool:
@@ -474,7 +477,9 @@
         Every record is durable by now, and the workers are left alone, but
         calls that were sent before may still be carried out.
         """
-        released = Released(find_grant_bound(0, CALM_WAIT_MS))
+        released = Released(
+            compute_worker_lease_expiry(0, NORMAL_HOLD_WAIT_MS)
+        )
         try:
             position = await journal.describe_position()
         except (StoreError, ShardLostError):
@@ -483,7 +488,7 @@
             return
         message = HandOver(
             self.shard,
-            encode_records((*list_records(self.state), released)),
+            encode_records((*list_snapshot_records(self.state), released)),
             position.next_sequence,
             position.slot_revision,
             position.snapshot_sequence,
@@ -587,8 +592,8 @@
             inbox,
             self.events,
             self._lease,
-            self.state.hold_wait_ms or CALM_WAIT_MS,
-            action.lives,
+            self.state.hold_wait_ms or NORMAL_HOLD_WAIT_MS,
+            action.restarts,
         )
         self._group.start_soon(task.run)
 
@@ -623,12 +628,12 @@
             action.workers,
             action.expected_ms + ADVICE_MARGIN_MS,
         )
-        answer = await self.services.ask_lane(action.lane, question)
+        answer = await self.services.ask_lane(action.entry_host, question)
         if isinstance(answer, AdviceGiven):
             await self.events.send(
                 AdviceAnswered(
                     action.step,
-                    action.lane,
+                    action.entry_host,
                     action.workers,
                     Advice(answer.tickets, answer.valid_ms),
                     now_ms(),
@@ -637,14 +642,16 @@
             return
         reason = getattr(answer, 'reason', repr(answer))
         await self.events.send(
-            AdviceFailed(action.step, action.lane, action.workers, reason)
+            AdviceFailed(
+                action.step, action.entry_host, action.workers, reason
+            )
         )
 
     def _observe_append(self, seconds: float) -> None:
         self._failing_since = 0
         self.services.metrics.observe(APPEND_SECONDS, seconds)
 
-    def log(self, action: Note) -> None:
+    def log(self, action: LogEvent) -> None:
         """Write one decision line and count it."""
         self.services.metrics.count(DECISIONS, action.kind)
         log_facts(
@@ -652,7 +659,7 @@
             action.kind,
             (
                 ('job', action.job),
-                *action.facts,
+                *action.fields,
                 ('epoch', self.state.epoch),
             ),
         )
--- a/sassafrasgate/daemons/dispatching.py
+++ b/sassafrasgate/daemons/dispatching.py
@@ -12,7 +12,7 @@
 from sassafrasgate.dispatch.actions import AskAdvice
 from sassafrasgate.dispatch.actions import ChangeHoldWait
 from sassafrasgate.dispatch.actions import ForgetWorker
-from sassafrasgate.dispatch.actions import Note
+from sassafrasgate.dispatch.actions import LogEvent
 from sassafrasgate.dispatch.actions import PaceRun
 from sassafrasgate.dispatch.actions import StartRun
 from sassafrasgate.dispatch.actions import StopRun
@@ -83,8 +83,8 @@
     task.ask_advice(action)
 
 
-@DISPATCH_ACTIONS.register(Note)
-async def _log(task: DispatcherTask, action: Note) -> None:
+@DISPATCH_ACTIONS.register(LogEvent)
+async def _log(task: DispatcherTask, action: LogEvent) -> None:
     task.log(action)
 
 
--- a/sassafrasgate/daemons/workers.py
+++ b/sassafrasgate/daemons/workers.py
@@ -37,9 +37,9 @@
 from sassafrasgate.dispatch.events import StopAnswered
 from sassafrasgate.dispatch.events import WorkerReported
 from sassafrasgate.dispatch.events import WorkerSilent
-from sassafrasgate.dispatch.leases import find_deadline
-from sassafrasgate.dispatch.leases import find_grant_bound
-from sassafrasgate.dispatch.leases import make_fence
+from sassafrasgate.dispatch.leases import compute_worker_lease_deadline
+from sassafrasgate.dispatch.leases import compute_worker_lease_expiry
+from sassafrasgate.dispatch.leases import make_fencing_token
 from sassafrasgate.dispatch.state import RunKey
 from sassafrasgate.observability.clocks import now_ms
 from sassafrasgate.shards.attempts import ClockReading
@@ -148,10 +148,10 @@
 
     @property
     def _fence(self) -> int:
-        return make_fence(self.epoch, self._lives)
+        return make_fencing_token(self.epoch, self._lives)
 
     def _note_acknowledged(self, command: AcknowledgeEnds) -> None:
-        if command.born_ms != self._born_ms:
+        if command.incarnation_ms != self._born_ms:
             return
         self._acknowledged = max(self._acknowledged, command.number)
         if self._acknowledged >= self._seen:
@@ -249,8 +249,10 @@
         assert self._reading is not None
         now = now_ms()
         age_ms = now - self._reading.received_at
-        self._lapse_at = max(self._lapse_at, find_grant_bound(now, age_ms))
-        return find_deadline(self._reading.clock, age_ms)
+        self._lapse_at = max(
+            self._lapse_at, compute_worker_lease_expiry(now, age_ms)
+        )
+        return compute_worker_lease_deadline(self._reading.clock, age_ms)
 
     async def start_run(self, command: StartRun) -> None:
         """Start a run; repeat it while neither answer nor report comes.
@@ -266,7 +268,7 @@
         for number in range(1, START_TRIES + 1):
             if command.run not in self._unconfirmed:
                 return
-            reason = self._find_obstacle(command.born_ms)
+            reason = self._find_obstacle(command.incarnation_ms)
             if reason:
                 await self._report_unsent(command, number, reason)
                 return
--- a/sassafrasgate/dispatch/__init__.py
+++ b/sassafrasgate/dispatch/__init__.py
@@ -1,1 +1,4 @@
-"""Pure decisions about workflows: which task starts where, and when."""
+"""Scheduling decisions about workflows, without input or output.
+
+The package decides which task starts on which worker, and when.
+"""
--- a/sassafrasgate/dispatch/actions.py
+++ b/sassafrasgate/dispatch/actions.py
@@ -19,13 +19,13 @@
 
     Parameters
     ----------
-    lives : int
+    restarts : int
         Where the count of the worker's restarts begins; higher than for
         any earlier action about the worker.
     """
 
     registration: Registration
-    lives: int = 0
+    restarts: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,7 +44,7 @@
     payload: str
     checkpoint: str
     ticket: str
-    born_ms: int
+    incarnation_ms: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,12 +70,12 @@
 
     Parameters
     ----------
-    born_ms : int
+    incarnation_ms : int
         The incarnation whose list is meant.
     """
 
     worker: str
-    born_ms: int
+    incarnation_ms: int
     number: int
 
 
@@ -92,7 +92,7 @@
 
     Parameters
     ----------
-    lane : str
+    entry_host : str
         Entry host that is to make the call.
     expected_ms : int
         How long the answer is expected to take, with the calls before it.
@@ -100,12 +100,12 @@
 
     step: StepKey
     workers: tuple[str, ...]
-    lane: str
+    entry_host: str
     expected_ms: int
 
 
 @dataclass(frozen=True, slots=True)
-class Note:
+class LogEvent:
     """One line for the decision log.
 
     Parameters
@@ -114,10 +114,10 @@
         What was decided, such as 'start', 'hold' or 'end'.
     job : str
         Job or task id; empty for decisions about workers.
-    facts : tuple of (str, object)
+    fields : tuple of (str, object)
         Inputs of the decision, their age, and the outcome.
     """
 
     kind: str
     job: str = ''
-    facts: tuple[tuple[str, object], ...] = ()
+    fields: tuple[tuple[str, object], ...] = ()
--- a/sassafrasgate/dispatch/advice.py
+++ b/sassafrasgate/dispatch/advice.py
@@ -11,12 +11,12 @@
 from typing import TYPE_CHECKING
 
 from sassafrasgate.dispatch.actions import AskAdvice
-from sassafrasgate.dispatch.actions import Note
+from sassafrasgate.dispatch.actions import LogEvent
 from sassafrasgate.dispatch.events import AdviceAnswered
 from sassafrasgate.dispatch.events import AdviceFailed
 from sassafrasgate.dispatch.events import PeersChanged
 from sassafrasgate.dispatch.handlers import EVENT_HANDLERS
-from sassafrasgate.dispatch.state import Lane
+from sassafrasgate.dispatch.state import AdviceChannel
 from sassafrasgate.dispatch.state import StepAdvice
 from sassafrasgate.dispatch.state import Ticket
 
@@ -47,17 +47,17 @@
 LOST_MS = 1_000
 
 
-def is_valid(ticket: Ticket, born_ms: int, now: int) -> bool:
+def is_valid(ticket: Ticket, incarnation_ms: int, now: int) -> bool:
     """Tell whether a ticket will be valid when a start arrives.
 
     Parameters
     ----------
-    born_ms : int
+    incarnation_ms : int
         The worker's present incarnation.
     now : int
         Owner's clock.
     """
-    if born_ms != ticket.born_ms:
+    if incarnation_ms != ticket.incarnation_ms:
         return False
     return now + TICKET_MARGIN_MS < ticket.expires_at
 
@@ -86,11 +86,13 @@
     if not named:
         return
     call_ms = measure_call(terms, len(named))
-    lane = _choose_lane(state, call_ms)
-    if lane is None:
+    channel = _choose_channel(state, call_ms)
+    if channel is None:
         return
-    ready_at = max(lane.busy_until, state.now) + call_ms
-    state.lanes[lane.name] = replace(lane, busy_until=ready_at)
+    ready_at = max(channel.busy_until, state.now) + call_ms
+    state.advice_channels[channel.entry_host] = replace(
+        channel, busy_until=ready_at
+    )
     advice = state.advice.get(key, StepAdvice())
     state.advice[key] = replace(
         advice,
@@ -98,7 +100,7 @@
         asked=advice.asked | frozenset(named),
         asked_at=state.now,
     )
-    yield AskAdvice(key, named, lane.name, ready_at - state.now)
+    yield AskAdvice(key, named, channel.entry_host, ready_at - state.now)
 
 
 def measure_call(terms: AdviceTerms, workers: int) -> int:
@@ -106,25 +108,28 @@
     return int(terms.decide_ms + terms.each_ms * workers) + SERVICE_MS
 
 
-def _choose_lane(state: DispatchState, call_ms: int) -> Lane | None:
+def _choose_channel(
+    state: DispatchState, call_ms: int
+) -> AdviceChannel | None:
     """Return the host that can answer first; None when all are too busy."""
-    best: Lane | None = None
+    best: AdviceChannel | None = None
     best_at = state.now + MOST_BACKLOG_MS
-    for number, lane in enumerate(state.lanes.values()):
+    for number, channel in enumerate(state.advice_channels.values()):
         own = number == 0
-        if own and call_ms > LONG_CALL_MS and len(state.lanes) > 1:
+        if own and call_ms > LONG_CALL_MS and len(state.advice_channels) > 1:
             continue
-        begin = max(lane.busy_until, state.now) + (0 if own else PEER_MS)
+        begin = max(channel.busy_until, state.now) + (0 if own else PEER_MS)
         if begin < best_at:
-            best, best_at = lane, begin
+            best, best_at = channel, begin
     return best
 
 
 @EVENT_HANDLERS.register(PeersChanged)
 def note_peers(state: DispatchState, event: PeersChanged) -> Actions:
-    """Keep one lane for each entry host."""
-    state.lanes = {
-        name: state.lanes.get(name, Lane(name)) for name in event.names
+    """Keep one channel for each entry host."""
+    state.advice_channels = {
+        name: state.advice_channels.get(name, AdviceChannel(name))
+        for name in event.names
     }
     yield from ()
 
@@ -142,19 +147,19 @@
     for worker, ticket in event.advice.tickets:
         entry = state.workers.get(worker)
         if entry is not None:
-            tickets[worker] = Ticket(ticket, expires_at, entry.born_ms)
+            tickets[worker] = Ticket(ticket, expires_at, entry.incarnation_ms)
     state.advice[event.step] = replace(
         advice, tickets=tickets, asking=frozenset(), failures=0
     )
-    state.dirty = True
-    yield Note(
+    state.needs_pass = True
+    yield LogEvent(
         'advice',
         event.step.job_id,
         (
             ('step', f'{event.step.occurrence}.{event.step.step}'),
             ('named', len(event.workers)),
             ('good', len(event.advice.tickets)),
-            ('lane', event.lane),
+            ('entry_host', event.entry_host),
             ('took_ms', state.now - advice.asked_at),
         ),
     )
@@ -173,13 +178,13 @@
         asked=advice.asked - named,
         failures=advice.failures + 1,
     )
-    state.dirty = True
-    yield Note(
+    state.needs_pass = True
+    yield LogEvent(
         'advice-failed',
         event.step.job_id,
         (
             ('step', f'{event.step.occurrence}.{event.step.step}'),
-            ('lane', event.lane),
+            ('entry_host', event.entry_host),
             ('reason', event.reason),
         ),
     )
--- a/sassafrasgate/dispatch/events.py
+++ b/sassafrasgate/dispatch/events.py
@@ -60,14 +60,14 @@
     ----------
     received_at : int
         Owner's clock when the answer arrived.
-    lapse_at : int
+    leases_expire_at : int
         Owner's clock from which all that was granted so far has lapsed.
     """
 
     worker: str
     report: WorkerReport
     received_at: int
-    lapse_at: int
+    leases_expire_at: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,14 +76,14 @@
 
     Parameters
     ----------
-    lapse_at : int
+    leases_expire_at : int
         As in `WorkerReported`.
     reason : str
         What happened, for the log.
     """
 
     worker: str
-    lapse_at: int
+    leases_expire_at: int
     reason: str = ''
 
 
@@ -157,7 +157,7 @@
 
     Parameters
     ----------
-    lane : str
+    entry_host : str
         Entry host that made the call.
     workers : tuple of str
         Those that the call named.
@@ -166,7 +166,7 @@
     """
 
     step: StepKey
-    lane: str
+    entry_host: str
     workers: tuple[str, ...]
     advice: Advice
     answered_at: int
@@ -177,7 +177,7 @@
     """A call for advice brought none."""
 
     step: StepKey
-    lane: str
+    entry_host: str
     workers: tuple[str, ...]
     reason: str
 
--- a/sassafrasgate/dispatch/waits.py
+++ b/sassafrasgate/dispatch/hold_waits.py
@@ -10,13 +10,13 @@
 from typing import TYPE_CHECKING
 
 from sassafrasgate.dispatch.actions import ChangeHoldWait
-from sassafrasgate.dispatch.actions import Note
+from sassafrasgate.dispatch.actions import LogEvent
 
 if TYPE_CHECKING:
     from sassafrasgate.dispatch.handlers import Actions
     from sassafrasgate.dispatch.state import DispatchState
 
-CALM_WAIT_MS = 2_000
+NORMAL_HOLD_WAIT_MS = 2_000
 SHORT_WAIT_MS = 400
 # Looks at all workers together; more would take too much of the owner's time.
 MOST_LOOKS_PER_S = 120
@@ -35,15 +35,15 @@
     oldest = state.now - WATCHED_MS
     state.unanswered = [at for at in state.unanswered if at > oldest]
     short = len(state.unanswered) >= MOST_UNANSWERED
-    wait_ms = CALM_WAIT_MS
+    wait_ms = NORMAL_HOLD_WAIT_MS
     if short:
         least_ms = len(state.workers) * 1_000 // MOST_LOOKS_PER_S
-        wait_ms = min(max(SHORT_WAIT_MS, least_ms), CALM_WAIT_MS)
+        wait_ms = min(max(SHORT_WAIT_MS, least_ms), NORMAL_HOLD_WAIT_MS)
     if wait_ms == state.hold_wait_ms:
         return
     state.hold_wait_ms = wait_ms
     yield ChangeHoldWait(wait_ms)
-    yield Note(
+    yield LogEvent(
         'hold-wait',
         '',
         (('wait_ms', wait_ms), ('unanswered', len(state.unanswered))),
--- a/sassafrasgate/dispatch/launches.py
+++ b/sassafrasgate/dispatch/launches.py
@@ -4,11 +4,11 @@
 
 from typing import TYPE_CHECKING
 
-from sassafrasgate.dispatch.actions import Note
+from sassafrasgate.dispatch.actions import LogEvent
 from sassafrasgate.dispatch.actions import StartRun
 from sassafrasgate.dispatch.ordering import find_slack
+from sassafrasgate.dispatch.pacing import choose_first_pace
 from sassafrasgate.dispatch.plans import expect_ms
-from sassafrasgate.dispatch.sharing import choose_first_pace
 from sassafrasgate.dispatch.state import DispatchState
 from sassafrasgate.dispatch.state import JobEntry
 from sassafrasgate.dispatch.state import name_task
@@ -48,7 +48,7 @@
             key,
             index,
             name,
-            worker.born_ms,
+            worker.incarnation_ms,
             demand,
             started_at=state.now,
             expected_ms=expect_ms(step, worker),
@@ -61,7 +61,7 @@
     advice = state.advice.get(key, StepAdvice())
     ticket = advice.tickets.get(name)
     checkpoint = entry.checkpoint if step.gang else task.checkpoint
-    yield Note(
+    yield LogEvent(
         'start',
         run.task,
         (
@@ -80,5 +80,5 @@
         job.workflow.payload,
         checkpoint,
         ticket.ticket if ticket else '',
-        worker.born_ms,
+        worker.incarnation_ms,
     )
--- a/sassafrasgate/dispatch/leases.py
+++ b/sassafrasgate/dispatch/leases.py
@@ -12,12 +12,12 @@
 # Allowance for timers on both sides.
 MARGIN_MS = 300
 # Lives of one worker that one owner can tell apart by the fence.
-LIVES_PER_EPOCH = 1_000_000
+RESTARTS_PER_EPOCH = 1_000_000
 # Restarts that may be counted before the owner gets in touch anew.
-LIVES_PER_WATCH = 1_000
+RESTARTS_PER_WATCH = 1_000
 
 
-def find_grant_bound(sent_at: int, reading_age_ms: int) -> int:
+def compute_worker_lease_expiry(sent_at: int, reading_age_ms: int) -> int:
     """Return the owner's clock at which a grant has certainly lapsed.
 
     Parameters
@@ -31,12 +31,12 @@
     return sent_at + LEASE_MS + ceil(slow_ms) + MARGIN_MS
 
 
-def find_deadline(clock_ms: int, reading_age_ms: int) -> int:
+def compute_worker_lease_deadline(clock_ms: int, reading_age_ms: int) -> int:
     """Return the worker-clock deadline of a lease that begins now."""
     return clock_ms + reading_age_ms + LEASE_MS
 
 
-def find_takeover_bound(now: int, ttl_ms: int, grace_ms: int) -> int:
+def compute_takeover_expiry(now: int, ttl_ms: int, grace_ms: int) -> int:
     """Return when everything granted by an earlier owner has lapsed.
 
     The earlier owner may have sent its last grant at the end of its lease
@@ -46,7 +46,7 @@
     return now + ceil(longest * (1 + DRIFT)) + 2 * MARGIN_MS
 
 
-def make_fence(epoch: int, lives: int) -> int:
+def make_fencing_token(epoch: int, restarts: int) -> int:
     """Return the fencing value for commands to one life of a worker.
 
     A worker that starts again under its id obeys any owner. A call from
@@ -58,7 +58,7 @@
     ----------
     epoch : int
         Of the owner.
-    lives : int
+    restarts : int
         Restarts of the worker that the owner has noticed.
     """
-    return epoch * LIVES_PER_EPOCH + min(lives, LIVES_PER_EPOCH - 1)
+    return epoch * RESTARTS_PER_EPOCH + min(restarts, RESTARTS_PER_EPOCH - 1)
--- a/sassafrasgate/dispatch/sharing.py
+++ b/sassafrasgate/dispatch/pacing.py
@@ -8,7 +8,7 @@
 
 from typing import TYPE_CHECKING
 
-from sassafrasgate.dispatch.actions import Note
+from sassafrasgate.dispatch.actions import LogEvent
 from sassafrasgate.dispatch.actions import PaceRun
 from sassafrasgate.dispatch.events import PaceAnswered
 from sassafrasgate.dispatch.handlers import EVENT_HANDLERS
@@ -83,7 +83,7 @@
         state.update_run(run.key, pace=pace, paced_at=state.now)
         state.paced.add(run.key)
     if changed:
-        yield Note(
+        yield LogEvent(
             'pace',
             '',
             (
--- a/sassafrasgate/dispatch/plans.py
+++ b/sassafrasgate/dispatch/plans.py
@@ -9,11 +9,11 @@
 from sassafrasgate.core.resources import Resources
 from sassafrasgate.dispatch.advice import is_valid
 from sassafrasgate.dispatch.health import find_allowance
-from sassafrasgate.dispatch.speeds import is_paused
 from sassafrasgate.dispatch.state import DispatchState
 from sassafrasgate.dispatch.state import RunEntry
 from sassafrasgate.dispatch.state import StepAdvice
 from sassafrasgate.dispatch.state import WorkerEntry
+from sassafrasgate.dispatch.stragglers import is_paused
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -109,11 +109,11 @@
 
 def _is_usable(state: DispatchState, entry: WorkerEntry) -> bool:
     return (
-        entry.fenced
+        entry.epoch_acknowledged
         and entry.registered
         and entry.recorded
         and not entry.silent_since
-        and not entry.foreign
+        and not entry.unknown_runs
         and not entry.registration.leaving
         and entry.avoid_until <= state.now
         and not is_paused(state, entry.registration.worker)
@@ -142,7 +142,7 @@
     for name, ticket in advice.tickets.items():
         worker = workers.get(name)
         if worker is not None:
-            valid = is_valid(ticket, worker.born_ms, state.now)
+            valid = is_valid(ticket, worker.incarnation_ms, state.now)
             (live if valid else good).append(worker)
     return live, good
 
--- a/sassafrasgate/dispatch/progress.py
+++ b/sassafrasgate/dispatch/progress.py
@@ -83,7 +83,9 @@
 def open_due_occurrences(state: DispatchState, job_id: str) -> None:
     """Open the occurrences of a job whose time has come."""
     entry = state.jobs[job_id]
-    while entry.occurrences < entry.workflow.occurrences and not entry.is_over:
+    while (
+        entry.occurrences < entry.workflow.occurrences and not entry.has_ended
+    ):
         if find_occurrence_due(entry, entry.occurrences) > state.wall_ms:
             return
         entry = _open_occurrence(state, entry)
@@ -130,7 +132,7 @@
     if entry is None or not entry.ready or not entry.pending:
         return
     state.waiting[key] = None
-    state.dirty = True
+    state.needs_pass = True
 
 
 def note_end(state: DispatchState, record: RunEnded, key: StepKey) -> None:
@@ -151,7 +153,7 @@
     )
     if state.find_step(key).gang and record.checkpoint:
         state.update_step(key, checkpoint=record.checkpoint)
-    if job.is_over:
+    if job.has_ended:
         return
     if record.how is EndKind.FINISHED:
         _note_finished(state, key, index)
@@ -236,7 +238,7 @@
 def note_closing_run(state: DispatchState, job_id: str, run: RunKey) -> None:
     """Remember which run's end closed a job."""
     entry = state.jobs[job_id]
-    if entry.is_over and entry.closed_by is None:
+    if entry.has_ended and entry.closed_by is None:
         state.update_job(job_id, closed_by=run)
 
 
@@ -244,7 +246,7 @@
     """Ask for a new run of a task that has none."""
     job = state.jobs.get(key.job_id)
     entry = state.steps.get(key)
-    if job is None or job.is_over or entry is None:
+    if job is None or job.has_ended or entry is None:
         return
     if state.find_task(name_task(key, index)).finished:
         return
--- a/sassafrasgate/dispatch/recovery.py
+++ b/sassafrasgate/dispatch/recovery.py
@@ -8,11 +8,11 @@
 from sassafrasgate.core.workflows import split_step_task_id
 from sassafrasgate.core.workflows import Workflow
 from sassafrasgate.core.workflows import WorkflowState
-from sassafrasgate.dispatch.actions import Note
+from sassafrasgate.dispatch.actions import LogEvent
 from sassafrasgate.dispatch.events import OwnersEnded
 from sassafrasgate.dispatch.handlers import APPLIERS
 from sassafrasgate.dispatch.handlers import EVENT_HANDLERS
-from sassafrasgate.dispatch.leases import find_takeover_bound
+from sassafrasgate.dispatch.leases import compute_takeover_expiry
 from sassafrasgate.dispatch.progress import advance_job
 from sassafrasgate.dispatch.progress import close_job
 from sassafrasgate.dispatch.progress import finish_task
@@ -62,19 +62,19 @@
     """
     for job_id, entry in list(state.jobs.items()):
         state.update_job(
-            job_id, durable=True, inherited=True, shown=entry.state
+            job_id, durable=True, from_previous_owner=True, shown=entry.state
         )
-    bound = find_takeover_bound(
+    bound = compute_takeover_expiry(
         state.now, state.previous_ttl_ms, state.previous_grace_ms
     )
-    if state.released_ms >= 0:
-        bound = state.now + state.released_ms
-    for worker in state.known_workers:
-        state.unsettled[worker] = bound
-    state.dirty = True
+    if state.handover_lease_ms >= 0:
+        bound = state.now + state.handover_lease_ms
+    for worker in state.recorded_workers:
+        state.unreconciled_workers[worker] = bound
+    state.needs_pass = True
 
 
-def list_earlier_owners(state: DispatchState) -> tuple[str, ...]:
+def list_previous_owners(state: DispatchState) -> tuple[str, ...]:
     """Return the owners that may go on unaware of this one."""
     return tuple(owner for owner in state.owners if owner != state.owner)
 
@@ -82,24 +82,24 @@
 @EVENT_HANDLERS.register(OwnersEnded)
 def note_ended_owners(state: DispatchState, event: OwnersEnded) -> Actions:
     """Wait only for the leases that earlier owners have granted."""
-    if state.shortened:
+    if state.previous_owners_ended:
         return
-    state.shortened = True
-    bound = find_takeover_bound(state.now, 0, 0)
-    for worker, known in state.unsettled.items():
-        state.unsettled[worker] = min(known, bound)
-    yield Note(
+    state.previous_owners_ended = True
+    bound = compute_takeover_expiry(state.now, 0, 0)
+    for worker, known in state.unreconciled_workers.items():
+        state.unreconciled_workers[worker] = min(known, bound)
+    yield LogEvent(
         'owners-ended',
         '',
         (
-            ('owners', ','.join(list_earlier_owners(state))),
-            ('unsettled', len(state.unsettled)),
-            ('settled_in_ms', bound - state.now),
+            ('owners', ','.join(list_previous_owners(state))),
+            ('unreconciled', len(state.unreconciled_workers)),
+            ('reconciled_in_ms', bound - state.now),
         ),
     )
 
 
-def list_records(state: DispatchState) -> Iterator[Any]:
+def list_snapshot_records(state: DispatchState) -> Iterator[Any]:
     """Yield records that restore the durable part of the state."""
     for number, owner in enumerate(reversed(state.owners)):
         if number:
@@ -110,10 +110,10 @@
                 state.ttl_ms,
             )
     yield Takeover(state.epoch, state.owner, state.grace_ms, state.ttl_ms)
-    for worker, (pool, address) in state.known_workers.items():
+    for worker, (pool, address) in state.recorded_workers.items():
         yield WorkerSeen(worker, pool, address)
     for entry in state.jobs.values():
-        if entry.is_over:
+        if entry.has_ended:
             yield WorkflowClosed(
                 entry.job_id, entry.queue, entry.state, entry.ended_at_ms
             )
@@ -176,25 +176,25 @@
     others = tuple(owner for owner in state.owners if owner != record.owner)
     state.owners = (*others, record.owner)[-MOST_OWNERS:]
     if record.owner != state.owner:
-        state.released_ms = -1
+        state.handover_lease_ms = -1
 
 
 @APPLIERS.register('released')
 def _apply_released(state: DispatchState, record: Released) -> None:
-    state.released_ms = record.lapse_ms
+    state.handover_lease_ms = record.lapse_ms
     state.owners = state.owners[:-1]
 
 
 @APPLIERS.register('worker-seen')
 def _apply_worker_seen(state: DispatchState, record: WorkerSeen) -> None:
-    state.known_workers[record.worker] = (record.pool, record.address)
+    state.recorded_workers[record.worker] = (record.pool, record.address)
 
 
 @APPLIERS.register('worker-forgotten')
 def _apply_worker_forgotten(
     state: DispatchState, record: WorkerForgotten
 ) -> None:
-    state.known_workers.pop(record.worker, None)
+    state.recorded_workers.pop(record.worker, None)
 
 
 @APPLIERS.register('workflow-accepted')
@@ -211,7 +211,7 @@
 @APPLIERS.register('workflow-cancelled')
 def _apply_cancelled(state: DispatchState, record: WorkflowCancelled) -> None:
     entry = state.jobs.get(record.job_id)
-    if entry is None or entry.is_over:
+    if entry is None or entry.has_ended:
         return
     close_job(state, record.job_id, WorkflowState.CANCELLED)
 
--- a/sassafrasgate/dispatch/registrations.py
+++ b/sassafrasgate/dispatch/registrations.py
@@ -8,7 +8,7 @@
 from sassafrasgate.core.resources import NOTHING
 from sassafrasgate.core.workers import Registration
 from sassafrasgate.dispatch.actions import ForgetWorker
-from sassafrasgate.dispatch.actions import Note
+from sassafrasgate.dispatch.actions import LogEvent
 from sassafrasgate.dispatch.actions import WatchWorker
 from sassafrasgate.dispatch.events import TableChanged
 from sassafrasgate.dispatch.events import WorkerRegistered
@@ -17,10 +17,10 @@
 from sassafrasgate.dispatch.handlers import DURABLE_HANDLERS
 from sassafrasgate.dispatch.handlers import EVENT_HANDLERS
 from sassafrasgate.dispatch.handlers import write_record
-from sassafrasgate.dispatch.leases import find_grant_bound
-from sassafrasgate.dispatch.leases import LIVES_PER_WATCH
+from sassafrasgate.dispatch.hold_waits import NORMAL_HOLD_WAIT_MS
+from sassafrasgate.dispatch.leases import compute_worker_lease_expiry
+from sassafrasgate.dispatch.leases import RESTARTS_PER_WATCH
 from sassafrasgate.dispatch.state import WorkerEntry
-from sassafrasgate.dispatch.waits import CALM_WAIT_MS
 from sassafrasgate.journal.workflows import WorkerForgotten
 from sassafrasgate.journal.workflows import WorkerSeen
 
@@ -36,8 +36,8 @@
         return
     previous = state.table.version
     state.table = event.table
-    state.dirty = True
-    yield Note(
+    state.needs_pass = True
+    yield LogEvent(
         'table',
         '',
         (('version', event.table.version), ('previous', previous)),
@@ -73,7 +73,7 @@
         return
     state.update_worker(worker, registration=registration, registered=True)
     state.measure_free(worker)
-    state.dirty = True
+    state.needs_pass = True
     if known.address != registration.address:
         yield from _record_worker(state, registration)
         yield _watch_worker(state, registration)
@@ -95,16 +95,18 @@
     state.watches[worker] = number + 1
     if number:
         entry = state.workers[worker]
-        bound = find_grant_bound(state.now, CALM_WAIT_MS)
-        state.update_worker(worker, lapse_at=max(entry.lapse_at, bound))
-    return WatchWorker(registration, number * LIVES_PER_WATCH)
+        bound = compute_worker_lease_expiry(state.now, NORMAL_HOLD_WAIT_MS)
+        state.update_worker(
+            worker, leases_expire_at=max(entry.leases_expire_at, bound)
+        )
+    return WatchWorker(registration, number * RESTARTS_PER_WATCH)
 
 
 def _record_worker(
     state: DispatchState, registration: Registration
 ) -> Actions:
     """Name a worker in the journal, which a start there has to wait for."""
-    pool, address = state.known_workers.get(registration.worker, ('', ''))
+    pool, address = state.recorded_workers.get(registration.worker, ('', ''))
     if (pool, address) == (registration.pool, registration.address):
         state.update_worker(registration.worker, recorded=True)
         return
@@ -117,8 +119,8 @@
     )
 
 
-def _describe_worker(kind: str, registration: Registration) -> Note:
-    return Note(
+def _describe_worker(kind: str, registration: Registration) -> LogEvent:
+    return LogEvent(
         kind,
         '',
         (
@@ -137,10 +139,10 @@
 def note_recorded(state: DispatchState, record: WorkerSeen) -> Actions:
     """Let a worker be used, since a successor will know of it."""
     entry = state.workers.get(record.worker)
-    named = state.known_workers.get(record.worker)
+    named = state.recorded_workers.get(record.worker)
     if entry is not None and named == (record.pool, record.address):
         state.update_worker(record.worker, recorded=True)
-        state.dirty = True
+        state.needs_pass = True
     yield from ()
 
 
@@ -157,7 +159,7 @@
     if entry is None or not entry.registered:
         return
     state.update_worker(event.worker, registered=False)
-    yield Note(
+    yield LogEvent(
         'worker-unregistered',
         '',
         (
@@ -168,13 +170,13 @@
     )
 
 
-def watch_known_workers(state: DispatchState) -> Actions:
+def watch_recorded_workers(state: DispatchState) -> Actions:
     """Keep in touch with workers that only the journal names.
 
     An entry may have lapsed while its worker still runs what an earlier
     owner started there.
     """
-    for worker, (pool, address) in state.known_workers.items():
+    for worker, (pool, address) in state.recorded_workers.items():
         if worker in state.workers:
             continue
         registration = Registration(worker, pool, address, '', NOTHING)
@@ -192,11 +194,11 @@
     comes back into use is named again before its next start.
     """
     for worker, entry in list(state.workers.items()):
-        if state.runs_on.get(worker) or worker in state.unsettled:
+        if state.runs_on.get(worker) or worker in state.unreconciled_workers:
             continue
-        if entry.foreign or not _is_idle_for_good(entry):
+        if entry.unknown_runs or not _is_idle_for_good(entry):
             continue
-        if worker in state.known_workers:
+        if worker in state.recorded_workers:
             yield from write_record(state, WorkerForgotten(worker))
             state.update_worker(worker, recorded=False)
         if entry.registered or not _is_silent_for_good(entry):
@@ -205,7 +207,7 @@
         state.free.pop(worker, None)
         state.health.pop(worker, None)
         yield ForgetWorker(worker)
-        yield Note('worker-forgotten', '', (('worker', worker),))
+        yield LogEvent('worker-forgotten', '', (('worker', worker),))
 
 
 def _is_idle_for_good(entry: WorkerEntry) -> bool:
@@ -218,13 +220,15 @@
 
 
 def _is_silent_for_good(entry: WorkerEntry) -> bool:
-    return bool(entry.silent_since) and (entry.lapsed or not entry.fenced)
+    return bool(entry.silent_since) and (
+        entry.leases_expired or not entry.epoch_acknowledged
+    )
 
 
 def record_used_workers(state: DispatchState) -> Actions:
     """Name workers in the journal that have come back into use."""
     for worker, entry in list(state.workers.items()):
-        if worker in state.known_workers or _is_idle_for_good(entry):
+        if worker in state.recorded_workers or _is_idle_for_good(entry):
             continue
         if entry.registered and not entry.silent_since:
             yield from _record_worker(state, entry.registration)
--- a/sassafrasgate/dispatch/reports.py
+++ b/sassafrasgate/dispatch/reports.py
@@ -8,7 +8,7 @@
 from sassafrasgate.core.workflows import EndKind
 from sassafrasgate.core.workflows import split_step_task_id
 from sassafrasgate.dispatch.actions import AcknowledgeEnds
-from sassafrasgate.dispatch.actions import Note
+from sassafrasgate.dispatch.actions import LogEvent
 from sassafrasgate.dispatch.actions import StopRun
 from sassafrasgate.dispatch.events import EpochRefused
 from sassafrasgate.dispatch.events import WorkerReported
@@ -17,13 +17,12 @@
 from sassafrasgate.dispatch.handlers import EVENT_HANDLERS
 from sassafrasgate.dispatch.handlers import write_record
 from sassafrasgate.dispatch.health import note_run_end
+from sassafrasgate.dispatch.hold_waits import note_unanswered_call
+from sassafrasgate.dispatch.pacing import choose_first_pace
+from sassafrasgate.dispatch.pacing import FULL_PACE
+from sassafrasgate.dispatch.pacing import UNKNOWN_PACE
 from sassafrasgate.dispatch.progress import want_task
 from sassafrasgate.dispatch.requests import show_end
-from sassafrasgate.dispatch.sharing import choose_first_pace
-from sassafrasgate.dispatch.sharing import FULL_PACE
-from sassafrasgate.dispatch.sharing import UNKNOWN_PACE
-from sassafrasgate.dispatch.speeds import measure_run
-from sassafrasgate.dispatch.speeds import note_finished_run
 from sassafrasgate.dispatch.state import RunEntry
 from sassafrasgate.dispatch.state import RunKey
 from sassafrasgate.dispatch.state import RunPhase
@@ -31,7 +30,8 @@
 from sassafrasgate.dispatch.stops import is_gone
 from sassafrasgate.dispatch.stops import stop_job_runs
 from sassafrasgate.dispatch.stops import stop_step_runs
-from sassafrasgate.dispatch.waits import note_unanswered_call
+from sassafrasgate.dispatch.stragglers import measure_run
+from sassafrasgate.dispatch.stragglers import note_finished_run
 from sassafrasgate.journal.workflows import RunEnded
 from sassafrasgate.shards.actions import GiveUpShard
 from sassafrasgate.shards.attempts import ClockReading
@@ -52,31 +52,33 @@
     if entry is None:
         return
     report = event.report
-    reborn = bool(entry.born_ms) and report.born_ms != entry.born_ms
+    reborn = (
+        bool(entry.incarnation_ms) and report.born_ms != entry.incarnation_ms
+    )
     if not reborn and entry.reading and report.clock_ms < entry.reading.clock:
         return
-    if entry.silent_since or not entry.fenced or reborn:
+    if entry.silent_since or not entry.epoch_acknowledged or reborn:
         yield _describe_return(state, event, reborn)
     if reborn:
         yield from _note_restart(state, event)
     state.update_worker(
         event.worker,
-        fenced=True,
-        born_ms=report.born_ms,
+        epoch_acknowledged=True,
+        incarnation_ms=report.born_ms,
         reading=ClockReading(report.clock_ms, event.received_at),
         seen=0 if reborn else entry.seen,
         silent_since=0,
-        lapse_at=event.lapse_at,
-        lapsed=False,
+        leases_expire_at=event.leases_expire_at,
+        leases_expired=False,
     )
     for ended in report.ended:
         yield from _note_ended(state, event, ended)
     yield from _note_running(state, event)
-    if state.unsettled.pop(event.worker, None) is not None:
-        state.dirty = True
-    if reborn or not entry.fenced or entry.silent_since:
+    if state.unreconciled_workers.pop(event.worker, None) is not None:
+        state.needs_pass = True
+    if reborn or not entry.epoch_acknowledged or entry.silent_since:
         state.measure_free(event.worker)
-        state.dirty = True
+        state.needs_pass = True
 
 
 def _note_restart(state: DispatchState, event: WorkerReported) -> Actions:
@@ -94,27 +96,27 @@
             continue
         state.update_run(
             run.key,
-            born_ms=event.report.born_ms,
+            incarnation_ms=event.report.born_ms,
             phase=RunPhase.PRESENT,
             present_clock=event.report.clock_ms,
             stop_clock=0,
             listed=False,
         )
-    state.update_worker(event.worker, foreign=frozenset())
+    state.update_worker(event.worker, unknown_runs=frozenset())
 
 
 def _describe_return(
     state: DispatchState, event: WorkerReported, reborn: bool
-) -> Note:
+) -> LogEvent:
     entry = state.workers[event.worker]
     silent_ms = state.now - entry.silent_since if entry.silent_since else 0
-    return Note(
+    return LogEvent(
         'worker-answers',
         '',
         (
             ('worker', event.worker),
             ('restarted', reborn),
-            ('first', not entry.fenced),
+            ('first', not entry.epoch_acknowledged),
             ('silent_ms', silent_ms),
             ('running', len(event.report.running)),
             ('ended', len(event.report.ended)),
@@ -130,9 +132,11 @@
         return
     state.update_worker(event.worker, seen=ended.number)
     key = RunKey(ended.task, ended.run)
-    if key in entry.foreign:
-        state.update_worker(event.worker, foreign=entry.foreign - {key})
-        state.dirty = True
+    if key in entry.unknown_runs:
+        state.update_worker(
+            event.worker, unknown_runs=entry.unknown_runs - {key}
+        )
+        state.needs_pass = True
     yield from write_record(
         state,
         RunEnded(
@@ -162,19 +166,19 @@
     event: WorkerReported,
     ended: EndedRun,
     run: RunEntry | None,
-) -> Note:
-    facts: tuple[tuple[str, object], ...] = (
+) -> LogEvent:
+    fields: tuple[tuple[str, object], ...] = (
         ('run', ended.run),
         ('worker', event.worker),
         ('how', ended.how),
         ('number', ended.number),
     )
     if run is not None:
-        facts += (
+        fields += (
             ('ran_ms', state.now - run.started_at),
             ('expected_ms', run.expected_ms),
         )
-    return Note('end', ended.task, facts)
+    return LogEvent('end', ended.task, fields)
 
 
 def settle_step(state: DispatchState, run: RunEntry) -> Actions:
@@ -184,7 +188,7 @@
     if job is None or entry is None:
         return
     step = state.find_step(run.step)
-    if job.is_over:
+    if job.has_ended:
         # The members of a gang that has finished end by themselves.
         if not (step.gang and not entry.open):
             yield from stop_job_runs(state, job.job_id)
@@ -242,10 +246,12 @@
     job = state.jobs.get(step_key.job_id) if step_key else None
     known = job is not None and step_key in state.steps
     if not known or step_key is None or job is None:
-        if key in entry.foreign:
+        if key in entry.unknown_runs:
             return
-        state.update_worker(event.worker, foreign=entry.foreign | {key})
-        yield Note(
+        state.update_worker(
+            event.worker, unknown_runs=entry.unknown_runs | {key}
+        )
+        yield LogEvent(
             'stop',
             running.task,
             (
@@ -298,7 +304,7 @@
     if not state.steps[step_key].pending:
         state.waiting.pop(step_key, None)
     note_begun(state, step_key.job_id)
-    yield Note(
+    yield LogEvent(
         'adopt',
         running.task,
         (
@@ -313,14 +319,14 @@
     state: DispatchState, run: RunEntry, duplicate: bool
 ) -> bool:
     job = state.jobs[run.step.job_id]
-    if job.is_over or state.find_task(run.key.task).finished:
+    if job.has_ended or state.find_task(run.key.task).finished:
         return False
     return not duplicate or state.find_step(run.step).speculative
 
 
 def _stop_adopted(state: DispatchState, run: RunEntry) -> Actions:
     state.update_run(run.key, stopping=True, stop_sent_at=state.now)
-    yield Note(
+    yield LogEvent(
         'stop',
         run.key.task,
         (
@@ -365,7 +371,7 @@
     )
     if run.checkpoint and run.step in state.steps:
         state.update_step(run.step, checkpoint=run.checkpoint)
-    yield Note(
+    yield LogEvent(
         'lose',
         run.key.task,
         (
@@ -379,14 +385,14 @@
     yield from settle_step(state, run)
 
 
-def drop_worker_runs(
+def lose_worker_runs(
     state: DispatchState, worker: str, reason: str
 ) -> Actions:
     """Give up all runs of a worker that are certainly gone."""
     for run in state.list_runs_on(worker):
         if run.key in state.runs:
             yield from lose_run(state, run, reason)
-    state.update_worker(worker, foreign=frozenset())
+    state.update_worker(worker, unknown_runs=frozenset())
 
 
 @EVENT_HANDLERS.register(WorkerSilent)
@@ -399,17 +405,17 @@
     state.update_worker(
         event.worker,
         silent_since=entry.silent_since or state.now,
-        lapse_at=max(entry.lapse_at, event.lapse_at),
+        leases_expire_at=max(entry.leases_expire_at, event.leases_expire_at),
     )
     if entry.silent_since:
         return
-    yield Note(
+    yield LogEvent(
         'worker-silent',
         '',
         (
             ('worker', event.worker),
             ('runs', len(state.runs_on.get(event.worker, ()))),
-            ('lapse_in_ms', event.lapse_at - state.now),
+            ('leases_expire_in_ms', event.leases_expire_at - state.now),
             ('reason', event.reason),
         ),
     )
@@ -418,20 +424,20 @@
 def note_lapses(state: DispatchState) -> Actions:
     """Give up runs on silent workers whose leases have lapsed."""
     for worker, entry in list(state.workers.items()):
-        if not entry.silent_since or entry.lapsed:
+        if not entry.silent_since or entry.leases_expired:
             continue
-        if not entry.lapse_at or state.now < entry.lapse_at:
+        if not entry.leases_expire_at or state.now < entry.leases_expire_at:
             continue
-        state.update_worker(worker, lapsed=True)
-        yield from drop_worker_runs(
+        state.update_worker(worker, leases_expired=True)
+        yield from lose_worker_runs(
             state, worker, 'the lease of its silent worker has lapsed'
         )
-    for worker, bound in list(state.unsettled.items()):
+    for worker, bound in list(state.unreconciled_workers.items()):
         if state.now < bound:
             continue
-        del state.unsettled[worker]
-        state.dirty = True
-        yield Note(
+        del state.unreconciled_workers[worker]
+        state.needs_pass = True
+        yield LogEvent(
             'worker-settled',
             '',
             (
@@ -476,7 +482,7 @@
 
 def stop_incomplete_gangs(state: DispatchState) -> Actions:
     """End what an earlier owner left of a gang; it starts again whole."""
-    if state.unsettled:
+    if state.unreconciled_workers:
         return
     for key in list_incomplete_gangs(state):
         yield from stop_step_runs(state, key, 'the gang is incomplete')
--- a/sassafrasgate/dispatch/requests.py
+++ b/sassafrasgate/dispatch/requests.py
@@ -8,7 +8,7 @@
 from sassafrasgate.core.errors import Refusal
 from sassafrasgate.core.errors import RefusalKind
 from sassafrasgate.core.workflows import WorkflowState
-from sassafrasgate.dispatch.actions import Note
+from sassafrasgate.dispatch.actions import LogEvent
 from sassafrasgate.dispatch.events import JournalStalled
 from sassafrasgate.dispatch.handlers import DURABLE_HANDLERS
 from sassafrasgate.dispatch.handlers import EVENT_HANDLERS
@@ -60,7 +60,7 @@
         return
     refusal = _find_refusal(state, message)
     if refusal is not None:
-        yield Note(
+        yield LogEvent(
             'refuse',
             message.job_id,
             (
@@ -80,7 +80,7 @@
             message.job_id, queue, message.workflow, event.wall_ms
         ),
     )
-    yield Note(
+    yield LogEvent(
         'accept',
         message.job_id,
         (
@@ -146,7 +146,7 @@
         return
     forget_job(state, event.job_id)
     refusal = _refuse_stalled(state)
-    yield Note('withdraw', event.job_id, (('reason', refusal.reason),))
+    yield LogEvent('withdraw', event.job_id, (('reason', refusal.reason),))
     for caller in state.accept_callers.pop(event.job_id, ()):
         yield reply_refusal(caller, refusal)
     for caller in state.cancel_callers.pop(event.job_id, ()):
@@ -165,7 +165,7 @@
 def make_view(state: DispatchState, entry: JobEntry) -> WorkflowView:
     """Return what callers may see of a workflow."""
     shown = entry.shown
-    if not entry.is_over and entry.state is WorkflowState.RUNNING:
+    if not entry.has_ended and entry.state is WorkflowState.RUNNING:
         shown = WorkflowState.RUNNING
     return WorkflowView(entry.job_id, shown, state.epoch)
 
@@ -174,7 +174,7 @@
 def answer_accepted(state: DispatchState, record: WorkflowAccepted) -> Actions:
     """Answer the callers of an acceptance that is durable."""
     entry = state.update_job(record.job_id, durable=True)
-    state.dirty = True
+    state.needs_pass = True
     for caller in state.accept_callers.pop(record.job_id, ()):
         yield Reply(caller, make_view(state, entry))
 
@@ -200,14 +200,14 @@
     if entry is None:
         yield Reply(event.reply_to, WorkflowView(job_id, None, state.epoch))
         return
-    if entry.shown is entry.state and entry.is_over:
+    if entry.shown is entry.state and entry.has_ended:
         yield Reply(event.reply_to, make_view(state, entry))
         return
     state.cancel_callers.setdefault(job_id, []).append(event.reply_to)
-    if entry.is_over:
+    if entry.has_ended:
         return
     yield from write_record(state, WorkflowCancelled(job_id, event.wall_ms))
-    yield Note('cancel', job_id, (('queue', entry.queue.name),))
+    yield LogEvent('cancel', job_id, (('queue', entry.queue.name),))
     yield from stop_job_runs(state, job_id)
 
 
@@ -222,7 +222,7 @@
 def show_end(state: DispatchState, job_id: str) -> Actions:
     """Let callers see a job's end, whose record is durable."""
     entry = state.jobs.get(job_id)
-    if entry is None or not entry.is_over:
+    if entry is None or not entry.has_ended:
         return
     entry = state.update_job(job_id, shown=entry.state)
     for caller in state.cancel_callers.pop(job_id, ()):
--- a/sassafrasgate/dispatch/passes.py
+++ b/sassafrasgate/dispatch/scheduling_passes.py
@@ -36,13 +36,13 @@
 @EVENT_HANDLERS.register(PassDue)
 def place_waiting(state: DispatchState, event: PassDue) -> Actions:
     """Go through the waiting steps in order and start what fits."""
-    state.dirty = False
+    state.needs_pass = False
     if state.stopping or not state.waiting:
         return
     plan = make_plan(state)
     for key in sorted(state.waiting, key=lambda key: rank_step(state, key)):
         job = state.jobs[key.job_id]
-        if job.inherited and state.unsettled:
+        if job.from_previous_owner and state.unreconciled_workers:
             continue
         terms = state.find_terms(job)
         workers = plan.usable.get(terms.pool)
--- a/sassafrasgate/dispatch/starts.py
+++ b/sassafrasgate/dispatch/start_replies.py
@@ -5,16 +5,16 @@
 from typing import TYPE_CHECKING
 
 from sassafrasgate.core.workflows import StartRefusal
-from sassafrasgate.dispatch.actions import Note
+from sassafrasgate.dispatch.actions import LogEvent
 from sassafrasgate.dispatch.events import RunAnswered
 from sassafrasgate.dispatch.events import RunNotSent
 from sassafrasgate.dispatch.events import RunUnanswered
 from sassafrasgate.dispatch.handlers import EVENT_HANDLERS
+from sassafrasgate.dispatch.hold_waits import note_unanswered_call
 from sassafrasgate.dispatch.reports import lose_run
 from sassafrasgate.dispatch.reports import note_begun
 from sassafrasgate.dispatch.state import RunPhase
 from sassafrasgate.dispatch.stops import stop_run
-from sassafrasgate.dispatch.waits import note_unanswered_call
 from sassafrasgate.shards.actions import GiveUpShard
 
 if TYPE_CHECKING:
@@ -44,7 +44,7 @@
     if refusal is None:
         _confirm_run(state, run, event.answer.clock_ms)
         return
-    yield Note(
+    yield LogEvent(
         'start-refused',
         run.key.task,
         (
@@ -108,7 +108,7 @@
     if run is None or run.worker != event.worker:
         return
     state.update_run(event.run, uncertain=True)
-    yield Note(
+    yield LogEvent(
         'start-unanswered',
         run.key.task,
         (
--- a/sassafrasgate/dispatch/state.py
+++ b/sassafrasgate/dispatch/state.py
@@ -1,6 +1,7 @@
-"""The dispatcher's state, owned by one task.
+"""The state of the dispatcher.
 
-Values are frozen; the containers belong to the dispatcher's task alone.
+The entries are immutable. The containers that hold them are changed by the
+dispatcher's task only.
 """
 
 from __future__ import annotations
@@ -32,7 +33,7 @@
 
 
 class StepKey(NamedTuple):
-    """Names one step of one occurrence of a job."""
+    """Identifies a step of one occurrence of a job."""
 
     job_id: str
     occurrence: int
@@ -40,24 +41,25 @@
 
 
 class RunKey(NamedTuple):
-    """Names one run of a task."""
+    """Identifies a run of a task."""
 
     task: str
     run: int
 
 
 class RunPhase(StrEnum):
-    """What the owner knows of a run.
+    """How far the start of a run is confirmed.
 
     Attributes
     ----------
     SENT
-        The start has no answer yet.
+        The start call was sent and has not been answered.
     PRESENT
-        The worker has answered or reported that the run is there.
+        The worker has confirmed the run in an answer or a report.
     UNSURE
-        A copy of the start was refused, and another one had no answer and
-        may still be carried out. Only an answered stop settles it.
+        It is open whether the worker will start the run: a start call got
+        no answer, and the worker may still carry it out. Only the answer to
+        a stop call makes sure that the run can't start any more.
     """
 
     SENT = 'sent'
@@ -67,59 +69,71 @@
 
 @dataclass(frozen=True, slots=True)
 class RunEntry:
-    """A run that may be present on a worker and holds a reservation.
+    """A run that may be present on a worker.
+
+    Its demand is reserved on the worker until the run is certainly gone.
 
     Parameters
     ----------
-    born_ms : int
-        Incarnation of the worker that it was started on.
+    index : int
+        Index of the task within its step.
+    incarnation_ms : int
+        Incarnation of the worker on which the run was started.
     started_at : int
-        Owner's clock when the start was decided.
+        Owner's clock, in ms, when the start was decided.
     expected_ms : int
-        How long the run is expected to take.
+        Expected duration of the run.
     uncertain : bool
-        Whether a copy of the start had no answer.
+        Whether a start call for the run got no answer.
     present_clock : int
-        Worker's clock when it confirmed the run; a later report that does
-        not list the run means that it is gone.
+        Worker's clock, in ms, when it confirmed the run. The run is gone if
+        a later report does not list it.
     listed : bool
-        Whether a report of the worker's present life has listed it.
+        Whether a report of the worker's current incarnation has listed the
+        run.
     stopping : bool
-        Whether the owner wants it to end.
+        Whether the owner has decided to stop the run.
     stop_sent_at : int
-        Owner's clock of the last stop call.
+        Owner's clock, in ms, when the last stop call was sent.
     stop_clock : int
-        Worker's clock when it answered a stop; 0 before.
+        Worker's clock, in ms, when it answered a stop call; 0 before that.
     percent, percent_at : int
-        Last reported progress, and the owner's clock of that report.
+        Last reported progress in percent, and the owner's clock, in ms, when
+        the report arrived.
     checkpoint : str
-        Newest checkpoint that the worker has reported.
+        Newest checkpoint that the worker has reported; empty for none.
     base_percent, base_at : int
-        Progress and time that the next rate is taken from.
+        Progress in percent and owner's clock, in ms, from which the next
+        rate is measured.
     rate : float
-        Percent per second between two reports; negative before the second.
+        Progress in percent per second between two reports; negative until
+        two reports have arrived.
     rate_at : int
-        Owner's clock of the later of them.
+        Owner's clock, in ms, of the report that completed ``rate``.
     target_ms : int
-        Bound of the tail latency of a task that serves users; 0 for others.
+        Target for the tail latency of a latency-critical task; 0 for other
+        tasks.
     fills : bool
-        Whether the task uses what others leave of the processors.
+        Whether the task is best-effort: it uses only processor time that
+        other tasks leave.
     load, load_at : int
-        Last reported load, see `RunningRun`, and the owner's clock of it.
+        Last reported load, see `RunningRun`, and the owner's clock, in ms,
+        when the report arrived.
     pace, paced_at : int
-        Percent of its speed at which a filling task is to work, and the
-        owner's clock when that was decided.
+        Percent of full speed at which a best-effort task should work, and
+        the owner's clock, in ms, when that was decided.
     confirmed_pace : int
-        What the worker has put in force.
+        Pace, in percent, that the worker has confirmed.
     pace_sent_at : int
-        Owner's clock of the call under way; 0 when there is none.
+        Owner's clock, in ms, when the unanswered pace call was sent; 0 if no
+        call is unanswered.
     """
 
     key: RunKey
     step: StepKey
     index: int
     worker: str
-    born_ms: int
+    incarnation_ms: int
     demand: Resources
     phase: RunPhase = RunPhase.SENT
     started_at: int = 0
@@ -149,20 +163,25 @@
 
 @dataclass(frozen=True, slots=True)
 class TaskEntry:
-    """What is known of a task beyond its present runs.
+    """Progress of one task, without its current runs.
 
     Parameters
     ----------
+    finished : bool
+        Whether the task has finished successfully.
     failures : int
-        Runs that ended as failed.
+        Number of runs that have failed.
     next_run : int
-        Lowest number for the next run.
+        Lowest number that the next run may have.
+    checkpoint : str
+        Newest checkpoint of the task; empty for none.
     ended_runs : tuple of int
-        Runs whose end has been noted.
+        Numbers of the runs whose end has been applied.
     failed_on : tuple of str
         Workers on which runs have failed.
     moved : bool
-        Whether a run was moved for taking far longer than estimated.
+        Whether a run has been moved because it took far longer than
+        estimated.
     """
 
     finished: bool = False
@@ -179,28 +198,30 @@
 
 @dataclass(frozen=True, slots=True)
 class StepEntry:
-    """Progress of one step of one occurrence.
+    """Progress of one step of one occurrence of a job.
 
     Parameters
     ----------
     pending : frozenset of int
-        Tasks that want a run and have none.
+        Indexes of the tasks that need a run and have none.
     open : int
-        Tasks that have not finished.
+        Number of tasks that have not finished.
     ready : bool
-        Whether its predecessors are done and its time has come.
+        Whether the step may run: its predecessors have finished and its
+        start time has passed.
     closed : bool
-        Whether it has finished and what follows was opened.
+        Whether the step has finished and its successors were made ready.
     gang_failures : int
-        Runs of the gang that ended as failed.
+        Number of runs of the gang that have failed.
     failed_gang_runs : tuple of int
-        Their numbers.
+        Numbers of the runs of the gang that have failed.
     checkpoint : str
         Newest checkpoint of a gang, which is valid for all members.
     ready_at : int
-        Owner's clock when it became ready.
+        Owner's clock, in ms, when the step became ready.
     moved : bool
-        Whether its gang was moved for taking far longer than estimated.
+        Whether the gang has been moved because it took far longer than
+        estimated.
     """
 
     key: StepKey
@@ -217,33 +238,35 @@
 
 @dataclass(frozen=True, slots=True)
 class JobEntry:
-    """One accepted workflow.
+    """An accepted workflow.
 
     Parameters
     ----------
     queue : Queue
-        Terms at acceptance.
+        Settings of the job's queue when the job was accepted.
     state : WorkflowState
-        As decided; callers see ``shown``.
+        State that has been decided; callers see ``shown`` instead.
     shown : WorkflowState
-        As far as it is durable.
+        Latest state whose record is durable.
     durable : bool
-        Whether the acceptance is in the journal.
-    inherited : bool
-        Whether an earlier owner may have started its tasks.
+        Whether the journal contains the record of the acceptance.
+    from_previous_owner : bool
+        Whether an earlier owner may have started tasks of the job.
     due_at : int
-        Owner's clock by which the job should have completed.
+        Owner's clock, in ms, by which the job should complete.
     late_at : int
-        Owner's clock from which completing it earns nothing more.
+        Owner's clock, in ms, after which completing the job earns nothing.
     tails : tuple of int
-        For each step, the longest chain of expected work from its start to
-        the end of the job, in ms.
+        For each step, the critical path from its start to the end of the
+        job: the longest chain of estimated work, in ms.
     occurrences : int
-        Occurrences that have been opened.
+        Number of occurrences that have been opened.
     open_steps : int
-        Steps of opened occurrences that have not finished.
+        Number of steps of opened occurrences that have not finished.
     closed_by : RunKey or None
-        The run whose end closed the job.
+        Run whose end ended the job.
+    ended_at_ms : int
+        Wall clock when the job ended.
     """
 
     job_id: str
@@ -253,7 +276,7 @@
     state: WorkflowState = WorkflowState.QUEUED
     shown: WorkflowState = WorkflowState.QUEUED
     durable: bool = False
-    inherited: bool = False
+    from_previous_owner: bool = False
     due_at: int = 0
     late_at: int = 0
     tails: tuple[int, ...] = ()
@@ -263,71 +286,77 @@
     ended_at_ms: int = 0
 
     @property
-    def is_over(self) -> bool:
-        """Whether the job has ended for good."""
+    def has_ended(self) -> bool:
+        """Whether the job has reached a final state."""
         return self.state in FINAL_WORKFLOW_STATES
 
 
 @dataclass(frozen=True, slots=True)
 class WorkerEntry:
-    """What the owner knows of a worker.
+    """State of a worker, as far as the owner has learned it.
 
     Parameters
     ----------
     registration : Registration
-        Its newest entry in the store.
+        Newest entry of the worker in the store.
     registered : bool
-        Whether the entry is still there.
+        Whether the store still has an entry for the worker.
     recorded : bool
-        Whether the journal names the worker, so that a successor looks
-        there.
-    fenced : bool
-        Whether it has answered under this owner's epoch.
-    born_ms : int
-        Incarnation of the newest report; 0 before the first.
+        Whether a durable record names the worker, so that a successor
+        contacts it.
+    epoch_acknowledged : bool
+        Whether the worker has answered a call with this owner's epoch.
+    incarnation_ms : int
+        Incarnation of the worker in its newest report; 0 before the first
+        report.
     reading : ClockReading or None
-        The worker's clock in the newest report.
+        The worker's clock in its newest report.
     seen : int
-        Highest number in its list of ends that has been handled.
+        Highest number in the worker's list of ended runs that has been
+        handled.
     silent_since : int
-        Owner's clock of the first call without an answer since it last
-        answered; 0 while it answers.
-    lapse_at : int
-        Owner's clock from which all that was granted there has lapsed.
-    lapsed : bool
-        Whether its runs were given up for that.
-    foreign : frozenset of RunKey
-        Runs there of unknown size, which are being stopped.
+        Owner's clock, in ms, of the first unanswered call since the worker
+        last answered; 0 while the worker answers.
+    leases_expire_at : int
+        Owner's clock, in ms, from which every lease granted to the worker
+        has expired.
+    leases_expired : bool
+        Whether the worker's runs were given up because its leases had
+        expired.
+    unknown_runs : frozenset of RunKey
+        Runs on the worker whose task is unknown to the owner. They are
+        being stopped, and their demand is unknown until then.
     avoid_until : int
-        Owner's clock until which it gets no new work.
+        Owner's clock, in ms, until which the worker gets no new runs.
     """
 
     registration: Registration
     registered: bool = True
     recorded: bool = False
-    fenced: bool = False
-    born_ms: int = 0
+    epoch_acknowledged: bool = False
+    incarnation_ms: int = 0
     reading: ClockReading | None = None
     seen: int = 0
     silent_since: int = 0
-    lapse_at: int = 0
-    lapsed: bool = False
-    foreign: frozenset[RunKey] = frozenset()
+    leases_expire_at: int = 0
+    leases_expired: bool = False
+    unknown_runs: frozenset[RunKey] = frozenset()
     avoid_until: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class SlowMark:
-    """A worker that gets no new runs for being slow.
+    """Period in which a slow worker gets no new runs.
 
     Parameters
     ----------
     share : float
-        Its speed as a share of the usual one; 0 when runs stand still.
+        Speed of the worker as a fraction of the usual speed; 0 if its runs
+        make no progress.
     until : int
-        Owner's clock of the end of the pause.
+        Owner's clock, in ms, when the period ends.
     pause_ms : int
-        Length of the pause.
+        Length of the period.
     """
 
     share: float
@@ -337,29 +366,40 @@
 
 @dataclass(frozen=True, slots=True)
 class Ticket:
-    """Proof that a worker may run a step, for one life of the worker."""
+    """Permission to run a step on one incarnation of a worker.
+
+    Parameters
+    ----------
+    ticket : str
+        Token from the advice service, which the start call presents.
+    expires_at : int
+        Owner's clock, in ms, when the ticket expires.
+    incarnation_ms : int
+        Incarnation of the worker that the ticket is valid for.
+    """
 
     ticket: str
     expires_at: int
-    born_ms: int
+    incarnation_ms: int
 
 
 @dataclass(frozen=True, slots=True)
 class StepAdvice:
-    """What the advice service has said about a step.
+    """Answers of the advice service about a step.
 
     Parameters
     ----------
     tickets : dict
-        Newest ticket by worker; also expired ones, whose workers stay good.
+        Newest ticket by worker. Expired tickets are kept because their
+        workers remain admissible.
     asked : frozenset of str
         Workers that the service has been asked about.
     asking : frozenset of str
-        Workers named in the call that is under way; empty when none is.
+        Workers named in the pending call; empty if no call is pending.
     asked_at : int
-        Owner's clock of the newest call.
+        Owner's clock, in ms, when the newest call was made.
     failures : int
-        Calls without advice since the last with one.
+        Number of calls that have failed since the last successful one.
     """
 
     tickets: dict[str, Ticket] = field(default_factory=dict)
@@ -370,22 +410,27 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Lane:
-    """An entry host that can call the advice service.
+class AdviceChannel:
+    """Calls of one entry host to the advice service.
+
+    The service answers the calls of one host one at a time.
 
     Parameters
     ----------
+    entry_host : str
+        Name of the host.
     busy_until : int
-        Owner's clock at which its calls so far are expected to be over.
+        Owner's clock, in ms, when all calls made so far are expected to be
+        answered.
     """
 
-    name: str
+    entry_host: str
     busy_until: int = 0
 
 
 @dataclass
 class DispatchState:
-    """Everything that the dispatcher's decisions depend on.
+    """All inputs of the dispatcher's decisions.
 
     Parameters
     ----------
@@ -393,18 +438,19 @@
         Name of the journal.
     owner : str
         Process name and incarnation of the owner.
-    released_ms : int
-        How long the leases of an earlier owner, who has handed over, last
-        from the takeover on; -1 when it has not.
+    handover_lease_ms : int
+        How long, after this takeover, leases granted by the previous owner
+        remain valid if that owner handed the shard over; -1 if it did not.
     owners : tuple of str
-        Latest owners, the newest last, without those that handed over; one
-        that has not ended may go on unaware for a while.
-    shortened : bool
-        Whether the waiting time of ``unsettled`` was cut down since all of
-        them have ended.
-    unsettled : dict
-        Workers where an earlier owner's runs may be, with the owner's clock
-        at which everything there has lapsed.
+        Latest owners, newest last, without those that handed the shard over.
+        An owner whose process has not ended may continue for a while without
+        noticing that it was replaced.
+    previous_owners_ended : bool
+        Whether the processes of all previous owners have ended, and the
+        deadlines in ``unreconciled_workers`` were shortened for that reason.
+    unreconciled_workers : dict
+        Workers that may have runs of an earlier owner, with the owner's
+        clock, in ms, when every lease on that worker has expired.
     """
 
     shard: str
@@ -414,9 +460,9 @@
     grace_ms: int = 0
     previous_ttl_ms: int = 0
     previous_grace_ms: int = 0
-    released_ms: int = -1
+    handover_lease_ms: int = -1
     owners: tuple[str, ...] = ()
-    shortened: bool = False
+    previous_owners_ended: bool = False
     table: RoutingTable = field(default_factory=RoutingTable)
     jobs: dict[str, JobEntry] = field(default_factory=dict)
     steps: dict[StepKey, StepEntry] = field(default_factory=dict)
@@ -424,22 +470,23 @@
     runs: dict[RunKey, RunEntry] = field(default_factory=dict)
     runs_on: dict[str, set[RunKey]] = field(default_factory=dict)
     runs_of: dict[StepKey, set[RunKey]] = field(default_factory=dict)
-    # Runs that serve users, by worker, and filling runs with a set pace.
+    # Runs of latency-critical tasks by worker, and runs of best-effort tasks
+    # whose pace is controlled.
     serving: dict[str, set[RunKey]] = field(default_factory=dict)
     paced: set[RunKey] = field(default_factory=set)
     waiting: dict[StepKey, None] = field(default_factory=dict)
     workers: dict[str, WorkerEntry] = field(default_factory=dict)
     free: dict[str, Resources] = field(default_factory=dict)
-    known_workers: dict[str, tuple[str, str]] = field(default_factory=dict)
-    unsettled: dict[str, int] = field(default_factory=dict)
+    recorded_workers: dict[str, tuple[str, str]] = field(default_factory=dict)
+    unreconciled_workers: dict[str, int] = field(default_factory=dict)
     advice: dict[StepKey, StepAdvice] = field(default_factory=dict)
-    lanes: dict[str, Lane] = field(default_factory=dict)
+    advice_channels: dict[str, AdviceChannel] = field(default_factory=dict)
     health: dict[str, WorkerHealth] = field(default_factory=dict)
     slow: dict[str, SlowMark] = field(default_factory=dict)
     step_rates: dict[StepKey, float] = field(default_factory=dict)
-    # How often calls to a worker were begun under this owner.
+    # Number of times that this owner has begun to call a worker.
     watches: dict[str, int] = field(default_factory=dict)
-    # When a run last finished on a worker, on the owner's clock.
+    # Owner's clock, in ms, when a run last finished on a worker.
     finished_at: dict[str, int] = field(default_factory=dict)
     accept_callers: dict[str, list[int]] = field(default_factory=dict)
     cancel_callers: dict[str, list[int]] = field(default_factory=dict)
@@ -449,7 +496,7 @@
     judged_at: int = 0
     stalled_since: int = 0
     stopping: bool = False
-    dirty: bool = False
+    needs_pass: bool = False
     now: int = 0
     wall_ms: int = 0
 
@@ -466,7 +513,10 @@
         return entry
 
     def update_task(self, task: str, **changes: Any) -> TaskEntry:
-        """Replace fields of a task, which may be fresh."""
+        """Replace fields of a task and return the new entry.
+
+        A task without an entry gets one.
+        """
         entry = replace(self.tasks.get(task, FRESH_TASK), **changes)
         self.tasks[task] = entry
         return entry
@@ -484,7 +534,7 @@
         return entry
 
     def find_task(self, task: str) -> TaskEntry:
-        """Return a task's entry."""
+        """Return the entry of a task, or `FRESH_TASK`."""
         return self.tasks.get(task, FRESH_TASK)
 
     def find_step(self, key: StepKey) -> Step:
@@ -492,11 +542,14 @@
         return self.jobs[key.job_id].workflow.steps[key.step]
 
     def find_terms(self, entry: JobEntry) -> Queue:
-        """Return the terms in force for a job."""
+        """Return the current settings of a job's queue.
+
+        The settings at acceptance apply if the queue no longer exists.
+        """
         return self.table.name_queue(entry.queue.name) or entry.queue
 
     def add_run(self, entry: RunEntry) -> None:
-        """Hold a reservation for a run that may be present from now on."""
+        """Add a run and reserve its demand on its worker."""
         self.runs[entry.key] = entry
         self.runs_on.setdefault(entry.worker, set()).add(entry.key)
         self.runs_of.setdefault(entry.step, set()).add(entry.key)
@@ -508,7 +561,7 @@
             self.free[entry.worker] = self.free[entry.worker] - entry.demand
 
     def drop_run(self, key: RunKey) -> RunEntry | None:
-        """Give back the reservation of a run that is certainly gone."""
+        """Remove a run that is certainly gone and release its demand."""
         entry = self.runs.pop(key, None)
         if entry is None:
             return None
@@ -524,7 +577,7 @@
                 del self.serving[entry.worker]
         if entry.worker in self.free:
             self.free[entry.worker] = self.free[entry.worker] + entry.demand
-        self.dirty = True
+        self.needs_pass = True
         return entry
 
     def list_runs_on(self, worker: str) -> list[RunEntry]:
@@ -532,7 +585,7 @@
         return [self.runs[key] for key in self.runs_on.get(worker, ())]
 
     def list_runs_of(self, key: StepKey) -> list[RunEntry]:
-        """Return the runs of a step that may be present anywhere."""
+        """Return the runs of a step that may be present on any worker."""
         return [self.runs[run] for run in self.runs_of.get(key, ())]
 
     def list_steps_of(self, job: JobEntry) -> Iterable[StepKey]:
--- a/sassafrasgate/dispatch/stops.py
+++ b/sassafrasgate/dispatch/stops.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from sassafrasgate.dispatch.actions import Note
+from sassafrasgate.dispatch.actions import LogEvent
 from sassafrasgate.dispatch.actions import StopRun
 from sassafrasgate.dispatch.events import StopAnswered
 from sassafrasgate.dispatch.handlers import EVENT_HANDLERS
@@ -26,7 +26,7 @@
     if run.stopping:
         return
     state.update_run(run.key, stopping=True, stop_sent_at=state.now)
-    yield Note(
+    yield LogEvent(
         'stop',
         run.key.task,
         (
--- a/sassafrasgate/dispatch/speeds.py
+++ b/sassafrasgate/dispatch/stragglers.py
@@ -14,7 +14,7 @@
 from typing import Any
 from typing import TYPE_CHECKING
 
-from sassafrasgate.dispatch.actions import Note
+from sassafrasgate.dispatch.actions import LogEvent
 from sassafrasgate.dispatch.state import RunPhase
 from sassafrasgate.dispatch.state import SlowMark
 from sassafrasgate.dispatch.stops import stop_run
@@ -107,12 +107,12 @@
 
 def _mark_worker(
     state: DispatchState, worker: str, share: float, mark: SlowMark | None
-) -> Note:
+) -> LogEvent:
     pause_ms = FIRST_PAUSE_MS
     if mark is not None:
         pause_ms = min(2 * mark.pause_ms, LONGEST_PAUSE_MS)
     state.slow[worker] = SlowMark(share, state.now + pause_ms, pause_ms)
-    return Note(
+    return LogEvent(
         'worker-slow',
         '',
         (
--- a/sassafrasgate/dispatch/timers.py
+++ b/sassafrasgate/dispatch/timers.py
@@ -5,16 +5,16 @@
 from typing import TYPE_CHECKING
 
 from sassafrasgate.dispatch.handlers import EVENT_HANDLERS
+from sassafrasgate.dispatch.hold_waits import choose_wait
+from sassafrasgate.dispatch.pacing import adjust_paces
 from sassafrasgate.dispatch.progress import forget_step
 from sassafrasgate.dispatch.progress import open_due_occurrences
 from sassafrasgate.dispatch.registrations import forget_gone_workers
 from sassafrasgate.dispatch.registrations import record_used_workers
 from sassafrasgate.dispatch.reports import note_lapses
 from sassafrasgate.dispatch.reports import stop_incomplete_gangs
-from sassafrasgate.dispatch.sharing import adjust_paces
-from sassafrasgate.dispatch.speeds import judge_workers
 from sassafrasgate.dispatch.stops import repeat_stops
-from sassafrasgate.dispatch.waits import choose_wait
+from sassafrasgate.dispatch.stragglers import judge_workers
 from sassafrasgate.shards.events import StopRequested
 from sassafrasgate.shards.events import Ticked
 
@@ -39,14 +39,14 @@
     yield from forget_gone_workers(state)
     yield from record_used_workers(state)
     for job_id, entry in list(state.jobs.items()):
-        if not entry.is_over and (
+        if not entry.has_ended and (
             entry.occurrences < entry.workflow.occurrences
         ):
             open_due_occurrences(state, job_id)
     _forget_jobs(state)
     # Tickets expire and workers come back from pauses without an event.
     if state.waiting:
-        state.dirty = True
+        state.needs_pass = True
 
 
 def _forget_jobs(state: DispatchState) -> None:
--- a/sassafrasgate/dispatch/transitions.py
+++ b/sassafrasgate/dispatch/transitions.py
@@ -5,10 +5,10 @@
 from typing import Any
 from typing import TYPE_CHECKING
 
-from sassafrasgate.dispatch import passes as _passes  # noqa: F401
 from sassafrasgate.dispatch import recovery as _recovery  # noqa: F401
 from sassafrasgate.dispatch import requests as _requests  # noqa: F401
-from sassafrasgate.dispatch import starts as _starts  # noqa: F401
+from sassafrasgate.dispatch import scheduling_passes as _scheduling_passes  # noqa: F401
+from sassafrasgate.dispatch import start_replies as _start_replies  # noqa: F401
 from sassafrasgate.dispatch import timers as _timers  # noqa: F401
 from sassafrasgate.dispatch.handlers import DURABLE_HANDLERS
 from sassafrasgate.dispatch.handlers import EVENT_HANDLERS
--- a/tests/dispatch/drivers.py
+++ b/tests/dispatch/drivers.py
@@ -26,7 +26,7 @@
 from tests.dispatch.simulation import TABLE
 from tests.dispatch.simulation import WALL_MS
 
-BORN_MS = 7
+INCARNATION_MS = 7
 CAPACITY = Resources(8_000, 8_000)
 
 
@@ -62,7 +62,7 @@
     def feed(self, event):
         """Decide about an event and about what follows; return actions."""
         actions = list(self._decide(event))
-        if self.state.dirty:
+        if self.state.needs_pass:
             actions.extend(self._decide(PassDue()))
         self.actions.extend(actions)
         return actions
@@ -96,7 +96,7 @@
         """Return a worker's answer to a start."""
         return RunAnswer(self.now, refusal)
 
-    def report(self, worker, ended=(), born_ms=BORN_MS, load=0):
+    def report(self, worker, ended=(), incarnation_ms=INCARNATION_MS, load=0):
         """Let a worker report; ``ended`` has pairs of run and end."""
         number = self.ends.get(worker, 0)
         rows = []
@@ -112,7 +112,7 @@
         return self.feed(
             WorkerReported(
                 worker,
-                WorkerReport(self.now, born_ms, running, tuple(rows)),
+                WorkerReport(self.now, incarnation_ms, running, tuple(rows)),
                 self.now,
                 self.now + 5_000,
             )
--- a/tests/dispatch/simulation.py
+++ b/tests/dispatch/simulation.py
@@ -54,13 +54,13 @@
 from sassafrasgate.dispatch.events import WorkerSilent
 from sassafrasgate.dispatch.events import WorkersListed
 from sassafrasgate.dispatch.events import WorkerUnregistered
-from sassafrasgate.dispatch.leases import find_deadline
-from sassafrasgate.dispatch.leases import find_grant_bound
-from sassafrasgate.dispatch.leases import make_fence
+from sassafrasgate.dispatch.leases import compute_worker_lease_deadline
+from sassafrasgate.dispatch.leases import compute_worker_lease_expiry
+from sassafrasgate.dispatch.leases import make_fencing_token
 from sassafrasgate.dispatch.recovery import begin_ownership
-from sassafrasgate.dispatch.recovery import list_records
+from sassafrasgate.dispatch.recovery import list_snapshot_records
 from sassafrasgate.dispatch.recovery import replay_records
-from sassafrasgate.dispatch.registrations import watch_known_workers
+from sassafrasgate.dispatch.registrations import watch_recorded_workers
 from sassafrasgate.dispatch.state import DispatchState
 from sassafrasgate.dispatch.transitions import decide
 from sassafrasgate.journal.records import Takeover
@@ -98,12 +98,12 @@
 TABLE = RoutingTable(1, (QUEUE, ADVISED), (Pool('p'),))
 
 
-class RuleBroken(AssertionError):
+class RuleViolation(AssertionError):
     """A worker has seen what must never happen."""
 
 
 @dataclass
-class Present:
+class SimRun:
     """A run on a simulated worker."""
 
     task: str
@@ -150,19 +150,21 @@
         job_id, occurrence, number, _ = split_step_task_id(task)
         workflow = self.workflows.get(job_id)
         if workflow is None:
-            raise RuleBroken(f'{task} was never submitted')
+            raise RuleViolation(f'{task} was never submitted')
         if task in self.noted:
-            raise RuleBroken(f'{task} started after its end was noted')
+            raise RuleViolation(f'{task} started after its end was noted')
         others = self.present.get(task, [])
         if others:
-            raise RuleBroken(f'{task} on {worker} and {others}')
+            raise RuleViolation(f'{task} on {worker} and {others}')
         for earlier in workflow.steps[number].after:
             for index in range(workflow.steps[earlier].tasks):
                 name = f'{job_id}.{occurrence}.{earlier}.{index}'
                 if name not in self.finished:
-                    raise RuleBroken(f'{task} started before {name} was done')
+                    raise RuleViolation(
+                        f'{task} started before {name} was done'
+                    )
         if self.failures.get(task, 0) >= QUEUE.max_attempts:
-            raise RuleBroken(f'{task} started after its last attempt')
+            raise RuleViolation(f'{task} started after its last attempt')
 
 
 class SimWorker:
@@ -187,11 +189,11 @@
                 self.rules.failures[end.task] -= 1
         for run in list(getattr(self, 'runs', {}).values()):
             self.rules.present[run.task].remove(self.name)
-        self.born_ms = WALL_MS + now
+        self.incarnation_ms = WALL_MS + now
         self.born_at = now
         self.epoch = 0
         self.deadline = 0
-        self.runs: dict[tuple[str, int], Present] = {}
+        self.runs: dict[tuple[str, int], SimRun] = {}
         self.floor: dict[str, int] = {}
         self.ended: list[EndedRun] = []
         self.number = 0
@@ -211,7 +213,7 @@
                 self._end(run, EndKind.STOPPED)
         return self.number > before
 
-    def _end(self, run: Present, how: EndKind) -> None:
+    def _end(self, run: SimRun, how: EndKind) -> None:
         del self.runs[run.task, run.run]
         self.rules.present[run.task].remove(self.name)
         self.floor[run.task] = max(self.floor.get(run.task, 0), run.run)
@@ -220,7 +222,7 @@
         if how is EndKind.FINISHED:
             self.rules.finished.add(run.task)
 
-    def finish(self, run: Present, how: EndKind) -> None:
+    def finish(self, run: SimRun, how: EndKind) -> None:
         """End a run of a job's own accord."""
         self._end(run, how)
         if how is EndKind.FAILED:
@@ -246,7 +248,7 @@
         """Return both lists."""
         return WorkerReport(
             self.clock(now),
-            self.born_ms,
+            self.incarnation_ms,
             tuple(
                 RunningRun(run.task, run.run, '', run.find_percent(now))
                 for run in self.runs.values()
@@ -278,9 +280,9 @@
         for run in self.runs.values():
             used = used + run.demand
         if not used.fits_in(self.capacity):
-            raise RuleBroken(f'{self.name} is over its capacity: {used}')
+            raise RuleViolation(f'{self.name} is over its capacity: {used}')
         work_ms = int(step.estimate_ms * self.random.uniform(0.5, 1.6))
-        self.runs[key] = Present(
+        self.runs[key] = SimRun(
             command.run.task,
             command.run.run,
             now,
@@ -313,11 +315,11 @@
 
     clock: int = 0
     read_at: int = 0
-    born_ms: int = 0
-    lives: int = 0
+    incarnation_ms: int = 0
+    restarts: int = 0
     acknowledged: int = 0
     seen: int = 0
-    lapse_at: int = 0
+    leases_expire_at: int = 0
     silent: bool = True
     waiting: bool = False
     # Starts without an answer that no report has shown either.
@@ -327,7 +329,7 @@
 class SimOwner:
     """One owner: its state, and simplified tasks around it."""
 
-    def __init__(self, world: World, name: str) -> None:
+    def __init__(self, world: SimCluster, name: str) -> None:
         self.world = world
         self.name = name
         self.state = DispatchState('cell', name)
@@ -348,7 +350,7 @@
         replay_records(state, (takeover,))
         begin_ownership(state)
         self.valid_until = world.now + TTL_MS + GRACE_MS
-        self.carry_out(watch_known_workers(state))
+        self.carry_out(watch_recorded_workers(state))
         self.feed(TableChanged(TABLE))
         self.feed(PeersChanged(('own', 'other')))
         self.feed(
@@ -382,7 +384,7 @@
             return
         wall_ms = WALL_MS + self.world.now
         self.carry_out(decide(self.state, event, self.world.now, wall_ms))
-        if self.state.dirty and self.may_send() and not self.dead:
+        if self.state.needs_pass and self.may_send() and not self.dead:
             self.carry_out(
                 decide(self.state, PassDue(), self.world.now, wall_ms)
             )
@@ -401,14 +403,14 @@
                 self.stop(action)
             elif isinstance(action, AcknowledgeEnds):
                 contact = self.contacts.get(action.worker)
-                if contact and contact.born_ms == action.born_ms:
+                if contact and contact.incarnation_ms == action.incarnation_ms:
                     contact.acknowledged = max(
                         contact.acknowledged, action.number
                     )
                     self.look(action.worker)
             elif isinstance(action, WatchWorker):
                 self.contacts[action.registration.worker] = Contact(
-                    lives=action.lives
+                    restarts=action.restarts
                 )
                 self.look(action.registration.worker)
             elif isinstance(action, ForgetWorker):
@@ -470,9 +472,9 @@
             if isinstance(report, StartRefusal):
                 self.feed(EpochRefused(worker))
                 return
-            if report.born_ms != contact.born_ms:
-                contact.lives += 1 if contact.born_ms else 0
-                contact.born_ms = report.born_ms
+            if report.born_ms != contact.incarnation_ms:
+                contact.restarts += 1 if contact.incarnation_ms else 0
+                contact.incarnation_ms = report.born_ms
                 contact.seen = contact.acknowledged = 0
             contact.clock, contact.read_at = report.clock_ms, world.now
             contact.silent = False
@@ -482,7 +484,9 @@
             for row in (*report.running, *report.ended):
                 contact.unconfirmed.discard((row.task, row.run))
             self.feed(
-                WorkerReported(worker, report, world.now, contact.lapse_at)
+                WorkerReported(
+                    worker, report, world.now, contact.leases_expire_at
+                )
             )
             self.look(worker)
 
@@ -491,7 +495,9 @@
             if self.dead or self.contacts.get(worker) is not contact:
                 return
             contact.silent = True
-            self.feed(WorkerSilent(worker, contact.lapse_at, 'no answer'))
+            self.feed(
+                WorkerSilent(worker, contact.leases_expire_at, 'no answer')
+            )
             world.later(100, lambda: self.look(worker))
 
         def carry_out(late: bool) -> None:
@@ -513,15 +519,16 @@
 
     def fence(self, contact: Contact) -> int:
         """Return the fencing value for a worker's present life."""
-        return make_fence(self.state.epoch, contact.lives)
+        return make_fencing_token(self.state.epoch, contact.restarts)
 
     def grant(self, contact: Contact) -> int:
         """Return a deadline, and count with it."""
         age = self.world.now - contact.read_at
-        contact.lapse_at = max(
-            contact.lapse_at, find_grant_bound(self.world.now, age)
+        contact.leases_expire_at = max(
+            contact.leases_expire_at,
+            compute_worker_lease_expiry(self.world.now, age),
         )
-        return find_deadline(contact.clock, age)
+        return compute_worker_lease_deadline(contact.clock, age)
 
     def start(self, command: StartRun, number: int, sent: bool) -> None:
         """Send a start; repeat it while no answer comes."""
@@ -532,7 +539,7 @@
         if (
             contact is None
             or not self.may_send()
-            or (contact.born_ms != command.born_ms)
+            or (contact.incarnation_ms != command.incarnation_ms)
         ):
             world.later(
                 0,
@@ -548,7 +555,7 @@
         def carry_out(late: bool) -> None:
             # An order that a worker has put off is lost with its life; one
             # that has just been sent reaches whichever life there is.
-            if late and sim.born_ms != command.born_ms:
+            if late and sim.incarnation_ms != command.incarnation_ms:
                 return
             answer = sim.start(world.now, epoch, command, deadline)
             if not late:
@@ -604,7 +611,7 @@
         world = self.world
         if world.random.random() < 0.1:
             event: Any = AdviceFailed(
-                action.step, action.lane, action.workers, 'lost'
+                action.step, action.entry_host, action.workers, 'lost'
             )
             world.later(200, lambda: self.feed(event))
             return
@@ -619,7 +626,7 @@
             self.feed(
                 AdviceAnswered(
                     action.step,
-                    action.lane,
+                    action.entry_host,
                     action.workers,
                     Advice(good, 2000),
                     world.now,
@@ -642,7 +649,7 @@
     tokens: list[int] = field(default_factory=list)
 
 
-class World:
+class SimCluster:
     """Everything, in virtual milliseconds."""
 
     def __init__(self, seed: int, workers: int = 5) -> None:
@@ -694,7 +701,7 @@
             action()
         self._advance_to(until)
 
-    def _find_next_end(self) -> tuple[int, SimWorker, Present] | None:
+    def _find_next_end(self) -> tuple[int, SimWorker, SimRun] | None:
         due = [
             (max(run.ends_at, self.now), worker, run)
             for worker in self.workers.values()
@@ -709,12 +716,12 @@
             worker.advance(self.now)
         self._spread_news()
 
-    def _works(self, worker: SimWorker, run: Present) -> bool:
+    def _works(self, worker: SimWorker, run: SimRun) -> bool:
         if not run.gang:
             return True
         return len(self._find_members(run)) == run.gang
 
-    def _find_members(self, run: Present) -> list[tuple[SimWorker, Present]]:
+    def _find_members(self, run: SimRun) -> list[tuple[SimWorker, SimRun]]:
         step = run.task.rpartition('.')[0]
         return [
             (worker, other)
@@ -723,7 +730,7 @@
             if other.run == run.run and other.task.rpartition('.')[0] == step
         ]
 
-    def _finish(self, worker: SimWorker, run: Present) -> None:
+    def _finish(self, worker: SimWorker, run: SimRun) -> None:
         how = EndKind.FAILED if run.fails else EndKind.FINISHED
         if not run.gang:
             worker.finish(run, how)
@@ -836,7 +843,7 @@
         owner = self.owner
         if owner is None or owner.dead or owner.unwritten or owner.writing:
             return
-        self.journal = list(list_records(owner.state))
+        self.journal = list(list_snapshot_records(owner.state))
 
     def submit(
         self, job_id: str, workflow: Workflow, queue: str = 'q'
--- a/tests/dispatch/test_gangs.py
+++ b/tests/dispatch/test_gangs.py
@@ -47,7 +47,7 @@
     return driver.feed(
         AdviceAnswered(
             ask.step,
-            ask.lane,
+            ask.entry_host,
             ask.workers,
             Advice(tickets, VALID_MS),
             driver.now,
--- a/tests/dispatch/test_guards.py
+++ b/tests/dispatch/test_guards.py
@@ -4,17 +4,17 @@
 
 from sassafrasgate.core.workflows import EndKind
 from sassafrasgate.dispatch import gangs
-from sassafrasgate.dispatch import passes
 from sassafrasgate.dispatch import recovery
 from sassafrasgate.dispatch import reports
-from sassafrasgate.dispatch import starts
+from sassafrasgate.dispatch import scheduling_passes
+from sassafrasgate.dispatch import start_replies
 from sassafrasgate.dispatch.actions import AcknowledgeEnds
 from sassafrasgate.dispatch.handlers import EVENT_HANDLERS
 from sassafrasgate.dispatch.state import DispatchState
 from tests.dispatch import simulation
-from tests.dispatch.simulation import RuleBroken
-from tests.dispatch.test_walks import check_outcome
-from tests.dispatch.test_walks import walk
+from tests.dispatch.simulation import RuleViolation
+from tests.dispatch.test_random_faults import check_outcome
+from tests.dispatch.test_random_faults import walk
 
 SEEDS = range(150)
 FAULTS = 12
@@ -35,7 +35,7 @@
 @guard
 def wait_for_unsettled_workers(patch):
     """A new owner waits for what an earlier one may have started."""
-    patch.setattr(recovery, 'find_takeover_bound', lambda *_: 0)
+    patch.setattr(recovery, 'compute_takeover_expiry', lambda *_: 0)
 
 
 @guard
@@ -47,13 +47,15 @@
         if run is not None:
             yield from reports.lose_run(state, run, 'no answer')
 
-    patch.setitem(EVENT_HANDLERS._items, starts.RunUnanswered, forget)
+    patch.setitem(EVENT_HANDLERS._items, start_replies.RunUnanswered, forget)
 
 
 @guard
 def fence_each_life(patch):
     """A restarted worker obeys calls from before its restart."""
-    patch.setattr(simulation, 'make_fence', lambda epoch, lives: epoch * 1000)
+    patch.setattr(
+        simulation, 'make_fencing_token', lambda epoch, restarts: epoch * 1000
+    )
 
 
 @guard
@@ -61,7 +63,7 @@
     """A start may reach the new life of a worker that restarts."""
 
     def drop(state, event):
-        yield from reports.drop_worker_runs(state, event.worker, 'restarted')
+        yield from reports.lose_worker_runs(state, event.worker, 'restarted')
 
     patch.setattr(reports, '_note_restart', drop)
 
@@ -86,7 +88,7 @@
     def lose(state, event):
         entry = state.workers.get(event.worker)
         if entry is not None:
-            yield from reports.drop_worker_runs(state, event.worker, 'silent')
+            yield from reports.lose_worker_runs(state, event.worker, 'silent')
 
     patch.setitem(EVENT_HANDLERS._items, reports.WorkerSilent, lose)
 
@@ -128,7 +130,7 @@
             if runs:
                 state.runs_of.setdefault(key, set()).update(runs)
 
-    patch.setattr(passes, 'place_gang', place_again)
+    patch.setattr(scheduling_passes, 'place_gang', place_again)
 
 
 @pytest.mark.parametrize('name', GUARDS)
@@ -137,6 +139,6 @@
     for seed in SEEDS:
         try:
             check_outcome(walk(seed, FAULTS, KINDS.get(name)))
-        except (RuleBroken, AssertionError, KeyError):
+        except (RuleViolation, AssertionError, KeyError):
             return
     pytest.fail(f'no walk shows that the guard {name!r} is gone')
--- a/tests/dispatch/test_sharing.py
+++ b/tests/dispatch/test_pacing.py
@@ -6,10 +6,10 @@
 from sassafrasgate.dispatch.actions import PaceRun
 from sassafrasgate.dispatch.actions import StartRun
 from sassafrasgate.dispatch.events import PaceAnswered
-from sassafrasgate.dispatch.sharing import FIRST_PACE
-from sassafrasgate.dispatch.sharing import FULL_PACE
-from sassafrasgate.dispatch.sharing import RAISE_MS
-from sassafrasgate.dispatch.sharing import REPEAT_MS
+from sassafrasgate.dispatch.pacing import FIRST_PACE
+from sassafrasgate.dispatch.pacing import FULL_PACE
+from sassafrasgate.dispatch.pacing import RAISE_MS
+from sassafrasgate.dispatch.pacing import REPEAT_MS
 from tests.dispatch.drivers import Driver
 from tests.dispatch.drivers import pick
 from tests.dispatch.simulation import make_step
--- a/tests/dispatch/test_walks.py
+++ b/tests/dispatch/test_random_faults.py
@@ -9,7 +9,7 @@
 from sassafrasgate.core.workflows import Workflow
 from sassafrasgate.core.workflows import WorkflowState
 from tests.dispatch.simulation import make_step
-from tests.dispatch.simulation import World
+from tests.dispatch.simulation import SimCluster
 
 JOBS = 24
 DAY_MS = 20_000
@@ -129,7 +129,7 @@
     world.snapshot()
 
 
-class Walk(World):
+class Walk(SimCluster):
     """A world in which calls can become sound again."""
 
     def calm(self):
--- a/tests/dispatch/test_recovery.py
+++ b/tests/dispatch/test_recovery.py
@@ -3,7 +3,7 @@
 from sassafrasgate.core.workflows import EndKind
 from sassafrasgate.core.workflows import Workflow
 from sassafrasgate.core.workflows import WorkflowState
-from sassafrasgate.dispatch.recovery import list_records
+from sassafrasgate.dispatch.recovery import list_snapshot_records
 from sassafrasgate.dispatch.recovery import replay_records
 from sassafrasgate.dispatch.state import DispatchState
 from sassafrasgate.journal.workflows import RunEnded
@@ -27,7 +27,7 @@
 
 def restore(state):
     successor = DispatchState('cell', 'second')
-    replay_records(successor, list_records(state))
+    replay_records(successor, list_snapshot_records(state))
     return successor
 
 
@@ -39,7 +39,7 @@
     successor = restore(state)
     replay_records(successor, (failed, failed))
     assert successor.tasks[f'{JOB}.0.0.0'].failures == 1
-    assert not successor.jobs[JOB].is_over
+    assert not successor.jobs[JOB].has_ended
 
 
 def test_a_failed_run_of_a_gang_is_counted_once():
@@ -103,4 +103,4 @@
         ),
     )
     assert [key.step for key in state.waiting] == [2]
-    assert not state.jobs[JOB].is_over
+    assert not state.jobs[JOB].has_ended
--- a/tests/dispatch/test_restarts.py
+++ b/tests/dispatch/test_restarts.py
@@ -9,7 +9,7 @@
 from tests.dispatch.simulation import make_step
 
 JOB = '5c0e7a21d94b36f8'
-LATER_MS = 9
+NEXT_INCARNATION_MS = 9
 
 
 def start_one():
@@ -24,9 +24,11 @@
     """Let the worker report from a new life, and once more."""
     driver.running[start.worker] = {start.run: 0} if lists else {}
     driver.ends[start.worker] = 0
-    first = driver.report(start.worker, born_ms=LATER_MS)
+    first = driver.report(start.worker, incarnation_ms=NEXT_INCARNATION_MS)
     driver.now += 10
-    return first, driver.report(start.worker, born_ms=LATER_MS)
+    return first, driver.report(
+        start.worker, incarnation_ms=NEXT_INCARNATION_MS
+    )
 
 
 def test_a_start_that_may_reach_the_new_life_is_not_repeated_elsewhere():
@@ -49,11 +51,11 @@
     third = driver.report(
         start.worker,
         ended=((start.run, EndKind.FINISHED),),
-        born_ms=LATER_MS,
+        incarnation_ms=NEXT_INCARNATION_MS,
     )
 
     assert not pick(first + second + third, StartRun)
-    assert driver.state.jobs[JOB].is_over
+    assert driver.state.jobs[JOB].has_ended
 
 
 def test_a_run_that_the_earlier_life_has_listed_starts_again_at_once():
--- a/tests/dispatch/test_speeds.py
+++ b/tests/dispatch/test_stragglers.py
@@ -2,9 +2,9 @@
 
 from sassafrasgate.core.workflows import EndKind
 from sassafrasgate.dispatch.actions import StopRun
-from sassafrasgate.dispatch.speeds import FIRST_PAUSE_MS
-from sassafrasgate.dispatch.speeds import STILL_MS
-from sassafrasgate.dispatch.speeds import WINDOW_MS
+from sassafrasgate.dispatch.stragglers import FIRST_PAUSE_MS
+from sassafrasgate.dispatch.stragglers import STILL_MS
+from sassafrasgate.dispatch.stragglers import WINDOW_MS
 from tests.dispatch.drivers import Driver
 from tests.dispatch.drivers import pick
 from tests.dispatch.simulation import make_step
--- a/tests/soak/unguarded.py
+++ b/tests/soak/unguarded.py
@@ -11,7 +11,7 @@
 
 from sassafrasgate.commands.main import run_command_line
 from sassafrasgate.dispatch.handlers import EVENT_HANDLERS
-from sassafrasgate.dispatch.reports import drop_worker_runs
+from sassafrasgate.dispatch.reports import lose_worker_runs
 from sassafrasgate.dispatch.reports import WorkerSilent
 
 if TYPE_CHECKING:
@@ -25,7 +25,7 @@
     state: DispatchState, event: WorkerSilent
 ) -> Iterator[Action]:
     if event.worker in state.workers:
-        yield from drop_worker_runs(state, event.worker, 'silent')
+        yield from lose_worker_runs(state, event.worker, 'silent')
 
 
 EVENT_HANDLERS._items[WorkerSilent] = _move_at_once  # type: ignore[assignment]
--- a/tests/standins/platform_workers.py
+++ b/tests/standins/platform_workers.py
@@ -26,9 +26,9 @@
 from sassafrasgate.dispatch.actions import StartRun
 from sassafrasgate.dispatch.actions import StopRun
 from sassafrasgate.dispatch.state import RunKey
-from tests.dispatch.simulation import RuleBroken
+from tests.dispatch.simulation import RuleViolation
+from tests.dispatch.simulation import SimCluster
 from tests.dispatch.simulation import SimWorker
-from tests.dispatch.simulation import World
 from tests.standins.store import read_clock_ms
 
 STEP_S = 0.005
@@ -51,7 +51,7 @@
 
 
 class WorkersProgram:
-    """The workers' calls over `World`, in real time.
+    """The workers' calls over `SimCluster`, in real time.
 
     Parameters
     ----------
@@ -69,7 +69,7 @@
         self._addresses = addresses
         self._public = public
         self._store = store
-        self._world = World(seed=1, workers=0)
+        self._world = SimCluster(seed=1, workers=0)
         self._began = read_clock_ms()
         self._news: dict[str, anyio.Event] = {}
         self._leaving: set[str] = set()
@@ -94,7 +94,7 @@
             }
             try:
                 self._world.run(self._now())
-            except RuleBroken as error:
+            except RuleViolation as error:
                 self._violations.append(str(error))
             for name, number in numbers.items():
                 if self._world.workers[name].number != number:
@@ -126,7 +126,7 @@
             'coldLeftMs': 0,
             'capacity': {'cpu': CAPACITY.millicores, 'memMb': 16_000},
             'labels': ['a', 'r1'],
-            'born': worker.born_ms,
+            'born': worker.incarnation_ms,
             'sequence': number,
         }
         try:
@@ -206,13 +206,13 @@
             body['spec'],
             '',
             '',
-            worker.born_ms,
+            worker.incarnation_ms,
         )
         try:
             answer = worker.start(
                 self._now(), body['fencingToken'], command, body['deadlineMs']
             )
-        except RuleBroken as error:
+        except RuleViolation as error:
             self._violations.append(str(error))
             return web.Response(status=400)
         if worker.name in self._hanging:
