--- a/models/ownership.py
+++ b/models/ownership.py
@@ -13,10 +13,10 @@
 
 from models.specifications import Machine
 from models.specifications import register_specification
-from sassafrasgate.journal.chain import classify_slot
-from sassafrasgate.journal.chain import is_slot_covered
-from sassafrasgate.journal.chain import is_successor_pointer
-from sassafrasgate.journal.chain import SlotState
+from sassafrasgate.journal.ring_buffer import classify_slot
+from sassafrasgate.journal.ring_buffer import is_slot_covered
+from sassafrasgate.journal.ring_buffer import is_successor_pointer
+from sassafrasgate.journal.ring_buffer import SlotState
 
 if TYPE_CHECKING:
     from models.specifications import Predicate
--- a/sassafrasgate/adapters/calls.py
+++ b/sassafrasgate/adapters/calls.py
@@ -12,7 +12,7 @@
 from sassafrasgate.adapters.connections import NoAnswerError
 from sassafrasgate.core.errors import StoreConflictError
 from sassafrasgate.core.errors import StoreUnavailableError
-from sassafrasgate.journal.budget import CallKind
+from sassafrasgate.journal.rate_limits import CallKind
 
 if TYPE_CHECKING:
     from types import TracebackType
--- a/sassafrasgate/composition/daemons.py
+++ b/sassafrasgate/composition/daemons.py
@@ -122,7 +122,7 @@
         if share == known:
             continue
         known = share
-        await process.budget.set_share(
+        await process.budget.set_rates(
             settings.writes_per_s * share, settings.reads_per_s * share
         )
 
--- a/sassafrasgate/composition/entry.py
+++ b/sassafrasgate/composition/entry.py
@@ -41,7 +41,7 @@
 from sassafrasgate.http.limits import Limits
 from sassafrasgate.http.routes import RouteGroup
 from sassafrasgate.http.server import serve_http
-from sassafrasgate.journal.budget import StoreBudget
+from sassafrasgate.journal.rate_limits import StoreRateLimiter
 from sassafrasgate.observability.clocks import wall_ms
 from sassafrasgate.observability.logs import configure_logging
 from sassafrasgate.observability.logs import log_facts
@@ -78,7 +78,7 @@
     signals: AsyncIterator[Signals],
     path: Path,
     settings: EntrySettings,
-    budget: StoreBudget,
+    budget: StoreRateLimiter,
     logger: Logger,
 ) -> None:
     """Read the settings again at each signal.
@@ -98,7 +98,7 @@
             if getattr(changed, field.name) != getattr(settings, field.name)
         )
         settings = changed
-        await budget.set_share(
+        await budget.set_rates(
             settings.writes_per_s * BUDGET_SHARE,
             settings.reads_per_s * BUDGET_SHARE,
         )
@@ -144,7 +144,7 @@
         'start',
         (('incarnation', member.incarnation), ('settings', repr(settings))),
     )
-    budget = StoreBudget(
+    budget = StoreRateLimiter(
         settings.writes_per_s * BUDGET_SHARE,
         settings.reads_per_s * BUDGET_SHARE,
     )
--- a/sassafrasgate/composition/processes.py
+++ b/sassafrasgate/composition/processes.py
@@ -13,7 +13,7 @@
 from sassafrasgate.configuration.settings import Settings
 from sassafrasgate.core.identifiers import make_incarnation
 from sassafrasgate.daemons.leases import Member
-from sassafrasgate.journal.budget import StoreBudget
+from sassafrasgate.journal.rate_limits import StoreRateLimiter
 from sassafrasgate.observability.logs import configure_logging
 from sassafrasgate.observability.metrics import Metrics
 
@@ -38,7 +38,7 @@
         Of this process.
     member : Member
         How it announces itself.
-    budget : StoreBudget
+    budget : StoreRateLimiter
         Its share of the store's calls, which all clients draw on.
     store, watch_store, lease_store : Store
         Clients for general calls, the watch, and the lease, which must
@@ -47,7 +47,7 @@
 
     settings: Settings
     member: Member
-    budget: StoreBudget
+    budget: StoreRateLimiter
     store: Any
     watch_store: Any
     lease_store: Any
@@ -71,7 +71,7 @@
     # Until the live processes are known, the settings' peers are taken for
     # the entry hosts, each with a front end and a scheduler.
     share = 2 * (len(settings.peers) + 1)
-    budget = StoreBudget(
+    budget = StoreRateLimiter(
         settings.writes_per_s / share, settings.reads_per_s / share
     )
     async with (
--- a/sassafrasgate/core/stores.py
+++ b/sassafrasgate/core/stores.py
@@ -18,7 +18,7 @@
     Every method raises `StoreUnavailableError` when no reply was received,
     with ``sent`` false if the call had no effect, and `StoreError` when the
     store rejected the call. Priorities are those of
-    `sassafrasgate.journal.budget.CallPriority`.
+    `sassafrasgate.journal.rate_limits.CallPriority`.
     """
 
     @property
--- a/sassafrasgate/daemons/dispatcher.py
+++ b/sassafrasgate/daemons/dispatcher.py
@@ -54,11 +54,11 @@
 from sassafrasgate.dispatch.state import DispatchState
 from sassafrasgate.dispatch.transitions import decide
 from sassafrasgate.dispatch.waits import CALM_WAIT_MS
-from sassafrasgate.journal.chain import Journal
-from sassafrasgate.journal.chain import load_journal
-from sassafrasgate.journal.chain import LoadedJournal
 from sassafrasgate.journal.records import encode_records
 from sassafrasgate.journal.records import Takeover
+from sassafrasgate.journal.ring_buffer import Journal
+from sassafrasgate.journal.ring_buffer import load_journal
+from sassafrasgate.journal.ring_buffer import LoadedJournal
 from sassafrasgate.journal.workflows import Released
 from sassafrasgate.observability.clocks import now_ms
 from sassafrasgate.observability.clocks import wall_ms
@@ -476,7 +476,7 @@
         """
         released = Released(find_grant_bound(0, CALM_WAIT_MS))
         try:
-            position = await journal.describe_position()
+            position = await journal.export_position()
         except (StoreError, ShardLostError):
             # Whoever claims the shard reads the journal.
             await release()
--- a/sassafrasgate/daemons/entry.py
+++ b/sassafrasgate/daemons/entry.py
@@ -22,8 +22,8 @@
 from sassafrasgate.daemons.relays import make_relayed_call
 from sassafrasgate.daemons.succession import FIND_S
 from sassafrasgate.daemons.succession import SHARD
-from sassafrasgate.journal.chain import LoadedJournal
 from sassafrasgate.journal.records import decode_records
+from sassafrasgate.journal.ring_buffer import LoadedJournal
 from sassafrasgate.observability.logs import log_facts
 from sassafrasgate.observability.metrics import OWNED_SHARDS
 from sassafrasgate.protocol.links import OutgoingReply
--- a/sassafrasgate/daemons/journals.py
+++ b/sassafrasgate/daemons/journals.py
@@ -16,8 +16,8 @@
 
 from sassafrasgate.core.errors import ShardLostError
 from sassafrasgate.core.errors import StoreUnavailableError
-from sassafrasgate.journal.chain import encode_snapshot
 from sassafrasgate.journal.records import AttemptRefused
+from sassafrasgate.journal.ring_buffer import encode_snapshot
 from sassafrasgate.observability.clocks import wall_ms
 from sassafrasgate.shards.events import RecordsDurable
 from sassafrasgate.shards.events import WithdrawalAnswered
@@ -28,8 +28,8 @@
     from anyio.streams.memory import MemoryObjectReceiveStream
     from anyio.streams.memory import MemoryObjectSendStream
 
-    from sassafrasgate.journal.chain import Journal
-    from sassafrasgate.journal.chain import PendingEntry
+    from sassafrasgate.journal.ring_buffer import Journal
+    from sassafrasgate.journal.ring_buffer import PendingEntry
 
 MAX_ENTRY_RECORDS = 2_000
 MAX_ENTRY_PAYLOAD_BYTES = 512 * 1024
@@ -182,7 +182,7 @@
             return False
         if len(self._under_way) >= self._depth:
             return False
-        if not self._journal.has_room:
+        if not self._journal.has_free_slot:
             # Overwriting a slot that no snapshot covers would lose it.
             self._check_snapshot()
             return False
--- a/sassafrasgate/daemons/leases.py
+++ b/sassafrasgate/daemons/leases.py
@@ -15,7 +15,7 @@
 from sassafrasgate.core.errors import StoreError
 from sassafrasgate.core.errors import StoreLeaseLostError
 from sassafrasgate.core.errors import StoreUnavailableError
-from sassafrasgate.journal.budget import CallPriority
+from sassafrasgate.journal.rate_limits import CallPriority
 from sassafrasgate.observability.clocks import now_ms
 from sassafrasgate.shards.ownership import OUTAGE_GRACE_MS
 from sassafrasgate.shards.ownership import OWNER_TTL_MS
--- a/sassafrasgate/daemons/relays.py
+++ b/sassafrasgate/daemons/relays.py
@@ -26,7 +26,7 @@
 from sassafrasgate.core.items import Changes
 from sassafrasgate.core.items import Item
 from sassafrasgate.core.registries import Registry
-from sassafrasgate.journal.budget import CallPriority
+from sassafrasgate.journal.rate_limits import CallPriority
 from sassafrasgate.observability.clocks import now_ms
 from sassafrasgate.observability.logs import log_facts
 from sassafrasgate.protocol.relays import RelayAnswer
--- a/sassafrasgate/daemons/scheduler.py
+++ b/sassafrasgate/daemons/scheduler.py
@@ -30,7 +30,7 @@
 from sassafrasgate.daemons.messages import StopProcess
 from sassafrasgate.daemons.shards import ShardServices
 from sassafrasgate.daemons.shards import ShardTask
-from sassafrasgate.journal.budget import CallPriority
+from sassafrasgate.journal.rate_limits import CallPriority
 from sassafrasgate.observability.clocks import now_ms
 from sassafrasgate.observability.metrics import CONFIGURATION_VERSION
 from sassafrasgate.observability.metrics import OWNED_SHARDS
--- a/sassafrasgate/daemons/shards.py
+++ b/sassafrasgate/daemons/shards.py
@@ -37,9 +37,9 @@
 from sassafrasgate.daemons.messages import StopSyncing
 from sassafrasgate.daemons.replies import ReplyTable
 from sassafrasgate.daemons.snapshots import SnapshotSchedule
-from sassafrasgate.journal.chain import Journal
-from sassafrasgate.journal.chain import load_journal
 from sassafrasgate.journal.records import Takeover
+from sassafrasgate.journal.ring_buffer import Journal
+from sassafrasgate.journal.ring_buffer import load_journal
 from sassafrasgate.observability.clocks import now_ms
 from sassafrasgate.observability.clocks import wall_ms
 from sassafrasgate.observability.logs import Decision
--- a/sassafrasgate/daemons/succession.py
+++ b/sassafrasgate/daemons/succession.py
@@ -16,7 +16,7 @@
 from sassafrasgate.core.items import Item
 from sassafrasgate.daemons.control import ControlChanged
 from sassafrasgate.daemons.directory import make_owner_key
-from sassafrasgate.journal.budget import CallPriority
+from sassafrasgate.journal.rate_limits import CallPriority
 from sassafrasgate.observability.clocks import now_ms
 from sassafrasgate.observability.logs import log_facts
 from sassafrasgate.protocol.messages import Acknowledged
--- a/sassafrasgate/journal/budget.py
+++ b/sassafrasgate/journal/rate_limits.py
@@ -111,8 +111,8 @@
     reply: MemoryObjectSendStream[float]
 
 
-class BudgetState:
-    """Buckets and waiting calls, owned by the task in `StoreBudget.run`."""
+class RateLimiterState:
+    """Token buckets and waiting calls, owned by `StoreRateLimiter.run`."""
 
     def __init__(self, rates: dict[CallKind, float], now: float) -> None:
         self.buckets = {
@@ -159,31 +159,31 @@
     return True
 
 
-_HANDLERS: Registry[type[Any], Callable[[BudgetState, Any], None]] = Registry(
-    'budget message'
+_HANDLERS: Registry[type[Any], Callable[[RateLimiterState, Any], None]] = (
+    Registry('budget message')
 )
 
 
 @_HANDLERS.register(AcquireCall)
-def _queue_call(state: BudgetState, message: AcquireCall) -> None:
+def _queue_call(state: RateLimiterState, message: AcquireCall) -> None:
     state.add(message)
 
 
 @_HANDLERS.register(_SetShare)
-def _change_rates(state: BudgetState, message: _SetShare) -> None:
+def _change_rates(state: RateLimiterState, message: _SetShare) -> None:
     now = current_time()
     for kind, rate in message.rates.items():
         state.buckets[kind] = change_rate(state.buckets[kind], rate, now)
 
 
 @_HANDLERS.register(_ReadLevel)
-def _tell_level(state: BudgetState, message: _ReadLevel) -> None:
+def _tell_level(state: RateLimiterState, message: _ReadLevel) -> None:
     bucket = refill_bucket(state.buckets[message.kind], current_time())
     level = 0.0 if state.waiting[message.kind] else bucket.tokens
     _send_reply(message.reply, level / bucket.burst)
 
 
-class StoreBudget:
+class StoreRateLimiter:
     """Token buckets for reads and writes, owned by one task.
 
     Waiting calls get tokens in the order of their priority, then of their
@@ -201,7 +201,7 @@
 
     Examples
     --------
-    >>> budget = StoreBudget(writes_per_s=40, reads_per_s=200)
+    >>> budget = StoreRateLimiter(writes_per_s=40, reads_per_s=200)
     >>> tasks.start_soon(budget.run)
     >>> store = Store('http://127.0.0.1:2400', budget=budget)
     """
@@ -217,7 +217,7 @@
 
         Calls wait until this runs, and fail after it ended.
         """
-        state = BudgetState(self._rates, current_time())
+        state = RateLimiterState(self._rates, current_time())
         with self._inbox:
             while True:
                 with move_on_after(state.grant(current_time())):
@@ -246,7 +246,7 @@
             await self._send.send(AcquireCall(CallKind(kind), priority, reply))
             await answer.receive()
 
-    async def set_share(self, writes_per_s: float, reads_per_s: float) -> None:
+    async def set_rates(self, writes_per_s: float, reads_per_s: float) -> None:
         """Change the share, in calls per second.
 
         Raises
--- a/sassafrasgate/journal/chain.py
+++ b/sassafrasgate/journal/ring_buffer.py
@@ -28,7 +28,7 @@
 from sassafrasgate.core.errors import StoreConflictError
 from sassafrasgate.core.errors import StoreError
 from sassafrasgate.core.errors import StoreUnavailableError
-from sassafrasgate.journal.budget import CallPriority
+from sassafrasgate.journal.rate_limits import CallPriority
 from sassafrasgate.journal.records import decode_entry
 from sassafrasgate.journal.records import decode_records
 from sassafrasgate.journal.records import encode_entry
@@ -369,7 +369,7 @@
         self.next_sequence = loaded.next_sequence
         self.epoch = 0
 
-    async def describe_position(self) -> LoadedJournal:
+    async def export_position(self) -> LoadedJournal:
         """Return what a successor needs to go on without reading.
 
         Its records are left out; they are those of the owner's state.
@@ -394,7 +394,7 @@
         )
 
     @property
-    def has_room(self) -> bool:
+    def has_free_slot(self) -> bool:
         """Whether there is room for an entry besides takeover records."""
         return is_slot_covered(
             self.next_sequence,
--- a/sassafrasgate/platform/store.py
+++ b/sassafrasgate/platform/store.py
@@ -19,7 +19,7 @@
 from sassafrasgate.core.errors import StoreUnavailableError
 from sassafrasgate.core.items import Changes
 from sassafrasgate.core.items import Item
-from sassafrasgate.journal.budget import CallPriority
+from sassafrasgate.journal.rate_limits import CallPriority
 
 if TYPE_CHECKING:
     from sassafrasgate.adapters.connections import HttpAnswer
--- a/sassafrasgate/protocol/workflows.py
+++ b/sassafrasgate/protocol/workflows.py
@@ -138,7 +138,7 @@
         Encoded journal records that restore the owner's state; all of them
         are durable.
     next_sequence, slot_revision, snapshot_sequence, snapshot_chunks
-        As in `sassafrasgate.journal.chain.LoadedJournal`.
+        As in `sassafrasgate.journal.ring_buffer.LoadedJournal`.
     snapshot_revision : int
         As in `LoadedJournal`.
     owner_revision : int
--- a/tests/daemons/test_journals.py
+++ b/tests/daemons/test_journals.py
@@ -14,10 +14,10 @@
 from sassafrasgate.daemons.journals import SnapshotEnded
 from sassafrasgate.daemons.journals import WithdrawJob
 from sassafrasgate.daemons.journals import WriteSnapshot
-from sassafrasgate.journal.chain import PendingEntry
 from sassafrasgate.journal.records import AttemptRefused
 from sassafrasgate.journal.records import decode_records
 from sassafrasgate.journal.records import JobAccepted
+from sassafrasgate.journal.ring_buffer import PendingEntry
 from sassafrasgate.shards.events import RecordsDurable
 from sassafrasgate.shards.events import WithdrawalAnswered
 
@@ -33,7 +33,7 @@
     """A journal whose appends wait and whose snapshots fail on request."""
 
     def __init__(self):
-        self.has_room = True
+        self.has_free_slot = True
         self.next_sequence = 2
         self.appending = anyio.Event()
         self.release = anyio.Event()
@@ -129,7 +129,7 @@
 async def test_a_full_ring_without_a_snapshot_ends_the_ownership(parts):
     # The snapshot that would make room waits behind the record forever.
     journal, task, box, _ = parts
-    journal.has_room = False
+    journal.has_free_slot = False
     box.send_nowait(AppendRecord(make_acceptance('a')))
     with anyio.fail_after(30):
         assert 'no room' in await run_journal(task)
--- a/tests/journal/test_budget.py
+++ b/tests/journal/test_rate_limits.py
@@ -8,15 +8,15 @@
 from anyio import sleep
 import pytest
 
-from sassafrasgate.journal.budget import AcquireCall
-from sassafrasgate.journal.budget import BudgetState
-from sassafrasgate.journal.budget import CallKind
-from sassafrasgate.journal.budget import CallPriority
-from sassafrasgate.journal.budget import change_rate
-from sassafrasgate.journal.budget import find_wait_s
-from sassafrasgate.journal.budget import refill_bucket
-from sassafrasgate.journal.budget import StoreBudget
-from sassafrasgate.journal.budget import TokenBucket
+from sassafrasgate.journal.rate_limits import AcquireCall
+from sassafrasgate.journal.rate_limits import CallKind
+from sassafrasgate.journal.rate_limits import CallPriority
+from sassafrasgate.journal.rate_limits import change_rate
+from sassafrasgate.journal.rate_limits import find_wait_s
+from sassafrasgate.journal.rate_limits import RateLimiterState
+from sassafrasgate.journal.rate_limits import refill_bucket
+from sassafrasgate.journal.rate_limits import StoreRateLimiter
+from sassafrasgate.journal.rate_limits import TokenBucket
 
 # Too slow to gain a token while a test runs; the burst is one token.
 SLOW = 0.001
@@ -31,7 +31,7 @@
 @asynccontextmanager
 async def run_budget():
     """Yield a running budget; a call that never gets its token fails."""
-    budget = StoreBudget(SLOW, SLOW)
+    budget = StoreRateLimiter(SLOW, SLOW)
     with fail_after(HANG_S):
         async with create_task_group() as owner:
             owner.start_soon(budget.run)
@@ -56,7 +56,7 @@
 @pytest.mark.parametrize('rates', [(0, 1), (1, -2)])
 def test_share_that_grants_nothing_is_refused(rates):
     with pytest.raises(ValueError, match='above 0'):
-        StoreBudget(*rates)
+        StoreRateLimiter(*rates)
 
 
 async def test_waiting_calls_get_tokens_by_priority_then_arrival():
@@ -81,13 +81,13 @@
             # Reads have a bucket of their own.
             await budget.acquire(CallKind.READ, CallPriority.LOW)
             # One token at a time, so that the order shows.
-            await budget.set_share(20, SLOW)
+            await budget.set_rates(20, SLOW)
     assert granted == ['renewal', 'append 1', 'append 2', 'trim']
 
 
 async def test_cancelled_calls_use_no_token():
     # Otherwise a burst of cancellations would hold up lease renewals.
-    state = BudgetState({CallKind.WRITE: 1.0}, now=0.0)
+    state = RateLimiterState({CallKind.WRITE: 1.0}, now=0.0)
     answers = []
     for _ in range(50):
         reply, answer = create_memory_object_stream[None](1)
--- a/tests/journal/test_chain.py
+++ b/tests/journal/test_ring_buffer.py
@@ -8,11 +8,11 @@
 from sassafrasgate.core.errors import StoreUnavailableError
 from sassafrasgate.core.items import Changes
 from sassafrasgate.core.items import Item
-from sassafrasgate.journal import chain
-from sassafrasgate.journal.chain import encode_snapshot
-from sassafrasgate.journal.chain import Journal
-from sassafrasgate.journal.chain import load_journal
+from sassafrasgate.journal import ring_buffer
 from sassafrasgate.journal.records import Takeover
+from sassafrasgate.journal.ring_buffer import encode_snapshot
+from sassafrasgate.journal.ring_buffer import Journal
+from sassafrasgate.journal.ring_buffer import load_journal
 
 pytestmark = pytest.mark.anyio
 
@@ -102,15 +102,15 @@
 
 async def test_a_takeover_never_overwrites_an_uncovered_entry(monkeypatch):
     # Owners that end before their first snapshot fill the ring together.
-    monkeypatch.setattr(chain, 'RING_SLOTS', 8)
-    monkeypatch.setattr(chain, 'TAKEOVER_SLOTS', 2)
+    monkeypatch.setattr(ring_buffer, 'RING_SLOTS', 8)
+    monkeypatch.setattr(ring_buffer, 'TAKEOVER_SLOTS', 2)
     store = MemoryStore()
     journal = await take_over(store, 1)
-    while journal.has_room:
+    while journal.has_free_slot:
         await journal.append(())
     assert journal.uncovered_entries == 6
     for epoch in (2, 3):
-        assert not (await take_over(store, epoch)).has_room
+        assert not (await take_over(store, epoch)).has_free_slot
     with pytest.raises(ShardLostError, match='overwrite'):
         await take_over(store, 4)
     assert (await load_journal(store, 's1')).next_sequence == 9
@@ -194,7 +194,7 @@
 
 async def test_a_write_whose_answer_is_overdue_is_read_back(monkeypatch):
     # Waiting for the time limit would delay every record behind it.
-    monkeypatch.setattr(chain, 'LEAST_PATIENCE_S', 0.01)
+    monkeypatch.setattr(ring_buffer, 'LEAST_PATIENCE_S', 0.01)
 
     class MuteStore(MemoryStore):
         async def swap(self, key, value, revision, priority=0):
