--- a/tests/daemons/test_entry.py
+++ b/tests/daemons/test_entry.py
@@ -36,7 +36,7 @@
 from sassafrasgate.protocol.workflows import QueryWorkflow
 from sassafrasgate.protocol.workflows import WorkflowView
 from sassafrasgate.shards.ownership import OwnerLease
-from tests.journal.test_chain import MemoryStore
+from tests.journal.test_ring_buffer import MemoryStore
 
 pytestmark = pytest.mark.anyio
 
--- a/tests/daemons/test_relays.py
+++ b/tests/daemons/test_relays.py
@@ -12,7 +12,7 @@
 from sassafrasgate.protocol.codec import encode_envelope
 from sassafrasgate.protocol.codec import Envelope
 from sassafrasgate.protocol.relays import RelayCall
-from tests.journal.test_chain import MemoryStore
+from tests.journal.test_ring_buffer import MemoryStore
 
 pytestmark = pytest.mark.anyio
 
