--- a/sassafrasgate/daemons/actions.py
+++ b/sassafrasgate/daemons/actions.py
@@ -1,4 +1,4 @@
-"""How a shard task carries out the actions of its decisions."""
+"""Handlers that carry out the actions of shard decisions."""
 
 from __future__ import annotations
 
--- a/sassafrasgate/daemons/advisers.py
+++ b/sassafrasgate/daemons/advisers.py
@@ -22,12 +22,14 @@
 
 @dataclass(frozen=True, slots=True)
 class AdviceWanted:
-    """A call to make, and where its answer goes.
+    """A call to make to the advice service.
 
     Parameters
     ----------
+    question : SeekAdvice
+        The request of the dispatcher.
     answer : callable
-        Gets an `AdviceGiven` or a `Refusal`.
+        Receives the result: an `AdviceGiven` or a `Refusal`.
     """
 
     question: SeekAdvice
@@ -37,15 +39,16 @@
 class AdviceTask:
     """Owns the client of the advice service.
 
-    The service keeps the calls of one host in a queue, so calls are handed
-    to it as they come.
+    The service queues the calls of one host itself, so calls are sent as
+    soon as they arrive.
 
     Parameters
     ----------
     client : object
-        With the methods of `sassafrasgate.platform.advice.AdviceClient`.
+        Client with the methods of
+        `sassafrasgate.platform.advice.AdviceClient`.
     inbox : MemoryObjectReceiveStream
-        Of `AdviceWanted`.
+        Delivers `AdviceWanted`.
     """
 
     def __init__(
--- a/sassafrasgate/daemons/configurations.py
+++ b/sassafrasgate/daemons/configurations.py
@@ -1,4 +1,7 @@
-"""The task that keeps a process's configuration; versions only grow."""
+"""The task that keeps a process's configuration up to date.
+
+The version in force never decreases.
+"""
 
 from __future__ import annotations
 
@@ -36,7 +39,7 @@
 
 @dataclass(frozen=True, slots=True)
 class VersionHeard:
-    """A peer's heartbeat names its configuration version."""
+    """A peer's heartbeat has reported its configuration version."""
 
     peer: str
     version: int
@@ -44,21 +47,22 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigurationOffered:
-    """A configuration that this process has published itself."""
+    """A configuration that this process has just published."""
 
     configuration: Configuration
 
 
 @dataclass(frozen=True, slots=True)
 class ConfigurationStatus:
-    """What the task tells its listeners.
+    """The state that the configuration task sends to its listeners.
 
     Parameters
     ----------
     configuration : Configuration
-        The newest version held.
+        The newest version that this process holds.
     is_current : bool
-        Whether no peer has been known for long to hold a newer one.
+        False once a peer has reported a newer version and this process has
+        not obtained it within `LAG_ALLOWANCE_MS`.
     """
 
     configuration: Configuration
@@ -71,15 +75,15 @@
     Parameters
     ----------
     store : Store
-        Where accepted versions are.
+        Holds the accepted versions.
     ask_peers : callable
-        Sends a message to every known peer and returns the answers, for
-        times when the store does not answer.
+        Sends a message to every known peer and returns the answers. Used
+        while the store does not answer.
     inbox : MemoryObjectReceiveStream
-        Of `ControlListed`, `ControlChanged`, `VersionHeard` and
+        Delivers `ControlListed`, `ControlChanged`, `VersionHeard` and
         `ConfigurationOffered`.
     listeners : tuple of MemoryObjectSendStream
-        Get `ConfigurationStatus`.
+        Receive `ConfigurationStatus`.
     """
 
     def __init__(
@@ -109,7 +113,7 @@
             await self._handle(message)
 
     async def _load_first(self) -> None:
-        """Read the store or, when it is silent, ask every peer."""
+        """Read the store or, if it does not answer, ask every peer."""
         while not self._has_loaded:
             if await self._read_store() or await self._read_peers():
                 self._has_loaded = True
@@ -131,7 +135,10 @@
         await self._note_lag()
 
     async def _note_lag(self) -> None:
-        """Tell the listeners when this process falls behind or catches up."""
+        """Notify the listeners when this process falls behind or catches up.
+
+        A process is behind while a peer holds a newer version.
+        """
         if self._heard <= self.current.version:
             self._behind_since = 0
         elif not self._behind_since:
@@ -155,7 +162,13 @@
         return True
 
     async def _read_peers(self) -> bool:
-        """Take the newest configuration that any peer holds."""
+        """Fetch the newest configuration that any peer holds.
+
+        Returns
+        -------
+        bool
+            Whether this process now holds the newest version reported.
+        """
         answers = await self._ask_peers(FetchConfiguration(), FETCH_TIMEOUT_S)
         replies = [
             answer
--- a/sassafrasgate/daemons/control.py
+++ b/sassafrasgate/daemons/control.py
@@ -1,4 +1,8 @@
-"""The one waiting watch of a process: members, owners, configuration."""
+"""The task that watches the control keys for the whole process.
+
+The control keys hold members, shard owners and the configuration manifest.
+One watch call serves all tasks of the process.
+"""
 
 from __future__ import annotations
 
@@ -24,12 +28,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ControlListed:
-    """All control keys at one moment; keys not listed do not exist.
+    """All control keys at one revision; keys not listed do not exist.
 
     Parameters
     ----------
+    items : tuple of Item
+        The control keys and their values.
     revision : int
-        Of the store at that moment.
+        Revision of the store at which the keys were listed.
     """
 
     items: tuple[Item, ...]
@@ -38,20 +44,20 @@
 
 @dataclass(frozen=True, slots=True)
 class ControlChanged:
-    """Control keys that changed; a value of None means deleted."""
+    """Control keys that have changed; a value of None means deleted."""
 
     items: tuple[Item, ...]
 
 
 class ControlTask:
-    """Owns the watch and tells its listeners what it sees.
+    """Owns the watch and forwards its results to listeners.
 
     Parameters
     ----------
     store : KeyStore
-        A client for the watch.
+        Store client that only this task uses.
     listeners : tuple of MemoryObjectSendStream
-        Get `ControlListed` and `ControlChanged`.
+        Receive `ControlListed` and `ControlChanged`.
     """
 
     def __init__(
@@ -63,7 +69,7 @@
         self._listeners = listeners
 
     async def run(self) -> None:
-        """List, then watch, until cancelled."""
+        """List the keys, then watch them, until cancelled."""
         while True:
             try:
                 listed = await self._store.read_prefix(CONTROL_PREFIX)
--- a/sassafrasgate/daemons/counts.py
+++ b/sassafrasgate/daemons/counts.py
@@ -1,4 +1,4 @@
-"""The task that publishes what adapters and links have counted."""
+"""The task that publishes the counters of store clients and links."""
 
 from __future__ import annotations
 
@@ -24,16 +24,16 @@
 
 
 class CountsTask:
-    """Turns running totals into metrics every few seconds.
+    """Adds the growth of running totals to metrics every few seconds.
 
     Parameters
     ----------
     stores : tuple of KeyStore
-        Clients whose calls are counted.
+        Store clients whose calls are counted.
     list_links : callable
         Returns the counts of all links of the process.
     metrics : Metrics
-        Where the counts are published.
+        Receives the counts.
     """
 
     def __init__(
@@ -48,7 +48,7 @@
         self._published: Counter[tuple[str, str]] = Counter()
 
     async def run(self) -> None:
-        """Publish until cancelled."""
+        """Publish the counts at a fixed interval until cancelled."""
         while True:
             await anyio.sleep(INTERVAL_S)
             self._publish(self._count())
--- a/sassafrasgate/daemons/directory.py
+++ b/sassafrasgate/daemons/directory.py
@@ -1,4 +1,4 @@
-"""Who is alive and who owns which shard, and the links to them."""
+"""Live processes, shard owners, and the links to them."""
 
 from __future__ import annotations
 
@@ -32,26 +32,30 @@
 
 
 def make_owner_key(shard: str) -> str:
-    """Return the key that names a shard's owner."""
+    """Return the store key that holds a shard's owner."""
     return f'{OWNER_PREFIX}{shard}'
 
 
 class Directory:
-    """What the control keys say, and one link per scheduler.
+    """Holds the state of the control keys and one link per process address.
 
-    It belongs to one task of its process, which feeds it with the watch's
-    messages. The links run in that process's task group.
+    A directory belongs to one task of its process, which passes it the
+    messages of the control watch. The links run in that process's task
+    group.
 
     Parameters
     ----------
     group : TaskGroup
-        Where links run.
+        Task group in which the links run.
     peers : tuple of Peer
-        Schedulers of the settings, known also without the store.
-    greet, hear : callable
-        Heartbeats of the links.
+        Schedulers named in the settings. They can be reached while the
+        store does not answer.
+    greet : callable
+        Returns the heartbeat that the links send.
+    hear : callable
+        Receives each heartbeat that a link has received.
     note_closed : callable, optional
-        As for `Link`.
+        Called by a `Link` when its connection has been closed.
     """
 
     def __init__(
@@ -72,12 +76,12 @@
         self._peers = peers
 
     def connect_peers(self) -> None:
-        """Open links to the schedulers of the settings."""
+        """Open links to the schedulers named in the settings."""
         for peer in self._peers:
             self.find_link(peer.address)
 
     def note(self, message: Any) -> None:
-        """Take a message of the control watch."""
+        """Apply a message of the control watch; ignore other messages."""
         if isinstance(message, ControlListed):
             self.members.clear()
             self.owners = {
@@ -106,7 +110,8 @@
     def _note_owner(self, shard: str, item: Item) -> None:
         known = self.owners.get(shard)
         if known is not None and item.revision < known[1]:
-            # A watch may lag behind this process's own write of the key.
+            # The watch may deliver a state from before this process wrote
+            # the key itself.
             return
         member = read_member(item)
         if member is None:
@@ -115,7 +120,7 @@
         self.owners[shard] = (member, item.revision)
 
     def list_schedulers(self) -> tuple[Member, ...]:
-        """Return the live schedulers, by name."""
+        """Return the live schedulers, sorted by name."""
         return tuple(
             self.members[name]
             for name in sorted(self.members)
@@ -132,7 +137,7 @@
         return link
 
     def list_links(self) -> tuple[Link, ...]:
-        """Return all open links."""
+        """Return all links that have been opened."""
         return tuple(self._links.values())
 
     async def ask_owner(
@@ -144,7 +149,7 @@
         -------
         object
             The answer; `NoAnswer` when the effect is not known; or a
-            `Refusal` when there is no owner, so that nothing was sent.
+            `Refusal` when the shard has no owner and nothing was sent.
         """
         owner = self.owners.get(shard)
         if owner is None:
@@ -157,7 +162,7 @@
         return await link.ask(message, timeout_s, attempt)
 
     async def ask_all(self, message: Any, timeout_s: float) -> tuple[Any, ...]:
-        """Send a message on every link and return the answers that came."""
+        """Send a message on every link and return the answers received."""
         answers: list[Any] = []
 
         async def ask_one(link: Link) -> None:
@@ -172,7 +177,13 @@
 
 
 def read_member(item: Item) -> Member | None:
-    """Return the member that a key's value describes, or None."""
+    """Return the member that a key's value describes, or None.
+
+    Returns
+    -------
+    Member or None
+        None if the key has been deleted or its value can't be decoded.
+    """
     if item.value is None:
         return None
     try:
--- a/sassafrasgate/daemons/dispatcher.py
+++ b/sassafrasgate/daemons/dispatcher.py
@@ -1,4 +1,4 @@
-"""The task that owns the dispatcher's state, its journal and its workers."""
+"""The task that owns the dispatcher's state, journal and worker tasks."""
 
 from __future__ import annotations
 
@@ -93,51 +93,59 @@
 TICK_S = 0.1
 LOAD_RETRY_S = 0.1
 MAX_INBOX = 20_000
-# Store calls are priced, and a quick job has 0.6 s beyond its work.
+# Records are collected into shared entries, because each store call is
+# charged for. The delay is short, because a quick job has only 0.6 s beyond
+# its own work.
 GATHER_S = 0.02
-# Entries under way at once, so that a slow store delays a record once only.
+# Journal entries that are written concurrently. With several in flight, a
+# record waits for at most one slow store call.
 JOURNAL_DEPTH = 4
-# Passes over many waiting steps take milliseconds. Events have this many
-# times as long before the next one.
+# A scheduling pass over many waiting steps takes milliseconds. After each
+# pass, events are handled for this multiple of its duration.
 PASS_REST = 2.0
-# Events that are handled before waiting steps are looked at again.
+# Events that are handled between two checks for a due scheduling pass.
 BATCH_EVENTS = 64
 ADVICE_MARGIN_MS = 400
-# Writes that have failed for so long are taken for an outage of the store.
+# Writes that have been failing for this time are treated as a store outage.
 FAILING_MS = 150
-# A store that answers, but only after this time, counts as failing too.
+# A store that takes longer than this to answer is treated as failing, too.
 SLOW_APPEND_MS = 1_500
 
 
 @dataclass(frozen=True, slots=True)
 class DispatcherServices:
-    """What the dispatcher needs from its process.
+    """The functions and clients that a process provides to its dispatcher.
 
     Parameters
     ----------
     owner : str
-        Process name and incarnation.
+        Process name and incarnation, separated by a slash.
     name : str
-        Process name, which is also the name of its advice lane.
+        Process name; the dispatcher chooses the host of an advice call by
+        this name.
     store : object
-        For the journal.
+        Store client for the journal.
     relay_store : object
-        For calls that this host makes for others.
+        Store client for calls that this host makes on behalf of others.
     reply : callable
         Queues an `OutgoingReply` on the link server.
     open_worker : callable
-        Returns the client of a worker, from its id and address.
+        Returns a client for the worker with a given id and address.
     ask_lane : callable
-        Sends a `SeekAdvice` to an entry host by name; returns its
-        `AdviceGiven`, or something else when there is none.
+        Sends a `SeekAdvice` to the entry host of a given name; returns its
+        `AdviceGiven`, or another object if the call has failed.
     follow_workers : callable
-        Runs the watch of workers' entries for a listener.
+        Watches the workers' registrations and sends changes to a listener.
     has_ended : callable
-        Tells whether a process, by name and incarnation, is known to have
-        ended.
+        Tells whether a process, given by name and incarnation, is known to
+        have ended.
     hand_over : callable
-        Finds a successor for a `HandOver`; tells whether one has taken the
-        shard over.
+        Offers a `HandOver` to possible successors; tells whether one of
+        them has taken the shard over.
+    logger : Logger
+        Logger for decisions.
+    metrics : Metrics
+        Metrics of the process.
     """
 
     owner: str
@@ -160,16 +168,16 @@
     Parameters
     ----------
     shard : str
-        Name of the journal.
+        Name of the shard, under which its journal is stored.
     table : RoutingTable
-        In force when the shard was claimed.
+        Routing table that was in force when the shard was claimed.
     lease : OwnerLease
         The process's lease when the shard was claimed.
     services : DispatcherServices
-        What the process provides.
+        Functions and clients of the process.
     inherited : LoadedJournal, optional
-        What the previous owner has handed over; the journal is read if
-        there is nothing.
+        State that the previous owner has handed over. Without it the
+        journal is read from the store.
     """
 
     def __init__(
@@ -200,18 +208,19 @@
         self.taken_over = anyio.Event()
 
     async def run(self, release: Callable[[], Awaitable[None]]) -> str:
-        """Take the shard over and serve it; return why it ended.
+        """Take the shard over and serve it until the ownership ends.
 
         Parameters
         ----------
         release : callable
-            Awaited in a planned stop once every record is durable; it lets
-            a successor take over.
+            Awaited in a planned stop once every record is durable. It
+            releases the shard for a successor.
 
         Returns
         -------
         str
-            Empty after a planned stop.
+            The reason why the ownership was lost; empty after a planned
+            stop.
         """
         journal = await self._take_over()
         self.taken_over.set()
@@ -312,11 +321,14 @@
         return None
 
     def _has_lease(self) -> bool:
-        """Tell whether the store has renewed the lease, without any grace."""
+        """Tell whether the lease is valid without the outage grace."""
         return now_ms() < self._lease.renewed_at + self._lease.ttl_ms
 
     def _note_leases(self) -> None:
-        """Take lease changes out of the inbox while nothing is served yet."""
+        """Apply the lease changes in the inbox and keep all other events.
+
+        It is called during the takeover, before events are handled.
+        """
         kept = []
         while True:
             try:
@@ -341,7 +353,11 @@
             await self.events.send(Ticked(wall_ms()))
 
     async def _serve(self) -> None:
-        """Handle events; look at waiting steps once none are at hand."""
+        """Handle events and run a scheduling pass whenever one is due.
+
+        Queued events are handled in batches of up to `BATCH_EVENTS`, so that
+        a steady stream of events does not keep a due pass from running.
+        """
         while not self._given_up and not self._is_drained():
             event = await self._receive()
             if event is not None:
@@ -361,7 +377,7 @@
                 self._next_pass = ended + (ended - began) * PASS_REST
 
     async def _receive(self) -> Any:
-        """Return the next event, or None once a pass is due."""
+        """Return the next event, or None once a scheduling pass is due."""
         delay_s = self._find_pass_delay()
         if delay_s == inf:
             return await self._inbox.receive()
@@ -370,13 +386,13 @@
         return None
 
     def _find_pass_delay(self) -> float:
-        """Return the seconds until waiting steps are to be looked at."""
+        """Return the seconds until the next scheduling pass is due."""
         if not self.state.dirty or not self._may_act():
             return inf
         return max(0.0, self._next_pass - perf_counter())
 
     async def _step(self, event: Any) -> None:
-        """Handle one event: decide, then hand out the actions."""
+        """Make the decisions on an event and carry out their actions."""
         if await self._handle_own_event(event):
             return
         started = perf_counter()
@@ -391,7 +407,14 @@
             await DISPATCH_ACTIONS.find(type(action))(self, action)
 
     async def _handle_own_event(self, event: Any) -> bool:
-        """Handle events that are not decisions; tell whether it was one."""
+        """Handle events that need no decision.
+
+        Returns
+        -------
+        bool
+            Whether the event has been handled completely. Otherwise it is
+            also passed to the decisions.
+        """
         if isinstance(event, RequestReceived) and not self._may_act():
             await self.send_reply(event.reply_to, self._describe_loss())
             return True
@@ -419,7 +442,8 @@
             await self._note_stall()
             await self._note_ended_owners()
         if isinstance(event, StopRequested):
-            # Ends that are listed from now on are the successor's.
+            # Run ends that workers report from now on are left to the
+            # successor.
             self._stop_workers()
         return False
 
@@ -446,7 +470,7 @@
             await self._step(OwnersEnded())
 
     def _may_act(self) -> bool:
-        """Tell whether another process may own the shard by now."""
+        """Tell whether the lease and its grace still exclude other owners."""
         lease = self._lease
         return may_send(lease, now_ms(), lease.ttl_ms, lease.grace_ms)
 
@@ -469,16 +493,17 @@
     async def _hand_over(
         self, journal: Journal, release: Callable[[], Awaitable[None]]
     ) -> None:
-        """Give the shard to a successor, or leave it to be claimed.
+        """Hand the shard over to a successor, or release it.
 
-        Every record is durable by now, and the workers are left alone, but
-        calls that were sent before may still be carried out.
+        Every record is durable at this point and no new calls are made to
+        workers, but workers may still carry out calls that were sent
+        earlier.
         """
         released = Released(find_grant_bound(0, CALM_WAIT_MS))
         try:
             position = await journal.describe_position()
         except (StoreError, ShardLostError):
-            # Whoever claims the shard reads the journal.
+            # The process that claims the shard reads the journal.
             await release()
             return
         message = HandOver(
@@ -504,7 +529,7 @@
         self._workers.clear()
 
     async def _dismiss_callers(self) -> None:
-        """Answer everybody who still waits; requests can be repeated."""
+        """Refuse all open requests; the callers can send them again."""
         message = Refused(
             RefusalKind.STOPPING,
             f'shard {self.shard!r} moves to another process',
@@ -514,13 +539,13 @@
             await self.send_reply(token, message)
 
     async def take_request(self, request: IncomingRequest) -> None:
-        """Queue a request from the link server for a decision."""
+        """Queue a request that the link server has received."""
         await self._put_request(
             self._replies.add_request(request), request.message
         )
 
     async def ask(self, message: Any, timeout_s: float) -> Any:
-        """Put a request of this process and return its answer."""
+        """Queue a request of this process and return its answer."""
 
         def add(caller: MemoryObjectSendStream[Any]) -> int:
             token = self._replies.add_caller(caller)
@@ -548,32 +573,32 @@
         )
 
     async def send_reply(self, token: int, message: Any) -> None:
-        """Answer a request by its token; a token is used once."""
+        """Answer the request with this token; each token is used once."""
         await self._replies.send(token, message)
 
     def request_stop(self) -> None:
-        """Ask for a planned release."""
+        """Request a planned release of the shard."""
         self.events.send_nowait(StopRequested())
 
     def note_peers(self, names: tuple[str, ...]) -> None:
-        """Tell which entry hosts can call the advice service."""
+        """Update which entry hosts can call the advice service."""
         self.events.send_nowait(PeersChanged(names))
 
     def append(self, record: Any) -> None:
-        """Hand a record to the journal task."""
+        """Send a record to the journal task."""
         self._unwritten.append(now_ms())
         self._journal_box.send_nowait(AppendRecord(record))
 
     def withdraw(self, job_id: str) -> None:
-        """Ask the journal task to drop a job's unsent records."""
+        """Ask the journal task to drop a job's unwritten records."""
         self._journal_box.send_nowait(WithdrawJob(job_id))
 
     def give_up(self, reason: str) -> None:
-        """End the task without any further send."""
+        """End the task without sending anything further."""
         self._given_up = reason
 
     def watch_worker(self, action: WatchWorker) -> None:
-        """Run a task for a worker, in place of one for an older address."""
+        """Start a worker's task, replacing the one for an older address."""
         self.forget_worker(action.registration.worker)
         if self._group is None:
             return
@@ -593,7 +618,7 @@
         self._group.start_soon(task.run)
 
     def change_hold_wait(self, action: ChangeHoldWait) -> None:
-        """Tell all workers' tasks how long their looks may wait."""
+        """Pass a new long-poll wait on to all worker tasks."""
         for box in self._workers.values():
             box.send_nowait(action)
 
@@ -604,7 +629,7 @@
             box.close()
 
     def command_worker(self, worker: str, command: Any) -> bool:
-        """Hand a command to a worker's task; False when there is none."""
+        """Send a command to a worker's task; return False if it has none."""
         box = self._workers.get(worker)
         if box is None:
             return False
@@ -612,7 +637,7 @@
         return True
 
     def ask_advice(self, action: AskAdvice) -> None:
-        """Have an entry host call the advice service."""
+        """Have an entry host call the advice service, in the background."""
         if self._group is not None:
             self._group.start_soon(self._ask_advice, action)
 
@@ -645,7 +670,7 @@
         self.services.metrics.observe(APPEND_SECONDS, seconds)
 
     def log(self, action: Note) -> None:
-        """Write one decision line and count it."""
+        """Log a decision and count it."""
         self.services.metrics.count(DECISIONS, action.kind)
         log_facts(
             self.services.logger,
@@ -659,7 +684,7 @@
 
 
 def refuse_not_owner(shard: str) -> Refusal:
-    """Return the refusal of a process that does not own a shard."""
+    """Return the refusal of a request for a shard not owned here."""
     return Refusal(
         RefusalKind.NOT_OWNER,
         f'this process does not own shard {shard!r}',
--- a/sassafrasgate/daemons/dispatching.py
+++ b/sassafrasgate/daemons/dispatching.py
@@ -1,4 +1,4 @@
-"""How a dispatcher task carries out the actions of its decisions."""
+"""Handlers that carry out the actions of dispatcher decisions."""
 
 from __future__ import annotations
 
--- a/sassafrasgate/daemons/entry.py
+++ b/sassafrasgate/daemons/entry.py
@@ -1,4 +1,4 @@
-"""The task of an entry host: owns or finds the dispatcher."""
+"""The main task of an entry host: runs the dispatcher or finds its owner."""
 
 from __future__ import annotations
 
@@ -47,33 +47,34 @@
     Answer = Callable[[Any], Awaitable[None]]
 
 CLAIM_INTERVAL_S = 0.1
-# The owner sends a heartbeat each 500 ms, and a successor has taken over
-# 1.2 s after an owner is lost. A host that hears nobody for longer is cut off.
+# The owner sends a heartbeat every 500 ms, and a successor takes over within
+# 1.2 s of an owner's loss. A host that receives no heartbeat from an owner
+# for longer is cut off itself.
 OWNER_LOST_MS = 1_500
-# A request that is sent to an owner that has gone has an unknown effect; one
-# that waits for news of the owner can still be refused.
+# The effect of a request that was sent to a lost owner is unknown. After this
+# time without a heartbeat, requests are held back; they can still be refused.
 OWNER_DOUBTED_MS = 700
 
 
 class EntryTask:
-    """Owns what an entry host knows of the others, and its dispatcher.
+    """Owns an entry host's view of the cell and, as owner, its dispatcher.
 
     Parameters
     ----------
     member : Member
-        This process.
+        Member entry of this process.
     services : DispatcherServices
-        For the dispatcher.
+        Passed on to the dispatcher.
     directory : Directory
-        Fed by this task.
+        Updated by this task alone.
     succession : Succession
-        Decides who owns the shard.
+        Claims the shard and hands it over.
     inbox : MemoryObjectReceiveStream
-        Control, lease and table messages, `StopProcess`.
+        Delivers the messages of `ENTRY_MESSAGES`.
     advisers : MemoryObjectSendStream
         The advice task's inbox.
     tell_self : callable
-        Puts a message into this task's inbox.
+        Sends a message to this task's inbox.
     """
 
     def __init__(
@@ -106,22 +107,22 @@
         return self.table.version
 
     def refuse_unready(self) -> Refusal | None:
-        """Return why requests can't be served now, or None."""
+        """Return a refusal if requests can't be served now, else None."""
         if not self.version:
             return self.refuse_without_table()
         silent_ms = self.succession.silent_ms
         if self.dispatcher is None and silent_ms > OWNER_LOST_MS:
             return Refusal(
                 RefusalKind.NOT_READY,
-                f'entry host {self.member.name!r} has not heard the owner '
-                f'for {silent_ms} ms',
+                f'entry host {self.member.name!r} has received nothing from '
+                f'the owner for {silent_ms} ms',
                 'use another entry host, or send the request again after a '
                 'second',
             )
         return None
 
     def refuse_without_table(self) -> Refusal:
-        """Return the refusal of a process without a routing table."""
+        """Return the refusal for the time before the first routing table."""
         return Refusal(
             RefusalKind.NOT_READY,
             f'entry host {self.member.name!r} has no routing table yet',
@@ -129,7 +130,7 @@
         )
 
     async def run(self) -> None:
-        """Serve until cancelled."""
+        """Handle messages until cancelled."""
         async with anyio.create_task_group() as group:
             while True:
                 await self.handle(await self._receive(), group)
@@ -145,12 +146,12 @@
         await self._claim(group)
 
     def tell_dispatcher(self, event: Any) -> None:
-        """Pass an event on if this process owns the shard."""
+        """Send an event to the dispatcher if this process runs one."""
         if self.dispatcher is not None:
             self.dispatcher.events.send_nowait(event)
 
     def tell_peers(self) -> None:
-        """Tell the dispatcher which entry hosts there are."""
+        """Tell the dispatcher which entry hosts are alive."""
         others = sorted(
             name for name in self.directory.members if name != self.member.name
         )
@@ -160,13 +161,17 @@
             self.dispatcher.note_peers(peers)
 
     def check_rival(self) -> None:
-        """Give the shard up if another process owns it."""
+        """End the dispatcher if another process owns the shard."""
         rival = self.succession.find_rival()
         if rival:
             self.tell_dispatcher(ShardAbandoned(f'{rival!r} owns the shard'))
 
     async def _claim(self, group: TaskGroup) -> None:
-        """Claim the shard when it has no owner, the best host first."""
+        """Claim the shard if it has no owner and this host's turn has come.
+
+        A dispatcher is also started when the owner key already names this
+        process.
+        """
         if self.is_stopping or not self.version:
             return
         succession = self.succession
@@ -176,7 +181,7 @@
         owner = succession.owner
         if self.dispatcher is not None:
             if owner is None:
-                # The store has dropped the key while its lease goes on.
+                # The store has dropped the key although its lease is valid.
                 await succession.write_key()
             return
         if owner is not None and succession.is_me(owner[0]):
@@ -187,10 +192,10 @@
             self._start_dispatcher(group, 0)
 
     def _check_ownership(self, group: TaskGroup) -> None:
-        """Learn from other hosts whether the shard has another owner.
+        """Ask other hosts whether the shard has another owner.
 
-        An owner that is cut off from the store goes on for its grace, and
-        its callers wait for records that it can't write.
+        An owner that is cut off from the store continues during its outage
+        grace, while its callers wait for records that it can't write.
         """
         if self.dispatcher is None or self._finding:
             return
@@ -235,7 +240,7 @@
     async def take_shard(
         self, message: ShardOffered, group: TaskGroup
     ) -> None:
-        """Take the shard over from an owner that stops."""
+        """Take the shard over from an owner that is stopping."""
         offer = message.offer
         if (
             self.is_stopping
@@ -269,42 +274,45 @@
     def _refuse_offer(self) -> Refusal:
         return Refusal(
             RefusalKind.NOT_READY,
-            f'entry host {self.member.name!r} can not take the shard over',
+            f'entry host {self.member.name!r} cannot take the shard over',
             'offer it to another entry host',
         )
 
     async def probe_owner(self) -> None:
-        """Find out whether the owner's process has ended."""
+        """Check whether the owner's process has ended."""
         incarnation = await self.succession.probe_owner()
         if incarnation:
             await self.tell_self(ProcessEnded(incarnation))
 
     async def relay_call(self, message: CallRelayed) -> None:
-        """Call the store for a host that can't reach it."""
+        """Make a store call for another host that can't reach the store."""
         await message.answer(
             await make_relayed_call(self.services.relay_store, message.call)
         )
 
     async def ask_once(self, message: Any, timeout_s: float) -> Any:
-        """Ask the owner, which may be this process, once."""
+        """Send a request to the owner, which may be this process, once."""
         dispatcher = self.dispatcher
         if dispatcher is not None:
             return await dispatcher.ask(message, timeout_s)
         if self.succession.silent_ms > OWNER_DOUBTED_MS:
             return Refusal(
                 RefusalKind.NOT_READY,
-                'the owner has not been heard for a while',
+                'no message from the owner has arrived recently',
                 'send the request again after a second',
             )
         return await self.succession.ask_owner(message, timeout_s)
 
     async def find_owner(self) -> None:
-        """Learn from other entry hosts who the owner is, if that may help."""
+        """Ask other entry hosts for the owner if the store is out of reach.
+
+        With a valid lease this process learns the owner from the store.
+        """
         if self.dispatcher is None and not self.succession.has_fresh_lease():
             await self.succession.ask_others()
 
     async def take_request(self, request: IncomingRequest) -> None:
-        """Route one request of the inner protocol."""
+        """Handle one request of the inner protocol."""
         message = request.message
 
         async def answer(found: Any) -> None:
@@ -323,5 +331,5 @@
         await answer(refuse_not_owner(SHARD))
 
     def log(self, kind: str, facts: tuple[tuple[str, object], ...]) -> None:
-        """Write one decision line."""
+        """Log an event of this process."""
         log_facts(self.services.logger, kind, facts)
--- a/sassafrasgate/daemons/entry_messages.py
+++ b/sassafrasgate/daemons/entry_messages.py
@@ -1,4 +1,4 @@
-"""What an entry host does with each message and each request."""
+"""Messages of an entry host's main task, and handlers for each of them."""
 
 from __future__ import annotations
 
@@ -35,27 +35,29 @@
 
 @dataclass(frozen=True, slots=True)
 class LinkClosed:
-    """The other end of a link has closed its connection."""
+    """The peer at this address has closed the connection of a link."""
 
     address: str
 
 
 @dataclass(frozen=True, slots=True)
 class ProcessEnded:
-    """Nothing listens any more where a process served its links."""
+    """A process has ended: its link address refuses connections."""
 
     incarnation: str
 
 
 @dataclass(frozen=True, slots=True)
 class ShardOffered:
-    """The owner hands the shard over to this process.
+    """The owner has offered to hand the shard over to this process.
 
     Parameters
     ----------
+    offer : HandOver
+        The owner's state.
     answer : callable
-        Gets `Acknowledged` once this process has taken the shard over, else
-        a `Refusal`.
+        Receives `Acknowledged` once this process has taken the shard over,
+        or a `Refusal`.
     """
 
     offer: HandOver
@@ -64,7 +66,15 @@
 
 @dataclass(frozen=True, slots=True)
 class CallRelayed:
-    """Another entry host can't reach the store."""
+    """Another entry host asks this one to make a store call for it.
+
+    Parameters
+    ----------
+    call : RelayCall
+        The call to make.
+    answer : callable
+        Receives the `RelayAnswer`.
+    """
 
     call: RelayCall
     answer: Answer
@@ -72,10 +82,10 @@
 
 EntryHandler = Callable[['EntryTask', Any, 'TaskGroup'], None]
 
-# What the task does with each message of its inbox, by the message's type.
+# Handlers for the messages in the task's inbox, by message type.
 ENTRY_MESSAGES: Registry[type[Any], EntryHandler] = Registry('entry message')
-# Requests of other entry hosts that any host serves; the owner's dispatcher
-# gets the others.
+# Handlers for requests that every entry host serves. All other requests go to
+# the owner's dispatcher.
 ENTRY_REQUESTS: Registry[
     type[Any], Callable[[EntryTask, Any, Answer], Awaitable[None]]
 ] = Registry('entry request')
@@ -83,7 +93,7 @@
 
 @ENTRY_MESSAGES.register(ClaimDue)
 def _do_nothing(task: EntryTask, message: ClaimDue, group: TaskGroup) -> None:
-    """Look only at whether a claim is due."""
+    """Do nothing; `EntryTask.handle` checks for a claim after any message."""
 
 
 @ENTRY_MESSAGES.register(ControlListed)
@@ -92,7 +102,7 @@
     task.directory.note(message)
     owner = task.succession.owner
     if owner is not None and not task.succession.is_me(owner[0]):
-        # The link shows when the owner's process ends.
+        # An open link detects when the owner's process ends.
         task.directory.find_link(owner[0].link_address)
     task.check_rival()
     task.tell_peers()
--- a/sassafrasgate/daemons/frontend.py
+++ b/sassafrasgate/daemons/frontend.py
@@ -1,4 +1,4 @@
-"""The front end process: routes requests to the owners of shards."""
+"""The main task of a front end: routes requests to the owners of shards."""
 
 from __future__ import annotations
 
@@ -50,27 +50,32 @@
 MIN_TRY_S = 0.05
 MAX_NAMED_FLAWS = 20
 
-# The process that answered so has done nothing with the message.
+# Refusals of a process that has not acted on the message.
 RETRIED_REFUSALS = frozenset(
     {RefusalKind.NOT_OWNER, RefusalKind.NOT_READY, RefusalKind.STOPPING}
 )
 
 
 class FrontendTask:
-    """Owns what a front end knows, and routes for the HTTP handlers.
+    """Owns a front end's view of the cell and serves the HTTP handlers.
 
     Parameters
     ----------
     name : str
         Process name.
     directory : Directory
-        Fed by this task.
+        Updated by this task alone.
     store : Store
-        For publishing configurations and for large outputs.
+        Store client for publishing configurations and reading outputs.
     inbox : MemoryObjectReceiveStream
-        Control and configuration messages.
+        Delivers `ControlListed`, `ControlChanged` and
+        `ConfigurationStatus`.
     configurations : MemoryObjectSendStream
         The configuration task's inbox.
+    logger : Logger
+        Logger for retries.
+    metrics : Metrics
+        Metrics of the process.
     """
 
     def __init__(
@@ -109,7 +114,7 @@
                 )
 
     def stop(self) -> None:
-        """Report not ready from now on; open requests go on."""
+        """Report not ready from now on; open requests are still served."""
         self._stopping = True
 
     @property
@@ -130,7 +135,7 @@
         return self._configuration
 
     def is_ready(self) -> Refusal | None:
-        """Return None when the process may serve, else the reason."""
+        """Return None if the process may serve requests, else a refusal."""
         if self._stopping:
             return Refusal(
                 RefusalKind.STOPPING,
@@ -150,13 +155,17 @@
         )
 
     def may_operate(self) -> Refusal | None:
-        """Return None when operators may be served, else the reason."""
+        """Return None if operators may be served, else a refusal.
+
+        Operators are served before the first configuration, so that they
+        can apply it.
+        """
         if self._stopping or not self._is_current:
             return self.is_ready() or self._refuse_unready()
         return None
 
     async def ask_shard(self, message: Any, timeout_s: float) -> Any:
-        """Route a message to its shard's owner; see `Gateway`."""
+        """Send a message to its shard's owner; see `Gateway`."""
         if not message.shard:
             if not self.shards():
                 return Refusal(
@@ -170,7 +179,7 @@
         return await self._ask_until(message, deadline)
 
     async def _ask_until(self, message: Any, deadline: int) -> Any:
-        """Try until an answer, the deadline, or the retry budget's end."""
+        """Retry until an answer, the deadline, or the end of the budget."""
         attempt = 0
         unknown: NoAnswer | None = None
         while True:
@@ -200,8 +209,8 @@
             return answer.refusal in RETRIED_REFUSALS
         if not isinstance(answer, NoAnswer):
             return False
-        # Everything but a quick request is idempotent by its job id. A
-        # quick request may still be running where the first try went.
+        # All messages but quick requests are idempotent by job id. A quick
+        # request may still be running where the first try was sent.
         return not (
             isinstance(message, Submit)
             and message.spec.job_class is JobClass.QUICK
@@ -225,8 +234,8 @@
     async def publish(
         self, configuration: Configuration, expected_version: int
     ) -> Configuration | Refusal | NoAnswer:
-        """Put a new configuration in force by compare-and-swap."""
-        # At the design size the checks take a fifth of a second.
+        """Publish a configuration by compare-and-swap on the version."""
+        # The checks run in a thread: at the design size they take 0.2 s.
         flaws = await anyio.to_thread.run_sync(
             check_configuration, configuration
         )
@@ -255,7 +264,7 @@
         Raises
         ------
         StoreError
-            When a chunk can't be read.
+            If a chunk can't be read.
         """
         for number in range(outcome.chunks):
             item = await self._store.get(make_output_key(job_id, number))
--- a/sassafrasgate/daemons/gateways.py
+++ b/sassafrasgate/daemons/gateways.py
@@ -1,4 +1,4 @@
-"""What the callers' interface of an entry host asks of the product."""
+"""The gateway through which an entry host's HTTP handlers reach the owner."""
 
 from __future__ import annotations
 
@@ -23,25 +23,26 @@
     from sassafrasgate.core.workflows import Workflow
     from sassafrasgate.daemons.entry import EntryTask
 
-# An owner that has not answered by then may be gone; its successor may be
-# known meanwhile, and every request can be repeated.
+# An owner that has not answered within this time may be lost. The next try
+# may reach its successor, and every request can be repeated.
 TRY_S = 0.7
 RETRY_S = 0.05
-# Refusals of a process that has done nothing with the request.
+# Refusals of a process that has not acted on the request.
 RETRIED_REFUSALS = frozenset(
     {RefusalKind.NOT_OWNER, RefusalKind.NOT_READY, RefusalKind.STOPPING}
 )
 
 
 class EntryGateway:
-    """Answers the requests of callers through the owner.
+    """Forwards the requests of callers to the owner of the shard.
 
     Parameters
     ----------
     name : str
-        Of this entry host.
+        Name of this entry host.
     task : EntryTask
-        Knows the owner and the routing table.
+        Main task of this host, which holds the routing table and finds the
+        owner.
     """
 
     def __init__(self, name: str, task: EntryTask) -> None:
@@ -54,11 +55,11 @@
         return self._task.version
 
     def configuration(self) -> RoutingTable:
-        """Return the routing table in force, whose version routes show."""
+        """Return the routing table in force; responses carry its version."""
         return self._task.table
 
     def is_ready(self) -> Refusal | None:
-        """Return None when the process may serve, else the reason."""
+        """Return None if the process may serve requests, else a refusal."""
         if self._task.is_stopping:
             return Refusal(
                 RefusalKind.STOPPING,
@@ -68,7 +69,7 @@
         return self._task.refuse_unready()
 
     def find_queue(self, host: str, path: str) -> Queue | Refusal:
-        """Return the queue of a request by its host and path."""
+        """Return the queue that serves a request's host and path."""
         if not self.version:
             return self._task.refuse_without_table()
         queue = self._task.table.find_queue(host, path)
@@ -84,32 +85,34 @@
     async def submit(
         self, queue: Queue, job_id: str, workflow: Workflow, timeout_s: float
     ) -> Any:
-        """Have the owner accept a workflow."""
+        """Submit a workflow to the owner."""
         return await self._ask_owner(
             SubmitWorkflow(job_id, queue.name, self.version, workflow),
             timeout_s,
         )
 
     async def query(self, job_id: str, timeout_s: float) -> Any:
-        """Return a workflow's state as its owner knows it."""
+        """Ask the owner for a workflow's state."""
         return await self._ask_owner(QueryWorkflow(job_id), timeout_s)
 
     async def cancel(self, job_id: str, timeout_s: float) -> Any:
-        """Have the owner end a workflow."""
+        """Ask the owner to cancel a workflow."""
         return await self._ask_owner(CancelWorkflow(job_id), timeout_s)
 
     async def count(self, queue: Queue, timeout_s: float) -> Any:
-        """Return how many workflows of a queue have not begun."""
+        """Ask the owner how many workflows of a queue have not started."""
         return await self._ask_owner(CountPending(queue.name), timeout_s)
 
     async def _ask_owner(self, message: Any, timeout_s: float) -> Any:
-        """Ask until an answer or the deadline; requests can be repeated.
+        """Send a request to the owner until it answers or time runs out.
+
+        Every request can be repeated safely.
 
         Returns
         -------
         object
-            The answer; a `Refusal` when the request certainly has no
-            effect; `NoAnswer` when that is not known.
+            The answer; a `Refusal` if the request certainly had no effect;
+            `NoAnswer` if its effect is unknown.
         """
         deadline = now_ms() + int(timeout_s * 1000)
         unknown: NoAnswer | None = None
@@ -132,5 +135,5 @@
 
 
 def _may_repeat(answer: Any) -> bool:
-    """Tell whether a process that answered so has done nothing."""
+    """Tell whether the answer shows that the request had no effect."""
     return isinstance(answer, Refusal) and answer.kind in RETRIED_REFUSALS
--- a/sassafrasgate/daemons/hosts.py
+++ b/sassafrasgate/daemons/hosts.py
@@ -1,7 +1,8 @@
-"""The task that talks to one worker for one shard.
+"""The task that makes one shard's calls to one worker.
 
-It owns the worker's client, the last clock reading, and the list of ended
-tasks to release. It renews leases and learns news with one long poll.
+It owns the worker's client, the last reading of the worker's clock, and the
+list of ended tasks to release. One long poll, the sync call, renews leases
+and returns changes.
 """
 
 from __future__ import annotations
@@ -66,15 +67,19 @@
 
     Parameters
     ----------
-    host, shard, epoch
-        Whom the task talks to, and as which owner.
+    host : str
+        Name of the host on which the worker runs.
+    shard : str
+        Name of the shard that this task acts for.
+    epoch : int
+        Epoch of the shard's owner, which every call carries.
     client : WorkerClient
         Client of the worker.
     store : Store
-        For large outputs.
+        Store client to which large outputs are written.
     inbox : MemoryObjectReceiveStream
-        Commands: host actions of `sassafrasgate.shards.actions` and
-        `OwnerLeaseChanged`.
+        Delivers commands: host actions of `sassafrasgate.shards.actions`,
+        `OwnerLeaseChanged` and `StopSyncing`.
     events : MemoryObjectSendStream
         The shard task's inbox.
     lease : OwnerLease
@@ -106,7 +111,7 @@
         self._releases: set[str] = set()
 
     async def run(self) -> None:
-        """Serve commands until the inbox closes; then finish open calls."""
+        """Handle commands until the inbox closes; then finish open calls."""
         async with self._client, anyio.create_task_group() as tasks:
             sync_scope = anyio.CancelScope()
             tasks.start_soon(self._sync_forever, sync_scope)
@@ -122,7 +127,7 @@
             sync_scope.cancel()
 
     def may_send(self) -> bool:
-        """Tell whether this owner may still command the worker."""
+        """Tell whether this owner may still send commands to the worker."""
         lease = self._lease
         return may_send(lease, now_ms(), lease.ttl_ms, lease.grace_ms)
 
@@ -137,7 +142,7 @@
                 delay_s = min(delay_s * 2, RETRY_MAX_S)
 
     async def _sync(self) -> bool:
-        """Make one sync call; tell whether the worker answered."""
+        """Make one sync call and tell whether the worker answered."""
         reading = self._reading
         release = tuple(self._releases)
         request = SyncRequest(
@@ -145,7 +150,8 @@
             self.epoch,
             grant_until(reading) if reading else 0,
             release,
-            # The first answer opens the host, so it must not be held.
+            # No work is placed on the host before the first answer, so that
+            # one must not be held back.
             SYNC_WAIT_MS if reading else 0,
             tuple(self._known),
             self._incarnation,
@@ -157,14 +163,14 @@
             return False
         received_at = now_ms()
         self._releases.difference_update(release)
-        # A task stays known until the worker forgets it, or every second
-        # sync would return at once with the same news.
+        # An ended task stays known until the worker has forgotten it.
+        # Otherwise every second sync would report it again at once.
         self._known.update(task.task for task in reply.ended)
         self._known.difference_update(release)
         if reply.incarnation != self._incarnation:
             self._known = {task.task for task in reply.ended}
-        # The event goes first: a lease granted on this reading must not be
-        # older than what the shard knows.
+        # The event is sent before the reading is used: the shard must know
+        # a reading by the time that a lease is granted on it.
         await self._events.send(HostSynced(self.host, reply, received_at))
         self._note_reading(reply, received_at)
         return True
@@ -174,7 +180,7 @@
         self._reading = ClockReading(reply.clock, received_at)
 
     async def start_task(self, command: StartTask) -> None:
-        """Start a task; repeat once when no answer comes."""
+        """Start a task; repeat the call once if it gets no answer."""
         reason = self._find_start_obstacle(command)
         if reason:
             await self._events.send(
@@ -207,7 +213,7 @@
     def _make_start(self, command: StartTask) -> StartRequest:
         assert self._reading is not None
         clock = self._reading.clock + now_ms() - self._reading.received_at
-        # No grant reaches beyond what the shard counts from this reading.
+        # No lease may end later than the shard assumes from this reading.
         lease_clock = grant_until(self._reading)
         if command.lease_ms:
             lease_clock = min(lease_clock, clock + command.lease_ms)
@@ -221,7 +227,7 @@
             command.demand,
             command.payload,
             command.wait_ms,
-            # A quick request's first lease bounds how long it can run.
+            # The first lease of a quick request limits its run time.
             renewable=not command.lease_ms,
         )
 
@@ -235,13 +241,13 @@
         return ''
 
     async def stop_task(self, command: StopTask) -> None:
-        """Ask the worker to stop a task; its end comes with a sync."""
+        """Ask the worker to stop a task; a later sync reports its end."""
         if not self.may_send():
             return
         try:
             await self._client.stop(command.task, self.epoch, self.shard)
         except WorkerUnavailableError:
-            # The shard repeats stops as long as the task is not ended.
+            # The shard repeats the stop until the task has ended.
             return
 
     async def limit_task(self, command: LimitTask) -> None:
@@ -261,11 +267,11 @@
             return
 
     def release_task(self, command: ReleaseTask) -> None:
-        """Let the next sync release an ended task."""
+        """Have the next sync tell the worker to forget an ended task."""
         self._releases.add(command.task)
 
     async def fetch_output(self, command: FetchOutput) -> None:
-        """Fetch a quick request's large output whole."""
+        """Fetch the complete large output of a quick request."""
         try:
             data = await self._client.fetch_output(
                 command.task, command.size, command.digest
@@ -277,7 +283,7 @@
         )
 
     async def store_output(self, command: StoreOutput) -> None:
-        """Copy a large output into the store, chunk by chunk."""
+        """Copy a large output into the store in chunks."""
         try:
             data = await self._client.fetch_output(
                 command.task, command.size, command.digest
@@ -285,7 +291,8 @@
             chunks = await self._write_chunks(command.job_id, data)
         except SassafrasgateError:
             chunks = 0
-            # The worker's next report of the end starts the copy again.
+            # The next sync then reports the end again, and the shard repeats
+            # this command.
             self._known.discard(command.task)
         await self._events.send(
             OutputStored(command.task, chunks, command.size, command.digest)
@@ -310,7 +317,7 @@
 
 
 def make_output_key(job_id: str, number: int) -> str:
-    """Return the key of one chunk of a job's output."""
+    """Return the store key of one chunk of a job's output."""
     return f'output/{job_id}/{number:04d}'
 
 
--- a/sassafrasgate/daemons/journals.py
+++ b/sassafrasgate/daemons/journals.py
@@ -1,7 +1,8 @@
 """The task that writes one shard's journal.
 
-While one entry is being written, records gather for the next one, so that
-the number of writes follows the store's speed and not the load.
+While entries are being written, new records are collected for the next one.
+The number of writes therefore depends on the store's speed and not on the
+load.
 """
 
 from __future__ import annotations
@@ -34,7 +35,7 @@
 MAX_ENTRY_RECORDS = 2_000
 MAX_ENTRY_PAYLOAD_BYTES = 512 * 1024
 SNAPSHOT_RETRY_S = 1.0
-# Kinds of records without which a job does not exist.
+# Kinds of records that create a job.
 ACCEPTANCES = frozenset({'accepted', 'workflow-accepted'})
 
 
@@ -47,40 +48,47 @@
 
 @dataclass(frozen=True, slots=True)
 class WithdrawJob:
-    """Drop a job's unsent records; answered by `WithdrawalAnswered`."""
+    """Drop a job's unwritten records; answered by `WithdrawalAnswered`."""
 
     job_id: str
 
 
 @dataclass(frozen=True, slots=True)
 class SnapshotEnded:
-    """Tells the shard task that the snapshot it asked for is in place."""
+    """The requested snapshot has been written."""
 
 
 @dataclass(frozen=True, slots=True)
 class WriteSnapshot:
-    """Write a snapshot of the state after all records sent so far."""
+    """Write a snapshot of the state.
+
+    Parameters
+    ----------
+    records : tuple
+        Records that restore the state after all records that were sent to
+        the journal task before this message.
+    """
 
     records: tuple[Any, ...]
 
 
 class JournalTask:
-    """Owns the journal's writing end and the records not yet written.
+    """Writes the journal and owns the records not yet written.
 
     Parameters
     ----------
     journal : Journal
         Positioned after this owner's takeover record.
     inbox : MemoryObjectReceiveStream
-        Of `AppendRecord`, `WithdrawJob` and `WriteSnapshot`.
+        Delivers `AppendRecord`, `WithdrawJob` and `WriteSnapshot`.
     shard : MemoryObjectSendStream
         The shard task's inbox.
     observe : callable
-        Gets the seconds that each append took.
+        Receives the duration of each append in seconds.
     gather_s : float
-        Time that a record waits for others before its append.
+        Time in seconds that a record waits for others to share its entry.
     depth : int
-        Most entries that are written side by side.
+        Largest number of entries that are written concurrently.
     """
 
     def __init__(
@@ -98,7 +106,8 @@
         self._observe = observe
         self._gather_s = gather_s
         self._depth = depth
-        # Entries under way, oldest first, and those of them that are written.
+        # Entries in flight, oldest first, and the sequence numbers of those
+        # that have been written.
         self._under_way: deque[PendingEntry] = deque()
         self._written: set[int] = set()
         self._waiting: deque[Any] = deque()
@@ -106,13 +115,14 @@
         self._wakeup = anyio.Event()
 
     async def run(self) -> None:
-        """Write until the inbox closes and everything is written.
+        """Write until the inbox has closed and all records are written.
 
         Raises
         ------
         ShardLostError
-            When another process has taken the shard over, or should: the
-            ring is full and the next snapshot waits behind records.
+            If another process has taken the shard over, or if it has to:
+            the ring is full, and the snapshot that would free slots waits
+            behind records that need a slot.
         """
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._write_entries, tasks)
@@ -129,7 +139,7 @@
         self._wakeup.set()
 
     async def _withdraw(self, job_id: str) -> None:
-        """Drop a job's records if its acceptance is among the unsent."""
+        """Drop a job's records if its acceptance is not written yet."""
         mine = [
             message
             for message in self._waiting
@@ -156,7 +166,7 @@
                 await self._wakeup.wait()
             first = self._waiting[0]
             if first is None:
-                # The task group waits for the entries under way.
+                # The task group waits for the entries in flight.
                 return
             if isinstance(first, WriteSnapshot) and not self._under_way:
                 self._waiting.popleft()
@@ -169,7 +179,7 @@
             if self._gather_s:
                 await anyio.sleep(self._gather_s)
                 if not _begins_with_record(self._waiting):
-                    # The record has been withdrawn meanwhile.
+                    # The record has been withdrawn in the meantime.
                     continue
             entry = self._journal.prepare(self._take_batch())
             self._under_way.append(entry)
@@ -178,12 +188,13 @@
     def _may_write(self, first: Any) -> bool:
         """Tell whether the next entry may be written now."""
         if isinstance(first, WriteSnapshot):
-            # It covers what was handed over before it.
+            # The snapshot covers the records before it, which have to be
+            # written first.
             return False
         if len(self._under_way) >= self._depth:
             return False
         if not self._journal.has_room:
-            # Overwriting a slot that no snapshot covers would lose it.
+            # Overwriting a slot that no snapshot covers would lose records.
             self._check_snapshot()
             return False
         return True
@@ -193,7 +204,8 @@
         await self._journal.write(entry)
         self._observe(perf_counter() - started)
         self._written.add(entry.sequence)
-        # An entry counts only once all entries before it are written.
+        # An entry is durable only once all entries before it are written: a
+        # successor stops reading at the first gap.
         while self._under_way and (
             self._under_way[0].sequence in self._written
         ):
@@ -203,7 +215,10 @@
         self._wakeup.set()
 
     def _check_snapshot(self) -> None:
-        """Give up when no snapshot can make room; a new owner starts one."""
+        """Raise an error if no snapshot is running that will free slots.
+
+        The next owner writes a snapshot at its takeover.
+        """
         if not self._snapshot_running:
             raise ShardLostError(
                 'the journal has no room for the records before the next '
@@ -238,7 +253,8 @@
         self, sequence: int, records: tuple[Any, ...]
     ) -> None:
         data = encode_snapshot(records)
-        # The same content again: a try may have written some of its chunks.
+        # A retry writes the same content, since a failed try may have left
+        # some of its chunks in the store.
         while True:
             try:
                 await self._journal.write_snapshot(sequence, data)
@@ -255,10 +271,11 @@
 
 
 def _strip_job(message: Any, job_id: str) -> Any:
-    """Return a message without the job's records in a waiting snapshot.
+    """Remove a job's records from a message that holds a snapshot.
 
-    The snapshot was made when the job was still to be accepted; a successor
-    that read it there would run a job that was answered as not run.
+    The snapshot was taken while the job was still to be accepted. A
+    successor that found the job in it would run a job whose caller has been
+    told that it does not run.
     """
     if not isinstance(message, WriteSnapshot):
         return message
@@ -272,7 +289,7 @@
 
 
 def measure_payload(record: Any) -> int:
-    """Return the length of a record's variable part in bytes."""
+    """Return the approximate encoded size of a record in bytes."""
     spec = getattr(record, 'spec', None)
     outcome = getattr(record, 'outcome', None)
     payload = len(spec.payload) if spec is not None else 0
@@ -281,7 +298,13 @@
 
 
 async def run_journal(task: JournalTask) -> str:
-    """Run a journal task; return why it gave the shard up, or ''."""
+    """Run a journal task until it ends.
+
+    Returns
+    -------
+    str
+        The reason why the shard was lost; empty if it was not.
+    """
     reason = ''
     try:
         await task.run()
--- a/sassafrasgate/daemons/lanes.py
+++ b/sassafrasgate/daemons/lanes.py
@@ -1,4 +1,8 @@
-"""Calls for advice through the entry hosts, each of which is a lane."""
+"""Routing of advice calls to the entry host that is to make them.
+
+The advice service queues the calls of each host separately, so the
+dispatcher spreads its calls over the entry hosts.
+"""
 
 from __future__ import annotations
 
@@ -22,16 +26,16 @@
 
 
 class Lanes:
-    """Finds the entry host that makes a call for advice.
+    """Sends advice calls to entry hosts.
 
     Parameters
     ----------
     name : str
-        Of this entry host.
+        Name of this entry host.
     directory : Directory
-        Knows the others.
+        Holds the other entry hosts and the links to them.
     advisers : MemoryObjectSendStream
-        The own advice task's inbox.
+        The inbox of this process's advice task.
     reply : callable
         Queues an `OutgoingReply` on the link server.
     """
@@ -49,7 +53,13 @@
         self._reply = reply
 
     async def ask(self, name: str, question: SeekAdvice) -> Any:
-        """Have an entry host, or this one, call the advice service."""
+        """Have the named entry host call the advice service.
+
+        Returns
+        -------
+        object
+            The `AdviceGiven`, or another object if the call has failed.
+        """
         timeout_s = question.timeout_ms / 1000
         if name == self._name:
             return await self._ask_own_adviser(question, timeout_s)
--- a/sassafrasgate/daemons/leases.py
+++ b/sassafrasgate/daemons/leases.py
@@ -1,4 +1,4 @@
-"""The task that keeps this process's lease in the store."""
+"""The task that holds this process's lease in the store."""
 
 from __future__ import annotations
 
@@ -32,24 +32,25 @@
 
 @dataclass(frozen=True, slots=True)
 class Member:
-    """A live process, as its member key describes it.
+    """A live process; the value of its member key.
 
     Parameters
     ----------
     name : str
-        Process name of the settings.
+        Process name from the settings.
     incarnation : str
-        New with each start of the process.
+        Id of this run of the process; each start makes a new one.
     role : str
         'frontend', 'scheduler' or 'entry'.
     link_address : str
-        Where a scheduler serves the inner protocol.
+        Address on which the process serves the inner protocol.
     failure_domain : str
-        Where its entry host stands.
+        Failure domain of the process's host.
     weight : float
-        Processors of its entry host; owners are chosen where there is more.
+        Processor capacity of the entry host. The owner is chosen among
+        hosts with a higher value first.
     started_ms : int
-        Unix ms of the process's start.
+        Start time of the process, in Unix ms.
     """
 
     name: str
@@ -63,7 +64,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LeaseChanged:
-    """The process's lease was granted, renewed, or met a silent store."""
+    """The lease was granted or renewed, or a renewal got no answer."""
 
     lease_id: str
     lease: OwnerLease
@@ -71,13 +72,13 @@
 
 @dataclass(frozen=True, slots=True)
 class LeaseLost:
-    """The store says that the lease has expired."""
+    """The store has reported that the lease has expired."""
 
     lease_id: str
 
 
 def make_member_key(name: str) -> str:
-    """Return the key under which a process announces itself."""
+    """Return the store key that holds a process's `Member`."""
     return f'control/members/{name}'
 
 
@@ -87,13 +88,17 @@
     Parameters
     ----------
     store : KeyStore
-        A client of its own, with a timeout well below the lease.
+        Store client that only this task uses, with a timeout well below the
+        lease's length.
     member : Member
-        This process.
+        Member entry of this process.
     listener : MemoryObjectSendStream
-        Gets `LeaseChanged` and `LeaseLost`.
-    ttl_ms, grace_ms : int
-        Length of the lease and outage grace, in milliseconds.
+        Receives `LeaseChanged` and `LeaseLost`.
+    ttl_ms : int
+        Length of the lease, in ms.
+    grace_ms : int
+        Outage grace, in ms: how long the process may act on its lease after
+        the lease's end while the store does not answer.
     """
 
     def __init__(
@@ -111,7 +116,7 @@
         self._grace_ms = grace_ms
 
     async def run(self) -> None:
-        """Hold a lease until cancelled, a new one after each loss."""
+        """Hold a lease until cancelled; obtain a new one after each loss."""
         while True:
             lease_id, sent_at = await self._grant()
             await self._announce(lease_id)
@@ -129,7 +134,7 @@
                 await anyio.sleep(uniform(RETRY_S / 2, RETRY_S))
 
     async def _announce(self, lease_id: str) -> None:
-        """Write the member key, over that of an earlier incarnation."""
+        """Write the member key, replacing that of an earlier incarnation."""
         key = make_member_key(self._member.name)
         value = encode(self._member)
         while True:
@@ -152,7 +157,7 @@
                 await anyio.sleep(uniform(RETRY_S / 2, RETRY_S))
 
     async def _keep(self, lease_id: str, sent_at: int) -> None:
-        """Renew the lease until the store says that it is gone."""
+        """Renew the lease until the store reports that it has expired."""
         lease = self._make_lease(sent_at)
         await self._listener.send(LeaseChanged(lease_id, lease))
         interval_s = self._ttl_ms / 1000 / RENEWALS_PER_TTL
@@ -177,14 +182,23 @@
 def note_failed_renewal(
     lease: OwnerLease, sent_at: int, now: int
 ) -> OwnerLease:
-    """Return the lease after a renewal without an answer.
+    """Return the lease after a renewal that got no answer.
 
-    A process that was paused for longer than the lease does not know what
-    the store did meanwhile, so the outage grace is no longer its own.
+    A process that was paused for longer than the lease's length can't know
+    what the store did in the meantime, so it loses the outage grace.
+
+    Parameters
+    ----------
+    lease : OwnerLease
+        The lease before the renewal.
+    sent_at : int
+        Steady clock in ms when the renewal was sent.
+    now : int
+        Steady clock in ms.
     """
     paused = sent_at >= lease.checked_at + lease.ttl_ms
     failing_since = lease.store_failing_since or sent_at
     if paused:
-        # A failure that began after the lease's end gives no grace.
+        # A store failure that begins after the lease's end gives no grace.
         failing_since = max(now, lease.renewed_at + lease.ttl_ms)
     return replace(lease, store_failing_since=failing_since, checked_at=now)
--- a/sassafrasgate/daemons/messages.py
+++ b/sassafrasgate/daemons/messages.py
@@ -9,17 +9,20 @@
 
 @dataclass(frozen=True, slots=True)
 class StopProcess:
-    """The process should release its shards and end."""
+    """The process has been asked to release its shards and to end."""
 
 
 @dataclass(frozen=True, slots=True)
 class ClaimDue:
-    """It is time to look for shards without an owner."""
+    """The check for shards without an owner is due."""
 
 
 @dataclass(frozen=True, slots=True)
 class LeaseUpdated:
-    """The process's lease as it stands now."""
+    """The process's lease has been renewed, or the store's state changed.
+
+    It is sent to shard and dispatcher tasks.
+    """
 
     lease: OwnerLease
 
@@ -33,11 +36,17 @@
 
 @dataclass(frozen=True, slots=True)
 class OwnerLeaseChanged:
-    """The owner's lease has been renewed, or the store's state changed."""
+    """The owner's lease has been renewed, or the store's state changed.
+
+    It is sent to host and worker tasks.
+    """
 
     lease: OwnerLease
 
 
 @dataclass(frozen=True, slots=True)
 class StopSyncing:
-    """A successor may take over; only open calls are still served."""
+    """The owner releases the shard, so a worker is no longer polled.
+
+    A host task still finishes its open calls; a worker task ends.
+    """
--- a/sassafrasgate/daemons/replies.py
+++ b/sassafrasgate/daemons/replies.py
@@ -1,4 +1,4 @@
-"""Requests that wait for an answer, by token."""
+"""A table of open requests and their tokens."""
 
 from __future__ import annotations
 
@@ -20,12 +20,12 @@
 
 
 class ReplyTable:
-    """Gives each request a token, and answers it once.
+    """Assigns a token to each request and answers it at most once.
 
     Parameters
     ----------
     reply : callable
-        Queues an `OutgoingReply` for a request that came over a link.
+        Queues an `OutgoingReply` for a request received over a link.
     """
 
     def __init__(
@@ -36,7 +36,10 @@
         self._next = 1
 
     def add_request(self, request: IncomingRequest) -> int:
-        """Return a token for a request of a link; 0 if it expects none."""
+        """Add a request received over a link and return its token.
+
+        The token is 0 if the sender expects no answer.
+        """
         if not request.request:
             return 0
 
@@ -48,7 +51,13 @@
         return self._add(answer)
 
     def add_caller(self, caller: MemoryObjectSendStream[Any]) -> int:
-        """Return a token for a request of this process."""
+        """Add a request of this process and return its token.
+
+        Parameters
+        ----------
+        caller : MemoryObjectSendStream
+            Receives the answer.
+        """
 
         async def answer(message: Any) -> None:
             try:
@@ -58,7 +67,7 @@
                 anyio.ClosedResourceError,
                 anyio.WouldBlock,
             ):
-                # The caller has gone.
+                # The caller no longer waits.
                 return
 
         return self._add(answer)
@@ -70,15 +79,15 @@
         return token
 
     def forget(self, token: int) -> None:
-        """Drop a request whose caller waits no longer."""
+        """Drop a request whose caller no longer waits."""
         self._open.pop(token, None)
 
     def list_open(self) -> tuple[int, ...]:
-        """Return the tokens of requests without an answer."""
+        """Return the tokens of all unanswered requests."""
         return tuple(self._open)
 
     async def send(self, token: int, message: Any) -> None:
-        """Answer a request; a token is used once."""
+        """Answer the request with this token; each token is used once."""
         answer = self._open.pop(token, None)
         if answer is not None:
             await answer(message)
@@ -89,15 +98,17 @@
     forget: Callable[[int], None],
     timeout_s: float,
 ) -> Any:
-    """Put a request of this process and return its answer.
+    """Send a request of this process and return its answer.
 
     Parameters
     ----------
     add : callable
-        Hands the request over, with where to send the answer; returns its
-        token.
+        Sends the request. It is called with the stream that receives the
+        answer, and returns the request's token.
     forget : callable
-        Called with the token when no answer came in time.
+        Called with the token if no answer came in time.
+    timeout_s : float
+        Longest time to wait for the answer, in seconds.
 
     Returns
     -------
@@ -110,4 +121,4 @@
         with anyio.move_on_after(timeout_s):
             return await answers.receive()
         forget(token)
-    return NoAnswer(f'there was no answer within {timeout_s:.1f} s')
+    return NoAnswer(f'no answer within {timeout_s:.1f} s')
