--- a/sassafrasgate/adapters/entry.py
+++ b/sassafrasgate/adapters/entry.py
@@ -8,7 +8,7 @@
 
 from sassafrasgate.core.registries import Registry
 from sassafrasgate.daemons.watches import RegistrationSource
-from sassafrasgate.daemons.watches import TableSource
+from sassafrasgate.daemons.watches import RoutingTableSource
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,7 +25,7 @@
         limit in seconds.
     open_adviser : callable
         Returns a client of the advice service, from its address.
-    table : TableSource
+    table : RoutingTableSource
         Where the operators' routing table lies.
     registrations : RegistrationSource
         Where workers register themselves.
@@ -39,7 +39,7 @@
     open_store: Callable[..., Any]
     open_worker: Callable[[str, str, float], Any]
     open_adviser: Callable[[str], Any]
-    table: TableSource
+    table: RoutingTableSource
     registrations: RegistrationSource
     build_caller_application: Callable[..., Any]
     build_ready_application: Callable[..., Any]
--- a/sassafrasgate/composition/daemons.py
+++ b/sassafrasgate/composition/daemons.py
@@ -18,9 +18,9 @@
 from sassafrasgate.composition.runtime import make_inbox
 from sassafrasgate.composition.runtime import wait_for_stop
 from sassafrasgate.daemons.configurations import ConfigurationTask
-from sassafrasgate.daemons.configurations import VersionHeard
-from sassafrasgate.daemons.control import ControlTask
-from sassafrasgate.daemons.counts import CountsTask
+from sassafrasgate.daemons.configurations import PeerVersionReceived
+from sassafrasgate.daemons.control import ControlWatchTask
+from sassafrasgate.daemons.counters import CounterTask
 from sassafrasgate.daemons.directory import Directory
 from sassafrasgate.daemons.leases import LeaseTask
 from sassafrasgate.protocol.messages import Heartbeat
@@ -59,7 +59,7 @@
         heard[heartbeat.sender] = heartbeat.configuration
         try:
             configurations.send_nowait(
-                VersionHeard(heartbeat.sender, heartbeat.configuration)
+                PeerVersionReceived(heartbeat.sender, heartbeat.configuration)
             )
         except anyio.WouldBlock:
             del heard[heartbeat.sender]
@@ -83,12 +83,12 @@
         ttl_ms,
         int(process.settings.outage_grace_s * 1000),
     )
-    control = ControlTask(
+    control = ControlWatchTask(
         process.watch_store, (main.send, configurations.send)
     )
     configuration = ConfigurationTask(
         process.store,
-        directory.ask_all,
+        directory.broadcast_request,
         configurations.receive,
         (main.send,),
     )
@@ -97,7 +97,7 @@
     group.start_soon(control.run)
     group.start_soon(configuration.run)
     group.start_soon(follow_share, process, directory)
-    counts = CountsTask(
+    counts = CounterTask(
         (process.store, process.watch_store, process.lease_store),
         lambda: (link.counts for link in directory.list_links()),
         process.metrics,
@@ -206,7 +206,7 @@
 
         def hear(heartbeat: Heartbeat) -> None:
             hear_version(heartbeat)
-            task.hear_summaries(heartbeat.summaries)
+            task.receive_summaries(heartbeat.summaries)
 
         directory = Directory(group, settings.peers, greet, hear)
         server = LinkServer(
@@ -219,8 +219,8 @@
             f'{process.member.name}/{process.member.incarnation}',
             process.store,
             server.reply,
-            directory.ask_owner,
-            lambda summary: task.note_summary(summary),
+            directory.send_request,
+            lambda summary: task.update_summary(summary),
             process.logger,
             process.metrics,
         )
--- a/sassafrasgate/composition/entry.py
+++ b/sassafrasgate/composition/entry.py
@@ -18,24 +18,24 @@
 from sassafrasgate.configuration.entry_settings import load_entry_settings
 from sassafrasgate.configuration.settings import SettingsError
 from sassafrasgate.core.identifiers import make_incarnation
-from sassafrasgate.daemons.advisers import AdviceTask
-from sassafrasgate.daemons.control import ControlTask
-from sassafrasgate.daemons.counts import CountsTask
+from sassafrasgate.daemons.advice import AdviceTask
+from sassafrasgate.daemons.advice_routing import AdviceRouter
+from sassafrasgate.daemons.control import ControlWatchTask
+from sassafrasgate.daemons.counters import CounterTask
 from sassafrasgate.daemons.directory import Directory
 from sassafrasgate.daemons.dispatcher import DispatcherServices
+from sassafrasgate.daemons.election import OwnerElection
 from sassafrasgate.daemons.entry import EntryTask
 from sassafrasgate.daemons.entry_messages import LinkClosed
 from sassafrasgate.daemons.gateways import EntryGateway
-from sassafrasgate.daemons.lanes import Lanes
 from sassafrasgate.daemons.leases import LeaseTask
 from sassafrasgate.daemons.leases import Member
 from sassafrasgate.daemons.messages import StopProcess
-from sassafrasgate.daemons.relays import ask_relay
+from sassafrasgate.daemons.relays import relay_through_peers
 from sassafrasgate.daemons.relays import RelayedStore
-from sassafrasgate.daemons.succession import Succession
 from sassafrasgate.daemons.watches import PrefixWatch
 from sassafrasgate.daemons.watches import RegistrationTask
-from sassafrasgate.daemons.watches import TableTask
+from sassafrasgate.daemons.watches import RoutingTableTask
 from sassafrasgate.daemons.workers import CALL_TIMEOUT_S
 from sassafrasgate.http.application import build_application
 from sassafrasgate.http.limits import Limits
@@ -169,7 +169,7 @@
         def relay(store: Any) -> RelayedStore:
             return RelayedStore(
                 store,
-                lambda call, timeout_s: ask_relay(
+                lambda call, timeout_s: relay_through_peers(
                     directory, member.name, call, timeout_s
                 ),
                 logger,
@@ -208,8 +208,10 @@
             greet,
             hear,
         )
-        succession = Succession(member, store, directory, logger)
-        lanes = Lanes(member.name, directory, advisers.send, server.reply)
+        election = OwnerElection(member, store, directory, logger)
+        advice_router = AdviceRouter(
+            member.name, directory, advisers.send, server.reply
+        )
         services = DispatcherServices(
             f'{member.name}/{member.incarnation}',
             member.name,
@@ -219,10 +221,10 @@
             lambda worker, address: adapters.open_worker(
                 worker, address, CALL_TIMEOUT_S
             ),
-            lanes.ask,
+            advice_router.request_advice,
             follow_workers,
-            succession.has_ended,
-            succession.hand_over,
+            election.has_ended,
+            election.hand_over,
             logger,
             metrics,
         )
@@ -230,7 +232,7 @@
             member,
             services,
             directory,
-            succession,
+            election,
             main.receive,
             advisers.send,
             main.send.send,
@@ -243,20 +245,20 @@
             int(settings.owner_ttl_s * 1000),
             int(settings.outage_grace_s * 1000),
         )
-        table = TableTask(
+        table = RoutingTableTask(
             PrefixWatch(table_store, adapters.table.prefix, TABLE_PAUSE_S),
             adapters.table,
             main.send,
             logger,
         )
-        counts = CountsTask(
+        counts = CounterTask(
             (store, watch_store, table_store, registration_store, lease_store),
             lambda: (link.counts for link in directory.list_links()),
             metrics,
         )
         group.start_soon(budget.run)
         group.start_soon(lease.run)
-        group.start_soon(ControlTask(watch_store, (main.send,)).run)
+        group.start_soon(ControlWatchTask(watch_store, (main.send,)).run)
         group.start_soon(table.run)
         group.start_soon(counts.run)
         group.start_soon(
--- a/sassafrasgate/daemons/advisers.py
+++ b/sassafrasgate/daemons/advice.py
@@ -21,7 +21,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class AdviceWanted:
+class AdviceRequested:
     """A call to make to the advice service.
 
     Parameters
@@ -48,7 +48,7 @@
         Client with the methods of
         `sassafrasgate.platform.advice.AdviceClient`.
     inbox : MemoryObjectReceiveStream
-        Delivers `AdviceWanted`.
+        Delivers `AdviceRequested`.
     """
 
     def __init__(
@@ -63,7 +63,7 @@
             async for wanted in self._inbox:
                 tasks.start_soon(self._ask, wanted)
 
-    async def _ask(self, wanted: AdviceWanted) -> None:
+    async def _ask(self, wanted: AdviceRequested) -> None:
         question = wanted.question
         try:
             advice = await self._client.ask(
--- a/sassafrasgate/daemons/lanes.py
+++ b/sassafrasgate/daemons/advice_routing.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING
 
 from sassafrasgate.core.errors import NoAnswer
-from sassafrasgate.daemons.advisers import AdviceWanted
+from sassafrasgate.daemons.advice import AdviceRequested
 from sassafrasgate.daemons.replies import ReplyTable
 from sassafrasgate.daemons.replies import wait_for_answer
 
@@ -25,7 +25,7 @@
     from sassafrasgate.protocol.workflows import SeekAdvice
 
 
-class Lanes:
+class AdviceRouter:
     """Sends advice calls to entry hosts.
 
     Parameters
@@ -52,7 +52,7 @@
         self._advisers = advisers
         self._reply = reply
 
-    async def ask(self, name: str, question: SeekAdvice) -> Any:
+    async def request_advice(self, name: str, question: SeekAdvice) -> Any:
         """Have the named entry host call the advice service.
 
         Returns
@@ -80,7 +80,7 @@
             async def answer(message: Any) -> None:
                 await answers.send(token, message)
 
-            self._advisers.send_nowait(AdviceWanted(question, answer))
+            self._advisers.send_nowait(AdviceRequested(question, answer))
             return token
 
         return await wait_for_answer(add, answers.forget, timeout_s)
--- a/sassafrasgate/daemons/configurations.py
+++ b/sassafrasgate/daemons/configurations.py
@@ -38,7 +38,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class VersionHeard:
+class PeerVersionReceived:
     """A peer's heartbeat has reported its configuration version."""
 
     peer: str
@@ -46,7 +46,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ConfigurationOffered:
+class ConfigurationPublished:
     """A configuration that this process has just published."""
 
     configuration: Configuration
@@ -80,8 +80,8 @@
         Sends a message to every known peer and returns the answers. Used
         while the store does not answer.
     inbox : MemoryObjectReceiveStream
-        Delivers `ControlListed`, `ControlChanged`, `VersionHeard` and
-        `ConfigurationOffered`.
+        Delivers `ControlListed`, `ControlChanged`, `PeerVersionReceived` and
+        `ConfigurationPublished`.
     listeners : tuple of MemoryObjectSendStream
         Receive `ConfigurationStatus`.
     """
@@ -122,9 +122,9 @@
         await self._tell()
 
     async def _handle(self, message: Any) -> None:
-        if isinstance(message, VersionHeard):
+        if isinstance(message, PeerVersionReceived):
             self._heard = max(self._heard, message.version)
-        if isinstance(message, ConfigurationOffered):
+        if isinstance(message, ConfigurationPublished):
             await self._take(message.configuration)
         if isinstance(message, ControlListed | ControlChanged) and any(
             item.key == MANIFEST_KEY for item in message.items
--- a/sassafrasgate/daemons/control.py
+++ b/sassafrasgate/daemons/control.py
@@ -49,7 +49,7 @@
     items: tuple[Item, ...]
 
 
-class ControlTask:
+class ControlWatchTask:
     """Owns the watch and forwards its results to listeners.
 
     Parameters
--- a/sassafrasgate/daemons/counts.py
+++ b/sassafrasgate/daemons/counters.py
@@ -23,7 +23,7 @@
 INTERVAL_S = 2.0
 
 
-class CountsTask:
+class CounterTask:
     """Adds the growth of running totals to metrics every few seconds.
 
     Parameters
--- a/sassafrasgate/daemons/directory.py
+++ b/sassafrasgate/daemons/directory.py
@@ -50,11 +50,11 @@
     peers : tuple of Peer
         Schedulers named in the settings. They can be reached while the
         store does not answer.
-    greet : callable
+    make_heartbeat : callable
         Returns the heartbeat that the links send.
-    hear : callable
+    handle_heartbeat : callable
         Receives each heartbeat that a link has received.
-    note_closed : callable, optional
+    handle_disconnect : callable, optional
         Called by a `Link` when its connection has been closed.
     """
 
@@ -62,14 +62,14 @@
         self,
         group: TaskGroup,
         peers: tuple[Peer, ...],
-        greet: Callable[[], Heartbeat],
-        hear: Callable[[Heartbeat], None],
-        note_closed: Callable[[str], None] | None = None,
+        make_heartbeat: Callable[[], Heartbeat],
+        handle_heartbeat: Callable[[Heartbeat], None],
+        handle_disconnect: Callable[[str], None] | None = None,
     ) -> None:
         self._group = group
-        self._greet = greet
-        self._hear = hear
-        self._note_closed = note_closed
+        self._make_heartbeat = make_heartbeat
+        self._handle_heartbeat = handle_heartbeat
+        self._handle_disconnect = handle_disconnect
         self.members: dict[str, Member] = {}
         self.owners: dict[str, tuple[Member, int]] = {}
         self._links: dict[str, Link] = {}
@@ -80,7 +80,7 @@
         for peer in self._peers:
             self.find_link(peer.address)
 
-    def note(self, message: Any) -> None:
+    def apply_control_event(self, message: Any) -> None:
         """Apply a message of the control watch; ignore other messages."""
         if isinstance(message, ControlListed):
             self.members.clear()
@@ -131,7 +131,12 @@
         """Return the link to an address, opened on first use."""
         link = self._links.get(address)
         if link is None:
-            link = Link(address, self._greet, self._hear, self._note_closed)
+            link = Link(
+                address,
+                self._make_heartbeat,
+                self._handle_heartbeat,
+                self._handle_disconnect,
+            )
             self._links[address] = link
             self._group.start_soon(link.run)
         return link
@@ -140,7 +145,7 @@
         """Return all links that have been opened."""
         return tuple(self._links.values())
 
-    async def ask_owner(
+    async def send_request(
         self, shard: str, message: Any, timeout_s: float, attempt: int = 1
     ) -> Any:
         """Send a message to a shard's owner and return its answer.
@@ -161,7 +166,9 @@
         link = self.find_link(owner[0].link_address)
         return await link.ask(message, timeout_s, attempt)
 
-    async def ask_all(self, message: Any, timeout_s: float) -> tuple[Any, ...]:
+    async def broadcast_request(
+        self, message: Any, timeout_s: float
+    ) -> tuple[Any, ...]:
         """Send a message on every link and return the answers received."""
         answers: list[Any] = []
 
--- a/sassafrasgate/daemons/dispatcher.py
+++ b/sassafrasgate/daemons/dispatcher.py
@@ -21,7 +21,7 @@
 from sassafrasgate.core.errors import ShardLostError
 from sassafrasgate.core.errors import StoreError
 from sassafrasgate.core.workflows import Advice
-from sassafrasgate.daemons.dispatching import DISPATCH_ACTIONS
+from sassafrasgate.daemons.dispatcher_actions import DISPATCHER_ACTION_HANDLERS
 from sassafrasgate.daemons.journals import AppendRecord
 from sassafrasgate.daemons.journals import JournalTask
 from sassafrasgate.daemons.journals import run_journal
@@ -30,8 +30,8 @@
 from sassafrasgate.daemons.journals import WriteSnapshot
 from sassafrasgate.daemons.messages import LeaseUpdated
 from sassafrasgate.daemons.messages import OwnerLeaseChanged
-from sassafrasgate.daemons.messages import ShardAbandoned
-from sassafrasgate.daemons.messages import StopSyncing
+from sassafrasgate.daemons.messages import OwnershipLost
+from sassafrasgate.daemons.messages import StopPolling
 from sassafrasgate.daemons.replies import ReplyTable
 from sassafrasgate.daemons.replies import wait_for_answer
 from sassafrasgate.daemons.snapshots import SnapshotSchedule
@@ -131,7 +131,7 @@
         Queues an `OutgoingReply` on the link server.
     open_worker : callable
         Returns a client for the worker with a given id and address.
-    ask_lane : callable
+    request_advice : callable
         Sends a `SeekAdvice` to the entry host of a given name; returns its
         `AdviceGiven`, or another object if the call has failed.
     follow_workers : callable
@@ -154,7 +154,7 @@
     relay_store: Any
     reply: Callable[[OutgoingReply], Awaitable[None]]
     open_worker: Callable[[str, str], Any]
-    ask_lane: Callable[[str, SeekAdvice], Awaitable[Any]]
+    request_advice: Callable[[str, SeekAdvice], Awaitable[Any]]
     follow_workers: Callable[[Any], Coroutine[Any, Any, None]]
     has_ended: Callable[[str], bool]
     hand_over: Callable[[HandOver], Awaitable[bool]]
@@ -345,7 +345,7 @@
     async def _run_journal(self, writer: JournalTask) -> None:
         reason = await run_journal(writer)
         if reason:
-            await self.events.send(ShardAbandoned(reason))
+            await self.events.send(OwnershipLost(reason))
 
     async def _tick(self) -> None:
         while True:
@@ -404,7 +404,7 @@
 
     async def _carry_out(self, actions: Any) -> None:
         for action in actions:
-            await DISPATCH_ACTIONS.find(type(action))(self, action)
+            await DISPATCHER_ACTION_HANDLERS.find(type(action))(self, action)
 
     async def _handle_own_event(self, event: Any) -> bool:
         """Handle events that need no decision.
@@ -423,7 +423,7 @@
             for box in self._workers.values():
                 box.send_nowait(OwnerLeaseChanged(event.lease))
             return True
-        if isinstance(event, ShardAbandoned):
+        if isinstance(event, OwnershipLost):
             self._given_up = event.reason
             return True
         if isinstance(event, SnapshotEnded):
@@ -525,7 +525,7 @@
 
     def _stop_workers(self) -> None:
         for box in self._workers.values():
-            box.send_nowait(StopSyncing())
+            box.send_nowait(StopPolling())
         self._workers.clear()
 
     async def _dismiss_callers(self) -> None:
@@ -648,7 +648,7 @@
             action.workers,
             action.expected_ms + ADVICE_MARGIN_MS,
         )
-        answer = await self.services.ask_lane(action.lane, question)
+        answer = await self.services.request_advice(action.lane, question)
         if isinstance(answer, AdviceGiven):
             await self.events.send(
                 AdviceAnswered(
--- a/sassafrasgate/daemons/dispatching.py
+++ b/sassafrasgate/daemons/dispatcher_actions.py
@@ -28,27 +28,27 @@
 
 ActionHandler = Callable[['DispatcherTask', Any], Awaitable[None]]
 
-DISPATCH_ACTIONS: Registry[type[Any], ActionHandler] = Registry(
+DISPATCHER_ACTION_HANDLERS: Registry[type[Any], ActionHandler] = Registry(
     'dispatcher action'
 )
 
 
-@DISPATCH_ACTIONS.register(Persist)
+@DISPATCHER_ACTION_HANDLERS.register(Persist)
 async def _persist(task: DispatcherTask, action: Persist) -> None:
     task.append(action.record)
 
 
-@DISPATCH_ACTIONS.register(Withdraw)
+@DISPATCHER_ACTION_HANDLERS.register(Withdraw)
 async def _withdraw(task: DispatcherTask, action: Withdraw) -> None:
     task.withdraw(action.job_id)
 
 
-@DISPATCH_ACTIONS.register(Reply)
+@DISPATCHER_ACTION_HANDLERS.register(Reply)
 async def _reply(task: DispatcherTask, action: Reply) -> None:
     await task.send_reply(action.reply_to, action.message)
 
 
-@DISPATCH_ACTIONS.register(StartRun)
+@DISPATCHER_ACTION_HANDLERS.register(StartRun)
 async def _start(task: DispatcherTask, action: StartRun) -> None:
     if not task.command_worker(action.worker, action):
         task.events.send_nowait(
@@ -56,38 +56,38 @@
         )
 
 
-@DISPATCH_ACTIONS.register(StopRun)
-@DISPATCH_ACTIONS.register(PaceRun)
-@DISPATCH_ACTIONS.register(AcknowledgeEnds)
+@DISPATCHER_ACTION_HANDLERS.register(StopRun)
+@DISPATCHER_ACTION_HANDLERS.register(PaceRun)
+@DISPATCHER_ACTION_HANDLERS.register(AcknowledgeEnds)
 async def _command(task: DispatcherTask, action: Any) -> None:
     task.command_worker(action.worker, action)
 
 
-@DISPATCH_ACTIONS.register(ChangeHoldWait)
+@DISPATCHER_ACTION_HANDLERS.register(ChangeHoldWait)
 async def _change_wait(task: DispatcherTask, action: ChangeHoldWait) -> None:
     task.change_hold_wait(action)
 
 
-@DISPATCH_ACTIONS.register(WatchWorker)
+@DISPATCHER_ACTION_HANDLERS.register(WatchWorker)
 async def _watch(task: DispatcherTask, action: WatchWorker) -> None:
     task.watch_worker(action)
 
 
-@DISPATCH_ACTIONS.register(ForgetWorker)
+@DISPATCHER_ACTION_HANDLERS.register(ForgetWorker)
 async def _forget(task: DispatcherTask, action: ForgetWorker) -> None:
     task.forget_worker(action.worker)
 
 
-@DISPATCH_ACTIONS.register(AskAdvice)
+@DISPATCHER_ACTION_HANDLERS.register(AskAdvice)
 async def _ask_advice(task: DispatcherTask, action: AskAdvice) -> None:
     task.ask_advice(action)
 
 
-@DISPATCH_ACTIONS.register(Note)
+@DISPATCHER_ACTION_HANDLERS.register(Note)
 async def _log(task: DispatcherTask, action: Note) -> None:
     task.log(action)
 
 
-@DISPATCH_ACTIONS.register(GiveUpShard)
+@DISPATCHER_ACTION_HANDLERS.register(GiveUpShard)
 async def _give_up(task: DispatcherTask, action: GiveUpShard) -> None:
     task.give_up(action.reason)
--- a/sassafrasgate/daemons/succession.py
+++ b/sassafrasgate/daemons/election.py
@@ -48,7 +48,7 @@
 GREETING_S = 0.15
 
 
-class Succession:
+class OwnerElection:
     """What an entry host knows of the owner, and how it becomes the owner.
 
     Parameters
@@ -98,7 +98,7 @@
         """Tell whether a member is this process."""
         return member.incarnation == self._member.incarnation
 
-    def note_lease(self, message: LeaseChanged) -> None:
+    def update_lease(self, message: LeaseChanged) -> None:
         """Take a lease, or its renewal."""
         known = self.lease
         failing = bool(message.lease.store_failing_since)
@@ -110,12 +110,12 @@
         self._lease_id = message.lease_id
         self.lease = message.lease
 
-    def lose_lease(self) -> None:
+    def handle_lease_loss(self) -> None:
         """Note that the store has ended the lease."""
         self._log('lease-lost', (('lease', self._lease_id),))
         self._lease_id = ''
 
-    def note_ended(self, incarnation: str) -> None:
+    def mark_ended(self, incarnation: str) -> None:
         """Note that an owner's process has ended."""
         self._ended = incarnation
 
@@ -184,7 +184,7 @@
         self._orphaned_at = 0
         self._replaced_revision = revision
 
-    def find_rival(self) -> str:
+    def find_other_owner(self) -> str:
         """Return the name of another process that owns the shard, or ''."""
         owner = self.owner
         if owner is None or self.is_me(owner[0]):
@@ -230,7 +230,7 @@
             self._log('claim-failed', (('reason', str(error)),))
             return
         if item is not None:
-            self._directory.note(ControlChanged((item,)))
+            self._directory.apply_control_event(ControlChanged((item,)))
 
     async def delete_key(self) -> None:
         """Let another process claim the shard; only if the key is ours."""
@@ -307,7 +307,7 @@
             if not self.is_me(member)
         ]
 
-    async def ask_others(self) -> None:
+    async def ask_peers_for_owner(self) -> None:
         """Learn from other entry hosts who the owner is.
 
         An owner that is cut off from the store goes on for its grace, and a
@@ -326,7 +326,7 @@
         if known is not None and known[1] >= answer.revision:
             return
         item = Item(make_owner_key(SHARD), answer.member, answer.revision)
-        self._directory.note(ControlChanged((item,)))
+        self._directory.apply_control_event(ControlChanged((item,)))
         self._log(
             'owner-found',
             (('told_by', member.name), ('revision', answer.revision)),
@@ -366,6 +366,6 @@
     def _log(self, kind: str, facts: tuple[tuple[str, object], ...]) -> None:
         log_facts(self._logger, kind, facts)
 
-    async def ask_owner(self, message: Any, timeout_s: float) -> Any:
-        """Send a message to the owner; see `Directory.ask_owner`."""
-        return await self._directory.ask_owner(SHARD, message, timeout_s)
+    async def send_request(self, message: Any, timeout_s: float) -> Any:
+        """Send a message to the owner; see `Directory.send_request`."""
+        return await self._directory.send_request(SHARD, message, timeout_s)
--- a/sassafrasgate/daemons/entry.py
+++ b/sassafrasgate/daemons/entry.py
@@ -12,16 +12,16 @@
 from sassafrasgate.core.routing import RoutingTable
 from sassafrasgate.daemons.dispatcher import DispatcherTask
 from sassafrasgate.daemons.dispatcher import refuse_not_owner
-from sassafrasgate.daemons.entry_messages import CallRelayed
+from sassafrasgate.daemons.election import FIND_S
+from sassafrasgate.daemons.election import SHARD
 from sassafrasgate.daemons.entry_messages import ENTRY_MESSAGES
 from sassafrasgate.daemons.entry_messages import ENTRY_REQUESTS
 from sassafrasgate.daemons.entry_messages import ProcessEnded
+from sassafrasgate.daemons.entry_messages import RelayRequested
 from sassafrasgate.daemons.entry_messages import ShardOffered
 from sassafrasgate.daemons.messages import ClaimDue
-from sassafrasgate.daemons.messages import ShardAbandoned
-from sassafrasgate.daemons.relays import make_relayed_call
-from sassafrasgate.daemons.succession import FIND_S
-from sassafrasgate.daemons.succession import SHARD
+from sassafrasgate.daemons.messages import OwnershipLost
+from sassafrasgate.daemons.relays import execute_relayed_call
 from sassafrasgate.journal.chain import LoadedJournal
 from sassafrasgate.journal.records import decode_records
 from sassafrasgate.observability.logs import log_facts
@@ -40,8 +40,8 @@
 
     from sassafrasgate.daemons.directory import Directory
     from sassafrasgate.daemons.dispatcher import DispatcherServices
+    from sassafrasgate.daemons.election import OwnerElection
     from sassafrasgate.daemons.leases import Member
-    from sassafrasgate.daemons.succession import Succession
     from sassafrasgate.protocol.links import IncomingRequest
 
     Answer = Callable[[Any], Awaitable[None]]
@@ -67,13 +67,13 @@
         Passed on to the dispatcher.
     directory : Directory
         Updated by this task alone.
-    succession : Succession
+    election : OwnerElection
         Claims the shard and hands it over.
     inbox : MemoryObjectReceiveStream
         Delivers the messages of `ENTRY_MESSAGES`.
     advisers : MemoryObjectSendStream
         The advice task's inbox.
-    tell_self : callable
+    send_to_self : callable
         Sends a message to this task's inbox.
     """
 
@@ -82,17 +82,17 @@
         member: Member,
         services: DispatcherServices,
         directory: Directory,
-        succession: Succession,
+        election: OwnerElection,
         inbox: MemoryObjectReceiveStream[Any],
         advisers: MemoryObjectSendStream[Any],
-        tell_self: Callable[[Any], Awaitable[None]],
+        send_to_self: Callable[[Any], Awaitable[None]],
     ) -> None:
         self.member = member
         self.services = services
         self.directory = directory
-        self.succession = succession
+        self.election = election
         self.advisers = advisers
-        self.tell_self = tell_self
+        self.send_to_self = send_to_self
         self.table = RoutingTable()
         self.dispatcher: DispatcherTask | None = None
         self.is_stopping = False
@@ -110,7 +110,7 @@
         """Return a refusal if requests can't be served now, else None."""
         if not self.version:
             return self.refuse_without_table()
-        silent_ms = self.succession.silent_ms
+        silent_ms = self.election.silent_ms
         if self.dispatcher is None and silent_ms > OWNER_LOST_MS:
             return Refusal(
                 RefusalKind.NOT_READY,
@@ -160,11 +160,11 @@
             self._peers = peers
             self.dispatcher.note_peers(peers)
 
-    def check_rival(self) -> None:
+    def check_other_owner(self) -> None:
         """End the dispatcher if another process owns the shard."""
-        rival = self.succession.find_rival()
-        if rival:
-            self.tell_dispatcher(ShardAbandoned(f'{rival!r} owns the shard'))
+        other = self.election.find_other_owner()
+        if other:
+            self.tell_dispatcher(OwnershipLost(f'{other!r} owns the shard'))
 
     async def _claim(self, group: TaskGroup) -> None:
         """Claim the shard if it has no owner and this host's turn has come.
@@ -174,21 +174,21 @@
         """
         if self.is_stopping or not self.version:
             return
-        succession = self.succession
-        if not succession.has_fresh_lease():
+        election = self.election
+        if not election.has_fresh_lease():
             self._check_ownership(group)
             return
-        owner = succession.owner
+        owner = election.owner
         if self.dispatcher is not None:
             if owner is None:
                 # The store has dropped the key although its lease is valid.
-                await succession.write_key()
+                await election.write_key()
             return
-        if owner is not None and succession.is_me(owner[0]):
+        if owner is not None and election.is_me(owner[0]):
             self._start_dispatcher(group, 0)
             return
-        revision = succession.find_claim()
-        if revision is not None and await succession.write_key(revision):
+        revision = election.find_claim()
+        if revision is not None and await election.write_key(revision):
             self._start_dispatcher(group, 0)
 
     def _check_ownership(self, group: TaskGroup) -> None:
@@ -200,13 +200,13 @@
         if self.dispatcher is None or self._finding:
             return
         self._finding = True
-        group.start_soon(self._find_rival)
+        group.start_soon(self._query_other_owner)
 
-    async def _find_rival(self) -> None:
-        await self.succession.ask_others()
+    async def _query_other_owner(self) -> None:
+        await self.election.ask_peers_for_owner()
         await anyio.sleep(FIND_S)
         self._finding = False
-        self.check_rival()
+        self.check_other_owner()
 
     def _start_dispatcher(
         self,
@@ -214,10 +214,10 @@
         revision: int,
         inherited: LoadedJournal | None = None,
     ) -> None:
-        lease = self.succession.lease
+        lease = self.election.lease
         if lease is None:
             return
-        self.succession.begin_takeover(revision)
+        self.election.begin_takeover(revision)
         self._peers = ()
         dispatcher = DispatcherTask(
             SHARD, self.table, lease, self.services, inherited
@@ -228,12 +228,12 @@
         group.start_soon(self._run_dispatcher, dispatcher)
 
     async def _run_dispatcher(self, dispatcher: DispatcherTask) -> None:
-        reason = await dispatcher.run(self.succession.delete_key)
+        reason = await dispatcher.run(self.election.delete_key)
         if reason:
-            await self.succession.delete_key()
+            await self.election.delete_key()
         if self.dispatcher is dispatcher:
             self.dispatcher = None
-            self.succession.forget()
+            self.election.forget()
         self.services.metrics.set_gauge(OWNED_SHARDS, 0)
         self.log('released', (('reason', reason),))
 
@@ -246,7 +246,7 @@
             self.is_stopping
             or self.dispatcher is not None
             or not self.version
-            or not self.succession.has_fresh_lease()
+            or not self.election.has_fresh_lease()
         ):
             await message.answer(self._refuse_offer())
             return
@@ -260,8 +260,8 @@
         )
         self._start_dispatcher(group, offer.owner_revision, inherited)
         dispatcher = self.dispatcher
-        if not await self.succession.write_key(offer.owner_revision):
-            await self.succession.read_key()
+        if not await self.election.write_key(offer.owner_revision):
+            await self.election.read_key()
         if dispatcher is None:
             await message.answer(self._refuse_offer())
             return
@@ -280,14 +280,14 @@
 
     async def probe_owner(self) -> None:
         """Check whether the owner's process has ended."""
-        incarnation = await self.succession.probe_owner()
+        incarnation = await self.election.probe_owner()
         if incarnation:
-            await self.tell_self(ProcessEnded(incarnation))
+            await self.send_to_self(ProcessEnded(incarnation))
 
-    async def relay_call(self, message: CallRelayed) -> None:
+    async def relay_call(self, message: RelayRequested) -> None:
         """Make a store call for another host that can't reach the store."""
         await message.answer(
-            await make_relayed_call(self.services.relay_store, message.call)
+            await execute_relayed_call(self.services.relay_store, message.call)
         )
 
     async def ask_once(self, message: Any, timeout_s: float) -> Any:
@@ -295,21 +295,21 @@
         dispatcher = self.dispatcher
         if dispatcher is not None:
             return await dispatcher.ask(message, timeout_s)
-        if self.succession.silent_ms > OWNER_DOUBTED_MS:
+        if self.election.silent_ms > OWNER_DOUBTED_MS:
             return Refusal(
                 RefusalKind.NOT_READY,
                 'no message from the owner has arrived recently',
                 'send the request again after a second',
             )
-        return await self.succession.ask_owner(message, timeout_s)
+        return await self.election.send_request(message, timeout_s)
 
     async def find_owner(self) -> None:
         """Ask other entry hosts for the owner if the store is out of reach.
 
         With a valid lease this process learns the owner from the store.
         """
-        if self.dispatcher is None and not self.succession.has_fresh_lease():
-            await self.succession.ask_others()
+        if self.dispatcher is None and not self.election.has_fresh_lease():
+            await self.election.ask_peers_for_owner()
 
     async def take_request(self, request: IncomingRequest) -> None:
         """Handle one request of the inner protocol."""
--- a/sassafrasgate/daemons/entry_messages.py
+++ b/sassafrasgate/daemons/entry_messages.py
@@ -9,14 +9,14 @@
 from typing import TYPE_CHECKING
 
 from sassafrasgate.core.registries import Registry
-from sassafrasgate.daemons.advisers import AdviceWanted
+from sassafrasgate.daemons.advice import AdviceRequested
 from sassafrasgate.daemons.control import ControlChanged
 from sassafrasgate.daemons.control import ControlListed
 from sassafrasgate.daemons.leases import LeaseChanged
 from sassafrasgate.daemons.leases import LeaseLost
 from sassafrasgate.daemons.messages import ClaimDue
 from sassafrasgate.daemons.messages import LeaseUpdated
-from sassafrasgate.daemons.messages import ShardAbandoned
+from sassafrasgate.daemons.messages import OwnershipLost
 from sassafrasgate.daemons.messages import StopProcess
 from sassafrasgate.dispatch.events import TableChanged
 from sassafrasgate.observability.metrics import CONFIGURATION_VERSION
@@ -65,7 +65,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class CallRelayed:
+class RelayRequested:
     """Another entry host asks this one to make a store call for it.
 
     Parameters
@@ -99,12 +99,12 @@
 @ENTRY_MESSAGES.register(ControlListed)
 @ENTRY_MESSAGES.register(ControlChanged)
 def _note_control(task: EntryTask, message: Any, group: TaskGroup) -> None:
-    task.directory.note(message)
-    owner = task.succession.owner
-    if owner is not None and not task.succession.is_me(owner[0]):
+    task.directory.apply_control_event(message)
+    owner = task.election.owner
+    if owner is not None and not task.election.is_me(owner[0]):
         # An open link detects when the owner's process ends.
         task.directory.find_link(owner[0].link_address)
-    task.check_rival()
+    task.check_other_owner()
     task.tell_peers()
 
 
@@ -112,14 +112,14 @@
 def _note_lease(
     task: EntryTask, message: LeaseChanged, group: TaskGroup
 ) -> None:
-    task.succession.note_lease(message)
+    task.election.update_lease(message)
     task.tell_dispatcher(LeaseUpdated(message.lease))
 
 
 @ENTRY_MESSAGES.register(LeaseLost)
 def _lose_lease(task: EntryTask, message: LeaseLost, group: TaskGroup) -> None:
-    task.succession.lose_lease()
-    task.tell_dispatcher(ShardAbandoned('the store lease has expired'))
+    task.election.handle_lease_loss()
+    task.tell_dispatcher(OwnershipLost('the store lease has expired'))
 
 
 @ENTRY_MESSAGES.register(TableChanged)
@@ -156,7 +156,7 @@
 def _check_owner(
     task: EntryTask, message: LinkClosed, group: TaskGroup
 ) -> None:
-    owner = task.succession.owner
+    owner = task.election.owner
     if owner is not None and owner[0].link_address == message.address:
         group.start_soon(task.probe_owner)
 
@@ -165,12 +165,12 @@
 def _note_ended(
     task: EntryTask, message: ProcessEnded, group: TaskGroup
 ) -> None:
-    task.succession.note_ended(message.incarnation)
+    task.election.mark_ended(message.incarnation)
 
 
-@ENTRY_MESSAGES.register(CallRelayed)
+@ENTRY_MESSAGES.register(RelayRequested)
 def _relay_call(
-    task: EntryTask, message: CallRelayed, group: TaskGroup
+    task: EntryTask, message: RelayRequested, group: TaskGroup
 ) -> None:
     group.start_soon(task.relay_call, message)
 
@@ -186,25 +186,25 @@
 async def _accept_relay(
     task: EntryTask, message: RelayCall, answer: Answer
 ) -> None:
-    await task.tell_self(CallRelayed(message, answer))
+    await task.send_to_self(RelayRequested(message, answer))
 
 
 @ENTRY_REQUESTS.register(HandOver)
 async def _accept_offer(
     task: EntryTask, message: HandOver, answer: Answer
 ) -> None:
-    await task.tell_self(ShardOffered(message, answer))
+    await task.send_to_self(ShardOffered(message, answer))
 
 
 @ENTRY_REQUESTS.register(FindOwner)
 async def _tell_owner(
     task: EntryTask, message: FindOwner, answer: Answer
 ) -> None:
-    await answer(task.succession.describe_owner())
+    await answer(task.election.describe_owner())
 
 
 @ENTRY_REQUESTS.register(SeekAdvice)
 async def _seek_advice(
     task: EntryTask, message: SeekAdvice, answer: Answer
 ) -> None:
-    await task.advisers.send(AdviceWanted(message, answer))
+    await task.advisers.send(AdviceRequested(message, answer))
--- a/sassafrasgate/daemons/frontend.py
+++ b/sassafrasgate/daemons/frontend.py
@@ -18,7 +18,7 @@
 from sassafrasgate.core.errors import StoreError
 from sassafrasgate.core.identifiers import find_home_shard
 from sassafrasgate.core.jobs import JobClass
-from sassafrasgate.daemons.configurations import ConfigurationOffered
+from sassafrasgate.daemons.configurations import ConfigurationPublished
 from sassafrasgate.daemons.configurations import ConfigurationStatus
 from sassafrasgate.daemons.control import ControlChanged
 from sassafrasgate.daemons.control import ControlListed
@@ -105,7 +105,7 @@
         """Follow control and configuration messages until cancelled."""
         async for message in self._inbox:
             if isinstance(message, ControlListed | ControlChanged):
-                self._directory.note(message)
+                self._directory.apply_control_event(message)
             if isinstance(message, ConfigurationStatus):
                 self._configuration = message.configuration
                 self._is_current = message.is_current
@@ -185,7 +185,7 @@
         while True:
             attempt += 1
             left_s = (deadline - now_ms()) / 1000
-            answer = await self._directory.ask_owner(
+            answer = await self._directory.send_request(
                 message.shard, message, max(left_s, MIN_TRY_S), attempt
             )
             if isinstance(answer, NoAnswer):
@@ -253,7 +253,7 @@
         except StoreError as error:
             return NoAnswer(str(error))
         if isinstance(published, Configuration):
-            await self._configurations.send(ConfigurationOffered(published))
+            await self._configurations.send(ConfigurationPublished(published))
         return published
 
     async def read_output(
@@ -279,7 +279,9 @@
         """Return the status of every scheduler that answers."""
         for member in self._directory.list_schedulers():
             self._directory.find_link(member.link_address)
-        answers = await self._directory.ask_all(Status(), STATUS_TIMEOUT_S)
+        answers = await self._directory.broadcast_request(
+            Status(), STATUS_TIMEOUT_S
+        )
         found = {
             answer.name: answer
             for answer in answers
--- a/sassafrasgate/daemons/hosts.py
+++ b/sassafrasgate/daemons/hosts.py
@@ -23,7 +23,7 @@
 from sassafrasgate.core.tasks import SyncReply
 from sassafrasgate.core.tasks import SyncRequest
 from sassafrasgate.daemons.messages import OwnerLeaseChanged
-from sassafrasgate.daemons.messages import StopSyncing
+from sassafrasgate.daemons.messages import StopPolling
 from sassafrasgate.observability.clocks import now_ms
 from sassafrasgate.shards.actions import FetchOutput
 from sassafrasgate.shards.actions import LimitTask
@@ -79,7 +79,7 @@
         Store client to which large outputs are written.
     inbox : MemoryObjectReceiveStream
         Delivers commands: host actions of `sassafrasgate.shards.actions`,
-        `OwnerLeaseChanged` and `StopSyncing`.
+        `OwnerLeaseChanged` and `StopPolling`.
     events : MemoryObjectSendStream
         The shard task's inbox.
     lease : OwnerLease
@@ -119,7 +119,7 @@
                 if isinstance(command, OwnerLeaseChanged):
                     self._lease = command.lease
                     continue
-                if isinstance(command, StopSyncing):
+                if isinstance(command, StopPolling):
                     sync_scope.cancel()
                     continue
                 handle = COMMANDS.find(type(command))
--- a/sassafrasgate/daemons/messages.py
+++ b/sassafrasgate/daemons/messages.py
@@ -28,7 +28,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ShardAbandoned:
+class OwnershipLost:
     """Another owner has the shard, or the process has lost its lease."""
 
     reason: str
@@ -45,7 +45,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class StopSyncing:
+class StopPolling:
     """The owner releases the shard, so a worker is no longer polled.
 
     A host task still finishes its open calls; a worker task ends.
--- a/sassafrasgate/daemons/relays.py
+++ b/sassafrasgate/daemons/relays.py
@@ -309,7 +309,9 @@
         )
 
 
-async def make_relayed_call(store: KeyStore, call: RelayCall) -> RelayAnswer:
+async def execute_relayed_call(
+    store: KeyStore, call: RelayCall
+) -> RelayAnswer:
     """Make a call for another entry host.
 
     Parameters
@@ -329,7 +331,7 @@
     return RelayAnswer(result=result)
 
 
-async def ask_relay(
+async def relay_through_peers(
     directory: Directory, name: str, call: RelayCall, timeout_s: float
 ) -> RelayAnswer | None:
     """Have another entry host call the store.
--- a/sassafrasgate/daemons/scheduler.py
+++ b/sassafrasgate/daemons/scheduler.py
@@ -26,7 +26,7 @@
 from sassafrasgate.daemons.leases import Member
 from sassafrasgate.daemons.messages import ClaimDue
 from sassafrasgate.daemons.messages import LeaseUpdated
-from sassafrasgate.daemons.messages import ShardAbandoned
+from sassafrasgate.daemons.messages import OwnershipLost
 from sassafrasgate.daemons.messages import StopProcess
 from sassafrasgate.daemons.shards import ShardServices
 from sassafrasgate.daemons.shards import ShardTask
@@ -131,7 +131,7 @@
         """Return the configuration in force in this process."""
         return self._configuration
 
-    def note_summary(self, summary: Summary) -> None:
+    def update_summary(self, summary: Summary) -> None:
         """Keep a shard's newest summary for the next heartbeats."""
         self._summaries[summary.shard] = summary
 
@@ -143,7 +143,7 @@
             if shard in self._shards
         )
 
-    def hear_summaries(self, summaries: tuple[Summary, ...]) -> None:
+    def receive_summaries(self, summaries: tuple[Summary, ...]) -> None:
         """Pass on what a peer's heartbeat says of its shards."""
         for task in self._shards.values():
             for summary in summaries:
@@ -196,7 +196,7 @@
 
     def _note_control(self, message: Any) -> None:
         before = {member.name for member in self._directory.list_schedulers()}
-        self._directory.note(message)
+        self._directory.apply_control_event(message)
         after = {member.name for member in self._directory.list_schedulers()}
         if before != after:
             self._members_at = now_ms()
@@ -223,7 +223,7 @@
             self._abandon(shard, 'the store lease has expired')
 
     def _abandon(self, shard: str, reason: str) -> None:
-        self._shards[shard].events.send_nowait(ShardAbandoned(reason))
+        self._shards[shard].events.send_nowait(OwnershipLost(reason))
 
     async def _note_configuration(self, status: ConfigurationStatus) -> None:
         self._is_current = status.is_current
--- a/sassafrasgate/daemons/actions.py
+++ b/sassafrasgate/daemons/shard_actions.py
@@ -28,25 +28,27 @@
 
 ActionHandler = Callable[['ShardTask', Any], Awaitable[None]]
 
-ACTION_HANDLERS: Registry[type[Any], ActionHandler] = Registry('shard action')
+SHARD_ACTION_HANDLERS: Registry[type[Any], ActionHandler] = Registry(
+    'shard action'
+)
 
 
-@ACTION_HANDLERS.register(Persist)
+@SHARD_ACTION_HANDLERS.register(Persist)
 async def _persist(task: ShardTask, action: Persist) -> None:
     task.append(action.record)
 
 
-@ACTION_HANDLERS.register(Withdraw)
+@SHARD_ACTION_HANDLERS.register(Withdraw)
 async def _withdraw(task: ShardTask, action: Withdraw) -> None:
     task.withdraw(action.job_id)
 
 
-@ACTION_HANDLERS.register(Reply)
+@SHARD_ACTION_HANDLERS.register(Reply)
 async def _reply(task: ShardTask, action: Reply) -> None:
     await task.send_reply(action.reply_to, action.message)
 
 
-@ACTION_HANDLERS.register(StartTask)
+@SHARD_ACTION_HANDLERS.register(StartTask)
 async def _start(task: ShardTask, action: StartTask) -> None:
     if not task.command_host(action.host, action):
         task.events.send_nowait(
@@ -54,30 +56,30 @@
         )
 
 
-@ACTION_HANDLERS.register(StopTask)
-@ACTION_HANDLERS.register(LimitTask)
-@ACTION_HANDLERS.register(ReleaseTask)
-@ACTION_HANDLERS.register(FetchOutput)
-@ACTION_HANDLERS.register(StoreOutput)
+@SHARD_ACTION_HANDLERS.register(StopTask)
+@SHARD_ACTION_HANDLERS.register(LimitTask)
+@SHARD_ACTION_HANDLERS.register(ReleaseTask)
+@SHARD_ACTION_HANDLERS.register(FetchOutput)
+@SHARD_ACTION_HANDLERS.register(StoreOutput)
 async def _command(task: ShardTask, action: Any) -> None:
     task.command_host(action.host, action)
 
 
-@ACTION_HANDLERS.register(SendPeer)
+@SHARD_ACTION_HANDLERS.register(SendPeer)
 async def _send_peer(task: ShardTask, action: SendPeer) -> None:
     task.ask_peer(action)
 
 
-@ACTION_HANDLERS.register(PublishSummary)
+@SHARD_ACTION_HANDLERS.register(PublishSummary)
 async def _publish_summary(task: ShardTask, action: PublishSummary) -> None:
     task.services.publish(action.summary)
 
 
-@ACTION_HANDLERS.register(LogDecision)
+@SHARD_ACTION_HANDLERS.register(LogDecision)
 async def _log_decision(task: ShardTask, action: LogDecision) -> None:
     task.log(action)
 
 
-@ACTION_HANDLERS.register(GiveUpShard)
+@SHARD_ACTION_HANDLERS.register(GiveUpShard)
 async def _give_up(task: ShardTask, action: GiveUpShard) -> None:
     task.give_up(action.reason)
--- a/sassafrasgate/daemons/shards.py
+++ b/sassafrasgate/daemons/shards.py
@@ -23,7 +23,6 @@
 from sassafrasgate.core.errors import ShardLostError
 from sassafrasgate.core.errors import StoreUnavailableError
 from sassafrasgate.core.jobs import JobState
-from sassafrasgate.daemons.actions import ACTION_HANDLERS
 from sassafrasgate.daemons.hosts import HostTask
 from sassafrasgate.daemons.journals import AppendRecord
 from sassafrasgate.daemons.journals import JournalTask
@@ -33,9 +32,10 @@
 from sassafrasgate.daemons.journals import WriteSnapshot
 from sassafrasgate.daemons.messages import LeaseUpdated
 from sassafrasgate.daemons.messages import OwnerLeaseChanged
-from sassafrasgate.daemons.messages import ShardAbandoned
-from sassafrasgate.daemons.messages import StopSyncing
+from sassafrasgate.daemons.messages import OwnershipLost
+from sassafrasgate.daemons.messages import StopPolling
 from sassafrasgate.daemons.replies import ReplyTable
+from sassafrasgate.daemons.shard_actions import SHARD_ACTION_HANDLERS
 from sassafrasgate.daemons.snapshots import SnapshotSchedule
 from sassafrasgate.journal.chain import Journal
 from sassafrasgate.journal.chain import load_journal
@@ -103,7 +103,7 @@
         For the journal and outputs.
     reply : callable
         Queues an `OutgoingReply` on the link server.
-    ask_owner : callable
+    send_request : callable
         Sends a message to the owner of another shard; returns its answer
         or `NoAnswer`.
     publish : callable
@@ -113,7 +113,7 @@
     owner: str
     store: Store
     reply: Callable[[OutgoingReply], Awaitable[None]]
-    ask_owner: Callable[[str, Any, float], Awaitable[Any]]
+    send_request: Callable[[str, Any, float], Awaitable[Any]]
     publish: Callable[[Any], None]
     logger: Logger
     metrics: Metrics
@@ -242,7 +242,7 @@
     async def _run_journal(self, writer: JournalTask) -> None:
         reason = await run_journal(writer)
         if reason:
-            await self.events.send(ShardAbandoned(reason))
+            await self.events.send(OwnershipLost(reason))
 
     async def _tick(self) -> None:
         while True:
@@ -258,7 +258,7 @@
     async def _hand_over(self, release: Callable[[], Awaitable[None]]) -> None:
         """Release the shard, then finish what can't be handed over."""
         for box in self._hosts.values():
-            box.send_nowait(StopSyncing())
+            box.send_nowait(StopPolling())
         quick = {
             token
             for request in self.state.quick.values()
@@ -312,7 +312,7 @@
             DECISION_SECONDS, perf_counter() - started, type(event).__name__
         )
         for action in actions:
-            await ACTION_HANDLERS.find(type(action))(self, action)
+            await SHARD_ACTION_HANDLERS.find(type(action))(self, action)
         if isinstance(event, ConfigurationChanged):
             self._follow_hosts()
         self._note_metrics(event)
@@ -332,7 +332,7 @@
             for box in self._hosts.values():
                 box.send_nowait(OwnerLeaseChanged(event.lease))
             return None
-        if isinstance(event, ShardAbandoned):
+        if isinstance(event, OwnershipLost):
             self._given_up = event.reason
             return None
         return event
@@ -475,7 +475,7 @@
             self._group.start_soon(self._ask_peer, action)
 
     async def _ask_peer(self, action: SendPeer) -> None:
-        answer = await self.services.ask_owner(
+        answer = await self.services.send_request(
             action.shard, action.message, PEER_TIMEOUT_S
         )
         if isinstance(answer, NoAnswer | Refusal):
--- a/sassafrasgate/daemons/watches.py
+++ b/sassafrasgate/daemons/watches.py
@@ -28,7 +28,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class TableSource:
+class RoutingTableSource:
     """Where the operators' routing table lies, and how to read it."""
 
     prefix: str
@@ -95,14 +95,14 @@
             await anyio.sleep(self._pause_s)
 
 
-class TableTask:
+class RoutingTableTask:
     """Tells a listener of each newer routing table.
 
     Parameters
     ----------
     watch : PrefixWatch
         Of the prefix of the table's key.
-    source : TableSource
+    source : RoutingTableSource
         How to read it.
     listener : MemoryObjectSendStream
         Gets `TableChanged`.
@@ -111,7 +111,7 @@
     def __init__(
         self,
         watch: PrefixWatch,
-        source: TableSource,
+        source: RoutingTableSource,
         listener: MemoryObjectSendStream[Any],
         logger: Logger,
     ) -> None:
--- a/sassafrasgate/daemons/workers.py
+++ b/sassafrasgate/daemons/workers.py
@@ -23,7 +23,7 @@
 from sassafrasgate.core.workflows import StartRefusal
 from sassafrasgate.core.workflows import WorkerReport
 from sassafrasgate.daemons.messages import OwnerLeaseChanged
-from sassafrasgate.daemons.messages import StopSyncing
+from sassafrasgate.daemons.messages import StopPolling
 from sassafrasgate.dispatch.actions import AcknowledgeEnds
 from sassafrasgate.dispatch.actions import ChangeHoldWait
 from sassafrasgate.dispatch.actions import PaceRun
@@ -81,7 +81,7 @@
         context.
     inbox : MemoryObjectReceiveStream
         Commands: actions of `sassafrasgate.dispatch.actions`,
-        `OwnerLeaseChanged` and `StopSyncing`.
+        `OwnerLeaseChanged` and `StopPolling`.
     events : MemoryObjectSendStream
         The dispatcher's inbox.
     lease : OwnerLease
@@ -129,7 +129,7 @@
                 if isinstance(command, OwnerLeaseChanged):
                     self._lease = command.lease
                     continue
-                if isinstance(command, StopSyncing):
+                if isinstance(command, StopPolling):
                     break
                 if isinstance(command, ChangeHoldWait):
                     self._wait_ms = command.wait_ms
--- a/sassafrasgate/platform/adapters.py
+++ b/sassafrasgate/platform/adapters.py
@@ -7,7 +7,7 @@
 from sassafrasgate.adapters.entry import ENTRY_ADAPTERS
 from sassafrasgate.adapters.entry import EntryAdapters
 from sassafrasgate.daemons.watches import RegistrationSource
-from sassafrasgate.daemons.watches import TableSource
+from sassafrasgate.daemons.watches import RoutingTableSource
 from sassafrasgate.platform.advice import AdviceClient
 from sassafrasgate.platform.callers import CallerApplication
 from sassafrasgate.platform.callers import ReadyApplication
@@ -32,7 +32,7 @@
         open_platform_store,
         WorkerOrders,
         AdviceClient,
-        TableSource(OPERATOR_PREFIX, TABLE_KEY, read_routing_table),
+        RoutingTableSource(OPERATOR_PREFIX, TABLE_KEY, read_routing_table),
         RegistrationSource(ENTRY_PREFIX, read_registration),
         CallerApplication,
         ReadyApplication,
--- a/tests/daemons/test_entry.py
+++ b/tests/daemons/test_entry.py
@@ -1,4 +1,4 @@
-"""Guards the succession of owners among entry hosts."""
+"""Guards the election of owners among entry hosts."""
 
 from dataclasses import replace
 
@@ -18,13 +18,13 @@
 from sassafrasgate.daemons.directory import Directory
 from sassafrasgate.daemons.directory import make_owner_key
 from sassafrasgate.daemons.dispatcher import DispatcherServices
+from sassafrasgate.daemons.election import OwnerElection
+from sassafrasgate.daemons.election import SHARD
 from sassafrasgate.daemons.entry import EntryTask
 from sassafrasgate.daemons.entry_messages import ShardOffered
 from sassafrasgate.daemons.gateways import EntryGateway
 from sassafrasgate.daemons.leases import LeaseChanged
 from sassafrasgate.daemons.leases import Member
-from sassafrasgate.daemons.succession import SHARD
-from sassafrasgate.daemons.succession import Succession
 from sassafrasgate.dispatch.events import TableChanged
 from sassafrasgate.journal.records import encode_records
 from sassafrasgate.observability.clocks import now_ms
@@ -65,14 +65,14 @@
     directory = make_directory()
     directory.owners[SHARD] = (ME, 9)
 
-    directory.note(ControlChanged((own(OWNER, 8),)))
+    directory.apply_control_event(ControlChanged((own(OWNER, 8),)))
     assert directory.owners[SHARD] == (ME, 9)
-    directory.note(ControlListed((own(OWNER, 8),), 8))
+    directory.apply_control_event(ControlListed((own(OWNER, 8),), 8))
     assert directory.owners[SHARD] == (ME, 9)
 
-    directory.note(ControlChanged((own(OWNER, 10),)))
+    directory.apply_control_event(ControlChanged((own(OWNER, 10),)))
     assert directory.owners[SHARD] == (OWNER, 10)
-    directory.note(ControlListed((), 11))
+    directory.apply_control_event(ControlListed((), 11))
     assert not directory.owners
 
 
@@ -127,8 +127,8 @@
         Logger('test'),
         Metrics(),
     )
-    succession = Succession(ME, store, directory, Logger('test'))
-    return EntryTask(ME, services, directory, succession, None, None, None)
+    election = OwnerElection(ME, store, directory, Logger('test'))
+    return EntryTask(ME, services, directory, election, None, None, None)
 
 
 async def test_a_successor_keeps_the_shard_while_it_writes_its_key(
@@ -163,7 +163,7 @@
         ]
         group.cancel_scope.cancel()
 
-    assert 'ShardAbandoned' not in kinds
+    assert 'OwnershipLost' not in kinds
     assert [type(item) for item in answers] == [Acknowledged]
 
 
@@ -192,9 +192,7 @@
     directory.find_link = links.__getitem__
     task = make_task(MemoryStore(), directory)
 
-    taken = await task.succession.hand_over(
-        HandOver(SHARD, b'', 1, 1, 0, 0, 0)
-    )
+    taken = await task.election.hand_over(HandOver(SHARD, b'', 1, 1, 0, 0, 0))
 
     assert taken
     assert links[NEXT.link_address].asked == [FindOwner]
@@ -238,7 +236,7 @@
 
     async def change_owner():
         await anyio.sleep(0.3)
-        directory.note(ControlChanged((own(NEXT, 10),)))
+        directory.apply_control_event(ControlChanged((own(NEXT, 10),)))
 
     async with anyio.create_task_group() as group:
         group.start_soon(change_owner)
--- a/tests/daemons/test_relays.py
+++ b/tests/daemons/test_relays.py
@@ -6,7 +6,7 @@
 from sassafrasgate.core.errors import StoreConflictError
 from sassafrasgate.core.errors import StoreUnavailableError
 from sassafrasgate.core.items import Item
-from sassafrasgate.daemons.relays import make_relayed_call
+from sassafrasgate.daemons.relays import execute_relayed_call
 from sassafrasgate.daemons.relays import RelayedStore
 from sassafrasgate.protocol.codec import decode_envelope
 from sassafrasgate.protocol.codec import encode_envelope
@@ -57,7 +57,7 @@
     async def relay(call, timeout_s):
         if other is None:
             return None
-        return send(await make_relayed_call(other, send(call)))
+        return send(await execute_relayed_call(other, send(call)))
 
     return RelayedStore(own, relay, Logger('test'))
 
@@ -97,5 +97,5 @@
 
 async def test_methods_that_are_no_store_calls_are_not_relayed():
     call = send(RelayCall('__class__', ()))
-    answer = await make_relayed_call(Way(), call)
+    answer = await execute_relayed_call(Way(), call)
     assert answer.failure == 'refused'
