--- a/sassafrasgate/daemons/lanes.py
+++ b/sassafrasgate/daemons/advice_routing.py
@@ -1,4 +1,8 @@
-"""Calls for advice through the entry hosts, each of which is a lane."""
+"""Routing of advice calls to the entry host that is to make them.
+
+The advice service queues the calls of each host separately, so the
+dispatcher spreads its calls over the entry hosts.
+"""
 
 from __future__ import annotations
 
@@ -6,7 +10,7 @@
 from typing import TYPE_CHECKING
 
 from sassafrasgate.core.errors import NoAnswer
-from sassafrasgate.daemons.advisers import AdviceWanted
+from sassafrasgate.daemons.advice import AdviceRequested
 from sassafrasgate.daemons.replies import ReplyTable
 from sassafrasgate.daemons.replies import wait_for_answer
 
@@ -21,17 +25,17 @@
     from sassafrasgate.protocol.workflows import SeekAdvice
 
 
-class Lanes:
-    """Finds the entry host that makes a call for advice.
+class AdviceRouter:
+    """Sends advice calls to entry hosts.
 
     Parameters
     ----------
     name : str
-        Of this entry host.
+        Name of this entry host.
     directory : Directory
-        Knows the others.
+        Holds the other entry hosts and the links to them.
     advisers : MemoryObjectSendStream
-        The own advice task's inbox.
+        The inbox of this process's advice task.
     reply : callable
         Queues an `OutgoingReply` on the link server.
     """
@@ -48,8 +52,14 @@
         self._advisers = advisers
         self._reply = reply
 
-    async def ask(self, name: str, question: SeekAdvice) -> Any:
-        """Have an entry host, or this one, call the advice service."""
+    async def request_advice(self, name: str, question: SeekAdvice) -> Any:
+        """Have the named entry host call the advice service.
+
+        Returns
+        -------
+        object
+            The `AdviceGiven`, or another object if the call has failed.
+        """
         timeout_s = question.timeout_ms / 1000
         if name == self._name:
             return await self._ask_own_adviser(question, timeout_s)
@@ -70,7 +80,7 @@
             async def answer(message: Any) -> None:
                 await answers.send(token, message)
 
-            self._advisers.send_nowait(AdviceWanted(question, answer))
+            self._advisers.send_nowait(AdviceRequested(question, answer))
             return token
 
         return await wait_for_answer(add, answers.forget, timeout_s)
