Reword comments, docstrings and errors of the placement package

Cause: several docstrings and comments were terse or figurative, so that a newcomer could not tell what a value is or why a rule exists.

Change: comments, docstrings, reasons of quarantines and the text of NoRoomError in quarantine, quotas, sizes, scores, policies, admission and index; no code.

--- a/sassafrasgate/placement/__init__.py
+++ b/sassafrasgate/placement/__init__.py
@@ -1,1 +1,1 @@
-"""Pure placement decisions: no I/O, no clock, no encoding."""
+"""Placement decisions as pure functions: no I/O, no clock, no encoding."""
--- a/sassafrasgate/placement/admission.py
+++ b/sassafrasgate/placement/admission.py
@@ -1,4 +1,4 @@
-"""Admission of jobs that would have to wait."""
+"""Validation of submitted jobs, and admission of jobs to the queue."""
 
 from __future__ import annotations
 
@@ -19,13 +19,14 @@
     from collections.abc import Callable
 
 MAX_KEY_LENGTH = 512
-# A journal value holds 512 KiB, and one job must leave room for others.
+# A journal entry is limited to 512 KiB, and one job must leave space in it
+# for others.
 MAX_PAYLOAD_BYTES = 256 * 1024
 MAX_TASKS = 10_000
 MAX_PRIORITY = 100
 
-# The rate of starts is averaged over about this time, so that it follows a
-# change of load within seconds but not each burst.
+# Time constant of the average start rate: short enough to follow a change of
+# load within seconds, long enough to smooth out bursts.
 RATE_WINDOW_MS = 10_000
 
 _PARALLEL = frozenset({JobClass.SERVICE, JobClass.GANG})
@@ -33,20 +34,20 @@
 
 @dataclass(frozen=True, slots=True)
 class AdmissionLoad:
-    """The queue as a new job would find it.
+    """State of the queue when a new job arrives.
 
     Parameters
     ----------
     team_queued, team_limit : int
-        Jobs of the team that wait, and the most that may.
+        Number of queued jobs of the team, and its limit.
     shard_queued, shard_limit : int
-        Jobs of the shard that wait, and the most that may.
+        Number of queued jobs of the shard, and its limit.
     ahead : int
-        Jobs that would be offered before this one; see
+        Number of queued jobs that would be offered before the new one, see
         `JobQueue.count_ahead`.
     starts_per_s : float
-        Recent rate of starts of the jobs that are counted in ``ahead``; 0
-        when it is not known, and then nothing is shed by deadline.
+        Recent start rate of the jobs counted in ``ahead``; 0 if it is
+        unknown, in which case no job is refused because of its deadline.
     """
 
     team_queued: int
@@ -62,7 +63,7 @@
 
 @SPEC_CHECKS.register('identity')
 def check_identity(spec: JobSpec) -> str:
-    """Return what is wrong with team and key; empty when nothing is."""
+    """Return an error for the team or the key, or an empty string."""
     if not spec.team:
         return "field 'team' is empty"
     if not spec.key:
@@ -74,7 +75,7 @@
 
 @SPEC_CHECKS.register('demand')
 def check_demand(spec: JobSpec) -> str:
-    """Return what is wrong with the demand; empty when nothing is."""
+    """Return an error for the demand, or an empty string."""
     for field in fields(Resources):
         if getattr(spec.demand, field.name) < 0:
             return f'demand {spec.demand!r} has a negative {field.name}'
@@ -87,7 +88,7 @@
 
 @SPEC_CHECKS.register('tasks')
 def check_tasks(spec: JobSpec) -> str:
-    """Return what is wrong with the task count; empty when nothing is."""
+    """Return an error for the number of tasks, or an empty string."""
     if not 1 <= spec.tasks <= MAX_TASKS:
         return f'{spec.tasks!r} tasks are not between 1 and {MAX_TASKS}'
     if spec.tasks > 1 and spec.job_class not in _PARALLEL:
@@ -97,7 +98,7 @@
 
 @SPEC_CHECKS.register('times')
 def check_times(spec: JobSpec) -> str:
-    """Return what is wrong with times; empty when nothing is."""
+    """Return an error for the deadline or run time, or an empty string."""
     for name in ('deadline_s', 'run_time_s'):
         value: float = getattr(spec, name)
         if not isfinite(value) or value < 0:
@@ -107,7 +108,7 @@
 
 @SPEC_CHECKS.register('priority')
 def check_priority(spec: JobSpec) -> str:
-    """Return what is wrong with the priority; empty when nothing is."""
+    """Return an error for the priority, or an empty string."""
     if abs(spec.priority) > MAX_PRIORITY:
         return f'priority {spec.priority!r} is beyond +-{MAX_PRIORITY}'
     return ''
@@ -115,7 +116,7 @@
 
 @SPEC_CHECKS.register('payload')
 def check_payload(spec: JobSpec) -> str:
-    """Return what is wrong with the payload; empty when nothing is."""
+    """Return an error for the payload, or an empty string."""
     if len(spec.payload) > MAX_PAYLOAD_BYTES:
         return (
             f'payload of {len(spec.payload)} bytes is longer than '
@@ -125,7 +126,7 @@
 
 
 def check_spec(spec: JobSpec) -> Refusal | None:
-    """Return a refusal with the first fault of a spec, or None."""
+    """Return a refusal with the first error of a spec; None if valid."""
     for name in SPEC_CHECKS:
         if fault := SPEC_CHECKS.find(name)(spec):
             return Refusal(
@@ -135,14 +136,15 @@
 
 
 def check_admission(spec: JobSpec, load: AdmissionLoad) -> Refusal | None:
-    """Tell whether a job that can't start at once may wait.
+    """Return a refusal if a job that can't start at once may not be queued.
 
     Returns
     -------
     Refusal or None
-        `RefusalKind.INVALID`, `OVERLOADED` when a queue is full, or
-        `DEADLINE` when the job would time out while it waits; None when it
-        may wait.
+        `RefusalKind.INVALID` for an invalid spec, `OVERLOADED` when the
+        queue of the team or the shard is full, or `DEADLINE` when the
+        expected wait exceeds the deadline of the job; None if the job may
+        be queued.
 
     Examples
     --------
@@ -179,17 +181,16 @@
 
 
 def expect_wait(ahead: int, starts_per_s: float) -> float:
-    """Return the expected wait in seconds; 0 while the rate is unknown."""
+    """Return the expected wait in seconds; 0 if the rate is unknown."""
     if starts_per_s <= 0:
         return 0.0
     return ahead / starts_per_s
 
 
 class StartRate:
-    """Recent rate of starts, from the times of the starts.
+    """Recent start rate of jobs, as an exponentially weighted average.
 
-    An exponentially weighted count. While the queue is stalled the rate
-    decays, and so the expected wait grows.
+    While no job starts, the rate decays, so the expected wait grows.
     """
 
     def __init__(self) -> None:
@@ -198,17 +199,18 @@
         self._first_at: int | None = None
 
     def note_start(self, now: int, jobs: int = 1) -> None:
-        """Count starts at ``now``, in ms."""
+        """Record the start of ``jobs`` jobs at ``now``, in ms."""
         if self._first_at is None:
             self._first_at = now
         self._weight = self._decay(now) + jobs
         self._updated_at = max(now, self._updated_at)
 
     def find_rate(self, now: int) -> float:
-        """Return starts per second; 0 when none was seen yet."""
+        """Return the starts per second; 0 before the first start."""
         if self._first_at is None:
             return 0.0
-        # Until a whole window has passed, only what has passed counts.
+        # Normalise by the part of the window since the first start, so that
+        # the rate isn't underestimated at the beginning.
         seen = 1 - exp(-max(now - self._first_at, 1000) / RATE_WINDOW_MS)
         return self._decay(now) / (RATE_WINDOW_MS / 1000 * seen)
 
--- a/sassafrasgate/placement/index.py
+++ b/sassafrasgate/placement/index.py
@@ -1,4 +1,4 @@
-"""Hosts of a shard with what is reserved and free on each."""
+"""Hosts of a shard, with the reserved and free resources of each."""
 
 from __future__ import annotations
 
@@ -25,23 +25,24 @@
 
 
 class NoRoomError(SassafrasgateError):
-    """A reservation would exceed what is free on a host."""
+    """A reservation exceeds the free resources of a host."""
 
     def __init__(
         self, name: str, task: str, demand: Resources, free: Resources
     ) -> None:
         super().__init__(
-            f'host {name!r} has {free!r} free, too little for {demand!r} of '
-            f'task {task!r}; choose a host again with choose_hosts'
+            f'host {name!r} has {free!r} free, task {task!r} needs '
+            f'{demand!r} more; choose a host again with choose_hosts'
         )
 
 
 class HostIndex:
-    """Hosts with their reservations; the only place that counts them.
+    """Hosts with their reservations, indexed for best-fit searches.
 
-    A task counts from its reservation until its release, whether or not it
-    is known to run. Hosts are open for new work or closed; closing a host
-    keeps its reservations.
+    All reservations of a shard are accounted here. A task is counted from
+    its reservation until its release, even if it isn't confirmed to be
+    running. A host is either open, so that it accepts new tasks, or closed;
+    closing a host keeps its reservations.
 
     Examples
     --------
@@ -56,16 +57,16 @@
 
     def __init__(self) -> None:
         self._hosts: dict[str, Host] = {}
-        # Free amounts of open hosts are kept apart, since the scan for
-        # candidates reads only these.
+        # Free resources by host; those of open hosts are stored separately,
+        # since the search for candidates reads only these.
         self._open: dict[str, Resources] = {}
         self._closed: dict[str, Resources] = {}
         self._removed: dict[str, bool] = {}
         self._tasks: dict[str, dict[str, Resources]] = {}
         self._first: dict[tuple[str, str], Resources] = {}
-        # Open hosts by failure domain, fullest first. Plain lists with
-        # bisection: at a few hundred hosts, moving the tail of a list on
-        # insertion costs less than a tree or nested lists.
+        # Open hosts by failure domain, sorted from fullest to emptiest.
+        # With a few hundred hosts, bisection in a plain list is faster than
+        # a tree or nested lists, although an insertion moves the tail.
         self._orders: dict[str, list[tuple[float, str]]] = {}
         self._total = NOTHING
         self._largest = NOTHING
@@ -74,19 +75,20 @@
 
     @property
     def hosts(self) -> Mapping[str, Host]:
-        """Hosts by name, including closed ones."""
+        """All hosts by name, including closed ones."""
         return self._hosts_view
 
     @property
     def open_free(self) -> Mapping[str, Resources]:
-        """Free amounts of the open hosts by name."""
+        """Free resources of the open hosts by name."""
         return self._open_view
 
     def add_host(self, host: Host) -> None:
-        """Add a host, open unless drained, or replace its description.
+        """Add a host or replace its description.
 
-        Reservations and openness of a host that is already known stay; a
-        smaller capacity may leave a negative amount free.
+        A new host is open unless it is drained. A host that is already in
+        the index keeps its reservations and stays open or closed; if its
+        capacity shrinks, its free resources may become negative.
         """
         name = host.name
         self._raise_largest(host.capacity)
@@ -96,7 +98,8 @@
             self._closed[name] = host.capacity
             self.set_open(name, not host.drained)
             return
-        # Closed while it changes, since it may move between domains.
+        # Close the host during the change, since it may move to another
+        # failure domain.
         is_open = self._removed.pop(name, name in self._open)
         self._close(name)
         change = host.capacity - self._hosts[name].capacity
@@ -105,10 +108,10 @@
         self.set_open(name, is_open)
 
     def remove_host(self, name: str) -> None:
-        """Close a host and forget it once its last task is released.
+        """Close a host, and delete it once its last task is released.
 
-        Reservations outlive the inventory entry, because their tasks may
-        still run when the host is added again.
+        Reservations are kept until then, since their tasks may still be
+        running when the host is added again.
         """
         self._check_known(name)
         if name in self._removed:
@@ -118,9 +121,9 @@
         self._forget_if_empty(name)
 
     def set_open(self, name: str, is_open: bool) -> None:
-        """Allow or stop new work on a host; reservations stay.
+        """Open or close a host for new tasks; its reservations are kept.
 
-        A host that was removed from the inventory stays closed.
+        A removed host stays closed; the value applies if it is added again.
         """
         self._check_known(name)
         if name in self._removed:
@@ -137,7 +140,7 @@
         self._total = self._total + free.cover(NOTHING)
 
     def is_open(self, name: str) -> bool:
-        """Tell whether a host gets new work."""
+        """Tell whether a host accepts new tasks."""
         self._check_known(name)
         return name in self._open
 
@@ -148,19 +151,23 @@
         demand: Resources,
         force: bool = False,
     ) -> None:
-        """Reserve an amount for a task; a repeat keeps the larger amount.
+        """Reserve resources for a task.
+
+        For a task that already holds a reservation, the larger amount of
+        each resource applies.
+
 
         Parameters
         ----------
         force : bool
-            Reserve even beyond what is free, or on a closed host whose
-            capacity is exceeded. Only for recovery, where the task may
-            already run.
+            Reserve even if the free resources do not suffice. Only for
+            recovery, where the task may already be running.
 
         Raises
         ------
         NoRoomError
-            When the amount exceeds what is free and ``force`` is not set.
+            When the free resources do not suffice and ``force`` is not
+            set.
         UnknownNameError
             When the host is unknown.
         """
@@ -176,14 +183,15 @@
         demand: Resources,
         force: bool = False,
     ) -> None:
-        """Change a reservation, never below the task's first one.
+        """Change a reservation, at least to the task's initial one.
 
         Raises
         ------
         NoRoomError
-            When the growth exceeds what is free and ``force`` is not set.
+            When the free resources do not suffice for the increase and
+            ``force`` is not set.
         UnknownNameError
-            When the host is unknown or holds no such task.
+            When the host is unknown or the task has no reservation there.
         """
         self._check_known(name)
         if task not in self._tasks[name]:
@@ -192,7 +200,7 @@
         self._set_reservation(name, task, amount, force)
 
     def release(self, name: str, task: str) -> bool:
-        """Free a task's reservation; False when there is none."""
+        """Release the reservation of a task; False if it has none."""
         held = self._tasks.get(name, {}).pop(task, None)
         if held is None:
             return False
@@ -202,7 +210,7 @@
         return True
 
     def find_free(self, name: str) -> Resources:
-        """Return what is free on a host; negative after forced amounts."""
+        """Return a host's free resources; negative if overcommitted."""
         self._check_known(name)
         free = self._open.get(name)
         return self._closed[name] if free is None else free
@@ -212,7 +220,7 @@
         return self._hosts_view[name].capacity - self.find_free(name)
 
     def tasks_on(self, name: str) -> Mapping[str, Resources]:
-        """Return the reservations of a host by task; empty if unknown."""
+        """Return a host's reservations by task; empty for an unknown host."""
         return MappingProxyType(self._tasks.get(name, _NO_TASKS))
 
     def find_tightest(
@@ -226,17 +234,18 @@
         Parameters
         ----------
         domain : str
-            Failure domain to look in.
+            Failure domain to search.
         demand : Resources
-            What must be free.
+            Resources that the host must have free.
         is_usable : callable, optional
-            Tells for a host name whether the host may be used.
+            Predicate that tells for a host name whether it may be used.
 
         Returns
         -------
         tuple of float and str, or None
-            The weight of what is free before, see `weigh`, and the host;
-            of equal hosts the first by name.
+            Mean share of the host's free resources, see `weigh`, and the
+            name of the host. Of equally full hosts, the first by name is
+            returned.
         """
         entries = self._orders.get(domain, _NO_HOSTS)
         free = self._open
@@ -249,42 +258,43 @@
         return None
 
     def count_candidates(self, demand: Resources) -> int:
-        """Return how many open hosts are not plainly too full."""
+        """Return how many open hosts have a large enough mean free share."""
         return sum(
             len(entries) - self._find_start(entries, demand)
             for entries in self._orders.values()
         )
 
     def list_domains(self) -> list[str]:
-        """Return the failure domains that have had open hosts."""
+        """Return the failure domains that have or had open hosts."""
         return list(self._orders)
 
     def weigh(self, amount: Resources) -> float:
-        """Return the mean share of the largest host that an amount takes.
+        """Return the mean share that an amount takes of the largest capacity.
 
-        Linear in the amount, so that hosts sorted by the weight of what is
-        free are also sorted by what would be left after any one demand.
+        The result is linear in the amount. Hosts sorted by the share of
+        their free resources are therefore also sorted by the share that
+        would remain after placing any given demand.
         """
         return weigh_amount(amount, self._largest)
 
     def list_fitting(self, demand: Resources) -> list[str]:
-        """Return the open hosts that have room for a demand."""
+        """Return the names of the open hosts with room for a demand."""
         return [
             name for name, free in self._open.items() if demand.fits_in(free)
         ]
 
     def total_free(self) -> Resources:
-        """Return the sum of what is free on open hosts.
+        """Return the sum of the free resources of the open hosts.
 
-        A host with a negative amount free counts as having none.
+        Negative free resources of an overcommitted host count as zero.
         """
         return self._total
 
     def largest_free(self) -> Resources:
-        """Return the most that is free of each resource on an open host.
+        """Return the largest free amount of each resource on an open host.
 
-        The amounts may come from different hosts, so a demand that does
-        not fit in them fits on no host, but not the reverse.
+        The amounts may belong to different hosts: a demand that exceeds
+        them fits on no host, but one within them may fit on no host either.
         """
         largest = NOTHING
         for free in self._open.values():
@@ -306,12 +316,12 @@
     def _find_start(
         self, entries: list[tuple[float, str]], demand: Resources
     ) -> int:
-        # The margin covers rounding; a host before the start has less
-        # free, all resources together, than the demand takes.
+        # Hosts before this position have a smaller mean free share than the
+        # demand takes, so it can't fit there. The margin covers rounding.
         return bisect_left(entries, (self.weigh(demand) - _ROUNDING, ''))
 
     def _raise_largest(self, capacity: Resources) -> None:
-        """Sort all hosts again when the unit of their weights changes."""
+        """Sort all hosts again if the largest capacity grows."""
         largest = self._largest.cover(capacity)
         if largest == self._largest:
             return
@@ -337,8 +347,8 @@
         held = tasks.get(task, NOTHING)
         growth = amount - held
         free = self.find_free(name)
-        # Only resources that grow need room: a host whose other resources
-        # are over-reserved by recovery may still shrink or move in these.
+        # Only resources that increase need room: where recovery overcommitted
+        # other resources of the host, reservations must remain changeable.
         if not force and not growth.fits_in(free.cover(NOTHING)):
             raise NoRoomError(name, task, growth, free)
         tasks[task] = amount
--- a/sassafrasgate/placement/policies.py
+++ b/sassafrasgate/placement/policies.py
@@ -1,4 +1,4 @@
-"""Placement policies by job class, in a registry."""
+"""Placement policies, registered by job class."""
 
 from __future__ import annotations
 
@@ -28,27 +28,30 @@
 
 @dataclass(frozen=True, slots=True)
 class PlacementRequest:
-    """What a decision needs to know of a job.
+    """A job to place, with the constraints on its hosts.
 
     Parameters
     ----------
     spec : JobSpec
-        What the caller asked for.
+        The job as it was submitted.
     local_domain : str
-        Failure domain of the caller or the data; empty for no preference.
+        Failure domain of the caller or of its data, which is preferred;
+        empty for no preference.
     excluded : frozenset of str
         Hosts that must not be used, for example after a failure there.
     labels : tuple of str
-        Labels that a host must all carry, from the rules.
+        Labels required by the rules; a host must have all of them.
     failure_domains : tuple of str
-        Where rules allow the job, besides ``spec.failure_domains``; empty
-        for anywhere.
+        Failure domains to which the rules restrict the job, in addition to
+        ``spec.failure_domains``; empty for no restriction.
     demand : Resources
-        Learned size of a task; covered with the declared one.
+        Estimated demand of one task. The declared demand applies to each
+        resource for which it is larger.
     tasks : int
-        Number of tasks to place; 0 for all of the job's.
+        Number of tasks to place; 0 for all tasks of the job.
     occupied : tuple of str
-        Hosts of the job's tasks that keep running, for spreading.
+        Hosts of the job's running tasks, which count when tasks are spread
+        or kept together.
     """
 
     spec: JobSpec
@@ -63,17 +66,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Assignment:
-    """Hosts for the tasks of one attempt.
+    """Hosts chosen for the tasks of one attempt.
 
     Parameters
     ----------
     hosts : tuple of str
         One host name for each task, in task order; names may repeat.
     score : float
-        Cost of the choice, lower is better; for logs.
+        Cost of the choice, for logs; lower is better.
     candidates : int
-        Number of open hosts that were not plainly too full for a task; for
-        several tasks, of those with room for one.
+        Number of hosts that were considered. For one task, these are the
+        open hosts whose mean free share is large enough; for several
+        tasks, the usable open hosts with room for at least one.
     """
 
     hosts: tuple[str, ...]
@@ -85,14 +89,16 @@
     JobClass, Callable[[HostIndex, PlacementRequest], Assignment | None]
 ] = Registry('job class policy')
 
-# A caller waits for quick and urgent work, so local hosts go first however
-# they fit. Batch work and gangs take a hop when it saves a quarter of a host.
+# A caller waits for quick and urgent jobs, so a local host is preferred
+# regardless of the fit. Batch jobs and gangs use a remote host if its mean
+# free share is lower by a quarter of the largest host.
 WAITING_WEIGHTS = Weights(hop=2.0)
 BATCH_WEIGHTS = Weights(hop=0.25)
 GANG_WEIGHTS = Weights(hop=0.25, domain=-0.5, rack=-0.25)
-# The loss of a domain, a rack or a host should take the fewest tasks of a
-# service, in this order, so one task more in a domain outweighs several in
-# a rack, and one in a rack several on a host. The fit costs at most 1.
+# The failure of a domain should end as few tasks of a service as possible,
+# then that of a rack, then that of a host. One more task in a domain therefore
+# costs more than several in a rack, and one more in a rack more than several
+# on a host. The fit costs at most 1.
 SERVICE_WEIGHTS = Weights(hop=0.5, domain=100.0, rack=10.0, host=2.0)
 
 
@@ -100,7 +106,7 @@
 def place_quick(
     index: HostIndex, request: PlacementRequest
 ) -> Assignment | None:
-    """Place a quick request: local before well packed."""
+    """Place a quick job; locality takes precedence over packing."""
     return place_one(index, request, WAITING_WEIGHTS)
 
 
@@ -108,7 +114,7 @@
 def place_urgent(
     index: HostIndex, request: PlacementRequest
 ) -> Assignment | None:
-    """Place urgent work: local before well packed."""
+    """Place an urgent job; locality takes precedence over packing."""
     return place_one(index, request, WAITING_WEIGHTS)
 
 
@@ -116,7 +122,7 @@
 def place_batch(
     index: HostIndex, request: PlacementRequest
 ) -> Assignment | None:
-    """Place batch work: well packed, local when that costs little."""
+    """Place a batch job; a remote host must be a clearly better fit."""
     return place_one(index, request, BATCH_WEIGHTS)
 
 
@@ -124,7 +130,7 @@
 def place_service(
     index: HostIndex, request: PlacementRequest
 ) -> Assignment | None:
-    """Place a service: spread over domains, then racks, then hosts."""
+    """Place a service, spread over domains, then racks, then hosts."""
     return place_together(index, request, SERVICE_WEIGHTS)
 
 
@@ -132,35 +138,36 @@
 def place_gang(
     index: HostIndex, request: PlacementRequest
 ) -> Assignment | None:
-    """Place a gang: close together, all or nothing."""
+    """Place all tasks of a gang close together, or none."""
     return place_together(index, request, GANG_WEIGHTS)
 
 
 def choose_hosts(
     index: HostIndex, request: PlacementRequest
 ) -> Assignment | Refusal:
-    """Choose a host for each task of a job, all or nothing.
+    """Choose a host for each task of a job; reserve nothing.
 
     Returns
     -------
     Assignment or Refusal
-        A refusal is `RefusalKind.FITS_NOWHERE` when the hosts of the index
-        could not hold the tasks even when empty, otherwise
-        `RefusalKind.NO_ROOM`. Nothing is reserved.
+        A refusal if not all tasks can be placed. Its kind is
+        `RefusalKind.FITS_NOWHERE` when the hosts of the index could not
+        hold the tasks even if they were empty, otherwise
+        `RefusalKind.NO_ROOM`.
     """
     policy = POLICIES.find(request.spec.job_class)
     return policy(index, request) or explain_refusal(index, request)
 
 
 def find_demand(request: PlacementRequest) -> Resources:
-    """Return what each task reserves: never less than was declared."""
+    """Return the resources to reserve per task, at least those declared."""
     if request.demand is NOTHING:
         return request.spec.demand
     return request.spec.demand.cover(request.demand)
 
 
 def is_allowed(host: Host, request: PlacementRequest) -> bool:
-    """Tell whether rules and the caller allow a host for a job."""
+    """Tell whether the rules and the job's constraints allow a host."""
     domains = request.spec.failure_domains
     if domains and host.failure_domain not in domains:
         return False
@@ -171,9 +178,9 @@
 
 
 def fits_inventory(hosts: Iterable[Host], request: PlacementRequest) -> bool:
-    """Tell whether empty hosts could hold all tasks of a job together.
+    """Tell whether the hosts, if empty, could hold all tasks of a job.
 
-    Usable with the hosts of one shard or of the whole cell.
+    ``hosts`` may be those of one shard or of the whole cell.
     """
     demand = find_demand(request)
     missing = request.tasks or request.spec.tasks
@@ -187,7 +194,7 @@
 
 
 def count_fitting(demand: Resources, room: Resources, most: int) -> int:
-    """Return how many times a demand fits in some room, at most ``most``."""
+    """Return how many times a demand fits in ``room``, at most ``most``."""
     count = most
     for need, have in (
         (demand.millicores, room.millicores),
@@ -208,8 +215,8 @@
 ) -> Assignment | None:
     """Place a single task by best fit.
 
-    In each domain the index yields the fullest host with room; the cost of
-    a hop decides between the domains.
+    The index returns the fullest host with room in each failure domain. The
+    cost of a remote host is then added to those outside the local domain.
     """
     demand = find_demand(request)
     is_usable = _make_filter(index, request)
@@ -234,7 +241,7 @@
 def place_together(
     index: HostIndex, request: PlacementRequest, weights: Weights
 ) -> Assignment | None:
-    """Place several tasks, one by one, all or nothing."""
+    """Place several tasks one after the other; all of them or none."""
     demand = find_demand(request)
     count = request.tasks or request.spec.tasks
     table = _HostTable(index, request, weights, demand)
@@ -251,11 +258,12 @@
 
 
 class _HostTable:
-    """Hosts with room while one job's tasks are placed.
+    """Hosts with room, by cost, while the tasks of one job are placed.
 
-    A heap of hosts for each rack and a heap of racks for each domain, since
-    a chosen host changes the cost of its own rack and domain only. A task
-    costs one comparison for each domain and two heap operations.
+    The hosts of each rack and the racks of each domain are kept in heaps,
+    since placing a task changes only the costs of its own host, rack and
+    domain. Each task takes one comparison per domain and two heap
+    operations.
     """
 
     def __init__(
@@ -289,7 +297,7 @@
         return len(self._free)
 
     def take_best(self) -> tuple[float, str] | None:
-        """Return cost and name of the best host, and place a task there."""
+        """Place a task on the cheapest host; return the cost and the host."""
         costs = [
             (self._find_domain_cost(domain) + order[0][0], domain)
             for domain, order in self._domains.items()
@@ -348,7 +356,7 @@
         return hosts[0][0] + self._weights.rack * self._near_rack[rack]
 
     def _find_host_cost(self, name: str) -> float:
-        # The weight of the demand is the same on all hosts and left out.
+        # The share of the demand is the same on all hosts and is left out.
         cost = self._weigh(self._free[name])
         if near := self._near_host.get(name):
             cost += self._weights.host * near
@@ -358,7 +366,7 @@
 def _list_usable(
     index: HostIndex, request: PlacementRequest, demand: Resources
 ) -> dict[str, Resources]:
-    """Return what is free on each host that may take a task."""
+    """Return the free resources of each host that may run a task."""
     is_usable = _make_filter(index, request)
     free = index.open_free
     return {
@@ -371,7 +379,7 @@
 def _make_filter(
     index: HostIndex, request: PlacementRequest
 ) -> Callable[[str], bool] | None:
-    """Return what tells whether a host may be used; None when all may."""
+    """Return a predicate for usable host names; None if all are usable."""
     excluded = request.excluded
     if not (
         excluded
@@ -387,7 +395,7 @@
 
 
 def explain_refusal(index: HostIndex, request: PlacementRequest) -> Refusal:
-    """Return why a request can't be placed: never, or not now."""
+    """Return the refusal of a request: fits nowhere, or no room now."""
     count = request.tasks or request.spec.tasks
     tasks = f'{count} tasks of {find_demand(request)!r}'
     if fits_inventory(index.hosts.values(), request):
--- a/sassafrasgate/placement/quarantine.py
+++ b/sassafrasgate/placement/quarantine.py
@@ -1,4 +1,4 @@
-"""Health of hosts, judged by results that other hosts disagree with."""
+"""Quarantine of hosts where jobs fail that other hosts complete."""
 
 from __future__ import annotations
 
@@ -7,16 +7,16 @@
 from dataclasses import replace
 from enum import StrEnum
 
-# Jobs that failed on a host and then finished elsewhere, without a success
-# on the host in between, before it is quarantined.
+# A host is quarantined after this many jobs failed on it and then completed
+# on another host, without a success on the first host in between.
 CONFIRMED_FAILURES = 2
-# Distinct jobs that failed in a row are enough without confirmation, since
-# jobs that may not run again never confirm anything.
+# Failures of this many distinct jobs in a row quarantine a host without
+# confirmation, since jobs that may not be retried never complete elsewhere.
 FAILURES_IN_A_ROW = 6
-# A job that failed on this many healthy hosts is at fault itself. A host
-# with failures of several other jobs since its last success is a suspect,
-# and proves nothing: two hosts that fail every task would otherwise blame
-# each job that tries both.
+# A job that failed on this many healthy hosts is considered faulty itself. A
+# host where SUSPECT_FAILURES other jobs have failed since its last success
+# does not count as healthy here: two hosts that fail every task would
+# otherwise make each job that runs on both look faulty.
 HOSTS_FOR_JOB_FAULT = 2
 SUSPECT_FAILURES = 2
 
@@ -26,12 +26,13 @@
 PROBATION_SUCCESSES = 3
 
 MAX_QUARANTINED_SHARE = 0.1
-# Jobs whose results are remembered; the oldest are forgotten first.
+# Jobs whose failures are kept; those that failed least recently are evicted
+# first.
 MAX_JOBS = 20_000
 
 
 class HostStatus(StrEnum):
-    """What a host's results say about it."""
+    """Health of a host, derived from the results of its tasks."""
 
     HEALTHY = 'healthy'
     QUARANTINED = 'quarantined'
@@ -40,22 +41,22 @@
 
 @dataclass(frozen=True, slots=True)
 class HostRecord:
-    """Results of one host.
+    """Health of one host and the results behind it.
 
     Parameters
     ----------
     status : HostStatus
-        Whether it gets work.
+        Decides whether the host gets new tasks.
     failed : tuple of str
-        Jobs that failed here since the last success, oldest first.
+        Jobs that failed on the host since its last success, oldest first.
     confirmed : tuple of str
-        Those that finished on another host afterwards.
+        Those of ``failed`` that later completed on another host.
     delay_ms : int
-        Length of the latest quarantine; 0 for never.
+        Length of the latest quarantine; 0 if there was none.
     until : int
-        End of the quarantine in ms.
+        End of the latest quarantine, in ms.
     successes : int
-        Successes during probation.
+        Tasks that succeeded during the current probation.
     """
 
     status: HostStatus = HostStatus.HEALTHY
@@ -73,9 +74,9 @@
     Parameters
     ----------
     failed_on : tuple of str
-        All of them, in order.
+        All hosts where it failed, in order of the failures.
     healthy : tuple of str
-        Those that were neither suspect nor in probation then.
+        Those without `SUSPECT_FAILURES` failures of other jobs at that time.
     """
 
     failed_on: tuple[str, ...] = ()
@@ -84,7 +85,7 @@
 
 @dataclass(frozen=True, slots=True)
 class HealthChange:
-    """A host's status has changed; for logs.
+    """A change of a host's health, for logs.
 
     Parameters
     ----------
@@ -93,7 +94,7 @@
     status : HostStatus
         The new status.
     reason : str
-        The results behind it.
+        Results that caused the change.
     """
 
     host: str
@@ -102,12 +103,13 @@
 
 
 class HostHealth:
-    """Judges hosts by the results of their tasks.
+    """Tracks task results per host and quarantines hosts that fail.
 
     Parameters
     ----------
     hosts : int
-        Number of hosts in the shard, for the cap on quarantine.
+        Number of hosts in the shard, which limits how many of them can be
+        in quarantine at once.
 
     Examples
     --------
@@ -127,28 +129,29 @@
         self._jobs: dict[str, JobResults] = {}
 
     def set_hosts(self, hosts: int) -> None:
-        """Change the number of hosts that the cap is taken of."""
+        """Set the number of hosts in the shard."""
         self._hosts = hosts
 
     def note_result(
         self, host: str, job_id: str, succeeded: bool, now: int
     ) -> tuple[HealthChange, ...]:
-        """Note how a task of a job ended on a host.
+        """Record how a task of a job ended on a host.
 
-        Only ends that the worker reported count. Lost leases, refusals and
-        cancellations say nothing about whether the host can run tasks.
+        Callers pass only ends that the worker reported. Lost leases,
+        refusals and cancellations do not show whether the host can run
+        tasks.
 
         Returns
         -------
         tuple of HealthChange
-            Hosts whose status changed, not always ``host`` itself.
+            Hosts whose health changed; they may differ from ``host``.
         """
         if succeeded:
             return self._note_success(host, job_id, now)
         return self._note_failure(host, job_id, now)
 
     def find_status(self, host: str, now: int) -> HostStatus:
-        """Return a host's status at ``now``, in ms."""
+        """Return the health of a host at ``now``, in ms."""
         record = self._find(host)
         if record.status is HostStatus.QUARANTINED and now >= record.until:
             return HostStatus.PROBATION
@@ -157,7 +160,8 @@
     def find_allowance(self, host: str, now: int) -> int | None:
         """Return how many tasks may run on a host at once.
 
-        None for no limit; 0 in quarantine; a few in probation.
+        None means no limit; 0 is returned in quarantine and
+        `PROBATION_TASKS` in probation.
         """
         status = self.find_status(host, now)
         if status is HostStatus.HEALTHY:
@@ -165,7 +169,7 @@
         return 0 if status is HostStatus.QUARANTINED else PROBATION_TASKS
 
     def find_next_change(self, now: int) -> int | None:
-        """Return when the next quarantine ends, in ms; None for never."""
+        """Return when the next quarantine ends, in ms; None if none does."""
         return min(
             (
                 record.until
@@ -177,12 +181,12 @@
         )
 
     def is_job_at_fault(self, job_id: str) -> bool:
-        """Tell whether a job has failed on several healthy hosts."""
+        """Tell whether a job failed on `HOSTS_FOR_JOB_FAULT` healthy hosts."""
         results = self._jobs.get(job_id, JobResults())
         return len(results.healthy) >= HOSTS_FOR_JOB_FAULT
 
     def list_quarantined(self, now: int) -> tuple[str, ...]:
-        """Return the hosts that get no work, by name."""
+        """Return the names of the quarantined hosts, sorted."""
         return tuple(
             sorted(
                 host
@@ -192,15 +196,15 @@
         )
 
     def forget_host(self, host: str) -> None:
-        """Drop what is known of a host, for example when it was replaced."""
+        """Discard the results of a host, for example after its replacement."""
         self._records.pop(host, None)
 
     def forget_job(self, job_id: str) -> None:
-        """Drop what is known of a job that has ended."""
+        """Discard the failures of a job that has ended."""
         self._jobs.pop(job_id, None)
 
     def count_jobs(self) -> int:
-        """Return how many jobs with failures are remembered."""
+        """Return the number of jobs whose failures are kept."""
         return len(self._jobs)
 
     def _find(self, host: str) -> HostRecord:
@@ -216,8 +220,9 @@
                 changes.extend(self._confirm(other, job_id, now))
         record = self._find(host)
         if self.find_status(host, now) is not HostStatus.PROBATION:
-            # A success shows that the host can run tasks, so failures
-            # before it do not count; a late one does not end a quarantine.
+            # A success shows that the host can run tasks, so earlier
+            # failures no longer count. The success of a task that started
+            # before a quarantine does not end the quarantine.
             self._records[host] = replace(record, failed=(), confirmed=())
             return tuple(changes)
         successes = record.successes + 1
@@ -226,10 +231,10 @@
                 record, status=HostStatus.PROBATION, successes=successes
             )
             return tuple(changes)
-        # The delay is kept, so that a host that fails again soon after its
-        # probation waits longer than before.
+        # A quarantine lasts twice this value, so a host that fails again
+        # after its probation is quarantined for as long as the last time.
         self._records[host] = HostRecord(delay_ms=record.delay_ms // 2)
-        reason = f'{successes} tasks finished in probation'
+        reason = f'{successes} tasks succeeded in probation'
         changes.append(HealthChange(host, HostStatus.HEALTHY, reason))
         return tuple(changes)
 
@@ -238,7 +243,9 @@
     ) -> tuple[HealthChange, ...]:
         status = self.find_status(host, now)
         if status is HostStatus.PROBATION and not self.is_job_at_fault(job_id):
-            return self._quarantine(host, now, f'job {job_id} failed again')
+            return self._quarantine(
+                host, now, f'job {job_id} failed in probation'
+            )
         if status is not HostStatus.HEALTHY:
             return ()
         record = self._find(host)
@@ -260,7 +267,7 @@
     def _confirm(
         self, host: str, job_id: str, now: int
     ) -> tuple[HealthChange, ...]:
-        """Count a failure that another host has disproved."""
+        """Count a failure of a job that has completed on another host."""
         record = self._find(host)
         if record.status is not HostStatus.HEALTHY:
             return ()
@@ -270,11 +277,13 @@
         self._records[host] = record
         if len(record.confirmed) < CONFIRMED_FAILURES:
             return ()
-        reason = f'{len(record.confirmed)} jobs failed here, not elsewhere'
+        reason = (
+            f'{len(record.confirmed)} jobs failed here and completed elsewhere'
+        )
         return self._quarantine(host, now, reason)
 
     def _absolve(self, job_id: str, hosts: tuple[str, ...]) -> None:
-        """Take a faulty job's failures off the hosts."""
+        """Remove the failures of a faulty job from the records of hosts."""
         for host in hosts:
             record = self._find(host)
             failed = tuple(job for job in record.failed if job != job_id)
--- a/sassafrasgate/placement/quotas.py
+++ b/sassafrasgate/placement/quotas.py
@@ -1,4 +1,4 @@
-"""Quotas of teams in a shard, and how shards share a cell-wide quota."""
+"""Resource quotas of teams: the share of one shard and its use."""
 
 from __future__ import annotations
 
@@ -23,7 +23,7 @@
 
 
 class QuotaReleaseError(SassafrasgateError):
-    """More was released than a team had reserved."""
+    """A release exceeds what the team has reserved."""
 
     def __init__(
         self, team: str, amount: Resources, reserved: Resources
@@ -35,14 +35,15 @@
 
 
 class QuotaLedger:
-    """What each team has reserved in a shard, against its share.
+    """Reservations of each team in a shard, and its share of the quota.
 
     Parameters
     ----------
     teams : iterable of Team
-        Cell-wide quotas; zero in a resource means no limit there.
+        Teams with their cell-wide quotas; zero for a resource means that
+        it has no limit.
     shards : int
-        Number of shards that share each quota.
+        Number of shards among which each quota is divided.
 
     Examples
     --------
@@ -63,11 +64,11 @@
 
     @property
     def reserved(self) -> Mapping[str, Resources]:
-        """What each team has reserved; a live, read-only view."""
+        """Reserved resources by team, as a live, read-only view."""
         return self._view
 
     def set_teams(self, teams: Iterable[Team], shards: int) -> None:
-        """Replace all quotas, each divided evenly over the shards.
+        """Replace all quotas and divide each evenly among the shards.
 
         The division rounds down, so that the shares never add up to more
         than the quota.
@@ -79,11 +80,12 @@
         }
 
     def set_share(self, team: str, share: Resources) -> Resources:
-        """Change a team's share; return the share in force.
+        """Set a team's share and return the share that takes effect.
 
-        The share in force is never below what is reserved, since running
-        tasks can't be undone; whoever divides the quota must count the
-        returned amount. Resources without a quota stay without a limit.
+        The result is never below what the team has reserved, since a lower
+        share does not stop running tasks. A caller that divides the quota
+        among shards must count the returned amount. Resources without a
+        quota remain unlimited.
         """
         in_force = share.cover(self.find_reserved(team))
         self._shares[team] = in_force
@@ -91,7 +93,7 @@
         return in_force
 
     def find_share(self, team: str) -> Resources:
-        """Return a team's share; zero where there is no limit or none."""
+        """Return a team's share; zero for a team without one."""
         return self._shares.get(team, NOTHING)
 
     def find_reserved(self, team: str) -> Resources:
@@ -99,7 +101,7 @@
         return self._reserved.get(team, NOTHING)
 
     def may_reserve(self, team: str, demand: Resources) -> Refusal | None:
-        """Return a refusal when a team's share is too small for a demand."""
+        """Return a refusal if a reservation would exceed the team's share."""
         quota = self._quotas.get(team, NOTHING)
         if quota == NOTHING:
             return None
@@ -125,16 +127,19 @@
         )
 
     def reserve(self, team: str, demand: Resources) -> None:
-        """Count an amount, even beyond the share: the task may run."""
+        """Add a reservation, even beyond the team's share.
+
+        The amount is counted in any case, since the task may already run.
+        """
         self._reserved[team] = self.find_reserved(team) + demand
 
     def release(self, team: str, demand: Resources) -> None:
-        """Count an amount as free again.
+        """Subtract a released reservation.
 
         Raises
         ------
         QuotaReleaseError
-            When the team has not reserved as much.
+            When the team has reserved less than ``demand``.
         """
         reserved = self.find_reserved(team)
         if not demand.fits_in(reserved):
--- a/sassafrasgate/placement/scores.py
+++ b/sassafrasgate/placement/scores.py
@@ -1,4 +1,4 @@
-"""Weights of amounts and hosts in placement scores."""
+"""Shares of resources and cost weights for placement scores."""
 
 from __future__ import annotations
 
@@ -19,17 +19,22 @@
 
 @dataclass(frozen=True, slots=True)
 class Weights:
-    """Weights of one job class; all costs add up, the lowest wins.
+    """Cost weights of one job class.
+
+    The costs of a host are added up, and the host with the lowest sum is
+    chosen.
+
 
     Parameters
     ----------
     hop : float
         Cost of a host outside the local failure domain. The fit costs 0 to
-        1, so a cost above 1 makes locality decide, and a lower one lets a
-        clearly better fit win.
+        1, so with a value above 1 locality always decides, and with a
+        smaller value a clearly better fit can outweigh it.
     domain, rack, host : float
-        Cost for each of the job's tasks that is already in the same
-        failure domain, rack or host; negative to keep tasks together.
+        Cost for each task of the job that is already in the same failure
+        domain, in the same rack or on the same host; a negative value
+        keeps the tasks together.
     """
 
     hop: float = 0.0
@@ -39,18 +44,19 @@
 
 
 def weigh_amount(amount: Resources, unit: Resources) -> float:
-    """Return the mean share of a unit that an amount takes.
+    """Return the mean over the resources of the fraction of a unit used.
 
-    Best fit by this weight looks at all resources together. Best fit by
-    the scarcest resource alone packs no better than first fit, because a
-    host that is tight in one resource may strand the others.
+    Best fit by this mean considers all resources together. Best fit by the
+    scarcest resource alone packs no better than first fit, because the
+    other resources of a host can be left unusable when that one runs out.
 
     Parameters
     ----------
     amount : Resources
-        May be negative.
+        Dividend; its values may be negative.
     unit : Resources
-        Resources that it has none of are left out.
+        Divisor, for example the capacity of a host. Resources that are
+        zero here are left out.
     """
     total = 0.0
     count = 0
@@ -70,9 +76,9 @@
 
 
 def find_dominant_share(amount: Resources, total: Resources) -> float:
-    """Return the largest share of any resource that an amount takes.
+    """Return the largest fraction of a resource that an amount uses.
 
-    Without a total, the task slots stand for the share.
+    When ``total`` is zero, the number of task slots is returned instead.
     """
     shares = [
         getattr(amount, name) / whole
--- a/sassafrasgate/placement/sizes.py
+++ b/sassafrasgate/placement/sizes.py
@@ -1,4 +1,4 @@
-"""Learned sizes of tasks, and the answer to growth beyond a reservation."""
+"""Demand estimates, and actions for tasks that exceed a reservation."""
 
 from __future__ import annotations
 
@@ -16,22 +16,24 @@
 
     from sassafrasgate.core.jobs import JobSpec
 
-# Enough ended tasks that one outlier does not decide, few enough to follow
-# a new release of the caller's program within a day.
+# Number of ended tasks that an estimate is based on: large enough that one
+# outlier does not determine it, and small enough to follow a new release of
+# the caller's program within a day.
 SAMPLES = 64
 MIN_SAMPLES = 8
-# The reservation covers all but the largest tenth; the largest tasks are
-# left to `plan_growth`, since reserving for them wastes room on all others.
+# Fraction of the tasks whose peak usage fits in the estimate. The largest
+# tasks are handled by `plan_growth`, since reserving their peak for every
+# task would waste resources.
 COVERED_SHARE = 0.9
-# Usage reports can be wrong; a learned size stays within this factor.
+# Upper limit of an estimate as a multiple of the declared demand, since usage
+# reports can be wrong.
 MAX_FACTOR = 4.0
 
-# Usage lags by a few seconds, so a step needs this long to show its effect
-# before the next one follows.
+# Time between two escalation steps for one task. Usage reports lag by a few
+# seconds, so the effect of a step is not visible earlier.
 ESCALATION_MS = 10_000
 
-# Lowest first: the order in which classes give up what exceeds their
-# reservations.
+# Order in which usage beyond reservations is reclaimed from job classes.
 RANKS = (
     JobClass.BATCH,
     JobClass.GANG,
@@ -42,10 +44,11 @@
 
 
 class LearnedSizes:
-    """Factors between declared and used amounts by team and class.
+    """Estimates the demand of tasks from the peak usage of ended ones.
 
-    Only processor time and memory are learned; the other resources are
-    counted, not measured.
+    For each team and job class it keeps the ratios of used to declared
+    processor time and memory. Other resources are counted rather than
+    measured, so their declared amounts apply.
     """
 
     def __init__(self) -> None:
@@ -54,7 +57,7 @@
         ] = {}
 
     def note_peak(self, spec: JobSpec, peak: Resources) -> None:
-        """Note the largest usage that was reported for an ended task."""
+        """Record the peak usage that was reported for an ended task."""
         samples = self._samples.setdefault(
             (spec.team, spec.job_class), deque(maxlen=SAMPLES)
         )
@@ -66,7 +69,7 @@
         )
 
     def find_size(self, spec: JobSpec) -> Resources:
-        """Return what a task should reserve; never less than declared."""
+        """Return the resources to reserve, at least those declared."""
         samples = self._samples.get((spec.team, spec.job_class), ())
         if len(samples) < MIN_SAMPLES:
             return spec.demand
@@ -82,7 +85,7 @@
 
 
 class GrowthStep(StrEnum):
-    """Answers to a task that uses more than it reserved, mildest first."""
+    """Actions for a task that exceeds its reservation, mildest first."""
 
     RESIZE = 'resize'
     THROTTLE = 'throttle'
@@ -100,22 +103,23 @@
 
 @dataclass(frozen=True, slots=True)
 class TaskUsage:
-    """What a task uses by its worker's latest report.
+    """Usage of a task, as last reported by its worker, and its reservation.
 
     Parameters
     ----------
     task : str
         Task id.
     job_class : JobClass
-        Decides who gives way first.
+        Determines the order of reclaiming, see `RANKS`.
     reserved, used : Resources
-        What the task holds, and what it was seen to use.
+        Resources that the task has reserved, and those that it uses.
     priority : int
-        Lower gives way first within a class.
+        Within a class, resources are reclaimed from lower priorities
+        first.
     last_step : GrowthStep or None
-        The latest answer to this task's growth.
+        The latest action for this task.
     last_step_at : int
-        When it was given, in ms.
+        When that action was taken, in ms.
     """
 
     task: str
@@ -129,18 +133,18 @@
 
 @dataclass(frozen=True, slots=True)
 class GrowthAction:
-    """One answer to one task's growth.
+    """An action for one task that exceeds its reservation.
 
     Parameters
     ----------
     task : str
         Task id.
     step : GrowthStep
-        What to do.
+        Kind of the action.
     size : Resources
         New reservation for `GrowthStep.RESIZE`, otherwise the current one.
     reason : str
-        For logs and explanations.
+        Cause of the action, for logs and explanations.
     """
 
     task: str
@@ -152,18 +156,19 @@
 def plan_growth(
     free: Resources, tasks: Iterable[TaskUsage], now: int
 ) -> tuple[GrowthAction, ...]:
-    """Answer growth beyond reservations on one host.
+    """Return actions for the tasks of a host that exceed their reservations.
 
-    Growth is granted from what is free, highest class first. What can't be
-    granted is taken back from the lowest class first, by throttle, then
-    checkpoint, then stop, one step for each `ESCALATION_MS`, and only as
-    far as needed to end the shortfall. A task within its reservation is
-    never touched.
+    Free resources go to the tasks of the highest class first, whose
+    reservations are raised to their usage. The rest is reclaimed from the
+    lowest class first: a task is throttled, then checkpointed, then
+    stopped, with at least `ESCALATION_MS` between the steps, and only as
+    many tasks are affected as the shortfall requires. A task within its
+    reservation is never affected.
 
     Parameters
     ----------
     free : Resources
-        What no reservation on the host holds.
+        Resources of the host that are not reserved.
     now : int
         Time in ms.
     """
@@ -198,12 +203,12 @@
 
 
 def find_excess(task: TaskUsage) -> Resources:
-    """Return how much more than its reservation a task uses."""
+    """Return the usage of a task beyond its reservation."""
     return task.reserved.cover(task.used) - task.reserved
 
 
 def free_after(free: Resources, granted: Iterable[TaskUsage]) -> Resources:
-    """Return what stays free once growth is granted, at least nothing."""
+    """Return what stays free after granting excess usage, at least zero."""
     for task in granted:
         free = free - find_excess(task)
     return free.cover(NOTHING)
@@ -216,7 +221,7 @@
 def _grant_growth(
     free: Resources, grown: list[TaskUsage]
 ) -> tuple[list[TaskUsage], list[TaskUsage]]:
-    """Split grown tasks, lowest first, into granted and not granted."""
+    """Split tasks, sorted from lowest class, by whether their excess fits."""
     granted = []
     missing = []
     for task in reversed(grown):
@@ -238,7 +243,7 @@
 
 
 def _choose_step(task: TaskUsage, now: int) -> GrowthStep | None:
-    """Return the next step, or None while the last one may still act."""
+    """Return the next step, or None until the last one can take effect."""
     if task.last_step in (None, GrowthStep.RESIZE):
         return GrowthStep.THROTTLE
     if now < task.last_step_at + ESCALATION_MS:
