Rename demand estimates and actions on overuse in placement

Cause: the module 'sizes' and names such as LearnedSizes and GrowthStep did not say that demands are estimated from measured usage and that the actions apply to tasks that use more than they reserved. TaskUsage was also the name of another class, in core.

Change: sizes -> sizing, LearnedSizes -> DemandEstimator with record_peak and estimate_demand, plan_growth -> plan_overuse, GrowthAction and GrowthStep -> OveruseAction and OveruseStep (the values stay), TaskUsage of placement -> ReservationUsage.

--- a/sassafrasgate/placement/sizes.py
+++ b/sassafrasgate/placement/sizing.py
@@ -22,7 +22,7 @@
 SAMPLES = 64
 MIN_SAMPLES = 8
 # Fraction of the tasks whose peak usage fits in the estimate. The largest
-# tasks are handled by `plan_growth`, since reserving their peak for every
+# tasks are handled by `plan_overuse`, since reserving their peak for every
 # task would waste resources.
 COVERED_SHARE = 0.9
 # Upper limit of an estimate as a multiple of the declared demand, since usage
@@ -43,7 +43,7 @@
 )
 
 
-class LearnedSizes:
+class DemandEstimator:
     """Estimates the demand of tasks from the peak usage of ended ones.
 
     For each team and job class it keeps the ratios of used to declared
@@ -56,7 +56,7 @@
             tuple[str, JobClass], deque[tuple[float, float]]
         ] = {}
 
-    def note_peak(self, spec: JobSpec, peak: Resources) -> None:
+    def record_peak(self, spec: JobSpec, peak: Resources) -> None:
         """Record the peak usage that was reported for an ended task."""
         samples = self._samples.setdefault(
             (spec.team, spec.job_class), deque(maxlen=SAMPLES)
@@ -68,7 +68,7 @@
             )
         )
 
-    def find_size(self, spec: JobSpec) -> Resources:
+    def estimate_demand(self, spec: JobSpec) -> Resources:
         """Return the resources to reserve, at least those declared."""
         samples = self._samples.get((spec.team, spec.job_class), ())
         if len(samples) < MIN_SAMPLES:
@@ -84,7 +84,7 @@
         return spec.demand.cover(learned)
 
 
-class GrowthStep(StrEnum):
+class OveruseStep(StrEnum):
     """Actions for a task that exceeds its reservation, mildest first."""
 
     RESIZE = 'resize'
@@ -94,15 +94,15 @@
 
 
 _ESCALATION = {
-    GrowthStep.RESIZE: GrowthStep.THROTTLE,
-    GrowthStep.THROTTLE: GrowthStep.CHECKPOINT,
-    GrowthStep.CHECKPOINT: GrowthStep.STOP,
-    GrowthStep.STOP: GrowthStep.STOP,
+    OveruseStep.RESIZE: OveruseStep.THROTTLE,
+    OveruseStep.THROTTLE: OveruseStep.CHECKPOINT,
+    OveruseStep.CHECKPOINT: OveruseStep.STOP,
+    OveruseStep.STOP: OveruseStep.STOP,
 }
 
 
 @dataclass(frozen=True, slots=True)
-class TaskUsage:
+class ReservationUsage:
     """Usage of a task, as last reported by its worker, and its reservation.
 
     Parameters
@@ -116,7 +116,7 @@
     priority : int
         Within a class, resources are reclaimed from lower priorities
         first.
-    last_step : GrowthStep or None
+    last_step : OveruseStep or None
         The latest action for this task.
     last_step_at : int
         When that action was taken, in ms.
@@ -127,35 +127,35 @@
     reserved: Resources
     used: Resources
     priority: int = 0
-    last_step: GrowthStep | None = None
+    last_step: OveruseStep | None = None
     last_step_at: int = 0
 
 
 @dataclass(frozen=True, slots=True)
-class GrowthAction:
+class OveruseAction:
     """An action for one task that exceeds its reservation.
 
     Parameters
     ----------
     task : str
         Task id.
-    step : GrowthStep
+    step : OveruseStep
         Kind of the action.
     size : Resources
-        New reservation for `GrowthStep.RESIZE`, otherwise the current one.
+        New reservation for `OveruseStep.RESIZE`, otherwise the current one.
     reason : str
         Cause of the action, for logs and explanations.
     """
 
     task: str
-    step: GrowthStep
+    step: OveruseStep
     size: Resources
     reason: str
 
 
-def plan_growth(
-    free: Resources, tasks: Iterable[TaskUsage], now: int
-) -> tuple[GrowthAction, ...]:
+def plan_overuse(
+    free: Resources, tasks: Iterable[ReservationUsage], now: int
+) -> tuple[OveruseAction, ...]:
     """Return actions for the tasks of a host that exceed their reservations.
 
     Free resources go to the tasks of the highest class first, whose
@@ -176,9 +176,9 @@
     grown.sort(key=_rank)
     granted, missing = _grant_growth(free, grown)
     actions = [
-        GrowthAction(
+        OveruseAction(
             task.task,
-            GrowthStep.RESIZE,
+            OveruseStep.RESIZE,
             task.reserved.cover(task.used),
             f'uses {task.used!r}',
         )
@@ -191,7 +191,7 @@
         shortfall = shortfall - find_excess(task)
         if step := _choose_step(task, now):
             actions.append(
-                GrowthAction(
+                OveruseAction(
                     task.task,
                     step,
                     task.reserved,
@@ -202,25 +202,27 @@
     return tuple(actions)
 
 
-def find_excess(task: TaskUsage) -> Resources:
+def find_excess(task: ReservationUsage) -> Resources:
     """Return the usage of a task beyond its reservation."""
     return task.reserved.cover(task.used) - task.reserved
 
 
-def free_after(free: Resources, granted: Iterable[TaskUsage]) -> Resources:
+def free_after(
+    free: Resources, granted: Iterable[ReservationUsage]
+) -> Resources:
     """Return what stays free after granting excess usage, at least zero."""
     for task in granted:
         free = free - find_excess(task)
     return free.cover(NOTHING)
 
 
-def _rank(task: TaskUsage) -> tuple[int, int, str]:
+def _rank(task: ReservationUsage) -> tuple[int, int, str]:
     return RANKS.index(task.job_class), task.priority, task.task
 
 
 def _grant_growth(
-    free: Resources, grown: list[TaskUsage]
-) -> tuple[list[TaskUsage], list[TaskUsage]]:
+    free: Resources, grown: list[ReservationUsage]
+) -> tuple[list[ReservationUsage], list[ReservationUsage]]:
     """Split tasks, sorted from lowest class, by whether their excess fits."""
     granted = []
     missing = []
@@ -235,17 +237,17 @@
     return granted, missing
 
 
-def _sum_excess(tasks: Iterable[TaskUsage]) -> Resources:
+def _sum_excess(tasks: Iterable[ReservationUsage]) -> Resources:
     total = NOTHING
     for task in tasks:
         total = total + find_excess(task)
     return total
 
 
-def _choose_step(task: TaskUsage, now: int) -> GrowthStep | None:
+def _choose_step(task: ReservationUsage, now: int) -> OveruseStep | None:
     """Return the next step, or None until the last one can take effect."""
-    if task.last_step in (None, GrowthStep.RESIZE):
-        return GrowthStep.THROTTLE
+    if task.last_step in (None, OveruseStep.RESIZE):
+        return OveruseStep.THROTTLE
     if now < task.last_step_at + ESCALATION_MS:
         return None
     return _ESCALATION[task.last_step]
--- a/sassafrasgate/shards/endings.py
+++ b/sassafrasgate/shards/endings.py
@@ -108,7 +108,7 @@
     entry = state.jobs.get(task.job_id)
     peak = state.peaks.pop(task.task, None)
     if entry is not None and peak is not None:
-        state.sizes.note_peak(entry.spec, peak)
+        state.sizes.record_peak(entry.spec, peak)
 
 
 def _note_finished(
--- a/sassafrasgate/shards/placements.py
+++ b/sassafrasgate/shards/placements.py
@@ -38,7 +38,7 @@
     occupied: tuple[str, ...] = (),
 ) -> Assignment | Refusal:
     """Return hosts for ``tasks`` tasks of a job, or why there are none."""
-    demand = state.sizes.find_size(spec)
+    demand = state.sizes.estimate_demand(spec)
     refusal = state.quotas.may_reserve(spec.team, demand.scale(tasks))
     if refusal is not None:
         return refusal
@@ -103,7 +103,7 @@
 
     Task indexes that no standing placement uses are filled lowest first.
     """
-    demand = state.sizes.find_size(spec)
+    demand = state.sizes.estimate_demand(spec)
     used = {split_task_id(placement.task)[1] for placement in standing}
     free = (index for index in range(spec.tasks) if index not in used)
     return tuple(
--- a/sassafrasgate/shards/quick.py
+++ b/sassafrasgate/shards/quick.py
@@ -148,7 +148,7 @@
     task = make_task_id(
         f'{quick.job_id}~{state.epoch}', state.quick_serial, attempt
     )
-    demand = state.sizes.find_size(quick.spec)
+    demand = state.sizes.estimate_demand(quick.spec)
     incarnation = state.hosts[host].incarnation
     state.add_task(
         TaskEntry(
--- a/sassafrasgate/shards/shares.py
+++ b/sassafrasgate/shards/shares.py
@@ -67,7 +67,7 @@
     if not peers or now < next_at:
         return
     state.borrowing[spec.team] = (turn + 1, now + BORROW_INTERVAL_MS)
-    demand = state.sizes.find_size(spec).scale(spec.tasks)
+    demand = state.sizes.estimate_demand(spec).scale(spec.tasks)
     wanted = state.quotas.find_reserved(spec.team) + demand
     missing = (wanted - state.quotas.find_share(spec.team)).cover(NOTHING)
     peer = peers[turn % len(peers)]
--- a/sassafrasgate/shards/state.py
+++ b/sassafrasgate/shards/state.py
@@ -29,8 +29,8 @@
 from sassafrasgate.placement.quarantine import HostHealth
 from sassafrasgate.placement.queues import JobQueue
 from sassafrasgate.placement.quotas import QuotaLedger
-from sassafrasgate.placement.sizes import GrowthAction
-from sassafrasgate.placement.sizes import LearnedSizes
+from sassafrasgate.placement.sizing import DemandEstimator
+from sassafrasgate.placement.sizing import OveruseAction
 from sassafrasgate.protocol.messages import Summary
 from sassafrasgate.protocol.messages import TransferEnded
 from sassafrasgate.shards.attempts import AttemptFate
@@ -308,9 +308,9 @@
     )
     ended_order: dict[str, None] = field(default_factory=dict)
     stopping: bool = False
-    sizes: LearnedSizes = field(default_factory=LearnedSizes)
+    sizes: DemandEstimator = field(default_factory=DemandEstimator)
     start_rate: StartRate = field(default_factory=StartRate)
-    growth: dict[str, tuple[GrowthAction, int]] = field(default_factory=dict)
+    growth: dict[str, tuple[OveruseAction, int]] = field(default_factory=dict)
     peaks: dict[str, Resources] = field(default_factory=dict)
     room_changed: bool = False
     now: int = 0
--- a/sassafrasgate/shards/usage.py
+++ b/sassafrasgate/shards/usage.py
@@ -7,10 +7,10 @@
 
 from sassafrasgate.core.registries import Registry
 from sassafrasgate.core.resources import Resources
-from sassafrasgate.placement.sizes import GrowthAction
-from sassafrasgate.placement.sizes import GrowthStep
-from sassafrasgate.placement.sizes import plan_growth
-from sassafrasgate.placement.sizes import TaskUsage
+from sassafrasgate.placement.sizing import OveruseAction
+from sassafrasgate.placement.sizing import OveruseStep
+from sassafrasgate.placement.sizing import plan_overuse
+from sassafrasgate.placement.sizing import ReservationUsage
 from sassafrasgate.shards.actions import LimitTask
 from sassafrasgate.shards.actions import LogDecision
 from sassafrasgate.shards.actions import StopTask
@@ -25,7 +25,7 @@
     from sassafrasgate.shards.state import TaskEntry
 
 GROWTH_STEPS: Registry[
-    GrowthStep, Callable[[ShardState, TaskEntry, GrowthAction], Actions]
+    OveruseStep, Callable[[ShardState, TaskEntry, OveruseAction], Actions]
 ] = Registry('growth step')
 
 
@@ -48,7 +48,7 @@
     if all(usage.used.fits_in(usage.reserved) for usage in growing):
         return
     free = state.index.find_free(host)
-    for action in plan_growth(free, growing, now):
+    for action in plan_overuse(free, growing, now):
         task = state.tasks[action.task]
         state.growth[action.task] = (action, now)
         yield LogDecision(
@@ -57,14 +57,14 @@
         yield from GROWTH_STEPS.find(action.step)(state, task, action)
 
 
-def _find_usage(state: ShardState, task: str) -> TaskUsage | None:
+def _find_usage(state: ShardState, task: str) -> ReservationUsage | None:
     report = state.usage.get(task)
     entry = state.tasks.get(task)
     job = state.jobs.get(entry.job_id) if entry is not None else None
     if report is None or entry is None or job is None:
         return None
     last = state.growth.get(task)
-    return TaskUsage(
+    return ReservationUsage(
         task,
         job.spec.job_class,
         state.index.tasks_on(entry.host)[task],
@@ -75,29 +75,31 @@
     )
 
 
-@GROWTH_STEPS.register(GrowthStep.RESIZE)
+@GROWTH_STEPS.register(OveruseStep.RESIZE)
 def _resize(
-    state: ShardState, task: TaskEntry, action: GrowthAction
+    state: ShardState, task: TaskEntry, action: OveruseAction
 ) -> Actions:
     state.index.resize(task.host, task.task, action.size)
     yield from ()
 
 
-@GROWTH_STEPS.register(GrowthStep.THROTTLE)
+@GROWTH_STEPS.register(OveruseStep.THROTTLE)
 def _throttle(
-    state: ShardState, task: TaskEntry, action: GrowthAction
+    state: ShardState, task: TaskEntry, action: OveruseAction
 ) -> Actions:
     yield LimitTask(task.host, task.task, 'throttle', action.size.millicores)
 
 
-@GROWTH_STEPS.register(GrowthStep.CHECKPOINT)
+@GROWTH_STEPS.register(OveruseStep.CHECKPOINT)
 def _checkpoint(
-    state: ShardState, task: TaskEntry, action: GrowthAction
+    state: ShardState, task: TaskEntry, action: OveruseAction
 ) -> Actions:
     yield LimitTask(task.host, task.task, 'checkpoint')
 
 
-@GROWTH_STEPS.register(GrowthStep.STOP)
-def _stop(state: ShardState, task: TaskEntry, action: GrowthAction) -> Actions:
+@GROWTH_STEPS.register(OveruseStep.STOP)
+def _stop(
+    state: ShardState, task: TaskEntry, action: OveruseAction
+) -> Actions:
     state.tasks[task.task] = replace(task, stopping=True)
     yield StopTask(task.host, task.task)
--- a/tests/placement/test_sizes.py
+++ b/tests/placement/test_sizing.py
@@ -8,12 +8,12 @@
 
 from sassafrasgate.core.jobs import JobClass
 from sassafrasgate.core.resources import Resources
-from sassafrasgate.placement.sizes import ESCALATION_MS
-from sassafrasgate.placement.sizes import GrowthStep
-from sassafrasgate.placement.sizes import LearnedSizes
-from sassafrasgate.placement.sizes import MIN_SAMPLES
-from sassafrasgate.placement.sizes import plan_growth
-from sassafrasgate.placement.sizes import TaskUsage
+from sassafrasgate.placement.sizing import DemandEstimator
+from sassafrasgate.placement.sizing import ESCALATION_MS
+from sassafrasgate.placement.sizing import MIN_SAMPLES
+from sassafrasgate.placement.sizing import OveruseStep
+from sassafrasgate.placement.sizing import plan_overuse
+from sassafrasgate.placement.sizing import ReservationUsage
 from tests.placement.builders import DEMAND
 from tests.placement.builders import make_spec
 
@@ -23,35 +23,35 @@
 @settings(derandomize=True, deadline=None)
 @given(lists(integers(0, 100_000), max_size=80))
 def test_learned_size_is_never_below_the_declared_one(peaks):
-    sizes = LearnedSizes()
+    sizes = DemandEstimator()
     for peak in peaks:
-        sizes.note_peak(make_spec(), Resources(peak, peak))
-    size = sizes.find_size(make_spec())
+        sizes.record_peak(make_spec(), Resources(peak, peak))
+    size = sizes.estimate_demand(make_spec())
     assert DEMAND.fits_in(size)
     assert size.millicores <= 4 * DEMAND.millicores
 
 
 def test_size_grows_with_usage_but_not_with_one_outlier():
-    sizes = LearnedSizes()
+    sizes = DemandEstimator()
     for _ in range(MIN_SAMPLES + 12):
-        sizes.note_peak(make_spec(), Resources(1500, 1024))
-    sizes.note_peak(make_spec(), Resources(90_000, 90_000))
-    assert sizes.find_size(make_spec()) == Resources(1500, 1024, 0, 1, 1)
+        sizes.record_peak(make_spec(), Resources(1500, 1024))
+    sizes.record_peak(make_spec(), Resources(90_000, 90_000))
+    assert sizes.estimate_demand(make_spec()) == Resources(1500, 1024, 0, 1, 1)
     other = make_spec(JobClass.SERVICE)
-    assert sizes.find_size(other) == other.demand
+    assert sizes.estimate_demand(other) == other.demand
 
 
 def use(task, job_class, memory, step=None, at=0):
-    return TaskUsage(
+    return ReservationUsage(
         task, job_class, SMALL, Resources(1000, memory), 0, step, at
     )
 
 
 def test_growth_is_granted_from_free_room():
-    (action,) = plan_growth(
+    (action,) = plan_overuse(
         Resources(0, 500), [use('a', JobClass.BATCH, 1400)], 0
     )
-    assert action.step is GrowthStep.RESIZE
+    assert action.step is OveruseStep.RESIZE
     assert action.size == Resources(1000, 1400)
 
 
@@ -62,25 +62,25 @@
         use('service', JobClass.SERVICE, 1200),
         use('within', JobClass.BATCH, 900),
     ]
-    actions = plan_growth(Resources(0, 700), tasks, 0)
+    actions = plan_overuse(Resources(0, 700), tasks, 0)
     steps = {action.task: action.step for action in actions}
     assert steps == {
-        'urgent': GrowthStep.RESIZE,
-        'service': GrowthStep.RESIZE,
-        'batch': GrowthStep.THROTTLE,
+        'urgent': OveruseStep.RESIZE,
+        'service': OveruseStep.RESIZE,
+        'batch': OveruseStep.THROTTLE,
     }
 
 
 @pytest.mark.parametrize(
     ('last', 'following'),
     [
-        (GrowthStep.THROTTLE, GrowthStep.CHECKPOINT),
-        (GrowthStep.CHECKPOINT, GrowthStep.STOP),
+        (OveruseStep.THROTTLE, OveruseStep.CHECKPOINT),
+        (OveruseStep.CHECKPOINT, OveruseStep.STOP),
     ],
 )
 def test_steps_escalate_only_after_their_effect_can_be_seen(last, following):
     task = use('a', JobClass.BATCH, 2000, last, 1000)
     nothing = Resources()
-    assert plan_growth(nothing, [task], 1000 + ESCALATION_MS - 1) == ()
-    (action,) = plan_growth(nothing, [task], 1000 + ESCALATION_MS)
+    assert plan_overuse(nothing, [task], 1000 + ESCALATION_MS - 1) == ()
+    (action,) = plan_overuse(nothing, [task], 1000 + ESCALATION_MS)
     assert action.step is following
