Rename methods of placement used by shards and benchmarks

Cause: names such as tasks_on, weigh, pick, find_allowance and may_reserve did not say what is returned; HostStatus was also the name of a class in core.

Change: HostStatus of placement -> HealthState; HostHealth.record_result, get_task_limit, get_state, set_host_count, remove_host_results and remove_job_results; QuotaLedger.check_quota; HostIndex.free_on_open_hosts, list_reservations, compute_mean_share, sum_free and find_largest_free; JobQueue.begin_pass and set_capacity; StartRate.record_starts and compute_rate; policies.compute_demand and build_refusal. The error of a reservation without room names the amounts in the order of before.

Result: linters, mypy, tests/placement, tests/shards and tests/adapters/test_store.py pass.

--- a/benchmarks/baselines.py
+++ b/benchmarks/baselines.py
@@ -6,9 +6,9 @@
 from typing import TYPE_CHECKING
 
 from sassafrasgate.placement.policies import Assignment
+from sassafrasgate.placement.policies import build_refusal
 from sassafrasgate.placement.policies import choose_hosts
-from sassafrasgate.placement.policies import explain_refusal
-from sassafrasgate.placement.policies import find_demand
+from sassafrasgate.placement.policies import compute_demand
 from sassafrasgate.placement.policies import is_allowed
 from sassafrasgate.placement.queues import QueuedJob
 from sassafrasgate.placement.scores import RESOURCE_NAMES
@@ -43,7 +43,9 @@
         """Remove a job."""
         return self._jobs.pop(job_id, None) is not None
 
-    def pick(self, now: int, reserved: object = None) -> Iterator[QueuedJob]:
+    def begin_pass(
+        self, now: int, reserved: object = None
+    ) -> Iterator[QueuedJob]:
         """Offer jobs until one is refused."""
         while self._jobs:
             job = next(iter(self._jobs.values()))
@@ -74,7 +76,7 @@
     hop = 2.0 if request.spec.deadline_s else 0.25
 
     def find_cost(name: str, free: Resources) -> float:
-        cost = index.weigh(free)
+        cost = index.compute_mean_share(free)
         if hosts[name].failure_domain != request.local_domain:
             cost += hop
         return cost
@@ -90,8 +92,8 @@
     That is the demanded one of which all hosts together have room for the
     fewest such tasks.
     """
-    demand = find_demand(request)
-    total = index.total_free()
+    demand = compute_demand(request)
+    total = index.sum_free()
     resource = min(
         (name for name in RESOURCE_NAMES if getattr(demand, name)),
         key=lambda name: getattr(total, name) / getattr(demand, name),
@@ -113,10 +115,10 @@
     request: PlacementRequest,
     find_cost: Callable[[str, Resources], float],
 ) -> Assignment | Refusal:
-    demand = find_demand(request)
+    demand = compute_demand(request)
     room = {
         name: free
-        for name, free in index.open_free.items()
+        for name, free in index.free_on_open_hosts.items()
         if demand.fits_in(free)
         and name not in request.excluded
         and is_allowed(index.hosts[name], request)
@@ -125,7 +127,7 @@
     chosen: list[str] = []
     for _ in range(request.tasks or request.spec.tasks):
         if not room:
-            return explain_refusal(index, request)
+            return build_refusal(index, request)
         name = min(room, key=lambda name: find_cost(name, room[name]))
         chosen.append(name)
         room[name] = room[name] - demand
--- a/benchmarks/loop.py
+++ b/benchmarks/loop.py
@@ -184,7 +184,7 @@
             len(self._queue),
             MAX_QUEUED,
             self._queue.count_ahead(spec.team, spec.job_class),
-            self._find_rate(spec).find_rate(self._now),
+            self._find_rate(spec).compute_rate(self._now),
         )
         if check_admission(spec, load) is None:
             return False
@@ -213,7 +213,7 @@
             self._queue.remove(job.job_id)
             self._outcome.missed += 1
             self._note_wait(self._jobs.pop(job.job_id))
-        for job in self._queue.pick(self._now, self._ledger.reserved):
+        for job in self._queue.begin_pass(self._now, self._ledger.reserved):
             arrival = self._jobs[job.job_id]
             request = PlacementRequest(
                 job.spec,
@@ -227,7 +227,7 @@
 
     def _start(self, arrival: Arrival, hosts: tuple[str, ...]) -> None:
         job_id = arrival.job_id
-        self._find_rate(arrival.spec).note_start(self._now)
+        self._find_rate(arrival.spec).record_starts(self._now)
         attempt = self._attempts.get(job_id, 0) + 1
         self._attempts[job_id] = attempt
         self._left[job_id] = len(hosts)
@@ -282,7 +282,7 @@
         self._queue.add(job_id, arrival.spec, self._now, group=job_id)
 
     def _note_health(self, name: str, job_id: str, failed: bool) -> None:
-        self._health.note_result(name, job_id, not failed, self._now)
+        self._health.record_result(name, job_id, not failed, self._now)
         self._update_open(name)
         if (until := self._health.find_next_change(self._now)) is not None:
             self._push(until, self._end_quarantines, None)
@@ -298,8 +298,8 @@
                 self._update_open(name)
 
     def _update_open(self, name: str) -> None:
-        allowed = self._health.find_allowance(name, self._now)
-        running = len(self._index.tasks_on(name))
+        allowed = self._health.get_task_limit(name, self._now)
+        running = len(self._index.list_reservations(name))
         self._index.set_open(name, allowed is None or running < allowed)
 
     def _note_wait(self, arrival: Arrival) -> None:
--- a/benchmarks/parts.py
+++ b/benchmarks/parts.py
@@ -432,7 +432,9 @@
     def make_reply(self, host: str, ended: str = '') -> SyncReply:
         """Return a worker's report."""
         tasks = [
-            task for task in self.state.index.tasks_on(host) if task != ended
+            task
+            for task in self.state.index.list_reservations(host)
+            if task != ended
         ]
         return SyncReply(
             True,
--- a/sassafrasgate/placement/admission.py
+++ b/sassafrasgate/placement/admission.py
@@ -198,14 +198,14 @@
         self._updated_at = 0
         self._first_at: int | None = None
 
-    def note_start(self, now: int, jobs: int = 1) -> None:
+    def record_starts(self, now: int, jobs: int = 1) -> None:
         """Record the start of ``jobs`` jobs at ``now``, in ms."""
         if self._first_at is None:
             self._first_at = now
         self._weight = self._decay(now) + jobs
         self._updated_at = max(now, self._updated_at)
 
-    def find_rate(self, now: int) -> float:
+    def compute_rate(self, now: int) -> float:
         """Return the starts per second; 0 before the first start."""
         if self._first_at is None:
             return 0.0
--- a/sassafrasgate/placement/index.py
+++ b/sassafrasgate/placement/index.py
@@ -11,7 +11,7 @@
 from sassafrasgate.core.errors import UnknownNameError
 from sassafrasgate.core.resources import NOTHING
 from sassafrasgate.core.resources import Resources
-from sassafrasgate.placement.scores import weigh_amount
+from sassafrasgate.placement.scores import compute_mean_share
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -31,8 +31,8 @@
         self, name: str, task: str, demand: Resources, free: Resources
     ) -> None:
         super().__init__(
-            f'host {name!r} has {free!r} free, task {task!r} needs '
-            f'{demand!r} more; choose a host again with choose_hosts'
+            f'host {name!r} has {free!r} free, less than the {demand!r} '
+            f'needed by task {task!r}; choose a host again with choose_hosts'
         )
 
 
@@ -79,7 +79,7 @@
         return self._hosts_view
 
     @property
-    def open_free(self) -> Mapping[str, Resources]:
+    def free_on_open_hosts(self) -> Mapping[str, Resources]:
         """Free resources of the open hosts by name."""
         return self._open_view
 
@@ -136,7 +136,7 @@
             return
         free = self._closed.pop(name)
         self._open[name] = free
-        insort(self._find_order(name), (self.weigh(free), name))
+        insort(self._find_order(name), (self.compute_mean_share(free), name))
         self._total = self._total + free.cover(NOTHING)
 
     def is_open(self, name: str) -> bool:
@@ -219,7 +219,7 @@
         """Return the sum of a host's reservations."""
         return self._hosts_view[name].capacity - self.find_free(name)
 
-    def tasks_on(self, name: str) -> Mapping[str, Resources]:
+    def list_reservations(self, name: str) -> Mapping[str, Resources]:
         """Return a host's reservations by task; empty for an unknown host."""
         return MappingProxyType(self._tasks.get(name, _NO_TASKS))
 
@@ -243,9 +243,9 @@
         Returns
         -------
         tuple of float and str, or None
-            Mean share of the host's free resources, see `weigh`, and the
-            name of the host. Of equally full hosts, the first by name is
-            returned.
+            Mean share of the host's free resources, see
+            `compute_mean_share`, and the name of the host. Of equally full
+            hosts, the first by name is returned.
         """
         entries = self._orders.get(domain, _NO_HOSTS)
         free = self._open
@@ -268,14 +268,14 @@
         """Return the failure domains that have or had open hosts."""
         return list(self._orders)
 
-    def weigh(self, amount: Resources) -> float:
+    def compute_mean_share(self, amount: Resources) -> float:
         """Return the mean share that an amount takes of the largest capacity.
 
         The result is linear in the amount. Hosts sorted by the share of
         their free resources are therefore also sorted by the share that
         would remain after placing any given demand.
         """
-        return weigh_amount(amount, self._largest)
+        return compute_mean_share(amount, self._largest)
 
     def list_fitting(self, demand: Resources) -> list[str]:
         """Return the names of the open hosts with room for a demand."""
@@ -283,14 +283,14 @@
             name for name, free in self._open.items() if demand.fits_in(free)
         ]
 
-    def total_free(self) -> Resources:
+    def sum_free(self) -> Resources:
         """Return the sum of the free resources of the open hosts.
 
         Negative free resources of an overcommitted host count as zero.
         """
         return self._total
 
-    def largest_free(self) -> Resources:
+    def find_largest_free(self) -> Resources:
         """Return the largest free amount of each resource on an open host.
 
         The amounts may belong to different hosts: a demand that exceeds
@@ -311,14 +311,18 @@
 
     def _remove_from_order(self, name: str, free: Resources) -> None:
         entries = self._find_order(name)
-        del entries[bisect_left(entries, (self.weigh(free), name))]
+        del entries[
+            bisect_left(entries, (self.compute_mean_share(free), name))
+        ]
 
     def _find_start(
         self, entries: list[tuple[float, str]], demand: Resources
     ) -> int:
         # Hosts before this position have a smaller mean free share than the
         # demand takes, so it can't fit there. The margin covers rounding.
-        return bisect_left(entries, (self.weigh(demand) - _ROUNDING, ''))
+        return bisect_left(
+            entries, (self.compute_mean_share(demand) - _ROUNDING, '')
+        )
 
     def _raise_largest(self, capacity: Resources) -> None:
         """Sort all hosts again if the largest capacity grows."""
@@ -328,7 +332,9 @@
         self._largest = largest
         self._orders = {}
         for name, free in self._open.items():
-            self._find_order(name).append((self.weigh(free), name))
+            self._find_order(name).append(
+                (self.compute_mean_share(free), name)
+            )
         for entries in self._orders.values():
             entries.sort()
 
@@ -362,7 +368,9 @@
         changed = free + change
         self._open[name] = changed
         self._remove_from_order(name, free)
-        insort(self._find_order(name), (self.weigh(changed), name))
+        insort(
+            self._find_order(name), (self.compute_mean_share(changed), name)
+        )
         if NOTHING.fits_in(free) and NOTHING.fits_in(changed):
             self._total = self._total + change
             return
--- a/sassafrasgate/placement/policies.py
+++ b/sassafrasgate/placement/policies.py
@@ -156,10 +156,10 @@
         `RefusalKind.NO_ROOM`.
     """
     policy = POLICIES.find(request.spec.job_class)
-    return policy(index, request) or explain_refusal(index, request)
+    return policy(index, request) or build_refusal(index, request)
 
 
-def find_demand(request: PlacementRequest) -> Resources:
+def compute_demand(request: PlacementRequest) -> Resources:
     """Return the resources to reserve per task, at least those declared."""
     if request.demand is NOTHING:
         return request.spec.demand
@@ -182,7 +182,7 @@
 
     ``hosts`` may be those of one shard or of the whole cell.
     """
-    demand = find_demand(request)
+    demand = compute_demand(request)
     missing = request.tasks or request.spec.tasks
     for host in hosts:
         if not is_allowed(host, request):
@@ -218,7 +218,7 @@
     The index returns the fullest host with room in each failure domain. The
     cost of a remote host is then added to those outside the local domain.
     """
-    demand = find_demand(request)
+    demand = compute_demand(request)
     is_usable = _make_filter(index, request)
     local = request.local_domain
     found = []
@@ -234,7 +234,9 @@
         return None
     score, name = min(found)
     return Assignment(
-        (name,), score - index.weigh(demand), index.count_candidates(demand)
+        (name,),
+        score - index.compute_mean_share(demand),
+        index.count_candidates(demand),
     )
 
 
@@ -242,7 +244,7 @@
     index: HostIndex, request: PlacementRequest, weights: Weights
 ) -> Assignment | None:
     """Place several tasks one after the other; all of them or none."""
-    demand = find_demand(request)
+    demand = compute_demand(request)
     count = request.tasks or request.spec.tasks
     table = _HostTable(index, request, weights, demand)
     candidates = table.count_hosts()
@@ -274,7 +276,7 @@
         demand: Resources,
     ) -> None:
         self._hosts = index.hosts
-        self._weigh = index.weigh
+        self._weigh = index.compute_mean_share
         self._weights = weights
         self._demand = demand
         self._local = request.local_domain
@@ -368,7 +370,7 @@
 ) -> dict[str, Resources]:
     """Return the free resources of each host that may run a task."""
     is_usable = _make_filter(index, request)
-    free = index.open_free
+    free = index.free_on_open_hosts
     return {
         name: free[name]
         for name in index.list_fitting(demand)
@@ -394,10 +396,10 @@
     )
 
 
-def explain_refusal(index: HostIndex, request: PlacementRequest) -> Refusal:
+def build_refusal(index: HostIndex, request: PlacementRequest) -> Refusal:
     """Return the refusal of a request: fits nowhere, or no room now."""
     count = request.tasks or request.spec.tasks
-    tasks = f'{count} tasks of {find_demand(request)!r}'
+    tasks = f'{count} tasks of {compute_demand(request)!r}'
     if fits_inventory(index.hosts.values(), request):
         return Refusal(
             RefusalKind.NO_ROOM,
--- a/sassafrasgate/placement/quarantine.py
+++ b/sassafrasgate/placement/quarantine.py
@@ -31,7 +31,7 @@
 MAX_JOBS = 20_000
 
 
-class HostStatus(StrEnum):
+class HealthState(StrEnum):
     """Health of a host, derived from the results of its tasks."""
 
     HEALTHY = 'healthy'
@@ -45,7 +45,7 @@
 
     Parameters
     ----------
-    status : HostStatus
+    status : HealthState
         Decides whether the host gets new tasks.
     failed : tuple of str
         Jobs that failed on the host since its last success, oldest first.
@@ -59,7 +59,7 @@
         Tasks that succeeded during the current probation.
     """
 
-    status: HostStatus = HostStatus.HEALTHY
+    status: HealthState = HealthState.HEALTHY
     failed: tuple[str, ...] = ()
     confirmed: tuple[str, ...] = ()
     delay_ms: int = 0
@@ -91,14 +91,14 @@
     ----------
     host : str
         Name of the host.
-    status : HostStatus
+    status : HealthState
         The new status.
     reason : str
         Results that caused the change.
     """
 
     host: str
-    status: HostStatus
+    status: HealthState
     reason: str = field(default='')
 
 
@@ -115,11 +115,11 @@
     --------
     >>> health = HostHealth(hosts=24)
     >>> for job in ('a', 'b'):
-    ...     _ = health.note_result('h1', job, False, 0)
-    ...     changes = health.note_result('h2', job, True, 0)
+    ...     _ = health.record_result('h1', job, False, 0)
+    ...     changes = health.record_result('h2', job, True, 0)
     >>> changes[0].status.value
     'quarantined'
-    >>> health.find_allowance('h1', 0)
+    >>> health.get_task_limit('h1', 0)
     0
     """
 
@@ -128,11 +128,11 @@
         self._records: dict[str, HostRecord] = {}
         self._jobs: dict[str, JobResults] = {}
 
-    def set_hosts(self, hosts: int) -> None:
+    def set_host_count(self, hosts: int) -> None:
         """Set the number of hosts in the shard."""
         self._hosts = hosts
 
-    def note_result(
+    def record_result(
         self, host: str, job_id: str, succeeded: bool, now: int
     ) -> tuple[HealthChange, ...]:
         """Record how a task of a job ended on a host.
@@ -150,23 +150,23 @@
             return self._note_success(host, job_id, now)
         return self._note_failure(host, job_id, now)
 
-    def find_status(self, host: str, now: int) -> HostStatus:
+    def get_state(self, host: str, now: int) -> HealthState:
         """Return the health of a host at ``now``, in ms."""
         record = self._find(host)
-        if record.status is HostStatus.QUARANTINED and now >= record.until:
-            return HostStatus.PROBATION
+        if record.status is HealthState.QUARANTINED and now >= record.until:
+            return HealthState.PROBATION
         return record.status
 
-    def find_allowance(self, host: str, now: int) -> int | None:
+    def get_task_limit(self, host: str, now: int) -> int | None:
         """Return how many tasks may run on a host at once.
 
         None means no limit; 0 is returned in quarantine and
         `PROBATION_TASKS` in probation.
         """
-        status = self.find_status(host, now)
-        if status is HostStatus.HEALTHY:
+        status = self.get_state(host, now)
+        if status is HealthState.HEALTHY:
             return None
-        return 0 if status is HostStatus.QUARANTINED else PROBATION_TASKS
+        return 0 if status is HealthState.QUARANTINED else PROBATION_TASKS
 
     def find_next_change(self, now: int) -> int | None:
         """Return when the next quarantine ends, in ms; None if none does."""
@@ -174,7 +174,7 @@
             (
                 record.until
                 for record in self._records.values()
-                if record.status is HostStatus.QUARANTINED
+                if record.status is HealthState.QUARANTINED
                 and record.until > now
             ),
             default=None,
@@ -191,15 +191,15 @@
             sorted(
                 host
                 for host in self._records
-                if self.find_status(host, now) is HostStatus.QUARANTINED
+                if self.get_state(host, now) is HealthState.QUARANTINED
             )
         )
 
-    def forget_host(self, host: str) -> None:
+    def remove_host_results(self, host: str) -> None:
         """Discard the results of a host, for example after its replacement."""
         self._records.pop(host, None)
 
-    def forget_job(self, job_id: str) -> None:
+    def remove_job_results(self, job_id: str) -> None:
         """Discard the failures of a job that has ended."""
         self._jobs.pop(job_id, None)
 
@@ -219,7 +219,7 @@
             if other != host:
                 changes.extend(self._confirm(other, job_id, now))
         record = self._find(host)
-        if self.find_status(host, now) is not HostStatus.PROBATION:
+        if self.get_state(host, now) is not HealthState.PROBATION:
             # A success shows that the host can run tasks, so earlier
             # failures no longer count. The success of a task that started
             # before a quarantine does not end the quarantine.
@@ -228,25 +228,27 @@
         successes = record.successes + 1
         if successes < PROBATION_SUCCESSES:
             self._records[host] = replace(
-                record, status=HostStatus.PROBATION, successes=successes
+                record, status=HealthState.PROBATION, successes=successes
             )
             return tuple(changes)
         # A quarantine lasts twice this value, so a host that fails again
         # after its probation is quarantined for as long as the last time.
         self._records[host] = HostRecord(delay_ms=record.delay_ms // 2)
         reason = f'{successes} tasks succeeded in probation'
-        changes.append(HealthChange(host, HostStatus.HEALTHY, reason))
+        changes.append(HealthChange(host, HealthState.HEALTHY, reason))
         return tuple(changes)
 
     def _note_failure(
         self, host: str, job_id: str, now: int
     ) -> tuple[HealthChange, ...]:
-        status = self.find_status(host, now)
-        if status is HostStatus.PROBATION and not self.is_job_at_fault(job_id):
+        status = self.get_state(host, now)
+        if status is HealthState.PROBATION and not self.is_job_at_fault(
+            job_id
+        ):
             return self._quarantine(
                 host, now, f'job {job_id} failed in probation'
             )
-        if status is not HostStatus.HEALTHY:
+        if status is not HealthState.HEALTHY:
             return ()
         record = self._find(host)
         results = _add_failure(
@@ -269,7 +271,7 @@
     ) -> tuple[HealthChange, ...]:
         """Count a failure of a job that has completed on another host."""
         record = self._find(host)
-        if record.status is not HostStatus.HEALTHY:
+        if record.status is not HealthState.HEALTHY:
             return ()
         if job_id not in record.failed or job_id in record.confirmed:
             return ()
@@ -301,9 +303,9 @@
         delay = max(FIRST_DELAY_MS, record.delay_ms * 2)
         delay = min(delay, MAX_DELAY_MS)
         self._records[host] = HostRecord(
-            HostStatus.QUARANTINED, delay_ms=delay, until=now + delay
+            HealthState.QUARANTINED, delay_ms=delay, until=now + delay
         )
-        return (HealthChange(host, HostStatus.QUARANTINED, reason),)
+        return (HealthChange(host, HealthState.QUARANTINED, reason),)
 
     def _find_cap(self) -> int:
         return max(1, int(self._hosts * MAX_QUARANTINED_SHARE))
--- a/sassafrasgate/placement/queues.py
+++ b/sassafrasgate/placement/queues.py
@@ -17,7 +17,7 @@
 from sassafrasgate.core.jobs import JobSpec
 from sassafrasgate.core.resources import NOTHING
 from sassafrasgate.core.resources import Resources
-from sassafrasgate.placement.scores import find_dominant_share
+from sassafrasgate.placement.scores import compute_dominant_share
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -212,7 +212,7 @@
     --------
     >>> queue = JobQueue()
     >>> queue.add('j1', JobSpec('orders', 'k1'), 0)
-    >>> for job in queue.pick(0):
+    >>> for job in queue.begin_pass(0):
     ...     queue.remove(job.job_id)
     True
     """
@@ -237,7 +237,7 @@
         """Replace the weights of teams."""
         self._weights = {team.name: max(1, team.weight) for team in teams}
 
-    def set_total(self, total: Resources) -> None:
+    def set_capacity(self, total: Resources) -> None:
         """Replace the capacity against which shares are taken."""
         self._total = total
 
@@ -308,7 +308,7 @@
                 stage.pop(job.spec.team, None)
         return True
 
-    def pick(
+    def begin_pass(
         self, now: int, reserved: Mapping[str, Resources] = _NO_USAGE
     ) -> QueuePass:
         """Return one pass over the queue, best job first.
@@ -399,7 +399,7 @@
     def _charge(self, spec: JobSpec) -> float:
         """Account a start; return the dominant share by weight."""
         amount = spec.demand.scale(spec.tasks)
-        share = find_dominant_share(amount, self._total)
+        share = compute_dominant_share(amount, self._total)
         share /= self._find_weight(spec.team)
         virtual = self._virtual.get(spec.team, 0.0)
         self._virtual_now = max(self._virtual_now, virtual)
@@ -408,7 +408,7 @@
 
 
 class QueuePass:
-    """An iterator over queued jobs; made by `JobQueue.pick`."""
+    """An iterator over queued jobs; made by `JobQueue.begin_pass`."""
 
     def __init__(
         self, queue: JobQueue, now: int, reserved: Mapping[str, Resources]
@@ -416,7 +416,7 @@
         self._queue = queue
         self._now = now
         self._shares = {
-            team: find_dominant_share(
+            team: compute_dominant_share(
                 reserved.get(team, NOTHING), queue._total
             )
             / queue._find_weight(team)
--- a/sassafrasgate/placement/quotas.py
+++ b/sassafrasgate/placement/quotas.py
@@ -49,9 +49,9 @@
     --------
     >>> from sassafrasgate.core.cells import Team
     >>> ledger = QuotaLedger([Team('a', quota=Resources(4000))], shards=2)
-    >>> ledger.may_reserve('a', Resources(2000)) is None
+    >>> ledger.check_quota('a', Resources(2000)) is None
     True
-    >>> ledger.may_reserve('a', Resources(2001)).kind.value
+    >>> ledger.check_quota('a', Resources(2001)).kind.value
     'quota'
     """
 
@@ -100,7 +100,7 @@
         """Return what a team has reserved in this shard."""
         return self._reserved.get(team, NOTHING)
 
-    def may_reserve(self, team: str, demand: Resources) -> Refusal | None:
+    def check_quota(self, team: str, demand: Resources) -> Refusal | None:
         """Return a refusal if a reservation would exceed the team's share."""
         quota = self._quotas.get(team, NOTHING)
         if quota == NOTHING:
--- a/sassafrasgate/placement/scores.py
+++ b/sassafrasgate/placement/scores.py
@@ -43,7 +43,7 @@
     host: float = 0.0
 
 
-def weigh_amount(amount: Resources, unit: Resources) -> float:
+def compute_mean_share(amount: Resources, unit: Resources) -> float:
     """Return the mean over the resources of the fraction of a unit used.
 
     Best fit by this mean considers all resources together. Best fit by the
@@ -75,7 +75,7 @@
     return total / (count or 1)
 
 
-def find_dominant_share(amount: Resources, total: Resources) -> float:
+def compute_dominant_share(amount: Resources, total: Resources) -> float:
     """Return the largest fraction of a resource that an amount uses.
 
     When ``total`` is zero, the number of task slots is returned instead.
--- a/sassafrasgate/shards/endings.py
+++ b/sassafrasgate/shards/endings.py
@@ -104,7 +104,7 @@
     """Learn from an end that the worker has reported."""
     if outcome in (TaskOutcome.FINISHED, TaskOutcome.FAILED):
         succeeded = outcome is TaskOutcome.FINISHED
-        state.health.note_result(task.host, task.job_id, succeeded, now)
+        state.health.record_result(task.host, task.job_id, succeeded, now)
     entry = state.jobs.get(task.job_id)
     peak = state.peaks.pop(task.task, None)
     if entry is not None and peak is not None:
--- a/sassafrasgate/shards/passes.py
+++ b/sassafrasgate/shards/passes.py
@@ -34,11 +34,11 @@
     """
     placed = 0
     transferred = 0
-    jobs = state.queue.pick(now, state.quotas.reserved)
+    jobs = state.queue.begin_pass(now, state.quotas.reserved)
     for job in jobs:
         refusal = yield from place_job(state, state.jobs[job.job_id])
         if refusal is None:
-            state.start_rate.note_start(now)
+            state.start_rate.record_starts(now)
             placed += 1
             if placed >= MAX_PLACEMENTS_PER_PASS:
                 state.room_changed = True
--- a/sassafrasgate/shards/placements.py
+++ b/sassafrasgate/shards/placements.py
@@ -39,7 +39,7 @@
 ) -> Assignment | Refusal:
     """Return hosts for ``tasks`` tasks of a job, or why there are none."""
     demand = state.sizes.estimate_demand(spec)
-    refusal = state.quotas.may_reserve(spec.team, demand.scale(tasks))
+    refusal = state.quotas.check_quota(spec.team, demand.scale(tasks))
     if refusal is not None:
         return refusal
     labels, domains = find_rule_limits(state, spec)
--- a/sassafrasgate/shards/preemption.py
+++ b/sassafrasgate/shards/preemption.py
@@ -68,7 +68,7 @@
     """
     labels, domains = find_rule_limits(state, spec)
     best: tuple[TaskEntry, ...] = ()
-    for name in state.index.open_free:
+    for name in state.index.free_on_open_hosts:
         host = state.index.hosts[name]
         if not _is_allowed(host, spec, labels, domains):
             continue
@@ -101,7 +101,7 @@
     room = state.index.find_free(host)
     candidates = [
         task
-        for name in state.index.tasks_on(host)
+        for name in state.index.list_reservations(host)
         if (task := state.tasks.get(name)) is not None
         and _is_victim(state, task)
     ]
@@ -111,7 +111,7 @@
         if demand.fits_in(room):
             break
         chosen.append(task)
-        room = room + state.index.tasks_on(host)[task.task]
+        room = room + state.index.list_reservations(host)[task.task]
     return tuple(chosen) if demand.fits_in(room) else ()
 
 
--- a/sassafrasgate/shards/recovery.py
+++ b/sassafrasgate/shards/recovery.py
@@ -242,7 +242,7 @@
     """Drop jobs whose retention has ended."""
     for job_id in record.job_ids:
         state.jobs.pop(job_id, None)
-        state.health.forget_job(job_id)
+        state.health.remove_job_results(job_id)
         state.ended_order.pop(job_id, None)
         state.explanations.pop(job_id, None)
 
@@ -270,9 +270,9 @@
             state.index.set_open(name, False)
     _set_totals(state, list(wanted.values()))
     for name in [name for name in state.hosts if name not in wanted]:
-        if not state.index.tasks_on(name):
+        if not state.index.list_reservations(name):
             state.index.remove_host(name)
-            state.health.forget_host(name)
+            state.health.remove_host_results(name)
             del state.hosts[name]
             continue
         state.index.set_open(name, False)
@@ -282,8 +282,8 @@
     total = NOTHING
     for host in hosts:
         total = total + host.capacity
-    state.queue.set_total(total)
-    state.health.set_hosts(len(hosts))
+    state.queue.set_capacity(total)
+    state.health.set_host_count(len(hosts))
 
 
 def _find_shard(state: ShardState) -> Any:
--- a/sassafrasgate/shards/submissions.py
+++ b/sassafrasgate/shards/submissions.py
@@ -103,7 +103,7 @@
         len(state.queue),
         MAX_QUEUED_JOBS,
         state.queue.count_ahead(spec.team, spec.job_class),
-        state.start_rate.find_rate(now),
+        state.start_rate.compute_rate(now),
     )
     return check_admission(spec, load)
 
@@ -169,7 +169,7 @@
             now + ACCEPT_MS, (caller,)
         )
     if isinstance(chosen, Assignment) and placements:
-        state.start_rate.note_start(now)
+        state.start_rate.record_starts(now)
         yield from note_placement(state, submit.job_id, 1, chosen)
         return
     state.room_changed = True
--- a/sassafrasgate/shards/transfers.py
+++ b/sassafrasgate/shards/transfers.py
@@ -404,8 +404,8 @@
         Summary(
             state.name,
             state.epoch,
-            state.index.total_free(),
-            state.index.largest_free(),
+            state.index.sum_free(),
+            state.index.find_largest_free(),
             len(state.queue),
             state.failure_domain,
         )
--- a/sassafrasgate/shards/usage.py
+++ b/sassafrasgate/shards/usage.py
@@ -42,7 +42,7 @@
         state.peaks[report.task] = peak.cover(used)
     growing = [
         usage
-        for task in state.index.tasks_on(host)
+        for task in state.index.list_reservations(host)
         if (usage := _find_usage(state, task)) is not None
     ]
     if all(usage.used.fits_in(usage.reserved) for usage in growing):
@@ -67,7 +67,7 @@
     return ReservationUsage(
         task,
         job.spec.job_class,
-        state.index.tasks_on(entry.host)[task],
+        state.index.list_reservations(entry.host)[task],
         Resources(report.millicores, report.memory_mb),
         job.spec.priority,
         last[0].step if last else None,
--- a/sassafrasgate/shards/views.py
+++ b/sassafrasgate/shards/views.py
@@ -10,7 +10,7 @@
 from sassafrasgate.core.jobs import JobState
 from sassafrasgate.core.resources import NOTHING
 from sassafrasgate.core.resources import Resources
-from sassafrasgate.placement.quarantine import HostStatus
+from sassafrasgate.placement.quarantine import HealthState
 from sassafrasgate.protocol.messages import Explain
 from sassafrasgate.protocol.messages import Explanation
 from sassafrasgate.protocol.messages import HostList
@@ -184,7 +184,7 @@
         host.capacity,
         state.index.find_reserved(entry.name),
         _sum_usage(state, entry.name),
-        len(state.index.tasks_on(entry.name)),
+        len(state.index.list_reservations(entry.name)),
         state.name,
         state.epoch,
     )
@@ -192,7 +192,7 @@
 
 def _sum_usage(state: ShardState, host: str) -> Resources:
     total = NOTHING
-    for task in state.index.tasks_on(host):
+    for task in state.index.list_reservations(host):
         usage = state.usage.get(task)
         if usage is not None:
             total = total + Resources(usage.millicores, usage.memory_mb)
@@ -209,7 +209,7 @@
         return 'silent'
     if not entry.fenced:
         return 'unknown'
-    health = state.health.find_status(entry.name, state.now)
-    if health is not HostStatus.HEALTHY:
+    health = state.health.get_state(entry.name, state.now)
+    if health is not HealthState.HEALTHY:
         return str(health)
     return 'open'
--- a/sassafrasgate/shards/workers.py
+++ b/sassafrasgate/shards/workers.py
@@ -54,8 +54,11 @@
 
 def has_allowance(state: ShardState, name: str) -> bool:
     """Tell whether a host's results allow it another task."""
-    allowance = state.health.find_allowance(name, state.now)
-    return allowance is None or len(state.index.tasks_on(name)) < allowance
+    allowance = state.health.get_task_limit(name, state.now)
+    return (
+        allowance is None
+        or len(state.index.list_reservations(name)) < allowance
+    )
 
 
 @EVENT_HANDLERS.register(HostSynced)
@@ -97,7 +100,7 @@
 ) -> Actions:
     running = {task.task for task in reply.running}
     ended = {task.task: task for task in reply.ended}
-    for task_id in list(state.index.tasks_on(host)):
+    for task_id in list(state.index.list_reservations(host)):
         task = state.tasks.get(task_id)
         if task is None or task_id in ended:
             continue
@@ -273,7 +276,7 @@
             continue
         state.update_host(name, lapsed=True)
         yield LogDecision('lapse', '', host=name, reason='leases lapsed')
-        for task_id in list(state.index.tasks_on(name)):
+        for task_id in list(state.index.list_reservations(name)):
             task = state.tasks.get(task_id)
             if (
                 task is None
--- a/tests/placement/test_admission.py
+++ b/tests/placement/test_admission.py
@@ -64,8 +64,8 @@
 
 def test_start_rate_follows_the_load_and_decays_in_a_stall():
     rate = StartRate()
-    assert rate.find_rate(0) == 0
+    assert rate.compute_rate(0) == 0
     for now in range(0, 60_000, 100):
-        rate.note_start(now)
-    assert rate.find_rate(60_000) == pytest.approx(10, rel=0.05)
-    assert rate.find_rate(90_000) < 1
+        rate.record_starts(now)
+    assert rate.compute_rate(60_000) == pytest.approx(10, rel=0.05)
+    assert rate.compute_rate(90_000) < 1
--- a/tests/placement/test_index.py
+++ b/tests/placement/test_index.py
@@ -122,9 +122,9 @@
             for name in self.capacity
             if self.is_open[name]
         ]
-        assert self.index.total_free() == add_up(free)
+        assert self.index.sum_free() == add_up(free)
         assert all(
-            amount.fits_in(self.index.largest_free()) for amount in free
+            amount.fits_in(self.index.find_largest_free()) for amount in free
         )
 
     @invariant()
--- a/tests/placement/test_policies.py
+++ b/tests/placement/test_policies.py
@@ -73,7 +73,7 @@
         )
         name = f'h{random.randrange(40)}'
         index.set_open(name, random.random() < 0.8)
-        for task in list(index.tasks_on(name)):
+        for task in list(index.list_reservations(name)):
             index.release(name, task)
         expected = find_by_scan(index, demand, 'd1')
         chosen = choose(index, make_spec(demand=demand), local_domain='d1')
@@ -88,11 +88,11 @@
     """Return the open host with the lowest cost of fit and hop."""
     costs = [
         (
-            index.weigh(free)
+            index.compute_mean_share(free)
             + 0.25 * (index.hosts[name].failure_domain != local),
             name,
         )
-        for name, free in index.open_free.items()
+        for name, free in index.free_on_open_hosts.items()
         if demand.fits_in(free)
     ]
     return min(costs)[1] if costs else None
--- a/tests/placement/test_queues.py
+++ b/tests/placement/test_queues.py
@@ -20,7 +20,7 @@
 def start_all(queue, now=0, fits=lambda spec: True, reserved=None):
     """Run one pass; return the jobs that were offered."""
     offered = []
-    for job in queue.pick(now, reserved or {}):
+    for job in queue.begin_pass(now, reserved or {}):
         offered.append(job)
         if fits(job.spec):
             queue.remove(job.job_id)
@@ -81,7 +81,7 @@
         room = Resources(cores, memory)
         offered = []
         started = 0
-        for job in self.queue.pick(self.now):
+        for job in self.queue.begin_pass(self.now):
             offered.append(job)
             assert not self.is_expired(job.job_id)
             if started < limit and job.spec.demand.fits_in(room):
@@ -97,7 +97,7 @@
     @rule(count=integers(0, 3))
     def break_off_pass(self, count):
         for _, job in zip(
-            range(count), self.queue.pick(self.now), strict=False
+            range(count), self.queue.begin_pass(self.now), strict=False
         ):
             assert job.job_id in self.jobs
 
@@ -143,7 +143,7 @@
         queue.add(f'a{number}', make_spec(team='a'), 0)
         queue.add(f'b{number}', make_spec(team='b'), 0)
     offered = []
-    for job, _ in zip(queue.pick(0), range(200), strict=False):
+    for job, _ in zip(queue.begin_pass(0), range(200), strict=False):
         queue.remove(job.job_id)
         offered.append(job.spec.team)
     assert 148 <= offered.count('a') <= 152
@@ -182,7 +182,7 @@
     queue.add('a1', make_spec(team='a'), 0)
     queue.add('a2', make_spec(team='a', demand=Resources(1, 1)), 0)
     offered = []
-    queue_pass = queue.pick(0)
+    queue_pass = queue.begin_pass(0)
     for job in queue_pass:
         offered.append(job.job_id)
         queue_pass.skip_team('a')
@@ -257,7 +257,7 @@
     queue = JobQueue()
     queue.add('large', make_spec(demand=Resources(1, 2)), 0)
     queue.add('small', make_spec(demand=Resources(1, 1)), 0)
-    for job in queue.pick(0):
+    for job in queue.begin_pass(0):
         if job.job_id == 'small':
             break
-    assert [job.job_id for job in queue.pick(0)][0] == 'large'
+    assert [job.job_id for job in queue.begin_pass(0)][0] == 'large'
--- a/tests/placement/test_quotas.py
+++ b/tests/placement/test_quotas.py
@@ -18,17 +18,17 @@
 def test_refusal_names_the_resource_and_unlimited_ones_pass():
     ledger = QuotaLedger([Team('a', quota=Resources(1000))])
     ledger.reserve('a', Resources(600, 600))
-    assert ledger.may_reserve('a', Resources(400, 99999)) is None
-    refusal = ledger.may_reserve('a', Resources(401))
+    assert ledger.check_quota('a', Resources(400, 99999)) is None
+    refusal = ledger.check_quota('a', Resources(401))
     assert refusal.kind is RefusalKind.QUOTA
     assert 'millicores 1001 > 1000' in refusal.reason
-    assert ledger.may_reserve('other', Resources(99999)) is None
+    assert ledger.check_quota('other', Resources(99999)) is None
 
 
 def test_share_of_zero_is_a_limit_not_its_absence():
     ledger = QuotaLedger([Team('a', quota=Resources(1000))], shards=2)
     ledger.set_share('a', NOTHING)
-    assert ledger.may_reserve('a', Resources(1)).kind is RefusalKind.QUOTA
+    assert ledger.check_quota('a', Resources(1)).kind is RefusalKind.QUOTA
 
 
 def test_lowered_share_is_never_below_what_runs():
