--- a/sassafrasgate/dispatch/advice.py
+++ b/sassafrasgate/dispatch/advice.py
@@ -29,25 +29,25 @@
     from sassafrasgate.dispatch.state import StepKey
 
 # Most workers that one call may name.
-MOST_NAMED = 100
+MAX_WORKERS_PER_CALL = 100
 # A call that takes longer is not made by the owner while it has peers.
 LONG_CALL_MS = 60
 # Time for a message to another entry host and back, and to the service.
-PEER_MS = 15
-SERVICE_MS = 8
+PEER_ROUND_TRIP_MS = 15
+SERVICE_ROUND_TRIP_MS = 8
 # Calls are not queued behind others for longer than this; the step asks
 # again when a host is free.
-MOST_BACKLOG_MS = 1_200
+MAX_BACKLOG_MS = 1_200
 # A ticket must last for the way to the worker.
 TICKET_MARGIN_MS = 80
 # A failed call is repeated after this time, doubled with each failure.
-RETRY_MS = 100
-LONGEST_RETRY_MS = 1_000
+INITIAL_RETRY_MS = 100
+MAX_RETRY_MS = 1_000
 # A call without an answer counts as lost after this long past its time.
 LOST_MS = 1_000
 
 
-def is_valid(ticket: Ticket, incarnation_ms: int, now: int) -> bool:
+def is_ticket_valid(ticket: Ticket, incarnation_ms: int, now: int) -> bool:
     """Tell whether a ticket will be valid when a start arrives.
 
     Parameters
@@ -62,30 +62,30 @@
     return now + TICKET_MARGIN_MS < ticket.expires_at
 
 
-def may_ask(state: DispatchState, key: StepKey) -> bool:
+def may_ask_advice(state: DispatchState, key: StepKey) -> bool:
     """Tell whether a call about a step may be made now."""
     advice = state.advice.get(key)
     if advice is None:
         return True
-    if advice.asking:
+    if advice.pending_workers:
         return False
     if not advice.failures:
         return True
-    delay = min(RETRY_MS << min(advice.failures, 5), LONGEST_RETRY_MS)
-    return state.now >= advice.asked_at + delay
+    delay = min(INITIAL_RETRY_MS << min(advice.failures, 5), MAX_RETRY_MS)
+    return state.now >= advice.requested_at + delay
 
 
 def ask_advice(
     state: DispatchState,
     key: StepKey,
-    terms: AdviceTerms,
+    timing: AdviceTerms,
     workers: Iterable[str],
 ) -> Actions:
     """Ask about workers, unless every host is busy for too long."""
-    named = tuple(workers)[:MOST_NAMED]
+    named = tuple(workers)[:MAX_WORKERS_PER_CALL]
     if not named:
         return
-    call_ms = measure_call(terms, len(named))
+    call_ms = estimate_call_ms(timing, len(named))
     channel = _choose_channel(state, call_ms)
     if channel is None:
         return
@@ -96,16 +96,19 @@
     advice = state.advice.get(key, StepAdvice())
     state.advice[key] = replace(
         advice,
-        asking=frozenset(named),
-        asked=advice.asked | frozenset(named),
-        asked_at=state.now,
+        pending_workers=frozenset(named),
+        asked_workers=advice.asked_workers | frozenset(named),
+        requested_at=state.now,
     )
     yield AskAdvice(key, named, channel.entry_host, ready_at - state.now)
 
 
-def measure_call(terms: AdviceTerms, workers: int) -> int:
+def estimate_call_ms(timing: AdviceTerms, workers: int) -> int:
     """Return how long a call about some workers takes, in ms."""
-    return int(terms.decide_ms + terms.each_ms * workers) + SERVICE_MS
+    return (
+        int(timing.decide_ms + timing.each_ms * workers)
+        + SERVICE_ROUND_TRIP_MS
+    )
 
 
 def _choose_channel(
@@ -113,19 +116,21 @@
 ) -> AdviceChannel | None:
     """Return the host that can answer first; None when all are too busy."""
     best: AdviceChannel | None = None
-    best_at = state.now + MOST_BACKLOG_MS
+    best_at = state.now + MAX_BACKLOG_MS
     for number, channel in enumerate(state.advice_channels.values()):
         own = number == 0
         if own and call_ms > LONG_CALL_MS and len(state.advice_channels) > 1:
             continue
-        begin = max(channel.busy_until, state.now) + (0 if own else PEER_MS)
+        begin = max(channel.busy_until, state.now) + (
+            0 if own else PEER_ROUND_TRIP_MS
+        )
         if begin < best_at:
             best, best_at = channel, begin
     return best
 
 
 @EVENT_HANDLERS.register(PeersChanged)
-def note_peers(state: DispatchState, event: PeersChanged) -> Actions:
+def handle_peers_change(state: DispatchState, event: PeersChanged) -> Actions:
     """Keep one channel for each entry host."""
     state.advice_channels = {
         name: state.advice_channels.get(name, AdviceChannel(name))
@@ -135,7 +140,7 @@
 
 
 @EVENT_HANDLERS.register(AdviceAnswered)
-def note_advice(state: DispatchState, event: AdviceAnswered) -> Actions:
+def handle_advice(state: DispatchState, event: AdviceAnswered) -> Actions:
     """Keep the tickets; workers that were named and have none are not good."""
     advice = state.advice.get(event.step)
     if advice is None or event.step not in state.steps:
@@ -149,7 +154,7 @@
         if entry is not None:
             tickets[worker] = Ticket(ticket, expires_at, entry.incarnation_ms)
     state.advice[event.step] = replace(
-        advice, tickets=tickets, asking=frozenset(), failures=0
+        advice, tickets=tickets, pending_workers=frozenset(), failures=0
     )
     state.needs_pass = True
     yield LogEvent(
@@ -157,16 +162,18 @@
         event.step.job_id,
         (
             ('step', f'{event.step.occurrence}.{event.step.step}'),
-            ('named', len(event.workers)),
-            ('good', len(event.advice.tickets)),
+            ('asked', len(event.workers)),
+            ('admitted', len(event.advice.tickets)),
             ('entry_host', event.entry_host),
-            ('took_ms', state.now - advice.asked_at),
+            ('took_ms', state.now - advice.requested_at),
         ),
     )
 
 
 @EVENT_HANDLERS.register(AdviceFailed)
-def note_failed_advice(state: DispatchState, event: AdviceFailed) -> Actions:
+def handle_advice_failure(
+    state: DispatchState, event: AdviceFailed
+) -> Actions:
     """Let the step ask again; what was not answered was not asked."""
     advice = state.advice.get(event.step)
     if advice is None or event.step not in state.steps:
@@ -174,8 +181,8 @@
     named = frozenset(event.workers) - advice.tickets.keys()
     state.advice[event.step] = replace(
         advice,
-        asking=frozenset(),
-        asked=advice.asked - named,
+        pending_workers=frozenset(),
+        asked_workers=advice.asked_workers - named,
         failures=advice.failures + 1,
     )
     state.needs_pass = True
--- a/sassafrasgate/dispatch/gangs.py
+++ b/sassafrasgate/dispatch/gangs.py
@@ -7,21 +7,21 @@
 from sassafrasgate.core.resources import NOTHING
 from sassafrasgate.core.resources import Resources
 from sassafrasgate.dispatch.advice import ask_advice
-from sassafrasgate.dispatch.advice import may_ask
-from sassafrasgate.dispatch.advice import measure_call
+from sassafrasgate.dispatch.advice import estimate_call_ms
+from sassafrasgate.dispatch.advice import may_ask_advice
 from sassafrasgate.dispatch.launches import start_run
-from sassafrasgate.dispatch.plans import charge_plan
-from sassafrasgate.dispatch.plans import expect_ms
-from sassafrasgate.dispatch.plans import Hold
-from sassafrasgate.dispatch.plans import list_admitted
-from sassafrasgate.dispatch.plans import list_ends
-from sassafrasgate.dispatch.plans import list_unknown
+from sassafrasgate.dispatch.plans import estimate_run_ms
+from sassafrasgate.dispatch.plans import GangReservation
+from sassafrasgate.dispatch.plans import list_run_ends
+from sassafrasgate.dispatch.plans import list_unasked_workers
 from sassafrasgate.dispatch.plans import match_workers
 from sassafrasgate.dispatch.plans import NO_ADVICE
 from sassafrasgate.dispatch.plans import PassPlan
-from sassafrasgate.dispatch.plans import respects_hold
+from sassafrasgate.dispatch.plans import record_planned_run
+from sassafrasgate.dispatch.plans import respects_reservation
+from sassafrasgate.dispatch.plans import split_admitted_workers
 from sassafrasgate.dispatch.recovery import find_next_run
-from sassafrasgate.dispatch.reports import reserve_demand
+from sassafrasgate.dispatch.reports import compute_reservation
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -36,13 +36,13 @@
     from sassafrasgate.dispatch.state import WorkerEntry
 
 # Gangs that may hold room at once; more would keep too much of it idle.
-MOST_HOLDS = 4
+MAX_GANG_RESERVATIONS = 4
 # Room that a gang can only have later than this is not held for it.
-HOLD_HORIZON_MS = 8_000
+RESERVATION_HORIZON_MS = 8_000
 # A ticket must outlast the call for others by this time.
-RENEWAL_MARGIN_MS = 250
+TICKET_RENEWAL_MARGIN_MS = 250
 # One further worker is named for so many that a gang needs.
-SPARE_SHARE = 3
+GANG_WORKERS_PER_SPARE = 3
 
 
 def place_gang(
@@ -50,58 +50,58 @@
     plan: PassPlan,
     key: StepKey,
     step: Step,
-    terms: Queue,
+    queue: Queue,
     workers: dict[str, WorkerEntry],
 ) -> Actions:
     """Start a gang whole, or hold room for it."""
-    if key in state.runs_of:
+    if key in state.runs_by_step:
         # Members of an earlier run are present and have to be gone first.
         return
     workers = match_workers(step, workers)
     advice = state.advice.get(key, NO_ADVICE)
-    if terms.advice is not None and advice is NO_ADVICE:
-        names = list_unknown(state, advice, workers)
-        yield from ask_advice(state, key, terms.advice, names)
+    if queue.advice is not None and advice is NO_ADVICE:
+        names = list_unasked_workers(state, advice, workers)
+        yield from ask_advice(state, key, queue.advice, names)
         return
     job = state.jobs[key.job_id]
     if not job.durable:
         # As for single tasks; no room is held either.
         return
-    live: list[WorkerEntry] = list(workers.values())
-    good: list[WorkerEntry] = []
-    if terms.advice is not None:
-        live, good = list_admitted(state, advice, workers)
-    demand = reserve_demand(step)
+    startable: list[WorkerEntry] = list(workers.values())
+    unticketed: list[WorkerEntry] = []
+    if queue.advice is not None:
+        startable, unticketed = split_admitted_workers(state, advice, workers)
+    demand = compute_reservation(step)
     chosen: dict[str, int] = {}
-    admitted = [*live, *good]
-    if demand.scale(step.tasks).fits_in(plan.total[terms.pool]):
-        chosen = _assign_gang(state, plan, step, demand, live)
+    admitted = [*startable, *unticketed]
+    if demand.scale(step.tasks).fits_in(plan.total_free[queue.pool]):
+        chosen = _assign_gang(state, plan, step, demand, startable)
         if chosen:
             yield from _start_gang(state, plan, key, step, job, chosen, demand)
             return
         chosen = _assign_gang(state, plan, step, demand, admitted)
     at = state.now
     if not chosen:
-        at, chosen = _find_start(state, plan, step, demand, admitted)
+        at, chosen = _find_earliest_start(state, plan, step, demand, admitted)
     if not chosen:
         # The known good workers can never hold it; others may be good.
-        if terms.advice is not None and may_ask(state, key):
-            names = list_unknown(state, advice, workers)
-            yield from ask_advice(state, key, terms.advice, names)
+        if queue.advice is not None and may_ask_advice(state, key):
+            names = list_unasked_workers(state, advice, workers)
+            yield from ask_advice(state, key, queue.advice, names)
         return
-    _hold_room(state, plan, demand, chosen, at)
-    if terms.advice is None or not may_ask(state, key):
+    _reserve_capacity(state, plan, demand, chosen, at)
+    if queue.advice is None or not may_ask_advice(state, key):
         return
-    names = _list_renewals(state, key, terms.advice, chosen, admitted)
-    call_ms = measure_call(terms.advice, len(names))
+    names = _list_renewals(state, key, queue.advice, chosen, admitted)
+    call_ms = estimate_call_ms(queue.advice, len(names))
     if names and at - state.now <= call_ms:
-        yield from ask_advice(state, key, terms.advice, names)
+        yield from ask_advice(state, key, queue.advice, names)
 
 
 def _list_renewals(
     state: DispatchState,
     key: StepKey,
-    terms: AdviceTerms,
+    timing: AdviceTerms,
     chosen: dict[str, int],
     admitted: list[WorkerEntry],
 ) -> list[str]:
@@ -112,11 +112,11 @@
     case others take room of the chosen ones meanwhile.
     """
     tickets = state.advice[key].tickets
-    answered_at = state.now + measure_call(terms, len(chosen))
+    answered_at = state.now + estimate_call_ms(timing, len(chosen))
     expired = [
         name
         for name in chosen
-        if tickets[name].expires_at <= answered_at + RENEWAL_MARGIN_MS
+        if tickets[name].expires_at <= answered_at + TICKET_RENEWAL_MARGIN_MS
     ]
     if not expired:
         return []
@@ -125,19 +125,21 @@
         for worker in admitted
         if worker.registration.worker not in chosen
     ]
-    spare.sort(key=lambda name: -state.free[name].millicores)
-    return sorted(expired) + spare[: 1 + len(chosen) // SPARE_SHARE]
+    spare.sort(key=lambda name: -state.free_resources[name].millicores)
+    return sorted(expired) + spare[: 1 + len(chosen) // GANG_WORKERS_PER_SPARE]
 
 
-def _count_slots(room: Resources, demand: Resources, most: int) -> int:
-    """Return how many times a demand fits into a room."""
-    slots = most
+def _count_slots(
+    available: Resources, demand: Resources, max_slots: int
+) -> int:
+    """Return how many times a demand fits into an available amount."""
+    slots = max_slots
     if demand.millicores:
-        slots = min(slots, room.millicores // demand.millicores)
+        slots = min(slots, available.millicores // demand.millicores)
     if demand.memory_mb:
-        slots = min(slots, room.memory_mb // demand.memory_mb)
+        slots = min(slots, available.memory_mb // demand.memory_mb)
     if demand.accelerators:
-        slots = min(slots, room.accelerators // demand.accelerators)
+        slots = min(slots, available.accelerators // demand.accelerators)
     return max(0, slots)
 
 
@@ -153,24 +155,24 @@
     racks: dict[str, str] = {}
     for worker in workers:
         name = worker.registration.worker
-        room = state.free[name]
-        if not respects_hold(state, plan, step, worker, demand):
+        available = state.free_resources[name]
+        if not respects_reservation(state, plan, step, worker, demand):
             continue
-        hold = plan.holds.get(name)
-        if hold is not None and (
-            state.now + expect_ms(step, worker) > hold.at
+        reservation = plan.reservations.get(name)
+        if reservation is not None and (
+            state.now + estimate_run_ms(step, worker) > reservation.start_at
         ):
-            room = room.limit(hold.spare)
-        most = plan.allowances.get(name, step.tasks)
-        most = min(most, step.max_per_worker or step.tasks)
-        count = _count_slots(room, demand, most)
+            available = available.limit(reservation.spare)
+        max_slots = plan.allowances.get(name, step.tasks)
+        max_slots = min(max_slots, step.max_per_worker or step.tasks)
+        count = _count_slots(available, demand, max_slots)
         if count:
             slots[name] = count
             racks[name] = worker.registration.rack
-    return _share_out(slots, racks, step)
+    return _distribute_gang(slots, racks, step)
 
 
-def _share_out(
+def _distribute_gang(
     slots: dict[str, int], racks: dict[str, str], step: Step
 ) -> dict[str, int]:
     """Divide a gang among workers with slots, on one rack if it should."""
@@ -210,13 +212,13 @@
     for name, count in chosen.items():
         worker = state.workers[name]
         for _ in range(count):
-            charge_plan(state, plan, step, worker, demand)
+            record_planned_run(state, plan, step, worker, demand)
             yield from start_run(
                 state, key, step, job, worker, next(indexes), number, demand
             )
 
 
-def _find_start(
+def _find_earliest_start(
     state: DispatchState,
     plan: PassPlan,
     step: Step,
@@ -224,59 +226,59 @@
     workers: list[WorkerEntry],
 ) -> tuple[int, dict[str, int]]:
     """Return when and where a gang is expected to fit; nothing if never."""
-    if plan.holding >= MOST_HOLDS:
+    if plan.reserved_gangs >= MAX_GANG_RESERVATIONS:
         return 0, {}
-    rooms: dict[str, Resources] = {}
+    free: dict[str, Resources] = {}
     slots: dict[str, int] = {}
     racks: dict[str, str] = {}
     for worker in workers:
         name = worker.registration.worker
-        if name in plan.holds:
+        if name in plan.reservations:
             continue
-        rooms[name] = state.free[name]
-        slots[name] = _count_slots(rooms[name], demand, step.tasks)
+        free[name] = state.free_resources[name]
+        slots[name] = _count_slots(free[name], demand, step.tasks)
         racks[name] = worker.registration.rack
     total = sum(slots.values())
-    for at, name, freed in _merge_ends(state, plan, rooms):
-        if total >= step.tasks or at > state.now + HOLD_HORIZON_MS:
+    for at, name, freed in _merge_run_ends(state, plan, free):
+        if total >= step.tasks or at > state.now + RESERVATION_HORIZON_MS:
             break
-        rooms[name] = rooms[name] + freed
-        count = _count_slots(rooms[name], demand, step.tasks)
+        free[name] = free[name] + freed
+        count = _count_slots(free[name], demand, step.tasks)
         total += count - slots[name]
         slots[name] = count
         if total >= step.tasks:
-            return at, _share_out(slots, racks, step)
+            return at, _distribute_gang(slots, racks, step)
     return 0, {}
 
 
-def _merge_ends(
-    state: DispatchState, plan: PassPlan, rooms: dict[str, Resources]
+def _merge_run_ends(
+    state: DispatchState, plan: PassPlan, free: dict[str, Resources]
 ) -> Iterator[tuple[int, str, Resources]]:
     ends = [
         (at, name, demand)
-        for name in rooms
-        for at, demand in list_ends(state, plan, name)
+        for name in free
+        for at, demand in list_run_ends(state, plan, name)
     ]
     ends.sort(key=lambda end: end[:2])
     return iter(ends)
 
 
-def _hold_room(
+def _reserve_capacity(
     state: DispatchState,
     plan: PassPlan,
     demand: Resources,
     chosen: dict[str, int],
     at: int,
 ) -> None:
-    plan.holding += 1
+    plan.reserved_gangs += 1
     for name, count in chosen.items():
-        room = state.free[name]
-        for end, freed in list_ends(state, plan, name):
+        available = state.free_resources[name]
+        for end, freed in list_run_ends(state, plan, name):
             if end <= at:
-                room = room + freed
-        known = plan.holds.get(name)
-        if known is not None:
-            room = room.limit(known.spare)
-            at = max(at, known.at)
-        spare = room - demand.scale(count)
-        plan.holds[name] = Hold(at, spare.cover(NOTHING))
+                available = available + freed
+        earlier = plan.reservations.get(name)
+        if earlier is not None:
+            available = available.limit(earlier.spare)
+            at = max(at, earlier.start_at)
+        spare = available - demand.scale(count)
+        plan.reservations[name] = GangReservation(at, spare.cover(NOTHING))
--- a/sassafrasgate/dispatch/handlers.py
+++ b/sassafrasgate/dispatch/handlers.py
@@ -15,12 +15,14 @@
 
 Actions = Generator[Any, None, None]
 Handler = Callable[['DispatchState', Any], Actions]
-Applier = Callable[['DispatchState', Any], None]
+RecordApplier = Callable[['DispatchState', Any], None]
 
 EVENT_HANDLERS: Registry[type[Any], Handler] = Registry('dispatcher event')
 REQUEST_HANDLERS: Registry[str, Handler] = Registry('dispatcher request')
 DURABLE_HANDLERS: Registry[str, Handler] = Registry('durable workflow record')
-APPLIERS: Registry[str, Applier] = Registry('workflow record applier')
+RECORD_APPLIERS: Registry[str, RecordApplier] = Registry(
+    'workflow record applier'
+)
 
 
 def write_record(state: DispatchState, record: Any) -> Actions:
@@ -29,5 +31,5 @@
     Replay after a takeover applies records with the same function, so that
     a successor's state cannot differ from what the record meant.
     """
-    APPLIERS.find(record.kind)(state, record)
+    RECORD_APPLIERS.find(record.kind)(state, record)
     yield Persist(record)
--- a/sassafrasgate/dispatch/health.py
+++ b/sassafrasgate/dispatch/health.py
@@ -14,13 +14,13 @@
 
 # A task fails by its own fault in up to 5% of its runs, so two tasks that
 # fail in a row on one worker are more likely the worker's fault.
-SUSPECT_FAILURES = 2
-FIRST_PAUSE_MS = 1_500
-LONGEST_PAUSE_MS = 8_000
+SUSPECT_FAILURE_COUNT = 2
+INITIAL_PAUSE_MS = 1_500
+MAX_PAUSE_MS = 8_000
 # After a pause one run at a time shows whether the worker has recovered.
-PROBATION_RUNS = 1
+MAX_PROBATION_RUNS = 1
 # Most workers of a pool, as a share, that may be set aside at once.
-MOST_PAUSED_SHARE = 0.3
+MAX_PAUSED_SHARE = 0.3
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,7 +45,7 @@
 HEALTHY = WorkerHealth()
 
 
-def note_run_end(
+def record_run_end(
     state: DispatchState, run: RunEntry, how: EndKind
 ) -> WorkerHealth | None:
     """Count the end of a run; return the health if it has changed."""
@@ -58,9 +58,11 @@
     if how is not EndKind.FAILED:
         return None
     health = replace(health, failures=health.failures + 1)
-    if health.failures >= SUSPECT_FAILURES and _may_pause(state, run.worker):
+    if health.failures >= SUSPECT_FAILURE_COUNT and _may_pause(
+        state, run.worker
+    ):
         pause_ms = min(
-            max(FIRST_PAUSE_MS, 2 * health.pause_ms), LONGEST_PAUSE_MS
+            max(INITIAL_PAUSE_MS, 2 * health.pause_ms), MAX_PAUSE_MS
         )
         health = replace(
             health, pause_ms=pause_ms, paused_until=state.now + pause_ms
@@ -75,13 +77,13 @@
         for name, health in state.health.items()
         if health.paused_until > state.now and name != worker
     )
-    return others < MOST_PAUSED_SHARE * len(state.workers)
+    return others < MAX_PAUSED_SHARE * len(state.workers)
 
 
-def find_allowance(state: DispatchState, worker: str) -> int | None:
+def find_run_allowance(state: DispatchState, worker: str) -> int | None:
     """Return how many more runs a worker may get; None for no limit."""
     health = state.health.get(worker)
-    if health is None or health.failures < SUSPECT_FAILURES:
+    if health is None or health.failures < SUSPECT_FAILURE_COUNT:
         return None
     if state.now < health.paused_until:
         return 0
@@ -89,5 +91,5 @@
         # Without new evidence, as for a gang that needs several places
         # there, a worker is not set aside for ever.
         return None
-    present = len(state.runs_on.get(worker, ()))
-    return max(0, PROBATION_RUNS - present)
+    present = len(state.runs_by_worker.get(worker, ()))
+    return max(0, MAX_PROBATION_RUNS - present)
--- a/sassafrasgate/dispatch/hold_waits.py
+++ b/sassafrasgate/dispatch/hold_waits.py
@@ -17,28 +17,28 @@
     from sassafrasgate.dispatch.state import DispatchState
 
 NORMAL_HOLD_WAIT_MS = 2_000
-SHORT_WAIT_MS = 400
+SHORT_HOLD_WAIT_MS = 400
 # Looks at all workers together; more would take too much of the owner's time.
-MOST_LOOKS_PER_S = 120
+MAX_POLLS_PER_S = 120
 # So many calls without an answer in so much time call for short waits.
-MOST_UNANSWERED = 2
-WATCHED_MS = 4_000
+SHORT_WAIT_UNANSWERED_CALLS = 2
+UNANSWERED_WINDOW_MS = 4_000
 
 
-def note_unanswered_call(state: DispatchState) -> None:
+def record_unanswered_call(state: DispatchState) -> None:
     """Count a call to a worker that got no answer."""
-    state.unanswered.append(state.now)
+    state.unanswered_at.append(state.now)
 
 
-def choose_wait(state: DispatchState) -> Actions:
+def adjust_hold_wait(state: DispatchState) -> Actions:
     """Change the length of looks when calls go unanswered, or no longer."""
-    oldest = state.now - WATCHED_MS
-    state.unanswered = [at for at in state.unanswered if at > oldest]
-    short = len(state.unanswered) >= MOST_UNANSWERED
+    oldest = state.now - UNANSWERED_WINDOW_MS
+    state.unanswered_at = [at for at in state.unanswered_at if at > oldest]
+    short = len(state.unanswered_at) >= SHORT_WAIT_UNANSWERED_CALLS
     wait_ms = NORMAL_HOLD_WAIT_MS
     if short:
-        least_ms = len(state.workers) * 1_000 // MOST_LOOKS_PER_S
-        wait_ms = min(max(SHORT_WAIT_MS, least_ms), NORMAL_HOLD_WAIT_MS)
+        least_ms = len(state.workers) * 1_000 // MAX_POLLS_PER_S
+        wait_ms = min(max(SHORT_HOLD_WAIT_MS, least_ms), NORMAL_HOLD_WAIT_MS)
     if wait_ms == state.hold_wait_ms:
         return
     state.hold_wait_ms = wait_ms
@@ -46,5 +46,5 @@
     yield LogEvent(
         'hold-wait',
         '',
-        (('wait_ms', wait_ms), ('unanswered', len(state.unanswered))),
+        (('wait_ms', wait_ms), ('unanswered', len(state.unanswered_at))),
     )
--- a/sassafrasgate/dispatch/launches.py
+++ b/sassafrasgate/dispatch/launches.py
@@ -6,12 +6,12 @@
 
 from sassafrasgate.dispatch.actions import LogEvent
 from sassafrasgate.dispatch.actions import StartRun
-from sassafrasgate.dispatch.ordering import find_slack
-from sassafrasgate.dispatch.pacing import choose_first_pace
-from sassafrasgate.dispatch.plans import expect_ms
+from sassafrasgate.dispatch.ordering import compute_slack
+from sassafrasgate.dispatch.pacing import choose_initial_pace
+from sassafrasgate.dispatch.plans import estimate_run_ms
 from sassafrasgate.dispatch.state import DispatchState
 from sassafrasgate.dispatch.state import JobEntry
-from sassafrasgate.dispatch.state import name_task
+from sassafrasgate.dispatch.state import make_task_id
 from sassafrasgate.dispatch.state import RunEntry
 from sassafrasgate.dispatch.state import RunKey
 from sassafrasgate.dispatch.state import StepAdvice
@@ -36,12 +36,12 @@
 ) -> Actions:
     """Place one run and have it started."""
     name = worker.registration.worker
-    run = RunKey(name_task(key, index), number)
+    run = RunKey(make_task_id(key, index), number)
     task = state.update_task(run.task, next_run=number + 1)
     entry = state.steps[key]
-    state.update_step(key, pending=entry.pending - {index})
-    if not state.steps[key].pending:
-        state.waiting.pop(key, None)
+    state.update_step(key, pending_tasks=entry.pending_tasks - {index})
+    if not state.steps[key].pending_tasks:
+        state.waiting_steps.pop(key, None)
     state.add_run(
         RunEntry(
             run,
@@ -51,10 +51,10 @@
             worker.incarnation_ms,
             demand,
             started_at=state.now,
-            expected_ms=expect_ms(step, worker),
+            expected_ms=estimate_run_ms(step, worker),
             target_ms=step.target_ms,
             fills=step.fills,
-            pace=choose_first_pace(state, name, step.fills),
+            pace=choose_initial_pace(state, name, step.fills),
             paced_at=state.now,
         )
     )
@@ -67,8 +67,8 @@
         (
             ('run', number),
             ('worker', name),
-            ('free', state.free[name].millicores),
-            ('slack_ms', find_slack(job, key, state.now)),
+            ('free', state.free_resources[name].millicores),
+            ('slack_ms', compute_slack(job, key, state.now)),
             ('waited_ms', state.now - entry.ready_at),
             ('ticket_ms', ticket.expires_at - state.now if ticket else 0),
             ('checkpoint', bool(checkpoint)),
--- a/sassafrasgate/dispatch/leases.py
+++ b/sassafrasgate/dispatch/leases.py
@@ -6,11 +6,11 @@
 
 # A longer lease lets runs survive longer cuts; a shorter one lets the tasks
 # of a worker that is gone start elsewhere sooner.
-LEASE_MS = 4_500
+WORKER_LEASE_MS = 4_500
 # A worker's steady clock may be this much slow.
-DRIFT = 0.02
+MAX_CLOCK_DRIFT = 0.02
 # Allowance for timers on both sides.
-MARGIN_MS = 300
+LEASE_EXPIRY_MARGIN_MS = 300
 # Lives of one worker that one owner can tell apart by the fence.
 RESTARTS_PER_EPOCH = 1_000_000
 # Restarts that may be counted before the owner gets in touch anew.
@@ -27,13 +27,13 @@
     reading_age_ms : int
         Age of the worker's clock reading that its deadline is based on.
     """
-    slow_ms = DRIFT * (reading_age_ms + LEASE_MS)
-    return sent_at + LEASE_MS + ceil(slow_ms) + MARGIN_MS
+    slow_ms = MAX_CLOCK_DRIFT * (reading_age_ms + WORKER_LEASE_MS)
+    return sent_at + WORKER_LEASE_MS + ceil(slow_ms) + LEASE_EXPIRY_MARGIN_MS
 
 
 def compute_worker_lease_deadline(clock_ms: int, reading_age_ms: int) -> int:
     """Return the worker-clock deadline of a lease that begins now."""
-    return clock_ms + reading_age_ms + LEASE_MS
+    return clock_ms + reading_age_ms + WORKER_LEASE_MS
 
 
 def compute_takeover_expiry(now: int, ttl_ms: int, grace_ms: int) -> int:
@@ -42,8 +42,12 @@
     The earlier owner may have sent its last grant at the end of its lease
     and its outage grace, on a clock that may be slow too.
     """
-    longest = ttl_ms + grace_ms + LEASE_MS
-    return now + ceil(longest * (1 + DRIFT)) + 2 * MARGIN_MS
+    longest = ttl_ms + grace_ms + WORKER_LEASE_MS
+    return (
+        now
+        + ceil(longest * (1 + MAX_CLOCK_DRIFT))
+        + 2 * LEASE_EXPIRY_MARGIN_MS
+    )
 
 
 def make_fencing_token(epoch: int, restarts: int) -> int:
--- a/sassafrasgate/dispatch/ordering.py
+++ b/sassafrasgate/dispatch/ordering.py
@@ -11,17 +11,17 @@
 
 # Estimates are rough: work that misses its objective by less than this share
 # of what is left to do may still make it.
-TOLERANCE = 0.25
+LATENESS_TOLERANCE = 0.25
 
 Rank = tuple[int, int, int]
 
 
-def find_due(entry: JobEntry, key: StepKey) -> int:
+def compute_due_time(entry: JobEntry, key: StepKey) -> int:
     """Return the owner's clock by which an occurrence should complete."""
     return entry.due_at + key.occurrence * entry.workflow.interval_ms
 
 
-def find_slack(entry: JobEntry, key: StepKey, now: int) -> int:
+def compute_slack(entry: JobEntry, key: StepKey, now: int) -> int:
     """Return how long a step may still wait to meet the objective, in ms.
 
     Negative when the job is expected to be late. A long-running task serves
@@ -29,7 +29,9 @@
     """
     if entry.workflow.steps[key.step].long_running:
         return 0
-    return find_due(entry, key) - entry.tails[key.step] - now
+    return (
+        compute_due_time(entry, key) - entry.critical_paths_ms[key.step] - now
+    )
 
 
 def rank_step(state: DispatchState, key: StepKey) -> Rank:
@@ -40,10 +42,10 @@
     until it earns nothing; it goes by priority and age.
     """
     entry = state.jobs[key.job_id]
-    slack = find_slack(entry, key, state.now)
-    priority = state.find_terms(entry).priority
-    if slack >= -TOLERANCE * entry.tails[key.step]:
+    slack = compute_slack(entry, key, state.now)
+    priority = state.find_queue_of(entry).priority
+    if slack >= -LATENESS_TOLERANCE * entry.critical_paths_ms[key.step]:
         return (0, slack, priority)
-    if state.now + entry.tails[key.step] <= entry.late_at:
-        return (1, priority, find_due(entry, key))
-    return (2, priority, find_due(entry, key))
+    if state.now + entry.critical_paths_ms[key.step] <= entry.value_ends_at:
+        return (1, priority, compute_due_time(entry, key))
+    return (2, priority, compute_due_time(entry, key))
--- a/sassafrasgate/dispatch/progress.py
+++ b/sassafrasgate/dispatch/progress.py
@@ -6,7 +6,7 @@
 
 from sassafrasgate.core.workflows import EndKind
 from sassafrasgate.core.workflows import WorkflowState
-from sassafrasgate.dispatch.state import name_task
+from sassafrasgate.dispatch.state import make_task_id
 from sassafrasgate.dispatch.state import StepEntry
 from sassafrasgate.dispatch.state import StepKey
 
@@ -18,12 +18,14 @@
     from sassafrasgate.journal.workflows import RunEnded
 
 # A job that completes later than this many objectives earns nothing.
-LATE_OBJECTIVES = 3
+VALUE_OBJECTIVES = 3
 # The objective's chain counts one call for advice on this many workers.
 ADVISED_WORKERS = 30
 
 
-def measure_tails(workflow: Workflow, advice_ms: int) -> tuple[int, ...]:
+def compute_critical_paths(
+    workflow: Workflow, advice_ms: int
+) -> tuple[int, ...]:
     """Return the longest chain of estimates from each step's start, in ms.
 
     Parameters
@@ -32,47 +34,49 @@
         Added for each step.
     """
     count = len(workflow.steps)
-    tails = [0] * count
+    paths_ms = [0] * count
     for number in reversed(range(count)):
         following = [
-            tails[later]
+            paths_ms[later]
             for later in range(number + 1, count)
             if number in workflow.steps[later].after
         ]
         estimate = workflow.steps[number].estimate_ms
-        tails[number] = advice_ms + estimate + max(following, default=0)
-    return tuple(tails)
+        paths_ms[number] = advice_ms + estimate + max(following, default=0)
+    return tuple(paths_ms)
 
 
 def open_job(state: DispatchState, entry: JobEntry) -> None:
     """Set a new job's objective and open its first occurrence."""
-    terms = entry.queue
+    queue = entry.queue
     advice_ms = 0
-    if terms.advice is not None:
+    if queue.advice is not None:
         advice_ms = int(
-            terms.advice.decide_ms + terms.advice.each_ms * ADVISED_WORKERS
+            queue.advice.decide_ms + queue.advice.each_ms * ADVISED_WORKERS
         )
-    tails = measure_tails(entry.workflow, advice_ms)
-    objective = int(terms.stretch * max(tails)) + terms.target_latency_ms
-    accepted = to_owner_clock(state, entry.accepted_at_ms)
+    paths_ms = compute_critical_paths(entry.workflow, advice_ms)
+    objective = int(queue.stretch * max(paths_ms)) + queue.target_latency_ms
+    accepted = convert_to_owner_clock(state, entry.accepted_at_ms)
     start = accepted
     if entry.workflow.start_at_ms:
-        start = max(start, to_owner_clock(state, entry.workflow.start_at_ms))
+        start = max(
+            start, convert_to_owner_clock(state, entry.workflow.start_at_ms)
+        )
     state.update_job(
         entry.job_id,
-        tails=tails,
+        critical_paths_ms=paths_ms,
         due_at=start + objective,
-        late_at=start + LATE_OBJECTIVES * objective,
+        value_ends_at=start + VALUE_OBJECTIVES * objective,
     )
     open_due_occurrences(state, entry.job_id)
 
 
-def to_owner_clock(state: DispatchState, wall_ms: int) -> int:
+def convert_to_owner_clock(state: DispatchState, wall_ms: int) -> int:
     """Return the owner's clock at a wall time."""
     return state.now + wall_ms - state.wall_ms
 
 
-def find_occurrence_due(entry: JobEntry, occurrence: int) -> int:
+def find_occurrence_start(entry: JobEntry, occurrence: int) -> int:
     """Return the wall time at which an occurrence may start, or 0."""
     workflow = entry.workflow
     if not workflow.start_at_ms and occurrence == 0:
@@ -86,7 +90,7 @@
     while (
         entry.occurrences < entry.workflow.occurrences and not entry.has_ended
     ):
-        if find_occurrence_due(entry, entry.occurrences) > state.wall_ms:
+        if find_occurrence_start(entry, entry.occurrences) > state.wall_ms:
             return
         entry = _open_occurrence(state, entry)
 
@@ -104,11 +108,13 @@
         open_steps=entry.open_steps + len(entry.workflow.steps),
     )
     for number in range(len(entry.workflow.steps)):
-        ready_if_due(state, StepKey(entry.job_id, occurrence, number))
+        mark_ready_if_unblocked(
+            state, StepKey(entry.job_id, occurrence, number)
+        )
     return entry
 
 
-def ready_if_due(state: DispatchState, key: StepKey) -> None:
+def mark_ready_if_unblocked(state: DispatchState, key: StepKey) -> None:
     """Mark a step ready once all its predecessors are done.
 
     A successor may learn that a step has finished before it learns so of
@@ -119,7 +125,7 @@
     if entry.ready or entry.closed:
         return
     for number in step.after:
-        if state.steps[key._replace(step=number)].open:
+        if state.steps[key._replace(step=number)].open_tasks:
             return
     state.update_step(key, ready=True, ready_at=state.now)
     queue_step(state, key)
@@ -129,13 +135,15 @@
 def queue_step(state: DispatchState, key: StepKey) -> None:
     """Put a step among the waiting ones if it wants runs."""
     entry = state.steps.get(key)
-    if entry is None or not entry.ready or not entry.pending:
+    if entry is None or not entry.ready or not entry.pending_tasks:
         return
-    state.waiting[key] = None
+    state.waiting_steps[key] = None
     state.needs_pass = True
 
 
-def note_end(state: DispatchState, record: RunEnded, key: StepKey) -> None:
+def apply_run_end(
+    state: DispatchState, record: RunEnded, key: StepKey
+) -> None:
     """Apply the end of a run to its task, step and job."""
     job = state.jobs[key.job_id]
     index = int(record.task.rpartition('.')[2])
@@ -156,12 +164,12 @@
     if job.has_ended:
         return
     if record.how is EndKind.FINISHED:
-        _note_finished(state, key, index)
+        _apply_finished(state, key, index)
     if record.how is EndKind.FAILED:
-        _note_failed(state, key, record)
+        _apply_failed(state, key, record)
 
 
-def _note_finished(state: DispatchState, key: StepKey, index: int) -> None:
+def _apply_finished(state: DispatchState, key: StepKey, index: int) -> None:
     step = state.find_step(key)
     if step.long_running:
         return
@@ -174,34 +182,38 @@
 
 def finish_task(state: DispatchState, key: StepKey, index: int) -> None:
     """Note that a task has finished for good."""
-    task = name_task(key, index)
+    task = make_task_id(key, index)
     if state.find_task(task).finished:
         return
     state.update_task(task, finished=True)
     entry = state.steps[key]
     state.update_step(
-        key, open=entry.open - 1, pending=entry.pending - {index}
+        key,
+        open_tasks=entry.open_tasks - 1,
+        pending_tasks=entry.pending_tasks - {index},
     )
 
 
 def advance_job(state: DispatchState, key: StepKey) -> None:
     """Open what follows a step that has finished."""
     entry = state.steps[key]
-    if entry.open or not entry.ready:
+    if entry.open_tasks or not entry.ready:
         return
-    state.waiting.pop(key, None)
+    state.waiting_steps.pop(key, None)
     job = state.update_job(
         key.job_id, open_steps=state.jobs[key.job_id].open_steps - 1
     )
     state.update_step(key, ready=False, closed=True)
     for number in range(key.step + 1, len(job.workflow.steps)):
-        ready_if_due(state, key._replace(step=number))
+        mark_ready_if_unblocked(state, key._replace(step=number))
     if job.open_steps or job.occurrences < job.workflow.occurrences:
         return
-    close_job(state, key.job_id, WorkflowState.COMPLETED)
+    end_job(state, key.job_id, WorkflowState.COMPLETED)
 
 
-def _note_failed(state: DispatchState, key: StepKey, record: RunEnded) -> None:
+def _apply_failed(
+    state: DispatchState, key: StepKey, record: RunEnded
+) -> None:
     job = state.jobs[key.job_id]
     step = state.find_step(key)
     task = state.update_task(
@@ -220,46 +232,44 @@
         )
     if step.long_running:
         return
-    if failures >= state.find_terms(job).max_attempts:
-        close_job(state, key.job_id, WorkflowState.FAILED)
+    if failures >= state.find_queue_of(job).max_attempts:
+        end_job(state, key.job_id, WorkflowState.FAILED)
 
 
-def close_job(
-    state: DispatchState, job_id: str, outcome: WorkflowState
-) -> None:
+def end_job(state: DispatchState, job_id: str, outcome: WorkflowState) -> None:
     """End a job for good; its remaining runs are stopped by the caller."""
     entry = state.update_job(job_id, state=outcome, ended_at_ms=state.wall_ms)
-    state.ended_order[job_id] = None
+    state.ended_jobs[job_id] = None
     for key in state.list_steps_of(entry):
-        state.waiting.pop(key, None)
+        state.waiting_steps.pop(key, None)
         state.advice.pop(key, None)
 
 
-def note_closing_run(state: DispatchState, job_id: str, run: RunKey) -> None:
+def record_ending_run(state: DispatchState, job_id: str, run: RunKey) -> None:
     """Remember which run's end closed a job."""
     entry = state.jobs[job_id]
-    if entry.has_ended and entry.closed_by is None:
-        state.update_job(job_id, closed_by=run)
+    if entry.has_ended and entry.ended_by is None:
+        state.update_job(job_id, ended_by=run)
 
 
-def want_task(state: DispatchState, key: StepKey, index: int) -> None:
+def requeue_task(state: DispatchState, key: StepKey, index: int) -> None:
     """Ask for a new run of a task that has none."""
     job = state.jobs.get(key.job_id)
     entry = state.steps.get(key)
     if job is None or job.has_ended or entry is None:
         return
-    if state.find_task(name_task(key, index)).finished:
+    if state.find_task(make_task_id(key, index)).finished:
         return
-    state.update_step(key, pending=entry.pending | {index})
+    state.update_step(key, pending_tasks=entry.pending_tasks | {index})
     queue_step(state, key)
 
 
 def forget_step(state: DispatchState, key: StepKey) -> None:
     """Drop a step without runs, and all that is known of its tasks."""
     for index in range(state.find_step(key).tasks):
-        state.tasks.pop(name_task(key, index), None)
+        state.tasks.pop(make_task_id(key, index), None)
     del state.steps[key]
-    state.waiting.pop(key, None)
+    state.waiting_steps.pop(key, None)
     state.advice.pop(key, None)
     state.step_rates.pop(key, None)
 
@@ -269,4 +279,4 @@
     for key in list(state.list_steps_of(state.jobs[job_id])):
         forget_step(state, key)
     del state.jobs[job_id]
-    state.ended_order.pop(job_id, None)
+    state.ended_jobs.pop(job_id, None)
--- a/sassafrasgate/dispatch/recovery.py
+++ b/sassafrasgate/dispatch/recovery.py
@@ -10,19 +10,19 @@
 from sassafrasgate.core.workflows import WorkflowState
 from sassafrasgate.dispatch.actions import LogEvent
 from sassafrasgate.dispatch.events import OwnersEnded
-from sassafrasgate.dispatch.handlers import APPLIERS
 from sassafrasgate.dispatch.handlers import EVENT_HANDLERS
+from sassafrasgate.dispatch.handlers import RECORD_APPLIERS
 from sassafrasgate.dispatch.leases import compute_takeover_expiry
 from sassafrasgate.dispatch.progress import advance_job
-from sassafrasgate.dispatch.progress import close_job
+from sassafrasgate.dispatch.progress import apply_run_end
+from sassafrasgate.dispatch.progress import end_job
 from sassafrasgate.dispatch.progress import finish_task
-from sassafrasgate.dispatch.progress import note_closing_run
-from sassafrasgate.dispatch.progress import note_end
 from sassafrasgate.dispatch.progress import open_due_occurrences
 from sassafrasgate.dispatch.progress import open_job
-from sassafrasgate.dispatch.state import FRESH_TASK
+from sassafrasgate.dispatch.progress import record_ending_run
 from sassafrasgate.dispatch.state import JobEntry
-from sassafrasgate.dispatch.state import name_task
+from sassafrasgate.dispatch.state import make_task_id
+from sassafrasgate.dispatch.state import NEW_TASK
 from sassafrasgate.dispatch.state import RunKey
 from sassafrasgate.dispatch.state import StepKey
 from sassafrasgate.journal.records import Takeover
@@ -44,13 +44,13 @@
 
 GANG_INDEX = -1
 # Owners before these have lost their leases and graces long ago.
-MOST_OWNERS = 4
+MAX_RECORDED_OWNERS = 4
 
 
 def replay_records(state: DispatchState, records: Iterable[Any]) -> None:
     """Apply records that are in the journal."""
     for record in records:
-        APPLIERS.find(record.kind)(state, record)
+        RECORD_APPLIERS.find(record.kind)(state, record)
 
 
 def begin_ownership(state: DispatchState) -> None:
@@ -62,7 +62,10 @@
     """
     for job_id, entry in list(state.jobs.items()):
         state.update_job(
-            job_id, durable=True, from_previous_owner=True, shown=entry.state
+            job_id,
+            durable=True,
+            from_previous_owner=True,
+            durable_state=entry.state,
         )
     bound = compute_takeover_expiry(
         state.now, state.previous_ttl_ms, state.previous_grace_ms
@@ -80,7 +83,7 @@
 
 
 @EVENT_HANDLERS.register(OwnersEnded)
-def note_ended_owners(state: DispatchState, event: OwnersEnded) -> Actions:
+def handle_owners_ended(state: DispatchState, event: OwnersEnded) -> Actions:
     """Wait only for the leases that earlier owners have granted."""
     if state.previous_owners_ended:
         return
@@ -133,7 +136,7 @@
     tasks = [
         (index, state.tasks[name])
         for index in range(step.tasks)
-        if (name := name_task(key, index)) in state.tasks
+        if (name := make_task_id(key, index)) in state.tasks
     ]
     if not tasks:
         return
@@ -166,7 +169,7 @@
     )
 
 
-@APPLIERS.register('takeover')
+@RECORD_APPLIERS.register('takeover')
 def _apply_takeover(state: DispatchState, record: Takeover) -> None:
     state.previous_ttl_ms = state.ttl_ms
     state.previous_grace_ms = state.grace_ms
@@ -174,30 +177,30 @@
     state.grace_ms = record.grace_ms
     state.epoch = record.epoch
     others = tuple(owner for owner in state.owners if owner != record.owner)
-    state.owners = (*others, record.owner)[-MOST_OWNERS:]
+    state.owners = (*others, record.owner)[-MAX_RECORDED_OWNERS:]
     if record.owner != state.owner:
         state.handover_lease_ms = -1
 
 
-@APPLIERS.register('released')
+@RECORD_APPLIERS.register('released')
 def _apply_released(state: DispatchState, record: Released) -> None:
     state.handover_lease_ms = record.lapse_ms
     state.owners = state.owners[:-1]
 
 
-@APPLIERS.register('worker-seen')
+@RECORD_APPLIERS.register('worker-seen')
 def _apply_worker_seen(state: DispatchState, record: WorkerSeen) -> None:
     state.recorded_workers[record.worker] = (record.pool, record.address)
 
 
-@APPLIERS.register('worker-forgotten')
+@RECORD_APPLIERS.register('worker-forgotten')
 def _apply_worker_forgotten(
     state: DispatchState, record: WorkerForgotten
 ) -> None:
     state.recorded_workers.pop(record.worker, None)
 
 
-@APPLIERS.register('workflow-accepted')
+@RECORD_APPLIERS.register('workflow-accepted')
 def _apply_accepted(state: DispatchState, record: WorkflowAccepted) -> None:
     if record.job_id in state.jobs:
         return
@@ -208,15 +211,15 @@
     open_job(state, entry)
 
 
-@APPLIERS.register('workflow-cancelled')
+@RECORD_APPLIERS.register('workflow-cancelled')
 def _apply_cancelled(state: DispatchState, record: WorkflowCancelled) -> None:
     entry = state.jobs.get(record.job_id)
     if entry is None or entry.has_ended:
         return
-    close_job(state, record.job_id, WorkflowState.CANCELLED)
+    end_job(state, record.job_id, WorkflowState.CANCELLED)
 
 
-@APPLIERS.register('run-ended')
+@RECORD_APPLIERS.register('run-ended')
 def _apply_run_ended(state: DispatchState, record: RunEnded) -> None:
     job_id, occurrence, step, _ = split_step_task_id(record.task)
     if job_id not in state.jobs:
@@ -225,11 +228,11 @@
     entry = state.jobs[job_id]
     if occurrence >= entry.occurrences:
         open_due_occurrences(state, job_id)
-    note_end(state, record, StepKey(job_id, occurrence, step))
-    note_closing_run(state, job_id, RunKey(record.task, record.run))
+    apply_run_end(state, record, StepKey(job_id, occurrence, step))
+    record_ending_run(state, job_id, RunKey(record.task, record.run))
 
 
-@APPLIERS.register('step-progress')
+@RECORD_APPLIERS.register('step-progress')
 def _apply_progress(state: DispatchState, record: StepProgress) -> None:
     key = StepKey(record.job_id, record.occurrence, record.step)
     if key not in state.steps:
@@ -237,28 +240,28 @@
     if key not in state.steps:
         return
     for index, next_run in record.next_runs:
-        state.update_task(name_task(key, index), next_run=next_run)
+        state.update_task(make_task_id(key, index), next_run=next_run)
     for index, failures in record.failures:
         if index == GANG_INDEX:
             state.update_step(key, gang_failures=failures)
         else:
-            state.update_task(name_task(key, index), failures=failures)
+            state.update_task(make_task_id(key, index), failures=failures)
     for index, checkpoint in record.checkpoints:
         if index == GANG_INDEX:
             state.update_step(key, checkpoint=checkpoint)
         else:
-            state.update_task(name_task(key, index), checkpoint=checkpoint)
+            state.update_task(make_task_id(key, index), checkpoint=checkpoint)
     for index, runs in record.ended:
         if index == GANG_INDEX:
             state.update_step(key, failed_gang_runs=runs)
         else:
-            state.update_task(name_task(key, index), ended_runs=runs)
+            state.update_task(make_task_id(key, index), ended_runs=runs)
     for index in record.finished:
         finish_task(state, key, index)
     advance_job(state, key)
 
 
-@APPLIERS.register('workflow-closed')
+@RECORD_APPLIERS.register('workflow-closed')
 def _apply_closed(state: DispatchState, record: WorkflowClosed) -> None:
     state.jobs[record.job_id] = JobEntry(
         record.job_id,
@@ -266,17 +269,17 @@
         Workflow('', ()),
         0,
         state=record.state,
-        shown=record.state,
+        durable_state=record.state,
         durable=True,
         ended_at_ms=record.ended_at_ms,
     )
-    state.ended_order[record.job_id] = None
+    state.ended_jobs[record.job_id] = None
 
 
 def find_next_run(state: DispatchState, key: StepKey) -> int:
     """Return the number for a gang's next run."""
     step = state.find_step(key)
     return max(
-        state.tasks.get(name_task(key, index), FRESH_TASK).next_run
+        state.tasks.get(make_task_id(key, index), NEW_TASK).next_run
         for index in range(step.tasks)
     )
--- a/sassafrasgate/dispatch/registrations.py
+++ b/sassafrasgate/dispatch/registrations.py
@@ -30,12 +30,12 @@
 
 
 @EVENT_HANDLERS.register(TableChanged)
-def note_table(state: DispatchState, event: TableChanged) -> Actions:
+def handle_table_change(state: DispatchState, event: TableChanged) -> Actions:
     """Put a newer routing table in force."""
-    if event.table.version <= state.table.version:
+    if event.table.version <= state.routing_table.version:
         return
-    previous = state.table.version
-    state.table = event.table
+    previous = state.routing_table.version
+    state.routing_table = event.table
     state.needs_pass = True
     yield LogEvent(
         'table',
@@ -45,25 +45,27 @@
 
 
 @EVENT_HANDLERS.register(WorkersListed)
-def note_list(state: DispatchState, event: WorkersListed) -> Actions:
+def handle_worker_list(state: DispatchState, event: WorkersListed) -> Actions:
     """Take a whole list; workers that it lacks have no entry any more."""
     listed = {entry.worker for entry in event.registrations}
     for registration in event.registrations:
-        yield from note_registered(state, WorkerRegistered(registration))
+        yield from handle_registration(state, WorkerRegistered(registration))
     for worker, entry in list(state.workers.items()):
         if entry.registered and worker not in listed:
-            yield from note_unregistered(state, WorkerUnregistered(worker))
+            yield from handle_unregistration(state, WorkerUnregistered(worker))
 
 
 @EVENT_HANDLERS.register(WorkerRegistered)
-def note_registered(state: DispatchState, event: WorkerRegistered) -> Actions:
+def handle_registration(
+    state: DispatchState, event: WorkerRegistered
+) -> Actions:
     """Add a worker, or take what has changed in its entry."""
     registration = event.registration
     worker = registration.worker
     entry = state.workers.get(worker)
     if entry is None:
         state.workers[worker] = WorkerEntry(registration)
-        state.measure_free(worker)
+        state.update_free_resources(worker)
         yield from _record_worker(state, registration)
         yield _watch_worker(state, registration)
         yield _describe_worker('worker-added', registration)
@@ -72,7 +74,7 @@
     if entry.registered and known == registration:
         return
     state.update_worker(worker, registration=registration, registered=True)
-    state.measure_free(worker)
+    state.update_free_resources(worker)
     state.needs_pass = True
     if known.address != registration.address:
         yield from _record_worker(state, registration)
@@ -91,8 +93,8 @@
     not known exactly.
     """
     worker = registration.worker
-    number = state.watches.get(worker, 0)
-    state.watches[worker] = number + 1
+    number = state.watch_counts.get(worker, 0)
+    state.watch_counts[worker] = number + 1
     if number:
         entry = state.workers[worker]
         bound = compute_worker_lease_expiry(state.now, NORMAL_HOLD_WAIT_MS)
@@ -136,7 +138,9 @@
 
 
 @DURABLE_HANDLERS.register('worker-seen')
-def note_recorded(state: DispatchState, record: WorkerSeen) -> Actions:
+def handle_worker_recorded(
+    state: DispatchState, record: WorkerSeen
+) -> Actions:
     """Let a worker be used, since a successor will know of it."""
     entry = state.workers.get(record.worker)
     named = state.recorded_workers.get(record.worker)
@@ -147,7 +151,7 @@
 
 
 @EVENT_HANDLERS.register(WorkerUnregistered)
-def note_unregistered(
+def handle_unregistration(
     state: DispatchState, event: WorkerUnregistered
 ) -> Actions:
     """Start nothing on a worker without an entry.
@@ -165,7 +169,7 @@
         (
             ('worker', event.worker),
             ('silent', bool(entry.silent_since)),
-            ('runs', len(state.runs_on.get(event.worker, ()))),
+            ('runs', len(state.runs_by_worker.get(event.worker, ()))),
         ),
     )
 
@@ -183,7 +187,7 @@
         state.workers[worker] = WorkerEntry(
             registration, registered=False, recorded=True
         )
-        state.measure_free(worker)
+        state.update_free_resources(worker)
         yield _watch_worker(state, registration)
 
 
@@ -194,7 +198,10 @@
     comes back into use is named again before its next start.
     """
     for worker, entry in list(state.workers.items()):
-        if state.runs_on.get(worker) or worker in state.unreconciled_workers:
+        if (
+            state.runs_by_worker.get(worker)
+            or worker in state.unreconciled_workers
+        ):
             continue
         if entry.unknown_runs or not _is_idle_for_good(entry):
             continue
@@ -204,7 +211,7 @@
         if entry.registered or not _is_silent_for_good(entry):
             continue
         del state.workers[worker]
-        state.free.pop(worker, None)
+        state.free_resources.pop(worker, None)
         state.health.pop(worker, None)
         yield ForgetWorker(worker)
         yield LogEvent('worker-forgotten', '', (('worker', worker),))
@@ -225,7 +232,7 @@
     )
 
 
-def record_used_workers(state: DispatchState) -> Actions:
+def record_workers_in_use(state: DispatchState) -> Actions:
     """Name workers in the journal that have come back into use."""
     for worker, entry in list(state.workers.items()):
         if worker in state.recorded_workers or _is_idle_for_good(entry):
--- a/sassafrasgate/dispatch/reports.py
+++ b/sassafrasgate/dispatch/reports.py
@@ -16,13 +16,13 @@
 from sassafrasgate.dispatch.handlers import DURABLE_HANDLERS
 from sassafrasgate.dispatch.handlers import EVENT_HANDLERS
 from sassafrasgate.dispatch.handlers import write_record
-from sassafrasgate.dispatch.health import note_run_end
-from sassafrasgate.dispatch.hold_waits import note_unanswered_call
-from sassafrasgate.dispatch.pacing import choose_first_pace
-from sassafrasgate.dispatch.pacing import FULL_PACE
-from sassafrasgate.dispatch.pacing import UNKNOWN_PACE
-from sassafrasgate.dispatch.progress import want_task
-from sassafrasgate.dispatch.requests import show_end
+from sassafrasgate.dispatch.health import record_run_end
+from sassafrasgate.dispatch.hold_waits import record_unanswered_call
+from sassafrasgate.dispatch.pacing import choose_initial_pace
+from sassafrasgate.dispatch.pacing import FULL_PACE_PERCENT
+from sassafrasgate.dispatch.pacing import UNKNOWN_PACE_PERCENT
+from sassafrasgate.dispatch.progress import requeue_task
+from sassafrasgate.dispatch.requests import publish_end
 from sassafrasgate.dispatch.state import RunEntry
 from sassafrasgate.dispatch.state import RunKey
 from sassafrasgate.dispatch.state import RunPhase
@@ -30,8 +30,8 @@
 from sassafrasgate.dispatch.stops import is_gone
 from sassafrasgate.dispatch.stops import stop_job_runs
 from sassafrasgate.dispatch.stops import stop_step_runs
-from sassafrasgate.dispatch.stragglers import measure_run
-from sassafrasgate.dispatch.stragglers import note_finished_run
+from sassafrasgate.dispatch.stragglers import measure_progress
+from sassafrasgate.dispatch.stragglers import record_finished_run
 from sassafrasgate.journal.workflows import RunEnded
 from sassafrasgate.shards.actions import GiveUpShard
 from sassafrasgate.shards.attempts import ClockReading
@@ -46,42 +46,46 @@
 
 
 @EVENT_HANDLERS.register(WorkerReported)
-def note_report(state: DispatchState, event: WorkerReported) -> Actions:
+def handle_report(state: DispatchState, event: WorkerReported) -> Actions:
     """Take a worker's lists as the truth about its runs."""
     entry = state.workers.get(event.worker)
     if entry is None:
         return
     report = event.report
-    reborn = (
+    restarted = (
         bool(entry.incarnation_ms) and report.born_ms != entry.incarnation_ms
     )
-    if not reborn and entry.reading and report.clock_ms < entry.reading.clock:
+    if (
+        not restarted
+        and entry.reading
+        and report.clock_ms < entry.reading.clock
+    ):
         return
-    if entry.silent_since or not entry.epoch_acknowledged or reborn:
-        yield _describe_return(state, event, reborn)
-    if reborn:
-        yield from _note_restart(state, event)
+    if entry.silent_since or not entry.epoch_acknowledged or restarted:
+        yield _describe_return(state, event, restarted)
+    if restarted:
+        yield from _process_restart(state, event)
     state.update_worker(
         event.worker,
         epoch_acknowledged=True,
         incarnation_ms=report.born_ms,
         reading=ClockReading(report.clock_ms, event.received_at),
-        seen=0 if reborn else entry.seen,
+        last_end_number=0 if restarted else entry.last_end_number,
         silent_since=0,
         leases_expire_at=event.leases_expire_at,
         leases_expired=False,
     )
     for ended in report.ended:
-        yield from _note_ended(state, event, ended)
-    yield from _note_running(state, event)
+        yield from _process_ended(state, event, ended)
+    yield from _process_running(state, event)
     if state.unreconciled_workers.pop(event.worker, None) is not None:
         state.needs_pass = True
-    if reborn or not entry.epoch_acknowledged or entry.silent_since:
-        state.measure_free(event.worker)
+    if restarted or not entry.epoch_acknowledged or entry.silent_since:
+        state.update_free_resources(event.worker)
         state.needs_pass = True
 
 
-def _note_restart(state: DispatchState, event: WorkerReported) -> Actions:
+def _process_restart(state: DispatchState, event: WorkerReported) -> Actions:
     """Give up the runs of a worker's earlier life.
 
     A start that no report has listed, or a copy of one, may reach the new
@@ -98,15 +102,15 @@
             run.key,
             incarnation_ms=event.report.born_ms,
             phase=RunPhase.PRESENT,
-            present_clock=event.report.clock_ms,
-            stop_clock=0,
+            confirmed_clock=event.report.clock_ms,
+            stop_confirmed_clock=0,
             listed=False,
         )
     state.update_worker(event.worker, unknown_runs=frozenset())
 
 
 def _describe_return(
-    state: DispatchState, event: WorkerReported, reborn: bool
+    state: DispatchState, event: WorkerReported, restarted: bool
 ) -> LogEvent:
     entry = state.workers[event.worker]
     silent_ms = state.now - entry.silent_since if entry.silent_since else 0
@@ -115,7 +119,7 @@
         '',
         (
             ('worker', event.worker),
-            ('restarted', reborn),
+            ('restarted', restarted),
             ('first', not entry.epoch_acknowledged),
             ('silent_ms', silent_ms),
             ('running', len(event.report.running)),
@@ -124,13 +128,13 @@
     )
 
 
-def _note_ended(
+def _process_ended(
     state: DispatchState, event: WorkerReported, ended: EndedRun
 ) -> Actions:
     entry = state.workers[event.worker]
-    if ended.number <= entry.seen:
+    if ended.number <= entry.last_end_number:
         return
-    state.update_worker(event.worker, seen=ended.number)
+    state.update_worker(event.worker, last_end_number=ended.number)
     key = RunKey(ended.task, ended.run)
     if key in entry.unknown_runs:
         state.update_worker(
@@ -154,11 +158,11 @@
     yield _describe_end(state, event, ended, run)
     if run is None or run.worker != event.worker:
         return
-    note_run_end(state, run, ended.how)
+    record_run_end(state, run, ended.how)
     if ended.how is EndKind.FINISHED:
-        note_finished_run(state, run)
-    state.drop_run(key)
-    yield from settle_step(state, run)
+        record_finished_run(state, run)
+    state.remove_run(key)
+    yield from reschedule_step(state, run)
 
 
 def _describe_end(
@@ -181,7 +185,7 @@
     return LogEvent('end', ended.task, fields)
 
 
-def settle_step(state: DispatchState, run: RunEntry) -> Actions:
+def reschedule_step(state: DispatchState, run: RunEntry) -> Actions:
     """Decide what follows for a step after one of its runs is gone."""
     job = state.jobs.get(run.step.job_id)
     entry = state.steps.get(run.step)
@@ -190,27 +194,27 @@
     step = state.find_step(run.step)
     if job.has_ended:
         # The members of a gang that has finished end by themselves.
-        if not (step.gang and not entry.open):
+        if not (step.gang and not entry.open_tasks):
             yield from stop_job_runs(state, job.job_id)
         return
     if not step.gang:
         if not _has_run(state, run.step, run.index):
-            want_task(state, run.step, run.index)
+            requeue_task(state, run.step, run.index)
         return
-    if entry.open and run.step in state.runs_of:
+    if entry.open_tasks and run.step in state.runs_by_step:
         yield from stop_step_runs(
             state, run.step, 'another member of the gang is gone'
         )
         return
     for index in range(step.tasks):
-        want_task(state, run.step, index)
+        requeue_task(state, run.step, index)
 
 
 def _has_run(state: DispatchState, key: StepKey, index: int) -> bool:
     return any(run.index == index for run in state.list_runs_of(key))
 
 
-def _note_running(state: DispatchState, event: WorkerReported) -> Actions:
+def _process_running(state: DispatchState, event: WorkerReported) -> Actions:
     listed: set[RunKey] = set()
     for running in event.report.running:
         key = RunKey(running.task, running.run)
@@ -222,12 +226,12 @@
         state.runs[key] = replace(
             run,
             phase=RunPhase.PRESENT,
-            present_clock=run.present_clock or event.report.clock_ms,
+            confirmed_clock=run.confirmed_clock or event.report.clock_ms,
             listed=True,
             checkpoint=running.checkpoint or run.checkpoint,
             load=running.load,
             load_at=event.received_at,
-            **measure_run(run, running.percent, event.received_at),
+            **measure_progress(run, running.percent, event.received_at),
         )
     clock_ms = event.report.clock_ms
     for run in state.list_runs_on(event.worker):
@@ -271,11 +275,11 @@
         index,
         event.worker,
         event.report.born_ms,
-        reserve_demand(step),
+        compute_reservation(step),
         RunPhase.PRESENT,
         started_at=state.now - step.estimate_ms * percent // 100,
         expected_ms=step.estimate_ms,
-        present_clock=event.report.clock_ms,
+        confirmed_clock=event.report.clock_ms,
         listed=True,
         percent=running.percent,
         percent_at=event.received_at,
@@ -284,10 +288,12 @@
         fills=step.fills,
         load=running.load,
         load_at=event.received_at,
-        pace=choose_first_pace(state, event.worker, step.fills),
+        pace=choose_initial_pace(state, event.worker, step.fills),
         paced_at=state.now,
         # The earlier owner may have set any.
-        confirmed_pace=UNKNOWN_PACE if step.fills else FULL_PACE,
+        confirmed_pace=UNKNOWN_PACE_PERCENT
+        if step.fills
+        else FULL_PACE_PERCENT,
     )
     duplicate = any(
         other.index == index for other in state.list_runs_of(step_key)
@@ -300,10 +306,12 @@
         yield from _stop_adopted(state, run)
         return
     entry_step = state.steps[step_key]
-    state.update_step(step_key, pending=entry_step.pending - {index})
-    if not state.steps[step_key].pending:
-        state.waiting.pop(step_key, None)
-    note_begun(state, step_key.job_id)
+    state.update_step(
+        step_key, pending_tasks=entry_step.pending_tasks - {index}
+    )
+    if not state.steps[step_key].pending_tasks:
+        state.waiting_steps.pop(step_key, None)
+    mark_running(state, step_key.job_id)
     yield LogEvent(
         'adopt',
         running.task,
@@ -346,14 +354,14 @@
     return StepKey(job_id, occurrence, step), index
 
 
-def note_begun(state: DispatchState, job_id: str) -> None:
+def mark_running(state: DispatchState, job_id: str) -> None:
     """Show a job as running from its first confirmed run on."""
     entry = state.jobs[job_id]
     if entry.state is entry.state.QUEUED:
         state.update_job(job_id, state=entry.state.RUNNING)
 
 
-def reserve_demand(step: Step) -> Resources:
+def compute_reservation(step: Step) -> Resources:
     """Return what a run of a step takes from its worker's capacity."""
     if step.fills:
         return replace(step.demand, millicores=0)
@@ -362,7 +370,7 @@
 
 def lose_run(state: DispatchState, run: RunEntry, reason: str) -> Actions:
     """Give up a run that is certainly gone without a listed end."""
-    state.drop_run(run.key)
+    state.remove_run(run.key)
     task = state.find_task(run.key.task)
     state.update_task(
         run.key.task,
@@ -382,7 +390,7 @@
             ('reason', reason),
         ),
     )
-    yield from settle_step(state, run)
+    yield from reschedule_step(state, run)
 
 
 def lose_worker_runs(
@@ -396,9 +404,9 @@
 
 
 @EVENT_HANDLERS.register(WorkerSilent)
-def note_silence(state: DispatchState, event: WorkerSilent) -> Actions:
+def handle_silence(state: DispatchState, event: WorkerSilent) -> Actions:
     """Start nothing on a worker that does not answer."""
-    note_unanswered_call(state)
+    record_unanswered_call(state)
     entry = state.workers.get(event.worker)
     if entry is None:
         return
@@ -414,14 +422,14 @@
         '',
         (
             ('worker', event.worker),
-            ('runs', len(state.runs_on.get(event.worker, ()))),
+            ('runs', len(state.runs_by_worker.get(event.worker, ()))),
             ('leases_expire_in_ms', event.leases_expire_at - state.now),
             ('reason', event.reason),
         ),
     )
 
 
-def note_lapses(state: DispatchState) -> Actions:
+def expire_leases(state: DispatchState) -> Actions:
     """Give up runs on silent workers whose leases have lapsed."""
     for worker, entry in list(state.workers.items()):
         if not entry.silent_since or entry.leases_expired:
@@ -448,7 +456,7 @@
 
 
 @EVENT_HANDLERS.register(EpochRefused)
-def note_deposed(state: DispatchState, event: EpochRefused) -> Actions:
+def handle_epoch_refusal(state: DispatchState, event: EpochRefused) -> Actions:
     """Give the shard up: a worker obeys a later owner."""
     yield GiveUpShard(
         f'worker {event.worker!r} obeys an owner with a higher epoch than '
@@ -461,18 +469,16 @@
     """Let the worker forget a durable end, and show the job's end."""
     job_id = record.task.split('.', 1)[0]
     entry = state.jobs.get(job_id)
-    if entry is not None and entry.closed_by == RunKey(
-        record.task, record.run
-    ):
-        yield from show_end(state, job_id)
+    if entry is not None and entry.ended_by == RunKey(record.task, record.run):
+        yield from publish_end(state, job_id)
     yield AcknowledgeEnds(record.worker, record.born_ms, record.number)
 
 
 def list_incomplete_gangs(state: DispatchState) -> list[StepKey]:
     """Return gangs of which only some members are present or on the way."""
     found = []
-    for key, runs in state.runs_of.items():
-        if key not in state.steps or not state.steps[key].open:
+    for key, runs in state.runs_by_step.items():
+        if key not in state.steps or not state.steps[key].open_tasks:
             continue
         step = state.find_step(key)
         if step.gang and len(runs) < step.tasks:
--- a/sassafrasgate/dispatch/requests.py
+++ b/sassafrasgate/dispatch/requests.py
@@ -51,14 +51,14 @@
 
 
 @REQUEST_HANDLERS.register('submit-workflow')
-def accept_workflow(state: DispatchState, event: RequestReceived) -> Actions:
+def handle_submission(state: DispatchState, event: RequestReceived) -> Actions:
     """Accept a workflow once; repeats get the first one's answer."""
     message: SubmitWorkflow = event.message
     entry = state.jobs.get(message.job_id)
     if entry is not None:
-        yield from _answer_repeat(state, event, entry)
+        yield from _reply_to_repeat(state, event, entry)
         return
-    refusal = _find_refusal(state, message)
+    refusal = _check_submission(state, message)
     if refusal is not None:
         yield LogEvent(
             'refuse',
@@ -71,9 +71,9 @@
         )
         yield reply_refusal(event.reply_to, refusal)
         return
-    queue = state.table.name_queue(message.queue)
+    queue = state.routing_table.name_queue(message.queue)
     assert queue is not None
-    state.accept_callers[message.job_id] = [event.reply_to]
+    state.submit_callers[message.job_id] = [event.reply_to]
     yield from write_record(
         state,
         WorkflowAccepted(
@@ -87,23 +87,23 @@
             ('queue', queue.name),
             ('steps', len(message.workflow.steps)),
             ('tasks', sum(step.tasks for step in message.workflow.steps)),
-            ('table', state.table.version),
+            ('table', state.routing_table.version),
             ('due_ms', state.jobs[message.job_id].due_at - state.now),
         ),
     )
 
 
-def _answer_repeat(
+def _reply_to_repeat(
     state: DispatchState, event: RequestReceived, entry: JobEntry
 ) -> Actions:
     if entry.durable:
         yield Reply(event.reply_to, make_view(state, entry))
         return
-    callers = state.accept_callers.setdefault(entry.job_id, [])
+    callers = state.submit_callers.setdefault(entry.job_id, [])
     callers.append(event.reply_to)
 
 
-def _find_refusal(
+def _check_submission(
     state: DispatchState, message: SubmitWorkflow
 ) -> Refusal | None:
     if state.stopping:
@@ -112,11 +112,11 @@
             'the dispatcher moves to another process',
             'send the request again',
         )
-    if state.table.name_queue(message.queue) is None:
+    if state.routing_table.name_queue(message.queue) is None:
         return Refusal(
             RefusalKind.NOT_READY,
             f'queue {message.queue!r} is not in version '
-            f'{state.table.version!r} of the routing table',
+            f'{state.routing_table.version!r} of the routing table',
             'send the request again once the owner has the newest version',
         )
     if state.stalled_since:
@@ -125,7 +125,9 @@
 
 
 @EVENT_HANDLERS.register(JournalStalled)
-def note_stall(state: DispatchState, event: JournalStalled) -> Actions:
+def handle_journal_stall(
+    state: DispatchState, event: JournalStalled
+) -> Actions:
     """Give jobs up whose records have not been sent to a failing store.
 
     What has been sent may take effect, so its callers have to wait.
@@ -133,12 +135,12 @@
     state.stalled_since = event.since
     if not event.since:
         return
-    for job_id in state.accept_callers:
+    for job_id in state.submit_callers:
         yield Withdraw(job_id)
 
 
 @EVENT_HANDLERS.register(WithdrawalAnswered)
-def note_withdrawal(
+def handle_withdrawal(
     state: DispatchState, event: WithdrawalAnswered
 ) -> Actions:
     """Refuse a job that has left no trace."""
@@ -147,7 +149,7 @@
     forget_job(state, event.job_id)
     refusal = _refuse_stalled(state)
     yield LogEvent('withdraw', event.job_id, (('reason', refusal.reason),))
-    for caller in state.accept_callers.pop(event.job_id, ()):
+    for caller in state.submit_callers.pop(event.job_id, ()):
         yield reply_refusal(caller, refusal)
     for caller in state.cancel_callers.pop(event.job_id, ()):
         yield Reply(caller, WorkflowView(event.job_id, None, state.epoch))
@@ -164,23 +166,23 @@
 
 def make_view(state: DispatchState, entry: JobEntry) -> WorkflowView:
     """Return what callers may see of a workflow."""
-    shown = entry.shown
+    shown = entry.durable_state
     if not entry.has_ended and entry.state is WorkflowState.RUNNING:
         shown = WorkflowState.RUNNING
     return WorkflowView(entry.job_id, shown, state.epoch)
 
 
 @DURABLE_HANDLERS.register('workflow-accepted')
-def answer_accepted(state: DispatchState, record: WorkflowAccepted) -> Actions:
+def reply_accepted(state: DispatchState, record: WorkflowAccepted) -> Actions:
     """Answer the callers of an acceptance that is durable."""
     entry = state.update_job(record.job_id, durable=True)
     state.needs_pass = True
-    for caller in state.accept_callers.pop(record.job_id, ()):
+    for caller in state.submit_callers.pop(record.job_id, ()):
         yield Reply(caller, make_view(state, entry))
 
 
 @REQUEST_HANDLERS.register('query-workflow')
-def answer_query(state: DispatchState, event: RequestReceived) -> Actions:
+def handle_query(state: DispatchState, event: RequestReceived) -> Actions:
     """Tell a workflow's state, or that there is none."""
     entry = state.jobs.get(event.message.job_id)
     if entry is None:
@@ -193,14 +195,16 @@
 
 
 @REQUEST_HANDLERS.register('cancel-workflow')
-def cancel_workflow(state: DispatchState, event: RequestReceived) -> Actions:
+def handle_cancellation(
+    state: DispatchState, event: RequestReceived
+) -> Actions:
     """End a workflow; its runs are stopped at once."""
     job_id = event.message.job_id
     entry = state.jobs.get(job_id)
     if entry is None:
         yield Reply(event.reply_to, WorkflowView(job_id, None, state.epoch))
         return
-    if entry.shown is entry.state and entry.has_ended:
+    if entry.durable_state is entry.state and entry.has_ended:
         yield Reply(event.reply_to, make_view(state, entry))
         return
     state.cancel_callers.setdefault(job_id, []).append(event.reply_to)
@@ -212,25 +216,27 @@
 
 
 @DURABLE_HANDLERS.register('workflow-cancelled')
-def answer_cancelled(
+def reply_cancelled(
     state: DispatchState, record: WorkflowCancelled
 ) -> Actions:
     """Answer the callers of a cancellation that is durable."""
-    yield from show_end(state, record.job_id)
+    yield from publish_end(state, record.job_id)
 
 
-def show_end(state: DispatchState, job_id: str) -> Actions:
+def publish_end(state: DispatchState, job_id: str) -> Actions:
     """Let callers see a job's end, whose record is durable."""
     entry = state.jobs.get(job_id)
     if entry is None or not entry.has_ended:
         return
-    entry = state.update_job(job_id, shown=entry.state)
+    entry = state.update_job(job_id, durable_state=entry.state)
     for caller in state.cancel_callers.pop(job_id, ()):
         yield Reply(caller, make_view(state, entry))
 
 
 @REQUEST_HANDLERS.register('count-pending')
-def count_pending(state: DispatchState, event: RequestReceived) -> Actions:
+def handle_pending_count(
+    state: DispatchState, event: RequestReceived
+) -> Actions:
     """Count a queue's workflows that have not begun."""
     queue = event.message.queue
     count = sum(
@@ -246,7 +252,7 @@
 def list_open_callers(state: DispatchState) -> list[Any]:
     """Return the tokens of all callers that still wait for a record."""
     tokens: list[Any] = []
-    for callers in state.accept_callers.values():
+    for callers in state.submit_callers.values():
         tokens.extend(callers)
     for callers in state.cancel_callers.values():
         tokens.extend(callers)
--- a/sassafrasgate/dispatch/scheduling_passes.py
+++ b/sassafrasgate/dispatch/scheduling_passes.py
@@ -5,25 +5,25 @@
 from typing import TYPE_CHECKING
 
 from sassafrasgate.dispatch.advice import ask_advice
-from sassafrasgate.dispatch.advice import may_ask
+from sassafrasgate.dispatch.advice import may_ask_advice
 from sassafrasgate.dispatch.events import PassDue
 from sassafrasgate.dispatch.gangs import place_gang
 from sassafrasgate.dispatch.handlers import Actions
 from sassafrasgate.dispatch.handlers import EVENT_HANDLERS
 from sassafrasgate.dispatch.launches import start_run
 from sassafrasgate.dispatch.ordering import rank_step
-from sassafrasgate.dispatch.plans import charge_plan
-from sassafrasgate.dispatch.plans import list_admitted
-from sassafrasgate.dispatch.plans import list_unknown
+from sassafrasgate.dispatch.plans import list_unasked_workers
 from sassafrasgate.dispatch.plans import make_plan
 from sassafrasgate.dispatch.plans import match_workers
 from sassafrasgate.dispatch.plans import NO_ADVICE
 from sassafrasgate.dispatch.plans import PassPlan
-from sassafrasgate.dispatch.plans import respects_hold
-from sassafrasgate.dispatch.reports import reserve_demand
+from sassafrasgate.dispatch.plans import record_planned_run
+from sassafrasgate.dispatch.plans import respects_reservation
+from sassafrasgate.dispatch.plans import split_admitted_workers
+from sassafrasgate.dispatch.reports import compute_reservation
 from sassafrasgate.dispatch.state import DispatchState
 from sassafrasgate.dispatch.state import JobEntry
-from sassafrasgate.dispatch.state import name_task
+from sassafrasgate.dispatch.state import make_task_id
 from sassafrasgate.dispatch.state import StepKey
 from sassafrasgate.dispatch.state import WorkerEntry
 
@@ -37,22 +37,24 @@
 def place_waiting(state: DispatchState, event: PassDue) -> Actions:
     """Go through the waiting steps in order and start what fits."""
     state.needs_pass = False
-    if state.stopping or not state.waiting:
+    if state.stopping or not state.waiting_steps:
         return
     plan = make_plan(state)
-    for key in sorted(state.waiting, key=lambda key: rank_step(state, key)):
+    for key in sorted(
+        state.waiting_steps, key=lambda key: rank_step(state, key)
+    ):
         job = state.jobs[key.job_id]
         if job.from_previous_owner and state.unreconciled_workers:
             continue
-        terms = state.find_terms(job)
-        workers = plan.usable.get(terms.pool)
+        queue = state.find_queue_of(job)
+        workers = plan.usable.get(queue.pool)
         if not workers:
             continue
         step = state.find_step(key)
         if step.gang:
-            yield from place_gang(state, plan, key, step, terms, workers)
+            yield from place_gang(state, plan, key, step, queue, workers)
         else:
-            yield from _place_tasks(state, plan, key, step, terms, workers)
+            yield from _place_tasks(state, plan, key, step, queue, workers)
 
 
 def _place_tasks(
@@ -60,37 +62,39 @@
     plan: PassPlan,
     key: StepKey,
     step: Step,
-    terms: Queue,
+    queue: Queue,
     workers: dict[str, WorkerEntry],
 ) -> Actions:
     """Start as many tasks of a step as there is room for."""
     advice = state.advice.get(key, NO_ADVICE)
-    demand = reserve_demand(step)
-    if terms.advice is not None and advice is NO_ADVICE:
+    demand = compute_reservation(step)
+    if queue.advice is not None and advice is NO_ADVICE:
         workers = match_workers(step, workers)
-        names = list_unknown(state, advice, workers)
-        yield from ask_advice(state, key, terms.advice, names)
+        names = list_unasked_workers(state, advice, workers)
+        yield from ask_advice(state, key, queue.advice, names)
         return
     if not state.jobs[key.job_id].durable:
         # Tickets would lapse unused while the store is down.
         return
-    if not demand.fits_in(plan.most[terms.pool]):
+    if not demand.fits_in(plan.max_free[queue.pool]):
         return
     workers = match_workers(step, workers)
-    live: list[WorkerEntry] = list(workers.values())
-    good: list[WorkerEntry] = []
-    if terms.advice is not None:
-        live, good = list_admitted(state, advice, workers)
+    startable: list[WorkerEntry] = list(workers.values())
+    unticketed: list[WorkerEntry] = []
+    if queue.advice is not None:
+        startable, unticketed = split_admitted_workers(state, advice, workers)
     job = state.jobs[key.job_id]
-    yield from _start_tasks(state, plan, key, step, job, live)
-    if terms.advice is None or not state.steps[key].pending:
+    yield from _start_tasks(state, plan, key, step, job, startable)
+    if queue.advice is None or not state.steps[key].pending_tasks:
         return
-    if not may_ask(state, key):
+    if not may_ask_advice(state, key):
         return
-    names = [worker.registration.worker for worker in good]
-    names += list_unknown(state, advice, workers)
-    with_room = [name for name in names if demand.fits_in(state.free[name])]
-    yield from ask_advice(state, key, terms.advice, with_room)
+    names = [worker.registration.worker for worker in unticketed]
+    names += list_unasked_workers(state, advice, workers)
+    with_capacity = [
+        name for name in names if demand.fits_in(state.free_resources[name])
+    ]
+    yield from ask_advice(state, key, queue.advice, with_capacity)
 
 
 def _start_tasks(
@@ -101,17 +105,17 @@
     job: JobEntry,
     workers: list[WorkerEntry],
 ) -> Actions:
-    demand = reserve_demand(step)
+    demand = compute_reservation(step)
     open_workers = [
         worker
         for worker in workers
-        if demand.fits_in(state.free[worker.registration.worker])
+        if demand.fits_in(state.free_resources[worker.registration.worker])
     ]
     if not open_workers:
         return
     on_worker = _count_on_workers(state, key) if step.max_per_worker else {}
-    for index in sorted(state.steps[key].pending):
-        task = state.find_task(name_task(key, index))
+    for index in sorted(state.steps[key].pending_tasks):
+        task = state.find_task(make_task_id(key, index))
         best = _choose_worker(
             state, plan, step, demand, open_workers, on_worker, task.failed_on
         )
@@ -119,7 +123,7 @@
             return
         name = best.registration.worker
         on_worker[name] = on_worker.get(name, 0) + 1
-        charge_plan(state, plan, step, best, demand)
+        record_planned_run(state, plan, step, best, demand)
         yield from start_run(
             state, key, step, job, best, index, task.next_run, demand
         )
@@ -150,7 +154,7 @@
     best_score: tuple[bool, bool, bool, int] | None = None
     for worker in workers:
         name = worker.registration.worker
-        free = state.free[name]
+        free = state.free_resources[name]
         if not demand.fits_in(free):
             continue
         if plan.allowances.get(name, 1) <= 0:
@@ -159,10 +163,10 @@
             on_worker.get(name, 0) >= step.max_per_worker
         ):
             continue
-        if not respects_hold(state, plan, step, worker, demand):
+        if not respects_reservation(state, plan, step, worker, demand):
             continue
         far = bool(step.rack) and worker.registration.rack != step.rack
-        beside = step.fills and name in state.serving
+        beside = step.fills and name in state.latency_critical_runs
         room = -free.millicores if step.target_ms else free.millicores
         score = (name in failed_on, far, beside, room)
         if best_score is None or score < best_score:
--- a/sassafrasgate/dispatch/start_replies.py
+++ b/sassafrasgate/dispatch/start_replies.py
@@ -10,9 +10,9 @@
 from sassafrasgate.dispatch.events import RunNotSent
 from sassafrasgate.dispatch.events import RunUnanswered
 from sassafrasgate.dispatch.handlers import EVENT_HANDLERS
-from sassafrasgate.dispatch.hold_waits import note_unanswered_call
+from sassafrasgate.dispatch.hold_waits import record_unanswered_call
 from sassafrasgate.dispatch.reports import lose_run
-from sassafrasgate.dispatch.reports import note_begun
+from sassafrasgate.dispatch.reports import mark_running
 from sassafrasgate.dispatch.state import RunPhase
 from sassafrasgate.dispatch.stops import stop_run
 from sassafrasgate.shards.actions import GiveUpShard
@@ -24,8 +24,8 @@
 
 # How long a worker that refused a start for a reason of its own, which an
 # immediate repetition would meet again, gets no other.
-UNHEALTHY_PAUSE_MS = 500
-AVOIDED_REFUSALS = frozenset(
+REFUSAL_PAUSE_MS = 500
+PAUSING_REFUSALS = frozenset(
     {
         StartRefusal.UNHEALTHY,
         StartRefusal.OTHER_INCARNATION,
@@ -35,7 +35,7 @@
 
 
 @EVENT_HANDLERS.register(RunAnswered)
-def note_answer(state: DispatchState, event: RunAnswered) -> Actions:
+def handle_start_reply(state: DispatchState, event: RunAnswered) -> Actions:
     """Confirm a run, or take it back when the worker refused it."""
     run = state.runs.get(event.run)
     if run is None or run.worker != event.worker:
@@ -60,7 +60,7 @@
             f'{state.epoch!r}'
         )
         return
-    _learn_refusal(state, run, refusal)
+    _apply_refusal(state, run, refusal)
     if run.phase is RunPhase.PRESENT:
         # A report has listed the run since; the refused copy was a repeat.
         return
@@ -78,32 +78,34 @@
     state.update_run(
         run.key,
         phase=RunPhase.PRESENT,
-        present_clock=max(run.present_clock, clock_ms),
+        confirmed_clock=max(run.confirmed_clock, clock_ms),
     )
     if run.step in state.steps:
-        note_begun(state, run.step.job_id)
+        mark_running(state, run.step.job_id)
 
 
-def _learn_refusal(
+def _apply_refusal(
     state: DispatchState, run: RunEntry, refusal: StartRefusal
 ) -> None:
     if refusal is StartRefusal.NO_TICKET:
         advice = state.advice.get(run.step)
         if advice is not None:
             advice.tickets.pop(run.worker, None)
-    if refusal in AVOIDED_REFUSALS:
+    if refusal in PAUSING_REFUSALS:
         _avoid_worker(state, run.worker)
 
 
 def _avoid_worker(state: DispatchState, worker: str) -> None:
     if worker in state.workers:
-        state.update_worker(worker, avoid_until=state.now + UNHEALTHY_PAUSE_MS)
+        state.update_worker(worker, avoid_until=state.now + REFUSAL_PAUSE_MS)
 
 
 @EVENT_HANDLERS.register(RunUnanswered)
-def note_unanswered(state: DispatchState, event: RunUnanswered) -> Actions:
+def handle_unanswered_start(
+    state: DispatchState, event: RunUnanswered
+) -> Actions:
     """Keep the reservation of a run that may start at any moment."""
-    note_unanswered_call(state)
+    record_unanswered_call(state)
     run = state.runs.get(event.run)
     if run is None or run.worker != event.worker:
         return
@@ -130,7 +132,7 @@
 
 
 @EVENT_HANDLERS.register(RunNotSent)
-def note_not_sent(state: DispatchState, event: RunNotSent) -> Actions:
+def handle_unsent_start(state: DispatchState, event: RunNotSent) -> Actions:
     """Take back a run whose start was never sent."""
     run = state.runs.get(event.run)
     if run is None or run.worker != event.worker:
--- a/sassafrasgate/dispatch/state.py
+++ b/sassafrasgate/dispatch/state.py
@@ -85,7 +85,7 @@
         Expected duration of the run.
     uncertain : bool
         Whether a start call for the run got no answer.
-    present_clock : int
+    confirmed_clock : int
         Worker's clock, in ms, when it confirmed the run. The run is gone if
         a later report does not list it.
     listed : bool
@@ -95,7 +95,7 @@
         Whether the owner has decided to stop the run.
     stop_sent_at : int
         Owner's clock, in ms, when the last stop call was sent.
-    stop_clock : int
+    stop_confirmed_clock : int
         Worker's clock, in ms, when it answered a stop call; 0 before that.
     percent, percent_at : int
         Last reported progress in percent, and the owner's clock, in ms, when
@@ -139,11 +139,11 @@
     started_at: int = 0
     expected_ms: int = 0
     uncertain: bool = False
-    present_clock: int = 0
+    confirmed_clock: int = 0
     listed: bool = False
     stopping: bool = False
     stop_sent_at: int = 0
-    stop_clock: int = 0
+    stop_confirmed_clock: int = 0
     percent: int = 0
     percent_at: int = 0
     checkpoint: str = ''
@@ -193,7 +193,7 @@
     moved: bool = False
 
 
-FRESH_TASK = TaskEntry()
+NEW_TASK = TaskEntry()
 
 
 @dataclass(frozen=True, slots=True)
@@ -202,9 +202,9 @@
 
     Parameters
     ----------
-    pending : frozenset of int
+    pending_tasks : frozenset of int
         Indexes of the tasks that need a run and have none.
-    open : int
+    open_tasks : int
         Number of tasks that have not finished.
     ready : bool
         Whether the step may run: its predecessors have finished and its
@@ -225,8 +225,8 @@
     """
 
     key: StepKey
-    pending: frozenset[int]
-    open: int
+    pending_tasks: frozenset[int]
+    open_tasks: int
     ready: bool = False
     closed: bool = False
     gang_failures: int = 0
@@ -245,8 +245,8 @@
     queue : Queue
         Settings of the job's queue when the job was accepted.
     state : WorkflowState
-        State that has been decided; callers see ``shown`` instead.
-    shown : WorkflowState
+        State that has been decided; callers see ``durable_state`` instead.
+    durable_state : WorkflowState
         Latest state whose record is durable.
     durable : bool
         Whether the journal contains the record of the acceptance.
@@ -254,16 +254,16 @@
         Whether an earlier owner may have started tasks of the job.
     due_at : int
         Owner's clock, in ms, by which the job should complete.
-    late_at : int
+    value_ends_at : int
         Owner's clock, in ms, after which completing the job earns nothing.
-    tails : tuple of int
+    critical_paths_ms : tuple of int
         For each step, the critical path from its start to the end of the
         job: the longest chain of estimated work, in ms.
     occurrences : int
         Number of occurrences that have been opened.
     open_steps : int
         Number of steps of opened occurrences that have not finished.
-    closed_by : RunKey or None
+    ended_by : RunKey or None
         Run whose end ended the job.
     ended_at_ms : int
         Wall clock when the job ended.
@@ -274,15 +274,15 @@
     workflow: Workflow
     accepted_at_ms: int
     state: WorkflowState = WorkflowState.QUEUED
-    shown: WorkflowState = WorkflowState.QUEUED
+    durable_state: WorkflowState = WorkflowState.QUEUED
     durable: bool = False
     from_previous_owner: bool = False
     due_at: int = 0
-    late_at: int = 0
-    tails: tuple[int, ...] = ()
+    value_ends_at: int = 0
+    critical_paths_ms: tuple[int, ...] = ()
     occurrences: int = 0
     open_steps: int = 0
-    closed_by: RunKey | None = None
+    ended_by: RunKey | None = None
     ended_at_ms: int = 0
 
     @property
@@ -311,7 +311,7 @@
         report.
     reading : ClockReading or None
         The worker's clock in its newest report.
-    seen : int
+    last_end_number : int
         Highest number in the worker's list of ended runs that has been
         handled.
     silent_since : int
@@ -336,7 +336,7 @@
     epoch_acknowledged: bool = False
     incarnation_ms: int = 0
     reading: ClockReading | None = None
-    seen: int = 0
+    last_end_number: int = 0
     silent_since: int = 0
     leases_expire_at: int = 0
     leases_expired: bool = False
@@ -345,23 +345,23 @@
 
 
 @dataclass(frozen=True, slots=True)
-class SlowMark:
+class SlowPeriod:
     """Period in which a slow worker gets no new runs.
 
     Parameters
     ----------
-    share : float
+    speed_share : float
         Speed of the worker as a fraction of the usual speed; 0 if its runs
         make no progress.
-    until : int
+    ends_at : int
         Owner's clock, in ms, when the period ends.
-    pause_ms : int
+    duration_ms : int
         Length of the period.
     """
 
-    share: float
-    until: int
-    pause_ms: int
+    speed_share: float
+    ends_at: int
+    duration_ms: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -392,20 +392,20 @@
     tickets : dict
         Newest ticket by worker. Expired tickets are kept because their
         workers remain admissible.
-    asked : frozenset of str
+    asked_workers : frozenset of str
         Workers that the service has been asked about.
-    asking : frozenset of str
+    pending_workers : frozenset of str
         Workers named in the pending call; empty if no call is pending.
-    asked_at : int
+    requested_at : int
         Owner's clock, in ms, when the newest call was made.
     failures : int
         Number of calls that have failed since the last successful one.
     """
 
     tickets: dict[str, Ticket] = field(default_factory=dict)
-    asked: frozenset[str] = frozenset()
-    asking: frozenset[str] = frozenset()
-    asked_at: int = 0
+    asked_workers: frozenset[str] = frozenset()
+    pending_workers: frozenset[str] = frozenset()
+    requested_at: int = 0
     failures: int = 0
 
 
@@ -463,37 +463,37 @@
     handover_lease_ms: int = -1
     owners: tuple[str, ...] = ()
     previous_owners_ended: bool = False
-    table: RoutingTable = field(default_factory=RoutingTable)
+    routing_table: RoutingTable = field(default_factory=RoutingTable)
     jobs: dict[str, JobEntry] = field(default_factory=dict)
     steps: dict[StepKey, StepEntry] = field(default_factory=dict)
     tasks: dict[str, TaskEntry] = field(default_factory=dict)
     runs: dict[RunKey, RunEntry] = field(default_factory=dict)
-    runs_on: dict[str, set[RunKey]] = field(default_factory=dict)
-    runs_of: dict[StepKey, set[RunKey]] = field(default_factory=dict)
+    runs_by_worker: dict[str, set[RunKey]] = field(default_factory=dict)
+    runs_by_step: dict[StepKey, set[RunKey]] = field(default_factory=dict)
     # Runs of latency-critical tasks by worker, and runs of best-effort tasks
     # whose pace is controlled.
-    serving: dict[str, set[RunKey]] = field(default_factory=dict)
-    paced: set[RunKey] = field(default_factory=set)
-    waiting: dict[StepKey, None] = field(default_factory=dict)
+    latency_critical_runs: dict[str, set[RunKey]] = field(default_factory=dict)
+    paced_runs: set[RunKey] = field(default_factory=set)
+    waiting_steps: dict[StepKey, None] = field(default_factory=dict)
     workers: dict[str, WorkerEntry] = field(default_factory=dict)
-    free: dict[str, Resources] = field(default_factory=dict)
+    free_resources: dict[str, Resources] = field(default_factory=dict)
     recorded_workers: dict[str, tuple[str, str]] = field(default_factory=dict)
     unreconciled_workers: dict[str, int] = field(default_factory=dict)
     advice: dict[StepKey, StepAdvice] = field(default_factory=dict)
     advice_channels: dict[str, AdviceChannel] = field(default_factory=dict)
     health: dict[str, WorkerHealth] = field(default_factory=dict)
-    slow: dict[str, SlowMark] = field(default_factory=dict)
+    slow_workers: dict[str, SlowPeriod] = field(default_factory=dict)
     step_rates: dict[StepKey, float] = field(default_factory=dict)
     # Number of times that this owner has begun to call a worker.
-    watches: dict[str, int] = field(default_factory=dict)
+    watch_counts: dict[str, int] = field(default_factory=dict)
     # Owner's clock, in ms, when a run last finished on a worker.
-    finished_at: dict[str, int] = field(default_factory=dict)
-    accept_callers: dict[str, list[int]] = field(default_factory=dict)
+    last_finish_at: dict[str, int] = field(default_factory=dict)
+    submit_callers: dict[str, list[int]] = field(default_factory=dict)
     cancel_callers: dict[str, list[int]] = field(default_factory=dict)
-    ended_order: dict[str, None] = field(default_factory=dict)
-    unanswered: list[int] = field(default_factory=list)
+    ended_jobs: dict[str, None] = field(default_factory=dict)
+    unanswered_at: list[int] = field(default_factory=list)
     hold_wait_ms: int = 0
-    judged_at: int = 0
+    stragglers_checked_at: int = 0
     stalled_since: int = 0
     stopping: bool = False
     needs_pass: bool = False
@@ -517,7 +517,7 @@
 
         A task without an entry gets one.
         """
-        entry = replace(self.tasks.get(task, FRESH_TASK), **changes)
+        entry = replace(self.tasks.get(task, NEW_TASK), **changes)
         self.tasks[task] = entry
         return entry
 
@@ -534,59 +534,65 @@
         return entry
 
     def find_task(self, task: str) -> TaskEntry:
-        """Return the entry of a task, or `FRESH_TASK`."""
-        return self.tasks.get(task, FRESH_TASK)
+        """Return the entry of a task, or `NEW_TASK`."""
+        return self.tasks.get(task, NEW_TASK)
 
     def find_step(self, key: StepKey) -> Step:
         """Return the definition of a step."""
         return self.jobs[key.job_id].workflow.steps[key.step]
 
-    def find_terms(self, entry: JobEntry) -> Queue:
+    def find_queue_of(self, entry: JobEntry) -> Queue:
         """Return the current settings of a job's queue.
 
         The settings at acceptance apply if the queue no longer exists.
         """
-        return self.table.name_queue(entry.queue.name) or entry.queue
+        return self.routing_table.name_queue(entry.queue.name) or entry.queue
 
     def add_run(self, entry: RunEntry) -> None:
         """Add a run and reserve its demand on its worker."""
         self.runs[entry.key] = entry
-        self.runs_on.setdefault(entry.worker, set()).add(entry.key)
-        self.runs_of.setdefault(entry.step, set()).add(entry.key)
+        self.runs_by_worker.setdefault(entry.worker, set()).add(entry.key)
+        self.runs_by_step.setdefault(entry.step, set()).add(entry.key)
         if entry.target_ms:
-            self.serving.setdefault(entry.worker, set()).add(entry.key)
+            self.latency_critical_runs.setdefault(entry.worker, set()).add(
+                entry.key
+            )
         if entry.fills:
-            self.paced.add(entry.key)
-        if entry.worker in self.free:
-            self.free[entry.worker] = self.free[entry.worker] - entry.demand
+            self.paced_runs.add(entry.key)
+        if entry.worker in self.free_resources:
+            self.free_resources[entry.worker] = (
+                self.free_resources[entry.worker] - entry.demand
+            )
 
-    def drop_run(self, key: RunKey) -> RunEntry | None:
+    def remove_run(self, key: RunKey) -> RunEntry | None:
         """Remove a run that is certainly gone and release its demand."""
         entry = self.runs.pop(key, None)
         if entry is None:
             return None
-        self.runs_on.get(entry.worker, set()).discard(key)
-        siblings = self.runs_of.get(entry.step, set())
+        self.runs_by_worker.get(entry.worker, set()).discard(key)
+        siblings = self.runs_by_step.get(entry.step, set())
         siblings.discard(key)
         if not siblings:
-            self.runs_of.pop(entry.step, None)
-        self.paced.discard(key)
+            self.runs_by_step.pop(entry.step, None)
+        self.paced_runs.discard(key)
         if entry.target_ms:
-            self.serving[entry.worker].discard(key)
-            if not self.serving[entry.worker]:
-                del self.serving[entry.worker]
-        if entry.worker in self.free:
-            self.free[entry.worker] = self.free[entry.worker] + entry.demand
+            self.latency_critical_runs[entry.worker].discard(key)
+            if not self.latency_critical_runs[entry.worker]:
+                del self.latency_critical_runs[entry.worker]
+        if entry.worker in self.free_resources:
+            self.free_resources[entry.worker] = (
+                self.free_resources[entry.worker] + entry.demand
+            )
         self.needs_pass = True
         return entry
 
     def list_runs_on(self, worker: str) -> list[RunEntry]:
         """Return the runs that may be present on a worker."""
-        return [self.runs[key] for key in self.runs_on.get(worker, ())]
+        return [self.runs[key] for key in self.runs_by_worker.get(worker, ())]
 
     def list_runs_of(self, key: StepKey) -> list[RunEntry]:
         """Return the runs of a step that may be present on any worker."""
-        return [self.runs[run] for run in self.runs_of.get(key, ())]
+        return [self.runs[run] for run in self.runs_by_step.get(key, ())]
 
     def list_steps_of(self, job: JobEntry) -> Iterable[StepKey]:
         """Yield the keys of a job's opened steps."""
@@ -596,15 +602,15 @@
                 if key in self.steps:
                     yield key
 
-    def measure_free(self, worker: str) -> None:
+    def update_free_resources(self, worker: str) -> None:
         """Recompute a worker's free capacity from its reservations."""
         entry = self.workers[worker]
         used = NOTHING
         for run in self.list_runs_on(worker):
             used = used + run.demand
-        self.free[worker] = entry.registration.capacity - used
+        self.free_resources[worker] = entry.registration.capacity - used
 
 
-def name_task(key: StepKey, index: int) -> str:
+def make_task_id(key: StepKey, index: int) -> str:
     """Return the id of one task of a step."""
     return make_step_task_id(key.job_id, key.occurrence, key.step, index)
--- a/sassafrasgate/dispatch/stops.py
+++ b/sassafrasgate/dispatch/stops.py
@@ -68,7 +68,7 @@
 
 
 @EVENT_HANDLERS.register(StopAnswered)
-def note_stop(state: DispatchState, event: StopAnswered) -> Actions:
+def handle_stop_reply(state: DispatchState, event: StopAnswered) -> Actions:
     """Note that a run can't start any more.
 
     Whether it is there and ends, or never was, the next report tells.
@@ -76,7 +76,7 @@
     run = state.runs.get(event.run)
     if run is None or run.worker != event.worker:
         return
-    state.update_run(event.run, stop_clock=max(1, event.clock_ms))
+    state.update_run(event.run, stop_confirmed_clock=max(1, event.clock_ms))
     yield from ()
 
 
@@ -88,6 +88,6 @@
     clock_ms : int
         The worker's clock in the report.
     """
-    if run.stop_clock:
-        return clock_ms > run.stop_clock
-    return run.phase is RunPhase.PRESENT and clock_ms > run.present_clock
+    if run.stop_confirmed_clock:
+        return clock_ms > run.stop_confirmed_clock
+    return run.phase is RunPhase.PRESENT and clock_ms > run.confirmed_clock
--- a/sassafrasgate/dispatch/stragglers.py
+++ b/sassafrasgate/dispatch/stragglers.py
@@ -16,7 +16,7 @@
 
 from sassafrasgate.dispatch.actions import LogEvent
 from sassafrasgate.dispatch.state import RunPhase
-from sassafrasgate.dispatch.state import SlowMark
+from sassafrasgate.dispatch.state import SlowPeriod
 from sassafrasgate.dispatch.stops import stop_run
 from sassafrasgate.dispatch.stops import stop_step_runs
 
@@ -30,31 +30,31 @@
 # Least time between two reports that a rate is taken from, and the time
 # without any progress after which a run counts as standing still. A percent
 # of the longest usual task takes a sixth of that.
-WINDOW_MS = 500
-STILL_MS = 800
+RATE_WINDOW_MS = 500
+STALL_MS = 800
 # Rates older than this say nothing any more.
-FRESH_MS = 2_500
+MAX_RATE_AGE_MS = 2_500
 # A worker at less than this share of the usual speed is slow.
 SLOW_SHARE = 0.35
 # How often workers are judged; rates change no faster.
-JUDGE_MS = 400
+CHECK_INTERVAL_MS = 400
 # Runs of two steps, or one that has others to compare with, make a case.
-CASES = 2
-FIRST_PAUSE_MS = 2_500
-LONGEST_PAUSE_MS = 10_000
+MIN_STEPS = 2
+INITIAL_PAUSE_MS = 2_500
+MAX_PAUSE_MS = 10_000
 # A run moves if it would take this many times longer where it is.
 MOVE_FACTOR = 1.5
 MOVE_MARGIN_MS = 500
 # Time to stop a run and start it elsewhere.
-MOVE_MS = 1_000
+MOVE_COST_MS = 1_000
 # A run that would need this many times its estimate, and has had the whole
 # estimate and a while, is moved once without anything to compare it with.
 # Estimates are too low by up to five times.
 OVERDUE_FACTOR = 6
-OVERDUE_MS = 2_000
+OVERDUE_MARGIN_MS = 2_000
 
 
-def measure_run(
+def measure_progress(
     run: RunEntry, percent: int, received_at: int
 ) -> dict[str, Any]:
     """Return the fields of a run that a new report of progress changes."""
@@ -64,73 +64,75 @@
         return changes | base
     window_ms = received_at - run.base_at
     gained = percent - run.base_percent
-    if window_ms < (WINDOW_MS if gained else STILL_MS):
+    if window_ms < (RATE_WINDOW_MS if gained else STALL_MS):
         return changes
     rate = {'rate': gained * 1000 / window_ms, 'rate_at': received_at}
     return changes | base | rate
 
 
-def note_finished_run(state: DispatchState, run: RunEntry) -> None:
+def record_finished_run(state: DispatchState, run: RunEntry) -> None:
     """Remember how fast a step's tasks are, for those that go on."""
     ran_ms = max(1, state.now - run.started_at)
     state.step_rates[run.step] = 100_000 / ran_ms
-    state.finished_at[run.worker] = state.now
+    state.last_finish_at[run.worker] = state.now
 
 
-def judge_workers(state: DispatchState) -> Actions:
+def handle_stragglers(state: DispatchState) -> Actions:
     """Mark slow workers, and move runs that are better off elsewhere."""
-    if state.now < state.judged_at + JUDGE_MS:
+    if state.now < state.stragglers_checked_at + CHECK_INTERVAL_MS:
         return
-    state.judged_at = state.now
-    for worker in list(state.runs_on):
-        share = _find_share(state, worker)
+    state.stragglers_checked_at = state.now
+    for worker in list(state.runs_by_worker):
+        share = _compute_speed_share(state, worker)
         if share is None or share >= SLOW_SHARE:
             continue
-        mark = state.slow.get(worker)
-        if mark is None or state.now >= mark.until:
-            yield _mark_worker(state, worker, share, mark)
+        period = state.slow_workers.get(worker)
+        if period is None or state.now >= period.ends_at:
+            yield _pause_worker(state, worker, share, period)
         yield from _move_runs(state, worker)
     for run in list(state.runs.values()):
         if _is_overdue(state, run):
             yield from _move_overdue_run(state, run)
-    for worker, mark in list(state.slow.items()):
+    for worker, period in list(state.slow_workers.items()):
         # The length of a pause is kept for a while, to double it.
-        if state.now >= mark.until + mark.pause_ms:
-            del state.slow[worker]
+        if state.now >= period.ends_at + period.duration_ms:
+            del state.slow_workers[worker]
 
 
 def is_paused(state: DispatchState, worker: str) -> bool:
     """Tell whether a worker gets no new runs for being slow."""
-    mark = state.slow.get(worker)
-    return mark is not None and state.now < mark.until
+    period = state.slow_workers.get(worker)
+    return period is not None and state.now < period.ends_at
 
 
-def _mark_worker(
-    state: DispatchState, worker: str, share: float, mark: SlowMark | None
+def _pause_worker(
+    state: DispatchState, worker: str, share: float, period: SlowPeriod | None
 ) -> LogEvent:
-    pause_ms = FIRST_PAUSE_MS
-    if mark is not None:
-        pause_ms = min(2 * mark.pause_ms, LONGEST_PAUSE_MS)
-    state.slow[worker] = SlowMark(share, state.now + pause_ms, pause_ms)
+    pause_ms = INITIAL_PAUSE_MS
+    if period is not None:
+        pause_ms = min(2 * period.duration_ms, MAX_PAUSE_MS)
+    state.slow_workers[worker] = SlowPeriod(
+        share, state.now + pause_ms, pause_ms
+    )
     return LogEvent(
         'worker-slow',
         '',
         (
             ('worker', worker),
             ('share', round(share, 2)),
-            ('runs', len(state.runs_on.get(worker, ()))),
+            ('runs', len(state.runs_by_worker.get(worker, ()))),
             ('pause_ms', pause_ms),
         ),
     )
 
 
-def _find_share(state: DispatchState, worker: str) -> float | None:
+def _compute_speed_share(state: DispatchState, worker: str) -> float | None:
     """Return a worker's share of the usual speed, or None if unknown."""
     shares: dict[StepKey, list[float]] = {}
     compared = 0
     still = 0
     for run in state.list_runs_on(worker):
-        if not _is_evidence(state, run):
+        if not _is_comparable(state, run):
             continue
         usual = _find_usual_rate(state, run)
         compared += usual is not None
@@ -142,15 +144,15 @@
     values = [value for found in shares.values() for value in found]
     if still == len(values):
         return 0.0
-    if compared or len(shares) >= CASES:
+    if compared or len(shares) >= MIN_STEPS:
         return median(values)
     return None
 
 
-def _is_evidence(state: DispatchState, run: RunEntry) -> bool:
+def _is_comparable(state: DispatchState, run: RunEntry) -> bool:
     if run.phase is not RunPhase.PRESENT or run.stopping or run.fills:
         return False
-    if run.rate < 0 or state.now - run.rate_at > FRESH_MS:
+    if run.rate < 0 or state.now - run.rate_at > MAX_RATE_AGE_MS:
         return False
     if run.step not in state.steps:
         return False
@@ -165,7 +167,7 @@
         for other in state.list_runs_of(run.step)
         if other.worker != run.worker
         and other.rate > 0
-        and state.now - other.rate_at <= FRESH_MS
+        and state.now - other.rate_at <= MAX_RATE_AGE_MS
     ]
     if others:
         return median(others)
@@ -189,7 +191,7 @@
 
 
 def _is_overdue(state: DispatchState, run: RunEntry) -> bool:
-    if state.now - run.started_at < run.expected_ms + OVERDUE_MS:
+    if state.now - run.started_at < run.expected_ms + OVERDUE_MARGIN_MS:
         return False
     if run.fills:
         return False
@@ -198,7 +200,7 @@
     if run.step not in state.steps or state.find_step(run.step).long_running:
         return False
     left_ms = (100 - run.percent) * 1000 / max(run.rate, 0.01)
-    return left_ms > OVERDUE_FACTOR * (run.expected_ms + MOVE_MS)
+    return left_ms > OVERDUE_FACTOR * (run.expected_ms + MOVE_COST_MS)
 
 
 def _move_overdue_run(state: DispatchState, run: RunEntry) -> Actions:
@@ -219,9 +221,11 @@
         return
     runs = state.list_runs_of(run.step) if gang else (run,)
     for worker in sorted({entry.worker for entry in runs}):
-        finished_at = state.finished_at.get(worker, 0)
+        finished_at = state.last_finish_at.get(worker, 0)
         if finished_at <= run.started_at and not is_paused(state, worker):
-            yield _mark_worker(state, worker, 0.0, state.slow.get(worker))
+            yield _pause_worker(
+                state, worker, 0.0, state.slow_workers.get(worker)
+            )
     reason = f'it takes far longer than {run.expected_ms} ms'
     for entry in runs:
         yield from stop_run(state, entry, reason)
@@ -231,5 +235,5 @@
     left = 100 - run.percent
     stay_ms = left * 1000 / max(run.rate, 0.01)
     share = left / 100 if step.checkpointing else 1.0
-    move_ms = run.expected_ms * share + MOVE_MS
+    move_ms = run.expected_ms * share + MOVE_COST_MS
     return stay_ms > MOVE_FACTOR * move_ms + MOVE_MARGIN_MS
--- a/sassafrasgate/dispatch/timers.py
+++ b/sassafrasgate/dispatch/timers.py
@@ -5,16 +5,16 @@
 from typing import TYPE_CHECKING
 
 from sassafrasgate.dispatch.handlers import EVENT_HANDLERS
-from sassafrasgate.dispatch.hold_waits import choose_wait
+from sassafrasgate.dispatch.hold_waits import adjust_hold_wait
 from sassafrasgate.dispatch.pacing import adjust_paces
 from sassafrasgate.dispatch.progress import forget_step
 from sassafrasgate.dispatch.progress import open_due_occurrences
 from sassafrasgate.dispatch.registrations import forget_gone_workers
-from sassafrasgate.dispatch.registrations import record_used_workers
-from sassafrasgate.dispatch.reports import note_lapses
+from sassafrasgate.dispatch.registrations import record_workers_in_use
+from sassafrasgate.dispatch.reports import expire_leases
 from sassafrasgate.dispatch.reports import stop_incomplete_gangs
 from sassafrasgate.dispatch.stops import repeat_stops
-from sassafrasgate.dispatch.stragglers import judge_workers
+from sassafrasgate.dispatch.stragglers import handle_stragglers
 from sassafrasgate.shards.events import StopRequested
 from sassafrasgate.shards.events import Ticked
 
@@ -28,16 +28,16 @@
 
 
 @EVENT_HANDLERS.register(Ticked)
-def note_tick(state: DispatchState, event: Ticked) -> Actions:
+def handle_tick(state: DispatchState, event: Ticked) -> Actions:
     """Do what is due."""
-    yield from note_lapses(state)
+    yield from expire_leases(state)
     yield from repeat_stops(state)
     yield from stop_incomplete_gangs(state)
-    yield from judge_workers(state)
+    yield from handle_stragglers(state)
     yield from adjust_paces(state)
-    yield from choose_wait(state)
+    yield from adjust_hold_wait(state)
     yield from forget_gone_workers(state)
-    yield from record_used_workers(state)
+    yield from record_workers_in_use(state)
     for job_id, entry in list(state.jobs.items()):
         if not entry.has_ended and (
             entry.occurrences < entry.workflow.occurrences
@@ -45,27 +45,27 @@
             open_due_occurrences(state, job_id)
     _forget_jobs(state)
     # Tickets expire and workers come back from pauses without an event.
-    if state.waiting:
+    if state.waiting_steps:
         state.needs_pass = True
 
 
 def _forget_jobs(state: DispatchState) -> None:
     """Drop the parts of ended jobs that nothing asks for any more."""
-    for job_id in list(state.ended_order):
+    for job_id in list(state.ended_jobs):
         entry = state.jobs[job_id]
-        if entry.shown is entry.state:
+        if entry.durable_state is entry.state:
             _forget_steps(state, entry)
         if state.wall_ms - entry.ended_at_ms < RETENTION_MS:
             continue
-        if entry.shown is not entry.state or entry.occurrences:
+        if entry.durable_state is not entry.state or entry.occurrences:
             continue
         del state.jobs[job_id]
-        del state.ended_order[job_id]
+        del state.ended_jobs[job_id]
 
 
 def _forget_steps(state: DispatchState, entry: JobEntry) -> None:
     keys = list(state.list_steps_of(entry))
-    if any(key in state.runs_of for key in keys):
+    if any(key in state.runs_by_step for key in keys):
         return
     for key in keys:
         forget_step(state, key)
@@ -74,7 +74,7 @@
 
 
 @EVENT_HANDLERS.register(StopRequested)
-def note_stop_request(state: DispatchState, event: StopRequested) -> Actions:
+def handle_stop_request(state: DispatchState, event: StopRequested) -> Actions:
     """Accept and start nothing any more; records are still written."""
     state.stopping = True
     yield from ()
--- a/sassafrasgate/dispatch/transitions.py
+++ b/sassafrasgate/dispatch/transitions.py
@@ -46,7 +46,9 @@
 
 
 @EVENT_HANDLERS.register(RecordsDurable)
-def note_durable(state: DispatchState, event: RecordsDurable) -> Actions:
+def handle_durable_records(
+    state: DispatchState, event: RecordsDurable
+) -> Actions:
     """Let the effects of durable records follow."""
     for record in event.records:
         if record.kind in DURABLE_HANDLERS:
--- a/tests/dispatch/simulation.py
+++ b/tests/dispatch/simulation.py
@@ -880,11 +880,11 @@
         if what == 'cancel' and message.state is WorkflowState.CANCELLED:
             caller.cancelled = True
 
-    def shown(self, job_id: str) -> WorkflowState | None:
+    def find_shown_state(self, job_id: str) -> WorkflowState | None:
         """Return the state that the owner shows to callers."""
         assert self.owner is not None
         entry = self.owner.state.jobs.get(job_id)
-        return None if entry is None else entry.shown
+        return None if entry is None else entry.durable_state
 
 
 def make_step(tasks: int = 1, ms: int = 500, **fields: Any) -> Step:
--- a/tests/dispatch/test_advice.py
+++ b/tests/dispatch/test_advice.py
@@ -76,7 +76,7 @@
     # part is used.
     driver = Driver(workers=3)
     driver.confirm(driver.submit('00000000000000aa', make_step(1, 9_000)))
-    (busy,) = driver.state.runs_on
+    (busy,) = driver.state.runs_by_worker
 
     _, actions = submit(driver, make_step(1, 500))
 
--- a/tests/dispatch/test_guards.py
+++ b/tests/dispatch/test_guards.py
@@ -65,7 +65,7 @@
     def drop(state, event):
         yield from reports.lose_worker_runs(state, event.worker, 'restarted')
 
-    patch.setattr(reports, '_note_restart', drop)
+    patch.setattr(reports, '_process_restart', drop)
 
 
 @guard
@@ -74,9 +74,9 @@
     add_run = DispatchState.add_run
 
     def add(self, entry):
-        free = dict(self.free)
+        free = dict(self.free_resources)
         add_run(self, entry)
-        self.free = free
+        self.free_resources = free
 
     patch.setattr(DispatchState, 'add_run', add)
 
@@ -96,25 +96,25 @@
 @guard
 def acknowledge_durable_ends(patch):
     """An end may be forgotten only once its record is in the journal."""
-    note_ended = reports._note_ended
+    note_ended = reports._process_ended
 
     def note(state, event, ended):
         yield from note_ended(state, event, ended)
         yield AcknowledgeEnds(event.worker, event.report.born_ms, ended.number)
 
-    patch.setattr(reports, '_note_ended', note)
+    patch.setattr(reports, '_process_ended', note)
 
 
 @guard
 def count_failures(patch):
     """A task gets a limited number of attempts."""
-    note_end = recovery.note_end
+    apply_run_end = recovery.apply_run_end
 
     def note(state, record, key):
         if record.how is not EndKind.FAILED:
-            note_end(state, record, key)
+            apply_run_end(state, record, key)
 
-    patch.setattr(recovery, 'note_end', note)
+    patch.setattr(recovery, 'apply_run_end', note)
 
 
 @guard
@@ -123,12 +123,12 @@
     place = gangs.place_gang
 
     def place_again(state, plan, key, step, terms, workers):
-        runs = state.runs_of.pop(key, None)
+        runs = state.runs_by_step.pop(key, None)
         try:
             yield from place(state, plan, key, step, terms, workers)
         finally:
             if runs:
-                state.runs_of.setdefault(key, set()).update(runs)
+                state.runs_by_step.setdefault(key, set()).update(runs)
 
     patch.setattr(scheduling_passes, 'place_gang', place_again)
 
--- a/tests/dispatch/test_pacing.py
+++ b/tests/dispatch/test_pacing.py
@@ -6,10 +6,10 @@
 from sassafrasgate.dispatch.actions import PaceRun
 from sassafrasgate.dispatch.actions import StartRun
 from sassafrasgate.dispatch.events import PaceAnswered
-from sassafrasgate.dispatch.pacing import FIRST_PACE
-from sassafrasgate.dispatch.pacing import FULL_PACE
-from sassafrasgate.dispatch.pacing import RAISE_MS
-from sassafrasgate.dispatch.pacing import REPEAT_MS
+from sassafrasgate.dispatch.pacing import FULL_PACE_PERCENT
+from sassafrasgate.dispatch.pacing import INITIAL_PACE_PERCENT
+from sassafrasgate.dispatch.pacing import PACE_RETRY_MS
+from sassafrasgate.dispatch.pacing import RAISE_INTERVAL_MS
 from tests.dispatch.drivers import Driver
 from tests.dispatch.drivers import pick
 from tests.dispatch.simulation import make_step
@@ -47,14 +47,14 @@
     serve(driver)
     fill(driver)
     driver.report('w0', load=CALM_MS)
-    settle(driver, pick(driver.wait(REPEAT_MS), PaceRun))
+    settle(driver, pick(driver.wait(PACE_RETRY_MS), PaceRun))
     return driver
 
 
-def look(driver, load, wait_ms=REPEAT_MS):
+def look(driver, load, wait_ms=PACE_RETRY_MS):
     driver.now += wait_ms
     driver.report('w0', load=load)
-    paces = pick(driver.wait(REPEAT_MS), PaceRun)
+    paces = pick(driver.wait(PACE_RETRY_MS), PaceRun)
     settle(driver, paces)
     return [action.percent for action in paces]
 
@@ -84,7 +84,7 @@
     fill(driver)
 
     (action,) = pick(driver.wait(100), PaceRun)
-    assert action.percent == FIRST_PACE
+    assert action.percent == INITIAL_PACE_PERCENT
 
 
 def test_a_strained_target_stops_the_filling_tasks(shared):
@@ -97,16 +97,16 @@
     # Guards against filling tasks that stand still for good.
     look(shared, STRAINED_MS)
 
-    paces = [look(shared, CALM_MS, RAISE_MS) for _ in range(5)]
+    paces = [look(shared, CALM_MS, RAISE_INTERVAL_MS) for _ in range(5)]
 
-    assert paces == [[25], [50], [75], [FULL_PACE], []]
+    assert paces == [[25], [50], [75], [FULL_PACE_PERCENT], []]
 
 
 def test_a_pace_is_not_raised_on_an_old_latency(shared):
     # Guards against raising by what was measured before the last change.
     look(shared, STRAINED_MS)
 
-    assert not pick(shared.wait(RAISE_MS), PaceRun)
+    assert not pick(shared.wait(RAISE_INTERVAL_MS), PaceRun)
 
 
 def test_a_pace_without_an_answer_is_sent_again():
@@ -117,7 +117,7 @@
     assert pick(driver.wait(100), PaceRun)
 
     assert not pick(driver.wait(100), PaceRun)
-    assert pick(driver.wait(REPEAT_MS), PaceRun)
+    assert pick(driver.wait(PACE_RETRY_MS), PaceRun)
 
 
 def test_a_worker_without_fills_gets_no_pace():
@@ -126,7 +126,7 @@
     serve(driver)
     driver.report('w0', load=STRAINED_MS)
 
-    assert not pick(driver.wait(REPEAT_MS), PaceRun)
+    assert not pick(driver.wait(PACE_RETRY_MS), PaceRun)
 
 
 def test_starts_of_filling_tasks_are_still_starts():
@@ -144,6 +144,6 @@
     # Guards against a decision that is never sent, once a filling task has
     # worked at full pace.
     for _ in range(4):
-        look(shared, CALM_MS, RAISE_MS)
+        look(shared, CALM_MS, RAISE_INTERVAL_MS)
 
     assert look(shared, STRAINED_MS) == [0]
--- a/tests/dispatch/test_random_faults.py
+++ b/tests/dispatch/test_random_faults.py
@@ -176,7 +176,7 @@
     """Check the ends of all jobs once a day is over."""
     for caller in world.callers.values():
         assert caller.accepted
-        shown = world.shown(caller.job_id)
+        shown = world.find_shown_state(caller.job_id)
         if shown is None:
             # Its owner has kept the state for long enough.
             continue
@@ -211,4 +211,4 @@
     world.run(END_MS)
     assert world.rules.starts == tasks
     for caller in world.callers.values():
-        assert world.shown(caller.job_id) is WorkflowState.COMPLETED
+        assert world.find_shown_state(caller.job_id) is WorkflowState.COMPLETED
--- a/tests/dispatch/test_recovery.py
+++ b/tests/dispatch/test_recovery.py
@@ -66,9 +66,9 @@
     assert successor.steps.keys() == state.steps.keys()
     for key, entry in state.steps.items():
         found = successor.steps[key]
-        assert (found.pending, found.open, found.ready) == (
-            entry.pending,
-            entry.open,
+        assert (found.pending_tasks, found.open_tasks, found.ready) == (
+            entry.pending_tasks,
+            entry.open_tasks,
             entry.ready,
         )
     assert successor.tasks[f'{JOB}.0.1.1'].next_run == 2
@@ -87,7 +87,7 @@
         ),
     )
     assert state.jobs[JOB].state is WorkflowState.COMPLETED
-    assert not state.waiting
+    assert not state.waiting_steps
     assert restore(state).jobs[JOB].state is WorkflowState.COMPLETED
 
 
@@ -102,5 +102,5 @@
             end('0.0.0', 1, EndKind.FINISHED, 2),
         ),
     )
-    assert [key.step for key in state.waiting] == [2]
+    assert [key.step for key in state.waiting_steps] == [2]
     assert not state.jobs[JOB].has_ended
--- a/tests/dispatch/test_stragglers.py
+++ b/tests/dispatch/test_stragglers.py
@@ -2,9 +2,9 @@
 
 from sassafrasgate.core.workflows import EndKind
 from sassafrasgate.dispatch.actions import StopRun
-from sassafrasgate.dispatch.stragglers import FIRST_PAUSE_MS
-from sassafrasgate.dispatch.stragglers import STILL_MS
-from sassafrasgate.dispatch.stragglers import WINDOW_MS
+from sassafrasgate.dispatch.stragglers import INITIAL_PAUSE_MS
+from sassafrasgate.dispatch.stragglers import RATE_WINDOW_MS
+from sassafrasgate.dispatch.stragglers import STALL_MS
 from tests.dispatch.drivers import Driver
 from tests.dispatch.drivers import pick
 from tests.dispatch.simulation import make_step
@@ -35,7 +35,7 @@
     workers = {start.worker for start in starts}
     still = starts[0].worker
     gains = {worker: 25 for worker in workers - {still}}
-    stops = pick(advance(driver, STILL_MS, gains), StopRun)
+    stops = pick(advance(driver, STALL_MS, gains), StopRun)
     assert {stop.worker for stop in stops} == {still}
     assert len(stops) == 2
 
@@ -43,10 +43,10 @@
 def test_a_worker_that_is_slower_than_others_gets_nothing_for_a_while():
     driver = Driver(workers=2)
     start_spread(driver, 4)
-    advance(driver, WINDOW_MS, {'w0': 2, 'w1': 30})
+    advance(driver, RATE_WINDOW_MS, {'w0': 2, 'w1': 30})
     fast = driver.confirm(driver.submit('00000000000000bb', make_step(2)))
     assert {start.worker for start in fast} == {'w1'}
-    driver.wait(2 * FIRST_PAUSE_MS + WINDOW_MS)
+    driver.wait(2 * INITIAL_PAUSE_MS + RATE_WINDOW_MS)
     later = driver.submit('00000000000000cc', make_step(8))
     assert {start.worker for start in driver.confirm(later)} == {'w0', 'w1'}
 
@@ -55,18 +55,18 @@
     # All tasks of the step take ten times what its caller has estimated.
     driver = Driver(workers=2)
     start_spread(driver, 4)
-    actions = advance(driver, WINDOW_MS, {'w0': 1, 'w1': 1})
+    actions = advance(driver, RATE_WINDOW_MS, {'w0': 1, 'w1': 1})
     assert not pick(actions, StopRun)
-    assert not driver.state.slow
+    assert not driver.state.slow_workers
 
 
 def test_members_of_a_gang_say_nothing_about_their_worker():
     # A gang stands still on all its workers when one of them does.
     driver = Driver(workers=2)
     start_spread(driver, 4, gang=True)
-    actions = advance(driver, STILL_MS, {})
+    actions = advance(driver, STALL_MS, {})
     assert not pick(actions, StopRun)
-    assert not driver.state.slow
+    assert not driver.state.slow_workers
 
 
 def run_slowly(driver, starts, percent_a_s, seconds):
