--- a/sassafrasgate/shards/__init__.py
+++ b/sassafrasgate/shards/__init__.py
@@ -1,1 +1,1 @@
-"""Pure decisions of a shard: no I/O, no clock, no encoding."""
+"""Scheduling decisions of one shard, free of I/O, clocks and encoding."""
--- a/sassafrasgate/shards/actions.py
+++ b/sassafrasgate/shards/actions.py
@@ -1,4 +1,4 @@
-"""What a shard wants done; the output of its decisions."""
+"""Actions that the decisions of a shard return to be carried out."""
 
 from __future__ import annotations
 
@@ -10,21 +10,30 @@
 
 @dataclass(frozen=True, slots=True)
 class Persist:
-    """Append a record; its effects wait for `RecordsDurable`."""
+    """Append a record to the journal.
+
+    Its effects wait until `RecordsDurable` confirms that it is durable.
+    """
 
     record: Any
 
 
 @dataclass(frozen=True, slots=True)
 class Withdraw:
-    """Drop a job's records if they have not been sent to the store."""
+    """Remove a job's journal records unless they were sent to the store."""
 
     job_id: str
 
 
 @dataclass(frozen=True, slots=True)
 class Reply:
-    """Answer a request."""
+    """Send the answer to a request.
+
+    Parameters
+    ----------
+    reply_to : int
+        Token of the request, from `RequestReceived`.
+    """
 
     reply_to: int
     message: Any
@@ -37,9 +46,10 @@
     Parameters
     ----------
     wait_ms : int
-        How long the worker may hold the answer for the task's end.
+        How long the worker may delay its answer until the task ends, in ms.
     lease_ms : int
-        Length of the first lease.
+        Upper bound on a lease that is not renewed, in ms; 0 for a renewable
+        lease of the standard duration.
     """
 
     host: str
@@ -53,7 +63,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StopTask:
-    """Stop a task; its end comes with a later sync."""
+    """Stop a task; a later sync reports its end."""
 
     host: str
     task: str
@@ -61,14 +71,14 @@
 
 @dataclass(frozen=True, slots=True)
 class LimitTask:
-    """Throttle or checkpoint a task that outgrows its reservation.
+    """Throttle or checkpoint a task.
 
     Parameters
     ----------
     measure : str
         'throttle' or 'checkpoint'.
     millicores : int
-        The limit that a throttle sets.
+        CPU limit that a throttle sets.
     """
 
     host: str
@@ -79,7 +89,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ReleaseTask:
-    """Let the worker forget an ended task, whose end is durable."""
+    """Let the worker discard an ended task whose end is durable."""
 
     host: str
     task: str
@@ -87,7 +97,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StoreOutput:
-    """Copy a large output from the worker into the store."""
+    """Copy a large output from the worker to the store."""
 
     host: str
     task: str
@@ -116,19 +126,21 @@
 
 @dataclass(frozen=True, slots=True)
 class PublishSummary:
-    """Let other shards know this shard's free capacity."""
+    """Publish a summary of this shard's free capacity to other shards."""
 
     summary: Any
 
 
 @dataclass(frozen=True, slots=True)
 class LogDecision:
-    """One line for the decision log.
+    """Write one entry to the decision log.
 
     Parameters
     ----------
     kind : str
-        What was decided, such as 'place', 'queue' or 'refuse'.
+        Kind of decision, such as 'place', 'queue' or 'refuse'.
+    candidates : int
+        Number of hosts that were considered.
     """
 
     kind: str
@@ -141,6 +153,6 @@
 
 @dataclass(frozen=True, slots=True)
 class GiveUpShard:
-    """Stop at once: another owner has taken over."""
+    """Stop owning the shard at once: a newer owner has taken over."""
 
     reason: str
--- a/sassafrasgate/shards/attempts.py
+++ b/sassafrasgate/shards/attempts.py
@@ -1,4 +1,4 @@
-"""Rules for leases and attempts; the model checker drives these too."""
+"""Rules for task leases and retries, also exercised by the models."""
 
 from __future__ import annotations
 
@@ -15,7 +15,13 @@
 
 
 class AttemptFate(StrEnum):
-    """What is known of an attempt that no longer runs as planned."""
+    """What the owner knows for certain about an attempt that went wrong.
+
+    A refused attempt never started on the worker, and one that was not sent
+    never left the owner. A failed attempt ran. The lease of a lapsed one has
+    expired, so it may have run but no longer does. An open one may still
+    run.
+    """
 
     REFUSED = 'refused'
     NOT_SENT = 'not-sent'
@@ -25,7 +31,7 @@
 
 
 class NextStep(StrEnum):
-    """What may follow an attempt."""
+    """What follows an attempt that went wrong."""
 
     RETRY = 'retry'
     END_FAILED = 'end-failed'
@@ -35,14 +41,22 @@
 
 @dataclass(frozen=True, slots=True)
 class ClockReading:
-    """A worker's clock with the owner's time when it arrived, in ms."""
+    """A reading of a worker's clock and the owner's time of its arrival.
+
+    Parameters
+    ----------
+    clock : int
+        The worker's clock in ms.
+    received_at : int
+        The owner's clock in ms when the reading arrived.
+    """
 
     clock: int
     received_at: int
 
 
 def grant_until(reading: ClockReading, lease_ms: int = LEASE_MS) -> int:
-    """Return the worker-clock deadline of a lease granted on a reading."""
+    """Return a new lease's deadline on the clock of the worker."""
     return reading.clock + lease_ms
 
 
@@ -52,22 +66,23 @@
     drift: float = DRIFT,
     margin_ms: int = LAPSE_MARGIN_MS,
 ) -> int:
-    """Return the owner's time from which a lease has certainly lapsed.
+    """Return the owner's time from which a lease has certainly expired.
 
-    The worker's clock stood at ``reading.clock`` or later when the reading
-    arrived, and runs at most ``drift`` slower than the owner's.
+    The worker's clock showed ``reading.clock`` or later when the reading
+    arrived, and runs slower than the owner's by at most the fraction
+    ``drift``.
 
     Parameters
     ----------
     lease_clock : int
-        The longest deadline that was *sent* for the task, on the worker's
+        The latest deadline that was *sent* for the task, on the worker's
         clock; a renewal without a reply may have taken effect.
     reading : ClockReading
-        A reading of the same incarnation.
+        A clock reading of the same incarnation of the worker.
     drift : float
-        Bound on the relative rate of the two clocks.
+        Bound on the relative rate difference of the two clocks.
     margin_ms : int
-        Allowance for the worker's timer.
+        Allowance for the resolution of the worker's timer, in ms.
     """
     remaining = max(0, lease_clock - reading.clock)
     return reading.received_at + ceil(remaining * (1 + drift)) + margin_ms
@@ -81,11 +96,11 @@
     drift: float = DRIFT,
     margin_ms: int = LAPSE_MARGIN_MS,
 ) -> int:
-    """Return when leases granted by earlier owners have surely lapsed.
+    """Return when the leases of earlier owners have certainly expired.
 
-    The previous owner times its store lease and its grace by its own
-    clock, which may be slow too, so the drift bound applies to all three
-    durations and not only to the task lease.
+    The previous owner measures its store lease and its grace period by its
+    own clock, which may be slow too, so the drift bound applies to these two
+    durations as well as to the task lease.
 
     Parameters
     ----------
@@ -93,16 +108,17 @@
         The new owner's time when its takeover record was known to be in
         the journal, in ms.
     grace_ms : int
-        How long past its lease the previous owner may have renewed tasks
-        during a store outage; from its own takeover record.
+        How long after the end of its store lease the previous owner may
+        have renewed task leases during a store outage, in ms; taken from
+        its own takeover record.
     lease_ms : int
-        Longest lease that a start or renewal grants.
+        Longest lease that a start or renewal grants, in ms.
     ttl_ms : int
-        Duration of the previous owner's store lease.
+        Duration of the previous owner's store lease, in ms.
     drift : float
-        Bound on the relative rate of any two clocks.
+        Bound on the relative rate difference of any two clocks.
     margin_ms : int
-        Allowance for the worker's timer.
+        Allowance for the resolution of the worker's timer, in ms.
     """
     longest = ceil((ttl_ms + grace_ms + lease_ms) * (1 + drift))
     return takeover_at + longest + margin_ms
@@ -111,7 +127,7 @@
 def choose_next_step(
     idempotent: bool, fate: AttemptFate, attempt: int, max_attempts: int
 ) -> NextStep:
-    """Tell what may follow an attempt without running work twice.
+    """Decide on a retry so that no non-idempotent job runs twice.
 
     Parameters
     ----------
@@ -119,8 +135,10 @@
         Whether the job may run again after an attempt that started.
     fate : AttemptFate
         What is certain about the attempt.
-    attempt, max_attempts : int
-        Number of this attempt, from 1, and the most that may fail.
+    attempt : int
+        Number of failed attempts, this one included.
+    max_attempts : int
+        Number of failed attempts after which the job fails.
     """
     if fate is AttemptFate.OPEN:
         return NextStep.WAIT
--- a/sassafrasgate/shards/cancellations.py
+++ b/sassafrasgate/shards/cancellations.py
@@ -1,4 +1,4 @@
-"""Cancelling jobs."""
+"""Cancellation of jobs."""
 
 from __future__ import annotations
 
@@ -31,7 +31,7 @@
 def cancel_job(
     state: ShardState, request: RequestReceived, now: int
 ) -> Actions:
-    """End a waiting job at once, or ask its workers to stop it.
+    """End a queued job at once, or stop the tasks of a placed one.
 
     The caller is answered when the end is durable, or with the current
     state after `CANCEL_WAIT_MS`.
@@ -55,11 +55,11 @@
 
 
 def begin_cancel(state: ShardState, entry: JobEntry) -> Actions:
-    """Cancel a job; its end follows when no task can run any more."""
+    """Start to cancel a job, which ends once none of its tasks can run."""
     entry = state.update_job(entry.job_id, cancelling=True)
     yield LogDecision('cancel', entry.job_id, entry.attempt)
     if entry.transferred_to:
-        # The next tick recalls the attempt from the other shard.
+        # The next timer event sends a recall to the shard that runs it.
         transfer = state.transfers[entry.job_id]
         state.transfers[entry.job_id] = replace(transfer, next_at=0)
         return
--- a/sassafrasgate/shards/endings.py
+++ b/sassafrasgate/shards/endings.py
@@ -1,4 +1,4 @@
-"""Ends of tasks, attempts and jobs."""
+"""Completion of tasks, attempts and jobs."""
 
 from __future__ import annotations
 
@@ -42,8 +42,7 @@
 
 REPORT_RESEND_MS = 1_000
 
-# Certainty grows from left to right: the attempt as a whole is as bad as
-# its worst task.
+# In ascending order of severity: an attempt is as bad as its worst task.
 _FATE_ORDER = (
     AttemptFate.NOT_SENT,
     AttemptFate.REFUSED,
@@ -55,7 +54,7 @@
 def settle_ended_task(
     state: ShardState, host: str, report: EndedTask, now: int
 ) -> Actions:
-    """Note the end of a task that its worker has confirmed."""
+    """Process a worker's report that a task has ended."""
     task = state.drop_task(report.task)
     state.room_changed = True
     job_id = task.job_id if task else find_job_id(report.task)
@@ -66,7 +65,8 @@
         yield from end_quick_request(state, job_id, report, now)
         return
     if report.task in state.requeueing:
-        # Released with its record; a worker lists it until then.
+        # The worker lists the task until it is released, which happens once
+        # the record of its requeue is durable.
         return
     entry = state.jobs.get(job_id)
     if entry is None or not _is_current(entry, report.task):
@@ -90,7 +90,7 @@
 
 
 def find_job_id(task: str) -> str:
-    """Return the job id of a task id, also of a quick request's."""
+    """Return the job id in a task id of a job or a quick request."""
     return split_task_id(task)[0].partition('~')[0]
 
 
@@ -101,7 +101,7 @@
 def _note_result(
     state: ShardState, task: TaskEntry, outcome: TaskOutcome, now: int
 ) -> None:
-    """Learn from an end that the worker has reported."""
+    """Update host health and learned sizes from a task's end."""
     if outcome in (TaskOutcome.FINISHED, TaskOutcome.FAILED):
         succeeded = outcome is TaskOutcome.FINISHED
         state.health.note_result(task.host, task.job_id, succeeded, now)
@@ -146,8 +146,8 @@
     if entry is None or not _is_current(entry, event.task):
         return
     if not event.chunks:
-        # Without chunks the copy failed; the worker's next report of the
-        # ended task starts it again.
+        # The copy failed; the worker's next report of the ended task starts
+        # another one.
         return
     outcome = Outcome(
         JobState.FINISHED, '', b'', event.chunks, event.size, event.digest
@@ -168,7 +168,10 @@
 
 
 def _merge_outcomes(finished: tuple[FinishedTask, ...]) -> Outcome:
-    """Return a job's outcome: the one with output, lowest task first."""
+    """Return the outcome of the lowest-numbered task that has output.
+
+    Without any output, the outcome of the lowest-numbered task counts.
+    """
     ordered = sorted(finished, key=lambda item: split_task_id(item.task)[1])
     for item in ordered:
         if item.outcome.size:
@@ -177,7 +180,7 @@
 
 
 def end_job(state: ShardState, entry: JobEntry, outcome: Outcome) -> Actions:
-    """Write a job's end; callers hear of it once it is durable."""
+    """Journal a job's end; callers are answered once it is durable."""
     yield LogDecision(
         'end',
         entry.job_id,
@@ -193,7 +196,7 @@
 
 @DURABLE_HANDLERS.register('ended')
 def confirm_ended(state: ShardState, record: JobEnded, now: int) -> Actions:
-    """Answer callers and let the workers forget the tasks."""
+    """Answer the callers and release the tasks of a job that has ended."""
     entry = state.jobs.get(record.job_id)
     if entry is None:
         return
@@ -216,7 +219,7 @@
     reason: str,
     now: int,
 ) -> Actions:
-    """Give up a task that certainly does not run any more."""
+    """Process a task that certainly no longer runs and gave no result."""
     state.drop_task(task.task)
     state.room_changed = True
     quick = state.quick.get(task.job_id)
@@ -241,14 +244,14 @@
 
 
 def _settle_attempt(state: ShardState, entry: JobEntry) -> Actions:
-    """Go on once the tasks that ended allow it."""
+    """End the attempt if none of its tasks can still run."""
     if entry.cancelling:
         yield from finish_cancel(state, entry)
         return
     if entry.spec.job_class is not JobClass.SERVICE and any(
         True for _ in state.tasks_of(entry.job_id)
     ):
-        # All tasks of a gang end before any of them may start again.
+        # All tasks of a gang must end before any of them starts again.
         return
     yield from _end_attempt(state, entry)
 
@@ -266,7 +269,8 @@
     reason = next(c.reason for c in entry.closed if c.fate is fate)
     failures = entry.failures + 1
     if state.health.is_job_at_fault(entry.job_id):
-        # It failed on several healthy hosts; more tries would only cost.
+        # The job failed on several healthy hosts, so that another attempt
+        # would only use resources.
         failures = MAX_FAILED_ATTEMPTS
     step = choose_next_step(
         entry.spec.idempotent, fate, failures, MAX_FAILED_ATTEMPTS
@@ -309,14 +313,14 @@
 def confirm_requeued(
     state: ShardState, record: JobRequeued, now: int
 ) -> Actions:
-    """Let the workers forget tasks whose end is in the journal."""
+    """Release the ended tasks of a requeue that is in the journal."""
     state.requeueing.difference_update(record.tasks)
     for task, host in zip(record.tasks, record.hosts, strict=True):
         yield ReleaseTask(host, task)
 
 
 def finish_cancel(state: ShardState, entry: JobEntry) -> Actions:
-    """End a cancelled job once none of its tasks can run any more."""
+    """End a cancelled job once none of its tasks can run."""
     if any(True for _ in state.tasks_of(entry.job_id)):
         return
     yield from end_job(
--- a/sassafrasgate/shards/events.py
+++ b/sassafrasgate/shards/events.py
@@ -1,4 +1,8 @@
-"""What a shard is told; the input of its decisions."""
+"""Events that the decisions of a shard take as input.
+
+The class names are label values of the metric for decision times, so
+renaming a class changes that metric.
+"""
 
 from __future__ import annotations
 
@@ -17,11 +21,11 @@
     Parameters
     ----------
     reply_to : int
-        Token that a `Reply` action names; 0 when no answer is expected.
+        Token for the `Reply` action; 0 when no answer is expected.
     message : object
         A registered message of the inner protocol.
     wall_ms : int
-        Wall clock in milliseconds, for retention only.
+        Wall clock in ms, used for retention only.
     """
 
     reply_to: int
@@ -31,14 +35,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigurationChanged:
-    """A newer configuration is in force."""
+    """Another configuration has been published."""
 
     configuration: Configuration
 
 
 @dataclass(frozen=True, slots=True)
 class RecordsDurable:
-    """Records are in the journal."""
+    """Records have become durable in the journal."""
 
     records: tuple[Any, ...]
     wall_ms: int = 0
@@ -46,12 +50,14 @@
 
 @dataclass(frozen=True, slots=True)
 class WithdrawalAnswered:
-    """The journal has, or has not, dropped a job's unsent records.
+    """The journal has answered a request to withdraw a job's records.
 
     Parameters
     ----------
+    withdrawn : bool
+        Whether the records were removed before they were sent to the store.
     records : int
-        How many it has dropped.
+        Number of removed records.
     """
 
     job_id: str
@@ -61,7 +67,13 @@
 
 @dataclass(frozen=True, slots=True)
 class HostSynced:
-    """A worker answered; ``received_at`` is the owner's clock in ms."""
+    """A worker answered a sync call.
+
+    Parameters
+    ----------
+    received_at : int
+        The owner's clock in ms when the answer arrived.
+    """
 
     host: str
     reply: SyncReply
@@ -70,21 +82,33 @@
 
 @dataclass(frozen=True, slots=True)
 class HostSilent:
-    """A worker did not answer in time."""
+    """A worker did not answer a sync call in time."""
 
     host: str
 
 
 @dataclass(frozen=True, slots=True)
 class HostListed:
-    """The platform's host list marks these hosts as leaving."""
+    """The platform's host list has been read.
+
+    Parameters
+    ----------
+    leaving : frozenset of str
+        Hosts that the list marks as about to leave the platform.
+    """
 
     leaving: frozenset[str]
 
 
 @dataclass(frozen=True, slots=True)
 class StartAnswered:
-    """A worker answered a start."""
+    """A worker answered a start.
+
+    Parameters
+    ----------
+    received_at : int
+        The owner's clock in ms when the answer arrived.
+    """
 
     host: str
     task: str
@@ -94,12 +118,12 @@
 
 @dataclass(frozen=True, slots=True)
 class StartUnanswered:
-    """A start was sent and got no answer, so the task may run.
+    """A start was sent but not answered, so the task may be running.
 
     Parameters
     ----------
     start_before_clock : int
-        The worker refuses the start from this reading of its clock on.
+        Reading of the worker's clock from which it refuses the start.
     """
 
     host: str
@@ -109,7 +133,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StartNotSent:
-    """A start was not sent, so the task certainly does not run."""
+    """A start was not sent, so the task is certainly not running."""
 
     host: str
     task: str
@@ -118,7 +142,15 @@
 
 @dataclass(frozen=True, slots=True)
 class OutputStored:
-    """A large output is in the store."""
+    """Copying a large output to the store has finished or failed.
+
+    Parameters
+    ----------
+    chunks : int
+        Number of chunks in the store; 0 when the copy failed.
+    size : int
+        Length of the output in bytes.
+    """
 
     task: str
     chunks: int
@@ -128,7 +160,7 @@
 
 @dataclass(frozen=True, slots=True)
 class OutputFetched:
-    """A large output of a quick request has arrived whole."""
+    """The large output of a quick request has been fetched in full."""
 
     task: str
     data: bytes
@@ -137,19 +169,21 @@
 
 @dataclass(frozen=True, slots=True)
 class SummaryReceived:
-    """Free capacity of another shard."""
+    """A summary of another shard's free capacity has arrived."""
 
     summary: Any
 
 
 @dataclass(frozen=True, slots=True)
 class PeerAnswered:
-    """Another shard answered; ``answer`` is None when it did not.
+    """Another shard answered a message, or failed to.
 
     Parameters
     ----------
     message : object
         The message that was sent with `SendPeer`.
+    answer : object or None
+        The answer; None when none arrived in time.
     """
 
     message: Any
@@ -158,11 +192,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Ticked:
-    """Time has passed."""
+    """The periodic timer has fired."""
 
     wall_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class StopRequested:
-    """The process is about to stop; nothing new is accepted."""
+    """The process is about to stop, so no new work may be accepted."""
--- a/sassafrasgate/shards/handlers.py
+++ b/sassafrasgate/shards/handlers.py
@@ -1,4 +1,4 @@
-"""Registries of handlers, by event, request, and journal record."""
+"""Registries of the handlers of events, requests and journal records."""
 
 from __future__ import annotations
 
@@ -27,17 +27,17 @@
 
 
 def write_record(state: ShardState, record: Any) -> Actions:
-    """Apply a record to the state and ask for its persistence.
+    """Apply a record to the state and ask for it to be journalled.
 
     Replay after a takeover applies records with the same function, so that
-    a successor's state cannot differ from what the record meant.
+    the successor arrives at the same state.
     """
     APPLIERS.find(record.kind)(state, record)
     yield Persist(record)
 
 
 def reply_refusal(reply_to: int, refusal: Refusal) -> Reply:
-    """Return the answer that carries a refusal."""
+    """Return the action that answers a request with a refusal."""
     return Reply(
         reply_to, Refused(refusal.kind, refusal.reason, refusal.remedy)
     )
--- a/sassafrasgate/shards/ownership.py
+++ b/sassafrasgate/shards/ownership.py
@@ -1,4 +1,4 @@
-"""Rules for owning a shard; the model checker drives these too."""
+"""Rules for owning a shard, also exercised by the models."""
 
 from __future__ import annotations
 
@@ -10,20 +10,26 @@
 
 @dataclass(frozen=True, slots=True)
 class OwnerLease:
-    """An owner's store lease, on the owner's suspend-counting clock.
+    """An owner's store lease.
+
+    Times are readings of the owner's clock in ms, which counts suspended
+    time; 0 stands for none.
 
     Parameters
     ----------
     renewed_at : int
-        When the last successful renewal was *sent*, in ms.
+        When the last successful renewal was *sent*.
     store_failing_since : int
-        When calls to the store began to fail without an answer; 0 while
-        it answers.
+        When calls to the store began to go unanswered; 0 while the store
+        answers.
     checked_at : int
-        When the owner last ran its own check, to notice a pause.
-    ttl_ms, grace_ms : int
-        Length of the lease, and how long the owner may go on past it while
-        the store is down.
+        When the owner last ran its periodic check; an old value shows that
+        the process was paused.
+    ttl_ms : int
+        Duration of the lease.
+    grace_ms : int
+        How long the owner may go on after the end of the lease while the
+        store is down.
     """
 
     renewed_at: int
@@ -41,11 +47,12 @@
 ) -> bool:
     """Tell whether an owner may send a command to a worker.
 
-    Within its lease it may. Past it, it may only while the store has been
-    failing since before the lease ended, the owner itself was not paused,
-    and the outage grace has not run out. Another process may still reach
-    the store, so a successor waits out the same grace before it gives up
-    the leases on a host that does not answer it.
+    During its lease it may. After the lease it may only if the store has
+    been failing since before the lease ended, the owner itself was not
+    paused, and the grace period for outages has not ended. Another process
+    may still reach the store and take over, so a successor waits for the
+    end of the same grace period before it considers the leases on an
+    unresponsive host expired.
     """
     if now < lease.renewed_at + ttl_ms:
         return True
@@ -59,5 +66,18 @@
 def may_place(
     fence_answered: bool, leaving: bool, drained: bool, quarantined: bool
 ) -> bool:
-    """Tell whether a host may get new work."""
+    """Tell whether a host may get new tasks.
+
+    Parameters
+    ----------
+    fence_answered : bool
+        Whether the worker has acknowledged this owner's epoch and still
+        answers; from then on it refuses commands of earlier owners.
+    leaving : bool
+        Whether the host is about to leave the platform.
+    drained : bool
+        Whether an operator has drained the host.
+    quarantined : bool
+        Whether the host may not get tasks because of earlier failures.
+    """
     return fence_answered and not (leaving or drained or quarantined)
--- a/sassafrasgate/shards/passes.py
+++ b/sassafrasgate/shards/passes.py
@@ -1,4 +1,4 @@
-"""Passes over the queue: place, transfer, or leave waiting."""
+"""Scheduling passes, which place or transfer queued jobs."""
 
 from __future__ import annotations
 
@@ -28,9 +28,10 @@
 
 
 def place_queued_jobs(state: ShardState, now: int) -> Actions:
-    """Place waiting jobs in fair order, at most one batch per call.
+    """Place queued jobs in fair order, a limited number per call.
 
-    A job that does not fit now is passed over and blocks nobody.
+    A job that does not fit now is skipped and does not block those behind
+    it.
     """
     placed = 0
     transferred = 0
@@ -61,7 +62,10 @@
     may_move: bool,
     now: int,
 ) -> Generator[Any, None, int]:
-    """Transfer a refused job, or make room for it; count transfers."""
+    """Transfer an unplaced job or preempt others for it.
+
+    Returns the number of transfers, 0 or 1.
+    """
     entry = state.jobs[job.job_id]
     if may_move and may_transfer(state, job, refusal, now):
         target = find_transfer_target(state, job.spec, now)
@@ -78,8 +82,9 @@
 ) -> bool:
     """Tell whether a job may leave its home shard now.
 
-    Another failure domain costs a hop, so a job that could run at home
-    waits there first, unless it is urgent.
+    Running in another failure domain adds a network hop, so a job that
+    could run on its home shard waits there for `TRANSFER_AFTER_MS` first,
+    unless it is urgent.
     """
     entry = state.jobs[job.job_id]
     if entry.placements or entry.home or entry.cancelling:
--- a/sassafrasgate/shards/placements.py
+++ b/sassafrasgate/shards/placements.py
@@ -1,4 +1,4 @@
-"""Placing jobs: at once, from the queue, or not at all."""
+"""Placement of jobs on hosts, with its explanations."""
 
 from __future__ import annotations
 
@@ -37,7 +37,17 @@
     excluded: frozenset[str] = frozenset(),
     occupied: tuple[str, ...] = (),
 ) -> Assignment | Refusal:
-    """Return hosts for ``tasks`` tasks of a job, or why there are none."""
+    """Return hosts for some tasks of a job, or a refusal.
+
+    Parameters
+    ----------
+    tasks : int
+        Number of tasks to place.
+    excluded : frozenset of str
+        Hosts to avoid while others are available.
+    occupied : tuple of str
+        Hosts that already hold tasks of the job.
+    """
     demand = state.sizes.find_size(spec)
     refusal = state.quotas.may_reserve(spec.team, demand.scale(tasks))
     if refusal is not None:
@@ -56,14 +66,14 @@
     chosen = choose_hosts(state.index, request)
     if not isinstance(chosen, Refusal) or not excluded:
         return chosen
-    # A host that failed the job before is better than no host at all.
+    # A host on which the job failed before is better than none.
     return choose_hosts(state.index, replace(request, excluded=frozenset()))
 
 
 def find_rule_limits(
     state: ShardState, spec: JobSpec
 ) -> tuple[tuple[str, ...], tuple[str, ...]]:
-    """Return the labels and failure domains that the rules ask for."""
+    """Return the labels and failure domains that rules require of a job."""
     labels: tuple[str, ...] = ()
     domains: tuple[str, ...] = ()
     for rule in state.configuration.rules:
@@ -99,9 +109,10 @@
     assignment: Assignment,
     standing: tuple[Placement, ...] = (),
 ) -> tuple[Placement, ...]:
-    """Return the placements of an assignment, for the journal.
+    """Return the placements of an assignment.
 
-    Task indexes that no standing placement uses are filled lowest first.
+    Task indexes that no current placement uses are assigned in ascending
+    order.
     """
     demand = state.sizes.find_size(spec)
     used = {split_task_id(placement.task)[1] for placement in standing}
@@ -120,7 +131,7 @@
 def place_job(
     state: ShardState, entry: JobEntry
 ) -> Generator[Any, None, Refusal | None]:
-    """Place a queued job's missing tasks; return a refusal or None."""
+    """Place a queued job's unplaced tasks; return a refusal or None."""
     tasks = count_wanted(entry)
     chosen = choose_for_job(
         state,
@@ -158,8 +169,8 @@
 def count_wanted(entry: JobEntry) -> int:
     """Return how many tasks one decision must place together.
 
-    Gangs need all their tasks at once; a service takes what it gets, one
-    task at a time.
+    A gang needs all its tasks at once, while the tasks of a service are
+    placed one at a time.
     """
     if entry.spec.job_class is JobClass.SERVICE:
         return 1
@@ -169,7 +180,7 @@
 def note_placement(
     state: ShardState, job_id: str, attempt: int, chosen: Assignment
 ) -> Actions:
-    """Log a placement and keep it for explanations."""
+    """Log a placement and keep it for `explain` requests."""
     yield from note_decision(
         state,
         LogDecision(
@@ -184,7 +195,7 @@
 
 
 def note_decision(state: ShardState, decision: LogDecision) -> Actions:
-    """Log a decision and keep the newest ones of each job."""
+    """Log a decision and keep it among the newest ones of its job."""
     line = ' '.join(
         part
         for part in (
@@ -202,5 +213,5 @@
 
 
 def fits_nowhere(refusal: Refusal) -> bool:
-    """Tell whether no host of the shard could ever run the job."""
+    """Tell whether a job fits on no host even when the hosts are empty."""
     return refusal.kind is RefusalKind.FITS_NOWHERE
--- a/sassafrasgate/shards/preemption.py
+++ b/sassafrasgate/shards/preemption.py
@@ -1,7 +1,7 @@
-"""Making room for urgent work, where the rules allow it.
+"""Preemption of batch tasks for jobs that the rules allow to preempt.
 
-Only idempotent batch tasks give way: they are checkpointed, stopped and
-queued again. A preemption is not counted as a failure of their job.
+Only idempotent batch tasks are preempted: they are checkpointed, stopped
+and queued again. A preemption does not count as a failed attempt.
 """
 
 from __future__ import annotations
@@ -26,14 +26,14 @@
     from sassafrasgate.shards.state import ShardState
     from sassafrasgate.shards.state import TaskEntry
 
-# Stops take a round trip and a sync; until then the same job asks for no
-# more victims.
+# Stopping a task takes a round trip and a sync, so the same job does not
+# preempt more tasks before then.
 PREEMPTION_WAIT_MS = 3_000
 MAX_VICTIMS = 8
 
 
 def may_preempt(state: ShardState, spec: JobSpec) -> bool:
-    """Tell whether a rule lets a job displace batch work."""
+    """Tell whether a rule allows a job to preempt batch tasks."""
     return spec.tasks == 1 and any(
         rule.may_preempt and is_rule_for(rule, spec)
         for rule in state.configuration.rules
@@ -41,7 +41,7 @@
 
 
 def preempt_for(state: ShardState, entry: JobEntry, now: int) -> Actions:
-    """Stop batch tasks on one host so that a job fits there."""
+    """Stop batch tasks on one host so that a job fits on it."""
     if state.preemptions.get(entry.job_id, 0) > now:
         return
     victims = choose_victims(state, entry.spec)
@@ -61,10 +61,11 @@
 
 
 def choose_victims(state: ShardState, spec: JobSpec) -> tuple[TaskEntry, ...]:
-    """Return the fewest batch tasks whose end makes room on some host.
+    """Return the fewest batch tasks whose end lets a job fit on some host.
 
-    Among hosts that need equally many, the one whose victims started last
-    loses the least work.
+    On each host the tasks that started last are chosen first, since they
+    lose the least work. Among hosts that need equally few, the first one is
+    taken.
     """
     labels, domains = find_rule_limits(state, spec)
     best: tuple[TaskEntry, ...] = ()
--- a/sassafrasgate/shards/quick.py
+++ b/sassafrasgate/shards/quick.py
@@ -1,4 +1,4 @@
-"""Quick requests: placed and answered without a journal record."""
+"""Quick requests, which are placed and answered without journal records."""
 
 from __future__ import annotations
 
@@ -36,8 +36,8 @@
     from sassafrasgate.shards.state import ShardState
 
 DEFAULT_DEADLINE_MS = 5_000
-# The lease of a quick request is not renewed, and its start may use a clock
-# reading that is as old as one held sync.
+# Below the task lease, since the lease of a quick request is not renewed and
+# its start may use a clock reading as old as a long-polled sync call.
 MAX_DEADLINE_MS = 7_000
 REPLY_MARGIN_MS = 100
 MAX_TRIES = 3
@@ -46,7 +46,7 @@
 def start_quick_request(
     state: ShardState, request: RequestReceived, now: int
 ) -> Actions:
-    """Place a quick request at once, or refuse it at once."""
+    """Place a quick request at once, or refuse it."""
     submit: Submit = request.message
     refusal = _find_refusal(state, submit.spec)
     if refusal is not None:
@@ -54,7 +54,8 @@
         return
     running = state.quick.get(submit.job_id)
     if running is not None:
-        # One attempt at a time, also after its first callers gave up.
+        # Only one attempt of a key runs at a time, even after its earlier
+        # callers have given up.
         state.quick[submit.job_id] = replace(
             running,
             reply_to=(*running.reply_to, request.reply_to),
@@ -75,15 +76,18 @@
         if refusal.kind is RefusalKind.NO_ROOM and _awaits_hosts(state):
             refusal = Refusal(
                 RefusalKind.NOT_READY,
-                f'the new owner of shard {state.name!r} waits for the first '
-                'answers of its hosts',
+                f'the new owner of shard {state.name!r} is waiting for the '
+                'first answers of its workers',
                 'send the request again after a second',
             )
         yield from _refuse(state, request, refusal)
 
 
 def _awaits_hosts(state: ShardState) -> bool:
-    """Tell whether hosts that are not known to be silent are not open yet."""
+    """Tell whether some hosts have not acknowledged this owner yet.
+
+    Hosts that are known to be unresponsive do not count.
+    """
     return any(
         not host.fenced and not host.silent_since
         for host in state.hosts.values()
@@ -142,8 +146,8 @@
         return chosen
     host = chosen.hosts[0]
     attempt = quick.attempt + 1
-    # Epoch and serial keep the ids of tasks apart that run for one key at
-    # different times, so that a worker takes none for a repeat.
+    # The epoch and a sequence number make the task id unique among all tasks
+    # of one key, so that a worker takes none for a repeated start.
     state.quick_serial += 1
     task = make_task_id(
         f'{quick.job_id}~{state.epoch}', state.quick_serial, attempt
@@ -187,7 +191,10 @@
 def retry_quick_request(
     state: ShardState, job_id: str, reason: str, now: int
 ) -> Actions:
-    """Place a quick request elsewhere after a certain refusal."""
+    """Place a quick request on another host after an unsuccessful attempt.
+
+    The earlier attempt must be certain not to run any more.
+    """
     quick = state.quick[job_id]
     if not quick.reply_to:
         del state.quick[job_id]
@@ -212,7 +219,7 @@
 def end_quick_request(
     state: ShardState, job_id: str, ended: EndedTask, now: int
 ) -> Actions:
-    """Answer a quick request with its task's output."""
+    """Answer a quick request with its task's output, or retry it."""
     quick = state.quick[job_id]
     if quick.ended is not None:
         return
@@ -243,7 +250,7 @@
 def answer_fetched(
     state: ShardState, event: OutputFetched, now: int
 ) -> Actions:
-    """Answer a quick request whose large output has arrived."""
+    """Answer a quick request whose large output has been fetched."""
     for quick in list(state.quick.values()):
         if quick.task != event.task:
             continue
@@ -281,10 +288,11 @@
 
 
 def expire_quick_requests(state: ShardState, now: int) -> Actions:
-    """Answer "unknown" to callers whose time is over.
+    """Answer "unknown" to callers whose deadline has passed.
 
     The reservation and the entry stay until the task has certainly ended,
-    so that the same key does not run in a second place meanwhile.
+    so that a request with the same key does not run concurrently on a second
+    host.
     """
     late = [
         quick
@@ -296,7 +304,7 @@
         view = JobView(
             quick.job_id,
             JobState.UNKNOWN,
-            'the worker has not answered in time',
+            'the worker did not answer within the deadline',
             quick.attempt,
             (quick.host,),
             state.name,
@@ -306,7 +314,7 @@
             'expire', quick.job_id, quick.attempt, quick.host, view.reason
         )
         if quick.ended is not None:
-            # Its end has been reported; its output could not be fetched.
+            # The task has ended, but its output has not been fetched.
             yield ReleaseTask(quick.host, quick.task)
         for reply_to in quick.reply_to:
             yield Reply(reply_to, view)
--- a/sassafrasgate/shards/recovery.py
+++ b/sassafrasgate/shards/recovery.py
@@ -1,4 +1,7 @@
-"""How journal records change a shard's state, now and in replay."""
+"""Application of journal records to a shard's state.
+
+The same functions serve new records and the replay after a takeover.
+"""
 
 from __future__ import annotations
 
@@ -35,13 +38,16 @@
 
 
 def replay_records(state: ShardState, records: Iterable[Any]) -> None:
-    """Apply records of a snapshot or the journal, oldest first."""
+    """Apply records of a snapshot or the journal in order."""
     for record in records:
         APPLIERS.find(record.kind)(state, record)
 
 
 def begin_ownership(state: ShardState, now: int) -> None:
-    """Set the lapse times of hosts once the takeover record is durable."""
+    """Set when the leases of earlier owners expire on each host.
+
+    Call this once the takeover record is durable.
+    """
     lapse_at = find_takeover_lapse(
         now, state.previous_grace_ms, ttl_ms=state.previous_ttl_ms
     )
@@ -53,7 +59,7 @@
 
 
 def list_records(state: ShardState) -> Iterator[Any]:
-    """Yield records from which the durable state can be rebuilt."""
+    """Yield records for a snapshot of the durable state."""
     yield Takeover(state.epoch, state.owner, state.grace_ms, state.ttl_ms)
     for entry in state.jobs.values():
         yield from _list_job_records(entry)
@@ -110,8 +116,8 @@
 
 
 def _requeue(state: ShardState, entry: JobEntry) -> None:
-    # Deadlines count from acceptance, which only the wall clock can tell
-    # across owners.
+    # Deadlines count from acceptance, and only the wall clock is comparable
+    # between owners.
     waited_ms = max(0, state.wall_ms - entry.accepted_at_ms)
     group = (entry.spec.team, entry.spec.job_class, entry.failed_hosts)
     state.queue.add(
@@ -124,7 +130,7 @@
 
 @APPLIERS.register('takeover')
 def apply_takeover(state: ShardState, record: Takeover) -> None:
-    """Note the epoch and what the previous owner was allowed."""
+    """Set the epoch; keep the lease and grace of the previous owner."""
     state.previous_grace_ms = state.grace_ms
     state.previous_ttl_ms = state.ttl_ms
     state.epoch = record.epoch
@@ -134,7 +140,7 @@
 
 @APPLIERS.register('accepted')
 def apply_accepted(state: ShardState, record: JobAccepted) -> None:
-    """Add a job, queued or with its first placements."""
+    """Add a job, either queued or with its first placements."""
     entry = JobEntry(
         record.job_id,
         record.spec,
@@ -153,7 +159,7 @@
 
 @APPLIERS.register('placed')
 def apply_placed(state: ShardState, record: JobPlaced) -> None:
-    """Add placements of a new attempt to those that still stand."""
+    """Add the placements of a new attempt to the job's current ones."""
     entry = state.jobs[record.job_id]
     state.queue.remove(record.job_id)
     entry = state.update_job(
@@ -170,7 +176,7 @@
 
 @APPLIERS.register('requeued')
 def apply_requeued(state: ShardState, record: JobRequeued) -> None:
-    """Drop the tasks that ended and queue the job for others."""
+    """Remove a job's ended tasks and queue the job again."""
     entry = state.jobs[record.job_id]
     gone = set(record.tasks)
     for task in record.tasks:
@@ -193,7 +199,7 @@
 
 @APPLIERS.register('ended')
 def apply_ended(state: ShardState, record: JobEnded) -> None:
-    """End a job; all its tasks have certainly ended."""
+    """End a job, all of whose tasks have certainly ended."""
     entry = state.jobs[record.job_id]
     for placement in entry.placements:
         state.drop_task(placement.task)
@@ -215,7 +221,7 @@
 
 @APPLIERS.register('transferred')
 def apply_transferred(state: ShardState, record: JobTransferred) -> None:
-    """Hand an attempt to another shard."""
+    """Mark a job's attempt as transferred to another shard."""
     state.queue.remove(record.job_id)
     state.update_job(
         record.job_id,
@@ -231,7 +237,7 @@
 
 @APPLIERS.register('tombstone')
 def apply_tombstone(state: ShardState, record: AttemptRefused) -> None:
-    """Refuse a transferred attempt for good."""
+    """Remember that a transferred attempt was permanently refused."""
     state.tombstones[(record.job_id, record.home, record.home_attempt)] = None
     if len(state.tombstones) > MAX_TOMBSTONES:
         state.tombstones.pop(next(iter(state.tombstones)))
@@ -239,7 +245,7 @@
 
 @APPLIERS.register('forgotten')
 def apply_forgotten(state: ShardState, record: JobsForgotten) -> None:
-    """Drop jobs whose retention has ended."""
+    """Remove jobs whose retention period has ended."""
     for job_id in record.job_ids:
         state.jobs.pop(job_id, None)
         state.health.forget_job(job_id)
@@ -248,9 +254,10 @@
 
 
 def sync_hosts(state: ShardState, lapse_at: int) -> None:
-    """Bring the host index in line with the configuration.
+    """Update the hosts from the configuration.
 
-    Hosts that left the inventory stay, closed, while tasks may run there.
+    Hosts that were removed from the inventory stay, without new tasks, while
+    tasks may run on them.
     """
     shard = _find_shard(state)
     if shard is None:
--- a/sassafrasgate/shards/shares.py
+++ b/sassafrasgate/shards/shares.py
@@ -1,10 +1,11 @@
-"""Quotas that hold across shards: shards lend each other their shares.
+"""Shares of cell-wide quotas, which shards lend to each other.
 
 Each shard starts with an equal share of a team's quota. A shard whose share
-is too small for a waiting job asks the others, one at a time, for what they
-do not use. The lender journals the total that it has lent to a shard before
-it answers with that total, so a lost answer or a takeover can leave a part
-of the quota unused for a while but never lets the shares exceed it.
+is too small for a queued job asks the other shards, one at a time, for
+unused share. The lender journals the total that it has lent to a shard
+before it answers with that total. A lost answer or a takeover can therefore
+leave a part of the quota unused for a while, but the sum of the shares never
+exceeds the quota.
 """
 
 from __future__ import annotations
@@ -34,7 +35,7 @@
 
 
 def set_shares(state: ShardState) -> None:
-    """Give the ledger the equal shares of the configuration's quotas."""
+    """Set each team's share from the quotas of the configuration."""
     shards = len(state.configuration.shards)
     state.quotas.set_teams(state.configuration.teams, shards)
     for team in state.configuration.teams:
@@ -57,7 +58,10 @@
 
 
 def borrow_share(state: ShardState, spec: JobSpec, now: int) -> Actions:
-    """Ask the next shard for what a waiting job's team lacks here."""
+    """Ask another shard for the share that a queued job needs.
+
+    Each call for a team asks the next shard in turn.
+    """
     peers = [
         shard.name
         for shard in state.configuration.shards
@@ -78,7 +82,7 @@
 def lend_share(
     state: ShardState, request: RequestReceived, now: int
 ) -> Actions:
-    """Lend what is asked for, as far as it is free here."""
+    """Lend as much of the requested share as is unused here."""
     message: BorrowShare = request.message
     key = (message.borrower, message.team)
     total = state.lent.get(key, NOTHING)
@@ -100,7 +104,7 @@
 
 @APPLIERS.register('share-lent')
 def apply_share_lent(state: ShardState, record: ShareLent) -> None:
-    """Lower this shard's share by what it has lent in all."""
+    """Set the total lent to a shard and reduce the own share by it."""
     state.lent[(record.borrower, record.team)] = record.total
     _adjust_share(state, record.team)
 
@@ -109,7 +113,7 @@
 def confirm_share_lent(
     state: ShardState, record: ShareLent, now: int
 ) -> Actions:
-    """Answer the borrower once the loan is in the journal."""
+    """Answer the borrower, since the loan is in the journal."""
     key = (record.borrower, record.team)
     yield from _answer_borrower(state, key, record.total)
 
@@ -124,9 +128,9 @@
 def note_share_total(
     state: ShardState, message: BorrowShare, answer: ShareTotal
 ) -> None:
-    """Raise this shard's share by what a peer has lent in all.
+    """Increase this shard's share to include all that a shard has lent.
 
-    Totals only grow, so a late answer with a smaller one changes nothing.
+    Totals only grow, so a delayed answer with a smaller total has no effect.
     """
     key = (message.shard, message.team)
     state.borrowed[key] = state.borrowed.get(key, NOTHING).cover(answer.total)
--- a/sassafrasgate/shards/state.py
+++ b/sassafrasgate/shards/state.py
@@ -1,6 +1,7 @@
-"""The state of one shard, owned by one task.
+"""The state of one shard.
 
-Values are frozen; the containers belong to the shard's task alone.
+Entries are frozen data classes; the containers that hold them are changed
+only by the task that owns the shard.
 """
 
 from __future__ import annotations
@@ -45,7 +46,7 @@
 
 
 class TaskPhase(StrEnum):
-    """What the owner knows of a task."""
+    """The progress of a task's start, as far as the owner knows it."""
 
     PLANNED = 'planned'
     SENT = 'sent'
@@ -55,20 +56,22 @@
 
 @dataclass(frozen=True, slots=True)
 class TaskEntry:
-    """A task that may be running and holds a reservation.
+    """A task that may be running and that holds a reservation.
 
     Parameters
     ----------
     start_before_clock : int
-        For a start without an answer: when the worker will refuse it.
+        For an unanswered start, the reading of the worker's clock from
+        which the worker refuses it.
     started_clock : int
-        The worker's clock when it confirmed the start. An older sync that
-        does not list the task says nothing about it.
+        The worker's clock when it confirmed the start. A sync reply from
+        before this reading cannot list the task, so its absence there shows
+        nothing.
     stopping : bool
-        Whether the owner has asked the worker to stop it.
+        Whether the owner has asked the worker to stop the task.
     team : str
-        Whose quota the reservation counts against; empty for tasks that
-        an earlier owner started without a record.
+        Team whose quota the reservation counts against; empty for tasks that
+        an earlier owner started without a journal record.
     """
 
     task: str
@@ -85,7 +88,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ClosedTask:
-    """A task that ended without success, and what is certain about it."""
+    """A task that ended without success."""
 
     task: str
     host: str
@@ -103,28 +106,34 @@
 
 @dataclass(frozen=True, slots=True)
 class JobEntry:
-    """One job as this shard knows it.
+    """One job of the shard.
 
     Parameters
     ----------
     attempt : int
         Highest attempt number used so far.
     failures : int
-        Attempts that counted as failures.
+        Number of attempts that counted as failures.
     placements : tuple of Placement
-        Tasks that may run or have finished.
+        Tasks that may be running or have finished.
     finished, closed : tuple
         Tasks of the current placements that ended with and without success.
+    failed_hosts : tuple of str
+        Hosts on which attempts failed, oldest first.
+    home : str
+        Home shard of a job that was transferred here, or empty.
+    home_attempt : int
+        The home shard's attempt number of such a job.
+    transferred_to : str
+        Shard that runs the current attempt, or empty.
     durable : bool
         Whether the acceptance is in the journal.
     end_durable : bool
-        Whether the end is in the journal. Only then may workers forget the
-        job's tasks: a successor that neither reads the end nor finds the
-        task on its worker takes it for one that never started.
-    transferred_to : str
-        Shard that runs the current attempt, or empty.
+        Whether the end is in the journal. Only then may workers discard the
+        job's tasks: a successor that finds neither the end in the journal
+        nor the task on its worker concludes that the task never started.
     cancelling : bool
-        Whether a caller has asked for its end.
+        Whether a caller has asked to cancel the job.
     may_have_run : bool
         Whether an earlier attempt started, or may have.
     """
@@ -163,19 +172,27 @@
 
 @dataclass(frozen=True, slots=True)
 class HostEntry:
-    """What the owner knows of a host.
+    """One host of the shard.
 
     Parameters
     ----------
     fenced : bool
-        Whether the worker has answered under this owner's epoch.
+        Whether the worker has acknowledged this owner's epoch, after which
+        it refuses commands of earlier owners.
     reading : ClockReading or None
         The last clock reading under this epoch.
     silent_since : int
-        Owner's clock of the first missed answer, or 0.
+        The owner's clock when the worker first failed to answer; 0 while it
+        answers.
     lapse_at : int
-        Owner's clock from which everything granted to the host by earlier
-        owners has lapsed; 0 once the host has answered.
+        The owner's clock from which all leases of earlier owners on the
+        host have expired; 0 once the worker has answered.
+    leaving : bool
+        Whether the worker reports that its host is about to leave.
+    listed_leaving : bool
+        Whether the platform's host list says so.
+    lapsed : bool
+        Whether all leases on the host have expired.
     """
 
     name: str
@@ -191,14 +208,16 @@
 
 @dataclass(frozen=True, slots=True)
 class PendingSubmit:
-    """Callers that wait for a job's acceptance to become durable.
+    """A job whose callers wait for its acceptance to become durable.
 
     Parameters
     ----------
     expires_at : int
-        Owner's clock at which the records are withdrawn.
+        The owner's clock from which the job's records are withdrawn.
     callers : tuple of JobWaiter
-        Whom to answer; those with time left then wait for the job's end.
+        Callers to answer; those with time left then wait for the job's end.
+    withdrawing : bool
+        Whether the journal has been asked to withdraw the records.
     """
 
     expires_at: int
@@ -208,7 +227,15 @@
 
 @dataclass(frozen=True, slots=True)
 class JobWaiter:
-    """A caller that waits for a job's end until ``expires_at``."""
+    """A caller that waits for a job's end.
+
+    Parameters
+    ----------
+    reply_to : int
+        Token of the caller's request.
+    expires_at : int
+        The owner's clock from which the caller gets the current state.
+    """
 
     reply_to: int
     expires_at: int
@@ -216,7 +243,21 @@
 
 @dataclass(frozen=True, slots=True)
 class QuickRequest:
-    """A quick request that runs without a journal record."""
+    """A quick request, which runs without journal records.
+
+    Parameters
+    ----------
+    reply_to : tuple of int
+        Tokens of the requests that wait for the answer.
+    expires_at : int
+        The owner's clock from which the callers are answered "unknown".
+    attempt, task, host
+        Number, task id and host of the current attempt.
+    tried : tuple of str
+        Hosts of earlier attempts.
+    ended : EndedTask or None
+        The end of the task while its large output is fetched.
+    """
 
     job_id: str
     spec: JobSpec
@@ -231,16 +272,16 @@
 
 @dataclass(frozen=True, slots=True)
 class TransferEntry:
-    """An attempt that was sent to another shard.
+    """An attempt that is transferred to another shard.
 
     Parameters
     ----------
     durable : bool
-        Whether the transfer is in the journal, so that it may be sent.
+        Whether the transfer is in the journal; only then may it be sent.
     accepted : bool
-        Whether the other shard has taken it for good.
+        Whether the other shard has durably accepted the attempt.
     next_at : int
-        Owner's clock from which the message is sent again.
+        The owner's clock from which the message is sent again.
     """
 
     attempt: int
@@ -252,7 +293,7 @@
 
 @dataclass
 class ShardState:
-    """Everything a shard's decisions depend on.
+    """Everything that a shard's decisions depend on.
 
     Parameters
     ----------
@@ -260,6 +301,8 @@
         Shard name.
     owner : str
         Process name and incarnation of the owner.
+    previous_grace_ms, previous_ttl_ms : int
+        Grace period and store lease of the previous owner.
     """
 
     name: str
@@ -292,7 +335,7 @@
     )
     preemptions: dict[str, int] = field(default_factory=dict)
     storing: dict[str, EndedTask] = field(default_factory=dict)
-    # Ended tasks whose records are not in the journal yet.
+    # Ended tasks whose requeue is not in the journal yet.
     requeueing: set[str] = field(default_factory=set)
     explanations: dict[str, tuple[str, ...]] = field(default_factory=dict)
     usage: dict[str, TaskUsage] = field(default_factory=dict)
@@ -317,7 +360,7 @@
     wall_ms: int = 0
 
     def find_team(self, name: str) -> Team | None:
-        """Return a team of the configuration, or None."""
+        """Return the team of the configuration with a name, or None."""
         for team in self.configuration.teams:
             if team.name == name:
                 return team
@@ -336,7 +379,7 @@
         return entry
 
     def add_task(self, entry: TaskEntry) -> None:
-        """Hold a reservation for a task that may run from now on."""
+        """Add a task that may run from now on and reserve its resources."""
         if entry.task in self.tasks:
             return
         self.tasks[entry.task] = entry
@@ -348,7 +391,7 @@
             )
 
     def drop_task(self, task: str) -> TaskEntry | None:
-        """Give back the reservation of a task that certainly ended."""
+        """Remove a task that has certainly ended and free its resources."""
         entry = self.tasks.pop(task, None)
         if entry is None:
             return None
@@ -361,7 +404,7 @@
         return entry
 
     def note_running(self, job_id: str) -> None:
-        """Show a job as running once all its tasks have been started."""
+        """Set a job's state to running once all its tasks run."""
         entry = self.jobs.get(job_id)
         if entry is None or entry.state is not JobState.ACCEPTED:
             return
@@ -372,7 +415,7 @@
             self.update_job(job_id, state=JobState.RUNNING)
 
     def is_settled(self, task: str) -> bool:
-        """Tell whether a task's end is no news and is durable."""
+        """Tell whether a task may be released without a further record."""
         job_id, _, _ = split_task_id(task)
         entry = self.jobs.get(job_id)
         if entry is None:
@@ -380,17 +423,23 @@
         return entry.end_durable
 
     def must_stop(self, report: RunningTask) -> bool:
-        """Tell whether an unexpected task belongs to a job that is over."""
+        """Tell whether an unexpected task belongs to a job of this shard.
+
+        Its attempt has been given up, so it has to be stopped.
+        """
         job_id, _, _ = split_task_id(report.task)
         entry = self.jobs.get(job_id)
         return entry is not None
 
     def stopping_tasks(self) -> Iterable[TaskEntry]:
-        """Return the tasks that have been asked to stop."""
+        """Return the tasks that their workers have been asked to stop."""
         return [task for task in self.tasks.values() if task.stopping]
 
     def fits_elsewhere(self, spec: JobSpec) -> bool:
-        """Tell whether another shard says that it could hold a task."""
+        """Tell whether a task fits on a host of another shard.
+
+        The summaries of the other shards decide, whatever their age.
+        """
         return any(
             spec.demand.fits_in(summary.largest)
             for summary, _ in self.summaries.values()
--- a/sassafrasgate/shards/submissions.py
+++ b/sassafrasgate/shards/submissions.py
@@ -1,4 +1,4 @@
-"""Accepting jobs: duplicates, admission, acceptance, withdrawal."""
+"""Submission of jobs, from the duplicate check to the first start."""
 
 from __future__ import annotations
 
@@ -45,8 +45,8 @@
     from sassafrasgate.shards.handlers import Actions
     from sassafrasgate.shards.state import ShardState
 
-# Below the time that a front end waits for an acceptance, so that callers
-# get "not run" rather than no answer.
+# Below the front end's time-out for an acceptance, so that callers get "not
+# run" instead of no answer.
 ACCEPT_MS = 8_000
 MAX_QUEUED_JOBS = 100_000
 
@@ -55,7 +55,7 @@
 def accept_submit(
     state: ShardState, request: RequestReceived, now: int
 ) -> Actions:
-    """Accept a job, or refuse it with the certainty that it will not run."""
+    """Accept a job, or refuse it; a refused job never runs."""
     submit: Submit = request.message
     if submit.spec.job_class is JobClass.QUICK:
         yield from start_quick_request(state, request, now)
@@ -73,7 +73,7 @@
 def refuse_submit(
     state: ShardState, request: RequestReceived, refusal: Refusal
 ) -> Actions:
-    """Refuse a job that has left no trace."""
+    """Refuse a job of which no record has been written."""
     submit: Submit = request.message
     yield from note_decision(
         state, LogDecision('refuse', submit.job_id, reason=refusal.reason)
@@ -147,8 +147,7 @@
     ):
         yield from refuse_submit(state, request, chosen)
         return
-    # Waiting jobs keep their order: a new one overtakes the queue only when
-    # its class says so.
+    # Queued jobs keep their order; only urgent jobs overtake the queue.
     may_overtake = spec.job_class is JobClass.URGENT or not len(state.queue)
     placements: tuple[Placement, ...] = ()
     if isinstance(chosen, Assignment) and may_overtake:
@@ -173,7 +172,11 @@
         yield from note_placement(state, submit.job_id, 1, chosen)
         return
     state.room_changed = True
-    reason = chosen.reason if isinstance(chosen, Refusal) else 'behind others'
+    reason = (
+        chosen.reason
+        if isinstance(chosen, Refusal)
+        else 'waiting behind earlier jobs'
+    )
     state.update_job(submit.job_id, reason=reason)
     yield from note_decision(
         state, LogDecision('queue', submit.job_id, reason=reason)
@@ -184,7 +187,7 @@
 def confirm_accepted(
     state: ShardState, record: JobAccepted, now: int
 ) -> Actions:
-    """Answer the callers and start the tasks the record names."""
+    """Answer the callers and start the tasks of a durable acceptance."""
     if record.job_id not in state.jobs:
         return
     state.update_job(record.job_id, durable=True)
@@ -207,7 +210,7 @@
 def start_placed(
     state: ShardState, job_id: str, placements: tuple[Placement, ...]
 ) -> Actions:
-    """Send the starts of placements that are still wanted."""
+    """Start the tasks of placements that are still planned."""
     spec = state.jobs[job_id].spec
     for placement in placements:
         task = state.tasks.get(placement.task)
@@ -223,7 +226,7 @@
 
 
 def expire_submits(state: ShardState, now: int) -> Actions:
-    """Ask the journal to drop acceptances whose callers give up."""
+    """Ask the journal to withdraw acceptances whose callers time out."""
     for job_id, pending in list(state.pending.items()):
         if pending.expires_at > now or pending.withdrawing:
             continue
@@ -235,7 +238,7 @@
 def finish_withdrawal(
     state: ShardState, event: WithdrawalAnswered, now: int
 ) -> Actions:
-    """Tell callers "not run" when that is certain, else "unknown"."""
+    """Answer "not run" if the records were withdrawn, else "unknown"."""
     pending = state.pending.pop(event.job_id, None)
     entry = state.jobs.get(event.job_id)
     if entry is None:
--- a/sassafrasgate/shards/timers.py
+++ b/sassafrasgate/shards/timers.py
@@ -1,4 +1,4 @@
-"""What a shard does as time passes."""
+"""Handlers of timer, journal, configuration and stop events."""
 
 from __future__ import annotations
 
@@ -38,10 +38,11 @@
 
 @EVENT_HANDLERS.register(Ticked)
 def note_time(state: ShardState, event: Ticked, now: int) -> Actions:
-    """Expire what is due."""
+    """Run the periodic work, such as expiring requests and leases."""
     state.wall_ms = event.wall_ms
     if now - state.passed_at >= PASS_INTERVAL_MS:
-        # Quotas, transfers and preemption depend on more than free hosts.
+        # Quotas, transfers and preemption can place a job without a change
+        # of the free capacity, so a pass also runs at this interval.
         state.passed_at = now
         state.room_changed = True
     yield from expire_submits(state, now)
@@ -58,13 +59,13 @@
 
 
 def _repeat_stops(state: ShardState) -> Actions:
-    """Send stops again, since their answers are not awaited."""
+    """Send pending stops again, since a stop may get lost unnoticed."""
     for task in list(state.stopping_tasks()):
         yield StopTask(task.host, task.task)
 
 
 def _expire_queued(state: ShardState, now: int) -> Actions:
-    """End jobs that have not started by their deadline."""
+    """End queued jobs whose deadline for starting has passed."""
     for job in state.queue.list_expired(now):
         entry = state.jobs[job.job_id]
         if not entry.durable:
@@ -93,7 +94,7 @@
 def note_durable(
     state: ShardState, event: RecordsDurable, now: int
 ) -> Actions:
-    """Release the effects of records that are in the journal."""
+    """Carry out the effects of records that have become durable."""
     for record in event.records:
         if record.kind in DURABLE_HANDLERS:
             yield from DURABLE_HANDLERS.find(record.kind)(state, record, now)
@@ -103,7 +104,7 @@
 def note_configuration(
     state: ShardState, event: ConfigurationChanged, now: int
 ) -> Actions:
-    """Take over a newer configuration; an older one changes nothing."""
+    """Apply a configuration unless it is older than the current one."""
     if event.configuration.version <= state.configuration.version:
         return
     state.configuration = event.configuration
@@ -120,6 +121,6 @@
 
 @EVENT_HANDLERS.register(StopRequested)
 def note_stop(state: ShardState, event: StopRequested, now: int) -> Actions:
-    """Accept nothing new from now on."""
+    """Refuse new work from now on."""
     state.stopping = True
     yield LogDecision('stop', '', reason='the process is stopping')
--- a/sassafrasgate/shards/transfers.py
+++ b/sassafrasgate/shards/transfers.py
@@ -1,8 +1,8 @@
-"""Running an attempt on another shard's hosts, at most once.
+"""Transfer of attempts to other shards, with at-most-once semantics.
 
 The home shard journals the transfer before it sends it. The other shard
-journals either the acceptance or a refusal for good before it answers, so
-that a repeated or late message can't start the attempt a second time.
+journals either the acceptance or a permanent refusal before it answers, so
+that a repeated or delayed message cannot start the attempt a second time.
 """
 
 from __future__ import annotations
@@ -57,20 +57,22 @@
 SUMMARY_AGE_MS = 3_000
 SUMMARY_INTERVAL_MS = 1_000
 RESEND_MS = 1_000
-# Attempt numbers of one home attempt on another shard; they never meet
-# those of the home shard or of another home attempt.
+# Size of the range of attempt numbers that each home attempt has on the other
+# shard. The ranges keep these numbers distinct from those of the home shard
+# and of other home attempts.
 ATTEMPTS_PER_TRANSFER = 1_000
 
 
 def find_transfer_target(
     state: ShardState, spec: JobSpec, now: int
 ) -> str | None:
-    """Return the shard that has most room for a job, or None.
+    """Return the shard with the most free CPU that fits a job, or None.
 
     Parameters
     ----------
     now : int
-        Owner's clock; older summaries than `SUMMARY_AGE_MS` do not count.
+        The owner's clock; summaries older than `SUMMARY_AGE_MS` are
+        ignored.
     """
     if spec.job_class is JobClass.SERVICE and spec.tasks > 1:
         return None
@@ -96,10 +98,11 @@
 
 
 def begin_transfer(state: ShardState, entry: JobEntry, shard: str) -> Actions:
-    """Journal a transfer; the message follows when that is durable."""
+    """Journal a transfer, which is sent once its record is durable."""
     summary, received_at = state.summaries[shard]
     need = entry.spec.demand.scale(entry.spec.tasks)
-    # Until the next summary, what is sent there counts as used.
+    # Until its next summary, count the job against the other shard's free
+    # capacity.
     left = replace(
         summary, free=summary.free - need, largest=summary.largest - need
     )
@@ -119,7 +122,7 @@
 def send_transfer(
     state: ShardState, record: JobTransferred, now: int
 ) -> Actions:
-    """Send a transfer that is in the journal."""
+    """Send a transfer whose record is durable."""
     transfer = state.transfers.get(record.job_id)
     if transfer is None or transfer.attempt != record.attempt:
         return
@@ -128,7 +131,7 @@
 
 
 def repeat_transfers(state: ShardState, now: int) -> Actions:
-    """Repeat what another shard has not answered."""
+    """Send unanswered transfers, recalls and reports of ends again."""
     for job_id, transfer in list(state.transfers.items()):
         if transfer.durable and transfer.next_at <= now:
             yield from _resend(state, job_id, now)
@@ -175,7 +178,7 @@
 def note_peer_answer(
     state: ShardState, event: PeerAnswered, now: int
 ) -> Actions:
-    """Note the answer to a transfer, a recall or a report."""
+    """Process the answer to a message to another shard."""
     message, answer = event.message, event.answer
     if isinstance(message, BorrowShare):
         if isinstance(answer, ShareTotal):
@@ -200,7 +203,7 @@
 
 
 def _take_back(state: ShardState, job_id: str, reason: str) -> Actions:
-    """Go on with a job whose transfer was refused for good."""
+    """Requeue or cancel a job whose transferred attempt will not run."""
     entry = state.jobs[job_id]
     if entry.cancelling:
         yield from end_job(
@@ -211,7 +214,8 @@
         return
     state.room_changed = True
     yield from write_record(
-        state, JobRequeued(job_id, entry.attempt, f'not taken: {reason}')
+        state,
+        JobRequeued(job_id, entry.attempt, f'transfer refused: {reason}'),
     )
 
 
@@ -219,13 +223,17 @@
 def note_transfer_end(
     state: ShardState, request: RequestReceived, now: int
 ) -> Actions:
-    """End a job that another shard has run; answer when that is durable."""
+    """End a job that another shard has run.
+
+    The report is acknowledged once the end is applied here.
+    """
     message: TransferEnded = request.message
     entry = state.jobs.get(message.job_id)
     if entry is None or entry.is_over or not _is_current(state, message):
         yield Reply(request.reply_to, Acknowledged())
         return
-    # The sender repeats its report until the job is over here.
+    # This report is not answered: the sender repeats it and gets the
+    # acknowledgement once the job has ended here.
     yield from _take_end(state, message)
 
 
@@ -246,18 +254,19 @@
 def accept_transfer(
     state: ShardState, request: RequestReceived, now: int
 ) -> Actions:
-    """Take an attempt of another shard's job, or refuse it for good."""
+    """Accept an attempt of another shard's job, or refuse it permanently."""
     message: Transfer = request.message
     key = (message.job_id, message.home, message.attempt)
     entry = state.jobs.get(message.job_id)
     if key in state.tombstones:
-        yield from _answer_refused(state, request, 'refused before')
+        yield from _answer_refused(state, request, 'attempt already refused')
         return
     if entry is not None and entry.home_attempt == message.attempt:
         yield from _answer_taken(state, request, entry)
         return
     if entry is not None and not entry.is_over:
-        # An earlier attempt still stands here; home asks again.
+        # An earlier attempt has not ended here; the home shard sends its
+        # message again.
         return
     spec = message.spec
     chosen = choose_for_job(state, spec, spec.tasks)
@@ -319,19 +328,22 @@
 def confirm_refusal(
     state: ShardState, record: AttemptRefused, now: int
 ) -> Actions:
-    """Answer home once the refusal is in the journal."""
+    """Answer the home shard, since the refusal is in the journal."""
     key = (record.job_id, record.home, record.home_attempt)
     for reply_to in state.transfer_callers.pop(key, ()):
         yield Reply(
             reply_to,
             TransferReply(
-                record.job_id, record.home_attempt, False, 'no room there'
+                record.job_id,
+                record.home_attempt,
+                False,
+                'insufficient capacity',
             ),
         )
 
 
 def answer_transfer_callers(state: ShardState, entry: JobEntry) -> Actions:
-    """Answer home once the acceptance is in the journal."""
+    """Answer the home shard, since the acceptance is in the journal."""
     key = (entry.job_id, entry.home, entry.home_attempt)
     for reply_to in state.transfer_callers.pop(key, ()):
         yield Reply(
@@ -343,7 +355,11 @@
 def answer_recall(
     state: ShardState, request: RequestReceived, now: int
 ) -> Actions:
-    """Say what became of an attempt, or refuse it for good."""
+    """Answer with the state of an attempt, or refuse it permanently.
+
+    An attempt that is not known here is refused, so that a delayed transfer
+    of it is not accepted later.
+    """
     message: Recall = request.message
     entry = state.jobs.get(message.job_id)
     if entry is None or entry.home_attempt != message.attempt:
@@ -369,7 +385,7 @@
     message: Recall = request.message
     key = (message.job_id, message.home, message.attempt)
     if key in state.tombstones:
-        yield from _answer_refused(state, request, 'recalled')
+        yield from _answer_refused(state, request, 'attempt recalled')
         return
     state.transfer_callers.setdefault(key, []).append(request.reply_to)
     yield from write_record(
@@ -381,7 +397,7 @@
 def note_summary(
     state: ShardState, event: SummaryReceived, now: int
 ) -> Actions:
-    """Keep another shard's newest summary."""
+    """Store another shard's summary unless a newer epoch sent one."""
     summary: Summary = event.summary
     known = state.summaries.get(summary.shard)
     if known is not None and known[0].epoch > summary.epoch:
@@ -391,10 +407,11 @@
 
 
 def publish_summary(state: ShardState, now: int) -> Actions:
-    """Publish this shard's free capacity once a second.
+    """Publish this shard's free capacity at `SUMMARY_INTERVAL_MS`.
 
-    As often, waiting jobs are offered again if another shard has room: when
-    no host of this shard changes, nothing else starts a pass over them.
+    At the same interval this requests a scheduling pass if another shard has
+    capacity, since queued jobs may be transferred even while the capacity of
+    this shard does not change.
     """
     if now - state.summary_at < SUMMARY_INTERVAL_MS:
         return
@@ -423,7 +440,7 @@
 
 
 def resume_transfers(state: ShardState) -> None:
-    """Set up what a new owner has to send again after its takeover."""
+    """Restore the transfers and reports that a new owner must send again."""
     for entry in state.jobs.values():
         if entry.transferred_to and not entry.is_over:
             state.transfers[entry.job_id] = TransferEntry(
--- a/sassafrasgate/shards/transitions.py
+++ b/sassafrasgate/shards/transitions.py
@@ -1,4 +1,4 @@
-"""The one entry point of a shard's decisions."""
+"""The state transition of a shard, its only entry point for events."""
 
 from __future__ import annotations
 
@@ -21,21 +21,22 @@
 
 
 def decide(state: ShardState, event: Any, now: int) -> tuple[Any, ...]:
-    """Apply an event to a shard's state and return what to do.
+    """Apply an event to a shard's state and return the resulting actions.
 
     Parameters
     ----------
     state : ShardState
-        Changed in place; it belongs to the calling task alone.
+        Changed in place; only the calling task may use it.
     event : object
         One of `sassafrasgate.shards.events`.
     now : int
-        The owner's suspend-counting clock in milliseconds.
+        The owner's clock in ms, which counts suspended time.
 
     Returns
     -------
     tuple
-        Actions of `sassafrasgate.shards.actions`, in order.
+        Actions of `sassafrasgate.shards.actions`, in the order in which
+        they are to be carried out.
     """
     state.room_changed = False
     state.now = now
@@ -50,7 +51,7 @@
 def dispatch_request(
     state: ShardState, event: RequestReceived, now: int
 ) -> Actions:
-    """Hand a request to the handler of its kind."""
+    """Pass a request to the handler of its kind."""
     kind = event.message.kind
     if kind not in REQUEST_HANDLERS:
         yield reply_refusal(
--- a/sassafrasgate/shards/usage.py
+++ b/sassafrasgate/shards/usage.py
@@ -1,4 +1,4 @@
-"""Usage reports: learned sizes, and answers to growth."""
+"""Usage reports of workers and reactions to tasks that outgrow their size."""
 
 from __future__ import annotations
 
@@ -32,7 +32,10 @@
 def note_usage(
     state: ShardState, host: str, reports: Iterable[UsageReport], now: int
 ) -> Actions:
-    """Learn from a worker's usage report and answer growth."""
+    """Record the usage of a host's tasks and act on those that grew.
+
+    A task has grown when it uses more than its reservation.
+    """
     for report in reports:
         if report.task not in state.tasks:
             continue
--- a/sassafrasgate/shards/views.py
+++ b/sassafrasgate/shards/views.py
@@ -1,4 +1,4 @@
-"""What callers and operators see of a shard."""
+"""Answers to queries about jobs and hosts."""
 
 from __future__ import annotations
 
@@ -38,10 +38,10 @@
 def view_job(
     state: ShardState, entry: JobEntry, duplicate: bool = False
 ) -> JobView:
-    """Return what a caller sees of a job.
+    """Return a job's state for callers.
 
-    Until its acceptance is in the journal a job is unknown to callers, since
-    a successor may never hear of it.
+    Until its acceptance is durable a job is shown as unknown, since a
+    successor would not know it.
     """
     hosts = tuple(placement.host for placement in entry.placements)
     return JobView(
@@ -72,7 +72,7 @@
 def answer_query(
     state: ShardState, request: RequestReceived, now: int
 ) -> Actions:
-    """Answer with a job's state, at once or when it ends."""
+    """Answer with a job's state, at once or when the job ends."""
     query: Query = request.message
     entry = state.jobs.get(query.job_id)
     if entry is None or not entry.durable:
@@ -85,7 +85,7 @@
 def make_waiter(
     request: RequestReceived, wait_s: float, now: int
 ) -> JobWaiter:
-    """Return who waits for a job, and until when."""
+    """Return the waiter for a request that may wait ``wait_s`` seconds."""
     expires_at = now + max(0, int(wait_s * 1000) - WAIT_MARGIN_MS)
     return JobWaiter(request.reply_to, expires_at)
 
@@ -97,7 +97,7 @@
     now: int,
     duplicate: bool = False,
 ) -> Actions:
-    """Answer a caller now, or when the job ends if it has time left."""
+    """Answer a caller at once, or when the job ends if time is left."""
     entry = state.jobs[job_id]
     if entry.state in FINAL_STATES or caller.expires_at <= now:
         yield Reply(caller.reply_to, view_job(state, entry, duplicate))
@@ -114,7 +114,7 @@
 
 
 def expire_waiters(state: ShardState, now: int) -> Actions:
-    """Answer callers whose waiting time is over with the current state."""
+    """Answer callers whose waiting time has ended with the current state."""
     for job_id in list(state.waiters):
         waiters = state.waiters[job_id]
         entry = state.jobs.get(job_id)
@@ -134,7 +134,7 @@
 def answer_explain(
     state: ShardState, request: RequestReceived, now: int
 ) -> Actions:
-    """Answer with the newest decisions taken for a job."""
+    """Answer with the latest decisions about a job."""
     message: Explain = request.message
     entry = state.jobs.get(message.job_id)
     if entry is None:
@@ -144,7 +144,7 @@
         return
     lines = state.explanations.get(message.job_id, ())
     if entry.reason and entry.state is JobState.QUEUED:
-        lines = (*lines, f'waits: {entry.reason}')
+        lines = (*lines, f'waiting: {entry.reason}')
     yield Reply(
         request.reply_to, Explanation(entry.job_id, entry.state, lines)
     )
@@ -154,7 +154,7 @@
 def answer_list_jobs(
     state: ShardState, request: RequestReceived, now: int
 ) -> Actions:
-    """Answer with jobs of this shard, newest last."""
+    """Answer with the newest jobs of this shard, oldest first."""
     message: ListJobs = request.message
     limit = min(message.limit, MAX_LISTED_JOBS)
     found = [
@@ -200,7 +200,7 @@
 
 
 def find_host_status(state: ShardState, entry: HostEntry) -> str:
-    """Return one word on why a host does or does not get new work."""
+    """Return a host's status, which tells whether it gets new tasks."""
     if state.index.hosts[entry.name].drained:
         return 'drained'
     if entry.leaving or entry.listed_leaving:
--- a/sassafrasgate/shards/workers.py
+++ b/sassafrasgate/shards/workers.py
@@ -1,4 +1,4 @@
-"""What workers report: fences, clocks, running and ended tasks."""
+"""Handlers of what workers and the platform report about hosts."""
 
 from __future__ import annotations
 
@@ -37,7 +37,7 @@
 
 
 def update_openness(state: ShardState, name: str) -> None:
-    """Open or close a host for new work by all that is known of it."""
+    """Open or close a host for new tasks according to its entry."""
     entry = state.hosts[name]
     host = state.index.hosts[name]
     is_open = may_place(
@@ -53,21 +53,21 @@
 
 
 def has_allowance(state: ShardState, name: str) -> bool:
-    """Tell whether a host's results allow it another task."""
+    """Tell whether a host's health record allows it another task."""
     allowance = state.health.find_allowance(name, state.now)
     return allowance is None or len(state.index.tasks_on(name)) < allowance
 
 
 @EVENT_HANDLERS.register(HostSynced)
 def note_sync(state: ShardState, event: HostSynced, now: int) -> Actions:
-    """Bring a host's tasks in line with what its worker reports."""
+    """Update a host and its tasks from its worker's sync reply."""
     if event.host not in state.hosts:
         return
     reply = event.reply
     if not reply.accepted:
         yield GiveUpShard(
-            f'host {event.host!r} has seen epoch {reply.epoch}, '
-            f'this owner has {state.epoch}'
+            f'host {event.host!r} has acknowledged epoch {reply.epoch}, '
+            f'but this owner has epoch {state.epoch}'
         )
         return
     entry = state.hosts[event.host]
@@ -84,7 +84,7 @@
     )
     if entry.incarnation and entry.incarnation != reply.incarnation:
         yield LogDecision(
-            'restart', '', host=event.host, reason='new incarnation'
+            'restart', '', host=event.host, reason='worker restarted'
         )
     yield from _settle_tasks(state, event.host, reply, first, now)
     yield from _adopt_tasks(state, event.host, reply)
@@ -107,7 +107,7 @@
         fate = find_unlisted_fate(task, reply, first)
         if fate is not AttemptFate.OPEN:
             yield from close_task(
-                state, task, fate, 'the worker no longer lists it', now
+                state, task, fate, 'the worker no longer lists the task', now
             )
     for report in ended.values():
         yield from _settle_ended(state, host, report, now)
@@ -116,13 +116,13 @@
 def find_unlisted_fate(
     task: TaskEntry, reply: SyncReply, first: bool
 ) -> AttemptFate:
-    """Tell what is certain about a task that a worker does not list.
+    """Return what is certain about a task that its worker does not list.
 
     Parameters
     ----------
     first : bool
-        Whether this is the worker's first answer under this owner's epoch;
-        from then on it refuses starts of earlier owners.
+        Whether this is the worker's first answer under this owner's epoch,
+        after which it refuses starts of earlier owners.
     """
     if task.incarnation != reply.incarnation:
         return AttemptFate.LAPSED
@@ -157,10 +157,10 @@
 
 
 def _adopt_tasks(state: ShardState, host: str, reply: SyncReply) -> Actions:
-    """Count tasks that this owner has not started.
+    """Reserve resources for running tasks that this owner does not know.
 
-    They are quick requests of an earlier owner, or starts of an attempt
-    that has been given up since.
+    They are quick requests of an earlier owner, or belong to an attempt that
+    has been given up since its start.
     """
     for report in reply.running:
         if report.task in state.tasks:
@@ -177,7 +177,10 @@
             )
         )
         yield LogDecision(
-            'adopt', report.task, host=host, reason='runs without a record'
+            'adopt',
+            report.task,
+            host=host,
+            reason='running task unknown to this owner',
         )
         if state.must_stop(report):
             yield StopTask(host, report.task)
@@ -185,18 +188,20 @@
 
 @EVENT_HANDLERS.register(HostSilent)
 def note_silence(state: ShardState, event: HostSilent, now: int) -> Actions:
-    """Stop placing on a host that does not answer."""
+    """Exclude a host whose worker does not answer from placement."""
     entry = state.hosts.get(event.host)
     if entry is None or entry.silent_since:
         return
     state.update_host(event.host, silent_since=now)
     update_openness(state, event.host)
-    yield LogDecision('silent', '', host=event.host, reason='no answer')
+    yield LogDecision(
+        'silent', '', host=event.host, reason='worker did not answer'
+    )
 
 
 @EVENT_HANDLERS.register(HostListed)
 def note_host_list(state: ShardState, event: HostListed, now: int) -> Actions:
-    """Stop placing on hosts that the platform lists as leaving."""
+    """Exclude hosts that the platform lists as leaving from placement."""
     for name, entry in list(state.hosts.items()):
         listed = name in event.leaving
         if listed == entry.listed_leaving:
@@ -207,13 +212,13 @@
             'leaving' if listed else 'staying',
             '',
             host=name,
-            reason='platform host list',
+            reason='reported by the platform host list',
         )
 
 
 @EVENT_HANDLERS.register(StartAnswered)
 def note_start(state: ShardState, event: StartAnswered, now: int) -> Actions:
-    """Note a worker's answer to a start."""
+    """Process a worker's answer to a start."""
     task = state.tasks.get(event.task)
     if task is None:
         return
@@ -239,7 +244,10 @@
 def note_lost_start(
     state: ShardState, event: StartUnanswered, now: int
 ) -> Actions:
-    """Keep a task whose start may have taken effect; a sync settles it."""
+    """Keep a task whose start may have taken effect.
+
+    A later sync shows whether it runs.
+    """
     task = state.tasks.get(event.task)
     if task is None or task.phase is TaskPhase.RUNNING:
         return
@@ -259,7 +267,7 @@
 def note_unsent_start(
     state: ShardState, event: StartNotSent, now: int
 ) -> Actions:
-    """Give up a task whose start never left this process."""
+    """Give up a task whose start was never sent."""
     task = state.tasks.get(event.task)
     if task is None or task.phase is not TaskPhase.PLANNED:
         return
@@ -267,12 +275,12 @@
 
 
 def lapse_hosts(state: ShardState, now: int) -> Actions:
-    """Give up the tasks of hosts whose leases have certainly lapsed."""
+    """Give up the tasks of hosts whose leases have certainly expired."""
     for name, entry in list(state.hosts.items()):
         if entry.lapsed or now < find_host_lapse(entry):
             continue
         state.update_host(name, lapsed=True)
-        yield LogDecision('lapse', '', host=name, reason='leases lapsed')
+        yield LogDecision('lapse', '', host=name, reason='leases expired')
         for task_id in list(state.index.tasks_on(name)):
             task = state.tasks.get(task_id)
             if (
@@ -282,15 +290,15 @@
             ):
                 continue
             yield from close_task(
-                state, task, AttemptFate.LAPSED, 'lease lapsed', now
+                state, task, AttemptFate.LAPSED, 'lease expired', now
             )
 
 
 def find_host_lapse(entry: HostEntry) -> int:
-    """Return the owner's time from which nothing can run on a host.
+    """Return the owner's time from which no task can run on a host.
 
-    A host that answers always has a lapse time in the future, since each
-    answer brings a newer reading.
+    For a host that answers it stays in the future, since each answer brings
+    a newer clock reading.
     """
     if entry.reading is None:
         return entry.lapse_at
