Name the actions and lease rules of shards in the terms of the field

Cause: names such as Persist, GiveUpShard, NextStep or grant_until did not say what they stand for. Change: AttemptFate -> AttemptStatus, NextStep -> RetryDecision, choose_next_step -> decide_retry, grant_until -> compute_task_lease_deadline, find_lapse_time -> compute_task_lease_expiry, find_takeover_lapse -> compute_takeover_lease_expiry, may_send -> may_send_commands, may_place -> accepts_placements, Persist -> AppendRecord, Withdraw -> WithdrawRecords, GiveUpShard -> StepDown, SendPeer -> SendToShard, with all uses. Names of events stay, since they are label values of the decision_seconds metric.

--- a/benchmarks/parts.py
+++ b/benchmarks/parts.py
@@ -58,7 +58,7 @@
 from sassafrasgate.protocol.messages import Heartbeat
 from sassafrasgate.protocol.messages import Submit
 from sassafrasgate.protocol.messages import Summary
-from sassafrasgate.shards.actions import Persist
+from sassafrasgate.shards.actions import AppendRecord
 from sassafrasgate.shards.actions import StartTask
 from sassafrasgate.shards.events import ConfigurationChanged
 from sassafrasgate.shards.events import HostSynced
@@ -416,7 +416,7 @@
         """Decide, and answer what the decision asks of others."""
         actions = decide(self.state, event, self.now)
         for action in actions:
-            if isinstance(action, Persist):
+            if isinstance(action, AppendRecord):
                 self.step(RecordsDurable((action.record,)))
             if isinstance(action, StartTask):
                 reply = StartReply(StartStatus.STARTED, 'a', self.now)
--- a/models/attempts.py
+++ b/models/attempts.py
@@ -14,12 +14,12 @@
 from models.specifications import Machine
 from models.specifications import Predicate
 from models.specifications import register_specification
-from sassafrasgate.shards.attempts import AttemptFate
-from sassafrasgate.shards.attempts import choose_next_step
+from sassafrasgate.shards.attempts import AttemptStatus
 from sassafrasgate.shards.attempts import ClockReading
-from sassafrasgate.shards.attempts import find_lapse_time
-from sassafrasgate.shards.attempts import grant_until
-from sassafrasgate.shards.attempts import NextStep
+from sassafrasgate.shards.attempts import compute_task_lease_deadline
+from sassafrasgate.shards.attempts import compute_task_lease_expiry
+from sassafrasgate.shards.attempts import decide_retry
+from sassafrasgate.shards.attempts import RetryDecision
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -94,7 +94,7 @@
     start_before, deadline
         What was sent for it, on host A's clock.
     fate : str
-        An `AttemptFate`, or empty before the first attempt.
+        An `AttemptStatus`, or empty before the first attempt.
     may_have_run : bool
         Whether any attempt so far is not known to have never started.
     answer : str
@@ -376,9 +376,9 @@
         if owner.answer:
             return
         reading = ClockReading(owner.clock, received_at=0)
-        lease = grant_until(reading, LEASE)
+        lease = compute_task_lease_deadline(reading, LEASE)
         yield from self._choose(state, lease)
-        if owner.fate != AttemptFate.OPEN or owner.host != 'A':
+        if owner.fate != AttemptStatus.UNDETERMINED or owner.host != 'A':
             return
         renewal = (owner.incarnation, lease)
         if self.scope.renewals and renewal != state.renewal:
@@ -389,29 +389,29 @@
             renewed = state._replace(renewal=renewal, owner=after)
             yield f'owner renews until {lease}', renewed
         drift = DRIFT if DRIFT_WAIT in self.guards else 0.0
-        lapse = find_lapse_time(
+        lapse = compute_task_lease_expiry(
             owner.deadline, reading, drift=drift, margin_ms=0
         )
         if owner.age >= lapse:
-            yield 'owner: lapsed', self._settle(state, AttemptFate.LAPSED)
+            yield 'owner: lapsed', self._settle(state, AttemptStatus.LAPSED)
 
     def _choose(self, state: World, lease: int) -> Iterator[tuple[str, World]]:
         """Start the first or next attempt, or end the job."""
         owner = state.owner
-        step = NextStep.RETRY
+        step = RetryDecision.RETRY
         if owner.fate:
             idempotent = (
                 self.scope.idempotent or AT_MOST_ONCE not in self.guards
             )
-            step = choose_next_step(
+            step = decide_retry(
                 idempotent,
-                AttemptFate(owner.fate),
+                AttemptStatus(owner.fate),
                 owner.attempt,
                 MAX_ATTEMPTS,
             )
-        if step is NextStep.WAIT:
+        if step is RetryDecision.WAIT:
             return
-        if step is not NextStep.RETRY:
+        if step is not RetryDecision.RETRY:
             after = owner._replace(answer=step)
             yield f'owner: {step}', state._replace(owner=after)
             return
@@ -431,7 +431,7 @@
             host='A',
             start_before=before,
             deadline=lease,
-            fate=AttemptFate.OPEN,
+            fate=AttemptStatus.UNDETERMINED,
         )
         yield (
             f'owner starts {number} on A before {before}, until {lease}',
@@ -459,26 +459,28 @@
             clock=reply.clock,
             age=0,
         )
-        open_there = owner.fate == AttemptFate.OPEN and owner.host == 'A'
+        open_there = (
+            owner.fate == AttemptStatus.UNDETERMINED and owner.host == 'A'
+        )
         if changed:
             after = after._replace(past=owner.past | {owner.incarnation})
         known = state._replace(owner=after)
         if not open_there:
             return known
         if changed:
-            return self._settle(known, AttemptFate.LAPSED)
+            return self._settle(known, AttemptStatus.LAPSED)
         seen = reply.state if reply.attempt == owner.attempt else 'running'
         if seen == 'ended':
-            return self._settle(known, AttemptFate.FAILED)
+            return self._settle(known, AttemptStatus.FAILED)
         if seen == 'refused':
-            return self._settle(known, AttemptFate.REFUSED)
+            return self._settle(known, AttemptStatus.REFUSED)
         if seen == 'absent' and reply.clock >= owner.start_before:
-            return self._settle(known, AttemptFate.NOT_SENT)
+            return self._settle(known, AttemptStatus.NOT_SENT)
         return known
 
-    def _settle(self, state: World, fate: AttemptFate) -> World:
+    def _settle(self, state: World, fate: AttemptStatus) -> World:
         owner = state.owner
-        never = fate in (AttemptFate.REFUSED, AttemptFate.NOT_SENT)
+        never = fate in (AttemptStatus.REFUSED, AttemptStatus.NOT_SENT)
         after = owner._replace(
             fate=fate, may_have_run=owner.may_have_run or not never
         )
@@ -493,7 +495,7 @@
 
 
 def _is_refusal_true(state: World) -> bool:
-    never = (AttemptFate.REFUSED, AttemptFate.NOT_SENT)
+    never = (AttemptStatus.REFUSED, AttemptStatus.NOT_SENT)
     owner = state.owner
     return owner.fate not in never or owner.attempt not in state.ever
 
--- a/models/capacity.py
+++ b/models/capacity.py
@@ -12,7 +12,7 @@
 
 from models.specifications import Machine
 from models.specifications import register_specification
-from sassafrasgate.shards.ownership import may_place
+from sassafrasgate.shards.ownership import accepts_placements
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -191,7 +191,7 @@
             again = state._replace(answered=False)
             yield 'successor hears of the restart', again
         answered = state.answered or FENCE_ANSWERED not in self.guards
-        if may_place(answered, False, False, False):
+        if accepts_placements(answered, False, False, False):
             for task, after in self._place(
                 state, NEW_TASKS, state.new, state.new_knows
             ):
--- a/models/fences.py
+++ b/models/fences.py
@@ -10,7 +10,7 @@
 
 from models.specifications import Machine
 from models.specifications import register_specification
-from sassafrasgate.shards.ownership import may_send
+from sassafrasgate.shards.ownership import may_send_commands
 from sassafrasgate.shards.ownership import OwnerLease
 
 if TYPE_CHECKING:
@@ -90,7 +90,7 @@
 
 def _may_send(process: Claimant, now: int) -> bool:
     lease = OwnerLease(process.renewed_at, checked_at=now)
-    return may_send(lease, now, ttl_ms=TTL, grace_ms=TTL)
+    return may_send_commands(lease, now, ttl_ms=TTL, grace_ms=TTL)
 
 
 class _FenceSteps:
--- a/models/takeovers.py
+++ b/models/takeovers.py
@@ -14,14 +14,14 @@
 
 from models.specifications import Machine
 from models.specifications import register_specification
-from sassafrasgate.shards.attempts import AttemptFate
-from sassafrasgate.shards.attempts import choose_next_step
+from sassafrasgate.shards.attempts import AttemptStatus
 from sassafrasgate.shards.attempts import ClockReading
-from sassafrasgate.shards.attempts import find_takeover_lapse
-from sassafrasgate.shards.attempts import grant_until
-from sassafrasgate.shards.attempts import NextStep
-from sassafrasgate.shards.ownership import may_place
-from sassafrasgate.shards.ownership import may_send
+from sassafrasgate.shards.attempts import compute_takeover_lease_expiry
+from sassafrasgate.shards.attempts import compute_task_lease_deadline
+from sassafrasgate.shards.attempts import decide_retry
+from sassafrasgate.shards.attempts import RetryDecision
+from sassafrasgate.shards.ownership import accepts_placements
+from sassafrasgate.shards.ownership import may_send_commands
 from sassafrasgate.shards.ownership import OwnerLease
 
 if TYPE_CHECKING:
@@ -149,7 +149,8 @@
         now = state.owner.time
         reading = ClockReading(state.host.time, now)
         deadline = max(
-            state.deadline, grant_until(reading, self.durations.lease)
+            state.deadline,
+            compute_task_lease_deadline(reading, self.durations.lease),
         )
         lease = OwnerLease(
             renewed_at=1, store_failing_since=1, checked_at=state.checked_at
@@ -157,7 +158,9 @@
         grace = self.durations.grace
         if GRACE_END not in self.guards:
             grace = self.durations.horizon
-        if may_send(lease, now, ttl_ms=self.durations.ttl, grace_ms=grace):
+        if may_send_commands(
+            lease, now, ttl_ms=self.durations.ttl, grace_ms=grace
+        ):
             ran = state._replace(checked_at=now)
             if FIXED_DEADLINE not in self.guards:
                 yield 'owner checks', ran._replace(checked=True)
@@ -169,7 +172,7 @@
             yield f'owner renews until {deadline}', renewed
 
     def _has_lapsed(self, state: Outage) -> bool:
-        lapse = find_takeover_lapse(
+        lapse = compute_takeover_lease_expiry(
             state.taken_at,
             self.durations.grace if GRACE_WAIT in self.guards else 0,
             lease_ms=self.durations.lease,
@@ -270,7 +273,7 @@
         yield from self._own(state)
         yield from self._run_host(state)
         if not state.taken:
-            fate = '' if state.intent else AttemptFate.NOT_SENT
+            fate = '' if state.intent else AttemptStatus.NOT_SENT
             taken = state._replace(taken=True, fate=fate)
             yield 'successor takes over', taken
             return
@@ -310,48 +313,53 @@
                 fenced._replace(fate=self._conclude(state, state.task)),
             )
             waits = FENCE_ANSWERED in self.guards
-            if may_place(not waits, False, False, False):
+            if accepts_placements(not waits, False, False, False):
                 absent = state._replace(fate=self._conclude(state, 'absent'))
                 yield 'successor goes on without an answer', absent
             return
         if state.step:
             return
         idempotent = self.idempotent or AT_MOST_ONCE not in self.guards
-        step = choose_next_step(idempotent, AttemptFate(state.fate), 1, 2)
+        step = decide_retry(idempotent, AttemptStatus(state.fate), 1, 2)
         yield f'successor: {step}', state._replace(step=step)
 
-    def _conclude(self, state: Takeover, task: str) -> AttemptFate:
+    def _conclude(self, state: Takeover, task: str) -> AttemptStatus:
         """Return what host A's answer tells of attempt 1."""
         if task == 'running':
-            return AttemptFate.OPEN
+            return AttemptStatus.UNDETERMINED
         if task == 'ended':
-            return AttemptFate.FAILED
+            return AttemptStatus.FAILED
         # A start names the incarnation that the journal names for it.
         if state.incarnation != state.bound and ABSENT_IS_LOST in self.guards:
-            return AttemptFate.LAPSED
-        return AttemptFate.NOT_SENT
+            return AttemptStatus.LAPSED
+        return AttemptStatus.NOT_SENT
 
 
 def _build_takeover(guards: frozenset[str], idempotent: bool) -> Machine:
     invariants = {
         'an attempt believed over does not run': lambda s: (
-            not (s.fate not in ('', AttemptFate.OPEN) and s.task == 'running')
+            not (
+                s.fate not in ('', AttemptStatus.UNDETERMINED)
+                and s.task == 'running'
+            )
         ),
         'never sent is true': lambda s: (
-            not (s.fate == AttemptFate.NOT_SENT and s.ran)
+            not (s.fate == AttemptStatus.NOT_SENT and s.ran)
         ),
     }
     if not idempotent:
         invariants['a non-idempotent job runs once'] = lambda s: (
-            not (s.step == NextStep.RETRY and s.ran)
+            not (s.step == RetryDecision.RETRY and s.ran)
         )
     witnesses = {
-        'the successor finds the task': lambda s: s.fate == AttemptFate.OPEN,
+        'the successor finds the task': lambda s: (
+            s.fate == AttemptStatus.UNDETERMINED
+        ),
         'the successor knows that it never ran': lambda s: (
-            s.intent and s.fate == AttemptFate.NOT_SENT
+            s.intent and s.fate == AttemptStatus.NOT_SENT
         ),
         'the successor starts another attempt': lambda s: (
-            s.step == NextStep.RETRY
+            s.step == RetryDecision.RETRY
         ),
         'a start arrives after the fence': lambda s: (
             s.fenced and s.incarnation in s.starts and s.task == 'absent'
--- a/sassafrasgate/daemons/actions.py
+++ b/sassafrasgate/daemons/actions.py
@@ -8,19 +8,19 @@
 from typing import TYPE_CHECKING
 
 from sassafrasgate.core.registries import Registry
+from sassafrasgate.shards.actions import AppendRecord
 from sassafrasgate.shards.actions import FetchOutput
-from sassafrasgate.shards.actions import GiveUpShard
 from sassafrasgate.shards.actions import LimitTask
 from sassafrasgate.shards.actions import LogDecision
-from sassafrasgate.shards.actions import Persist
 from sassafrasgate.shards.actions import PublishSummary
 from sassafrasgate.shards.actions import ReleaseTask
 from sassafrasgate.shards.actions import Reply
-from sassafrasgate.shards.actions import SendPeer
+from sassafrasgate.shards.actions import SendToShard
 from sassafrasgate.shards.actions import StartTask
+from sassafrasgate.shards.actions import StepDown
 from sassafrasgate.shards.actions import StopTask
 from sassafrasgate.shards.actions import StoreOutput
-from sassafrasgate.shards.actions import Withdraw
+from sassafrasgate.shards.actions import WithdrawRecords
 from sassafrasgate.shards.events import StartNotSent
 
 if TYPE_CHECKING:
@@ -31,13 +31,13 @@
 ACTION_HANDLERS: Registry[type[Any], ActionHandler] = Registry('shard action')
 
 
-@ACTION_HANDLERS.register(Persist)
-async def _persist(task: ShardTask, action: Persist) -> None:
+@ACTION_HANDLERS.register(AppendRecord)
+async def _persist(task: ShardTask, action: AppendRecord) -> None:
     task.append(action.record)
 
 
-@ACTION_HANDLERS.register(Withdraw)
-async def _withdraw(task: ShardTask, action: Withdraw) -> None:
+@ACTION_HANDLERS.register(WithdrawRecords)
+async def _withdraw(task: ShardTask, action: WithdrawRecords) -> None:
     task.withdraw(action.job_id)
 
 
@@ -63,8 +63,8 @@
     task.command_host(action.host, action)
 
 
-@ACTION_HANDLERS.register(SendPeer)
-async def _send_peer(task: ShardTask, action: SendPeer) -> None:
+@ACTION_HANDLERS.register(SendToShard)
+async def _send_peer(task: ShardTask, action: SendToShard) -> None:
     task.ask_peer(action)
 
 
@@ -78,6 +78,6 @@
     task.log(action)
 
 
-@ACTION_HANDLERS.register(GiveUpShard)
-async def _give_up(task: ShardTask, action: GiveUpShard) -> None:
+@ACTION_HANDLERS.register(StepDown)
+async def _give_up(task: ShardTask, action: StepDown) -> None:
     task.give_up(action.reason)
--- a/sassafrasgate/daemons/dispatcher.py
+++ b/sassafrasgate/daemons/dispatcher.py
@@ -77,7 +77,7 @@
 from sassafrasgate.shards.events import StopRequested
 from sassafrasgate.shards.events import Ticked
 from sassafrasgate.shards.events import WithdrawalAnswered
-from sassafrasgate.shards.ownership import may_send
+from sassafrasgate.shards.ownership import may_send_commands
 from sassafrasgate.shards.ownership import OwnerLease
 
 if TYPE_CHECKING:
@@ -448,7 +448,7 @@
     def _may_act(self) -> bool:
         """Tell whether another process may own the shard by now."""
         lease = self._lease
-        return may_send(lease, now_ms(), lease.ttl_ms, lease.grace_ms)
+        return may_send_commands(lease, now_ms(), lease.ttl_ms, lease.grace_ms)
 
     def _describe_loss(self) -> Refused:
         return Refused(
--- a/sassafrasgate/daemons/dispatching.py
+++ b/sassafrasgate/daemons/dispatching.py
@@ -18,10 +18,10 @@
 from sassafrasgate.dispatch.actions import StopRun
 from sassafrasgate.dispatch.actions import WatchWorker
 from sassafrasgate.dispatch.events import RunNotSent
-from sassafrasgate.shards.actions import GiveUpShard
-from sassafrasgate.shards.actions import Persist
+from sassafrasgate.shards.actions import AppendRecord
 from sassafrasgate.shards.actions import Reply
-from sassafrasgate.shards.actions import Withdraw
+from sassafrasgate.shards.actions import StepDown
+from sassafrasgate.shards.actions import WithdrawRecords
 
 if TYPE_CHECKING:
     from sassafrasgate.daemons.dispatcher import DispatcherTask
@@ -33,13 +33,13 @@
 )
 
 
-@DISPATCH_ACTIONS.register(Persist)
-async def _persist(task: DispatcherTask, action: Persist) -> None:
+@DISPATCH_ACTIONS.register(AppendRecord)
+async def _persist(task: DispatcherTask, action: AppendRecord) -> None:
     task.append(action.record)
 
 
-@DISPATCH_ACTIONS.register(Withdraw)
-async def _withdraw(task: DispatcherTask, action: Withdraw) -> None:
+@DISPATCH_ACTIONS.register(WithdrawRecords)
+async def _withdraw(task: DispatcherTask, action: WithdrawRecords) -> None:
     task.withdraw(action.job_id)
 
 
@@ -88,6 +88,6 @@
     task.log(action)
 
 
-@DISPATCH_ACTIONS.register(GiveUpShard)
-async def _give_up(task: DispatcherTask, action: GiveUpShard) -> None:
+@DISPATCH_ACTIONS.register(StepDown)
+async def _give_up(task: DispatcherTask, action: StepDown) -> None:
     task.give_up(action.reason)
--- a/sassafrasgate/daemons/hosts.py
+++ b/sassafrasgate/daemons/hosts.py
@@ -31,7 +31,7 @@
 from sassafrasgate.shards.actions import StopTask
 from sassafrasgate.shards.actions import StoreOutput
 from sassafrasgate.shards.attempts import ClockReading
-from sassafrasgate.shards.attempts import grant_until
+from sassafrasgate.shards.attempts import compute_task_lease_deadline
 from sassafrasgate.shards.attempts import START_WINDOW_MS
 from sassafrasgate.shards.events import HostSilent
 from sassafrasgate.shards.events import HostSynced
@@ -40,7 +40,7 @@
 from sassafrasgate.shards.events import StartAnswered
 from sassafrasgate.shards.events import StartNotSent
 from sassafrasgate.shards.events import StartUnanswered
-from sassafrasgate.shards.ownership import may_send
+from sassafrasgate.shards.ownership import may_send_commands
 from sassafrasgate.shards.ownership import OwnerLease
 
 if TYPE_CHECKING:
@@ -124,7 +124,7 @@
     def may_send(self) -> bool:
         """Tell whether this owner may still command the worker."""
         lease = self._lease
-        return may_send(lease, now_ms(), lease.ttl_ms, lease.grace_ms)
+        return may_send_commands(lease, now_ms(), lease.ttl_ms, lease.grace_ms)
 
     async def _sync_forever(self, scope: anyio.CancelScope) -> None:
         with scope:
@@ -143,7 +143,7 @@
         request = SyncRequest(
             self.shard,
             self.epoch,
-            grant_until(reading) if reading else 0,
+            compute_task_lease_deadline(reading) if reading else 0,
             release,
             # The first answer opens the host, so it must not be held.
             SYNC_WAIT_MS if reading else 0,
@@ -208,7 +208,7 @@
         assert self._reading is not None
         clock = self._reading.clock + now_ms() - self._reading.received_at
         # No grant reaches beyond what the shard counts from this reading.
-        lease_clock = grant_until(self._reading)
+        lease_clock = compute_task_lease_deadline(self._reading)
         if command.lease_ms:
             lease_clock = min(lease_clock, clock + command.lease_ms)
         return StartRequest(
--- a/sassafrasgate/daemons/shards.py
+++ b/sassafrasgate/daemons/shards.py
@@ -56,7 +56,7 @@
 from sassafrasgate.protocol.messages import JobView
 from sassafrasgate.protocol.messages import Refused
 from sassafrasgate.shards.actions import LogDecision
-from sassafrasgate.shards.actions import SendPeer
+from sassafrasgate.shards.actions import SendToShard
 from sassafrasgate.shards.events import ConfigurationChanged
 from sassafrasgate.shards.events import PeerAnswered
 from sassafrasgate.shards.events import RecordsDurable
@@ -65,7 +65,7 @@
 from sassafrasgate.shards.events import StartUnanswered
 from sassafrasgate.shards.events import StopRequested
 from sassafrasgate.shards.events import Ticked
-from sassafrasgate.shards.ownership import may_send
+from sassafrasgate.shards.ownership import may_send_commands
 from sassafrasgate.shards.ownership import OwnerLease
 from sassafrasgate.shards.recovery import begin_ownership
 from sassafrasgate.shards.recovery import list_records
@@ -344,7 +344,7 @@
         its successor has accepted.
         """
         lease = self._lease
-        return may_send(lease, now_ms(), lease.ttl_ms, lease.grace_ms)
+        return may_send_commands(lease, now_ms(), lease.ttl_ms, lease.grace_ms)
 
     def _describe_loss(self) -> Refused:
         return Refused(
@@ -469,12 +469,12 @@
         box.send_nowait(command)
         return True
 
-    def ask_peer(self, action: SendPeer) -> None:
+    def ask_peer(self, action: SendToShard) -> None:
         """Send a message to another shard's owner in the background."""
         if self._group is not None:
             self._group.start_soon(self._ask_peer, action)
 
-    async def _ask_peer(self, action: SendPeer) -> None:
+    async def _ask_peer(self, action: SendToShard) -> None:
         answer = await self.services.ask_owner(
             action.shard, action.message, PEER_TIMEOUT_S
         )
--- a/sassafrasgate/daemons/workers.py
+++ b/sassafrasgate/daemons/workers.py
@@ -43,7 +43,7 @@
 from sassafrasgate.dispatch.state import RunKey
 from sassafrasgate.observability.clocks import now_ms
 from sassafrasgate.shards.attempts import ClockReading
-from sassafrasgate.shards.ownership import may_send
+from sassafrasgate.shards.ownership import may_send_commands
 
 if TYPE_CHECKING:
     from anyio.streams.memory import MemoryObjectReceiveStream
@@ -144,7 +144,7 @@
     def may_send(self) -> bool:
         """Tell whether this owner may still command the worker."""
         lease = self._lease
-        return may_send(lease, now_ms(), lease.ttl_ms, lease.grace_ms)
+        return may_send_commands(lease, now_ms(), lease.ttl_ms, lease.grace_ms)
 
     @property
     def _fence(self) -> int:
--- a/sassafrasgate/dispatch/actions.py
+++ b/sassafrasgate/dispatch/actions.py
@@ -1,6 +1,6 @@
 """What the dispatcher wants done; the output of its decisions.
 
-`Persist`, `Reply` and `GiveUpShard` are those of
+`AppendRecord`, `Reply` and `StepDown` are those of
 `sassafrasgate.shards.actions`.
 """
 
--- a/sassafrasgate/dispatch/handlers.py
+++ b/sassafrasgate/dispatch/handlers.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 from sassafrasgate.core.registries import Registry
-from sassafrasgate.shards.actions import Persist
+from sassafrasgate.shards.actions import AppendRecord
 
 if TYPE_CHECKING:
     from sassafrasgate.dispatch.state import DispatchState
@@ -30,4 +30,4 @@
     a successor's state cannot differ from what the record meant.
     """
     APPLIERS.find(record.kind)(state, record)
-    yield Persist(record)
+    yield AppendRecord(record)
--- a/sassafrasgate/dispatch/reports.py
+++ b/sassafrasgate/dispatch/reports.py
@@ -33,7 +33,7 @@
 from sassafrasgate.dispatch.stops import stop_step_runs
 from sassafrasgate.dispatch.waits import note_unanswered_call
 from sassafrasgate.journal.workflows import RunEnded
-from sassafrasgate.shards.actions import GiveUpShard
+from sassafrasgate.shards.actions import StepDown
 from sassafrasgate.shards.attempts import ClockReading
 
 if TYPE_CHECKING:
@@ -444,7 +444,7 @@
 @EVENT_HANDLERS.register(EpochRefused)
 def note_deposed(state: DispatchState, event: EpochRefused) -> Actions:
     """Give the shard up: a worker obeys a later owner."""
-    yield GiveUpShard(
+    yield StepDown(
         f'worker {event.worker!r} obeys an owner with a higher epoch than '
         f'{state.epoch!r}'
     )
--- a/sassafrasgate/dispatch/requests.py
+++ b/sassafrasgate/dispatch/requests.py
@@ -22,7 +22,7 @@
 from sassafrasgate.protocol.workflows import SubmitWorkflow
 from sassafrasgate.protocol.workflows import WorkflowView
 from sassafrasgate.shards.actions import Reply
-from sassafrasgate.shards.actions import Withdraw
+from sassafrasgate.shards.actions import WithdrawRecords
 from sassafrasgate.shards.events import RequestReceived
 from sassafrasgate.shards.events import WithdrawalAnswered
 from sassafrasgate.shards.handlers import reply_refusal
@@ -134,7 +134,7 @@
     if not event.since:
         return
     for job_id in state.accept_callers:
-        yield Withdraw(job_id)
+        yield WithdrawRecords(job_id)
 
 
 @EVENT_HANDLERS.register(WithdrawalAnswered)
--- a/sassafrasgate/dispatch/starts.py
+++ b/sassafrasgate/dispatch/starts.py
@@ -15,7 +15,7 @@
 from sassafrasgate.dispatch.state import RunPhase
 from sassafrasgate.dispatch.stops import stop_run
 from sassafrasgate.dispatch.waits import note_unanswered_call
-from sassafrasgate.shards.actions import GiveUpShard
+from sassafrasgate.shards.actions import StepDown
 
 if TYPE_CHECKING:
     from sassafrasgate.dispatch.handlers import Actions
@@ -55,7 +55,7 @@
         ),
     )
     if refusal is StartRefusal.STALE_EPOCH:
-        yield GiveUpShard(
+        yield StepDown(
             f'worker {run.worker!r} obeys an owner with a higher epoch than '
             f'{state.epoch!r}'
         )
--- a/sassafrasgate/shards/actions.py
+++ b/sassafrasgate/shards/actions.py
@@ -9,7 +9,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Persist:
+class AppendRecord:
     """Append a record to the journal.
 
     Its effects wait until `RecordsDurable` confirms that it is durable.
@@ -19,7 +19,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Withdraw:
+class WithdrawRecords:
     """Remove a job's journal records unless they were sent to the store."""
 
     job_id: str
@@ -117,7 +117,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class SendPeer:
+class SendToShard:
     """Send a message to the owner of another shard."""
 
     shard: str
@@ -152,7 +152,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class GiveUpShard:
+class StepDown:
     """Stop owning the shard at once: a newer owner has taken over."""
 
     reason: str
--- a/sassafrasgate/shards/attempts.py
+++ b/sassafrasgate/shards/attempts.py
@@ -10,11 +10,11 @@
 
 LEASE_MS = 10_000
 START_WINDOW_MS = 5_000
-DRIFT = 0.01
-LAPSE_MARGIN_MS = 250
+MAX_CLOCK_DRIFT = 0.01
+LEASE_EXPIRY_MARGIN_MS = 250
 
 
-class AttemptFate(StrEnum):
+class AttemptStatus(StrEnum):
     """What the owner knows for certain about an attempt that went wrong.
 
     A refused attempt never started on the worker, and one that was not sent
@@ -27,10 +27,10 @@
     NOT_SENT = 'not-sent'
     FAILED = 'failed'
     LAPSED = 'lapsed'
-    OPEN = 'open'
+    UNDETERMINED = 'open'
 
 
-class NextStep(StrEnum):
+class RetryDecision(StrEnum):
     """What follows an attempt that went wrong."""
 
     RETRY = 'retry'
@@ -55,16 +55,18 @@
     received_at: int
 
 
-def grant_until(reading: ClockReading, lease_ms: int = LEASE_MS) -> int:
+def compute_task_lease_deadline(
+    reading: ClockReading, lease_ms: int = LEASE_MS
+) -> int:
     """Return a new lease's deadline on the clock of the worker."""
     return reading.clock + lease_ms
 
 
-def find_lapse_time(
+def compute_task_lease_expiry(
     lease_clock: int,
     reading: ClockReading,
-    drift: float = DRIFT,
-    margin_ms: int = LAPSE_MARGIN_MS,
+    drift: float = MAX_CLOCK_DRIFT,
+    margin_ms: int = LEASE_EXPIRY_MARGIN_MS,
 ) -> int:
     """Return the owner's time from which a lease has certainly expired.
 
@@ -88,13 +90,13 @@
     return reading.received_at + ceil(remaining * (1 + drift)) + margin_ms
 
 
-def find_takeover_lapse(
+def compute_takeover_lease_expiry(
     takeover_at: int,
     grace_ms: int,
     lease_ms: int = LEASE_MS,
     ttl_ms: int = OWNER_TTL_MS,
-    drift: float = DRIFT,
-    margin_ms: int = LAPSE_MARGIN_MS,
+    drift: float = MAX_CLOCK_DRIFT,
+    margin_ms: int = LEASE_EXPIRY_MARGIN_MS,
 ) -> int:
     """Return when the leases of earlier owners have certainly expired.
 
@@ -124,30 +126,30 @@
     return takeover_at + longest + margin_ms
 
 
-def choose_next_step(
-    idempotent: bool, fate: AttemptFate, attempt: int, max_attempts: int
-) -> NextStep:
+def decide_retry(
+    idempotent: bool, status: AttemptStatus, failures: int, max_failures: int
+) -> RetryDecision:
     """Decide on a retry so that no non-idempotent job runs twice.
 
     Parameters
     ----------
     idempotent : bool
         Whether the job may run again after an attempt that started.
-    fate : AttemptFate
+    status : AttemptStatus
         What is certain about the attempt.
-    attempt : int
+    failures : int
         Number of failed attempts, this one included.
-    max_attempts : int
+    max_failures : int
         Number of failed attempts after which the job fails.
     """
-    if fate is AttemptFate.OPEN:
-        return NextStep.WAIT
-    if fate in (AttemptFate.REFUSED, AttemptFate.NOT_SENT):
-        return NextStep.RETRY
+    if status is AttemptStatus.UNDETERMINED:
+        return RetryDecision.WAIT
+    if status in (AttemptStatus.REFUSED, AttemptStatus.NOT_SENT):
+        return RetryDecision.RETRY
     if not idempotent:
-        if fate is AttemptFate.FAILED:
-            return NextStep.END_FAILED
-        return NextStep.END_UNKNOWN
-    if fate is AttemptFate.FAILED and attempt >= max_attempts:
-        return NextStep.END_FAILED
-    return NextStep.RETRY
+        if status is AttemptStatus.FAILED:
+            return RetryDecision.END_FAILED
+        return RetryDecision.END_UNKNOWN
+    if status is AttemptStatus.FAILED and failures >= max_failures:
+        return RetryDecision.END_FAILED
+    return RetryDecision.RETRY
--- a/sassafrasgate/shards/endings.py
+++ b/sassafrasgate/shards/endings.py
@@ -16,12 +16,12 @@
 from sassafrasgate.protocol.messages import TransferEnded
 from sassafrasgate.shards.actions import LogDecision
 from sassafrasgate.shards.actions import ReleaseTask
-from sassafrasgate.shards.actions import SendPeer
+from sassafrasgate.shards.actions import SendToShard
 from sassafrasgate.shards.actions import StopTask
 from sassafrasgate.shards.actions import StoreOutput
-from sassafrasgate.shards.attempts import AttemptFate
-from sassafrasgate.shards.attempts import choose_next_step
-from sassafrasgate.shards.attempts import NextStep
+from sassafrasgate.shards.attempts import AttemptStatus
+from sassafrasgate.shards.attempts import decide_retry
+from sassafrasgate.shards.attempts import RetryDecision
 from sassafrasgate.shards.events import OutputStored
 from sassafrasgate.shards.handlers import DURABLE_HANDLERS
 from sassafrasgate.shards.handlers import EVENT_HANDLERS
@@ -44,10 +44,10 @@
 
 # In ascending order of severity: an attempt is as bad as its worst task.
 _FATE_ORDER = (
-    AttemptFate.NOT_SENT,
-    AttemptFate.REFUSED,
-    AttemptFate.FAILED,
-    AttemptFate.LAPSED,
+    AttemptStatus.NOT_SENT,
+    AttemptStatus.REFUSED,
+    AttemptStatus.FAILED,
+    AttemptStatus.LAPSED,
 )
 
 
@@ -80,9 +80,9 @@
             yield ReleaseTask(host, report.task)
         return
     fate = (
-        AttemptFate.FAILED
+        AttemptStatus.FAILED
         if report.outcome is TaskOutcome.FAILED
-        else AttemptFate.LAPSED
+        else AttemptStatus.LAPSED
     )
     reason = report.reason or str(report.outcome)
     closed = ClosedTask(report.task, host, fate, reason)
@@ -209,13 +209,13 @@
             entry.home, entry.job_id, entry.home_attempt, record.outcome
         )
         state.unreported[entry.job_id] = (report, now + REPORT_RESEND_MS)
-        yield SendPeer(entry.home, report)
+        yield SendToShard(entry.home, report)
 
 
 def close_task(
     state: ShardState,
     task: TaskEntry,
-    fate: AttemptFate,
+    fate: AttemptStatus,
     reason: str,
     now: int,
 ) -> Actions:
@@ -272,16 +272,16 @@
         # The job failed on several healthy hosts, so that another attempt
         # would only use resources.
         failures = MAX_FAILED_ATTEMPTS
-    step = choose_next_step(
+    step = decide_retry(
         entry.spec.idempotent, fate, failures, MAX_FAILED_ATTEMPTS
     )
-    if step is NextStep.END_FAILED:
+    if step is RetryDecision.END_FAILED:
         yield from end_job(state, entry, Outcome(JobState.FAILED, reason))
         return
-    if step is NextStep.END_UNKNOWN:
+    if step is RetryDecision.END_UNKNOWN:
         yield from end_job(state, entry, Outcome(JobState.UNKNOWN, reason))
         return
-    failed = fate is AttemptFate.FAILED
+    failed = fate is AttemptStatus.FAILED
     gone = [c.task for c in entry.closed]
     if entry.spec.job_class is not JobClass.SERVICE:
         gone = [placement.task for placement in entry.placements]
@@ -303,7 +303,7 @@
             tuple(gone),
             failed_hosts,
             int(failed),
-            fate in (AttemptFate.FAILED, AttemptFate.LAPSED),
+            fate in (AttemptStatus.FAILED, AttemptStatus.LAPSED),
             tuple(hosts_of[task] for task in gone),
         ),
     )
--- a/sassafrasgate/shards/events.py
+++ b/sassafrasgate/shards/events.py
@@ -181,7 +181,7 @@
     Parameters
     ----------
     message : object
-        The message that was sent with `SendPeer`.
+        The message that was sent with `SendToShard`.
     answer : object or None
         The answer; None when none arrived in time.
     """
--- a/sassafrasgate/shards/handlers.py
+++ b/sassafrasgate/shards/handlers.py
@@ -9,7 +9,7 @@
 
 from sassafrasgate.core.registries import Registry
 from sassafrasgate.protocol.messages import Refused
-from sassafrasgate.shards.actions import Persist
+from sassafrasgate.shards.actions import AppendRecord
 from sassafrasgate.shards.actions import Reply
 
 if TYPE_CHECKING:
@@ -33,7 +33,7 @@
     the successor arrives at the same state.
     """
     APPLIERS.find(record.kind)(state, record)
-    yield Persist(record)
+    yield AppendRecord(record)
 
 
 def reply_refusal(reply_to: int, refusal: Refusal) -> Reply:
--- a/sassafrasgate/shards/ownership.py
+++ b/sassafrasgate/shards/ownership.py
@@ -39,7 +39,7 @@
     grace_ms: int = OUTAGE_GRACE_MS
 
 
-def may_send(
+def may_send_commands(
     lease: OwnerLease,
     now: int,
     ttl_ms: int = OWNER_TTL_MS,
@@ -63,14 +63,14 @@
     return 0 < lease.store_failing_since < lease.renewed_at + ttl_ms
 
 
-def may_place(
-    fence_answered: bool, leaving: bool, drained: bool, quarantined: bool
+def accepts_placements(
+    epoch_acknowledged: bool, leaving: bool, drained: bool, quarantined: bool
 ) -> bool:
     """Tell whether a host may get new tasks.
 
     Parameters
     ----------
-    fence_answered : bool
+    epoch_acknowledged : bool
         Whether the worker has acknowledged this owner's epoch and still
         answers; from then on it refuses commands of earlier owners.
     leaving : bool
@@ -80,4 +80,4 @@
     quarantined : bool
         Whether the host may not get tasks because of earlier failures.
     """
-    return fence_answered and not (leaving or drained or quarantined)
+    return epoch_acknowledged and not (leaving or drained or quarantined)
--- a/sassafrasgate/shards/recovery.py
+++ b/sassafrasgate/shards/recovery.py
@@ -19,7 +19,7 @@
 from sassafrasgate.journal.records import JobTransferred
 from sassafrasgate.journal.records import ShareLent
 from sassafrasgate.journal.records import Takeover
-from sassafrasgate.shards.attempts import find_takeover_lapse
+from sassafrasgate.shards.attempts import compute_takeover_lease_expiry
 from sassafrasgate.shards.handlers import APPLIERS
 from sassafrasgate.shards.state import HostEntry
 from sassafrasgate.shards.state import JobEntry
@@ -48,7 +48,7 @@
 
     Call this once the takeover record is durable.
     """
-    lapse_at = find_takeover_lapse(
+    lapse_at = compute_takeover_lease_expiry(
         now, state.previous_grace_ms, ttl_ms=state.previous_ttl_ms
     )
     for name in state.hosts:
--- a/sassafrasgate/shards/shares.py
+++ b/sassafrasgate/shards/shares.py
@@ -19,7 +19,7 @@
 from sassafrasgate.protocol.messages import ShareTotal
 from sassafrasgate.shards.actions import LogDecision
 from sassafrasgate.shards.actions import Reply
-from sassafrasgate.shards.actions import SendPeer
+from sassafrasgate.shards.actions import SendToShard
 from sassafrasgate.shards.handlers import APPLIERS
 from sassafrasgate.shards.handlers import DURABLE_HANDLERS
 from sassafrasgate.shards.handlers import REQUEST_HANDLERS
@@ -75,7 +75,7 @@
     wanted = state.quotas.find_reserved(spec.team) + demand
     missing = (wanted - state.quotas.find_share(spec.team)).cover(NOTHING)
     peer = peers[turn % len(peers)]
-    yield SendPeer(peer, BorrowShare(peer, state.name, spec.team, missing))
+    yield SendToShard(peer, BorrowShare(peer, state.name, spec.team, missing))
 
 
 @REQUEST_HANDLERS.register('borrow-share')
--- a/sassafrasgate/shards/state.py
+++ b/sassafrasgate/shards/state.py
@@ -34,7 +34,7 @@
 from sassafrasgate.placement.sizes import LearnedSizes
 from sassafrasgate.protocol.messages import Summary
 from sassafrasgate.protocol.messages import TransferEnded
-from sassafrasgate.shards.attempts import AttemptFate
+from sassafrasgate.shards.attempts import AttemptStatus
 from sassafrasgate.shards.attempts import ClockReading
 
 if TYPE_CHECKING:
@@ -92,7 +92,7 @@
 
     task: str
     host: str
-    fate: AttemptFate
+    fate: AttemptStatus
     reason: str
 
 
--- a/sassafrasgate/shards/submissions.py
+++ b/sassafrasgate/shards/submissions.py
@@ -21,7 +21,7 @@
 from sassafrasgate.shards.actions import LogDecision
 from sassafrasgate.shards.actions import Reply
 from sassafrasgate.shards.actions import StartTask
-from sassafrasgate.shards.actions import Withdraw
+from sassafrasgate.shards.actions import WithdrawRecords
 from sassafrasgate.shards.events import WithdrawalAnswered
 from sassafrasgate.shards.handlers import DURABLE_HANDLERS
 from sassafrasgate.shards.handlers import EVENT_HANDLERS
@@ -231,7 +231,7 @@
         if pending.expires_at > now or pending.withdrawing:
             continue
         state.pending[job_id] = replace(pending, withdrawing=True)
-        yield Withdraw(job_id)
+        yield WithdrawRecords(job_id)
 
 
 @EVENT_HANDLERS.register(WithdrawalAnswered)
--- a/sassafrasgate/shards/transfers.py
+++ b/sassafrasgate/shards/transfers.py
@@ -29,7 +29,7 @@
 from sassafrasgate.shards.actions import LogDecision
 from sassafrasgate.shards.actions import PublishSummary
 from sassafrasgate.shards.actions import Reply
-from sassafrasgate.shards.actions import SendPeer
+from sassafrasgate.shards.actions import SendToShard
 from sassafrasgate.shards.cancellations import begin_cancel
 from sassafrasgate.shards.endings import end_job
 from sassafrasgate.shards.events import PeerAnswered
@@ -138,7 +138,7 @@
     for ended, next_at in list(state.unreported.values()):
         if next_at <= now:
             state.unreported[ended.job_id] = (ended, now + RESEND_MS)
-            yield SendPeer(ended.shard, ended)
+            yield SendToShard(ended.shard, ended)
 
 
 def _resend(state: ShardState, job_id: str, now: int) -> Actions:
@@ -148,7 +148,7 @@
         return
     state.transfers[job_id] = replace(transfer, next_at=now + RESEND_MS)
     if entry.cancelling:
-        yield SendPeer(
+        yield SendToShard(
             transfer.shard,
             Recall(
                 transfer.shard,
@@ -161,7 +161,7 @@
         return
     if transfer.accepted:
         return
-    yield SendPeer(
+    yield SendToShard(
         transfer.shard,
         Transfer(
             transfer.shard,
--- a/sassafrasgate/shards/workers.py
+++ b/sassafrasgate/shards/workers.py
@@ -8,13 +8,13 @@
 from sassafrasgate.core.tasks import EndedTask
 from sassafrasgate.core.tasks import StartStatus
 from sassafrasgate.core.tasks import SyncReply
-from sassafrasgate.shards.actions import GiveUpShard
 from sassafrasgate.shards.actions import LogDecision
 from sassafrasgate.shards.actions import ReleaseTask
+from sassafrasgate.shards.actions import StepDown
 from sassafrasgate.shards.actions import StopTask
-from sassafrasgate.shards.attempts import AttemptFate
+from sassafrasgate.shards.attempts import AttemptStatus
 from sassafrasgate.shards.attempts import ClockReading
-from sassafrasgate.shards.attempts import find_lapse_time
+from sassafrasgate.shards.attempts import compute_task_lease_expiry
 from sassafrasgate.shards.attempts import LEASE_MS
 from sassafrasgate.shards.endings import close_task
 from sassafrasgate.shards.endings import settle_ended_task
@@ -25,7 +25,7 @@
 from sassafrasgate.shards.events import StartNotSent
 from sassafrasgate.shards.events import StartUnanswered
 from sassafrasgate.shards.handlers import EVENT_HANDLERS
-from sassafrasgate.shards.ownership import may_place
+from sassafrasgate.shards.ownership import accepts_placements
 from sassafrasgate.shards.state import HostEntry
 from sassafrasgate.shards.state import TaskEntry
 from sassafrasgate.shards.state import TaskPhase
@@ -40,7 +40,7 @@
     """Open or close a host for new tasks according to its entry."""
     entry = state.hosts[name]
     host = state.index.hosts[name]
-    is_open = may_place(
+    is_open = accepts_placements(
         entry.fenced and not entry.silent_since,
         entry.leaving or entry.listed_leaving,
         host.drained,
@@ -65,7 +65,7 @@
         return
     reply = event.reply
     if not reply.accepted:
-        yield GiveUpShard(
+        yield StepDown(
             f'host {event.host!r} has acknowledged epoch {reply.epoch}, '
             f'but this owner has epoch {state.epoch}'
         )
@@ -105,7 +105,7 @@
             _mark_running(state, task, reply.clock)
             continue
         fate = find_unlisted_fate(task, reply, first)
-        if fate is not AttemptFate.OPEN:
+        if fate is not AttemptStatus.UNDETERMINED:
             yield from close_task(
                 state, task, fate, 'the worker no longer lists the task', now
             )
@@ -115,7 +115,7 @@
 
 def find_unlisted_fate(
     task: TaskEntry, reply: SyncReply, first: bool
-) -> AttemptFate:
+) -> AttemptStatus:
     """Return what is certain about a task that its worker does not list.
 
     Parameters
@@ -125,16 +125,16 @@
         after which it refuses starts of earlier owners.
     """
     if task.incarnation != reply.incarnation:
-        return AttemptFate.LAPSED
+        return AttemptStatus.LAPSED
     if task.phase is TaskPhase.RUNNING:
         if reply.clock <= task.started_clock:
-            return AttemptFate.OPEN
-        return AttemptFate.LAPSED
+            return AttemptStatus.UNDETERMINED
+        return AttemptStatus.LAPSED
     if task.phase is TaskPhase.SENT:
         if 0 < task.start_before_clock <= reply.clock:
-            return AttemptFate.REFUSED
-        return AttemptFate.OPEN
-    return AttemptFate.REFUSED if first else AttemptFate.OPEN
+            return AttemptStatus.REFUSED
+        return AttemptStatus.UNDETERMINED
+    return AttemptStatus.REFUSED if first else AttemptStatus.UNDETERMINED
 
 
 def _mark_running(state: ShardState, task: TaskEntry, clock: int) -> None:
@@ -224,14 +224,14 @@
         return
     reply = event.reply
     if reply.status is StartStatus.REFUSED:
-        fate = AttemptFate.REFUSED
+        fate = AttemptStatus.REFUSED
         if reply.incarnation != task.incarnation and task.phase in (
             TaskPhase.SENT,
             TaskPhase.RUNNING,
         ):
             # An earlier send of the same start may have run before the
             # worker restarted.
-            fate = AttemptFate.LAPSED
+            fate = AttemptStatus.LAPSED
         yield from close_task(state, task, fate, reply.reason, now)
         return
     if reply.status is StartStatus.ENDED and reply.ended is not None:
@@ -271,7 +271,9 @@
     task = state.tasks.get(event.task)
     if task is None or task.phase is not TaskPhase.PLANNED:
         return
-    yield from close_task(state, task, AttemptFate.NOT_SENT, event.reason, now)
+    yield from close_task(
+        state, task, AttemptStatus.NOT_SENT, event.reason, now
+    )
 
 
 def lapse_hosts(state: ShardState, now: int) -> Actions:
@@ -290,7 +292,7 @@
             ):
                 continue
             yield from close_task(
-                state, task, AttemptFate.LAPSED, 'lease expired', now
+                state, task, AttemptStatus.LAPSED, 'lease expired', now
             )
 
 
@@ -302,4 +304,6 @@
     """
     if entry.reading is None:
         return entry.lapse_at
-    return find_lapse_time(entry.reading.clock + LEASE_MS, entry.reading)
+    return compute_task_lease_expiry(
+        entry.reading.clock + LEASE_MS, entry.reading
+    )
--- a/tests/dispatch/drivers.py
+++ b/tests/dispatch/drivers.py
@@ -18,7 +18,7 @@
 from sassafrasgate.dispatch.state import DispatchState
 from sassafrasgate.dispatch.transitions import decide
 from sassafrasgate.protocol.workflows import SubmitWorkflow
-from sassafrasgate.shards.actions import Persist
+from sassafrasgate.shards.actions import AppendRecord
 from sassafrasgate.shards.actions import Reply
 from sassafrasgate.shards.events import RecordsDurable
 from sassafrasgate.shards.events import RequestReceived
@@ -70,7 +70,9 @@
     def _decide(self, event):
         actions = decide(self.state, event, self.now, WALL_MS + self.now)
         yield from actions
-        records = tuple(a.record for a in actions if isinstance(a, Persist))
+        records = tuple(
+            a.record for a in actions if isinstance(a, AppendRecord)
+        )
         if records:
             yield from self._decide(RecordsDurable(records))
 
--- a/tests/dispatch/simulation.py
+++ b/tests/dispatch/simulation.py
@@ -67,9 +67,9 @@
 from sassafrasgate.protocol.workflows import CancelWorkflow
 from sassafrasgate.protocol.workflows import SubmitWorkflow
 from sassafrasgate.protocol.workflows import WorkflowView
-from sassafrasgate.shards.actions import GiveUpShard
-from sassafrasgate.shards.actions import Persist
+from sassafrasgate.shards.actions import AppendRecord
 from sassafrasgate.shards.actions import Reply
+from sassafrasgate.shards.actions import StepDown
 from sassafrasgate.shards.events import RecordsDurable
 from sassafrasgate.shards.events import RequestReceived
 from sassafrasgate.shards.events import Ticked
@@ -390,7 +390,7 @@
     def carry_out(self, actions: Any) -> None:
         """Do what was decided."""
         for action in actions:
-            if isinstance(action, Persist):
+            if isinstance(action, AppendRecord):
                 self.unwritten.append(action.record)
                 self.write()
             elif isinstance(action, Reply):
@@ -415,7 +415,7 @@
                 self.contacts.pop(action.worker, None)
             elif isinstance(action, AskAdvice):
                 self.ask_advice(action)
-            elif isinstance(action, GiveUpShard):
+            elif isinstance(action, StepDown):
                 self.dead = True
 
     def write(self) -> None:
--- a/tests/dispatch/test_requests.py
+++ b/tests/dispatch/test_requests.py
@@ -13,9 +13,9 @@
 from sassafrasgate.protocol.workflows import CancelWorkflow
 from sassafrasgate.protocol.workflows import QueryWorkflow
 from sassafrasgate.protocol.workflows import SubmitWorkflow
-from sassafrasgate.shards.actions import Persist
+from sassafrasgate.shards.actions import AppendRecord
 from sassafrasgate.shards.actions import Reply
-from sassafrasgate.shards.actions import Withdraw
+from sassafrasgate.shards.actions import WithdrawRecords
 from sassafrasgate.shards.events import RecordsDurable
 from sassafrasgate.shards.events import RequestReceived
 from sassafrasgate.shards.events import WithdrawalAnswered
@@ -55,9 +55,9 @@
     first = owner.submit(1)
     repeat = owner.submit(2)
     assert not replies(first) and not replies(repeat)
-    (record,) = [action.record for action in pick(first, Persist)]
+    (record,) = [action.record for action in pick(first, AppendRecord)]
     assert isinstance(record, WorkflowAccepted)
-    assert not pick(repeat, Persist)
+    assert not pick(repeat, AppendRecord)
     told = replies(owner.feed(RecordsDurable((record,))))
     assert told.keys() == {1, 2}
     assert replies(owner.submit(3))[3].state is WorkflowState.QUEUED
@@ -70,15 +70,15 @@
     assert answer.refusal is RefusalKind.STORE_UNAVAILABLE
     assert owner.ask(2, QueryWorkflow(JOB))[0].message.state is None
     owner.feed(JournalStalled(0))
-    assert pick(owner.submit(3), Persist)
+    assert pick(owner.submit(3), AppendRecord)
 
 
 def test_a_job_that_was_not_sent_to_the_store_is_refused_at_once():
     # It would be held until its caller gives up.
     owner = Owner()
     owner.submit(1)
-    assert pick(owner.feed(JournalStalled(owner.now)), Withdraw) == [
-        Withdraw(JOB)
+    assert pick(owner.feed(JournalStalled(owner.now)), WithdrawRecords) == [
+        WithdrawRecords(JOB)
     ]
     told = replies(owner.feed(WithdrawalAnswered(JOB, True, 1)))
     assert isinstance(told[1], Refused)
@@ -89,7 +89,9 @@
 def test_a_job_that_may_be_in_the_store_is_not_refused():
     # "Not accepted" would be untrue when the write takes effect.
     owner = Owner()
-    (record,) = [action.record for action in pick(owner.submit(1), Persist)]
+    (record,) = [
+        action.record for action in pick(owner.submit(1), AppendRecord)
+    ]
     owner.feed(JournalStalled(owner.now))
     assert not replies(owner.feed(WithdrawalAnswered(JOB, False)))
     assert replies(owner.feed(RecordsDurable((record,)))).keys() == {1}
@@ -97,12 +99,12 @@
 
 def test_a_cancelled_job_stays_cancelled_and_is_told_once_durable():
     owner = Owner()
-    (accepted,) = [a.record for a in pick(owner.submit(1), Persist)]
+    (accepted,) = [a.record for a in pick(owner.submit(1), AppendRecord)]
     owner.feed(RecordsDurable((accepted,)))
     cancelled = owner.ask(2, CancelWorkflow(JOB))
     assert not replies(cancelled)
-    (record,) = [action.record for action in pick(cancelled, Persist)]
-    assert not pick(owner.ask(3, CancelWorkflow(JOB)), Persist)
+    (record,) = [action.record for action in pick(cancelled, AppendRecord)]
+    assert not pick(owner.ask(3, CancelWorkflow(JOB)), AppendRecord)
     told = replies(owner.feed(RecordsDurable((record,))))
     assert {view.state for view in told.values()} == {WorkflowState.CANCELLED}
     assert told.keys() == {2, 3}
--- a/tests/shards/simulation.py
+++ b/tests/shards/simulation.py
@@ -30,15 +30,15 @@
 from sassafrasgate.journal.records import Takeover
 from sassafrasgate.protocol.messages import Cancel
 from sassafrasgate.protocol.messages import Submit
-from sassafrasgate.shards.actions import GiveUpShard
-from sassafrasgate.shards.actions import Persist
+from sassafrasgate.shards.actions import AppendRecord
 from sassafrasgate.shards.actions import ReleaseTask
 from sassafrasgate.shards.actions import Reply
-from sassafrasgate.shards.actions import SendPeer
+from sassafrasgate.shards.actions import SendToShard
 from sassafrasgate.shards.actions import StartTask
+from sassafrasgate.shards.actions import StepDown
 from sassafrasgate.shards.actions import StopTask
 from sassafrasgate.shards.attempts import ClockReading
-from sassafrasgate.shards.attempts import grant_until
+from sassafrasgate.shards.attempts import compute_task_lease_deadline
 from sassafrasgate.shards.attempts import START_WINDOW_MS
 from sassafrasgate.shards.events import ConfigurationChanged
 from sassafrasgate.shards.events import HostSilent
@@ -271,7 +271,7 @@
             self._carry_out(owner, action)
 
     def _carry_out(self, owner: Owner, action: Any) -> None:
-        if isinstance(action, Persist):
+        if isinstance(action, AppendRecord):
             owner.unwritten.append(action.record)
         if isinstance(action, StartTask):
             self._send_start(owner, action)
@@ -279,12 +279,12 @@
             self._stop(owner, action)
         if isinstance(action, ReleaseTask):
             owner.releases.setdefault(action.host, set()).add(action.task)
-        if isinstance(action, SendPeer):
+        if isinstance(action, SendToShard):
             self.outbox.append(action.message)
         if isinstance(action, Reply):
             self.replies.append((action.reply_to, action.message))
             self._note_view(action.message)
-        assert not isinstance(action, GiveUpShard), action
+        assert not isinstance(action, StepDown), action
 
     def _note_view(self, view: Any) -> None:
         if getattr(view, 'kind', '') != 'job-view':
@@ -300,7 +300,7 @@
             self.feed(StartNotSent(action.host, action.task, 'restarted'))
             return
         clock = reading.clock + self.now - reading.received_at
-        lease_clock = grant_until(reading)
+        lease_clock = compute_task_lease_deadline(reading)
         if action.lease_ms:
             lease_clock = min(lease_clock, clock + action.lease_ms)
         self.starts.append(
@@ -384,7 +384,7 @@
         release = tuple(owner.releases.get(host, ()))
         reply = self.workers[host].sync(
             owner.state.epoch,
-            grant_until(reading) if reading else 0,
+            compute_task_lease_deadline(reading) if reading else 0,
             owner.incarnations.get(host, ''),
             release,
             self.now,
