--- a/sassafrasgate/daemons/directory.py
+++ b/sassafrasgate/daemons/directory.py
@@ -1,4 +1,4 @@
-"""Who is alive and who owns which shard, and the links to them."""
+"""Live processes, shard owners, and the links to them."""
 
 from __future__ import annotations
 
@@ -32,52 +32,56 @@
 
 
 def make_owner_key(shard: str) -> str:
-    """Return the key that names a shard's owner."""
+    """Return the store key that holds a shard's owner."""
     return f'{OWNER_PREFIX}{shard}'
 
 
 class Directory:
-    """What the control keys say, and one link per scheduler.
+    """Holds the state of the control keys and one link per process address.
 
-    It belongs to one task of its process, which feeds it with the watch's
-    messages. The links run in that process's task group.
+    A directory belongs to one task of its process, which passes it the
+    messages of the control watch. The links run in that process's task
+    group.
 
     Parameters
     ----------
     group : TaskGroup
-        Where links run.
+        Task group in which the links run.
     peers : tuple of Peer
-        Schedulers of the settings, known also without the store.
-    greet, hear : callable
-        Heartbeats of the links.
-    note_closed : callable, optional
-        As for `Link`.
+        Schedulers named in the settings. They can be reached while the
+        store does not answer.
+    make_heartbeat : callable
+        Returns the heartbeat that the links send.
+    handle_heartbeat : callable
+        Receives each heartbeat that a link has received.
+    handle_disconnect : callable, optional
+        Called by a `Link` when its connection has been closed.
     """
 
     def __init__(
         self,
         group: TaskGroup,
         peers: tuple[Peer, ...],
-        greet: Callable[[], Heartbeat],
-        hear: Callable[[Heartbeat], None],
-        note_closed: Callable[[str], None] | None = None,
+        make_heartbeat: Callable[[], Heartbeat],
+        handle_heartbeat: Callable[[Heartbeat], None],
+        handle_disconnect: Callable[[str], None] | None = None,
     ) -> None:
         self._group = group
-        self._greet = greet
-        self._hear = hear
-        self._note_closed = note_closed
+        self._make_heartbeat = make_heartbeat
+        self._handle_heartbeat = handle_heartbeat
+        self._handle_disconnect = handle_disconnect
         self.members: dict[str, Member] = {}
         self.owners: dict[str, tuple[Member, int]] = {}
         self._links: dict[str, Link] = {}
         self._peers = peers
 
     def connect_peers(self) -> None:
-        """Open links to the schedulers of the settings."""
+        """Open links to the schedulers named in the settings."""
         for peer in self._peers:
             self.find_link(peer.address)
 
-    def note(self, message: Any) -> None:
-        """Take a message of the control watch."""
+    def apply_control_event(self, message: Any) -> None:
+        """Apply a message of the control watch; ignore other messages."""
         if isinstance(message, ControlListed):
             self.members.clear()
             self.owners = {
@@ -106,7 +110,8 @@
     def _note_owner(self, shard: str, item: Item) -> None:
         known = self.owners.get(shard)
         if known is not None and item.revision < known[1]:
-            # A watch may lag behind this process's own write of the key.
+            # The watch may deliver a state from before this process wrote
+            # the key itself.
             return
         member = read_member(item)
         if member is None:
@@ -115,7 +120,7 @@
         self.owners[shard] = (member, item.revision)
 
     def list_schedulers(self) -> tuple[Member, ...]:
-        """Return the live schedulers, by name."""
+        """Return the live schedulers, sorted by name."""
         return tuple(
             self.members[name]
             for name in sorted(self.members)
@@ -126,16 +131,21 @@
         """Return the link to an address, opened on first use."""
         link = self._links.get(address)
         if link is None:
-            link = Link(address, self._greet, self._hear, self._note_closed)
+            link = Link(
+                address,
+                self._make_heartbeat,
+                self._handle_heartbeat,
+                self._handle_disconnect,
+            )
             self._links[address] = link
             self._group.start_soon(link.run)
         return link
 
     def list_links(self) -> tuple[Link, ...]:
-        """Return all open links."""
+        """Return all links that have been opened."""
         return tuple(self._links.values())
 
-    async def ask_owner(
+    async def send_request(
         self, shard: str, message: Any, timeout_s: float, attempt: int = 1
     ) -> Any:
         """Send a message to a shard's owner and return its answer.
@@ -144,7 +154,7 @@
         -------
         object
             The answer; `NoAnswer` when the effect is not known; or a
-            `Refusal` when there is no owner, so that nothing was sent.
+            `Refusal` when the shard has no owner and nothing was sent.
         """
         owner = self.owners.get(shard)
         if owner is None:
@@ -156,8 +166,10 @@
         link = self.find_link(owner[0].link_address)
         return await link.ask(message, timeout_s, attempt)
 
-    async def ask_all(self, message: Any, timeout_s: float) -> tuple[Any, ...]:
-        """Send a message on every link and return the answers that came."""
+    async def broadcast_request(
+        self, message: Any, timeout_s: float
+    ) -> tuple[Any, ...]:
+        """Send a message on every link and return the answers received."""
         answers: list[Any] = []
 
         async def ask_one(link: Link) -> None:
@@ -172,7 +184,13 @@
 
 
 def read_member(item: Item) -> Member | None:
-    """Return the member that a key's value describes, or None."""
+    """Return the member that a key's value describes, or None.
+
+    Returns
+    -------
+    Member or None
+        None if the key has been deleted or its value can't be decoded.
+    """
     if item.value is None:
         return None
     try:
--- a/sassafrasgate/shards/placements.py
+++ b/sassafrasgate/shards/placements.py
@@ -48,8 +48,8 @@
     occupied : tuple of str
         Hosts that already hold tasks of the job.
     """
-    demand = state.sizes.find_size(spec)
-    refusal = state.quotas.may_reserve(spec.team, demand.scale(tasks))
+    demand = state.sizes.estimate_demand(spec)
+    refusal = state.quotas.check_quota(spec.team, demand.scale(tasks))
     if refusal is not None:
         return refusal
     labels, domains = find_rule_limits(state, spec)
@@ -114,7 +114,7 @@
     Task indexes that no current placement uses are assigned in ascending
     order.
     """
-    demand = state.sizes.find_size(spec)
+    demand = state.sizes.estimate_demand(spec)
     used = {split_task_id(placement.task)[1] for placement in standing}
     free = (index for index in range(spec.tasks) if index not in used)
     return tuple(
