--- a/sassafrasgate/core/cells.py
+++ b/sassafrasgate/core/cells.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from sassafrasgate.core.hosts import Host
-from sassafrasgate.core.resources import NOTHING
+from sassafrasgate.core.resources import NO_RESOURCES
 from sassafrasgate.core.resources import Resources
 
 
@@ -47,7 +47,7 @@
 
     name: str
     weight: int = 1
-    quota: Resources = NOTHING
+    quota: Resources = NO_RESOURCES
     max_queued: int = 10000
 
 
--- a/sassafrasgate/core/errors.py
+++ b/sassafrasgate/core/errors.py
@@ -47,7 +47,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class NoAnswer:
+class NoReply:
     """Returned when a request got no reply, so its effect is unknown.
 
     Parameters
--- a/sassafrasgate/core/resources.py
+++ b/sassafrasgate/core/resources.py
@@ -67,7 +67,7 @@
             self.connections * count,
         )
 
-    def cover(self, other: Resources) -> Resources:
+    def take_maximum(self, other: Resources) -> Resources:
         """Return the maximum of the two amounts for each resource."""
         return Resources(
             max(self.millicores, other.millicores),
@@ -77,7 +77,7 @@
             max(self.connections, other.connections),
         )
 
-    def limit(self, other: Resources) -> Resources:
+    def take_minimum(self, other: Resources) -> Resources:
         """Return the minimum of the two amounts for each resource."""
         return Resources(
             min(self.millicores, other.millicores),
@@ -88,4 +88,4 @@
         )
 
 
-NOTHING = Resources()
+NO_RESOURCES = Resources()
--- a/sassafrasgate/core/routing.py
+++ b/sassafrasgate/core/routing.py
@@ -7,7 +7,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class AdviceTerms:
+class AdviceTiming:
     """Durations of calls to the advice service, in milliseconds.
 
     Parameters
@@ -48,7 +48,7 @@
         Constant added to the objective, in milliseconds.
     timeout_ms : int
         Maximum time until the reply to a request, in milliseconds.
-    advice : AdviceTerms or None
+    advice : AdviceTiming or None
         None when any worker of the pool may run its tasks without a ticket.
     """
 
@@ -61,7 +61,7 @@
     stretch: float = 1.0
     target_latency_ms: int = 0
     timeout_ms: int = 0
-    advice: AdviceTerms | None = None
+    advice: AdviceTiming | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,7 +110,7 @@
                 return queue
         return None
 
-    def name_queue(self, name: str) -> Queue | None:
+    def find_queue_by_name(self, name: str) -> Queue | None:
         """Return the queue with the given name, or None."""
         return self._by_name.get(name)
 
--- a/sassafrasgate/core/workers.py
+++ b/sassafrasgate/core/workers.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from sassafrasgate.core.resources import NOTHING
+from sassafrasgate.core.resources import NO_RESOURCES
 from sassafrasgate.core.resources import Resources
 
 
@@ -42,7 +42,7 @@
     pool: str
     address: str
     failure_domain: str = ''
-    capacity: Resources = NOTHING
+    capacity: Resources = NO_RESOURCES
     labels: tuple[str, ...] = ()
     rack: str = ''
     leaving: bool = False
--- a/sassafrasgate/core/workflows.py
+++ b/sassafrasgate/core/workflows.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from sassafrasgate.core.resources import NOTHING
+from sassafrasgate.core.resources import NO_RESOURCES
 from sassafrasgate.core.resources import Resources
 
 
@@ -54,7 +54,7 @@
     """
 
     tasks: int
-    demand: Resources = NOTHING
+    demand: Resources = NO_RESOURCES
     estimate_ms: int = 0
     after: tuple[int, ...] = ()
     checkpointing: bool = False
@@ -260,7 +260,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class RunAnswer:
+class RunReply:
     """A worker's reply to a start.
 
     Parameters
--- a/sassafrasgate/daemons/advice_routing.py
+++ b/sassafrasgate/daemons/advice_routing.py
@@ -9,7 +9,7 @@
 from typing import Any
 from typing import TYPE_CHECKING
 
-from sassafrasgate.core.errors import NoAnswer
+from sassafrasgate.core.errors import NoReply
 from sassafrasgate.daemons.advice import AdviceRequested
 from sassafrasgate.daemons.replies import ReplyTable
 from sassafrasgate.daemons.replies import wait_for_answer
@@ -65,7 +65,7 @@
             return await self._ask_own_adviser(question, timeout_s)
         member = self._directory.members.get(name)
         if member is None:
-            return NoAnswer(f'entry host {name!r} is gone')
+            return NoReply(f'entry host {name!r} is gone')
         link = self._directory.find_link(member.link_address)
         return await link.ask(question, timeout_s)
 
--- a/sassafrasgate/daemons/directory.py
+++ b/sassafrasgate/daemons/directory.py
@@ -10,7 +10,7 @@
 from msgspec import ValidationError
 from msgspec.json import decode
 
-from sassafrasgate.core.errors import NoAnswer
+from sassafrasgate.core.errors import NoReply
 from sassafrasgate.core.errors import Refusal
 from sassafrasgate.core.errors import RefusalKind
 from sassafrasgate.daemons.control import ControlChanged
@@ -153,7 +153,7 @@
         Returns
         -------
         object
-            The answer; `NoAnswer` when the effect is not known; or a
+            The answer; `NoReply` when the effect is not known; or a
             `Refusal` when the shard has no owner and nothing was sent.
         """
         owner = self.owners.get(shard)
@@ -174,7 +174,7 @@
 
         async def ask_one(link: Link) -> None:
             answer = await link.ask(message, timeout_s)
-            if not isinstance(answer, NoAnswer):
+            if not isinstance(answer, NoReply):
                 answers.append(answer)
 
         async with anyio.create_task_group() as group:
--- a/sassafrasgate/daemons/dispatcher.py
+++ b/sassafrasgate/daemons/dispatcher.py
@@ -59,7 +59,7 @@
 from sassafrasgate.journal.ring_buffer import Journal
 from sassafrasgate.journal.ring_buffer import load_journal
 from sassafrasgate.journal.ring_buffer import LoadedJournal
-from sassafrasgate.journal.workflows import Released
+from sassafrasgate.journal.workflows import ShardReleased
 from sassafrasgate.observability.clocks import now_ms
 from sassafrasgate.observability.clocks import wall_ms
 from sassafrasgate.observability.logs import log_facts
@@ -499,7 +499,7 @@
         workers, but workers may still carry out calls that were sent
         earlier.
         """
-        released = Released(find_grant_bound(0, CALM_WAIT_MS))
+        released = ShardReleased(find_grant_bound(0, CALM_WAIT_MS))
         try:
             position = await journal.export_position()
         except (StoreError, ShardLostError):
--- a/sassafrasgate/daemons/election.py
+++ b/sassafrasgate/daemons/election.py
@@ -9,7 +9,7 @@
 import anyio
 from msgspec.json import encode
 
-from sassafrasgate.core.errors import NoAnswer
+from sassafrasgate.core.errors import NoReply
 from sassafrasgate.core.errors import StoreConflictError
 from sassafrasgate.core.errors import StoreError
 from sassafrasgate.core.identifiers import rank_names
@@ -295,7 +295,7 @@
             )
             if isinstance(answer, Acknowledged):
                 return True
-            if isinstance(answer, NoAnswer):
+            if isinstance(answer, NoReply):
                 # It may have taken the shard; the journal decides.
                 return False
         return False
--- a/sassafrasgate/daemons/entry_messages.py
+++ b/sassafrasgate/daemons/entry_messages.py
@@ -73,7 +73,7 @@
     call : RelayCall
         The call to make.
     answer : callable
-        Receives the `RelayAnswer`.
+        Receives the `RelayReply`.
     """
 
     call: RelayCall
--- a/sassafrasgate/daemons/frontend.py
+++ b/sassafrasgate/daemons/frontend.py
@@ -12,7 +12,7 @@
 from sassafrasgate.configuration.checks import check_configuration
 from sassafrasgate.configuration.publication import publish_configuration
 from sassafrasgate.core.cells import Configuration
-from sassafrasgate.core.errors import NoAnswer
+from sassafrasgate.core.errors import NoReply
 from sassafrasgate.core.errors import Refusal
 from sassafrasgate.core.errors import RefusalKind
 from sassafrasgate.core.errors import StoreError
@@ -174,21 +174,21 @@
                     'apply a declaration first',
                 )
             message = replace(message, shard=self.find_home(message.job_id))
-        self._budget.note_first_try()
+        self._budget.record_first_attempt()
         deadline = now_ms() + int(timeout_s * 1000)
         return await self._ask_until(message, deadline)
 
     async def _ask_until(self, message: Any, deadline: int) -> Any:
         """Retry until an answer, the deadline, or the end of the budget."""
         attempt = 0
-        unknown: NoAnswer | None = None
+        unknown: NoReply | None = None
         while True:
             attempt += 1
             left_s = (deadline - now_ms()) / 1000
             answer = await self._directory.send_request(
                 message.shard, message, max(left_s, MIN_TRY_S), attempt
             )
-            if isinstance(answer, NoAnswer):
+            if isinstance(answer, NoReply):
                 unknown = answer
             if not self._may_repeat(message, answer):
                 return answer
@@ -207,7 +207,7 @@
             return answer.kind is RefusalKind.NOT_READY
         if isinstance(answer, Refused):
             return answer.refusal in RETRIED_REFUSALS
-        if not isinstance(answer, NoAnswer):
+        if not isinstance(answer, NoReply):
             return False
         # All messages but quick requests are idempotent by job id. A quick
         # request may still be running where the first try was sent.
@@ -233,7 +233,7 @@
 
     async def publish(
         self, configuration: Configuration, expected_version: int
-    ) -> Configuration | Refusal | NoAnswer:
+    ) -> Configuration | Refusal | NoReply:
         """Publish a configuration by compare-and-swap on the version."""
         # The checks run in a thread: at the design size they take 0.2 s.
         flaws = await anyio.to_thread.run_sync(
@@ -251,7 +251,7 @@
                 self._store, configuration, expected_version
             )
         except StoreError as error:
-            return NoAnswer(str(error))
+            return NoReply(str(error))
         if isinstance(published, Configuration):
             await self._configurations.send(ConfigurationPublished(published))
         return published
--- a/sassafrasgate/daemons/gateways.py
+++ b/sassafrasgate/daemons/gateways.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from sassafrasgate.core.errors import NoAnswer
+from sassafrasgate.core.errors import NoReply
 from sassafrasgate.core.errors import Refusal
 from sassafrasgate.core.errors import RefusalKind
 from sassafrasgate.observability.clocks import now_ms
@@ -112,16 +112,16 @@
         -------
         object
             The answer; a `Refusal` if the request certainly had no effect;
-            `NoAnswer` if its effect is unknown.
+            `NoReply` if its effect is unknown.
         """
         deadline = now_ms() + int(timeout_s * 1000)
-        unknown: NoAnswer | None = None
+        unknown: NoReply | None = None
         while True:
             left_s = (deadline - now_ms()) / 1000
             answer = await self._task.ask_once(message, min(left_s, TRY_S))
             if isinstance(answer, Refused):
                 answer = Refusal(answer.refusal, answer.reason, answer.remedy)
-            if isinstance(answer, NoAnswer):
+            if isinstance(answer, NoReply):
                 unknown = answer
             elif not _may_repeat(answer):
                 return answer
--- a/sassafrasgate/daemons/relays.py
+++ b/sassafrasgate/daemons/relays.py
@@ -29,8 +29,8 @@
 from sassafrasgate.journal.rate_limits import CallPriority
 from sassafrasgate.observability.clocks import now_ms
 from sassafrasgate.observability.logs import log_facts
-from sassafrasgate.protocol.relays import RelayAnswer
 from sassafrasgate.protocol.relays import RelayCall
+from sassafrasgate.protocol.relays import RelayReply
 
 if TYPE_CHECKING:
     from collections import Counter
@@ -77,7 +77,7 @@
 PREFERENCE_MS = 2_000
 RELAY_TIMEOUT_S = 1.0
 
-Relay = Callable[[RelayCall, float], Awaitable[RelayAnswer | None]]
+Relay = Callable[[RelayCall, float], Awaitable[RelayReply | None]]
 
 
 class RelayedStore:
@@ -309,9 +309,7 @@
         )
 
 
-async def execute_relayed_call(
-    store: KeyStore, call: RelayCall
-) -> RelayAnswer:
+async def execute_relayed_call(store: KeyStore, call: RelayCall) -> RelayReply:
     """Make a call for another entry host.
 
     Parameters
@@ -320,20 +318,20 @@
         A direct client.
     """
     if call.method not in RESULTS:
-        return RelayAnswer('refused', f'{call.method!r} is not relayed')
+        return RelayReply('refused', f'{call.method!r} is not relayed')
     try:
         result = await getattr(store, call.method)(*call.arguments)
     except StoreError as error:
         for name in FAILURES:
             if type(error) is FAILURES.find(name):
-                return RelayAnswer(name, str(error))
-        return RelayAnswer('refused', str(error))
-    return RelayAnswer(result=result)
+                return RelayReply(name, str(error))
+        return RelayReply('refused', str(error))
+    return RelayReply(result=result)
 
 
 async def relay_through_peers(
     directory: Directory, name: str, call: RelayCall, timeout_s: float
-) -> RelayAnswer | None:
+) -> RelayReply | None:
     """Have another entry host call the store.
 
     Parameters
@@ -343,10 +341,10 @@
 
     Returns
     -------
-    RelayAnswer or None
+    RelayReply or None
         None when none of the hosts that were asked has reached it.
     """
-    best: RelayAnswer | None = None
+    best: RelayReply | None = None
     names = rank_names(name, directory.members)
     for other in [n for n in names if n != name][:MOST_RELAYS]:
         member = directory.members.get(other)
@@ -355,7 +353,7 @@
             continue
         link = directory.find_link(member.link_address)
         answer = await link.ask(call, timeout_s)
-        if not isinstance(answer, RelayAnswer):
+        if not isinstance(answer, RelayReply):
             continue
         if answer.failure != 'unavailable':
             return answer
--- a/sassafrasgate/daemons/replies.py
+++ b/sassafrasgate/daemons/replies.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from sassafrasgate.core.errors import NoAnswer
+from sassafrasgate.core.errors import NoReply
 from sassafrasgate.protocol.links import OutgoingReply
 
 if TYPE_CHECKING:
@@ -113,7 +113,7 @@
     Returns
     -------
     object
-        The answer, or `NoAnswer`.
+        The answer, or `NoReply`.
     """
     caller, answers = anyio.create_memory_object_stream[Any](1)
     with caller, answers:
@@ -121,4 +121,4 @@
         with anyio.move_on_after(timeout_s):
             return await answers.receive()
         forget(token)
-    return NoAnswer(f'no answer within {timeout_s:.1f} s')
+    return NoReply(f'no answer within {timeout_s:.1f} s')
--- a/sassafrasgate/daemons/shards.py
+++ b/sassafrasgate/daemons/shards.py
@@ -17,7 +17,7 @@
 from sassafrasgate.adapters.schemes import open_worker
 from sassafrasgate.adapters.store import Store
 from sassafrasgate.core.errors import MessageError
-from sassafrasgate.core.errors import NoAnswer
+from sassafrasgate.core.errors import NoReply
 from sassafrasgate.core.errors import Refusal
 from sassafrasgate.core.errors import RefusalKind
 from sassafrasgate.core.errors import ShardLostError
@@ -105,7 +105,7 @@
         Queues an `OutgoingReply` on the link server.
     send_request : callable
         Sends a message to the owner of another shard; returns its answer
-        or `NoAnswer`.
+        or `NoReply`.
     publish : callable
         Lets other processes know a shard's `Summary`.
     """
@@ -478,7 +478,7 @@
         answer = await self.services.send_request(
             action.shard, action.message, PEER_TIMEOUT_S
         )
-        if isinstance(answer, NoAnswer | Refusal):
+        if isinstance(answer, NoReply | Refusal):
             answer = None
         await self.events.send(PeerAnswered(action.message, answer))
 
--- a/sassafrasgate/daemons/workers.py
+++ b/sassafrasgate/daemons/workers.py
@@ -49,7 +49,7 @@
     from anyio.streams.memory import MemoryObjectReceiveStream
     from anyio.streams.memory import MemoryObjectSendStream
 
-    from sassafrasgate.core.workflows import RunAnswer
+    from sassafrasgate.core.workflows import RunReply
     from sassafrasgate.shards.ownership import OwnerLease
 
 # A worker that answers does so within a few milliseconds; a call that has
@@ -272,7 +272,7 @@
                 return
             fence = self._fence
             try:
-                answer: RunAnswer = await self._client.start(
+                answer: RunReply = await self._client.start(
                     RunRequest(
                         command.run.task,
                         command.run.run,
@@ -302,7 +302,7 @@
             )
             return
 
-    def _is_outdated(self, answer: RunAnswer, fence: int) -> bool:
+    def _is_outdated(self, answer: RunReply, fence: int) -> bool:
         """Tell whether a call was refused for a restart since it was sent.
 
         A later call of this owner has then reached the new life first.
@@ -336,7 +336,7 @@
                 return
             fence = self._fence
             try:
-                answer: RunAnswer = await self._client.stop(
+                answer: RunReply = await self._client.stop(
                     command.run.task, command.run.run, fence
                 )
             except WorkerUnavailableError:
@@ -358,7 +358,7 @@
             return
         fence = self._fence
         try:
-            answer: RunAnswer = await self._client.pace(
+            answer: RunReply = await self._client.pace(
                 command.run.task, command.run.run, command.percent, fence
             )
         except WorkerUnavailableError:
--- a/sassafrasgate/dispatch/advice.py
+++ b/sassafrasgate/dispatch/advice.py
@@ -23,7 +23,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from sassafrasgate.core.routing import AdviceTerms
+    from sassafrasgate.core.routing import AdviceTiming
     from sassafrasgate.dispatch.handlers import Actions
     from sassafrasgate.dispatch.state import DispatchState
     from sassafrasgate.dispatch.state import StepKey
@@ -78,7 +78,7 @@
 def ask_advice(
     state: DispatchState,
     key: StepKey,
-    terms: AdviceTerms,
+    terms: AdviceTiming,
     workers: Iterable[str],
 ) -> Actions:
     """Ask about workers, unless every host is busy for too long."""
@@ -101,7 +101,7 @@
     yield AskAdvice(key, named, lane.name, ready_at - state.now)
 
 
-def measure_call(terms: AdviceTerms, workers: int) -> int:
+def measure_call(terms: AdviceTiming, workers: int) -> int:
     """Return how long a call about some workers takes, in ms."""
     return int(terms.decide_ms + terms.each_ms * workers) + SERVICE_MS
 
--- a/sassafrasgate/dispatch/events.py
+++ b/sassafrasgate/dispatch/events.py
@@ -11,7 +11,7 @@
 from sassafrasgate.core.routing import RoutingTable
 from sassafrasgate.core.workers import Registration
 from sassafrasgate.core.workflows import Advice
-from sassafrasgate.core.workflows import RunAnswer
+from sassafrasgate.core.workflows import RunReply
 from sassafrasgate.core.workflows import WorkerReport
 from sassafrasgate.dispatch.state import RunKey
 from sassafrasgate.dispatch.state import StepKey
@@ -100,7 +100,7 @@
 
     worker: str
     run: RunKey
-    answer: RunAnswer
+    answer: RunReply
 
 
 @dataclass(frozen=True, slots=True)
--- a/sassafrasgate/dispatch/gangs.py
+++ b/sassafrasgate/dispatch/gangs.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from sassafrasgate.core.resources import NOTHING
+from sassafrasgate.core.resources import NO_RESOURCES
 from sassafrasgate.core.resources import Resources
 from sassafrasgate.dispatch.advice import ask_advice
 from sassafrasgate.dispatch.advice import may_ask
@@ -26,7 +26,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from sassafrasgate.core.routing import AdviceTerms
+    from sassafrasgate.core.routing import AdviceTiming
     from sassafrasgate.core.routing import Queue
     from sassafrasgate.core.workflows import Step
     from sassafrasgate.dispatch.handlers import Actions
@@ -101,7 +101,7 @@
 def _list_renewals(
     state: DispatchState,
     key: StepKey,
-    terms: AdviceTerms,
+    terms: AdviceTiming,
     chosen: dict[str, int],
     admitted: list[WorkerEntry],
 ) -> list[str]:
@@ -160,7 +160,7 @@
         if hold is not None and (
             state.now + expect_ms(step, worker) > hold.at
         ):
-            room = room.limit(hold.spare)
+            room = room.take_minimum(hold.spare)
         most = plan.allowances.get(name, step.tasks)
         most = min(most, step.max_per_worker or step.tasks)
         count = _count_slots(room, demand, most)
@@ -276,7 +276,7 @@
                 room = room + freed
         known = plan.holds.get(name)
         if known is not None:
-            room = room.limit(known.spare)
+            room = room.take_minimum(known.spare)
             at = max(at, known.at)
         spare = room - demand.scale(count)
-        plan.holds[name] = Hold(at, spare.cover(NOTHING))
+        plan.holds[name] = Hold(at, spare.take_maximum(NO_RESOURCES))
--- a/sassafrasgate/dispatch/recovery.py
+++ b/sassafrasgate/dispatch/recovery.py
@@ -26,8 +26,8 @@
 from sassafrasgate.dispatch.state import RunKey
 from sassafrasgate.dispatch.state import StepKey
 from sassafrasgate.journal.records import Takeover
-from sassafrasgate.journal.workflows import Released
 from sassafrasgate.journal.workflows import RunEnded
+from sassafrasgate.journal.workflows import ShardReleased
 from sassafrasgate.journal.workflows import StepProgress
 from sassafrasgate.journal.workflows import WorkerForgotten
 from sassafrasgate.journal.workflows import WorkerSeen
@@ -180,7 +180,7 @@
 
 
 @APPLIERS.register('released')
-def _apply_released(state: DispatchState, record: Released) -> None:
+def _apply_released(state: DispatchState, record: ShardReleased) -> None:
     state.released_ms = record.lapse_ms
     state.owners = state.owners[:-1]
 
--- a/sassafrasgate/dispatch/registrations.py
+++ b/sassafrasgate/dispatch/registrations.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from sassafrasgate.core.resources import NOTHING
+from sassafrasgate.core.resources import NO_RESOURCES
 from sassafrasgate.core.workers import Registration
 from sassafrasgate.dispatch.actions import ForgetWorker
 from sassafrasgate.dispatch.actions import Note
@@ -177,7 +177,7 @@
     for worker, (pool, address) in state.known_workers.items():
         if worker in state.workers:
             continue
-        registration = Registration(worker, pool, address, '', NOTHING)
+        registration = Registration(worker, pool, address, '', NO_RESOURCES)
         state.workers[worker] = WorkerEntry(
             registration, registered=False, recorded=True
         )
--- a/sassafrasgate/dispatch/requests.py
+++ b/sassafrasgate/dispatch/requests.py
@@ -71,7 +71,7 @@
         )
         yield reply_refusal(event.reply_to, refusal)
         return
-    queue = state.table.name_queue(message.queue)
+    queue = state.table.find_queue_by_name(message.queue)
     assert queue is not None
     state.accept_callers[message.job_id] = [event.reply_to]
     yield from write_record(
@@ -112,7 +112,7 @@
             'the dispatcher moves to another process',
             'send the request again',
         )
-    if state.table.name_queue(message.queue) is None:
+    if state.table.find_queue_by_name(message.queue) is None:
         return Refusal(
             RefusalKind.NOT_READY,
             f'queue {message.queue!r} is not in version '
--- a/sassafrasgate/dispatch/state.py
+++ b/sassafrasgate/dispatch/state.py
@@ -13,7 +13,7 @@
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
-from sassafrasgate.core.resources import NOTHING
+from sassafrasgate.core.resources import NO_RESOURCES
 from sassafrasgate.core.resources import Resources
 from sassafrasgate.core.routing import Queue
 from sassafrasgate.core.routing import RoutingTable
@@ -493,7 +493,7 @@
 
     def find_terms(self, entry: JobEntry) -> Queue:
         """Return the terms in force for a job."""
-        return self.table.name_queue(entry.queue.name) or entry.queue
+        return self.table.find_queue_by_name(entry.queue.name) or entry.queue
 
     def add_run(self, entry: RunEntry) -> None:
         """Hold a reservation for a run that may be present from now on."""
@@ -546,7 +546,7 @@
     def measure_free(self, worker: str) -> None:
         """Recompute a worker's free capacity from its reservations."""
         entry = self.workers[worker]
-        used = NOTHING
+        used = NO_RESOURCES
         for run in self.list_runs_on(worker):
             used = used + run.demand
         self.free[worker] = entry.registration.capacity - used
--- a/sassafrasgate/http/configurations.py
+++ b/sassafrasgate/http/configurations.py
@@ -16,7 +16,7 @@
 from msgspec.json import decode
 
 from sassafrasgate.core.cells import Configuration
-from sassafrasgate.core.errors import NoAnswer
+from sassafrasgate.core.errors import NoReply
 from sassafrasgate.core.errors import Refusal
 from sassafrasgate.core.errors import RefusalKind
 from sassafrasgate.http.bodies import describe_faults
@@ -166,7 +166,7 @@
         accepted = await context.gateway.publish(changed, current.version)
         if isinstance(accepted, Configuration):
             return _render_accepted(accepted)
-        if isinstance(accepted, NoAnswer) or (
+        if isinstance(accepted, NoReply) or (
             accepted.kind is not RefusalKind.CONFLICT
         ):
             break
@@ -232,9 +232,9 @@
 
 
 def _describe_failed_publish(
-    context: Context, failure: Refusal | NoAnswer
+    context: Context, failure: Refusal | NoReply
 ) -> Problem:
-    if isinstance(failure, NoAnswer):
+    if isinstance(failure, NoReply):
         return describe_unknown(failure.reason)
     if failure.kind is not RefusalKind.CONFLICT:
         return describe_refusal(failure)
--- a/sassafrasgate/http/gateways.py
+++ b/sassafrasgate/http/gateways.py
@@ -10,7 +10,7 @@
     from collections.abc import AsyncIterator
 
     from sassafrasgate.core.cells import Configuration
-    from sassafrasgate.core.errors import NoAnswer
+    from sassafrasgate.core.errors import NoReply
     from sassafrasgate.core.errors import Refusal
     from sassafrasgate.core.jobs import Outcome
     from sassafrasgate.protocol.messages import StatusReply
@@ -35,7 +35,7 @@
         object
             The answer message, which may be a ``Refused``; a `Refusal`
             when it is certain that this and every earlier try of the
-            message did nothing; or `NoAnswer`.
+            message did nothing; or `NoReply`.
         """
         ...
 
@@ -65,7 +65,7 @@
 
     async def publish(
         self, configuration: Configuration, expected_version: int
-    ) -> Configuration | Refusal | NoAnswer:
+    ) -> Configuration | Refusal | NoReply:
         """Put a new configuration in force by compare-and-swap.
 
         Parameters
@@ -77,9 +77,9 @@
 
         Returns
         -------
-        Configuration, Refusal or NoAnswer
+        Configuration, Refusal or NoReply
             The accepted version; a refusal of kind ``conflict`` when
-            another version is in force; or `NoAnswer` when the effect is
+            another version is in force; or `NoReply` when the effect is
             not known.
         """
         ...
--- a/sassafrasgate/http/questions.py
+++ b/sassafrasgate/http/questions.py
@@ -11,7 +11,7 @@
 from anyio import create_task_group
 from anyio import move_on_after
 
-from sassafrasgate.core.errors import NoAnswer
+from sassafrasgate.core.errors import NoReply
 from sassafrasgate.core.errors import Refusal
 from sassafrasgate.core.errors import RefusalKind
 from sassafrasgate.core.errors import SassafrasgateError
@@ -73,20 +73,20 @@
 async def ask_plainly(
     context: Context, message: Any, wait_s: float = 0.0
 ) -> Any:
-    """Return what the gateway answers, or `NoAnswer` after a time limit."""
+    """Return what the gateway answers, or `NoReply` after a time limit."""
     limits = context.limits
     timeout_s = max(wait_s, limits.answer_timeout_s) + limits.answer_margin_s
     with move_on_after(timeout_s + limits.answer_margin_s):
         try:
             return await context.gateway.ask_shard(message, timeout_s)
         except SassafrasgateError as error:
-            return NoAnswer(str(error))
-    return NoAnswer(f'no answer came within {timeout_s:g} s')
+            return NoReply(str(error))
+    return NoReply(f'no answer came within {timeout_s:g} s')
 
 
 def describe_failure(context: Context, answer: Any, job_id: str) -> Any:
     """Return the problem that an answer stands for, or the answer itself."""
-    if isinstance(answer, NoAnswer):
+    if isinstance(answer, NoReply):
         return describe_unknown(answer.reason, job_id)
     if isinstance(answer, Refusal):
         context.metrics.count(REFUSALS, answer.kind)
@@ -158,7 +158,7 @@
     send.close()
     with receive:
         answers = dict([pair async for pair in receive])
-    failures = (NoAnswer, Refusal, Refused)
+    failures = (NoReply, Refusal, Refused)
     return ShardAnswers(
         tuple(
             answers[shard]
--- a/sassafrasgate/journal/workflows.py
+++ b/sassafrasgate/journal/workflows.py
@@ -115,7 +115,7 @@
 
 
 @register_record('released')
-class Released:
+class ShardReleased:
     """The owner hands over on purpose and has stopped sending.
 
     Parameters
--- a/sassafrasgate/placement/index.py
+++ b/sassafrasgate/placement/index.py
@@ -9,7 +9,7 @@
 
 from sassafrasgate.core.errors import SassafrasgateError
 from sassafrasgate.core.errors import UnknownNameError
-from sassafrasgate.core.resources import NOTHING
+from sassafrasgate.core.resources import NO_RESOURCES
 from sassafrasgate.core.resources import Resources
 from sassafrasgate.placement.scores import weigh_amount
 
@@ -67,8 +67,8 @@
         # bisection: at a few hundred hosts, moving the tail of a list on
         # insertion costs less than a tree or nested lists.
         self._orders: dict[str, list[tuple[float, str]]] = {}
-        self._total = NOTHING
-        self._largest = NOTHING
+        self._total = NO_RESOURCES
+        self._largest = NO_RESOURCES
         self._hosts_view = MappingProxyType(self._hosts)
         self._open_view = MappingProxyType(self._open)
 
@@ -134,7 +134,7 @@
         free = self._closed.pop(name)
         self._open[name] = free
         insort(self._find_order(name), (self.weigh(free), name))
-        self._total = self._total + free.cover(NOTHING)
+        self._total = self._total + free.take_maximum(NO_RESOURCES)
 
     def is_open(self, name: str) -> bool:
         """Tell whether a host gets new work."""
@@ -165,8 +165,8 @@
             When the host is unknown.
         """
         self._check_known(name)
-        held = self._tasks[name].get(task, NOTHING)
-        self._set_reservation(name, task, held.cover(demand), force)
+        held = self._tasks[name].get(task, NO_RESOURCES)
+        self._set_reservation(name, task, held.take_maximum(demand), force)
         self._first.setdefault((name, task), demand)
 
     def resize(
@@ -188,7 +188,7 @@
         self._check_known(name)
         if task not in self._tasks[name]:
             raise UnknownNameError('task', task, tuple(self._tasks[name]))
-        amount = demand.cover(self._first[name, task])
+        amount = demand.take_maximum(self._first[name, task])
         self._set_reservation(name, task, amount, force)
 
     def release(self, name: str, task: str) -> bool:
@@ -286,9 +286,9 @@
         The amounts may come from different hosts, so a demand that does
         not fit in them fits on no host, but not the reverse.
         """
-        largest = NOTHING
+        largest = NO_RESOURCES
         for free in self._open.values():
-            largest = largest.cover(free)
+            largest = largest.take_maximum(free)
         return largest
 
     def _check_known(self, name: str) -> None:
@@ -312,7 +312,7 @@
 
     def _raise_largest(self, capacity: Resources) -> None:
         """Sort all hosts again when the unit of their weights changes."""
-        largest = self._largest.cover(capacity)
+        largest = self._largest.take_maximum(capacity)
         if largest == self._largest:
             return
         self._largest = largest
@@ -328,21 +328,21 @@
             return
         self._closed[name] = free
         self._remove_from_order(name, free)
-        self._total = self._total - free.cover(NOTHING)
+        self._total = self._total - free.take_maximum(NO_RESOURCES)
 
     def _set_reservation(
         self, name: str, task: str, amount: Resources, force: bool
     ) -> None:
         tasks = self._tasks[name]
-        held = tasks.get(task, NOTHING)
+        held = tasks.get(task, NO_RESOURCES)
         growth = amount - held
         free = self.find_free(name)
         # Only resources that grow need room: a host whose other resources
         # are over-reserved by recovery may still shrink or move in these.
-        if not force and not growth.fits_in(free.cover(NOTHING)):
+        if not force and not growth.fits_in(free.take_maximum(NO_RESOURCES)):
             raise NoRoomError(name, task, growth, free)
         tasks[task] = amount
-        self._change_free(name, NOTHING - growth)
+        self._change_free(name, NO_RESOURCES - growth)
 
     def _change_free(self, name: str, change: Resources) -> None:
         free = self._open.get(name)
@@ -353,11 +353,13 @@
         self._open[name] = changed
         self._remove_from_order(name, free)
         insort(self._find_order(name), (self.weigh(changed), name))
-        if NOTHING.fits_in(free) and NOTHING.fits_in(changed):
+        if NO_RESOURCES.fits_in(free) and NO_RESOURCES.fits_in(changed):
             self._total = self._total + change
             return
         self._total = (
-            self._total + changed.cover(NOTHING) - free.cover(NOTHING)
+            self._total
+            + changed.take_maximum(NO_RESOURCES)
+            - free.take_maximum(NO_RESOURCES)
         )
 
     def _forget_if_empty(self, name: str) -> None:
--- a/sassafrasgate/placement/policies.py
+++ b/sassafrasgate/placement/policies.py
@@ -14,7 +14,7 @@
 from sassafrasgate.core.jobs import JobClass
 from sassafrasgate.core.jobs import JobSpec
 from sassafrasgate.core.registries import Registry
-from sassafrasgate.core.resources import NOTHING
+from sassafrasgate.core.resources import NO_RESOURCES
 from sassafrasgate.core.resources import Resources
 from sassafrasgate.placement.scores import Weights
 
@@ -56,7 +56,7 @@
     excluded: frozenset[str] = frozenset()
     labels: tuple[str, ...] = ()
     failure_domains: tuple[str, ...] = ()
-    demand: Resources = NOTHING
+    demand: Resources = NO_RESOURCES
     tasks: int = 0
     occupied: tuple[str, ...] = ()
 
@@ -154,9 +154,9 @@
 
 def find_demand(request: PlacementRequest) -> Resources:
     """Return what each task reserves: never less than was declared."""
-    if request.demand is NOTHING:
+    if request.demand is NO_RESOURCES:
         return request.spec.demand
-    return request.spec.demand.cover(request.demand)
+    return request.spec.demand.take_maximum(request.demand)
 
 
 def is_allowed(host: Host, request: PlacementRequest) -> bool:
--- a/sassafrasgate/placement/queues.py
+++ b/sassafrasgate/placement/queues.py
@@ -15,7 +15,7 @@
 
 from sassafrasgate.core.jobs import JobClass
 from sassafrasgate.core.jobs import JobSpec
-from sassafrasgate.core.resources import NOTHING
+from sassafrasgate.core.resources import NO_RESOURCES
 from sassafrasgate.core.resources import Resources
 from sassafrasgate.placement.scores import find_dominant_share
 
@@ -218,7 +218,7 @@
     """
 
     def __init__(
-        self, teams: Iterable[Team] = (), total: Resources = NOTHING
+        self, teams: Iterable[Team] = (), total: Resources = NO_RESOURCES
     ) -> None:
         self._jobs: dict[str, QueuedJob] = {}
         self._stages: tuple[dict[str, _Lane], dict[str, _Lane]] = ({}, {})
@@ -417,7 +417,7 @@
         self._now = now
         self._shares = {
             team: find_dominant_share(
-                reserved.get(team, NOTHING), queue._total
+                reserved.get(team, NO_RESOURCES), queue._total
             )
             / queue._find_weight(team)
             for team in queue._team_counts
--- a/sassafrasgate/placement/quotas.py
+++ b/sassafrasgate/placement/quotas.py
@@ -9,7 +9,7 @@
 from sassafrasgate.core.errors import Refusal
 from sassafrasgate.core.errors import RefusalKind
 from sassafrasgate.core.errors import SassafrasgateError
-from sassafrasgate.core.resources import NOTHING
+from sassafrasgate.core.resources import NO_RESOURCES
 from sassafrasgate.core.resources import Resources
 
 if TYPE_CHECKING:
@@ -85,23 +85,23 @@
         tasks can't be undone; whoever divides the quota must count the
         returned amount. Resources without a quota stay without a limit.
         """
-        in_force = share.cover(self.find_reserved(team))
+        in_force = share.take_maximum(self.find_reserved(team))
         self._shares[team] = in_force
         self._quotas.setdefault(team, share)
         return in_force
 
     def find_share(self, team: str) -> Resources:
         """Return a team's share; zero where there is no limit or none."""
-        return self._shares.get(team, NOTHING)
+        return self._shares.get(team, NO_RESOURCES)
 
     def find_reserved(self, team: str) -> Resources:
         """Return what a team has reserved in this shard."""
-        return self._reserved.get(team, NOTHING)
+        return self._reserved.get(team, NO_RESOURCES)
 
     def may_reserve(self, team: str, demand: Resources) -> Refusal | None:
         """Return a refusal when a team's share is too small for a demand."""
-        quota = self._quotas.get(team, NOTHING)
-        if quota == NOTHING:
+        quota = self._quotas.get(team, NO_RESOURCES)
+        if quota == NO_RESOURCES:
             return None
         wanted = self.find_reserved(team) + demand
         share = self.find_share(team)
@@ -140,7 +140,7 @@
         if not demand.fits_in(reserved):
             raise QuotaReleaseError(team, demand, reserved)
         left = reserved - demand
-        if left == NOTHING:
+        if left == NO_RESOURCES:
             del self._reserved[team]
             return
         self._reserved[team] = left
--- a/sassafrasgate/placement/sizes.py
+++ b/sassafrasgate/placement/sizes.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 from sassafrasgate.core.jobs import JobClass
-from sassafrasgate.core.resources import NOTHING
+from sassafrasgate.core.resources import NO_RESOURCES
 from sassafrasgate.core.resources import Resources
 
 if TYPE_CHECKING:
@@ -78,7 +78,7 @@
             int(spec.demand.millicores * factors[0]),
             int(spec.demand.memory_mb * factors[1]),
         )
-        return spec.demand.cover(learned)
+        return spec.demand.take_maximum(learned)
 
 
 class GrowthStep(StrEnum):
@@ -174,14 +174,14 @@
         GrowthAction(
             task.task,
             GrowthStep.RESIZE,
-            task.reserved.cover(task.used),
+            task.reserved.take_maximum(task.used),
             f'uses {task.used!r}',
         )
         for task in granted
     ]
     shortfall = _sum_excess(missing) - free_after(free, granted)
     for task in missing:
-        if shortfall.fits_in(NOTHING):
+        if shortfall.fits_in(NO_RESOURCES):
             break
         shortfall = shortfall - find_excess(task)
         if step := _choose_step(task, now):
@@ -199,14 +199,14 @@
 
 def find_excess(task: TaskUsage) -> Resources:
     """Return how much more than its reservation a task uses."""
-    return task.reserved.cover(task.used) - task.reserved
+    return task.reserved.take_maximum(task.used) - task.reserved
 
 
 def free_after(free: Resources, granted: Iterable[TaskUsage]) -> Resources:
     """Return what stays free once growth is granted, at least nothing."""
     for task in granted:
         free = free - find_excess(task)
-    return free.cover(NOTHING)
+    return free.take_maximum(NO_RESOURCES)
 
 
 def _rank(task: TaskUsage) -> tuple[int, int, str]:
@@ -231,7 +231,7 @@
 
 
 def _sum_excess(tasks: Iterable[TaskUsage]) -> Resources:
-    total = NOTHING
+    total = NO_RESOURCES
     for task in tasks:
         total = total + find_excess(task)
     return total
--- a/sassafrasgate/platform/callers.py
+++ b/sassafrasgate/platform/callers.py
@@ -18,7 +18,7 @@
 from starlette.requests import Request
 from starlette.responses import Response
 
-from sassafrasgate.core.errors import NoAnswer
+from sassafrasgate.core.errors import NoReply
 from sassafrasgate.core.errors import Refusal
 from sassafrasgate.core.errors import RefusalKind
 from sassafrasgate.core.registries import Registry
@@ -110,22 +110,22 @@
 
     async def submit(
         self, queue: Queue, job_id: str, workflow: Workflow, timeout_s: float
-    ) -> WorkflowView | Refusal | NoAnswer:
+    ) -> WorkflowView | Refusal | NoReply:
         """Have a workflow accepted."""
 
     async def query(
         self, job_id: str, timeout_s: float
-    ) -> WorkflowView | Refusal | NoAnswer:
+    ) -> WorkflowView | Refusal | NoReply:
         """Return a workflow's state."""
 
     async def cancel(
         self, job_id: str, timeout_s: float
-    ) -> WorkflowView | Refusal | NoAnswer:
+    ) -> WorkflowView | Refusal | NoReply:
         """End a workflow."""
 
     async def count(
         self, queue: Queue, timeout_s: float
-    ) -> PendingCount | Refusal | NoAnswer:
+    ) -> PendingCount | Refusal | NoReply:
         """Count a queue's workflows that have not begun."""
 
 
@@ -286,7 +286,7 @@
     )
     if isinstance(answer, Refusal):
         return _refuse(answer)
-    if isinstance(answer, NoAnswer):
+    if isinstance(answer, NoReply):
         # Whether the job was accepted is not known: the caller asks again.
         return _describe(504, answer.reason)
     return CallerAnswer(200, {})
@@ -302,7 +302,7 @@
         count = await gateway.count(queue, timeout_s)
         if isinstance(count, Refusal):
             return _refuse(count)
-        if isinstance(count, NoAnswer):
+        if isinstance(count, NoReply):
             return _describe(504, count.reason)
         return CallerAnswer(200, {'pending': count.count})
     return _render_view(await gateway.query(job_id, timeout_s))
@@ -381,10 +381,10 @@
     return max(ANSWER_MARGIN_MS, wait_ms - ANSWER_MARGIN_MS) / 1000
 
 
-def _render_view(answer: WorkflowView | Refusal | NoAnswer) -> CallerAnswer:
+def _render_view(answer: WorkflowView | Refusal | NoReply) -> CallerAnswer:
     if isinstance(answer, Refusal):
         return _refuse(answer)
-    if isinstance(answer, NoAnswer):
+    if isinstance(answer, NoReply):
         return _describe(504, answer.reason)
     if answer.state is None:
         return _describe(410, 'no such job')
--- a/sassafrasgate/platform/routing.py
+++ b/sassafrasgate/platform/routing.py
@@ -7,7 +7,7 @@
 from msgspec import ValidationError
 from msgspec.json import Decoder
 
-from sassafrasgate.core.routing import AdviceTerms
+from sassafrasgate.core.routing import AdviceTiming
 from sassafrasgate.core.routing import Pool
 from sassafrasgate.core.routing import Queue
 from sassafrasgate.core.routing import RoutingTable
@@ -69,7 +69,7 @@
 def _make_queue(route: _Route) -> Queue:
     advice = None
     if route.advice is not None:
-        advice = AdviceTerms(
+        advice = AdviceTiming(
             route.advice.decide_ms, route.advice.each_ms, route.advice.valid_ms
         )
     return Queue(
--- a/sassafrasgate/platform/workers.py
+++ b/sassafrasgate/platform/workers.py
@@ -15,8 +15,8 @@
 from sassafrasgate.core.errors import WorkerUnavailableError
 from sassafrasgate.core.workflows import EndedRun
 from sassafrasgate.core.workflows import EndKind
-from sassafrasgate.core.workflows import RunAnswer
 from sassafrasgate.core.workflows import RunningRun
+from sassafrasgate.core.workflows import RunReply
 from sassafrasgate.core.workflows import StartRefusal
 from sassafrasgate.core.workflows import WorkerReport
 
@@ -130,7 +130,7 @@
             return self._read_refusal(answer).refusal or StartRefusal.INVALID
         return _read_lists(answer)
 
-    async def start(self, request: RunRequest) -> RunAnswer:
+    async def start(self, request: RunRequest) -> RunReply:
         """Start a run; a refusal means that this copy has no effect."""
         body: dict[str, object] = {
             'task': request.task,
@@ -145,14 +145,14 @@
             body['ticket'] = request.ticket
         return self._read_refusal(await self._post('/api/run-start', body))
 
-    async def stop(self, task: str, run: int, fence: int) -> RunAnswer:
+    async def stop(self, task: str, run: int, fence: int) -> RunReply:
         """End a run, or keep it from starting."""
         body = {'task': task, 'run': run, 'fencingToken': fence}
         return self._read_refusal(await self._post('/api/run-stop', body))
 
     async def pace(
         self, task: str, run: int, percent: int, fence: int
-    ) -> RunAnswer:
+    ) -> RunReply:
         """Let a run work at a share of its speed, from 0 to 100 percent."""
         body = {
             'task': task,
@@ -162,13 +162,13 @@
         }
         return self._read_refusal(await self._post('/api/pace', body))
 
-    def _read_refusal(self, answer: HttpAnswer) -> RunAnswer:
+    def _read_refusal(self, answer: HttpAnswer) -> RunReply:
         if answer.status in UNHEALTHY:
-            return RunAnswer(0, StartRefusal.UNHEALTHY)
+            return RunReply(0, StartRefusal.UNHEALTHY)
         if answer.status == OTHER_INSTANCE:
-            return RunAnswer(0, StartRefusal.OTHER_INCARNATION)
+            return RunReply(0, StartRefusal.OTHER_INCARNATION)
         if answer.status == BAD_REQUEST:
-            return RunAnswer(0, StartRefusal.INVALID)
+            return RunReply(0, StartRefusal.INVALID)
         if answer.status not in (OK, CONFLICT):
             raise WorkerUnavailableError(
                 f'the worker answered {answer.call!r} with '
@@ -180,9 +180,9 @@
         except DecodeError as error:
             raise _describe_damage(error) from error
         if answer.status == OK:
-            return RunAnswer(found.clock_ms)
+            return RunReply(found.clock_ms)
         refusal = REFUSALS.get(found.reason, StartRefusal.INVALID)
-        return RunAnswer(found.clock_ms, refusal)
+        return RunReply(found.clock_ms, refusal)
 
     async def _post(
         self, path: str, body: dict[str, object], wait_ms: int = 0
--- a/sassafrasgate/protocol/links.py
+++ b/sassafrasgate/protocol/links.py
@@ -18,7 +18,7 @@
 from zmq.utils.monitor import recv_monitor_message
 
 from sassafrasgate.core.errors import MessageError
-from sassafrasgate.core.errors import NoAnswer
+from sassafrasgate.core.errors import NoReply
 from sassafrasgate.observability.clocks import now_ms
 from sassafrasgate.protocol.codec import decode_envelope
 from sassafrasgate.protocol.codec import encode_envelope
@@ -152,7 +152,7 @@
         Returns
         -------
         object
-            A registered message, or `NoAnswer` when none came in time.
+            A registered message, or `NoReply` when none came in time.
         """
         reply_to, answers = anyio.create_memory_object_stream[Any](1)
         call = _Call(message, int(timeout_s * 1000), reply_to, attempt)
@@ -160,10 +160,10 @@
             try:
                 self._calls.send_nowait(call)
             except anyio.WouldBlock:
-                return NoAnswer(f'the link to {self.address} is full')
+                return NoReply(f'the link to {self.address} is full')
             with anyio.move_on_after(timeout_s):
                 return await answers.receive()
-        return NoAnswer(
+        return NoReply(
             f'{self.address} did not answer within {timeout_s:.1f} s'
         )
 
@@ -262,7 +262,7 @@
         """Answer open requests, whose answers can't arrive any more."""
         for reply_to in self._open.values():
             try:
-                reply_to.send_nowait(NoAnswer(reason))
+                reply_to.send_nowait(NoReply(reason))
             except (anyio.BrokenResourceError, anyio.WouldBlock):
                 continue
             finally:
--- a/sassafrasgate/protocol/relays.py
+++ b/sassafrasgate/protocol/relays.py
@@ -24,7 +24,7 @@
 
 
 @register_message('relay-answer')
-class RelayAnswer:
+class RelayReply:
     """Result or error of a relayed call.
 
     Parameters
--- a/sassafrasgate/protocol/retries.py
+++ b/sassafrasgate/protocol/retries.py
@@ -37,7 +37,7 @@
         self._burst = burst
         self._tokens = burst
 
-    def note_first_try(self) -> None:
+    def record_first_attempt(self) -> None:
         """Add the retries that a first attempt earns to the budget."""
         self._tokens = min(self._burst, self._tokens + self._share)
 
--- a/sassafrasgate/shards/recovery.py
+++ b/sassafrasgate/shards/recovery.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from sassafrasgate.core.jobs import JobState
-from sassafrasgate.core.resources import NOTHING
+from sassafrasgate.core.resources import NO_RESOURCES
 from sassafrasgate.journal.records import AttemptRefused
 from sassafrasgate.journal.records import JobAccepted
 from sassafrasgate.journal.records import JobEnded
@@ -279,7 +279,7 @@
 
 
 def _set_totals(state: ShardState, hosts: list[Host]) -> None:
-    total = NOTHING
+    total = NO_RESOURCES
     for host in hosts:
         total = total + host.capacity
     state.queue.set_total(total)
--- a/sassafrasgate/shards/shares.py
+++ b/sassafrasgate/shards/shares.py
@@ -11,7 +11,7 @@
 
 from typing import TYPE_CHECKING
 
-from sassafrasgate.core.resources import NOTHING
+from sassafrasgate.core.resources import NO_RESOURCES
 from sassafrasgate.core.resources import Resources
 from sassafrasgate.journal.records import ShareLent
 from sassafrasgate.protocol.messages import BorrowShare
@@ -44,7 +44,7 @@
 
 def _adjust_share(state: ShardState, team: str) -> None:
     base = state.base_shares.get(team)
-    if base is None or base == NOTHING:
+    if base is None or base == NO_RESOURCES:
         return
     share = base
     for (_, name), total in state.borrowed.items():
@@ -53,7 +53,7 @@
     for (_, name), total in state.lent.items():
         if name == team:
             share = share - total
-    state.quotas.set_share(team, share.cover(NOTHING))
+    state.quotas.set_share(team, share.take_maximum(NO_RESOURCES))
 
 
 def borrow_share(state: ShardState, spec: JobSpec, now: int) -> Actions:
@@ -69,7 +69,9 @@
     state.borrowing[spec.team] = (turn + 1, now + BORROW_INTERVAL_MS)
     demand = state.sizes.find_size(spec).scale(spec.tasks)
     wanted = state.quotas.find_reserved(spec.team) + demand
-    missing = (wanted - state.quotas.find_share(spec.team)).cover(NOTHING)
+    missing = (wanted - state.quotas.find_share(spec.team)).take_maximum(
+        NO_RESOURCES
+    )
     peer = peers[turn % len(peers)]
     yield SendPeer(peer, BorrowShare(peer, state.name, spec.team, missing))
 
@@ -81,13 +83,13 @@
     """Lend what is asked for, as far as it is free here."""
     message: BorrowShare = request.message
     key = (message.borrower, message.team)
-    total = state.lent.get(key, NOTHING)
+    total = state.lent.get(key, NO_RESOURCES)
     free = state.quotas.find_share(message.team) - (
         state.quotas.find_reserved(message.team)
     )
-    grant = message.missing.limit(free).cover(NOTHING)
+    grant = message.missing.take_minimum(free).take_maximum(NO_RESOURCES)
     state.share_callers.setdefault(key, []).append(request.reply_to)
-    if grant == NOTHING and len(state.share_callers[key]) == 1:
+    if grant == NO_RESOURCES and len(state.share_callers[key]) == 1:
         yield from _answer_borrower(state, key, total)
         return
     yield LogDecision(
@@ -129,6 +131,8 @@
     Totals only grow, so a late answer with a smaller one changes nothing.
     """
     key = (message.shard, message.team)
-    state.borrowed[key] = state.borrowed.get(key, NOTHING).cover(answer.total)
+    state.borrowed[key] = state.borrowed.get(key, NO_RESOURCES).take_maximum(
+        answer.total
+    )
     _adjust_share(state, message.team)
     state.room_changed = True
--- a/sassafrasgate/shards/usage.py
+++ b/sassafrasgate/shards/usage.py
@@ -39,7 +39,7 @@
         state.usage[report.task] = report
         used = Resources(report.millicores, report.memory_mb)
         peak = state.peaks.get(report.task, used)
-        state.peaks[report.task] = peak.cover(used)
+        state.peaks[report.task] = peak.take_maximum(used)
     growing = [
         usage
         for task in state.index.tasks_on(host)
--- a/sassafrasgate/shards/views.py
+++ b/sassafrasgate/shards/views.py
@@ -8,7 +8,7 @@
 from sassafrasgate.core.errors import RefusalKind
 from sassafrasgate.core.jobs import FINAL_STATES
 from sassafrasgate.core.jobs import JobState
-from sassafrasgate.core.resources import NOTHING
+from sassafrasgate.core.resources import NO_RESOURCES
 from sassafrasgate.core.resources import Resources
 from sassafrasgate.placement.quarantine import HostStatus
 from sassafrasgate.protocol.messages import Explain
@@ -191,7 +191,7 @@
 
 
 def _sum_usage(state: ShardState, host: str) -> Resources:
-    total = NOTHING
+    total = NO_RESOURCES
     for task in state.index.tasks_on(host):
         usage = state.usage.get(task)
         if usage is not None:
--- a/tests/core/test_routing.py
+++ b/tests/core/test_routing.py
@@ -45,13 +45,15 @@
     )
     path = f'/r{MANY - 1:04}/1'
     assert table.find_queue('a', path).name == f'q{MANY - 1}'
-    assert table.name_queue(f'q{MANY - 1}').prefix == f'/r{MANY - 1:04}/'
+    assert (
+        table.find_queue_by_name(f'q{MANY - 1}').prefix == f'/r{MANY - 1:04}/'
+    )
 
     times = []
     for _ in range(50):
         began = perf_counter()
         table.find_queue('a', path)
-        table.name_queue(f'q{MANY - 1}')
+        table.find_queue_by_name(f'q{MANY - 1}')
         times.append(perf_counter() - began)
 
     assert min(times) < MOST_LOOKUP_S
--- a/tests/daemons/test_entry.py
+++ b/tests/daemons/test_entry.py
@@ -7,7 +7,7 @@
 from msgspec.json import encode
 import pytest
 
-from sassafrasgate.core.errors import NoAnswer
+from sassafrasgate.core.errors import NoReply
 from sassafrasgate.core.errors import Refusal
 from sassafrasgate.core.errors import RefusalKind
 from sassafrasgate.core.items import Item
@@ -104,7 +104,7 @@
         answer = self.answers.get(type(message))
         if answer is None:
             await anyio.sleep(timeout_s)
-            return NoAnswer('silence')
+            return NoReply('silence')
         return answer
 
 
--- a/tests/daemons/test_links.py
+++ b/tests/daemons/test_links.py
@@ -11,7 +11,7 @@
 
 import anyio
 
-from sassafrasgate.core.errors import NoAnswer
+from sassafrasgate.core.errors import NoReply
 from sassafrasgate.protocol.links import Link
 from sassafrasgate.protocol.messages import Heartbeat
 from sassafrasgate.protocol.messages import Status
@@ -37,7 +37,7 @@
             assert isinstance(first, StatusReply), first
             relay.silence()
             with anyio.fail_after(RECOVERY_S):
-                while isinstance(await link.ask(Status(), 10), NoAnswer):
+                while isinstance(await link.ask(Status(), 10), NoReply):
                     continue
             assert relay.connections == 2
             assert link.counts.reopened == 1
--- a/tests/daemons/test_workers.py
+++ b/tests/daemons/test_workers.py
@@ -6,7 +6,7 @@
 from sassafrasgate.core.errors import WorkerUnavailableError
 from sassafrasgate.core.workflows import EndedRun
 from sassafrasgate.core.workflows import EndKind
-from sassafrasgate.core.workflows import RunAnswer
+from sassafrasgate.core.workflows import RunReply
 from sassafrasgate.core.workflows import StartRefusal
 from sassafrasgate.core.workflows import WorkerReport
 from sassafrasgate.daemons.workers import WorkerTask
@@ -69,7 +69,7 @@
         return await self.start_answer()
 
     async def pace(self, task, run, percent, fence):
-        return RunAnswer(5, self.pace_refusal)
+        return RunReply(5, self.pace_refusal)
 
     async def stop(self, task, run, fence):
         return await self.stop_answers.pop(0)()
@@ -155,7 +155,7 @@
 
     async def refuse_late():
         await answered.wait()
-        return RunAnswer(5, StartRefusal.STALE_EPOCH)
+        return RunReply(5, StartRefusal.STALE_EPOCH)
 
     bench.client.start_answer = refuse_late
     bench.commands.send_nowait(START)
@@ -173,10 +173,10 @@
 
     async def refuse_late():
         await answered.wait()
-        return RunAnswer(5, StartRefusal.STALE_EPOCH)
+        return RunReply(5, StartRefusal.STALE_EPOCH)
 
     async def accept():
-        return RunAnswer(6)
+        return RunReply(6)
 
     bench.client.stop_answers = [refuse_late, accept]
     bench.commands.send_nowait(StopRun('w', RUN))
--- a/tests/dispatch/drivers.py
+++ b/tests/dispatch/drivers.py
@@ -4,8 +4,8 @@
 from sassafrasgate.core.workers import Registration
 from sassafrasgate.core.workflows import EndedRun
 from sassafrasgate.core.workflows import EndKind
-from sassafrasgate.core.workflows import RunAnswer
 from sassafrasgate.core.workflows import RunningRun
+from sassafrasgate.core.workflows import RunReply
 from sassafrasgate.core.workflows import WorkerReport
 from sassafrasgate.core.workflows import Workflow
 from sassafrasgate.dispatch.actions import StartRun
@@ -94,7 +94,7 @@
 
     def answer(self, refusal=None):
         """Return a worker's answer to a start."""
-        return RunAnswer(self.now, refusal)
+        return RunReply(self.now, refusal)
 
     def report(self, worker, ended=(), born_ms=BORN_MS, load=0):
         """Let a worker report; ``ended`` has pairs of run and end."""
--- a/tests/dispatch/simulation.py
+++ b/tests/dispatch/simulation.py
@@ -18,7 +18,7 @@
 
 from sassafrasgate.core.identifiers import rank_names
 from sassafrasgate.core.resources import Resources
-from sassafrasgate.core.routing import AdviceTerms
+from sassafrasgate.core.routing import AdviceTiming
 from sassafrasgate.core.routing import Pool
 from sassafrasgate.core.routing import Queue
 from sassafrasgate.core.routing import RoutingTable
@@ -26,8 +26,8 @@
 from sassafrasgate.core.workflows import Advice
 from sassafrasgate.core.workflows import EndedRun
 from sassafrasgate.core.workflows import EndKind
-from sassafrasgate.core.workflows import RunAnswer
 from sassafrasgate.core.workflows import RunningRun
+from sassafrasgate.core.workflows import RunReply
 from sassafrasgate.core.workflows import split_step_task_id
 from sassafrasgate.core.workflows import StartRefusal
 from sassafrasgate.core.workflows import Step
@@ -93,7 +93,7 @@
     3.0,
     1000,
     3000,
-    AdviceTerms(20.0, 1.0, 2000.0),
+    AdviceTiming(20.0, 1.0, 2000.0),
 )
 TABLE = RoutingTable(1, (QUEUE, ADVISED), (Pool('p'),))
 
@@ -256,20 +256,20 @@
 
     def start(
         self, now: int, epoch: int, command: StartRun, deadline: int
-    ) -> RunAnswer:
+    ) -> RunReply:
         """Carry out a start."""
         self.advance(now)
         clock = self.clock(now)
         if epoch < self.epoch:
-            return RunAnswer(clock, StartRefusal.STALE_EPOCH)
+            return RunReply(clock, StartRefusal.STALE_EPOCH)
         self.epoch = epoch
         key = (command.run.task, command.run.run)
         if key in self.runs:
-            return RunAnswer(clock)
+            return RunReply(clock)
         if command.run.run <= self.floor.get(command.run.task, 0):
-            return RunAnswer(clock, StartRefusal.OLD_RUN)
+            return RunReply(clock, StartRefusal.OLD_RUN)
         if clock >= deadline:
-            return RunAnswer(clock, StartRefusal.DEADLINE_PASSED)
+            return RunReply(clock, StartRefusal.DEADLINE_PASSED)
         self.deadline = max(self.deadline, deadline)
         self.rules.check_start(command.run.task, self.name)
         job_id, _, number, _ = split_step_task_id(command.run.task)
@@ -290,21 +290,21 @@
             step.tasks if step.gang else 0,
         )
         self.rules.present.setdefault(command.run.task, []).append(self.name)
-        return RunAnswer(clock)
+        return RunReply(clock)
 
-    def stop(self, now: int, epoch: int, command: StopRun) -> RunAnswer:
+    def stop(self, now: int, epoch: int, command: StopRun) -> RunReply:
         """Carry out a stop."""
         self.advance(now)
         clock = self.clock(now)
         if epoch < self.epoch:
-            return RunAnswer(clock, StartRefusal.STALE_EPOCH)
+            return RunReply(clock, StartRefusal.STALE_EPOCH)
         self.epoch = epoch
         task, run = command.run
         self.floor[task] = max(self.floor.get(task, 0), run)
         present = self.runs.get((task, run))
         if present is not None and not present.stop_at:
             present.stop_at = now + STOP_MS
-        return RunAnswer(clock)
+        return RunReply(clock)
 
 
 @dataclass
@@ -556,13 +556,13 @@
                     command.worker, lambda: note_answer(answer), give_up
                 )
 
-        def note_answer(answer: RunAnswer) -> None:
+        def note_answer(answer: RunReply) -> None:
             if self.dead:
                 return
             contact.unconfirmed.discard(command.run)
             stale = answer.refusal is StartRefusal.STALE_EPOCH
             if stale and epoch < self.fence(contact):
-                answer = RunAnswer(0, StartRefusal.OTHER_INCARNATION)
+                answer = RunReply(0, StartRefusal.OTHER_INCARNATION)
             self.feed(RunAnswered(command.worker, command.run, answer))
 
         def give_up() -> None:
--- a/tests/dispatch/test_gangs.py
+++ b/tests/dispatch/test_gangs.py
@@ -3,11 +3,11 @@
 from dataclasses import replace
 
 from sassafrasgate.core.resources import Resources
-from sassafrasgate.core.routing import AdviceTerms
+from sassafrasgate.core.routing import AdviceTiming
 from sassafrasgate.core.routing import RoutingTable
 from sassafrasgate.core.workflows import Advice
 from sassafrasgate.core.workflows import EndKind
-from sassafrasgate.core.workflows import RunAnswer
+from sassafrasgate.core.workflows import RunReply
 from sassafrasgate.core.workflows import StartRefusal
 from sassafrasgate.dispatch.actions import AskAdvice
 from sassafrasgate.dispatch.actions import StartRun
@@ -25,7 +25,7 @@
 JOB = '00000000000000aa'
 BIG = Resources(7_000, 1_000)
 VALID_MS = 1_500
-SLOW_ADVICE = replace(ADVISED, advice=AdviceTerms(700.0, 10.0, VALID_MS))
+SLOW_ADVICE = replace(ADVISED, advice=AdviceTiming(700.0, 10.0, VALID_MS))
 
 
 def make_driver(workers):
@@ -83,7 +83,7 @@
     gang = make_step(2, 4_000, demand=BIG, gang=True)
     first, second = pick(driver.submit(JOB, gang), StartRun)
     driver.confirm([first])
-    refused = RunAnswer(driver.now, StartRefusal.UNHEALTHY)
+    refused = RunReply(driver.now, StartRefusal.UNHEALTHY)
     stops = driver.feed(RunAnswered(second.worker, second.run, refused))
     assert [stop.run for stop in pick(stops, StopRun)] == [first.run]
     assert not pick(stops, StartRun)
--- a/tests/http/test_operators.py
+++ b/tests/http/test_operators.py
@@ -4,11 +4,11 @@
 
 import pytest
 
-from sassafrasgate.core.errors import NoAnswer
+from sassafrasgate.core.errors import NoReply
 from sassafrasgate.core.errors import Refusal
 from sassafrasgate.core.errors import RefusalKind
 from sassafrasgate.core.jobs import JobState
-from sassafrasgate.core.resources import NOTHING
+from sassafrasgate.core.resources import NO_RESOURCES
 from sassafrasgate.http import configurations
 from sassafrasgate.protocol.messages import HostList
 from sassafrasgate.protocol.messages import HostView
@@ -19,7 +19,18 @@
 
 pytestmark = pytest.mark.anyio
 
-VIEW = HostView('h1', 'd1', 'r1', 'up', NOTHING, NOTHING, NOTHING, 0, 's1', 2)
+VIEW = HostView(
+    'h1',
+    'd1',
+    'r1',
+    'up',
+    NO_RESOURCES,
+    NO_RESOURCES,
+    NO_RESOURCES,
+    0,
+    's1',
+    2,
+)
 
 
 @pytest.fixture(autouse=True)
@@ -101,7 +112,7 @@
 @pytest.mark.parametrize(
     ('answer', 'status'),
     [
-        (NoAnswer('store is silent'), 504),
+        (NoReply('store is silent'), 504),
         (Refusal(RefusalKind.STORE_UNAVAILABLE, 'down', 'wait'), 503),
     ],
 )
@@ -125,7 +136,7 @@
     async def answer(message):
         if message.shard == 's1':
             return HostList((VIEW,))
-        return NoAnswer('link closed')
+        return NoReply('link closed')
 
     gateway.answer = answer
     reply = (await client.get('/v1/hosts')).json()
--- a/tests/http/test_submissions.py
+++ b/tests/http/test_submissions.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from sassafrasgate.core.errors import NoAnswer
+from sassafrasgate.core.errors import NoReply
 from sassafrasgate.core.errors import Refusal
 from sassafrasgate.core.errors import RefusalKind as Kind
 from sassafrasgate.core.identifiers import make_job_id
@@ -43,7 +43,7 @@
 @pytest.mark.parametrize(
     ('answer', 'status', 'state'),
     [
-        (NoAnswer('link closed'), 504, 'unknown'),
+        (NoReply('link closed'), 504, 'unknown'),
         (JobView(JOB_ID, JobState.NOT_RUN), 503, 'not-run'),
         (Refused(Kind.DEADLINE, 'a', 'b'), 503, 'not-run'),
         (Refused(Kind.FITS_NOWHERE, 'a', 'b'), 422, 'not-run'),
--- a/tests/http/test_waits.py
+++ b/tests/http/test_waits.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from sassafrasgate.core.errors import NoAnswer
+from sassafrasgate.core.errors import NoReply
 from sassafrasgate.core.errors import Refusal
 from sassafrasgate.core.errors import RefusalKind
 from sassafrasgate.core.jobs import JobState
@@ -42,7 +42,7 @@
 async def test_wait_goes_on_after_a_question_without_an_answer(
     gateway, client
 ):
-    gateway.answer = [RUNNING, NoAnswer('owner died'), FINISHED]
+    gateway.answer = [RUNNING, NoReply('owner died'), FINISHED]
     reply = await client.get('/v1/jobs/j?wait=60')
     assert reply.json()['state'] == 'finished'
 
--- a/tests/placement/test_index.py
+++ b/tests/placement/test_index.py
@@ -13,7 +13,7 @@
 
 from sassafrasgate.core.errors import UnknownNameError
 from sassafrasgate.core.hosts import Host
-from sassafrasgate.core.resources import NOTHING
+from sassafrasgate.core.resources import NO_RESOURCES
 from sassafrasgate.core.resources import Resources
 from sassafrasgate.placement.index import HostIndex
 from sassafrasgate.placement.index import NoRoomError
@@ -33,7 +33,7 @@
 
 
 def add_up(amounts):
-    total = NOTHING
+    total = NO_RESOURCES
     for amount in amounts:
         total = total + amount
     return total
@@ -73,16 +73,16 @@
             with pytest.raises(UnknownNameError):
                 self.index.reserve(name, task, amount)
             return
-        held = self.held.get((name, task), NOTHING)
+        held = self.held.get((name, task), NO_RESOURCES)
         try:
             self.index.reserve(name, task, amount, force=force)
         except NoRoomError:
             assert not force
-            assert not (held.cover(amount) - held).fits_in(
+            assert not (held.take_maximum(amount) - held).fits_in(
                 self.index.find_free(name)
             )
             return
-        self.held[name, task] = held.cover(amount)
+        self.held[name, task] = held.take_maximum(amount)
         self.first.setdefault((name, task), amount)
         if force:
             self.forced.add(name)
@@ -91,7 +91,7 @@
     def resize(self, name, task, amount):
         if (name, task) not in self.held:
             return
-        wanted = amount.cover(self.first[name, task])
+        wanted = amount.take_maximum(self.first[name, task])
         try:
             self.index.resize(name, task, amount)
         except NoRoomError:
@@ -118,7 +118,7 @@
     @invariant()
     def totals_agree(self):
         free = [
-            self.index.find_free(name).cover(NOTHING)
+            self.index.find_free(name).take_maximum(NO_RESOURCES)
             for name in self.capacity
             if self.is_open[name]
         ]
--- a/tests/placement/test_quotas.py
+++ b/tests/placement/test_quotas.py
@@ -4,7 +4,7 @@
 
 from sassafrasgate.core.cells import Team
 from sassafrasgate.core.errors import RefusalKind
-from sassafrasgate.core.resources import NOTHING
+from sassafrasgate.core.resources import NO_RESOURCES
 from sassafrasgate.core.resources import Resources
 from sassafrasgate.placement.quotas import QuotaLedger
 from sassafrasgate.placement.quotas import QuotaReleaseError
@@ -27,7 +27,7 @@
 
 def test_share_of_zero_is_a_limit_not_its_absence():
     ledger = QuotaLedger([Team('a', quota=Resources(1000))], shards=2)
-    ledger.set_share('a', NOTHING)
+    ledger.set_share('a', NO_RESOURCES)
     assert ledger.may_reserve('a', Resources(1)).kind is RefusalKind.QUOTA
 
 
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -8,7 +8,7 @@
 from logbook import TestHandler as Recorder
 import pytest
 
-from sassafrasgate.core.errors import NoAnswer
+from sassafrasgate.core.errors import NoReply
 from sassafrasgate.core.errors import Refusal
 from sassafrasgate.core.errors import RefusalKind
 from sassafrasgate.core.resources import Resources
@@ -109,7 +109,7 @@
 @pytest.mark.parametrize('method', ['POST', 'GET', 'DELETE'])
 async def test_unknown_effect_is_no_refusal(client, gateway, method):
     # Guards against "not run" of a job that may have been accepted.
-    gateway.answer = NoAnswer('the owner went silent')
+    gateway.answer = NoReply('the owner went silent')
 
     answer = await client.request(method, f'/q/{JOB}', content=dumps(BODY))
 
@@ -214,7 +214,7 @@
 
 async def test_a_failed_request_leaves_a_line_with_its_cause(client, gateway):
     # Guards against a complaint that nobody can explain afterwards.
-    gateway.answer = NoAnswer('the owner has not answered in 0.7 s')
+    gateway.answer = NoReply('the owner has not answered in 0.7 s')
     with Recorder() as handler:
         await client.post(
             f'/q/{JOB}', json=BODY, headers={'Request-Deadline': '900'}
--- a/tests/platform/test_routing.py
+++ b/tests/platform/test_routing.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from sassafrasgate.core.routing import AdviceTerms
+from sassafrasgate.core.routing import AdviceTiming
 from sassafrasgate.core.routing import Pool
 from sassafrasgate.core.routing import Queue
 from sassafrasgate.platform.routing import read_routing_table
@@ -50,7 +50,7 @@
             2.5,
             300,
             3000,
-            AdviceTerms(20, 0.5, 2000),
+            AdviceTiming(20, 0.5, 2000),
         ),
     )
 
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -8,8 +8,8 @@
 from sassafrasgate.core.workflows import EndedRun
 from sassafrasgate.core.workflows import EndKind
 from sassafrasgate.core.workflows import HoldRequest
-from sassafrasgate.core.workflows import RunAnswer
 from sassafrasgate.core.workflows import RunningRun
+from sassafrasgate.core.workflows import RunReply
 from sassafrasgate.core.workflows import RunRequest
 from sassafrasgate.core.workflows import StartRefusal
 from sassafrasgate.core.workflows import WorkerReport
@@ -65,7 +65,7 @@
     worker, orders
 ):
     # Guards against a start that another worker at the address carries out.
-    assert await orders.start(START) == RunAnswer(1)
+    assert await orders.start(START) == RunReply(1)
 
     assert worker.requests == [
         (
--- a/tests/shards/simulation.py
+++ b/tests/shards/simulation.py
@@ -18,7 +18,7 @@
 from sassafrasgate.core.identifiers import make_job_id
 from sassafrasgate.core.jobs import JobClass
 from sassafrasgate.core.jobs import JobSpec
-from sassafrasgate.core.resources import NOTHING
+from sassafrasgate.core.resources import NO_RESOURCES
 from sassafrasgate.core.resources import Resources
 from sassafrasgate.core.tasks import EndedTask
 from sassafrasgate.core.tasks import RunningTask
@@ -452,7 +452,7 @@
     def check_capacity(self) -> None:
         """Check that no worker runs more than it has room for."""
         for worker in self.workers.values():
-            total = NOTHING
+            total = NO_RESOURCES
             for task in worker.list_running():
                 total = total + task.request.resources
             assert total.fits_in(CAPACITY), (worker.name, total)
--- a/tests/shards/test_shares.py
+++ b/tests/shards/test_shares.py
@@ -7,7 +7,7 @@
 
 from sassafrasgate.core.cells import Shard
 from sassafrasgate.core.cells import Team
-from sassafrasgate.core.resources import NOTHING
+from sassafrasgate.core.resources import NO_RESOURCES
 from sassafrasgate.core.resources import Resources
 from sassafrasgate.shards.events import ConfigurationChanged
 from tests.shards.simulation import DEMAND
@@ -54,7 +54,7 @@
 
 
 def check_quota(pair):
-    shares = NOTHING
+    shares = NO_RESOURCES
     running = 0
     for shard in pair.shards.values():
         shares = shares + shard.owner.state.quotas.find_share('t')
--- a/tests/standins/simulation.py
+++ b/tests/standins/simulation.py
@@ -19,7 +19,7 @@
 from msgspec.json import decode
 from xxhash import xxh3_128_hexdigest
 
-from sassafrasgate.core.resources import NOTHING
+from sassafrasgate.core.resources import NO_RESOURCES
 from sassafrasgate.core.resources import Resources
 from sassafrasgate.core.tasks import CommandReply
 from sassafrasgate.core.tasks import EndedTask
@@ -198,8 +198,8 @@
     _records: list[TaskRecord] = field(default_factory=list)
     _overloads: list[Overload] = field(default_factory=list)
     _refusals: Counter[str] = field(default_factory=Counter)
-    _reserved: Resources = NOTHING
-    _peak: Resources = NOTHING
+    _reserved: Resources = NO_RESOURCES
+    _peak: Resources = NO_RESOURCES
 
     def __post_init__(self) -> None:
         self.restart()
@@ -218,7 +218,7 @@
         self._ended.clear()
         self._answers.clear()
         self._usage_factors = [(0, self.faults.usage_factor)]
-        self._reserved = NOTHING
+        self._reserved = NO_RESOURCES
         self._tell_news()
 
     def _read_clock(self) -> int:
@@ -492,7 +492,7 @@
 
     def _reserve(self, resources: Resources, now: int) -> None:
         self._reserved = self._reserved + resources
-        self._peak = self._peak.cover(self._reserved)
+        self._peak = self._peak.take_maximum(self._reserved)
         if not self._reserved.fits_in(self.capacity):
             self._overloads.append(
                 Overload(self._wall_base_ms + now, self._reserved)
