--- a/sassafrasgate/daemons/dispatcher.py
+++ b/sassafrasgate/daemons/dispatcher.py
@@ -100,8 +100,8 @@
 # Journal entries that are written concurrently. With several in flight, a
 # record waits for at most one slow store call.
 JOURNAL_DEPTH = 4
-# A scheduling pass over many waiting steps takes milliseconds. After each
-# pass, events are handled for this multiple of its duration.
+# A scheduling pass over many waiting steps takes milliseconds. The pause
+# before the next one is this multiple of its duration, for events.
 PASS_REST = 2.0
 # Events that are handled between two checks for a due scheduling pass.
 BATCH_EVENTS = 64
@@ -470,7 +470,7 @@
             await self._step(OwnersEnded())
 
     def _may_act(self) -> bool:
-        """Tell whether the lease and its grace still exclude other owners."""
+        """Tell whether the lease or its outage grace still allows to act."""
         lease = self._lease
         return may_send(lease, now_ms(), lease.ttl_ms, lease.grace_ms)
 
--- a/sassafrasgate/daemons/election.py
+++ b/sassafrasgate/daemons/election.py
@@ -1,4 +1,8 @@
-"""Which entry host owns the shard: claims, hand-overs and what is known."""
+"""The election of the entry host that owns the shard.
+
+A host becomes the owner by a claim, when there is none, or by a planned
+hand-over.
+"""
 
 from __future__ import annotations
 
@@ -36,31 +40,32 @@
     from sassafrasgate.shards.ownership import OwnerLease
 
 SHARD = 'cell'
-# How much later each host of lower rank claims a shard without an owner.
+# Additional delay, for each place in the ranking, before a host claims a shard
+# without an owner.
 CLAIM_STEP_MS = 120
 PROBE_S = 0.3
 FIND_S = 0.2
-# Time for a successor to write its takeover record in a slow store.
+# Long enough for a successor to write its takeover record to a slow store.
 OFFER_S = 1.5
 MOST_OFFERS = 2
-# Time for the answer of a host that may have gone; crossing zones and back
-# takes about 8 ms.
+# Time limit for the reply of a host that may be down. A round trip between
+# zones takes about 8 ms.
 GREETING_S = 0.15
 
 
 class OwnerElection:
-    """What an entry host knows of the owner, and how it becomes the owner.
+    """Claims the shard for an entry host, and finds or replaces its owner.
 
     Parameters
     ----------
     member : Member
-        This process.
+        Member entry of this process.
     store : KeyStore
-        Holds the owner's key.
+        Store client for the owner key.
     directory : Directory
-        Fed by the entry task.
+        Updated by the entry task with control events.
     logger : Logger
-        For each decision.
+        Logger for changes of the lease and of the owner.
     """
 
     def __init__(
@@ -77,18 +82,21 @@
         self._lease_id = ''
         self._orphaned_at = 0
         self._ended = ''
-        # The key of the owner that this process takes the shard over from.
+        # Revision of the owner key that this process is replacing.
         self._replaced_revision = 0
         self.lease: OwnerLease | None = None
 
     @property
     def owner(self) -> tuple[Member, int] | None:
-        """The owner as this process knows it, and its key's revision."""
+        """The last known owner and the revision of its key, or None."""
         return self._directory.owners.get(SHARD)
 
     @property
     def silent_ms(self) -> int:
-        """How long the owner has not been heard; 0 without another owner."""
+        """Time in ms since a message from the owner has arrived.
+
+        It is 0 while no other process is known to own the shard.
+        """
         owner = self.owner
         if owner is None or self.is_me(owner[0]):
             return 0
@@ -99,7 +107,7 @@
         return member.incarnation == self._member.incarnation
 
     def update_lease(self, message: LeaseChanged) -> None:
-        """Take a lease, or its renewal."""
+        """Store a new lease state; log when the store fails or recovers."""
         known = self.lease
         failing = bool(message.lease.store_failing_since)
         if known is None or bool(known.store_failing_since) != failing:
@@ -111,25 +119,30 @@
         self.lease = message.lease
 
     def handle_lease_loss(self) -> None:
-        """Note that the store has ended the lease."""
+        """Drop the lease after its expiry."""
         self._log('lease-lost', (('lease', self._lease_id),))
         self._lease_id = ''
 
     def mark_ended(self, incarnation: str) -> None:
-        """Note that an owner's process has ended."""
+        """Record that an owner's process has ended."""
         self._ended = incarnation
 
     def has_fresh_lease(self) -> bool:
-        """Tell whether the store has renewed the lease, without any grace."""
+        """Tell whether the lease is valid without the outage grace."""
         lease = self.lease
         if lease is None or not self._lease_id:
             return False
         return now_ms() < lease.renewed_at + lease.ttl_ms
 
     def find_claim(self) -> int | None:
-        """Return the revision that a claim replaces, or None for no claim.
+        """Return the key revision that a claim is to replace.
 
-        The best host claims first; 0 means that there is no key.
+        The host with the best rank claims first.
+
+        Returns
+        -------
+        int or None
+            None if no claim is due; 0 if there is no owner key to replace.
         """
         owner = self.owner
         if owner is not None and not self._is_gone(owner[0]):
@@ -144,7 +157,8 @@
     def _is_gone(self, member: Member) -> bool:
         """Tell whether an owner's process is known to have ended.
 
-        The platform starts a process only after its predecessor ended.
+        An owner of this process's own name is a previous incarnation: the
+        platform starts a process only after its predecessor has ended.
         """
         return (
             member.incarnation == self._ended
@@ -152,7 +166,10 @@
         )
 
     def _find_rank(self) -> int:
-        """Return this host's place; hosts with more processor come first."""
+        """Return this host's rank; 0 is the best rank.
+
+        Hosts with more processor capacity rank before others.
+        """
         members = self._directory.members
         ranked = sorted(
             rank_names(SHARD, members),
@@ -165,13 +182,13 @@
     def has_ended(self, owner: str) -> bool:
         """Tell whether a process is known to have ended.
 
-        The platform starts a process only after its predecessor of the same
+        The platform starts a process only after the previous one of the same
         name has ended.
 
         Parameters
         ----------
         owner : str
-            Its name and incarnation, separated by a slash.
+            Process name and incarnation, separated by a slash.
         """
         name, _, incarnation = owner.rpartition('/')
         if name == self._member.name:
@@ -180,7 +197,7 @@
         return member is not None and member.incarnation != incarnation
 
     def begin_takeover(self, revision: int) -> None:
-        """Note which owner's key this process is about to replace."""
+        """Record the revision of the owner key that is to be replaced."""
         self._orphaned_at = 0
         self._replaced_revision = revision
 
@@ -190,12 +207,23 @@
         if owner is None or self.is_me(owner[0]):
             return ''
         if owner[1] <= self._replaced_revision:
-            # The own key is still being written in place of this one.
+            # This process is still replacing this key by its own.
             return ''
         return owner[0].name
 
     async def write_key(self, revision: int = 0) -> bool:
-        """Name this process the owner, in place of one that has ended."""
+        """Write this process into the owner key.
+
+        Parameters
+        ----------
+        revision : int
+            Revision of the key to replace; 0 to create the key.
+
+        Returns
+        -------
+        bool
+            Whether the write is known to have succeeded.
+        """
         key, value = make_owner_key(SHARD), encode(self._member)
         if not revision:
             return await self._note_key(
@@ -216,14 +244,14 @@
             await self.read_key()
             return False
         except StoreError as error:
-            # The watch shows the key if the write took effect after all.
+            # If the write took effect, the watch delivers the key.
             self._log('claim-failed', (('reason', str(error)),))
             return False
         self._directory.owners[SHARD] = (self._member, revision)
         return True
 
     async def read_key(self) -> None:
-        """Learn who holds the key, which may be this process itself."""
+        """Read the owner from the store; it may be this process."""
         try:
             item = await self._store.get(make_owner_key(SHARD))
         except StoreError as error:
@@ -233,7 +261,10 @@
             self._directory.apply_control_event(ControlChanged((item,)))
 
     async def delete_key(self) -> None:
-        """Let another process claim the shard; only if the key is ours."""
+        """Delete the owner key if it names this process.
+
+        Another process can then claim the shard.
+        """
         owner = self.owner
         if owner is None or not self.is_me(owner[0]):
             return
@@ -242,27 +273,33 @@
                 make_owner_key(SHARD), owner[1], CallPriority.HIGH
             )
         except StoreError as error:
-            # The key goes with the lease.
+            # The store deletes the key when the lease expires.
             self._log('release-failed', (('reason', str(error)),))
             return
         if self.owner == owner:
             self.forget()
 
     def forget(self) -> None:
-        """Claim anew before the next takeover.
+        """Discard the entry that names this process as the owner.
 
-        The own view of the owner may be from before a cut, while another
-        process serves the shard.
+        The next takeover then needs a new claim. The entry may be outdated
+        after a network partition, while another process owns the shard.
         """
         owner = self.owner
         if owner is not None and self.is_me(owner[0]):
             del self._directory.owners[SHARD]
 
     async def hand_over(self, message: HandOver) -> bool:
-        """Offer the shard to the other entry hosts, the best one first.
+        """Offer the shard to other entry hosts until one has taken it over.
+
+        Hosts with more processor capacity come first. Among equal hosts it
+        is the one that has started last: in a rolling restart it is the last
+        one to be stopped.
 
-        Where hosts have the same processors, the one that has started last
-        is best: in restarts one after the other it is the last to stop.
+        Returns
+        -------
+        bool
+            Whether a host has taken the shard over.
         """
         owner = self.owner
         if owner is None or not self.is_me(owner[0]):
@@ -280,8 +317,8 @@
             link = self._directory.find_link(member.link_address)
             greeting = await link.ask(FindOwner(SHARD), GREETING_S)
             if not isinstance(greeting, OwnerFound):
-                # An offer to a host that has just gone would wait until the
-                # host is back, and nobody serves meanwhile.
+                # An offer to a host that is down would wait until the host
+                # is back, and the shard would have no owner meanwhile.
                 continue
             offers += 1
             answer = await link.ask(offer, OFFER_S)
@@ -296,7 +333,8 @@
             if isinstance(answer, Acknowledged):
                 return True
             if isinstance(answer, NoAnswer):
-                # It may have taken the shard; the journal decides.
+                # The host may have taken the shard over. The journal's epoch
+                # decides who owns it.
                 return False
         return False
 
@@ -308,10 +346,11 @@
         ]
 
     async def ask_peers_for_owner(self) -> None:
-        """Learn from other entry hosts who the owner is.
+        """Ask the other entry hosts which host owns the shard.
 
-        An owner that is cut off from the store goes on for its grace, and a
-        host that is cut off would go on asking the owner that it knew.
+        A host that is cut off from the store gets no updates of the owner
+        key. Its last known owner may be cut off as well, and continue only
+        during its outage grace.
         """
         async with anyio.create_task_group() as group:
             for member in self._list_others():
@@ -333,20 +372,26 @@
         )
 
     def describe_owner(self) -> OwnerFound:
-        """Tell another host who the owner is, if the store can be reached."""
+        """Return the owner for a host that asks.
+
+        The reply names no owner if this host's own lease is not valid, since
+        its view may then be outdated.
+        """
         owner = self.owner
         if owner is None or not self.has_fresh_lease():
             return OwnerFound(SHARD, b'', 0)
         return OwnerFound(SHARD, encode(owner[0]), owner[1])
 
     async def probe_owner(self) -> str:
-        """Find out whether the owner's process has ended.
+        """Check by a connection whether the owner's process has ended.
+
+        Only a refused connection shows that it has. If there is no response,
+        the owner's lease has to expire first.
 
         Returns
         -------
         str
-            The incarnation that has ended, or empty. Silence proves
-            nothing; the owner's lease will lapse.
+            The incarnation that has ended, or empty.
         """
         owner = self.owner
         if owner is None:
--- a/sassafrasgate/daemons/messages.py
+++ b/sassafrasgate/daemons/messages.py
@@ -48,5 +48,5 @@
 class StopPolling:
     """The owner releases the shard, so a worker is no longer polled.
 
-    A host task still finishes its open calls; a worker task ends.
+    A host task still handles commands; a worker task ends.
     """
--- a/sassafrasgate/daemons/relays.py
+++ b/sassafrasgate/daemons/relays.py
@@ -1,8 +1,9 @@
-"""Calls to the store that go through another entry host when they fail.
+"""Store calls that are relayed through another entry host when they fail.
 
-The store may turn single hosts away, or be cut off from them, while it
-serves the others. A write that is tried on both ways takes effect once, since
-every write has a condition; its caller reads back after a conflict anyway.
+The store may refuse single hosts, or be cut off from them, while it serves
+the others. A write that is attempted on both paths takes effect only once,
+because every write has a condition. Its caller reads the key back after a
+conflict in any case.
 """
 
 from __future__ import annotations
@@ -41,9 +42,9 @@
     from sassafrasgate.core.stores import KeyStore
     from sassafrasgate.daemons.directory import Directory
 
-# Hosts that are asked to call the store, one after the other.
+# Hosts that are asked to relay a call, one after the other.
 MOST_RELAYS = 2
-# Results of the methods that can be relayed.
+# Result types of the store methods that can be relayed.
 RESULTS: Registry[str, Any] = Registry('relayed store method')
 FAILURES: Registry[str, type[StoreError]] = Registry('store failure')
 
@@ -65,15 +66,17 @@
 
 DIRECT = 'direct'
 RELAY = 'relay'
-# A store that answers does so within this time even while it is slow.
+# A call without a reply is relayed after this time. A store that can be
+# reached replies sooner, even while it is slow.
 PATIENCE_S = 0.4
-# Calls that can be repeated without any harm, and when that is done.
+# Idempotent methods, whose calls are repeated on the direct path if there is
+# no reply within this time.
 REPEATED = frozenset({'renew_lease', 'get'})
 REPEAT_S = 0.15
-# So many calls in a row that only the other way has answered tell that the
-# direct way is silent.
+# After this many consecutive calls that only a relay has answered, the direct
+# path is considered unresponsive.
 SILENT_CALLS = 2
-# After a failure the other way is preferred for so long.
+# How long the relay path is preferred after a failure of the direct path.
 PREFERENCE_MS = 2_000
 RELAY_TIMEOUT_S = 1.0
 
@@ -81,17 +84,17 @@
 
 
 class RelayedStore:
-    """A store client with a second way to the store.
+    """A store client that can reach the store through other entry hosts.
 
     Parameters
     ----------
     store : KeyStore
-        The direct client.
+        Store client of the direct path.
     relay : callable
-        Has another entry host make a `RelayCall`; returns its answer, or
-        None when no host has given one.
+        Has another entry host make a `RelayCall` within a number of
+        seconds; returns its reply, or None if no host has replied.
     logger : Logger
-        For the changes between the two ways.
+        Logger for changes between the direct and the relay path.
     """
 
     def __init__(self, store: KeyStore, relay: Relay, logger: Logger) -> None:
@@ -104,13 +107,13 @@
 
     @property
     def calls(self) -> Counter[str]:
-        """Calls made directly, by the name of the method."""
+        """Number of calls made on the direct path, by method name."""
         return self._store.calls
 
     async def get(
         self, key: str, priority: int = CallPriority.NORMAL
     ) -> Item | None:
-        """Return a key's item, or None when there is no such key."""
+        """Return a key's item, or None if the key does not exist."""
         found: Item | None = await self._call('get', key, priority)
         return found
 
@@ -149,7 +152,7 @@
     async def read_prefix(
         self, prefix: str, priority: int = CallPriority.NORMAL
     ) -> Changes:
-        """Return the items under a prefix and where to watch from."""
+        """Return the items under a prefix and the revision to watch from."""
         found: Changes = await self._call('read_prefix', prefix, priority)
         return found
 
@@ -160,7 +163,10 @@
         wait_s: float,
         priority: int = CallPriority.NORMAL,
     ) -> Changes:
-        """Return changes under a prefix, waiting for the first one."""
+        """Return changes under a prefix after a revision.
+
+        The call waits up to ``wait_s`` seconds for the first change.
+        """
         found: Changes = await self._call(
             'watch', prefix, after, wait_s, priority, wait_s=wait_s
         )
@@ -175,24 +181,37 @@
     async def renew_lease(
         self, lease: str, priority: int = CallPriority.HIGH
     ) -> bool:
-        """Give a lease its whole time again; False if it has expired."""
+        """Restart a lease's time; return False if it has expired."""
         return bool(await self._call('renew_lease', lease, priority))
 
     async def revoke_lease(
         self, lease: str, priority: int = CallPriority.NORMAL
     ) -> None:
-        """End a lease, which deletes its keys."""
+        """End a lease; the store deletes its keys."""
         await self._call('revoke_lease', lease, priority)
 
     async def _call(
         self, method: str, *arguments: Any, wait_s: float = 0.0
     ) -> Any:
-        """Make a call on the way that answers first.
+        """Make a call on the direct path, the relay path, or both.
+
+        The relay path is used when the direct path has failed or has not
+        replied within `PATIENCE_S`, and alone while it is preferred. The
+        first reply is the result.
+
+        Parameters
+        ----------
+        method : str
+            Name of the store method.
+        *arguments
+            Arguments of the method.
+        wait_s : float
+            Time in seconds for which the store may hold the call itself.
 
         Raises
         ------
         StoreUnavailableError
-            When no way has brought an answer in time.
+            If neither path has brought a reply in time.
         """
         race = _Race()
         direct = partial(getattr(self._store, method), *arguments)
@@ -244,7 +263,7 @@
         if answer is None:
             raise StoreUnavailableError(
                 f'no entry host has relayed {method!r} to the store; read '
-                'back what was written'
+                'the key back to find out whether a write took effect'
             )
         if not answer.failure:
             return convert(answer.result, RESULTS.find(method))
@@ -253,14 +272,14 @@
 
 @dataclass(frozen=True, slots=True)
 class _Finish:
-    """The first answer of a call, and the way that brought it."""
+    """The first reply to a call, and the path on which it came."""
 
     way: str
     result: Any
 
 
 class _Race:
-    """Tries that run side by side until one of them has an answer."""
+    """Concurrent attempts at one call, of which the first reply counts."""
 
     def __init__(self) -> None:
         self.winner: _Finish | None = None
@@ -274,9 +293,9 @@
         make: Callable[[], Awaitable[Any]],
         tasks: TaskGroup,
     ) -> None:
-        """Make one try, after a delay or an earlier try's failure.
+        """Make one attempt after a delay, or sooner if another one fails.
 
-        A way on which a try has failed is not tried again.
+        No attempt is made on a path on which one has already failed.
         """
         if delay_s:
             with anyio.move_on_after(delay_s):
@@ -290,34 +309,37 @@
             self._failed.set()
             return
         except StoreError as error:
-            # The store has answered, if not as the caller hoped.
+            # The store has replied with an error, which is a result, too.
             result = error
         if self.winner is None:
             self.winner = _Finish(way, result)
         tasks.cancel_scope.cancel()
 
     def has_failed(self, way: str) -> bool:
-        """Tell whether a try on a way has ended without an answer."""
+        """Tell whether an attempt on a path has ended without a reply."""
         return any(known == way for known, _ in self._failures)
 
     def find_failure(self) -> StoreUnavailableError:
-        """Return the first failure."""
+        """Return the error of the first attempt that failed."""
         if self._failures:
             return self._failures[0][1]
         return StoreUnavailableError(
-            'the store gave no answer in time; read back what was written'
+            'the store did not reply in time; read the key back to find out '
+            'whether a write took effect'
         )
 
 
 async def execute_relayed_call(
     store: KeyStore, call: RelayCall
 ) -> RelayAnswer:
-    """Make a call for another entry host.
+    """Make a store call on behalf of another entry host.
 
     Parameters
     ----------
     store : KeyStore
-        A direct client.
+        Store client of this host's direct path.
+    call : RelayCall
+        The call to make.
     """
     if call.method not in RESULTS:
         return RelayAnswer('refused', f'{call.method!r} is not relayed')
@@ -334,24 +356,32 @@
 async def relay_through_peers(
     directory: Directory, name: str, call: RelayCall, timeout_s: float
 ) -> RelayAnswer | None:
-    """Have another entry host call the store.
+    """Have other entry hosts make a store call, until one reaches the store.
 
     Parameters
     ----------
+    directory : Directory
+        Holds the entry hosts and the links to them.
     name : str
-        Of this entry host; each host asks the others in an order of its own.
+        Name of this entry host. It determines the order in which the others
+        are asked, so that the calls of several hosts are spread.
+    call : RelayCall
+        The call to make.
+    timeout_s : float
+        Time limit for the reply of each host, in seconds.
 
     Returns
     -------
     RelayAnswer or None
-        None when none of the hosts that were asked has reached it.
+        The reply of a host that has reached the store. Otherwise one that
+        reports the store unavailable, or None if no host has replied.
     """
     best: RelayAnswer | None = None
     names = rank_names(name, directory.members)
     for other in [n for n in names if n != name][:MOST_RELAYS]:
         member = directory.members.get(other)
         if member is None:
-            # It has gone while another host was asked.
+            # The host has left while another one was asked.
             continue
         link = directory.find_link(member.link_address)
         answer = await link.ask(call, timeout_s)
--- a/sassafrasgate/daemons/scheduler.py
+++ b/sassafrasgate/daemons/scheduler.py
@@ -1,4 +1,4 @@
-"""The scheduler process: claims shards and routes requests to them."""
+"""The main task of a scheduler: claims shards and routes requests to them."""
 
 from __future__ import annotations
 
@@ -61,7 +61,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ShardEnded:
-    """A shard task has ended."""
+    """A shard task has ended, for the given reason."""
 
     shard: str
     task: ShardTask
@@ -74,15 +74,16 @@
     Parameters
     ----------
     member : Member
-        This process.
+        Member entry of this process.
     services : ShardServices
-        For the shard tasks.
+        Passed on to the shard tasks.
     directory : Directory
-        Fed by this task.
+        Updated by this task alone.
     inbox : MemoryObjectReceiveStream
-        Control, lease and configuration messages, `StopProcess`.
+        Delivers `ControlListed`, `ControlChanged`, `LeaseChanged`,
+        `LeaseLost`, `ConfigurationStatus` and `StopProcess`.
     drain_ms : int
-        How long a planned stop may take.
+        Time limit of a planned stop, in ms.
     """
 
     def __init__(
@@ -113,7 +114,7 @@
         self._summaries: dict[str, Summary] = {}
 
     def is_ready(self) -> Refusal | None:
-        """Return None when the process may serve, else the reason."""
+        """Return None if the process may serve requests, else a refusal."""
         if self._is_current and self._lease_id and not self._stopping:
             return None
         return Refusal(
@@ -124,7 +125,7 @@
         )
 
     def may_operate(self) -> Refusal | None:
-        """Return why operators are not served here; see `Gateway`."""
+        """Return None if operators may be served, else a refusal."""
         return self.is_ready()
 
     def configuration(self) -> Configuration:
@@ -132,11 +133,11 @@
         return self._configuration
 
     def update_summary(self, summary: Summary) -> None:
-        """Keep a shard's newest summary for the next heartbeats."""
+        """Store a shard's newest summary for the next heartbeats."""
         self._summaries[summary.shard] = summary
 
     def list_summaries(self) -> tuple[Summary, ...]:
-        """Return the summaries of the shards of this process."""
+        """Return the summaries of the shards that this process serves."""
         return tuple(
             summary
             for shard, summary in self._summaries.items()
@@ -144,7 +145,7 @@
         )
 
     def receive_summaries(self, summaries: tuple[Summary, ...]) -> None:
-        """Pass on what a peer's heartbeat says of its shards."""
+        """Pass the shard summaries of a peer's heartbeat to all shards."""
         for task in self._shards.values():
             for summary in summaries:
                 if summary.shard != task.shard:
@@ -176,7 +177,7 @@
         return ClaimDue()
 
     async def _remind(self) -> None:
-        """Keep claims going while messages arrive all the time."""
+        """Check for shards to claim, even while messages arrive steadily."""
         while True:
             await anyio.sleep(CLAIM_INTERVAL_S)
             await self._claim_shards()
@@ -203,7 +204,8 @@
         for shard in list(self._shards):
             owner = self._directory.owners.get(shard)
             if shard in self._releasing:
-                # A successor is expected; open quick requests go on.
+                # The owner is expected to change. The task still finishes
+                # open quick requests.
                 continue
             if owner is not None and not self._is_me(owner[0]):
                 self._abandon(shard, f'{owner[0].name!r} owns the shard')
@@ -247,7 +249,11 @@
         self._shards[shard].request_stop()
 
     async def _claim_shards(self) -> None:
-        """Claim shards without an owner, the best ranked process first."""
+        """Claim shards without an owner.
+
+        A process waits `CLAIM_STEP_MS` longer for each place of its rank,
+        so that the best ranked process claims first.
+        """
         if self.is_ready() is not None:
             return
         names = {shard.name for shard in self._configuration.shards}
@@ -263,7 +269,7 @@
         self._rebalance()
 
     def _find_rank(self, shard: str) -> int:
-        """Return this process's place among the live schedulers."""
+        """Return this process's rank for a shard; 0 is the best rank."""
         ranked = self._rank_members(shard)
         if self._member.name not in ranked:
             return len(ranked)
@@ -289,12 +295,12 @@
         except StoreConflictError:
             return
         except StoreError:
-            # The watch shows the key if the write took effect after all.
+            # If the write took effect, the watch delivers the key.
             return
         self._directory.owners[shard] = (self._member, revision)
 
     def _start_claimed(self, group: TaskGroup) -> None:
-        """Run a task for each shard whose owner key is this process's."""
+        """Start a task for each shard whose owner key names this process."""
         if self._lease is None or self._stopping:
             return
         for shard, (owner, _) in list(self._directory.owners.items()):
@@ -320,14 +326,17 @@
         reason = await task.run(release)
         if reason:
             self._services.logger.warning(
-                'shard {!r} is given up: {}', shard, reason
+                'lost ownership of shard {!r}: {}', shard, reason
             )
             await self._delete_owner_key(shard)
         del self._shards[shard]
         self._releasing.discard(shard)
 
     async def _delete_owner_key(self, shard: str) -> None:
-        """Let another process claim the shard; only if the key is ours."""
+        """Delete a shard's owner key if it names this process.
+
+        Another process can then claim the shard.
+        """
         owner = self._directory.owners.get(shard)
         if owner is None or not self._is_me(owner[0]):
             return
@@ -336,13 +345,17 @@
                 make_owner_key(shard), owner[1], CallPriority.HIGH
             )
         except StoreError:
-            # The key goes with the lease.
+            # The store deletes the key when the lease expires.
             return
         if self._directory.owners.get(shard) == owner:
             del self._directory.owners[shard]
 
     def _rebalance(self) -> None:
-        """Hand one shard over to a better ranked process, now and then."""
+        """Release one shard for a better ranked process, if one is due.
+
+        A shard is released only while this process has more than its even
+        share, and not while the set of schedulers is changing.
+        """
         now = now_ms()
         if now - self._members_at < SETTLE_MS:
             return
@@ -359,7 +372,7 @@
             return
 
     async def _follow_host_list(self) -> None:
-        """Tell the shards which hosts the platform lists as leaving."""
+        """Poll the platform's list of leaving hosts and pass on changes."""
         while True:
             await anyio.sleep(HOST_LIST_INTERVAL_S)
             if not self._shards:
@@ -376,7 +389,7 @@
                 await task.events.send(HostListed(leaving))
 
     async def take_request(self, request: IncomingRequest) -> None:
-        """Route one request of the inner protocol."""
+        """Handle one request of the inner protocol."""
         message = request.message
         if isinstance(message, FetchConfiguration):
             await self._reply(
--- a/sassafrasgate/daemons/shards.py
+++ b/sassafrasgate/daemons/shards.py
@@ -1,4 +1,4 @@
-"""The task that owns one shard: its state, its journal, its hosts."""
+"""The task that owns one shard's state, journal and host tasks."""
 
 from __future__ import annotations
 
@@ -87,27 +87,31 @@
 PEER_TIMEOUT_S = 2.0
 MAX_INBOX = 20_000
 JOB_COUNT_INTERVAL_MS = 5_000
-# Decisions whose reason starts with what became of the attempt.
+# Kinds of decisions whose reason begins with the status of the attempt.
 ENDED_ATTEMPTS = frozenset({'end', 'retry'})
 
 
 @dataclass(frozen=True, slots=True)
 class ShardServices:
-    """What a shard task needs from its process.
+    """The functions and clients that a process provides to its shard tasks.
 
     Parameters
     ----------
     owner : str
-        Process name and incarnation.
+        Process name and incarnation, separated by a slash.
     store : Store
-        For the journal and outputs.
+        Store client for the journal and for outputs.
     reply : callable
         Queues an `OutgoingReply` on the link server.
     send_request : callable
-        Sends a message to the owner of another shard; returns its answer
-        or `NoAnswer`.
+        Sends a message to the owner of another shard; returns its reply, a
+        `Refusal` or `NoAnswer`.
     publish : callable
-        Lets other processes know a shard's `Summary`.
+        Publishes a shard's `Summary` to other processes.
+    logger : Logger
+        Logger for decisions.
+    metrics : Metrics
+        Metrics of the process.
     """
 
     owner: str
@@ -125,13 +129,13 @@
     Parameters
     ----------
     shard : str
-        Shard name.
+        Name of the shard.
     configuration : Configuration
-        In force when the shard was claimed.
+        Configuration that was in force when the shard was claimed.
     lease : OwnerLease
         The process's lease when the shard was claimed.
     services : ShardServices
-        What the process provides.
+        Functions and clients of the process.
     """
 
     def __init__(
@@ -157,19 +161,20 @@
         self._group: TaskGroup | None = None
 
     async def run(self, release: Callable[[], Awaitable[None]]) -> str:
-        """Take the shard over and serve it; return why it ended.
+        """Take the shard over and serve it until the ownership ends.
 
         Parameters
         ----------
         release : callable
             Awaited in a planned stop once every record is durable and
-            nothing new is started; it lets a successor take over while
-            this task still answers open quick requests.
+            nothing new is started. It releases the shard for a successor,
+            while this task still answers open quick requests.
 
         Returns
         -------
         str
-            Empty after a planned stop.
+            The reason why the ownership was lost; empty after a planned
+            stop.
         """
         journal = await self._take_over()
         if journal is None:
@@ -194,7 +199,8 @@
 
     async def _take_over(self) -> Journal | None:
         """Read the journal and append the takeover record."""
-        # Ends are dated and deadlines counted from the first record on.
+        # Replaying the records needs the wall-clock time for the dates of
+        # ends and for deadlines.
         self.state.wall_ms = wall_ms()
         await self._step(ConfigurationChanged(self._configuration))
         while True:
@@ -256,7 +262,11 @@
                 return
 
     async def _hand_over(self, release: Callable[[], Awaitable[None]]) -> None:
-        """Release the shard, then finish what can't be handed over."""
+        """Release the shard, then finish the open quick requests.
+
+        Quick requests are not in the journal, so a successor can't finish
+        them.
+        """
         for box in self._hosts.values():
             box.send_nowait(StopPolling())
         quick = {
@@ -271,10 +281,11 @@
             await self._step(await self._inbox.receive())
 
     async def _dismiss_callers(self) -> None:
-        """Answer everybody who still waits, so that they can ask again.
+        """Answer all open requests, so that the callers can repeat them.
 
-        Submissions and queries are idempotent by job id. A quick request
-        may still run where it was sent.
+        Submissions and queries are idempotent by job id. The state of a
+        quick request is reported as unknown, because it may still run on
+        the host to which it was sent.
         """
         for quick in list(self.state.quick.values()):
             view = JobView(
@@ -302,7 +313,7 @@
         )
 
     async def _step(self, event: Any) -> None:
-        """Handle one event: decide, then hand out the actions."""
+        """Make the decisions on an event and carry out their actions."""
         event = await self._handle_own_event(event)
         if event is None:
             return
@@ -318,7 +329,14 @@
         self._note_metrics(event)
 
     async def _handle_own_event(self, event: Any) -> Any:
-        """Handle events that are not decisions; return the others."""
+        """Handle events that need no decision.
+
+        Returns
+        -------
+        object
+            The event if it also has to be passed to the decisions, else
+            None.
+        """
         if isinstance(event, RequestReceived) and not self._may_answer():
             await self.send_reply(event.reply_to, self._describe_loss())
             return None
@@ -338,10 +356,10 @@
         return event
 
     def _may_answer(self) -> bool:
-        """Tell whether another process may own the shard by now.
+        """Tell whether the lease or its outage grace still allows to answer.
 
-        A process that was paused past its lease must not refuse a job that
-        its successor has accepted.
+        A process that was paused for longer than its lease must not refuse a
+        job that its successor has accepted.
         """
         lease = self._lease
         return may_send(lease, now_ms(), lease.ttl_ms, lease.grace_ms)
@@ -359,7 +377,7 @@
         self._request_snapshot()
 
     def _request_snapshot(self) -> None:
-        """Ask for a snapshot when enough entries are uncovered by one."""
+        """Request a snapshot once enough entries are not covered by one."""
         if not self._snapshots.is_due():
             return
         self._journal_box.send_nowait(
@@ -384,7 +402,10 @@
             self._note_jobs()
 
     def _note_jobs(self) -> None:
-        """Count jobs by state, which takes a pass over all of them."""
+        """Update the job counts by state.
+
+        This is done seldom, since it visits every job.
+        """
         if now_ms() < self._jobs_counted_at + JOB_COUNT_INTERVAL_MS:
             return
         self._jobs_counted_at = now_ms()
@@ -395,7 +416,7 @@
             )
 
     def _follow_hosts(self) -> None:
-        """Run one host task per host of the state, no more."""
+        """Start tasks for new hosts and end those of removed hosts."""
         if self._group is None:
             return
         for name in self.state.hosts:
@@ -421,7 +442,7 @@
         group.start_soon(task.run)
 
     async def take_request(self, request: IncomingRequest) -> None:
-        """Queue a request from the link server for a decision."""
+        """Queue a request that the link server has received."""
         token = self._replies.add_request(request)
         try:
             self.events.send_nowait(
@@ -438,31 +459,31 @@
             )
 
     def offer(self, event: Any) -> None:
-        """Queue an event that a full inbox may drop."""
+        """Queue an event, or drop it if the inbox is full."""
         try:
             self.events.send_nowait(event)
         except anyio.WouldBlock:
             return
 
     async def send_reply(self, token: int, message: Any) -> None:
-        """Answer a request by its token; a token is used once."""
+        """Answer the request with this token; each token is used once."""
         await self._replies.send(token, message)
 
     def request_stop(self) -> None:
-        """Ask for a planned release."""
+        """Request a planned release of the shard."""
         self.events.send_nowait(StopRequested())
 
     def append(self, record: Any) -> None:
-        """Hand a record to the journal task."""
+        """Send a record to the journal task."""
         self._unwritten += 1
         self._journal_box.send_nowait(AppendRecord(record))
 
     def withdraw(self, job_id: str) -> None:
-        """Ask the journal task to drop a job's unsent records."""
+        """Ask the journal task to drop a job's unwritten records."""
         self._journal_box.send_nowait(WithdrawJob(job_id))
 
     def command_host(self, host: str, command: Any) -> bool:
-        """Hand a command to a host's task; False when there is none."""
+        """Send a command to a host's task; return False if it has none."""
         box = self._hosts.get(host)
         if box is None:
             return False
@@ -483,14 +504,14 @@
         await self.events.send(PeerAnswered(action.message, answer))
 
     def give_up(self, reason: str) -> None:
-        """End the task without any further send."""
+        """End the task without sending anything further."""
         self._given_up = reason
 
     def _observe_append(self, seconds: float) -> None:
         self.services.metrics.observe(APPEND_SECONDS, seconds)
 
     def log(self, action: LogDecision) -> None:
-        """Write one decision line and count it."""
+        """Log a decision and count it."""
         self.services.metrics.count(DECISIONS, action.kind)
         if action.kind in ENDED_ATTEMPTS:
             fate = action.reason.partition(':')[0].partition(' ')[0]
--- a/sassafrasgate/daemons/snapshots.py
+++ b/sassafrasgate/daemons/snapshots.py
@@ -1,4 +1,4 @@
-"""When an owner asks for the next snapshot of its journal."""
+"""The schedule of an owner's journal snapshots."""
 
 from __future__ import annotations
 
@@ -6,13 +6,13 @@
 
 
 class SnapshotSchedule:
-    """Counts entries that no snapshot covers.
+    """Counts the journal entries that no snapshot covers.
 
     Parameters
     ----------
     uncovered : int
-        Entries without a snapshot at the beginning; those of earlier owners
-        fill the ring as well.
+        Number of uncovered entries at the takeover. Entries of previous
+        owners count, since they occupy slots of the ring as well.
     """
 
     def __init__(self, uncovered: int = 0) -> None:
@@ -22,11 +22,11 @@
         self._asked = False
 
     def note_entry(self) -> None:
-        """Count one more entry."""
+        """Count an entry that has been written."""
         self._entries += 1
 
     def is_due(self) -> bool:
-        """Tell whether a snapshot should be asked for, and note that it is."""
+        """Tell whether a snapshot is due, and mark it as requested if so."""
         if self._asked or self._entries - self._covered < SNAPSHOT_ENTRIES:
             return False
         self._asked = True
@@ -34,9 +34,9 @@
         return True
 
     def note_snapshot(self) -> None:
-        """Note that the snapshot is in place.
+        """Record that the requested snapshot has been written.
 
-        Entries written since it was asked for are not covered.
+        It does not cover entries that were written after the request.
         """
         self._asked = False
         self._covered = self._asked_at
--- a/sassafrasgate/daemons/watches.py
+++ b/sassafrasgate/daemons/watches.py
@@ -1,4 +1,4 @@
-"""Tasks that follow what operators and workers write into the store."""
+"""Tasks that watch the routing table and the workers' registrations."""
 
 from __future__ import annotations
 
@@ -29,7 +29,17 @@
 
 @dataclass(frozen=True, slots=True)
 class RoutingTableSource:
-    """Where the operators' routing table lies, and how to read it."""
+    """The store key of the operators' routing table, and its decoder.
+
+    Parameters
+    ----------
+    prefix : str
+        Prefix to watch.
+    key : str
+        Key of the routing table.
+    read : callable
+        Decodes the key's value; returns None if it is invalid.
+    """
 
     prefix: str
     key: str
@@ -38,24 +48,33 @@
 
 @dataclass(frozen=True, slots=True)
 class RegistrationSource:
-    """Where workers register themselves, and how to read an entry."""
+    """The store keys of the workers' registrations, and their decoder.
+
+    Parameters
+    ----------
+    prefix : str
+        Prefix of the keys.
+    read : callable
+        Decodes an item; returns None if it is invalid.
+    """
 
     prefix: str
     read: Callable[[Item], Registration | None]
 
 
 class PrefixWatch:
-    """Lists a prefix and then follows it.
+    """Lists the keys of a prefix and then watches them.
 
     Parameters
     ----------
     store : object
-        A client for the watch.
+        Store client for the watch.
     prefix : str
-        Start of the keys.
+        Prefix of the keys.
     pause_s : float
-        Time between an answer with changes and the next call. Changes that
-        come in quick succession then share a call, which is priced.
+        Time in seconds between a reply with changes and the next call.
+        Changes in quick succession then share a call, which saves calls
+        that are charged for.
     """
 
     def __init__(self, store: Any, prefix: str, pause_s: float) -> None:
@@ -68,7 +87,15 @@
         note_list: Callable[[tuple[Item, ...]], Any],
         note_changes: Callable[[tuple[Item, ...]], Any],
     ) -> None:
-        """Call back with all items, then with changes, until cancelled."""
+        """Follow the prefix until cancelled.
+
+        Parameters
+        ----------
+        note_list : callable
+            Awaited with all items, at the start and after each failure.
+        note_changes : callable
+            Awaited with the items that have changed.
+        """
         while True:
             try:
                 listed = await self._store.read_prefix(self._prefix)
@@ -96,16 +123,18 @@
 
 
 class RoutingTableTask:
-    """Tells a listener of each newer routing table.
+    """Sends each newer routing table to a listener.
 
     Parameters
     ----------
     watch : PrefixWatch
-        Of the prefix of the table's key.
+        Watch of the source's prefix.
     source : RoutingTableSource
-        How to read it.
+        Key and decoder of the table.
     listener : MemoryObjectSendStream
-        Gets `TableChanged`.
+        Receives `TableChanged`.
+    logger : Logger
+        Logger for invalid tables.
     """
 
     def __init__(
@@ -132,8 +161,8 @@
             table = self._source.read(item.value)
             if table is None:
                 self._logger.warning(
-                    'the routing table at revision {} is unreadable and is '
-                    'left out; write a valid one',
+                    'ignoring the routing table at revision {}, which cannot '
+                    'be decoded; write a valid one',
                     item.revision,
                 )
                 continue
@@ -143,16 +172,17 @@
 
 
 class RegistrationTask:
-    """Tells the dispatcher which workers there are.
+    """Sends the workers' registrations to the dispatcher.
 
     Parameters
     ----------
     watch : PrefixWatch
-        Of the prefix of workers' entries.
+        Watch of the source's prefix.
     source : RegistrationSource
-        How to read an entry.
+        Prefix and decoder of the registrations.
     listener : MemoryObjectSendStream
-        Gets `WorkersListed`, `WorkerRegistered` and `WorkerUnregistered`.
+        Receives `WorkersListed`, `WorkerRegistered` and
+        `WorkerUnregistered`.
     """
 
     def __init__(
@@ -166,7 +196,7 @@
         self._listener = listener
 
     async def run(self) -> None:
-        """Follow the entries until cancelled."""
+        """Follow the registrations until cancelled."""
         await self._watch.run(self._note_list, self._note_changes)
 
     async def _note_list(self, items: tuple[Item, ...]) -> None:
--- a/sassafrasgate/daemons/workers.py
+++ b/sassafrasgate/daemons/workers.py
@@ -1,8 +1,8 @@
-"""The task that talks to one worker for the dispatcher.
+"""The task that makes the dispatcher's calls to one worker.
 
-It owns the worker's client and the last clock reading. One long poll renews
-the lease, acknowledges ends and brings news; starts and stops are calls of
-their own.
+It owns the worker's client and the last reading of the worker's clock. One
+long poll, the hold call, renews the lease, acknowledges ends and returns
+changes. Starts, stops and paces are separate calls.
 """
 
 from __future__ import annotations
@@ -52,14 +52,15 @@
     from sassafrasgate.core.workflows import RunAnswer
     from sassafrasgate.shards.ownership import OwnerLease
 
-# A worker that answers does so within a few milliseconds; a call that has
-# no answer by then is repeated on a new connection.
+# A reachable worker replies within a few milliseconds. A call without a reply
+# within this time is repeated on a new connection.
 CALL_TIMEOUT_S = 0.3
 START_TRIES = 4
 STOP_TRIES = 3
 RETRY_MIN_S = 0.05
 RETRY_MAX_S = 0.5
-# While the journal can't confirm ends, looks would return at once.
+# Longest time without a poll while reported ends are not durable yet. A poll
+# would return the same ends again at once.
 UNCONFIRMED_WAIT_S = 1.0
 
 Command = Callable[['WorkerTask', Any], Coroutine[Any, Any, None]]
@@ -73,23 +74,23 @@
     Parameters
     ----------
     worker : str
-        Its id.
+        Id of the worker.
     epoch : int
-        Of the owner that this task acts for.
+        Epoch of the owner that this task acts for.
     client : object
-        With methods ``hold``, ``start`` and ``stop``; closes with its
-        context.
+        Client with methods ``hold``, ``start``, ``stop`` and ``pace``. It is
+        an asynchronous context manager that closes its connections.
     inbox : MemoryObjectReceiveStream
-        Commands: actions of `sassafrasgate.dispatch.actions`,
+        Delivers commands: actions of `sassafrasgate.dispatch.actions`,
         `OwnerLeaseChanged` and `StopPolling`.
     events : MemoryObjectSendStream
         The dispatcher's inbox.
     lease : OwnerLease
         The owner's lease when the task starts.
     wait_ms : int
-        How long the worker may hold a look while nothing ends.
+        Time in ms for which the worker may hold a poll while no run ends.
     lives : int
-        Where the count of the worker's restarts begins.
+        Number of restarts of the worker that are counted already.
     """
 
     def __init__(
@@ -117,12 +118,12 @@
         self._seen = 0
         self._acknowledged = 0
         self._restarted = False
-        # Starts without an answer that no report has shown either.
+        # Runs whose start has got no reply yet and which no report contains.
         self._unconfirmed: set[RunKey] = set()
         self._news = anyio.Event()
 
     async def run(self) -> None:
-        """Serve commands until the inbox closes."""
+        """Handle commands until the inbox closes or polling has to stop."""
         async with self._client, anyio.create_task_group() as tasks:
             tasks.start_soon(self._look_forever)
             async for command in self._inbox:
@@ -142,7 +143,7 @@
             tasks.cancel_scope.cancel()
 
     def may_send(self) -> bool:
-        """Tell whether this owner may still command the worker."""
+        """Tell whether this owner may still send commands to the worker."""
         lease = self._lease
         return may_send(lease, now_ms(), lease.ttl_ms, lease.grace_ms)
 
@@ -171,7 +172,10 @@
             delay_s = min(delay_s * 2, RETRY_MAX_S)
 
     async def _wait_for_records(self) -> None:
-        """Wait until ends are durable; a look would only repeat them."""
+        """Wait until the reported ends are durable.
+
+        Until then a poll would only return the same ends again.
+        """
         if self._acknowledged >= self._seen:
             return
         self._news = anyio.Event()
@@ -179,12 +183,13 @@
             await self._news.wait()
 
     async def _look(self, silent: bool) -> bool:
-        """Make one hold call; tell whether the worker answered.
+        """Make one hold call and tell whether the worker answered.
 
-        Calls to a silent worker renew nothing: one that is carried out
-        late would make its runs last longer than the owner counts with.
-        They acknowledge nothing either: the worker may have restarted, and
-        would forget ends of its new life that nobody has seen.
+        Calls to a worker that does not respond renew no leases: a call that
+        is carried out late would keep its runs alive for longer than the
+        owner assumes. They acknowledge no ends either: the worker may have
+        restarted, and would discard ends of its new incarnation that have
+        not been received.
         """
         request = HoldRequest(self._fence)
         if not silent and self._reading is not None:
@@ -228,9 +233,10 @@
         return True
 
     def _choose_wait(self) -> int:
-        """Return how long the next look may wait for news, in ms.
+        """Return how long the next poll may wait for changes, in ms.
 
-        The look after a restart tells which starts the new life has got.
+        The first poll after a restart does not wait: it shows which starts
+        have reached the new incarnation.
         """
         if self._restarted or self._acknowledged < self._seen:
             return 0
@@ -245,7 +251,11 @@
         )
 
     def _grant(self) -> int:
-        """Return a deadline on the worker's clock and count with it."""
+        """Return a new lease deadline on the worker's clock.
+
+        The owner's time at which this lease has certainly expired is kept
+        for the next report.
+        """
         assert self._reading is not None
         now = now_ms()
         age_ms = now - self._reading.received_at
@@ -253,10 +263,10 @@
         return find_deadline(self._reading.clock, age_ms)
 
     async def start_run(self, command: StartRun) -> None:
-        """Start a run; repeat it while neither answer nor report comes.
+        """Start a run; repeat the call until a reply or a report of the run.
 
-        A repetition after a report might start what has ended, on a worker
-        that has restarted since.
+        A call that is repeated after a report of the run's end might start
+        the run again on a worker that has restarted since.
         """
         self._unconfirmed.add(command.run)
         await self._try_start(command)
@@ -303,9 +313,10 @@
             return
 
     def _is_outdated(self, answer: RunAnswer, fence: int) -> bool:
-        """Tell whether a call was refused for a restart since it was sent.
+        """Tell whether a call was refused because the worker had restarted.
 
-        A later call of this owner has then reached the new life first.
+        A later call of this owner, with a higher fencing token, has then
+        reached the new incarnation first.
         """
         stale = answer.refusal is StartRefusal.STALE_EPOCH
         return stale and fence < self._fence
@@ -330,7 +341,10 @@
         return ''
 
     async def stop_run(self, command: StopRun) -> None:
-        """End a run; the dispatcher repeats it when nothing follows."""
+        """Stop a run; the dispatcher repeats the command if it gets no event.
+
+        The call itself is repeated when the worker does not answer.
+        """
         for _ in range(STOP_TRIES):
             if not self.may_send():
                 return
@@ -353,7 +367,10 @@
             return
 
     async def pace_run(self, command: PaceRun) -> None:
-        """Set a run's pace; the dispatcher repeats it when nothing follows."""
+        """Set a run's pace.
+
+        The dispatcher repeats the command if no `PaceAnswered` follows.
+        """
         if not self.may_send():
             return
         fence = self._fence
@@ -362,7 +379,7 @@
                 command.run.task, command.run.run, command.percent, fence
             )
         except WorkerUnavailableError:
-            # The next look tells whether the worker is silent.
+            # The next poll reports whether the worker responds.
             return
         if answer.refusal is None:
             await self._events.send(
