--- a/sassafrasgate/daemons/entry.py
+++ b/sassafrasgate/daemons/entry.py
@@ -22,8 +22,8 @@
 from sassafrasgate.daemons.messages import ClaimDue
 from sassafrasgate.daemons.messages import OwnershipLost
 from sassafrasgate.daemons.relays import execute_relayed_call
-from sassafrasgate.journal.chain import LoadedJournal
 from sassafrasgate.journal.records import decode_records
+from sassafrasgate.journal.ring_buffer import LoadedJournal
 from sassafrasgate.observability.logs import log_facts
 from sassafrasgate.observability.metrics import OWNED_SHARDS
 from sassafrasgate.protocol.links import OutgoingReply
