--- a/sassafrasgate/shards/endings.py
+++ b/sassafrasgate/shards/endings.py
@@ -104,11 +104,11 @@
     """Learn from an end that the worker has reported."""
     if outcome in (TaskOutcome.FINISHED, TaskOutcome.FAILED):
         succeeded = outcome is TaskOutcome.FINISHED
-        state.health.note_result(task.host, task.job_id, succeeded, now)
+        state.health.record_result(task.host, task.job_id, succeeded, now)
     entry = state.jobs.get(task.job_id)
     peak = state.peaks.pop(task.task, None)
     if entry is not None and peak is not None:
-        state.sizes.note_peak(entry.spec, peak)
+        state.sizes.record_peak(entry.spec, peak)
 
 
 def _note_finished(
