--- a/sassafrasgate/daemons/dispatcher.py
+++ b/sassafrasgate/daemons/dispatcher.py
@@ -59,7 +59,7 @@
 from sassafrasgate.journal.ring_buffer import Journal
 from sassafrasgate.journal.ring_buffer import load_journal
 from sassafrasgate.journal.ring_buffer import LoadedJournal
-from sassafrasgate.journal.workflows import Released
+from sassafrasgate.journal.workflows import ShardReleased
 from sassafrasgate.observability.clocks import now_ms
 from sassafrasgate.observability.clocks import wall_ms
 from sassafrasgate.observability.logs import log_facts
@@ -100,8 +100,8 @@
 # Journal entries that are written concurrently. With several in flight, a
 # record waits for at most one slow store call.
 JOURNAL_DEPTH = 4
-# A scheduling pass over many waiting steps takes milliseconds. After each
-# pass, events are handled for this multiple of its duration.
+# A scheduling pass over many waiting steps takes milliseconds. The pause
+# before the next one is this multiple of its duration, for events.
 PASS_REST = 2.0
 # Events that are handled between two checks for a due scheduling pass.
 BATCH_EVENTS = 64
@@ -473,7 +473,7 @@
             await self._step(OwnersEnded())
 
     def _may_act(self) -> bool:
-        """Tell whether the lease and its grace still exclude other owners."""
+        """Tell whether the lease or its outage grace still allows to act."""
         lease = self._lease
         return may_send_commands(lease, now_ms(), lease.ttl_ms, lease.grace_ms)
 
@@ -502,7 +502,7 @@
         workers, but workers may still carry out calls that were sent
         earlier.
         """
-        released = Released(
+        released = ShardReleased(
             compute_worker_lease_expiry(0, NORMAL_HOLD_WAIT_MS)
         )
         try:
--- a/sassafrasgate/shards/shares.py
+++ b/sassafrasgate/shards/shares.py
@@ -12,7 +12,7 @@
 
 from typing import TYPE_CHECKING
 
-from sassafrasgate.core.resources import NOTHING
+from sassafrasgate.core.resources import NO_RESOURCES
 from sassafrasgate.core.resources import Resources
 from sassafrasgate.journal.records import ShareLent
 from sassafrasgate.protocol.messages import BorrowShare
@@ -45,7 +45,7 @@
 
 def _adjust_share(state: ShardState, team: str) -> None:
     base = state.base_shares.get(team)
-    if base is None or base == NOTHING:
+    if base is None or base == NO_RESOURCES:
         return
     share = base
     for (_, name), total in state.borrowed.items():
@@ -54,7 +54,7 @@
     for (_, name), total in state.lent.items():
         if name == team:
             share = share - total
-    state.quotas.set_share(team, share.cover(NOTHING))
+    state.quotas.set_share(team, share.take_maximum(NO_RESOURCES))
 
 
 def borrow_share(state: ShardState, spec: JobSpec, now: int) -> Actions:
@@ -73,7 +73,9 @@
     state.borrowing[spec.team] = (turn + 1, now + BORROW_INTERVAL_MS)
     demand = state.sizes.estimate_demand(spec).scale(spec.tasks)
     wanted = state.quotas.find_reserved(spec.team) + demand
-    missing = (wanted - state.quotas.find_share(spec.team)).cover(NOTHING)
+    missing = (wanted - state.quotas.find_share(spec.team)).take_maximum(
+        NO_RESOURCES
+    )
     peer = peers[turn % len(peers)]
     yield SendToShard(peer, BorrowShare(peer, state.name, spec.team, missing))
 
@@ -85,13 +87,13 @@
     """Lend as much of the requested share as is unused here."""
     message: BorrowShare = request.message
     key = (message.borrower, message.team)
-    total = state.lent.get(key, NOTHING)
+    total = state.lent.get(key, NO_RESOURCES)
     free = state.quotas.find_share(message.team) - (
         state.quotas.find_reserved(message.team)
     )
-    grant = message.missing.limit(free).cover(NOTHING)
+    grant = message.missing.take_minimum(free).take_maximum(NO_RESOURCES)
     state.share_callers.setdefault(key, []).append(request.reply_to)
-    if grant == NOTHING and len(state.share_callers[key]) == 1:
+    if grant == NO_RESOURCES and len(state.share_callers[key]) == 1:
         yield from _answer_borrower(state, key, total)
         return
     yield LogDecision(
@@ -133,6 +135,8 @@
     Totals only grow, so a delayed answer with a smaller total has no effect.
     """
     key = (message.shard, message.team)
-    state.borrowed[key] = state.borrowed.get(key, NOTHING).cover(answer.total)
+    state.borrowed[key] = state.borrowed.get(key, NO_RESOURCES).take_maximum(
+        answer.total
+    )
     _adjust_share(state, message.team)
     state.room_changed = True
