--- a/sassafrasgate/dispatch/gangs.py
+++ b/sassafrasgate/dispatch/gangs.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from sassafrasgate.core.resources import NOTHING
+from sassafrasgate.core.resources import NO_RESOURCES
 from sassafrasgate.core.resources import Resources
 from sassafrasgate.dispatch.advice import ask_advice
 from sassafrasgate.dispatch.advice import estimate_call_ms
@@ -26,7 +26,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from sassafrasgate.core.routing import AdviceTerms
+    from sassafrasgate.core.routing import AdviceTiming
     from sassafrasgate.core.routing import Queue
     from sassafrasgate.core.workflows import Step
     from sassafrasgate.dispatch.handlers import Actions
@@ -101,7 +101,7 @@
 def _list_renewals(
     state: DispatchState,
     key: StepKey,
-    timing: AdviceTerms,
+    timing: AdviceTiming,
     chosen: dict[str, int],
     admitted: list[WorkerEntry],
 ) -> list[str]:
@@ -162,7 +162,7 @@
         if reservation is not None and (
             state.now + estimate_run_ms(step, worker) > reservation.start_at
         ):
-            available = available.limit(reservation.spare)
+            available = available.take_minimum(reservation.spare)
         max_slots = plan.allowances.get(name, step.tasks)
         max_slots = min(max_slots, step.max_per_worker or step.tasks)
         count = _count_slots(available, demand, max_slots)
@@ -278,7 +278,9 @@
                 available = available + freed
         earlier = plan.reservations.get(name)
         if earlier is not None:
-            available = available.limit(earlier.spare)
+            available = available.take_minimum(earlier.spare)
             at = max(at, earlier.start_at)
         spare = available - demand.scale(count)
-        plan.reservations[name] = GangReservation(at, spare.cover(NOTHING))
+        plan.reservations[name] = GangReservation(
+            at, spare.take_maximum(NO_RESOURCES)
+        )
--- a/sassafrasgate/dispatch/reports.py
+++ b/sassafrasgate/dispatch/reports.py
@@ -33,7 +33,7 @@
 from sassafrasgate.dispatch.stragglers import measure_progress
 from sassafrasgate.dispatch.stragglers import record_finished_run
 from sassafrasgate.journal.workflows import RunEnded
-from sassafrasgate.shards.actions import GiveUpShard
+from sassafrasgate.shards.actions import StepDown
 from sassafrasgate.shards.attempts import ClockReading
 
 if TYPE_CHECKING:
@@ -458,7 +458,7 @@
 @EVENT_HANDLERS.register(EpochRefused)
 def handle_epoch_refusal(state: DispatchState, event: EpochRefused) -> Actions:
     """Give the shard up: a worker obeys a later owner."""
-    yield GiveUpShard(
+    yield StepDown(
         f'worker {event.worker!r} obeys an owner with a higher epoch than '
         f'{state.epoch!r}'
     )
--- a/sassafrasgate/dispatch/requests.py
+++ b/sassafrasgate/dispatch/requests.py
@@ -22,7 +22,7 @@
 from sassafrasgate.protocol.workflows import SubmitWorkflow
 from sassafrasgate.protocol.workflows import WorkflowView
 from sassafrasgate.shards.actions import Reply
-from sassafrasgate.shards.actions import Withdraw
+from sassafrasgate.shards.actions import WithdrawRecords
 from sassafrasgate.shards.events import RequestReceived
 from sassafrasgate.shards.events import WithdrawalAnswered
 from sassafrasgate.shards.handlers import reply_refusal
@@ -71,7 +71,7 @@
         )
         yield reply_refusal(event.reply_to, refusal)
         return
-    queue = state.routing_table.name_queue(message.queue)
+    queue = state.routing_table.find_queue_by_name(message.queue)
     assert queue is not None
     state.submit_callers[message.job_id] = [event.reply_to]
     yield from write_record(
@@ -112,7 +112,7 @@
             'the dispatcher moves to another process',
             'send the request again',
         )
-    if state.routing_table.name_queue(message.queue) is None:
+    if state.routing_table.find_queue_by_name(message.queue) is None:
         return Refusal(
             RefusalKind.NOT_READY,
             f'queue {message.queue!r} is not in version '
@@ -136,7 +136,7 @@
     if not event.since:
         return
     for job_id in state.submit_callers:
-        yield Withdraw(job_id)
+        yield WithdrawRecords(job_id)
 
 
 @EVENT_HANDLERS.register(WithdrawalAnswered)
--- a/sassafrasgate/dispatch/state.py
+++ b/sassafrasgate/dispatch/state.py
@@ -14,7 +14,7 @@
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
-from sassafrasgate.core.resources import NOTHING
+from sassafrasgate.core.resources import NO_RESOURCES
 from sassafrasgate.core.resources import Resources
 from sassafrasgate.core.routing import Queue
 from sassafrasgate.core.routing import RoutingTable
@@ -546,7 +546,10 @@
 
         The settings at acceptance apply if the queue no longer exists.
         """
-        return self.routing_table.name_queue(entry.queue.name) or entry.queue
+        return (
+            self.routing_table.find_queue_by_name(entry.queue.name)
+            or entry.queue
+        )
 
     def add_run(self, entry: RunEntry) -> None:
         """Add a run and reserve its demand on its worker."""
@@ -605,7 +608,7 @@
     def update_free_resources(self, worker: str) -> None:
         """Recompute a worker's free capacity from its reservations."""
         entry = self.workers[worker]
-        used = NOTHING
+        used = NO_RESOURCES
         for run in self.list_runs_on(worker):
             used = used + run.demand
         self.free_resources[worker] = entry.registration.capacity - used
--- a/sassafrasgate/placement/quotas.py
+++ b/sassafrasgate/placement/quotas.py
@@ -9,7 +9,7 @@
 from sassafrasgate.core.errors import Refusal
 from sassafrasgate.core.errors import RefusalKind
 from sassafrasgate.core.errors import SassafrasgateError
-from sassafrasgate.core.resources import NOTHING
+from sassafrasgate.core.resources import NO_RESOURCES
 from sassafrasgate.core.resources import Resources
 
 if TYPE_CHECKING:
@@ -87,23 +87,23 @@
         among shards must count the returned amount. Resources without a
         quota remain unlimited.
         """
-        in_force = share.cover(self.find_reserved(team))
+        in_force = share.take_maximum(self.find_reserved(team))
         self._shares[team] = in_force
         self._quotas.setdefault(team, share)
         return in_force
 
     def find_share(self, team: str) -> Resources:
         """Return a team's share; zero for a team without one."""
-        return self._shares.get(team, NOTHING)
+        return self._shares.get(team, NO_RESOURCES)
 
     def find_reserved(self, team: str) -> Resources:
         """Return what a team has reserved in this shard."""
-        return self._reserved.get(team, NOTHING)
+        return self._reserved.get(team, NO_RESOURCES)
 
     def check_quota(self, team: str, demand: Resources) -> Refusal | None:
         """Return a refusal if a reservation would exceed the team's share."""
-        quota = self._quotas.get(team, NOTHING)
-        if quota == NOTHING:
+        quota = self._quotas.get(team, NO_RESOURCES)
+        if quota == NO_RESOURCES:
             return None
         wanted = self.find_reserved(team) + demand
         share = self.find_share(team)
@@ -145,7 +145,7 @@
         if not demand.fits_in(reserved):
             raise QuotaReleaseError(team, demand, reserved)
         left = reserved - demand
-        if left == NOTHING:
+        if left == NO_RESOURCES:
             del self._reserved[team]
             return
         self._reserved[team] = left
--- a/sassafrasgate/shards/workers.py
+++ b/sassafrasgate/shards/workers.py
@@ -1,4 +1,4 @@
-"""What workers report: fences, clocks, running and ended tasks."""
+"""Handlers of what workers and the platform report about hosts."""
 
 from __future__ import annotations
 
@@ -8,13 +8,13 @@
 from sassafrasgate.core.tasks import EndedTask
 from sassafrasgate.core.tasks import StartStatus
 from sassafrasgate.core.tasks import SyncReply
-from sassafrasgate.shards.actions import GiveUpShard
 from sassafrasgate.shards.actions import LogDecision
 from sassafrasgate.shards.actions import ReleaseTask
+from sassafrasgate.shards.actions import StepDown
 from sassafrasgate.shards.actions import StopTask
-from sassafrasgate.shards.attempts import AttemptFate
+from sassafrasgate.shards.attempts import AttemptStatus
 from sassafrasgate.shards.attempts import ClockReading
-from sassafrasgate.shards.attempts import find_lapse_time
+from sassafrasgate.shards.attempts import compute_task_lease_expiry
 from sassafrasgate.shards.attempts import LEASE_MS
 from sassafrasgate.shards.endings import close_task
 from sassafrasgate.shards.endings import settle_ended_task
@@ -25,7 +25,7 @@
 from sassafrasgate.shards.events import StartNotSent
 from sassafrasgate.shards.events import StartUnanswered
 from sassafrasgate.shards.handlers import EVENT_HANDLERS
-from sassafrasgate.shards.ownership import may_place
+from sassafrasgate.shards.ownership import accepts_placements
 from sassafrasgate.shards.state import HostEntry
 from sassafrasgate.shards.state import TaskEntry
 from sassafrasgate.shards.state import TaskPhase
@@ -37,10 +37,10 @@
 
 
 def update_openness(state: ShardState, name: str) -> None:
-    """Open or close a host for new work by all that is known of it."""
+    """Open or close a host for new tasks according to its entry."""
     entry = state.hosts[name]
     host = state.index.hosts[name]
-    is_open = may_place(
+    is_open = accepts_placements(
         entry.fenced and not entry.silent_since,
         entry.leaving or entry.listed_leaving,
         host.drained,
@@ -53,7 +53,7 @@
 
 
 def has_allowance(state: ShardState, name: str) -> bool:
-    """Tell whether a host's results allow it another task."""
+    """Tell whether a host's health record allows it another task."""
     allowance = state.health.get_task_limit(name, state.now)
     return (
         allowance is None
@@ -63,14 +63,14 @@
 
 @EVENT_HANDLERS.register(HostSynced)
 def note_sync(state: ShardState, event: HostSynced, now: int) -> Actions:
-    """Bring a host's tasks in line with what its worker reports."""
+    """Update a host and its tasks from its worker's sync reply."""
     if event.host not in state.hosts:
         return
     reply = event.reply
     if not reply.accepted:
-        yield GiveUpShard(
-            f'host {event.host!r} has seen epoch {reply.epoch}, '
-            f'this owner has {state.epoch}'
+        yield StepDown(
+            f'host {event.host!r} has acknowledged epoch {reply.epoch}, '
+            f'but this owner has epoch {state.epoch}'
         )
         return
     entry = state.hosts[event.host]
@@ -87,7 +87,7 @@
     )
     if entry.incarnation and entry.incarnation != reply.incarnation:
         yield LogDecision(
-            'restart', '', host=event.host, reason='new incarnation'
+            'restart', '', host=event.host, reason='worker restarted'
         )
     yield from _settle_tasks(state, event.host, reply, first, now)
     yield from _adopt_tasks(state, event.host, reply)
@@ -108,9 +108,9 @@
             _mark_running(state, task, reply.clock)
             continue
         fate = find_unlisted_fate(task, reply, first)
-        if fate is not AttemptFate.OPEN:
+        if fate is not AttemptStatus.UNDETERMINED:
             yield from close_task(
-                state, task, fate, 'the worker no longer lists it', now
+                state, task, fate, 'the worker no longer lists the task', now
             )
     for report in ended.values():
         yield from _settle_ended(state, host, report, now)
@@ -118,26 +118,26 @@
 
 def find_unlisted_fate(
     task: TaskEntry, reply: SyncReply, first: bool
-) -> AttemptFate:
-    """Tell what is certain about a task that a worker does not list.
+) -> AttemptStatus:
+    """Return what is certain about a task that its worker does not list.
 
     Parameters
     ----------
     first : bool
-        Whether this is the worker's first answer under this owner's epoch;
-        from then on it refuses starts of earlier owners.
+        Whether this is the worker's first answer under this owner's epoch,
+        after which it refuses starts of earlier owners.
     """
     if task.incarnation != reply.incarnation:
-        return AttemptFate.LAPSED
+        return AttemptStatus.LAPSED
     if task.phase is TaskPhase.RUNNING:
         if reply.clock <= task.started_clock:
-            return AttemptFate.OPEN
-        return AttemptFate.LAPSED
+            return AttemptStatus.UNDETERMINED
+        return AttemptStatus.LAPSED
     if task.phase is TaskPhase.SENT:
         if 0 < task.start_before_clock <= reply.clock:
-            return AttemptFate.REFUSED
-        return AttemptFate.OPEN
-    return AttemptFate.REFUSED if first else AttemptFate.OPEN
+            return AttemptStatus.REFUSED
+        return AttemptStatus.UNDETERMINED
+    return AttemptStatus.REFUSED if first else AttemptStatus.UNDETERMINED
 
 
 def _mark_running(state: ShardState, task: TaskEntry, clock: int) -> None:
@@ -160,10 +160,10 @@
 
 
 def _adopt_tasks(state: ShardState, host: str, reply: SyncReply) -> Actions:
-    """Count tasks that this owner has not started.
+    """Reserve resources for running tasks that this owner does not know.
 
-    They are quick requests of an earlier owner, or starts of an attempt
-    that has been given up since.
+    They are quick requests of an earlier owner, or belong to an attempt that
+    has been given up since its start.
     """
     for report in reply.running:
         if report.task in state.tasks:
@@ -180,7 +180,10 @@
             )
         )
         yield LogDecision(
-            'adopt', report.task, host=host, reason='runs without a record'
+            'adopt',
+            report.task,
+            host=host,
+            reason='running task unknown to this owner',
         )
         if state.must_stop(report):
             yield StopTask(host, report.task)
@@ -188,18 +191,20 @@
 
 @EVENT_HANDLERS.register(HostSilent)
 def note_silence(state: ShardState, event: HostSilent, now: int) -> Actions:
-    """Stop placing on a host that does not answer."""
+    """Exclude a host whose worker does not answer from placement."""
     entry = state.hosts.get(event.host)
     if entry is None or entry.silent_since:
         return
     state.update_host(event.host, silent_since=now)
     update_openness(state, event.host)
-    yield LogDecision('silent', '', host=event.host, reason='no answer')
+    yield LogDecision(
+        'silent', '', host=event.host, reason='worker did not answer'
+    )
 
 
 @EVENT_HANDLERS.register(HostListed)
 def note_host_list(state: ShardState, event: HostListed, now: int) -> Actions:
-    """Stop placing on hosts that the platform lists as leaving."""
+    """Exclude hosts that the platform lists as leaving from placement."""
     for name, entry in list(state.hosts.items()):
         listed = name in event.leaving
         if listed == entry.listed_leaving:
@@ -210,26 +215,26 @@
             'leaving' if listed else 'staying',
             '',
             host=name,
-            reason='platform host list',
+            reason='reported by the platform host list',
         )
 
 
 @EVENT_HANDLERS.register(StartAnswered)
 def note_start(state: ShardState, event: StartAnswered, now: int) -> Actions:
-    """Note a worker's answer to a start."""
+    """Process a worker's answer to a start."""
     task = state.tasks.get(event.task)
     if task is None:
         return
     reply = event.reply
     if reply.status is StartStatus.REFUSED:
-        fate = AttemptFate.REFUSED
+        fate = AttemptStatus.REFUSED
         if reply.incarnation != task.incarnation and task.phase in (
             TaskPhase.SENT,
             TaskPhase.RUNNING,
         ):
             # An earlier send of the same start may have run before the
             # worker restarted.
-            fate = AttemptFate.LAPSED
+            fate = AttemptStatus.LAPSED
         yield from close_task(state, task, fate, reply.reason, now)
         return
     if reply.status is StartStatus.ENDED and reply.ended is not None:
@@ -242,7 +247,10 @@
 def note_lost_start(
     state: ShardState, event: StartUnanswered, now: int
 ) -> Actions:
-    """Keep a task whose start may have taken effect; a sync settles it."""
+    """Keep a task whose start may have taken effect.
+
+    A later sync shows whether it runs.
+    """
     task = state.tasks.get(event.task)
     if task is None or task.phase is TaskPhase.RUNNING:
         return
@@ -262,20 +270,22 @@
 def note_unsent_start(
     state: ShardState, event: StartNotSent, now: int
 ) -> Actions:
-    """Give up a task whose start never left this process."""
+    """Give up a task whose start was never sent."""
     task = state.tasks.get(event.task)
     if task is None or task.phase is not TaskPhase.PLANNED:
         return
-    yield from close_task(state, task, AttemptFate.NOT_SENT, event.reason, now)
+    yield from close_task(
+        state, task, AttemptStatus.NOT_SENT, event.reason, now
+    )
 
 
 def lapse_hosts(state: ShardState, now: int) -> Actions:
-    """Give up the tasks of hosts whose leases have certainly lapsed."""
+    """Give up the tasks of hosts whose leases have certainly expired."""
     for name, entry in list(state.hosts.items()):
         if entry.lapsed or now < find_host_lapse(entry):
             continue
         state.update_host(name, lapsed=True)
-        yield LogDecision('lapse', '', host=name, reason='leases lapsed')
+        yield LogDecision('lapse', '', host=name, reason='leases expired')
         for task_id in list(state.index.list_reservations(name)):
             task = state.tasks.get(task_id)
             if (
@@ -285,16 +295,18 @@
             ):
                 continue
             yield from close_task(
-                state, task, AttemptFate.LAPSED, 'lease lapsed', now
+                state, task, AttemptStatus.LAPSED, 'lease expired', now
             )
 
 
 def find_host_lapse(entry: HostEntry) -> int:
-    """Return the owner's time from which nothing can run on a host.
+    """Return the owner's time from which no task can run on a host.
 
-    A host that answers always has a lapse time in the future, since each
-    answer brings a newer reading.
+    For a host that answers it stays in the future, since each answer brings
+    a newer clock reading.
     """
     if entry.reading is None:
         return entry.lapse_at
-    return find_lapse_time(entry.reading.clock + LEASE_MS, entry.reading)
+    return compute_task_lease_expiry(
+        entry.reading.clock + LEASE_MS, entry.reading
+    )
--- a/tests/dispatch/drivers.py
+++ b/tests/dispatch/drivers.py
@@ -4,8 +4,8 @@
 from sassafrasgate.core.workers import Registration
 from sassafrasgate.core.workflows import EndedRun
 from sassafrasgate.core.workflows import EndKind
-from sassafrasgate.core.workflows import RunAnswer
 from sassafrasgate.core.workflows import RunningRun
+from sassafrasgate.core.workflows import RunReply
 from sassafrasgate.core.workflows import WorkerReport
 from sassafrasgate.core.workflows import Workflow
 from sassafrasgate.dispatch.actions import StartRun
@@ -18,7 +18,7 @@
 from sassafrasgate.dispatch.state import DispatchState
 from sassafrasgate.dispatch.transitions import decide
 from sassafrasgate.protocol.workflows import SubmitWorkflow
-from sassafrasgate.shards.actions import Persist
+from sassafrasgate.shards.actions import AppendRecord
 from sassafrasgate.shards.actions import Reply
 from sassafrasgate.shards.events import RecordsDurable
 from sassafrasgate.shards.events import RequestReceived
@@ -70,7 +70,9 @@
     def _decide(self, event):
         actions = decide(self.state, event, self.now, WALL_MS + self.now)
         yield from actions
-        records = tuple(a.record for a in actions if isinstance(a, Persist))
+        records = tuple(
+            a.record for a in actions if isinstance(a, AppendRecord)
+        )
         if records:
             yield from self._decide(RecordsDurable(records))
 
@@ -94,7 +96,7 @@
 
     def answer(self, refusal=None):
         """Return a worker's answer to a start."""
-        return RunAnswer(self.now, refusal)
+        return RunReply(self.now, refusal)
 
     def report(self, worker, ended=(), incarnation_ms=INCARNATION_MS, load=0):
         """Let a worker report; ``ended`` has pairs of run and end."""
