Rename the internals of the job queue and reword its texts

Cause: names such as lane, shape that is parked, looked at and URGENCY are private to this module or figurative.

Tests are named after the behaviour that they check; rules of the state machine keep their order.

--- a/tests/placement/test_queues.py
+++ b/tests/placement/test_queues.py
@@ -1,4 +1,4 @@
-"""Guards the order of the queue, and that no job blocks the others."""
+"""Tests the order of queued jobs, and that no job blocks the others."""
 
 from hypothesis import settings
 from hypothesis.stateful import initialize
@@ -11,14 +11,14 @@
 from sassafrasgate.core.cells import Team
 from sassafrasgate.core.jobs import JobClass
 from sassafrasgate.core.resources import Resources
+from sassafrasgate.placement.queues import CLASS_ORDER
 from sassafrasgate.placement.queues import JobQueue
 from sassafrasgate.placement.queues import MAX_REFUSALS
-from sassafrasgate.placement.queues import URGENCY
 from tests.placement.builders import make_spec
 
 
-def start_all(queue, now=0, fits=lambda spec: True, reserved=None):
-    """Run one pass; return the jobs that were offered."""
+def start_fitting_jobs(queue, now=0, fits=lambda spec: True, reserved=None):
+    """Run one pass and start the jobs that fit; return all offered jobs."""
     offered = []
     for job in queue.begin_pass(now, reserved or {}):
         offered.append(job)
@@ -28,7 +28,7 @@
 
 
 class QueueMachine(RuleBasedStateMachine):
-    """Compares the queue with a dictionary."""
+    """Compares the queue with a dictionary of the same jobs."""
 
     @initialize()
     def start(self):
@@ -77,7 +77,7 @@
 
     @rule(cores=integers(0, 4), memory=integers(0, 4), limit=integers(0, 9))
     def run_pass(self, cores, memory, limit):
-        """Start at most ``limit`` jobs, each only if it is small enough."""
+        """Run a pass and start at most ``limit`` jobs, those that fit."""
         room = Resources(cores, memory)
         offered = []
         started = 0
@@ -95,7 +95,7 @@
                 assert self.is_expired(job_id) or not spec.demand.fits_in(room)
 
     @rule(count=integers(0, 3))
-    def break_off_pass(self, count):
+    def begin_and_abandon_pass(self, count):
         for _, job in zip(
             range(count), self.queue.begin_pass(self.now), strict=False
         ):
@@ -120,7 +120,7 @@
         for team in 'abc':
             keys = [
                 (
-                    URGENCY[job.spec.job_class],
+                    CLASS_ORDER[job.spec.job_class],
                     -job.spec.priority,
                     job.expires_at,
                     job.queued_at,
@@ -137,7 +137,7 @@
 TestQueueMachine = QueueMachine.TestCase
 
 
-def test_starts_follow_the_weights():
+def test_started_jobs_are_proportional_to_team_weights():
     queue = JobQueue([Team('a', 3), Team('b', 1)])
     for number in range(400):
         queue.add(f'a{number}', make_spec(team='a'), 0)
@@ -149,31 +149,33 @@
     assert 148 <= offered.count('a') <= 152
 
 
-def test_team_with_running_work_goes_after_an_idle_one():
-    queue = JobQueue(total=Resources(100, 100, 0, 10, 10))
+def test_team_with_reservations_is_offered_after_an_idle_one():
+    queue = JobQueue(capacity=Resources(100, 100, 0, 10, 10))
     queue.add('a1', make_spec(team='a'), 0)
     queue.add('b1', make_spec(team='b'), 0)
     reserved = {'a': Resources(50)}
-    offered = start_all(queue, reserved=reserved)
+    offered = start_fitting_jobs(queue, reserved=reserved)
     assert [job.job_id for job in offered] == ['b1', 'a1']
 
 
-def test_refused_demand_skips_equal_and_larger_ones_only():
+def test_refusal_skips_only_jobs_with_equal_or_larger_demand():
     queue = JobQueue()
     for number in range(100):
         demand = Resources(5000 + number, 1024, 0, 1, 1)
         queue.add(f'large{number}', make_spec(demand=demand), 0)
     queue.add('small', make_spec(), 0)
-    offered = start_all(queue, fits=lambda spec: spec.demand.millicores < 5000)
+    offered = start_fitting_jobs(
+        queue, fits=lambda spec: spec.demand.millicores < 5000
+    )
     assert [job.job_id for job in offered] == ['large0', 'small']
 
 
-def test_refused_team_does_not_speak_for_others():
-    # The same demand of another team may fall under other rules.
+def test_refusal_of_one_team_skips_no_jobs_of_other_teams():
+    # Other rules may apply to another team with the same demand.
     queue = JobQueue()
     for team in 'abc':
         queue.add(team, make_spec(team=team), 0)
-    offered = start_all(queue, fits=lambda spec: spec.team != 'a')
+    offered = start_fitting_jobs(queue, fits=lambda spec: spec.team != 'a')
     assert {job.job_id for job in offered} == {'a', 'b', 'c'}
 
 
@@ -187,11 +189,11 @@
         offered.append(job.job_id)
         queue_pass.skip_team('a')
     assert offered == ['a1']
-    assert len(start_all(queue)) == 2
+    assert len(start_fitting_jobs(queue)) == 2
 
 
-def test_a_pass_is_bounded_and_the_next_one_goes_on():
-    # Demands that do not cover each other can't be skipped as equal.
+def test_number_of_refusals_is_limited_and_the_next_pass_continues():
+    # No demand includes another one, so no job is skipped after a refusal.
     queue = JobQueue()
     count = 3 * MAX_REFUSALS
     for number in range(count):
@@ -200,20 +202,22 @@
     queue.add('last', make_spec(priority=-1), 0)
     seen = []
     for _ in range(4):
-        offered = start_all(queue, fits=lambda spec: spec.priority < 0)
+        offered = start_fitting_jobs(
+            queue, fits=lambda spec: spec.priority < 0
+        )
         assert len(offered) <= MAX_REFUSALS + 1
         seen += [job.job_id for job in offered]
     assert 'last' in seen
     assert len(set(seen)) == count + 1
 
 
-def test_a_team_with_many_misfits_does_not_use_up_the_pass_of_others():
+def test_team_with_many_refusals_does_not_use_up_the_pass_of_others():
     queue = JobQueue([Team('a', 100)])
     for number in range(3 * MAX_REFUSALS):
         demand = Resources(5000 + number, 9000 - number)
         queue.add(f'j{number}', make_spec(demand=demand, team='a'), 0)
     queue.add('b', make_spec(team='b'), 0)
-    offered = start_all(
+    offered = start_fitting_jobs(
         queue,
         fits=lambda spec: spec.team == 'b',
         reserved={'b': Resources(1, 1, 0, 1, 1)},
@@ -222,24 +226,26 @@
     assert len(offered) <= MAX_REFUSALS + 1
 
 
-def test_cancelled_jobs_do_not_pile_up():
+def test_entries_of_cancelled_jobs_are_deleted():
     queue = JobQueue()
     queue.add('kept', make_spec(), 0)
     for number in range(5000):
         queue.add(f'j{number}', make_spec(deadline_s=900.0), 0)
     for number in range(5000):
         assert queue.remove(f'j{number}')
-    assert queue.count_stored() < 500
-    assert [job.job_id for job in start_all(queue)] == ['kept']
+    assert queue.count_entries() < 500
+    assert [job.job_id for job in start_fitting_jobs(queue)] == ['kept']
 
 
-def test_a_pass_that_ends_at_its_bound_is_not_followed_by_an_empty_one():
+def test_pass_after_one_that_reached_its_limit_is_not_empty():
     queue = JobQueue()
     for number in range(MAX_REFUSALS):
         demand = Resources(5000 + number, 9000 - number)
         queue.add(f'j{number}', make_spec(demand=demand), 0)
-    assert len(start_all(queue, fits=lambda spec: False)) == MAX_REFUSALS
-    assert len(start_all(queue)) == MAX_REFUSALS
+    assert (
+        len(start_fitting_jobs(queue, fits=lambda spec: False)) == MAX_REFUSALS
+    )
+    assert len(start_fitting_jobs(queue)) == MAX_REFUSALS
 
 
 def test_order_holds_after_the_first_of_equal_jobs_is_cancelled():
@@ -248,12 +254,15 @@
     queue.add('last', make_spec(priority=-1), 0)
     queue.add('middle', make_spec(demand=Resources(2, 2)), 0)
     queue.remove('first')
-    assert [job.job_id for job in start_all(queue)] == ['middle', 'last']
+    assert [job.job_id for job in start_fitting_jobs(queue)] == [
+        'middle',
+        'last',
+    ]
 
 
-def test_pass_that_was_broken_off_hides_no_job_from_the_next():
-    # A caller that stops early left refused shapes parked, so the next
-    # pass did not offer a job that fitted by then.
+def test_jobs_refused_in_an_abandoned_pass_are_offered_in_the_next():
+    # When the caller ended a pass early, refused shapes used to stay
+    # deferred, and the next pass did not offer a job that fitted by then.
     queue = JobQueue()
     queue.add('large', make_spec(demand=Resources(1, 2)), 0)
     queue.add('small', make_spec(demand=Resources(1, 1)), 0)
