--- a/sassafrasgate/daemons/dispatcher.py
+++ b/sassafrasgate/daemons/dispatcher.py
@@ -37,7 +37,7 @@
 from sassafrasgate.daemons.snapshots import SnapshotSchedule
 from sassafrasgate.daemons.workers import WorkerTask
 from sassafrasgate.dispatch.actions import ChangeHoldWait
-from sassafrasgate.dispatch.actions import Note
+from sassafrasgate.dispatch.actions import LogEvent
 from sassafrasgate.dispatch.events import AdviceAnswered
 from sassafrasgate.dispatch.events import AdviceFailed
 from sassafrasgate.dispatch.events import JournalStalled
@@ -45,21 +45,21 @@
 from sassafrasgate.dispatch.events import PassDue
 from sassafrasgate.dispatch.events import PeersChanged
 from sassafrasgate.dispatch.events import TableChanged
-from sassafrasgate.dispatch.leases import find_grant_bound
+from sassafrasgate.dispatch.hold_waits import NORMAL_HOLD_WAIT_MS
+from sassafrasgate.dispatch.leases import compute_worker_lease_expiry
 from sassafrasgate.dispatch.recovery import begin_ownership
-from sassafrasgate.dispatch.recovery import list_earlier_owners
-from sassafrasgate.dispatch.recovery import list_records
+from sassafrasgate.dispatch.recovery import list_previous_owners
+from sassafrasgate.dispatch.recovery import list_snapshot_records
 from sassafrasgate.dispatch.recovery import replay_records
-from sassafrasgate.dispatch.registrations import watch_known_workers
+from sassafrasgate.dispatch.registrations import watch_recorded_workers
 from sassafrasgate.dispatch.state import DispatchState
 from sassafrasgate.dispatch.transitions import decide
-from sassafrasgate.dispatch.waits import CALM_WAIT_MS
 from sassafrasgate.journal.records import encode_records
 from sassafrasgate.journal.records import Takeover
 from sassafrasgate.journal.ring_buffer import Journal
 from sassafrasgate.journal.ring_buffer import load_journal
 from sassafrasgate.journal.ring_buffer import LoadedJournal
-from sassafrasgate.journal.workflows import Released
+from sassafrasgate.journal.workflows import ShardReleased
 from sassafrasgate.observability.clocks import now_ms
 from sassafrasgate.observability.clocks import wall_ms
 from sassafrasgate.observability.logs import log_facts
@@ -77,7 +77,7 @@
 from sassafrasgate.shards.events import StopRequested
 from sassafrasgate.shards.events import Ticked
 from sassafrasgate.shards.events import WithdrawalAnswered
-from sassafrasgate.shards.ownership import may_send
+from sassafrasgate.shards.ownership import may_send_commands
 from sassafrasgate.shards.ownership import OwnerLease
 
 if TYPE_CHECKING:
@@ -100,8 +100,8 @@
 # Journal entries that are written concurrently. With several in flight, a
 # record waits for at most one slow store call.
 JOURNAL_DEPTH = 4
-# A scheduling pass over many waiting steps takes milliseconds. After each
-# pass, events are handled for this multiple of its duration.
+# A scheduling pass over many waiting steps takes milliseconds. The pause
+# before the next one is this multiple of its duration, for events.
 PASS_REST = 2.0
 # Events that are handled between two checks for a due scheduling pass.
 BATCH_EVENTS = 64
@@ -240,7 +240,7 @@
             group.start_soon(self._run_journal, writer)
             group.start_soon(self._tick)
             group.start_soon(self.services.follow_workers, self.events)
-            await self._carry_out(watch_known_workers(self.state))
+            await self._carry_out(watch_recorded_workers(self.state))
             await self._serve()
             if not self._given_up:
                 await self._hand_over(journal, release)
@@ -288,15 +288,15 @@
         begin_ownership(self.state)
         self._request_snapshot()
         self.log(
-            Note(
+            LogEvent(
                 'takeover',
                 '',
                 (
                     ('jobs', len(self.state.jobs)),
                     ('records', len(loaded.records)),
-                    ('workers', len(self.state.known_workers)),
-                    ('unsettled', len(self.state.unsettled)),
-                    ('released', self.state.released_ms >= 0),
+                    ('workers', len(self.state.recorded_workers)),
+                    ('unsettled', len(self.state.unreconciled_workers)),
+                    ('released', self.state.handover_lease_ms >= 0),
                     ('read_ms', read_ms),
                     ('replayed_ms', replayed_ms),
                     ('took_ms', now_ms() - began),
@@ -387,7 +387,7 @@
 
     def _find_pass_delay(self) -> float:
         """Return the seconds until the next scheduling pass is due."""
-        if not self.state.dirty or not self._may_act():
+        if not self.state.needs_pass or not self._may_act():
             return inf
         return max(0.0, self._next_pass - perf_counter())
 
@@ -463,16 +463,19 @@
         await self._step(JournalStalled(stalled))
 
     async def _note_ended_owners(self) -> None:
-        if not self.state.unsettled or self.state.shortened:
+        if (
+            not self.state.unreconciled_workers
+            or self.state.previous_owners_ended
+        ):
             return
-        earlier = list_earlier_owners(self.state)
+        earlier = list_previous_owners(self.state)
         if all(self.services.has_ended(owner) for owner in earlier):
             await self._step(OwnersEnded())
 
     def _may_act(self) -> bool:
-        """Tell whether the lease and its grace still exclude other owners."""
+        """Tell whether the lease or its outage grace still allows to act."""
         lease = self._lease
-        return may_send(lease, now_ms(), lease.ttl_ms, lease.grace_ms)
+        return may_send_commands(lease, now_ms(), lease.ttl_ms, lease.grace_ms)
 
     def _describe_loss(self) -> Refused:
         return Refused(
@@ -484,7 +487,7 @@
     def _request_snapshot(self) -> None:
         if self._snapshots.is_due():
             self._journal_box.send_nowait(
-                WriteSnapshot(tuple(list_records(self.state)))
+                WriteSnapshot(tuple(list_snapshot_records(self.state)))
             )
 
     def _is_drained(self) -> bool:
@@ -499,7 +502,9 @@
         workers, but workers may still carry out calls that were sent
         earlier.
         """
-        released = Released(find_grant_bound(0, CALM_WAIT_MS))
+        released = ShardReleased(
+            compute_worker_lease_expiry(0, NORMAL_HOLD_WAIT_MS)
+        )
         try:
             position = await journal.export_position()
         except (StoreError, ShardLostError):
@@ -508,7 +513,7 @@
             return
         message = HandOver(
             self.shard,
-            encode_records((*list_records(self.state), released)),
+            encode_records((*list_snapshot_records(self.state), released)),
             position.next_sequence,
             position.slot_revision,
             position.snapshot_sequence,
@@ -612,8 +617,8 @@
             inbox,
             self.events,
             self._lease,
-            self.state.hold_wait_ms or CALM_WAIT_MS,
-            action.lives,
+            self.state.hold_wait_ms or NORMAL_HOLD_WAIT_MS,
+            action.restarts,
         )
         self._group.start_soon(task.run)
 
@@ -648,12 +653,14 @@
             action.workers,
             action.expected_ms + ADVICE_MARGIN_MS,
         )
-        answer = await self.services.request_advice(action.lane, question)
+        answer = await self.services.request_advice(
+            action.entry_host, question
+        )
         if isinstance(answer, AdviceGiven):
             await self.events.send(
                 AdviceAnswered(
                     action.step,
-                    action.lane,
+                    action.entry_host,
                     action.workers,
                     Advice(answer.tickets, answer.valid_ms),
                     now_ms(),
@@ -662,14 +669,16 @@
             return
         reason = getattr(answer, 'reason', repr(answer))
         await self.events.send(
-            AdviceFailed(action.step, action.lane, action.workers, reason)
+            AdviceFailed(
+                action.step, action.entry_host, action.workers, reason
+            )
         )
 
     def _observe_append(self, seconds: float) -> None:
         self._failing_since = 0
         self.services.metrics.observe(APPEND_SECONDS, seconds)
 
-    def log(self, action: Note) -> None:
+    def log(self, action: LogEvent) -> None:
         """Log a decision and count it."""
         self.services.metrics.count(DECISIONS, action.kind)
         log_facts(
@@ -677,7 +686,7 @@
             action.kind,
             (
                 ('job', action.job),
-                *action.facts,
+                *action.fields,
                 ('epoch', self.state.epoch),
             ),
         )
--- a/sassafrasgate/placement/index.py
+++ b/sassafrasgate/placement/index.py
@@ -9,7 +9,7 @@
 
 from sassafrasgate.core.errors import SassafrasgateError
 from sassafrasgate.core.errors import UnknownNameError
-from sassafrasgate.core.resources import NOTHING
+from sassafrasgate.core.resources import NO_RESOURCES
 from sassafrasgate.core.resources import Resources
 from sassafrasgate.placement.scores import compute_mean_share
 
@@ -68,8 +68,8 @@
         # With a few hundred hosts, bisection in a plain list is faster than
         # a tree or nested lists, although an insertion moves the tail.
         self._orders: dict[str, list[tuple[float, str]]] = {}
-        self._total = NOTHING
-        self._largest = NOTHING
+        self._total = NO_RESOURCES
+        self._largest = NO_RESOURCES
         self._hosts_view = MappingProxyType(self._hosts)
         self._open_view = MappingProxyType(self._open)
 
@@ -137,7 +137,7 @@
         free = self._closed.pop(name)
         self._open[name] = free
         insort(self._find_order(name), (self.compute_mean_share(free), name))
-        self._total = self._total + free.cover(NOTHING)
+        self._total = self._total + free.take_maximum(NO_RESOURCES)
 
     def is_open(self, name: str) -> bool:
         """Tell whether a host accepts new tasks."""
@@ -172,8 +172,8 @@
             When the host is unknown.
         """
         self._check_known(name)
-        held = self._tasks[name].get(task, NOTHING)
-        self._set_reservation(name, task, held.cover(demand), force)
+        held = self._tasks[name].get(task, NO_RESOURCES)
+        self._set_reservation(name, task, held.take_maximum(demand), force)
         self._first.setdefault((name, task), demand)
 
     def resize(
@@ -196,7 +196,7 @@
         self._check_known(name)
         if task not in self._tasks[name]:
             raise UnknownNameError('task', task, tuple(self._tasks[name]))
-        amount = demand.cover(self._first[name, task])
+        amount = demand.take_maximum(self._first[name, task])
         self._set_reservation(name, task, amount, force)
 
     def release(self, name: str, task: str) -> bool:
@@ -296,9 +296,9 @@
         The amounts may belong to different hosts: a demand that exceeds
         them fits on no host, but one within them may fit on no host either.
         """
-        largest = NOTHING
+        largest = NO_RESOURCES
         for free in self._open.values():
-            largest = largest.cover(free)
+            largest = largest.take_maximum(free)
         return largest
 
     def _check_known(self, name: str) -> None:
@@ -326,7 +326,7 @@
 
     def _raise_largest(self, capacity: Resources) -> None:
         """Sort all hosts again if the largest capacity grows."""
-        largest = self._largest.cover(capacity)
+        largest = self._largest.take_maximum(capacity)
         if largest == self._largest:
             return
         self._largest = largest
@@ -344,21 +344,21 @@
             return
         self._closed[name] = free
         self._remove_from_order(name, free)
-        self._total = self._total - free.cover(NOTHING)
+        self._total = self._total - free.take_maximum(NO_RESOURCES)
 
     def _set_reservation(
         self, name: str, task: str, amount: Resources, force: bool
     ) -> None:
         tasks = self._tasks[name]
-        held = tasks.get(task, NOTHING)
+        held = tasks.get(task, NO_RESOURCES)
         growth = amount - held
         free = self.find_free(name)
         # Only resources that increase need room: where recovery overcommitted
         # other resources of the host, reservations must remain changeable.
-        if not force and not growth.fits_in(free.cover(NOTHING)):
+        if not force and not growth.fits_in(free.take_maximum(NO_RESOURCES)):
             raise NoRoomError(name, task, growth, free)
         tasks[task] = amount
-        self._change_free(name, NOTHING - growth)
+        self._change_free(name, NO_RESOURCES - growth)
 
     def _change_free(self, name: str, change: Resources) -> None:
         free = self._open.get(name)
@@ -371,11 +371,13 @@
         insort(
             self._find_order(name), (self.compute_mean_share(changed), name)
         )
-        if NOTHING.fits_in(free) and NOTHING.fits_in(changed):
+        if NO_RESOURCES.fits_in(free) and NO_RESOURCES.fits_in(changed):
             self._total = self._total + change
             return
         self._total = (
-            self._total + changed.cover(NOTHING) - free.cover(NOTHING)
+            self._total
+            + changed.take_maximum(NO_RESOURCES)
+            - free.take_maximum(NO_RESOURCES)
         )
 
     def _forget_if_empty(self, name: str) -> None:
--- a/sassafrasgate/placement/queues.py
+++ b/sassafrasgate/placement/queues.py
@@ -15,7 +15,7 @@
 
 from sassafrasgate.core.jobs import JobClass
 from sassafrasgate.core.jobs import JobSpec
-from sassafrasgate.core.resources import NOTHING
+from sassafrasgate.core.resources import NO_RESOURCES
 from sassafrasgate.core.resources import Resources
 from sassafrasgate.placement.scores import compute_dominant_share
 
@@ -231,7 +231,7 @@
     """
 
     def __init__(
-        self, teams: Iterable[Team] = (), capacity: Resources = NOTHING
+        self, teams: Iterable[Team] = (), capacity: Resources = NO_RESOURCES
     ) -> None:
         self._jobs: dict[str, QueuedJob] = {}
         self._stages: tuple[dict[str, _TeamQueue], dict[str, _TeamQueue]] = (
@@ -437,7 +437,7 @@
         self._now = now
         self._shares = {
             team: compute_dominant_share(
-                reserved.get(team, NOTHING), queue._capacity
+                reserved.get(team, NO_RESOURCES), queue._capacity
             )
             / queue._get_weight(team)
             for team in queue._team_counts
--- a/sassafrasgate/placement/sizing.py
+++ b/sassafrasgate/placement/sizing.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 from sassafrasgate.core.jobs import JobClass
-from sassafrasgate.core.resources import NOTHING
+from sassafrasgate.core.resources import NO_RESOURCES
 from sassafrasgate.core.resources import Resources
 
 if TYPE_CHECKING:
@@ -81,7 +81,7 @@
             int(spec.demand.millicores * factors[0]),
             int(spec.demand.memory_mb * factors[1]),
         )
-        return spec.demand.cover(learned)
+        return spec.demand.take_maximum(learned)
 
 
 class OveruseStep(StrEnum):
@@ -179,14 +179,14 @@
         OveruseAction(
             task.task,
             OveruseStep.RESIZE,
-            task.reserved.cover(task.used),
+            task.reserved.take_maximum(task.used),
             f'uses {task.used!r}',
         )
         for task in granted
     ]
     shortfall = _sum_excess(missing) - free_after(free, granted)
     for task in missing:
-        if shortfall.fits_in(NOTHING):
+        if shortfall.fits_in(NO_RESOURCES):
             break
         shortfall = shortfall - find_excess(task)
         if step := _choose_step(task, now):
@@ -204,7 +204,7 @@
 
 def find_excess(task: ReservationUsage) -> Resources:
     """Return the usage of a task beyond its reservation."""
-    return task.reserved.cover(task.used) - task.reserved
+    return task.reserved.take_maximum(task.used) - task.reserved
 
 
 def free_after(
@@ -213,7 +213,7 @@
     """Return what stays free after granting excess usage, at least zero."""
     for task in granted:
         free = free - find_excess(task)
-    return free.cover(NOTHING)
+    return free.take_maximum(NO_RESOURCES)
 
 
 def _rank(task: ReservationUsage) -> tuple[int, int, str]:
@@ -238,7 +238,7 @@
 
 
 def _sum_excess(tasks: Iterable[ReservationUsage]) -> Resources:
-    total = NOTHING
+    total = NO_RESOURCES
     for task in tasks:
         total = total + find_excess(task)
     return total
