--- a/sassafrasgate/dispatch/actions.py
+++ b/sassafrasgate/dispatch/actions.py
@@ -1,6 +1,6 @@
-"""What the dispatcher wants done; the output of its decisions.
+"""Actions of the dispatcher: the output of its decisions.
 
-`AppendRecord`, `Reply` and `StepDown` are those of
+`AppendRecord`, `WithdrawRecords`, `Reply` and `StepDown` come from
 `sassafrasgate.shards.actions`.
 """
 
@@ -15,13 +15,15 @@
 
 @dataclass(frozen=True, slots=True)
 class WatchWorker:
-    """Keep in touch with a worker from now on, or under a new address.
+    """Begin to poll a worker, or poll it at a new address.
 
     Parameters
     ----------
+    registration : Registration
+        Entry of the worker in the store.
     restarts : int
-        Where the count of the worker's restarts begins; higher than for
-        any earlier action about the worker.
+        Initial value for the count of the worker's restarts; higher than in
+        any previous action for this worker.
     """
 
     registration: Registration
@@ -30,14 +32,26 @@
 
 @dataclass(frozen=True, slots=True)
 class ForgetWorker:
-    """End all calls to a worker."""
+    """Stop all calls to a worker."""
 
     worker: str
 
 
 @dataclass(frozen=True, slots=True)
 class StartRun:
-    """Start a run on its worker."""
+    """Start a run on a worker.
+
+    Parameters
+    ----------
+    payload : str
+        Description of the job, as submitted.
+    checkpoint : str
+        Checkpoint to resume from; empty for none.
+    ticket : str
+        Token from the advice service; empty if the queue needs none.
+    incarnation_ms : int
+        Incarnation of the worker for which the run is planned.
+    """
 
     worker: str
     run: RunKey
@@ -49,7 +63,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StopRun:
-    """End a run, or keep it from starting."""
+    """Stop a run, or prevent it from starting."""
 
     worker: str
     run: RunKey
@@ -57,7 +71,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PaceRun:
-    """Let a run work at a share of its speed, from 0 to 100 percent."""
+    """Set the pace of a run, from 0 to 100 percent of its full speed."""
 
     worker: str
     run: RunKey
@@ -66,12 +80,14 @@
 
 @dataclass(frozen=True, slots=True)
 class AcknowledgeEnds:
-    """Let a worker forget its ends up to a number.
+    """Allow a worker to drop ended runs from its list.
 
     Parameters
     ----------
     incarnation_ms : int
-        The incarnation whose list is meant.
+        Incarnation of the worker that the list belongs to.
+    number : int
+        Number of the last entry that may be dropped.
     """
 
     worker: str
@@ -81,7 +97,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ChangeHoldWait:
-    """Let looks at all workers wait so long for news, in ms."""
+    """Change how long workers may hold a hold call open, in ms."""
 
     wait_ms: int
 
@@ -92,10 +108,12 @@
 
     Parameters
     ----------
+    workers : tuple of str
+        Workers to ask about.
     entry_host : str
-        Entry host that is to make the call.
+        Entry host that makes the call.
     expected_ms : int
-        How long the answer is expected to take, with the calls before it.
+        Expected time until the response, including queued calls before it.
     """
 
     step: StepKey
@@ -106,16 +124,16 @@
 
 @dataclass(frozen=True, slots=True)
 class LogEvent:
-    """One line for the decision log.
+    """Write one line of the decision log.
 
     Parameters
     ----------
     kind : str
-        What was decided, such as 'start', 'hold' or 'end'.
+        Kind of the decision, such as 'start', 'stop' or 'end'.
     job : str
-        Job or task id; empty for decisions about workers.
+        Id of the job or task; empty for decisions about workers.
     fields : tuple of (str, object)
-        Inputs of the decision, their age, and the outcome.
+        Names and values of the decision's inputs and outcome.
     """
 
     kind: str
--- a/sassafrasgate/dispatch/advice.py
+++ b/sassafrasgate/dispatch/advice.py
@@ -1,8 +1,8 @@
-"""Which steps to ask advice for, about which workers, from which host.
+"""Calls to the advice service, which says which workers may run a step.
 
 The service answers one call at a time for each host that calls it, so calls
-are spread. Short calls stay on the owner; long ones go to other hosts, where
-they keep no short call waiting.
+are distributed over the entry hosts. Short calls are made by the owner's
+host. Long calls go to other hosts, so that they don't delay short ones.
 """
 
 from __future__ import annotations
@@ -28,34 +28,34 @@
     from sassafrasgate.dispatch.state import DispatchState
     from sassafrasgate.dispatch.state import StepKey
 
-# Most workers that one call may name.
 MAX_WORKERS_PER_CALL = 100
-# A call that takes longer is not made by the owner while it has peers.
+# A longer call is not made by the owner's host if there are other entry hosts.
 LONG_CALL_MS = 60
-# Time for a message to another entry host and back, and to the service.
+# Time for a message to another entry host and its reply, and the same for the
+# service.
 PEER_ROUND_TRIP_MS = 15
 SERVICE_ROUND_TRIP_MS = 8
-# Calls are not queued behind others for longer than this; the step asks
-# again when a host is free.
+# A call is not made if it would have to wait longer than this for other calls
+# of its host. The step asks again in a later pass.
 MAX_BACKLOG_MS = 1_200
-# A ticket must last for the way to the worker.
+# A ticket must remain valid until the start call reaches the worker.
 TICKET_MARGIN_MS = 80
-# A failed call is repeated after this time, doubled with each failure.
+# Delay before a failed call is repeated; it doubles with each failure.
 INITIAL_RETRY_MS = 100
 MAX_RETRY_MS = 1_000
-# A call without an answer counts as lost after this long past its time.
+# A call counts as lost when it is overdue by this time.
 LOST_MS = 1_000
 
 
 def is_ticket_valid(ticket: Ticket, incarnation_ms: int, now: int) -> bool:
-    """Tell whether a ticket will be valid when a start arrives.
+    """Return whether a ticket will be valid when a start call arrives.
 
     Parameters
     ----------
     incarnation_ms : int
-        The worker's present incarnation.
+        Current incarnation of the worker.
     now : int
-        Owner's clock.
+        Owner's clock, in ms.
     """
     if incarnation_ms != ticket.incarnation_ms:
         return False
@@ -63,7 +63,11 @@
 
 
 def may_ask_advice(state: DispatchState, key: StepKey) -> bool:
-    """Tell whether a call about a step may be made now."""
+    """Return whether the advice service may be asked about a step now.
+
+    It may not while a call is pending, or before the retry delay of a failed
+    call has passed.
+    """
     advice = state.advice.get(key)
     if advice is None:
         return True
@@ -81,7 +85,10 @@
     timing: AdviceTiming,
     workers: Iterable[str],
 ) -> Actions:
-    """Ask about workers, unless every host is busy for too long."""
+    """Ask the advice service about workers for a step.
+
+    No call is made if every entry host is busy for too long.
+    """
     named = tuple(workers)[:MAX_WORKERS_PER_CALL]
     if not named:
         return
@@ -104,7 +111,13 @@
 
 
 def estimate_call_ms(timing: AdviceTiming, workers: int) -> int:
-    """Return how long a call about some workers takes, in ms."""
+    """Return the expected duration of a call about some workers, in ms.
+
+    Parameters
+    ----------
+    workers : int
+        Number of workers that the call asks about.
+    """
     return (
         int(timing.decide_ms + timing.each_ms * workers)
         + SERVICE_ROUND_TRIP_MS
@@ -114,7 +127,7 @@
 def _choose_channel(
     state: DispatchState, call_ms: int
 ) -> AdviceChannel | None:
-    """Return the host that can answer first; None when all are too busy."""
+    """Return the channel that is free first, or None if all are too busy."""
     best: AdviceChannel | None = None
     best_at = state.now + MAX_BACKLOG_MS
     for number, channel in enumerate(state.advice_channels.values()):
@@ -131,7 +144,7 @@
 
 @EVENT_HANDLERS.register(PeersChanged)
 def handle_peers_change(state: DispatchState, event: PeersChanged) -> Actions:
-    """Keep one channel for each entry host."""
+    """Update the channels to one for each entry host."""
     state.advice_channels = {
         name: state.advice_channels.get(name, AdviceChannel(name))
         for name in event.names
@@ -141,7 +154,11 @@
 
 @EVENT_HANDLERS.register(AdviceAnswered)
 def handle_advice(state: DispatchState, event: AdviceAnswered) -> Actions:
-    """Keep the tickets; workers that were named and have none are not good."""
+    """Store the tickets of an answer.
+
+    Workers that the call asked about and that got no ticket are not
+    admissible.
+    """
     advice = state.advice.get(event.step)
     if advice is None or event.step not in state.steps:
         return
@@ -174,7 +191,7 @@
 def handle_advice_failure(
     state: DispatchState, event: AdviceFailed
 ) -> Actions:
-    """Let the step ask again; what was not answered was not asked."""
+    """Allow the step to ask again about the workers of a failed call."""
     advice = state.advice.get(event.step)
     if advice is None or event.step not in state.steps:
         return
--- a/sassafrasgate/dispatch/events.py
+++ b/sassafrasgate/dispatch/events.py
@@ -1,7 +1,9 @@
-"""What the dispatcher is told; the input of its decisions.
+"""Events of the dispatcher: the input of its decisions.
 
-`RequestReceived`, `RecordsDurable`, `Ticked` and `StopRequested` are those of
-`sassafrasgate.shards.events`.
+`RequestReceived`, `RecordsDurable`, `WithdrawalAnswered`, `Ticked` and
+`StopRequested` come from `sassafrasgate.shards.events`.
+
+The class names are label values of the metric ``decision_seconds``.
 """
 
 from __future__ import annotations
@@ -19,49 +21,56 @@
 
 @dataclass(frozen=True, slots=True)
 class TableChanged:
-    """A newer routing table is in force."""
+    """The operators have published a newer routing table."""
 
     table: RoutingTable
 
 
 @dataclass(frozen=True, slots=True)
 class WorkersListed:
-    """All workers that are registered at one moment."""
+    """Complete list of the registered workers at one moment."""
 
     registrations: tuple[Registration, ...]
 
 
 @dataclass(frozen=True, slots=True)
 class WorkerRegistered:
-    """A worker's entry is new or has changed."""
+    """A worker's entry in the store was created or changed."""
 
     registration: Registration
 
 
 @dataclass(frozen=True, slots=True)
 class WorkerUnregistered:
-    """A worker's entry is gone."""
+    """A worker's entry in the store was deleted."""
 
     worker: str
 
 
 @dataclass(frozen=True, slots=True)
 class PeersChanged:
-    """The entry hosts that can call the advice service, this one first."""
+    """The entry hosts that can call the advice service have changed.
+
+    Parameters
+    ----------
+    names : tuple of str
+        Names of the entry hosts; the owner's own host is the first.
+    """
 
     names: tuple[str, ...]
 
 
 @dataclass(frozen=True, slots=True)
 class WorkerReported:
-    """A worker answered a hold call.
+    """A worker has answered a hold call.
 
     Parameters
     ----------
     received_at : int
-        Owner's clock when the answer arrived.
+        Owner's clock, in ms, when the report arrived.
     leases_expire_at : int
-        Owner's clock from which all that was granted so far has lapsed.
+        Owner's clock, in ms, from which every lease granted so far has
+        expired.
     """
 
     worker: str
@@ -72,14 +81,14 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkerSilent:
-    """A hold call got no answer.
+    """A worker did not respond to a hold call.
 
     Parameters
     ----------
     leases_expire_at : int
         As in `WorkerReported`.
     reason : str
-        What happened, for the log.
+        Why the call failed, for the log.
     """
 
     worker: str
@@ -89,14 +98,14 @@
 
 @dataclass(frozen=True, slots=True)
 class EpochRefused:
-    """A worker has seen an owner with a higher epoch."""
+    """A worker has refused a call because it obeys a higher epoch."""
 
     worker: str
 
 
 @dataclass(frozen=True, slots=True)
 class RunAnswered:
-    """A worker answered a start."""
+    """A worker has answered a start call."""
 
     worker: str
     run: RunKey
@@ -105,12 +114,12 @@
 
 @dataclass(frozen=True, slots=True)
 class RunUnanswered:
-    """A copy of a start got no answer, so it may be carried out later.
+    """A start call got no answer, so the worker may still carry it out.
 
     Parameters
     ----------
     last : bool
-        Whether the worker's task makes no further try.
+        Whether the call will not be repeated.
     """
 
     worker: str
@@ -120,7 +129,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RunNotSent:
-    """A start was not sent; it certainly has no effect."""
+    """A start call was never sent, so it certainly has no effect."""
 
     worker: str
     run: RunKey
@@ -129,7 +138,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PaceAnswered:
-    """A worker has put a run's pace in force."""
+    """A worker has applied a new pace to a run."""
 
     worker: str
     run: RunKey
@@ -138,12 +147,13 @@
 
 @dataclass(frozen=True, slots=True)
 class StopAnswered:
-    """A worker answered a stop: the run will not start there any more.
+    """A worker has answered a stop call, so the run can't start any more.
 
     Parameters
     ----------
     clock_ms : int
-        Worker's clock; a later report lists the run if it was there.
+        Worker's clock when it answered. A later report still lists the run
+        if the run was present.
     """
 
     worker: str
@@ -153,16 +163,17 @@
 
 @dataclass(frozen=True, slots=True)
 class AdviceAnswered:
-    """The advice service has answered about a step.
+    """The advice service has answered a call about a step.
 
     Parameters
     ----------
     entry_host : str
         Entry host that made the call.
     workers : tuple of str
-        Those that the call named.
+        Workers that the call asked about.
     answered_at : int
-        Owner's clock; the tickets last from shortly before.
+        Owner's clock, in ms, when the answer arrived. The tickets became
+        valid shortly before.
     """
 
     step: StepKey
@@ -174,7 +185,7 @@
 
 @dataclass(frozen=True, slots=True)
 class AdviceFailed:
-    """A call for advice brought none."""
+    """A call to the advice service has failed."""
 
     step: StepKey
     entry_host: str
@@ -184,17 +195,18 @@
 
 @dataclass(frozen=True, slots=True)
 class OwnersEnded:
-    """The processes of all earlier owners are known to have ended."""
+    """The processes of all previous owners have ended."""
 
 
 @dataclass(frozen=True, slots=True)
 class JournalStalled:
-    """Whether the journal has been waiting for the store.
+    """Writes of the journal have begun to fail, or succeed again.
 
     Parameters
     ----------
     since : int
-        Owner's clock when writes began to fail; 0 while they succeed.
+        Owner's clock, in ms, when writes began to fail; 0 if they succeed
+        again.
     """
 
     since: int
@@ -202,4 +214,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PassDue:
-    """All events at hand are handled; place what can be placed."""
+    """A scheduling pass is due.
+
+    It is sent once no other event is waiting to be handled.
+    """
--- a/sassafrasgate/dispatch/gangs.py
+++ b/sassafrasgate/dispatch/gangs.py
@@ -1,4 +1,4 @@
-"""Placement of gangs: all members at once, or room held for them."""
+"""Placement of gangs: all members start at once, or capacity is reserved."""
 
 from __future__ import annotations
 
@@ -35,13 +35,15 @@
     from sassafrasgate.dispatch.state import StepKey
     from sassafrasgate.dispatch.state import WorkerEntry
 
-# Gangs that may hold room at once; more would keep too much of it idle.
+# Number of gangs that may have capacity reserved at once. More reservations
+# would keep too much capacity idle.
 MAX_GANG_RESERVATIONS = 4
-# Room that a gang can only have later than this is not held for it.
+# No capacity is reserved for a gang that can only start later than this.
 RESERVATION_HORIZON_MS = 8_000
-# A ticket must outlast the call for others by this time.
+# A ticket is renewed unless it outlasts the call for the other tickets by this
+# time.
 TICKET_RENEWAL_MARGIN_MS = 250
-# One further worker is named for so many that a gang needs.
+# A renewal asks about one spare worker for every three that the gang needs.
 GANG_WORKERS_PER_SPARE = 3
 
 
@@ -53,9 +55,9 @@
     queue: Queue,
     workers: dict[str, WorkerEntry],
 ) -> Actions:
-    """Start a gang whole, or hold room for it."""
+    """Start all members of a gang, or reserve capacity for them."""
     if key in state.runs_by_step:
-        # Members of an earlier run are present and have to be gone first.
+        # Members of a previous run may still be present.
         return
     workers = match_workers(step, workers)
     advice = state.advice.get(key, NO_ADVICE)
@@ -65,7 +67,7 @@
         return
     job = state.jobs[key.job_id]
     if not job.durable:
-        # As for single tasks; no room is held either.
+        # As for single tasks; no capacity is reserved either.
         return
     startable: list[WorkerEntry] = list(workers.values())
     unticketed: list[WorkerEntry] = []
@@ -84,7 +86,8 @@
     if not chosen:
         at, chosen = _find_earliest_start(state, plan, step, demand, admitted)
     if not chosen:
-        # The known good workers can never hold it; others may be good.
+        # The gang can't fit on the admitted workers, but others may be
+        # admitted too.
         if queue.advice is not None and may_ask_advice(state, key):
             names = list_unasked_workers(state, advice, workers)
             yield from ask_advice(state, key, queue.advice, names)
@@ -105,11 +108,12 @@
     chosen: dict[str, int],
     admitted: list[WorkerEntry],
 ) -> list[str]:
-    """Return the workers that a gang needs new tickets of.
+    """Return the workers for which a gang needs new tickets.
 
-    All of its tickets have to be valid at one moment, so those that expire
-    before the answer are renewed with it. A few more workers are named in
-    case others take room of the chosen ones meanwhile.
+    All tickets of a gang have to be valid at the same time, so a call also
+    renews those that would expire before its answer. It asks about a few
+    spare workers in case other runs take capacity of the chosen ones in the
+    meantime.
     """
     tickets = state.advice[key].tickets
     answered_at = state.now + estimate_call_ms(timing, len(chosen))
@@ -132,7 +136,7 @@
 def _count_slots(
     available: Resources, demand: Resources, max_slots: int
 ) -> int:
-    """Return how many times a demand fits into an available amount."""
+    """Return how many times a demand fits into the available resources."""
     slots = max_slots
     if demand.millicores:
         slots = min(slots, available.millicores // demand.millicores)
@@ -150,7 +154,10 @@
     demand: Resources,
     workers: list[WorkerEntry],
 ) -> dict[str, int]:
-    """Return tasks by worker if the whole gang fits now, else nothing."""
+    """Return the number of tasks by worker if the whole gang fits now.
+
+    The result is empty if it does not fit.
+    """
     slots: dict[str, int] = {}
     racks: dict[str, str] = {}
     for worker in workers:
@@ -175,7 +182,10 @@
 def _distribute_gang(
     slots: dict[str, int], racks: dict[str, str], step: Step
 ) -> dict[str, int]:
-    """Divide a gang among workers with slots, on one rack if it should."""
+    """Distribute a gang over workers with free slots.
+
+    A gang that asks for it is placed on one rack if it fits on one.
+    """
     if sum(slots.values()) < step.tasks:
         return {}
     if step.same_rack:
@@ -225,7 +235,16 @@
     demand: Resources,
     workers: list[WorkerEntry],
 ) -> tuple[int, dict[str, int]]:
-    """Return when and where a gang is expected to fit; nothing if never."""
+    """Return when and where a gang is expected to fit.
+
+    Returns
+    -------
+    int
+        Owner's clock, in ms.
+    dict
+        Number of tasks by worker; empty if the gang is not expected to fit
+        within the horizon.
+    """
     if plan.reserved_gangs >= MAX_GANG_RESERVATIONS:
         return 0, {}
     free: dict[str, Resources] = {}
@@ -276,10 +295,10 @@
         for end, freed in list_run_ends(state, plan, name):
             if end <= at:
                 available = available + freed
-        earlier = plan.reservations.get(name)
-        if earlier is not None:
-            available = available.take_minimum(earlier.spare)
-            at = max(at, earlier.start_at)
+        previous = plan.reservations.get(name)
+        if previous is not None:
+            available = available.take_minimum(previous.spare)
+            at = max(at, previous.start_at)
         spare = available - demand.scale(count)
         plan.reservations[name] = GangReservation(
             at, spare.take_maximum(NO_RESOURCES)
--- a/sassafrasgate/dispatch/handlers.py
+++ b/sassafrasgate/dispatch/handlers.py
@@ -1,4 +1,4 @@
-"""Registries of the dispatcher's handlers."""
+"""Registries of handlers for the dispatcher's events, requests and records."""
 
 from __future__ import annotations
 
@@ -26,10 +26,10 @@
 
 
 def write_record(state: DispatchState, record: Any) -> Actions:
-    """Apply a record to the state and ask for its persistence.
+    """Apply a record to the state and request that it is persisted.
 
-    Replay after a takeover applies records with the same function, so that
-    a successor's state cannot differ from what the record meant.
+    Replay after a takeover applies records with the same function, so a
+    successor derives the same state from them.
     """
     RECORD_APPLIERS.find(record.kind)(state, record)
     yield AppendRecord(record)
--- a/sassafrasgate/dispatch/health.py
+++ b/sassafrasgate/dispatch/health.py
@@ -1,4 +1,4 @@
-"""Evidence about workers, from the ends of the runs that they report."""
+"""Pauses of workers on which runs fail repeatedly."""
 
 from __future__ import annotations
 
@@ -12,29 +12,31 @@
     from sassafrasgate.dispatch.state import DispatchState
     from sassafrasgate.dispatch.state import RunEntry
 
-# A task fails by its own fault in up to 5% of its runs, so two tasks that
-# fail in a row on one worker are more likely the worker's fault.
+# Up to 5% of the runs fail because of their task, so two consecutive failures
+# on one worker are more likely caused by the worker.
 SUSPECT_FAILURE_COUNT = 2
 INITIAL_PAUSE_MS = 1_500
 MAX_PAUSE_MS = 8_000
-# After a pause one run at a time shows whether the worker has recovered.
+# After a pause, a worker gets one run at a time until a run has finished, to
+# find out whether it has recovered.
 MAX_PROBATION_RUNS = 1
-# Most workers of a pool, as a share, that may be set aside at once.
+# No further worker is paused once this share of all workers is paused.
 MAX_PAUSED_SHARE = 0.3
 
 
 @dataclass(frozen=True, slots=True)
 class WorkerHealth:
-    """What the ends on one worker say about it.
+    """Recent failures of runs on a worker, and the pause that follows.
 
     Parameters
     ----------
     failures : int
-        Failed runs since the last one that finished.
+        Number of runs that have failed since a run last finished.
     pause_ms : int
-        Length of the latest pause; 0 when there was none since.
+        Length of the latest pause; 0 if the worker has not been paused since
+        a run last finished.
     paused_until : int
-        Owner's clock until which the worker gets no new run.
+        Owner's clock, in ms, until which the worker gets no new runs.
     """
 
     failures: int = 0
@@ -48,7 +50,13 @@
 def record_run_end(
     state: DispatchState, run: RunEntry, how: EndKind
 ) -> WorkerHealth | None:
-    """Count the end of a run; return the health if it has changed."""
+    """Update a worker's health after the end of a run.
+
+    Returns
+    -------
+    WorkerHealth or None
+        The new health, or None if it has not changed.
+    """
     health = state.health.get(run.worker, HEALTHY)
     if how is EndKind.FINISHED:
         if health == HEALTHY:
@@ -81,15 +89,16 @@
 
 
 def find_run_allowance(state: DispatchState, worker: str) -> int | None:
-    """Return how many more runs a worker may get; None for no limit."""
+    """Return how many more runs a worker may get, or None for no limit."""
     health = state.health.get(worker)
     if health is None or health.failures < SUSPECT_FAILURE_COUNT:
         return None
     if state.now < health.paused_until:
         return 0
     if state.now >= health.paused_until + health.pause_ms:
-        # Without new evidence, as for a gang that needs several places
-        # there, a worker is not set aside for ever.
+        # The probation lasts as long as the pause before it, even if no run
+        # has ended. Otherwise a gang that needs several slots on the worker
+        # could never start there.
         return None
     present = len(state.runs_by_worker.get(worker, ()))
     return max(0, MAX_PROBATION_RUNS - present)
--- a/sassafrasgate/dispatch/hold_waits.py
+++ b/sassafrasgate/dispatch/hold_waits.py
@@ -1,8 +1,9 @@
-"""How long a look at a worker may wait for news.
+"""Duration for which workers may hold a hold call open.
 
-A long wait saves looks, which are priced. A look whose answer is lost keeps
-the owner blind until its time limit, so looks are short while calls go
-unanswered.
+A hold call is a long poll: the worker answers when a run ends, or after the
+wait. A long wait saves calls, which are priced. If the answer to a call is
+lost, the owner learns nothing from the worker until the call times out, so
+the wait is short while calls go unanswered.
 """
 
 from __future__ import annotations
@@ -18,27 +19,30 @@
 
 NORMAL_HOLD_WAIT_MS = 2_000
 SHORT_HOLD_WAIT_MS = 400
-# Looks at all workers together; more would take too much of the owner's time.
+# Bound on the rate of polls of all workers together. A higher rate would take
+# too much of the owner's processor time.
 MAX_POLLS_PER_S = 120
-# So many calls without an answer in so much time call for short waits.
+# The short wait applies once this many calls within the window got no answer.
 SHORT_WAIT_UNANSWERED_CALLS = 2
 UNANSWERED_WINDOW_MS = 4_000
 
 
 def record_unanswered_call(state: DispatchState) -> None:
-    """Count a call to a worker that got no answer."""
+    """Record that a call to a worker got no answer."""
     state.unanswered_at.append(state.now)
 
 
 def adjust_hold_wait(state: DispatchState) -> Actions:
-    """Change the length of looks when calls go unanswered, or no longer."""
+    """Shorten the wait while calls go unanswered, and restore it after."""
     oldest = state.now - UNANSWERED_WINDOW_MS
     state.unanswered_at = [at for at in state.unanswered_at if at > oldest]
     short = len(state.unanswered_at) >= SHORT_WAIT_UNANSWERED_CALLS
     wait_ms = NORMAL_HOLD_WAIT_MS
     if short:
-        least_ms = len(state.workers) * 1_000 // MAX_POLLS_PER_S
-        wait_ms = min(max(SHORT_HOLD_WAIT_MS, least_ms), NORMAL_HOLD_WAIT_MS)
+        min_wait_ms = len(state.workers) * 1_000 // MAX_POLLS_PER_S
+        wait_ms = min(
+            max(SHORT_HOLD_WAIT_MS, min_wait_ms), NORMAL_HOLD_WAIT_MS
+        )
     if wait_ms == state.hold_wait_ms:
         return
     state.hold_wait_ms = wait_ms
--- a/sassafrasgate/dispatch/launches.py
+++ b/sassafrasgate/dispatch/launches.py
@@ -1,4 +1,4 @@
-"""The start of one run, once its place is chosen."""
+"""Start of a run on the worker that was chosen for it."""
 
 from __future__ import annotations
 
@@ -34,7 +34,17 @@
     number: int,
     demand: Resources,
 ) -> Actions:
-    """Place one run and have it started."""
+    """Reserve capacity for a run and request its start.
+
+    Parameters
+    ----------
+    index : int
+        Index of the task within its step.
+    number : int
+        Number of the run.
+    demand : Resources
+        Capacity to reserve on the worker.
+    """
     name = worker.registration.worker
     run = RunKey(make_task_id(key, index), number)
     task = state.update_task(run.task, next_run=number + 1)
--- a/sassafrasgate/dispatch/leases.py
+++ b/sassafrasgate/dispatch/leases.py
@@ -1,46 +1,67 @@
-"""Lengths of workers' leases, and when they have certainly lapsed."""
+"""Deadlines of workers' leases, bounds of their expiry, and fencing tokens."""
 
 from __future__ import annotations
 
 from math import ceil
 
-# A longer lease lets runs survive longer cuts; a shorter one lets the tasks
-# of a worker that is gone start elsewhere sooner.
+# A longer lease lets runs survive longer network partitions. A shorter lease
+# lets the tasks of a lost worker start elsewhere sooner.
 WORKER_LEASE_MS = 4_500
-# A worker's steady clock may be this much slow.
+# A worker's monotonic clock may run slow by up to this fraction.
 MAX_CLOCK_DRIFT = 0.02
-# Allowance for timers on both sides.
+# Allowance for late timers of the owner and the worker.
 LEASE_EXPIRY_MARGIN_MS = 300
-# Lives of one worker that one owner can tell apart by the fence.
+# Number of incarnations of one worker that get distinct fencing tokens within
+# one epoch.
 RESTARTS_PER_EPOCH = 1_000_000
-# Restarts that may be counted before the owner gets in touch anew.
+# Offset between the first restart counts of two consecutive watches of one
+# worker. It must exceed the number of restarts counted during one watch.
 RESTARTS_PER_WATCH = 1_000
 
 
 def compute_worker_lease_expiry(sent_at: int, reading_age_ms: int) -> int:
-    """Return the owner's clock at which a grant has certainly lapsed.
+    """Return the owner's clock, in ms, when a lease has certainly expired.
 
     Parameters
     ----------
     sent_at : int
-        Owner's clock when the grant was sent.
+        Owner's clock, in ms, when the lease was sent to the worker.
     reading_age_ms : int
-        Age of the worker's clock reading that its deadline is based on.
+        Age of the reading of the worker's clock from which the deadline of
+        the lease was computed.
     """
     slow_ms = MAX_CLOCK_DRIFT * (reading_age_ms + WORKER_LEASE_MS)
     return sent_at + WORKER_LEASE_MS + ceil(slow_ms) + LEASE_EXPIRY_MARGIN_MS
 
 
 def compute_worker_lease_deadline(clock_ms: int, reading_age_ms: int) -> int:
-    """Return the worker-clock deadline of a lease that begins now."""
+    """Return the deadline, on the worker's clock, of a lease that begins now.
+
+    Parameters
+    ----------
+    clock_ms : int
+        Latest reading of the worker's clock.
+    reading_age_ms : int
+        Time since that reading arrived.
+    """
     return clock_ms + reading_age_ms + WORKER_LEASE_MS
 
 
 def compute_takeover_expiry(now: int, ttl_ms: int, grace_ms: int) -> int:
-    """Return when everything granted by an earlier owner has lapsed.
+    """Return when every lease granted by previous owners has expired.
+
+    A previous owner may have granted its last lease at the end of its own
+    lease and outage grace period, on a clock that may also run slow.
 
-    The earlier owner may have sent its last grant at the end of its lease
-    and its outage grace, on a clock that may be slow too.
+    Parameters
+    ----------
+    now : int
+        Owner's clock, in ms, at the takeover.
+    ttl_ms : int
+        Duration of the previous owner's own lease.
+    grace_ms : int
+        Time for which the previous owner may act after its lease during an
+        outage of the store.
     """
     longest = ttl_ms + grace_ms + WORKER_LEASE_MS
     return (
@@ -51,18 +72,18 @@
 
 
 def make_fencing_token(epoch: int, restarts: int) -> int:
-    """Return the fencing value for commands to one life of a worker.
+    """Return the fencing token for calls to one incarnation of a worker.
 
-    A worker that starts again under its id obeys any owner. A call from
-    before the restart that is carried out late would start a run there that
-    counts as lost, or acknowledge ends that nobody has seen; the higher
-    value for the new life keeps it out.
+    After a restart, a worker obeys any owner. A call from before the restart
+    that is carried out late would start a run that the owner counts as lost,
+    or acknowledge ended runs that the owner has not seen. The higher token
+    of the new incarnation makes the worker refuse such a call.
 
     Parameters
     ----------
     epoch : int
-        Of the owner.
+        Epoch of the owner.
     restarts : int
-        Restarts of the worker that the owner has noticed.
+        Number of restarts of the worker that the owner has observed.
     """
     return epoch * RESTARTS_PER_EPOCH + min(restarts, RESTARTS_PER_EPOCH - 1)
--- a/sassafrasgate/dispatch/ordering.py
+++ b/sassafrasgate/dispatch/ordering.py
@@ -1,4 +1,4 @@
-"""The order in which waiting steps get room."""
+"""Order in which waiting steps are considered for placement."""
 
 from __future__ import annotations
 
@@ -9,23 +9,24 @@
     from sassafrasgate.dispatch.state import JobEntry
     from sassafrasgate.dispatch.state import StepKey
 
-# Estimates are rough: work that misses its objective by less than this share
-# of what is left to do may still make it.
+# Estimates are rough. Work that is expected to miss its objective by less than
+# this fraction of its critical path may still meet it.
 LATENESS_TOLERANCE = 0.25
 
 Rank = tuple[int, int, int]
 
 
 def compute_due_time(entry: JobEntry, key: StepKey) -> int:
-    """Return the owner's clock by which an occurrence should complete."""
+    """Return the owner's clock, in ms, when an occurrence should complete."""
     return entry.due_at + key.occurrence * entry.workflow.interval_ms
 
 
 def compute_slack(entry: JobEntry, key: StepKey, now: int) -> int:
-    """Return how long a step may still wait to meet the objective, in ms.
+    """Return how long a step can wait and still meet its objective, in ms.
 
-    Negative when the job is expected to be late. A long-running task serves
-    its users from its start on and has no time to wait.
+    The slack is negative if the job is expected to be late. It is 0 for a
+    long-running step, which should start at once because it serves users
+    from its start.
     """
     if entry.workflow.steps[key.step].long_running:
         return 0
@@ -35,11 +36,12 @@
 
 
 def rank_step(state: DispatchState, key: StepKey) -> Rank:
-    """Return a step's place in the order; the lowest goes first.
+    """Return the sort key of a step; the lowest is placed first.
 
-    Work that can still meet its objective goes first, by priority and then
-    by the time that it may still wait. Late work earns the same at any time
-    until it earns nothing; it goes by priority and age.
+    Steps that can still meet their objective come first, ordered by slack
+    and then by priority. Late steps follow, ordered by priority and due
+    time: their value no longer changes until it drops to zero. Steps whose
+    job earns nothing any more come last.
     """
     entry = state.jobs[key.job_id]
     slack = compute_slack(entry, key, state.now)
--- a/sassafrasgate/dispatch/pacing.py
+++ b/sassafrasgate/dispatch/pacing.py
@@ -1,7 +1,8 @@
-"""Tasks that fill what others leave, beside tasks that serve users.
+"""Pace of best-effort tasks beside latency-critical tasks.
 
-Filling tasks take no reserved processor time, but they slow down what serves
-beside them. They work at a pace that follows the measured tail latency.
+Best-effort tasks reserve no processor time, but they slow down
+latency-critical tasks on the same worker. Their pace, in percent of full
+speed, is controlled by the measured tail latency of those tasks.
 """
 
 from __future__ import annotations
@@ -21,29 +22,30 @@
 
 FULL_PACE_PERCENT = 100
 UNKNOWN_PACE_PERCENT = -1
-# Of a filling task that starts beside one that serves.
+# Pace of a best-effort task that starts beside a latency-critical task.
 INITIAL_PACE_PERCENT = 25
 PACE_STEP_PERCENT = 25
-# Share of its target from which a tail latency stops the filling tasks, and
-# up to which they may work more. Their effect changes within seconds.
+# Tail latency, as a fraction of its target, from which best-effort tasks are
+# stopped, and up to which their pace may be raised. The latency follows a
+# change of the pace within seconds.
 STOP_LATENCY_SHARE = 0.8
 RAISE_LATENCY_SHARE = 0.6
 RAISE_INTERVAL_MS = 1_500
-# A latency that is older says nothing about the present pace.
+# An older latency says nothing about the current pace.
 MAX_LATENCY_AGE_MS = 2_500
-# A call without an answer is made again after this time.
+# An unanswered call is repeated after this time.
 PACE_RETRY_MS = 500
 
 
 def choose_initial_pace(state: DispatchState, worker: str, fills: bool) -> int:
-    """Return the pace, in percent, at which a run is to begin."""
+    """Return the initial pace of a run, in percent."""
     if fills and worker in state.latency_critical_runs:
         return INITIAL_PACE_PERCENT
     return FULL_PACE_PERCENT
 
 
 def adjust_paces(state: DispatchState) -> Actions:
-    """Change the pace of filling tasks where others serve beside them."""
+    """Adjust the pace of best-effort tasks beside latency-critical tasks."""
     for worker in state.latency_critical_runs:
         runs = state.list_runs_on(worker)
         best_effort = [run for run in runs if run.fills and not run.stopping]
@@ -59,7 +61,7 @@
 def _choose_pace(
     state: DispatchState, runs: list[RunEntry], best_effort: list[RunEntry]
 ) -> int | None:
-    """Return the new pace of a worker's filling tasks; None to keep it."""
+    """Return the new pace of a worker's best-effort tasks; None to keep it."""
     latency_critical = [run for run in runs if run.target_ms]
     fresh = [
         run
@@ -107,7 +109,7 @@
 
 
 def _restore_paces(state: DispatchState) -> Actions:
-    """Let filling tasks work at full pace where nothing serves any more."""
+    """Set full pace where no latency-critical task is left."""
     for key in state.paced_runs:
         run = state.runs.get(key)
         if run is None or run.worker in state.latency_critical_runs:
@@ -117,7 +119,7 @@
 
 
 def _send_paces(state: DispatchState) -> Actions:
-    """Send what a worker has not confirmed yet."""
+    """Send paces that the worker has not confirmed."""
     for key in list(state.paced_runs):
         run = state.runs.get(key)
         if run is None or run.stopping:
@@ -137,7 +139,7 @@
 
 @EVENT_HANDLERS.register(PaceAnswered)
 def handle_pace_reply(state: DispatchState, event: PaceAnswered) -> Actions:
-    """Note the pace that a worker has put in force."""
+    """Record the pace that a worker has applied."""
     if event.run in state.runs:
         state.update_run(
             event.run, confirmed_pace=event.percent, pace_sent_at=0
--- a/sassafrasgate/dispatch/plans.py
+++ b/sassafrasgate/dispatch/plans.py
@@ -1,4 +1,4 @@
-"""What one pass works with: usable workers, free room and holds."""
+"""Plan of a scheduling pass: usable workers, free capacity, reservations."""
 
 from __future__ import annotations
 
@@ -21,26 +21,27 @@
     from sassafrasgate.core.workflows import Step
 
 NO_ADVICE = StepAdvice()
-# A run with less progress than this says little about its speed.
+# Progress below this percentage says little about the speed of a run.
 MIN_PERCENT = 10
-# A run past its expected end is expected to take this share of it more.
+# A run past its expected end is assumed to need this fraction of its expected
+# duration in addition.
 OVERDUE_SHARE = 0.25
-# A long-running task ends when its job is cancelled.
+# A long-running task only ends when its job is cancelled.
 UNBOUNDED_MS = 10**9
-# Time on another rack than the one that holds the data, as a factor.
+# Factor on the duration of a task on another rack than the one with its data.
 REMOTE_RACK_FACTOR = 1.5
 
 
 @dataclass(slots=True)
 class GangReservation:
-    """Room on a worker that a gang is to get.
+    """Capacity of a worker that is reserved for a gang.
 
     Parameters
     ----------
     start_at : int
-        Owner's clock when the gang is expected to start.
+        Owner's clock, in ms, when the gang is expected to start.
     spare : Resources
-        What the gang leaves free at that time.
+        Capacity that the gang leaves free at that time.
     """
 
     start_at: int
@@ -49,17 +50,25 @@
 
 @dataclass(slots=True)
 class PassPlan:
-    """What one pass works with.
+    """Working data of one scheduling pass.
 
     Parameters
     ----------
     usable : dict
         Workers that may get new runs, by pool and id.
     allowances : dict
-        Most further runs of workers in probation.
+        Maximum number of further runs on each worker in probation.
     max_free, total_free : dict
-        The most that is free on one usable worker of a pool, and on all of
-        them, when the pass began. Nothing that exceeds them can be placed.
+        By pool, the largest amount of each resource that is free on one
+        usable worker, and the sum over all usable workers, when the pass
+        began. A larger demand can't be placed.
+    reservations : dict
+        Capacity that is reserved for gangs, by worker.
+    reserved_gangs : int
+        Number of gangs for which capacity is reserved.
+    run_ends : dict
+        Expected ends of the runs on a worker, with the resources that they
+        release.
     """
 
     usable: dict[str, dict[str, WorkerEntry]]
@@ -74,7 +83,7 @@
 
 
 def make_plan(state: DispatchState) -> PassPlan:
-    """Return the plan of a pass that begins now."""
+    """Return the plan for a scheduling pass that begins now."""
     usable: dict[str, dict[str, WorkerEntry]] = {}
     allowances: dict[str, int] = {}
     for worker, entry in state.workers.items():
@@ -107,7 +116,7 @@
 def _combine_free(
     combine: Callable[[list[int]], int], amounts: list[Resources]
 ) -> Resources:
-    """Combine free amounts by dimension; what is overdrawn counts as 0."""
+    """Combine free amounts by resource; a negative amount counts as 0."""
     return Resources(
         combine([max(0, amount.millicores) for amount in amounts]),
         combine([max(0, amount.memory_mb) for amount in amounts]),
@@ -131,7 +140,7 @@
 def match_workers(
     step: Step, workers: dict[str, WorkerEntry]
 ) -> dict[str, WorkerEntry]:
-    """Return the workers with the label that a step asks for."""
+    """Return the workers with the label that a step requires."""
     if not step.label:
         return workers
     return {
@@ -144,7 +153,7 @@
 def split_admitted_workers(
     state: DispatchState, advice: StepAdvice, workers: dict[str, WorkerEntry]
 ) -> tuple[list[WorkerEntry], list[WorkerEntry]]:
-    """Return the good workers with a valid ticket, and those without."""
+    """Return the admitted workers with a valid ticket, and those without."""
     startable: list[WorkerEntry] = []
     unticketed: list[WorkerEntry] = []
     for name, ticket in advice.tickets.items():
@@ -158,14 +167,17 @@
 def list_unasked_workers(
     state: DispatchState, advice: StepAdvice, workers: dict[str, WorkerEntry]
 ) -> list[str]:
-    """Return the workers that nothing was asked about, the freest first."""
+    """Return the workers that the advice service was not asked about.
+
+    Those with the most free processor capacity come first.
+    """
     unknown = [name for name in workers if name not in advice.asked_workers]
     unknown.sort(key=lambda name: -state.free_resources[name].millicores)
     return unknown
 
 
 def estimate_run_ms(step: Step, worker: WorkerEntry) -> int:
-    """Return how long a run of a step is expected to take on a worker."""
+    """Return the expected duration of a run of a step on a worker, in ms."""
     if step.rack and worker.registration.rack != step.rack:
         return int(step.estimate_ms * REMOTE_RACK_FACTOR)
     return step.estimate_ms
@@ -178,7 +190,7 @@
     worker: WorkerEntry,
     demand: Resources,
 ) -> bool:
-    """Tell whether a run leaves a gang the room that is held for it."""
+    """Return whether a run leaves the capacity reserved for a gang free."""
     reservation = plan.reservations.get(worker.registration.worker)
     if reservation is None:
         return True
@@ -194,7 +206,7 @@
     worker: WorkerEntry,
     demand: Resources,
 ) -> None:
-    """Count a run that is placed by the plan."""
+    """Update the plan for a run that is about to start."""
     name = worker.registration.worker
     if name in plan.allowances:
         plan.allowances[name] -= 1
@@ -209,7 +221,7 @@
 
 
 def estimate_run_end(state: DispatchState, run: RunEntry) -> int:
-    """Return the owner's clock at which a run is expected to end."""
+    """Return the owner's clock, in ms, when a run is expected to end."""
     if run.step in state.steps and state.find_step(run.step).long_running:
         return state.now + UNBOUNDED_MS
     elapsed = state.now - run.started_at
@@ -224,7 +236,7 @@
 def list_run_ends(
     state: DispatchState, plan: PassPlan, worker: str
 ) -> list[tuple[int, Resources]]:
-    """Return when runs on a worker are expected to end, and what they free."""
+    """Return the expected ends of runs on a worker, and what they release."""
     if worker not in plan.run_ends:
         plan.run_ends[worker] = sorted(
             (
--- a/sassafrasgate/dispatch/progress.py
+++ b/sassafrasgate/dispatch/progress.py
@@ -1,4 +1,4 @@
-"""How jobs, steps and tasks advance."""
+"""Progress of jobs, their steps and tasks, from acceptance to the end."""
 
 from __future__ import annotations
 
@@ -17,21 +17,22 @@
     from sassafrasgate.dispatch.state import RunKey
     from sassafrasgate.journal.workflows import RunEnded
 
-# A job that completes later than this many objectives earns nothing.
+# A job earns nothing if it takes more than this multiple of its objective.
 VALUE_OBJECTIVES = 3
-# The objective's chain counts one call for advice on this many workers.
+# The critical path of an objective includes, for each step, one call to the
+# advice service about this many workers.
 ADVISED_WORKERS = 30
 
 
 def compute_critical_paths(
     workflow: Workflow, advice_ms: int
 ) -> tuple[int, ...]:
-    """Return the longest chain of estimates from each step's start, in ms.
+    """Return the critical path from the start of each step, in ms.
 
     Parameters
     ----------
     advice_ms : int
-        Added for each step.
+        Duration of a call to the advice service, added for each step.
     """
     count = len(workflow.steps)
     paths_ms = [0] * count
@@ -47,7 +48,7 @@
 
 
 def open_job(state: DispatchState, entry: JobEntry) -> None:
-    """Set a new job's objective and open its first occurrence."""
+    """Set the objective of a new job and open its first occurrence."""
     queue = entry.queue
     advice_ms = 0
     if queue.advice is not None:
@@ -72,12 +73,15 @@
 
 
 def convert_to_owner_clock(state: DispatchState, wall_ms: int) -> int:
-    """Return the owner's clock at a wall time."""
+    """Convert Unix time in ms to the owner's clock."""
     return state.now + wall_ms - state.wall_ms
 
 
 def find_occurrence_start(entry: JobEntry, occurrence: int) -> int:
-    """Return the wall time at which an occurrence may start, or 0."""
+    """Return the Unix time, in ms, from which an occurrence may start.
+
+    It is 0 for the first occurrence of a job without a start time.
+    """
     workflow = entry.workflow
     if not workflow.start_at_ms and occurrence == 0:
         return 0
@@ -85,7 +89,7 @@
 
 
 def open_due_occurrences(state: DispatchState, job_id: str) -> None:
-    """Open the occurrences of a job whose time has come."""
+    """Open the occurrences of a job whose start time has passed."""
     entry = state.jobs[job_id]
     while (
         entry.occurrences < entry.workflow.occurrences and not entry.has_ended
@@ -115,10 +119,10 @@
 
 
 def mark_ready_if_unblocked(state: DispatchState, key: StepKey) -> None:
-    """Mark a step ready once all its predecessors are done.
+    """Mark a step ready if all its predecessors have finished.
 
-    A successor may learn that a step has finished before it learns so of
-    the step's predecessors; such a step ends here.
+    A new owner may learn that a step has finished before it learns the same
+    of the step's predecessors. Such a step is closed here.
     """
     step = state.find_step(key)
     entry = state.steps[key]
@@ -133,7 +137,7 @@
 
 
 def queue_step(state: DispatchState, key: StepKey) -> None:
-    """Put a step among the waiting ones if it wants runs."""
+    """Add a step to the waiting steps if it needs runs."""
     entry = state.steps.get(key)
     if entry is None or not entry.ready or not entry.pending_tasks:
         return
@@ -173,7 +177,7 @@
     step = state.find_step(key)
     if step.long_running:
         return
-    # A gang ends together: one member's end stands for all.
+    # All members of a gang finish together, so the end of one counts for all.
     indexes = range(step.tasks) if step.gang else (index,)
     for number in indexes:
         finish_task(state, key, number)
@@ -181,7 +185,7 @@
 
 
 def finish_task(state: DispatchState, key: StepKey, index: int) -> None:
-    """Note that a task has finished for good."""
+    """Mark a task as finished."""
     task = make_task_id(key, index)
     if state.find_task(task).finished:
         return
@@ -195,7 +199,10 @@
 
 
 def advance_job(state: DispatchState, key: StepKey) -> None:
-    """Open what follows a step that has finished."""
+    """Close a step that has finished, and unblock its successors.
+
+    The job completes with the last step of its last occurrence.
+    """
     entry = state.steps[key]
     if entry.open_tasks or not entry.ready:
         return
@@ -237,7 +244,10 @@
 
 
 def end_job(state: DispatchState, job_id: str, outcome: WorkflowState) -> None:
-    """End a job for good; its remaining runs are stopped by the caller."""
+    """Put a job into a final state.
+
+    The calling function has to stop the remaining runs.
+    """
     entry = state.update_job(job_id, state=outcome, ended_at_ms=state.wall_ms)
     state.ended_jobs[job_id] = None
     for key in state.list_steps_of(entry):
@@ -246,14 +256,14 @@
 
 
 def record_ending_run(state: DispatchState, job_id: str, run: RunKey) -> None:
-    """Remember which run's end closed a job."""
+    """Record the run whose end ended a job."""
     entry = state.jobs[job_id]
     if entry.has_ended and entry.ended_by is None:
         state.update_job(job_id, ended_by=run)
 
 
 def requeue_task(state: DispatchState, key: StepKey, index: int) -> None:
-    """Ask for a new run of a task that has none."""
+    """Queue a task that has no run for a new run."""
     job = state.jobs.get(key.job_id)
     entry = state.steps.get(key)
     if job is None or job.has_ended or entry is None:
@@ -265,7 +275,7 @@
 
 
 def forget_step(state: DispatchState, key: StepKey) -> None:
-    """Drop a step without runs, and all that is known of its tasks."""
+    """Remove a step without runs, and the entries of its tasks."""
     for index in range(state.find_step(key).tasks):
         state.tasks.pop(make_task_id(key, index), None)
     del state.steps[key]
@@ -275,7 +285,7 @@
 
 
 def forget_job(state: DispatchState, job_id: str) -> None:
-    """Drop a job that was never accepted, so that none of its tasks ran."""
+    """Remove a job that was never accepted, so none of its tasks has run."""
     for key in list(state.list_steps_of(state.jobs[job_id])):
         forget_step(state, key)
     del state.jobs[job_id]
--- a/sassafrasgate/dispatch/recovery.py
+++ b/sassafrasgate/dispatch/recovery.py
@@ -1,4 +1,4 @@
-"""Journal records of workflows: how they apply, and what a snapshot holds."""
+"""Takeover of the shard: replay of journal records, and snapshots."""
 
 from __future__ import annotations
 
@@ -42,13 +42,14 @@
     from sassafrasgate.dispatch.handlers import Actions
     from sassafrasgate.dispatch.state import DispatchState
 
+# Task index that stands for the whole gang in records of progress.
 GANG_INDEX = -1
-# Owners before these have lost their leases and graces long ago.
+# The leases and grace periods of owners before these have expired.
 MAX_RECORDED_OWNERS = 4
 
 
 def replay_records(state: DispatchState, records: Iterable[Any]) -> None:
-    """Apply records that are in the journal."""
+    """Apply records of the journal to the state."""
     for record in records:
         RECORD_APPLIERS.find(record.kind)(state, record)
 
@@ -56,9 +57,9 @@
 def begin_ownership(state: DispatchState) -> None:
     """Prepare a replayed state for its new owner.
 
-    Everything replayed is durable. Tasks of these jobs may run wherever an
-    earlier owner started them, so each worker that the journal names is
-    unsettled until it answers or its leases have lapsed.
+    All replayed records are durable. Tasks of the replayed jobs may run on
+    any worker that the journal names, so each of these workers stays
+    unreconciled until it reports or its leases have expired.
     """
     for job_id, entry in list(state.jobs.items()):
         state.update_job(
@@ -78,19 +79,23 @@
 
 
 def list_previous_owners(state: DispatchState) -> tuple[str, ...]:
-    """Return the owners that may go on unaware of this one."""
+    """Return previous owners that may not know yet that they were replaced."""
     return tuple(owner for owner in state.owners if owner != state.owner)
 
 
 @EVENT_HANDLERS.register(OwnersEnded)
 def handle_owners_ended(state: DispatchState, event: OwnersEnded) -> Actions:
-    """Wait only for the leases that earlier owners have granted."""
+    """Shorten the wait for workers to the leases that are already granted.
+
+    The processes of the previous owners have ended, so they grant no further
+    leases.
+    """
     if state.previous_owners_ended:
         return
     state.previous_owners_ended = True
     bound = compute_takeover_expiry(state.now, 0, 0)
-    for worker, known in state.unreconciled_workers.items():
-        state.unreconciled_workers[worker] = min(known, bound)
+    for worker, deadline in state.unreconciled_workers.items():
+        state.unreconciled_workers[worker] = min(deadline, bound)
     yield LogEvent(
         'owners-ended',
         '',
@@ -103,7 +108,7 @@
 
 
 def list_snapshot_records(state: DispatchState) -> Iterator[Any]:
-    """Yield records that restore the durable part of the state."""
+    """Yield the records of a snapshot, which restore the durable state."""
     for number, owner in enumerate(reversed(state.owners)):
         if number:
             yield Takeover(
@@ -224,7 +229,7 @@
     job_id, occurrence, step, _ = split_step_task_id(record.task)
     if job_id not in state.jobs:
         return
-    # An occurrence that an earlier owner has opened was due then.
+    # A previous owner opened this occurrence, so its start time has passed.
     entry = state.jobs[job_id]
     if occurrence >= entry.occurrences:
         open_due_occurrences(state, job_id)
@@ -277,7 +282,7 @@
 
 
 def find_next_run(state: DispatchState, key: StepKey) -> int:
-    """Return the number for a gang's next run."""
+    """Return the number of a gang's next run."""
     step = state.find_step(key)
     return max(
         state.tasks.get(make_task_id(key, index), NEW_TASK).next_run
--- a/sassafrasgate/dispatch/registrations.py
+++ b/sassafrasgate/dispatch/registrations.py
@@ -1,4 +1,4 @@
-"""Which workers there are, by their entries in the store."""
+"""Registered workers, as their entries in the store describe them."""
 
 from __future__ import annotations
 
@@ -31,7 +31,7 @@
 
 @EVENT_HANDLERS.register(TableChanged)
 def handle_table_change(state: DispatchState, event: TableChanged) -> Actions:
-    """Put a newer routing table in force."""
+    """Replace the routing table by a newer one."""
     if event.table.version <= state.routing_table.version:
         return
     previous = state.routing_table.version
@@ -46,7 +46,10 @@
 
 @EVENT_HANDLERS.register(WorkersListed)
 def handle_worker_list(state: DispatchState, event: WorkersListed) -> Actions:
-    """Take a whole list; workers that it lacks have no entry any more."""
+    """Apply a complete list of entries.
+
+    Workers that are not on the list have no entry any more.
+    """
     listed = {entry.worker for entry in event.registrations}
     for registration in event.registrations:
         yield from handle_registration(state, WorkerRegistered(registration))
@@ -59,7 +62,7 @@
 def handle_registration(
     state: DispatchState, event: WorkerRegistered
 ) -> Actions:
-    """Add a worker, or take what has changed in its entry."""
+    """Add a worker, or apply changes to its entry."""
     registration = event.registration
     worker = registration.worker
     entry = state.workers.get(worker)
@@ -70,27 +73,30 @@
         yield _watch_worker(state, registration)
         yield _describe_worker('worker-added', registration)
         return
-    known = entry.registration
-    if entry.registered and known == registration:
+    previous = entry.registration
+    if entry.registered and previous == registration:
         return
     state.update_worker(worker, registration=registration, registered=True)
     state.update_free_resources(worker)
     state.needs_pass = True
-    if known.address != registration.address:
+    if previous.address != registration.address:
         yield from _record_worker(state, registration)
         yield _watch_worker(state, registration)
-    if replace(known, remaining_ms=0) != replace(registration, remaining_ms=0):
+    if replace(previous, remaining_ms=0) != replace(
+        registration, remaining_ms=0
+    ):
         yield _describe_worker('worker-changed', registration)
 
 
 def _watch_worker(
     state: DispatchState, registration: Registration
 ) -> WatchWorker:
-    """Begin calls to a worker, in place of any earlier ones.
+    """Begin to poll a worker, which replaces any polling begun before.
 
-    The worker may have obeyed a call for a later life than the first, so
-    the count of its lives goes on. What the earlier calls have granted is
-    not known exactly.
+    The worker may have obeyed a call for a later incarnation than the first,
+    so the new count of restarts begins above the previous one. The expiry of
+    the leases that previous calls have granted is not known exactly, so a
+    bound for it is used.
     """
     worker = registration.worker
     number = state.watch_counts.get(worker, 0)
@@ -107,7 +113,10 @@
 def _record_worker(
     state: DispatchState, registration: Registration
 ) -> Actions:
-    """Name a worker in the journal, which a start there has to wait for."""
+    """Name a worker in the journal.
+
+    No run starts on the worker before the record is durable.
+    """
     pool, address = state.recorded_workers.get(registration.worker, ('', ''))
     if (pool, address) == (registration.pool, registration.address):
         state.update_worker(registration.worker, recorded=True)
@@ -141,7 +150,7 @@
 def handle_worker_recorded(
     state: DispatchState, record: WorkerSeen
 ) -> Actions:
-    """Let a worker be used, since a successor will know of it."""
+    """Allow runs on a worker, because a successor will know the worker."""
     entry = state.workers.get(record.worker)
     named = state.recorded_workers.get(record.worker)
     if entry is not None and named == (record.pool, record.address):
@@ -154,10 +163,10 @@
 def handle_unregistration(
     state: DispatchState, event: WorkerUnregistered
 ) -> Actions:
-    """Start nothing on a worker without an entry.
+    """Start no new runs on a worker whose entry was deleted.
 
-    It may be cut off from the store alone, so calls to it go on until its
-    runs are known to be gone.
+    The worker may only be partitioned from the store, so calls to it
+    continue until its runs are known to be gone.
     """
     entry = state.workers.get(event.worker)
     if entry is None or not entry.registered:
@@ -175,10 +184,10 @@
 
 
 def watch_recorded_workers(state: DispatchState) -> Actions:
-    """Keep in touch with workers that only the journal names.
+    """Poll workers that only the journal names.
 
-    An entry may have lapsed while its worker still runs what an earlier
-    owner started there.
+    The entry of a worker may have expired while runs that a previous owner
+    started are still present on the worker.
     """
     for worker, (pool, address) in state.recorded_workers.items():
         if worker in state.workers:
@@ -192,10 +201,11 @@
 
 
 def forget_gone_workers(state: DispatchState) -> Actions:
-    """Let the journal name only workers where something may run.
+    """Remove workers on which no run can be present.
 
-    A successor waits for each named worker that does not answer. One that
-    comes back into use is named again before its next start.
+    They are removed from the journal because a successor waits for every
+    worker that the journal names and that does not respond. A worker that
+    comes back into use is recorded again before its next run.
     """
     for worker, entry in list(state.workers.items()):
         if (
@@ -218,7 +228,7 @@
 
 
 def _is_idle_for_good(entry: WorkerEntry) -> bool:
-    """Tell whether a worker without runs gets no further start."""
+    """Return whether a worker without runs will get no further run."""
     return (
         entry.registration.leaving
         or not entry.registered
@@ -233,7 +243,7 @@
 
 
 def record_workers_in_use(state: DispatchState) -> Actions:
-    """Name workers in the journal that have come back into use."""
+    """Record workers that have come back into use in the journal."""
     for worker, entry in list(state.workers.items()):
         if worker in state.recorded_workers or _is_idle_for_good(entry):
             continue
--- a/sassafrasgate/dispatch/reports.py
+++ b/sassafrasgate/dispatch/reports.py
@@ -1,4 +1,4 @@
-"""What workers report: ends, runs that are present, and silence."""
+"""Reports of workers about ended and current runs, and missing reports."""
 
 from __future__ import annotations
 
@@ -47,7 +47,10 @@
 
 @EVENT_HANDLERS.register(WorkerReported)
 def handle_report(state: DispatchState, event: WorkerReported) -> Actions:
-    """Take a worker's lists as the truth about its runs."""
+    """Update the runs of a worker from its report.
+
+    The report is authoritative: a run that it does not list is not present.
+    """
     entry = state.workers.get(event.worker)
     if entry is None:
         return
@@ -86,11 +89,11 @@
 
 
 def _process_restart(state: DispatchState, event: WorkerReported) -> Actions:
-    """Give up the runs of a worker's earlier life.
+    """Handle the runs of a worker's previous incarnation as lost.
 
-    A start that no report has listed, or a copy of one, may reach the new
-    life. Calls for the new life carry a higher fence, so the next report
-    tells whether it did.
+    A start call for a run that no report has listed, or a repeated call, may
+    still reach the new incarnation. Calls to the new incarnation carry a
+    higher fencing token, so the next report shows whether it did.
     """
     for run in state.list_runs_on(event.worker):
         if run.key not in state.runs:
@@ -186,14 +189,14 @@
 
 
 def reschedule_step(state: DispatchState, run: RunEntry) -> Actions:
-    """Decide what follows for a step after one of its runs is gone."""
+    """Queue tasks of a step again, or stop runs, after a run is gone."""
     job = state.jobs.get(run.step.job_id)
     entry = state.steps.get(run.step)
     if job is None or entry is None:
         return
     step = state.find_step(run.step)
     if job.has_ended:
-        # The members of a gang that has finished end by themselves.
+        # Members of a gang that has finished end without a stop call.
         if not (step.gang and not entry.open_tasks):
             yield from stop_job_runs(state, job.job_id)
         return
@@ -203,7 +206,7 @@
         return
     if entry.open_tasks and run.step in state.runs_by_step:
         yield from stop_step_runs(
-            state, run.step, 'another member of the gang is gone'
+            state, run.step, 'another member of the gang has ended or is lost'
         )
         return
     for index in range(step.tasks):
@@ -243,7 +246,7 @@
 def _adopt_run(
     state: DispatchState, event: WorkerReported, running: RunningRun
 ) -> Actions:
-    """Take over a run that an earlier owner has started, or end it."""
+    """Adopt a run that a previous owner has started, or stop it."""
     key = RunKey(running.task, running.run)
     step_key, index = _parse_task(running.task)
     entry = state.workers[event.worker]
@@ -261,7 +264,7 @@
             (
                 ('run', running.run),
                 ('worker', event.worker),
-                ('reason', 'no such task was accepted'),
+                ('reason', 'no task with this id was accepted'),
             ),
         )
         yield StopRun(event.worker, key)
@@ -290,7 +293,7 @@
         load_at=event.received_at,
         pace=choose_initial_pace(state, event.worker, step.fills),
         paced_at=state.now,
-        # The earlier owner may have set any.
+        # The previous owner may have set any pace.
         confirmed_pace=UNKNOWN_PACE_PERCENT
         if step.fills
         else FULL_PACE_PERCENT,
@@ -340,7 +343,7 @@
         (
             ('run', run.key.run),
             ('worker', run.worker),
-            ('reason', 'the task is done, or runs elsewhere'),
+            ('reason', 'the task has finished or has another run'),
         ),
     )
     yield StopRun(run.worker, run.key)
@@ -355,21 +358,24 @@
 
 
 def mark_running(state: DispatchState, job_id: str) -> None:
-    """Show a job as running from its first confirmed run on."""
+    """Mark a job as running once one of its runs is confirmed."""
     entry = state.jobs[job_id]
     if entry.state is entry.state.QUEUED:
         state.update_job(job_id, state=entry.state.RUNNING)
 
 
 def compute_reservation(step: Step) -> Resources:
-    """Return what a run of a step takes from its worker's capacity."""
+    """Return the capacity to reserve on a worker for a run of a step.
+
+    A best-effort task reserves no processor time.
+    """
     if step.fills:
         return replace(step.demand, millicores=0)
     return step.demand
 
 
 def lose_run(state: DispatchState, run: RunEntry, reason: str) -> Actions:
-    """Give up a run that is certainly gone without a listed end."""
+    """Handle a run that is certainly gone and whose end no report lists."""
     state.remove_run(run.key)
     task = state.find_task(run.key.task)
     state.update_task(
@@ -396,7 +402,7 @@
 def lose_worker_runs(
     state: DispatchState, worker: str, reason: str
 ) -> Actions:
-    """Give up all runs of a worker that are certainly gone."""
+    """Handle all runs of a worker as lost; they are certainly gone."""
     for run in state.list_runs_on(worker):
         if run.key in state.runs:
             yield from lose_run(state, run, reason)
@@ -405,7 +411,7 @@
 
 @EVENT_HANDLERS.register(WorkerSilent)
 def handle_silence(state: DispatchState, event: WorkerSilent) -> Actions:
-    """Start nothing on a worker that does not answer."""
+    """Start no new runs on a worker that does not respond."""
     record_unanswered_call(state)
     entry = state.workers.get(event.worker)
     if entry is None:
@@ -430,7 +436,12 @@
 
 
 def expire_leases(state: DispatchState) -> Actions:
-    """Give up runs on silent workers whose leases have lapsed."""
+    """Handle leases that have expired without a report.
+
+    Runs on silent workers are lost once all leases there have expired.
+    Workers that previous owners may have used count as reconciled once the
+    leases of those owners have expired.
+    """
     for worker, entry in list(state.workers.items()):
         if not entry.silent_since or entry.leases_expired:
             continue
@@ -438,7 +449,7 @@
             continue
         state.update_worker(worker, leases_expired=True)
         yield from lose_worker_runs(
-            state, worker, 'the lease of its silent worker has lapsed'
+            state, worker, 'the lease of the silent worker has expired'
         )
     for worker, bound in list(state.unreconciled_workers.items()):
         if state.now < bound:
@@ -450,14 +461,14 @@
             '',
             (
                 ('worker', worker),
-                ('reason', 'leases of earlier owners have lapsed'),
+                ('reason', 'leases of previous owners have expired'),
             ),
         )
 
 
 @EVENT_HANDLERS.register(EpochRefused)
 def handle_epoch_refusal(state: DispatchState, event: EpochRefused) -> Actions:
-    """Give the shard up: a worker obeys a later owner."""
+    """Step down because a worker obeys a later owner."""
     yield StepDown(
         f'worker {event.worker!r} obeys an owner with a higher epoch than '
         f'{state.epoch!r}'
@@ -466,7 +477,7 @@
 
 @DURABLE_HANDLERS.register('run-ended')
 def acknowledge_end(state: DispatchState, record: RunEnded) -> Actions:
-    """Let the worker forget a durable end, and show the job's end."""
+    """Acknowledge the durable end of a run, and publish the job's end."""
     job_id = record.task.split('.', 1)[0]
     entry = state.jobs.get(job_id)
     if entry is not None and entry.ended_by == RunKey(record.task, record.run):
@@ -475,7 +486,7 @@
 
 
 def list_incomplete_gangs(state: DispatchState) -> list[StepKey]:
-    """Return gangs of which only some members are present or on the way."""
+    """Return gangs of which only some members are present or starting."""
     found = []
     for key, runs in state.runs_by_step.items():
         if key not in state.steps or not state.steps[key].open_tasks:
@@ -487,7 +498,10 @@
 
 
 def stop_incomplete_gangs(state: DispatchState) -> Actions:
-    """End what an earlier owner left of a gang; it starts again whole."""
+    """Stop what a previous owner left of a gang.
+
+    The gang starts again once all its members are gone.
+    """
     if state.unreconciled_workers:
         return
     for key in list_incomplete_gangs(state):
--- a/sassafrasgate/dispatch/requests.py
+++ b/sassafrasgate/dispatch/requests.py
@@ -1,4 +1,4 @@
-"""Requests of callers: submit, query, cancel and count workflows."""
+"""Requests to submit, query, cancel and count workflows."""
 
 from __future__ import annotations
 
@@ -35,7 +35,7 @@
 
 @EVENT_HANDLERS.register(RequestReceived)
 def dispatch_request(state: DispatchState, event: RequestReceived) -> Actions:
-    """Hand a request to the handler of its kind."""
+    """Pass a request to the handler for its kind."""
     kind = event.message.kind
     if kind not in REQUEST_HANDLERS:
         yield reply_refusal(
@@ -52,7 +52,10 @@
 
 @REQUEST_HANDLERS.register('submit-workflow')
 def handle_submission(state: DispatchState, event: RequestReceived) -> Actions:
-    """Accept a workflow once; repeats get the first one's answer."""
+    """Accept or refuse a workflow.
+
+    A repeated submission gets the same reply as the first one.
+    """
     message: SubmitWorkflow = event.message
     entry = state.jobs.get(message.job_id)
     if entry is not None:
@@ -109,7 +112,7 @@
     if state.stopping:
         return Refusal(
             RefusalKind.STOPPING,
-            'the dispatcher moves to another process',
+            'the dispatcher is moving to another process',
             'send the request again',
         )
     if state.routing_table.find_queue_by_name(message.queue) is None:
@@ -128,9 +131,10 @@
 def handle_journal_stall(
     state: DispatchState, event: JournalStalled
 ) -> Actions:
-    """Give jobs up whose records have not been sent to a failing store.
+    """Withdraw jobs whose records were not sent to a failing store.
 
-    What has been sent may take effect, so its callers have to wait.
+    Records that were sent may still take effect, so their callers have to
+    wait.
     """
     state.stalled_since = event.since
     if not event.since:
@@ -143,7 +147,7 @@
 def handle_withdrawal(
     state: DispatchState, event: WithdrawalAnswered
 ) -> Actions:
-    """Refuse a job that has left no trace."""
+    """Refuse a job whose records were withdrawn."""
     if not event.withdrawn or event.job_id not in state.jobs:
         return
     forget_job(state, event.job_id)
@@ -165,7 +169,7 @@
 
 
 def make_view(state: DispatchState, entry: JobEntry) -> WorkflowView:
-    """Return what callers may see of a workflow."""
+    """Return the state of a workflow that callers may see."""
     shown = entry.durable_state
     if not entry.has_ended and entry.state is WorkflowState.RUNNING:
         shown = WorkflowState.RUNNING
@@ -174,7 +178,7 @@
 
 @DURABLE_HANDLERS.register('workflow-accepted')
 def reply_accepted(state: DispatchState, record: WorkflowAccepted) -> Actions:
-    """Answer the callers of an acceptance that is durable."""
+    """Reply to the callers that submitted a job, which is now durable."""
     entry = state.update_job(record.job_id, durable=True)
     state.needs_pass = True
     for caller in state.submit_callers.pop(record.job_id, ()):
@@ -183,7 +187,7 @@
 
 @REQUEST_HANDLERS.register('query-workflow')
 def handle_query(state: DispatchState, event: RequestReceived) -> Actions:
-    """Tell a workflow's state, or that there is none."""
+    """Reply with the state of a workflow; None if it is unknown."""
     entry = state.jobs.get(event.message.job_id)
     if entry is None:
         yield Reply(
@@ -198,7 +202,7 @@
 def handle_cancellation(
     state: DispatchState, event: RequestReceived
 ) -> Actions:
-    """End a workflow; its runs are stopped at once."""
+    """Cancel a workflow and stop its runs."""
     job_id = event.message.job_id
     entry = state.jobs.get(job_id)
     if entry is None:
@@ -219,12 +223,12 @@
 def reply_cancelled(
     state: DispatchState, record: WorkflowCancelled
 ) -> Actions:
-    """Answer the callers of a cancellation that is durable."""
+    """Reply to the callers of a cancellation, which is now durable."""
     yield from publish_end(state, record.job_id)
 
 
 def publish_end(state: DispatchState, job_id: str) -> Actions:
-    """Let callers see a job's end, whose record is durable."""
+    """Make a job's final state, which is now durable, visible to callers."""
     entry = state.jobs.get(job_id)
     if entry is None or not entry.has_ended:
         return
@@ -237,7 +241,7 @@
 def handle_pending_count(
     state: DispatchState, event: RequestReceived
 ) -> Actions:
-    """Count a queue's workflows that have not begun."""
+    """Reply with the number of workflows of a queue that have not begun."""
     queue = event.message.queue
     count = sum(
         1
@@ -250,7 +254,7 @@
 
 
 def list_open_callers(state: DispatchState) -> list[Any]:
-    """Return the tokens of all callers that still wait for a record."""
+    """Return the reply tokens of all callers that wait for a record."""
     tokens: list[Any] = []
     for callers in state.submit_callers.values():
         tokens.extend(callers)
--- a/sassafrasgate/dispatch/scheduling_passes.py
+++ b/sassafrasgate/dispatch/scheduling_passes.py
@@ -1,4 +1,4 @@
-"""The pass over waiting steps that starts what there is room for."""
+"""Scheduling passes, which start waiting steps where capacity is free."""
 
 from __future__ import annotations
 
@@ -35,7 +35,7 @@
 
 @EVENT_HANDLERS.register(PassDue)
 def place_waiting(state: DispatchState, event: PassDue) -> Actions:
-    """Go through the waiting steps in order and start what fits."""
+    """Start the tasks of waiting steps that fit, in order of their rank."""
     state.needs_pass = False
     if state.stopping or not state.waiting_steps:
         return
@@ -65,7 +65,7 @@
     queue: Queue,
     workers: dict[str, WorkerEntry],
 ) -> Actions:
-    """Start as many tasks of a step as there is room for."""
+    """Start the tasks of a step that fit."""
     advice = state.advice.get(key, NO_ADVICE)
     demand = compute_reservation(step)
     if queue.advice is not None and advice is NO_ADVICE:
@@ -74,7 +74,7 @@
         yield from ask_advice(state, key, queue.advice, names)
         return
     if not state.jobs[key.job_id].durable:
-        # Tickets would lapse unused while the store is down.
+        # While the store is unavailable, further tickets would expire unused.
         return
     if not demand.fits_in(plan.max_free[queue.pool]):
         return
@@ -145,10 +145,13 @@
     on_worker: dict[str, int],
     failed_on: tuple[str, ...],
 ) -> WorkerEntry | None:
-    """Return the fullest worker that has room, near the data if possible.
+    """Return the best worker for a task, or None if it fits on none.
 
-    Filling tasks go where nothing serves, and tasks that serve where least
-    works beside them.
+    Workers on which the task has not failed are preferred, then the rack with
+    its data, then the worker with the least free processor capacity.
+    Best-effort tasks avoid workers with latency-critical tasks, and
+    latency-critical tasks prefer the worker with the most free processor
+    capacity.
     """
     best: WorkerEntry | None = None
     best_score: tuple[bool, bool, bool, int] | None = None
@@ -165,10 +168,10 @@
             continue
         if not respects_reservation(state, plan, step, worker, demand):
             continue
-        far = bool(step.rack) and worker.registration.rack != step.rack
-        beside = step.fills and name in state.latency_critical_runs
-        room = -free.millicores if step.target_ms else free.millicores
-        score = (name in failed_on, far, beside, room)
+        remote = bool(step.rack) and worker.registration.rack != step.rack
+        disturbing = step.fills and name in state.latency_critical_runs
+        capacity_rank = -free.millicores if step.target_ms else free.millicores
+        score = (name in failed_on, remote, disturbing, capacity_rank)
         if best_score is None or score < best_score:
             best, best_score = worker, score
     return best
--- a/sassafrasgate/dispatch/start_replies.py
+++ b/sassafrasgate/dispatch/start_replies.py
@@ -1,4 +1,4 @@
-"""Answers to starts, and starts that got none."""
+"""Replies to start calls, and start calls that got none."""
 
 from __future__ import annotations
 
@@ -22,8 +22,8 @@
     from sassafrasgate.dispatch.state import DispatchState
     from sassafrasgate.dispatch.state import RunEntry
 
-# How long a worker that refused a start for a reason of its own, which an
-# immediate repetition would meet again, gets no other.
+# Time for which a worker gets no new run after it refused one for a reason
+# that would also apply to an immediate retry.
 REFUSAL_PAUSE_MS = 500
 PAUSING_REFUSALS = frozenset(
     {
@@ -36,7 +36,7 @@
 
 @EVENT_HANDLERS.register(RunAnswered)
 def handle_start_reply(state: DispatchState, event: RunAnswered) -> Actions:
-    """Confirm a run, or take it back when the worker refused it."""
+    """Confirm a run, or remove it if the worker refused to start it."""
     run = state.runs.get(event.run)
     if run is None or run.worker != event.worker:
         return
@@ -62,13 +62,15 @@
         return
     _apply_refusal(state, run, refusal)
     if run.phase is RunPhase.PRESENT:
-        # A report has listed the run since; the refused copy was a repeat.
+        # A report has listed the run, so the refused call was a retry.
         return
     if run.uncertain:
-        # Another copy may still be carried out.
+        # The worker may still carry out another call for the same run.
         state.update_run(run.key, phase=RunPhase.UNSURE)
         yield from stop_run(
-            state, state.runs[run.key], 'a copy of its start is open'
+            state,
+            state.runs[run.key],
+            'another start call for the run is unanswered',
         )
         return
     yield from lose_run(state, run, f'refused: {refusal}')
@@ -104,7 +106,10 @@
 def handle_unanswered_start(
     state: DispatchState, event: RunUnanswered
 ) -> Actions:
-    """Keep the reservation of a run that may start at any moment."""
+    """Handle a start call without a reply.
+
+    The run may still start, so its reservation is kept.
+    """
     record_unanswered_call(state)
     run = state.runs.get(event.run)
     if run is None or run.worker != event.worker:
@@ -127,13 +132,13 @@
         return
     state.update_run(event.run, phase=RunPhase.UNSURE)
     yield from stop_run(
-        state, state.runs[event.run], 'its start got no answer'
+        state, state.runs[event.run], 'the start call got no answer'
     )
 
 
 @EVENT_HANDLERS.register(RunNotSent)
 def handle_unsent_start(state: DispatchState, event: RunNotSent) -> Actions:
-    """Take back a run whose start was never sent."""
+    """Remove a run whose start call was never sent."""
     run = state.runs.get(event.run)
     if run is None or run.worker != event.worker:
         return
--- a/sassafrasgate/dispatch/state.py
+++ b/sassafrasgate/dispatch/state.py
@@ -251,7 +251,7 @@
     durable : bool
         Whether the journal contains the record of the acceptance.
     from_previous_owner : bool
-        Whether an earlier owner may have started tasks of the job.
+        Whether a previous owner may have started tasks of the job.
     due_at : int
         Owner's clock, in ms, by which the job should complete.
     value_ends_at : int
@@ -438,6 +438,13 @@
         Name of the journal.
     owner : str
         Process name and incarnation of the owner.
+    epoch : int
+        Epoch of the newest takeover record.
+    ttl_ms, grace_ms : int
+        Duration of the owner's lease, and the time for which it may act
+        after its lease during an outage of the store.
+    previous_ttl_ms, previous_grace_ms : int
+        The same for the previous owner.
     handover_lease_ms : int
         How long, after this takeover, leases granted by the previous owner
         remain valid if that owner handed the shard over; -1 if it did not.
@@ -448,9 +455,53 @@
     previous_owners_ended : bool
         Whether the processes of all previous owners have ended, and the
         deadlines in ``unreconciled_workers`` were shortened for that reason.
+    runs_by_worker, runs_by_step : dict
+        Keys of the runs on each worker and of each step.
+    latency_critical_runs : dict
+        Keys of the runs of latency-critical tasks, by worker.
+    paced_runs : set of RunKey
+        Runs of best-effort tasks whose pace is not confirmed or below full
+        pace.
+    waiting_steps : dict
+        Ready steps with pending tasks; used as an ordered set.
+    free_resources : dict
+        Capacity of each worker without the reserved resources.
+    recorded_workers : dict
+        Pool and address of each worker that the journal names.
     unreconciled_workers : dict
-        Workers that may have runs of an earlier owner, with the owner's
+        Workers that may have runs of a previous owner, with the owner's
         clock, in ms, when every lease on that worker has expired.
+    health : dict
+        Recent failures of runs, by worker; healthy workers are left out.
+    step_rates : dict
+        Rate, in percent per second, of the run of each step that finished
+        last.
+    watch_counts : dict
+        Number of times that this owner has begun to poll each worker.
+    last_finish_at : dict
+        Owner's clock, in ms, when a run last finished on each worker.
+    submit_callers, cancel_callers : dict
+        Reply tokens of callers that wait for a record, by job.
+    ended_jobs : dict
+        Ids of jobs in a final state; used as an ordered set.
+    unanswered_at : list of int
+        Owner's clock, in ms, of recent calls that workers did not answer.
+    hold_wait_ms : int
+        Current duration for which workers may hold a hold call open; 0
+        before it is first set.
+    stragglers_checked_at : int
+        Owner's clock, in ms, of the latest check for slow workers.
+    stalled_since : int
+        Owner's clock, in ms, when writes of the journal began to fail; 0
+        while they succeed.
+    stopping : bool
+        Whether a planned stop has begun.
+    needs_pass : bool
+        Whether waiting steps have to be considered again.
+    now : int
+        Owner's clock, in ms, at the current event.
+    wall_ms : int
+        Unix time, in ms, at the current event.
     """
 
     shard: str
@@ -470,8 +521,6 @@
     runs: dict[RunKey, RunEntry] = field(default_factory=dict)
     runs_by_worker: dict[str, set[RunKey]] = field(default_factory=dict)
     runs_by_step: dict[StepKey, set[RunKey]] = field(default_factory=dict)
-    # Runs of latency-critical tasks by worker, and runs of best-effort tasks
-    # whose pace is controlled.
     latency_critical_runs: dict[str, set[RunKey]] = field(default_factory=dict)
     paced_runs: set[RunKey] = field(default_factory=set)
     waiting_steps: dict[StepKey, None] = field(default_factory=dict)
@@ -484,9 +533,7 @@
     health: dict[str, WorkerHealth] = field(default_factory=dict)
     slow_workers: dict[str, SlowPeriod] = field(default_factory=dict)
     step_rates: dict[StepKey, float] = field(default_factory=dict)
-    # Number of times that this owner has begun to call a worker.
     watch_counts: dict[str, int] = field(default_factory=dict)
-    # Owner's clock, in ms, when a run last finished on a worker.
     last_finish_at: dict[str, int] = field(default_factory=dict)
     submit_callers: dict[str, list[int]] = field(default_factory=dict)
     cancel_callers: dict[str, list[int]] = field(default_factory=dict)
--- a/sassafrasgate/dispatch/stops.py
+++ b/sassafrasgate/dispatch/stops.py
@@ -1,4 +1,4 @@
-"""Ending of runs on purpose."""
+"""Stopping of runs, and confirmation that they are gone."""
 
 from __future__ import annotations
 
@@ -16,13 +16,13 @@
     from sassafrasgate.dispatch.state import RunEntry
     from sassafrasgate.dispatch.state import StepKey
 
-# A worker takes up to 900 ms to stop a run; a stop without any effect after
-# this time is sent again.
+# A worker takes up to 900 ms to stop a run. A stop call without effect is
+# repeated after this time.
 STOP_RETRY_MS = 1_000
 
 
 def stop_run(state: DispatchState, run: RunEntry, reason: str) -> Actions:
-    """End one run; its reservation stays until the run is known gone."""
+    """Stop a run; its reservation is kept until the run is certainly gone."""
     if run.stopping:
         return
     state.update_run(run.key, stopping=True, stop_sent_at=state.now)
@@ -41,20 +41,20 @@
 
 
 def stop_job_runs(state: DispatchState, job_id: str) -> Actions:
-    """End all runs of a job that is over."""
+    """Stop all runs of a job that has ended."""
     job = state.jobs[job_id]
     for key in state.list_steps_of(job):
         yield from stop_step_runs(state, key, f'the job is {job.state}')
 
 
 def stop_step_runs(state: DispatchState, key: StepKey, reason: str) -> Actions:
-    """End all runs of one step."""
+    """Stop all runs of a step."""
     for run in state.list_runs_of(key):
         yield from stop_run(state, run, reason)
 
 
 def repeat_stops(state: DispatchState) -> Actions:
-    """Send stops again that have had no effect."""
+    """Repeat stop calls that have had no effect."""
     for run in state.runs.values():
         if not run.stopping:
             continue
@@ -69,9 +69,10 @@
 
 @EVENT_HANDLERS.register(StopAnswered)
 def handle_stop_reply(state: DispatchState, event: StopAnswered) -> Actions:
-    """Note that a run can't start any more.
+    """Record that a run can't start any more.
 
-    Whether it is there and ends, or never was, the next report tells.
+    The next report shows whether the run is present and about to end, or was
+    never started.
     """
     run = state.runs.get(event.run)
     if run is None or run.worker != event.worker:
@@ -81,12 +82,12 @@
 
 
 def is_gone(run: RunEntry, clock_ms: int) -> bool:
-    """Tell whether a run that a report does not list is certainly gone.
+    """Return whether a run that a report does not list is certainly gone.
 
     Parameters
     ----------
     clock_ms : int
-        The worker's clock in the report.
+        Worker's clock in the report.
     """
     if run.stop_confirmed_clock:
         return clock_ms > run.stop_confirmed_clock
--- a/sassafrasgate/dispatch/stragglers.py
+++ b/sassafrasgate/dispatch/stragglers.py
@@ -1,10 +1,10 @@
-"""Workers that run tasks slowly or not at all, by the progress of runs.
+"""Detection of slow workers by the progress of their runs.
 
-Estimates are too rough to judge a single run by, so a run is compared with
-other runs of its step where there are any. Progress that stands still needs
-no comparison. Members of a gang advance together, so they say nothing about
-the worker of one of them. A filling task gets what others leave, which says
-nothing about its worker either.
+Estimates are too rough to judge a single run, so a run is compared with other
+runs of its step if there are any. A run without any progress needs no
+comparison. The members of a gang advance together, so their progress says
+nothing about a single worker. Neither does that of a best-effort task, which
+only gets processor time that other tasks leave.
 """
 
 from __future__ import annotations
@@ -27,29 +27,31 @@
     from sassafrasgate.dispatch.state import RunEntry
     from sassafrasgate.dispatch.state import StepKey
 
-# Least time between two reports that a rate is taken from, and the time
-# without any progress after which a run counts as standing still. A percent
-# of the longest usual task takes a sixth of that.
+# Minimum time between two reports from which a rate is computed, and the time
+# without progress after which a run counts as stalled. One percent of the
+# longest usual task takes a sixth of the latter.
 RATE_WINDOW_MS = 500
 STALL_MS = 800
-# Rates older than this say nothing any more.
+# Older rates are ignored.
 MAX_RATE_AGE_MS = 2_500
-# A worker at less than this share of the usual speed is slow.
+# A worker below this fraction of the usual speed is slow.
 SLOW_SHARE = 0.35
-# How often workers are judged; rates change no faster.
+# Interval between two checks of all workers; rates change no faster.
 CHECK_INTERVAL_MS = 400
-# Runs of two steps, or one that has others to compare with, make a case.
+# A worker is only judged if it has runs of this many steps, or a run that can
+# be compared with runs on other workers.
 MIN_STEPS = 2
 INITIAL_PAUSE_MS = 2_500
 MAX_PAUSE_MS = 10_000
-# A run moves if it would take this many times longer where it is.
+# A run is moved if it needs more than this multiple of the time on another
+# worker, plus the margin, to finish where it is.
 MOVE_FACTOR = 1.5
 MOVE_MARGIN_MS = 500
-# Time to stop a run and start it elsewhere.
+# Time to stop a run and start it on another worker.
 MOVE_COST_MS = 1_000
-# A run that would need this many times its estimate, and has had the whole
-# estimate and a while, is moved once without anything to compare it with.
-# Estimates are too low by up to five times.
+# A run is moved once, without any comparison, if it would need more than this
+# multiple of its estimate and has already run for its estimate plus the
+# margin. Estimates are too low by a factor of up to five.
 OVERDUE_FACTOR = 6
 OVERDUE_MARGIN_MS = 2_000
 
@@ -57,7 +59,15 @@
 def measure_progress(
     run: RunEntry, percent: int, received_at: int
 ) -> dict[str, Any]:
-    """Return the fields of a run that a new report of progress changes."""
+    """Return the fields of a run that change with a report of its progress.
+
+    Parameters
+    ----------
+    percent : int
+        Reported progress.
+    received_at : int
+        Owner's clock, in ms, when the report arrived.
+    """
     changes: dict[str, Any] = {'percent': percent, 'percent_at': received_at}
     base = {'base_percent': percent, 'base_at': received_at}
     if not run.base_at:
@@ -71,14 +81,14 @@
 
 
 def record_finished_run(state: DispatchState, run: RunEntry) -> None:
-    """Remember how fast a step's tasks are, for those that go on."""
+    """Record the rate of a finished run, to compare other runs with it."""
     ran_ms = max(1, state.now - run.started_at)
     state.step_rates[run.step] = 100_000 / ran_ms
     state.last_finish_at[run.worker] = state.now
 
 
 def handle_stragglers(state: DispatchState) -> Actions:
-    """Mark slow workers, and move runs that are better off elsewhere."""
+    """Pause slow workers, and move runs that would end sooner elsewhere."""
     if state.now < state.stragglers_checked_at + CHECK_INTERVAL_MS:
         return
     state.stragglers_checked_at = state.now
@@ -94,13 +104,14 @@
         if _is_overdue(state, run):
             yield from _move_overdue_run(state, run)
     for worker, period in list(state.slow_workers.items()):
-        # The length of a pause is kept for a while, to double it.
+        # The period is kept after its end so that the next one can be twice
+        # as long.
         if state.now >= period.ends_at + period.duration_ms:
             del state.slow_workers[worker]
 
 
 def is_paused(state: DispatchState, worker: str) -> bool:
-    """Tell whether a worker gets no new runs for being slow."""
+    """Return whether a worker gets no new runs because it is slow."""
     period = state.slow_workers.get(worker)
     return period is not None and state.now < period.ends_at
 
@@ -127,22 +138,22 @@
 
 
 def _compute_speed_share(state: DispatchState, worker: str) -> float | None:
-    """Return a worker's share of the usual speed, or None if unknown."""
+    """Return a worker's fraction of the usual speed, or None if unknown."""
     shares: dict[StepKey, list[float]] = {}
     compared = 0
-    still = 0
+    stalled = 0
     for run in state.list_runs_on(worker):
         if not _is_comparable(state, run):
             continue
         usual = _find_usual_rate(state, run)
         compared += usual is not None
-        still += run.rate == 0
+        stalled += run.rate == 0
         nominal = 100_000 / max(1, run.expected_ms)
         shares.setdefault(run.step, []).append(run.rate / (usual or nominal))
     if not shares:
         return None
     values = [value for found in shares.values() for value in found]
-    if still == len(values):
+    if stalled == len(values):
         return 0.0
     if compared or len(shares) >= MIN_STEPS:
         return median(values)
@@ -161,7 +172,11 @@
 
 
 def _find_usual_rate(state: DispatchState, run: RunEntry) -> float | None:
-    """Return the rate of a step's tasks on other workers, if known."""
+    """Return the usual rate of a step's tasks, or None if unknown.
+
+    It is the median rate on other workers, or else the rate of the run of
+    the step that finished last.
+    """
     others = [
         other.rate
         for other in state.list_runs_of(run.step)
@@ -181,7 +196,7 @@
         if run.step not in state.steps or run.rate < 0:
             continue
         step = state.find_step(run.step)
-        if step.long_running or not _is_better_elsewhere(run, step):
+        if step.long_running or not _would_end_sooner_elsewhere(run, step):
             continue
         reason = f'worker {worker} is slow'
         if step.gang:
@@ -204,10 +219,11 @@
 
 
 def _move_overdue_run(state: DispatchState, run: RunEntry) -> Actions:
-    """Move a run, or its gang, off workers that have finished nothing since.
+    """Stop an overdue run, or its gang, so that it starts elsewhere.
 
-    It happens once for each task or gang: if the next run is as slow, the
-    estimate is wrong.
+    Its workers are paused unless a run has finished there in the meantime. A
+    task or gang is moved once only: if the next run is as slow, the estimate
+    is wrong.
     """
     gang = state.find_step(run.step).gang
     if gang:
@@ -226,12 +242,12 @@
             yield _pause_worker(
                 state, worker, 0.0, state.slow_workers.get(worker)
             )
-    reason = f'it takes far longer than {run.expected_ms} ms'
+    reason = f'it takes far longer than the expected {run.expected_ms} ms'
     for entry in runs:
         yield from stop_run(state, entry, reason)
 
 
-def _is_better_elsewhere(run: RunEntry, step: Step) -> bool:
+def _would_end_sooner_elsewhere(run: RunEntry, step: Step) -> bool:
     left = 100 - run.percent
     stay_ms = left * 1000 / max(run.rate, 0.01)
     share = left / 100 if step.checkpointing else 1.0
--- a/sassafrasgate/dispatch/timers.py
+++ b/sassafrasgate/dispatch/timers.py
@@ -1,4 +1,4 @@
-"""What happens as time passes."""
+"""Periodic work: deadlines, retries and removal of old entries."""
 
 from __future__ import annotations
 
@@ -23,13 +23,13 @@
     from sassafrasgate.dispatch.state import DispatchState
     from sassafrasgate.dispatch.state import JobEntry
 
-# Callers may ask for the state of a job for two minutes after its end.
-RETENTION_MS = 150_000
+# Callers may query a job for two minutes after its end.
+JOB_RETENTION_MS = 150_000
 
 
 @EVENT_HANDLERS.register(Ticked)
 def handle_tick(state: DispatchState, event: Ticked) -> Actions:
-    """Do what is due."""
+    """Do the periodic work and request a scheduling pass if needed."""
     yield from expire_leases(state)
     yield from repeat_stops(state)
     yield from stop_incomplete_gangs(state)
@@ -44,18 +44,19 @@
         ):
             open_due_occurrences(state, job_id)
     _forget_jobs(state)
-    # Tickets expire and workers come back from pauses without an event.
+    # No event reports that a ticket expires or that a worker's pause ends, so
+    # waiting steps are reconsidered at every tick.
     if state.waiting_steps:
         state.needs_pass = True
 
 
 def _forget_jobs(state: DispatchState) -> None:
-    """Drop the parts of ended jobs that nothing asks for any more."""
+    """Remove ended jobs after the retention period, and their steps before."""
     for job_id in list(state.ended_jobs):
         entry = state.jobs[job_id]
         if entry.durable_state is entry.state:
             _forget_steps(state, entry)
-        if state.wall_ms - entry.ended_at_ms < RETENTION_MS:
+        if state.wall_ms - entry.ended_at_ms < JOB_RETENTION_MS:
             continue
         if entry.durable_state is not entry.state or entry.occurrences:
             continue
@@ -75,6 +76,6 @@
 
 @EVENT_HANDLERS.register(StopRequested)
 def handle_stop_request(state: DispatchState, event: StopRequested) -> Actions:
-    """Accept and start nothing any more; records are still written."""
+    """Stop accepting jobs and starting runs; records are still written."""
     state.stopping = True
     yield from ()
--- a/sassafrasgate/dispatch/transitions.py
+++ b/sassafrasgate/dispatch/transitions.py
@@ -1,4 +1,7 @@
-"""The one entry point of the dispatcher's decisions."""
+"""State transitions of the dispatcher, with `decide` as the only entry point.
+
+Importing this module registers the handlers of all events.
+"""
 
 from __future__ import annotations
 
@@ -22,23 +25,26 @@
 def decide(
     state: DispatchState, event: Any, now: int, wall_ms: int
 ) -> tuple[Any, ...]:
-    """Apply an event to the dispatcher's state and return what to do.
+    """Apply an event to the dispatcher's state and return the actions.
 
     Parameters
     ----------
     state : DispatchState
-        Changed in place; it belongs to the calling task alone.
+        State of the dispatcher, changed in place. Only the calling task may
+        use it.
     event : object
-        One of `sassafrasgate.dispatch.events`, or of those that it names.
+        An event of `sassafrasgate.dispatch.events`, or one of those that its
+        docstring names.
     now : int
-        The owner's suspend-counting clock in milliseconds.
+        Owner's clock, in ms. It is monotonic and includes time in which the
+        machine was suspended.
     wall_ms : int
         Unix time in milliseconds.
 
     Returns
     -------
     tuple
-        Actions of `sassafrasgate.dispatch.actions`, in order.
+        Actions to carry out, in order. See `sassafrasgate.dispatch.actions`.
     """
     state.now = now
     state.wall_ms = wall_ms
@@ -49,7 +55,7 @@
 def handle_durable_records(
     state: DispatchState, event: RecordsDurable
 ) -> Actions:
-    """Let the effects of durable records follow."""
+    """Carry out what had to wait until records were durable."""
     for record in event.records:
         if record.kind in DURABLE_HANDLERS:
             yield from DURABLE_HANDLERS.find(record.kind)(state, record)
