Rename the reservations of gangs and reword their texts

Cause: 'hold', 'firm', 'short', 'lapse' and 'try' were private words for the phases of a two-phase reservation.

Change: Hold -> PartReservation, HoldPhase -> ReservationPhase with NONE, TENTATIVE and CONFIRMED, step_gang -> handle_gang_event, TimePassed -> TimerFired, reserve_hold and the others -> handle_reserve, handle_confirm, handle_start, handle_release, expire_reservation; time limits are named as timeouts.

--- a/sassafrasgate/placement/gangs.py
+++ b/sassafrasgate/placement/gangs.py
@@ -1,14 +1,15 @@
-"""Reservations of one gang across shards: all tasks start, or none.
-
-The home shard reserves in shard-name order, so that two gangs never wait
-for each other in a circle. Reservations are short and lapse by themselves.
-Once all are held, the home shard records its intent, and each shard turns
-its reservation into a firm one. Only when all are firm do tasks start. A
-reservation that lapsed before it was firm ends the whole try, so no task
-has started by then. A firm reservation does not lapse, since the recorded
-intent lets a successor of the home shard finish or release it. Commands and
-replies carry the home shard's epoch: a command that an earlier owner sent
-before it gave up must not undo what its successor confirms.
+"""Two-phase reservation of a gang across shards: all tasks start, or none.
+
+In the first phase, the home shard requests tentative reservations, which
+expire by themselves, in the order of the shard names, so that two gangs never
+deadlock. When all parts are reserved, the home shard records its intent in
+the journal. In the second phase, each shard confirms its reservation, and
+tasks start only after all have confirmed. If a reservation expires before it
+is confirmed, the whole attempt is aborted, and no task has started by then. A
+confirmed reservation does not expire, since a successor of the home shard
+completes or releases it according to the recorded intent. Commands and
+replies carry the epoch of the home shard's owner: a command that a previous
+owner sent before it stepped down must not undo what its successor confirms.
 """
 
 from __future__ import annotations
@@ -24,17 +25,18 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-RESERVATION_MS = 2_000
-# A shard that has not replied by then counts as having refused.
-REPLY_MS = 1_000
-# Firm reservations elsewhere are not kept longer than this for a shard that
-# does not confirm its own.
-CONFIRM_MS = 5_000
-RESEND_MS = 500
+RESERVATION_TIMEOUT_MS = 2_000
+# A shard that does not reply to a reservation within this time counts as
+# having refused.
+REPLY_TIMEOUT_MS = 1_000
+# Confirmed reservations of other shards are released if a shard does not
+# confirm its own within this time.
+CONFIRM_TIMEOUT_MS = 5_000
+RESEND_INTERVAL_MS = 500
 
 
 class GangPhase(StrEnum):
-    """How far the home shard has come."""
+    """Progress of an attempt at the home shard."""
 
     RESERVING = 'reserving'
     RECORDING = 'recording'
@@ -55,30 +57,30 @@
 
 @dataclass(frozen=True, slots=True)
 class GangState:
-    """One try to start a gang, as its home shard knows it.
+    """State of one attempt to start a gang, kept by its home shard.
 
     Parameters
     ----------
     job_id : str
-        The gang.
+        Job id of the gang.
     attempt : int
-        Number of the try; shards keep a `Hold` for each.
+        Number of the attempt; shards keep a `PartReservation` for each.
     epoch : int
-        Epoch of the home shard's owner.
+        Epoch of the owner of the home shard.
     parts : tuple of GangPart
-        In shard-name order; made by `begin_gang`.
+        Parts of the gang, ordered by shard name.
     phase : GangPhase
-        Where the try stands.
-    waiting : tuple of str
-        Shards whose reply the phase waits for.
-    asked_at : int
-        When they were first asked, in ms.
-    sent_at : int
-        When they were last asked, in ms.
+        Current phase of the attempt.
+    pending_shards : tuple of str
+        Shards whose replies the current phase waits for.
+    requested_at : int
+        When the commands of this phase were first sent, in ms.
+    last_sent_at : int
+        When the commands of this phase were last sent, in ms.
     reason : str
-        Why the try was given up.
+        Why the attempt was aborted.
     resumed : bool
-        Whether an earlier owner may have sent starts.
+        Whether a previous owner may already have sent start commands.
     """
 
     job_id: str
@@ -86,16 +88,16 @@
     epoch: int
     parts: tuple[GangPart, ...]
     phase: GangPhase = GangPhase.RESERVING
-    waiting: tuple[str, ...] = ()
-    asked_at: int = 0
-    sent_at: int = 0
+    pending_shards: tuple[str, ...] = ()
+    requested_at: int = 0
+    last_sent_at: int = 0
     reason: str = ''
     resumed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class PartReserved:
-    """A shard holds its part for `RESERVATION_MS`."""
+    """A shard has reserved its part for `RESERVATION_TIMEOUT_MS`."""
 
     shard: str
     epoch: int
@@ -103,7 +105,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PartRefused:
-    """A shard can't hold its part, or no longer holds it."""
+    """A shard can't reserve its part, or its reservation has ended."""
 
     shard: str
     epoch: int
@@ -112,12 +114,12 @@
 
 @dataclass(frozen=True, slots=True)
 class IntentRecorded:
-    """The home shard's journal holds the intent to start the gang."""
+    """The journal of the home shard contains the intent to start the gang."""
 
 
 @dataclass(frozen=True, slots=True)
 class PartConfirmed:
-    """A shard's reservation is firm."""
+    """A shard has confirmed its reservation."""
 
     shard: str
     epoch: int
@@ -125,7 +127,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PartStarted:
-    """A shard has taken over the start of its tasks for good."""
+    """A shard has accepted the start command; its tasks run or will run."""
 
     shard: str
     epoch: int
@@ -133,15 +135,18 @@
 
 @dataclass(frozen=True, slots=True)
 class PartReleased:
-    """A shard holds nothing for this try any more."""
+    """A shard holds no reservation for this attempt any more."""
 
     shard: str
     epoch: int
 
 
 @dataclass(frozen=True, slots=True)
-class TimePassed:
-    """A timer; sent at least every `RESEND_MS` while a try is open."""
+class TimerFired:
+    """A timer event.
+
+    It must occur at least every `RESEND_INTERVAL_MS` until the attempt ends.
+    """
 
 
 @dataclass(frozen=True, slots=True)
@@ -151,22 +156,22 @@
 
 @dataclass(frozen=True, slots=True)
 class SendReserve:
-    """Ask a shard to hold its part for a short time."""
+    """Ask a shard to reserve its part for a limited time."""
 
     shard: str
     epoch: int
     tasks: int
-    hold_ms: int = RESERVATION_MS
+    reservation_ms: int = RESERVATION_TIMEOUT_MS
 
 
 @dataclass(frozen=True, slots=True)
 class RecordIntent:
-    """Write the intent to the home shard's journal."""
+    """Write the intent to the journal of the home shard."""
 
 
 @dataclass(frozen=True, slots=True)
 class SendConfirm:
-    """Ask a shard to make its reservation firm."""
+    """Ask a shard to confirm its reservation."""
 
     shard: str
     epoch: int
@@ -182,7 +187,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SendRelease:
-    """Tell a shard to drop its reservation."""
+    """Tell a shard to release its reservation."""
 
     shard: str
     epoch: int
@@ -190,12 +195,12 @@
 
 @dataclass(frozen=True, slots=True)
 class ReportStarted:
-    """The gang runs: all shards have taken over their tasks."""
+    """Report that all shards have accepted the start of their tasks."""
 
 
 @dataclass(frozen=True, slots=True)
 class ReportRefused:
-    """No task has started or will start in this try."""
+    """Report that no task has started or will start in this attempt."""
 
     reason: str
 
@@ -207,7 +212,7 @@
     | PartConfirmed
     | PartStarted
     | PartReleased
-    | TimePassed
+    | TimerFired
     | GangCancelled
 )
 Action = (
@@ -219,10 +224,10 @@
     | ReportStarted
     | ReportRefused
 )
-Step = tuple[GangState, tuple[Action, ...]]
-HANDLERS: Registry[type[Any], Callable[[GangState, Any, int], Step]] = (
-    Registry('gang event')
-)
+Transition = tuple[GangState, tuple[Action, ...]]
+EVENT_HANDLERS: Registry[
+    type[Any], Callable[[GangState, Any, int], Transition]
+] = Registry('gang event')
 
 
 def begin_gang(
@@ -231,19 +236,19 @@
     epoch: int,
     parts: tuple[GangPart, ...],
     now: int,
-) -> Step:
-    """Return the first state and actions of a try.
+) -> Transition:
+    """Return the initial state and actions of an attempt.
 
     Raises
     ------
     ValueError
-        When there are no parts.
+        When ``parts`` is empty.
     """
     if not parts:
         raise ValueError(f'gang {job_id!r} has no parts; name at least one')
     ordered = tuple(sorted(parts, key=lambda part: part.shard))
     state = GangState(job_id, attempt, epoch, ordered)
-    return _ask_next(state, 0, now)
+    return _request_reservation(state, 0, now)
 
 
 def resume_gang(
@@ -252,25 +257,25 @@
     epoch: int,
     parts: tuple[GangPart, ...],
     now: int,
-) -> Step:
-    """Return the state of a successor that finds a recorded intent.
-
-    Whether all parts were firm is not known, so each shard is asked to
-    confirm again; a shard whose tasks have started confirms too. When one
-    refuses, not all were firm, so no start was sent. When all confirm, the
-    gang starts even if the caller has cancelled it meanwhile, since some
-    tasks may have started; the cancellation then ends a running gang.
+) -> Transition:
+    """Return the state and actions of a new owner that finds an intent.
+
+    It is unknown whether all parts were confirmed, so each shard is asked
+    to confirm again; a shard whose tasks have started confirms as well. If
+    one refuses, not all parts were confirmed, so no start command was sent.
+    If all confirm, the gang starts even if the caller has cancelled it in
+    the meantime, since some tasks may already be running; the cancellation
+    then ends a running gang.
     """
     ordered = tuple(sorted(parts, key=lambda part: part.shard))
     state = GangState(job_id, attempt, epoch, ordered, resumed=True)
     return _confirm_all(state, now)
 
 
-def step_gang(state: GangState, event: Event, now: int) -> Step:
-    """Return the state after an event, and what to do.
+def handle_gang_event(state: GangState, event: Event, now: int) -> Transition:
+    """Return the state after an event, and the actions to take.
 
-    Late and repeated events, and replies to an earlier owner, change
-    nothing.
+    Late and repeated events, and replies to a previous owner, are ignored.
 
     Parameters
     ----------
@@ -279,147 +284,174 @@
     """
     if getattr(event, 'epoch', state.epoch) != state.epoch:
         return state, ()
-    return HANDLERS.find(type(event))(state, event, now)
+    return EVENT_HANDLERS.find(type(event))(state, event, now)
 
 
-@HANDLERS.register(PartReserved)
-def _note_reserved(state: GangState, event: PartReserved, now: int) -> Step:
+@EVENT_HANDLERS.register(PartReserved)
+def _handle_reserved(
+    state: GangState, event: PartReserved, now: int
+) -> Transition:
     if state.phase is not GangPhase.RESERVING:
         return state, ()
-    if event.shard not in state.waiting:
+    if event.shard not in state.pending_shards:
         return state, ()
-    number = _find_number(state, event.shard) + 1
-    if number < len(state.parts):
-        return _ask_next(state, number, now)
-    state = replace(state, phase=GangPhase.RECORDING, waiting=())
+    position = _find_position(state, event.shard) + 1
+    if position < len(state.parts):
+        return _request_reservation(state, position, now)
+    state = replace(state, phase=GangPhase.RECORDING, pending_shards=())
     return state, (RecordIntent(),)
 
 
-@HANDLERS.register(PartRefused)
-def _note_refused(state: GangState, event: PartRefused, now: int) -> Step:
-    if event.shard not in state.waiting:
+@EVENT_HANDLERS.register(PartRefused)
+def _handle_refused(
+    state: GangState, event: PartRefused, now: int
+) -> Transition:
+    if event.shard not in state.pending_shards:
         return state, ()
     if state.phase not in (GangPhase.RESERVING, GangPhase.CONFIRMING):
         return state, ()
-    return _give_up(state, f'shard {event.shard!r}: {event.reason}', now)
+    return _abort(state, f'shard {event.shard!r}: {event.reason}', now)
 
 
-@HANDLERS.register(IntentRecorded)
-def _note_recorded(state: GangState, event: IntentRecorded, now: int) -> Step:
+@EVENT_HANDLERS.register(IntentRecorded)
+def _handle_recorded(
+    state: GangState, event: IntentRecorded, now: int
+) -> Transition:
     if state.phase is not GangPhase.RECORDING:
         return state, ()
     return _confirm_all(state, now)
 
 
-@HANDLERS.register(PartConfirmed)
-def _note_confirmed(state: GangState, event: PartConfirmed, now: int) -> Step:
+@EVENT_HANDLERS.register(PartConfirmed)
+def _handle_confirmed(
+    state: GangState, event: PartConfirmed, now: int
+) -> Transition:
     if state.phase is not GangPhase.CONFIRMING:
         return state, ()
-    state = _drop_waiting(state, event.shard)
-    if state.waiting:
+    state = _remove_pending(state, event.shard)
+    if state.pending_shards:
         return state, ()
     shards = _list_shards(state)
     state = replace(
         state,
         phase=GangPhase.STARTING,
-        waiting=shards,
-        asked_at=now,
-        sent_at=now,
+        pending_shards=shards,
+        requested_at=now,
+        last_sent_at=now,
     )
     return state, tuple(SendStart(shard, state.epoch) for shard in shards)
 
 
-@HANDLERS.register(PartStarted)
-def _note_started(state: GangState, event: PartStarted, now: int) -> Step:
+@EVENT_HANDLERS.register(PartStarted)
+def _handle_started(
+    state: GangState, event: PartStarted, now: int
+) -> Transition:
     if state.phase is not GangPhase.STARTING:
         return state, ()
-    state = _drop_waiting(state, event.shard)
-    if state.waiting:
+    state = _remove_pending(state, event.shard)
+    if state.pending_shards:
         return state, ()
     return replace(state, phase=GangPhase.STARTED), (ReportStarted(),)
 
 
-@HANDLERS.register(PartReleased)
-def _note_released(state: GangState, event: PartReleased, now: int) -> Step:
+@EVENT_HANDLERS.register(PartReleased)
+def _handle_released(
+    state: GangState, event: PartReleased, now: int
+) -> Transition:
     if state.phase is not GangPhase.RELEASING:
         return state, ()
-    state = _drop_waiting(state, event.shard)
-    if state.waiting:
+    state = _remove_pending(state, event.shard)
+    if state.pending_shards:
         return state, ()
     state = replace(state, phase=GangPhase.REFUSED)
     return state, (ReportRefused(state.reason),)
 
 
-@HANDLERS.register(GangCancelled)
-def _note_cancelled(state: GangState, event: GangCancelled, now: int) -> Step:
-    """Give up a try that has not started; later ones end as running jobs."""
+@EVENT_HANDLERS.register(GangCancelled)
+def _handle_cancelled(
+    state: GangState, event: GangCancelled, now: int
+) -> Transition:
+    """Abort the attempt unless tasks may have started.
+
+    Later cancellations are handled as those of a running job.
+    """
     if not state.resumed and state.phase in (
         GangPhase.RESERVING,
         GangPhase.RECORDING,
         GangPhase.CONFIRMING,
     ):
-        return _give_up(state, 'cancelled', now)
+        return _abort(state, 'cancelled', now)
     return state, ()
 
 
-@HANDLERS.register(TimePassed)
-def _note_time(state: GangState, event: TimePassed, now: int) -> Step:
-    limit = _REPLY_LIMITS.get(state.phase)
-    is_late = limit is not None and now >= state.asked_at + limit
-    if is_late and not state.resumed:
-        shards = ', '.join(state.waiting)
-        return _give_up(state, f'no reply from shard {shards}', now)
-    send = _RESENT.get(state.phase)
-    if send is None or now < state.sent_at + RESEND_MS:
+@EVENT_HANDLERS.register(TimerFired)
+def _handle_timer(state: GangState, event: TimerFired, now: int) -> Transition:
+    timeout_ms = _REPLY_TIMEOUTS_MS.get(state.phase)
+    has_timed_out = (
+        timeout_ms is not None and now >= state.requested_at + timeout_ms
+    )
+    if has_timed_out and not state.resumed:
+        shards = ', '.join(state.pending_shards)
+        return _abort(state, f'no reply from shard {shards}', now)
+    send = _RESENT_COMMANDS.get(state.phase)
+    if send is None or now < state.last_sent_at + RESEND_INTERVAL_MS:
         return state, ()
-    actions = tuple(send(shard, state.epoch) for shard in state.waiting)
-    return replace(state, sent_at=now), actions
+    actions = tuple(send(shard, state.epoch) for shard in state.pending_shards)
+    return replace(state, last_sent_at=now), actions
 
 
-# No start is sent in these phases, so giving up leaves nothing running. A
-# resumed try is an exception: an earlier owner may have sent starts.
-_REPLY_LIMITS = {
-    GangPhase.RESERVING: REPLY_MS,
-    GangPhase.CONFIRMING: CONFIRM_MS,
+# No start command is sent in these phases, so no task runs after an abort. A
+# resumed attempt has no timeout, since a previous owner may have sent start
+# commands.
+_REPLY_TIMEOUTS_MS = {
+    GangPhase.RESERVING: REPLY_TIMEOUT_MS,
+    GangPhase.CONFIRMING: CONFIRM_TIMEOUT_MS,
 }
-# A reservation is asked for once, since it would lapse before long anyway.
-_RESENT: dict[GangPhase, Callable[[str, int], Action]] = {
+# Commands that are repeated until all shards reply. Requests for reservations
+# are not, since their timeout is short.
+_RESENT_COMMANDS: dict[GangPhase, Callable[[str, int], Action]] = {
     GangPhase.CONFIRMING: SendConfirm,
     GangPhase.STARTING: SendStart,
     GangPhase.RELEASING: SendRelease,
 }
 
 
-def _ask_next(state: GangState, number: int, now: int) -> Step:
-    part = state.parts[number]
-    state = replace(state, waiting=(part.shard,), asked_at=now, sent_at=now)
+def _request_reservation(
+    state: GangState, position: int, now: int
+) -> Transition:
+    part = state.parts[position]
+    state = replace(
+        state, pending_shards=(part.shard,), requested_at=now, last_sent_at=now
+    )
     return state, (SendReserve(part.shard, state.epoch, part.tasks),)
 
 
-def _confirm_all(state: GangState, now: int) -> Step:
+def _confirm_all(state: GangState, now: int) -> Transition:
     shards = _list_shards(state)
     state = replace(
         state,
         phase=GangPhase.CONFIRMING,
-        waiting=shards,
-        asked_at=now,
-        sent_at=now,
+        pending_shards=shards,
+        requested_at=now,
+        last_sent_at=now,
     )
     return state, tuple(SendConfirm(shard, state.epoch) for shard in shards)
 
 
-def _give_up(state: GangState, reason: str, now: int) -> Step:
-    """Release every part that was asked for, replied or not."""
+def _abort(state: GangState, reason: str, now: int) -> Transition:
+    """Release every part that was requested, whether or not it replied."""
     shards = _list_shards(state)
     if state.phase is GangPhase.RESERVING:
-        asked = max(_find_number(state, shard) for shard in state.waiting)
-        shards = shards[: asked + 1]
+        last_requested = max(
+            _find_position(state, shard) for shard in state.pending_shards
+        )
+        shards = shards[: last_requested + 1]
     state = replace(
         state,
         phase=GangPhase.RELEASING,
-        waiting=shards,
-        asked_at=now,
-        sent_at=now,
+        pending_shards=shards,
+        requested_at=now,
+        last_sent_at=now,
         reason=reason,
     )
     return state, tuple(SendRelease(shard, state.epoch) for shard in shards)
@@ -429,97 +461,140 @@
     return tuple(part.shard for part in state.parts)
 
 
-def _find_number(state: GangState, shard: str) -> int:
+def _find_position(state: GangState, shard: str) -> int:
     return _list_shards(state).index(shard)
 
 
-def _drop_waiting(state: GangState, shard: str) -> GangState:
+def _remove_pending(state: GangState, shard: str) -> GangState:
     return replace(
-        state, waiting=tuple(name for name in state.waiting if name != shard)
+        state,
+        pending_shards=tuple(
+            name for name in state.pending_shards if name != shard
+        ),
     )
 
 
-class HoldPhase(StrEnum):
-    """What a shard holds for a gang of another home shard."""
+class ReservationPhase(StrEnum):
+    """Phase of a part's reservation at the shard that is to run it."""
 
-    NOTHING = 'nothing'
-    SHORT = 'short'
-    FIRM = 'firm'
+    NONE = 'none'
+    TENTATIVE = 'tentative'
+    CONFIRMED = 'confirmed'
     STARTED = 'started'
     RELEASED = 'released'
 
 
 @dataclass(frozen=True, slots=True)
-class Hold:
-    """One part at the shard that is to run it, for one try.
+class PartReservation:
+    """Reservation of one part at its shard, for one attempt.
 
     Parameters
     ----------
-    phase : HoldPhase
-        ``RELEASED`` is kept as a tombstone, so that a late request of the
-        same try finds nothing to hold again.
-    until : int
-        When a short reservation lapses, in ms of this shard's clock.
+    phase : ReservationPhase
+        ``RELEASED`` is kept as a tombstone, so that a late command of the
+        same attempt does not reserve the part again.
+    expires_at : int
+        When a tentative reservation expires, in ms of this shard's clock.
     epoch : int
-        Highest epoch of the home shard that sent a command; commands with
-        a lower one are refused.
+        Highest epoch in a command of the home shard; commands with a lower
+        epoch are refused.
     """
 
-    phase: HoldPhase = HoldPhase.NOTHING
-    until: int = 0
+    phase: ReservationPhase = ReservationPhase.NONE
+    expires_at: int = 0
     epoch: int = 0
 
 
-def reserve_hold(
-    hold: Hold, command: SendReserve, has_room: bool, now: int
-) -> tuple[Hold, bool]:
-    """Answer a request to reserve; False for a refusal."""
-    if command.epoch < hold.epoch:
-        return hold, False
-    if hold.phase is HoldPhase.NOTHING and has_room:
-        until = now + command.hold_ms
-        return Hold(HoldPhase.SHORT, until, command.epoch), True
-    return hold, hold.phase is HoldPhase.SHORT and now < hold.until
+def handle_reserve(
+    reservation: PartReservation,
+    command: SendReserve,
+    has_room: bool,
+    now: int,
+) -> tuple[PartReservation, bool]:
+    """Return the reservation after a reserve command; False if refused."""
+    if command.epoch < reservation.epoch:
+        return reservation, False
+    if reservation.phase is ReservationPhase.NONE and has_room:
+        expires_at = now + command.reservation_ms
+        return PartReservation(
+            ReservationPhase.TENTATIVE, expires_at, command.epoch
+        ), True
+    return (
+        reservation,
+        reservation.phase is ReservationPhase.TENTATIVE
+        and now < reservation.expires_at,
+    )
 
 
-def confirm_hold(
-    hold: Hold, command: SendConfirm, now: int
-) -> tuple[Hold, bool]:
-    """Answer a request to make a reservation firm; False for a refusal.
+def handle_confirm(
+    reservation: PartReservation, command: SendConfirm, now: int
+) -> tuple[PartReservation, bool]:
+    """Return the reservation after a confirm command; False if refused.
 
-    The firm reservation must be in this shard's journal before the reply
-    is sent, since the home shard starts the gang on it.
+    The confirmed reservation must be written to this shard's journal before
+    the reply is sent, since the home shard then starts the gang.
     """
-    if command.epoch < hold.epoch:
-        return hold, False
-    if hold.phase is HoldPhase.SHORT and now < hold.until:
-        return Hold(HoldPhase.FIRM, epoch=command.epoch), True
-    if hold.phase in (HoldPhase.FIRM, HoldPhase.STARTED):
-        return replace(hold, epoch=command.epoch), True
-    return Hold(HoldPhase.RELEASED, epoch=command.epoch), False
-
-
-def start_hold(hold: Hold, command: SendStart) -> tuple[Hold, bool]:
-    """Answer the start of a part; True when its tasks run or will run."""
-    if command.epoch < hold.epoch:
-        return hold, False
-    if hold.phase in (HoldPhase.FIRM, HoldPhase.STARTED):
-        return Hold(HoldPhase.STARTED, epoch=command.epoch), True
-    return hold, False
+    if command.epoch < reservation.epoch:
+        return reservation, False
+    if (
+        reservation.phase is ReservationPhase.TENTATIVE
+        and now < reservation.expires_at
+    ):
+        return PartReservation(
+            ReservationPhase.CONFIRMED, epoch=command.epoch
+        ), True
+    if reservation.phase in (
+        ReservationPhase.CONFIRMED,
+        ReservationPhase.STARTED,
+    ):
+        return replace(reservation, epoch=command.epoch), True
+    return PartReservation(
+        ReservationPhase.RELEASED, epoch=command.epoch
+    ), False
+
+
+def handle_start(
+    reservation: PartReservation, command: SendStart
+) -> tuple[PartReservation, bool]:
+    """Return the reservation after a start command; False if refused."""
+    if command.epoch < reservation.epoch:
+        return reservation, False
+    if reservation.phase in (
+        ReservationPhase.CONFIRMED,
+        ReservationPhase.STARTED,
+    ):
+        return PartReservation(
+            ReservationPhase.STARTED, epoch=command.epoch
+        ), True
+    return reservation, False
 
 
-def release_hold(hold: Hold, command: SendRelease) -> tuple[Hold, bool]:
-    """Answer the release of a part; True when nothing is held any more.
+def handle_release(
+    reservation: PartReservation, command: SendRelease
+) -> tuple[PartReservation, bool]:
+    """Return the reservation after a release command; False if refused.
 
-    Started tasks are not affected: their end is a cancellation.
+    Started tasks are not affected; they are ended by a cancellation.
     """
-    if command.epoch < hold.epoch or hold.phase is HoldPhase.STARTED:
-        return hold, False
-    return Hold(HoldPhase.RELEASED, epoch=command.epoch), True
-
-
-def lapse_hold(hold: Hold, now: int) -> Hold:
-    """Drop a short reservation whose time is over."""
-    if hold.phase is HoldPhase.SHORT and now >= hold.until:
-        return Hold(HoldPhase.RELEASED, epoch=hold.epoch)
-    return hold
+    if (
+        command.epoch < reservation.epoch
+        or reservation.phase is ReservationPhase.STARTED
+    ):
+        return reservation, False
+    return PartReservation(
+        ReservationPhase.RELEASED, epoch=command.epoch
+    ), True
+
+
+def expire_reservation(
+    reservation: PartReservation, now: int
+) -> PartReservation:
+    """Release a tentative reservation that has expired."""
+    if (
+        reservation.phase is ReservationPhase.TENTATIVE
+        and now >= reservation.expires_at
+    ):
+        return PartReservation(
+            ReservationPhase.RELEASED, epoch=reservation.epoch
+        )
+    return reservation
