--- a/sassafrasgate/placement/admission.py
+++ b/sassafrasgate/placement/admission.py
@@ -27,9 +27,9 @@
 
 # Time constant of the average start rate: short enough to follow a change of
 # load within seconds, long enough to smooth out bursts.
-RATE_WINDOW_MS = 10_000
+RATE_TIME_CONSTANT_MS = 10_000
 
-_PARALLEL = frozenset({JobClass.SERVICE, JobClass.GANG})
+_MULTI_TASK_CLASSES = frozenset({JobClass.SERVICE, JobClass.GANG})
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,7 +69,7 @@
     if not spec.key:
         return "field 'key' is empty"
     if len(spec.key) > MAX_KEY_LENGTH:
-        return f"field 'key' is longer than {MAX_KEY_LENGTH}"
+        return f"field 'key' is longer than {MAX_KEY_LENGTH} characters"
     return ''
 
 
@@ -80,9 +80,11 @@
         if getattr(spec.demand, field.name) < 0:
             return f'demand {spec.demand!r} has a negative {field.name}'
     if spec.demand.slots < 1:
-        return f'demand {spec.demand!r} takes no slot'
+        return f'demand {spec.demand!r} requests no slot'
     if spec.demand.millicores < 1 or spec.demand.memory_mb < 1:
-        return f'demand {spec.demand!r} takes no processor or no memory'
+        return (
+            f'demand {spec.demand!r} requests no processor time or no memory'
+        )
     return ''
 
 
@@ -90,9 +92,11 @@
 def check_tasks(spec: JobSpec) -> str:
     """Return an error for the number of tasks, or an empty string."""
     if not 1 <= spec.tasks <= MAX_TASKS:
-        return f'{spec.tasks!r} tasks are not between 1 and {MAX_TASKS}'
-    if spec.tasks > 1 and spec.job_class not in _PARALLEL:
-        return f'class {spec.job_class.value!r} has {spec.tasks!r} tasks'
+        return f'{spec.tasks!r} tasks requested, allowed are 1 to {MAX_TASKS}'
+    if spec.tasks > 1 and spec.job_class not in _MULTI_TASK_CLASSES:
+        return (
+            f'class {spec.job_class.value!r} allows 1 task, not {spec.tasks!r}'
+        )
     return ''
 
 
@@ -102,7 +106,7 @@
     for name in ('deadline_s', 'run_time_s'):
         value: float = getattr(spec, name)
         if not isfinite(value) or value < 0:
-            return f'field {name!r} is {value!r}'
+            return f'field {name!r} is {value!r}, not a finite time from 0'
     return ''
 
 
@@ -110,7 +114,7 @@
 def check_priority(spec: JobSpec) -> str:
     """Return an error for the priority, or an empty string."""
     if abs(spec.priority) > MAX_PRIORITY:
-        return f'priority {spec.priority!r} is beyond +-{MAX_PRIORITY}'
+        return f'priority {spec.priority!r} is outside +-{MAX_PRIORITY}'
     return ''
 
 
@@ -119,8 +123,8 @@
     """Return an error for the payload, or an empty string."""
     if len(spec.payload) > MAX_PAYLOAD_BYTES:
         return (
-            f'payload of {len(spec.payload)} bytes is longer than '
-            f'{MAX_PAYLOAD_BYTES}'
+            f'payload of {len(spec.payload)} bytes exceeds the limit of '
+            f'{MAX_PAYLOAD_BYTES} bytes'
         )
     return ''
 
@@ -169,7 +173,7 @@
             f'limit {load.shard_limit}',
             'retry later with increasing delays',
         )
-    wait_s = expect_wait(load.ahead, load.starts_per_s)
+    wait_s = estimate_wait(load.ahead, load.starts_per_s)
     if spec.deadline_s and wait_s > spec.deadline_s:
         return Refusal(
             RefusalKind.DEADLINE,
@@ -180,7 +184,7 @@
     return None
 
 
-def expect_wait(ahead: int, starts_per_s: float) -> float:
+def estimate_wait(ahead: int, starts_per_s: float) -> float:
     """Return the expected wait in seconds; 0 if the rate is unknown."""
     if starts_per_s <= 0:
         return 0.0
@@ -194,26 +198,30 @@
     """
 
     def __init__(self) -> None:
-        self._weight = 0.0
+        self._weighted_count = 0.0
         self._updated_at = 0
-        self._first_at: int | None = None
+        self._first_start_at: int | None = None
 
     def record_starts(self, now: int, jobs: int = 1) -> None:
         """Record the start of ``jobs`` jobs at ``now``, in ms."""
-        if self._first_at is None:
-            self._first_at = now
-        self._weight = self._decay(now) + jobs
+        if self._first_start_at is None:
+            self._first_start_at = now
+        self._weighted_count = self._decay(now) + jobs
         self._updated_at = max(now, self._updated_at)
 
     def compute_rate(self, now: int) -> float:
         """Return the starts per second; 0 before the first start."""
-        if self._first_at is None:
+        if self._first_start_at is None:
             return 0.0
         # Normalise by the part of the window since the first start, so that
         # the rate isn't underestimated at the beginning.
-        seen = 1 - exp(-max(now - self._first_at, 1000) / RATE_WINDOW_MS)
-        return self._decay(now) / (RATE_WINDOW_MS / 1000 * seen)
+        window_fraction = 1 - exp(
+            -max(now - self._first_start_at, 1000) / RATE_TIME_CONSTANT_MS
+        )
+        return self._decay(now) / (
+            RATE_TIME_CONSTANT_MS / 1000 * window_fraction
+        )
 
     def _decay(self, now: int) -> float:
         elapsed = max(0, now - self._updated_at)
-        return self._weight * exp(-elapsed / RATE_WINDOW_MS)
+        return self._weighted_count * exp(-elapsed / RATE_TIME_CONSTANT_MS)
--- a/sassafrasgate/placement/index.py
+++ b/sassafrasgate/placement/index.py
@@ -19,9 +19,9 @@
 
     from sassafrasgate.core.hosts import Host
 
-_ROUNDING = 1e-9
+_ROUNDING_MARGIN = 1e-9
 _NO_HOSTS: list[tuple[float, str]] = []
-_NO_TASKS: Mapping[str, Resources] = MappingProxyType({})
+_NO_RESERVATIONS: Mapping[str, Resources] = MappingProxyType({})
 
 
 class NoRoomError(SassafrasgateError):
@@ -59,19 +59,21 @@
         self._hosts: dict[str, Host] = {}
         # Free resources by host; those of open hosts are stored separately,
         # since the search for candidates reads only these.
-        self._open: dict[str, Resources] = {}
-        self._closed: dict[str, Resources] = {}
+        self._open_free: dict[str, Resources] = {}
+        self._closed_free: dict[str, Resources] = {}
+        # Hosts removed from the inventory, and whether each is to be open
+        # when it is added again.
         self._removed: dict[str, bool] = {}
         self._tasks: dict[str, dict[str, Resources]] = {}
-        self._first: dict[tuple[str, str], Resources] = {}
+        self._initial: dict[tuple[str, str], Resources] = {}
         # Open hosts by failure domain, sorted from fullest to emptiest.
         # With a few hundred hosts, bisection in a plain list is faster than
         # a tree or nested lists, although an insertion moves the tail.
-        self._orders: dict[str, list[tuple[float, str]]] = {}
-        self._total = NO_RESOURCES
-        self._largest = NO_RESOURCES
+        self._sorted_hosts: dict[str, list[tuple[float, str]]] = {}
+        self._total_free = NO_RESOURCES
+        self._largest_capacity = NO_RESOURCES
         self._hosts_view = MappingProxyType(self._hosts)
-        self._open_view = MappingProxyType(self._open)
+        self._open_view = MappingProxyType(self._open_free)
 
     @property
     def hosts(self) -> Mapping[str, Host]:
@@ -91,16 +93,16 @@
         capacity shrinks, its free resources may become negative.
         """
         name = host.name
-        self._raise_largest(host.capacity)
+        self._update_largest_capacity(host.capacity)
         if name not in self._hosts:
             self._hosts[name] = host
             self._tasks[name] = {}
-            self._closed[name] = host.capacity
+            self._closed_free[name] = host.capacity
             self.set_open(name, not host.drained)
             return
         # Close the host during the change, since it may move to another
         # failure domain.
-        is_open = self._removed.pop(name, name in self._open)
+        is_open = self._removed.pop(name, name in self._open_free)
         self._close(name)
         change = host.capacity - self._hosts[name].capacity
         self._hosts[name] = host
@@ -118,7 +120,7 @@
             return
         self._removed[name] = self.is_open(name)
         self._close(name)
-        self._forget_if_empty(name)
+        self._delete_if_unused(name)
 
     def set_open(self, name: str, is_open: bool) -> None:
         """Open or close a host for new tasks; its reservations are kept.
@@ -132,17 +134,19 @@
         if not is_open:
             self._close(name)
             return
-        if name in self._open:
+        if name in self._open_free:
             return
-        free = self._closed.pop(name)
-        self._open[name] = free
-        insort(self._find_order(name), (self.compute_mean_share(free), name))
-        self._total = self._total + free.take_maximum(NO_RESOURCES)
+        free = self._closed_free.pop(name)
+        self._open_free[name] = free
+        insort(
+            self._get_sorted_hosts(name), (self.compute_mean_share(free), name)
+        )
+        self._total_free = self._total_free + free.take_maximum(NO_RESOURCES)
 
     def is_open(self, name: str) -> bool:
         """Tell whether a host accepts new tasks."""
         self._check_known(name)
-        return name in self._open
+        return name in self._open_free
 
     def reserve(
         self,
@@ -174,7 +178,7 @@
         self._check_known(name)
         held = self._tasks[name].get(task, NO_RESOURCES)
         self._set_reservation(name, task, held.take_maximum(demand), force)
-        self._first.setdefault((name, task), demand)
+        self._initial.setdefault((name, task), demand)
 
     def resize(
         self,
@@ -196,7 +200,7 @@
         self._check_known(name)
         if task not in self._tasks[name]:
             raise UnknownNameError('task', task, tuple(self._tasks[name]))
-        amount = demand.take_maximum(self._first[name, task])
+        amount = demand.take_maximum(self._initial[name, task])
         self._set_reservation(name, task, amount, force)
 
     def release(self, name: str, task: str) -> bool:
@@ -204,16 +208,16 @@
         held = self._tasks.get(name, {}).pop(task, None)
         if held is None:
             return False
-        del self._first[name, task]
+        del self._initial[name, task]
         self._change_free(name, held)
-        self._forget_if_empty(name)
+        self._delete_if_unused(name)
         return True
 
     def find_free(self, name: str) -> Resources:
         """Return a host's free resources; negative if overcommitted."""
         self._check_known(name)
-        free = self._open.get(name)
-        return self._closed[name] if free is None else free
+        free = self._open_free.get(name)
+        return self._closed_free[name] if free is None else free
 
     def find_reserved(self, name: str) -> Resources:
         """Return the sum of a host's reservations."""
@@ -221,15 +225,15 @@
 
     def list_reservations(self, name: str) -> Mapping[str, Resources]:
         """Return a host's reservations by task; empty for an unknown host."""
-        return MappingProxyType(self._tasks.get(name, _NO_TASKS))
+        return MappingProxyType(self._tasks.get(name, _NO_RESERVATIONS))
 
-    def find_tightest(
+    def find_best_fit(
         self,
         domain: str,
         demand: Resources,
         is_usable: Callable[[str], bool] | None = None,
     ) -> tuple[float, str] | None:
-        """Return the fullest open host of a domain with room for a demand.
+        """Return the fullest open host of a domain where a demand fits.
 
         Parameters
         ----------
@@ -247,26 +251,28 @@
             `compute_mean_share`, and the name of the host. Of equally full
             hosts, the first by name is returned.
         """
-        entries = self._orders.get(domain, _NO_HOSTS)
-        free = self._open
-        for number in range(self._find_start(entries, demand), len(entries)):
-            name = entries[number][1]
+        entries = self._sorted_hosts.get(domain, _NO_HOSTS)
+        free = self._open_free
+        for position in range(
+            self._find_first_candidate(entries, demand), len(entries)
+        ):
+            name = entries[position][1]
             if demand.fits_in(free[name]) and (
                 is_usable is None or is_usable(name)
             ):
-                return entries[number]
+                return entries[position]
         return None
 
     def count_candidates(self, demand: Resources) -> int:
         """Return how many open hosts have a large enough mean free share."""
         return sum(
-            len(entries) - self._find_start(entries, demand)
-            for entries in self._orders.values()
+            len(entries) - self._find_first_candidate(entries, demand)
+            for entries in self._sorted_hosts.values()
         )
 
     def list_domains(self) -> list[str]:
         """Return the failure domains that have or had open hosts."""
-        return list(self._orders)
+        return list(self._sorted_hosts)
 
     def compute_mean_share(self, amount: Resources) -> float:
         """Return the mean share that an amount takes of the largest capacity.
@@ -275,12 +281,14 @@
         their free resources are therefore also sorted by the share that
         would remain after placing any given demand.
         """
-        return compute_mean_share(amount, self._largest)
+        return compute_mean_share(amount, self._largest_capacity)
 
     def list_fitting(self, demand: Resources) -> list[str]:
-        """Return the names of the open hosts with room for a demand."""
+        """Return the names of the open hosts where a demand fits."""
         return [
-            name for name, free in self._open.items() if demand.fits_in(free)
+            name
+            for name, free in self._open_free.items()
+            if demand.fits_in(free)
         ]
 
     def sum_free(self) -> Resources:
@@ -288,7 +296,7 @@
 
         Negative free resources of an overcommitted host count as zero.
         """
-        return self._total
+        return self._total_free
 
     def find_largest_free(self) -> Resources:
         """Return the largest free amount of each resource on an open host.
@@ -297,7 +305,7 @@
         them fits on no host, but one within them may fit on no host either.
         """
         largest = NO_RESOURCES
-        for free in self._open.values():
+        for free in self._open_free.values():
             largest = largest.take_maximum(free)
         return largest
 
@@ -305,85 +313,86 @@
         if name not in self._hosts:
             raise UnknownNameError('host', name, tuple(sorted(self._hosts)))
 
-    def _find_order(self, name: str) -> list[tuple[float, str]]:
+    def _get_sorted_hosts(self, name: str) -> list[tuple[float, str]]:
         domain = self._hosts[name].failure_domain
-        return self._orders.setdefault(domain, [])
+        return self._sorted_hosts.setdefault(domain, [])
 
-    def _remove_from_order(self, name: str, free: Resources) -> None:
-        entries = self._find_order(name)
+    def _remove_sorted(self, name: str, free: Resources) -> None:
+        entries = self._get_sorted_hosts(name)
         del entries[
             bisect_left(entries, (self.compute_mean_share(free), name))
         ]
 
-    def _find_start(
+    def _find_first_candidate(
         self, entries: list[tuple[float, str]], demand: Resources
     ) -> int:
         # Hosts before this position have a smaller mean free share than the
         # demand takes, so it can't fit there. The margin covers rounding.
         return bisect_left(
-            entries, (self.compute_mean_share(demand) - _ROUNDING, '')
+            entries, (self.compute_mean_share(demand) - _ROUNDING_MARGIN, '')
         )
 
-    def _raise_largest(self, capacity: Resources) -> None:
+    def _update_largest_capacity(self, capacity: Resources) -> None:
         """Sort all hosts again if the largest capacity grows."""
-        largest = self._largest.take_maximum(capacity)
-        if largest == self._largest:
+        largest = self._largest_capacity.take_maximum(capacity)
+        if largest == self._largest_capacity:
             return
-        self._largest = largest
-        self._orders = {}
-        for name, free in self._open.items():
-            self._find_order(name).append(
+        self._largest_capacity = largest
+        self._sorted_hosts = {}
+        for name, free in self._open_free.items():
+            self._get_sorted_hosts(name).append(
                 (self.compute_mean_share(free), name)
             )
-        for entries in self._orders.values():
+        for entries in self._sorted_hosts.values():
             entries.sort()
 
     def _close(self, name: str) -> None:
-        free = self._open.pop(name, None)
+        free = self._open_free.pop(name, None)
         if free is None:
             return
-        self._closed[name] = free
-        self._remove_from_order(name, free)
-        self._total = self._total - free.take_maximum(NO_RESOURCES)
+        self._closed_free[name] = free
+        self._remove_sorted(name, free)
+        self._total_free = self._total_free - free.take_maximum(NO_RESOURCES)
 
     def _set_reservation(
         self, name: str, task: str, amount: Resources, force: bool
     ) -> None:
         tasks = self._tasks[name]
         held = tasks.get(task, NO_RESOURCES)
-        growth = amount - held
+        increase = amount - held
         free = self.find_free(name)
-        # Only resources that increase need room: where recovery overcommitted
-        # other resources of the host, reservations must remain changeable.
-        if not force and not growth.fits_in(free.take_maximum(NO_RESOURCES)):
-            raise NoRoomError(name, task, growth, free)
+        # Only resources that increase need free capacity, so reservations can
+        # change even if recovery has overcommitted other resources.
+        if not force and not increase.fits_in(free.take_maximum(NO_RESOURCES)):
+            raise NoRoomError(name, task, increase, free)
         tasks[task] = amount
-        self._change_free(name, NO_RESOURCES - growth)
+        self._change_free(name, NO_RESOURCES - increase)
 
     def _change_free(self, name: str, change: Resources) -> None:
-        free = self._open.get(name)
+        free = self._open_free.get(name)
         if free is None:
-            self._closed[name] = self._closed[name] + change
+            self._closed_free[name] = self._closed_free[name] + change
             return
         changed = free + change
-        self._open[name] = changed
-        self._remove_from_order(name, free)
+        self._open_free[name] = changed
+        self._remove_sorted(name, free)
         insort(
-            self._find_order(name), (self.compute_mean_share(changed), name)
+            self._get_sorted_hosts(name),
+            (self.compute_mean_share(changed), name),
         )
         if NO_RESOURCES.fits_in(free) and NO_RESOURCES.fits_in(changed):
-            self._total = self._total + change
+            self._total_free = self._total_free + change
             return
-        self._total = (
-            self._total
+        self._total_free = (
+            self._total_free
             + changed.take_maximum(NO_RESOURCES)
             - free.take_maximum(NO_RESOURCES)
         )
 
-    def _forget_if_empty(self, name: str) -> None:
+    def _delete_if_unused(self, name: str) -> None:
         if name not in self._removed or self._tasks[name]:
             return
         del self._removed[name]
         del self._tasks[name]
-        del self._closed[name]
+        del self._closed_free[name]
         del self._hosts[name]
--- a/sassafrasgate/placement/policies.py
+++ b/sassafrasgate/placement/policies.py
@@ -16,7 +16,7 @@
 from sassafrasgate.core.registries import Registry
 from sassafrasgate.core.resources import NO_RESOURCES
 from sassafrasgate.core.resources import Resources
-from sassafrasgate.placement.scores import Weights
+from sassafrasgate.placement.scores import ScoreWeights
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -77,7 +77,7 @@
     candidates : int
         Number of hosts that were considered. For one task, these are the
         open hosts whose mean free share is large enough; for several
-        tasks, the usable open hosts with room for at least one.
+        tasks, the usable open hosts where at least one fits.
     """
 
     hosts: tuple[str, ...]
@@ -92,14 +92,14 @@
 # A caller waits for quick and urgent jobs, so a local host is preferred
 # regardless of the fit. Batch jobs and gangs use a remote host if its mean
 # free share is lower by a quarter of the largest host.
-WAITING_WEIGHTS = Weights(hop=2.0)
-BATCH_WEIGHTS = Weights(hop=0.25)
-GANG_WEIGHTS = Weights(hop=0.25, domain=-0.5, rack=-0.25)
+INTERACTIVE_WEIGHTS = ScoreWeights(remote=2.0)
+BATCH_WEIGHTS = ScoreWeights(remote=0.25)
+GANG_WEIGHTS = ScoreWeights(remote=0.25, domain=-0.5, rack=-0.25)
 # The failure of a domain should end as few tasks of a service as possible,
 # then that of a rack, then that of a host. One more task in a domain therefore
 # costs more than several in a rack, and one more in a rack more than several
 # on a host. The fit costs at most 1.
-SERVICE_WEIGHTS = Weights(hop=0.5, domain=100.0, rack=10.0, host=2.0)
+SERVICE_WEIGHTS = ScoreWeights(remote=0.5, domain=100.0, rack=10.0, host=2.0)
 
 
 @POLICIES.register(JobClass.QUICK)
@@ -107,7 +107,7 @@
     index: HostIndex, request: PlacementRequest
 ) -> Assignment | None:
     """Place a quick job; locality takes precedence over packing."""
-    return place_one(index, request, WAITING_WEIGHTS)
+    return place_single(index, request, INTERACTIVE_WEIGHTS)
 
 
 @POLICIES.register(JobClass.URGENT)
@@ -115,7 +115,7 @@
     index: HostIndex, request: PlacementRequest
 ) -> Assignment | None:
     """Place an urgent job; locality takes precedence over packing."""
-    return place_one(index, request, WAITING_WEIGHTS)
+    return place_single(index, request, INTERACTIVE_WEIGHTS)
 
 
 @POLICIES.register(JobClass.BATCH)
@@ -123,7 +123,7 @@
     index: HostIndex, request: PlacementRequest
 ) -> Assignment | None:
     """Place a batch job; a remote host must be a clearly better fit."""
-    return place_one(index, request, BATCH_WEIGHTS)
+    return place_single(index, request, BATCH_WEIGHTS)
 
 
 @POLICIES.register(JobClass.SERVICE)
@@ -131,7 +131,7 @@
     index: HostIndex, request: PlacementRequest
 ) -> Assignment | None:
     """Place a service, spread over domains, then racks, then hosts."""
-    return place_together(index, request, SERVICE_WEIGHTS)
+    return place_group(index, request, SERVICE_WEIGHTS)
 
 
 @POLICIES.register(JobClass.GANG)
@@ -139,7 +139,7 @@
     index: HostIndex, request: PlacementRequest
 ) -> Assignment | None:
     """Place all tasks of a gang close together, or none."""
-    return place_together(index, request, GANG_WEIGHTS)
+    return place_group(index, request, GANG_WEIGHTS)
 
 
 def choose_hosts(
@@ -183,39 +183,39 @@
     ``hosts`` may be those of one shard or of the whole cell.
     """
     demand = compute_demand(request)
-    missing = request.tasks or request.spec.tasks
+    unplaced = request.tasks or request.spec.tasks
     for host in hosts:
         if not is_allowed(host, request):
             continue
-        missing -= count_fitting(demand, host.capacity, missing)
-        if missing <= 0:
+        unplaced -= count_fitting(demand, host.capacity, unplaced)
+        if unplaced <= 0:
             return True
     return False
 
 
-def count_fitting(demand: Resources, room: Resources, most: int) -> int:
-    """Return how many times a demand fits in ``room``, at most ``most``."""
-    count = most
-    for need, have in (
-        (demand.millicores, room.millicores),
-        (demand.memory_mb, room.memory_mb),
-        (demand.accelerators, room.accelerators),
-        (demand.slots, room.slots),
-        (demand.connections, room.connections),
+def count_fitting(demand: Resources, available: Resources, limit: int) -> int:
+    """Return how many times ``demand`` fits, at most ``limit``."""
+    count = limit
+    for demanded, free in (
+        (demand.millicores, available.millicores),
+        (demand.memory_mb, available.memory_mb),
+        (demand.accelerators, available.accelerators),
+        (demand.slots, available.slots),
+        (demand.connections, available.connections),
     ):
-        if have < 0:
+        if free < 0:
             return 0
-        if need > 0:
-            count = min(count, have // need)
+        if demanded > 0:
+            count = min(count, free // demanded)
     return count
 
 
-def place_one(
-    index: HostIndex, request: PlacementRequest, weights: Weights
+def place_single(
+    index: HostIndex, request: PlacementRequest, weights: ScoreWeights
 ) -> Assignment | None:
     """Place a single task by best fit.
 
-    The index returns the fullest host with room in each failure domain. The
+    The index returns the fullest suitable host of each failure domain. The
     cost of a remote host is then added to those outside the local domain.
     """
     demand = compute_demand(request)
@@ -223,12 +223,12 @@
     local = request.local_domain
     found = []
     for domain in index.list_domains():
-        tightest = index.find_tightest(domain, demand, is_usable)
-        if tightest is None:
+        best_fit = index.find_best_fit(domain, demand, is_usable)
+        if best_fit is None:
             continue
-        score, name = tightest
+        score, name = best_fit
         if local and domain != local:
-            score += weights.hop
+            score += weights.remote
         found.append((score, name))
     if not found:
         return None
@@ -240,18 +240,18 @@
     )
 
 
-def place_together(
-    index: HostIndex, request: PlacementRequest, weights: Weights
+def place_group(
+    index: HostIndex, request: PlacementRequest, weights: ScoreWeights
 ) -> Assignment | None:
     """Place several tasks one after the other; all of them or none."""
     demand = compute_demand(request)
     count = request.tasks or request.spec.tasks
-    table = _HostTable(index, request, weights, demand)
-    candidates = table.count_hosts()
+    heaps = _HostHeaps(index, request, weights, demand)
+    candidates = heaps.count_hosts()
     chosen = []
     total = 0.0
     for _ in range(count):
-        best = table.take_best()
+        best = heaps.place_on_best()
         if best is None:
             return None
         total += best[0]
@@ -259,8 +259,8 @@
     return Assignment(tuple(chosen), total, candidates)
 
 
-class _HostTable:
-    """Hosts with room, by cost, while the tasks of one job are placed.
+class _HostHeaps:
+    """Suitable hosts, by cost, while the tasks of one job are placed.
 
     The hosts of each rack and the racks of each domain are kept in heaps,
     since placing a task changes only the costs of its own host, rack and
@@ -272,96 +272,99 @@
         self,
         index: HostIndex,
         request: PlacementRequest,
-        weights: Weights,
+        weights: ScoreWeights,
         demand: Resources,
     ) -> None:
         self._hosts = index.hosts
-        self._weigh = index.compute_mean_share
+        self._compute_mean_share = index.compute_mean_share
         self._weights = weights
         self._demand = demand
         self._local = request.local_domain
-        self._near_domain = Counter[str]()
-        self._near_rack = Counter[str]()
-        self._near_host = Counter[str]()
-        self._racks: dict[str, dict[str, list[tuple[float, str]]]] = {}
+        self._tasks_by_domain = Counter[str]()
+        self._tasks_by_rack = Counter[str]()
+        self._tasks_by_host = Counter[str]()
+        self._host_heaps: dict[str, dict[str, list[tuple[float, str]]]] = {}
         self._free = _list_usable(index, request, demand)
         for name in request.occupied:
             if name in self._hosts:
-                self._count_near(self._hosts[name])
+                self._count_task(self._hosts[name])
         for name in self._free:
             self._add_host(self._hosts[name])
-        self._domains = {
-            domain: self._sort_racks(racks)
-            for domain, racks in self._racks.items()
+        self._rack_heaps = {
+            domain: self._make_rack_heap(racks)
+            for domain, racks in self._host_heaps.items()
         }
 
     def count_hosts(self) -> int:
+        """Return the number of hosts where at least one task fits."""
         return len(self._free)
 
-    def take_best(self) -> tuple[float, str] | None:
+    def place_on_best(self) -> tuple[float, str] | None:
         """Place a task on the cheapest host; return the cost and the host."""
         costs = [
-            (self._find_domain_cost(domain) + order[0][0], domain)
-            for domain, order in self._domains.items()
-            if order
+            (self._compute_domain_cost(domain) + rack_heap[0][0], domain)
+            for domain, rack_heap in self._rack_heaps.items()
+            if rack_heap
         ]
         if not costs:
             return None
         cost, domain = min(costs)
-        order = self._domains[domain]
-        rack = order[0][1]
-        hosts = self._racks[domain][rack]
+        rack_heap = self._rack_heaps[domain]
+        rack = rack_heap[0][1]
+        hosts = self._host_heaps[domain][rack]
         name = hosts[0][1]
-        self._count_near(self._hosts[name])
+        self._count_task(self._hosts[name])
         self._free[name] = self._free[name] - self._demand
         if self._demand.fits_in(self._free[name]):
-            heapreplace(hosts, (self._find_host_cost(name), name))
+            heapreplace(hosts, (self._compute_host_cost(name), name))
         else:
             heappop(hosts)
         if hosts:
-            heapreplace(order, (self._find_rack_cost(rack, hosts), rack))
+            heapreplace(
+                rack_heap, (self._compute_rack_cost(rack, hosts), rack)
+            )
         else:
-            heappop(order)
+            heappop(rack_heap)
         return cost, name
 
     def _add_host(self, host: Host) -> None:
-        racks = self._racks.setdefault(host.failure_domain, {})
+        racks = self._host_heaps.setdefault(host.failure_domain, {})
         hosts = racks.setdefault(host.rack, [])
-        hosts.append((self._find_host_cost(host.name), host.name))
+        hosts.append((self._compute_host_cost(host.name), host.name))
 
-    def _sort_racks(
+    def _make_rack_heap(
         self, racks: dict[str, list[tuple[float, str]]]
     ) -> list[tuple[float, str]]:
         for hosts in racks.values():
             heapify(hosts)
-        order = [
-            (self._find_rack_cost(rack, hosts), rack)
+        rack_heap = [
+            (self._compute_rack_cost(rack, hosts), rack)
             for rack, hosts in racks.items()
         ]
-        heapify(order)
-        return order
+        heapify(rack_heap)
+        return rack_heap
 
-    def _count_near(self, host: Host) -> None:
-        self._near_domain[host.failure_domain] += 1
-        self._near_rack[host.rack] += 1
-        self._near_host[host.name] += 1
+    def _count_task(self, host: Host) -> None:
+        self._tasks_by_domain[host.failure_domain] += 1
+        self._tasks_by_rack[host.rack] += 1
+        self._tasks_by_host[host.name] += 1
 
-    def _find_domain_cost(self, domain: str) -> float:
-        cost = self._weights.domain * self._near_domain[domain]
+    def _compute_domain_cost(self, domain: str) -> float:
+        cost = self._weights.domain * self._tasks_by_domain[domain]
         if self._local and domain != self._local:
-            cost += self._weights.hop
+            cost += self._weights.remote
         return cost
 
-    def _find_rack_cost(
+    def _compute_rack_cost(
         self, rack: str, hosts: list[tuple[float, str]]
     ) -> float:
-        return hosts[0][0] + self._weights.rack * self._near_rack[rack]
+        return hosts[0][0] + self._weights.rack * self._tasks_by_rack[rack]
 
-    def _find_host_cost(self, name: str) -> float:
+    def _compute_host_cost(self, name: str) -> float:
         # The share of the demand is the same on all hosts and is left out.
-        cost = self._weigh(self._free[name])
-        if near := self._near_host.get(name):
-            cost += self._weights.host * near
+        cost = self._compute_mean_share(self._free[name])
+        if co_located := self._tasks_by_host.get(name):
+            cost += self._weights.host * co_located
         return cost
 
 
@@ -397,13 +400,13 @@
 
 
 def build_refusal(index: HostIndex, request: PlacementRequest) -> Refusal:
-    """Return the refusal of a request: fits nowhere, or no room now."""
+    """Return the refusal of a request: fits nowhere, or no free capacity."""
     count = request.tasks or request.spec.tasks
     tasks = f'{count} tasks of {compute_demand(request)!r}'
     if fits_inventory(index.hosts.values(), request):
         return Refusal(
             RefusalKind.NO_ROOM,
-            f'no room now for {tasks} on {len(index.hosts)} hosts',
+            f'no free capacity now for {tasks} on {len(index.hosts)} hosts',
             'wait for running work to end, or ask for less',
         )
     return Refusal(
--- a/sassafrasgate/placement/quarantine.py
+++ b/sassafrasgate/placement/quarantine.py
@@ -9,26 +9,26 @@
 
 # A host is quarantined after this many jobs failed on it and then completed
 # on another host, without a success on the first host in between.
-CONFIRMED_FAILURES = 2
+MIN_CONFIRMED_FAILURES = 2
 # Failures of this many distinct jobs in a row quarantine a host without
 # confirmation, since jobs that may not be retried never complete elsewhere.
-FAILURES_IN_A_ROW = 6
+MIN_CONSECUTIVE_FAILURES = 6
 # A job that failed on this many healthy hosts is considered faulty itself. A
-# host where SUSPECT_FAILURES other jobs have failed since its last success
+# host where MIN_SUSPECT_FAILURES other jobs have failed since its last success
 # does not count as healthy here: two hosts that fail every task would
 # otherwise make each job that runs on both look faulty.
-HOSTS_FOR_JOB_FAULT = 2
-SUSPECT_FAILURES = 2
+MIN_HOSTS_FOR_JOB_FAULT = 2
+MIN_SUSPECT_FAILURES = 2
 
-FIRST_DELAY_MS = 30_000
-MAX_DELAY_MS = 3_600_000
-PROBATION_TASKS = 2
-PROBATION_SUCCESSES = 3
+INITIAL_QUARANTINE_MS = 30_000
+MAX_QUARANTINE_MS = 3_600_000
+MAX_PROBATION_TASKS = 2
+MIN_PROBATION_SUCCESSES = 3
 
 MAX_QUARANTINED_SHARE = 0.1
 # Jobs whose failures are kept; those that failed least recently are evicted
 # first.
-MAX_JOBS = 20_000
+MAX_TRACKED_JOBS = 20_000
 
 
 class HealthState(StrEnum):
@@ -47,40 +47,41 @@
     ----------
     status : HealthState
         Decides whether the host gets new tasks.
-    failed : tuple of str
+    failed_jobs : tuple of str
         Jobs that failed on the host since its last success, oldest first.
-    confirmed : tuple of str
-        Those of ``failed`` that later completed on another host.
-    delay_ms : int
+    confirmed_jobs : tuple of str
+        Those of ``failed_jobs`` that later completed on another host.
+    quarantine_ms : int
         Length of the latest quarantine; 0 if there was none.
-    until : int
+    quarantine_ends_at : int
         End of the latest quarantine, in ms.
     successes : int
         Tasks that succeeded during the current probation.
     """
 
     status: HealthState = HealthState.HEALTHY
-    failed: tuple[str, ...] = ()
-    confirmed: tuple[str, ...] = ()
-    delay_ms: int = 0
-    until: int = 0
+    failed_jobs: tuple[str, ...] = ()
+    confirmed_jobs: tuple[str, ...] = ()
+    quarantine_ms: int = 0
+    quarantine_ends_at: int = 0
     successes: int = 0
 
 
 @dataclass(frozen=True, slots=True)
-class JobResults:
+class JobFailures:
     """Hosts where one job failed.
 
     Parameters
     ----------
     failed_on : tuple of str
         All hosts where it failed, in order of the failures.
-    healthy : tuple of str
-        Those without `SUSPECT_FAILURES` failures of other jobs at that time.
+    healthy_hosts : tuple of str
+        Those that had fewer than `MIN_SUSPECT_FAILURES` failures of other
+        jobs at that time.
     """
 
     failed_on: tuple[str, ...] = ()
-    healthy: tuple[str, ...] = ()
+    healthy_hosts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,13 +108,13 @@
 
     Parameters
     ----------
-    hosts : int
+    host_count : int
         Number of hosts in the shard, which limits how many of them can be
         in quarantine at once.
 
     Examples
     --------
-    >>> health = HostHealth(hosts=24)
+    >>> health = HostHealth(host_count=24)
     >>> for job in ('a', 'b'):
     ...     _ = health.record_result('h1', job, False, 0)
     ...     changes = health.record_result('h2', job, True, 0)
@@ -123,14 +124,14 @@
     0
     """
 
-    def __init__(self, hosts: int = 0) -> None:
-        self._hosts = hosts
+    def __init__(self, host_count: int = 0) -> None:
+        self._host_count = host_count
         self._records: dict[str, HostRecord] = {}
-        self._jobs: dict[str, JobResults] = {}
+        self._job_failures: dict[str, JobFailures] = {}
 
-    def set_host_count(self, hosts: int) -> None:
+    def set_host_count(self, host_count: int) -> None:
         """Set the number of hosts in the shard."""
-        self._hosts = hosts
+        self._host_count = host_count
 
     def record_result(
         self, host: str, job_id: str, succeeded: bool, now: int
@@ -147,13 +148,16 @@
             Hosts whose health changed; they may differ from ``host``.
         """
         if succeeded:
-            return self._note_success(host, job_id, now)
-        return self._note_failure(host, job_id, now)
+            return self._record_success(host, job_id, now)
+        return self._record_failure(host, job_id, now)
 
     def get_state(self, host: str, now: int) -> HealthState:
         """Return the health of a host at ``now``, in ms."""
-        record = self._find(host)
-        if record.status is HealthState.QUARANTINED and now >= record.until:
+        record = self._get_record(host)
+        if (
+            record.status is HealthState.QUARANTINED
+            and now >= record.quarantine_ends_at
+        ):
             return HealthState.PROBATION
         return record.status
 
@@ -161,29 +165,29 @@
         """Return how many tasks may run on a host at once.
 
         None means no limit; 0 is returned in quarantine and
-        `PROBATION_TASKS` in probation.
+        `MAX_PROBATION_TASKS` in probation.
         """
         status = self.get_state(host, now)
         if status is HealthState.HEALTHY:
             return None
-        return 0 if status is HealthState.QUARANTINED else PROBATION_TASKS
+        return 0 if status is HealthState.QUARANTINED else MAX_PROBATION_TASKS
 
     def find_next_change(self, now: int) -> int | None:
         """Return when the next quarantine ends, in ms; None if none does."""
         return min(
             (
-                record.until
+                record.quarantine_ends_at
                 for record in self._records.values()
                 if record.status is HealthState.QUARANTINED
-                and record.until > now
+                and record.quarantine_ends_at > now
             ),
             default=None,
         )
 
     def is_job_at_fault(self, job_id: str) -> bool:
-        """Tell whether a job failed on `HOSTS_FOR_JOB_FAULT` healthy hosts."""
-        results = self._jobs.get(job_id, JobResults())
-        return len(results.healthy) >= HOSTS_FOR_JOB_FAULT
+        """Tell whether a job has failed on enough healthy hosts."""
+        failures = self._job_failures.get(job_id, JobFailures())
+        return len(failures.healthy_hosts) >= MIN_HOSTS_FOR_JOB_FAULT
 
     def list_quarantined(self, now: int) -> tuple[str, ...]:
         """Return the names of the quarantined hosts, sorted."""
@@ -201,44 +205,50 @@
 
     def remove_job_results(self, job_id: str) -> None:
         """Discard the failures of a job that has ended."""
-        self._jobs.pop(job_id, None)
+        self._job_failures.pop(job_id, None)
 
-    def count_jobs(self) -> int:
+    def count_tracked_jobs(self) -> int:
         """Return the number of jobs whose failures are kept."""
-        return len(self._jobs)
+        return len(self._job_failures)
 
-    def _find(self, host: str) -> HostRecord:
+    def _get_record(self, host: str) -> HostRecord:
         return self._records.get(host, HostRecord())
 
-    def _note_success(
+    def _record_success(
         self, host: str, job_id: str, now: int
     ) -> tuple[HealthChange, ...]:
         changes: list[HealthChange] = []
-        results = self._jobs.pop(job_id, JobResults())
-        for other in results.failed_on:
+        failures = self._job_failures.pop(job_id, JobFailures())
+        for other in failures.failed_on:
             if other != host:
-                changes.extend(self._confirm(other, job_id, now))
-        record = self._find(host)
+                changes.extend(
+                    self._count_confirmed_failure(other, job_id, now)
+                )
+        record = self._get_record(host)
         if self.get_state(host, now) is not HealthState.PROBATION:
             # A success shows that the host can run tasks, so earlier
             # failures no longer count. The success of a task that started
             # before a quarantine does not end the quarantine.
-            self._records[host] = replace(record, failed=(), confirmed=())
+            self._records[host] = replace(
+                record, failed_jobs=(), confirmed_jobs=()
+            )
             return tuple(changes)
         successes = record.successes + 1
-        if successes < PROBATION_SUCCESSES:
+        if successes < MIN_PROBATION_SUCCESSES:
             self._records[host] = replace(
                 record, status=HealthState.PROBATION, successes=successes
             )
             return tuple(changes)
         # A quarantine lasts twice this value, so a host that fails again
         # after its probation is quarantined for as long as the last time.
-        self._records[host] = HostRecord(delay_ms=record.delay_ms // 2)
+        self._records[host] = HostRecord(
+            quarantine_ms=record.quarantine_ms // 2
+        )
         reason = f'{successes} tasks succeeded in probation'
         changes.append(HealthChange(host, HealthState.HEALTHY, reason))
         return tuple(changes)
 
-    def _note_failure(
+    def _record_failure(
         self, host: str, job_id: str, now: int
     ) -> tuple[HealthChange, ...]:
         status = self.get_state(host, now)
@@ -250,46 +260,49 @@
             )
         if status is not HealthState.HEALTHY:
             return ()
-        record = self._find(host)
-        results = _add_failure(
-            self._jobs.pop(job_id, JobResults()), host, record, job_id
+        record = self._get_record(host)
+        failures = _add_failure(
+            self._job_failures.pop(job_id, JobFailures()), host, record, job_id
         )
-        self._remember(job_id, results)
-        if job_id not in record.failed:
-            failed = (*record.failed, job_id)[-FAILURES_IN_A_ROW:]
-            self._records[host] = replace(record, failed=failed)
+        self._store_failures(job_id, failures)
+        if job_id not in record.failed_jobs:
+            failed = (*record.failed_jobs, job_id)[-MIN_CONSECUTIVE_FAILURES:]
+            self._records[host] = replace(record, failed_jobs=failed)
         if self.is_job_at_fault(job_id):
-            self._absolve(job_id, results.failed_on)
+            self._discount_failures(job_id, failures.failed_on)
             return ()
-        if len(self._find(host).failed) < FAILURES_IN_A_ROW:
+        if len(self._get_record(host).failed_jobs) < MIN_CONSECUTIVE_FAILURES:
             return ()
-        reason = f'{FAILURES_IN_A_ROW} jobs failed in a row'
+        reason = f'{MIN_CONSECUTIVE_FAILURES} jobs failed in a row'
         return self._quarantine(host, now, reason)
 
-    def _confirm(
+    def _count_confirmed_failure(
         self, host: str, job_id: str, now: int
     ) -> tuple[HealthChange, ...]:
         """Count a failure of a job that has completed on another host."""
-        record = self._find(host)
+        record = self._get_record(host)
         if record.status is not HealthState.HEALTHY:
             return ()
-        if job_id not in record.failed or job_id in record.confirmed:
+        if job_id not in record.failed_jobs or job_id in record.confirmed_jobs:
             return ()
-        record = replace(record, confirmed=(*record.confirmed, job_id))
+        record = replace(
+            record, confirmed_jobs=(*record.confirmed_jobs, job_id)
+        )
         self._records[host] = record
-        if len(record.confirmed) < CONFIRMED_FAILURES:
+        if len(record.confirmed_jobs) < MIN_CONFIRMED_FAILURES:
             return ()
         reason = (
-            f'{len(record.confirmed)} jobs failed here and completed elsewhere'
+            f'{len(record.confirmed_jobs)} jobs failed here and completed '
+            f'elsewhere'
         )
         return self._quarantine(host, now, reason)
 
-    def _absolve(self, job_id: str, hosts: tuple[str, ...]) -> None:
+    def _discount_failures(self, job_id: str, hosts: tuple[str, ...]) -> None:
         """Remove the failures of a faulty job from the records of hosts."""
         for host in hosts:
-            record = self._find(host)
-            failed = tuple(job for job in record.failed if job != job_id)
-            self._records[host] = replace(record, failed=failed)
+            record = self._get_record(host)
+            failed = tuple(job for job in record.failed_jobs if job != job_id)
+            self._records[host] = replace(record, failed_jobs=failed)
 
     def _quarantine(
         self, host: str, now: int, reason: str
@@ -297,32 +310,34 @@
         others = [
             other for other in self.list_quarantined(now) if other != host
         ]
-        if len(others) >= self._find_cap():
+        if len(others) >= self._compute_max_quarantined():
             return ()
-        record = self._find(host)
-        delay = max(FIRST_DELAY_MS, record.delay_ms * 2)
-        delay = min(delay, MAX_DELAY_MS)
+        record = self._get_record(host)
+        duration = max(INITIAL_QUARANTINE_MS, record.quarantine_ms * 2)
+        duration = min(duration, MAX_QUARANTINE_MS)
         self._records[host] = HostRecord(
-            HealthState.QUARANTINED, delay_ms=delay, until=now + delay
+            HealthState.QUARANTINED,
+            quarantine_ms=duration,
+            quarantine_ends_at=now + duration,
         )
         return (HealthChange(host, HealthState.QUARANTINED, reason),)
 
-    def _find_cap(self) -> int:
-        return max(1, int(self._hosts * MAX_QUARANTINED_SHARE))
+    def _compute_max_quarantined(self) -> int:
+        return max(1, int(self._host_count * MAX_QUARANTINED_SHARE))
 
-    def _remember(self, job_id: str, results: JobResults) -> None:
-        self._jobs[job_id] = results
-        if len(self._jobs) > MAX_JOBS:
-            del self._jobs[next(iter(self._jobs))]
+    def _store_failures(self, job_id: str, failures: JobFailures) -> None:
+        self._job_failures[job_id] = failures
+        if len(self._job_failures) > MAX_TRACKED_JOBS:
+            del self._job_failures[next(iter(self._job_failures))]
 
 
 def _add_failure(
-    results: JobResults, host: str, record: HostRecord, job_id: str
-) -> JobResults:
-    if host in results.failed_on:
-        return results
-    results = replace(results, failed_on=(*results.failed_on, host))
-    others = [job for job in record.failed if job != job_id]
-    if len(others) >= SUSPECT_FAILURES:
-        return results
-    return replace(results, healthy=(*results.healthy, host))
+    failures: JobFailures, host: str, record: HostRecord, job_id: str
+) -> JobFailures:
+    if host in failures.failed_on:
+        return failures
+    failures = replace(failures, failed_on=(*failures.failed_on, host))
+    others = [job for job in record.failed_jobs if job != job_id]
+    if len(others) >= MIN_SUSPECT_FAILURES:
+        return failures
+    return replace(failures, healthy_hosts=(*failures.healthy_hosts, host))
--- a/sassafrasgate/placement/scores.py
+++ b/sassafrasgate/placement/scores.py
@@ -18,7 +18,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Weights:
+class ScoreWeights:
     """Cost weights of one job class.
 
     The costs of a host are added up, and the host with the lowest sum is
@@ -27,7 +27,7 @@
 
     Parameters
     ----------
-    hop : float
+    remote : float
         Cost of a host outside the local failure domain. The fit costs 0 to
         1, so with a value above 1 locality always decides, and with a
         smaller value a clearly better fit can outweigh it.
@@ -37,7 +37,7 @@
         keeps the tasks together.
     """
 
-    hop: float = 0.0
+    remote: float = 0.0
     domain: float = 0.0
     rack: float = 0.0
     host: float = 0.0
--- a/sassafrasgate/placement/sizing.py
+++ b/sassafrasgate/placement/sizing.py
@@ -19,22 +19,22 @@
 # Number of ended tasks that an estimate is based on: large enough that one
 # outlier does not determine it, and small enough to follow a new release of
 # the caller's program within a day.
-SAMPLES = 64
+MAX_SAMPLES = 64
 MIN_SAMPLES = 8
 # Fraction of the tasks whose peak usage fits in the estimate. The largest
 # tasks are handled by `plan_overuse`, since reserving their peak for every
 # task would waste resources.
-COVERED_SHARE = 0.9
+DEMAND_QUANTILE = 0.9
 # Upper limit of an estimate as a multiple of the declared demand, since usage
 # reports can be wrong.
-MAX_FACTOR = 4.0
+MAX_DEMAND_FACTOR = 4.0
 
 # Time between two escalation steps for one task. Usage reports lag by a few
 # seconds, so the effect of a step is not visible earlier.
-ESCALATION_MS = 10_000
+ESCALATION_INTERVAL_MS = 10_000
 
 # Order in which usage beyond reservations is reclaimed from job classes.
-RANKS = (
+RECLAIM_ORDER = (
     JobClass.BATCH,
     JobClass.GANG,
     JobClass.SERVICE,
@@ -59,7 +59,7 @@
     def record_peak(self, spec: JobSpec, peak: Resources) -> None:
         """Record the peak usage that was reported for an ended task."""
         samples = self._samples.setdefault(
-            (spec.team, spec.job_class), deque(maxlen=SAMPLES)
+            (spec.team, spec.job_class), deque(maxlen=MAX_SAMPLES)
         )
         samples.append(
             (
@@ -74,8 +74,8 @@
         if len(samples) < MIN_SAMPLES:
             return spec.demand
         factors = (
-            _find_covering([sample[0] for sample in samples]),
-            _find_covering([sample[1] for sample in samples]),
+            _compute_factor([sample[0] for sample in samples]),
+            _compute_factor([sample[1] for sample in samples]),
         )
         learned = Resources(
             int(spec.demand.millicores * factors[0]),
@@ -93,7 +93,7 @@
     STOP = 'stop'
 
 
-_ESCALATION = {
+_NEXT_STEPS = {
     OveruseStep.RESIZE: OveruseStep.THROTTLE,
     OveruseStep.THROTTLE: OveruseStep.CHECKPOINT,
     OveruseStep.CHECKPOINT: OveruseStep.STOP,
@@ -110,7 +110,7 @@
     task : str
         Task id.
     job_class : JobClass
-        Determines the order of reclaiming, see `RANKS`.
+        Determines the order of reclaiming, see `RECLAIM_ORDER`.
     reserved, used : Resources
         Resources that the task has reserved, and those that it uses.
     priority : int
@@ -161,8 +161,8 @@
     Free resources go to the tasks of the highest class first, whose
     reservations are raised to their usage. The rest is reclaimed from the
     lowest class first: a task is throttled, then checkpointed, then
-    stopped, with at least `ESCALATION_MS` between the steps, and only as
-    many tasks are affected as the shortfall requires. A task within its
+    stopped, with at least `ESCALATION_INTERVAL_MS` between the steps. Only
+    as many tasks are affected as the shortfall requires. A task within its
     reservation is never affected.
 
     Parameters
@@ -172,9 +172,11 @@
     now : int
         Time in ms.
     """
-    grown = [task for task in tasks if not task.used.fits_in(task.reserved)]
-    grown.sort(key=_rank)
-    granted, missing = _grant_growth(free, grown)
+    exceeding = [
+        task for task in tasks if not task.used.fits_in(task.reserved)
+    ]
+    exceeding.sort(key=_make_reclaim_key)
+    granted, denied = _grant_excess(free, exceeding)
     actions = [
         OveruseAction(
             task.task,
@@ -184,11 +186,11 @@
         )
         for task in granted
     ]
-    shortfall = _sum_excess(missing) - free_after(free, granted)
-    for task in missing:
+    shortfall = _sum_excess(denied) - subtract_excess(free, granted)
+    for task in denied:
         if shortfall.fits_in(NO_RESOURCES):
             break
-        shortfall = shortfall - find_excess(task)
+        shortfall = shortfall - compute_excess(task)
         if step := _choose_step(task, now):
             actions.append(
                 OveruseAction(
@@ -196,51 +198,51 @@
                     step,
                     task.reserved,
                     f'uses {task.used!r}, reserved {task.reserved!r}, and '
-                    f'the host has no room for the growth',
+                    f'the host has no free capacity for the difference',
                 )
             )
     return tuple(actions)
 
 
-def find_excess(task: ReservationUsage) -> Resources:
+def compute_excess(task: ReservationUsage) -> Resources:
     """Return the usage of a task beyond its reservation."""
     return task.reserved.take_maximum(task.used) - task.reserved
 
 
-def free_after(
+def subtract_excess(
     free: Resources, granted: Iterable[ReservationUsage]
 ) -> Resources:
     """Return what stays free after granting excess usage, at least zero."""
     for task in granted:
-        free = free - find_excess(task)
+        free = free - compute_excess(task)
     return free.take_maximum(NO_RESOURCES)
 
 
-def _rank(task: ReservationUsage) -> tuple[int, int, str]:
-    return RANKS.index(task.job_class), task.priority, task.task
+def _make_reclaim_key(task: ReservationUsage) -> tuple[int, int, str]:
+    return RECLAIM_ORDER.index(task.job_class), task.priority, task.task
 
 
-def _grant_growth(
-    free: Resources, grown: list[ReservationUsage]
+def _grant_excess(
+    free: Resources, exceeding: list[ReservationUsage]
 ) -> tuple[list[ReservationUsage], list[ReservationUsage]]:
     """Split tasks, sorted from lowest class, by whether their excess fits."""
     granted = []
-    missing = []
-    for task in reversed(grown):
-        excess = find_excess(task)
+    denied = []
+    for task in reversed(exceeding):
+        excess = compute_excess(task)
         if excess.fits_in(free):
             granted.append(task)
             free = free - excess
             continue
-        missing.append(task)
-    missing.reverse()
-    return granted, missing
+        denied.append(task)
+    denied.reverse()
+    return granted, denied
 
 
 def _sum_excess(tasks: Iterable[ReservationUsage]) -> Resources:
     total = NO_RESOURCES
     for task in tasks:
-        total = total + find_excess(task)
+        total = total + compute_excess(task)
     return total
 
 
@@ -248,12 +250,12 @@
     """Return the next step, or None until the last one can take effect."""
     if task.last_step in (None, OveruseStep.RESIZE):
         return OveruseStep.THROTTLE
-    if now < task.last_step_at + ESCALATION_MS:
+    if now < task.last_step_at + ESCALATION_INTERVAL_MS:
         return None
-    return _ESCALATION[task.last_step]
+    return _NEXT_STEPS[task.last_step]
 
 
-def _find_covering(factors: list[float]) -> float:
+def _compute_factor(factors: list[float]) -> float:
     ordered = sorted(factors)
-    covering = ordered[int(COVERED_SHARE * (len(ordered) - 1))]
-    return min(covering, MAX_FACTOR)
+    factor = ordered[int(DEMAND_QUANTILE * (len(ordered) - 1))]
+    return min(factor, MAX_DEMAND_FACTOR)
--- a/tests/placement/test_admission.py
+++ b/tests/placement/test_admission.py
@@ -1,4 +1,4 @@
-"""Guards which jobs may wait."""
+"""Tests the validation of job specs and the admission to the queue."""
 
 import pytest
 
@@ -47,11 +47,11 @@
         (AdmissionLoad(9, 10, 9, 100, 51, 10.0), RefusalKind.DEADLINE),
     ],
 )
-def test_full_queues_and_late_starts_are_shed(load, kind):
+def test_full_queues_and_unreachable_deadlines_are_refused(load, kind):
     assert check_admission(make_spec(deadline_s=5.0), load).kind is kind
 
 
-def test_nothing_is_shed_by_deadline_without_reason():
+def test_jobs_are_admitted_unless_their_deadline_is_unreachable():
     spec = make_spec(deadline_s=5.0)
     for load in (
         AdmissionLoad(9, 10, 9, 100, 50, 10.0),
@@ -62,7 +62,7 @@
     assert check_admission(make_spec(), late) is None
 
 
-def test_start_rate_follows_the_load_and_decays_in_a_stall():
+def test_start_rate_follows_the_load_and_decays_without_starts():
     rate = StartRate()
     assert rate.compute_rate(0) == 0
     for now in range(0, 60_000, 100):
--- a/tests/placement/test_index.py
+++ b/tests/placement/test_index.py
@@ -1,4 +1,4 @@
-"""Guards promise 1: reservations never exceed the inventory."""
+"""Tests guarantee 1: reservations never exceed the host inventory."""
 
 from hypothesis import settings
 from hypothesis.stateful import initialize
@@ -32,7 +32,7 @@
 )
 
 
-def add_up(amounts):
+def sum_resources(amounts):
     total = NO_RESOURCES
     for amount in amounts:
         total = total + amount
@@ -40,7 +40,7 @@
 
 
 class IndexMachine(RuleBasedStateMachine):
-    """Compares the index with plain sums over what was reserved."""
+    """Compares the index with plain sums of the reservations."""
 
     @initialize()
     def start(self):
@@ -53,8 +53,8 @@
 
     @rule(name=NAMES, capacity=AMOUNTS)
     def add_host(self, name, capacity):
-        # A smaller capacity can't undo reservations, as with force.
-        if not add_up(self.list_held(name)).fits_in(capacity):
+        # As with force, reservations may exceed a capacity that shrinks.
+        if not sum_resources(self.list_held(name)).fits_in(capacity):
             self.forced.add(name)
         self.index.add_host(Host(name, '', 'r', 'd', capacity))
         self.capacity[name] = capacity
@@ -108,7 +108,7 @@
     @invariant()
     def sums_agree(self):
         for name, capacity in self.capacity.items():
-            reserved = add_up(self.list_held(name))
+            reserved = sum_resources(self.list_held(name))
             assert self.index.find_reserved(name) == reserved
             assert self.index.find_free(name) == capacity - reserved
             assert self.index.is_open(name) == self.is_open[name]
@@ -122,7 +122,7 @@
             for name in self.capacity
             if self.is_open[name]
         ]
-        assert self.index.sum_free() == add_up(free)
+        assert self.index.sum_free() == sum_resources(free)
         assert all(
             amount.fits_in(self.index.find_largest_free()) for amount in free
         )
@@ -151,8 +151,8 @@
 
 
 def test_removed_host_keeps_its_reservations_until_released():
-    # Without this, a host that is taken out of the inventory and put back
-    # would get new work on top of tasks that still run.
+    # Otherwise a host that is removed from the inventory and added again
+    # would get new tasks in addition to those that are still running.
     index = HostIndex()
     index.add_host(make_host(1))
     index.reserve('h1', 'j.0.1', CAPACITY)
@@ -168,7 +168,7 @@
 
 
 def test_repeated_reservation_counts_once():
-    # Recovery learns of one task from the journal and from the worker.
+    # Recovery reads the same task from the journal and from its worker.
     index = HostIndex()
     index.add_host(make_host(1))
     index.reserve('h1', 'j.0.1', Resources(1000, 10))
@@ -177,7 +177,7 @@
 
 
 def test_resize_never_goes_below_the_first_reservation():
-    # A learned size may raise what was declared, never lower it.
+    # A demand estimate may raise the declared demand, but never lower it.
     index = HostIndex()
     index.add_host(make_host(1))
     index.reserve('h1', 'j.0.1', Resources(1000, 100))
--- a/tests/placement/test_policies.py
+++ b/tests/placement/test_policies.py
@@ -1,4 +1,4 @@
-"""Guards where tasks are placed and why a placement is refused."""
+"""Tests the choice of hosts, and the reasons for refusals."""
 
 from dataclasses import replace
 from random import Random
@@ -24,7 +24,7 @@
 
 
 @pytest.mark.parametrize('job_class', list(JobClass))
-def test_every_class_has_a_policy_that_respects_free_room(job_class):
+def test_every_class_has_a_policy_that_respects_free_capacity(job_class):
     index = make_index(4)
     for number in range(3):
         index.reserve(f'h{number}', 'j.0.1', CAPACITY)
@@ -41,15 +41,15 @@
     assert chosen.hosts == ('h3',)
 
 
-def test_best_fit_fills_hosts_before_it_opens_empty_ones():
+def test_best_fit_fills_used_hosts_before_empty_ones():
     index = make_index(6)
     index.reserve('h4', 'j.0.1', DEMAND)
     assert choose(index, make_spec()).hosts == ('h4',)
 
 
-def test_fit_is_judged_by_all_resources_together():
-    # h0 has 5/8 of its memory taken and h1 half of its processors. By
-    # processors alone, the scarce resource here, h1 would be chosen.
+def test_fit_is_computed_from_all_resources():
+    # On h0, 5/8 of the memory is reserved, and on h1 half of the processors.
+    # By processors alone, the scarcest resource here, h1 would be chosen.
     index = make_index(3)
     index.reserve('h0', 'j.0.1', Resources(0, 20480))
     index.reserve('h1', 'j.0.1', Resources(8000, 0))
@@ -57,7 +57,7 @@
     assert choose(index, spec).hosts == ('h0',)
 
 
-def test_sorted_hosts_give_the_same_choice_as_a_scan():
+def test_index_gives_the_same_choice_as_a_scan_of_all_hosts():
     random = Random(7)
     index = HostIndex()
     for number in range(40):
@@ -85,7 +85,7 @@
 
 
 def find_by_scan(index, demand, local):
-    """Return the open host with the lowest cost of fit and hop."""
+    """Return the open host with the lowest cost of fit and locality."""
     costs = [
         (
             index.compute_mean_share(free)
@@ -99,7 +99,7 @@
 
 
 @pytest.mark.parametrize('job_class', [JobClass.QUICK, JobClass.URGENT])
-def test_a_waiting_caller_gets_a_local_host_however_it_fits(job_class):
+def test_quick_and_urgent_jobs_get_a_local_host_regardless_of_fit(job_class):
     index = make_index(24)
     index.reserve('h0', 'j.0.1', Resources(14000, 1024, 0, 1, 1))
     chosen = choose(index, make_spec(job_class), local_domain='d2')
@@ -121,7 +121,7 @@
     assert len(set(more)) == 10
 
 
-def test_replaced_service_task_avoids_the_domains_of_the_others():
+def test_replacement_of_a_service_task_avoids_the_domains_of_the_others():
     index = make_index(24)
     spec = make_spec(JobClass.SERVICE, tasks=4)
     chosen = choose(index, spec, tasks=1, occupied=('h0', 'h6', 'h12'))
@@ -160,21 +160,22 @@
         ({'demand': Resources(16000, 1, 0, 1, 1)}, RefusalKind.NO_ROOM),
     ],
 )
-def test_refusal_tells_never_from_not_now(fields, kind):
+def test_refusal_distinguishes_fits_nowhere_from_no_room(fields, kind):
     index = make_index(24)
     for number in range(24):
         index.reserve(f'h{number}', 'j.0.1', DEMAND)
     assert choose(index, make_spec(**fields)).kind is kind
 
 
-def test_excluded_hosts_do_not_make_a_job_unplaceable_for_good():
-    # A job that failed on the only large host must wait, not be refused.
+def test_excluded_hosts_do_not_count_as_fits_nowhere():
+    # A job that failed on the only host that is large enough must wait
+    # rather than be refused permanently.
     index = make_index(1)
     refusal = choose(index, make_spec(), excluded=frozenset({'h0'}))
     assert refusal.kind is RefusalKind.NO_ROOM
 
 
-def test_rules_narrow_domains_and_labels():
+def test_rules_and_job_constraints_restrict_domains_and_labels():
     index = make_index(24)
     index.add_host(make_host(30, labels=('press', 'colour')))
     spec = make_spec()
@@ -189,9 +190,9 @@
     assert not fits_inventory(index.hosts.values(), request)
 
 
-def test_learned_size_only_raises_the_demand():
+def test_demand_estimate_only_raises_the_demand():
     index = make_index(1)
-    learned = Resources(17000, 1)
-    refusal = choose(index, make_spec(), demand=learned)
+    estimate = Resources(17000, 1)
+    refusal = choose(index, make_spec(), demand=estimate)
     assert refusal.kind is RefusalKind.FITS_NOWHERE
     assert choose(index, make_spec(), demand=Resources(1, 1)).hosts
--- a/tests/placement/test_queues.py
+++ b/tests/placement/test_queues.py
@@ -78,13 +78,13 @@
     @rule(cores=integers(0, 4), memory=integers(0, 4), limit=integers(0, 9))
     def run_pass(self, cores, memory, limit):
         """Run a pass and start at most ``limit`` jobs, those that fit."""
-        room = Resources(cores, memory)
+        free = Resources(cores, memory)
         offered = []
         started = 0
         for job in self.queue.begin_pass(self.now):
             offered.append(job)
             assert not self.is_expired(job.job_id)
-            if started < limit and job.spec.demand.fits_in(room):
+            if started < limit and job.spec.demand.fits_in(free):
                 self.queue.remove(job.job_id)
                 del self.jobs[job.job_id]
                 started += 1
@@ -92,7 +92,7 @@
         self.check_order(offered)
         if started < limit:
             for job_id, (spec, _) in self.jobs.items():
-                assert self.is_expired(job_id) or not spec.demand.fits_in(room)
+                assert self.is_expired(job_id) or not spec.demand.fits_in(free)
 
     @rule(count=integers(0, 3))
     def begin_and_abandon_pass(self, count):
--- a/tests/placement/test_sizing.py
+++ b/tests/placement/test_sizing.py
@@ -1,4 +1,4 @@
-"""Guards learned sizes and the answer to growth."""
+"""Tests demand estimates and actions on usage beyond reservations."""
 
 from hypothesis import given
 from hypothesis import settings
@@ -9,7 +9,7 @@
 from sassafrasgate.core.jobs import JobClass
 from sassafrasgate.core.resources import Resources
 from sassafrasgate.placement.sizing import DemandEstimator
-from sassafrasgate.placement.sizing import ESCALATION_MS
+from sassafrasgate.placement.sizing import ESCALATION_INTERVAL_MS
 from sassafrasgate.placement.sizing import MIN_SAMPLES
 from sassafrasgate.placement.sizing import OveruseStep
 from sassafrasgate.placement.sizing import plan_overuse
@@ -22,23 +22,25 @@
 
 @settings(derandomize=True, deadline=None)
 @given(lists(integers(0, 100_000), max_size=80))
-def test_learned_size_is_never_below_the_declared_one(peaks):
-    sizes = DemandEstimator()
+def test_estimate_is_never_below_the_declared_demand(peaks):
+    estimator = DemandEstimator()
     for peak in peaks:
-        sizes.record_peak(make_spec(), Resources(peak, peak))
-    size = sizes.estimate_demand(make_spec())
-    assert DEMAND.fits_in(size)
-    assert size.millicores <= 4 * DEMAND.millicores
+        estimator.record_peak(make_spec(), Resources(peak, peak))
+    estimate = estimator.estimate_demand(make_spec())
+    assert DEMAND.fits_in(estimate)
+    assert estimate.millicores <= 4 * DEMAND.millicores
 
 
-def test_size_grows_with_usage_but_not_with_one_outlier():
-    sizes = DemandEstimator()
+def test_estimate_grows_with_usage_but_not_with_one_outlier():
+    estimator = DemandEstimator()
     for _ in range(MIN_SAMPLES + 12):
-        sizes.record_peak(make_spec(), Resources(1500, 1024))
-    sizes.record_peak(make_spec(), Resources(90_000, 90_000))
-    assert sizes.estimate_demand(make_spec()) == Resources(1500, 1024, 0, 1, 1)
+        estimator.record_peak(make_spec(), Resources(1500, 1024))
+    estimator.record_peak(make_spec(), Resources(90_000, 90_000))
+    assert estimator.estimate_demand(make_spec()) == Resources(
+        1500, 1024, 0, 1, 1
+    )
     other = make_spec(JobClass.SERVICE)
-    assert sizes.estimate_demand(other) == other.demand
+    assert estimator.estimate_demand(other) == other.demand
 
 
 def use(task, job_class, memory, step=None, at=0):
@@ -47,7 +49,7 @@
     )
 
 
-def test_growth_is_granted_from_free_room():
+def test_excess_usage_is_granted_from_free_capacity():
     (action,) = plan_overuse(
         Resources(0, 500), [use('a', JobClass.BATCH, 1400)], 0
     )
@@ -55,7 +57,7 @@
     assert action.size == Resources(1000, 1400)
 
 
-def test_lowest_class_gives_way_first_and_only_as_far_as_needed():
+def test_lowest_class_is_reclaimed_first_and_only_as_far_as_needed():
     tasks = [
         use('urgent', JobClass.URGENT, 1500),
         use('batch', JobClass.BATCH, 2000),
@@ -78,9 +80,11 @@
         (OveruseStep.CHECKPOINT, OveruseStep.STOP),
     ],
 )
-def test_steps_escalate_only_after_their_effect_can_be_seen(last, following):
+def test_steps_escalate_only_after_the_escalation_interval(last, following):
     task = use('a', JobClass.BATCH, 2000, last, 1000)
     nothing = Resources()
-    assert plan_overuse(nothing, [task], 1000 + ESCALATION_MS - 1) == ()
-    (action,) = plan_overuse(nothing, [task], 1000 + ESCALATION_MS)
+    assert (
+        plan_overuse(nothing, [task], 1000 + ESCALATION_INTERVAL_MS - 1) == ()
+    )
+    (action,) = plan_overuse(nothing, [task], 1000 + ESCALATION_INTERVAL_MS)
     assert action.step is following
