--- a/sassafrasgate/composition/daemons.py
+++ b/sassafrasgate/composition/daemons.py
@@ -211,7 +211,7 @@
         directory = Directory(group, settings.peers, greet, hear)
         server = LinkServer(
             settings.link_address,
-            lambda request: task.take_request(request),
+            lambda request: task.handle_request(request),
             greet,
             hear,
         )
--- a/sassafrasgate/composition/entry.py
+++ b/sassafrasgate/composition/entry.py
@@ -204,7 +204,7 @@
         directory = Directory(group, (), greet, hear, note_closed)
         server = LinkServer(
             settings.link_address,
-            lambda request: task.take_request(request),
+            lambda request: task.handle_request(request),
             greet,
             hear,
         )
--- a/sassafrasgate/daemons/advice.py
+++ b/sassafrasgate/daemons/advice.py
@@ -26,14 +26,14 @@
 
     Parameters
     ----------
-    question : SeekAdvice
+    request : SeekAdvice
         The request of the dispatcher.
-    answer : callable
+    reply : callable
         Receives the result: an `AdviceGiven` or a `Refusal`.
     """
 
-    question: SeekAdvice
-    answer: Callable[[AdviceGiven | Refusal], Awaitable[None]]
+    request: SeekAdvice
+    reply: Callable[[AdviceGiven | Refusal], Awaitable[None]]
 
 
 class AdviceTask:
@@ -60,22 +60,22 @@
     async def run(self) -> None:
         """Make calls until the inbox closes."""
         async with self._client, anyio.create_task_group() as tasks:
-            async for wanted in self._inbox:
-                tasks.start_soon(self._ask, wanted)
+            async for requested in self._inbox:
+                tasks.start_soon(self._call_service, requested)
 
-    async def _ask(self, wanted: AdviceRequested) -> None:
-        question = wanted.question
+    async def _call_service(self, requested: AdviceRequested) -> None:
+        request = requested.request
         try:
             advice = await self._client.ask(
-                question.step, question.workers, question.timeout_ms / 1000
+                request.step, request.workers, request.timeout_ms / 1000
             )
         except AdviceUnavailableError as error:
-            await wanted.answer(
+            await requested.reply(
                 Refusal(
                     RefusalKind.NOT_READY, str(error), 'ask from another host'
                 )
             )
             return
-        await wanted.answer(
-            AdviceGiven(question.step, advice.tickets, advice.valid_ms)
+        await requested.reply(
+            AdviceGiven(request.step, advice.tickets, advice.valid_ms)
         )
--- a/sassafrasgate/daemons/advice_routing.py
+++ b/sassafrasgate/daemons/advice_routing.py
@@ -12,7 +12,7 @@
 from sassafrasgate.core.errors import NoAnswer
 from sassafrasgate.daemons.advice import AdviceRequested
 from sassafrasgate.daemons.replies import ReplyTable
-from sassafrasgate.daemons.replies import wait_for_answer
+from sassafrasgate.daemons.replies import wait_for_reply
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -34,7 +34,7 @@
         Name of this entry host.
     directory : Directory
         Holds the other entry hosts and the links to them.
-    advisers : MemoryObjectSendStream
+    advice_sender : MemoryObjectSendStream
         The inbox of this process's advice task.
     reply : callable
         Queues an `OutgoingReply` on the link server.
@@ -44,15 +44,15 @@
         self,
         name: str,
         directory: Directory,
-        advisers: MemoryObjectSendStream[Any],
+        advice_sender: MemoryObjectSendStream[Any],
         reply: Callable[[OutgoingReply], Awaitable[None]],
     ) -> None:
         self._name = name
         self._directory = directory
-        self._advisers = advisers
+        self._advice_sender = advice_sender
         self._reply = reply
 
-    async def request_advice(self, name: str, question: SeekAdvice) -> Any:
+    async def request_advice(self, name: str, request: SeekAdvice) -> Any:
         """Have the named entry host call the advice service.
 
         Returns
@@ -60,27 +60,27 @@
         object
             The `AdviceGiven`, or another object if the call has failed.
         """
-        timeout_s = question.timeout_ms / 1000
+        timeout_s = request.timeout_ms / 1000
         if name == self._name:
-            return await self._ask_own_adviser(question, timeout_s)
+            return await self._request_locally(request, timeout_s)
         member = self._directory.members.get(name)
         if member is None:
             return NoAnswer(f'entry host {name!r} is gone')
         link = self._directory.find_link(member.link_address)
-        return await link.ask(question, timeout_s)
+        return await link.ask(request, timeout_s)
 
-    async def _ask_own_adviser(
-        self, question: SeekAdvice, timeout_s: float
+    async def _request_locally(
+        self, request: SeekAdvice, timeout_s: float
     ) -> Any:
-        answers = ReplyTable(self._reply)
+        replies = ReplyTable(self._reply)
 
         def add(caller: MemoryObjectSendStream[Any]) -> int:
-            token = answers.add_caller(caller)
+            token = replies.add_local_request(caller)
 
             async def answer(message: Any) -> None:
-                await answers.send(token, message)
+                await replies.send(token, message)
 
-            self._advisers.send_nowait(AdviceRequested(question, answer))
+            self._advice_sender.send_nowait(AdviceRequested(request, answer))
             return token
 
-        return await wait_for_answer(add, answers.forget, timeout_s)
+        return await wait_for_reply(add, replies.discard, timeout_s)
--- a/sassafrasgate/daemons/configurations.py
+++ b/sassafrasgate/daemons/configurations.py
@@ -33,7 +33,7 @@
     from sassafrasgate.adapters.store import Store
 
 FETCH_TIMEOUT_S = 2.0
-RETRY_S = 0.5
+RETRY_DELAY_S = 0.5
 LAG_ALLOWANCE_MS = 3_000
 
 
@@ -98,17 +98,17 @@
         self._inbox = inbox
         self._listeners = listeners
         self.current = Configuration()
-        self._heard = 0
+        self._newest_reported = 0
         self._behind_since = 0
         self._has_loaded = False
-        self._told_current = True
+        self._reported_current = True
 
     async def run(self) -> None:
         """Load the first version, then follow changes until cancelled."""
         await self._load_first()
         while True:
             message = None
-            with anyio.move_on_after(RETRY_S):
+            with anyio.move_on_after(RETRY_DELAY_S):
                 message = await self._inbox.receive()
             await self._handle(message)
 
@@ -118,33 +118,36 @@
             if await self._read_store() or await self._read_peers():
                 self._has_loaded = True
                 continue
-            await anyio.sleep(RETRY_S)
-        await self._tell()
+            await anyio.sleep(RETRY_DELAY_S)
+        await self._notify_listeners()
 
     async def _handle(self, message: Any) -> None:
         if isinstance(message, PeerVersionReceived):
-            self._heard = max(self._heard, message.version)
+            self._newest_reported = max(self._newest_reported, message.version)
         if isinstance(message, ConfigurationPublished):
-            await self._take(message.configuration)
+            await self._apply(message.configuration)
         if isinstance(message, ControlListed | ControlChanged) and any(
             item.key == MANIFEST_KEY for item in message.items
         ):
             await self._read_store()
-        if self._heard > self.current.version and not await self._read_peers():
+        if (
+            self._newest_reported > self.current.version
+            and not await self._read_peers()
+        ):
             await self._read_store()
-        await self._note_lag()
+        await self._update_lag()
 
-    async def _note_lag(self) -> None:
+    async def _update_lag(self) -> None:
         """Notify the listeners when this process falls behind or catches up.
 
         A process is behind while a peer holds a newer version.
         """
-        if self._heard <= self.current.version:
+        if self._newest_reported <= self.current.version:
             self._behind_since = 0
         elif not self._behind_since:
             self._behind_since = now_ms()
-        if self._is_current() != self._told_current:
-            await self._tell()
+        if self._is_current() != self._reported_current:
+            await self._notify_listeners()
 
     def _is_current(self) -> bool:
         if not self._behind_since:
@@ -158,7 +161,7 @@
         except SassafrasgateError:
             return False
         if found is not None:
-            await self._take(found)
+            await self._apply(found)
         return True
 
     async def _read_peers(self) -> bool:
@@ -178,21 +181,24 @@
         if not replies:
             return False
         newest = max(replies, key=lambda reply: reply.version)
-        self._heard = max(self._heard, newest.version)
+        self._newest_reported = max(self._newest_reported, newest.version)
         if newest.version > self.current.version:
-            await self._take(decode_configuration(newest.encoded))
-        return newest.version > 0 and self.current.version >= self._heard
+            await self._apply(decode_configuration(newest.encoded))
+        return (
+            newest.version > 0
+            and self.current.version >= self._newest_reported
+        )
 
-    async def _take(self, offered: Configuration) -> None:
+    async def _apply(self, offered: Configuration) -> None:
         newer = advance(self.current, offered)
         if newer.version == self.current.version:
             return
         self.current = newer
         if self._has_loaded:
-            await self._tell()
+            await self._notify_listeners()
 
-    async def _tell(self) -> None:
-        self._told_current = self._is_current()
-        status = ConfigurationStatus(self.current, self._told_current)
+    async def _notify_listeners(self) -> None:
+        self._reported_current = self._is_current()
+        status = ConfigurationStatus(self.current, self._reported_current)
         for listener in self._listeners:
             await listener.send(status)
--- a/sassafrasgate/daemons/control.py
+++ b/sassafrasgate/daemons/control.py
@@ -23,7 +23,7 @@
 
 CONTROL_PREFIX = 'control/'
 WATCH_WAIT_S = 20.0
-RETRY_S = 0.3
+RETRY_DELAY_S = 0.3
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,12 +73,14 @@
         while True:
             try:
                 listed = await self._store.read_prefix(CONTROL_PREFIX)
-                await self._tell(ControlListed(listed.items, listed.revision))
+                await self._notify_listeners(
+                    ControlListed(listed.items, listed.revision)
+                )
                 await self._follow(listed.revision)
             except StoreLogTrimmedError:
                 continue
             except StoreError:
-                await anyio.sleep(RETRY_S)
+                await anyio.sleep(RETRY_DELAY_S)
 
     async def _follow(self, revision: int) -> None:
         while True:
@@ -87,8 +89,8 @@
             )
             revision = changes.revision
             if changes.items:
-                await self._tell(ControlChanged(changes.items))
+                await self._notify_listeners(ControlChanged(changes.items))
 
-    async def _tell(self, message: Any) -> None:
+    async def _notify_listeners(self, message: Any) -> None:
         for listener in self._listeners:
             await listener.send(message)
--- a/sassafrasgate/daemons/directory.py
+++ b/sassafrasgate/daemons/directory.py
@@ -92,28 +92,28 @@
         if not isinstance(message, ControlListed | ControlChanged):
             return
         for item in message.items:
-            self._note_item(item)
+            self._apply_item(item)
 
-    def _note_item(self, item: Item) -> None:
+    def _apply_item(self, item: Item) -> None:
         if item.key.startswith(MEMBER_PREFIX):
-            self._note_member(item.key.removeprefix(MEMBER_PREFIX), item)
+            self._apply_member(item.key.removeprefix(MEMBER_PREFIX), item)
         if item.key.startswith(OWNER_PREFIX):
-            self._note_owner(item.key.removeprefix(OWNER_PREFIX), item)
+            self._apply_owner(item.key.removeprefix(OWNER_PREFIX), item)
 
-    def _note_member(self, name: str, item: Item) -> None:
-        member = read_member(item)
+    def _apply_member(self, name: str, item: Item) -> None:
+        member = decode_member(item)
         if member is None:
             self.members.pop(name, None)
             return
         self.members[name] = member
 
-    def _note_owner(self, shard: str, item: Item) -> None:
+    def _apply_owner(self, shard: str, item: Item) -> None:
         known = self.owners.get(shard)
         if known is not None and item.revision < known[1]:
             # The watch may deliver a state from before this process wrote
             # the key itself.
             return
-        member = read_member(item)
+        member = decode_member(item)
         if member is None:
             self.owners.pop(shard, None)
             return
@@ -183,7 +183,7 @@
         return tuple(answers)
 
 
-def read_member(item: Item) -> Member | None:
+def decode_member(item: Item) -> Member | None:
     """Return the member that a key's value describes, or None.
 
     Returns
--- a/sassafrasgate/daemons/dispatcher.py
+++ b/sassafrasgate/daemons/dispatcher.py
@@ -22,18 +22,18 @@
 from sassafrasgate.core.errors import StoreError
 from sassafrasgate.core.workflows import Advice
 from sassafrasgate.daemons.dispatcher_actions import DISPATCHER_ACTION_HANDLERS
-from sassafrasgate.daemons.journals import AppendRecord
 from sassafrasgate.daemons.journals import JournalTask
 from sassafrasgate.daemons.journals import run_journal
 from sassafrasgate.daemons.journals import SnapshotEnded
 from sassafrasgate.daemons.journals import WithdrawJob
+from sassafrasgate.daemons.journals import WriteRecord
 from sassafrasgate.daemons.journals import WriteSnapshot
 from sassafrasgate.daemons.messages import LeaseUpdated
 from sassafrasgate.daemons.messages import OwnerLeaseChanged
 from sassafrasgate.daemons.messages import OwnershipLost
 from sassafrasgate.daemons.messages import StopPolling
 from sassafrasgate.daemons.replies import ReplyTable
-from sassafrasgate.daemons.replies import wait_for_answer
+from sassafrasgate.daemons.replies import wait_for_reply
 from sassafrasgate.daemons.snapshots import SnapshotSchedule
 from sassafrasgate.daemons.workers import WorkerTask
 from sassafrasgate.dispatch.actions import ChangeHoldWait
@@ -91,25 +91,25 @@
     from sassafrasgate.protocol.links import IncomingRequest
 
 TICK_S = 0.1
-LOAD_RETRY_S = 0.1
+LOAD_RETRY_DELAY_S = 0.1
 MAX_INBOX = 20_000
 # Records are collected into shared entries, because each store call is
 # charged for. The delay is short, because a quick job has only 0.6 s beyond
 # its own work.
-GATHER_S = 0.02
+JOURNAL_BATCH_DELAY_S = 0.02
 # Journal entries that are written concurrently. With several in flight, a
 # record waits for at most one slow store call.
-JOURNAL_DEPTH = 4
+JOURNAL_MAX_IN_FLIGHT = 4
 # A scheduling pass over many waiting steps takes milliseconds. The pause
 # before the next one is this multiple of its duration, for events.
-PASS_REST = 2.0
+PASS_PAUSE_FACTOR = 2.0
 # Events that are handled between two checks for a due scheduling pass.
-BATCH_EVENTS = 64
+MAX_BATCH_EVENTS = 64
 ADVICE_MARGIN_MS = 400
 # Writes that have been failing for this time are treated as a store outage.
-FAILING_MS = 150
+OUTAGE_THRESHOLD_MS = 150
 # A store that takes longer than this to answer is treated as failing, too.
-SLOW_APPEND_MS = 1_500
+SLOW_APPEND_THRESHOLD_MS = 1_500
 
 
 @dataclass(frozen=True, slots=True)
@@ -175,7 +175,7 @@
         The process's lease when the shard was claimed.
     services : DispatcherServices
         Functions and clients of the process.
-    inherited : LoadedJournal, optional
+    handed_over_journal : LoadedJournal, optional
         State that the previous owner has handed over. Without it the
         journal is read from the store.
     """
@@ -186,7 +186,7 @@
         table: RoutingTable,
         lease: OwnerLease,
         services: DispatcherServices,
-        inherited: LoadedJournal | None = None,
+        handed_over_journal: LoadedJournal | None = None,
     ) -> None:
         self.shard = shard
         self.services = services
@@ -194,16 +194,16 @@
         self.events, self._inbox = _make_inbox()
         self._table = table
         self._lease = lease
-        self._inherited = inherited
+        self._handed_over_journal = handed_over_journal
         self._replies = ReplyTable(services.reply)
-        self._workers: dict[str, MemoryObjectSendStream[Any]] = {}
-        self._journal_box, self._journal_inbox = _make_inbox(inf)
+        self._worker_senders: dict[str, MemoryObjectSendStream[Any]] = {}
+        self._journal_sender, self._journal_inbox = _make_inbox(inf)
         self._snapshots = SnapshotSchedule()
-        self._unwritten: deque[int] = deque()
+        self._unwritten_since: deque[int] = deque()
         self._stalled_since = 0
         self._failing_since = 0
         self._next_pass = 0.0
-        self._given_up = ''
+        self._loss_reason = ''
         self._group: TaskGroup | None = None
         self.taken_over = anyio.Event()
 
@@ -225,8 +225,8 @@
         journal = await self._take_over()
         self.taken_over.set()
         if journal is None:
-            await self._dismiss_callers()
-            return self._given_up
+            await self._refuse_open_requests()
+            return self._loss_reason
         async with anyio.create_task_group() as group:
             self._group = group
             writer = JournalTask(
@@ -234,32 +234,32 @@
                 self._journal_inbox,
                 self.events,
                 self._observe_append,
-                GATHER_S,
-                JOURNAL_DEPTH,
+                JOURNAL_BATCH_DELAY_S,
+                JOURNAL_MAX_IN_FLIGHT,
             )
             group.start_soon(self._run_journal, writer)
             group.start_soon(self._tick)
             group.start_soon(self.services.follow_workers, self.events)
-            await self._carry_out(watch_recorded_workers(self.state))
+            await self._execute_actions(watch_recorded_workers(self.state))
             await self._serve()
-            if not self._given_up:
+            if not self._loss_reason:
                 await self._hand_over(journal, release)
-            await self._dismiss_callers()
+            await self._refuse_open_requests()
             group.cancel_scope.cancel()
-        return self._given_up
+        return self._loss_reason
 
     async def _take_over(self) -> Journal | None:
         """Read the journal and append the takeover record."""
         self.state.now, self.state.wall_ms = now_ms(), wall_ms()
         began = now_ms()
-        await self._step(TableChanged(self._table))
+        await self._process_event(TableChanged(self._table))
         loaded = await self._load_journal()
         if loaded is None:
             return None
         read_ms = now_ms() - began
-        self._note_leases()
+        self._apply_lease_updates()
         if not self._has_lease():
-            self._given_up = 'the lease has lapsed before the takeover'
+            self._loss_reason = 'the lease expired before the takeover'
             return None
         replay_records(self.state, loaded.records)
         replayed_ms = now_ms() - began
@@ -274,13 +274,13 @@
             self.shard,
             self.services.owner,
             loaded,
-            self._note_failed_append,
+            self._record_failed_append,
         )
         journal.epoch = takeover.epoch
         try:
             await journal.append((takeover,))
         except ShardLostError as error:
-            self._given_up = str(error)
+            self._loss_reason = str(error)
             return None
         self._snapshots = SnapshotSchedule(journal.uncovered_entries)
         replay_records(self.state, (takeover,))
@@ -295,7 +295,7 @@
                     ('jobs', len(self.state.jobs)),
                     ('records', len(loaded.records)),
                     ('workers', len(self.state.recorded_workers)),
-                    ('unsettled', len(self.state.unreconciled_workers)),
+                    ('unreconciled', len(self.state.unreconciled_workers)),
                     ('released', self.state.handover_lease_ms >= 0),
                     ('read_ms', read_ms),
                     ('replayed_ms', replayed_ms),
@@ -306,25 +306,25 @@
         return journal
 
     async def _load_journal(self) -> Any:
-        if self._inherited is not None:
-            return self._inherited
+        if self._handed_over_journal is not None:
+            return self._handed_over_journal
         while self._has_lease():
             try:
                 return await load_journal(self.services.store, self.shard)
             except StoreError:
-                await anyio.sleep(LOAD_RETRY_S)
-                self._note_leases()
+                await anyio.sleep(LOAD_RETRY_DELAY_S)
+                self._apply_lease_updates()
             except MessageError as error:
-                self._given_up = str(error)
+                self._loss_reason = str(error)
                 return None
-        self._given_up = 'the lease has lapsed before the takeover'
+        self._loss_reason = 'the lease expired before the takeover'
         return None
 
     def _has_lease(self) -> bool:
         """Tell whether the lease is valid without the outage grace."""
         return now_ms() < self._lease.renewed_at + self._lease.ttl_ms
 
-    def _note_leases(self) -> None:
+    def _apply_lease_updates(self) -> None:
         """Apply the lease changes in the inbox and keep all other events.
 
         It is called during the takeover, before events are handled.
@@ -355,58 +355,58 @@
     async def _serve(self) -> None:
         """Handle events and run a scheduling pass whenever one is due.
 
-        Queued events are handled in batches of up to `BATCH_EVENTS`, so that
-        a steady stream of events does not keep a due pass from running.
+        Queued events are handled in batches of up to `MAX_BATCH_EVENTS`, so
+        that a steady stream of events does not delay a due pass.
         """
-        while not self._given_up and not self._is_drained():
+        while not self._loss_reason and not self._is_drained():
             event = await self._receive()
             if event is not None:
-                await self._step(event)
-            for _ in range(BATCH_EVENTS):
-                if self._given_up:
+                await self._process_event(event)
+            for _ in range(MAX_BATCH_EVENTS):
+                if self._loss_reason:
                     return
                 try:
                     event = self._inbox.receive_nowait()
                 except anyio.WouldBlock:
                     break
-                await self._step(event)
-            if self._find_pass_delay() == 0:
+                await self._process_event(event)
+            if self._compute_pass_delay() == 0:
                 began = perf_counter()
-                await self._step(PassDue())
+                await self._process_event(PassDue())
                 ended = perf_counter()
-                self._next_pass = ended + (ended - began) * PASS_REST
+                self._next_pass = ended + (ended - began) * PASS_PAUSE_FACTOR
 
     async def _receive(self) -> Any:
         """Return the next event, or None once a scheduling pass is due."""
-        delay_s = self._find_pass_delay()
+        delay_s = self._compute_pass_delay()
         if delay_s == inf:
             return await self._inbox.receive()
         with anyio.move_on_after(delay_s):
             return await self._inbox.receive()
         return None
 
-    def _find_pass_delay(self) -> float:
+    def _compute_pass_delay(self) -> float:
         """Return the seconds until the next scheduling pass is due."""
         if not self.state.needs_pass or not self._may_act():
             return inf
         return max(0.0, self._next_pass - perf_counter())
 
-    async def _step(self, event: Any) -> None:
+    async def _process_event(self, event: Any) -> None:
         """Make the decisions on an event and carry out their actions."""
-        if await self._handle_own_event(event):
+        if await self._handle_internal_event(event):
             return
         started = perf_counter()
         actions = decide(self.state, event, now_ms(), wall_ms())
         self.services.metrics.observe(
             DECISION_SECONDS, perf_counter() - started, type(event).__name__
         )
-        await self._carry_out(actions)
+        await self._execute_actions(actions)
 
-    async def _carry_out(self, actions: Any) -> None:
+    async def _execute_actions(self, actions: Any) -> None:
         for action in actions:
             await DISPATCHER_ACTION_HANDLERS.find(type(action))(self, action)
 
-    async def _handle_own_event(self, event: Any) -> bool:
+    async def _handle_internal_event(self, event: Any) -> bool:
         """Handle events that need no decision.
 
         Returns
@@ -416,82 +416,82 @@
             also passed to the decisions.
         """
         if isinstance(event, RequestReceived) and not self._may_act():
-            await self.send_reply(event.reply_to, self._describe_loss())
+            await self.send_reply(event.reply_to, self._make_loss_refusal())
             return True
         if isinstance(event, LeaseUpdated):
             self._lease = event.lease
-            for box in self._workers.values():
-                box.send_nowait(OwnerLeaseChanged(event.lease))
+            for sender in self._worker_senders.values():
+                sender.send_nowait(OwnerLeaseChanged(event.lease))
             return True
         if isinstance(event, OwnershipLost):
-            self._given_up = event.reason
+            self._loss_reason = event.reason
             return True
         if isinstance(event, SnapshotEnded):
-            self._snapshots.note_snapshot()
+            self._snapshots.mark_written()
             self._request_snapshot()
             return True
         if isinstance(event, RecordsDurable):
             for _ in event.records:
-                self._unwritten.popleft()
-            self._snapshots.note_entry()
+                self._unwritten_since.popleft()
+            self._snapshots.count_entry()
             self._request_snapshot()
         if isinstance(event, WithdrawalAnswered):
             for _ in range(event.records):
-                self._unwritten.pop()
+                self._unwritten_since.pop()
         if isinstance(event, Ticked):
-            await self._note_stall()
-            await self._note_ended_owners()
+            await self._update_stall()
+            await self._check_previous_owners()
         if isinstance(event, StopRequested):
             # Run ends that workers report from now on are left to the
             # successor.
             self._stop_workers()
         return False
 
-    def _note_failed_append(self) -> None:
+    def _record_failed_append(self) -> None:
         self._failing_since = self._failing_since or now_ms()
 
-    async def _note_stall(self) -> None:
+    async def _update_stall(self) -> None:
         stalled = self._failing_since
-        if stalled and now_ms() - stalled < FAILING_MS:
+        if stalled and now_ms() - stalled < OUTAGE_THRESHOLD_MS:
             stalled = 0
-        oldest = self._unwritten[0] if self._unwritten else 0
-        if oldest and oldest + SLOW_APPEND_MS < now_ms():
+        oldest = self._unwritten_since[0] if self._unwritten_since else 0
+        if oldest and oldest + SLOW_APPEND_THRESHOLD_MS < now_ms():
             stalled = stalled or oldest
         if stalled == self._stalled_since:
             return
         self._stalled_since = stalled
-        await self._step(JournalStalled(stalled))
+        await self._process_event(JournalStalled(stalled))
 
-    async def _note_ended_owners(self) -> None:
+    async def _check_previous_owners(self) -> None:
         if (
             not self.state.unreconciled_workers
             or self.state.previous_owners_ended
         ):
             return
-        earlier = list_previous_owners(self.state)
-        if all(self.services.has_ended(owner) for owner in earlier):
-            await self._step(OwnersEnded())
+        previous = list_previous_owners(self.state)
+        if all(self.services.has_ended(owner) for owner in previous):
+            await self._process_event(OwnersEnded())
 
     def _may_act(self) -> bool:
         """Tell whether the lease or its outage grace still allows to act."""
         lease = self._lease
         return may_send(lease, now_ms(), lease.ttl_ms, lease.grace_ms)
 
-    def _describe_loss(self) -> Refused:
+    def _make_loss_refusal(self) -> Refused:
         return Refused(
             RefusalKind.NOT_OWNER,
-            f'the lease of this owner of shard {self.shard!r} has lapsed',
+            f'the lease of this owner of shard {self.shard!r} has expired',
             'send the request to the new owner',
         )
 
     def _request_snapshot(self) -> None:
-        if self._snapshots.is_due():
-            self._journal_box.send_nowait(
+        if self._snapshots.request_if_due():
+            self._journal_sender.send_nowait(
                 WriteSnapshot(tuple(list_snapshot_records(self.state)))
             )
 
     def _is_drained(self) -> bool:
-        return self.state.stopping and not self._unwritten
+        return self.state.stopping and not self._unwritten_since
 
     async def _hand_over(
         self, journal: Journal, release: Callable[[], Awaitable[None]]
@@ -522,18 +522,18 @@
         )
         if await self.services.hand_over(message):
             return
-        self.append(released)
-        while self._unwritten and not self._given_up:
-            await self._step(await self._inbox.receive())
-        if not self._given_up:
+        self.append_record(released)
+        while self._unwritten_since and not self._loss_reason:
+            await self._process_event(await self._inbox.receive())
+        if not self._loss_reason:
             await release()
 
     def _stop_workers(self) -> None:
-        for box in self._workers.values():
-            box.send_nowait(StopPolling())
-        self._workers.clear()
+        for sender in self._worker_senders.values():
+            sender.send_nowait(StopPolling())
+        self._worker_senders.clear()
 
-    async def _dismiss_callers(self) -> None:
+    async def _refuse_open_requests(self) -> None:
         """Refuse all open requests; the callers can send them again."""
         message = Refused(
             RefusalKind.STOPPING,
@@ -543,34 +543,34 @@
         for token in self._replies.list_open():
             await self.send_reply(token, message)
 
-    async def take_request(self, request: IncomingRequest) -> None:
+    async def handle_request(self, request: IncomingRequest) -> None:
         """Queue a request that the link server has received."""
-        await self._put_request(
+        await self._queue_request(
             self._replies.add_request(request), request.message
         )
 
-    async def ask(self, message: Any, timeout_s: float) -> Any:
+    async def request(self, message: Any, timeout_s: float) -> Any:
         """Queue a request of this process and return its answer."""
 
         def add(caller: MemoryObjectSendStream[Any]) -> int:
-            token = self._replies.add_caller(caller)
-            self._offer_request(token, message)
+            token = self._replies.add_local_request(caller)
+            self._try_queue_request(token, message)
             return token
 
-        return await wait_for_answer(add, self._replies.forget, timeout_s)
+        return await wait_for_reply(add, self._replies.discard, timeout_s)
 
-    async def _put_request(self, token: int, message: Any) -> None:
-        if not self._offer_request(token, message):
-            await self.send_reply(token, self._describe_overload())
+    async def _queue_request(self, token: int, message: Any) -> None:
+        if not self._try_queue_request(token, message):
+            await self.send_reply(token, self._make_overload_refusal())
 
-    def _offer_request(self, token: int, message: Any) -> bool:
+    def _try_queue_request(self, token: int, message: Any) -> bool:
         try:
             self.events.send_nowait(RequestReceived(token, message, wall_ms()))
         except anyio.WouldBlock:
             return False
         return True
 
-    def _describe_overload(self) -> Refused:
+    def _make_overload_refusal(self) -> Refused:
         return Refused(
             RefusalKind.OVERLOADED,
             f'shard {self.shard!r} has too many waiting requests',
@@ -585,31 +585,31 @@
         """Request a planned release of the shard."""
         self.events.send_nowait(StopRequested())
 
-    def note_peers(self, names: tuple[str, ...]) -> None:
+    def update_peers(self, names: tuple[str, ...]) -> None:
         """Update which entry hosts can call the advice service."""
         self.events.send_nowait(PeersChanged(names))
 
-    def append(self, record: Any) -> None:
+    def append_record(self, record: Any) -> None:
         """Send a record to the journal task."""
-        self._unwritten.append(now_ms())
-        self._journal_box.send_nowait(AppendRecord(record))
+        self._unwritten_since.append(now_ms())
+        self._journal_sender.send_nowait(WriteRecord(record))
 
-    def withdraw(self, job_id: str) -> None:
+    def withdraw_records(self, job_id: str) -> None:
         """Ask the journal task to drop a job's unwritten records."""
-        self._journal_box.send_nowait(WithdrawJob(job_id))
+        self._journal_sender.send_nowait(WithdrawJob(job_id))
 
-    def give_up(self, reason: str) -> None:
+    def step_down(self, reason: str) -> None:
         """End the task without sending anything further."""
-        self._given_up = reason
+        self._loss_reason = reason
 
     def watch_worker(self, action: WatchWorker) -> None:
         """Start a worker's task, replacing the one for an older address."""
         self.forget_worker(action.registration.worker)
         if self._group is None:
             return
-        box, inbox = _make_inbox(inf)
+        sender, inbox = _make_inbox(inf)
         worker = action.registration.worker
-        self._workers[worker] = box
+        self._worker_senders[worker] = sender
         task = WorkerTask(
             worker,
             self.state.epoch,
@@ -624,38 +624,36 @@
 
     def change_hold_wait(self, action: ChangeHoldWait) -> None:
         """Pass a new long-poll wait on to all worker tasks."""
-        for box in self._workers.values():
-            box.send_nowait(action)
+        for sender in self._worker_senders.values():
+            sender.send_nowait(action)
 
     def forget_worker(self, worker: str) -> None:
         """End a worker's task."""
-        box = self._workers.pop(worker, None)
-        if box is not None:
-            box.close()
+        sender = self._worker_senders.pop(worker, None)
+        if sender is not None:
+            sender.close()
 
     def command_worker(self, worker: str, command: Any) -> bool:
         """Send a command to a worker's task; return False if it has none."""
-        box = self._workers.get(worker)
-        if box is None:
+        sender = self._worker_senders.get(worker)
+        if sender is None:
             return False
-        box.send_nowait(command)
+        sender.send_nowait(command)
         return True
 
-    def ask_advice(self, action: AskAdvice) -> None:
+    def request_advice(self, action: AskAdvice) -> None:
         """Have an entry host call the advice service, in the background."""
         if self._group is not None:
-            self._group.start_soon(self._ask_advice, action)
+            self._group.start_soon(self._request_advice, action)
 
-    async def _ask_advice(self, action: AskAdvice) -> None:
+    async def _request_advice(self, action: AskAdvice) -> None:
         step = f'{action.step.job_id}.{action.step.occurrence}'
-        question = SeekAdvice(
+        request = SeekAdvice(
             f'{step}.{action.step.step}',
             action.workers,
             action.expected_ms + ADVICE_MARGIN_MS,
         )
-        answer = await self.services.request_advice(
-            action.entry_host, question
-        )
+        answer = await self.services.request_advice(action.entry_host, request)
         if isinstance(answer, AdviceGiven):
             await self.events.send(
                 AdviceAnswered(
--- a/sassafrasgate/daemons/dispatcher_actions.py
+++ b/sassafrasgate/daemons/dispatcher_actions.py
@@ -35,12 +35,12 @@
 
 @DISPATCHER_ACTION_HANDLERS.register(Persist)
 async def _persist(task: DispatcherTask, action: Persist) -> None:
-    task.append(action.record)
+    task.append_record(action.record)
 
 
 @DISPATCHER_ACTION_HANDLERS.register(Withdraw)
 async def _withdraw(task: DispatcherTask, action: Withdraw) -> None:
-    task.withdraw(action.job_id)
+    task.withdraw_records(action.job_id)
 
 
 @DISPATCHER_ACTION_HANDLERS.register(Reply)
@@ -79,8 +79,8 @@
 
 
 @DISPATCHER_ACTION_HANDLERS.register(AskAdvice)
-async def _ask_advice(task: DispatcherTask, action: AskAdvice) -> None:
-    task.ask_advice(action)
+async def _request_advice(task: DispatcherTask, action: AskAdvice) -> None:
+    task.request_advice(action)
 
 
 @DISPATCHER_ACTION_HANDLERS.register(LogEvent)
@@ -89,5 +89,5 @@
 
 
 @DISPATCHER_ACTION_HANDLERS.register(GiveUpShard)
-async def _give_up(task: DispatcherTask, action: GiveUpShard) -> None:
-    task.give_up(action.reason)
+async def _step_down(task: DispatcherTask, action: GiveUpShard) -> None:
+    task.step_down(action.reason)
--- a/sassafrasgate/daemons/election.py
+++ b/sassafrasgate/daemons/election.py
@@ -42,15 +42,15 @@
 SHARD = 'cell'
 # Additional delay, for each place in the ranking, before a host claims a shard
 # without an owner.
-CLAIM_STEP_MS = 120
-PROBE_S = 0.3
-FIND_S = 0.2
+CLAIM_RANK_DELAY_MS = 120
+PROBE_TIMEOUT_S = 0.3
+FIND_OWNER_TIMEOUT_S = 0.2
 # Long enough for a successor to write its takeover record to a slow store.
-OFFER_S = 1.5
-MOST_OFFERS = 2
+OFFER_TIMEOUT_S = 1.5
+MAX_OFFERS = 2
 # Time limit for the reply of a host that may be down. A round trip between
 # zones takes about 8 ms.
-GREETING_S = 0.15
+REACHABILITY_TIMEOUT_S = 0.15
 
 
 class OwnerElection:
@@ -80,8 +80,8 @@
         self._directory = directory
         self._logger = logger
         self._lease_id = ''
-        self._orphaned_at = 0
-        self._ended = ''
+        self._ownerless_since = 0
+        self._ended_incarnation = ''
         # Revision of the owner key that this process is replacing.
         self._replaced_revision = 0
         self.lease: OwnerLease | None = None
@@ -98,11 +98,11 @@
         It is 0 while no other process is known to own the shard.
         """
         owner = self.owner
-        if owner is None or self.is_me(owner[0]):
+        if owner is None or self.is_self(owner[0]):
             return 0
         return self._directory.find_link(owner[0].link_address).silent_ms
 
-    def is_me(self, member: Member) -> bool:
+    def is_self(self, member: Member) -> bool:
         """Tell whether a member is this process."""
         return member.incarnation == self._member.incarnation
 
@@ -125,7 +125,7 @@
 
     def mark_ended(self, incarnation: str) -> None:
         """Record that an owner's process has ended."""
-        self._ended = incarnation
+        self._ended_incarnation = incarnation
 
     def has_fresh_lease(self) -> bool:
         """Tell whether the lease is valid without the outage grace."""
@@ -145,27 +145,27 @@
             None if no claim is due; 0 if there is no owner key to replace.
         """
         owner = self.owner
-        if owner is not None and not self._is_gone(owner[0]):
-            self._orphaned_at = 0
+        if owner is not None and not self._is_ended(owner[0]):
+            self._ownerless_since = 0
             return None
-        self._orphaned_at = self._orphaned_at or now_ms()
-        delay_ms = self._find_rank() * CLAIM_STEP_MS
-        if now_ms() - self._orphaned_at < delay_ms:
+        self._ownerless_since = self._ownerless_since or now_ms()
+        delay_ms = self._compute_rank() * CLAIM_RANK_DELAY_MS
+        if now_ms() - self._ownerless_since < delay_ms:
             return None
         return owner[1] if owner else 0
 
-    def _is_gone(self, member: Member) -> bool:
+    def _is_ended(self, member: Member) -> bool:
         """Tell whether an owner's process is known to have ended.
 
         An owner of this process's own name is a previous incarnation: the
         platform starts a process only after its predecessor has ended.
         """
         return (
-            member.incarnation == self._ended
+            member.incarnation == self._ended_incarnation
             or member.name == self._member.name
         )
 
-    def _find_rank(self) -> int:
+    def _compute_rank(self) -> int:
         """Return this host's rank; 0 is the best rank.
 
         Hosts with more processor capacity rank before others.
@@ -198,13 +198,13 @@
 
     def begin_takeover(self, revision: int) -> None:
         """Record the revision of the owner key that is to be replaced."""
-        self._orphaned_at = 0
+        self._ownerless_since = 0
         self._replaced_revision = revision
 
     def find_other_owner(self) -> str:
         """Return the name of another process that owns the shard, or ''."""
         owner = self.owner
-        if owner is None or self.is_me(owner[0]):
+        if owner is None or self.is_self(owner[0]):
             return ''
         if owner[1] <= self._replaced_revision:
             # This process is still replacing this key by its own.
@@ -226,18 +226,18 @@
         """
         key, value = make_owner_key(SHARD), encode(self._member)
         if not revision:
-            return await self._note_key(
+            return await self._complete_key_write(
                 self._store.create(
                     key, value, self._lease_id, CallPriority.HIGH
                 )
             )
-        return await self._note_key(
+        return await self._complete_key_write(
             self._store.swap(
                 key, value, revision, self._lease_id, CallPriority.HIGH
             )
         )
 
-    async def _note_key(self, write: Awaitable[int]) -> bool:
+    async def _complete_key_write(self, write: Awaitable[int]) -> bool:
         try:
             revision = await write
         except StoreConflictError:
@@ -266,7 +266,7 @@
         Another process can then claim the shard.
         """
         owner = self.owner
-        if owner is None or not self.is_me(owner[0]):
+        if owner is None or not self.is_self(owner[0]):
             return
         try:
             await self._store.delete(
@@ -277,16 +277,16 @@
             self._log('release-failed', (('reason', str(error)),))
             return
         if self.owner == owner:
-            self.forget()
+            self.forget_own_entry()
 
-    def forget(self) -> None:
+    def forget_own_entry(self) -> None:
         """Discard the entry that names this process as the owner.
 
         The next takeover then needs a new claim. The entry may be outdated
         after a network partition, while another process owns the shard.
         """
         owner = self.owner
-        if owner is not None and self.is_me(owner[0]):
+        if owner is not None and self.is_self(owner[0]):
             del self._directory.owners[SHARD]
 
     async def hand_over(self, message: HandOver) -> bool:
@@ -302,7 +302,7 @@
             Whether a host has taken the shard over.
         """
         owner = self.owner
-        if owner is None or not self.is_me(owner[0]):
+        if owner is None or not self.is_self(owner[0]):
             return False
         offer = replace(message, owner_revision=owner[1])
         members = sorted(
@@ -312,16 +312,18 @@
         )
         offers = 0
         for member in members:
-            if offers == MOST_OFFERS:
+            if offers == MAX_OFFERS:
                 break
             link = self._directory.find_link(member.link_address)
-            greeting = await link.ask(FindOwner(SHARD), GREETING_S)
-            if not isinstance(greeting, OwnerFound):
+            probe_reply = await link.ask(
+                FindOwner(SHARD), REACHABILITY_TIMEOUT_S
+            )
+            if not isinstance(probe_reply, OwnerFound):
                 # An offer to a host that is down would wait until the host
                 # is back, and the shard would have no owner meanwhile.
                 continue
             offers += 1
-            answer = await link.ask(offer, OFFER_S)
+            answer = await link.ask(offer, OFFER_TIMEOUT_S)
             self._log(
                 'hand-over',
                 (
@@ -342,7 +344,7 @@
         return [
             member
             for member in self._directory.members.values()
-            if not self.is_me(member)
+            if not self.is_self(member)
         ]
 
     async def ask_peers_for_owner(self) -> None:
@@ -358,7 +360,7 @@
 
     async def _ask_for_owner(self, member: Member) -> None:
         link = self._directory.find_link(member.link_address)
-        answer = await link.ask(FindOwner(SHARD), FIND_S)
+        answer = await link.ask(FindOwner(SHARD), FIND_OWNER_TIMEOUT_S)
         if not isinstance(answer, OwnerFound) or not answer.member:
             return
         known = self.owner
@@ -368,7 +370,7 @@
         self._directory.apply_control_event(ControlChanged((item,)))
         self._log(
             'owner-found',
-            (('told_by', member.name), ('revision', answer.revision)),
+            (('reported_by', member.name), ('revision', answer.revision)),
         )
 
     def describe_owner(self) -> OwnerFound:
@@ -398,7 +400,7 @@
             return ''
         host, _, port = owner[0].link_address.rpartition(':')
         try:
-            with anyio.fail_after(PROBE_S):
+            with anyio.fail_after(PROBE_TIMEOUT_S):
                 stream = await anyio.connect_tcp(host, int(port))
                 await stream.aclose()
         except (OSError, TimeoutError) as error:
--- a/sassafrasgate/daemons/entry.py
+++ b/sassafrasgate/daemons/entry.py
@@ -12,7 +12,7 @@
 from sassafrasgate.core.routing import RoutingTable
 from sassafrasgate.daemons.dispatcher import DispatcherTask
 from sassafrasgate.daemons.dispatcher import refuse_not_owner
-from sassafrasgate.daemons.election import FIND_S
+from sassafrasgate.daemons.election import FIND_OWNER_TIMEOUT_S
 from sassafrasgate.daemons.election import SHARD
 from sassafrasgate.daemons.entry_messages import ENTRY_MESSAGES
 from sassafrasgate.daemons.entry_messages import ENTRY_REQUESTS
@@ -44,7 +44,7 @@
     from sassafrasgate.daemons.leases import Member
     from sassafrasgate.protocol.links import IncomingRequest
 
-    Answer = Callable[[Any], Awaitable[None]]
+    SendReply = Callable[[Any], Awaitable[None]]
 
 CLAIM_INTERVAL_S = 0.1
 # The owner sends a heartbeat every 500 ms, and a successor takes over within
@@ -53,7 +53,7 @@
 OWNER_LOST_MS = 1_500
 # The effect of a request that was sent to a lost owner is unknown. After this
 # time without a heartbeat, requests are held back; they can still be refused.
-OWNER_DOUBTED_MS = 700
+OWNER_SUSPECT_MS = 700
 
 
 class EntryTask:
@@ -71,7 +71,7 @@
         Claims the shard and hands it over.
     inbox : MemoryObjectReceiveStream
         Delivers the messages of `ENTRY_MESSAGES`.
-    advisers : MemoryObjectSendStream
+    advice_sender : MemoryObjectSendStream
         The advice task's inbox.
     send_to_self : callable
         Sends a message to this task's inbox.
@@ -84,21 +84,21 @@
         directory: Directory,
         election: OwnerElection,
         inbox: MemoryObjectReceiveStream[Any],
-        advisers: MemoryObjectSendStream[Any],
+        advice_sender: MemoryObjectSendStream[Any],
         send_to_self: Callable[[Any], Awaitable[None]],
     ) -> None:
         self.member = member
         self.services = services
         self.directory = directory
         self.election = election
-        self.advisers = advisers
+        self.advice_sender = advice_sender
         self.send_to_self = send_to_self
         self.table = RoutingTable()
         self.dispatcher: DispatcherTask | None = None
         self.is_stopping = False
         self.has_table = anyio.Event()
         self._inbox = inbox
-        self._finding = False
+        self._is_querying_owner = False
         self._peers: tuple[str, ...] = ()
 
     @property
@@ -106,10 +106,10 @@
         """Version of the routing table in force."""
         return self.table.version
 
-    def refuse_unready(self) -> Refusal | None:
+    def check_readiness(self) -> Refusal | None:
         """Return a refusal if requests can't be served now, else None."""
         if not self.version:
-            return self.refuse_without_table()
+            return self.make_no_table_refusal()
         silent_ms = self.election.silent_ms
         if self.dispatcher is None and silent_ms > OWNER_LOST_MS:
             return Refusal(
@@ -121,7 +121,7 @@
             )
         return None
 
-    def refuse_without_table(self) -> Refusal:
+    def make_no_table_refusal(self) -> Refusal:
         """Return the refusal for the time before the first routing table."""
         return Refusal(
             RefusalKind.NOT_READY,
@@ -145,12 +145,12 @@
         ENTRY_MESSAGES.find(type(message))(self, message, group)
         await self._claim(group)
 
-    def tell_dispatcher(self, event: Any) -> None:
+    def notify_dispatcher(self, event: Any) -> None:
         """Send an event to the dispatcher if this process runs one."""
         if self.dispatcher is not None:
             self.dispatcher.events.send_nowait(event)
 
-    def tell_peers(self) -> None:
+    def update_peers(self) -> None:
         """Tell the dispatcher which entry hosts are alive."""
         others = sorted(
             name for name in self.directory.members if name != self.member.name
@@ -158,13 +158,13 @@
         peers = (self.member.name, *others)
         if self.dispatcher is not None and peers != self._peers:
             self._peers = peers
-            self.dispatcher.note_peers(peers)
+            self.dispatcher.update_peers(peers)
 
     def check_other_owner(self) -> None:
         """End the dispatcher if another process owns the shard."""
         other = self.election.find_other_owner()
         if other:
-            self.tell_dispatcher(OwnershipLost(f'{other!r} owns the shard'))
+            self.notify_dispatcher(OwnershipLost(f'{other!r} owns the shard'))
 
     async def _claim(self, group: TaskGroup) -> None:
         """Claim the shard if it has no owner and this host's turn has come.
@@ -184,7 +184,7 @@
                 # The store has dropped the key although its lease is valid.
                 await election.write_key()
             return
-        if owner is not None and election.is_me(owner[0]):
+        if owner is not None and election.is_self(owner[0]):
             self._start_dispatcher(group, 0)
             return
         revision = election.find_claim()
@@ -197,22 +197,22 @@
         An owner that is cut off from the store continues during its outage
         grace, while its callers wait for records that it can't write.
         """
-        if self.dispatcher is None or self._finding:
+        if self.dispatcher is None or self._is_querying_owner:
             return
-        self._finding = True
+        self._is_querying_owner = True
         group.start_soon(self._query_other_owner)
 
     async def _query_other_owner(self) -> None:
         await self.election.ask_peers_for_owner()
-        await anyio.sleep(FIND_S)
-        self._finding = False
+        await anyio.sleep(FIND_OWNER_TIMEOUT_S)
+        self._is_querying_owner = False
         self.check_other_owner()
 
     def _start_dispatcher(
         self,
         group: TaskGroup,
         revision: int,
-        inherited: LoadedJournal | None = None,
+        handed_over_journal: LoadedJournal | None = None,
     ) -> None:
         lease = self.election.lease
         if lease is None:
@@ -220,11 +220,11 @@
         self.election.begin_takeover(revision)
         self._peers = ()
         dispatcher = DispatcherTask(
-            SHARD, self.table, lease, self.services, inherited
+            SHARD, self.table, lease, self.services, handed_over_journal
         )
         self.dispatcher = dispatcher
         self.services.metrics.set_gauge(OWNED_SHARDS, 1)
-        self.tell_peers()
+        self.update_peers()
         group.start_soon(self._run_dispatcher, dispatcher)
 
     async def _run_dispatcher(self, dispatcher: DispatcherTask) -> None:
@@ -233,11 +233,11 @@
             await self.election.delete_key()
         if self.dispatcher is dispatcher:
             self.dispatcher = None
-            self.election.forget()
+            self.election.forget_own_entry()
         self.services.metrics.set_gauge(OWNED_SHARDS, 0)
         self.log('released', (('reason', reason),))
 
-    async def take_shard(
+    async def take_over_shard(
         self, message: ShardOffered, group: TaskGroup
     ) -> None:
         """Take the shard over from an owner that is stopping."""
@@ -248,9 +248,9 @@
             or not self.version
             or not self.election.has_fresh_lease()
         ):
-            await message.answer(self._refuse_offer())
+            await message.reply(self._make_offer_refusal())
             return
-        inherited = LoadedJournal(
+        handed_over_journal = LoadedJournal(
             decode_records(offer.records),
             offer.next_sequence,
             offer.slot_revision,
@@ -258,20 +258,22 @@
             offer.snapshot_chunks,
             offer.snapshot_revision,
         )
-        self._start_dispatcher(group, offer.owner_revision, inherited)
+        self._start_dispatcher(
+            group, offer.owner_revision, handed_over_journal
+        )
         dispatcher = self.dispatcher
         if not await self.election.write_key(offer.owner_revision):
             await self.election.read_key()
         if dispatcher is None:
-            await message.answer(self._refuse_offer())
+            await message.reply(self._make_offer_refusal())
             return
         await dispatcher.taken_over.wait()
         answer: Any = Acknowledged()
         if self.dispatcher is not dispatcher:
-            answer = self._refuse_offer()
-        await message.answer(answer)
+            answer = self._make_offer_refusal()
+        await message.reply(answer)
 
-    def _refuse_offer(self) -> Refusal:
+    def _make_offer_refusal(self) -> Refusal:
         return Refusal(
             RefusalKind.NOT_READY,
             f'entry host {self.member.name!r} cannot take the shard over',
@@ -286,16 +288,16 @@
 
     async def relay_call(self, message: RelayRequested) -> None:
         """Make a store call for another host that can't reach the store."""
-        await message.answer(
+        await message.reply(
             await execute_relayed_call(self.services.relay_store, message.call)
         )
 
-    async def ask_once(self, message: Any, timeout_s: float) -> Any:
+    async def request_once(self, message: Any, timeout_s: float) -> Any:
         """Send a request to the owner, which may be this process, once."""
         dispatcher = self.dispatcher
         if dispatcher is not None:
-            return await dispatcher.ask(message, timeout_s)
-        if self.election.silent_ms > OWNER_DOUBTED_MS:
+            return await dispatcher.request(message, timeout_s)
+        if self.election.silent_ms > OWNER_SUSPECT_MS:
             return Refusal(
                 RefusalKind.NOT_READY,
                 'no message from the owner has arrived recently',
@@ -303,7 +305,7 @@
             )
         return await self.election.send_request(message, timeout_s)
 
-    async def find_owner(self) -> None:
+    async def refresh_owner(self) -> None:
         """Ask other entry hosts for the owner if the store is out of reach.
 
         With a valid lease this process learns the owner from the store.
@@ -311,11 +313,11 @@
         if self.dispatcher is None and not self.election.has_fresh_lease():
             await self.election.ask_peers_for_owner()
 
-    async def take_request(self, request: IncomingRequest) -> None:
+    async def handle_request(self, request: IncomingRequest) -> None:
         """Handle one request of the inner protocol."""
         message = request.message
 
-        async def answer(found: Any) -> None:
+        async def send_reply(found: Any) -> None:
             if isinstance(found, Refusal):
                 found = Refused(found.kind, found.reason, found.remedy)
             await self.services.reply(
@@ -323,12 +325,12 @@
             )
 
         if type(message) in ENTRY_REQUESTS:
-            await ENTRY_REQUESTS.find(type(message))(self, message, answer)
+            await ENTRY_REQUESTS.find(type(message))(self, message, send_reply)
             return
         if self.dispatcher is not None:
-            await self.dispatcher.take_request(request)
+            await self.dispatcher.handle_request(request)
             return
-        await answer(refuse_not_owner(SHARD))
+        await send_reply(refuse_not_owner(SHARD))
 
     def log(self, kind: str, facts: tuple[tuple[str, object], ...]) -> None:
         """Log an event of this process."""
--- a/sassafrasgate/daemons/entry_messages.py
+++ b/sassafrasgate/daemons/entry_messages.py
@@ -30,7 +30,7 @@
 
     from sassafrasgate.daemons.entry import EntryTask
 
-Answer = Callable[[Any], Awaitable[None]]
+SendReply = Callable[[Any], Awaitable[None]]
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,13 +55,13 @@
     ----------
     offer : HandOver
         The owner's state.
-    answer : callable
+    reply : callable
         Receives `Acknowledged` once this process has taken the shard over,
         or a `Refusal`.
     """
 
     offer: HandOver
-    answer: Answer
+    reply: SendReply
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,12 +72,12 @@
     ----------
     call : RelayCall
         The call to make.
-    answer : callable
+    reply : callable
         Receives the `RelayAnswer`.
     """
 
     call: RelayCall
-    answer: Answer
+    reply: SendReply
 
 
 EntryHandler = Callable[['EntryTask', Any, 'TaskGroup'], None]
@@ -87,43 +87,49 @@
 # Handlers for requests that every entry host serves. All other requests go to
 # the owner's dispatcher.
 ENTRY_REQUESTS: Registry[
-    type[Any], Callable[[EntryTask, Any, Answer], Awaitable[None]]
+    type[Any], Callable[[EntryTask, Any, SendReply], Awaitable[None]]
 ] = Registry('entry request')
 
 
 @ENTRY_MESSAGES.register(ClaimDue)
-def _do_nothing(task: EntryTask, message: ClaimDue, group: TaskGroup) -> None:
+def _handle_claim_due(
+    task: EntryTask, message: ClaimDue, group: TaskGroup
+) -> None:
     """Do nothing; `EntryTask.handle` checks for a claim after any message."""
 
 
 @ENTRY_MESSAGES.register(ControlListed)
 @ENTRY_MESSAGES.register(ControlChanged)
-def _note_control(task: EntryTask, message: Any, group: TaskGroup) -> None:
+def _handle_control_event(
+    task: EntryTask, message: Any, group: TaskGroup
+) -> None:
     task.directory.apply_control_event(message)
     owner = task.election.owner
-    if owner is not None and not task.election.is_me(owner[0]):
+    if owner is not None and not task.election.is_self(owner[0]):
         # An open link detects when the owner's process ends.
         task.directory.find_link(owner[0].link_address)
     task.check_other_owner()
-    task.tell_peers()
+    task.update_peers()
 
 
 @ENTRY_MESSAGES.register(LeaseChanged)
-def _note_lease(
+def _handle_lease_change(
     task: EntryTask, message: LeaseChanged, group: TaskGroup
 ) -> None:
     task.election.update_lease(message)
-    task.tell_dispatcher(LeaseUpdated(message.lease))
+    task.notify_dispatcher(LeaseUpdated(message.lease))
 
 
 @ENTRY_MESSAGES.register(LeaseLost)
-def _lose_lease(task: EntryTask, message: LeaseLost, group: TaskGroup) -> None:
+def _handle_lease_loss(
+    task: EntryTask, message: LeaseLost, group: TaskGroup
+) -> None:
     task.election.handle_lease_loss()
-    task.tell_dispatcher(OwnershipLost('the store lease has expired'))
+    task.notify_dispatcher(OwnershipLost('the store lease has expired'))
 
 
 @ENTRY_MESSAGES.register(TableChanged)
-def _note_table(
+def _handle_table_change(
     task: EntryTask, message: TableChanged, group: TaskGroup
 ) -> None:
     if message.table.version <= task.version:
@@ -139,11 +145,13 @@
             ('pools', len(task.table.pools)),
         ),
     )
-    task.tell_dispatcher(message)
+    task.notify_dispatcher(message)
 
 
 @ENTRY_MESSAGES.register(StopProcess)
-def _stop(task: EntryTask, message: StopProcess, group: TaskGroup) -> None:
+def _handle_stop(
+    task: EntryTask, message: StopProcess, group: TaskGroup
+) -> None:
     if task.is_stopping:
         return
     task.is_stopping = True
@@ -153,7 +161,7 @@
 
 
 @ENTRY_MESSAGES.register(LinkClosed)
-def _check_owner(
+def _handle_link_closed(
     task: EntryTask, message: LinkClosed, group: TaskGroup
 ) -> None:
     owner = task.election.owner
@@ -162,49 +170,49 @@
 
 
 @ENTRY_MESSAGES.register(ProcessEnded)
-def _note_ended(
+def _handle_process_end(
     task: EntryTask, message: ProcessEnded, group: TaskGroup
 ) -> None:
     task.election.mark_ended(message.incarnation)
 
 
 @ENTRY_MESSAGES.register(RelayRequested)
-def _relay_call(
+def _handle_relay_request(
     task: EntryTask, message: RelayRequested, group: TaskGroup
 ) -> None:
     group.start_soon(task.relay_call, message)
 
 
 @ENTRY_MESSAGES.register(ShardOffered)
-def _take_shard(
+def _handle_offer(
     task: EntryTask, message: ShardOffered, group: TaskGroup
 ) -> None:
-    group.start_soon(task.take_shard, message, group)
+    group.start_soon(task.take_over_shard, message, group)
 
 
 @ENTRY_REQUESTS.register(RelayCall)
 async def _accept_relay(
-    task: EntryTask, message: RelayCall, answer: Answer
+    task: EntryTask, message: RelayCall, reply: SendReply
 ) -> None:
-    await task.send_to_self(RelayRequested(message, answer))
+    await task.send_to_self(RelayRequested(message, reply))
 
 
 @ENTRY_REQUESTS.register(HandOver)
 async def _accept_offer(
-    task: EntryTask, message: HandOver, answer: Answer
+    task: EntryTask, message: HandOver, reply: SendReply
 ) -> None:
-    await task.send_to_self(ShardOffered(message, answer))
+    await task.send_to_self(ShardOffered(message, reply))
 
 
 @ENTRY_REQUESTS.register(FindOwner)
-async def _tell_owner(
-    task: EntryTask, message: FindOwner, answer: Answer
+async def _reply_with_owner(
+    task: EntryTask, message: FindOwner, reply: SendReply
 ) -> None:
-    await answer(task.election.describe_owner())
+    await reply(task.election.describe_owner())
 
 
 @ENTRY_REQUESTS.register(SeekAdvice)
-async def _seek_advice(
-    task: EntryTask, message: SeekAdvice, answer: Answer
+async def _forward_advice_request(
+    task: EntryTask, message: SeekAdvice, reply: SendReply
 ) -> None:
-    await task.advisers.send(AdviceRequested(message, answer))
+    await task.advice_sender.send(AdviceRequested(message, reply))
--- a/sassafrasgate/daemons/frontend.py
+++ b/sassafrasgate/daemons/frontend.py
@@ -47,8 +47,8 @@
     from sassafrasgate.observability.metrics import Metrics
 
 STATUS_TIMEOUT_S = 2.0
-MIN_TRY_S = 0.05
-MAX_NAMED_FLAWS = 20
+MIN_ATTEMPT_TIMEOUT_S = 0.05
+MAX_REPORTED_FLAWS = 20
 
 # Refusals of a process that has not acted on the message.
 RETRIED_REFUSALS = frozenset(
@@ -70,7 +70,7 @@
     inbox : MemoryObjectReceiveStream
         Delivers `ControlListed`, `ControlChanged` and
         `ConfigurationStatus`.
-    configurations : MemoryObjectSendStream
+    configuration_sender : MemoryObjectSendStream
         The configuration task's inbox.
     logger : Logger
         Logger for retries.
@@ -84,7 +84,7 @@
         directory: Directory,
         store: Store,
         inbox: MemoryObjectReceiveStream[Any],
-        configurations: MemoryObjectSendStream[Any],
+        configuration_sender: MemoryObjectSendStream[Any],
         logger: Logger,
         metrics: Metrics,
     ) -> None:
@@ -92,7 +92,7 @@
         self._directory = directory
         self._store = store
         self._inbox = inbox
-        self._configurations = configurations
+        self._configuration_sender = configuration_sender
         self._logger = logger
         self._metrics = metrics
         self._configuration = Configuration()
@@ -176,21 +176,24 @@
             message = replace(message, shard=self.find_home(message.job_id))
         self._budget.note_first_try()
         deadline = now_ms() + int(timeout_s * 1000)
-        return await self._ask_until(message, deadline)
+        return await self._request_until(message, deadline)
 
-    async def _ask_until(self, message: Any, deadline: int) -> Any:
+    async def _request_until(self, message: Any, deadline: int) -> Any:
         """Retry until an answer, the deadline, or the end of the budget."""
         attempt = 0
         unknown: NoAnswer | None = None
         while True:
             attempt += 1
-            left_s = (deadline - now_ms()) / 1000
+            remaining_s = (deadline - now_ms()) / 1000
             answer = await self._directory.send_request(
-                message.shard, message, max(left_s, MIN_TRY_S), attempt
+                message.shard,
+                message,
+                max(remaining_s, MIN_ATTEMPT_TIMEOUT_S),
+                attempt,
             )
             if isinstance(answer, NoAnswer):
                 unknown = answer
-            if not self._may_repeat(message, answer):
+            if not self._may_retry(message, answer):
                 return answer
             backoff_s = choose_backoff_s(attempt, self._random)
             if now_ms() + backoff_s * 1000 >= deadline:
@@ -202,7 +205,7 @@
             self._log_retry(message, attempt, answer)
             await anyio.sleep(backoff_s)
 
-    def _may_repeat(self, message: Any, answer: Any) -> bool:
+    def _may_retry(self, message: Any, answer: Any) -> bool:
         if isinstance(answer, Refusal):
             return answer.kind is RefusalKind.NOT_READY
         if isinstance(answer, Refused):
@@ -242,7 +245,7 @@
         if flaws:
             return Refusal(
                 RefusalKind.INVALID,
-                '; '.join(str(flaw) for flaw in flaws[:MAX_NAMED_FLAWS]),
+                '; '.join(str(flaw) for flaw in flaws[:MAX_REPORTED_FLAWS]),
                 'correct the declaration and check it with '
                 '"sassafrasgate check"',
             )
@@ -253,7 +256,9 @@
         except StoreError as error:
             return NoAnswer(str(error))
         if isinstance(published, Configuration):
-            await self._configurations.send(ConfigurationPublished(published))
+            await self._configuration_sender.send(
+                ConfigurationPublished(published)
+            )
         return published
 
     async def read_output(
--- a/sassafrasgate/daemons/gateways.py
+++ b/sassafrasgate/daemons/gateways.py
@@ -25,8 +25,8 @@
 
 # An owner that has not answered within this time may be lost. The next try
 # may reach its successor, and every request can be repeated.
-TRY_S = 0.7
-RETRY_S = 0.05
+ATTEMPT_TIMEOUT_S = 0.7
+RETRY_DELAY_S = 0.05
 # Refusals of a process that has not acted on the request.
 RETRIED_REFUSALS = frozenset(
     {RefusalKind.NOT_OWNER, RefusalKind.NOT_READY, RefusalKind.STOPPING}
@@ -66,12 +66,12 @@
                 f'entry host {self._name!r} is stopping',
                 'use another entry host',
             )
-        return self._task.refuse_unready()
+        return self._task.check_readiness()
 
     def find_queue(self, host: str, path: str) -> Queue | Refusal:
         """Return the queue that serves a request's host and path."""
         if not self.version:
-            return self._task.refuse_without_table()
+            return self._task.make_no_table_refusal()
         queue = self._task.table.find_queue(host, path)
         if queue is None:
             return Refusal(
@@ -117,23 +117,25 @@
         deadline = now_ms() + int(timeout_s * 1000)
         unknown: NoAnswer | None = None
         while True:
-            left_s = (deadline - now_ms()) / 1000
-            answer = await self._task.ask_once(message, min(left_s, TRY_S))
+            remaining_s = (deadline - now_ms()) / 1000
+            answer = await self._task.request_once(
+                message, min(remaining_s, ATTEMPT_TIMEOUT_S)
+            )
             if isinstance(answer, Refused):
                 answer = Refusal(answer.refusal, answer.reason, answer.remedy)
             if isinstance(answer, NoAnswer):
                 unknown = answer
-            elif not _may_repeat(answer):
+            elif not _may_retry(answer):
                 return answer
-            if now_ms() + RETRY_S * 1000 >= deadline:
+            if now_ms() + RETRY_DELAY_S * 1000 >= deadline:
                 return unknown or answer
-            cut_off = self._task.refuse_unready()
+            cut_off = self._task.check_readiness()
             if cut_off is not None and unknown is None:
                 return cut_off
-            await self._task.find_owner()
-            await anyio.sleep(RETRY_S)
+            await self._task.refresh_owner()
+            await anyio.sleep(RETRY_DELAY_S)
 
 
-def _may_repeat(answer: Any) -> bool:
+def _may_retry(answer: Any) -> bool:
     """Tell whether the answer shows that the request had no effect."""
     return isinstance(answer, Refusal) and answer.kind in RETRIED_REFUSALS
--- a/sassafrasgate/daemons/hosts.py
+++ b/sassafrasgate/daemons/hosts.py
@@ -52,14 +52,16 @@
     from sassafrasgate.adapters.workers import WorkerClient
 
 SYNC_WAIT_MS = 2_000
-RETRY_MIN_S = 0.1
-RETRY_MAX_S = 1.0
-START_TRIES = 2
+MIN_RETRY_DELAY_S = 0.1
+MAX_RETRY_DELAY_S = 1.0
+MAX_START_ATTEMPTS = 2
 OUTPUT_CHUNK_BYTES = 512 * 1024
 
-Command = Callable[['HostTask', Any], Coroutine[Any, Any, None]]
+CommandHandler = Callable[['HostTask', Any], Coroutine[Any, Any, None]]
 
-COMMANDS: Registry[type[Any], Command] = Registry('host command')
+COMMAND_HANDLERS: Registry[type[Any], CommandHandler] = Registry(
+    'host command'
+)
 
 
 class HostTask:
@@ -105,16 +107,16 @@
         self._inbox = inbox
         self._events = events
         self._lease = lease
-        self._reading: ClockReading | None = None
+        self._clock_reading: ClockReading | None = None
         self._incarnation = ''
-        self._known: set[str] = set()
-        self._releases: set[str] = set()
+        self._known_ended: set[str] = set()
+        self._pending_releases: set[str] = set()
 
     async def run(self) -> None:
         """Handle commands until the inbox closes; then finish open calls."""
         async with self._client, anyio.create_task_group() as tasks:
             sync_scope = anyio.CancelScope()
-            tasks.start_soon(self._sync_forever, sync_scope)
+            tasks.start_soon(self._run_sync_loop, sync_scope)
             async for command in self._inbox:
                 if isinstance(command, OwnerLeaseChanged):
                     self._lease = command.lease
@@ -122,7 +124,7 @@
                 if isinstance(command, StopPolling):
                     sync_scope.cancel()
                     continue
-                handle = COMMANDS.find(type(command))
+                handle = COMMAND_HANDLERS.find(type(command))
                 tasks.start_soon(handle, self, command)
             sync_scope.cancel()
 
@@ -131,20 +133,20 @@
         lease = self._lease
         return may_send(lease, now_ms(), lease.ttl_ms, lease.grace_ms)
 
-    async def _sync_forever(self, scope: anyio.CancelScope) -> None:
+    async def _run_sync_loop(self, scope: anyio.CancelScope) -> None:
         with scope:
-            delay_s = RETRY_MIN_S
+            delay_s = MIN_RETRY_DELAY_S
             while True:
                 if self.may_send() and await self._sync():
-                    delay_s = RETRY_MIN_S
+                    delay_s = MIN_RETRY_DELAY_S
                     continue
                 await anyio.sleep(uniform(0, delay_s))
-                delay_s = min(delay_s * 2, RETRY_MAX_S)
+                delay_s = min(delay_s * 2, MAX_RETRY_DELAY_S)
 
     async def _sync(self) -> bool:
         """Make one sync call and tell whether the worker answered."""
-        reading = self._reading
-        release = tuple(self._releases)
+        reading = self._clock_reading
+        release = tuple(self._pending_releases)
         request = SyncRequest(
             self.shard,
             self.epoch,
@@ -153,7 +155,7 @@
             # No work is placed on the host before the first answer, so that
             # one must not be held back.
             SYNC_WAIT_MS if reading else 0,
-            tuple(self._known),
+            tuple(self._known_ended),
             self._incarnation,
         )
         try:
@@ -162,22 +164,22 @@
             await self._events.send(HostSilent(self.host))
             return False
         received_at = now_ms()
-        self._releases.difference_update(release)
+        self._pending_releases.difference_update(release)
         # An ended task stays known until the worker has forgotten it.
         # Otherwise every second sync would report it again at once.
-        self._known.update(task.task for task in reply.ended)
-        self._known.difference_update(release)
+        self._known_ended.update(task.task for task in reply.ended)
+        self._known_ended.difference_update(release)
         if reply.incarnation != self._incarnation:
-            self._known = {task.task for task in reply.ended}
+            self._known_ended = {task.task for task in reply.ended}
         # The event is sent before the reading is used: the shard must know
         # a reading by the time that a lease is granted on it.
         await self._events.send(HostSynced(self.host, reply, received_at))
-        self._note_reading(reply, received_at)
+        self._update_reading(reply, received_at)
         return True
 
-    def _note_reading(self, reply: SyncReply, received_at: int) -> None:
+    def _update_reading(self, reply: SyncReply, received_at: int) -> None:
         self._incarnation = reply.incarnation
-        self._reading = ClockReading(reply.clock, received_at)
+        self._clock_reading = ClockReading(reply.clock, received_at)
 
     async def start_task(self, command: StartTask) -> None:
         """Start a task; repeat the call once if it gets no answer."""
@@ -187,8 +189,8 @@
                 StartNotSent(self.host, command.task, reason)
             )
             return
-        request = self._make_start(command)
-        for _ in range(START_TRIES):
+        request = self._make_start_request(command)
+        for _ in range(MAX_START_ATTEMPTS):
             try:
                 reply = await self._client.start(request)
             except WorkerUnavailableError as error:
@@ -210,11 +212,15 @@
             )
             return
 
-    def _make_start(self, command: StartTask) -> StartRequest:
-        assert self._reading is not None
-        clock = self._reading.clock + now_ms() - self._reading.received_at
+    def _make_start_request(self, command: StartTask) -> StartRequest:
+        assert self._clock_reading is not None
+        clock = (
+            self._clock_reading.clock
+            + now_ms()
+            - self._clock_reading.received_at
+        )
         # No lease may end later than the shard assumes from this reading.
-        lease_clock = grant_until(self._reading)
+        lease_clock = grant_until(self._clock_reading)
         if command.lease_ms:
             lease_clock = min(lease_clock, clock + command.lease_ms)
         return StartRequest(
@@ -233,8 +239,8 @@
 
     def _find_start_obstacle(self, command: StartTask) -> str:
         if not self.may_send():
-            return 'the owner lease has lapsed'
-        if self._reading is None:
+            return 'the owner lease has expired'
+        if self._clock_reading is None:
             return 'the worker has not answered yet'
         if self._incarnation != command.incarnation:
             return 'the worker has restarted'
@@ -268,7 +274,7 @@
 
     def release_task(self, command: ReleaseTask) -> None:
         """Have the next sync tell the worker to forget an ended task."""
-        self._releases.add(command.task)
+        self._pending_releases.add(command.task)
 
     async def fetch_output(self, command: FetchOutput) -> None:
         """Fetch the complete large output of a quick request."""
@@ -293,7 +299,7 @@
             chunks = 0
             # The next sync then reports the end again, and the shard repeats
             # this command.
-            self._known.discard(command.task)
+            self._known_ended.discard(command.task)
         await self._events.send(
             OutputStored(command.task, chunks, command.size, command.digest)
         )
@@ -321,31 +327,31 @@
     return f'output/{job_id}/{number:04d}'
 
 
-@COMMANDS.register(StartTask)
+@COMMAND_HANDLERS.register(StartTask)
 async def _start_task(task: HostTask, command: StartTask) -> None:
     await task.start_task(command)
 
 
-@COMMANDS.register(StopTask)
+@COMMAND_HANDLERS.register(StopTask)
 async def _stop_task(task: HostTask, command: StopTask) -> None:
     await task.stop_task(command)
 
 
-@COMMANDS.register(LimitTask)
+@COMMAND_HANDLERS.register(LimitTask)
 async def _limit_task(task: HostTask, command: LimitTask) -> None:
     await task.limit_task(command)
 
 
-@COMMANDS.register(ReleaseTask)
+@COMMAND_HANDLERS.register(ReleaseTask)
 async def _release_task(task: HostTask, command: ReleaseTask) -> None:
     task.release_task(command)
 
 
-@COMMANDS.register(FetchOutput)
+@COMMAND_HANDLERS.register(FetchOutput)
 async def _fetch_output(task: HostTask, command: FetchOutput) -> None:
     await task.fetch_output(command)
 
 
-@COMMANDS.register(StoreOutput)
+@COMMAND_HANDLERS.register(StoreOutput)
 async def _store_output(task: HostTask, command: StoreOutput) -> None:
     await task.store_output(command)
--- a/sassafrasgate/daemons/journals.py
+++ b/sassafrasgate/daemons/journals.py
@@ -36,11 +36,11 @@
 MAX_ENTRY_PAYLOAD_BYTES = 512 * 1024
 SNAPSHOT_RETRY_S = 1.0
 # Kinds of records that create a job.
-ACCEPTANCES = frozenset({'accepted', 'workflow-accepted'})
+ACCEPTANCE_KINDS = frozenset({'accepted', 'workflow-accepted'})
 
 
 @dataclass(frozen=True, slots=True)
-class AppendRecord:
+class WriteRecord:
     """Make a record durable; answered by `RecordsDurable`."""
 
     record: Any
@@ -80,14 +80,14 @@
     journal : Journal
         Positioned after this owner's takeover record.
     inbox : MemoryObjectReceiveStream
-        Delivers `AppendRecord`, `WithdrawJob` and `WriteSnapshot`.
-    shard : MemoryObjectSendStream
+        Delivers `WriteRecord`, `WithdrawJob` and `WriteSnapshot`.
+    events : MemoryObjectSendStream
         The shard task's inbox.
     observe : callable
         Receives the duration of each append in seconds.
-    gather_s : float
+    batch_delay_s : float
         Time in seconds that a record waits for others to share its entry.
-    depth : int
+    max_in_flight : int
         Largest number of entries that are written concurrently.
     """
 
@@ -95,20 +95,20 @@
         self,
         journal: Journal,
         inbox: MemoryObjectReceiveStream[Any],
-        shard: MemoryObjectSendStream[Any],
+        events: MemoryObjectSendStream[Any],
         observe: Callable[[float], None],
-        gather_s: float = 0.0,
-        depth: int = 1,
+        batch_delay_s: float = 0.0,
+        max_in_flight: int = 1,
     ) -> None:
         self._journal = journal
         self._inbox = inbox
-        self._shard = shard
+        self._events = events
         self._observe = observe
-        self._gather_s = gather_s
-        self._depth = depth
+        self._batch_delay_s = batch_delay_s
+        self._max_in_flight = max_in_flight
         # Entries in flight, oldest first, and the sequence numbers of those
         # that have been written.
-        self._under_way: deque[PendingEntry] = deque()
+        self._in_flight: deque[PendingEntry] = deque()
         self._written: set[int] = set()
         self._waiting: deque[Any] = deque()
         self._snapshot_running = False
@@ -127,35 +127,35 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._write_entries, tasks)
             async for message in self._inbox:
-                await self._take(message)
+                await self._handle_message(message)
             self._waiting.append(None)
             self._wakeup.set()
 
-    async def _take(self, message: Any) -> None:
+    async def _handle_message(self, message: Any) -> None:
         if isinstance(message, WithdrawJob):
-            await self._withdraw(message.job_id)
+            await self._withdraw_records(message.job_id)
             return
         self._waiting.append(message)
         self._wakeup.set()
 
-    async def _withdraw(self, job_id: str) -> None:
+    async def _withdraw_records(self, job_id: str) -> None:
         """Drop a job's records if its acceptance is not written yet."""
         mine = [
             message
             for message in self._waiting
-            if isinstance(message, AppendRecord)
+            if isinstance(message, WriteRecord)
             and getattr(message.record, 'job_id', '') == job_id
         ]
-        accepted = any(m.record.kind in ACCEPTANCES for m in mine)
+        accepted = any(m.record.kind in ACCEPTANCE_KINDS for m in mine)
         if accepted:
             dropped = {id(message) for message in mine}
             self._waiting = deque(
-                _strip_job(message, job_id)
+                _remove_job_records(message, job_id)
                 for message in self._waiting
                 if id(message) not in dropped
             )
         dropped_records = len(mine) if accepted else 0
-        await self._shard.send(
+        await self._events.send(
             WithdrawalAnswered(job_id, accepted, dropped_records)
         )
 
@@ -168,7 +168,7 @@
             if first is None:
                 # The task group waits for the entries in flight.
                 return
-            if isinstance(first, WriteSnapshot) and not self._under_way:
+            if isinstance(first, WriteSnapshot) and not self._in_flight:
                 self._waiting.popleft()
                 self._start_snapshot(tasks, first)
                 continue
@@ -176,13 +176,13 @@
                 self._wakeup = anyio.Event()
                 await self._wakeup.wait()
                 continue
-            if self._gather_s:
-                await anyio.sleep(self._gather_s)
+            if self._batch_delay_s:
+                await anyio.sleep(self._batch_delay_s)
                 if not _begins_with_record(self._waiting):
                     # The record has been withdrawn in the meantime.
                     continue
             entry = self._journal.prepare(self._take_batch())
-            self._under_way.append(entry)
+            self._in_flight.append(entry)
             tasks.start_soon(self._write_entry, entry)
 
     def _may_write(self, first: Any) -> bool:
@@ -191,11 +191,11 @@
             # The snapshot covers the records before it, which have to be
             # written first.
             return False
-        if len(self._under_way) >= self._depth:
+        if len(self._in_flight) >= self._max_in_flight:
             return False
         if not self._journal.has_free_slot:
             # Overwriting a slot that no snapshot covers would lose records.
-            self._check_snapshot()
+            self._check_snapshot_running()
             return False
         return True
 
@@ -206,15 +206,15 @@
         self._written.add(entry.sequence)
         # An entry is durable only once all entries before it are written: a
         # successor stops reading at the first gap.
-        while self._under_way and (
-            self._under_way[0].sequence in self._written
+        while self._in_flight and (
+            self._in_flight[0].sequence in self._written
         ):
-            done = self._under_way.popleft()
+            done = self._in_flight.popleft()
             self._written.discard(done.sequence)
-            await self._shard.send(RecordsDurable(done.records, wall_ms()))
+            await self._events.send(RecordsDurable(done.records, wall_ms()))
         self._wakeup.set()
 
-    def _check_snapshot(self) -> None:
+    def _check_snapshot_running(self) -> None:
         """Raise an error if no snapshot is running that will free slots.
 
         The next owner writes a snapshot at its takeover.
@@ -231,9 +231,9 @@
         payload = 0
         while self._waiting and len(records) < MAX_ENTRY_RECORDS:
             message = self._waiting[0]
-            if not isinstance(message, AppendRecord):
+            if not isinstance(message, WriteRecord):
                 break
-            payload += measure_payload(message.record)
+            payload += estimate_record_size(message.record)
             if records and payload > MAX_ENTRY_PAYLOAD_BYTES:
                 break
             records.append(message.record)
@@ -263,14 +263,14 @@
                 await anyio.sleep(SNAPSHOT_RETRY_S)
         self._snapshot_running = False
         self._wakeup.set()
-        await self._shard.send(SnapshotEnded())
+        await self._events.send(SnapshotEnded())
 
 
 def _begins_with_record(waiting: deque[Any]) -> bool:
-    return bool(waiting) and isinstance(waiting[0], AppendRecord)
+    return bool(waiting) and isinstance(waiting[0], WriteRecord)
 
 
-def _strip_job(message: Any, job_id: str) -> Any:
+def _remove_job_records(message: Any, job_id: str) -> Any:
     """Remove a job's records from a message that holds a snapshot.
 
     The snapshot was taken while the job was still to be accepted. A
@@ -288,7 +288,7 @@
     return WriteSnapshot(tuple(kept))
 
 
-def measure_payload(record: Any) -> int:
+def estimate_record_size(record: Any) -> int:
     """Return the approximate encoded size of a record in bytes."""
     spec = getattr(record, 'spec', None)
     outcome = getattr(record, 'outcome', None)
--- a/sassafrasgate/daemons/leases.py
+++ b/sassafrasgate/daemons/leases.py
@@ -27,7 +27,7 @@
     from sassafrasgate.core.stores import KeyStore
 
 RENEWALS_PER_TTL = 3
-RETRY_S = 0.25
+RETRY_DELAY_S = 0.25
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,8 +119,8 @@
         """Hold a lease until cancelled; obtain a new one after each loss."""
         while True:
             lease_id, sent_at = await self._grant()
-            await self._announce(lease_id)
-            await self._keep(lease_id, sent_at)
+            await self._write_member_key(lease_id)
+            await self._renew_until_lost(lease_id, sent_at)
             await self._listener.send(LeaseLost(lease_id))
 
     async def _grant(self) -> tuple[str, int]:
@@ -131,9 +131,9 @@
                     self._ttl_ms / 1000
                 ), sent_at
             except StoreError:
-                await anyio.sleep(uniform(RETRY_S / 2, RETRY_S))
+                await anyio.sleep(uniform(RETRY_DELAY_S / 2, RETRY_DELAY_S))
 
-    async def _announce(self, lease_id: str) -> None:
+    async def _write_member_key(self, lease_id: str) -> None:
         """Write the member key, replacing that of an earlier incarnation."""
         key = make_member_key(self._member.name)
         value = encode(self._member)
@@ -154,16 +154,16 @@
             except StoreLeaseLostError:
                 return
             except StoreUnavailableError:
-                await anyio.sleep(uniform(RETRY_S / 2, RETRY_S))
+                await anyio.sleep(uniform(RETRY_DELAY_S / 2, RETRY_DELAY_S))
 
-    async def _keep(self, lease_id: str, sent_at: int) -> None:
+    async def _renew_until_lost(self, lease_id: str, sent_at: int) -> None:
         """Renew the lease until the store reports that it has expired."""
         lease = self._make_lease(sent_at)
         await self._listener.send(LeaseChanged(lease_id, lease))
         interval_s = self._ttl_ms / 1000 / RENEWALS_PER_TTL
         while True:
             await anyio.sleep(
-                RETRY_S if lease.store_failing_since else interval_s
+                RETRY_DELAY_S if lease.store_failing_since else interval_s
             )
             sent_at = now_ms()
             try:
@@ -171,7 +171,7 @@
                     return
                 lease = self._make_lease(sent_at)
             except StoreError:
-                lease = note_failed_renewal(lease, sent_at, now_ms())
+                lease = apply_failed_renewal(lease, sent_at, now_ms())
             await self._listener.send(LeaseChanged(lease_id, lease))
 
     def _make_lease(self, sent_at: int) -> OwnerLease:
@@ -179,7 +179,7 @@
         return OwnerLease(sent_at, 0, now, self._ttl_ms, self._grace_ms)
 
 
-def note_failed_renewal(
+def apply_failed_renewal(
     lease: OwnerLease, sent_at: int, now: int
 ) -> OwnerLease:
     """Return the lease after a renewal that got no answer.
--- a/sassafrasgate/daemons/relays.py
+++ b/sassafrasgate/daemons/relays.py
@@ -43,44 +43,44 @@
     from sassafrasgate.daemons.directory import Directory
 
 # Hosts that are asked to relay a call, one after the other.
-MOST_RELAYS = 2
+MAX_RELAY_HOSTS = 2
 # Result types of the store methods that can be relayed.
-RESULTS: Registry[str, Any] = Registry('relayed store method')
-FAILURES: Registry[str, type[StoreError]] = Registry('store failure')
-
-RESULTS.register('get')(Item | None)
-RESULTS.register('create')(int)
-RESULTS.register('swap')(int)
-RESULTS.register('delete')(bool)
-RESULTS.register('read_prefix')(Changes)
-RESULTS.register('watch')(Changes)
-RESULTS.register('grant_lease')(str)
-RESULTS.register('renew_lease')(bool)
-RESULTS.register('revoke_lease')(type(None))
-
-FAILURES.register('conflict')(StoreConflictError)
-FAILURES.register('lease-lost')(StoreLeaseLostError)
-FAILURES.register('log-trimmed')(StoreLogTrimmedError)
-FAILURES.register('unavailable')(StoreUnavailableError)
-FAILURES.register('refused')(StoreError)
+RESULT_TYPES: Registry[str, Any] = Registry('relayed store method')
+ERROR_TYPES: Registry[str, type[StoreError]] = Registry('store failure')
+
+RESULT_TYPES.register('get')(Item | None)
+RESULT_TYPES.register('create')(int)
+RESULT_TYPES.register('swap')(int)
+RESULT_TYPES.register('delete')(bool)
+RESULT_TYPES.register('read_prefix')(Changes)
+RESULT_TYPES.register('watch')(Changes)
+RESULT_TYPES.register('grant_lease')(str)
+RESULT_TYPES.register('renew_lease')(bool)
+RESULT_TYPES.register('revoke_lease')(type(None))
+
+ERROR_TYPES.register('conflict')(StoreConflictError)
+ERROR_TYPES.register('lease-lost')(StoreLeaseLostError)
+ERROR_TYPES.register('log-trimmed')(StoreLogTrimmedError)
+ERROR_TYPES.register('unavailable')(StoreUnavailableError)
+ERROR_TYPES.register('refused')(StoreError)
 
 DIRECT = 'direct'
 RELAY = 'relay'
 # A call without a reply is relayed after this time. A store that can be
 # reached replies sooner, even while it is slow.
-PATIENCE_S = 0.4
+RELAY_DELAY_S = 0.4
 # Idempotent methods, whose calls are repeated on the direct path if there is
 # no reply within this time.
-REPEATED = frozenset({'renew_lease', 'get'})
-REPEAT_S = 0.15
+HEDGED_METHODS = frozenset({'renew_lease', 'get'})
+HEDGE_DELAY_S = 0.15
 # After this many consecutive calls that only a relay has answered, the direct
 # path is considered unresponsive.
-SILENT_CALLS = 2
+MAX_UNANSWERED_DIRECT_CALLS = 2
 # How long the relay path is preferred after a failure of the direct path.
-PREFERENCE_MS = 2_000
+RELAY_PREFERENCE_MS = 2_000
 RELAY_TIMEOUT_S = 1.0
 
-Relay = Callable[[RelayCall, float], Awaitable[RelayAnswer | None]]
+SendRelayCall = Callable[[RelayCall, float], Awaitable[RelayAnswer | None]]
 
 
 class RelayedStore:
@@ -97,13 +97,15 @@
         Logger for changes between the direct and the relay path.
     """
 
-    def __init__(self, store: KeyStore, relay: Relay, logger: Logger) -> None:
+    def __init__(
+        self, store: KeyStore, relay: SendRelayCall, logger: Logger
+    ) -> None:
         self._store = store
         self._relay = relay
         self._logger = logger
-        self._relay_until = 0
-        self._relaying = False
-        self._silent = 0
+        self._prefer_relay_until = 0
+        self._is_relaying = False
+        self._unanswered_direct_calls = 0
 
     @property
     def calls(self) -> Counter[str]:
@@ -196,7 +198,7 @@
         """Make a call on the direct path, the relay path, or both.
 
         The relay path is used when the direct path has failed or has not
-        replied within `PATIENCE_S`, and alone while it is preferred. The
+        replied within `RELAY_DELAY_S`, and alone while it is preferred. The
         first reply is the result.
 
         Parameters
@@ -213,41 +215,50 @@
         StoreUnavailableError
             If neither path has brought a reply in time.
         """
-        race = _Race()
+        hedged_call = _HedgedCall()
         direct = partial(getattr(self._store, method), *arguments)
         relay = partial(self._call_relay, method, arguments, wait_s)
-        preferred = now_ms() < self._relay_until
+        prefers_relay = now_ms() < self._prefer_relay_until
         async with anyio.create_task_group() as tasks:
-            if not preferred:
-                tasks.start_soon(race.run, DIRECT, 0.0, direct, tasks)
-            if method in REPEATED and not preferred:
-                tasks.start_soon(race.run, DIRECT, REPEAT_S, direct, tasks)
-            delay_s = 0.0 if preferred else PATIENCE_S + wait_s
-            tasks.start_soon(race.run, RELAY, delay_s, relay, tasks)
-        if race.winner is None:
-            self._relay_until = 0
-            raise race.find_failure()
-        self._note_winner(race, method)
-        if isinstance(race.winner.result, StoreError):
-            raise race.winner.result
-        return race.winner.result
-
-    def _note_winner(self, race: _Race, method: str) -> None:
-        assert race.winner is not None
-        if race.winner.way == DIRECT:
-            self._silent = 0
-            self._note_way(False, method, '')
+            if not prefers_relay:
+                tasks.start_soon(hedged_call.run, DIRECT, 0.0, direct, tasks)
+            if method in HEDGED_METHODS and not prefers_relay:
+                tasks.start_soon(
+                    hedged_call.run, DIRECT, HEDGE_DELAY_S, direct, tasks
+                )
+            delay_s = 0.0 if prefers_relay else RELAY_DELAY_S + wait_s
+            tasks.start_soon(hedged_call.run, RELAY, delay_s, relay, tasks)
+        if hedged_call.first_reply is None:
+            self._prefer_relay_until = 0
+            raise hedged_call.get_first_error()
+        self._record_path(hedged_call, method)
+        if isinstance(hedged_call.first_reply.result, StoreError):
+            raise hedged_call.first_reply.result
+        return hedged_call.first_reply.result
+
+    def _record_path(self, hedged_call: _HedgedCall, method: str) -> None:
+        assert hedged_call.first_reply is not None
+        if hedged_call.first_reply.path == DIRECT:
+            self._unanswered_direct_calls = 0
+            self._log_path_change(False, method, '')
             return
-        refused = race.has_failed(DIRECT)
-        self._silent += 1
-        if refused or self._silent >= SILENT_CALLS:
-            self._note_way(True, method, str(race.find_failure()))
-            self._relay_until = now_ms() + PREFERENCE_MS
-
-    def _note_way(self, relaying: bool, method: str, reason: str) -> None:
-        if relaying == self._relaying:
+        refused = hedged_call.has_failed(DIRECT)
+        self._unanswered_direct_calls += 1
+        if (
+            refused
+            or self._unanswered_direct_calls >= MAX_UNANSWERED_DIRECT_CALLS
+        ):
+            self._log_path_change(
+                True, method, str(hedged_call.get_first_error())
+            )
+            self._prefer_relay_until = now_ms() + RELAY_PREFERENCE_MS
+
+    def _log_path_change(
+        self, relaying: bool, method: str, reason: str
+    ) -> None:
+        if relaying == self._is_relaying:
             return
-        self._relaying = relaying
+        self._is_relaying = relaying
         log_facts(
             self._logger,
             'store-relayed' if relaying else 'store-direct',
@@ -266,29 +277,29 @@
                 'the key back to find out whether a write took effect'
             )
         if not answer.failure:
-            return convert(answer.result, RESULTS.find(method))
-        raise FAILURES.find(answer.failure)(answer.reason)
+            return convert(answer.result, RESULT_TYPES.find(method))
+        raise ERROR_TYPES.find(answer.failure)(answer.reason)
 
 
 @dataclass(frozen=True, slots=True)
-class _Finish:
+class _FirstReply:
     """The first reply to a call, and the path on which it came."""
 
-    way: str
+    path: str
     result: Any
 
 
-class _Race:
+class _HedgedCall:
     """Concurrent attempts at one call, of which the first reply counts."""
 
     def __init__(self) -> None:
-        self.winner: _Finish | None = None
-        self._failures: list[tuple[str, StoreUnavailableError]] = []
+        self.first_reply: _FirstReply | None = None
+        self._errors: list[tuple[str, StoreUnavailableError]] = []
         self._failed = anyio.Event()
 
     async def run(
         self,
-        way: str,
+        path: str,
         delay_s: float,
         make: Callable[[], Awaitable[Any]],
         tasks: TaskGroup,
@@ -300,29 +311,29 @@
         if delay_s:
             with anyio.move_on_after(delay_s):
                 await self._failed.wait()
-        if self.has_failed(way):
+        if self.has_failed(path):
             return
         try:
             result = await make()
         except StoreUnavailableError as error:
-            self._failures.append((way, error))
+            self._errors.append((path, error))
             self._failed.set()
             return
         except StoreError as error:
             # The store has replied with an error, which is a result, too.
             result = error
-        if self.winner is None:
-            self.winner = _Finish(way, result)
+        if self.first_reply is None:
+            self.first_reply = _FirstReply(path, result)
         tasks.cancel_scope.cancel()
 
-    def has_failed(self, way: str) -> bool:
+    def has_failed(self, path: str) -> bool:
         """Tell whether an attempt on a path has ended without a reply."""
-        return any(known == way for known, _ in self._failures)
+        return any(known == path for known, _ in self._errors)
 
-    def find_failure(self) -> StoreUnavailableError:
+    def get_first_error(self) -> StoreUnavailableError:
         """Return the error of the first attempt that failed."""
-        if self._failures:
-            return self._failures[0][1]
+        if self._errors:
+            return self._errors[0][1]
         return StoreUnavailableError(
             'the store did not reply in time; read the key back to find out '
             'whether a write took effect'
@@ -341,13 +352,13 @@
     call : RelayCall
         The call to make.
     """
-    if call.method not in RESULTS:
+    if call.method not in RESULT_TYPES:
         return RelayAnswer('refused', f'{call.method!r} is not relayed')
     try:
         result = await getattr(store, call.method)(*call.arguments)
     except StoreError as error:
-        for name in FAILURES:
-            if type(error) is FAILURES.find(name):
+        for name in ERROR_TYPES:
+            if type(error) is ERROR_TYPES.find(name):
                 return RelayAnswer(name, str(error))
         return RelayAnswer('refused', str(error))
     return RelayAnswer(result=result)
@@ -378,7 +389,7 @@
     """
     best: RelayAnswer | None = None
     names = rank_names(name, directory.members)
-    for other in [n for n in names if n != name][:MOST_RELAYS]:
+    for other in [n for n in names if n != name][:MAX_RELAY_HOSTS]:
         member = directory.members.get(other)
         if member is None:
             # The host has left while another one was asked.
--- a/sassafrasgate/daemons/replies.py
+++ b/sassafrasgate/daemons/replies.py
@@ -31,9 +31,9 @@
     def __init__(
         self, reply: Callable[[OutgoingReply], Awaitable[None]]
     ) -> None:
-        self._reply = reply
-        self._open: dict[int, Callable[[Any], Awaitable[None]]] = {}
-        self._next = 1
+        self._queue_reply = reply
+        self._open_requests: dict[int, Callable[[Any], Awaitable[None]]] = {}
+        self._next_token = 1
 
     def add_request(self, request: IncomingRequest) -> int:
         """Add a request received over a link and return its token.
@@ -44,13 +44,13 @@
             return 0
 
         async def answer(message: Any) -> None:
-            await self._reply(
+            await self._queue_reply(
                 OutgoingReply(request.client, request.request, message)
             )
 
         return self._add(answer)
 
-    def add_caller(self, caller: MemoryObjectSendStream[Any]) -> int:
+    def add_local_request(self, caller: MemoryObjectSendStream[Any]) -> int:
         """Add a request of this process and return its token.
 
         Parameters
@@ -73,29 +73,29 @@
         return self._add(answer)
 
     def _add(self, answer: Callable[[Any], Awaitable[None]]) -> int:
-        token = self._next
-        self._next += 1
-        self._open[token] = answer
+        token = self._next_token
+        self._next_token += 1
+        self._open_requests[token] = answer
         return token
 
-    def forget(self, token: int) -> None:
+    def discard(self, token: int) -> None:
         """Drop a request whose caller no longer waits."""
-        self._open.pop(token, None)
+        self._open_requests.pop(token, None)
 
     def list_open(self) -> tuple[int, ...]:
         """Return the tokens of all unanswered requests."""
-        return tuple(self._open)
+        return tuple(self._open_requests)
 
     async def send(self, token: int, message: Any) -> None:
         """Answer the request with this token; each token is used once."""
-        answer = self._open.pop(token, None)
+        answer = self._open_requests.pop(token, None)
         if answer is not None:
             await answer(message)
 
 
-async def wait_for_answer(
+async def wait_for_reply(
     add: Callable[[MemoryObjectSendStream[Any]], int],
-    forget: Callable[[int], None],
+    discard: Callable[[int], None],
     timeout_s: float,
 ) -> Any:
     """Send a request of this process and return its answer.
@@ -105,7 +105,7 @@
     add : callable
         Sends the request. It is called with the stream that receives the
         answer, and returns the request's token.
-    forget : callable
+    discard : callable
         Called with the token if no answer came in time.
     timeout_s : float
         Longest time to wait for the answer, in seconds.
@@ -120,5 +120,5 @@
         token = add(caller)
         with anyio.move_on_after(timeout_s):
             return await answers.receive()
-        forget(token)
+        discard(token)
     return NoAnswer(f'no answer within {timeout_s:.1f} s')
--- a/sassafrasgate/daemons/scheduler.py
+++ b/sassafrasgate/daemons/scheduler.py
@@ -53,10 +53,10 @@
     from sassafrasgate.shards.ownership import OwnerLease
 
 CLAIM_INTERVAL_S = 0.25
-CLAIM_STEP_MS = 500
+CLAIM_RANK_DELAY_MS = 500
 HOST_LIST_INTERVAL_S = 1.0
 REBALANCE_INTERVAL_MS = 3_000
-SETTLE_MS = 4_000
+REBALANCE_SETTLE_MS = 4_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,13 +104,13 @@
         self._is_current = False
         self._lease_id = ''
         self._lease: OwnerLease | None = None
-        self._orphaned_at: dict[str, int] = {}
-        self._members_at = 0
+        self._ownerless_since: dict[str, int] = {}
+        self._members_changed_at = 0
         self._rebalanced_at = 0
         self._leaving: frozenset[str] = frozenset()
         self._stopping = False
         self._drain_ms = drain_ms
-        self._stop_by = 0
+        self._stop_deadline_ms = 0
         self._summaries: dict[str, Summary] = {}
 
     def is_ready(self) -> Refusal | None:
@@ -149,7 +149,7 @@
         for task in self._shards.values():
             for summary in summaries:
                 if summary.shard != task.shard:
-                    task.offer(SummaryReceived(summary))
+                    task.send_or_drop(SummaryReceived(summary))
 
     @property
     def version(self) -> int:
@@ -159,7 +159,7 @@
     async def run(self) -> None:
         """Serve until a planned stop has released every shard."""
         async with anyio.create_task_group() as group:
-            group.start_soon(self._remind)
+            group.start_soon(self._claim_periodically)
             group.start_soon(self._follow_host_list)
             while not self._has_stopped():
                 message = await self._receive()
@@ -169,14 +169,14 @@
     def _has_stopped(self) -> bool:
         if not self._stopping:
             return False
-        return not self._shards or now_ms() >= self._stop_by
+        return not self._shards or now_ms() >= self._stop_deadline_ms
 
     async def _receive(self) -> Any:
         with anyio.move_on_after(CLAIM_INTERVAL_S):
             return await self._inbox.receive()
         return ClaimDue()
 
-    async def _remind(self) -> None:
+    async def _claim_periodically(self) -> None:
         """Check for shards to claim, even while messages arrive steadily."""
         while True:
             await anyio.sleep(CLAIM_INTERVAL_S)
@@ -184,50 +184,50 @@
 
     async def _handle(self, message: Any, group: TaskGroup) -> None:
         if isinstance(message, ControlListed | ControlChanged):
-            self._note_control(message)
+            self._handle_control_event(message)
         if isinstance(message, LeaseChanged):
-            self._note_lease(message)
+            self._update_lease(message)
         if isinstance(message, LeaseLost):
-            self._lose_lease()
+            self._handle_lease_loss()
         if isinstance(message, ConfigurationStatus):
-            await self._note_configuration(message)
+            await self._update_configuration(message)
         if isinstance(message, StopProcess):
             self._stop()
         self._start_claimed(group)
 
-    def _note_control(self, message: Any) -> None:
+    def _handle_control_event(self, message: Any) -> None:
         before = {member.name for member in self._directory.list_schedulers()}
         self._directory.apply_control_event(message)
         after = {member.name for member in self._directory.list_schedulers()}
         if before != after:
-            self._members_at = now_ms()
+            self._members_changed_at = now_ms()
         for shard in list(self._shards):
             owner = self._directory.owners.get(shard)
             if shard in self._releasing:
                 # The owner is expected to change. The task still finishes
                 # open quick requests.
                 continue
-            if owner is not None and not self._is_me(owner[0]):
-                self._abandon(shard, f'{owner[0].name!r} owns the shard')
+            if owner is not None and not self._is_self(owner[0]):
+                self._end_ownership(shard, f'{owner[0].name!r} owns the shard')
 
-    def _is_me(self, member: Member) -> bool:
+    def _is_self(self, member: Member) -> bool:
         return member.incarnation == self._member.incarnation
 
-    def _note_lease(self, message: LeaseChanged) -> None:
+    def _update_lease(self, message: LeaseChanged) -> None:
         self._lease_id = message.lease_id
         self._lease = message.lease
         for task in self._shards.values():
             task.events.send_nowait(LeaseUpdated(message.lease))
 
-    def _lose_lease(self) -> None:
+    def _handle_lease_loss(self) -> None:
         self._lease_id = ''
         for shard in list(self._shards):
-            self._abandon(shard, 'the store lease has expired')
+            self._end_ownership(shard, 'the store lease has expired')
 
-    def _abandon(self, shard: str, reason: str) -> None:
+    def _end_ownership(self, shard: str, reason: str) -> None:
         self._shards[shard].events.send_nowait(OwnershipLost(reason))
 
-    async def _note_configuration(self, status: ConfigurationStatus) -> None:
+    async def _update_configuration(self, status: ConfigurationStatus) -> None:
         self._is_current = status.is_current
         self._configuration = status.configuration
         self._services.metrics.set_gauge(CONFIGURATION_VERSION, self.version)
@@ -238,7 +238,7 @@
         if self._stopping:
             return
         self._stopping = True
-        self._stop_by = now_ms() + self._drain_ms
+        self._stop_deadline_ms = now_ms() + self._drain_ms
         for shard in list(self._shards):
             self._release(shard)
 
@@ -251,8 +251,8 @@
     async def _claim_shards(self) -> None:
         """Claim shards without an owner.
 
-        A process waits `CLAIM_STEP_MS` longer for each place of its rank,
-        so that the best ranked process claims first.
+        For each place of its rank a process waits `CLAIM_RANK_DELAY_MS`
+        longer, so that the best ranked process claims first.
         """
         if self.is_ready() is not None:
             return
@@ -260,15 +260,15 @@
         for shard in sorted(names):
             owner = self._directory.owners.get(shard)
             if owner is not None or shard in self._shards:
-                self._orphaned_at.pop(shard, None)
+                self._ownerless_since.pop(shard, None)
                 continue
-            orphaned_at = self._orphaned_at.setdefault(shard, now_ms())
-            delay_ms = self._find_rank(shard) * CLAIM_STEP_MS
-            if now_ms() - orphaned_at >= delay_ms:
+            ownerless_since = self._ownerless_since.setdefault(shard, now_ms())
+            delay_ms = self._compute_rank(shard) * CLAIM_RANK_DELAY_MS
+            if now_ms() - ownerless_since >= delay_ms:
                 await self._claim(shard)
         self._rebalance()
 
-    def _find_rank(self, shard: str) -> int:
+    def _compute_rank(self, shard: str) -> int:
         """Return this process's rank for a shard; 0 is the best rank."""
         ranked = self._rank_members(shard)
         if self._member.name not in ranked:
@@ -304,9 +304,9 @@
         if self._lease is None or self._stopping:
             return
         for shard, (owner, _) in list(self._directory.owners.items()):
-            if shard in self._shards or not self._is_me(owner):
+            if shard in self._shards or not self._is_self(owner):
                 continue
-            if not self._knows_shard(shard):
+            if not self._has_shard(shard):
                 continue
             task = ShardTask(
                 shard, self._configuration, self._lease, self._services
@@ -316,7 +316,7 @@
             group.start_soon(self._run_shard, shard, task)
         self._services.metrics.set_gauge(OWNED_SHARDS, len(self._shards))
 
-    def _knows_shard(self, shard: str) -> bool:
+    def _has_shard(self, shard: str) -> bool:
         return any(s.name == shard for s in self._configuration.shards)
 
     async def _run_shard(self, shard: str, task: ShardTask) -> None:
@@ -338,7 +338,7 @@
         Another process can then claim the shard.
         """
         owner = self._directory.owners.get(shard)
-        if owner is None or not self._is_me(owner[0]):
+        if owner is None or not self._is_self(owner[0]):
             return
         try:
             await self._services.store.delete(
@@ -357,15 +357,15 @@
         share, and not while the set of schedulers is changing.
         """
         now = now_ms()
-        if now - self._members_at < SETTLE_MS:
+        if now - self._members_changed_at < REBALANCE_SETTLE_MS:
             return
         if now - self._rebalanced_at < REBALANCE_INTERVAL_MS:
             return
         members = len(self._directory.list_schedulers())
-        fair = -(-len(self._configuration.shards) // max(1, members))
+        even_share = -(-len(self._configuration.shards) // max(1, members))
         for shard in sorted(self._shards):
             best = self._rank_members(shard)[:1]
-            if best == [self._member.name] or len(self._shards) <= fair:
+            if best == [self._member.name] or len(self._shards) <= even_share:
                 continue
             self._rebalanced_at = now
             self._release(shard)
@@ -388,7 +388,7 @@
             for task in self._shards.values():
                 await task.events.send(HostListed(leaving))
 
-    async def take_request(self, request: IncomingRequest) -> None:
+    async def handle_request(self, request: IncomingRequest) -> None:
         """Handle one request of the inner protocol."""
         message = request.message
         if isinstance(message, FetchConfiguration):
@@ -405,7 +405,7 @@
         shard = getattr(message, 'shard', '')
         task = self._shards.get(shard)
         if task is not None:
-            await task.take_request(request)
+            await task.handle_request(request)
             return
         await self._reply(
             request,
--- a/sassafrasgate/daemons/shard_actions.py
+++ b/sassafrasgate/daemons/shard_actions.py
@@ -35,12 +35,12 @@
 
 @SHARD_ACTION_HANDLERS.register(Persist)
 async def _persist(task: ShardTask, action: Persist) -> None:
-    task.append(action.record)
+    task.append_record(action.record)
 
 
 @SHARD_ACTION_HANDLERS.register(Withdraw)
 async def _withdraw(task: ShardTask, action: Withdraw) -> None:
-    task.withdraw(action.job_id)
+    task.withdraw_records(action.job_id)
 
 
 @SHARD_ACTION_HANDLERS.register(Reply)
@@ -66,8 +66,8 @@
 
 
 @SHARD_ACTION_HANDLERS.register(SendPeer)
-async def _send_peer(task: ShardTask, action: SendPeer) -> None:
-    task.ask_peer(action)
+async def _send_to_shard(task: ShardTask, action: SendPeer) -> None:
+    task.send_to_shard(action)
 
 
 @SHARD_ACTION_HANDLERS.register(PublishSummary)
@@ -81,5 +81,5 @@
 
 
 @SHARD_ACTION_HANDLERS.register(GiveUpShard)
-async def _give_up(task: ShardTask, action: GiveUpShard) -> None:
-    task.give_up(action.reason)
+async def _step_down(task: ShardTask, action: GiveUpShard) -> None:
+    task.step_down(action.reason)
--- a/sassafrasgate/daemons/shards.py
+++ b/sassafrasgate/daemons/shards.py
@@ -24,11 +24,11 @@
 from sassafrasgate.core.errors import StoreUnavailableError
 from sassafrasgate.core.jobs import JobState
 from sassafrasgate.daemons.hosts import HostTask
-from sassafrasgate.daemons.journals import AppendRecord
 from sassafrasgate.daemons.journals import JournalTask
 from sassafrasgate.daemons.journals import run_journal
 from sassafrasgate.daemons.journals import SnapshotEnded
 from sassafrasgate.daemons.journals import WithdrawJob
+from sassafrasgate.daemons.journals import WriteRecord
 from sassafrasgate.daemons.journals import WriteSnapshot
 from sassafrasgate.daemons.messages import LeaseUpdated
 from sassafrasgate.daemons.messages import OwnerLeaseChanged
@@ -83,12 +83,12 @@
     from sassafrasgate.protocol.links import IncomingRequest
 
 TICK_S = 0.2
-LOAD_RETRY_S = 0.3
+LOAD_RETRY_DELAY_S = 0.3
 PEER_TIMEOUT_S = 2.0
 MAX_INBOX = 20_000
 JOB_COUNT_INTERVAL_MS = 5_000
 # Kinds of decisions whose reason begins with the status of the attempt.
-ENDED_ATTEMPTS = frozenset({'end', 'retry'})
+ATTEMPT_END_KINDS = frozenset({'end', 'retry'})
 
 
 @dataclass(frozen=True, slots=True)
@@ -152,12 +152,12 @@
         self._configuration = configuration
         self._lease = lease
         self._replies = ReplyTable(services.reply)
-        self._hosts: dict[str, MemoryObjectSendStream[Any]] = {}
-        self._journal_box, self._journal_inbox = _make_inbox(inf)
+        self._host_senders: dict[str, MemoryObjectSendStream[Any]] = {}
+        self._journal_sender, self._journal_inbox = _make_inbox(inf)
         self._snapshots = SnapshotSchedule()
-        self._unwritten = 0
-        self._jobs_counted_at = 0
-        self._given_up = ''
+        self._unwritten_records = 0
+        self._job_counts_updated_at = 0
+        self._loss_reason = ''
         self._group: TaskGroup | None = None
 
     async def run(self, release: Callable[[], Awaitable[None]]) -> str:
@@ -178,7 +178,7 @@
         """
         journal = await self._take_over()
         if journal is None:
-            return self._given_up
+            return self._loss_reason
         async with anyio.create_task_group() as group:
             self._group = group
             writer = JournalTask(
@@ -189,28 +189,28 @@
             )
             group.start_soon(self._run_journal, writer)
             group.start_soon(self._tick)
-            self._follow_hosts()
+            self._update_host_tasks()
             await self._serve()
-            if not self._given_up:
+            if not self._loss_reason:
                 await self._hand_over(release)
-            await self._dismiss_callers()
+            await self._answer_open_requests()
             group.cancel_scope.cancel()
-        return self._given_up
+        return self._loss_reason
 
     async def _take_over(self) -> Journal | None:
         """Read the journal and append the takeover record."""
         # Replaying the records needs the wall-clock time for the dates of
         # ends and for deadlines.
         self.state.wall_ms = wall_ms()
-        await self._step(ConfigurationChanged(self._configuration))
+        await self._process_event(ConfigurationChanged(self._configuration))
         while True:
             try:
                 loaded = await load_journal(self.services.store, self.shard)
                 break
             except StoreUnavailableError:
-                await anyio.sleep(LOAD_RETRY_S)
+                await anyio.sleep(LOAD_RETRY_DELAY_S)
             except MessageError as error:
-                self._given_up = str(error)
+                self._loss_reason = str(error)
                 return None
         replay_records(self.state, loaded.records)
         for entry in list(self.state.jobs.values()):
@@ -228,7 +228,7 @@
         try:
             await journal.append((takeover,))
         except ShardLostError as error:
-            self._given_up = str(error)
+            self._loss_reason = str(error)
             return None
         self._snapshots = SnapshotSchedule(journal.uncovered_entries)
         replay_records(self.state, (takeover,))
@@ -257,8 +257,8 @@
 
     async def _serve(self) -> None:
         async for event in self._inbox:
-            await self._step(event)
-            if self._given_up or self._is_drained():
+            await self._process_event(event)
+            if self._loss_reason or self._is_drained():
                 return
 
     async def _hand_over(self, release: Callable[[], Awaitable[None]]) -> None:
@@ -267,20 +267,20 @@
         Quick requests are not in the journal, so a successor can't finish
         them.
         """
-        for box in self._hosts.values():
-            box.send_nowait(StopPolling())
+        for sender in self._host_senders.values():
+            sender.send_nowait(StopPolling())
         quick = {
             token
             for request in self.state.quick.values()
             for token in request.reply_to
         }
         for token in set(self._replies.list_open()) - quick:
-            await self.send_reply(token, self._describe_stop())
+            await self.send_reply(token, self._make_stop_refusal())
         await release()
-        while self._has_quick_callers() and not self._given_up:
-            await self._step(await self._inbox.receive())
+        while self._has_quick_callers() and not self._loss_reason:
+            await self._process_event(await self._inbox.receive())
 
-    async def _dismiss_callers(self) -> None:
+    async def _answer_open_requests(self) -> None:
         """Answer all open requests, so that the callers can repeat them.
 
         Submissions and queries are idempotent by job id. The state of a
@@ -300,21 +300,21 @@
             for token in quick.reply_to:
                 await self.send_reply(token, view)
         for token in self._replies.list_open():
-            await self.send_reply(token, self._describe_stop())
+            await self.send_reply(token, self._make_stop_refusal())
 
     def _has_quick_callers(self) -> bool:
         return any(quick.reply_to for quick in self.state.quick.values())
 
-    def _describe_stop(self) -> Refused:
+    def _make_stop_refusal(self) -> Refused:
         return Refused(
             RefusalKind.STOPPING,
             f'shard {self.shard!r} moves to another process',
             'send the request again',
         )
 
-    async def _step(self, event: Any) -> None:
+    async def _process_event(self, event: Any) -> None:
         """Make the decisions on an event and carry out their actions."""
-        event = await self._handle_own_event(event)
+        event = await self._handle_internal_event(event)
         if event is None:
             return
         started = perf_counter()
@@ -325,10 +325,10 @@
         for action in actions:
             await SHARD_ACTION_HANDLERS.find(type(action))(self, action)
         if isinstance(event, ConfigurationChanged):
-            self._follow_hosts()
-        self._note_metrics(event)
+            self._update_host_tasks()
+        self._update_metrics(event)
 
-    async def _handle_own_event(self, event: Any) -> Any:
+    async def _handle_internal_event(self, event: Any) -> Any:
         """Handle events that need no decision.
 
         Returns
@@ -338,20 +338,20 @@
             None.
         """
         if isinstance(event, RequestReceived) and not self._may_answer():
-            await self.send_reply(event.reply_to, self._describe_loss())
+            await self.send_reply(event.reply_to, self._make_loss_refusal())
             return None
         if isinstance(event, RecordsDurable):
-            self._note_durable(event)
+            self._record_durable(event)
         if isinstance(event, SnapshotEnded):
-            self._note_snapshot()
+            self._record_snapshot()
             return None
         if isinstance(event, LeaseUpdated):
             self._lease = event.lease
-            for box in self._hosts.values():
-                box.send_nowait(OwnerLeaseChanged(event.lease))
+            for sender in self._host_senders.values():
+                sender.send_nowait(OwnerLeaseChanged(event.lease))
             return None
         if isinstance(event, OwnershipLost):
-            self._given_up = event.reason
+            self._loss_reason = event.reason
             return None
         return event
 
@@ -364,34 +364,34 @@
         lease = self._lease
         return may_send(lease, now_ms(), lease.ttl_ms, lease.grace_ms)
 
-    def _describe_loss(self) -> Refused:
+    def _make_loss_refusal(self) -> Refused:
         return Refused(
             RefusalKind.NOT_OWNER,
-            f'the lease of this owner of shard {self.shard!r} has lapsed',
+            f'the lease of this owner of shard {self.shard!r} has expired',
             'send the request to the new owner',
         )
 
-    def _note_durable(self, event: RecordsDurable) -> None:
-        self._unwritten -= len(event.records)
-        self._snapshots.note_entry()
+    def _record_durable(self, event: RecordsDurable) -> None:
+        self._unwritten_records -= len(event.records)
+        self._snapshots.count_entry()
         self._request_snapshot()
 
     def _request_snapshot(self) -> None:
         """Request a snapshot once enough entries are not covered by one."""
-        if not self._snapshots.is_due():
+        if not self._snapshots.request_if_due():
             return
-        self._journal_box.send_nowait(
+        self._journal_sender.send_nowait(
             WriteSnapshot(tuple(list_records(self.state)))
         )
 
-    def _note_snapshot(self) -> None:
-        self._snapshots.note_snapshot()
+    def _record_snapshot(self) -> None:
+        self._snapshots.mark_written()
         self._request_snapshot()
 
     def _is_drained(self) -> bool:
-        return self.state.stopping and self._unwritten <= 0
+        return self.state.stopping and self._unwritten_records <= 0
 
-    def _note_metrics(self, event: Any) -> None:
+    def _update_metrics(self, event: Any) -> None:
         metrics = self.services.metrics
         if isinstance(event, StartAnswered):
             metrics.count(STARTS, event.reply.status)
@@ -399,36 +399,36 @@
             metrics.count(STARTS, 'unanswered')
         if isinstance(event, Ticked):
             metrics.set_gauge(QUEUE_LENGTH, len(self.state.queue), self.shard)
-            self._note_jobs()
+            self._update_job_counts()
 
-    def _note_jobs(self) -> None:
+    def _update_job_counts(self) -> None:
         """Update the job counts by state.
 
         This is done seldom, since it visits every job.
         """
-        if now_ms() < self._jobs_counted_at + JOB_COUNT_INTERVAL_MS:
+        if now_ms() < self._job_counts_updated_at + JOB_COUNT_INTERVAL_MS:
             return
-        self._jobs_counted_at = now_ms()
+        self._job_counts_updated_at = now_ms()
         counts = Counter(entry.state for entry in self.state.jobs.values())
         for state in JobState:
             self.services.metrics.set_gauge(
                 JOBS, counts[state], self.shard, state
             )
 
-    def _follow_hosts(self) -> None:
+    def _update_host_tasks(self) -> None:
         """Start tasks for new hosts and end those of removed hosts."""
         if self._group is None:
             return
         for name in self.state.hosts:
-            if name not in self._hosts:
-                self._start_host(name, self._group)
-        for name in list(self._hosts):
+            if name not in self._host_senders:
+                self._start_host_task(name, self._group)
+        for name in list(self._host_senders):
             if name not in self.state.hosts:
-                self._hosts.pop(name).close()
+                self._host_senders.pop(name).close()
 
-    def _start_host(self, name: str, group: TaskGroup) -> None:
-        box, inbox = _make_inbox(inf)
-        self._hosts[name] = box
+    def _start_host_task(self, name: str, group: TaskGroup) -> None:
+        sender, inbox = _make_inbox(inf)
+        self._host_senders[name] = sender
         task = HostTask(
             name,
             self.shard,
@@ -441,7 +441,7 @@
         )
         group.start_soon(task.run)
 
-    async def take_request(self, request: IncomingRequest) -> None:
+    async def handle_request(self, request: IncomingRequest) -> None:
         """Queue a request that the link server has received."""
         token = self._replies.add_request(request)
         try:
@@ -458,7 +458,7 @@
                 ),
             )
 
-    def offer(self, event: Any) -> None:
+    def send_or_drop(self, event: Any) -> None:
         """Queue an event, or drop it if the inbox is full."""
         try:
             self.events.send_nowait(event)
@@ -473,29 +473,29 @@
         """Request a planned release of the shard."""
         self.events.send_nowait(StopRequested())
 
-    def append(self, record: Any) -> None:
+    def append_record(self, record: Any) -> None:
         """Send a record to the journal task."""
-        self._unwritten += 1
-        self._journal_box.send_nowait(AppendRecord(record))
+        self._unwritten_records += 1
+        self._journal_sender.send_nowait(WriteRecord(record))
 
-    def withdraw(self, job_id: str) -> None:
+    def withdraw_records(self, job_id: str) -> None:
         """Ask the journal task to drop a job's unwritten records."""
-        self._journal_box.send_nowait(WithdrawJob(job_id))
+        self._journal_sender.send_nowait(WithdrawJob(job_id))
 
     def command_host(self, host: str, command: Any) -> bool:
         """Send a command to a host's task; return False if it has none."""
-        box = self._hosts.get(host)
-        if box is None:
+        sender = self._host_senders.get(host)
+        if sender is None:
             return False
-        box.send_nowait(command)
+        sender.send_nowait(command)
         return True
 
-    def ask_peer(self, action: SendPeer) -> None:
+    def send_to_shard(self, action: SendPeer) -> None:
         """Send a message to another shard's owner in the background."""
         if self._group is not None:
-            self._group.start_soon(self._ask_peer, action)
+            self._group.start_soon(self._send_to_shard, action)
 
-    async def _ask_peer(self, action: SendPeer) -> None:
+    async def _send_to_shard(self, action: SendPeer) -> None:
         answer = await self.services.send_request(
             action.shard, action.message, PEER_TIMEOUT_S
         )
@@ -503,9 +503,9 @@
             answer = None
         await self.events.send(PeerAnswered(action.message, answer))
 
-    def give_up(self, reason: str) -> None:
+    def step_down(self, reason: str) -> None:
         """End the task without sending anything further."""
-        self._given_up = reason
+        self._loss_reason = reason
 
     def _observe_append(self, seconds: float) -> None:
         self.services.metrics.observe(APPEND_SECONDS, seconds)
@@ -513,9 +513,9 @@
     def log(self, action: LogDecision) -> None:
         """Log a decision and count it."""
         self.services.metrics.count(DECISIONS, action.kind)
-        if action.kind in ENDED_ATTEMPTS:
-            fate = action.reason.partition(':')[0].partition(' ')[0]
-            self.services.metrics.count(ATTEMPTS, fate)
+        if action.kind in ATTEMPT_END_KINDS:
+            status = action.reason.partition(':')[0].partition(' ')[0]
+            self.services.metrics.count(ATTEMPTS, status)
         log_decision(
             self.services.logger,
             Decision(
--- a/sassafrasgate/daemons/snapshots.py
+++ b/sassafrasgate/daemons/snapshots.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-SNAPSHOT_ENTRIES = 200
+SNAPSHOT_INTERVAL_ENTRIES = 200
 
 
 class SnapshotSchedule:
@@ -18,25 +18,28 @@
     def __init__(self, uncovered: int = 0) -> None:
         self._entries = uncovered
         self._covered = 0
-        self._asked_at = 0
-        self._asked = False
+        self._requested_at = 0
+        self._is_requested = False
 
-    def note_entry(self) -> None:
+    def count_entry(self) -> None:
         """Count an entry that has been written."""
         self._entries += 1
 
-    def is_due(self) -> bool:
+    def request_if_due(self) -> bool:
         """Tell whether a snapshot is due, and mark it as requested if so."""
-        if self._asked or self._entries - self._covered < SNAPSHOT_ENTRIES:
+        if (
+            self._is_requested
+            or self._entries - self._covered < SNAPSHOT_INTERVAL_ENTRIES
+        ):
             return False
-        self._asked = True
-        self._asked_at = self._entries
+        self._is_requested = True
+        self._requested_at = self._entries
         return True
 
-    def note_snapshot(self) -> None:
+    def mark_written(self) -> None:
         """Record that the requested snapshot has been written.
 
         It does not cover entries that were written after the request.
         """
-        self._asked = False
-        self._covered = self._asked_at
+        self._is_requested = False
+        self._covered = self._requested_at
--- a/sassafrasgate/daemons/watches.py
+++ b/sassafrasgate/daemons/watches.py
@@ -24,7 +24,7 @@
     from logbook import Logger
 
 WATCH_WAIT_S = 20.0
-RETRY_S = 0.3
+RETRY_DELAY_S = 0.3
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,32 +84,32 @@
 
     async def run(
         self,
-        note_list: Callable[[tuple[Item, ...]], Any],
-        note_changes: Callable[[tuple[Item, ...]], Any],
+        handle_list: Callable[[tuple[Item, ...]], Any],
+        handle_changes: Callable[[tuple[Item, ...]], Any],
     ) -> None:
         """Follow the prefix until cancelled.
 
         Parameters
         ----------
-        note_list : callable
+        handle_list : callable
             Awaited with all items, at the start and after each failure.
-        note_changes : callable
+        handle_changes : callable
             Awaited with the items that have changed.
         """
         while True:
             try:
                 listed = await self._store.read_prefix(self._prefix)
-                await note_list(listed.items)
-                await self._follow(listed.revision, note_changes)
+                await handle_list(listed.items)
+                await self._follow(listed.revision, handle_changes)
             except StoreLogTrimmedError:
                 continue
             except StoreError:
-                await anyio.sleep(RETRY_S)
+                await anyio.sleep(RETRY_DELAY_S)
 
     async def _follow(
         self,
         revision: int,
-        note_changes: Callable[[tuple[Item, ...]], Any],
+        handle_changes: Callable[[tuple[Item, ...]], Any],
     ) -> None:
         while True:
             changes = await self._store.watch(
@@ -118,7 +118,7 @@
             revision = changes.revision
             if not changes.items:
                 continue
-            await note_changes(changes.items)
+            await handle_changes(changes.items)
             await anyio.sleep(self._pause_s)
 
 
@@ -152,9 +152,9 @@
 
     async def run(self) -> None:
         """Follow the key until cancelled."""
-        await self._watch.run(self._note_items, self._note_items)
+        await self._watch.run(self._handle_items, self._handle_items)
 
-    async def _note_items(self, items: tuple[Item, ...]) -> None:
+    async def _handle_items(self, items: tuple[Item, ...]) -> None:
         for item in items:
             if item.key != self._source.key or item.value is None:
                 continue
@@ -197,15 +197,15 @@
 
     async def run(self) -> None:
         """Follow the registrations until cancelled."""
-        await self._watch.run(self._note_list, self._note_changes)
+        await self._watch.run(self._handle_list, self._handle_changes)
 
-    async def _note_list(self, items: tuple[Item, ...]) -> None:
+    async def _handle_list(self, items: tuple[Item, ...]) -> None:
         found = (self._source.read(item) for item in items)
         await self._listener.send(
             WorkersListed(tuple(entry for entry in found if entry))
         )
 
-    async def _note_changes(self, items: tuple[Item, ...]) -> None:
+    async def _handle_changes(self, items: tuple[Item, ...]) -> None:
         newest = {item.key: item for item in items}
         for key, item in newest.items():
             entry = None if item.value is None else self._source.read(item)
--- a/sassafrasgate/daemons/workers.py
+++ b/sassafrasgate/daemons/workers.py
@@ -55,17 +55,19 @@
 # A reachable worker replies within a few milliseconds. A call without a reply
 # within this time is repeated on a new connection.
 CALL_TIMEOUT_S = 0.3
-START_TRIES = 4
-STOP_TRIES = 3
-RETRY_MIN_S = 0.05
-RETRY_MAX_S = 0.5
+MAX_START_ATTEMPTS = 4
+MAX_STOP_ATTEMPTS = 3
+MIN_RETRY_DELAY_S = 0.05
+MAX_RETRY_DELAY_S = 0.5
 # Longest time without a poll while reported ends are not durable yet. A poll
 # would return the same ends again at once.
-UNCONFIRMED_WAIT_S = 1.0
+MAX_DURABILITY_WAIT_S = 1.0
 
-Command = Callable[['WorkerTask', Any], Coroutine[Any, Any, None]]
+CommandHandler = Callable[['WorkerTask', Any], Coroutine[Any, Any, None]]
 
-COMMANDS: Registry[type[Any], Command] = Registry('worker command')
+COMMAND_HANDLERS: Registry[type[Any], CommandHandler] = Registry(
+    'worker command'
+)
 
 
 class WorkerTask:
@@ -89,7 +91,7 @@
         The owner's lease when the task starts.
     wait_ms : int
         Time in ms for which the worker may hold a poll while no run ends.
-    lives : int
+    restarts : int
         Number of restarts of the worker that are counted already.
     """
 
@@ -102,7 +104,7 @@
         events: MemoryObjectSendStream[Any],
         lease: OwnerLease,
         wait_ms: int,
-        lives: int = 0,
+        restarts: int = 0,
     ) -> None:
         self.worker = worker
         self.epoch = epoch
@@ -111,21 +113,21 @@
         self._events = events
         self._lease = lease
         self._wait_ms = wait_ms
-        self._reading: ClockReading | None = None
-        self._born_ms = 0
-        self._lives = lives
-        self._lapse_at = 0
-        self._seen = 0
-        self._acknowledged = 0
+        self._clock_reading: ClockReading | None = None
+        self._incarnation_ms = 0
+        self._restarts = restarts
+        self._leases_expire_at = 0
+        self._last_reported_end = 0
+        self._last_acknowledged_end = 0
         self._restarted = False
         # Runs whose start has got no reply yet and which no report contains.
-        self._unconfirmed: set[RunKey] = set()
-        self._news = anyio.Event()
+        self._unconfirmed_starts: set[RunKey] = set()
+        self._ends_acknowledged = anyio.Event()
 
     async def run(self) -> None:
         """Handle commands until the inbox closes or polling has to stop."""
         async with self._client, anyio.create_task_group() as tasks:
-            tasks.start_soon(self._look_forever)
+            tasks.start_soon(self._run_poll_loop)
             async for command in self._inbox:
                 if isinstance(command, OwnerLeaseChanged):
                     self._lease = command.lease
@@ -136,9 +138,9 @@
                     self._wait_ms = command.wait_ms
                     continue
                 if isinstance(command, AcknowledgeEnds):
-                    self._note_acknowledged(command)
+                    self._record_acknowledged(command)
                     continue
-                handle = COMMANDS.find(type(command))
+                handle = COMMAND_HANDLERS.find(type(command))
                 tasks.start_soon(handle, self, command)
             tasks.cancel_scope.cancel()
 
@@ -148,41 +150,43 @@
         return may_send(lease, now_ms(), lease.ttl_ms, lease.grace_ms)
 
     @property
-    def _fence(self) -> int:
-        return make_fencing_token(self.epoch, self._lives)
+    def _fencing_token(self) -> int:
+        return make_fencing_token(self.epoch, self._restarts)
 
-    def _note_acknowledged(self, command: AcknowledgeEnds) -> None:
-        if command.incarnation_ms != self._born_ms:
+    def _record_acknowledged(self, command: AcknowledgeEnds) -> None:
+        if command.incarnation_ms != self._incarnation_ms:
             return
-        self._acknowledged = max(self._acknowledged, command.number)
-        if self._acknowledged >= self._seen:
-            self._news.set()
+        self._last_acknowledged_end = max(
+            self._last_acknowledged_end, command.number
+        )
+        if self._last_acknowledged_end >= self._last_reported_end:
+            self._ends_acknowledged.set()
 
-    async def _look_forever(self) -> None:
-        delay_s = RETRY_MIN_S
-        silent = True
+    async def _run_poll_loop(self) -> None:
+        delay_s = MIN_RETRY_DELAY_S
+        was_silent = True
         while True:
-            if self.may_send() and await self._look(silent):
-                delay_s = RETRY_MIN_S
-                silent = False
-                await self._wait_for_records()
+            if self.may_send() and await self._poll(was_silent):
+                delay_s = MIN_RETRY_DELAY_S
+                was_silent = False
+                await self._wait_for_durable_ends()
                 continue
-            silent = True
+            was_silent = True
             await anyio.sleep(uniform(0, delay_s))
-            delay_s = min(delay_s * 2, RETRY_MAX_S)
+            delay_s = min(delay_s * 2, MAX_RETRY_DELAY_S)
 
-    async def _wait_for_records(self) -> None:
+    async def _wait_for_durable_ends(self) -> None:
         """Wait until the reported ends are durable.
 
         Until then a poll would only return the same ends again.
         """
-        if self._acknowledged >= self._seen:
+        if self._last_acknowledged_end >= self._last_reported_end:
             return
-        self._news = anyio.Event()
-        with anyio.move_on_after(UNCONFIRMED_WAIT_S):
-            await self._news.wait()
+        self._ends_acknowledged = anyio.Event()
+        with anyio.move_on_after(MAX_DURABILITY_WAIT_S):
+            await self._ends_acknowledged.wait()
 
-    async def _look(self, silent: bool) -> bool:
+    async def _poll(self, was_silent: bool) -> bool:
         """Make one hold call and tell whether the worker answered.
 
         Calls to a worker that does not respond renew no leases: a call that
@@ -191,78 +195,86 @@
         restarted, and would discard ends of its new incarnation that have
         not been received.
         """
-        request = HoldRequest(self._fence)
-        if not silent and self._reading is not None:
+        request = HoldRequest(self._fencing_token)
+        if not was_silent and self._clock_reading is not None:
             request = HoldRequest(
-                self._fence,
-                self._acknowledged,
-                self._grant(),
-                self._choose_wait(),
+                self._fencing_token,
+                self._last_acknowledged_end,
+                self._grant_lease(),
+                self._choose_poll_wait(),
             )
         try:
             report = await self._client.hold(request)
         except WorkerUnavailableError as error:
             await self._events.send(
-                WorkerSilent(self.worker, self._lapse_at, str(error))
+                WorkerSilent(self.worker, self._leases_expire_at, str(error))
             )
             return False
         if not isinstance(report, WorkerReport):
-            await self._refuse_look(report)
+            await self._handle_poll_refusal(report)
             return False
         received_at = now_ms()
-        known_ms = self._born_ms
-        self._restarted = bool(known_ms) and report.born_ms != known_ms
-        if report.born_ms != known_ms:
-            self._lives += 1 if known_ms else 0
-            self._born_ms = report.born_ms
-            self._seen = 0
-            self._acknowledged = 0
-        self._reading = ClockReading(report.clock_ms, received_at)
-        self._seen = max(
-            self._seen, max((end.number for end in report.ended), default=0)
+        previous_ms = self._incarnation_ms
+        self._restarted = bool(previous_ms) and report.born_ms != previous_ms
+        if report.born_ms != previous_ms:
+            self._restarts += 1 if previous_ms else 0
+            self._incarnation_ms = report.born_ms
+            self._last_reported_end = 0
+            self._last_acknowledged_end = 0
+        self._clock_reading = ClockReading(report.clock_ms, received_at)
+        self._last_reported_end = max(
+            self._last_reported_end,
+            max((end.number for end in report.ended), default=0),
         )
-        self._unconfirmed.difference_update(
+        self._unconfirmed_starts.difference_update(
             RunKey(running.task, running.run) for running in report.running
         )
-        self._unconfirmed.difference_update(
+        self._unconfirmed_starts.difference_update(
             RunKey(ended.task, ended.run) for ended in report.ended
         )
         await self._events.send(
-            WorkerReported(self.worker, report, received_at, self._lapse_at)
+            WorkerReported(
+                self.worker, report, received_at, self._leases_expire_at
+            )
         )
         return True
 
-    def _choose_wait(self) -> int:
+    def _choose_poll_wait(self) -> int:
         """Return how long the next poll may wait for changes, in ms.
 
         The first poll after a restart does not wait: it shows which starts
         have reached the new incarnation.
         """
-        if self._restarted or self._acknowledged < self._seen:
+        if (
+            self._restarted
+            or self._last_acknowledged_end < self._last_reported_end
+        ):
             return 0
         return self._wait_ms
 
-    async def _refuse_look(self, refusal: StartRefusal) -> None:
+    async def _handle_poll_refusal(self, refusal: StartRefusal) -> None:
         if refusal is StartRefusal.STALE_EPOCH:
             await self._events.send(EpochRefused(self.worker))
             return
         await self._events.send(
-            WorkerSilent(self.worker, self._lapse_at, f'refused: {refusal}')
+            WorkerSilent(
+                self.worker, self._leases_expire_at, f'refused: {refusal}'
+            )
         )
 
-    def _grant(self) -> int:
+    def _grant_lease(self) -> int:
         """Return a new lease deadline on the worker's clock.
 
         The owner's time at which this lease has certainly expired is kept
         for the next report.
         """
-        assert self._reading is not None
+        assert self._clock_reading is not None
         now = now_ms()
-        age_ms = now - self._reading.received_at
-        self._lapse_at = max(
-            self._lapse_at, compute_worker_lease_expiry(now, age_ms)
+        age_ms = now - self._clock_reading.received_at
+        self._leases_expire_at = max(
+            self._leases_expire_at, compute_worker_lease_expiry(now, age_ms)
         )
-        return compute_worker_lease_deadline(self._reading.clock, age_ms)
+        return compute_worker_lease_deadline(self._clock_reading.clock, age_ms)
 
     async def start_run(self, command: StartRun) -> None:
         """Start a run; repeat the call until a reply or a report of the run.
@@ -270,27 +282,27 @@
         A call that is repeated after a report of the run's end might start
         the run again on a worker that has restarted since.
         """
-        self._unconfirmed.add(command.run)
-        await self._try_start(command)
-        self._unconfirmed.discard(command.run)
+        self._unconfirmed_starts.add(command.run)
+        await self._send_start(command)
+        self._unconfirmed_starts.discard(command.run)
 
-    async def _try_start(self, command: StartRun) -> None:
-        for number in range(1, START_TRIES + 1):
-            if command.run not in self._unconfirmed:
+    async def _send_start(self, command: StartRun) -> None:
+        for number in range(1, MAX_START_ATTEMPTS + 1):
+            if command.run not in self._unconfirmed_starts:
                 return
-            reason = self._find_obstacle(command.incarnation_ms)
+            reason = self._find_start_obstacle(command.incarnation_ms)
             if reason:
                 await self._report_unsent(command, number, reason)
                 return
-            fence = self._fence
+            fencing_token = self._fencing_token
             try:
                 answer: RunAnswer = await self._client.start(
                     RunRequest(
                         command.run.task,
                         command.run.run,
                         command.payload,
-                        self._grant(),
-                        fence,
+                        self._grant_lease(),
+                        fencing_token,
                         command.checkpoint,
                         command.ticket,
                     )
@@ -301,11 +313,11 @@
                     return
                 await self._events.send(
                     RunUnanswered(
-                        self.worker, command.run, number == START_TRIES
+                        self.worker, command.run, number == MAX_START_ATTEMPTS
                     )
                 )
                 continue
-            if self._is_outdated(answer, fence):
+            if self._was_overtaken_by_restart(answer, fencing_token):
                 answer = replace(
                     answer, refusal=StartRefusal.OTHER_INCARNATION
                 )
@@ -314,14 +326,16 @@
             )
             return
 
-    def _is_outdated(self, answer: RunAnswer, fence: int) -> bool:
+    def _was_overtaken_by_restart(
+        self, answer: RunAnswer, fencing_token: int
+    ) -> bool:
         """Tell whether a call was refused because the worker had restarted.
 
         A later call of this owner, with a higher fencing token, has then
         reached the new incarnation first.
         """
         stale = answer.refusal is StartRefusal.STALE_EPOCH
-        return stale and fence < self._fence
+        return stale and fencing_token < self._fencing_token
 
     async def _report_unsent(
         self, command: StartRun, number: int, reason: str
@@ -333,12 +347,12 @@
             return
         await self._events.send(RunUnanswered(self.worker, command.run, True))
 
-    def _find_obstacle(self, born_ms: int) -> str:
+    def _find_start_obstacle(self, incarnation_ms: int) -> str:
         if not self.may_send():
-            return 'the owner lease has lapsed'
-        if self._reading is None:
+            return 'the owner lease has expired'
+        if self._clock_reading is None:
             return 'the worker has not answered yet'
-        if self._born_ms != born_ms:
+        if self._incarnation_ms != incarnation_ms:
             return 'the worker has restarted'
         return ''
 
@@ -347,17 +361,17 @@
 
         The call itself is repeated when the worker does not answer.
         """
-        for _ in range(STOP_TRIES):
+        for _ in range(MAX_STOP_ATTEMPTS):
             if not self.may_send():
                 return
-            fence = self._fence
+            fencing_token = self._fencing_token
             try:
                 answer: RunAnswer = await self._client.stop(
-                    command.run.task, command.run.run, fence
+                    command.run.task, command.run.run, fencing_token
                 )
             except WorkerUnavailableError:
                 continue
-            if self._is_outdated(answer, fence):
+            if self._was_overtaken_by_restart(answer, fencing_token):
                 continue
             if answer.refusal is StartRefusal.STALE_EPOCH:
                 await self._events.send(EpochRefused(self.worker))
@@ -375,10 +389,13 @@
         """
         if not self.may_send():
             return
-        fence = self._fence
+        fencing_token = self._fencing_token
         try:
             answer: RunAnswer = await self._client.pace(
-                command.run.task, command.run.run, command.percent, fence
+                command.run.task,
+                command.run.run,
+                command.percent,
+                fencing_token,
             )
         except WorkerUnavailableError:
             # The next poll reports whether the worker responds.
@@ -389,16 +406,16 @@
             )
 
 
-@COMMANDS.register(StartRun)
+@COMMAND_HANDLERS.register(StartRun)
 async def _start_run(task: WorkerTask, command: StartRun) -> None:
     await task.start_run(command)
 
 
-@COMMANDS.register(PaceRun)
+@COMMAND_HANDLERS.register(PaceRun)
 async def _pace_run(task: WorkerTask, command: PaceRun) -> None:
     await task.pace_run(command)
 
 
-@COMMANDS.register(StopRun)
+@COMMAND_HANDLERS.register(StopRun)
 async def _stop_run(task: WorkerTask, command: StopRun) -> None:
     await task.stop_run(command)
--- a/tests/daemons/test_entry.py
+++ b/tests/daemons/test_entry.py
@@ -83,7 +83,7 @@
         self.events, self.inbox = anyio.create_memory_object_stream(100)
         self.taken_over = anyio.Event()
 
-    def note_peers(self, _):
+    def update_peers(self, _):
         pass
 
     async def run(self, _):
--- a/tests/daemons/test_journals.py
+++ b/tests/daemons/test_journals.py
@@ -8,11 +8,11 @@
 from sassafrasgate.core.errors import StoreUnavailableError
 from sassafrasgate.core.jobs import JobSpec
 from sassafrasgate.daemons import journals
-from sassafrasgate.daemons.journals import AppendRecord
 from sassafrasgate.daemons.journals import JournalTask
 from sassafrasgate.daemons.journals import run_journal
 from sassafrasgate.daemons.journals import SnapshotEnded
 from sassafrasgate.daemons.journals import WithdrawJob
+from sassafrasgate.daemons.journals import WriteRecord
 from sassafrasgate.daemons.journals import WriteSnapshot
 from sassafrasgate.journal.records import AttemptRefused
 from sassafrasgate.journal.records import decode_records
@@ -97,9 +97,9 @@
     refused = AttemptRefused('withdrawn', 's2', 1)
     async with anyio.create_task_group() as group:
         group.start_soon(task.run)
-        box.send_nowait(AppendRecord(kept))
+        box.send_nowait(WriteRecord(kept))
         await journal.appending.wait()
-        box.send_nowait(AppendRecord(withdrawn))
+        box.send_nowait(WriteRecord(withdrawn))
         box.send_nowait(WriteSnapshot((kept, withdrawn, refused)))
         box.send_nowait(WithdrawJob('withdrawn'))
         assert (await receive(shard, WithdrawalAnswered)).withdrawn
@@ -130,7 +130,7 @@
     # The snapshot that would make room waits behind the record forever.
     journal, task, box, _ = parts
     journal.has_free_slot = False
-    box.send_nowait(AppendRecord(make_acceptance('a')))
+    box.send_nowait(WriteRecord(make_acceptance('a')))
     with anyio.fail_after(30):
         assert 'no room' in await run_journal(task)
 
@@ -140,12 +140,14 @@
     box, inbox = anyio.create_memory_object_stream(inf)
     events, shard = anyio.create_memory_object_stream(inf)
     journal = SlowJournal()
-    task = JournalTask(journal, inbox, events, lambda seconds: None, depth=2)
+    task = JournalTask(
+        journal, inbox, events, lambda seconds: None, max_in_flight=2
+    )
     first, second, third = (make_acceptance(name) for name in 'abc')
     async with anyio.create_task_group() as group:
         group.start_soon(task.run)
         for record in (first, second, third):
-            box.send_nowait(AppendRecord(record))
+            box.send_nowait(WriteRecord(record))
             await anyio.wait_all_tasks_blocked()
         # No more than the depth is under way; the third entry waits.
         assert set(journal.writes) == {(first,), (second,)}
