--- a/benchmarks/parts.py
+++ b/benchmarks/parts.py
@@ -67,7 +67,7 @@
 from sassafrasgate.shards.events import StartAnswered
 from sassafrasgate.shards.events import Ticked
 from sassafrasgate.shards.recovery import begin_ownership
-from sassafrasgate.shards.recovery import list_records
+from sassafrasgate.shards.recovery import list_snapshot_records
 from sassafrasgate.shards.recovery import replay_records
 from sassafrasgate.shards.state import ShardState
 from sassafrasgate.shards.transitions import decide
@@ -583,8 +583,8 @@
     started = perf_counter()
     replay_records(driver.state, records)
     replay_ms = (perf_counter() - started) * 1000
-    list_ms = _time_ms(lambda: tuple(list_records(driver.state)), 1)
-    listed = tuple(list_records(driver.state))
+    list_ms = _time_ms(lambda: tuple(list_snapshot_records(driver.state)), 1)
+    listed = tuple(list_snapshot_records(driver.state))
     snapshot = encode_records(listed)
     encode_ms = _time_ms(lambda: encode_records(listed), 1)
     fresh = ShardDriver(300)
--- a/sassafrasgate/daemons/shards.py
+++ b/sassafrasgate/daemons/shards.py
@@ -68,7 +68,7 @@
 from sassafrasgate.shards.ownership import may_send_commands
 from sassafrasgate.shards.ownership import OwnerLease
 from sassafrasgate.shards.recovery import begin_ownership
-from sassafrasgate.shards.recovery import list_records
+from sassafrasgate.shards.recovery import list_snapshot_records
 from sassafrasgate.shards.recovery import replay_records
 from sassafrasgate.shards.state import ShardState
 from sassafrasgate.shards.transfers import resume_transfers
@@ -271,7 +271,7 @@
             box.send_nowait(StopPolling())
         quick = {
             token
-            for request in self.state.quick.values()
+            for request in self.state.quick_requests.values()
             for token in request.reply_to
         }
         for token in set(self._replies.list_open()) - quick:
@@ -287,7 +287,7 @@
         quick request is reported as unknown, because it may still run on
         the host to which it was sent.
         """
-        for quick in list(self.state.quick.values()):
+        for quick in list(self.state.quick_requests.values()):
             view = JobView(
                 quick.job_id,
                 JobState.UNKNOWN,
@@ -303,7 +303,9 @@
             await self.send_reply(token, self._describe_stop())
 
     def _has_quick_callers(self) -> bool:
-        return any(quick.reply_to for quick in self.state.quick.values())
+        return any(
+            quick.reply_to for quick in self.state.quick_requests.values()
+        )
 
     def _describe_stop(self) -> Refused:
         return Refused(
@@ -381,7 +383,7 @@
         if not self._snapshots.is_due():
             return
         self._journal_box.send_nowait(
-            WriteSnapshot(tuple(list_records(self.state)))
+            WriteSnapshot(tuple(list_snapshot_records(self.state)))
         )
 
     def _note_snapshot(self) -> None:
--- a/sassafrasgate/shards/cancellations.py
+++ b/sassafrasgate/shards/cancellations.py
@@ -10,7 +10,7 @@
 from sassafrasgate.shards.actions import LogDecision
 from sassafrasgate.shards.actions import Reply
 from sassafrasgate.shards.actions import StopTask
-from sassafrasgate.shards.endings import end_job
+from sassafrasgate.shards.completions import end_job
 from sassafrasgate.shards.handlers import reply_refusal
 from sassafrasgate.shards.handlers import REQUEST_HANDLERS
 from sassafrasgate.shards.state import JobWaiter
@@ -43,7 +43,7 @@
             request.reply_to, refuse_unknown_job(message.job_id)
         )
         return
-    if entry.is_over:
+    if entry.has_ended:
         yield Reply(request.reply_to, view_job(state, entry))
         return
     waiters = state.waiters.get(message.job_id, ())
@@ -63,7 +63,7 @@
         transfer = state.transfers[entry.job_id]
         state.transfers[entry.job_id] = replace(transfer, next_at=0)
         return
-    tasks = list(state.tasks_of(entry.job_id))
+    tasks = list(state.list_job_tasks(entry.job_id))
     if not tasks and entry.state is not JobState.UNKNOWN:
         yield from end_job(
             state,
--- a/sassafrasgate/shards/endings.py
+++ b/sassafrasgate/shards/completions.py
@@ -26,14 +26,14 @@
 from sassafrasgate.shards.handlers import DURABLE_HANDLERS
 from sassafrasgate.shards.handlers import EVENT_HANDLERS
 from sassafrasgate.shards.handlers import write_record
-from sassafrasgate.shards.quick import end_quick_request
-from sassafrasgate.shards.quick import retry_quick_request
-from sassafrasgate.shards.state import ClosedTask
+from sassafrasgate.shards.quick_requests import end_quick_request
+from sassafrasgate.shards.quick_requests import retry_quick_request
 from sassafrasgate.shards.state import FinishedTask
 from sassafrasgate.shards.state import JobEntry
 from sassafrasgate.shards.state import MAX_FAILED_ATTEMPTS
 from sassafrasgate.shards.state import TaskEntry
 from sassafrasgate.shards.state import TaskPhase
+from sassafrasgate.shards.state import UnsuccessfulTask
 from sassafrasgate.shards.views import answer_waiters
 
 if TYPE_CHECKING:
@@ -43,7 +43,7 @@
 REPORT_RESEND_MS = 1_000
 
 # In ascending order of severity: an attempt is as bad as its worst task.
-_FATE_ORDER = (
+_STATUS_ORDER = (
     AttemptStatus.NOT_SENT,
     AttemptStatus.REFUSED,
     AttemptStatus.FAILED,
@@ -51,20 +51,20 @@
 )
 
 
-def settle_ended_task(
+def process_ended_task(
     state: ShardState, host: str, report: EndedTask, now: int
 ) -> Actions:
     """Process a worker's report that a task has ended."""
     task = state.drop_task(report.task)
-    state.room_changed = True
+    state.needs_pass = True
     job_id = task.job_id if task else find_job_id(report.task)
     if task is not None:
         _note_result(state, task, report.outcome, now)
-    quick = state.quick.get(job_id)
+    quick = state.quick_requests.get(job_id)
     if quick is not None and quick.task == report.task:
         yield from end_quick_request(state, job_id, report, now)
         return
-    if report.task in state.requeueing:
+    if report.task in state.pending_requeues:
         # The worker lists the task until it is released, which happens once
         # the record of its requeue is durable.
         return
@@ -73,20 +73,20 @@
         yield ReleaseTask(host, report.task)
         return
     if report.outcome is TaskOutcome.FINISHED:
-        yield from _note_finished(state, host, entry, report)
+        yield from _process_finished_task(state, host, entry, report)
         return
     if entry.outcome is not None:
         if entry.end_durable:
             yield ReleaseTask(host, report.task)
         return
-    fate = (
+    status = (
         AttemptStatus.FAILED
         if report.outcome is TaskOutcome.FAILED
         else AttemptStatus.LAPSED
     )
     reason = report.reason or str(report.outcome)
-    closed = ClosedTask(report.task, host, fate, reason)
-    yield from _close(state, entry, closed, now)
+    unsuccessful = UnsuccessfulTask(report.task, host, status, reason)
+    yield from _add_unsuccessful_task(state, entry, unsuccessful, now)
 
 
 def find_job_id(task: str) -> str:
@@ -106,24 +106,24 @@
         succeeded = outcome is TaskOutcome.FINISHED
         state.health.record_result(task.host, task.job_id, succeeded, now)
     entry = state.jobs.get(task.job_id)
-    peak = state.peaks.pop(task.task, None)
+    peak = state.peak_usage.pop(task.task, None)
     if entry is not None and peak is not None:
-        state.sizes.record_peak(entry.spec, peak)
+        state.demand_estimator.record_peak(entry.spec, peak)
 
 
-def _note_finished(
+def _process_finished_task(
     state: ShardState, host: str, entry: JobEntry, report: EndedTask
 ) -> Actions:
     if entry.state is JobState.FINISHED:
         if entry.end_durable:
             yield ReleaseTask(host, report.task)
         return
-    if any(task.task == report.task for task in entry.finished):
+    if any(task.task == report.task for task in entry.finished_tasks):
         return
     if report.size > len(report.output):
-        if report.task in state.storing:
+        if report.task in state.output_copies:
             return
-        state.storing[report.task] = report
+        state.output_copies[report.task] = report
         yield StoreOutput(
             host, report.task, entry.job_id, report.size, report.digest
         )
@@ -135,11 +135,11 @@
 
 
 @EVENT_HANDLERS.register(OutputStored)
-def note_stored_output(
+def handle_stored_output(
     state: ShardState, event: OutputStored, now: int
 ) -> Actions:
     """Finish a task whose large output is in the store."""
-    if state.storing.pop(event.task, None) is None:
+    if state.output_copies.pop(event.task, None) is None:
         return
     job_id, _, _ = split_task_id(event.task)
     entry = state.jobs.get(job_id)
@@ -158,16 +158,16 @@
 def _finish_task(
     state: ShardState, entry: JobEntry, task: str, outcome: Outcome
 ) -> Actions:
-    finished = (*entry.finished, FinishedTask(task, outcome))
-    entry = state.update_job(entry.job_id, finished=finished)
+    finished = (*entry.finished_tasks, FinishedTask(task, outcome))
+    entry = state.update_job(entry.job_id, finished_tasks=finished)
     if len(finished) == entry.spec.tasks:
-        yield from end_job(state, entry, _merge_outcomes(finished))
+        yield from end_job(state, entry, _choose_outcome(finished))
         return
-    if entry.closed or entry.cancelling:
-        yield from _settle_attempt(state, entry)
+    if entry.unsuccessful_tasks or entry.cancelling:
+        yield from _end_attempt_if_complete(state, entry)
 
 
-def _merge_outcomes(finished: tuple[FinishedTask, ...]) -> Outcome:
+def _choose_outcome(finished: tuple[FinishedTask, ...]) -> Outcome:
     """Return the outcome of the lowest-numbered task that has output.
 
     Without any output, the outcome of the lowest-numbered task counts.
@@ -208,56 +208,68 @@
         report = TransferEnded(
             entry.home, entry.job_id, entry.home_attempt, record.outcome
         )
-        state.unreported[entry.job_id] = (report, now + REPORT_RESEND_MS)
+        state.unacknowledged_ends[entry.job_id] = (
+            report,
+            now + REPORT_RESEND_MS,
+        )
         yield SendToShard(entry.home, report)
 
 
-def close_task(
+def record_unsuccessful_task(
     state: ShardState,
     task: TaskEntry,
-    fate: AttemptStatus,
+    status: AttemptStatus,
     reason: str,
     now: int,
 ) -> Actions:
     """Process a task that certainly no longer runs and gave no result."""
     state.drop_task(task.task)
-    state.room_changed = True
-    quick = state.quick.get(task.job_id)
+    state.needs_pass = True
+    quick = state.quick_requests.get(task.job_id)
     if quick is not None and quick.task == task.task:
         yield from retry_quick_request(state, task.job_id, reason, now)
         return
     entry = state.jobs.get(task.job_id)
-    if entry is None or not _is_current(entry, task.task) or entry.is_over:
+    if entry is None or not _is_current(entry, task.task) or entry.has_ended:
         return
-    yield from _close(
-        state, entry, ClosedTask(task.task, task.host, fate, reason), now
+    yield from _add_unsuccessful_task(
+        state,
+        entry,
+        UnsuccessfulTask(task.task, task.host, status, reason),
+        now,
     )
 
 
-def _close(
-    state: ShardState, entry: JobEntry, closed: ClosedTask, now: int
+def _add_unsuccessful_task(
+    state: ShardState,
+    entry: JobEntry,
+    unsuccessful: UnsuccessfulTask,
+    now: int,
 ) -> Actions:
-    entry = state.update_job(entry.job_id, closed=(*entry.closed, closed))
+    entry = state.update_job(
+        entry.job_id,
+        unsuccessful_tasks=(*entry.unsuccessful_tasks, unsuccessful),
+    )
     if entry.spec.job_class is not JobClass.SERVICE:
-        yield from _stop_others(state, entry)
-    yield from _settle_attempt(state, entry)
+        yield from _stop_remaining_tasks(state, entry)
+    yield from _end_attempt_if_complete(state, entry)
 
 
-def _settle_attempt(state: ShardState, entry: JobEntry) -> Actions:
+def _end_attempt_if_complete(state: ShardState, entry: JobEntry) -> Actions:
     """End the attempt if none of its tasks can still run."""
     if entry.cancelling:
         yield from finish_cancel(state, entry)
         return
     if entry.spec.job_class is not JobClass.SERVICE and any(
-        True for _ in state.tasks_of(entry.job_id)
+        True for _ in state.list_job_tasks(entry.job_id)
     ):
         # All tasks of a gang must end before any of them starts again.
         return
     yield from _end_attempt(state, entry)
 
 
-def _stop_others(state: ShardState, entry: JobEntry) -> Actions:
-    for task in state.tasks_of(entry.job_id):
+def _stop_remaining_tasks(state: ShardState, entry: JobEntry) -> Actions:
+    for task in state.list_job_tasks(entry.job_id):
         if task.stopping or task.phase is TaskPhase.PLANNED:
             continue
         state.tasks[task.task] = replace(task, stopping=True)
@@ -265,15 +277,19 @@
 
 
 def _end_attempt(state: ShardState, entry: JobEntry) -> Actions:
-    fate = max((c.fate for c in entry.closed), key=_FATE_ORDER.index)
-    reason = next(c.reason for c in entry.closed if c.fate is fate)
+    status = max(
+        (c.status for c in entry.unsuccessful_tasks), key=_STATUS_ORDER.index
+    )
+    reason = next(
+        c.reason for c in entry.unsuccessful_tasks if c.status is status
+    )
     failures = entry.failures + 1
     if state.health.is_job_at_fault(entry.job_id):
         # The job failed on several healthy hosts, so that another attempt
         # would only use resources.
         failures = MAX_FAILED_ATTEMPTS
     step = decide_retry(
-        entry.spec.idempotent, fate, failures, MAX_FAILED_ATTEMPTS
+        entry.spec.idempotent, status, failures, MAX_FAILED_ATTEMPTS
     )
     if step is RetryDecision.END_FAILED:
         yield from end_job(state, entry, Outcome(JobState.FAILED, reason))
@@ -281,30 +297,32 @@
     if step is RetryDecision.END_UNKNOWN:
         yield from end_job(state, entry, Outcome(JobState.UNKNOWN, reason))
         return
-    failed = fate is AttemptStatus.FAILED
-    gone = [c.task for c in entry.closed]
+    failed = status is AttemptStatus.FAILED
+    ended = [c.task for c in entry.unsuccessful_tasks]
     if entry.spec.job_class is not JobClass.SERVICE:
-        gone = [placement.task for placement in entry.placements]
+        ended = [placement.task for placement in entry.placements]
     failed_hosts = entry.failed_hosts
     if failed:
-        hosts = tuple(c.host for c in entry.closed if c.fate is fate)
+        hosts = tuple(
+            c.host for c in entry.unsuccessful_tasks if c.status is status
+        )
         failed_hosts = (*failed_hosts, *hosts)[-MAX_FAILED_ATTEMPTS:]
     yield LogDecision(
-        'retry', entry.job_id, entry.attempt, reason=f'{fate}: {reason}'
+        'retry', entry.job_id, entry.attempt, reason=f'{status}: {reason}'
     )
     hosts_of = {p.task: p.host for p in entry.placements}
-    state.requeueing.update(gone)
+    state.pending_requeues.update(ended)
     yield from write_record(
         state,
         JobRequeued(
             entry.job_id,
             entry.attempt,
             reason,
-            tuple(gone),
+            tuple(ended),
             failed_hosts,
             int(failed),
-            fate in (AttemptStatus.FAILED, AttemptStatus.LAPSED),
-            tuple(hosts_of[task] for task in gone),
+            status in (AttemptStatus.FAILED, AttemptStatus.LAPSED),
+            tuple(hosts_of[task] for task in ended),
         ),
     )
 
@@ -314,14 +332,14 @@
     state: ShardState, record: JobRequeued, now: int
 ) -> Actions:
     """Release the ended tasks of a requeue that is in the journal."""
-    state.requeueing.difference_update(record.tasks)
+    state.pending_requeues.difference_update(record.tasks)
     for task, host in zip(record.tasks, record.hosts, strict=True):
         yield ReleaseTask(host, task)
 
 
 def finish_cancel(state: ShardState, entry: JobEntry) -> Actions:
     """End a cancelled job once none of its tasks can run."""
-    if any(True for _ in state.tasks_of(entry.job_id)):
+    if any(True for _ in state.list_job_tasks(entry.job_id)):
         return
     yield from end_job(
         state, entry, Outcome(JobState.CANCELLED, 'cancelled by its caller')
--- a/sassafrasgate/shards/handlers.py
+++ b/sassafrasgate/shards/handlers.py
@@ -18,12 +18,14 @@
 
 Actions = Generator[Any, None, None]
 Handler = Callable[['ShardState', Any, int], Actions]
-Applier = Callable[['ShardState', Any], None]
+RecordApplier = Callable[['ShardState', Any], None]
 
 EVENT_HANDLERS: Registry[type[Any], Handler] = Registry('shard event')
 REQUEST_HANDLERS: Registry[str, Handler] = Registry('shard request')
 DURABLE_HANDLERS: Registry[str, Handler] = Registry('durable record')
-APPLIERS: Registry[str, Applier] = Registry('journal record applier')
+RECORD_APPLIERS: Registry[str, RecordApplier] = Registry(
+    'journal record applier'
+)
 
 
 def write_record(state: ShardState, record: Any) -> Actions:
@@ -32,7 +34,7 @@
     Replay after a takeover applies records with the same function, so that
     the successor arrives at the same state.
     """
-    APPLIERS.find(record.kind)(state, record)
+    RECORD_APPLIERS.find(record.kind)(state, record)
     yield AppendRecord(record)
 
 
--- a/sassafrasgate/shards/placements.py
+++ b/sassafrasgate/shards/placements.py
@@ -30,7 +30,7 @@
     from sassafrasgate.shards.state import ShardState
 
 
-def choose_for_job(
+def choose_hosts_for_job(
     state: ShardState,
     spec: JobSpec,
     tasks: int,
@@ -48,7 +48,7 @@
     occupied : tuple of str
         Hosts that already hold tasks of the job.
     """
-    demand = state.sizes.estimate_demand(spec)
+    demand = state.demand_estimator.estimate_demand(spec)
     refusal = state.quotas.check_quota(spec.team, demand.scale(tasks))
     if refusal is not None:
         return refusal
@@ -77,7 +77,7 @@
     labels: tuple[str, ...] = ()
     domains: tuple[str, ...] = ()
     for rule in state.configuration.rules:
-        if not is_rule_for(rule, spec):
+        if not matches_rule(rule, spec):
             continue
         labels += rule.labels
         if rule.failure_domains:
@@ -85,7 +85,7 @@
     return labels, domains
 
 
-def is_rule_for(rule: Rule, spec: JobSpec) -> bool:
+def matches_rule(rule: Rule, spec: JobSpec) -> bool:
     """Tell whether a rule matches a job."""
     return rule.team in ('', spec.team) and rule.job_class in (
         '',
@@ -114,7 +114,7 @@
     Task indexes that no current placement uses are assigned in ascending
     order.
     """
-    demand = state.sizes.estimate_demand(spec)
+    demand = state.demand_estimator.estimate_demand(spec)
     used = {split_task_id(placement.task)[1] for placement in standing}
     free = (index for index in range(spec.tasks) if index not in used)
     return tuple(
@@ -132,8 +132,8 @@
     state: ShardState, entry: JobEntry
 ) -> Generator[Any, None, Refusal | None]:
     """Place a queued job's unplaced tasks; return a refusal or None."""
-    tasks = count_wanted(entry)
-    chosen = choose_for_job(
+    tasks = count_tasks_to_place(entry)
+    chosen = choose_hosts_for_job(
         state,
         entry.spec,
         tasks,
@@ -143,7 +143,7 @@
     if isinstance(chosen, Refusal):
         if entry.reason != chosen.reason:
             state.update_job(entry.job_id, reason=chosen.reason)
-            yield from note_decision(
+            yield from log_decision(
                 state,
                 LogDecision(
                     'queue', entry.job_id, entry.attempt, reason=chosen.reason
@@ -162,11 +162,11 @@
     yield from write_record(
         state, JobPlaced(entry.job_id, attempt, placements)
     )
-    yield from note_placement(state, entry.job_id, attempt, chosen)
+    yield from log_placement(state, entry.job_id, attempt, chosen)
     return None
 
 
-def count_wanted(entry: JobEntry) -> int:
+def count_tasks_to_place(entry: JobEntry) -> int:
     """Return how many tasks one decision must place together.
 
     A gang needs all its tasks at once, while the tasks of a service are
@@ -174,14 +174,14 @@
     """
     if entry.spec.job_class is JobClass.SERVICE:
         return 1
-    return entry.missing_tasks
+    return entry.unplaced_tasks
 
 
-def note_placement(
+def log_placement(
     state: ShardState, job_id: str, attempt: int, chosen: Assignment
 ) -> Actions:
     """Log a placement and keep it for `explain` requests."""
-    yield from note_decision(
+    yield from log_decision(
         state,
         LogDecision(
             'place',
@@ -194,7 +194,7 @@
     )
 
 
-def note_decision(state: ShardState, decision: LogDecision) -> Actions:
+def log_decision(state: ShardState, decision: LogDecision) -> Actions:
     """Log a decision and keep it among the newest ones of its job."""
     line = ' '.join(
         part
--- a/sassafrasgate/shards/preemption.py
+++ b/sassafrasgate/shards/preemption.py
@@ -14,7 +14,7 @@
 from sassafrasgate.shards.actions import LogDecision
 from sassafrasgate.shards.actions import StopTask
 from sassafrasgate.shards.placements import find_rule_limits
-from sassafrasgate.shards.placements import is_rule_for
+from sassafrasgate.shards.placements import matches_rule
 from sassafrasgate.shards.state import TaskPhase
 
 if TYPE_CHECKING:
@@ -35,19 +35,19 @@
 def may_preempt(state: ShardState, spec: JobSpec) -> bool:
     """Tell whether a rule allows a job to preempt batch tasks."""
     return spec.tasks == 1 and any(
-        rule.may_preempt and is_rule_for(rule, spec)
+        rule.may_preempt and matches_rule(rule, spec)
         for rule in state.configuration.rules
     )
 
 
-def preempt_for(state: ShardState, entry: JobEntry, now: int) -> Actions:
+def preempt_for_job(state: ShardState, entry: JobEntry, now: int) -> Actions:
     """Stop batch tasks on one host so that a job fits on it."""
-    if state.preemptions.get(entry.job_id, 0) > now:
+    if state.preempt_again_at.get(entry.job_id, 0) > now:
         return
     victims = choose_victims(state, entry.spec)
     if not victims:
         return
-    state.preemptions[entry.job_id] = now + PREEMPTION_WAIT_MS
+    state.preempt_again_at[entry.job_id] = now + PREEMPTION_WAIT_MS
     for task in victims:
         state.tasks[task.task] = replace(task, stopping=True)
         yield LogDecision(
@@ -71,7 +71,7 @@
     best: tuple[TaskEntry, ...] = ()
     for name in state.index.free_on_open_hosts:
         host = state.index.hosts[name]
-        if not _is_allowed(host, spec, labels, domains):
+        if not _is_eligible(host, spec, labels, domains):
             continue
         victims = _choose_on_host(state, name, spec.demand)
         if victims and (not best or len(victims) < len(best)):
@@ -79,7 +79,7 @@
     return best
 
 
-def _is_allowed(
+def _is_eligible(
     host: Host,
     spec: JobSpec,
     labels: tuple[str, ...],
@@ -104,7 +104,7 @@
         task
         for name in state.index.list_reservations(host)
         if (task := state.tasks.get(name)) is not None
-        and _is_victim(state, task)
+        and _is_preemptible(state, task)
     ]
     candidates.sort(key=lambda task: task.started_clock, reverse=True)
     chosen: list[TaskEntry] = []
@@ -116,7 +116,7 @@
     return tuple(chosen) if demand.fits_in(room) else ()
 
 
-def _is_victim(state: ShardState, task: TaskEntry) -> bool:
+def _is_preemptible(state: ShardState, task: TaskEntry) -> bool:
     if task.phase is not TaskPhase.RUNNING or task.stopping:
         return False
     job = state.jobs.get(task.job_id)
--- a/sassafrasgate/shards/quick.py
+++ b/sassafrasgate/shards/quick_requests.py
@@ -23,7 +23,7 @@
 from sassafrasgate.shards.events import OutputFetched
 from sassafrasgate.shards.handlers import EVENT_HANDLERS
 from sassafrasgate.shards.handlers import reply_refusal
-from sassafrasgate.shards.placements import choose_for_job
+from sassafrasgate.shards.placements import choose_hosts_for_job
 from sassafrasgate.shards.state import QuickRequest
 from sassafrasgate.shards.state import TaskEntry
 
@@ -52,11 +52,11 @@
     if refusal is not None:
         yield from _refuse(state, request, refusal)
         return
-    running = state.quick.get(submit.job_id)
+    running = state.quick_requests.get(submit.job_id)
     if running is not None:
         # Only one attempt of a key runs at a time, even after its earlier
         # callers have given up.
-        state.quick[submit.job_id] = replace(
+        state.quick_requests[submit.job_id] = replace(
             running,
             reply_to=(*running.reply_to, request.reply_to),
             expires_at=now + find_deadline_ms(submit.spec) - REPLY_MARGIN_MS,
@@ -89,7 +89,7 @@
     Hosts that are known to be unresponsive do not count.
     """
     return any(
-        not host.fenced and not host.silent_since
+        not host.epoch_acknowledged and not host.silent_since
         for host in state.hosts.values()
     )
 
@@ -141,18 +141,18 @@
 def _place(
     state: ShardState, quick: QuickRequest, now: int
 ) -> Generator[Any, None, Refusal | None]:
-    chosen = choose_for_job(state, quick.spec, 1, frozenset(quick.tried))
+    chosen = choose_hosts_for_job(state, quick.spec, 1, frozenset(quick.tried))
     if isinstance(chosen, Refusal):
         return chosen
     host = chosen.hosts[0]
     attempt = quick.attempt + 1
     # The epoch and a sequence number make the task id unique among all tasks
     # of one key, so that a worker takes none for a repeated start.
-    state.quick_serial += 1
+    state.quick_sequence += 1
     task = make_task_id(
-        f'{quick.job_id}~{state.epoch}', state.quick_serial, attempt
+        f'{quick.job_id}~{state.epoch}', state.quick_sequence, attempt
     )
-    demand = state.sizes.estimate_demand(quick.spec)
+    demand = state.demand_estimator.estimate_demand(quick.spec)
     incarnation = state.hosts[host].incarnation
     state.add_task(
         TaskEntry(
@@ -164,7 +164,7 @@
             team=quick.spec.team,
         )
     )
-    state.quick[quick.job_id] = replace(
+    state.quick_requests[quick.job_id] = replace(
         quick, attempt=attempt, task=task, host=host
     )
     wait_ms = max(1, quick.expires_at - now)
@@ -195,9 +195,9 @@
 
     The earlier attempt must be certain not to run any more.
     """
-    quick = state.quick[job_id]
+    quick = state.quick_requests[job_id]
     if not quick.reply_to:
-        del state.quick[job_id]
+        del state.quick_requests[job_id]
         return
     tried = replace(quick, tried=(*quick.tried, quick.host))
     if now >= quick.expires_at or len(tried.tried) >= MAX_TRIES:
@@ -210,7 +210,7 @@
         refusal = yield from _place(state, tried, now)
     if refusal is None:
         return
-    del state.quick[job_id]
+    del state.quick_requests[job_id]
     yield LogDecision('refuse', job_id, quick.attempt, reason=refusal.reason)
     for reply_to in quick.reply_to:
         yield reply_refusal(reply_to, refusal)
@@ -220,13 +220,13 @@
     state: ShardState, job_id: str, ended: EndedTask, now: int
 ) -> Actions:
     """Answer a quick request with its task's output, or retry it."""
-    quick = state.quick[job_id]
+    quick = state.quick_requests[job_id]
     if quick.ended is not None:
         return
     if ended.outcome is TaskOutcome.FINISHED and ended.size > len(
         ended.output
     ):
-        state.quick[job_id] = replace(quick, ended=ended)
+        state.quick_requests[job_id] = replace(quick, ended=ended)
         yield FetchOutput(quick.host, quick.task, ended.size, ended.digest)
         return
     succeeded = ended.outcome is TaskOutcome.FINISHED
@@ -247,11 +247,11 @@
 
 
 @EVENT_HANDLERS.register(OutputFetched)
-def answer_fetched(
+def handle_fetched_output(
     state: ShardState, event: OutputFetched, now: int
 ) -> Actions:
     """Answer a quick request whose large output has been fetched."""
-    for quick in list(state.quick.values()):
+    for quick in list(state.quick_requests.values()):
         if quick.task != event.task:
             continue
         outcome = Outcome(
@@ -268,7 +268,7 @@
 def _answer(
     state: ShardState, quick: QuickRequest, outcome: Outcome
 ) -> Actions:
-    state.quick.pop(quick.job_id, None)
+    state.quick_requests.pop(quick.job_id, None)
     yield ReleaseTask(quick.host, quick.task)
     view = JobView(
         quick.job_id,
@@ -296,11 +296,11 @@
     """
     late = [
         quick
-        for quick in state.quick.values()
+        for quick in state.quick_requests.values()
         if quick.reply_to and quick.expires_at <= now
     ]
     for quick in late:
-        state.quick[quick.job_id] = replace(quick, reply_to=())
+        state.quick_requests[quick.job_id] = replace(quick, reply_to=())
         view = JobView(
             quick.job_id,
             JobState.UNKNOWN,
--- a/sassafrasgate/shards/shares.py
+++ b/sassafrasgate/shards/quota_shares.py
@@ -20,8 +20,8 @@
 from sassafrasgate.shards.actions import LogDecision
 from sassafrasgate.shards.actions import Reply
 from sassafrasgate.shards.actions import SendToShard
-from sassafrasgate.shards.handlers import APPLIERS
 from sassafrasgate.shards.handlers import DURABLE_HANDLERS
+from sassafrasgate.shards.handlers import RECORD_APPLIERS
 from sassafrasgate.shards.handlers import REQUEST_HANDLERS
 from sassafrasgate.shards.handlers import write_record
 
@@ -48,10 +48,10 @@
     if base is None or base == NO_RESOURCES:
         return
     share = base
-    for (_, name), total in state.borrowed.items():
+    for (_, name), total in state.borrowed_shares.items():
         if name == team:
             share = share + total
-    for (_, name), total in state.lent.items():
+    for (_, name), total in state.lent_shares.items():
         if name == team:
             share = share - total
     state.quotas.set_share(team, share.take_maximum(NO_RESOURCES))
@@ -67,11 +67,11 @@
         for shard in state.configuration.shards
         if shard.name != state.name
     ]
-    turn, next_at = state.borrowing.get(spec.team, (0, 0))
+    turn, next_at = state.borrow_turns.get(spec.team, (0, 0))
     if not peers or now < next_at:
         return
-    state.borrowing[spec.team] = (turn + 1, now + BORROW_INTERVAL_MS)
-    demand = state.sizes.estimate_demand(spec).scale(spec.tasks)
+    state.borrow_turns[spec.team] = (turn + 1, now + BORROW_INTERVAL_MS)
+    demand = state.demand_estimator.estimate_demand(spec).scale(spec.tasks)
     wanted = state.quotas.find_reserved(spec.team) + demand
     missing = (wanted - state.quotas.find_share(spec.team)).take_maximum(
         NO_RESOURCES
@@ -87,7 +87,7 @@
     """Lend as much of the requested share as is unused here."""
     message: BorrowShare = request.message
     key = (message.borrower, message.team)
-    total = state.lent.get(key, NO_RESOURCES)
+    total = state.lent_shares.get(key, NO_RESOURCES)
     free = state.quotas.find_share(message.team) - (
         state.quotas.find_reserved(message.team)
     )
@@ -104,10 +104,10 @@
     )
 
 
-@APPLIERS.register('share-lent')
+@RECORD_APPLIERS.register('share-lent')
 def apply_share_lent(state: ShardState, record: ShareLent) -> None:
     """Set the total lent to a shard and reduce the own share by it."""
-    state.lent[(record.borrower, record.team)] = record.total
+    state.lent_shares[(record.borrower, record.team)] = record.total
     _adjust_share(state, record.team)
 
 
@@ -127,7 +127,7 @@
         yield Reply(reply_to, ShareTotal(key[1], total))
 
 
-def note_share_total(
+def record_share_total(
     state: ShardState, message: BorrowShare, answer: ShareTotal
 ) -> None:
     """Increase this shard's share to include all that a shard has lent.
@@ -135,8 +135,8 @@
     Totals only grow, so a delayed answer with a smaller total has no effect.
     """
     key = (message.shard, message.team)
-    state.borrowed[key] = state.borrowed.get(key, NO_RESOURCES).take_maximum(
-        answer.total
-    )
+    state.borrowed_shares[key] = state.borrowed_shares.get(
+        key, NO_RESOURCES
+    ).take_maximum(answer.total)
     _adjust_share(state, message.team)
-    state.room_changed = True
+    state.needs_pass = True
--- a/sassafrasgate/shards/recovery.py
+++ b/sassafrasgate/shards/recovery.py
@@ -20,7 +20,7 @@
 from sassafrasgate.journal.records import ShareLent
 from sassafrasgate.journal.records import Takeover
 from sassafrasgate.shards.attempts import compute_takeover_lease_expiry
-from sassafrasgate.shards.handlers import APPLIERS
+from sassafrasgate.shards.handlers import RECORD_APPLIERS
 from sassafrasgate.shards.state import HostEntry
 from sassafrasgate.shards.state import JobEntry
 from sassafrasgate.shards.state import TaskEntry
@@ -40,7 +40,7 @@
 def replay_records(state: ShardState, records: Iterable[Any]) -> None:
     """Apply records of a snapshot or the journal in order."""
     for record in records:
-        APPLIERS.find(record.kind)(state, record)
+        RECORD_APPLIERS.find(record.kind)(state, record)
 
 
 def begin_ownership(state: ShardState, now: int) -> None:
@@ -48,28 +48,28 @@
 
     Call this once the takeover record is durable.
     """
-    lapse_at = compute_takeover_lease_expiry(
+    leases_expire_at = compute_takeover_lease_expiry(
         now, state.previous_grace_ms, ttl_ms=state.previous_ttl_ms
     )
     for name in state.hosts:
-        state.update_host(name, lapse_at=lapse_at)
+        state.update_host(name, leases_expire_at=leases_expire_at)
     for entry in list(state.jobs.values()):
         if entry.outcome is not None:
             state.update_job(entry.job_id, end_durable=True)
 
 
-def list_records(state: ShardState) -> Iterator[Any]:
+def list_snapshot_records(state: ShardState) -> Iterator[Any]:
     """Yield records for a snapshot of the durable state."""
     yield Takeover(state.epoch, state.owner, state.grace_ms, state.ttl_ms)
     for entry in state.jobs.values():
-        yield from _list_job_records(entry)
+        yield from _list_job_snapshot_records(entry)
     for job_id, home, attempt in state.tombstones:
         yield AttemptRefused(job_id, home, attempt)
-    for (borrower, team), total in state.lent.items():
+    for (borrower, team), total in state.lent_shares.items():
         yield ShareLent(borrower, team, total)
 
 
-def _list_job_records(entry: JobEntry) -> Iterator[Any]:
+def _list_job_snapshot_records(entry: JobEntry) -> Iterator[Any]:
     yield JobAccepted(
         entry.job_id,
         entry.spec,
@@ -128,7 +128,7 @@
     )
 
 
-@APPLIERS.register('takeover')
+@RECORD_APPLIERS.register('takeover')
 def apply_takeover(state: ShardState, record: Takeover) -> None:
     """Set the epoch; keep the lease and grace of the previous owner."""
     state.previous_grace_ms = state.grace_ms
@@ -138,7 +138,7 @@
     state.ttl_ms = record.ttl_ms
 
 
-@APPLIERS.register('accepted')
+@RECORD_APPLIERS.register('accepted')
 def apply_accepted(state: ShardState, record: JobAccepted) -> None:
     """Add a job, either queued or with its first placements."""
     entry = JobEntry(
@@ -157,7 +157,7 @@
         _requeue(state, entry)
 
 
-@APPLIERS.register('placed')
+@RECORD_APPLIERS.register('placed')
 def apply_placed(state: ShardState, record: JobPlaced) -> None:
     """Add the placements of a new attempt to the job's current ones."""
     entry = state.jobs[record.job_id]
@@ -170,11 +170,11 @@
         reason='',
     )
     _add_placements(state, record.job_id, record.placements)
-    if entry.missing_tasks > 0:
+    if entry.unplaced_tasks > 0:
         _requeue(state, entry)
 
 
-@APPLIERS.register('requeued')
+@RECORD_APPLIERS.register('requeued')
 def apply_requeued(state: ShardState, record: JobRequeued) -> None:
     """Remove a job's ended tasks and queue the job again."""
     entry = state.jobs[record.job_id]
@@ -184,8 +184,10 @@
     entry = state.update_job(
         record.job_id,
         placements=tuple(p for p in entry.placements if p.task not in gone),
-        finished=tuple(f for f in entry.finished if f.task not in gone),
-        closed=(),
+        finished_tasks=tuple(
+            f for f in entry.finished_tasks if f.task not in gone
+        ),
+        unsuccessful_tasks=(),
         failures=entry.failures + record.counted,
         may_have_run=entry.may_have_run or record.may_have_run,
         failed_hosts=record.failed_hosts,
@@ -197,7 +199,7 @@
     _requeue(state, entry)
 
 
-@APPLIERS.register('ended')
+@RECORD_APPLIERS.register('ended')
 def apply_ended(state: ShardState, record: JobEnded) -> None:
     """End a job, all of whose tasks have certainly ended."""
     entry = state.jobs[record.job_id]
@@ -205,7 +207,7 @@
         state.drop_task(placement.task)
     state.queue.remove(record.job_id)
     state.transfers.pop(record.job_id, None)
-    state.preemptions.pop(record.job_id, None)
+    state.preempt_again_at.pop(record.job_id, None)
     state.update_job(
         record.job_id,
         state=record.outcome.state,
@@ -213,13 +215,13 @@
         outcome=record.outcome,
         end_durable=False,
         ended_at_ms=record.ended_at_ms,
-        finished=(),
-        closed=(),
+        finished_tasks=(),
+        unsuccessful_tasks=(),
     )
-    state.ended_order[record.job_id] = None
+    state.ended_jobs[record.job_id] = None
 
 
-@APPLIERS.register('transferred')
+@RECORD_APPLIERS.register('transferred')
 def apply_transferred(state: ShardState, record: JobTransferred) -> None:
     """Mark a job's attempt as transferred to another shard."""
     state.queue.remove(record.job_id)
@@ -235,7 +237,7 @@
     )
 
 
-@APPLIERS.register('tombstone')
+@RECORD_APPLIERS.register('tombstone')
 def apply_tombstone(state: ShardState, record: AttemptRefused) -> None:
     """Remember that a transferred attempt was permanently refused."""
     state.tombstones[(record.job_id, record.home, record.home_attempt)] = None
@@ -243,17 +245,19 @@
         state.tombstones.pop(next(iter(state.tombstones)))
 
 
-@APPLIERS.register('forgotten')
+@RECORD_APPLIERS.register('forgotten')
 def apply_forgotten(state: ShardState, record: JobsForgotten) -> None:
     """Remove jobs whose retention period has ended."""
     for job_id in record.job_ids:
         state.jobs.pop(job_id, None)
         state.health.remove_job_results(job_id)
-        state.ended_order.pop(job_id, None)
+        state.ended_jobs.pop(job_id, None)
         state.explanations.pop(job_id, None)
 
 
-def sync_hosts(state: ShardState, lapse_at: int) -> None:
+def update_hosts_from_configuration(
+    state: ShardState, leases_expire_at: int
+) -> None:
     """Update the hosts from the configuration.
 
     Hosts that were removed from the inventory stay, without new tasks, while
@@ -273,7 +277,9 @@
         if state.index.hosts.get(name) != host:
             state.index.add_host(host)
         if name not in state.hosts:
-            state.hosts[name] = HostEntry(name, lapse_at=lapse_at)
+            state.hosts[name] = HostEntry(
+                name, leases_expire_at=leases_expire_at
+            )
             state.index.set_open(name, False)
     _set_totals(state, list(wanted.values()))
     for name in [name for name in state.hosts if name not in wanted]:
--- a/sassafrasgate/shards/passes.py
+++ b/sassafrasgate/shards/scheduling_passes.py
@@ -8,8 +8,8 @@
 from sassafrasgate.core.jobs import JobClass
 from sassafrasgate.shards.placements import place_job
 from sassafrasgate.shards.preemption import may_preempt
-from sassafrasgate.shards.preemption import preempt_for
-from sassafrasgate.shards.shares import borrow_share
+from sassafrasgate.shards.preemption import preempt_for_job
+from sassafrasgate.shards.quota_shares import borrow_share
 from sassafrasgate.shards.transfers import begin_transfer
 from sassafrasgate.shards.transfers import find_transfer_target
 from sassafrasgate.shards.transfers import TRANSFER_AFTER_MS
@@ -42,7 +42,7 @@
             state.start_rate.record_starts(now)
             placed += 1
             if placed >= MAX_PLACEMENTS_PER_PASS:
-                state.room_changed = True
+                state.needs_pass = True
                 return
             continue
         if refusal.kind is RefusalKind.QUOTA:
@@ -50,12 +50,12 @@
             yield from borrow_share(state, job.spec, now)
             continue
         may_move = transferred < MAX_TRANSFERS_PER_PASS
-        transferred += yield from _help_refused(
+        transferred += yield from _transfer_or_preempt(
             state, job, refusal, may_move, now
         )
 
 
-def _help_refused(
+def _transfer_or_preempt(
     state: ShardState,
     job: QueuedJob,
     refusal: Refusal,
@@ -73,7 +73,7 @@
             yield from begin_transfer(state, entry, target)
             return 1
     if refusal.kind is RefusalKind.NO_ROOM and may_preempt(state, job.spec):
-        yield from preempt_for(state, entry, now)
+        yield from preempt_for_job(state, entry, now)
     return 0
 
 
--- a/sassafrasgate/shards/state.py
+++ b/sassafrasgate/shards/state.py
@@ -87,12 +87,12 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ClosedTask:
+class UnsuccessfulTask:
     """A task that ended without success."""
 
     task: str
     host: str
-    fate: AttemptStatus
+    status: AttemptStatus
     reason: str
 
 
@@ -116,7 +116,7 @@
         Number of attempts that counted as failures.
     placements : tuple of Placement
         Tasks that may be running or have finished.
-    finished, closed : tuple
+    finished_tasks, unsuccessful_tasks : tuple
         Tasks of the current placements that ended with and without success.
     failed_hosts : tuple of str
         Hosts on which attempts failed, oldest first.
@@ -145,8 +145,8 @@
     attempt: int = 0
     failures: int = 0
     placements: tuple[Placement, ...] = ()
-    finished: tuple[FinishedTask, ...] = ()
-    closed: tuple[ClosedTask, ...] = ()
+    finished_tasks: tuple[FinishedTask, ...] = ()
+    unsuccessful_tasks: tuple[UnsuccessfulTask, ...] = ()
     outcome: Outcome | None = None
     accepted_at_ms: int = 0
     ended_at_ms: int = 0
@@ -160,12 +160,12 @@
     may_have_run: bool = False
 
     @property
-    def is_over(self) -> bool:
+    def has_ended(self) -> bool:
         """Whether the job has ended for good."""
         return self.state in FINAL_STATES
 
     @property
-    def missing_tasks(self) -> int:
+    def unplaced_tasks(self) -> int:
         """Number of tasks that still have to be placed."""
         return self.spec.tasks - len(self.placements)
 
@@ -176,7 +176,7 @@
 
     Parameters
     ----------
-    fenced : bool
+    epoch_acknowledged : bool
         Whether the worker has acknowledged this owner's epoch, after which
         it refuses commands of earlier owners.
     reading : ClockReading or None
@@ -184,26 +184,26 @@
     silent_since : int
         The owner's clock when the worker first failed to answer; 0 while it
         answers.
-    lapse_at : int
+    leases_expire_at : int
         The owner's clock from which all leases of earlier owners on the
         host have expired; 0 once the worker has answered.
     leaving : bool
         Whether the worker reports that its host is about to leave.
     listed_leaving : bool
         Whether the platform's host list says so.
-    lapsed : bool
+    leases_expired : bool
         Whether all leases on the host have expired.
     """
 
     name: str
-    fenced: bool = False
+    epoch_acknowledged: bool = False
     incarnation: str = ''
     reading: ClockReading | None = None
     silent_since: int = 0
-    lapse_at: int = 0
+    leases_expire_at: int = 0
     leaving: bool = False
     listed_leaving: bool = False
-    lapsed: bool = False
+    leases_expired: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -321,41 +321,45 @@
     jobs: dict[str, JobEntry] = field(default_factory=dict)
     tasks: dict[str, TaskEntry] = field(default_factory=dict)
     hosts: dict[str, HostEntry] = field(default_factory=dict)
-    pending: dict[str, PendingSubmit] = field(default_factory=dict)
+    pending_submits: dict[str, PendingSubmit] = field(default_factory=dict)
     waiters: dict[str, tuple[JobWaiter, ...]] = field(default_factory=dict)
-    quick: dict[str, QuickRequest] = field(default_factory=dict)
-    quick_serial: int = 0
-    passed_at: int = 0
+    quick_requests: dict[str, QuickRequest] = field(default_factory=dict)
+    quick_sequence: int = 0
+    last_pass_at: int = 0
     base_shares: dict[str, Resources] = field(default_factory=dict)
-    lent: dict[tuple[str, str], Resources] = field(default_factory=dict)
-    borrowed: dict[tuple[str, str], Resources] = field(default_factory=dict)
-    borrowing: dict[str, tuple[int, int]] = field(default_factory=dict)
+    lent_shares: dict[tuple[str, str], Resources] = field(default_factory=dict)
+    borrowed_shares: dict[tuple[str, str], Resources] = field(
+        default_factory=dict
+    )
+    borrow_turns: dict[str, tuple[int, int]] = field(default_factory=dict)
     share_callers: dict[tuple[str, str], list[int]] = field(
         default_factory=dict
     )
-    preemptions: dict[str, int] = field(default_factory=dict)
-    storing: dict[str, EndedTask] = field(default_factory=dict)
+    preempt_again_at: dict[str, int] = field(default_factory=dict)
+    output_copies: dict[str, EndedTask] = field(default_factory=dict)
     # Ended tasks whose requeue is not in the journal yet.
-    requeueing: set[str] = field(default_factory=set)
+    pending_requeues: set[str] = field(default_factory=set)
     explanations: dict[str, tuple[str, ...]] = field(default_factory=dict)
     usage: dict[str, TaskUsage] = field(default_factory=dict)
     tombstones: dict[tuple[str, str, int], None] = field(default_factory=dict)
     summaries: dict[str, tuple[Summary, int]] = field(default_factory=dict)
-    summary_at: int = 0
+    summary_published_at: int = 0
     transfers: dict[str, TransferEntry] = field(default_factory=dict)
     transfer_callers: dict[tuple[str, str, int], list[int]] = field(
         default_factory=dict
     )
-    unreported: dict[str, tuple[TransferEnded, int]] = field(
+    unacknowledged_ends: dict[str, tuple[TransferEnded, int]] = field(
         default_factory=dict
     )
-    ended_order: dict[str, None] = field(default_factory=dict)
+    ended_jobs: dict[str, None] = field(default_factory=dict)
     stopping: bool = False
-    sizes: DemandEstimator = field(default_factory=DemandEstimator)
+    demand_estimator: DemandEstimator = field(default_factory=DemandEstimator)
     start_rate: StartRate = field(default_factory=StartRate)
-    growth: dict[str, tuple[OveruseAction, int]] = field(default_factory=dict)
-    peaks: dict[str, Resources] = field(default_factory=dict)
-    room_changed: bool = False
+    overuse_actions: dict[str, tuple[OveruseAction, int]] = field(
+        default_factory=dict
+    )
+    peak_usage: dict[str, Resources] = field(default_factory=dict)
+    needs_pass: bool = False
     now: int = 0
     wall_ms: int = 0
 
@@ -400,26 +404,26 @@
         if entry.team:
             self.quotas.release(entry.team, entry.demand)
         self.usage.pop(task, None)
-        self.growth.pop(task, None)
+        self.overuse_actions.pop(task, None)
         return entry
 
-    def note_running(self, job_id: str) -> None:
+    def mark_job_running(self, job_id: str) -> None:
         """Set a job's state to running once all its tasks run."""
         entry = self.jobs.get(job_id)
         if entry is None or entry.state is not JobState.ACCEPTED:
             return
-        if entry.missing_tasks > 0:
+        if entry.unplaced_tasks > 0:
             return
-        phases = {task.phase for task in self.tasks_of(job_id)}
+        phases = {task.phase for task in self.list_job_tasks(job_id)}
         if phases <= {TaskPhase.RUNNING}:
             self.update_job(job_id, state=JobState.RUNNING)
 
-    def is_settled(self, task: str) -> bool:
+    def may_release(self, task: str) -> bool:
         """Tell whether a task may be released without a further record."""
         job_id, _, _ = split_task_id(task)
         entry = self.jobs.get(job_id)
         if entry is None:
-            return job_id.partition('~')[0] not in self.quick
+            return job_id.partition('~')[0] not in self.quick_requests
         return entry.end_durable
 
     def must_stop(self, report: RunningTask) -> bool:
@@ -431,7 +435,7 @@
         entry = self.jobs.get(job_id)
         return entry is not None
 
-    def stopping_tasks(self) -> Iterable[TaskEntry]:
+    def list_stopping_tasks(self) -> Iterable[TaskEntry]:
         """Return the tasks that their workers have been asked to stop."""
         return [task for task in self.tasks.values() if task.stopping]
 
@@ -445,7 +449,7 @@
             for summary, _ in self.summaries.values()
         )
 
-    def tasks_of(self, job_id: str) -> Iterable[TaskEntry]:
+    def list_job_tasks(self, job_id: str) -> Iterable[TaskEntry]:
         """Return the tasks of a job that may be running."""
         entry = self.jobs.get(job_id)
         if entry is None:
--- a/sassafrasgate/shards/submissions.py
+++ b/sassafrasgate/shards/submissions.py
@@ -28,12 +28,12 @@
 from sassafrasgate.shards.handlers import reply_refusal
 from sassafrasgate.shards.handlers import REQUEST_HANDLERS
 from sassafrasgate.shards.handlers import write_record
-from sassafrasgate.shards.placements import choose_for_job
+from sassafrasgate.shards.placements import choose_hosts_for_job
 from sassafrasgate.shards.placements import fits_nowhere
+from sassafrasgate.shards.placements import log_decision
+from sassafrasgate.shards.placements import log_placement
 from sassafrasgate.shards.placements import make_placements
-from sassafrasgate.shards.placements import note_decision
-from sassafrasgate.shards.placements import note_placement
-from sassafrasgate.shards.quick import start_quick_request
+from sassafrasgate.shards.quick_requests import start_quick_request
 from sassafrasgate.shards.state import PendingSubmit
 from sassafrasgate.shards.state import TaskPhase
 from sassafrasgate.shards.transfers import answer_transfer_callers
@@ -75,7 +75,7 @@
 ) -> Actions:
     """Refuse a job of which no record has been written."""
     submit: Submit = request.message
-    yield from note_decision(
+    yield from log_decision(
         state, LogDecision('refuse', submit.job_id, reason=refusal.reason)
     )
     yield reply_refusal(request.reply_to, refusal)
@@ -125,9 +125,9 @@
         )
         return
     caller = make_waiter(request, submit.wait_s, now)
-    pending = state.pending.get(submit.job_id)
+    pending = state.pending_submits.get(submit.job_id)
     if pending is not None:
-        state.pending[submit.job_id] = replace(
+        state.pending_submits[submit.job_id] = replace(
             pending, callers=(*pending.callers, caller)
         )
         return
@@ -139,7 +139,7 @@
 ) -> Actions:
     submit: Submit = request.message
     spec = submit.spec
-    chosen = choose_for_job(state, spec, spec.tasks)
+    chosen = choose_hosts_for_job(state, spec, spec.tasks)
     if (
         isinstance(chosen, Refusal)
         and fits_nowhere(chosen)
@@ -164,21 +164,21 @@
     )
     if request.reply_to:
         caller = make_waiter(request, submit.wait_s, now)
-        state.pending[submit.job_id] = PendingSubmit(
+        state.pending_submits[submit.job_id] = PendingSubmit(
             now + ACCEPT_MS, (caller,)
         )
     if isinstance(chosen, Assignment) and placements:
         state.start_rate.record_starts(now)
-        yield from note_placement(state, submit.job_id, 1, chosen)
+        yield from log_placement(state, submit.job_id, 1, chosen)
         return
-    state.room_changed = True
+    state.needs_pass = True
     reason = (
         chosen.reason
         if isinstance(chosen, Refusal)
         else 'waiting behind earlier jobs'
     )
     state.update_job(submit.job_id, reason=reason)
-    yield from note_decision(
+    yield from log_decision(
         state, LogDecision('queue', submit.job_id, reason=reason)
     )
 
@@ -191,7 +191,7 @@
     if record.job_id not in state.jobs:
         return
     state.update_job(record.job_id, durable=True)
-    pending = state.pending.pop(record.job_id, None)
+    pending = state.pending_submits.pop(record.job_id, None)
     if pending is not None:
         for position, caller in enumerate(pending.callers):
             yield from answer_or_wait(
@@ -227,10 +227,10 @@
 
 def expire_submits(state: ShardState, now: int) -> Actions:
     """Ask the journal to withdraw acceptances whose callers time out."""
-    for job_id, pending in list(state.pending.items()):
+    for job_id, pending in list(state.pending_submits.items()):
         if pending.expires_at > now or pending.withdrawing:
             continue
-        state.pending[job_id] = replace(pending, withdrawing=True)
+        state.pending_submits[job_id] = replace(pending, withdrawing=True)
         yield WithdrawRecords(job_id)
 
 
@@ -239,7 +239,7 @@
     state: ShardState, event: WithdrawalAnswered, now: int
 ) -> Actions:
     """Answer "not run" if the records were withdrawn, else "unknown"."""
-    pending = state.pending.pop(event.job_id, None)
+    pending = state.pending_submits.pop(event.job_id, None)
     entry = state.jobs.get(event.job_id)
     if entry is None:
         return
@@ -261,7 +261,7 @@
     state.queue.remove(event.job_id)
     state.jobs.pop(event.job_id)
     state.explanations.pop(event.job_id, None)
-    state.room_changed = True
+    state.needs_pass = True
     view = JobView(
         event.job_id,
         JobState.NOT_RUN,
--- a/sassafrasgate/shards/timers.py
+++ b/sassafrasgate/shards/timers.py
@@ -9,7 +9,7 @@
 from sassafrasgate.journal.records import JobsForgotten
 from sassafrasgate.shards.actions import LogDecision
 from sassafrasgate.shards.actions import StopTask
-from sassafrasgate.shards.endings import end_job
+from sassafrasgate.shards.completions import end_job
 from sassafrasgate.shards.events import ConfigurationChanged
 from sassafrasgate.shards.events import RecordsDurable
 from sassafrasgate.shards.events import StopRequested
@@ -17,40 +17,40 @@
 from sassafrasgate.shards.handlers import DURABLE_HANDLERS
 from sassafrasgate.shards.handlers import EVENT_HANDLERS
 from sassafrasgate.shards.handlers import write_record
-from sassafrasgate.shards.quick import expire_quick_requests
-from sassafrasgate.shards.recovery import sync_hosts
-from sassafrasgate.shards.shares import set_shares
+from sassafrasgate.shards.quick_requests import expire_quick_requests
+from sassafrasgate.shards.quota_shares import set_shares
+from sassafrasgate.shards.recovery import update_hosts_from_configuration
 from sassafrasgate.shards.submissions import expire_submits
 from sassafrasgate.shards.transfers import publish_summary
-from sassafrasgate.shards.transfers import repeat_transfers
+from sassafrasgate.shards.transfers import resend_unanswered
 from sassafrasgate.shards.views import expire_waiters
-from sassafrasgate.shards.workers import lapse_hosts
+from sassafrasgate.shards.workers import expire_host_leases
 from sassafrasgate.shards.workers import update_openness
 
 if TYPE_CHECKING:
     from sassafrasgate.shards.handlers import Actions
     from sassafrasgate.shards.state import ShardState
 
-PASS_INTERVAL_MS = 1_000
+MAX_PASS_INTERVAL_MS = 1_000
 RETENTION_MS = 24 * 3600 * 1000
 MAX_FORGOTTEN_PER_TICK = 500
 
 
 @EVENT_HANDLERS.register(Ticked)
-def note_time(state: ShardState, event: Ticked, now: int) -> Actions:
+def handle_tick(state: ShardState, event: Ticked, now: int) -> Actions:
     """Run the periodic work, such as expiring requests and leases."""
     state.wall_ms = event.wall_ms
-    if now - state.passed_at >= PASS_INTERVAL_MS:
+    if now - state.last_pass_at >= MAX_PASS_INTERVAL_MS:
         # Quotas, transfers and preemption can place a job without a change
         # of the free capacity, so a pass also runs at this interval.
-        state.passed_at = now
-        state.room_changed = True
+        state.last_pass_at = now
+        state.needs_pass = True
     yield from expire_submits(state, now)
     yield from expire_quick_requests(state, now)
     yield from expire_waiters(state, now)
-    yield from lapse_hosts(state, now)
+    yield from expire_host_leases(state, now)
     yield from _repeat_stops(state)
-    yield from repeat_transfers(state, now)
+    yield from resend_unanswered(state, now)
     yield from publish_summary(state, now)
     yield from _forget_old_jobs(state)
     yield from _expire_queued(state, now)
@@ -60,7 +60,7 @@
 
 def _repeat_stops(state: ShardState) -> Actions:
     """Send pending stops again, since a stop may get lost unnoticed."""
-    for task in list(state.stopping_tasks()):
+    for task in list(state.list_stopping_tasks()):
         yield StopTask(task.host, task.task)
 
 
@@ -80,7 +80,7 @@
 def _forget_old_jobs(state: ShardState) -> Actions:
     oldest = state.wall_ms - RETENTION_MS
     due = []
-    for job_id in state.ended_order:
+    for job_id in state.ended_jobs:
         if state.jobs[job_id].ended_at_ms > oldest:
             break
         due.append(job_id)
@@ -91,7 +91,7 @@
 
 
 @EVENT_HANDLERS.register(RecordsDurable)
-def note_durable(
+def handle_durable_records(
     state: ShardState, event: RecordsDurable, now: int
 ) -> Actions:
     """Carry out the effects of records that have become durable."""
@@ -101,26 +101,26 @@
 
 
 @EVENT_HANDLERS.register(ConfigurationChanged)
-def note_configuration(
+def handle_configuration(
     state: ShardState, event: ConfigurationChanged, now: int
 ) -> Actions:
     """Apply a configuration unless it is older than the current one."""
     if event.configuration.version <= state.configuration.version:
         return
     state.configuration = event.configuration
-    sync_hosts(state, now)
+    update_hosts_from_configuration(state, now)
     set_shares(state)
     state.queue.set_teams(event.configuration.teams)
     for name in list(state.hosts):
         update_openness(state, name)
-    state.room_changed = True
+    state.needs_pass = True
     yield LogDecision(
         'configure', '', reason=f'version {event.configuration.version}'
     )
 
 
 @EVENT_HANDLERS.register(StopRequested)
-def note_stop(state: ShardState, event: StopRequested, now: int) -> Actions:
+def handle_stop(state: ShardState, event: StopRequested, now: int) -> Actions:
     """Refuse new work from now on."""
     state.stopping = True
     yield LogDecision('stop', '', reason='the process is stopping')
--- a/sassafrasgate/shards/transfers.py
+++ b/sassafrasgate/shards/transfers.py
@@ -31,19 +31,19 @@
 from sassafrasgate.shards.actions import Reply
 from sassafrasgate.shards.actions import SendToShard
 from sassafrasgate.shards.cancellations import begin_cancel
-from sassafrasgate.shards.endings import end_job
+from sassafrasgate.shards.completions import end_job
 from sassafrasgate.shards.events import PeerAnswered
 from sassafrasgate.shards.events import SummaryReceived
 from sassafrasgate.shards.handlers import DURABLE_HANDLERS
 from sassafrasgate.shards.handlers import EVENT_HANDLERS
 from sassafrasgate.shards.handlers import REQUEST_HANDLERS
 from sassafrasgate.shards.handlers import write_record
-from sassafrasgate.shards.placements import choose_for_job
+from sassafrasgate.shards.placements import choose_hosts_for_job
 from sassafrasgate.shards.placements import find_rule_limits
+from sassafrasgate.shards.placements import log_decision
+from sassafrasgate.shards.placements import log_placement
 from sassafrasgate.shards.placements import make_placements
-from sassafrasgate.shards.placements import note_decision
-from sassafrasgate.shards.placements import note_placement
-from sassafrasgate.shards.shares import note_share_total
+from sassafrasgate.shards.quota_shares import record_share_total
 from sassafrasgate.shards.state import JobEntry
 from sassafrasgate.shards.state import TransferEntry
 
@@ -107,7 +107,7 @@
         summary, free=summary.free - need, largest=summary.largest - need
     )
     state.summaries[shard] = (left, received_at)
-    yield from note_decision(
+    yield from log_decision(
         state,
         LogDecision(
             'transfer', entry.job_id, entry.attempt + 1, reason=f'to {shard}'
@@ -130,14 +130,14 @@
     yield from _resend(state, record.job_id, now)
 
 
-def repeat_transfers(state: ShardState, now: int) -> Actions:
+def resend_unanswered(state: ShardState, now: int) -> Actions:
     """Send unanswered transfers, recalls and reports of ends again."""
     for job_id, transfer in list(state.transfers.items()):
         if transfer.durable and transfer.next_at <= now:
             yield from _resend(state, job_id, now)
-    for ended, next_at in list(state.unreported.values()):
+    for ended, next_at in list(state.unacknowledged_ends.values()):
         if next_at <= now:
-            state.unreported[ended.job_id] = (ended, now + RESEND_MS)
+            state.unacknowledged_ends[ended.job_id] = (ended, now + RESEND_MS)
             yield SendToShard(ended.shard, ended)
 
 
@@ -175,34 +175,34 @@
 
 
 @EVENT_HANDLERS.register(PeerAnswered)
-def note_peer_answer(
+def handle_peer_answer(
     state: ShardState, event: PeerAnswered, now: int
 ) -> Actions:
     """Process the answer to a message to another shard."""
     message, answer = event.message, event.answer
     if isinstance(message, BorrowShare):
         if isinstance(answer, ShareTotal):
-            note_share_total(state, message, answer)
+            record_share_total(state, message, answer)
         return
     if isinstance(message, TransferEnded):
         if isinstance(answer, Acknowledged):
-            state.unreported.pop(message.job_id, None)
+            state.unacknowledged_ends.pop(message.job_id, None)
         return
     transfer = state.transfers.get(message.job_id)
     if transfer is None or transfer.attempt != message.attempt:
         return
     if isinstance(answer, TransferEnded):
-        yield from _take_end(state, answer)
+        yield from _apply_transfer_end(state, answer)
         return
     if not isinstance(answer, TransferReply):
         return
     if answer.accepted:
         state.transfers[message.job_id] = replace(transfer, accepted=True)
         return
-    yield from _take_back(state, message.job_id, answer.reason)
+    yield from _reclaim_job(state, message.job_id, answer.reason)
 
 
-def _take_back(state: ShardState, job_id: str, reason: str) -> Actions:
+def _reclaim_job(state: ShardState, job_id: str, reason: str) -> Actions:
     """Requeue or cancel a job whose transferred attempt will not run."""
     entry = state.jobs[job_id]
     if entry.cancelling:
@@ -212,7 +212,7 @@
             Outcome(JobState.CANCELLED, 'cancelled by its caller'),
         )
         return
-    state.room_changed = True
+    state.needs_pass = True
     yield from write_record(
         state,
         JobRequeued(job_id, entry.attempt, f'transfer refused: {reason}'),
@@ -220,7 +220,7 @@
 
 
 @REQUEST_HANDLERS.register('transfer-ended')
-def note_transfer_end(
+def handle_transfer_ended(
     state: ShardState, request: RequestReceived, now: int
 ) -> Actions:
     """End a job that another shard has run.
@@ -229,12 +229,12 @@
     """
     message: TransferEnded = request.message
     entry = state.jobs.get(message.job_id)
-    if entry is None or entry.is_over or not _is_current(state, message):
+    if entry is None or entry.has_ended or not _is_current(state, message):
         yield Reply(request.reply_to, Acknowledged())
         return
     # This report is not answered: the sender repeats it and gets the
     # acknowledgement once the job has ended here.
-    yield from _take_end(state, message)
+    yield from _apply_transfer_end(state, message)
 
 
 def _is_current(state: ShardState, message: TransferEnded) -> bool:
@@ -242,10 +242,10 @@
     return transfer is not None and transfer.attempt == message.attempt
 
 
-def _take_end(state: ShardState, message: TransferEnded) -> Actions:
+def _apply_transfer_end(state: ShardState, message: TransferEnded) -> Actions:
     entry = state.jobs[message.job_id]
     if message.outcome.state is JobState.NOT_RUN:
-        yield from _take_back(state, message.job_id, message.outcome.reason)
+        yield from _reclaim_job(state, message.job_id, message.outcome.reason)
         return
     yield from end_job(state, entry, message.outcome)
 
@@ -262,14 +262,14 @@
         yield from _answer_refused(state, request, 'attempt already refused')
         return
     if entry is not None and entry.home_attempt == message.attempt:
-        yield from _answer_taken(state, request, entry)
+        yield from _answer_accepted(state, request, entry)
         return
-    if entry is not None and not entry.is_over:
+    if entry is not None and not entry.has_ended:
         # An earlier attempt has not ended here; the home shard sends its
         # message again.
         return
     spec = message.spec
-    chosen = choose_for_job(state, spec, spec.tasks)
+    chosen = choose_hosts_for_job(state, spec, spec.tasks)
     if isinstance(chosen, Refusal) or state.stopping:
         reason = 'stopping' if state.stopping else str(chosen.reason)  # type: ignore[union-attr]
         state.transfer_callers.setdefault(key, []).append(request.reply_to)
@@ -294,10 +294,10 @@
             message.attempt,
         ),
     )
-    yield from note_placement(state, message.job_id, attempt, chosen)
+    yield from log_placement(state, message.job_id, attempt, chosen)
 
 
-def _answer_taken(
+def _answer_accepted(
     state: ShardState, request: RequestReceived, entry: JobEntry
 ) -> Actions:
     if not entry.durable:
@@ -365,7 +365,7 @@
     if entry is None or entry.home_attempt != message.attempt:
         yield from _refuse_recalled(state, request)
         return
-    if entry.is_over:
+    if entry.has_ended:
         outcome = entry.outcome or Outcome(entry.state, entry.reason)
         yield Reply(
             request.reply_to,
@@ -394,7 +394,7 @@
 
 
 @EVENT_HANDLERS.register(SummaryReceived)
-def note_summary(
+def handle_summary(
     state: ShardState, event: SummaryReceived, now: int
 ) -> Actions:
     """Store another shard's summary unless a newer epoch sent one."""
@@ -413,10 +413,10 @@
     capacity, since queued jobs may be transferred even while the capacity of
     this shard does not change.
     """
-    if now - state.summary_at < SUMMARY_INTERVAL_MS:
+    if now - state.summary_published_at < SUMMARY_INTERVAL_MS:
         return
-    state.summary_at = now
-    state.room_changed = state.room_changed or _has_room_elsewhere(state, now)
+    state.summary_published_at = now
+    state.needs_pass = state.needs_pass or _has_capacity_elsewhere(state, now)
     yield PublishSummary(
         Summary(
             state.name,
@@ -429,7 +429,7 @@
     )
 
 
-def _has_room_elsewhere(state: ShardState, now: int) -> bool:
+def _has_capacity_elsewhere(state: ShardState, now: int) -> bool:
     return any(
         name != state.name
         and now - received_at <= SUMMARY_AGE_MS
@@ -442,12 +442,12 @@
 def resume_transfers(state: ShardState) -> None:
     """Restore the transfers and reports that a new owner must send again."""
     for entry in state.jobs.values():
-        if entry.transferred_to and not entry.is_over:
+        if entry.transferred_to and not entry.has_ended:
             state.transfers[entry.job_id] = TransferEntry(
                 entry.attempt, entry.transferred_to, durable=True
             )
-        if entry.home and entry.is_over and entry.outcome is not None:
-            state.unreported[entry.job_id] = (
+        if entry.home and entry.has_ended and entry.outcome is not None:
+            state.unacknowledged_ends[entry.job_id] = (
                 TransferEnded(
                     entry.home,
                     entry.job_id,
--- a/sassafrasgate/shards/transitions.py
+++ b/sassafrasgate/shards/transitions.py
@@ -13,7 +13,7 @@
 from sassafrasgate.shards.handlers import EVENT_HANDLERS
 from sassafrasgate.shards.handlers import reply_refusal
 from sassafrasgate.shards.handlers import REQUEST_HANDLERS
-from sassafrasgate.shards.passes import place_queued_jobs
+from sassafrasgate.shards.scheduling_passes import place_queued_jobs
 
 if TYPE_CHECKING:
     from sassafrasgate.shards.handlers import Actions
@@ -38,11 +38,11 @@
         Actions of `sassafrasgate.shards.actions`, in the order in which
         they are to be carried out.
     """
-    state.room_changed = False
+    state.needs_pass = False
     state.now = now
     actions = list(EVENT_HANDLERS.find(type(event))(state, event, now))
-    if state.room_changed and len(state.queue):
-        state.room_changed = False
+    if state.needs_pass and len(state.queue):
+        state.needs_pass = False
         actions.extend(place_queued_jobs(state, now))
     return tuple(actions)
 
--- a/sassafrasgate/shards/usage.py
+++ b/sassafrasgate/shards/usage.py
@@ -24,12 +24,12 @@
     from sassafrasgate.shards.state import ShardState
     from sassafrasgate.shards.state import TaskEntry
 
-GROWTH_STEPS: Registry[
+OVERUSE_STEPS: Registry[
     OveruseStep, Callable[[ShardState, TaskEntry, OveruseAction], Actions]
 ] = Registry('growth step')
 
 
-def note_usage(
+def record_usage(
     state: ShardState, host: str, reports: Iterable[UsageReport], now: int
 ) -> Actions:
     """Record the usage of a host's tasks and act on those that grew.
@@ -41,8 +41,8 @@
             continue
         state.usage[report.task] = report
         used = Resources(report.millicores, report.memory_mb)
-        peak = state.peaks.get(report.task, used)
-        state.peaks[report.task] = peak.take_maximum(used)
+        peak = state.peak_usage.get(report.task, used)
+        state.peak_usage[report.task] = peak.take_maximum(used)
     growing = [
         usage
         for task in state.index.list_reservations(host)
@@ -53,11 +53,11 @@
     free = state.index.find_free(host)
     for action in plan_overuse(free, growing, now):
         task = state.tasks[action.task]
-        state.growth[action.task] = (action, now)
+        state.overuse_actions[action.task] = (action, now)
         yield LogDecision(
             action.step, task.job_id, host=host, reason=action.reason
         )
-        yield from GROWTH_STEPS.find(action.step)(state, task, action)
+        yield from OVERUSE_STEPS.find(action.step)(state, task, action)
 
 
 def _find_usage(state: ShardState, task: str) -> ReservationUsage | None:
@@ -66,7 +66,7 @@
     job = state.jobs.get(entry.job_id) if entry is not None else None
     if report is None or entry is None or job is None:
         return None
-    last = state.growth.get(task)
+    last = state.overuse_actions.get(task)
     return ReservationUsage(
         task,
         job.spec.job_class,
@@ -78,7 +78,7 @@
     )
 
 
-@GROWTH_STEPS.register(OveruseStep.RESIZE)
+@OVERUSE_STEPS.register(OveruseStep.RESIZE)
 def _resize(
     state: ShardState, task: TaskEntry, action: OveruseAction
 ) -> Actions:
@@ -86,21 +86,21 @@
     yield from ()
 
 
-@GROWTH_STEPS.register(OveruseStep.THROTTLE)
+@OVERUSE_STEPS.register(OveruseStep.THROTTLE)
 def _throttle(
     state: ShardState, task: TaskEntry, action: OveruseAction
 ) -> Actions:
     yield LimitTask(task.host, task.task, 'throttle', action.size.millicores)
 
 
-@GROWTH_STEPS.register(OveruseStep.CHECKPOINT)
+@OVERUSE_STEPS.register(OveruseStep.CHECKPOINT)
 def _checkpoint(
     state: ShardState, task: TaskEntry, action: OveruseAction
 ) -> Actions:
     yield LimitTask(task.host, task.task, 'checkpoint')
 
 
-@GROWTH_STEPS.register(OveruseStep.STOP)
+@OVERUSE_STEPS.register(OveruseStep.STOP)
 def _stop(
     state: ShardState, task: TaskEntry, action: OveruseAction
 ) -> Actions:
--- a/sassafrasgate/shards/views.py
+++ b/sassafrasgate/shards/views.py
@@ -207,7 +207,7 @@
         return 'leaving'
     if entry.silent_since:
         return 'silent'
-    if not entry.fenced:
+    if not entry.epoch_acknowledged:
         return 'unknown'
     health = state.health.get_state(entry.name, state.now)
     if health is not HealthState.HEALTHY:
--- a/sassafrasgate/shards/workers.py
+++ b/sassafrasgate/shards/workers.py
@@ -16,8 +16,8 @@
 from sassafrasgate.shards.attempts import ClockReading
 from sassafrasgate.shards.attempts import compute_task_lease_expiry
 from sassafrasgate.shards.attempts import LEASE_MS
-from sassafrasgate.shards.endings import close_task
-from sassafrasgate.shards.endings import settle_ended_task
+from sassafrasgate.shards.completions import process_ended_task
+from sassafrasgate.shards.completions import record_unsuccessful_task
 from sassafrasgate.shards.events import HostListed
 from sassafrasgate.shards.events import HostSilent
 from sassafrasgate.shards.events import HostSynced
@@ -29,7 +29,7 @@
 from sassafrasgate.shards.state import HostEntry
 from sassafrasgate.shards.state import TaskEntry
 from sassafrasgate.shards.state import TaskPhase
-from sassafrasgate.shards.usage import note_usage
+from sassafrasgate.shards.usage import record_usage
 
 if TYPE_CHECKING:
     from sassafrasgate.shards.handlers import Actions
@@ -41,18 +41,18 @@
     entry = state.hosts[name]
     host = state.index.hosts[name]
     is_open = accepts_placements(
-        entry.fenced and not entry.silent_since,
+        entry.epoch_acknowledged and not entry.silent_since,
         entry.leaving or entry.listed_leaving,
         host.drained,
-        not has_allowance(state, name),
+        not is_below_task_limit(state, name),
     )
     if is_open == state.index.is_open(name):
         return
     state.index.set_open(name, is_open)
-    state.room_changed = state.room_changed or is_open
+    state.needs_pass = state.needs_pass or is_open
 
 
-def has_allowance(state: ShardState, name: str) -> bool:
+def is_below_task_limit(state: ShardState, name: str) -> bool:
     """Tell whether a host's health record allows it another task."""
     allowance = state.health.get_task_limit(name, state.now)
     return (
@@ -62,7 +62,7 @@
 
 
 @EVENT_HANDLERS.register(HostSynced)
-def note_sync(state: ShardState, event: HostSynced, now: int) -> Actions:
+def handle_sync(state: ShardState, event: HostSynced, now: int) -> Actions:
     """Update a host and its tasks from its worker's sync reply."""
     if event.host not in state.hosts:
         return
@@ -74,28 +74,28 @@
         )
         return
     entry = state.hosts[event.host]
-    first = not entry.fenced
+    first = not entry.epoch_acknowledged
     state.update_host(
         event.host,
-        fenced=True,
+        epoch_acknowledged=True,
         incarnation=reply.incarnation,
         reading=ClockReading(reply.clock, event.received_at),
         silent_since=0,
-        lapse_at=0,
-        lapsed=False,
+        leases_expire_at=0,
+        leases_expired=False,
         leaving=reply.leaving,
     )
     if entry.incarnation and entry.incarnation != reply.incarnation:
         yield LogDecision(
             'restart', '', host=event.host, reason='worker restarted'
         )
-    yield from _settle_tasks(state, event.host, reply, first, now)
+    yield from _reconcile_tasks(state, event.host, reply, first, now)
     yield from _adopt_tasks(state, event.host, reply)
-    yield from note_usage(state, event.host, reply.usage, now)
+    yield from record_usage(state, event.host, reply.usage, now)
     update_openness(state, event.host)
 
 
-def _settle_tasks(
+def _reconcile_tasks(
     state: ShardState, host: str, reply: SyncReply, first: bool, now: int
 ) -> Actions:
     running = {task.task for task in reply.running}
@@ -107,16 +107,16 @@
         if task_id in running:
             _mark_running(state, task, reply.clock)
             continue
-        fate = find_unlisted_fate(task, reply, first)
-        if fate is not AttemptStatus.UNDETERMINED:
-            yield from close_task(
-                state, task, fate, 'the worker no longer lists the task', now
+        status = find_unlisted_status(task, reply, first)
+        if status is not AttemptStatus.UNDETERMINED:
+            yield from record_unsuccessful_task(
+                state, task, status, 'the worker no longer lists the task', now
             )
     for report in ended.values():
-        yield from _settle_ended(state, host, report, now)
+        yield from _process_or_release(state, host, report, now)
 
 
-def find_unlisted_fate(
+def find_unlisted_status(
     task: TaskEntry, reply: SyncReply, first: bool
 ) -> AttemptStatus:
     """Return what is certain about a task that its worker does not list.
@@ -146,17 +146,17 @@
     state.tasks[task.task] = replace(
         task, phase=TaskPhase.RUNNING, started_clock=clock
     )
-    state.note_running(task.job_id)
+    state.mark_job_running(task.job_id)
 
 
-def _settle_ended(
+def _process_or_release(
     state: ShardState, host: str, report: EndedTask, now: int
 ) -> Actions:
     task = state.tasks.get(report.task)
-    if task is None and state.is_settled(report.task):
+    if task is None and state.may_release(report.task):
         yield ReleaseTask(host, report.task)
         return
-    yield from settle_ended_task(state, host, report, now)
+    yield from process_ended_task(state, host, report, now)
 
 
 def _adopt_tasks(state: ShardState, host: str, reply: SyncReply) -> Actions:
@@ -190,7 +190,9 @@
 
 
 @EVENT_HANDLERS.register(HostSilent)
-def note_silence(state: ShardState, event: HostSilent, now: int) -> Actions:
+def handle_silent_host(
+    state: ShardState, event: HostSilent, now: int
+) -> Actions:
     """Exclude a host whose worker does not answer from placement."""
     entry = state.hosts.get(event.host)
     if entry is None or entry.silent_since:
@@ -203,7 +205,9 @@
 
 
 @EVENT_HANDLERS.register(HostListed)
-def note_host_list(state: ShardState, event: HostListed, now: int) -> Actions:
+def handle_host_list(
+    state: ShardState, event: HostListed, now: int
+) -> Actions:
     """Exclude hosts that the platform lists as leaving from placement."""
     for name, entry in list(state.hosts.items()):
         listed = name in event.leaving
@@ -220,31 +224,35 @@
 
 
 @EVENT_HANDLERS.register(StartAnswered)
-def note_start(state: ShardState, event: StartAnswered, now: int) -> Actions:
+def handle_start_answer(
+    state: ShardState, event: StartAnswered, now: int
+) -> Actions:
     """Process a worker's answer to a start."""
     task = state.tasks.get(event.task)
     if task is None:
         return
     reply = event.reply
     if reply.status is StartStatus.REFUSED:
-        fate = AttemptStatus.REFUSED
+        status = AttemptStatus.REFUSED
         if reply.incarnation != task.incarnation and task.phase in (
             TaskPhase.SENT,
             TaskPhase.RUNNING,
         ):
             # An earlier send of the same start may have run before the
             # worker restarted.
-            fate = AttemptStatus.LAPSED
-        yield from close_task(state, task, fate, reply.reason, now)
+            status = AttemptStatus.LAPSED
+        yield from record_unsuccessful_task(
+            state, task, status, reply.reason, now
+        )
         return
     if reply.status is StartStatus.ENDED and reply.ended is not None:
-        yield from settle_ended_task(state, event.host, reply.ended, now)
+        yield from process_ended_task(state, event.host, reply.ended, now)
         return
     _mark_running(state, task, reply.clock)
 
 
 @EVENT_HANDLERS.register(StartUnanswered)
-def note_lost_start(
+def handle_unanswered_start(
     state: ShardState, event: StartUnanswered, now: int
 ) -> Actions:
     """Keep a task whose start may have taken effect.
@@ -267,46 +275,46 @@
 
 
 @EVENT_HANDLERS.register(StartNotSent)
-def note_unsent_start(
+def handle_unsent_start(
     state: ShardState, event: StartNotSent, now: int
 ) -> Actions:
     """Give up a task whose start was never sent."""
     task = state.tasks.get(event.task)
     if task is None or task.phase is not TaskPhase.PLANNED:
         return
-    yield from close_task(
+    yield from record_unsuccessful_task(
         state, task, AttemptStatus.NOT_SENT, event.reason, now
     )
 
 
-def lapse_hosts(state: ShardState, now: int) -> Actions:
+def expire_host_leases(state: ShardState, now: int) -> Actions:
     """Give up the tasks of hosts whose leases have certainly expired."""
     for name, entry in list(state.hosts.items()):
-        if entry.lapsed or now < find_host_lapse(entry):
+        if entry.leases_expired or now < compute_host_lease_expiry(entry):
             continue
-        state.update_host(name, lapsed=True)
+        state.update_host(name, leases_expired=True)
         yield LogDecision('lapse', '', host=name, reason='leases expired')
         for task_id in list(state.index.list_reservations(name)):
             task = state.tasks.get(task_id)
             if (
                 task is None
                 or task.phase is TaskPhase.PLANNED
-                and entry.fenced
+                and entry.epoch_acknowledged
             ):
                 continue
-            yield from close_task(
+            yield from record_unsuccessful_task(
                 state, task, AttemptStatus.LAPSED, 'lease expired', now
             )
 
 
-def find_host_lapse(entry: HostEntry) -> int:
+def compute_host_lease_expiry(entry: HostEntry) -> int:
     """Return the owner's time from which no task can run on a host.
 
     For a host that answers it stays in the future, since each answer brings
     a newer clock reading.
     """
     if entry.reading is None:
-        return entry.lapse_at
+        return entry.leases_expire_at
     return compute_task_lease_expiry(
         entry.reading.clock + LEASE_MS, entry.reading
     )
--- a/tests/shards/test_takeovers.py
+++ b/tests/shards/test_takeovers.py
@@ -68,7 +68,7 @@
     ]
     assert len(waiting) == 4
     shard.settle()
-    assert all(entry.is_over for entry in shard.owner.state.jobs.values())
+    assert all(entry.has_ended for entry in shard.owner.state.jobs.values())
 
 
 def test_start_that_never_left_is_known_after_a_takeover():
