--- a/sassafrasgate/daemons/hosts.py
+++ b/sassafrasgate/daemons/hosts.py
@@ -32,7 +32,7 @@
 from sassafrasgate.shards.actions import StopTask
 from sassafrasgate.shards.actions import StoreOutput
 from sassafrasgate.shards.attempts import ClockReading
-from sassafrasgate.shards.attempts import grant_until
+from sassafrasgate.shards.attempts import compute_task_lease_deadline
 from sassafrasgate.shards.attempts import START_WINDOW_MS
 from sassafrasgate.shards.events import HostSilent
 from sassafrasgate.shards.events import HostSynced
@@ -41,7 +41,7 @@
 from sassafrasgate.shards.events import StartAnswered
 from sassafrasgate.shards.events import StartNotSent
 from sassafrasgate.shards.events import StartUnanswered
-from sassafrasgate.shards.ownership import may_send
+from sassafrasgate.shards.ownership import may_send_commands
 from sassafrasgate.shards.ownership import OwnerLease
 
 if TYPE_CHECKING:
@@ -131,7 +131,7 @@
     def may_send(self) -> bool:
         """Tell whether this owner may still send commands to the worker."""
         lease = self._lease
-        return may_send(lease, now_ms(), lease.ttl_ms, lease.grace_ms)
+        return may_send_commands(lease, now_ms(), lease.ttl_ms, lease.grace_ms)
 
     async def _run_sync_loop(self, scope: anyio.CancelScope) -> None:
         with scope:
@@ -150,7 +150,7 @@
         request = SyncRequest(
             self.shard,
             self.epoch,
-            grant_until(reading) if reading else 0,
+            compute_task_lease_deadline(reading) if reading else 0,
             release,
             # No work is placed on the host before the first answer, so that
             # one must not be held back.
@@ -220,7 +220,7 @@
             - self._clock_reading.received_at
         )
         # No lease may end later than the shard assumes from this reading.
-        lease_clock = grant_until(self._clock_reading)
+        lease_clock = compute_task_lease_deadline(self._clock_reading)
         if command.lease_ms:
             lease_clock = min(lease_clock, clock + command.lease_ms)
         return StartRequest(
--- a/sassafrasgate/daemons/relays.py
+++ b/sassafrasgate/daemons/relays.py
@@ -30,8 +30,8 @@
 from sassafrasgate.journal.rate_limits import CallPriority
 from sassafrasgate.observability.clocks import now_ms
 from sassafrasgate.observability.logs import log_facts
-from sassafrasgate.protocol.relays import RelayAnswer
 from sassafrasgate.protocol.relays import RelayCall
+from sassafrasgate.protocol.relays import RelayReply
 
 if TYPE_CHECKING:
     from collections import Counter
@@ -80,7 +80,7 @@
 RELAY_PREFERENCE_MS = 2_000
 RELAY_TIMEOUT_S = 1.0
 
-SendRelayCall = Callable[[RelayCall, float], Awaitable[RelayAnswer | None]]
+SendRelayCall = Callable[[RelayCall, float], Awaitable[RelayReply | None]]
 
 
 class RelayedStore:
@@ -340,9 +340,7 @@
         )
 
 
-async def execute_relayed_call(
-    store: KeyStore, call: RelayCall
-) -> RelayAnswer:
+async def execute_relayed_call(store: KeyStore, call: RelayCall) -> RelayReply:
     """Make a store call on behalf of another entry host.
 
     Parameters
@@ -353,20 +351,20 @@
         The call to make.
     """
     if call.method not in RESULT_TYPES:
-        return RelayAnswer('refused', f'{call.method!r} is not relayed')
+        return RelayReply('refused', f'{call.method!r} is not relayed')
     try:
         result = await getattr(store, call.method)(*call.arguments)
     except StoreError as error:
         for name in ERROR_TYPES:
             if type(error) is ERROR_TYPES.find(name):
-                return RelayAnswer(name, str(error))
-        return RelayAnswer('refused', str(error))
-    return RelayAnswer(result=result)
+                return RelayReply(name, str(error))
+        return RelayReply('refused', str(error))
+    return RelayReply(result=result)
 
 
 async def relay_through_peers(
     directory: Directory, name: str, call: RelayCall, timeout_s: float
-) -> RelayAnswer | None:
+) -> RelayReply | None:
     """Have other entry hosts make a store call, until one reaches the store.
 
     Parameters
@@ -383,11 +381,11 @@
 
     Returns
     -------
-    RelayAnswer or None
+    RelayReply or None
         The reply of a host that has reached the store. Otherwise one that
         reports the store unavailable, or None if no host has replied.
     """
-    best: RelayAnswer | None = None
+    best: RelayReply | None = None
     names = rank_names(name, directory.members)
     for other in [n for n in names if n != name][:MAX_RELAY_HOSTS]:
         member = directory.members.get(other)
@@ -396,7 +394,7 @@
             continue
         link = directory.find_link(member.link_address)
         answer = await link.ask(call, timeout_s)
-        if not isinstance(answer, RelayAnswer):
+        if not isinstance(answer, RelayReply):
             continue
         if answer.failure != 'unavailable':
             return answer
--- a/sassafrasgate/daemons/shards.py
+++ b/sassafrasgate/daemons/shards.py
@@ -17,7 +17,7 @@
 from sassafrasgate.adapters.schemes import open_worker
 from sassafrasgate.adapters.store import Store
 from sassafrasgate.core.errors import MessageError
-from sassafrasgate.core.errors import NoAnswer
+from sassafrasgate.core.errors import NoReply
 from sassafrasgate.core.errors import Refusal
 from sassafrasgate.core.errors import RefusalKind
 from sassafrasgate.core.errors import ShardLostError
@@ -56,7 +56,7 @@
 from sassafrasgate.protocol.messages import JobView
 from sassafrasgate.protocol.messages import Refused
 from sassafrasgate.shards.actions import LogDecision
-from sassafrasgate.shards.actions import SendPeer
+from sassafrasgate.shards.actions import SendToShard
 from sassafrasgate.shards.events import ConfigurationChanged
 from sassafrasgate.shards.events import PeerAnswered
 from sassafrasgate.shards.events import RecordsDurable
@@ -65,10 +65,10 @@
 from sassafrasgate.shards.events import StartUnanswered
 from sassafrasgate.shards.events import StopRequested
 from sassafrasgate.shards.events import Ticked
-from sassafrasgate.shards.ownership import may_send
+from sassafrasgate.shards.ownership import may_send_commands
 from sassafrasgate.shards.ownership import OwnerLease
 from sassafrasgate.shards.recovery import begin_ownership
-from sassafrasgate.shards.recovery import list_records
+from sassafrasgate.shards.recovery import list_snapshot_records
 from sassafrasgate.shards.recovery import replay_records
 from sassafrasgate.shards.state import ShardState
 from sassafrasgate.shards.transfers import resume_transfers
@@ -105,7 +105,7 @@
         Queues an `OutgoingReply` on the link server.
     send_request : callable
         Sends a message to the owner of another shard; returns its reply, a
-        `Refusal` or `NoAnswer`.
+        `Refusal` or `NoReply`.
     publish : callable
         Publishes a shard's `Summary` to other processes.
     logger : Logger
@@ -271,7 +271,7 @@
             sender.send_nowait(StopPolling())
         quick = {
             token
-            for request in self.state.quick.values()
+            for request in self.state.quick_requests.values()
             for token in request.reply_to
         }
         for token in set(self._replies.list_open()) - quick:
@@ -287,7 +287,7 @@
         quick request is reported as unknown, because it may still run on
         the host to which it was sent.
         """
-        for quick in list(self.state.quick.values()):
+        for quick in list(self.state.quick_requests.values()):
             view = JobView(
                 quick.job_id,
                 JobState.UNKNOWN,
@@ -303,7 +303,9 @@
             await self.send_reply(token, self._make_stop_refusal())
 
     def _has_quick_callers(self) -> bool:
-        return any(quick.reply_to for quick in self.state.quick.values())
+        return any(
+            quick.reply_to for quick in self.state.quick_requests.values()
+        )
 
     def _make_stop_refusal(self) -> Refused:
         return Refused(
@@ -362,7 +364,7 @@
         job that its successor has accepted.
         """
         lease = self._lease
-        return may_send(lease, now_ms(), lease.ttl_ms, lease.grace_ms)
+        return may_send_commands(lease, now_ms(), lease.ttl_ms, lease.grace_ms)
 
     def _make_loss_refusal(self) -> Refused:
         return Refused(
@@ -381,7 +383,7 @@
         if not self._snapshots.request_if_due():
             return
         self._journal_sender.send_nowait(
-            WriteSnapshot(tuple(list_records(self.state)))
+            WriteSnapshot(tuple(list_snapshot_records(self.state)))
         )
 
     def _record_snapshot(self) -> None:
@@ -490,16 +492,16 @@
         sender.send_nowait(command)
         return True
 
-    def send_to_shard(self, action: SendPeer) -> None:
+    def send_to_shard(self, action: SendToShard) -> None:
         """Send a message to another shard's owner in the background."""
         if self._group is not None:
             self._group.start_soon(self._send_to_shard, action)
 
-    async def _send_to_shard(self, action: SendPeer) -> None:
+    async def _send_to_shard(self, action: SendToShard) -> None:
         answer = await self.services.send_request(
             action.shard, action.message, PEER_TIMEOUT_S
         )
-        if isinstance(answer, NoAnswer | Refusal):
+        if isinstance(answer, NoReply | Refusal):
             answer = None
         await self.events.send(PeerAnswered(action.message, answer))
 
--- a/sassafrasgate/daemons/workers.py
+++ b/sassafrasgate/daemons/workers.py
@@ -43,13 +43,13 @@
 from sassafrasgate.dispatch.state import RunKey
 from sassafrasgate.observability.clocks import now_ms
 from sassafrasgate.shards.attempts import ClockReading
-from sassafrasgate.shards.ownership import may_send
+from sassafrasgate.shards.ownership import may_send_commands
 
 if TYPE_CHECKING:
     from anyio.streams.memory import MemoryObjectReceiveStream
     from anyio.streams.memory import MemoryObjectSendStream
 
-    from sassafrasgate.core.workflows import RunAnswer
+    from sassafrasgate.core.workflows import RunReply
     from sassafrasgate.shards.ownership import OwnerLease
 
 # A reachable worker replies within a few milliseconds. A call without a reply
@@ -147,7 +147,7 @@
     def may_send(self) -> bool:
         """Tell whether this owner may still send commands to the worker."""
         lease = self._lease
-        return may_send(lease, now_ms(), lease.ttl_ms, lease.grace_ms)
+        return may_send_commands(lease, now_ms(), lease.ttl_ms, lease.grace_ms)
 
     @property
     def _fencing_token(self) -> int:
@@ -296,7 +296,7 @@
                 return
             fencing_token = self._fencing_token
             try:
-                answer: RunAnswer = await self._client.start(
+                answer: RunReply = await self._client.start(
                     RunRequest(
                         command.run.task,
                         command.run.run,
@@ -327,7 +327,7 @@
             return
 
     def _was_overtaken_by_restart(
-        self, answer: RunAnswer, fencing_token: int
+        self, answer: RunReply, fencing_token: int
     ) -> bool:
         """Tell whether a call was refused because the worker had restarted.
 
@@ -366,7 +366,7 @@
                 return
             fencing_token = self._fencing_token
             try:
-                answer: RunAnswer = await self._client.stop(
+                answer: RunReply = await self._client.stop(
                     command.run.task, command.run.run, fencing_token
                 )
             except WorkerUnavailableError:
@@ -391,7 +391,7 @@
             return
         fencing_token = self._fencing_token
         try:
-            answer: RunAnswer = await self._client.pace(
+            answer: RunReply = await self._client.pace(
                 command.run.task,
                 command.run.run,
                 command.percent,
--- a/sassafrasgate/shards/cancellations.py
+++ b/sassafrasgate/shards/cancellations.py
@@ -1,4 +1,4 @@
-"""Cancelling jobs."""
+"""Cancellation of jobs."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 from sassafrasgate.shards.actions import LogDecision
 from sassafrasgate.shards.actions import Reply
 from sassafrasgate.shards.actions import StopTask
-from sassafrasgate.shards.endings import end_job
+from sassafrasgate.shards.completions import end_job
 from sassafrasgate.shards.handlers import reply_refusal
 from sassafrasgate.shards.handlers import REQUEST_HANDLERS
 from sassafrasgate.shards.state import JobWaiter
@@ -31,7 +31,7 @@
 def cancel_job(
     state: ShardState, request: RequestReceived, now: int
 ) -> Actions:
-    """End a waiting job at once, or ask its workers to stop it.
+    """End a queued job at once, or stop the tasks of a placed one.
 
     The caller is answered when the end is durable, or with the current
     state after `CANCEL_WAIT_MS`.
@@ -43,7 +43,7 @@
             request.reply_to, refuse_unknown_job(message.job_id)
         )
         return
-    if entry.is_over:
+    if entry.has_ended:
         yield Reply(request.reply_to, view_job(state, entry))
         return
     waiters = state.waiters.get(message.job_id, ())
@@ -55,15 +55,15 @@
 
 
 def begin_cancel(state: ShardState, entry: JobEntry) -> Actions:
-    """Cancel a job; its end follows when no task can run any more."""
+    """Start to cancel a job, which ends once none of its tasks can run."""
     entry = state.update_job(entry.job_id, cancelling=True)
     yield LogDecision('cancel', entry.job_id, entry.attempt)
     if entry.transferred_to:
-        # The next tick recalls the attempt from the other shard.
+        # The next timer event sends a recall to the shard that runs it.
         transfer = state.transfers[entry.job_id]
         state.transfers[entry.job_id] = replace(transfer, next_at=0)
         return
-    tasks = list(state.tasks_of(entry.job_id))
+    tasks = list(state.list_job_tasks(entry.job_id))
     if not tasks and entry.state is not JobState.UNKNOWN:
         yield from end_job(
             state,
--- a/sassafrasgate/shards/placements.py
+++ b/sassafrasgate/shards/placements.py
@@ -1,4 +1,4 @@
-"""Placing jobs: at once, from the queue, or not at all."""
+"""Placement of jobs on hosts, with its explanations."""
 
 from __future__ import annotations
 
@@ -30,15 +30,25 @@
     from sassafrasgate.shards.state import ShardState
 
 
-def choose_for_job(
+def choose_hosts_for_job(
     state: ShardState,
     spec: JobSpec,
     tasks: int,
     excluded: frozenset[str] = frozenset(),
     occupied: tuple[str, ...] = (),
 ) -> Assignment | Refusal:
-    """Return hosts for ``tasks`` tasks of a job, or why there are none."""
-    demand = state.sizes.estimate_demand(spec)
+    """Return hosts for some tasks of a job, or a refusal.
+
+    Parameters
+    ----------
+    tasks : int
+        Number of tasks to place.
+    excluded : frozenset of str
+        Hosts to avoid while others are available.
+    occupied : tuple of str
+        Hosts that already hold tasks of the job.
+    """
+    demand = state.demand_estimator.estimate_demand(spec)
     refusal = state.quotas.check_quota(spec.team, demand.scale(tasks))
     if refusal is not None:
         return refusal
@@ -56,18 +66,18 @@
     chosen = choose_hosts(state.index, request)
     if not isinstance(chosen, Refusal) or not excluded:
         return chosen
-    # A host that failed the job before is better than no host at all.
+    # A host on which the job failed before is better than none.
     return choose_hosts(state.index, replace(request, excluded=frozenset()))
 
 
 def find_rule_limits(
     state: ShardState, spec: JobSpec
 ) -> tuple[tuple[str, ...], tuple[str, ...]]:
-    """Return the labels and failure domains that the rules ask for."""
+    """Return the labels and failure domains that rules require of a job."""
     labels: tuple[str, ...] = ()
     domains: tuple[str, ...] = ()
     for rule in state.configuration.rules:
-        if not is_rule_for(rule, spec):
+        if not matches_rule(rule, spec):
             continue
         labels += rule.labels
         if rule.failure_domains:
@@ -75,7 +85,7 @@
     return labels, domains
 
 
-def is_rule_for(rule: Rule, spec: JobSpec) -> bool:
+def matches_rule(rule: Rule, spec: JobSpec) -> bool:
     """Tell whether a rule matches a job."""
     return rule.team in ('', spec.team) and rule.job_class in (
         '',
@@ -99,11 +109,12 @@
     assignment: Assignment,
     standing: tuple[Placement, ...] = (),
 ) -> tuple[Placement, ...]:
-    """Return the placements of an assignment, for the journal.
+    """Return the placements of an assignment.
 
-    Task indexes that no standing placement uses are filled lowest first.
+    Task indexes that no current placement uses are assigned in ascending
+    order.
     """
-    demand = state.sizes.estimate_demand(spec)
+    demand = state.demand_estimator.estimate_demand(spec)
     used = {split_task_id(placement.task)[1] for placement in standing}
     free = (index for index in range(spec.tasks) if index not in used)
     return tuple(
@@ -120,9 +131,9 @@
 def place_job(
     state: ShardState, entry: JobEntry
 ) -> Generator[Any, None, Refusal | None]:
-    """Place a queued job's missing tasks; return a refusal or None."""
-    tasks = count_wanted(entry)
-    chosen = choose_for_job(
+    """Place a queued job's unplaced tasks; return a refusal or None."""
+    tasks = count_tasks_to_place(entry)
+    chosen = choose_hosts_for_job(
         state,
         entry.spec,
         tasks,
@@ -132,7 +143,7 @@
     if isinstance(chosen, Refusal):
         if entry.reason != chosen.reason:
             state.update_job(entry.job_id, reason=chosen.reason)
-            yield from note_decision(
+            yield from log_decision(
                 state,
                 LogDecision(
                     'queue', entry.job_id, entry.attempt, reason=chosen.reason
@@ -151,26 +162,26 @@
     yield from write_record(
         state, JobPlaced(entry.job_id, attempt, placements)
     )
-    yield from note_placement(state, entry.job_id, attempt, chosen)
+    yield from log_placement(state, entry.job_id, attempt, chosen)
     return None
 
 
-def count_wanted(entry: JobEntry) -> int:
+def count_tasks_to_place(entry: JobEntry) -> int:
     """Return how many tasks one decision must place together.
 
-    Gangs need all their tasks at once; a service takes what it gets, one
-    task at a time.
+    A gang needs all its tasks at once, while the tasks of a service are
+    placed one at a time.
     """
     if entry.spec.job_class is JobClass.SERVICE:
         return 1
-    return entry.missing_tasks
+    return entry.unplaced_tasks
 
 
-def note_placement(
+def log_placement(
     state: ShardState, job_id: str, attempt: int, chosen: Assignment
 ) -> Actions:
-    """Log a placement and keep it for explanations."""
-    yield from note_decision(
+    """Log a placement and keep it for `explain` requests."""
+    yield from log_decision(
         state,
         LogDecision(
             'place',
@@ -183,8 +194,8 @@
     )
 
 
-def note_decision(state: ShardState, decision: LogDecision) -> Actions:
-    """Log a decision and keep the newest ones of each job."""
+def log_decision(state: ShardState, decision: LogDecision) -> Actions:
+    """Log a decision and keep it among the newest ones of its job."""
     line = ' '.join(
         part
         for part in (
@@ -202,5 +213,5 @@
 
 
 def fits_nowhere(refusal: Refusal) -> bool:
-    """Tell whether no host of the shard could ever run the job."""
+    """Tell whether a job fits on no host even when the hosts are empty."""
     return refusal.kind is RefusalKind.FITS_NOWHERE
--- a/sassafrasgate/shards/shares.py
+++ b/sassafrasgate/shards/quota_shares.py
@@ -1,26 +1,27 @@
-"""Quotas that hold across shards: shards lend each other their shares.
+"""Shares of cell-wide quotas, which shards lend to each other.
 
 Each shard starts with an equal share of a team's quota. A shard whose share
-is too small for a waiting job asks the others, one at a time, for what they
-do not use. The lender journals the total that it has lent to a shard before
-it answers with that total, so a lost answer or a takeover can leave a part
-of the quota unused for a while but never lets the shares exceed it.
+is too small for a queued job asks the other shards, one at a time, for
+unused share. The lender journals the total that it has lent to a shard
+before it answers with that total. A lost answer or a takeover can therefore
+leave a part of the quota unused for a while, but the sum of the shares never
+exceeds the quota.
 """
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
-from sassafrasgate.core.resources import NOTHING
+from sassafrasgate.core.resources import NO_RESOURCES
 from sassafrasgate.core.resources import Resources
 from sassafrasgate.journal.records import ShareLent
 from sassafrasgate.protocol.messages import BorrowShare
 from sassafrasgate.protocol.messages import ShareTotal
 from sassafrasgate.shards.actions import LogDecision
 from sassafrasgate.shards.actions import Reply
-from sassafrasgate.shards.actions import SendPeer
-from sassafrasgate.shards.handlers import APPLIERS
+from sassafrasgate.shards.actions import SendToShard
 from sassafrasgate.shards.handlers import DURABLE_HANDLERS
+from sassafrasgate.shards.handlers import RECORD_APPLIERS
 from sassafrasgate.shards.handlers import REQUEST_HANDLERS
 from sassafrasgate.shards.handlers import write_record
 
@@ -34,7 +35,7 @@
 
 
 def set_shares(state: ShardState) -> None:
-    """Give the ledger the equal shares of the configuration's quotas."""
+    """Set each team's share from the quotas of the configuration."""
     shards = len(state.configuration.shards)
     state.quotas.set_teams(state.configuration.teams, shards)
     for team in state.configuration.teams:
@@ -44,50 +45,55 @@
 
 def _adjust_share(state: ShardState, team: str) -> None:
     base = state.base_shares.get(team)
-    if base is None or base == NOTHING:
+    if base is None or base == NO_RESOURCES:
         return
     share = base
-    for (_, name), total in state.borrowed.items():
+    for (_, name), total in state.borrowed_shares.items():
         if name == team:
             share = share + total
-    for (_, name), total in state.lent.items():
+    for (_, name), total in state.lent_shares.items():
         if name == team:
             share = share - total
-    state.quotas.set_share(team, share.cover(NOTHING))
+    state.quotas.set_share(team, share.take_maximum(NO_RESOURCES))
 
 
 def borrow_share(state: ShardState, spec: JobSpec, now: int) -> Actions:
-    """Ask the next shard for what a waiting job's team lacks here."""
+    """Ask another shard for the share that a queued job needs.
+
+    Each call for a team asks the next shard in turn.
+    """
     peers = [
         shard.name
         for shard in state.configuration.shards
         if shard.name != state.name
     ]
-    turn, next_at = state.borrowing.get(spec.team, (0, 0))
+    turn, next_at = state.borrow_turns.get(spec.team, (0, 0))
     if not peers or now < next_at:
         return
-    state.borrowing[spec.team] = (turn + 1, now + BORROW_INTERVAL_MS)
-    demand = state.sizes.estimate_demand(spec).scale(spec.tasks)
+    state.borrow_turns[spec.team] = (turn + 1, now + BORROW_INTERVAL_MS)
+    demand = state.demand_estimator.estimate_demand(spec).scale(spec.tasks)
     wanted = state.quotas.find_reserved(spec.team) + demand
-    missing = (wanted - state.quotas.find_share(spec.team)).cover(NOTHING)
+    missing = (wanted - state.quotas.find_share(spec.team)).take_maximum(
+        NO_RESOURCES
+    )
     peer = peers[turn % len(peers)]
-    yield SendPeer(peer, BorrowShare(peer, state.name, spec.team, missing))
+    yield SendToShard(peer, BorrowShare(peer, state.name, spec.team, missing))
 
 
 @REQUEST_HANDLERS.register('borrow-share')
 def lend_share(
     state: ShardState, request: RequestReceived, now: int
 ) -> Actions:
-    """Lend what is asked for, as far as it is free here."""
+    """Lend as much of the requested share as is unused here."""
     message: BorrowShare = request.message
     key = (message.borrower, message.team)
-    total = state.lent.get(key, NOTHING)
+    total = state.lent_shares.get(key, NO_RESOURCES)
     free = state.quotas.find_share(message.team) - (
         state.quotas.find_reserved(message.team)
     )
-    grant = message.missing.limit(free).cover(NOTHING)
+    grant = message.missing.take_minimum(free).take_maximum(NO_RESOURCES)
     state.share_callers.setdefault(key, []).append(request.reply_to)
-    if grant == NOTHING and len(state.share_callers[key]) == 1:
+    if grant == NO_RESOURCES and len(state.share_callers[key]) == 1:
         yield from _answer_borrower(state, key, total)
         return
     yield LogDecision(
@@ -98,10 +104,10 @@
     )
 
 
-@APPLIERS.register('share-lent')
+@RECORD_APPLIERS.register('share-lent')
 def apply_share_lent(state: ShardState, record: ShareLent) -> None:
-    """Lower this shard's share by what it has lent in all."""
-    state.lent[(record.borrower, record.team)] = record.total
+    """Set the total lent to a shard and reduce the own share by it."""
+    state.lent_shares[(record.borrower, record.team)] = record.total
     _adjust_share(state, record.team)
 
 
@@ -109,7 +115,7 @@
 def confirm_share_lent(
     state: ShardState, record: ShareLent, now: int
 ) -> Actions:
-    """Answer the borrower once the loan is in the journal."""
+    """Answer the borrower, since the loan is in the journal."""
     key = (record.borrower, record.team)
     yield from _answer_borrower(state, key, record.total)
 
@@ -121,14 +127,16 @@
         yield Reply(reply_to, ShareTotal(key[1], total))
 
 
-def note_share_total(
+def record_share_total(
     state: ShardState, message: BorrowShare, answer: ShareTotal
 ) -> None:
-    """Raise this shard's share by what a peer has lent in all.
+    """Increase this shard's share to include all that a shard has lent.
 
-    Totals only grow, so a late answer with a smaller one changes nothing.
+    Totals only grow, so a delayed answer with a smaller total has no effect.
     """
     key = (message.shard, message.team)
-    state.borrowed[key] = state.borrowed.get(key, NOTHING).cover(answer.total)
+    state.borrowed_shares[key] = state.borrowed_shares.get(
+        key, NO_RESOURCES
+    ).take_maximum(answer.total)
     _adjust_share(state, message.team)
-    state.room_changed = True
+    state.needs_pass = True
