--- a/sassafrasgate/daemons/dispatcher_actions.py
+++ b/sassafrasgate/daemons/dispatcher_actions.py
@@ -34,13 +34,15 @@
 
 
 @DISPATCHER_ACTION_HANDLERS.register(AppendRecord)
-async def _persist(task: DispatcherTask, action: AppendRecord) -> None:
-    task.append(action.record)
+async def _append_record(task: DispatcherTask, action: AppendRecord) -> None:
+    task.append_record(action.record)
 
 
 @DISPATCHER_ACTION_HANDLERS.register(WithdrawRecords)
-async def _withdraw(task: DispatcherTask, action: WithdrawRecords) -> None:
-    task.withdraw(action.job_id)
+async def _withdraw_records(
+    task: DispatcherTask, action: WithdrawRecords
+) -> None:
+    task.withdraw_records(action.job_id)
 
 
 @DISPATCHER_ACTION_HANDLERS.register(Reply)
@@ -79,8 +81,8 @@
 
 
 @DISPATCHER_ACTION_HANDLERS.register(AskAdvice)
-async def _ask_advice(task: DispatcherTask, action: AskAdvice) -> None:
-    task.ask_advice(action)
+async def _request_advice(task: DispatcherTask, action: AskAdvice) -> None:
+    task.request_advice(action)
 
 
 @DISPATCHER_ACTION_HANDLERS.register(LogEvent)
@@ -89,5 +91,5 @@
 
 
 @DISPATCHER_ACTION_HANDLERS.register(StepDown)
-async def _give_up(task: DispatcherTask, action: StepDown) -> None:
-    task.give_up(action.reason)
+async def _step_down(task: DispatcherTask, action: StepDown) -> None:
+    task.step_down(action.reason)
