Name the reservation of overuse actions and finish texts of placement

Cause: OveruseAction.size did not say that it is the task's new reservation; limits of the quarantine were not explained; heaps of hosts were called hosts.

Change: OveruseAction.reservation, local names of heaps and ratios, comments on the limits of quarantine and probation, text of the refusal fits-nowhere.

--- a/sassafrasgate/placement/admission.py
+++ b/sassafrasgate/placement/admission.py
@@ -19,8 +19,8 @@
     from collections.abc import Callable
 
 MAX_KEY_LENGTH = 512
-# A journal entry is limited to 512 KiB, and one job must leave space in it
-# for others.
+# A journal value is limited to 512 KiB, and one job must leave space for
+# others in it.
 MAX_PAYLOAD_BYTES = 256 * 1024
 MAX_TASKS = 10_000
 MAX_PRIORITY = 100
--- a/sassafrasgate/placement/policies.py
+++ b/sassafrasgate/placement/policies.py
@@ -311,17 +311,17 @@
         cost, domain = min(costs)
         rack_heap = self._rack_heaps[domain]
         rack = rack_heap[0][1]
-        hosts = self._host_heaps[domain][rack]
-        name = hosts[0][1]
+        host_heap = self._host_heaps[domain][rack]
+        name = host_heap[0][1]
         self._count_task(self._hosts[name])
         self._free[name] = self._free[name] - self._demand
         if self._demand.fits_in(self._free[name]):
-            heapreplace(hosts, (self._compute_host_cost(name), name))
+            heapreplace(host_heap, (self._compute_host_cost(name), name))
         else:
-            heappop(hosts)
-        if hosts:
+            heappop(host_heap)
+        if host_heap:
             heapreplace(
-                rack_heap, (self._compute_rack_cost(rack, hosts), rack)
+                rack_heap, (self._compute_rack_cost(rack, host_heap), rack)
             )
         else:
             heappop(rack_heap)
@@ -329,17 +329,17 @@
 
     def _add_host(self, host: Host) -> None:
         racks = self._host_heaps.setdefault(host.failure_domain, {})
-        hosts = racks.setdefault(host.rack, [])
-        hosts.append((self._compute_host_cost(host.name), host.name))
+        host_heap = racks.setdefault(host.rack, [])
+        host_heap.append((self._compute_host_cost(host.name), host.name))
 
     def _make_rack_heap(
         self, racks: dict[str, list[tuple[float, str]]]
     ) -> list[tuple[float, str]]:
-        for hosts in racks.values():
-            heapify(hosts)
+        for host_heap in racks.values():
+            heapify(host_heap)
         rack_heap = [
-            (self._compute_rack_cost(rack, hosts), rack)
-            for rack, hosts in racks.items()
+            (self._compute_rack_cost(rack, host_heap), rack)
+            for rack, host_heap in racks.items()
         ]
         heapify(rack_heap)
         return rack_heap
@@ -356,9 +356,9 @@
         return cost
 
     def _compute_rack_cost(
-        self, rack: str, hosts: list[tuple[float, str]]
+        self, rack: str, host_heap: list[tuple[float, str]]
     ) -> float:
-        return hosts[0][0] + self._weights.rack * self._tasks_by_rack[rack]
+        return host_heap[0][0] + self._weights.rack * self._tasks_by_rack[rack]
 
     def _compute_host_cost(self, name: str) -> float:
         # The share of the demand is the same on all hosts and is left out.
@@ -411,6 +411,6 @@
         )
     return Refusal(
         RefusalKind.FITS_NOWHERE,
-        f'no hosts of {len(index.hosts)} could ever hold {tasks}',
+        f'none of the {len(index.hosts)} hosts could ever hold {tasks}',
         'ask for less per task, or relax failure domains and labels',
     )
--- a/sassafrasgate/placement/quarantine.py
+++ b/sassafrasgate/placement/quarantine.py
@@ -20,11 +20,16 @@
 MIN_HOSTS_FOR_JOB_FAULT = 2
 MIN_SUSPECT_FAILURES = 2
 
+# A quarantine after a failed probation lasts twice as long as the one before.
 INITIAL_QUARANTINE_MS = 30_000
 MAX_QUARANTINE_MS = 3_600_000
+# Tasks that may run at once on a host in probation after a quarantine, and
+# successes that end the probation.
 MAX_PROBATION_TASKS = 2
 MIN_PROBATION_SUCCESSES = 3
 
+# Share of the hosts of a shard that may be in quarantine at once. One host
+# may always be.
 MAX_QUARANTINED_SHARE = 0.1
 # Jobs whose failures are kept; those that failed least recently are evicted
 # first.
@@ -48,7 +53,8 @@
     status : HealthState
         Decides whether the host gets new tasks.
     failed_jobs : tuple of str
-        Jobs that failed on the host since its last success, oldest first.
+        Jobs that failed on the host since its last success, oldest first;
+        at most the latest `MIN_CONSECUTIVE_FAILURES`.
     confirmed_jobs : tuple of str
         Those of ``failed_jobs`` that later completed on another host.
     quarantine_ms : int
--- a/sassafrasgate/placement/sizing.py
+++ b/sassafrasgate/placement/sizing.py
@@ -77,11 +77,11 @@
             _compute_factor([sample[0] for sample in samples]),
             _compute_factor([sample[1] for sample in samples]),
         )
-        learned = Resources(
+        estimate = Resources(
             int(spec.demand.millicores * factors[0]),
             int(spec.demand.memory_mb * factors[1]),
         )
-        return spec.demand.take_maximum(learned)
+        return spec.demand.take_maximum(estimate)
 
 
 class OveruseStep(StrEnum):
@@ -141,7 +141,7 @@
         Task id.
     step : OveruseStep
         Kind of the action.
-    size : Resources
+    reservation : Resources
         New reservation for `OveruseStep.RESIZE`, otherwise the current one.
     reason : str
         Cause of the action, for logs and explanations.
@@ -149,7 +149,7 @@
 
     task: str
     step: OveruseStep
-    size: Resources
+    reservation: Resources
     reason: str
 
 
@@ -255,7 +255,8 @@
     return _NEXT_STEPS[task.last_step]
 
 
-def _compute_factor(factors: list[float]) -> float:
-    ordered = sorted(factors)
+def _compute_factor(ratios: list[float]) -> float:
+    """Return the quantile of used to declared demand, with a limit."""
+    ordered = sorted(ratios)
     factor = ordered[int(DEMAND_QUANTILE * (len(ordered) - 1))]
     return min(factor, MAX_DEMAND_FACTOR)
--- a/sassafrasgate/shards/usage.py
+++ b/sassafrasgate/shards/usage.py
@@ -82,7 +82,7 @@
 def _resize(
     state: ShardState, task: TaskEntry, action: OveruseAction
 ) -> Actions:
-    state.index.resize(task.host, task.task, action.size)
+    state.index.resize(task.host, task.task, action.reservation)
     yield from ()
 
 
@@ -90,7 +90,9 @@
 def _throttle(
     state: ShardState, task: TaskEntry, action: OveruseAction
 ) -> Actions:
-    yield LimitTask(task.host, task.task, 'throttle', action.size.millicores)
+    yield LimitTask(
+        task.host, task.task, 'throttle', action.reservation.millicores
+    )
 
 
 @OVERUSE_STEPS.register(OveruseStep.CHECKPOINT)
--- a/tests/placement/test_sizing.py
+++ b/tests/placement/test_sizing.py
@@ -54,7 +54,7 @@
         Resources(0, 500), [use('a', JobClass.BATCH, 1400)], 0
     )
     assert action.step is OveruseStep.RESIZE
-    assert action.size == Resources(1000, 1400)
+    assert action.reservation == Resources(1000, 1400)
 
 
 def test_lowest_class_is_reclaimed_first_and_only_as_far_as_needed():
