Describe the fields of the shard state; finish internal names of shards

Cause: most fields of ShardState had no description, and some constants and locals no unit or a vague name. Change: ShardState documents its containers; time constants say whether they are an interval, a delay or a time-out.

--- a/sassafrasgate/shards/attempts.py
+++ b/sassafrasgate/shards/attempts.py
@@ -19,8 +19,8 @@
 
     A refused attempt never started on the worker, and one that was not sent
     never left the owner. A failed attempt ran. The lease of a lapsed one has
-    expired, so it may have run but no longer does. An open one may still
-    run.
+    expired, so it may have run but no longer does. An undetermined one may
+    still run.
     """
 
     REFUSED = 'refused'
@@ -98,7 +98,7 @@
     drift: float = MAX_CLOCK_DRIFT,
     margin_ms: int = LEASE_EXPIRY_MARGIN_MS,
 ) -> int:
-    """Return when the leases of earlier owners have certainly expired.
+    """Return when the leases of previous owners have certainly expired.
 
     The previous owner measures its store lease and its grace period by its
     own clock, which may be slow too, so the drift bound applies to these two
--- a/sassafrasgate/shards/completions.py
+++ b/sassafrasgate/shards/completions.py
@@ -40,7 +40,7 @@
     from sassafrasgate.shards.handlers import Actions
     from sassafrasgate.shards.state import ShardState
 
-REPORT_RESEND_MS = 1_000
+REPORT_RESEND_INTERVAL_MS = 1_000
 
 # In ascending order of severity: an attempt is as bad as its worst task.
 _STATUS_ORDER = (
@@ -59,7 +59,7 @@
     state.needs_pass = True
     job_id = task.job_id if task else find_job_id(report.task)
     if task is not None:
-        _note_result(state, task, report.outcome, now)
+        _record_result(state, task, report.outcome, now)
     quick = state.quick_requests.get(job_id)
     if quick is not None and quick.task == report.task:
         yield from end_quick_request(state, job_id, report, now)
@@ -98,7 +98,7 @@
     return any(placement.task == task for placement in entry.placements)
 
 
-def _note_result(
+def _record_result(
     state: ShardState, task: TaskEntry, outcome: TaskOutcome, now: int
 ) -> None:
     """Update host health and learned sizes from a task's end."""
@@ -210,7 +210,7 @@
         )
         state.unacknowledged_ends[entry.job_id] = (
             report,
-            now + REPORT_RESEND_MS,
+            now + REPORT_RESEND_INTERVAL_MS,
         )
         yield SendToShard(entry.home, report)
 
@@ -278,33 +278,38 @@
 
 def _end_attempt(state: ShardState, entry: JobEntry) -> Actions:
     status = max(
-        (c.status for c in entry.unsuccessful_tasks), key=_STATUS_ORDER.index
+        (task.status for task in entry.unsuccessful_tasks),
+        key=_STATUS_ORDER.index,
     )
     reason = next(
-        c.reason for c in entry.unsuccessful_tasks if c.status is status
+        task.reason
+        for task in entry.unsuccessful_tasks
+        if task.status is status
     )
     failures = entry.failures + 1
     if state.health.is_job_at_fault(entry.job_id):
         # The job failed on several healthy hosts, so that another attempt
         # would only use resources.
         failures = MAX_FAILED_ATTEMPTS
-    step = decide_retry(
+    decision = decide_retry(
         entry.spec.idempotent, status, failures, MAX_FAILED_ATTEMPTS
     )
-    if step is RetryDecision.END_FAILED:
+    if decision is RetryDecision.END_FAILED:
         yield from end_job(state, entry, Outcome(JobState.FAILED, reason))
         return
-    if step is RetryDecision.END_UNKNOWN:
+    if decision is RetryDecision.END_UNKNOWN:
         yield from end_job(state, entry, Outcome(JobState.UNKNOWN, reason))
         return
     failed = status is AttemptStatus.FAILED
-    ended = [c.task for c in entry.unsuccessful_tasks]
+    ended = [task.task for task in entry.unsuccessful_tasks]
     if entry.spec.job_class is not JobClass.SERVICE:
         ended = [placement.task for placement in entry.placements]
     failed_hosts = entry.failed_hosts
     if failed:
         hosts = tuple(
-            c.host for c in entry.unsuccessful_tasks if c.status is status
+            task.host
+            for task in entry.unsuccessful_tasks
+            if task.status is status
         )
         failed_hosts = (*failed_hosts, *hosts)[-MAX_FAILED_ATTEMPTS:]
     yield LogDecision(
--- a/sassafrasgate/shards/placements.py
+++ b/sassafrasgate/shards/placements.py
@@ -52,7 +52,7 @@
     refusal = state.quotas.check_quota(spec.team, demand.scale(tasks))
     if refusal is not None:
         return refusal
-    labels, domains = find_rule_limits(state, spec)
+    labels, domains = find_rule_constraints(state, spec)
     request = PlacementRequest(
         spec,
         local_domain=state.failure_domain,
@@ -70,7 +70,7 @@
     return choose_hosts(state.index, replace(request, excluded=frozenset()))
 
 
-def find_rule_limits(
+def find_rule_constraints(
     state: ShardState, spec: JobSpec
 ) -> tuple[tuple[str, ...], tuple[str, ...]]:
     """Return the labels and failure domains that rules require of a job."""
@@ -107,7 +107,7 @@
     attempt: int,
     spec: JobSpec,
     assignment: Assignment,
-    standing: tuple[Placement, ...] = (),
+    current: tuple[Placement, ...] = (),
 ) -> tuple[Placement, ...]:
     """Return the placements of an assignment.
 
@@ -115,7 +115,7 @@
     order.
     """
     demand = state.demand_estimator.estimate_demand(spec)
-    used = {split_task_id(placement.task)[1] for placement in standing}
+    used = {split_task_id(placement.task)[1] for placement in current}
     free = (index for index in range(spec.tasks) if index not in used)
     return tuple(
         Placement(
--- a/sassafrasgate/shards/preemption.py
+++ b/sassafrasgate/shards/preemption.py
@@ -13,7 +13,7 @@
 from sassafrasgate.shards.actions import LimitTask
 from sassafrasgate.shards.actions import LogDecision
 from sassafrasgate.shards.actions import StopTask
-from sassafrasgate.shards.placements import find_rule_limits
+from sassafrasgate.shards.placements import find_rule_constraints
 from sassafrasgate.shards.placements import matches_rule
 from sassafrasgate.shards.state import TaskPhase
 
@@ -28,7 +28,7 @@
 
 # Stopping a task takes a round trip and a sync, so the same job does not
 # preempt more tasks before then.
-PREEMPTION_WAIT_MS = 3_000
+PREEMPTION_INTERVAL_MS = 3_000
 MAX_VICTIMS = 8
 
 
@@ -47,7 +47,7 @@
     victims = choose_victims(state, entry.spec)
     if not victims:
         return
-    state.preempt_again_at[entry.job_id] = now + PREEMPTION_WAIT_MS
+    state.preempt_again_at[entry.job_id] = now + PREEMPTION_INTERVAL_MS
     for task in victims:
         state.tasks[task.task] = replace(task, stopping=True)
         yield LogDecision(
@@ -67,7 +67,7 @@
     lose the least work. Among hosts that need equally few, the first one is
     taken.
     """
-    labels, domains = find_rule_limits(state, spec)
+    labels, domains = find_rule_constraints(state, spec)
     best: tuple[TaskEntry, ...] = ()
     for name in state.index.free_on_open_hosts:
         host = state.index.hosts[name]
@@ -99,7 +99,7 @@
 def _choose_on_host(
     state: ShardState, host: str, demand: Resources
 ) -> tuple[TaskEntry, ...]:
-    room = state.index.find_free(host)
+    free = state.index.find_free(host)
     candidates = [
         task
         for name in state.index.list_reservations(host)
@@ -109,11 +109,11 @@
     candidates.sort(key=lambda task: task.started_clock, reverse=True)
     chosen: list[TaskEntry] = []
     for task in candidates[:MAX_VICTIMS]:
-        if demand.fits_in(room):
+        if demand.fits_in(free):
             break
         chosen.append(task)
-        room = room + state.index.list_reservations(host)[task.task]
-    return tuple(chosen) if demand.fits_in(room) else ()
+        free = free + state.index.list_reservations(host)[task.task]
+    return tuple(chosen) if demand.fits_in(free) else ()
 
 
 def _is_preemptible(state: ShardState, task: TaskEntry) -> bool:
--- a/sassafrasgate/shards/quick_requests.py
+++ b/sassafrasgate/shards/quick_requests.py
@@ -40,7 +40,7 @@
 # its start may use a clock reading as old as a long-polled sync call.
 MAX_DEADLINE_MS = 7_000
 REPLY_MARGIN_MS = 100
-MAX_TRIES = 3
+MAX_ATTEMPTS = 3
 
 
 def start_quick_request(
@@ -141,7 +141,9 @@
 def _place(
     state: ShardState, quick: QuickRequest, now: int
 ) -> Generator[Any, None, Refusal | None]:
-    chosen = choose_hosts_for_job(state, quick.spec, 1, frozenset(quick.tried))
+    chosen = choose_hosts_for_job(
+        state, quick.spec, 1, frozenset(quick.tried_hosts)
+    )
     if isinstance(chosen, Refusal):
         return chosen
     host = chosen.hosts[0]
@@ -199,11 +201,11 @@
     if not quick.reply_to:
         del state.quick_requests[job_id]
         return
-    tried = replace(quick, tried=(*quick.tried, quick.host))
-    if now >= quick.expires_at or len(tried.tried) >= MAX_TRIES:
+    tried = replace(quick, tried_hosts=(*quick.tried_hosts, quick.host))
+    if now >= quick.expires_at or len(tried.tried_hosts) >= MAX_ATTEMPTS:
         refusal: Refusal | None = Refusal(
             RefusalKind.OVERLOADED,
-            f'{len(tried.tried)} workers refused the request: {reason}',
+            f'{len(tried.tried_hosts)} workers refused the request: {reason}',
             'send the request again later',
         )
     else:
@@ -230,7 +232,7 @@
         yield FetchOutput(quick.host, quick.task, ended.size, ended.digest)
         return
     succeeded = ended.outcome is TaskOutcome.FINISHED
-    if not succeeded and len(quick.tried) + 1 < MAX_TRIES:
+    if not succeeded and len(quick.tried_hosts) + 1 < MAX_ATTEMPTS:
         yield ReleaseTask(quick.host, quick.task)
         reason = ended.reason or str(ended.outcome)
         yield from retry_quick_request(state, job_id, reason, now)
@@ -294,12 +296,12 @@
     so that a request with the same key does not run concurrently on a second
     host.
     """
-    late = [
+    expired = [
         quick
         for quick in state.quick_requests.values()
         if quick.reply_to and quick.expires_at <= now
     ]
-    for quick in late:
+    for quick in expired:
         state.quick_requests[quick.job_id] = replace(quick, reply_to=())
         view = JobView(
             quick.job_id,
--- a/sassafrasgate/shards/recovery.py
+++ b/sassafrasgate/shards/recovery.py
@@ -44,7 +44,7 @@
 
 
 def begin_ownership(state: ShardState, now: int) -> None:
-    """Set when the leases of earlier owners expire on each host.
+    """Set when the leases of previous owners expire on each host.
 
     Call this once the takeover record is durable.
     """
@@ -178,14 +178,14 @@
 def apply_requeued(state: ShardState, record: JobRequeued) -> None:
     """Remove a job's ended tasks and queue the job again."""
     entry = state.jobs[record.job_id]
-    gone = set(record.tasks)
+    ended = set(record.tasks)
     for task in record.tasks:
         state.drop_task(task)
     entry = state.update_job(
         record.job_id,
-        placements=tuple(p for p in entry.placements if p.task not in gone),
+        placements=tuple(p for p in entry.placements if p.task not in ended),
         finished_tasks=tuple(
-            f for f in entry.finished_tasks if f.task not in gone
+            f for f in entry.finished_tasks if f.task not in ended
         ),
         unsuccessful_tasks=(),
         failures=entry.failures + record.counted,
--- a/sassafrasgate/shards/scheduling_passes.py
+++ b/sassafrasgate/shards/scheduling_passes.py
@@ -12,7 +12,7 @@
 from sassafrasgate.shards.quota_shares import borrow_share
 from sassafrasgate.shards.transfers import begin_transfer
 from sassafrasgate.shards.transfers import find_transfer_target
-from sassafrasgate.shards.transfers import TRANSFER_AFTER_MS
+from sassafrasgate.shards.transfers import TRANSFER_DELAY_MS
 
 if TYPE_CHECKING:
     from collections.abc import Generator
@@ -49,9 +49,9 @@
             jobs.skip_team(job.spec.team)
             yield from borrow_share(state, job.spec, now)
             continue
-        may_move = transferred < MAX_TRANSFERS_PER_PASS
+        may_transfer_more = transferred < MAX_TRANSFERS_PER_PASS
         transferred += yield from _transfer_or_preempt(
-            state, job, refusal, may_move, now
+            state, job, refusal, may_transfer_more, now
         )
 
 
@@ -59,7 +59,7 @@
     state: ShardState,
     job: QueuedJob,
     refusal: Refusal,
-    may_move: bool,
+    may_transfer_more: bool,
     now: int,
 ) -> Generator[Any, None, int]:
     """Transfer an unplaced job or preempt others for it.
@@ -67,7 +67,7 @@
     Returns the number of transfers, 0 or 1.
     """
     entry = state.jobs[job.job_id]
-    if may_move and may_transfer(state, job, refusal, now):
+    if may_transfer_more and may_transfer(state, job, refusal, now):
         target = find_transfer_target(state, job.spec, now)
         if target is not None:
             yield from begin_transfer(state, entry, target)
@@ -83,7 +83,7 @@
     """Tell whether a job may leave its home shard now.
 
     Running in another failure domain adds a network hop, so a job that
-    could run on its home shard waits there for `TRANSFER_AFTER_MS` first,
+    could run on its home shard waits there for `TRANSFER_DELAY_MS` first,
     unless it is urgent.
     """
     entry = state.jobs[job.job_id]
@@ -93,4 +93,4 @@
         return True
     if refusal.kind is RefusalKind.FITS_NOWHERE:
         return True
-    return now - job.queued_at >= TRANSFER_AFTER_MS
+    return now - job.queued_at >= TRANSFER_DELAY_MS
--- a/sassafrasgate/shards/state.py
+++ b/sassafrasgate/shards/state.py
@@ -71,7 +71,7 @@
         Whether the owner has asked the worker to stop the task.
     team : str
         Team whose quota the reservation counts against; empty for tasks that
-        an earlier owner started without a journal record.
+        a previous owner started without a journal record.
     """
 
     task: str
@@ -178,14 +178,14 @@
     ----------
     epoch_acknowledged : bool
         Whether the worker has acknowledged this owner's epoch, after which
-        it refuses commands of earlier owners.
+        it refuses commands of previous owners.
     reading : ClockReading or None
         The last clock reading under this epoch.
     silent_since : int
         The owner's clock when the worker first failed to answer; 0 while it
         answers.
     leases_expire_at : int
-        The owner's clock from which all leases of earlier owners on the
+        The owner's clock from which all leases of previous owners on the
         host have expired; 0 once the worker has answered.
     leaving : bool
         Whether the worker reports that its host is about to leave.
@@ -253,7 +253,7 @@
         The owner's clock from which the callers are answered "unknown".
     attempt, task, host
         Number, task id and host of the current attempt.
-    tried : tuple of str
+    tried_hosts : tuple of str
         Hosts of earlier attempts.
     ended : EndedTask or None
         The end of the task while its large output is fetched.
@@ -266,7 +266,7 @@
     attempt: int
     task: str
     host: str
-    tried: tuple[str, ...] = ()
+    tried_hosts: tuple[str, ...] = ()
     ended: EndedTask | None = None
 
 
@@ -303,6 +303,53 @@
         Process name and incarnation of the owner.
     previous_grace_ms, previous_ttl_ms : int
         Grace period and store lease of the previous owner.
+    waiters : dict of str to tuple of JobWaiter
+        Callers that wait for the end of each job.
+    quick_requests : dict of str to QuickRequest
+        Quick requests by job id.
+    quick_sequence : int
+        Sequence number in the task id of the latest quick request.
+    last_pass_at : int
+        The owner's clock of the latest periodic scheduling pass.
+    base_shares : dict of str to Resources
+        Each team's equal share of its quota.
+    lent_shares, borrowed_shares : dict of tuple to Resources
+        Totals lent to and borrowed from other shards, by shard and team.
+    borrow_turns : dict of str to tuple of int
+        For each team, the number of requests for share so far and the
+        owner's clock from which the next one may be sent.
+    share_callers : dict of tuple to list of int
+        Tokens of requests for share that wait for the journal, by borrowing
+        shard and team.
+    preempt_again_at : dict of str to int
+        The owner's clock from which a job may preempt tasks again.
+    output_copies : dict of str to EndedTask
+        Ends of tasks whose large output is being copied to the store.
+    pending_requeues : set of str
+        Ended tasks whose requeue is not in the journal yet.
+    tombstones : dict of tuple to None
+        Permanently refused attempts as job id, home shard and attempt
+        number, oldest first.
+    summaries : dict of str to tuple
+        The latest summary of each shard and the owner's clock at its
+        arrival.
+    transfer_callers : dict of tuple to list of int
+        Tokens of transfers and recalls that wait for the journal, by
+        attempt.
+    unacknowledged_ends : dict of str to tuple
+        Reports of ends to home shards, and the owner's clock from which each
+        is sent again.
+    ended_jobs : dict of str to None
+        Ids of ended jobs in the order of their ends.
+    overuse_actions : dict of str to tuple
+        The latest action on each task that used more than its reservation,
+        and the owner's clock of that action.
+    needs_pass : bool
+        Whether the queued jobs need a scheduling pass.
+    now : int
+        The owner's clock at the latest event.
+    wall_ms : int
+        Wall clock at the latest timer event.
     """
 
     name: str
@@ -337,7 +384,6 @@
     )
     preempt_again_at: dict[str, int] = field(default_factory=dict)
     output_copies: dict[str, EndedTask] = field(default_factory=dict)
-    # Ended tasks whose requeue is not in the journal yet.
     pending_requeues: set[str] = field(default_factory=set)
     explanations: dict[str, tuple[str, ...]] = field(default_factory=dict)
     usage: dict[str, TaskUsage] = field(default_factory=dict)
--- a/sassafrasgate/shards/submissions.py
+++ b/sassafrasgate/shards/submissions.py
@@ -47,7 +47,7 @@
 
 # Below the front end's time-out for an acceptance, so that callers get "not
 # run" instead of no answer.
-ACCEPT_MS = 8_000
+ACCEPT_TIMEOUT_MS = 8_000
 MAX_QUEUED_JOBS = 100_000
 
 
@@ -165,7 +165,7 @@
     if request.reply_to:
         caller = make_waiter(request, submit.wait_s, now)
         state.pending_submits[submit.job_id] = PendingSubmit(
-            now + ACCEPT_MS, (caller,)
+            now + ACCEPT_TIMEOUT_MS, (caller,)
         )
     if isinstance(chosen, Assignment) and placements:
         state.start_rate.record_starts(now)
@@ -198,16 +198,16 @@
                 state, record.job_id, caller, now, position > 0
             )
     yield from answer_transfer_callers(state, state.jobs[record.job_id])
-    yield from start_placed(state, record.job_id, record.placements)
+    yield from start_placed_tasks(state, record.job_id, record.placements)
 
 
 @DURABLE_HANDLERS.register('placed')
 def confirm_placed(state: ShardState, record: JobPlaced, now: int) -> Actions:
     """Start the tasks of a placement that is in the journal."""
-    yield from start_placed(state, record.job_id, record.placements)
+    yield from start_placed_tasks(state, record.job_id, record.placements)
 
 
-def start_placed(
+def start_placed_tasks(
     state: ShardState, job_id: str, placements: tuple[Placement, ...]
 ) -> Actions:
     """Start the tasks of placements that are still planned."""
--- a/sassafrasgate/shards/timers.py
+++ b/sassafrasgate/shards/timers.py
@@ -25,7 +25,7 @@
 from sassafrasgate.shards.transfers import resend_unanswered
 from sassafrasgate.shards.views import expire_waiters
 from sassafrasgate.shards.workers import expire_host_leases
-from sassafrasgate.shards.workers import update_openness
+from sassafrasgate.shards.workers import open_or_close_host
 
 if TYPE_CHECKING:
     from sassafrasgate.shards.handlers import Actions
@@ -55,7 +55,7 @@
     yield from _forget_old_jobs(state)
     yield from _expire_queued(state, now)
     for name in state.hosts:
-        update_openness(state, name)
+        open_or_close_host(state, name)
 
 
 def _repeat_stops(state: ShardState) -> Actions:
@@ -104,7 +104,7 @@
 def handle_configuration(
     state: ShardState, event: ConfigurationChanged, now: int
 ) -> Actions:
-    """Apply a configuration unless it is older than the current one."""
+    """Apply a configuration if it is newer than the current one."""
     if event.configuration.version <= state.configuration.version:
         return
     state.configuration = event.configuration
@@ -112,7 +112,7 @@
     set_shares(state)
     state.queue.set_teams(event.configuration.teams)
     for name in list(state.hosts):
-        update_openness(state, name)
+        open_or_close_host(state, name)
     state.needs_pass = True
     yield LogDecision(
         'configure', '', reason=f'version {event.configuration.version}'
--- a/sassafrasgate/shards/transfers.py
+++ b/sassafrasgate/shards/transfers.py
@@ -39,7 +39,7 @@
 from sassafrasgate.shards.handlers import REQUEST_HANDLERS
 from sassafrasgate.shards.handlers import write_record
 from sassafrasgate.shards.placements import choose_hosts_for_job
-from sassafrasgate.shards.placements import find_rule_limits
+from sassafrasgate.shards.placements import find_rule_constraints
 from sassafrasgate.shards.placements import log_decision
 from sassafrasgate.shards.placements import log_placement
 from sassafrasgate.shards.placements import make_placements
@@ -53,10 +53,10 @@
     from sassafrasgate.shards.handlers import Actions
     from sassafrasgate.shards.state import ShardState
 
-TRANSFER_AFTER_MS = 1_000
-SUMMARY_AGE_MS = 3_000
+TRANSFER_DELAY_MS = 1_000
+MAX_SUMMARY_AGE_MS = 3_000
 SUMMARY_INTERVAL_MS = 1_000
-RESEND_MS = 1_000
+RESEND_INTERVAL_MS = 1_000
 # Size of the range of attempt numbers that each home attempt has on the other
 # shard. The ranges keep these numbers distinct from those of the home shard
 # and of other home attempts.
@@ -71,16 +71,16 @@
     Parameters
     ----------
     now : int
-        The owner's clock; summaries older than `SUMMARY_AGE_MS` are
+        The owner's clock; summaries older than `MAX_SUMMARY_AGE_MS` are
         ignored.
     """
     if spec.job_class is JobClass.SERVICE and spec.tasks > 1:
         return None
-    _, domains = find_rule_limits(state, spec)
+    _, domains = find_rule_constraints(state, spec)
     need = spec.demand.scale(spec.tasks)
     best: Summary | None = None
     for name, (summary, received_at) in state.summaries.items():
-        if name == state.name or now - received_at > SUMMARY_AGE_MS:
+        if name == state.name or now - received_at > MAX_SUMMARY_AGE_MS:
             continue
         if domains and summary.failure_domain not in domains:
             continue
@@ -137,7 +137,10 @@
             yield from _resend(state, job_id, now)
     for ended, next_at in list(state.unacknowledged_ends.values()):
         if next_at <= now:
-            state.unacknowledged_ends[ended.job_id] = (ended, now + RESEND_MS)
+            state.unacknowledged_ends[ended.job_id] = (
+                ended,
+                now + RESEND_INTERVAL_MS,
+            )
             yield SendToShard(ended.shard, ended)
 
 
@@ -146,7 +149,9 @@
     entry = state.jobs.get(job_id)
     if transfer is None or entry is None:
         return
-    state.transfers[job_id] = replace(transfer, next_at=now + RESEND_MS)
+    state.transfers[job_id] = replace(
+        transfer, next_at=now + RESEND_INTERVAL_MS
+    )
     if entry.cancelling:
         yield SendToShard(
             transfer.shard,
@@ -337,7 +342,7 @@
                 record.job_id,
                 record.home_attempt,
                 False,
-                'insufficient capacity',
+                'no free capacity, or the owner is stopping',
             ),
         )
 
@@ -432,7 +437,7 @@
 def _has_capacity_elsewhere(state: ShardState, now: int) -> bool:
     return any(
         name != state.name
-        and now - received_at <= SUMMARY_AGE_MS
+        and now - received_at <= MAX_SUMMARY_AGE_MS
         and not summary.queued
         and summary.free.slots > 0
         for name, (summary, received_at) in state.summaries.items()
--- a/sassafrasgate/shards/usage.py
+++ b/sassafrasgate/shards/usage.py
@@ -1,4 +1,4 @@
-"""Usage reports of workers and reactions to tasks that outgrow their size."""
+"""Usage reports of workers and actions on tasks that exceed reservations."""
 
 from __future__ import annotations
 
@@ -26,15 +26,15 @@
 
 OVERUSE_STEPS: Registry[
     OveruseStep, Callable[[ShardState, TaskEntry, OveruseAction], Actions]
-] = Registry('growth step')
+] = Registry('overuse step')
 
 
 def record_usage(
     state: ShardState, host: str, reports: Iterable[UsageReport], now: int
 ) -> Actions:
-    """Record the usage of a host's tasks and act on those that grew.
+    """Record the usage of a host's tasks and act on overuse.
 
-    A task has grown when it uses more than its reservation.
+    Overuse is usage beyond a task's reservation.
     """
     for report in reports:
         if report.task not in state.tasks:
@@ -43,15 +43,15 @@
         used = Resources(report.millicores, report.memory_mb)
         peak = state.peak_usage.get(report.task, used)
         state.peak_usage[report.task] = peak.take_maximum(used)
-    growing = [
+    usages = [
         usage
         for task in state.index.list_reservations(host)
         if (usage := _find_usage(state, task)) is not None
     ]
-    if all(usage.used.fits_in(usage.reserved) for usage in growing):
+    if all(usage.used.fits_in(usage.reserved) for usage in usages):
         return
     free = state.index.find_free(host)
-    for action in plan_overuse(free, growing, now):
+    for action in plan_overuse(free, usages, now):
         task = state.tasks[action.task]
         state.overuse_actions[action.task] = (action, now)
         yield LogDecision(
--- a/sassafrasgate/shards/views.py
+++ b/sassafrasgate/shards/views.py
@@ -118,10 +118,10 @@
     for job_id in list(state.waiters):
         waiters = state.waiters[job_id]
         entry = state.jobs.get(job_id)
-        late = [waiter for waiter in waiters if waiter.expires_at <= now]
-        if not late or entry is None:
+        expired = [waiter for waiter in waiters if waiter.expires_at <= now]
+        if not expired or entry is None:
             continue
-        for waiter in late:
+        for waiter in expired:
             yield Reply(waiter.reply_to, view_job(state, entry))
         kept = tuple(w for w in waiters if w.expires_at > now)
         if kept:
--- a/sassafrasgate/shards/workers.py
+++ b/sassafrasgate/shards/workers.py
@@ -36,7 +36,7 @@
     from sassafrasgate.shards.state import ShardState
 
 
-def update_openness(state: ShardState, name: str) -> None:
+def open_or_close_host(state: ShardState, name: str) -> None:
     """Open or close a host for new tasks according to its entry."""
     entry = state.hosts[name]
     host = state.index.hosts[name]
@@ -54,11 +54,8 @@
 
 def is_below_task_limit(state: ShardState, name: str) -> bool:
     """Tell whether a host's health record allows it another task."""
-    allowance = state.health.get_task_limit(name, state.now)
-    return (
-        allowance is None
-        or len(state.index.list_reservations(name)) < allowance
-    )
+    limit = state.health.get_task_limit(name, state.now)
+    return limit is None or len(state.index.list_reservations(name)) < limit
 
 
 @EVENT_HANDLERS.register(HostSynced)
@@ -74,7 +71,7 @@
         )
         return
     entry = state.hosts[event.host]
-    first = not entry.epoch_acknowledged
+    first_sync = not entry.epoch_acknowledged
     state.update_host(
         event.host,
         epoch_acknowledged=True,
@@ -89,14 +86,14 @@
         yield LogDecision(
             'restart', '', host=event.host, reason='worker restarted'
         )
-    yield from _reconcile_tasks(state, event.host, reply, first, now)
+    yield from _reconcile_tasks(state, event.host, reply, first_sync, now)
     yield from _adopt_tasks(state, event.host, reply)
     yield from record_usage(state, event.host, reply.usage, now)
-    update_openness(state, event.host)
+    open_or_close_host(state, event.host)
 
 
 def _reconcile_tasks(
-    state: ShardState, host: str, reply: SyncReply, first: bool, now: int
+    state: ShardState, host: str, reply: SyncReply, first_sync: bool, now: int
 ) -> Actions:
     running = {task.task for task in reply.running}
     ended = {task.task: task for task in reply.ended}
@@ -107,7 +104,7 @@
         if task_id in running:
             _mark_running(state, task, reply.clock)
             continue
-        status = find_unlisted_status(task, reply, first)
+        status = find_unlisted_status(task, reply, first_sync)
         if status is not AttemptStatus.UNDETERMINED:
             yield from record_unsuccessful_task(
                 state, task, status, 'the worker no longer lists the task', now
@@ -117,15 +114,15 @@
 
 
 def find_unlisted_status(
-    task: TaskEntry, reply: SyncReply, first: bool
+    task: TaskEntry, reply: SyncReply, first_sync: bool
 ) -> AttemptStatus:
     """Return what is certain about a task that its worker does not list.
 
     Parameters
     ----------
-    first : bool
+    first_sync : bool
         Whether this is the worker's first answer under this owner's epoch,
-        after which it refuses starts of earlier owners.
+        after which it refuses starts of previous owners.
     """
     if task.incarnation != reply.incarnation:
         return AttemptStatus.LAPSED
@@ -137,7 +134,7 @@
         if 0 < task.start_before_clock <= reply.clock:
             return AttemptStatus.REFUSED
         return AttemptStatus.UNDETERMINED
-    return AttemptStatus.REFUSED if first else AttemptStatus.UNDETERMINED
+    return AttemptStatus.REFUSED if first_sync else AttemptStatus.UNDETERMINED
 
 
 def _mark_running(state: ShardState, task: TaskEntry, clock: int) -> None:
@@ -162,7 +159,7 @@
 def _adopt_tasks(state: ShardState, host: str, reply: SyncReply) -> Actions:
     """Reserve resources for running tasks that this owner does not know.
 
-    They are quick requests of an earlier owner, or belong to an attempt that
+    They are quick requests of a previous owner, or belong to an attempt that
     has been given up since its start.
     """
     for report in reply.running:
@@ -198,7 +195,7 @@
     if entry is None or entry.silent_since:
         return
     state.update_host(event.host, silent_since=now)
-    update_openness(state, event.host)
+    open_or_close_host(state, event.host)
     yield LogDecision(
         'silent', '', host=event.host, reason='worker did not answer'
     )
@@ -214,7 +211,7 @@
         if listed == entry.listed_leaving:
             continue
         state.update_host(name, listed_leaving=listed)
-        update_openness(state, name)
+        open_or_close_host(state, name)
         yield LogDecision(
             'leaving' if listed else 'staying',
             '',
