Use reply for what comes back from workers and other shards

Cause: the code used answer and reply for the same thing. Change: functions, the field PeerAnswered.reply and texts of shards say reply. Result: tests/shards, ruff, flake8 and mypy pass.

--- a/sassafrasgate/shards/actions.py
+++ b/sassafrasgate/shards/actions.py
@@ -27,7 +27,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Reply:
-    """Send the answer to a request.
+    """Send the reply to a request.
 
     Parameters
     ----------
@@ -46,7 +46,7 @@
     Parameters
     ----------
     wait_ms : int
-        How long the worker may delay its answer until the task ends, in ms.
+        How long the worker may delay its reply until the task ends, in ms.
     lease_ms : int
         Upper bound on a lease that is not renewed, in ms; 0 for a renewable
         lease of the standard duration.
--- a/sassafrasgate/shards/completions.py
+++ b/sassafrasgate/shards/completions.py
@@ -34,7 +34,7 @@
 from sassafrasgate.shards.state import TaskEntry
 from sassafrasgate.shards.state import TaskPhase
 from sassafrasgate.shards.state import UnsuccessfulTask
-from sassafrasgate.shards.views import answer_waiters
+from sassafrasgate.shards.views import reply_to_waiters
 
 if TYPE_CHECKING:
     from sassafrasgate.shards.handlers import Actions
@@ -201,7 +201,7 @@
     if entry is None:
         return
     state.update_job(record.job_id, end_durable=True)
-    yield from answer_waiters(state, record.job_id)
+    yield from reply_to_waiters(state, record.job_id)
     for placement in entry.placements:
         yield ReleaseTask(placement.host, placement.task)
     if entry.home:
--- a/sassafrasgate/shards/events.py
+++ b/sassafrasgate/shards/events.py
@@ -21,7 +21,7 @@
     Parameters
     ----------
     reply_to : int
-        Token for the `Reply` action; 0 when no answer is expected.
+        Token for the `Reply` action; 0 when no reply is expected.
     message : object
         A registered message of the inner protocol.
     wall_ms : int
@@ -72,7 +72,7 @@
     Parameters
     ----------
     received_at : int
-        The owner's clock in ms when the answer arrived.
+        The owner's clock in ms when the reply arrived.
     """
 
     host: str
@@ -107,7 +107,7 @@
     Parameters
     ----------
     received_at : int
-        The owner's clock in ms when the answer arrived.
+        The owner's clock in ms when the reply arrived.
     """
 
     host: str
@@ -182,12 +182,12 @@
     ----------
     message : object
         The message that was sent with `SendToShard`.
-    answer : object or None
-        The answer; None when none arrived in time.
+    reply : object or None
+        The reply; None when none arrived in time.
     """
 
     message: Any
-    answer: Any
+    reply: Any
 
 
 @dataclass(frozen=True, slots=True)
--- a/sassafrasgate/shards/quick_requests.py
+++ b/sassafrasgate/shards/quick_requests.py
@@ -77,7 +77,7 @@
             refusal = Refusal(
                 RefusalKind.NOT_READY,
                 f'the new owner of shard {state.name!r} is waiting for the '
-                'first answers of its workers',
+                'first replies of its workers',
                 'send the request again after a second',
             )
         yield from _refuse(state, request, refusal)
@@ -245,7 +245,7 @@
         ended.size,
         ended.digest,
     )
-    yield from _answer(state, quick, outcome)
+    yield from _reply(state, quick, outcome)
 
 
 @EVENT_HANDLERS.register(OutputFetched)
@@ -264,10 +264,10 @@
             len(event.data),
             event.digest,
         )
-        yield from _answer(state, quick, outcome)
+        yield from _reply(state, quick, outcome)
 
 
-def _answer(
+def _reply(
     state: ShardState, quick: QuickRequest, outcome: Outcome
 ) -> Actions:
     state.quick_requests.pop(quick.job_id, None)
--- a/sassafrasgate/shards/quota_shares.py
+++ b/sassafrasgate/shards/quota_shares.py
@@ -3,7 +3,7 @@
 Each shard starts with an equal share of a team's quota. A shard whose share
 is too small for a queued job asks the other shards, one at a time, for
 unused share. The lender journals the total that it has lent to a shard
-before it answers with that total. A lost answer or a takeover can therefore
+before it answers with that total. A lost reply or a takeover can therefore
 leave a part of the quota unused for a while, but the sum of the shares never
 exceeds the quota.
 """
@@ -94,7 +94,7 @@
     grant = message.missing.take_minimum(free).take_maximum(NO_RESOURCES)
     state.share_callers.setdefault(key, []).append(request.reply_to)
     if grant == NO_RESOURCES and len(state.share_callers[key]) == 1:
-        yield from _answer_borrower(state, key, total)
+        yield from _reply_to_borrower(state, key, total)
         return
     yield LogDecision(
         'lend', '', reason=f'{message.team} to {message.borrower}: {grant}'
@@ -117,10 +117,10 @@
 ) -> Actions:
     """Answer the borrower, since the loan is in the journal."""
     key = (record.borrower, record.team)
-    yield from _answer_borrower(state, key, record.total)
+    yield from _reply_to_borrower(state, key, record.total)
 
 
-def _answer_borrower(
+def _reply_to_borrower(
     state: ShardState, key: tuple[str, str], total: Resources
 ) -> Actions:
     for reply_to in state.share_callers.pop(key, ()):
@@ -128,15 +128,15 @@
 
 
 def record_share_total(
-    state: ShardState, message: BorrowShare, answer: ShareTotal
+    state: ShardState, message: BorrowShare, reply: ShareTotal
 ) -> None:
     """Increase this shard's share to include all that a shard has lent.
 
-    Totals only grow, so a delayed answer with a smaller total has no effect.
+    Totals only grow, so a delayed reply with a smaller total has no effect.
     """
     key = (message.shard, message.team)
     state.borrowed_shares[key] = state.borrowed_shares.get(
         key, NO_RESOURCES
-    ).take_maximum(answer.total)
+    ).take_maximum(reply.total)
     _adjust_share(state, message.team)
     state.needs_pass = True
--- a/sassafrasgate/shards/state.py
+++ b/sassafrasgate/shards/state.py
@@ -248,7 +248,7 @@
     Parameters
     ----------
     reply_to : tuple of int
-        Tokens of the requests that wait for the answer.
+        Tokens of the requests that wait for the reply.
     expires_at : int
         The owner's clock from which the callers are answered "unknown".
     attempt, task, host
--- a/sassafrasgate/shards/submissions.py
+++ b/sassafrasgate/shards/submissions.py
@@ -36,9 +36,9 @@
 from sassafrasgate.shards.quick_requests import start_quick_request
 from sassafrasgate.shards.state import PendingSubmit
 from sassafrasgate.shards.state import TaskPhase
-from sassafrasgate.shards.transfers import answer_transfer_callers
-from sassafrasgate.shards.views import answer_or_wait
+from sassafrasgate.shards.transfers import reply_to_transfer_callers
 from sassafrasgate.shards.views import make_waiter
+from sassafrasgate.shards.views import reply_or_wait
 
 if TYPE_CHECKING:
     from sassafrasgate.shards.events import RequestReceived
@@ -46,7 +46,7 @@
     from sassafrasgate.shards.state import ShardState
 
 # Below the front end's time-out for an acceptance, so that callers get "not
-# run" instead of no answer.
+# run" instead of no reply.
 ACCEPT_TIMEOUT_MS = 8_000
 MAX_QUEUED_JOBS = 100_000
 
@@ -61,7 +61,7 @@
         yield from start_quick_request(state, request, now)
         return
     if submit.job_id in state.jobs:
-        yield from _answer_duplicate(state, request, now)
+        yield from _reply_to_duplicate(state, request, now)
         return
     refusal = _find_refusal(state, submit.spec, now)
     if refusal is not None:
@@ -108,7 +108,7 @@
     return check_admission(spec, load)
 
 
-def _answer_duplicate(
+def _reply_to_duplicate(
     state: ShardState, request: RequestReceived, now: int
 ) -> Actions:
     submit: Submit = request.message
@@ -131,7 +131,7 @@
             pending, callers=(*pending.callers, caller)
         )
         return
-    yield from answer_or_wait(state, submit.job_id, caller, now, True)
+    yield from reply_or_wait(state, submit.job_id, caller, now, True)
 
 
 def _accept_job(
@@ -194,10 +194,10 @@
     pending = state.pending_submits.pop(record.job_id, None)
     if pending is not None:
         for position, caller in enumerate(pending.callers):
-            yield from answer_or_wait(
+            yield from reply_or_wait(
                 state, record.job_id, caller, now, position > 0
             )
-    yield from answer_transfer_callers(state, state.jobs[record.job_id])
+    yield from reply_to_transfer_callers(state, state.jobs[record.job_id])
     yield from start_placed_tasks(state, record.job_id, record.placements)
 
 
--- a/sassafrasgate/shards/transfers.py
+++ b/sassafrasgate/shards/transfers.py
@@ -180,31 +180,31 @@
 
 
 @EVENT_HANDLERS.register(PeerAnswered)
-def handle_peer_answer(
+def handle_peer_reply(
     state: ShardState, event: PeerAnswered, now: int
 ) -> Actions:
-    """Process the answer to a message to another shard."""
-    message, answer = event.message, event.answer
+    """Process the reply to a message to another shard."""
+    message, reply = event.message, event.reply
     if isinstance(message, BorrowShare):
-        if isinstance(answer, ShareTotal):
-            record_share_total(state, message, answer)
+        if isinstance(reply, ShareTotal):
+            record_share_total(state, message, reply)
         return
     if isinstance(message, TransferEnded):
-        if isinstance(answer, Acknowledged):
+        if isinstance(reply, Acknowledged):
             state.unacknowledged_ends.pop(message.job_id, None)
         return
     transfer = state.transfers.get(message.job_id)
     if transfer is None or transfer.attempt != message.attempt:
         return
-    if isinstance(answer, TransferEnded):
-        yield from _apply_transfer_end(state, answer)
+    if isinstance(reply, TransferEnded):
+        yield from _apply_transfer_end(state, reply)
         return
-    if not isinstance(answer, TransferReply):
+    if not isinstance(reply, TransferReply):
         return
-    if answer.accepted:
+    if reply.accepted:
         state.transfers[message.job_id] = replace(transfer, accepted=True)
         return
-    yield from _reclaim_job(state, message.job_id, answer.reason)
+    yield from _reclaim_job(state, message.job_id, reply.reason)
 
 
 def _reclaim_job(state: ShardState, job_id: str, reason: str) -> Actions:
@@ -264,10 +264,10 @@
     key = (message.job_id, message.home, message.attempt)
     entry = state.jobs.get(message.job_id)
     if key in state.tombstones:
-        yield from _answer_refused(state, request, 'attempt already refused')
+        yield from _reply_refused(state, request, 'attempt already refused')
         return
     if entry is not None and entry.home_attempt == message.attempt:
-        yield from _answer_accepted(state, request, entry)
+        yield from _reply_accepted(state, request, entry)
         return
     if entry is not None and not entry.has_ended:
         # An earlier attempt has not ended here; the home shard sends its
@@ -302,7 +302,7 @@
     yield from log_placement(state, message.job_id, attempt, chosen)
 
 
-def _answer_accepted(
+def _reply_accepted(
     state: ShardState, request: RequestReceived, entry: JobEntry
 ) -> Actions:
     if not entry.durable:
@@ -314,7 +314,7 @@
     )
 
 
-def _answer_refused(
+def _reply_refused(
     state: ShardState, request: RequestReceived, reason: str
 ) -> Actions:
     message = request.message
@@ -347,7 +347,7 @@
         )
 
 
-def answer_transfer_callers(state: ShardState, entry: JobEntry) -> Actions:
+def reply_to_transfer_callers(state: ShardState, entry: JobEntry) -> Actions:
     """Answer the home shard, since the acceptance is in the journal."""
     key = (entry.job_id, entry.home, entry.home_attempt)
     for reply_to in state.transfer_callers.pop(key, ()):
@@ -357,7 +357,7 @@
 
 
 @REQUEST_HANDLERS.register('recall')
-def answer_recall(
+def handle_recall(
     state: ShardState, request: RequestReceived, now: int
 ) -> Actions:
     """Answer with the state of an attempt, or refuse it permanently.
@@ -390,7 +390,7 @@
     message: Recall = request.message
     key = (message.job_id, message.home, message.attempt)
     if key in state.tombstones:
-        yield from _answer_refused(state, request, 'attempt recalled')
+        yield from _reply_refused(state, request, 'attempt recalled')
         return
     state.transfer_callers.setdefault(key, []).append(request.reply_to)
     yield from write_record(
--- a/sassafrasgate/shards/views.py
+++ b/sassafrasgate/shards/views.py
@@ -69,7 +69,7 @@
 
 
 @REQUEST_HANDLERS.register('query')
-def answer_query(
+def handle_query(
     state: ShardState, request: RequestReceived, now: int
 ) -> Actions:
     """Answer with a job's state, at once or when the job ends."""
@@ -79,7 +79,7 @@
         yield reply_refusal(request.reply_to, refuse_unknown_job(query.job_id))
         return
     caller = make_waiter(request, query.wait_s, now)
-    yield from answer_or_wait(state, query.job_id, caller, now)
+    yield from reply_or_wait(state, query.job_id, caller, now)
 
 
 def make_waiter(
@@ -90,7 +90,7 @@
     return JobWaiter(request.reply_to, expires_at)
 
 
-def answer_or_wait(
+def reply_or_wait(
     state: ShardState,
     job_id: str,
     caller: JobWaiter,
@@ -106,7 +106,7 @@
     state.waiters[job_id] = (*waiters, caller)
 
 
-def answer_waiters(state: ShardState, job_id: str) -> Actions:
+def reply_to_waiters(state: ShardState, job_id: str) -> Actions:
     """Answer every caller that waits for a job."""
     view = view_job(state, state.jobs[job_id])
     for waiter in state.waiters.pop(job_id, ()):
@@ -131,7 +131,7 @@
 
 
 @REQUEST_HANDLERS.register('explain')
-def answer_explain(
+def handle_explain(
     state: ShardState, request: RequestReceived, now: int
 ) -> Actions:
     """Answer with the latest decisions about a job."""
@@ -151,7 +151,7 @@
 
 
 @REQUEST_HANDLERS.register('list-jobs')
-def answer_list_jobs(
+def handle_list_jobs(
     state: ShardState, request: RequestReceived, now: int
 ) -> Actions:
     """Answer with the newest jobs of this shard, oldest first."""
@@ -166,7 +166,7 @@
 
 
 @REQUEST_HANDLERS.register('list-hosts')
-def answer_list_hosts(
+def handle_list_hosts(
     state: ShardState, request: RequestReceived, now: int
 ) -> Actions:
     """Answer with the hosts of this shard."""
--- a/sassafrasgate/shards/workers.py
+++ b/sassafrasgate/shards/workers.py
@@ -121,7 +121,7 @@
     Parameters
     ----------
     first_sync : bool
-        Whether this is the worker's first answer under this owner's epoch,
+        Whether this is the worker's first reply under this owner's epoch,
         after which it refuses starts of previous owners.
     """
     if task.incarnation != reply.incarnation:
@@ -221,10 +221,10 @@
 
 
 @EVENT_HANDLERS.register(StartAnswered)
-def handle_start_answer(
+def handle_start_reply(
     state: ShardState, event: StartAnswered, now: int
 ) -> Actions:
-    """Process a worker's answer to a start."""
+    """Process a worker's reply to a start."""
     task = state.tasks.get(event.task)
     if task is None:
         return
@@ -307,7 +307,7 @@
 def compute_host_lease_expiry(entry: HostEntry) -> int:
     """Return the owner's time from which no task can run on a host.
 
-    For a host that answers it stays in the future, since each answer brings
+    For a host that answers it stays in the future, since each reply brings
     a newer clock reading.
     """
     if entry.reading is None:
