Reword the tests of shards and name their simulation in usual terms

Cause: test names, comments and the simulation used figurative names such as former, cut, walk or promise. Change: names and texts only; rules of the state machine keep their alphabetical order and the weighted actions their order, so the randomized runs take the same steps. Assertions, bounds, seeds and data are unchanged.

--- a/tests/shards/simulation.py
+++ b/tests/shards/simulation.py
@@ -1,7 +1,7 @@
-"""One shard, its workers and its journal in memory, with faults.
+"""In-memory simulation of a shard, its workers and its journal, with faults.
 
-Time is a number, messages wait until a test delivers, loses or repeats
-them, and workers keep a record of what really ran.
+Time is simulated, messages wait until a test delivers, loses or duplicates
+them, and workers record which tasks they started.
 """
 
 from __future__ import annotations
@@ -73,21 +73,21 @@
 
 @dataclass
 class SimulatedWorker:
-    """A worker that keeps the rules of the workers' API."""
+    """A worker that follows the rules of the workers' API."""
 
     name: str
     rate: float
     shard: str
     incarnation: int = 1
-    born_at: int = 0
+    started_at: int = 0
     fence: int = 0
     tasks: dict[str, SimulatedTask] = field(default_factory=dict)
-    refusals: set[str] = field(default_factory=set)
+    refused_tasks: set[str] = field(default_factory=set)
     started: list[str] = field(default_factory=list)
     finished: list[str] = field(default_factory=list)
 
     def read_clock(self, now: int) -> int:
-        return int((now - self.born_at) * self.rate)
+        return int((now - self.started_at) * self.rate)
 
     def lapse(self, now: int) -> None:
         clock = self.read_clock(now)
@@ -112,12 +112,12 @@
             status = StartStatus.ENDED if known.ended else StartStatus.STARTED
             return StartReply(status, incarnation, clock, '', known.ended)
         if (
-            request.task in self.refusals
+            request.task in self.refused_tasks
             or request.epoch < self.fence
             or request.incarnation != incarnation
             or clock >= min(request.start_before_clock, request.lease_clock)
         ):
-            self.refusals.add(request.task)
+            self.refused_tasks.add(request.task)
             return StartReply(
                 StartStatus.REFUSED, incarnation, clock, 'refused'
             )
@@ -138,21 +138,21 @@
     ) -> SyncReply:
         self.lapse(now)
         clock = self.read_clock(now)
-        mine = str(self.incarnation)
+        own_incarnation = str(self.incarnation)
         if epoch < self.fence:
-            return SyncReply(False, mine, clock, self.fence)
+            return SyncReply(False, own_incarnation, clock, self.fence)
         self.fence = epoch
         for name in release:
             if name in self.tasks and self.tasks[name].ended:
-                # The id stays refused, so that a late start can't run.
+                # The id stays refused, so that a delayed start cannot run.
                 del self.tasks[name]
-                self.refusals.add(name)
+                self.refused_tasks.add(name)
         for task in self.list_running():
-            if incarnation == mine and task.request.renewable:
+            if incarnation == own_incarnation and task.request.renewable:
                 task.lease_clock = max(task.lease_clock, lease_clock)
         return SyncReply(
             True,
-            mine,
+            own_incarnation,
             clock,
             self.fence,
             False,
@@ -171,26 +171,26 @@
 
     def restart(self, now: int) -> None:
         self.incarnation += 1
-        self.born_at = now
+        self.started_at = now
         self.fence = 0
         self.tasks.clear()
-        self.refusals.clear()
+        self.refused_tasks.clear()
 
 
 @dataclass
-class Owner:
-    """One owner's state and what its host tasks know."""
+class SimulatedOwner:
+    """One owner's state, and what its host tasks keep for each worker."""
 
     state: ShardState
     readings: dict[str, ClockReading] = field(default_factory=dict)
     incarnations: dict[str, str] = field(default_factory=dict)
     releases: dict[str, set[str]] = field(default_factory=dict)
-    unwritten: list[Any] = field(default_factory=list)
+    unwritten_records: list[Any] = field(default_factory=list)
     may_act_until: int = 2**62
 
 
 class SimulatedShard:
-    """A shard with its workers, driven step by step.
+    """A shard with its workers, driven by the calls of a test.
 
     Parameters
     ----------
@@ -199,7 +199,7 @@
     name : str
         Shard name.
     prefix : str
-        Of the worker names.
+        Prefix of the worker names.
     """
 
     def __init__(
@@ -213,7 +213,7 @@
         self.outbox: list[Any] = []
         self.workers = {
             f'{prefix}{number}': SimulatedWorker(
-                f'{prefix}{number}', rate, name, born_at=self.now
+                f'{prefix}{number}', rate, name, started_at=self.now
             )
             for number, rate in enumerate(rates)
         }
@@ -221,11 +221,11 @@
         self.starts: list[StartRequest] = []
         self.replies: list[Any] = []
         self.accepted: set[str] = set()
-        self.cut: set[str] = set()
+        self.partitioned_hosts: set[str] = set()
         self.specs: dict[str, JobSpec] = {}
         self.configuration = self._make_configuration()
         self.owner = self._make_owner(0)
-        self.former: Owner | None = None
+        self.previous_owner: SimulatedOwner | None = None
 
     def _make_configuration(self) -> Configuration:
         hosts = tuple(
@@ -235,7 +235,7 @@
         shards = (Shard(self.name, 'd1', ('r1',)),)
         return Configuration(1, '', 'c', hosts, shards, (Team('t'),))
 
-    def _make_owner(self, epoch: int) -> Owner:
+    def _make_owner(self, epoch: int) -> SimulatedOwner:
         state = ShardState(self.name, f'owner-{epoch + 1}')
         state.wall_ms = self.now
         decide(state, ConfigurationChanged(self.configuration), self.now)
@@ -247,32 +247,38 @@
         replay_records(state, (takeover,))
         begin_ownership(state, self.now)
         resume_transfers(state)
-        return Owner(state)
+        return SimulatedOwner(state)
 
     def take_over(self, written: int) -> None:
-        """Replace the owner; ``written`` of its last records are durable.
+        """Replace the owner.
 
-        The old owner may go on for its grace, as in a store outage that
-        only it sees.
+        The previous owner may go on for its grace period, as in a store
+        outage that affects only this owner.
+
+        Parameters
+        ----------
+        written : int
+            Number of the previous owner's pending records that became
+            durable, oldest first.
         """
         old = self.owner
-        self.journal.extend(old.unwritten[:written])
-        old.unwritten.clear()
+        self.journal.extend(old.unwritten_records[:written])
+        old.unwritten_records.clear()
         old.may_act_until = self.now + GRACE_MS
-        self.former = old
+        self.previous_owner = old
         self.owner = self._make_owner(old.state.epoch)
 
     def feed(self, event: Any) -> None:
-        """Let the owner decide and carry its actions out."""
+        """Pass an event to the owner and carry out its actions."""
         if isinstance(event, ConfigurationChanged):
             self.configuration = event.configuration
         owner = self.owner
         for action in decide(owner.state, event, self.now):
             self._carry_out(owner, action)
 
-    def _carry_out(self, owner: Owner, action: Any) -> None:
+    def _carry_out(self, owner: SimulatedOwner, action: Any) -> None:
         if isinstance(action, AppendRecord):
-            owner.unwritten.append(action.record)
+            owner.unwritten_records.append(action.record)
         if isinstance(action, StartTask):
             self._send_start(owner, action)
         if isinstance(action, StopTask):
@@ -294,7 +300,7 @@
         if view.state not in ('not-run', 'unknown'):
             self.accepted.add(view.job_id)
 
-    def _send_start(self, owner: Owner, action: StartTask) -> None:
+    def _send_start(self, owner: SimulatedOwner, action: StartTask) -> None:
         reading = owner.readings[action.host]
         if owner.incarnations[action.host] != action.incarnation:
             self.feed(StartNotSent(action.host, action.task, 'restarted'))
@@ -316,7 +322,7 @@
             )
         )
 
-    def _stop(self, owner: Owner, action: StopTask) -> None:
+    def _stop(self, owner: SimulatedOwner, action: StopTask) -> None:
         worker = self.workers[action.host]
         worker.lapse(self.now)
         task = worker.tasks.get(action.task)
@@ -325,11 +331,14 @@
         worker.end(action.task, TaskOutcome.STOPPED)
 
     def deliver_start(self, number: int, lose_reply: bool) -> None:
-        """Deliver a start; without a reply the owner does not know."""
+        """Deliver one of the pending starts, with or without its reply."""
         request = self.starts.pop(number % len(self.starts))
         host = request.shard
-        if host in self.cut and request.epoch == self.owner.state.epoch:
-            # It stays on its way; the owner hears nothing.
+        if (
+            host in self.partitioned_hosts
+            and request.epoch == self.owner.state.epoch
+        ):
+            # The start stays pending and the owner gets no reply.
             self.starts.append(request)
             self.delay_start(-1)
             return
@@ -345,7 +354,7 @@
         self.feed(StartAnswered(host, request.task, reply, self.now))
 
     def delay_start(self, number: int) -> None:
-        """Tell the owner of no answer while the start is on its way."""
+        """Report a start as unanswered while it stays pending."""
         request = self.starts[number % len(self.starts)]
         if request.epoch == self.owner.state.epoch:
             self.feed(
@@ -354,13 +363,13 @@
                 )
             )
 
-    def repeat_start(self, number: int) -> None:
-        """Put a second copy of a start on its way."""
+    def duplicate_start(self, number: int) -> None:
+        """Add a second copy of a pending start."""
         self.starts.append(self.starts[number % len(self.starts)])
 
     def sync(self, host: str, lose_reply: bool = False) -> None:
-        """Make one sync call of the owner."""
-        if host in self.cut:
+        """Make one sync call from the owner to a worker."""
+        if host in self.partitioned_hosts:
             self.feed(HostSilent(host))
             return
         reply = self._call_sync(self.owner, host, lose_reply)
@@ -369,16 +378,16 @@
             return
         self.feed(HostSynced(host, reply, self.now))
 
-    def sync_former(self, host: str) -> None:
-        """Let the former owner renew, within its grace."""
-        former = self.former
-        if former is None or self.now >= former.may_act_until:
+    def sync_previous_owner(self, host: str) -> None:
+        """Let the previous owner renew leases within its grace period."""
+        previous = self.previous_owner
+        if previous is None or self.now >= previous.may_act_until:
             return
-        if host in former.readings:
-            self._call_sync(former, host, False)
+        if host in previous.readings:
+            self._call_sync(previous, host, False)
 
     def _call_sync(
-        self, owner: Owner, host: str, lose_reply: bool
+        self, owner: SimulatedOwner, host: str, lose_reply: bool
     ) -> SyncReply | None:
         reading = owner.readings.get(host)
         release = tuple(owner.releases.get(host, ()))
@@ -391,7 +400,7 @@
         )
         if lose_reply:
             return None
-        if owner is self.former and not reply.accepted:
+        if owner is self.previous_owner and not reply.accepted:
             owner.may_act_until = 0
             return None
         owner.readings[host] = ClockReading(reply.clock, self.now)
@@ -400,15 +409,15 @@
         return reply
 
     def commit(self, count: int) -> None:
-        """Make the owner's oldest unwritten records durable."""
-        records = tuple(self.owner.unwritten[:count])
-        del self.owner.unwritten[:count]
+        """Make the oldest unwritten records of the owner durable."""
+        records = tuple(self.owner.unwritten_records[:count])
+        del self.owner.unwritten_records[:count]
         self.journal.extend(records)
         if records:
             self.feed(RecordsDurable(records, self.now))
 
     def advance(self, elapsed_ms: int) -> None:
-        """Let time pass for everybody."""
+        """Advance the time of the owner and all workers."""
         self.now += elapsed_ms
         for worker in self.workers.values():
             worker.lapse(self.now)
@@ -425,7 +434,7 @@
         return job_id
 
     def cancel(self, job_id: str) -> None:
-        """Ask for a job's end."""
+        """Ask the owner to cancel a job."""
         self.feed(RequestReceived(2, Cancel(self.name, job_id), self.now))
 
     def end_task(self, host: str, number: int, outcome: TaskOutcome) -> None:
@@ -435,30 +444,30 @@
             name = running[number % len(running)].request.task
             self.workers[host].end(name, outcome)
 
-    def settle(self) -> None:
-        """End all faults and let everything that can finish do so."""
-        self.cut.clear()
+    def run_to_completion(self) -> None:
+        """Remove all faults and finish every task that can finish."""
+        self.partitioned_hosts.clear()
         for _ in range(60):
             while self.starts:
                 self.deliver_start(0, False)
             for host in self.workers:
                 self.sync(host)
-            self.commit(len(self.owner.unwritten))
+            self.commit(len(self.owner.unwritten_records))
             for host, worker in self.workers.items():
                 for _ in worker.list_running():
                     self.end_task(host, 0, TaskOutcome.FINISHED)
             self.advance(1_000)
 
     def check_capacity(self) -> None:
-        """Check that no worker runs more than it has room for."""
+        """Check that no worker runs more than its capacity allows."""
         for worker in self.workers.values():
             total = NO_RESOURCES
             for task in worker.list_running():
                 total = total + task.request.resources
             assert total.fits_in(CAPACITY), (worker.name, total)
 
-    def check_single_place(self) -> None:
-        """Check that no task index of a job runs in two places."""
+    def check_no_concurrent_runs(self) -> None:
+        """Check that no task index of a job runs on two workers at once."""
         places: dict[str, str] = {}
         for worker in self.workers.values():
             for task in worker.list_running():
--- a/tests/shards/test_preemption.py
+++ b/tests/shards/test_preemption.py
@@ -1,4 +1,4 @@
-"""Guards urgent work against waiting behind batch tasks."""
+"""Tests that urgent jobs preempt batch tasks, and only those allowed."""
 
 from dataclasses import replace
 
@@ -38,29 +38,29 @@
     return shard.owner.state.jobs[job_id]
 
 
-def count_stopped(shard):
+def count_queued(shard):
     return sum(
         entry.state is JobState.QUEUED
         for entry in shard.owner.state.jobs.values()
     )
 
 
-def test_urgent_job_displaces_one_idempotent_batch_task():
+def test_urgent_job_preempts_one_idempotent_batch_task():
     shard = start_full_shard((RULE,))
     assert run_urgent(shard).state is JobState.RUNNING
-    assert count_stopped(shard) == 1
-    shard.settle()
+    assert count_queued(shard) == 1
+    shard.run_to_completion()
     states = {entry.state for entry in shard.owner.state.jobs.values()}
     assert states == {JobState.FINISHED}
 
 
-def test_non_idempotent_batch_tasks_are_never_displaced():
-    # A second run of such a task could print or order twice.
+def test_non_idempotent_batch_tasks_are_never_preempted():
+    # Running such a task a second time could repeat its external effects.
     shard = start_full_shard((RULE,), idempotent=False)
     assert run_urgent(shard).state is JobState.QUEUED
-    assert count_stopped(shard) == 1
+    assert count_queued(shard) == 1
 
 
-def test_nothing_is_displaced_without_a_rule():
+def test_no_task_is_preempted_without_a_rule():
     shard = start_full_shard(())
     assert run_urgent(shard).state is JobState.QUEUED
--- a/tests/shards/test_quota_shares.py
+++ b/tests/shards/test_quota_shares.py
@@ -1,4 +1,4 @@
-"""Guards quotas over several shards: never exceeded, and not stranded."""
+"""Tests that shards use a shared quota in full and never exceed it."""
 
 from dataclasses import replace
 from random import Random
@@ -11,22 +11,22 @@
 from sassafrasgate.core.resources import Resources
 from sassafrasgate.shards.events import ConfigurationChanged
 from tests.shards.simulation import DEMAND
-from tests.shards.test_transfers import Pair
-from tests.shards.test_transfers import walk
+from tests.shards.test_transfers import ShardPair
+from tests.shards.test_transfers import take_random_step
 
 QUOTA = Resources(2000, 0, 0, 0, 0)
 SHARDS = (Shard('north', 'd1', ('r1',)), Shard('south', 'd1', ('r1',)))
 
 
 def make_pair():
-    pair = Pair()
+    pair = ShardPair()
     for shard in pair.shards.values():
         configure(shard, 2)
     return pair
 
 
 def configure(shard, version):
-    """Give a shard's owner the quota and both shards' names."""
+    """Configure a shard's owner with the quota and both shards."""
     state = shard.owner.state
     state.summaries.clear()
     configuration = replace(
@@ -40,13 +40,13 @@
 
 def exchange(pair, rounds=6):
     for _ in range(rounds):
-        pair.collect()
+        pair.collect_messages()
         while pair.sent:
             pair.deliver(0)
-            pair.collect()
+            pair.collect_messages()
         for shard in pair.shards.values():
             shard.commit(99)
-            pair.answer()
+            pair.deliver_replies()
             while shard.starts:
                 shard.deliver_start(0, False)
             shard.advance(300)
@@ -63,8 +63,9 @@
     assert running * DEMAND.millicores <= QUOTA.millicores
 
 
-def test_share_that_one_shard_does_not_use_serves_the_other():
-    # An equal split alone would let one task run and strand the rest.
+def test_unused_share_of_one_shard_is_lent_to_the_other():
+    # With an equal split of the quota and no loans, only one task would run
+    # and the other half of the quota would stay unused.
     pair = make_pair()
     for number in range(3):
         pair.north.submit(f'k{number}')
@@ -74,7 +75,8 @@
 
 
 def test_loan_survives_the_lenders_takeover():
-    # A lender that forgot its loan would use the same part again.
+    # A new owner that did not know of the loan would use the lent share too,
+    # so that the quota would be exceeded.
     pair = make_pair()
     for number in range(3):
         pair.north.submit(f'k{number}')
@@ -88,8 +90,9 @@
 
 
 @pytest.mark.parametrize('seed', range(40))
-def test_shares_never_exceed_the_quota_on_a_random_walk(seed):
-    # Loans cross lost and repeated messages and takeovers of both shards.
+def test_shares_never_exceed_the_quota_under_random_faults(seed):
+    # Messages about loans are lost and repeated, and both shards are taken
+    # over, while loans are in progress.
     random = Random(seed)
     pair = make_pair()
     for step in range(60):
@@ -98,5 +101,5 @@
                 shard.submit(f'k{step}{shard.name}')
             if random.random() < 0.05:
                 shard.take_over(random.randrange(4))
-        walk(pair, random)
+        take_random_step(pair, random)
         check_quota(pair)
--- a/tests/shards/test_random_faults.py
+++ b/tests/shards/test_random_faults.py
@@ -1,8 +1,10 @@
-"""Long random walks over one shard's faults, with fixed seeds.
+"""Long randomized runs of one shard with faults and fixed seeds.
 
-Guards promises 1, 2, 4, 5 and 9: capacity, one place at a time, true "not
-run" answers, at most once, and every accepted job ending once. The state
-machine beside it finds short cases; these walks reach deep ones.
+Checks guarantees 1, 2, 4, 5 and 9: host capacity is not exceeded, no task
+runs concurrently on two hosts, jobs reported as "not run" never ran,
+non-idempotent jobs run at most once, and every accepted job ends. The
+stateful test in `test_state_machine` finds short failing cases; these runs
+reach states that take many steps.
 """
 
 from random import Random
@@ -19,19 +21,19 @@
 STEPS = 120
 SEEDS = 150
 
-MOVES = Registry('move')
+ACTIONS = Registry('action')
 WEIGHTS = {}
 
 
-def register_move(weight):
-    def add_move(move):
-        WEIGHTS[move.__name__] = weight
-        return MOVES.register(move.__name__)(move)
+def register_action(weight):
+    def add_action(action):
+        WEIGHTS[action.__name__] = weight
+        return ACTIONS.register(action.__name__)(action)
 
-    return add_move
+    return add_action
 
 
-@register_move(6)
+@register_action(6)
 def submit(shard, random):
     kind = random.choice([JobClass.BATCH, JobClass.URGENT, JobClass.GANG])
     idempotent = random.random() < 0.5
@@ -43,7 +45,7 @@
     )
 
 
-@register_move(3)
+@register_action(3)
 def submit_quick(shard, random):
     shard.submit(
         f'quick{random.randrange(4)}',
@@ -52,62 +54,62 @@
     )
 
 
-@register_move(2)
-def cut_or_mend_link(shard, random):
-    shard.cut ^= {random.choice(['h0', 'h1'])}
+@register_action(2)
+def toggle_partition(shard, random):
+    shard.partitioned_hosts ^= {random.choice(['h0', 'h1'])}
 
 
-@register_move(8)
+@register_action(8)
 def commit(shard, random):
     shard.commit(random.randint(1, 9))
 
 
-@register_move(8)
+@register_action(8)
 def deliver_start(shard, random):
     if shard.starts:
         shard.deliver_start(random.randrange(9), random.random() < 0.3)
 
 
-@register_move(2)
+@register_action(2)
 def delay_start(shard, random):
     if shard.starts:
         if random.random() < 0.5:
-            shard.repeat_start(random.randrange(9))
+            shard.duplicate_start(random.randrange(9))
         shard.delay_start(random.randrange(9))
 
 
-@register_move(8)
+@register_action(8)
 def sync(shard, random):
     shard.sync(random.choice(['h0', 'h1']), random.random() < 0.2)
 
 
-@register_move(5)
-def sync_former(shard, random):
-    shard.sync_former(random.choice(['h0', 'h1']))
+@register_action(5)
+def sync_previous_owner(shard, random):
+    shard.sync_previous_owner(random.choice(['h0', 'h1']))
 
 
-@register_move(6)
+@register_action(6)
 def advance(shard, random):
     shard.advance(random.choice([100, 1_000, 2_000, 4_000, 11_000]))
 
 
-@register_move(4)
+@register_action(4)
 def end_task(shard, random):
     outcome = random.choice([TaskOutcome.FINISHED, TaskOutcome.FAILED])
     shard.end_task(random.choice(['h0', 'h1']), random.randrange(4), outcome)
 
 
-@register_move(1)
+@register_action(1)
 def restart_worker(shard, random):
     shard.workers[random.choice(['h0', 'h1'])].restart(shard.now)
 
 
-@register_move(1)
+@register_action(1)
 def take_over(shard, random):
     shard.take_over(random.randrange(6))
 
 
-@register_move(1)
+@register_action(1)
 def cancel(shard, random):
     jobs = sorted(shard.specs)
     if jobs:
@@ -115,16 +117,16 @@
 
 
 @pytest.mark.parametrize('seed', range(SEEDS))
-def test_promises_hold_on_a_random_walk(seed):
+def test_guarantees_hold_under_random_faults(seed):
     random = Random(seed)
     shard = SimulatedShard((1.0, random.choice([0.99, 1.0, 1.01])))
     names = list(WEIGHTS)
     weights = list(WEIGHTS.values())
     for _ in range(STEPS):
-        MOVES.find(random.choices(names, weights)[0])(shard, random)
-        check_promises(shard)
-    shard.settle()
-    check_promises(shard)
+        ACTIONS.find(random.choices(names, weights)[0])(shard, random)
+        check_guarantees(shard)
+    shard.run_to_completion()
+    check_guarantees(shard)
     jobs = shard.owner.state.jobs
     for job_id in sorted(shard.accepted):
         entry = jobs[job_id]
@@ -135,8 +137,8 @@
     assert not shard.owner.state.tasks
 
 
-def check_promises(shard):
+def check_guarantees(shard):
     shard.check_capacity()
-    shard.check_single_place()
+    shard.check_no_concurrent_runs()
     shard.check_at_most_once()
     shard.check_not_run()
--- a/tests/shards/test_state_machine.py
+++ b/tests/shards/test_state_machine.py
@@ -1,7 +1,8 @@
-"""Drives one shard's decisions with faults in any order.
+"""Stateful test of one shard's decisions with faults in any order.
 
-Guards promises 1, 2, 4, 5 and 9: capacity, one place at a time, true "not
-run" answers, at most once, and every accepted job ending once.
+Checks guarantees 1, 2, 4, 5 and 9: host capacity is not exceeded, no task
+runs concurrently on two hosts, jobs reported as "not run" never ran,
+non-idempotent jobs run at most once, and every accepted job ends.
 """
 
 from hypothesis import settings
@@ -24,7 +25,7 @@
 
 
 class ShardMachine(RuleBasedStateMachine):
-    """Faults and progress of one shard with two workers."""
+    """Rules for the faults and the progress of one shard with two workers."""
 
     @initialize(rate=sampled_from([1.0, 0.99, 1.01]))
     def open_hosts(self, rate):
@@ -60,7 +61,7 @@
     @rule(number=integers(0, 5), repeat=booleans())
     def delay_start(self, number, repeat):
         if repeat:
-            self.shard.repeat_start(number)
+            self.shard.duplicate_start(number)
         self.shard.delay_start(number)
 
     @rule(host=HOSTS, lose_reply=booleans())
@@ -68,8 +69,8 @@
         self.shard.sync(host, lose_reply)
 
     @rule(host=HOSTS)
-    def sync_former(self, host):
-        self.shard.sync_former(host)
+    def sync_previous_owner(self, host):
+        self.shard.sync_previous_owner(host)
 
     @rule(elapsed_ms=sampled_from([100, 1_000, 4_000, 11_000]))
     def advance(self, elapsed_ms):
@@ -97,19 +98,19 @@
         self.shard.cancel(self.jobs[number % len(self.jobs)])
 
     @invariant()
-    def promises_hold(self):
+    def guarantees_hold(self):
         if not hasattr(self, 'shard'):
             return
         self.shard.check_capacity()
-        self.shard.check_single_place()
+        self.shard.check_no_concurrent_runs()
         self.shard.check_at_most_once()
         self.shard.check_not_run()
 
     def teardown(self):
         if not hasattr(self, 'shard'):
             return
-        self.shard.settle()
-        self.promises_hold()
+        self.shard.run_to_completion()
+        self.guarantees_hold()
         jobs = self.shard.owner.state.jobs
         for job_id in self.shard.accepted:
             entry = jobs[job_id]
--- a/tests/shards/test_takeovers.py
+++ b/tests/shards/test_takeovers.py
@@ -1,4 +1,4 @@
-"""Guards what a new owner may conclude about its predecessor's tasks."""
+"""Tests what a new owner may conclude about the previous owner's tasks."""
 
 from sassafrasgate.core.jobs import JobClass
 from sassafrasgate.core.jobs import JobState
@@ -24,34 +24,36 @@
     return job_id
 
 
-def find_busy(shard):
+def find_busy_host(shard):
     return next(w.name for w in shard.workers.values() if w.list_running())
 
 
-def test_leases_that_a_former_owner_still_renews_are_waited_out():
-    # The new owner can't reach the host, the former one still renews there
-    # within its grace: a second attempt would run beside the first.
+def test_takeover_waits_for_leases_that_the_previous_owner_renews():
+    # The new owner cannot reach the host, while the previous owner still
+    # renews leases there within its grace period. A second attempt that did
+    # not wait for these leases would run concurrently with the first.
     shard = start_shard()
     run_job(shard, 'k')
-    host = find_busy(shard)
+    host = find_busy_host(shard)
     other = next(name for name in shard.workers if name != host)
     shard.take_over(0)
-    shard.cut.add(host)
+    shard.partitioned_hosts.add(host)
     for _ in range(40):
-        shard.sync_former(host)
+        shard.sync_previous_owner(host)
         shard.sync(host)
         shard.sync(other)
         shard.commit(9)
         while [s for s in shard.starts if s.shard == other]:
             shard.deliver_start(0, False)
-        shard.check_single_place()
+        shard.check_no_concurrent_runs()
         shard.advance(1_000)
     assert len(shard.workers[other].started) == 1
     assert GRACE_MS < OUTAGE_GRACE_MS
 
 
-def test_quick_requests_of_a_former_owner_count_against_capacity():
-    # They are in no journal, so only the worker's list shows them.
+def test_quick_requests_of_the_previous_owner_count_against_capacity():
+    # Quick requests are not in the journal, so that only the worker's sync
+    # reply shows them.
     shard = start_shard()
     for number in range(4):
         run_job(shard, f'q{number}', job_class=JobClass.QUICK, deadline_s=5.0)
@@ -67,38 +69,40 @@
         if entry.state is JobState.QUEUED
     ]
     assert len(waiting) == 4
-    shard.settle()
+    shard.run_to_completion()
     assert all(entry.has_ended for entry in shard.owner.state.jobs.values())
 
 
-def test_start_that_never_left_is_known_after_a_takeover():
-    # The journal names host and incarnation; the worker does not know the
-    # task and refuses older epochs, so a non-idempotent job may still run.
+def test_unsent_start_is_recognized_after_a_takeover():
+    # The journal names the host and the incarnation. The worker does not
+    # know the task and refuses older epochs, so the task cannot have run and
+    # even a non-idempotent job may start again.
     shard = start_shard()
     job_id = shard.submit('k', idempotent=False, demand=DEMAND)
     shard.commit(9)
     shard.starts.clear()
     shard.take_over(0)
-    shard.settle()
+    shard.run_to_completion()
     assert shard.owner.state.jobs[job_id].state is JobState.FINISHED
 
 
-def test_same_key_waits_for_a_quick_attempt_whose_caller_gave_up():
-    # The second request ran on another host beside the first one.
+def test_repeated_quick_request_joins_an_attempt_that_timed_out():
+    # A second attempt would run on another host concurrently with the first
+    # one, whose caller has timed out.
     shard = start_shard()
     run_job(shard, 'q', job_class=JobClass.QUICK, deadline_s=1.0)
     shard.advance(1_500)
     run_job(shard, 'q', job_class=JobClass.QUICK, deadline_s=1.0)
-    shard.check_single_place()
+    shard.check_no_concurrent_runs()
     assert sum(len(w.started) for w in shard.workers.values()) == 1
 
 
 def test_failed_task_is_released_only_after_its_record():
-    # A successor that finds neither record nor task would take the job for
-    # one that never ran.
+    # A new owner that found neither the record nor the task would conclude
+    # that the job never ran.
     shard = start_shard()
     run_job(shard, 'k')
-    host = find_busy(shard)
+    host = find_busy_host(shard)
     shard.end_task(host, 0, TaskOutcome.FAILED)
     for _ in range(3):
         shard.sync(host)
--- a/tests/shards/test_transfers.py
+++ b/tests/shards/test_transfers.py
@@ -1,7 +1,7 @@
-"""Guards transferred attempts against running twice or getting lost.
+"""Tests that transferred attempts neither run twice nor get lost.
 
-Two shards exchange messages that are lost, repeated and late, while owners
-of both change.
+Two shards exchange messages that are lost, repeated and delayed, while both
+shards are taken over by new owners.
 """
 
 from random import Random
@@ -22,76 +22,76 @@
 STEPS = 80
 
 
-class Pair:
-    """Two shards and the messages between them."""
+class ShardPair:
+    """Two shards and the messages in transit between them."""
 
     def __init__(self):
         self.north = SimulatedShard()
         self.south = SimulatedShard(name='south', prefix='s')
         self.shards = {'north': self.north, 'south': self.south}
         self.sent = []
-        self.waiting = {}
+        self.open_requests = {}
         self.next_token = 1_000
         for shard in self.shards.values():
             for host in shard.workers:
                 shard.sync(host)
-        self.offer_room()
+        self.exchange_summaries()
 
-    def offer_room(self):
-        """Tell north that south has room, and the other way round."""
+    def exchange_summaries(self):
+        """Give each shard a summary with ample capacity of the other one."""
         for name, shard in self.shards.items():
             other = 'south' if name == 'north' else 'north'
             summary = Summary(other, 1, LARGE, LARGE, 0, 'd1')
             shard.feed(SummaryReceived(summary))
 
-    def collect(self):
+    def collect_messages(self):
         for name, shard in self.shards.items():
             self.sent += [(name, message) for message in shard.outbox]
             shard.outbox.clear()
 
     def deliver(self, position, keep=False):
-        """Deliver one message; a kept one may be delivered again."""
+        """Deliver one message; a kept message may be delivered again."""
         sender, message = self.sent[position]
         if not keep:
             del self.sent[position]
         self.next_token += 1
-        self.waiting[self.next_token] = (sender, message)
+        self.open_requests[self.next_token] = (sender, message)
         receiver = self.shards[message.shard]
         receiver.feed(RequestReceived(self.next_token, message, receiver.now))
-        self.answer()
+        self.deliver_replies()
 
-    def answer(self, lose=False):
-        """Carry answers back, or lose them."""
+    def deliver_replies(self, lose=False):
+        """Deliver all replies to the senders, or lose them."""
         for shard in self.shards.values():
             replies, shard.replies = shard.replies, []
             for token, answer in replies:
-                waiting = self.waiting.pop(token, None)
+                waiting = self.open_requests.pop(token, None)
                 if waiting is None:
                     continue
                 sender, message = waiting
-                heard = None if lose else answer
-                self.shards[sender].feed(PeerAnswered(message, heard))
+                received = None if lose else answer
+                self.shards[sender].feed(PeerAnswered(message, received))
 
-    def settle(self):
+    def run_to_completion(self):
         for _ in range(80):
-            self.collect()
+            self.collect_messages()
             while self.sent:
                 self.deliver(0)
-                self.collect()
+                self.collect_messages()
             for shard in self.shards.values():
-                shard.cut.clear()
+                shard.partitioned_hosts.clear()
                 while shard.starts:
                     shard.deliver_start(0, False)
                 for host in shard.workers:
                     shard.sync(host)
                 shard.commit(99)
-                self.answer()
+                self.deliver_replies()
                 for host in shard.workers:
                     shard.end_task(host, 0, TaskOutcome.FINISHED)
                 shard.advance(1_000)
 
-    def check(self):
-        """No job runs in two places; at most once where it matters."""
+    def check_guarantees(self):
+        """Check capacities, concurrent runs and at-most-once starts."""
         places = {}
         counts = {}
         for shard in self.shards.values():
@@ -109,9 +109,9 @@
                 assert counts.get(job_id, 0) <= 1, job_id
 
 
-def walk(pair, random):
-    """Take one random step."""
-    pair.collect()
+def take_random_step(pair, random):
+    """Take one random step: a fault, a delivery or a request."""
+    pair.collect_messages()
     shard = random.choice(list(pair.shards.values()))
     host = random.choice(list(shard.workers))
     step = random.randrange(20)
@@ -126,7 +126,7 @@
         pair.shards[sender].feed(PeerAnswered(message, None))
     elif step < 13:
         shard.commit(random.randint(1, 9))
-        pair.answer(lose=random.random() < 0.2)
+        pair.deliver_replies(lose=random.random() < 0.2)
     elif step < 15 and shard.starts:
         shard.deliver_start(random.randrange(9), random.random() < 0.2)
     elif step < 16:
@@ -136,7 +136,7 @@
     elif step < 18:
         for each in pair.shards.values():
             each.advance(random.choice([200, 1_200, 4_000]))
-        pair.offer_room()
+        pair.exchange_summaries()
     elif step < 19 and random.random() < 0.3:
         shard.take_over(random.randrange(4))
     elif pair.north.specs and random.random() < 0.3:
@@ -144,16 +144,16 @@
 
 
 @pytest.mark.parametrize('seed', range(100))
-def test_transferred_jobs_run_in_one_place_and_end(seed):
+def test_transferred_jobs_never_run_concurrently_and_end(seed):
     random = Random(seed)
-    pair = Pair()
+    pair = ShardPair()
     for number in range(8):
         pair.north.submit(f'k{number}', idempotent=number % 2 == 0)
     for _ in range(STEPS):
-        walk(pair, random)
-        pair.check()
-    pair.settle()
-    pair.check()
+        take_random_step(pair, random)
+        pair.check_guarantees()
+    pair.run_to_completion()
+    pair.check_guarantees()
     jobs = pair.north.owner.state.jobs
     for job_id in sorted(pair.north.accepted):
         entry = jobs[job_id]
@@ -164,20 +164,21 @@
     assert not pair.north.owner.state.transfers
 
 
-def test_full_shard_uses_the_other_ones_hosts():
-    # Both clocks pass the time that a job waits at home first.
-    pair = Pair()
+def test_full_shard_transfers_jobs_to_the_other_shard():
+    # The clocks of both shards advance beyond the time for which a job waits
+    # on its home shard.
+    pair = ShardPair()
     for number in range(6):
         pair.north.submit(f'k{number}')
     for _ in range(6):
         for shard in pair.shards.values():
             shard.commit(99)
             shard.advance(500)
-        pair.offer_room()
-        pair.collect()
+        pair.exchange_summaries()
+        pair.collect_messages()
         while pair.sent:
             pair.deliver(0)
-            pair.collect()
+            pair.collect_messages()
         for shard in pair.shards.values():
             while shard.starts:
                 shard.deliver_start(0, False)
@@ -185,19 +186,20 @@
     assert sum(started) == 2, started
 
 
-def test_transfer_is_not_sent_before_it_is_in_the_journal():
-    # An owner that was paused past a takeover sent a transfer whose record
-    # could not be written any more, and the job ran a second time.
-    pair = Pair()
+def test_transfer_is_sent_only_after_its_record_is_durable():
+    # An owner that was paused during a takeover could otherwise send a
+    # transfer whose record can no longer be written, and the job would run a
+    # second time.
+    pair = ShardPair()
     for number in range(6):
         pair.north.submit(f'k{number}', idempotent=False)
     pair.north.commit(99)
     for _ in range(4):
         pair.north.advance(1_000)
-        pair.offer_room()
+        pair.exchange_summaries()
     assert pair.north.owner.state.transfers
-    pair.collect()
+    pair.collect_messages()
     assert not [m for _, m in pair.sent if m.kind == 'transfer']
     pair.north.commit(99)
-    pair.collect()
+    pair.collect_messages()
     assert [m for _, m in pair.sent if m.kind == 'transfer']
