Say in the daemons' tests which failure each one guards against

Cause: notes at the head of tests were riddles for a newcomer. Change: names and notes say the behaviour and how the failure comes about; assertions, bounds, seeds and test data stay, besides the text of an error that the test itself raises and matches.

--- a/tests/daemons/conftest.py
+++ b/tests/daemons/conftest.py
@@ -1,4 +1,4 @@
-"""A cell of real processes for each test."""
+"""A fixture that starts a cell of real processes for each test."""
 
 from __future__ import annotations
 
--- a/tests/daemons/test_configurations.py
+++ b/tests/daemons/test_configurations.py
@@ -1,6 +1,6 @@
-"""Guards configurations against races and against an outage at a start.
+"""Tests configurations under races and with a store outage during a start.
 
-| test | promises of the design page |
+| test | guarantees of the design page |
 | --- | --- |
 | operators race | 8 |
 | start during a store outage | 8 |
@@ -14,7 +14,7 @@
 
 
 def read_configuration(cell, frontend):
-    """Return the version that a front end holds, and its teams."""
+    """Return a front end's configuration version and its team names."""
     url = f'{cell.find_url(frontend)}/v1/configuration'
     found = cell.processes.client.get(url).json()
     if 'version' not in found:
@@ -23,7 +23,8 @@
 
 
 def test_operators_race_through_two_front_ends(start_cell):
-    # Guards against a losing change that takes effect, or two winners.
+    # Guards against two changes of one version that are both accepted, and
+    # against a refused change that takes effect.
     cell = start_cell(domains=1, schedulers=1)
     first = cell.make_configuration()
     for version in range(1, 9):
@@ -63,7 +64,8 @@
 
 
 def test_start_during_a_store_outage(start_cell):
-    # Guards against a process that serves an older version than its peers.
+    # Guards against a process that starts during an outage and serves an
+    # older version than its peers.
     cell = start_cell(domains=1, schedulers=2, frontends=1)
     first = cell.make_configuration()
     wanted = replace(first, teams=(*first.teams, Team('newest')))
@@ -77,7 +79,7 @@
     for peer in cell.schedulers.values():
         peer.freeze()
     cell.start_frontend('frontend-1')
-    # Neither the store nor a peer answers: nothing may be served.
+    # While neither the store nor a peer answers, the process must not serve.
     for _ in range(20):
         assert read_ready(cell, 'frontend-1') == 503
     cell.schedulers['scheduler-0'].resume()
--- a/tests/daemons/test_entry.py
+++ b/tests/daemons/test_entry.py
@@ -1,4 +1,4 @@
-"""Guards the election of owners among entry hosts."""
+"""Tests the election of the owner among entry hosts."""
 
 from dataclasses import replace
 
@@ -51,7 +51,7 @@
     return 'asyncio'
 
 
-def own(member, revision):
+def make_owner_item(member, revision):
     return Item(make_owner_key(SHARD), encode(member), revision)
 
 
@@ -59,25 +59,29 @@
     return Directory(None, (), lambda: None, lambda _: None)
 
 
-def test_older_news_does_not_replace_the_own_claim():
-    # Guards against a new owner that gives up at once, because its watch
-    # lags behind its own write.
+def test_an_older_owner_key_does_not_replace_the_own_claim():
+    # Guards against a new owner that steps down at once, because its watch
+    # delivers a state from before its own write.
     directory = make_directory()
     directory.owners[SHARD] = (ME, 9)
 
-    directory.apply_control_event(ControlChanged((own(OWNER, 8),)))
+    directory.apply_control_event(ControlChanged((make_owner_item(OWNER, 8),)))
     assert directory.owners[SHARD] == (ME, 9)
-    directory.apply_control_event(ControlListed((own(OWNER, 8),), 8))
+    directory.apply_control_event(
+        ControlListed((make_owner_item(OWNER, 8),), 8)
+    )
     assert directory.owners[SHARD] == (ME, 9)
 
-    directory.apply_control_event(ControlChanged((own(OWNER, 10),)))
+    directory.apply_control_event(
+        ControlChanged((make_owner_item(OWNER, 10),))
+    )
     assert directory.owners[SHARD] == (OWNER, 10)
     directory.apply_control_event(ControlListed((), 11))
     assert not directory.owners
 
 
 class StubDispatcher:
-    """Stands for the task that serves the shard."""
+    """A dispatcher task that takes the shard over at once and then idles."""
 
     def __init__(self, *_):
         self.events, self.inbox = anyio.create_memory_object_stream(100)
@@ -92,7 +96,10 @@
 
 
 class StubLink:
-    """Answers as a test has it; None stands for silence."""
+    """A link with a fixed reply for each type of message.
+
+    Messages of other types get no reply.
+    """
 
     def __init__(self, answers, silent_ms=0):
         self.answers = answers
@@ -109,7 +116,7 @@
 
 
 class SlowStore(MemoryStore):
-    """A store whose writes wait for a test."""
+    """A store whose swaps wait until a test lets them finish."""
 
     def __init__(self):
         super().__init__()
@@ -134,7 +141,8 @@
 async def test_a_successor_keeps_the_shard_while_it_writes_its_key(
     monkeypatch,
 ):
-    # Guards against a second takeover, with an outage, in a planned stop.
+    # Guards against a new owner that steps down during a planned hand-over,
+    # because its watch still delivers the previous owner's key.
     monkeypatch.setattr(entry, 'DispatcherTask', StubDispatcher)
     store, answers = SlowStore(), []
     directory = make_directory()
@@ -145,7 +153,9 @@
         answers.append(message)
 
     async with anyio.create_task_group() as group:
-        await task.handle(ControlListed((own(OWNER, 5),), 5), group)
+        await task.handle(
+            ControlListed((make_owner_item(OWNER, 5),), 5), group
+        )
         await task.handle(TableChanged(RoutingTable(1)), group)
         lease = replace(LEASE, renewed_at=now_ms())
         await task.handle(LeaseChanged('1', lease), group)
@@ -155,7 +165,7 @@
         await task.handle(ShardOffered(offer, answer), group)
         await anyio.sleep(0.05)
         dispatcher = task.dispatcher
-        await task.handle(ControlChanged((own(OWNER, 5),)), group)
+        await task.handle(ControlChanged((make_owner_item(OWNER, 5),)), group)
         store.go_on.set()
         await anyio.sleep(0.05)
         kinds = [
@@ -176,7 +186,8 @@
 
 
 async def test_a_shard_is_not_offered_to_a_host_that_does_not_answer():
-    # Guards against an offer that waits until a killed host is back.
+    # Guards against an offer to a killed host, which would wait until the
+    # host is back.
     directory = make_directory()
     directory.members = {m.name: m for m in (ME, OWNER, NEXT)}
     directory.owners[SHARD] = (ME, 9)
@@ -210,8 +221,8 @@
 
 
 async def test_a_host_that_is_cut_off_refuses_at_once_and_is_not_ready():
-    # Guards against 504 for requests that were never sent, and against
-    # clients that go on asking a host that can't serve them.
+    # Guards against status 504 for requests that were never sent, and against
+    # clients that keep using a host that can't serve them.
     link = StubLink({}, silent_ms=2_000)
     gateway, _ = make_gateway({OWNER.link_address: link}, OWNER)
 
@@ -225,8 +236,8 @@
 
 
 async def test_a_request_waits_for_the_successor_of_a_silent_owner():
-    # Guards against a request that is sent to an owner that has gone, whose
-    # effect nobody can tell.
+    # Guards against a request that is sent to a lost owner, so that its effect
+    # stays unknown.
     view = WorkflowView('0123456789abcdef', None, 2)
     links = {
         OWNER.link_address: StubLink({}, silent_ms=900),
@@ -236,7 +247,9 @@
 
     async def change_owner():
         await anyio.sleep(0.3)
-        directory.apply_control_event(ControlChanged((own(NEXT, 10),)))
+        directory.apply_control_event(
+            ControlChanged((make_owner_item(NEXT, 10),))
+        )
 
     async with anyio.create_task_group() as group:
         group.start_soon(change_owner)
--- a/tests/daemons/test_hosts.py
+++ b/tests/daemons/test_hosts.py
@@ -1,10 +1,10 @@
-"""Guards jobs against the faults of workers and of the way to them.
+"""Tests jobs under faults of workers and of the network to them.
 
-| test | promises of the design page |
+| test | guarantees of the design page |
 | --- | --- |
 | lost start replies | 1, 2, 5, 9 |
 | worker restarted | 1, 2, 5, 9 |
-| worker silent, then back | 1, 2, 5, 9 |
+| worker unresponsive, then back | 1, 2, 5, 9 |
 | leaving hosts | 6 |
 """
 
@@ -31,7 +31,8 @@
 
 
 def test_lost_start_replies(start_cell):
-    # Guards against a second start when only the reply to one was lost.
+    # Guards against a second start of a task when only the reply to its start
+    # was lost.
     cell = start_cell()
     load = Load(tuple(cell.urls.values()), make_jobs(150, 5, (50, 600)))
     load.start()
@@ -45,8 +46,8 @@
 
 
 def test_worker_restarts_with_running_tasks(start_cell):
-    # Guards against a second run of a non-idempotent job whose attempt a
-    # restart has wiped out, and against losing an idempotent one.
+    # Guards against a second run of a non-idempotent job whose attempt was
+    # lost in a restart, and against the loss of an idempotent job.
     cell = start_cell()
     load = Load(tuple(cell.urls.values()), make_jobs(60, 6, (800, 1500)))
     load.start()
@@ -70,8 +71,8 @@
     assert kinds == {True, False}
 
 
-def test_worker_silent_until_its_leases_have_lapsed(start_cell):
-    # Guards against a second attempt before the first has surely ended.
+def test_worker_silent_until_its_leases_have_expired(start_cell):
+    # Guards against a second attempt before the first has certainly ended.
     cell = start_cell(domains=1, schedulers=1)
     jobs = [
         make_job(f'job-{number}', 11_000, idempotent=number % 2 == 0)
@@ -92,7 +93,8 @@
 
 
 def test_leaving_hosts_get_no_new_work(start_cell):
-    # Guards against starts on a host that any of the three signs names.
+    # Guards against starts on a host that is leaving according to the
+    # platform's list, the worker's report or an operator's drain.
     cell = start_cell()
     leaving = ('host-0-0', 'host-0-1', 'host-1-0')
     listed, reporting, drained = leaving
@@ -118,7 +120,8 @@
     tasks = read_tasks(cell.workers)
     late = [task for task in tasks if task.record.started_ms > limit_ms]
     assert {task.host for task in late} == {'host-1-1'}
-    # The worker that reports its leaving refuses starts; none may come.
+    # A worker that reports that it is leaving refuses starts. A higher count
+    # of refusals would show that starts were still sent to it.
     refusals = cell.workers[reporting].read_record().refusals
     assert refusals.get('leaving', 0) == refused
     assert find_faults(load, cell.workers) == []
--- a/tests/daemons/test_journals.py
+++ b/tests/daemons/test_journals.py
@@ -1,4 +1,4 @@
-"""Guards what the journal task writes, withdraws and retries."""
+"""Tests the journal task's writes, withdrawals and retries."""
 
 from math import inf
 
@@ -30,7 +30,7 @@
 
 
 class RecordedJournal:
-    """A journal whose appends wait and whose snapshots fail on request."""
+    """A journal whose writes wait and whose snapshots fail on request."""
 
     def __init__(self):
         self.has_free_slot = True
@@ -91,7 +91,8 @@
 
 
 async def test_a_withdrawn_job_is_not_in_a_waiting_snapshot(parts):
-    # A successor would run the job from the snapshot after "not run".
+    # Guards against a successor that finds the job in the snapshot and runs
+    # it, although its caller has been told that it does not run.
     journal, task, box, shard = parts
     kept, withdrawn = make_acceptance('kept'), make_acceptance('withdrawn')
     refused = AttemptRefused('withdrawn', 's2', 1)
@@ -110,10 +111,11 @@
     assert decode_records(data) == (kept, refused)
 
 
-async def test_a_failed_snapshot_is_written_again_as_it_was(
+async def test_a_failed_snapshot_is_retried_with_the_same_content(
     parts, monkeypatch
 ):
-    # Chunks of the first try stay; other content would mix with them.
+    # Guards against a snapshot that mixes chunks of two attempts: those of a
+    # failed attempt stay in the store.
     monkeypatch.setattr(journals, 'SNAPSHOT_RETRY_S', 0)
     journal, task, box, shard = parts
     journal.failures = 2
@@ -127,7 +129,8 @@
 
 
 async def test_a_full_ring_without_a_snapshot_ends_the_ownership(parts):
-    # The snapshot that would make room waits behind the record forever.
+    # Guards against a journal that waits forever: the snapshot that would
+    # free slots waits behind the record.
     journal, task, box, _ = parts
     journal.has_free_slot = False
     box.send_nowait(WriteRecord(make_acceptance('a')))
@@ -135,8 +138,9 @@
         assert 'no room' in await run_journal(task)
 
 
-async def test_records_count_only_behind_all_earlier_ones():
-    # A successor does not see an entry behind a gap.
+async def test_records_are_durable_only_after_all_earlier_ones():
+    # Guards against a record that is reported as durable but that a successor
+    # does not read, because an earlier entry is missing.
     box, inbox = anyio.create_memory_object_stream(inf)
     events, shard = anyio.create_memory_object_stream(inf)
     journal = SlowJournal()
@@ -149,7 +153,7 @@
         for record in (first, second, third):
             box.send_nowait(WriteRecord(record))
             await anyio.wait_all_tasks_blocked()
-        # No more than the depth is under way; the third entry waits.
+        # Only `max_in_flight` entries are in flight; the third one waits.
         assert set(journal.writes) == {(first,), (second,)}
         journal.writes[second,].set()
         await anyio.wait_all_tasks_blocked()
--- a/tests/daemons/test_links.py
+++ b/tests/daemons/test_links.py
@@ -1,12 +1,12 @@
-"""Guards requests against a connection that goes silent for good.
+"""Tests that requests survive a connection that stops responding.
 
-| test | promises of the design page |
+| test | guarantees of the design page |
 | --- | --- |
-| silent connection | 3 |
+| unresponsive connection | 3 |
 
-The front end's end of the link, `sassafrasgate.protocol.links.Link`, runs
-in the test, since a scheduler announces the address that it binds and so
-leaves no room for a relay before it.
+The front end's side of the link, `sassafrasgate.protocol.links.Link`, runs in
+the test. A relay can't be put in front of a scheduler, because a scheduler
+announces the address to which it binds.
 """
 
 import anyio
@@ -18,12 +18,12 @@
 from sassafrasgate.protocol.messages import StatusReply
 from tests.relays import Relay
 
-# Twice the time after which a silent link is closed.
+# Twice the time after which an unresponsive link is closed.
 RECOVERY_S = 4.0
 
 
-def test_silent_connection_is_replaced(start_cell):
-    # Guards against a link that waits for a dead connection for ever.
+def test_unresponsive_connection_is_replaced(start_cell):
+    # Guards against a link that waits on a dead connection forever.
     cell = start_cell(domains=1, schedulers=1, frontends=1)
 
     async def check():
@@ -44,6 +44,6 @@
             group.cancel_scope.cancel()
 
     def hear(heartbeat):
-        """Ignore what the scheduler holds."""
+        """Ignore the scheduler's heartbeats."""
 
     anyio.run(check)
--- a/tests/daemons/test_outages.py
+++ b/tests/daemons/test_outages.py
@@ -1,6 +1,6 @@
-"""Guards work against a store that is down or loses replies.
+"""Tests work while the store is down or loses replies.
 
-| test | promises of the design page |
+| test | guarantees of the design page |
 | --- | --- |
 | store outage | 2, 4, 5, 9 |
 | lost store replies, jobs | 2, 5, 9 |
@@ -26,7 +26,8 @@
 
 
 def test_store_outage_longer_than_leases(start_cell):
-    # Guards against lapsed tasks, and against "not run" for work that runs.
+    # Guards against tasks whose leases expire because of an outage, and
+    # against the state "not run" for jobs that run.
     cell = start_cell(outage_grace_s=30.0)
     urls = tuple(cell.urls.values())
     load = Load(urls, make_jobs(12, 3, (13_000, 14_000), 'long')).start()
@@ -61,8 +62,8 @@
 
 
 def test_lost_store_replies_while_jobs_are_submitted(start_cell):
-    # Guards against a second write, and so a second run, after a write
-    # that took effect without a reply.
+    # Guards against writing an entry twice, and so running a job twice, after
+    # a write that took effect although its reply was lost.
     cell = start_cell()
     load = Load(tuple(cell.urls.values()), make_jobs(150, 4, (50, 400)))
     load.start()
@@ -84,7 +85,7 @@
         cell.store.set_faults(lose_replies=1 + number % 3)
         frontend = f'frontend-{number % 2}'
         version = number + 1
-        # A conflict says that an earlier try took effect.
+        # A conflict shows that an earlier attempt took effect.
         wait_until(
             partial(apply_surely, cell, wanted, version, frontend),
             f'applying version {version + 1}',
@@ -97,14 +98,14 @@
 
 
 def apply_surely(cell, wanted, version, frontend):
-    """Tell whether an apply has succeeded, or an earlier one has."""
+    """Tell whether this or an earlier apply of the version has succeeded."""
     status = cell.apply(wanted, version, frontend).status_code
     assert status in (200, 412, 504)
     return status != 504
 
 
 def holds_team(cell, frontend, version, team):
-    """Tell whether a front end holds a version, which has the team."""
+    """Tell whether a front end holds the version, which includes the team."""
     url = f'{cell.find_url(frontend)}/v1/configuration'
     found = cell.processes.client.get(url).json()
     if found['version'] < version:
--- a/tests/daemons/test_owners.py
+++ b/tests/daemons/test_owners.py
@@ -1,6 +1,6 @@
-"""Guards jobs against the loss of the process that owns their shard.
+"""Tests jobs under the loss of the process that owns their shard.
 
-| test | promises of the design page |
+| test | guarantees of the design page |
 | --- | --- |
 | owner killed | 1, 2, 5, 9 |
 | owner frozen | 1, 2, 5, 9 |
@@ -17,13 +17,13 @@
 
 
 def make_mixed_jobs(seed):
-    """Return jobs of which some outlast a takeover, which takes 4 s."""
+    """Return jobs, some of which run for longer than a takeover of 4 s."""
     long = make_jobs(20, seed, (6000, 8000), 'long')
     return long + make_jobs(180, seed + 1, (50, 1000))
 
 
 def test_owner_killed_under_load(start_cell):
-    # Guards against jobs that are lost or run twice when an owner dies.
+    # Guards against jobs that are lost or run twice when an owner is killed.
     cell = start_cell()
     owner = cell.find_owner('shard-0')
     load = Load(tuple(cell.urls.values()), make_mixed_jobs(1))
@@ -37,21 +37,23 @@
 
 
 def read_epochs(cell, owner):
-    """Return a scheduler's epoch of each shard that it serves."""
+    """Return a scheduler's epochs by shard, or None if it does not answer."""
     status = cell.processes.client.get(f'{cell.find_url()}/v1/status').json()
     found = [s for s in status['schedulers'] if s['name'] == owner]
     return found[0]['shards'] if found else None
 
 
 def test_owner_frozen_beyond_takeover(start_cell):
-    # Guards against commands of an owner that resumes after its lease.
-    # With room to spare the frozen owner has something to place as well.
+    # Guards against commands of an owner that resumes after its lease has
+    # expired. The hosts have spare capacity, so that the frozen owner has jobs
+    # to place as well.
     cell = start_cell(slots=32, millicores=32_000)
     owner = cell.find_owner('shard-0')
     stale = read_epochs(cell, owner)['shard-0']
     load = Load(tuple(cell.urls.values()), make_mixed_jobs(2))
-    # A slow store keeps appends in flight, and the quick requests wait in
-    # the frozen process's sockets: both give it starts to send on resuming.
+    # A slow store keeps appends in flight, and quick requests wait in the
+    # sockets of the frozen process. Both give it starts to send when it
+    # resumes.
     cell.store.set_faults(delay_ms=150)
     quick = [QuickCalls(cell.find_url) for _ in range(4)]
     load.start().wait_for_accepted(60)
--- a/tests/daemons/test_pairs.py
+++ b/tests/daemons/test_pairs.py
@@ -1,6 +1,6 @@
-"""Guards jobs against two failures at a time.
+"""Tests jobs under two simultaneous failures.
 
-| test | promises of the design page |
+| test | guarantees of the design page |
 | --- | --- |
 | owner frozen while the store is down | 1, 2, 5, 9 |
 | worker and owner killed together | 1, 2, 5, 9 |
@@ -18,7 +18,8 @@
 
 
 def test_owner_frozen_while_the_store_is_down(start_cell):
-    # Guards against an outage grace for an owner that was frozen.
+    # Guards against an owner that uses the outage grace although it was
+    # frozen itself.
     cell = start_cell()
     owner = cell.find_owner('shard-0')
     jobs = make_jobs(20, 10, (6000, 8000), 'long')
@@ -29,7 +30,7 @@
     cell.schedulers[owner].freeze()
     since = monotonic()
     # Longer than the owner's lease of 3 s.
-    wait_until(lambda: monotonic() - since > 4, 'the lease lapsing')
+    wait_until(lambda: monotonic() - since > 4, 'the lease expiring')
     cell.store.set_faults(down=False)
     wait_until(
         lambda: cell.find_owner('shard-0') not in ('', owner), 'a takeover'
@@ -42,7 +43,7 @@
 
 def test_worker_and_owner_killed_together(start_cell):
     # Guards against a second attempt while the first may still run, when
-    # neither the owner nor the worker can be asked.
+    # neither the owner nor the worker responds.
     cell = start_cell(outage_grace_s=1.0)
     owner = cell.find_owner('shard-0')
     load = Load(tuple(cell.urls.values()), make_jobs(40, 12, (1500, 3000)))
@@ -52,7 +53,7 @@
         lambda: len(gone.read_record().tasks) >= 6, 'work on the worker'
     )
     cell.schedulers[owner].kill()
-    # The stand-in process stays, so that its record can be read.
+    # The stand-in process keeps running, so that its record can be read.
     gone.set_faults(down=True, restart=True)
     load.finish()
     assert find_faults(load, cell.workers, repeats=True) == []
@@ -70,7 +71,8 @@
 
 
 def test_front_end_killed_after_the_acceptance(start_cell):
-    # Guards against a second job when a caller repeats a lost submission.
+    # Guards against a second job when a caller repeats a submission through
+    # another front end.
     cell = start_cell()
     job = make_job('order', 500, idempotent=False)
     first = cell.submit('frontend-0', **job)
--- a/tests/daemons/test_path.py
+++ b/tests/daemons/test_path.py
@@ -1,4 +1,4 @@
-"""Guards the path from a caller through both processes to a worker."""
+"""Tests the path of a job from a caller through both processes to a worker."""
 
 from json import dumps
 
@@ -8,7 +8,8 @@
     return {'team': 'orders', 'key': key, 'payload': payload, **fields}
 
 
-def test_answers_belong_to_their_own_requests(start_cell):
+def test_each_job_returns_its_own_output(start_cell):
+    # Guards against replies that are matched to the wrong request.
     cell = start_cell()
     client = cell.processes.client
     jobs = {}
@@ -17,7 +18,7 @@
         response = cell.submit(f'frontend-{number % 2}', **make_job(key))
         assert response.status_code == 202, response.text
         jobs[key] = response.json()['job_id']
-    # Asked for through the other front end, in reverse order.
+    # The outputs are read through one front end, in reverse order.
     for key, job_id in reversed(jobs.items()):
         url = f'{cell.find_url("frontend-1")}/v1/jobs/{job_id}'
         view = client.get(url, params={'wait': 10}).json()
@@ -25,7 +26,7 @@
         assert client.get(f'{url}/output').text == f'output of {key}'
 
 
-def test_duplicate_key_through_two_front_ends_runs_once(start_cell):
+def test_job_submitted_through_two_front_ends_runs_once(start_cell):
     cell = start_cell()
     job = make_job('same', idempotent=False)
     first = cell.submit('frontend-0', **job)
@@ -53,7 +54,7 @@
     assert response.text == 'output of preview'
 
 
-def test_large_output_arrives_whole(start_cell):
+def test_large_output_is_returned_completely(start_cell):
     cell = start_cell(frontends=1)
     size = 1_500_000
     payload = dumps({'run_ms': 10, 'output_bytes': size})
@@ -65,7 +66,8 @@
 
 
 def test_command_line_submits_what_the_front_end_accepts(start_cell, tmp_path):
-    # The two once named the fields of a job differently.
+    # Guards against different names for a job's fields in the command line
+    # and in the front end.
     cell = start_cell(frontends=1)
     job = tmp_path / 'job.yaml'
     job.write_text(
--- a/tests/daemons/test_relays.py
+++ b/tests/daemons/test_relays.py
@@ -1,4 +1,4 @@
-"""Guards store calls of a host that the store turns away."""
+"""Tests store calls of a host that can't reach the store."""
 
 from logbook import Logger
 import pytest
@@ -22,13 +22,13 @@
     return 'asyncio'
 
 
-class Way(MemoryStore):
-    """A store that this host may be turned away from."""
+class PathStore(MemoryStore):
+    """A store path that a test can make unavailable."""
 
     def __init__(self):
         super().__init__()
-        self.away = False
-        self.tries = 0
+        self.unavailable = False
+        self.attempts = 0
 
     async def get(self, key, priority=0):
         self._check()
@@ -42,9 +42,9 @@
         return await self.swap(key, value, 0, lease, priority)
 
     def _check(self):
-        self.tries += 1
-        if self.away:
-            raise StoreUnavailableError('turned away', sent=False)
+        self.attempts += 1
+        if self.unavailable:
+            raise StoreUnavailableError('path unavailable', sent=False)
 
 
 def send(message):
@@ -62,9 +62,9 @@
     return RelayedStore(own, relay, Logger('test'))
 
 
-async def test_a_host_that_is_turned_away_reads_and_writes_through_another():
-    own, other = Way(), Way()
-    own.away = True
+async def test_a_host_that_is_cut_off_reads_and_writes_through_another():
+    own, other = PathStore(), PathStore()
+    own.unavailable = True
     store = make_store(own, other)
     revision = await store.create('a', b'\x00\xff')
     assert await store.get('a') == Item('a', b'\x00\xff', revision)
@@ -73,29 +73,30 @@
         await store.swap('a', b'late', revision + 7)
 
 
-async def test_the_direct_way_is_left_alone_for_a_while_after_a_failure():
-    # Each try on a silent way would cost its whole time limit.
-    own, other = Way(), Way()
-    own.away = True
+async def test_the_direct_path_is_not_used_for_a_while_after_a_failure():
+    # Guards against calls that each wait for the whole time limit of a path
+    # that does not respond.
+    own, other = PathStore(), PathStore()
+    own.unavailable = True
     store = make_store(own, other)
     for _ in range(5):
         await store.get('a')
-    assert own.tries == 1
+    assert own.attempts == 1
 
 
-async def test_an_outage_for_all_hosts_is_the_error_of_the_direct_call():
-    own, other = Way(), Way()
-    own.away = other.away = True
+async def test_an_outage_for_all_hosts_raises_the_error_of_the_direct_call():
+    own, other = PathStore(), PathStore()
+    own.unavailable = other.unavailable = True
     store = make_store(own, other)
-    for way in (store, make_store(own, None)):
-        with pytest.raises(StoreUnavailableError, match='turned away'):
-            await way.get('a')
-    # Once the store is back, nothing keeps the host on the other way.
-    own.away = False
+    for client in (store, make_store(own, None)):
+        with pytest.raises(StoreUnavailableError, match='path unavailable'):
+            await client.get('a')
+    # Once the store is back, the direct path is used again.
+    own.unavailable = False
     assert await store.get('a') is None
 
 
-async def test_methods_that_are_no_store_calls_are_not_relayed():
+async def test_names_that_are_no_store_methods_are_not_relayed():
     call = send(RelayCall('__class__', ()))
-    answer = await execute_relayed_call(Way(), call)
+    answer = await execute_relayed_call(PathStore(), call)
     assert answer.failure == 'refused'
--- a/tests/daemons/test_reloads.py
+++ b/tests/daemons/test_reloads.py
@@ -1,4 +1,4 @@
-"""Guards a process that is told to reload while it still starts."""
+"""Tests a reload signal during the start of a process."""
 
 from os import mkfifo
 from signal import SIGHUP
@@ -11,9 +11,9 @@
 
 
 def test_reload_during_the_start_does_not_end_the_process(tmp_path):
-    # Found by the soak (seed 10): SIGHUP ended a process that had read its
-    # settings and did not yet wait for the signal. The process reads its
-    # settings from a pipe here, so the signal comes at that moment.
+    # Guards against SIGHUP ending a process that has read its settings but
+    # has no handler for the signal yet (found by the soak, seed 10). The
+    # settings are read from a pipe, so that the signal arrives in that time.
     path = tmp_path / 'settings.yaml'
     mkfifo(path)
     with Popen(
--- a/tests/daemons/test_stops.py
+++ b/tests/daemons/test_stops.py
@@ -1,6 +1,6 @@
-"""Guards callers against planned stops, racing stops and takeovers.
+"""Tests that callers are served through planned stops and takeovers.
 
-| test | promises of the design page |
+| test | guarantees of the design page |
 | --- | --- |
 | scheduler stopped | 3, 7, 9 |
 | front end stopped | 3, 7 |
@@ -28,8 +28,8 @@
 
 
 def test_scheduler_stopped_under_load(start_cell):
-    # Guards against requests that a planned stop cuts off.
-    # Room for the whole load, so that no quick request is refused.
+    # Guards against requests that a planned stop interrupts. The capacity
+    # suffices for the whole load, so that no quick request is refused.
     cell = start_cell(slots=40, millicores=40_000)
     owner = cell.find_owner('shard-0')
     load = Load(tuple(cell.urls.values()), make_jobs(120, 8, (50, 1500)))
@@ -44,7 +44,7 @@
 
 
 def test_front_end_stopped_with_open_requests(start_cell):
-    # Guards against requests in flight that a planned stop cuts off.
+    # Guards against open requests that a planned stop interrupts.
     cell = start_cell(schedulers=1)
     quick = QuickCalls(cell.find_url, 2500)
     keys = [f'open-{number}' for number in range(8)]
@@ -70,13 +70,14 @@
 
 
 def test_scheduler_stopped_during_a_takeover(start_cell):
-    # Guards against jobs that are lost between a kill and a planned stop.
+    # Guards against jobs that are lost when the owner is killed and its
+    # successor is stopped during the takeover.
     cell = start_cell(schedulers=3)
     owner = cell.find_owner('shard-0')
     load = Load(tuple(cell.urls.values()), make_jobs(120, 9, (50, 1500)))
     load.start().wait_for_accepted(50)
     cell.schedulers[owner].kill()
-    # The successor of the killed owner is the one to stop.
+    # The process to stop is the successor of the killed owner.
     wait_until(
         lambda: cell.find_owner('shard-0') not in ('', owner), 'a takeover'
     )
--- a/tests/daemons/test_workers.py
+++ b/tests/daemons/test_workers.py
@@ -1,4 +1,4 @@
-"""Guards the calls to one worker, against a client that answers as told."""
+"""Tests the calls to one worker, with a client that the tests control."""
 
 import anyio
 import pytest
@@ -36,7 +36,10 @@
 
 
 class Client:
-    """A worker whose looks answer when the test lets them."""
+    """A client whose calls return what a test has set.
+
+    A poll that may wait returns once the test has set ``released``.
+    """
 
     def __init__(self):
         self.born_ms = 1
@@ -44,7 +47,7 @@
         self.holds = []
         self.starts = 0
         self.silent = False
-        self.looked = anyio.Event()
+        self.released = anyio.Event()
         self.start_answer = None
         self.stop_answers = []
         self.pace_refusal = None
@@ -58,8 +61,8 @@
     async def hold(self, request):
         self.holds.append(request)
         if request.wait_ms and not self.silent:
-            await self.looked.wait()
-            self.looked = anyio.Event()
+            await self.released.wait()
+            self.released = anyio.Event()
         if self.silent:
             raise WorkerUnavailableError('no answer')
         return WorkerReport(now_ms(), self.born_ms, (), self.ended)
@@ -76,7 +79,7 @@
 
 
 class Bench:
-    """One worker task with its inbox, its events and its client."""
+    """A running worker task with its inbox, its events and its client."""
 
     def __init__(self, group):
         self.client = Client()
@@ -87,7 +90,7 @@
         group.start_soon(task.run)
 
     async def find(self, kind):
-        """Return the next event of a kind."""
+        """Return the next event of the given class."""
         with anyio.fail_after(5):
             while True:
                 event = await self.events.receive()
@@ -95,10 +98,10 @@
                     return event
 
     async def restart(self):
-        """Let the worker report from a new life."""
+        """Let the worker report a new incarnation."""
         self.client.born_ms += 1
         self.client.ended = ()
-        self.client.looked.set()
+        self.client.released.set()
         return await self.find(WorkerReported)
 
 
@@ -111,15 +114,15 @@
         group.cancel_scope.cancel()
 
 
-async def test_a_look_at_a_silent_worker_acknowledges_nothing(bench):
-    # Guards against a worker that restarts unseen and forgets an end of its
-    # new life, so that a finished task starts again.
+async def test_a_poll_of_a_silent_worker_acknowledges_nothing(bench):
+    # Guards against a worker that restarts unnoticed and then discards an end
+    # of its new incarnation, so that a finished task is started again.
     bench.client.ended = (EndedRun(7, *RUN, EndKind.FINISHED, ''),)
-    bench.client.looked.set()
+    bench.client.released.set()
     await bench.find(WorkerReported)
     bench.commands.send_nowait(AcknowledgeEnds('w', 1, 7))
     bench.client.silent = True
-    bench.client.looked.set()
+    bench.client.released.set()
     await bench.find(WorkerSilent)
     bench.client.holds.clear()
 
@@ -129,7 +132,8 @@
 
 
 async def test_a_start_is_not_repeated_after_a_report_of_its_end(bench):
-    # Guards against starting what has ended on a worker that has restarted.
+    # Guards against starting a run again that has ended, on a worker that has
+    # restarted since.
     reported = anyio.Event()
 
     async def lose_answer():
@@ -140,7 +144,7 @@
     bench.commands.send_nowait(START)
     await anyio.wait_all_tasks_blocked()
     bench.client.ended = (EndedRun(1, *RUN, EndKind.FINISHED, ''),)
-    bench.client.looked.set()
+    bench.client.released.set()
     await bench.find(WorkerReported)
     reported.set()
     await bench.find(RunUnanswered)
@@ -149,8 +153,9 @@
     assert bench.client.starts == 1
 
 
-async def test_a_start_that_a_restart_overtakes_does_not_depose(bench):
-    # Guards against giving the shard up for a fence of this owner itself.
+async def test_a_start_refused_after_a_restart_is_no_stale_epoch(bench):
+    # Guards against an owner that steps down because of its own higher
+    # fencing token, which a later call has sent to the new incarnation.
     answered = anyio.Event()
 
     async def refuse_late():
@@ -167,8 +172,9 @@
     assert event.answer.refusal is StartRefusal.OTHER_INCARNATION
 
 
-async def test_a_stop_that_a_restart_overtakes_is_sent_again(bench):
-    # Guards against giving the shard up for a fence of this owner itself.
+async def test_a_stop_refused_after_a_restart_is_sent_again(bench):
+    # Guards against an owner that steps down because of its own higher
+    # fencing token, which a later call has sent to the new incarnation.
     answered = anyio.Event()
 
     async def refuse_late():
@@ -192,26 +198,27 @@
     assert EpochRefused not in kinds
 
 
-async def test_the_look_after_a_restart_does_not_wait(bench):
-    # Guards against tasks that wait two seconds until it is known whether
-    # the new life has got their starts.
+async def test_the_poll_after_a_restart_does_not_wait(bench):
+    # Guards against a delay of 2 s before the owner knows which starts have
+    # reached the new incarnation.
     await bench.restart()
     await anyio.wait_all_tasks_blocked()
 
     assert 0 in [hold.wait_ms for hold in bench.client.holds[2:]]
 
 
-async def test_a_pace_is_told_once_the_worker_has_put_it_in_force(bench):
-    # Guards against a filling task that goes on at full speed while the
-    # owner believes that it was slowed down.
+async def test_a_pace_that_the_worker_has_accepted_is_reported(bench):
+    # Guards against an owner that does not learn whether a best-effort task
+    # has been slowed down.
     bench.commands.send_nowait(PaceRun('w', RUN, 25))
 
     event = await bench.find(PaceAnswered)
     assert event == PaceAnswered('w', RUN, 25)
 
 
-async def test_a_refused_pace_is_not_in_force(bench):
-    # Guards against the same after a refusal.
+async def test_a_refused_pace_is_not_reported_as_in_force(bench):
+    # Guards against a best-effort task that continues at full speed while the
+    # owner assumes that it was slowed down.
     bench.client.pace_refusal = StartRefusal.STALE_EPOCH
     bench.commands.send_nowait(PaceRun('w', RUN, 25))
     await anyio.wait_all_tasks_blocked()
