Call the answers to messages between processes replies in the daemons

Cause: answer stood for replies, responses and acknowledgements alike, and a few error messages said only that something is gone.

--- a/sassafrasgate/daemons/advice_routing.py
+++ b/sassafrasgate/daemons/advice_routing.py
@@ -65,7 +65,7 @@
             return await self._request_locally(request, timeout_s)
         member = self._directory.members.get(name)
         if member is None:
-            return NoReply(f'entry host {name!r} is gone')
+            return NoReply(f'entry host {name!r} is not a live member')
         link = self._directory.find_link(member.link_address)
         return await link.ask(request, timeout_s)
 
@@ -77,10 +77,12 @@
         def add(caller: MemoryObjectSendStream[Any]) -> int:
             token = replies.add_local_request(caller)
 
-            async def answer(message: Any) -> None:
+            async def send_reply(message: Any) -> None:
                 await replies.send(token, message)
 
-            self._advice_sender.send_nowait(AdviceRequested(request, answer))
+            self._advice_sender.send_nowait(
+                AdviceRequested(request, send_reply)
+            )
             return token
 
         return await wait_for_reply(add, replies.discard, timeout_s)
--- a/sassafrasgate/daemons/configurations.py
+++ b/sassafrasgate/daemons/configurations.py
@@ -77,8 +77,8 @@
     store : Store
         Holds the accepted versions.
     ask_peers : callable
-        Sends a message to every known peer and returns the answers. Used
-        while the store does not answer.
+        Sends a message to every known peer and returns the replies. Used
+        while the store does not respond.
     inbox : MemoryObjectReceiveStream
         Delivers `ControlListed`, `ControlChanged`, `PeerVersionReceived` and
         `ConfigurationPublished`.
@@ -113,7 +113,7 @@
             await self._handle(message)
 
     async def _load_first(self) -> None:
-        """Read the store or, if it does not answer, ask every peer."""
+        """Read the store or, if it does not respond, ask every peer."""
         while not self._has_loaded:
             if await self._read_store() or await self._read_peers():
                 self._has_loaded = True
@@ -172,11 +172,11 @@
         bool
             Whether this process now holds the newest version reported.
         """
-        answers = await self._ask_peers(FetchConfiguration(), FETCH_TIMEOUT_S)
+        received = await self._ask_peers(FetchConfiguration(), FETCH_TIMEOUT_S)
         replies = [
-            answer
-            for answer in answers
-            if isinstance(answer, ConfigurationReply)
+            reply
+            for reply in received
+            if isinstance(reply, ConfigurationReply)
         ]
         if not replies:
             return False
--- a/sassafrasgate/daemons/directory.py
+++ b/sassafrasgate/daemons/directory.py
@@ -148,12 +148,12 @@
     async def send_request(
         self, shard: str, message: Any, timeout_s: float, attempt: int = 1
     ) -> Any:
-        """Send a message to a shard's owner and return its answer.
+        """Send a message to a shard's owner and return its reply.
 
         Returns
         -------
         object
-            The answer; `NoReply` when the effect is not known; or a
+            The reply; `NoReply` when the effect is not known; or a
             `Refusal` when the shard has no owner and nothing was sent.
         """
         owner = self.owners.get(shard)
@@ -169,18 +169,18 @@
     async def broadcast_request(
         self, message: Any, timeout_s: float
     ) -> tuple[Any, ...]:
-        """Send a message on every link and return the answers received."""
-        answers: list[Any] = []
+        """Send a message on every link and return the replies received."""
+        replies: list[Any] = []
 
         async def ask_one(link: Link) -> None:
-            answer = await link.ask(message, timeout_s)
-            if not isinstance(answer, NoReply):
-                answers.append(answer)
+            reply = await link.ask(message, timeout_s)
+            if not isinstance(reply, NoReply):
+                replies.append(reply)
 
         async with anyio.create_task_group() as group:
             for link in self.list_links():
                 group.start_soon(ask_one, link)
-        return tuple(answers)
+        return tuple(replies)
 
 
 def decode_member(item: Item) -> Member | None:
--- a/sassafrasgate/daemons/dispatcher.py
+++ b/sassafrasgate/daemons/dispatcher.py
@@ -550,7 +550,7 @@
         )
 
     async def request(self, message: Any, timeout_s: float) -> Any:
-        """Queue a request of this process and return its answer."""
+        """Queue a request of this process and return its reply."""
 
         def add(caller: MemoryObjectSendStream[Any]) -> int:
             token = self._replies.add_local_request(caller)
@@ -653,19 +653,19 @@
             action.workers,
             action.expected_ms + ADVICE_MARGIN_MS,
         )
-        answer = await self.services.request_advice(action.entry_host, request)
-        if isinstance(answer, AdviceGiven):
+        reply = await self.services.request_advice(action.entry_host, request)
+        if isinstance(reply, AdviceGiven):
             await self.events.send(
                 AdviceAnswered(
                     action.step,
                     action.entry_host,
                     action.workers,
-                    Advice(answer.tickets, answer.valid_ms),
+                    Advice(reply.tickets, reply.valid_ms),
                     now_ms(),
                 )
             )
             return
-        reason = getattr(answer, 'reason', repr(answer))
+        reason = getattr(reply, 'reason', repr(reply))
         await self.events.send(
             AdviceFailed(
                 action.step, action.entry_host, action.workers, reason
--- a/sassafrasgate/daemons/dispatcher_actions.py
+++ b/sassafrasgate/daemons/dispatcher_actions.py
@@ -54,7 +54,11 @@
 async def _start(task: DispatcherTask, action: StartRun) -> None:
     if not task.command_worker(action.worker, action):
         task.events.send_nowait(
-            RunNotSent(action.worker, action.run, 'the worker is gone')
+            RunNotSent(
+                action.worker,
+                action.run,
+                'this owner is not connected to the worker',
+            )
         )
 
 
--- a/sassafrasgate/daemons/election.py
+++ b/sassafrasgate/daemons/election.py
@@ -323,18 +323,18 @@
                 # is back, and the shard would have no owner meanwhile.
                 continue
             offers += 1
-            answer = await link.ask(offer, OFFER_TIMEOUT_S)
+            reply = await link.ask(offer, OFFER_TIMEOUT_S)
             self._log(
                 'hand-over',
                 (
                     ('to', member.name),
-                    ('taken', isinstance(answer, Acknowledged)),
-                    ('reason', getattr(answer, 'reason', '')),
+                    ('taken', isinstance(reply, Acknowledged)),
+                    ('reason', getattr(reply, 'reason', '')),
                 ),
             )
-            if isinstance(answer, Acknowledged):
+            if isinstance(reply, Acknowledged):
                 return True
-            if isinstance(answer, NoReply):
+            if isinstance(reply, NoReply):
                 # The host may have taken the shard over. The journal's epoch
                 # decides who owns it.
                 return False
@@ -360,17 +360,17 @@
 
     async def _ask_for_owner(self, member: Member) -> None:
         link = self._directory.find_link(member.link_address)
-        answer = await link.ask(FindOwner(SHARD), FIND_OWNER_TIMEOUT_S)
-        if not isinstance(answer, OwnerFound) or not answer.member:
+        reply = await link.ask(FindOwner(SHARD), FIND_OWNER_TIMEOUT_S)
+        if not isinstance(reply, OwnerFound) or not reply.member:
             return
         known = self.owner
-        if known is not None and known[1] >= answer.revision:
+        if known is not None and known[1] >= reply.revision:
             return
-        item = Item(make_owner_key(SHARD), answer.member, answer.revision)
+        item = Item(make_owner_key(SHARD), reply.member, reply.revision)
         self._directory.apply_control_event(ControlChanged((item,)))
         self._log(
             'owner-found',
-            (('reported_by', member.name), ('revision', answer.revision)),
+            (('reported_by', member.name), ('revision', reply.revision)),
         )
 
     def describe_owner(self) -> OwnerFound:
@@ -410,8 +410,8 @@
             return owner[0].incarnation
         return ''
 
-    def _log(self, kind: str, facts: tuple[tuple[str, object], ...]) -> None:
-        log_facts(self._logger, kind, facts)
+    def _log(self, kind: str, fields: tuple[tuple[str, object], ...]) -> None:
+        log_facts(self._logger, kind, fields)
 
     async def send_request(self, message: Any, timeout_s: float) -> Any:
         """Send a message to the owner; see `Directory.send_request`."""
--- a/sassafrasgate/daemons/entry.py
+++ b/sassafrasgate/daemons/entry.py
@@ -167,10 +167,10 @@
             self.notify_dispatcher(OwnershipLost(f'{other!r} owns the shard'))
 
     async def _claim(self, group: TaskGroup) -> None:
-        """Claim the shard if it has no owner and this host's turn has come.
+        """Claim the shard if it has no owner, and start the dispatcher.
 
-        A dispatcher is also started when the owner key already names this
-        process.
+        The dispatcher is also started if the owner key already names this
+        process. Hosts with a better rank claim before this one.
         """
         if self.is_stopping or not self.version:
             return
@@ -268,10 +268,10 @@
             await message.reply(self._make_offer_refusal())
             return
         await dispatcher.taken_over.wait()
-        answer: Any = Acknowledged()
+        reply: Any = Acknowledged()
         if self.dispatcher is not dispatcher:
-            answer = self._make_offer_refusal()
-        await message.reply(answer)
+            reply = self._make_offer_refusal()
+        await message.reply(reply)
 
     def _make_offer_refusal(self) -> Refusal:
         return Refusal(
@@ -317,11 +317,11 @@
         """Handle one request of the inner protocol."""
         message = request.message
 
-        async def send_reply(found: Any) -> None:
-            if isinstance(found, Refusal):
-                found = Refused(found.kind, found.reason, found.remedy)
+        async def send_reply(reply: Any) -> None:
+            if isinstance(reply, Refusal):
+                reply = Refused(reply.kind, reply.reason, reply.remedy)
             await self.services.reply(
-                OutgoingReply(request.client, request.request, found)
+                OutgoingReply(request.client, request.request, reply)
             )
 
         if type(message) in ENTRY_REQUESTS:
@@ -332,6 +332,6 @@
             return
         await send_reply(refuse_not_owner(SHARD))
 
-    def log(self, kind: str, facts: tuple[tuple[str, object], ...]) -> None:
+    def log(self, kind: str, fields: tuple[tuple[str, object], ...]) -> None:
         """Log an event of this process."""
-        log_facts(self.services.logger, kind, facts)
+        log_facts(self.services.logger, kind, fields)
--- a/sassafrasgate/daemons/frontend.py
+++ b/sassafrasgate/daemons/frontend.py
@@ -179,38 +179,38 @@
         return await self._request_until(message, deadline)
 
     async def _request_until(self, message: Any, deadline: int) -> Any:
-        """Retry until an answer, the deadline, or the end of the budget."""
+        """Retry until an reply, the deadline, or the end of the budget."""
         attempt = 0
         unknown: NoReply | None = None
         while True:
             attempt += 1
             remaining_s = (deadline - now_ms()) / 1000
-            answer = await self._directory.send_request(
+            reply = await self._directory.send_request(
                 message.shard,
                 message,
                 max(remaining_s, MIN_ATTEMPT_TIMEOUT_S),
                 attempt,
             )
-            if isinstance(answer, NoReply):
-                unknown = answer
-            if not self._may_retry(message, answer):
-                return answer
+            if isinstance(reply, NoReply):
+                unknown = reply
+            if not self._may_retry(message, reply):
+                return reply
             backoff_s = choose_backoff_s(attempt, self._random)
             if now_ms() + backoff_s * 1000 >= deadline:
-                return unknown or answer
-            if not isinstance(answer, Refusal) and not (
+                return unknown or reply
+            if not isinstance(reply, Refusal) and not (
                 self._budget.may_retry()
             ):
-                return unknown or answer
-            self._log_retry(message, attempt, answer)
+                return unknown or reply
+            self._log_retry(message, attempt, reply)
             await anyio.sleep(backoff_s)
 
-    def _may_retry(self, message: Any, answer: Any) -> bool:
-        if isinstance(answer, Refusal):
-            return answer.kind is RefusalKind.NOT_READY
-        if isinstance(answer, Refused):
-            return answer.refusal in RETRIED_REFUSALS
-        if not isinstance(answer, NoReply):
+    def _may_retry(self, message: Any, reply: Any) -> bool:
+        if isinstance(reply, Refusal):
+            return reply.kind is RefusalKind.NOT_READY
+        if isinstance(reply, Refused):
+            return reply.refusal in RETRIED_REFUSALS
+        if not isinstance(reply, NoReply):
             return False
         # All messages but quick requests are idempotent by job id. A quick
         # request may still be running where the first try was sent.
@@ -219,7 +219,7 @@
             and message.spec.job_class is JobClass.QUICK
         )
 
-    def _log_retry(self, message: Any, attempt: int, answer: Any) -> None:
+    def _log_retry(self, message: Any, attempt: int, reply: Any) -> None:
         owner = self._directory.owners.get(message.shard)
         log_decision(
             self._logger,
@@ -228,7 +228,7 @@
                 getattr(message, 'job_id', ''),
                 attempt,
                 owner[0].name if owner else '',
-                getattr(answer, 'reason', ''),
+                getattr(reply, 'reason', ''),
                 shard=message.shard,
                 configuration=self.version,
             ),
@@ -275,8 +275,8 @@
             item = await self._store.get(make_output_key(job_id, number))
             if item is None or item.value is None:
                 raise StoreError(
-                    f'chunk {number} of the output of job {job_id!r} is gone; '
-                    'outputs are kept for a day'
+                    f'chunk {number} of the output of job {job_id!r} does not '
+                    'exist; outputs are deleted after a day'
                 )
             yield item.value
 
@@ -284,12 +284,12 @@
         """Return the status of every scheduler that answers."""
         for member in self._directory.list_schedulers():
             self._directory.find_link(member.link_address)
-        answers = await self._directory.broadcast_request(
+        replies = await self._directory.broadcast_request(
             Status(), STATUS_TIMEOUT_S
         )
         found = {
-            answer.name: answer
-            for answer in answers
-            if isinstance(answer, StatusReply)
+            reply.name: reply
+            for reply in replies
+            if isinstance(reply, StatusReply)
         }
         return tuple(found[name] for name in sorted(found))
--- a/sassafrasgate/daemons/gateways.py
+++ b/sassafrasgate/daemons/gateways.py
@@ -111,24 +111,24 @@
         Returns
         -------
         object
-            The answer; a `Refusal` if the request certainly had no effect;
+            The reply; a `Refusal` if the request certainly had no effect;
             `NoReply` if its effect is unknown.
         """
         deadline = now_ms() + int(timeout_s * 1000)
         unknown: NoReply | None = None
         while True:
             remaining_s = (deadline - now_ms()) / 1000
-            answer = await self._task.request_once(
+            reply = await self._task.request_once(
                 message, min(remaining_s, ATTEMPT_TIMEOUT_S)
             )
-            if isinstance(answer, Refused):
-                answer = Refusal(answer.refusal, answer.reason, answer.remedy)
-            if isinstance(answer, NoReply):
-                unknown = answer
-            elif not _may_retry(answer):
-                return answer
+            if isinstance(reply, Refused):
+                reply = Refusal(reply.refusal, reply.reason, reply.remedy)
+            if isinstance(reply, NoReply):
+                unknown = reply
+            elif not _may_retry(reply):
+                return reply
             if now_ms() + RETRY_DELAY_S * 1000 >= deadline:
-                return unknown or answer
+                return unknown or reply
             cut_off = self._task.check_readiness()
             if cut_off is not None and unknown is None:
                 return cut_off
@@ -136,6 +136,6 @@
             await anyio.sleep(RETRY_DELAY_S)
 
 
-def _may_retry(answer: Any) -> bool:
-    """Tell whether the answer shows that the request had no effect."""
-    return isinstance(answer, Refusal) and answer.kind in RETRIED_REFUSALS
+def _may_retry(reply: Any) -> bool:
+    """Tell whether the reply shows that the request had no effect."""
+    return isinstance(reply, Refusal) and reply.kind in RETRIED_REFUSALS
--- a/sassafrasgate/daemons/hosts.py
+++ b/sassafrasgate/daemons/hosts.py
@@ -152,7 +152,7 @@
             self.epoch,
             compute_task_lease_deadline(reading) if reading else 0,
             release,
-            # No work is placed on the host before the first answer, so that
+            # No work is placed on the host before the first reply, so that
             # one must not be held back.
             SYNC_WAIT_MS if reading else 0,
             tuple(self._known_ended),
@@ -182,7 +182,7 @@
         self._clock_reading = ClockReading(reply.clock, received_at)
 
     async def start_task(self, command: StartTask) -> None:
-        """Start a task; repeat the call once if it gets no answer."""
+        """Start a task; repeat the call once if it gets no reply."""
         reason = self._find_start_obstacle(command)
         if reason:
             await self._events.send(
--- a/sassafrasgate/daemons/journals.py
+++ b/sassafrasgate/daemons/journals.py
@@ -33,7 +33,7 @@
     from sassafrasgate.journal.ring_buffer import PendingEntry
 
 MAX_ENTRY_RECORDS = 2_000
-MAX_ENTRY_PAYLOAD_BYTES = 512 * 1024
+MAX_ENTRY_SIZE_BYTES = 512 * 1024
 SNAPSHOT_RETRY_S = 1.0
 # Kinds of records that create a job.
 ACCEPTANCE_KINDS = frozenset({'accepted', 'workflow-accepted'})
@@ -140,21 +140,23 @@
 
     async def _withdraw_records(self, job_id: str) -> None:
         """Drop a job's records if its acceptance is not written yet."""
-        mine = [
+        job_messages = [
             message
             for message in self._waiting
             if isinstance(message, WriteRecord)
             and getattr(message.record, 'job_id', '') == job_id
         ]
-        accepted = any(m.record.kind in ACCEPTANCE_KINDS for m in mine)
+        accepted = any(
+            message.record.kind in ACCEPTANCE_KINDS for message in job_messages
+        )
         if accepted:
-            dropped = {id(message) for message in mine}
+            dropped = {id(message) for message in job_messages}
             self._waiting = deque(
                 _remove_job_records(message, job_id)
                 for message in self._waiting
                 if id(message) not in dropped
             )
-        dropped_records = len(mine) if accepted else 0
+        dropped_records = len(job_messages) if accepted else 0
         await self._events.send(
             WithdrawalAnswered(job_id, accepted, dropped_records)
         )
@@ -221,20 +223,20 @@
         """
         if not self._snapshot_running:
             raise ShardLostError(
-                'the journal has no room for the records before the next '
-                'snapshot; this process gives the shard up'
+                'the journal has no free slot for the records before the next '
+                'snapshot; this process steps down'
             )
 
     def _take_batch(self) -> tuple[Any, ...]:
         """Remove and return records for one entry."""
         records: list[Any] = []
-        payload = 0
+        size = 0
         while self._waiting and len(records) < MAX_ENTRY_RECORDS:
             message = self._waiting[0]
             if not isinstance(message, WriteRecord):
                 break
-            payload += estimate_record_size(message.record)
-            if records and payload > MAX_ENTRY_PAYLOAD_BYTES:
+            size += estimate_record_size(message.record)
+            if records and size > MAX_ENTRY_SIZE_BYTES:
                 break
             records.append(message.record)
             self._waiting.popleft()
@@ -253,8 +255,8 @@
         self, sequence: int, records: tuple[Any, ...]
     ) -> None:
         data = encode_snapshot(records)
-        # A retry writes the same content, since a failed try may have left
-        # some of its chunks in the store.
+        # A retry writes the same content, since a failed attempt may have
+        # left some of its chunks in the store.
         while True:
             try:
                 await self._journal.write_snapshot(sequence, data)
@@ -289,7 +291,10 @@
 
 
 def estimate_record_size(record: Any) -> int:
-    """Return the approximate encoded size of a record in bytes."""
+    """Return the approximate encoded size of a record in bytes.
+
+    The fields other than payload and output are taken as 256 bytes.
+    """
     spec = getattr(record, 'spec', None)
     outcome = getattr(record, 'outcome', None)
     payload = len(spec.payload) if spec is not None else 0
--- a/sassafrasgate/daemons/leases.py
+++ b/sassafrasgate/daemons/leases.py
@@ -64,7 +64,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LeaseChanged:
-    """The lease was granted or renewed, or a renewal got no answer."""
+    """The lease was granted or renewed, or a renewal got no reply."""
 
     lease_id: str
     lease: OwnerLease
@@ -98,7 +98,7 @@
         Length of the lease, in ms.
     grace_ms : int
         Outage grace, in ms: how long the process may act on its lease after
-        the lease's end while the store does not answer.
+        the lease's end while the store does not respond.
     """
 
     def __init__(
@@ -182,7 +182,7 @@
 def apply_failed_renewal(
     lease: OwnerLease, sent_at: int, now: int
 ) -> OwnerLease:
-    """Return the lease after a renewal that got no answer.
+    """Return the lease after a renewal that got no reply.
 
     A process that was paused for longer than the lease's length can't know
     what the store did in the meantime, so it loses the outage grace.
--- a/sassafrasgate/daemons/relays.py
+++ b/sassafrasgate/daemons/relays.py
@@ -268,17 +268,17 @@
     async def _call_relay(
         self, method: str, arguments: tuple[Any, ...], wait_s: float
     ) -> Any:
-        answer = await self._relay(
+        reply = await self._relay(
             RelayCall(method, arguments), RELAY_TIMEOUT_S + wait_s
         )
-        if answer is None:
+        if reply is None:
             raise StoreUnavailableError(
                 f'no entry host has relayed {method!r} to the store; read '
                 'the key back to find out whether a write took effect'
             )
-        if not answer.failure:
-            return convert(answer.result, RESULT_TYPES.find(method))
-        raise ERROR_TYPES.find(answer.failure)(answer.reason)
+        if not reply.failure:
+            return convert(reply.result, RESULT_TYPES.find(method))
+        raise ERROR_TYPES.find(reply.failure)(reply.reason)
 
 
 @dataclass(frozen=True, slots=True)
@@ -393,10 +393,10 @@
             # The host has left while another one was asked.
             continue
         link = directory.find_link(member.link_address)
-        answer = await link.ask(call, timeout_s)
-        if not isinstance(answer, RelayReply):
+        reply = await link.ask(call, timeout_s)
+        if not isinstance(reply, RelayReply):
             continue
-        if answer.failure != 'unavailable':
-            return answer
-        best = answer
+        if reply.failure != 'unavailable':
+            return reply
+        best = reply
     return best
--- a/sassafrasgate/daemons/replies.py
+++ b/sassafrasgate/daemons/replies.py
@@ -20,7 +20,7 @@
 
 
 class ReplyTable:
-    """Assigns a token to each request and answers it at most once.
+    """Assigns a token to each request and replies to it at most once.
 
     Parameters
     ----------
@@ -38,17 +38,17 @@
     def add_request(self, request: IncomingRequest) -> int:
         """Add a request received over a link and return its token.
 
-        The token is 0 if the sender expects no answer.
+        The token is 0 if the sender expects no reply.
         """
         if not request.request:
             return 0
 
-        async def answer(message: Any) -> None:
+        async def send_reply(message: Any) -> None:
             await self._queue_reply(
                 OutgoingReply(request.client, request.request, message)
             )
 
-        return self._add(answer)
+        return self._add(send_reply)
 
     def add_local_request(self, caller: MemoryObjectSendStream[Any]) -> int:
         """Add a request of this process and return its token.
@@ -56,10 +56,10 @@
         Parameters
         ----------
         caller : MemoryObjectSendStream
-            Receives the answer.
+            Receives the reply.
         """
 
-        async def answer(message: Any) -> None:
+        async def send_reply(message: Any) -> None:
             try:
                 caller.send_nowait(message)
             except (
@@ -70,12 +70,12 @@
                 # The caller no longer waits.
                 return
 
-        return self._add(answer)
+        return self._add(send_reply)
 
-    def _add(self, answer: Callable[[Any], Awaitable[None]]) -> int:
+    def _add(self, send_reply: Callable[[Any], Awaitable[None]]) -> int:
         token = self._next_token
         self._next_token += 1
-        self._open_requests[token] = answer
+        self._open_requests[token] = send_reply
         return token
 
     def discard(self, token: int) -> None:
@@ -88,9 +88,9 @@
 
     async def send(self, token: int, message: Any) -> None:
         """Answer the request with this token; each token is used once."""
-        answer = self._open_requests.pop(token, None)
-        if answer is not None:
-            await answer(message)
+        send_reply = self._open_requests.pop(token, None)
+        if send_reply is not None:
+            await send_reply(message)
 
 
 async def wait_for_reply(
@@ -98,27 +98,27 @@
     discard: Callable[[int], None],
     timeout_s: float,
 ) -> Any:
-    """Send a request of this process and return its answer.
+    """Send a request of this process and return its reply.
 
     Parameters
     ----------
     add : callable
         Sends the request. It is called with the stream that receives the
-        answer, and returns the request's token.
+        reply, and returns the request's token.
     discard : callable
-        Called with the token if no answer came in time.
+        Called with the token if no reply came in time.
     timeout_s : float
-        Longest time to wait for the answer, in seconds.
+        Longest time to wait for the reply, in seconds.
 
     Returns
     -------
     object
-        The answer, or `NoReply`.
+        The reply, or `NoReply`.
     """
-    caller, answers = anyio.create_memory_object_stream[Any](1)
-    with caller, answers:
+    caller, replies = anyio.create_memory_object_stream[Any](1)
+    with caller, replies:
         token = add(caller)
         with anyio.move_on_after(timeout_s):
-            return await answers.receive()
+            return await replies.receive()
         discard(token)
-    return NoReply(f'no answer within {timeout_s:.1f} s')
+    return NoReply(f'no reply within {timeout_s:.1f} s')
--- a/sassafrasgate/daemons/shard_actions.py
+++ b/sassafrasgate/daemons/shard_actions.py
@@ -52,7 +52,11 @@
 async def _start(task: ShardTask, action: StartTask) -> None:
     if not task.command_host(action.host, action):
         task.events.send_nowait(
-            StartNotSent(action.host, action.task, 'the host is gone')
+            StartNotSent(
+                action.host,
+                action.task,
+                'this owner is not connected to the host',
+            )
         )
 
 
--- a/sassafrasgate/daemons/shards.py
+++ b/sassafrasgate/daemons/shards.py
@@ -498,12 +498,12 @@
             self._group.start_soon(self._send_to_shard, action)
 
     async def _send_to_shard(self, action: SendToShard) -> None:
-        answer = await self.services.send_request(
+        reply = await self.services.send_request(
             action.shard, action.message, PEER_TIMEOUT_S
         )
-        if isinstance(answer, NoReply | Refusal):
-            answer = None
-        await self.events.send(PeerAnswered(action.message, answer))
+        if isinstance(reply, NoReply | Refusal):
+            reply = None
+        await self.events.send(PeerAnswered(action.message, reply))
 
     def step_down(self, reason: str) -> None:
         """End the task without sending anything further."""
--- a/sassafrasgate/daemons/workers.py
+++ b/sassafrasgate/daemons/workers.py
@@ -296,7 +296,7 @@
                 return
             fencing_token = self._fencing_token
             try:
-                answer: RunReply = await self._client.start(
+                reply: RunReply = await self._client.start(
                     RunRequest(
                         command.run.task,
                         command.run.run,
@@ -317,24 +317,22 @@
                     )
                 )
                 continue
-            if self._was_overtaken_by_restart(answer, fencing_token):
-                answer = replace(
-                    answer, refusal=StartRefusal.OTHER_INCARNATION
-                )
+            if self._was_overtaken_by_restart(reply, fencing_token):
+                reply = replace(reply, refusal=StartRefusal.OTHER_INCARNATION)
             await self._events.send(
-                RunAnswered(self.worker, command.run, answer)
+                RunAnswered(self.worker, command.run, reply)
             )
             return
 
     def _was_overtaken_by_restart(
-        self, answer: RunReply, fencing_token: int
+        self, reply: RunReply, fencing_token: int
     ) -> bool:
         """Tell whether a call was refused because the worker had restarted.
 
         A later call of this owner, with a higher fencing token, has then
         reached the new incarnation first.
         """
-        stale = answer.refusal is StartRefusal.STALE_EPOCH
+        stale = reply.refusal is StartRefusal.STALE_EPOCH
         return stale and fencing_token < self._fencing_token
 
     async def _report_unsent(
@@ -366,19 +364,19 @@
                 return
             fencing_token = self._fencing_token
             try:
-                answer: RunReply = await self._client.stop(
+                reply: RunReply = await self._client.stop(
                     command.run.task, command.run.run, fencing_token
                 )
             except WorkerUnavailableError:
                 continue
-            if self._was_overtaken_by_restart(answer, fencing_token):
+            if self._was_overtaken_by_restart(reply, fencing_token):
                 continue
-            if answer.refusal is StartRefusal.STALE_EPOCH:
+            if reply.refusal is StartRefusal.STALE_EPOCH:
                 await self._events.send(EpochRefused(self.worker))
                 return
-            if answer.refusal is None:
+            if reply.refusal is None:
                 await self._events.send(
-                    StopAnswered(self.worker, command.run, answer.clock_ms)
+                    StopAnswered(self.worker, command.run, reply.clock_ms)
                 )
             return
 
@@ -391,7 +389,7 @@
             return
         fencing_token = self._fencing_token
         try:
-            answer: RunReply = await self._client.pace(
+            reply: RunReply = await self._client.pace(
                 command.run.task,
                 command.run.run,
                 command.percent,
@@ -400,7 +398,7 @@
         except WorkerUnavailableError:
             # The next poll reports whether the worker responds.
             return
-        if answer.refusal is None:
+        if reply.refusal is None:
             await self._events.send(
                 PaceAnswered(self.worker, command.run, command.percent)
             )
--- a/tests/daemons/test_journals.py
+++ b/tests/daemons/test_journals.py
@@ -135,7 +135,7 @@
     journal.has_free_slot = False
     box.send_nowait(WriteRecord(make_acceptance('a')))
     with anyio.fail_after(30):
-        assert 'no room' in await run_journal(task)
+        assert 'no free slot' in await run_journal(task)
 
 
 async def test_records_are_durable_only_after_all_earlier_ones():
