--- a/sassafrasgate/daemons/directory.py
+++ b/sassafrasgate/daemons/directory.py
@@ -92,28 +92,28 @@
         if not isinstance(message, ControlListed | ControlChanged):
             return
         for item in message.items:
-            self._note_item(item)
+            self._apply_item(item)
 
-    def _note_item(self, item: Item) -> None:
+    def _apply_item(self, item: Item) -> None:
         if item.key.startswith(MEMBER_PREFIX):
-            self._note_member(item.key.removeprefix(MEMBER_PREFIX), item)
+            self._apply_member(item.key.removeprefix(MEMBER_PREFIX), item)
         if item.key.startswith(OWNER_PREFIX):
-            self._note_owner(item.key.removeprefix(OWNER_PREFIX), item)
+            self._apply_owner(item.key.removeprefix(OWNER_PREFIX), item)
 
-    def _note_member(self, name: str, item: Item) -> None:
-        member = read_member(item)
+    def _apply_member(self, name: str, item: Item) -> None:
+        member = decode_member(item)
         if member is None:
             self.members.pop(name, None)
             return
         self.members[name] = member
 
-    def _note_owner(self, shard: str, item: Item) -> None:
+    def _apply_owner(self, shard: str, item: Item) -> None:
         known = self.owners.get(shard)
         if known is not None and item.revision < known[1]:
             # The watch may deliver a state from before this process wrote
             # the key itself.
             return
-        member = read_member(item)
+        member = decode_member(item)
         if member is None:
             self.owners.pop(shard, None)
             return
@@ -148,12 +148,12 @@
     async def send_request(
         self, shard: str, message: Any, timeout_s: float, attempt: int = 1
     ) -> Any:
-        """Send a message to a shard's owner and return its answer.
+        """Send a message to a shard's owner and return its reply.
 
         Returns
         -------
         object
-            The answer; `NoReply` when the effect is not known; or a
+            The reply; `NoReply` when the effect is not known; or a
             `Refusal` when the shard has no owner and nothing was sent.
         """
         owner = self.owners.get(shard)
@@ -169,21 +169,21 @@
     async def broadcast_request(
         self, message: Any, timeout_s: float
     ) -> tuple[Any, ...]:
-        """Send a message on every link and return the answers received."""
-        answers: list[Any] = []
+        """Send a message on every link and return the replies received."""
+        replies: list[Any] = []
 
         async def ask_one(link: Link) -> None:
-            answer = await link.ask(message, timeout_s)
-            if not isinstance(answer, NoReply):
-                answers.append(answer)
+            reply = await link.ask(message, timeout_s)
+            if not isinstance(reply, NoReply):
+                replies.append(reply)
 
         async with anyio.create_task_group() as group:
             for link in self.list_links():
                 group.start_soon(ask_one, link)
-        return tuple(answers)
+        return tuple(replies)
 
 
-def read_member(item: Item) -> Member | None:
+def decode_member(item: Item) -> Member | None:
     """Return the member that a key's value describes, or None.
 
     Returns
--- a/sassafrasgate/daemons/replies.py
+++ b/sassafrasgate/daemons/replies.py
@@ -20,7 +20,7 @@
 
 
 class ReplyTable:
-    """Assigns a token to each request and answers it at most once.
+    """Assigns a token to each request and replies to it at most once.
 
     Parameters
     ----------
@@ -31,35 +31,35 @@
     def __init__(
         self, reply: Callable[[OutgoingReply], Awaitable[None]]
     ) -> None:
-        self._reply = reply
-        self._open: dict[int, Callable[[Any], Awaitable[None]]] = {}
-        self._next = 1
+        self._queue_reply = reply
+        self._open_requests: dict[int, Callable[[Any], Awaitable[None]]] = {}
+        self._next_token = 1
 
     def add_request(self, request: IncomingRequest) -> int:
         """Add a request received over a link and return its token.
 
-        The token is 0 if the sender expects no answer.
+        The token is 0 if the sender expects no reply.
         """
         if not request.request:
             return 0
 
-        async def answer(message: Any) -> None:
-            await self._reply(
+        async def send_reply(message: Any) -> None:
+            await self._queue_reply(
                 OutgoingReply(request.client, request.request, message)
             )
 
-        return self._add(answer)
+        return self._add(send_reply)
 
-    def add_caller(self, caller: MemoryObjectSendStream[Any]) -> int:
+    def add_local_request(self, caller: MemoryObjectSendStream[Any]) -> int:
         """Add a request of this process and return its token.
 
         Parameters
         ----------
         caller : MemoryObjectSendStream
-            Receives the answer.
+            Receives the reply.
         """
 
-        async def answer(message: Any) -> None:
+        async def send_reply(message: Any) -> None:
             try:
                 caller.send_nowait(message)
             except (
@@ -70,55 +70,55 @@
                 # The caller no longer waits.
                 return
 
-        return self._add(answer)
+        return self._add(send_reply)
 
-    def _add(self, answer: Callable[[Any], Awaitable[None]]) -> int:
-        token = self._next
-        self._next += 1
-        self._open[token] = answer
+    def _add(self, send_reply: Callable[[Any], Awaitable[None]]) -> int:
+        token = self._next_token
+        self._next_token += 1
+        self._open_requests[token] = send_reply
         return token
 
-    def forget(self, token: int) -> None:
+    def discard(self, token: int) -> None:
         """Drop a request whose caller no longer waits."""
-        self._open.pop(token, None)
+        self._open_requests.pop(token, None)
 
     def list_open(self) -> tuple[int, ...]:
         """Return the tokens of all unanswered requests."""
-        return tuple(self._open)
+        return tuple(self._open_requests)
 
     async def send(self, token: int, message: Any) -> None:
         """Answer the request with this token; each token is used once."""
-        answer = self._open.pop(token, None)
-        if answer is not None:
-            await answer(message)
+        send_reply = self._open_requests.pop(token, None)
+        if send_reply is not None:
+            await send_reply(message)
 
 
-async def wait_for_answer(
+async def wait_for_reply(
     add: Callable[[MemoryObjectSendStream[Any]], int],
-    forget: Callable[[int], None],
+    discard: Callable[[int], None],
     timeout_s: float,
 ) -> Any:
-    """Send a request of this process and return its answer.
+    """Send a request of this process and return its reply.
 
     Parameters
     ----------
     add : callable
         Sends the request. It is called with the stream that receives the
-        answer, and returns the request's token.
-    forget : callable
-        Called with the token if no answer came in time.
+        reply, and returns the request's token.
+    discard : callable
+        Called with the token if no reply came in time.
     timeout_s : float
-        Longest time to wait for the answer, in seconds.
+        Longest time to wait for the reply, in seconds.
 
     Returns
     -------
     object
-        The answer, or `NoReply`.
+        The reply, or `NoReply`.
     """
-    caller, answers = anyio.create_memory_object_stream[Any](1)
-    with caller, answers:
+    caller, replies = anyio.create_memory_object_stream[Any](1)
+    with caller, replies:
         token = add(caller)
         with anyio.move_on_after(timeout_s):
-            return await answers.receive()
-        forget(token)
-    return NoReply(f'no answer within {timeout_s:.1f} s')
+            return await replies.receive()
+        discard(token)
+    return NoReply(f'no reply within {timeout_s:.1f} s')
--- a/sassafrasgate/daemons/shard_actions.py
+++ b/sassafrasgate/daemons/shard_actions.py
@@ -34,13 +34,13 @@
 
 
 @SHARD_ACTION_HANDLERS.register(AppendRecord)
-async def _persist(task: ShardTask, action: AppendRecord) -> None:
-    task.append(action.record)
+async def _append_record(task: ShardTask, action: AppendRecord) -> None:
+    task.append_record(action.record)
 
 
 @SHARD_ACTION_HANDLERS.register(WithdrawRecords)
-async def _withdraw(task: ShardTask, action: WithdrawRecords) -> None:
-    task.withdraw(action.job_id)
+async def _withdraw_records(task: ShardTask, action: WithdrawRecords) -> None:
+    task.withdraw_records(action.job_id)
 
 
 @SHARD_ACTION_HANDLERS.register(Reply)
@@ -52,7 +52,11 @@
 async def _start(task: ShardTask, action: StartTask) -> None:
     if not task.command_host(action.host, action):
         task.events.send_nowait(
-            StartNotSent(action.host, action.task, 'the host is gone')
+            StartNotSent(
+                action.host,
+                action.task,
+                'this owner is not connected to the host',
+            )
         )
 
 
@@ -66,8 +70,8 @@
 
 
 @SHARD_ACTION_HANDLERS.register(SendToShard)
-async def _send_peer(task: ShardTask, action: SendToShard) -> None:
-    task.ask_peer(action)
+async def _send_to_shard(task: ShardTask, action: SendToShard) -> None:
+    task.send_to_shard(action)
 
 
 @SHARD_ACTION_HANDLERS.register(PublishSummary)
@@ -81,5 +85,5 @@
 
 
 @SHARD_ACTION_HANDLERS.register(StepDown)
-async def _give_up(task: ShardTask, action: StepDown) -> None:
-    task.give_up(action.reason)
+async def _step_down(task: ShardTask, action: StepDown) -> None:
+    task.step_down(action.reason)
--- a/sassafrasgate/shards/preemption.py
+++ b/sassafrasgate/shards/preemption.py
@@ -13,8 +13,8 @@
 from sassafrasgate.shards.actions import LimitTask
 from sassafrasgate.shards.actions import LogDecision
 from sassafrasgate.shards.actions import StopTask
-from sassafrasgate.shards.placements import find_rule_limits
-from sassafrasgate.shards.placements import is_rule_for
+from sassafrasgate.shards.placements import find_rule_constraints
+from sassafrasgate.shards.placements import matches_rule
 from sassafrasgate.shards.state import TaskPhase
 
 if TYPE_CHECKING:
@@ -28,26 +28,26 @@
 
 # Stopping a task takes a round trip and a sync, so the same job does not
 # preempt more tasks before then.
-PREEMPTION_WAIT_MS = 3_000
+PREEMPTION_INTERVAL_MS = 3_000
 MAX_VICTIMS = 8
 
 
 def may_preempt(state: ShardState, spec: JobSpec) -> bool:
     """Tell whether a rule allows a job to preempt batch tasks."""
     return spec.tasks == 1 and any(
-        rule.may_preempt and is_rule_for(rule, spec)
+        rule.may_preempt and matches_rule(rule, spec)
         for rule in state.configuration.rules
     )
 
 
-def preempt_for(state: ShardState, entry: JobEntry, now: int) -> Actions:
+def preempt_for_job(state: ShardState, entry: JobEntry, now: int) -> Actions:
     """Stop batch tasks on one host so that a job fits on it."""
-    if state.preemptions.get(entry.job_id, 0) > now:
+    if state.preempt_again_at.get(entry.job_id, 0) > now:
         return
     victims = choose_victims(state, entry.spec)
     if not victims:
         return
-    state.preemptions[entry.job_id] = now + PREEMPTION_WAIT_MS
+    state.preempt_again_at[entry.job_id] = now + PREEMPTION_INTERVAL_MS
     for task in victims:
         state.tasks[task.task] = replace(task, stopping=True)
         yield LogDecision(
@@ -67,11 +67,11 @@
     lose the least work. Among hosts that need equally few, the first one is
     taken.
     """
-    labels, domains = find_rule_limits(state, spec)
+    labels, domains = find_rule_constraints(state, spec)
     best: tuple[TaskEntry, ...] = ()
     for name in state.index.free_on_open_hosts:
         host = state.index.hosts[name]
-        if not _is_allowed(host, spec, labels, domains):
+        if not _is_eligible(host, spec, labels, domains):
             continue
         victims = _choose_on_host(state, name, spec.demand)
         if victims and (not best or len(victims) < len(best)):
@@ -79,7 +79,7 @@
     return best
 
 
-def _is_allowed(
+def _is_eligible(
     host: Host,
     spec: JobSpec,
     labels: tuple[str, ...],
@@ -99,24 +99,24 @@
 def _choose_on_host(
     state: ShardState, host: str, demand: Resources
 ) -> tuple[TaskEntry, ...]:
-    room = state.index.find_free(host)
+    free = state.index.find_free(host)
     candidates = [
         task
         for name in state.index.list_reservations(host)
         if (task := state.tasks.get(name)) is not None
-        and _is_victim(state, task)
+        and _is_preemptible(state, task)
     ]
     candidates.sort(key=lambda task: task.started_clock, reverse=True)
     chosen: list[TaskEntry] = []
     for task in candidates[:MAX_VICTIMS]:
-        if demand.fits_in(room):
+        if demand.fits_in(free):
             break
         chosen.append(task)
-        room = room + state.index.list_reservations(host)[task.task]
-    return tuple(chosen) if demand.fits_in(room) else ()
+        free = free + state.index.list_reservations(host)[task.task]
+    return tuple(chosen) if demand.fits_in(free) else ()
 
 
-def _is_victim(state: ShardState, task: TaskEntry) -> bool:
+def _is_preemptible(state: ShardState, task: TaskEntry) -> bool:
     if task.phase is not TaskPhase.RUNNING or task.stopping:
         return False
     job = state.jobs.get(task.job_id)
--- a/sassafrasgate/shards/shares.py
+++ b/sassafrasgate/shards/quota_shares.py
@@ -3,7 +3,7 @@
 Each shard starts with an equal share of a team's quota. A shard whose share
 is too small for a queued job asks the other shards, one at a time, for
 unused share. The lender journals the total that it has lent to a shard
-before it answers with that total. A lost answer or a takeover can therefore
+before it answers with that total. A lost reply or a takeover can therefore
 leave a part of the quota unused for a while, but the sum of the shares never
 exceeds the quota.
 """
@@ -20,8 +20,8 @@
 from sassafrasgate.shards.actions import LogDecision
 from sassafrasgate.shards.actions import Reply
 from sassafrasgate.shards.actions import SendToShard
-from sassafrasgate.shards.handlers import APPLIERS
 from sassafrasgate.shards.handlers import DURABLE_HANDLERS
+from sassafrasgate.shards.handlers import RECORD_APPLIERS
 from sassafrasgate.shards.handlers import REQUEST_HANDLERS
 from sassafrasgate.shards.handlers import write_record
 
@@ -48,10 +48,10 @@
     if base is None or base == NO_RESOURCES:
         return
     share = base
-    for (_, name), total in state.borrowed.items():
+    for (_, name), total in state.borrowed_shares.items():
         if name == team:
             share = share + total
-    for (_, name), total in state.lent.items():
+    for (_, name), total in state.lent_shares.items():
         if name == team:
             share = share - total
     state.quotas.set_share(team, share.take_maximum(NO_RESOURCES))
@@ -67,11 +67,11 @@
         for shard in state.configuration.shards
         if shard.name != state.name
     ]
-    turn, next_at = state.borrowing.get(spec.team, (0, 0))
+    turn, next_at = state.borrow_turns.get(spec.team, (0, 0))
     if not peers or now < next_at:
         return
-    state.borrowing[spec.team] = (turn + 1, now + BORROW_INTERVAL_MS)
-    demand = state.sizes.estimate_demand(spec).scale(spec.tasks)
+    state.borrow_turns[spec.team] = (turn + 1, now + BORROW_INTERVAL_MS)
+    demand = state.demand_estimator.estimate_demand(spec).scale(spec.tasks)
     wanted = state.quotas.find_reserved(spec.team) + demand
     missing = (wanted - state.quotas.find_share(spec.team)).take_maximum(
         NO_RESOURCES
@@ -87,14 +87,14 @@
     """Lend as much of the requested share as is unused here."""
     message: BorrowShare = request.message
     key = (message.borrower, message.team)
-    total = state.lent.get(key, NO_RESOURCES)
+    total = state.lent_shares.get(key, NO_RESOURCES)
     free = state.quotas.find_share(message.team) - (
         state.quotas.find_reserved(message.team)
     )
     grant = message.missing.take_minimum(free).take_maximum(NO_RESOURCES)
     state.share_callers.setdefault(key, []).append(request.reply_to)
     if grant == NO_RESOURCES and len(state.share_callers[key]) == 1:
-        yield from _answer_borrower(state, key, total)
+        yield from _reply_to_borrower(state, key, total)
         return
     yield LogDecision(
         'lend', '', reason=f'{message.team} to {message.borrower}: {grant}'
@@ -104,10 +104,10 @@
     )
 
 
-@APPLIERS.register('share-lent')
+@RECORD_APPLIERS.register('share-lent')
 def apply_share_lent(state: ShardState, record: ShareLent) -> None:
     """Set the total lent to a shard and reduce the own share by it."""
-    state.lent[(record.borrower, record.team)] = record.total
+    state.lent_shares[(record.borrower, record.team)] = record.total
     _adjust_share(state, record.team)
 
 
@@ -117,26 +117,26 @@
 ) -> Actions:
     """Answer the borrower, since the loan is in the journal."""
     key = (record.borrower, record.team)
-    yield from _answer_borrower(state, key, record.total)
+    yield from _reply_to_borrower(state, key, record.total)
 
 
-def _answer_borrower(
+def _reply_to_borrower(
     state: ShardState, key: tuple[str, str], total: Resources
 ) -> Actions:
     for reply_to in state.share_callers.pop(key, ()):
         yield Reply(reply_to, ShareTotal(key[1], total))
 
 
-def note_share_total(
-    state: ShardState, message: BorrowShare, answer: ShareTotal
+def record_share_total(
+    state: ShardState, message: BorrowShare, reply: ShareTotal
 ) -> None:
     """Increase this shard's share to include all that a shard has lent.
 
-    Totals only grow, so a delayed answer with a smaller total has no effect.
+    Totals only grow, so a delayed reply with a smaller total has no effect.
     """
     key = (message.shard, message.team)
-    state.borrowed[key] = state.borrowed.get(key, NO_RESOURCES).take_maximum(
-        answer.total
-    )
+    state.borrowed_shares[key] = state.borrowed_shares.get(
+        key, NO_RESOURCES
+    ).take_maximum(reply.total)
     _adjust_share(state, message.team)
-    state.room_changed = True
+    state.needs_pass = True
--- a/sassafrasgate/shards/passes.py
+++ b/sassafrasgate/shards/scheduling_passes.py
@@ -8,11 +8,11 @@
 from sassafrasgate.core.jobs import JobClass
 from sassafrasgate.shards.placements import place_job
 from sassafrasgate.shards.preemption import may_preempt
-from sassafrasgate.shards.preemption import preempt_for
-from sassafrasgate.shards.shares import borrow_share
+from sassafrasgate.shards.preemption import preempt_for_job
+from sassafrasgate.shards.quota_shares import borrow_share
 from sassafrasgate.shards.transfers import begin_transfer
 from sassafrasgate.shards.transfers import find_transfer_target
-from sassafrasgate.shards.transfers import TRANSFER_AFTER_MS
+from sassafrasgate.shards.transfers import TRANSFER_DELAY_MS
 
 if TYPE_CHECKING:
     from collections.abc import Generator
@@ -42,24 +42,24 @@
             state.start_rate.record_starts(now)
             placed += 1
             if placed >= MAX_PLACEMENTS_PER_PASS:
-                state.room_changed = True
+                state.needs_pass = True
                 return
             continue
         if refusal.kind is RefusalKind.QUOTA:
             jobs.skip_team(job.spec.team)
             yield from borrow_share(state, job.spec, now)
             continue
-        may_move = transferred < MAX_TRANSFERS_PER_PASS
-        transferred += yield from _help_refused(
-            state, job, refusal, may_move, now
+        may_transfer_more = transferred < MAX_TRANSFERS_PER_PASS
+        transferred += yield from _transfer_or_preempt(
+            state, job, refusal, may_transfer_more, now
         )
 
 
-def _help_refused(
+def _transfer_or_preempt(
     state: ShardState,
     job: QueuedJob,
     refusal: Refusal,
-    may_move: bool,
+    may_transfer_more: bool,
     now: int,
 ) -> Generator[Any, None, int]:
     """Transfer an unplaced job or preempt others for it.
@@ -67,13 +67,13 @@
     Returns the number of transfers, 0 or 1.
     """
     entry = state.jobs[job.job_id]
-    if may_move and may_transfer(state, job, refusal, now):
+    if may_transfer_more and may_transfer(state, job, refusal, now):
         target = find_transfer_target(state, job.spec, now)
         if target is not None:
             yield from begin_transfer(state, entry, target)
             return 1
     if refusal.kind is RefusalKind.NO_ROOM and may_preempt(state, job.spec):
-        yield from preempt_for(state, entry, now)
+        yield from preempt_for_job(state, entry, now)
     return 0
 
 
@@ -83,7 +83,7 @@
     """Tell whether a job may leave its home shard now.
 
     Running in another failure domain adds a network hop, so a job that
-    could run on its home shard waits there for `TRANSFER_AFTER_MS` first,
+    could run on its home shard waits there for `TRANSFER_DELAY_MS` first,
     unless it is urgent.
     """
     entry = state.jobs[job.job_id]
@@ -93,4 +93,4 @@
         return True
     if refusal.kind is RefusalKind.FITS_NOWHERE:
         return True
-    return now - job.queued_at >= TRANSFER_AFTER_MS
+    return now - job.queued_at >= TRANSFER_DELAY_MS
--- a/sassafrasgate/shards/state.py
+++ b/sassafrasgate/shards/state.py
@@ -71,7 +71,7 @@
         Whether the owner has asked the worker to stop the task.
     team : str
         Team whose quota the reservation counts against; empty for tasks that
-        an earlier owner started without a journal record.
+        a previous owner started without a journal record.
     """
 
     task: str
@@ -87,12 +87,12 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ClosedTask:
+class UnsuccessfulTask:
     """A task that ended without success."""
 
     task: str
     host: str
-    fate: AttemptStatus
+    status: AttemptStatus
     reason: str
 
 
@@ -116,7 +116,7 @@
         Number of attempts that counted as failures.
     placements : tuple of Placement
         Tasks that may be running or have finished.
-    finished, closed : tuple
+    finished_tasks, unsuccessful_tasks : tuple
         Tasks of the current placements that ended with and without success.
     failed_hosts : tuple of str
         Hosts on which attempts failed, oldest first.
@@ -145,8 +145,8 @@
     attempt: int = 0
     failures: int = 0
     placements: tuple[Placement, ...] = ()
-    finished: tuple[FinishedTask, ...] = ()
-    closed: tuple[ClosedTask, ...] = ()
+    finished_tasks: tuple[FinishedTask, ...] = ()
+    unsuccessful_tasks: tuple[UnsuccessfulTask, ...] = ()
     outcome: Outcome | None = None
     accepted_at_ms: int = 0
     ended_at_ms: int = 0
@@ -160,12 +160,12 @@
     may_have_run: bool = False
 
     @property
-    def is_over(self) -> bool:
+    def has_ended(self) -> bool:
         """Whether the job has ended for good."""
         return self.state in FINAL_STATES
 
     @property
-    def missing_tasks(self) -> int:
+    def unplaced_tasks(self) -> int:
         """Number of tasks that still have to be placed."""
         return self.spec.tasks - len(self.placements)
 
@@ -176,34 +176,34 @@
 
     Parameters
     ----------
-    fenced : bool
+    epoch_acknowledged : bool
         Whether the worker has acknowledged this owner's epoch, after which
-        it refuses commands of earlier owners.
+        it refuses commands of previous owners.
     reading : ClockReading or None
         The last clock reading under this epoch.
     silent_since : int
         The owner's clock when the worker first failed to answer; 0 while it
         answers.
-    lapse_at : int
-        The owner's clock from which all leases of earlier owners on the
+    leases_expire_at : int
+        The owner's clock from which all leases of previous owners on the
         host have expired; 0 once the worker has answered.
     leaving : bool
         Whether the worker reports that its host is about to leave.
     listed_leaving : bool
         Whether the platform's host list says so.
-    lapsed : bool
+    leases_expired : bool
         Whether all leases on the host have expired.
     """
 
     name: str
-    fenced: bool = False
+    epoch_acknowledged: bool = False
     incarnation: str = ''
     reading: ClockReading | None = None
     silent_since: int = 0
-    lapse_at: int = 0
+    leases_expire_at: int = 0
     leaving: bool = False
     listed_leaving: bool = False
-    lapsed: bool = False
+    leases_expired: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -248,12 +248,12 @@
     Parameters
     ----------
     reply_to : tuple of int
-        Tokens of the requests that wait for the answer.
+        Tokens of the requests that wait for the reply.
     expires_at : int
         The owner's clock from which the callers are answered "unknown".
     attempt, task, host
         Number, task id and host of the current attempt.
-    tried : tuple of str
+    tried_hosts : tuple of str
         Hosts of earlier attempts.
     ended : EndedTask or None
         The end of the task while its large output is fetched.
@@ -266,7 +266,7 @@
     attempt: int
     task: str
     host: str
-    tried: tuple[str, ...] = ()
+    tried_hosts: tuple[str, ...] = ()
     ended: EndedTask | None = None
 
 
@@ -303,6 +303,53 @@
         Process name and incarnation of the owner.
     previous_grace_ms, previous_ttl_ms : int
         Grace period and store lease of the previous owner.
+    waiters : dict of str to tuple of JobWaiter
+        Callers that wait for the end of each job.
+    quick_requests : dict of str to QuickRequest
+        Quick requests by job id.
+    quick_sequence : int
+        Sequence number in the task id of the latest quick request.
+    last_pass_at : int
+        The owner's clock of the latest periodic scheduling pass.
+    base_shares : dict of str to Resources
+        Each team's equal share of its quota.
+    lent_shares, borrowed_shares : dict of tuple to Resources
+        Totals lent to and borrowed from other shards, by shard and team.
+    borrow_turns : dict of str to tuple of int
+        For each team, the number of requests for share so far and the
+        owner's clock from which the next one may be sent.
+    share_callers : dict of tuple to list of int
+        Tokens of requests for share that wait for the journal, by borrowing
+        shard and team.
+    preempt_again_at : dict of str to int
+        The owner's clock from which a job may preempt tasks again.
+    output_copies : dict of str to EndedTask
+        Ends of tasks whose large output is being copied to the store.
+    pending_requeues : set of str
+        Ended tasks whose requeue is not in the journal yet.
+    tombstones : dict of tuple to None
+        Permanently refused attempts as job id, home shard and attempt
+        number, oldest first.
+    summaries : dict of str to tuple
+        The latest summary of each shard and the owner's clock at its
+        arrival.
+    transfer_callers : dict of tuple to list of int
+        Tokens of transfers and recalls that wait for the journal, by
+        attempt.
+    unacknowledged_ends : dict of str to tuple
+        Reports of ends to home shards, and the owner's clock from which each
+        is sent again.
+    ended_jobs : dict of str to None
+        Ids of ended jobs in the order of their ends.
+    overuse_actions : dict of str to tuple
+        The latest action on each task that used more than its reservation,
+        and the owner's clock of that action.
+    needs_pass : bool
+        Whether the queued jobs need a scheduling pass.
+    now : int
+        The owner's clock at the latest event.
+    wall_ms : int
+        Wall clock at the latest timer event.
     """
 
     name: str
@@ -321,41 +368,44 @@
     jobs: dict[str, JobEntry] = field(default_factory=dict)
     tasks: dict[str, TaskEntry] = field(default_factory=dict)
     hosts: dict[str, HostEntry] = field(default_factory=dict)
-    pending: dict[str, PendingSubmit] = field(default_factory=dict)
+    pending_submits: dict[str, PendingSubmit] = field(default_factory=dict)
     waiters: dict[str, tuple[JobWaiter, ...]] = field(default_factory=dict)
-    quick: dict[str, QuickRequest] = field(default_factory=dict)
-    quick_serial: int = 0
-    passed_at: int = 0
+    quick_requests: dict[str, QuickRequest] = field(default_factory=dict)
+    quick_sequence: int = 0
+    last_pass_at: int = 0
     base_shares: dict[str, Resources] = field(default_factory=dict)
-    lent: dict[tuple[str, str], Resources] = field(default_factory=dict)
-    borrowed: dict[tuple[str, str], Resources] = field(default_factory=dict)
-    borrowing: dict[str, tuple[int, int]] = field(default_factory=dict)
+    lent_shares: dict[tuple[str, str], Resources] = field(default_factory=dict)
+    borrowed_shares: dict[tuple[str, str], Resources] = field(
+        default_factory=dict
+    )
+    borrow_turns: dict[str, tuple[int, int]] = field(default_factory=dict)
     share_callers: dict[tuple[str, str], list[int]] = field(
         default_factory=dict
     )
-    preemptions: dict[str, int] = field(default_factory=dict)
-    storing: dict[str, EndedTask] = field(default_factory=dict)
-    # Ended tasks whose requeue is not in the journal yet.
-    requeueing: set[str] = field(default_factory=set)
+    preempt_again_at: dict[str, int] = field(default_factory=dict)
+    output_copies: dict[str, EndedTask] = field(default_factory=dict)
+    pending_requeues: set[str] = field(default_factory=set)
     explanations: dict[str, tuple[str, ...]] = field(default_factory=dict)
     usage: dict[str, TaskUsage] = field(default_factory=dict)
     tombstones: dict[tuple[str, str, int], None] = field(default_factory=dict)
     summaries: dict[str, tuple[Summary, int]] = field(default_factory=dict)
-    summary_at: int = 0
+    summary_published_at: int = 0
     transfers: dict[str, TransferEntry] = field(default_factory=dict)
     transfer_callers: dict[tuple[str, str, int], list[int]] = field(
         default_factory=dict
     )
-    unreported: dict[str, tuple[TransferEnded, int]] = field(
+    unacknowledged_ends: dict[str, tuple[TransferEnded, int]] = field(
         default_factory=dict
     )
-    ended_order: dict[str, None] = field(default_factory=dict)
+    ended_jobs: dict[str, None] = field(default_factory=dict)
     stopping: bool = False
-    sizes: DemandEstimator = field(default_factory=DemandEstimator)
+    demand_estimator: DemandEstimator = field(default_factory=DemandEstimator)
     start_rate: StartRate = field(default_factory=StartRate)
-    growth: dict[str, tuple[OveruseAction, int]] = field(default_factory=dict)
-    peaks: dict[str, Resources] = field(default_factory=dict)
-    room_changed: bool = False
+    overuse_actions: dict[str, tuple[OveruseAction, int]] = field(
+        default_factory=dict
+    )
+    peak_usage: dict[str, Resources] = field(default_factory=dict)
+    needs_pass: bool = False
     now: int = 0
     wall_ms: int = 0
 
@@ -400,26 +450,26 @@
         if entry.team:
             self.quotas.release(entry.team, entry.demand)
         self.usage.pop(task, None)
-        self.growth.pop(task, None)
+        self.overuse_actions.pop(task, None)
         return entry
 
-    def note_running(self, job_id: str) -> None:
+    def mark_job_running(self, job_id: str) -> None:
         """Set a job's state to running once all its tasks run."""
         entry = self.jobs.get(job_id)
         if entry is None or entry.state is not JobState.ACCEPTED:
             return
-        if entry.missing_tasks > 0:
+        if entry.unplaced_tasks > 0:
             return
-        phases = {task.phase for task in self.tasks_of(job_id)}
+        phases = {task.phase for task in self.list_job_tasks(job_id)}
         if phases <= {TaskPhase.RUNNING}:
             self.update_job(job_id, state=JobState.RUNNING)
 
-    def is_settled(self, task: str) -> bool:
+    def may_release(self, task: str) -> bool:
         """Tell whether a task may be released without a further record."""
         job_id, _, _ = split_task_id(task)
         entry = self.jobs.get(job_id)
         if entry is None:
-            return job_id.partition('~')[0] not in self.quick
+            return job_id.partition('~')[0] not in self.quick_requests
         return entry.end_durable
 
     def must_stop(self, report: RunningTask) -> bool:
@@ -431,7 +481,7 @@
         entry = self.jobs.get(job_id)
         return entry is not None
 
-    def stopping_tasks(self) -> Iterable[TaskEntry]:
+    def list_stopping_tasks(self) -> Iterable[TaskEntry]:
         """Return the tasks that their workers have been asked to stop."""
         return [task for task in self.tasks.values() if task.stopping]
 
@@ -445,7 +495,7 @@
             for summary, _ in self.summaries.values()
         )
 
-    def tasks_of(self, job_id: str) -> Iterable[TaskEntry]:
+    def list_job_tasks(self, job_id: str) -> Iterable[TaskEntry]:
         """Return the tasks of a job that may be running."""
         entry = self.jobs.get(job_id)
         if entry is None:
--- a/sassafrasgate/shards/submissions.py
+++ b/sassafrasgate/shards/submissions.py
@@ -28,17 +28,17 @@
 from sassafrasgate.shards.handlers import reply_refusal
 from sassafrasgate.shards.handlers import REQUEST_HANDLERS
 from sassafrasgate.shards.handlers import write_record
-from sassafrasgate.shards.placements import choose_for_job
+from sassafrasgate.shards.placements import choose_hosts_for_job
 from sassafrasgate.shards.placements import fits_nowhere
+from sassafrasgate.shards.placements import log_decision
+from sassafrasgate.shards.placements import log_placement
 from sassafrasgate.shards.placements import make_placements
-from sassafrasgate.shards.placements import note_decision
-from sassafrasgate.shards.placements import note_placement
-from sassafrasgate.shards.quick import start_quick_request
+from sassafrasgate.shards.quick_requests import start_quick_request
 from sassafrasgate.shards.state import PendingSubmit
 from sassafrasgate.shards.state import TaskPhase
-from sassafrasgate.shards.transfers import answer_transfer_callers
-from sassafrasgate.shards.views import answer_or_wait
+from sassafrasgate.shards.transfers import reply_to_transfer_callers
 from sassafrasgate.shards.views import make_waiter
+from sassafrasgate.shards.views import reply_or_wait
 
 if TYPE_CHECKING:
     from sassafrasgate.shards.events import RequestReceived
@@ -46,8 +46,8 @@
     from sassafrasgate.shards.state import ShardState
 
 # Below the front end's time-out for an acceptance, so that callers get "not
-# run" instead of no answer.
-ACCEPT_MS = 8_000
+# run" instead of no reply.
+ACCEPT_TIMEOUT_MS = 8_000
 MAX_QUEUED_JOBS = 100_000
 
 
@@ -61,7 +61,7 @@
         yield from start_quick_request(state, request, now)
         return
     if submit.job_id in state.jobs:
-        yield from _answer_duplicate(state, request, now)
+        yield from _reply_to_duplicate(state, request, now)
         return
     refusal = _find_refusal(state, submit.spec, now)
     if refusal is not None:
@@ -75,7 +75,7 @@
 ) -> Actions:
     """Refuse a job of which no record has been written."""
     submit: Submit = request.message
-    yield from note_decision(
+    yield from log_decision(
         state, LogDecision('refuse', submit.job_id, reason=refusal.reason)
     )
     yield reply_refusal(request.reply_to, refusal)
@@ -108,7 +108,7 @@
     return check_admission(spec, load)
 
 
-def _answer_duplicate(
+def _reply_to_duplicate(
     state: ShardState, request: RequestReceived, now: int
 ) -> Actions:
     submit: Submit = request.message
@@ -125,13 +125,13 @@
         )
         return
     caller = make_waiter(request, submit.wait_s, now)
-    pending = state.pending.get(submit.job_id)
+    pending = state.pending_submits.get(submit.job_id)
     if pending is not None:
-        state.pending[submit.job_id] = replace(
+        state.pending_submits[submit.job_id] = replace(
             pending, callers=(*pending.callers, caller)
         )
         return
-    yield from answer_or_wait(state, submit.job_id, caller, now, True)
+    yield from reply_or_wait(state, submit.job_id, caller, now, True)
 
 
 def _accept_job(
@@ -139,7 +139,7 @@
 ) -> Actions:
     submit: Submit = request.message
     spec = submit.spec
-    chosen = choose_for_job(state, spec, spec.tasks)
+    chosen = choose_hosts_for_job(state, spec, spec.tasks)
     if (
         isinstance(chosen, Refusal)
         and fits_nowhere(chosen)
@@ -164,21 +164,21 @@
     )
     if request.reply_to:
         caller = make_waiter(request, submit.wait_s, now)
-        state.pending[submit.job_id] = PendingSubmit(
-            now + ACCEPT_MS, (caller,)
+        state.pending_submits[submit.job_id] = PendingSubmit(
+            now + ACCEPT_TIMEOUT_MS, (caller,)
         )
     if isinstance(chosen, Assignment) and placements:
         state.start_rate.record_starts(now)
-        yield from note_placement(state, submit.job_id, 1, chosen)
+        yield from log_placement(state, submit.job_id, 1, chosen)
         return
-    state.room_changed = True
+    state.needs_pass = True
     reason = (
         chosen.reason
         if isinstance(chosen, Refusal)
         else 'waiting behind earlier jobs'
     )
     state.update_job(submit.job_id, reason=reason)
-    yield from note_decision(
+    yield from log_decision(
         state, LogDecision('queue', submit.job_id, reason=reason)
     )
 
@@ -191,23 +191,23 @@
     if record.job_id not in state.jobs:
         return
     state.update_job(record.job_id, durable=True)
-    pending = state.pending.pop(record.job_id, None)
+    pending = state.pending_submits.pop(record.job_id, None)
     if pending is not None:
         for position, caller in enumerate(pending.callers):
-            yield from answer_or_wait(
+            yield from reply_or_wait(
                 state, record.job_id, caller, now, position > 0
             )
-    yield from answer_transfer_callers(state, state.jobs[record.job_id])
-    yield from start_placed(state, record.job_id, record.placements)
+    yield from reply_to_transfer_callers(state, state.jobs[record.job_id])
+    yield from start_placed_tasks(state, record.job_id, record.placements)
 
 
 @DURABLE_HANDLERS.register('placed')
 def confirm_placed(state: ShardState, record: JobPlaced, now: int) -> Actions:
     """Start the tasks of a placement that is in the journal."""
-    yield from start_placed(state, record.job_id, record.placements)
+    yield from start_placed_tasks(state, record.job_id, record.placements)
 
 
-def start_placed(
+def start_placed_tasks(
     state: ShardState, job_id: str, placements: tuple[Placement, ...]
 ) -> Actions:
     """Start the tasks of placements that are still planned."""
@@ -227,10 +227,10 @@
 
 def expire_submits(state: ShardState, now: int) -> Actions:
     """Ask the journal to withdraw acceptances whose callers time out."""
-    for job_id, pending in list(state.pending.items()):
+    for job_id, pending in list(state.pending_submits.items()):
         if pending.expires_at > now or pending.withdrawing:
             continue
-        state.pending[job_id] = replace(pending, withdrawing=True)
+        state.pending_submits[job_id] = replace(pending, withdrawing=True)
         yield WithdrawRecords(job_id)
 
 
@@ -239,7 +239,7 @@
     state: ShardState, event: WithdrawalAnswered, now: int
 ) -> Actions:
     """Answer "not run" if the records were withdrawn, else "unknown"."""
-    pending = state.pending.pop(event.job_id, None)
+    pending = state.pending_submits.pop(event.job_id, None)
     entry = state.jobs.get(event.job_id)
     if entry is None:
         return
@@ -261,7 +261,7 @@
     state.queue.remove(event.job_id)
     state.jobs.pop(event.job_id)
     state.explanations.pop(event.job_id, None)
-    state.room_changed = True
+    state.needs_pass = True
     view = JobView(
         event.job_id,
         JobState.NOT_RUN,
--- a/sassafrasgate/shards/transfers.py
+++ b/sassafrasgate/shards/transfers.py
@@ -31,19 +31,19 @@
 from sassafrasgate.shards.actions import Reply
 from sassafrasgate.shards.actions import SendToShard
 from sassafrasgate.shards.cancellations import begin_cancel
-from sassafrasgate.shards.endings import end_job
+from sassafrasgate.shards.completions import end_job
 from sassafrasgate.shards.events import PeerAnswered
 from sassafrasgate.shards.events import SummaryReceived
 from sassafrasgate.shards.handlers import DURABLE_HANDLERS
 from sassafrasgate.shards.handlers import EVENT_HANDLERS
 from sassafrasgate.shards.handlers import REQUEST_HANDLERS
 from sassafrasgate.shards.handlers import write_record
-from sassafrasgate.shards.placements import choose_for_job
-from sassafrasgate.shards.placements import find_rule_limits
+from sassafrasgate.shards.placements import choose_hosts_for_job
+from sassafrasgate.shards.placements import find_rule_constraints
+from sassafrasgate.shards.placements import log_decision
+from sassafrasgate.shards.placements import log_placement
 from sassafrasgate.shards.placements import make_placements
-from sassafrasgate.shards.placements import note_decision
-from sassafrasgate.shards.placements import note_placement
-from sassafrasgate.shards.shares import note_share_total
+from sassafrasgate.shards.quota_shares import record_share_total
 from sassafrasgate.shards.state import JobEntry
 from sassafrasgate.shards.state import TransferEntry
 
@@ -53,10 +53,10 @@
     from sassafrasgate.shards.handlers import Actions
     from sassafrasgate.shards.state import ShardState
 
-TRANSFER_AFTER_MS = 1_000
-SUMMARY_AGE_MS = 3_000
+TRANSFER_DELAY_MS = 1_000
+MAX_SUMMARY_AGE_MS = 3_000
 SUMMARY_INTERVAL_MS = 1_000
-RESEND_MS = 1_000
+RESEND_INTERVAL_MS = 1_000
 # Size of the range of attempt numbers that each home attempt has on the other
 # shard. The ranges keep these numbers distinct from those of the home shard
 # and of other home attempts.
@@ -71,16 +71,16 @@
     Parameters
     ----------
     now : int
-        The owner's clock; summaries older than `SUMMARY_AGE_MS` are
+        The owner's clock; summaries older than `MAX_SUMMARY_AGE_MS` are
         ignored.
     """
     if spec.job_class is JobClass.SERVICE and spec.tasks > 1:
         return None
-    _, domains = find_rule_limits(state, spec)
+    _, domains = find_rule_constraints(state, spec)
     need = spec.demand.scale(spec.tasks)
     best: Summary | None = None
     for name, (summary, received_at) in state.summaries.items():
-        if name == state.name or now - received_at > SUMMARY_AGE_MS:
+        if name == state.name or now - received_at > MAX_SUMMARY_AGE_MS:
             continue
         if domains and summary.failure_domain not in domains:
             continue
@@ -107,7 +107,7 @@
         summary, free=summary.free - need, largest=summary.largest - need
     )
     state.summaries[shard] = (left, received_at)
-    yield from note_decision(
+    yield from log_decision(
         state,
         LogDecision(
             'transfer', entry.job_id, entry.attempt + 1, reason=f'to {shard}'
@@ -130,14 +130,17 @@
     yield from _resend(state, record.job_id, now)
 
 
-def repeat_transfers(state: ShardState, now: int) -> Actions:
+def resend_unanswered(state: ShardState, now: int) -> Actions:
     """Send unanswered transfers, recalls and reports of ends again."""
     for job_id, transfer in list(state.transfers.items()):
         if transfer.durable and transfer.next_at <= now:
             yield from _resend(state, job_id, now)
-    for ended, next_at in list(state.unreported.values()):
+    for ended, next_at in list(state.unacknowledged_ends.values()):
         if next_at <= now:
-            state.unreported[ended.job_id] = (ended, now + RESEND_MS)
+            state.unacknowledged_ends[ended.job_id] = (
+                ended,
+                now + RESEND_INTERVAL_MS,
+            )
             yield SendToShard(ended.shard, ended)
 
 
@@ -146,7 +149,9 @@
     entry = state.jobs.get(job_id)
     if transfer is None or entry is None:
         return
-    state.transfers[job_id] = replace(transfer, next_at=now + RESEND_MS)
+    state.transfers[job_id] = replace(
+        transfer, next_at=now + RESEND_INTERVAL_MS
+    )
     if entry.cancelling:
         yield SendToShard(
             transfer.shard,
@@ -175,34 +180,34 @@
 
 
 @EVENT_HANDLERS.register(PeerAnswered)
-def note_peer_answer(
+def handle_peer_reply(
     state: ShardState, event: PeerAnswered, now: int
 ) -> Actions:
-    """Process the answer to a message to another shard."""
-    message, answer = event.message, event.answer
+    """Process the reply to a message to another shard."""
+    message, reply = event.message, event.reply
     if isinstance(message, BorrowShare):
-        if isinstance(answer, ShareTotal):
-            note_share_total(state, message, answer)
+        if isinstance(reply, ShareTotal):
+            record_share_total(state, message, reply)
         return
     if isinstance(message, TransferEnded):
-        if isinstance(answer, Acknowledged):
-            state.unreported.pop(message.job_id, None)
+        if isinstance(reply, Acknowledged):
+            state.unacknowledged_ends.pop(message.job_id, None)
         return
     transfer = state.transfers.get(message.job_id)
     if transfer is None or transfer.attempt != message.attempt:
         return
-    if isinstance(answer, TransferEnded):
-        yield from _take_end(state, answer)
+    if isinstance(reply, TransferEnded):
+        yield from _apply_transfer_end(state, reply)
         return
-    if not isinstance(answer, TransferReply):
+    if not isinstance(reply, TransferReply):
         return
-    if answer.accepted:
+    if reply.accepted:
         state.transfers[message.job_id] = replace(transfer, accepted=True)
         return
-    yield from _take_back(state, message.job_id, answer.reason)
+    yield from _reclaim_job(state, message.job_id, reply.reason)
 
 
-def _take_back(state: ShardState, job_id: str, reason: str) -> Actions:
+def _reclaim_job(state: ShardState, job_id: str, reason: str) -> Actions:
     """Requeue or cancel a job whose transferred attempt will not run."""
     entry = state.jobs[job_id]
     if entry.cancelling:
@@ -212,7 +217,7 @@
             Outcome(JobState.CANCELLED, 'cancelled by its caller'),
         )
         return
-    state.room_changed = True
+    state.needs_pass = True
     yield from write_record(
         state,
         JobRequeued(job_id, entry.attempt, f'transfer refused: {reason}'),
@@ -220,7 +225,7 @@
 
 
 @REQUEST_HANDLERS.register('transfer-ended')
-def note_transfer_end(
+def handle_transfer_ended(
     state: ShardState, request: RequestReceived, now: int
 ) -> Actions:
     """End a job that another shard has run.
@@ -229,12 +234,12 @@
     """
     message: TransferEnded = request.message
     entry = state.jobs.get(message.job_id)
-    if entry is None or entry.is_over or not _is_current(state, message):
+    if entry is None or entry.has_ended or not _is_current(state, message):
         yield Reply(request.reply_to, Acknowledged())
         return
     # This report is not answered: the sender repeats it and gets the
     # acknowledgement once the job has ended here.
-    yield from _take_end(state, message)
+    yield from _apply_transfer_end(state, message)
 
 
 def _is_current(state: ShardState, message: TransferEnded) -> bool:
@@ -242,10 +247,10 @@
     return transfer is not None and transfer.attempt == message.attempt
 
 
-def _take_end(state: ShardState, message: TransferEnded) -> Actions:
+def _apply_transfer_end(state: ShardState, message: TransferEnded) -> Actions:
     entry = state.jobs[message.job_id]
     if message.outcome.state is JobState.NOT_RUN:
-        yield from _take_back(state, message.job_id, message.outcome.reason)
+        yield from _reclaim_job(state, message.job_id, message.outcome.reason)
         return
     yield from end_job(state, entry, message.outcome)
 
@@ -259,17 +264,17 @@
     key = (message.job_id, message.home, message.attempt)
     entry = state.jobs.get(message.job_id)
     if key in state.tombstones:
-        yield from _answer_refused(state, request, 'attempt already refused')
+        yield from _reply_refused(state, request, 'attempt already refused')
         return
     if entry is not None and entry.home_attempt == message.attempt:
-        yield from _answer_taken(state, request, entry)
+        yield from _reply_accepted(state, request, entry)
         return
-    if entry is not None and not entry.is_over:
+    if entry is not None and not entry.has_ended:
         # An earlier attempt has not ended here; the home shard sends its
         # message again.
         return
     spec = message.spec
-    chosen = choose_for_job(state, spec, spec.tasks)
+    chosen = choose_hosts_for_job(state, spec, spec.tasks)
     if isinstance(chosen, Refusal) or state.stopping:
         reason = 'stopping' if state.stopping else str(chosen.reason)  # type: ignore[union-attr]
         state.transfer_callers.setdefault(key, []).append(request.reply_to)
@@ -294,10 +299,10 @@
             message.attempt,
         ),
     )
-    yield from note_placement(state, message.job_id, attempt, chosen)
+    yield from log_placement(state, message.job_id, attempt, chosen)
 
 
-def _answer_taken(
+def _reply_accepted(
     state: ShardState, request: RequestReceived, entry: JobEntry
 ) -> Actions:
     if not entry.durable:
@@ -309,7 +314,7 @@
     )
 
 
-def _answer_refused(
+def _reply_refused(
     state: ShardState, request: RequestReceived, reason: str
 ) -> Actions:
     message = request.message
@@ -337,12 +342,12 @@
                 record.job_id,
                 record.home_attempt,
                 False,
-                'insufficient capacity',
+                'no free capacity, or the owner is stopping',
             ),
         )
 
 
-def answer_transfer_callers(state: ShardState, entry: JobEntry) -> Actions:
+def reply_to_transfer_callers(state: ShardState, entry: JobEntry) -> Actions:
     """Answer the home shard, since the acceptance is in the journal."""
     key = (entry.job_id, entry.home, entry.home_attempt)
     for reply_to in state.transfer_callers.pop(key, ()):
@@ -352,7 +357,7 @@
 
 
 @REQUEST_HANDLERS.register('recall')
-def answer_recall(
+def handle_recall(
     state: ShardState, request: RequestReceived, now: int
 ) -> Actions:
     """Answer with the state of an attempt, or refuse it permanently.
@@ -365,7 +370,7 @@
     if entry is None or entry.home_attempt != message.attempt:
         yield from _refuse_recalled(state, request)
         return
-    if entry.is_over:
+    if entry.has_ended:
         outcome = entry.outcome or Outcome(entry.state, entry.reason)
         yield Reply(
             request.reply_to,
@@ -385,7 +390,7 @@
     message: Recall = request.message
     key = (message.job_id, message.home, message.attempt)
     if key in state.tombstones:
-        yield from _answer_refused(state, request, 'attempt recalled')
+        yield from _reply_refused(state, request, 'attempt recalled')
         return
     state.transfer_callers.setdefault(key, []).append(request.reply_to)
     yield from write_record(
@@ -394,7 +399,7 @@
 
 
 @EVENT_HANDLERS.register(SummaryReceived)
-def note_summary(
+def handle_summary(
     state: ShardState, event: SummaryReceived, now: int
 ) -> Actions:
     """Store another shard's summary unless a newer epoch sent one."""
@@ -413,10 +418,10 @@
     capacity, since queued jobs may be transferred even while the capacity of
     this shard does not change.
     """
-    if now - state.summary_at < SUMMARY_INTERVAL_MS:
+    if now - state.summary_published_at < SUMMARY_INTERVAL_MS:
         return
-    state.summary_at = now
-    state.room_changed = state.room_changed or _has_room_elsewhere(state, now)
+    state.summary_published_at = now
+    state.needs_pass = state.needs_pass or _has_capacity_elsewhere(state, now)
     yield PublishSummary(
         Summary(
             state.name,
@@ -429,10 +434,10 @@
     )
 
 
-def _has_room_elsewhere(state: ShardState, now: int) -> bool:
+def _has_capacity_elsewhere(state: ShardState, now: int) -> bool:
     return any(
         name != state.name
-        and now - received_at <= SUMMARY_AGE_MS
+        and now - received_at <= MAX_SUMMARY_AGE_MS
         and not summary.queued
         and summary.free.slots > 0
         for name, (summary, received_at) in state.summaries.items()
@@ -442,12 +447,12 @@
 def resume_transfers(state: ShardState) -> None:
     """Restore the transfers and reports that a new owner must send again."""
     for entry in state.jobs.values():
-        if entry.transferred_to and not entry.is_over:
+        if entry.transferred_to and not entry.has_ended:
             state.transfers[entry.job_id] = TransferEntry(
                 entry.attempt, entry.transferred_to, durable=True
             )
-        if entry.home and entry.is_over and entry.outcome is not None:
-            state.unreported[entry.job_id] = (
+        if entry.home and entry.has_ended and entry.outcome is not None:
+            state.unacknowledged_ends[entry.job_id] = (
                 TransferEnded(
                     entry.home,
                     entry.job_id,
--- a/sassafrasgate/shards/usage.py
+++ b/sassafrasgate/shards/usage.py
@@ -1,4 +1,4 @@
-"""Usage reports of workers and reactions to tasks that outgrow their size."""
+"""Usage reports of workers and actions on tasks that exceed reservations."""
 
 from __future__ import annotations
 
@@ -24,40 +24,40 @@
     from sassafrasgate.shards.state import ShardState
     from sassafrasgate.shards.state import TaskEntry
 
-GROWTH_STEPS: Registry[
+OVERUSE_STEPS: Registry[
     OveruseStep, Callable[[ShardState, TaskEntry, OveruseAction], Actions]
-] = Registry('growth step')
+] = Registry('overuse step')
 
 
-def note_usage(
+def record_usage(
     state: ShardState, host: str, reports: Iterable[UsageReport], now: int
 ) -> Actions:
-    """Record the usage of a host's tasks and act on those that grew.
+    """Record the usage of a host's tasks and act on overuse.
 
-    A task has grown when it uses more than its reservation.
+    Overuse is usage beyond a task's reservation.
     """
     for report in reports:
         if report.task not in state.tasks:
             continue
         state.usage[report.task] = report
         used = Resources(report.millicores, report.memory_mb)
-        peak = state.peaks.get(report.task, used)
-        state.peaks[report.task] = peak.take_maximum(used)
-    growing = [
+        peak = state.peak_usage.get(report.task, used)
+        state.peak_usage[report.task] = peak.take_maximum(used)
+    usages = [
         usage
         for task in state.index.list_reservations(host)
         if (usage := _find_usage(state, task)) is not None
     ]
-    if all(usage.used.fits_in(usage.reserved) for usage in growing):
+    if all(usage.used.fits_in(usage.reserved) for usage in usages):
         return
     free = state.index.find_free(host)
-    for action in plan_overuse(free, growing, now):
+    for action in plan_overuse(free, usages, now):
         task = state.tasks[action.task]
-        state.growth[action.task] = (action, now)
+        state.overuse_actions[action.task] = (action, now)
         yield LogDecision(
             action.step, task.job_id, host=host, reason=action.reason
         )
-        yield from GROWTH_STEPS.find(action.step)(state, task, action)
+        yield from OVERUSE_STEPS.find(action.step)(state, task, action)
 
 
 def _find_usage(state: ShardState, task: str) -> ReservationUsage | None:
@@ -66,7 +66,7 @@
     job = state.jobs.get(entry.job_id) if entry is not None else None
     if report is None or entry is None or job is None:
         return None
-    last = state.growth.get(task)
+    last = state.overuse_actions.get(task)
     return ReservationUsage(
         task,
         job.spec.job_class,
@@ -78,29 +78,31 @@
     )
 
 
-@GROWTH_STEPS.register(OveruseStep.RESIZE)
+@OVERUSE_STEPS.register(OveruseStep.RESIZE)
 def _resize(
     state: ShardState, task: TaskEntry, action: OveruseAction
 ) -> Actions:
-    state.index.resize(task.host, task.task, action.size)
+    state.index.resize(task.host, task.task, action.reservation)
     yield from ()
 
 
-@GROWTH_STEPS.register(OveruseStep.THROTTLE)
+@OVERUSE_STEPS.register(OveruseStep.THROTTLE)
 def _throttle(
     state: ShardState, task: TaskEntry, action: OveruseAction
 ) -> Actions:
-    yield LimitTask(task.host, task.task, 'throttle', action.size.millicores)
+    yield LimitTask(
+        task.host, task.task, 'throttle', action.reservation.millicores
+    )
 
 
-@GROWTH_STEPS.register(OveruseStep.CHECKPOINT)
+@OVERUSE_STEPS.register(OveruseStep.CHECKPOINT)
 def _checkpoint(
     state: ShardState, task: TaskEntry, action: OveruseAction
 ) -> Actions:
     yield LimitTask(task.host, task.task, 'checkpoint')
 
 
-@GROWTH_STEPS.register(OveruseStep.STOP)
+@OVERUSE_STEPS.register(OveruseStep.STOP)
 def _stop(
     state: ShardState, task: TaskEntry, action: OveruseAction
 ) -> Actions:
