--- a/tests/dispatch/drivers.py
+++ b/tests/dispatch/drivers.py
@@ -1,4 +1,4 @@
-"""Drives the dispatcher's decisions one event at a time."""
+"""Helpers that feed events to the dispatcher one at a time."""
 
 from sassafrasgate.core.resources import Resources
 from sassafrasgate.core.workers import Registration
@@ -31,7 +31,7 @@
 
 
 class Driver:
-    """An owner whose records are durable at once."""
+    """An owner whose records become durable at once."""
 
     def __init__(self, workers=2, capacity=CAPACITY, peers=1):
         self.now = 1_000
@@ -60,7 +60,7 @@
             self.report(entry.worker)
 
     def feed(self, event):
-        """Decide about an event and about what follows; return actions."""
+        """Handle an event and those that follow from it; return actions."""
         actions = list(self._decide(event))
         if self.state.needs_pass:
             actions.extend(self._decide(PassDue()))
@@ -77,17 +77,17 @@
             yield from self._decide(RecordsDurable(records))
 
     def wait(self, milliseconds):
-        """Let time pass, with a tick at its end."""
+        """Advance the clock and send a tick."""
         self.now += milliseconds
         return self.feed(Ticked(0))
 
     def submit(self, job_id, *steps, queue='q'):
-        """Hand a job in; returns the actions."""
+        """Submit a job; return the actions."""
         message = SubmitWorkflow(job_id, queue, 1, Workflow('payload', steps))
         return self.feed(RequestReceived(1, message, WALL_MS + self.now))
 
     def confirm(self, actions):
-        """Let the workers confirm the starts among some actions."""
+        """Let the workers confirm the starts among the actions."""
         starts = [a for a in actions if isinstance(a, StartRun)]
         for start in starts:
             self.running[start.worker][start.run] = 0
@@ -95,11 +95,11 @@
         return starts
 
     def answer(self, refusal=None):
-        """Return a worker's answer to a start."""
+        """Return a worker's reply to a start call."""
         return RunReply(self.now, refusal)
 
     def report(self, worker, ended=(), incarnation_ms=INCARNATION_MS, load=0):
-        """Let a worker report; ``ended`` has pairs of run and end."""
+        """Let a worker report; ``ended`` has pairs of run and kind of end."""
         number = self.ends.get(worker, 0)
         rows = []
         for run, how in ended:
@@ -127,11 +127,11 @@
         )
 
 
-def pick(actions, kind):
+def select_actions(actions, kind):
     """Return the actions of one kind."""
     return [action for action in actions if isinstance(action, kind)]
 
 
 def answers(actions):
     """Return the messages of all replies."""
-    return [action.message for action in pick(actions, Reply)]
+    return [action.message for action in select_actions(actions, Reply)]
--- a/tests/dispatch/simulation.py
+++ b/tests/dispatch/simulation.py
@@ -1,9 +1,9 @@
-"""Workers, a journal and owners in virtual time, with injected faults.
+"""Simulation of workers, a journal and owners in virtual time, with faults.
 
-The dispatcher's decisions are the product's; everything around them is
-simulated in one thread. Each worker checks the rules that its operators
-watch: capacity, one run of a task at a time, order of steps, attempts, fences
-and whole gangs.
+The decisions under test are those of the dispatcher; everything around them
+is simulated in one thread. Each worker checks the rules that operators rely
+on: capacity, one run of a task at a time, order of steps, number of attempts,
+fencing tokens and complete gangs.
 """
 
 from __future__ import annotations
@@ -99,7 +99,7 @@
 
 
 class RuleViolation(AssertionError):
-    """A worker has seen what must never happen."""
+    """A worker has observed a violation of the rules."""
 
 
 @dataclass
@@ -116,26 +116,26 @@
     stop_at: int = 0
 
     def find_percent(self, now: int) -> int:
-        """Return the progress that a worker reports."""
+        """Return the progress in percent that a worker reports."""
         whole = max(1, self.ends_at - self.born_at)
         return max(0, min(99, (now - self.born_at) * 100 // whole))
 
 
 class Rules:
-    """What all workers together must never show."""
+    """Rules that all workers check together."""
 
     def __init__(self) -> None:
         self.workflows: dict[str, Workflow] = {}
         self.finished: set[str] = set()
-        self.noted: set[str] = set()
+        self.acknowledged: set[str] = set()
         self.failures: dict[str, int] = {}
         self.gang_failures: dict[str, int] = {}
-        self.present: dict[str, list[str]] = {}
+        self.present_on: dict[str, list[str]] = {}
         self.started: set[str] = set()
         self.starts = 0
 
     def has_failed(self, job_id: str) -> bool:
-        """Tell whether a task or a gang of a job has used its attempts."""
+        """Return whether a task or gang of a job has used its attempts."""
         counts = (*self.failures.items(), *self.gang_failures.items())
         return any(
             failures >= QUEUE.max_attempts
@@ -144,18 +144,22 @@
         )
 
     def check_start(self, task: str, worker: str) -> None:
-        """Check a start that a worker is about to carry out."""
+        """Check a start call that a worker is about to carry out."""
         self.starts += 1
         self.started.add(task)
         job_id, occurrence, number, _ = split_step_task_id(task)
         workflow = self.workflows.get(job_id)
         if workflow is None:
             raise RuleViolation(f'{task} was never submitted')
-        if task in self.noted:
-            raise RuleViolation(f'{task} started after its end was noted')
-        others = self.present.get(task, [])
+        if task in self.acknowledged:
+            raise RuleViolation(
+                f'{task} started after its end was acknowledged'
+            )
+        others = self.present_on.get(task, [])
         if others:
-            raise RuleViolation(f'{task} on {worker} and {others}')
+            raise RuleViolation(
+                f'{task} started on {worker} while present on {others}'
+            )
         for earlier in workflow.steps[number].after:
             for index in range(workflow.steps[earlier].tasks):
                 name = f'{job_id}.{occurrence}.{earlier}.{index}'
@@ -168,7 +172,7 @@
 
 
 class SimWorker:
-    """A worker that runs tasks under one lease."""
+    """A simulated worker, whose runs all depend on one lease."""
 
     def __init__(
         self, name: str, rules: Rules, random: Random, capacity: Resources
@@ -178,52 +182,56 @@
         self.random = random
         self.capacity = capacity
         self.rate = random.uniform(0.98, 1.0)
-        self.fail_share = 0.03
+        self.failure_rate = 0.03
         self.restart(0)
 
     def restart(self, now: int) -> None:
-        """Lose everything and begin a new life."""
-        # Failures that nobody has noted are lost with the list of ends.
+        """Lose the whole state and begin a new incarnation."""
+        # Failures that were not acknowledged are lost with the list of ends.
         for end in getattr(self, 'ended', ()):
             if end.how is EndKind.FAILED:
                 self.rules.failures[end.task] -= 1
         for run in list(getattr(self, 'runs', {}).values()):
-            self.rules.present[run.task].remove(self.name)
+            self.rules.present_on[run.task].remove(self.name)
         self.incarnation_ms = WALL_MS + now
         self.born_at = now
         self.epoch = 0
         self.deadline = 0
         self.runs: dict[tuple[str, int], SimRun] = {}
-        self.floor: dict[str, int] = {}
+        self.last_runs: dict[str, int] = {}
         self.ended: list[EndedRun] = []
-        self.number = 0
+        self.last_end_number = 0
 
     def clock(self, now: int) -> int:
-        """Return the worker's steady clock."""
+        """Return the worker's monotonic clock, in ms."""
         return 1_000 + int((now - self.born_at) * self.rate)
 
     def advance(self, now: int) -> bool:
-        """Let runs end that are due; tell whether any did."""
-        before = self.number
+        """End runs that are due; return whether any has ended."""
+        before = self.last_end_number
         if self.runs and self.clock(now) >= self.deadline:
             for run in list(self.runs.values()):
                 self._end(run, EndKind.LAPSED)
         for run in list(self.runs.values()):
             if run.stop_at and now >= run.stop_at:
                 self._end(run, EndKind.STOPPED)
-        return self.number > before
+        return self.last_end_number > before
 
     def _end(self, run: SimRun, how: EndKind) -> None:
         del self.runs[run.task, run.run]
-        self.rules.present[run.task].remove(self.name)
-        self.floor[run.task] = max(self.floor.get(run.task, 0), run.run)
-        self.number += 1
-        self.ended.append(EndedRun(self.number, run.task, run.run, how, ''))
+        self.rules.present_on[run.task].remove(self.name)
+        self.last_runs[run.task] = max(
+            self.last_runs.get(run.task, 0), run.run
+        )
+        self.last_end_number += 1
+        self.ended.append(
+            EndedRun(self.last_end_number, run.task, run.run, how, '')
+        )
         if how is EndKind.FINISHED:
             self.rules.finished.add(run.task)
 
     def finish(self, run: SimRun, how: EndKind) -> None:
-        """End a run of a job's own accord."""
+        """End a run that has finished or failed."""
         self._end(run, how)
         if how is EndKind.FAILED:
             failures = self.rules.failures
@@ -240,12 +248,12 @@
         self.deadline = max(self.deadline, deadline)
         for end in self.ended:
             if end.number <= acknowledged and end.how is EndKind.FINISHED:
-                self.rules.noted.add(end.task)
+                self.rules.acknowledged.add(end.task)
         self.ended = [end for end in self.ended if end.number > acknowledged]
         return self.report(now)
 
     def report(self, now: int) -> WorkerReport:
-        """Return both lists."""
+        """Return the lists of current and ended runs."""
         return WorkerReport(
             self.clock(now),
             self.incarnation_ms,
@@ -259,7 +267,7 @@
     def start(
         self, now: int, epoch: int, command: StartRun, deadline: int
     ) -> RunReply:
-        """Carry out a start."""
+        """Carry out a start call."""
         self.advance(now)
         clock = self.clock(now)
         if epoch < self.epoch:
@@ -268,7 +276,7 @@
         key = (command.run.task, command.run.run)
         if key in self.runs:
             return RunReply(clock)
-        if command.run.run <= self.floor.get(command.run.task, 0):
+        if command.run.run <= self.last_runs.get(command.run.task, 0):
             return RunReply(clock, StartRefusal.OLD_RUN)
         if clock >= deadline:
             return RunReply(clock, StartRefusal.DEADLINE_PASSED)
@@ -287,22 +295,24 @@
             command.run.run,
             now,
             now + work_ms,
-            self.random.random() < self.fail_share,
+            self.random.random() < self.failure_rate,
             step.demand,
             step.tasks if step.gang else 0,
         )
-        self.rules.present.setdefault(command.run.task, []).append(self.name)
+        self.rules.present_on.setdefault(command.run.task, []).append(
+            self.name
+        )
         return RunReply(clock)
 
     def stop(self, now: int, epoch: int, command: StopRun) -> RunReply:
-        """Carry out a stop."""
+        """Carry out a stop call."""
         self.advance(now)
         clock = self.clock(now)
         if epoch < self.epoch:
             return RunReply(clock, StartRefusal.STALE_EPOCH)
         self.epoch = epoch
         task, run = command.run
-        self.floor[task] = max(self.floor.get(task, 0), run)
+        self.last_runs[task] = max(self.last_runs.get(task, 0), run)
         present = self.runs.get((task, run))
         if present is not None and not present.stop_at:
             present.stop_at = now + STOP_MS
@@ -310,93 +320,93 @@
 
 
 @dataclass
-class Contact:
-    """What an owner's task for one worker keeps."""
+class WorkerContact:
+    """State of an owner's calls to one worker."""
 
     clock: int = 0
     read_at: int = 0
     incarnation_ms: int = 0
     restarts: int = 0
     acknowledged: int = 0
-    seen: int = 0
+    last_end_number: int = 0
     leases_expire_at: int = 0
     silent: bool = True
-    waiting: bool = False
-    # Starts without an answer that no report has shown either.
+    poll_in_flight: bool = False
+    # Unanswered start calls whose run no report has listed.
     unconfirmed: set[Any] = field(default_factory=set)
 
 
 class SimOwner:
-    """One owner: its state, and simplified tasks around it."""
+    """An owner: its state, and a simplified version of its tasks."""
 
-    def __init__(self, world: SimCluster, name: str) -> None:
-        self.world = world
+    def __init__(self, cluster: SimCluster, name: str) -> None:
+        self.cluster = cluster
         self.name = name
         self.state = DispatchState('cell', name)
-        self.contacts: dict[str, Contact] = {}
-        self.unwritten: list[Any] = []
+        self.contacts: dict[str, WorkerContact] = {}
+        self.unwritten_records: list[Any] = []
         self.writing = False
         self.dead = False
         self.valid_until = 0
 
     def take_over(self) -> None:
         """Replay the journal and write the takeover record."""
-        world, state = self.world, self.state
-        state.now, state.wall_ms = world.now, WALL_MS + world.now
-        replay_records(state, world.journal)
+        cluster, state = self.cluster, self.state
+        state.now, state.wall_ms = cluster.now, WALL_MS + cluster.now
+        replay_records(state, cluster.journal)
         takeover = Takeover(state.epoch + 1, self.name, GRACE_MS, TTL_MS)
-        world.journal.append(takeover)
-        world.writer = self
+        cluster.journal.append(takeover)
+        cluster.writer = self
         replay_records(state, (takeover,))
         begin_ownership(state)
-        self.valid_until = world.now + TTL_MS + GRACE_MS
+        self.valid_until = cluster.now + TTL_MS + GRACE_MS
         self.carry_out(watch_recorded_workers(state))
         self.feed(TableChanged(TABLE))
         self.feed(PeersChanged(('own', 'other')))
         self.feed(
             WorkersListed(
                 tuple(
-                    world.register(worker)
-                    for name, worker in world.workers.items()
-                    if name not in world.unlisted
+                    cluster.make_registration(worker)
+                    for name, worker in cluster.workers.items()
+                    if name not in cluster.unregistered
                 )
             )
         )
-        world.later(100, self.tick)
+        cluster.call_later(100, self.tick)
 
     def may_send(self) -> bool:
-        """Tell whether this owner may still act."""
-        return not self.dead and self.world.now < self.valid_until
+        """Return whether this owner may still act."""
+        return not self.dead and self.cluster.now < self.valid_until
 
     def tick(self) -> None:
-        """Let time pass."""
+        """Send a tick and schedule the next one."""
         if self.dead:
             return
-        if self.world.writer is self:
-            # The store renews the lease of the owner that it names.
-            self.valid_until = self.world.now + TTL_MS + GRACE_MS
+        if self.cluster.writer is self:
+            # The store only renews the lease of the current owner.
+            self.valid_until = self.cluster.now + TTL_MS + GRACE_MS
         self.feed(Ticked(0))
-        self.world.later(100, self.tick)
+        self.cluster.call_later(100, self.tick)
 
     def feed(self, event: Any) -> None:
-        """Decide about one event, then place what can be placed."""
+        """Handle an event, then run a scheduling pass if it is needed."""
         if self.dead:
             return
-        wall_ms = WALL_MS + self.world.now
-        self.carry_out(decide(self.state, event, self.world.now, wall_ms))
+        wall_ms = WALL_MS + self.cluster.now
+        self.carry_out(decide(self.state, event, self.cluster.now, wall_ms))
         if self.state.needs_pass and self.may_send() and not self.dead:
             self.carry_out(
-                decide(self.state, PassDue(), self.world.now, wall_ms)
+                decide(self.state, PassDue(), self.cluster.now, wall_ms)
             )
 
     def carry_out(self, actions: Any) -> None:
-        """Do what was decided."""
+        """Carry out actions."""
         for action in actions:
             if isinstance(action, AppendRecord):
-                self.unwritten.append(action.record)
+                self.unwritten_records.append(action.record)
                 self.write()
             elif isinstance(action, Reply):
-                self.world.note_reply(action.reply_to, action.message)
+                self.cluster.handle_reply(action.reply_to, action.message)
             elif isinstance(action, StartRun):
                 self.start(action, 1, False)
             elif isinstance(action, StopRun):
@@ -407,12 +417,12 @@
                     contact.acknowledged = max(
                         contact.acknowledged, action.number
                     )
-                    self.look(action.worker)
+                    self.poll(action.worker)
             elif isinstance(action, WatchWorker):
-                self.contacts[action.registration.worker] = Contact(
+                self.contacts[action.registration.worker] = WorkerContact(
                     restarts=action.restarts
                 )
-                self.look(action.registration.worker)
+                self.poll(action.registration.worker)
             elif isinstance(action, ForgetWorker):
                 self.contacts.pop(action.worker, None)
             elif isinstance(action, AskAdvice):
@@ -422,51 +432,55 @@
 
     def write(self) -> None:
         """Write the next batch of records; one write at a time."""
-        if self.writing or not self.unwritten:
+        if self.writing or not self.unwritten_records:
             return
         self.writing = True
-        batch, self.unwritten = tuple(self.unwritten), []
-        self.world.later(
-            self.world.random.randint(5, 40), lambda: self.written(batch)
+        batch, self.unwritten_records = tuple(self.unwritten_records), []
+        self.cluster.call_later(
+            self.cluster.random.randint(5, 40),
+            lambda: self.complete_write(batch),
         )
 
-    def written(self, batch: tuple[Any, ...]) -> None:
-        """A write has reached the store, which fences earlier owners."""
-        if self.world.writer is not self:
+    def complete_write(self, batch: tuple[Any, ...]) -> None:
+        """Complete a write; the store refuses those of previous owners."""
+        if self.cluster.writer is not self:
             self.dead = True
             return
-        self.world.journal.extend(batch)
+        self.cluster.journal.extend(batch)
         self.writing = False
         if self.dead:
             return
         self.feed(RecordsDurable(batch))
         self.write()
 
-    def look(self, worker: str) -> None:
-        """Make a hold call unless one is under way."""
+    def poll(self, worker: str) -> None:
+        """Make a hold call unless one is in flight."""
         contact = self.contacts.get(worker)
-        if contact is None or contact.waiting or self.dead:
+        if contact is None or contact.poll_in_flight or self.dead:
             return
-        if not contact.silent and contact.acknowledged < contact.seen:
+        if (
+            not contact.silent
+            and contact.acknowledged < contact.last_end_number
+        ):
             return
-        contact.waiting = True
-        self.world.later(0, lambda: self.send_hold(worker, contact))
+        contact.poll_in_flight = True
+        self.cluster.call_later(0, lambda: self.send_hold(worker, contact))
 
-    def send_hold(self, worker: str, contact: Contact) -> None:
-        """Send a hold call; a silent worker's lease is not renewed."""
-        world = self.world
+    def send_hold(self, worker: str, contact: WorkerContact) -> None:
+        """Send a hold call; it does not renew the lease of a silent worker."""
+        cluster = self.cluster
         if not self.may_send():
-            contact.waiting = False
+            contact.poll_in_flight = False
             return
         deadline = acknowledged = 0
         if not contact.silent:
-            deadline = self.grant(contact)
+            deadline = self.grant_lease(contact)
             acknowledged = contact.acknowledged
-        request = (self.fence(contact), acknowledged, deadline)
-        sim = world.workers[worker]
+        request = (self.make_fencing_token(contact), acknowledged, deadline)
+        sim = cluster.workers[worker]
 
         def answer(report: Any) -> None:
-            contact.waiting = False
+            contact.poll_in_flight = False
             if self.dead or self.contacts.get(worker) is not contact:
                 return
             if isinstance(report, StartRefusal):
@@ -475,65 +489,66 @@
             if report.born_ms != contact.incarnation_ms:
                 contact.restarts += 1 if contact.incarnation_ms else 0
                 contact.incarnation_ms = report.born_ms
-                contact.seen = contact.acknowledged = 0
-            contact.clock, contact.read_at = report.clock_ms, world.now
+                contact.last_end_number = contact.acknowledged = 0
+            contact.clock, contact.read_at = report.clock_ms, cluster.now
             contact.silent = False
-            contact.seen = max(
-                contact.seen, max((e.number for e in report.ended), default=0)
+            contact.last_end_number = max(
+                contact.last_end_number,
+                max((e.number for e in report.ended), default=0),
             )
             for row in (*report.running, *report.ended):
                 contact.unconfirmed.discard((row.task, row.run))
             self.feed(
                 WorkerReported(
-                    worker, report, world.now, contact.leases_expire_at
+                    worker, report, cluster.now, contact.leases_expire_at
                 )
             )
-            self.look(worker)
+            self.poll(worker)
 
         def give_up() -> None:
-            contact.waiting = False
+            contact.poll_in_flight = False
             if self.dead or self.contacts.get(worker) is not contact:
                 return
             contact.silent = True
             self.feed(
                 WorkerSilent(worker, contact.leases_expire_at, 'no answer')
             )
-            world.later(100, lambda: self.look(worker))
+            cluster.call_later(100, lambda: self.poll(worker))
 
         def carry_out(late: bool) -> None:
             if late or not deadline:
-                result = sim.hold(world.now, *request)
+                result = sim.hold(cluster.now, *request)
                 if not late:
-                    world.reply(worker, lambda: answer(result), give_up)
+                    cluster.reply(worker, lambda: answer(result), give_up)
                 return
-            world.wait_for_news(
+            cluster.wait_for_results(
                 sim,
                 request,
-                lambda result: world.reply(
+                lambda result: cluster.reply(
                     worker, lambda: answer(result), give_up
                 ),
                 give_up,
             )
 
-        world.call(worker, carry_out, give_up)
+        cluster.call(worker, carry_out, give_up)
 
-    def fence(self, contact: Contact) -> int:
-        """Return the fencing value for a worker's present life."""
+    def make_fencing_token(self, contact: WorkerContact) -> int:
+        """Return the fencing token for a worker's current incarnation."""
         return make_fencing_token(self.state.epoch, contact.restarts)
 
-    def grant(self, contact: Contact) -> int:
-        """Return a deadline, and count with it."""
-        age = self.world.now - contact.read_at
+    def grant_lease(self, contact: WorkerContact) -> int:
+        """Return a lease deadline, and record when the lease expires."""
+        age = self.cluster.now - contact.read_at
         contact.leases_expire_at = max(
             contact.leases_expire_at,
-            compute_worker_lease_expiry(self.world.now, age),
+            compute_worker_lease_expiry(self.cluster.now, age),
         )
         return compute_worker_lease_deadline(contact.clock, age)
 
     def start(self, command: StartRun, number: int, sent: bool) -> None:
-        """Send a start; repeat it while no answer comes."""
+        """Send a start call; repeat it while it gets no answer."""
         contact = self.contacts.get(command.worker)
-        world = self.world
+        cluster = self.cluster
         if contact is not None and not sent:
             contact.unconfirmed.add(command.run)
         if (
@@ -541,34 +556,35 @@
             or not self.may_send()
             or (contact.incarnation_ms != command.incarnation_ms)
         ):
-            world.later(
+            cluster.call_later(
                 0,
                 lambda: self.feed(
                     RunUnanswered(command.worker, command.run, True)
                 ),
             )
             return
-        deadline = self.grant(contact)
-        epoch = self.fence(contact)
-        sim = world.workers[command.worker]
+        deadline = self.grant_lease(contact)
+        epoch = self.make_fencing_token(contact)
+        sim = cluster.workers[command.worker]
 
         def carry_out(late: bool) -> None:
-            # An order that a worker has put off is lost with its life; one
-            # that has just been sent reaches whichever life there is.
+            # A call that a worker has delayed is lost when the worker
+            # restarts. A call that was just sent reaches the current
+            # incarnation.
             if late and sim.incarnation_ms != command.incarnation_ms:
                 return
-            answer = sim.start(world.now, epoch, command, deadline)
+            answer = sim.start(cluster.now, epoch, command, deadline)
             if not late:
-                world.reply(
-                    command.worker, lambda: note_answer(answer), give_up
+                cluster.reply(
+                    command.worker, lambda: handle_reply(answer), give_up
                 )
 
-        def note_answer(answer: RunReply) -> None:
+        def handle_reply(answer: RunReply) -> None:
             if self.dead:
                 return
             contact.unconfirmed.discard(command.run)
             stale = answer.refusal is StartRefusal.STALE_EPOCH
-            if stale and epoch < self.fence(contact):
+            if stale and epoch < self.make_fencing_token(contact):
                 answer = RunReply(0, StartRefusal.OTHER_INCARNATION)
             self.feed(RunAnswered(command.worker, command.run, answer))
 
@@ -580,22 +596,22 @@
             if not last:
                 self.start(command, number + 1, True)
 
-        world.call(command.worker, carry_out, give_up)
+        cluster.call(command.worker, carry_out, give_up)
 
     def stop(self, command: StopRun) -> None:
-        """Send a stop once; the dispatcher repeats it."""
+        """Send a stop call once; the dispatcher repeats it."""
         contact = self.contacts.get(command.worker)
         if contact is None:
             return
-        epoch = self.fence(contact)
-        world = self.world
-        sim = world.workers[command.worker]
+        epoch = self.make_fencing_token(contact)
+        cluster = self.cluster
+        sim = cluster.workers[command.worker]
 
         def carry_out(late: bool) -> None:
-            answer = sim.stop(world.now, epoch, command)
+            answer = sim.stop(cluster.now, epoch, command)
             if late or answer.refusal is not None:
                 return
-            world.reply(
+            cluster.reply(
                 command.worker,
                 lambda: self.feed(
                     StopAnswered(command.worker, command.run, answer.clock_ms)
@@ -604,18 +620,18 @@
             )
 
         if self.may_send():
-            world.call(command.worker, carry_out, lambda: None)
+            cluster.call(command.worker, carry_out, lambda: None)
 
     def ask_advice(self, action: AskAdvice) -> None:
-        """Let the advice service answer, or fail."""
-        world = self.world
-        if world.random.random() < 0.1:
+        """Let the advice service answer or fail."""
+        cluster = self.cluster
+        if cluster.random.random() < 0.1:
             event: Any = AdviceFailed(
                 action.step, action.entry_host, action.workers, 'lost'
             )
-            world.later(200, lambda: self.feed(event))
+            cluster.call_later(200, lambda: self.feed(event))
             return
-        admitted = rank_names(action.step.job_id, world.workers)[:3]
+        admitted = rank_names(action.step.job_id, cluster.workers)[:3]
         good = tuple(
             (worker, 'ticket')
             for worker in action.workers
@@ -629,16 +645,16 @@
                     action.entry_host,
                     action.workers,
                     Advice(good, 2000),
-                    world.now,
+                    cluster.now,
                 )
             )
 
-        world.later(action.expected_ms, answer)
+        cluster.call_later(action.expected_ms, answer)
 
 
 @dataclass
 class Caller:
-    """A job as its caller knows it."""
+    """A job and its state as its caller knows it."""
 
     job_id: str
     workflow: Workflow
@@ -650,7 +666,7 @@
 
 
 class SimCluster:
-    """Everything, in virtual milliseconds."""
+    """Simulated cluster; all its times are virtual milliseconds."""
 
     def __init__(self, seed: int, workers: int = 5) -> None:
         self.random = Random(seed)
@@ -660,39 +676,39 @@
         self.writer: SimOwner | None = None
         self.owner: SimOwner | None = None
         self.workers: dict[str, SimWorker] = {}
-        self.cut: set[str] = set()
+        self.partitioned: set[str] = set()
         self.leaving: set[str] = set()
-        self.unlisted: set[str] = set()
+        self.unregistered: set[str] = set()
         self.callers: dict[str, Caller] = {}
         self.tokens: dict[int, tuple[Caller, str]] = {}
-        self.lossy = 0.0
+        self.loss_rate = 0.0
         self._events: list[tuple[int, int, Any]] = []
         self._numbers = count()
         self._owners = count(1)
-        self._news: dict[str, list[Any]] = {}
+        self._open_polls: dict[str, list[Any]] = {}
         for number in range(workers):
             name = f'w{number}'
             self.workers[name] = SimWorker(
                 name, self.rules, self.random, Resources(8_000, 8_000)
             )
 
-    def later(self, delay: int, action: Any) -> None:
+    def call_later(self, delay: int, action: Any) -> None:
         """Run an action after a delay."""
         heappush(self._events, (self.now + delay, next(self._numbers), action))
 
     def run(self, until: int) -> None:
-        """Let time pass up to a moment."""
+        """Advance the virtual time to ``until``."""
         while True:
-            # Runs end at times of their own, which may lie between events.
+            # Runs may end between two events.
             next_event = self._events[0][0] if self._events else until
             due = self._find_next_end()
             if due is not None and due[0] <= min(next_event, until):
                 self._advance_to(due[0])
                 _, worker, run = due
                 present = (run.task, run.run) in worker.runs
-                if present and self._works(worker, run):
+                if present and self._is_progressing(worker, run):
                     self._finish(worker, run)
-                self._spread_news()
+                self._deliver_results()
                 continue
             if not self._events or next_event > until:
                 break
@@ -706,7 +722,7 @@
             (max(run.ends_at, self.now), worker, run)
             for worker in self.workers.values()
             for run in worker.runs.values()
-            if self._works(worker, run)
+            if self._is_progressing(worker, run)
         ]
         return min(due, key=lambda item: item[0], default=None)
 
@@ -714,9 +730,9 @@
         self.now = max(self.now, at)
         for worker in self.workers.values():
             worker.advance(self.now)
-        self._spread_news()
+        self._deliver_results()
 
-    def _works(self, worker: SimWorker, run: SimRun) -> bool:
+    def _is_progressing(self, worker: SimWorker, run: SimRun) -> bool:
         if not run.gang:
             return True
         return len(self._find_members(run)) == run.gang
@@ -747,26 +763,26 @@
                 self.rules.finished.add(member.task)
             other.finish(member, kind)
 
-    def wait_for_news(
+    def wait_for_results(
         self, sim: SimWorker, request: Any, answer: Any, give_up: Any
     ) -> None:
-        """Answer a hold call at the next end, or after its wait."""
+        """Answer a hold call when a run ends, or after its wait."""
         result = sim.hold(self.now, *request)
         if isinstance(result, StartRefusal) or result.ended:
             answer(result)
             return
         entry = [sim, request, answer, give_up]
-        self._news.setdefault(sim.name, []).append(entry)
+        self._open_polls.setdefault(sim.name, []).append(entry)
 
         def expire() -> None:
-            if entry in self._news.get(sim.name, []):
-                self._news[sim.name].remove(entry)
+            if entry in self._open_polls.get(sim.name, []):
+                self._open_polls[sim.name].remove(entry)
                 answer(sim.report(self.now))
 
-        self.later(HOLD_WAIT_MS, expire)
+        self.call_later(HOLD_WAIT_MS, expire)
 
-    def _spread_news(self) -> None:
-        for name, entries in self._news.items():
+    def _deliver_results(self) -> None:
+        for name, entries in self._open_polls.items():
             sim = self.workers[name]
             if not sim.ended:
                 continue
@@ -775,31 +791,31 @@
                     continue
                 entries.remove(entry)
                 report = sim.report(self.now)
-                self.later(0, lambda e=entry, r=report: e[2](r))
+                self.call_later(0, lambda e=entry, r=report: e[2](r))
 
     def call(self, worker: str, carry_out: Any, give_up: Any) -> None:
         """Send a call; it may be lost, or carried out late."""
         delay = self.random.randint(1, 5)
-        if worker in self.cut:
-            self.later(CALL_MS, give_up)
+        if worker in self.partitioned:
+            self.call_later(CALL_MS, give_up)
             return
-        if self.random.random() < self.lossy:
+        if self.random.random() < self.loss_rate:
             if self.random.random() < 0.7:
                 late = self.random.randint(500, 6_000)
-                self.later(late, lambda: carry_out(True))
-            self.later(CALL_MS, give_up)
+                self.call_later(late, lambda: carry_out(True))
+            self.call_later(CALL_MS, give_up)
             return
-        self.later(delay, lambda: carry_out(False))
+        self.call_later(delay, lambda: carry_out(False))
 
     def reply(self, worker: str, answer: Any, give_up: Any) -> None:
-        """Bring an answer back; it may be lost."""
-        if worker in self.cut or self.random.random() < self.lossy:
-            self.later(CALL_MS, give_up)
+        """Deliver a reply; it may be lost."""
+        if worker in self.partitioned or self.random.random() < self.loss_rate:
+            self.call_later(CALL_MS, give_up)
             return
-        self.later(self.random.randint(1, 5), answer)
+        self.call_later(self.random.randint(1, 5), answer)
 
-    def register(self, worker: SimWorker) -> Registration:
-        """Return a worker's entry."""
+    def make_registration(self, worker: SimWorker) -> Registration:
+        """Return the entry of a worker."""
         return Registration(
             worker.name,
             'p',
@@ -811,19 +827,21 @@
             worker.name in self.leaving,
         )
 
-    def announce(self, name: str) -> None:
-        """Tell the owner what has become of a worker's entry."""
+    def send_registration(self, name: str) -> None:
+        """Tell the owner that a worker's entry has changed or is deleted."""
         if self.owner is None:
             return
-        if name in self.unlisted:
+        if name in self.unregistered:
             self.owner.feed(WorkerUnregistered(name))
             return
-        self.owner.feed(WorkerRegistered(self.register(self.workers[name])))
+        self.owner.feed(
+            WorkerRegistered(self.make_registration(self.workers[name]))
+        )
 
     def new_owner(self, kill: bool = True) -> SimOwner:
-        """Let a new owner take over; the old one dies or goes on unaware."""
+        """Let a new owner take over; the previous one may continue."""
         if self.random.random() < 0.5:
-            self.snapshot()
+            self.take_snapshot()
         if self.owner is not None and kill:
             self.owner.dead = True
         self.owner = SimOwner(self, f'owner-{next(self._owners)}')
@@ -831,53 +849,67 @@
         return self.owner
 
     def restart_worker(self, name: str) -> None:
-        """A worker crashes and comes back at once under its id."""
+        """Let a worker crash and restart at once under the same id."""
         worker = self.workers[name]
         worker.restart(self.now)
-        for entry in self._news.pop(name, []):
-            self.later(CALL_MS, entry[3])
-        self.announce(name)
+        for entry in self._open_polls.pop(name, []):
+            self.call_later(CALL_MS, entry[3])
+        self.send_registration(name)
 
-    def snapshot(self) -> None:
-        """Replace the journal by what a snapshot keeps of the state."""
+    def take_snapshot(self) -> None:
+        """Replace the journal by the records of a snapshot."""
         owner = self.owner
-        if owner is None or owner.dead or owner.unwritten or owner.writing:
+        if (
+            owner is None
+            or owner.dead
+            or owner.unwritten_records
+            or owner.writing
+        ):
             return
         self.journal = list(list_snapshot_records(owner.state))
 
     def submit(
         self, job_id: str, workflow: Workflow, queue: str = 'q'
     ) -> Caller:
-        """Hand a job in; repeated until it is accepted."""
+        """Submit a job, or repeat its submission."""
         caller = self.callers.get(job_id)
         if caller is None:
             caller = Caller(job_id, workflow, queue)
             self.callers[job_id] = caller
             self.rules.workflows[job_id] = workflow
-        self._ask(caller, 'submit', SubmitWorkflow(job_id, queue, 1, workflow))
+        self._send_request(
+            caller, 'submit', SubmitWorkflow(job_id, queue, 1, workflow)
+        )
         return caller
 
     def cancel(self, job_id: str) -> None:
         """Cancel a job."""
-        self._ask(self.callers[job_id], 'cancel', CancelWorkflow(job_id))
+        self._send_request(
+            self.callers[job_id], 'cancel', CancelWorkflow(job_id)
+        )
 
-    def _ask(self, caller: Caller, what: str, message: Any) -> None:
+    def _send_request(
+        self, caller: Caller, request_kind: str, message: Any
+    ) -> None:
         token = next(self._numbers) + 1_000_000
-        self.tokens[token] = (caller, what)
+        self.tokens[token] = (caller, request_kind)
         if self.owner is not None:
             self.owner.feed(
                 RequestReceived(token, message, WALL_MS + self.now)
             )
 
-    def note_reply(self, token: int, message: Any) -> None:
-        """Take an answer to a caller."""
-        caller, what = self.tokens.pop(token, (None, ''))
+    def handle_reply(self, token: int, message: Any) -> None:
+        """Handle a reply to a caller."""
+        caller, request_kind = self.tokens.pop(token, (None, ''))
         if caller is None or not isinstance(message, WorkflowView):
             return
         caller.state = message.state
-        if what == 'submit' and message.state is not None:
+        if request_kind == 'submit' and message.state is not None:
             caller.accepted = True
-        if what == 'cancel' and message.state is WorkflowState.CANCELLED:
+        if (
+            request_kind == 'cancel'
+            and message.state is WorkflowState.CANCELLED
+        ):
             caller.cancelled = True
 
     def find_shown_state(self, job_id: str) -> WorkflowState | None:
@@ -888,6 +920,6 @@
 
 
 def make_step(tasks: int = 1, ms: int = 500, **fields: Any) -> Step:
-    """Return a step whose tasks need a core each."""
+    """Return a step whose tasks need one core each by default."""
     demand = fields.pop('demand', Resources(1_000, 500))
     return Step(tasks, demand, ms, **fields)
--- a/tests/dispatch/test_advice.py
+++ b/tests/dispatch/test_advice.py
@@ -1,4 +1,4 @@
-"""Guards the calls to the advice service."""
+"""Tests of the calls to the advice service."""
 
 import pytest
 
@@ -15,7 +15,7 @@
 from sassafrasgate.shards.events import RecordsDurable
 from sassafrasgate.shards.events import RequestReceived
 from tests.dispatch.drivers import Driver
-from tests.dispatch.drivers import pick
+from tests.dispatch.drivers import select_actions
 from tests.dispatch.simulation import ADVISED
 from tests.dispatch.simulation import make_step
 from tests.dispatch.simulation import WALL_MS
@@ -25,15 +25,15 @@
 
 
 def submit(driver, step):
-    """Hand a job in whose record is not durable yet; return the actions."""
+    """Submit a job whose record is not durable yet; return the actions."""
     workflow = Workflow('payload', (step,))
     message = SubmitWorkflow(JOB, 'advised', 1, workflow)
     request = RequestReceived(1, message, WALL_MS)
     actions = list(decide(driver.state, request, driver.now, WALL_MS))
-    return workflow, actions + look(driver)
+    return workflow, actions + run_pass(driver)
 
 
-def look(driver):
+def run_pass(driver):
     return list(decide(driver.state, PassDue(), driver.now, WALL_MS))
 
 
@@ -41,44 +41,48 @@
     advice = Advice(tuple((name, 'ticket') for name in workers), 2_000)
     event = AdviceAnswered(KEY, 'host-0', tuple(workers), advice, driver.now)
     list(decide(driver.state, event, driver.now, WALL_MS))
-    return look(driver)
+    return run_pass(driver)
 
 
 @pytest.mark.parametrize('gang', [False, True])
 def test_a_job_without_a_durable_record_asks_once(gang):
-    # Guards against calls every few milliseconds, for tickets that lapse
-    # unused, while the store is down.
+    # Guards against repeated calls for tickets that expire unused while the
+    # store is unavailable: a job without a durable record can't start.
     driver = Driver(workers=2)
     workflow, actions = submit(driver, make_step(2, 500, gang=gang))
-    assert len(pick(actions, AskAdvice)) == 1
+    assert len(select_actions(actions, AskAdvice)) == 1
 
-    assert not pick(answer(driver, 'w0'), AskAdvice)
+    assert not select_actions(answer(driver, 'w0'), AskAdvice)
     driver.now += 5_000
-    assert not pick(look(driver), AskAdvice)
+    assert not select_actions(run_pass(driver), AskAdvice)
 
     record = WorkflowAccepted(JOB, ADVISED, workflow, WALL_MS)
     actions = driver.feed(RecordsDurable((record,)))
-    assert pick(actions, AskAdvice)
+    assert select_actions(actions, AskAdvice)
 
 
 def test_a_job_starts_with_the_tickets_that_came_before_its_record():
-    # Guards against advice that is only asked for once a job is durable.
+    # Guards against a delay of the start: the call to the advice service must
+    # not wait until the record of the job is durable.
     driver = Driver(workers=2)
     workflow, _ = submit(driver, make_step(2, 500))
     answer(driver, 'w0', 'w1')
 
     record = WorkflowAccepted(JOB, ADVISED, workflow, WALL_MS)
-    assert len(pick(driver.feed(RecordsDurable((record,))), StartRun)) == 2
+    assert (
+        len(select_actions(driver.feed(RecordsDurable((record,))), StartRun))
+        == 2
+    )
 
 
 def test_the_freest_workers_are_asked_about_first():
-    # Guards against a fleet larger than one call, of which always the same
-    # part is used.
+    # If there are more workers than one call may ask about, calls must not
+    # always ask about the same ones.
     driver = Driver(workers=3)
     driver.confirm(driver.submit('00000000000000aa', make_step(1, 9_000)))
     (busy,) = driver.state.runs_by_worker
 
     _, actions = submit(driver, make_step(1, 500))
 
-    (call,) = pick(actions, AskAdvice)
+    (call,) = select_actions(actions, AskAdvice)
     assert call.workers[-1] == busy
--- a/tests/dispatch/test_gangs.py
+++ b/tests/dispatch/test_gangs.py
@@ -1,4 +1,4 @@
-"""Guards gangs against tickets that are never valid all at once."""
+"""Tests of gangs: renewal of tickets, and refused members."""
 
 from dataclasses import replace
 
@@ -16,7 +16,7 @@
 from sassafrasgate.dispatch.events import RunAnswered
 from sassafrasgate.dispatch.events import TableChanged
 from tests.dispatch.drivers import Driver
-from tests.dispatch.drivers import pick
+from tests.dispatch.drivers import select_actions
 from tests.dispatch.simulation import ADVISED
 from tests.dispatch.simulation import make_step
 from tests.dispatch.simulation import QUEUE
@@ -35,13 +35,13 @@
     return driver
 
 
-def answer(driver, ask, good=None):
-    """Let the advice service answer a call after its time."""
+def answer(driver, ask, admitted=None):
+    """Let the advice service answer a call after the expected time."""
     driver.now += ask.expected_ms
     named = (
         ask.workers
-        if good is None
-        else [worker for worker in ask.workers if worker in good]
+        if admitted is None
+        else [worker for worker in ask.workers if worker in admitted]
     )
     tickets = tuple((worker, f'{worker}@{driver.now}') for worker in named)
     return driver.feed(
@@ -56,24 +56,27 @@
 
 
 def occupy(driver, worker_count):
-    """Fill some workers with single tasks; return their starts."""
+    """Occupy some workers with single tasks; return their starts."""
     step = make_step(worker_count, 60_000, demand=BIG, max_per_worker=1)
     return driver.confirm(driver.submit('00000000000000bb', step))
 
 
 def test_tickets_that_expire_before_the_answer_are_renewed_with_it():
-    # Renewing only what has expired leaves the others to expire meanwhile.
+    # If only expired tickets were renewed, others would expire during the call
+    # and the tickets of the gang would never all be valid at the same time.
     driver = make_driver(3)
     (busy,) = occupy(driver, 1)
     gang = make_step(3, 4_000, demand=BIG, gang=True)
-    (ask,) = pick(driver.submit(JOB, gang, queue='advised'), AskAdvice)
+    (ask,) = select_actions(
+        driver.submit(JOB, gang, queue='advised'), AskAdvice
+    )
     answer(driver, ask)
     driver.wait(VALID_MS - 400)
     tickets = driver.state.advice[ask.step].tickets
     tickets['w0'] = replace(tickets['w0'], expires_at=driver.now)
-    (renewal,) = pick(driver.finish(busy), AskAdvice)
+    (renewal,) = select_actions(driver.finish(busy), AskAdvice)
     assert set(renewal.workers) == {'w0', 'w1', 'w2'}
-    starts = pick(answer(driver, renewal), StartRun)
+    starts = select_actions(answer(driver, renewal), StartRun)
     assert len(starts) == 3
     assert {start.run.run for start in starts} == {1}
 
@@ -81,14 +84,14 @@
 def test_a_refused_member_ends_the_launch_and_the_gang_starts_again_whole():
     driver = Driver(workers=2)
     gang = make_step(2, 4_000, demand=BIG, gang=True)
-    first, second = pick(driver.submit(JOB, gang), StartRun)
+    first, second = select_actions(driver.submit(JOB, gang), StartRun)
     driver.confirm([first])
     refused = RunReply(driver.now, StartRefusal.UNHEALTHY)
     stops = driver.feed(RunAnswered(second.worker, second.run, refused))
-    assert [stop.run for stop in pick(stops, StopRun)] == [first.run]
-    assert not pick(stops, StartRun)
+    assert [stop.run for stop in select_actions(stops, StopRun)] == [first.run]
+    assert not select_actions(stops, StartRun)
     driver.now += 1_000
-    again = pick(
+    again = select_actions(
         driver.report(first.worker, ended=((first.run, EndKind.STOPPED),)),
         StartRun,
     )
--- a/tests/dispatch/test_guards.py
+++ b/tests/dispatch/test_guards.py
@@ -1,4 +1,7 @@
-"""Shows that the walks turn red when a guard of the dispatcher is removed."""
+"""Checks that simulations fail if a safeguard of the dispatcher is removed.
+
+The docstring of each function below states what the safeguard relies on.
+"""
 
 import pytest
 
@@ -14,33 +17,33 @@
 from tests.dispatch import simulation
 from tests.dispatch.simulation import RuleViolation
 from tests.dispatch.test_random_faults import check_outcome
-from tests.dispatch.test_random_faults import walk
+from tests.dispatch.test_random_faults import simulate_faults
 
 SEEDS = range(150)
 FAULTS = 12
 GUARDS = {}
-# Faults to draw from, for guards that few of the walks need.
+# Faults to choose from, for safeguards that few random runs need.
 KINDS = {
-    'fence_each_life': ('restart_worker', 'lose_calls'),
+    'fence_each_incarnation': ('restart_worker', 'lose_calls'),
     'keep_starts_over_restarts': ('restart_worker', 'lose_calls'),
 }
 
 
 def guard(remove):
-    """Register the removal of a guard."""
+    """Register a function that removes a safeguard."""
     GUARDS[remove.__name__] = remove
     return remove
 
 
 @guard
-def wait_for_unsettled_workers(patch):
-    """A new owner waits for what an earlier one may have started."""
+def wait_for_unreconciled_workers(patch):
+    """A new owner waits for runs that a previous owner may have started."""
     patch.setattr(recovery, 'compute_takeover_expiry', lambda *_: 0)
 
 
 @guard
 def keep_uncertain_starts(patch):
-    """A start without an answer may still be carried out."""
+    """A worker may still carry out a start call that it has not answered."""
 
     def forget(state, event):
         run = state.runs.get(event.run)
@@ -51,8 +54,11 @@
 
 
 @guard
-def fence_each_life(patch):
-    """A restarted worker obeys calls from before its restart."""
+def fence_each_incarnation(patch):
+    """A restarted worker obeys calls from before its restart.
+
+    Only the higher fencing token of its new incarnation prevents this.
+    """
     patch.setattr(
         simulation, 'make_fencing_token', lambda epoch, restarts: epoch * 1000
     )
@@ -60,7 +66,7 @@
 
 @guard
 def keep_starts_over_restarts(patch):
-    """A start may reach the new life of a worker that restarts."""
+    """A start call may reach the new incarnation of a restarted worker."""
 
     def drop(state, event):
         yield from reports.lose_worker_runs(state, event.worker, 'restarted')
@@ -69,8 +75,8 @@
 
 
 @guard
-def reserve_room(patch):
-    """Runs hold their room until they are known to be gone."""
+def reserve_capacity(patch):
+    """The demand of a run is reserved until the run is certainly gone."""
     add_run = DispatchState.add_run
 
     def add(self, entry):
@@ -82,8 +88,8 @@
 
 
 @guard
-def wait_for_lapse(patch):
-    """Runs of a silent worker go on until their lease has lapsed."""
+def wait_for_lease_expiry(patch):
+    """Runs on a silent worker continue until their lease has expired."""
 
     def lose(state, event):
         entry = state.workers.get(event.worker)
@@ -95,37 +101,37 @@
 
 @guard
 def acknowledge_durable_ends(patch):
-    """An end may be forgotten only once its record is in the journal."""
-    note_ended = reports._process_ended
+    """A worker may drop an ended run only once its record is durable."""
+    process_ended = reports._process_ended
 
-    def note(state, event, ended):
-        yield from note_ended(state, event, ended)
+    def patched(state, event, ended):
+        yield from process_ended(state, event, ended)
         yield AcknowledgeEnds(event.worker, event.report.born_ms, ended.number)
 
-    patch.setattr(reports, '_process_ended', note)
+    patch.setattr(reports, '_process_ended', patched)
 
 
 @guard
 def count_failures(patch):
-    """A task gets a limited number of attempts."""
+    """The number of attempts of a task is limited."""
     apply_run_end = recovery.apply_run_end
 
-    def note(state, record, key):
+    def patched(state, record, key):
         if record.how is not EndKind.FAILED:
             apply_run_end(state, record, key)
 
-    patch.setattr(recovery, 'apply_run_end', note)
+    patch.setattr(recovery, 'apply_run_end', patched)
 
 
 @guard
 def keep_gangs_whole(patch):
-    """A gang starts again only when no member of it is left."""
+    """A gang starts again only once all its members are gone."""
     place = gangs.place_gang
 
-    def place_again(state, plan, key, step, terms, workers):
+    def place_again(state, plan, key, step, queue, workers):
         runs = state.runs_by_step.pop(key, None)
         try:
-            yield from place(state, plan, key, step, terms, workers)
+            yield from place(state, plan, key, step, queue, workers)
         finally:
             if runs:
                 state.runs_by_step.setdefault(key, set()).update(runs)
@@ -134,11 +140,11 @@
 
 
 @pytest.mark.parametrize('name', GUARDS)
-def test_walks_are_red_without_the_guard(name, monkeypatch):
+def test_random_faults_expose_a_removed_guard(name, monkeypatch):
     GUARDS[name](monkeypatch)
     for seed in SEEDS:
         try:
-            check_outcome(walk(seed, FAULTS, KINDS.get(name)))
+            check_outcome(simulate_faults(seed, FAULTS, KINDS.get(name)))
         except (RuleViolation, AssertionError, KeyError):
             return
-    pytest.fail(f'no walk shows that the guard {name!r} is gone')
+    pytest.fail(f'no simulation fails without the safeguard {name!r}')
--- a/tests/dispatch/test_pacing.py
+++ b/tests/dispatch/test_pacing.py
@@ -1,4 +1,4 @@
-"""Guards tasks that serve users from those that fill beside them."""
+"""Tests of the pace of best-effort tasks beside latency-critical tasks."""
 
 import pytest
 
@@ -11,139 +11,146 @@
 from sassafrasgate.dispatch.pacing import PACE_RETRY_MS
 from sassafrasgate.dispatch.pacing import RAISE_INTERVAL_MS
 from tests.dispatch.drivers import Driver
-from tests.dispatch.drivers import pick
+from tests.dispatch.drivers import select_actions
 from tests.dispatch.simulation import make_step
 
-SERVING_JOB = '5c0e7a21d94b36f8'
-FILLING_JOB = '6c0e7a21d94b36f8'
+LATENCY_CRITICAL_JOB = '5c0e7a21d94b36f8'
+BEST_EFFORT_JOB = '6c0e7a21d94b36f8'
 TARGET_MS = 100
-CALM_MS = 20
-STRAINED_MS = 95
+LOW_LATENCY_MS = 20
+HIGH_LATENCY_MS = 95
 
 
-def serve(driver, tasks=1):
+def start_latency_critical(driver, tasks=1):
     step = make_step(
         tasks, 1_000, long_running=True, target_ms=TARGET_MS, may_miss=1
     )
-    return driver.confirm(driver.submit(SERVING_JOB, step))
+    return driver.confirm(driver.submit(LATENCY_CRITICAL_JOB, step))
 
 
-def fill(driver, tasks=1):
+def start_best_effort(driver, tasks=1):
     demand = Resources(8_000, 100)
     step = make_step(tasks, 60_000, fills=True, demand=demand)
-    return driver.confirm(driver.submit(FILLING_JOB, step))
+    return driver.confirm(driver.submit(BEST_EFFORT_JOB, step))
 
 
-def settle(driver, paces):
-    """Let workers put paces in force."""
+def confirm_paces(driver, paces):
+    """Let workers confirm paces."""
     for action in paces:
         driver.feed(PaceAnswered(action.worker, action.run, action.percent))
 
 
 @pytest.fixture
 def shared():
-    """Return a driver whose only worker serves and fills."""
+    """Return a driver whose only worker has a task of either kind."""
     driver = Driver(workers=1)
-    serve(driver)
-    fill(driver)
-    driver.report('w0', load=CALM_MS)
-    settle(driver, pick(driver.wait(PACE_RETRY_MS), PaceRun))
+    start_latency_critical(driver)
+    start_best_effort(driver)
+    driver.report('w0', load=LOW_LATENCY_MS)
+    confirm_paces(driver, select_actions(driver.wait(PACE_RETRY_MS), PaceRun))
     return driver
 
 
-def look(driver, load, wait_ms=PACE_RETRY_MS):
+def report_latency(driver, load, wait_ms=PACE_RETRY_MS):
     driver.now += wait_ms
     driver.report('w0', load=load)
-    paces = pick(driver.wait(PACE_RETRY_MS), PaceRun)
-    settle(driver, paces)
+    paces = select_actions(driver.wait(PACE_RETRY_MS), PaceRun)
+    confirm_paces(driver, paces)
     return [action.percent for action in paces]
 
 
-def test_filling_takes_no_reserved_processor_time():
-    # Guards against filling tasks that wait for room they do not need.
+def test_best_effort_tasks_reserve_no_processor_time():
+    # Guards against best-effort tasks that wait for capacity that they do not
+    # need.
     driver = Driver(workers=1)
-    serve(driver)
+    start_latency_critical(driver)
 
-    assert len(fill(driver, tasks=3)) == 3
+    assert len(start_best_effort(driver, tasks=3)) == 3
 
 
-def test_filling_avoids_workers_that_serve():
-    # Guards against harm where another worker has nothing to disturb.
+def test_best_effort_tasks_avoid_workers_with_latency_critical_tasks():
+    # Guards against a slowdown of latency-critical tasks while another worker
+    # has none.
     driver = Driver(workers=2)
-    (serving,) = serve(driver)
+    (latency_critical,) = start_latency_critical(driver)
 
-    assert {start.worker for start in fill(driver, tasks=3)} != {
-        serving.worker
+    assert {start.worker for start in start_best_effort(driver, tasks=3)} != {
+        latency_critical.worker
     }
 
 
-def test_filling_begins_slowly_beside_a_serving_task():
-    # Guards against a full load before any latency has been measured.
+def test_best_effort_tasks_begin_slowly_beside_latency_critical_ones():
+    # Guards against full load before a latency has been measured.
     driver = Driver(workers=1)
-    serve(driver)
-    fill(driver)
+    start_latency_critical(driver)
+    start_best_effort(driver)
 
-    (action,) = pick(driver.wait(100), PaceRun)
+    (action,) = select_actions(driver.wait(100), PaceRun)
     assert action.percent == INITIAL_PACE_PERCENT
 
 
-def test_a_strained_target_stops_the_filling_tasks(shared):
-    # Guards against a target that is missed for seconds because of them.
-    assert look(shared, STRAINED_MS) == [0]
-    assert look(shared, STRAINED_MS) == []
+def test_a_latency_near_its_target_stops_best_effort_tasks(shared):
+    # Guards against a latency target that is missed for seconds because of
+    # best-effort tasks.
+    assert report_latency(shared, HIGH_LATENCY_MS) == [0]
+    assert report_latency(shared, HIGH_LATENCY_MS) == []
 
 
-def test_filling_tasks_speed_up_again_step_by_step(shared):
-    # Guards against filling tasks that stand still for good.
-    look(shared, STRAINED_MS)
+def test_the_pace_rises_again_step_by_step(shared):
+    # Guards against best-effort tasks that stay stopped.
+    report_latency(shared, HIGH_LATENCY_MS)
 
-    paces = [look(shared, CALM_MS, RAISE_INTERVAL_MS) for _ in range(5)]
+    paces = [
+        report_latency(shared, LOW_LATENCY_MS, RAISE_INTERVAL_MS)
+        for _ in range(5)
+    ]
 
     assert paces == [[25], [50], [75], [FULL_PACE_PERCENT], []]
 
 
 def test_a_pace_is_not_raised_on_an_old_latency(shared):
-    # Guards against raising by what was measured before the last change.
-    look(shared, STRAINED_MS)
+    # Guards against a pace that is raised because of a latency measured before
+    # the last change of the pace.
+    report_latency(shared, HIGH_LATENCY_MS)
 
-    assert not pick(shared.wait(RAISE_INTERVAL_MS), PaceRun)
+    assert not select_actions(shared.wait(RAISE_INTERVAL_MS), PaceRun)
 
 
 def test_a_pace_without_an_answer_is_sent_again():
-    # Guards against a lost call that leaves a filling task at full speed.
+    # Guards against a lost call that leaves a best-effort task at full speed.
     driver = Driver(workers=1)
-    serve(driver)
-    fill(driver)
-    assert pick(driver.wait(100), PaceRun)
+    start_latency_critical(driver)
+    start_best_effort(driver)
+    assert select_actions(driver.wait(100), PaceRun)
 
-    assert not pick(driver.wait(100), PaceRun)
-    assert pick(driver.wait(PACE_RETRY_MS), PaceRun)
+    assert not select_actions(driver.wait(100), PaceRun)
+    assert select_actions(driver.wait(PACE_RETRY_MS), PaceRun)
 
 
-def test_a_worker_without_fills_gets_no_pace():
-    # Guards against calls that nothing needs.
+def test_a_worker_without_best_effort_tasks_gets_no_pace():
+    # Guards against unnecessary calls.
     driver = Driver(workers=1)
-    serve(driver)
-    driver.report('w0', load=STRAINED_MS)
+    start_latency_critical(driver)
+    driver.report('w0', load=HIGH_LATENCY_MS)
 
-    assert not pick(driver.wait(PACE_RETRY_MS), PaceRun)
+    assert not select_actions(driver.wait(PACE_RETRY_MS), PaceRun)
 
 
-def test_starts_of_filling_tasks_are_still_starts():
-    # Guards against a pace call for a run that the worker does not have.
+def test_no_pace_is_sent_before_a_start_is_confirmed():
+    # Guards against a pace call for a run that the worker does not have yet.
     driver = Driver(workers=1)
-    serve(driver)
+    start_latency_critical(driver)
     step = make_step(1, 60_000, fills=True)
-    actions = driver.submit(FILLING_JOB, step)
+    actions = driver.submit(BEST_EFFORT_JOB, step)
 
-    assert pick(actions, StartRun)
-    assert not pick(driver.wait(100), PaceRun)
+    assert select_actions(actions, StartRun)
+    assert not select_actions(driver.wait(100), PaceRun)
 
 
-def test_filling_tasks_at_full_pace_can_be_stopped_again(shared):
-    # Guards against a decision that is never sent, once a filling task has
-    # worked at full pace.
+def test_best_effort_tasks_at_full_pace_can_be_stopped_again(shared):
+    # Guards against a new pace that is never sent because the best-effort task
+    # has worked at full pace before.
     for _ in range(4):
-        look(shared, CALM_MS, RAISE_INTERVAL_MS)
+        report_latency(shared, LOW_LATENCY_MS, RAISE_INTERVAL_MS)
 
-    assert look(shared, STRAINED_MS) == [0]
+    assert report_latency(shared, HIGH_LATENCY_MS) == [0]
--- a/tests/dispatch/test_random_faults.py
+++ b/tests/dispatch/test_random_faults.py
@@ -1,4 +1,9 @@
-"""Guards the rules of a day under random faults, in virtual time."""
+"""Tests of the dispatcher under random faults, in virtual time.
+
+All faults and delays follow from the seed of a run. Faults are chosen by name
+from a sorted list, so a renamed fault changes the course of a seed if its
+place in the list changes.
+"""
 
 from random import Random
 
@@ -12,13 +17,13 @@
 from tests.dispatch.simulation import SimCluster
 
 JOBS = 24
-DAY_MS = 20_000
+FAULT_PERIOD_MS = 20_000
 END_MS = 120_000
 SEEDS = range(60)
 
 
 def make_workflow(random):
-    """Return a job of one to three steps, some of them gangs."""
+    """Return a random job of one to three steps, some of them gangs."""
     steps = []
     for number in range(random.choice((1, 1, 1, 2, 3))):
         gang = random.random() < 0.3
@@ -38,177 +43,183 @@
 
 
 def fault(make):
-    """Register a fault that a walk may inject."""
+    """Register a fault that a random run may inject."""
     FAULTS[make.__name__] = make
     return make
 
 
 @fault
-def kill_owner(world, random):
-    """The owner dies and another one takes over."""
-    world.new_owner()
+def kill_owner(cluster, random):
+    """The owner's process ends and another one takes over."""
+    cluster.new_owner()
 
 
 @fault
-def depose_owner(world, random):
-    """Another owner takes over while the old one goes on unaware."""
-    world.new_owner(kill=False)
+def depose_owner(cluster, random):
+    """Another owner takes over while the previous one still runs."""
+    cluster.new_owner(kill=False)
 
 
 @fault
-def cut_worker(world, random):
-    """A worker is cut off and runs on."""
-    name = random.choice(sorted(world.workers))
-    world.cut.add(name)
-    world.later(
-        random.choice((300, 2_000, 7_000)), lambda: world.cut.discard(name)
+def cut_worker(cluster, random):
+    """A worker is partitioned from the owners; its runs continue."""
+    name = random.choice(sorted(cluster.workers))
+    cluster.partitioned.add(name)
+    cluster.call_later(
+        random.choice((300, 2_000, 7_000)),
+        lambda: cluster.partitioned.discard(name),
     )
 
 
 @fault
-def restart_worker(world, random):
-    """A worker crashes and starts again under its id."""
-    world.restart_worker(random.choice(sorted(world.workers)))
+def restart_worker(cluster, random):
+    """A worker crashes and restarts under the same id."""
+    cluster.restart_worker(random.choice(sorted(cluster.workers)))
 
 
 @fault
-def lose_calls(world, random):
-    """Calls and answers are lost, or carried out late."""
-    world.lossy = 0.15
-    world.later(random.choice((500, 3_000)), lambda: world.calm())
+def lose_calls(cluster, random):
+    """Calls and replies are lost, or calls are carried out late."""
+    cluster.loss_rate = 0.15
+    cluster.call_later(
+        random.choice((500, 3_000)), lambda: cluster.stop_losing_calls()
+    )
 
 
 @fault
-def cancel_job(world, random):
+def cancel_job(cluster, random):
     """A caller cancels a job."""
-    accepted = [c for c in world.callers.values() if c.accepted]
+    accepted = [c for c in cluster.callers.values() if c.accepted]
     if accepted:
-        world.cancel(random.choice(accepted).job_id)
+        cluster.cancel(random.choice(accepted).job_id)
 
 
 @fault
-def fail_worker(world, random):
-    """A worker fails most of what it starts for a while."""
-    worker = world.workers[random.choice(sorted(world.workers))]
-    worker.fail_share = 0.8
+def fail_worker(cluster, random):
+    """Most runs on a worker fail for a while."""
+    worker = cluster.workers[random.choice(sorted(cluster.workers))]
+    worker.failure_rate = 0.8
 
     def recover():
-        worker.fail_share = 0.03
+        worker.failure_rate = 0.03
 
-    world.later(3_000, recover)
+    cluster.call_later(3_000, recover)
 
 
 @fault
-def drain_worker(world, random):
-    """A worker takes no new work for a while."""
-    change_entry(world, world.leaving, random)
+def drain_worker(cluster, random):
+    """A worker is drained for a while."""
+    change_registration(cluster, cluster.leaving, random)
 
 
 @fault
-def unlist_worker(world, random):
-    """A worker's entry is gone for a while; the worker runs on."""
-    change_entry(world, world.unlisted, random)
+def unregister_worker(cluster, random):
+    """A worker's entry is missing for a while; its runs continue."""
+    change_registration(cluster, cluster.unregistered, random)
 
 
-def change_entry(world, names, random):
-    """Put a worker among some names, and take it out later."""
-    name = random.choice(sorted(world.workers))
+def change_registration(cluster, names, random):
+    """Add a worker to a set of names, and remove it after a while."""
+    name = random.choice(sorted(cluster.workers))
     names.add(name)
-    world.announce(name)
+    cluster.send_registration(name)
 
     def recover():
         names.discard(name)
-        world.announce(name)
+        cluster.send_registration(name)
 
-    world.later(random.choice((500, 3_000, 9_000)), recover)
+    cluster.call_later(random.choice((500, 3_000, 9_000)), recover)
 
 
 @fault
-def take_snapshot(world, random):
-    """The journal is cut down to a snapshot."""
-    world.snapshot()
+def take_snapshot(cluster, random):
+    """The journal is replaced by a snapshot."""
+    cluster.take_snapshot()
 
 
-class Walk(SimCluster):
-    """A world in which calls can become sound again."""
+class RandomFaultCluster(SimCluster):
+    """A cluster in which the loss of calls can end."""
 
-    def calm(self):
-        """End the loss of calls."""
-        self.lossy = 0.0
+    def stop_losing_calls(self):
+        """Deliver all calls and replies again."""
+        self.loss_rate = 0.0
 
 
-def walk(seed, faults, kinds=None):
-    """Run one day with faults, then wait until every job has ended."""
+def simulate_faults(seed, faults, kinds=None):
+    """Submit jobs and inject faults, then run until all jobs should end."""
     kinds = sorted(kinds or FAULTS)
     random = Random(seed)
-    world = Walk(seed)
-    world.new_owner()
+    cluster = RandomFaultCluster(seed)
+    cluster.new_owner()
     for number in range(JOBS):
-        at = random.randint(0, DAY_MS)
+        at = random.randint(0, FAULT_PERIOD_MS)
         queue = random.choice(('q', 'advised'))
         workflow = make_workflow(random)
 
-        def hand_in(number=number, workflow=workflow, queue=queue):
-            caller = world.submit(f'{number:016x}', workflow, queue)
-            world.later(300, lambda: retry(caller))
+        def submit(number=number, workflow=workflow, queue=queue):
+            caller = cluster.submit(f'{number:016x}', workflow, queue)
+            cluster.call_later(300, lambda: retry(caller))
 
         def retry(caller):
             if not caller.accepted:
-                world.submit(caller.job_id, caller.workflow, caller.queue)
-                world.later(300, lambda: retry(caller))
+                cluster.submit(caller.job_id, caller.workflow, caller.queue)
+                cluster.call_later(300, lambda: retry(caller))
 
-        world.later(at, hand_in)
+        cluster.call_later(at, submit)
     for _ in range(faults):
         make = FAULTS[random.choice(kinds)]
-        world.later(
-            random.randint(0, DAY_MS), lambda make=make: make(world, random)
+        cluster.call_later(
+            random.randint(0, FAULT_PERIOD_MS),
+            lambda make=make: make(cluster, random),
         )
-    world.run(END_MS)
-    return world
+    cluster.run(END_MS)
+    return cluster
 
 
 @pytest.mark.parametrize('seed', SEEDS)
 def test_every_accepted_job_ends_once_whatever_fails(seed):
-    check_outcome(walk(seed, faults=12))
+    check_outcome(simulate_faults(seed, faults=12))
 
 
-def check_outcome(world):
-    """Check the ends of all jobs once a day is over."""
-    for caller in world.callers.values():
+def check_outcome(cluster):
+    """Check the final states of all jobs after a run."""
+    for caller in cluster.callers.values():
         assert caller.accepted
-        shown = world.find_shown_state(caller.job_id)
+        shown = cluster.find_shown_state(caller.job_id)
         if shown is None:
-            # Its owner has kept the state for long enough.
+            # The retention period of the job has passed.
             continue
         assert shown in FINAL_WORKFLOW_STATES, caller.job_id
         if caller.cancelled:
             assert shown is WorkflowState.CANCELLED
         if shown is WorkflowState.FAILED:
-            assert world.rules.has_failed(caller.job_id)
+            assert cluster.rules.has_failed(caller.job_id)
         if shown is WorkflowState.COMPLETED:
             for number, step in enumerate(caller.workflow.steps):
                 for index in range(step.tasks):
                     task = f'{caller.job_id}.0.{number}.{index}'
-                    assert task in world.rules.finished
-    assert not any(worker.runs for worker in world.workers.values())
+                    assert task in cluster.rules.finished
+    assert not any(worker.runs for worker in cluster.workers.values())
 
 
-def test_a_calm_day_wastes_no_start():
-    """Guards against retries, stops or second runs without any fault."""
-    world = Walk(1)
-    for worker in world.workers.values():
-        worker.fail_share = 0.0
-    world.new_owner()
+def test_a_run_without_faults_wastes_no_start():
+    """Guards against retries, stops or second runs without a fault."""
+    cluster = RandomFaultCluster(1)
+    for worker in cluster.workers.values():
+        worker.failure_rate = 0.0
+    cluster.new_owner()
     tasks = 0
     random = Random(5)
     for number in range(JOBS):
         workflow = make_workflow(random)
         tasks += sum(step.tasks for step in workflow.steps)
-        world.later(
+        cluster.call_later(
             number * 300,
-            lambda n=number, w=workflow: world.submit(f'{n:016x}', w),
+            lambda n=number, w=workflow: cluster.submit(f'{n:016x}', w),
+        )
+    cluster.run(END_MS)
+    assert cluster.rules.starts == tasks
+    for caller in cluster.callers.values():
+        assert (
+            cluster.find_shown_state(caller.job_id) is WorkflowState.COMPLETED
         )
-    world.run(END_MS)
-    assert world.rules.starts == tasks
-    for caller in world.callers.values():
-        assert world.find_shown_state(caller.job_id) is WorkflowState.COMPLETED
--- a/tests/dispatch/test_recovery.py
+++ b/tests/dispatch/test_recovery.py
@@ -1,4 +1,4 @@
-"""Guards what a successor learns from a snapshot."""
+"""Tests of the state that a successor restores from a snapshot."""
 
 from sassafrasgate.core.workflows import EndKind
 from sassafrasgate.core.workflows import Workflow
@@ -32,7 +32,7 @@
 
 
 def test_an_end_that_a_worker_lists_again_is_counted_once():
-    """Two failures of one run would use up the attempts of a task."""
+    """A run that is counted twice would use up the attempts of its task."""
     state = make_state(make_step(2))
     failed = end('0.0.0', 1, EndKind.FAILED)
     replay_records(state, (failed,))
@@ -53,7 +53,7 @@
 
 
 def test_progress_of_several_steps_is_restored():
-    """A finished step must not run again, nor the next one wait for it."""
+    """A finished step must neither run again nor block the next one."""
     state = make_state(make_step(1), make_step(2, after=(0,)))
     replay_records(
         state,
@@ -75,8 +75,9 @@
 
 
 def test_a_later_step_that_is_reported_first_does_not_keep_its_job_open():
-    # Found by the soak (seed 31): a successor learns of the ends of both
-    # steps from two workers, the later step's first; the job stayed queued.
+    # Found by the soak test (seed 31): a successor learned of the ends of both
+    # steps from two workers, of the later step first, and the job stayed
+    # queued.
     state = make_state(make_step(1), make_step(2, after=(0,)))
     replay_records(
         state,
--- a/tests/dispatch/test_registrations.py
+++ b/tests/dispatch/test_registrations.py
@@ -1,4 +1,4 @@
-"""Guards what a worker's entry in the store changes for the dispatcher."""
+"""Tests of changes to a worker's entry in the store."""
 
 from dataclasses import replace
 
@@ -7,29 +7,33 @@
 from sassafrasgate.dispatch.leases import make_fencing_token
 from sassafrasgate.dispatch.leases import RESTARTS_PER_WATCH
 from tests.dispatch.drivers import Driver
-from tests.dispatch.drivers import pick
+from tests.dispatch.drivers import select_actions
 
 
-def test_a_worker_at_a_new_address_is_commanded_with_a_higher_fence():
-    # Found by walk 5275: the worker had obeyed a call for its second life;
-    # after its entry had changed, calls began with the first life again, and
-    # the owner took the refusal for that of a newer owner and gave up.
+def test_a_worker_at_a_new_address_gets_higher_fencing_tokens():
+    # Found by a random run (seed 5275): the worker had obeyed a call for its
+    # second incarnation. After its entry changed, calls began with the token
+    # of the first incarnation again. The owner took the refusal as a sign of a
+    # newer owner and stepped down.
     driver = Driver(workers=1)
     entry = driver.state.workers['w0'].registration
-    watches = pick(driver.actions, WatchWorker)
+    watches = select_actions(driver.actions, WatchWorker)
     for number in range(3):
         moved = replace(entry, address=f'10.0.1.{number}:1')
         actions = driver.feed(WorkerRegistered(moved))
-        watches.extend(pick(actions, WatchWorker))
+        watches.extend(select_actions(actions, WatchWorker))
 
-    fences = [make_fencing_token(1, watch.restarts) for watch in watches]
-    assert fences == sorted(set(fences))
-    assert fences[1] > make_fencing_token(1, RESTARTS_PER_WATCH - 1)
-    assert fences[-1] < make_fencing_token(2, 0)
+    fencing_tokens = [
+        make_fencing_token(1, watch.restarts) for watch in watches
+    ]
+    assert fencing_tokens == sorted(set(fencing_tokens))
+    assert fencing_tokens[1] > make_fencing_token(1, RESTARTS_PER_WATCH - 1)
+    assert fencing_tokens[-1] < make_fencing_token(2, 0)
 
 
-def test_what_earlier_calls_have_granted_is_counted_with_at_a_new_address():
-    # Guards against a second run while the first one's lease goes on.
+def test_leases_granted_at_the_previous_address_are_waited_for():
+    # Guards against a second run of a task while the lease of the first run is
+    # still valid.
     driver = Driver(workers=1)
     entry = driver.state.workers['w0'].registration
     before = driver.state.workers['w0'].leases_expire_at
--- a/tests/dispatch/test_requests.py
+++ b/tests/dispatch/test_requests.py
@@ -1,4 +1,4 @@
-"""Guards what callers are told while the store fails."""
+"""Tests of the replies to callers, also while the store fails."""
 
 from sassafrasgate.core.errors import RefusalKind
 from sassafrasgate.core.workflows import Workflow
@@ -19,7 +19,7 @@
 from sassafrasgate.shards.events import RecordsDurable
 from sassafrasgate.shards.events import RequestReceived
 from sassafrasgate.shards.events import WithdrawalAnswered
-from tests.dispatch.drivers import pick
+from tests.dispatch.drivers import select_actions
 from tests.dispatch.simulation import make_step
 from tests.dispatch.simulation import TABLE
 from tests.dispatch.simulation import WALL_MS
@@ -28,7 +28,7 @@
 
 
 class Owner:
-    """An owner whose records wait to become durable."""
+    """An owner whose records only become durable when the test says so."""
 
     def __init__(self):
         self.now = 1_000
@@ -47,19 +47,24 @@
 
 
 def replies(actions):
-    return {reply.reply_to: reply.message for reply in pick(actions, Reply)}
+    return {
+        reply.reply_to: reply.message
+        for reply in select_actions(actions, Reply)
+    }
 
 
-def test_an_acceptance_is_told_once_it_is_durable():
+def test_callers_get_an_acceptance_once_it_is_durable():
     owner = Owner()
     first = owner.submit(1)
     repeat = owner.submit(2)
     assert not replies(first) and not replies(repeat)
-    (record,) = [action.record for action in pick(first, AppendRecord)]
+    (record,) = [
+        action.record for action in select_actions(first, AppendRecord)
+    ]
     assert isinstance(record, WorkflowAccepted)
-    assert not pick(repeat, AppendRecord)
-    told = replies(owner.feed(RecordsDurable((record,))))
-    assert told.keys() == {1, 2}
+    assert not select_actions(repeat, AppendRecord)
+    received = replies(owner.feed(RecordsDurable((record,))))
+    assert received.keys() == {1, 2}
     assert replies(owner.submit(3))[3].state is WorkflowState.QUEUED
 
 
@@ -70,47 +75,54 @@
     assert answer.refusal is RefusalKind.STORE_UNAVAILABLE
     assert owner.ask(2, QueryWorkflow(JOB))[0].message.state is None
     owner.feed(JournalStalled(0))
-    assert pick(owner.submit(3), AppendRecord)
+    assert select_actions(owner.submit(3), AppendRecord)
 
 
 def test_a_job_that_was_not_sent_to_the_store_is_refused_at_once():
-    # It would be held until its caller gives up.
+    # Otherwise the request would wait until its caller times out.
     owner = Owner()
     owner.submit(1)
-    assert pick(owner.feed(JournalStalled(owner.now)), WithdrawRecords) == [
-        WithdrawRecords(JOB)
-    ]
-    told = replies(owner.feed(WithdrawalAnswered(JOB, True, 1)))
-    assert isinstance(told[1], Refused)
+    assert select_actions(
+        owner.feed(JournalStalled(owner.now)), WithdrawRecords
+    ) == [WithdrawRecords(JOB)]
+    received = replies(owner.feed(WithdrawalAnswered(JOB, True, 1)))
+    assert isinstance(received[1], Refused)
     assert not owner.state.jobs and not owner.state.steps
     owner.feed(PassDue())
 
 
 def test_a_job_that_may_be_in_the_store_is_not_refused():
-    # "Not accepted" would be untrue when the write takes effect.
+    # A refusal would be wrong if the write takes effect later.
     owner = Owner()
     (record,) = [
-        action.record for action in pick(owner.submit(1), AppendRecord)
+        action.record
+        for action in select_actions(owner.submit(1), AppendRecord)
     ]
     owner.feed(JournalStalled(owner.now))
     assert not replies(owner.feed(WithdrawalAnswered(JOB, False)))
     assert replies(owner.feed(RecordsDurable((record,)))).keys() == {1}
 
 
-def test_a_cancelled_job_stays_cancelled_and_is_told_once_durable():
+def test_a_cancelled_job_stays_cancelled_and_is_reported_once_durable():
     owner = Owner()
-    (accepted,) = [a.record for a in pick(owner.submit(1), AppendRecord)]
+    (accepted,) = [
+        a.record for a in select_actions(owner.submit(1), AppendRecord)
+    ]
     owner.feed(RecordsDurable((accepted,)))
     cancelled = owner.ask(2, CancelWorkflow(JOB))
     assert not replies(cancelled)
-    (record,) = [action.record for action in pick(cancelled, AppendRecord)]
-    assert not pick(owner.ask(3, CancelWorkflow(JOB)), AppendRecord)
-    told = replies(owner.feed(RecordsDurable((record,))))
-    assert {view.state for view in told.values()} == {WorkflowState.CANCELLED}
-    assert told.keys() == {2, 3}
+    (record,) = [
+        action.record for action in select_actions(cancelled, AppendRecord)
+    ]
+    assert not select_actions(owner.ask(3, CancelWorkflow(JOB)), AppendRecord)
+    received = replies(owner.feed(RecordsDurable((record,))))
+    assert {view.state for view in received.values()} == {
+        WorkflowState.CANCELLED
+    }
+    assert received.keys() == {2, 3}
 
 
-def test_unknown_jobs_and_queues_are_told_so():
+def test_unknown_jobs_and_queues_are_reported():
     owner = Owner()
     assert replies(owner.ask(1, CancelWorkflow(JOB)))[1].state is None
     refused = replies(owner.submit(2, queue='nowhere'))[2]
--- a/tests/dispatch/test_restarts.py
+++ b/tests/dispatch/test_restarts.py
@@ -1,11 +1,11 @@
-"""Guards tasks on a worker that starts again under its id."""
+"""Tests of tasks on a worker that restarts under the same id."""
 
 from sassafrasgate.core.workflows import EndKind
 from sassafrasgate.core.workflows import StartRefusal
 from sassafrasgate.dispatch.actions import StartRun
 from sassafrasgate.dispatch.events import RunAnswered
 from tests.dispatch.drivers import Driver
-from tests.dispatch.drivers import pick
+from tests.dispatch.drivers import select_actions
 from tests.dispatch.simulation import make_step
 
 JOB = '5c0e7a21d94b36f8'
@@ -13,15 +13,15 @@
 
 
 def start_one():
-    """Return a driver and the start of its only task, without an answer."""
+    """Return a driver and the unanswered start of its only task."""
     driver = Driver(workers=2)
-    (start,) = pick(driver.submit(JOB, make_step(1, 500)), StartRun)
+    (start,) = select_actions(driver.submit(JOB, make_step(1, 500)), StartRun)
     driver.now += 10
     return driver, start
 
 
 def restart(driver, start, lists=False):
-    """Let the worker report from a new life, and once more."""
+    """Let the worker report twice from a new incarnation."""
     driver.running[start.worker] = {start.run: 0} if lists else {}
     driver.ends[start.worker] = 0
     first = driver.report(start.worker, incarnation_ms=NEXT_INCARNATION_MS)
@@ -31,20 +31,21 @@
     )
 
 
-def test_a_start_that_may_reach_the_new_life_is_not_repeated_elsewhere():
-    # Guards against a second run of a task whose first start was on its way
-    # while the worker restarted.
+def test_a_start_that_may_reach_the_new_incarnation_is_not_repeated():
+    # Guards against a second run of a task whose first start call was in
+    # flight while the worker restarted.
     driver, start = start_one()
 
     first, second = restart(driver, start)
 
-    assert not pick(first, StartRun)
-    (again,) = pick(second, StartRun)
+    assert not select_actions(first, StartRun)
+    (again,) = select_actions(second, StartRun)
     assert again.run.task == start.run.task
 
 
-def test_a_run_that_the_new_life_lists_goes_on():
-    # Guards against stopping or repeating a run that the new life has got.
+def test_a_run_that_the_new_incarnation_lists_continues():
+    # Guards against stopping or repeating a run that the new incarnation has
+    # started.
     driver, start = start_one()
 
     first, second = restart(driver, start, lists=True)
@@ -54,11 +55,11 @@
         incarnation_ms=NEXT_INCARNATION_MS,
     )
 
-    assert not pick(first + second + third, StartRun)
+    assert not select_actions(first + second + third, StartRun)
     assert driver.state.jobs[JOB].has_ended
 
 
-def test_a_run_that_the_earlier_life_has_listed_starts_again_at_once():
+def test_a_run_that_the_previous_incarnation_listed_restarts_at_once():
     # Guards against waiting for a run that is certainly gone.
     driver, start = start_one()
     driver.running[start.worker] = {start.run: 0}
@@ -67,14 +68,16 @@
 
     first, _ = restart(driver, start)
 
-    assert pick(first, StartRun)
+    assert select_actions(first, StartRun)
 
 
-def test_a_worker_that_calls_a_start_invalid_gets_no_other_at_once():
-    # Guards against a start every few milliseconds on such a worker.
+def test_a_worker_that_refuses_a_start_as_invalid_is_avoided():
+    # Guards against a start call every few milliseconds to such a worker.
     driver, start = start_one()
 
     answer = driver.answer(StartRefusal.INVALID)
     actions = driver.feed(RunAnswered(start.worker, start.run, answer))
 
-    assert all(a.worker != start.worker for a in pick(actions, StartRun))
+    assert all(
+        a.worker != start.worker for a in select_actions(actions, StartRun)
+    )
--- a/tests/standins/platform_workers.py
+++ b/tests/standins/platform_workers.py
@@ -89,7 +89,7 @@
         """Let runs end at their times, until cancelled."""
         while True:
             numbers = {
-                name: worker.number
+                name: worker.last_end_number
                 for name, worker in self._world.workers.items()
             }
             try:
@@ -97,7 +97,7 @@
             except RuleViolation as error:
                 self._violations.append(str(error))
             for name, number in numbers.items():
-                if self._world.workers[name].number != number:
+                if self._world.workers[name].last_end_number != number:
                     self._news[name].set()
                     self._news[name] = anyio.Event()
             await anyio.sleep(STEP_S)
@@ -262,7 +262,7 @@
         if kind == 'restart':
             worker.restart(self._now())
         if kind == 'fail':
-            worker.fail_share = body['share']
+            worker.failure_rate = body['share']
         for name, names in (
             ('drain', self._leaving),
             ('hang', self._hanging),
