--- a/tests/dispatch/test_random_faults.py
+++ b/tests/dispatch/test_random_faults.py
@@ -1,8 +1,9 @@
 """Tests of the dispatcher under random faults, in virtual time.
 
-All faults and delays follow from the seed of a run. Faults are chosen by name
-from a sorted list, so a renamed fault changes the course of a seed if its
-place in the list changes.
+The seed of a run determines its faults and delays; the course also depends on
+``PYTHONHASHSEED``, because the dispatcher iterates over sets of runs. Faults
+are chosen by name from a sorted list, so renaming one changes the course of a
+seed if its place in the list changes.
 """
 
 from random import Random
