Links and workers' calls: name methods, callbacks and fields in usual terms

Cause: 'ask', 'tell', 'greet', 'hear', 'fence' and 'born_ms' had to be explained to a newcomer. Change: Link.ask and tell are request and send; the callbacks of links are make_heartbeat, handle_heartbeat and handle_disconnect; the id of a request on the server's side is request_id; HoldRequest and RunRequest carry a fencing_token; WorkerReport and Registration identify an incarnation by incarnation_ms. Nothing on the wire changes.

--- a/benchmarks/parts.py
+++ b/benchmarks/parts.py
@@ -665,19 +665,24 @@
     async def ignore(request: Any) -> None:
         clients.add(request.client)
 
-    def greet() -> Heartbeat:
+    def make_heartbeat() -> Heartbeat:
         return beat
 
-    def hear(heartbeat: Heartbeat) -> None:
+    def handle_heartbeat(heartbeat: Heartbeat) -> None:
         assert heartbeat.sender
 
-    server = LinkServer(find_free_address(), ignore, greet, hear)
-    links = [Link(server.address, greet, hear) for _ in range(peers)]
+    server = LinkServer(
+        find_free_address(), ignore, make_heartbeat, handle_heartbeat
+    )
+    links = [
+        Link(server.address, make_heartbeat, handle_heartbeat)
+        for _ in range(peers)
+    ]
 
     async def send_separately() -> None:
         while True:
             for link in links:
-                link.tell(loaded)
+                link.send(loaded)
             for client in clients:
                 await server.reply(OutgoingReply(client, 0, loaded))
             await anyio.sleep(SUMMARY_S)
@@ -686,7 +691,7 @@
         group.start_soon(server.run)
         for link in links:
             group.start_soon(link.run)
-            link.tell(Summary('s', 1, CAPACITY, CAPACITY, 0, 'd'))
+            link.send(Summary('s', 1, CAPACITY, CAPACITY, 0, 'd'))
         await anyio.sleep(1.0)
         if is_separate:
             group.start_soon(send_separately)
--- a/sassafrasgate/composition/daemons.py
+++ b/sassafrasgate/composition/daemons.py
@@ -40,10 +40,10 @@
 ) -> Callable[[], Heartbeat]:
     """Return the function that makes this process's heartbeats."""
 
-    def greet() -> Heartbeat:
+    def make_heartbeat() -> Heartbeat:
         return Heartbeat(name, find_version())
 
-    return greet
+    return make_heartbeat
 
 
 def make_listener(
@@ -52,7 +52,7 @@
     """Return the function that passes heard versions on."""
     heard: dict[str, int] = {}
 
-    def hear(heartbeat: Heartbeat) -> None:
+    def handle_heartbeat(heartbeat: Heartbeat) -> None:
         # Only news is passed on, so that the inbox can't fill up.
         if heard.get(heartbeat.sender, -1) >= heartbeat.configuration:
             return
@@ -64,7 +64,7 @@
         except anyio.WouldBlock:
             del heard[heartbeat.sender]
 
-    return hear
+    return handle_heartbeat
 
 
 def start_common_tasks(
@@ -198,22 +198,24 @@
         main, configurations = make_inbox(), make_inbox()
         hear_version = make_listener(configurations.send)
 
-        def greet() -> Heartbeat:
+        def make_heartbeat() -> Heartbeat:
             # Summaries ride on the heartbeats, which flow anyway.
             return Heartbeat(
                 settings.name, task.version, task.list_summaries()
             )
 
-        def hear(heartbeat: Heartbeat) -> None:
+        def handle_heartbeat(heartbeat: Heartbeat) -> None:
             hear_version(heartbeat)
             task.receive_summaries(heartbeat.summaries)
 
-        directory = Directory(group, settings.peers, greet, hear)
+        directory = Directory(
+            group, settings.peers, make_heartbeat, handle_heartbeat
+        )
         server = LinkServer(
             settings.link_address,
             lambda request: task.take_request(request),
-            greet,
-            hear,
+            make_heartbeat,
+            handle_heartbeat,
         )
         services = ShardServices(
             f'{process.member.name}/{process.member.incarnation}',
--- a/sassafrasgate/composition/entry.py
+++ b/sassafrasgate/composition/entry.py
@@ -178,10 +178,10 @@
         store, lease_store = relay(direct_store), relay(direct_lease_store)
         registration_store = relay(direct_registration_store)
 
-        def greet() -> Heartbeat:
+        def make_heartbeat() -> Heartbeat:
             return Heartbeat(settings.name, task.version)
 
-        def hear(heartbeat: Heartbeat) -> None:
+        def handle_heartbeat(heartbeat: Heartbeat) -> None:
             return
 
         async def follow_workers(listener: Any) -> None:
@@ -194,19 +194,21 @@
                 watch, adapters.registrations, listener
             ).run()
 
-        def note_closed(address: str) -> None:
+        def handle_disconnect(address: str) -> None:
             try:
                 main.send.send_nowait(LinkClosed(address))
             except anyio.WouldBlock:
                 # The owner's lease shows its end a little later.
                 return
 
-        directory = Directory(group, (), greet, hear, note_closed)
+        directory = Directory(
+            group, (), make_heartbeat, handle_heartbeat, handle_disconnect
+        )
         server = LinkServer(
             settings.link_address,
             lambda request: task.take_request(request),
-            greet,
-            hear,
+            make_heartbeat,
+            handle_heartbeat,
         )
         election = OwnerElection(member, store, directory, logger)
         advice_router = AdviceRouter(
--- a/sassafrasgate/core/workers.py
+++ b/sassafrasgate/core/workers.py
@@ -32,7 +32,7 @@
         Whether it is leaving and takes no new work.
     machine : str
         Machine of which it is one incarnation; empty when not reported.
-    born_ms : int
+    incarnation_ms : int
         Start of the worker's incarnation, in Unix milliseconds.
     remaining_ms : int
         For a leaving worker: minimum time that it remains, in milliseconds.
@@ -47,5 +47,5 @@
     rack: str = ''
     leaving: bool = False
     machine: str = ''
-    born_ms: int = 0
+    incarnation_ms: int = 0
     remaining_ms: int = 0
--- a/sassafrasgate/core/workflows.py
+++ b/sassafrasgate/core/workflows.py
@@ -197,13 +197,13 @@
     ----------
     clock_ms : int
         Reading of the worker's monotonic clock, in milliseconds.
-    born_ms : int
+    incarnation_ms : int
         Start of the worker's incarnation in Unix milliseconds, which
         identifies it.
     """
 
     clock_ms: int
-    born_ms: int
+    incarnation_ms: int
     running: tuple[RunningRun, ...]
     ended: tuple[EndedRun, ...]
 
@@ -214,7 +214,7 @@
 
     Parameters
     ----------
-    fence : int
+    fencing_token : int
         Fencing token. The worker rejects a call with a token lower than the
         highest one that it has seen.
     acknowledged : int
@@ -228,7 +228,7 @@
         milliseconds.
     """
 
-    fence: int
+    fencing_token: int
     acknowledged: int = 0
     deadline_ms: int = 0
     wait_ms: int = 0
@@ -243,7 +243,7 @@
     deadline_ms : int
         Reading of the worker's clock to which the lease of all its runs is
         renewed, and from which on the worker refuses this start.
-    fence : int
+    fencing_token : int
         As in `HoldRequest`.
     ticket : str
         Ticket from the advice service that admits the worker; empty when
@@ -254,7 +254,7 @@
     run: int
     payload: str
     deadline_ms: int
-    fence: int
+    fencing_token: int
     checkpoint: str = ''
     ticket: str = ''
 
--- a/sassafrasgate/daemons/advice_routing.py
+++ b/sassafrasgate/daemons/advice_routing.py
@@ -67,7 +67,7 @@
         if member is None:
             return NoReply(f'entry host {name!r} is gone')
         link = self._directory.find_link(member.link_address)
-        return await link.ask(question, timeout_s)
+        return await link.request(question, timeout_s)
 
     async def _ask_own_adviser(
         self, question: SeekAdvice, timeout_s: float
--- a/sassafrasgate/daemons/directory.py
+++ b/sassafrasgate/daemons/directory.py
@@ -164,7 +164,7 @@
                 'send the request again after a second',
             )
         link = self.find_link(owner[0].link_address)
-        return await link.ask(message, timeout_s, attempt)
+        return await link.request(message, timeout_s, attempt)
 
     async def broadcast_request(
         self, message: Any, timeout_s: float
@@ -173,7 +173,7 @@
         answers: list[Any] = []
 
         async def ask_one(link: Link) -> None:
-            answer = await link.ask(message, timeout_s)
+            answer = await link.request(message, timeout_s)
             if not isinstance(answer, NoReply):
                 answers.append(answer)
 
--- a/sassafrasgate/daemons/election.py
+++ b/sassafrasgate/daemons/election.py
@@ -315,13 +315,13 @@
             if offers == MOST_OFFERS:
                 break
             link = self._directory.find_link(member.link_address)
-            greeting = await link.ask(FindOwner(SHARD), GREETING_S)
+            greeting = await link.request(FindOwner(SHARD), GREETING_S)
             if not isinstance(greeting, OwnerFound):
                 # An offer to a host that is down would wait until the host
                 # is back, and the shard would have no owner meanwhile.
                 continue
             offers += 1
-            answer = await link.ask(offer, OFFER_S)
+            answer = await link.request(offer, OFFER_S)
             self._log(
                 'hand-over',
                 (
@@ -358,7 +358,7 @@
 
     async def _ask_for_owner(self, member: Member) -> None:
         link = self._directory.find_link(member.link_address)
-        answer = await link.ask(FindOwner(SHARD), FIND_S)
+        answer = await link.request(FindOwner(SHARD), FIND_S)
         if not isinstance(answer, OwnerFound) or not answer.member:
             return
         known = self.owner
--- a/sassafrasgate/daemons/entry.py
+++ b/sassafrasgate/daemons/entry.py
@@ -319,7 +319,7 @@
             if isinstance(found, Refusal):
                 found = Refused(found.kind, found.reason, found.remedy)
             await self.services.reply(
-                OutgoingReply(request.client, request.request, found)
+                OutgoingReply(request.client, request.request_id, found)
             )
 
         if type(message) in ENTRY_REQUESTS:
--- a/sassafrasgate/daemons/relays.py
+++ b/sassafrasgate/daemons/relays.py
@@ -382,7 +382,7 @@
             # The host has left while another one was asked.
             continue
         link = directory.find_link(member.link_address)
-        answer = await link.ask(call, timeout_s)
+        answer = await link.request(call, timeout_s)
         if not isinstance(answer, RelayReply):
             continue
         if answer.failure != 'unavailable':
--- a/sassafrasgate/daemons/replies.py
+++ b/sassafrasgate/daemons/replies.py
@@ -40,12 +40,12 @@
 
         The token is 0 if the sender expects no answer.
         """
-        if not request.request:
+        if not request.request_id:
             return 0
 
         async def answer(message: Any) -> None:
             await self._reply(
-                OutgoingReply(request.client, request.request, message)
+                OutgoingReply(request.client, request.request_id, message)
             )
 
         return self._add(answer)
--- a/sassafrasgate/daemons/scheduler.py
+++ b/sassafrasgate/daemons/scheduler.py
@@ -418,7 +418,7 @@
 
     async def _reply(self, request: IncomingRequest, message: Any) -> None:
         await self._services.reply(
-            OutgoingReply(request.client, request.request, message)
+            OutgoingReply(request.client, request.request_id, message)
         )
 
     def _describe_status(self) -> StatusReply:
--- a/sassafrasgate/daemons/workers.py
+++ b/sassafrasgate/daemons/workers.py
@@ -211,10 +211,10 @@
             return False
         received_at = now_ms()
         known_ms = self._born_ms
-        self._restarted = bool(known_ms) and report.born_ms != known_ms
-        if report.born_ms != known_ms:
+        self._restarted = bool(known_ms) and report.incarnation_ms != known_ms
+        if report.incarnation_ms != known_ms:
             self._lives += 1 if known_ms else 0
-            self._born_ms = report.born_ms
+            self._born_ms = report.incarnation_ms
             self._seen = 0
             self._acknowledged = 0
         self._reading = ClockReading(report.clock_ms, received_at)
--- a/sassafrasgate/dispatch/reports.py
+++ b/sassafrasgate/dispatch/reports.py
@@ -53,7 +53,8 @@
         return
     report = event.report
     reborn = (
-        bool(entry.incarnation_ms) and report.born_ms != entry.incarnation_ms
+        bool(entry.incarnation_ms)
+        and report.incarnation_ms != entry.incarnation_ms
     )
     if not reborn and entry.reading and report.clock_ms < entry.reading.clock:
         return
@@ -64,7 +65,7 @@
     state.update_worker(
         event.worker,
         epoch_acknowledged=True,
-        incarnation_ms=report.born_ms,
+        incarnation_ms=report.incarnation_ms,
         reading=ClockReading(report.clock_ms, event.received_at),
         seen=0 if reborn else entry.seen,
         silent_since=0,
@@ -96,7 +97,7 @@
             continue
         state.update_run(
             run.key,
-            incarnation_ms=event.report.born_ms,
+            incarnation_ms=event.report.incarnation_ms,
             phase=RunPhase.PRESENT,
             present_clock=event.report.clock_ms,
             stop_clock=0,
@@ -145,7 +146,7 @@
             ended.how,
             ended.checkpoint,
             event.worker,
-            event.report.born_ms,
+            event.report.incarnation_ms,
             ended.number,
             state.wall_ms,
         ),
@@ -270,7 +271,7 @@
         step_key,
         index,
         event.worker,
-        event.report.born_ms,
+        event.report.incarnation_ms,
         reserve_demand(step),
         RunPhase.PRESENT,
         started_at=state.now - step.estimate_ms * percent // 100,
--- a/sassafrasgate/platform/workers.py
+++ b/sassafrasgate/platform/workers.py
@@ -118,7 +118,7 @@
             worker.
         """
         body: dict[str, object] = {
-            'fencingToken': request.fence,
+            'fencingToken': request.fencing_token,
             'ackCursor': request.acknowledged,
         }
         if request.deadline_ms:
@@ -137,7 +137,7 @@
             'run': request.run,
             'spec': request.payload,
             'deadlineMs': request.deadline_ms,
-            'fencingToken': request.fence,
+            'fencingToken': request.fencing_token,
         }
         if request.checkpoint:
             body['checkpoint'] = request.checkpoint
--- a/sassafrasgate/protocol/links.py
+++ b/sassafrasgate/protocol/links.py
@@ -47,12 +47,14 @@
     ----------
     client : bytes
         Identity of the connection.
-    request : int
-        Id that the answer must carry; 0 when none is expected.
+    request_id : int
+        Id that the reply must carry; 0 when no reply is expected.
+    timeout_ms : int
+        How long the client waits for the reply, in milliseconds.
     """
 
     client: bytes
-    request: int
+    request_id: int
     timeout_ms: int
     message: Any
 
@@ -62,7 +64,7 @@
     """An answer for a connected client."""
 
     client: bytes
-    request: int
+    request_id: int
     message: Any
 
 
@@ -94,11 +96,11 @@
     ----------
     address : str
         IP number and port of the server end.
-    greet : callable
+    make_heartbeat : callable
         Returns the `Heartbeat` to send, with what this process knows.
-    hear : callable
+    handle_heartbeat : callable
         Called with each `Heartbeat` of the peer.
-    note_closed : callable, optional
+    handle_disconnect : callable, optional
         Called with the address when the peer's end has closed the
         connection, as when its process has ended.
 
@@ -107,20 +109,20 @@
     Run it in a task group, then ask from other tasks::
 
         tasks.start_soon(link.run)
-        answer = await link.ask(Query('north', job_id), timeout_s=2)
+        answer = await link.request(Query('north', job_id), timeout_s=2)
     """
 
     def __init__(
         self,
         address: str,
-        greet: Callable[[], Heartbeat],
-        hear: Callable[[Heartbeat], None],
-        note_closed: Callable[[str], None] | None = None,
+        make_heartbeat: Callable[[], Heartbeat],
+        handle_heartbeat: Callable[[Heartbeat], None],
+        handle_disconnect: Callable[[str], None] | None = None,
     ) -> None:
         self.address = address
-        self._greet = greet
-        self._hear = hear
-        self._note_closed = note_closed
+        self._make_heartbeat = make_heartbeat
+        self._handle_heartbeat = handle_heartbeat
+        self._handle_disconnect = handle_disconnect
         self._calls, self._inbox = _make_call_stream()
         self._open: dict[int, MemoryObjectSendStream[Any]] = {}
         self._next_request = 1
@@ -144,7 +146,7 @@
         """Time since the peer was heard, or since the link was made."""
         return now_ms() - self._last_heard_at
 
-    async def ask(
+    async def request(
         self, message: Any, timeout_s: float, attempt: int = 1
     ) -> Any:
         """Send a request and return its answer.
@@ -167,7 +169,7 @@
             f'{self.address} did not answer within {timeout_s:.1f} s'
         )
 
-    def tell(self, message: Any) -> bool:
+    def send(self, message: Any) -> bool:
         """Send a message without an answer; False when the link is full."""
         try:
             self._calls.send_nowait(_Call(message, 0, None, 1))
@@ -204,7 +206,7 @@
             while self.is_alive:
                 if now_ms() - self._sent_at >= HEARTBEAT_S * 1000:
                     # A full queue sends something soon anyway.
-                    self.tell(self._greet())
+                    self.send(self._make_heartbeat())
                 await anyio.sleep(HEARTBEAT_S / 2)
             tasks.cancel_scope.cancel()
 
@@ -216,8 +218,8 @@
         while True:
             await recv_monitor_message(monitor)
             self._fail_open_requests(f'{self.address} closed the connection')
-            if self._note_closed is not None:
-                self._note_closed(self.address)
+            if self._handle_disconnect is not None:
+                self._handle_disconnect(self.address)
 
     async def _send_calls(self, socket: zmq.asyncio.Socket) -> None:
         async for call in self._inbox:
@@ -243,7 +245,7 @@
         while True:
             frame = await socket.recv()
             self._heard_at = self._last_heard_at = now_ms()
-            envelope = _read_frame(frame, self._counts, self._hear)
+            envelope = _read_frame(frame, self._counts, self._handle_heartbeat)
             if envelope is not None:
                 self._deliver(envelope)
 
@@ -279,7 +281,7 @@
         IP number and port to bind.
     handle : callable
         Awaited with each `IncomingRequest`; must not block for long.
-    greet, hear : callable
+    make_heartbeat, handle_heartbeat : callable
         As for `Link`.
     """
 
@@ -287,13 +289,13 @@
         self,
         address: str,
         handle: Callable[[IncomingRequest], Awaitable[None]],
-        greet: Callable[[], Heartbeat],
-        hear: Callable[[Heartbeat], None],
+        make_heartbeat: Callable[[], Heartbeat],
+        handle_heartbeat: Callable[[Heartbeat], None],
     ) -> None:
         self.address = address
         self._handle = handle
-        self._greet = greet
-        self._hear = hear
+        self._make_heartbeat = make_heartbeat
+        self._handle_heartbeat = handle_heartbeat
         self._replies, self._outbox = _make_reply_stream()
         self._clients: dict[bytes, int] = {}
         self._counts = _Counter()
@@ -330,7 +332,7 @@
                 continue
             client, frame = parts
             self._clients[client] = now_ms()
-            envelope = _read_frame(frame, self._counts, self._hear)
+            envelope = _read_frame(frame, self._counts, self._handle_heartbeat)
             if envelope is None:
                 continue
             await self._handle(
@@ -345,7 +347,7 @@
     async def _send_replies(self, socket: zmq.asyncio.Socket) -> None:
         async for reply in self._outbox:
             frame = encode_envelope(
-                Envelope(reply.request, True, 1, 0, reply.message)
+                Envelope(reply.request_id, True, 1, 0, reply.message)
             )
             self._counts.note_sent(frame)
             await socket.send_multipart([reply.client, frame])
@@ -359,7 +361,7 @@
                     del self._clients[client]
                     continue
                 await self._replies.send(
-                    OutgoingReply(client, 0, self._greet())
+                    OutgoingReply(client, 0, self._make_heartbeat())
                 )
 
 
@@ -386,7 +388,9 @@
 
 
 def _read_frame(
-    frame: bytes, counts: _Counter, hear: Callable[[Heartbeat], None]
+    frame: bytes,
+    counts: _Counter,
+    handle_heartbeat: Callable[[Heartbeat], None],
 ) -> Envelope | None:
     """Count a frame and return its envelope, unless it is a heartbeat."""
     counts.note_received(frame)
@@ -396,7 +400,7 @@
         counts.bad_frames += 1
         return None
     if isinstance(envelope.body, Heartbeat):
-        hear(envelope.body)
+        handle_heartbeat(envelope.body)
         return None
     return envelope
 
--- a/tests/daemons/test_entry.py
+++ b/tests/daemons/test_entry.py
@@ -99,7 +99,7 @@
         self.silent_ms = silent_ms
         self.asked = []
 
-    async def ask(self, message, timeout_s, _attempt=1):
+    async def request(self, message, timeout_s, _attempt=1):
         self.asked.append(type(message))
         answer = self.answers.get(type(message))
         if answer is None:
--- a/tests/daemons/test_links.py
+++ b/tests/daemons/test_links.py
@@ -31,19 +31,21 @@
         async with anyio.create_task_group() as group:
             group.start_soon(relay.run)
             await relay.ready.wait()
-            link = Link(relay.address, lambda: Heartbeat('test', 0), hear)
+            link = Link(
+                relay.address, lambda: Heartbeat('test', 0), handle_heartbeat
+            )
             group.start_soon(link.run)
-            first = await link.ask(Status(), 10)
+            first = await link.request(Status(), 10)
             assert isinstance(first, StatusReply), first
             relay.silence()
             with anyio.fail_after(RECOVERY_S):
-                while isinstance(await link.ask(Status(), 10), NoReply):
+                while isinstance(await link.request(Status(), 10), NoReply):
                     continue
             assert relay.connections == 2
             assert link.counts.reopened == 1
             group.cancel_scope.cancel()
 
-    def hear(heartbeat):
+    def handle_heartbeat(heartbeat):
         """Ignore what the scheduler holds."""
 
     anyio.run(check)
--- a/tests/dispatch/simulation.py
+++ b/tests/dispatch/simulation.py
@@ -472,9 +472,9 @@
             if isinstance(report, StartRefusal):
                 self.feed(EpochRefused(worker))
                 return
-            if report.born_ms != contact.incarnation_ms:
+            if report.incarnation_ms != contact.incarnation_ms:
                 contact.restarts += 1 if contact.incarnation_ms else 0
-                contact.incarnation_ms = report.born_ms
+                contact.incarnation_ms = report.incarnation_ms
                 contact.seen = contact.acknowledged = 0
             contact.clock, contact.read_at = report.clock_ms, world.now
             contact.silent = False
--- a/tests/dispatch/test_guards.py
+++ b/tests/dispatch/test_guards.py
@@ -100,7 +100,9 @@
 
     def note(state, event, ended):
         yield from note_ended(state, event, ended)
-        yield AcknowledgeEnds(event.worker, event.report.born_ms, ended.number)
+        yield AcknowledgeEnds(
+            event.worker, event.report.incarnation_ms, ended.number
+        )
 
     patch.setattr(reports, '_note_ended', note)
 
--- a/tests/platform/test_registrations.py
+++ b/tests/platform/test_registrations.py
@@ -38,7 +38,7 @@
         Resources(8000, 16000),
         ('a', 'r1'),
         'r1',
-        born_ms=17,
+        incarnation_ms=17,
     )
 
 
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -76,7 +76,7 @@
                 'run': 3,
                 'spec': 'payload',
                 'deadlineMs': START.deadline_ms,
-                'fencingToken': START.fence,
+                'fencingToken': START.fencing_token,
             },
         )
     ]
--- a/tests/protocol/test_links.py
+++ b/tests/protocol/test_links.py
@@ -27,7 +27,7 @@
 
     async def handle(request):
         await server.reply(
-            OutgoingReply(request.client, request.request, Acknowledged())
+            OutgoingReply(request.client, request.request_id, Acknowledged())
         )
 
     server = LinkServer(
--- a/tests/standins/platform_workers.py
+++ b/tests/standins/platform_workers.py
@@ -181,7 +181,7 @@
         return web.json_response(
             {
                 'clockMs': report.clock_ms,
-                'born': report.born_ms,
+                'born': report.incarnation_ms,
                 'running': [
                     [run.task, run.run, '', run.percent]
                     for run in report.running
