--- a/sassafrasgate/composition/daemons.py
+++ b/sassafrasgate/composition/daemons.py
@@ -213,7 +213,7 @@
         )
         server = LinkServer(
             settings.link_address,
-            lambda request: task.take_request(request),
+            lambda request: task.handle_request(request),
             make_heartbeat,
             handle_heartbeat,
         )
--- a/sassafrasgate/composition/entry.py
+++ b/sassafrasgate/composition/entry.py
@@ -206,7 +206,7 @@
         )
         server = LinkServer(
             settings.link_address,
-            lambda request: task.take_request(request),
+            lambda request: task.handle_request(request),
             make_heartbeat,
             handle_heartbeat,
         )
--- a/sassafrasgate/daemons/dispatcher_actions.py
+++ b/sassafrasgate/daemons/dispatcher_actions.py
@@ -18,10 +18,10 @@
 from sassafrasgate.dispatch.actions import StopRun
 from sassafrasgate.dispatch.actions import WatchWorker
 from sassafrasgate.dispatch.events import RunNotSent
-from sassafrasgate.shards.actions import GiveUpShard
-from sassafrasgate.shards.actions import Persist
+from sassafrasgate.shards.actions import AppendRecord
 from sassafrasgate.shards.actions import Reply
-from sassafrasgate.shards.actions import Withdraw
+from sassafrasgate.shards.actions import StepDown
+from sassafrasgate.shards.actions import WithdrawRecords
 
 if TYPE_CHECKING:
     from sassafrasgate.daemons.dispatcher import DispatcherTask
@@ -33,14 +33,16 @@
 )
 
 
-@DISPATCHER_ACTION_HANDLERS.register(Persist)
-async def _persist(task: DispatcherTask, action: Persist) -> None:
-    task.append(action.record)
+@DISPATCHER_ACTION_HANDLERS.register(AppendRecord)
+async def _append_record(task: DispatcherTask, action: AppendRecord) -> None:
+    task.append_record(action.record)
 
 
-@DISPATCHER_ACTION_HANDLERS.register(Withdraw)
-async def _withdraw(task: DispatcherTask, action: Withdraw) -> None:
-    task.withdraw(action.job_id)
+@DISPATCHER_ACTION_HANDLERS.register(WithdrawRecords)
+async def _withdraw_records(
+    task: DispatcherTask, action: WithdrawRecords
+) -> None:
+    task.withdraw_records(action.job_id)
 
 
 @DISPATCHER_ACTION_HANDLERS.register(Reply)
@@ -79,8 +81,8 @@
 
 
 @DISPATCHER_ACTION_HANDLERS.register(AskAdvice)
-async def _ask_advice(task: DispatcherTask, action: AskAdvice) -> None:
-    task.ask_advice(action)
+async def _request_advice(task: DispatcherTask, action: AskAdvice) -> None:
+    task.request_advice(action)
 
 
 @DISPATCHER_ACTION_HANDLERS.register(LogEvent)
@@ -88,6 +90,6 @@
     task.log(action)
 
 
-@DISPATCHER_ACTION_HANDLERS.register(GiveUpShard)
-async def _give_up(task: DispatcherTask, action: GiveUpShard) -> None:
-    task.give_up(action.reason)
+@DISPATCHER_ACTION_HANDLERS.register(StepDown)
+async def _step_down(task: DispatcherTask, action: StepDown) -> None:
+    task.step_down(action.reason)
--- a/sassafrasgate/daemons/shard_actions.py
+++ b/sassafrasgate/daemons/shard_actions.py
@@ -8,19 +8,19 @@
 from typing import TYPE_CHECKING
 
 from sassafrasgate.core.registries import Registry
+from sassafrasgate.shards.actions import AppendRecord
 from sassafrasgate.shards.actions import FetchOutput
-from sassafrasgate.shards.actions import GiveUpShard
 from sassafrasgate.shards.actions import LimitTask
 from sassafrasgate.shards.actions import LogDecision
-from sassafrasgate.shards.actions import Persist
 from sassafrasgate.shards.actions import PublishSummary
 from sassafrasgate.shards.actions import ReleaseTask
 from sassafrasgate.shards.actions import Reply
-from sassafrasgate.shards.actions import SendPeer
+from sassafrasgate.shards.actions import SendToShard
 from sassafrasgate.shards.actions import StartTask
+from sassafrasgate.shards.actions import StepDown
 from sassafrasgate.shards.actions import StopTask
 from sassafrasgate.shards.actions import StoreOutput
-from sassafrasgate.shards.actions import Withdraw
+from sassafrasgate.shards.actions import WithdrawRecords
 from sassafrasgate.shards.events import StartNotSent
 
 if TYPE_CHECKING:
@@ -33,14 +33,14 @@
 )
 
 
-@SHARD_ACTION_HANDLERS.register(Persist)
-async def _persist(task: ShardTask, action: Persist) -> None:
-    task.append(action.record)
+@SHARD_ACTION_HANDLERS.register(AppendRecord)
+async def _append_record(task: ShardTask, action: AppendRecord) -> None:
+    task.append_record(action.record)
 
 
-@SHARD_ACTION_HANDLERS.register(Withdraw)
-async def _withdraw(task: ShardTask, action: Withdraw) -> None:
-    task.withdraw(action.job_id)
+@SHARD_ACTION_HANDLERS.register(WithdrawRecords)
+async def _withdraw_records(task: ShardTask, action: WithdrawRecords) -> None:
+    task.withdraw_records(action.job_id)
 
 
 @SHARD_ACTION_HANDLERS.register(Reply)
@@ -65,9 +65,9 @@
     task.command_host(action.host, action)
 
 
-@SHARD_ACTION_HANDLERS.register(SendPeer)
-async def _send_peer(task: ShardTask, action: SendPeer) -> None:
-    task.ask_peer(action)
+@SHARD_ACTION_HANDLERS.register(SendToShard)
+async def _send_to_shard(task: ShardTask, action: SendToShard) -> None:
+    task.send_to_shard(action)
 
 
 @SHARD_ACTION_HANDLERS.register(PublishSummary)
@@ -80,6 +80,6 @@
     task.log(action)
 
 
-@SHARD_ACTION_HANDLERS.register(GiveUpShard)
-async def _give_up(task: ShardTask, action: GiveUpShard) -> None:
-    task.give_up(action.reason)
+@SHARD_ACTION_HANDLERS.register(StepDown)
+async def _step_down(task: ShardTask, action: StepDown) -> None:
+    task.step_down(action.reason)
--- a/sassafrasgate/shards/handlers.py
+++ b/sassafrasgate/shards/handlers.py
@@ -1,4 +1,4 @@
-"""Registries of handlers, by event, request, and journal record."""
+"""Registries of the handlers of events, requests and journal records."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 
 from sassafrasgate.core.registries import Registry
 from sassafrasgate.protocol.messages import Refused
-from sassafrasgate.shards.actions import Persist
+from sassafrasgate.shards.actions import AppendRecord
 from sassafrasgate.shards.actions import Reply
 
 if TYPE_CHECKING:
@@ -18,26 +18,28 @@
 
 Actions = Generator[Any, None, None]
 Handler = Callable[['ShardState', Any, int], Actions]
-Applier = Callable[['ShardState', Any], None]
+RecordApplier = Callable[['ShardState', Any], None]
 
 EVENT_HANDLERS: Registry[type[Any], Handler] = Registry('shard event')
 REQUEST_HANDLERS: Registry[str, Handler] = Registry('shard request')
 DURABLE_HANDLERS: Registry[str, Handler] = Registry('durable record')
-APPLIERS: Registry[str, Applier] = Registry('journal record applier')
+RECORD_APPLIERS: Registry[str, RecordApplier] = Registry(
+    'journal record applier'
+)
 
 
 def write_record(state: ShardState, record: Any) -> Actions:
-    """Apply a record to the state and ask for its persistence.
+    """Apply a record to the state and ask for it to be journalled.
 
     Replay after a takeover applies records with the same function, so that
-    a successor's state cannot differ from what the record meant.
+    the successor arrives at the same state.
     """
-    APPLIERS.find(record.kind)(state, record)
-    yield Persist(record)
+    RECORD_APPLIERS.find(record.kind)(state, record)
+    yield AppendRecord(record)
 
 
 def reply_refusal(reply_to: int, refusal: Refusal) -> Reply:
-    """Return the answer that carries a refusal."""
+    """Return the action that answers a request with a refusal."""
     return Reply(
         reply_to, Refused(refusal.kind, refusal.reason, refusal.remedy)
     )
--- a/sassafrasgate/shards/preemption.py
+++ b/sassafrasgate/shards/preemption.py
@@ -1,7 +1,7 @@
-"""Making room for urgent work, where the rules allow it.
+"""Preemption of batch tasks for jobs that the rules allow to preempt.
 
-Only idempotent batch tasks give way: they are checkpointed, stopped and
-queued again. A preemption is not counted as a failure of their job.
+Only idempotent batch tasks are preempted: they are checkpointed, stopped
+and queued again. A preemption does not count as a failed attempt.
 """
 
 from __future__ import annotations
@@ -14,7 +14,7 @@
 from sassafrasgate.shards.actions import LogDecision
 from sassafrasgate.shards.actions import StopTask
 from sassafrasgate.shards.placements import find_rule_limits
-from sassafrasgate.shards.placements import is_rule_for
+from sassafrasgate.shards.placements import matches_rule
 from sassafrasgate.shards.state import TaskPhase
 
 if TYPE_CHECKING:
@@ -26,28 +26,28 @@
     from sassafrasgate.shards.state import ShardState
     from sassafrasgate.shards.state import TaskEntry
 
-# Stops take a round trip and a sync; until then the same job asks for no
-# more victims.
+# Stopping a task takes a round trip and a sync, so the same job does not
+# preempt more tasks before then.
 PREEMPTION_WAIT_MS = 3_000
 MAX_VICTIMS = 8
 
 
 def may_preempt(state: ShardState, spec: JobSpec) -> bool:
-    """Tell whether a rule lets a job displace batch work."""
+    """Tell whether a rule allows a job to preempt batch tasks."""
     return spec.tasks == 1 and any(
-        rule.may_preempt and is_rule_for(rule, spec)
+        rule.may_preempt and matches_rule(rule, spec)
         for rule in state.configuration.rules
     )
 
 
-def preempt_for(state: ShardState, entry: JobEntry, now: int) -> Actions:
-    """Stop batch tasks on one host so that a job fits there."""
-    if state.preemptions.get(entry.job_id, 0) > now:
+def preempt_for_job(state: ShardState, entry: JobEntry, now: int) -> Actions:
+    """Stop batch tasks on one host so that a job fits on it."""
+    if state.preempt_again_at.get(entry.job_id, 0) > now:
         return
     victims = choose_victims(state, entry.spec)
     if not victims:
         return
-    state.preemptions[entry.job_id] = now + PREEMPTION_WAIT_MS
+    state.preempt_again_at[entry.job_id] = now + PREEMPTION_WAIT_MS
     for task in victims:
         state.tasks[task.task] = replace(task, stopping=True)
         yield LogDecision(
@@ -61,16 +61,17 @@
 
 
 def choose_victims(state: ShardState, spec: JobSpec) -> tuple[TaskEntry, ...]:
-    """Return the fewest batch tasks whose end makes room on some host.
+    """Return the fewest batch tasks whose end lets a job fit on some host.
 
-    Among hosts that need equally many, the one whose victims started last
-    loses the least work.
+    On each host the tasks that started last are chosen first, since they
+    lose the least work. Among hosts that need equally few, the first one is
+    taken.
     """
     labels, domains = find_rule_limits(state, spec)
     best: tuple[TaskEntry, ...] = ()
     for name in state.index.free_on_open_hosts:
         host = state.index.hosts[name]
-        if not _is_allowed(host, spec, labels, domains):
+        if not _is_eligible(host, spec, labels, domains):
             continue
         victims = _choose_on_host(state, name, spec.demand)
         if victims and (not best or len(victims) < len(best)):
@@ -78,7 +79,7 @@
     return best
 
 
-def _is_allowed(
+def _is_eligible(
     host: Host,
     spec: JobSpec,
     labels: tuple[str, ...],
@@ -103,7 +104,7 @@
         task
         for name in state.index.list_reservations(host)
         if (task := state.tasks.get(name)) is not None
-        and _is_victim(state, task)
+        and _is_preemptible(state, task)
     ]
     candidates.sort(key=lambda task: task.started_clock, reverse=True)
     chosen: list[TaskEntry] = []
@@ -115,7 +116,7 @@
     return tuple(chosen) if demand.fits_in(room) else ()
 
 
-def _is_victim(state: ShardState, task: TaskEntry) -> bool:
+def _is_preemptible(state: ShardState, task: TaskEntry) -> bool:
     if task.phase is not TaskPhase.RUNNING or task.stopping:
         return False
     job = state.jobs.get(task.job_id)
--- a/sassafrasgate/shards/quick.py
+++ b/sassafrasgate/shards/quick_requests.py
@@ -1,4 +1,4 @@
-"""Quick requests: placed and answered without a journal record."""
+"""Quick requests, which are placed and answered without journal records."""
 
 from __future__ import annotations
 
@@ -23,7 +23,7 @@
 from sassafrasgate.shards.events import OutputFetched
 from sassafrasgate.shards.handlers import EVENT_HANDLERS
 from sassafrasgate.shards.handlers import reply_refusal
-from sassafrasgate.shards.placements import choose_for_job
+from sassafrasgate.shards.placements import choose_hosts_for_job
 from sassafrasgate.shards.state import QuickRequest
 from sassafrasgate.shards.state import TaskEntry
 
@@ -36,8 +36,8 @@
     from sassafrasgate.shards.state import ShardState
 
 DEFAULT_DEADLINE_MS = 5_000
-# The lease of a quick request is not renewed, and its start may use a clock
-# reading that is as old as one held sync.
+# Below the task lease, since the lease of a quick request is not renewed and
+# its start may use a clock reading as old as a long-polled sync call.
 MAX_DEADLINE_MS = 7_000
 REPLY_MARGIN_MS = 100
 MAX_TRIES = 3
@@ -46,16 +46,17 @@
 def start_quick_request(
     state: ShardState, request: RequestReceived, now: int
 ) -> Actions:
-    """Place a quick request at once, or refuse it at once."""
+    """Place a quick request at once, or refuse it."""
     submit: Submit = request.message
     refusal = _find_refusal(state, submit.spec)
     if refusal is not None:
         yield from _refuse(state, request, refusal)
         return
-    running = state.quick.get(submit.job_id)
+    running = state.quick_requests.get(submit.job_id)
     if running is not None:
-        # One attempt at a time, also after its first callers gave up.
-        state.quick[submit.job_id] = replace(
+        # Only one attempt of a key runs at a time, even after its earlier
+        # callers have given up.
+        state.quick_requests[submit.job_id] = replace(
             running,
             reply_to=(*running.reply_to, request.reply_to),
             expires_at=now + find_deadline_ms(submit.spec) - REPLY_MARGIN_MS,
@@ -75,17 +76,20 @@
         if refusal.kind is RefusalKind.NO_ROOM and _awaits_hosts(state):
             refusal = Refusal(
                 RefusalKind.NOT_READY,
-                f'the new owner of shard {state.name!r} waits for the first '
-                'answers of its hosts',
+                f'the new owner of shard {state.name!r} is waiting for the '
+                'first answers of its workers',
                 'send the request again after a second',
             )
         yield from _refuse(state, request, refusal)
 
 
 def _awaits_hosts(state: ShardState) -> bool:
-    """Tell whether hosts that are not known to be silent are not open yet."""
+    """Tell whether some hosts have not acknowledged this owner yet.
+
+    Hosts that are known to be unresponsive do not count.
+    """
     return any(
-        not host.fenced and not host.silent_since
+        not host.epoch_acknowledged and not host.silent_since
         for host in state.hosts.values()
     )
 
@@ -137,18 +141,18 @@
 def _place(
     state: ShardState, quick: QuickRequest, now: int
 ) -> Generator[Any, None, Refusal | None]:
-    chosen = choose_for_job(state, quick.spec, 1, frozenset(quick.tried))
+    chosen = choose_hosts_for_job(state, quick.spec, 1, frozenset(quick.tried))
     if isinstance(chosen, Refusal):
         return chosen
     host = chosen.hosts[0]
     attempt = quick.attempt + 1
-    # Epoch and serial keep the ids of tasks apart that run for one key at
-    # different times, so that a worker takes none for a repeat.
-    state.quick_serial += 1
+    # The epoch and a sequence number make the task id unique among all tasks
+    # of one key, so that a worker takes none for a repeated start.
+    state.quick_sequence += 1
     task = make_task_id(
-        f'{quick.job_id}~{state.epoch}', state.quick_serial, attempt
+        f'{quick.job_id}~{state.epoch}', state.quick_sequence, attempt
     )
-    demand = state.sizes.estimate_demand(quick.spec)
+    demand = state.demand_estimator.estimate_demand(quick.spec)
     incarnation = state.hosts[host].incarnation
     state.add_task(
         TaskEntry(
@@ -160,7 +164,7 @@
             team=quick.spec.team,
         )
     )
-    state.quick[quick.job_id] = replace(
+    state.quick_requests[quick.job_id] = replace(
         quick, attempt=attempt, task=task, host=host
     )
     wait_ms = max(1, quick.expires_at - now)
@@ -187,10 +191,13 @@
 def retry_quick_request(
     state: ShardState, job_id: str, reason: str, now: int
 ) -> Actions:
-    """Place a quick request elsewhere after a certain refusal."""
-    quick = state.quick[job_id]
+    """Place a quick request on another host after an unsuccessful attempt.
+
+    The earlier attempt must be certain not to run any more.
+    """
+    quick = state.quick_requests[job_id]
     if not quick.reply_to:
-        del state.quick[job_id]
+        del state.quick_requests[job_id]
         return
     tried = replace(quick, tried=(*quick.tried, quick.host))
     if now >= quick.expires_at or len(tried.tried) >= MAX_TRIES:
@@ -203,7 +210,7 @@
         refusal = yield from _place(state, tried, now)
     if refusal is None:
         return
-    del state.quick[job_id]
+    del state.quick_requests[job_id]
     yield LogDecision('refuse', job_id, quick.attempt, reason=refusal.reason)
     for reply_to in quick.reply_to:
         yield reply_refusal(reply_to, refusal)
@@ -212,14 +219,14 @@
 def end_quick_request(
     state: ShardState, job_id: str, ended: EndedTask, now: int
 ) -> Actions:
-    """Answer a quick request with its task's output."""
-    quick = state.quick[job_id]
+    """Answer a quick request with its task's output, or retry it."""
+    quick = state.quick_requests[job_id]
     if quick.ended is not None:
         return
     if ended.outcome is TaskOutcome.FINISHED and ended.size > len(
         ended.output
     ):
-        state.quick[job_id] = replace(quick, ended=ended)
+        state.quick_requests[job_id] = replace(quick, ended=ended)
         yield FetchOutput(quick.host, quick.task, ended.size, ended.digest)
         return
     succeeded = ended.outcome is TaskOutcome.FINISHED
@@ -240,11 +247,11 @@
 
 
 @EVENT_HANDLERS.register(OutputFetched)
-def answer_fetched(
+def handle_fetched_output(
     state: ShardState, event: OutputFetched, now: int
 ) -> Actions:
-    """Answer a quick request whose large output has arrived."""
-    for quick in list(state.quick.values()):
+    """Answer a quick request whose large output has been fetched."""
+    for quick in list(state.quick_requests.values()):
         if quick.task != event.task:
             continue
         outcome = Outcome(
@@ -261,7 +268,7 @@
 def _answer(
     state: ShardState, quick: QuickRequest, outcome: Outcome
 ) -> Actions:
-    state.quick.pop(quick.job_id, None)
+    state.quick_requests.pop(quick.job_id, None)
     yield ReleaseTask(quick.host, quick.task)
     view = JobView(
         quick.job_id,
@@ -281,22 +288,23 @@
 
 
 def expire_quick_requests(state: ShardState, now: int) -> Actions:
-    """Answer "unknown" to callers whose time is over.
+    """Answer "unknown" to callers whose deadline has passed.
 
     The reservation and the entry stay until the task has certainly ended,
-    so that the same key does not run in a second place meanwhile.
+    so that a request with the same key does not run concurrently on a second
+    host.
     """
     late = [
         quick
-        for quick in state.quick.values()
+        for quick in state.quick_requests.values()
         if quick.reply_to and quick.expires_at <= now
     ]
     for quick in late:
-        state.quick[quick.job_id] = replace(quick, reply_to=())
+        state.quick_requests[quick.job_id] = replace(quick, reply_to=())
         view = JobView(
             quick.job_id,
             JobState.UNKNOWN,
-            'the worker has not answered in time',
+            'the worker did not answer within the deadline',
             quick.attempt,
             (quick.host,),
             state.name,
@@ -306,7 +314,7 @@
             'expire', quick.job_id, quick.attempt, quick.host, view.reason
         )
         if quick.ended is not None:
-            # Its end has been reported; its output could not be fetched.
+            # The task has ended, but its output has not been fetched.
             yield ReleaseTask(quick.host, quick.task)
         for reply_to in quick.reply_to:
             yield Reply(reply_to, view)
--- a/sassafrasgate/shards/recovery.py
+++ b/sassafrasgate/shards/recovery.py
@@ -1,4 +1,7 @@
-"""How journal records change a shard's state, now and in replay."""
+"""Application of journal records to a shard's state.
+
+The same functions serve new records and the replay after a takeover.
+"""
 
 from __future__ import annotations
 
@@ -16,8 +19,8 @@
 from sassafrasgate.journal.records import JobTransferred
 from sassafrasgate.journal.records import ShareLent
 from sassafrasgate.journal.records import Takeover
-from sassafrasgate.shards.attempts import find_takeover_lapse
-from sassafrasgate.shards.handlers import APPLIERS
+from sassafrasgate.shards.attempts import compute_takeover_lease_expiry
+from sassafrasgate.shards.handlers import RECORD_APPLIERS
 from sassafrasgate.shards.state import HostEntry
 from sassafrasgate.shards.state import JobEntry
 from sassafrasgate.shards.state import TaskEntry
@@ -35,35 +38,38 @@
 
 
 def replay_records(state: ShardState, records: Iterable[Any]) -> None:
-    """Apply records of a snapshot or the journal, oldest first."""
+    """Apply records of a snapshot or the journal in order."""
     for record in records:
-        APPLIERS.find(record.kind)(state, record)
+        RECORD_APPLIERS.find(record.kind)(state, record)
 
 
 def begin_ownership(state: ShardState, now: int) -> None:
-    """Set the lapse times of hosts once the takeover record is durable."""
-    lapse_at = find_takeover_lapse(
+    """Set when the leases of earlier owners expire on each host.
+
+    Call this once the takeover record is durable.
+    """
+    leases_expire_at = compute_takeover_lease_expiry(
         now, state.previous_grace_ms, ttl_ms=state.previous_ttl_ms
     )
     for name in state.hosts:
-        state.update_host(name, lapse_at=lapse_at)
+        state.update_host(name, leases_expire_at=leases_expire_at)
     for entry in list(state.jobs.values()):
         if entry.outcome is not None:
             state.update_job(entry.job_id, end_durable=True)
 
 
-def list_records(state: ShardState) -> Iterator[Any]:
-    """Yield records from which the durable state can be rebuilt."""
+def list_snapshot_records(state: ShardState) -> Iterator[Any]:
+    """Yield records for a snapshot of the durable state."""
     yield Takeover(state.epoch, state.owner, state.grace_ms, state.ttl_ms)
     for entry in state.jobs.values():
-        yield from _list_job_records(entry)
+        yield from _list_job_snapshot_records(entry)
     for job_id, home, attempt in state.tombstones:
         yield AttemptRefused(job_id, home, attempt)
-    for (borrower, team), total in state.lent.items():
+    for (borrower, team), total in state.lent_shares.items():
         yield ShareLent(borrower, team, total)
 
 
-def _list_job_records(entry: JobEntry) -> Iterator[Any]:
+def _list_job_snapshot_records(entry: JobEntry) -> Iterator[Any]:
     yield JobAccepted(
         entry.job_id,
         entry.spec,
@@ -110,8 +116,8 @@
 
 
 def _requeue(state: ShardState, entry: JobEntry) -> None:
-    # Deadlines count from acceptance, which only the wall clock can tell
-    # across owners.
+    # Deadlines count from acceptance, and only the wall clock is comparable
+    # between owners.
     waited_ms = max(0, state.wall_ms - entry.accepted_at_ms)
     group = (entry.spec.team, entry.spec.job_class, entry.failed_hosts)
     state.queue.add(
@@ -122,9 +128,9 @@
     )
 
 
-@APPLIERS.register('takeover')
+@RECORD_APPLIERS.register('takeover')
 def apply_takeover(state: ShardState, record: Takeover) -> None:
-    """Note the epoch and what the previous owner was allowed."""
+    """Set the epoch; keep the lease and grace of the previous owner."""
     state.previous_grace_ms = state.grace_ms
     state.previous_ttl_ms = state.ttl_ms
     state.epoch = record.epoch
@@ -132,9 +138,9 @@
     state.ttl_ms = record.ttl_ms
 
 
-@APPLIERS.register('accepted')
+@RECORD_APPLIERS.register('accepted')
 def apply_accepted(state: ShardState, record: JobAccepted) -> None:
-    """Add a job, queued or with its first placements."""
+    """Add a job, either queued or with its first placements."""
     entry = JobEntry(
         record.job_id,
         record.spec,
@@ -151,9 +157,9 @@
         _requeue(state, entry)
 
 
-@APPLIERS.register('placed')
+@RECORD_APPLIERS.register('placed')
 def apply_placed(state: ShardState, record: JobPlaced) -> None:
-    """Add placements of a new attempt to those that still stand."""
+    """Add the placements of a new attempt to the job's current ones."""
     entry = state.jobs[record.job_id]
     state.queue.remove(record.job_id)
     entry = state.update_job(
@@ -164,13 +170,13 @@
         reason='',
     )
     _add_placements(state, record.job_id, record.placements)
-    if entry.missing_tasks > 0:
+    if entry.unplaced_tasks > 0:
         _requeue(state, entry)
 
 
-@APPLIERS.register('requeued')
+@RECORD_APPLIERS.register('requeued')
 def apply_requeued(state: ShardState, record: JobRequeued) -> None:
-    """Drop the tasks that ended and queue the job for others."""
+    """Remove a job's ended tasks and queue the job again."""
     entry = state.jobs[record.job_id]
     gone = set(record.tasks)
     for task in record.tasks:
@@ -178,8 +184,10 @@
     entry = state.update_job(
         record.job_id,
         placements=tuple(p for p in entry.placements if p.task not in gone),
-        finished=tuple(f for f in entry.finished if f.task not in gone),
-        closed=(),
+        finished_tasks=tuple(
+            f for f in entry.finished_tasks if f.task not in gone
+        ),
+        unsuccessful_tasks=(),
         failures=entry.failures + record.counted,
         may_have_run=entry.may_have_run or record.may_have_run,
         failed_hosts=record.failed_hosts,
@@ -191,15 +199,15 @@
     _requeue(state, entry)
 
 
-@APPLIERS.register('ended')
+@RECORD_APPLIERS.register('ended')
 def apply_ended(state: ShardState, record: JobEnded) -> None:
-    """End a job; all its tasks have certainly ended."""
+    """End a job, all of whose tasks have certainly ended."""
     entry = state.jobs[record.job_id]
     for placement in entry.placements:
         state.drop_task(placement.task)
     state.queue.remove(record.job_id)
     state.transfers.pop(record.job_id, None)
-    state.preemptions.pop(record.job_id, None)
+    state.preempt_again_at.pop(record.job_id, None)
     state.update_job(
         record.job_id,
         state=record.outcome.state,
@@ -207,15 +215,15 @@
         outcome=record.outcome,
         end_durable=False,
         ended_at_ms=record.ended_at_ms,
-        finished=(),
-        closed=(),
+        finished_tasks=(),
+        unsuccessful_tasks=(),
     )
-    state.ended_order[record.job_id] = None
+    state.ended_jobs[record.job_id] = None
 
 
-@APPLIERS.register('transferred')
+@RECORD_APPLIERS.register('transferred')
 def apply_transferred(state: ShardState, record: JobTransferred) -> None:
-    """Hand an attempt to another shard."""
+    """Mark a job's attempt as transferred to another shard."""
     state.queue.remove(record.job_id)
     state.update_job(
         record.job_id,
@@ -229,28 +237,31 @@
     )
 
 
-@APPLIERS.register('tombstone')
+@RECORD_APPLIERS.register('tombstone')
 def apply_tombstone(state: ShardState, record: AttemptRefused) -> None:
-    """Refuse a transferred attempt for good."""
+    """Remember that a transferred attempt was permanently refused."""
     state.tombstones[(record.job_id, record.home, record.home_attempt)] = None
     if len(state.tombstones) > MAX_TOMBSTONES:
         state.tombstones.pop(next(iter(state.tombstones)))
 
 
-@APPLIERS.register('forgotten')
+@RECORD_APPLIERS.register('forgotten')
 def apply_forgotten(state: ShardState, record: JobsForgotten) -> None:
-    """Drop jobs whose retention has ended."""
+    """Remove jobs whose retention period has ended."""
     for job_id in record.job_ids:
         state.jobs.pop(job_id, None)
         state.health.remove_job_results(job_id)
-        state.ended_order.pop(job_id, None)
+        state.ended_jobs.pop(job_id, None)
         state.explanations.pop(job_id, None)
 
 
-def sync_hosts(state: ShardState, lapse_at: int) -> None:
-    """Bring the host index in line with the configuration.
+def update_hosts_from_configuration(
+    state: ShardState, leases_expire_at: int
+) -> None:
+    """Update the hosts from the configuration.
 
-    Hosts that left the inventory stay, closed, while tasks may run there.
+    Hosts that were removed from the inventory stay, without new tasks, while
+    tasks may run on them.
     """
     shard = _find_shard(state)
     if shard is None:
@@ -266,7 +277,9 @@
         if state.index.hosts.get(name) != host:
             state.index.add_host(host)
         if name not in state.hosts:
-            state.hosts[name] = HostEntry(name, lapse_at=lapse_at)
+            state.hosts[name] = HostEntry(
+                name, leases_expire_at=leases_expire_at
+            )
             state.index.set_open(name, False)
     _set_totals(state, list(wanted.values()))
     for name in [name for name in state.hosts if name not in wanted]:
--- a/sassafrasgate/shards/passes.py
+++ b/sassafrasgate/shards/scheduling_passes.py
@@ -1,4 +1,4 @@
-"""Passes over the queue: place, transfer, or leave waiting."""
+"""Scheduling passes, which place or transfer queued jobs."""
 
 from __future__ import annotations
 
@@ -8,8 +8,8 @@
 from sassafrasgate.core.jobs import JobClass
 from sassafrasgate.shards.placements import place_job
 from sassafrasgate.shards.preemption import may_preempt
-from sassafrasgate.shards.preemption import preempt_for
-from sassafrasgate.shards.shares import borrow_share
+from sassafrasgate.shards.preemption import preempt_for_job
+from sassafrasgate.shards.quota_shares import borrow_share
 from sassafrasgate.shards.transfers import begin_transfer
 from sassafrasgate.shards.transfers import find_transfer_target
 from sassafrasgate.shards.transfers import TRANSFER_AFTER_MS
@@ -28,9 +28,10 @@
 
 
 def place_queued_jobs(state: ShardState, now: int) -> Actions:
-    """Place waiting jobs in fair order, at most one batch per call.
+    """Place queued jobs in fair order, a limited number per call.
 
-    A job that does not fit now is passed over and blocks nobody.
+    A job that does not fit now is skipped and does not block those behind
+    it.
     """
     placed = 0
     transferred = 0
@@ -41,7 +42,7 @@
             state.start_rate.record_starts(now)
             placed += 1
             if placed >= MAX_PLACEMENTS_PER_PASS:
-                state.room_changed = True
+                state.needs_pass = True
                 return
             continue
         if refusal.kind is RefusalKind.QUOTA:
@@ -49,19 +50,22 @@
             yield from borrow_share(state, job.spec, now)
             continue
         may_move = transferred < MAX_TRANSFERS_PER_PASS
-        transferred += yield from _help_refused(
+        transferred += yield from _transfer_or_preempt(
             state, job, refusal, may_move, now
         )
 
 
-def _help_refused(
+def _transfer_or_preempt(
     state: ShardState,
     job: QueuedJob,
     refusal: Refusal,
     may_move: bool,
     now: int,
 ) -> Generator[Any, None, int]:
-    """Transfer a refused job, or make room for it; count transfers."""
+    """Transfer an unplaced job or preempt others for it.
+
+    Returns the number of transfers, 0 or 1.
+    """
     entry = state.jobs[job.job_id]
     if may_move and may_transfer(state, job, refusal, now):
         target = find_transfer_target(state, job.spec, now)
@@ -69,7 +73,7 @@
             yield from begin_transfer(state, entry, target)
             return 1
     if refusal.kind is RefusalKind.NO_ROOM and may_preempt(state, job.spec):
-        yield from preempt_for(state, entry, now)
+        yield from preempt_for_job(state, entry, now)
     return 0
 
 
@@ -78,8 +82,9 @@
 ) -> bool:
     """Tell whether a job may leave its home shard now.
 
-    Another failure domain costs a hop, so a job that could run at home
-    waits there first, unless it is urgent.
+    Running in another failure domain adds a network hop, so a job that
+    could run on its home shard waits there for `TRANSFER_AFTER_MS` first,
+    unless it is urgent.
     """
     entry = state.jobs[job.job_id]
     if entry.placements or entry.home or entry.cancelling:
--- a/sassafrasgate/shards/submissions.py
+++ b/sassafrasgate/shards/submissions.py
@@ -1,4 +1,4 @@
-"""Accepting jobs: duplicates, admission, acceptance, withdrawal."""
+"""Submission of jobs, from the duplicate check to the first start."""
 
 from __future__ import annotations
 
@@ -21,19 +21,19 @@
 from sassafrasgate.shards.actions import LogDecision
 from sassafrasgate.shards.actions import Reply
 from sassafrasgate.shards.actions import StartTask
-from sassafrasgate.shards.actions import Withdraw
+from sassafrasgate.shards.actions import WithdrawRecords
 from sassafrasgate.shards.events import WithdrawalAnswered
 from sassafrasgate.shards.handlers import DURABLE_HANDLERS
 from sassafrasgate.shards.handlers import EVENT_HANDLERS
 from sassafrasgate.shards.handlers import reply_refusal
 from sassafrasgate.shards.handlers import REQUEST_HANDLERS
 from sassafrasgate.shards.handlers import write_record
-from sassafrasgate.shards.placements import choose_for_job
+from sassafrasgate.shards.placements import choose_hosts_for_job
 from sassafrasgate.shards.placements import fits_nowhere
+from sassafrasgate.shards.placements import log_decision
+from sassafrasgate.shards.placements import log_placement
 from sassafrasgate.shards.placements import make_placements
-from sassafrasgate.shards.placements import note_decision
-from sassafrasgate.shards.placements import note_placement
-from sassafrasgate.shards.quick import start_quick_request
+from sassafrasgate.shards.quick_requests import start_quick_request
 from sassafrasgate.shards.state import PendingSubmit
 from sassafrasgate.shards.state import TaskPhase
 from sassafrasgate.shards.transfers import answer_transfer_callers
@@ -45,8 +45,8 @@
     from sassafrasgate.shards.handlers import Actions
     from sassafrasgate.shards.state import ShardState
 
-# Below the time that a front end waits for an acceptance, so that callers
-# get "not run" rather than no answer.
+# Below the front end's time-out for an acceptance, so that callers get "not
+# run" instead of no answer.
 ACCEPT_MS = 8_000
 MAX_QUEUED_JOBS = 100_000
 
@@ -55,7 +55,7 @@
 def accept_submit(
     state: ShardState, request: RequestReceived, now: int
 ) -> Actions:
-    """Accept a job, or refuse it with the certainty that it will not run."""
+    """Accept a job, or refuse it; a refused job never runs."""
     submit: Submit = request.message
     if submit.spec.job_class is JobClass.QUICK:
         yield from start_quick_request(state, request, now)
@@ -73,9 +73,9 @@
 def refuse_submit(
     state: ShardState, request: RequestReceived, refusal: Refusal
 ) -> Actions:
-    """Refuse a job that has left no trace."""
+    """Refuse a job of which no record has been written."""
     submit: Submit = request.message
-    yield from note_decision(
+    yield from log_decision(
         state, LogDecision('refuse', submit.job_id, reason=refusal.reason)
     )
     yield reply_refusal(request.reply_to, refusal)
@@ -125,9 +125,9 @@
         )
         return
     caller = make_waiter(request, submit.wait_s, now)
-    pending = state.pending.get(submit.job_id)
+    pending = state.pending_submits.get(submit.job_id)
     if pending is not None:
-        state.pending[submit.job_id] = replace(
+        state.pending_submits[submit.job_id] = replace(
             pending, callers=(*pending.callers, caller)
         )
         return
@@ -139,7 +139,7 @@
 ) -> Actions:
     submit: Submit = request.message
     spec = submit.spec
-    chosen = choose_for_job(state, spec, spec.tasks)
+    chosen = choose_hosts_for_job(state, spec, spec.tasks)
     if (
         isinstance(chosen, Refusal)
         and fits_nowhere(chosen)
@@ -147,8 +147,7 @@
     ):
         yield from refuse_submit(state, request, chosen)
         return
-    # Waiting jobs keep their order: a new one overtakes the queue only when
-    # its class says so.
+    # Queued jobs keep their order; only urgent jobs overtake the queue.
     may_overtake = spec.job_class is JobClass.URGENT or not len(state.queue)
     placements: tuple[Placement, ...] = ()
     if isinstance(chosen, Assignment) and may_overtake:
@@ -165,17 +164,21 @@
     )
     if request.reply_to:
         caller = make_waiter(request, submit.wait_s, now)
-        state.pending[submit.job_id] = PendingSubmit(
+        state.pending_submits[submit.job_id] = PendingSubmit(
             now + ACCEPT_MS, (caller,)
         )
     if isinstance(chosen, Assignment) and placements:
         state.start_rate.record_starts(now)
-        yield from note_placement(state, submit.job_id, 1, chosen)
+        yield from log_placement(state, submit.job_id, 1, chosen)
         return
-    state.room_changed = True
-    reason = chosen.reason if isinstance(chosen, Refusal) else 'behind others'
+    state.needs_pass = True
+    reason = (
+        chosen.reason
+        if isinstance(chosen, Refusal)
+        else 'waiting behind earlier jobs'
+    )
     state.update_job(submit.job_id, reason=reason)
-    yield from note_decision(
+    yield from log_decision(
         state, LogDecision('queue', submit.job_id, reason=reason)
     )
 
@@ -184,11 +187,11 @@
 def confirm_accepted(
     state: ShardState, record: JobAccepted, now: int
 ) -> Actions:
-    """Answer the callers and start the tasks the record names."""
+    """Answer the callers and start the tasks of a durable acceptance."""
     if record.job_id not in state.jobs:
         return
     state.update_job(record.job_id, durable=True)
-    pending = state.pending.pop(record.job_id, None)
+    pending = state.pending_submits.pop(record.job_id, None)
     if pending is not None:
         for position, caller in enumerate(pending.callers):
             yield from answer_or_wait(
@@ -207,7 +210,7 @@
 def start_placed(
     state: ShardState, job_id: str, placements: tuple[Placement, ...]
 ) -> Actions:
-    """Send the starts of placements that are still wanted."""
+    """Start the tasks of placements that are still planned."""
     spec = state.jobs[job_id].spec
     for placement in placements:
         task = state.tasks.get(placement.task)
@@ -223,20 +226,20 @@
 
 
 def expire_submits(state: ShardState, now: int) -> Actions:
-    """Ask the journal to drop acceptances whose callers give up."""
-    for job_id, pending in list(state.pending.items()):
+    """Ask the journal to withdraw acceptances whose callers time out."""
+    for job_id, pending in list(state.pending_submits.items()):
         if pending.expires_at > now or pending.withdrawing:
             continue
-        state.pending[job_id] = replace(pending, withdrawing=True)
-        yield Withdraw(job_id)
+        state.pending_submits[job_id] = replace(pending, withdrawing=True)
+        yield WithdrawRecords(job_id)
 
 
 @EVENT_HANDLERS.register(WithdrawalAnswered)
 def finish_withdrawal(
     state: ShardState, event: WithdrawalAnswered, now: int
 ) -> Actions:
-    """Tell callers "not run" when that is certain, else "unknown"."""
-    pending = state.pending.pop(event.job_id, None)
+    """Answer "not run" if the records were withdrawn, else "unknown"."""
+    pending = state.pending_submits.pop(event.job_id, None)
     entry = state.jobs.get(event.job_id)
     if entry is None:
         return
@@ -258,7 +261,7 @@
     state.queue.remove(event.job_id)
     state.jobs.pop(event.job_id)
     state.explanations.pop(event.job_id, None)
-    state.room_changed = True
+    state.needs_pass = True
     view = JobView(
         event.job_id,
         JobState.NOT_RUN,
--- a/sassafrasgate/shards/transitions.py
+++ b/sassafrasgate/shards/transitions.py
@@ -1,4 +1,4 @@
-"""The one entry point of a shard's decisions."""
+"""The state transition of a shard, its only entry point for events."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 from sassafrasgate.shards.handlers import EVENT_HANDLERS
 from sassafrasgate.shards.handlers import reply_refusal
 from sassafrasgate.shards.handlers import REQUEST_HANDLERS
-from sassafrasgate.shards.passes import place_queued_jobs
+from sassafrasgate.shards.scheduling_passes import place_queued_jobs
 
 if TYPE_CHECKING:
     from sassafrasgate.shards.handlers import Actions
@@ -21,27 +21,28 @@
 
 
 def decide(state: ShardState, event: Any, now: int) -> tuple[Any, ...]:
-    """Apply an event to a shard's state and return what to do.
+    """Apply an event to a shard's state and return the resulting actions.
 
     Parameters
     ----------
     state : ShardState
-        Changed in place; it belongs to the calling task alone.
+        Changed in place; only the calling task may use it.
     event : object
         One of `sassafrasgate.shards.events`.
     now : int
-        The owner's suspend-counting clock in milliseconds.
+        The owner's clock in ms, which counts suspended time.
 
     Returns
     -------
     tuple
-        Actions of `sassafrasgate.shards.actions`, in order.
+        Actions of `sassafrasgate.shards.actions`, in the order in which
+        they are to be carried out.
     """
-    state.room_changed = False
+    state.needs_pass = False
     state.now = now
     actions = list(EVENT_HANDLERS.find(type(event))(state, event, now))
-    if state.room_changed and len(state.queue):
-        state.room_changed = False
+    if state.needs_pass and len(state.queue):
+        state.needs_pass = False
         actions.extend(place_queued_jobs(state, now))
     return tuple(actions)
 
@@ -50,7 +51,7 @@
 def dispatch_request(
     state: ShardState, event: RequestReceived, now: int
 ) -> Actions:
-    """Hand a request to the handler of its kind."""
+    """Pass a request to the handler of its kind."""
     kind = event.message.kind
     if kind not in REQUEST_HANDLERS:
         yield reply_refusal(
--- a/tests/dispatch/simulation.py
+++ b/tests/dispatch/simulation.py
@@ -67,9 +67,9 @@
 from sassafrasgate.protocol.workflows import CancelWorkflow
 from sassafrasgate.protocol.workflows import SubmitWorkflow
 from sassafrasgate.protocol.workflows import WorkflowView
-from sassafrasgate.shards.actions import GiveUpShard
-from sassafrasgate.shards.actions import Persist
+from sassafrasgate.shards.actions import AppendRecord
 from sassafrasgate.shards.actions import Reply
+from sassafrasgate.shards.actions import StepDown
 from sassafrasgate.shards.events import RecordsDurable
 from sassafrasgate.shards.events import RequestReceived
 from sassafrasgate.shards.events import Ticked
@@ -392,7 +392,7 @@
     def carry_out(self, actions: Any) -> None:
         """Do what was decided."""
         for action in actions:
-            if isinstance(action, Persist):
+            if isinstance(action, AppendRecord):
                 self.unwritten.append(action.record)
                 self.write()
             elif isinstance(action, Reply):
@@ -417,7 +417,7 @@
                 self.contacts.pop(action.worker, None)
             elif isinstance(action, AskAdvice):
                 self.ask_advice(action)
-            elif isinstance(action, GiveUpShard):
+            elif isinstance(action, StepDown):
                 self.dead = True
 
     def write(self) -> None:
@@ -880,11 +880,11 @@
         if what == 'cancel' and message.state is WorkflowState.CANCELLED:
             caller.cancelled = True
 
-    def shown(self, job_id: str) -> WorkflowState | None:
+    def find_shown_state(self, job_id: str) -> WorkflowState | None:
         """Return the state that the owner shows to callers."""
         assert self.owner is not None
         entry = self.owner.state.jobs.get(job_id)
-        return None if entry is None else entry.shown
+        return None if entry is None else entry.durable_state
 
 
 def make_step(tasks: int = 1, ms: int = 500, **fields: Any) -> Step:
