Say which resources the mean share of an amount covers

Cause: the docstring did not say that connections are left out.

Change: docstrings of scores.

Result: linters, mypy and tests/placement pass.

--- a/sassafrasgate/placement/scores.py
+++ b/sassafrasgate/placement/scores.py
@@ -24,7 +24,6 @@
     The costs of a host are added up, and the host with the lowest sum is
     chosen.
 
-
     Parameters
     ----------
     remote : float
@@ -44,7 +43,10 @@
 
 
 def compute_mean_share(amount: Resources, unit: Resources) -> float:
-    """Return the mean over the resources of the fraction of a unit used.
+    """Return the fraction of a unit that an amount uses, as a mean.
+
+    The mean is taken over the processors, memory, accelerators and slots.
+    Connections are not considered.
 
     Best fit by this mean considers all resources together. Best fit by the
     scarcest resource alone packs no better than first fit, because the
