--- a/sassafrasgate/daemons/entry.py
+++ b/sassafrasgate/daemons/entry.py
@@ -321,7 +321,7 @@
             if isinstance(reply, Refusal):
                 reply = Refused(reply.kind, reply.reason, reply.remedy)
             await self.services.reply(
-                OutgoingReply(request.client, request.request, reply)
+                OutgoingReply(request.client, request.request_id, reply)
             )
 
         if type(message) in ENTRY_REQUESTS:
--- a/sassafrasgate/dispatch/reports.py
+++ b/sassafrasgate/dispatch/reports.py
@@ -56,7 +56,8 @@
         return
     report = event.report
     restarted = (
-        bool(entry.incarnation_ms) and report.born_ms != entry.incarnation_ms
+        bool(entry.incarnation_ms)
+        and report.incarnation_ms != entry.incarnation_ms
     )
     if (
         not restarted
@@ -71,7 +72,7 @@
     state.update_worker(
         event.worker,
         epoch_acknowledged=True,
-        incarnation_ms=report.born_ms,
+        incarnation_ms=report.incarnation_ms,
         reading=ClockReading(report.clock_ms, event.received_at),
         last_end_number=0 if restarted else entry.last_end_number,
         silent_since=0,
@@ -103,7 +104,7 @@
             continue
         state.update_run(
             run.key,
-            incarnation_ms=event.report.born_ms,
+            incarnation_ms=event.report.incarnation_ms,
             phase=RunPhase.PRESENT,
             confirmed_clock=event.report.clock_ms,
             stop_confirmed_clock=0,
@@ -152,7 +153,7 @@
             ended.how,
             ended.checkpoint,
             event.worker,
-            event.report.born_ms,
+            event.report.incarnation_ms,
             ended.number,
             state.wall_ms,
         ),
@@ -277,7 +278,7 @@
         step_key,
         index,
         event.worker,
-        event.report.born_ms,
+        event.report.incarnation_ms,
         compute_reservation(step),
         RunPhase.PRESENT,
         started_at=state.now - step.estimate_ms * percent // 100,
--- a/tests/dispatch/test_guards.py
+++ b/tests/dispatch/test_guards.py
@@ -106,7 +106,9 @@
 
     def patched(state, event, ended):
         yield from process_ended(state, event, ended)
-        yield AcknowledgeEnds(event.worker, event.report.born_ms, ended.number)
+        yield AcknowledgeEnds(
+            event.worker, event.report.incarnation_ms, ended.number
+        )
 
     patch.setattr(reports, '_process_ended', patched)
 
