Links: say what is sent, received and counted

Cause: 'silence', 'heard' and 'call' hid what the link measures and sends. Change: constants, attributes, docstrings and the reasons of NoReply use usual terms of the field. No behaviour changes.

--- a/sassafrasgate/protocol/links.py
+++ b/sassafrasgate/protocol/links.py
@@ -1,8 +1,8 @@
 """Links between processes over pyzmq, each socket owned by one task.
 
-Both ends send heartbeats, because one end can lose track of a connection
-without either being told. A client whose peer has been silent for
-`SILENCE_S` closes its socket and opens a new one, which gets a new port.
+Both ends send heartbeats, because one end can lose a connection without
+either end being notified. A client that has received nothing for
+`PEER_TIMEOUT_S` closes its socket and opens a new one on another port.
 """
 
 from __future__ import annotations
@@ -32,10 +32,10 @@
     from anyio.streams.memory import MemoryObjectReceiveStream
 
 HEARTBEAT_S = 0.5
-SILENCE_S = 2.0
-MAX_QUEUED_CALLS = 4096
+PEER_TIMEOUT_S = 2.0
+MAX_QUEUED_MESSAGES = 4096
 HIGH_WATER_MARK = 4096
-# The identity of the connection and one frame.
+# A request consists of the identity of the connection and one frame.
 REQUEST_PARTS = 2
 
 
@@ -46,7 +46,7 @@
     Parameters
     ----------
     client : bytes
-        Identity of the connection.
+        Identity of the connection, assigned by zmq.
     request_id : int
         Id that the reply must carry; 0 when no reply is expected.
     timeout_ms : int
@@ -61,7 +61,7 @@
 
 @dataclass(frozen=True, slots=True)
 class OutgoingReply:
-    """An answer for a connected client."""
+    """A reply for a connected client."""
 
     client: bytes
     request_id: int
@@ -70,7 +70,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LinkCounts:
-    """What a link has counted since it was made."""
+    """Counters of a link since it was created."""
 
     sent_messages: int = 0
     sent_bytes: int = 0
@@ -82,7 +82,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Call:
+class _OutgoingMessage:
     message: Any
     timeout_ms: int
     reply_to: MemoryObjectSendStream[Any] | None
@@ -97,19 +97,19 @@
     address : str
         IP number and port of the server end.
     make_heartbeat : callable
-        Returns the `Heartbeat` to send, with what this process knows.
+        Returns the `Heartbeat` of this process to send.
     handle_heartbeat : callable
         Called with each `Heartbeat` of the peer.
     handle_disconnect : callable, optional
-        Called with the address when the peer's end has closed the
-        connection, as when its process has ended.
+        Called with the address when the peer has closed the connection, for
+        example because its process has ended.
 
     Examples
     --------
-    Run it in a task group, then ask from other tasks::
+    Run it in a task group, then send requests from other tasks::
 
         tasks.start_soon(link.run)
-        answer = await link.request(Query('north', job_id), timeout_s=2)
+        reply = await link.request(Query('north', job_id), timeout_s=2)
     """
 
     def __init__(
@@ -123,56 +123,63 @@
         self._make_heartbeat = make_heartbeat
         self._handle_heartbeat = handle_heartbeat
         self._handle_disconnect = handle_disconnect
-        self._calls, self._inbox = _make_call_stream()
-        self._open: dict[int, MemoryObjectSendStream[Any]] = {}
-        self._next_request = 1
-        self._heard_at = 0
-        self._last_heard_at = now_ms()
+        self._messages, self._inbox = _make_message_stream()
+        self._open_requests: dict[int, MemoryObjectSendStream[Any]] = {}
+        self._next_request_id = 1
+        self._alive_at = 0
+        self._received_at = now_ms()
         self._sent_at = 0
-        self._counts = _Counter()
+        self._counts = _LinkCounter()
 
     @property
     def counts(self) -> LinkCounts:
-        """What the link has counted."""
+        """Counters of the link."""
         return self._counts.freeze()
 
     @property
     def is_alive(self) -> bool:
-        """Whether the peer has been heard within `SILENCE_S`."""
-        return now_ms() - self._heard_at < SILENCE_S * 1000
+        """Whether data was received within `PEER_TIMEOUT_S`.
+
+        Opening a socket counts as receiving data.
+        """
+        return now_ms() - self._alive_at < PEER_TIMEOUT_S * 1000
 
     @property
     def silent_ms(self) -> int:
-        """Time since the peer was heard, or since the link was made."""
-        return now_ms() - self._last_heard_at
+        """Milliseconds since data was received, or the link was created."""
+        return now_ms() - self._received_at
 
     async def request(
         self, message: Any, timeout_s: float, attempt: int = 1
     ) -> Any:
-        """Send a request and return its answer.
+        """Send a request and return its reply.
 
         Returns
         -------
         object
-            A registered message, or `NoReply` when none came in time.
+            A registered message, or `NoReply` when none arrived in time.
         """
-        reply_to, answers = anyio.create_memory_object_stream[Any](1)
-        call = _Call(message, int(timeout_s * 1000), reply_to, attempt)
-        with answers:
+        reply_to, replies = anyio.create_memory_object_stream[Any](1)
+        outgoing = _OutgoingMessage(
+            message, int(timeout_s * 1000), reply_to, attempt
+        )
+        with replies:
             try:
-                self._calls.send_nowait(call)
+                self._messages.send_nowait(outgoing)
             except anyio.WouldBlock:
-                return NoReply(f'the link to {self.address} is full')
+                return NoReply(
+                    f'the send queue of the link to {self.address} is full'
+                )
             with anyio.move_on_after(timeout_s):
-                return await answers.receive()
+                return await replies.receive()
         return NoReply(
-            f'{self.address} did not answer within {timeout_s:.1f} s'
+            f'{self.address} did not reply within {timeout_s:.1f} s'
         )
 
     def send(self, message: Any) -> bool:
-        """Send a message without an answer; False when the link is full."""
+        """Queue a one-way message; False when the send queue is full."""
         try:
-            self._calls.send_nowait(_Call(message, 0, None, 1))
+            self._messages.send_nowait(_OutgoingMessage(message, 0, None, 1))
         except anyio.WouldBlock:
             return False
         return True
@@ -186,7 +193,7 @@
             socket.set(zmq.SNDHWM, HIGH_WATER_MARK)
             monitor = socket.get_monitor_socket(zmq.EVENT_DISCONNECTED)
             socket.connect(f'tcp://{self.address}')
-            self._heard_at = now_ms()
+            self._alive_at = now_ms()
             try:
                 await self._serve_socket(socket, monitor)
             finally:
@@ -194,18 +201,21 @@
                 monitor.close()
                 socket.close()
             self._counts.reopened += 1
-            self._fail_open_requests(f'the link to {self.address} went silent')
+            self._fail_open_requests(
+                f'{self.address} sent nothing for {PEER_TIMEOUT_S:.1f} s'
+            )
 
     async def _serve_socket(
         self, socket: zmq.asyncio.Socket, monitor: Any
     ) -> None:
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._watch_connection, monitor)
-            tasks.start_soon(self._send_calls, socket)
-            tasks.start_soon(self._receive_answers, socket)
+            tasks.start_soon(self._send_messages, socket)
+            tasks.start_soon(self._receive_replies, socket)
             while self.is_alive:
                 if now_ms() - self._sent_at >= HEARTBEAT_S * 1000:
-                    # A full queue sends something soon anyway.
+                    # With a full queue, its messages show that this end is
+                    # alive.
                     self.send(self._make_heartbeat())
                 await anyio.sleep(HEARTBEAT_S / 2)
             tasks.cancel_scope.cancel()
@@ -213,7 +223,7 @@
     async def _watch_connection(self, monitor: Any) -> None:
         """Fail open requests as soon as the connection is closed.
 
-        zmq opens a new one by itself.
+        zmq reconnects automatically.
         """
         while True:
             await recv_monitor_message(monitor)
@@ -221,36 +231,36 @@
             if self._handle_disconnect is not None:
                 self._handle_disconnect(self.address)
 
-    async def _send_calls(self, socket: zmq.asyncio.Socket) -> None:
-        async for call in self._inbox:
-            request = 0
-            if call.reply_to is not None:
-                request = self._next_request
-                self._next_request += 1
-                self._open[request] = call.reply_to
+    async def _send_messages(self, socket: zmq.asyncio.Socket) -> None:
+        async for outgoing in self._inbox:
+            request_id = 0
+            if outgoing.reply_to is not None:
+                request_id = self._next_request_id
+                self._next_request_id += 1
+                self._open_requests[request_id] = outgoing.reply_to
             frame = encode_envelope(
                 Envelope(
-                    request,
+                    request_id,
                     False,
-                    call.attempt,
-                    call.timeout_ms,
-                    call.message,
+                    outgoing.attempt,
+                    outgoing.timeout_ms,
+                    outgoing.message,
                 )
             )
             self._sent_at = now_ms()
-            self._counts.note_sent(frame)
+            self._counts.record_sent(frame)
             await socket.send(frame)
 
-    async def _receive_answers(self, socket: zmq.asyncio.Socket) -> None:
+    async def _receive_replies(self, socket: zmq.asyncio.Socket) -> None:
         while True:
             frame = await socket.recv()
-            self._heard_at = self._last_heard_at = now_ms()
+            self._alive_at = self._received_at = now_ms()
             envelope = _read_frame(frame, self._counts, self._handle_heartbeat)
             if envelope is not None:
-                self._deliver(envelope)
+                self._deliver_reply(envelope)
 
-    def _deliver(self, envelope: Envelope) -> None:
-        reply_to = self._open.pop(envelope.request, None)
+    def _deliver_reply(self, envelope: Envelope) -> None:
+        reply_to = self._open_requests.pop(envelope.request, None)
         if reply_to is None:
             self._counts.dropped_answers += 1
             return
@@ -261,15 +271,15 @@
         reply_to.close()
 
     def _fail_open_requests(self, reason: str) -> None:
-        """Answer open requests, whose answers can't arrive any more."""
-        for reply_to in self._open.values():
+        """Complete open requests, whose replies can no longer arrive."""
+        for reply_to in self._open_requests.values():
             try:
                 reply_to.send_nowait(NoReply(reason))
             except (anyio.BrokenResourceError, anyio.WouldBlock):
                 continue
             finally:
                 reply_to.close()
-        self._open.clear()
+        self._open_requests.clear()
 
 
 class LinkServer:
@@ -280,7 +290,8 @@
     address : str
         IP number and port to bind.
     handle : callable
-        Awaited with each `IncomingRequest`; must not block for long.
+        Awaited with each `IncomingRequest`. It must return quickly, because
+        the server receives nothing meanwhile.
     make_heartbeat, handle_heartbeat : callable
         As for `Link`.
     """
@@ -298,15 +309,15 @@
         self._handle_heartbeat = handle_heartbeat
         self._replies, self._outbox = _make_reply_stream()
         self._clients: dict[bytes, int] = {}
-        self._counts = _Counter()
+        self._counts = _LinkCounter()
 
     @property
     def counts(self) -> LinkCounts:
-        """What the server end has counted."""
+        """Counters of all links to this server."""
         return self._counts.freeze()
 
     async def reply(self, reply: OutgoingReply) -> None:
-        """Queue an answer; it is dropped when its client is gone."""
+        """Queue a reply; it is dropped if its client has disconnected."""
         await self._replies.send(reply)
 
     async def run(self) -> None:
@@ -349,15 +360,15 @@
             frame = encode_envelope(
                 Envelope(reply.request_id, True, 1, 0, reply.message)
             )
-            self._counts.note_sent(frame)
+            self._counts.record_sent(frame)
             await socket.send_multipart([reply.client, frame])
 
     async def _send_heartbeats(self) -> None:
         while True:
             await anyio.sleep(HEARTBEAT_S)
-            oldest = now_ms() - SILENCE_S * 2000
-            for client, heard_at in list(self._clients.items()):
-                if heard_at < oldest:
+            oldest = now_ms() - PEER_TIMEOUT_S * 2000
+            for client, received_at in list(self._clients.items()):
+                if received_at < oldest:
                     del self._clients[client]
                     continue
                 await self._replies.send(
@@ -365,7 +376,9 @@
                 )
 
 
-class _Counter:
+class _LinkCounter:
+    """Mutable counters of a link."""
+
     def __init__(self) -> None:
         self.sent_messages = 0
         self.sent_bytes = 0
@@ -375,11 +388,11 @@
         self.bad_frames = 0
         self.reopened = 0
 
-    def note_sent(self, frame: bytes) -> None:
+    def record_sent(self, frame: bytes) -> None:
         self.sent_messages += 1
         self.sent_bytes += len(frame)
 
-    def note_received(self, frame: bytes) -> None:
+    def record_received(self, frame: bytes) -> None:
         self.received_messages += 1
         self.received_bytes += len(frame)
 
@@ -389,11 +402,11 @@
 
 def _read_frame(
     frame: bytes,
-    counts: _Counter,
+    counts: _LinkCounter,
     handle_heartbeat: Callable[[Heartbeat], None],
 ) -> Envelope | None:
-    """Count a frame and return its envelope, unless it is a heartbeat."""
-    counts.note_received(frame)
+    """Return the envelope of a frame; None for a heartbeat or bad frame."""
+    counts.record_received(frame)
     try:
         envelope = decode_envelope(frame)
     except MessageError:
@@ -405,14 +418,19 @@
     return envelope
 
 
-def _make_call_stream() -> tuple[
-    MemoryObjectSendStream[_Call], MemoryObjectReceiveStream[_Call]
+def _make_message_stream() -> tuple[
+    MemoryObjectSendStream[_OutgoingMessage],
+    MemoryObjectReceiveStream[_OutgoingMessage],
 ]:
-    return anyio.create_memory_object_stream[_Call](MAX_QUEUED_CALLS)
+    return anyio.create_memory_object_stream[_OutgoingMessage](
+        MAX_QUEUED_MESSAGES
+    )
 
 
 def _make_reply_stream() -> tuple[
     MemoryObjectSendStream[OutgoingReply],
     MemoryObjectReceiveStream[OutgoingReply],
 ]:
-    return anyio.create_memory_object_stream[OutgoingReply](MAX_QUEUED_CALLS)
+    return anyio.create_memory_object_stream[OutgoingReply](
+        MAX_QUEUED_MESSAGES
+    )
