--- a/sassafrasgate/journal/rate_limits.py
+++ b/sassafrasgate/journal/rate_limits.py
@@ -1,4 +1,7 @@
-"""A process's share of the calls that the platform's store can bear."""
+"""Rate limits for a process's calls to the platform's store.
+
+The store supports a limited rate of calls, of which each process has a share.
+"""
 
 from __future__ import annotations
 
@@ -23,13 +26,13 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-# How many seconds' worth of calls may be made at once after a quiet time.
-# The store's rate is shared, so bursts of all processes can coincide.
+# Size of a burst, in seconds of the rate. It is small because all processes
+# share the store, and their bursts can coincide.
 BURST_S = 0.25
 
 
 class CallKind(StrEnum):
-    """Kinds of calls with a rate of their own."""
+    """Kinds of calls; each has its own rate."""
 
     READ = 'read'
     WRITE = 'write'
@@ -45,16 +48,16 @@
 
 @dataclass(frozen=True, slots=True)
 class TokenBucket:
-    """Tokens for one kind of call.
+    """State of the token bucket for one kind of call.
 
     Parameters
     ----------
     rate : float
-        Tokens per second.
+        Tokens added per second.
     tokens : float
-        Tokens at ``updated_at``.
+        Number of tokens at ``updated_at``.
     updated_at : float
-        Time in seconds, on any clock that does not go back.
+        Time in seconds, on any monotonic clock.
     """
 
     rate: float
@@ -63,12 +66,12 @@
 
     @property
     def burst(self) -> float:
-        """The most tokens that can gather; at least one call."""
+        """Maximum number of tokens that the bucket holds; at least one."""
         return max(1.0, self.rate * BURST_S)
 
 
 def fill_bucket(rate: float, now: float) -> TokenBucket:
-    """Return a bucket that holds a whole burst."""
+    """Return a full bucket."""
     empty = TokenBucket(rate, 0.0, now)
     return replace(empty, tokens=empty.burst)
 
@@ -81,19 +84,19 @@
 
 
 def change_rate(bucket: TokenBucket, rate: float, now: float) -> TokenBucket:
-    """Return the bucket with another rate; it gains no tokens by that."""
+    """Return the bucket with another rate, without granting extra tokens."""
     changed = replace(refill_bucket(bucket, now), rate=rate)
     return refill_bucket(changed, now)
 
 
-def find_wait_s(bucket: TokenBucket) -> float:
-    """Return the time until the bucket holds a whole token, in seconds."""
+def compute_wait_s(bucket: TokenBucket) -> float:
+    """Return the time until the bucket holds one token, in seconds."""
     return max(0.0, (1.0 - bucket.tokens) / bucket.rate)
 
 
 @dataclass(frozen=True, slots=True)
-class AcquireCall:
-    """A call that waits for a token; its reply is sent once it has one."""
+class AcquireToken:
+    """Request for a token; the reply is sent when the token is granted."""
 
     kind: CallKind
     priority: int
@@ -101,12 +104,12 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _SetShare:
+class _SetRates:
     rates: dict[CallKind, float]
 
 
 @dataclass(frozen=True, slots=True)
-class _ReadLevel:
+class _ReadFillLevel:
     kind: CallKind
     reply: MemoryObjectSendStream[float]
 
@@ -118,18 +121,25 @@
         self.buckets = {
             kind: fill_bucket(rate, now) for kind, rate in rates.items()
         }
-        self.waiting: dict[CallKind, list[tuple[int, int, AcquireCall]]] = {
+        self.waiting: dict[CallKind, list[tuple[int, int, AcquireToken]]] = {
             kind: [] for kind in rates
         }
-        self._numbers = count()
+        self._sequence = count()
 
-    def add(self, call: AcquireCall) -> None:
-        """Queue a call behind those of its priority."""
-        entry = (call.priority, next(self._numbers), call)
+    def add(self, call: AcquireToken) -> None:
+        """Queue a call behind waiting calls of the same priority."""
+        entry = (call.priority, next(self._sequence), call)
         heappush(self.waiting[call.kind], entry)
 
     def grant(self, now: float) -> float | None:
-        """Grant what the tokens allow; returns when to come back, in s."""
+        """Grant waiting calls as far as tokens allow.
+
+        Returns
+        -------
+        float or None
+            Seconds until the next token for a waiting call; None when no
+            call waits.
+        """
         waits = [
             wait_s
             for kind in self.buckets
@@ -145,11 +155,11 @@
             if _send_reply(call.reply, None):
                 bucket = replace(bucket, tokens=bucket.tokens - 1.0)
         self.buckets[kind] = bucket
-        return find_wait_s(bucket) if waiting else None
+        return compute_wait_s(bucket) if waiting else None
 
 
 def _send_reply(reply: MemoryObjectSendStream[Any], value: Any) -> bool:
-    """Send to a caller; False when it was cancelled meanwhile."""
+    """Send a reply; False when the caller was cancelled meanwhile."""
     try:
         reply.send_nowait(value)
     except BrokenResourceError:
@@ -164,27 +174,27 @@
 )
 
 
-@_HANDLERS.register(AcquireCall)
-def _queue_call(state: RateLimiterState, message: AcquireCall) -> None:
+@_HANDLERS.register(AcquireToken)
+def _queue_call(state: RateLimiterState, message: AcquireToken) -> None:
     state.add(message)
 
 
-@_HANDLERS.register(_SetShare)
-def _change_rates(state: RateLimiterState, message: _SetShare) -> None:
+@_HANDLERS.register(_SetRates)
+def _change_rates(state: RateLimiterState, message: _SetRates) -> None:
     now = current_time()
     for kind, rate in message.rates.items():
         state.buckets[kind] = change_rate(state.buckets[kind], rate, now)
 
 
-@_HANDLERS.register(_ReadLevel)
-def _tell_level(state: RateLimiterState, message: _ReadLevel) -> None:
+@_HANDLERS.register(_ReadFillLevel)
+def _send_fill_level(state: RateLimiterState, message: _ReadFillLevel) -> None:
     bucket = refill_bucket(state.buckets[message.kind], current_time())
     level = 0.0 if state.waiting[message.kind] else bucket.tokens
     _send_reply(message.reply, level / bucket.burst)
 
 
 class StoreRateLimiter:
-    """Token buckets for reads and writes, owned by one task.
+    """Limits the rates of reads and writes; owned by one task.
 
     Waiting calls get tokens in the order of their priority, then of their
     arrival. A cancelled call uses no token.
@@ -192,30 +202,31 @@
     Parameters
     ----------
     writes_per_s, reads_per_s : float
-        This process's share of the store, in calls per second, above 0.
+        This process's share of the store's rates, in calls per second.
+        Must be positive.
 
     Raises
     ------
     ValueError
-        When a share is not positive.
+        When a rate is not positive.
 
     Examples
     --------
-    >>> budget = StoreRateLimiter(writes_per_s=40, reads_per_s=200)
-    >>> tasks.start_soon(budget.run)
-    >>> store = Store('http://127.0.0.1:2400', budget=budget)
+    >>> limiter = StoreRateLimiter(writes_per_s=40, reads_per_s=200)
+    >>> tasks.start_soon(limiter.run)
+    >>> store = Store('http://127.0.0.1:2400', budget=limiter)
     """
 
     def __init__(self, writes_per_s: float, reads_per_s: float) -> None:
         self._rates = _check_rates(writes_per_s, reads_per_s)
         self._send, self._inbox = create_memory_object_stream[
-            AcquireCall | _SetShare | _ReadLevel
+            AcquireToken | _SetRates | _ReadFillLevel
         ]()
 
     async def run(self) -> None:
         """Own the buckets and grant calls until cancelled.
 
-        Calls wait until this runs, and fail after it ended.
+        Calls wait until this task runs, and fail after it has ended.
         """
         state = RateLimiterState(self._rates, current_time())
         with self._inbox:
@@ -243,29 +254,31 @@
         """
         reply, answer = create_memory_object_stream[None](1)
         with answer:
-            await self._send.send(AcquireCall(CallKind(kind), priority, reply))
+            await self._send.send(
+                AcquireToken(CallKind(kind), priority, reply)
+            )
             await answer.receive()
 
     async def set_rates(self, writes_per_s: float, reads_per_s: float) -> None:
-        """Change the share, in calls per second.
+        """Change the rates, in calls per second.
 
         Raises
         ------
         ValueError
-            When a share is not positive.
+            When a rate is not positive.
         """
         rates = _check_rates(writes_per_s, reads_per_s)
-        await self._send.send(_SetShare(rates))
+        await self._send.send(_SetRates(rates))
 
-    async def read_level(self, kind: str) -> float:
-        """Return how full the bucket of ``kind`` is, from 0 to 1.
+    async def read_fill_level(self, kind: str) -> float:
+        """Return the fill level of the bucket of ``kind``, from 0 to 1.
 
-        It is 0 while calls wait. A journal that sees a low level can
-        gather more records before its next append.
+        The level is 0 while calls wait. At a low level, a journal can batch
+        more records into its next append.
         """
         reply, answer = create_memory_object_stream[float](1)
         with answer:
-            await self._send.send(_ReadLevel(CallKind(kind), reply))
+            await self._send.send(_ReadFillLevel(CallKind(kind), reply))
             return await answer.receive()
 
 
@@ -276,7 +289,7 @@
     for kind, rate in rates.items():
         if rate <= 0:
             raise ValueError(
-                f'share of {rate!r} {kind.value}s/s is not positive; set a '
-                'share above 0'
+                f'rate of {rate!r} {kind.value}s per second is not positive; '
+                'set a rate above 0'
             )
     return rates
--- a/sassafrasgate/journal/records.py
+++ b/sassafrasgate/journal/records.py
@@ -1,4 +1,4 @@
-"""Kinds of journal records, in a registry, and their encoding."""
+"""Journal records, registered by kind, and their encoding."""
 
 from __future__ import annotations
 
@@ -30,7 +30,7 @@
 
 @dataclass_transform(frozen_default=True)
 def register_record(kind: str) -> Callable[[type[Any]], type[Any]]:
-    """Return a decorator that makes a frozen record class of ``kind``."""
+    """Return a decorator that registers a frozen record class."""
 
     def add_record(cls: type[Any]) -> type[Any]:
         record = dataclass(frozen=True, slots=True)(cls)
@@ -42,18 +42,19 @@
 
 @register_record('takeover')
 class Takeover:
-    """A new owner has taken the shard; its epoch fences earlier owners.
+    """A new owner has taken the shard; its epoch fences off previous owners.
 
     Parameters
     ----------
     epoch : int
-        One more than the previous owner's.
+        Epoch of the new owner, one more than the previous owner's.
     owner : str
         Process name and incarnation.
     grace_ms : int
-        How long past its lease the owner may act in a store outage.
+        How long the owner may act after its lease has expired, during a
+        store outage, in milliseconds.
     ttl_ms : int
-        Length of its store lease.
+        Time to live of its store lease, in milliseconds.
     """
 
     epoch: int
@@ -64,24 +65,24 @@
 
 @register_record('accepted')
 class JobAccepted:
-    """A job is accepted and, with placements, may start on those hosts.
+    """A job is accepted; with placements, it may start on those hosts.
 
     Parameters
     ----------
     job_id : str
         Derived from team and key.
     spec : JobSpec
-        What the caller asks for.
+        The job as its caller submitted it.
     attempt : int
-        0 for a job that queues; otherwise the attempt that may start.
+        Number of the attempt that may start; 0 for a job that is queued.
     placements : tuple of Placement
-        The intended hosts of the attempt.
+        Hosts chosen for the attempt.
     accepted_at_ms : int
-        Wall clock of the owner, for retention only.
+        Time of acceptance in Unix milliseconds, used for retention only.
     home : str
-        Home shard for a transferred attempt, else empty.
+        Home shard of a transferred attempt; empty for other jobs.
     home_attempt : int
-        The home shard's number for a transferred attempt.
+        Number of the transferred attempt in its home shard.
     """
 
     job_id: str
@@ -104,22 +105,23 @@
 
 @register_record('requeued')
 class JobRequeued:
-    """Tasks of an attempt have certainly ended and others are wanted.
+    """Tasks of an attempt have certainly ended; the job runs again.
 
     Parameters
     ----------
     job_id, attempt
         The job and the attempt that ended.
     reason : str
-        For explanations.
+        Reason shown in explanations.
     tasks : tuple of str
         The tasks that ended without success.
     failed_hosts : tuple of str
         Hosts to avoid for the next attempt.
     counted : int
-        Failures of the job that this adds: 1 when the task itself failed.
+        Number of failures that count against the job: 1 when the task itself
+        failed.
     may_have_run : bool
-        Whether the attempt started, or may have.
+        Whether the attempt has started or may have started.
     hosts : tuple of str
         Host of each of ``tasks``.
     """
@@ -136,7 +138,7 @@
 
 @register_record('ended')
 class JobEnded:
-    """A job has ended, or is unknown until its worker is heard again."""
+    """A job has ended, or its state is unknown until its worker responds."""
 
     job_id: str
     attempt: int
@@ -155,7 +157,7 @@
 
 @register_record('tombstone')
 class AttemptRefused:
-    """A transferred attempt is refused for good, also if it comes late."""
+    """A transferred attempt is refused, even if it arrives after this."""
 
     job_id: str
     home: str
@@ -164,7 +166,7 @@
 
 @register_record('share-lent')
 class ShareLent:
-    """All that this shard has lent to another one of a team's quota."""
+    """Total that this shard has lent to another of a team's quota."""
 
     borrower: str
     team: str
@@ -173,7 +175,7 @@
 
 @register_record('forgotten')
 class JobsForgotten:
-    """Ended jobs past their retention are dropped."""
+    """Ended jobs are removed after their retention period."""
 
     job_ids: tuple[str, ...]
 
@@ -185,12 +187,13 @@
     Parameters
     ----------
     writer : str
-        Incarnation of the process that wrote it, so that a lost reply can
-        be resolved by reading the key back.
+        Name and incarnation of the process that wrote the entry. After a
+        lost reply, the process recognizes its entry when it reads the key
+        back.
     epoch : int
         Epoch of the writer.
     sequence : int
-        Number of the key in the chain.
+        Number of the entry in the log.
     records : tuple
         Registered records.
     """
@@ -205,17 +208,17 @@
 
 
 def encode_records(records: Iterable[Any]) -> bytes:
-    """Return records as one MessagePack array of kind and fields."""
+    """Return records as a MessagePack array of kinds and fields."""
     return _ENCODER.encode([(record.kind, record) for record in records])
 
 
 def decode_records(data: bytes) -> tuple[Any, ...]:
-    """Return the records of one MessagePack array.
+    """Return the records that a MessagePack array encodes.
 
     Raises
     ------
     MessageError
-        When the data is damaged or of an unknown kind.
+        When the data is damaged or has a record of an unknown kind.
     """
     try:
         return tuple(
@@ -236,7 +239,7 @@
 
 
 def encode_entry(entry: JournalEntry) -> bytes:
-    """Return the value of a journal key."""
+    """Return the value of the key that holds an entry."""
     return _ENCODER.encode(
         (
             entry.writer,
@@ -248,7 +251,7 @@
 
 
 def decode_entry(data: bytes) -> JournalEntry:
-    """Return the entry of a journal key's value.
+    """Return the entry that the value of a journal key encodes.
 
     Raises
     ------
--- a/sassafrasgate/journal/ring_buffer.py
+++ b/sassafrasgate/journal/ring_buffer.py
@@ -1,15 +1,16 @@
-"""A shard's journal: a numbered chain of entries in a ring of keys.
+"""A shard's journal: a log of numbered entries in a ring buffer of keys.
 
 Entry ``n`` is written to slot ``n % RING_SLOTS`` by compare-and-swap on the
-slot's revision. That is what fences a stale owner: two owners can't both
-write the entry of the same number, and a write that was delayed by a whole
-lap of the ring finds another revision. Keys that are created once and
-deleted by trimming would let such a late write succeed, and would cost a
-second write for each entry.
-
-An owner may write several entries at a time. An entry counts only once all
-entries before it are in their slots; a successor may find a later one behind
-a gap, whose epoch is lower than its own, and writes over it.
+slot's revision. The compare-and-swap fences off a stale owner: two owners
+can't both write the entry of the same number, and a write that was delayed
+until the ring has wrapped around finds another revision. Keys that are
+created once and deleted by trimming would let such a late write succeed, and
+would cost a second write for each entry.
+
+An owner may write several entries concurrently. An entry takes effect only
+once all entries before it are in their slots. A successor may find a later
+entry behind a gap; its epoch is lower than the successor's, which overwrites
+it.
 """
 
 from __future__ import annotations
@@ -42,42 +43,46 @@
     from sassafrasgate.core.stores import KeyStore
 
 RING_SLOTS = 512
-# Slots that only takeover records use, so that a ring full of entries that no
-# snapshot covers can still be taken over; each takeover needs one.
+# Slots reserved for takeover records, so that a shard whose ring is full of
+# entries that no snapshot covers can still be taken over. Each takeover needs
+# one slot.
 TAKEOVER_SLOTS = 64
-# Chunks are read side by side, since a connection's window is small.
+# Snapshots are split into chunks that are read concurrently, because the
+# flow-control window of one connection is small.
 CHUNK_BYTES = 128 * 1024
-# Slots that one call reads, and the blocks that a reader asks for at once:
-# with a snapshot every 200 entries a chain mostly lies within three.
+# A call reads one block of slots. A reader requests three blocks at first,
+# which mostly hold the whole log when a snapshot is taken every 200 entries.
 BLOCK_SLOTS = 100
-FIRST_BLOCKS = 3
-FIRST_RETRY_S = 0.05
-# An answer is overdue after this many times the usual latency, within bounds.
-PATIENCE_FACTOR = 4.0
-LEAST_PATIENCE_S = 0.06
-MOST_PATIENCE_S = 0.6
-# Weight of the newest latency in the usual one.
+INITIAL_BLOCKS = 3
+# A write is read back when its reply takes longer than this multiple of the
+# average latency, within the bounds.
+READ_BACK_DELAY_FACTOR = 4.0
+MIN_READ_BACK_DELAY_S = 0.06
+MAX_READ_BACK_DELAY_S = 0.6
+# Weight of the latest sample in the moving average of the latency.
 LATENCY_WEIGHT = 0.2
-# Acceptance waits for the next try once the store is back.
-LONGEST_RETRY_S = 0.25
+INITIAL_RETRY_DELAY_S = 0.05
+# Job acceptance waits for the next retry after the store has recovered.
+MAX_RETRY_DELAY_S = 0.25
 
 
 @dataclass(frozen=True, slots=True)
 class LoadedJournal:
-    """What a new owner reads.
+    """Content and position of a journal, as a new owner needs them.
 
     Parameters
     ----------
     records : tuple
-        Snapshot and chain, oldest first.
+        Records of the snapshot and of the log after it, oldest first.
     next_sequence : int
-        Number of the first entry that does not exist.
+        Number of the next entry to write.
     slot_revision : int
-        Revision of the slot of ``next_sequence``; 0 when it is empty.
+        Revision of the slot of ``next_sequence``; 0 when the slot is empty.
     snapshot_sequence : int
-        Last number that the snapshot covers; 0 without one.
+        Number of the last entry that the snapshot covers; 0 when there is no
+        snapshot.
     snapshot_chunks, snapshot_revision : int
-        Of the snapshot and its pointer.
+        Number of chunks of the snapshot, and revision of its pointer key.
     """
 
     records: tuple[Any, ...]
@@ -90,7 +95,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SnapshotPointer:
-    """The value of a shard's snapshot key."""
+    """Value and revision of the key that points to a shard's snapshot."""
 
     sequence: int
     chunks: int
@@ -111,14 +116,14 @@
 
 @dataclass(frozen=True, slots=True)
 class PendingEntry:
-    """An entry with a number, to be written.
+    """A numbered entry that has yet to be written.
 
     Parameters
     ----------
     sequence : int
-        Its number in the chain.
+        Number of the entry in the log.
     records : tuple
-        Its records.
+        Records of the entry.
     value : bytes
         Encoded entry.
     """
@@ -129,7 +134,7 @@
 
 
 class SlotState(StrEnum):
-    """What a slot of the ring holds, seen from an expected number."""
+    """Content of a ring slot relative to an expected entry number."""
 
     FREE = 'free'
     PRESENT = 'present'
@@ -144,7 +149,7 @@
     found : int or None
         Number of the entry in the slot; None when the slot is empty.
     expected : int
-        Number of an entry that belongs into the slot.
+        Number of an entry that belongs in the slot.
 
     Returns
     -------
@@ -162,37 +167,38 @@
 
 
 def is_slot_covered(sequence: int, snapshot_sequence: int, slots: int) -> bool:
-    """Tell whether writing an entry overwrites only what a snapshot covers.
+    """Tell whether an entry would overwrite only entries in the snapshot.
 
     Parameters
     ----------
     sequence, snapshot_sequence : int
-        Number of the entry, and the last one that the snapshot covers.
+        Number of the entry, and of the last one that the snapshot covers.
     slots : int
-        Length of the ring.
+        Number of slots in the ring.
     """
     return sequence - snapshot_sequence <= slots
 
 
 def is_successor_pointer(sequence: int, next_sequence: int) -> bool:
-    """Tell whether another owner's snapshot follows this owner's chain.
+    """Tell whether a snapshot was written by a successor of this owner.
 
     A successor's snapshots cover its takeover record, which has this owner's
     next number or a later one. A pointer below that number was written by
-    this owner, whose reply was lost, or late by an earlier one.
+    this owner in a write whose reply was lost, or by a delayed write of a
+    previous owner.
 
     Parameters
     ----------
     sequence : int
-        Last number that the found snapshot covers.
+        Number of the last entry that the found snapshot covers.
     next_sequence : int
-        The number that this owner writes next.
+        Number of the next entry of this owner.
     """
     return sequence >= next_sequence
 
 
 def make_entry_key(shard: str, sequence: int) -> str:
-    """Return the key of the slot of one journal entry."""
+    """Return the key of the slot for a journal entry."""
     return f'{make_ring_prefix(shard)}{sequence % RING_SLOTS:04d}'
 
 
@@ -212,12 +218,12 @@
 
 
 async def load_journal(store: KeyStore, shard: str) -> LoadedJournal:
-    """Read a shard's snapshot and chain.
+    """Read a shard's snapshot and the log after it.
 
     Raises
     ------
     StoreUnavailableError
-        When a read gets no answer.
+        When a read gets no reply.
     """
     pointer = await _read_pointer(store, shard)
     sequence = pointer.sequence + 1
@@ -226,15 +232,15 @@
         async with anyio.create_task_group() as tasks:
             for chunk in range(pointer.chunks):
                 tasks.start_soon(reader.read_chunk, pointer.sequence, chunk)
-            for block in _list_blocks(sequence, FIRST_BLOCKS):
+            for block in _list_blocks(sequence, INITIAL_BLOCKS):
                 tasks.start_soon(reader.read_block, block)
     except* StoreUnavailableError as group:
         raise StoreUnavailableError(
-            f'the journal of shard {shard!r} was not read: '
+            f'cannot read the journal of shard {shard!r}: '
             f'{group.exceptions[0]}; read it again'
         ) from group
     if len(reader.chunks) < pointer.chunks:
-        # A newer snapshot has replaced this one meanwhile.
+        # A newer snapshot has replaced this one during the read.
         return await load_journal(store, shard)
     records: list[Any] = []
     if reader.chunks:
@@ -247,7 +253,8 @@
         entry = slot.entry
         found = slot.classify(sequence, epoch)
         if found is SlotState.NEWER:
-            # The owner has lapped this reader, and has a newer snapshot.
+            # The owner has wrapped around the ring during the read, and has
+            # written a newer snapshot.
             return await load_journal(store, shard)
         if entry is None or found is SlotState.FREE:
             return LoadedJournal(
@@ -268,18 +275,19 @@
 
 
 def _list_blocks(first: int, count: int) -> list[int]:
-    """Return the blocks of the ring from an entry on, without repeats."""
+    """Return the distinct blocks of the ring from an entry on."""
     blocks = (_find_block(first + n * BLOCK_SLOTS) for n in range(count))
     return list(dict.fromkeys(blocks))
 
 
 class _JournalReader:
-    """Reads parts of a journal, each once.
+    """Reads chunks and blocks of a journal, each at most once.
 
-    A call for each slot would take a process's share of the store for many
-    seconds, and one call for the whole ring is as slow as its bytes on one
-    connection. Slots that are written meanwhile have another revision, so
-    that the takeover record fails and the reader starts over.
+    One call for each slot would use up the process's rate of store calls for
+    many seconds, and one call for the whole ring is limited by the throughput
+    of one connection. Slots that are written during the read get another
+    revision, so that writing the takeover record fails and the new owner
+    reads the journal again.
     """
 
     def __init__(self, store: KeyStore, shard: str) -> None:
@@ -290,19 +298,19 @@
         self.chunks: dict[int, bytes] = {}
 
     async def read_chunk(self, sequence: int, chunk: int) -> None:
-        """Read a chunk of the snapshot, unless it has been deleted."""
+        """Read a chunk of the snapshot; skip it if it has been deleted."""
         key = make_chunk_key(self._shard, sequence, chunk)
         item = await self._store.get(key, priority=CallPriority.HIGH)
         if item is not None and item.value is not None:
             self.chunks[chunk] = item.value
 
     async def read_block(self, block: int) -> None:
-        """Read neighbouring slots with one call, unless that was done."""
+        """Read a block of slots with one call, unless it was already read."""
         if block in self._blocks:
             return
         self._blocks.add(block)
         prefix = make_ring_prefix(self._shard)
-        # Slot numbers have four digits; a block shares the first two.
+        # Slot numbers have four digits; slots of a block share the first two.
         listed = await self._store.read_prefix(
             f'{prefix}{block:02d}', CallPriority.HIGH
         )
@@ -331,7 +339,7 @@
 
 
 class Journal:
-    """The writing end of a shard's chain; used by one task.
+    """Writer of a shard's journal; used by one task.
 
     Parameters
     ----------
@@ -340,11 +348,11 @@
     shard : str
         Shard name.
     writer : str
-        Process name and incarnation.
+        Name and incarnation of this process.
     loaded : LoadedJournal
-        What this owner has read.
-    note_failure : callable, optional
-        Called after each try of an append that got no answer.
+        Journal as this owner has read it.
+    handle_failure : callable, optional
+        Called after each attempt to write an entry that got no reply.
     """
 
     def __init__(
@@ -353,12 +361,12 @@
         shard: str,
         writer: str,
         loaded: LoadedJournal,
-        note_failure: Callable[[], None] | None = None,
+        handle_failure: Callable[[], None] | None = None,
     ) -> None:
         self._store = store
         self._shard = shard
         self._writer = writer
-        self._note_failure = note_failure
+        self._handle_failure = handle_failure
         self._snapshot_sequence = loaded.snapshot_sequence
         self._snapshot_revision = loaded.snapshot_revision
         self._snapshot_chunks = loaded.snapshot_chunks
@@ -370,24 +378,25 @@
         self.epoch = 0
 
     async def export_position(self) -> LoadedJournal:
-        """Return what a successor needs to go on without reading.
+        """Return the position from which a successor continues the journal.
 
-        Its records are left out; they are those of the owner's state.
+        The successor need not read the journal. The result has no records,
+        since the owner hands over its state.
 
         Raises
         ------
         StoreUnavailableError
-            When the next slot has to be read and there is no answer.
+            When the next slot has to be read and the read gets no reply.
         ShardLostError
             When another process has written the next entry.
         """
-        number = self.next_sequence % RING_SLOTS
-        if number not in self._revisions:
-            await self._learn_revision(self.next_sequence)
+        slot_index = self.next_sequence % RING_SLOTS
+        if slot_index not in self._revisions:
+            await self._read_revision(self.next_sequence)
         return LoadedJournal(
             (),
             self.next_sequence,
-            self._revisions[number],
+            self._revisions[slot_index],
             self._snapshot_sequence,
             self._snapshot_chunks,
             self._snapshot_revision,
@@ -395,7 +404,7 @@
 
     @property
     def has_free_slot(self) -> bool:
-        """Whether there is room for an entry besides takeover records."""
+        """Whether a slot is free besides those for takeover records."""
         return is_slot_covered(
             self.next_sequence,
             self._snapshot_sequence,
@@ -404,21 +413,21 @@
 
     @property
     def uncovered_entries(self) -> int:
-        """Number of entries that the snapshot does not cover."""
+        """Number of entries after the snapshot."""
         return self.next_sequence - 1 - self._snapshot_sequence
 
     async def append(self, records: Iterable[Any]) -> None:
-        """Append records as the next entry; retry until that is certain.
+        """Append records as the next entry; retry until it is written.
 
         Raises
         ------
         ShardLostError
-            As `prepare` and `write`.
+            As for `prepare` and `write`.
         """
         await self.write(self.prepare(records))
 
     def prepare(self, records: Iterable[Any]) -> PendingEntry:
-        """Give the next number to an entry with some records.
+        """Return an entry with the next number for some records.
 
         Raises
         ------
@@ -430,7 +439,7 @@
         ):
             raise ShardLostError(
                 f'the journal of shard {self._shard!r} has {RING_SLOTS} '
-                'entries after its snapshot; a further entry would '
+                'entries after its snapshot; another entry would '
                 'overwrite one of them'
             )
         entry = JournalEntry(
@@ -440,80 +449,82 @@
         return PendingEntry(entry.sequence, entry.records, encode_entry(entry))
 
     async def write(self, entry: PendingEntry) -> None:
-        """Write an entry; retry until that is certain.
+        """Write an entry; retry until it is written.
 
-        Entries may be written side by side. The records of an entry are
+        Entries may be written concurrently. The records of an entry are
         durable once it and all entries before it are written.
 
         Raises
         ------
         ShardLostError
-            When another process has written the entry's number.
+            When another process has written an entry with this number.
         """
-        delay_s = FIRST_RETRY_S
+        delay_s = INITIAL_RETRY_DELAY_S
         while True:
             try:
                 if await self._try_write(entry):
                     return
             except StoreUnavailableError:
-                if self._note_failure is not None:
-                    self._note_failure()
+                if self._handle_failure is not None:
+                    self._handle_failure()
                 await anyio.sleep(delay_s)
-                delay_s = min(delay_s * 2, LONGEST_RETRY_S)
+                delay_s = min(delay_s * 2, MAX_RETRY_DELAY_S)
 
     async def _try_write(self, entry: PendingEntry) -> bool:
-        """Write an entry once; False when it should be tried again now."""
-        number = entry.sequence % RING_SLOTS
+        """Try to write an entry; False when it has to be retried at once."""
+        slot_index = entry.sequence % RING_SLOTS
         key = make_entry_key(self._shard, entry.sequence)
         try:
-            # Most slots that this owner has not seen are empty; reading them
-            # first would delay each entry of the ring's first lap.
-            revision = await self._write_watched(
-                key, entry, self._revisions.get(number, 0)
+            # Most slots whose revision this owner does not know are empty.
+            # Reading them first would delay each entry until the ring wraps
+            # around.
+            revision = await self._write_with_read_back(
+                key, entry, self._revisions.get(slot_index, 0)
             )
         except StoreConflictError:
             return await self._resolve_conflict(key, entry)
         if revision is None:
             return False
-        self._revisions[number] = revision
+        self._revisions[slot_index] = revision
         return True
 
-    async def _write_watched(
+    async def _write_with_read_back(
         self, key: str, entry: PendingEntry, revision: int
     ) -> int | None:
-        """Write a slot; read it back when the answer is overdue.
+        """Write a slot; read it back when the reply is overdue.
 
         Returns
         -------
         int or None
-            The slot's new revision; None when the write has to be repeated.
+            The slot's new revision; None when the write has to be retried.
         """
         outcome: list[int | StoreError | None] = []
 
         async def write(scope: anyio.CancelScope) -> None:
-            began = monotonic()
+            started = monotonic()
             try:
                 outcome.append(
                     await self._write_key(
                         key, entry.value, revision, CallPriority.HIGH
                     )
                 )
-                self._note_latency(monotonic() - began)
+                self._record_latency(monotonic() - started)
             except StoreError as error:
                 outcome.append(error)
             scope.cancel()
 
         async def read_back(scope: anyio.CancelScope) -> None:
-            await anyio.sleep(self._find_patience_s())
+            await anyio.sleep(self._compute_read_back_delay_s())
             try:
                 item = await self._store.get(key, priority=CallPriority.HIGH)
             except StoreError:
-                # The write itself may still be answered.
+                # The write itself may still get a reply.
                 return
             if item is not None and item.value == entry.value:
                 outcome.append(item.revision)
-            # A write that is not there may be carried out later, after the
-            # next try has changed the slot's revision.
+            # If the slot does not hold the value, the write may still be
+            # executed later. It then fails, because the retry has changed
+            # the slot's revision.
             scope.cancel()
 
         async with anyio.create_task_group() as tasks:
@@ -524,41 +535,42 @@
             raise result
         return result
 
-    def _find_patience_s(self) -> float:
-        """Return when the answer to a write is overdue."""
-        patience_s = PATIENCE_FACTOR * self._latency_s
-        return min(max(patience_s, LEAST_PATIENCE_S), MOST_PATIENCE_S)
+    def _compute_read_back_delay_s(self) -> float:
+        """Return the time after which the reply to a write is overdue."""
+        delay_s = READ_BACK_DELAY_FACTOR * self._latency_s
+        return min(max(delay_s, MIN_READ_BACK_DELAY_S), MAX_READ_BACK_DELAY_S)
 
-    def _note_latency(self, seconds: float) -> None:
+    def _record_latency(self, seconds: float) -> None:
         self._latency_s += LATENCY_WEIGHT * (seconds - self._latency_s)
 
     async def _resolve_conflict(self, key: str, entry: PendingEntry) -> bool:
-        """Find out who has written the slot; True if this entry is in it."""
+        """Read a slot after a conflict; True if it holds this entry."""
         item = await self._store.get(key, priority=CallPriority.HIGH)
-        number = entry.sequence % RING_SLOTS
+        slot_index = entry.sequence % RING_SLOTS
         if item is None or item.value is None:
-            self._revisions[number] = 0
+            self._revisions[slot_index] = 0
             return False
-        self._revisions[number] = item.revision
+        self._revisions[slot_index] = item.revision
         if item.value == entry.value:
             return True
         slot = _Slot(decode_entry(item.value), item.revision)
         if slot.classify(entry.sequence, self.epoch) is SlotState.FREE:
-            # An entry of an earlier lap, or a late write of an earlier owner
-            # behind a gap in its chain.
+            # An entry from before the ring wrapped around, or a late write of
+            # a previous owner behind a gap in its log.
             return False
         raise ShardLostError(
             f'journal key {key!r} was written by another owner; this '
             'process stops serving the shard'
         )
 
-    async def _learn_revision(self, sequence: int) -> None:
-        """Read a slot that was last written by an earlier owner."""
+    async def _read_revision(self, sequence: int) -> None:
+        """Read the revision of a slot that a previous owner wrote last."""
         slot = await _read_slot(self._store, self._shard, sequence)
         if slot.classify(sequence, self.epoch) is not SlotState.FREE:
             raise ShardLostError(
-                f'entry {sequence!r} of shard {self._shard!r} was '
-                'written by another owner; this process stops serving it'
+                f'journal entry {sequence!r} of shard {self._shard!r} was '
+                'written by another owner; this process stops serving the '
+                'shard'
             )
         self._revisions[sequence % RING_SLOTS] = slot.revision
 
@@ -575,7 +587,7 @@
         Raises
         ------
         StoreUnavailableError
-            When a call gets no answer; the old snapshot stays valid.
+            When a call gets no reply; the old snapshot stays valid.
         ShardLostError
             When another process has written a newer snapshot.
         """
@@ -607,12 +619,12 @@
         try:
             await self._store.create(key, part, priority=CallPriority.LOW)
         except StoreConflictError:
-            # Left by a try whose reply was lost. Chunk keys carry the
-            # sequence, whose content only one owner could have written.
+            # The chunk is from an attempt whose reply was lost. Its key has
+            # the sequence, whose content only one owner could have written.
             return
 
     async def _swap_pointer(self, sequence: int, chunks: int) -> bool:
-        """Return False when the pointer has another revision."""
+        """Write the snapshot pointer; False when it has another revision."""
         key = make_snapshot_key(self._shard)
         value = encode((sequence, chunks, self.epoch))
         try:
@@ -624,7 +636,7 @@
         return True
 
     async def _find_own_pointer(self) -> SnapshotPointer:
-        """Read a pointer that has moved, unless a successor has moved it."""
+        """Read a pointer that was changed, unless by a successor."""
         pointer = await _read_pointer(self._store, self._shard)
         if is_successor_pointer(pointer.sequence, self.next_sequence):
             raise ShardLostError(
@@ -635,5 +647,5 @@
 
 
 def encode_snapshot(records: Iterable[Any]) -> bytes:
-    """Return the content of a snapshot."""
+    """Return the encoded content of a snapshot."""
     return encode_records(records)
--- a/sassafrasgate/journal/workflows.py
+++ b/sassafrasgate/journal/workflows.py
@@ -16,9 +16,9 @@
     Parameters
     ----------
     queue : Queue
-        Terms in force at acceptance, for when the queue is removed.
+        Queue as configured at acceptance, in case it is removed later.
     accepted_at_ms : int
-        Wall clock of the owner.
+        Time of acceptance in Unix milliseconds.
     """
 
     job_id: str
@@ -29,7 +29,7 @@
 
 @register_record('workflow-cancelled')
 class WorkflowCancelled:
-    """A caller has ended a workflow."""
+    """A caller has cancelled a workflow."""
 
     job_id: str
     at_ms: int
@@ -37,16 +37,17 @@
 
 @register_record('run-ended')
 class RunEnded:
-    """A worker has listed the end of a run.
+    """A worker has reported the end of a run.
 
     Parameters
     ----------
     number : int
-        Position in the list of ends of the worker's incarnation.
+        Sequence number in the list of ended runs of the worker's incarnation.
     born_ms : int
-        The incarnation.
+        Start of the worker's incarnation in Unix milliseconds, which
+        identifies it.
     at_ms : int
-        Wall clock of the owner.
+        Time of the record in Unix milliseconds.
     """
 
     task: str
@@ -61,21 +62,22 @@
 
 @register_record('step-progress')
 class StepProgress:
-    """In snapshots: what is known of a step of an open workflow.
+    """In snapshots: progress of a step of a workflow that has not ended.
 
     Parameters
     ----------
     finished : tuple of int
         Indexes of the tasks that have finished.
     failures : tuple of (int, int)
-        Index and number of failed runs; index -1 for a gang.
+        Task index and number of failed runs; index -1 for a gang.
     next_runs : tuple of (int, int)
-        Index and lowest number for the next run, where it is above 1.
+        Task index and lowest number for the next run, if above 1.
     checkpoints : tuple of (int, str)
-        Index and newest checkpoint; index -1 for a gang.
+        Task index and latest checkpoint; index -1 for a gang.
     ended : tuple of (int, tuple of int)
-        Index and runs whose end is noted; index -1 and the failed runs for
-        a gang. Workers list an end again until it is acknowledged.
+        Task index and the runs whose end is recorded; for a gang, index -1
+        and its failed runs. Workers report an ended run again until it is
+        acknowledged.
     """
 
     job_id: str
@@ -90,7 +92,7 @@
 
 @register_record('workflow-closed')
 class WorkflowClosed:
-    """In snapshots: a workflow that has ended, kept for its callers."""
+    """In snapshots: a workflow that has ended, kept for callers' queries."""
 
     job_id: str
     queue: Queue
@@ -100,7 +102,7 @@
 
 @register_record('worker-seen')
 class WorkerSeen:
-    """From now on runs may be started on a worker."""
+    """Runs may be started on a worker from now on."""
 
     worker: str
     pool: str
@@ -109,19 +111,20 @@
 
 @register_record('worker-forgotten')
 class WorkerForgotten:
-    """A worker is gone and nothing can run on it any more."""
+    """A worker is gone; no run can still be active on it."""
 
     worker: str
 
 
 @register_record('released')
 class ShardReleased:
-    """The owner hands over on purpose and has stopped sending.
+    """The owner hands over the shard and has stopped sending commands.
 
     Parameters
     ----------
     lapse_ms : int
-        For how long from then on its leases on workers may last.
+        Time until its leases on workers have expired at the latest, in
+        milliseconds.
     """
 
     lapse_ms: int
--- a/tests/journal/test_ring_buffer.py
+++ b/tests/journal/test_ring_buffer.py
@@ -194,7 +194,7 @@
 
 async def test_a_write_whose_answer_is_overdue_is_read_back(monkeypatch):
     # Waiting for the time limit would delay every record behind it.
-    monkeypatch.setattr(ring_buffer, 'LEAST_PATIENCE_S', 0.01)
+    monkeypatch.setattr(ring_buffer, 'MIN_READ_BACK_DELAY_S', 0.01)
 
     class MuteStore(MemoryStore):
         async def swap(self, key, value, revision, priority=0):
