Name the adapters' classes by the terms of HTTP

Cause: an HTTP response was called an answer, the limiter of store calls a budget, and the worker client of the platform 'orders', which a newcomer could not connect with the usual terms. Change: HttpAnswer is HttpResponse, NoAnswerError NoResponseError, CallBudget CallRateLimiter with the keyword rate_limiter, StoreCalls BaseStore in base_store.py, WorkerOrders PlatformWorkerClient, CallerAnswer CallerResponse; AdviceClient.ask is request_advice; EntryAdapters names its fields open_advice_client and routing_table; limits start with MAX_.

--- a/sassafrasgate/adapters/calls.py
+++ b/sassafrasgate/adapters/base_store.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 from sassafrasgate.adapters.connections import HttpConnections
-from sassafrasgate.adapters.connections import NoAnswerError
+from sassafrasgate.adapters.connections import NoResponseError
 from sassafrasgate.core.errors import StoreConflictError
 from sassafrasgate.core.errors import StoreUnavailableError
 from sassafrasgate.journal.rate_limits import CallKind
@@ -18,26 +18,26 @@
     from types import TracebackType
     from typing import Self
 
-    from sassafrasgate.adapters.connections import HttpAnswer
+    from sassafrasgate.adapters.connections import HttpResponse
 
 TIMEOUT_S = 1.0
 CONNECTIONS = 16
 
 
-class CallBudget(Protocol):
+class CallRateLimiter(Protocol):
     """What limits the calls of a `Store`."""
 
     async def acquire(self, kind: str, priority: int) -> None:
         """Wait until a call of ``kind`` may be made."""
 
 
-class _NoBudget:
+class _NoRateLimit:
     async def acquire(self, kind: str, priority: int) -> None:
         return
 
 
-class StoreCalls:
-    """Calls to a store over HTTP, within a budget.
+class BaseStore:
+    """Calls to a store over HTTP, within a rate_limiter.
 
     Parameters
     ----------
@@ -45,7 +45,7 @@
         Such as ``http://127.0.0.1:2400``.
     timeout_s : float
         How long a call may take, beyond the time that a watch waits.
-    budget : CallBudget, optional
+    rate_limiter : CallRateLimiter, optional
         Asked before each call; by default there is no limit.
 
     Attributes
@@ -55,17 +55,17 @@
     """
 
     # Statuses of answers that tell that a call had no effect.
-    NO_EFFECT: ClassVar[frozenset[int]] = frozenset()
+    NO_EFFECT_STATUSES: ClassVar[frozenset[int]] = frozenset()
 
     def __init__(
         self,
         base_url: str,
         timeout_s: float = TIMEOUT_S,
-        budget: CallBudget | None = None,
+        rate_limiter: CallRateLimiter | None = None,
     ) -> None:
         self._connections = HttpConnections(base_url, CONNECTIONS)
         self._timeout_s = timeout_s
-        self._budget = budget or _NoBudget()
+        self._rate_limiter = rate_limiter or _NoRateLimit()
         self.calls: Counter[str] = Counter()
 
     async def __aenter__(self) -> Self:
@@ -90,8 +90,8 @@
         priority: int,
         params: dict[str, str] | None = None,
         wait_s: float = 0.0,
-    ) -> HttpAnswer:
-        await self._budget.acquire(CallKind.READ, priority)
+    ) -> HttpResponse:
+        await self._rate_limiter.acquire(CallKind.READ, priority)
         return await self._call(
             name, 'GET', path, params=params, wait_s=wait_s
         )
@@ -104,8 +104,8 @@
         priority: int,
         content: bytes | None = None,
         headers: dict[str, str] | None = None,
-    ) -> HttpAnswer:
-        await self._budget.acquire(CallKind.WRITE, priority)
+    ) -> HttpResponse:
+        await self._rate_limiter.acquire(CallKind.WRITE, priority)
         return await self._call(
             name, method, path, content=content, headers=headers
         )
@@ -117,19 +117,19 @@
         path: str,
         wait_s: float = 0.0,
         **options: Any,
-    ) -> HttpAnswer:
+    ) -> HttpResponse:
         self.calls[name] += 1
         try:
             response = await self._connections.call(
                 method, path, self._timeout_s + wait_s, **options
             )
-        except NoAnswerError as error:
+        except NoResponseError as error:
             raise StoreUnavailableError(
                 f'the store did not answer: {error}; read back what was '
                 'written once it answers',
                 sent=error.sent,
             ) from error
-        if response.status in self.NO_EFFECT:
+        if response.status in self.NO_EFFECT_STATUSES:
             raise StoreUnavailableError(
                 f'the store refused {method} {path} with '
                 f'{response.status!r}; try again later',
--- a/sassafrasgate/adapters/connections.py
+++ b/sassafrasgate/adapters/connections.py
@@ -26,7 +26,7 @@
 CLOSE_CHECKPOINTS = 2
 
 
-class NoAnswerError(SassafrasgateError):
+class NoResponseError(SassafrasgateError):
     """A call got no answer.
 
     Parameters
@@ -43,7 +43,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class HttpAnswer:
+class HttpResponse:
     """A complete response.
 
     Parameters
@@ -129,7 +129,7 @@
         content: bytes | None = None,
         headers: Mapping[str, str] | None = None,
         params: Mapping[str, str] | None = None,
-    ) -> HttpAnswer:
+    ) -> HttpResponse:
         """Make one call, with no retry.
 
         Parameters
@@ -141,7 +141,7 @@
 
         Raises
         ------
-        NoAnswerError
+        NoResponseError
             When there was no complete answer.
         """
         query = f'?{urlencode(params)}' if params else ''
@@ -162,22 +162,22 @@
                 allow_redirects=False,
             ) as response:
                 body = await response.read()
-                return HttpAnswer(
+                return HttpResponse(
                     f'{method} {path}', response.status, body, response.headers
                 )
         except (ClientConnectorError, ConnectionTimeoutError) as error:
-            raise NoAnswerError(
+            raise NoResponseError(
                 f'cannot connect to {self._base_url!r}: {error}', sent=False
             ) from error
         except TimeoutError as error:
             self._retire(pool)
-            raise NoAnswerError(
+            raise NoResponseError(
                 f'{method} {self._base_url}{path} got no answer in '
                 f'{timeout_s:g} s',
                 sent=True,
             ) from error
         except (ClientError, OSError) as error:
-            raise NoAnswerError(
+            raise NoResponseError(
                 f'{method} {self._base_url}{path} failed: {error!r}', sent=True
             ) from error
         finally:
--- a/sassafrasgate/adapters/entry.py
+++ b/sassafrasgate/adapters/entry.py
@@ -19,13 +19,13 @@
     ----------
     open_store : callable
         Returns a client of the store, from its address and the keyword
-        arguments of `sassafrasgate.adapters.calls.StoreCalls`.
+        arguments of `sassafrasgate.adapters.base_store.BaseStore`.
     open_worker : callable
         Returns a client of a worker, from its id, its address and a time
         limit in seconds.
-    open_adviser : callable
+    open_advice_client : callable
         Returns a client of the advice service, from its address.
-    table : RoutingTableSource
+    routing_table : RoutingTableSource
         Where the operators' routing table lies.
     registrations : RegistrationSource
         Where workers register themselves.
@@ -38,8 +38,8 @@
 
     open_store: Callable[..., Any]
     open_worker: Callable[[str, str, float], Any]
-    open_adviser: Callable[[str], Any]
-    table: RoutingTableSource
+    open_advice_client: Callable[[str], Any]
+    routing_table: RoutingTableSource
     registrations: RegistrationSource
     build_caller_application: Callable[..., Any]
     build_ready_application: Callable[..., Any]
--- a/sassafrasgate/adapters/store.py
+++ b/sassafrasgate/adapters/store.py
@@ -11,7 +11,7 @@
 from msgspec.json import decode
 from msgspec.json import encode
 
-from sassafrasgate.adapters.calls import StoreCalls
+from sassafrasgate.adapters.base_store import BaseStore
 from sassafrasgate.core.errors import StoreError
 from sassafrasgate.core.errors import StoreLeaseLostError
 from sassafrasgate.core.errors import StoreLogTrimmedError
@@ -22,7 +22,7 @@
 from sassafrasgate.journal.rate_limits import CallPriority
 
 if TYPE_CHECKING:
-    from sassafrasgate.adapters.connections import HttpAnswer
+    from sassafrasgate.adapters.connections import HttpResponse
 
 
 Value = TypeVar('Value')
@@ -40,7 +40,7 @@
     lease: str
 
 
-class Store(StoreCalls):
+class Store(BaseStore):
     """Calls to the platform's store; each is made once and never repeated.
 
     Parameters
@@ -49,7 +49,7 @@
         Such as ``http://127.0.0.1:2400``.
     timeout_s : float
         How long a call may take, beyond the time that a watch waits.
-    budget : CallBudget, optional
+    rate_limiter : CallRateLimiter, optional
         Asked before each call; by default there is no limit.
 
     Attributes
@@ -308,7 +308,7 @@
     return f'/v1/keys/{quote(key)}'
 
 
-def _check_status(response: HttpAnswer, *expected: int) -> HttpAnswer:
+def _check_status(response: HttpResponse, *expected: int) -> HttpResponse:
     if response.status in expected:
         return response
     raise StoreError(
@@ -318,7 +318,7 @@
     )
 
 
-def _read_revision(response: HttpAnswer) -> int:
+def _read_revision(response: HttpResponse) -> int:
     tag = response.headers.get('ETag', '')
     if not (revision := tag.strip('"')).isdecimal():
         raise StoreUnavailableError(
@@ -328,7 +328,7 @@
     return int(revision)
 
 
-def _decode_body(response: HttpAnswer, kind: type[Value]) -> Value:
+def _decode_body(response: HttpResponse, kind: type[Value]) -> Value:
     try:
         return decode(response.content, type=kind)
     except DecodeError as error:
--- a/sassafrasgate/adapters/workers.py
+++ b/sassafrasgate/adapters/workers.py
@@ -12,7 +12,7 @@
 from xxhash import xxh3_128_hexdigest
 
 from sassafrasgate.adapters.connections import HttpConnections
-from sassafrasgate.adapters.connections import NoAnswerError
+from sassafrasgate.adapters.connections import NoResponseError
 from sassafrasgate.core.errors import WorkerOutputError
 from sassafrasgate.core.errors import WorkerUnavailableError
 from sassafrasgate.core.tasks import CommandReply
@@ -25,7 +25,7 @@
     from typing import Any
     from typing import Self
 
-    from sassafrasgate.adapters.connections import HttpAnswer
+    from sassafrasgate.adapters.connections import HttpResponse
     from sassafrasgate.core.tasks import StartRequest
     from sassafrasgate.core.tasks import SyncRequest
 
@@ -162,7 +162,7 @@
 
     async def _post(
         self, path: str, body: Any, wait_ms: int = 0
-    ) -> HttpAnswer:
+    ) -> HttpResponse:
         response = await self._call(
             'POST', path, _ENCODER.encode(body), wait_ms
         )
@@ -179,12 +179,12 @@
         path: str,
         content: bytes | None = None,
         wait_ms: int = 0,
-    ) -> HttpAnswer:
+    ) -> HttpResponse:
         try:
             return await self._connections.call(
                 method, path, self._timeout_s + wait_ms / 1000, content=content
             )
-        except NoAnswerError as error:
+        except NoResponseError as error:
             raise WorkerUnavailableError(
                 f'the worker did not answer: {error}; sync with it to learn '
                 'what runs there',
@@ -196,7 +196,7 @@
     return f'/v1/tasks/{quote(task, safe="")}/{name}'
 
 
-def _decode_body(response: HttpAnswer, decoder: Decoder[Reply]) -> Reply:
+def _decode_body(response: HttpResponse, decoder: Decoder[Reply]) -> Reply:
     try:
         return decoder.decode(response.content)
     except DecodeError as error:
--- a/sassafrasgate/composition/entry.py
+++ b/sassafrasgate/composition/entry.py
@@ -153,7 +153,7 @@
 
     def open_store(**options: Any) -> Any:
         return adapters.open_store(
-            settings.store_address, budget=budget, **options
+            settings.store_address, rate_limiter=budget, **options
         )
 
     async with (
@@ -246,8 +246,10 @@
             int(settings.outage_grace_s * 1000),
         )
         table = RoutingTableTask(
-            PrefixWatch(table_store, adapters.table.prefix, TABLE_PAUSE_S),
-            adapters.table,
+            PrefixWatch(
+                table_store, adapters.routing_table.prefix, TABLE_PAUSE_S
+            ),
+            adapters.routing_table,
             main.send,
             logger,
         )
@@ -263,7 +265,7 @@
         group.start_soon(counts.run)
         group.start_soon(
             AdviceTask(
-                adapters.open_adviser(settings.advice_address),
+                adapters.open_advice_client(settings.advice_address),
                 advisers.receive,
             ).run
         )
--- a/sassafrasgate/composition/processes.py
+++ b/sassafrasgate/composition/processes.py
@@ -75,10 +75,10 @@
         settings.writes_per_s / share, settings.reads_per_s / share
     )
     async with (
-        open_store(settings.store_url, budget=budget) as store,
-        open_store(settings.store_url, budget=budget) as watch_store,
+        open_store(settings.store_url, rate_limiter=budget) as store,
+        open_store(settings.store_url, rate_limiter=budget) as watch_store,
         open_store(
-            settings.store_url, timeout_s=LEASE_TIMEOUT_S, budget=budget
+            settings.store_url, timeout_s=LEASE_TIMEOUT_S, rate_limiter=budget
         ) as lease_store,
     ):
         yield Process(
--- a/sassafrasgate/daemons/advice.py
+++ b/sassafrasgate/daemons/advice.py
@@ -66,7 +66,7 @@
     async def _call_service(self, requested: AdviceRequested) -> None:
         request = requested.request
         try:
-            advice = await self._client.ask(
+            advice = await self._client.request_advice(
                 request.step, request.workers, request.timeout_ms / 1000
             )
         except AdviceUnavailableError as error:
--- a/sassafrasgate/journal/rate_limits.py
+++ b/sassafrasgate/journal/rate_limits.py
@@ -203,7 +203,7 @@
     --------
     >>> budget = StoreRateLimiter(writes_per_s=40, reads_per_s=200)
     >>> tasks.start_soon(budget.run)
-    >>> store = Store('http://127.0.0.1:2400', budget=budget)
+    >>> store = Store('http://127.0.0.1:2400', rate_limiter=budget)
     """
 
     def __init__(self, writes_per_s: float, reads_per_s: float) -> None:
--- a/sassafrasgate/platform/adapters.py
+++ b/sassafrasgate/platform/adapters.py
@@ -17,7 +17,7 @@
 from sassafrasgate.platform.routing import read_routing_table
 from sassafrasgate.platform.routing import TABLE_KEY
 from sassafrasgate.platform.store import PlatformStore
-from sassafrasgate.platform.workers import WorkerOrders
+from sassafrasgate.platform.workers import PlatformWorkerClient
 
 NAME = 'kv'
 
@@ -30,7 +30,7 @@
 ENTRY_ADAPTERS.register(NAME)(
     EntryAdapters(
         open_platform_store,
-        WorkerOrders,
+        PlatformWorkerClient,
         AdviceClient,
         RoutingTableSource(OPERATOR_PREFIX, TABLE_KEY, read_routing_table),
         RegistrationSource(ENTRY_PREFIX, read_registration),
--- a/sassafrasgate/platform/advice.py
+++ b/sassafrasgate/platform/advice.py
@@ -10,7 +10,7 @@
 from msgspec.json import encode
 
 from sassafrasgate.adapters.connections import HttpConnections
-from sassafrasgate.adapters.connections import NoAnswerError
+from sassafrasgate.adapters.connections import NoResponseError
 from sassafrasgate.core.errors import AdviceUnavailableError
 from sassafrasgate.core.workflows import Advice
 
@@ -55,7 +55,7 @@
     ) -> None:
         await self._connections.close()
 
-    async def ask(
+    async def request_advice(
         self, step: str, workers: tuple[str, ...], timeout_s: float
     ) -> Advice:
         """Ask which workers may run a step.
@@ -73,7 +73,7 @@
                 content=encode({'step': step, 'workers': workers}),
                 headers=HEADERS,
             )
-        except NoAnswerError as error:
+        except NoResponseError as error:
             raise AdviceUnavailableError(
                 f'the advice service did not answer: {error}; ask again'
             ) from error
--- a/sassafrasgate/platform/callers.py
+++ b/sassafrasgate/platform/callers.py
@@ -46,13 +46,13 @@
 DEADLINE_HEADER = 'request-deadline'
 DEFAULT_DEADLINE_MS = 3_000
 # The answer needs a moment on its way back.
-ANSWER_MARGIN_MS = 60
+RESPONSE_MARGIN_MS = 60
 # When to come back after a refusal that says that nothing has run.
 RETRY_AFTER_S = 1
 RETRIED_STATUSES = frozenset({429, 503})
-MOST_STEPS = 256
-MOST_TASKS = 100_000
-MOST_BODY_BYTES = 1_048_576
+MAX_STEPS = 256
+MAX_TASKS = 100_000
+MAX_BODY_BYTES = 1_048_576
 
 
 _Count = Annotated[int, Meta(ge=0)]
@@ -130,7 +130,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class CallerAnswer:
+class CallerResponse:
     """The answer to one request.
 
     Parameters
@@ -209,7 +209,7 @@
             REQUEST_SECONDS, (now_ms() - began) / 1000, route
         )
 
-    async def _answer(self, request: Request) -> CallerAnswer:
+    async def _answer(self, request: Request) -> CallerResponse:
         if request.method not in METHODS:
             return _describe(405, f'method {request.method!r} is not served')
         host = request.headers.get('host', '').partition(':')[0]
@@ -218,7 +218,7 @@
         if isinstance(queue, Refusal):
             return _refuse(queue)
         job_id = path.removeprefix(queue.prefix)
-        answer: CallerAnswer = await METHODS.find(request.method)(
+        answer: CallerResponse = await METHODS.find(request.method)(
             self._gateway, request, queue, job_id
         )
         return answer
@@ -261,7 +261,7 @@
         """Serve one request."""
         if scope['type'] != 'http':
             return
-        answer = CallerAnswer(200, {})
+        answer = CallerResponse(200, {})
         refusal = self._gateway.is_ready()
         if scope['path'] != READY_PATH:
             answer = _describe(404, f'use {READY_PATH}')
@@ -273,7 +273,7 @@
 @METHODS.register('POST')
 async def submit_job(
     gateway: WorkflowGateway, request: Request, queue: Queue, job_id: str
-) -> CallerAnswer:
+) -> CallerResponse:
     """Hand a job in."""
     if not JOB_ID.fullmatch(job_id):
         return _describe(400, f'{job_id!r} is not 16 hexadecimal digits')
@@ -289,13 +289,13 @@
     if isinstance(answer, NoReply):
         # Whether the job was accepted is not known: the caller asks again.
         return _describe(504, answer.reason)
-    return CallerAnswer(200, {})
+    return CallerResponse(200, {})
 
 
 @METHODS.register('GET')
 async def show_job(
     gateway: WorkflowGateway, request: Request, queue: Queue, job_id: str
-) -> CallerAnswer:
+) -> CallerResponse:
     """Tell a job's state, or how many jobs of a queue have not begun."""
     timeout_s = _find_timeout_s(request)
     if not job_id:
@@ -304,30 +304,30 @@
             return _refuse(count)
         if isinstance(count, NoReply):
             return _describe(504, count.reason)
-        return CallerAnswer(200, {'pending': count.count})
+        return CallerResponse(200, {'pending': count.count})
     return _render_view(await gateway.query(job_id, timeout_s))
 
 
 @METHODS.register('DELETE')
 async def cancel_job(
     gateway: WorkflowGateway, request: Request, queue: Queue, job_id: str
-) -> CallerAnswer:
+) -> CallerResponse:
     """Cancel a job."""
     return _render_view(await gateway.cancel(job_id, _find_timeout_s(request)))
 
 
 def read_workflow(body: bytes) -> Workflow | Refusal:
     """Return the workflow of a request's body, or what is wrong with it."""
-    if len(body) > MOST_BODY_BYTES:
+    if len(body) > MAX_BODY_BYTES:
         return _invalid(f'the body has {len(body)} bytes')
     try:
         job = _DECODER.decode(body)
     except (DecodeError, ValueError) as error:
         return _invalid(str(error))
-    if not 0 < len(job.steps) <= MOST_STEPS:
+    if not 0 < len(job.steps) <= MAX_STEPS:
         return _invalid(f'the job has {len(job.steps)!r} steps')
-    if sum(step.count for step in job.steps) > MOST_TASKS:
-        return _invalid(f'the job has more than {MOST_TASKS} tasks')
+    if sum(step.count for step in job.steps) > MAX_TASKS:
+        return _invalid(f'the job has more than {MAX_TASKS} tasks')
     for number, step in enumerate(job.steps):
         if step.count < 1:
             return _invalid(f'step {number} has {step.count!r} tasks')
@@ -378,17 +378,17 @@
     wait_ms = DEFAULT_DEADLINE_MS
     if text.isdecimal():
         wait_ms = int(text)
-    return max(ANSWER_MARGIN_MS, wait_ms - ANSWER_MARGIN_MS) / 1000
+    return max(RESPONSE_MARGIN_MS, wait_ms - RESPONSE_MARGIN_MS) / 1000
 
 
-def _render_view(answer: WorkflowView | Refusal | NoReply) -> CallerAnswer:
+def _render_view(answer: WorkflowView | Refusal | NoReply) -> CallerResponse:
     if isinstance(answer, Refusal):
         return _refuse(answer)
     if isinstance(answer, NoReply):
         return _describe(504, answer.reason)
     if answer.state is None:
         return _describe(410, 'no such job')
-    return CallerAnswer(200, {'state': answer.state})
+    return CallerResponse(200, {'state': answer.state})
 
 
 STATUSES = {
@@ -398,10 +398,10 @@
 }
 
 
-def _refuse(refusal: Refusal) -> CallerAnswer:
+def _refuse(refusal: Refusal) -> CallerResponse:
     status = STATUSES.get(refusal.kind, 503)
     return _describe(status, f'{refusal.reason}; {refusal.remedy}')
 
 
-def _describe(status: int, reason: str) -> CallerAnswer:
-    return CallerAnswer(status, {'error': reason}, reason)
+def _describe(status: int, reason: str) -> CallerResponse:
+    return CallerResponse(status, {'error': reason}, reason)
--- a/sassafrasgate/platform/store.py
+++ b/sassafrasgate/platform/store.py
@@ -12,7 +12,7 @@
 from msgspec.json import decode
 from msgspec.json import encode
 
-from sassafrasgate.adapters.calls import StoreCalls
+from sassafrasgate.adapters.base_store import BaseStore
 from sassafrasgate.core.errors import StoreError
 from sassafrasgate.core.errors import StoreLeaseLostError
 from sassafrasgate.core.errors import StoreLogTrimmedError
@@ -22,7 +22,7 @@
 from sassafrasgate.journal.rate_limits import CallPriority
 
 if TYPE_CHECKING:
-    from sassafrasgate.adapters.connections import HttpAnswer
+    from sassafrasgate.adapters.connections import HttpResponse
 
 HEADERS = {'Content-Type': 'application/json'}
 OK = 200
@@ -59,7 +59,7 @@
     lease: int
 
 
-class PlatformStore(StoreCalls):
+class PlatformStore(BaseStore):
     """Calls to the platform's store; each is made once and never repeated.
 
     It has the methods of `sassafrasgate.adapters.store.Store` and raises the
@@ -71,12 +71,12 @@
         Such as ``http://10.200.1.7:8169``.
     timeout_s : float
         How long a call may take, beyond the time that a watch waits.
-    budget : CallBudget, optional
+    rate_limiter : CallRateLimiter, optional
         Asked before each call; by default there is no limit.
     """
 
     # A store that is busy or over its rates says that nothing was done.
-    NO_EFFECT = frozenset({429, 503})
+    NO_EFFECT_STATUSES = frozenset({429, 503})
 
     async def get(
         self, key: str, priority: int = CallPriority.NORMAL
@@ -232,7 +232,7 @@
         puts: list[dict[str, object]],
         deletes: list[str],
         priority: int,
-    ) -> HttpAnswer:
+    ) -> HttpResponse:
         body = encode(
             {'ifRevision': conditions, 'puts': puts, 'deletes': deletes}
         )
@@ -246,7 +246,7 @@
         return answer
 
 
-def _check_lease(answer: HttpAnswer) -> bool:
+def _check_lease(answer: HttpResponse) -> bool:
     if answer.status == NOT_FOUND:
         return False
     if answer.status != OK:
@@ -254,14 +254,14 @@
     return True
 
 
-def _refuse(answer: HttpAnswer) -> StoreError:
+def _refuse(answer: HttpResponse) -> StoreError:
     return StoreError(
         f'the store refused {answer.call!r} with {answer.status!r} '
         f'{answer.text[:200]!r}; correct the request'
     )
 
 
-def _read_body(answer: HttpAnswer, kind: type[Value]) -> Value:
+def _read_body(answer: HttpResponse, kind: type[Value]) -> Value:
     if answer.status != OK:
         raise _refuse(answer)
     try:
--- a/sassafrasgate/platform/workers.py
+++ b/sassafrasgate/platform/workers.py
@@ -11,7 +11,7 @@
 from msgspec.json import Encoder
 
 from sassafrasgate.adapters.connections import HttpConnections
-from sassafrasgate.adapters.connections import NoAnswerError
+from sassafrasgate.adapters.connections import NoResponseError
 from sassafrasgate.core.errors import WorkerUnavailableError
 from sassafrasgate.core.workflows import EndedRun
 from sassafrasgate.core.workflows import EndKind
@@ -24,7 +24,7 @@
     from types import TracebackType
     from typing import Self
 
-    from sassafrasgate.adapters.connections import HttpAnswer
+    from sassafrasgate.adapters.connections import HttpResponse
     from sassafrasgate.core.workflows import HoldRequest
     from sassafrasgate.core.workflows import RunRequest
 
@@ -71,7 +71,7 @@
 _LISTS = Decoder(_Lists)
 
 
-class WorkerOrders:
+class PlatformWorkerClient:
     """Calls to one worker; each is made once and never repeated.
 
     Parameters
@@ -162,7 +162,7 @@
         }
         return self._read_refusal(await self._post('/api/pace', body))
 
-    def _read_refusal(self, answer: HttpAnswer) -> RunReply:
+    def _read_refusal(self, answer: HttpResponse) -> RunReply:
         if answer.status in UNHEALTHY:
             return RunReply(0, StartRefusal.UNHEALTHY)
         if answer.status == OTHER_INSTANCE:
@@ -186,7 +186,7 @@
 
     async def _post(
         self, path: str, body: dict[str, object], wait_ms: int = 0
-    ) -> HttpAnswer:
+    ) -> HttpResponse:
         try:
             return await self._connections.call(
                 'POST',
@@ -195,7 +195,7 @@
                 content=_ENCODER.encode(body),
                 headers=self._headers,
             )
-        except NoAnswerError as error:
+        except NoResponseError as error:
             raise WorkerUnavailableError(
                 f'the worker did not answer: {error}; look at its lists to '
                 'learn what runs there',
@@ -203,7 +203,7 @@
             ) from error
 
 
-def _read_lists(answer: HttpAnswer) -> WorkerReport:
+def _read_lists(answer: HttpResponse) -> WorkerReport:
     try:
         found = _LISTS.decode(answer.content)
         return WorkerReport(
--- a/tests/adapters/test_store.py
+++ b/tests/adapters/test_store.py
@@ -213,7 +213,7 @@
     assert await store.list_hosts() == hosts
 
 
-class _Budget:
+class RecordingRateLimiter:
     def __init__(self):
         self.acquired = []
 
@@ -221,11 +221,11 @@
         self.acquired.append((kind, priority))
 
 
-async def test_every_call_asks_the_budget_and_is_counted_once(standin):
-    # Calls that bypass the budget would exceed the store's shared rate.
-    budget = _Budget()
+async def test_every_call_passes_the_rate_limiter_and_is_counted_once(standin):
+    # Calls that bypass the rate_limiter would exceed the store's shared rate.
+    rate_limiter = RecordingRateLimiter()
     before = standin.read_counts()
-    async with Store(standin.url, budget=budget) as store:
+    async with Store(standin.url, rate_limiter=rate_limiter) as store:
         lease = await store.grant_lease(5)
         revision = await store.create('b', b'', lease)
         await store.swap('b', b'', revision, priority=0)
@@ -236,7 +236,7 @@
         await store.revoke_lease(lease)
         await store.delete('b')
         await store.list_hosts()
-    assert budget.acquired == [
+    assert rate_limiter.acquired == [
         ('write', 0),
         ('write', 1),
         ('write', 0),
@@ -250,5 +250,5 @@
     ]
     after = standin.read_counts()
     made = sum(after.values()) - sum(before.values())
-    assert made == len(budget.acquired) == sum(store.calls.values())
+    assert made == len(rate_limiter.acquired) == sum(store.calls.values())
     assert after['get watch'] - before.get('get watch', 0) == 1
--- a/tests/adapters/test_workers.py
+++ b/tests/adapters/test_workers.py
@@ -27,7 +27,7 @@
 ONE_CORE = Resources(1000, 1024, 0, 1, 1)
 LONG = b'{"run_ms": 60000}'
 QUICK = b'{"run_ms": 1}'
-MOST_TESTS = 40
+MAX_TESTS = 40
 SHORT_TIMEOUT_S = 2.0
 CAPACITY = Resources(2000, 4096, 1, 8, 64)
 
@@ -35,7 +35,7 @@
 @pytest.fixture(scope='module')
 def unused_workers(processes):
     """One process with a fresh worker for each test."""
-    addresses = {f'w{n}': find_free_address() for n in range(MOST_TESTS)}
+    addresses = {f'w{n}': find_free_address() for n in range(MAX_TESTS)}
     workers = processes.start_workers(
         addresses, millicores=2000, memory_mb=4096, accelerators=1
     )
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -16,7 +16,7 @@
 from sassafrasgate.core.workflows import WorkflowState
 from sassafrasgate.observability.metrics import Metrics
 from sassafrasgate.platform.callers import CallerApplication
-from sassafrasgate.platform.callers import MOST_BODY_BYTES
+from sassafrasgate.platform.callers import MAX_BODY_BYTES
 from sassafrasgate.platform.callers import read_workflow
 from sassafrasgate.platform.callers import ReadyApplication
 from sassafrasgate.protocol.workflows import PendingCount
@@ -169,7 +169,7 @@
         dumps({'spec': 'x', 'steps': [{**STEP, 'count': 10**9}]}).encode(),
         dumps({'spec': 'x', 'steps': [{**STEP, 'after': [0]}]}).encode(),
         dumps({'spec': 'x', 'steps': [{**STEP, 'after': [-1]}]}).encode(),
-        b' ' * (MOST_BODY_BYTES + 1),
+        b' ' * (MAX_BODY_BYTES + 1),
     ],
 )
 def test_bad_body_is_refused_with_a_reason(body):
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -13,7 +13,7 @@
 from sassafrasgate.core.workflows import RunRequest
 from sassafrasgate.core.workflows import StartRefusal
 from sassafrasgate.core.workflows import WorkerReport
-from sassafrasgate.platform.workers import WorkerOrders
+from sassafrasgate.platform.workers import PlatformWorkerClient
 from tests.processes import find_free_address
 
 START = RunRequest('j.0.0.0', 3, 'payload', 9_000, 4_000)
@@ -57,7 +57,7 @@
 
 @pytest.fixture
 async def orders(worker):
-    async with WorkerOrders('i-1', worker.address, 0.5) as client:
+    async with PlatformWorkerClient('i-1', worker.address, 0.5) as client:
         yield client
 
 
@@ -127,7 +127,7 @@
 
 
 async def test_refused_connection_has_certainly_not_started():
-    async with WorkerOrders('i-1', find_free_address(), 0.5) as orders:
+    async with PlatformWorkerClient('i-1', find_free_address(), 0.5) as orders:
         with pytest.raises(WorkerUnavailableError) as caught:
             await orders.start(START)
 
