--- a/sassafrasgate/journal/rate_limits.py
+++ b/sassafrasgate/journal/rate_limits.py
@@ -214,7 +214,7 @@
     --------
     >>> limiter = StoreRateLimiter(writes_per_s=40, reads_per_s=200)
     >>> tasks.start_soon(limiter.run)
-    >>> store = Store('http://127.0.0.1:2400', budget=limiter)
+    >>> store = Store('http://127.0.0.1:2400', rate_limiter=limiter)
     """
 
     def __init__(self, writes_per_s: float, reads_per_s: float) -> None:
