Finish the wording of the dispatch package

Cause: some names lacked a unit or a meaning, and a few docstrings said more than the code does. Change: clocks of runs carry their unit, RunAnswered has a reply, a pass is run by run_scheduling_pass; the handling of restarted workers and overdue runs is described as the code has it. Two fields of log lines are renamed (tails_ms: tail_latencies_ms, last_try: last_attempt).

--- a/sassafrasgate/dispatch/advice.py
+++ b/sassafrasgate/dispatch/advice.py
@@ -89,10 +89,10 @@
 
     No call is made if every entry host is busy for too long.
     """
-    named = tuple(workers)[:MAX_WORKERS_PER_CALL]
-    if not named:
+    asked = tuple(workers)[:MAX_WORKERS_PER_CALL]
+    if not asked:
         return
-    call_ms = estimate_call_ms(timing, len(named))
+    call_ms = estimate_call_ms(timing, len(asked))
     channel = _choose_channel(state, call_ms)
     if channel is None:
         return
@@ -103,11 +103,11 @@
     advice = state.advice.get(key, StepAdvice())
     state.advice[key] = replace(
         advice,
-        pending_workers=frozenset(named),
-        asked_workers=advice.asked_workers | frozenset(named),
+        pending_workers=frozenset(asked),
+        asked_workers=advice.asked_workers | frozenset(asked),
         requested_at=state.now,
     )
-    yield AskAdvice(key, named, channel.entry_host, ready_at - state.now)
+    yield AskAdvice(key, asked, channel.entry_host, ready_at - state.now)
 
 
 def estimate_call_ms(timing: AdviceTiming, workers: int) -> int:
@@ -131,11 +131,15 @@
     best: AdviceChannel | None = None
     best_at = state.now + MAX_BACKLOG_MS
     for number, channel in enumerate(state.advice_channels.values()):
-        own = number == 0
-        if own and call_ms > LONG_CALL_MS and len(state.advice_channels) > 1:
+        is_local = number == 0
+        if (
+            is_local
+            and call_ms > LONG_CALL_MS
+            and len(state.advice_channels) > 1
+        ):
             continue
         begin = max(channel.busy_until, state.now) + (
-            0 if own else PEER_ROUND_TRIP_MS
+            0 if is_local else PEER_ROUND_TRIP_MS
         )
         if begin < best_at:
             best, best_at = channel, begin
@@ -195,11 +199,11 @@
     advice = state.advice.get(event.step)
     if advice is None or event.step not in state.steps:
         return
-    named = frozenset(event.workers) - advice.tickets.keys()
+    asked = frozenset(event.workers) - advice.tickets.keys()
     state.advice[event.step] = replace(
         advice,
         pending_workers=frozenset(),
-        asked_workers=advice.asked_workers - named,
+        asked_workers=advice.asked_workers - asked,
         failures=advice.failures + 1,
     )
     state.needs_pass = True
--- a/sassafrasgate/dispatch/events.py
+++ b/sassafrasgate/dispatch/events.py
@@ -109,7 +109,7 @@
 
     worker: str
     run: RunKey
-    answer: RunReply
+    reply: RunReply
 
 
 @dataclass(frozen=True, slots=True)
--- a/sassafrasgate/dispatch/pacing.py
+++ b/sassafrasgate/dispatch/pacing.py
@@ -68,13 +68,17 @@
         for run in latency_critical
         if state.now - run.load_at <= MAX_LATENCY_AGE_MS
     ]
-    strain = max((run.load / run.target_ms for run in fresh), default=0.0)
+    latency_share = max(
+        (run.load / run.target_ms for run in fresh), default=0.0
+    )
     pace = min(run.pace for run in best_effort)
-    if strain >= STOP_LATENCY_SHARE:
+    if latency_share >= STOP_LATENCY_SHARE:
         return 0
     changed_at = max(run.paced_at for run in best_effort)
     measured = [run for run in fresh if run.load_at > changed_at]
-    if strain > RAISE_LATENCY_SHARE or len(measured) < len(latency_critical):
+    if latency_share > RAISE_LATENCY_SHARE or len(measured) < len(
+        latency_critical
+    ):
         return None
     if state.now - changed_at < RAISE_INTERVAL_MS:
         return None
@@ -97,7 +101,7 @@
                 ('percent', pace),
                 ('runs', len(changed)),
                 (
-                    'tails_ms',
+                    'tail_latencies_ms',
                     ','.join(
                         f'{run.load}/{run.target_ms}'
                         for run in state.list_runs_on(worker)
--- a/sassafrasgate/dispatch/plans.py
+++ b/sassafrasgate/dispatch/plans.py
@@ -13,7 +13,7 @@
 from sassafrasgate.dispatch.state import RunEntry
 from sassafrasgate.dispatch.state import StepAdvice
 from sassafrasgate.dispatch.state import WorkerEntry
-from sassafrasgate.dispatch.stragglers import is_paused
+from sassafrasgate.dispatch.stragglers import is_paused_as_slow
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -133,7 +133,7 @@
         and not entry.unknown_runs
         and not entry.registration.leaving
         and entry.avoid_until <= state.now
-        and not is_paused(state, entry.registration.worker)
+        and not is_paused_as_slow(state, entry.registration.worker)
     )
 
 
@@ -171,9 +171,9 @@
 
     Those with the most free processor capacity come first.
     """
-    unknown = [name for name in workers if name not in advice.asked_workers]
-    unknown.sort(key=lambda name: -state.free_resources[name].millicores)
-    return unknown
+    unasked = [name for name in workers if name not in advice.asked_workers]
+    unasked.sort(key=lambda name: -state.free_resources[name].millicores)
+    return unasked
 
 
 def estimate_run_ms(step: Step, worker: WorkerEntry) -> int:
--- a/sassafrasgate/dispatch/progress.py
+++ b/sassafrasgate/dispatch/progress.py
@@ -18,7 +18,7 @@
     from sassafrasgate.journal.workflows import RunEnded
 
 # A job earns nothing if it takes more than this multiple of its objective.
-VALUE_OBJECTIVES = 3
+VALUE_LIMIT_FACTOR = 3
 # The critical path of an objective includes, for each step, one call to the
 # advice service about this many workers.
 ADVISED_WORKERS = 30
@@ -67,7 +67,7 @@
         entry.job_id,
         critical_paths_ms=paths_ms,
         due_at=start + objective,
-        value_ends_at=start + VALUE_OBJECTIVES * objective,
+        value_ends_at=start + VALUE_LIMIT_FACTOR * objective,
     )
     open_due_occurrences(state, entry.job_id)
 
--- a/sassafrasgate/dispatch/recovery.py
+++ b/sassafrasgate/dispatch/recovery.py
@@ -68,13 +68,13 @@
             from_previous_owner=True,
             durable_state=entry.state,
         )
-    bound = compute_takeover_expiry(
+    expires_at = compute_takeover_expiry(
         state.now, state.previous_ttl_ms, state.previous_grace_ms
     )
     if state.handover_lease_ms >= 0:
-        bound = state.now + state.handover_lease_ms
+        expires_at = state.now + state.handover_lease_ms
     for worker in state.recorded_workers:
-        state.unreconciled_workers[worker] = bound
+        state.unreconciled_workers[worker] = expires_at
     state.needs_pass = True
 
 
@@ -93,16 +93,16 @@
     if state.previous_owners_ended:
         return
     state.previous_owners_ended = True
-    bound = compute_takeover_expiry(state.now, 0, 0)
+    expires_at = compute_takeover_expiry(state.now, 0, 0)
     for worker, deadline in state.unreconciled_workers.items():
-        state.unreconciled_workers[worker] = min(deadline, bound)
+        state.unreconciled_workers[worker] = min(deadline, expires_at)
     yield LogEvent(
         'owners-ended',
         '',
         (
             ('owners', ','.join(list_previous_owners(state))),
             ('unreconciled', len(state.unreconciled_workers)),
-            ('reconciled_in_ms', bound - state.now),
+            ('reconciled_in_ms', expires_at - state.now),
         ),
     )
 
--- a/sassafrasgate/dispatch/registrations.py
+++ b/sassafrasgate/dispatch/registrations.py
@@ -95,17 +95,19 @@
 
     The worker may have obeyed a call for a later incarnation than the first,
     so the new count of restarts begins above the previous one. The expiry of
-    the leases that previous calls have granted is not known exactly, so a
-    bound for it is used.
+    the leases that previous calls have granted is not known exactly, so an
+    upper bound for it is used.
     """
     worker = registration.worker
     number = state.watch_counts.get(worker, 0)
     state.watch_counts[worker] = number + 1
     if number:
         entry = state.workers[worker]
-        bound = compute_worker_lease_expiry(state.now, NORMAL_HOLD_WAIT_MS)
+        expires_at = compute_worker_lease_expiry(
+            state.now, NORMAL_HOLD_WAIT_MS
+        )
         state.update_worker(
-            worker, leases_expire_at=max(entry.leases_expire_at, bound)
+            worker, leases_expire_at=max(entry.leases_expire_at, expires_at)
         )
     return WatchWorker(registration, number * RESTARTS_PER_WATCH)
 
--- a/sassafrasgate/dispatch/reports.py
+++ b/sassafrasgate/dispatch/reports.py
@@ -49,7 +49,8 @@
 def handle_report(state: DispatchState, event: WorkerReported) -> Actions:
     """Update the runs of a worker from its report.
 
-    The report is authoritative: a run that it does not list is not present.
+    A run that the report does not list is gone, unless its start call may
+    still be carried out.
     """
     entry = state.workers.get(event.worker)
     if entry is None:
@@ -90,11 +91,13 @@
 
 
 def _process_restart(state: DispatchState, event: WorkerReported) -> Actions:
-    """Handle the runs of a worker's previous incarnation as lost.
+    """Handle the runs of a worker that has restarted.
 
-    A start call for a run that no report has listed, or a repeated call, may
-    still reach the new incarnation. Calls to the new incarnation carry a
-    higher fencing token, so the next report shows whether it did.
+    Runs that the previous incarnation has listed are lost. A start call for a
+    run that no report has listed, or a repeated call, may still reach the
+    new incarnation, so these runs are kept. Calls to the new incarnation
+    carry a higher fencing token, so the next report shows whether the run
+    has started there.
     """
     for run in state.list_runs_on(event.worker):
         if run.key not in state.runs:
@@ -106,8 +109,8 @@
             run.key,
             incarnation_ms=event.report.incarnation_ms,
             phase=RunPhase.PRESENT,
-            confirmed_clock=event.report.clock_ms,
-            stop_confirmed_clock=0,
+            confirmed_clock_ms=event.report.clock_ms,
+            stop_confirmed_clock_ms=0,
             listed=False,
         )
     state.update_worker(event.worker, unknown_runs=frozenset())
@@ -230,7 +233,7 @@
         state.runs[key] = replace(
             run,
             phase=RunPhase.PRESENT,
-            confirmed_clock=run.confirmed_clock or event.report.clock_ms,
+            confirmed_clock_ms=run.confirmed_clock_ms or event.report.clock_ms,
             listed=True,
             checkpoint=running.checkpoint or run.checkpoint,
             load=running.load,
@@ -283,7 +286,7 @@
         RunPhase.PRESENT,
         started_at=state.now - step.estimate_ms * percent // 100,
         expected_ms=step.estimate_ms,
-        confirmed_clock=event.report.clock_ms,
+        confirmed_clock_ms=event.report.clock_ms,
         listed=True,
         percent=running.percent,
         percent_at=event.received_at,
@@ -376,7 +379,7 @@
 
 
 def lose_run(state: DispatchState, run: RunEntry, reason: str) -> Actions:
-    """Handle a run that is certainly gone and whose end no report lists."""
+    """Remove a run that is certainly gone and whose end no report lists."""
     state.remove_run(run.key)
     task = state.find_task(run.key.task)
     state.update_task(
@@ -403,7 +406,7 @@
 def lose_worker_runs(
     state: DispatchState, worker: str, reason: str
 ) -> Actions:
-    """Handle all runs of a worker as lost; they are certainly gone."""
+    """Remove all runs of a worker, which are certainly gone."""
     for run in state.list_runs_on(worker):
         if run.key in state.runs:
             yield from lose_run(state, run, reason)
@@ -452,8 +455,8 @@
         yield from lose_worker_runs(
             state, worker, 'the lease of the silent worker has expired'
         )
-    for worker, bound in list(state.unreconciled_workers.items()):
-        if state.now < bound:
+    for worker, expires_at in list(state.unreconciled_workers.items()):
+        if state.now < expires_at:
             continue
         del state.unreconciled_workers[worker]
         state.needs_pass = True
--- a/sassafrasgate/dispatch/scheduling_passes.py
+++ b/sassafrasgate/dispatch/scheduling_passes.py
@@ -34,7 +34,7 @@
 
 
 @EVENT_HANDLERS.register(PassDue)
-def place_waiting(state: DispatchState, event: PassDue) -> Actions:
+def run_scheduling_pass(state: DispatchState, event: PassDue) -> Actions:
     """Start the tasks of waiting steps that fit, in order of their rank."""
     state.needs_pass = False
     if state.stopping or not state.waiting_steps:
@@ -106,18 +106,24 @@
     workers: list[WorkerEntry],
 ) -> Actions:
     demand = compute_reservation(step)
-    open_workers = [
+    fitting_workers = [
         worker
         for worker in workers
         if demand.fits_in(state.free_resources[worker.registration.worker])
     ]
-    if not open_workers:
+    if not fitting_workers:
         return
     on_worker = _count_on_workers(state, key) if step.max_per_worker else {}
     for index in sorted(state.steps[key].pending_tasks):
         task = state.find_task(make_task_id(key, index))
         best = _choose_worker(
-            state, plan, step, demand, open_workers, on_worker, task.failed_on
+            state,
+            plan,
+            step,
+            demand,
+            fitting_workers,
+            on_worker,
+            task.failed_on,
         )
         if best is None:
             return
--- a/sassafrasgate/dispatch/start_replies.py
+++ b/sassafrasgate/dispatch/start_replies.py
@@ -40,9 +40,9 @@
     run = state.runs.get(event.run)
     if run is None or run.worker != event.worker:
         return
-    refusal = event.answer.refusal
+    refusal = event.reply.refusal
     if refusal is None:
-        _confirm_run(state, run, event.answer.clock_ms)
+        _confirm_run(state, run, event.reply.clock_ms)
         return
     yield LogEvent(
         'start-refused',
@@ -80,7 +80,7 @@
     state.update_run(
         run.key,
         phase=RunPhase.PRESENT,
-        confirmed_clock=max(run.confirmed_clock, clock_ms),
+        confirmed_clock_ms=max(run.confirmed_clock_ms, clock_ms),
     )
     if run.step in state.steps:
         mark_running(state, run.step.job_id)
@@ -122,7 +122,7 @@
             ('run', run.key.run),
             ('worker', run.worker),
             ('sent_ms_ago', state.now - run.started_at),
-            ('last_try', event.last),
+            ('last_attempt', event.last),
         ),
     )
     if not event.last:
--- a/sassafrasgate/dispatch/state.py
+++ b/sassafrasgate/dispatch/state.py
@@ -85,7 +85,7 @@
         Expected duration of the run.
     uncertain : bool
         Whether a start call for the run got no answer.
-    confirmed_clock : int
+    confirmed_clock_ms : int
         Worker's clock, in ms, when it confirmed the run. The run is gone if
         a later report does not list it.
     listed : bool
@@ -95,7 +95,7 @@
         Whether the owner has decided to stop the run.
     stop_sent_at : int
         Owner's clock, in ms, when the last stop call was sent.
-    stop_confirmed_clock : int
+    stop_confirmed_clock_ms : int
         Worker's clock, in ms, when it answered a stop call; 0 before that.
     percent, percent_at : int
         Last reported progress in percent, and the owner's clock, in ms, when
@@ -139,11 +139,11 @@
     started_at: int = 0
     expected_ms: int = 0
     uncertain: bool = False
-    confirmed_clock: int = 0
+    confirmed_clock_ms: int = 0
     listed: bool = False
     stopping: bool = False
     stop_sent_at: int = 0
-    stop_confirmed_clock: int = 0
+    stop_confirmed_clock_ms: int = 0
     percent: int = 0
     percent_at: int = 0
     checkpoint: str = ''
--- a/sassafrasgate/dispatch/stops.py
+++ b/sassafrasgate/dispatch/stops.py
@@ -77,7 +77,7 @@
     run = state.runs.get(event.run)
     if run is None or run.worker != event.worker:
         return
-    state.update_run(event.run, stop_confirmed_clock=max(1, event.clock_ms))
+    state.update_run(event.run, stop_confirmed_clock_ms=max(1, event.clock_ms))
     yield from ()
 
 
@@ -89,6 +89,6 @@
     clock_ms : int
         Worker's clock in the report.
     """
-    if run.stop_confirmed_clock:
-        return clock_ms > run.stop_confirmed_clock
-    return run.phase is RunPhase.PRESENT and clock_ms > run.confirmed_clock
+    if run.stop_confirmed_clock_ms:
+        return clock_ms > run.stop_confirmed_clock_ms
+    return run.phase is RunPhase.PRESENT and clock_ms > run.confirmed_clock_ms
--- a/sassafrasgate/dispatch/stragglers.py
+++ b/sassafrasgate/dispatch/stragglers.py
@@ -49,9 +49,10 @@
 MOVE_MARGIN_MS = 500
 # Time to stop a run and start it on another worker.
 MOVE_COST_MS = 1_000
-# A run is moved once, without any comparison, if it would need more than this
-# multiple of its estimate and has already run for its estimate plus the
-# margin. Estimates are too low by a factor of up to five.
+# A run is moved once, without any comparison, if it has run for longer than
+# its estimate plus the margin, and would still need more than this multiple
+# of its estimate plus the cost of a move. Estimates are too low by a factor
+# of up to five.
 OVERDUE_FACTOR = 6
 OVERDUE_MARGIN_MS = 2_000
 
@@ -110,7 +111,7 @@
             del state.slow_workers[worker]
 
 
-def is_paused(state: DispatchState, worker: str) -> bool:
+def is_paused_as_slow(state: DispatchState, worker: str) -> bool:
     """Return whether a worker gets no new runs because it is slow."""
     period = state.slow_workers.get(worker)
     return period is not None and state.now < period.ends_at
@@ -238,7 +239,9 @@
     runs = state.list_runs_of(run.step) if gang else (run,)
     for worker in sorted({entry.worker for entry in runs}):
         finished_at = state.last_finish_at.get(worker, 0)
-        if finished_at <= run.started_at and not is_paused(state, worker):
+        if finished_at <= run.started_at and not is_paused_as_slow(
+            state, worker
+        ):
             yield _pause_worker(
                 state, worker, 0.0, state.slow_workers.get(worker)
             )
--- a/tests/daemons/test_workers.py
+++ b/tests/daemons/test_workers.py
@@ -169,7 +169,7 @@
     answered.set()
 
     event = await bench.find(RunAnswered)
-    assert event.answer.refusal is StartRefusal.OTHER_INCARNATION
+    assert event.reply.refusal is StartRefusal.OTHER_INCARNATION
 
 
 async def test_a_stop_refused_after_a_restart_is_sent_again(bench):
--- a/tests/dispatch/drivers.py
+++ b/tests/dispatch/drivers.py
@@ -91,10 +91,10 @@
         starts = [a for a in actions if isinstance(a, StartRun)]
         for start in starts:
             self.running[start.worker][start.run] = 0
-            self.feed(RunAnswered(start.worker, start.run, self.answer()))
+            self.feed(RunAnswered(start.worker, start.run, self.make_reply()))
         return starts
 
-    def answer(self, refusal=None):
+    def make_reply(self, refusal=None):
         """Return a worker's reply to a start call."""
         return RunReply(self.now, refusal)
 
