--- a/sassafrasgate/shards/events.py
+++ b/sassafrasgate/shards/events.py
@@ -35,7 +35,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigurationChanged:
-    """Another configuration has been published."""
+    """A configuration has been published."""
 
     configuration: Configuration
 
@@ -82,7 +82,7 @@
 
 @dataclass(frozen=True, slots=True)
 class HostSilent:
-    """A worker did not answer a sync call in time."""
+    """A worker did not respond to a sync call in time."""
 
     host: str
 
--- a/sassafrasgate/shards/quick_requests.py
+++ b/sassafrasgate/shards/quick_requests.py
@@ -306,7 +306,7 @@
         view = JobView(
             quick.job_id,
             JobState.UNKNOWN,
-            'the worker did not answer within the deadline',
+            'the worker did not respond within the deadline',
             quick.attempt,
             (quick.host,),
             state.name,
--- a/sassafrasgate/shards/state.py
+++ b/sassafrasgate/shards/state.py
@@ -182,8 +182,8 @@
     reading : ClockReading or None
         The last clock reading under this epoch.
     silent_since : int
-        The owner's clock when the worker first failed to answer; 0 while it
-        answers.
+        The owner's clock when the worker first failed to respond; 0 while it
+        responds.
     leases_expire_at : int
         The owner's clock from which all leases of previous owners on the
         host have expired; 0 once the worker has answered.
@@ -302,7 +302,7 @@
     owner : str
         Process name and incarnation of the owner.
     previous_grace_ms, previous_ttl_ms : int
-        Grace period and store lease of the previous owner.
+        Grace period and store lease duration of the previous owner, in ms.
     waiters : dict of str to tuple of JobWaiter
         Callers that wait for the end of each job.
     quick_requests : dict of str to QuickRequest
--- a/sassafrasgate/shards/submissions.py
+++ b/sassafrasgate/shards/submissions.py
@@ -265,7 +265,7 @@
     view = JobView(
         event.job_id,
         JobState.NOT_RUN,
-        'the store did not answer in time; nothing was written',
+        'the store did not respond in time; nothing was written',
         shard=state.name,
         epoch=state.epoch,
     )
--- a/sassafrasgate/shards/workers.py
+++ b/sassafrasgate/shards/workers.py
@@ -190,14 +190,14 @@
 def handle_silent_host(
     state: ShardState, event: HostSilent, now: int
 ) -> Actions:
-    """Exclude a host whose worker does not answer from placement."""
+    """Exclude a host whose worker does not respond from placement."""
     entry = state.hosts.get(event.host)
     if entry is None or entry.silent_since:
         return
     state.update_host(event.host, silent_since=now)
     open_or_close_host(state, event.host)
     yield LogDecision(
-        'silent', '', host=event.host, reason='worker did not answer'
+        'silent', '', host=event.host, reason='worker did not respond'
     )
 
 
@@ -307,7 +307,7 @@
 def compute_host_lease_expiry(entry: HostEntry) -> int:
     """Return the owner's time from which no task can run on a host.
 
-    For a host that answers it stays in the future, since each reply brings
+    For a responsive host it stays in the future, since each reply brings
     a newer clock reading.
     """
     if entry.reading is None:
--- a/tests/shards/simulation.py
+++ b/tests/shards/simulation.py
@@ -261,12 +261,12 @@
             Number of the previous owner's pending records that became
             durable, oldest first.
         """
-        old = self.owner
-        self.journal.extend(old.unwritten_records[:written])
-        old.unwritten_records.clear()
-        old.may_act_until = self.now + GRACE_MS
-        self.previous_owner = old
-        self.owner = self._make_owner(old.state.epoch)
+        previous = self.owner
+        self.journal.extend(previous.unwritten_records[:written])
+        previous.unwritten_records.clear()
+        previous.may_act_until = self.now + GRACE_MS
+        self.previous_owner = previous
+        self.owner = self._make_owner(previous.state.epoch)
 
     def feed(self, event: Any) -> None:
         """Pass an event to the owner and carry out its actions."""
--- a/tests/shards/test_transfers.py
+++ b/tests/shards/test_transfers.py
@@ -64,12 +64,12 @@
         """Deliver all replies to the senders, or lose them."""
         for shard in self.shards.values():
             replies, shard.replies = shard.replies, []
-            for token, answer in replies:
-                waiting = self.open_requests.pop(token, None)
-                if waiting is None:
+            for token, reply in replies:
+                request = self.open_requests.pop(token, None)
+                if request is None:
                     continue
-                sender, message = waiting
-                received = None if lose else answer
+                sender, message = request
+                received = None if lose else reply
                 self.shards[sender].feed(PeerAnswered(message, received))
 
     def run_to_completion(self):
