--- a/sassafrasgate/adapters/__init__.py
+++ b/sassafrasgate/adapters/__init__.py
@@ -1,1 +1,1 @@
-"""Adapters of the project's own HTTP interfaces to store and workers."""
+"""Clients of the project's own HTTP interfaces to the store and workers."""
--- a/sassafrasgate/adapters/base_store.py
+++ b/sassafrasgate/adapters/base_store.py
@@ -1,4 +1,4 @@
-"""What clients of the platform's store have in common."""
+"""Base class of the HTTP clients of a key-value store."""
 
 from __future__ import annotations
 
@@ -21,11 +21,11 @@
     from sassafrasgate.adapters.connections import HttpResponse
 
 TIMEOUT_S = 1.0
-CONNECTIONS = 16
+MAX_CONNECTIONS = 16
 
 
 class CallRateLimiter(Protocol):
-    """What limits the calls of a `Store`."""
+    """Limits the rate of a store client's calls."""
 
     async def acquire(self, kind: str, priority: int) -> None:
         """Wait until a call of ``kind`` may be made."""
@@ -37,24 +37,26 @@
 
 
 class BaseStore:
-    """Calls to a store over HTTP, within a rate_limiter.
+    """HTTP client of a store, whose calls a rate limiter delays.
 
     Parameters
     ----------
     base_url : str
-        Such as ``http://127.0.0.1:2400``.
+        Base URL of the store, such as ``http://127.0.0.1:2400``.
     timeout_s : float
-        How long a call may take, beyond the time that a watch waits.
+        Maximum duration of a call in seconds, in addition to the time that
+        a watch waits.
     rate_limiter : CallRateLimiter, optional
-        Asked before each call; by default there is no limit.
+        Delays each call until the rate allows it; by default the rate is
+        unlimited.
 
     Attributes
     ----------
     calls : collections.Counter
-        Number of calls made, by the name of the method.
+        Number of calls made, by method name.
     """
 
-    # Statuses of answers that tell that a call had no effect.
+    # Statuses of responses to calls that certainly had no effect.
     NO_EFFECT_STATUSES: ClassVar[frozenset[int]] = frozenset()
 
     def __init__(
@@ -63,7 +65,7 @@
         timeout_s: float = TIMEOUT_S,
         rate_limiter: CallRateLimiter | None = None,
     ) -> None:
-        self._connections = HttpConnections(base_url, CONNECTIONS)
+        self._connections = HttpConnections(base_url, MAX_CONNECTIONS)
         self._timeout_s = timeout_s
         self._rate_limiter = rate_limiter or _NoRateLimit()
         self.calls: Counter[str] = Counter()
@@ -125,19 +127,19 @@
             )
         except NoResponseError as error:
             raise StoreUnavailableError(
-                f'the store did not answer: {error}; read back what was '
-                'written once it answers',
+                f'the store did not respond: {error}; read back what was '
+                'written once it responds',
                 sent=error.sent,
             ) from error
         if response.status in self.NO_EFFECT_STATUSES:
             raise StoreUnavailableError(
-                f'the store refused {method} {path} with '
+                f'the store rejected {method} {path} with '
                 f'{response.status!r}; try again later',
                 sent=False,
             )
         if response.status >= 500:
             raise StoreUnavailableError(
-                f'the store answered {method} {path} with '
+                f'the store responded to {method} {path} with '
                 f'{response.status!r}; read back what was written once '
                 'it has recovered'
             )
--- a/sassafrasgate/adapters/connections.py
+++ b/sassafrasgate/adapters/connections.py
@@ -1,4 +1,4 @@
-"""HTTP connections that are replaced once they stop answering."""
+"""Pools of HTTP connections that are replaced after a timeout."""
 
 from __future__ import annotations
 
@@ -21,20 +21,22 @@
 
 CONNECT_TIMEOUT_S = 1.0
 KEEP_ALIVE_S = 60.0
-# The event loop reads the end of a connection that the peer has closed in
-# one round and closes it in the next.
-CLOSE_CHECKPOINTS = 2
+# When the peer has closed an idle connection, the event loop reads its end
+# in one iteration and closes it in the next. Each call lets both pass first,
+# so that it does not use such a connection.
+CLOSE_LOOP_ITERATIONS = 2
 
 
 class NoResponseError(SassafrasgateError):
-    """A call got no answer.
+    """An HTTP call received no complete response.
 
     Parameters
     ----------
     message : str
         What failed.
     sent : bool
-        False when no connection was made, so that the call had no effect.
+        False when no connection was established, so that the call had no
+        effect.
     """
 
     def __init__(self, message: str, sent: bool) -> None:
@@ -44,7 +46,7 @@
 
 @dataclass(frozen=True, slots=True)
 class HttpResponse:
-    """A complete response.
+    """An HTTP response whose body has been read completely.
 
     Parameters
     ----------
@@ -55,7 +57,7 @@
     content : bytes
         Body.
     headers : mapping
-        Without regard to case.
+        Response headers; their names are case-insensitive.
     """
 
     call: str
@@ -79,21 +81,21 @@
 class HttpConnections:
     """A pool of connections to one address.
 
-    An established connection can go silent for good while new ones work.
-    After a timeout the pool takes no more calls: the next call opens a new
-    connection, and calls that are under way on the old pool may finish.
+    An established connection can stop responding for good while new ones
+    work. After a timeout the pool is therefore retired: the next call opens
+    a new one, and calls in flight on the old one may finish.
 
     Parameters
     ----------
     base_url : str
         URL that all paths are relative to.
     connections : int
-        The most connections of one pool.
+        Maximum number of open connections of a pool.
 
     Notes
     -----
-    aiohttp takes a twentieth of the processor time of httpx for a call;
-    `docs/design.md` has the measurement.
+    A call through aiohttp takes a twentieth of the processor time of one
+    through httpx; `docs/design.md` has the measurement.
     """
 
     def __init__(self, base_url: str, connections: int) -> None:
@@ -101,8 +103,8 @@
         self._connections = connections
         self._pool: _Pool | None = None
 
-    def _find_pool(self) -> _Pool:
-        # A session needs a running event loop, so it is opened by a call.
+    def _get_pool(self) -> _Pool:
+        # A session needs a running event loop, so the first call opens it.
         if self._pool is None:
             session = ClientSession(
                 connector=TCPConnector(
@@ -114,8 +116,8 @@
                 auto_decompress=False,
                 trust_env=False,
             )
-            # A PUT whose answer was lost would be sent twice; aiohttp has
-            # no public switch for its repeats.
+            # aiohttp would send a PUT again whose response was lost; it has
+            # no public option that turns these retries off.
             session._retry_connection = False
             self._pool = _Pool(session)
         return self._pool
@@ -130,25 +132,25 @@
         headers: Mapping[str, str] | None = None,
         params: Mapping[str, str] | None = None,
     ) -> HttpResponse:
-        """Make one call, with no retry.
+        """Make one call, without retries.
 
         Parameters
         ----------
         method, path : str
             HTTP method, and path relative to the base URL.
         timeout_s : float
-            Limit for the whole call in seconds.
+            Maximum duration of the whole call in seconds.
 
         Raises
         ------
         NoResponseError
-            When there was no complete answer.
+            When no complete response was received.
         """
         query = f'?{urlencode(params)}' if params else ''
         url = URL(f'{self._base_url}{path}{query}', encoded=True)
-        for _ in range(CLOSE_CHECKPOINTS):
+        for _ in range(CLOSE_LOOP_ITERATIONS):
             await sleep(0)
-        pool = self._find_pool()
+        pool = self._get_pool()
         pool.calls += 1
         try:
             async with pool.session.request(
@@ -172,8 +174,8 @@
         except TimeoutError as error:
             self._retire(pool)
             raise NoResponseError(
-                f'{method} {self._base_url}{path} got no answer in '
-                f'{timeout_s:g} s',
+                f'{method} {self._base_url}{path} received no response '
+                f'within {timeout_s:g} s',
                 sent=True,
             ) from error
         except (ClientError, OSError) as error:
@@ -190,7 +192,7 @@
             self._pool = None
 
     async def close(self) -> None:
-        """Close the pool; calls under way fail."""
+        """Close the pool; calls in flight fail."""
         pool, self._pool = self._pool, None
         if pool is None:
             return
@@ -201,6 +203,6 @@
 async def _close_if_unused(pool: _Pool) -> None:
     if not pool.retired or pool.calls:
         return
-    # A cancelled caller would otherwise leave the sockets open.
+    # Shielded, since a cancelled caller would leave the sockets open.
     with CancelScope(shield=True):
         await pool.session.close()
--- a/sassafrasgate/adapters/entry.py
+++ b/sassafrasgate/adapters/entry.py
@@ -1,4 +1,4 @@
-"""What an entry process needs of a platform, by name of the platform."""
+"""Registry of the platform adapters that entry hosts use."""
 
 from __future__ import annotations
 
@@ -13,7 +13,7 @@
 
 @dataclass(frozen=True, slots=True)
 class EntryAdapters:
-    """The adapters of one platform.
+    """The adapters through which an entry host uses one platform.
 
     Parameters
     ----------
@@ -21,19 +21,20 @@
         Returns a client of the store, from its address and the keyword
         arguments of `sassafrasgate.adapters.base_store.BaseStore`.
     open_worker : callable
-        Returns a client of a worker, from its id, its address and a time
-        limit in seconds.
+        Returns a client of a worker, from its id, its address and the
+        maximum duration of a call in seconds.
     open_advice_client : callable
         Returns a client of the advice service, from its address.
     routing_table : RoutingTableSource
-        Where the operators' routing table lies.
+        Store key and decoder of the operators' routing table.
     registrations : RegistrationSource
-        Where workers register themselves.
+        Store keys and decoder of the workers' registrations.
     build_caller_application : callable
-        Returns the ASGI application for callers, from the gateway, a logger
-        and the process's metrics.
+        Returns the ASGI application that serves callers, from the gateway, a
+        logger and the process's metrics.
     build_ready_application : callable
-        Returns the ASGI application for the load balancer, from the gateway.
+        Returns the ASGI application that the load balancer probes, from the
+        gateway.
     """
 
     open_store: Callable[..., Any]
--- a/sassafrasgate/adapters/schemes.py
+++ b/sassafrasgate/adapters/schemes.py
@@ -1,4 +1,4 @@
-"""Adapters of the platform's store and workers, by URL scheme."""
+"""Registries of store and worker clients by URL scheme."""
 
 from __future__ import annotations
 
@@ -30,23 +30,23 @@
 
 
 def open_store(url: str, **options: Any) -> Store:
-    """Return the store adapter for a URL.
+    """Return a store client for a URL.
 
     Parameters
     ----------
     url : str
-        Base URL; its scheme selects the adapter.
+        Base URL; its scheme selects the client class.
     **options
-        Keyword arguments of the adapter, such as ``timeout_s``.
+        Keyword arguments of the client, such as ``timeout_s``.
 
     Raises
     ------
     UnknownNameError
-        When no adapter has the URL's scheme.
+        When no client is registered for the URL's scheme.
     """
     return STORES.find(urlsplit(url).scheme)(url, **options)
 
 
 def open_worker(url: str, **options: Any) -> WorkerClient:
-    """Return the worker adapter for a URL; see `open_store`."""
+    """Return a worker client for a URL; see `open_store`."""
     return WORKERS.find(urlsplit(url).scheme)(url, **options)
--- a/sassafrasgate/adapters/store.py
+++ b/sassafrasgate/adapters/store.py
@@ -1,4 +1,4 @@
-"""Client of the platform's key-value store."""
+"""Client of a key-value store with the project's own HTTP interface."""
 
 from __future__ import annotations
 
@@ -41,27 +41,29 @@
 
 
 class Store(BaseStore):
-    """Calls to the platform's store; each is made once and never repeated.
+    """Client of the store, which sends each call once and never retries.
 
     Parameters
     ----------
     base_url : str
-        Such as ``http://127.0.0.1:2400``.
+        Base URL of the store, such as ``http://127.0.0.1:2400``.
     timeout_s : float
-        How long a call may take, beyond the time that a watch waits.
+        Maximum duration of a call in seconds, in addition to the time that
+        a watch waits.
     rate_limiter : CallRateLimiter, optional
-        Asked before each call; by default there is no limit.
+        Delays each call until the rate allows it; by default the rate is
+        unlimited.
 
     Attributes
     ----------
     calls : collections.Counter
-        Number of calls made, by the name of the method.
+        Number of calls made, by method name.
 
     Notes
     -----
-    Every method raises `StoreUnavailableError` when no answer came, with
-    ``sent`` false if it certainly had no effect, and `StoreError` when the
-    store refused the call.
+    Every method raises `StoreUnavailableError` when no response was received,
+    with ``sent`` false if the call certainly had no effect, and `StoreError`
+    when the store rejected the call.
 
     Examples
     --------
@@ -73,8 +75,10 @@
     async def get(
         self, key: str, priority: int = CallPriority.NORMAL
     ) -> Item | None:
-        """Return a key's item, or None when there is no such key."""
-        response = await self._read('get', _key_path(key), priority=priority)
+        """Return a key's item, or None when the key does not exist."""
+        response = await self._read(
+            'get', _make_key_path(key), priority=priority
+        )
         if response.status == 404:
             return None
         _check_status(response, 200)
@@ -127,7 +131,7 @@
         revision: int | None = None,
         priority: int = CallPriority.NORMAL,
     ) -> bool:
-        """Delete a key; tells whether it was there.
+        """Delete a key and tell whether it existed.
 
         Raises
         ------
@@ -138,7 +142,7 @@
         response = await self._write(
             'delete',
             'DELETE',
-            _key_path(key),
+            _make_key_path(key),
             headers=headers,
             priority=priority,
         )
@@ -148,7 +152,7 @@
     async def list(
         self, prefix: str, priority: int = CallPriority.NORMAL
     ) -> tuple[Item, ...]:
-        """Return the items under a prefix, in the order of their keys."""
+        """Return the items under a prefix, sorted by key."""
         return (await self.read_prefix(prefix, priority)).items
 
     async def read_prefix(
@@ -157,18 +161,18 @@
         priority: int = CallPriority.NORMAL,
         values: bool = True,
     ) -> Changes:
-        """Return the items under a prefix and where to watch from.
+        """Return the items under a prefix and the revision to watch from.
 
         Makes one call per megabyte of values. The revision is that of the
-        first call, so that a watch from there misses no change; it may
-        repeat some that later calls have already shown.
+        first call, so that a watch from it misses no change; the watch may
+        repeat changes that later calls have already returned.
 
         Parameters
         ----------
         prefix : str
-            Start of the keys.
+            Prefix of the keys.
         values : bool
-            Whether to read the values; if not, each is None.
+            Whether to read the values; if false, each value is None.
         """
         items: list[Item] = []
         revision = 0
@@ -191,23 +195,23 @@
         wait_s: float,
         priority: int = CallPriority.NORMAL,
     ) -> Changes:
-        """Return changes under a prefix, waiting for the first one.
+        """Return the changes under a prefix, waiting for the first one.
 
         Parameters
         ----------
         prefix : str
-            Start of the keys.
+            Prefix of the keys.
         after : int
-            Revision of the last change seen, from the previous answer or
+            Revision of the last change seen, from the previous call or
             `read_prefix`.
         wait_s : float
-            How long the store holds the call when there is no change, in
-            seconds. The answer then has no items.
+            Maximum time that the store waits for a change, in seconds. If
+            none occurs, the result has no items.
 
         Raises
         ------
         StoreLogTrimmedError
-            When the store has dropped changes after ``after``.
+            When the store no longer holds all changes after ``after``.
         """
         response = await self._read(
             'watch',
@@ -243,7 +247,7 @@
     async def renew_lease(
         self, lease: str, priority: int = CallPriority.HIGH
     ) -> bool:
-        """Give a lease its whole time again; False if it has expired."""
+        """Renew a lease for its full duration; False if it has expired."""
         response = await self._write(
             'renew_lease',
             'POST',
@@ -258,7 +262,7 @@
     async def revoke_lease(
         self, lease: str, priority: int = CallPriority.NORMAL
     ) -> None:
-        """End a lease, which deletes its keys; an expired one is no error."""
+        """Revoke a lease and delete its keys; ignore an expired lease."""
         response = await self._write(
             'revoke_lease',
             'DELETE',
@@ -270,7 +274,7 @@
     async def list_hosts(
         self, priority: int = CallPriority.NORMAL
     ) -> tuple[HostStatus, ...]:
-        """Return the platform's lagging host list."""
+        """Return the platform's host list, which lags behind the hosts."""
         response = await self._read(
             'list_hosts', '/v1/hosts', priority=priority
         )
@@ -292,7 +296,7 @@
         response = await self._write(
             name,
             'PUT',
-            _key_path(key),
+            _make_key_path(key),
             content=value,
             headers=headers,
             priority=priority,
@@ -304,7 +308,7 @@
         return _read_revision(_check_status(response, 200))
 
 
-def _key_path(key: str) -> str:
+def _make_key_path(key: str) -> str:
     return f'/v1/keys/{quote(key)}'
 
 
@@ -312,7 +316,7 @@
     if response.status in expected:
         return response
     raise StoreError(
-        f'the store refused {response.call!r} with '
+        f'the store rejected {response.call!r} with '
         f'{response.status!r} '
         f'{response.text[:200]!r}; correct the request'
     )
@@ -322,7 +326,7 @@
     tag = response.headers.get('ETag', '')
     if not (revision := tag.strip('"')).isdecimal():
         raise StoreUnavailableError(
-            f'the store answered with ETag {tag!r}, which is no revision; '
+            f'the store sent ETag {tag!r}, which is not a revision; '
             'check that the store URL leads to the store'
         )
     return int(revision)
@@ -333,6 +337,6 @@
         return decode(response.content, type=kind)
     except DecodeError as error:
         raise StoreUnavailableError(
-            f'cannot decode an answer of the store: {error}; check that the '
-            'store URL leads to the store'
+            f'cannot decode a response of the store: {error}; check that '
+            'the store URL leads to the store'
         ) from error
--- a/sassafrasgate/adapters/workers.py
+++ b/sassafrasgate/adapters/workers.py
@@ -30,7 +30,7 @@
     from sassafrasgate.core.tasks import SyncRequest
 
 TIMEOUT_S = 2.0
-CONNECTIONS = 64
+MAX_CONNECTIONS = 64
 
 Reply = TypeVar('Reply')
 
@@ -41,21 +41,22 @@
 
 
 class WorkerClient:
-    """Calls to one worker; each is made once and never repeated.
+    """Client of one worker, which sends each call once and never retries.
 
     Parameters
     ----------
     url : str
         Base URL of the worker's API.
     connections : int
-        The most connections to open.
+        Maximum number of open connections.
     timeout_s : float
-        How long a call may take beyond its ``wait_ms``, in seconds.
+        Maximum duration of a call in seconds, in addition to its
+        ``wait_ms``.
 
     Notes
     -----
-    Every method raises `WorkerUnavailableError` when no answer came, with
-    ``sent`` false if the call certainly had no effect.
+    Every method raises `WorkerUnavailableError` when no response was
+    received, with ``sent`` false if the call certainly had no effect.
 
     Examples
     --------
@@ -66,7 +67,7 @@
     def __init__(
         self,
         url: str,
-        connections: int = CONNECTIONS,
+        connections: int = MAX_CONNECTIONS,
         timeout_s: float = TIMEOUT_S,
     ) -> None:
         self._connections = HttpConnections(url, connections)
@@ -88,19 +89,19 @@
         await self._connections.close()
 
     async def sync(self, request: SyncRequest) -> SyncReply:
-        """Raise the fence, renew leases and wait for news."""
+        """Raise the fencing epoch, renew leases and poll for updates."""
         response = await self._post('/v1/sync', request, request.wait_ms)
         return _decode_body(response, _SYNC_DECODER)
 
     async def start(self, request: StartRequest) -> StartReply:
-        """Start a task; a refusal means that it does not run."""
+        """Start a task; a refusal means that it will not run."""
         response = await self._post('/v1/tasks', request, request.wait_ms)
         return _decode_body(response, _START_DECODER)
 
     async def fetch_output(
         self, task: str, size: int | None = None, digest: str = ''
     ) -> bytes:
-        """Return an ended task's output.
+        """Return the output of a task that has ended.
 
         Parameters
         ----------
@@ -109,15 +110,15 @@
         size : int, optional
             Expected length in bytes.
         digest : str
-            Expected xxh3-128 in hexadecimal; empty to skip the check.
+            Expected xxh3-128 digest in hexadecimal; empty to skip the check.
 
         Raises
         ------
         WorkerOutputError
-            When the worker no longer has the output, or it has another
-            length or digest.
+            When the worker no longer has the output, or its length or digest
+            differs from the expected one.
         """
-        response = await self._call('GET', _task_path(task, 'output'))
+        response = await self._call('GET', _make_task_path(task, 'output'))
         if response.status != 200:
             raise WorkerOutputError(
                 f'the worker has no output of task {task!r} '
@@ -150,14 +151,14 @@
     async def checkpoint(
         self, task: str, epoch: int, shard: str
     ) -> CommandReply:
-        """Save a running task's progress; the task goes on."""
+        """Save a running task's progress without interrupting it."""
         command = TaskCommand(shard, epoch)
         return await self._command('checkpoint', task, command)
 
     async def _command(
         self, name: str, task: str, command: TaskCommand
     ) -> CommandReply:
-        response = await self._post(_task_path(task, name), command)
+        response = await self._post(_make_task_path(task, name), command)
         return _decode_body(response, _COMMAND_DECODER)
 
     async def _post(
@@ -169,7 +170,7 @@
         if response.status in (200, 201, 409):
             return response
         raise WorkerUnavailableError(
-            f'the worker answered {path!r} with {response.status!r} '
+            f'the worker responded to {path!r} with {response.status!r} '
             f'{response.text[:200]!r}; check that the URL leads to a worker'
         )
 
@@ -186,13 +187,13 @@
             )
         except NoResponseError as error:
             raise WorkerUnavailableError(
-                f'the worker did not answer: {error}; sync with it to learn '
+                f'the worker did not respond: {error}; sync with it to learn '
                 'what runs there',
                 sent=error.sent,
             ) from error
 
 
-def _task_path(task: str, name: str) -> str:
+def _make_task_path(task: str, name: str) -> str:
     return f'/v1/tasks/{quote(task, safe="")}/{name}'
 
 
@@ -201,6 +202,6 @@
         return decoder.decode(response.content)
     except DecodeError as error:
         raise WorkerUnavailableError(
-            f'cannot decode an answer of the worker: {error}; check that the '
-            'URL leads to a worker'
+            f'cannot decode a response of the worker: {error}; check that '
+            'the URL leads to a worker'
         ) from error
--- a/sassafrasgate/platform/__init__.py
+++ b/sassafrasgate/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Translation of the users' platform into the product's own types."""
+"""Clients and HTTP interfaces of the users' platform, in the core types."""
--- a/sassafrasgate/platform/advice.py
+++ b/sassafrasgate/platform/advice.py
@@ -18,31 +18,33 @@
     from types import TracebackType
     from typing import Self
 
-CONNECTIONS = 8
+MAX_CONNECTIONS = 8
 HEADERS = {'Content-Type': 'application/json'}
 OK = 200
 
 
-class _Good(Struct, frozen=True, rename='camel'):
-    # Rows of worker and ticket.
+class _AdviceResponse(Struct, frozen=True, rename='camel'):
+    # Pairs of a worker and its ticket.
     good: list[tuple[str, str]]
     valid_ms: float
 
 
-_DECODER = Decoder(_Good)
+_DECODER = Decoder(_AdviceResponse)
 
 
 class AdviceClient:
-    """Calls to the advice service; each is made once.
+    """Client of the advice service, which sends each call once.
 
     Parameters
     ----------
     address : str
-        IP number and port.
+        IP address and port.
     """
 
     def __init__(self, address: str) -> None:
-        self._connections = HttpConnections(f'http://{address}', CONNECTIONS)
+        self._connections = HttpConnections(
+            f'http://{address}', MAX_CONNECTIONS
+        )
 
     async def __aenter__(self) -> Self:
         return self
@@ -58,15 +60,15 @@
     async def request_advice(
         self, step: str, workers: tuple[str, ...], timeout_s: float
     ) -> Advice:
-        """Ask which workers may run a step.
+        """Return the workers that may run a step, with their tickets.
 
         Raises
         ------
         AdviceUnavailableError
-            When there was no answer, or none that can be used.
+            When no response was received, or it cannot be used.
         """
         try:
-            answer = await self._connections.call(
+            response = await self._connections.call(
                 'POST',
                 '/api/advise',
                 timeout_s,
@@ -75,17 +77,17 @@
             )
         except NoResponseError as error:
             raise AdviceUnavailableError(
-                f'the advice service did not answer: {error}; ask again'
+                f'the advice service did not respond: {error}; try again'
             ) from error
-        if answer.status != OK:
+        if response.status != OK:
             raise AdviceUnavailableError(
-                f'the advice service answered with {answer.status!r} '
-                f'{answer.text[:200]!r}; ask again later'
+                f'the advice service responded with {response.status!r} '
+                f'{response.text[:200]!r}; try again later'
             )
         try:
-            found = _DECODER.decode(answer.content)
+            advice = _DECODER.decode(response.content)
         except DecodeError as error:
             raise AdviceUnavailableError(
-                f'cannot decode an answer of the advice service: {error}'
+                f'cannot decode a response of the advice service: {error}'
             ) from error
-        return Advice(tuple(found.good), int(found.valid_ms))
+        return Advice(tuple(advice.good), int(advice.valid_ms))
--- a/sassafrasgate/platform/callers.py
+++ b/sassafrasgate/platform/callers.py
@@ -1,4 +1,4 @@
-"""The callers' interface: paths, bodies and statuses of the platform."""
+"""HTTP interface of an entry host for callers and the load balancer."""
 
 from __future__ import annotations
 
@@ -42,12 +42,12 @@
     from sassafrasgate.protocol.workflows import WorkflowView
 
 READY_PATH = '/api/readyz'
-JOB_ID = re.compile(r'[0-9a-fA-F]{16}')
+JOB_ID_PATTERN = re.compile(r'[0-9a-fA-F]{16}')
 DEADLINE_HEADER = 'request-deadline'
 DEFAULT_DEADLINE_MS = 3_000
-# The answer needs a moment on its way back.
+# Time reserved for the response to reach the caller before the deadline.
 RESPONSE_MARGIN_MS = 60
-# When to come back after a refusal that says that nothing has run.
+# Sent with the statuses below, which tell the caller that nothing has run.
 RETRY_AFTER_S = 1
 RETRIED_STATUSES = frozenset({429, 503})
 MAX_STEPS = 256
@@ -69,11 +69,11 @@
     checkpointing: bool = False
     gang: bool = False
     same_rack: bool = False
-    # A label that the worker must have.
+    # Label that the worker must have.
     requires: str = ''
-    # The rack that holds the data.
+    # Rack that holds the data.
     affinity: str = ''
-    # Most tasks on one worker.
+    # Maximum number of the step's tasks on one worker.
     anti_affinity: _Count = 0
     speculative: bool = False
     long_running: bool = False
@@ -84,7 +84,7 @@
 
 
 class _Job(Struct, frozen=True, rename='camel'):
-    # Opaque to the system; the workers get it with each task.
+    # Passed unchanged to the workers with each task.
     spec: str
     steps: list[_Step]
     repeats: _Count = 0
@@ -96,22 +96,22 @@
 
 
 class WorkflowGateway(Protocol):
-    """What the callers' interface needs of the product."""
+    """Interface through which the HTTP handlers use the scheduler."""
 
     @property
     def version(self) -> int:
-        """Version of the routing table in force; 0 before the first."""
+        """Version of the routing table in force; 0 before the first one."""
 
     def is_ready(self) -> Refusal | None:
-        """Return None when the process may serve, else the reason."""
+        """Return why the process may not serve yet; None if it may."""
 
     def find_queue(self, host: str, path: str) -> Queue | Refusal:
-        """Return the queue of a request."""
+        """Return the queue for a host name and path."""
 
     async def submit(
         self, queue: Queue, job_id: str, workflow: Workflow, timeout_s: float
     ) -> WorkflowView | Refusal | NoReply:
-        """Have a workflow accepted."""
+        """Submit a workflow and return its state once it is accepted."""
 
     async def query(
         self, job_id: str, timeout_s: float
@@ -121,26 +121,26 @@
     async def cancel(
         self, job_id: str, timeout_s: float
     ) -> WorkflowView | Refusal | NoReply:
-        """End a workflow."""
+        """Cancel a workflow and return its state."""
 
     async def count(
         self, queue: Queue, timeout_s: float
     ) -> PendingCount | Refusal | NoReply:
-        """Count a queue's workflows that have not begun."""
+        """Count the queue's workflows that have not started."""
 
 
 @dataclass(frozen=True, slots=True)
 class CallerResponse:
-    """The answer to one request.
+    """The response to one request.
 
     Parameters
     ----------
     status : int
         HTTP status.
     body : dict
-        Becomes a JSON document.
+        Sent as a JSON document.
     reason : str
-        Why the request has failed; empty when it has not.
+        Why the request failed; empty if it succeeded.
     """
 
     status: int
@@ -148,7 +148,7 @@
     reason: str = ''
 
     def render(self) -> Response:
-        """Return the answer as the callers' interface sends it."""
+        """Return the HTTP response to send."""
         response = Response(
             encode(self.body),
             status_code=self.status,
@@ -163,16 +163,16 @@
 
 
 class CallerApplication:
-    """The ASGI application for the callers of one entry host.
+    """ASGI application that serves the callers of one entry host.
 
     Parameters
     ----------
     gateway : WorkflowGateway
-        The product.
+        Handles the requests.
     logger : Logger
-        For requests that are not served.
+        Logger for requests that fail.
     metrics : Metrics
-        Counts requests and their time, by method.
+        Counts the requests and measures their duration, by method.
     """
 
     def __init__(
@@ -191,48 +191,50 @@
         request = Request(scope, receive)
         began = now_ms()
         try:
-            answer = await self._answer(request)
+            response = await self._handle(request)
         except ClientDisconnect:
-            self._log('caller-left', request, began, ())
+            self._log('caller-disconnected', request, began, ())
             return
-        if answer.reason:
+        if response.reason:
             self._log(
-                'caller-refused',
+                'request-failed',
                 request,
                 began,
-                (('status', answer.status), ('reason', answer.reason)),
+                (('status', response.status), ('reason', response.reason)),
             )
-        await answer.render()(scope, receive, send)
+        await response.render()(scope, receive, send)
         route = f'callers {request.method}'
-        self._metrics.count(REQUESTS, route, str(answer.status))
+        self._metrics.count(REQUESTS, route, str(response.status))
         self._metrics.observe(
             REQUEST_SECONDS, (now_ms() - began) / 1000, route
         )
 
-    async def _answer(self, request: Request) -> CallerResponse:
+    async def _handle(self, request: Request) -> CallerResponse:
         if request.method not in METHODS:
-            return _describe(405, f'method {request.method!r} is not served')
+            return _make_error_response(
+                405, f'method {request.method!r} is not supported'
+            )
         host = request.headers.get('host', '').partition(':')[0]
         path = request.url.path
         queue = self._gateway.find_queue(host, path)
         if isinstance(queue, Refusal):
-            return _refuse(queue)
+            return _make_refusal_response(queue)
         job_id = path.removeprefix(queue.prefix)
-        answer: CallerResponse = await METHODS.find(request.method)(
+        response: CallerResponse = await METHODS.find(request.method)(
             self._gateway, request, queue, job_id
         )
-        return answer
+        return response
 
     def _log(
         self,
         kind: str,
         request: Request,
         began: int,
-        facts: tuple[tuple[str, object], ...],
+        fields: tuple[tuple[str, object], ...],
     ) -> None:
-        """Write a line about a request that was not served.
+        """Log a request that failed.
 
-        The job's id is the last part of the path.
+        The last part of the path is logged as the job's id.
         """
         log_facts(
             self._logger,
@@ -241,16 +243,16 @@
                 ('job', request.url.path.rpartition('/')[2]),
                 ('method', request.method),
                 ('path', request.url.path),
-                ('table', self._gateway.version),
+                ('table_version', self._gateway.version),
                 ('deadline_ms', request.headers.get(DEADLINE_HEADER, '')),
                 ('took_ms', now_ms() - began),
-                *facts,
+                *fields,
             ),
         )
 
 
 class ReadyApplication:
-    """The ASGI application that tells whether this host may serve."""
+    """ASGI application for probes of whether this host may serve."""
 
     def __init__(self, gateway: WorkflowGateway) -> None:
         self._gateway = gateway
@@ -261,34 +263,37 @@
         """Serve one request."""
         if scope['type'] != 'http':
             return
-        answer = CallerResponse(200, {})
+        response = CallerResponse(200, {})
         refusal = self._gateway.is_ready()
         if scope['path'] != READY_PATH:
-            answer = _describe(404, f'use {READY_PATH}')
+            response = _make_error_response(404, f'use {READY_PATH}')
         elif refusal is not None:
-            answer = _refuse(refusal)
-        await answer.render()(scope, receive, send)
+            response = _make_refusal_response(refusal)
+        await response.render()(scope, receive, send)
 
 
 @METHODS.register('POST')
 async def submit_job(
     gateway: WorkflowGateway, request: Request, queue: Queue, job_id: str
 ) -> CallerResponse:
-    """Hand a job in."""
-    if not JOB_ID.fullmatch(job_id):
-        return _describe(400, f'{job_id!r} is not 16 hexadecimal digits')
+    """Submit a job."""
+    if not JOB_ID_PATTERN.fullmatch(job_id):
+        return _make_error_response(
+            400, f'{job_id!r} is not 16 hexadecimal digits'
+        )
     body = await request.body()
     workflow = read_workflow(body)
     if isinstance(workflow, Refusal):
-        return _refuse(workflow)
-    answer = await gateway.submit(
-        queue, job_id, workflow, _find_timeout_s(request)
+        return _make_refusal_response(workflow)
+    reply = await gateway.submit(
+        queue, job_id, workflow, _compute_timeout_s(request)
     )
-    if isinstance(answer, Refusal):
-        return _refuse(answer)
-    if isinstance(answer, NoReply):
-        # Whether the job was accepted is not known: the caller asks again.
-        return _describe(504, answer.reason)
+    if isinstance(reply, Refusal):
+        return _make_refusal_response(reply)
+    if isinstance(reply, NoReply):
+        # The job may have been accepted, so this is not a refusal; the caller
+        # can submit it again.
+        return _make_error_response(504, reply.reason)
     return CallerResponse(200, {})
 
 
@@ -296,14 +301,14 @@
 async def show_job(
     gateway: WorkflowGateway, request: Request, queue: Queue, job_id: str
 ) -> CallerResponse:
-    """Tell a job's state, or how many jobs of a queue have not begun."""
-    timeout_s = _find_timeout_s(request)
+    """Return a job's state, or how many jobs of a queue have not started."""
+    timeout_s = _compute_timeout_s(request)
     if not job_id:
         count = await gateway.count(queue, timeout_s)
         if isinstance(count, Refusal):
-            return _refuse(count)
+            return _make_refusal_response(count)
         if isinstance(count, NoReply):
-            return _describe(504, count.reason)
+            return _make_error_response(504, count.reason)
         return CallerResponse(200, {'pending': count.count})
     return _render_view(await gateway.query(job_id, timeout_s))
 
@@ -313,24 +318,34 @@
     gateway: WorkflowGateway, request: Request, queue: Queue, job_id: str
 ) -> CallerResponse:
     """Cancel a job."""
-    return _render_view(await gateway.cancel(job_id, _find_timeout_s(request)))
+    return _render_view(
+        await gateway.cancel(job_id, _compute_timeout_s(request))
+    )
 
 
 def read_workflow(body: bytes) -> Workflow | Refusal:
-    """Return the workflow of a request's body, or what is wrong with it."""
+    """Return the workflow in a request's body, or why it is invalid."""
     if len(body) > MAX_BODY_BYTES:
-        return _invalid(f'the body has {len(body)} bytes')
+        return _invalid(
+            f'the body has {len(body)} bytes; at most {MAX_BODY_BYTES} are '
+            'allowed'
+        )
     try:
         job = _DECODER.decode(body)
     except (DecodeError, ValueError) as error:
         return _invalid(str(error))
     if not 0 < len(job.steps) <= MAX_STEPS:
-        return _invalid(f'the job has {len(job.steps)!r} steps')
+        return _invalid(
+            f'the job has {len(job.steps)!r} steps; 1 to {MAX_STEPS} are '
+            'allowed'
+        )
     if sum(step.count for step in job.steps) > MAX_TASKS:
         return _invalid(f'the job has more than {MAX_TASKS} tasks')
     for number, step in enumerate(job.steps):
         if step.count < 1:
-            return _invalid(f'step {number} has {step.count!r} tasks')
+            return _invalid(
+                f'step {number} has {step.count!r} tasks; it needs at least 1'
+            )
         if any(not 0 <= earlier < number for earlier in step.after):
             return _invalid(
                 f'step {number} comes after {step.after!r}, which are not '
@@ -372,8 +387,8 @@
     )
 
 
-def _find_timeout_s(request: Request) -> float:
-    """Return how long the caller waits, less the way back, in seconds."""
+def _compute_timeout_s(request: Request) -> float:
+    """Return the caller's deadline less the response margin, in seconds."""
     text = request.headers.get(DEADLINE_HEADER, '')
     wait_ms = DEFAULT_DEADLINE_MS
     if text.isdecimal():
@@ -381,27 +396,27 @@
     return max(RESPONSE_MARGIN_MS, wait_ms - RESPONSE_MARGIN_MS) / 1000
 
 
-def _render_view(answer: WorkflowView | Refusal | NoReply) -> CallerResponse:
-    if isinstance(answer, Refusal):
-        return _refuse(answer)
-    if isinstance(answer, NoReply):
-        return _describe(504, answer.reason)
-    if answer.state is None:
-        return _describe(410, 'no such job')
-    return CallerResponse(200, {'state': answer.state})
+def _render_view(reply: WorkflowView | Refusal | NoReply) -> CallerResponse:
+    if isinstance(reply, Refusal):
+        return _make_refusal_response(reply)
+    if isinstance(reply, NoReply):
+        return _make_error_response(504, reply.reason)
+    if reply.state is None:
+        return _make_error_response(410, 'no such job')
+    return CallerResponse(200, {'state': reply.state})
 
 
-STATUSES = {
+STATUS_BY_REFUSAL = {
     RefusalKind.NOT_FOUND: 404,
     RefusalKind.INVALID: 400,
     RefusalKind.OVERLOADED: 429,
 }
 
 
-def _refuse(refusal: Refusal) -> CallerResponse:
-    status = STATUSES.get(refusal.kind, 503)
-    return _describe(status, f'{refusal.reason}; {refusal.remedy}')
+def _make_refusal_response(refusal: Refusal) -> CallerResponse:
+    status = STATUS_BY_REFUSAL.get(refusal.kind, 503)
+    return _make_error_response(status, f'{refusal.reason}; {refusal.remedy}')
 
 
-def _describe(status: int, reason: str) -> CallerResponse:
+def _make_error_response(status: int, reason: str) -> CallerResponse:
     return CallerResponse(status, {'error': reason}, reason)
--- a/sassafrasgate/platform/registrations.py
+++ b/sassafrasgate/platform/registrations.py
@@ -1,4 +1,4 @@
-"""Workers' entries in the store."""
+"""Decoder of the registrations that workers write to the store."""
 
 from __future__ import annotations
 
@@ -14,8 +14,8 @@
 if TYPE_CHECKING:
     from sassafrasgate.core.items import Item
 
-ENTRY_PREFIX = 'servers/'
-STATES = {'ready': False, 'draining': True}
+REGISTRATION_PREFIX = 'servers/'
+LEAVING_BY_STATE = {'ready': False, 'draining': True}
 
 
 class _Capacity(Struct, frozen=True, rename='camel'):
@@ -24,37 +24,42 @@
     gpu: int = 0
 
 
-class _Entry(Struct, frozen=True, rename='camel'):
+class _WorkerEntry(Struct, frozen=True, rename='camel'):
     service: str
     address: str
     zone: str
     state: str
     capacity: _Capacity
-    # The worker's kind and its rack.
+    # Labels for the worker's kind and its rack.
     labels: list[str]
     machine: str = ''
-    # Unix ms of the start of this life of the worker.
+    # Start of the worker's incarnation, in Unix milliseconds.
     born: int = 0
     remaining_ms: int = 0
 
 
-_DECODER = Decoder(_Entry)
+_DECODER = Decoder(_WorkerEntry)
 
 
 def read_registration(item: Item) -> Registration | None:
-    """Return the worker that an entry names, or None.
+    """Decode a worker's registration; return None if it is invalid.
 
-    An entry of another writer may lack fields, hold other types or unknown
-    states; it names no worker to use.
+    Other programs write the entries, so fields may be missing or have other
+    types, and the state may be unknown. The scheduler does not use a worker
+    with such an entry.
     """
     try:
         entry = _DECODER.decode(item.value or b'')
     except (DecodeError, ValueError):
         return None
-    if entry.state not in STATES or not entry.service or not entry.address:
+    if (
+        entry.state not in LEAVING_BY_STATE
+        or not entry.service
+        or not entry.address
+    ):
         return None
     return Registration(
-        item.key.removeprefix(ENTRY_PREFIX),
+        item.key.removeprefix(REGISTRATION_PREFIX),
         entry.service,
         entry.address,
         entry.zone,
@@ -63,7 +68,7 @@
         ),
         tuple(entry.labels),
         entry.labels[-1] if len(entry.labels) > 1 else '',
-        STATES[entry.state],
+        LEAVING_BY_STATE[entry.state],
         entry.machine,
         entry.born,
         entry.remaining_ms,
--- a/sassafrasgate/platform/routing.py
+++ b/sassafrasgate/platform/routing.py
@@ -1,4 +1,4 @@
-"""The operators' configuration in the store."""
+"""Decoder of the operators' routing configuration in the store."""
 
 from __future__ import annotations
 
@@ -51,17 +51,17 @@
 
 
 def read_routing_table(value: bytes) -> RoutingTable | None:
-    """Return the routing table of a configuration, or None if unreadable."""
+    """Decode the routing table; return None if the value is invalid."""
     try:
-        found = _DECODER.decode(value)
+        configuration = _DECODER.decode(value)
     except (DecodeError, ValidationError):
         return None
     return RoutingTable(
-        found.version,
-        tuple(_make_queue(route) for route in found.routes),
+        configuration.version,
+        tuple(_make_queue(route) for route in configuration.routes),
         tuple(
             Pool(service.name, service.enforces_capacity, service.spare)
-            for service in found.services
+            for service in configuration.services
         ),
     )
 
--- a/sassafrasgate/platform/store.py
+++ b/sassafrasgate/platform/store.py
@@ -1,4 +1,4 @@
-"""Client of the platform's key-value store."""
+"""Client of the key-value store of the users' platform."""
 
 from __future__ import annotations
 
@@ -28,7 +28,7 @@
 OK = 200
 NOT_FOUND = 404
 CONFLICT = 412
-TRIMMED = 410
+LOG_TRIMMED = 410
 
 Value = TypeVar('Value')
 
@@ -40,7 +40,7 @@
     deleted: bool = False
 
 
-class _Range(Struct, frozen=True, rename='camel'):
+class _RangePage(Struct, frozen=True, rename='camel'):
     items: list[_Item]
     truncated: bool
     current_rev: int
@@ -60,34 +60,37 @@
 
 
 class PlatformStore(BaseStore):
-    """Calls to the platform's store; each is made once and never repeated.
+    """Client of the store, which sends each call once and never retries.
 
-    It has the methods of `sassafrasgate.adapters.store.Store` and raises the
-    same errors.
+    It implements `sassafrasgate.core.stores.KeyStore` and raises the same
+    errors as `sassafrasgate.adapters.store.Store`.
 
     Parameters
     ----------
     base_url : str
-        Such as ``http://10.200.1.7:8169``.
+        Base URL of the store, such as ``http://10.200.1.7:8169``.
     timeout_s : float
-        How long a call may take, beyond the time that a watch waits.
+        Maximum duration of a call in seconds, in addition to the time that
+        a watch waits.
     rate_limiter : CallRateLimiter, optional
-        Asked before each call; by default there is no limit.
+        Delays each call until the rate allows it; by default the rate is
+        unlimited.
     """
 
-    # A store that is busy or over its rates says that nothing was done.
+    # The store sends these when it is busy or its rate limits are exceeded;
+    # the call then had no effect.
     NO_EFFECT_STATUSES = frozenset({429, 503})
 
     async def get(
         self, key: str, priority: int = CallPriority.NORMAL
     ) -> Item | None:
-        """Return a key's item, or None when there is no such key."""
-        answer = await self._read(
+        """Return a key's item, or None when the key does not exist."""
+        response = await self._read(
             'get', '/api/kv-key', priority, params={'key': key}
         )
-        if answer.status == NOT_FOUND:
+        if response.status == NOT_FOUND:
             return None
-        return _make_item(_read_body(answer, _Item))
+        return _make_item(_read_body(response, _Item))
 
     async def create(
         self,
@@ -116,11 +119,13 @@
         revision: int | None = None,
         priority: int = CallPriority.NORMAL,
     ) -> bool:
-        """Delete a key; always tells that it was there."""
+        """Delete a key; return True even if it did not exist."""
         conditions = []
         if revision is not None:
             conditions = [{'key': key, 'revision': revision}]
-        await self._change('delete', conditions, [], [key], priority)
+        await self._commit_transaction(
+            'delete', conditions, [], [key], priority
+        )
         return True
 
     async def read_prefix(
@@ -129,15 +134,15 @@
         priority: int = CallPriority.NORMAL,
         values: bool = True,
     ) -> Changes:
-        """Return the items under a prefix and where to watch from."""
+        """Return the items under a prefix and the revision to watch from."""
         items: list[Item] = []
         revision = 0
         params = {'prefix': prefix}
         while True:
-            answer = await self._read(
+            response = await self._read(
                 'list', '/api/kv-range', priority, params=params
             )
-            page = _read_body(answer, _Range)
+            page = _read_body(response, _RangePage)
             revision = revision or page.current_rev
             items.extend(_make_item(item) for item in page.items)
             if not page.truncated or not items:
@@ -151,8 +156,8 @@
         wait_s: float,
         priority: int = CallPriority.NORMAL,
     ) -> Changes:
-        """Return changes under a prefix, waiting for the first one."""
-        answer = await self._read(
+        """Return the changes under a prefix, waiting for the first one."""
+        response = await self._read(
             'watch',
             '/api/kv-watch',
             priority,
@@ -163,21 +168,22 @@
             },
             wait_s=wait_s,
         )
-        if answer.status == TRIMMED:
+        if response.status == LOG_TRIMMED:
             raise StoreLogTrimmedError(
                 f'the store has no changes of {prefix!r} after revision '
                 f'{after!r}; list the prefix and watch from there'
             )
-        found = _read_body(answer, _Events)
+        changes = _read_body(response, _Events)
         return Changes(
-            found.current_rev, tuple(_make_item(item) for item in found.events)
+            changes.current_rev,
+            tuple(_make_item(item) for item in changes.events),
         )
 
     async def grant_lease(
         self, ttl_s: float, priority: int = CallPriority.HIGH
     ) -> str:
         """Return the id of a new lease of ``ttl_s`` seconds."""
-        answer = await self._write(
+        response = await self._write(
             'grant_lease',
             'POST',
             '/api/kv-lease',
@@ -185,25 +191,25 @@
             encode({'ttlMs': int(ttl_s * 1000)}),
             HEADERS,
         )
-        return str(_read_body(answer, _Lease).lease)
+        return str(_read_body(response, _Lease).lease)
 
     async def renew_lease(
         self, lease: str, priority: int = CallPriority.HIGH
     ) -> bool:
-        """Give a lease its whole time again; False if it has expired."""
-        answer = await self._write(
+        """Renew a lease for its full duration; False if it has expired."""
+        response = await self._write(
             'renew_lease', 'POST', f'/api/kv-keep/{lease}', priority
         )
-        return _check_lease(answer)
+        return _read_lease_status(response)
 
     async def revoke_lease(
         self, lease: str, priority: int = CallPriority.NORMAL
     ) -> None:
-        """End a lease, which deletes its keys; an expired one is no error."""
-        answer = await self._write(
+        """Revoke a lease and delete its keys; ignore an expired lease."""
+        response = await self._write(
             'revoke_lease', 'DELETE', f'/api/kv-lease-end/{lease}', priority
         )
-        _check_lease(answer)
+        _read_lease_status(response)
 
     async def _put(
         self,
@@ -220,12 +226,12 @@
         }
         if lease:
             put['lease'] = int(lease)
-        answer = await self._change(
+        response = await self._commit_transaction(
             name, [{'key': key, 'revision': revision}], [put], [], priority
         )
-        return _read_body(answer, _Written).revision
+        return _read_body(response, _Written).revision
 
-    async def _change(
+    async def _commit_transaction(
         self,
         name: str,
         conditions: list[dict[str, object]],
@@ -236,40 +242,40 @@
         body = encode(
             {'ifRevision': conditions, 'puts': puts, 'deletes': deletes}
         )
-        answer = await self._write(
+        response = await self._write(
             name, 'POST', '/api/kv-txn', priority, body, HEADERS
         )
-        if answer.status == NOT_FOUND:
+        if response.status == NOT_FOUND:
             raise StoreLeaseLostError(
                 'the lease of a write has expired; grant a new one'
             )
-        return answer
+        return response
 
 
-def _check_lease(answer: HttpResponse) -> bool:
-    if answer.status == NOT_FOUND:
+def _read_lease_status(response: HttpResponse) -> bool:
+    if response.status == NOT_FOUND:
         return False
-    if answer.status != OK:
-        raise _refuse(answer)
+    if response.status != OK:
+        raise _make_rejection_error(response)
     return True
 
 
-def _refuse(answer: HttpResponse) -> StoreError:
+def _make_rejection_error(response: HttpResponse) -> StoreError:
     return StoreError(
-        f'the store refused {answer.call!r} with {answer.status!r} '
-        f'{answer.text[:200]!r}; correct the request'
+        f'the store rejected {response.call!r} with {response.status!r} '
+        f'{response.text[:200]!r}; correct the request'
     )
 
 
-def _read_body(answer: HttpResponse, kind: type[Value]) -> Value:
-    if answer.status != OK:
-        raise _refuse(answer)
+def _read_body(response: HttpResponse, kind: type[Value]) -> Value:
+    if response.status != OK:
+        raise _make_rejection_error(response)
     try:
-        return decode(answer.content, type=kind)
+        return decode(response.content, type=kind)
     except DecodeError as error:
         raise StoreUnavailableError(
-            f'cannot decode an answer of the store: {error}; check that the '
-            'store address leads to the store'
+            f'cannot decode a response of the store: {error}; check that '
+            'the store address leads to the store'
         ) from error
 
 
--- a/sassafrasgate/platform/workers.py
+++ b/sassafrasgate/platform/workers.py
@@ -1,4 +1,4 @@
-"""Client of one worker's orders."""
+"""Client of one worker of the users' platform."""
 
 from __future__ import annotations
 
@@ -28,8 +28,8 @@
     from sassafrasgate.core.workflows import HoldRequest
     from sassafrasgate.core.workflows import RunRequest
 
-# A worker takes 64 connections from all callers together.
-CONNECTIONS = 16
+# A worker accepts 64 connections from all its clients together.
+MAX_CONNECTIONS = 16
 
 END_KINDS = {
     'done': EndKind.FINISHED,
@@ -49,48 +49,52 @@
 OK = 200
 BAD_REQUEST = 400
 CONFLICT = 409
-OTHER_INSTANCE = 421
-UNHEALTHY = frozenset({429, 503})
+MISDIRECTED_REQUEST = 421
+UNHEALTHY_STATUSES = frozenset({429, 503})
 
 
-class _Refused(Struct, frozen=True, rename='camel'):
+class _RunResponse(Struct, frozen=True, rename='camel'):
     clock_ms: int = 0
     reason: str = ''
 
 
-class _Lists(Struct, frozen=True, rename='camel'):
+class _HoldResponse(Struct, frozen=True, rename='camel'):
     clock_ms: int
     running: list[list[Any]]
     ended: list[list[Any]]
-    # The start of the worker's life identifies its incarnation.
+    # Start of the worker's incarnation, which identifies it.
     born: int = 0
 
 
 _ENCODER = Encoder()
-_REFUSED = Decoder(_Refused)
-_LISTS = Decoder(_Lists)
+_RUN_RESPONSE_DECODER = Decoder(_RunResponse)
+_HOLD_RESPONSE_DECODER = Decoder(_HoldResponse)
 
 
 class PlatformWorkerClient:
-    """Calls to one worker; each is made once and never repeated.
+    """Client of one worker, which sends each call once and never retries.
 
     Parameters
     ----------
     worker : str
-        Id of the worker; another one at the address refuses the calls.
+        Id of the worker. Another worker at the address refuses the calls,
+        since each names this id.
     address : str
-        IP number and port.
+        IP address and port.
     timeout_s : float
-        How long a call may take beyond the time that it asks to wait.
+        Maximum duration of a call in seconds, in addition to the time that
+        it allows the worker to wait.
 
     Notes
     -----
-    Every method raises `WorkerUnavailableError` when no answer came, with
-    ``sent`` false if the call certainly had no effect.
+    Every method raises `WorkerUnavailableError` when no response was
+    received, with ``sent`` false if the call certainly had no effect.
     """
 
     def __init__(self, worker: str, address: str, timeout_s: float) -> None:
-        self._connections = HttpConnections(f'http://{address}', CONNECTIONS)
+        self._connections = HttpConnections(
+            f'http://{address}', MAX_CONNECTIONS
+        )
         self._timeout_s = timeout_s
         self._headers = {
             'Content-Type': 'application/json',
@@ -109,13 +113,13 @@
         await self._connections.close()
 
     async def hold(self, request: HoldRequest) -> WorkerReport | StartRefusal:
-        """Renew the lease and learn what runs and what has ended.
+        """Renew the worker's lease and return its running and ended runs.
 
         Returns
         -------
         WorkerReport or StartRefusal
-            The latter when the worker obeys another owner or is another
-            worker.
+            A refusal when the worker has seen a newer owner, or when another
+            worker has the address.
         """
         body: dict[str, object] = {
             'fencingToken': request.fencing_token,
@@ -125,13 +129,15 @@
             body['deadlineMs'] = request.deadline_ms
         if request.wait_ms:
             body['waitMs'] = request.wait_ms
-        answer = await self._post('/api/hold', body, request.wait_ms)
-        if answer.status != OK:
-            return self._read_refusal(answer).refusal or StartRefusal.INVALID
-        return _read_lists(answer)
+        response = await self._post('/api/hold', body, request.wait_ms)
+        if response.status != OK:
+            return (
+                self._read_run_reply(response).refusal or StartRefusal.INVALID
+            )
+        return _read_report(response)
 
     async def start(self, request: RunRequest) -> RunReply:
-        """Start a run; a refusal means that this copy has no effect."""
+        """Start a run; a refusal means that this call has no effect."""
         body: dict[str, object] = {
             'task': request.task,
             'run': request.run,
@@ -143,46 +149,46 @@
             body['checkpoint'] = request.checkpoint
         if request.ticket:
             body['ticket'] = request.ticket
-        return self._read_refusal(await self._post('/api/run-start', body))
+        return self._read_run_reply(await self._post('/api/run-start', body))
 
-    async def stop(self, task: str, run: int, fence: int) -> RunReply:
-        """End a run, or keep it from starting."""
-        body = {'task': task, 'run': run, 'fencingToken': fence}
-        return self._read_refusal(await self._post('/api/run-stop', body))
+    async def stop(self, task: str, run: int, fencing_token: int) -> RunReply:
+        """Stop a run, or prevent it from starting."""
+        body = {'task': task, 'run': run, 'fencingToken': fencing_token}
+        return self._read_run_reply(await self._post('/api/run-stop', body))
 
     async def pace(
-        self, task: str, run: int, percent: int, fence: int
+        self, task: str, run: int, percent: int, fencing_token: int
     ) -> RunReply:
-        """Let a run work at a share of its speed, from 0 to 100 percent."""
+        """Limit a run to a share of its full speed, from 0 to 100 percent."""
         body = {
             'task': task,
             'run': run,
             'percent': percent,
-            'fencingToken': fence,
+            'fencingToken': fencing_token,
         }
-        return self._read_refusal(await self._post('/api/pace', body))
+        return self._read_run_reply(await self._post('/api/pace', body))
 
-    def _read_refusal(self, answer: HttpResponse) -> RunReply:
-        if answer.status in UNHEALTHY:
+    def _read_run_reply(self, response: HttpResponse) -> RunReply:
+        if response.status in UNHEALTHY_STATUSES:
             return RunReply(0, StartRefusal.UNHEALTHY)
-        if answer.status == OTHER_INSTANCE:
+        if response.status == MISDIRECTED_REQUEST:
             return RunReply(0, StartRefusal.OTHER_INCARNATION)
-        if answer.status == BAD_REQUEST:
+        if response.status == BAD_REQUEST:
             return RunReply(0, StartRefusal.INVALID)
-        if answer.status not in (OK, CONFLICT):
+        if response.status not in (OK, CONFLICT):
             raise WorkerUnavailableError(
-                f'the worker answered {answer.call!r} with '
-                f'{answer.status!r} {answer.text[:200]!r}; check that the '
+                f'the worker responded to {response.call!r} with '
+                f'{response.status!r} {response.text[:200]!r}; check that the '
                 'address leads to a worker'
             )
         try:
-            found = _REFUSED.decode(answer.content)
+            body = _RUN_RESPONSE_DECODER.decode(response.content)
         except DecodeError as error:
-            raise _describe_damage(error) from error
-        if answer.status == OK:
-            return RunReply(found.clock_ms)
-        refusal = REFUSALS.get(found.reason, StartRefusal.INVALID)
-        return RunReply(found.clock_ms, refusal)
+            raise _make_decode_error(error) from error
+        if response.status == OK:
+            return RunReply(body.clock_ms)
+        refusal = REFUSALS.get(body.reason, StartRefusal.INVALID)
+        return RunReply(body.clock_ms, refusal)
 
     async def _post(
         self, path: str, body: dict[str, object], wait_ms: int = 0
@@ -197,22 +203,22 @@
             )
         except NoResponseError as error:
             raise WorkerUnavailableError(
-                f'the worker did not answer: {error}; look at its lists to '
-                'learn what runs there',
+                f'the worker did not respond: {error}; poll it to learn what '
+                'runs there',
                 sent=error.sent,
             ) from error
 
 
-def _read_lists(answer: HttpResponse) -> WorkerReport:
+def _read_report(response: HttpResponse) -> WorkerReport:
     try:
-        found = _LISTS.decode(answer.content)
+        body = _HOLD_RESPONSE_DECODER.decode(response.content)
         return WorkerReport(
-            found.clock_ms,
-            found.born,
-            tuple(_read_running(row) for row in found.running),
+            body.clock_ms,
+            body.born,
+            tuple(_read_running(row) for row in body.running),
             tuple(
                 EndedRun(row[0], row[1], row[2], END_KINDS[row[3]], row[4])
-                for row in found.ended
+                for row in body.ended
             ),
         )
     except (
@@ -222,17 +228,17 @@
         TypeError,
         ValueError,
     ) as error:
-        raise _describe_damage(error) from error
+        raise _make_decode_error(error) from error
 
 
 def _read_running(row: list[Any]) -> RunningRun:
-    # The fifth entry came later than the others.
+    # The load was added later; rows of earlier workers lack it.
     load = int(row[4]) if len(row) > 4 else 0
     return RunningRun(row[0], row[1], row[2], row[3], load)
 
 
-def _describe_damage(error: Exception) -> WorkerUnavailableError:
+def _make_decode_error(error: Exception) -> WorkerUnavailableError:
     return WorkerUnavailableError(
-        f'cannot decode an answer of the worker: {error!r}; check that the '
+        f'cannot decode a response of the worker: {error!r}; check that the '
         'address leads to a worker'
     )
--- a/tests/adapters/__init__.py
+++ b/tests/adapters/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the adapters against the stand-ins."""
+"""Tests of the store and worker clients against stand-in servers."""
--- a/tests/adapters/test_schemes.py
+++ b/tests/adapters/test_schemes.py
@@ -1,4 +1,4 @@
-"""Guards the choice of adapters by URL scheme."""
+"""Tests the choice of store and worker clients by URL scheme."""
 
 import pytest
 
@@ -9,14 +9,14 @@
 from sassafrasgate.core.errors import UnknownNameError
 
 
-async def test_scheme_selects_the_adapter_and_passes_its_options():
+async def test_scheme_selects_the_client_and_passes_its_options():
     async with open_store('http://127.0.0.1:1', timeout_s=2.0) as store:
         assert type(store) is Store
     async with open_worker('http://127.0.0.1:1', connections=2) as worker:
         assert type(worker) is WorkerClient
 
 
-@pytest.mark.parametrize('open_adapter', [open_store, open_worker])
-def test_unknown_scheme_names_the_known_ones(open_adapter):
+@pytest.mark.parametrize('open_client', [open_store, open_worker])
+def test_error_for_unknown_scheme_names_the_known_ones(open_client):
     with pytest.raises(UnknownNameError, match='use one of http'):
-        open_adapter('gopher://127.0.0.1:1')
+        open_client('gopher://127.0.0.1:1')
--- a/tests/adapters/test_store.py
+++ b/tests/adapters/test_store.py
@@ -1,4 +1,4 @@
-"""Guards the store adapter's promises about writes that may have happened."""
+"""Tests the store client's guarantees, also when a write gets no response."""
 
 from anyio import create_task_group
 from anyio import sleep
@@ -15,8 +15,8 @@
 from tests.processes import find_free_address
 
 LOG_LENGTH = 40
-# Short enough for calls that are meant to fail, long enough for a call that
-# is not, on a machine with other work.
+# Short for calls that must time out, yet long enough for other calls on a busy
+# machine.
 SHORT_TIMEOUT_S = 2.0
 
 
@@ -32,13 +32,13 @@
 
 
 @pytest.fixture
-async def hasty_store(standin):
+async def short_timeout_store(standin):
     async with Store(standin.url, timeout_s=SHORT_TIMEOUT_S) as client:
         yield client
 
 
 @pytest.fixture(autouse=True)
-def no_faults_afterwards(standin):
+def clear_faults(standin):
     yield
     standin.set_faults(
         down=False, frozen=False, delay_ms=0, lose_replies=0, silent=False
@@ -61,7 +61,7 @@
     assert await store.get(key) is None
 
 
-async def test_of_concurrent_creates_one_wins(store):
+async def test_only_one_of_concurrent_creates_succeeds(store):
     results = []
 
     async def create(number):
@@ -77,18 +77,18 @@
     assert [(await store.get('race')).value] == results
 
 
-async def test_value_over_a_megabyte_is_an_error_with_a_remedy(store):
+async def test_value_over_a_megabyte_is_rejected(store):
     with pytest.raises(StoreError, match='413'):
         await store.create('large', bytes((1 << 20) + 1))
 
 
-async def test_expired_lease_deletes_its_keys_and_tells_watches(store):
+async def test_expired_lease_deletes_its_keys_and_watches_report_it(store):
     lease = await store.grant_lease(2.0)
     revision = await store.create('leased/k', b'v', lease)
     await sleep(1.2)
     assert await store.renew_lease(lease)
     await sleep(1.2)
-    # Only the renewal has kept it for longer than its time to live.
+    # The lease has outlived its time to live only because it was renewed.
     assert await store.get('leased/k') is not None
     changes = await store.watch('leased/', revision, 10)
     assert changes.items == (Item('leased/k', None, changes.revision),)
@@ -117,14 +117,14 @@
     assert seen == [b'0', b'1', b'2', b'3', b'4']
 
 
-async def test_watch_without_changes_answers_after_its_wait(store):
+async def test_watch_without_changes_returns_after_its_wait(store):
     start = (await store.read_prefix('quiet/')).revision
     changes = await store.watch('quiet/', start, 0.1)
     assert changes.items == ()
 
 
-async def test_watch_from_before_the_log_is_told_to_list(store):
-    # A watch that went on silently would miss the trimmed changes.
+async def test_watch_from_a_trimmed_revision_raises(store):
+    # A watch that continued without an error would miss the trimmed changes.
     start = (await store.read_prefix('t/')).revision
     for number in range(LOG_LENGTH + 1):
         await store.create(f't/{number}', b'')
@@ -132,7 +132,7 @@
         await store.watch('t/', start, 1)
 
 
-async def test_list_is_complete_beyond_one_answer(store):
+async def test_list_is_complete_across_pages(store):
     expected = {
         f'p/{number}': bytes([number]) * 400_000 for number in range(7)
     }
@@ -144,7 +144,9 @@
     assert [item.key for item in items] == sorted(expected)
 
 
-async def test_lost_reply_is_unknown_and_the_write_stands(store, standin):
+async def test_write_takes_effect_although_its_response_is_lost(
+    store, standin
+):
     standin.set_faults(lose_replies=1)
     with pytest.raises(StoreUnavailableError) as caught:
         await store.create('lost', b'v')
@@ -152,7 +154,9 @@
     assert (await store.get('lost')).value == b'v'
 
 
-async def test_outage_ends_waiting_watches_and_is_over_at_once(store, standin):
+async def test_outage_fails_waiting_watches_and_calls_succeed_right_after_it(
+    store, standin
+):
     start = (await store.read_prefix('d/')).revision
     failures = []
 
@@ -173,39 +177,40 @@
     assert await store.get('d/k') is None
 
 
-async def test_refused_connection_is_known_to_have_had_no_effect():
+async def test_call_on_refused_connection_counts_as_not_sent():
     async with Store(f'http://{find_free_address()}') as store:
         with pytest.raises(StoreUnavailableError) as caught:
             await store.create('k', b'v')
     assert not caught.value.sent
 
 
-async def test_write_to_a_frozen_store_may_take_effect_late(
-    hasty_store, standin
+async def test_write_to_a_frozen_store_takes_effect_late(
+    short_timeout_store, standin
 ):
     standin.set_faults(frozen=True)
     with pytest.raises(StoreUnavailableError) as caught:
-        await hasty_store.create('late', b'v')
+        await short_timeout_store.create('late', b'v')
     assert caught.value.sent
     standin.set_faults(frozen=False)
-    assert (await hasty_store.get('late')).value == b'v'
+    assert (await short_timeout_store.get('late')).value == b'v'
 
 
-async def test_next_call_uses_a_new_connection_after_silence(
-    hasty_store, standin
+async def test_call_after_a_timeout_uses_a_new_connection(
+    short_timeout_store, standin
 ):
-    # With several idle connections, each would cost another timeout.
+    # If only the connection that timed out were replaced, each of the other
+    # idle connections would cost another timeout.
     standin.set_faults(delay_ms=100)
     async with create_task_group() as tasks:
         for _ in range(4):
-            tasks.start_soon(hasty_store.get, 'k')
+            tasks.start_soon(short_timeout_store.get, 'k')
     standin.set_faults(delay_ms=0, silence_connections=True)
     with pytest.raises(StoreUnavailableError):
-        await hasty_store.get('k')
-    assert await hasty_store.get('k') is None
+        await short_timeout_store.get('k')
+    assert await short_timeout_store.get('k') is None
 
 
-async def test_host_list_lags(store, standin):
+async def test_host_list_lags_behind_the_hosts(store, standin):
     hosts = (HostStatus('h1'), HostStatus('h2', leaving=True))
     standin.set_hosts(hosts)
     assert await store.list_hosts() == ()
@@ -222,7 +227,7 @@
 
 
 async def test_every_call_passes_the_rate_limiter_and_is_counted_once(standin):
-    # Calls that bypass the rate_limiter would exceed the store's shared rate.
+    # Calls that bypass the rate limiter would exceed the store's shared rate.
     rate_limiter = RecordingRateLimiter()
     before = standin.read_counts()
     async with Store(standin.url, rate_limiter=rate_limiter) as store:
--- a/tests/adapters/test_workers.py
+++ b/tests/adapters/test_workers.py
@@ -1,6 +1,6 @@
-"""Guards fencing, leases and answers of workers, as the scheduler sees them.
+"""Tests fencing, leases and replies of workers through their client.
 
-The stand-in is tested here too: failure tests count with its record.
+These are also tests of the stand-in, since failure tests rely on its record.
 """
 
 from dataclasses import replace
@@ -34,7 +34,7 @@
 
 @pytest.fixture(scope='module')
 def unused_workers(processes):
-    """One process with a fresh worker for each test."""
+    """One process that runs an unused worker for each test."""
     addresses = {f'w{n}': find_free_address() for n in range(MAX_TESTS)}
     workers = processes.start_workers(
         addresses, millicores=2000, memory_mb=4096, accelerators=1
@@ -54,7 +54,7 @@
 
 
 class Owner:
-    """Builds the requests of one shard's owner."""
+    """Sends the requests of one shard's owner."""
 
     def __init__(self, worker, epoch=1):
         self.worker = worker
@@ -98,8 +98,8 @@
 
 
 @pytest.fixture
-async def hasty_owner(standin):
-    """An owner whose calls fail soon; only for calls that must fail."""
+async def short_timeout_owner(standin):
+    """An owner whose calls time out early, for calls that must fail."""
     async with WorkerClient(standin.url, timeout_s=SHORT_TIMEOUT_S) as client:
         yield Owner(client)
 
@@ -108,7 +108,7 @@
     return sum(record.task == task for record in standin.read_record().tasks)
 
 
-async def test_start_with_wait_returns_the_output(owner):
+async def test_start_that_waits_returns_the_output(owner):
     payload = b'{"run_ms": 50, "output": "done", "output_bytes": 100}'
     request, reply = await owner.start(payload, wait_ms=5_000)
     assert reply.status is StartStatus.ENDED
@@ -122,7 +122,7 @@
     assert reply.ended.output == b'\x00order 17'
 
 
-async def test_older_owner_is_refused_once_a_newer_one_was_heard(
+async def test_older_owner_is_refused_after_a_call_of_a_newer_one(
     owner, worker
 ):
     stale = await owner.build_start()
@@ -134,7 +134,7 @@
     )
     refused = await owner.sync(lease_ms=10_000)
     assert (refused.accepted, refused.epoch) == (False, 2)
-    # Another shard on the same worker has a fence of its own.
+    # Each shard has its own fencing epoch on the worker.
     assert (await worker.sync(SyncRequest('s2', 1, 0))).accepted
 
 
@@ -146,26 +146,24 @@
         ({'incarnation': 'earlier'}, 'other incarnation'),
     ],
 )
-async def test_start_that_came_too_late_is_refused(
-    owner, standin, fields, reason
-):
+async def test_outdated_start_is_refused(owner, standin, fields, reason):
     request, reply = await owner.start(**fields)
     assert (reply.status, reply.reason) == (StartStatus.REFUSED, reason)
     assert count_starts(standin, request.task) == 0
 
 
-async def test_repeats_of_a_task_id_give_the_first_answer(owner, standin):
+async def test_repeated_start_returns_the_first_reply(owner, standin):
     request, _ = await owner.start(QUICK, wait_ms=5_000)
     first = await owner.worker.start(request)
     await owner.sync(release=(request.task,))
-    # A copy that was under way while the task was released must not run it.
+    # A delayed copy of the start must not run the task after its release.
     after_release = await owner.worker.start(request)
     assert first.status is after_release.status is StartStatus.ENDED
     assert count_starts(standin, request.task) == 1
 
 
 async def test_refused_task_id_stays_refused(owner, standin):
-    # The owner may already have placed the task elsewhere.
+    # The owner may already have started the task on another worker.
     standin.set_faults(leaving=True)
     request, reply = await owner.start()
     assert reply.reason == 'leaving'
@@ -175,7 +173,7 @@
     assert count_starts(standin, request.task) == 0
 
 
-async def test_lease_lapses_unless_a_sync_renews_it(owner):
+async def test_lease_expires_unless_a_sync_renews_it(owner):
     kept, _ = await owner.start(lease_ms=2500)
     bounded, _ = await owner.start(lease_ms=2500, renewable=False)
     await owner.sync(lease_ms=30_000, incarnation=owner.incarnation)
@@ -186,14 +184,16 @@
     assert [r.task for r in reply.running] == [kept.task]
 
 
-async def test_sync_meant_for_another_incarnation_renews_nothing(owner):
+async def test_sync_for_another_incarnation_renews_no_lease(owner):
     request, _ = await owner.start(lease_ms=400)
     await owner.sync(lease_ms=30_000, incarnation='earlier')
     reply = await owner.sync(wait_ms=5_000)
     assert [e.task for e in reply.ended] == [request.task]
 
 
-async def test_lapses_precede_all_answers_after_a_suspension(owner, standin):
+async def test_leases_expire_before_any_reply_after_a_suspension(
+    owner, standin
+):
     finishing = b'{"run_ms": 1500}'
     request, _ = await owner.start(finishing, lease_ms=2000)
     standin.process.freeze()
@@ -208,7 +208,7 @@
     assert record.ended_ms - record.started_ms <= 2000
 
 
-async def test_sync_waits_for_an_end_and_ignores_known_ones(owner):
+async def test_sync_waits_for_ended_tasks_that_are_not_known(owner):
     first, _ = await owner.start(QUICK)
     reply = await owner.sync(wait_ms=5_000)
     assert [e.task for e in reply.ended] == [first.task]
@@ -221,7 +221,7 @@
     assert reply.ended == ()
 
 
-async def test_waiting_sync_hears_that_the_worker_is_leaving(owner, standin):
+async def test_waiting_sync_returns_when_the_worker_is_leaving(owner, standin):
     async with create_task_group() as tasks:
         replies = []
 
@@ -234,7 +234,7 @@
     assert replies[0].leaving
 
 
-async def test_large_output_is_fetched_whole(owner):
+async def test_large_output_is_fetched_completely(owner):
     payload = b'{"run_ms": 1, "output_bytes": 100000}'
     request, reply = await owner.start(payload, wait_ms=5_000)
     ended = reply.ended
@@ -263,7 +263,7 @@
     assert late.reason == 'other incarnation'
 
 
-async def test_start_whose_reply_was_lost_is_found_by_sync(owner, standin):
+async def test_sync_reports_a_start_whose_reply_was_lost(owner, standin):
     request = await owner.build_start()
     standin.set_faults(lose_replies=1, lose_path='/v1/tasks')
     assert (await owner.sync()).accepted
@@ -274,7 +274,9 @@
     assert [r.task for r in reply.running] == [request.task]
 
 
-async def test_overload_is_noted_and_refused_only_on_demand(owner, standin):
+async def test_overload_is_recorded_and_refused_only_if_enforced(
+    owner, standin
+):
     for _ in range(2):
         await owner.start()
     assert standin.read_record().overloads == ()
@@ -298,7 +300,7 @@
     assert (await owner.sync()).usage == ()
 
 
-async def test_commands_act_on_running_tasks_of_a_current_owner(
+async def test_commands_require_a_running_task_and_the_current_owner(
     owner, worker, standin
 ):
     request, _ = await owner.start()
@@ -321,29 +323,31 @@
     assert reply.ended.outcome is TaskOutcome.FAILED
 
 
-async def test_silent_worker_is_reached_again_by_new_connections(
-    hasty_owner, standin
+async def test_worker_is_reached_by_new_connections_after_a_timeout(
+    short_timeout_owner, standin
 ):
-    # With several idle connections, each would cost another timeout.
+    # If only the connection that timed out were replaced, each of the other
+    # idle connections would cost another timeout.
     async with create_task_group() as tasks:
         for _ in range(4):
-            tasks.start_soon(partial(hasty_owner.sync, wait_ms=200))
+            tasks.start_soon(partial(short_timeout_owner.sync, wait_ms=200))
     standin.set_faults(silence_connections=True)
     with pytest.raises(WorkerUnavailableError) as caught:
-        await hasty_owner.sync()
+        await short_timeout_owner.sync()
     assert caught.value.sent
-    assert (await hasty_owner.sync()).accepted
+    assert (await short_timeout_owner.sync()).accepted
 
 
-async def test_timeout_does_not_break_other_calls(hasty_owner, standin):
-    # Quick requests wait on the same worker while one connection is silent.
-    request = await hasty_owner.build_start(
+async def test_timeout_does_not_fail_other_calls(short_timeout_owner, standin):
+    # Quick requests must keep waiting on their connections when a call to the
+    # same worker times out on another one.
+    request = await short_timeout_owner.build_start(
         b'{"run_ms": 4000}', wait_ms=20_000
     )
     replies = []
 
     async def start():
-        replies.append(await hasty_owner.worker.start(request))
+        replies.append(await short_timeout_owner.worker.start(request))
 
     async with create_task_group() as tasks:
         tasks.start_soon(start)
@@ -352,12 +356,12 @@
         )
         standin.set_faults(silent=True)
         with pytest.raises(WorkerUnavailableError):
-            await hasty_owner.sync()
+            await short_timeout_owner.sync()
         standin.set_faults(silent=False)
     assert replies[0].status is StartStatus.ENDED
 
 
-async def test_refused_connection_is_known_to_have_had_no_effect():
+async def test_call_on_refused_connection_counts_as_not_sent():
     async with WorkerClient(f'http://{find_free_address()}') as worker:
         with pytest.raises(WorkerUnavailableError) as caught:
             await worker.sync(SyncRequest('s1', 1, 0))
--- a/tests/platform/__init__.py
+++ b/tests/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of sassafrasgate.platform."""
+"""Tests of the clients and HTTP interfaces of the users' platform."""
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -1,4 +1,4 @@
-"""Stand-ins shared by the tests of one module."""
+"""Fixtures for stand-in processes that the tests of a module share."""
 
 from __future__ import annotations
 
@@ -16,12 +16,12 @@
 def processes(
     tmp_path_factory: pytest.TempPathFactory,
 ) -> Iterator[Processes]:
-    """Return a starter of processes that end with the module."""
+    """Return a starter of processes, which end with the module's tests."""
     with Processes(tmp_path_factory.mktemp('processes')) as started:
         yield started
 
 
 @pytest.fixture(scope='module')
 def anyio_backend() -> str:
-    """Return the event loop that the library's processes use."""
+    """Return the event loop that the product's processes use."""
     return 'asyncio'
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -1,11 +1,11 @@
-"""Guards what callers are told: a refusal only of what never runs."""
+"""Tests the callers' interface, which refuses only what has had no effect."""
 
 from json import dumps
 
 from httpx import ASGITransport
 from httpx import AsyncClient
 from logbook import Logger
-from logbook import TestHandler as Recorder
+from logbook import TestHandler as LogRecorder
 import pytest
 
 from sassafrasgate.core.errors import NoReply
@@ -29,12 +29,12 @@
 
 
 class Gateway:
-    """Answers each request with what a test has set."""
+    """Replies to each request with the reply that the test has set."""
 
     version = 3
 
     def __init__(self):
-        self.answer = WorkflowView(JOB, WorkflowState.QUEUED, 1)
+        self.reply = WorkflowView(JOB, WorkflowState.QUEUED, 1)
         self.ready = None
         self.calls = []
 
@@ -48,19 +48,19 @@
 
     async def submit(self, queue, job_id, workflow, timeout_s):
         self.calls.append(('submit', job_id, workflow, timeout_s))
-        return self.answer
+        return self.reply
 
     async def query(self, job_id, timeout_s):
         self.calls.append(('query', job_id, timeout_s))
-        return self.answer
+        return self.reply
 
     async def cancel(self, job_id, timeout_s):
         self.calls.append(('cancel', job_id, timeout_s))
-        return self.answer
+        return self.reply
 
     async def count(self, queue, timeout_s):
         self.calls.append(('count', queue.name, timeout_s))
-        return self.answer
+        return self.reply
 
 
 @pytest.fixture
@@ -77,10 +77,10 @@
         yield found
 
 
-async def test_accepted_job_is_answered_with_200(client, gateway):
-    answer = await client.post(f'/q/{JOB}', content=dumps(BODY))
+async def test_accepted_job_returns_200(client, gateway):
+    response = await client.post(f'/q/{JOB}', content=dumps(BODY))
 
-    assert answer.status_code == 200
+    assert response.status_code == 200
     (call,) = gateway.calls
     assert call[:2] == ('submit', JOB)
     assert call[2].payload == 'payload'
@@ -96,44 +96,44 @@
         (RefusalKind.NOT_OWNER, 503),
     ],
 )
-async def test_refusal_says_when_to_come_back(client, gateway, kind, status):
-    gateway.answer = Refusal(kind, 'reason', 'ask again')
+async def test_refusal_has_a_retry_after_header(client, gateway, kind, status):
+    gateway.reply = Refusal(kind, 'reason', 'ask again')
 
-    answer = await client.post(f'/q/{JOB}', content=dumps(BODY))
+    response = await client.post(f'/q/{JOB}', content=dumps(BODY))
 
-    assert answer.status_code == status
-    assert float(answer.headers['retry-after']) > 0
-    assert 'ask again' in answer.json()['error']
+    assert response.status_code == status
+    assert float(response.headers['retry-after']) > 0
+    assert 'ask again' in response.json()['error']
 
 
 @pytest.mark.parametrize('method', ['POST', 'GET', 'DELETE'])
-async def test_unknown_effect_is_no_refusal(client, gateway, method):
-    # Guards against "not run" of a job that may have been accepted.
-    gateway.answer = NoReply('the owner went silent')
+async def test_unknown_effect_returns_504(client, gateway, method):
+    # A refusal would say "not run" of a job that may have been accepted.
+    gateway.reply = NoReply('the owner went silent')
 
-    answer = await client.request(method, f'/q/{JOB}', content=dumps(BODY))
+    response = await client.request(method, f'/q/{JOB}', content=dumps(BODY))
 
-    assert answer.status_code == 504
+    assert response.status_code == 504
 
 
-async def test_state_is_shown(client, gateway):
-    gateway.answer = WorkflowView(JOB, WorkflowState.COMPLETED, 1)
-    answer = await client.get(f'/q/{JOB}')
-    assert answer.json() == {'state': 'completed'}
+async def test_job_state_is_returned(client, gateway):
+    gateway.reply = WorkflowView(JOB, WorkflowState.COMPLETED, 1)
+    response = await client.get(f'/q/{JOB}')
+    assert response.json() == {'state': 'completed'}
 
-    gateway.answer = WorkflowView(JOB, None, 1)
+    gateway.reply = WorkflowView(JOB, None, 1)
     assert (await client.get(f'/q/{JOB}')).status_code == 410
     assert (await client.delete(f'/q/{JOB}')).status_code == 410
 
 
 async def test_pending_jobs_are_counted(client, gateway):
-    gateway.answer = PendingCount('q', 7)
+    gateway.reply = PendingCount('q', 7)
 
     assert (await client.get('/q/')).json() == {'pending': 7}
 
 
-async def test_answer_comes_before_the_callers_deadline(client, gateway):
-    # Guards against an answer that nobody waits for any longer.
+async def test_timeout_is_shorter_than_the_callers_deadline(client, gateway):
+    # Guards against a response after the caller has stopped waiting.
     await client.get(f'/q/{JOB}', headers={'Request-Deadline': '500'})
 
     assert 0.3 < gateway.calls[0][2] < 0.5
@@ -149,10 +149,10 @@
     ],
 )
 async def test_bad_request_is_refused(client, gateway, method, url, status):
-    answer = await client.request(method, url, content=dumps(BODY))
+    response = await client.request(method, url, content=dumps(BODY))
 
-    assert answer.status_code == status
-    assert answer.json()['error']
+    assert response.status_code == status
+    assert response.json()['error']
     assert not gateway.calls
 
 
@@ -181,16 +181,16 @@
     assert refusal.reason
 
 
-async def test_readiness_tells_the_reason(gateway):
+async def test_readiness_response_has_the_reason(gateway):
     application = ReadyApplication(gateway)
     async with AsyncClient(
         transport=ASGITransport(application), base_url='http://h'
     ) as client:
         assert (await client.get('/api/readyz')).status_code == 200
         gateway.ready = Refusal(RefusalKind.NOT_READY, 'no table', 'wait')
-        answer = await client.get('/api/readyz')
-        assert answer.status_code == 503
-        assert 'no table' in answer.json()['error']
+        response = await client.get('/api/readyz')
+        assert response.status_code == 503
+        assert 'no table' in response.json()['error']
         assert (await client.get('/else')).status_code == 404
 
 
@@ -199,7 +199,7 @@
     ['cpu', 'memMb', 'gpu', 'estimateMs', 'antiAffinity', 'mayMiss'],
 )
 def test_negative_amount_is_refused(name):
-    # Guards against a demand that makes room on a worker that has none.
+    # A negative demand would add free capacity to a full worker.
     body = dumps({'spec': 'x', 'steps': [{**STEP, name: -1}]})
 
     assert isinstance(read_workflow(body.encode()), Refusal)
@@ -212,45 +212,44 @@
     )
 
 
-async def test_a_failed_request_leaves_a_line_with_its_cause(client, gateway):
-    # Guards against a complaint that nobody can explain afterwards.
-    gateway.answer = NoReply('the owner has not answered in 0.7 s')
-    with Recorder() as handler:
+async def test_failed_request_is_logged_with_its_cause(client, gateway):
+    # Without the log line a caller's complaint could not be explained later.
+    gateway.reply = NoReply('the owner has not answered in 0.7 s')
+    with LogRecorder() as handler:
         await client.post(
             f'/q/{JOB}', json=BODY, headers={'Request-Deadline': '900'}
         )
 
     (record,) = handler.records
-    assert record.message == 'caller-refused'
-    facts = dict(record.extra['facts'])
-    assert facts['job'] == JOB
-    assert facts['status'] == 504
-    assert facts['reason'] == gateway.answer.reason
-    assert facts['table'] == gateway.version
-    assert facts['deadline_ms'] == '900'
-    assert facts['took_ms'] >= 0
-
-
-async def test_a_request_for_an_unknown_route_leaves_a_line(client):
-    # Guards against a 404 after a change of the table without a trace.
-    with Recorder() as handler:
+    assert record.message == 'request-failed'
+    fields = dict(record.extra['facts'])
+    assert fields['job'] == JOB
+    assert fields['status'] == 504
+    assert fields['reason'] == gateway.reply.reason
+    assert fields['table_version'] == gateway.version
+    assert fields['deadline_ms'] == '900'
+    assert fields['took_ms'] >= 0
+
+
+async def test_request_for_an_unknown_route_is_logged(client):
+    # A change of the routing table can cause a 404, which must be traceable.
+    with LogRecorder() as handler:
         await client.get(f'/unknown/{JOB}')
 
     (record,) = handler.records
     assert dict(record.extra['facts'])['status'] == 404
 
 
-async def test_a_served_request_leaves_no_line_here(client):
-    # Guards against a line for each look; the owner logs its decisions.
-    with Recorder() as handler:
+async def test_successful_request_is_not_logged(client):
+    # Polls would flood the log; the owner logs its decisions itself.
+    with LogRecorder() as handler:
         await client.get(f'/q/{JOB}')
 
     assert not handler.records
 
 
 async def test_requests_are_counted_by_method_and_status(gateway):
-    # Guards against an outage that no counter of the callers' interface
-    # shows.
+    # Guards against an outage that does not show in the request counters.
     metrics = Metrics()
     application = CallerApplication(gateway, Logger('test'), metrics)
     transport = ASGITransport(application)
--- a/tests/platform/test_registrations.py
+++ b/tests/platform/test_registrations.py
@@ -1,4 +1,4 @@
-"""Guards the reading of workers' entries, which others write."""
+"""Tests the decoding of workers' registrations, which others write."""
 
 from json import dumps
 
@@ -29,7 +29,7 @@
     return read_registration(Item('servers/i-1', value, 1))
 
 
-def test_entry_becomes_a_registration():
+def test_entry_is_decoded():
     assert read() == Registration(
         'i-1',
         'pool',
@@ -42,7 +42,7 @@
     )
 
 
-def test_draining_worker_takes_no_new_work():
+def test_draining_worker_is_leaving():
     worker = read(state='draining', remainingMs=3000)
 
     assert worker is not None
@@ -61,11 +61,11 @@
         {'service': 7},
     ],
 )
-def test_damaged_entry_names_no_worker(changes):
-    # Guards against a watch that ends with the first damaged entry.
+def test_invalid_entry_is_ignored(changes):
+    # An exception would end the watch at the first invalid entry.
     assert read(**changes) is None
 
 
 @pytest.mark.parametrize('value', [None, b'', b'{', b'\xff\xfe', b'[]'])
-def test_entry_that_is_no_json_names_no_worker(value):
+def test_entry_that_is_not_json_is_ignored(value):
     assert read_registration(Item('servers/i-1', value, 1)) is None
--- a/tests/platform/test_routing.py
+++ b/tests/platform/test_routing.py
@@ -1,4 +1,4 @@
-"""Guards the reading of the operators' configuration."""
+"""Tests the decoding of the operators' routing configuration."""
 
 from json import dumps
 
@@ -24,7 +24,7 @@
 }
 
 
-def test_configuration_becomes_a_table():
+def test_configuration_is_decoded():
     table = read_routing_table(
         dumps(
             {
@@ -59,6 +59,6 @@
     'value',
     [b'', b'{}', b'\xff', b'{"version": "x", "routes": [], "services": []}'],
 )
-def test_damaged_configuration_is_not_used(value):
-    # Guards against serving by half a table; the last good one stays.
+def test_invalid_configuration_is_ignored(value):
+    # A partially decoded table must not replace the last valid one.
     assert read_routing_table(value) is None
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,4 +1,4 @@
-"""Guards the platform store's promises that the journal builds on."""
+"""Tests the guarantees of the platform's store that the journal relies on."""
 
 from anyio import create_task_group
 from anyio import sleep
@@ -30,7 +30,7 @@
 
 
 async def test_writes_need_the_revision_that_was_read(store):
-    # Guards against two owners that both believe their write was the first.
+    # Guards against two owners that both believe that their write was first.
     first = await store.create('a/one', b'\x00one')
     with pytest.raises(StoreConflictError):
         await store.create('a/one', b'two')
@@ -44,7 +44,7 @@
     assert await store.get('a/one') is None
 
 
-async def test_listing_reads_all_pages(store):
+async def test_read_prefix_reads_all_pages(store):
     # Guards against a recovery that sees only the first page of a journal.
     names = [f'pages/{number:05d}' for number in range(MOST_ITEMS + 7)]
     for name in names:
@@ -77,8 +77,8 @@
     ]
 
 
-async def test_keys_end_with_their_lease(store):
-    # Guards against an owner that is still named after it has died.
+async def test_expired_lease_deletes_its_keys(store):
+    # Guards against a dead owner that stays registered.
     lease = await store.grant_lease(0.4)
     await store.create('l/one', b'1', lease)
     assert await store.renew_lease(lease)
@@ -91,7 +91,7 @@
     await store.revoke_lease(lease)
 
 
-async def test_unreachable_store_has_certainly_not_written():
+async def test_write_to_an_unreachable_store_counts_as_not_sent():
     # Guards against waiting for the effect of a write that was never sent.
     address = find_free_address()
     async with PlatformStore(f'http://{address}', timeout_s=1.0) as store:
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -1,4 +1,4 @@
-"""Guards the meaning of workers' answers, which decides on second runs."""
+"""Tests the decoding of workers' responses, which decides on repeated runs."""
 
 from aiohttp import web
 from anyio import sleep
@@ -19,8 +19,8 @@
 START = RunRequest('j.0.0.0', 3, 'payload', 9_000, 4_000)
 
 
-class Worker:
-    """A worker that answers as a test has it, and remembers requests."""
+class FakeWorker:
+    """Worker that sends the response that a test sets and records requests."""
 
     def __init__(self):
         self.status = 200
@@ -42,7 +42,7 @@
 
 @pytest.fixture
 async def worker():
-    standin = Worker()
+    standin = FakeWorker()
     application = web.Application()
     application.add_routes([web.post('/api/{call}', standin.serve)])
     runner = web.AppRunner(application)
@@ -56,16 +56,16 @@
 
 
 @pytest.fixture
-async def orders(worker):
+async def client(worker):
     async with PlatformWorkerClient('i-1', worker.address, 0.5) as client:
         yield client
 
 
-async def test_start_names_the_worker_the_fence_and_the_deadline(
-    worker, orders
+async def test_start_sends_worker_id_fencing_token_and_deadline(
+    worker, client
 ):
-    # Guards against a start that another worker at the address carries out.
-    assert await orders.start(START) == RunReply(1)
+    # Guards against a start that another worker at the address executes.
+    assert await client.start(START) == RunReply(1)
 
     assert worker.requests == [
         (
@@ -97,44 +97,44 @@
         (429, '', StartRefusal.UNHEALTHY),
     ],
 )
-async def test_refusal_is_told(worker, orders, status, reason, refusal):
+async def test_refusal_is_decoded(worker, client, status, reason, refusal):
     worker.status = status
     worker.body = {'clockMs': 8, 'reason': reason}
 
-    answer = await orders.start(START)
+    reply = await client.start(START)
 
-    assert answer.refusal is refusal
+    assert reply.refusal is refusal
 
 
 @pytest.mark.parametrize('status', [302, 404, 500, 504])
-async def test_other_status_says_nothing_about_the_run(worker, orders, status):
-    # Guards against a second run after a proxy's error page.
+async def test_other_status_leaves_the_effect_unknown(worker, client, status):
+    # An error page of a proxy must not lead to a second run of the task.
     worker.status = status
 
     with pytest.raises(WorkerUnavailableError) as caught:
-        await orders.start(START)
+        await client.start(START)
 
     assert caught.value.sent
 
 
-async def test_late_answer_says_nothing_about_the_run(worker, orders):
+async def test_late_response_leaves_the_effect_unknown(worker, client):
     worker.delay_s = 1.0
 
     with pytest.raises(WorkerUnavailableError) as caught:
-        await orders.start(START)
+        await client.start(START)
 
     assert caught.value.sent
 
 
-async def test_refused_connection_has_certainly_not_started():
-    async with PlatformWorkerClient('i-1', find_free_address(), 0.5) as orders:
+async def test_start_on_refused_connection_counts_as_not_sent():
+    async with PlatformWorkerClient('i-1', find_free_address(), 0.5) as client:
         with pytest.raises(WorkerUnavailableError) as caught:
-            await orders.start(START)
+            await client.start(START)
 
     assert not caught.value.sent
 
 
-async def test_lists_become_a_report(worker, orders):
+async def test_hold_response_is_decoded(worker, client):
     worker.body = {
         'clockMs': 50,
         'born': 7,
@@ -142,7 +142,7 @@
         'ended': [[12, 'j.0.0.1', 1, 'lapsed', 'c2']],
     }
 
-    report = await orders.hold(HoldRequest(4_000, 11, 9_000, 200))
+    report = await client.hold(HoldRequest(4_000, 11, 9_000, 200))
 
     assert report == WorkerReport(
         50,
@@ -160,18 +160,18 @@
         {'clockMs': 1, 'running': [], 'ended': [[1, 't', 1, 'vanished', '']]},
     ],
 )
-async def test_damaged_lists_are_no_report(worker, orders, body):
-    # Guards against taking a damaged list for an empty worker.
+async def test_invalid_hold_response_raises(worker, client, body):
+    # An invalid response must not be mistaken for that of an idle worker.
     worker.body = body
 
     with pytest.raises(WorkerUnavailableError, match='cannot decode'):
-        await orders.hold(HoldRequest(4_000, 11, 9_000, 0))
+        await client.hold(HoldRequest(4_000, 11, 9_000, 0))
 
 
-async def test_hold_of_another_owner_is_a_refusal(worker, orders):
+async def test_hold_with_a_stale_fencing_token_is_refused(worker, client):
     worker.status = 409
     worker.body = {'clockMs': 1, 'reason': 'fence'}
 
-    answer = await orders.hold(HoldRequest(4_000, 0, 9_000, 0))
+    reply = await client.hold(HoldRequest(4_000, 0, 9_000, 0))
 
-    assert answer is StartRefusal.STALE_EPOCH
+    assert reply is StartRefusal.STALE_EPOCH
