--- a/sassafrasgate/core/errors.py
+++ b/sassafrasgate/core/errors.py
@@ -66,18 +66,18 @@
 class DuplicateNameError(SassafrasgateError):
     """A key was registered twice in one registry."""
 
-    def __init__(self, noun: str, name: str) -> None:
+    def __init__(self, kind: str, name: str) -> None:
         super().__init__(
-            f'{noun} {name!r} is registered twice; rename one of them'
+            f'{kind} {name!r} is registered twice; rename one of them'
         )
 
 
 class UnknownNameError(SassafrasgateError):
     """A name is not in the registry that was searched."""
 
-    def __init__(self, noun: str, name: str, known: tuple[str, ...]) -> None:
+    def __init__(self, kind: str, name: str, known: tuple[str, ...]) -> None:
         super().__init__(
-            f'unknown {noun} {name!r}; use one of {", ".join(known)}'
+            f'unknown {kind} {name!r}; use one of {", ".join(known)}'
         )
         self.name = name
 
--- a/sassafrasgate/core/registries.py
+++ b/sassafrasgate/core/registries.py
@@ -22,7 +22,7 @@
 
     Parameters
     ----------
-    noun : str
+    kind : str
         What the registry holds; used in error messages.
 
     Examples
@@ -34,8 +34,8 @@
     'BatchPolicy'
     """
 
-    def __init__(self, noun: str) -> None:
-        self._noun = noun
+    def __init__(self, kind: str) -> None:
+        self._kind = kind
         self._items: dict[Key, Item] = {}
 
     def register(self, key: Key) -> Callable[[Item], Item]:
@@ -49,7 +49,7 @@
 
         def add_item(item: Item) -> Item:
             if key in self._items:
-                raise DuplicateNameError(self._noun, str(key))
+                raise DuplicateNameError(self._kind, str(key))
             self._items[key] = item
             return item
 
@@ -65,7 +65,7 @@
         """
         if key not in self._items:
             known = tuple(sorted(str(known) for known in self._items))
-            raise UnknownNameError(self._noun, str(key), known)
+            raise UnknownNameError(self._kind, str(key), known)
         return self._items[key]
 
     def __contains__(self, key: object) -> bool:
--- a/sassafrasgate/journal/rate_limits.py
+++ b/sassafrasgate/journal/rate_limits.py
@@ -100,7 +100,7 @@
 
     kind: CallKind
     priority: int
-    reply: MemoryObjectSendStream[None]
+    reply_to: MemoryObjectSendStream[None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,7 +111,7 @@
 @dataclass(frozen=True, slots=True)
 class _ReadFillLevel:
     kind: CallKind
-    reply: MemoryObjectSendStream[float]
+    reply_to: MemoryObjectSendStream[float]
 
 
 class RateLimiterState:
@@ -152,7 +152,7 @@
         waiting = self.waiting[kind]
         while waiting and bucket.tokens >= 1.0:
             _, _, call = heappop(waiting)
-            if _send_reply(call.reply, None):
+            if _send_reply(call.reply_to, None):
                 bucket = replace(bucket, tokens=bucket.tokens - 1.0)
         self.buckets[kind] = bucket
         return compute_wait_s(bucket) if waiting else None
@@ -170,7 +170,7 @@
 
 
 _HANDLERS: Registry[type[Any], Callable[[RateLimiterState, Any], None]] = (
-    Registry('budget message')
+    Registry('rate limiter message')
 )
 
 
@@ -190,7 +190,7 @@
 def _send_fill_level(state: RateLimiterState, message: _ReadFillLevel) -> None:
     bucket = refill_bucket(state.buckets[message.kind], current_time())
     level = 0.0 if state.waiting[message.kind] else bucket.tokens
-    _send_reply(message.reply, level / bucket.burst)
+    _send_reply(message.reply_to, level / bucket.burst)
 
 
 class StoreRateLimiter:
@@ -252,12 +252,12 @@
         anyio.BrokenResourceError
             When the task that owns the buckets has ended.
         """
-        reply, answer = create_memory_object_stream[None](1)
-        with answer:
+        reply_to, replies = create_memory_object_stream[None](1)
+        with replies:
             await self._send.send(
-                AcquireToken(CallKind(kind), priority, reply)
+                AcquireToken(CallKind(kind), priority, reply_to)
             )
-            await answer.receive()
+            await replies.receive()
 
     async def set_rates(self, writes_per_s: float, reads_per_s: float) -> None:
         """Change the rates, in calls per second.
@@ -276,10 +276,10 @@
         The level is 0 while calls wait. At a low level, a journal can batch
         more records into its next append.
         """
-        reply, answer = create_memory_object_stream[float](1)
-        with answer:
-            await self._send.send(_ReadFillLevel(CallKind(kind), reply))
-            return await answer.receive()
+        reply_to, replies = create_memory_object_stream[float](1)
+        with replies:
+            await self._send.send(_ReadFillLevel(CallKind(kind), reply_to))
+            return await replies.receive()
 
 
 def _check_rates(
--- a/sassafrasgate/protocol/retries.py
+++ b/sassafrasgate/protocol/retries.py
@@ -7,10 +7,10 @@
 if TYPE_CHECKING:
     from random import Random
 
-RETRY_SHARE = 0.2
+RETRY_RATIO = 0.2
 RETRY_BURST = 10.0
-FIRST_BACKOFF_S = 0.05
-LONGEST_BACKOFF_S = 1.0
+INITIAL_BACKOFF_S = 0.05
+MAX_BACKOFF_S = 1.0
 
 
 class RetryBudget:
@@ -18,28 +18,28 @@
 
     Parameters
     ----------
-    share : float
+    ratio : float
         Number of retries that each first attempt adds to the budget.
     burst : float
         Maximum number of retries that the budget can hold.
 
     Examples
     --------
-    >>> budget = RetryBudget(share=0.5, burst=1)
+    >>> budget = RetryBudget(ratio=0.5, burst=1)
     >>> budget.may_retry(), budget.may_retry()
     (True, False)
     """
 
     def __init__(
-        self, share: float = RETRY_SHARE, burst: float = RETRY_BURST
+        self, ratio: float = RETRY_RATIO, burst: float = RETRY_BURST
     ) -> None:
-        self._share = share
+        self._ratio = ratio
         self._burst = burst
         self._tokens = burst
 
     def record_first_attempt(self) -> None:
         """Add the retries that a first attempt earns to the budget."""
-        self._tokens = min(self._burst, self._tokens + self._share)
+        self._tokens = min(self._burst, self._tokens + self._ratio)
 
     def may_retry(self) -> bool:
         """Take one retry from the budget; False if none is left."""
@@ -61,5 +61,5 @@
     random : Random
         Random source of the jitter.
     """
-    longest = min(LONGEST_BACKOFF_S, FIRST_BACKOFF_S * 2 ** (attempt - 1))
-    return random.uniform(0, longest)
+    max_delay_s = min(MAX_BACKOFF_S, INITIAL_BACKOFF_S * 2 ** (attempt - 1))
+    return random.uniform(0, max_delay_s)
--- a/sassafrasgate/protocol/workflows.py
+++ b/sassafrasgate/protocol/workflows.py
@@ -9,7 +9,7 @@
 
 @register_message('submit-workflow')
 class SubmitWorkflow:
-    """Asks the owner to accept a workflow; answered by `WorkflowView`.
+    """Asks the owner to accept a workflow; the reply is a `WorkflowView`.
 
     Parameters
     ----------
@@ -32,7 +32,7 @@
 
 @register_message('cancel-workflow')
 class CancelWorkflow:
-    """Cancels a workflow; answered once the cancellation is durable."""
+    """Cancels a workflow; the reply follows once this is durable."""
 
     job_id: str
 
@@ -104,7 +104,7 @@
 
 @register_message('find-owner')
 class FindOwner:
-    """Asks an entry host who owns the shard; answered by `OwnerFound`."""
+    """Asks an entry host for the owner; the reply is an `OwnerFound`."""
 
     shard: str
 
@@ -130,7 +130,7 @@
 class HandOver:
     """Asks an entry host to take over the shard during a planned stop.
 
-    It is answered by `Acknowledged` once the takeover is in the journal.
+    The reply is an `Acknowledged`, sent once the takeover is in the journal.
 
     Parameters
     ----------
--- a/tests/core/test_identifiers.py
+++ b/tests/core/test_identifiers.py
@@ -1,4 +1,4 @@
-"""Guards the rules by which duplicates meet at one home shard."""
+"""Tests job and task ids and the choice of the home shard."""
 
 from sassafrasgate.core.identifiers import find_home_shard
 from sassafrasgate.core.identifiers import make_job_id
@@ -6,12 +6,13 @@
 from sassafrasgate.core.identifiers import split_task_id
 
 
-def test_team_and_key_do_not_run_together():
-    # Without the length prefix, ('a', 'bc') and ('ab', 'c') would be one job.
+def test_job_id_separates_team_and_key():
+    # Guards against a digest of team and key joined without a separator:
+    # without the length prefix, ('a', 'bc') and ('ab', 'c') would be one job.
     assert make_job_id('a', 'bc') != make_job_id('ab', 'c')
 
 
-def test_home_shard_does_not_depend_on_the_order_of_shards():
+def test_home_shard_is_independent_of_the_order_of_shards():
     shards = ['north', 'south', 'east']
     job_id = make_job_id('orders', '17')
     assert find_home_shard(job_id, shards) == find_home_shard(
--- a/tests/journal/test_rate_limits.py
+++ b/tests/journal/test_rate_limits.py
@@ -90,16 +90,16 @@
     # Guards against a burst of cancelled calls that uses up the tokens and
     # delays lease renewals.
     state = RateLimiterState({CallKind.WRITE: 1.0}, now=0.0)
-    answers = []
+    reply_streams = []
     for _ in range(50):
-        reply, answer = create_memory_object_stream[None](1)
-        state.add(AcquireToken(CallKind.WRITE, CallPriority.NORMAL, reply))
-        answers.append(answer)
-    for answer in answers[:-1]:
-        answer.close()
+        reply_to, replies = create_memory_object_stream[None](1)
+        state.add(AcquireToken(CallKind.WRITE, CallPriority.NORMAL, reply_to))
+        reply_streams.append(replies)
+    for replies in reply_streams[:-1]:
+        replies.close()
     assert state.grant(now=0.0) is None
-    answers[-1].receive_nowait()
-    answers[-1].close()
+    reply_streams[-1].receive_nowait()
+    reply_streams[-1].close()
 
 
 async def test_fill_level_falls_as_calls_are_made():
--- a/tests/journal/test_ring_buffer.py
+++ b/tests/journal/test_ring_buffer.py
@@ -1,4 +1,4 @@
-"""Guards the journal's ring against lost replies and lost entries."""
+"""Tests the journal's ring buffer under lost replies and changes of owner."""
 
 import anyio
 import pytest
@@ -23,7 +23,7 @@
 
 
 class MemoryStore:
-    """Keys with revisions; loses the reply of one write on request."""
+    """In-memory store with revisions; can drop the reply to one write."""
 
     def __init__(self):
         self.items = {}
@@ -74,8 +74,9 @@
 
 
 @pytest.mark.parametrize('appended', [0, 1])
-async def test_a_lost_reply_of_the_pointer_does_not_end_ownership(appended):
-    # The next snapshot finds the pointer at a revision it does not know.
+async def test_lost_reply_to_a_pointer_write_does_not_end_ownership(appended):
+    # Guards against an owner that takes its own pointer for a successor's:
+    # after a lost reply, the next snapshot finds an unknown revision.
     store = MemoryStore()
     journal = await take_over(store, 1)
     store.lost_reply = 'snapshot/'
@@ -92,7 +93,7 @@
     assert len(chunks) == 1
 
 
-async def test_a_late_pointer_of_a_successor_ends_ownership():
+async def test_snapshot_pointer_of_a_successor_ends_ownership():
     store = MemoryStore()
     stale = await take_over(store, 1)
     await write_snapshot(await take_over(store, 2))
@@ -100,8 +101,11 @@
         await write_snapshot(stale)
 
 
-async def test_a_takeover_never_overwrites_an_uncovered_entry(monkeypatch):
-    # Owners that end before their first snapshot fill the ring together.
+async def test_takeover_never_overwrites_an_entry_outside_the_snapshot(
+    monkeypatch,
+):
+    # Guards against lost entries when successive owners end before their
+    # first snapshot, so that their entries fill the ring.
     monkeypatch.setattr(ring_buffer, 'RING_SLOTS', 8)
     monkeypatch.setattr(ring_buffer, 'TAKEOVER_SLOTS', 2)
     store = MemoryStore()
@@ -117,8 +121,9 @@
 
 
 @pytest.mark.parametrize('entries', [3, 15, 16, 17, 300])
-async def test_a_long_chain_is_read_whole_in_few_calls(entries):
-    # One call for each entry took longer than urgent work may wait.
+async def test_long_log_is_read_completely_in_few_calls(entries):
+    # Guards against a slow takeover: one call for each entry took longer than
+    # urgent jobs may wait.
     store = MemoryStore()
     journal = await take_over(store, 1)
     for _ in range(entries):
@@ -130,18 +135,21 @@
     assert store.reads <= 18
 
 
-async def test_unanswered_slot_read_is_a_plain_error():
-    """A new owner retries it; a group of errors would end its process."""
+async def test_slot_read_without_reply_raises_a_plain_error():
+    """Guards against an exception group, which ends a new owner's process.
 
-    class DeafStore(MemoryStore):
+    The new owner retries after a plain `StoreUnavailableError`.
+    """
+
+    class UnavailableStore(MemoryStore):
         async def read_prefix(self, prefix, priority=0):
             raise StoreUnavailableError(prefix)
 
     with pytest.raises(StoreUnavailableError, match='read it again'):
-        await load_journal(DeafStore(), 's1')
+        await load_journal(UnavailableStore(), 's1')
 
 
-async def test_an_entry_behind_a_gap_does_not_count_for_a_successor():
+async def test_entry_behind_a_gap_is_ignored_by_a_successor():
     store = MemoryStore()
     stale = await take_over(store, 1)
     lost = stale.prepare((Takeover(1, 'lost'),))
@@ -155,7 +163,8 @@
     ]
     with pytest.raises(ShardLostError, match='another owner'):
         await stale.write(lost)
-    # The next owner writes over the orphan, and reads only its own entry.
+    # The successor overwrites the orphan, and a reader finds only the new
+    # entry.
     await successor.append((Takeover(2, 'next'),))
     loaded = await load_journal(store, 's1')
     assert [record.owner for record in loaded.records] == [
@@ -165,21 +174,21 @@
     ]
 
 
-async def test_a_late_write_behind_a_gap_is_written_over():
+async def test_late_write_behind_a_gap_is_overwritten():
     store = MemoryStore()
     stale = await take_over(store, 1)
     stale.prepare(())
     orphan = stale.prepare((Takeover(1, 'orphan'),))
     successor = await take_over(store, 2)
     await write_snapshot(successor)
-    # The write arrives when the successor already knows the empty slot.
+    # The write arrives after the successor has found the slot empty.
     await stale.write(orphan)
     await successor.append((Takeover(2, 'next'),))
     (*_, last) = (await load_journal(store, 's1')).records
     assert last.owner == 'next'
 
 
-async def test_an_orphan_right_behind_a_snapshot_does_not_count():
+async def test_orphan_right_after_a_snapshot_is_ignored():
     store = MemoryStore()
     stale = await take_over(store, 1)
     stale.prepare(())
@@ -192,16 +201,17 @@
     assert loaded.next_sequence == orphan.sequence
 
 
-async def test_a_write_whose_answer_is_overdue_is_read_back(monkeypatch):
-    # Waiting for the time limit would delay every record behind it.
+async def test_write_with_an_overdue_reply_is_read_back(monkeypatch):
+    # Guards against waiting for the time limit of the call, which delays all
+    # later records.
     monkeypatch.setattr(ring_buffer, 'MIN_READ_BACK_DELAY_S', 0.01)
 
-    class MuteStore(MemoryStore):
+    class NoReplyStore(MemoryStore):
         async def swap(self, key, value, revision, priority=0):
             await super().swap(key, value, revision, priority)
             await anyio.sleep(30)
 
-    store = MuteStore()
+    store = NoReplyStore()
     loaded = await load_journal(store, 's1')
     journal = Journal(store, 's1', 'owner', loaded)
     with anyio.fail_after(10):
--- a/tests/protocol/test_codec.py
+++ b/tests/protocol/test_codec.py
@@ -1,4 +1,4 @@
-"""Guards the encoding of envelopes against loss and bad frames."""
+"""Tests the encoding of envelopes and the rejection of bad frames."""
 
 import pytest
 
@@ -30,12 +30,12 @@
     'frame',
     [b'', b'\xff' * 9, b'\x80', encode_envelope.__doc__.encode()],
 )
-def test_bad_frame_is_a_typed_error_with_a_remedy(frame):
+def test_bad_frame_raises_message_error_with_a_remedy(frame):
     with pytest.raises(MessageError, match='same release'):
         decode_envelope(frame)
 
 
-def test_unknown_kind_is_a_typed_error():
+def test_unknown_kind_raises_message_error():
     good = Envelope(1, False, 1, 0, Submit('s', 'j', JobSpec('t', 'k'), 1.0))
     frame = encode_envelope(good).replace(b'submit', b'smubit')
     with pytest.raises(MessageError, match='smubit'):
--- a/tests/protocol/test_links.py
+++ b/tests/protocol/test_links.py
@@ -1,4 +1,4 @@
-"""Guards the server end of links against frames that are not ours."""
+"""Tests that the server end of links tolerates malformed frames."""
 
 import anyio
 import pytest
@@ -21,8 +21,9 @@
     return 'asyncio'
 
 
-async def test_server_goes_on_after_bad_frames():
-    # A frame with another number of parts once ended the whole process.
+async def test_server_continues_after_malformed_frames():
+    # Guards against a message with an unexpected number of parts, which ended
+    # the whole process.
     address = find_free_address()
 
     async def handle(request):
@@ -31,7 +32,7 @@
         )
 
     server = LinkServer(
-        address, handle, lambda: Heartbeat('server'), lambda heard: None
+        address, handle, lambda: Heartbeat('server'), lambda heartbeat: None
     )
     context = zmq.asyncio.Context()
     async with anyio.create_task_group() as group:
