Reword the last docstrings of the daemons

Cause: a few notes were unclear or used two words for an attempt. Change: docstrings, MAX_INBOX -> MAX_INBOX_EVENTS, find_claim -> find_claimable_revision.

--- a/sassafrasgate/daemons/dispatcher.py
+++ b/sassafrasgate/daemons/dispatcher.py
@@ -92,7 +92,7 @@
 
 TICK_S = 0.1
 LOAD_RETRY_DELAY_S = 0.1
-MAX_INBOX = 20_000
+MAX_INBOX_EVENTS = 20_000
 # Records are collected into shared entries, because each store call is
 # charged for. The delay is short, because a quick job has only 0.6 s beyond
 # its own work.
@@ -700,6 +700,6 @@
 
 
 def _make_inbox(
-    size: float = MAX_INBOX,
+    size: float = MAX_INBOX_EVENTS,
 ) -> tuple[MemoryObjectSendStream[Any], MemoryObjectReceiveStream[Any]]:
     return anyio.create_memory_object_stream[Any](size)
--- a/sassafrasgate/daemons/election.py
+++ b/sassafrasgate/daemons/election.py
@@ -93,7 +93,7 @@
 
     @property
     def silent_ms(self) -> int:
-        """Time in ms since a message from the owner has arrived.
+        """Time in ms since the last message from the owner arrived.
 
         It is 0 while no other process is known to own the shard.
         """
@@ -134,7 +134,7 @@
             return False
         return now_ms() < lease.renewed_at + lease.ttl_ms
 
-    def find_claim(self) -> int | None:
+    def find_claimable_revision(self) -> int | None:
         """Return the key revision that a claim is to replace.
 
         The host with the best rank claims first.
@@ -292,9 +292,9 @@
     async def hand_over(self, message: HandOver) -> bool:
         """Offer the shard to other entry hosts until one has taken it over.
 
-        Hosts with more processor capacity come first. Among equal hosts it
-        is the one that has started last: in a rolling restart it is the last
-        one to be stopped.
+        Hosts with more processor capacity come first. Among equal hosts the
+        one that started last comes first, because a rolling restart stops it
+        last.
 
         Returns
         -------
--- a/sassafrasgate/daemons/entry.py
+++ b/sassafrasgate/daemons/entry.py
@@ -187,7 +187,7 @@
         if owner is not None and election.is_self(owner[0]):
             self._start_dispatcher(group, 0)
             return
-        revision = election.find_claim()
+        revision = election.find_claimable_revision()
         if revision is not None and await election.write_key(revision):
             self._start_dispatcher(group, 0)
 
--- a/sassafrasgate/daemons/frontend.py
+++ b/sassafrasgate/daemons/frontend.py
@@ -179,7 +179,7 @@
         return await self._request_until(message, deadline)
 
     async def _request_until(self, message: Any, deadline: int) -> Any:
-        """Retry until an reply, the deadline, or the end of the budget."""
+        """Retry until a reply, the deadline, or an empty retry budget."""
         attempt = 0
         unknown: NoReply | None = None
         while True:
@@ -213,7 +213,7 @@
         if not isinstance(reply, NoReply):
             return False
         # All messages but quick requests are idempotent by job id. A quick
-        # request may still be running where the first try was sent.
+        # request may still be running where the first attempt was sent.
         return not (
             isinstance(message, Submit)
             and message.spec.job_class is JobClass.QUICK
--- a/sassafrasgate/daemons/gateways.py
+++ b/sassafrasgate/daemons/gateways.py
@@ -23,7 +23,7 @@
     from sassafrasgate.core.workflows import Workflow
     from sassafrasgate.daemons.entry import EntryTask
 
-# An owner that has not answered within this time may be lost. The next try
+# An owner that has not answered within this time may be lost. The next attempt
 # may reach its successor, and every request can be repeated.
 ATTEMPT_TIMEOUT_S = 0.7
 RETRY_DELAY_S = 0.05
--- a/sassafrasgate/daemons/shards.py
+++ b/sassafrasgate/daemons/shards.py
@@ -85,7 +85,7 @@
 TICK_S = 0.2
 LOAD_RETRY_DELAY_S = 0.3
 PEER_TIMEOUT_S = 2.0
-MAX_INBOX = 20_000
+MAX_INBOX_EVENTS = 20_000
 JOB_COUNT_INTERVAL_MS = 5_000
 # Kinds of decisions whose reason begins with the status of the attempt.
 ATTEMPT_END_KINDS = frozenset({'end', 'retry'})
@@ -535,6 +535,6 @@
 
 
 def _make_inbox(
-    size: float = MAX_INBOX,
+    size: float = MAX_INBOX_EVENTS,
 ) -> tuple[MemoryObjectSendStream[Any], MemoryObjectReceiveStream[Any]]:
     return anyio.create_memory_object_stream[Any](size)
