--- a/sassafrasgate/composition/entry.py
+++ b/sassafrasgate/composition/entry.py
@@ -153,7 +153,7 @@
 
     def open_store(**options: Any) -> Any:
         return adapters.open_store(
-            settings.store_address, budget=budget, **options
+            settings.store_address, rate_limiter=budget, **options
         )
 
     async with (
@@ -178,10 +178,10 @@
         store, lease_store = relay(direct_store), relay(direct_lease_store)
         registration_store = relay(direct_registration_store)
 
-        def greet() -> Heartbeat:
+        def make_heartbeat() -> Heartbeat:
             return Heartbeat(settings.name, task.version)
 
-        def hear(heartbeat: Heartbeat) -> None:
+        def handle_heartbeat(heartbeat: Heartbeat) -> None:
             return
 
         async def follow_workers(listener: Any) -> None:
@@ -194,19 +194,21 @@
                 watch, adapters.registrations, listener
             ).run()
 
-        def note_closed(address: str) -> None:
+        def handle_disconnect(address: str) -> None:
             try:
                 main.send.send_nowait(LinkClosed(address))
             except anyio.WouldBlock:
                 # The owner's lease shows its end a little later.
                 return
 
-        directory = Directory(group, (), greet, hear, note_closed)
+        directory = Directory(
+            group, (), make_heartbeat, handle_heartbeat, handle_disconnect
+        )
         server = LinkServer(
             settings.link_address,
             lambda request: task.handle_request(request),
-            greet,
-            hear,
+            make_heartbeat,
+            handle_heartbeat,
         )
         election = OwnerElection(member, store, directory, logger)
         advice_router = AdviceRouter(
@@ -246,8 +248,10 @@
             int(settings.outage_grace_s * 1000),
         )
         table = RoutingTableTask(
-            PrefixWatch(table_store, adapters.table.prefix, TABLE_PAUSE_S),
-            adapters.table,
+            PrefixWatch(
+                table_store, adapters.routing_table.prefix, TABLE_PAUSE_S
+            ),
+            adapters.routing_table,
             main.send,
             logger,
         )
@@ -263,7 +267,7 @@
         group.start_soon(counts.run)
         group.start_soon(
             AdviceTask(
-                adapters.open_adviser(settings.advice_address),
+                adapters.open_advice_client(settings.advice_address),
                 advisers.receive,
             ).run
         )
--- a/sassafrasgate/daemons/advice_routing.py
+++ b/sassafrasgate/daemons/advice_routing.py
@@ -67,7 +67,7 @@
         if member is None:
             return NoReply(f'entry host {name!r} is not a live member')
         link = self._directory.find_link(member.link_address)
-        return await link.ask(request, timeout_s)
+        return await link.request(request, timeout_s)
 
     async def _request_locally(
         self, request: SeekAdvice, timeout_s: float
--- a/sassafrasgate/daemons/election.py
+++ b/sassafrasgate/daemons/election.py
@@ -315,7 +315,7 @@
             if offers == MAX_OFFERS:
                 break
             link = self._directory.find_link(member.link_address)
-            probe_reply = await link.ask(
+            probe_reply = await link.request(
                 FindOwner(SHARD), REACHABILITY_TIMEOUT_S
             )
             if not isinstance(probe_reply, OwnerFound):
@@ -323,7 +323,7 @@
                 # is back, and the shard would have no owner meanwhile.
                 continue
             offers += 1
-            reply = await link.ask(offer, OFFER_TIMEOUT_S)
+            reply = await link.request(offer, OFFER_TIMEOUT_S)
             self._log(
                 'hand-over',
                 (
@@ -360,7 +360,7 @@
 
     async def _ask_for_owner(self, member: Member) -> None:
         link = self._directory.find_link(member.link_address)
-        reply = await link.ask(FindOwner(SHARD), FIND_OWNER_TIMEOUT_S)
+        reply = await link.request(FindOwner(SHARD), FIND_OWNER_TIMEOUT_S)
         if not isinstance(reply, OwnerFound) or not reply.member:
             return
         known = self.owner
--- a/sassafrasgate/daemons/workers.py
+++ b/sassafrasgate/daemons/workers.py
@@ -215,10 +215,12 @@
             return False
         received_at = now_ms()
         previous_ms = self._incarnation_ms
-        self._restarted = bool(previous_ms) and report.born_ms != previous_ms
-        if report.born_ms != previous_ms:
+        self._restarted = (
+            bool(previous_ms) and report.incarnation_ms != previous_ms
+        )
+        if report.incarnation_ms != previous_ms:
             self._restarts += 1 if previous_ms else 0
-            self._incarnation_ms = report.born_ms
+            self._incarnation_ms = report.incarnation_ms
             self._last_reported_end = 0
             self._last_acknowledged_end = 0
         self._clock_reading = ClockReading(report.clock_ms, received_at)
--- a/sassafrasgate/shards/transfers.py
+++ b/sassafrasgate/shards/transfers.py
@@ -39,7 +39,7 @@
 from sassafrasgate.shards.handlers import REQUEST_HANDLERS
 from sassafrasgate.shards.handlers import write_record
 from sassafrasgate.shards.placements import choose_hosts_for_job
-from sassafrasgate.shards.placements import find_rule_limits
+from sassafrasgate.shards.placements import find_rule_constraints
 from sassafrasgate.shards.placements import log_decision
 from sassafrasgate.shards.placements import log_placement
 from sassafrasgate.shards.placements import make_placements
@@ -53,10 +53,10 @@
     from sassafrasgate.shards.handlers import Actions
     from sassafrasgate.shards.state import ShardState
 
-TRANSFER_AFTER_MS = 1_000
-SUMMARY_AGE_MS = 3_000
+TRANSFER_DELAY_MS = 1_000
+MAX_SUMMARY_AGE_MS = 3_000
 SUMMARY_INTERVAL_MS = 1_000
-RESEND_MS = 1_000
+RESEND_INTERVAL_MS = 1_000
 # Size of the range of attempt numbers that each home attempt has on the other
 # shard. The ranges keep these numbers distinct from those of the home shard
 # and of other home attempts.
@@ -71,16 +71,16 @@
     Parameters
     ----------
     now : int
-        The owner's clock; summaries older than `SUMMARY_AGE_MS` are
+        The owner's clock; summaries older than `MAX_SUMMARY_AGE_MS` are
         ignored.
     """
     if spec.job_class is JobClass.SERVICE and spec.tasks > 1:
         return None
-    _, domains = find_rule_limits(state, spec)
+    _, domains = find_rule_constraints(state, spec)
     need = spec.demand.scale(spec.tasks)
     best: Summary | None = None
     for name, (summary, received_at) in state.summaries.items():
-        if name == state.name or now - received_at > SUMMARY_AGE_MS:
+        if name == state.name or now - received_at > MAX_SUMMARY_AGE_MS:
             continue
         if domains and summary.failure_domain not in domains:
             continue
@@ -137,7 +137,10 @@
             yield from _resend(state, job_id, now)
     for ended, next_at in list(state.unacknowledged_ends.values()):
         if next_at <= now:
-            state.unacknowledged_ends[ended.job_id] = (ended, now + RESEND_MS)
+            state.unacknowledged_ends[ended.job_id] = (
+                ended,
+                now + RESEND_INTERVAL_MS,
+            )
             yield SendToShard(ended.shard, ended)
 
 
@@ -146,7 +149,9 @@
     entry = state.jobs.get(job_id)
     if transfer is None or entry is None:
         return
-    state.transfers[job_id] = replace(transfer, next_at=now + RESEND_MS)
+    state.transfers[job_id] = replace(
+        transfer, next_at=now + RESEND_INTERVAL_MS
+    )
     if entry.cancelling:
         yield SendToShard(
             transfer.shard,
@@ -175,31 +180,31 @@
 
 
 @EVENT_HANDLERS.register(PeerAnswered)
-def handle_peer_answer(
+def handle_peer_reply(
     state: ShardState, event: PeerAnswered, now: int
 ) -> Actions:
-    """Process the answer to a message to another shard."""
-    message, answer = event.message, event.answer
+    """Process the reply to a message to another shard."""
+    message, reply = event.message, event.reply
     if isinstance(message, BorrowShare):
-        if isinstance(answer, ShareTotal):
-            record_share_total(state, message, answer)
+        if isinstance(reply, ShareTotal):
+            record_share_total(state, message, reply)
         return
     if isinstance(message, TransferEnded):
-        if isinstance(answer, Acknowledged):
+        if isinstance(reply, Acknowledged):
             state.unacknowledged_ends.pop(message.job_id, None)
         return
     transfer = state.transfers.get(message.job_id)
     if transfer is None or transfer.attempt != message.attempt:
         return
-    if isinstance(answer, TransferEnded):
-        yield from _apply_transfer_end(state, answer)
+    if isinstance(reply, TransferEnded):
+        yield from _apply_transfer_end(state, reply)
         return
-    if not isinstance(answer, TransferReply):
+    if not isinstance(reply, TransferReply):
         return
-    if answer.accepted:
+    if reply.accepted:
         state.transfers[message.job_id] = replace(transfer, accepted=True)
         return
-    yield from _reclaim_job(state, message.job_id, answer.reason)
+    yield from _reclaim_job(state, message.job_id, reply.reason)
 
 
 def _reclaim_job(state: ShardState, job_id: str, reason: str) -> Actions:
@@ -259,10 +264,10 @@
     key = (message.job_id, message.home, message.attempt)
     entry = state.jobs.get(message.job_id)
     if key in state.tombstones:
-        yield from _answer_refused(state, request, 'attempt already refused')
+        yield from _reply_refused(state, request, 'attempt already refused')
         return
     if entry is not None and entry.home_attempt == message.attempt:
-        yield from _answer_accepted(state, request, entry)
+        yield from _reply_accepted(state, request, entry)
         return
     if entry is not None and not entry.has_ended:
         # An earlier attempt has not ended here; the home shard sends its
@@ -297,7 +302,7 @@
     yield from log_placement(state, message.job_id, attempt, chosen)
 
 
-def _answer_accepted(
+def _reply_accepted(
     state: ShardState, request: RequestReceived, entry: JobEntry
 ) -> Actions:
     if not entry.durable:
@@ -309,7 +314,7 @@
     )
 
 
-def _answer_refused(
+def _reply_refused(
     state: ShardState, request: RequestReceived, reason: str
 ) -> Actions:
     message = request.message
@@ -337,12 +342,12 @@
                 record.job_id,
                 record.home_attempt,
                 False,
-                'insufficient capacity',
+                'no free capacity, or the owner is stopping',
             ),
         )
 
 
-def answer_transfer_callers(state: ShardState, entry: JobEntry) -> Actions:
+def reply_to_transfer_callers(state: ShardState, entry: JobEntry) -> Actions:
     """Answer the home shard, since the acceptance is in the journal."""
     key = (entry.job_id, entry.home, entry.home_attempt)
     for reply_to in state.transfer_callers.pop(key, ()):
@@ -352,7 +357,7 @@
 
 
 @REQUEST_HANDLERS.register('recall')
-def answer_recall(
+def handle_recall(
     state: ShardState, request: RequestReceived, now: int
 ) -> Actions:
     """Answer with the state of an attempt, or refuse it permanently.
@@ -385,7 +390,7 @@
     message: Recall = request.message
     key = (message.job_id, message.home, message.attempt)
     if key in state.tombstones:
-        yield from _answer_refused(state, request, 'attempt recalled')
+        yield from _reply_refused(state, request, 'attempt recalled')
         return
     state.transfer_callers.setdefault(key, []).append(request.reply_to)
     yield from write_record(
@@ -432,7 +437,7 @@
 def _has_capacity_elsewhere(state: ShardState, now: int) -> bool:
     return any(
         name != state.name
-        and now - received_at <= SUMMARY_AGE_MS
+        and now - received_at <= MAX_SUMMARY_AGE_MS
         and not summary.queued
         and summary.free.slots > 0
         for name, (summary, received_at) in state.summaries.items()
