--- a/sassafrasgate/core/routing.py
+++ b/sassafrasgate/core/routing.py
@@ -102,7 +102,7 @@
     pools: tuple[Pool, ...] = ()
 
     def find_queue(self, host: str, path: str) -> Queue | None:
-        """Return the queue of a host whose prefix matches most of the path."""
+        """Return the host's queue with the longest matching path prefix."""
         prefixes = self._by_host.get(host, {})
         for length in self._lengths:
             queue = prefixes.get(path[:length])
--- a/sassafrasgate/journal/rate_limits.py
+++ b/sassafrasgate/journal/rate_limits.py
@@ -158,14 +158,14 @@
         return compute_wait_s(bucket) if waiting else None
 
 
-def _send_reply(reply: MemoryObjectSendStream[Any], value: Any) -> bool:
+def _send_reply(reply_to: MemoryObjectSendStream[Any], value: Any) -> bool:
     """Send a reply; False when the caller was cancelled meanwhile."""
     try:
-        reply.send_nowait(value)
+        reply_to.send_nowait(value)
     except BrokenResourceError:
         return False
     finally:
-        reply.close()
+        reply_to.close()
     return True
 
 
--- a/sassafrasgate/journal/records.py
+++ b/sassafrasgate/journal/records.py
@@ -105,7 +105,7 @@
 
 @register_record('requeued')
 class JobRequeued:
-    """Tasks of an attempt have certainly ended; the job runs again.
+    """Tasks of an attempt have certainly ended and need to be replaced.
 
     Parameters
     ----------
--- a/sassafrasgate/journal/ring_buffer.py
+++ b/sassafrasgate/journal/ring_buffer.py
@@ -9,8 +9,8 @@
 
 An owner may write several entries concurrently. An entry takes effect only
 once all entries before it are in their slots. A successor may find a later
-entry behind a gap; its epoch is lower than the successor's, which overwrites
-it.
+entry behind a gap. That entry has a lower epoch than the successor, which
+overwrites it.
 """
 
 from __future__ import annotations
@@ -48,12 +48,13 @@
 # one slot.
 TAKEOVER_SLOTS = 64
 # Snapshots are split into chunks that are read concurrently, because the
-# flow-control window of one connection is small.
+# window of one connection is small.
 CHUNK_BYTES = 128 * 1024
-# A call reads one block of slots. A reader requests three blocks at first,
-# which mostly hold the whole log when a snapshot is taken every 200 entries.
+# A call reads one block of slots. A reader first requests three blocks, which
+# usually contain the complete log when a snapshot is taken every 200 entries.
 BLOCK_SLOTS = 100
 INITIAL_BLOCKS = 3
+INITIAL_RETRY_DELAY_S = 0.05
 # A write is read back when its reply takes longer than this multiple of the
 # average latency, within the bounds.
 READ_BACK_DELAY_FACTOR = 4.0
@@ -61,7 +62,6 @@
 MAX_READ_BACK_DELAY_S = 0.6
 # Weight of the latest sample in the moving average of the latency.
 LATENCY_WEIGHT = 0.2
-INITIAL_RETRY_DELAY_S = 0.05
 # Job acceptance waits for the next retry after the store has recovered.
 MAX_RETRY_DELAY_S = 0.25
 
@@ -284,7 +284,7 @@
     """Reads chunks and blocks of a journal, each at most once.
 
     One call for each slot would use up the process's rate of store calls for
-    many seconds, and one call for the whole ring is limited by the throughput
+    many seconds, and one call for the entire ring is limited by the throughput
     of one connection. Slots that are written during the read get another
     revision, so that writing the takeover record fails and the new owner
     reads the journal again.
--- a/sassafrasgate/protocol/links.py
+++ b/sassafrasgate/protocol/links.py
@@ -202,7 +202,7 @@
                 socket.close()
             self._counts.reopened += 1
             self._fail_open_requests(
-                f'{self.address} sent nothing for {PEER_TIMEOUT_S:.1f} s'
+                f'the link to {self.address} timed out: no data received'
             )
 
     async def _serve_socket(
--- a/sassafrasgate/protocol/messages.py
+++ b/sassafrasgate/protocol/messages.py
@@ -47,7 +47,7 @@
 
 @register_message('heartbeat')
 class Heartbeat:
-    """Shows that the sender is alive, and distributes its summaries.
+    """Shows that the sender is alive; carries its version and summaries.
 
     Parameters
     ----------
@@ -75,7 +75,7 @@
 
 @register_message('submit')
 class Submit:
-    """Asks a job's home shard to accept it.
+    """Asks a job's home shard to accept the job.
 
     Parameters
     ----------
@@ -226,7 +226,16 @@
 
 @register_message('recall')
 class Recall:
-    """Asks for the state of a transferred attempt, or cancels it for good."""
+    """Asks another shard for the state of a transferred attempt.
+
+    An attempt that the other shard does not know is refused permanently, so
+    that a delayed transfer of it is not accepted later.
+
+    Parameters
+    ----------
+    cancel : bool
+        Whether to cancel the attempt if it has not ended.
+    """
 
     shard: str
     home: str
@@ -279,12 +288,12 @@
 
 @register_message('status')
 class Status:
-    """Asks a scheduler for its shards and its state."""
+    """Asks a scheduler which shards it owns, and for its state."""
 
 
 @register_message('status-reply')
 class StatusReply:
-    """The shards and the state of a scheduler."""
+    """Shards that a scheduler owns, and its state."""
 
     name: str
     configuration: int
