--- a/sassafrasgate/journal/ring_buffer.py
+++ b/sassafrasgate/journal/ring_buffer.py
@@ -523,8 +523,8 @@
             if item is not None and item.value == entry.value:
                 outcome.append(item.revision)
             # If the slot does not hold the value, the write may still be
-            # executed later. It then fails, because the retry has changed
-            # the slot's revision.
+            # executed. After the retry it fails, because the retry has
+            # changed the slot's revision.
             scope.cancel()
 
         async with anyio.create_task_group() as tasks:
