--- a/sassafrasgate/adapters/calls.py
+++ b/sassafrasgate/adapters/base_store.py
@@ -1,4 +1,4 @@
-"""What clients of the platform's store have in common."""
+"""Base class of the HTTP clients of a key-value store."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 from sassafrasgate.adapters.connections import HttpConnections
-from sassafrasgate.adapters.connections import NoAnswerError
+from sassafrasgate.adapters.connections import NoResponseError
 from sassafrasgate.core.errors import StoreConflictError
 from sassafrasgate.core.errors import StoreUnavailableError
 from sassafrasgate.journal.rate_limits import CallKind
@@ -18,54 +18,56 @@
     from types import TracebackType
     from typing import Self
 
-    from sassafrasgate.adapters.connections import HttpAnswer
+    from sassafrasgate.adapters.connections import HttpResponse
 
 TIMEOUT_S = 1.0
-CONNECTIONS = 16
+MAX_CONNECTIONS = 16
 
 
-class CallBudget(Protocol):
-    """What limits the calls of a `Store`."""
+class CallRateLimiter(Protocol):
+    """Limits the rate of a store client's calls."""
 
     async def acquire(self, kind: str, priority: int) -> None:
         """Wait until a call of ``kind`` may be made."""
 
 
-class _NoBudget:
+class _NoRateLimit:
     async def acquire(self, kind: str, priority: int) -> None:
         return
 
 
-class StoreCalls:
-    """Calls to a store over HTTP, within a budget.
+class BaseStore:
+    """HTTP client of a store, whose calls a rate limiter delays.
 
     Parameters
     ----------
     base_url : str
-        Such as ``http://127.0.0.1:2400``.
+        Base URL of the store, such as ``http://127.0.0.1:2400``.
     timeout_s : float
-        How long a call may take, beyond the time that a watch waits.
-    budget : CallBudget, optional
-        Asked before each call; by default there is no limit.
+        Maximum duration of a call in seconds, in addition to the time that
+        a watch waits.
+    rate_limiter : CallRateLimiter, optional
+        Delays each call until the rate allows it; by default the rate is
+        unlimited.
 
     Attributes
     ----------
     calls : collections.Counter
-        Number of calls made, by the name of the method.
+        Number of calls made, by method name.
     """
 
-    # Statuses of answers that tell that a call had no effect.
-    NO_EFFECT: ClassVar[frozenset[int]] = frozenset()
+    # Statuses of responses to calls that certainly had no effect.
+    NO_EFFECT_STATUSES: ClassVar[frozenset[int]] = frozenset()
 
     def __init__(
         self,
         base_url: str,
         timeout_s: float = TIMEOUT_S,
-        budget: CallBudget | None = None,
+        rate_limiter: CallRateLimiter | None = None,
     ) -> None:
-        self._connections = HttpConnections(base_url, CONNECTIONS)
+        self._connections = HttpConnections(base_url, MAX_CONNECTIONS)
         self._timeout_s = timeout_s
-        self._budget = budget or _NoBudget()
+        self._rate_limiter = rate_limiter or _NoRateLimit()
         self.calls: Counter[str] = Counter()
 
     async def __aenter__(self) -> Self:
@@ -90,8 +92,8 @@
         priority: int,
         params: dict[str, str] | None = None,
         wait_s: float = 0.0,
-    ) -> HttpAnswer:
-        await self._budget.acquire(CallKind.READ, priority)
+    ) -> HttpResponse:
+        await self._rate_limiter.acquire(CallKind.READ, priority)
         return await self._call(
             name, 'GET', path, params=params, wait_s=wait_s
         )
@@ -104,8 +106,8 @@
         priority: int,
         content: bytes | None = None,
         headers: dict[str, str] | None = None,
-    ) -> HttpAnswer:
-        await self._budget.acquire(CallKind.WRITE, priority)
+    ) -> HttpResponse:
+        await self._rate_limiter.acquire(CallKind.WRITE, priority)
         return await self._call(
             name, method, path, content=content, headers=headers
         )
@@ -117,27 +119,27 @@
         path: str,
         wait_s: float = 0.0,
         **options: Any,
-    ) -> HttpAnswer:
+    ) -> HttpResponse:
         self.calls[name] += 1
         try:
             response = await self._connections.call(
                 method, path, self._timeout_s + wait_s, **options
             )
-        except NoAnswerError as error:
+        except NoResponseError as error:
             raise StoreUnavailableError(
-                f'the store did not answer: {error}; read back what was '
-                'written once it answers',
+                f'the store did not respond: {error}; read back what was '
+                'written once it responds',
                 sent=error.sent,
             ) from error
-        if response.status in self.NO_EFFECT:
+        if response.status in self.NO_EFFECT_STATUSES:
             raise StoreUnavailableError(
-                f'the store refused {method} {path} with '
+                f'the store rejected {method} {path} with '
                 f'{response.status!r}; try again later',
                 sent=False,
             )
         if response.status >= 500:
             raise StoreUnavailableError(
-                f'the store answered {method} {path} with '
+                f'the store responded to {method} {path} with '
                 f'{response.status!r}; read back what was written once '
                 'it has recovered'
             )
--- a/sassafrasgate/daemons/election.py
+++ b/sassafrasgate/daemons/election.py
@@ -93,7 +93,7 @@
 
     @property
     def silent_ms(self) -> int:
-        """Time in ms since a message from the owner has arrived.
+        """Time in ms since the last message from the owner arrived.
 
         It is 0 while no other process is known to own the shard.
         """
@@ -134,7 +134,7 @@
             return False
         return now_ms() < lease.renewed_at + lease.ttl_ms
 
-    def find_claim(self) -> int | None:
+    def find_claimable_revision(self) -> int | None:
         """Return the key revision that a claim is to replace.
 
         The host with the best rank claims first.
@@ -292,9 +292,9 @@
     async def hand_over(self, message: HandOver) -> bool:
         """Offer the shard to other entry hosts until one has taken it over.
 
-        Hosts with more processor capacity come first. Among equal hosts it
-        is the one that has started last: in a rolling restart it is the last
-        one to be stopped.
+        Hosts with more processor capacity come first. Among equal hosts the
+        one that started last comes first, because a rolling restart stops it
+        last.
 
         Returns
         -------
@@ -315,7 +315,7 @@
             if offers == MAX_OFFERS:
                 break
             link = self._directory.find_link(member.link_address)
-            probe_reply = await link.ask(
+            probe_reply = await link.request(
                 FindOwner(SHARD), REACHABILITY_TIMEOUT_S
             )
             if not isinstance(probe_reply, OwnerFound):
@@ -323,7 +323,7 @@
                 # is back, and the shard would have no owner meanwhile.
                 continue
             offers += 1
-            reply = await link.ask(offer, OFFER_TIMEOUT_S)
+            reply = await link.request(offer, OFFER_TIMEOUT_S)
             self._log(
                 'hand-over',
                 (
@@ -360,7 +360,7 @@
 
     async def _ask_for_owner(self, member: Member) -> None:
         link = self._directory.find_link(member.link_address)
-        reply = await link.ask(FindOwner(SHARD), FIND_OWNER_TIMEOUT_S)
+        reply = await link.request(FindOwner(SHARD), FIND_OWNER_TIMEOUT_S)
         if not isinstance(reply, OwnerFound) or not reply.member:
             return
         known = self.owner
--- a/sassafrasgate/daemons/entry.py
+++ b/sassafrasgate/daemons/entry.py
@@ -187,7 +187,7 @@
         if owner is not None and election.is_self(owner[0]):
             self._start_dispatcher(group, 0)
             return
-        revision = election.find_claim()
+        revision = election.find_claimable_revision()
         if revision is not None and await election.write_key(revision):
             self._start_dispatcher(group, 0)
 
@@ -321,7 +321,7 @@
             if isinstance(reply, Refusal):
                 reply = Refused(reply.kind, reply.reason, reply.remedy)
             await self.services.reply(
-                OutgoingReply(request.client, request.request, reply)
+                OutgoingReply(request.client, request.request_id, reply)
             )
 
         if type(message) in ENTRY_REQUESTS:
--- a/sassafrasgate/daemons/relays.py
+++ b/sassafrasgate/daemons/relays.py
@@ -393,7 +393,7 @@
             # The host has left while another one was asked.
             continue
         link = directory.find_link(member.link_address)
-        reply = await link.ask(call, timeout_s)
+        reply = await link.request(call, timeout_s)
         if not isinstance(reply, RelayReply):
             continue
         if reply.failure != 'unavailable':
--- a/sassafrasgate/daemons/replies.py
+++ b/sassafrasgate/daemons/replies.py
@@ -40,12 +40,12 @@
 
         The token is 0 if the sender expects no reply.
         """
-        if not request.request:
+        if not request.request_id:
             return 0
 
         async def send_reply(message: Any) -> None:
             await self._queue_reply(
-                OutgoingReply(request.client, request.request, message)
+                OutgoingReply(request.client, request.request_id, message)
             )
 
         return self._add(send_reply)
