Name the fields of simulated runs and workers plainly

Cause: born_at meant two things, and rate and gang did not say of what. Change: started_at, restarted_at, clock_rate and gang_size.

--- a/tests/dispatch/simulation.py
+++ b/tests/dispatch/simulation.py
@@ -108,17 +108,17 @@
 
     task: str
     run: int
-    born_at: int
+    started_at: int
     ends_at: int
     fails: bool
     demand: Resources
-    gang: int
+    gang_size: int
     stop_at: int = 0
 
     def find_percent(self, now: int) -> int:
         """Return the progress in percent that a worker reports."""
-        whole = max(1, self.ends_at - self.born_at)
-        return max(0, min(99, (now - self.born_at) * 100 // whole))
+        whole = max(1, self.ends_at - self.started_at)
+        return max(0, min(99, (now - self.started_at) * 100 // whole))
 
 
 class Rules:
@@ -181,7 +181,7 @@
         self.rules = rules
         self.random = random
         self.capacity = capacity
-        self.rate = random.uniform(0.98, 1.0)
+        self.clock_rate = random.uniform(0.98, 1.0)
         self.failure_rate = 0.03
         self.restart(0)
 
@@ -194,7 +194,7 @@
         for run in list(getattr(self, 'runs', {}).values()):
             self.rules.present_on[run.task].remove(self.name)
         self.incarnation_ms = WALL_MS + now
-        self.born_at = now
+        self.restarted_at = now
         self.epoch = 0
         self.deadline = 0
         self.runs: dict[tuple[str, int], SimRun] = {}
@@ -204,7 +204,7 @@
 
     def clock(self, now: int) -> int:
         """Return the worker's monotonic clock, in ms."""
-        return 1_000 + int((now - self.born_at) * self.rate)
+        return 1_000 + int((now - self.restarted_at) * self.clock_rate)
 
     def advance(self, now: int) -> bool:
         """End runs that are due; return whether any has ended."""
@@ -733,9 +733,9 @@
         self._deliver_results()
 
     def _is_progressing(self, worker: SimWorker, run: SimRun) -> bool:
-        if not run.gang:
+        if not run.gang_size:
             return True
-        return len(self._find_members(run)) == run.gang
+        return len(self._find_members(run)) == run.gang_size
 
     def _find_members(self, run: SimRun) -> list[tuple[SimWorker, SimRun]]:
         step = run.task.rpartition('.')[0]
@@ -748,7 +748,7 @@
 
     def _finish(self, worker: SimWorker, run: SimRun) -> None:
         how = EndKind.FAILED if run.fails else EndKind.FINISHED
-        if not run.gang:
+        if not run.gang_size:
             worker.finish(run, how)
             return
         if run.fails:
