Keep the shape of the checks of a request body

Cause: the reasons of refused bodies had gained expressions besides text. Change: they say what is wrong in text only; the function that makes the refusal is named by a verb.

--- a/sassafrasgate/platform/callers.py
+++ b/sassafrasgate/platform/callers.py
@@ -291,8 +291,8 @@
     if isinstance(reply, Refusal):
         return _make_refusal_response(reply)
     if isinstance(reply, NoReply):
-        # The job may have been accepted, so this is not a refusal; the caller
-        # can submit it again.
+        # The job may have been accepted, so the status must not say that it
+        # was refused; the caller can submit it again.
         return _make_error_response(504, reply.reason)
     return CallerResponse(200, {})
 
@@ -326,28 +326,28 @@
 def read_workflow(body: bytes) -> Workflow | Refusal:
     """Return the workflow in a request's body, or why it is invalid."""
     if len(body) > MAX_BODY_BYTES:
-        return _invalid(
-            f'the body has {len(body)} bytes; at most {MAX_BODY_BYTES} are '
-            'allowed'
+        return _make_invalid_refusal(
+            f'the body has {len(body)} bytes, which is too large'
         )
     try:
         job = _DECODER.decode(body)
     except (DecodeError, ValueError) as error:
-        return _invalid(str(error))
+        return _make_invalid_refusal(str(error))
     if not 0 < len(job.steps) <= MAX_STEPS:
-        return _invalid(
-            f'the job has {len(job.steps)!r} steps; 1 to {MAX_STEPS} are '
-            'allowed'
+        return _make_invalid_refusal(
+            f'the job has {len(job.steps)!r} steps, which is out of range'
         )
     if sum(step.count for step in job.steps) > MAX_TASKS:
-        return _invalid(f'the job has more than {MAX_TASKS} tasks')
+        return _make_invalid_refusal(
+            f'the job has more than {MAX_TASKS} tasks'
+        )
     for number, step in enumerate(job.steps):
         if step.count < 1:
-            return _invalid(
+            return _make_invalid_refusal(
                 f'step {number} has {step.count!r} tasks; it needs at least 1'
             )
         if any(not 0 <= earlier < number for earlier in step.after):
-            return _invalid(
+            return _make_invalid_refusal(
                 f'step {number} comes after {step.after!r}, which are not '
                 'all earlier steps'
             )
@@ -381,7 +381,7 @@
     )
 
 
-def _invalid(reason: str) -> Refusal:
+def _make_invalid_refusal(reason: str) -> Refusal:
     return Refusal(
         RefusalKind.INVALID, reason, 'correct the body of the request'
     )
