--- a/sassafrasgate/commands/clients.py
+++ b/sassafrasgate/commands/clients.py
@@ -11,7 +11,7 @@
 from sassafrasgate.commands.results import CommandError
 from sassafrasgate.commands.results import ExitCode
 from sassafrasgate.configuration.values import check_url
-from sassafrasgate.configuration.values import Flaw
+from sassafrasgate.configuration.values import ValidationIssue
 
 if TYPE_CHECKING:
     from httpx import Response
@@ -110,7 +110,7 @@
             ExitCode.BAD_INPUT,
         )
     base = check_url(url)
-    if isinstance(base, Flaw):
+    if isinstance(base, ValidationIssue):
         raise CommandError(
             f'--url: {url!r} {base.problem}; {base.remedy}',
             ExitCode.BAD_INPUT,
--- a/sassafrasgate/composition/entry.py
+++ b/sassafrasgate/composition/entry.py
@@ -44,7 +44,7 @@
 from sassafrasgate.journal.rate_limits import StoreRateLimiter
 from sassafrasgate.observability.clocks import wall_ms
 from sassafrasgate.observability.logs import configure_logging
-from sassafrasgate.observability.logs import log_facts
+from sassafrasgate.observability.logs import log_event
 from sassafrasgate.observability.logs import open_standard_output
 from sassafrasgate.observability.metrics import Metrics
 from sassafrasgate.protocol.links import LinkServer
@@ -102,7 +102,7 @@
             settings.writes_per_s * BUDGET_SHARE,
             settings.reads_per_s * BUDGET_SHARE,
         )
-        log_facts(
+        log_event(
             logger,
             'reload',
             (
@@ -139,7 +139,7 @@
         settings.processor_share * settings.processor_speed,
         wall_ms(),
     )
-    log_facts(
+    log_event(
         logger,
         'start',
         (('incarnation', member.incarnation), ('settings', repr(settings))),
@@ -314,7 +314,7 @@
             max(0.0, settings.stop_s - READY_DRAIN_S - STOP_MARGIN_S),
             listener=listener,
         )
-        log_facts(logger, 'stopped', (('incarnation', member.incarnation),))
+        log_event(logger, 'stopped', (('incarnation', member.incarnation),))
         group.cancel_scope.cancel()
 
 
--- a/sassafrasgate/configuration/builders.py
+++ b/sassafrasgate/configuration/builders.py
@@ -8,16 +8,16 @@
 from typing import Any
 from typing import TYPE_CHECKING
 
-from sassafrasgate.configuration.documents import Reading
-from sassafrasgate.configuration.entries import HostClass
-from sassafrasgate.configuration.entries import HostGroup
-from sassafrasgate.configuration.entries import Inventory
-from sassafrasgate.configuration.entries import Quotas
-from sassafrasgate.configuration.entries import Rules
+from sassafrasgate.configuration.documents import ParsedDocument
 from sassafrasgate.configuration.faults import Fault
 from sassafrasgate.configuration.faults import suggest_name
 from sassafrasgate.configuration.ranges import expand_range
-from sassafrasgate.configuration.values import Flaw
+from sassafrasgate.configuration.schemas import HostClass
+from sassafrasgate.configuration.schemas import HostGroup
+from sassafrasgate.configuration.schemas import Inventory
+from sassafrasgate.configuration.schemas import Quotas
+from sassafrasgate.configuration.schemas import Rules
+from sassafrasgate.configuration.values import ValidationIssue
 from sassafrasgate.core.cells import Rule
 from sassafrasgate.core.cells import Shard
 from sassafrasgate.core.cells import Team
@@ -29,43 +29,43 @@
     from collections.abc import Callable
     from collections.abc import Iterator
 
-    from sassafrasgate.configuration.entries import DomainEntry
-    from sassafrasgate.configuration.entries import QuotaEntry
+    from sassafrasgate.configuration.schemas import DomainEntry
+    from sassafrasgate.configuration.schemas import QuotaEntry
 
-Readings = tuple[Reading, ...]
+ParsedDocuments = tuple[ParsedDocument, ...]
 
 
 @dataclass(frozen=True, slots=True)
 class Place:
     """A path within a document."""
 
-    reading: Reading
+    parsed: ParsedDocument
     path: str
 
     def find_inner(self, name: str) -> Place:
         """Return the place of a key or ``[index]`` within this one."""
         separator = '' if name.startswith('[') or not self.path else '.'
-        return Place(self.reading, f'{self.path}{separator}{name}')
+        return Place(self.parsed, f'{self.path}{separator}{name}')
 
-    def make_fault(self, value: str, flaw: Flaw) -> Fault:
-        """Return the fault of a flaw at this place."""
-        line = self.reading.find_line(self.path)
+    def make_fault(self, value: str, issue: ValidationIssue) -> Fault:
+        """Return the fault of a issue at this place."""
+        line = self.parsed.find_line(self.path)
         return Fault(
-            self.reading.file,
+            self.parsed.file,
             line,
             self.path,
             value,
-            flaw.problem,
-            flaw.remedy,
+            issue.problem,
+            issue.remedy,
         )
 
     def has_fault(self) -> bool:
         """Tell whether the document has a fault here or further inside."""
-        return any(self.covers(fault) for fault in self.reading.faults)
+        return any(self.covers(fault) for fault in self.parsed.faults)
 
     def covers(self, fault: Fault) -> bool:
         """Tell whether a fault lies at this place or further inside."""
-        if fault.file != self.reading.file:
+        if fault.file != self.parsed.file:
             return False
         if not fault.path.startswith(self.path):
             return False
@@ -114,65 +114,71 @@
 _UNKNOWN_CLASS = HostClass(1000, 1024, 1, 1)
 
 BUILDERS: Registry[
-    type[Any], Callable[[Reading, Classes], Iterator[Entry | Fault]]
+    type[Any], Callable[[ParsedDocument, Classes], Iterator[Entry | Fault]]
 ] = Registry('document builder')
 
-DECLARATION_CHECKS: Registry[str, Callable[[Readings], Iterator[Fault]]] = (
-    Registry('declaration check')
-)
+DECLARATION_CHECKS: Registry[
+    str, Callable[[ParsedDocuments], Iterator[Fault]]
+] = Registry('declaration check')
 
 
 def build_entries(
-    readings: Readings,
+    parsed_documents: ParsedDocuments,
 ) -> tuple[tuple[Entry, ...], tuple[Fault, ...]]:
     """Return the entries of all documents and the faults found on the way.
 
     Parameters
     ----------
-    readings : tuple of Reading
-        Values of the schemas in `sassafrasgate.configuration.entries`.
+    parsed_documents : tuple of ParsedDocument
+        Values of the schemas in `sassafrasgate.configuration.schemas`.
     """
-    classes = _collect_classes(readings)
+    classes = _collect_classes(parsed_documents)
     found: list[Entry | Fault] = []
     for name in DECLARATION_CHECKS:
-        found += DECLARATION_CHECKS.find(name)(readings)
-    for reading in readings:
-        found += BUILDERS.find(type(reading.value))(reading, classes)
+        found += DECLARATION_CHECKS.find(name)(parsed_documents)
+    for parsed in parsed_documents:
+        found += BUILDERS.find(type(parsed.value))(parsed, classes)
     entries = tuple(item for item in found if isinstance(item, Entry))
     if not any(entry.group == 'shards' for entry in entries):
         entries += tuple(_make_default_shards(entries))
     return entries, tuple(item for item in found if isinstance(item, Fault))
 
 
-def find_cell(readings: Readings) -> str:
+def find_cell(parsed_documents: ParsedDocuments) -> str:
     """Return the cell's name; empty when no document gives it."""
-    cells = [reading.value.cell for reading in _list_inventories(readings)]
+    cells = [
+        parsed.value.cell for parsed in _list_inventories(parsed_documents)
+    ]
     return next((cell for cell in cells if cell), '')
 
 
-def _list_inventories(readings: Readings) -> Iterator[Reading]:
-    for reading in readings:
-        if isinstance(reading.value, Inventory):
-            yield reading
+def _list_inventories(
+    parsed_documents: ParsedDocuments,
+) -> Iterator[ParsedDocument]:
+    for parsed in parsed_documents:
+        if isinstance(parsed.value, Inventory):
+            yield parsed
 
 
-def _list_classes(readings: Readings) -> Iterator[tuple[str, DeclaredClass]]:
-    for reading in _list_inventories(readings):
-        for name, host_class in reading.value.host_classes.items():
-            place = Place(reading, f'host_classes.{name}')
+def _list_classes(
+    parsed_documents: ParsedDocuments,
+) -> Iterator[tuple[str, DeclaredClass]]:
+    for parsed in _list_inventories(parsed_documents):
+        for name, host_class in parsed.value.host_classes.items():
+            place = Place(parsed, f'host_classes.{name}')
             yield name, DeclaredClass(host_class, place)
 
 
-def _collect_classes(readings: Readings) -> Classes:
-    return dict(_list_classes(readings))
+def _collect_classes(parsed_documents: ParsedDocuments) -> Classes:
+    return dict(_list_classes(parsed_documents))
 
 
 def _list_domains(
-    readings: Readings,
+    parsed_documents: ParsedDocuments,
 ) -> Iterator[tuple[DomainEntry, Place]]:
-    for reading in _list_inventories(readings):
-        for index, domain in enumerate(reading.value.failure_domains):
-            yield domain, Place(reading, f'failure_domains[{index}]')
+    for parsed in _list_inventories(parsed_documents):
+        for index, domain in enumerate(parsed.value.failure_domains):
+            yield domain, Place(parsed, f'failure_domains[{index}]')
 
 
 def _find_repeats(
@@ -183,77 +189,80 @@
         first = seen.setdefault(name, place)
         if not name or first is place:
             continue
-        line = first.reading.find_line(first.path)
-        flaw = Flaw(
-            f'is also the {noun} at {first.reading.file}:{line}',
+        line = first.parsed.find_line(first.path)
+        issue = ValidationIssue(
+            f'is also the {noun} at {first.parsed.file}:{line}',
             f'declare each {noun} once',
         )
-        yield place.make_fault(repr(name), flaw)
+        yield place.make_fault(repr(name), issue)
 
 
 @DECLARATION_CHECKS.register('cell')
-def check_cell(readings: Readings) -> Iterator[Fault]:
+def check_cell(parsed_documents: ParsedDocuments) -> Iterator[Fault]:
     """Find a missing or second cell."""
-    cell = find_cell(readings)
-    inventories = tuple(_list_inventories(readings))
+    cell = find_cell(parsed_documents)
+    inventories = tuple(_list_inventories(parsed_documents))
     if not cell and not any(
-        Place(reading, 'cell').has_fault() for reading in inventories
+        Place(parsed, 'cell').has_fault() for parsed in inventories
     ):
-        for reading in (inventories or readings)[:1]:
-            flaw = Flaw(
+        for parsed in (inventories or parsed_documents)[:1]:
+            issue = ValidationIssue(
                 "the key 'cell' is missing in the inventory",
                 'name the cell in one inventory document',
             )
-            yield Place(reading, '').make_fault('', flaw)
-    for reading in inventories:
-        if reading.value.cell not in ('', cell):
-            flaw = Flaw(
+            yield Place(parsed, '').make_fault('', issue)
+    for parsed in inventories:
+        if parsed.value.cell not in ('', cell):
+            issue = ValidationIssue(
                 f'is not the cell {cell!r} of another document',
                 'declare one cell only',
             )
-            place = Place(reading, 'cell')
-            yield place.make_fault(repr(reading.value.cell), flaw)
+            place = Place(parsed, 'cell')
+            yield place.make_fault(repr(parsed.value.cell), issue)
 
 
 @DECLARATION_CHECKS.register('host classes')
-def check_host_classes(readings: Readings) -> Iterator[Fault]:
+def check_host_classes(parsed_documents: ParsedDocuments) -> Iterator[Fault]:
     """Find host classes that are declared twice."""
     named = (
-        (name, declared.place) for name, declared in _list_classes(readings)
+        (name, declared.place)
+        for name, declared in _list_classes(parsed_documents)
     )
     yield from _find_repeats(named, 'host class')
 
 
 @DECLARATION_CHECKS.register('failure domains')
-def check_failure_domains(readings: Readings) -> Iterator[Fault]:
+def check_failure_domains(
+    parsed_documents: ParsedDocuments,
+) -> Iterator[Fault]:
     """Find failure domains that are declared twice or have no racks."""
-    for reading in tuple(_list_inventories(readings))[:1]:
-        place = Place(reading, '')
-        if not any(_list_domains(readings)) and not reading.faults:
-            flaw = Flaw(
+    for parsed in tuple(_list_inventories(parsed_documents))[:1]:
+        place = Place(parsed, '')
+        if not any(_list_domains(parsed_documents)) and not parsed.faults:
+            issue = ValidationIssue(
                 'the inventory has no failure domains',
                 'declare the hosts of the cell',
             )
-            yield place.make_fault('', flaw)
+            yield place.make_fault('', issue)
     named = (
         (domain.name, place.find_inner('name'))
-        for domain, place in _list_domains(readings)
+        for domain, place in _list_domains(parsed_documents)
     )
     yield from _find_repeats(named, 'failure domain')
-    for domain, place in _list_domains(readings):
+    for domain, place in _list_domains(parsed_documents):
         if not domain.racks and not place.has_fault():
-            flaw = Flaw('has no racks', 'add a rack or remove it')
-            yield place.make_fault(repr(domain.name), flaw)
+            issue = ValidationIssue('has no racks', 'add a rack or remove it')
+            yield place.make_fault(repr(domain.name), issue)
 
 
 @DECLARATION_CHECKS.register('racks')
-def check_rack_entries(readings: Readings) -> Iterator[Fault]:
+def check_rack_entries(parsed_documents: ParsedDocuments) -> Iterator[Fault]:
     """Find racks that are declared twice in a domain or have no hosts.
 
     Racks in two failure domains are found by the checks of the whole
     configuration.
     """
-    for domain, place in _list_domains(readings):
+    for domain, place in _list_domains(parsed_documents):
         named = (
             (rack.name, place.find_inner(f'racks[{index}].name'))
             for index, rack in enumerate(domain.racks)
@@ -262,16 +271,18 @@
         for index, rack in enumerate(domain.racks):
             inner = place.find_inner(f'racks[{index}]')
             if not rack.hosts and not inner.has_fault():
-                flaw = Flaw('has no hosts', 'add hosts or remove it')
-                yield inner.make_fault(repr(rack.name), flaw)
+                issue = ValidationIssue(
+                    'has no hosts', 'add hosts or remove it'
+                )
+                yield inner.make_fault(repr(rack.name), issue)
 
 
 @BUILDERS.register(Inventory)
 def build_inventory(
-    reading: Reading, classes: Classes
+    parsed: ParsedDocument, classes: Classes
 ) -> Iterator[Entry | Fault]:
     """Build the hosts of an inventory document."""
-    for domain, place in _list_domains((reading,)):
+    for domain, place in _list_domains((parsed,)):
         for number, rack in enumerate(domain.racks):
             inner = place.find_inner(f'racks[{number}]')
             for index, group in enumerate(rack.hosts):
@@ -296,19 +307,21 @@
     yield from name_faults
     yield from url_faults
     if not group.names and not place.has_fault():
-        flaw = Flaw('names no hosts', 'add names and urls or remove it')
-        yield place.find_inner('names').make_fault('', flaw)
+        issue = ValidationIssue(
+            'names no hosts', 'add names and urls or remove it'
+        )
+        yield place.find_inner('names').make_fault('', issue)
     if len(names) != len(urls) and not (
         name_faults
         or url_faults
         or place.find_inner('names').has_fault()
         or place.find_inner('urls').has_fault()
     ):
-        flaw = Flaw(
+        issue = ValidationIssue(
             f'there are {len(names)} names and {len(urls)} urls',
             'write one url for each name',
         )
-        yield place.make_fault('', flaw)
+        yield place.make_fault('', issue)
     host_class = declared.host_class
     capacity = _make_resources(host_class)
     rack_path = place.path.rpartition('.hosts')[0]
@@ -331,7 +344,7 @@
             {
                 'name': name_place,
                 'url': url_place,
-                'rack': Place(place.reading, f'{rack_path}.name'),
+                'rack': Place(place.parsed, f'{rack_path}.name'),
                 'capacity': declared.place,
             },
         )
@@ -345,15 +358,19 @@
     if group.capacity is not None:
         if not group.host_class:
             return DeclaredClass(group.capacity, place.find_inner('capacity'))
-        flaw = Flaw('stands beside capacity', 'write one of the two')
-        return named.make_fault(repr(group.host_class), flaw)
+        issue = ValidationIssue(
+            'stands beside capacity', 'write one of the two'
+        )
+        return named.make_fault(repr(group.host_class), issue)
     if not group.host_class:
-        flaw = Flaw('there is neither host_class nor capacity', 'write one')
-        return place.make_fault('', flaw)
+        issue = ValidationIssue(
+            'there is neither host_class nor capacity', 'write one'
+        )
+        return place.make_fault('', issue)
     if group.host_class not in classes:
         remedy = suggest_name(group.host_class, tuple(classes))
-        flaw = Flaw('is not declared in host_classes', remedy)
-        return named.make_fault(repr(group.host_class), flaw)
+        issue = ValidationIssue('is not declared in host_classes', remedy)
+        return named.make_fault(repr(group.host_class), issue)
     return classes[group.host_class]
 
 
@@ -366,9 +383,9 @@
     for index, text in enumerate(texts):
         inner = place.find_inner(f'[{index}]')
         # A single text in place of a list has the path of the list.
-        inner = inner if inner.path in place.reading.lines else place
+        inner = inner if inner.path in place.parsed.lines else place
         result = expand_range(text)
-        if isinstance(result, Flaw):
+        if isinstance(result, ValidationIssue):
             faults.append(inner.make_fault(repr(text), result))
             continue
         found += [(item, inner) for item in result]
@@ -376,14 +393,16 @@
 
 
 @BUILDERS.register(Rules)
-def build_rules(reading: Reading, classes: Classes) -> Iterator[Entry | Fault]:
+def build_rules(
+    parsed: ParsedDocument, classes: Classes
+) -> Iterator[Entry | Fault]:
     """Build the rules and shards of a rules document."""
-    content: Rules = reading.value
+    content: Rules = parsed.value
     for index, shard in enumerate(content.shards):
         yield Entry(
             'shards',
             Shard(shard.name, shard.failure_domain, shard.racks),
-            Place(reading, f'shards[{index}]'),
+            Place(parsed, f'shards[{index}]'),
         )
     for index, rule in enumerate(content.rules):
         yield Entry(
@@ -397,22 +416,22 @@
                 rule.priority,
                 rule.may_preempt,
             ),
-            Place(reading, f'rules[{index}]'),
+            Place(parsed, f'rules[{index}]'),
         )
 
 
 @BUILDERS.register(Quotas)
 def build_quotas(
-    reading: Reading, classes: Classes
+    parsed: ParsedDocument, classes: Classes
 ) -> Iterator[Entry | Fault]:
     """Build the teams of a quotas document."""
-    content: Quotas = reading.value
+    content: Quotas = parsed.value
     for index, team in enumerate(content.teams):
         quota = _make_resources(team.quota)
         yield Entry(
             'teams',
             Team(team.name, team.weight, quota, team.max_queued),
-            Place(reading, f'teams[{index}]'),
+            Place(parsed, f'teams[{index}]'),
         )
 
 
@@ -426,7 +445,7 @@
         homes.setdefault(entry.value.rack, entry.value.failure_domain)
         path = entry.place.path.partition('.racks')[0]
         places.setdefault(
-            entry.value.failure_domain, Place(entry.place.reading, path)
+            entry.value.failure_domain, Place(entry.place.parsed, path)
         )
     for domain, place in places.items():
         racks = tuple(rack for rack, home in homes.items() if home == domain)
--- a/sassafrasgate/configuration/checks.py
+++ b/sassafrasgate/configuration/checks.py
@@ -15,7 +15,7 @@
 from sassafrasgate.configuration.values import check_job_class
 from sassafrasgate.configuration.values import check_name
 from sassafrasgate.configuration.values import check_url
-from sassafrasgate.configuration.values import Flaw
+from sassafrasgate.configuration.values import ValidationIssue
 from sassafrasgate.core.registries import Registry
 
 if TYPE_CHECKING:
@@ -40,7 +40,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ConfigurationFlaw:
+class ConfigurationIssue:
     """What is wrong with one entry of a configuration.
 
     Parameters
@@ -53,7 +53,7 @@
         Field of the entry; empty for the entry as a whole.
     value : str
         The bad value by ``repr``.
-    flaw : Flaw
+    issue : ValidationIssue
         Problem and remedy.
     """
 
@@ -61,26 +61,26 @@
     index: int | None
     field: str
     value: str
-    flaw: Flaw
+    issue: ValidationIssue
 
     def __str__(self) -> str:
         index = f'[{self.index}]' if self.index is not None else ''
         field = f'.{self.field}' if self.field else ''
         return (
             f'{self.group}{index}{field}: {self.value} '
-            f'{self.flaw.problem}; {self.flaw.remedy}'
+            f'{self.issue.problem}; {self.issue.remedy}'
         )
 
 
 CONFIGURATION_CHECKS: Registry[
-    str, Callable[[Configuration], Iterator[ConfigurationFlaw]]
+    str, Callable[[Configuration], Iterator[ConfigurationIssue]]
 ] = Registry('configuration check')
 
 
 def check_configuration(
     configuration: Configuration,
-) -> tuple[ConfigurationFlaw, ...]:
-    """Return all flaws of a configuration; empty when it can be used.
+) -> tuple[ConfigurationIssue, ...]:
+    """Return all issues of a configuration; empty when it can be used.
 
     Parameters
     ----------
@@ -93,20 +93,22 @@
     ()
     """
     return tuple(
-        flaw
+        issue
         for name in CONFIGURATION_CHECKS
-        for flaw in CONFIGURATION_CHECKS.find(name)(configuration)
+        for issue in CONFIGURATION_CHECKS.find(name)(configuration)
     )
 
 
 def _find_repeats(
     group: str, field: str, values: Iterable[str], noun: str
-) -> Iterator[ConfigurationFlaw]:
+) -> Iterator[ConfigurationIssue]:
     seen: set[str] = set()
     for index, value in enumerate(values):
         if value in seen:
-            flaw = Flaw(f'names two {noun}', 'rename or remove one of them')
-            yield ConfigurationFlaw(group, index, field, repr(value), flaw)
+            issue = ValidationIssue(
+                f'names two {noun}', 'rename or remove one of them'
+            )
+            yield ConfigurationIssue(group, index, field, repr(value), issue)
         seen.add(value)
 
 
@@ -115,28 +117,28 @@
     group: str,
     field: str,
     values: Iterable[str],
-) -> Iterator[ConfigurationFlaw]:
+) -> Iterator[ConfigurationIssue]:
     for index, value in enumerate(values):
         result = check(value)
-        if isinstance(result, Flaw):
-            yield ConfigurationFlaw(group, index, field, repr(value), result)
+        if isinstance(result, ValidationIssue):
+            yield ConfigurationIssue(group, index, field, repr(value), result)
 
 
 @CONFIGURATION_CHECKS.register('cell')
 def check_cell_name(
     configuration: Configuration,
-) -> Iterator[ConfigurationFlaw]:
+) -> Iterator[ConfigurationIssue]:
     """Find an unusable name of the cell."""
     result = check_name(configuration.cell)
-    if isinstance(result, Flaw):
+    if isinstance(result, ValidationIssue):
         value = repr(configuration.cell)
-        yield ConfigurationFlaw('cell', None, '', value, result)
+        yield ConfigurationIssue('cell', None, '', value, result)
 
 
 @CONFIGURATION_CHECKS.register('names')
 def check_names(
     configuration: Configuration,
-) -> Iterator[ConfigurationFlaw]:
+) -> Iterator[ConfigurationIssue]:
     """Find names that are unusable or used twice."""
     for group, noun in (
         ('hosts', 'hosts'),
@@ -150,7 +152,7 @@
 
 
 @CONFIGURATION_CHECKS.register('urls')
-def check_urls(configuration: Configuration) -> Iterator[ConfigurationFlaw]:
+def check_urls(configuration: Configuration) -> Iterator[ConfigurationIssue]:
     """Find workers without a usable address of their own."""
     urls = [host.url for host in configuration.hosts]
     yield from _apply(check_url, 'hosts', 'url', urls)
@@ -161,17 +163,17 @@
         first = used.setdefault(address, index)
         if first != index:
             other = configuration.hosts[first].name
-            flaw = Flaw(
+            issue = ValidationIssue(
                 f'is already the url of {other!r}',
                 'give each host a url of its own',
             )
-            yield ConfigurationFlaw(
-                'hosts', index, 'url', repr(host.url), flaw
+            yield ConfigurationIssue(
+                'hosts', index, 'url', repr(host.url), issue
             )
 
 
 @CONFIGURATION_CHECKS.register('racks')
-def check_racks(configuration: Configuration) -> Iterator[ConfigurationFlaw]:
+def check_racks(configuration: Configuration) -> Iterator[ConfigurationIssue]:
     """Find racks that stand in two failure domains."""
     homes: dict[str, str] = {}
     reported: set[tuple[str, str]] = set()
@@ -181,12 +183,14 @@
         if home == host.failure_domain or pair in reported:
             continue
         reported.add(pair)
-        flaw = Flaw(
+        issue = ValidationIssue(
             f'stands in the failure domains {home!r} and '
             f'{host.failure_domain!r}',
             'rename one of the racks',
         )
-        yield ConfigurationFlaw('hosts', index, 'rack', repr(host.rack), flaw)
+        yield ConfigurationIssue(
+            'hosts', index, 'rack', repr(host.rack), issue
+        )
 
 
 def _find_rack_homes(configuration: Configuration) -> dict[str, str]:
@@ -197,50 +201,52 @@
 
 
 @CONFIGURATION_CHECKS.register('shards')
-def check_shards(configuration: Configuration) -> Iterator[ConfigurationFlaw]:
+def check_shards(configuration: Configuration) -> Iterator[ConfigurationIssue]:
     """Find shards that share racks or span failure domains."""
     homes = _find_rack_homes(configuration)
     domains = tuple(dict.fromkeys(homes.values()))
     owners: dict[str, str] = {}
     for index, shard in enumerate(configuration.shards):
         if shard.failure_domain not in domains:
-            yield ConfigurationFlaw(
+            yield ConfigurationIssue(
                 'shards',
                 index,
                 'failure_domain',
                 repr(shard.failure_domain),
-                Flaw(
+                ValidationIssue(
                     'is not in the inventory',
                     suggest_name(shard.failure_domain, domains),
                 ),
             )
         if not shard.racks:
-            flaw = Flaw('has no racks', 'name its racks or remove it')
-            yield ConfigurationFlaw(
-                'shards', index, 'racks', repr(shard.name), flaw
+            issue = ValidationIssue(
+                'has no racks', 'name its racks or remove it'
+            )
+            yield ConfigurationIssue(
+                'shards', index, 'racks', repr(shard.name), issue
             )
         for rack in shard.racks:
             problem = _judge_rack(shard.failure_domain, rack, homes, owners)
             owners.setdefault(rack, shard.name)
             if problem is not None:
-                yield ConfigurationFlaw(
+                yield ConfigurationIssue(
                     'shards', index, 'racks', repr(rack), problem
                 )
 
 
 def _judge_rack(
     domain: str, rack: str, homes: dict[str, str], owners: dict[str, str]
-) -> Flaw | None:
+) -> ValidationIssue | None:
     if rack not in homes:
         remedy = suggest_name(rack, tuple(homes))
-        return Flaw('is not in the inventory', remedy)
+        return ValidationIssue('is not in the inventory', remedy)
     if rack in owners:
-        return Flaw(
+        return ValidationIssue(
             f'is already in the shard {owners[rack]!r}',
             'name each rack in one shard',
         )
     if homes[rack] != domain and domain in homes.values():
-        return Flaw(
+        return ValidationIssue(
             f'stands in {homes[rack]!r} and not in {domain!r}',
             'keep a shard within one failure domain',
         )
@@ -250,28 +256,34 @@
 @CONFIGURATION_CHECKS.register('racks without a shard')
 def check_rack_cover(
     configuration: Configuration,
-) -> Iterator[ConfigurationFlaw]:
+) -> Iterator[ConfigurationIssue]:
     """Find racks whose hosts no shard would use."""
     covered = {rack for shard in configuration.shards for rack in shard.racks}
     for index, host in enumerate(configuration.hosts):
         if host.rack in covered:
             continue
         covered.add(host.rack)
-        flaw = Flaw('is in no shard', 'add it to a shard of its domain')
-        yield ConfigurationFlaw('hosts', index, 'rack', repr(host.rack), flaw)
+        issue = ValidationIssue(
+            'is in no shard', 'add it to a shard of its domain'
+        )
+        yield ConfigurationIssue(
+            'hosts', index, 'rack', repr(host.rack), issue
+        )
 
 
 @CONFIGURATION_CHECKS.register('capacities')
 def check_capacities(
     configuration: Configuration,
-) -> Iterator[ConfigurationFlaw]:
+) -> Iterator[ConfigurationIssue]:
     """Find hosts of an impossible size."""
     for index, host in enumerate(configuration.hosts):
-        for value, flaw in _judge_capacity(host.capacity):
-            yield ConfigurationFlaw('hosts', index, 'capacity', value, flaw)
+        for value, issue in _judge_capacity(host.capacity):
+            yield ConfigurationIssue('hosts', index, 'capacity', value, issue)
 
 
-def _judge_capacity(capacity: Resources) -> Iterator[tuple[str, Flaw]]:
+def _judge_capacity(
+    capacity: Resources,
+) -> Iterator[tuple[str, ValidationIssue]]:
     bounds = (
         ('cores', capacity.millicores, 1, MAX_MILLICORES, format_cores),
         ('memory', capacity.memory_mb, 1, MAX_MEMORY_MB, format_memory),
@@ -282,15 +294,15 @@
     for noun, amount, least, most, show in bounds:
         if least <= amount <= most:
             continue
-        flaw = Flaw(
+        issue = ValidationIssue(
             f'is an impossible amount of {noun} for a host',
             f'write from {show(least)} to {show(most)}',
         )
-        yield repr(show(amount)), flaw
+        yield repr(show(amount)), issue
 
 
 @CONFIGURATION_CHECKS.register('teams')
-def check_teams(configuration: Configuration) -> Iterator[ConfigurationFlaw]:
+def check_teams(configuration: Configuration) -> Iterator[ConfigurationIssue]:
     """Find quotas below zero and weights that give no share."""
     for index, team in enumerate(configuration.teams):
         quota = team.quota
@@ -302,32 +314,32 @@
             ('connections', quota.connections, str),
         ):
             if not 0 <= amount <= MAX_AMOUNT:
-                flaw = Flaw(
+                issue = ValidationIssue(
                     f'is an impossible quota of {noun}',
                     'write 0 for no limit, or an amount',
                 )
-                yield ConfigurationFlaw(
-                    'teams', index, 'quota', repr(show(amount)), flaw
+                yield ConfigurationIssue(
+                    'teams', index, 'quota', repr(show(amount)), issue
                 )
         if not MIN_WEIGHT <= team.weight <= MAX_WEIGHT:
-            flaw = Flaw(
+            issue = ValidationIssue(
                 'is not a usable weight',
                 f'write a weight from {MIN_WEIGHT} to {MAX_WEIGHT}',
             )
-            yield ConfigurationFlaw(
-                'teams', index, 'weight', repr(team.weight), flaw
+            yield ConfigurationIssue(
+                'teams', index, 'weight', repr(team.weight), issue
             )
         if not 0 <= team.max_queued <= MAX_AMOUNT:
-            flaw = Flaw(
+            issue = ValidationIssue(
                 'is an impossible number of jobs', 'write 0 or more jobs'
             )
-            yield ConfigurationFlaw(
-                'teams', index, 'max_queued', repr(team.max_queued), flaw
+            yield ConfigurationIssue(
+                'teams', index, 'max_queued', repr(team.max_queued), issue
             )
 
 
 @CONFIGURATION_CHECKS.register('rules')
-def check_rules(configuration: Configuration) -> Iterator[ConfigurationFlaw]:
+def check_rules(configuration: Configuration) -> Iterator[ConfigurationIssue]:
     """Find rules that name what does not exist."""
     known = {
         'team': tuple(team.name for team in configuration.teams),
@@ -349,22 +361,22 @@
             for name in names:
                 if name in known[field]:
                     continue
-                flaw = Flaw(
+                issue = ValidationIssue(
                     'is not declared', suggest_name(name, known[field])
                 )
-                yield ConfigurationFlaw(
-                    'rules', index, field, repr(name), flaw
+                yield ConfigurationIssue(
+                    'rules', index, field, repr(name), issue
                 )
         result = check_job_class(rule.job_class) if rule.job_class else None
-        if isinstance(result, Flaw):
-            yield ConfigurationFlaw(
+        if isinstance(result, ValidationIssue):
+            yield ConfigurationIssue(
                 'rules', index, 'job_class', repr(rule.job_class), result
             )
         if abs(rule.priority) > MAX_PRIORITY:
-            flaw = Flaw(
+            issue = ValidationIssue(
                 'is outside the range of priorities',
                 f'write from -{MAX_PRIORITY} to {MAX_PRIORITY}',
             )
-            yield ConfigurationFlaw(
-                'rules', index, 'priority', repr(rule.priority), flaw
+            yield ConfigurationIssue(
+                'rules', index, 'priority', repr(rule.priority), issue
             )
--- a/sassafrasgate/configuration/declarations.py
+++ b/sassafrasgate/configuration/declarations.py
@@ -18,9 +18,9 @@
 from sassafrasgate.configuration.checks import check_configuration
 from sassafrasgate.configuration.documents import read_document
 from sassafrasgate.configuration.documents import read_documents
-from sassafrasgate.configuration.entries import SCHEMAS
 from sassafrasgate.configuration.faults import Fault
 from sassafrasgate.configuration.faults import suggest_name
+from sassafrasgate.configuration.schemas import SCHEMAS
 from sassafrasgate.core.cells import Configuration
 
 if TYPE_CHECKING:
@@ -29,7 +29,7 @@
 
     from sassafrasgate.configuration.builders import Entry
     from sassafrasgate.configuration.documents import Document
-    from sassafrasgate.configuration.documents import Reading
+    from sassafrasgate.configuration.documents import ParsedDocument
 
 FILE_KINDS = {
     'inventory*.yaml': 'inventory',
@@ -56,7 +56,7 @@
         of them are missing.
     """
     files, faults = _list_files(path)
-    readings: list[Reading] = []
+    parsed_documents: list[ParsedDocument] = []
     unreadable: list[Fault] = []
     for file, kind in files:
         documents, fault = read_documents(file)
@@ -66,16 +66,20 @@
             if isinstance(found, Fault):
                 unreadable.append(found)
                 continue
-            readings.append(read_document(document, SCHEMAS.find(found)))
+            parsed_documents.append(
+                read_document(document, SCHEMAS.find(found))
+            )
     faults += unreadable
-    for reading in readings:
-        faults += reading.faults
-    if unreadable or not readings:
+    for parsed in parsed_documents:
+        faults += parsed.faults
+    if unreadable or not parsed_documents:
         return _sort_faults(faults)
-    entries, found_faults = build_entries(tuple(readings))
+    entries, found_faults = build_entries(tuple(parsed_documents))
     faults += found_faults
-    configuration, sources = _join_entries(find_cell(tuple(readings)), entries)
-    faults += _locate_flaws(configuration, sources, tuple(faults))
+    configuration, sources = _join_entries(
+        find_cell(tuple(parsed_documents)), entries
+    )
+    faults += _locate_issues(configuration, sources, tuple(faults))
     return _sort_faults(faults) if faults else configuration
 
 
@@ -145,7 +149,7 @@
     return Configuration(cell=cell, **groups), sources
 
 
-def _locate_flaws(
+def _locate_issues(
     configuration: Configuration,
     sources: dict[str, tuple[Entry, ...]],
     known: tuple[Fault, ...],
@@ -153,18 +157,18 @@
     """Yield the faults of the whole, without those that follow from others.
 
     A part with a fault of its own holds an empty value; what the checks say
-    about that value is left out. A flaw of a host class is listed once and
+    about that value is left out. A issue of a host class is listed once and
     not for each of its hosts.
     """
     listed = set()
-    for flaw in check_configuration(configuration):
-        if flaw.index is None:
+    for issue in check_configuration(configuration):
+        if issue.index is None:
             # The name of the cell has a fault in a document already.
             continue
-        place = sources[flaw.group][flaw.index].find_place(flaw.field)
+        place = sources[issue.group][issue.index].find_place(issue.field)
         if any(place.covers(fault) for fault in known):
             continue
-        fault = place.make_fault(flaw.value, flaw.flaw)
+        fault = place.make_fault(issue.value, issue.issue)
         if fault not in listed:
             listed.add(fault)
             yield fault
--- a/sassafrasgate/configuration/documents.py
+++ b/sassafrasgate/configuration/documents.py
@@ -36,7 +36,7 @@
 from sassafrasgate.configuration.faults import find_nearest
 from sassafrasgate.configuration.faults import suggest_name
 from sassafrasgate.configuration.values import CHECKS
-from sassafrasgate.configuration.values import Flaw
+from sassafrasgate.configuration.values import ValidationIssue
 from sassafrasgate.core.registries import Registry
 
 if TYPE_CHECKING:
@@ -61,7 +61,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Reading:
+class ParsedDocument:
     """A value read from a document, with the place of each of its parts.
 
     Parameters
@@ -115,7 +115,7 @@
     return tuple(Document(file, root) for root in roots if root), None
 
 
-def read_document(document: Document, schema: type[Schema]) -> Reading:
+def read_document(document: Document, schema: type[Schema]) -> ParsedDocument:
     """Read a document by a schema, collecting all faults.
 
     Parameters
@@ -134,7 +134,7 @@
     reader = _Reader(document.file)
     value = reader.read_node(document.root, schema, '')
     faults = sorted(reader.faults, key=lambda fault: fault.line)
-    return Reading(document.file, value, reader.lines, tuple(faults))
+    return ParsedDocument(document.file, value, reader.lines, tuple(faults))
 
 
 def _describe_syntax(file: str, error: Exception) -> Fault:
@@ -162,9 +162,13 @@
         self.faults: list[Fault] = []
         self.lines: dict[str, int] = {}
 
-    def add_fault(self, node: Node, path: str, value: str, flaw: Flaw) -> None:
+    def add_fault(
+        self, node: Node, path: str, value: str, issue: ValidationIssue
+    ) -> None:
         line = node.start_mark.line + 1
-        fault = Fault(self.file, line, path, value, flaw.problem, flaw.remedy)
+        fault = Fault(
+            self.file, line, path, value, issue.problem, issue.remedy
+        )
         self.faults.append(fault)
 
     def read_node(self, node: Node, hint: Any, path: str) -> Any:
@@ -172,11 +176,11 @@
         return KINDS.find(_find_kind(hint))(self, node, hint, path)
 
     def read_scalar(self, node: Node, path: str) -> Any:
-        """Return a scalar as YAML resolves it, or a `Flaw`."""
+        """Return a scalar as YAML resolves it, or a `ValidationIssue`."""
         try:
             return SafeConstructor().construct_object(node)
         except (YAMLError, ValueError):
-            return Flaw('is not a YAML value', 'put it in quotes')
+            return ValidationIssue('is not a YAML value', 'put it in quotes')
 
     def list_entries(
         self, node: MappingNode, path: str
@@ -188,22 +192,24 @@
             if key is None:
                 continue
             if key in seen:
-                flaw = Flaw(
+                issue = ValidationIssue(
                     f'is also on line {seen[key]}', 'remove one of them'
                 )
-                self.add_fault(key_node, path, repr(key), flaw)
+                self.add_fault(key_node, path, repr(key), issue)
                 continue
             seen[key] = key_node.start_mark.line + 1
             yield key, key_node, value_node
 
     def read_key(self, node: Node, path: str) -> str | None:
         if not isinstance(node, ScalarNode):
-            flaw = Flaw('a key is not text', 'use a single word as the key')
-            self.add_fault(node, path, '', flaw)
+            issue = ValidationIssue(
+                'a key is not text', 'use a single word as the key'
+            )
+            self.add_fault(node, path, '', issue)
             return None
         if node.tag == 'tag:yaml.org,2002:merge':
-            flaw = Flaw('is a merge key', 'write the entries out')
-            self.add_fault(node, path, repr(node.value), flaw)
+            issue = ValidationIssue('is a merge key', 'write the entries out')
+            self.add_fault(node, path, repr(node.value), issue)
             return None
         return str(node.value)
 
@@ -249,16 +255,18 @@
     """Read a single value by its check."""
     if not isinstance(node, ScalarNode):
         shape = 'a list' if isinstance(node, SequenceNode) else 'a mapping'
-        flaw = Flaw(f'is {shape}, not a single value', 'write one value')
-        reader.add_fault(node, path, '', flaw)
+        issue = ValidationIssue(
+            f'is {shape}, not a single value', 'write one value'
+        )
+        reader.add_fault(node, path, '', issue)
         return make_empty(hint)
     value = reader.read_scalar(node, path)
     base, *names = get_args(hint) or (hint,)
     check = CHECKS.find(names[0] if names else base.__name__)
-    result = value if isinstance(value, Flaw) else check(value)
-    if not isinstance(result, Flaw):
+    result = value if isinstance(value, ValidationIssue) else check(value)
+    if not isinstance(result, ValidationIssue):
         return result
-    shown = node.value if isinstance(value, Flaw) else value
+    shown = node.value if isinstance(value, ValidationIssue) else value
     reader.add_fault(node, path, repr(shown), result)
     return make_empty(hint)
 
@@ -281,8 +289,8 @@
         )
     if isinstance(node, ScalarNode) and _find_kind(inner) == 'scalar':
         return (reader.read_node(node, inner, path),)
-    flaw = Flaw('is not a list', "begin each entry with '- '")
-    reader.add_fault(node, path, _show_node(node), flaw)
+    issue = ValidationIssue('is not a list', "begin each entry with '- '")
+    reader.add_fault(node, path, _show_node(node), issue)
     return ()
 
 
@@ -290,8 +298,10 @@
 def read_table(reader: _Reader, node: Node, hint: Any, path: str) -> Any:
     """Read a mapping from names to values of one type."""
     if not isinstance(node, MappingNode):
-        flaw = Flaw('is not a mapping', "write 'name: value' entries")
-        reader.add_fault(node, path, _show_node(node), flaw)
+        issue = ValidationIssue(
+            'is not a mapping', "write 'name: value' entries"
+        )
+        reader.add_fault(node, path, _show_node(node), issue)
         return {}
     inner = get_args(hint)[1]
     return {
@@ -304,8 +314,10 @@
 def read_data_class(reader: _Reader, node: Node, hint: Any, path: str) -> Any:
     """Read a mapping whose keys are the fields of a data class."""
     if not isinstance(node, MappingNode):
-        flaw = Flaw('is not a mapping', "write 'key: value' entries")
-        reader.add_fault(node, path, _show_node(node), flaw)
+        issue = ValidationIssue(
+            'is not a mapping', "write 'key: value' entries"
+        )
+        reader.add_fault(node, path, _show_node(node), issue)
         return make_empty(hint)
     hints = _find_hints(hint)
     values: dict[str, Any] = {}
@@ -317,16 +329,20 @@
             )
             continue
         meant.add(find_nearest(key, tuple(hints)))
-        flaw = Flaw('is an unknown key', suggest_name(key, tuple(hints)))
-        reader.add_fault(key_node, path, repr(key), flaw)
+        issue = ValidationIssue(
+            'is an unknown key', suggest_name(key, tuple(hints))
+        )
+        reader.add_fault(key_node, path, repr(key), issue)
     for item in fields(hint):
         if item.name in values or not _is_required(item):
             continue
         values[item.name] = make_empty(hints[item.name])
         # A misspelt key is one fault, not an unknown and a missing key.
         if item.name not in meant:
-            flaw = Flaw(f'the key {item.name!r} is missing', 'add it')
-            reader.add_fault(node, path, '', flaw)
+            issue = ValidationIssue(
+                f'the key {item.name!r} is missing', 'add it'
+            )
+            reader.add_fault(node, path, '', issue)
     return hint(**values)
 
 
--- a/sassafrasgate/configuration/entry_settings.py
+++ b/sassafrasgate/configuration/entry_settings.py
@@ -80,6 +80,6 @@
     SettingsError
         When the file has faults; it names all of them.
     """
-    reading = load_document(path, EntrySettings)
-    settings: EntrySettings = reading.value
+    parsed = load_document(path, EntrySettings)
+    settings: EntrySettings = parsed.value
     return settings
--- a/sassafrasgate/configuration/publication.py
+++ b/sassafrasgate/configuration/publication.py
@@ -1,4 +1,4 @@
-"""Publication of a configuration in the store, and its reading.
+"""Publication of a configuration in the store, and its parsed.
 
 Parts are written first, create-only; the manifest is swapped last by
 compare-and-swap, so a version is complete once it can be seen.
--- a/sassafrasgate/configuration/ranges.py
+++ b/sassafrasgate/configuration/ranges.py
@@ -4,14 +4,14 @@
 
 import re
 
-from sassafrasgate.configuration.values import Flaw
+from sassafrasgate.configuration.values import ValidationIssue
 
 # A rack or a row of racks; more in one range is a slip of a digit.
 MAX_RANGE = 1000
 _RANGE = re.compile(r'\[(\d+)-(\d+)\]')
 
 
-def expand_range(text: str) -> tuple[str, ...] | Flaw:
+def expand_range(text: str) -> tuple[str, ...] | ValidationIssue:
     """Return the texts that a range in brackets stands for.
 
     Parameters
@@ -21,7 +21,7 @@
 
     Returns
     -------
-    tuple of str or Flaw
+    tuple of str or ValidationIssue
         ``text`` itself when it has no range.
 
     Examples
@@ -33,10 +33,12 @@
     if not matches:
         return (text,)
     if len(matches) > 1:
-        return Flaw('has more than one range', 'write one entry for each')
+        return ValidationIssue(
+            'has more than one range', 'write one entry for each'
+        )
     first, last = int(matches[0][1]), int(matches[0][2])
     if not first <= last < first + MAX_RANGE:
-        return Flaw(
+        return ValidationIssue(
             'has an unusable range',
             f'write the lower number first and at most {MAX_RANGE} numbers',
         )
--- a/sassafrasgate/configuration/settings.py
+++ b/sassafrasgate/configuration/settings.py
@@ -14,20 +14,20 @@
 from sassafrasgate.configuration.faults import Fault
 from sassafrasgate.configuration.values import Address
 from sassafrasgate.configuration.values import check_address
-from sassafrasgate.configuration.values import Flaw
 from sassafrasgate.configuration.values import ListenAddress
 from sassafrasgate.configuration.values import LogLevel
 from sassafrasgate.configuration.values import Name
 from sassafrasgate.configuration.values import NotNegative
 from sassafrasgate.configuration.values import Positive
 from sassafrasgate.configuration.values import Url
+from sassafrasgate.configuration.values import ValidationIssue
 from sassafrasgate.core.errors import SassafrasgateError
 from sassafrasgate.core.registries import Registry
 
 if TYPE_CHECKING:
     from pathlib import Path
 
-    from sassafrasgate.configuration.documents import Reading
+    from sassafrasgate.configuration.documents import ParsedDocument
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,15 +105,15 @@
 
 
 @dataclass(frozen=True, slots=True)
-class SettingsFlaw:
+class SettingsIssue:
     """What is wrong between settings that are each right by themselves."""
 
     path: str
     value: str
-    flaw: Flaw
+    issue: ValidationIssue
 
 
-SettingsChecks = Registry[str, Callable[[Any], Iterator[SettingsFlaw]]]
+SettingsChecks = Registry[str, Callable[[Any], Iterator[SettingsIssue]]]
 
 SETTINGS_CHECKS: SettingsChecks = Registry('settings check')
 
@@ -139,8 +139,8 @@
     SettingsError
         When the file has faults; it names all of them.
     """
-    reading = load_document(path, Settings, SETTINGS_CHECKS)
-    settings: Settings = reading.value
+    parsed = load_document(path, Settings, SETTINGS_CHECKS)
+    settings: Settings = parsed.value
     others = tuple(
         peer for peer in settings.peers if peer.name != settings.name
     )
@@ -149,7 +149,7 @@
 
 def load_document(
     path: Path, kind: type[Any], checks: SettingsChecks | None = None
-) -> Reading:
+) -> ParsedDocument:
     """Read a file with one YAML document into a settings class.
 
     Parameters
@@ -171,47 +171,47 @@
         problem = f'holds {len(documents)} YAML documents'
         remedy = 'write the settings of one process in one document'
         raise SettingsError((Fault(str(path), 0, '', '', problem, remedy),))
-    reading = read_document(documents[0], kind)
-    faults = reading.faults
+    parsed = read_document(documents[0], kind)
+    faults = parsed.faults
     if checks is not None:
-        faults += _check_together(reading, checks)
+        faults += _check_together(parsed, checks)
     if faults:
         raise SettingsError(
             tuple(sorted(faults, key=lambda fault: fault.line))
         )
-    return reading
+    return parsed
 
 
 def _check_together(
-    reading: Reading, checks: SettingsChecks
+    parsed: ParsedDocument, checks: SettingsChecks
 ) -> tuple[Fault, ...]:
     found = []
     for name in checks:
-        for flaw in checks.find(name)(reading.value):
+        for issue in checks.find(name)(parsed.value):
             found.append(
                 Fault(
-                    reading.file,
-                    reading.find_line(flaw.path),
-                    flaw.path,
-                    flaw.value,
-                    flaw.flaw.problem,
-                    flaw.flaw.remedy,
+                    parsed.file,
+                    parsed.find_line(issue.path),
+                    issue.path,
+                    issue.value,
+                    issue.issue.problem,
+                    issue.issue.remedy,
                 )
             )
     return tuple(found)
 
 
 @SETTINGS_CHECKS.register('own addresses')
-def check_own_addresses(settings: Settings) -> Iterator[SettingsFlaw]:
+def check_own_addresses(settings: Settings) -> Iterator[SettingsIssue]:
     """Find one address for two purposes."""
     address = settings.link_address
     if address and address == settings.http_address:
-        flaw = Flaw('is also http_address', 'use another port')
-        yield SettingsFlaw('link_address', repr(address), flaw)
+        issue = ValidationIssue('is also http_address', 'use another port')
+        yield SettingsIssue('link_address', repr(address), issue)
 
 
 @SETTINGS_CHECKS.register('peers')
-def check_peers(settings: Settings) -> Iterator[SettingsFlaw]:
+def check_peers(settings: Settings) -> Iterator[SettingsIssue]:
     """Find peers that share a name or an address."""
     own = Peer(settings.name, settings.link_address)
     names = {own.name: own.address}
@@ -221,24 +221,24 @@
             continue
         # An empty value has a fault of its own already.
         if peer.name and peer.name in names:
-            flaw = Flaw(
+            issue = ValidationIssue(
                 f'already stands for {names[peer.name]!r}',
                 'give each process a name of its own',
             )
             path = f'peers[{index}].name'
-            yield SettingsFlaw(path, repr(peer.name), flaw)
+            yield SettingsIssue(path, repr(peer.name), issue)
         if peer.address and peer.address in addresses:
-            flaw = Flaw(
+            issue = ValidationIssue(
                 f'is already the address of {addresses[peer.address]!r}',
                 'give each process an address of its own',
             )
             path = f'peers[{index}].address'
-            yield SettingsFlaw(path, repr(peer.address), flaw)
+            yield SettingsIssue(path, repr(peer.address), issue)
         names.setdefault(peer.name, peer.address)
         addresses.setdefault(peer.address, peer.name)
 
 
-def check_link_address(settings: Settings) -> Flaw | None:
+def check_link_address(settings: Settings) -> ValidationIssue | None:
     """Return what is wrong with a scheduler's link address, if anything."""
     result = check_address(settings.link_address)
-    return result if isinstance(result, Flaw) else None
+    return result if isinstance(result, ValidationIssue) else None
--- a/sassafrasgate/configuration/values.py
+++ b/sassafrasgate/configuration/values.py
@@ -43,7 +43,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Flaw:
+class ValidationIssue:
     """What is wrong with a value, and what to write instead."""
 
     problem: str
@@ -51,7 +51,7 @@
 
 
 Check = Callable[[object], object]
-"""Returns the value to use, possibly converted, or a `Flaw`."""
+"""Returns the value to use, possibly converted, or a `ValidationIssue`."""
 
 CHECKS: Registry[str, Check] = Registry('check')
 
@@ -73,7 +73,7 @@
     """Accept text."""
     if isinstance(value, str):
         return value
-    return Flaw('is not text', 'put it in quotes')
+    return ValidationIssue('is not text', 'put it in quotes')
 
 
 @CHECKS.register('int')
@@ -81,16 +81,16 @@
     """Accept a whole number."""
     if isinstance(value, int) and not isinstance(value, bool):
         return value
-    return Flaw('is not a whole number', 'write digits only')
+    return ValidationIssue('is not a whole number', 'write digits only')
 
 
 @CHECKS.register('float')
 def check_number(value: object) -> object:
     """Accept a finite number."""
     if isinstance(value, bool) or not isinstance(value, int | float):
-        return Flaw('is not a number', 'write a number such as 2.5')
+        return ValidationIssue('is not a number', 'write a number such as 2.5')
     if not isfinite(value):
-        return Flaw('is not finite', 'write a number such as 2.5')
+        return ValidationIssue('is not finite', 'write a number such as 2.5')
     return float(value)
 
 
@@ -99,7 +99,7 @@
     """Accept true or false."""
     if isinstance(value, bool):
         return value
-    return Flaw('is neither true nor false', 'write true or false')
+    return ValidationIssue('is neither true nor false', 'write true or false')
 
 
 @CHECKS.register('name')
@@ -109,32 +109,38 @@
         return check_text(value)
     if _NAME.fullmatch(value):
         return value
-    return Flaw(
+    return ValidationIssue(
         'is not a name',
         'use 1 to 63 letters, digits, dots, dashes and underscores, '
         'beginning with a letter or digit',
     )
 
 
-def _parse_address(value: object) -> IPv4Address | IPv6Address | Flaw:
-    flaw = Flaw(
+def _parse_address(
+    value: object,
+) -> IPv4Address | IPv6Address | ValidationIssue:
+    issue = ValidationIssue(
         'is not an IP number with a port',
         "write for example '127.0.0.1:8080' or '[::1]:8080'",
     )
     match = _ADDRESS.fullmatch(value) if isinstance(value, str) else None
     if match is None:
-        return flaw
+        return issue
     try:
         address = ip_address(match['v6'] or match['v4'])
     except ValueError:
-        return flaw
+        return issue
     if (address.version == 6) != (match['v6'] is not None):
-        return flaw
+        return issue
     # With one spelling for each address, equal addresses are equal texts.
     if str(address) != (match['v6'] or match['v4']):
-        return Flaw('is spelt in an unusual way', f"write '{address}'")
+        return ValidationIssue(
+            'is spelt in an unusual way', f"write '{address}'"
+        )
     if int(match['port']) not in PORTS:
-        return Flaw('has no usable port', 'use a port from 1 to 65535')
+        return ValidationIssue(
+            'has no usable port', 'use a port from 1 to 65535'
+        )
     return address
 
 
@@ -142,17 +148,17 @@
 def check_listen_address(value: object) -> object:
     """Accept an IP number and port to listen on."""
     address = _parse_address(value)
-    return address if isinstance(address, Flaw) else value
+    return address if isinstance(address, ValidationIssue) else value
 
 
 @CHECKS.register('address')
 def check_address(value: object) -> object:
     """Accept an IP number and port that other processes can connect to."""
     address = _parse_address(value)
-    if isinstance(address, Flaw):
+    if isinstance(address, ValidationIssue):
         return address
     if address.is_unspecified:
-        return Flaw(
+        return ValidationIssue(
             'is no address that others can connect to',
             "write the entry host's own IP number",
         )
@@ -167,15 +173,15 @@
     match = _BASE_URL.fullmatch(value)
     remedy = "write for example 'http://127.0.0.1:8080'"
     if match is None:
-        return Flaw('is not a scheme with an address only', remedy)
+        return ValidationIssue('is not a scheme with an address only', remedy)
     if match['scheme'] not in URL_SCHEMES:
-        return Flaw(
+        return ValidationIssue(
             f'has the scheme {match["scheme"]!r}',
             f'use {" or ".join(URL_SCHEMES)}',
         )
     accepted = check_address(match['address'])
-    if isinstance(accepted, Flaw):
-        return Flaw(accepted.problem, remedy)
+    if isinstance(accepted, ValidationIssue):
+        return ValidationIssue(accepted.problem, remedy)
     return value.rstrip('/')
 
 
@@ -184,7 +190,7 @@
     """Accept the name of one of logbook's levels."""
     if value in LOG_LEVELS:
         return value
-    return Flaw(
+    return ValidationIssue(
         'is not a log level', suggest_name(str(value).upper(), LOG_LEVELS)
     )
 
@@ -195,7 +201,9 @@
     known = tuple(str(job_class) for job_class in JobClass)
     if value in known:
         return value
-    return Flaw('is not a job class', suggest_name(str(value), known))
+    return ValidationIssue(
+        'is not a job class', suggest_name(str(value), known)
+    )
 
 
 @CHECKS.register('positive')
@@ -203,7 +211,7 @@
     """Accept a finite number above 0."""
     number = check_number(value)
     if isinstance(number, float) and number <= 0:
-        return Flaw('is not above 0', 'write a number above 0')
+        return ValidationIssue('is not above 0', 'write a number above 0')
     return number
 
 
@@ -212,7 +220,7 @@
     """Accept a finite number of at least 0."""
     number = check_number(value)
     if isinstance(number, float) and number < 0:
-        return Flaw('is below 0', 'write 0 or more')
+        return ValidationIssue('is below 0', 'write 0 or more')
     return number
 
 
@@ -221,7 +229,7 @@
     """Accept a whole number of at least 0."""
     number = check_integer(value)
     if isinstance(number, int) and number < 0:
-        return Flaw('is below 0', 'write 0 or more')
+        return ValidationIssue('is below 0', 'write 0 or more')
     return number
 
 
@@ -230,12 +238,12 @@
     """Accept a number of cores; returns millicores."""
     millicores = parse_cores(value)
     if millicores is None:
-        return Flaw(
+        return ValidationIssue(
             'is not a number of cores',
             'write a number of at most three decimals, such as 16 or 0.5',
         )
     if millicores < 0:
-        return Flaw('is below 0', 'write 0 or more')
+        return ValidationIssue('is below 0', 'write 0 or more')
     return millicores
 
 
@@ -245,7 +253,7 @@
     memory_mb = parse_memory(value)
     if memory_mb is not None:
         return memory_mb
-    return Flaw(
+    return ValidationIssue(
         'is not an amount of memory',
         "write a whole number of mebibytes with its unit, such as '32GiB' "
         "or '512MiB'",
--- a/sassafrasgate/configuration/versions.py
+++ b/sassafrasgate/configuration/versions.py
@@ -393,7 +393,9 @@
     return join_configuration(whole.manifest, whole.parts)
 
 
-def advance(current: Configuration, offered: Configuration) -> Configuration:
+def choose_newer(
+    current: Configuration, offered: Configuration
+) -> Configuration:
     """Return the configuration to hold after another one was offered.
 
     The result never has a lower version than ``current``. With equal
@@ -401,7 +403,9 @@
 
     Examples
     --------
-    >>> advance(Configuration(version=2), Configuration(version=1)).version
+    >>> choose_newer(
+    ...     Configuration(version=2), Configuration(version=1)
+    ... ).version
     2
     """
     return offered if offered.version > current.version else current
--- a/sassafrasgate/daemons/configurations.py
+++ b/sassafrasgate/daemons/configurations.py
@@ -13,7 +13,7 @@
 
 from sassafrasgate.configuration.publication import MANIFEST_KEY
 from sassafrasgate.configuration.publication import read_configuration
-from sassafrasgate.configuration.versions import advance
+from sassafrasgate.configuration.versions import choose_newer
 from sassafrasgate.configuration.versions import decode_configuration
 from sassafrasgate.core.cells import Configuration
 from sassafrasgate.core.errors import SassafrasgateError
@@ -190,7 +190,7 @@
         )
 
     async def _apply(self, offered: Configuration) -> None:
-        newer = advance(self.current, offered)
+        newer = choose_newer(self.current, offered)
         if newer.version == self.current.version:
             return
         self.current = newer
--- a/sassafrasgate/daemons/dispatcher.py
+++ b/sassafrasgate/daemons/dispatcher.py
@@ -62,7 +62,7 @@
 from sassafrasgate.journal.workflows import ShardReleased
 from sassafrasgate.observability.clocks import now_ms
 from sassafrasgate.observability.clocks import wall_ms
-from sassafrasgate.observability.logs import log_facts
+from sassafrasgate.observability.logs import log_event
 from sassafrasgate.observability.metrics import APPEND_SECONDS
 from sassafrasgate.observability.metrics import DECISION_SECONDS
 from sassafrasgate.observability.metrics import DECISIONS
@@ -679,7 +679,7 @@
     def log(self, action: LogEvent) -> None:
         """Log a decision and count it."""
         self.services.metrics.count(DECISIONS, action.kind)
-        log_facts(
+        log_event(
             self.services.logger,
             action.kind,
             (
--- a/sassafrasgate/daemons/election.py
+++ b/sassafrasgate/daemons/election.py
@@ -22,7 +22,7 @@
 from sassafrasgate.daemons.directory import make_owner_key
 from sassafrasgate.journal.rate_limits import CallPriority
 from sassafrasgate.observability.clocks import now_ms
-from sassafrasgate.observability.logs import log_facts
+from sassafrasgate.observability.logs import log_event
 from sassafrasgate.protocol.messages import Acknowledged
 from sassafrasgate.protocol.workflows import FindOwner
 from sassafrasgate.protocol.workflows import OwnerFound
@@ -411,7 +411,7 @@
         return ''
 
     def _log(self, kind: str, fields: tuple[tuple[str, object], ...]) -> None:
-        log_facts(self._logger, kind, fields)
+        log_event(self._logger, kind, fields)
 
     async def send_request(self, message: Any, timeout_s: float) -> Any:
         """Send a message to the owner; see `Directory.send_request`."""
--- a/sassafrasgate/daemons/entry.py
+++ b/sassafrasgate/daemons/entry.py
@@ -24,7 +24,7 @@
 from sassafrasgate.daemons.relays import execute_relayed_call
 from sassafrasgate.journal.records import decode_records
 from sassafrasgate.journal.ring_buffer import LoadedJournal
-from sassafrasgate.observability.logs import log_facts
+from sassafrasgate.observability.logs import log_event
 from sassafrasgate.observability.metrics import OWNED_SHARDS
 from sassafrasgate.protocol.links import OutgoingReply
 from sassafrasgate.protocol.messages import Acknowledged
@@ -334,4 +334,4 @@
 
     def log(self, kind: str, fields: tuple[tuple[str, object], ...]) -> None:
         """Log an event of this process."""
-        log_facts(self.services.logger, kind, fields)
+        log_event(self.services.logger, kind, fields)
--- a/sassafrasgate/daemons/frontend.py
+++ b/sassafrasgate/daemons/frontend.py
@@ -48,7 +48,7 @@
 
 STATUS_TIMEOUT_S = 2.0
 MIN_ATTEMPT_TIMEOUT_S = 0.05
-MAX_REPORTED_FLAWS = 20
+MAX_REPORTED_ISSUES = 20
 
 # Refusals of a process that has not acted on the message.
 RETRIED_REFUSALS = frozenset(
@@ -239,13 +239,15 @@
     ) -> Configuration | Refusal | NoReply:
         """Publish a configuration by compare-and-swap on the version."""
         # The checks run in a thread: at the design size they take 0.2 s.
-        flaws = await anyio.to_thread.run_sync(
+        issues = await anyio.to_thread.run_sync(
             check_configuration, configuration
         )
-        if flaws:
+        if issues:
             return Refusal(
                 RefusalKind.INVALID,
-                '; '.join(str(flaw) for flaw in flaws[:MAX_REPORTED_FLAWS]),
+                '; '.join(
+                    str(issue) for issue in issues[:MAX_REPORTED_ISSUES]
+                ),
                 'correct the declaration and check it with '
                 '"sassafrasgate check"',
             )
--- a/sassafrasgate/daemons/relays.py
+++ b/sassafrasgate/daemons/relays.py
@@ -29,7 +29,7 @@
 from sassafrasgate.core.registries import Registry
 from sassafrasgate.journal.rate_limits import CallPriority
 from sassafrasgate.observability.clocks import now_ms
-from sassafrasgate.observability.logs import log_facts
+from sassafrasgate.observability.logs import log_event
 from sassafrasgate.protocol.relays import RelayCall
 from sassafrasgate.protocol.relays import RelayReply
 
@@ -259,7 +259,7 @@
         if relaying == self._is_relaying:
             return
         self._is_relaying = relaying
-        log_facts(
+        log_event(
             self._logger,
             'store-relayed' if relaying else 'store-direct',
             (('method', method), ('reason', reason)),
--- a/sassafrasgate/observability/logs.py
+++ b/sassafrasgate/observability/logs.py
@@ -190,8 +190,8 @@
     return BoundedOutput(sys.stdout.fileno())
 
 
-def log_facts(
-    logger: Logger, kind: str, facts: tuple[tuple[str, object], ...]
+def log_event(
+    logger: Logger, kind: str, event_fields: tuple[tuple[str, object], ...]
 ) -> None:
     """Write one line of named values at level INFO.
 
@@ -201,10 +201,10 @@
         Logger of the module that decided.
     kind : str
         What was decided or has happened.
-    facts : tuple of (str, object)
+    event_fields : tuple of (str, object)
         Names and values; those with an empty text are left out.
     """
-    logger.info(kind, extra={_FACTS: facts})
+    logger.info(kind, extra={_EVENT_FIELDS: event_fields})
 
 
 def configure_logging(
@@ -254,7 +254,7 @@
 
 
 _DECISION = 'decision'
-_FACTS = 'facts'
+_EVENT_FIELDS = 'event_fields'
 
 
 def _format_record(process: str, record: LogRecord, handler: object) -> str:
@@ -267,11 +267,11 @@
     if _DECISION in record.extra:
         decision = format_decision(record.extra[_DECISION])
         return f'{format_pairs(head)} {decision}'
-    if _FACTS in record.extra:
+    if _EVENT_FIELDS in record.extra:
         head['kind'] = record.message
         head.update(
             (name, value)
-            for name, value in record.extra[_FACTS]
+            for name, value in record.extra[_EVENT_FIELDS]
             if value != ''
         )
         return format_pairs(head)
--- a/sassafrasgate/platform/callers.py
+++ b/sassafrasgate/platform/callers.py
@@ -26,7 +26,7 @@
 from sassafrasgate.core.workflows import Step
 from sassafrasgate.core.workflows import Workflow
 from sassafrasgate.observability.clocks import now_ms
-from sassafrasgate.observability.logs import log_facts
+from sassafrasgate.observability.logs import log_event
 from sassafrasgate.observability.metrics import REQUEST_SECONDS
 from sassafrasgate.observability.metrics import REQUESTS
 
@@ -236,7 +236,7 @@
 
         The last part of the path is logged as the job's id.
         """
-        log_facts(
+        log_event(
             self._logger,
             kind,
             (
--- a/tests/configuration/test_declarations.py
+++ b/tests/configuration/test_declarations.py
@@ -185,7 +185,7 @@
 def test_a_configuration_from_elsewhere_passes_the_same_checks():
     host = Host('w', 'http://worker:80', 'r', 'd', Resources(1, 1, 0, 1, -1))
     found = check_configuration(Configuration(hosts=(host,)))
-    assert [(flaw.field, flaw.value) for flaw in found] == [
+    assert [(issue.field, issue.value) for issue in found] == [
         ('', "''"),
         ('url', "'http://worker:80'"),
         ('rack', "'r'"),
--- a/tests/configuration/test_versions.py
+++ b/tests/configuration/test_versions.py
@@ -7,8 +7,8 @@
 from hypothesis import strategies
 import pytest
 
-from sassafrasgate.configuration.versions import advance
 from sassafrasgate.configuration.versions import arrange_configuration
+from sassafrasgate.configuration.versions import choose_newer
 from sassafrasgate.configuration.versions import ConfigurationError
 from sassafrasgate.configuration.versions import decode_configuration
 from sassafrasgate.configuration.versions import diff_configurations
@@ -74,7 +74,7 @@
     held = Configuration()
     for number, version in enumerate(versions):
         offered = Configuration(version, f'change {number}')
-        after = advance(held, offered)
+        after = choose_newer(held, offered)
         assert after.version == max(held.version, version)
         # Two contents under one version would mean a fork.
         assert after is held or after.version > held.version
