Name the methods of the HTTP gateway for what they return

Cause: is_ready and may_operate read like predicates but return a refusal; ask_shard, shards and configuration do not say what they do. Change: check_readiness, check_operator_access, forward_to_shard, list_shards and get_configuration, in the gateway interface, in its implementations and in all uses.

--- a/sassafrasgate/daemons/frontend.py
+++ b/sassafrasgate/daemons/frontend.py
@@ -122,19 +122,19 @@
         """Configuration version in force."""
         return self._configuration.version
 
-    def shards(self) -> tuple[str, ...]:
+    def list_shards(self) -> tuple[str, ...]:
         """Return the names of all shards of the configuration."""
         return tuple(shard.name for shard in self._configuration.shards)
 
     def find_home(self, job_id: str) -> str:
         """Return the home shard of a job."""
-        return find_home_shard(job_id, self.shards())
+        return find_home_shard(job_id, self.list_shards())
 
-    def configuration(self) -> Configuration:
+    def get_configuration(self) -> Configuration:
         """Return the configuration in force in this process."""
         return self._configuration
 
-    def is_ready(self) -> Refusal | None:
+    def check_readiness(self) -> Refusal | None:
         """Return None if the process may serve requests, else a refusal."""
         if self._stopping:
             return Refusal(
@@ -154,20 +154,20 @@
             'use another entry host, or apply a first configuration',
         )
 
-    def may_operate(self) -> Refusal | None:
+    def check_operator_access(self) -> Refusal | None:
         """Return None if operators may be served, else a refusal.
 
         Operators are served before the first configuration, so that they
         can apply it.
         """
         if self._stopping or not self._is_current:
-            return self.is_ready() or self._refuse_unready()
+            return self.check_readiness() or self._refuse_unready()
         return None
 
-    async def ask_shard(self, message: Any, timeout_s: float) -> Any:
+    async def forward_to_shard(self, message: Any, timeout_s: float) -> Any:
         """Send a message to its shard's owner; see `Gateway`."""
         if not message.shard:
-            if not self.shards():
+            if not self.list_shards():
                 return Refusal(
                     RefusalKind.NOT_READY,
                     'no configuration has been applied yet',
--- a/sassafrasgate/daemons/gateways.py
+++ b/sassafrasgate/daemons/gateways.py
@@ -54,11 +54,11 @@
         """Version of the routing table in force."""
         return self._task.version
 
-    def configuration(self) -> RoutingTable:
+    def get_configuration(self) -> RoutingTable:
         """Return the routing table in force; responses carry its version."""
         return self._task.table
 
-    def is_ready(self) -> Refusal | None:
+    def check_readiness(self) -> Refusal | None:
         """Return None if the process may serve requests, else a refusal."""
         if self._task.is_stopping:
             return Refusal(
--- a/sassafrasgate/daemons/scheduler.py
+++ b/sassafrasgate/daemons/scheduler.py
@@ -113,7 +113,7 @@
         self._stop_deadline_ms = 0
         self._summaries: dict[str, Summary] = {}
 
-    def is_ready(self) -> Refusal | None:
+    def check_readiness(self) -> Refusal | None:
         """Return None if the process may serve requests, else a refusal."""
         if self._is_current and self._lease_id and not self._stopping:
             return None
@@ -124,11 +124,11 @@
             'wait; if it lasts, check the store and the peers of its settings',
         )
 
-    def may_operate(self) -> Refusal | None:
+    def check_operator_access(self) -> Refusal | None:
         """Return None if operators may be served, else a refusal."""
-        return self.is_ready()
+        return self.check_readiness()
 
-    def configuration(self) -> Configuration:
+    def get_configuration(self) -> Configuration:
         """Return the configuration in force in this process."""
         return self._configuration
 
@@ -254,7 +254,7 @@
         For each place of its rank a process waits `CLAIM_RANK_DELAY_MS`
         longer, so that the best ranked process claims first.
         """
-        if self.is_ready() is not None:
+        if self.check_readiness() is not None:
             return
         names = {shard.name for shard in self._configuration.shards}
         for shard in sorted(names):
--- a/sassafrasgate/http/application.py
+++ b/sassafrasgate/http/application.py
@@ -164,9 +164,9 @@
             return None
         gateway = self._context.gateway
         if group is RouteGroup.OPERATORS:
-            refusal = gateway.may_operate()
+            refusal = gateway.check_operator_access()
         else:
-            refusal = gateway.is_ready()
+            refusal = gateway.check_readiness()
         # While it stops, a process still serves what the load balancer
         # sends before it has taken notice.
         if refusal is None or refusal.kind is RefusalKind.STOPPING:
--- a/sassafrasgate/http/configurations.py
+++ b/sassafrasgate/http/configurations.py
@@ -47,7 +47,7 @@
     request: CallerRequest, context: Context
 ) -> Response:
     """Return the configuration in force, with its version as ETag."""
-    configuration = context.gateway.configuration()
+    configuration = context.gateway.get_configuration()
     return render_json(configuration, headers=_tag(configuration.version))
 
 
@@ -71,7 +71,7 @@
     configuration = parse_configuration(body, expected)
     if isinstance(configuration, Problem):
         return configuration
-    current = context.gateway.configuration()
+    current = context.gateway.get_configuration()
     if dry_run:
         return _show_difference(current, configuration, expected)
     accepted = await context.gateway.publish(configuration, expected)
@@ -157,7 +157,7 @@
     pause_s = FIRST_PAUSE_S
     accepted: Any = None
     for _ in range(DRAIN_TRIES):
-        current = context.gateway.configuration()
+        current = context.gateway.get_configuration()
         changed = _change_host(current, name, drained)
         if changed is None:
             return _describe_unknown_host(name)
@@ -238,7 +238,7 @@
         return describe_unknown(failure.reason)
     if failure.kind is not RefusalKind.CONFLICT:
         return describe_refusal(failure)
-    version = context.gateway.configuration().version
+    version = context.gateway.get_configuration().version
     return _describe_lost_race(failure.reason, version)
 
 
--- a/sassafrasgate/http/gateways.py
+++ b/sassafrasgate/http/gateways.py
@@ -1,4 +1,4 @@
-"""What the HTTP routes need from the rest of a front end."""
+"""Interface through which the HTTP routes use the rest of a process."""
 
 from __future__ import annotations
 
@@ -19,8 +19,8 @@
 class Gateway(Protocol):
     """Access to the shards, the configuration and the outputs."""
 
-    async def ask_shard(self, message: Any, timeout_s: float) -> Any:
-        """Send a message to the owner of a shard and return the answer.
+    async def forward_to_shard(self, message: Any, timeout_s: float) -> Any:
+        """Send a message to the owner of a shard and return the reply.
 
         Parameters
         ----------
@@ -28,18 +28,18 @@
             A registered message with a ``shard`` field; an empty shard
             stands for the home shard of the message's job.
         timeout_s : float
-            How long to wait for the answer, in seconds.
+            How long to wait for the reply, in seconds.
 
         Returns
         -------
         object
-            The answer message, which may be a ``Refused``; a `Refusal`
-            when it is certain that this and every earlier try of the
-            message did nothing; or `NoReply`.
+            The reply message, which may be a ``Refused``; a `Refusal` if
+            neither this nor any earlier attempt to send the message had an
+            effect; or `NoReply` if the effect is unknown.
         """
         ...
 
-    def shards(self) -> tuple[str, ...]:
+    def list_shards(self) -> tuple[str, ...]:
         """Return the names of all shards of the configuration."""
         ...
 
@@ -47,19 +47,19 @@
         """Return the home shard of a job."""
         ...
 
-    def is_ready(self) -> Refusal | None:
-        """Return None when the process may serve, else the reason."""
+    def check_readiness(self) -> Refusal | None:
+        """Return None if the process may serve requests, else a refusal."""
         ...
 
-    def may_operate(self) -> Refusal | None:
-        """Return None when operators may be served, else the reason.
+    def check_operator_access(self) -> Refusal | None:
+        """Return None if operators may be served, else a refusal.
 
-        Unlike `is_ready` it needs no configuration, so that the first one
-        can be applied.
+        Unlike `check_readiness`, it does not require a configuration, so
+        that operators can apply the first one.
         """
         ...
 
-    def configuration(self) -> Configuration:
+    def get_configuration(self) -> Configuration:
         """Return the configuration in force in this process."""
         ...
 
@@ -71,33 +71,33 @@
         Parameters
         ----------
         configuration : Configuration
-            The new content; the publisher sets ``version`` and ``change``.
+            The new content. The implementation sets ``version`` and
+            ``change``.
         expected_version : int
             The version that the change is based on.
 
         Returns
         -------
         Configuration, Refusal or NoReply
-            The accepted version; a refusal of kind ``conflict`` when
-            another version is in force; or `NoReply` when the effect is
-            not known.
+            The accepted version; a refusal of kind ``conflict`` if another
+            version is in force; or `NoReply` if the effect is unknown.
         """
         ...
 
     def read_output(
         self, job_id: str, outcome: Outcome
     ) -> AsyncIterator[bytes]:
-        """Return the chunks of an output in order.
+        """Yield the chunks of an output in order.
 
-        An async generator function implements this.
+        Implementations are async generator functions.
 
         Raises
         ------
         SassafrasgateError
-            While iterating, when a chunk can't be read.
+            If a chunk can't be read; raised during the iteration.
         """
         ...
 
     async def list_status(self) -> tuple[StatusReply, ...]:
-        """Return the status of every scheduler that answers."""
+        """Return the status of every scheduler that replies."""
         ...
--- a/sassafrasgate/http/health.py
+++ b/sassafrasgate/http/health.py
@@ -29,10 +29,10 @@
     request: CallerRequest, context: Context
 ) -> Response | Problem:
     """Answer 503 while not ready or stopping, else 200."""
-    refusal = context.gateway.is_ready()
+    refusal = context.gateway.check_readiness()
     if refusal is not None:
         return describe_refusal(refusal)
-    version = context.gateway.configuration().version
+    version = context.gateway.get_configuration().version
     return render_json({'status': 'ready', 'configuration': version})
 
 
--- a/sassafrasgate/http/operators.py
+++ b/sassafrasgate/http/operators.py
@@ -63,7 +63,7 @@
 async def list_shards(request: CallerRequest, context: Context) -> Response:
     """Return the configured shards with their owners, where known."""
     status = await context.gateway.list_status()
-    shards = context.gateway.configuration().shards
+    shards = context.gateway.get_configuration().shards
     return render_json(
         {'shards': [_show_shard(shard, status) for shard in shards]}
     )
@@ -73,7 +73,7 @@
 async def show_status(request: CallerRequest, context: Context) -> Response:
     """Return the schedulers that answer and what they own."""
     status = await context.gateway.list_status()
-    version = context.gateway.configuration().version
+    version = context.gateway.get_configuration().version
     processes = sorted(status, key=lambda reply: reply.name)
     return render_json({'configuration': version, 'schedulers': processes})
 
--- a/sassafrasgate/http/questions.py
+++ b/sassafrasgate/http/questions.py
@@ -78,7 +78,7 @@
     timeout_s = max(wait_s, limits.answer_timeout_s) + limits.answer_margin_s
     with move_on_after(timeout_s + limits.answer_margin_s):
         try:
-            return await context.gateway.ask_shard(message, timeout_s)
+            return await context.gateway.forward_to_shard(message, timeout_s)
         except SassafrasgateError as error:
             return NoReply(str(error))
     return NoReply(f'no answer came within {timeout_s:g} s')
@@ -143,7 +143,7 @@
     make_message : callable
         Takes the name of a shard and returns the message for it.
     """
-    shards = context.gateway.shards()
+    shards = context.gateway.list_shards()
     send, receive = create_memory_object_stream[tuple[str, Any]](len(shards))
     limiter = CapacityLimiter(MAX_CONCURRENT_SHARDS)
 
--- a/sassafrasgate/http/waits.py
+++ b/sassafrasgate/http/waits.py
@@ -81,5 +81,5 @@
 
 
 def _is_stopping(context: Context) -> bool:
-    refusal = context.gateway.is_ready()
+    refusal = context.gateway.check_readiness()
     return refusal is not None and refusal.kind is RefusalKind.STOPPING
--- a/sassafrasgate/platform/callers.py
+++ b/sassafrasgate/platform/callers.py
@@ -102,7 +102,7 @@
     def version(self) -> int:
         """Version of the routing table in force; 0 before the first one."""
 
-    def is_ready(self) -> Refusal | None:
+    def check_readiness(self) -> Refusal | None:
         """Return why the process may not serve yet; None if it may."""
 
     def find_queue(self, host: str, path: str) -> Queue | Refusal:
@@ -264,7 +264,7 @@
         if scope['type'] != 'http':
             return
         response = CallerResponse(200, {})
-        refusal = self._gateway.is_ready()
+        refusal = self._gateway.check_readiness()
         if scope['path'] != READY_PATH:
             response = _make_error_response(404, f'use {READY_PATH}')
         elif refusal is not None:
--- a/tests/daemons/test_entry.py
+++ b/tests/daemons/test_entry.py
@@ -232,7 +232,7 @@
     assert isinstance(answer, Refusal)
     assert answer.kind is RefusalKind.NOT_READY
     assert QueryWorkflow not in link.asked
-    assert isinstance(gateway.is_ready(), Refusal)
+    assert isinstance(gateway.check_readiness(), Refusal)
 
 
 async def test_a_request_waits_for_the_successor_of_a_silent_owner():
@@ -257,4 +257,4 @@
 
     assert answer == view
     assert QueryWorkflow not in links[OWNER.link_address].asked
-    assert gateway.is_ready() is None
+    assert gateway.check_readiness() is None
--- a/tests/http/gateways.py
+++ b/tests/http/gateways.py
@@ -58,26 +58,26 @@
             self.ended.set()
         return await echo(message)
 
-    async def ask_shard(self, message, timeout_s):
+    async def forward_to_shard(self, message, timeout_s):
         self.asked.append(message)
         answer = self.answer
         if isinstance(answer, list):
             return answer.pop(0)
         return await answer(message) if callable(answer) else answer
 
-    def shards(self):
+    def list_shards(self):
         return tuple(shard.name for shard in self.current.shards)
 
     def find_home(self, job_id):
-        return find_home_shard(job_id, self.shards())
+        return find_home_shard(job_id, self.list_shards())
 
-    def is_ready(self):
+    def check_readiness(self):
         return self.refusal
 
-    def may_operate(self):
+    def check_operator_access(self):
         return self.refusal
 
-    def configuration(self):
+    def get_configuration(self):
         return self.current
 
     async def publish(self, configuration, expected_version):
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -38,7 +38,7 @@
         self.ready = None
         self.calls = []
 
-    def is_ready(self):
+    def check_readiness(self):
         return self.ready
 
     def find_queue(self, host, path):
