Keep the text of a refusal that callers receive

Cause: the reason of a refusal is sent to callers, so its text stays. Change: the reason while the dispatcher stops reads as before.

--- a/sassafrasgate/dispatch/requests.py
+++ b/sassafrasgate/dispatch/requests.py
@@ -112,7 +112,7 @@
     if state.stopping:
         return Refusal(
             RefusalKind.STOPPING,
-            'the dispatcher is moving to another process',
+            'the dispatcher moves to another process',
             'send the request again',
         )
     if state.routing_table.find_queue_by_name(message.queue) is None:
