Word the command line plainly

Cause: names such as Call, Reply and found, and clipped docstrings, left a newcomer guessing. Change: requests and responses of the API client have their own type names, docstrings and help texts are full sentences, and some error messages are clearer; the test of one message follows it.

--- a/sassafrasgate/__init__.py
+++ b/sassafrasgate/__init__.py
@@ -1,1 +1,1 @@
-"""A cluster scheduler for unlike workloads."""
+"""A cluster scheduler for heterogeneous workloads."""
--- a/sassafrasgate/__main__.py
+++ b/sassafrasgate/__main__.py
@@ -8,8 +8,9 @@
 import sys
 
 if sys.argv[1:2] == ['serve']:
-    # A daemon that is told to reload while it imports its modules reads its
-    # settings afterwards anyway; the default action would end it.
+    # The default action of SIGHUP would end a daemon that is told to reload
+    # while it still imports its modules. The signal can be ignored then,
+    # because the settings are read afterwards anyway.
     signal(SIGHUP, SIG_IGN)
 
 from sassafrasgate.commands.main import run_command_line
--- a/sassafrasgate/commands/__init__.py
+++ b/sassafrasgate/commands/__init__.py
@@ -1,1 +1,1 @@
-"""The command line: daemons, declarations and calls to a front end."""
+"""The command line, which runs daemons and sends requests to front ends."""
--- a/sassafrasgate/commands/clients.py
+++ b/sassafrasgate/commands/clients.py
@@ -1,4 +1,4 @@
-"""Calls to a front end over the caller and operator API."""
+"""Client of a front end's API for callers and operators."""
 
 from __future__ import annotations
 
@@ -16,27 +16,27 @@
 if TYPE_CHECKING:
     from httpx import Response
 
-CALL_TIMEOUT_S = 30.0
+REQUEST_TIMEOUT_S = 30.0
 CONNECT_TIMEOUT_S = 5.0
 CONFLICT_STATUSES = frozenset({409, 412})
 
 
 @dataclass(frozen=True, slots=True)
-class Call:
+class ApiRequest:
     """One request to a front end.
 
     Parameters
     ----------
     method, path : str
-        As in the design page; see `make_path`.
+        HTTP method and path of the API; see `make_path`.
     body : object
-        Sent as JSON; None for no body.
+        Body, which is sent as JSON; None for no body.
     params, headers : dict
-        Query and header fields.
-    accepted : tuple of int
-        Statuses of 400 and above that are results and not errors.
+        Query parameters and header fields.
+    accepted_statuses : tuple of int
+        Statuses of 400 and above that are returned instead of raised.
     timeout_s : float
-        How long to wait for the response.
+        Timeout for the response, in seconds.
     """
 
     method: str
@@ -44,68 +44,71 @@
     body: Any = None
     params: dict[str, str] | None = None
     headers: dict[str, str] | None = None
-    accepted: tuple[int, ...] = ()
-    timeout_s: float = CALL_TIMEOUT_S
+    accepted_statuses: tuple[int, ...] = ()
+    timeout_s: float = REQUEST_TIMEOUT_S
 
 
 @dataclass(frozen=True, slots=True)
-class Reply:
-    """The response to a call.
+class ApiResponse:
+    """The response to a request.
 
     Parameters
     ----------
     status : int
         HTTP status.
     content : bytes
-        The body as it is.
+        The body as received.
     document : object
-        The body as JSON holds it; None when it isn't JSON.
+        The body decoded from JSON; None when it isn't JSON.
     """
 
     status: int
     content: bytes
     document: Any
 
-    def list_rows(self, noun: str) -> tuple[dict[str, Any], ...]:
-        """Return the entries of a list, alone or under the key ``noun``."""
-        found = self.document
-        if isinstance(found, dict):
-            found = found.get(noun)
-        rows = found if isinstance(found, list) else []
+    def list_rows(self, key: str) -> tuple[dict[str, Any], ...]:
+        """Return the objects of the document's list.
+
+        The list is the document itself or the document's value of ``key``.
+        """
+        items = self.document
+        if isinstance(items, dict):
+            items = items.get(key)
+        rows = items if isinstance(items, list) else []
         return tuple(row for row in rows if isinstance(row, dict))
 
 
-def make_path(*parts: str) -> str:
-    """Return a path of the API, with each part quoted.
+def make_path(*segments: str) -> str:
+    """Return a path of the API, with each segment percent-encoded.
 
     Examples
     --------
     >>> make_path('jobs', 'a/b')
     '/v1/jobs/a%2Fb'
     """
-    return '/v1/' + '/'.join(quote(part, safe='') for part in parts)
+    return '/v1/' + '/'.join(quote(segment, safe='') for segment in segments)
 
 
-def call_front_end(url: str, call: Call) -> Reply:
+def send_request(url: str, request: ApiRequest) -> ApiResponse:
     """Send one request to a front end and wait for its response.
 
     Parameters
     ----------
     url : str
-        Base URL by IP number and port.
-    call : Call
+        Base URL of the front end, with IP address and port.
+    request : ApiRequest
         The request.
 
     Raises
     ------
     CommandError
-        With `ExitCode.BAD_INPUT` for an unusable URL,
-        `ExitCode.UNREACHABLE` when there is no response,
+        With `ExitCode.BAD_INPUT` when the URL is missing or invalid,
+        `ExitCode.UNREACHABLE` when the front end does not respond, and
         `ExitCode.CONFLICT` or `ExitCode.REFUSED` for an error status.
     """
     if not url:
         raise CommandError(
-            'no front end is named; write --url http://IP:PORT or set '
+            'no front end is specified; pass --url http://IP:PORT or set '
             'SASSAFRASGATE_URL',
             ExitCode.BAD_INPUT,
         )
@@ -115,23 +118,24 @@
             f'--url: {url!r} {base.problem}; {base.remedy}',
             ExitCode.BAD_INPUT,
         )
-    # Only commands that call a front end pay for this import.
+    # Imported here because other commands do not need it.
     from httpx import Client
     from httpx import ConnectError
     from httpx import ConnectTimeout
     from httpx import RequestError
     from httpx import Timeout
 
-    timeout = Timeout(call.timeout_s, connect=CONNECT_TIMEOUT_S)
+    timeout = Timeout(request.timeout_s, connect=CONNECT_TIMEOUT_S)
     try:
-        # Addresses are numeric; proxies of the environment do not apply.
+        # Front ends are reached directly by IP address, not through the
+        # proxies that the environment may set.
         with Client(trust_env=False, timeout=timeout) as client:
             response = client.request(
-                call.method,
-                f'{base}{call.path}',
-                json=call.body,
-                params=call.params,
-                headers=call.headers,
+                request.method,
+                f'{base}{request.path}',
+                json=request.body,
+                params=request.params,
+                headers=request.headers,
             )
     except (ConnectError, ConnectTimeout) as error:
         raise CommandError(
@@ -141,21 +145,24 @@
         ) from error
     except RequestError as error:
         raise CommandError(
-            _describe_silence(call, base, error), ExitCode.UNREACHABLE
+            _describe_missing_response(request, base, error),
+            ExitCode.UNREACHABLE,
         ) from error
     status = response.status_code
-    if status >= 400 and status not in call.accepted:
-        raise _make_refusal(response)
-    return Reply(status, response.content, _read_json(response))
+    if status >= 400 and status not in request.accepted_statuses:
+        raise _make_error(response)
+    return ApiResponse(status, response.content, _read_json(response))
 
 
-def _describe_silence(call: Call, base: object, error: Exception) -> str:
+def _describe_missing_response(
+    request: ApiRequest, base: object, error: Exception
+) -> str:
     reason = str(error) or type(error).__name__
-    if call.method == 'GET':
-        return f'{base} gave no response: {reason}; try another front end'
+    if request.method == 'GET':
+        return f'no response from {base}: {reason}; try another front end'
     return (
-        f'{base} gave no response: {reason}; the request may have taken '
-        'effect, look at the state before sending it again'
+        f'no response from {base}: {reason}; the request may have taken '
+        'effect, check the state before you send it again'
     )
 
 
@@ -166,8 +173,11 @@
         return None
 
 
-def _make_refusal(response: Response) -> CommandError:
-    """Return the error for problem details (RFC 9457) or another body."""
+def _make_error(response: Response) -> CommandError:
+    """Return the error for a response with an error status.
+
+    Its message comes from the problem details (RFC 9457) of the body, if any.
+    """
     status = response.status_code
     code = ExitCode.REFUSED
     if status in CONFLICT_STATUSES:
@@ -175,8 +185,9 @@
     problem = _read_json(response)
     if not isinstance(problem, dict):
         return CommandError(
-            f'the front end answered {status} {response.reason_phrase}; '
-            'check that --url names a front end of the same release',
+            f'the front end responded with {status} '
+            f'{response.reason_phrase}; check that --url names a front '
+            'end of the same release',
             code,
         )
     title = str(problem.get('title') or response.reason_phrase)
--- a/sassafrasgate/commands/declarations.py
+++ b/sassafrasgate/commands/declarations.py
@@ -1,4 +1,4 @@
-"""Commands that check, compare and apply a declaration."""
+"""Commands that check, compare and apply a declaration of a cell."""
 
 from __future__ import annotations
 
@@ -38,17 +38,17 @@
     """
     from sassafrasgate.configuration.declarations import check_declaration
 
-    found = check_declaration(path)
-    if not isinstance(found, tuple):
+    checked = check_declaration(path)
+    if not isinstance(checked, tuple):
         note = (
-            f'cell {found.cell}: {len(found.hosts)} hosts, '
-            f'{len(found.shards)} shards, {len(found.teams)} teams, '
-            f'{len(found.rules)} rules; no faults'
+            f'cell {checked.cell}: {len(checked.hosts)} hosts, '
+            f'{len(checked.shards)} shards, {len(checked.teams)} teams, '
+            f'{len(checked.rules)} rules; no faults'
         )
         return print_report(Report({'faults': []}, notes=(note,)), output)
     report = Report(
-        {'faults': [asdict(fault) for fault in found]},
-        notes=(*map(str, found), f'{len(found)} faults'),
+        {'faults': [asdict(fault) for fault in checked]},
+        notes=(*map(str, checked), f'{len(checked)} faults'),
     )
     print_report(report, output)
     return ExitCode.BAD_INPUT
@@ -56,7 +56,7 @@
 
 @register_command('diff')
 def diff(path: Path, *, url: Url = '', output: Output = 'table') -> ExitCode:
-    """Show what applying a declaration would change.
+    """Show the changes that applying a declaration would make.
 
     Parameters
     ----------
@@ -81,20 +81,20 @@
     url: Url = '',
     output: Output = 'table',
 ) -> ExitCode:
-    """Make a declaration the configuration in force.
+    """Apply a declaration as the configuration in force.
 
     Parameters
     ----------
     path
         A directory of YAML files, or one file.
     dry_run
-        Let the front end check the change without making it.
+        Let the front end check the changes without applying them.
     """
     from msgspec import to_builtins
 
-    from sassafrasgate.commands.clients import Call
-    from sassafrasgate.commands.clients import call_front_end
+    from sassafrasgate.commands.clients import ApiRequest
     from sassafrasgate.commands.clients import make_path
+    from sassafrasgate.commands.clients import send_request
     from sassafrasgate.configuration.versions import diff_configurations
 
     declared = _load_declaration(path)
@@ -112,9 +112,9 @@
         return print_report(_report_changes(version, (), note), output)
     body = to_builtins(declared)
     del body['version'], body['change']
-    reply = call_front_end(
+    response = send_request(
         url,
-        Call(
+        ApiRequest(
             'PUT',
             make_path('configuration'),
             body,
@@ -125,8 +125,8 @@
     if dry_run:
         note = f'{len(changes)} changes to version {version}; not applied'
         return print_report(_report_changes(version, changes, note), output)
-    if isinstance(reply.document, dict):
-        version = reply.document.get('version', version + 1)
+    if isinstance(response.document, dict):
+        version = response.document.get('version', version + 1)
     note = f'{len(changes)} changes; version {version} is accepted'
     return print_report(_report_changes(version, changes, note), output)
 
@@ -134,36 +134,38 @@
 def _load_declaration(path: Path) -> Configuration:
     from sassafrasgate.configuration.declarations import check_declaration
 
-    found = check_declaration(path)
-    if isinstance(found, tuple):
-        lines = '\n'.join(f'  {fault}' for fault in found)
+    checked = check_declaration(path)
+    if isinstance(checked, tuple):
+        lines = '\n'.join(f'  {fault}' for fault in checked)
         raise CommandError(
-            f'{len(found)} faults in the declaration:\n{lines}',
+            f'{len(checked)} faults in the declaration:\n{lines}',
             ExitCode.BAD_INPUT,
         )
-    return found
+    return checked
 
 
 def _fetch_configuration(url: str) -> Configuration:
-    """Return the configuration in force; version 0 when there is none."""
+    """Return the configuration in force; version 0 if none was applied yet."""
     from msgspec import convert
     from msgspec import ValidationError
 
-    from sassafrasgate.commands.clients import Call
-    from sassafrasgate.commands.clients import call_front_end
+    from sassafrasgate.commands.clients import ApiRequest
     from sassafrasgate.commands.clients import make_path
+    from sassafrasgate.commands.clients import send_request
     from sassafrasgate.core.cells import Configuration
 
-    call = Call('GET', make_path('configuration'), accepted=(404,))
-    reply = call_front_end(url, call)
-    if reply.status == 404:
+    request = ApiRequest(
+        'GET', make_path('configuration'), accepted_statuses=(404,)
+    )
+    response = send_request(url, request)
+    if response.status == 404:
         return Configuration()
     try:
-        return convert(reply.document, Configuration)
+        return convert(response.document, Configuration)
     except ValidationError as error:
         raise CommandError(
-            f'the front end answered with no configuration: {error}; check '
-            'that --url names a front end of the same release',
+            f'the response of the front end is not a configuration: {error}; '
+            'check that --url names a front end of the same release',
             ExitCode.REFUSED,
         ) from error
 
--- a/sassafrasgate/commands/hosts.py
+++ b/sassafrasgate/commands/hosts.py
@@ -1,4 +1,4 @@
-"""Commands that take hosts out of use and put them back."""
+"""Commands that drain hosts and restore them."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 
 @register_command('drain')
 def drain(host: str, *, url: Url = '', output: Output = 'table') -> ExitCode:
-    """Give a host no new work; what runs there goes on.
+    """Drain a host: it gets no new work, and running tasks continue.
 
     Parameters
     ----------
@@ -24,7 +24,7 @@
 
 @register_command('restore')
 def restore(host: str, *, url: Url = '', output: Output = 'table') -> ExitCode:
-    """Give a drained host new work again.
+    """Restore a drained host, so that it gets new work again.
 
     Parameters
     ----------
@@ -37,11 +37,11 @@
 def _change_host(
     url: str, host: str, action: str, effect: str, output: str
 ) -> ExitCode:
-    from sassafrasgate.commands.clients import Call
-    from sassafrasgate.commands.clients import call_front_end
+    from sassafrasgate.commands.clients import ApiRequest
     from sassafrasgate.commands.clients import make_path
+    from sassafrasgate.commands.clients import send_request
 
-    call = Call('POST', make_path('hosts', host, action))
-    reply = call_front_end(url, call)
+    request = ApiRequest('POST', make_path('hosts', host, action))
+    response = send_request(url, request)
     note = f'host {host} {effect}'
-    return print_report(Report(reply.document, notes=(note,)), output)
+    return print_report(Report(response.document, notes=(note,)), output)
--- a/sassafrasgate/commands/jobs.py
+++ b/sassafrasgate/commands/jobs.py
@@ -24,13 +24,14 @@
 if TYPE_CHECKING:
     from sassafrasgate.core.jobs import JobSpec
 
-# A quick request is answered within its deadline, plus the way there.
-REPLY_MARGIN_S = 5.0
+# Time on the network. The front end responds to a quick request within the
+# request's deadline.
+RESPONSE_MARGIN_S = 5.0
 
 
 @dataclass(frozen=True, slots=True)
 class DemandEntry:
-    """What each task of a job needs."""
+    """Resources that each task of a job needs."""
 
     cores: Cores = 1000
     memory: Memory = 512
@@ -41,14 +42,17 @@
 
 @dataclass(frozen=True, slots=True)
 class JobEntry:
-    """A job file; the fields are those of `sassafrasgate.core.jobs.JobSpec`.
+    """Schema of a job file.
+
+    The other fields are those of `sassafrasgate.core.jobs.JobSpec`.
 
     Parameters
     ----------
     payload : str
-        Text that is handed to the worker.
+        Text that is passed to the worker.
     payload_file : str
-        File to hand over instead, relative to the job file.
+        Path, relative to the job file, of a file whose content is passed to
+        the worker instead.
     """
 
     team: Name
@@ -69,47 +73,47 @@
 def submit(file: Path, *, url: Url = '', output: Output = 'table') -> ExitCode:
     """Submit the job that a YAML file describes.
 
-    The output of a quick request is written as it is; other jobs are
-    accepted and run later.
+    The command waits for the output of a quick request and writes it
+    unchanged. Other jobs are accepted and run later.
 
     Parameters
     ----------
     file
         YAML file with team, key, job_class, demand and payload.
     """
-    from sassafrasgate.commands.clients import Call
-    from sassafrasgate.commands.clients import call_front_end
+    from sassafrasgate.commands.clients import ApiRequest
     from sassafrasgate.commands.clients import make_path
+    from sassafrasgate.commands.clients import send_request
     from sassafrasgate.core.jobs import JobClass
 
     spec = load_job(file)
     body = make_job_body(spec)
     if spec.job_class == JobClass.QUICK:
-        timeout_s = spec.deadline_s + REPLY_MARGIN_S
+        timeout_s = spec.deadline_s + RESPONSE_MARGIN_S
         path = make_path('requests')
-        call = Call('POST', path, body, timeout_s=timeout_s)
-        sys.stdout.buffer.write(call_front_end(url, call).content)
+        request = ApiRequest('POST', path, body, timeout_s=timeout_s)
+        sys.stdout.buffer.write(send_request(url, request).content)
         sys.stdout.buffer.flush()
         return ExitCode.OK
-    reply = call_front_end(url, Call('POST', make_path('jobs'), body))
-    found = reply.document if isinstance(reply.document, dict) else {}
-    verb = 'accepted' if reply.status == 202 else 'known already'
-    note = f'job {found.get("job_id", found.get("id"))} is {verb}'
-    return print_report(Report(reply.document, notes=(note,)), output)
+    response = send_request(url, ApiRequest('POST', make_path('jobs'), body))
+    document = response.document if isinstance(response.document, dict) else {}
+    verb = 'accepted' if response.status == 202 else 'known already'
+    note = f'job {document.get("job_id", document.get("id"))} is {verb}'
+    return print_report(Report(response.document, notes=(note,)), output)
 
 
 def make_job_body(spec: JobSpec) -> dict[str, object]:
-    """Return a job in the form of the caller API."""
+    """Return a job in the form that the API for callers expects."""
     from msgspec import to_builtins
 
-    # The API names these fields for callers, the core for its own use.
-    names = {
+    # Fields whose names in the API differ from those in `JobSpec`.
+    api_names = {
         'job_class': 'class',
         'demand': 'resources',
         'payload': 'payload_base64',
     }
     fields = to_builtins(spec)
-    return {names.get(name, name): value for name, value in fields.items()}
+    return {api_names.get(name, name): value for name, value in fields.items()}
 
 
 @register_command('cancel')
@@ -121,23 +125,23 @@
     job
         Id of the job.
     """
-    from sassafrasgate.commands.clients import Call
-    from sassafrasgate.commands.clients import call_front_end
+    from sassafrasgate.commands.clients import ApiRequest
     from sassafrasgate.commands.clients import make_path
+    from sassafrasgate.commands.clients import send_request
 
-    reply = call_front_end(url, Call('DELETE', make_path('jobs', job)))
-    found = reply.document if isinstance(reply.document, dict) else {}
-    note = f'job {job} is {found.get("state", "being cancelled")}'
-    return print_report(Report(reply.document, notes=(note,)), output)
+    response = send_request(url, ApiRequest('DELETE', make_path('jobs', job)))
+    document = response.document if isinstance(response.document, dict) else {}
+    note = f'job {job} is {document.get("state", "being cancelled")}'
+    return print_report(Report(response.document, notes=(note,)), output)
 
 
 def load_job(path: Path) -> JobSpec:
-    """Return the job of a YAML file.
+    """Return the job that a YAML file describes.
 
     Raises
     ------
     CommandError
-        When the file has faults; it names all of them.
+        When the file has faults. The message lists all of them.
     """
     from sassafrasgate.configuration.documents import read_document
     from sassafrasgate.configuration.documents import read_documents
@@ -150,15 +154,15 @@
         remedy = 'describe one job in one document'
         faults = (Fault(str(path), 0, '', '', problem, remedy),)
     if not faults:
-        reading = read_document(documents[0], JobEntry)
-        faults = reading.faults
+        parsed = read_document(documents[0], JobEntry)
+        faults = parsed.faults
     if faults:
         lines = '\n'.join(f'  {fault}' for fault in faults)
         raise CommandError(
             f'{len(faults)} faults in the job file:\n{lines}',
             ExitCode.BAD_INPUT,
         )
-    return _make_spec(reading.value, path)
+    return _make_spec(parsed.value, path)
 
 
 def _make_spec(entry: JobEntry, path: Path) -> JobSpec:
--- a/sassafrasgate/commands/main.py
+++ b/sassafrasgate/commands/main.py
@@ -30,7 +30,7 @@
 
 
 def build_application() -> App:
-    """Return the command line with every registered command."""
+    """Return the command-line application with all registered commands."""
     application = App(name='sassafrasgate', help=HELP)
     for name in COMMANDS:
         application.command(COMMANDS.find(name), name=name)
@@ -43,7 +43,8 @@
     Parameters
     ----------
     arguments : sequence of str or None
-        Without the program's name; those of the process by default.
+        Command-line arguments without the program's name; by default those
+        of the process.
 
     Returns
     -------
--- a/sassafrasgate/commands/outputs.py
+++ b/sassafrasgate/commands/outputs.py
@@ -1,4 +1,4 @@
-"""Renderers of reports and styles of table cells, in registries."""
+"""Output formats of reports and styles of table cells, in registries."""
 
 from __future__ import annotations
 
@@ -19,30 +19,30 @@
 OUTPUTS: Registry[str, Callable[[Report], str]] = Registry('output')
 STYLES: Registry[str, Callable[[Any], str]] = Registry('table style')
 
-GAP = '  '
-MISSING = '-'
+COLUMN_SEPARATOR = '  '
+MISSING_VALUE = '-'
 
 
 @STYLES.register('text')
-def show_text(value: Any) -> str:
-    """Show a value as it is; lists with commas between their items."""
+def format_text_cell(value: Any) -> str:
+    """Return a value as text; the items of a list are joined by commas."""
     if isinstance(value, bool):
         return 'yes' if value else 'no'
     if isinstance(value, list | tuple):
-        return ','.join(str(item) for item in value) or MISSING
-    return MISSING if value in (None, '') else str(value)
+        return ','.join(str(item) for item in value) or MISSING_VALUE
+    return MISSING_VALUE if value in (None, '') else str(value)
 
 
 @STYLES.register('cores')
-def show_cores(value: Any) -> str:
-    """Show millicores as cores."""
-    return format_cores(value) if isinstance(value, int) else MISSING
+def format_cores_cell(value: Any) -> str:
+    """Return an amount of millicores as a number of cores."""
+    return format_cores(value) if isinstance(value, int) else MISSING_VALUE
 
 
 @STYLES.register('memory')
-def show_memory(value: Any) -> str:
-    """Show mebibytes with a unit."""
-    return format_memory(value) if isinstance(value, int) else MISSING
+def format_memory_cell(value: Any) -> str:
+    """Return an amount of memory, given in MiB, with its unit."""
+    return format_memory(value) if isinstance(value, int) else MISSING_VALUE
 
 
 @OUTPUTS.register('json')
@@ -58,7 +58,7 @@
     if report.columns and report.rows:
         titles = [column.title for column in report.columns]
         cells = [
-            [_show_cell(column, row) for column in report.columns]
+            [_format_cell(column, row) for column in report.columns]
             for row in report.rows
         ]
         widths = [
@@ -73,17 +73,17 @@
     padded = (
         cell.ljust(width) for cell, width in zip(cells, widths, strict=True)
     )
-    return GAP.join(padded).rstrip()
+    return COLUMN_SEPARATOR.join(padded).rstrip()
 
 
-def _show_cell(column: Column, row: dict[str, Any]) -> str:
-    show = STYLES.find(column.style)
+def _format_cell(column: Column, row: dict[str, Any]) -> str:
+    format_value = STYLES.find(column.style)
     return '/'.join(
-        show(_find_value(row, path)) for path in column.path.split()
+        format_value(_get_value(row, path)) for path in column.path.split()
     )
 
 
-def _find_value(row: Any, path: str) -> Any:
+def _get_value(row: Any, path: str) -> Any:
     for key in path.split('.'):
         row = row.get(key) if isinstance(row, dict) else None
     return row
--- a/sassafrasgate/commands/registries.py
+++ b/sassafrasgate/commands/registries.py
@@ -1,4 +1,4 @@
-"""The registry of commands, and the options that several of them take."""
+"""The registry of commands, and options that several commands share."""
 
 from __future__ import annotations
 
@@ -30,8 +30,8 @@
 
 
 def check_output(_: type, value: str) -> None:
-    """Refuse an unknown output before the command has any effect."""
-    # A daemon never prints a report.
+    """Reject an unknown output format before the command has any effect."""
+    # Imported here because a daemon never prints a report.
     from sassafrasgate.commands.outputs import OUTPUTS
 
     if value not in OUTPUTS:
@@ -50,16 +50,16 @@
 
 
 def register_command(name: str) -> Callable[[Any], Any]:
-    """Return a decorator that makes a function the command ``name``.
+    """Return a decorator that registers a function as the command ``name``.
 
-    The function's parameters become the command's arguments and options,
-    its docstring the help; it returns an `ExitCode`.
+    The function's parameters become the command's arguments and options, and
+    its docstring becomes the help text. It returns an `ExitCode`.
     """
     return COMMANDS.register(name)
 
 
 def print_report(report: Report, output: str) -> ExitCode:
-    """Print a report in a registered form."""
+    """Print a report in a registered output format."""
     from sassafrasgate.commands.outputs import OUTPUTS
 
     text = OUTPUTS.find(output)(report)
--- a/sassafrasgate/commands/results.py
+++ b/sassafrasgate/commands/results.py
@@ -1,4 +1,4 @@
-"""What a command ends with: a report or an error, and an exit code."""
+"""Results of commands: reports, errors and exit codes."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 
 class ExitCode(IntEnum):
-    """Exit codes of the command line; part of the public interface."""
+    """Exit codes of the command line, which are part of its interface."""
 
     OK = 0
     REFUSED = 1
@@ -20,14 +20,14 @@
 
 
 class CommandError(SassafrasgateError):
-    """A command did not succeed.
+    """A command has failed.
 
     Parameters
     ----------
     message : str
-        What went wrong and what to do about it.
+        What went wrong and what the user can do about it.
     exit_code : ExitCode
-        What the process ends with.
+        Exit code of the process.
     """
 
     def __init__(self, message: str, exit_code: ExitCode) -> None:
@@ -42,12 +42,13 @@
     Parameters
     ----------
     title : str
-        Its heading.
+        Heading of the column.
     path : str
-        Key of the value in a row; dots lead into inner mappings. Several
-        paths separated by blanks are shown with slashes between them.
+        Key of the value in a row. Dots separate the keys of nested mappings.
+        The values of several paths, which blanks separate, are joined by
+        slashes.
     style : str
-        Name of a registered style.
+        Name of the registered style that formats the value.
     """
 
     title: str
@@ -57,18 +58,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Report:
-    """The result of a command, for any output.
+    """The result of a command, independent of the output format.
 
     Parameters
     ----------
     document : object
-        All of it, as JSON can hold it.
+        The whole result, which can be encoded as JSON.
     columns : tuple of Column
-        The part that people read.
+        Columns of the table.
     rows : tuple of dict
-        Mappings that the columns refer to.
+        Rows of the table, as mappings from which the columns take values.
     notes : tuple of str
-        Lines after the table.
+        Lines that follow the table.
     """
 
     document: Any
--- a/sassafrasgate/commands/roles.py
+++ b/sassafrasgate/commands/roles.py
@@ -1,4 +1,4 @@
-"""The command that runs a daemon, and the roles it can have."""
+"""The command that runs a daemon, and the registry of daemon roles."""
 
 from __future__ import annotations
 
@@ -21,8 +21,8 @@
 
 @ROLES.register('entry')
 def run_entry(path: Path) -> None:
-    """Run the process of an entry host until it is stopped."""
-    # The adapters register themselves.
+    """Run the daemon of an entry host until it is stopped."""
+    # Importing the adapters registers them.
     import_module('sassafrasgate.platform.adapters')
     composition = import_module('sassafrasgate.composition.entry')
     composition.run_entry(path)
@@ -31,14 +31,14 @@
 @ROLES.register('frontend')
 def run_frontend(path: Path) -> None:
     """Run a front end until it is stopped."""
-    settings = _load(path)
+    settings = _load_settings(path)
     import_module('sassafrasgate.composition.daemons').run_frontend(settings)
 
 
 @ROLES.register('scheduler')
 def run_scheduler(path: Path) -> None:
     """Run a scheduler until it is stopped."""
-    settings = _load(path)
+    settings = _load_settings(path)
     if not settings.link_address:
         raise CommandError(
             "the key 'link_address' is missing in the settings of a "
@@ -48,7 +48,7 @@
     import_module('sassafrasgate.composition.daemons').run_scheduler(settings)
 
 
-def _load(path: Path) -> Settings:
+def _load_settings(path: Path) -> Settings:
     from sassafrasgate.configuration.settings import load_settings
 
     return load_settings(path)
@@ -61,9 +61,9 @@
     Parameters
     ----------
     role
-        entry, frontend or scheduler.
+        Role of the daemon: entry, frontend or scheduler.
     settings
-        YAML file with the settings of this process.
+        YAML file with the settings of the daemon.
     """
     from sassafrasgate.configuration.settings import SettingsError
 
--- a/sassafrasgate/commands/views.py
+++ b/sassafrasgate/commands/views.py
@@ -1,4 +1,4 @@
-"""Commands that show what a cell holds and does."""
+"""Commands that show the configuration and the state of a cell."""
 
 from __future__ import annotations
 
@@ -45,27 +45,27 @@
 
 @register_command('show')
 def show(*, url: Url = '', output: Output = 'table') -> ExitCode:
-    """Show the configuration in force; all of it with --output json."""
-    found = _get(url, 'configuration').document
-    found = found if isinstance(found, dict) else {}
-    pairs = {key: found.get(key) for key in ('cell', 'version', 'change')}
-    hosts = found.get('hosts') or []
+    """Show a summary of the configuration in force; all with --output json."""
+    document = _fetch(url, 'configuration').document
+    document = document if isinstance(document, dict) else {}
+    pairs = {key: document.get(key) for key in ('cell', 'version', 'change')}
+    hosts = document.get('hosts') or []
     pairs['hosts'] = len(hosts)
     pairs['drained'] = sum(bool(host.get('drained')) for host in hosts)
     for key in ('shards', 'teams', 'rules'):
-        pairs[key] = len(found.get(key) or [])
-    return print_report(_report_pairs(found, pairs), output)
+        pairs[key] = len(document.get(key) or [])
+    return print_report(_report_pairs(document, pairs), output)
 
 
 @register_command('hosts')
 def list_hosts(*, url: Url = '', output: Output = 'table') -> ExitCode:
-    """List hosts with what is reserved of what they carry."""
+    """List hosts with their reserved resources and their capacity."""
     return _list_rows(url, output, 'hosts', HOST_COLUMNS)
 
 
 @register_command('shards')
 def list_shards(*, url: Url = '', output: Output = 'table') -> ExitCode:
-    """List shards with owner and epoch."""
+    """List shards with their owner and epoch."""
     return _list_rows(url, output, 'shards', SHARD_COLUMNS)
 
 
@@ -78,7 +78,7 @@
     Parameters
     ----------
     state
-        Only jobs in this state, for example queued.
+        List only the jobs in this state, for example queued.
     """
     params = {'state': check_state(state)} if state else {}
     return _list_rows(url, output, 'jobs', JOB_COLUMNS, params)
@@ -86,51 +86,53 @@
 
 @register_command('explain')
 def explain(job: str, *, url: Url = '', output: Output = 'table') -> ExitCode:
-    """Show the decisions taken for a job, oldest first.
+    """Show the decisions about a job, oldest first.
 
     Parameters
     ----------
     job
         Id of the job.
     """
-    document = _get(url, 'jobs', job, 'explanation').document
-    found = document if isinstance(document, dict) else {}
-    lines = tuple(str(line) for line in found.get('lines') or ())
-    heading = f'job {job} is {found.get("state", "unknown")}'
+    document = _fetch(url, 'jobs', job, 'explanation').document
+    explanation = document if isinstance(document, dict) else {}
+    lines = tuple(str(line) for line in explanation.get('lines') or ())
+    heading = f'job {job} is {explanation.get("state", "unknown")}'
     return print_report(Report(document, notes=(heading, *lines)), output)
 
 
 @register_command('status')
 def show_status(*, url: Url = '', output: Output = 'table') -> ExitCode:
-    """Show whether a front end is healthy and ready to serve."""
-    from sassafrasgate.commands.clients import Call
-    from sassafrasgate.commands.clients import call_front_end
+    """Show whether a front end is healthy and ready to serve requests."""
+    from sassafrasgate.commands.clients import ApiRequest
+    from sassafrasgate.commands.clients import send_request
 
     pairs: dict[str, Any] = {'front end': url}
     ready = True
     for name, path in (('healthy', '/healthz'), ('ready', '/readyz')):
-        reply = call_front_end(url, Call('GET', path, accepted=(503,)))
-        ready = ready and reply.status < 400
-        pairs[name] = reply.status < 400
-        if isinstance(reply.document, dict):
-            pairs |= reply.document
+        response = send_request(
+            url, ApiRequest('GET', path, accepted_statuses=(503,))
+        )
+        ready = ready and response.status < 400
+        pairs[name] = response.status < 400
+        if isinstance(response.document, dict):
+            pairs |= response.document
     print_report(_report_pairs(pairs, pairs), output)
     return ExitCode.OK if ready else ExitCode.REFUSED
 
 
 def check_state(state: str) -> str:
-    """Return the name of a job state.
+    """Return ``state`` if it is the name of a job state.
 
     Raises
     ------
     CommandError
-        When there is no such state.
+        When no job state has this name.
     """
     from sassafrasgate.commands.results import CommandError
     from sassafrasgate.configuration.faults import suggest_name
     from sassafrasgate.core.jobs import JobState
 
-    known = tuple(str(each) for each in JobState)
+    known = tuple(str(member) for member in JobState)
     if state in known:
         return state
     raise CommandError(
@@ -139,26 +141,30 @@
     )
 
 
-def _get(url: str, *parts: str, params: dict[str, str] | None = None) -> Any:
-    from sassafrasgate.commands.clients import Call
-    from sassafrasgate.commands.clients import call_front_end
+def _fetch(
+    url: str, *segments: str, params: dict[str, str] | None = None
+) -> Any:
+    from sassafrasgate.commands.clients import ApiRequest
     from sassafrasgate.commands.clients import make_path
+    from sassafrasgate.commands.clients import send_request
 
-    call = Call('GET', make_path(*parts), params=params)
-    return call_front_end(url, call)
+    request = ApiRequest('GET', make_path(*segments), params=params)
+    return send_request(url, request)
 
 
 def _list_rows(
     url: str,
     output: str,
-    noun: str,
+    key: str,
     columns: tuple[Column, ...],
     params: dict[str, str] | None = None,
 ) -> ExitCode:
-    reply = _get(url, noun, params=params)
-    rows = reply.list_rows(noun)
-    note = f'{len(rows)} {noun}'
-    return print_report(Report(reply.document, columns, rows, (note,)), output)
+    response = _fetch(url, key, params=params)
+    rows = response.list_rows(key)
+    note = f'{len(rows)} {key}'
+    return print_report(
+        Report(response.document, columns, rows, (note,)), output
+    )
 
 
 def _report_pairs(document: Any, pairs: dict[str, Any]) -> Report:
--- a/sassafrasgate/entry.py
+++ b/sassafrasgate/entry.py
@@ -1,7 +1,8 @@
 """The daemon of an entry host: ``python -m sassafrasgate.entry SETTINGS``.
 
-It imports only what this daemon needs, since its start is a part of every
-recovery. ``sassafrasgate serve entry`` runs the same process.
+It imports only the modules that this daemon needs, because its start-up time
+adds to the time of every recovery. ``sassafrasgate serve entry`` runs the same
+process.
 """
 
 from __future__ import annotations
@@ -15,11 +16,12 @@
 from signal import signal
 import sys
 
-# A daemon that is told to reload while it imports its modules reads its
-# settings afterwards anyway; the default action would end it.
+# The default action of SIGHUP would end a daemon that is told to reload while
+# it still imports its modules. The signal can be ignored then, because the
+# settings are read afterwards anyway.
 signal(SIGHUP, SIG_IGN)
-# Entry hosts speak plain HTTP. The client library loads the system's
-# certificates when it is imported, which takes 0.1 s.
+# Entry hosts use plain HTTP only. Empty certificate files save the 0.1 s that
+# the HTTP client library takes on import to load the system's certificates.
 environ.setdefault('SSL_CERT_FILE', devnull)
 environ.setdefault('SSL_CERT_DIR', devnull)
 
@@ -33,12 +35,13 @@
 
 
 def main(arguments: list[str]) -> int:
-    """Run the daemon until it is stopped; return an `ExitCode`.
+    """Run the daemon until it is stopped and return an `ExitCode`.
 
     Parameters
     ----------
     arguments : list of str
-        The path of a YAML file with the settings of this process.
+        Command-line arguments: the path of a YAML file with the settings of
+        this process.
     """
     if len(arguments) != 1:
         print(
@@ -50,10 +53,10 @@
     path = Path(arguments[0])
     try:
         settings = load_entry_settings(path)
-        # Most of the start is the import that follows. Callers that connect
-        # meanwhile wait for it instead of being turned away.
+        # The import that follows takes most of the start-up time. Callers
+        # that connect during it wait instead of being refused.
         listener = open_listener(settings.caller_address)
-        # The adapters register themselves.
+        # Importing the adapters registers them.
         import_module('sassafrasgate.platform.adapters')
         composition = import_module('sassafrasgate.composition.entry')
         composition.run_entry(path, listener)
--- a/tests/commands/test_main.py
+++ b/tests/commands/test_main.py
@@ -77,7 +77,7 @@
         ((404, {}), (500, b'oops'), 1, '500'),
         ((404, {}), None, 4, 'may have taken effect'),
         ((200, {'cell': 'other'}), None, 2, 'its own cell'),
-        ((200, [1]), None, 1, 'no configuration'),
+        ((200, [1]), None, 1, 'is not a configuration'),
         (None, None, 4, 'try another front end'),
     ],
 )
