--- a/sassafrasgate/daemons/frontend.py
+++ b/sassafrasgate/daemons/frontend.py
@@ -48,7 +48,7 @@
 
 STATUS_TIMEOUT_S = 2.0
 MIN_ATTEMPT_TIMEOUT_S = 0.05
-MAX_REPORTED_FLAWS = 20
+MAX_REPORTED_ISSUES = 20
 
 # Refusals of a process that has not acted on the message.
 RETRIED_REFUSALS = frozenset(
@@ -122,19 +122,19 @@
         """Configuration version in force."""
         return self._configuration.version
 
-    def shards(self) -> tuple[str, ...]:
+    def list_shards(self) -> tuple[str, ...]:
         """Return the names of all shards of the configuration."""
         return tuple(shard.name for shard in self._configuration.shards)
 
     def find_home(self, job_id: str) -> str:
         """Return the home shard of a job."""
-        return find_home_shard(job_id, self.shards())
+        return find_home_shard(job_id, self.list_shards())
 
-    def configuration(self) -> Configuration:
+    def get_configuration(self) -> Configuration:
         """Return the configuration in force in this process."""
         return self._configuration
 
-    def is_ready(self) -> Refusal | None:
+    def check_readiness(self) -> Refusal | None:
         """Return None if the process may serve requests, else a refusal."""
         if self._stopping:
             return Refusal(
@@ -154,20 +154,20 @@
             'use another entry host, or apply a first configuration',
         )
 
-    def may_operate(self) -> Refusal | None:
+    def check_operator_access(self) -> Refusal | None:
         """Return None if operators may be served, else a refusal.
 
         Operators are served before the first configuration, so that they
         can apply it.
         """
         if self._stopping or not self._is_current:
-            return self.is_ready() or self._refuse_unready()
+            return self.check_readiness() or self._refuse_unready()
         return None
 
-    async def ask_shard(self, message: Any, timeout_s: float) -> Any:
+    async def forward_to_shard(self, message: Any, timeout_s: float) -> Any:
         """Send a message to its shard's owner; see `Gateway`."""
         if not message.shard:
-            if not self.shards():
+            if not self.list_shards():
                 return Refusal(
                     RefusalKind.NOT_READY,
                     'no configuration has been applied yet',
@@ -239,13 +239,15 @@
     ) -> Configuration | Refusal | NoReply:
         """Publish a configuration by compare-and-swap on the version."""
         # The checks run in a thread: at the design size they take 0.2 s.
-        flaws = await anyio.to_thread.run_sync(
+        issues = await anyio.to_thread.run_sync(
             check_configuration, configuration
         )
-        if flaws:
+        if issues:
             return Refusal(
                 RefusalKind.INVALID,
-                '; '.join(str(flaw) for flaw in flaws[:MAX_REPORTED_FLAWS]),
+                '; '.join(
+                    str(issue) for issue in issues[:MAX_REPORTED_ISSUES]
+                ),
                 'correct the declaration and check it with '
                 '"sassafrasgate check"',
             )
