Describe logs, metrics and clocks in usual terms

Cause: comments and names such as "left out", "head" and DROPPED_ANSWERS did not use the terms of the rest of the code. Change: comments and docstrings reworded; DROPPED_REPLIES for the counter whose outer name stays dropped_answers_total; internal names of the log formatter renamed. Log lines and metrics stay as they were.

--- a/sassafrasgate/daemons/counters.py
+++ b/sassafrasgate/daemons/counters.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from sassafrasgate.observability.metrics import DROPPED_ANSWERS
+from sassafrasgate.observability.metrics import DROPPED_REPLIES
 from sassafrasgate.observability.metrics import LINK_BYTES
 from sassafrasgate.observability.metrics import LINK_MESSAGES
 from sassafrasgate.observability.metrics import STORE_CALLS
@@ -79,4 +79,4 @@
             if group == 'bytes':
                 self._metrics.count(LINK_BYTES, name, amount=new)
             if group == 'dropped':
-                self._metrics.count(DROPPED_ANSWERS, amount=new)
+                self._metrics.count(DROPPED_REPLIES, amount=new)
--- a/sassafrasgate/observability/__init__.py
+++ b/sassafrasgate/observability/__init__.py
@@ -1,1 +1,1 @@
-"""Logs, metrics and clocks."""
+"""Log lines, metrics and clocks of a process."""
--- a/sassafrasgate/observability/logs.py
+++ b/sassafrasgate/observability/logs.py
@@ -1,4 +1,4 @@
-"""Log lines in logfmt, written to standard error with logbook."""
+"""Log lines in logfmt, written with logbook."""
 
 from __future__ import annotations
 
@@ -28,14 +28,14 @@
     from logbook import LogRecord
 
 MAX_LINES_PER_S = 2_000
-PIPE_BYTES = 4096
+MAX_WRITE_BYTES = 4096
 
-_PLAIN = re.compile(r'[^\s"=\\\x00-\x1f\x7f]+')
-_CONTROL = re.compile(r'[\x7f-\x9f\u2028\u2029\ud800-\udfff]')
+_UNQUOTED_TEXT = re.compile(r'[^\s"=\\\x00-\x1f\x7f]+')
+_ESCAPED_CHARACTERS = re.compile(r'[\x7f-\x9f\u2028\u2029\ud800-\udfff]')
 
 
 class LogLevelError(SassafrasgateError):
-    """A log level is not one that logbook knows."""
+    """Raised for a log level that logbook does not know."""
 
     def __init__(self, level: str) -> None:
         super().__init__(
@@ -56,21 +56,21 @@
     job : str
         Job id.
     attempt : int
-        Number of the attempt, from 1; 0 when none was made.
+        Number of the attempt, from 1; 0 when no attempt was made.
     host : str
-        Chosen host; several are separated by commas.
+        Chosen host; several hosts are separated by commas.
     reason : str
-        Why no host was chosen, or why this one.
+        Why the host was chosen, or why no host was chosen.
     candidates : int
         Number of hosts or processes that were considered.
     shard : str
-        Shard that decided.
+        Shard that made the decision.
     epoch : int
         Epoch of the shard's owner.
     configuration : int
         Configuration version that the decision was based on.
     team, job_class : str
-        As the job names them.
+        Team and class of the job.
     duration_ms : float
         How long the decision took, in milliseconds.
     """
@@ -90,25 +90,27 @@
 
 
 def quote_value(value: object) -> str:
-    """Return a value as logfmt writes it.
+    """Format a value for logfmt.
 
     Text with spaces, quotes, equals signs, backslashes or control
-    characters is put in quotes and escaped as in JSON, so that one decision
-    never takes more than one line.
+    characters is quoted and escaped as in JSON, so that a value can neither
+    start a new line nor add a field.
 
     Examples
     --------
     >>> quote_value('no room')
     '"no room"'
     """
-    text = _render_plain(value)
-    if _PLAIN.fullmatch(text) and not _CONTROL.search(text):
+    text = _format_value(value)
+    if _UNQUOTED_TEXT.fullmatch(text) and not _ESCAPED_CHARACTERS.search(text):
         return text
-    return _CONTROL.sub(_escape_character, dumps(text, ensure_ascii=False))
+    return _ESCAPED_CHARACTERS.sub(
+        _escape_character, dumps(text, ensure_ascii=False)
+    )
 
 
 def format_pairs(pairs: dict[str, object]) -> str:
-    """Return ``key=value`` pairs separated by spaces.
+    """Format pairs as ``key=value``, separated by spaces.
 
     Examples
     --------
@@ -121,7 +123,7 @@
 
 
 def format_decision(decision: Decision) -> str:
-    """Return a decision as logfmt pairs; empty fields are left out."""
+    """Format a decision as logfmt pairs; empty fields are omitted."""
     pairs = {
         field.name: getattr(decision, field.name) for field in fields(decision)
     }
@@ -129,29 +131,30 @@
 
 
 def log_decision(logger: Logger, decision: Decision) -> None:
-    """Write one line for a decision at level INFO.
+    """Log a decision as one line at level INFO.
 
     Parameters
     ----------
     logger : Logger
-        Logger of the module that decided.
+        Logger of the module that made the decision.
     decision : Decision
-        What was decided. It is formatted only when the line is written.
+        The decision. It is formatted only if the line is written.
     """
     logger.info(decision.kind, extra={_DECISION: decision})
 
 
 class BoundedOutput:
-    """A text stream that leaves lines out where a write would block.
+    """A text stream that drops lines instead of blocking.
 
-    The number of lines left out is written with the next line that is not.
+    A line is dropped when a write would block or the rate limit is reached.
+    The next line that is written reports the number of dropped lines.
 
     Parameters
     ----------
     descriptor : int
-        Open file descriptor.
+        File descriptor that is open for writing.
     lines_per_s : int
-        Most lines in a second.
+        Maximum number of lines written in a second.
     """
 
     def __init__(
@@ -163,46 +166,47 @@
         self._lines_per_s = lines_per_s
         self._second = 0
         self._lines = 0
-        self._left_out = 0
+        self._dropped_lines = 0
 
     def write(self, text: str) -> int:
-        """Write whole lines, or leave them out."""
+        """Write whole lines or drop them; return the length of ``text``."""
         second = int(monotonic())
         if second != self._second:
             self._second, self._lines = second, 0
         self._lines += 1
         if self._lines > self._lines_per_s or not self._poll.poll(0):
-            self._left_out += 1
+            self._dropped_lines += 1
             return len(text)
-        if self._left_out:
-            text = f'{text.rstrip()} left_out={self._left_out}\n'
-            self._left_out = 0
-        # A pipe that polls as writable takes at least this much at once.
-        write(self._descriptor, text.encode()[:PIPE_BYTES])
+        if self._dropped_lines:
+            text = f'{text.rstrip()} left_out={self._dropped_lines}\n'
+            self._dropped_lines = 0
+        # A pipe that polls as writable accepts at least this many bytes
+        # without blocking.
+        write(self._descriptor, text.encode()[:MAX_WRITE_BYTES])
         return len(text)
 
     def flush(self) -> None:
-        """Do nothing; every line is written at once."""
+        """Do nothing, since every line is written immediately."""
 
 
 def open_standard_output() -> BoundedOutput:
-    """Return standard output as a stream that never blocks."""
+    """Return standard output as a stream whose writes never block."""
     return BoundedOutput(sys.stdout.fileno())
 
 
 def log_event(
     logger: Logger, kind: str, event_fields: tuple[tuple[str, object], ...]
 ) -> None:
-    """Write one line of named values at level INFO.
+    """Log an event with its fields as one line at level INFO.
 
     Parameters
     ----------
     logger : Logger
-        Logger of the module that decided.
+        Logger of the module in which the event happened.
     kind : str
-        What was decided or has happened.
+        Kind of the event.
     event_fields : tuple of (str, object)
-        Names and values; those with an empty text are left out.
+        Names and values of the fields; empty strings are omitted.
     """
     logger.info(kind, extra={_EVENT_FIELDS: event_fields})
 
@@ -212,29 +216,29 @@
     process_name: str,
     stream: TextIO | BoundedOutput | None = None,
 ) -> StreamHandler:
-    """Send the log lines of the whole process to one stream.
+    """Send all log lines of the process to one stream.
 
     Records of the standard library's `logging`, which hypercorn uses, are
-    sent the same way.
+    sent to the same stream.
 
     Parameters
     ----------
     level : str
-        Lowest level that is written, as logbook names it.
+        Lowest level that is written, by its logbook name.
     process_name : str
-        Written in each line.
-    stream : TextIO, optional
-        Where to write; standard error by default.
+        Name of the process, which is written in each line.
+    stream : TextIO or BoundedOutput, optional
+        Stream to write to; standard error by default.
 
     Returns
     -------
     StreamHandler
-        The handler, already in force; ``pop_application`` removes it.
+        The installed handler; ``pop_application`` removes it.
 
     Raises
     ------
     LogLevelError
-        When ``level`` is unknown.
+        When logbook does not know the level.
     """
     try:
         number = lookup_level(level.upper())
@@ -246,7 +250,8 @@
     root = logging.getLogger()
     root.handlers = [RedirectLoggingHandler()]
     root.setLevel(logging.DEBUG if level.upper() == 'DEBUG' else logging.INFO)
-    # httpx logs each call at INFO, which would bury the decisions.
+    # httpx logs each call at INFO, which would make the lines of decisions
+    # hard to find.
     logging.getLogger('httpx').setLevel(
         logging.DEBUG if level.upper() == 'DEBUG' else logging.WARNING
     )
@@ -258,7 +263,7 @@
 
 
 def _format_record(process: str, record: LogRecord, handler: object) -> str:
-    head: dict[str, object] = {
+    pairs: dict[str, object] = {
         'time': f'{record.time.isoformat(timespec="milliseconds")}Z',
         'level': record.level_name.lower(),
         'process': process,
@@ -266,22 +271,22 @@
     }
     if _DECISION in record.extra:
         decision = format_decision(record.extra[_DECISION])
-        return f'{format_pairs(head)} {decision}'
+        return f'{format_pairs(pairs)} {decision}'
     if _EVENT_FIELDS in record.extra:
-        head['kind'] = record.message
-        head.update(
+        pairs['kind'] = record.message
+        pairs.update(
             (name, value)
             for name, value in record.extra[_EVENT_FIELDS]
             if value != ''
         )
-        return format_pairs(head)
-    head['message'] = record.message
+        return format_pairs(pairs)
+    pairs['message'] = record.message
     if record.formatted_exception:
-        head['exception'] = record.formatted_exception
-    return format_pairs(head)
+        pairs['exception'] = record.formatted_exception
+    return format_pairs(pairs)
 
 
-def _render_plain(value: object) -> str:
+def _format_value(value: object) -> str:
     if isinstance(value, bool):
         return 'true' if value else 'false'
     if isinstance(value, float):
--- a/sassafrasgate/observability/metrics.py
+++ b/sassafrasgate/observability/metrics.py
@@ -1,4 +1,4 @@
-"""Metrics of one process, over aioprometheus."""
+"""Definitions and values of the metrics of a process."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
 PREFIX = 'sassafrasgate_'
 CONTENT_TYPE = 'text/plain; version=0.0.4; charset=utf-8'
 
-# Decisions take fractions of a millisecond, long polls up to a minute.
+# Decisions take fractions of a millisecond, long polls up to one minute.
 SECONDS_BUCKETS = (
     0.0005,
     0.001,
@@ -39,7 +39,7 @@
 
 
 class MetricKind(StrEnum):
-    """The kinds of metrics that processes publish."""
+    """Kind of a metric, as Prometheus names it."""
 
     COUNTER = 'counter'
     GAUGE = 'gauge'
@@ -48,19 +48,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Metric:
-    """Definition of one metric.
+    """Definition of a metric.
 
     Parameters
     ----------
     name : str
-        Name without the common prefix; ends in its unit.
+        Name without the common prefix; a unit, if any, comes last.
     kind : MetricKind
-        Selects the collector.
+        Kind of the metric, which selects the collector.
     help : str
-        One sentence for the scrape.
+        One sentence that describes the metric in the scrape.
     labels : tuple of str
-        Label names, in the order in which values are given. Values must be
-        few: kinds and reasons, never job ids or team names.
+        Label names, in the order in which values are given. A label must
+        have few distinct values, such as kinds or reasons, and never job ids
+        or team names, since each value is a time series of its own.
     """
 
     name: str
@@ -90,7 +91,7 @@
     Raises
     ------
     DuplicateNameError
-        When the name is taken.
+        When the name is already registered.
     """
     return METRICS.register(name)(Metric(name, kind, text, labels))
 
@@ -130,7 +131,7 @@
     'Bytes of frames on links by direction.',
     'direction',
 )
-DROPPED_ANSWERS = define_metric(
+DROPPED_REPLIES = define_metric(
     MetricKind.COUNTER,
     'dropped_answers_total',
     'Answers that matched no open request.',
@@ -203,23 +204,23 @@
         *labels : str
             One value for each label, in the order of the definition.
         amount : int
-            What to add; not negative.
+            Amount to add; not negative.
 
         Raises
         ------
         ValueError
-            When the number of label values does not match.
+            When the number of label values differs from the definition.
         """
-        self._collectors[metric.name].add(_name_labels(metric, labels), amount)
+        self._collectors[metric.name].add(_map_labels(metric, labels), amount)
 
     def set_gauge(self, metric: Metric, value: float, *labels: str) -> None:
-        """Set a gauge; see `count` for the labels."""
-        self._collectors[metric.name].set(_name_labels(metric, labels), value)
+        """Set a gauge; labels are given as for `count`."""
+        self._collectors[metric.name].set(_map_labels(metric, labels), value)
 
     def observe(self, metric: Metric, seconds: float, *labels: str) -> None:
-        """Add a duration in seconds to a histogram."""
+        """Add a duration in seconds to a histogram; labels as for `count`."""
         self._collectors[metric.name].observe(
-            _name_labels(metric, labels), seconds
+            _map_labels(metric, labels), seconds
         )
 
     def render(self) -> bytes:
@@ -233,5 +234,5 @@
     return collector(f'{PREFIX}{metric.name}', metric.help, registry=registry)
 
 
-def _name_labels(metric: Metric, values: tuple[str, ...]) -> dict[str, str]:
+def _map_labels(metric: Metric, values: tuple[str, ...]) -> dict[str, str]:
     return dict(zip(metric.labels, values, strict=True))
--- a/tests/observability/test_logs.py
+++ b/tests/observability/test_logs.py
@@ -1,4 +1,4 @@
-"""Guards log lines: one line a decision, whatever the values contain."""
+"""Tests that each log record is one line, whatever its values contain."""
 
 from io import StringIO
 import logging
@@ -54,7 +54,7 @@
         (True, 'true'),
     ],
 )
-def test_value_can_not_break_a_line_or_forge_a_field(value, quoted):
+def test_values_can_not_start_a_line_or_add_a_field(value, quoted):
     assert quote_value(value) == quoted
     assert len(quoted.splitlines()) == 1
 
@@ -77,6 +77,6 @@
     assert stream.getvalue() == ''
 
 
-def test_unknown_level_names_the_choices():
+def test_unknown_level_is_an_error_that_lists_the_levels():
     with pytest.raises(LogLevelError, match="'loud'.*INFO"):
         configure_logging('loud', 'front')
--- a/tests/observability/test_metrics.py
+++ b/tests/observability/test_metrics.py
@@ -1,4 +1,4 @@
-"""Guards the scrape against wrong names, labels and values."""
+"""Tests names, labels and values in the rendered metrics."""
 
 import pytest
 
@@ -27,7 +27,7 @@
     assert f'{seconds}_bucket{{le="+Inf",route="/v1/jobs"}} 1.0' in lines
 
 
-def test_every_metric_is_rendered_and_processes_share_nothing():
+def test_every_metric_is_rendered_and_instances_share_no_values():
     first, second = Metrics(), Metrics()
     first.count(DECISIONS, 'place')
     assert b'decisions_total{' not in second.render()
