Name the composition's tasks, inboxes and limits plainly

Cause: names such as budget, share, advisers, greeting and drain, and clipped comments, didn't say what they stand for. Change: rate limiters, inboxes, delays and heartbeat functions have usual names, docstrings list their parameters, the warning about a failed reload says so, and the tests of the command line and of an entry host's start name the behaviour that they check.

--- a/sassafrasgate/composition/__init__.py
+++ b/sassafrasgate/composition/__init__.py
@@ -1,1 +1,1 @@
-"""The composition root: the one place where the parts are wired."""
+"""The composition root, which builds and connects the tasks of daemons."""
--- a/sassafrasgate/composition/daemons.py
+++ b/sassafrasgate/composition/daemons.py
@@ -1,4 +1,4 @@
-"""Wires front ends and schedulers."""
+"""Composition of the tasks of front ends and schedulers."""
 
 from __future__ import annotations
 
@@ -8,12 +8,12 @@
 
 import anyio
 
-from sassafrasgate.composition.processes import FRONTEND_TTL_MS
+from sassafrasgate.composition.processes import FRONTEND_LEASE_TTL_MS
 from sassafrasgate.composition.processes import open_process
 from sassafrasgate.composition.processes import Process
-from sassafrasgate.composition.processes import READY_DRAIN_S
-from sassafrasgate.composition.processes import SHARE_INTERVAL_S
-from sassafrasgate.composition.processes import SHARE_WEIGHTS
+from sassafrasgate.composition.processes import RATE_UPDATE_INTERVAL_S
+from sassafrasgate.composition.processes import RATE_WEIGHTS
+from sassafrasgate.composition.processes import SHUTDOWN_DELAY_S
 from sassafrasgate.composition.runtime import Inbox
 from sassafrasgate.composition.runtime import make_inbox
 from sassafrasgate.composition.runtime import wait_for_stop
@@ -35,10 +35,18 @@
     from sassafrasgate.http.gateways import Gateway
 
 
-def make_greeting(
+def make_heartbeat_factory(
     name: str, find_version: Callable[[], int]
 ) -> Callable[[], Heartbeat]:
-    """Return the function that makes this process's heartbeats."""
+    """Return a function that makes the heartbeats of a front end.
+
+    Parameters
+    ----------
+    name : str
+        Name of the process.
+    find_version : callable
+        Returns the version of the configuration that the process uses.
+    """
 
     def make_heartbeat() -> Heartbeat:
         return Heartbeat(name, find_version())
@@ -46,23 +54,35 @@
     return make_heartbeat
 
 
-def make_listener(
-    configurations: MemoryObjectSendStream[Any],
+def make_heartbeat_handler(
+    configuration_sender: MemoryObjectSendStream[Any],
 ) -> Callable[[Heartbeat], None]:
-    """Return the function that passes heard versions on."""
-    heard: dict[str, int] = {}
+    """Return a function that handles heartbeats received from other processes.
+
+    It sends a `PeerVersionReceived` when a process has a newer configuration.
+
+    Parameters
+    ----------
+    configuration_sender : MemoryObjectSendStream
+        The configuration task's inbox.
+    """
+    latest_versions: dict[str, int] = {}
 
     def handle_heartbeat(heartbeat: Heartbeat) -> None:
-        # Only news is passed on, so that the inbox can't fill up.
-        if heard.get(heartbeat.sender, -1) >= heartbeat.configuration:
+        # Only newer versions are passed on, so that heartbeats don't fill up
+        # the inbox.
+        if (
+            latest_versions.get(heartbeat.sender, -1)
+            >= heartbeat.configuration
+        ):
             return
-        heard[heartbeat.sender] = heartbeat.configuration
+        latest_versions[heartbeat.sender] = heartbeat.configuration
         try:
-            configurations.send_nowait(
+            configuration_sender.send_nowait(
                 PeerVersionReceived(heartbeat.sender, heartbeat.configuration)
             )
         except anyio.WouldBlock:
-            del heard[heartbeat.sender]
+            del latest_versions[heartbeat.sender]
 
     return handle_heartbeat
 
@@ -71,65 +91,83 @@
     process: Process,
     directory: Directory,
     group: TaskGroup,
-    main: Inbox,
-    configurations: Inbox,
+    main_inbox: Inbox,
+    configuration_inbox: Inbox,
     ttl_ms: int,
 ) -> None:
-    """Start the budget, the lease, the watch and the configuration."""
+    """Start the tasks that front ends and schedulers have in common.
+
+    Parameters
+    ----------
+    process : Process
+        Shared objects of the process.
+    directory : Directory
+        Live processes and the links to them.
+    group : TaskGroup
+        Task group in which the tasks run.
+    main_inbox, configuration_inbox : Inbox
+        Inboxes of the process's main task and of its configuration task.
+    ttl_ms : int
+        Length of the process's lease in the store, in ms.
+    """
     lease = LeaseTask(
         process.lease_store,
         process.member,
-        main.send,
+        main_inbox.send,
         ttl_ms,
         int(process.settings.outage_grace_s * 1000),
     )
     control = ControlWatchTask(
-        process.watch_store, (main.send, configurations.send)
+        process.watch_store, (main_inbox.send, configuration_inbox.send)
     )
     configuration = ConfigurationTask(
         process.store,
         directory.broadcast_request,
-        configurations.receive,
-        (main.send,),
+        configuration_inbox.receive,
+        (main_inbox.send,),
     )
-    group.start_soon(process.budget.run)
+    group.start_soon(process.rate_limiter.run)
     group.start_soon(lease.run)
     group.start_soon(control.run)
     group.start_soon(configuration.run)
-    group.start_soon(follow_share, process, directory)
-    counts = CounterTask(
+    group.start_soon(update_rate_limits, process, directory)
+    counters = CounterTask(
         (process.store, process.watch_store, process.lease_store),
         lambda: (link.counts for link in directory.list_links()),
         process.metrics,
     )
-    group.start_soon(counts.run)
+    group.start_soon(counters.run)
     directory.connect_peers()
 
 
-async def follow_share(process: Process, directory: Directory) -> None:
-    """Divide the cell's share of the store among the live processes."""
+async def update_rate_limits(process: Process, directory: Directory) -> None:
+    """Keep this process's share of the cell's store call rates up to date.
+
+    The cell's rates are divided among its live processes by `RATE_WEIGHTS`.
+    """
     settings = process.settings
-    known = 0.0
+    current_share = 0.0
     while True:
-        await anyio.sleep(SHARE_INTERVAL_S)
+        await anyio.sleep(RATE_UPDATE_INTERVAL_S)
         weights = [
-            SHARE_WEIGHTS.get(member.role, 1)
+            RATE_WEIGHTS.get(member.role, 1)
             for member in directory.members.values()
         ]
         if not weights:
             continue
-        share = SHARE_WEIGHTS[process.member.role] / sum(weights)
-        if share == known:
+        share = RATE_WEIGHTS[process.member.role] / sum(weights)
+        if share == current_share:
             continue
-        known = share
-        await process.budget.set_rates(
+        current_share = share
+        await process.rate_limiter.set_rates(
             settings.writes_per_s * share, settings.reads_per_s * share
         )
 
 
 async def serve_frontend(settings: Settings) -> None:
-    """Run a front end process until it is told to stop."""
-    # HTTP is imported here, since a scheduler's callers do not need it.
+    """Run a front end until the process gets a stop signal."""
+    # The HTTP modules are imported here because schedulers do not serve
+    # callers over HTTP.
     from sassafrasgate.daemons.frontend import FrontendTask
     from sassafrasgate.http.application import build_application
     from sassafrasgate.http.limits import Limits
@@ -141,38 +179,43 @@
         open_process(settings, 'frontend') as process,
         anyio.create_task_group() as group,
     ):
-        main, configurations = make_inbox(), make_inbox()
+        main_inbox, configuration_inbox = make_inbox(), make_inbox()
         directory = Directory(
             group,
             settings.peers,
-            make_greeting(settings.name, lambda: task.version),
-            make_listener(configurations.send),
+            make_heartbeat_factory(settings.name, lambda: task.version),
+            make_heartbeat_handler(configuration_inbox.send),
         )
         task = FrontendTask(
             settings.name,
             directory,
             process.store,
-            main.receive,
-            configurations.send,
+            main_inbox.receive,
+            configuration_inbox.send,
             process.logger,
             process.metrics,
         )
         application = build_application(task, process.metrics, Limits())
         start_common_tasks(
-            process, directory, group, main, configurations, FRONTEND_TTL_MS
+            process,
+            directory,
+            group,
+            main_inbox,
+            configuration_inbox,
+            FRONTEND_LEASE_TTL_MS,
         )
         group.start_soon(task.run)
         group.start_soon(wait_for_stop, stop)
 
-        async def close_later() -> None:
+        async def close_after_stop() -> None:
             await stop.wait()
             task.stop()
-            # The load balancer needs to see that the process is not ready
-            # before the listening socket closes.
-            await anyio.sleep(READY_DRAIN_S)
+            # The load balancer needs time to see that the process is not
+            # ready before the listening socket closes.
+            await anyio.sleep(SHUTDOWN_DELAY_S)
             closed.set()
 
-        group.start_soon(close_later)
+        group.start_soon(close_after_stop)
         await serve_http(
             application, settings.http_address, closed, settings.drain_s
         )
@@ -180,7 +223,7 @@
 
 
 async def serve_scheduler(settings: Settings) -> None:
-    """Run a scheduler process until it is told to stop."""
+    """Run a scheduler until the process gets a stop signal."""
     from sassafrasgate.daemons.messages import StopProcess
     from sassafrasgate.daemons.scheduler import SchedulerTask
     from sassafrasgate.daemons.shards import ShardServices
@@ -195,17 +238,17 @@
         open_process(settings, 'scheduler') as process,
         anyio.create_task_group() as group,
     ):
-        main, configurations = make_inbox(), make_inbox()
-        hear_version = make_listener(configurations.send)
+        main_inbox, configuration_inbox = make_inbox(), make_inbox()
+        handle_version = make_heartbeat_handler(configuration_inbox.send)
 
         def make_heartbeat() -> Heartbeat:
-            # Summaries ride on the heartbeats, which flow anyway.
+            # Heartbeats carry the summaries, which saves separate messages.
             return Heartbeat(
                 settings.name, task.version, task.list_summaries()
             )
 
         def handle_heartbeat(heartbeat: Heartbeat) -> None:
-            hear_version(heartbeat)
+            handle_version(heartbeat)
             task.receive_summaries(heartbeat.summaries)
 
         directory = Directory(
@@ -230,15 +273,15 @@
             process.member,
             services,
             directory,
-            main.receive,
+            main_inbox.receive,
             int(settings.drain_s * 1000),
         )
         start_common_tasks(
             process,
             directory,
             group,
-            main,
-            configurations,
+            main_inbox,
+            configuration_inbox,
             int(settings.owner_ttl_s * 1000),
         )
         group.start_soon(server.run)
@@ -254,14 +297,14 @@
         )
         group.start_soon(wait_for_stop, stop)
 
-        async def pass_stop_on() -> None:
+        async def forward_stop() -> None:
             await stop.wait()
-            await main.send.send(StopProcess())
+            await main_inbox.send.send(StopProcess())
 
-        group.start_soon(pass_stop_on)
+        group.start_soon(forward_stop)
         await task.run()
-        # Answers that are queued on the link server still have to leave.
-        await anyio.sleep(READY_DRAIN_S)
+        # The link server needs time to send the replies that it has queued.
+        await anyio.sleep(SHUTDOWN_DELAY_S)
         closed.set()
         group.cancel_scope.cancel()
 
--- a/sassafrasgate/composition/entry.py
+++ b/sassafrasgate/composition/entry.py
@@ -1,4 +1,4 @@
-"""Wires the process of an entry host."""
+"""Composition of the tasks of an entry host's daemon."""
 
 from __future__ import annotations
 
@@ -58,39 +58,46 @@
     from sassafrasgate.configuration.entry_settings import EntrySettings
     from sassafrasgate.http.gateways import Gateway
 
-LEASE_TIMEOUT_S = 0.7
-# One host, the owner, makes most of the calls; the others renew and watch.
-BUDGET_SHARE = 0.6
-# Operators' changes that come in quick succession share a call.
-TABLE_PAUSE_S = 0.2
-REGISTRATION_PAUSE_S = 0.4
-# The load balancer takes a host out after two misses, a second apart.
-READY_DRAIN_S = 2.6
-# Settings that a reload puts in force.
-APPLIED = frozenset({'writes_per_s', 'reads_per_s'})
-# Longest time that callers' connections wait for the first routing table.
-TABLE_WAIT_S = 1.0
-# Time for open requests to end before the process is killed.
+LEASE_CALL_TIMEOUT_S = 0.7
+# Share of the entry hosts' total rates of store calls that each host may use.
+# The owner makes most of the calls; the other hosts only renew their leases
+# and watch keys.
+MAX_RATE_SHARE = 0.6
+# Pauses before the next watch call, so that changes in quick succession, such
+# as operators' changes of the routing table, share a call.
+TABLE_WATCH_PAUSE_S = 0.2
+REGISTRATION_WATCH_PAUSE_S = 0.4
+# Time between reporting not ready and closing the listening socket. The load
+# balancer removes a host after two failed probes, which are one second apart.
+SHUTDOWN_DELAY_S = 2.6
+# Settings that a reload applies without a restart.
+RELOADABLE_SETTINGS = frozenset({'writes_per_s', 'reads_per_s'})
+# Maximum time that callers' connections wait for the first routing table.
+ROUTING_TABLE_TIMEOUT_S = 1.0
+# Subtracted from `EntrySettings.stop_s`, so that open requests end before the
+# process is killed.
 STOP_MARGIN_S = 1.2
 
 
-async def follow_reloads(
+async def handle_reload_signals(
     signals: AsyncIterator[Signals],
     path: Path,
     settings: EntrySettings,
-    budget: StoreRateLimiter,
+    rate_limiter: StoreRateLimiter,
     logger: Logger,
 ) -> None:
-    """Read the settings again at each signal.
+    """Read the settings again at each reload signal.
 
-    The store's rates take effect at once; other settings need a restart,
-    which the log line says.
+    The rates of store calls take effect at once. The other settings need a
+    restart; the log line names those that have changed.
     """
     async for _ in signals:
         try:
             changed = load_entry_settings(path)
         except SettingsError as error:
-            logger.warning('the settings are left as they were: {}', error)
+            logger.warning(
+                'reload failed, the settings stay unchanged: {}', error
+            )
             continue
         names = tuple(
             field.name
@@ -98,24 +105,24 @@
             if getattr(changed, field.name) != getattr(settings, field.name)
         )
         settings = changed
-        await budget.set_rates(
-            settings.writes_per_s * BUDGET_SHARE,
-            settings.reads_per_s * BUDGET_SHARE,
+        await rate_limiter.set_rates(
+            settings.writes_per_s * MAX_RATE_SHARE,
+            settings.reads_per_s * MAX_RATE_SHARE,
         )
         log_event(
             logger,
             'reload',
             (
                 ('changed', ','.join(names)),
-                ('needs_restart', ','.join(set(names) - APPLIED)),
+                ('needs_restart', ','.join(set(names) - RELOADABLE_SETTINGS)),
             ),
         )
 
 
 async def serve_entry(path: Path, listener: socket | None = None) -> None:
-    """Run the process of an entry host until it is told to stop."""
-    # A reload that is asked for from here on is carried out: the settings
-    # are read after this point.
+    """Run the daemon of an entry host until it gets a stop signal."""
+    # No reload signal is lost: the settings are read only after the handler
+    # for it has been installed.
     with anyio.open_signal_receiver(SIGHUP) as signals:
         await _serve_entry(path, signals, listener)
 
@@ -144,16 +151,16 @@
         'start',
         (('incarnation', member.incarnation), ('settings', repr(settings))),
     )
-    budget = StoreRateLimiter(
-        settings.writes_per_s * BUDGET_SHARE,
-        settings.reads_per_s * BUDGET_SHARE,
+    rate_limiter = StoreRateLimiter(
+        settings.writes_per_s * MAX_RATE_SHARE,
+        settings.reads_per_s * MAX_RATE_SHARE,
     )
     stop = anyio.Event()
     closed = anyio.Event()
 
     def open_store(**options: Any) -> Any:
         return adapters.open_store(
-            settings.store_address, rate_limiter=budget, **options
+            settings.store_address, rate_limiter=rate_limiter, **options
         )
 
     async with (
@@ -161,12 +168,12 @@
         open_store() as watch_store,
         open_store() as table_store,
         open_store() as direct_registration_store,
-        open_store(timeout_s=LEASE_TIMEOUT_S) as direct_lease_store,
+        open_store(timeout_s=LEASE_CALL_TIMEOUT_S) as direct_lease_store,
         anyio.create_task_group() as group,
     ):
-        main, advisers = make_inbox(), make_inbox()
+        main_inbox, advice_inbox = make_inbox(), make_inbox()
 
-        def relay(store: Any) -> RelayedStore:
+        def make_relayed_store(store: Any) -> RelayedStore:
             return RelayedStore(
                 store,
                 lambda call, timeout_s: relay_through_peers(
@@ -175,8 +182,11 @@
                 logger,
             )
 
-        store, lease_store = relay(direct_store), relay(direct_lease_store)
-        registration_store = relay(direct_registration_store)
+        store, lease_store = (
+            make_relayed_store(direct_store),
+            make_relayed_store(direct_lease_store),
+        )
+        registration_store = make_relayed_store(direct_registration_store)
 
         def make_heartbeat() -> Heartbeat:
             return Heartbeat(settings.name, task.version)
@@ -184,21 +194,22 @@
         def handle_heartbeat(heartbeat: Heartbeat) -> None:
             return
 
-        async def follow_workers(listener: Any) -> None:
+        async def watch_registrations(event_listener: Any) -> None:
             watch = PrefixWatch(
                 registration_store,
                 adapters.registrations.prefix,
-                REGISTRATION_PAUSE_S,
+                REGISTRATION_WATCH_PAUSE_S,
             )
             await RegistrationTask(
-                watch, adapters.registrations, listener
+                watch, adapters.registrations, event_listener
             ).run()
 
         def handle_disconnect(address: str) -> None:
             try:
-                main.send.send_nowait(LinkClosed(address))
+                main_inbox.send.send_nowait(LinkClosed(address))
             except anyio.WouldBlock:
-                # The owner's lease shows its end a little later.
+                # The inbox is full. The expiry of the owner's lease shows
+                # a little later that the owner has ended.
                 return
 
         directory = Directory(
@@ -212,7 +223,7 @@
         )
         election = OwnerElection(member, store, directory, logger)
         advice_router = AdviceRouter(
-            member.name, directory, advisers.send, server.reply
+            member.name, directory, advice_inbox.send, server.reply
         )
         services = DispatcherServices(
             f'{member.name}/{member.incarnation}',
@@ -224,7 +235,7 @@
                 worker, address, CALL_TIMEOUT_S
             ),
             advice_router.request_advice,
-            follow_workers,
+            watch_registrations,
             election.has_ended,
             election.hand_over,
             logger,
@@ -235,47 +246,52 @@
             services,
             directory,
             election,
-            main.receive,
-            advisers.send,
-            main.send.send,
+            main_inbox.receive,
+            advice_inbox.send,
+            main_inbox.send.send,
         )
         gateway = EntryGateway(member.name, task)
-        lease = LeaseTask(
+        lease_task = LeaseTask(
             lease_store,
             member,
-            main.send,
+            main_inbox.send,
             int(settings.owner_ttl_s * 1000),
             int(settings.outage_grace_s * 1000),
         )
-        table = RoutingTableTask(
+        table_task = RoutingTableTask(
             PrefixWatch(
-                table_store, adapters.routing_table.prefix, TABLE_PAUSE_S
+                table_store, adapters.routing_table.prefix, TABLE_WATCH_PAUSE_S
             ),
             adapters.routing_table,
-            main.send,
+            main_inbox.send,
             logger,
         )
-        counts = CounterTask(
+        counter_task = CounterTask(
             (store, watch_store, table_store, registration_store, lease_store),
             lambda: (link.counts for link in directory.list_links()),
             metrics,
         )
-        group.start_soon(budget.run)
-        group.start_soon(lease.run)
-        group.start_soon(ControlWatchTask(watch_store, (main.send,)).run)
-        group.start_soon(table.run)
-        group.start_soon(counts.run)
+        group.start_soon(rate_limiter.run)
+        group.start_soon(lease_task.run)
+        group.start_soon(ControlWatchTask(watch_store, (main_inbox.send,)).run)
+        group.start_soon(table_task.run)
+        group.start_soon(counter_task.run)
         group.start_soon(
             AdviceTask(
                 adapters.open_advice_client(settings.advice_address),
-                advisers.receive,
+                advice_inbox.receive,
             ).run
         )
         group.start_soon(server.run)
         group.start_soon(task.run)
         group.start_soon(wait_for_stop, stop)
         group.start_soon(
-            follow_reloads, signals, path, settings, budget, logger
+            handle_reload_signals,
+            signals,
+            path,
+            settings,
+            rate_limiter,
+            logger,
         )
         group.start_soon(
             serve_http,
@@ -297,21 +313,21 @@
             0.0,
         )
 
-        async def close_later() -> None:
+        async def close_after_stop() -> None:
             await stop.wait()
-            await main.send.send(StopProcess())
-            await anyio.sleep(READY_DRAIN_S)
+            await main_inbox.send.send(StopProcess())
+            await anyio.sleep(SHUTDOWN_DELAY_S)
             closed.set()
 
-        group.start_soon(close_later)
-        with anyio.move_on_after(TABLE_WAIT_S):
-            # Until then every request would be refused.
+        group.start_soon(close_after_stop)
+        with anyio.move_on_after(ROUTING_TABLE_TIMEOUT_S):
+            # Without a routing table, every request would be refused.
             await task.has_table.wait()
         await serve_http(
             adapters.build_caller_application(gateway, logger, metrics),
             settings.caller_address,
             closed,
-            max(0.0, settings.stop_s - READY_DRAIN_S - STOP_MARGIN_S),
+            max(0.0, settings.stop_s - SHUTDOWN_DELAY_S - STOP_MARGIN_S),
             listener=listener,
         )
         log_event(logger, 'stopped', (('incarnation', member.incarnation),))
@@ -319,18 +335,18 @@
 
 
 def run_entry(path: Path, listener: socket | None = None) -> None:
-    """Run the process of an entry host; blocks until it has stopped.
+    """Run the daemon of an entry host; block until it has stopped.
 
     Parameters
     ----------
     path : Path
-        YAML file with its settings.
+        YAML file with the settings of the daemon.
     listener : socket, optional
-        Listens on the callers' address already.
+        Socket that already listens on the address for callers.
 
     Raises
     ------
     SettingsError
-        When the file has faults.
+        When the settings file has faults.
     """
     anyio.run(serve_entry, path, listener)
--- a/sassafrasgate/composition/processes.py
+++ b/sassafrasgate/composition/processes.py
@@ -1,4 +1,4 @@
-"""What the composition of every kind of process has in common."""
+"""Set-up that front ends and schedulers have in common."""
 
 from __future__ import annotations
 
@@ -20,34 +20,42 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-LEASE_TIMEOUT_S = 0.8
-FRONTEND_TTL_MS = 10_000
-READY_DRAIN_S = 1.0
-SHARE_INTERVAL_S = 2.0
-# A front end only keeps its lease and publishes configurations.
-SHARE_WEIGHTS = {'scheduler': 8, 'frontend': 1}
+LEASE_CALL_TIMEOUT_S = 0.8
+FRONTEND_LEASE_TTL_MS = 10_000
+# Time for the load balancer to see that a front end is not ready, or for a
+# scheduler to send its queued replies.
+SHUTDOWN_DELAY_S = 1.0
+RATE_UPDATE_INTERVAL_S = 2.0
+# Relative shares of the cell's rates of store calls, by role. A front end
+# makes few calls: it only renews its lease and publishes configurations.
+RATE_WEIGHTS = {'scheduler': 8, 'frontend': 1}
 
 
 @dataclass(frozen=True, slots=True)
 class Process:
-    """What front ends and schedulers have in common.
+    """Objects that the tasks of a front end or scheduler share.
 
     Parameters
     ----------
     settings : Settings
-        Of this process.
+        Settings of this process.
     member : Member
-        How it announces itself.
-    budget : StoreRateLimiter
-        Its share of the store's calls, which all clients draw on.
+        Member entry of this process.
+    rate_limiter : StoreRateLimiter
+        Limits the store calls of all three clients together to this process's
+        share of the cell's rates.
     store, watch_store, lease_store : Store
-        Clients for general calls, the watch, and the lease, which must
-        not wait for one another.
+        Store clients for general calls, for the watch and for the lease.
+        They are separate so that the calls do not wait for one another.
+    metrics : Metrics
+        Metrics of this process.
+    logger : Logger
+        Logger of this process, named after its role.
     """
 
     settings: Settings
     member: Member
-    budget: StoreRateLimiter
+    rate_limiter: StoreRateLimiter
     store: Any
     watch_store: Any
     lease_store: Any
@@ -59,7 +67,7 @@
 async def open_process(
     settings: Settings, role: str
 ) -> AsyncIterator[Process]:
-    """Open logs, metrics and store clients of a process."""
+    """Set up the logging, metrics and store clients of a process."""
     configure_logging(settings.log_level, settings.name)
     member = Member(
         settings.name,
@@ -68,23 +76,28 @@
         settings.link_address,
         settings.failure_domain,
     )
-    # Until the live processes are known, the settings' peers are taken for
-    # the entry hosts, each with a front end and a scheduler.
-    share = 2 * (len(settings.peers) + 1)
-    budget = StoreRateLimiter(
-        settings.writes_per_s / share, settings.reads_per_s / share
+    # Until the live processes are known, assume that this process and each
+    # peer in the settings run on an entry host of their own, and that every
+    # entry host runs a front end and a scheduler.
+    processes = 2 * (len(settings.peers) + 1)
+    rate_limiter = StoreRateLimiter(
+        settings.writes_per_s / processes, settings.reads_per_s / processes
     )
     async with (
-        open_store(settings.store_url, rate_limiter=budget) as store,
-        open_store(settings.store_url, rate_limiter=budget) as watch_store,
+        open_store(settings.store_url, rate_limiter=rate_limiter) as store,
         open_store(
-            settings.store_url, timeout_s=LEASE_TIMEOUT_S, rate_limiter=budget
+            settings.store_url, rate_limiter=rate_limiter
+        ) as watch_store,
+        open_store(
+            settings.store_url,
+            timeout_s=LEASE_CALL_TIMEOUT_S,
+            rate_limiter=rate_limiter,
         ) as lease_store,
     ):
         yield Process(
             settings,
             member,
-            budget,
+            rate_limiter,
             store,
             watch_store,
             lease_store,
--- a/sassafrasgate/composition/runtime.py
+++ b/sassafrasgate/composition/runtime.py
@@ -1,4 +1,4 @@
-"""Inboxes and signals of every kind of process."""
+"""Task inboxes and stop signals, used by every kind of process."""
 
 from __future__ import annotations
 
@@ -16,20 +16,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Inbox:
-    """Both ends of a task's inbox."""
+    """The sending and the receiving end of a task's inbox."""
 
     send: MemoryObjectSendStream[Any]
     receive: MemoryObjectReceiveStream[Any]
 
 
 def make_inbox(size: int = INBOX_SIZE) -> Inbox:
-    """Return a bounded inbox for one task."""
+    """Return an inbox for one task that holds up to ``size`` messages."""
     send, receive = anyio.create_memory_object_stream[Any](size)
     return Inbox(send, receive)
 
 
 async def wait_for_stop(event: anyio.Event) -> None:
-    """Set an event at the first SIGTERM or SIGINT."""
+    """Set an event when SIGTERM or SIGINT arrives."""
     with anyio.open_signal_receiver(SIGTERM, SIGINT) as signals:
         async for _ in signals:
             event.set()
--- a/tests/commands/frontends.py
+++ b/tests/commands/frontends.py
@@ -1,4 +1,4 @@
-"""A front end that gives prepared answers on a port of its own."""
+"""A front end that sends prepared responses, on a port of its own."""
 
 from contextlib import contextmanager
 from http.server import BaseHTTPRequestHandler
@@ -8,25 +8,26 @@
 
 
 @contextmanager
-def run_frontend(answers):
-    """Serve ``answers`` and yield the URL and the list of requests.
+def run_frontend(responses):
+    """Serve ``responses`` and yield the URL and the list of requests.
 
-    ``answers`` maps method and path to status and document; bytes are sent
-    as they are, and None closes the connection without an answer.
+    ``responses`` maps a method and a path to a status and a document. A
+    document of bytes is sent unchanged, any other one as JSON. None instead
+    of a status and a document closes the connection without a response.
     """
     requests = []
 
     class Handler(BaseHTTPRequestHandler):
-        def answer(self):
+        def respond(self):
             size = int(self.headers.get('Content-Length') or 0)
             body = json.loads(self.rfile.read(size)) if size else None
             requests.append((self.command, self.path, self.headers, body))
             path = self.path.partition('?')[0]
-            found = answers.get((self.command, path), (404, {}))
-            if found is None:
+            response = responses.get((self.command, path), (404, {}))
+            if response is None:
                 self.close_connection = True
                 return
-            status, document = found
+            status, document = response
             content = document
             if not isinstance(document, bytes):
                 content = json.dumps(document).encode()
@@ -35,7 +36,7 @@
             self.end_headers()
             self.wfile.write(content)
 
-        do_GET = do_PUT = do_POST = do_DELETE = answer
+        do_GET = do_PUT = do_POST = do_DELETE = respond
 
         def log_message(self, *arguments):
             pass
--- a/tests/commands/test_main.py
+++ b/tests/commands/test_main.py
@@ -1,4 +1,4 @@
-"""Guards the command line: exit codes, calls, outputs and imports."""
+"""Tests of the command line: exit codes, requests, outputs and imports."""
 
 import base64
 import json
@@ -33,9 +33,9 @@
 """
 
 
-def run(answers, *arguments):
-    """Run a command against a front end; return its code and requests."""
-    with run_frontend(answers) as (url, requests):
+def run(responses, *arguments):
+    """Run a command against a front end; return its exit code and requests."""
+    with run_frontend(responses) as (url, requests):
         return run_command_line([*arguments, '--url', url]), requests
 
 
@@ -49,22 +49,22 @@
     assert {'file', 'line', 'path', 'value', 'remedy'} < faults[0].keys()
 
 
-def test_apply_sends_the_version_it_was_made_from(capsys):
-    # Without If-Match, a racing change would be overwritten unseen.
-    answers = {
+def test_apply_sends_the_version_it_was_compared_with(capsys):
+    # Without If-Match, a concurrent change would be overwritten unnoticed.
+    responses = {
         CONFIGURATION: (200, {'version': 7, 'cell': 'brazos'}),
         ('PUT', '/v1/configuration'): (200, {'version': 8}),
     }
-    code, requests = run(answers, 'apply', BRAZOS)
+    code, requests = run(responses, 'apply', BRAZOS)
     _, path, headers, body = requests[-1]
     assert (code, path) == (0, '/v1/configuration')
     assert headers['If-Match'] == '"7"'
     assert set(body) == {'cell', 'hosts', 'shards', 'teams', 'rules'}
     assert len(body['hosts']) == 24
     assert 'version 8 is accepted' in capsys.readouterr().out
-    code, requests = run(answers, 'apply', BRAZOS, '--output', 'xml')
+    code, requests = run(responses, 'apply', BRAZOS, '--output', 'xml')
     assert (code, requests) == (2, [])
-    code, requests = run(answers, 'apply', BRAZOS, '--dry-run')
+    code, requests = run(responses, 'apply', BRAZOS, '--dry-run')
     assert requests[-1][1] == '/v1/configuration?dry_run=true'
     assert 'not applied' in capsys.readouterr().out
 
@@ -81,25 +81,27 @@
         (None, None, 4, 'try another front end'),
     ],
 )
-def test_apply_tells_failures_apart(capsys, current, put, code, message):
-    answers = {CONFIGURATION: current, ('PUT', '/v1/configuration'): put}
-    assert run(answers, 'apply', BRAZOS)[0] == code
+def test_apply_reports_each_kind_of_failure(
+    capsys, current, put, code, message
+):
+    responses = {CONFIGURATION: current, ('PUT', '/v1/configuration'): put}
+    assert run(responses, 'apply', BRAZOS)[0] == code
     assert message in capsys.readouterr().err
 
 
 def test_apply_of_the_configuration_in_force_sends_nothing(capsys):
-    answers = {CONFIGURATION: (404, {}), ('PUT', '/v1/configuration'): None}
-    _, requests = run(answers, 'apply', BRAZOS)
+    responses = {CONFIGURATION: (404, {}), ('PUT', '/v1/configuration'): None}
+    _, requests = run(responses, 'apply', BRAZOS)
     body = {**requests[-1][3], 'version': 3}
-    answers = {CONFIGURATION: (200, body)}
-    code, requests = run(answers, 'apply', BRAZOS)
+    responses = {CONFIGURATION: (200, body)}
+    code, requests = run(responses, 'apply', BRAZOS)
     assert (code, len(requests)) == (0, 1)
     assert 'nothing to change' in capsys.readouterr().out
-    assert run(answers, 'diff', BRAZOS)[0] == 0
+    assert run(responses, 'diff', BRAZOS)[0] == 0
     assert '0 changes to version 3' in capsys.readouterr().out
 
 
-def test_a_front_end_that_does_not_listen_is_unreachable(capsys):
+def test_front_end_that_does_not_listen_is_reported_as_unreachable(capsys):
     with run_frontend({}) as (url, _):
         pass
     assert run_command_line(['hosts', '--url', url]) == 4
@@ -121,11 +123,11 @@
         ['serve', 'scheduler', '--settings', 'none'],
     ],
 )
-def test_bad_usage_and_bad_input_end_with_2(arguments):
+def test_bad_usage_and_bad_input_return_exit_code_2(arguments):
     assert run_command_line(arguments) == 2
 
 
-def test_the_url_may_come_from_the_environment(monkeypatch, capsys):
+def test_url_may_come_from_the_environment(monkeypatch, capsys):
     with run_frontend({('GET', '/v1/shards'): (200, [])}) as (url, _):
         monkeypatch.setenv('SASSAFRASGATE_URL', url)
         assert run_command_line(['shards']) == 0
@@ -134,7 +136,7 @@
     assert 'SASSAFRASGATE_URL' in capsys.readouterr().err
 
 
-def test_hosts_as_a_table_and_as_json(capsys):
+def test_hosts_are_printed_as_a_table_and_as_json(capsys):
     row = {
         'name': 'waco-a-1',
         'failure_domain': 'waco',
@@ -142,8 +144,8 @@
         'capacity': {'millicores': 16000, 'memory_mb': 32768, 'slots': 8},
         'tasks': 0,
     }
-    answers = {('GET', '/v1/hosts'): (200, {'hosts': [row]})}
-    assert run(answers, 'hosts')[0] == 0
+    responses = {('GET', '/v1/hosts'): (200, {'hosts': [row]})}
+    assert run(responses, 'hosts')[0] == 0
     heading, line, note = capsys.readouterr().out.splitlines()
     assert heading.split()[:5] == ['host', 'domain', 'rack', 'status', 'cores']
     assert line.split()[:7] == [
@@ -156,7 +158,7 @@
         '1/8',
     ]
     assert note == '1 hosts'
-    run(answers, 'hosts', '--output', 'json')
+    run(responses, 'hosts', '--output', 'json')
     assert json.loads(capsys.readouterr().out) == {'hosts': [row]}
 
 
@@ -171,47 +173,49 @@
         (['show'], 'GET /v1/configuration', 'version'),
     ],
 )
-def test_each_command_makes_its_call(capsys, arguments, request_line, text):
+def test_each_command_sends_its_request(capsys, arguments, request_line, text):
     method, _, path = request_line.partition(' ')
     document = {'state': 'cancelled', 'lines': ['no room on 24 hosts']}
-    answers = {(method, path.partition('?')[0]): (200, document)}
-    code, requests = run(answers, *arguments)
+    responses = {(method, path.partition('?')[0]): (200, document)}
+    code, requests = run(responses, *arguments)
     assert (code, *requests[-1][:2]) == (0, method, path)
     assert text in capsys.readouterr().out
 
 
-def test_status_of_a_front_end_that_is_not_ready(capsys):
-    answers = {
+def test_status_fails_for_a_front_end_that_is_not_ready(capsys):
+    responses = {
         ('GET', '/healthz'): (200, {'name': 'frontend-1'}),
         ('GET', '/readyz'): (503, {'reason': 'no configuration'}),
     }
-    assert run(answers, 'status')[0] == 1
+    assert run(responses, 'status')[0] == 1
     out = capsys.readouterr().out
     assert 'frontend-1' in out
     assert 'no configuration' in out
 
 
-def test_submit_sends_the_payload_and_names_the_job(tmp_path, capsysbinary):
+def test_submit_sends_the_payload_and_prints_the_job_id(
+    tmp_path, capsysbinary
+):
     (tmp_path / 'payload.bin').write_bytes(b'\x00\xff')
     file = tmp_path / 'job.yaml'
     file.write_text(JOB.format(job_class='batch'))
-    answers = {
+    responses = {
         ('POST', '/v1/jobs'): (200, {'job_id': 'j1'}),
         ('POST', '/v1/requests'): (200, b'\x01\xfe'),
     }
-    code, requests = run(answers, 'submit', str(file))
+    code, requests = run(responses, 'submit', str(file))
     body = requests[-1][3]
     assert code == 0
     assert base64.b64decode(body['payload_base64']) == b'\x00\xff'
     assert (body['key'], body['resources']['millicores']) == ('order-17', 500)
     assert b'job j1 is known already' in capsysbinary.readouterr().out
     file.write_text(JOB.format(job_class='quick'))
-    assert run(answers, 'submit', str(file))[0] == 0
+    assert run(responses, 'submit', str(file))[0] == 0
     assert capsysbinary.readouterr().out == b'\x01\xfe'
     (tmp_path / 'payload.bin').unlink()
-    assert run(answers, 'submit', str(file))[0] == 2
+    assert run(responses, 'submit', str(file))[0] == 2
     file.write_text(JOB.format(job_class='bulk'))
-    assert run(answers, 'submit', str(file))[0] == 2
+    assert run(responses, 'submit', str(file))[0] == 2
 
 
 @pytest.mark.parametrize('cell', ['brazos', 'suenario'])
@@ -223,7 +227,7 @@
     assert {job.team for job in jobs} <= teams
 
 
-def test_serve_hands_checked_settings_to_the_composition_root(monkeypatch):
+def test_serve_passes_checked_settings_to_the_composition_root(monkeypatch):
     served = []
 
     class Composition:
@@ -235,14 +239,17 @@
     frontend = SETTINGS.with_name('frontend-2.yaml')
     for role, path in (('scheduler', SETTINGS), ('frontend', frontend)):
         assert run_command_line(['serve', role, '--settings', str(path)]) == 0
-    assert [each.name for each in served] == ['scheduler-1', 'frontend-2']
-    # A front end's settings have no address for the inner protocol.
-    wrong = ['serve', 'scheduler', '--settings', str(frontend)]
-    assert run_command_line(wrong) == 2
+    assert [settings.name for settings in served] == [
+        'scheduler-1',
+        'frontend-2',
+    ]
+    # The settings of a front end have no address for the inner protocol.
+    wrong_settings = ['serve', 'scheduler', '--settings', str(frontend)]
+    assert run_command_line(wrong_settings) == 2
 
 
-def test_a_daemon_does_not_import_what_only_operators_use():
-    # Each module would stay resident in every daemon of the cell.
+def test_daemon_does_not_import_modules_that_only_operators_need():
+    # Each of these modules would take up memory in every daemon of the cell.
     script = f"""\
 import sys, types
 from sassafrasgate.commands.jobs import load_job
@@ -257,11 +264,11 @@
     'sassafrasgate.configuration.declarations'}}
 print(code, sorted(unwanted & set(sys.modules)))
 """
-    ended = subprocess.run(
+    completed = subprocess.run(
         [sys.executable, '-c', script],
         capture_output=True,
         check=True,
         text=True,
         cwd=EXAMPLES.parent,
     )
-    assert ended.stdout == '0 []\n'
+    assert completed.stdout == '0 []\n'
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -1,4 +1,4 @@
-"""Guards the start of an entry host's daemon."""
+"""Tests of the start of an entry host's daemon."""
 
 from socket import create_connection
 from socket import socket
@@ -10,14 +10,14 @@
 
 def find_address():
     """Return an address that nothing listens on."""
-    with socket() as free:
-        free.bind(('127.0.0.1', 0))
-        host, port = free.getsockname()
+    with socket() as unused:
+        unused.bind(('127.0.0.1', 0))
+        host, port = unused.getsockname()
     return f'{host}:{port}'
 
 
 def write_settings(path, **changes):
-    """Write the settings of an entry host; return the callers' address."""
+    """Write the settings of an entry host; return the address for callers."""
     settings = {
         name: find_address()
         for name in (
@@ -37,8 +37,9 @@
 def test_callers_can_connect_while_the_daemon_is_imported(
     tmp_path, monkeypatch
 ):
-    # Guards against callers that are turned away during the longest part of
-    # a start, and use up their retries.
+    # Guards against a daemon that opens its socket only after its imports,
+    # which take most of its start-up time. Callers would be refused meanwhile
+    # and use up their retries.
     path = tmp_path / 'settings.yaml'
     address = write_settings(path)
     listeners = []
@@ -57,8 +58,9 @@
     listener.close()
 
 
-def test_bad_settings_are_reported_before_anything_listens(tmp_path, capsys):
-    # Guards against a daemon that takes callers it can never serve.
+def test_bad_settings_are_reported(tmp_path, capsys):
+    # Guards against a daemon that accepts connections although it can never
+    # serve requests.
     path = tmp_path / 'settings.yaml'
     write_settings(path, stop_s='soon')
 
@@ -66,19 +68,21 @@
     assert "'soon'" in capsys.readouterr().err
 
 
-def test_a_missing_argument_is_reported(capsys):
-    # Guards against a start without settings that fails with a trace.
+def test_missing_argument_is_reported(capsys):
+    # Guards against a traceback instead of the usage when the path of the
+    # settings is missing.
     assert entry.main([]) == ExitCode.BAD_INPUT
     assert entry.USAGE in capsys.readouterr().err
 
 
-def test_an_address_in_use_is_reported(tmp_path, capsys):
-    # Guards against a trace where a port is taken.
+def test_address_in_use_is_reported(tmp_path, capsys):
+    # Guards against a traceback instead of an error message when another
+    # process uses the port.
     path = tmp_path / 'settings.yaml'
-    with socket() as taken:
-        taken.bind(('127.0.0.1', 0))
-        taken.listen()
-        host, port = taken.getsockname()
+    with socket() as other:
+        other.bind(('127.0.0.1', 0))
+        other.listen()
+        host, port = other.getsockname()
         write_settings(path, caller_address=f'{host}:{port}')
 
         assert entry.main([str(path)]) == ExitCode.BAD_INPUT
