--- a/sassafrasgate/http/__init__.py
+++ b/sassafrasgate/http/__init__.py
@@ -1,1 +1,1 @@
-"""HTTP for callers and operators."""
+"""HTTP interface for callers, operators and health checks."""
--- a/sassafrasgate/http/application.py
+++ b/sassafrasgate/http/application.py
@@ -1,4 +1,4 @@
-"""The ASGI application with all registered routes."""
+"""ASGI application that serves the registered routes."""
 
 from __future__ import annotations
 
@@ -14,16 +14,16 @@
 from starlette.routing import Route
 
 from sassafrasgate.core.errors import RefusalKind
-from sassafrasgate.http.bodies import CallerRequest
+from sassafrasgate.http.bodies import HttpRequest
 import sassafrasgate.http.configurations
 import sassafrasgate.http.health
 import sassafrasgate.http.jobs
-from sassafrasgate.http.limits import OpenRequests
+from sassafrasgate.http.limits import UsageLimiter
 import sassafrasgate.http.operators
 from sassafrasgate.http.problems import describe_refusal
 from sassafrasgate.http.problems import Problem
 from sassafrasgate.http.problems import render_problem
-import sassafrasgate.http.requests  # noqa: F401
+import sassafrasgate.http.quick_requests  # noqa: F401
 from sassafrasgate.http.routes import Context
 from sassafrasgate.http.routes import RouteGroup
 from sassafrasgate.http.routes import ROUTES
@@ -59,23 +59,25 @@
     gateway : Gateway
         Access to the shards and to the configuration.
     metrics : Metrics
-        Where requests are counted, and what ``/metrics`` shows.
+        Metrics of the process; requests are counted in them and
+        ``/metrics`` returns them.
     limits : Limits
-        Bounds of the process.
+        Limits of the process.
     groups : frozenset of RouteGroup
-        Which routes to serve: all on a front end, health on a scheduler.
+        Groups of routes to serve: all on a front end, only health on a
+        scheduler.
     """
-    per_team = OpenRequests(limits.max_open_per_team)
-    context = Context(gateway, metrics, limits, per_team)
-    open_by_group = {
-        RouteGroup.CALLERS: OpenRequests(limits.max_open_callers),
-        RouteGroup.OPERATORS: OpenRequests(limits.max_open_operators),
+    team_limiter = UsageLimiter(limits.max_open_requests_per_team)
+    context = Context(gateway, metrics, limits, team_limiter)
+    group_limiters = {
+        RouteGroup.CALLERS: UsageLimiter(limits.max_open_caller_requests),
+        RouteGroup.OPERATORS: UsageLimiter(limits.max_open_operator_requests),
     }
-    open_bytes = OpenRequests(limits.max_open_body_bytes)
+    body_limiter = UsageLimiter(limits.max_open_body_bytes)
     definitions: dict[str, dict[str, RouteDefinition]] = {}
-    # starlette tries the routes in order; callers' short paths are the hot
-    # ones.
-    for key in sorted(ROUTES, key=_rank_route):
+    # starlette tries the routes in order, so the most frequently requested
+    # ones, the short paths of the callers, come first.
+    for key in sorted(ROUTES, key=_make_route_order):
         definition = ROUTES.find(key)
         if definition.group not in groups:
             continue
@@ -84,37 +86,41 @@
         )
     return Starlette(
         routes=[
-            Route(path, _Endpoint(methods, context, open_by_group, open_bytes))
+            Route(
+                path, _Endpoint(methods, context, group_limiters, body_limiter)
+            )
             for path, methods in definitions.items()
         ],
         exception_handlers={404: _handle_no_route, 500: _handle_error},
     )
 
 
-def _rank_route(key: tuple[str, str]) -> tuple[int, int, str]:
+def _make_route_order(key: tuple[str, str]) -> tuple[int, int, str]:
     group = ROUTES.find(key).group
     method, path = key
     return (tuple(RouteGroup).index(group), len(path), method)
 
 
 class _Endpoint:
-    """Serves one path: bounds, time limits, metrics and rendering.
+    """Serves the methods of one path.
 
-    It is an ASGI application rather than a function, so that a request
-    counts as open until its response has been sent.
+    It limits the number of open requests, applies time limits, counts
+    requests in the metrics and renders problems. It is an ASGI application
+    rather than a function, so that a request counts as open until its
+    response has been sent.
     """
 
     def __init__(
         self,
         methods: dict[str, RouteDefinition],
         context: Context,
-        open_by_group: dict[RouteGroup, OpenRequests],
-        open_bytes: OpenRequests,
+        group_limiters: dict[RouteGroup, UsageLimiter],
+        body_limiter: UsageLimiter,
     ) -> None:
         self._methods = methods
         self._context = context
-        self._open_by_group = open_by_group
-        self._open_bytes = open_bytes
+        self._group_limiters = group_limiters
+        self._body_limiter = body_limiter
 
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
@@ -122,22 +128,24 @@
         method = 'GET' if scope['method'] == 'HEAD' else scope['method']
         definition = self._methods.get(method)
         if definition is None:
-            response = render_problem(_describe_method(method, self._methods))
+            response = render_problem(
+                _describe_method_not_allowed(method, self._methods)
+            )
             await response(scope, receive, send)
             return
         limits = self._context.limits
         started = perf_counter()
-        request = CallerRequest(scope, receive, self._open_bytes)
+        request = HttpRequest(scope, receive, self._body_limiter)
         status = 'disconnected'
         try:
-            with self._count_open(definition.group) as refusal:
-                response = await self._respond(definition, request, refusal)
+            with self._limit_open_requests(definition.group) as problem:
+                response = await self._respond(definition, request, problem)
                 status = str(response.status_code)
-                await request.discard_body(limits.body_timeout_s)
+                await request.discard_remaining_body(limits.body_timeout_s)
                 with fail_after(limits.send_timeout_s):
                     await _send_response(request, response, send)
         except ClientDisconnect:
-            # Nobody is left to answer.
+            # The client has disconnected, so no response is sent.
             pass
         finally:
             request.release_bytes()
@@ -149,17 +157,17 @@
     async def _respond(
         self,
         definition: RouteDefinition,
-        request: CallerRequest,
-        refusal: Problem | None,
+        request: HttpRequest,
+        problem: Problem | None,
     ) -> Response:
-        answer = refusal or self._check_ready(definition.group)
-        if answer is None:
-            answer = await definition.handler(request, self._context)
-        if isinstance(answer, Problem):
-            return render_problem(answer)
-        return answer
-
-    def _check_ready(self, group: RouteGroup) -> Any:
+        result = problem or self._check_access(definition.group)
+        if result is None:
+            result = await definition.handler(request, self._context)
+        if isinstance(result, Problem):
+            return render_problem(result)
+        return result
+
+    def _check_access(self, group: RouteGroup) -> Any:
         if group is RouteGroup.HEALTH:
             return None
         gateway = self._context.gateway
@@ -167,36 +175,38 @@
             refusal = gateway.check_operator_access()
         else:
             refusal = gateway.check_readiness()
-        # While it stops, a process still serves what the load balancer
-        # sends before it has taken notice.
+        # A stopping process still serves the requests that the load balancer
+        # sends until it notices that the process is not ready.
         if refusal is None or refusal.kind is RefusalKind.STOPPING:
             return None
         return describe_refusal(refusal)
 
     @contextmanager
-    def _count_open(self, group: RouteGroup) -> Iterator[Problem | None]:
-        requests = self._open_by_group.get(group)
-        if requests is None:
+    def _limit_open_requests(
+        self, group: RouteGroup
+    ) -> Iterator[Problem | None]:
+        limiter = self._group_limiters.get(group)
+        if limiter is None:
             yield None
             return
-        if not requests.enter(group):
+        if not limiter.acquire(group):
             yield Problem(
                 RefusalKind.OVERLOADED,
-                f'this process has too many open requests of {group}',
+                f'this process has too many open requests from {group}',
                 'try again after the time in Retry-After',
             )
             return
         metrics = self._context.metrics
-        metrics.set_gauge(OPEN_REQUESTS, requests.count(group), group)
+        metrics.set_gauge(OPEN_REQUESTS, limiter.get_usage(group), group)
         try:
             yield None
         finally:
-            requests.leave(group)
-            metrics.set_gauge(OPEN_REQUESTS, requests.count(group), group)
+            limiter.release(group)
+            metrics.set_gauge(OPEN_REQUESTS, limiter.get_usage(group), group)
 
 
 async def _send_response(
-    request: CallerRequest, response: Response, send: Send
+    request: HttpRequest, response: Response, send: Send
 ) -> None:
     if request.is_received:
         await response(request.scope, request.receive, send)
@@ -206,13 +216,13 @@
         await response(request.scope, request.receive, send)
 
 
-def _describe_method(
+def _describe_method_not_allowed(
     method: str, methods: dict[str, RouteDefinition]
 ) -> Problem:
     allow = ', '.join(sorted(methods))
     return Problem(
         'method-not-allowed',
-        f'method {method!r} is not served on this path',
+        f'this path does not support method {method!r}',
         f'use one of {allow}',
         allow=allow,
     )
@@ -222,7 +232,7 @@
     return render_problem(
         Problem(
             'no-route',
-            f'nothing is served at {request.url.path!r:.200}',
+            f'no route matches the path {request.url.path!r:.200}',
             'see the caller and operator API in docs/design.md',
         )
     )
@@ -232,7 +242,7 @@
     return render_problem(
         Problem(
             'internal',
-            'the request met an unexpected error, which is in the log',
+            'an unexpected error occurred; the process has logged it',
             'read the current state before trying again',
         )
     )
--- a/sassafrasgate/http/bodies.py
+++ b/sassafrasgate/http/bodies.py
@@ -1,4 +1,4 @@
-"""Reading of request bodies and query parameters."""
+"""Request bodies and query parameters."""
 
 from __future__ import annotations
 
@@ -26,17 +26,17 @@
     from starlette.types import Receive
     from starlette.types import Scope
 
-    from sassafrasgate.http.limits import OpenRequests
+    from sassafrasgate.http.limits import UsageLimiter
 
-# A connection that is closed with unread data is reset, and the caller may
-# lose the response. So what is left of a body is read up to this bound.
+# Closing a connection with unread data resets it, and the client may then lose
+# the response. The rest of a body is therefore read up to this size.
 MAX_DISCARDED_BYTES = 32 * 1024 * KIB
 
-_BODIES = 'bodies'
+_BODIES_KEY = 'bodies'
 
 
-class CallerRequest(Request):
-    """A request that tracks its body.
+class HttpRequest(Request):
+    """A request that tracks how much of its body is read and buffered.
 
     Parameters
     ----------
@@ -44,63 +44,64 @@
         ASGI scope.
     receive : Receive
         ASGI receive function.
-    open_bytes : OpenRequests
-        Count of the bytes of all bodies in memory.
+    body_limiter : UsageLimiter
+        Limits the bytes of all request bodies in memory.
 
     Attributes
     ----------
     is_received : bool
-        Whether the body, or the connection, has ended.
+        Whether the whole body has been received or the client has
+        disconnected.
     """
 
     def __init__(
-        self, scope: Scope, receive: Receive, open_bytes: OpenRequests
+        self, scope: Scope, receive: Receive, body_limiter: UsageLimiter
     ) -> None:
-        super().__init__(scope, self._receive_part)
-        self._receive_plain = receive
-        self._open_bytes = open_bytes
-        self._reserved = 0
+        super().__init__(scope, self._receive_message)
+        self._receive_from_server = receive
+        self._body_limiter = body_limiter
+        self._reserved_bytes = 0
         self.is_received = False
 
-    async def _receive_part(self) -> Message:
-        message = await self._receive_plain()
+    async def _receive_message(self) -> Message:
+        message = await self._receive_from_server()
         if not message.get('more_body', False):
             self.is_received = True
         return message
 
     def reserve_bytes(self, amount: int) -> bool:
-        """Count ``amount`` bytes of body, unless the process has too many."""
-        if not self._open_bytes.enter(_BODIES, amount):
+        """Reserve memory for a body; return False if the limit is reached."""
+        if not self._body_limiter.acquire(_BODIES_KEY, amount):
             return False
-        self._reserved += amount
+        self._reserved_bytes += amount
         return True
 
     def release_bytes(self) -> None:
-        """Give back all reserved bytes."""
-        if self._reserved:
-            self._open_bytes.leave(_BODIES, self._reserved)
-            self._reserved = 0
+        """Release all bytes reserved for this request."""
+        if self._reserved_bytes:
+            self._body_limiter.release(_BODIES_KEY, self._reserved_bytes)
+            self._reserved_bytes = 0
 
-    async def discard_body(self, timeout_s: float) -> None:
-        """Read what is left of the body, within bounds of size and time."""
+    async def discard_remaining_body(self, timeout_s: float) -> None:
+        """Read the rest of the body, up to a limit of size and time."""
         size = 0
         with move_on_after(timeout_s):
             while not self.is_received and size < MAX_DISCARDED_BYTES:
                 message = await self.receive()
                 size += len(message.get('body', b''))
 
-    async def wait_unless_disconnected(
+    async def run_until_disconnect(
         self, function: Callable[[], Awaitable[Any]]
     ) -> Any:
-        """Return what ``function`` returns, or stop it with the connection.
+        """Return the result of ``function``; cancel it on a disconnect.
 
-        It is for calls without effect: their callers may be gone long
-        before a wait of a minute ends.
+        It is meant for calls without side effects, such as a wait of up to
+        a minute for a job whose caller may disconnect long before.
 
         Raises
         ------
         starlette.requests.ClientDisconnect
-            When the connection ends first.
+            If the client disconnects first.
         """
         results = []
         async with create_task_group() as group:
@@ -117,100 +118,107 @@
         scope.cancel()
 
     async def discard_messages(self) -> None:
-        """Read on until the body or the connection has ended.
+        """Discard messages until the body ends or the client disconnects.
 
-        hypercorn queues a bounded number of body messages and waits for
-        room when a response ends, so an unread body would block it.
+        hypercorn queues a limited number of body messages and waits for
+        space in the queue when a response ends, so an unread body would
+        block the response.
         """
         while not self.is_received:
             await self.receive()
 
 
 async def read_body(
-    request: CallerRequest, limit: int, timeout_s: float
+    request: HttpRequest, max_bytes: int, timeout_s: float
 ) -> bytes | Problem:
     """Return the whole body of a request.
 
     Parameters
     ----------
-    request : CallerRequest
-        A request whose body is not read yet.
-    limit : int
-        Longest body, in bytes.
+    request : HttpRequest
+        A request whose body has not been read.
+    max_bytes : int
+        Maximum size of the body, in bytes.
     timeout_s : float
-        How long the whole body may take, in seconds.
+        Time limit for receiving the whole body, in seconds.
 
     Raises
     ------
     starlette.requests.ClientDisconnect
-        When the caller goes away before the end of the body.
+        If the client disconnects before the end of the body.
     """
     declared = request.headers.get('content-length', '')
-    expected = int(declared) if declared.isdecimal() else limit
-    if expected > limit:
-        return _describe_too_large(limit)
+    expected = int(declared) if declared.isdecimal() else max_bytes
+    if expected > max_bytes:
+        return _describe_too_large(max_bytes)
     if not request.reserve_bytes(expected):
-        return _describe_busy(expected)
+        return _describe_body_memory_used_up(expected)
     parts: list[bytes] = []
     size = 0
     with move_on_after(timeout_s):
         async for part in request.stream():
             size += len(part)
-            if size > limit:
-                return _describe_too_large(limit)
+            if size > max_bytes:
+                return _describe_too_large(max_bytes)
             parts.append(part)
         return b''.join(parts)
     return Problem(
         'body-timeout',
-        f'{size} bytes of the body arrived within {timeout_s:g} s',
-        'send the whole body at once',
+        f'only {size} bytes of the body arrived within {timeout_s:g} s',
+        'send the whole body without pauses',
     )
 
 
-async def read_fields(
-    request: CallerRequest, limit: int, timeout_s: float
+async def read_json_object(
+    request: HttpRequest, max_bytes: int, timeout_s: float
 ) -> dict[str, Any] | Problem:
-    """Return the members of a JSON object; see `read_body`."""
-    body = await read_body(request, limit, timeout_s)
+    """Return the members of a body that is a JSON object.
+
+    The parameters are those of `read_body`.
+    """
+    body = await read_body(request, max_bytes, timeout_s)
     if isinstance(body, Problem):
         return body
     try:
         fields = decode(body)
     except (DecodeError, UnicodeDecodeError) as error:
-        return describe_faults((f'body: is not JSON: {error}',))
+        return describe_faults((f'body: is not valid JSON: {error}',))
     if not isinstance(fields, dict):
         return describe_faults(('body: must be a JSON object',))
     return fields
 
 
-def read_seconds(request: Request, name: str, most: float) -> float | Problem:
-    """Return a query parameter in seconds, 0 when it is absent."""
+def read_seconds(request: Request, name: str, max_s: float) -> float | Problem:
+    """Return a query parameter in seconds; 0 if it is absent."""
     text = request.query_params.get(name, '0')
     try:
         seconds = float(text)
     except ValueError:
         seconds = -1.0
-    if isfinite(seconds) and 0 <= seconds <= most:
+    if isfinite(seconds) and 0 <= seconds <= max_s:
         return seconds
     return describe_faults(
-        (f'{name}: must be a number from 0 to {most:g}, not {text!r:.80}',)
+        (f'{name}: must be a number from 0 to {max_s:g}, not {text!r:.80}',)
     )
 
 
-def read_whole(
-    request: Request, name: str, default: int, most: int
+def read_integer(
+    request: Request, name: str, default: int, maximum: int
 ) -> int | Problem:
-    """Return a whole number from 1 to ``most`` of the query."""
+    """Return a whole number from 1 to ``maximum`` from a query parameter."""
     text = request.query_params.get(name, str(default))
-    if text.isascii() and text.isdecimal() and 1 <= int(text) <= most:
+    if text.isascii() and text.isdecimal() and 1 <= int(text) <= maximum:
         return int(text)
     return describe_faults(
-        (f'{name}: must be a whole number from 1 to {most}, not {text!r:.80}',)
+        (
+            f'{name}: must be a whole number from 1 to {maximum}, '
+            f'not {text!r:.80}',
+        )
     )
 
 
 def describe_faults(faults: tuple[str, ...]) -> Problem:
-    """Return the problem that names all faults of a request."""
+    """Return the problem that lists all faults of a request."""
     return Problem(
         RefusalKind.INVALID,
         f'{len(faults)} fault(s): {"; ".join(faults)}',
@@ -219,17 +227,17 @@
     )
 
 
-def _describe_too_large(limit: int) -> Problem:
+def _describe_too_large(max_bytes: int) -> Problem:
     return Problem(
         'body-too-large',
-        f'the body has more than {limit} bytes',
-        f'send at most {limit} bytes',
+        f'the body has more than {max_bytes} bytes',
+        f'send at most {max_bytes} bytes',
     )
 
 
-def _describe_busy(expected: int) -> Problem:
+def _describe_body_memory_used_up(expected: int) -> Problem:
     return Problem(
         RefusalKind.OVERLOADED,
-        f'this process has no room for a body of {expected} bytes now',
+        f'this process has no free memory for a body of {expected} bytes',
         'send the request again after the time in Retry-After',
     )
--- a/sassafrasgate/http/configurations.py
+++ b/sassafrasgate/http/configurations.py
@@ -1,4 +1,4 @@
-"""Routes that read and change the configuration."""
+"""Operators' routes that read and change the configuration."""
 
 from __future__ import annotations
 
@@ -21,50 +21,54 @@
 from sassafrasgate.core.errors import RefusalKind
 from sassafrasgate.http.bodies import describe_faults
 from sassafrasgate.http.bodies import read_body
+from sassafrasgate.http.json_responses import render_json
 from sassafrasgate.http.problems import describe_refusal
 from sassafrasgate.http.problems import describe_unknown
 from sassafrasgate.http.problems import Problem
 from sassafrasgate.http.routes import register_route
 from sassafrasgate.http.routes import RouteGroup
-from sassafrasgate.http.views import render_json
 
 if TYPE_CHECKING:
     from starlette.responses import Response
 
-    from sassafrasgate.http.bodies import CallerRequest
+    from sassafrasgate.http.bodies import HttpRequest
     from sassafrasgate.http.routes import Context
 
-# A process learns of a newer version within seconds, so the waits between
-# the tries add up to about five.
-DRAIN_TRIES = 6
-FIRST_PAUSE_S = 0.16
+# A process receives a newer version within seconds, so the delays between the
+# attempts add up to about 5 s.
+MAX_DRAIN_ATTEMPTS = 6
+INITIAL_RETRY_DELAY_S = 0.16
 
-_FLAGS = {'': True, 'true': True, '1': True, 'false': False, '0': False}
+_BOOLEANS = {'': True, 'true': True, '1': True, 'false': False, '0': False}
 
 
 @register_route('GET', '/v1/configuration', RouteGroup.OPERATORS)
 async def show_configuration(
-    request: CallerRequest, context: Context
+    request: HttpRequest, context: Context
 ) -> Response:
     """Return the configuration in force, with its version as ETag."""
     configuration = context.gateway.get_configuration()
-    return render_json(configuration, headers=_tag(configuration.version))
+    return render_json(
+        configuration, headers=_make_etag_header(configuration.version)
+    )
 
 
 @register_route('PUT', '/v1/configuration', RouteGroup.OPERATORS)
 async def replace_configuration(
-    request: CallerRequest, context: Context
+    request: HttpRequest, context: Context
 ) -> Response | Problem:
-    """Put a whole configuration in force, or only show what it changes."""
-    dry_run = _FLAGS.get(request.query_params.get('dry_run', 'false').lower())
+    """Publish a whole configuration, or show its changes in a dry run."""
+    dry_run = _BOOLEANS.get(
+        request.query_params.get('dry_run', 'false').lower()
+    )
     if dry_run is None:
         return describe_faults(('dry_run: must be true or false',))
-    expected = _read_version(request)
+    expected = _read_if_match(request)
     if isinstance(expected, Problem):
         return expected
     limits = context.limits
     body = await read_body(
-        request, limits.max_configuration_body, limits.body_timeout_s
+        request, limits.max_configuration_body_bytes, limits.body_timeout_s
     )
     if isinstance(body, Problem):
         return body
@@ -73,7 +77,7 @@
         return configuration
     current = context.gateway.get_configuration()
     if dry_run:
-        return _show_difference(current, configuration, expected)
+        return _render_difference(current, configuration, expected)
     accepted = await context.gateway.publish(configuration, expected)
     if isinstance(accepted, Configuration):
         return _render_accepted(accepted)
@@ -82,30 +86,30 @@
 
 @register_route('POST', '/v1/hosts/{name}/drain', RouteGroup.OPERATORS)
 async def drain_host(
-    request: CallerRequest, context: Context
+    request: HttpRequest, context: Context
 ) -> Response | Problem:
-    """Keep new work away from a host."""
+    """Drain a host, so that it gets no new tasks."""
     return await _set_drained(context, request.path_params['name'], True)
 
 
 @register_route('POST', '/v1/hosts/{name}/restore', RouteGroup.OPERATORS)
 async def restore_host(
-    request: CallerRequest, context: Context
+    request: HttpRequest, context: Context
 ) -> Response | Problem:
-    """Let a drained host get new work again."""
+    """End the drain of a host, so that it gets new tasks again."""
     return await _set_drained(context, request.path_params['name'], False)
 
 
 def parse_configuration(
     body: bytes, expected_version: int
 ) -> Configuration | Problem:
-    """Return the configuration of a JSON body.
+    """Return the configuration in a JSON body, or a problem.
 
     Parameters
     ----------
     body : bytes
-        What ``GET /v1/configuration`` returns, with changes. ``version``
-        may be left out; ``change`` is ignored.
+        A changed document from ``GET /v1/configuration``. ``version``
+        may be absent; ``change`` is ignored.
     expected_version : int
         The version that the change is based on.
     """
@@ -126,7 +130,7 @@
 
 
 def find_unknown_members(given: Any, known: Any, path: str) -> tuple[str, ...]:
-    """Return a fault for every member of ``given`` that was not used.
+    """Return a fault for every member of ``given`` that is not in ``known``.
 
     Parameters
     ----------
@@ -135,16 +139,16 @@
     known : object
         The same data after a conversion to data classes and back.
     path : str
-        Where both stand in the document.
+        Path of both in the document, for the faults.
     """
     faults: tuple[str, ...] = ()
     if isinstance(given, dict) and isinstance(known, dict):
         for name, value in given.items():
-            below = f'{path}.{name}' if path else name
+            member_path = f'{path}.{name}' if path else name
             if name in known:
-                faults += find_unknown_members(value, known[name], below)
+                faults += find_unknown_members(value, known[name], member_path)
             else:
-                faults += (f'{below}: unknown member; remove it',)
+                faults += (f'{member_path}: unknown member; remove it',)
     if isinstance(given, list):
         for index, (value, used) in enumerate(zip(given, known, strict=True)):
             faults += find_unknown_members(value, used, f'{path}[{index}]')
@@ -154,15 +158,16 @@
 async def _set_drained(
     context: Context, name: str, drained: bool
 ) -> Response | Problem:
-    pause_s = FIRST_PAUSE_S
+    delay_s = INITIAL_RETRY_DELAY_S
     accepted: Any = None
-    for _ in range(DRAIN_TRIES):
+    for _ in range(MAX_DRAIN_ATTEMPTS):
         current = context.gateway.get_configuration()
-        changed = _change_host(current, name, drained)
+        changed = _change_drained(current, name, drained)
         if changed is None:
             return _describe_unknown_host(name)
-        # A host that already is as asked is published too: this process may
-        # not know yet that a newer version has changed it back.
+        # A host that already has the requested state is published too,
+        # because a newer version that this process has not received yet may
+        # have changed it.
         accepted = await context.gateway.publish(changed, current.version)
         if isinstance(accepted, Configuration):
             return _render_accepted(accepted)
@@ -170,13 +175,14 @@
             accepted.kind is not RefusalKind.CONFLICT
         ):
             break
-        # The winner of the race is not in force in this process yet.
-        await sleep(uniform(pause_s / 2, pause_s))
-        pause_s *= 2
+        # Another version was published first. Wait until this process has
+        # received it.
+        await sleep(uniform(delay_s / 2, delay_s))
+        delay_s *= 2
     return _describe_failed_publish(context, accepted)
 
 
-def _change_host(
+def _change_drained(
     configuration: Configuration, name: str, drained: bool
 ) -> Configuration | None:
     if name not in {host.name for host in configuration.hosts}:
@@ -188,13 +194,13 @@
     return replace(configuration, hosts=hosts)
 
 
-def _read_version(request: CallerRequest) -> int | Problem:
+def _read_if_match(request: HttpRequest) -> int | Problem:
     header = request.headers.get('if-match', '')
     if not header:
         return Problem(
             'version-required',
             'the request has no If-Match header',
-            'send the ETag of the GET that the change is based on',
+            'send the ETag of the configuration that the change is based on',
         )
     text = header.strip().removeprefix('"').removesuffix('"')
     if text.isascii() and text.isdecimal():
@@ -204,30 +210,30 @@
     )
 
 
-def _show_difference(
+def _render_difference(
     current: Configuration, changed: Configuration, expected: int
 ) -> Response | Problem:
     if expected != current.version:
-        return _describe_lost_race(
+        return _describe_version_changed(
             f'the change is based on version {expected}', current.version
         )
-    # Imported here, since only operators' requests need the checks.
+    # Imported on demand, because only dry runs of operators need the module.
     versions = import_module('sassafrasgate.configuration.versions')
     difference = versions.diff_configurations(current, changed)
     return render_json(
         {'version': current.version, 'dry_run': True, 'diff': difference},
-        headers=_tag(current.version),
+        headers=_make_etag_header(current.version),
     )
 
 
 def _render_accepted(configuration: Configuration) -> Response:
     return render_json(
         {'version': configuration.version, 'change': configuration.change},
-        headers=_tag(configuration.version),
+        headers=_make_etag_header(configuration.version),
     )
 
 
-def _tag(version: int) -> dict[str, str]:
+def _make_etag_header(version: int) -> dict[str, str]:
     return {'ETag': f'"{version}"'}
 
 
@@ -239,10 +245,10 @@
     if failure.kind is not RefusalKind.CONFLICT:
         return describe_refusal(failure)
     version = context.gateway.get_configuration().version
-    return _describe_lost_race(failure.reason, version)
+    return _describe_version_changed(failure.reason, version)
 
 
-def _describe_lost_race(reason: str, version: int) -> Problem:
+def _describe_version_changed(reason: str, version: int) -> Problem:
     return Problem(
         'version-changed',
         f'{reason}; version {version} is in force in this process',
@@ -255,5 +261,5 @@
     return Problem(
         RefusalKind.NOT_FOUND,
         f'no host {name!r} is in the inventory',
-        'see GET /v1/configuration for the names',
+        'GET /v1/configuration lists the names of the hosts',
     )
--- a/sassafrasgate/http/views.py
+++ b/sassafrasgate/http/json_responses.py
@@ -1,4 +1,4 @@
-"""JSON forms of what shards answer."""
+"""JSON responses and the JSON form of a job."""
 
 from __future__ import annotations
 
@@ -18,14 +18,14 @@
 
 
 def make_job_path(job_id: str) -> str:
-    """Return the path of a job."""
+    """Return the URL path of a job."""
     return f'/v1/jobs/{job_id}'
 
 
 def render_json(
     content: Any, status: int = 200, headers: dict[str, str] | None = None
 ) -> Response:
-    """Return a JSON response that caches must not keep."""
+    """Return a JSON response that caches must not store."""
     return Response(
         encode(content),
         status,
@@ -34,9 +34,9 @@
     )
 
 
-def show_job(view: JobView) -> dict[str, Any]:
-    """Return the members of a job view; the output has its own path."""
-    shown = {
+def make_job_object(view: JobView) -> dict[str, Any]:
+    """Return the JSON object of a job, without the content of its output."""
+    members = {
         'job_id': view.job_id,
         'state': view.state,
         'reason': view.reason,
@@ -49,13 +49,13 @@
         'duplicate': view.duplicate,
     }
     if view.outcome is not None:
-        shown['outcome'] = _show_outcome(view.outcome)
+        members['outcome'] = _make_outcome_object(view.outcome)
     if view.state is JobState.FINISHED:
-        shown['output'] = f'{make_job_path(view.job_id)}/output'
-    return shown
+        members['output'] = f'{make_job_path(view.job_id)}/output'
+    return members
 
 
-def _show_outcome(outcome: Outcome) -> dict[str, Any]:
+def _make_outcome_object(outcome: Outcome) -> dict[str, Any]:
     return {
         'state': outcome.state,
         'reason': outcome.reason,
--- a/sassafrasgate/http/limits.py
+++ b/sassafrasgate/http/limits.py
@@ -1,4 +1,4 @@
-"""Bounds of the HTTP front end, and the count of open requests."""
+"""Limits of the HTTP interface and a limiter of usage by key."""
 
 from __future__ import annotations
 
@@ -8,28 +8,28 @@
 KIB = 1024
 
 # A record batch of the journal holds at most 512 KiB, so an accepted job,
-# payload included, has to stay well below it.
+# including its payload, has to be well below that size.
 MAX_PAYLOAD_BYTES = 256 * KIB
-# Base64 takes 4/3 of the payload; the rest is for the other fields.
+# Base64 takes 4/3 of the payload size; the rest is for the other fields.
 MAX_JOB_BODY_BYTES = 384 * KIB
-# Quick requests are not journaled, so only memory bounds their payload.
+# Quick requests are not journaled, so only memory limits their payload.
 MAX_REQUEST_BODY_BYTES = 8 * 1024 * KIB
-# 9,900 hosts take about 300 bytes each in JSON.
-MAX_CONFIGURATION_BYTES = 8 * 1024 * KIB
+# Enough for 9,900 hosts, which take about 300 bytes each in JSON.
+MAX_CONFIGURATION_BODY_BYTES = 8 * 1024 * KIB
 
-MAX_OPEN_CALLERS = 1000
-MAX_OPEN_PER_TEAM = 400
-MAX_OPEN_OPERATORS = 32
+MAX_OPEN_CALLER_REQUESTS = 1000
+MAX_OPEN_REQUESTS_PER_TEAM = 400
+MAX_OPEN_OPERATOR_REQUESTS = 32
 
-# Bodies are held until their requests end; without this bound, many large
-# ones could exhaust a small entry host's memory.
+# Bodies stay in memory until their requests end; without this limit, many
+# large ones could exhaust the memory of a small entry host.
 MAX_OPEN_BODY_BYTES = 64 * 1024 * KIB
 
 MAX_WAIT_S = 60.0
-# Below the drain time of a stop, which therefore interrupts no quick request.
+# Below the drain time of a stop, so that a stop interrupts no quick request.
 MAX_QUICK_DEADLINE_S = 7.0
-ANSWER_TIMEOUT_S = 10.0
-ANSWER_MARGIN_S = 0.5
+REPLY_TIMEOUT_S = 10.0
+REPLY_MARGIN_S = 0.5
 BODY_TIMEOUT_S = 30.0
 SEND_TIMEOUT_S = 300.0
 DEFAULT_QUICK_DEADLINE_S = 5.0
@@ -37,83 +37,89 @@
 
 @dataclass(frozen=True, slots=True)
 class Limits:
-    """Bounds of one process; sizes in bytes, times in seconds.
+    """Limits of one process.
 
     Parameters
     ----------
-    max_open_callers, max_open_operators : int
-        Most open requests of each group in this process.
-    max_open_per_team : int
-        Most open submissions and quick requests of one team.
+    max_open_caller_requests, max_open_operator_requests : int
+        Maximum number of open requests of each group in this process.
+    max_open_requests_per_team : int
+        Maximum number of open submissions and quick requests of one team.
     max_open_body_bytes : int
-        Most bytes of bodies of all open requests together.
-    max_payload : int
-        Longest payload of a journaled job.
-    max_job_body, max_request_body, max_configuration_body : int
-        Longest bodies of ``POST /v1/jobs``, ``POST /v1/requests`` and
-        ``PUT /v1/configuration``.
+        Maximum size of the bodies of all open requests together.
+    max_payload_bytes : int
+        Maximum size of the payload of a journaled job.
+    max_job_body_bytes : int
+        Maximum size of the body of ``POST /v1/jobs``.
+    max_request_body_bytes : int
+        Maximum size of the body of ``POST /v1/requests``.
+    max_configuration_body_bytes : int
+        Maximum size of the body of ``PUT /v1/configuration``.
     max_wait_s : float
-        Longest ``wait`` for the end of a job.
+        Maximum ``wait`` for the end of a job, in seconds.
     max_quick_deadline_s : float
-        Longest deadline of a quick request.
-    answer_timeout_s : float
-        How long to wait for an answer that needs no waiting for a job.
-    answer_margin_s : float
-        Added to a caller's wait, so that the shard's answer comes before
-        the front end gives up.
+        Maximum deadline of a quick request, in seconds.
+    reply_timeout_s : float
+        Time limit for a shard's reply that does not wait for the end of a
+        job, in seconds.
+    reply_margin_s : float
+        Added to the time limit of a request to a shard, in seconds, so that
+        the shard's reply arrives before the limit.
     body_timeout_s, send_timeout_s : float
-        How long a caller may take to send a body and to read a response.
+        Time limits for receiving a body and for sending a response, in
+        seconds.
     """
 
-    max_open_callers: int = MAX_OPEN_CALLERS
-    max_open_operators: int = MAX_OPEN_OPERATORS
-    max_open_per_team: int = MAX_OPEN_PER_TEAM
+    max_open_caller_requests: int = MAX_OPEN_CALLER_REQUESTS
+    max_open_operator_requests: int = MAX_OPEN_OPERATOR_REQUESTS
+    max_open_requests_per_team: int = MAX_OPEN_REQUESTS_PER_TEAM
     max_open_body_bytes: int = MAX_OPEN_BODY_BYTES
-    max_payload: int = MAX_PAYLOAD_BYTES
-    max_job_body: int = MAX_JOB_BODY_BYTES
-    max_request_body: int = MAX_REQUEST_BODY_BYTES
-    max_configuration_body: int = MAX_CONFIGURATION_BYTES
+    max_payload_bytes: int = MAX_PAYLOAD_BYTES
+    max_job_body_bytes: int = MAX_JOB_BODY_BYTES
+    max_request_body_bytes: int = MAX_REQUEST_BODY_BYTES
+    max_configuration_body_bytes: int = MAX_CONFIGURATION_BODY_BYTES
     max_wait_s: float = MAX_WAIT_S
     max_quick_deadline_s: float = MAX_QUICK_DEADLINE_S
-    answer_timeout_s: float = ANSWER_TIMEOUT_S
-    answer_margin_s: float = ANSWER_MARGIN_S
+    reply_timeout_s: float = REPLY_TIMEOUT_S
+    reply_margin_s: float = REPLY_MARGIN_S
     body_timeout_s: float = BODY_TIMEOUT_S
     send_timeout_s: float = SEND_TIMEOUT_S
 
 
-class OpenRequests:
-    """Counts open requests, or their bytes, by key against a bound.
+class UsageLimiter:
+    """Limits the usage of a resource, such as open requests, by key.
 
     Parameters
     ----------
-    bound : int
-        Most requests or bytes of one key.
+    limit : int
+        Maximum usage of one key, in requests or bytes.
 
     Examples
     --------
-    >>> requests = OpenRequests(1)
-    >>> requests.enter('orders'), requests.enter('orders')
+    >>> limiter = UsageLimiter(1)
+    >>> limiter.acquire('orders'), limiter.acquire('orders')
     (True, False)
     """
 
-    def __init__(self, bound: int) -> None:
-        self._bound = bound
-        self._open: Counter[str] = Counter()
+    def __init__(self, limit: int) -> None:
+        self._limit = limit
+        self._usage: Counter[str] = Counter()
 
-    def enter(self, key: str, amount: int = 1) -> bool:
-        """Count ``amount`` more, unless that takes ``key`` over its bound."""
-        if self.count(key) + amount > self._bound:
+    def acquire(self, key: str, amount: int = 1) -> bool:
+        """Increase a key's usage; return False if the limit forbids it."""
+        if self.get_usage(key) + amount > self._limit:
             return False
-        self._open[key] += amount
+        self._usage[key] += amount
         return True
 
-    def leave(self, key: str, amount: int = 1) -> None:
-        """Count ``amount`` less."""
-        self._open[key] -= amount
-        # Keys come from callers, so a key without requests is dropped.
-        if not self._open[key]:
-            del self._open[key]
-
-    def count(self, key: str) -> int:
-        """Return what is open for a key."""
-        return self._open.get(key, 0)
+    def release(self, key: str, amount: int = 1) -> None:
+        """Decrease a key's usage."""
+        self._usage[key] -= amount
+        # Callers choose the keys, so unused keys are removed; otherwise the
+        # counter would grow without limit.
+        if not self._usage[key]:
+            del self._usage[key]
+
+    def get_usage(self, key: str) -> int:
+        """Return the usage of a key."""
+        return self._usage.get(key, 0)
--- a/sassafrasgate/http/listeners.py
+++ b/sassafrasgate/http/listeners.py
@@ -16,27 +16,27 @@
 
 
 class AddressError(SassafrasgateError):
-    """A listening address is not usable."""
+    """The process can't listen on an address."""
 
     def __init__(self, address: str, reason: str) -> None:
         super().__init__(
-            f'cannot listen on {address!r}: {reason}; give an IP number and '
+            f'cannot listen on {address!r}: {reason}; use an IP number and '
             'a free port, such as 127.0.0.1:8080'
         )
 
 
 def open_listener(address: str) -> socket:
-    """Return a socket that queues connections until they are served.
+    """Return a listening socket, which queues connections for the server.
 
     Parameters
     ----------
     address : str
-        IP number and port; port 0 lets the system choose one.
+        IP number and port; with port 0 the system chooses a free port.
 
     Raises
     ------
     AddressError
-        When the address is not an IP number with a port, or is in use.
+        If the address is not an IP number with a port, or is in use.
     """
     host, _, port = address.rpartition(':')
     host = host.strip('[]')
--- a/sassafrasgate/http/operators.py
+++ b/sassafrasgate/http/operators.py
@@ -1,4 +1,4 @@
-"""Routes for operators: hosts, shards, jobs and processes."""
+"""Routes for operators that list hosts, jobs, shards and schedulers."""
 
 from __future__ import annotations
 
@@ -8,13 +8,13 @@
 
 from sassafrasgate.core.jobs import JobState
 from sassafrasgate.http.bodies import describe_faults
-from sassafrasgate.http.bodies import read_whole
+from sassafrasgate.http.bodies import read_integer
+from sassafrasgate.http.forwarding import forward_to_all_shards
+from sassafrasgate.http.json_responses import make_job_object
+from sassafrasgate.http.json_responses import render_json
 from sassafrasgate.http.problems import Problem
-from sassafrasgate.http.questions import ask_every_shard
 from sassafrasgate.http.routes import register_route
 from sassafrasgate.http.routes import RouteGroup
-from sassafrasgate.http.views import render_json
-from sassafrasgate.http.views import show_job
 from sassafrasgate.protocol.messages import ListHosts
 from sassafrasgate.protocol.messages import ListJobs
 
@@ -22,8 +22,8 @@
     from starlette.responses import Response
 
     from sassafrasgate.core.cells import Shard
-    from sassafrasgate.http.bodies import CallerRequest
-    from sassafrasgate.http.questions import ShardAnswers
+    from sassafrasgate.http.bodies import HttpRequest
+    from sassafrasgate.http.forwarding import ShardReplies
     from sassafrasgate.http.routes import Context
     from sassafrasgate.protocol.messages import StatusReply
 
@@ -32,20 +32,22 @@
 
 
 @register_route('GET', '/v1/hosts', RouteGroup.OPERATORS)
-async def list_hosts(request: CallerRequest, context: Context) -> Response:
-    """Return the hosts of all shards that answer."""
-    answers = await ask_every_shard(context, ListHosts)
-    hosts = [host for reply in answers.replies for host in reply.hosts]
+async def list_hosts(request: HttpRequest, context: Context) -> Response:
+    """Return the hosts of all shards that reply."""
+    shard_replies = await forward_to_all_shards(context, ListHosts)
+    hosts = [host for reply in shard_replies.replies for host in reply.hosts]
     hosts.sort(key=lambda host: host.name)
-    return _render_list('hosts', hosts, answers)
+    return _render_list('hosts', hosts, shard_replies)
 
 
 @register_route('GET', '/v1/jobs', RouteGroup.OPERATORS)
 async def list_jobs(
-    request: CallerRequest, context: Context
+    request: HttpRequest, context: Context
 ) -> Response | Problem:
-    """Return up to ``limit`` jobs of each shard that answers."""
-    limit = read_whole(request, 'limit', DEFAULT_LISTED_JOBS, MAX_LISTED_JOBS)
+    """Return up to ``limit`` jobs of each shard that replies."""
+    limit = read_integer(
+        request, 'limit', DEFAULT_LISTED_JOBS, MAX_LISTED_JOBS
+    )
     if isinstance(limit, Problem):
         return limit
     state = request.query_params.get('state', '')
@@ -54,31 +56,35 @@
         text = f'must be one of {", ".join(states)}, not {state!r:.80}'
         return describe_faults((f'state: {text}',))
     message = partial(ListJobs, state=state, limit=limit)
-    answers = await ask_every_shard(context, message)
-    jobs = [show_job(job) for reply in answers.replies for job in reply.jobs]
-    return _render_list('jobs', jobs, answers)
+    shard_replies = await forward_to_all_shards(context, message)
+    jobs = [
+        make_job_object(job)
+        for reply in shard_replies.replies
+        for job in reply.jobs
+    ]
+    return _render_list('jobs', jobs, shard_replies)
 
 
 @register_route('GET', '/v1/shards', RouteGroup.OPERATORS)
-async def list_shards(request: CallerRequest, context: Context) -> Response:
-    """Return the configured shards with their owners, where known."""
+async def list_shards(request: HttpRequest, context: Context) -> Response:
+    """Return the configured shards, with their owners if known."""
     status = await context.gateway.list_status()
     shards = context.gateway.get_configuration().shards
     return render_json(
-        {'shards': [_show_shard(shard, status) for shard in shards]}
+        {'shards': [_make_shard_object(shard, status) for shard in shards]}
     )
 
 
 @register_route('GET', '/v1/status', RouteGroup.OPERATORS)
-async def show_status(request: CallerRequest, context: Context) -> Response:
-    """Return the schedulers that answer and what they own."""
+async def show_status(request: HttpRequest, context: Context) -> Response:
+    """Return the schedulers that reply and the shards that they own."""
     status = await context.gateway.list_status()
     version = context.gateway.get_configuration().version
     processes = sorted(status, key=lambda reply: reply.name)
     return render_json({'configuration': version, 'schedulers': processes})
 
 
-def _show_shard(
+def _make_shard_object(
     shard: Shard, status: tuple[StatusReply, ...]
 ) -> dict[str, Any]:
     owners = [
@@ -86,7 +92,7 @@
         for reply in status
         if shard.name in reply.shards
     ]
-    # A stale owner may still name the shard; the highest epoch is in force.
+    # A previous owner may still list the shard; the highest epoch is current.
     epoch, owner = max(owners, default=(0, ''))
     return {
         'name': shard.name,
@@ -98,12 +104,12 @@
 
 
 def _render_list(
-    name: str, items: list[Any], answers: ShardAnswers
+    name: str, items: list[Any], shard_replies: ShardReplies
 ) -> Response:
     return render_json(
         {
             name: items,
-            'partial': bool(answers.missing),
-            'missing': answers.missing,
+            'partial': bool(shard_replies.missing),
+            'missing': shard_replies.missing,
         }
     )
--- a/sassafrasgate/http/outputs.py
+++ b/sassafrasgate/http/outputs.py
@@ -1,4 +1,4 @@
-"""Responses with the output of a job, checked against its digest."""
+"""Responses with the output of a job, verified by size and digest."""
 
 from __future__ import annotations
 
@@ -19,11 +19,11 @@
     from sassafrasgate.http.routes import Context
     from sassafrasgate.protocol.messages import JobView
 
-OCTETS = 'application/octet-stream'
+OCTET_STREAM = 'application/octet-stream'
 
 
 class OutputDamagedError(SassafrasgateError):
-    """An output differs from what its worker reported."""
+    """An output does not match the size or digest reported by its worker."""
 
     def __init__(self, job_id: str, size: int, outcome: Outcome) -> None:
         super().__init__(
@@ -33,7 +33,7 @@
         )
 
 
-async def build_output(
+async def build_output_response(
     context: Context, view: JobView, outcome: Outcome
 ) -> Response | Problem:
     """Return the response with the whole output of a finished job."""
@@ -48,65 +48,65 @@
     if outcome.chunks:
         return await _stream_output(context, view.job_id, outcome, headers)
     output = outcome.output
-    if not _is_whole(outcome, len(output), xxh3_128_hexdigest(output)):
+    if not _matches_outcome(outcome, len(output), xxh3_128_hexdigest(output)):
         error = OutputDamagedError(view.job_id, len(output), outcome)
-        return _describe_damage(error, view.job_id)
-    return Response(output, 200, headers, OCTETS)
+        return _describe_damaged_output(error, view.job_id)
+    return Response(output, 200, headers, OCTET_STREAM)
 
 
 async def _stream_output(
     context: Context, job_id: str, outcome: Outcome, headers: dict[str, str]
 ) -> Response | Problem:
     chunks = context.gateway.read_output(job_id, outcome)
-    checked = check_chunks(job_id, outcome, chunks)
+    verified = verify_chunks(job_id, outcome, chunks)
     # The first chunk is read before the status line is sent, so that an
-    # output that can't be read at all still gets a proper error.
+    # output that can't be read at all gets an error status.
     try:
-        first = await anext(checked)
+        first = await anext(verified)
     except OutputDamagedError as error:
-        return _describe_damage(error, job_id)
+        return _describe_damaged_output(error, job_id)
     except SassafrasgateError as error:
         return Problem(
             'output-unavailable',
             str(error),
-            'ask for the output again later',
+            'request the output again later',
             job_id,
         )
     headers['Content-Length'] = str(outcome.size)
-    body = _join_chunks(first, checked)
-    return StreamingResponse(body, 200, headers, OCTETS)
+    body = _prepend_chunk(first, verified)
+    return StreamingResponse(body, 200, headers, OCTET_STREAM)
 
 
-async def check_chunks(
+async def verify_chunks(
     job_id: str, outcome: Outcome, chunks: AsyncIterator[bytes]
 ) -> AsyncIterator[bytes]:
-    """Yield the chunks of an output, the last one only when all is right.
+    """Yield the chunks of an output, the last one only if all are valid.
 
-    With the last chunk held back, a response with the declared length can
-    be complete only after size and digest have been checked.
+    The last chunk is withheld until size and digest have been verified, so
+    that a response of the declared length is complete only if it is valid.
 
     Raises
     ------
     OutputDamagedError
-        When size or digest differ from the outcome.
+        If size or digest differ from the outcome.
     """
     digest = xxh3_128()
     size = 0
-    held = b''
+    withheld = b''
     async for chunk in chunks:
         size += len(chunk)
         if size > outcome.size:
             raise OutputDamagedError(job_id, size, outcome)
         digest.update(chunk)
-        if held and chunk:
-            yield held
-        held = chunk or held
-    if not _is_whole(outcome, size, digest.hexdigest()):
+        if withheld and chunk:
+            yield withheld
+        withheld = chunk or withheld
+    if not _matches_outcome(outcome, size, digest.hexdigest()):
         raise OutputDamagedError(job_id, size, outcome)
-    yield held
+    yield withheld
 
 
-async def _join_chunks(
+async def _prepend_chunk(
     first: bytes, rest: AsyncIterator[bytes]
 ) -> AsyncIterator[bytes]:
     yield first
@@ -114,11 +114,13 @@
         yield chunk
 
 
-def _is_whole(outcome: Outcome, size: int, digest: str) -> bool:
+def _matches_outcome(outcome: Outcome, size: int, digest: str) -> bool:
     return size == outcome.size and digest == (outcome.digest or digest)
 
 
-def _describe_damage(error: OutputDamagedError, job_id: str) -> Problem:
+def _describe_damaged_output(
+    error: OutputDamagedError, job_id: str
+) -> Problem:
     return Problem(
-        'output-damaged', str(error), 'ask for the output again', job_id
+        'output-damaged', str(error), 'request the output again', job_id
     )
--- a/sassafrasgate/http/routes.py
+++ b/sassafrasgate/http/routes.py
@@ -1,4 +1,4 @@
-"""Registry of HTTP routes and what handlers get."""
+"""Registry of HTTP routes, and the context passed to their handlers."""
 
 from __future__ import annotations
 
@@ -11,16 +11,16 @@
 from starlette.responses import Response
 
 from sassafrasgate.core.registries import Registry
-from sassafrasgate.http.bodies import CallerRequest
+from sassafrasgate.http.bodies import HttpRequest
 from sassafrasgate.http.gateways import Gateway
 from sassafrasgate.http.limits import Limits
-from sassafrasgate.http.limits import OpenRequests
+from sassafrasgate.http.limits import UsageLimiter
 from sassafrasgate.http.problems import Problem
 from sassafrasgate.observability.metrics import Metrics
 
 
 class RouteGroup(StrEnum):
-    """Who uses a route; each group has its own bound of open requests."""
+    """Users of a route; each group has its own limit of open requests."""
 
     CALLERS = 'callers'
     OPERATORS = 'operators'
@@ -29,22 +29,22 @@
 
 @dataclass(frozen=True, slots=True)
 class Context:
-    """What every handler gets besides the request."""
+    """Objects of the application that every handler receives."""
 
     gateway: Gateway
     metrics: Metrics
     limits: Limits
-    open_by_team: OpenRequests
+    team_limiter: UsageLimiter
 
 
 Handler: TypeAlias = Callable[
-    [CallerRequest, Context], Awaitable[Response | Problem]
+    [HttpRequest, Context], Awaitable[Response | Problem]
 ]
 
 
 @dataclass(frozen=True, slots=True)
 class RouteDefinition:
-    """One method of one path."""
+    """Handler of one method of one path."""
 
     method: str
     path: str
@@ -58,21 +58,21 @@
 def register_route(
     method: str, path: str, group: RouteGroup
 ) -> Callable[[Handler], Handler]:
-    """Return a decorator that serves ``path`` with its target.
+    """Return a decorator that registers a handler for ``path``.
 
     Parameters
     ----------
     method : str
-        HTTP method in capitals.
+        HTTP method in upper case.
     path : str
-        Path with parameters in braces.
+        URL path with parameters in braces.
     group : RouteGroup
-        Selects the bound of open requests.
+        Group whose limit of open requests applies.
 
     Raises
     ------
     DuplicateNameError
-        When method and path are taken.
+        If a handler for the method and path is registered already.
     """
 
     def add_route(handler: Handler) -> Handler:
--- a/sassafrasgate/http/server.py
+++ b/sassafrasgate/http/server.py
@@ -1,4 +1,4 @@
-"""Serving of an ASGI application with hypercorn."""
+"""HTTP server that runs an ASGI application with hypercorn."""
 
 from __future__ import annotations
 
@@ -24,62 +24,64 @@
     from anyio.abc import TaskStatus
     from starlette.types import ASGIApp
 
-DRAIN_S = 20.0
-# Longer than the idle time of usual load balancers, so that the balancer
-# closes idle connections first and never sends into a closing one.
-KEEP_ALIVE_S = 75.0
-# hypercorn closes a connection after so many requests, 1,000 by default,
-# without announcing it, and a request that a balancer sends on it is lost.
-KEEP_ALIVE_REQUESTS = 10**9
+DRAIN_TIMEOUT_S = 20.0
+# Longer than the idle timeout of common load balancers, so that the balancer
+# closes idle connections first and sends no request on a closing one.
+KEEP_ALIVE_TIMEOUT_S = 75.0
+# After this number of requests, by default 1,000, hypercorn closes a
+# connection without notice, and a request that a load balancer then sends on
+# it is lost.
+MAX_KEEP_ALIVE_REQUESTS = 10**9
 
 
 async def serve_http(
     application: ASGIApp,
     address: str,
     shutdown_event: Event,
-    drain_s: float = DRAIN_S,
+    drain_s: float = DRAIN_TIMEOUT_S,
     *,
     listener: socket | None = None,
     task_status: TaskStatus[str] = TASK_STATUS_IGNORED,
 ) -> None:
     """Serve an application until ``shutdown_event`` is set.
 
-    Then it closes the listening socket and idle connections, and lets open
-    requests end. The caller reports itself as not ready a few seconds
-    before, so that the load balancer has stopped sending by then.
+    It then closes the listening socket and idle connections, and waits for
+    open requests. The calling process should report that it is not ready a
+    few seconds before, so that the load balancer has stopped sending requests
+    by then.
 
     Parameters
     ----------
     application : ASGI application
-        What to serve.
+        Application that handles the requests.
     address : str
-        IP number and port; port 0 lets the system choose one.
+        IP number and port; with port 0 the system chooses a free port.
     shutdown_event : Event
-        Starts the stop.
+        Starts the shutdown when it is set.
     drain_s : float
-        How long open requests may take to end, in seconds.
+        Time limit for open requests after the shutdown starts, in seconds.
     listener : socket, optional
-        Listens on the address already; it is closed with the server.
+        Socket that listens on the address already; the server closes it.
     task_status : TaskStatus
-        For ``TaskGroup.start``: gets the bound address once connections
+        For ``TaskGroup.start``; receives the bound address once connections
         are accepted.
 
     Raises
     ------
     AddressError
-        When the address is not an IP number with a port, or is in use.
+        If the address is not an IP number with a port, or is in use.
     """
     if listener is None:
         listener = open_listener(address)
     host, port = listener.getsockname()[:2]
     bound = f'[{host}]:{port}' if ':' in host else f'{host}:{port}'
     config = Config()
-    # hypercorn takes over the descriptor and closes it.
+    # hypercorn takes ownership of the file descriptor and closes it.
     config.bind = [f'fd://{listener.detach()}']
     config.backlog = BACKLOG
     config.graceful_timeout = drain_s
-    config.keep_alive_timeout = KEEP_ALIVE_S
-    config.keep_alive_max_requests = KEEP_ALIVE_REQUESTS
+    config.keep_alive_timeout = KEEP_ALIVE_TIMEOUT_S
+    config.keep_alive_max_requests = MAX_KEEP_ALIVE_REQUESTS
     config.include_server_header = False
     config.errorlog = getLogger('hypercorn.error')
     stop = Event()
@@ -89,7 +91,7 @@
         try:
             await shutdown_event.wait()
         except get_cancelled_exc_class():
-            # A cancelled caller does not wait for open requests.
+            # On cancellation, do not wait for open requests.
             config.graceful_timeout = 0
             raise
         finally:
@@ -99,9 +101,10 @@
 async def _run_hypercorn(
     application: ASGIApp, config: Config, stop: Event
 ) -> None:
-    # hypercorn's own ASGI types name every event; starlette's are plain.
-    framework = cast('Any', application)
-    # A cancellation in the middle of hypercorn's stop ends in an
-    # InvalidStateError, so it is told to stop instead.
+    # hypercorn's ASGI types declare each event; starlette's are plain
+    # mappings, so a cast is needed.
+    asgi_app = cast('Any', application)
+    # Cancelling hypercorn during its shutdown raises InvalidStateError, so it
+    # is shielded and stopped by its shutdown trigger instead.
     with CancelScope(shield=True):
-        await serve(framework, config, shutdown_trigger=stop.wait)
+        await serve(asgi_app, config, shutdown_trigger=stop.wait)
--- a/sassafrasgate/http/submissions.py
+++ b/sassafrasgate/http/submissions.py
@@ -1,4 +1,4 @@
-"""The way of a submitted job from its body to the shard's answer."""
+"""Submission of a validated job to its home shard."""
 
 from __future__ import annotations
 
@@ -12,11 +12,11 @@
 from sassafrasgate.core.identifiers import make_job_id
 from sassafrasgate.core.jobs import JobSpec
 from sassafrasgate.core.jobs import JobState
+from sassafrasgate.http.forwarding import convert_failure
+from sassafrasgate.http.forwarding import forward_raw
+from sassafrasgate.http.forwarding import proves_not_run
 from sassafrasgate.http.problems import describe_unknown
 from sassafrasgate.http.problems import Problem
-from sassafrasgate.http.questions import ask_plainly
-from sassafrasgate.http.questions import describe_failure
-from sassafrasgate.http.questions import is_certainly_not_run
 from sassafrasgate.protocol.messages import JobView
 from sassafrasgate.protocol.messages import Submit
 
@@ -26,65 +26,66 @@
 
 @dataclass(frozen=True, slots=True)
 class Submission:
-    """A checked job on its way to its home shard.
+    """A validated job to submit to its home shard.
 
     Parameters
     ----------
     spec : JobSpec
-        What the caller asks for.
+        Specification of the job.
     wait_s : float
-        How long the caller waits for the end of the job, in seconds.
-    fresh : bool
-        Whether the key was made for this submission alone.
+        How long the shard may wait for the end of the job before it
+        replies, in seconds.
+    has_generated_key : bool
+        Whether the key was generated for this submission.
     """
 
     spec: JobSpec
     wait_s: float
-    fresh: bool = False
+    has_generated_key: bool = False
 
 
 async def submit(
     context: Context, submission: Submission
 ) -> JobView | Problem:
-    """Send a job to its home shard and return the view or a problem.
+    """Submit a job to its home shard; return its view or a problem.
 
-    The problem has state ``not-run`` only when no attempt of the job has
-    started or can still start, and ``unknown`` when the effect of the
-    submission is not known.
+    The problem has state ``not-run`` only if no attempt of the job has
+    started or can still start, and ``unknown`` if the effect of the
+    submission is unknown.
     """
     spec = submission.spec
     job_id = make_job_id(spec.team, spec.key)
-    if not context.open_by_team.enter(spec.team):
-        return _describe_busy_team(spec.team, job_id)
+    if not context.team_limiter.acquire(spec.team):
+        return _describe_team_limit(spec.team, job_id)
     message = Submit('', job_id, spec, submission.wait_s)
     try:
-        plain = await ask_plainly(context, message, submission.wait_s)
+        reply = await forward_raw(context, message, submission.wait_s)
     finally:
-        context.open_by_team.leave(spec.team)
-    if _is_unconfirmed(plain):
-        return describe_unknown(plain.reason, job_id)
-    answer = describe_failure(context, plain, job_id)
-    if not is_certainly_not_run(plain, submission.fresh):
-        return cast('JobView | Problem', answer)
-    if isinstance(answer, Problem):
-        return replace(answer, state=str(JobState.NOT_RUN))
-    return describe_not_run(answer)
+        context.team_limiter.release(spec.team)
+    if _is_acceptance_unknown(reply):
+        return describe_unknown(reply.reason, job_id)
+    result = convert_failure(context, reply, job_id)
+    if not proves_not_run(reply, submission.has_generated_key):
+        return cast('JobView | Problem', result)
+    if isinstance(result, Problem):
+        return replace(result, state=str(JobState.NOT_RUN))
+    return describe_not_run(result)
 
 
-def _is_unconfirmed(answer: Any) -> bool:
-    """Tell whether an owner can't say if it has accepted the job.
+def _is_acceptance_unknown(reply: Any) -> bool:
+    """Return whether the owner does not know if it has accepted the job.
 
-    A job that ended as unknown after its acceptance has an outcome.
+    A job that was accepted and ended with an unknown result has an outcome.
     """
     return (
-        isinstance(answer, JobView)
-        and answer.state is JobState.UNKNOWN
-        and answer.outcome is None
+        isinstance(reply, JobView)
+        and reply.state is JobState.UNKNOWN
+        and reply.outcome is None
     )
 
 
 def describe_not_run(view: JobView) -> Problem:
-    """Return the problem for a job that certainly never runs."""
+    """Return the problem for a job that has not run and never will."""
     return Problem(
         'not-run',
         f'job {view.job_id!r} was not run: {view.reason or "no reason given"}',
@@ -94,7 +95,7 @@
     )
 
 
-def _describe_busy_team(team: str, job_id: str) -> Problem:
+def _describe_team_limit(team: str, job_id: str) -> Problem:
     return Problem(
         RefusalKind.OVERLOADED,
         f'team {team!r} has too many open requests in this process',
--- a/tests/http/conftest.py
+++ b/tests/http/conftest.py
@@ -1,4 +1,4 @@
-"""Fixtures: an application over a fake gateway and a client for it."""
+"""Fixtures: a client of an application that uses a fake gateway."""
 
 from httpx import ASGITransport
 from httpx import AsyncClient
--- a/tests/http/gateways.py
+++ b/tests/http/gateways.py
@@ -1,4 +1,4 @@
-"""A gateway that answers from a table and notes what it was asked."""
+"""A gateway that returns preset replies and records its messages."""
 
 from dataclasses import replace
 
@@ -21,7 +21,11 @@
 
 
 def make_finished(job_id, whole, output=b'', chunks=0):
-    """Return the view of a job that finished with output ``whole``."""
+    """Return the view of a job that finished with output ``whole``.
+
+    Size and digest are those of ``whole``; ``output`` is what is stored in
+    the outcome itself.
+    """
     digest = xxh3_128_hexdigest(whole)
     state = JobState.FINISHED
     outcome = Outcome(state, '', output, chunks, len(whole), digest)
@@ -29,41 +33,46 @@
 
 
 async def echo(message):
-    """Answer a submission with its payload as the output."""
+    """Reply to a submission with its payload as the output."""
     payload = message.spec.payload
     return make_finished(message.job_id, payload, payload)
 
 
 class FakeGateway:
-    """Answers with what a test has set, or calls it."""
+    """Returns the reply that a test has set.
+
+    If ``reply`` is a list, each message takes its first item; if it is a
+    function, it is called with the message. The first ``conflicts_left``
+    calls of ``publish`` fail because another version was published first.
+    """
 
     def __init__(self):
-        self.answer = None
-        self.asked = []
+        self.reply = None
+        self.messages = []
         self.refusal = None
         self.current = Configuration(3, 'c3', 'cell', (HOST,), SHARDS)
-        self.lost_races = 0
+        self.conflicts_left = 0
         self.chunks = ()
         self.status = ()
-        self.arrived = anyio.Event()
-        self.go_on = anyio.Event()
-        self.ended = anyio.Event()
+        self.message_received = anyio.Event()
+        self.may_reply = anyio.Event()
+        self.request_ended = anyio.Event()
 
-    async def hold(self, message):
-        """Hold the answer until ``go_on`` is set."""
-        self.arrived.set()
+    async def wait_and_echo(self, message):
+        """Wait until ``may_reply`` is set, then reply as `echo`."""
+        self.message_received.set()
         try:
-            await self.go_on.wait()
+            await self.may_reply.wait()
         finally:
-            self.ended.set()
+            self.request_ended.set()
         return await echo(message)
 
     async def forward_to_shard(self, message, timeout_s):
-        self.asked.append(message)
-        answer = self.answer
-        if isinstance(answer, list):
-            return answer.pop(0)
-        return await answer(message) if callable(answer) else answer
+        self.messages.append(message)
+        reply = self.reply
+        if isinstance(reply, list):
+            return reply.pop(0)
+        return await reply(message) if callable(reply) else reply
 
     def list_shards(self):
         return tuple(shard.name for shard in self.current.shards)
@@ -81,10 +90,10 @@
         return self.current
 
     async def publish(self, configuration, expected_version):
-        if self.lost_races:
-            self.lost_races -= 1
-            lost = self.current.version + 1
-            self.current = replace(self.current, version=lost)
+        if self.conflicts_left:
+            self.conflicts_left -= 1
+            newer = self.current.version + 1
+            self.current = replace(self.current, version=newer)
         if expected_version != self.current.version:
             return Refusal(RefusalKind.CONFLICT, 'changed', 'read it again')
         self.current = replace(configuration, version=expected_version + 1)
--- a/tests/http/test_limits.py
+++ b/tests/http/test_limits.py
@@ -1,4 +1,4 @@
-"""Guards the process against being overrun by open requests or bodies."""
+"""Guards the process against overload by open requests or large bodies."""
 
 import anyio
 import pytest
@@ -17,70 +17,74 @@
 @pytest.fixture
 def limits():
     return Limits(
-        max_open_callers=3,
-        max_open_per_team=2,
-        max_job_body=1000,
-        max_payload=500,
+        max_open_caller_requests=3,
+        max_open_requests_per_team=2,
+        max_job_body_bytes=1000,
+        max_payload_bytes=500,
         max_open_body_bytes=1500,
-        answer_timeout_s=30,
+        reply_timeout_s=30,
         body_timeout_s=0.05,
     )
 
 
-async def submit(client, key, team='orders', size=0, replies=None):
+async def submit(client, key, team='orders', size=0, responses=None):
     body = {'team': team, 'key': key, 'payload': 'x' * size}
-    reply = await client.post('/v1/jobs', json=body)
-    if replies is not None:
-        replies.append(reply)
-    return reply
+    response = await client.post('/v1/jobs', json=body)
+    if responses is not None:
+        responses.append(response)
+    return response
 
 
-async def test_team_and_process_over_their_bounds_refuse(gateway, client):
-    gateway.answer = gateway.hold
-    replies = []
+async def test_requests_over_the_limits_of_team_and_process_are_refused(
+    gateway, client
+):
+    gateway.reply = gateway.wait_and_echo
+    responses = []
     async with anyio.create_task_group() as group:
         for key in ('1', '2'):
-            group.start_soon(submit, client, key, 'orders', 0, replies)
+            group.start_soon(submit, client, key, 'orders', 0, responses)
         await anyio.wait_all_tasks_blocked()
         refused = await submit(client, '3')
-        group.start_soon(submit, client, '4', 'pages', 0, replies)
+        group.start_soon(submit, client, '4', 'pages', 0, responses)
         await anyio.wait_all_tasks_blocked()
         full = await submit(client, '5', 'third')
         health = await client.get('/healthz')
-        gateway.go_on.set()
-    for reply in (refused, full):
-        assert reply.status_code == 503
-        assert 'retry-after' in reply.headers
+        gateway.may_reply.set()
+    for response in (refused, full):
+        assert response.status_code == 503
+        assert 'retry-after' in response.headers
     assert health.status_code == 200
-    assert [reply.status_code for reply in replies] == [202, 202, 202]
+    assert [response.status_code for response in responses] == [202, 202, 202]
     assert (await submit(client, '6')).status_code == 202
 
 
-async def test_bodies_over_the_bound_of_the_process_are_refused(
+async def test_bodies_over_the_memory_limit_of_the_process_are_refused(
     gateway, client
 ):
-    gateway.answer = gateway.hold
+    gateway.reply = gateway.wait_and_echo
     async with anyio.create_task_group() as group:
         group.start_soon(submit, client, '1', 'a', 490)
         group.start_soon(submit, client, '2', 'b', 490)
         await anyio.wait_all_tasks_blocked()
         refused = await submit(client, '3', 'c', 490)
-        gateway.go_on.set()
+        gateway.may_reply.set()
     assert refused.status_code == 503
 
 
 @pytest.mark.parametrize(
     ('size', 'status'), [(500, 202), (501, 400), (1000, 413)]
 )
-async def test_payload_is_bounded(gateway, client, size, status):
-    gateway.answer = VIEW
+async def test_payload_over_its_limit_is_refused(
+    gateway, client, size, status
+):
+    gateway.reply = VIEW
     assert (await submit(client, '1', size=size)).status_code == status
 
 
 @pytest.mark.parametrize(
     ('parts', 'pause_s', 'status'), [(5, 0, 413), (1, 60, 408)]
 )
-async def test_body_without_a_length_is_bounded_in_size_and_time(
+async def test_body_without_a_length_is_limited_in_size_and_time(
     gateway, client, parts, pause_s, status
 ):
     async def send():
@@ -88,19 +92,19 @@
             yield b'x' * 300
         await anyio.sleep(pause_s)
 
-    reply = await client.post('/v1/jobs', content=send())
-    assert reply.status_code == status
-    assert gateway.asked == []
+    response = await client.post('/v1/jobs', content=send())
+    assert response.status_code == status
+    assert gateway.messages == []
 
 
 @pytest.mark.parametrize(
     ('kind', 'status'),
     [(RefusalKind.NOT_READY, 503), (RefusalKind.STOPPING, 202)],
 )
-async def test_process_serves_nothing_until_ready_and_all_while_stopping(
+async def test_unready_process_refuses_requests_and_stopping_one_serves_them(
     gateway, client, kind, status
 ):
-    gateway.answer = VIEW
+    gateway.reply = VIEW
     gateway.refusal = Refusal(kind, 'no configuration', 'wait')
     assert (await submit(client, '1')).status_code == status
     assert (await client.get('/readyz')).status_code == 503
--- a/tests/http/test_operators.py
+++ b/tests/http/test_operators.py
@@ -1,4 +1,4 @@
-"""Guards operators against lost changes and partial answers."""
+"""Guards operators against lost changes and unmarked partial lists."""
 
 from types import SimpleNamespace
 
@@ -34,20 +34,20 @@
 
 
 @pytest.fixture(autouse=True)
-def no_pause(monkeypatch):
-    monkeypatch.setattr(configurations, 'FIRST_PAUSE_S', 0.0)
+def no_retry_delay(monkeypatch):
+    monkeypatch.setattr(configurations, 'INITIAL_RETRY_DELAY_S', 0.0)
 
 
-async def test_get_then_put_replaces_the_version_that_was_read(
+async def test_put_with_the_etag_of_a_get_replaces_that_version(
     gateway, client
 ):
     shown = await client.get('/v1/configuration')
     changed = {**shown.json(), 'cell': 'renamed'}
     headers = {'If-Match': shown.headers['etag']}
-    reply = await client.put(
+    response = await client.put(
         '/v1/configuration', json=changed, headers=headers
     )
-    assert (reply.status_code, reply.headers['etag']) == (200, '"4"')
+    assert (response.status_code, response.headers['etag']) == (200, '"4"')
     assert gateway.current.cell == 'renamed'
     assert gateway.current.hosts == (HOST,)
 
@@ -63,13 +63,15 @@
         ({'If-Match': '"3"'}, {'teams': [{'name': 't', 'wait': 1}]}, 400, ''),
     ],
 )
-async def test_bad_change_is_refused_and_changes_nothing(
+async def test_invalid_change_is_refused_and_changes_nothing(
     gateway, client, headers, body, status, name
 ):
     before = gateway.current
-    reply = await client.put('/v1/configuration', json=body, headers=headers)
-    assert reply.status_code == status
-    assert name in reply.json()['type']
+    response = await client.put(
+        '/v1/configuration', json=body, headers=headers
+    )
+    assert response.status_code == status
+    assert name in response.json()['type']
     assert gateway.current == before
 
 
@@ -81,81 +83,81 @@
     )
     monkeypatch.setattr(configurations, 'import_module', lambda name: module)
     before = gateway.current
-    reply = await client.put(
+    response = await client.put(
         '/v1/configuration?dry_run=true',
         json={'cell': 'other'},
         headers={'If-Match': '"3"'},
     )
-    assert reply.json()['diff'] == ['cell -> other']
+    assert response.json()['diff'] == ['cell -> other']
     assert gateway.current is before
 
 
-async def test_drain_is_applied_after_lost_races(gateway, client):
-    gateway.lost_races = 3
-    reply = await client.post('/v1/hosts/h1/drain')
-    assert (reply.status_code, reply.json()['version']) == (200, 7)
+async def test_drain_is_retried_after_conflicts(gateway, client):
+    gateway.conflicts_left = 3
+    response = await client.post('/v1/hosts/h1/drain')
+    assert (response.status_code, response.json()['version']) == (200, 7)
     assert gateway.current.hosts[0].drained
     await client.post('/v1/hosts/h1/restore')
     assert not gateway.current.hosts[0].drained
 
 
-async def test_drain_gives_up_after_a_bounded_number_of_lost_races(
+async def test_drain_fails_after_a_limited_number_of_conflicts(
     gateway, client
 ):
-    gateway.lost_races = 99
-    reply = await client.post('/v1/hosts/h1/drain')
-    assert reply.status_code == 412
-    assert reply.json()['version'] == gateway.current.version
-    assert gateway.lost_races == 99 - configurations.DRAIN_TRIES
+    gateway.conflicts_left = 99
+    response = await client.post('/v1/hosts/h1/drain')
+    assert response.status_code == 412
+    assert response.json()['version'] == gateway.current.version
+    assert gateway.conflicts_left == 99 - configurations.MAX_DRAIN_ATTEMPTS
 
 
 @pytest.mark.parametrize(
-    ('answer', 'status'),
+    ('reply', 'status'),
     [
         (NoReply('store is silent'), 504),
         (Refusal(RefusalKind.STORE_UNAVAILABLE, 'down', 'wait'), 503),
     ],
 )
-async def test_drain_is_not_repeated_after_other_failures(
-    gateway, client, monkeypatch, answer, status
+async def test_drain_is_not_retried_after_other_failures(
+    gateway, client, monkeypatch, reply, status
 ):
     calls = []
 
     async def publish(configuration, expected_version):
         calls.append(expected_version)
-        return answer
+        return reply
 
     monkeypatch.setattr(gateway, 'publish', publish)
-    reply = await client.post('/v1/hosts/h1/drain')
-    assert (reply.status_code, calls) == (status, [3])
-    reply = await client.post('/v1/hosts/h9/drain')
-    assert (reply.status_code, calls) == (404, [3])
+    response = await client.post('/v1/hosts/h1/drain')
+    assert (response.status_code, calls) == (status, [3])
+    response = await client.post('/v1/hosts/h9/drain')
+    assert (response.status_code, calls) == (404, [3])
 
 
-async def test_hosts_of_a_silent_shard_are_marked_as_missing(gateway, client):
-    async def answer(message):
+async def test_list_of_hosts_names_shards_without_a_reply(gateway, client):
+    async def make_reply(message):
         if message.shard == 's1':
             return HostList((VIEW,))
         return NoReply('link closed')
 
-    gateway.answer = answer
-    reply = (await client.get('/v1/hosts')).json()
-    assert [host['name'] for host in reply['hosts']] == ['h1']
-    assert reply['partial'] is True
-    assert reply['missing'] == {'s2': 'link closed'}
+    gateway.reply = make_reply
+    response = (await client.get('/v1/hosts')).json()
+    assert [host['name'] for host in response['hosts']] == ['h1']
+    assert response['partial'] is True
+    assert response['missing'] == {'s2': 'link closed'}
 
 
-async def test_jobs_of_all_shards_are_whole(gateway, client):
-    gateway.answer = JobList((JobView('j', JobState.QUEUED, 'no room'),))
-    reply = (await client.get('/v1/jobs?state=queued&limit=5')).json()
-    assert len(reply['jobs']) == 2
-    assert reply['partial'] is False
-    assert {message.shard for message in gateway.asked} == {'s1', 's2'}
-    assert {message.limit for message in gateway.asked} == {5}
+async def test_list_of_jobs_includes_all_shards(gateway, client):
+    gateway.reply = JobList((JobView('j', JobState.QUEUED, 'no room'),))
+    response = (await client.get('/v1/jobs?state=queued&limit=5')).json()
+    assert len(response['jobs']) == 2
+    assert response['partial'] is False
+    assert {message.shard for message in gateway.messages} == {'s1', 's2'}
+    assert {message.limit for message in gateway.messages} == {5}
 
 
 @pytest.mark.parametrize('query', ['limit=0', 'limit=x', 'state=done'])
-async def test_bad_filter_is_refused(client, query):
+async def test_invalid_filter_is_refused(client, query):
     assert (await client.get(f'/v1/jobs?{query}')).status_code == 400
 
 
@@ -170,7 +172,7 @@
         ('', 0),
     ]
     status = (await client.get('/v1/status')).json()
-    assert [reply['name'] for reply in status['schedulers']] == [
+    assert [scheduler['name'] for scheduler in status['schedulers']] == [
         'new',
         'stale',
     ]
--- a/tests/http/test_problems.py
+++ b/tests/http/test_problems.py
@@ -1,4 +1,4 @@
-"""Guards against a refusal or a failed route without problem details."""
+"""Guards against error responses without problem details."""
 
 import pytest
 
@@ -14,7 +14,7 @@
 
 
 @pytest.mark.parametrize('kind', RefusalKind)
-async def test_every_refusal_has_a_problem(kind):
+async def test_every_refusal_kind_has_a_problem_type(kind):
     problem = describe_refusal(Refusal(kind, 'a reason', 'a remedy'), 'j1')
     response = render_problem(problem)
     assert 400 <= response.status_code < 600
@@ -35,9 +35,11 @@
         ('GET', '/v1/jobs/j1?wait=-1', 400),
     ],
 )
-async def test_failed_route_has_problem_details(client, method, path, status):
-    reply = await client.request(method, path, content=b'[1]')
-    assert reply.status_code == status
-    assert reply.headers['content-type'] == 'application/problem+json'
-    assert reply.json().keys() >= MEMBERS
-    assert (status == 405) == ('allow' in reply.headers)
+async def test_error_response_has_problem_details(
+    client, method, path, status
+):
+    response = await client.request(method, path, content=b'[1]')
+    assert response.status_code == status
+    assert response.headers['content-type'] == 'application/problem+json'
+    assert response.json().keys() >= MEMBERS
+    assert (status == 405) == ('allow' in response.headers)
--- a/tests/http/test_server.py
+++ b/tests/http/test_server.py
@@ -1,4 +1,4 @@
-"""Guards the server: whole bodies, broken transfers, graceful stops."""
+"""Guards the server's body transfers, disconnects and graceful shutdowns."""
 
 from contextlib import asynccontextmanager
 from contextlib import suppress
@@ -71,124 +71,130 @@
             except ConnectError:
                 return
             except TransportError:
-                # The connection was still waiting when the socket closed.
+                # The connection was queued when the socket was closed.
                 pass
             await anyio.sleep(0.01)
 
 
-async def leave_after_arrival(gateway, function, argument):
+async def disconnect_after_arrival(gateway, function, argument):
     async with anyio.create_task_group() as group:
         group.start_soon(function, argument)
-        await gateway.arrived.wait()
+        await gateway.message_received.wait()
         group.cancel_scope.cancel()
 
 
-async def test_large_bodies_arrive_whole_both_ways(gateway):
-    gateway.answer = echo
+async def test_large_request_and_response_bodies_are_transferred_whole(
+    gateway,
+):
+    gateway.reply = echo
     async with run_server(gateway) as server:
         for _ in range(3):
-            reply = await server.client.post('/v1/requests', json=REQUEST)
-            assert reply.content == TEXT.encode()
+            response = await server.client.post('/v1/requests', json=REQUEST)
+            assert response.content == TEXT.encode()
         gateway.chunks = (LARGE,) * 8
-        gateway.answer = make_finished('j', LARGE * 8, chunks=8)
-        reply = await server.client.get('/v1/jobs/j/output')
-        assert reply.content == LARGE * 8
+        gateway.reply = make_finished('j', LARGE * 8, chunks=8)
+        response = await server.client.get('/v1/jobs/j/output')
+        assert response.content == LARGE * 8
 
 
-async def test_damaged_output_is_a_broken_transfer(gateway):
+async def test_damaged_output_ends_the_transfer_early(gateway):
     gateway.chunks = (LARGE, LARGE[:-1] + b'x')
-    gateway.answer = make_finished('j', LARGE * 2, chunks=2)
+    gateway.reply = make_finished('j', LARGE * 2, chunks=2)
     async with run_server(gateway) as server:
         with pytest.raises(RemoteProtocolError, match='without sending'):
             await server.client.get('/v1/jobs/j/output')
 
 
-async def test_refused_large_body_still_gets_its_response(gateway):
+async def test_refused_request_with_a_large_body_gets_its_response(gateway):
     gateway.refusal = Refusal(RefusalKind.NOT_READY, 'a', 'b')
     async with run_server(gateway) as server:
         for path in ('/v1/requests', '/v1/jobs', '/nowhere'):
-            reply = await server.client.post(path, content=LARGE * 4)
-            assert reply.status_code == (404 if path == '/nowhere' else 503)
+            response = await server.client.post(path, content=LARGE * 4)
+            assert response.status_code == (404 if path == '/nowhere' else 503)
         gateway.refusal = None
-        reply = await server.client.post('/v1/jobs', content=LARGE * 4)
-        assert reply.status_code == 413
+        response = await server.client.post('/v1/jobs', content=LARGE * 4)
+        assert response.status_code == 413
 
 
 async def test_unread_body_does_not_block_the_response(gateway, monkeypatch):
-    async def answer(message):
-        # Time for hypercorn's queue of body messages to fill up.
+    async def make_reply(message):
+        # Wait until hypercorn's queue of body messages is full.
         await anyio.sleep(0.3)
         return JobView('j', JobState.CANCELLED)
 
     monkeypatch.setattr(bodies, 'MAX_DISCARDED_BYTES', 0)
-    gateway.answer = answer
+    gateway.reply = make_reply
     async with run_server(gateway, drain_s=60) as server:
         with suppress(TransportError):
             request = server.client.request
-            reply = await request('DELETE', '/v1/jobs/j', content=LARGE * 16)
-            assert reply.status_code == 200
+            response = await request(
+                'DELETE', '/v1/jobs/j', content=LARGE * 16
+            )
+            assert response.status_code == 200
 
 
 async def post_until_served(client):
-    # A place is free once the server has noticed that a caller has left;
-    # run_server fails the test when that never happens.
+    # The limit of open requests allows another one once the server has
+    # detected the disconnect; run_server fails the test if it never does.
     while True:
-        reply = await client.post('/v1/requests', json=REQUEST)
-        if reply.status_code != 503:
-            return reply
+        response = await client.post('/v1/requests', json=REQUEST)
+        if response.status_code != 503:
+            return response
         await anyio.sleep(0.01)
 
 
-async def test_callers_that_leave_break_nothing_and_end_their_waits(gateway):
-    gateway.answer = gateway.hold
-    limits = Limits(max_open_callers=1, answer_timeout_s=60)
+async def test_disconnect_ends_a_wait_but_not_a_submission(gateway):
+    gateway.reply = gateway.wait_and_echo
+    limits = Limits(max_open_caller_requests=1, reply_timeout_s=60)
     async with run_server(gateway, limits) as server:
         get, post = server.client.get, server.client.post
-        await leave_after_arrival(gateway, get, '/v1/jobs/j?wait=60')
-        await gateway.ended.wait()
-        gateway.arrived = anyio.Event()
-        await leave_after_arrival(gateway, post_until_served, server.client)
+        await disconnect_after_arrival(gateway, get, '/v1/jobs/j?wait=60')
+        await gateway.request_ended.wait()
+        gateway.message_received = anyio.Event()
+        await disconnect_after_arrival(
+            gateway, post_until_served, server.client
+        )
         assert (await post('/v1/requests', json=REQUEST)).status_code == 503
-        gateway.go_on.set()
-        reply = await post_until_served(server.client)
-        assert reply.content == TEXT.encode()
+        gateway.may_reply.set()
+        response = await post_until_served(server.client)
+        assert response.content == TEXT.encode()
 
 
-async def test_stop_closes_the_socket_and_lets_open_requests_end(gateway):
-    replies = []
+async def test_shutdown_closes_the_socket_and_waits_for_open_requests(gateway):
+    responses = []
 
     async def send(client):
-        replies.append(await client.post('/v1/requests', json=REQUEST))
+        responses.append(await client.post('/v1/requests', json=REQUEST))
 
-    gateway.answer = gateway.hold
+    gateway.reply = gateway.wait_and_echo
     async with (
         run_server(gateway) as server,
         anyio.create_task_group() as group,
     ):
         group.start_soon(send, server.client)
-        await gateway.arrived.wait()
+        await gateway.message_received.wait()
         server.stop.set()
         await wait_until_closed(server.address)
-        gateway.go_on.set()
-    assert replies[0].content == TEXT.encode()
+        gateway.may_reply.set()
+    assert responses[0].content == TEXT.encode()
 
 
 @pytest.mark.parametrize('cancel', [False, True], ids=['drain', 'cancel'])
-async def test_stop_is_bounded_by_the_drain_time_and_by_cancellation(
+async def test_shutdown_ends_after_the_drain_time_or_on_cancellation(
     gateway, cancel
 ):
     async def send(client):
         with suppress(TransportError):
-            reply = await client.get('/v1/jobs/j?wait=60')
-            assert reply.status_code == 500
+            response = await client.get('/v1/jobs/j?wait=60')
+            assert response.status_code == 500
 
-    gateway.answer = gateway.hold
+    gateway.reply = gateway.wait_and_echo
     async with (
         run_server(gateway, drain_s=60 if cancel else 0.05) as server,
         anyio.create_task_group() as group,
     ):
         group.start_soon(send, server.client)
-        await gateway.arrived.wait()
+        await gateway.message_received.wait()
         if cancel:
             server.scope.cancel()
         else:
@@ -198,7 +204,7 @@
 @pytest.mark.parametrize(
     'address', ['localhost:80', '127.0.0.1', '127.0.0.1:99999', ':80']
 )
-async def test_bad_address_names_the_remedy(address):
+async def test_error_of_an_invalid_address_names_the_remedy(address):
     stop = anyio.Event()
     stop.set()
     with pytest.raises(AddressError, match='IP number'):
--- a/tests/http/test_specifications.py
+++ b/tests/http/test_specifications.py
@@ -1,4 +1,4 @@
-"""Guards the checks of job specs."""
+"""Guards the validation of submitted jobs."""
 
 from hypothesis import given
 from hypothesis import HealthCheck
@@ -9,12 +9,12 @@
 from sassafrasgate.core.jobs import JobClass
 from sassafrasgate.core.jobs import JobSpec
 from sassafrasgate.core.resources import Resources
-from sassafrasgate.http.specifications import check_spec
 from sassafrasgate.http.specifications import Faults
 from sassafrasgate.http.specifications import FIELDS
+from sassafrasgate.http.specifications import parse_spec
 
 ALL = frozenset(JobClass)
-JUNK = strategies.recursive(
+ANY_JSON = strategies.recursive(
     strategies.none()
     | strategies.booleans()
     | strategies.integers()
@@ -29,17 +29,18 @@
 
 
 def check(**fields):
-    return check_spec({'team': 't', 'key': 'k', **fields}, ALL, JobClass.BATCH)
+    return parse_spec({'team': 't', 'key': 'k', **fields}, ALL, JobClass.BATCH)
 
 
-# The verdict must not depend on the speed of the machine or on the day.
+# The result must not depend on the speed of the machine, on a random seed or
+# on stored examples.
 @settings(
     derandomize=True,
     deadline=None,
     database=None,
     suppress_health_check=[HealthCheck.too_slow],
 )
-@given(strategies.dictionaries(strategies.sampled_from([*FIELDS]), JUNK))
+@given(strategies.dictionaries(strategies.sampled_from([*FIELDS]), ANY_JSON))
 def test_any_json_value_gives_a_spec_or_faults(fields):
     assert isinstance(check(**fields), JobSpec | Faults)
 
@@ -70,10 +71,10 @@
         {'class': 'quick', 'idempotent': False},
     ],
 )
-def test_wrong_field_is_one_fault(fields):
-    answer = check(**fields)
-    assert isinstance(answer, Faults)
-    assert len(answer.faults) == 1
+def test_invalid_field_is_one_fault(fields):
+    result = check(**fields)
+    assert isinstance(result, Faults)
+    assert len(result.faults) == 1
 
 
 def test_all_fields_reach_the_spec():
