--- a/sassafrasgate/configuration/checks.py
+++ b/sassafrasgate/configuration/checks.py
@@ -1,7 +1,7 @@
-"""Checks of a whole configuration, in a registry filled by decorators.
+"""Checks of a whole configuration.
 
-They work on `Configuration` itself, so that a declaration's files and a
-configuration that arrives by HTTP pass the same checks.
+They work on `Configuration` itself, so that the files of a declaration and a
+configuration received by HTTP pass the same checks.
 """
 
 from __future__ import annotations
@@ -15,7 +15,7 @@
 from sassafrasgate.configuration.values import check_job_class
 from sassafrasgate.configuration.values import check_name
 from sassafrasgate.configuration.values import check_url
-from sassafrasgate.configuration.values import Flaw
+from sassafrasgate.configuration.values import ValidationIssue
 from sassafrasgate.core.registries import Registry
 
 if TYPE_CHECKING:
@@ -26,34 +26,36 @@
     from sassafrasgate.core.cells import Configuration
     from sassafrasgate.core.resources import Resources
 
-# Larger than any single machine on sale; a value above it is a slip of unit.
+# Beyond any single machine on sale; a larger value was probably written in
+# the wrong unit.
 MAX_MILLICORES = 4_096_000
 MAX_MEMORY_MB = 64 * 2**20
 MAX_ACCELERATORS = 1_024
 MAX_SLOTS = 65_536
-# A worker has one port, and a client address has this many ports towards it.
+# A worker listens on one port, to which one client address can open a
+# connection from each of its 65,535 ports.
 MAX_CONNECTIONS = 65_535
 MIN_WEIGHT, MAX_WEIGHT = 1, 10_000
 MAX_PRIORITY = 100
-# The largest whole number that every JSON reader keeps exactly.
+# The largest integer that every JSON parser represents exactly.
 MAX_AMOUNT = 2**53 - 1
 
 
 @dataclass(frozen=True, slots=True)
-class ConfigurationFlaw:
-    """What is wrong with one entry of a configuration.
+class ConfigurationIssue:
+    """A problem with one entry of a configuration.
 
     Parameters
     ----------
     group : str
         Field of `Configuration` that holds the entry.
     index : int or None
-        Position of the entry in the group; None for the cell's name.
+        Position of the entry in the group; None for the name of the cell.
     field : str
         Field of the entry; empty for the entry as a whole.
     value : str
-        The bad value by ``repr``.
-    flaw : Flaw
+        The ``repr`` of the invalid value.
+    issue : ValidationIssue
         Problem and remedy.
     """
 
@@ -61,26 +63,26 @@
     index: int | None
     field: str
     value: str
-    flaw: Flaw
+    issue: ValidationIssue
 
     def __str__(self) -> str:
         index = f'[{self.index}]' if self.index is not None else ''
         field = f'.{self.field}' if self.field else ''
         return (
             f'{self.group}{index}{field}: {self.value} '
-            f'{self.flaw.problem}; {self.flaw.remedy}'
+            f'{self.issue.problem}; {self.issue.remedy}'
         )
 
 
 CONFIGURATION_CHECKS: Registry[
-    str, Callable[[Configuration], Iterator[ConfigurationFlaw]]
+    str, Callable[[Configuration], Iterator[ConfigurationIssue]]
 ] = Registry('configuration check')
 
 
 def check_configuration(
     configuration: Configuration,
-) -> tuple[ConfigurationFlaw, ...]:
-    """Return all flaws of a configuration; empty when it can be used.
+) -> tuple[ConfigurationIssue, ...]:
+    """Return all issues of a configuration; empty when it is valid.
 
     Parameters
     ----------
@@ -93,20 +95,22 @@
     ()
     """
     return tuple(
-        flaw
+        issue
         for name in CONFIGURATION_CHECKS
-        for flaw in CONFIGURATION_CHECKS.find(name)(configuration)
+        for issue in CONFIGURATION_CHECKS.find(name)(configuration)
     )
 
 
-def _find_repeats(
+def _find_duplicates(
     group: str, field: str, values: Iterable[str], noun: str
-) -> Iterator[ConfigurationFlaw]:
+) -> Iterator[ConfigurationIssue]:
     seen: set[str] = set()
     for index, value in enumerate(values):
         if value in seen:
-            flaw = Flaw(f'names two {noun}', 'rename or remove one of them')
-            yield ConfigurationFlaw(group, index, field, repr(value), flaw)
+            issue = ValidationIssue(
+                f'names two {noun}', 'rename or remove one of them'
+            )
+            yield ConfigurationIssue(group, index, field, repr(value), issue)
         seen.add(value)
 
 
@@ -115,29 +119,29 @@
     group: str,
     field: str,
     values: Iterable[str],
-) -> Iterator[ConfigurationFlaw]:
+) -> Iterator[ConfigurationIssue]:
     for index, value in enumerate(values):
         result = check(value)
-        if isinstance(result, Flaw):
-            yield ConfigurationFlaw(group, index, field, repr(value), result)
+        if isinstance(result, ValidationIssue):
+            yield ConfigurationIssue(group, index, field, repr(value), result)
 
 
 @CONFIGURATION_CHECKS.register('cell')
 def check_cell_name(
     configuration: Configuration,
-) -> Iterator[ConfigurationFlaw]:
-    """Find an unusable name of the cell."""
+) -> Iterator[ConfigurationIssue]:
+    """Find an invalid name of the cell."""
     result = check_name(configuration.cell)
-    if isinstance(result, Flaw):
+    if isinstance(result, ValidationIssue):
         value = repr(configuration.cell)
-        yield ConfigurationFlaw('cell', None, '', value, result)
+        yield ConfigurationIssue('cell', None, '', value, result)
 
 
 @CONFIGURATION_CHECKS.register('names')
 def check_names(
     configuration: Configuration,
-) -> Iterator[ConfigurationFlaw]:
-    """Find names that are unusable or used twice."""
+) -> Iterator[ConfigurationIssue]:
+    """Find names that are invalid, or used twice in one group."""
     for group, noun in (
         ('hosts', 'hosts'),
         ('shards', 'shards'),
@@ -146,132 +150,147 @@
     ):
         names = [entry.name for entry in getattr(configuration, group)]
         yield from _apply(check_name, group, 'name', names)
-        yield from _find_repeats(group, 'name', names, noun)
+        yield from _find_duplicates(group, 'name', names, noun)
 
 
 @CONFIGURATION_CHECKS.register('urls')
-def check_urls(configuration: Configuration) -> Iterator[ConfigurationFlaw]:
-    """Find workers without a usable address of their own."""
+def check_urls(configuration: Configuration) -> Iterator[ConfigurationIssue]:
+    """Find hosts with an invalid URL or with the URL of another host."""
     urls = [host.url for host in configuration.hosts]
     yield from _apply(check_url, 'hosts', 'url', urls)
     used: dict[str, int] = {}
     for index, host in enumerate(configuration.hosts):
-        # One worker can be written with two schemes, but has one address.
+        # URLs that differ only in the scheme name the same worker.
         address = host.url.partition('://')[2].rstrip('/')
         first = used.setdefault(address, index)
         if first != index:
             other = configuration.hosts[first].name
-            flaw = Flaw(
+            issue = ValidationIssue(
                 f'is already the url of {other!r}',
                 'give each host a url of its own',
             )
-            yield ConfigurationFlaw(
-                'hosts', index, 'url', repr(host.url), flaw
+            yield ConfigurationIssue(
+                'hosts', index, 'url', repr(host.url), issue
             )
 
 
 @CONFIGURATION_CHECKS.register('racks')
-def check_racks(configuration: Configuration) -> Iterator[ConfigurationFlaw]:
-    """Find racks that stand in two failure domains."""
-    homes: dict[str, str] = {}
+def check_racks(configuration: Configuration) -> Iterator[ConfigurationIssue]:
+    """Find racks that are declared in two failure domains."""
+    domains_by_rack: dict[str, str] = {}
     reported: set[tuple[str, str]] = set()
     for index, host in enumerate(configuration.hosts):
-        home = homes.setdefault(host.rack, host.failure_domain)
+        domain = domains_by_rack.setdefault(host.rack, host.failure_domain)
         pair = (host.rack, host.failure_domain)
-        if home == host.failure_domain or pair in reported:
+        if domain == host.failure_domain or pair in reported:
             continue
         reported.add(pair)
-        flaw = Flaw(
-            f'stands in the failure domains {home!r} and '
+        issue = ValidationIssue(
+            f'is in the failure domains {domain!r} and '
             f'{host.failure_domain!r}',
             'rename one of the racks',
         )
-        yield ConfigurationFlaw('hosts', index, 'rack', repr(host.rack), flaw)
+        yield ConfigurationIssue(
+            'hosts', index, 'rack', repr(host.rack), issue
+        )
 
 
-def _find_rack_homes(configuration: Configuration) -> dict[str, str]:
-    homes: dict[str, str] = {}
+def _map_racks_to_domains(configuration: Configuration) -> dict[str, str]:
+    domains_by_rack: dict[str, str] = {}
     for host in configuration.hosts:
-        homes.setdefault(host.rack, host.failure_domain)
-    return homes
+        domains_by_rack.setdefault(host.rack, host.failure_domain)
+    return domains_by_rack
 
 
 @CONFIGURATION_CHECKS.register('shards')
-def check_shards(configuration: Configuration) -> Iterator[ConfigurationFlaw]:
-    """Find shards that share racks or span failure domains."""
-    homes = _find_rack_homes(configuration)
-    domains = tuple(dict.fromkeys(homes.values()))
-    owners: dict[str, str] = {}
+def check_shards(configuration: Configuration) -> Iterator[ConfigurationIssue]:
+    """Find shards without racks, sharing racks or spanning domains."""
+    domains_by_rack = _map_racks_to_domains(configuration)
+    domains = tuple(dict.fromkeys(domains_by_rack.values()))
+    shards_by_rack: dict[str, str] = {}
     for index, shard in enumerate(configuration.shards):
         if shard.failure_domain not in domains:
-            yield ConfigurationFlaw(
+            yield ConfigurationIssue(
                 'shards',
                 index,
                 'failure_domain',
                 repr(shard.failure_domain),
-                Flaw(
+                ValidationIssue(
                     'is not in the inventory',
                     suggest_name(shard.failure_domain, domains),
                 ),
             )
         if not shard.racks:
-            flaw = Flaw('has no racks', 'name its racks or remove it')
-            yield ConfigurationFlaw(
-                'shards', index, 'racks', repr(shard.name), flaw
+            issue = ValidationIssue(
+                'has no racks', 'name its racks or remove it'
+            )
+            yield ConfigurationIssue(
+                'shards', index, 'racks', repr(shard.name), issue
             )
         for rack in shard.racks:
-            problem = _judge_rack(shard.failure_domain, rack, homes, owners)
-            owners.setdefault(rack, shard.name)
+            problem = _check_rack(
+                shard.failure_domain, rack, domains_by_rack, shards_by_rack
+            )
+            shards_by_rack.setdefault(rack, shard.name)
             if problem is not None:
-                yield ConfigurationFlaw(
+                yield ConfigurationIssue(
                     'shards', index, 'racks', repr(rack), problem
                 )
 
 
-def _judge_rack(
-    domain: str, rack: str, homes: dict[str, str], owners: dict[str, str]
-) -> Flaw | None:
-    if rack not in homes:
-        remedy = suggest_name(rack, tuple(homes))
-        return Flaw('is not in the inventory', remedy)
-    if rack in owners:
-        return Flaw(
-            f'is already in the shard {owners[rack]!r}',
+def _check_rack(
+    domain: str,
+    rack: str,
+    domains_by_rack: dict[str, str],
+    shards_by_rack: dict[str, str],
+) -> ValidationIssue | None:
+    if rack not in domains_by_rack:
+        remedy = suggest_name(rack, tuple(domains_by_rack))
+        return ValidationIssue('is not in the inventory', remedy)
+    if rack in shards_by_rack:
+        return ValidationIssue(
+            f'is already in the shard {shards_by_rack[rack]!r}',
             'name each rack in one shard',
         )
-    if homes[rack] != domain and domain in homes.values():
-        return Flaw(
-            f'stands in {homes[rack]!r} and not in {domain!r}',
+    if domains_by_rack[rack] != domain and domain in domains_by_rack.values():
+        return ValidationIssue(
+            f'is in {domains_by_rack[rack]!r} and not in {domain!r}',
             'keep a shard within one failure domain',
         )
     return None
 
 
 @CONFIGURATION_CHECKS.register('racks without a shard')
-def check_rack_cover(
+def check_unassigned_racks(
     configuration: Configuration,
-) -> Iterator[ConfigurationFlaw]:
-    """Find racks whose hosts no shard would use."""
-    covered = {rack for shard in configuration.shards for rack in shard.racks}
+) -> Iterator[ConfigurationIssue]:
+    """Find racks that belong to no shard, so that their hosts get no work."""
+    assigned = {rack for shard in configuration.shards for rack in shard.racks}
     for index, host in enumerate(configuration.hosts):
-        if host.rack in covered:
+        if host.rack in assigned:
             continue
-        covered.add(host.rack)
-        flaw = Flaw('is in no shard', 'add it to a shard of its domain')
-        yield ConfigurationFlaw('hosts', index, 'rack', repr(host.rack), flaw)
+        assigned.add(host.rack)
+        issue = ValidationIssue(
+            'is in no shard', 'add it to a shard of its domain'
+        )
+        yield ConfigurationIssue(
+            'hosts', index, 'rack', repr(host.rack), issue
+        )
 
 
 @CONFIGURATION_CHECKS.register('capacities')
 def check_capacities(
     configuration: Configuration,
-) -> Iterator[ConfigurationFlaw]:
-    """Find hosts of an impossible size."""
+) -> Iterator[ConfigurationIssue]:
+    """Find capacities outside the range of possible machines."""
     for index, host in enumerate(configuration.hosts):
-        for value, flaw in _judge_capacity(host.capacity):
-            yield ConfigurationFlaw('hosts', index, 'capacity', value, flaw)
+        for value, issue in _check_capacity(host.capacity):
+            yield ConfigurationIssue('hosts', index, 'capacity', value, issue)
 
 
-def _judge_capacity(capacity: Resources) -> Iterator[tuple[str, Flaw]]:
+def _check_capacity(
+    capacity: Resources,
+) -> Iterator[tuple[str, ValidationIssue]]:
     bounds = (
         ('cores', capacity.millicores, 1, MAX_MILLICORES, format_cores),
         ('memory', capacity.memory_mb, 1, MAX_MEMORY_MB, format_memory),
@@ -279,22 +298,22 @@
         ('slots', capacity.slots, 1, MAX_SLOTS, str),
         ('connections', capacity.connections, 1, MAX_CONNECTIONS, str),
     )
-    for noun, amount, least, most, show in bounds:
-        if least <= amount <= most:
+    for noun, amount, minimum, maximum, format_amount in bounds:
+        if minimum <= amount <= maximum:
             continue
-        flaw = Flaw(
+        issue = ValidationIssue(
             f'is an impossible amount of {noun} for a host',
-            f'write from {show(least)} to {show(most)}',
+            f'write from {format_amount(minimum)} to {format_amount(maximum)}',
         )
-        yield repr(show(amount)), flaw
+        yield repr(format_amount(amount)), issue
 
 
 @CONFIGURATION_CHECKS.register('teams')
-def check_teams(configuration: Configuration) -> Iterator[ConfigurationFlaw]:
-    """Find quotas below zero and weights that give no share."""
+def check_teams(configuration: Configuration) -> Iterator[ConfigurationIssue]:
+    """Find quotas, weights and queue limits that are out of range."""
     for index, team in enumerate(configuration.teams):
         quota = team.quota
-        for noun, amount, show in (
+        for noun, amount, format_amount in (
             ('cores', quota.millicores, format_cores),
             ('memory', quota.memory_mb, format_memory),
             ('accelerators', quota.accelerators, str),
@@ -302,33 +321,33 @@
             ('connections', quota.connections, str),
         ):
             if not 0 <= amount <= MAX_AMOUNT:
-                flaw = Flaw(
+                issue = ValidationIssue(
                     f'is an impossible quota of {noun}',
                     'write 0 for no limit, or an amount',
                 )
-                yield ConfigurationFlaw(
-                    'teams', index, 'quota', repr(show(amount)), flaw
+                yield ConfigurationIssue(
+                    'teams', index, 'quota', repr(format_amount(amount)), issue
                 )
         if not MIN_WEIGHT <= team.weight <= MAX_WEIGHT:
-            flaw = Flaw(
+            issue = ValidationIssue(
                 'is not a usable weight',
                 f'write a weight from {MIN_WEIGHT} to {MAX_WEIGHT}',
             )
-            yield ConfigurationFlaw(
-                'teams', index, 'weight', repr(team.weight), flaw
+            yield ConfigurationIssue(
+                'teams', index, 'weight', repr(team.weight), issue
             )
         if not 0 <= team.max_queued <= MAX_AMOUNT:
-            flaw = Flaw(
+            issue = ValidationIssue(
                 'is an impossible number of jobs', 'write 0 or more jobs'
             )
-            yield ConfigurationFlaw(
-                'teams', index, 'max_queued', repr(team.max_queued), flaw
+            yield ConfigurationIssue(
+                'teams', index, 'max_queued', repr(team.max_queued), issue
             )
 
 
 @CONFIGURATION_CHECKS.register('rules')
-def check_rules(configuration: Configuration) -> Iterator[ConfigurationFlaw]:
-    """Find rules that name what does not exist."""
+def check_rules(configuration: Configuration) -> Iterator[ConfigurationIssue]:
+    """Find rules with undeclared names or values that are out of range."""
     known = {
         'team': tuple(team.name for team in configuration.teams),
         'failure_domains': tuple(
@@ -349,22 +368,22 @@
             for name in names:
                 if name in known[field]:
                     continue
-                flaw = Flaw(
+                issue = ValidationIssue(
                     'is not declared', suggest_name(name, known[field])
                 )
-                yield ConfigurationFlaw(
-                    'rules', index, field, repr(name), flaw
+                yield ConfigurationIssue(
+                    'rules', index, field, repr(name), issue
                 )
         result = check_job_class(rule.job_class) if rule.job_class else None
-        if isinstance(result, Flaw):
-            yield ConfigurationFlaw(
+        if isinstance(result, ValidationIssue):
+            yield ConfigurationIssue(
                 'rules', index, 'job_class', repr(rule.job_class), result
             )
         if abs(rule.priority) > MAX_PRIORITY:
-            flaw = Flaw(
+            issue = ValidationIssue(
                 'is outside the range of priorities',
                 f'write from -{MAX_PRIORITY} to {MAX_PRIORITY}',
             )
-            yield ConfigurationFlaw(
-                'rules', index, 'priority', repr(rule.priority), flaw
+            yield ConfigurationIssue(
+                'rules', index, 'priority', repr(rule.priority), issue
             )
--- a/sassafrasgate/configuration/declarations.py
+++ b/sassafrasgate/configuration/declarations.py
@@ -1,7 +1,7 @@
-"""Declarations that operators keep in version control.
+"""Declarations of a cell, which operators keep in version control.
 
 A declaration is a directory with ``inventory*.yaml``, ``rules.yaml`` and
-``quotas.yaml``, or one file whose documents carry ``kind``.
+``quotas.yaml``, or one file whose documents have the key ``kind``.
 """
 
 from __future__ import annotations
@@ -18,18 +18,18 @@
 from sassafrasgate.configuration.checks import check_configuration
 from sassafrasgate.configuration.documents import read_document
 from sassafrasgate.configuration.documents import read_documents
-from sassafrasgate.configuration.entries import SCHEMAS
 from sassafrasgate.configuration.faults import Fault
 from sassafrasgate.configuration.faults import suggest_name
+from sassafrasgate.configuration.schemas import SCHEMAS
 from sassafrasgate.core.cells import Configuration
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
     from pathlib import Path
 
-    from sassafrasgate.configuration.builders import Entry
+    from sassafrasgate.configuration.builders import DeclaredEntry
     from sassafrasgate.configuration.documents import Document
-    from sassafrasgate.configuration.documents import Reading
+    from sassafrasgate.configuration.documents import ParsedDocument
 
 FILE_KINDS = {
     'inventory*.yaml': 'inventory',
@@ -45,18 +45,18 @@
     Parameters
     ----------
     path : Path
-        A directory, or one file whose documents carry ``kind``.
+        A directory, or one file whose documents have the key ``kind``.
 
     Returns
     -------
     Configuration or tuple of Fault
-        The configuration has version 0 and no change id. The faults are all
-        that could be found, by file and line. While a document can't be
-        read at all, entries are not compared with each other, since some
-        of them are missing.
+        The configuration has version 0 and no change id. The faults are
+        ordered by file and line. When a document can't be read at all,
+        entries are not checked against each other, since some of them are
+        missing.
     """
     files, faults = _list_files(path)
-    readings: list[Reading] = []
+    parsed_documents: list[ParsedDocument] = []
     unreadable: list[Fault] = []
     for file, kind in files:
         documents, fault = read_documents(file)
@@ -66,16 +66,22 @@
             if isinstance(found, Fault):
                 unreadable.append(found)
                 continue
-            readings.append(read_document(document, SCHEMAS.find(found)))
+            parsed_documents.append(
+                read_document(document, SCHEMAS.find(found))
+            )
     faults += unreadable
-    for reading in readings:
-        faults += reading.faults
-    if unreadable or not readings:
+    for parsed in parsed_documents:
+        faults += parsed.faults
+    if unreadable or not parsed_documents:
         return _sort_faults(faults)
-    entries, found_faults = build_entries(tuple(readings))
+    entries, found_faults = build_entries(tuple(parsed_documents))
     faults += found_faults
-    configuration, sources = _join_entries(find_cell(tuple(readings)), entries)
-    faults += _locate_flaws(configuration, sources, tuple(faults))
+    configuration, entries_by_group = _join_entries(
+        find_cell(tuple(parsed_documents)), entries
+    )
+    faults += _find_configuration_faults(
+        configuration, entries_by_group, tuple(faults)
+    )
     return _sort_faults(faults) if faults else configuration
 
 
@@ -111,7 +117,7 @@
 
 
 def _find_kind(document: Document, expected: str) -> str | Fault:
-    """Return the kind that a document gives, or that its file's name does."""
+    """Return the kind of a document, by its key or by the name of its file."""
     root = document.root
     given, line = expected, root.start_mark.line + 1
     if isinstance(root, MappingNode):
@@ -131,40 +137,42 @@
 
 
 def _join_entries(
-    cell: str, entries: tuple[Entry, ...]
-) -> tuple[Configuration, dict[str, tuple[Entry, ...]]]:
-    """Return the configuration and the entries of each of its groups."""
-    sources = {
+    cell: str, entries: tuple[DeclaredEntry, ...]
+) -> tuple[Configuration, dict[str, tuple[DeclaredEntry, ...]]]:
+    """Return the configuration, and the declared entries of each group."""
+    entries_by_group = {
         group: tuple(entry for entry in entries if entry.group == group)
         for group in GROUPS
     }
     groups: dict[str, Any] = {
-        group: tuple(entry.value for entry in source)
-        for group, source in sources.items()
+        group: tuple(entry.value for entry in group_entries)
+        for group, group_entries in entries_by_group.items()
     }
-    return Configuration(cell=cell, **groups), sources
+    return Configuration(cell=cell, **groups), entries_by_group
 
 
-def _locate_flaws(
+def _find_configuration_faults(
     configuration: Configuration,
-    sources: dict[str, tuple[Entry, ...]],
+    entries_by_group: dict[str, tuple[DeclaredEntry, ...]],
     known: tuple[Fault, ...],
 ) -> Iterator[Fault]:
-    """Yield the faults of the whole, without those that follow from others.
+    """Yield faults of the whole configuration that are not known yet.
 
-    A part with a fault of its own holds an empty value; what the checks say
-    about that value is left out. A flaw of a host class is listed once and
-    not for each of its hosts.
+    A part that has a fault holds an empty value, so issues with that value
+    are left out. An issue with a host class is reported once, not for each
+    of its hosts.
     """
-    listed = set()
-    for flaw in check_configuration(configuration):
-        if flaw.index is None:
-            # The name of the cell has a fault in a document already.
+    reported = set()
+    for issue in check_configuration(configuration):
+        if issue.index is None:
+            # `check_cell` or the schema has reported the name already.
             continue
-        place = sources[flaw.group][flaw.index].find_place(flaw.field)
-        if any(place.covers(fault) for fault in known):
+        location = entries_by_group[issue.group][issue.index].find_location(
+            issue.field
+        )
+        if any(location.contains(fault) for fault in known):
             continue
-        fault = place.make_fault(flaw.value, flaw.flaw)
-        if fault not in listed:
-            listed.add(fault)
+        fault = location.make_fault(issue.value, issue.issue)
+        if fault not in reported:
+            reported.add(fault)
             yield fault
--- a/sassafrasgate/configuration/settings.py
+++ b/sassafrasgate/configuration/settings.py
@@ -1,4 +1,4 @@
-"""Settings of one process, read from YAML."""
+"""Settings of a front end or scheduler process, read from YAML."""
 
 from __future__ import annotations
 
@@ -14,25 +14,25 @@
 from sassafrasgate.configuration.faults import Fault
 from sassafrasgate.configuration.values import Address
 from sassafrasgate.configuration.values import check_address
-from sassafrasgate.configuration.values import Flaw
 from sassafrasgate.configuration.values import ListenAddress
 from sassafrasgate.configuration.values import LogLevel
 from sassafrasgate.configuration.values import Name
 from sassafrasgate.configuration.values import NotNegative
 from sassafrasgate.configuration.values import Positive
 from sassafrasgate.configuration.values import Url
+from sassafrasgate.configuration.values import ValidationIssue
 from sassafrasgate.core.errors import SassafrasgateError
 from sassafrasgate.core.registries import Registry
 
 if TYPE_CHECKING:
     from pathlib import Path
 
-    from sassafrasgate.configuration.documents import Reading
+    from sassafrasgate.configuration.documents import ParsedDocument
 
 
 @dataclass(frozen=True, slots=True)
 class Peer:
-    """Another entry host's scheduler, by IP number and port."""
+    """Name and address (IP number and port) of another scheduler."""
 
     name: Name
     address: Address
@@ -47,30 +47,32 @@
     name : str
         Unique name of the process in the cell.
     failure_domain : str
-        Where its entry host stands.
+        Failure domain of its entry host.
     store_url : str
         Base URL of the platform's store.
     http_address : str
         IP number and port for HTTP (callers and operators on a front end;
         health and metrics on a scheduler).
     link_address : str
-        IP number and port of a scheduler's inner protocol; empty on a
+        IP number and port for the inner protocol of a scheduler; empty on a
         front end.
     peers : tuple of Peer
-        Schedulers to ask for the configuration while the store is down.
+        Schedulers from which the configuration is requested while the store
+        is down.
     writes_per_s, reads_per_s : float
-        The whole cell's share of the store.
+        Rate limits for calls to the store by all processes of the cell
+        together.
     drain_s : float
-        How long a planned stop may take.
+        Maximum duration of a planned stop, in seconds.
     owner_ttl_s : float
-        Length of a scheduler's lease in the store. A frozen owner's shards
-        are taken over after this time.
+        Duration of a scheduler's lease in the store, in seconds. The shards
+        of an owner that does not respond are taken over after this time.
     outage_grace_s : float
-        How long past its lease an owner goes on with running and covered
-        work while the store is down. A successor waits as long before it
-        gives up work on a host that does not answer.
+        Seconds after the expiry of its lease for which an owner may still
+        send commands to workers while the store is down. A new owner waits
+        as long before it declares work lost on a host that does not respond.
     log_level : str
-        As logbook names it.
+        Lowest level of the log, as logbook names it.
     """
 
     name: Name
@@ -88,12 +90,12 @@
 
 
 class SettingsError(SassafrasgateError):
-    """A settings file has faults.
+    """Raised when a settings file has faults.
 
     Parameters
     ----------
     faults : tuple of Fault
-        All of them, in the order of their lines.
+        All faults of the file, in the order of their lines.
     """
 
     def __init__(self, faults: tuple[Fault, ...]) -> None:
@@ -105,15 +107,15 @@
 
 
 @dataclass(frozen=True, slots=True)
-class SettingsFlaw:
-    """What is wrong between settings that are each right by themselves."""
+class SettingsIssue:
+    """A conflict between settings that are each valid by themselves."""
 
     path: str
     value: str
-    flaw: Flaw
+    issue: ValidationIssue
 
 
-SettingsChecks = Registry[str, Callable[[Any], Iterator[SettingsFlaw]]]
+SettingsChecks = Registry[str, Callable[[Any], Iterator[SettingsIssue]]]
 
 SETTINGS_CHECKS: SettingsChecks = Registry('settings check')
 
@@ -121,8 +123,8 @@
 def load_settings(path: Path) -> Settings:
     """Return the settings of a YAML file.
 
-    A peer with the process's own name and link address is left out, so
-    that all settings files of a cell can carry the same list of peers.
+    The entry of the process itself is removed from the peers, so that all
+    settings files of a cell can contain the same list of peers.
 
     Parameters
     ----------
@@ -132,15 +134,15 @@
     Returns
     -------
     Settings
-        With every value checked.
+        Settings whose values have all been checked.
 
     Raises
     ------
     SettingsError
         When the file has faults; it names all of them.
     """
-    reading = load_document(path, Settings, SETTINGS_CHECKS)
-    settings: Settings = reading.value
+    parsed = load_document(path, Settings, SETTINGS_CHECKS)
+    settings: Settings = parsed.value
     others = tuple(
         peer for peer in settings.peers if peer.name != settings.name
     )
@@ -149,15 +151,15 @@
 
 def load_document(
     path: Path, kind: type[Any], checks: SettingsChecks | None = None
-) -> Reading:
+) -> ParsedDocument:
     """Read a file with one YAML document into a settings class.
 
     Parameters
     ----------
     kind : type
-        A data class whose fields have checked types.
+        A data class used as the schema.
     checks : Registry, optional
-        Of checks of the whole document.
+        Checks of the settings as a whole.
 
     Raises
     ------
@@ -171,47 +173,47 @@
         problem = f'holds {len(documents)} YAML documents'
         remedy = 'write the settings of one process in one document'
         raise SettingsError((Fault(str(path), 0, '', '', problem, remedy),))
-    reading = read_document(documents[0], kind)
-    faults = reading.faults
+    parsed = read_document(documents[0], kind)
+    faults = parsed.faults
     if checks is not None:
-        faults += _check_together(reading, checks)
+        faults += _run_checks(parsed, checks)
     if faults:
         raise SettingsError(
             tuple(sorted(faults, key=lambda fault: fault.line))
         )
-    return reading
+    return parsed
 
 
-def _check_together(
-    reading: Reading, checks: SettingsChecks
+def _run_checks(
+    parsed: ParsedDocument, checks: SettingsChecks
 ) -> tuple[Fault, ...]:
     found = []
     for name in checks:
-        for flaw in checks.find(name)(reading.value):
+        for issue in checks.find(name)(parsed.value):
             found.append(
                 Fault(
-                    reading.file,
-                    reading.find_line(flaw.path),
-                    flaw.path,
-                    flaw.value,
-                    flaw.flaw.problem,
-                    flaw.flaw.remedy,
+                    parsed.file,
+                    parsed.find_line(issue.path),
+                    issue.path,
+                    issue.value,
+                    issue.issue.problem,
+                    issue.issue.remedy,
                 )
             )
     return tuple(found)
 
 
 @SETTINGS_CHECKS.register('own addresses')
-def check_own_addresses(settings: Settings) -> Iterator[SettingsFlaw]:
-    """Find one address for two purposes."""
+def check_own_addresses(settings: Settings) -> Iterator[SettingsIssue]:
+    """Find a link address that is the HTTP address too."""
     address = settings.link_address
     if address and address == settings.http_address:
-        flaw = Flaw('is also http_address', 'use another port')
-        yield SettingsFlaw('link_address', repr(address), flaw)
+        issue = ValidationIssue('is also http_address', 'use another port')
+        yield SettingsIssue('link_address', repr(address), issue)
 
 
 @SETTINGS_CHECKS.register('peers')
-def check_peers(settings: Settings) -> Iterator[SettingsFlaw]:
+def check_peers(settings: Settings) -> Iterator[SettingsIssue]:
     """Find peers that share a name or an address."""
     own = Peer(settings.name, settings.link_address)
     names = {own.name: own.address}
@@ -219,26 +221,26 @@
     for index, peer in enumerate(settings.peers):
         if peer == own:
             continue
-        # An empty value has a fault of its own already.
+        # An empty value has already been reported as a fault.
         if peer.name and peer.name in names:
-            flaw = Flaw(
-                f'already stands for {names[peer.name]!r}',
+            issue = ValidationIssue(
+                f'is already the name of {names[peer.name]!r}',
                 'give each process a name of its own',
             )
             path = f'peers[{index}].name'
-            yield SettingsFlaw(path, repr(peer.name), flaw)
+            yield SettingsIssue(path, repr(peer.name), issue)
         if peer.address and peer.address in addresses:
-            flaw = Flaw(
+            issue = ValidationIssue(
                 f'is already the address of {addresses[peer.address]!r}',
                 'give each process an address of its own',
             )
             path = f'peers[{index}].address'
-            yield SettingsFlaw(path, repr(peer.address), flaw)
+            yield SettingsIssue(path, repr(peer.address), issue)
         names.setdefault(peer.name, peer.address)
         addresses.setdefault(peer.address, peer.name)
 
 
-def check_link_address(settings: Settings) -> Flaw | None:
-    """Return what is wrong with a scheduler's link address, if anything."""
+def check_link_address(settings: Settings) -> ValidationIssue | None:
+    """Return the issue with the link address of a scheduler, if any."""
     result = check_address(settings.link_address)
-    return result if isinstance(result, Flaw) else None
+    return result if isinstance(result, ValidationIssue) else None
