Name the bound address of the HTTP server and reword two comments

Cause: bound alone reads like a limit. Change: bound_address; comments of the poll timeout and of the problem types.

--- a/sassafrasgate/http/long_polling.py
+++ b/sassafrasgate/http/long_polling.py
@@ -17,7 +17,7 @@
     from sassafrasgate.http.routes import Context
     from sassafrasgate.protocol.messages import JobView
 
-# Bounds how long a wait delays the stop of this process, and how long it takes
+# Limits how long a wait delays the stop of this process, and how long it takes
 # until a wait continues at the new owner of a shard.
 POLL_TIMEOUT_S = 5.0
 # Prevents a tight loop if a shard replies early.
--- a/sassafrasgate/http/problems.py
+++ b/sassafrasgate/http/problems.py
@@ -1,7 +1,7 @@
 """Problem details (RFC 9457), with a registry of problem types.
 
-Every `RefusalKind` names a problem type; the other types are for errors that
-only HTTP requests can have.
+Every `RefusalKind` names a problem type; the other types are for failures that
+exist only in the HTTP interface.
 """
 
 from __future__ import annotations
--- a/sassafrasgate/http/server.py
+++ b/sassafrasgate/http/server.py
@@ -74,7 +74,7 @@
     if listener is None:
         listener = open_listener(address)
     host, port = listener.getsockname()[:2]
-    bound = f'[{host}]:{port}' if ':' in host else f'{host}:{port}'
+    bound_address = f'[{host}]:{port}' if ':' in host else f'{host}:{port}'
     config = Config()
     # hypercorn takes ownership of the file descriptor and closes it.
     config.bind = [f'fd://{listener.detach()}']
@@ -87,7 +87,7 @@
     stop = Event()
     async with create_task_group() as group:
         group.start_soon(_run_hypercorn, application, config, stop)
-        task_status.started(bound)
+        task_status.started(bound_address)
         try:
             await shutdown_event.wait()
         except get_cancelled_exc_class():
