Say what the tests of configurations and logs guard against

Cause: the heads of some tests named no failure, and a few names in the configuration package were still vague. Change: heads of four test modules state the failure; _apply_check, _format_node and some local names; a few docstrings.

--- a/sassafrasgate/configuration/checks.py
+++ b/sassafrasgate/configuration/checks.py
@@ -87,7 +87,7 @@
     Parameters
     ----------
     configuration : Configuration
-        Of any version.
+        Configuration to check, of any version.
 
     Examples
     --------
@@ -114,7 +114,7 @@
         seen.add(value)
 
 
-def _apply(
+def _apply_check(
     check: Callable[[object], object],
     group: str,
     field: str,
@@ -149,7 +149,7 @@
         ('rules', 'rules'),
     ):
         names = [entry.name for entry in getattr(configuration, group)]
-        yield from _apply(check_name, group, 'name', names)
+        yield from _apply_check(check_name, group, 'name', names)
         yield from _find_duplicates(group, 'name', names, noun)
 
 
@@ -157,7 +157,7 @@
 def check_urls(configuration: Configuration) -> Iterator[ConfigurationIssue]:
     """Find hosts with an invalid URL or with the URL of another host."""
     urls = [host.url for host in configuration.hosts]
-    yield from _apply(check_url, 'hosts', 'url', urls)
+    yield from _apply_check(check_url, 'hosts', 'url', urls)
     used: dict[str, int] = {}
     for index, host in enumerate(configuration.hosts):
         # URLs that differ only in the scheme name the same worker.
@@ -228,13 +228,13 @@
                 'shards', index, 'racks', repr(shard.name), issue
             )
         for rack in shard.racks:
-            problem = _check_rack(
+            rack_issue = _check_rack(
                 shard.failure_domain, rack, domains_by_rack, shards_by_rack
             )
             shards_by_rack.setdefault(rack, shard.name)
-            if problem is not None:
+            if rack_issue is not None:
                 yield ConfigurationIssue(
-                    'shards', index, 'racks', repr(rack), problem
+                    'shards', index, 'racks', repr(rack), rack_issue
                 )
 
 
--- a/sassafrasgate/configuration/documents.py
+++ b/sassafrasgate/configuration/documents.py
@@ -91,7 +91,7 @@
 def read_documents(path: Path) -> tuple[tuple[Document, ...], Fault | None]:
     """Return the documents of a file, or the fault that makes it unreadable.
 
-    Empty documents are left out.
+    Empty documents are omitted.
     """
     file = str(path)
     try:
@@ -108,8 +108,8 @@
         roots = tuple(compose_all(text, Loader=SafeLoader))
     except UnicodeDecodeError as error:
         line = content.count(b'\n', 0, error.start) + 1
-        bad = repr(content[error.start : error.end])
-        return (), Fault(file, line, '', bad, 'is not UTF-8', 'convert it')
+        invalid = repr(content[error.start : error.end])
+        return (), Fault(file, line, '', invalid, 'is not UTF-8', 'convert it')
     except (YAMLError, RecursionError) as error:
         return (), _make_syntax_fault(file, error)
     return tuple(Document(file, root) for root in roots if root), None
@@ -121,9 +121,9 @@
     Parameters
     ----------
     document : Document
-        From `read_documents`.
+        Document from `read_documents`.
     schema : type
-        A frozen data class.
+        Frozen data class that serves as the schema.
 
     Examples
     --------
@@ -268,8 +268,8 @@
     result = value if isinstance(value, ValidationIssue) else check(value)
     if not isinstance(result, ValidationIssue):
         return result
-    shown = node.value if isinstance(value, ValidationIssue) else value
-    reader.add_fault(node, path, repr(shown), result)
+    invalid_value = node.value if isinstance(value, ValidationIssue) else value
+    reader.add_fault(node, path, repr(invalid_value), result)
     return make_empty_value(hint)
 
 
@@ -296,7 +296,7 @@
     if isinstance(node, ScalarNode) and _get_type_kind(inner) == 'scalar':
         return (reader.read_node(node, inner, path),)
     issue = ValidationIssue('is not a list', "begin each entry with '- '")
-    reader.add_fault(node, path, _show_node(node), issue)
+    reader.add_fault(node, path, _format_node(node), issue)
     return ()
 
 
@@ -309,7 +309,7 @@
         issue = ValidationIssue(
             'is not a mapping', "write 'name: value' entries"
         )
-        reader.add_fault(node, path, _show_node(node), issue)
+        reader.add_fault(node, path, _format_node(node), issue)
         return {}
     inner = get_args(hint)[1]
     return {
@@ -327,7 +327,7 @@
         issue = ValidationIssue(
             'is not a mapping', "write 'key: value' entries"
         )
-        reader.add_fault(node, path, _show_node(node), issue)
+        reader.add_fault(node, path, _format_node(node), issue)
         return make_empty_value(hint)
     hints = _load_type_hints(hint)
     values: dict[str, Any] = {}
@@ -360,5 +360,5 @@
     return item.default is MISSING and item.default_factory is MISSING
 
 
-def _show_node(node: Node) -> str:
+def _format_node(node: Node) -> str:
     return repr(node.value) if isinstance(node, ScalarNode) else ''
--- a/sassafrasgate/configuration/publication.py
+++ b/sassafrasgate/configuration/publication.py
@@ -31,7 +31,7 @@
     from sassafrasgate.core.cells import Configuration
     from sassafrasgate.core.items import Item
 
-# Lies under the prefix that every process watches.
+# Lies under the prefix of the only watch that each process keeps.
 MANIFEST_KEY = 'control/configuration'
 PART_PREFIX = 'configuration/parts/'
 # Attempts for each write in all. A write is idempotent, so repeating it is
--- a/sassafrasgate/configuration/versions.py
+++ b/sassafrasgate/configuration/versions.py
@@ -399,8 +399,8 @@
     ConfigurationError
         When the bytes can't be decoded or a part is damaged.
     """
-    whole = _decode(_CONFIGURATION, encoded)
-    return join_configuration(whole.manifest, whole.parts)
+    decoded = _decode(_CONFIGURATION, encoded)
+    return join_configuration(decoded.manifest, decoded.parts)
 
 
 def choose_newer(
@@ -430,7 +430,7 @@
     action : str
         ``added``, ``removed``, ``changed`` or ``moved``.
     group : str
-        Field of `Configuration` that holds the entry.
+        Field of `Configuration` that holds the entry, or ``cell``.
     name : str
         Name of the entry.
     details : tuple of str
--- a/tests/configuration/test_publication.py
+++ b/tests/configuration/test_publication.py
@@ -1,4 +1,8 @@
-"""Tests publication with lost replies, late writes and races."""
+"""Tests publication with lost replies, late writes and races.
+
+The result of a publication must agree with the changes that took effect,
+also when the store did not reply or another writer published first.
+"""
 
 from functools import partial
 
--- a/tests/configuration/test_settings.py
+++ b/tests/configuration/test_settings.py
@@ -1,4 +1,7 @@
-"""Tests that invalid settings are rejected when they are loaded."""
+"""Tests that invalid settings are rejected when they are loaded.
+
+Otherwise a process would fail only when it first uses them.
+"""
 
 import pytest
 
--- a/tests/configuration/test_versions.py
+++ b/tests/configuration/test_versions.py
@@ -1,4 +1,8 @@
-"""Tests the encoding, order and differences of configuration versions."""
+"""Tests the encoding, order and differences of configuration versions.
+
+Splitting a configuration into parts must not lose content, and a process
+must never move to a lower version.
+"""
 
 from dataclasses import replace
 
--- a/tests/observability/test_logs.py
+++ b/tests/observability/test_logs.py
@@ -1,4 +1,7 @@
-"""Tests that each log record is one line, whatever its values contain."""
+"""Tests that each log record is one line, whatever its values contain.
+
+An unescaped value could start a line of its own or add a field.
+"""
 
 from io import StringIO
 import logging
