--- a/models/__init__.py
+++ b/models/__init__.py
@@ -1,1 +1,1 @@
-"""Specifications of the core protocol for the model checker."""
+"""Models of the core protocol for the explicit-state checker minicheck."""
--- a/models/attempts.py
+++ b/models/attempts.py
@@ -1,8 +1,9 @@
 """Attempts of one job: starts, leases, worker clocks and incarnations.
 
-Host A is reached over a network that loses, delays and repeats messages;
-its clock is slow within the drift bound and it may restart once. Host B
-starts the second attempt at once, which is the earliest possible overlap.
+The network to host A loses, delays and duplicates messages. Host A's clock
+may run slow within the drift bound, and the host may restart once. Host B
+starts the second attempt immediately, which is the earliest possible overlap
+of two attempts.
 """
 
 from __future__ import annotations
@@ -11,9 +12,9 @@
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
-from models.specifications import Machine
 from models.specifications import Predicate
 from models.specifications import register_specification
+from models.specifications import StateMachine
 from sassafrasgate.shards.attempts import AttemptStatus
 from sassafrasgate.shards.attempts import ClockReading
 from sassafrasgate.shards.attempts import compute_task_lease_deadline
@@ -24,35 +25,37 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from models.specifications import Step
+    from models.specifications import Transition
 
-# One unit stands for about 3 s: a lease of 3 units is 10 s. The drift bound
-# is far above the real 1%, so that it shows within a few units.
-LEASE = 3
-WINDOW = 2
-DRIFT = 0.5
+# One unit of time stands for about 3 s, so that a lease of 3 units stands for
+# 10 s. The drift bound is far above the real 1%, so that drift has an effect
+# within a few units.
+LEASE_UNITS = 3
+START_WINDOW_UNITS = 2
+DRIFT_BOUND = 0.5
 MAX_ATTEMPTS = 2
-# Host A's clock at the start; a new incarnation starts again from 0.
-CLOCK = 4
-# No wait for a lapse is longer, since no lease sent is longer than LEASE
-# from the owner's reading.
-MAX_AGE = 5
-# Ticks between two that the slow clock misses: at least 2 of 3 count.
-CALM_TICKS = 2
+# Initial value of host A's clock; the clock of a new incarnation starts at 0.
+INITIAL_CLOCK = 4
+# The owner never waits longer for a lease to expire, because every lease that
+# it sends ends at most LEASE_UNITS after its reading of the clock.
+MAX_READING_AGE_UNITS = 5
+# Ticks that the slow clock counts between two ticks that it misses: it counts
+# at least 2 of any 3.
+MIN_TICKS_BETWEEN_MISSES = 2
 
 START_DEADLINE = 'start deadline at the worker'
 START_INCARNATION = 'incarnation check on starts'
 RENEW_INCARNATION = 'incarnation check on renewals'
-PAST_REPLIES = 'replies of past incarnations dropped'
-DRIFT_WAIT = 'lapse wait with drift'
-LONGEST_LEASE = 'lapse of the longest lease sent'
-REMEMBER_ENDED = 'ended task remembered to its deadline'
+PAST_REPLIES = 'replies of past incarnations ignored'
+DRIFT_IN_EXPIRY = 'lease expiry wait includes the drift'
+LONGEST_LEASE = 'expiry of the longest lease sent'
+REMEMBER_ENDED = 'ended task remembered until start deadline'
 REMEMBER_REFUSED = 'refusal remembered'
-AT_MOST_ONCE = 'non-idempotent rule'
+AT_MOST_ONCE = 'retry rule for non-idempotent jobs'
 
 
 class Task(NamedTuple):
-    """A task as host A remembers it; ``state`` as in the worker's API."""
+    """Host A's record of a task; ``state`` is a value of the worker's API."""
 
     attempt: int
     start_before: int
@@ -61,7 +64,7 @@
 
 
 class Start(NamedTuple):
-    """A start command on its way to host A."""
+    """A start command in flight to host A."""
 
     attempt: int
     incarnation: int
@@ -70,7 +73,7 @@
 
 
 class Reply(NamedTuple):
-    """A reply of host A: its clock and what it knows of one attempt."""
+    """A reply of host A with its clock and the state of one attempt."""
 
     incarnation: int
     clock: int
@@ -79,44 +82,47 @@
 
 
 class Owner(NamedTuple):
-    """What the shard's owner believes.
+    """The knowledge of the shard's owner.
 
     Parameters
     ----------
-    incarnation, clock, age
-        The last reading of host A, and the time since it arrived.
-    past : frozenset of int
-        Incarnations that are known to be over.
+    incarnation, clock, reading_age : int
+        Incarnation and clock of host A in the owner's last reading, and the
+        time since that reading arrived.
+    past_incarnations : frozenset of int
+        Incarnations of host A that are known to have ended.
     attempt : int
         Number of the last attempt; 0 before the first one.
     host : str
         Host of that attempt.
-    start_before, deadline
-        What was sent for it, on host A's clock.
-    fate : str
+    start_before, deadline : int
+        Start deadline and latest lease deadline sent for that attempt, on
+        host A's clock.
+    status : str
         An `AttemptStatus`, or empty before the first attempt.
     may_have_run : bool
-        Whether any attempt so far is not known to have never started.
-    answer : str
-        The job's end: ``failed``, ``unknown``, ``not run`` or empty.
+        Whether some attempt that has ended may have run.
+    outcome : str
+        Outcome reported for the job: ``not run`` or a `RetryDecision`
+        that ends the job; empty while the job is open.
     """
 
     incarnation: int = 0
     clock: int = 0
-    age: int = 0
-    past: frozenset[int] = frozenset()
+    reading_age: int = 0
+    past_incarnations: frozenset[int] = frozenset()
     attempt: int = 0
     host: str = ''
     start_before: int = 0
     deadline: int = 0
-    fate: str = ''
+    status: str = ''
     may_have_run: bool = False
-    answer: str = ''
+    outcome: str = ''
 
 
 @dataclass(frozen=True, slots=True)
 class Scope:
-    """Which faults and steps a model includes.
+    """The faults and transitions that a model includes.
 
     Parameters
     ----------
@@ -124,12 +130,13 @@
         Whether the job may run again.
     drift, restarts, renewals, refusals, releases : bool
         Whether host A's clock misses ticks, the host restarts once, the
-        owner renews leases, the host may lack room, and the host forgets
-        ended tasks that the owner has noted.
-    replies : int
-        Replies under way at once.
+        owner renews leases, the host may refuse a start for lack of free
+        capacity, and the host forgets ended tasks whose end the owner knows.
+    max_replies : int
+        Maximum number of replies in flight.
     horizons : (int, int)
-        Units of time on host A's clock before and after its restart.
+        Units of time that may pass on host A's clock before and after its
+        restart.
     """
 
     idempotent: bool = True
@@ -138,114 +145,125 @@
     renewals: bool = False
     refusals: bool = False
     releases: bool = False
-    replies: int = 1
+    max_replies: int = 1
     horizons: tuple[int, int] = (6, 0)
 
 
-class World(NamedTuple):
-    """Owner, hosts and network.
+class AttemptState(NamedTuple):
+    """State of the owner, the hosts and the network.
 
     Parameters
     ----------
     owner : Owner
-        Its beliefs.
-    incarnation, clock, calm
-        Host A, and ticks since its clock last missed one.
+        The owner's knowledge.
+    incarnation, clock, ticks_since_miss : int
+        Incarnation and clock of host A, and the number of ticks since its
+        clock last missed one.
     tasks : frozenset of Task
-        What host A remembers.
-    other : int
-        The attempt that runs on host B; 0 for none.
+        The tasks that host A remembers.
+    host_b_attempt : int
+        Attempt that runs on host B; 0 for none.
     starts : frozenset of Start
-        Start commands sent; each may arrive at any time and again.
+        Start commands sent; each may arrive at any time, and repeatedly.
     renewal : (int, int) or None
-        Last renewal sent: incarnation and deadline.
+        Incarnation and deadline of the last renewal sent.
     replies : frozenset of Reply
-        Replies under way.
-    ever : frozenset of int
-        Attempts that have run.
-    over : frozenset of int
-        Attempts that the owner believes to be over.
+        Replies in flight.
+    started_attempts : frozenset of int
+        Attempts that have started.
+    believed_ended : frozenset of int
+        Attempts that the owner believes to have ended or never started.
     """
 
     owner: Owner = Owner()
     incarnation: int = 0
     clock: int = 0
-    calm: int = CALM_TICKS
+    ticks_since_miss: int = MIN_TICKS_BETWEEN_MISSES
     tasks: frozenset[Task] = frozenset()
-    other: int = 0
+    host_b_attempt: int = 0
     starts: frozenset[Start] = frozenset()
     renewal: tuple[int, int] | None = None
     replies: frozenset[Reply] = frozenset()
-    ever: frozenset[int] = frozenset()
-    over: frozenset[int] = frozenset()
+    started_attempts: frozenset[int] = frozenset()
+    believed_ended: frozenset[int] = frozenset()
 
 
-def _list_running(state: World) -> list[int]:
+def _list_running(state: AttemptState) -> list[int]:
     running = [t.attempt for t in state.tasks if t.state == 'running']
-    return [*running, state.other] if state.other else running
+    return (
+        [*running, state.host_b_attempt] if state.host_b_attempt else running
+    )
 
 
-def _is_news(owner: Owner, reply: Reply) -> bool:
-    """Tell whether a reply is not older than the owner's reading."""
+def _is_current(owner: Owner, reply: Reply) -> bool:
+    """Tell whether a reply is at least as new as the owner's reading."""
     if reply.incarnation != owner.incarnation:
         return True
     return reply.clock >= owner.clock
 
 
-class _Steps:
-    """The steps of owner, host A and the network."""
+class _AttemptTransitions:
+    """Transitions of the owner, host A and the network."""
 
     def __init__(self, guards: frozenset[str], scope: Scope) -> None:
         self.guards = guards
         self.scope = scope
 
-    def list_steps(self, state: World) -> Iterator[Step]:
-        """Return the successors of a state, without what can't matter."""
-        for label, after in self._list_steps(state):
-            yield label, self._reduce(after)
-
-    def _list_steps(self, state: World) -> Iterator[tuple[str, World]]:
-        yield from self._pass_time(state)
-        yield from self._act(state)
-        yield from self._run_host(state)
+    def list_transitions(self, state: AttemptState) -> Iterator[Transition]:
+        """Return the transitions, to states without irrelevant parts."""
+        for label, after in self._list_all_transitions(state):
+            yield label, self._remove_irrelevant(after)
+
+    def _list_all_transitions(
+        self, state: AttemptState
+    ) -> Iterator[tuple[str, AttemptState]]:
+        yield from self._list_clock_transitions(state)
+        yield from self._list_owner_transitions(state)
+        yield from self._list_host_transitions(state)
         for reply in state.replies:
-            rest = state._replace(replies=state.replies - {reply})
-            yield f'owner gets {tuple(reply)}', self._learn(rest, reply)
+            remaining = state._replace(replies=state.replies - {reply})
+            yield (
+                f'owner receives {tuple(reply)}',
+                self._receive_reply(remaining, reply),
+            )
 
-    def _reduce(self, state: World) -> World:
-        """Return a state without what has no more effect.
+    def _remove_irrelevant(self, state: AttemptState) -> AttemptState:
+        """Remove the parts of a state that have no further effect.
 
-        That is: beliefs of an owner that has ended the job or whose last
-        attempt runs on host B, replies that the owner ignores, and commands
-        that host A refuses from now on.
+        These are the clock readings and deadlines of an owner that has ended
+        the job or whose last attempt runs on host B, replies that the owner
+        would ignore, and commands that host A would refuse from now on.
+        Fewer distinct states keep the search small.
         """
         owner = state.owner
-        if owner.host == 'B' or owner.answer:
+        if owner.host == 'B' or owner.outcome:
             owner = owner._replace(
                 incarnation=0,
                 clock=0,
-                age=0,
-                past=frozenset(),
+                reading_age=0,
+                past_incarnations=frozenset(),
                 start_before=0,
                 deadline=0,
             )
             state = state._replace(owner=owner, replies=frozenset())
         starts = frozenset(
-            start for start in state.starts if self._may_start(state, start)
+            start
+            for start in state.starts
+            if self._may_accept_start(state, start)
         )
         renewal = state.renewal
-        if renewal and not self._may_renew(state, *renewal):
+        if renewal and not self._may_accept_renewal(state, *renewal):
             renewal = None
         return state._replace(
             starts=starts,
             renewal=renewal,
             replies=frozenset(
-                reply for reply in state.replies if _is_news(owner, reply)
+                reply for reply in state.replies if _is_current(owner, reply)
             ),
         )
 
-    def _may_start(self, state: World, start: Start) -> bool:
-        """Tell whether host A may still accept a start that it gets."""
+    def _may_accept_start(self, state: AttemptState, start: Start) -> bool:
+        """Tell whether host A may still accept a start command."""
         if start.incarnation != state.incarnation:
             return START_INCARNATION not in self.guards
         if not self.scope.releases and self._find_task(state, start.attempt):
@@ -256,32 +274,41 @@
             return state.clock < start.start_before
         return state.clock < start.deadline
 
-    def _may_renew(
-        self, state: World, incarnation: int, deadline: int
+    def _may_accept_renewal(
+        self, state: AttemptState, incarnation: int, deadline: int
     ) -> bool:
-        """Tell whether a renewal may still lengthen a lease on host A."""
+        """Tell whether a renewal may still extend a lease on host A."""
         if incarnation != state.incarnation:
             return RENEW_INCARNATION not in self.guards
         if state.clock < deadline:
             return True
         return self.scope.restarts and RENEW_INCARNATION not in self.guards
 
-    def _pass_time(self, state: World) -> Iterator[tuple[str, World]]:
-        # Nothing can happen before the first start but the passing of time.
+    def _list_clock_transitions(
+        self, state: AttemptState
+    ) -> Iterator[tuple[str, AttemptState]]:
+        # Before the first start nothing but the passing of time could happen,
+        # so the model leaves it out.
         owner = state.owner
-        # Without an open attempt of the owner on host A the passing of time
-        # only ends tasks and makes the host refuse commands.
-        if owner.host != 'A' or owner.answer:
+        # While the owner has no open attempt on host A, time would only end
+        # tasks and make the host refuse commands.
+        if owner.host != 'A' or owner.outcome:
             return
         first, second = self.scope.horizons
-        if state.clock >= (second if state.incarnation else CLOCK + first):
+        if state.clock >= (
+            second if state.incarnation else INITIAL_CLOCK + first
+        ):
             return
-        aged = owner._replace(age=min(owner.age + 1, MAX_AGE))
+        aged = owner._replace(
+            reading_age=min(owner.reading_age + 1, MAX_READING_AGE_UNITS)
+        )
         later = state._replace(owner=aged)
         clock = state.clock + 1
         ticked = later._replace(
             clock=clock,
-            calm=min(state.calm + 1, CALM_TICKS),
+            ticks_since_miss=min(
+                state.ticks_since_miss + 1, MIN_TICKS_BETWEEN_MISSES
+            ),
             tasks=frozenset(
                 task._replace(state='ended', deadline=0)
                 if task.state == 'running' and clock >= task.deadline
@@ -290,43 +317,67 @@
             ),
         )
         yield 'time passes', ticked
-        if self.scope.drift and state.calm >= CALM_TICKS:
-            yield 'time passes, host clock misses it', later._replace(calm=0)
+        if (
+            self.scope.drift
+            and state.ticks_since_miss >= MIN_TICKS_BETWEEN_MISSES
+        ):
+            yield (
+                'time passes, host clock misses it',
+                later._replace(ticks_since_miss=0),
+            )
 
-    def _run_host(self, state: World) -> Iterator[tuple[str, World]]:
+    def _list_host_transitions(
+        self, state: AttemptState
+    ) -> Iterator[tuple[str, AttemptState]]:
         for start in state.starts:
-            yield f'host gets {tuple(start)}', self._receive(state, start)
+            yield (
+                f'host receives {tuple(start)}',
+                self._receive_start(state, start),
+            )
             known = self._find_task(state, start.attempt)
             if self.scope.refusals and not known:
-                yield 'host has no room', self._refuse(state, start)
+                yield (
+                    'host refuses the start for lack of capacity',
+                    self._refuse_start(state, start),
+                )
         if state.renewal:
-            yield 'host gets the renewal', self._renew(state, *state.renewal)
-        yield 'host replies', self._reply(state)
+            yield (
+                'host receives the renewal',
+                self._receive_renewal(state, *state.renewal),
+            )
+        yield 'host replies', self._send_reply(state)
         for task in state.tasks:
-            rest = state.tasks - {task}
+            remaining = state.tasks - {task}
             if task.state == 'running':
-                ended = rest | {task._replace(state='ended', deadline=0)}
+                ended = remaining | {task._replace(state='ended', deadline=0)}
                 yield f'task {task.attempt} ends', state._replace(tasks=ended)
             early = state.clock < task.start_before
-            noted = task.attempt in state.over and task.state == 'ended'
+            owner_knows_end = (
+                task.attempt in state.believed_ended and task.state == 'ended'
+            )
             if not self.scope.releases:
                 continue
-            if noted and not (early and REMEMBER_ENDED in self.guards):
-                yield f'{task.attempt} released', state._replace(tasks=rest)
+            if owner_knows_end and not (
+                early and REMEMBER_ENDED in self.guards
+            ):
+                yield (
+                    f'{task.attempt} released',
+                    state._replace(tasks=remaining),
+                )
         if self.scope.restarts and state.incarnation == 0:
             yield (
                 'host restarts',
                 state._replace(incarnation=1, clock=0, tasks=frozenset()),
             )
 
-    def _find_task(self, state: World, attempt: int) -> Task | None:
+    def _find_task(self, state: AttemptState, attempt: int) -> Task | None:
         for task in state.tasks:
             if task.attempt == attempt:
                 return task
         return None
 
-    def _reply(self, state: World) -> World:
-        if len(state.replies) >= self.scope.replies:
+    def _send_reply(self, state: AttemptState) -> AttemptState:
+        if len(state.replies) >= self.scope.max_replies:
             return state
         attempt = state.owner.attempt
         task = self._find_task(state, attempt)
@@ -334,34 +385,39 @@
         reply = Reply(state.incarnation, state.clock, attempt, found)
         return state._replace(replies=state.replies | {reply})
 
-    def _refuse(self, state: World, start: Start) -> World:
+    def _refuse_start(self, state: AttemptState, start: Start) -> AttemptState:
         task = Task(start.attempt, start.start_before, 0, 'refused')
         after = state._replace(tasks=state.tasks | {task})
         if REMEMBER_REFUSED in self.guards:
             return after
-        return self._reply(after)._replace(tasks=state.tasks)
+        return self._send_reply(after)._replace(tasks=state.tasks)
 
-    def _receive(self, state: World, start: Start) -> World:
+    def _receive_start(
+        self, state: AttemptState, start: Start
+    ) -> AttemptState:
         if self._find_task(state, start.attempt):
             return state
-        wrong = start.incarnation != state.incarnation
-        if START_INCARNATION in self.guards and wrong:
+        other_incarnation = start.incarnation != state.incarnation
+        if START_INCARNATION in self.guards and other_incarnation:
             return state
         late = state.clock >= start.start_before
         if START_DEADLINE in self.guards and late:
-            return self._refuse(state, start)
+            return self._refuse_start(state, start)
         if state.clock >= start.deadline:
-            return self._refuse(state, start)
+            return self._refuse_start(state, start)
         task = Task(
             start.attempt, start.start_before, start.deadline, 'running'
         )
         return state._replace(
-            tasks=state.tasks | {task}, ever=state.ever | {start.attempt}
+            tasks=state.tasks | {task},
+            started_attempts=state.started_attempts | {start.attempt},
         )
 
-    def _renew(self, state: World, incarnation: int, deadline: int) -> World:
-        wrong = incarnation != state.incarnation
-        if RENEW_INCARNATION in self.guards and wrong:
+    def _receive_renewal(
+        self, state: AttemptState, incarnation: int, deadline: int
+    ) -> AttemptState:
+        other_incarnation = incarnation != state.incarnation
+        if RENEW_INCARNATION in self.guards and other_incarnation:
             return state
         tasks = frozenset(
             task._replace(deadline=max(task.deadline, deadline))
@@ -371,14 +427,16 @@
         )
         return state._replace(tasks=tasks)
 
-    def _act(self, state: World) -> Iterator[tuple[str, World]]:
+    def _list_owner_transitions(
+        self, state: AttemptState
+    ) -> Iterator[tuple[str, AttemptState]]:
         owner = state.owner
-        if owner.answer:
+        if owner.outcome:
             return
         reading = ClockReading(owner.clock, received_at=0)
-        lease = compute_task_lease_deadline(reading, LEASE)
-        yield from self._choose(state, lease)
-        if owner.fate != AttemptStatus.UNDETERMINED or owner.host != 'A':
+        lease = compute_task_lease_deadline(reading, LEASE_UNITS)
+        yield from self._list_decisions(state, lease)
+        if owner.status != AttemptStatus.UNDETERMINED or owner.host != 'A':
             return
         renewal = (owner.incarnation, lease)
         if self.scope.renewals and renewal != state.renewal:
@@ -388,50 +446,57 @@
             after = owner._replace(deadline=longest)
             renewed = state._replace(renewal=renewal, owner=after)
             yield f'owner renews until {lease}', renewed
-        drift = DRIFT if DRIFT_WAIT in self.guards else 0.0
-        lapse = compute_task_lease_expiry(
+        drift = DRIFT_BOUND if DRIFT_IN_EXPIRY in self.guards else 0.0
+        expiry = compute_task_lease_expiry(
             owner.deadline, reading, drift=drift, margin_ms=0
         )
-        if owner.age >= lapse:
-            yield 'owner: lapsed', self._settle(state, AttemptStatus.LAPSED)
+        if owner.reading_age >= expiry:
+            yield (
+                'owner: lease has expired',
+                self._record_status(state, AttemptStatus.LAPSED),
+            )
 
-    def _choose(self, state: World, lease: int) -> Iterator[tuple[str, World]]:
-        """Start the first or next attempt, or end the job."""
+    def _list_decisions(
+        self, state: AttemptState, lease: int
+    ) -> Iterator[tuple[str, AttemptState]]:
+        """List the starts of the next attempt, or the end of the job."""
         owner = state.owner
-        step = RetryDecision.RETRY
-        if owner.fate:
+        decision = RetryDecision.RETRY
+        if owner.status:
             idempotent = (
                 self.scope.idempotent or AT_MOST_ONCE not in self.guards
             )
-            step = decide_retry(
+            decision = decide_retry(
                 idempotent,
-                AttemptStatus(owner.fate),
+                AttemptStatus(owner.status),
                 owner.attempt,
                 MAX_ATTEMPTS,
             )
-        if step is RetryDecision.WAIT:
+        if decision is RetryDecision.WAIT:
             return
-        if step is not RetryDecision.RETRY:
-            after = owner._replace(answer=step)
-            yield f'owner: {step}', state._replace(owner=after)
+        if decision is not RetryDecision.RETRY:
+            after = owner._replace(outcome=decision)
+            yield f'owner: {decision}', state._replace(owner=after)
             return
         if not owner.may_have_run:
-            after = owner._replace(answer='not run')
+            after = owner._replace(outcome='not run')
             yield 'owner: not run', state._replace(owner=after)
         if owner.attempt < MAX_ATTEMPTS:
-            yield from self._start(state, lease)
+            yield from self._list_starts(state, lease)
 
-    def _start(self, state: World, lease: int) -> Iterator[tuple[str, World]]:
+    def _list_starts(
+        self, state: AttemptState, lease: int
+    ) -> Iterator[tuple[str, AttemptState]]:
         owner = state.owner
         number = owner.attempt + 1
-        before = owner.clock + WINDOW
+        before = owner.clock + START_WINDOW_UNITS
         start = Start(number, owner.incarnation, before, lease)
         after = owner._replace(
             attempt=number,
             host='A',
             start_before=before,
             deadline=lease,
-            fate=AttemptStatus.UNDETERMINED,
+            status=AttemptStatus.UNDETERMINED,
         )
         yield (
             f'owner starts {number} on A before {before}, until {lease}',
@@ -442,14 +507,19 @@
                 f'owner starts {number} on B',
                 state._replace(
                     owner=after._replace(host='B'),
-                    other=number,
-                    ever=state.ever | {number},
+                    host_b_attempt=number,
+                    started_attempts=state.started_attempts | {number},
                 ),
             )
 
-    def _learn(self, state: World, reply: Reply) -> World:
+    def _receive_reply(
+        self, state: AttemptState, reply: Reply
+    ) -> AttemptState:
         owner = state.owner
-        if reply.incarnation in owner.past and PAST_REPLIES in self.guards:
+        if (
+            reply.incarnation in owner.past_incarnations
+            and PAST_REPLIES in self.guards
+        ):
             return state
         changed = reply.incarnation != owner.incarnation
         if not changed and reply.clock < owner.clock:
@@ -457,59 +527,66 @@
         after = owner._replace(
             incarnation=reply.incarnation,
             clock=reply.clock,
-            age=0,
+            reading_age=0,
         )
-        open_there = (
-            owner.fate == AttemptStatus.UNDETERMINED and owner.host == 'A'
+        is_open_on_a = (
+            owner.status == AttemptStatus.UNDETERMINED and owner.host == 'A'
         )
         if changed:
-            after = after._replace(past=owner.past | {owner.incarnation})
+            after = after._replace(
+                past_incarnations=owner.past_incarnations | {owner.incarnation}
+            )
         known = state._replace(owner=after)
-        if not open_there:
+        if not is_open_on_a:
             return known
         if changed:
-            return self._settle(known, AttemptStatus.LAPSED)
-        seen = reply.state if reply.attempt == owner.attempt else 'running'
-        if seen == 'ended':
-            return self._settle(known, AttemptStatus.FAILED)
-        if seen == 'refused':
-            return self._settle(known, AttemptStatus.REFUSED)
-        if seen == 'absent' and reply.clock >= owner.start_before:
-            return self._settle(known, AttemptStatus.NOT_SENT)
+            return self._record_status(known, AttemptStatus.LAPSED)
+        reported = reply.state if reply.attempt == owner.attempt else 'running'
+        if reported == 'ended':
+            return self._record_status(known, AttemptStatus.FAILED)
+        if reported == 'refused':
+            return self._record_status(known, AttemptStatus.REFUSED)
+        if reported == 'absent' and reply.clock >= owner.start_before:
+            return self._record_status(known, AttemptStatus.NOT_SENT)
         return known
 
-    def _settle(self, state: World, fate: AttemptStatus) -> World:
+    def _record_status(
+        self, state: AttemptState, status: AttemptStatus
+    ) -> AttemptState:
         owner = state.owner
-        never = fate in (AttemptStatus.REFUSED, AttemptStatus.NOT_SENT)
+        never_ran = status in (AttemptStatus.REFUSED, AttemptStatus.NOT_SENT)
         after = owner._replace(
-            fate=fate, may_have_run=owner.may_have_run or not never
+            status=status, may_have_run=owner.may_have_run or not never_ran
         )
         return state._replace(
             owner=after,
-            over=state.over | {owner.attempt},
+            believed_ended=state.believed_ended | {owner.attempt},
         )
 
 
-def _is_not_run_true(state: World) -> bool:
-    return state.owner.answer != 'not run' or not state.ever
+def _is_not_run_correct(state: AttemptState) -> bool:
+    return state.owner.outcome != 'not run' or not state.started_attempts
 
 
-def _is_refusal_true(state: World) -> bool:
-    never = (AttemptStatus.REFUSED, AttemptStatus.NOT_SENT)
+def _is_refusal_correct(state: AttemptState) -> bool:
+    not_run_statuses = (AttemptStatus.REFUSED, AttemptStatus.NOT_SENT)
     owner = state.owner
-    return owner.fate not in never or owner.attempt not in state.ever
+    return (
+        owner.status not in not_run_statuses
+        or owner.attempt not in state.started_attempts
+    )
 
 
 INVARIANTS: dict[str, Predicate] = {
     'one attempt runs at once': lambda s: len(_list_running(s)) <= 1,
-    'an attempt believed over does not run': lambda s: (
-        not s.over.intersection(_list_running(s))
+    'an attempt believed ended does not run': lambda s: (
+        not s.believed_ended.intersection(_list_running(s))
     ),
-    'not run is true': _is_not_run_true,
-    'a refusal is true': _is_refusal_true,
+    'a job reported as not run never started': _is_not_run_correct,
+    'a refused attempt never started': _is_refusal_correct,
 }
 WITNESSES: dict[str, Predicate] = {
-    'a second attempt runs on host B': lambda s: s.other == 2,
+    'a second attempt runs on host B': lambda s: s.host_b_attempt == 2,
     'a second attempt runs on host A': lambda s: any(
         t.attempt == 2 and t.state == 'running' for t in s.tasks
     ),
@@ -520,7 +597,7 @@
         START_INCARNATION,
         RENEW_INCARNATION,
         PAST_REPLIES,
-        DRIFT_WAIT,
+        DRIFT_IN_EXPIRY,
         LONGEST_LEASE,
         REMEMBER_ENDED,
         REMEMBER_REFUSED,
@@ -530,37 +607,41 @@
 
 
 def _build(
-    guards: frozenset[str], listed: tuple[str, ...], scope: Scope
-) -> Machine:
-    """Return a machine in which guards that are not listed stay active."""
+    guards: frozenset[str], removable: tuple[str, ...], scope: Scope
+) -> StateMachine:
+    """Build a state machine in which only some guards can be removed."""
     invariants = dict(INVARIANTS)
     witnesses = dict(WITNESSES)
     if not scope.idempotent:
         invariants['a non-idempotent job runs once'] = lambda s: (
-            len(s.ever) <= 1
+            len(s.started_attempts) <= 1
         )
-    active = guards | (GUARDS - set(listed))
-    steps = _Steps(active, scope)
-    initial = World(clock=CLOCK, owner=Owner(clock=CLOCK))
-    return Machine(initial, steps.list_steps, invariants, witnesses)
+    active = guards | (GUARDS - set(removable))
+    transitions = _AttemptTransitions(active, scope)
+    initial = AttemptState(
+        clock=INITIAL_CLOCK, owner=Owner(clock=INITIAL_CLOCK)
+    )
+    return StateMachine(
+        initial, transitions.list_transitions, invariants, witnesses
+    )
 
 
 START_GUARDS = (START_DEADLINE, REMEMBER_ENDED, REMEMBER_REFUSED)
 
 
 @register_specification('attempts.start', START_GUARDS)
-def build_start(guards: frozenset[str]) -> Machine:
-    """Build starts that are lost, late or repeated, and slow clocks."""
+def build_start(guards: frozenset[str]) -> StateMachine:
+    """Build the model of lost, late and repeated starts."""
     scope = Scope(refusals=True, releases=True)
     return _build(guards, START_GUARDS, scope)
 
 
-RENEWAL_GUARDS = (DRIFT_WAIT, LONGEST_LEASE)
+RENEWAL_GUARDS = (DRIFT_IN_EXPIRY, LONGEST_LEASE)
 
 
 @register_specification('attempts.renewal', RENEWAL_GUARDS)
-def build_renewal(guards: frozenset[str]) -> Machine:
-    """Build renewals that are lost or late, and slow clocks."""
+def build_renewal(guards: frozenset[str]) -> StateMachine:
+    """Build the model of lost and late renewals with a slow clock."""
     scope = Scope(drift=True, renewals=True)
     return _build(guards, RENEWAL_GUARDS, scope)
 
@@ -569,9 +650,9 @@
 
 
 @register_specification('attempts.restart', RESTART_GUARDS)
-def build_restart(guards: frozenset[str]) -> Machine:
-    """Build a host that restarts with a new incarnation and clock."""
-    scope = Scope(restarts=True, renewals=True, replies=2, horizons=(1, 5))
+def build_restart(guards: frozenset[str]) -> StateMachine:
+    """Build the model of a host restart: new incarnation, new clock."""
+    scope = Scope(restarts=True, renewals=True, max_replies=2, horizons=(1, 5))
     return _build(guards, RESTART_GUARDS, scope)
 
 
@@ -579,8 +660,8 @@
 
 
 @register_specification('attempts.at-most-once', ONCE_GUARDS)
-def build_at_most_once(guards: frozenset[str]) -> Machine:
-    """Build a job that must not run twice, on a host that may restart."""
+def build_at_most_once(guards: frozenset[str]) -> StateMachine:
+    """Build the model of a non-idempotent job and a host restart."""
     scope = Scope(
         idempotent=False,
         restarts=True,
--- a/models/capacity.py
+++ b/models/capacity.py
@@ -1,8 +1,9 @@
-"""Reservations on one host of 2 units, over a takeover and a restart.
+"""Reservations on one host of 2 units during a takeover and a restart.
 
-The host itself accepts any start that its fence lets through, so that the
-owners alone must keep the sum. A lapse is an event that is possible only
-once nothing of the task runs or may start; `attempts` shows how it is timed.
+The host itself accepts every start whose epoch it does not refuse, so the
+owners alone must keep the reserved units within its capacity. The expiry of a
+lease is an event that is possible only once the task neither runs nor can
+still start; `attempts` models its timing.
 """
 
 from __future__ import annotations
@@ -10,153 +11,166 @@
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
-from models.specifications import Machine
 from models.specifications import register_specification
+from models.specifications import StateMachine
 from sassafrasgate.shards.ownership import accepts_placements
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from models.specifications import Step
+    from models.specifications import Transition
 
-UNITS = 2
-# Old owner's tasks: 0 is journaled, 1 and 2 are quick requests, which are
-# not. Tasks 3 and 4 are the successor's.
-SIZES = (1, 1, 2, 1, 2)
+HOST_UNITS = 2
+# Tasks 0 to 2 belong to the old owner: task 0 is journaled; tasks 1 and 2 are
+# quick requests, which are not journaled. Tasks 3 and 4 belong to the
+# successor.
+TASK_UNITS = (1, 1, 2, 1, 2)
 OLD_TASKS = (0, 1, 2)
 NEW_TASKS = (3, 4)
 JOURNALED = frozenset({0})
 
-UNKNOWN_END = 'a task of unknown end counts'
-UNKNOWN_TASKS = 'unknown tasks count'
-FENCE_ANSWERED = 'host answers the fence before placing'
-EPOCH = 'worker epoch fence'
+KEEP_RESERVATION = 'reservation kept while the end is unknown'
+RESERVE_UNKNOWN_TASKS = 'unknown running tasks are reserved'
+EPOCH_ACKNOWLEDGED = 'host acknowledges the epoch before placing'
+EPOCH_FENCING = 'epoch fencing at the worker'
 INCARNATION = 'incarnation check on starts'
 
 Tasks = frozenset[int]
-NOTHING: Tasks = frozenset()
+NO_TASKS: Tasks = frozenset()
 
 
-class Report(NamedTuple):
-    """A host's answer to the successor's sync, on its way."""
+class SyncReply(NamedTuple):
+    """The host's reply to the successor's sync, in flight."""
 
     incarnation: int
     running: Tasks
 
 
-class World(NamedTuple):
-    """One host and the two owners of its shard.
+class CapacityState(NamedTuple):
+    """State of one host and of the two owners of its shard.
 
     Parameters
     ----------
-    running, done : frozenset of int
-        Tasks on the host, and those that it reports as ended.
-    fenced : bool
-        Whether the host refuses the old owner.
+    running, ended : frozenset of int
+        Tasks that run on the host, and tasks that it reports as ended.
+    new_epoch_seen : bool
+        Whether the host has seen the successor's epoch and therefore refuses
+        the old owner's commands.
     incarnation : int
-        Of the host; a restart forgets tasks and fence.
+        Incarnation of the host; a restart clears its tasks and its epoch.
     starts : frozenset of (int, int)
-        Starts that may still arrive: task and incarnation.
-    old, new : frozenset of int
-        What each owner has reserved.
-    old_knows, new_knows : int
-        The incarnation that each owner last heard of.
+        Task and incarnation of each start that may still arrive.
+    old_reserved, new_reserved : frozenset of int
+        Tasks for which each owner has reserved capacity.
+    old_known_incarnation, new_known_incarnation : int
+        Latest incarnation of the host that each owner knows.
     sent : frozenset of int
         Tasks whose start was sent by their owner.
-    taken : bool
-        Whether the successor has taken the shard.
-    answered : bool
-        Whether the successor has the host's answer.
-    report : Report or None
-        That answer while it is on its way.
+    taken_over : bool
+        Whether the successor has taken over the shard.
+    epoch_acknowledged : bool
+        Whether the successor has received the host's reply.
+    reply : SyncReply or None
+        The host's reply while it is in flight.
     """
 
-    running: Tasks = NOTHING
-    done: Tasks = NOTHING
-    fenced: bool = False
+    running: Tasks = NO_TASKS
+    ended: Tasks = NO_TASKS
+    new_epoch_seen: bool = False
     incarnation: int = 0
     starts: frozenset[tuple[int, int]] = frozenset()
-    old: Tasks = NOTHING
-    new: Tasks = NOTHING
-    old_knows: int = 0
-    new_knows: int = 0
-    sent: Tasks = NOTHING
-    taken: bool = False
-    answered: bool = False
-    report: Report | None = None
+    old_reserved: Tasks = NO_TASKS
+    new_reserved: Tasks = NO_TASKS
+    old_known_incarnation: int = 0
+    new_known_incarnation: int = 0
+    sent: Tasks = NO_TASKS
+    taken_over: bool = False
+    epoch_acknowledged: bool = False
+    reply: SyncReply | None = None
 
 
 def _sum_units(tasks: Tasks) -> int:
-    return sum(SIZES[task] for task in tasks)
+    return sum(TASK_UNITS[task] for task in tasks)
 
 
-class _Steps:
-    """The steps of the host and both owners."""
+class _HostTransitions:
+    """Transitions of the host and of both owners."""
 
     def __init__(self, guards: frozenset[str]) -> None:
         self.guards = guards
 
-    def list_steps(self, state: World) -> Iterator[Step]:
-        """Return the successors of a state."""
-        yield from self._run_host(state)
-        yield from self._own(state)
-        if not state.taken:
-            known = state.old & JOURNALED
-            taken = state._replace(taken=True, new=known)
-            yield 'successor takes over', taken
+    def list_transitions(self, state: CapacityState) -> Iterator[Transition]:
+        """Return the transitions from a state."""
+        yield from self._list_host_transitions(state)
+        yield from self._list_old_owner_transitions(state)
+        if not state.taken_over:
+            known = state.old_reserved & JOURNALED
+            taken_over = state._replace(taken_over=True, new_reserved=known)
+            yield 'successor takes over', taken_over
             return
-        yield from self._succeed(state)
+        yield from self._list_successor_transitions(state)
 
-    def _run_host(self, state: World) -> Iterator[Step]:
+    def _list_host_transitions(
+        self, state: CapacityState
+    ) -> Iterator[Transition]:
         for start in state.starts:
             task, incarnation = start
-            rest = state._replace(starts=state.starts - {start})
-            yield f'start of {task} is lost or too late', rest
-            stale = state.fenced and EPOCH in self.guards
+            remaining = state._replace(starts=state.starts - {start})
+            yield f'start of {task} is lost or too late', remaining
+            stale = state.new_epoch_seen and EPOCH_FENCING in self.guards
             if task in OLD_TASKS and stale:
                 continue
-            other = incarnation != state.incarnation
-            if other and INCARNATION in self.guards:
+            other_incarnation = incarnation != state.incarnation
+            if other_incarnation and INCARNATION in self.guards:
                 continue
-            if task in state.running | state.done:
+            if task in state.running | state.ended:
                 continue
-            # The start stays under way, since it may arrive twice.
+            # The start stays in flight, because it may arrive twice.
             running = state._replace(running=state.running | {task})
             yield f'host starts {task}', running
         for task in state.running:
-            ended = state._replace(
-                running=state.running - {task}, done=state.done | {task}
+            after_end = state._replace(
+                running=state.running - {task}, ended=state.ended | {task}
             )
-            yield f'task {task} ends', ended
+            yield f'task {task} ends', after_end
         if state.incarnation == 0:
             restarted = state._replace(
-                incarnation=1, running=NOTHING, done=NOTHING, fenced=False
+                incarnation=1,
+                running=NO_TASKS,
+                ended=NO_TASKS,
+                new_epoch_seen=False,
             )
             yield 'host restarts', restarted
 
-    def _own(self, state: World) -> Iterator[Step]:
-        """Return the steps of the old owner, which may be stale."""
-        for task, after in self._place(
-            state, OLD_TASKS, state.old, state.old_knows
+    def _list_old_owner_transitions(
+        self, state: CapacityState
+    ) -> Iterator[Transition]:
+        """Return the transitions of the old owner, which may be stale."""
+        for task, after in self._list_placements(
+            state, OLD_TASKS, state.old_reserved, state.old_known_incarnation
         ):
-            if not (state.taken and task in JOURNALED):
-                placed = after._replace(old=state.old | {task})
+            if not (state.taken_over and task in JOURNALED):
+                placed = after._replace(
+                    old_reserved=state.old_reserved | {task}
+                )
                 yield f'old owner starts {task}', placed
-        for label, kept in self._release(state, state.old):
-            yield f'old owner: {label}', state._replace(old=kept)
-        if state.old_knows != state.incarnation:
-            heard = state._replace(old=NOTHING, old_knows=state.incarnation)
-            yield 'old owner hears of the restart', heard
+        for label, kept in self._list_releases(state, state.old_reserved):
+            yield f'old owner: {label}', state._replace(old_reserved=kept)
+        if state.old_known_incarnation != state.incarnation:
+            updated = state._replace(
+                old_reserved=NO_TASKS, old_known_incarnation=state.incarnation
+            )
+            yield 'old owner learns of the restart', updated
 
-    def _place(
+    def _list_placements(
         self,
-        state: World,
+        state: CapacityState,
         tasks: tuple[int, ...],
         reserved: Tasks,
         incarnation: int,
-    ) -> Iterator[tuple[int, World]]:
+    ) -> Iterator[tuple[int, CapacityState]]:
         for task in tasks:
-            fits = _sum_units(reserved | {task}) <= UNITS
+            fits = _sum_units(reserved | {task}) <= HOST_UNITS
             if task in state.sent or not fits:
                 continue
             yield (
@@ -167,65 +181,91 @@
                 ),
             )
 
-    def _release(
-        self, state: World, reserved: Tasks
+    def _list_releases(
+        self, state: CapacityState, reserved: Tasks
     ) -> Iterator[tuple[str, Tasks]]:
-        """Return the reservations without a task that is over."""
-        under_way = {task for task, _ in state.starts}
+        """Return the reservations after the release of one task."""
+        in_flight = {task for task, _ in state.starts}
         for task in reserved:
-            over = task not in state.running and task not in under_way
-            if task in state.done or over:
-                yield f'{task} has ended or lapsed', reserved - {task}
-            elif UNKNOWN_END not in self.guards:
-                yield f'{task} does not answer', reserved - {task}
-
-    def _succeed(self, state: World) -> Iterator[Step]:
-        if state.report is None and not state.answered:
-            report = Report(state.incarnation, state.running)
-            fenced = state._replace(fenced=True, report=report)
-            yield 'host answers the sync', fenced
-        if state.report:
-            yield 'successor gets the answer', self._learn(state, state.report)
-        if state.answered and state.new_knows != state.incarnation:
-            # A new incarnation has to answer the fence like a new host.
-            again = state._replace(answered=False)
-            yield 'successor hears of the restart', again
-        answered = state.answered or FENCE_ANSWERED not in self.guards
-        if accepts_placements(answered, False, False, False):
-            for task, after in self._place(
-                state, NEW_TASKS, state.new, state.new_knows
+            cannot_run = task not in state.running and task not in in_flight
+            if task in state.ended or cannot_run:
+                yield (
+                    f'{task} has ended or its lease has expired',
+                    reserved - {task},
+                )
+            elif KEEP_RESERVATION not in self.guards:
+                yield f'{task} does not respond', reserved - {task}
+
+    def _list_successor_transitions(
+        self, state: CapacityState
+    ) -> Iterator[Transition]:
+        if state.reply is None and not state.epoch_acknowledged:
+            reply = SyncReply(state.incarnation, state.running)
+            replied = state._replace(new_epoch_seen=True, reply=reply)
+            yield 'host replies to the sync', replied
+        if state.reply:
+            yield (
+                'successor receives the reply',
+                self._receive_sync_reply(state, state.reply),
+            )
+        if (
+            state.epoch_acknowledged
+            and state.new_known_incarnation != state.incarnation
+        ):
+            # A new incarnation has to acknowledge the epoch like a new host.
+            unacknowledged = state._replace(epoch_acknowledged=False)
+            yield 'successor learns of the restart', unacknowledged
+        epoch_acknowledged = (
+            state.epoch_acknowledged or EPOCH_ACKNOWLEDGED not in self.guards
+        )
+        if accepts_placements(epoch_acknowledged, False, False, False):
+            for task, after in self._list_placements(
+                state,
+                NEW_TASKS,
+                state.new_reserved,
+                state.new_known_incarnation,
             ):
-                placed = after._replace(new=state.new | {task})
+                placed = after._replace(
+                    new_reserved=state.new_reserved | {task}
+                )
                 yield f'successor starts {task}', placed
-        for label, kept in self._release(state, state.new):
-            yield f'successor: {label}', state._replace(new=kept)
-
-    def _learn(self, state: World, report: Report) -> World:
-        new = state.new
-        if report.incarnation != state.new_knows:
-            new = NOTHING
-        if UNKNOWN_TASKS in self.guards:
-            new = new | report.running
+        for label, kept in self._list_releases(state, state.new_reserved):
+            yield f'successor: {label}', state._replace(new_reserved=kept)
+
+    def _receive_sync_reply(
+        self, state: CapacityState, reply: SyncReply
+    ) -> CapacityState:
+        new_reserved = state.new_reserved
+        if reply.incarnation != state.new_known_incarnation:
+            new_reserved = NO_TASKS
+        if RESERVE_UNKNOWN_TASKS in self.guards:
+            new_reserved = new_reserved | reply.running
         return state._replace(
-            report=None,
-            answered=True,
-            new_knows=report.incarnation,
-            new=new,
+            reply=None,
+            epoch_acknowledged=True,
+            new_known_incarnation=reply.incarnation,
+            new_reserved=new_reserved,
         )
 
 
 @register_specification(
     'capacity.host',
-    (UNKNOWN_END, UNKNOWN_TASKS, FENCE_ANSWERED, EPOCH, INCARNATION),
+    (
+        KEEP_RESERVATION,
+        RESERVE_UNKNOWN_TASKS,
+        EPOCH_ACKNOWLEDGED,
+        EPOCH_FENCING,
+        INCARNATION,
+    ),
 )
-def build_host(guards: frozenset[str]) -> Machine:
-    """Build one host that is taken over with running tasks."""
-    return Machine(
-        World(),
-        _Steps(guards).list_steps,
+def build_host(guards: frozenset[str]) -> StateMachine:
+    """Build the model of one host that runs tasks during a takeover."""
+    return StateMachine(
+        CapacityState(),
+        _HostTransitions(guards).list_transitions,
         {
-            'running tasks fit the host': lambda s: (
-                _sum_units(s.running) <= UNITS
+            'running tasks fit the capacity of the host': lambda s: (
+                _sum_units(s.running) <= HOST_UNITS
             ),
         },
         {
@@ -234,11 +274,11 @@
             ),
             'the successor places on a new incarnation': lambda s: (
                 s.incarnation == 1
-                and s.new_knows == 1
+                and s.new_known_incarnation == 1
                 and s.running & set(NEW_TASKS)
             ),
-            'a stale start arrives': lambda s: (
-                s.fenced and any(t in OLD_TASKS for t, _ in s.starts)
+            'a stale start is in flight after fencing': lambda s: (
+                s.new_epoch_seen and any(t in OLD_TASKS for t, _ in s.starts)
             ),
         },
     )
--- a/models/run.py
+++ b/models/run.py
@@ -1,4 +1,4 @@
-"""Run every specification; exit status 1 when one is not as expected."""
+"""Checks all models; exits with status 1 if a verdict is not as expected."""
 
 from __future__ import annotations
 
@@ -21,16 +21,16 @@
 MODULES = (
     'ownership',
     'trimming',
-    'fences',
+    'fencing',
     'attempts',
     'takeovers',
     'capacity',
     'configurations',
     'transfers',
 )
-# Half of the 10 cores that the tests are meant to share; the longest single
-# check, not the number of processes, sets the duration of the run.
-PROCESSES = 5
+# Half of the 10 cores that the tests are meant to share. More processes would
+# not help, because the longest single check determines the duration of a run.
+MAX_PROCESSES = 5
 
 
 def load_specifications() -> None:
@@ -40,7 +40,7 @@
 
 
 def check_registered(name: str, variant: str) -> Result:
-    """Check one registered variant; runs in a process of its own."""
+    """Check one registered variant in a worker process."""
     load_specifications()
     return check_variant(SPECIFICATIONS.find(name), variant)
 
@@ -48,7 +48,7 @@
 def list_checks(
     registry: Registry[str, Specification],
 ) -> list[tuple[str, str]]:
-    """Return every model and variant, in the order of registration."""
+    """Return all pairs of model and variant in registration order."""
     return [
         (name, variant)
         for name in registry
@@ -57,7 +57,7 @@
 
 
 def run_checks(names: Iterable[str] = ()) -> list[Result]:
-    """Check all variants, or those of the named models, in parallel."""
+    """Check all variants, or those of the given models, in parallel."""
     load_specifications()
     wanted = set(names)
     checks = [
@@ -65,7 +65,7 @@
         for check in list_checks(SPECIFICATIONS)
         if not wanted or check[0] in wanted
     ]
-    with ProcessPoolExecutor(PROCESSES) as pool:
+    with ProcessPoolExecutor(MAX_PROCESSES) as pool:
         return list(pool.map(check_registered, *zip(*checks, strict=True)))
 
 
@@ -88,7 +88,7 @@
 
 
 def report_results(results: list[Result]) -> int:
-    """Print the table and return the exit status."""
+    """Print the table of results and return the exit status."""
     print(format_results(results))
     failures = [result for result in results if not result.as_expected]
     if not results:
--- a/models/specifications.py
+++ b/models/specifications.py
@@ -1,8 +1,10 @@
-"""The registry of specifications and the check of one variant.
+"""The registry of specifications, and the check of one variant.
 
-A specification is a function that builds a `minicheck` protocol for a set
-of active guards. It is registered with the names of all its guards. It must
-hold with all of them and be violated without any single one.
+A specification consists of a function that builds a state machine for a set
+of active guards, and of the names of all its guards. A guard is a rule of
+the protocol that can be switched off. The invariants must hold with all
+guards active, and at least one must be violated when any single guard is
+removed.
 """
 
 from __future__ import annotations
@@ -24,12 +26,12 @@
 MAX_STATES = 200_000
 
 State = tuple[Any, ...]
-Step = tuple[str, State]
+Transition = tuple[str, State]
 Predicate = Callable[[Any], bool]
 
 
 class Verdict(StrEnum):
-    """What the check of one variant established."""
+    """Outcome of the check of one variant."""
 
     HOLDS = 'holds'
     VIOLATED = 'violated'
@@ -38,24 +40,25 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Machine:
-    """A state machine with what must hold and what must be reachable.
+class StateMachine:
+    """A state machine with its invariants and its witnesses.
 
     Parameters
     ----------
     initial : NamedTuple
-        The first state.
+        The initial state.
     list_steps : callable
-        Returns the labelled successors of a state.
+        Returns the labelled transitions from a state.
     invariants : mapping of str to callable
-        Predicates over a state that must hold in every reachable state.
+        Predicates that must hold in every reachable state.
     witnesses : mapping of str to callable
-        Predicates that some reachable state must satisfy, so that a model
-        can't hold only because nothing of interest happens in it.
+        Predicates that must each hold in some reachable state. They rule
+        out models whose invariants hold only because the cases of interest
+        are unreachable.
     """
 
     initial: Any
-    list_steps: Callable[[Any], Iterable[Step]]
+    list_transitions: Callable[[Any], Iterable[Transition]]
     invariants: Mapping[str, Predicate]
     witnesses: Mapping[str, Predicate]
 
@@ -67,40 +70,42 @@
     Parameters
     ----------
     name : str
-        Name in the table.
+        Name of the model in the table of results.
     build : callable
-        Builds the machine for a set of active guards.
+        Builds the state machine for a set of active guards.
     guards : tuple of str
-        Every guard of the model.
+        Names of all guards of the model.
     max_states : int
-        Where the search stops as inconclusive.
+        Number of states at which the search stops as inconclusive.
     """
 
     name: str
-    build: Callable[[frozenset[str]], Machine]
+    build: Callable[[frozenset[str]], StateMachine]
     guards: tuple[str, ...]
     max_states: int = MAX_STATES
 
 
 @dataclass(frozen=True, slots=True)
 class Result:
-    """The outcome of one variant.
+    """Result of the check of one variant.
 
     Parameters
     ----------
     model, variant : str
-        Which model, and the guard that was removed or `ALL_GUARDS`.
+        Name of the model, and the guard that was removed or `ALL_GUARDS`.
     states, depth : int
-        States found, and the steps of the counterexample or else of the
-        longest shortest path.
+        Number of states found, and the length of the counterexample. Without
+        one, the depth is the distance of the farthest state from the initial
+        one.
     verdict, expected : Verdict
-        What was found and what must be found.
+        Verdict of the check, and the verdict that it must reach.
     detail : str
-        Violated invariant, missing witness or why the search stopped.
+        The violated invariant, the witnesses that no state satisfied, or the
+        reason why the search stopped.
     trace : tuple of str
-        Labels of the shortest counterexample.
+        Labels of the transitions of the shortest counterexample.
     seconds : float
-        Duration of the check.
+        Duration of the check in seconds.
     """
 
     model: str
@@ -115,13 +120,13 @@
 
     @property
     def as_expected(self) -> bool:
-        """Whether the verdict is the required one."""
+        """Whether the verdict is the expected one."""
         return self.verdict is self.expected
 
 
 SPECIFICATIONS: Registry[str, Specification] = Registry('specification')
 
-Build = Callable[[frozenset[str]], Machine]
+Builder = Callable[[frozenset[str]], StateMachine]
 
 
 def register_specification(
@@ -129,10 +134,10 @@
     guards: tuple[str, ...],
     max_states: int = MAX_STATES,
     registry: Registry[str, Specification] = SPECIFICATIONS,
-) -> Callable[[Build], Build]:
-    """Return a decorator that files a builder as a specification."""
+) -> Callable[[Builder], Builder]:
+    """Return a decorator that registers a builder as a specification."""
 
-    def add_specification(build: Build) -> Build:
+    def add_specification(build: Builder) -> Builder:
         registry.register(name)(Specification(name, build, guards, max_states))
         return build
 
@@ -140,43 +145,50 @@
 
 
 def list_variants(specification: Specification) -> tuple[str, ...]:
-    """Return the variants of a model: all guards, then each one removed."""
+    """Return `ALL_GUARDS` and each guard whose removal is a variant."""
     return (ALL_GUARDS, *specification.guards)
 
 
-class _Search:
-    """Follows a breadth-first search to note depth, witnesses, violation.
+class _SearchTracker:
+    """Records depth, witnesses and violations of a breadth-first search.
 
-    `check_safety` explores the whole space even after a violation; the
-    steps end here at the first one, which keeps the counterexample.
+    `check_safety` explores the whole state space even after a violation. The
+    tracker returns no transitions after the first violation, so that the
+    search ends there and keeps its counterexample.
     """
 
-    def __init__(self, machine: Machine) -> None:
+    def __init__(self, machine: StateMachine) -> None:
         self._machine = machine
         self._depths: dict[State, int] = {machine.initial: 0}
         self._violated = False
         self.depth = 0
-        self.missing = dict(machine.witnesses)
+        self.unmet_witnesses = dict(machine.witnesses)
 
-    def list_steps(self, state: Any) -> Iterable[Step]:
-        """Return the successors, none once an invariant is violated."""
+    def list_transitions(self, state: Any) -> Iterable[Transition]:
+        """Return the transitions; none after a violated invariant."""
         if self._violated:
             return ()
-        met = [name for name, met in self.missing.items() if met(state)]
-        for name in met:
-            del self.missing[name]
-        steps = tuple(self._machine.list_steps(state))
+        satisfied = [
+            name
+            for name, predicate in self.unmet_witnesses.items()
+            if predicate(state)
+        ]
+        for name in satisfied:
+            del self.unmet_witnesses[name]
+        transitions = tuple(self._machine.list_transitions(state))
         self.depth = self._depths[state]
-        for _, successor in steps:
+        for _, successor in transitions:
             self._depths.setdefault(successor, self.depth + 1)
-        return steps
+        return transitions
 
-    def wrap(self, predicate: Predicate) -> Callable[[dict[str, Any]], bool]:
-        """Return an invariant over minicheck's dictionary of fields."""
-        make = type(self._machine.initial)
+    def adapt_invariant(
+        self, predicate: Predicate
+    ) -> Callable[[dict[str, Any]], bool]:
+        """Adapt an invariant to the dictionary that minicheck passes."""
+        make_state = type(self._machine.initial)
 
         def check(fields: dict[str, Any]) -> bool:
-            holds = predicate(make(**fields))
+            holds = predicate(make_state(**fields))
             self._violated = self._violated or not holds
             return holds
 
@@ -184,7 +196,7 @@
 
 
 def check_variant(specification: Specification, variant: str) -> Result:
-    """Check one variant exhaustively and return its result.
+    """Check the whole state space of one variant.
 
     Parameters
     ----------
@@ -196,32 +208,32 @@
     Returns
     -------
     Result
-        ``INCONCLUSIVE`` when the search stopped before the whole space was
-        covered and no violation was found.
+        ``INCONCLUSIVE`` when the search stopped before it had covered the
+        whole state space and had found no violation.
     """
     started = monotonic()
     guards = frozenset(specification.guards) - {variant}
     machine = specification.build(guards)
-    search = _Search(machine)
+    tracker = _SearchTracker(machine)
     protocol = Protocol(
         name=specification.name,
         candidate=False,
         fields=machine.initial._fields,
         initial=machine.initial,
-        transitions=search.list_steps,
+        transitions=tracker.list_transitions,
         invariants={
-            name: search.wrap(predicate)
+            name: tracker.adapt_invariant(predicate)
             for name, predicate in machine.invariants.items()
         },
     )
     report = check_safety(protocol, max_states=specification.max_states)
-    verdict, detail, trace = _judge(report, search)
+    verdict, detail, trace = _derive_verdict(report, tracker)
     expected = Verdict.HOLDS if variant == ALL_GUARDS else Verdict.VIOLATED
     return Result(
         model=specification.name,
         variant=variant,
         states=report['reachable_states'],
-        depth=len(trace) or search.depth,
+        depth=len(trace) or tracker.depth,
         verdict=verdict,
         expected=expected,
         detail=detail,
@@ -230,22 +242,26 @@
     )
 
 
-def _judge(
-    report: dict[str, Any], search: _Search
+def _derive_verdict(
+    report: dict[str, Any], tracker: _SearchTracker
 ) -> tuple[Verdict, str, tuple[str, ...]]:
-    """Return the verdict, a detail and the shortest counterexample."""
-    broken = {
+    """Return the verdict, its detail and the shortest counterexample."""
+    violations = {
         name: tuple(step['label'] for step in found['counterexample'][1:])
         for name, found in report['properties'].items()
         if found['holds'] is False
     }
-    if broken:
-        name = min(broken, key=lambda name: len(broken[name]))
-        return Verdict.VIOLATED, name, broken[name]
+    if violations:
+        name = min(violations, key=lambda name: len(violations[name]))
+        return Verdict.VIOLATED, name, violations[name]
     if not report['exhaustive']:
         return Verdict.INCONCLUSIVE, report['incomplete_reason'], ()
     if not report['properties']:
-        return Verdict.INCONCLUSIVE, 'no invariant is stated', ()
-    if search.missing:
-        return Verdict.VACUOUS, f'never: {", ".join(search.missing)}', ()
+        return Verdict.INCONCLUSIVE, 'the model has no invariants', ()
+    if tracker.unmet_witnesses:
+        return (
+            Verdict.VACUOUS,
+            f'no state satisfies: {", ".join(tracker.unmet_witnesses)}',
+            (),
+        )
     return Verdict.HOLDS, '', ()
--- a/models/takeovers.py
+++ b/models/takeovers.py
@@ -1,9 +1,10 @@
-"""A takeover while attempt 1 of a job may run, or still start, on host A.
+"""A takeover while attempt 1 of a job runs, or may still start, on host A.
 
-`attempts.outage` has clocks: the old owner alone can't reach the store and
-renews during its grace, while the successor can't reach host A and waits.
-`attempts.takeover` has none: the successor acts on host A's answer, and
-commands of the old owner arrive at any time.
+`attempts.outage` models clocks: only the old owner can't reach the store, and
+it renews the task lease during its grace period. The successor can't reach
+host A and waits for the lease to expire. `attempts.takeover` has no clocks:
+the successor acts on host A's reply, and commands of the old owner arrive at
+any time.
 """
 
 from __future__ import annotations
@@ -12,8 +13,8 @@
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
-from models.specifications import Machine
 from models.specifications import register_specification
+from models.specifications import StateMachine
 from sassafrasgate.shards.attempts import AttemptStatus
 from sassafrasgate.shards.attempts import ClockReading
 from sassafrasgate.shards.attempts import compute_takeover_lease_expiry
@@ -27,30 +28,39 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from models.specifications import Step
+    from models.specifications import Transition
 
-# Far above the real 1%, so that it shows within a few units: a slow clock
-# counts at least 2 of any 3 ticks.
-DRIFT = 0.5
-CALM_TICKS = 2
+# Far above the real 1%, so that drift has an effect within a few units of
+# time. A slow clock counts at least 2 of any 3 ticks.
+DRIFT_BOUND = 0.5
+MIN_TICKS_BETWEEN_MISSES = 2
 
-STORE_LEASE = 'takeover lapse includes the store lease'
-GRACE_WAIT = 'takeover lapse includes the grace'
-DRIFT_WAIT = 'takeover lapse includes the drift'
-GRACE_END = 'grace of the owner ends'
+STORE_LEASE_IN_EXPIRY = 'takeover expiry includes the store lease'
+GRACE_IN_EXPIRY = 'takeover expiry includes the grace period'
+DRIFT_IN_EXPIRY = 'takeover expiry includes the drift'
+GRACE_END = 'grace period of the owner ends'
 FIXED_DEADLINE = 'deadline fixed at the lease check'
 
-INTENT = 'start intent journaled before the start'
-FENCE_ANSWERED = 'host answers the fence before placing'
-EPOCH = 'worker epoch fence'
-BOUND_START = 'covered start bound to an incarnation'
-ABSENT_IS_LOST = 'absent on another incarnation counts as lost'
-AT_MOST_ONCE = 'non-idempotent rule'
+START_JOURNALED = 'start journaled before it is sent'
+EPOCH_ACKNOWLEDGED = 'host acknowledges the epoch before placing'
+EPOCH_FENCING = 'epoch fencing at the worker'
+START_NAMES_INCARNATION = 'start only on the journaled incarnation'
+ABSENT_IS_LAPSED = 'absent on another incarnation means lapsed'
+AT_MOST_ONCE = 'retry rule for non-idempotent jobs'
 
 
 @dataclass(frozen=True, slots=True)
 class Durations:
-    """Store lease, outage grace, task lease and the end of time, in units."""
+    """Durations in units of time.
+
+    Parameters
+    ----------
+    ttl, grace, lease : int
+        Duration of the store lease, of the grace period for outages of the
+        store, and of the task lease.
+    horizon : int
+        Time at which the model ends.
+    """
 
     ttl: int
     grace: int
@@ -59,31 +69,35 @@
 
 
 class Clock(NamedTuple):
-    """A clock that may miss a tick; ``calm`` ticks passed since the last."""
+    """A clock that may miss ticks, and its ticks since the last miss."""
 
     time: int = 1
-    calm: int = CALM_TICKS
+    ticks_since_miss: int = MIN_TICKS_BETWEEN_MISSES
+
 
+class OutageState(NamedTuple):
+    """State of the old owner, the successor and host A in a store outage.
 
-class Outage(NamedTuple):
-    """An old owner that can't reach the store since time 1.
+    The old owner can't reach the store from time 1 on.
 
     Parameters
     ----------
     now : int
-        Clock of the store and of the successor.
+        Time on the clock of the store and of the successor.
     owner, host : Clock
         Clocks of the old owner and of host A.
     checked_at : int
         Owner's clock when it last ran; more than a lease ago after a pause.
     checked : bool
-        Whether it has passed its lease check and not yet sent.
+        Whether the owner has passed its lease check and has yet to send.
     deadline : int
-        Deadline of the task that runs on host A; 0 when none runs.
-    taken_at : int
-        When the successor's takeover record was in the journal; 0 before.
-    lapsed : bool
-        Whether the successor takes attempt 1 for lapsed and starts another.
+        Lease deadline of the task on host A; 0 when no task runs.
+    takeover_at : int
+        Time at which the successor's takeover record was in the journal; 0
+        before the takeover.
+    expired : bool
+        Whether the successor considers the lease of attempt 1 expired and
+        starts another attempt.
     """
 
     now: int = 1
@@ -92,40 +106,46 @@
     checked_at: int = 1
     checked: bool = False
     deadline: int = 0
-    taken_at: int = 0
-    lapsed: bool = False
+    takeover_at: int = 0
+    expired: bool = False
 
 
 def _list_ticks(clock: Clock) -> list[Clock]:
-    """Return the clock after one unit, and after a missed one."""
-    ticked = Clock(clock.time + 1, min(clock.calm + 1, CALM_TICKS))
-    if clock.calm < CALM_TICKS:
+    """Return the clock after a counted tick, and after a missed one."""
+    ticked = Clock(
+        clock.time + 1,
+        min(clock.ticks_since_miss + 1, MIN_TICKS_BETWEEN_MISSES),
+    )
+    if clock.ticks_since_miss < MIN_TICKS_BETWEEN_MISSES:
         return [ticked]
     return [ticked, Clock(clock.time, 0)]
 
 
-class _OutageSteps:
-    """The steps of the old owner, host A and the successor."""
+class _OutageTransitions:
+    """Transitions of the old owner, host A and the successor."""
 
     def __init__(self, guards: frozenset[str], durations: Durations) -> None:
         self.guards = guards
         self.durations = durations
 
-    def list_steps(self, state: Outage) -> Iterator[Step]:
-        """Return the successors of a state."""
-        # An ended task is not revived, so nothing can be violated then.
-        if state.lapsed or not state.deadline:
+    def list_transitions(self, state: OutageState) -> Iterator[Transition]:
+        """Return the transitions from a state."""
+        # A task that has ended does not start again, so the invariant can't
+        # be violated any more.
+        if state.expired or not state.deadline:
             return
         if state.now < self.durations.horizon:
-            yield from self._pass_time(state)
-        yield from self._own(state)
-        if not state.taken_at and state.now >= 1 + self.durations.ttl:
-            taken = state._replace(taken_at=state.now)
-            yield 'successor takes over', taken
-        if state.taken_at and self._has_lapsed(state):
-            yield 'successor: lapsed', state._replace(lapsed=True)
-
-    def _pass_time(self, state: Outage) -> Iterator[Step]:
+            yield from self._list_clock_transitions(state)
+        yield from self._list_owner_transitions(state)
+        if not state.takeover_at and state.now >= 1 + self.durations.ttl:
+            taken_over = state._replace(takeover_at=state.now)
+            yield 'successor takes over', taken_over
+        if state.takeover_at and self._has_expired(state):
+            yield 'successor: lease has expired', state._replace(expired=True)
+
+    def _list_clock_transitions(
+        self, state: OutageState
+    ) -> Iterator[Transition]:
         for owner in _list_ticks(state.owner):
             for host in _list_ticks(state.host):
                 deadline = state.deadline
@@ -142,10 +162,12 @@
                     ),
                 )
 
-    def _own(self, state: Outage) -> Iterator[Step]:
-        # The owner always has the newest reading of host A and its renewals
-        # arrive at once: an older reading, or a late arrival of the same
-        # absolute deadline, only lets the task end earlier.
+    def _list_owner_transitions(
+        self, state: OutageState
+    ) -> Iterator[Transition]:
+        # The owner always has the latest reading of host A's clock, and its
+        # renewals arrive immediately. An older reading, or a later arrival of
+        # the same absolute deadline, could only make the task end earlier.
         now = state.owner.time
         reading = ClockReading(state.host.time, now)
         deadline = max(
@@ -163,7 +185,10 @@
         ):
             ran = state._replace(checked_at=now)
             if FIXED_DEADLINE not in self.guards:
-                yield 'owner checks', ran._replace(checked=True)
+                yield (
+                    'owner passes the lease check',
+                    ran._replace(checked=True),
+                )
             else:
                 renewed = ran._replace(deadline=deadline)
                 yield f'owner renews until {deadline}', renewed
@@ -171,224 +196,270 @@
             renewed = state._replace(checked=False, deadline=deadline)
             yield f'owner renews until {deadline}', renewed
 
-    def _has_lapsed(self, state: Outage) -> bool:
-        lapse = compute_takeover_lease_expiry(
-            state.taken_at,
-            self.durations.grace if GRACE_WAIT in self.guards else 0,
+    def _has_expired(self, state: OutageState) -> bool:
+        expiry = compute_takeover_lease_expiry(
+            state.takeover_at,
+            self.durations.grace if GRACE_IN_EXPIRY in self.guards else 0,
             lease_ms=self.durations.lease,
-            ttl_ms=self.durations.ttl if STORE_LEASE in self.guards else 0,
-            drift=DRIFT if DRIFT_WAIT in self.guards else 0.0,
+            ttl_ms=self.durations.ttl
+            if STORE_LEASE_IN_EXPIRY in self.guards
+            else 0,
+            drift=DRIFT_BOUND if DRIFT_IN_EXPIRY in self.guards else 0.0,
             margin_ms=0,
         )
-        return state.now >= lapse
+        return state.now >= expiry
 
 
-def _build_outage(guards: frozenset[str], durations: Durations) -> Machine:
+def _build_outage(
+    guards: frozenset[str], durations: Durations
+) -> StateMachine:
     end = 1 + durations.ttl
-    return Machine(
-        Outage(deadline=1 + durations.lease),
-        _OutageSteps(guards, durations).list_steps,
+    return StateMachine(
+        OutageState(deadline=1 + durations.lease),
+        _OutageTransitions(guards, durations).list_transitions,
         {
-            'a lapsed attempt does not run': lambda s: (
-                not (s.lapsed and s.deadline)
+            'an attempt with an expired lease does not run': lambda s: (
+                not (s.expired and s.deadline)
             ),
         },
         {
             'the task ends last': lambda s: (
-                s.taken_at and s.now > end + durations.grace and not s.deadline
+                s.takeover_at
+                and s.now > end + durations.grace
+                and not s.deadline
             ),
             'the old owner renews after the takeover': lambda s: (
-                s.taken_at and s.checked_at > end and s.deadline
+                s.takeover_at and s.checked_at > end and s.deadline
             ),
         },
     )
 
 
 @register_specification(
-    'attempts.outage', (GRACE_WAIT, DRIFT_WAIT, GRACE_END, FIXED_DEADLINE)
+    'attempts.outage',
+    (GRACE_IN_EXPIRY, DRIFT_IN_EXPIRY, GRACE_END, FIXED_DEADLINE),
 )
-def build_outage(guards: frozenset[str]) -> Machine:
-    """Build an outage of the store for the old owner only."""
-    return _build_outage(guards | {STORE_LEASE}, Durations(2, 3, 4, 18))
+def build_outage(guards: frozenset[str]) -> StateMachine:
+    """Build the model of a store outage for the old owner only."""
+    return _build_outage(
+        guards | {STORE_LEASE_IN_EXPIRY}, Durations(2, 3, 4, 18)
+    )
 
 
-@register_specification('attempts.store-lease', (STORE_LEASE,))
-def build_store_lease(guards: frozenset[str]) -> Machine:
-    """Build the same outage with a store lease longer than the rest."""
-    always = {GRACE_WAIT, DRIFT_WAIT, GRACE_END, FIXED_DEADLINE}
+@register_specification('attempts.store-lease', (STORE_LEASE_IN_EXPIRY,))
+def build_store_lease(guards: frozenset[str]) -> StateMachine:
+    """Build the same model with a relatively long store lease."""
+    always = {GRACE_IN_EXPIRY, DRIFT_IN_EXPIRY, GRACE_END, FIXED_DEADLINE}
     return _build_outage(guards | always, Durations(4, 2, 2, 18))
 
 
-class Takeover(NamedTuple):
-    """An old owner, its successor and host A.
+class TakeoverState(NamedTuple):
+    """State of an old owner, its successor and host A.
 
     Parameters
     ----------
-    intent : bool
-        Whether the journal names host A for attempt 1.
-    bound, known : int
-        Incarnation of host A that the journal names, and that the old owner
-        last heard of.
+    start_journaled : bool
+        Whether the journal contains the start of attempt 1 on host A.
+    journaled_incarnation, known_incarnation : int
+        Incarnation of host A that the journal names, and the latest one that
+        the old owner knows.
     starts : frozenset of int
-        Starts of attempt 1 sent, by the incarnation that they name.
+        Incarnations that the sent starts of attempt 1 name.
     incarnation : int
-        Of host A; a restart forgets the task and the fence.
-    task : str
+        Incarnation of host A; a restart clears the task and the epoch.
+    task_state : str
         ``absent``, ``running`` or ``ended`` on host A.
-    fenced : bool
+    new_epoch_seen : bool
         Whether host A has seen the successor's epoch.
-    taken : bool
+    taken_over : bool
         Whether the successor's takeover record is in the journal.
-    fate, step : str
-        What the successor knows of attempt 1, and its next step.
+    status, decision : str
+        The `AttemptStatus` of attempt 1 as the successor knows it, and its
+        `RetryDecision`; empty while unknown.
     ran : bool
         Whether attempt 1 has run.
     """
 
-    intent: bool = False
-    bound: int = 0
-    known: int = 0
+    start_journaled: bool = False
+    journaled_incarnation: int = 0
+    known_incarnation: int = 0
     starts: frozenset[int] = frozenset()
     incarnation: int = 0
-    task: str = 'absent'
-    fenced: bool = False
-    taken: bool = False
-    fate: str = ''
-    step: str = ''
+    task_state: str = 'absent'
+    new_epoch_seen: bool = False
+    taken_over: bool = False
+    status: str = ''
+    decision: str = ''
     ran: bool = False
 
 
 MAX_RESTARTS = 2
 
 
-class _TakeoverSteps:
-    """The steps of the old owner, host A and the successor."""
+class _TakeoverTransitions:
+    """Transitions of the old owner, host A and the successor."""
 
     def __init__(self, guards: frozenset[str], idempotent: bool) -> None:
         self.guards = guards
         self.idempotent = idempotent
 
-    def list_steps(self, state: Takeover) -> Iterator[Step]:
-        """Return the successors of a state."""
-        yield from self._own(state)
-        yield from self._run_host(state)
-        if not state.taken:
-            fate = '' if state.intent else AttemptStatus.NOT_SENT
-            taken = state._replace(taken=True, fate=fate)
-            yield 'successor takes over', taken
+    def list_transitions(self, state: TakeoverState) -> Iterator[Transition]:
+        """Return the transitions from a state."""
+        yield from self._list_owner_transitions(state)
+        yield from self._list_host_transitions(state)
+        if not state.taken_over:
+            status = '' if state.start_journaled else AttemptStatus.NOT_SENT
+            taken_over = state._replace(taken_over=True, status=status)
+            yield 'successor takes over', taken_over
             return
-        yield from self._succeed(state)
-
-    def _own(self, state: Takeover) -> Iterator[Step]:
-        heard = state._replace(known=state.incarnation)
-        yield 'owner hears host A', heard
-        if not state.intent and not state.taken:
-            journaled = state._replace(intent=True, bound=state.known)
+        yield from self._list_successor_transitions(state)
+
+    def _list_owner_transitions(
+        self, state: TakeoverState
+    ) -> Iterator[Transition]:
+        updated = state._replace(known_incarnation=state.incarnation)
+        yield 'owner learns the incarnation of host A', updated
+        if not state.start_journaled and not state.taken_over:
+            journaled = state._replace(
+                start_journaled=True,
+                journaled_incarnation=state.known_incarnation,
+            )
             yield 'owner journals the start', journaled
-        covered = state.intent or INTENT not in self.guards
-        bound = state.bound == state.known or BOUND_START not in self.guards
-        if covered and bound:
-            starts = state.starts | {state.known}
+        may_start = state.start_journaled or START_JOURNALED not in self.guards
+        same_incarnation = (
+            state.journaled_incarnation == state.known_incarnation
+            or START_NAMES_INCARNATION not in self.guards
+        )
+        if may_start and same_incarnation:
+            starts = state.starts | {state.known_incarnation}
             yield 'owner sends the start', state._replace(starts=starts)
 
-    def _run_host(self, state: Takeover) -> Iterator[Step]:
-        stale = state.fenced and EPOCH in self.guards
+    def _list_host_transitions(
+        self, state: TakeoverState
+    ) -> Iterator[Transition]:
+        stale = state.new_epoch_seen and EPOCH_FENCING in self.guards
         expected = state.incarnation in state.starts
-        if state.task == 'absent' and expected and not stale:
-            running = state._replace(task='running', ran=True)
+        if state.task_state == 'absent' and expected and not stale:
+            running = state._replace(task_state='running', ran=True)
             yield 'host A starts the task', running
-        if state.task == 'running':
-            yield 'task ends on A', state._replace(task='ended')
+        if state.task_state == 'running':
+            yield 'task ends on A', state._replace(task_state='ended')
         if state.incarnation < MAX_RESTARTS:
             restarted = state._replace(
-                incarnation=state.incarnation + 1, task='absent', fenced=False
+                incarnation=state.incarnation + 1,
+                task_state='absent',
+                new_epoch_seen=False,
             )
             yield 'host A restarts', restarted
 
-    def _succeed(self, state: Takeover) -> Iterator[Step]:
-        if not state.fate:
-            fenced = state._replace(fenced=True)
+    def _list_successor_transitions(
+        self, state: TakeoverState
+    ) -> Iterator[Transition]:
+        if not state.status:
+            replied = state._replace(new_epoch_seen=True)
             yield (
-                'host A answers successor',
-                fenced._replace(fate=self._conclude(state, state.task)),
+                'host A replies to the successor',
+                replied._replace(
+                    status=self._derive_status(state, state.task_state)
+                ),
             )
-            waits = FENCE_ANSWERED in self.guards
-            if accepts_placements(not waits, False, False, False):
-                absent = state._replace(fate=self._conclude(state, 'absent'))
-                yield 'successor goes on without an answer', absent
+            needs_acknowledgement = EPOCH_ACKNOWLEDGED in self.guards
+            if accepts_placements(
+                not needs_acknowledgement, False, False, False
+            ):
+                absent = state._replace(
+                    status=self._derive_status(state, 'absent')
+                )
+                yield 'successor continues without a reply', absent
             return
-        if state.step:
+        if state.decision:
             return
         idempotent = self.idempotent or AT_MOST_ONCE not in self.guards
-        step = decide_retry(idempotent, AttemptStatus(state.fate), 1, 2)
-        yield f'successor: {step}', state._replace(step=step)
-
-    def _conclude(self, state: Takeover, task: str) -> AttemptStatus:
-        """Return what host A's answer tells of attempt 1."""
-        if task == 'running':
+        decision = decide_retry(idempotent, AttemptStatus(state.status), 1, 2)
+        yield f'successor: {decision}', state._replace(decision=decision)
+
+    def _derive_status(
+        self, state: TakeoverState, task_state: str
+    ) -> AttemptStatus:
+        """Return the status of attempt 1 that follows from the reply."""
+        if task_state == 'running':
             return AttemptStatus.UNDETERMINED
-        if task == 'ended':
+        if task_state == 'ended':
             return AttemptStatus.FAILED
-        # A start names the incarnation that the journal names for it.
-        if state.incarnation != state.bound and ABSENT_IS_LOST in self.guards:
+        # A start names the same incarnation as its journal record, so it may
+        # have taken effect on that incarnation only.
+        if (
+            state.incarnation != state.journaled_incarnation
+            and ABSENT_IS_LAPSED in self.guards
+        ):
             return AttemptStatus.LAPSED
         return AttemptStatus.NOT_SENT
 
 
-def _build_takeover(guards: frozenset[str], idempotent: bool) -> Machine:
+def _build_takeover(guards: frozenset[str], idempotent: bool) -> StateMachine:
     invariants = {
-        'an attempt believed over does not run': lambda s: (
+        'an attempt believed ended does not run': lambda s: (
             not (
-                s.fate not in ('', AttemptStatus.UNDETERMINED)
-                and s.task == 'running'
+                s.status not in ('', AttemptStatus.UNDETERMINED)
+                and s.task_state == 'running'
             )
         ),
-        'never sent is true': lambda s: (
-            not (s.fate == AttemptStatus.NOT_SENT and s.ran)
+        'an attempt believed not sent never ran': lambda s: (
+            not (s.status == AttemptStatus.NOT_SENT and s.ran)
         ),
     }
     if not idempotent:
         invariants['a non-idempotent job runs once'] = lambda s: (
-            not (s.step == RetryDecision.RETRY and s.ran)
+            not (s.decision == RetryDecision.RETRY and s.ran)
         )
     witnesses = {
         'the successor finds the task': lambda s: (
-            s.fate == AttemptStatus.UNDETERMINED
+            s.status == AttemptStatus.UNDETERMINED
         ),
-        'the successor knows that it never ran': lambda s: (
-            s.intent and s.fate == AttemptStatus.NOT_SENT
+        'the successor learns that it never ran': lambda s: (
+            s.start_journaled and s.status == AttemptStatus.NOT_SENT
         ),
         'the successor starts another attempt': lambda s: (
-            s.step == RetryDecision.RETRY
+            s.decision == RetryDecision.RETRY
         ),
-        'a start arrives after the fence': lambda s: (
-            s.fenced and s.incarnation in s.starts and s.task == 'absent'
+        'a start is in flight after fencing': lambda s: (
+            s.new_epoch_seen
+            and s.incarnation in s.starts
+            and s.task_state == 'absent'
         ),
     }
-    steps = _TakeoverSteps(guards, idempotent)
-    return Machine(Takeover(), steps.list_steps, invariants, witnesses)
+    transitions = _TakeoverTransitions(guards, idempotent)
+    return StateMachine(
+        TakeoverState(), transitions.list_transitions, invariants, witnesses
+    )
 
 
 @register_specification(
     'attempts.takeover',
-    (INTENT, FENCE_ANSWERED, EPOCH, BOUND_START, ABSENT_IS_LOST),
+    (
+        START_JOURNALED,
+        EPOCH_ACKNOWLEDGED,
+        EPOCH_FENCING,
+        START_NAMES_INCARNATION,
+        ABSENT_IS_LAPSED,
+    ),
 )
-def build_takeover(guards: frozenset[str]) -> Machine:
-    """Build the takeover of a job that may run again."""
+def build_takeover(guards: frozenset[str]) -> StateMachine:
+    """Build the model of the takeover of an idempotent job."""
     return _build_takeover(guards, idempotent=True)
 
 
 @register_specification(
     'attempts.takeover-once',
     (
-        INTENT,
-        FENCE_ANSWERED,
-        EPOCH,
-        BOUND_START,
-        ABSENT_IS_LOST,
+        START_JOURNALED,
+        EPOCH_ACKNOWLEDGED,
+        EPOCH_FENCING,
+        START_NAMES_INCARNATION,
+        ABSENT_IS_LAPSED,
         AT_MOST_ONCE,
     ),
 )
-def build_takeover_once(guards: frozenset[str]) -> Machine:
-    """Build the takeover of a job that must not run twice."""
+def build_takeover_once(guards: frozenset[str]) -> StateMachine:
+    """Build the model of the takeover of a non-idempotent job."""
     return _build_takeover(guards, idempotent=False)
--- a/models/transfers.py
+++ b/models/transfers.py
@@ -1,8 +1,9 @@
-"""One attempt that the home shard hands to another shard.
+"""Transfer of one attempt from the home shard to another shard.
 
-Messages are lost, late and repeated. Either shard may be taken over once;
-the old owner of the other shard goes on until an append of its fails. That
-one shard runs an accepted task once is the matter of `attempts`.
+Messages are lost, delayed and duplicated. Either shard may be taken over
+once; the old owner of the other shard continues until one of its appends
+fails. `attempts` models how a single shard runs an accepted task at most
+once.
 """
 
 from __future__ import annotations
@@ -10,246 +11,300 @@
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
-from models.specifications import Machine
 from models.specifications import register_specification
+from models.specifications import StateMachine
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from models.specifications import Step
+    from models.specifications import Transition
 
-TOMBSTONE = 'tombstone on recall'
+RECALL_TOMBSTONE = 'tombstone on recall'
 REFUSAL_TOMBSTONE = 'tombstone on refusal'
-JOURNALED = 'acceptance journaled by (job, attempt)'
-WAIT_RECALL = "home waits for the recall's answer"
-INTENT = 'transfer journaled before it is sent'
+ACCEPTANCE_JOURNALED = 'acceptance journaled by (job, attempt)'
+AWAIT_RECALL_REPLY = 'home waits for the reply to the recall'
+TRANSFER_JOURNALED = 'transfer journaled before it is sent'
 RETENTION = 'record kept until the transfer expires'
 
 Records = frozenset[str]
-NOTHING: Records = frozenset()
+NO_RECORDS: Records = frozenset()
 
 
-class Side(NamedTuple):
+class ShardOwner(NamedTuple):
     """An owner of the other shard.
 
     Parameters
     ----------
     active : bool
-        Whether it acts.
-    known : frozenset of str
-        ``accepted``, ``refused`` or ``ended``, from the journal or from its
-        own memory.
+        Whether the process acts as owner.
+    known_records : frozenset of str
+        Records of the attempt (``accepted``, ``refused``, ``ended``) that
+        the owner knows from the journal or from memory.
     started : bool
-        Whether it knows that the task was started.
+        Whether the owner knows that the task was started.
     """
 
     active: bool = False
-    known: Records = NOTHING
+    known_records: Records = NO_RECORDS
     started: bool = False
 
 
-class World(NamedTuple):
-    """Home shard, other shard and the messages between them.
+class TransferState(NamedTuple):
+    """State of the home shard, the other shard and the network.
 
     Parameters
     ----------
-    intent : bool
-        Whether the home shard's journal names the transfer.
-    home : str
-        What the home shard's owner believes of attempt 1: ``none``,
-        ``open`` or ``over``.
-    home_taken : bool
+    transfer_journaled : bool
+        Whether the home shard's journal contains the transfer.
+    home_status : str
+        Status of attempt 1 as the home shard's owner knows it: ``none``,
+        ``open`` or ``ended``.
+    home_taken_over : bool
         Whether the home shard has a new owner.
     transfer, recall : bool
-        Whether that message may still arrive.
+        Whether a transfer or recall message may still arrive.
     replies : frozenset of str
-        Answers on their way; each may arrive at any time and again.
+        Replies in flight; each may arrive at any time, and repeatedly.
     journal : frozenset of str
-        The other shard's records of the attempt.
-    sides : tuple of Side
-        The other shard's old and new owner.
+        Records of the attempt in the other shard's journal.
+    owners : tuple of ShardOwner
+        The old and the new owner of the other shard.
     runs : int
-        How often the attempt was started.
+        Number of times that attempt 1 was started.
     running : bool
-        Whether it runs.
-    second : bool
+        Whether attempt 1 runs.
+    attempt_2_started : bool
         Whether the home shard has started attempt 2.
     """
 
-    intent: bool = False
-    home: str = 'none'
-    home_taken: bool = False
+    transfer_journaled: bool = False
+    home_status: str = 'none'
+    home_taken_over: bool = False
     transfer: bool = False
     recall: bool = False
-    replies: Records = NOTHING
-    journal: Records = NOTHING
-    sides: tuple[Side, Side] = (Side(active=True), Side())
+    replies: Records = NO_RECORDS
+    journal: Records = NO_RECORDS
+    owners: tuple[ShardOwner, ShardOwner] = (
+        ShardOwner(active=True),
+        ShardOwner(),
+    )
     runs: int = 0
     running: bool = False
-    second: bool = False
+    attempt_2_started: bool = False
 
 
-class _Steps:
-    """The steps of the home shard, the network and the other shard."""
+class _TransferTransitions:
+    """Transitions of the home shard, the network and the other shard."""
 
     def __init__(self, guards: frozenset[str]) -> None:
         self.guards = guards
 
-    def list_steps(self, state: World) -> Iterator[Step]:
-        """Return the successors of a state."""
-        yield from self._run_home(state)
+    def list_transitions(self, state: TransferState) -> Iterator[Transition]:
+        """Return the transitions from a state."""
+        yield from self._list_home_transitions(state)
         if state.transfer:
             yield 'transfer expires', state._replace(transfer=False)
-        if not state.sides[1].active:
-            known = state.journal
-            successor = Side(True, known, bool(known and state.runs))
-            sides = (state.sides[0], successor)
-            yield 'other shard is taken over', state._replace(sides=sides)
-        for number, side in enumerate(state.sides):
-            if side.active:
-                for label, after in self._run_side(state, number, side):
+        if not state.owners[1].active:
+            known_records = state.journal
+            successor = ShardOwner(
+                True, known_records, bool(known_records and state.runs)
+            )
+            owners = (state.owners[0], successor)
+            yield 'other shard is taken over', state._replace(owners=owners)
+        for number, owner in enumerate(state.owners):
+            if owner.active:
+                for label, after in self._list_owner_transitions(
+                    state, number, owner
+                ):
                     yield f'other owner {number}: {label}', after
         if state.running:
             yield 'attempt 1 ends', state._replace(running=False)
 
-    def _run_home(self, state: World) -> Iterator[Step]:
-        if not state.home_taken:
-            home = 'open' if state.intent else 'none'
-            taken = state._replace(home_taken=True, home=home)
-            yield 'home is taken over', taken
-        if state.home == 'none' and not state.second:
-            intent = INTENT in self.guards
-            sent = state._replace(transfer=True, home='open', intent=intent)
+    def _list_home_transitions(
+        self, state: TransferState
+    ) -> Iterator[Transition]:
+        if not state.home_taken_over:
+            home_status = 'open' if state.transfer_journaled else 'none'
+            taken = state._replace(
+                home_taken_over=True, home_status=home_status
+            )
+            yield 'home shard is taken over', taken
+        if state.home_status == 'none' and not state.attempt_2_started:
+            transfer_journaled = TRANSFER_JOURNALED in self.guards
+            sent = state._replace(
+                transfer=True,
+                home_status='open',
+                transfer_journaled=transfer_journaled,
+            )
             yield 'home sends the transfer', sent
-            yield 'home starts at home', state._replace(second=True)
-        if state.home != 'open' or state.second:
-            if state.home == 'over' and not state.second:
-                yield 'home starts attempt 2', state._replace(second=True)
+            yield (
+                'home starts attempt 2 without a transfer',
+                state._replace(attempt_2_started=True),
+            )
+        if state.home_status != 'open' or state.attempt_2_started:
+            if state.home_status == 'ended' and not state.attempt_2_started:
+                yield (
+                    'home starts attempt 2',
+                    state._replace(attempt_2_started=True),
+                )
             return
         yield 'home sends a recall', state._replace(recall=True)
-        if state.recall and WAIT_RECALL not in self.guards:
-            yield 'home does not wait', state._replace(home='over')
+        if state.recall and AWAIT_RECALL_REPLY not in self.guards:
+            yield (
+                'home does not wait for the reply',
+                state._replace(home_status='ended'),
+            )
         for reply in state.replies - {'accepted'}:
-            yield f'home gets {reply}', state._replace(home='over')
+            yield f'home receives {reply}', state._replace(home_status='ended')
 
-    def _run_side(
-        self, state: World, number: int, side: Side
-    ) -> Iterator[tuple[str, World]]:
+    def _list_owner_transitions(
+        self, state: TransferState, number: int, owner: ShardOwner
+    ) -> Iterator[tuple[str, TransferState]]:
         if state.transfer:
-            yield from self._receive(state, number, side)
+            yield from self._list_transfer_receipts(state, number, owner)
         if state.recall:
-            yield from self._answer_recall(state, number, side)
-        if 'accepted' in side.known and not side.started:
-            started = self._set_side(
-                state, number, side._replace(started=True)
+            yield from self._list_recall_receipts(state, number, owner)
+        if 'accepted' in owner.known_records and not owner.started:
+            started = self._replace_owner(
+                state, number, owner._replace(started=True)
             )
-            # A stale owner's start is refused by the worker's fence.
-            if number == 1 or not state.sides[1].active:
+            # The worker refuses the start of a stale owner, whose epoch is
+            # lower.
+            if number == 1 or not state.owners[1].active:
                 yield (
                     'starts attempt 1',
                     started._replace(runs=state.runs + 1, running=True),
                 )
-        if side.started and not state.running and 'ended' not in side.known:
-            yield from self._append(state, number, side, 'ended')
-        if 'ended' in side.known or 'refused' in side.known:
-            kept = state.transfer and RETENTION in self.guards
-            if number == 1 or not state.sides[1].active:
-                forgotten = self._set_side(
-                    state._replace(journal=NOTHING), number, Side(active=True)
+        if (
+            owner.started
+            and not state.running
+            and 'ended' not in owner.known_records
+        ):
+            yield from self._list_append_results(state, number, owner, 'ended')
+        if 'ended' in owner.known_records or 'refused' in owner.known_records:
+            must_keep = state.transfer and RETENTION in self.guards
+            if number == 1 or not state.owners[1].active:
+                deleted = self._replace_owner(
+                    state._replace(journal=NO_RECORDS),
+                    number,
+                    ShardOwner(active=True),
                 )
-                if not kept and state.home == 'over':
-                    yield 'forgets the attempt', forgotten
-
-    def _receive(
-        self, state: World, number: int, side: Side
-    ) -> Iterator[tuple[str, World]]:
-        if side.known:
-            yield 'repeats its answer', self._reply(state, side)
+                if not must_keep and state.home_status == 'ended':
+                    yield 'deletes its records of the attempt', deleted
+
+    def _list_transfer_receipts(
+        self, state: TransferState, number: int, owner: ShardOwner
+    ) -> Iterator[tuple[str, TransferState]]:
+        if owner.known_records:
+            yield 'repeats its reply', self._send_reply(state, owner)
             return
-        if JOURNALED in self.guards:
-            yield from self._append(state, number, side, 'accepted')
+        if ACCEPTANCE_JOURNALED in self.guards:
+            yield from self._list_append_results(
+                state, number, owner, 'accepted'
+            )
         else:
-            known = side._replace(known=side.known | {'accepted'})
-            accepted = self._set_side(state, number, known)
-            yield 'accepts', self._reply(accepted, known)
+            updated = owner._replace(
+                known_records=owner.known_records | {'accepted'}
+            )
+            accepted = self._replace_owner(state, number, updated)
+            yield 'accepts', self._send_reply(accepted, updated)
         if REFUSAL_TOMBSTONE in self.guards:
-            yield from self._append(state, number, side, 'refused')
+            yield from self._list_append_results(
+                state, number, owner, 'refused'
+            )
         else:
             replies = state.replies | {'refused'}
-            yield 'has no room', state._replace(replies=replies)
+            yield (
+                'refuses for lack of free capacity',
+                state._replace(replies=replies),
+            )
 
-    def _answer_recall(
-        self, state: World, number: int, side: Side
-    ) -> Iterator[tuple[str, World]]:
-        if side.known:
-            yield 'reports on a recall', self._reply(state, side)
+    def _list_recall_receipts(
+        self, state: TransferState, number: int, owner: ShardOwner
+    ) -> Iterator[tuple[str, TransferState]]:
+        if owner.known_records:
+            yield 'replies to the recall', self._send_reply(state, owner)
             return
-        if TOMBSTONE in self.guards:
-            yield from self._append(state, number, side, 'refused')
+        if RECALL_TOMBSTONE in self.guards:
+            yield from self._list_append_results(
+                state, number, owner, 'refused'
+            )
             return
         replies = state.replies | {'refused'}
-        yield 'never saw it', state._replace(replies=replies)
-
-    def _append(
-        self, state: World, number: int, side: Side, record: str
-    ) -> Iterator[tuple[str, World]]:
-        """Journal a record and answer, or stop when the shard is lost."""
-        if number == 0 and state.sides[1].active:
-            yield 'lost the shard', self._set_side(state, 0, Side())
+        yield (
+            'replies that it has no such attempt',
+            state._replace(replies=replies),
+        )
+
+    def _list_append_results(
+        self, state: TransferState, number: int, owner: ShardOwner, record: str
+    ) -> Iterator[tuple[str, TransferState]]:
+        """Return the append of a record, or the stop of a stale owner."""
+        if number == 0 and state.owners[1].active:
+            yield (
+                'has lost the shard',
+                self._replace_owner(state, 0, ShardOwner()),
+            )
             return
-        known = side._replace(known=side.known | {record})
-        after = self._set_side(state, number, known)
+        updated = owner._replace(known_records=owner.known_records | {record})
+        after = self._replace_owner(state, number, updated)
         after = after._replace(journal=state.journal | {record})
-        yield f'journals {record}', self._reply(after, known)
+        yield f'journals {record}', self._send_reply(after, updated)
 
-    def _reply(self, state: World, side: Side) -> World:
-        answers = [a for a in ('ended', 'refused') if a in side.known]
-        answer = answers[0] if answers else 'accepted'
-        return state._replace(replies=state.replies | {answer})
+    def _send_reply(
+        self, state: TransferState, owner: ShardOwner
+    ) -> TransferState:
+        final_replies = [
+            a for a in ('ended', 'refused') if a in owner.known_records
+        ]
+        reply = final_replies[0] if final_replies else 'accepted'
+        return state._replace(replies=state.replies | {reply})
 
-    def _set_side(self, state: World, number: int, side: Side) -> World:
-        old, new = state.sides
-        sides = (old, side) if number else (side, new)
-        return state._replace(sides=sides)
+    def _replace_owner(
+        self, state: TransferState, number: int, owner: ShardOwner
+    ) -> TransferState:
+        old, new = state.owners
+        owners = (old, owner) if number else (owner, new)
+        return state._replace(owners=owners)
 
 
 @register_specification(
     'transfers.attempt',
     (
-        TOMBSTONE,
+        RECALL_TOMBSTONE,
         REFUSAL_TOMBSTONE,
-        JOURNALED,
-        WAIT_RECALL,
-        INTENT,
+        ACCEPTANCE_JOURNALED,
+        AWAIT_RECALL_REPLY,
+        TRANSFER_JOURNALED,
         RETENTION,
     ),
 )
-def build_attempt(guards: frozenset[str]) -> Machine:
-    """Build the transfer of one attempt."""
-    return Machine(
-        World(),
-        _Steps(guards).list_steps,
+def build_attempt(guards: frozenset[str]) -> StateMachine:
+    """Build the model of the transfer of one attempt."""
+    return StateMachine(
+        TransferState(),
+        _TransferTransitions(guards).list_transitions,
         {
             'the attempt runs at most once': lambda s: s.runs <= 1,
-            'home and the other shard do not both run it': lambda s: (
-                not (s.second and s.running)
+            'attempts 1 and 2 do not run concurrently': lambda s: (
+                not (s.attempt_2_started and s.running)
             ),
-            'home believes what is true': lambda s: (
-                not (s.home == 'over' and s.running)
+            'an attempt believed ended does not run': lambda s: (
+                not (s.home_status == 'ended' and s.running)
             ),
         },
         {
             'the new owner runs it': lambda s: (
-                s.running and s.sides[1].started
+                s.running and s.owners[1].started
             ),
             'attempt 2 follows a recall': lambda s: (
-                s.second and s.recall and 'refused' in s.journal
+                s.attempt_2_started and s.recall and 'refused' in s.journal
             ),
             'attempt 2 follows an end': lambda s: (
-                s.second and 'ended' in s.journal
+                s.attempt_2_started and 'ended' in s.journal
             ),
-            'a record is forgotten': lambda s: (
-                s.home == 'over' and not s.journal and not s.transfer
+            'the records are deleted': lambda s: (
+                s.home_status == 'ended' and not s.journal and not s.transfer
             ),
         },
     )
--- a/models/trimming.py
+++ b/models/trimming.py
@@ -1,8 +1,8 @@
-"""The rejected form of the journal: keys created once, then trimmed.
+"""A rejected design of the journal: keys that are created once and trimmed.
 
-The code keeps a ring instead, which `ownership` models. This model shows
-which rules trimming needs besides: without them a stale owner creates a key
-that trimming has deleted and acknowledges a lost record.
+The product uses a ring buffer instead, which `ownership` models. This model
+shows which additional rules trimming needs: without them, a stale owner
+creates a key that trimming has deleted, and acknowledges a lost record.
 """
 
 from __future__ import annotations
@@ -11,23 +11,23 @@
 from typing import NamedTuple
 from typing import TYPE_CHECKING
 
-from models.specifications import Machine
 from models.specifications import register_specification
+from models.specifications import StateMachine
 
 if TYPE_CHECKING:
     from models.specifications import Predicate
-    from models.specifications import Step
+    from models.specifications import Transition
 
 TAKEOVER = -1
-LENGTH = 5
-RECORDS = 2
+MAX_KEYS = 5
+MAX_RECORDS = 2
 
 CREATE_ONLY = 'create-only append'
 READ_BACK_REWRITE = 'read-back before a rewrite'
-READ_BACK_ANSWER = 'read-back before an answer'
+READ_BACK_REPORT = 'read-back before a report as not run'
 SAME_CONTENT = 'rewrite with the same content'
-SLOT_TAKEN = 'not run only when the slot is taken'
-SLOT_KEPT = 'not run only above the snapshot'
+NOT_RUN_IF_TAKEN = 'reported not run only if the key is taken'
+NOT_RUN_ABOVE_SNAPSHOT = 'reported not run only above the snapshot'
 TAKEOVER_FIRST = 'takeover record before serving'
 KEEP_TAKEOVERS = 'trimming keeps takeover records'
 VERIFY_TAKEOVER = 'takeover compared with the snapshot'
@@ -35,7 +35,7 @@
 
 
 class Entry(NamedTuple):
-    """One journal key: a takeover, or a record by its number."""
+    """Content of a key: a takeover record, or the number of a record."""
 
     writer: int
     content: int
@@ -43,102 +43,106 @@
 
 
 class Process(NamedTuple):
-    """A scheduler process and what it believes.
+    """A scheduler process and its knowledge.
 
     Parameters
     ----------
     phase : str
-        ``idle``, ``read`` (has the snapshot), ``claim`` (has the chain),
-        ``wait`` (a write is under way), ``unsure`` (its reply is missing),
-        ``ok``, ``exists``, ``serve``, ``snap``, ``trim``, ``stopped``.
-    epoch, at : int
-        Its epoch and the next sequence number.
-    view : frozenset of int
-        Records that it knows of.
+        ``idle``, ``read`` (has read the snapshot), ``claim`` (has read the
+        log), ``write`` (is about to write), ``unconfirmed`` (the reply to
+        the write is missing), ``ok`` (the key was written), ``exists`` (the
+        key exists), ``serve``, ``snapshot``, ``trim`` or ``stopped``.
+    epoch, sequence : int
+        Epoch of the process, and sequence number of its next entry.
+    known_records : frozenset of int
+        Records that the process knows.
     pending : int
-        What it is appending: a record's number or `TAKEOVER`.
-    seen : int
-        Sequence number of the snapshot that it last saw.
+        Content of the entry to append: the number of a record or `TAKEOVER`.
+    known_base : int
+        Sequence number of the snapshot that the process last read or wrote.
     """
 
     phase: str
     epoch: int
-    at: int
-    view: frozenset[int]
+    sequence: int
+    known_records: frozenset[int]
     pending: int = TAKEOVER
-    seen: int = 0
+    known_base: int = 0
 
 
-class Journal(NamedTuple):
-    """The store and the processes.
+class JournalState(NamedTuple):
+    """State of the store and the processes.
 
     Parameters
     ----------
     keys : tuple of Entry or None
-        The chain; None where no key exists.
-    base, kept, base_epoch
-        The snapshot: entries below ``base`` are in it, with these records.
+        The log by sequence number; None where no key exists.
+    snapshot_base, snapshot_records, snapshot_epoch
+        The snapshot: it covers the entries below ``snapshot_base`` and holds
+        these records; the epoch is that of its writer.
     processes : tuple of Process
-        The first one owns the shard at the start.
-    wins : frozenset of (int, int)
-        Sequence number and writer of each append believed to be done.
-    acked, denied : frozenset of int
-        Records acknowledged to callers, and those answered as not run.
-    used : int
+        The processes; the first one owns the shard initially.
+    confirmed_appends : frozenset of (int, int)
+        Sequence number and writer of each append that its writer considers
+        done.
+    acknowledged, reported_not_run : frozenset of int
+        Records acknowledged to callers, and records of which callers were
+        told that they were not run.
+    submitted : int
         Number of records submitted.
     """
 
     keys: tuple[Entry | None, ...]
-    base: int
-    kept: frozenset[int]
-    base_epoch: int
+    snapshot_base: int
+    snapshot_records: frozenset[int]
+    snapshot_epoch: int
     processes: tuple[Process, ...]
-    wins: frozenset[tuple[int, int]]
-    acked: frozenset[int]
-    denied: frozenset[int]
-    used: int
+    confirmed_appends: frozenset[tuple[int, int]]
+    acknowledged: frozenset[int]
+    reported_not_run: frozenset[int]
+    submitted: int
 
 
-Moves = Iterator[tuple[str, Journal, Process]]
-NOTHING: frozenset[int] = frozenset()
-SERVING = ('serve', 'snap', 'trim')
+ProcessTransitions = Iterator[tuple[str, JournalState, Process]]
+NO_RECORDS: frozenset[int] = frozenset()
+SERVING_PHASES = ('serve', 'snapshot', 'trim')
 
 
 def _is_serving(process: Process) -> bool:
-    if process.phase in SERVING:
+    if process.phase in SERVING_PHASES:
         return True
     return process.pending != TAKEOVER and process.phase != 'stopped'
 
 
-def _read_chain(state: Journal, base: int) -> list[Entry]:
-    """Return the entries without a gap from ``base`` on."""
+def _list_log_entries(state: JournalState, snapshot_base: int) -> list[Entry]:
+    """Return the entries from ``snapshot_base`` up to the first gap."""
     entries: list[Entry] = []
-    for entry in state.keys[base:]:
+    for entry in state.keys[snapshot_base:]:
         if entry is None:
             break
         entries.append(entry)
     return entries
 
 
-def _list_durable(state: Journal) -> list[int]:
-    """Return the records that a reader of the store finds."""
-    chain = _read_chain(state, state.base)
-    records = [entry.content for entry in chain if entry.content != TAKEOVER]
-    return [*state.kept, *records]
+def _list_stored_records(state: JournalState) -> list[int]:
+    """Return the records that a reader finds in snapshot and log."""
+    entries = _list_log_entries(state, state.snapshot_base)
+    records = [entry.content for entry in entries if entry.content != TAKEOVER]
+    return [*state.snapshot_records, *records]
 
 
 def _put_key(
-    state: Journal, at: int, entry: Entry, create_only: bool
-) -> tuple[Journal, bool]:
+    state: JournalState, sequence: int, entry: Entry, create_only: bool
+) -> tuple[JournalState, bool]:
     """Return the store after a write and whether it took effect."""
-    if state.keys[at] is not None and create_only:
+    if state.keys[sequence] is not None and create_only:
         return state, False
-    keys = (*state.keys[:at], entry, *state.keys[at + 1 :])
+    keys = (*state.keys[:sequence], entry, *state.keys[sequence + 1 :])
     return state._replace(keys=keys), True
 
 
-class _JournalSteps:
-    """The steps of one process, with some guards active.
+class _JournalTransitions:
+    """Transitions of the processes for a set of active guards.
 
     Parameters
     ----------
@@ -150,11 +154,11 @@
         self.guards = guards
         self.create_only = CREATE_ONLY in guards
 
-    def list_steps(self, state: Journal) -> Iterator[Step]:
-        """Return the successors of a state."""
+    def list_transitions(self, state: JournalState) -> Iterator[Transition]:
+        """Return the transitions from a state."""
         for number, process in enumerate(state.processes):
-            step = getattr(self, f'_leave_{process.phase}')
-            for label, store, after in step(state, number, process):
+            list_from_phase = getattr(self, f'_list_from_{process.phase}')
+            for label, store, after in list_from_phase(state, number, process):
                 processes = (
                     *state.processes[:number],
                     after,
@@ -165,261 +169,332 @@
                     store._replace(processes=processes),
                 )
 
-    def _leave_idle(
-        self, state: Journal, number: int, process: Process
-    ) -> Moves:
-        # The idle processes are alike, so one order of claims is enough.
+    def _list_from_idle(
+        self, state: JournalState, number: int, process: Process
+    ) -> ProcessTransitions:
+        # Idle processes are interchangeable, so the model needs only one order
+        # of claims.
         if state.processes[number - 1].phase == 'idle':
             return
         after = Process(
-            'read', state.base_epoch, state.base, state.kept, seen=state.base
+            'read',
+            state.snapshot_epoch,
+            state.snapshot_base,
+            state.snapshot_records,
+            known_base=state.snapshot_base,
         )
         yield 'reads the snapshot', state, after
 
-    def _leave_read(
-        self, state: Journal, number: int, process: Process
-    ) -> Moves:
-        chain = _read_chain(state, process.at)
-        at = process.at + len(chain)
-        if at >= LENGTH:
+    def _list_from_read(
+        self, state: JournalState, number: int, process: Process
+    ) -> ProcessTransitions:
+        entries = _list_log_entries(state, process.sequence)
+        sequence = process.sequence + len(entries)
+        if sequence >= MAX_KEYS:
             return
-        records = {e.content for e in chain if e.content != TAKEOVER}
-        epoch = max([process.epoch, *(entry.epoch for entry in chain)])
+        records = {e.content for e in entries if e.content != TAKEOVER}
+        epoch = max([process.epoch, *(entry.epoch for entry in entries)])
         after = process._replace(
             phase='claim' if TAKEOVER_FIRST in self.guards else 'serve',
-            at=at,
+            sequence=sequence,
             epoch=epoch + 1,
-            view=process.view | records,
+            known_records=process.known_records | records,
+        )
+        yield 'reads the log', state, after
+
+    def _list_from_claim(
+        self, state: JournalState, number: int, process: Process
+    ) -> ProcessTransitions:
+        yield (
+            'starts to write a takeover',
+            state,
+            process._replace(phase='write'),
         )
-        yield 'reads the chain', state, after
-
-    def _leave_claim(
-        self, state: Journal, number: int, process: Process
-    ) -> Moves:
-        yield 'sends a takeover', state, process._replace(phase='wait')
 
-    def _leave_wait(
-        self, state: Journal, number: int, process: Process
-    ) -> Moves:
+    def _list_from_write(
+        self, state: JournalState, number: int, process: Process
+    ) -> ProcessTransitions:
         entry = Entry(number, process.pending, process.epoch)
-        after, done = _put_key(state, process.at, entry, self.create_only)
+        after, done = _put_key(
+            state, process.sequence, entry, self.create_only
+        )
         phase = 'ok' if done else 'exists'
         yield f'write: {phase}', after, process._replace(phase=phase)
-        unsure = process._replace(phase='unsure')
-        yield 'write done, reply lost', after, unsure
-
-    def _leave_ok(
-        self, state: Journal, number: int, process: Process
-    ) -> Moves:
-        wins = state.wins | {(process.at, number)}
+        unconfirmed = process._replace(phase='unconfirmed')
+        yield 'write done, reply lost', after, unconfirmed
+
+    def _list_from_ok(
+        self, state: JournalState, number: int, process: Process
+    ) -> ProcessTransitions:
+        confirmed_appends = state.confirmed_appends | {
+            (process.sequence, number)
+        }
         if process.pending == TAKEOVER:
-            if VERIFY_TAKEOVER in self.guards and state.base != process.seen:
-                yield self._recover(state, process)
+            if (
+                VERIFY_TAKEOVER in self.guards
+                and state.snapshot_base != process.known_base
+            ):
+                yield self._verify_takeover(state, process)
                 return
-            after = process._replace(phase='serve', at=process.at + 1)
-            yield 'serves', state._replace(wins=wins), after
+            after = process._replace(
+                phase='serve', sequence=process.sequence + 1
+            )
+            yield (
+                'serves',
+                state._replace(confirmed_appends=confirmed_appends),
+                after,
+            )
             return
         store = state._replace(
-            wins=wins, acked=state.acked | {process.pending}
+            confirmed_appends=confirmed_appends,
+            acknowledged=state.acknowledged | {process.pending},
+        )
+        yield (
+            'acknowledges',
+            store,
+            self._complete_append(process, process.sequence + 1),
         )
-        yield 'acknowledges', store, self._finish(process, process.at + 1)
 
-    def _recover(
-        self, state: Journal, process: Process
-    ) -> tuple[str, Journal, Process]:
-        """Leave a takeover below the snapshot, else read all again."""
-        if state.base > process.at:
+    def _verify_takeover(
+        self, state: JournalState, process: Process
+    ) -> tuple[str, JournalState, Process]:
+        """Abandon a takeover below the snapshot, or read the snapshot."""
+        if state.snapshot_base > process.sequence:
             return 'takeover too late', state, self._stop(process)
-        chain = state.keys[state.base : process.at]
+        entries = state.keys[state.snapshot_base : process.sequence]
         after = process._replace(
-            view=state.kept | {e.content for e in chain if e} - {TAKEOVER},
-            seen=state.base,
+            known_records=state.snapshot_records
+            | {e.content for e in entries if e} - {TAKEOVER},
+            known_base=state.snapshot_base,
         )
         return 'reads the moved snapshot', state, after
 
-    def _leave_exists(
-        self, state: Journal, number: int, process: Process
-    ) -> Moves:
-        yield from self._compare(state, number, process)
+    def _list_from_exists(
+        self, state: JournalState, number: int, process: Process
+    ) -> ProcessTransitions:
+        yield from self._read_back(state, number, process)
 
-    def _leave_unsure(
-        self, state: Journal, number: int, process: Process
-    ) -> Moves:
+    def _list_from_unconfirmed(
+        self, state: JournalState, number: int, process: Process
+    ) -> ProcessTransitions:
         if process.pending == TAKEOVER:
-            yield from self._compare(state, number, process)
+            yield from self._read_back(state, number, process)
             return
-        if READ_BACK_REWRITE not in self.guards and process.at + 1 < LENGTH:
-            after = process._replace(phase='wait', at=process.at + 1)
-            yield 'writes again at the next number', state, after
-        if READ_BACK_ANSWER not in self.guards:
-            yield self._deny(state, process)
-        yield from self._compare(state, number, process)
-
-    def _compare(self, state: Journal, number: int, process: Process) -> Moves:
+        if (
+            READ_BACK_REWRITE not in self.guards
+            and process.sequence + 1 < MAX_KEYS
+        ):
+            after = process._replace(
+                phase='write', sequence=process.sequence + 1
+            )
+            yield 'repeats the write at the next sequence number', state, after
+        if READ_BACK_REPORT not in self.guards:
+            yield self._report_not_run(state, process)
+        yield from self._read_back(state, number, process)
+
+    def _read_back(
+        self, state: JournalState, number: int, process: Process
+    ) -> ProcessTransitions:
         """Read the key back after a conflict or a missing reply."""
-        entry = state.keys[process.at]
+        entry = state.keys[process.sequence]
         if entry is None:
-            again = process._replace(phase='wait')
-            yield 'reads back nothing, writes again', state, again
-            grows = process.pending != TAKEOVER and state.used < RECORDS
-            if SAME_CONTENT not in self.guards and grows:
-                other = again._replace(pending=state.used)
-                used = state._replace(used=state.used + 1)
-                yield 'reads back nothing, writes another', used, other
-            if SLOT_TAKEN not in self.guards and process.pending != TAKEOVER:
-                yield self._deny(state, process)
+            retry = process._replace(phase='write')
+            yield 'reads back no entry, repeats the write', state, retry
+            may_submit = (
+                process.pending != TAKEOVER and state.submitted < MAX_RECORDS
+            )
+            if SAME_CONTENT not in self.guards and may_submit:
+                other_record = retry._replace(pending=state.submitted)
+                submitted = state._replace(submitted=state.submitted + 1)
+                yield (
+                    'reads back no entry, writes another record',
+                    submitted,
+                    other_record,
+                )
+            if (
+                NOT_RUN_IF_TAKEN not in self.guards
+                and process.pending != TAKEOVER
+            ):
+                yield self._report_not_run(state, process)
             return
         # Writer, epoch and sequence number identify an entry.
         if (entry.writer, entry.epoch) == (number, process.epoch):
-            yield 'reads back its own', state, process._replace(phase='ok')
+            yield (
+                'reads back its own entry',
+                state,
+                process._replace(phase='ok'),
+            )
             return
-        certain = SLOT_KEPT not in self.guards or process.at >= state.base
-        if process.pending != TAKEOVER and certain:
-            label, store, _ = self._deny(state, process)
+        is_certain = (
+            NOT_RUN_ABOVE_SNAPSHOT not in self.guards
+            or process.sequence >= state.snapshot_base
+        )
+        if process.pending != TAKEOVER and is_certain:
+            label, store, _ = self._report_not_run(state, process)
             yield label, store, self._stop(process)
             return
-        yield 'lost the shard', state, self._stop(process)
+        yield 'has lost the shard', state, self._stop(process)
 
-    def _leave_serve(
-        self, state: Journal, number: int, process: Process
-    ) -> Moves:
-        if process.at >= LENGTH:
+    def _list_from_serve(
+        self, state: JournalState, number: int, process: Process
+    ) -> ProcessTransitions:
+        if process.sequence >= MAX_KEYS:
             return
-        if state.used < RECORDS:
-            after = process._replace(phase='wait', pending=state.used)
-            yield 'appends', state._replace(used=state.used + 1), after
-        if process.at > process.seen + 1:
-            yield 'takes a snapshot', state, process._replace(phase='snap')
-
-    def _leave_snap(
-        self, state: Journal, number: int, process: Process
-    ) -> Moves:
-        if SNAPSHOT_SWAP in self.guards and state.base != process.seen:
-            if state.base > process.at:
-                yield 'lost the shard', state, self._stop(process)
+        if state.submitted < MAX_RECORDS:
+            after = process._replace(phase='write', pending=state.submitted)
+            yield (
+                'appends',
+                state._replace(submitted=state.submitted + 1),
+                after,
+            )
+        if process.sequence > process.known_base + 1:
+            yield 'takes a snapshot', state, process._replace(phase='snapshot')
+
+    def _list_from_snapshot(
+        self, state: JournalState, number: int, process: Process
+    ) -> ProcessTransitions:
+        if (
+            SNAPSHOT_SWAP in self.guards
+            and state.snapshot_base != process.known_base
+        ):
+            if state.snapshot_base > process.sequence:
+                yield 'has lost the shard', state, self._stop(process)
                 return
-            after = process._replace(phase='serve', seen=state.base)
+            after = process._replace(
+                phase='serve', known_base=state.snapshot_base
+            )
             yield 'snapshot has moved', state, after
             return
         store = state._replace(
-            base=process.at, kept=process.view, base_epoch=process.epoch
+            snapshot_base=process.sequence,
+            snapshot_records=process.known_records,
+            snapshot_epoch=process.epoch,
         )
-        after = process._replace(phase='trim', seen=process.at)
+        after = process._replace(phase='trim', known_base=process.sequence)
         yield 'writes the snapshot', store, after
 
-    def _leave_trim(
-        self, state: Journal, number: int, process: Process
-    ) -> Moves:
+    def _list_from_trim(
+        self, state: JournalState, number: int, process: Process
+    ) -> ProcessTransitions:
         keep = KEEP_TAKEOVERS in self.guards
         keys = tuple(
             entry
-            if at >= process.seen
+            if sequence >= process.known_base
             or (keep and entry is not None and entry.content == TAKEOVER)
             else None
-            for at, entry in enumerate(state.keys)
+            for sequence, entry in enumerate(state.keys)
         )
         after = process._replace(phase='serve')
         yield 'trims', state._replace(keys=keys), after
 
-    def _leave_stopped(
-        self, state: Journal, number: int, process: Process
-    ) -> Moves:
+    def _list_from_stopped(
+        self, state: JournalState, number: int, process: Process
+    ) -> ProcessTransitions:
         yield from ()
 
-    def _deny(
-        self, state: Journal, process: Process
-    ) -> tuple[str, Journal, Process]:
-        store = state._replace(denied=state.denied | {process.pending})
+    def _report_not_run(
+        self, state: JournalState, process: Process
+    ) -> tuple[str, JournalState, Process]:
+        store = state._replace(
+            reported_not_run=state.reported_not_run | {process.pending}
+        )
         after = process._replace(phase='serve', pending=TAKEOVER)
-        return 'answers not run', store, after
+        return 'reports the record as not run', store, after
 
-    def _finish(self, process: Process, at: int) -> Process:
+    def _complete_append(self, process: Process, sequence: int) -> Process:
         return process._replace(
             phase='serve',
-            at=at,
-            view=process.view | {process.pending},
+            sequence=sequence,
+            known_records=process.known_records | {process.pending},
             pending=TAKEOVER,
         )
 
     def _stop(self, process: Process) -> Process:
-        return Process('stopped', 0, 0, NOTHING)
+        return Process('stopped', 0, 0, NO_RECORDS)
 
 
-def _owner_knows_all(state: Journal) -> bool:
-    """Tell whether the owner of the last epoch has every answered record."""
-    last = max([state.base_epoch, *(e.epoch for e in state.keys if e)])
+def _does_owner_know_acknowledged(state: JournalState) -> bool:
+    """Tell whether the latest owner knows all acknowledged records."""
+    last = max([state.snapshot_epoch, *(e.epoch for e in state.keys if e)])
     return all(
-        state.acked <= process.view
+        state.acknowledged <= process.known_records
         for process in state.processes
         if _is_serving(process) and process.epoch >= last
     )
 
 
-def _is_epoch_unique(state: Journal) -> bool:
+def _is_epoch_unique(state: JournalState) -> bool:
     epochs = [p.epoch for p in state.processes if _is_serving(p)]
     return len(epochs) == len(set(epochs))
 
 
-def _build(steps: _JournalSteps, witnesses: dict[str, Predicate]) -> Machine:
-    """Return a journal of one shard with an owner and two claimants."""
-    owner = Process('serve', 1, 1, NOTHING)
-    idle = Process('idle', 0, 0, NOTHING)
-    initial = Journal(
-        keys=(Entry(0, TAKEOVER, 1), *(None,) * (LENGTH - 1)),
-        base=0,
-        kept=NOTHING,
-        base_epoch=0,
+def _build(
+    transitions: _JournalTransitions, witnesses: dict[str, Predicate]
+) -> StateMachine:
+    """Build the model of a shard with an owner and two claimants."""
+    owner = Process('serve', 1, 1, NO_RECORDS)
+    idle = Process('idle', 0, 0, NO_RECORDS)
+    initial = JournalState(
+        keys=(Entry(0, TAKEOVER, 1), *(None,) * (MAX_KEYS - 1)),
+        snapshot_base=0,
+        snapshot_records=NO_RECORDS,
+        snapshot_epoch=0,
         processes=(owner, idle, idle),
-        wins=frozenset({(0, 0)}),
-        acked=NOTHING,
-        denied=NOTHING,
-        used=0,
+        confirmed_appends=frozenset({(0, 0)}),
+        acknowledged=NO_RECORDS,
+        reported_not_run=NO_RECORDS,
+        submitted=0,
     )
     invariants: dict[str, Predicate] = {
-        'one append wins per number': lambda s: (
-            len({at for at, _ in s.wins}) == len(s.wins)
+        'one append is confirmed per sequence number': lambda s: (
+            len({sequence for sequence, _ in s.confirmed_appends})
+            == len(s.confirmed_appends)
         ),
-        'an acknowledged record is kept': lambda s: (
-            s.acked <= set(_list_durable(s))
+        'an acknowledged record is stored': lambda s: (
+            s.acknowledged <= set(_list_stored_records(s))
         ),
-        'a record is kept once': lambda s: (
-            len(_list_durable(s)) == len(set(_list_durable(s)))
+        'a record is stored once': lambda s: (
+            len(_list_stored_records(s)) == len(set(_list_stored_records(s)))
         ),
-        'a record answered as not run is not kept': lambda s: (
-            not s.denied & set(_list_durable(s))
+        'a record reported as not run is not stored': lambda s: (
+            not s.reported_not_run & set(_list_stored_records(s))
         ),
-        'the owner knows acknowledged records': _owner_knows_all,
+        'the owner knows acknowledged records': _does_owner_know_acknowledged,
         'one owner per epoch': _is_epoch_unique,
     }
-    return Machine(initial, steps.list_steps, invariants, witnesses)
+    return StateMachine(
+        initial, transitions.list_transitions, invariants, witnesses
+    )
 
 
-def _has_successor_record(state: Journal) -> bool:
-    return len(state.acked) == RECORDS and any(
-        entry and entry.writer and entry.content in state.acked
+def _has_successor_record(state: JournalState) -> bool:
+    return len(state.acknowledged) == MAX_RECORDS and any(
+        entry and entry.writer and entry.content in state.acknowledged
         for entry in state.keys
     )
 
 
 @register_specification(
     'ownership.trimming',
-    (SLOT_KEPT, KEEP_TAKEOVERS, VERIFY_TAKEOVER, SNAPSHOT_SWAP),
+    (NOT_RUN_ABOVE_SNAPSHOT, KEEP_TAKEOVERS, VERIFY_TAKEOVER, SNAPSHOT_SWAP),
 )
-def build_trimming(guards: frozenset[str]) -> Machine:
-    """Build a trimmed journal with lost, but not delayed, replies."""
+def build_trimming(guards: frozenset[str]) -> StateMachine:
+    """Build the model of trimming with lost but not delayed replies."""
     always = {
         CREATE_ONLY,
         READ_BACK_REWRITE,
-        READ_BACK_ANSWER,
+        READ_BACK_REPORT,
         SAME_CONTENT,
-        SLOT_TAKEN,
+        NOT_RUN_IF_TAKEN,
         TAKEOVER_FIRST,
     }
     return _build(
-        _JournalSteps(guards | always),
+        _JournalTransitions(guards | always),
         {
             'a successor acknowledges': _has_successor_record,
-            'the chain is trimmed': lambda s: s.base > 0 and s.keys[1] is None,
-            'a successor trims': lambda s: s.base_epoch > 1,
+            'the log is trimmed': lambda s: (
+                s.snapshot_base > 0 and s.keys[1] is None
+            ),
+            'a successor trims': lambda s: s.snapshot_epoch > 1,
         },
     )
--- a/tests/models/test_specifications.py
+++ b/tests/models/test_specifications.py
@@ -1,4 +1,4 @@
-"""Guards the verdicts of the specification runner itself."""
+"""Tests of the verdicts of the model runner."""
 
 from typing import NamedTuple
 
@@ -9,10 +9,10 @@
 from models.run import report_results
 from models.specifications import ALL_GUARDS
 from models.specifications import check_variant
-from models.specifications import Machine
 from models.specifications import register_specification
 from models.specifications import Specification
 from models.specifications import SPECIFICATIONS
+from models.specifications import StateMachine
 from models.specifications import Verdict
 from sassafrasgate.core.registries import Registry
 
@@ -23,7 +23,7 @@
 
 def build_counter(guards):
     limit = 3 if 'limit' in guards else 9
-    return Machine(
+    return StateMachine(
         Counter(),
         lambda s: [('add', Counter(s.count + 1))] if s.count < limit else [],
         {'small': lambda s: s.count <= 5},
@@ -35,7 +35,7 @@
     return Specification('counter', build, ('limit',), max_states)
 
 
-def test_a_guard_that_is_needed_is_as_expected(capsys):
+def test_removing_a_needed_guard_violates_the_model(capsys):
     results = [
         check_variant(make_specification(), variant)
         for variant in (ALL_GUARDS, 'limit')
@@ -51,12 +51,13 @@
     [(lambda s: True, 'limit'), (lambda s: s.count < 2, ALL_GUARDS)],
     ids=['a guard without effect', 'a model that is violated'],
 )
-def test_a_wrong_expectation_fails_the_run(invariant, variant, capsys):
-    # A guard that nothing depends on would otherwise look proved.
+def test_an_unexpected_verdict_fails_the_run(invariant, variant, capsys):
+    # Without this check, a guard on which no invariant depends would appear
+    # to be necessary.
     def build(guards):
         machine = build_counter(guards)
-        return Machine(
-            machine.initial, machine.list_steps, {'i': invariant}, {}
+        return StateMachine(
+            machine.initial, machine.list_transitions, {'i': invariant}, {}
         )
 
     result = check_variant(make_specification(build), variant)
@@ -66,18 +67,22 @@
 
 @pytest.mark.parametrize('variant', [ALL_GUARDS, 'limit'])
 def test_an_inconclusive_verdict_fails_the_run(variant):
-    # The search stops at its limit of states before it covers them all.
+    # The search reaches the maximum number of states before it has covered
+    # the state space.
     result = check_variant(make_specification(max_states=2), variant)
     assert result.verdict is Verdict.INCONCLUSIVE
     assert report_results([result]) == 1
 
 
-def test_a_model_in_which_nothing_happens_fails_the_run():
+def test_an_unsatisfied_witness_fails_the_run():
     def build(guards):
         machine = build_counter(guards)
-        never = {'reaches 4': lambda s: s.count == 4}
-        return Machine(
-            machine.initial, machine.list_steps, machine.invariants, never
+        unreachable = {'reaches 4': lambda s: s.count == 4}
+        return StateMachine(
+            machine.initial,
+            machine.list_transitions,
+            machine.invariants,
+            unreachable,
         )
 
     result = check_variant(make_specification(build), ALL_GUARDS)
@@ -89,7 +94,7 @@
     assert report_results([]) == 1
 
 
-def test_every_guard_of_a_model_gets_a_variant():
+def test_every_guard_of_a_model_has_a_variant():
     registry = Registry('specification')
     register_specification('counter', ('limit',), registry=registry)(
         build_counter
@@ -100,7 +105,7 @@
     ]
 
 
-def test_no_model_raises_the_limit_of_states_far():
+def test_no_model_searches_more_than_200_000_states():
     load_specifications()
     limits = [SPECIFICATIONS.find(name).max_states for name in SPECIFICATIONS]
     assert limits
