--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements against plain baselines."""
+"""Benchmarks of scheduling decisions, components and whole cells."""
--- a/benchmarks/baselines.py
+++ b/benchmarks/baselines.py
@@ -1,4 +1,4 @@
-"""Simple ways to schedule that the library must beat."""
+"""Baseline scheduling algorithms that the library is compared with."""
 
 from __future__ import annotations
 
@@ -25,7 +25,11 @@
 
 
 class FifoQueue:
-    """First come, first served over all teams; the first job blocks."""
+    """A first-come, first-served queue, shared by all teams.
+
+    A pass ends at the first job that can't be placed (head-of-line blocking).
+    The methods have the parameters of those of `JobQueue`.
+    """
 
     def __init__(self) -> None:
         self._jobs: dict[str, QueuedJob] = {}
@@ -33,20 +37,20 @@
     def add(
         self, job_id: str, spec: JobSpec, now: int, group: object = None
     ) -> None:
-        """Add a job at the end."""
+        """Append a job to the queue; ``now`` is in ms."""
         expires_at = float('inf')
         if spec.deadline_s:
             expires_at = now + spec.deadline_s * 1000
         self._jobs[job_id] = QueuedJob(job_id, spec, now, expires_at)
 
     def remove(self, job_id: str) -> bool:
-        """Remove a job."""
+        """Remove a started or cancelled job; return False if not queued."""
         return self._jobs.pop(job_id, None) is not None
 
     def begin_pass(
         self, now: int, reserved: object = None
     ) -> Iterator[QueuedJob]:
-        """Offer jobs until one is refused."""
+        """Yield jobs in order until one isn't removed by the caller."""
         while self._jobs:
             job = next(iter(self._jobs.values()))
             yield job
@@ -64,33 +68,37 @@
 def choose_first_fit(
     index: HostIndex, request: PlacementRequest
 ) -> Assignment | Refusal:
-    """Take for each task the first host, in inventory order, with room."""
+    """Choose for each task the first host in inventory order that fits."""
     return _choose_by_scan(index, request, lambda name, free: 0)
 
 
 def choose_best_fit_by_scan(
     index: HostIndex, request: PlacementRequest
 ) -> Assignment | Refusal:
-    """Choose like the library does for one task, but look at all hosts."""
+    """Choose the best-fitting host by a scan over all hosts.
+
+    The cost of a host is that which the library uses for a single task: the
+    mean free share, plus a fixed cost for another failure domain.
+    """
     hosts = index.hosts
-    hop = 2.0 if request.spec.deadline_s else 0.25
+    remote_cost = 2.0 if request.spec.deadline_s else 0.25
 
-    def find_cost(name: str, free: Resources) -> float:
+    def compute_cost(name: str, free: Resources) -> float:
         cost = index.compute_mean_share(free)
         if hosts[name].failure_domain != request.local_domain:
-            cost += hop
+            cost += remote_cost
         return cost
 
-    return _choose_by_scan(index, request, find_cost)
+    return _choose_by_scan(index, request, compute_cost)
 
 
-def choose_by_scarcest(
+def choose_by_scarcest_resource(
     index: HostIndex, request: PlacementRequest
 ) -> Assignment | Refusal:
-    """Take the host that is left with least of the scarcest resource.
+    """Choose the host with the smallest free amount of the scarcest resource.
 
-    That is the demanded one of which all hosts together have room for the
-    fewest such tasks.
+    The scarcest resource is the demanded one whose free amount on all hosts
+    is enough for the fewest tasks of this demand.
     """
     demand = compute_demand(request)
     total = index.sum_free()
@@ -106,31 +114,34 @@
 def choose_without_locality(
     index: HostIndex, request: PlacementRequest
 ) -> Assignment | Refusal:
-    """Choose as if all failure domains were equally near."""
+    """Choose as the library does, but without preferring a failure domain."""
     return choose_hosts(index, replace(request, local_domain=''))
 
 
 def _choose_by_scan(
     index: HostIndex,
     request: PlacementRequest,
-    find_cost: Callable[[str, Resources], float],
+    compute_cost: Callable[[str, Resources], float],
 ) -> Assignment | Refusal:
     demand = compute_demand(request)
-    room = {
+    free_by_host = {
         name: free
         for name, free in index.free_on_open_hosts.items()
         if demand.fits_in(free)
         and name not in request.excluded
         and is_allowed(index.hosts[name], request)
     }
-    candidates = len(room)
+    candidates = len(free_by_host)
     chosen: list[str] = []
     for _ in range(request.tasks or request.spec.tasks):
-        if not room:
+        if not free_by_host:
             return build_refusal(index, request)
-        name = min(room, key=lambda name: find_cost(name, room[name]))
+        name = min(
+            free_by_host,
+            key=lambda name: compute_cost(name, free_by_host[name]),
+        )
         chosen.append(name)
-        room[name] = room[name] - demand
-        if not demand.fits_in(room[name]):
-            del room[name]
+        free_by_host[name] = free_by_host[name] - demand
+        if not demand.fits_in(free_by_host[name]):
+            del free_by_host[name]
     return Assignment(tuple(chosen), 0.0, candidates)
--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -1,7 +1,7 @@
-"""Measures what each role of a running cell costs, and how that grows.
+"""Measures the resource usage of each role in a cell, by size and rate.
 
 Run ``python -m benchmarks.capacity`` for all slopes that `docs/CAPACITY.md`
-builds on; it writes capacity.json next to this module.
+uses; it writes capacity.json next to this module.
 """
 
 from __future__ import annotations
@@ -29,15 +29,15 @@
 from httpx import Limits
 import yaml
 
-from benchmarks import parts as _parts
+from benchmarks import components
 from benchmarks.registry import format_table
 from benchmarks.registry import MEASUREMENTS
 from benchmarks.registry import register_measurement
 from benchmarks.registry import Table
 from benchmarks.slopes import compare_usage
 from benchmarks.slopes import fit_slope
+from benchmarks.slopes import measure_usage
 from benchmarks.slopes import read_usage
-from benchmarks.slopes import watch_processes
 from tests.cells import Cell
 from tests.cells import CellPlan
 from tests.loads import Load
@@ -53,8 +53,8 @@
 
     from sassafrasgate.core.cells import Configuration
 
-RESULTS = Path(__file__).parent / 'capacity.json'
-NAMES = (
+RESULTS_PATH = Path(__file__).parent / 'capacity.json'
+CAPACITY_MEASUREMENTS = (
     'process at rest',
     'scheduler by hosts',
     'scheduler by tasks',
@@ -75,20 +75,21 @@
 SETTLE_S = 1.0
 HOST_COUNTS = (24, 48, 96)
 TASKS_PER_HOST = (0, 7, 14)
-TASK_HOSTS = 48
-JOB_RATES = (10, 20, 40, 80)
-QUICK_RATES = (10, 20, 40)
-OPEN_COUNTS = (0, 100, 400)
-APPLY_SIZES = (990, 3_300, 9_900)
-APPLIES = 3
+LOADED_HOSTS = 48
+JOB_RATES_PER_S = (10, 20, 40, 80)
+QUICK_RATES_PER_S = (10, 20, 40)
+OPEN_REQUEST_COUNTS = (0, 100, 400)
+CONFIGURATION_SIZES = (990, 3_300, 9_900)
+CHANGES_PER_SIZE = 3
 LONG_RUN_MS = 600_000
-OPEN_WAIT_S = 3
+LONG_POLL_S = 3
 TAKEOVERS = 2
-# Shares of 2 of 112 processes in 300 writes/s and 1,500 reads/s.
-DESIGN_WRITES = 300 / 112 * 2
-DESIGN_READS = 1_500 / 112 * 2
-DESIGN_JOB_RATES = (5, 14, 28)
-WIDTH = 32
+# Share of the measured cell's 2 processes in the store's limits of 300
+# writes/s and 1,500 reads/s, in a cell of 112 processes.
+DESIGN_WRITES_PER_S = 300 / 112 * 2
+DESIGN_READS_PER_S = 1_500 / 112 * 2
+DESIGN_JOB_RATES_PER_S = (5, 14, 28)
+MAX_OPEN_REQUESTS = 32
 IDLE_PROGRAMS = (
     ('python', 'import time; time.sleep(60)'),
     ('python with anyio', 'import anyio; anyio.run(anyio.sleep, 60)'),
@@ -96,12 +97,12 @@
 
 
 @contextmanager
-def run_cell(plan: CellPlan, kind: type[Cell] = Cell) -> Iterator[Cell]:
-    """Start a cell in a temporary directory and end it afterwards."""
-    with TemporaryDirectory() as name:
-        directory = Path(name)
+def run_cell(plan: CellPlan, cell_class: type[Cell] = Cell) -> Iterator[Cell]:
+    """Start a cell in a temporary directory, and kill it afterwards."""
+    with TemporaryDirectory() as temporary_path:
+        directory = Path(temporary_path)
         with Processes(directory) as processes:
-            cell = kind(directory, plan, processes)
+            cell = cell_class(directory, plan, processes)
             try:
                 yield cell
             finally:
@@ -109,31 +110,31 @@
 
 
 def list_pids(cell: Cell) -> tuple[int, int]:
-    """Return the ids of the first scheduler and the first front end."""
+    """Return the process IDs of the first scheduler and first front end."""
     return cell.schedulers['scheduler-0'].pid, cell.frontends['frontend-0'].pid
 
 
 def limit_hosts(configuration: Configuration, hosts: int) -> Configuration:
-    """Return the configuration with its first hosts only."""
-    kept = configuration.hosts[:hosts]
-    racks = {host.rack for host in kept}
+    """Return the configuration with only the first ``hosts`` hosts."""
+    kept_hosts = configuration.hosts[:hosts]
+    racks = {host.rack for host in kept_hosts}
     shards = tuple(
         replace(
             shard, racks=tuple(rack for rack in shard.racks if rack in racks)
         )
         for shard in configuration.shards
     )
-    return replace(configuration, hosts=kept, shards=shards)
+    return replace(configuration, hosts=kept_hosts, shards=shards)
 
 
 @register_measurement('process at rest')
-def measure_rest() -> Table:
-    """Resident memory of idle processes, and load of daemons at rest."""
+def measure_idle_processes() -> Table:
+    """Measure the memory and load of idle processes and idle daemons."""
     rows: list[tuple[str | int | float, ...]] = []
     for name, program in IDLE_PROGRAMS:
         with Popen([sys.executable, '-c', program]) as process:
             sleep(1.0)
-            usage = watch_processes([process.pid], 1.0)[0]
+            usage = measure_usage([process.pid], 1.0)[0]
             process.kill()
         rows.append((name, usage[1], usage[0] * 1000, 0.0))
     plan = CellPlan(1, 1, schedulers=1, frontends=1)
@@ -142,7 +143,7 @@
         sleep(SETTLE_S)
         pids = list_pids(cell)
         before = cell.store.read_counts()
-        usages = watch_processes(pids, 2 * WINDOW_S)
+        usages = measure_usage(pids, 2 * WINDOW_S)
         calls = count_calls(before, cell.store.read_counts())
         for name, (load, resident) in zip(
             ('scheduler, 1 host', 'front end'), usages, strict=True
@@ -169,35 +170,40 @@
 
 
 def count_calls(before: dict[str, int], after: dict[str, int]) -> Counter[str]:
-    """Return the store's calls between two readings, without control."""
+    """Return the number of store calls by kind between two readings."""
     calls = Counter(after)
     calls.subtract(before)
     return Counter({kind: n for kind, n in calls.items() if n > 0})
 
 
 def format_calls(calls: Counter[str]) -> str:
-    """Return calls by kind as text."""
+    """Return the numbers of calls by kind as text."""
     return ', '.join(f'{kind} {n}' for kind, n in sorted(calls.items()))
 
 
 @register_measurement('scheduler by hosts')
-def measure_hosts() -> Table:
-    """Load and memory of a scheduler against its idle hosts."""
+def measure_scheduler_by_hosts() -> Table:
+    """Measure load and memory of a scheduler by its number of idle hosts."""
     plan = CellPlan(1, HOST_COUNTS[-1], 1, 1)
     rows = []
     with run_cell(plan) as cell:
-        whole = cell.make_configuration()
+        full_configuration = cell.make_configuration()
         pid, _ = list_pids(cell)
-        head = read_reply_head(cell)
+        head_bytes = measure_response_head(cell)
         for version, hosts in enumerate(HOST_COUNTS):
-            part = limit_hosts(whole, hosts)
-            apply_configuration(cell, part, version)
-            wait_until(lambda: cell.count_open() == hosts, 'hosts opening')  # noqa: B023
+            configuration = limit_hosts(full_configuration, hosts)
+            apply_configuration(cell, configuration, version)
+            wait_until(
+                lambda: cell.count_open() == hosts,  # noqa: B023
+                'opening of all hosts',
+            )
             sleep(SETTLE_S)
             syncs = count_syncs(cell)
-            (load, resident), *_ = watch_processes([pid], WINDOW_S)
+            (load, resident), *_ = measure_usage([pid], WINDOW_S)
             syncs = (count_syncs(cell) - syncs) / WINDOW_S
-            rows.append((hosts, load * 1000, resident, syncs / hosts, head))
+            rows.append(
+                (hosts, load * 1000, resident, syncs / hosts, head_bytes)
+            )
     return Table(
         'One scheduler, one shard, hosts without tasks',
         (
@@ -222,7 +228,7 @@
 def apply_configuration(
     cell: Cell, configuration: Configuration, version: int
 ) -> None:
-    """Apply a configuration, repeating it until it is accepted."""
+    """Apply a configuration, with retries until it is accepted."""
     wait_until(
         lambda: cell.apply(configuration, version).status_code == 200,
         f'applying version {version + 1}',
@@ -230,40 +236,42 @@
 
 
 def count_syncs(cell: Cell) -> float:
-    """Return the syncs that all workers have counted."""
+    """Return the total number of syncs that the workers have counted."""
     return sum(
         worker.read_counts().get('sync', 0) for worker in cell.workers.values()
     )
 
 
-def read_reply_head(cell: Cell) -> int:
-    """Return the bytes of the HTTP head of a worker's answer."""
+def measure_response_head(cell: Cell) -> int:
+    """Return the size in bytes of the HTTP head of a worker's response."""
     worker = next(iter(cell.workers.values()))
     body = {'shard': 'probe', 'epoch': 1, 'lease_clock': 0}
     response = cell.processes.client.post(f'{worker.url}/v1/sync', json=body)
-    lines = sum(len(k) + len(v) + 4 for k, v in response.headers.raw)
-    return lines + len('HTTP/1.1 200 \r\n\r\n')
+    header_bytes = sum(
+        len(name) + len(value) + 4 for name, value in response.headers.raw
+    )
+    return header_bytes + len('HTTP/1.1 200 \r\n\r\n')
 
 
 @register_measurement('scheduler by tasks')
-def measure_tasks() -> Table:
-    """Load and memory of a scheduler against its running tasks."""
-    plan = CellPlan(1, TASK_HOSTS, 1, 1, slots=16)
+def measure_scheduler_by_tasks() -> Table:
+    """Measure load and memory of a scheduler by its running tasks."""
+    plan = CellPlan(1, LOADED_HOSTS, 1, 1, slots=16)
     rows = []
     with run_cell(plan) as cell:
         cell.start_serving()
         pid, _ = list_pids(cell)
         for per_host in TASKS_PER_HOST:
-            tasks = per_host * TASK_HOSTS
+            tasks = per_host * LOADED_HOSTS
             submit_long_jobs(cell, rows[-1][0] if rows else 0, tasks)
             sleep(SETTLE_S)
             syncs = count_syncs(cell)
-            (load, resident), *_ = watch_processes([pid], WINDOW_S)
+            (load, resident), *_ = measure_usage([pid], WINDOW_S)
             syncs = (count_syncs(cell) - syncs) / WINDOW_S
-            rows.append((tasks, load * 1000, resident, syncs / TASK_HOSTS))
+            rows.append((tasks, load * 1000, resident, syncs / LOADED_HOSTS))
     tasks_run = [row[0] for row in rows]
     return Table(
-        f'One scheduler, one shard, {TASK_HOSTS} hosts with running tasks',
+        f'One scheduler, one shard, {LOADED_HOSTS} hosts with running tasks',
         ('tasks', 'processor ms/s', 'resident MB', 'syncs/s per host'),
         tuple(rows),
         slopes=(
@@ -276,46 +284,49 @@
 
 
 def submit_long_jobs(cell: Cell, first: int, last: int) -> None:
-    """Submit jobs that run until the cell ends."""
+    """Submit the jobs with numbers from ``first`` to before ``last``.
+
+    They run longer than the cell.
+    """
     jobs = [make_job(f'long-{n}', LONG_RUN_MS) for n in range(first, last)]
     Load((cell.find_url(),), jobs).start().wait_for_accepted(last - first)
 
 
 @register_measurement('store calls by job rate')
 def measure_job_rates() -> Table:
-    """Store calls, load and memory against accepted jobs per second."""
+    """Measure store calls, load and memory by the rate of accepted jobs."""
     rows = []
     with run_cell(CellPlan(1, 24, 1, 1)) as cell:
         cell.start_serving()
         sleep(SETTLE_S)
         pids = list_pids(cell)
-        idle = cell.store.read_counts()
+        idle_before = cell.store.read_counts()
         sleep(WINDOW_S)
-        idle_calls = count_calls(idle, cell.store.read_counts())
-        for rate in JOB_RATES:
+        idle_calls = count_calls(idle_before, cell.store.read_counts())
+        for rate in JOB_RATES_PER_S:
             before = cell.store.read_counts()
             usages = [read_usage(pid) for pid in pids]
-            done = offer_requests(
+            succeeded = send_requests(
                 cell,
                 rate,
                 'jobs',
                 lambda n: make_job(f'j-{rate}-{n}', 200),  # noqa: B023
             )
-            (load, resident), (front, _) = [
+            (load, resident), (frontend_load, _) = [
                 compare_usage(old, read_usage(pid))
                 for old, pid in zip(usages, pids, strict=True)
             ]
             calls = count_calls(before, cell.store.read_counts())
             calls.subtract(idle_calls)
-            accepted = done / WINDOW_S
+            accepted = succeeded / WINDOW_S
             rows.append(
                 (
                     accepted,
                     load * 1000,
-                    front * 1000,
+                    frontend_load * 1000,
                     resident,
-                    (calls['put keys'] + calls['delete keys']) / done,
-                    calls['get keys'] / done,
+                    (calls['put keys'] + calls['delete keys']) / succeeded,
+                    calls['get keys'] / succeeded,
                 )
             )
     rates = [row[0] for row in rows]
@@ -331,7 +342,7 @@
         ),
         tuple(rows),
         (
-            f'calls of {WINDOW_S:g} s without jobs, which are taken off: '
+            f'Subtracted: calls in {WINDOW_S:g} s without jobs: '
             f'{format_calls(idle_calls)}',
         ),
         (
@@ -344,18 +355,18 @@
     )
 
 
-def offer_requests(
+def send_requests(
     cell: Cell,
     rate: float,
     path: str,
     make_body: Callable[[int], dict[str, Any]],
 ) -> int:
-    """Post bodies at a rate during one window; return how many succeeded."""
+    """Send requests at a rate for `WINDOW_S`; return the successful ones."""
     url = f'{cell.find_url()}/v1/{path}'
-    limits = Limits(max_keepalive_connections=WIDTH)
+    limits = Limits(max_keepalive_connections=MAX_OPEN_REQUESTS)
     with (
         Client(timeout=30.0, trust_env=False, limits=limits) as client,
-        ThreadPoolExecutor(WIDTH) as pool,
+        ThreadPoolExecutor(MAX_OPEN_REQUESTS) as pool,
     ):
         started = monotonic()
         futures = []
@@ -370,43 +381,43 @@
 
 
 class SharedStoreCell(Cell):
-    """A cell whose processes get the store share of a larger cell."""
+    """A cell with its share of the store's limits in the design size."""
 
     def _write_settings(self, name: str, **fields: Any) -> Path:
         return super()._write_settings(
             name,
-            writes_per_s=DESIGN_WRITES,
-            reads_per_s=DESIGN_READS,
+            writes_per_s=DESIGN_WRITES_PER_S,
+            reads_per_s=DESIGN_READS_PER_S,
             **fields,
         )
 
 
 @register_measurement('jobs with the store share of the design size')
-def measure_design_share() -> Table:
-    """Accept jobs with a share of 2.7 writes/s and 13.4 reads/s."""
+def measure_design_store_share() -> Table:
+    """Measure accepted jobs at 2.7 writes/s and 13.4 reads/s per process."""
     rows = []
     with run_cell(CellPlan(1, 24, 1, 1), SharedStoreCell) as cell:
         cell.start_serving()
         sleep(2 * SETTLE_S)
-        for rate in DESIGN_JOB_RATES:
+        for rate in DESIGN_JOB_RATES_PER_S:
             before = cell.store.read_counts()
             started = monotonic()
-            done = offer_requests(
+            succeeded = send_requests(
                 cell,
                 rate,
                 'jobs',
                 lambda n: make_job(f'd-{rate}-{n}', 200),  # noqa: B023
             )
-            took = monotonic() - started
+            elapsed_s = monotonic() - started
             calls = count_calls(before, cell.store.read_counts())
             rows.append(
                 (
                     rate,
-                    done / took,
-                    took - WINDOW_S,
-                    (calls['put keys'] + calls['post renew']) / took,
-                    calls['put keys'] / done,
-                    calls['get keys'] / done,
+                    succeeded / elapsed_s,
+                    elapsed_s - WINDOW_S,
+                    (calls['put keys'] + calls['post renew']) / elapsed_s,
+                    calls['put keys'] / succeeded,
+                    calls['get keys'] / succeeded,
                 )
             )
     return Table(
@@ -421,33 +432,40 @@
         ),
         tuple(rows),
         (
-            'All jobs are answered; the window ends with the last answer, at '
-            f'most {WIDTH} are open.',
+            'All submissions get a response. The measurement ends with the '
+            f'last one; at most {MAX_OPEN_REQUESTS} requests are open.',
         ),
     )
 
 
 @register_measurement('front end by quick requests')
-def measure_quick() -> Table:
-    """Load of a front end and a scheduler against quick requests."""
+def measure_quick_requests() -> Table:
+    """Measure load of a front end and a scheduler by quick requests/s."""
     rows = []
     with run_cell(CellPlan(1, 24, 1, 1)) as cell:
         cell.start_serving()
         sleep(SETTLE_S)
         pids = list_pids(cell)
-        for rate in QUICK_RATES:
+        for rate in QUICK_RATES_PER_S:
             usages = [read_usage(pid) for pid in pids]
-            done = offer_requests(
+            succeeded = send_requests(
                 cell,
                 rate,
                 'requests',
                 lambda n: make_job(f'q-{rate}-{n}', 20),  # noqa: B023
             )
-            (load, _), (front, resident) = [
+            (load, _), (frontend_load, resident) = [
                 compare_usage(old, read_usage(pid))
                 for old, pid in zip(usages, pids, strict=True)
             ]
-            rows.append((done / WINDOW_S, front * 1000, load * 1000, resident))
+            rows.append(
+                (
+                    succeeded / WINDOW_S,
+                    frontend_load * 1000,
+                    load * 1000,
+                    resident,
+                )
+            )
     rates = [row[0] for row in rows]
     return Table(
         'Quick requests of 20 ms, one front end, one scheduler, 24 hosts',
@@ -465,15 +483,17 @@
 
 
 @register_measurement('front end by open requests')
-def measure_open() -> Table:
-    """Memory of a front end against requests that wait."""
+def measure_open_requests() -> Table:
+    """Measure the memory of a front end by its open long polls."""
     rows = []
     with run_cell(CellPlan(1, 2, 1, 1)) as cell:
         cell.start_serving()
-        answer = cell.submit(**make_job('waited-for', LONG_RUN_MS)).json()
-        url = f'{cell.find_url()}/v1/jobs/{answer["job_id"]}'
+        accepted_job = cell.submit(
+            **make_job('waited-for', LONG_RUN_MS)
+        ).json()
+        url = f'{cell.find_url()}/v1/jobs/{accepted_job["job_id"]}'
         _, pid = list_pids(cell)
-        for count in OPEN_COUNTS:
+        for count in OPEN_REQUEST_COUNTS:
             with (
                 Client(
                     timeout=30.0,
@@ -484,8 +504,8 @@
             ):
                 client.get(url)
                 for _ in range(count):
-                    pool.submit(client.get, url, params={'wait': OPEN_WAIT_S})
-                sleep(OPEN_WAIT_S - 1)
+                    pool.submit(client.get, url, params={'wait': LONG_POLL_S})
+                sleep(LONG_POLL_S - 1)
                 rows.append((count, read_usage(pid).resident_mb))
     return Table(
         'A front end with callers that wait for a job',
@@ -494,7 +514,7 @@
         slopes=(
             fit_slope(
                 'resident MB by open requests',
-                OPEN_COUNTS,
+                OPEN_REQUEST_COUNTS,
                 [r[1] for r in rows],
             ),
         ),
@@ -502,24 +522,24 @@
 
 
 @register_measurement('apply until in force')
-def measure_apply() -> Table:
-    """Time from an accepted change until every process has it."""
+def measure_configuration_changes() -> Table:
+    """Measure the time until every process applies an accepted change."""
     rows = []
     with run_cell(CellPlan(2, 6, schedulers=3, frontends=3)) as cell:
         cell.start_serving()
-        urls = list_ready_urls(cell)
+        urls = list_readiness_urls(cell)
         version = 1
-        for hosts in (len(cell.workers), *APPLY_SIZES):
-            base = widen_configuration(cell, hosts)
+        for hosts in (len(cell.workers), *CONFIGURATION_SIZES):
+            base = add_unassigned_hosts(cell, hosts)
             apply_configuration(cell, base, version)
             version += 1
             wait_for_version(cell, urls, version)
             sleep(SETTLE_S)
             before = cell.store.read_counts()
             accepted_ms, in_force_ms = [], []
-            for number in range(APPLIES):
-                entry = replace(base.hosts[-1], drained=number % 2 == 0)
-                change = replace(base, hosts=(*base.hosts[:-1], entry))
+            for number in range(CHANGES_PER_SIZE):
+                host = replace(base.hosts[-1], drained=number % 2 == 0)
+                change = replace(base, hosts=(*base.hosts[:-1], host))
                 started = monotonic()
                 response = cell.apply(change, version, 'frontend-1')
                 accepted = monotonic()
@@ -529,7 +549,7 @@
                 accepted_ms.append((accepted - started) * 1000)
                 in_force_ms.append((monotonic() - accepted) * 1000)
             calls = count_calls(before, cell.store.read_counts())
-            usages = [
+            resident_mb = [
                 read_usage(process.pid).resident_mb
                 for process in (
                     cell.schedulers['scheduler-0'],
@@ -542,9 +562,9 @@
                     median(accepted_ms),
                     median(in_force_ms),
                     max(in_force_ms),
-                    calls['get keys'] / APPLIES / len(urls),
-                    calls['put keys'] / APPLIES,
-                    *usages,
+                    calls['get keys'] / CHANGES_PER_SIZE / len(urls),
+                    calls['put keys'] / CHANGES_PER_SIZE,
+                    *resident_mb,
                 )
             )
     sizes = [row[0] for row in rows]
@@ -562,8 +582,9 @@
         ),
         tuple(rows),
         (
-            'Hosts beyond the first are in no shard, so nobody calls them. '
-            f'Median of {APPLIES} changes; reads include those of shards.',
+            'The added hosts are in no shard, so no scheduler calls them. '
+            f'Medians of {CHANGES_PER_SIZE} changes. Reads include those of '
+            'the shards.',
         ),
         (
             fit_slope(
@@ -576,65 +597,82 @@
 
 
 @register_measurement('urgent start')
-def measure_urgent() -> Table:
-    """Time urgent jobs, also through the kill of their shard's owner."""
+def measure_urgent_starts() -> Table:
+    """Time urgent jobs, with and without a kill of their shard's owner."""
     rows = []
     with run_cell(CellPlan(1, 4, schedulers=3, frontends=1)) as cell:
         cell.start_serving()
-        calm = [time_urgent_job(cell, f'calm-{n}') for n in range(10)]
-        rows.append(('owner lives', len(calm), median(calm), max(calm)))
-        taken = []
+        with_owner = [time_urgent_job(cell, f'calm-{n}') for n in range(10)]
+        rows.append(
+            (
+                'owner lives',
+                len(with_owner),
+                median(with_owner),
+                max(with_owner),
+            )
+        )
+        after_kill = []
         for number in range(TAKEOVERS):
             owner = cell.find_owner('shard-0')
             cell.schedulers[owner].kill()
-            taken.append(time_urgent_job(cell, f'taken-{number}'))
+            after_kill.append(time_urgent_job(cell, f'taken-{number}'))
             cell.start_scheduler(owner)
             sleep(SETTLE_S)
-        rows.append(('owner killed', len(taken), median(taken), max(taken)))
+        rows.append(
+            (
+                'owner killed',
+                len(after_kill),
+                median(after_kill),
+                max(after_kill),
+            )
+        )
     return Table(
         'From the first submission of an urgent job of 1 ms to its end, ms',
         ('case', 'jobs', 'median', 'longest'),
         tuple(rows),
-        ('Killed owners: the caller repeats the submission every 20 ms.',),
+        ('Owner killed: the caller retries the submission every 20 ms.',),
     )
 
 
 def time_urgent_job(cell: Cell, key: str) -> float:
-    """Return the time until an urgent job has run, in ms."""
+    """Return the time from first submission to end of an urgent job, in ms."""
     body = make_job(key, 1, **{'class': 'urgent'}, deadline_s=5.8)
     started = monotonic()
     wait_until(
-        lambda: cell.submit(**body).is_success, f'accepting {key!r}', 60.0
+        lambda: cell.submit(**body).is_success, f'accepting job {key!r}', 60.0
     )
     job_id = cell.submit(**body).json()['job_id']
     url = f'{cell.find_url()}/v1/jobs/{job_id}'
 
-    def is_over() -> bool:
+    def has_finished() -> bool:
         view = cell.processes.client.get(url, params={'wait': 2})
         return view.is_success and view.json()['state'] == 'finished'
 
-    wait_until(is_over, f'the end of {key!r}')
+    wait_until(has_finished, f'end of job {key!r}')
     return (monotonic() - started) * 1000
 
 
-def widen_configuration(cell: Cell, hosts: int) -> Configuration:
-    """Return the cell's configuration with more hosts, in no shard."""
+def add_unassigned_hosts(cell: Cell, hosts: int) -> Configuration:
+    """Return the cell's configuration with added hosts that have no shard.
+
+    ``hosts`` is the total number of hosts.
+    """
     base = cell.make_configuration()
-    extra = _parts.make_configuration(hosts - len(base.hosts)).hosts
+    extra = components.make_configuration(hosts - len(base.hosts)).hosts
     return replace(base, hosts=(*base.hosts, *extra))
 
 
-def list_ready_urls(cell: Cell) -> list[str]:
-    """Return the readiness URLs of all processes of the cell."""
-    addresses = [
+def list_readiness_urls(cell: Cell) -> list[str]:
+    """Return the readiness URLs of all schedulers and front ends."""
+    settings = [
         yaml.safe_load((cell.directory / f'{name}.yaml').read_text())
         for name in (*cell.schedulers, *cell.frontends)
     ]
-    return [f'http://{entry["http_address"]}/readyz' for entry in addresses]
+    return [f'http://{fields["http_address"]}/readyz' for fields in settings]
 
 
 def wait_for_version(cell: Cell, urls: list[str], version: int) -> None:
-    """Block until every process reports a configuration version."""
+    """Block until every process reports at least a configuration version."""
     client = cell.processes.client
     for url in urls:
         wait_until(
@@ -646,11 +684,11 @@
 
 
 def main() -> None:
-    """Run the measurements of the capacity page, or those named.
+    """Run the measurements that the command line names, by default all.
 
-    Only a run of all of them writes the file.
+    Only a run without names writes capacity.json.
     """
-    names = sys.argv[1:] or NAMES
+    names = sys.argv[1:] or CAPACITY_MEASUREMENTS
     started = monotonic()
     figures: dict[str, object] = {
         'python': python_version(),
@@ -666,8 +704,8 @@
             'took_s': round(monotonic() - began, 1),
         }
     figures['took_s'] = round(monotonic() - started, 1)
-    if names is NAMES:
-        RESULTS.write_text(json.dumps(figures, indent=1) + '\n')
+    if names is CAPACITY_MEASUREMENTS:
+        RESULTS_PATH.write_text(json.dumps(figures, indent=1) + '\n')
 
 
 if __name__ == '__main__':
--- a/benchmarks/cells.py
+++ b/benchmarks/cells.py
@@ -1,4 +1,7 @@
-"""End-to-end measurements of a cell of real processes with stand-ins."""
+"""End-to-end measurements of a cell of real processes.
+
+Stand-ins replace the store and the workers.
+"""
 
 from __future__ import annotations
 
@@ -23,23 +26,24 @@
 
 RATES_PER_S = (10, 20, 40)
 SECONDS_PER_RATE = 8
-RUNS = 3
+TAKEOVER_RUNS = 3
 CALLERS = 32
-PROBE_S = 0.05
+PROBE_INTERVAL_S = 0.05
 MAX_TAKEOVER_S = 30.0
-# Brazos: 4 failure domains with 24 workers of 16 cores and 32 GB in all.
+# Size of Brazos: 4 failure domains with 6 workers each; a worker has 16 cores
+# and 32 GB.
 BRAZOS = CellPlan(domains=4, workers_per_domain=6)
 
 
 @dataclass(frozen=True, slots=True)
 class Sample:
-    """One request: its latency in ms and whether it succeeded."""
+    """Latency and success of one request."""
 
     latency_ms: float
     succeeded: bool
 
 
-def find_percentile(values: list[float], share: float) -> float:
+def compute_percentile(values: list[float], share: float) -> float:
     """Return the value below which ``share`` of the values lie."""
     ordered = sorted(values)
     return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
@@ -65,10 +69,10 @@
     )
 
 
-def _run_rate(
+def _send_at_rate(
     cell: Cell, rate_per_s: int, prefix: str
 ) -> tuple[list[Sample], list[Sample]]:
-    """Send jobs and quick requests at a rate; return their samples."""
+    """Send jobs and quick requests, each at a rate; return their samples."""
     urls = list(cell.urls.values())
     limits = Limits(max_connections=CALLERS, max_keepalive_connections=CALLERS)
     jobs, quick = [], []
@@ -102,7 +106,7 @@
 
 @register_measurement('end to end')
 def measure_latency() -> Table:
-    """Measure latency and store calls at rising rates."""
+    """Measure latencies and store calls at increasing request rates."""
     rows = []
     with (
         TemporaryDirectory() as directory,
@@ -112,7 +116,7 @@
         cell.start_serving()
         for rate in RATES_PER_S:
             before = cell.store.read_counts()
-            jobs, quick = _run_rate(cell, rate, f'r{rate}')
+            jobs, quick = _send_at_rate(cell, rate, f'r{rate}')
             after = cell.store.read_counts()
             calls = {kind: after[kind] - before.get(kind, 0) for kind in after}
             rows.append(_make_row(rate, jobs, quick, calls))
@@ -148,10 +152,10 @@
     failed = sum(not sample.succeeded for sample in (*jobs, *quick))
     return (
         rate,
-        find_percentile(accept_ms, 0.5),
-        find_percentile(accept_ms, 0.99),
-        find_percentile(quick_ms, 0.5),
-        find_percentile(quick_ms, 0.99),
+        compute_percentile(accept_ms, 0.5),
+        compute_percentile(accept_ms, 0.99),
+        compute_percentile(quick_ms, 0.5),
+        compute_percentile(quick_ms, 0.99),
         failed,
         sum(calls.values()) / SECONDS_PER_RATE,
     )
@@ -159,13 +163,13 @@
 
 @register_measurement('takeover')
 def measure_takeover() -> Table:
-    """Measure how long shards are without an owner after a kill."""
-    times = [_run_takeover(run) for run in range(RUNS)]
+    """Measure the time from the kill of a shard owner to its replacement."""
+    times = [_run_takeover(run) for run in range(TAKEOVER_RUNS)]
     return Table(
         'Time from SIGKILL of a shard owner until its shards accept and '
         'finish a job again, s',
         ('runs', 'median', 'longest'),
-        ((RUNS, median(times), max(times)),),
+        ((TAKEOVER_RUNS, median(times), max(times)),),
         ('Store lease 3 s; jobs run for 10 ms.',),
     )
 
@@ -178,8 +182,8 @@
         plan = CellPlan(domains=2, workers_per_domain=2)
         cell = Cell(Path(directory), plan, processes)
         cell.start_serving()
-        # A shard whose owner is killed is unknown here, so each probe is a
-        # set of keys that covers both shards.
+        # Which shards the killed scheduler owned is unknown here. Therefore
+        # several keys are submitted, so that both shards get jobs.
         killed_at = monotonic()
         cell.schedulers['scheduler-0'].kill()
         with Client(timeout=30.0, trust_env=False) as client:
@@ -194,15 +198,18 @@
 def _wait_for_job(
     client: Client, url: str, body: dict[str, object], killed_at: float
 ) -> None:
-    """Submit with the same key until the job has finished."""
+    """Submit a job repeatedly under one key until it has finished."""
     while monotonic() - killed_at < MAX_TAKEOVER_S:
         response = client.post(f'{url}/v1/jobs?wait=5', json=body)
         if response.status_code in (200, 202) and (
             response.json()['state'] == 'finished'
         ):
             return
-        sleep(PROBE_S)
-    raise TimeoutError(f'no takeover within {MAX_TAKEOVER_S:g} s')
+        sleep(PROBE_INTERVAL_S)
+    raise TimeoutError(
+        f'jobs did not finish within {MAX_TAKEOVER_S:g} s after the kill of a '
+        'shard owner'
+    )
 
 
 if __name__ == '__main__':
--- a/benchmarks/parts.py
+++ b/benchmarks/components.py
@@ -1,4 +1,7 @@
-"""Measures parts without processes: syncs, configuration, shards, links."""
+"""Measures single components in one process.
+
+These are syncs, the host list, configurations, shards and links.
+"""
 
 from __future__ import annotations
 
@@ -90,15 +93,15 @@
 SHARD_SIZES = (24, 100, 300, 700)
 TASKS_PER_HOST = 14
 DECISIONS = 100
-KEPT_JOBS = (1_000, 3_000, 9_000)
-PEERS = (6, 12, 24)
-LINK_S = 1.5
-SUMMARY_S = 0.5
+KEPT_JOB_COUNTS = (1_000, 3_000, 9_000)
+PEER_COUNTS = (6, 12, 24)
+LINK_WINDOW_S = 1.5
+SUMMARY_INTERVAL_S = 0.5
 SHARDS_PER_PROCESS = 3
 
 
-def make_sync(tasks: int) -> tuple[SyncRequest, SyncReply]:
-    """Return a sync and its reply with some running tasks."""
+def make_sync_messages(tasks: int) -> tuple[SyncRequest, SyncReply]:
+    """Return a sync request and a reply that reports running tasks."""
     names = [
         f'{make_job_id("orders", f"order-{number:06}")}.0.1'
         for number in range(tasks)
@@ -123,7 +126,7 @@
 
 
 def time_call(function: Callable[[], Any], repeats: int) -> float:
-    """Return the mean processor time of a call, in microseconds."""
+    """Return the mean processor time per call, in microseconds."""
     started = process_time()
     for _ in range(repeats):
         function()
@@ -132,19 +135,21 @@
 
 @register_measurement('sync of one worker')
 def measure_sync() -> Table:
-    """Count bytes of a sync and time its encoding on the worker's side."""
-    head = anyio.run(count_request_head)
+    """Measure sizes of a sync, and the time that the worker encodes it in."""
+    head_bytes = anyio.run(measure_request_head)
     rows = []
     for tasks in TASK_COUNTS:
-        request, reply = make_sync(tasks)
-        asked, answered = encode(request), encode(reply)
+        request, reply = make_sync_messages(tasks)
+        encoded_request, encoded_reply = encode(request), encode(reply)
         rows.append(
             (
                 tasks,
-                len(asked),
-                len(answered),
-                head,
-                time_call(partial(decode, asked, type=SyncRequest), REPEATS),
+                len(encoded_request),
+                len(encoded_reply),
+                head_bytes,
+                time_call(
+                    partial(decode, encoded_request, type=SyncRequest), REPEATS
+                ),
                 time_call(partial(encode, reply), REPEATS),
             )
         )
@@ -164,22 +169,26 @@
             "'scheduler by hosts'.",
         ),
         (
-            fit_slope('reply bytes by tasks', TASK_COUNTS, _take(rows, 2)),
-            fit_slope('encode reply us by tasks', TASK_COUNTS, _take(rows, 5)),
+            fit_slope(
+                'reply bytes by tasks', TASK_COUNTS, _get_column(rows, 2)
+            ),
+            fit_slope(
+                'encode reply us by tasks', TASK_COUNTS, _get_column(rows, 5)
+            ),
         ),
     )
 
 
-def _take(rows: list[Any], column: int) -> list[float]:
+def _get_column(rows: list[Any], column: int) -> list[float]:
     return [row[column] for row in rows]
 
 
-async def count_request_head() -> int:
-    """Return the bytes of the HTTP head that a sync is sent with."""
+async def measure_request_head() -> int:
+    """Return the size in bytes of the HTTP head of a sync request."""
     sizes: list[int] = []
-    request, reply = make_sync(0)
+    request, reply = make_sync_messages(0)
 
-    async def answer(reader: StreamReader, writer: StreamWriter) -> None:
+    async def respond(reader: StreamReader, writer: StreamWriter) -> None:
         sizes.append(len(await reader.readuntil(b'\r\n\r\n')))
         body = encode(reply)
         writer.write(
@@ -187,7 +196,7 @@
         )
         await writer.drain()
 
-    server = await start_server(answer, '127.0.0.1', 0)
+    server = await start_server(respond, '127.0.0.1', 0)
     host, port = server.sockets[0].getsockname()
     async with WorkerClient(f'http://{host}:{port}') as worker:
         await worker.sync(request)
@@ -196,20 +205,20 @@
 
 
 def make_configuration(hosts: int, domains: int = DOMAINS) -> Configuration:
-    """Return a configuration of equal hosts in racks and shards."""
+    """Return a configuration of equal hosts, grouped in racks and shards."""
     entries = []
     racks: dict[tuple[str, int], list[str]] = {}
     for number in range(hosts):
-        place = number // domains
+        position = number // domains
         domain = f'domain-{number % domains:02}'
-        rack_number = place // HOSTS_PER_RACK
+        rack_number = position // HOSTS_PER_RACK
         rack = f'{domain}-rack-{rack_number:03}'
         key = (domain, rack_number // RACKS_PER_SHARD)
         if rack not in racks.setdefault(key, []):
             racks[key].append(rack)
         entries.append(
             Host(
-                f'{domain}-host-{place:04}',
+                f'{domain}-host-{position:04}',
                 f'http://127.0.{number >> 8}.{number & 255}:2600',
                 rack,
                 domain,
@@ -228,7 +237,7 @@
 
 @register_measurement('host list by hosts')
 def measure_host_list() -> Table:
-    """Size of the platform's host list and the time to decode it."""
+    """Measure the size and decoding time of the platform's host list."""
     rows = []
     for hosts in CONFIGURATION_SIZES:
         listed = encode(
@@ -246,16 +255,18 @@
         ('hosts', 'bytes', 'decode ms'),
         tuple(rows),
         slopes=(
-            fit_slope('bytes by hosts', CONFIGURATION_SIZES, _take(rows, 1)),
             fit_slope(
-                'decode ms by hosts', CONFIGURATION_SIZES, _take(rows, 2)
+                'bytes by hosts', CONFIGURATION_SIZES, _get_column(rows, 1)
+            ),
+            fit_slope(
+                'decode ms by hosts', CONFIGURATION_SIZES, _get_column(rows, 2)
             ),
         ),
     )
 
 
 class MemoryStore:
-    """A store in memory that counts calls."""
+    """An in-memory store that counts reads and writes."""
 
     def __init__(self) -> None:
         self.items: dict[str, Item] = {}
@@ -263,22 +274,22 @@
         self.writes = 0
 
     async def get(self, key: str) -> Item | None:
-        """Return a key, or None."""
+        """Return the item of a key, or None."""
         self.reads += 1
         return self.items.get(key)
 
     async def create(self, key: str, value: bytes) -> int:
-        """Write a key that must not exist."""
+        """Write a new key; raise StoreConflictError if it exists."""
         self.writes += 1
         if key in self.items:
-            raise StoreConflictError(f'{key!r} exists')
+            raise StoreConflictError(f'key {key!r} already exists')
         return self._put(key, value)
 
     async def swap(self, key: str, value: bytes, revision: int) -> int:
-        """Write a key that must have a revision."""
+        """Replace a value; raise StoreConflictError on another revision."""
         self.writes += 1
         if self.items[key].revision != revision:
-            raise StoreConflictError(f'{key!r} has another revision')
+            raise StoreConflictError(f'key {key!r} has a different revision')
         return self._put(key, value)
 
     def _put(self, key: str, value: bytes) -> int:
@@ -289,7 +300,7 @@
 
 @register_measurement('configuration by hosts')
 def measure_configuration() -> Table:
-    """Time and size of a configuration, and of a change of one host."""
+    """Measure sizes and times of a configuration and a change of one host."""
     rows = [
         anyio.run(_measure_one_configuration, hosts)
         for hosts in CONFIGURATION_SIZES
@@ -313,22 +324,24 @@
         ),
         tuple(rows),
         (
-            "'change' drains one host; 'read change' holds the version "
-            'before. Store in memory.',
+            "'change' drains one host; 'read change' updates the previous "
+            'version. The store is in memory.',
         ),
         (
             fit_slope(
                 'bytes of all parts by hosts',
                 CONFIGURATION_SIZES,
-                _take(rows, 1),
+                _get_column(rows, 1),
             ),
             fit_slope(
-                'read whole ms by hosts', CONFIGURATION_SIZES, _take(rows, 6)
+                'read whole ms by hosts',
+                CONFIGURATION_SIZES,
+                _get_column(rows, 6),
             ),
             fit_slope(
                 'publish change ms by hosts',
                 CONFIGURATION_SIZES,
-                _take(rows, 5),
+                _get_column(rows, 5),
             ),
         ),
     )
@@ -337,30 +350,32 @@
 async def _measure_one_configuration(hosts: int) -> tuple[int | float, ...]:
     first = make_configuration(hosts)
     store = MemoryStore()
-    held = await publish_configuration(store, replace(first, change=''), 0)
-    assert isinstance(held, Configuration)
-    entries = held.hosts
+    published = await publish_configuration(
+        store, replace(first, change=''), 0
+    )
+    assert isinstance(published, Configuration)
+    entries = published.hosts
     drained = (replace(entries[0], drained=True), *entries[1:])
-    manifest, parts = split_configuration(held)
-    split_ms = _time_ms(partial(split_configuration, held))
-    join_ms = _time_ms(partial(join_configuration, manifest, parts))
-    message_ms = _time_ms(partial(encode_configuration, held))
+    manifest, parts = split_configuration(published)
+    split_ms = _measure_median_ms(partial(split_configuration, published))
+    join_ms = _measure_median_ms(partial(join_configuration, manifest, parts))
+    message_ms = _measure_median_ms(partial(encode_configuration, published))
     writes = store.writes
     started = perf_counter()
-    change = replace(held, hosts=drained, change='drain')
-    newer = await publish_configuration(store, change, 1)
+    change = replace(published, hosts=drained, change='drain')
+    changed = await publish_configuration(store, change, 1)
     publish_ms = (perf_counter() - started) * 1000
-    assert isinstance(newer, Configuration)
+    assert isinstance(changed, Configuration)
     writes = store.writes - writes
     reads = store.reads
     started = perf_counter()
     await read_configuration(store)
-    whole_ms = (perf_counter() - started) * 1000
+    read_whole_ms = (perf_counter() - started) * 1000
     reads_whole = store.reads - reads
     reads = store.reads
     started = perf_counter()
-    await read_configuration(store, held)
-    change_ms = (perf_counter() - started) * 1000
+    await read_configuration(store, published)
+    read_change_ms = (perf_counter() - started) * 1000
     return (
         hosts,
         sum(map(len, parts.values())),
@@ -368,8 +383,8 @@
         len(encode_manifest(manifest)),
         split_ms,
         publish_ms,
-        whole_ms,
-        change_ms,
+        read_whole_ms,
+        read_change_ms,
         join_ms,
         message_ms,
         reads_whole,
@@ -378,7 +393,7 @@
     )
 
 
-def _time_ms(function: Callable[[], Any], repeats: int = 5) -> float:
+def _measure_median_ms(function: Callable[[], Any], repeats: int = 5) -> float:
     times = []
     for _ in range(repeats):
         started = perf_counter()
@@ -388,12 +403,14 @@
 
 
 class ShardDriver:
-    """Drives a shard's decisions; its workers and journal always answer.
+    """Drives the decisions of a shard with simulated workers and journal.
+
+    Each record becomes durable and each task starts at once.
 
     Parameters
     ----------
     hosts : int
-        Hosts of the shard, all in one failure domain.
+        Number of hosts of the shard, all in one failure domain.
     """
 
     def __init__(self, hosts: int) -> None:
@@ -402,35 +419,37 @@
         shard = Shard('shard', configuration.hosts[0].failure_domain, racks)
         self.now = 1_000_000
         self.state = ShardState('shard', 'owner')
-        self.step(
+        self.apply_event(
             ConfigurationChanged(replace(configuration, shards=(shard,)))
         )
         takeover = Takeover(1, 'owner', 0, 3_000)
         replay_records(self.state, (takeover,))
         begin_ownership(self.state, self.now)
         for name in self.state.hosts:
-            self.sync(name)
+            self.sync_host(name)
         self._number = 0
 
-    def step(self, event: Any) -> tuple[Any, ...]:
-        """Decide, and answer what the decision asks of others."""
+    def apply_event(self, event: Any) -> tuple[Any, ...]:
+        """Decide on an event and feed back the results of the actions."""
         actions = decide(self.state, event, self.now)
         for action in actions:
             if isinstance(action, AppendRecord):
-                self.step(RecordsDurable((action.record,)))
+                self.apply_event(RecordsDurable((action.record,)))
             if isinstance(action, StartTask):
                 reply = StartReply(StartStatus.STARTED, 'a', self.now)
-                self.step(
+                self.apply_event(
                     StartAnswered(action.host, action.task, reply, self.now)
                 )
         return actions
 
-    def sync(self, host: str, ended: str = '') -> None:
-        """Let a worker report its tasks, one of them ended."""
-        self.step(HostSynced(host, self.make_reply(host, ended), self.now))
+    def sync_host(self, host: str, ended: str = '') -> None:
+        """Feed in a sync of a host, with one of its tasks optionally ended."""
+        self.apply_event(
+            HostSynced(host, self.make_reply(host, ended), self.now)
+        )
 
     def make_reply(self, host: str, ended: str = '') -> SyncReply:
-        """Return a worker's report."""
+        """Return a worker's sync reply with its running and ended tasks."""
         tasks = [
             task
             for task in self.state.index.list_reservations(host)
@@ -450,24 +469,26 @@
             tuple(TaskUsage(task, 900, 400, 4_000) for task in tasks),
         )
 
-    def submit(self) -> str:
-        """Submit one job and return its id."""
+    def submit_job(self) -> str:
+        """Submit one job and return its ID."""
         self._number += 1
         key = f'job-{self._number}'
         spec = JobSpec('team-001', key, demand=DEMAND)
         job_id = make_job_id(spec.team, spec.key)
-        self.step(RequestReceived(1, Submit('shard', job_id, spec, 5.0)))
+        self.apply_event(
+            RequestReceived(1, Submit('shard', job_id, spec, 5.0))
+        )
         return job_id
 
-    def finish(self, job_id: str) -> None:
-        """Let the job's only task end with success."""
+    def finish_job(self, job_id: str) -> None:
+        """Feed in a sync that reports the success of the job's only task."""
         placement = self.state.jobs[job_id].placements[0]
-        self.sync(placement.host, placement.task)
+        self.sync_host(placement.host, placement.task)
 
 
 @register_measurement('shard by hosts')
 def measure_shard_hosts() -> Table:
-    """Time a shard's decisions, and its memory, against its hosts."""
+    """Measure a shard's decision times and memory by its number of hosts."""
     rows = []
     for hosts in SHARD_SIZES:
         tracemalloc.start()
@@ -476,7 +497,7 @@
         idle_mb = (tracemalloc.get_traced_memory()[0] - before) / 1e6
         tracemalloc.stop()
         for _ in range(hosts * TASKS_PER_HOST):
-            driver.submit()
+            driver.submit_job()
         rows.append((hosts, *_time_decisions(driver), idle_mb))
     return Table(
         f'A shard with {TASKS_PER_HOST} running tasks per host; '
@@ -493,10 +514,12 @@
         tuple(rows),
         (
             "'job: submit and start' has four events: submit, record, "
-            'start, answer. A tick comes every 200 ms, a sync every 2 s.',
+            'start, reply. A tick occurs every 200 ms, a sync every 2 s.',
         ),
         tuple(
-            fit_slope(f'{name} by hosts', SHARD_SIZES, _take(rows, column))
+            fit_slope(
+                f'{name} by hosts', SHARD_SIZES, _get_column(rows, column)
+            )
             for name, column in (
                 ('submit and start us', 2),
                 ('end us', 3),
@@ -511,23 +534,27 @@
 def _time_decisions(driver: ShardDriver) -> tuple[int, float, ...]:
     tasks = len(driver.state.tasks)
     jobs: list[str] = []
-    submit_us = time_call(lambda: jobs.append(driver.submit()), DECISIONS)
-    remaining = iter(jobs)
-    end_us = time_call(lambda: driver.finish(next(remaining)), DECISIONS)
+    submit_us = time_call(lambda: jobs.append(driver.submit_job()), DECISIONS)
+    remaining_jobs = iter(jobs)
+    end_us = time_call(
+        lambda: driver.finish_job(next(remaining_jobs)), DECISIONS
+    )
     events = [
         HostSynced(name, driver.make_reply(name), driver.now)
         for name in list(driver.state.hosts)[:DECISIONS]
     ]
-    each = iter(events)
-    sync_us = time_call(lambda: driver.step(next(each)), len(events))
-    tick_us = time_call(lambda: driver.step(Ticked(1)), 20)
+    remaining_events = iter(events)
+    sync_us = time_call(
+        lambda: driver.apply_event(next(remaining_events)), len(events)
+    )
+    tick_us = time_call(lambda: driver.apply_event(Ticked(1)), 20)
     return tasks, submit_us, end_us, sync_us, tick_us
 
 
 @register_measurement('shard by kept jobs')
 def measure_kept_jobs() -> Table:
-    """Memory, snapshot and replay of jobs that have ended."""
-    rows = [_measure_kept(jobs) for jobs in KEPT_JOBS]
+    """Measure memory, snapshot and replay by the number of ended jobs."""
+    rows = [_measure_ended_jobs(jobs) for jobs in KEPT_JOB_COUNTS]
     return Table(
         'A shard of 300 hosts with ended jobs kept; times in ms',
         (
@@ -544,7 +571,9 @@
         ),
         tuple(rows),
         slopes=tuple(
-            fit_slope(f'{name} by jobs', KEPT_JOBS, _take(rows, column))
+            fit_slope(
+                f'{name} by jobs', KEPT_JOB_COUNTS, _get_column(rows, column)
+            )
             for name, column in (
                 ('MB of jobs', 2),
                 ('snapshot MB', 4),
@@ -558,7 +587,7 @@
 
 
 def make_job_records(jobs: int) -> list[Any]:
-    """Return the records of jobs that were placed at once and finished."""
+    """Return the records of finished jobs that were placed on acceptance."""
     records: list[Any] = []
     for number in range(jobs):
         spec = JobSpec(
@@ -574,7 +603,7 @@
     return records
 
 
-def _measure_kept(jobs: int) -> tuple[int | float, ...]:
+def _measure_ended_jobs(jobs: int) -> tuple[int | float, ...]:
     data = encode_records(make_job_records(jobs))
     driver = ShardDriver(300)
     started = perf_counter()
@@ -583,13 +612,15 @@
     started = perf_counter()
     replay_records(driver.state, records)
     replay_ms = (perf_counter() - started) * 1000
-    list_ms = _time_ms(lambda: tuple(list_snapshot_records(driver.state)), 1)
+    list_ms = _measure_median_ms(
+        lambda: tuple(list_snapshot_records(driver.state)), 1
+    )
     listed = tuple(list_snapshot_records(driver.state))
     snapshot = encode_records(listed)
-    encode_ms = _time_ms(lambda: encode_records(listed), 1)
-    fresh = ShardDriver(300)
+    encode_ms = _measure_median_ms(lambda: encode_records(listed), 1)
+    second_driver = ShardDriver(300)
     tracemalloc.start()
-    replay_records(fresh.state, decode_records(data))
+    replay_records(second_driver.state, decode_records(data))
     jobs_mb = tracemalloc.get_traced_memory()[0] / 1e6
     tracemalloc.stop()
     return (
@@ -607,7 +638,7 @@
 
 
 def make_summaries() -> tuple[Summary, ...]:
-    """Return the summaries of one process's shards."""
+    """Return the summaries of the shards of one process."""
     free = CAPACITY.scale(300)
     return tuple(
         Summary(f'shard-07-{n}', 12, free, CAPACITY, 5, 'domain-07')
@@ -617,23 +648,25 @@
 
 @register_measurement('links by peers')
 def measure_links() -> Table:
-    """Compare summaries on heartbeats with separate messages."""
+    """Compare summaries piggybacked on heartbeats with separate messages."""
     rows = []
-    for peers in PEERS:
-        for name, is_separate, carries in (
+    for peers in PEER_COUNTS:
+        for name, is_separate, has_summaries in (
             ('bare heartbeats', False, False),
             ('piggybacked', False, True),
             ('separate', True, True),
         ):
-            figures = anyio.run(_run_links, peers, is_separate, carries)
+            figures = anyio.run(_run_links, peers, is_separate, has_summaries)
             rows.append((peers, name, *figures))
     slopes = []
     for name in ('bare heartbeats', 'piggybacked', 'separate'):
-        mine = [row for row in rows if row[1] == name]
+        selected = [row for row in rows if row[1] == name]
         for column, unit in ((2, 'messages/s'), (3, 'bytes/s'), (4, 'ms/s')):
             slopes.append(
                 fit_slope(
-                    f'{name} {unit} by links', PEERS, _take(mine, column)
+                    f'{name} {unit} by links',
+                    PEER_COUNTS,
+                    _get_column(selected, column),
                 )
             )
     return Table(
@@ -653,26 +686,26 @@
 
 
 async def _run_links(
-    peers: int, is_separate: bool, carries: bool
+    peers: int, is_separate: bool, has_summaries: bool
 ) -> tuple[float, float, float]:
-    summaries = make_summaries() if carries else ()
-    bare = Heartbeat('scheduler-07', 1234)
-    loaded = Heartbeat('scheduler-07', 1234, summaries)
-    # The separate message has the same body as a loaded heartbeat.
-    beat = bare if is_separate else loaded
+    summaries = make_summaries() if has_summaries else ()
+    bare_heartbeat = Heartbeat('scheduler-07', 1234)
+    summary_heartbeat = Heartbeat('scheduler-07', 1234, summaries)
+    # Separate messages have the same body as a heartbeat with summaries.
+    sent_heartbeat = bare_heartbeat if is_separate else summary_heartbeat
     clients: set[bytes] = set()
 
-    async def ignore(request: Any) -> None:
+    async def record_client(request: Any) -> None:
         clients.add(request.client)
 
     def make_heartbeat() -> Heartbeat:
-        return beat
+        return sent_heartbeat
 
     def handle_heartbeat(heartbeat: Heartbeat) -> None:
         assert heartbeat.sender
 
     server = LinkServer(
-        find_free_address(), ignore, make_heartbeat, handle_heartbeat
+        find_free_address(), record_client, make_heartbeat, handle_heartbeat
     )
     links = [
         Link(server.address, make_heartbeat, handle_heartbeat)
@@ -682,10 +715,10 @@
     async def send_separately() -> None:
         while True:
             for link in links:
-                link.send(loaded)
+                link.send(summary_heartbeat)
             for client in clients:
-                await server.reply(OutgoingReply(client, 0, loaded))
-            await anyio.sleep(SUMMARY_S)
+                await server.reply(OutgoingReply(client, 0, summary_heartbeat))
+            await anyio.sleep(SUMMARY_INTERVAL_S)
 
     async with anyio.create_task_group() as group:
         group.start_soon(server.run)
@@ -696,9 +729,12 @@
         if is_separate:
             group.start_soon(send_separately)
         before = server.counts
-        began, started = perf_counter(), process_time()
-        await anyio.sleep(LINK_S)
-        busy, took = process_time() - started, perf_counter() - began
+        started_at, started = perf_counter(), process_time()
+        await anyio.sleep(LINK_WINDOW_S)
+        processor_s, elapsed_s = (
+            process_time() - started,
+            perf_counter() - started_at,
+        )
         after = server.counts
         group.cancel_scope.cancel()
     messages = (
@@ -707,10 +743,14 @@
         - before.sent_messages
         - before.received_messages
     )
-    size = (
+    transferred_bytes = (
         after.sent_bytes
         + after.received_bytes
         - before.sent_bytes
         - before.received_bytes
     )
-    return messages / took, size / took, busy / took * 1000
+    return (
+        messages / elapsed_s,
+        transferred_bytes / elapsed_s,
+        processor_s / elapsed_s * 1000,
+    )
--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -1,4 +1,4 @@
-"""Measures placement: decision time, packing, waits, quarantine, waves."""
+"""Measures placement, queueing, quarantine, shedding and cancellation."""
 
 from __future__ import annotations
 
@@ -15,22 +15,22 @@
 from hdrh.histogram import HdrHistogram
 
 from benchmarks.baselines import choose_best_fit_by_scan
-from benchmarks.baselines import choose_by_scarcest
+from benchmarks.baselines import choose_by_scarcest_resource
 from benchmarks.baselines import choose_first_fit
-from benchmarks.loop import LIBRARY
-from benchmarks.loop import Loop
-from benchmarks.loop import NO_QUARANTINE
-from benchmarks.loop import Outcome
-from benchmarks.loop import SHEDDING
-from benchmarks.loop import VARIANTS
-from benchmarks.loop import WARM_UP_MS
 from benchmarks.registry import register_measurement
 from benchmarks.registry import Table
-from benchmarks.streams import BRAZOS
-from benchmarks.streams import find_host_share
-from benchmarks.streams import make_hosts
-from benchmarks.streams import make_stream
-from benchmarks.streams import WORKLOADS
+from benchmarks.simulation import LIBRARY
+from benchmarks.simulation import NO_QUARANTINE
+from benchmarks.simulation import SHEDDING
+from benchmarks.simulation import Simulation
+from benchmarks.simulation import SimulationResult
+from benchmarks.simulation import VARIANTS
+from benchmarks.simulation import WARM_UP_MS
+from benchmarks.workloads import BRAZOS
+from benchmarks.workloads import compute_host_share
+from benchmarks.workloads import make_hosts
+from benchmarks.workloads import make_stream
+from benchmarks.workloads import WORKLOADS
 from sassafrasgate.core.jobs import JobClass
 from sassafrasgate.core.jobs import JobSpec
 from sassafrasgate.core.resources import Resources
@@ -44,31 +44,31 @@
     from collections.abc import Callable
     from collections.abc import Iterable
 
-    from benchmarks.loop import Variant
-    from benchmarks.streams import Arrival
-    from benchmarks.streams import Workload
+    from benchmarks.simulation import Variant
+    from benchmarks.workloads import Arrival
+    from benchmarks.workloads import Workload
 
 SEEDS = (1, 2, 3, 4, 5)
 LOADS = (0.8, 1.0, 1.3)
 HORIZON_MS = 45_000
 HOST_COUNTS = (24, 100, 300, 700)
 DECISIONS = 400
-FULL = 0.7
+FILL_SHARE = 0.7
 PACKING_LOADS = (1.0, 1.3, 1.6)
 PACKING_HORIZON_MS = 150_000
-PACKERS = (
+PACKING_METHODS = (
     ('library', choose_hosts),
     ('first fit', choose_first_fit),
-    ('scarcest resource', choose_by_scarcest),
+    ('scarcest resource', choose_by_scarcest_resource),
 )
 SHEDDING_LOADS = (1.3, 1.6)
 BATCH_DEADLINE_S = 2.0
-WAVE_SIZES = (3_000, 30_000, 120_000)
+QUEUE_SIZES = (3_000, 30_000, 120_000)
 
 
 @register_measurement('decision time')
 def measure_decision_time() -> Table:
-    """Time one decision with its reservation and release."""
+    """Time a placement decision with its reservation and release."""
     rows = []
     for job_class, tasks in (
         (JobClass.BATCH, 1),
@@ -103,7 +103,7 @@
             'p50 to scan',
         ),
         tuple(rows),
-        ('Medians over 5 seeds. The scan places by fit and hop alone.',),
+        ('Medians over 5 seeds. The scan weighs fit and domain only.',),
     )
 
 
@@ -113,7 +113,10 @@
     job_class: JobClass,
     tasks: int,
 ) -> tuple[float, float, float]:
-    """Return p50, p99 and p50 of refusals in us, medians over the seeds."""
+    """Return p50 and p99, and p50 of refusals, in us.
+
+    Each is the median over the seeds.
+    """
     figures = [
         _time_seed(choose, hosts, job_class, tasks, seed) for seed in SEEDS
     ]
@@ -154,7 +157,7 @@
         for task, name in enumerate(chosen.hosts):
             index.release(name, f'n{number}.{task}.1')
         histogram.record_value(perf_counter_ns() - started)
-        # Fits on a host, but on none of these hosts as full as they are.
+        # Fits on an empty host, but on none of these, as it needs all slots.
         large = replace(spec, demand=Resources(16000, 16384, 0, 8, 8))
         started = perf_counter_ns()
         choose(index, replace(request, spec=large))
@@ -167,14 +170,17 @@
 
 
 def _fill_hosts(hosts: int, random: Random) -> HostIndex:
-    """Return hosts whose slots are taken at random up to `FULL`."""
+    """Return hosts with up to `FILL_SHARE` of their slots reserved.
+
+    The reservations are on random hosts, and each host has at least one.
+    """
     index = HostIndex()
     for host in make_hosts(BRAZOS, hosts):
         index.add_host(host)
     names = list(index.hosts)
     for name in names:
         index.reserve(name, 'f.0.1', Resources(500, 512, 0, 1, 1))
-    for number in range(int(hosts * 8 * FULL) - hosts):
+    for number in range(int(hosts * 8 * FILL_SHARE) - hosts):
         demand = Resources(
             random.choice((500, 1000, 2000, 3000)),
             random.choice((512, 2048, 4096)),
@@ -190,7 +196,7 @@
 
 @register_measurement('packing')
 def measure_packing() -> Table:
-    """Offer jobs without a queue: one that finds no room is lost."""
+    """Measure packing without a queue: jobs that don't fit are dropped."""
     rows = []
     for workload in WORKLOADS:
         for load in PACKING_LOADS:
@@ -202,7 +208,7 @@
                 name: [
                     _offer_jobs(workload, choose, stream) for stream in streams
                 ]
-                for name, choose in PACKERS
+                for name, choose in PACKING_METHODS
             }
             for name, pairs in figures.items():
                 columns = [
@@ -220,10 +226,10 @@
         ('workload', 'load', 'way', 'work taken', 'jobs refused', 'ratio'),
         tuple(rows),
         (
-            'Medians over 5 seeds, the same streams for each way, quick '
-            'requests left out. Work is task time by the largest share of a '
-            'host that the task takes. ratio: work taken to that of first '
-            'fit, median of the ratios by seed.',
+            'Medians over 5 seeds, the same streams for each way, without '
+            'quick requests. Work is task time multiplied by the largest '
+            'share of a host that the task takes. ratio: work taken relative '
+            'to first fit, median of the ratios by seed.',
         ),
     )
 
@@ -233,7 +239,7 @@
     choose: Callable[[HostIndex, PlacementRequest], object],
     stream: list[Arrival],
 ) -> tuple[float, float]:
-    """Return the share of offered work taken, and of jobs refused."""
+    """Return the share of offered work placed, and of jobs refused."""
     index = HostIndex()
     for host in make_hosts(workload):
         index.add_host(host)
@@ -248,7 +254,7 @@
         if spec.job_class is JobClass.QUICK:
             continue
         chosen = choose(index, PlacementRequest(spec, arrival.domain))
-        work = find_host_share(spec.demand, workload.capacity)
+        work = compute_host_share(spec.demand, workload.capacity)
         work *= spec.tasks * arrival.run_ms
         if arrival.at >= WARM_UP_MS:
             jobs += 1
@@ -265,8 +271,8 @@
 
 
 @register_measurement('waiting time')
-def measure_waits() -> Table:
-    """Run the streams at rising load, with one part replaced at a time."""
+def measure_waiting_times() -> Table:
+    """Measure waits at increasing load, for the library and variants."""
     rows: list[tuple[str | int | float, ...]] = []
     for workload in WORKLOADS:
         for load in LOADS:
@@ -274,8 +280,10 @@
                 make_stream(workload, load, seed, HORIZON_MS) for seed in SEEDS
             ]
             for variant in VARIANTS:
-                outcomes = _run_streams(workload, variant, streams)
-                rows.append((workload.name, load, *_sum_up(variant, outcomes)))
+                results = _run_streams(workload, variant, streams)
+                rows.append(
+                    (workload.name, load, *_summarize(variant, results))
+                )
     return Table(
         'Waiting time in ms by class (p50, p99), and what it cost',
         (
@@ -295,10 +303,10 @@
         tuple(rows),
         (
             f'Medians over 5 seeds of runs of {HORIZON_MS / 1000:.0f} s, the '
-            f'same streams for each way. At load 1 the scarcest resource is '
-            f'offered exactly as much work as it can do.',
-            'A job that has not started at the end counts with its wait so '
-            'far, and one that passed its deadline with its wait until then.',
+            f'same streams for each way. At load 1 the mean demand for the '
+            f'scarcest resource equals its capacity.',
+            'A job that is still queued at the end counts with its wait until '
+            'the end, one that passed its deadline with its wait until then.',
             'busy: share of the scarcest resource reserved, over time; '
             'started: share of offered jobs; late: share that passed their '
             'deadline unstarted; remote: share of tasks in another failure '
@@ -311,21 +319,21 @@
     workload: Workload,
     variant: Variant,
     streams: Iterable[list[Arrival]],
-    bad_hosts: tuple[str, ...] = (),
-) -> list[Outcome]:
+    failing_hosts: tuple[str, ...] = (),
+) -> list[SimulationResult]:
     return [
-        Loop(workload, variant, bad_hosts).run(stream, HORIZON_MS)
+        Simulation(workload, variant, failing_hosts).run(stream, HORIZON_MS)
         for stream in streams
     ]
 
 
-def _sum_up(
-    variant: Variant, outcomes: list[Outcome]
+def _summarize(
+    variant: Variant, results: list[SimulationResult]
 ) -> tuple[str | float, ...]:
     waits = [
         median(
-            outcome.waits[job_class].get_value_at_percentile(percentile)
-            for outcome in outcomes
+            result.waits[job_class].get_value_at_percentile(percentile)
+            for result in results
         )
         for job_class in JobClass
         for percentile in (50, 99)
@@ -333,40 +341,44 @@
     return (
         variant.name,
         *waits,
-        median(outcome.busy for outcome in outcomes),
-        median(outcome.started / outcome.offered for outcome in outcomes),
-        median(outcome.missed / outcome.offered for outcome in outcomes),
-        median(outcome.remote_tasks / outcome.tasks for outcome in outcomes),
+        median(result.busy_share for result in results),
+        median(result.started / result.offered for result in results),
+        median(result.missed_deadlines / result.offered for result in results),
+        median(result.remote_tasks / result.tasks for result in results),
     )
 
 
 @register_measurement('quarantine')
 def measure_quarantine() -> Table:
-    """Let two hosts fail every task shortly after its start."""
+    """Measure the effect of quarantine when two hosts fail every task."""
     rows = []
     for workload in WORKLOADS:
         streams = [
             make_stream(workload, 0.7, seed, HORIZON_MS) for seed in SEEDS
         ]
         for variant in (LIBRARY, NO_QUARANTINE):
-            outcomes = _run_streams(
+            results = _run_streams(
                 workload, variant, streams, ('h003', 'h010')
             )
             rows.append(
                 (
                     workload.name,
                     variant.name,
-                    median(item.failed_attempts for item in outcomes),
-                    median(item.failed_jobs for item in outcomes),
+                    median(result.failed_attempts for result in results),
+                    median(result.failed_jobs for result in results),
                     median(
-                        item.waits[JobClass.QUICK].get_value_at_percentile(99)
-                        for item in outcomes
+                        result.waits[JobClass.QUICK].get_value_at_percentile(
+                            99
+                        )
+                        for result in results
                     ),
                     median(
-                        item.waits[JobClass.BATCH].get_value_at_percentile(99)
-                        for item in outcomes
+                        result.waits[JobClass.BATCH].get_value_at_percentile(
+                            99
+                        )
+                        for result in results
                     ),
-                    median(item.offered for item in outcomes),
+                    median(result.offered for result in results),
                 )
             )
     return Table(
@@ -391,7 +403,7 @@
 
 @register_measurement('shedding')
 def measure_shedding() -> Table:
-    """Give batch work a deadline and offer more than fits."""
+    """Measure shedding of batch jobs with a deadline under overload."""
     rows = []
     for workload in WORKLOADS:
         for load in SHEDDING_LOADS:
@@ -405,15 +417,15 @@
                 for seed in SEEDS
             ]
             for variant in (LIBRARY, SHEDDING):
-                outcomes = _run_streams(workload, variant, streams)
+                results = _run_streams(workload, variant, streams)
                 shares = [
                     (
-                        item.started / item.offered,
-                        item.missed / item.offered,
-                        item.shed / item.offered,
-                        item.busy,
+                        result.started / result.offered,
+                        result.missed_deadlines / result.offered,
+                        result.shed / result.offered,
+                        result.busy_share,
                     )
-                    for item in outcomes
+                    for result in results
                 ]
                 columns = [
                     median(column) for column in zip(*shares, strict=True)
@@ -439,31 +451,31 @@
 
 @register_measurement('cancellation wave')
 def measure_cancellations() -> Table:
-    """Cancel every queued job in random order."""
+    """Time the cancellation of all queued jobs, in random order."""
     rows = []
-    for size in WAVE_SIZES:
-        figures = [_cancel_wave(size, seed) for seed in SEEDS]
-        each, longest, total = (
+    for size in QUEUE_SIZES:
+        figures = [_time_cancellations(size, seed) for seed in SEEDS]
+        mean, longest, total = (
             median(column) for column in zip(*figures, strict=True)
         )
-        rows.append((size, each, longest / 1000, total))
+        rows.append((size, mean, longest / 1000, total))
     return Table(
         'Cancellation of all queued jobs',
         ('jobs', 'mean us each', 'longest ms', 'all ms'),
         tuple(rows),
-        ('Medians over 5 seeds. The longest one drops cancelled entries.',),
+        ('Medians over 5 seeds. The longest one also rebuilds the heaps.',),
     )
 
 
-def _cancel_wave(size: int, seed: int) -> tuple[float, float, float]:
-    """Return mean and longest time in us, and the sum in ms."""
+def _time_cancellations(size: int, seed: int) -> tuple[float, float, float]:
+    """Return mean and longest time per job in us, and total time in ms."""
     queue = JobQueue(BRAZOS.teams)
-    counter = Counter[str]()
+    uses = Counter[str]()
     stream = make_stream(BRAZOS, 1.0, seed, 20_000)
     while len(queue) < size:
         for arrival in stream[: size - len(queue)]:
-            counter[arrival.job_id] += 1
-            job_id = f'{arrival.job_id}/{counter[arrival.job_id]}'
+            uses[arrival.job_id] += 1
+            job_id = f'{arrival.job_id}/{uses[arrival.job_id]}'
             queue.add(job_id, arrival.spec, arrival.at)
     job_ids = [job.job_id for job in queue]
     Random(seed).shuffle(job_ids)
--- a/benchmarks/registry.py
+++ b/benchmarks/registry.py
@@ -1,4 +1,4 @@
-"""Measurements, in a registry that decorators fill."""
+"""Registry of measurements, their result tables and text format."""
 
 from __future__ import annotations
 
@@ -18,11 +18,11 @@
     Parameters
     ----------
     name : str
-        What grows, with its unit, and against what.
+        The measured quantity with its unit, and the size that varies.
     per_unit : float
-        Slope of the line.
+        Increase of the quantity per unit of size.
     at_zero : float
-        Its value at size 0.
+        Value of the line at size 0.
     """
 
     name: str
@@ -32,20 +32,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Table:
-    """Figures of one measurement.
+    """Results of one measurement.
 
     Parameters
     ----------
     title : str
         What was measured, with units.
     columns : tuple of str
-        Heads of the columns.
+        Headings of the columns.
     rows : tuple of tuple
-        Cells of each row: text, whole numbers or floats.
+        Cells of each row: text, integers or floats.
     notes : tuple of str
-        How to read the figures.
+        Explanations that are printed below the table.
     slopes : tuple of Slope
-        Lines through the rows, where a measurement has several sizes.
+        Lines fitted through the rows of a measurement with several sizes.
     """
 
     title: str
@@ -73,15 +73,19 @@
         ).rstrip()
         for line in lines
     ]
-    lines_through = [
+    slope_lines = [
         f'{slope.name}: {slope.at_zero:.4g} + {slope.per_unit:.4g} each'
         for slope in table.slopes
     ]
-    return '\n'.join([table.title, *text, *lines_through, *table.notes, ''])
+    return '\n'.join([table.title, *text, *slope_lines, *table.notes, ''])
 
 
 def format_cell(cell: str | int | float) -> str:
-    """Return one cell as text, floats with three significant digits."""
+    """Return one cell as text.
+
+    Floats have three significant digits; those from 1000 are rounded to
+    integers.
+    """
     if not isinstance(cell, float):
         return str(cell)
     return f'{cell:.0f}' if abs(cell) >= 1000 else f'{cell:.3g}'
--- a/benchmarks/run.py
+++ b/benchmarks/run.py
@@ -1,7 +1,8 @@
-"""Run every registered measurement, or those named on the command line.
+"""Runs all registered measurements, or those named on the command line.
 
-Prints one table for each and writes all figures to results.json next to
-this module, with the versions and the load of the machine at the start.
+Prints a table for each. A run of all measurements also writes the results to
+results.json next to this module, with the Python version, the number of cores
+and the load of the machine at the start.
 """
 
 from __future__ import annotations
@@ -19,13 +20,13 @@
 from benchmarks.registry import format_table
 from benchmarks.registry import MEASUREMENTS
 
-RESULTS = Path(__file__).parent / 'results.json'
-# Modules that register measurements when they are imported.
+RESULTS_PATH = Path(__file__).parent / 'results.json'
+# Importing these modules registers their measurements.
 MODULES = ('benchmarks.placement', 'benchmarks.capacity', 'benchmarks.cells')
 
 
 def run_measurements(names: list[str]) -> dict[str, object]:
-    """Run measurements in the order of their registration."""
+    """Run measurements in the given order; return and print their results."""
     figures: dict[str, object] = {
         'python': python_version(),
         'cores': cpu_count(),
@@ -43,17 +44,17 @@
 
 
 def main() -> None:
-    """Run what the command line names, by default everything.
+    """Run the measurements that the command line names, by default all.
 
-    A partial run is printed only, so that the file always holds figures of
-    one whole run.
+    A partial run only prints its tables, so that the file always contains
+    the results of one complete run.
     """
     for module in MODULES:
         import_module(module)
     names = sys.argv[1:]
     figures = run_measurements(names or list(MEASUREMENTS))
     if not names:
-        RESULTS.write_text(json.dumps(figures, indent=1) + '\n')
+        RESULTS_PATH.write_text(json.dumps(figures, indent=1) + '\n')
 
 
 if __name__ == '__main__':
--- a/benchmarks/loop.py
+++ b/benchmarks/simulation.py
@@ -1,4 +1,4 @@
-"""A small event loop that drives the pure decisions with a job stream."""
+"""Discrete-event simulation of queueing and placement of a job stream."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 from benchmarks.baselines import choose_first_fit
 from benchmarks.baselines import choose_without_locality
 from benchmarks.baselines import FifoQueue
-from benchmarks.streams import make_hosts
+from benchmarks.workloads import make_hosts
 from sassafrasgate.core.identifiers import make_task_id
 from sassafrasgate.core.identifiers import split_task_id
 from sassafrasgate.core.jobs import JobClass
@@ -35,22 +35,39 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from benchmarks.streams import Arrival
-    from benchmarks.streams import Workload
+    from benchmarks.workloads import Arrival
+    from benchmarks.workloads import Workload
     from sassafrasgate.core.jobs import JobSpec
 
-# Waits are counted from here on, when the hosts have filled up.
+# Jobs that arrive earlier count neither for waits nor for the busy share, as
+# the hosts are still filling up.
 WARM_UP_MS = 15_000
-# While jobs wait, a pass over the queue covers what happened in this time.
+# Delay of a scheduling pass when several jobs are queued, so that one pass
+# handles all events of this interval.
 PASS_INTERVAL_MS = 5
-FAILURE_MS = 50
+TIME_TO_FAILURE_MS = 50
 MAX_ATTEMPTS = 3
 MAX_QUEUED = 100_000
 
 
 @dataclass(frozen=True, slots=True)
 class Variant:
-    """One way to schedule: the library's, or with one part replaced."""
+    """A configuration of the scheduler: the library with parts replaced.
+
+    Parameters
+    ----------
+    name : str
+        Name in the tables.
+    choose : callable
+        Placement function.
+    is_fifo : bool
+        Whether jobs queue in `FifoQueue` instead of `JobQueue`.
+    has_quarantine : bool
+        Whether hosts with failing tasks are quarantined.
+    has_shedding : bool
+        Whether jobs with an expected wait beyond their deadline are refused
+        on arrival.
+    """
 
     name: str
     choose: Callable[[HostIndex, PlacementRequest], Any] = choose_hosts
@@ -71,8 +88,23 @@
 
 
 @dataclass(slots=True)
-class Outcome:
-    """What one run showed; waits in ms by class."""
+class SimulationResult:
+    """Results of one simulation.
+
+    Parameters
+    ----------
+    waits : dict
+        Histogram of the waiting times in ms, by job class.
+    missed_deadlines : int
+        Jobs that were still queued at their deadline.
+    shed : int
+        Jobs that were refused on arrival.
+    remote_tasks : int
+        Tasks in another failure domain than the caller of their job.
+    busy_share : float
+        Reserved share of the most reserved resource, as a mean over the
+        time after the warm-up.
+    """
 
     waits: dict[JobClass, HdrHistogram] = field(
         default_factory=lambda: {
@@ -81,24 +113,34 @@
     )
     offered: int = 0
     started: int = 0
-    missed: int = 0
+    missed_deadlines: int = 0
     shed: int = 0
     tasks: int = 0
     remote_tasks: int = 0
     failed_attempts: int = 0
     failed_jobs: int = 0
-    busy: float = 0.0
+    busy_share: float = 0.0
     passes: int = 0
 
 
-class Loop:
-    """One run of a stream over one set of hosts."""
+class Simulation:
+    """Simulation of one job stream on the hosts of a workload.
+
+    Parameters
+    ----------
+    workload : Workload
+        Hosts and teams.
+    variant : Variant
+        Configuration of the scheduler.
+    failing_hosts : iterable of str
+        Hosts on which each task fails after `TIME_TO_FAILURE_MS`.
+    """
 
     def __init__(
         self,
         workload: Workload,
         variant: Variant,
-        bad_hosts: Iterable[str] = (),
+        failing_hosts: Iterable[str] = (),
     ) -> None:
         hosts = make_hosts(workload)
         self._variant = variant
@@ -108,75 +150,79 @@
         self._capacity = workload.capacity.scale(len(hosts))
         self._ledger = QuotaLedger()
         self._health = HostHealth(len(hosts))
-        self._bad_hosts = frozenset(bad_hosts)
+        self._failing_hosts = frozenset(failing_hosts)
         self._queue: Any = FifoQueue()
         if not variant.is_fifo:
             self._queue = JobQueue(workload.teams, self._capacity)
         self._events: list[tuple[int, int, Callable[..., None], Any]] = []
-        self._order = count()
+        self._tie_breaker = count()
         self._jobs: dict[str, Arrival] = {}
         self._attempts: dict[str, int] = {}
-        self._left: dict[str, int] = {}
-        self._excluded: dict[str, frozenset[str]] = {}
-        self._rates: dict[str, StartRate] = {}
-        self._pass_at = -1
+        self._unfinished_tasks: dict[str, int] = {}
+        self._excluded_hosts: dict[str, frozenset[str]] = {}
+        self._start_rates: dict[str, StartRate] = {}
+        self._next_pass_at = -1
         self._now = 0
-        self._outcome = Outcome()
+        self._result = SimulationResult()
 
-    def run(self, arrivals: list[Arrival], horizon_ms: int) -> Outcome:
-        """Return what happened until the horizon.
+    def run(
+        self, arrivals: list[Arrival], horizon_ms: int
+    ) -> SimulationResult:
+        """Run the simulation until the horizon and return its results.
 
-        A job that has not started by then counts with the time it has
-        waited so far.
+        A job that is still queued at the horizon counts with its wait until
+        then.
         """
         for arrival in arrivals:
-            self._push(arrival.at, self._arrive, arrival)
+            self._schedule_event(arrival.at, self._handle_arrival, arrival)
         while self._events and self._events[0][0] < horizon_ms:
             at, _, handle, argument = heappop(self._events)
-            self._advance(at)
+            self._advance_clock(at)
             handle(argument)
-        self._advance(horizon_ms)
+        self._advance_clock(horizon_ms)
         for job_id, arrival in self._jobs.items():
-            if job_id not in self._left:
-                self._note_wait(arrival)
-        self._outcome.busy /= horizon_ms - WARM_UP_MS
-        return self._outcome
+            if job_id not in self._unfinished_tasks:
+                self._record_wait(arrival)
+        self._result.busy_share /= horizon_ms - WARM_UP_MS
+        return self._result
 
-    def _push(
+    def _schedule_event(
         self, at: int, handle: Callable[..., None], argument: Any
     ) -> None:
-        heappush(self._events, (at, next(self._order), handle, argument))
+        heappush(self._events, (at, next(self._tie_breaker), handle, argument))
 
-    def _advance(self, at: int) -> None:
+    def _advance_clock(self, at: int) -> None:
         since = max(self._now, WARM_UP_MS)
         if at > since:
-            self._outcome.busy += (at - since) * self._find_busy_share()
+            self._result.busy_share += (
+                at - since
+            ) * self._compute_busy_share()
         self._now = max(self._now, at)
 
-    def _find_busy_share(self) -> float:
-        held = Resources()
+    def _compute_busy_share(self) -> float:
+        reserved = Resources()
         for amount in self._ledger.reserved.values():
-            held = held + amount
+            reserved = reserved + amount
         return max(
-            held.millicores / self._capacity.millicores,
-            held.memory_mb / self._capacity.memory_mb,
-            held.slots / self._capacity.slots,
+            reserved.millicores / self._capacity.millicores,
+            reserved.memory_mb / self._capacity.memory_mb,
+            reserved.slots / self._capacity.slots,
         )
 
-    def _arrive(self, arrival: Arrival) -> None:
+    def _handle_arrival(self, arrival: Arrival) -> None:
         self._jobs[arrival.job_id] = arrival
-        self._outcome.offered += 1
-        if self._variant.has_shedding and self._is_shed(arrival):
-            self._outcome.shed += 1
+        self._result.offered += 1
+        if self._variant.has_shedding and self._should_shed(arrival):
+            self._result.shed += 1
             del self._jobs[arrival.job_id]
             return
         self._queue.add(
             arrival.job_id, arrival.spec, self._now, group='no rules'
         )
-        self._plan_pass()
+        self._schedule_pass()
 
-    def _is_shed(self, arrival: Arrival) -> bool:
-        """Tell whether a job that can't start now would wait too long."""
+    def _should_shed(self, arrival: Arrival) -> bool:
+        """Return whether a job neither fits now nor may be queued."""
         spec = arrival.spec
         load = AdmissionLoad(
             self._queue.count_queued(spec.team),
@@ -184,7 +230,7 @@
             len(self._queue),
             MAX_QUEUED,
             self._queue.count_ahead(spec.team, spec.job_class),
-            self._find_rate(spec).compute_rate(self._now),
+            self._get_start_rate(spec).compute_rate(self._now),
         )
         if check_admission(spec, load) is None:
             return False
@@ -193,117 +239,119 @@
             self._variant.choose(self._index, request), Assignment
         )
 
-    def _find_rate(self, spec: JobSpec) -> StartRate:
+    def _get_start_rate(self, spec: JobSpec) -> StartRate:
         key = spec.team
         if spec.job_class is JobClass.URGENT:
             key = 'urgent'
-        return self._rates.setdefault(key, StartRate())
+        return self._start_rates.setdefault(key, StartRate())
 
-    def _plan_pass(self) -> None:
-        if self._pass_at >= self._now:
+    def _schedule_pass(self) -> None:
+        if self._next_pass_at >= self._now:
             return
         delay = PASS_INTERVAL_MS if len(self._queue) > 1 else 0
-        self._pass_at = self._now + delay
-        self._push(self._pass_at, self._run_pass, None)
+        self._next_pass_at = self._now + delay
+        self._schedule_event(self._next_pass_at, self._run_pass, None)
 
     def _run_pass(self, _: None) -> None:
-        self._pass_at = -1
-        self._outcome.passes += 1
+        self._next_pass_at = -1
+        self._result.passes += 1
         for job in self._queue.list_expired(self._now):
             self._queue.remove(job.job_id)
-            self._outcome.missed += 1
-            self._note_wait(self._jobs.pop(job.job_id))
+            self._result.missed_deadlines += 1
+            self._record_wait(self._jobs.pop(job.job_id))
         for job in self._queue.begin_pass(self._now, self._ledger.reserved):
             arrival = self._jobs[job.job_id]
             request = PlacementRequest(
                 job.spec,
                 arrival.domain,
-                self._excluded.get(job.job_id, frozenset()),
+                self._excluded_hosts.get(job.job_id, frozenset()),
             )
             chosen = self._variant.choose(self._index, request)
             if isinstance(chosen, Assignment):
                 self._queue.remove(job.job_id)
-                self._start(arrival, chosen.hosts)
+                self._start_job(arrival, chosen.hosts)
 
-    def _start(self, arrival: Arrival, hosts: tuple[str, ...]) -> None:
+    def _start_job(self, arrival: Arrival, hosts: tuple[str, ...]) -> None:
         job_id = arrival.job_id
-        self._find_rate(arrival.spec).record_starts(self._now)
+        self._get_start_rate(arrival.spec).record_starts(self._now)
         attempt = self._attempts.get(job_id, 0) + 1
         self._attempts[job_id] = attempt
-        self._left[job_id] = len(hosts)
+        self._unfinished_tasks[job_id] = len(hosts)
         if attempt == 1:
-            self._outcome.started += 1
-        bad = self._bad_hosts.intersection(hosts)
-        if not bad:
-            self._note_wait(arrival)
-        run_ms = FAILURE_MS if bad else arrival.run_ms
+            self._result.started += 1
+        used_failing_hosts = self._failing_hosts.intersection(hosts)
+        if not used_failing_hosts:
+            self._record_wait(arrival)
+        run_ms = TIME_TO_FAILURE_MS if used_failing_hosts else arrival.run_ms
         for number, name in enumerate(hosts):
             task = make_task_id(job_id, number, attempt)
             self._index.reserve(name, task, arrival.spec.demand)
             self._ledger.reserve(arrival.spec.team, arrival.spec.demand)
             domain = self._index.hosts[name].failure_domain
-            self._outcome.tasks += 1
-            self._outcome.remote_tasks += domain != arrival.domain
-            self._push(
-                self._now + run_ms, self._end, (name, task, name in bad)
+            self._result.tasks += 1
+            self._result.remote_tasks += domain != arrival.domain
+            self._schedule_event(
+                self._now + run_ms,
+                self._end_task,
+                (name, task, name in used_failing_hosts),
             )
-        self._limit_probation(hosts)
+        self._apply_probation_limits(hosts)
 
-    def _end(self, ended: tuple[str, str, bool]) -> None:
+    def _end_task(self, ended: tuple[str, str, bool]) -> None:
         name, task, has_failed = ended
         job_id = split_task_id(task)[0]
         arrival = self._jobs[job_id]
         self._index.release(name, task)
         self._ledger.release(arrival.spec.team, arrival.spec.demand)
         if has_failed:
-            self._excluded[job_id] = self._excluded.get(
+            self._excluded_hosts[job_id] = self._excluded_hosts.get(
                 job_id, frozenset()
             ) | {name}
         if self._variant.has_quarantine:
-            self._note_health(name, job_id, has_failed)
-        self._left[job_id] -= 1
-        if not self._left[job_id]:
-            self._finish(arrival)
-        self._plan_pass()
+            self._record_health(name, job_id, has_failed)
+        self._unfinished_tasks[job_id] -= 1
+        if not self._unfinished_tasks[job_id]:
+            self._finish_attempt(arrival)
+        self._schedule_pass()
 
-    def _finish(self, arrival: Arrival) -> None:
+    def _finish_attempt(self, arrival: Arrival) -> None:
         job_id = arrival.job_id
         attempt = self._attempts[job_id]
-        bad = self._excluded.get(job_id, frozenset())
-        if len(bad) < attempt:
+        failed_hosts = self._excluded_hosts.get(job_id, frozenset())
+        if len(failed_hosts) < attempt:
             del self._jobs[job_id]
             return
-        self._outcome.failed_attempts += 1
+        self._result.failed_attempts += 1
         if attempt >= MAX_ATTEMPTS:
-            self._outcome.failed_jobs += 1
+            self._result.failed_jobs += 1
             del self._jobs[job_id]
             return
-        del self._left[job_id]
+        del self._unfinished_tasks[job_id]
         self._queue.add(job_id, arrival.spec, self._now, group=job_id)
 
-    def _note_health(self, name: str, job_id: str, failed: bool) -> None:
+    def _record_health(self, name: str, job_id: str, failed: bool) -> None:
         self._health.record_result(name, job_id, not failed, self._now)
-        self._update_open(name)
+        self._update_open_status(name)
         if (until := self._health.find_next_change(self._now)) is not None:
-            self._push(until, self._end_quarantines, None)
+            self._schedule_event(until, self._update_all_hosts, None)
 
-    def _end_quarantines(self, _: None) -> None:
+    def _update_all_hosts(self, _: None) -> None:
         for name in self._index.hosts:
-            self._update_open(name)
-        self._plan_pass()
+            self._update_open_status(name)
+        self._schedule_pass()
 
-    def _limit_probation(self, hosts: tuple[str, ...]) -> None:
+    def _apply_probation_limits(self, hosts: tuple[str, ...]) -> None:
         if self._variant.has_quarantine:
             for name in hosts:
-                self._update_open(name)
+                self._update_open_status(name)
 
-    def _update_open(self, name: str) -> None:
+    def _update_open_status(self, name: str) -> None:
         allowed = self._health.get_task_limit(name, self._now)
         running = len(self._index.list_reservations(name))
         self._index.set_open(name, allowed is None or running < allowed)
 
-    def _note_wait(self, arrival: Arrival) -> None:
+    def _record_wait(self, arrival: Arrival) -> None:
         if arrival.at < WARM_UP_MS:
             return
-        waits = self._outcome.waits[arrival.spec.job_class]
+        waits = self._result.waits[arrival.spec.job_class]
         waits.record_value(max(1, self._now - arrival.at))
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -1,4 +1,4 @@
-"""Straight lines through measured points, and the use of a process."""
+"""Line fits through measured points, and resource usage of processes."""
 
 from __future__ import annotations
 
@@ -21,14 +21,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Usage:
-    """What a process has used.
+    """Resource usage of a process at one time.
 
     Parameters
     ----------
     at : float
-        When it was read, in seconds.
+        Monotonic clock reading of the sample, in seconds.
     processor_s : float
-        Processor time since the process started, user and system.
+        User and system processor time since the process started.
     resident_mb : float
         Resident memory, in MB of 1,000,000 bytes.
     """
@@ -39,9 +39,10 @@
 
 
 def read_usage(pid: int) -> Usage:
-    """Return what a process has used so far."""
+    """Return the processor time and resident memory of a process."""
     stat = Path(f'/proc/{pid}/stat').read_text()
-    # The name in parentheses may hold spaces; fields 14 and 15 are times.
+    # The program name in parentheses may contain spaces. Fields 14 and 15 of
+    # the file, utime and stime, are at 11 and 12 after the name.
     fields = stat.rpartition(')')[2].split()
     ticks = int(fields[11]) + int(fields[12])
     status = Path(f'/proc/{pid}/status').read_text()
@@ -53,15 +54,16 @@
     return Usage(monotonic(), ticks / TICKS_PER_S, resident * 1024 / 1e6)
 
 
-def watch_processes(
+def measure_usage(
     pids: Iterable[int], seconds: float
 ) -> list[tuple[float, float]]:
-    """Wait, then return each process's load and resident memory.
+    """Measure the load and resident memory of processes over a time.
 
     Returns
     -------
     list of tuple
-        Processor seconds per second, and MB at the end.
+        For each process: its processor seconds per second, and its resident
+        MB at the end.
     """
     pids = list(pids)
     before = [read_usage(pid) for pid in pids]
@@ -73,9 +75,9 @@
 
 
 def compare_usage(old: Usage, new: Usage) -> tuple[float, float]:
-    """Return processor seconds per second between two readings, and MB."""
-    busy = new.processor_s - old.processor_s
-    return busy / (new.at - old.at), new.resident_mb
+    """Return processor seconds per second between samples, and final MB."""
+    processor_s = new.processor_s - old.processor_s
+    return processor_s / (new.at - old.at), new.resident_mb
 
 
 def fit_slope(
--- a/benchmarks/streams.py
+++ b/benchmarks/workloads.py
@@ -1,4 +1,4 @@
-"""Generated job streams of the two customers' workloads."""
+"""Random job streams that follow the workloads of two customers."""
 
 from __future__ import annotations
 
@@ -13,23 +13,28 @@
 from sassafrasgate.core.jobs import JobSpec
 from sassafrasgate.core.resources import Resources
 
-# Tasks of one kind differ in size; the mean factor is 1.
+# Factors by which the demands of jobs of one kind vary; their mean is 1.
 SIZE_FACTORS = (0.5, 0.75, 1.0, 1.0, 1.25, 1.5)
-# Run times spread widely around their mean, as declared ones are wrong.
+# Standard deviation of the logarithm of run times. It is large because the
+# run times that callers declare are inaccurate.
 RUN_TIME_SIGMA = 0.8
 
 
 @dataclass(frozen=True, slots=True)
 class JobKind:
-    """Jobs of one kind.
+    """A kind of job of a workload.
 
     Parameters
     ----------
     share : float
-        Part of the offered work: task seconds times the largest share of
-        a host that a task takes.
+        Relative share of the offered work, where the work of a task is its
+        run time times the largest share of a host's resource that it takes.
     run_s : float
-        Mean run time.
+        Mean run time in seconds.
+    tasks : tuple of int
+        Numbers of tasks that a job may have, all equally likely.
+    deadline_s : float
+        Deadline for the start, in seconds; 0 for none.
     """
 
     job_class: JobClass
@@ -43,7 +48,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Workload:
-    """One customer's hosts and kinds of jobs."""
+    """Hosts, teams and kinds of jobs of one customer.
+
+    Parameters
+    ----------
+    capacity : Resources
+        Capacity of each host.
+    domains : int
+        Number of failure domains.
+    rack_size : int
+        Hosts per rack.
+    """
 
     name: str
     capacity: Resources
@@ -55,7 +70,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Arrival:
-    """One job of a stream; times in ms."""
+    """Arrival of one job in a stream.
+
+    Parameters
+    ----------
+    at : int
+        Time of arrival in ms.
+    run_ms : int
+        Actual run time of each task.
+    domain : str
+        Failure domain of the caller.
+    """
 
     at: int
     job_id: str
@@ -186,7 +211,7 @@
 
 
 def make_hosts(workload: Workload, count: int = 24) -> list[Host]:
-    """Return equal hosts; racks go round the failure domains."""
+    """Return equal hosts in racks, assigned round-robin to failure domains."""
     hosts = []
     for number in range(count):
         rack = number // workload.rack_size
@@ -202,8 +227,8 @@
     return hosts
 
 
-def find_host_share(demand: Resources, capacity: Resources) -> float:
-    """Return the largest share of a host that a task takes."""
+def compute_host_share(demand: Resources, capacity: Resources) -> float:
+    """Return the largest share of a host's resources that a task takes."""
     return max(
         demand.millicores / capacity.millicores,
         demand.memory_mb / capacity.memory_mb,
@@ -212,23 +237,23 @@
     )
 
 
-def find_rates(workload: Workload, load: float, hosts: int) -> list[float]:
-    """Return jobs per second of each kind.
+def compute_rates(workload: Workload, load: float, hosts: int) -> list[float]:
+    """Return the arrival rate of each kind, in jobs per second.
 
-    At a load of 1 the scarcest resource of all hosts together is in demand
-    exactly as much as there is of it.
+    At a load of 1, the mean demand for the scarcest resource equals its total
+    capacity on all hosts.
     """
     rates = []
     for kind in workload.kinds:
         tasks = sum(kind.tasks) / len(kind.tasks)
-        work = find_host_share(kind.demand, workload.capacity)
+        work = compute_host_share(kind.demand, workload.capacity)
         rates.append(kind.share / (work * tasks * kind.run_s))
     used = Resources()
     for kind, rate in zip(workload.kinds, rates, strict=True):
         tasks = sum(kind.tasks) / len(kind.tasks)
-        # In thousandths, since amounts are whole numbers.
+        # Scaled by 1000, because amounts are integers.
         used = used + kind.demand.scale(int(rate * tasks * kind.run_s * 1000))
-    scale = 1000 * load * hosts / find_host_share(used, workload.capacity)
+    scale = 1000 * load * hosts / compute_host_share(used, workload.capacity)
     return [rate * scale for rate in rates]
 
 
@@ -239,10 +264,10 @@
     horizon_ms: int,
     hosts: int = 24,
 ) -> list[Arrival]:
-    """Return independent Poisson arrivals of all kinds, in order."""
+    """Return independent Poisson arrivals of all kinds, ordered by time."""
     random = Random(f'{workload.name} {load} {seed}')
     arrivals = []
-    rates = find_rates(workload, load, hosts)
+    rates = compute_rates(workload, load, hosts)
     for number, (kind, rate) in enumerate(
         zip(workload.kinds, rates, strict=True)
     ):
@@ -261,7 +286,7 @@
     random: Random,
 ) -> Arrival:
     job_id = f'{number}-{at:.6f}'
-    spread = random.gauss(-(RUN_TIME_SIGMA**2) / 2, RUN_TIME_SIGMA)
+    log_factor = random.gauss(-(RUN_TIME_SIGMA**2) / 2, RUN_TIME_SIGMA)
     spec = JobSpec(
         kind.team,
         job_id,
@@ -275,7 +300,7 @@
         int(at),
         job_id,
         spec,
-        max(1, int(kind.run_s * 1000 * exp(spread))),
+        max(1, int(kind.run_s * 1000 * exp(log_factor))),
         f'd{random.randrange(workload.domains)}',
     )
 
