Finish the wording of the benchmarks

Cause: some docstrings, local names and comments of the benchmarks were still unclear. Change: reworded them; names of locals follow their content.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -170,7 +170,10 @@
 
 
 def count_calls(before: dict[str, int], after: dict[str, int]) -> Counter[str]:
-    """Return the number of store calls by kind between two readings."""
+    """Return the number of store calls by kind between two readings.
+
+    The stand-in does not count calls of its control paths.
+    """
     calls = Counter(after)
     calls.subtract(before)
     return Counter({kind: n for kind, n in calls.items() if n > 0})
@@ -361,7 +364,7 @@
     path: str,
     make_body: Callable[[int], dict[str, Any]],
 ) -> int:
-    """Send requests at a rate for `WINDOW_S`; return the successful ones."""
+    """Send requests at a rate for `WINDOW_S`; return how many succeeded."""
     url = f'{cell.find_url()}/v1/{path}'
     limits = Limits(max_keepalive_connections=MAX_OPEN_REQUESTS)
     with (
@@ -381,7 +384,7 @@
 
 
 class SharedStoreCell(Cell):
-    """A cell with its share of the store's limits in the design size."""
+    """A cell whose store rate limits are its share at the design size."""
 
     def _write_settings(self, name: str, **fields: Any) -> Path:
         return super()._write_settings(
@@ -523,7 +526,7 @@
 
 @register_measurement('apply until in force')
 def measure_configuration_changes() -> Table:
-    """Measure the time until every process applies an accepted change."""
+    """Measure the time until an accepted change is used by every process."""
     rows = []
     with run_cell(CellPlan(2, 6, schedulers=3, frontends=3)) as cell:
         cell.start_serving()
--- a/benchmarks/components.py
+++ b/benchmarks/components.py
@@ -135,7 +135,7 @@
 
 @register_measurement('sync of one worker')
 def measure_sync() -> Table:
-    """Measure sizes of a sync, and the time that the worker encodes it in."""
+    """Measure sizes of a sync, and the worker's decoding and encoding time."""
     head_bytes = anyio.run(measure_request_head)
     rows = []
     for tasks in TASK_COUNTS:
@@ -240,16 +240,16 @@
     """Measure the size and decoding time of the platform's host list."""
     rows = []
     for hosts in CONFIGURATION_SIZES:
-        listed = encode(
+        encoded_hosts = encode(
             [
                 HostStatus(host.name, False)
                 for host in make_configuration(hosts).hosts
             ]
         )
         decode_us = time_call(
-            partial(decode, listed, type=tuple[HostStatus, ...]), 20
+            partial(decode, encoded_hosts, type=tuple[HostStatus, ...]), 20
         )
-        rows.append((hosts, len(listed), decode_us / 1000))
+        rows.append((hosts, len(encoded_hosts), decode_us / 1000))
     return Table(
         "The platform's list of hosts, read by each scheduler every second",
         ('hosts', 'bytes', 'decode ms'),
@@ -615,9 +615,9 @@
     list_ms = _measure_median_ms(
         lambda: tuple(list_snapshot_records(driver.state)), 1
     )
-    listed = tuple(list_snapshot_records(driver.state))
-    snapshot = encode_records(listed)
-    encode_ms = _measure_median_ms(lambda: encode_records(listed), 1)
+    snapshot_records = tuple(list_snapshot_records(driver.state))
+    snapshot = encode_records(snapshot_records)
+    encode_ms = _measure_median_ms(lambda: encode_records(snapshot_records), 1)
     second_driver = ShardDriver(300)
     tracemalloc.start()
     replay_records(second_driver.state, decode_records(data))
@@ -729,11 +729,11 @@
         if is_separate:
             group.start_soon(send_separately)
         before = server.counts
-        started_at, started = perf_counter(), process_time()
+        started, processor_started = perf_counter(), process_time()
         await anyio.sleep(LINK_WINDOW_S)
         processor_s, elapsed_s = (
-            process_time() - started,
-            perf_counter() - started_at,
+            process_time() - processor_started,
+            perf_counter() - started,
         )
         after = server.counts
         group.cancel_scope.cancel()
--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -103,7 +103,10 @@
             'p50 to scan',
         ),
         tuple(rows),
-        ('Medians over 5 seeds. The scan weighs fit and domain only.',),
+        (
+            'Medians over 5 seeds. The scan weighs only the fit and the '
+            'failure domain.',
+        ),
     )
 
 
--- a/benchmarks/simulation.py
+++ b/benchmarks/simulation.py
@@ -39,8 +39,8 @@
     from benchmarks.workloads import Workload
     from sassafrasgate.core.jobs import JobSpec
 
-# Jobs that arrive earlier count neither for waits nor for the busy share, as
-# the hosts are still filling up.
+# The start of a run, in which the hosts fill up, is excluded from waits, from
+# the busy share and from packing.
 WARM_UP_MS = 15_000
 # Delay of a scheduling pass when several jobs are queued, so that one pass
 # handles all events of this interval.
@@ -65,8 +65,8 @@
     has_quarantine : bool
         Whether hosts with failing tasks are quarantined.
     has_shedding : bool
-        Whether jobs with an expected wait beyond their deadline are refused
-        on arrival.
+        Whether a job is refused on arrival if it doesn't fit at once and its
+        expected wait exceeds its deadline.
     """
 
     name: str
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -42,7 +42,7 @@
     """Return the processor time and resident memory of a process."""
     stat = Path(f'/proc/{pid}/stat').read_text()
     # The program name in parentheses may contain spaces. Fields 14 and 15 of
-    # the file, utime and stime, are at 11 and 12 after the name.
+    # the file, utime and stime, are at indices 11 and 12 after the name.
     fields = stat.rpartition(')')[2].split()
     ticks = int(fields[11]) + int(fields[12])
     status = Path(f'/proc/{pid}/status').read_text()
--- a/benchmarks/workloads.py
+++ b/benchmarks/workloads.py
@@ -27,7 +27,7 @@
     Parameters
     ----------
     share : float
-        Relative share of the offered work, where the work of a task is its
+        Fraction of the offered work, where the work of a task is its
         run time times the largest share of a host's resource that it takes.
     run_s : float
         Mean run time in seconds.
