Match the present text of the rule violation in the soak's own test

Cause: test_soak_notices_a_missing_guard looked for ' and [' in the text of a rule violation; the text now reads 'TASK started on WORKER while present on [...]', so the test failed. Change: the test looks for ' while present on ['. Only this violation has the text, so the test checks as much as before.

--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -64,7 +64,7 @@
     # Guards against a soak that passes whatever the product does.
     account = run(tmp_path, 5, ('cut-worker',), program='tests.soak.unguarded')
 
-    assert any(' and [' in line for line in account.broken)
+    assert any(' while present on [' in line for line in account.broken)
 
 
 def test_unknown_fault_is_reported(capsys):
