Name faults, reports and checks of the soak tests in usual terms

Cause: a newcomer could not tell what names such as Trouble, Account, hand_in, look and broken stand for. Change: network faults, soak reports, violations, polls and submissions of jobs are named so; comments, docstrings and printed lines say what is checked and why. Options, names of faults and random draws are unchanged.

--- a/tests/soak/__init__.py
+++ b/tests/soak/__init__.py
@@ -1,1 +1,1 @@
-"""A soak: real processes under random faults, and the promises checked."""
+"""Soak tests: check the guarantees of real processes under random faults."""
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -1,4 +1,4 @@
-"""Callers that hand jobs in, look at them, and remember what they heard."""
+"""Callers that submit jobs, poll their states and record the responses."""
 
 from __future__ import annotations
 
@@ -12,35 +12,36 @@
 from aiohttp import ClientTimeout
 import anyio
 
-from tests.soak.cells import HOST
 from tests.soak.cells import QUEUES
+from tests.soak.cells import ROUTE_HOST
 
 if TYPE_CHECKING:
     from random import Random
 
     from tests.soak.cells import Cell
 
-DEADLINE_S = 3.0
-TRIES = 5
-LOOK_S = 0.7
-REFUSED = frozenset({429, 503})
-FINAL = frozenset({'completed', 'failed', 'cancelled'})
-CANCEL_SHARE = 0.08
-TWICE_SHARE = 0.15
+REQUEST_TIMEOUT_S = 3.0
+MAX_ATTEMPTS = 5
+POLL_INTERVAL_S = 0.7
+REFUSED_STATUSES = frozenset({429, 503})
+FINAL_STATES = frozenset({'completed', 'failed', 'cancelled'})
+CANCELLED_SHARE = 0.08
+RESUBMITTED_SHARE = 0.15
 
 
 @dataclass(slots=True)
 class Job:
-    """One job, as its caller knows it.
+    """A job with the responses that its caller received.
 
     Parameters
     ----------
     unknown : bool
-        Whether a try got no answer, so that the job may be accepted.
+        Whether an attempt to submit the job ended without a definite
+        response, so that the job may have been accepted.
     states : list of str
-        All answers to looks, in order.
-    faults : list of str
-        Answers that break a promise.
+        The states that polls returned, in order.
+    violations : list of str
+        Responses that violate a guarantee, with the evidence.
     """
 
     job_id: str
@@ -50,17 +51,17 @@
     unknown: bool = False
     cancelled: bool = False
     states: list[str] = field(default_factory=list)
-    faults: list[str] = field(default_factory=list)
+    violations: list[str] = field(default_factory=list)
 
     @property
     def refused(self) -> bool:
-        """Whether every try was told that the job never runs."""
+        """Whether every attempt was refused, so that the job never runs."""
         return not self.accepted and not self.unknown
 
     @property
-    def is_over(self) -> bool:
-        """Whether a final state was shown."""
-        return bool(self.states) and self.states[-1] in FINAL
+    def has_ended(self) -> bool:
+        """Whether a poll returned a final state."""
+        return bool(self.states) and self.states[-1] in FINAL_STATES
 
     def list_tasks(self) -> list[str]:
         """Return the ids of all tasks."""
@@ -70,11 +71,11 @@
             for index in range(int(str(step['count'])))
         ]
 
-    def note_state(self, state: str) -> None:
-        """Take the answer to a look."""
-        last = self.states[-1] if self.states else ''
-        if last in FINAL and state != last:
-            self.faults.append(f'{self.job_id}: {state} after {last}')
+    def record_state(self, state: str) -> None:
+        """Record a polled state; a final state must never change."""
+        previous = self.states[-1] if self.states else ''
+        if previous in FINAL_STATES and state != previous:
+            self.violations.append(f'{self.job_id}: {state} after {previous}')
         self.states.append(state)
 
 
@@ -84,16 +85,17 @@
     Parameters
     ----------
     cell : Cell
-        Where the entry hosts are.
+        The cell with the entry hosts.
     random : Random
-        Decides on jobs, hosts and cancellations.
+        Source for the choice of jobs, entry hosts and cancellations.
     """
 
     def __init__(self, cell: Cell, random: Random) -> None:
         self._cell = cell
         self._random = random
         self._session = ClientSession(
-            timeout=ClientTimeout(total=DEADLINE_S), headers={'Host': HOST}
+            timeout=ClientTimeout(total=REQUEST_TIMEOUT_S),
+            headers={'Host': ROUTE_HOST},
         )
         self.jobs: list[Job] = []
 
@@ -101,13 +103,21 @@
         """Close the callers' connections."""
         await self._session.close()
 
-    async def hand_in(self, per_s: float, seconds: float) -> None:
-        """Hand jobs in for some time, then return."""
+    async def submit_jobs(self, jobs_per_s: float, seconds: float) -> None:
+        """Submit jobs for some time and wait until their submission ends.
+
+        Parameters
+        ----------
+        jobs_per_s : float
+            Mean number of jobs per second.
+        seconds : float
+            Time during which new jobs are submitted.
+        """
         async with anyio.create_task_group() as group:
             with anyio.move_on_after(seconds):
                 while True:
-                    group.start_soon(self._serve_job, self._make_job())
-                    await anyio.sleep(self._random.expovariate(per_s))
+                    group.start_soon(self._run_caller, self._make_job())
+                    await anyio.sleep(self._random.expovariate(jobs_per_s))
 
     def _make_job(self) -> Job:
         random = self._random
@@ -130,64 +140,70 @@
         self.jobs.append(job)
         return job
 
-    async def _serve_job(self, job: Job) -> None:
+    async def _run_caller(self, job: Job) -> None:
         await self._submit(job)
         if not job.accepted:
             return
-        if self._random.random() < TWICE_SHARE:
+        if self._random.random() < RESUBMITTED_SHARE:
             await anyio.sleep(self._random.uniform(0, 3))
             await self._submit(job)
-        if self._random.random() < CANCEL_SHARE:
+        if self._random.random() < CANCELLED_SHARE:
             await self._cancel(job)
 
     async def _submit(self, job: Job) -> None:
         body = dumps({'spec': dumps(job.steps), 'steps': job.steps})
-        for _ in range(TRIES):
+        for _ in range(MAX_ATTEMPTS):
             status, _ = await self._call('POST', job, body)
             if status == 200:
                 job.accepted = True
                 return
-            if status not in REFUSED:
+            if status not in REFUSED_STATUSES:
                 job.unknown = True
             await anyio.sleep(self._random.uniform(0.1, 0.6))
 
     async def _cancel(self, job: Job) -> None:
-        for _ in range(TRIES):
+        for _ in range(MAX_ATTEMPTS):
             status, state = await self._call('DELETE', job)
             if status == 200:
                 job.cancelled = state == 'cancelled'
                 return
             if status == 410:
-                job.faults.append(f'{job.job_id}: 410 to a cancellation')
+                job.violations.append(
+                    f'{job.job_id}: status 410 to a cancellation'
+                )
                 return
             await anyio.sleep(0.3)
 
-    async def look(self, job: Job) -> None:
-        """Ask for a job's state once, at any host."""
+    async def poll(self, job: Job) -> None:
+        """Ask a random entry host once for a job's state."""
         status, state = await self._call('GET', job)
         if status == 200:
-            job.note_state(state)
+            job.record_state(state)
         if status == 410 and job.accepted:
-            job.faults.append(f'{job.job_id}: 410 though it was accepted')
+            job.violations.append(
+                f'{job.job_id}: status 410 for an accepted job'
+            )
 
-    async def watch(self) -> None:
-        """Look at open jobs now and then, until cancelled."""
+    async def poll_until_cancelled(self) -> None:
+        """Poll the open jobs at a fixed interval, until cancelled."""
         while True:
-            await anyio.sleep(LOOK_S)
-            await self.look_at_open()
+            await anyio.sleep(POLL_INTERVAL_S)
+            await self.poll_open_jobs()
 
-    async def look_at_open(self) -> int:
-        """Look at every open job; return how many are left."""
-        left = [job for job in self.jobs if job.accepted and not job.is_over]
+    async def poll_open_jobs(self) -> int:
+        """Poll every open job; return how many are still open."""
+        open_jobs = [
+            job for job in self.jobs if job.accepted and not job.has_ended
+        ]
         async with anyio.create_task_group() as group:
-            for job in left:
-                group.start_soon(self.look, job)
-        return sum(1 for job in left if not job.is_over)
+            for job in open_jobs:
+                group.start_soon(self.poll, job)
+        return sum(1 for job in open_jobs if not job.has_ended)
 
     async def _call(
         self, method: str, job: Job, body: str | None = None
     ) -> tuple[int, str]:
-        """Make one call; the status is 0 when there was no answer."""
+        """Make one call; the status is 0 when there was no valid response."""
         entry = self._random.choice(list(self._cell.entries.values()))
         url = f'http://{entry.caller_proxy.address}/{job.queue}/{job.job_id}'
         try:
--- a/tests/soak/cells.py
+++ b/tests/soak/cells.py
@@ -1,4 +1,4 @@
-"""The processes of one soak: entry hosts, a store and workers."""
+"""The processes of one soak test: entry hosts, a store and workers."""
 
 from __future__ import annotations
 
@@ -27,18 +27,27 @@
     from anyio.abc import TaskGroup
 
 
-START_S = 30.0
-POLL_S = 0.05
-RESTART_S = 0.3
+START_TIMEOUT_S = 30.0
+POLL_INTERVAL_S = 0.05
+RESTART_DELAY_S = 0.3
 QUEUES = ('plain', 'advised')
-HOST = 'soak.example'
-STOP_S = 6.0
+ROUTE_HOST = 'soak.example'
+STOP_TIMEOUT_S = 6.0
 PROGRAM = 'sassafrasgate'
 
 
 @dataclass(slots=True)
-class Entry:
-    """One entry host with its proxies."""
+class EntryHost:
+    """An entry host with its process and proxies.
+
+    Parameters
+    ----------
+    restarting : bool
+        Set from a kill or a stop of the process until the next one starts.
+    suspend_count : int
+        Number of faults that keep the process suspended; a suspended
+        process cannot stop.
+    """
 
     name: str
     settings: Path
@@ -47,24 +56,23 @@
     store_proxy: Proxy
     caller_proxy: Proxy
     process: ManagedProcess
-    ending: bool = False
-    # Faults that hold the process; it can't stop meanwhile.
-    freezes: int = 0
+    restarting: bool = False
+    suspend_count: int = 0
 
 
 class Cell:
-    """Everything that a soak runs.
+    """All processes and proxies of a soak test.
 
     Parameters
     ----------
     directory : Path
-        Gets settings and logs.
+        Directory for settings and logs.
     processes : Processes
-        Ends what it has started, by their ids.
+        Starts the processes and ends them.
     group : TaskGroup
-        Where the proxies run.
+        Task group in which the proxies run.
     program : str
-        Module that the entry hosts run.
+        Module that the processes of the entry hosts run.
     """
 
     def __init__(
@@ -75,16 +83,16 @@
         program: str = PROGRAM,
     ) -> None:
         self.directory = directory
-        self.entries: dict[str, Entry] = {}
+        self.entries: dict[str, EntryHost] = {}
         self.worker_proxies: dict[str, Proxy] = {}
-        self.exits: list[str] = []
+        self.unexpected_exits: list[str] = []
         self._processes = processes
         self._group = group
         self._program = program
         self._version = 0
         self._session = ClientSession(timeout=ClientTimeout(total=5.0))
-        self._store = find_free_address()
-        self._control = find_free_address()
+        self._store_address = find_free_address()
+        self._control_address = find_free_address()
         self.store_process: ManagedProcess
 
     async def start(self, entries: int, workers: int) -> None:
@@ -93,7 +101,7 @@
             'store',
             'tests.standins.platform_store',
             '--address',
-            self._store,
+            self._store_address,
         )
         self.store_process.wait_for_log('serving')
         await self.change_configuration()
@@ -116,15 +124,15 @@
             'workers',
             'tests.standins.platform_workers',
             '--control',
-            self._control,
+            self._control_address,
             '--store',
-            self._store,
+            self._store_address,
             *arguments,
         )
         process.wait_for_log('serving')
 
     async def _start_entry(self, name: str) -> None:
-        store_proxy = Proxy(find_loopback(), self._store)
+        store_proxy = Proxy(find_loopback(), self._store_address)
         await self._group.start(store_proxy.run)
         caller_address = find_free_address()
         caller_proxy = Proxy(find_loopback(), caller_address)
@@ -137,14 +145,14 @@
             'metrics_address': find_free_address(),
             'link_address': find_free_address(),
             'store_address': store_proxy.address,
-            'advice_address': self._control,
+            'advice_address': self._control_address,
             'owner_ttl_s': 1.0,
             'outage_grace_s': 4.0,
-            'stop_s': STOP_S,
+            'stop_s': STOP_TIMEOUT_S,
         }
         path = self.directory / f'{name}.yaml'
         path.write_text(safe_dump(settings))
-        self.entries[name] = Entry(
+        self.entries[name] = EntryHost(
             name,
             path,
             caller_address,
@@ -159,12 +167,12 @@
             name, self._program, 'serve', 'entry', '--settings', str(path)
         )
 
-    async def _wait_until_ready(self, entry: Entry) -> None:
-        with anyio.fail_after(START_S):
+    async def _wait_until_ready(self, entry: EntryHost) -> None:
+        with anyio.fail_after(START_TIMEOUT_S):
             while not await self._is_ready(entry):
-                await anyio.sleep(POLL_S)
+                await anyio.sleep(POLL_INTERVAL_S)
 
-    async def _is_ready(self, entry: Entry) -> bool:
+    async def _is_ready(self, entry: EntryHost) -> bool:
         url = f'http://{entry.ready_address}/api/readyz'
         try:
             async with self._session.get(url) as response:
@@ -173,12 +181,12 @@
             return False
 
     async def change_configuration(self) -> None:
-        """Write a newer configuration, as an operator does."""
+        """Write a configuration with a higher version, as operators do."""
         self._version += 3
         routes = [
             {
                 'name': queue,
-                'host': HOST,
+                'host': ROUTE_HOST,
                 'prefix': f'/{queue}/',
                 'kind': 'non_idempotent',
                 'timeoutMs': 3000 + self._version,
@@ -198,67 +206,78 @@
             'limits': {},
         }
         body = {'key': 'op/config', 'value': value}
-        url = f'http://{self._store}/control/put'
+        url = f'http://{self._store_address}/control/put'
         async with self._session.post(url, json=body) as response:
             response.raise_for_status()
 
-    async def change_worker(self, name: str, kind: str, **fault: Any) -> None:
-        """Let a worker misbehave; see `tests.standins.platform_workers`."""
-        url = f'http://{self._control}/control/fault'
+    async def set_worker_fault(
+        self, name: str, kind: str, **fault: Any
+    ) -> None:
+        """Set a fault of a worker; see `tests.standins.platform_workers`."""
+        url = f'http://{self._control_address}/control/fault'
         body = {'worker': name, 'kind': kind, **fault}
         async with self._session.post(url, json=body) as response:
             response.raise_for_status()
 
     async def read_record(self) -> dict[str, Any]:
-        """Return what the workers have seen."""
-        url = f'http://{self._control}/control/record'
+        """Return the tasks and rule violations that the workers recorded."""
+        url = f'http://{self._control_address}/control/record'
         async with self._session.get(url) as response:
             found: dict[str, Any] = await response.json()
             return found
 
-    async def kill(self, entry: Entry) -> None:
-        """Kill an entry host's process; the platform starts it again."""
-        if entry.ending:
+    async def kill(self, entry: EntryHost) -> None:
+        """Kill an entry host's process and restart it like the platform."""
+        if entry.restarting:
             return
-        entry.ending = True
+        entry.restarting = True
         entry.process.resume()
         await anyio.to_thread.run_sync(entry.process.kill)
         await self._restart(entry)
 
-    async def stop(self, entry: Entry) -> None:
-        """Stop an entry host's process as planned work does."""
-        if entry.ending:
+    async def stop(self, entry: EntryHost) -> None:
+        """Stop an entry host's process as for maintenance, and restart it."""
+        if entry.restarting:
             return
-        entry.ending = True
+        entry.restarting = True
         entry.process.send_signal(SIGTERM)
-        left_s = STOP_S
-        while entry.process.alive and left_s > 0:
-            await anyio.sleep(POLL_S)
-            # A process that was frozen has its whole time afterwards.
-            left_s = STOP_S if entry.freezes else left_s - POLL_S
+        remaining_s = STOP_TIMEOUT_S
+        while entry.process.alive and remaining_s > 0:
+            await anyio.sleep(POLL_INTERVAL_S)
+            # The time during which a process is suspended does not count
+            # towards its grace period.
+            remaining_s = (
+                STOP_TIMEOUT_S
+                if entry.suspend_count
+                else remaining_s - POLL_INTERVAL_S
+            )
         if entry.process.alive:
-            self.exits.append(f'{entry.name} outlived its grace')
+            self.unexpected_exits.append(
+                f'{entry.name} did not stop within its grace period'
+            )
             await anyio.to_thread.run_sync(entry.process.kill)
         await self._restart(entry)
 
-    async def _restart(self, entry: Entry) -> None:
-        await anyio.sleep(RESTART_S)
+    async def _restart(self, entry: EntryHost) -> None:
+        await anyio.sleep(RESTART_DELAY_S)
         entry.process = self._run_entry(entry.name, entry.settings)
-        entry.ending = False
+        entry.restarting = False
 
-    async def watch(self) -> None:
-        """Note processes that end by themselves, and start them again."""
+    async def restart_ended_processes(self) -> None:
+        """Record and restart processes that end unexpectedly."""
         while True:
-            await anyio.sleep(POLL_S)
+            await anyio.sleep(POLL_INTERVAL_S)
             for entry in self.entries.values():
-                if entry.ending or entry.process.alive:
+                if entry.restarting or entry.process.alive:
                     continue
-                self.exits.append(f'{entry.name} ended by itself')
-                entry.ending = True
+                self.unexpected_exits.append(
+                    f'{entry.name} ended unexpectedly'
+                )
+                entry.restarting = True
                 await self._restart(entry)
 
     async def close(self) -> None:
-        """Close the soak's own connections."""
+        """Close the connections to the stand-ins."""
         await self._session.close()
 
 
@@ -266,7 +285,7 @@
 async def open_cell(
     directory: Path, entries: int, workers: int, program: str = PROGRAM
 ) -> AsyncIterator[Cell]:
-    """Run a cell of real processes; all of them end with the context."""
+    """Run a cell of real processes, all of which end with the context."""
     with Processes(directory) as processes:
         async with anyio.create_task_group() as group:
             cell = Cell(directory, processes, group, program)
--- a/tests/soak/proxies.py
+++ b/tests/soak/proxies.py
@@ -1,4 +1,4 @@
-"""Loopback TCP proxies that misbehave on request."""
+"""TCP proxies on loopback addresses that inject network faults."""
 
 from __future__ import annotations
 
@@ -16,26 +16,26 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Trouble:
-    """What a proxy does to the bytes of its connections.
+class NetworkFault:
+    """A network fault that a proxy applies to its connections.
 
     Parameters
     ----------
     delay_s : float
-        Time before bytes are passed on.
-    cut_up, cut_down : bool
-        Whether bytes to, and from, the target are lost.
+        Time in seconds before bytes are forwarded.
+    drop_to_target, drop_from_target : bool
+        Whether bytes to, and from, the target are dropped.
     refuse : bool
         Whether new connections are closed at once.
     """
 
     delay_s: float = 0.0
-    cut_up: bool = False
-    cut_down: bool = False
+    drop_to_target: bool = False
+    drop_from_target: bool = False
     refuse: bool = False
 
 
-CALM = Trouble()
+NO_FAULT = NetworkFault()
 
 
 class Proxy:
@@ -44,7 +44,7 @@
     Parameters
     ----------
     ip : str
-        Where it listens.
+        IP number that the proxy listens on.
     target : str
         IP number and port to connect to.
     """
@@ -52,9 +52,9 @@
     def __init__(self, ip: str, target: str) -> None:
         self._ip = ip
         self._target = target
-        self._open: set[SocketStream] = set()
-        self._silent: set[SocketStream] = set()
-        self.trouble = CALM
+        self._open_streams: set[SocketStream] = set()
+        self._silenced_streams: set[SocketStream] = set()
+        self.fault = NO_FAULT
         self.address = ''
 
     async def run(
@@ -73,34 +73,39 @@
             await listener.serve(self._forward)
 
     def silence(self) -> None:
-        """Pass nothing more on over the connections opened so far."""
-        self._silent.update(self._open)
+        """Drop all further bytes on the connections that are open now."""
+        self._silenced_streams.update(self._open_streams)
 
     async def reset(self) -> None:
         """Close all open connections."""
-        for stream in list(self._open):
+        for stream in list(self._open_streams):
             await anyio.aclose_forcefully(stream)
 
-    async def _forward(self, near: SocketStream) -> None:
-        if self.trouble.refuse:
-            await anyio.aclose_forcefully(near)
+    async def _forward(self, client: SocketStream) -> None:
+        if self.fault.refuse:
+            await anyio.aclose_forcefully(client)
             return
         host, _, port = self._target.rpartition(':')
-        # Either end may go away at any moment.
+        # Either end may close the connection at any time.
         with suppress(OSError):
-            async with near, await anyio.connect_tcp(host, int(port)) as far:
-                self._open.update((near, far))
+            async with (
+                client,
+                await anyio.connect_tcp(host, int(port)) as upstream,
+            ):
+                self._open_streams.update((client, upstream))
                 async with anyio.create_task_group() as group:
-                    group.start_soon(self._copy, near, far, True, group)
-                    group.start_soon(self._copy, far, near, False, group)
-                self._open.difference_update((near, far))
-                self._silent.difference_update((near, far))
+                    group.start_soon(self._copy, client, upstream, True, group)
+                    group.start_soon(
+                        self._copy, upstream, client, False, group
+                    )
+                self._open_streams.difference_update((client, upstream))
+                self._silenced_streams.difference_update((client, upstream))
 
     async def _copy(
         self,
         source: SocketStream,
         sink: SocketStream,
-        up: bool,
+        to_target: bool,
         group: anyio.abc.TaskGroup,
     ) -> None:
         with suppress(
@@ -110,10 +115,14 @@
         ):
             while True:
                 data = await source.receive(CHUNK_BYTES)
-                trouble = self.trouble
-                if trouble.delay_s:
-                    await anyio.sleep(trouble.delay_s)
-                lost = trouble.cut_up if up else trouble.cut_down
-                if not lost and source not in self._silent:
+                fault = self.fault
+                if fault.delay_s:
+                    await anyio.sleep(fault.delay_s)
+                dropped = (
+                    fault.drop_to_target
+                    if to_target
+                    else fault.drop_from_target
+                )
+                if not dropped and source not in self._silenced_streams:
                     await sink.send(data)
         group.cancel_scope.cancel()
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -1,7 +1,8 @@
-"""Runs a soak: real processes, random faults, and checks of the promises.
+"""Soak test of real processes under random faults.
 
-``python -m tests.soak.run --seed 7 --seconds 60`` prints an account and ends
-with status 1 when a promise was broken. Logs stay in the given directory.
+``python -m tests.soak.run --seed 7 --seconds 60`` prints a report and ends
+with status 1 when a guarantee was violated. Logs stay in the directory that
+``--directory`` names.
 """
 
 from __future__ import annotations
@@ -25,20 +26,24 @@
     from tests.soak.callers import Job
     from tests.soak.cells import Cell
 
-SETTLE_S = 40.0
-LOOK_S = 0.5
-# Faults begin at this pace, so that several overlap.
-FAULT_GAP_S = 1.0
+SETTLE_TIMEOUT_S = 40.0
+POLL_INTERVAL_S = 0.5
+# Short enough for several faults to overlap.
+MEAN_FAULT_INTERVAL_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
-class Account:
-    """What a soak has seen.
+class SoakReport:
+    """The jobs, faults and guarantee violations of a soak test.
 
     Parameters
     ----------
-    broken : tuple of str
-        Promises that were broken, with the evidence.
+    jobs, accepted, refused, completed, failed, cancelled : int
+        Number of jobs, in total and by their end.
+    faults : tuple of str
+        Injected faults with their times.
+    violations : tuple of str
+        Guarantees that were violated, with the evidence.
     """
 
     jobs: int
@@ -48,7 +53,7 @@
     failed: int
     cancelled: int
     faults: tuple[str, ...]
-    broken: tuple[str, ...]
+    violations: tuple[str, ...]
 
 
 async def run_soak(
@@ -58,106 +63,113 @@
     entries: int = 3,
     workers: int = 5,
     per_s: float = 4.0,
-    kinds: tuple[str, ...] = (),
+    fault_names: tuple[str, ...] = (),
     program: str = PROGRAM,
-) -> Account:
-    """Run a cell under faults for some time, then let it settle.
+) -> SoakReport:
+    """Run a cell under faults, then wait until its jobs have ended.
 
     Parameters
     ----------
     directory : Path
-        Gets settings and logs.
+        Directory for settings and logs.
     seed : int
-        Decides on jobs and faults; times depend on the machine as well.
+        Seed for jobs and faults; times depend on the machine as well.
     seconds : float
-        How long jobs are handed in and faults begin.
+        Time during which jobs are submitted and faults are injected.
     entries, workers : int
-        Size of the cell.
+        Number of entry hosts and of workers.
     per_s : float
-        Jobs a second.
-    kinds : tuple of str
-        Faults to draw from; all by default.
+        Mean number of jobs per second.
+    fault_names : tuple of str
+        Names of the faults to draw from; all by default.
     program : str
-        Module that the entry hosts run.
+        Module that the processes of the entry hosts run.
     """
     random = Random(seed)
     injected: list[str] = []
     async with open_cell(directory, entries, workers, program) as cell:
         callers = Callers(cell, Random(seed))
         async with anyio.create_task_group() as group:
-            group.start_soon(cell.watch)
-            group.start_soon(callers.watch)
+            group.start_soon(cell.restart_ended_processes)
+            group.start_soon(callers.poll_until_cancelled)
             async with anyio.create_task_group() as work:
-                work.start_soon(callers.hand_in, per_s, seconds)
+                work.start_soon(callers.submit_jobs, per_s, seconds)
                 work.start_soon(
-                    _inject, cell, random, seconds, kinds, injected
+                    _inject_faults,
+                    cell,
+                    random,
+                    seconds,
+                    fault_names,
+                    injected,
                 )
-            broken = await _settle(cell, callers)
+            violations = await _wait_until_jobs_end(cell, callers)
             group.cancel_scope.cancel()
-        broken += await _check(cell, callers)
+        violations += await _check_guarantees(cell, callers)
         await callers.close()
-    return _make_account(callers.jobs, injected, broken)
+    return _make_report(callers.jobs, injected, violations)
 
 
-async def _inject(
+async def _inject_faults(
     cell: Cell,
     random: Random,
     seconds: float,
-    kinds: tuple[str, ...],
+    fault_names: tuple[str, ...],
     injected: list[str],
 ) -> None:
-    """Begin faults at random moments; they may overlap."""
-    names = sorted(kinds or FAULTS)
-    began = anyio.current_time()
+    """Inject faults at random times; they may overlap."""
+    names = sorted(fault_names or FAULTS)
+    started_at_s = anyio.current_time()
     async with anyio.create_task_group() as group:
-        while anyio.current_time() - began < seconds:
-            await anyio.sleep(random.expovariate(1 / FAULT_GAP_S))
+        while anyio.current_time() - started_at_s < seconds:
+            await anyio.sleep(random.expovariate(1 / MEAN_FAULT_INTERVAL_S))
             name = random.choice(names)
-            at = anyio.current_time() - began
-            injected.append(f'{at:.1f} s {name}')
+            injected_at_s = anyio.current_time() - started_at_s
+            injected.append(f'{injected_at_s:.1f} s {name}')
             group.start_soon(FAULTS.find(name), cell, Random(random.random()))
 
 
-async def _settle(cell: Cell, callers: Callers) -> list[str]:
-    """Wait until every accepted job has ended."""
-    until = anyio.current_time() + SETTLE_S
-    while await callers.look_at_open():
+async def _wait_until_jobs_end(cell: Cell, callers: Callers) -> list[str]:
+    """Wait until every accepted job has ended; return those that have not."""
+    until = anyio.current_time() + SETTLE_TIMEOUT_S
+    while await callers.poll_open_jobs():
         if anyio.current_time() > until:
             return [
                 f'{job.job_id} has not ended: {job.states[-1:]}'
                 for job in callers.jobs
-                if job.accepted and not job.is_over
+                if job.accepted and not job.has_ended
             ]
-        await anyio.sleep(LOOK_S)
+        await anyio.sleep(POLL_INTERVAL_S)
     return []
 
 
-async def _check(cell: Cell, callers: Callers) -> list[str]:
-    """Return the promises that were broken."""
+async def _check_guarantees(cell: Cell, callers: Callers) -> list[str]:
+    """Return the guarantees that were violated, with the evidence."""
     record = await cell.read_record()
     started = {task.split('.', 1)[0] for task in record['started']}
     finished = set(record['finished'])
-    broken = [*record['violations'], *cell.exits]
+    violations = [*record['violations'], *cell.unexpected_exits]
     for job in callers.jobs:
-        broken.extend(job.faults)
+        violations.extend(job.violations)
         if job.refused and job.job_id in started:
-            broken.append(f'{job.job_id} was refused and has started')
+            violations.append(f'{job.job_id} was refused but has started')
         if job.states[-1:] == ['completed']:
-            broken.extend(
-                f'{task} has not finished though its job has completed'
+            violations.extend(
+                f'{task} has not finished, but its job has completed'
                 for task in job.list_tasks()
                 if task not in finished
             )
         if job.cancelled and job.states[-1:] not in ([], ['cancelled']):
-            broken.append(f'{job.job_id} was cancelled: {job.states[-1]}')
-    return broken
+            violations.append(
+                f'{job.job_id} was cancelled, but is {job.states[-1]}'
+            )
+    return violations
 
 
-def _make_account(
-    jobs: list[Job], injected: list[str], broken: list[str]
-) -> Account:
-    ends = [job.states[-1] for job in jobs if job.is_over]
-    return Account(
+def _make_report(
+    jobs: list[Job], injected: list[str], violations: list[str]
+) -> SoakReport:
+    ends = [job.states[-1] for job in jobs if job.has_ended]
+    return SoakReport(
         len(jobs),
         sum(job.accepted for job in jobs),
         sum(job.refused for job in jobs),
@@ -165,31 +177,31 @@
         ends.count('failed'),
         ends.count('cancelled'),
         tuple(injected),
-        tuple(broken),
+        tuple(violations),
     )
 
 
-def print_account(seed: int, account: Account, directory: Path) -> None:
-    """Print what a soak has seen."""
+def print_report(seed: int, report: SoakReport, directory: Path) -> None:
+    """Print the report of a soak test."""
     print(
-        f'seed {seed}: {account.jobs} jobs, {account.accepted} accepted, '
-        f'{account.refused} refused; {account.completed} completed, '
-        f'{account.failed} failed, {account.cancelled} cancelled; '
-        f'{len(account.faults)} faults; {len(account.broken)} broken',
+        f'seed {seed}: {report.jobs} jobs, {report.accepted} accepted, '
+        f'{report.refused} refused; {report.completed} completed, '
+        f'{report.failed} failed, {report.cancelled} cancelled; '
+        f'{len(report.faults)} faults; {len(report.violations)} violations',
         flush=True,
     )
-    for line in account.broken:
-        print(f'  broken: {line}')
-    if account.broken:
-        print(f'  faults: {"; ".join(account.faults)}')
+    for line in report.violations:
+        print(f'  violation: {line}')
+    if report.violations:
+        print(f'  faults: {"; ".join(report.faults)}')
         print(f'  logs: {directory}')
 
 
-def main(arguments_given: list[str] | None = None) -> int:
-    """Read the arguments, run the seeds, and return the exit status."""
+def main(argv: list[str] | None = None) -> int:
+    """Parse the arguments, run the seeds and return the exit status."""
     parser = ArgumentParser(description=__doc__)
     parser.add_argument('--seed', type=int, default=1, help='first seed')
-    parser.add_argument('--seeds', type=int, default=1, help='how many')
+    parser.add_argument('--seeds', type=int, default=1, help='number of seeds')
     parser.add_argument('--seconds', type=float, default=30.0)
     parser.add_argument('--entries', type=int, default=3)
     parser.add_argument('--workers', type=int, default=5)
@@ -199,16 +211,16 @@
         action='append',
         default=[],
         choices=sorted(FAULTS),
-        help='a fault to draw from; may be given again; all by default',
+        help='a fault to draw from; repeatable; all by default',
     )
     parser.add_argument('--directory', type=Path)
-    arguments = parser.parse_args(arguments_given)
+    arguments = parser.parse_args(argv)
     root = arguments.directory or Path(mkdtemp(prefix='soak-'))
     status = 0
     for seed in range(arguments.seed, arguments.seed + arguments.seeds):
         directory = root / f'seed-{seed}'
         directory.mkdir(parents=True, exist_ok=True)
-        account = anyio.run(
+        report = anyio.run(
             run_soak,
             directory,
             seed,
@@ -218,8 +230,8 @@
             arguments.per_s,
             tuple(arguments.fault),
         )
-        print_account(seed, account, directory)
-        status = 1 if account.broken else status
+        print_report(seed, report, directory)
+        status = 1 if report.violations else status
     return status
 
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,6 +1,6 @@
-"""Short soaks of real processes under faults.
+"""Short soak tests of real processes under faults.
 
-Longer ones run by hand: ``make soak``.
+``make soak`` runs longer ones.
 """
 
 from pathlib import Path
@@ -10,17 +10,17 @@
 
 from tests.soak.cells import PROGRAM
 from tests.soak.faults import FAULTS
-from tests.soak.run import Account
 from tests.soak.run import main
 from tests.soak.run import run_soak
+from tests.soak.run import SoakReport
 
-SECONDS = 8.0
-# Seeds that have failed, with the fault behind it and the cause.
+DURATION_S = 8.0
+# Seeds that have failed, with the injected fault and the cause.
 REGRESSIONS = {
     2026120403: (
         'restart-worker',
-        'a start that reached the new life of a restarted worker was taken '
-        'for lost and repeated elsewhere',
+        'a start that reached the new incarnation of a restarted worker was '
+        'treated as lost and repeated on another worker',
     ),
 }
 
@@ -28,47 +28,53 @@
 def run(
     directory: Path,
     seed: int,
-    kinds: tuple[str, ...] = (),
+    fault_names: tuple[str, ...] = (),
     program: str = PROGRAM,
-) -> Account:
-    async def soak() -> Account:
+) -> SoakReport:
+    async def soak() -> SoakReport:
         return await run_soak(
-            directory, seed, SECONDS, kinds=kinds, program=program
+            directory,
+            seed,
+            DURATION_S,
+            fault_names=fault_names,
+            program=program,
         )
 
     return anyio.run(soak)
 
 
-def test_promises_hold_under_faults(tmp_path):
-    # Guards against a loss, a second run or a wrong state under faults that
-    # only real processes, sockets and signals show.
-    account = run(tmp_path, seed=5)
+def test_guarantees_hold_under_faults(tmp_path):
+    # Guards against lost jobs, tasks that run twice and wrong states, in
+    # cases that arise only with real processes, sockets and signals.
+    report = run(tmp_path, seed=5)
 
-    assert account.broken == ()
-    assert account.completed
-    assert account.faults
+    assert report.violations == ()
+    assert report.completed
+    assert report.faults
 
 
 @pytest.mark.parametrize('seed', REGRESSIONS)
 def test_seeds_that_have_failed(tmp_path, seed):
-    # Guards against the causes that `REGRESSIONS` names.
-    kind, cause = REGRESSIONS[seed]
+    # Guards against the faults of the product that `REGRESSIONS` describes.
+    fault_name, cause = REGRESSIONS[seed]
 
-    account = run(tmp_path, seed, (kind,))
+    report = run(tmp_path, seed, (fault_name,))
 
-    assert account.broken == (), cause
-    assert account.completed
+    assert report.violations == (), cause
+    assert report.completed
 
 
 def test_soak_notices_a_missing_guard(tmp_path):
-    # Guards against a soak that passes whatever the product does.
-    account = run(tmp_path, 5, ('cut-worker',), program='tests.soak.unguarded')
+    # Guards against a soak test whose checks pass although tasks run twice:
+    # the program that it runs restarts tasks before their leases expire.
+    report = run(tmp_path, 5, ('cut-worker',), program='tests.soak.unguarded')
 
-    assert any(' while present on [' in line for line in account.broken)
+    assert any(' while present on [' in line for line in report.violations)
 
 
 def test_unknown_fault_is_reported(capsys):
-    # Guards against a soak that silently injects nothing.
+    # Guards against a misspelt name with which the soak test would inject
+    # no faults.
     with pytest.raises(SystemExit):
         main(['--fault', 'meteor'])
 
--- a/tests/soak/unguarded.py
+++ b/tests/soak/unguarded.py
@@ -1,7 +1,8 @@
-"""Runs the command line without one guard of the dispatcher.
+"""Runs the command line without a safety check of the dispatcher.
 
-Runs of a silent worker move at once, though they may go on until their
-lease has lapsed. The soak has to notice that a task then runs twice.
+The runs of a worker that does not respond are treated as lost at once,
+although they may continue until their leases expire. Tasks then run twice,
+which the soak test must detect.
 """
 
 from __future__ import annotations
@@ -21,14 +22,14 @@
     from sassafrasgate.dispatch.state import DispatchState
 
 
-def _move_at_once(
+def _lose_runs_at_once(
     state: DispatchState, event: WorkerSilent
 ) -> Iterator[Action]:
     if event.worker in state.workers:
         yield from lose_worker_runs(state, event.worker, 'silent')
 
 
-EVENT_HANDLERS._items[WorkerSilent] = _move_at_once  # type: ignore[assignment]
+EVENT_HANDLERS._items[WorkerSilent] = _lose_runs_at_once  # type: ignore[assignment]
 
 if __name__ == '__main__':
     sys.exit(run_command_line())
