Name the parts of the stand-ins in usual terms

Cause: names such as fence, news, gate, answers, _world and HOWS, and docstrings that began with 'Answer', were hard to read for a newcomer. Change: epochs, change events, the fault middleware, start results and HTTP handlers are named so; docstrings say what each handler does. Paths, bodies, options and encoded fields are unchanged.

--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -10,7 +10,7 @@
 from sassafrasgate.core.items import Item
 from sassafrasgate.platform.store import PlatformStore
 from tests.processes import find_free_address
-from tests.standins.platform_store import MOST_ITEMS
+from tests.standins.platform_store import MAX_PAGE_ITEMS
 
 
 @pytest.fixture(scope='module')
@@ -46,7 +46,7 @@
 
 async def test_read_prefix_reads_all_pages(store):
     # Guards against a recovery that sees only the first page of a journal.
-    names = [f'pages/{number:05d}' for number in range(MOST_ITEMS + 7)]
+    names = [f'pages/{number:05d}' for number in range(MAX_PAGE_ITEMS + 7)]
     for name in names:
         await store.create(name, b'x')
 
--- a/tests/standins/__init__.py
+++ b/tests/standins/__init__.py
@@ -1,1 +1,1 @@
-"""Stand-ins for the platform, run as programs of their own."""
+"""Programs that stand in for the platform's store and workers in tests."""
--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -1,7 +1,8 @@
-"""Stand-in for the users' platform's key-value store, all in memory.
+"""Stand-in for the key-value store of the users' platform, in memory.
 
 Run ``python -m tests.standins.platform_store --address 127.0.0.1:PORT``.
-Faults come from outside: signals, and a proxy in front of it.
+The program injects no faults itself: tests suspend it with signals or put a
+proxy in front of it.
 """
 
 from __future__ import annotations
@@ -25,12 +26,12 @@
 if TYPE_CHECKING:
     from sassafrasgate.core.items import Item
 
-EXPIRY_S = 0.02
-MOST_ITEMS = 500
+EXPIRY_INTERVAL_S = 0.02
+MAX_PAGE_ITEMS = 500
 
 
 class StoreProgram:
-    """The platform's calls over `StoreState`."""
+    """HTTP API of the platform's store over `StoreState`."""
 
     def __init__(self) -> None:
         self._state = StoreState()
@@ -46,8 +47,8 @@
                 web.get('/api/kv-range', self.list_range),
                 web.get('/api/kv-watch', self.watch),
                 web.post('/api/kv-txn', self.change),
-                web.post('/api/kv-lease', self.grant),
-                web.post('/api/kv-keep/{lease}', self.keep),
+                web.post('/api/kv-lease', self.grant_lease),
+                web.post('/api/kv-keep/{lease}', self.renew_lease),
                 web.delete('/api/kv-lease-end/{lease}', self.end_lease),
                 web.post('/control/put', self.put),
             ]
@@ -55,10 +56,10 @@
         return application
 
     async def expire(self) -> None:
-        """End leases when they are due, until cancelled."""
+        """Expire leases periodically, until cancelled."""
         while True:
             self._state.expire(read_clock_ms())
-            await anyio.sleep(EXPIRY_S)
+            await anyio.sleep(EXPIRY_INTERVAL_S)
 
     def _describe(self, item: Item) -> dict[str, Any]:
         if item.value is None:
@@ -76,30 +77,32 @@
         }
 
     async def get_key(self, request: web.Request) -> web.Response:
-        """Answer a read of one key."""
+        """Handle a read of one key."""
         item = self._state.find(request.query['key'])
         if item is None:
             return web.Response(status=404)
-        return _reply(
+        return _make_response(
             {**self._describe(item), 'currentRev': self._state.revision}
         )
 
     async def list_range(self, request: web.Request) -> web.Response:
-        """Answer a page of a prefix."""
+        """Handle a read of one page of the keys under a prefix."""
         page, more = self._state.list_prefix(
             request.query['prefix'], request.query.get('after', ''), True
         )
-        more = more or len(page) > MOST_ITEMS
-        return _reply(
+        more = more or len(page) > MAX_PAGE_ITEMS
+        return _make_response(
             {
-                'items': [self._describe(item) for item in page[:MOST_ITEMS]],
+                'items': [
+                    self._describe(item) for item in page[:MAX_PAGE_ITEMS]
+                ],
                 'truncated': more,
                 'currentRev': self._state.revision,
             }
         )
 
     async def watch(self, request: web.Request) -> web.Response:
-        """Answer once there are changes, or after the wait."""
+        """Handle a long poll: respond at the next change or after the wait."""
         changes = await self._state.wait_for_changes(
             request.query['prefix'],
             int(request.query['after']),
@@ -107,7 +110,7 @@
         )
         if changes is None:
             return web.Response(status=410)
-        return _reply(
+        return _make_response(
             {
                 'events': [self._describe(item) for item in changes.items],
                 'currentRev': changes.revision,
@@ -115,13 +118,13 @@
         )
 
     async def change(self, request: web.Request) -> web.Response:
-        """Carry a conditional change out, whole or not at all."""
+        """Handle a transaction, which takes effect if its conditions hold."""
         body = loads(await request.read())
         self._state.expire(read_clock_ms())
-        for row in body['ifRevision']:
-            item = self._state.find(row['key'])
-            if (item.revision if item else 0) != row['revision']:
-                return _reply({'items': []}, 412)
+        for condition in body['ifRevision']:
+            item = self._state.find(condition['key'])
+            if (item.revision if item else 0) != condition['revision']:
+                return _make_response({'items': []}, 412)
         try:
             for put in body['puts']:
                 lease = self._leases.get(put.get('lease', 0), '')
@@ -134,48 +137,48 @@
             return web.Response(status=404)
         for key in body['deletes']:
             self._state.delete(key, None)
-        return _reply({'revision': self._state.revision})
+        return _make_response({'revision': self._state.revision})
 
     async def put(self, request: web.Request) -> web.Response:
-        """Write a key as operators and workers do; deletes without value."""
+        """Write a key as operators and workers do; a null value deletes it."""
         body = loads(await request.read())
         if body['value'] is None:
             self._state.delete(body['key'], None)
         else:
             value = dumps(body['value']).encode()
             self._state.put(body['key'], value, None, '')
-        return _reply({'revision': self._state.revision})
+        return _make_response({'revision': self._state.revision})
 
-    async def grant(self, request: web.Request) -> web.Response:
-        """Grant a lease."""
+    async def grant_lease(self, request: web.Request) -> web.Response:
+        """Handle a request for a new lease."""
         ttl_ms = loads(await request.read())['ttlMs']
         number = len(self._leases) + 1
         self._leases[number] = self._state.grant(
             ttl_ms / 1000, read_clock_ms()
         )
-        return _reply({'lease': number, 'ttlMs': ttl_ms})
+        return _make_response({'lease': number, 'ttlMs': ttl_ms})
 
-    async def keep(self, request: web.Request) -> web.Response:
-        """Renew a lease."""
+    async def renew_lease(self, request: web.Request) -> web.Response:
+        """Handle a lease renewal."""
         lease = self._leases.get(int(request.match_info['lease']), '')
         try:
             self._state.expire(read_clock_ms())
             self._state.renew(lease, read_clock_ms())
         except UnknownLease:
             return web.Response(status=404)
-        return _reply({'ttlMs': 0})
+        return _make_response({'ttlMs': 0})
 
     async def end_lease(self, request: web.Request) -> web.Response:
-        """End a lease."""
+        """Handle a lease revocation."""
         lease = self._leases.pop(int(request.match_info['lease']), '')
         try:
             self._state.revoke(lease)
         except (UnknownLease, RevisionMismatch):
             return web.Response(status=404)
-        return _reply({})
+        return _make_response({})
 
 
-def _reply(body: Any, status: int = 200) -> web.Response:
+def _make_response(body: Any, status: int = 200) -> web.Response:
     return web.json_response(body, status=status)
 
 
--- a/tests/standins/platform_workers.py
+++ b/tests/standins/platform_workers.py
@@ -1,7 +1,7 @@
-"""Stand-in for the users' platform's workers and its advice service.
+"""Stand-in for the workers and the advice service of the users' platform.
 
-All workers live in one process and check the rules of a day together, as
-`tests.dispatch.simulation` has them, in real time. Run ``python -m
+All workers run in one process, where `tests.dispatch.simulation` checks in
+real time that no start violates the rules. For the options, run ``python -m
 tests.standins.platform_workers --help``.
 """
 
@@ -31,11 +31,11 @@
 from tests.dispatch.simulation import SimWorker
 from tests.standins.store import read_clock_ms
 
-STEP_S = 0.005
-BEAT_S = 0.5
+ADVANCE_INTERVAL_S = 0.005
+REGISTRATION_INTERVAL_S = 0.5
 CAPACITY = Resources(8_000, 16_000)
-GOOD_SHARE = 0.6
-HOWS = {
+ADVISED_SHARE = 0.6
+END_KIND_NAMES = {
     EndKind.FINISHED: 'done',
     EndKind.FAILED: 'failed',
     EndKind.STOPPED: 'stopped',
@@ -43,7 +43,7 @@
     EndKind.PEER_ENDED: 'broken',
     EndKind.INCOMPLETE_GANG: 'alone',
 }
-REASONS = {
+REFUSAL_REASONS = {
     StartRefusal.STALE_EPOCH: 'fence',
     StartRefusal.OLD_RUN: 'old',
     StartRefusal.DEADLINE_PASSED: 'late',
@@ -51,78 +51,81 @@
 
 
 class WorkersProgram:
-    """The workers' calls over `SimCluster`, in real time.
+    """HTTP API of the workers over a `SimCluster` that runs in real time.
 
     Parameters
     ----------
     addresses : dict of str to str
-        Where each worker serves, by its id.
-    public : dict of str to str
-        The address that each worker registers, which may be a proxy's.
-    store : str
-        IP number and port of the store.
+        IP number and port that each worker listens on, by its id.
+    registered_addresses : dict of str to str
+        Address that each worker registers, by its id; may be a proxy's.
+    store_address : str
+        IP number and port of the stand-in for the store.
     """
 
     def __init__(
-        self, addresses: dict[str, str], public: dict[str, str], store: str
+        self,
+        addresses: dict[str, str],
+        registered_addresses: dict[str, str],
+        store_address: str,
     ) -> None:
         self._addresses = addresses
-        self._public = public
-        self._store = store
-        self._world = SimCluster(seed=1, workers=0)
-        self._began = read_clock_ms()
-        self._news: dict[str, anyio.Event] = {}
-        self._leaving: set[str] = set()
+        self._registered_addresses = registered_addresses
+        self._store_address = store_address
+        self._cluster = SimCluster(seed=1, workers=0)
+        self._started_at_ms = read_clock_ms()
+        self._run_ended: dict[str, anyio.Event] = {}
+        self._draining: set[str] = set()
         self._hanging: set[str] = set()
         self._violations: list[str] = []
         for name in addresses:
             worker = SimWorker(
-                name, self._world.rules, self._world.random, CAPACITY
+                name, self._cluster.rules, self._cluster.random, CAPACITY
             )
-            self._world.workers[name] = worker
-            self._news[name] = anyio.Event()
+            self._cluster.workers[name] = worker
+            self._run_ended[name] = anyio.Event()
 
-    def _now(self) -> int:
-        return read_clock_ms() - self._began
+    def _read_time_ms(self) -> int:
+        return read_clock_ms() - self._started_at_ms
 
     async def advance(self) -> None:
-        """Let runs end at their times, until cancelled."""
+        """Advance the simulated workers periodically, until cancelled."""
         while True:
             numbers = {
                 name: worker.last_end_number
-                for name, worker in self._world.workers.items()
+                for name, worker in self._cluster.workers.items()
             }
             try:
-                self._world.run(self._now())
+                self._cluster.run(self._read_time_ms())
             except RuleViolation as error:
                 self._violations.append(str(error))
             for name, number in numbers.items():
-                if self._world.workers[name].last_end_number != number:
-                    self._news[name].set()
-                    self._news[name] = anyio.Event()
-            await anyio.sleep(STEP_S)
+                if self._cluster.workers[name].last_end_number != number:
+                    self._run_ended[name].set()
+                    self._run_ended[name] = anyio.Event()
+            await anyio.sleep(ADVANCE_INTERVAL_S)
 
     async def register(self) -> None:
-        """Keep the workers' entries in the store, until cancelled."""
+        """Write the workers' entries to the store, until cancelled."""
         async with ClientSession() as session:
             number = 0
             while True:
                 number += 1
                 for name in self._addresses:
                     await self._write_entry(session, name, number)
-                await anyio.sleep(BEAT_S)
+                await anyio.sleep(REGISTRATION_INTERVAL_S)
 
     async def _write_entry(
         self, session: ClientSession, name: str, number: int
     ) -> None:
-        worker = self._world.workers[name]
+        worker = self._cluster.workers[name]
         entry = {
             'service': 'pool',
-            'address': self._public[name],
+            'address': self._registered_addresses[name],
             'zone': 'z1',
             'version': 'v1',
             'slots': 8,
-            'state': 'draining' if name in self._leaving else 'ready',
+            'state': 'draining' if name in self._draining else 'ready',
             'coldLeftMs': 0,
             'capacity': {'cpu': CAPACITY.millicores, 'memMb': 16_000},
             'labels': ['a', 'r1'],
@@ -131,12 +134,13 @@
         }
         try:
             async with session.post(
-                f'http://{self._store}/control/put',
+                f'http://{self._store_address}/control/put',
                 json={'key': f'servers/{name}', 'value': entry},
             ) as response:
                 await response.read()
         except ClientError:
-            # The store is paused or busy; the next beat comes soon.
+            # The store may be suspended by a fault; the next registration
+            # writes the entry again.
             return
 
     def build_worker(self, name: str) -> web.Application:
@@ -146,7 +150,7 @@
             async def serve(request: web.Request) -> web.Response:
                 if request.headers.get('Expected-Instance') != name:
                     return web.Response(status=421)
-                worker = self._world.workers[name]
+                worker = self._cluster.workers[name]
                 body = loads(await request.read())
                 return await handle(worker, body)
 
@@ -155,29 +159,29 @@
         application = web.Application()
         application.add_routes(
             [
-                web.post('/api/hold', route(self._hold)),
-                web.post('/api/run-start', route(self._start)),
-                web.post('/api/run-stop', route(self._stop)),
+                web.post('/api/hold', route(self._handle_hold)),
+                web.post('/api/run-start', route(self._handle_start)),
+                web.post('/api/run-stop', route(self._handle_stop)),
             ]
         )
         return application
 
-    async def _hold(
+    async def _handle_hold(
         self, worker: SimWorker, body: dict[str, Any]
     ) -> web.Response:
         acknowledged = body.get('ackCursor', 0)
         report = worker.hold(
-            self._now(),
+            self._read_time_ms(),
             body['fencingToken'],
             acknowledged,
             body.get('deadlineMs', 0),
         )
         if isinstance(report, StartRefusal):
-            return _refuse(worker.clock(self._now()), report)
+            return _make_refusal(worker.clock(self._read_time_ms()), report)
         if body.get('waitMs') and not report.ended:
             with anyio.move_on_after(body['waitMs'] / 1000):
-                await self._news[worker.name].wait()
-        report = worker.report(self._now())
+                await self._run_ended[worker.name].wait()
+        report = worker.report(self._read_time_ms())
         return web.json_response(
             {
                 'clockMs': report.clock_ms,
@@ -187,17 +191,23 @@
                     for run in report.running
                 ],
                 'ended': [
-                    [end.number, end.task, end.run, HOWS[end.how], '']
+                    [
+                        end.number,
+                        end.task,
+                        end.run,
+                        END_KIND_NAMES[end.how],
+                        '',
+                    ]
                     for end in report.ended
                 ],
             }
         )
 
-    async def _start(
+    async def _handle_start(
         self, worker: SimWorker, body: dict[str, Any]
     ) -> web.Response:
         job_id, _, _, _ = split_step_task_id(body['task'])
-        self._world.rules.workflows.setdefault(
+        self._cluster.rules.workflows.setdefault(
             job_id, _read_workflow(body['spec'])
         )
         command = StartRun(
@@ -209,45 +219,50 @@
             worker.incarnation_ms,
         )
         try:
-            answer = worker.start(
-                self._now(), body['fencingToken'], command, body['deadlineMs']
+            reply = worker.start(
+                self._read_time_ms(),
+                body['fencingToken'],
+                command,
+                body['deadlineMs'],
             )
         except RuleViolation as error:
             self._violations.append(str(error))
             return web.Response(status=400)
         if worker.name in self._hanging:
             worker.runs[command.run.task, command.run.run].ends_at += 60_000
-        if answer.refusal is not None:
-            return _refuse(answer.clock_ms, answer.refusal)
-        return web.json_response({'clockMs': answer.clock_ms})
+        if reply.refusal is not None:
+            return _make_refusal(reply.clock_ms, reply.refusal)
+        return web.json_response({'clockMs': reply.clock_ms})
 
-    async def _stop(
+    async def _handle_stop(
         self, worker: SimWorker, body: dict[str, Any]
     ) -> web.Response:
         command = StopRun(worker.name, RunKey(body['task'], body['run']))
-        answer = worker.stop(self._now(), body['fencingToken'], command)
-        if answer.refusal is not None:
-            return _refuse(answer.clock_ms, answer.refusal)
-        return web.json_response({'clockMs': answer.clock_ms})
+        reply = worker.stop(
+            self._read_time_ms(), body['fencingToken'], command
+        )
+        if reply.refusal is not None:
+            return _make_refusal(reply.clock_ms, reply.refusal)
+        return web.json_response({'clockMs': reply.clock_ms})
 
     def build_control(self) -> web.Application:
-        """Return the application for advice, faults and what was seen."""
+        """Return the HTTP application for advice, faults and the record."""
         application = web.Application()
         application.add_routes(
             [
-                web.post('/api/advise', self._advise),
-                web.post('/control/fault', self._change),
-                web.get('/control/record', self._show),
+                web.post('/api/advise', self._handle_advice),
+                web.post('/control/fault', self._set_fault),
+                web.get('/control/record', self._show_record),
             ]
         )
         return application
 
-    async def _advise(self, request: web.Request) -> web.Response:
+    async def _handle_advice(self, request: web.Request) -> web.Response:
         body = loads(await request.read())
         job_id = body['step'].split('.', 1)[0]
         await anyio.sleep(0.02)
         names = rank_names(job_id, self._addresses)
-        admitted = names[: max(3, int(GOOD_SHARE * len(names)))]
+        admitted = names[: max(3, int(ADVISED_SHARE * len(names)))]
         good = [
             [worker, f'ticket-{worker}']
             for worker in body['workers']
@@ -255,31 +270,32 @@
         ]
         return web.json_response({'good': good, 'validMs': 2000})
 
-    async def _change(self, request: web.Request) -> web.Response:
+    async def _set_fault(self, request: web.Request) -> web.Response:
         body = loads(await request.read())
-        worker = self._world.workers[body['worker']]
+        worker = self._cluster.workers[body['worker']]
         kind = body['kind']
         if kind == 'restart':
-            worker.restart(self._now())
+            worker.restart(self._read_time_ms())
         if kind == 'fail':
             worker.failure_rate = body['share']
         for name, names in (
-            ('drain', self._leaving),
+            ('drain', self._draining),
             ('hang', self._hanging),
         ):
             if kind == name:
                 (names.add if body['on'] else names.discard)(worker.name)
         return web.json_response({})
 
-    async def _show(self, request: web.Request) -> web.Response:
-        rules = self._world.rules
+    async def _show_record(self, request: web.Request) -> web.Response:
+        rules = self._cluster.rules
         return web.json_response(
             {
                 'violations': self._violations,
                 'finished': sorted(rules.finished),
                 'started': sorted(rules.started),
                 'running': sum(
-                    len(worker.runs) for worker in self._world.workers.values()
+                    len(worker.runs)
+                    for worker in self._cluster.workers.values()
                 ),
             }
         )
@@ -296,7 +312,7 @@
 
 
 def _read_workflow(payload: str) -> Workflow:
-    """Return the workflow that a caller has described in its payload."""
+    """Return the workflow that a payload describes."""
     steps = tuple(
         Step(
             row['count'],
@@ -310,9 +326,9 @@
     return Workflow(payload, steps)
 
 
-def _refuse(clock_ms: int, refusal: StartRefusal) -> web.Response:
+def _make_refusal(clock_ms: int, refusal: StartRefusal) -> web.Response:
     return web.json_response(
-        {'clockMs': clock_ms, 'reason': REASONS.get(refusal, 'old')},
+        {'clockMs': clock_ms, 'reason': REFUSAL_REASONS.get(refusal, 'old')},
         status=409,
     )
 
--- a/tests/standins/serving.py
+++ b/tests/standins/serving.py
@@ -1,4 +1,4 @@
-"""Serves the stand-ins over HTTP and puts faults between caller and API."""
+"""Serves the stand-ins over HTTP and injects faults into their calls."""
 
 from __future__ import annotations
 
@@ -51,7 +51,7 @@
 CONTROL_PREFIX = '/control/'
 
 
-def reply_json(value: Any, status: int = 200) -> Response:
+def make_json_response(value: Any, status: int = 200) -> Response:
     """Return a response with ``value`` as msgspec encodes it."""
     return Response(encode(value), status, media_type=JSON)
 
@@ -68,12 +68,13 @@
 
 
 class _ListeningSocket(socket):
-    """Remembers accepted connections, so that faults can drop them."""
+    """Keeps track of accepted connections so that faults can close them."""
 
     def __init__(self) -> None:
         # asyncio turns off Nagle's algorithm only for sockets whose protocol
-        # is stated; with it each answer waits 40 ms for a delayed
-        # acknowledgement, since hypercorn sends head and body separately.
+        # is stated. The algorithm would delay each response by 40 ms, until a
+        # delayed acknowledgement, since hypercorn sends head and body
+        # separately.
         super().__init__(AF_INET, SOCK_STREAM, IPPROTO_TCP)
         self.accepted: WeakValueDictionary[Peer, socket] = (
             WeakValueDictionary()
@@ -116,34 +117,34 @@
         return self._socket.accepted.get(peer)
 
 
-def _drop(connection: socket) -> None:
-    """End a connection without an answer."""
-    # The other side may have closed it already.
+def _abort(connection: socket) -> None:
+    """Close a connection without a response."""
+    # The peer may have closed the connection already.
     with suppress(OSError):
         connection.shutdown(SHUT_RDWR)
 
 
 @dataclass(frozen=True, slots=True)
 class Faults:
-    """Faults of the path between callers and a stand-in.
+    """Faults between callers and a stand-in.
 
     Parameters
     ----------
     down : bool
-        Drop every connection that carries a call, also a waiting one.
+        Close every connection that carries a call, including waiting ones.
     frozen : bool
-        Hold calls; they are performed once the fault ends, even when the
-        caller has gone.
+        Delay calls until the fault ends. They are performed then, even if
+        the caller has closed the connection.
     silent : bool
-        Never answer; connections used meanwhile stay silent for good,
-        while connections opened after the fault work.
+        Send no responses. Connections that are used during the fault get no
+        responses afterwards either; connections opened later work.
     delay_ms : int
-        Time before a call is performed.
+        Time in ms before a call is performed.
     lose_replies : int
-        How many of the next writes are performed and not answered.
+        Number of the next writes that are performed without a response.
     lose_path : str
-        Loses only replies to paths that contain this, so that a test can
-        pick a start out of frequent syncs.
+        Text that a path contains if `lose_replies` applies to its calls, so
+        that a test can select a start among frequent syncs.
     """
 
     down: bool = False
@@ -154,17 +155,18 @@
     lose_path: str = ''
 
 
-class FaultGate:
-    """ASGI middleware that applies `Faults`, except on control paths.
+class FaultMiddleware:
+    """ASGI middleware that applies `Faults`, except to control paths.
 
     Parameters
     ----------
     application : ASGIApp
-        The API behind the faults.
+        The API that the middleware wraps.
     listener : Listener
-        Where its connections come from.
+        The listener that accepts the connections of the API.
     count_call : callable
-        Told of each call when it arrives, also of those that fail.
+        Called with the scope of each call on arrival, also if a fault
+        prevents the call.
     """
 
     def __init__(
@@ -177,17 +179,17 @@
         self._listener = listener
         self._count_call = count_call
         self._faults = Faults()
-        self._changed = Event()
-        self._callers: WeakSet[socket] = WeakSet()
-        self._silent: WeakSet[socket] = WeakSet()
+        self._faults_changed = Event()
+        self._call_connections: WeakSet[socket] = WeakSet()
+        self._silent_connections: WeakSet[socket] = WeakSet()
 
-    def change(self, changes: dict[str, Any]) -> None:
-        """Replace some of the faults.
+    def change_faults(self, changes: dict[str, Any]) -> None:
+        """Set the given faults; the others keep their values.
 
         Raises
         ------
         ValidationError
-            When a value has the wrong type.
+            If a value has the wrong type.
         """
         known = {
             name: value
@@ -202,16 +204,16 @@
             Faults,
         )
         if self._faults.down:
-            self.drop_callers()
+            self.abort_connections()
         if changes.get('silence_connections'):
-            self._silent.update(self._callers)
-        self._changed.set()
-        self._changed = Event()
+            self._silent_connections.update(self._call_connections)
+        self._faults_changed.set()
+        self._faults_changed = Event()
 
-    def drop_callers(self) -> None:
-        """Drop every connection that has carried a call."""
-        for connection in self._callers:
-            _drop(connection)
+    def abort_connections(self) -> None:
+        """Close every connection that has carried a call."""
+        for connection in self._call_connections:
+            _abort(connection)
 
     def _loses_reply(self, scope: Scope) -> bool:
         return (
@@ -223,7 +225,7 @@
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
     ) -> None:
-        """Serve one call under the present faults."""
+        """Serve one call under the current faults."""
         if scope['type'] != 'http' or scope['path'].startswith(CONTROL_PREFIX):
             await self._application(scope, receive, send)
             return
@@ -231,35 +233,35 @@
         connection = self._listener.find_connection(tuple(scope['client']))
         if connection is None:
             return
-        self._callers.add(connection)
+        self._call_connections.add(connection)
         if self._faults.silent:
-            self._silent.add(connection)
-        if connection in self._silent:
+            self._silent_connections.add(connection)
+        if connection in self._silent_connections:
             await sleep_forever()
         if self._faults.delay_ms:
             await sleep(self._faults.delay_ms / 1000)
         while self._faults.frozen:
-            await self._changed.wait()
+            await self._faults_changed.wait()
         if self._faults.down:
-            _drop(connection)
+            _abort(connection)
             return
         if self._loses_reply(scope):
             self._faults = replace(
                 self._faults, lose_replies=self._faults.lose_replies - 1
             )
-            await self._application(scope, receive, _discard)
-            _drop(connection)
+            await self._application(scope, receive, _discard_response)
+            _abort(connection)
             return
         await self._application(scope, receive, send)
 
 
-async def _discard(message: Any) -> None:
-    """Take the place of ``send`` when a reply is lost."""
+async def _discard_response(message: Any) -> None:
+    """Replace ``send`` for a call whose response a fault discards."""
 
 
-def reply_invalid(error: ValidationError) -> Response:
-    """Return the answer to a body that does not match its type."""
-    return reply_json({'reason': str(error)}, 400)
+def make_bad_request_response(error: ValidationError) -> Response:
+    """Return the response to a body that does not match its type."""
+    return make_json_response({'reason': str(error)}, 400)
 
 
 async def serve_applications(
--- a/tests/standins/simulation.py
+++ b/tests/standins/simulation.py
@@ -1,4 +1,4 @@
-"""The state of one simulated worker: fences, leases, tasks and a record."""
+"""State of one simulated worker: epochs, leases, tasks and a record."""
 
 from __future__ import annotations
 
@@ -33,14 +33,14 @@
 from sassafrasgate.core.tasks import TaskOutcome
 from sassafrasgate.core.tasks import TaskUsage
 
-INLINE_BYTES = 16 * 1024
-MEMORY_OF_ANSWERS = 2_000
-LOST = 'lost'
+MAX_INLINE_BYTES = 16 * 1024
+MAX_START_RESULTS = 2_000
+LOST_OUTCOME = 'lost'
 
 
 @dataclass(frozen=True, slots=True)
 class TaskPlan:
-    """What a payload asks the simulation to do.
+    """The behaviour of a simulated task, as its payload describes it.
 
     Parameters
     ----------
@@ -49,12 +49,12 @@
     output : str
         Start of the output.
     output_bytes : int
-        Least length of the output, which is filled up from a digest of the
-        payload so that outputs of different tasks differ.
+        Minimum length of the output. The output is padded with a digest of
+        the payload, so that outputs of different tasks differ.
     fail : bool
         Whether the task fails at the end of its run time.
     usage_factor : float
-        What the task uses over what it reserved.
+        Ratio of the resources that the task uses to those it reserved.
     """
 
     run_ms: int = 50
@@ -83,10 +83,10 @@
 
 @dataclass(frozen=True, slots=True)
 class TaskRecord:
-    """One start on this worker; failure tests count with these.
+    """One start on this worker, which tests of faults count.
 
-    Times are wall-clock ms; ``ended_ms`` is 0 while the task runs. The
-    outcome is a `TaskOutcome` or ``lost`` for a restart of the worker.
+    Times are wall-clock times in ms; ``ended_ms`` is 0 while the task runs.
+    The outcome is a `TaskOutcome`, or ``lost`` if the worker restarted.
     """
 
     task: str
@@ -102,7 +102,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Overload:
-    """A moment when the reserved sum exceeded the capacity."""
+    """A time at which the reserved resources exceeded the capacity."""
 
     at_ms: int
     reserved: Resources
@@ -110,7 +110,7 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkerRecord:
-    """What a worker has seen, over all its incarnations."""
+    """The tasks and refusals of a worker over all its incarnations."""
 
     incarnation: str
     capacity: Resources
@@ -122,20 +122,20 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkerFaults:
-    """Faults of a worker itself.
+    """Faults of a simulated worker.
 
     Parameters
     ----------
     fail_all : bool
-        Every task that starts fails at once.
+        Whether every task that starts fails at once.
     leaving : bool
-        The worker says that it is leaving, and refuses starts.
+        Whether the worker reports that it is leaving and refuses starts.
     enforce_room : bool
-        Refuse starts for lack of room.
+        Whether the worker refuses starts that exceed its free capacity.
     usage_factor : float
-        Factor on what all tasks use.
+        Factor on the resource usage of all tasks.
     usage_lag_ms : int
-        Age of usage reports.
+        Age of usage reports in ms.
     """
 
     fail_all: bool = False
@@ -150,17 +150,17 @@
     request: StartRequest
     plan: TaskPlan
     output: bytes
-    record: int
+    record_index: int
     started_clock: int
     end_clock: int
     lease_clock: int
     fails: bool
-    limit: int | None = None
+    cpu_limit: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
-class _Answer:
-    """How a task id was answered; kept so that repeats agree."""
+class _StartResult:
+    """The result of a start, kept so that repeats of it get the same reply."""
 
     start_before_clock: int
     refusal: str = ''
@@ -168,7 +168,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Ended:
+class _UnreleasedTask:
     shard: str
     ended: EndedTask
     output: bytes
@@ -179,21 +179,21 @@
 class Worker:
     """One simulated worker.
 
-    Every public method first lets the time pass that has gone by, so that
-    leases that lapsed while the process was suspended take effect before
-    anything else.
+    Every public method first advances the state to the current time, so that
+    leases that expired while the process was suspended take effect before
+    the call.
     """
 
     capacity: Resources
     faults: WorkerFaults = field(default_factory=WorkerFaults)
-    news: Event = field(default_factory=Event)
+    changed: Event = field(default_factory=Event)
     incarnation: str = ''
     _base_ms: int = 0
     _wall_base_ms: int = 0
-    _fences: dict[str, int] = field(default_factory=dict)
+    _epochs: dict[str, int] = field(default_factory=dict)
     _running: dict[str, _Task] = field(default_factory=dict)
-    _ended: dict[str, _Ended] = field(default_factory=dict)
-    _answers: dict[str, _Answer] = field(default_factory=dict)
+    _ended: dict[str, _UnreleasedTask] = field(default_factory=dict)
+    _start_results: dict[str, _StartResult] = field(default_factory=dict)
     _usage_factors: list[tuple[int, float]] = field(default_factory=list)
     _records: list[TaskRecord] = field(default_factory=list)
     _overloads: list[Overload] = field(default_factory=list)
@@ -205,32 +205,32 @@
         self.restart()
 
     def restart(self) -> None:
-        """Begin a new incarnation, which knows no task and no fence."""
+        """Begin a new incarnation without tasks, which accepts any epoch."""
         if self.incarnation:
             now = self.advance()
             for task in self._running.values():
-                self._note_end(task, LOST, now)
+                self._record_end(task, LOST_OUTCOME, now)
         self.incarnation = token_hex(8)
         self._base_ms = clock_gettime_ns(CLOCK_BOOTTIME) // 1_000_000
         self._wall_base_ms = time_ns() // 1_000_000
-        self._fences.clear()
+        self._epochs.clear()
         self._running.clear()
         self._ended.clear()
-        self._answers.clear()
+        self._start_results.clear()
         self._usage_factors = [(0, self.faults.usage_factor)]
         self._reserved = NO_RESOURCES
-        self._tell_news()
+        self._notify_change()
 
     def _read_clock(self) -> int:
         return clock_gettime_ns(CLOCK_BOOTTIME) // 1_000_000 - self._base_ms
 
     def advance(self) -> int:
-        """End what is due and return the clock."""
+        """End the tasks that are due; return the clock in ms."""
         now = self._read_clock()
         for name, task in list(self._running.items()):
             if now >= task.lease_clock:
-                # A lease that lapsed while the process was suspended ended
-                # the task at the deadline: it did nothing after it.
+                # If the lease expired while the process was suspended, the
+                # task ended at the deadline: it did nothing afterwards.
                 self._end(name, TaskOutcome.LAPSED, task.lease_clock)
             elif now >= task.end_clock:
                 self._end(
@@ -240,8 +240,8 @@
                 )
         return now
 
-    def find_wait_ms(self) -> int | None:
-        """Return the time to the next due moment, or None."""
+    def compute_wait_ms(self) -> int | None:
+        """Return the time in ms until the next task ends, None for no task."""
         now = self.advance()
         due = [
             min(task.lease_clock, task.end_clock)
@@ -250,27 +250,27 @@
         return min(due) - now if due else None
 
     def change_faults(self, changes: dict[str, Any]) -> None:
-        """Replace some of the faults."""
+        """Set the given faults; the others keep their values."""
         now = self.advance()
         names = WorkerFaults.__dataclass_fields__
         known = {name: getattr(self.faults, name) for name in names}
         known.update({k: v for k, v in changes.items() if k in names})
         self.faults = convert(known, WorkerFaults)
         self._usage_factors.append((now, self.faults.usage_factor))
-        self._tell_news()
+        self._notify_change()
 
     def start(self, request: StartRequest) -> StartReply:
-        """Start a task, or tell how its id was answered before."""
+        """Start a task, or repeat the reply to an earlier start of its id."""
         now = self.advance()
-        if (answer := self._find_answer(request.task)) is not None:
-            return replace(answer, clock=now)
+        if (reply := self._find_start_reply(request.task)) is not None:
+            return replace(reply, clock=now)
         if reason := self._find_refusal(request, now):
             self._refusals[reason] += 1
-            self._remember(
-                request.task, _Answer(request.start_before_clock, reason)
+            self._keep_start_result(
+                request.task, _StartResult(request.start_before_clock, reason)
             )
             return self._refuse(reason, now)
-        self._fences[request.shard] = request.epoch
+        self._epochs[request.shard] = request.epoch
         plan, output = read_plan(request.payload)
         fails = plan.fail or self.faults.fail_all
         run_ms = 0 if self.faults.fail_all else plan.run_ms
@@ -295,16 +295,16 @@
             )
         )
         self._reserve(request.resources, now)
-        self._tell_news()
+        self._notify_change()
         return StartReply(StartStatus.STARTED, self.incarnation, now)
 
     def find_start(self, task: str) -> StartReply | None:
-        """Return the present answer to a start that was made before."""
+        """Return the current reply to an earlier start, None if unknown."""
         now = self.advance()
-        answer = self._find_answer(task)
-        return None if answer is None else replace(answer, clock=now)
+        reply = self._find_start_reply(task)
+        return None if reply is None else replace(reply, clock=now)
 
-    def _find_answer(self, task: str) -> StartReply | None:
+    def _find_start_reply(self, task: str) -> StartReply | None:
         if task in self._running:
             return StartReply(StartStatus.STARTED, self.incarnation, 0)
         if task in self._ended:
@@ -314,13 +314,13 @@
                 0,
                 ended=self._ended[task].ended,
             )
-        if (answer := self._answers.get(task)) is None:
+        if (result := self._start_results.get(task)) is None:
             return None
-        if answer.ended is not None:
+        if result.ended is not None:
             return StartReply(
-                StartStatus.ENDED, self.incarnation, 0, ended=answer.ended
+                StartStatus.ENDED, self.incarnation, 0, ended=result.ended
             )
-        return self._refuse(answer.refusal, 0)
+        return self._refuse(result.refusal, 0)
 
     def _refuse(self, reason: str, now: int) -> StartReply:
         return StartReply(
@@ -330,7 +330,7 @@
     def _find_refusal(self, request: StartRequest, now: int) -> str:
         if request.incarnation != self.incarnation:
             return 'other incarnation'
-        if request.epoch < self._fences.get(request.shard, 0):
+        if request.epoch < self._epochs.get(request.shard, 0):
             return 'stale epoch'
         if now >= min(request.start_before_clock, request.lease_clock):
             return 'deadline passed'
@@ -341,29 +341,30 @@
             return 'no room'
         return ''
 
-    def _remember(self, task: str, answer: _Answer) -> None:
-        """Keep an answer as long as a copy of the start could be accepted.
+    def _keep_start_result(self, task: str, result: _StartResult) -> None:
+        """Keep a result while a duplicate of the start could be accepted.
 
-        Copies that arrive after ``start_before_clock`` are refused anyway.
+        Duplicates that arrive after ``start_before_clock`` are refused for
+        their deadline, so that older results can be dropped.
         """
-        self._answers[task] = answer
-        if len(self._answers) <= MEMORY_OF_ANSWERS:
+        self._start_results[task] = result
+        if len(self._start_results) <= MAX_START_RESULTS:
             return
         now = self._read_clock()
-        self._answers = {
+        self._start_results = {
             name: kept
-            for name, kept in self._answers.items()
+            for name, kept in self._start_results.items()
             if kept.start_before_clock > now
         }
 
-    def raise_fence(self, shard: str, epoch: int) -> bool:
-        """Tell whether an epoch is current, and note a higher one."""
+    def accept_epoch(self, shard: str, epoch: int) -> bool:
+        """Return whether an epoch is current; store it if it is higher."""
         self.advance()
-        if epoch < self._fences.get(shard, 0):
+        if epoch < self._epochs.get(shard, 0):
             return False
-        if epoch > self._fences.get(shard, 0):
-            self._fences[shard] = epoch
-            self._tell_news()
+        if epoch > self._epochs.get(shard, 0):
+            self._epochs[shard] = epoch
+            self._notify_change()
         return True
 
     def sync(self, request: SyncRequest) -> None:
@@ -374,8 +375,8 @@
                 if task.request.shard != request.shard:
                     continue
                 if task.request.renewable:
-                    # Calls can overtake each other; the later deadline is
-                    # the one that the owner reckons with.
+                    # Calls may arrive out of order; the owner relies on the
+                    # latest deadline that it has sent.
                     task.lease_clock = max(
                         task.lease_clock, request.lease_clock
                     )
@@ -385,14 +386,14 @@
                 continue
             del self._ended[name]
             short = replace(ended.ended, output=b'')
-            self._remember(
-                name, _Answer(ended.start_before_clock, ended=short)
+            self._keep_start_result(
+                name, _StartResult(ended.start_before_clock, ended=short)
             )
 
     def build_sync_reply(self, request: SyncRequest) -> SyncReply:
-        """Return the answer to a sync as of now."""
+        """Return the reply to a sync from the current state."""
         now = self.advance()
-        epoch = self._fences.get(request.shard, 0)
+        epoch = self._epochs.get(request.shard, 0)
         leaving = self.faults.leaving
         if request.epoch < epoch:
             return SyncReply(False, self.incarnation, now, epoch, leaving)
@@ -443,8 +444,8 @@
                 continue
             scale = factor * task.plan.usage_factor
             cpu = int(task.request.resources.millicores * scale)
-            if task.limit is not None:
-                cpu = min(cpu, task.limit)
+            if task.cpu_limit is not None:
+                cpu = min(cpu, task.cpu_limit)
             memory = int(task.request.resources.memory_mb * scale)
             reports.append(TaskUsage(task.request.task, cpu, memory, lag))
         return reports
@@ -455,31 +456,31 @@
         ended = self._ended.get(task)
         return None if ended is None else ended.output
 
-    def command(self, name: str, task: str, order: TaskCommand) -> str:
-        """Carry out a command; returns why not, or an empty string."""
-        if not self.raise_fence(order.shard, order.epoch):
+    def command(self, name: str, task: str, request: TaskCommand) -> str:
+        """Carry out a command; return the reason of a refusal, or ''."""
+        if not self.accept_epoch(request.shard, request.epoch):
             return 'stale epoch'
         running = self._running.get(task)
-        if running is None or running.request.shard != order.shard:
+        if running is None or running.request.shard != request.shard:
             return 'not running'
         if name == 'stop':
             self._end(task, TaskOutcome.STOPPED, self._read_clock())
         elif name == 'throttle':
-            running.limit = order.millicores
+            running.cpu_limit = request.millicores
         else:
-            record = self._records[running.record]
-            self._records[running.record] = replace(
+            record = self._records[running.record_index]
+            self._records[running.record_index] = replace(
                 record, checkpoints=record.checkpoints + 1
             )
         return ''
 
     def build_command_reply(self, reason: str) -> CommandReply:
-        """Return the answer to a command."""
+        """Return the reply to a command."""
         now = self.advance()
         return CommandReply(not reason, self.incarnation, now, reason)
 
     def build_record(self) -> WorkerRecord:
-        """Return what failure tests count with."""
+        """Return the record of the worker, which tests of faults evaluate."""
         self.advance()
         return WorkerRecord(
             self.incarnation,
@@ -510,24 +511,24 @@
             'the simulated task failed' if failed else '',
             len(output),
             xxh3_128_hexdigest(output),
-            output if len(output) <= INLINE_BYTES else b'',
+            output if len(output) <= MAX_INLINE_BYTES else b'',
         )
-        self._ended[name] = _Ended(
+        self._ended[name] = _UnreleasedTask(
             task.request.shard,
             ended,
             output,
             task.request.start_before_clock,
         )
-        self._note_end(task, outcome, clock)
-        self._tell_news()
+        self._record_end(task, outcome, clock)
+        self._notify_change()
 
-    def _note_end(self, task: _Task, outcome: str, clock: int) -> None:
-        self._records[task.record] = replace(
-            self._records[task.record],
+    def _record_end(self, task: _Task, outcome: str, clock: int) -> None:
+        self._records[task.record_index] = replace(
+            self._records[task.record_index],
             ended_ms=self._wall_base_ms + clock,
             outcome=outcome,
         )
 
-    def _tell_news(self) -> None:
-        self.news.set()
-        self.news = Event()
+    def _notify_change(self) -> None:
+        self.changed.set()
+        self.changed = Event()
--- a/tests/standins/worker.py
+++ b/tests/standins/worker.py
@@ -1,4 +1,4 @@
-"""Stand-in for the platform's workers; tasks run only as timers.
+"""Stand-in for the platform's workers, which simulates tasks by timers.
 
 Run ``python -m tests.standins.worker --address 127.0.0.1:PORT`` for one
 worker, or with repeated ``--worker name=127.0.0.1:PORT`` for several.
@@ -24,11 +24,11 @@
 from sassafrasgate.core.tasks import StartStatus
 from sassafrasgate.core.tasks import SyncRequest
 from sassafrasgate.core.tasks import TaskCommand
-from tests.standins.serving import FaultGate
+from tests.standins.serving import FaultMiddleware
 from tests.standins.serving import Listener
+from tests.standins.serving import make_bad_request_response
+from tests.standins.serving import make_json_response
 from tests.standins.serving import read_json
-from tests.standins.serving import reply_invalid
-from tests.standins.serving import reply_json
 from tests.standins.serving import serve_applications
 from tests.standins.simulation import Worker
 
@@ -48,13 +48,13 @@
 
 
 class WorkerProgram:
-    """HTTP routes over one `Worker`."""
+    """HTTP API over one `Worker`."""
 
     def __init__(self, capacity: Resources, listener: Listener) -> None:
         self._worker = Worker(capacity)
         self._calls: Counter[str] = Counter()
         self.listener = listener
-        self.gate = FaultGate(
+        self.middleware = FaultMiddleware(
             Starlette(
                 routes=[
                     Route('/v1/sync', self.sync, methods=['POST']),
@@ -73,31 +73,31 @@
                         methods=['POST'],
                     ),
                 ],
-                exception_handlers={ValidationError: _reply_bad_body},
+                exception_handlers={ValidationError: _handle_bad_body},
             ),
             listener,
-            lambda scope: self._calls.update([_name_call(scope)]),
+            lambda scope: self._calls.update([_classify_call(scope)]),
         )
 
     async def run_tasks(self) -> None:
-        """End tasks when they are due."""
+        """End tasks when their run time or lease ends, until cancelled."""
         while True:
-            wait_ms = self._worker.find_wait_ms()
-            news = self._worker.news
+            wait_ms = self._worker.compute_wait_ms()
+            changed = self._worker.changed
             with move_on_after(None if wait_ms is None else wait_ms / 1000):
-                await news.wait()
+                await changed.wait()
 
     async def sync(self, request: Request) -> Response:
-        """Answer a sync, at once when there is news."""
+        """Handle a sync, a long poll that responds at the next change."""
         body = await read_json(request, SyncRequest)
         worker = self._worker
-        if not worker.raise_fence(body.shard, body.epoch):
-            return reply_json(worker.build_sync_reply(body), 409)
+        if not worker.accept_epoch(body.shard, body.epoch):
+            return make_json_response(worker.build_sync_reply(body), 409)
         worker.sync(body)
         incarnation = worker.incarnation
         leaving = worker.faults.leaving
 
-        def has_news() -> bool:
+        def has_changes() -> bool:
             reply = worker.build_sync_reply(body)
             return (
                 not reply.accepted
@@ -106,27 +106,27 @@
                 or reply.leaving != leaving
             )
 
-        await self._wait_until(has_news, body.wait_ms)
+        await self._wait_until(has_changes, body.wait_ms)
         reply = worker.build_sync_reply(body)
-        return reply_json(reply, 200 if reply.accepted else 409)
+        return make_json_response(reply, 200 if reply.accepted else 409)
 
     async def start(self, request: Request) -> Response:
-        """Answer a start, once the task has ended if the caller waits."""
+        """Handle a start; if the caller waits, respond when the task ends."""
         body = await read_json(request, StartRequest)
         worker = self._worker
         reply = worker.start(body)
         if reply.status is StartStatus.STARTED and body.wait_ms:
             reply = await self._wait_for_end(body, reply)
-        return reply_json(reply, STATUS_CODES[reply.status])
+        return make_json_response(reply, STATUS_CODES[reply.status])
 
     async def _wait_for_end(
         self, body: StartRequest, reply: StartReply
     ) -> StartReply:
-        def is_over() -> bool:
-            answer = self._worker.find_start(body.task)
-            return answer is None or answer.status is not StartStatus.STARTED
+        def has_ended() -> bool:
+            current = self._worker.find_start(body.task)
+            return current is None or current.status is not StartStatus.STARTED
 
-        await self._wait_until(is_over, body.wait_ms)
+        await self._wait_until(has_ended, body.wait_ms)
         return self._worker.find_start(body.task) or reply
 
     async def _wait_until(
@@ -134,59 +134,59 @@
     ) -> None:
         until = monotonic() + wait_ms / 1000
         while (remaining := until - monotonic()) > 0:
-            news = self._worker.news
+            changed = self._worker.changed
             if condition():
                 return
             with move_on_after(remaining):
-                await news.wait()
+                await changed.wait()
 
     async def read_output(self, request: Request) -> Response:
-        """Answer with an ended task's output."""
+        """Return an ended task's output."""
         output = self._worker.find_output(request.path_params['task'])
         if output is None:
             return Response(status_code=404)
         return Response(output, media_type='application/octet-stream')
 
     async def command(self, request: Request) -> Response:
-        """Answer a stop, throttle or checkpoint."""
-        order = await read_json(request, TaskCommand)
+        """Handle a command: stop, throttle or checkpoint."""
+        command = await read_json(request, TaskCommand)
         name = request.path_params['command']
         if name not in ('stop', 'throttle', 'checkpoint'):
             return Response(status_code=404)
         task = request.path_params['task']
-        reason = self._worker.command(name, task, order)
-        return reply_json(
+        reason = self._worker.command(name, task, command)
+        return make_json_response(
             self._worker.build_command_reply(reason), 409 if reason else 200
         )
 
     async def show_record(self, request: Request) -> Response:
-        """Answer with what the worker has seen."""
-        return reply_json(self._worker.build_record())
+        """Return the record of the worker."""
+        return make_json_response(self._worker.build_record())
 
     async def show_counts(self, request: Request) -> Response:
-        """Answer with the number of calls of each kind."""
-        return reply_json(self._calls)
+        """Return the number of calls of each kind."""
+        return make_json_response(self._calls)
 
     async def change_faults(self, request: Request) -> Response:
-        """Set faults."""
+        """Set faults of the worker and of its connections."""
         changes = await read_json(request, dict[str, object])
         self._worker.change_faults(changes)
         if changes.get('restart'):
             self._worker.restart()
-            self.gate.drop_callers()
-        self.gate.change(changes)
+            self.middleware.abort_connections()
+        self.middleware.change_faults(changes)
         return Response(status_code=204)
 
 
-def _name_call(scope: Scope) -> str:
-    """Return the kind of a call: sync, tasks, output, stop and so on."""
+def _classify_call(scope: Scope) -> str:
+    """Return the kind of a call, such as sync, tasks, output or stop."""
     name: str = scope['path'].rpartition('/')[2]
     return name
 
 
-def _reply_bad_body(request: Request, error: Exception) -> Response:
+def _handle_bad_body(request: Request, error: Exception) -> Response:
     assert isinstance(error, ValidationError)
-    return reply_invalid(error)
+    return make_bad_request_response(error)
 
 
 async def run_workers(programs: list[WorkerProgram]) -> None:
@@ -198,13 +198,13 @@
                 tasks.start_soon(program.run_tasks)
 
     await serve_applications(
-        [(program.gate, program.listener) for program in programs],
+        [(program.middleware, program.listener) for program in programs],
         run_all_tasks,
     )
 
 
 def run_program() -> None:
-    """Read the arguments and serve."""
+    """Parse the arguments and serve."""
     parser = ArgumentParser()
     parser.add_argument('--address')
     parser.add_argument('--worker', action='append', default=[])
