--- a/tests/__init__.py
+++ b/tests/__init__.py
@@ -1,1 +1,1 @@
-"""Tests, which mirror the packages."""
+"""Tests, laid out like the packages that they test."""
--- a/tests/cells.py
+++ b/tests/cells.py
@@ -1,4 +1,4 @@
-"""Starts a whole small cell as separate processes for tests."""
+"""Starts a small cell, as separate processes, for tests."""
 
 from __future__ import annotations
 
@@ -30,14 +30,14 @@
 
 @dataclass(frozen=True, slots=True)
 class CellPlan:
-    """Sizes of a test cell.
+    """Size and settings of a test cell.
 
     Parameters
     ----------
     domains, workers_per_domain : int
-        Failure domains, one shard each, and hosts in each.
+        Number of failure domains, each with one shard, and of hosts in each.
     schedulers, frontends : int
-        Number of our own processes.
+        Number of scheduler and front-end processes.
     """
 
     domains: int = 2
@@ -60,11 +60,11 @@
     Parameters
     ----------
     directory : Path
-        Gets settings and logs.
+        Directory for settings and logs.
     plan : CellPlan
-        Sizes.
+        Size and settings of the cell.
     processes : Processes
-        Ends everything when it is closed.
+        Starts the processes and ends them when it is closed.
     """
 
     def __init__(
@@ -78,12 +78,12 @@
         self.schedulers: dict[str, ManagedProcess] = {}
         self.frontends: dict[str, ManagedProcess] = {}
         self.urls: dict[str, str] = {}
-        self._links = {
+        self._link_addresses = {
             f'scheduler-{number}': find_free_address()
             for number in range(plan.schedulers)
         }
         self._start_workers()
-        for name in self._links:
+        for name in self._link_addresses:
             self.start_scheduler(name)
         for number in range(plan.frontends):
             self.start_frontend(f'frontend-{number}')
@@ -111,7 +111,7 @@
             'store_url': self.store.url,
             'peers': [
                 {'name': peer, 'address': address}
-                for peer, address in self._links.items()
+                for peer, address in self._link_addresses.items()
                 if peer != name
             ],
             'owner_ttl_s': self.plan.owner_ttl_s,
@@ -123,13 +123,13 @@
         return path
 
     def start_scheduler(self, name: str) -> ManagedProcess:
-        """Start, or start anew, one scheduler."""
+        """Start or restart one scheduler."""
         number = int(name.rpartition('-')[2])
         path = self._write_settings(
             name,
             failure_domain=f'domain-{number % self.plan.domains}',
             http_address=find_free_address(),
-            link_address=self._links[name],
+            link_address=self._link_addresses[name],
         )
         process = self.processes.start_program(
             name, 'serve', 'scheduler', '--settings', str(path)
@@ -138,7 +138,7 @@
         return process
 
     def start_frontend(self, name: str) -> ManagedProcess:
-        """Start, or start anew, one front end and wait until it is alive."""
+        """Start or restart one front end and wait until it is alive."""
         address = find_free_address()
         number = int(name.rpartition('-')[2])
         path = self._write_settings(
@@ -205,15 +205,15 @@
         )
 
     def find_link(self, name: str) -> str:
-        """Return the address where a scheduler serves other processes."""
-        return self._links[name]
+        """Return the address at which other processes reach a scheduler."""
+        return self._link_addresses[name]
 
     def find_url(self, frontend: str = '') -> str:
         """Return the base URL of a front end, by default the first."""
         return self.urls[frontend or 'frontend-0']
 
     def start_serving(self) -> None:
-        """Apply the first configuration and wait for open hosts."""
+        """Apply the first configuration and wait until all hosts are open."""
         configuration = self.make_configuration()
         wait_until(
             lambda: self.apply(configuration, 0).status_code == 200,
@@ -224,18 +224,18 @@
         wait_until(self.is_open, 'all hosts opening')
 
     def is_open(self) -> bool:
-        """Tell whether every host is open for work."""
+        """Return whether every host accepts work."""
         return self.count_open() == len(self.workers)
 
     def count_open(self) -> int:
-        """Return how many hosts are open for work."""
+        """Return the number of hosts that accept work."""
         response = self.processes.client.get(f'{self.find_url()}/v1/hosts')
         if response.status_code != 200:
             return 0
         return sum(h['status'] == 'open' for h in response.json()['hosts'])
 
     def find_owner(self, shard: str, frontend: str = '') -> str:
-        """Return the name of a shard's owner, '' when none is known."""
+        """Return the name of a shard's owner, '' if the owner is unknown."""
         response = self.processes.client.get(
             f'{self.find_url(frontend)}/v1/shards'
         )
@@ -248,7 +248,7 @@
         return str(owners.get(shard, ''))
 
     def kill_all(self) -> None:
-        """Kill our own processes, which have nothing left to drain."""
+        """Kill the schedulers and front ends without draining them."""
         for process in (*self.schedulers.values(), *self.frontends.values()):
             process.kill()
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,7 +1,7 @@
-"""Settings for all tests."""
+"""Settings of hypothesis for all tests."""
 
 from hypothesis import settings
 
-# The same examples in each run, so that CI gives the same verdict.
+# Each run uses the same examples, so that results are repeatable in CI.
 settings.register_profile('repeatable', derandomize=True, database=None)
 settings.load_profile('repeatable')
--- a/tests/demo.py
+++ b/tests/demo.py
@@ -1,7 +1,7 @@
-"""Shows both customers' cells under load, with a scheduler killed.
+"""Runs the cells of both customers under load and kills a scheduler.
 
-Run ``python -m tests.demo``. The exit status is 1 if any job is not
-accounted for.
+Run ``python -m tests.demo``. The exit status is 1 if the results of the jobs
+are inconsistent with the records of the workers.
 """
 
 from __future__ import annotations
@@ -32,33 +32,35 @@
 from tests.processes import WorkerStandIn
 
 NETWORK = '127.0.0'
-FRONTENDS = 2
-CANCELLED_JOBS = 10
-DUPLICATES = 20
-KILL_AFTER = 60
+FRONTEND_COUNT = 2
+CANCELLED_JOB_COUNT = 10
+DUPLICATE_COUNT = 20
+JOBS_BEFORE_KILL = 60
 GIB = 1024
 
 
 @dataclass(frozen=True, slots=True)
 class Customer:
-    """One customer's cell and mixed load.
+    """The cell and the mixed load of one customer.
 
     Parameters
     ----------
     name : str
         Directory of the declaration under ``examples``.
     cores, memory_gib : int
-        Of each worker.
-    quick, once, batch : dict
+        Capacity of each worker.
+    quick, non_idempotent, batch : dict
         Fields of quick requests, of non-idempotent jobs and of idempotent
-        batch jobs; ``gang`` of jobs that need all their tasks at once.
+        batch jobs.
+    gang : dict
+        Fields of jobs whose tasks must all run at the same time.
     """
 
     name: str
     cores: int
     memory_gib: int
     quick: dict[str, Any]
-    once: dict[str, Any]
+    non_idempotent: dict[str, Any]
     batch: dict[str, Any]
     gang: dict[str, Any]
 
@@ -102,7 +104,7 @@
         self._apply()
 
     def _write_declaration(self) -> list[str]:
-        """Copy the example with the addresses of stand-ins; start these."""
+        """Write the example with stand-ins' addresses; start the workers."""
         source = ROOT / 'examples' / self._customer.name / 'declaration'
         for path in source.iterdir():
             (self._directory / path.name).write_text(path.read_text())
@@ -130,7 +132,7 @@
         entry['urls'] = [f'http://{address}' for address in addresses.values()]
 
     def _start_processes(self) -> tuple[str, ...]:
-        """Start a scheduler for each failure domain, and front ends."""
+        """Start one scheduler per failure domain and the front ends."""
         links = {
             f'scheduler-{number}': find_free_address(f'{NETWORK}.{number}')
             for number in range(1, len(self.domains) + 1)
@@ -148,7 +150,7 @@
                 },
             )
         urls = []
-        for number in range(1, FRONTENDS + 1):
+        for number in range(1, FRONTEND_COUNT + 1):
             address = find_free_address(f'{NETWORK}.{100 + number}')
             name = f'frontend-{number}'
             process = self._start(
@@ -190,21 +192,21 @@
         )
 
     def get(self, path: str) -> Any:
-        """Return the document at a path of the first front end."""
+        """Return the JSON document at a path of the first front end."""
         return self._processes.client.get(f'{self.urls[0]}{path}').json()
 
     def count_open(self) -> int:
-        """Return how many hosts are open for work."""
+        """Return the number of hosts that accept work."""
         hosts = self.get('/v1/hosts').get('hosts', ())
         return sum(host['status'] == 'open' for host in hosts)
 
     def find_owners(self) -> dict[str, str]:
-        """Return the owner of each shard, '' when none is known."""
+        """Return the owner of each shard, '' for an unknown owner."""
         shards = self.get('/v1/shards').get('shards', ())
         return {shard['name']: shard['owner'] for shard in shards}
 
     def kill_owner(self, shard: str) -> float:
-        """Kill a shard's owner; return the seconds until it has another."""
+        """Kill a shard's owner; return the seconds until the takeover."""
         owner = self.find_owners()[shard]
         others = [
             process
@@ -213,8 +215,9 @@
         ]
         before = sum(count_takeovers(process, shard) for process in others)
         self.schedulers[owner].kill()
-        since = monotonic()
-        # The log shows the moment; a status waits for the dead process.
+        started_at_s = monotonic()
+        # Logs show the time of the takeover. A status request would be late,
+        # since it waits for the killed process.
         wait_until(
             lambda: (
                 sum(count_takeovers(process, shard) for process in others)
@@ -222,10 +225,10 @@
             ),
             'a takeover',
         )
-        return monotonic() - since
+        return monotonic() - started_at_s
 
     def cancel(self, job_id: str) -> None:
-        """Cancel a job; repeated until a front end says so."""
+        """Cancel a job; repeat the call until it succeeds."""
         url = f'{self.urls[0]}/v1/jobs/{job_id}'
         wait_until(
             lambda: self._processes.client.delete(url).status_code == 200,
@@ -234,7 +237,7 @@
 
 
 def count_takeovers(process: ManagedProcess, shard: str) -> int:
-    """Return how often a scheduler has logged the takeover of a shard."""
+    """Return the number of takeovers of a shard in a scheduler's log."""
     return sum(
         'kind=takeover' in line and f'shard={shard} ' in line
         for line in process.read_log().splitlines()
@@ -242,9 +245,12 @@
 
 
 def make_load(customer: Customer) -> list[dict[str, Any]]:
-    """Return the durable jobs of a customer, with those to be cancelled."""
-    once = {**customer.once, 'idempotent': False}
-    jobs = [make_job(f'once-{n}', 300 + 5 * n, **once) for n in range(120)]
+    """Return the durable jobs of a customer, including those to cancel."""
+    non_idempotent = {**customer.non_idempotent, 'idempotent': False}
+    jobs = [
+        make_job(f'once-{n}', 300 + 5 * n, **non_idempotent)
+        for n in range(120)
+    ]
     jobs += [
         make_job(f'batch-{n}', 100 + 5 * n, **customer.batch)
         for n in range(120)
@@ -252,14 +258,14 @@
     gang = {**customer.gang, 'class': 'gang'}
     jobs += [make_job(f'gang-{n}', 1000, **gang) for n in range(3)]
     jobs += [
-        make_job(f'cancelled-{n}', 120_000, **once)
-        for n in range(CANCELLED_JOBS)
+        make_job(f'cancelled-{n}', 120_000, **non_idempotent)
+        for n in range(CANCELLED_JOB_COUNT)
     ]
     return jobs
 
 
 def run_cell(customer: Customer, cell: DemoCell) -> list[str]:
-    """Put load on a cell, print its account and return the faults."""
+    """Run the load on a cell, print a summary and return the faults."""
     service = {'tasks': 3, 'class': 'service', **customer.batch}
     services = Load(cell.urls, [make_job('web', 600_000, **service)]).start()
     jobs = make_load(customer)
@@ -268,10 +274,10 @@
         QuickCalls(lambda url=url: url, 10, **customer.quick)
         for url in cell.urls
     ]
-    load.wait_for_accepted(KILL_AFTER)
+    load.wait_for_accepted(JOBS_BEFORE_KILL)
     takeover_s = cell.kill_owner(cell.domains[0])
-    repeats = Load(cell.urls[::-1], jobs[:DUPLICATES]).start()
-    for key in [f'cancelled-{n}' for n in range(CANCELLED_JOBS)]:
+    repeats = Load(cell.urls[::-1], jobs[:DUPLICATE_COUNT]).start()
+    for key in [f'cancelled-{n}' for n in range(CANCELLED_JOB_COUNT)]:
         wait_until(lambda key=key: key in load.accepted, f'accepting {key}')
         cell.cancel(load.accepted[key])
     load.finish()
@@ -283,7 +289,8 @@
     faults = find_faults(load, cell.workers)
     faults += find_faults(services, cell.workers)
     faults += [
-        f'{key}: {job_id} is another job than {load.accepted[key]}'
+        f'{key}: repeated submission gave job {job_id} '
+        f'instead of {load.accepted[key]}'
         for key, job_id in repeats.accepted.items()
         if load.accepted[key] != job_id
     ]
@@ -292,11 +299,11 @@
     ended = states['finished'] + states['cancelled'] + states['unknown']
     if accepted != ended:
         faults.append(f'{accepted} accepted, but {ended} ended')
-    known = {*load.accepted.values(), *services.accepted.values()}
+    job_ids = {*load.accepted.values(), *services.accepted.values()}
     starts = Counter(
         task.record.task.rpartition('.')[0]
         for task in read_tasks(cell.workers)
-        if task.job_id in known
+        if task.job_id in job_ids
     )
     print(f'{customer.name}: {len(cell.workers)} workers')
     print(
@@ -305,26 +312,26 @@
         f'duplicates {len(repeats.accepted)}'
     )
     print(
-        f'  quick: sent {len(calls)}, answered {len(latencies)}, '
+        f'  quick: sent {len(calls)}, succeeded {len(latencies)}, '
         f'p50 {find_quantile(latencies, 0.5):.1f} ms, '
         f'p99 {find_quantile(latencies, 0.99):.1f} ms'
     )
     print(f'  starts of each task: {dict(Counter(starts.values()))}')
-    print(f'  over capacity: {len(find_overloads(cell.workers))} moments')
+    print(f'  over capacity: {len(find_overloads(cell.workers))} times')
     print(f'  takeover after a kill: {takeover_s:.2f} s')
     return faults
 
 
 def find_quantile(ordered_s: list[float], share: float) -> float:
-    """Return a quantile of sorted times in milliseconds."""
+    """Return a quantile, in ms, of sorted times in seconds."""
     if not ordered_s:
         return 0.0
     return ordered_s[int(share * (len(ordered_s) - 1))] * 1000
 
 
 def run_demo() -> int:
-    """Run both cells one after the other; return the exit status."""
-    since = monotonic()
+    """Run the cells one after the other; return the exit status."""
+    started_at_s = monotonic()
     faults = []
     for customer in CUSTOMERS:
         with (
@@ -335,8 +342,8 @@
             faults += run_cell(customer, cell)
     for fault in faults:
         print(f'fault: {fault}')
-    verdict = 'does not add up' if faults else 'adds up'
-    print(f'the account {verdict}; {monotonic() - since:.0f} s in all')
+    result = 'inconsistent' if faults else 'consistent'
+    print(f'results are {result}; {monotonic() - started_at_s:.0f} s in total')
     return 1 if faults else 0
 
 
--- a/tests/loads.py
+++ b/tests/loads.py
@@ -1,4 +1,4 @@
-"""Submits jobs as callers do and accounts for them by workers' records."""
+"""Submits jobs as callers do and checks them against workers' records."""
 
 from __future__ import annotations
 
@@ -29,14 +29,16 @@
 
     from tests.processes import WorkerStandIn
 
-WIDTH = 16
-SUBMIT_TRIES = 200
+MAX_CONCURRENT_CALLS = 16
+SUBMIT_ATTEMPTS = 200
 BACKOFF_S = 0.1
 VIEW_WAIT_S = 2
-# Two workers' records round their wall clocks to whole milliseconds.
+# The records of two workers are each rounded to whole milliseconds.
 ROUNDING_MS = 2
-ENDS = frozenset({'finished', 'failed', 'cancelled', 'unknown', 'not-run'})
-LOSSES = frozenset({'lost', 'lapsed'})
+END_STATES = frozenset(
+    {'finished', 'failed', 'cancelled', 'unknown', 'not-run'}
+)
+LOST_OUTCOMES = frozenset({'lost', 'lapsed'})
 
 
 def make_job(key: str, run_ms: int = 50, **fields: Any) -> dict[str, Any]:
@@ -61,12 +63,12 @@
 
 
 class Load:
-    """Callers that submit jobs, repeating each key until it is answered.
+    """Callers that submit each job until it is accepted or not run.
 
     Parameters
     ----------
     urls : tuple of str
-        Base URLs of front ends; repeats go to the next one.
+        Base URLs of front ends; each further attempt uses the next one.
     jobs : list of dict
         Bodies as for ``POST /v1/jobs``.
     """
@@ -82,13 +84,13 @@
         self._client = Client(
             timeout=30.0,
             trust_env=False,
-            limits=Limits(max_keepalive_connections=WIDTH),
+            limits=Limits(max_keepalive_connections=MAX_CONCURRENT_CALLS),
         )
-        self._pool = ThreadPoolExecutor(WIDTH)
+        self._pool = ThreadPoolExecutor(MAX_CONCURRENT_CALLS)
         self._futures: list[Future[None]] = []
 
     def start(self) -> Load:
-        """Begin to submit in the background."""
+        """Start to submit the jobs in background threads."""
         self._futures = [
             self._pool.submit(self._submit, number, job)
             for number, job in enumerate(self.jobs.values())
@@ -96,19 +98,19 @@
         return self
 
     def wait_for_accepted(self, count: int) -> None:
-        """Block until so many jobs are accepted."""
+        """Block until ``count`` jobs are accepted."""
         wait_until(
             lambda: len(self.accepted) >= count, f'accepting {count} jobs'
         )
 
     def finish(self, timeout_s: float = 60.0) -> None:
-        """Wait for every job's end and note its state."""
+        """Wait for the end of every job and store its state."""
         for future in self._futures:
             future.result()
-        until = monotonic() + timeout_s
+        deadline_s = monotonic() + timeout_s
         list(
             self._pool.map(
-                lambda item: self._follow(*item, until),
+                lambda item: self._poll_until_ended(*item, deadline_s),
                 enumerate(self.accepted.items()),
             )
         )
@@ -117,7 +119,7 @@
 
     def _submit(self, number: int, job: dict[str, Any]) -> None:
         key = job['key']
-        for attempt in range(SUBMIT_TRIES):
+        for attempt in range(SUBMIT_ATTEMPTS):
             url = self._urls[(number + attempt) % len(self._urls)]
             try:
                 response = self._client.post(f'{url}/v1/jobs', json=job)
@@ -134,12 +136,14 @@
             if response.status_code < 500 and response.status_code != 429:
                 raise AssertionError(response.text)
             sleep(BACKOFF_S)
-        raise AssertionError(f'job {key!r} was never answered')
+        raise AssertionError(f'every attempt to submit job {key!r} failed')
 
-    def _follow(self, number: int, item: tuple[str, str], until: float) -> Any:
+    def _poll_until_ended(
+        self, number: int, item: tuple[str, str], deadline_s: float
+    ) -> Any:
         key, job_id = item
         attempt = 0
-        while monotonic() < until:
+        while monotonic() < deadline_s:
             url = self._urls[(number + attempt) % len(self._urls)]
             attempt += 1
             try:
@@ -153,13 +157,13 @@
             if response.status_code != 200:
                 sleep(BACKOFF_S)
                 continue
-            if self.states[key] in ENDS:
+            if self.states[key] in END_STATES:
                 return
 
 
 @dataclass(frozen=True, slots=True)
 class HostedTask:
-    """One start in the record of one host."""
+    """A task start in the record of a host."""
 
     host: str
     record: TaskRecord
@@ -171,7 +175,7 @@
 
 
 def read_tasks(workers: Mapping[str, WorkerStandIn]) -> list[HostedTask]:
-    """Return all starts that any worker has recorded."""
+    """Return the starts that the workers have recorded."""
     return [
         HostedTask(host, record)
         for host, worker in workers.items()
@@ -180,11 +184,13 @@
 
 
 def find_overloads(workers: Mapping[str, WorkerStandIn]) -> list[str]:
-    """Return the hosts that were over their capacity, with the moment."""
+    """Return the hosts that exceeded their capacity, with the times."""
     faults = []
     for host, worker in workers.items():
         record = worker.read_record()
-        faults += [f'{host} overloaded: {o}' for o in record.overloads]
+        faults += [
+            f'{host} overloaded: {overload}' for overload in record.overloads
+        ]
         if not record.peak.fits_in(record.capacity):
             faults.append(f'{host}: peak {record.peak}')
     return faults
@@ -192,11 +198,11 @@
 
 def find_overlaps(tasks: Iterable[HostedTask]) -> list[str]:
     """Return pairs of starts of one task that ran at the same time."""
-    by_place: dict[str, list[HostedTask]] = defaultdict(list)
+    starts_by_task: dict[str, list[HostedTask]] = defaultdict(list)
     for task in tasks:
-        by_place[task.record.task.rpartition('.')[0]].append(task)
+        starts_by_task[task.record.task.rpartition('.')[0]].append(task)
     faults = []
-    for starts in by_place.values():
+    for starts in starts_by_task.values():
         starts.sort(key=lambda start: start.record.started_ms)
         for first, second in zip(starts, starts[1:], strict=False):
             ended = first.record.ended_ms
@@ -208,14 +214,14 @@
 def find_faults(
     load: Load, workers: Mapping[str, WorkerStandIn], repeats: bool = False
 ) -> list[str]:
-    """Return everything in which a load's account does not add up.
+    """Return inconsistencies between a load and the workers' records.
 
     Parameters
     ----------
     load : Load
-        After `Load.finish`.
+        The load, after `Load.finish`.
     workers : mapping
-        Whose records are the measure.
+        Workers by host, whose records are taken as correct.
     repeats : bool
         Whether idempotent jobs may have started more than once, as after
         a fault of a worker.
@@ -252,23 +258,23 @@
     if len(starts) > width and not (idempotent and repeats):
         return f'{len(starts)} starts for {width} tasks'
     if state == 'finished':
-        short = outcomes.count('finished') < width
-        return 'finished without a finished task' if short else ''
+        incomplete = outcomes.count('finished') < width
+        return 'finished, but not all its tasks' if incomplete else ''
     if state == 'unknown':
-        lost = not idempotent and LOSSES.intersection(outcomes)
+        lost = not idempotent and LOST_OUTCOMES.intersection(outcomes)
         return '' if lost else 'unknown, but no attempt was lost'
     return '' if state == 'cancelled' else f'ended as {state}'
 
 
 class QuickCalls:
-    """One caller that sends quick requests in turn, until it is stopped.
+    """A caller that sends quick requests one by one until it is stopped.
 
     Parameters
     ----------
     url : callable
         Returns the base URL of the front end for the next request.
     run_ms : int
-        Run time of each task.
+        Run time of each task in ms.
     **fields
         Further fields of each request.
     """
@@ -283,7 +289,7 @@
         self._stopping = False
         self._client = Client(timeout=20.0, trust_env=False)
         self._pool = ThreadPoolExecutor(1)
-        self.answers: list[tuple[float, str]] = []
+        self.responses: list[tuple[float, str]] = []
         self._future = self._pool.submit(self._run)
 
     def _run(self) -> None:
@@ -292,15 +298,15 @@
             number += 1
             key = f'quick-{id(self)}-{number}'
             sent_at = monotonic()
-            answer = self.call(key)
-            good = answer == f'output of {key}'
+            output = self.call(key)
+            good = output == f'output of {key}'
             if good:
                 self.latencies_s.append(monotonic() - sent_at)
-            self.answers.append((sent_at, '' if good else answer))
+            self.responses.append((sent_at, '' if good else output))
             sleep(0.02)
 
     def call(self, key: str) -> str:
-        """Return the body of the answer, or why there is none."""
+        """Return the body of the response, or the error if there is none."""
         job = make_job(key, self._run_ms, **self._fields)
         try:
             response: Response = self._client.post(
@@ -311,9 +317,9 @@
         return response.text
 
     def stop(self) -> list[tuple[float, str]]:
-        """Return the time of each request and its fault, '' for none."""
+        """Stop; return each request's send time and fault, '' for none."""
         self._stopping = True
         self._future.result()
         self._pool.shutdown()
         self._client.close()
-        return self.answers
+        return self.responses
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -1,4 +1,4 @@
-"""Starts stand-ins and the library's own processes for tests.
+"""Starts stand-ins and processes of sassafrasgate for tests.
 
 Examples
 --------
@@ -51,54 +51,57 @@
 STOP_TIMEOUT_S = 10.0
 POLL_S = 0.02
 
-_issued_ports: set[int] = set()
+_returned_ports: set[int] = set()
 
 
 def find_loopback() -> str:
     """Return an address in 127.0.0.0/8 that only this process uses.
 
-    Test runs on the same machine then can't take each other's ports.
+    Test runs on the same machine then do not compete for ports.
     """
     pid = getpid()
     return f'127.{1 + (pid >> 16)}.{pid >> 8 & 255}.{pid & 255}'
 
 
 def find_free_address(ip: str = '') -> str:
-    """Return IP number and port that nothing listens on.
+    """Return an IP number and port on which no process listens.
 
     Parameters
     ----------
     ip : str
-        By default a number that only this process uses.
+        IP number; by default one that only this process uses.
     """
     while True:
         with socket(AF_INET, SOCK_STREAM) as probe:
             probe.bind((ip or find_loopback(), 0))
             host, port = probe.getsockname()
-        if port not in _issued_ports:
-            _issued_ports.add(port)
+        if port not in _returned_ports:
+            _returned_ports.add(port)
             return f'{host}:{port}'
 
 
 def wait_until(
-    condition: Callable[[], bool], what: str, timeout_s: float = 30.0
+    condition: Callable[[], bool], description: str, timeout_s: float = 30.0
 ) -> None:
     """Block until a condition holds.
 
     Raises
     ------
     TimeoutError
-        When it does not hold within ``timeout_s``; names ``what``.
+        If the condition does not hold within ``timeout_s``; the message
+        contains ``description``.
     """
-    until = monotonic() + timeout_s
+    deadline_s = monotonic() + timeout_s
     while not condition():
-        if monotonic() > until:
-            raise TimeoutError(f'{what} did not happen in {timeout_s:g} s')
+        if monotonic() > deadline_s:
+            raise TimeoutError(
+                f'{description} did not happen in {timeout_s:g} s'
+            )
         sleep(POLL_S)
 
 
 class ManagedProcess:
-    """One ``python -m`` process and its log.
+    """A ``python -m`` process and its log.
 
     Parameters
     ----------
@@ -107,8 +110,8 @@
     arguments : tuple of str
         Module and arguments.
     log_path : Path
-        Gets what the process writes; a process started anew under the
-        same name appends.
+        File for the output of the process; a process that is restarted
+        under the same name appends to it.
     """
 
     def __init__(
@@ -133,7 +136,7 @@
         return self._popen.poll() is None
 
     def read_log(self) -> str:
-        """Return what this process has written."""
+        """Return the output of this process."""
         with self.log_path.open('rb') as log:
             log.seek(self._log_start)
             return log.read().decode(errors='replace')
@@ -161,7 +164,7 @@
         Raises
         ------
         subprocess.TimeoutExpired
-            When it has not ended after ``timeout_s``.
+            If it has not ended after ``timeout_s``.
         """
         self.send_signal(SIGTERM)
         return self._popen.wait(timeout_s)
@@ -174,7 +177,7 @@
         RuntimeError
             When the process ended before; shows its log.
         TimeoutError
-            When the text does not appear in time.
+            If the text does not appear within ``timeout_s``.
         """
 
         def is_logged() -> bool:
@@ -189,7 +192,7 @@
 
 
 class StandIn:
-    """The control side of a stand-in."""
+    """Client of the control paths of a stand-in."""
 
     def __init__(
         self, address: str, process: ManagedProcess, client: Client
@@ -200,7 +203,7 @@
         self._client = client
 
     def set_faults(self, **faults: Any) -> None:
-        """Change the named faults; the others stay as they are."""
+        """Set the given faults; the others keep their values."""
         self._call('POST', 'faults', faults)
 
     def read_counts(self) -> dict[str, int]:
@@ -218,28 +221,28 @@
 
 
 class StoreStandIn(StandIn):
-    """The control side of the store."""
+    """Client of the control paths of the store."""
 
     def set_hosts(self, hosts: Iterable[HostStatus]) -> None:
-        """Set the host list, visible after the lag."""
+        """Set the host list, which callers see after the lag."""
         self._call('PUT', 'hosts', tuple(hosts))
 
 
 class WorkerStandIn(StandIn):
-    """The control side of one worker."""
+    """Client of the control paths of one worker."""
 
     def read_record(self) -> WorkerRecord:
-        """Return what the worker has seen."""
+        """Return the record of the worker."""
         return decode(self._call('GET', 'record'), type=WorkerRecord)
 
 
 class Processes:
-    """Processes of one test, ended with it.
+    """Processes of one test, which end with it.
 
     Parameters
     ----------
     directory : Path
-        Gets one log file per process name.
+        Directory for one log file per process name.
     """
 
     def __init__(self, directory: Path) -> None:
@@ -260,7 +263,7 @@
         traceback: TracebackType | None,
     ) -> None:
         for process in self._started:
-            # A suspended process handles no SIGTERM.
+            # A suspended process cannot handle SIGTERM.
             process.resume()
             process.send_signal(SIGTERM)
         for process in self._started:
@@ -271,7 +274,7 @@
         self._stack.close()
 
     def start(self, name: str, *arguments: str) -> ManagedProcess:
-        """Start ``python -m`` with the arguments; does not wait."""
+        """Start ``python -m`` with the arguments without waiting for it."""
         process = ManagedProcess(
             name, arguments, self._directory / f'{name}.log'
         )
@@ -279,7 +282,7 @@
         return process
 
     def start_program(self, name: str, *arguments: str) -> ManagedProcess:
-        """Start ``python -m sassafrasgate``; does not wait."""
+        """Start ``python -m sassafrasgate`` without waiting for it."""
         return self.start(name, 'sassafrasgate', *arguments)
 
     def wait_for_http(
@@ -288,14 +291,14 @@
         url: str,
         timeout_s: float = START_TIMEOUT_S,
     ) -> None:
-        """Block until a GET of ``url``, such as ``/readyz``, gives 200.
+        """Block until a GET of ``url``, such as ``/readyz``, returns 200.
 
         Raises
         ------
         RuntimeError
             When the process ended before; shows its log.
         TimeoutError
-            When there is no such answer in time.
+            If no such response arrives within ``timeout_s``.
         """
 
         def is_ready() -> bool:
@@ -325,7 +328,7 @@
         name : str
             Name of the process.
         **options
-            ``hosts_lag_ms``, ``log_length``.
+            ``hosts_lag_ms`` and ``log_length`` of the store.
         """
         address = address or find_free_address()
         process = self.start(
@@ -333,7 +336,7 @@
             'tests.standins.store',
             '--address',
             address,
-            *_make_options(options),
+            *_format_options(options),
         )
         process.wait_for_log(f'serving {address}\n', START_TIMEOUT_S)
         return StoreStandIn(address, process, self.client)
@@ -356,7 +359,7 @@
         Parameters
         ----------
         addresses : dict of str to str
-            Address of each worker, by name.
+            IP number and port of each worker, by name.
         name : str
             Name of the process.
         **capacity
@@ -366,7 +369,7 @@
         arguments = ['tests.standins.worker']
         for worker, address in addresses.items():
             arguments += ['--worker', f'{worker}={address}']
-        process = self.start(name, *arguments, *_make_options(capacity))
+        process = self.start(name, *arguments, *_format_options(capacity))
         for address in addresses.values():
             process.wait_for_log(f'serving {address}\n', START_TIMEOUT_S)
         return {
@@ -375,7 +378,7 @@
         }
 
 
-def _make_options(values: dict[str, int]) -> list[str]:
+def _format_options(values: dict[str, int]) -> list[str]:
     return [
         f'--{name.replace("_", "-")}={value}' for name, value in values.items()
     ]
--- a/tests/relays.py
+++ b/tests/relays.py
@@ -1,4 +1,4 @@
-"""A TCP relay that can stop forwarding without closing anything."""
+"""A TCP relay that can stop forwarding while connections stay open."""
 
 from __future__ import annotations
 
@@ -26,7 +26,7 @@
 
     def __init__(self, target: str) -> None:
         self._target = target
-        self._silent: set[int] = set()
+        self._silenced: set[int] = set()
         self.connections = 0
         self.address = ''
         self.ready = anyio.Event()
@@ -43,19 +43,19 @@
             await listener.serve(self._forward)
 
     def silence(self) -> None:
-        """Forward nothing more on the connections opened so far."""
-        self._silent.update(range(1, self.connections + 1))
+        """Drop all further bytes on the connections opened so far."""
+        self._silenced.update(range(1, self.connections + 1))
 
-    async def _forward(self, near: SocketStream) -> None:
+    async def _forward(self, client: SocketStream) -> None:
         self.connections += 1
         number = self.connections
         host, _, port = self._target.rpartition(':')
         # Either end may reset the connection at any time.
         with suppress(OSError):
-            far = await anyio.connect_tcp(host, int(port))
-            async with near, far, anyio.create_task_group() as group:
-                group.start_soon(self._copy, number, near, far)
-                group.start_soon(self._copy, number, far, near)
+            upstream = await anyio.connect_tcp(host, int(port))
+            async with client, upstream, anyio.create_task_group() as group:
+                group.start_soon(self._copy, number, client, upstream)
+                group.start_soon(self._copy, number, upstream, client)
 
     async def _copy(
         self, number: int, source: SocketStream, sink: SocketStream
@@ -67,5 +67,5 @@
         ):
             while True:
                 data = await source.receive(CHUNK_BYTES)
-                if number not in self._silent:
+                if number not in self._silenced:
                     await sink.send(data)
--- a/tests/run.py
+++ b/tests/run.py
@@ -1,7 +1,8 @@
-"""Run pytest and judge its result against KNOWN-RED.txt.
+"""Run pytest and compare the failures with KNOWN-RED.txt.
 
-A test that KNOWN-RED.txt names may fail: it is run, printed and passed
-over. Any other failure, and an entry that names no test, is an error.
+A test that KNOWN-RED.txt lists may fail: its failure is printed, but does
+not make the run fail. Any other failure is an error, as is an entry that
+names a test that does not exist.
 """
 
 from __future__ import annotations
@@ -27,7 +28,7 @@
 
 
 class KnownRedReport:
-    """A pytest plugin that sorts failures into known and new ones."""
+    """A pytest plugin that separates known failures from new ones."""
 
     def __init__(self, known: set[str]) -> None:
         self.known = known
@@ -36,11 +37,11 @@
         self.new_failures: set[str] = set()
 
     def pytest_collection_finish(self, session: pytest.Session) -> None:
-        """Note every collected test id."""
+        """Store the ids of the collected tests."""
         self.seen = {item.nodeid for item in session.items}
 
     def pytest_runtest_logreport(self, report: pytest.TestReport) -> None:
-        """Sort one failed report."""
+        """Store the test id of a failure as a known or a new one."""
         if not report.failed:
             return
         if report.nodeid in self.known:
