Look up logged fields under their new key in the tests

Cause: log_event stores the fields of a log record under 'event_fields'; two tests of the caller interface still looked under 'facts' and failed. Change: the tests use the new key; what they check is unchanged.

--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -222,7 +222,7 @@
 
     (record,) = handler.records
     assert record.message == 'request-failed'
-    fields = dict(record.extra['facts'])
+    fields = dict(record.extra['event_fields'])
     assert fields['job'] == JOB
     assert fields['status'] == 504
     assert fields['reason'] == gateway.reply.reason
@@ -237,7 +237,7 @@
         await client.get(f'/unknown/{JOB}')
 
     (record,) = handler.records
-    assert dict(record.extra['facts'])['status'] == 404
+    assert dict(record.extra['event_fields'])['status'] == 404
 
 
 async def test_successful_request_is_not_logged(client):
