Call the base class of the store clients BaseStoreClient

Cause: BaseStore read like a store, while it is the base class of clients. Change: BaseStore is BaseStoreClient in adapters/base_client.py.

--- a/sassafrasgate/adapters/base_store.py
+++ b/sassafrasgate/adapters/base_client.py
@@ -36,7 +36,7 @@
         return
 
 
-class BaseStore:
+class BaseStoreClient:
     """HTTP client of a store, whose calls a rate limiter delays.
 
     Parameters
--- a/sassafrasgate/adapters/entry.py
+++ b/sassafrasgate/adapters/entry.py
@@ -19,7 +19,7 @@
     ----------
     open_store : callable
         Returns a client of the store, from its address and the keyword
-        arguments of `sassafrasgate.adapters.base_store.BaseStore`.
+        arguments of `sassafrasgate.adapters.base_client.BaseStoreClient`.
     open_worker : callable
         Returns a client of a worker, from its id, its address and the
         maximum duration of a call in seconds.
--- a/sassafrasgate/adapters/store.py
+++ b/sassafrasgate/adapters/store.py
@@ -11,7 +11,7 @@
 from msgspec.json import decode
 from msgspec.json import encode
 
-from sassafrasgate.adapters.base_store import BaseStore
+from sassafrasgate.adapters.base_client import BaseStoreClient
 from sassafrasgate.core.errors import StoreError
 from sassafrasgate.core.errors import StoreLeaseLostError
 from sassafrasgate.core.errors import StoreLogTrimmedError
@@ -40,7 +40,7 @@
     lease: str
 
 
-class Store(BaseStore):
+class Store(BaseStoreClient):
     """Client of the store, which sends each call once and never retries.
 
     Parameters
--- a/sassafrasgate/platform/store.py
+++ b/sassafrasgate/platform/store.py
@@ -12,7 +12,7 @@
 from msgspec.json import decode
 from msgspec.json import encode
 
-from sassafrasgate.adapters.base_store import BaseStore
+from sassafrasgate.adapters.base_client import BaseStoreClient
 from sassafrasgate.core.errors import StoreError
 from sassafrasgate.core.errors import StoreLeaseLostError
 from sassafrasgate.core.errors import StoreLogTrimmedError
@@ -59,7 +59,7 @@
     lease: int
 
 
-class PlatformStore(BaseStore):
+class PlatformStore(BaseStoreClient):
     """Client of the store, which sends each call once and never retries.
 
     It implements `sassafrasgate.core.stores.KeyStore` and raises the same
