--- a/sassafrasgate/configuration/values.py
+++ b/sassafrasgate/configuration/values.py
@@ -44,7 +44,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ValidationIssue:
-    """The problem with a rejected value, and what to write instead."""
+    """The problem with an invalid value, and what to write instead."""
 
     problem: str
     remedy: str
--- a/sassafrasgate/core/workflows.py
+++ b/sassafrasgate/core/workflows.py
@@ -215,7 +215,7 @@
     Parameters
     ----------
     fencing_token : int
-        Fencing token. The worker rejects a call with a token lower than the
+        Fencing token. The worker refuses a call with a token lower than the
         highest one that it has seen.
     acknowledged : int
         Ended runs up to this number are stored durably; the worker may
@@ -244,7 +244,8 @@
         Reading of the worker's clock to which the lease of all its runs is
         renewed, and from which on the worker refuses this start.
     fencing_token : int
-        As in `HoldRequest`.
+        Fencing token. The worker refuses a call with a token lower than the
+        highest one that it has seen.
     ticket : str
         Ticket from the advice service that admits the worker; empty when
         the queue needs none.
--- a/sassafrasgate/daemons/configurations.py
+++ b/sassafrasgate/daemons/configurations.py
@@ -76,7 +76,7 @@
     ----------
     store : Store
         Holds the accepted versions.
-    ask_peers : callable
+    request_from_peers : callable
         Sends a message to every known peer and returns the replies. Used
         while the store does not respond.
     inbox : MemoryObjectReceiveStream
@@ -89,12 +89,12 @@
     def __init__(
         self,
         store: Store,
-        ask_peers: Callable[[Any, float], Awaitable[tuple[Any, ...]]],
+        request_from_peers: Callable[[Any, float], Awaitable[tuple[Any, ...]]],
         inbox: MemoryObjectReceiveStream[Any],
         listeners: tuple[MemoryObjectSendStream[Any], ...],
     ) -> None:
         self._store = store
-        self._ask_peers = ask_peers
+        self._request_from_peers = request_from_peers
         self._inbox = inbox
         self._listeners = listeners
         self.current = Configuration()
@@ -172,7 +172,9 @@
         bool
             Whether this process now holds the newest version reported.
         """
-        received = await self._ask_peers(FetchConfiguration(), FETCH_TIMEOUT_S)
+        received = await self._request_from_peers(
+            FetchConfiguration(), FETCH_TIMEOUT_S
+        )
         replies = [
             reply
             for reply in received
--- a/sassafrasgate/daemons/counters.py
+++ b/sassafrasgate/daemons/counters.py
@@ -20,7 +20,7 @@
     from sassafrasgate.observability.metrics import Metrics
     from sassafrasgate.protocol.links import LinkCounts
 
-INTERVAL_S = 2.0
+UPDATE_INTERVAL_S = 2.0
 
 
 class CounterTask:
@@ -50,7 +50,7 @@
     async def run(self) -> None:
         """Publish the counts at a fixed interval until cancelled."""
         while True:
-            await anyio.sleep(INTERVAL_S)
+            await anyio.sleep(UPDATE_INTERVAL_S)
             self._publish(self._count())
 
     def _count(self) -> Counter[tuple[str, str]]:
--- a/sassafrasgate/daemons/directory.py
+++ b/sassafrasgate/daemons/directory.py
@@ -49,7 +49,7 @@
         Task group in which the links run.
     peers : tuple of Peer
         Schedulers named in the settings. They can be reached while the
-        store does not answer.
+        store does not respond.
     make_heartbeat : callable
         Returns the heartbeat that the links send.
     handle_heartbeat : callable
@@ -172,14 +172,14 @@
         """Send a message on every link and return the replies received."""
         replies: list[Any] = []
 
-        async def ask_one(link: Link) -> None:
+        async def request_one(link: Link) -> None:
             reply = await link.request(message, timeout_s)
             if not isinstance(reply, NoReply):
                 replies.append(reply)
 
         async with anyio.create_task_group() as group:
             for link in self.list_links():
-                group.start_soon(ask_one, link)
+                group.start_soon(request_one, link)
         return tuple(replies)
 
 
--- a/sassafrasgate/daemons/dispatcher.py
+++ b/sassafrasgate/daemons/dispatcher.py
@@ -90,7 +90,7 @@
     from sassafrasgate.dispatch.actions import WatchWorker
     from sassafrasgate.protocol.links import IncomingRequest
 
-TICK_S = 0.1
+TICK_INTERVAL_S = 0.1
 LOAD_RETRY_DELAY_S = 0.1
 MAX_INBOX_EVENTS = 20_000
 # Records are collected into shared entries, because each store call is
@@ -108,7 +108,7 @@
 ADVICE_MARGIN_MS = 400
 # Writes that have been failing for this time are treated as a store outage.
 OUTAGE_THRESHOLD_MS = 150
-# A store that takes longer than this to answer is treated as failing, too.
+# A store call that takes longer than this is treated as failing, too.
 SLOW_APPEND_THRESHOLD_MS = 1_500
 
 
@@ -349,7 +349,7 @@
 
     async def _tick(self) -> None:
         while True:
-            await anyio.sleep(TICK_S)
+            await anyio.sleep(TICK_INTERVAL_S)
             await self.events.send(Ticked(wall_ms()))
 
     async def _serve(self) -> None:
--- a/sassafrasgate/daemons/election.py
+++ b/sassafrasgate/daemons/election.py
@@ -347,7 +347,7 @@
             if not self.is_self(member)
         ]
 
-    async def ask_peers_for_owner(self) -> None:
+    async def request_owner_from_peers(self) -> None:
         """Ask the other entry hosts which host owns the shard.
 
         A host that is cut off from the store gets no updates of the owner
@@ -356,9 +356,9 @@
         """
         async with anyio.create_task_group() as group:
             for member in self._list_others():
-                group.start_soon(self._ask_for_owner, member)
+                group.start_soon(self._request_owner, member)
 
-    async def _ask_for_owner(self, member: Member) -> None:
+    async def _request_owner(self, member: Member) -> None:
         link = self._directory.find_link(member.link_address)
         reply = await link.request(FindOwner(SHARD), FIND_OWNER_TIMEOUT_S)
         if not isinstance(reply, OwnerFound) or not reply.member:
--- a/sassafrasgate/daemons/entry.py
+++ b/sassafrasgate/daemons/entry.py
@@ -203,7 +203,7 @@
         group.start_soon(self._query_other_owner)
 
     async def _query_other_owner(self) -> None:
-        await self.election.ask_peers_for_owner()
+        await self.election.request_owner_from_peers()
         await anyio.sleep(FIND_OWNER_TIMEOUT_S)
         self._is_querying_owner = False
         self.check_other_owner()
@@ -311,7 +311,7 @@
         With a valid lease this process learns the owner from the store.
         """
         if self.dispatcher is None and not self.election.has_fresh_lease():
-            await self.election.ask_peers_for_owner()
+            await self.election.request_owner_from_peers()
 
     async def handle_request(self, request: IncomingRequest) -> None:
         """Handle one request of the inner protocol."""
--- a/sassafrasgate/daemons/frontend.py
+++ b/sassafrasgate/daemons/frontend.py
@@ -283,7 +283,7 @@
             yield item.value
 
     async def list_status(self) -> tuple[StatusReply, ...]:
-        """Return the status of every scheduler that answers."""
+        """Return the status of every scheduler that replies."""
         for member in self._directory.list_schedulers():
             self._directory.find_link(member.link_address)
         replies = await self._directory.broadcast_request(
--- a/sassafrasgate/daemons/gateways.py
+++ b/sassafrasgate/daemons/gateways.py
@@ -23,7 +23,7 @@
     from sassafrasgate.core.workflows import Workflow
     from sassafrasgate.daemons.entry import EntryTask
 
-# An owner that has not answered within this time may be lost. The next attempt
+# An owner that has not replied within this time may be lost. The next attempt
 # may reach its successor, and every request can be repeated.
 ATTEMPT_TIMEOUT_S = 0.7
 RETRY_DELAY_S = 0.05
@@ -86,25 +86,29 @@
         self, queue: Queue, job_id: str, workflow: Workflow, timeout_s: float
     ) -> Any:
         """Submit a workflow to the owner."""
-        return await self._ask_owner(
+        return await self._request_from_owner(
             SubmitWorkflow(job_id, queue.name, self.version, workflow),
             timeout_s,
         )
 
     async def query(self, job_id: str, timeout_s: float) -> Any:
         """Ask the owner for a workflow's state."""
-        return await self._ask_owner(QueryWorkflow(job_id), timeout_s)
+        return await self._request_from_owner(QueryWorkflow(job_id), timeout_s)
 
     async def cancel(self, job_id: str, timeout_s: float) -> Any:
         """Ask the owner to cancel a workflow."""
-        return await self._ask_owner(CancelWorkflow(job_id), timeout_s)
+        return await self._request_from_owner(
+            CancelWorkflow(job_id), timeout_s
+        )
 
     async def count(self, queue: Queue, timeout_s: float) -> Any:
         """Ask the owner how many workflows of a queue have not started."""
-        return await self._ask_owner(CountPending(queue.name), timeout_s)
+        return await self._request_from_owner(
+            CountPending(queue.name), timeout_s
+        )
 
-    async def _ask_owner(self, message: Any, timeout_s: float) -> Any:
-        """Send a request to the owner until it answers or time runs out.
+    async def _request_from_owner(self, message: Any, timeout_s: float) -> Any:
+        """Send a request to the owner until it replies or the time is over.
 
         Every request can be repeated safely.
 
--- a/sassafrasgate/daemons/hosts.py
+++ b/sassafrasgate/daemons/hosts.py
@@ -144,7 +144,7 @@
                 delay_s = min(delay_s * 2, MAX_RETRY_DELAY_S)
 
     async def _sync(self) -> bool:
-        """Make one sync call and tell whether the worker answered."""
+        """Make one sync call and tell whether the worker replied."""
         reading = self._clock_reading
         release = tuple(self._pending_releases)
         request = SyncRequest(
@@ -241,7 +241,7 @@
         if not self.may_send():
             return 'the owner lease has expired'
         if self._clock_reading is None:
-            return 'the worker has not answered yet'
+            return 'the worker has not replied yet'
         if self._incarnation != command.incarnation:
             return 'the worker has restarted'
         return ''
--- a/sassafrasgate/daemons/journals.py
+++ b/sassafrasgate/daemons/journals.py
@@ -34,21 +34,21 @@
 
 MAX_ENTRY_RECORDS = 2_000
 MAX_ENTRY_SIZE_BYTES = 512 * 1024
-SNAPSHOT_RETRY_S = 1.0
+SNAPSHOT_RETRY_DELAY_S = 1.0
 # Kinds of records that create a job.
 ACCEPTANCE_KINDS = frozenset({'accepted', 'workflow-accepted'})
 
 
 @dataclass(frozen=True, slots=True)
 class WriteRecord:
-    """Make a record durable; answered by `RecordsDurable`."""
+    """Make a record durable; the reply is a `RecordsDurable`."""
 
     record: Any
 
 
 @dataclass(frozen=True, slots=True)
 class WithdrawJob:
-    """Drop a job's unwritten records; answered by `WithdrawalAnswered`."""
+    """Drop a job's unwritten records; the reply is a `WithdrawalAnswered`."""
 
     job_id: str
 
@@ -262,7 +262,7 @@
                 await self._journal.write_snapshot(sequence, data)
                 break
             except StoreUnavailableError:
-                await anyio.sleep(SNAPSHOT_RETRY_S)
+                await anyio.sleep(SNAPSHOT_RETRY_DELAY_S)
         self._snapshot_running = False
         self._wakeup.set()
         await self._events.send(SnapshotEnded())
--- a/sassafrasgate/daemons/relays.py
+++ b/sassafrasgate/daemons/relays.py
@@ -42,7 +42,7 @@
     from sassafrasgate.core.stores import KeyStore
     from sassafrasgate.daemons.directory import Directory
 
-# Hosts that are asked to relay a call, one after the other.
+# Maximum number of hosts that are asked to relay a call, one after the other.
 MAX_RELAY_HOSTS = 2
 # Result types of the store methods that can be relayed.
 RESULT_TYPES: Registry[str, Any] = Registry('relayed store method')
@@ -73,8 +73,8 @@
 # no reply within this time.
 HEDGED_METHODS = frozenset({'renew_lease', 'get'})
 HEDGE_DELAY_S = 0.15
-# After this many consecutive calls that only a relay has answered, the direct
-# path is considered unresponsive.
+# After this many consecutive calls whose reply came through a relay only, the
+# direct path is considered unresponsive.
 MAX_UNANSWERED_DIRECT_CALLS = 2
 # How long the relay path is preferred after a failure of the direct path.
 RELAY_PREFERENCE_MS = 2_000
--- a/sassafrasgate/daemons/shards.py
+++ b/sassafrasgate/daemons/shards.py
@@ -82,7 +82,7 @@
     from sassafrasgate.core.cells import Configuration
     from sassafrasgate.protocol.links import IncomingRequest
 
-TICK_S = 0.2
+TICK_INTERVAL_S = 0.2
 LOAD_RETRY_DELAY_S = 0.3
 PEER_TIMEOUT_S = 2.0
 MAX_INBOX_EVENTS = 20_000
@@ -252,7 +252,7 @@
 
     async def _tick(self) -> None:
         while True:
-            await anyio.sleep(TICK_S)
+            await anyio.sleep(TICK_INTERVAL_S)
             await self.events.send(Ticked(wall_ms()))
 
     async def _serve(self) -> None:
--- a/sassafrasgate/daemons/workers.py
+++ b/sassafrasgate/daemons/workers.py
@@ -187,7 +187,7 @@
             await self._ends_acknowledged.wait()
 
     async def _poll(self, was_silent: bool) -> bool:
-        """Make one hold call and tell whether the worker answered.
+        """Make one hold call and tell whether the worker replied.
 
         Calls to a worker that does not respond renew no leases: a call that
         is carried out late would keep its runs alive for longer than the
@@ -351,7 +351,7 @@
         if not self.may_send():
             return 'the owner lease has expired'
         if self._clock_reading is None:
-            return 'the worker has not answered yet'
+            return 'the worker has not replied yet'
         if self._incarnation_ms != incarnation_ms:
             return 'the worker has restarted'
         return ''
@@ -359,7 +359,7 @@
     async def stop_run(self, command: StopRun) -> None:
         """Stop a run; the dispatcher repeats the command if it gets no event.
 
-        The call itself is repeated when the worker does not answer.
+        The call itself is repeated when the worker does not reply.
         """
         for _ in range(MAX_STOP_ATTEMPTS):
             if not self.may_send():
--- a/sassafrasgate/dispatch/advice.py
+++ b/sassafrasgate/dispatch/advice.py
@@ -1,6 +1,6 @@
 """Calls to the advice service, which says which workers may run a step.
 
-The service answers one call at a time for each host that calls it, so calls
+The service handles one call at a time for each host that calls it, so calls
 are distributed over the entry hosts. Short calls are made by the owner's
 host. Long calls go to other hosts, so that they don't delay short ones.
 """
@@ -158,7 +158,7 @@
 
 @EVENT_HANDLERS.register(AdviceAnswered)
 def handle_advice(state: DispatchState, event: AdviceAnswered) -> Actions:
-    """Store the tickets of an answer.
+    """Store the tickets of a reply.
 
     Workers that the call asked about and that got no ticket are not
     admissible.
--- a/sassafrasgate/dispatch/events.py
+++ b/sassafrasgate/dispatch/events.py
@@ -62,7 +62,7 @@
 
 @dataclass(frozen=True, slots=True)
 class WorkerReported:
-    """A worker has answered a hold call.
+    """A worker has replied to a hold call.
 
     Parameters
     ----------
@@ -86,7 +86,8 @@
     Parameters
     ----------
     leases_expire_at : int
-        As in `WorkerReported`.
+        Owner's clock, in ms, from which every lease granted so far has
+        expired.
     reason : str
         Why the call failed, for the log.
     """
@@ -105,7 +106,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RunAnswered:
-    """A worker has answered a start call."""
+    """A worker has replied to a start call."""
 
     worker: str
     run: RunKey
@@ -114,7 +115,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RunUnanswered:
-    """A start call got no answer, so the worker may still carry it out.
+    """A start call got no reply, so the worker may still carry it out.
 
     Parameters
     ----------
@@ -147,13 +148,13 @@
 
 @dataclass(frozen=True, slots=True)
 class StopAnswered:
-    """A worker has answered a stop call, so the run can't start any more.
+    """A worker has replied to a stop call, so the run can't start any more.
 
     Parameters
     ----------
     clock_ms : int
-        Worker's clock when it answered. A later report still lists the run
-        if the run was present.
+        Worker's clock, in ms, when it replied. A later report still lists
+        the run if the run was present.
     """
 
     worker: str
@@ -163,7 +164,7 @@
 
 @dataclass(frozen=True, slots=True)
 class AdviceAnswered:
-    """The advice service has answered a call about a step.
+    """The advice service has replied to a call about a step.
 
     Parameters
     ----------
@@ -172,7 +173,7 @@
     workers : tuple of str
         Workers that the call asked about.
     answered_at : int
-        Owner's clock, in ms, when the answer arrived. The tickets became
+        Owner's clock, in ms, when the reply arrived. The tickets became
         valid shortly before.
     """
 
--- a/sassafrasgate/dispatch/gangs.py
+++ b/sassafrasgate/dispatch/gangs.py
@@ -67,7 +67,7 @@
         return
     job = state.jobs[key.job_id]
     if not job.durable:
-        # As for single tasks; no capacity is reserved either.
+        # No capacity is reserved either, as for single tasks.
         return
     startable: list[WorkerEntry] = list(workers.values())
     unticketed: list[WorkerEntry] = []
@@ -111,7 +111,7 @@
     """Return the workers for which a gang needs new tickets.
 
     All tickets of a gang have to be valid at the same time, so a call also
-    renews those that would expire before its answer. It asks about a few
+    renews those that would expire before its reply. It asks about a few
     spare workers in case other runs take capacity of the chosen ones in the
     meantime.
     """
--- a/sassafrasgate/dispatch/hold_waits.py
+++ b/sassafrasgate/dispatch/hold_waits.py
@@ -1,7 +1,7 @@
 """Duration for which workers may hold a hold call open.
 
-A hold call is a long poll: the worker answers when a run ends, or after the
-wait. A long wait saves calls, which are priced. If the answer to a call is
+A hold call is a long poll: the worker replies when a run ends, or after the
+wait. A long wait saves calls, which are priced. If the reply to a call is
 lost, the owner learns nothing from the worker until the call times out, so
 the wait is short while calls go unanswered.
 """
@@ -22,13 +22,13 @@
 # Bound on the rate of polls of all workers together. A higher rate would take
 # too much of the owner's processor time.
 MAX_POLLS_PER_S = 120
-# The short wait applies once this many calls within the window got no answer.
+# The short wait applies once this many calls within the window got no reply.
 SHORT_WAIT_UNANSWERED_CALLS = 2
 UNANSWERED_WINDOW_MS = 4_000
 
 
 def record_unanswered_call(state: DispatchState) -> None:
-    """Record that a call to a worker got no answer."""
+    """Record that a call to a worker got no reply."""
     state.unanswered_at.append(state.now)
 
 
--- a/sassafrasgate/dispatch/plans.py
+++ b/sassafrasgate/dispatch/plans.py
@@ -22,7 +22,7 @@
 
 NO_ADVICE = StepAdvice()
 # Progress below this percentage says little about the speed of a run.
-MIN_PERCENT = 10
+MIN_PROGRESS_PERCENT = 10
 # A run past its expected end is assumed to need this fraction of its expected
 # duration in addition.
 OVERDUE_SHARE = 0.25
@@ -225,7 +225,7 @@
     if run.step in state.steps and state.find_step(run.step).long_running:
         return state.now + UNBOUNDED_MS
     elapsed = state.now - run.started_at
-    if run.percent >= MIN_PERCENT:
+    if run.percent >= MIN_PROGRESS_PERCENT:
         worked = max(1, run.percent_at - run.started_at)
         return run.started_at + worked * 100 // run.percent
     if elapsed < run.expected_ms:
--- a/sassafrasgate/dispatch/start_replies.py
+++ b/sassafrasgate/dispatch/start_replies.py
@@ -132,7 +132,7 @@
         return
     state.update_run(event.run, phase=RunPhase.UNSURE)
     yield from stop_run(
-        state, state.runs[event.run], 'the start call got no answer'
+        state, state.runs[event.run], 'the start call got no reply'
     )
 
 
--- a/sassafrasgate/dispatch/state.py
+++ b/sassafrasgate/dispatch/state.py
@@ -53,12 +53,12 @@
     Attributes
     ----------
     SENT
-        The start call was sent and has not been answered.
+        The start call was sent and has got no reply yet.
     PRESENT
-        The worker has confirmed the run in an answer or a report.
+        The worker has confirmed the run in a reply or a report.
     UNSURE
         It is open whether the worker will start the run: a start call got
-        no answer, and the worker may still carry it out. Only the answer to
+        no reply, and the worker may still carry it out. Only the reply to
         a stop call makes sure that the run can't start any more.
     """
 
@@ -84,7 +84,7 @@
     expected_ms : int
         Expected duration of the run.
     uncertain : bool
-        Whether a start call for the run got no answer.
+        Whether a start call for the run got no reply.
     confirmed_clock_ms : int
         Worker's clock, in ms, when it confirmed the run. The run is gone if
         a later report does not list it.
@@ -96,7 +96,7 @@
     stop_sent_at : int
         Owner's clock, in ms, when the last stop call was sent.
     stop_confirmed_clock_ms : int
-        Worker's clock, in ms, when it answered a stop call; 0 before that.
+        Worker's clock, in ms, when it replied to a stop call; 0 before that.
     percent, percent_at : int
         Last reported progress in percent, and the owner's clock, in ms, when
         the report arrived.
@@ -305,7 +305,7 @@
         Whether a durable record names the worker, so that a successor
         contacts it.
     epoch_acknowledged : bool
-        Whether the worker has answered a call with this owner's epoch.
+        Whether the worker has replied to a call with this owner's epoch.
     incarnation_ms : int
         Incarnation of the worker in its newest report; 0 before the first
         report.
@@ -316,13 +316,13 @@
         handled.
     silent_since : int
         Owner's clock, in ms, of the first unanswered call since the worker
-        last answered; 0 while the worker answers.
+        last replied; 0 while the worker replies.
     leases_expire_at : int
         Owner's clock, in ms, from which every lease granted to the worker
         has expired.
     leases_expired : bool
-        Whether the worker's runs were given up because its leases had
-        expired.
+        Whether the worker's runs were recorded as lost because its leases
+        had expired.
     unknown_runs : frozenset of RunKey
         Runs on the worker whose task is unknown to the owner. They are
         being stopped, and their demand is unknown until then.
@@ -485,7 +485,7 @@
     ended_jobs : dict
         Ids of jobs in a final state; used as an ordered set.
     unanswered_at : list of int
-        Owner's clock, in ms, of recent calls that workers did not answer.
+        Owner's clock, in ms, of recent calls that got no reply from a worker.
     hold_wait_ms : int
         Current duration for which workers may hold a hold call open; 0
         before it is first set.
--- a/sassafrasgate/journal/ring_buffer.py
+++ b/sassafrasgate/journal/ring_buffer.py
@@ -422,7 +422,8 @@
         Raises
         ------
         ShardLostError
-            As for `prepare` and `write`.
+            When another process has written the entry, or when its slot holds
+            an entry that no snapshot covers.
         """
         await self.write(self.prepare(records))
 
--- a/sassafrasgate/protocol/links.py
+++ b/sassafrasgate/protocol/links.py
@@ -31,7 +31,7 @@
 
     from anyio.streams.memory import MemoryObjectReceiveStream
 
-HEARTBEAT_S = 0.5
+HEARTBEAT_INTERVAL_S = 0.5
 PEER_TIMEOUT_S = 2.0
 MAX_QUEUED_MESSAGES = 4096
 HIGH_WATER_MARK = 4096
@@ -213,11 +213,11 @@
             tasks.start_soon(self._send_messages, socket)
             tasks.start_soon(self._receive_replies, socket)
             while self.is_alive:
-                if now_ms() - self._sent_at >= HEARTBEAT_S * 1000:
+                if now_ms() - self._sent_at >= HEARTBEAT_INTERVAL_S * 1000:
                     # With a full queue, its messages show that this end is
                     # alive.
                     self.send(self._make_heartbeat())
-                await anyio.sleep(HEARTBEAT_S / 2)
+                await anyio.sleep(HEARTBEAT_INTERVAL_S / 2)
             tasks.cancel_scope.cancel()
 
     async def _watch_connection(self, monitor: Any) -> None:
@@ -292,8 +292,10 @@
     handle : callable
         Awaited with each `IncomingRequest`. It must return quickly, because
         the server receives nothing meanwhile.
-    make_heartbeat, handle_heartbeat : callable
-        As for `Link`.
+    make_heartbeat : callable
+        Returns the heartbeat that the server sends.
+    handle_heartbeat : callable
+        Receives each heartbeat that has arrived.
     """
 
     def __init__(
@@ -365,7 +367,7 @@
 
     async def _send_heartbeats(self) -> None:
         while True:
-            await anyio.sleep(HEARTBEAT_S)
+            await anyio.sleep(HEARTBEAT_INTERVAL_S)
             oldest = now_ms() - PEER_TIMEOUT_S * 2000
             for client, received_at in list(self._clients.items()):
                 if received_at < oldest:
--- a/sassafrasgate/protocol/workflows.py
+++ b/sassafrasgate/protocol/workflows.py
@@ -137,10 +137,15 @@
     records : bytes
         Encoded journal records that restore the owner's state; all of them
         are durable.
-    next_sequence, slot_revision, snapshot_sequence, snapshot_chunks
-        As in `sassafrasgate.journal.ring_buffer.LoadedJournal`.
-    snapshot_revision : int
-        As in `LoadedJournal`.
+    next_sequence : int
+        Number of the next journal entry to write.
+    slot_revision : int
+        Revision of the slot of ``next_sequence``; 0 when the slot is empty.
+    snapshot_sequence : int
+        Number of the last entry that the snapshot covers; 0 when there is no
+        snapshot.
+    snapshot_chunks, snapshot_revision : int
+        Number of chunks of the snapshot, and revision of its pointer key.
     owner_revision : int
         Revision of the owner key, which the successor replaces.
     """
--- a/sassafrasgate/shards/events.py
+++ b/sassafrasgate/shards/events.py
@@ -50,7 +50,7 @@
 
 @dataclass(frozen=True, slots=True)
 class WithdrawalAnswered:
-    """The journal has answered a request to withdraw a job's records.
+    """The journal has replied to a request to withdraw a job's records.
 
     Parameters
     ----------
@@ -67,7 +67,7 @@
 
 @dataclass(frozen=True, slots=True)
 class HostSynced:
-    """A worker answered a sync call.
+    """A worker replied to a sync call.
 
     Parameters
     ----------
@@ -102,7 +102,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StartAnswered:
-    """A worker answered a start.
+    """A worker replied to a start call.
 
     Parameters
     ----------
@@ -118,7 +118,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StartUnanswered:
-    """A start was sent but not answered, so the task may be running.
+    """A start call got no reply, so the task may be running.
 
     Parameters
     ----------
@@ -176,7 +176,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerAnswered:
-    """Another shard answered a message, or failed to.
+    """Another shard replied to a message, or failed to.
 
     Parameters
     ----------
--- a/sassafrasgate/shards/handlers.py
+++ b/sassafrasgate/shards/handlers.py
@@ -39,7 +39,7 @@
 
 
 def reply_refusal(reply_to: int, refusal: Refusal) -> Reply:
-    """Return the action that answers a request with a refusal."""
+    """Return the action that replies to a request with a refusal."""
     return Reply(
         reply_to, Refused(refusal.kind, refusal.reason, refusal.remedy)
     )
--- a/sassafrasgate/shards/ownership.py
+++ b/sassafrasgate/shards/ownership.py
@@ -72,7 +72,7 @@
     ----------
     epoch_acknowledged : bool
         Whether the worker has acknowledged this owner's epoch and still
-        answers; from then on it refuses commands of previous owners.
+        replies; from then on it refuses commands of previous owners.
     leaving : bool
         Whether the host is about to leave the platform.
     drained : bool
--- a/sassafrasgate/shards/quick_requests.py
+++ b/sassafrasgate/shards/quick_requests.py
@@ -55,7 +55,7 @@
     running = state.quick_requests.get(submit.job_id)
     if running is not None:
         # Only one attempt of a key runs at a time, even after its earlier
-        # callers have given up.
+        # callers have stopped waiting.
         state.quick_requests[submit.job_id] = replace(
             running,
             reply_to=(*running.reply_to, request.reply_to),
--- a/sassafrasgate/shards/quota_shares.py
+++ b/sassafrasgate/shards/quota_shares.py
@@ -3,7 +3,7 @@
 Each shard starts with an equal share of a team's quota. A shard whose share
 is too small for a queued job asks the other shards, one at a time, for
 unused share. The lender journals the total that it has lent to a shard
-before it answers with that total. A lost reply or a takeover can therefore
+before it replies with that total. A lost reply or a takeover can therefore
 leave a part of the quota unused for a while, but the sum of the shares never
 exceeds the quota.
 """
--- a/sassafrasgate/shards/state.py
+++ b/sassafrasgate/shards/state.py
@@ -186,7 +186,7 @@
         responds.
     leases_expire_at : int
         The owner's clock from which all leases of previous owners on the
-        host have expired; 0 once the worker has answered.
+        host have expired; 0 once the worker has replied.
     leaving : bool
         Whether the worker reports that its host is about to leave.
     listed_leaving : bool
@@ -475,7 +475,7 @@
     def must_stop(self, report: RunningTask) -> bool:
         """Tell whether an unexpected task belongs to a job of this shard.
 
-        Its attempt has been given up, so it has to be stopped.
+        The owner has ended its attempt, so it has to be stopped.
         """
         job_id, _, _ = split_task_id(report.task)
         entry = self.jobs.get(job_id)
--- a/sassafrasgate/shards/transfers.py
+++ b/sassafrasgate/shards/transfers.py
@@ -1,7 +1,7 @@
 """Transfer of attempts to other shards, with at-most-once semantics.
 
 The home shard journals the transfer before it sends it. The other shard
-journals either the acceptance or a permanent refusal before it answers, so
+journals either the acceptance or a permanent refusal before it replies, so
 that a repeated or delayed message cannot start the attempt a second time.
 """
 
@@ -237,7 +237,7 @@
     if entry is None or entry.has_ended or not _is_current(state, message):
         yield Reply(request.reply_to, Acknowledged())
         return
-    # This report is not answered: the sender repeats it and gets the
+    # This report gets no reply: the sender repeats it and gets the
     # acknowledgement once the job has ended here.
     yield from _apply_transfer_end(state, message)
 
--- a/sassafrasgate/shards/workers.py
+++ b/sassafrasgate/shards/workers.py
@@ -160,7 +160,7 @@
     """Reserve resources for running tasks that this owner does not know.
 
     They are quick requests of a previous owner, or belong to an attempt that
-    has been given up since its start.
+    the owner has ended in the meantime.
     """
     for report in reply.running:
         if report.task in state.tasks:
@@ -267,7 +267,10 @@
         ),
     )
     yield LogDecision(
-        'unanswered', task.job_id, host=event.host, reason='start not answered'
+        'unanswered',
+        task.job_id,
+        host=event.host,
+        reason='the start call got no reply',
     )
 
 
--- a/tests/daemons/test_configurations.py
+++ b/tests/daemons/test_configurations.py
@@ -33,7 +33,7 @@
             replace(first, teams=(*first.teams, Team(name))) for name in names
         ]
         with ThreadPoolExecutor(2) as pool:
-            answers = list(
+            responses = list(
                 pool.map(
                     lambda side, wanted=wanted, version=version: cell.apply(
                         wanted[side], version, f'frontend-{side}'
@@ -41,7 +41,7 @@
                     range(2),
                 )
             )
-        statuses = [answer.status_code for answer in answers]
+        statuses = [response.status_code for response in responses]
         assert sorted(statuses) == [200, 412], statuses
         winner = statuses.index(200)
         for reader in cell.urls:
@@ -79,7 +79,7 @@
     for peer in cell.schedulers.values():
         peer.freeze()
     cell.start_frontend('frontend-1')
-    # While neither the store nor a peer answers, the process must not serve.
+    # While neither the store nor a peer responds, the process must not serve.
     for _ in range(20):
         assert read_ready(cell, 'frontend-1') == 503
     cell.schedulers['scheduler-0'].resume()
@@ -101,7 +101,7 @@
 
 
 def list_versions(cell):
-    """Return the configuration version of each scheduler that answers."""
+    """Return the configuration version of each scheduler that replies."""
     url = f'{cell.find_url()}/v1/status'
     status = cell.processes.client.get(url).json()
     return {s['name']: s['configuration'] for s in status['schedulers']}
--- a/tests/daemons/test_entry.py
+++ b/tests/daemons/test_entry.py
@@ -40,9 +40,9 @@
 
 pytestmark = pytest.mark.anyio
 
-ME = Member('e1', 'life-1', 'entry', '127.0.0.1:1', 'z1', 1.0, 10)
-OWNER = Member('e2', 'life-2', 'entry', '127.0.0.1:2', 'z1', 1.0, 20)
-NEXT = Member('e3', 'life-3', 'entry', '127.0.0.1:3', 'z1', 1.0, 30)
+ME = Member('e1', 'incarnation-1', 'entry', '127.0.0.1:1', 'z1', 1.0, 10)
+OWNER = Member('e2', 'incarnation-2', 'entry', '127.0.0.1:2', 'z1', 1.0, 20)
+NEXT = Member('e3', 'incarnation-3', 'entry', '127.0.0.1:3', 'z1', 1.0, 30)
 LEASE = OwnerLease(renewed_at=0, ttl_ms=1000, grace_ms=4000)
 
 
@@ -101,18 +101,18 @@
     Messages of other types get no reply.
     """
 
-    def __init__(self, answers, silent_ms=0):
-        self.answers = answers
+    def __init__(self, replies, silent_ms=0):
+        self.replies = replies
         self.silent_ms = silent_ms
-        self.asked = []
+        self.requested = []
 
     async def request(self, message, timeout_s, _attempt=1):
-        self.asked.append(type(message))
-        answer = self.answers.get(type(message))
-        if answer is None:
+        self.requested.append(type(message))
+        reply = self.replies.get(type(message))
+        if reply is None:
             await anyio.sleep(timeout_s)
-            return NoReply('silence')
-        return answer
+            return NoReply('no reply')
+        return reply
 
 
 class SlowStore(MemoryStore):
@@ -120,10 +120,10 @@
 
     def __init__(self):
         super().__init__()
-        self.go_on = anyio.Event()
+        self.released = anyio.Event()
 
     async def swap(self, key, value, revision, lease='', priority=0):
-        await self.go_on.wait()
+        await self.released.wait()
         return 9
 
 
@@ -144,13 +144,13 @@
     # Guards against a new owner that steps down during a planned hand-over,
     # because its watch still delivers the previous owner's key.
     monkeypatch.setattr(entry, 'DispatcherTask', StubDispatcher)
-    store, answers = SlowStore(), []
+    store, replies = SlowStore(), []
     directory = make_directory()
     directory.find_link = lambda _: StubLink({})
     task = make_task(store, directory)
 
-    async def answer(message):
-        answers.append(message)
+    async def send_reply(message):
+        replies.append(message)
 
     async with anyio.create_task_group() as group:
         await task.handle(
@@ -162,11 +162,11 @@
         offer = HandOver(
             SHARD, encode_records(()), 1, 1, 0, 0, 0, owner_revision=5
         )
-        await task.handle(ShardOffered(offer, answer), group)
+        await task.handle(ShardOffered(offer, send_reply), group)
         await anyio.sleep(0.05)
         dispatcher = task.dispatcher
         await task.handle(ControlChanged((make_owner_item(OWNER, 5),)), group)
-        store.go_on.set()
+        store.released.set()
         await anyio.sleep(0.05)
         kinds = [
             type(event).__name__ for event in iter_waiting(dispatcher.inbox)
@@ -174,7 +174,7 @@
         group.cancel_scope.cancel()
 
     assert 'OwnershipLost' not in kinds
-    assert [type(item) for item in answers] == [Acknowledged]
+    assert [type(item) for item in replies] == [Acknowledged]
 
 
 def iter_waiting(inbox):
@@ -185,7 +185,7 @@
             return
 
 
-async def test_a_shard_is_not_offered_to_a_host_that_does_not_answer():
+async def test_a_shard_is_not_offered_to_a_host_that_does_not_respond():
     # Guards against an offer to a killed host, which would wait until the
     # host is back.
     directory = make_directory()
@@ -206,8 +206,8 @@
     taken = await task.election.hand_over(HandOver(SHARD, b'', 1, 1, 0, 0, 0))
 
     assert taken
-    assert links[NEXT.link_address].asked == [FindOwner]
-    assert links[OWNER.link_address].asked == [FindOwner, HandOver]
+    assert links[NEXT.link_address].requested == [FindOwner]
+    assert links[OWNER.link_address].requested == [FindOwner, HandOver]
 
 
 def make_gateway(links, owner):
@@ -227,11 +227,11 @@
     gateway, _ = make_gateway({OWNER.link_address: link}, OWNER)
 
     with anyio.fail_after(0.3):
-        answer = await gateway.query('0123456789abcdef', 3.0)
+        reply = await gateway.query('0123456789abcdef', 3.0)
 
-    assert isinstance(answer, Refusal)
-    assert answer.kind is RefusalKind.NOT_READY
-    assert QueryWorkflow not in link.asked
+    assert isinstance(reply, Refusal)
+    assert reply.kind is RefusalKind.NOT_READY
+    assert QueryWorkflow not in link.requested
     assert isinstance(gateway.check_readiness(), Refusal)
 
 
@@ -253,8 +253,8 @@
 
     async with anyio.create_task_group() as group:
         group.start_soon(change_owner)
-        answer = await gateway.query('0123456789abcdef', 3.0)
+        reply = await gateway.query('0123456789abcdef', 3.0)
 
-    assert answer == view
-    assert QueryWorkflow not in links[OWNER.link_address].asked
+    assert reply == view
+    assert QueryWorkflow not in links[OWNER.link_address].requested
     assert gateway.check_readiness() is None
--- a/tests/daemons/test_journals.py
+++ b/tests/daemons/test_journals.py
@@ -52,17 +52,17 @@
         self.snapshots.append((sequence, data))
         if self.failures:
             self.failures -= 1
-            raise StoreUnavailableError('no answer')
+            raise StoreUnavailableError('no reply')
 
 
 @pytest.fixture
 def parts():
-    box, inbox = anyio.create_memory_object_stream(inf)
+    sender, inbox = anyio.create_memory_object_stream(inf)
     events, shard = anyio.create_memory_object_stream(inf)
     journal = RecordedJournal()
     task = JournalTask(journal, inbox, events, lambda seconds: None)
-    yield journal, task, box, shard
-    for stream in (box, inbox, events, shard):
+    yield journal, task, sender, shard
+    for stream in (sender, inbox, events, shard):
         stream.close()
 
 
@@ -92,17 +92,17 @@
 
 async def test_a_withdrawn_job_is_not_in_a_waiting_snapshot(parts):
     # Guards against a successor that finds the job in the snapshot and runs
-    # it, although its caller has been told that it does not run.
-    journal, task, box, shard = parts
+    # it, although the reply to its caller says that it does not run.
+    journal, task, sender, shard = parts
     kept, withdrawn = make_acceptance('kept'), make_acceptance('withdrawn')
     refused = AttemptRefused('withdrawn', 's2', 1)
     async with anyio.create_task_group() as group:
         group.start_soon(task.run)
-        box.send_nowait(WriteRecord(kept))
+        sender.send_nowait(WriteRecord(kept))
         await journal.appending.wait()
-        box.send_nowait(WriteRecord(withdrawn))
-        box.send_nowait(WriteSnapshot((kept, withdrawn, refused)))
-        box.send_nowait(WithdrawJob('withdrawn'))
+        sender.send_nowait(WriteRecord(withdrawn))
+        sender.send_nowait(WriteSnapshot((kept, withdrawn, refused)))
+        sender.send_nowait(WithdrawJob('withdrawn'))
         assert (await receive(shard, WithdrawalAnswered)).withdrawn
         journal.release.set()
         await receive(shard, SnapshotEnded)
@@ -116,12 +116,12 @@
 ):
     # Guards against a snapshot that mixes chunks of two attempts: those of a
     # failed attempt stay in the store.
-    monkeypatch.setattr(journals, 'SNAPSHOT_RETRY_S', 0)
-    journal, task, box, shard = parts
+    monkeypatch.setattr(journals, 'SNAPSHOT_RETRY_DELAY_S', 0)
+    journal, task, sender, shard = parts
     journal.failures = 2
     async with anyio.create_task_group() as group:
         group.start_soon(task.run)
-        box.send_nowait(WriteSnapshot((make_acceptance('a'),)))
+        sender.send_nowait(WriteSnapshot((make_acceptance('a'),)))
         await receive(shard, SnapshotEnded)
         group.cancel_scope.cancel()
     assert len(journal.snapshots) == 3
@@ -131,9 +131,9 @@
 async def test_a_full_ring_without_a_snapshot_ends_the_ownership(parts):
     # Guards against a journal that waits forever: the snapshot that would
     # free slots waits behind the record.
-    journal, task, box, _ = parts
+    journal, task, sender, _ = parts
     journal.has_free_slot = False
-    box.send_nowait(WriteRecord(make_acceptance('a')))
+    sender.send_nowait(WriteRecord(make_acceptance('a')))
     with anyio.fail_after(30):
         assert 'no free slot' in await run_journal(task)
 
@@ -141,7 +141,7 @@
 async def test_records_are_durable_only_after_all_earlier_ones():
     # Guards against a record that is reported as durable but that a successor
     # does not read, because an earlier entry is missing.
-    box, inbox = anyio.create_memory_object_stream(inf)
+    sender, inbox = anyio.create_memory_object_stream(inf)
     events, shard = anyio.create_memory_object_stream(inf)
     journal = SlowJournal()
     task = JournalTask(
@@ -151,7 +151,7 @@
     async with anyio.create_task_group() as group:
         group.start_soon(task.run)
         for record in (first, second, third):
-            box.send_nowait(WriteRecord(record))
+            sender.send_nowait(WriteRecord(record))
             await anyio.wait_all_tasks_blocked()
         # Only `max_in_flight` entries are in flight; the third one waits.
         assert set(journal.writes) == {(first,), (second,)}
@@ -163,5 +163,5 @@
         durable = [await receive(shard, RecordsDurable) for _ in range(2)]
         assert [event.records for event in durable] == [(first,), (second,)]
         group.cancel_scope.cancel()
-    for stream in (box, inbox, events, shard):
+    for stream in (sender, inbox, events, shard):
         stream.close()
--- a/tests/daemons/test_outages.py
+++ b/tests/daemons/test_outages.py
@@ -40,7 +40,7 @@
     cell.store.set_faults(down=True)
     late = [make_job(f'late-{number}') for number in range(8)]
     with ThreadPoolExecutor(len(late)) as pool:
-        answers = list(pool.map(lambda job: cell.submit('', **job), late))
+        responses = list(pool.map(lambda job: cell.submit('', **job), late))
     wait_until(lambda: monotonic() - down_at > OUTAGE_S, 'the outage')
     up_at = monotonic()
     cell.store.set_faults(down=False)
@@ -52,9 +52,9 @@
     assert find_faults(load, cell.workers) == []
     assert set(load.states.values()) == {'finished'}
     started = {task.job_id for task in read_tasks(cell.workers)}
-    for answer in answers:
-        view = answer.json()
-        assert answer.status_code >= 500 and view['state'] in (
+    for response in responses:
+        view = response.json()
+        assert response.status_code >= 500 and view['state'] in (
             'not-run',
             'unknown',
         ), view
--- a/tests/daemons/test_relays.py
+++ b/tests/daemons/test_relays.py
@@ -98,5 +98,5 @@
 
 async def test_names_that_are_no_store_methods_are_not_relayed():
     call = send(RelayCall('__class__', ()))
-    answer = await execute_relayed_call(PathStore(), call)
-    assert answer.failure == 'refused'
+    reply = await execute_relayed_call(PathStore(), call)
+    assert reply.failure == 'refused'
--- a/tests/daemons/test_stops.py
+++ b/tests/daemons/test_stops.py
@@ -54,13 +54,13 @@
         waiting = pool.submit(
             cell.processes.client.get, url, params={'wait': 8}
         )
-        answers = [pool.submit(quick.call, key) for key in keys]
+        responses = [pool.submit(quick.call, key) for key in keys]
         wait_until(
             lambda: len(read_tasks(cell.workers)) >= len(keys) + 2,
             'starting all requests',
         )
         status = stop_twice(cell.frontends['frontend-0'])
-        assert [answer.result() for answer in answers] == [
+        assert [response.result() for response in responses] == [
             f'output of {key}' for key in keys
         ]
         assert waiting.result().json()['state'] == 'finished'
--- a/tests/daemons/test_workers.py
+++ b/tests/daemons/test_workers.py
@@ -42,14 +42,14 @@
     """
 
     def __init__(self):
-        self.born_ms = 1
+        self.incarnation_ms = 1
         self.ended = ()
         self.holds = []
         self.starts = 0
         self.silent = False
         self.released = anyio.Event()
-        self.start_answer = None
-        self.stop_answers = []
+        self.start_reply = None
+        self.stop_replies = []
         self.pace_refusal = None
 
     async def __aenter__(self):
@@ -64,18 +64,18 @@
             await self.released.wait()
             self.released = anyio.Event()
         if self.silent:
-            raise WorkerUnavailableError('no answer')
-        return WorkerReport(now_ms(), self.born_ms, (), self.ended)
+            raise WorkerUnavailableError('no reply')
+        return WorkerReport(now_ms(), self.incarnation_ms, (), self.ended)
 
     async def start(self, request):
         self.starts += 1
-        return await self.start_answer()
+        return await self.start_reply()
 
-    async def pace(self, task, run, percent, fence):
+    async def pace(self, task, run, percent, fencing_token):
         return RunReply(5, self.pace_refusal)
 
-    async def stop(self, task, run, fence):
-        return await self.stop_answers.pop(0)()
+    async def stop(self, task, run, fencing_token):
+        return await self.stop_replies.pop(0)()
 
 
 class Bench:
@@ -99,7 +99,7 @@
 
     async def restart(self):
         """Let the worker report a new incarnation."""
-        self.client.born_ms += 1
+        self.client.incarnation_ms += 1
         self.client.ended = ()
         self.client.released.set()
         return await self.find(WorkerReported)
@@ -136,11 +136,11 @@
     # restarted since.
     reported = anyio.Event()
 
-    async def lose_answer():
+    async def lose_reply():
         await reported.wait()
-        raise WorkerUnavailableError('no answer')
+        raise WorkerUnavailableError('no reply')
 
-    bench.client.start_answer = lose_answer
+    bench.client.start_reply = lose_reply
     bench.commands.send_nowait(START)
     await anyio.wait_all_tasks_blocked()
     bench.client.ended = (EndedRun(1, *RUN, EndKind.FINISHED, ''),)
@@ -156,17 +156,17 @@
 async def test_a_start_refused_after_a_restart_is_no_stale_epoch(bench):
     # Guards against an owner that steps down because of its own higher
     # fencing token, which a later call has sent to the new incarnation.
-    answered = anyio.Event()
+    released = anyio.Event()
 
     async def refuse_late():
-        await answered.wait()
+        await released.wait()
         return RunReply(5, StartRefusal.STALE_EPOCH)
 
-    bench.client.start_answer = refuse_late
+    bench.client.start_reply = refuse_late
     bench.commands.send_nowait(START)
     await anyio.wait_all_tasks_blocked()
     await bench.restart()
-    answered.set()
+    released.set()
 
     event = await bench.find(RunAnswered)
     assert event.reply.refusal is StartRefusal.OTHER_INCARNATION
@@ -175,23 +175,23 @@
 async def test_a_stop_refused_after_a_restart_is_sent_again(bench):
     # Guards against an owner that steps down because of its own higher
     # fencing token, which a later call has sent to the new incarnation.
-    answered = anyio.Event()
+    released = anyio.Event()
 
     async def refuse_late():
-        await answered.wait()
+        await released.wait()
         return RunReply(5, StartRefusal.STALE_EPOCH)
 
     async def accept():
         return RunReply(6)
 
-    bench.client.stop_answers = [refuse_late, accept]
+    bench.client.stop_replies = [refuse_late, accept]
     bench.commands.send_nowait(StopRun('w', RUN))
     await anyio.wait_all_tasks_blocked()
     await bench.restart()
-    answered.set()
+    released.set()
     await anyio.wait_all_tasks_blocked()
 
-    assert not bench.client.stop_answers
+    assert not bench.client.stop_replies
     kinds = []
     while bench.events.statistics().current_buffer_used:
         kinds.append(type(bench.events.receive_nowait()))
--- a/tests/dispatch/drivers.py
+++ b/tests/dispatch/drivers.py
@@ -132,6 +132,6 @@
     return [action for action in actions if isinstance(action, kind)]
 
 
-def answers(actions):
+def list_reply_messages(actions):
     """Return the messages of all replies."""
     return [action.message for action in select_actions(actions, Reply)]
--- a/tests/dispatch/simulation.py
+++ b/tests/dispatch/simulation.py
@@ -479,7 +479,7 @@
         request = (self.make_fencing_token(contact), acknowledged, deadline)
         sim = cluster.workers[worker]
 
-        def answer(report: Any) -> None:
+        def handle_report(report: Any) -> None:
             contact.poll_in_flight = False
             if self.dead or self.contacts.get(worker) is not contact:
                 return
@@ -505,13 +505,13 @@
             )
             self.poll(worker)
 
-        def give_up() -> None:
+        def time_out() -> None:
             contact.poll_in_flight = False
             if self.dead or self.contacts.get(worker) is not contact:
                 return
             contact.silent = True
             self.feed(
-                WorkerSilent(worker, contact.leases_expire_at, 'no answer')
+                WorkerSilent(worker, contact.leases_expire_at, 'no reply')
             )
             cluster.call_later(100, lambda: self.poll(worker))
 
@@ -519,18 +519,20 @@
             if late or not deadline:
                 result = sim.hold(cluster.now, *request)
                 if not late:
-                    cluster.reply(worker, lambda: answer(result), give_up)
+                    cluster.reply(
+                        worker, lambda: handle_report(result), time_out
+                    )
                 return
             cluster.wait_for_results(
                 sim,
                 request,
                 lambda result: cluster.reply(
-                    worker, lambda: answer(result), give_up
+                    worker, lambda: handle_report(result), time_out
                 ),
-                give_up,
+                time_out,
             )
 
-        cluster.call(worker, carry_out, give_up)
+        cluster.call(worker, carry_out, time_out)
 
     def make_fencing_token(self, contact: WorkerContact) -> int:
         """Return the fencing token for a worker's current incarnation."""
@@ -546,7 +548,7 @@
         return compute_worker_lease_deadline(contact.clock, age)
 
     def start(self, command: StartRun, number: int, sent: bool) -> None:
-        """Send a start call; repeat it while it gets no answer."""
+        """Send a start call; repeat it while it gets no reply."""
         contact = self.contacts.get(command.worker)
         cluster = self.cluster
         if contact is not None and not sent:
@@ -573,22 +575,22 @@
             # incarnation.
             if late and sim.incarnation_ms != command.incarnation_ms:
                 return
-            answer = sim.start(cluster.now, epoch, command, deadline)
+            reply = sim.start(cluster.now, epoch, command, deadline)
             if not late:
                 cluster.reply(
-                    command.worker, lambda: handle_reply(answer), give_up
+                    command.worker, lambda: handle_reply(reply), time_out
                 )
 
-        def handle_reply(answer: RunReply) -> None:
+        def handle_reply(reply: RunReply) -> None:
             if self.dead:
                 return
             contact.unconfirmed.discard(command.run)
-            stale = answer.refusal is StartRefusal.STALE_EPOCH
+            stale = reply.refusal is StartRefusal.STALE_EPOCH
             if stale and epoch < self.make_fencing_token(contact):
-                answer = RunReply(0, StartRefusal.OTHER_INCARNATION)
-            self.feed(RunAnswered(command.worker, command.run, answer))
+                reply = RunReply(0, StartRefusal.OTHER_INCARNATION)
+            self.feed(RunAnswered(command.worker, command.run, reply))
 
-        def give_up() -> None:
+        def time_out() -> None:
             if self.dead or command.run not in contact.unconfirmed:
                 return
             last = number == 3
@@ -596,7 +598,7 @@
             if not last:
                 self.start(command, number + 1, True)
 
-        cluster.call(command.worker, carry_out, give_up)
+        cluster.call(command.worker, carry_out, time_out)
 
     def stop(self, command: StopRun) -> None:
         """Send a stop call once; the dispatcher repeats it."""
@@ -608,13 +610,13 @@
         sim = cluster.workers[command.worker]
 
         def carry_out(late: bool) -> None:
-            answer = sim.stop(cluster.now, epoch, command)
-            if late or answer.refusal is not None:
+            reply = sim.stop(cluster.now, epoch, command)
+            if late or reply.refusal is not None:
                 return
             cluster.reply(
                 command.worker,
                 lambda: self.feed(
-                    StopAnswered(command.worker, command.run, answer.clock_ms)
+                    StopAnswered(command.worker, command.run, reply.clock_ms)
                 ),
                 lambda: None,
             )
@@ -623,7 +625,7 @@
             cluster.call(command.worker, carry_out, lambda: None)
 
     def ask_advice(self, action: AskAdvice) -> None:
-        """Let the advice service answer or fail."""
+        """Let the advice service reply or fail."""
         cluster = self.cluster
         if cluster.random.random() < 0.1:
             event: Any = AdviceFailed(
@@ -638,7 +640,7 @@
             if worker in admitted
         )
 
-        def answer() -> None:
+        def send_reply() -> None:
             self.feed(
                 AdviceAnswered(
                     action.step,
@@ -649,7 +651,7 @@
                 )
             )
 
-        cluster.call_later(action.expected_ms, answer)
+        cluster.call_later(action.expected_ms, send_reply)
 
 
 @dataclass
@@ -764,20 +766,20 @@
             other.finish(member, kind)
 
     def wait_for_results(
-        self, sim: SimWorker, request: Any, answer: Any, give_up: Any
+        self, sim: SimWorker, request: Any, deliver: Any, time_out: Any
     ) -> None:
-        """Answer a hold call when a run ends, or after its wait."""
+        """Reply to a hold call when a run ends, or after its wait."""
         result = sim.hold(self.now, *request)
         if isinstance(result, StartRefusal) or result.ended:
-            answer(result)
+            deliver(result)
             return
-        entry = [sim, request, answer, give_up]
+        entry = [sim, request, deliver, time_out]
         self._open_polls.setdefault(sim.name, []).append(entry)
 
         def expire() -> None:
             if entry in self._open_polls.get(sim.name, []):
                 self._open_polls[sim.name].remove(entry)
-                answer(sim.report(self.now))
+                deliver(sim.report(self.now))
 
         self.call_later(HOLD_WAIT_MS, expire)
 
@@ -793,26 +795,26 @@
                 report = sim.report(self.now)
                 self.call_later(0, lambda e=entry, r=report: e[2](r))
 
-    def call(self, worker: str, carry_out: Any, give_up: Any) -> None:
+    def call(self, worker: str, carry_out: Any, time_out: Any) -> None:
         """Send a call; it may be lost, or carried out late."""
         delay = self.random.randint(1, 5)
         if worker in self.partitioned:
-            self.call_later(CALL_MS, give_up)
+            self.call_later(CALL_MS, time_out)
             return
         if self.random.random() < self.loss_rate:
             if self.random.random() < 0.7:
                 late = self.random.randint(500, 6_000)
                 self.call_later(late, lambda: carry_out(True))
-            self.call_later(CALL_MS, give_up)
+            self.call_later(CALL_MS, time_out)
             return
         self.call_later(delay, lambda: carry_out(False))
 
-    def reply(self, worker: str, answer: Any, give_up: Any) -> None:
+    def reply(self, worker: str, deliver: Any, time_out: Any) -> None:
         """Deliver a reply; it may be lost."""
         if worker in self.partitioned or self.random.random() < self.loss_rate:
-            self.call_later(CALL_MS, give_up)
+            self.call_later(CALL_MS, time_out)
             return
-        self.call_later(self.random.randint(1, 5), answer)
+        self.call_later(self.random.randint(1, 5), deliver)
 
     def make_registration(self, worker: SimWorker) -> Registration:
         """Return the entry of a worker."""
--- a/tests/dispatch/test_advice.py
+++ b/tests/dispatch/test_advice.py
@@ -37,7 +37,7 @@
     return list(decide(driver.state, PassDue(), driver.now, WALL_MS))
 
 
-def answer(driver, *workers):
+def deliver_advice(driver, *workers):
     advice = Advice(tuple((name, 'ticket') for name in workers), 2_000)
     event = AdviceAnswered(KEY, 'host-0', tuple(workers), advice, driver.now)
     list(decide(driver.state, event, driver.now, WALL_MS))
@@ -52,7 +52,7 @@
     workflow, actions = submit(driver, make_step(2, 500, gang=gang))
     assert len(select_actions(actions, AskAdvice)) == 1
 
-    assert not select_actions(answer(driver, 'w0'), AskAdvice)
+    assert not select_actions(deliver_advice(driver, 'w0'), AskAdvice)
     driver.now += 5_000
     assert not select_actions(run_pass(driver), AskAdvice)
 
@@ -66,7 +66,7 @@
     # not wait until the record of the job is durable.
     driver = Driver(workers=2)
     workflow, _ = submit(driver, make_step(2, 500))
-    answer(driver, 'w0', 'w1')
+    deliver_advice(driver, 'w0', 'w1')
 
     record = WorkflowAccepted(JOB, ADVISED, workflow, WALL_MS)
     assert (
--- a/tests/dispatch/test_gangs.py
+++ b/tests/dispatch/test_gangs.py
@@ -35,20 +35,22 @@
     return driver
 
 
-def answer(driver, ask, admitted=None):
-    """Let the advice service answer a call after the expected time."""
-    driver.now += ask.expected_ms
-    named = (
-        ask.workers
+def deliver_advice(driver, call, admitted=None):
+    """Let the advice service reply to a call after the expected time."""
+    driver.now += call.expected_ms
+    admitted_workers = (
+        call.workers
         if admitted is None
-        else [worker for worker in ask.workers if worker in admitted]
+        else [worker for worker in call.workers if worker in admitted]
+    )
+    tickets = tuple(
+        (worker, f'{worker}@{driver.now}') for worker in admitted_workers
     )
-    tickets = tuple((worker, f'{worker}@{driver.now}') for worker in named)
     return driver.feed(
         AdviceAnswered(
-            ask.step,
-            ask.entry_host,
-            ask.workers,
+            call.step,
+            call.entry_host,
+            call.workers,
             Advice(tickets, VALID_MS),
             driver.now,
         )
@@ -61,22 +63,22 @@
     return driver.confirm(driver.submit('00000000000000bb', step))
 
 
-def test_tickets_that_expire_before_the_answer_are_renewed_with_it():
+def test_tickets_that_expire_before_the_reply_are_renewed_with_it():
     # If only expired tickets were renewed, others would expire during the call
     # and the tickets of the gang would never all be valid at the same time.
     driver = make_driver(3)
     (busy,) = occupy(driver, 1)
     gang = make_step(3, 4_000, demand=BIG, gang=True)
-    (ask,) = select_actions(
+    (call,) = select_actions(
         driver.submit(JOB, gang, queue='advised'), AskAdvice
     )
-    answer(driver, ask)
+    deliver_advice(driver, call)
     driver.wait(VALID_MS - 400)
-    tickets = driver.state.advice[ask.step].tickets
+    tickets = driver.state.advice[call.step].tickets
     tickets['w0'] = replace(tickets['w0'], expires_at=driver.now)
     (renewal,) = select_actions(driver.finish(busy), AskAdvice)
     assert set(renewal.workers) == {'w0', 'w1', 'w2'}
-    starts = select_actions(answer(driver, renewal), StartRun)
+    starts = select_actions(deliver_advice(driver, renewal), StartRun)
     assert len(starts) == 3
     assert {start.run.run for start in starts} == {1}
 
--- a/tests/dispatch/test_guards.py
+++ b/tests/dispatch/test_guards.py
@@ -43,12 +43,12 @@
 
 @guard
 def keep_uncertain_starts(patch):
-    """A worker may still carry out a start call that it has not answered."""
+    """A worker may still carry out a start call without a reply."""
 
     def forget(state, event):
         run = state.runs.get(event.run)
         if run is not None:
-            yield from reports.lose_run(state, run, 'no answer')
+            yield from reports.lose_run(state, run, 'no reply')
 
     patch.setitem(EVENT_HANDLERS._items, start_replies.RunUnanswered, forget)
 
--- a/tests/dispatch/test_pacing.py
+++ b/tests/dispatch/test_pacing.py
@@ -116,7 +116,7 @@
     assert not select_actions(shared.wait(RAISE_INTERVAL_MS), PaceRun)
 
 
-def test_a_pace_without_an_answer_is_sent_again():
+def test_a_pace_without_a_reply_is_sent_again():
     # Guards against a lost call that leaves a best-effort task at full speed.
     driver = Driver(workers=1)
     start_latency_critical(driver)
--- a/tests/dispatch/test_requests.py
+++ b/tests/dispatch/test_requests.py
@@ -28,7 +28,7 @@
 
 
 class Owner:
-    """An owner whose records only become durable when the test says so."""
+    """An owner whose records become durable only when the test reports it."""
 
     def __init__(self):
         self.now = 1_000
@@ -38,12 +38,12 @@
     def feed(self, event):
         return decide(self.state, event, self.now, WALL_MS + self.now)
 
-    def ask(self, token, message):
+    def request(self, token, message):
         return self.feed(RequestReceived(token, message, WALL_MS + self.now))
 
     def submit(self, token, job_id=JOB, queue='q'):
         workflow = Workflow('payload', (make_step(2),))
-        return self.ask(token, SubmitWorkflow(job_id, queue, 1, workflow))
+        return self.request(token, SubmitWorkflow(job_id, queue, 1, workflow))
 
 
 def replies(actions):
@@ -71,9 +71,9 @@
 def test_nothing_is_accepted_while_the_store_fails():
     owner = Owner()
     owner.feed(JournalStalled(owner.now))
-    answer = replies(owner.submit(1))[1]
-    assert answer.refusal is RefusalKind.STORE_UNAVAILABLE
-    assert owner.ask(2, QueryWorkflow(JOB))[0].message.state is None
+    reply = replies(owner.submit(1))[1]
+    assert reply.refusal is RefusalKind.STORE_UNAVAILABLE
+    assert owner.request(2, QueryWorkflow(JOB))[0].message.state is None
     owner.feed(JournalStalled(0))
     assert select_actions(owner.submit(3), AppendRecord)
 
@@ -109,12 +109,14 @@
         a.record for a in select_actions(owner.submit(1), AppendRecord)
     ]
     owner.feed(RecordsDurable((accepted,)))
-    cancelled = owner.ask(2, CancelWorkflow(JOB))
+    cancelled = owner.request(2, CancelWorkflow(JOB))
     assert not replies(cancelled)
     (record,) = [
         action.record for action in select_actions(cancelled, AppendRecord)
     ]
-    assert not select_actions(owner.ask(3, CancelWorkflow(JOB)), AppendRecord)
+    assert not select_actions(
+        owner.request(3, CancelWorkflow(JOB)), AppendRecord
+    )
     received = replies(owner.feed(RecordsDurable((record,))))
     assert {view.state for view in received.values()} == {
         WorkflowState.CANCELLED
@@ -124,7 +126,7 @@
 
 def test_unknown_jobs_and_queues_are_reported():
     owner = Owner()
-    assert replies(owner.ask(1, CancelWorkflow(JOB)))[1].state is None
+    assert replies(owner.request(1, CancelWorkflow(JOB)))[1].state is None
     refused = replies(owner.submit(2, queue='nowhere'))[2]
     assert refused.refusal is RefusalKind.NOT_READY
     assert not owner.state.jobs
--- a/tests/dispatch/test_restarts.py
+++ b/tests/dispatch/test_restarts.py
@@ -75,8 +75,8 @@
     # Guards against a start call every few milliseconds to such a worker.
     driver, start = start_one()
 
-    answer = driver.make_reply(StartRefusal.INVALID)
-    actions = driver.feed(RunAnswered(start.worker, start.run, answer))
+    reply = driver.make_reply(StartRefusal.INVALID)
+    actions = driver.feed(RunAnswered(start.worker, start.run, reply))
 
     assert all(
         a.worker != start.worker for a in select_actions(actions, StartRun)
--- a/tests/shards/simulation.py
+++ b/tests/shards/simulation.py
@@ -80,7 +80,7 @@
     shard: str
     incarnation: int = 1
     started_at: int = 0
-    fence: int = 0
+    highest_epoch: int = 0
     tasks: dict[str, SimulatedTask] = field(default_factory=dict)
     refused_tasks: set[str] = field(default_factory=set)
     started: list[str] = field(default_factory=list)
@@ -89,7 +89,7 @@
     def read_clock(self, now: int) -> int:
         return int((now - self.started_at) * self.rate)
 
-    def lapse(self, now: int) -> None:
+    def expire_leases(self, now: int) -> None:
         clock = self.read_clock(now)
         for task in self.tasks.values():
             if task.ended is None and clock >= task.lease_clock:
@@ -104,7 +104,7 @@
         return [task for task in self.tasks.values() if task.ended is None]
 
     def start(self, request: StartRequest, now: int) -> StartReply:
-        self.lapse(now)
+        self.expire_leases(now)
         clock = self.read_clock(now)
         incarnation = str(self.incarnation)
         known = self.tasks.get(request.task)
@@ -113,7 +113,7 @@
             return StartReply(status, incarnation, clock, '', known.ended)
         if (
             request.task in self.refused_tasks
-            or request.epoch < self.fence
+            or request.epoch < self.highest_epoch
             or request.incarnation != incarnation
             or clock >= min(request.start_before_clock, request.lease_clock)
         ):
@@ -121,7 +121,7 @@
             return StartReply(
                 StartStatus.REFUSED, incarnation, clock, 'refused'
             )
-        self.fence = request.epoch
+        self.highest_epoch = request.epoch
         self.tasks[request.task] = SimulatedTask(
             request, now, request.lease_clock
         )
@@ -136,12 +136,12 @@
         release: tuple[str, ...],
         now: int,
     ) -> SyncReply:
-        self.lapse(now)
+        self.expire_leases(now)
         clock = self.read_clock(now)
         own_incarnation = str(self.incarnation)
-        if epoch < self.fence:
-            return SyncReply(False, own_incarnation, clock, self.fence)
-        self.fence = epoch
+        if epoch < self.highest_epoch:
+            return SyncReply(False, own_incarnation, clock, self.highest_epoch)
+        self.highest_epoch = epoch
         for name in release:
             if name in self.tasks and self.tasks[name].ended:
                 # The id stays refused, so that a delayed start cannot run.
@@ -154,7 +154,7 @@
             True,
             own_incarnation,
             clock,
-            self.fence,
+            self.highest_epoch,
             False,
             tuple(
                 RunningTask(
@@ -172,7 +172,7 @@
     def restart(self, now: int) -> None:
         self.incarnation += 1
         self.started_at = now
-        self.fence = 0
+        self.highest_epoch = 0
         self.tasks.clear()
         self.refused_tasks.clear()
 
@@ -324,9 +324,13 @@
 
     def _stop(self, owner: SimulatedOwner, action: StopTask) -> None:
         worker = self.workers[action.host]
-        worker.lapse(self.now)
+        worker.expire_leases(self.now)
         task = worker.tasks.get(action.task)
-        if owner.state.epoch < worker.fence or task is None or task.ended:
+        if (
+            owner.state.epoch < worker.highest_epoch
+            or task is None
+            or task.ended
+        ):
             return
         worker.end(action.task, TaskOutcome.STOPPED)
 
@@ -420,7 +424,7 @@
         """Advance the time of the owner and all workers."""
         self.now += elapsed_ms
         for worker in self.workers.values():
-            worker.lapse(self.now)
+            worker.expire_leases(self.now)
         self.feed(Ticked(self.now))
 
     def submit(self, key: str, **fields: Any) -> str:
