Word docstrings of predicates, replies and stubs alike in all packages

Cause: predicates were described by 'Tell whether' and 'Return whether', shards said 'answer' where other packages say 'reply', comments mixed contractions and full forms, and test_workers had a Bench and a Client. Change: one form each; the stubs of test_workers are StubClient and WorkerHarness, and simulated owners start by start_owner.

--- a/sassafrasgate/adapters/store.py
+++ b/sassafrasgate/adapters/store.py
@@ -131,7 +131,7 @@
         revision: int | None = None,
         priority: int = CallPriority.NORMAL,
     ) -> bool:
-        """Delete a key and tell whether it existed.
+        """Delete a key and return whether it existed.
 
         Raises
         ------
--- a/sassafrasgate/composition/daemons.py
+++ b/sassafrasgate/composition/daemons.py
@@ -69,7 +69,7 @@
     latest_versions: dict[str, int] = {}
 
     def handle_heartbeat(heartbeat: Heartbeat) -> None:
-        # Only newer versions are passed on, so that heartbeats don't fill up
+        # Only newer versions are passed on, so that heartbeats do not fill up
         # the inbox.
         if (
             latest_versions.get(heartbeat.sender, -1)
--- a/sassafrasgate/configuration/builders.py
+++ b/sassafrasgate/configuration/builders.py
@@ -64,11 +64,11 @@
         )
 
     def has_fault(self) -> bool:
-        """Tell whether the document has a fault at or below this location."""
+        """Return whether the document has faults at or below this location."""
         return any(self.contains(fault) for fault in self.parsed.faults)
 
     def contains(self, fault: Fault) -> bool:
-        """Tell whether a fault lies at or below this location."""
+        """Return whether a fault lies at or below this location."""
         if fault.file != self.parsed.file:
             return False
         if not fault.path.startswith(self.path):
--- a/sassafrasgate/configuration/declarations.py
+++ b/sassafrasgate/configuration/declarations.py
@@ -51,7 +51,7 @@
     -------
     Configuration or tuple of Fault
         The configuration has version 0 and no change id. The faults are
-        ordered by file and line. When a document can't be read at all,
+        ordered by file and line. When a document cannot be read at all,
         entries are not checked against each other, since some of them are
         missing.
     """
--- a/sassafrasgate/configuration/publication.py
+++ b/sassafrasgate/configuration/publication.py
@@ -145,7 +145,7 @@
         When the store stopped replying while the manifest was written, so
         that it is unknown whether the change took effect.
     ConfigurationError
-        When the stored manifest can't be decoded.
+        When the stored manifest cannot be decoded.
     """
     change = new.change or uuid4().hex
     accepted = sort_configuration(
@@ -190,7 +190,7 @@
 def _is_decided(
     current: StoredManifest | None, accepted: Configuration
 ) -> bool:
-    """Tell whether the base version of a change is no longer current.
+    """Return whether the base version of a change is no longer current.
 
     The outcome of the change can then be determined.
     """
--- a/sassafrasgate/configuration/versions.py
+++ b/sassafrasgate/configuration/versions.py
@@ -44,7 +44,7 @@
 
 
 class ConfigurationError(SassafrasgateError):
-    """Raised when a stored or received configuration can't be decoded."""
+    """Raised when a stored or received configuration cannot be decoded."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -300,7 +300,7 @@
     Raises
     ------
     ConfigurationError
-        When a part is missing, has another digest or can't be decoded.
+        When a part is missing, has another digest or cannot be decoded.
     """
     hosts: list[Host] = []
     shards: list[Shard] = []
@@ -379,7 +379,7 @@
     Raises
     ------
     ConfigurationError
-        When the value can't be decoded.
+        When the value cannot be decoded.
     """
     return _decode(_MANIFEST, encoded)
 
@@ -397,7 +397,7 @@
     Raises
     ------
     ConfigurationError
-        When the bytes can't be decoded or a part is damaged.
+        When the bytes cannot be decoded or a part is damaged.
     """
     decoded = _decode(_CONFIGURATION, encoded)
     return join_configuration(decoded.manifest, decoded.parts)
--- a/sassafrasgate/core/errors.py
+++ b/sassafrasgate/core/errors.py
@@ -83,7 +83,7 @@
 
 
 class MessageError(SassafrasgateError):
-    """A frame or stored value can't be decoded."""
+    """A frame or stored value cannot be decoded."""
 
 
 class StoreError(SassafrasgateError):
--- a/sassafrasgate/core/resources.py
+++ b/sassafrasgate/core/resources.py
@@ -48,7 +48,7 @@
         )
 
     def fits_in(self, available: Resources) -> bool:
-        """Tell whether ``available`` covers this amount of every resource."""
+        """Return whether ``available`` covers this amount of each resource."""
         return (
             self.millicores <= available.millicores
             and self.memory_mb <= available.memory_mb
--- a/sassafrasgate/core/stores.py
+++ b/sassafrasgate/core/stores.py
@@ -62,7 +62,7 @@
     async def delete(
         self, key: str, revision: int | None = ..., priority: int = ...
     ) -> bool:
-        """Delete a key, if it has ``revision``; tell whether it existed."""
+        """Delete a key, if it has ``revision``; return whether it existed."""
 
     async def read_prefix(self, prefix: str, priority: int = ...) -> Changes:
         """Return the items under a prefix and the revision to watch from."""
--- a/sassafrasgate/daemons/directory.py
+++ b/sassafrasgate/daemons/directory.py
@@ -189,7 +189,7 @@
     Returns
     -------
     Member or None
-        None if the key has been deleted or its value can't be decoded.
+        None if the key has been deleted or its value cannot be decoded.
     """
     if item.value is None:
         return None
--- a/sassafrasgate/daemons/dispatcher.py
+++ b/sassafrasgate/daemons/dispatcher.py
@@ -137,10 +137,10 @@
     follow_workers : callable
         Watches the workers' registrations and sends changes to a listener.
     has_ended : callable
-        Tells whether a process, given by name and incarnation, is known to
+        Returns whether a process, given by name and incarnation, is known to
         have ended.
     hand_over : callable
-        Offers a `HandOver` to possible successors; tells whether one of
+        Offers a `HandOver` to possible successors; returns whether one of
         them has taken the shard over.
     logger : Logger
         Logger for decisions.
@@ -321,7 +321,7 @@
         return None
 
     def _has_lease(self) -> bool:
-        """Tell whether the lease is valid without the outage grace."""
+        """Return whether the lease is valid without the outage grace."""
         return now_ms() < self._lease.renewed_at + self._lease.ttl_ms
 
     def _apply_lease_updates(self) -> None:
@@ -473,7 +473,7 @@
             await self._process_event(OwnersEnded())
 
     def _may_act(self) -> bool:
-        """Tell whether the lease or its outage grace still allows to act."""
+        """Return whether the lease or its outage grace still allows to act."""
         lease = self._lease
         return may_send_commands(lease, now_ms(), lease.ttl_ms, lease.grace_ms)
 
@@ -578,7 +578,7 @@
         )
 
     async def send_reply(self, token: int, message: Any) -> None:
-        """Answer the request with this token; each token is used once."""
+        """Reply to the request with this token; each token is used once."""
         await self._replies.send(token, message)
 
     def request_stop(self) -> None:
--- a/sassafrasgate/daemons/election.py
+++ b/sassafrasgate/daemons/election.py
@@ -103,7 +103,7 @@
         return self._directory.find_link(owner[0].link_address).silent_ms
 
     def is_self(self, member: Member) -> bool:
-        """Tell whether a member is this process."""
+        """Return whether a member is this process."""
         return member.incarnation == self._member.incarnation
 
     def update_lease(self, message: LeaseChanged) -> None:
@@ -128,7 +128,7 @@
         self._ended_incarnation = incarnation
 
     def has_fresh_lease(self) -> bool:
-        """Tell whether the lease is valid without the outage grace."""
+        """Return whether the lease is valid without the outage grace."""
         lease = self.lease
         if lease is None or not self._lease_id:
             return False
@@ -155,7 +155,7 @@
         return owner[1] if owner else 0
 
     def _is_ended(self, member: Member) -> bool:
-        """Tell whether an owner's process is known to have ended.
+        """Return whether an owner's process is known to have ended.
 
         An owner of this process's own name is a previous incarnation: the
         platform starts a process only after its predecessor has ended.
@@ -180,7 +180,7 @@
         return ranked.index(self._member.name)
 
     def has_ended(self, owner: str) -> bool:
-        """Tell whether a process is known to have ended.
+        """Return whether a process is known to have ended.
 
         The platform starts a process only after the previous one of the same
         name has ended.
--- a/sassafrasgate/daemons/entry.py
+++ b/sassafrasgate/daemons/entry.py
@@ -107,7 +107,7 @@
         return self.table.version
 
     def check_readiness(self) -> Refusal | None:
-        """Return a refusal if requests can't be served now, else None."""
+        """Return a refusal if requests cannot be served now, else None."""
         if not self.version:
             return self.make_no_table_refusal()
         silent_ms = self.election.silent_ms
@@ -195,7 +195,7 @@
         """Ask other hosts whether the shard has another owner.
 
         An owner that is cut off from the store continues during its outage
-        grace, while its callers wait for records that it can't write.
+        grace, while its callers wait for records that it cannot write.
         """
         if self.dispatcher is None or self._is_querying_owner:
             return
@@ -287,7 +287,7 @@
             await self.send_to_self(ProcessEnded(incarnation))
 
     async def relay_call(self, message: RelayRequested) -> None:
-        """Make a store call for another host that can't reach the store."""
+        """Make a store call for another host that cannot reach the store."""
         await message.reply(
             await execute_relayed_call(self.services.relay_store, message.call)
         )
--- a/sassafrasgate/daemons/frontend.py
+++ b/sassafrasgate/daemons/frontend.py
@@ -271,7 +271,7 @@
         Raises
         ------
         StoreError
-            If a chunk can't be read.
+            If a chunk cannot be read.
         """
         for number in range(outcome.chunks):
             item = await self._store.get(make_output_key(job_id, number))
--- a/sassafrasgate/daemons/gateways.py
+++ b/sassafrasgate/daemons/gateways.py
@@ -141,5 +141,5 @@
 
 
 def _may_retry(reply: Any) -> bool:
-    """Tell whether the reply shows that the request had no effect."""
+    """Return whether the reply shows that the request had no effect."""
     return isinstance(reply, Refusal) and reply.kind in RETRIED_REFUSALS
--- a/sassafrasgate/daemons/hosts.py
+++ b/sassafrasgate/daemons/hosts.py
@@ -129,7 +129,7 @@
             sync_scope.cancel()
 
     def may_send(self) -> bool:
-        """Tell whether this owner may still send commands to the worker."""
+        """Return whether this owner may still send commands to the worker."""
         lease = self._lease
         return may_send_commands(lease, now_ms(), lease.ttl_ms, lease.grace_ms)
 
@@ -144,7 +144,7 @@
                 delay_s = min(delay_s * 2, MAX_RETRY_DELAY_S)
 
     async def _sync(self) -> bool:
-        """Make one sync call and tell whether the worker replied."""
+        """Make one sync call and return whether the worker replied."""
         reading = self._clock_reading
         release = tuple(self._pending_releases)
         request = SyncRequest(
--- a/sassafrasgate/daemons/journals.py
+++ b/sassafrasgate/daemons/journals.py
@@ -188,7 +188,7 @@
             tasks.start_soon(self._write_entry, entry)
 
     def _may_write(self, first: Any) -> bool:
-        """Tell whether the next entry may be written now."""
+        """Return whether the next entry may be written now."""
         if isinstance(first, WriteSnapshot):
             # The snapshot covers the records before it, which have to be
             # written first.
--- a/sassafrasgate/daemons/leases.py
+++ b/sassafrasgate/daemons/leases.py
@@ -184,7 +184,7 @@
 ) -> OwnerLease:
     """Return the lease after a renewal that got no reply.
 
-    A process that was paused for longer than the lease's length can't know
+    A process that was paused for longer than the lease's length cannot know
     what the store did in the meantime, so it loses the outage grace.
 
     Parameters
--- a/sassafrasgate/daemons/relays.py
+++ b/sassafrasgate/daemons/relays.py
@@ -327,7 +327,7 @@
         tasks.cancel_scope.cancel()
 
     def has_failed(self, path: str) -> bool:
-        """Tell whether an attempt on a path has ended without a reply."""
+        """Return whether an attempt on a path has ended without a reply."""
         return any(known == path for known, _ in self._errors)
 
     def get_first_error(self) -> StoreUnavailableError:
--- a/sassafrasgate/daemons/replies.py
+++ b/sassafrasgate/daemons/replies.py
@@ -87,7 +87,7 @@
         return tuple(self._open_requests)
 
     async def send(self, token: int, message: Any) -> None:
-        """Answer the request with this token; each token is used once."""
+        """Reply to the request with this token; each token is used once."""
         send_reply = self._open_requests.pop(token, None)
         if send_reply is not None:
             await send_reply(message)
--- a/sassafrasgate/daemons/shards.py
+++ b/sassafrasgate/daemons/shards.py
@@ -168,7 +168,7 @@
         release : callable
             Awaited in a planned stop once every record is durable and
             nothing new is started. It releases the shard for a successor,
-            while this task still answers open quick requests.
+            while this task still replies to open quick requests.
 
         Returns
         -------
@@ -193,7 +193,7 @@
             await self._serve()
             if not self._loss_reason:
                 await self._hand_over(release)
-            await self._answer_open_requests()
+            await self._reply_to_open_requests()
             group.cancel_scope.cancel()
         return self._loss_reason
 
@@ -264,7 +264,7 @@
     async def _hand_over(self, release: Callable[[], Awaitable[None]]) -> None:
         """Release the shard, then finish the open quick requests.
 
-        Quick requests are not in the journal, so a successor can't finish
+        Quick requests are not in the journal, so a successor cannot finish
         them.
         """
         for sender in self._host_senders.values():
@@ -280,8 +280,8 @@
         while self._has_quick_callers() and not self._loss_reason:
             await self._process_event(await self._inbox.receive())
 
-    async def _answer_open_requests(self) -> None:
-        """Answer all open requests, so that the callers can repeat them.
+    async def _reply_to_open_requests(self) -> None:
+        """Reply to all open requests, so that the callers can repeat them.
 
         Submissions and queries are idempotent by job id. The state of a
         quick request is reported as unknown, because it may still run on
@@ -339,7 +339,7 @@
             The event if it also has to be passed to the decisions, else
             None.
         """
-        if isinstance(event, RequestReceived) and not self._may_answer():
+        if isinstance(event, RequestReceived) and not self._may_reply():
             await self.send_reply(event.reply_to, self._make_loss_refusal())
             return None
         if isinstance(event, RecordsDurable):
@@ -357,8 +357,8 @@
             return None
         return event
 
-    def _may_answer(self) -> bool:
-        """Tell whether the lease or its outage grace still allows to answer.
+    def _may_reply(self) -> bool:
+        """Return whether the lease or its outage grace still allows replies.
 
         A process that was paused for longer than its lease must not refuse a
         job that its successor has accepted.
@@ -468,7 +468,7 @@
             return
 
     async def send_reply(self, token: int, message: Any) -> None:
-        """Answer the request with this token; each token is used once."""
+        """Reply to the request with this token; each token is used once."""
         await self._replies.send(token, message)
 
     def request_stop(self) -> None:
--- a/sassafrasgate/daemons/snapshots.py
+++ b/sassafrasgate/daemons/snapshots.py
@@ -26,7 +26,7 @@
         self._entries += 1
 
     def request_if_due(self) -> bool:
-        """Tell whether a snapshot is due, and mark it as requested if so."""
+        """Return whether a snapshot is due, and mark it as requested if so."""
         if (
             self._is_requested
             or self._entries - self._covered < SNAPSHOT_INTERVAL_ENTRIES
--- a/sassafrasgate/daemons/workers.py
+++ b/sassafrasgate/daemons/workers.py
@@ -145,7 +145,7 @@
             tasks.cancel_scope.cancel()
 
     def may_send(self) -> bool:
-        """Tell whether this owner may still send commands to the worker."""
+        """Return whether this owner may still send commands to the worker."""
         lease = self._lease
         return may_send_commands(lease, now_ms(), lease.ttl_ms, lease.grace_ms)
 
@@ -187,7 +187,7 @@
             await self._ends_acknowledged.wait()
 
     async def _poll(self, was_silent: bool) -> bool:
-        """Make one hold call and tell whether the worker replied.
+        """Make one hold call and return whether the worker replied.
 
         Calls to a worker that does not respond renew no leases: a call that
         is carried out late would keep its runs alive for longer than the
@@ -329,7 +329,7 @@
     def _was_overtaken_by_restart(
         self, reply: RunReply, fencing_token: int
     ) -> bool:
-        """Tell whether a call was refused because the worker had restarted.
+        """Return whether a call was refused because the worker had restarted.
 
         A later call of this owner, with a higher fencing token, has then
         reached the new incarnation first.
--- a/sassafrasgate/dispatch/advice.py
+++ b/sassafrasgate/dispatch/advice.py
@@ -2,7 +2,7 @@
 
 The service handles one call at a time for each host that calls it, so calls
 are distributed over the entry hosts. Short calls are made by the owner's
-host. Long calls go to other hosts, so that they don't delay short ones.
+host. Long calls go to other hosts, so that they do not delay short ones.
 """
 
 from __future__ import annotations
--- a/sassafrasgate/dispatch/events.py
+++ b/sassafrasgate/dispatch/events.py
@@ -148,7 +148,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StopAnswered:
-    """A worker has replied to a stop call, so the run can't start any more.
+    """A worker has replied to a stop call, so the run cannot start any more.
 
     Parameters
     ----------
--- a/sassafrasgate/dispatch/gangs.py
+++ b/sassafrasgate/dispatch/gangs.py
@@ -86,7 +86,7 @@
     if not chosen:
         at, chosen = _find_earliest_start(state, plan, step, demand, admitted)
     if not chosen:
-        # The gang can't fit on the admitted workers, but others may be
+        # The gang cannot fit on the admitted workers, but others may be
         # admitted too.
         if queue.advice is not None and may_ask_advice(state, key):
             names = list_unasked_workers(state, advice, workers)
--- a/sassafrasgate/dispatch/plans.py
+++ b/sassafrasgate/dispatch/plans.py
@@ -61,7 +61,7 @@
     max_free, total_free : dict
         By pool, the largest amount of each resource that is free on one
         usable worker, and the sum over all usable workers, when the pass
-        began. A larger demand can't be placed.
+        began. A larger demand cannot be placed.
     reservations : dict
         Capacity that is reserved for gangs, by worker.
     reserved_gangs : int
--- a/sassafrasgate/dispatch/state.py
+++ b/sassafrasgate/dispatch/state.py
@@ -59,7 +59,7 @@
     UNSURE
         It is open whether the worker will start the run: a start call got
         no reply, and the worker may still carry it out. Only the reply to
-        a stop call makes sure that the run can't start any more.
+        a stop call makes sure that the run cannot start any more.
     """
 
     SENT = 'sent'
@@ -385,7 +385,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StepAdvice:
-    """Answers of the advice service about a step.
+    """Replies of the advice service about a step.
 
     Parameters
     ----------
@@ -413,15 +413,15 @@
 class AdviceChannel:
     """Calls of one entry host to the advice service.
 
-    The service answers the calls of one host one at a time.
+    The service handles the calls of one host one at a time.
 
     Parameters
     ----------
     entry_host : str
         Name of the host.
     busy_until : int
-        Owner's clock, in ms, when all calls made so far are expected to be
-        answered.
+        Owner's clock, in ms, when all calls made so far are expected to
+        have got a reply.
     """
 
     entry_host: str
--- a/sassafrasgate/dispatch/stops.py
+++ b/sassafrasgate/dispatch/stops.py
@@ -69,7 +69,7 @@
 
 @EVENT_HANDLERS.register(StopAnswered)
 def handle_stop_reply(state: DispatchState, event: StopAnswered) -> Actions:
-    """Record that a run can't start any more.
+    """Record that a run cannot start any more.
 
     The next report shows whether the run is present and about to end, or was
     never started.
--- a/sassafrasgate/http/gateways.py
+++ b/sassafrasgate/http/gateways.py
@@ -94,7 +94,7 @@
         Raises
         ------
         SassafrasgateError
-            If a chunk can't be read; raised during the iteration.
+            If a chunk cannot be read; raised during the iteration.
         """
         ...
 
--- a/sassafrasgate/http/listeners.py
+++ b/sassafrasgate/http/listeners.py
@@ -16,7 +16,7 @@
 
 
 class AddressError(SassafrasgateError):
-    """The process can't listen on an address."""
+    """The process cannot listen on an address."""
 
     def __init__(self, address: str, reason: str) -> None:
         super().__init__(
--- a/sassafrasgate/http/outputs.py
+++ b/sassafrasgate/http/outputs.py
@@ -60,7 +60,7 @@
     chunks = context.gateway.read_output(job_id, outcome)
     verified = verify_chunks(job_id, outcome, chunks)
     # The first chunk is read before the status line is sent, so that an
-    # output that can't be read at all gets an error status.
+    # output that cannot be read at all gets an error status.
     try:
         first = await anext(verified)
     except OutputDamagedError as error:
--- a/sassafrasgate/http/specifications.py
+++ b/sassafrasgate/http/specifications.py
@@ -299,7 +299,7 @@
         text = f'must be 1 for class {str(job_class)!r}'
         faults.append(Fault('tasks', f'{text}; use service or gang'))
     if job_class is JobClass.QUICK and not values.get('idempotent', True):
-        # Quick requests are not journaled, so a new owner can't determine
+        # Quick requests are not journaled, so a new owner cannot determine
         # whether one has run.
         text = 'must be true for class quick; use urgent on POST /v1/jobs'
         faults.append(Fault('idempotent', text))
--- a/sassafrasgate/journal/ring_buffer.py
+++ b/sassafrasgate/journal/ring_buffer.py
@@ -2,7 +2,7 @@
 
 Entry ``n`` is written to slot ``n % RING_SLOTS`` by compare-and-swap on the
 slot's revision. The compare-and-swap fences off a stale owner: two owners
-can't both write the entry of the same number, and a write that was delayed
+cannot both write the entry of the same number, and a write that was delayed
 until the ring has wrapped around finds another revision. Keys that are
 created once and deleted by trimming would let such a late write succeed, and
 would cost a second write for each entry.
@@ -167,7 +167,7 @@
 
 
 def is_slot_covered(sequence: int, snapshot_sequence: int, slots: int) -> bool:
-    """Tell whether an entry would overwrite only entries in the snapshot.
+    """Return whether an entry would overwrite only entries in the snapshot.
 
     Parameters
     ----------
@@ -180,7 +180,7 @@
 
 
 def is_successor_pointer(sequence: int, next_sequence: int) -> bool:
-    """Tell whether a snapshot was written by a successor of this owner.
+    """Return whether a snapshot was written by a successor of this owner.
 
     A successor's snapshots cover its takeover record, which has this owner's
     next number or a later one. A pointer below that number was written by
--- a/sassafrasgate/placement/admission.py
+++ b/sassafrasgate/placement/admission.py
@@ -140,7 +140,7 @@
 
 
 def check_admission(spec: JobSpec, load: AdmissionLoad) -> Refusal | None:
-    """Return a refusal if a job that can't start at once may not be queued.
+    """Return a refusal if a job that cannot start at once may not be queued.
 
     Returns
     -------
--- a/sassafrasgate/placement/gangs.py
+++ b/sassafrasgate/placement/gangs.py
@@ -105,7 +105,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PartRefused:
-    """A shard can't reserve its part, or its reservation has ended."""
+    """A shard cannot reserve its part, or its reservation has ended."""
 
     shard: str
     epoch: int
--- a/sassafrasgate/placement/index.py
+++ b/sassafrasgate/placement/index.py
@@ -144,7 +144,7 @@
         self._total_free = self._total_free + free.take_maximum(NO_RESOURCES)
 
     def is_open(self, name: str) -> bool:
-        """Tell whether a host accepts new tasks."""
+        """Return whether a host accepts new tasks."""
         self._check_known(name)
         return name in self._open_free
 
@@ -327,7 +327,7 @@
         self, entries: list[tuple[float, str]], demand: Resources
     ) -> int:
         # Hosts before this position have a smaller mean free share than the
-        # demand takes, so it can't fit there. The margin covers rounding.
+        # demand takes, so it cannot fit there. The margin covers rounding.
         return bisect_left(
             entries, (self.compute_mean_share(demand) - _ROUNDING_MARGIN, '')
         )
--- a/sassafrasgate/placement/policies.py
+++ b/sassafrasgate/placement/policies.py
@@ -167,7 +167,7 @@
 
 
 def is_allowed(host: Host, request: PlacementRequest) -> bool:
-    """Tell whether the rules and the job's constraints allow a host."""
+    """Return whether the rules and the job's constraints allow a host."""
     domains = request.spec.failure_domains
     if domains and host.failure_domain not in domains:
         return False
@@ -178,7 +178,7 @@
 
 
 def fits_inventory(hosts: Iterable[Host], request: PlacementRequest) -> bool:
-    """Tell whether the hosts, if empty, could hold all tasks of a job.
+    """Return whether the hosts, if empty, could hold all tasks of a job.
 
     ``hosts`` may be those of one shard or of the whole cell.
     """
--- a/sassafrasgate/placement/quarantine.py
+++ b/sassafrasgate/placement/quarantine.py
@@ -191,7 +191,7 @@
         )
 
     def is_job_at_fault(self, job_id: str) -> bool:
-        """Tell whether a job has failed on enough healthy hosts."""
+        """Return whether a job has failed on enough healthy hosts."""
         failures = self._job_failures.get(job_id, JobFailures())
         return len(failures.healthy_hosts) >= MIN_HOSTS_FOR_JOB_FAULT
 
--- a/sassafrasgate/placement/queues.py
+++ b/sassafrasgate/placement/queues.py
@@ -36,7 +36,7 @@
 
 # Limits of one stage of a pass: jobs that are refused, and job shapes that are
 # skipped because a job that needs no more was refused. They are divided evenly
-# among the teams, so that one team can't use up the pass of the others. The
+# among the teams, so that one team cannot use up the pass of the others. The
 # next pass continues with the remaining shapes, so the limits delay jobs but
 # never starve them.
 MAX_REFUSALS = 64
@@ -90,7 +90,7 @@
     tasks: int
 
     def covers(self, other: _JobShape) -> bool:
-        """Tell whether this shape needs at least as much as ``other``."""
+        """Return whether this shape needs at least as much as ``other``."""
         return self.tasks >= other.tasks and other.demand.fits_in(self.demand)
 
 
--- a/sassafrasgate/shards/cancellations.py
+++ b/sassafrasgate/shards/cancellations.py
@@ -33,8 +33,8 @@
 ) -> Actions:
     """End a queued job at once, or stop the tasks of a placed one.
 
-    The caller is answered when the end is durable, or with the current
-    state after `CANCEL_WAIT_MS`.
+    The reply is sent when the end is durable, or with the current state
+    after `CANCEL_WAIT_MS`.
     """
     message: Cancel = request.message
     entry = state.jobs.get(message.job_id)
--- a/sassafrasgate/shards/completions.py
+++ b/sassafrasgate/shards/completions.py
@@ -180,7 +180,7 @@
 
 
 def end_job(state: ShardState, entry: JobEntry, outcome: Outcome) -> Actions:
-    """Journal a job's end; callers are answered once it is durable."""
+    """Journal a job's end; callers get a reply once it is durable."""
     yield LogDecision(
         'end',
         entry.job_id,
@@ -196,7 +196,7 @@
 
 @DURABLE_HANDLERS.register('ended')
 def confirm_ended(state: ShardState, record: JobEnded, now: int) -> Actions:
-    """Answer the callers and release the tasks of a job that has ended."""
+    """Reply to the callers and release the tasks of a job that has ended."""
     entry = state.jobs.get(record.job_id)
     if entry is None:
         return
--- a/sassafrasgate/shards/handlers.py
+++ b/sassafrasgate/shards/handlers.py
@@ -29,7 +29,7 @@
 
 
 def write_record(state: ShardState, record: Any) -> Actions:
-    """Apply a record to the state and ask for it to be journalled.
+    """Apply a record to the state and request that it is journaled.
 
     Replay after a takeover applies records with the same function, so that
     the successor arrives at the same state.
--- a/sassafrasgate/shards/ownership.py
+++ b/sassafrasgate/shards/ownership.py
@@ -20,8 +20,8 @@
     renewed_at : int
         When the last successful renewal was *sent*.
     store_failing_since : int
-        When calls to the store began to go unanswered; 0 while the store
-        answers.
+        When calls to the store began to get no reply; 0 while the store
+        responds.
     checked_at : int
         When the owner last ran its periodic check; an old value shows that
         the process was paused.
@@ -45,7 +45,7 @@
     ttl_ms: int = OWNER_TTL_MS,
     grace_ms: int = OUTAGE_GRACE_MS,
 ) -> bool:
-    """Tell whether an owner may send a command to a worker.
+    """Return whether an owner may send a command to a worker.
 
     During its lease it may. After the lease it may only if the store has
     been failing since before the lease ended, the owner itself was not
@@ -66,7 +66,7 @@
 def accepts_placements(
     epoch_acknowledged: bool, leaving: bool, drained: bool, quarantined: bool
 ) -> bool:
-    """Tell whether a host may get new tasks.
+    """Return whether a host may get new tasks.
 
     Parameters
     ----------
--- a/sassafrasgate/shards/placements.py
+++ b/sassafrasgate/shards/placements.py
@@ -86,7 +86,7 @@
 
 
 def matches_rule(rule: Rule, spec: JobSpec) -> bool:
-    """Tell whether a rule matches a job."""
+    """Return whether a rule matches a job."""
     return rule.team in ('', spec.team) and rule.job_class in (
         '',
         spec.job_class,
@@ -213,5 +213,5 @@
 
 
 def fits_nowhere(refusal: Refusal) -> bool:
-    """Tell whether a job fits on no host even when the hosts are empty."""
+    """Return whether a job fits on no host even when the hosts are empty."""
     return refusal.kind is RefusalKind.FITS_NOWHERE
--- a/sassafrasgate/shards/preemption.py
+++ b/sassafrasgate/shards/preemption.py
@@ -33,7 +33,7 @@
 
 
 def may_preempt(state: ShardState, spec: JobSpec) -> bool:
-    """Tell whether a rule allows a job to preempt batch tasks."""
+    """Return whether a rule allows a job to preempt batch tasks."""
     return spec.tasks == 1 and any(
         rule.may_preempt and matches_rule(rule, spec)
         for rule in state.configuration.rules
--- a/sassafrasgate/shards/quick_requests.py
+++ b/sassafrasgate/shards/quick_requests.py
@@ -1,4 +1,4 @@
-"""Quick requests, which are placed and answered without journal records."""
+"""Quick requests, which are placed and completed without journal records."""
 
 from __future__ import annotations
 
@@ -84,7 +84,7 @@
 
 
 def _awaits_hosts(state: ShardState) -> bool:
-    """Tell whether some hosts have not acknowledged this owner yet.
+    """Return whether some hosts have not acknowledged this owner yet.
 
     Hosts that are known to be unresponsive do not count.
     """
@@ -221,7 +221,7 @@
 def end_quick_request(
     state: ShardState, job_id: str, ended: EndedTask, now: int
 ) -> Actions:
-    """Answer a quick request with its task's output, or retry it."""
+    """Reply to a quick request with its task's output, or retry it."""
     quick = state.quick_requests[job_id]
     if quick.ended is not None:
         return
@@ -252,7 +252,7 @@
 def handle_fetched_output(
     state: ShardState, event: OutputFetched, now: int
 ) -> Actions:
-    """Answer a quick request whose large output has been fetched."""
+    """Reply to a quick request whose large output has been fetched."""
     for quick in list(state.quick_requests.values()):
         if quick.task != event.task:
             continue
@@ -290,7 +290,7 @@
 
 
 def expire_quick_requests(state: ShardState, now: int) -> Actions:
-    """Answer "unknown" to callers whose deadline has passed.
+    """Reply "unknown" to callers whose deadline has passed.
 
     The reservation and the entry stay until the task has certainly ended,
     so that a request with the same key does not run concurrently on a second
--- a/sassafrasgate/shards/quota_shares.py
+++ b/sassafrasgate/shards/quota_shares.py
@@ -115,7 +115,7 @@
 def confirm_share_lent(
     state: ShardState, record: ShareLent, now: int
 ) -> Actions:
-    """Answer the borrower, since the loan is in the journal."""
+    """Reply to the borrower, since the loan is in the journal."""
     key = (record.borrower, record.team)
     yield from _reply_to_borrower(state, key, record.total)
 
--- a/sassafrasgate/shards/scheduling_passes.py
+++ b/sassafrasgate/shards/scheduling_passes.py
@@ -80,7 +80,7 @@
 def may_transfer(
     state: ShardState, job: QueuedJob, refusal: Refusal, now: int
 ) -> bool:
-    """Tell whether a job may leave its home shard now.
+    """Return whether a job may leave its home shard now.
 
     Running in another failure domain adds a network hop, so a job that
     could run on its home shard waits there for `TRANSFER_DELAY_MS` first,
--- a/sassafrasgate/shards/state.py
+++ b/sassafrasgate/shards/state.py
@@ -215,7 +215,7 @@
     expires_at : int
         The owner's clock from which the job's records are withdrawn.
     callers : tuple of JobWaiter
-        Callers to answer; those with time left then wait for the job's end.
+        Callers to reply to; those with time left then wait for the job's end.
     withdrawing : bool
         Whether the journal has been asked to withdraw the records.
     """
@@ -250,7 +250,8 @@
     reply_to : tuple of int
         Tokens of the requests that wait for the reply.
     expires_at : int
-        The owner's clock from which the callers are answered "unknown".
+        The owner's clock from which the callers get the reply
+        "unknown".
     attempt, task, host
         Number, task id and host of the current attempt.
     tried_hosts : tuple of str
@@ -465,7 +466,7 @@
             self.update_job(job_id, state=JobState.RUNNING)
 
     def may_release(self, task: str) -> bool:
-        """Tell whether a task may be released without a further record."""
+        """Return whether a task may be released without a further record."""
         job_id, _, _ = split_task_id(task)
         entry = self.jobs.get(job_id)
         if entry is None:
@@ -473,7 +474,7 @@
         return entry.end_durable
 
     def must_stop(self, report: RunningTask) -> bool:
-        """Tell whether an unexpected task belongs to a job of this shard.
+        """Return whether an unexpected task belongs to a job of this shard.
 
         The owner has ended its attempt, so it has to be stopped.
         """
@@ -486,7 +487,7 @@
         return [task for task in self.tasks.values() if task.stopping]
 
     def fits_elsewhere(self, spec: JobSpec) -> bool:
-        """Tell whether a task fits on a host of another shard.
+        """Return whether a task fits on a host of another shard.
 
         The summaries of the other shards decide, whatever their age.
         """
--- a/sassafrasgate/shards/submissions.py
+++ b/sassafrasgate/shards/submissions.py
@@ -45,7 +45,7 @@
     from sassafrasgate.shards.handlers import Actions
     from sassafrasgate.shards.state import ShardState
 
-# Below the front end's time-out for an acceptance, so that callers get "not
+# Below the front end's timeout for an acceptance, so that callers get "not
 # run" instead of no reply.
 ACCEPT_TIMEOUT_MS = 8_000
 MAX_QUEUED_JOBS = 100_000
@@ -187,7 +187,7 @@
 def confirm_accepted(
     state: ShardState, record: JobAccepted, now: int
 ) -> Actions:
-    """Answer the callers and start the tasks of a durable acceptance."""
+    """Reply to the callers and start the tasks of a durable acceptance."""
     if record.job_id not in state.jobs:
         return
     state.update_job(record.job_id, durable=True)
@@ -238,7 +238,7 @@
 def finish_withdrawal(
     state: ShardState, event: WithdrawalAnswered, now: int
 ) -> Actions:
-    """Answer "not run" if the records were withdrawn, else "unknown"."""
+    """Reply "not run" if the records were withdrawn, else "unknown"."""
     pending = state.pending_submits.pop(event.job_id, None)
     entry = state.jobs.get(event.job_id)
     if entry is None:
--- a/sassafrasgate/shards/transfers.py
+++ b/sassafrasgate/shards/transfers.py
@@ -333,7 +333,7 @@
 def confirm_refusal(
     state: ShardState, record: AttemptRefused, now: int
 ) -> Actions:
-    """Answer the home shard, since the refusal is in the journal."""
+    """Reply to the home shard, since the refusal is in the journal."""
     key = (record.job_id, record.home, record.home_attempt)
     for reply_to in state.transfer_callers.pop(key, ()):
         yield Reply(
@@ -348,7 +348,7 @@
 
 
 def reply_to_transfer_callers(state: ShardState, entry: JobEntry) -> Actions:
-    """Answer the home shard, since the acceptance is in the journal."""
+    """Reply to the home shard, since the acceptance is in the journal."""
     key = (entry.job_id, entry.home, entry.home_attempt)
     for reply_to in state.transfer_callers.pop(key, ()):
         yield Reply(
@@ -360,7 +360,7 @@
 def handle_recall(
     state: ShardState, request: RequestReceived, now: int
 ) -> Actions:
-    """Answer with the state of an attempt, or refuse it permanently.
+    """Reply with the state of an attempt, or refuse it permanently.
 
     An attempt that is not known here is refused, so that a delayed transfer
     of it is not accepted later.
--- a/sassafrasgate/shards/views.py
+++ b/sassafrasgate/shards/views.py
@@ -1,4 +1,4 @@
-"""Answers to queries about jobs and hosts."""
+"""Replies to queries about jobs and hosts."""
 
 from __future__ import annotations
 
@@ -72,7 +72,7 @@
 def handle_query(
     state: ShardState, request: RequestReceived, now: int
 ) -> Actions:
-    """Answer with a job's state, at once or when the job ends."""
+    """Reply with a job's state, at once or when the job ends."""
     query: Query = request.message
     entry = state.jobs.get(query.job_id)
     if entry is None or not entry.durable:
@@ -97,7 +97,7 @@
     now: int,
     duplicate: bool = False,
 ) -> Actions:
-    """Answer a caller at once, or when the job ends if time is left."""
+    """Reply to a caller at once, or when the job ends if time is left."""
     entry = state.jobs[job_id]
     if entry.state in FINAL_STATES or caller.expires_at <= now:
         yield Reply(caller.reply_to, view_job(state, entry, duplicate))
@@ -107,14 +107,14 @@
 
 
 def reply_to_waiters(state: ShardState, job_id: str) -> Actions:
-    """Answer every caller that waits for a job."""
+    """Reply to every caller that waits for a job."""
     view = view_job(state, state.jobs[job_id])
     for waiter in state.waiters.pop(job_id, ()):
         yield Reply(waiter.reply_to, view)
 
 
 def expire_waiters(state: ShardState, now: int) -> Actions:
-    """Answer callers whose waiting time has ended with the current state."""
+    """Reply to callers whose waiting time has ended with the current state."""
     for job_id in list(state.waiters):
         waiters = state.waiters[job_id]
         entry = state.jobs.get(job_id)
@@ -134,7 +134,7 @@
 def handle_explain(
     state: ShardState, request: RequestReceived, now: int
 ) -> Actions:
-    """Answer with the latest decisions about a job."""
+    """Reply with the latest decisions about a job."""
     message: Explain = request.message
     entry = state.jobs.get(message.job_id)
     if entry is None:
@@ -154,7 +154,7 @@
 def handle_list_jobs(
     state: ShardState, request: RequestReceived, now: int
 ) -> Actions:
-    """Answer with the newest jobs of this shard, oldest first."""
+    """Reply with the newest jobs of this shard, oldest first."""
     message: ListJobs = request.message
     limit = min(message.limit, MAX_LISTED_JOBS)
     found = [
@@ -169,7 +169,7 @@
 def handle_list_hosts(
     state: ShardState, request: RequestReceived, now: int
 ) -> Actions:
-    """Answer with the hosts of this shard."""
+    """Reply with the hosts of this shard."""
     views = tuple(_view_host(state, entry) for entry in state.hosts.values())
     yield Reply(request.reply_to, HostList(views))
 
--- a/sassafrasgate/shards/workers.py
+++ b/sassafrasgate/shards/workers.py
@@ -53,7 +53,7 @@
 
 
 def is_below_task_limit(state: ShardState, name: str) -> bool:
-    """Tell whether a host's health record allows it another task."""
+    """Return whether a host's health record allows it another task."""
     limit = state.health.get_task_limit(name, state.now)
     return limit is None or len(state.index.list_reservations(name)) < limit
 
@@ -278,7 +278,7 @@
 def handle_unsent_start(
     state: ShardState, event: StartNotSent, now: int
 ) -> Actions:
-    """Give up a task whose start was never sent."""
+    """End the attempt of a task whose start was never sent."""
     task = state.tasks.get(event.task)
     if task is None or task.phase is not TaskPhase.PLANNED:
         return
@@ -288,7 +288,7 @@
 
 
 def expire_host_leases(state: ShardState, now: int) -> Actions:
-    """Give up the tasks of hosts whose leases have certainly expired."""
+    """Record tasks as lapsed on hosts whose leases have certainly expired."""
     for name, entry in list(state.hosts.items()):
         if entry.leases_expired or now < compute_host_lease_expiry(entry):
             continue
--- a/tests/daemons/test_outages.py
+++ b/tests/daemons/test_outages.py
@@ -87,7 +87,7 @@
         version = number + 1
         # A conflict shows that an earlier attempt took effect.
         wait_until(
-            partial(apply_surely, cell, wanted, version, frontend),
+            partial(try_apply, cell, wanted, version, frontend),
             f'applying version {version + 1}',
         )
         for reader in cell.urls:
@@ -97,15 +97,15 @@
             )
 
 
-def apply_surely(cell, wanted, version, frontend):
-    """Tell whether this or an earlier apply of the version has succeeded."""
+def try_apply(cell, wanted, version, frontend):
+    """Return whether this or an earlier apply of the version has succeeded."""
     status = cell.apply(wanted, version, frontend).status_code
     assert status in (200, 412, 504)
     return status != 504
 
 
 def holds_team(cell, frontend, version, team):
-    """Tell whether a front end holds the version, which includes the team."""
+    """Return whether a front end has the version, which includes the team."""
     url = f'{cell.find_url(frontend)}/v1/configuration'
     found = cell.processes.client.get(url).json()
     if found['version'] < version:
--- a/tests/daemons/test_owners.py
+++ b/tests/daemons/test_owners.py
@@ -37,7 +37,7 @@
 
 
 def read_epochs(cell, owner):
-    """Return a scheduler's epochs by shard, or None if it does not answer."""
+    """Return a scheduler's epochs by shard, or None if it does not reply."""
     status = cell.processes.client.get(f'{cell.find_url()}/v1/status').json()
     found = [s for s in status['schedulers'] if s['name'] == owner]
     return found[0]['shards'] if found else None
--- a/tests/daemons/test_workers.py
+++ b/tests/daemons/test_workers.py
@@ -35,7 +35,7 @@
     return 'asyncio'
 
 
-class Client:
+class StubClient:
     """A client whose calls return what a test has set.
 
     A poll that may wait returns once the test has set ``released``.
@@ -78,19 +78,19 @@
         return await self.stop_replies.pop(0)()
 
 
-class Bench:
+class WorkerHarness:
     """A running worker task with its inbox, its events and its client."""
 
     def __init__(self, group):
-        self.client = Client()
+        self.client = StubClient()
         self.commands, inbox = anyio.create_memory_object_stream(100)
         sender, self.events = anyio.create_memory_object_stream(100)
         lease = OwnerLease(now_ms(), ttl_ms=60_000)
         task = WorkerTask('w', 1, self.client, inbox, sender, lease, 2_000)
         group.start_soon(task.run)
 
-    async def find(self, kind):
-        """Return the next event of the given class."""
+    async def wait_for(self, kind):
+        """Wait for the next event of a class and return it."""
         with anyio.fail_after(5):
             while True:
                 event = await self.events.receive()
@@ -102,36 +102,36 @@
         self.client.incarnation_ms += 1
         self.client.ended = ()
         self.client.released.set()
-        return await self.find(WorkerReported)
+        return await self.wait_for(WorkerReported)
 
 
 @pytest.fixture
-async def bench():
+async def harness():
     async with anyio.create_task_group() as group:
-        bench = Bench(group)
-        await bench.find(WorkerReported)
-        yield bench
+        harness = WorkerHarness(group)
+        await harness.wait_for(WorkerReported)
+        yield harness
         group.cancel_scope.cancel()
 
 
-async def test_a_poll_of_a_silent_worker_acknowledges_nothing(bench):
+async def test_a_poll_of_a_silent_worker_acknowledges_nothing(harness):
     # Guards against a worker that restarts unnoticed and then discards an end
     # of its new incarnation, so that a finished task is started again.
-    bench.client.ended = (EndedRun(7, *RUN, EndKind.FINISHED, ''),)
-    bench.client.released.set()
-    await bench.find(WorkerReported)
-    bench.commands.send_nowait(AcknowledgeEnds('w', 1, 7))
-    bench.client.silent = True
-    bench.client.released.set()
-    await bench.find(WorkerSilent)
-    bench.client.holds.clear()
+    harness.client.ended = (EndedRun(7, *RUN, EndKind.FINISHED, ''),)
+    harness.client.released.set()
+    await harness.wait_for(WorkerReported)
+    harness.commands.send_nowait(AcknowledgeEnds('w', 1, 7))
+    harness.client.silent = True
+    harness.client.released.set()
+    await harness.wait_for(WorkerSilent)
+    harness.client.holds.clear()
 
-    await bench.find(WorkerSilent)
+    await harness.wait_for(WorkerSilent)
 
-    assert [hold.acknowledged for hold in bench.client.holds][:1] == [0]
+    assert [hold.acknowledged for hold in harness.client.holds][:1] == [0]
 
 
-async def test_a_start_is_not_repeated_after_a_report_of_its_end(bench):
+async def test_a_start_is_not_repeated_after_a_report_of_its_end(harness):
     # Guards against starting a run again that has ended, on a worker that has
     # restarted since.
     reported = anyio.Event()
@@ -140,20 +140,20 @@
         await reported.wait()
         raise WorkerUnavailableError('no reply')
 
-    bench.client.start_reply = lose_reply
-    bench.commands.send_nowait(START)
+    harness.client.start_reply = lose_reply
+    harness.commands.send_nowait(START)
     await anyio.wait_all_tasks_blocked()
-    bench.client.ended = (EndedRun(1, *RUN, EndKind.FINISHED, ''),)
-    bench.client.released.set()
-    await bench.find(WorkerReported)
+    harness.client.ended = (EndedRun(1, *RUN, EndKind.FINISHED, ''),)
+    harness.client.released.set()
+    await harness.wait_for(WorkerReported)
     reported.set()
-    await bench.find(RunUnanswered)
+    await harness.wait_for(RunUnanswered)
     await anyio.wait_all_tasks_blocked()
 
-    assert bench.client.starts == 1
+    assert harness.client.starts == 1
 
 
-async def test_a_start_refused_after_a_restart_is_no_stale_epoch(bench):
+async def test_a_start_refused_after_a_restart_is_no_stale_epoch(harness):
     # Guards against an owner that steps down because of its own higher
     # fencing token, which a later call has sent to the new incarnation.
     released = anyio.Event()
@@ -162,17 +162,17 @@
         await released.wait()
         return RunReply(5, StartRefusal.STALE_EPOCH)
 
-    bench.client.start_reply = refuse_late
-    bench.commands.send_nowait(START)
+    harness.client.start_reply = refuse_late
+    harness.commands.send_nowait(START)
     await anyio.wait_all_tasks_blocked()
-    await bench.restart()
+    await harness.restart()
     released.set()
 
-    event = await bench.find(RunAnswered)
+    event = await harness.wait_for(RunAnswered)
     assert event.reply.refusal is StartRefusal.OTHER_INCARNATION
 
 
-async def test_a_stop_refused_after_a_restart_is_sent_again(bench):
+async def test_a_stop_refused_after_a_restart_is_sent_again(harness):
     # Guards against an owner that steps down because of its own higher
     # fencing token, which a later call has sent to the new incarnation.
     released = anyio.Event()
@@ -184,46 +184,46 @@
     async def accept():
         return RunReply(6)
 
-    bench.client.stop_replies = [refuse_late, accept]
-    bench.commands.send_nowait(StopRun('w', RUN))
+    harness.client.stop_replies = [refuse_late, accept]
+    harness.commands.send_nowait(StopRun('w', RUN))
     await anyio.wait_all_tasks_blocked()
-    await bench.restart()
+    await harness.restart()
     released.set()
     await anyio.wait_all_tasks_blocked()
 
-    assert not bench.client.stop_replies
+    assert not harness.client.stop_replies
     kinds = []
-    while bench.events.statistics().current_buffer_used:
-        kinds.append(type(bench.events.receive_nowait()))
+    while harness.events.statistics().current_buffer_used:
+        kinds.append(type(harness.events.receive_nowait()))
     assert EpochRefused not in kinds
 
 
-async def test_the_poll_after_a_restart_does_not_wait(bench):
+async def test_the_poll_after_a_restart_does_not_wait(harness):
     # Guards against a delay of 2 s before the owner knows which starts have
     # reached the new incarnation.
-    await bench.restart()
+    await harness.restart()
     await anyio.wait_all_tasks_blocked()
 
-    assert 0 in [hold.wait_ms for hold in bench.client.holds[2:]]
+    assert 0 in [hold.wait_ms for hold in harness.client.holds[2:]]
 
 
-async def test_a_pace_that_the_worker_has_accepted_is_reported(bench):
+async def test_a_pace_that_the_worker_has_accepted_is_reported(harness):
     # Guards against an owner that does not learn whether a best-effort task
     # has been slowed down.
-    bench.commands.send_nowait(PaceRun('w', RUN, 25))
+    harness.commands.send_nowait(PaceRun('w', RUN, 25))
 
-    event = await bench.find(PaceAnswered)
+    event = await harness.wait_for(PaceAnswered)
     assert event == PaceAnswered('w', RUN, 25)
 
 
-async def test_a_refused_pace_is_not_reported_as_in_force(bench):
+async def test_a_refused_pace_is_not_reported_as_in_force(harness):
     # Guards against a best-effort task that continues at full speed while the
     # owner assumes that it was slowed down.
-    bench.client.pace_refusal = StartRefusal.STALE_EPOCH
-    bench.commands.send_nowait(PaceRun('w', RUN, 25))
+    harness.client.pace_refusal = StartRefusal.STALE_EPOCH
+    harness.commands.send_nowait(PaceRun('w', RUN, 25))
     await anyio.wait_all_tasks_blocked()
 
     kinds = []
-    while bench.events.statistics().current_buffer_used:
-        kinds.append(type(bench.events.receive_nowait()))
+    while harness.events.statistics().current_buffer_used:
+        kinds.append(type(harness.events.receive_nowait()))
     assert PaceAnswered not in kinds
--- a/tests/dispatch/simulation.py
+++ b/tests/dispatch/simulation.py
@@ -840,7 +840,7 @@
             WorkerRegistered(self.make_registration(self.workers[name]))
         )
 
-    def new_owner(self, kill: bool = True) -> SimOwner:
+    def start_owner(self, kill: bool = True) -> SimOwner:
         """Let a new owner take over; the previous one may continue."""
         if self.random.random() < 0.5:
             self.take_snapshot()
--- a/tests/dispatch/test_random_faults.py
+++ b/tests/dispatch/test_random_faults.py
@@ -52,13 +52,13 @@
 @fault
 def kill_owner(cluster, random):
     """The owner's process ends and another one takes over."""
-    cluster.new_owner()
+    cluster.start_owner()
 
 
 @fault
 def depose_owner(cluster, random):
     """Another owner takes over while the previous one still runs."""
-    cluster.new_owner(kill=False)
+    cluster.start_owner(kill=False)
 
 
 @fault
@@ -151,7 +151,7 @@
     kinds = sorted(kinds or FAULTS)
     random = Random(seed)
     cluster = RandomFaultCluster(seed)
-    cluster.new_owner()
+    cluster.start_owner()
     for number in range(JOBS):
         at = random.randint(0, FAULT_PERIOD_MS)
         queue = random.choice(('q', 'advised'))
@@ -208,7 +208,7 @@
     cluster = RandomFaultCluster(1)
     for worker in cluster.workers.values():
         worker.failure_rate = 0.0
-    cluster.new_owner()
+    cluster.start_owner()
     tasks = 0
     random = Random(5)
     for number in range(JOBS):
--- a/tests/dispatch/test_stragglers.py
+++ b/tests/dispatch/test_stragglers.py
@@ -69,7 +69,7 @@
     assert not driver.state.slow_workers
 
 
-def run_slowly(driver, starts, percent_a_s, seconds):
+def run_slowly(driver, starts, percent_per_s, seconds):
     """Let runs advance by a few percent per second; return all actions."""
     actions = []
     for _ in range(seconds):
@@ -77,7 +77,7 @@
         for start in starts:
             runs = driver.running[start.worker]
             if start.run in runs:
-                runs[start.run] += percent_a_s
+                runs[start.run] += percent_per_s
         for worker in driver.running:
             actions.extend(driver.report(worker))
         actions.extend(driver.wait(1))
