Give the unit of clock readings in shards, core and dispatch

Cause: shards described times as 'the owner's clock' without a unit, where dispatch says 'Owner's clock, in ms'; a few comments had contractions. Change: the same form in all packages; full forms in comments. Result: linters and mypy pass; tests/shards, tests/core, tests/placement, tests/protocol and the entry, workers and relays tests of tests/daemons pass.

--- a/sassafrasgate/commands/clients.py
+++ b/sassafrasgate/commands/clients.py
@@ -59,7 +59,7 @@
     content : bytes
         The body as received.
     document : object
-        The body decoded from JSON; None when it isn't JSON.
+        The body decoded from JSON; None when it is not JSON.
     """
 
     status: int
--- a/sassafrasgate/core/tasks.py
+++ b/sassafrasgate/core/tasks.py
@@ -88,7 +88,8 @@
     shard, epoch
         The worker refuses an epoch below the highest one seen for the shard.
     lease_clock : int
-        New deadline of every task of the shard on this worker.
+        New deadline, in ms on the worker's clock, of every task of the
+        shard on this worker.
     release : tuple of str
         Ids of ended tasks whose outcome the shard has stored durably.
     wait_ms : int
@@ -134,9 +135,10 @@
     Parameters
     ----------
     start_before_clock : int
-        The worker refuses the start once its clock reaches this value.
+        The worker refuses the start once its clock reaches this value, in
+        ms.
     lease_clock : int
-        The worker stops the task once its clock reaches this value.
+        The worker stops the task once its clock reaches this value, in ms.
     incarnation : str
         The worker refuses a start meant for another incarnation.
     wait_ms : int
--- a/sassafrasgate/core/workflows.py
+++ b/sassafrasgate/core/workflows.py
@@ -221,8 +221,8 @@
         Ended runs up to this number are stored durably; the worker may
         discard them.
     deadline_ms : int
-        Reading of the worker's clock at which all its runs end, unless the
-        lease is renewed. 0 renews nothing.
+        Reading of the worker's clock, in ms, at which all its runs end,
+        unless the lease is renewed. 0 renews nothing.
     wait_ms : int
         How long the worker may hold back the reply while no run ends, in
         milliseconds.
@@ -241,8 +241,8 @@
     Parameters
     ----------
     deadline_ms : int
-        Reading of the worker's clock to which the lease of all its runs is
-        renewed, and from which on the worker refuses this start.
+        Reading of the worker's clock, in ms, to which the lease of all its
+        runs is renewed, and from which on the worker refuses this start.
     fencing_token : int
         Fencing token. The worker refuses a call with a token lower than the
         highest one that it has seen.
--- a/sassafrasgate/daemons/election.py
+++ b/sassafrasgate/daemons/election.py
@@ -158,7 +158,7 @@
         """Return whether an owner's process is known to have ended.
 
         An owner of this process's own name is a previous incarnation: the
-        platform starts a process only after its predecessor has ended.
+        platform starts a process only after the previous one has ended.
         """
         return (
             member.incarnation == self._ended_incarnation
--- a/sassafrasgate/daemons/hosts.py
+++ b/sassafrasgate/daemons/hosts.py
@@ -273,7 +273,7 @@
             return
 
     def release_task(self, command: ReleaseTask) -> None:
-        """Have the next sync tell the worker to forget an ended task."""
+        """Release an ended task with the next sync."""
         self._pending_releases.add(command.task)
 
     async def fetch_output(self, command: FetchOutput) -> None:
--- a/sassafrasgate/daemons/replies.py
+++ b/sassafrasgate/daemons/replies.py
@@ -108,7 +108,7 @@
     discard : callable
         Called with the token if no reply came in time.
     timeout_s : float
-        Longest time to wait for the reply, in seconds.
+        Maximum time to wait for the reply, in seconds.
 
     Returns
     -------
--- a/sassafrasgate/dispatch/leases.py
+++ b/sassafrasgate/dispatch/leases.py
@@ -40,7 +40,7 @@
     Parameters
     ----------
     clock_ms : int
-        Latest reading of the worker's clock.
+        Latest reading of the worker's clock, in ms.
     reading_age_ms : int
         Time since that reading arrived.
     """
--- a/sassafrasgate/placement/admission.py
+++ b/sassafrasgate/placement/admission.py
@@ -214,7 +214,7 @@
         if self._first_start_at is None:
             return 0.0
         # Normalise by the part of the window since the first start, so that
-        # the rate isn't underestimated at the beginning.
+        # the rate is not underestimated at the beginning.
         window_fraction = 1 - exp(
             -max(now - self._first_start_at, 1000) / RATE_TIME_CONSTANT_MS
         )
--- a/sassafrasgate/placement/index.py
+++ b/sassafrasgate/placement/index.py
@@ -40,7 +40,7 @@
     """Hosts with their reservations, indexed for best-fit searches.
 
     All reservations of a shard are accounted here. A task is counted from
-    its reservation until its release, even if it isn't confirmed to be
+    its reservation until its release, even if it is not confirmed to be
     running. A host is either open, so that it accepts new tasks, or closed;
     closing a host keeps its reservations.
 
--- a/sassafrasgate/placement/queues.py
+++ b/sassafrasgate/placement/queues.py
@@ -46,7 +46,7 @@
 
 # Entries of removed jobs are deleted when they reach the top of a heap, or
 # all at once when they outnumber the entries of queued jobs by this many, so
-# that small queues aren't rebuilt often.
+# that small queues are not rebuilt often.
 _MIN_STALE_ENTRIES = 64
 
 _SortKey = tuple[int, int, float, int]
--- a/sassafrasgate/shards/events.py
+++ b/sassafrasgate/shards/events.py
@@ -123,7 +123,8 @@
     Parameters
     ----------
     start_before_clock : int
-        Reading of the worker's clock from which it refuses the start.
+        Reading of the worker's clock, in ms, from which it refuses the
+        start.
     """
 
     host: str
--- a/sassafrasgate/shards/ownership.py
+++ b/sassafrasgate/shards/ownership.py
@@ -28,7 +28,7 @@
     ttl_ms : int
         Duration of the lease.
     grace_ms : int
-        How long the owner may go on after the end of the lease while the
+        How long the owner may continue after the end of the lease while the
         store is down.
     """
 
--- a/sassafrasgate/shards/state.py
+++ b/sassafrasgate/shards/state.py
@@ -61,10 +61,10 @@
     Parameters
     ----------
     start_before_clock : int
-        For an unanswered start, the reading of the worker's clock from
+        For an unanswered start, the reading, in ms, of the worker's clock from
         which the worker refuses it.
     started_clock : int
-        The worker's clock when it confirmed the start. A sync reply from
+        Worker's clock, in ms, when it confirmed the start. A sync reply from
         before this reading cannot list the task, so its absence there shows
         nothing.
     stopping : bool
@@ -182,10 +182,10 @@
     reading : ClockReading or None
         The last clock reading under this epoch.
     silent_since : int
-        The owner's clock when the worker first failed to respond; 0 while it
-        responds.
+        Owner's clock, in ms, when the worker first failed to respond; 0 while
+        it responds.
     leases_expire_at : int
-        The owner's clock from which all leases of previous owners on the
+        Owner's clock, in ms, from which all leases of previous owners on the
         host have expired; 0 once the worker has replied.
     leaving : bool
         Whether the worker reports that its host is about to leave.
@@ -213,7 +213,7 @@
     Parameters
     ----------
     expires_at : int
-        The owner's clock from which the job's records are withdrawn.
+        Owner's clock, in ms, from which the job's records are withdrawn.
     callers : tuple of JobWaiter
         Callers to reply to; those with time left then wait for the job's end.
     withdrawing : bool
@@ -234,7 +234,7 @@
     reply_to : int
         Token of the caller's request.
     expires_at : int
-        The owner's clock from which the caller gets the current state.
+        Owner's clock, in ms, from which the caller gets the current state.
     """
 
     reply_to: int
@@ -250,8 +250,7 @@
     reply_to : tuple of int
         Tokens of the requests that wait for the reply.
     expires_at : int
-        The owner's clock from which the callers get the reply
-        "unknown".
+        Owner's clock, in ms, from which the callers get the reply "unknown".
     attempt, task, host
         Number, task id and host of the current attempt.
     tried_hosts : tuple of str
@@ -282,7 +281,7 @@
     accepted : bool
         Whether the other shard has durably accepted the attempt.
     next_at : int
-        The owner's clock from which the message is sent again.
+        Owner's clock, in ms, from which the message is sent again.
     """
 
     attempt: int
@@ -311,19 +310,19 @@
     quick_sequence : int
         Sequence number in the task id of the latest quick request.
     last_pass_at : int
-        The owner's clock of the latest periodic scheduling pass.
+        Owner's clock, in ms, of the latest periodic scheduling pass.
     base_shares : dict of str to Resources
         Each team's equal share of its quota.
     lent_shares, borrowed_shares : dict of tuple to Resources
         Totals lent to and borrowed from other shards, by shard and team.
     borrow_turns : dict of str to tuple of int
-        For each team, the number of requests for share so far and the
-        owner's clock from which the next one may be sent.
+        For each team, the number of requests for share so far and the owner's
+        clock, in ms, from which the next one may be sent.
     share_callers : dict of tuple to list of int
         Tokens of requests for share that wait for the journal, by borrowing
         shard and team.
     preempt_again_at : dict of str to int
-        The owner's clock from which a job may preempt tasks again.
+        Owner's clock, in ms, from which a job may preempt tasks again.
     output_copies : dict of str to EndedTask
         Ends of tasks whose large output is being copied to the store.
     pending_requeues : set of str
@@ -332,14 +331,14 @@
         Permanently refused attempts as job id, home shard and attempt
         number, oldest first.
     summaries : dict of str to tuple
-        The latest summary of each shard and the owner's clock at its
+        The latest summary of each shard and the owner's clock, in ms, at its
         arrival.
     transfer_callers : dict of tuple to list of int
         Tokens of transfers and recalls that wait for the journal, by
         attempt.
     unacknowledged_ends : dict of str to tuple
-        Reports of ends to home shards, and the owner's clock from which each
-        is sent again.
+        Reports of ends to home shards, and the owner's clock, in ms, from
+        which each is sent again.
     ended_jobs : dict of str to None
         Ids of ended jobs in the order of their ends.
     overuse_actions : dict of str to tuple
@@ -348,7 +347,7 @@
     needs_pass : bool
         Whether the queued jobs need a scheduling pass.
     now : int
-        The owner's clock at the latest event.
+        Owner's clock, in ms, at the latest event.
     wall_ms : int
         Wall clock at the latest timer event.
     """
--- a/sassafrasgate/shards/transfers.py
+++ b/sassafrasgate/shards/transfers.py
@@ -71,7 +71,7 @@
     Parameters
     ----------
     now : int
-        The owner's clock; summaries older than `MAX_SUMMARY_AGE_MS` are
+        Owner's clock, in ms; summaries older than `MAX_SUMMARY_AGE_MS` are
         ignored.
     """
     if spec.job_class is JobClass.SERVICE and spec.tasks > 1:
