--- a/sassafrasgate/daemons/dispatcher.py
+++ b/sassafrasgate/daemons/dispatcher.py
@@ -90,7 +90,7 @@
     from sassafrasgate.dispatch.actions import WatchWorker
     from sassafrasgate.protocol.links import IncomingRequest
 
-TICK_S = 0.1
+TICK_INTERVAL_S = 0.1
 LOAD_RETRY_DELAY_S = 0.1
 MAX_INBOX_EVENTS = 20_000
 # Records are collected into shared entries, because each store call is
@@ -108,7 +108,7 @@
 ADVICE_MARGIN_MS = 400
 # Writes that have been failing for this time are treated as a store outage.
 OUTAGE_THRESHOLD_MS = 150
-# A store that takes longer than this to answer is treated as failing, too.
+# A store call that takes longer than this is treated as failing, too.
 SLOW_APPEND_THRESHOLD_MS = 1_500
 
 
@@ -137,10 +137,10 @@
     follow_workers : callable
         Watches the workers' registrations and sends changes to a listener.
     has_ended : callable
-        Tells whether a process, given by name and incarnation, is known to
+        Returns whether a process, given by name and incarnation, is known to
         have ended.
     hand_over : callable
-        Offers a `HandOver` to possible successors; tells whether one of
+        Offers a `HandOver` to possible successors; returns whether one of
         them has taken the shard over.
     logger : Logger
         Logger for decisions.
@@ -321,7 +321,7 @@
         return None
 
     def _has_lease(self) -> bool:
-        """Tell whether the lease is valid without the outage grace."""
+        """Return whether the lease is valid without the outage grace."""
         return now_ms() < self._lease.renewed_at + self._lease.ttl_ms
 
     def _apply_lease_updates(self) -> None:
@@ -349,7 +349,7 @@
 
     async def _tick(self) -> None:
         while True:
-            await anyio.sleep(TICK_S)
+            await anyio.sleep(TICK_INTERVAL_S)
             await self.events.send(Ticked(wall_ms()))
 
     async def _serve(self) -> None:
@@ -473,7 +473,7 @@
             await self._process_event(OwnersEnded())
 
     def _may_act(self) -> bool:
-        """Tell whether the lease or its outage grace still allows to act."""
+        """Return whether the lease or its outage grace still allows to act."""
         lease = self._lease
         return may_send_commands(lease, now_ms(), lease.ttl_ms, lease.grace_ms)
 
@@ -578,7 +578,7 @@
         )
 
     async def send_reply(self, token: int, message: Any) -> None:
-        """Answer the request with this token; each token is used once."""
+        """Reply to the request with this token; each token is used once."""
         await self._replies.send(token, message)
 
     def request_stop(self) -> None:
--- a/sassafrasgate/daemons/election.py
+++ b/sassafrasgate/daemons/election.py
@@ -103,7 +103,7 @@
         return self._directory.find_link(owner[0].link_address).silent_ms
 
     def is_self(self, member: Member) -> bool:
-        """Tell whether a member is this process."""
+        """Return whether a member is this process."""
         return member.incarnation == self._member.incarnation
 
     def update_lease(self, message: LeaseChanged) -> None:
@@ -128,7 +128,7 @@
         self._ended_incarnation = incarnation
 
     def has_fresh_lease(self) -> bool:
-        """Tell whether the lease is valid without the outage grace."""
+        """Return whether the lease is valid without the outage grace."""
         lease = self.lease
         if lease is None or not self._lease_id:
             return False
@@ -155,7 +155,7 @@
         return owner[1] if owner else 0
 
     def _is_ended(self, member: Member) -> bool:
-        """Tell whether an owner's process is known to have ended.
+        """Return whether an owner's process is known to have ended.
 
         An owner of this process's own name is a previous incarnation: the
         platform starts a process only after its predecessor has ended.
@@ -180,7 +180,7 @@
         return ranked.index(self._member.name)
 
     def has_ended(self, owner: str) -> bool:
-        """Tell whether a process is known to have ended.
+        """Return whether a process is known to have ended.
 
         The platform starts a process only after the previous one of the same
         name has ended.
@@ -347,7 +347,7 @@
             if not self.is_self(member)
         ]
 
-    async def ask_peers_for_owner(self) -> None:
+    async def request_owner_from_peers(self) -> None:
         """Ask the other entry hosts which host owns the shard.
 
         A host that is cut off from the store gets no updates of the owner
@@ -356,9 +356,9 @@
         """
         async with anyio.create_task_group() as group:
             for member in self._list_others():
-                group.start_soon(self._ask_for_owner, member)
+                group.start_soon(self._request_owner, member)
 
-    async def _ask_for_owner(self, member: Member) -> None:
+    async def _request_owner(self, member: Member) -> None:
         link = self._directory.find_link(member.link_address)
         reply = await link.request(FindOwner(SHARD), FIND_OWNER_TIMEOUT_S)
         if not isinstance(reply, OwnerFound) or not reply.member:
--- a/sassafrasgate/daemons/entry.py
+++ b/sassafrasgate/daemons/entry.py
@@ -107,7 +107,7 @@
         return self.table.version
 
     def check_readiness(self) -> Refusal | None:
-        """Return a refusal if requests can't be served now, else None."""
+        """Return a refusal if requests cannot be served now, else None."""
         if not self.version:
             return self.make_no_table_refusal()
         silent_ms = self.election.silent_ms
@@ -195,7 +195,7 @@
         """Ask other hosts whether the shard has another owner.
 
         An owner that is cut off from the store continues during its outage
-        grace, while its callers wait for records that it can't write.
+        grace, while its callers wait for records that it cannot write.
         """
         if self.dispatcher is None or self._is_querying_owner:
             return
@@ -203,7 +203,7 @@
         group.start_soon(self._query_other_owner)
 
     async def _query_other_owner(self) -> None:
-        await self.election.ask_peers_for_owner()
+        await self.election.request_owner_from_peers()
         await anyio.sleep(FIND_OWNER_TIMEOUT_S)
         self._is_querying_owner = False
         self.check_other_owner()
@@ -287,7 +287,7 @@
             await self.send_to_self(ProcessEnded(incarnation))
 
     async def relay_call(self, message: RelayRequested) -> None:
-        """Make a store call for another host that can't reach the store."""
+        """Make a store call for another host that cannot reach the store."""
         await message.reply(
             await execute_relayed_call(self.services.relay_store, message.call)
         )
@@ -311,7 +311,7 @@
         With a valid lease this process learns the owner from the store.
         """
         if self.dispatcher is None and not self.election.has_fresh_lease():
-            await self.election.ask_peers_for_owner()
+            await self.election.request_owner_from_peers()
 
     async def handle_request(self, request: IncomingRequest) -> None:
         """Handle one request of the inner protocol."""
--- a/sassafrasgate/daemons/frontend.py
+++ b/sassafrasgate/daemons/frontend.py
@@ -271,7 +271,7 @@
         Raises
         ------
         StoreError
-            If a chunk can't be read.
+            If a chunk cannot be read.
         """
         for number in range(outcome.chunks):
             item = await self._store.get(make_output_key(job_id, number))
@@ -283,7 +283,7 @@
             yield item.value
 
     async def list_status(self) -> tuple[StatusReply, ...]:
-        """Return the status of every scheduler that answers."""
+        """Return the status of every scheduler that replies."""
         for member in self._directory.list_schedulers():
             self._directory.find_link(member.link_address)
         replies = await self._directory.broadcast_request(
--- a/sassafrasgate/dispatch/gangs.py
+++ b/sassafrasgate/dispatch/gangs.py
@@ -67,7 +67,7 @@
         return
     job = state.jobs[key.job_id]
     if not job.durable:
-        # As for single tasks; no capacity is reserved either.
+        # No capacity is reserved either, as for single tasks.
         return
     startable: list[WorkerEntry] = list(workers.values())
     unticketed: list[WorkerEntry] = []
@@ -86,7 +86,7 @@
     if not chosen:
         at, chosen = _find_earliest_start(state, plan, step, demand, admitted)
     if not chosen:
-        # The gang can't fit on the admitted workers, but others may be
+        # The gang cannot fit on the admitted workers, but others may be
         # admitted too.
         if queue.advice is not None and may_ask_advice(state, key):
             names = list_unasked_workers(state, advice, workers)
@@ -111,7 +111,7 @@
     """Return the workers for which a gang needs new tickets.
 
     All tickets of a gang have to be valid at the same time, so a call also
-    renews those that would expire before its answer. It asks about a few
+    renews those that would expire before its reply. It asks about a few
     spare workers in case other runs take capacity of the chosen ones in the
     meantime.
     """
--- a/sassafrasgate/shards/transfers.py
+++ b/sassafrasgate/shards/transfers.py
@@ -1,7 +1,7 @@
 """Transfer of attempts to other shards, with at-most-once semantics.
 
 The home shard journals the transfer before it sends it. The other shard
-journals either the acceptance or a permanent refusal before it answers, so
+journals either the acceptance or a permanent refusal before it replies, so
 that a repeated or delayed message cannot start the attempt a second time.
 """
 
@@ -237,7 +237,7 @@
     if entry is None or entry.has_ended or not _is_current(state, message):
         yield Reply(request.reply_to, Acknowledged())
         return
-    # This report is not answered: the sender repeats it and gets the
+    # This report gets no reply: the sender repeats it and gets the
     # acknowledgement once the job has ended here.
     yield from _apply_transfer_end(state, message)
 
@@ -333,7 +333,7 @@
 def confirm_refusal(
     state: ShardState, record: AttemptRefused, now: int
 ) -> Actions:
-    """Answer the home shard, since the refusal is in the journal."""
+    """Reply to the home shard, since the refusal is in the journal."""
     key = (record.job_id, record.home, record.home_attempt)
     for reply_to in state.transfer_callers.pop(key, ()):
         yield Reply(
@@ -348,7 +348,7 @@
 
 
 def reply_to_transfer_callers(state: ShardState, entry: JobEntry) -> Actions:
-    """Answer the home shard, since the acceptance is in the journal."""
+    """Reply to the home shard, since the acceptance is in the journal."""
     key = (entry.job_id, entry.home, entry.home_attempt)
     for reply_to in state.transfer_callers.pop(key, ()):
         yield Reply(
@@ -360,7 +360,7 @@
 def handle_recall(
     state: ShardState, request: RequestReceived, now: int
 ) -> Actions:
-    """Answer with the state of an attempt, or refuse it permanently.
+    """Reply with the state of an attempt, or refuse it permanently.
 
     An attempt that is not known here is refused, so that a delayed transfer
     of it is not accepted later.
--- a/sassafrasgate/shards/workers.py
+++ b/sassafrasgate/shards/workers.py
@@ -53,7 +53,7 @@
 
 
 def is_below_task_limit(state: ShardState, name: str) -> bool:
-    """Tell whether a host's health record allows it another task."""
+    """Return whether a host's health record allows it another task."""
     limit = state.health.get_task_limit(name, state.now)
     return limit is None or len(state.index.list_reservations(name)) < limit
 
@@ -160,7 +160,7 @@
     """Reserve resources for running tasks that this owner does not know.
 
     They are quick requests of a previous owner, or belong to an attempt that
-    has been given up since its start.
+    the owner has ended in the meantime.
     """
     for report in reply.running:
         if report.task in state.tasks:
@@ -267,7 +267,10 @@
         ),
     )
     yield LogDecision(
-        'unanswered', task.job_id, host=event.host, reason='start not answered'
+        'unanswered',
+        task.job_id,
+        host=event.host,
+        reason='the start call got no reply',
     )
 
 
@@ -275,7 +278,7 @@
 def handle_unsent_start(
     state: ShardState, event: StartNotSent, now: int
 ) -> Actions:
-    """Give up a task whose start was never sent."""
+    """End the attempt of a task whose start was never sent."""
     task = state.tasks.get(event.task)
     if task is None or task.phase is not TaskPhase.PLANNED:
         return
@@ -285,7 +288,7 @@
 
 
 def expire_host_leases(state: ShardState, now: int) -> Actions:
-    """Give up the tasks of hosts whose leases have certainly expired."""
+    """Record tasks as lapsed on hosts whose leases have certainly expired."""
     for name, entry in list(state.hosts.items()):
         if entry.leases_expired or now < compute_host_lease_expiry(entry):
             continue
