Name requests for advice alike in dispatch and daemons

Cause: daemons and platform say request_advice, dispatch said ask_advice. Change: request_advice and may_request_advice in dispatch and its simulation; the action AskAdvice keeps its name. A lease parameter has its unit.

--- a/sassafrasgate/dispatch/advice.py
+++ b/sassafrasgate/dispatch/advice.py
@@ -62,8 +62,8 @@
     return now + TICKET_MARGIN_MS < ticket.expires_at
 
 
-def may_ask_advice(state: DispatchState, key: StepKey) -> bool:
-    """Return whether the advice service may be asked about a step now.
+def may_request_advice(state: DispatchState, key: StepKey) -> bool:
+    """Return whether advice about a step may be requested now.
 
     It may not while a call is pending, or before the retry delay of a failed
     call has passed.
@@ -79,13 +79,13 @@
     return state.now >= advice.requested_at + delay
 
 
-def ask_advice(
+def request_advice(
     state: DispatchState,
     key: StepKey,
     timing: AdviceTiming,
     workers: Iterable[str],
 ) -> Actions:
-    """Ask the advice service about workers for a step.
+    """Request advice about workers for a step.
 
     No call is made if every entry host is busy for too long.
     """
--- a/sassafrasgate/dispatch/gangs.py
+++ b/sassafrasgate/dispatch/gangs.py
@@ -6,9 +6,9 @@
 
 from sassafrasgate.core.resources import NO_RESOURCES
 from sassafrasgate.core.resources import Resources
-from sassafrasgate.dispatch.advice import ask_advice
 from sassafrasgate.dispatch.advice import estimate_call_ms
-from sassafrasgate.dispatch.advice import may_ask_advice
+from sassafrasgate.dispatch.advice import may_request_advice
+from sassafrasgate.dispatch.advice import request_advice
 from sassafrasgate.dispatch.launches import start_run
 from sassafrasgate.dispatch.plans import estimate_run_ms
 from sassafrasgate.dispatch.plans import GangReservation
@@ -63,7 +63,7 @@
     advice = state.advice.get(key, NO_ADVICE)
     if queue.advice is not None and advice is NO_ADVICE:
         names = list_unasked_workers(state, advice, workers)
-        yield from ask_advice(state, key, queue.advice, names)
+        yield from request_advice(state, key, queue.advice, names)
         return
     job = state.jobs[key.job_id]
     if not job.durable:
@@ -88,17 +88,17 @@
     if not chosen:
         # The gang cannot fit on the admitted workers, but others may be
         # admitted too.
-        if queue.advice is not None and may_ask_advice(state, key):
+        if queue.advice is not None and may_request_advice(state, key):
             names = list_unasked_workers(state, advice, workers)
-            yield from ask_advice(state, key, queue.advice, names)
+            yield from request_advice(state, key, queue.advice, names)
         return
     _reserve_capacity(state, plan, demand, chosen, at)
-    if queue.advice is None or not may_ask_advice(state, key):
+    if queue.advice is None or not may_request_advice(state, key):
         return
     names = _list_renewals(state, key, queue.advice, chosen, admitted)
     call_ms = estimate_call_ms(queue.advice, len(names))
     if names and at - state.now <= call_ms:
-        yield from ask_advice(state, key, queue.advice, names)
+        yield from request_advice(state, key, queue.advice, names)
 
 
 def _list_renewals(
--- a/sassafrasgate/dispatch/leases.py
+++ b/sassafrasgate/dispatch/leases.py
@@ -42,7 +42,7 @@
     clock_ms : int
         Latest reading of the worker's clock, in ms.
     reading_age_ms : int
-        Time since that reading arrived.
+        Time since that reading arrived, in ms.
     """
     return clock_ms + reading_age_ms + WORKER_LEASE_MS
 
--- a/sassafrasgate/dispatch/scheduling_passes.py
+++ b/sassafrasgate/dispatch/scheduling_passes.py
@@ -4,8 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from sassafrasgate.dispatch.advice import ask_advice
-from sassafrasgate.dispatch.advice import may_ask_advice
+from sassafrasgate.dispatch.advice import may_request_advice
+from sassafrasgate.dispatch.advice import request_advice
 from sassafrasgate.dispatch.events import PassDue
 from sassafrasgate.dispatch.gangs import place_gang
 from sassafrasgate.dispatch.handlers import Actions
@@ -71,7 +71,7 @@
     if queue.advice is not None and advice is NO_ADVICE:
         workers = match_workers(step, workers)
         names = list_unasked_workers(state, advice, workers)
-        yield from ask_advice(state, key, queue.advice, names)
+        yield from request_advice(state, key, queue.advice, names)
         return
     if not state.jobs[key.job_id].durable:
         # While the store is unavailable, further tickets would expire unused.
@@ -87,14 +87,14 @@
     yield from _start_tasks(state, plan, key, step, job, startable)
     if queue.advice is None or not state.steps[key].pending_tasks:
         return
-    if not may_ask_advice(state, key):
+    if not may_request_advice(state, key):
         return
     names = [worker.registration.worker for worker in unticketed]
     names += list_unasked_workers(state, advice, workers)
     with_capacity = [
         name for name in names if demand.fits_in(state.free_resources[name])
     ]
-    yield from ask_advice(state, key, queue.advice, with_capacity)
+    yield from request_advice(state, key, queue.advice, with_capacity)
 
 
 def _start_tasks(
--- a/tests/dispatch/simulation.py
+++ b/tests/dispatch/simulation.py
@@ -426,7 +426,7 @@
             elif isinstance(action, ForgetWorker):
                 self.contacts.pop(action.worker, None)
             elif isinstance(action, AskAdvice):
-                self.ask_advice(action)
+                self.request_advice(action)
             elif isinstance(action, StepDown):
                 self.dead = True
 
@@ -624,7 +624,7 @@
         if self.may_send():
             cluster.call(command.worker, carry_out, lambda: None)
 
-    def ask_advice(self, action: AskAdvice) -> None:
+    def request_advice(self, action: AskAdvice) -> None:
         """Let the advice service reply or fail."""
         cluster = self.cluster
         if cluster.random.random() < 0.1:
