Reproduce processes that end by odd values of other writers (red)

What was seen: entry hosts, run as processes beside the stand-ins, with one odd value in the store. An entry of a worker or a routing table with 1,500 nested arrays in an unknown field ends the process that reads it, an address with a port of 99999, -1 or x, or without a port, ends the owner at its first call, and each successor reads the same list: a job submitted afterwards is not accepted or never completes.

--- a/tests/soak/cells.py
+++ b/tests/soak/cells.py
@@ -4,6 +4,7 @@
 
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
+from json import dumps
 from pathlib import Path
 from signal import SIGTERM
 from typing import Any
@@ -22,11 +23,13 @@
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
+    from collections.abc import Mapping
 
     from anyio.abc import TaskGroup
 
 
 START_TIMEOUT_S = 30.0
+JOB_TIMEOUT_S = 15.0
 POLL_INTERVAL_S = 0.05
 RESTART_DELAY_S = 0.3
 QUEUES = ('plain', 'advised')
@@ -94,8 +97,21 @@
         self._control_address = find_free_address()
         self.store_process: ManagedProcess
 
-    async def start(self, entries: int, workers: int) -> None:
-        """Start all processes and wait until each entry host is ready."""
+    async def start(
+        self,
+        entries: int,
+        workers: int,
+        written: Mapping[str, str] | None = None,
+    ) -> None:
+        """Start all processes and wait until each entry host is ready.
+
+        Parameters
+        ----------
+        entries, workers : int
+            Number of entry hosts and of workers.
+        written : mapping of str to str, optional
+            Texts that the store holds before the entry hosts start, by key.
+        """
         self.store_process = self._processes.start(
             'store',
             'tests.standins.platform_store',
@@ -104,6 +120,8 @@
         )
         self.store_process.wait_for_log('serving')
         await self.change_configuration()
+        for key, text in (written or {}).items():
+            await self.write_raw(key, text)
         await self._start_workers(workers)
         for number in range(entries):
             await self._start_entry(f'entry-{number}')
@@ -227,6 +245,44 @@
             response.raise_for_status()
         return self._version
 
+    async def write_raw(self, key: str, text: str) -> None:
+        """Write a text to a key of the store, as another program might."""
+        body = {'key': key, 'raw': text}
+        url = f'http://{self._store_address}/control/put'
+        async with self._session.post(url, json=body) as response:
+            response.raise_for_status()
+
+    async def run_job(self, entry: EntryHost, job_id: str) -> str:
+        """Submit a job of one short task and return its last state.
+
+        The job counts as unfinished after `JOB_TIMEOUT_S`.
+        """
+        steps = [{'count': 1, 'cpu': 500, 'memMb': 500, 'estimateMs': 50}]
+        job = {'spec': dumps(steps), 'steps': steps}
+        url = f'http://{entry.caller_address}/{QUEUES[0]}/{job_id}'
+        state = 'not accepted'
+        with anyio.move_on_after(JOB_TIMEOUT_S):
+            while state != 'completed':
+                state = await self._call_for_job(url, job, state)
+                await anyio.sleep(POLL_INTERVAL_S)
+        return state
+
+    async def _call_for_job(
+        self, url: str, job: dict[str, Any], state: str
+    ) -> str:
+        headers = {'Host': ROUTE_HOST}
+        accepted = state != 'not accepted'
+        call = self._session.get if accepted else self._session.post
+        options = {} if accepted else {'json': job}
+        try:
+            async with call(url, headers=headers, **options) as response:
+                if response.status != 200:
+                    return state
+                body: dict[str, str] = await response.json()
+                return body.get('state', 'accepted')
+        except (ClientError, TimeoutError):
+            return state
+
     async def set_worker_fault(
         self, name: str, kind: str, **fault: Any
     ) -> None:
@@ -300,13 +356,17 @@
 
 @asynccontextmanager
 async def open_cell(
-    directory: Path, entries: int, workers: int, program: str = PROGRAM
+    directory: Path,
+    entries: int,
+    workers: int,
+    program: str = PROGRAM,
+    written: Mapping[str, str] | None = None,
 ) -> AsyncIterator[Cell]:
     """Run a cell of real processes, all of which end with the context."""
     with Processes(directory) as processes:
         async with anyio.create_task_group() as group:
             cell = Cell(directory, processes, group, program)
-            await cell.start(entries, workers)
+            await cell.start(entries, workers, written)
             yield cell
             await cell.close()
             group.cancel_scope.cancel()
--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -140,9 +140,14 @@
         return _make_response({'revision': self._state.revision})
 
     async def put(self, request: web.Request) -> web.Response:
-        """Write a key as operators and workers do; a null value deletes it."""
+        """Write a key as operators and workers do; a null value deletes it.
+
+        A text under ``raw`` is written as it is; any other value as JSON.
+        """
         body = loads(await request.read())
-        if body['value'] is None:
+        if 'raw' in body:
+            self._state.put(body['key'], body['raw'].encode(), None, '')
+        elif body['value'] is None:
             self._state.delete(body['key'], None)
         else:
             value = dumps(body['value']).encode()
