--- a/benchmarks/components.py
+++ b/benchmarks/components.py
@@ -705,7 +705,11 @@
         assert heartbeat.sender
 
     server = LinkServer(
-        find_free_address(), record_client, make_heartbeat, handle_heartbeat
+        find_free_address(),
+        record_client,
+        make_heartbeat,
+        handle_heartbeat,
+        lambda error: None,
     )
     links = [
         Link(server.address, make_heartbeat, handle_heartbeat)
--- a/sassafrasgate/adapters/connections.py
+++ b/sassafrasgate/adapters/connections.py
@@ -146,8 +146,7 @@
         NoResponseError
             When no complete response was received.
         """
-        query = f'?{urlencode(params)}' if params else ''
-        url = URL(f'{self._base_url}{path}{query}', encoded=True)
+        url = self._make_url(path, params)
         for _ in range(CLOSE_LOOP_ITERATIONS):
             await sleep(0)
         pool = self._get_pool()
@@ -178,7 +177,8 @@
                 f'within {timeout_s:g} s',
                 sent=True,
             ) from error
-        except (ClientError, OSError) as error:
+        except (ClientError, OSError, ValueError) as error:
+            # aiohttp raises ValueError for what it cannot send or parse.
             raise NoResponseError(
                 f'{method} {self._base_url}{path} failed: {error!r}', sent=True
             ) from error
@@ -186,6 +186,20 @@
             pool.calls -= 1
             await _close_if_unused(pool)
 
+    def _make_url(self, path: str, params: Mapping[str, str] | None) -> URL:
+        query = f'?{urlencode(params)}' if params else ''
+        reason: object = 'it has no host or port'
+        try:
+            url = URL(f'{self._base_url}{path}{query}', encoded=True)
+            # yarl checks the host and the port only when they are read.
+            if url.host and url.port:
+                return url
+        except ValueError as error:
+            reason = error
+        raise NoResponseError(
+            f'cannot call {self._base_url!r}: {reason}', sent=False
+        )
+
     def _retire(self, pool: _Pool) -> None:
         pool.retired = True
         if self._pool is pool:
--- a/sassafrasgate/adapters/store.py
+++ b/sassafrasgate/adapters/store.py
@@ -7,15 +7,16 @@
 from typing import TypeVar
 from urllib.parse import quote
 
-from msgspec import DecodeError
-from msgspec.json import decode
+from msgspec.json import Decoder
 from msgspec.json import encode
 
 from sassafrasgate.adapters.base_client import BaseStoreClient
+from sassafrasgate.core.errors import InputError
 from sassafrasgate.core.errors import StoreError
 from sassafrasgate.core.errors import StoreLeaseLostError
 from sassafrasgate.core.errors import StoreLogTrimmedError
 from sassafrasgate.core.errors import StoreUnavailableError
+from sassafrasgate.core.inputs import decode_input
 from sassafrasgate.core.items import Changes
 from sassafrasgate.core.items import HostStatus
 from sassafrasgate.core.items import Item
@@ -334,8 +335,8 @@
 
 def _decode_body(response: HttpResponse, kind: type[Value]) -> Value:
     try:
-        return decode(response.content, type=kind)
-    except DecodeError as error:
+        return decode_input(Decoder(kind).decode, response.content)
+    except InputError as error:
         raise StoreUnavailableError(
             f'cannot decode a response of the store: {error}; check that '
             'the store URL leads to the store'
--- a/sassafrasgate/adapters/workers.py
+++ b/sassafrasgate/adapters/workers.py
@@ -6,15 +6,16 @@
 from typing import TypeVar
 from urllib.parse import quote
 
-from msgspec import DecodeError
 from msgspec.json import Decoder
 from msgspec.json import Encoder
 from xxhash import xxh3_128_hexdigest
 
 from sassafrasgate.adapters.connections import HttpConnections
 from sassafrasgate.adapters.connections import NoResponseError
+from sassafrasgate.core.errors import InputError
 from sassafrasgate.core.errors import WorkerOutputError
 from sassafrasgate.core.errors import WorkerUnavailableError
+from sassafrasgate.core.inputs import decode_input
 from sassafrasgate.core.tasks import CommandReply
 from sassafrasgate.core.tasks import StartReply
 from sassafrasgate.core.tasks import SyncReply
@@ -199,8 +200,8 @@
 
 def _decode_body(response: HttpResponse, decoder: Decoder[Reply]) -> Reply:
     try:
-        return decoder.decode(response.content)
-    except DecodeError as error:
+        return decode_input(decoder.decode, response.content)
+    except InputError as error:
         raise WorkerUnavailableError(
             f'cannot decode a response of the worker: {error}; check that '
             'the URL leads to a worker'
--- a/sassafrasgate/composition/daemons.py
+++ b/sassafrasgate/composition/daemons.py
@@ -25,6 +25,7 @@
 from sassafrasgate.daemons.directory import Directory
 from sassafrasgate.daemons.leases import LeaseTask
 from sassafrasgate.daemons.prefix_watches import PrefixWatch
+from sassafrasgate.observability.failures import FailureRecorder
 from sassafrasgate.protocol.messages import Heartbeat
 
 if TYPE_CHECKING:
@@ -124,7 +125,11 @@
         ttl_ms,
         int(process.settings.outage_grace_s * 1000),
     )
-    watch = PrefixWatch(process.watch_store, CONTROL_PREFIX, process.logger)
+    watch = PrefixWatch(
+        process.watch_store,
+        CONTROL_PREFIX,
+        FailureRecorder(process.logger, process.metrics),
+    )
     control = ControlWatchTask(
         watch, (main_inbox.send, configuration_inbox.send)
     )
@@ -249,6 +254,7 @@
         anyio.create_task_group() as group,
     ):
         main_inbox, configuration_inbox = make_inbox(), make_inbox()
+        failures = FailureRecorder(process.logger, process.metrics)
         handle_version = make_heartbeat_handler(configuration_inbox.send)
 
         def make_heartbeat() -> Heartbeat:
@@ -269,6 +275,7 @@
             lambda request: task.handle_request(request),
             make_heartbeat,
             handle_heartbeat,
+            lambda error: failures.record('message', error),
         )
         services = ShardServices(
             f'{process.member.name}/{process.member.incarnation}',
--- a/sassafrasgate/composition/entry.py
+++ b/sassafrasgate/composition/entry.py
@@ -44,6 +44,8 @@
 from sassafrasgate.http.server import serve_http
 from sassafrasgate.journal.rate_limits import StoreRateLimiter
 from sassafrasgate.observability.clocks import wall_ms
+from sassafrasgate.observability.failures import FailureRecorder
+from sassafrasgate.observability.failures import InvalidEntryLog
 from sassafrasgate.observability.logs import configure_logging
 from sassafrasgate.observability.logs import log_event
 from sassafrasgate.observability.logs import open_standard_output
@@ -141,6 +143,7 @@
     logger = Logger('sassafrasgate.entry')
     adapters = ENTRY_ADAPTERS.find(settings.platform)
     metrics = Metrics()
+    failures = FailureRecorder(logger, metrics)
     member = Member(
         settings.name,
         make_incarnation(),
@@ -199,11 +202,11 @@
         def handle_heartbeat(heartbeat: Heartbeat) -> None:
             return
 
-        control_watch = PrefixWatch(watch_store, CONTROL_PREFIX, logger)
+        control_watch = PrefixWatch(watch_store, CONTROL_PREFIX, failures)
         table_watch = PrefixWatch(
             table_store,
             adapters.routing_table.prefix,
-            logger,
+            failures,
             TABLE_WATCH_PAUSE_S,
         )
         views = {control_watch.freshness, table_watch.freshness}
@@ -212,14 +215,17 @@
             watch = PrefixWatch(
                 registration_store,
                 adapters.registrations.prefix,
-                logger,
+                failures,
                 REGISTRATION_WATCH_PAUSE_S,
                 REGISTRATION_WATCH_WAIT_S,
             )
             views.add(watch.freshness)
             try:
                 await RegistrationTask(
-                    watch, adapters.registrations, event_listener
+                    watch,
+                    adapters.registrations,
+                    event_listener,
+                    InvalidEntryLog(failures, watch.prefix),
                 ).run()
             finally:
                 views.remove(watch.freshness)
@@ -240,6 +246,7 @@
             lambda request: task.handle_request(request),
             make_heartbeat,
             handle_heartbeat,
+            lambda error: failures.record('message', error),
         )
         election = OwnerElection(member, store, directory, logger)
         advice_router = AdviceRouter(
@@ -279,7 +286,10 @@
             int(settings.outage_grace_s * 1000),
         )
         table_task = RoutingTableTask(
-            table_watch, adapters.routing_table, main_inbox.send, logger
+            table_watch,
+            adapters.routing_table,
+            main_inbox.send,
+            InvalidEntryLog(failures, table_watch.prefix),
         )
         counter_task = CounterTask(
             (store, watch_store, table_store, registration_store, lease_store),
@@ -298,6 +308,7 @@
             AdviceTask(
                 adapters.open_advice_client(settings.advice_address),
                 advice_inbox.receive,
+                failures,
             ).run
         )
         group.start_soon(server.run)
--- a/sassafrasgate/configuration/values.py
+++ b/sassafrasgate/configuration/values.py
@@ -8,20 +8,22 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from ipaddress import ip_address
-from ipaddress import IPv4Address
-from ipaddress import IPv6Address
 from math import isfinite
 import re
 from typing import Annotated
+from typing import TYPE_CHECKING
 
 from sassafrasgate.configuration.faults import suggest_name
 from sassafrasgate.configuration.units import parse_cores
 from sassafrasgate.configuration.units import parse_memory
+from sassafrasgate.core.addresses import parse_address
 from sassafrasgate.core.jobs import JobClass
 from sassafrasgate.core.registries import Registry
 
-PORTS = range(1, 2**16)
+if TYPE_CHECKING:
+    from ipaddress import IPv4Address
+    from ipaddress import IPv6Address
+
 URL_SCHEMES = ('http', 'https')
 LOG_LEVELS = (
     'CRITICAL',
@@ -34,9 +36,6 @@
 )
 # Names are used unescaped in store keys and URL paths.
 _NAME = re.compile(r'[A-Za-z0-9][A-Za-z0-9._-]{0,62}')
-_ADDRESS = re.compile(
-    r'(?:\[(?P<v6>[^][]+)\]|(?P<v4>[^][:]+)):(?P<port>[1-9][0-9]{0,4})'
-)
 _BASE_URL = re.compile(
     r'(?P<scheme>[A-Za-z][A-Za-z0-9+.-]*)://(?P<address>[^/?#]+)/?'
 )
@@ -123,26 +122,20 @@
         'is not an IP number with a port',
         "write for example '127.0.0.1:8080' or '[::1]:8080'",
     )
-    match = _ADDRESS.fullmatch(value) if isinstance(value, str) else None
-    if match is None:
-        return issue
-    try:
-        address = ip_address(match['v6'] or match['v4'])
-    except ValueError:
-        return issue
-    if (address.version == 6) != (match['v6'] is not None):
+    address = parse_address(value) if isinstance(value, str) else None
+    if address is None:
         return issue
     # Only the canonical form is accepted, so that addresses can be compared
     # as text.
-    if str(address) != (match['v6'] or match['v4']):
+    if str(address) != value:
         return ValidationIssue(
-            'is not in its canonical form', f"write '{address}'"
+            'is not in its canonical form', f"write '{address.number}'"
         )
-    if int(match['port']) not in PORTS:
+    if not address.has_valid_port:
         return ValidationIssue(
             'has no valid port', 'use a port from 1 to 65535'
         )
-    return address
+    return address.number
 
 
 @CHECKS.register('listen-address')
--- a/sassafrasgate/configuration/versions.py
+++ b/sassafrasgate/configuration/versions.py
@@ -14,8 +14,6 @@
 from typing import TYPE_CHECKING
 from typing import TypeVar
 
-from msgspec import DecodeError
-from msgspec import ValidationError
 from msgspec.msgpack import Decoder
 from msgspec.msgpack import Encoder
 from xxhash import xxh3_128_hexdigest
@@ -26,6 +24,7 @@
 from sassafrasgate.core.cells import Team
 from sassafrasgate.core.errors import SassafrasgateError
 from sassafrasgate.core.hosts import Host
+from sassafrasgate.core.inputs import DECODE_ERRORS
 from sassafrasgate.core.resources import Resources
 
 if TYPE_CHECKING:
@@ -361,7 +360,7 @@
 def _decode(decoder: Decoder[Decoded], encoded: bytes) -> Decoded:
     try:
         return decoder.decode(encoded)
-    except (DecodeError, ValidationError) as error:
+    except DECODE_ERRORS as error:
         raise ConfigurationError(
             f'cannot decode {len(encoded)} bytes of a configuration: {error}; '
             'check that all processes run the same release'
--- a/sassafrasgate/core/errors.py
+++ b/sassafrasgate/core/errors.py
@@ -86,6 +86,32 @@
         self.name = name
 
 
+class InputError(SassafrasgateError):
+    """Data that another program has written cannot be used."""
+
+
+class InvalidEntryError(InputError):
+    """The value of a key in the store cannot be used.
+
+    Parameters
+    ----------
+    key : str
+        Key in the store.
+    revision : int
+        Revision of the store at which the value was written.
+    reason : str
+        What is wrong with the value, and the remedy.
+    """
+
+    def __init__(self, key: str, revision: int, reason: str) -> None:
+        super().__init__(
+            f'ignoring the value of {key!r} at revision {revision}: {reason}'
+        )
+        self.key = key
+        self.revision = revision
+        self.reason = reason
+
+
 class MessageError(SassafrasgateError):
     """A frame or stored value cannot be decoded."""
 
--- a/sassafrasgate/daemons/advice.py
+++ b/sassafrasgate/daemons/advice.py
@@ -19,6 +19,8 @@
 if TYPE_CHECKING:
     from anyio.streams.memory import MemoryObjectReceiveStream
 
+    from sassafrasgate.observability.failures import FailureRecorder
+
 
 @dataclass(frozen=True, slots=True)
 class AdviceRequested:
@@ -49,19 +51,41 @@
         `sassafrasgate.platform.advice.AdviceClient`.
     inbox : MemoryObjectReceiveStream
         Delivers `AdviceRequested`.
+    failures : FailureRecorder
+        Records unexpected errors.
     """
 
     def __init__(
-        self, client: Any, inbox: MemoryObjectReceiveStream[Any]
+        self,
+        client: Any,
+        inbox: MemoryObjectReceiveStream[Any],
+        failures: FailureRecorder,
     ) -> None:
         self._client = client
         self._inbox = inbox
+        self._failures = failures
 
     async def run(self) -> None:
         """Make calls until the inbox closes."""
         async with self._client, anyio.create_task_group() as tasks:
             async for requested in self._inbox:
-                tasks.start_soon(self._call_service, requested)
+                tasks.start_soon(self._try_call, requested)
+
+    async def _try_call(self, requested: AdviceRequested) -> None:
+        """Make one call; an unexpected error ends only this call."""
+        try:
+            await self._call_service(requested)
+        except Exception as error:
+            self._failures.record(
+                'advice-call', error, (('step', requested.request.step),)
+            )
+            await requested.reply(
+                Refusal(
+                    RefusalKind.NOT_READY,
+                    f'the call failed: {error!r}',
+                    'ask from another host',
+                )
+            )
 
     async def _call_service(self, requested: AdviceRequested) -> None:
         request = requested.request
--- a/sassafrasgate/daemons/counters.py
+++ b/sassafrasgate/daemons/counters.py
@@ -8,6 +8,7 @@
 import anyio
 
 from sassafrasgate.observability.metrics import DROPPED_REPLIES
+from sassafrasgate.observability.metrics import INVALID_INPUTS
 from sassafrasgate.observability.metrics import LINK_BYTES
 from sassafrasgate.observability.metrics import LINK_MESSAGES
 from sassafrasgate.observability.metrics import STORE_CALLS
@@ -74,6 +75,7 @@
             totals['bytes', 'sent'] += counts.sent_bytes
             totals['bytes', 'received'] += counts.received_bytes
             totals['dropped', ''] += counts.dropped_answers
+            totals['invalid', ''] += counts.bad_frames
         return totals
 
     def _publish(self, totals: Counter[tuple[str, str]]) -> None:
@@ -90,3 +92,5 @@
                 self._metrics.count(LINK_BYTES, name, amount=new)
             if group == 'dropped':
                 self._metrics.count(DROPPED_REPLIES, amount=new)
+            if group == 'invalid':
+                self._metrics.count(INVALID_INPUTS, 'links', amount=new)
--- a/sassafrasgate/daemons/directory.py
+++ b/sassafrasgate/daemons/directory.py
@@ -6,13 +6,14 @@
 from typing import TYPE_CHECKING
 
 import anyio
-from msgspec import DecodeError
-from msgspec import ValidationError
-from msgspec.json import decode
+from msgspec.json import Decoder
 
+from sassafrasgate.core.addresses import parse_address
+from sassafrasgate.core.errors import InputError
 from sassafrasgate.core.errors import NoReply
 from sassafrasgate.core.errors import Refusal
 from sassafrasgate.core.errors import RefusalKind
+from sassafrasgate.core.inputs import decode_input
 from sassafrasgate.daemons.control import ControlChanged
 from sassafrasgate.daemons.control import ControlListed
 from sassafrasgate.daemons.leases import Member
@@ -30,6 +31,8 @@
 MEMBER_PREFIX = 'control/members/'
 OWNER_PREFIX = 'control/owners/'
 
+_MEMBER_DECODER = Decoder(Member)
+
 
 def make_owner_key(shard: str) -> str:
     """Return the store key that holds a shard's owner."""
@@ -194,6 +197,10 @@
     if item.value is None:
         return None
     try:
-        return decode(item.value, type=Member)
-    except (DecodeError, ValidationError):
+        member = decode_input(_MEMBER_DECODER.decode, item.value)
+    except InputError:
+        return None
+    address = parse_address(member.link_address)
+    if member.link_address and (address is None or not address.has_valid_port):
         return None
+    return member
--- a/sassafrasgate/daemons/dispatcher.py
+++ b/sassafrasgate/daemons/dispatcher.py
@@ -56,6 +56,7 @@
 from sassafrasgate.journal.workflows import ShardReleased
 from sassafrasgate.observability.clocks import now_ms
 from sassafrasgate.observability.clocks import wall_ms
+from sassafrasgate.observability.failures import FailureRecorder
 from sassafrasgate.observability.logs import log_event
 from sassafrasgate.observability.metrics import APPEND_SECONDS
 from sassafrasgate.observability.metrics import DECISION_SECONDS
@@ -200,6 +201,9 @@
         self._next_pass = 0.0
         self._loss_reason = ''
         self._group: TaskGroup | None = None
+        self._failures = FailureRecorder(services.logger, services.metrics)
+        # Events of this process that found the inbox full.
+        self._overflow: deque[Any] = deque()
         self.taken_over = anyio.Event()
 
     async def run(self, release: Callable[[], Awaitable[None]]) -> str:
@@ -217,6 +221,18 @@
             The reason why the ownership was lost; empty after a planned
             stop.
         """
+        try:
+            return await self._run(release)
+        except Exception as error:
+            # The state may be inconsistent. Nothing is decided from it any
+            # more, and a successor builds its own from the journal.
+            self._failures.record('ownership', error, (('shard', self.shard),))
+            self._loss_reason = f'unexpected error: {error!r}'
+        self.taken_over.set()
+        await self._end_requests()
+        return self._loss_reason
+
+    async def _run(self, release: Callable[[], Awaitable[None]]) -> str:
         journal = await self._take_over()
         self.taken_over.set()
         if journal is None:
@@ -302,6 +318,8 @@
             event = await self._receive()
             if event is not None:
                 await self._process_event(event)
+            while self._overflow and not self._loss_reason:
+                await self._process_event(self._overflow.popleft())
             for _ in range(MAX_BATCH_EVENTS):
                 if self._loss_reason:
                     return
@@ -521,13 +539,20 @@
         """Reply to the request with this token; each token is used once."""
         await self._replies.send(token, message)
 
+    def notify(self, event: Any) -> None:
+        """Queue an event of this process; it is not lost by a full inbox."""
+        try:
+            self.events.send_nowait(event)
+        except anyio.WouldBlock:
+            self._overflow.append(event)
+
     def request_stop(self) -> None:
         """Request a planned release of the shard."""
-        self.events.send_nowait(StopRequested())
+        self.notify(StopRequested())
 
     def update_peers(self, names: tuple[str, ...]) -> None:
         """Update which entry hosts can call the advice service."""
-        self.events.send_nowait(PeersChanged(names))
+        self.notify(PeersChanged(names))
 
     def append_record(self, record: Any) -> None:
         """Send a record to the journal task."""
@@ -554,6 +579,7 @@
             self._workers.open(worker),
             self.events,
             self._lease,
+            self._failures,
             self.state.hold_wait_ms or NORMAL_HOLD_WAIT_MS,
             action.restarts,
             not action.registration.leaving,
@@ -584,7 +610,15 @@
             action.workers,
             action.expected_ms + ADVICE_MARGIN_MS,
         )
-        reply = await self.services.request_advice(action.entry_host, request)
+        try:
+            reply = await self.services.request_advice(
+                action.entry_host, request
+            )
+        except Exception as error:
+            self._failures.record(
+                'advice-request', error, (('step', request.step),)
+            )
+            reply = error
         if isinstance(reply, AdviceGiven):
             await self.events.send(
                 AdviceAnswered(
--- a/sassafrasgate/daemons/entry.py
+++ b/sassafrasgate/daemons/entry.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from sassafrasgate.core.errors import MessageError
 from sassafrasgate.core.errors import Refusal
 from sassafrasgate.core.errors import RefusalKind
 from sassafrasgate.core.routing import RoutingTable
@@ -24,6 +25,7 @@
 from sassafrasgate.daemons.relays import execute_relayed_call
 from sassafrasgate.journal.records import decode_records
 from sassafrasgate.journal.ring_buffer import LoadedJournal
+from sassafrasgate.observability.failures import FailureRecorder
 from sassafrasgate.observability.logs import log_event
 from sassafrasgate.observability.metrics import OWNED_SHARDS
 from sassafrasgate.protocol.links import OutgoingReply
@@ -100,6 +102,7 @@
         self._inbox = inbox
         self._is_querying_owner = False
         self._peers: tuple[str, ...] = ()
+        self._failures = FailureRecorder(services.logger, services.metrics)
 
     @property
     def version(self) -> int:
@@ -133,7 +136,15 @@
         """Handle messages until cancelled."""
         async with anyio.create_task_group() as group:
             while True:
-                await self.handle(await self._receive(), group)
+                message = await self._receive()
+                try:
+                    await self.handle(message, group)
+                except Exception as error:
+                    self._failures.record(
+                        'entry-message',
+                        error,
+                        (('message', type(message).__name__),),
+                    )
 
     async def _receive(self) -> Any:
         with anyio.move_on_after(CLAIM_INTERVAL_S):
@@ -145,10 +156,24 @@
         ENTRY_MESSAGES.find(type(message))(self, message, group)
         await self._claim(group)
 
+    def start_unit(
+        self, group: TaskGroup, function: Callable[..., Any], *arguments: Any
+    ) -> None:
+        """Run a function in the background; its errors end only itself."""
+        group.start_soon(self._run_unit, function, *arguments)
+
+    async def _run_unit(
+        self, function: Callable[..., Any], *arguments: Any
+    ) -> None:
+        try:
+            await function(*arguments)
+        except Exception as error:
+            self._failures.record(function.__name__, error)
+
     def notify_dispatcher(self, event: Any) -> None:
         """Send an event to the dispatcher if this process runs one."""
         if self.dispatcher is not None:
-            self.dispatcher.events.send_nowait(event)
+            self.dispatcher.notify(event)
 
     def update_peers(self) -> None:
         """Tell the dispatcher which entry hosts are alive."""
@@ -200,12 +225,14 @@
         if self.dispatcher is None or self._is_querying_owner:
             return
         self._is_querying_owner = True
-        group.start_soon(self._query_other_owner)
+        self.start_unit(group, self._query_other_owner)
 
     async def _query_other_owner(self) -> None:
-        await self.election.request_owner_from_peers()
-        await anyio.sleep(FIND_OWNER_TIMEOUT_S)
-        self._is_querying_owner = False
+        try:
+            await self.election.request_owner_from_peers()
+            await anyio.sleep(FIND_OWNER_TIMEOUT_S)
+        finally:
+            self._is_querying_owner = False
         self.check_other_owner()
 
     def _start_dispatcher(
@@ -250,8 +277,14 @@
         ):
             await message.reply(self._make_offer_refusal())
             return
+        try:
+            records = decode_records(offer.records)
+        except MessageError as error:
+            self.log('offer-refused', (('reason', str(error)),))
+            await message.reply(self._make_offer_refusal())
+            return
         handed_over_journal = LoadedJournal(
-            decode_records(offer.records),
+            records,
             offer.next_sequence,
             offer.slot_revision,
             offer.snapshot_sequence,
--- a/sassafrasgate/daemons/entry_messages.py
+++ b/sassafrasgate/daemons/entry_messages.py
@@ -166,7 +166,7 @@
 ) -> None:
     owner = task.election.owner
     if owner is not None and owner[0].link_address == message.address:
-        group.start_soon(task.probe_owner)
+        task.start_unit(group, task.probe_owner)
 
 
 @ENTRY_MESSAGES.register(ProcessEnded)
@@ -180,14 +180,14 @@
 def _handle_relay_request(
     task: EntryTask, message: RelayRequested, group: TaskGroup
 ) -> None:
-    group.start_soon(task.relay_call, message)
+    task.start_unit(group, task.relay_call, message)
 
 
 @ENTRY_MESSAGES.register(ShardOffered)
 def _handle_offer(
     task: EntryTask, message: ShardOffered, group: TaskGroup
 ) -> None:
-    group.start_soon(task.take_over_shard, message, group)
+    task.start_unit(group, task.take_over_shard, message, group)
 
 
 @ENTRY_REQUESTS.register(RelayCall)
--- a/sassafrasgate/daemons/hosts.py
+++ b/sassafrasgate/daemons/hosts.py
@@ -51,6 +51,7 @@
 
     from sassafrasgate.adapters.store import Store
     from sassafrasgate.adapters.workers import WorkerClient
+    from sassafrasgate.observability.failures import FailureRecorder
 
 SYNC_WAIT_MS = 2_000
 MIN_RETRY_DELAY_S = 0.1
@@ -87,6 +88,8 @@
         The shard task's inbox.
     lease : OwnerLease
         The owner's lease when the task starts.
+    failures : FailureRecorder
+        Records unexpected errors.
     """
 
     def __init__(
@@ -99,6 +102,7 @@
         inbox: MemoryObjectReceiveStream[Any],
         events: MemoryObjectSendStream[Any],
         lease: OwnerLease,
+        failures: FailureRecorder,
     ) -> None:
         self.host = host
         self.shard = shard
@@ -108,6 +112,7 @@
         self._inbox = inbox
         self._events = events
         self._lease = lease
+        self._failures = failures
         self._takes_starts = True
         self._clock_reading: ClockReading | None = None
         self._incarnation = ''
@@ -130,9 +135,39 @@
                     self._takes_starts = command.allowed
                     continue
                 handle = COMMAND_HANDLERS.find(type(command))
-                tasks.start_soon(handle, self, command)
+                tasks.start_soon(self._run_command, handle, command)
             sync_scope.cancel()
 
+    async def _run_command(self, handle: CommandHandler, command: Any) -> None:
+        """Run a command; an unexpected error ends only this command.
+
+        The worker may have carried out a start whose call has failed.
+        """
+        try:
+            await handle(self, command)
+        except Exception as error:
+            self._failures.record(
+                'worker-command',
+                error,
+                (('host', self.host), ('command', type(command).__name__)),
+            )
+            if isinstance(command, StartTask):
+                await self._report_failed_start(command)
+
+    async def _report_failed_start(self, command: StartTask) -> None:
+        if self._clock_reading is None:
+            await self._events.send(
+                StartNotSent(
+                    self.host, command.task, 'the worker has not replied yet'
+                )
+            )
+            return
+        # Not earlier than the limit that was sent.
+        before_clock = self._make_start_request(command).start_before_clock
+        await self._events.send(
+            StartUnanswered(self.host, command.task, before_clock)
+        )
+
     def may_send(self) -> bool:
         """Return whether this owner may still send commands to the worker."""
         lease = self._lease
@@ -142,12 +177,21 @@
         with scope:
             delay_s = MIN_RETRY_DELAY_S
             while True:
-                if self.may_send() and await self._sync():
+                if self.may_send() and await self._try_sync():
                     delay_s = MIN_RETRY_DELAY_S
                     continue
                 await anyio.sleep(uniform(0, delay_s))
                 delay_s = min(delay_s * 2, MAX_RETRY_DELAY_S)
 
+    async def _try_sync(self) -> bool:
+        """Sync; after an unexpected error the host counts as silent."""
+        try:
+            return await self._sync()
+        except Exception as error:
+            self._failures.record('worker-poll', error, (('host', self.host),))
+            await self._events.send(HostSilent(self.host))
+            return False
+
     async def _sync(self) -> bool:
         """Make one sync call and return whether the worker replied."""
         reading = self._clock_reading
--- a/sassafrasgate/daemons/prefix_watches.py
+++ b/sassafrasgate/daemons/prefix_watches.py
@@ -21,11 +21,10 @@
 from sassafrasgate.daemons.freshness import ViewFreshness
 
 if TYPE_CHECKING:
-    from logbook import Logger
-
     from sassafrasgate.core.items import Changes
     from sassafrasgate.core.items import Item
     from sassafrasgate.core.stores import KeyStore
+    from sassafrasgate.observability.failures import FailureRecorder
 
 # A host has to act on all acknowledged changes 3 s after its connections have
 # gone silent. Until a watch has listed its keys again, the wait, the time
@@ -34,6 +33,7 @@
 WATCH_WAIT_S = 1.5
 REPLY_TIMEOUT_S = 0.6
 RETRY_DELAY_S = 0.3
+ERROR_RETRY_DELAY_S = 1.0
 
 HandleList = Callable[['Changes'], Awaitable[Any]]
 HandleChanges = Callable[[tuple['Item', ...]], Awaitable[Any]]
@@ -48,8 +48,8 @@
         Store client that only this watch uses.
     prefix : str
         Prefix of the keys.
-    logger : Logger
-        Logger for failures of the watch.
+    failures : FailureRecorder
+        Records failures of the watch.
     pause_s : float
         Time in seconds between a reply with changes and the next call.
         Changes in quick succession then share a call, which saves calls
@@ -68,12 +68,13 @@
         self,
         store: KeyStore,
         prefix: str,
-        logger: Logger,
+        failures: FailureRecorder,
         pause_s: float = 0.0,
         wait_s: float = WATCH_WAIT_S,
     ) -> None:
         self.prefix = prefix
-        self.freshness = ViewFreshness(prefix, logger)
+        self.freshness = ViewFreshness(prefix, failures.logger)
+        self._failures = failures
         self._store = store
         self._pause_s = pause_s
         self._wait_s = wait_s
@@ -102,6 +103,13 @@
             except StoreError as error:
                 self.freshness.record_failure(str(error))
                 await anyio.sleep(RETRY_DELAY_S)
+            except Exception as error:
+                # A watch that ended would leave this process with an old
+                # view for good.
+                self._failures.record(
+                    'watch', error, (('prefix', self.prefix),)
+                )
+                await anyio.sleep(ERROR_RETRY_DELAY_S)
 
     async def _follow(
         self, revision: int, handle_changes: HandleChanges
--- a/sassafrasgate/daemons/shards.py
+++ b/sassafrasgate/daemons/shards.py
@@ -44,6 +44,7 @@
 from sassafrasgate.journal.ring_buffer import load_journal
 from sassafrasgate.observability.clocks import now_ms
 from sassafrasgate.observability.clocks import wall_ms
+from sassafrasgate.observability.failures import FailureRecorder
 from sassafrasgate.observability.logs import Decision
 from sassafrasgate.observability.logs import log_decision
 from sassafrasgate.observability.metrics import APPEND_SECONDS
@@ -158,6 +159,7 @@
         self._job_counts_updated_at = 0
         self._loss_reason = ''
         self._group: TaskGroup | None = None
+        self._failures = FailureRecorder(services.logger, services.metrics)
 
     async def run(self, release: Callable[[], Awaitable[None]]) -> str:
         """Take the shard over and serve it until the ownership ends.
@@ -175,6 +177,17 @@
             The reason why the ownership was lost; empty after a planned
             stop.
         """
+        try:
+            return await self._run(release)
+        except Exception as error:
+            # The state may be inconsistent. Nothing is decided from it any
+            # more, and a successor builds its own from the journal.
+            self._failures.record('ownership', error, (('shard', self.shard),))
+            self._loss_reason = f'unexpected error: {error!r}'
+        await self._reply_to_open_requests()
+        return self._loss_reason
+
+    async def _run(self, release: Callable[[], Awaitable[None]]) -> str:
         journal = await self._take_over()
         if journal is None:
             return self._loss_reason
@@ -437,6 +450,7 @@
             self._host_tasks.open(name),
             self.events,
             self._lease,
+            self._failures,
         )
         group.start_soon(task.run)
 
--- a/sassafrasgate/daemons/watches.py
+++ b/sassafrasgate/daemons/watches.py
@@ -7,6 +7,8 @@
 from typing import Any
 from typing import TYPE_CHECKING
 
+from sassafrasgate.core.errors import InputError
+from sassafrasgate.core.errors import InvalidEntryError
 from sassafrasgate.core.items import Changes
 from sassafrasgate.core.items import Item
 from sassafrasgate.core.routing import RoutingTable
@@ -19,9 +21,9 @@
 
 if TYPE_CHECKING:
     from anyio.streams.memory import MemoryObjectSendStream
-    from logbook import Logger
 
     from sassafrasgate.daemons.prefix_watches import PrefixWatch
+    from sassafrasgate.observability.failures import InvalidEntryLog
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,12 +37,12 @@
     key : str
         Key of the routing table.
     read : callable
-        Decodes the key's value; returns None if it is invalid.
+        Decodes the key's value; raises `InputError` if it is invalid.
     """
 
     prefix: str
     key: str
-    read: Callable[[bytes], RoutingTable | None]
+    read: Callable[[bytes], RoutingTable]
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,11 +54,11 @@
     prefix : str
         Prefix of the keys.
     read : callable
-        Decodes an item; returns None if it is invalid.
+        Decodes an item; raises `InvalidEntryError` if it is invalid.
     """
 
     prefix: str
-    read: Callable[[Item], Registration | None]
+    read: Callable[[Item], Registration]
 
 
 class RoutingTableTask:
@@ -70,8 +72,8 @@
         Key and decoder of the table.
     listener : MemoryObjectSendStream
         Receives `TableChanged`.
-    logger : Logger
-        Logger for invalid tables.
+    invalid_entries : InvalidEntryLog
+        Records invalid tables.
     """
 
     def __init__(
@@ -79,12 +81,12 @@
         watch: PrefixWatch,
         source: RoutingTableSource,
         listener: MemoryObjectSendStream[Any],
-        logger: Logger,
+        invalid_entries: InvalidEntryLog,
     ) -> None:
         self._watch = watch
         self._source = source
         self._listener = listener
-        self._logger = logger
+        self._invalid_entries = invalid_entries
         self._version = 0
 
     async def run(self) -> None:
@@ -98,14 +100,15 @@
         for item in items:
             if item.key != self._source.key or item.value is None:
                 continue
-            table = self._source.read(item.value)
-            if table is None:
-                self._logger.warning(
-                    'ignoring the routing table at revision {}, which cannot '
-                    'be decoded; write a valid one',
-                    item.revision,
+            try:
+                table = self._source.read(item.value)
+            except InputError as error:
+                # The table in force stays until there is a valid one.
+                self._invalid_entries.record(
+                    InvalidEntryError(item.key, item.revision, str(error))
                 )
                 continue
+            self._invalid_entries.forget(item.key)
             if table.version > self._version:
                 self._version = table.version
                 await self._listener.send(TableChanged(table))
@@ -123,6 +126,8 @@
     listener : MemoryObjectSendStream
         Receives `WorkersListed`, `WorkerRegistered`, `WorkerUnregistered`
         and `RegistrationsConfirmed`.
+    invalid_entries : InvalidEntryLog
+        Records entries that cannot be used.
     """
 
     def __init__(
@@ -130,10 +135,12 @@
         watch: PrefixWatch,
         source: RegistrationSource,
         listener: MemoryObjectSendStream[Any],
+        invalid_entries: InvalidEntryLog,
     ) -> None:
         self._watch = watch
         self._source = source
         self._listener = listener
+        self._invalid_entries = invalid_entries
         # Revision of the newest state of each key that was passed on.
         self._revisions: dict[str, int] = {}
 
@@ -143,7 +150,8 @@
 
     async def _handle_list(self, listed: Changes) -> None:
         self._revisions = {item.key: item.revision for item in listed.items}
-        found = (self._source.read(item) for item in listed.items)
+        self._invalid_entries.forget_all_but(set(self._revisions))
+        found = [self._read(item) for item in listed.items]
         await self._listener.send(
             WorkersListed(tuple(entry for entry in found if entry))
         )
@@ -160,13 +168,35 @@
             await self._send_change(item)
         await self._send_confirmation()
 
+    def _read(self, item: Item) -> Registration | None:
+        """Return the registration in an item; None if it cannot be used.
+
+        No value may end the watch, on which all other workers depend.
+        """
+        try:
+            registration = self._source.read(item)
+        except InvalidEntryError as error:
+            self._invalid_entries.record(error)
+            return None
+        except Exception as error:
+            self._invalid_entries.failures.record(
+                'registration', error, (('key', item.key),)
+            )
+            return None
+        self._invalid_entries.forget(item.key)
+        return registration
+
     async def _send_confirmation(self) -> None:
         await self._listener.send(
             RegistrationsConfirmed(self._watch.freshness.confirmed_at)
         )
 
     async def _send_change(self, item: Item) -> None:
-        entry = None if item.value is None else self._source.read(item)
+        entry = None
+        if item.value is not None:
+            entry = self._read(item)
+        else:
+            self._invalid_entries.forget(item.key)
         if entry is not None:
             await self._listener.send(WorkerRegistered(entry))
             return
--- a/sassafrasgate/daemons/workers.py
+++ b/sassafrasgate/daemons/workers.py
@@ -51,6 +51,7 @@
     from anyio.streams.memory import MemoryObjectSendStream
 
     from sassafrasgate.core.workflows import RunReply
+    from sassafrasgate.observability.failures import FailureRecorder
     from sassafrasgate.shards.ownership import OwnerLease
 
 # A reachable worker replies within a few milliseconds. A call without a reply
@@ -94,6 +95,8 @@
         The dispatcher's inbox.
     lease : OwnerLease
         The owner's lease when the task starts.
+    failures : FailureRecorder
+        Records unexpected errors.
     wait_ms : int
         Time in ms for which the worker may hold a poll while no run ends.
     restarts : int
@@ -110,6 +113,7 @@
         inbox: MemoryObjectReceiveStream[Any],
         events: MemoryObjectSendStream[Any],
         lease: OwnerLease,
+        failures: FailureRecorder,
         wait_ms: int,
         restarts: int = 0,
         takes_starts: bool = True,
@@ -120,6 +124,7 @@
         self._inbox = inbox
         self._events = events
         self._lease = lease
+        self._failures = failures
         self._wait_ms = wait_ms
         self._clock_reading: ClockReading | None = None
         self._incarnation_ms = 0
@@ -144,9 +149,32 @@
                     UPDATE_HANDLERS.find(type(command))(self, command)
                     continue
                 handle = COMMAND_HANDLERS.find(type(command))
-                tasks.start_soon(handle, self, command)
+                tasks.start_soon(self._run_command, handle, command)
             tasks.cancel_scope.cancel()
 
+    async def _run_command(self, handle: CommandHandler, command: Any) -> None:
+        """Run a command; an unexpected error ends only this command.
+
+        The worker may have carried out a start whose call has failed. The
+        dispatcher repeats stops and paces that get no answer.
+        """
+        try:
+            await handle(self, command)
+        except Exception as error:
+            self._failures.record(
+                'worker-command',
+                error,
+                (
+                    ('worker', self.worker),
+                    ('command', type(command).__name__),
+                ),
+            )
+            if isinstance(command, StartRun):
+                self._unconfirmed_starts.discard(command.run)
+                await self._events.send(
+                    RunUnanswered(self.worker, command.run, True)
+                )
+
     def may_send(self) -> bool:
         """Return whether this owner may still send commands to the worker."""
         lease = self._lease
@@ -182,7 +210,7 @@
         delay_s = MIN_RETRY_DELAY_S
         was_silent = True
         while True:
-            if self.may_send() and await self._poll(was_silent):
+            if self.may_send() and await self._try_poll(was_silent):
                 delay_s = MIN_RETRY_DELAY_S
                 was_silent = False
                 await self._wait_for_durable_ends()
@@ -202,6 +230,19 @@
         with anyio.move_on_after(MAX_DURABILITY_WAIT_S):
             await self._ends_acknowledged.wait()
 
+    async def _try_poll(self, was_silent: bool) -> bool:
+        """Poll; after an unexpected error the worker counts as silent."""
+        try:
+            return await self._poll(was_silent)
+        except Exception as error:
+            self._failures.record(
+                'worker-poll', error, (('worker', self.worker),)
+            )
+            await self._events.send(
+                WorkerSilent(self.worker, self._leases_expire_at, repr(error))
+            )
+            return False
+
     async def _poll(self, was_silent: bool) -> bool:
         """Make one hold call and return whether the worker replied.
 
--- a/sassafrasgate/dispatch/progress.py
+++ b/sassafrasgate/dispatch/progress.py
@@ -146,13 +146,17 @@
 
 
 def apply_run_end(
-    state: DispatchState, record: RunEnded, key: StepKey
+    state: DispatchState, record: RunEnded, key: StepKey, index: int
 ) -> None:
-    """Apply the end of a run to its task, step and job."""
+    """Apply the end of a run to its task, step and job.
+
+    The end of a task that the job does not have is ignored.
+    """
     job = state.jobs[key.job_id]
-    index = int(record.task.rpartition('.')[2])
+    if key not in state.steps or index >= state.find_step(key).tasks:
+        return
     task = state.find_task(record.task)
-    if record.run in task.ended_runs or key not in state.steps:
+    if record.run in task.ended_runs:
         return
     state.update_task(
         record.task,
--- a/sassafrasgate/dispatch/recovery.py
+++ b/sassafrasgate/dispatch/recovery.py
@@ -5,7 +5,6 @@
 from typing import Any
 from typing import TYPE_CHECKING
 
-from sassafrasgate.core.workflows import split_step_task_id
 from sassafrasgate.core.workflows import Workflow
 from sassafrasgate.core.workflows import WorkflowState
 from sassafrasgate.dispatch.actions import LogEvent
@@ -25,6 +24,7 @@
 from sassafrasgate.dispatch.state import NEW_TASK
 from sassafrasgate.dispatch.state import RunKey
 from sassafrasgate.dispatch.state import StepKey
+from sassafrasgate.dispatch.task_ids import parse_task_id
 from sassafrasgate.journal.records import Takeover
 from sassafrasgate.journal.workflows import RunEnded
 from sassafrasgate.journal.workflows import ShardReleased
@@ -226,15 +226,17 @@
 
 @RECORD_APPLIERS.register('run-ended')
 def _apply_run_ended(state: DispatchState, record: RunEnded) -> None:
-    job_id, occurrence, step, _ = split_step_task_id(record.task)
-    if job_id not in state.jobs:
+    named = parse_task_id(record.task)
+    if named is None or named[0].job_id not in state.jobs:
+        # A worker may report anything; such an end is only acknowledged.
         return
+    key, index = named
     # A previous owner opened this occurrence, so its start time has passed.
-    entry = state.jobs[job_id]
-    if occurrence >= entry.occurrences:
-        open_due_occurrences(state, job_id)
-    apply_run_end(state, record, StepKey(job_id, occurrence, step))
-    record_ending_run(state, job_id, RunKey(record.task, record.run))
+    entry = state.jobs[key.job_id]
+    if key.occurrence >= entry.occurrences:
+        open_due_occurrences(state, key.job_id)
+    apply_run_end(state, record, key, index)
+    record_ending_run(state, key.job_id, RunKey(record.task, record.run))
 
 
 @RECORD_APPLIERS.register('step-progress')
--- a/sassafrasgate/dispatch/reports.py
+++ b/sassafrasgate/dispatch/reports.py
@@ -6,7 +6,6 @@
 from typing import TYPE_CHECKING
 
 from sassafrasgate.core.workflows import EndKind
-from sassafrasgate.core.workflows import split_step_task_id
 from sassafrasgate.dispatch.actions import AcknowledgeEnds
 from sassafrasgate.dispatch.actions import LogEvent
 from sassafrasgate.dispatch.actions import StopRun
@@ -32,6 +31,7 @@
 from sassafrasgate.dispatch.stops import stop_step_runs
 from sassafrasgate.dispatch.stragglers import measure_progress
 from sassafrasgate.dispatch.stragglers import record_finished_run
+from sassafrasgate.dispatch.task_ids import parse_task_id
 from sassafrasgate.journal.workflows import RunEnded
 from sassafrasgate.shards.actions import StepDown
 from sassafrasgate.shards.attempts import ClockReading
@@ -252,11 +252,9 @@
 ) -> Actions:
     """Adopt a run that a previous owner has started, or stop it."""
     key = RunKey(running.task, running.run)
-    step_key, index = _parse_task(running.task)
     entry = state.workers[event.worker]
-    job = state.jobs.get(step_key.job_id) if step_key else None
-    known = job is not None and step_key in state.steps
-    if not known or step_key is None or job is None:
+    named = _find_named_task(state, running.task)
+    if named is None:
         if key in entry.unknown_runs:
             return
         state.update_worker(
@@ -273,6 +271,7 @@
         )
         yield StopRun(event.worker, key)
         return
+    step_key, index = named
     step = state.find_step(step_key)
     task = state.find_task(running.task)
     percent = max(1, running.percent)
@@ -330,6 +329,19 @@
     )
 
 
+def _find_named_task(
+    state: DispatchState, task: str
+) -> tuple[StepKey, int] | None:
+    """Return the step and index of a reported task; None if there is none."""
+    named = parse_task_id(task)
+    if named is None:
+        return None
+    key, index = named
+    if key.job_id not in state.jobs or key not in state.steps:
+        return None
+    return named if index < state.find_step(key).tasks else None
+
+
 def _wants_adopted(
     state: DispatchState, run: RunEntry, duplicate: bool
 ) -> bool:
@@ -353,14 +365,6 @@
     yield StopRun(run.worker, run.key)
 
 
-def _parse_task(task: str) -> tuple[StepKey | None, int]:
-    try:
-        job_id, occurrence, step, index = split_step_task_id(task)
-    except ValueError:
-        return None, 0
-    return StepKey(job_id, occurrence, step), index
-
-
 def mark_running(state: DispatchState, job_id: str) -> None:
     """Mark a job as running once one of its runs is confirmed."""
     entry = state.jobs[job_id]
--- a/sassafrasgate/http/bodies.py
+++ b/sassafrasgate/http/bodies.py
@@ -8,12 +8,13 @@
 
 from anyio import create_task_group
 from anyio import move_on_after
-from msgspec import DecodeError
 from msgspec.json import decode
 from starlette.requests import ClientDisconnect
 from starlette.requests import Request
 
+from sassafrasgate.core.errors import InputError
 from sassafrasgate.core.errors import RefusalKind
+from sassafrasgate.core.inputs import decode_input
 from sassafrasgate.http.limits import KIB
 from sassafrasgate.http.problems import Problem
 
@@ -180,8 +181,8 @@
     if isinstance(body, Problem):
         return body
     try:
-        fields = decode(body)
-    except (DecodeError, UnicodeDecodeError) as error:
+        fields = decode_input(decode, body)
+    except InputError as error:
         return describe_faults((f'body: is not valid JSON: {error}',))
     if not isinstance(fields, dict):
         return describe_faults(('body: must be a JSON object',))
--- a/sassafrasgate/http/configurations.py
+++ b/sassafrasgate/http/configurations.py
@@ -10,15 +10,14 @@
 
 from anyio import sleep
 from msgspec import convert
-from msgspec import DecodeError
 from msgspec import to_builtins
-from msgspec import ValidationError
 from msgspec.json import decode
 
 from sassafrasgate.core.cells import Configuration
 from sassafrasgate.core.errors import NoReply
 from sassafrasgate.core.errors import Refusal
 from sassafrasgate.core.errors import RefusalKind
+from sassafrasgate.core.inputs import DECODE_ERRORS
 from sassafrasgate.http.bodies import describe_faults
 from sassafrasgate.http.bodies import read_body
 from sassafrasgate.http.json_responses import render_json
@@ -116,7 +115,7 @@
     try:
         plain = decode(body)
         configuration = convert(plain, Configuration)
-    except (DecodeError, ValidationError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         return describe_faults((f'body: {error}',))
     faults = find_unknown_members(plain, to_builtins(configuration), '')
     if configuration.version not in (0, expected_version):
--- a/sassafrasgate/journal/records.py
+++ b/sassafrasgate/journal/records.py
@@ -8,13 +8,12 @@
 from typing import TYPE_CHECKING
 
 from msgspec import convert
-from msgspec import DecodeError
-from msgspec import ValidationError
 from msgspec.msgpack import decode
 from msgspec.msgpack import Encoder
 
 from sassafrasgate.core.errors import MessageError
 from sassafrasgate.core.errors import UnknownNameError
+from sassafrasgate.core.inputs import DECODE_ERRORS
 from sassafrasgate.core.jobs import JobSpec
 from sassafrasgate.core.jobs import Outcome
 from sassafrasgate.core.jobs import Placement
@@ -225,13 +224,7 @@
             convert(fields, RECORDS.find(kind))
             for kind, fields in decode(data)
         )
-    except (
-        DecodeError,
-        ValidationError,
-        UnknownNameError,
-        TypeError,
-        ValueError,
-    ) as error:
+    except (*DECODE_ERRORS, UnknownNameError) as error:
         raise MessageError(
             f'cannot decode {len(data)} bytes of journal records: {error}; '
             'run the release that wrote them, or a newer one'
@@ -260,7 +253,7 @@
     """
     try:
         writer, epoch, sequence, records = decode(data)
-    except (DecodeError, TypeError, ValueError) as error:
+    except DECODE_ERRORS as error:
         raise MessageError(
             f'cannot decode a journal entry of {len(data)} bytes: {error}; '
             'check that nothing else writes under journal/'
--- a/sassafrasgate/observability/metrics.py
+++ b/sassafrasgate/observability/metrics.py
@@ -142,6 +142,18 @@
     'dropped_answers_total',
     'Answers that matched no open request.',
 )
+INVALID_INPUTS = define_metric(
+    MetricKind.COUNTER,
+    'invalid_inputs_total',
+    'Values of other programs that could not be used, by source.',
+    'source',
+)
+UNEXPECTED_ERRORS = define_metric(
+    MetricKind.COUNTER,
+    'unexpected_errors_total',
+    'Unexpected errors by the kind of the unit of work that they ended.',
+    'unit',
+)
 REQUESTS = define_metric(
     MetricKind.COUNTER,
     'http_requests_total',
--- a/sassafrasgate/platform/advice.py
+++ b/sassafrasgate/platform/advice.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-from msgspec import DecodeError
 from msgspec import Struct
 from msgspec.json import Decoder
 from msgspec.json import encode
@@ -12,6 +11,9 @@
 from sassafrasgate.adapters.connections import HttpConnections
 from sassafrasgate.adapters.connections import NoResponseError
 from sassafrasgate.core.errors import AdviceUnavailableError
+from sassafrasgate.core.errors import InputError
+from sassafrasgate.core.inputs import Amount
+from sassafrasgate.core.inputs import decode_input
 from sassafrasgate.core.workflows import Advice
 
 if TYPE_CHECKING:
@@ -26,7 +28,7 @@
 class _AdviceResponse(Struct, frozen=True, rename='camel'):
     # Pairs of a worker and its ticket.
     good: list[tuple[str, str]]
-    valid_ms: float
+    valid_ms: Amount
 
 
 _DECODER = Decoder(_AdviceResponse)
@@ -85,8 +87,8 @@
                 f'{response.text[:200]!r}; try again later'
             )
         try:
-            advice = _DECODER.decode(response.content)
-        except DecodeError as error:
+            advice = decode_input(_DECODER.decode, response.content)
+        except InputError as error:
             raise AdviceUnavailableError(
                 f'cannot decode a response of the advice service: {error}'
             ) from error
--- a/sassafrasgate/platform/callers.py
+++ b/sassafrasgate/platform/callers.py
@@ -4,15 +4,10 @@
 
 from dataclasses import dataclass
 import re
-from typing import Annotated
 from typing import Any
 from typing import Protocol
 from typing import TYPE_CHECKING
 
-from msgspec import DecodeError
-from msgspec import Meta
-from msgspec import Struct
-from msgspec.json import Decoder
 from msgspec.json import encode
 from starlette.requests import ClientDisconnect
 from starlette.requests import Request
@@ -22,13 +17,12 @@
 from sassafrasgate.core.errors import Refusal
 from sassafrasgate.core.errors import RefusalKind
 from sassafrasgate.core.registries import Registry
-from sassafrasgate.core.resources import Resources
-from sassafrasgate.core.workflows import Step
-from sassafrasgate.core.workflows import Workflow
 from sassafrasgate.observability.clocks import now_ms
+from sassafrasgate.observability.failures import FailureRecorder
 from sassafrasgate.observability.logs import log_event
 from sassafrasgate.observability.metrics import REQUEST_SECONDS
 from sassafrasgate.observability.metrics import REQUESTS
+from sassafrasgate.platform.jobs import read_workflow
 
 if TYPE_CHECKING:
     from logbook import Logger
@@ -37,6 +31,7 @@
     from starlette.types import Send
 
     from sassafrasgate.core.routing import Queue
+    from sassafrasgate.core.workflows import Workflow
     from sassafrasgate.observability.metrics import Metrics
     from sassafrasgate.protocol.workflows import PendingCount
     from sassafrasgate.protocol.workflows import WorkflowView
@@ -44,55 +39,14 @@
 READY_PATH = '/api/readyz'
 JOB_ID_PATTERN = re.compile(r'[0-9a-fA-F]{16}')
 DEADLINE_HEADER = 'request-deadline'
+# A longer number of milliseconds would be more than three years.
+DEADLINE_PATTERN = re.compile(r'[0-9]{1,11}')
 DEFAULT_DEADLINE_MS = 3_000
 # Time reserved for the response to reach the caller before the deadline.
 RESPONSE_MARGIN_MS = 60
 # Sent with the statuses below, which tell the caller that nothing has run.
 RETRY_AFTER_S = 1
 RETRIED_STATUSES = frozenset({429, 503})
-MAX_STEPS = 256
-MAX_TASKS = 100_000
-MAX_BODY_BYTES = 1_048_576
-
-
-_Count = Annotated[int, Meta(ge=0)]
-_Duration = Annotated[float, Meta(ge=0)]
-
-
-class _Step(Struct, frozen=True, rename='camel'):
-    count: int
-    cpu: _Count = 0
-    mem_mb: _Count = 0
-    gpu: _Count = 0
-    estimate_ms: _Duration = 0
-    after: tuple[int, ...] = ()
-    checkpointing: bool = False
-    gang: bool = False
-    same_rack: bool = False
-    # Label that the worker must have.
-    requires: str = ''
-    # Rack that holds the data.
-    affinity: str = ''
-    # Maximum number of the step's tasks on one worker.
-    anti_affinity: _Count = 0
-    speculative: bool = False
-    long_running: bool = False
-    image: str = ''
-    target_ms: _Duration = 0
-    fills: bool = False
-    may_miss: _Count = 0
-
-
-class _Job(Struct, frozen=True, rename='camel'):
-    # Passed unchanged to the workers with each task.
-    spec: str
-    steps: list[_Step]
-    repeats: _Count = 0
-    start_at_ms: _Count = 0
-    interval_ms: _Count = 0
-
-
-_DECODER = Decoder(_Job)
 
 
 class WorkflowGateway(Protocol):
@@ -181,6 +135,7 @@
         self._gateway = gateway
         self._logger = logger
         self._metrics = metrics
+        self._failures = FailureRecorder(logger, metrics)
 
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
@@ -195,6 +150,10 @@
         except ClientDisconnect:
             self._log('caller-disconnected', request, began, ())
             return
+        except Exception as error:
+            self._failures.record('caller-request', error)
+            # The status must not say that the request had no effect.
+            response = _make_error_response(504, 'unexpected error')
         if response.reason:
             self._log(
                 'request-failed',
@@ -215,7 +174,7 @@
                 405, f'method {request.method!r} is not supported'
             )
         host = request.headers.get('host', '').partition(':')[0]
-        path = request.url.path
+        path = _get_path(request)
         queue = self._gateway.find_queue(host, path)
         if isinstance(queue, Refusal):
             return _make_refusal_response(queue)
@@ -240,9 +199,9 @@
             self._logger,
             kind,
             (
-                ('job', request.url.path.rpartition('/')[2]),
+                ('job', _get_path(request).rpartition('/')[2]),
                 ('method', request.method),
-                ('path', request.url.path),
+                ('path', _get_path(request)),
                 ('table_version', self._gateway.version),
                 ('deadline_ms', request.headers.get(DEADLINE_HEADER, '')),
                 ('took_ms', now_ms() - began),
@@ -323,75 +282,20 @@
     )
 
 
-def read_workflow(body: bytes) -> Workflow | Refusal:
-    """Return the workflow in a request's body, or why it is invalid."""
-    if len(body) > MAX_BODY_BYTES:
-        return _make_invalid_refusal(
-            f'the body has {len(body)} bytes, which is too large'
-        )
-    try:
-        job = _DECODER.decode(body)
-    except (DecodeError, ValueError) as error:
-        return _make_invalid_refusal(str(error))
-    if not 0 < len(job.steps) <= MAX_STEPS:
-        return _make_invalid_refusal(
-            f'the job has {len(job.steps)!r} steps, which is out of range'
-        )
-    if sum(step.count for step in job.steps) > MAX_TASKS:
-        return _make_invalid_refusal(
-            f'the job has more than {MAX_TASKS} tasks'
-        )
-    for number, step in enumerate(job.steps):
-        if step.count < 1:
-            return _make_invalid_refusal(
-                f'step {number} has {step.count!r} tasks; it needs at least 1'
-            )
-        if any(not 0 <= earlier < number for earlier in step.after):
-            return _make_invalid_refusal(
-                f'step {number} comes after {step.after!r}, which are not '
-                'all earlier steps'
-            )
-    return Workflow(
-        job.spec,
-        tuple(_make_step(step) for step in job.steps),
-        max(1, job.repeats),
-        job.start_at_ms,
-        job.interval_ms,
-    )
+def _get_path(request: Request) -> str:
+    """Return a request's path.
 
-
-def _make_step(step: _Step) -> Step:
-    return Step(
-        step.count,
-        Resources(step.cpu, step.mem_mb, step.gpu),
-        int(step.estimate_ms),
-        step.after,
-        step.checkpointing,
-        step.gang,
-        step.same_rack,
-        step.requires,
-        step.affinity,
-        step.anti_affinity,
-        step.speculative,
-        step.long_running,
-        step.image,
-        int(step.target_ms),
-        step.fills,
-        step.may_miss,
-    )
-
-
-def _make_invalid_refusal(reason: str) -> Refusal:
-    return Refusal(
-        RefusalKind.INVALID, reason, 'correct the body of the request'
-    )
+    `Request.url` also parses the Host header, which may be invalid.
+    """
+    path: str = request.scope['path']
+    return path
 
 
 def _compute_timeout_s(request: Request) -> float:
     """Return the caller's deadline less the response margin, in seconds."""
     text = request.headers.get(DEADLINE_HEADER, '')
     wait_ms = DEFAULT_DEADLINE_MS
-    if text.isdecimal():
+    if DEADLINE_PATTERN.fullmatch(text):
         wait_ms = int(text)
     return max(RESPONSE_MARGIN_MS, wait_ms - RESPONSE_MARGIN_MS) / 1000
 
--- a/sassafrasgate/platform/routing.py
+++ b/sassafrasgate/platform/routing.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
-from msgspec import DecodeError
 from msgspec import Struct
-from msgspec import ValidationError
 from msgspec.json import Decoder
 
+from sassafrasgate.core.inputs import Amount
+from sassafrasgate.core.inputs import decode_input
+from sassafrasgate.core.inputs import Integer
+from sassafrasgate.core.inputs import Natural
 from sassafrasgate.core.routing import AdviceTiming
 from sassafrasgate.core.routing import Pool
 from sassafrasgate.core.routing import Queue
@@ -17,9 +19,9 @@
 
 
 class _Advice(Struct, frozen=True, rename='camel'):
-    decide_ms: float
-    each_ms: float
-    valid_ms: float
+    decide_ms: Amount
+    each_ms: Amount
+    valid_ms: Amount
 
 
 class _Route(Struct, frozen=True, rename='camel'):
@@ -27,11 +29,11 @@
     host: str
     prefix: str
     service: str
-    timeout_ms: int = 0
-    target_latency_ms: float = 0
-    priority: int = 0
-    max_attempts: int = 1
-    stretch: float = 1.0
+    timeout_ms: Natural = 0
+    target_latency_ms: Amount = 0
+    priority: Integer = 0
+    max_attempts: Natural = 1
+    stretch: Amount = 1.0
     advice: _Advice | None = None
 
 
@@ -42,7 +44,7 @@
 
 
 class _Configuration(Struct, frozen=True, rename='camel'):
-    version: int
+    version: Natural
     routes: list[_Route]
     services: list[_Service]
 
@@ -50,12 +52,15 @@
 _DECODER = Decoder(_Configuration)
 
 
-def read_routing_table(value: bytes) -> RoutingTable | None:
-    """Decode the routing table; return None if the value is invalid."""
-    try:
-        configuration = _DECODER.decode(value)
-    except (DecodeError, ValidationError):
-        return None
+def read_routing_table(value: bytes) -> RoutingTable:
+    """Decode the routing table.
+
+    Raises
+    ------
+    InputError
+        When the value is not a valid table.
+    """
+    configuration = decode_input(_DECODER.decode, value)
     return RoutingTable(
         configuration.version,
         tuple(_make_queue(route) for route in configuration.routes),
--- a/sassafrasgate/platform/store.py
+++ b/sassafrasgate/platform/store.py
@@ -4,19 +4,23 @@
 
 from base64 import b64decode
 from base64 import b64encode
+import binascii
+from typing import Any
 from typing import TYPE_CHECKING
 from typing import TypeVar
 
-from msgspec import DecodeError
 from msgspec import Struct
-from msgspec.json import decode
+from msgspec.json import Decoder
 from msgspec.json import encode
 
 from sassafrasgate.adapters.base_client import BaseStoreClient
+from sassafrasgate.core.errors import InputError
 from sassafrasgate.core.errors import StoreError
 from sassafrasgate.core.errors import StoreLeaseLostError
 from sassafrasgate.core.errors import StoreLogTrimmedError
 from sassafrasgate.core.errors import StoreUnavailableError
+from sassafrasgate.core.inputs import decode_input
+from sassafrasgate.core.inputs import Natural
 from sassafrasgate.core.items import Changes
 from sassafrasgate.core.items import Item
 from sassafrasgate.journal.rate_limits import CallPriority
@@ -34,7 +38,7 @@
 
 class _Item(Struct, frozen=True, rename='camel'):
     key: str
-    revision: int
+    revision: Natural
     value: str = ''
     deleted: bool = False
 
@@ -42,20 +46,26 @@
 class _RangePage(Struct, frozen=True, rename='camel'):
     items: list[_Item]
     truncated: bool
-    current_rev: int
+    current_rev: Natural
 
 
 class _Events(Struct, frozen=True, rename='camel'):
     events: list[_Item]
-    current_rev: int
+    current_rev: Natural
 
 
 class _Written(Struct, frozen=True, rename='camel'):
-    revision: int
+    revision: Natural
 
 
 class _Lease(Struct, frozen=True, rename='camel'):
-    lease: int
+    lease: Natural
+
+
+_DECODERS: dict[type, Decoder[Any]] = {
+    kind: Decoder(kind)
+    for kind in (_Item, _RangePage, _Events, _Written, _Lease)
+}
 
 
 class PlatformStore(BaseStoreClient):
@@ -172,11 +182,7 @@
                 f'the store has no changes of {prefix!r} after revision '
                 f'{after!r}; list the prefix and watch from there'
             )
-        changes = _read_body(response, _Events)
-        return Changes(
-            changes.current_rev,
-            tuple(_make_item(item) for item in changes.events),
-        )
+        return read_changes(response)
 
     async def grant_lease(
         self, ttl_s: float, priority: int = CallPriority.HIGH
@@ -251,6 +257,21 @@
         return response
 
 
+def read_changes(response: HttpResponse) -> Changes:
+    """Return the changes in the store's response to a watch.
+
+    Raises
+    ------
+    StoreError
+        When the response cannot be used.
+    """
+    changes = _read_body(response, _Events)
+    return Changes(
+        changes.current_rev,
+        tuple(_make_item(item) for item in changes.events),
+    )
+
+
 def _read_lease_status(response: HttpResponse) -> bool:
     if response.status == NOT_FOUND:
         return False
@@ -270,8 +291,9 @@
     if response.status != OK:
         raise _make_rejection_error(response)
     try:
-        return decode(response.content, type=kind)
-    except DecodeError as error:
+        value: Value = decode_input(_DECODERS[kind].decode, response.content)
+        return value
+    except InputError as error:
         raise StoreUnavailableError(
             f'cannot decode a response of the store: {error}; check that '
             'the store address leads to the store'
@@ -279,5 +301,15 @@
 
 
 def _make_item(item: _Item) -> Item:
-    value = None if item.deleted else b64decode(item.value)
+    """Return an item; a value that is not Base64 counts as empty.
+
+    One unreadable value must not hide the other keys of the prefix, and no
+    decoder accepts an empty value.
+    """
+    if item.deleted:
+        return Item(item.key, None, item.revision)
+    try:
+        value = b64decode(item.value)
+    except binascii.Error:
+        value = b''
     return Item(item.key, value, item.revision)
--- a/sassafrasgate/platform/workers.py
+++ b/sassafrasgate/platform/workers.py
@@ -2,17 +2,22 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import Annotated
 from typing import TYPE_CHECKING
 
-from msgspec import DecodeError
+from msgspec import Meta
 from msgspec import Struct
 from msgspec.json import Decoder
 from msgspec.json import Encoder
 
 from sassafrasgate.adapters.connections import HttpConnections
 from sassafrasgate.adapters.connections import NoResponseError
+from sassafrasgate.core.errors import InputError
 from sassafrasgate.core.errors import WorkerUnavailableError
+from sassafrasgate.core.inputs import Amount
+from sassafrasgate.core.inputs import decode_input
+from sassafrasgate.core.inputs import Natural
+from sassafrasgate.core.inputs import ShortText
 from sassafrasgate.core.workflows import EndedRun
 from sassafrasgate.core.workflows import EndKind
 from sassafrasgate.core.workflows import RunningRun
@@ -46,6 +51,7 @@
     'room': StartRefusal.NO_ROOM,
     'ticket': StartRefusal.NO_TICKET,
 }
+MAX_CHECKPOINT_LENGTH = 4_096
 OK = 200
 BAD_REQUEST = 400
 CONFLICT = 409
@@ -53,17 +59,37 @@
 UNHEALTHY_STATUSES = frozenset({429, 503})
 
 
+_Checkpoint = Annotated[str, Meta(max_length=MAX_CHECKPOINT_LENGTH)]
+
+
 class _RunResponse(Struct, frozen=True, rename='camel'):
-    clock_ms: int = 0
+    clock_ms: Natural = 0
     reason: str = ''
 
 
+class _RunningRow(Struct, frozen=True, array_like=True):
+    task: ShortText
+    run: Natural
+    checkpoint: _Checkpoint
+    percent: Amount
+    # Added later; rows of earlier workers lack it.
+    load: Amount = 0
+
+
+class _EndedRow(Struct, frozen=True, array_like=True):
+    number: Natural
+    task: ShortText
+    run: Natural
+    how: ShortText
+    checkpoint: _Checkpoint
+
+
 class _HoldResponse(Struct, frozen=True, rename='camel'):
-    clock_ms: int
-    running: list[list[Any]]
-    ended: list[list[Any]]
+    clock_ms: Natural
+    running: list[_RunningRow]
+    ended: list[_EndedRow]
     # Start of the worker's incarnation, which identifies it.
-    born: int = 0
+    born: Natural = 0
 
 
 _ENCODER = Encoder()
@@ -131,10 +157,8 @@
             body['waitMs'] = request.wait_ms
         response = await self._post('/api/hold', body, request.wait_ms)
         if response.status != OK:
-            return (
-                self._read_run_reply(response).refusal or StartRefusal.INVALID
-            )
-        return _read_report(response)
+            return read_run_reply(response).refusal or StartRefusal.INVALID
+        return read_report(response)
 
     async def start(self, request: RunRequest) -> RunReply:
         """Start a run; a refusal means that this call has no effect."""
@@ -149,12 +173,12 @@
             body['checkpoint'] = request.checkpoint
         if request.ticket:
             body['ticket'] = request.ticket
-        return self._read_run_reply(await self._post('/api/run-start', body))
+        return read_run_reply(await self._post('/api/run-start', body))
 
     async def stop(self, task: str, run: int, fencing_token: int) -> RunReply:
         """Stop a run, or prevent it from starting."""
         body = {'task': task, 'run': run, 'fencingToken': fencing_token}
-        return self._read_run_reply(await self._post('/api/run-stop', body))
+        return read_run_reply(await self._post('/api/run-stop', body))
 
     async def pace(
         self, task: str, run: int, percent: int, fencing_token: int
@@ -166,29 +190,7 @@
             'percent': percent,
             'fencingToken': fencing_token,
         }
-        return self._read_run_reply(await self._post('/api/pace', body))
-
-    def _read_run_reply(self, response: HttpResponse) -> RunReply:
-        if response.status in UNHEALTHY_STATUSES:
-            return RunReply(0, StartRefusal.UNHEALTHY)
-        if response.status == MISDIRECTED_REQUEST:
-            return RunReply(0, StartRefusal.OTHER_INCARNATION)
-        if response.status == BAD_REQUEST:
-            return RunReply(0, StartRefusal.INVALID)
-        if response.status not in (OK, CONFLICT):
-            raise WorkerUnavailableError(
-                f'the worker responded to {response.call!r} with '
-                f'{response.status!r} {response.text[:200]!r}; check that the '
-                'address leads to a worker'
-            )
-        try:
-            body = _RUN_RESPONSE_DECODER.decode(response.content)
-        except DecodeError as error:
-            raise _make_decode_error(error) from error
-        if response.status == OK:
-            return RunReply(body.clock_ms)
-        refusal = REFUSALS.get(body.reason, StartRefusal.INVALID)
-        return RunReply(body.clock_ms, refusal)
+        return read_run_reply(await self._post('/api/pace', body))
 
     async def _post(
         self, path: str, body: dict[str, object], wait_ms: int = 0
@@ -209,36 +211,75 @@
             ) from error
 
 
-def _read_report(response: HttpResponse) -> WorkerReport:
+def read_run_reply(response: HttpResponse) -> RunReply:
+    """Return the reply in a worker's response to a start, stop or pace.
+
+    Raises
+    ------
+    WorkerUnavailableError
+        When the response cannot be used, so that the effect is unknown.
+    """
+    if response.status in UNHEALTHY_STATUSES:
+        return RunReply(0, StartRefusal.UNHEALTHY)
+    if response.status == MISDIRECTED_REQUEST:
+        return RunReply(0, StartRefusal.OTHER_INCARNATION)
+    if response.status == BAD_REQUEST:
+        return RunReply(0, StartRefusal.INVALID)
+    if response.status not in (OK, CONFLICT):
+        raise WorkerUnavailableError(
+            f'the worker responded to {response.call!r} with '
+            f'{response.status!r} {response.text[:200]!r}; check that the '
+            'address leads to a worker'
+        )
+    try:
+        body = decode_input(_RUN_RESPONSE_DECODER.decode, response.content)
+    except InputError as error:
+        raise _make_decode_error(error) from error
+    if response.status == OK:
+        return RunReply(body.clock_ms)
+    refusal = REFUSALS.get(body.reason, StartRefusal.INVALID)
+    return RunReply(body.clock_ms, refusal)
+
+
+def read_report(response: HttpResponse) -> WorkerReport:
+    """Return the report in a worker's response to a hold call.
+
+    Raises
+    ------
+    WorkerUnavailableError
+        When the response cannot be used.
+    """
     try:
-        body = _HOLD_RESPONSE_DECODER.decode(response.content)
+        body = decode_input(_HOLD_RESPONSE_DECODER.decode, response.content)
         return WorkerReport(
             body.clock_ms,
             body.born,
             tuple(_read_running(row) for row in body.running),
-            tuple(
-                EndedRun(row[0], row[1], row[2], END_KINDS[row[3]], row[4])
-                for row in body.ended
-            ),
+            tuple(_read_ended(row) for row in body.ended),
         )
-    except (
-        DecodeError,
-        KeyError,
-        IndexError,
-        TypeError,
-        ValueError,
-    ) as error:
+    except InputError as error:
         raise _make_decode_error(error) from error
 
 
-def _read_running(row: list[Any]) -> RunningRun:
-    # The load was added later; rows of earlier workers lack it.
-    load = int(row[4]) if len(row) > 4 else 0
-    return RunningRun(row[0], row[1], row[2], row[3], load)
+def _read_running(row: _RunningRow) -> RunningRun:
+    return RunningRun(
+        row.task, row.run, row.checkpoint, int(row.percent), int(row.load)
+    )
+
+
+def _read_ended(row: _EndedRow) -> EndedRun:
+    if row.how not in END_KINDS:
+        raise InputError(
+            f'run {row.run} of task {row.task!r} ended as {row.how!r}, which '
+            f'is unknown; report one of {", ".join(END_KINDS)}'
+        )
+    return EndedRun(
+        row.number, row.task, row.run, END_KINDS[row.how], row.checkpoint
+    )
 
 
-def _make_decode_error(error: Exception) -> WorkerUnavailableError:
+def _make_decode_error(error: InputError) -> WorkerUnavailableError:
     return WorkerUnavailableError(
-        f'cannot decode a response of the worker: {error!r}; check that the '
+        f'cannot decode a response of the worker: {error}; check that the '
         'address leads to a worker'
     )
--- a/sassafrasgate/protocol/codec.py
+++ b/sassafrasgate/protocol/codec.py
@@ -6,13 +6,12 @@
 from typing import Any
 
 from msgspec import convert
-from msgspec import DecodeError
-from msgspec import ValidationError
 from msgspec.msgpack import Decoder
 from msgspec.msgpack import Encoder
 
 from sassafrasgate.core.errors import MessageError
 from sassafrasgate.core.errors import UnknownNameError
+from sassafrasgate.core.inputs import DECODE_ERRORS
 from sassafrasgate.protocol.messages import MESSAGES
 
 PROTOCOL_VERSION = 1
@@ -91,7 +90,7 @@
                 f'version {PROTOCOL_VERSION} on every entry host'
             )
         body = convert(raw.body, MESSAGES.find(raw.kind))
-    except (DecodeError, ValidationError, UnknownNameError) as error:
+    except (*DECODE_ERRORS, UnknownNameError) as error:
         raise MessageError(
             f'cannot decode a frame of {len(frame)} bytes: {error}; check '
             'that all processes run the same release'
--- a/sassafrasgate/protocol/links.py
+++ b/sassafrasgate/protocol/links.py
@@ -238,20 +238,37 @@
             if outgoing.reply_to is not None:
                 request_id = self._next_request_id
                 self._next_request_id += 1
-                self._open_requests[request_id] = outgoing.reply_to
-            frame = encode_envelope(
-                Envelope(
-                    request_id,
-                    False,
-                    outgoing.attempt,
-                    outgoing.timeout_ms,
-                    outgoing.message,
+            try:
+                frame = encode_envelope(
+                    Envelope(
+                        request_id,
+                        False,
+                        outgoing.attempt,
+                        outgoing.timeout_ms,
+                        outgoing.message,
+                    )
                 )
-            )
+            except (OverflowError, TypeError, ValueError) as error:
+                self._reject_message(outgoing, error)
+                continue
+            if outgoing.reply_to is not None:
+                self._open_requests[request_id] = outgoing.reply_to
             self._sent_at = now_ms()
             self._counts.record_sent(frame)
             await socket.send(frame)
 
+    def _reject_message(
+        self, outgoing: _OutgoingMessage, error: Exception
+    ) -> None:
+        """Complete a request that cannot be encoded."""
+        self._counts.bad_frames += 1
+        if outgoing.reply_to is None:
+            return
+        outgoing.reply_to.send_nowait(
+            NoReply(f'cannot encode a {outgoing.message.kind!r}: {error}')
+        )
+        outgoing.reply_to.close()
+
     async def _receive_replies(self, socket: zmq.asyncio.Socket) -> None:
         while True:
             frame = await socket.recv()
@@ -300,6 +317,9 @@
         Returns the heartbeat that the server sends.
     handle_heartbeat : callable
         Receives each heartbeat that has arrived.
+    handle_error : callable
+        Receives each unexpected error. The message that has caused it gets
+        no reply, so that its effect is unknown to its sender.
     """
 
     def __init__(
@@ -308,11 +328,13 @@
         handle: Callable[[IncomingRequest], Awaitable[None]],
         make_heartbeat: Callable[[], Heartbeat],
         handle_heartbeat: Callable[[Heartbeat], None],
+        handle_error: Callable[[Exception], None],
     ) -> None:
         self.address = address
         self._handle = handle
         self._make_heartbeat = make_heartbeat
         self._handle_heartbeat = handle_heartbeat
+        self._handle_error = handle_error
         self._replies, self._outbox = _make_reply_stream()
         self._clients: dict[bytes, int] = {}
         self._counts = _LinkCounter()
@@ -349,23 +371,33 @@
                 continue
             client, frame = parts
             self._clients[client] = now_ms()
-            envelope = _read_frame(frame, self._counts, self._handle_heartbeat)
-            if envelope is None:
-                continue
-            await self._handle(
-                IncomingRequest(
-                    client,
-                    envelope.request,
-                    envelope.timeout_ms,
-                    envelope.body,
-                )
+            try:
+                await self._handle_frame(client, frame)
+            except Exception as error:
+                self._handle_error(error)
+
+    async def _handle_frame(self, client: bytes, frame: bytes) -> None:
+        envelope = _read_frame(frame, self._counts, self._handle_heartbeat)
+        if envelope is None:
+            return
+        await self._handle(
+            IncomingRequest(
+                client,
+                envelope.request,
+                envelope.timeout_ms,
+                envelope.body,
             )
+        )
 
     async def _send_replies(self, socket: zmq.asyncio.Socket) -> None:
         async for reply in self._outbox:
-            frame = encode_envelope(
-                Envelope(reply.request_id, True, 1, 0, reply.message)
-            )
+            try:
+                frame = encode_envelope(
+                    Envelope(reply.request_id, True, 1, 0, reply.message)
+                )
+            except Exception as error:
+                self._handle_error(error)
+                continue
             self._counts.record_sent(frame)
             await socket.send_multipart([reply.client, frame])
 
--- a/tests/daemons/test_host_tasks.py
+++ b/tests/daemons/test_host_tasks.py
@@ -1,6 +1,7 @@
 """Tests the calls to one worker of the project's own interface."""
 
 import anyio
+from logbook import Logger
 import pytest
 
 from sassafrasgate.core.errors import WorkerUnavailableError
@@ -8,6 +9,8 @@
 from sassafrasgate.core.tasks import SyncReply
 from sassafrasgate.daemons.hosts import HostTask
 from sassafrasgate.observability.clocks import now_ms
+from sassafrasgate.observability.failures import FailureRecorder
+from sassafrasgate.observability.metrics import Metrics
 from sassafrasgate.shards.actions import AllowStarts
 from sassafrasgate.shards.actions import StartTask
 from sassafrasgate.shards.events import HostSynced
@@ -69,7 +72,10 @@
     commands, inbox = anyio.create_memory_object_stream(10)
     sender, events = anyio.create_memory_object_stream(10)
     lease = OwnerLease(now_ms(), ttl_ms=60_000, grace_ms=0)
-    task = HostTask('h1', 's1', 1, client, None, inbox, sender, lease)
+    failures = FailureRecorder(Logger('test'), Metrics())
+    task = HostTask(
+        'h1', 's1', 1, client, None, inbox, sender, lease, failures
+    )
     async with anyio.create_task_group() as group:
         group.start_soon(task.run)
         with anyio.fail_after(TIMEOUT_S):
--- a/tests/daemons/test_odd_entries.py
+++ b/tests/daemons/test_odd_entries.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from sassafrasgate.observability.logs import quote_value
 from tests.soak.cells import open_cell
 
 pytestmark = pytest.mark.anyio
@@ -69,14 +70,22 @@
     ]
 
 
-async def check_service(cell, number):
-    """Run a job at each entry host, none of which may have ended."""
+async def check_service(cell, number, key=''):
+    """Run a job at each entry host, none of which may have ended.
+
+    Parameters
+    ----------
+    number : int
+        Distinguishes the jobs of several checks of a cell.
+    key : str
+        Key that was written before, for the error.
+    """
     for index, entry in enumerate(cell.entries.values()):
         if not entry.process.alive:
             continue
         job_id = f'{number:08x}{index:08x}'
-        assert await cell.run_job(entry, job_id) == 'completed'
-    assert list_ended(cell) == []
+        assert await cell.run_job(entry, job_id) == 'completed', key
+    assert list_ended(cell) == [], key
 
 
 async def test_values_written_before_the_start(tmp_path):
@@ -85,15 +94,23 @@
         await check_service(cell, 1)
 
 
-@pytest.mark.parametrize('key', ODD_VALUES, ids=repr)
-async def test_value_written_while_running(tmp_path, key):
+async def test_values_written_while_running(tmp_path):
     # Guards against a process that ends, or that stops following the keys.
     async with open_cell(tmp_path, 2, 2) as cell:
-        await check_service(cell, 1)
-        await cell.write_raw(key, ODD_VALUES[key])
-        await check_service(cell, 2)
-        await cell.change_configuration()
-        await check_service(cell, 3)
+        await check_service(cell, 0)
+        for number, (key, text) in enumerate(ODD_VALUES.items()):
+            await cell.write_raw(key, text)
+            await check_service(cell, 2 * number + 1, key)
+            await cell.change_configuration()
+            await check_service(cell, 2 * number + 2, key)
+        logs = [entry.process.read_log() for entry in cell.entries.values()]
+    for key in ODD_VALUES:
+        if key.startswith('servers/'):
+            lines = [line for log in logs for line in log.splitlines()]
+            kind = ' kind=invalid-entry '
+            name = quote_value(key)
+            found = [x for x in lines if kind in x and f' key={name} ' in x]
+            assert len(found) == 1, key
 
 
 async def test_values_written_right_before_a_takeover(tmp_path):
--- a/tests/daemons/test_watches.py
+++ b/tests/daemons/test_watches.py
@@ -16,6 +16,9 @@
 from sassafrasgate.daemons.watches import RegistrationSource
 from sassafrasgate.daemons.watches import RegistrationTask
 from sassafrasgate.dispatch.events import WorkerRegistered
+from sassafrasgate.observability.failures import FailureRecorder
+from sassafrasgate.observability.failures import InvalidEntryLog
+from sassafrasgate.observability.metrics import Metrics
 from sassafrasgate.platform.registrations import read_registration
 from sassafrasgate.platform.registrations import REGISTRATION_PREFIX
 from sassafrasgate.platform.store import PlatformStore
@@ -30,6 +33,8 @@
 # store has acknowledged.
 RECOVERY_S = 3.0
 LOGGER = Logger('test')
+FAILURES = FailureRecorder(LOGGER, Metrics())
+INVALID_ENTRIES = InvalidEntryLog(FAILURES, REGISTRATION_PREFIX)
 
 
 @pytest.fixture
@@ -77,8 +82,10 @@
         revision = await writer.create(key, encode_entry())
         store = RelayedStore(watched, relay_nothing, LOGGER)
         source = RegistrationSource(REGISTRATION_PREFIX, read_registration)
-        watch = PrefixWatch(store, REGISTRATION_PREFIX, LOGGER)
-        group.start_soon(RegistrationTask(watch, source, sender).run)
+        watch = PrefixWatch(store, REGISTRATION_PREFIX, FAILURES)
+        group.start_soon(
+            RegistrationTask(watch, source, sender, INVALID_ENTRIES).run
+        )
         await events.receive()
         await anyio.sleep(0.1)
         relay.silence()
@@ -123,9 +130,11 @@
     )
     sender, events = anyio.create_memory_object_stream(100)
     source = RegistrationSource(REGISTRATION_PREFIX, read_registration)
-    watch = PrefixWatch(store, REGISTRATION_PREFIX, LOGGER)
+    watch = PrefixWatch(store, REGISTRATION_PREFIX, FAILURES)
     async with anyio.create_task_group() as group:
-        group.start_soon(RegistrationTask(watch, source, sender).run)
+        group.start_soon(
+            RegistrationTask(watch, source, sender, INVALID_ENTRIES).run
+        )
         with anyio.fail_after(RECOVERY_S):
             assert is_leaving(await events.receive())
             changed = []
@@ -160,7 +169,7 @@
 
     async with serve_store() as (group, relay, watched, writer):
         revision = await writer.create(key, b'old')
-        watch = PrefixWatch(watched, prefix, LOGGER)
+        watch = PrefixWatch(watched, prefix, FAILURES)
         group.start_soon(watch.run, handle_list, handle_changes)
         with anyio.fail_after(RECOVERY_S):
             while not relay.connections:
--- a/tests/daemons/test_workers.py
+++ b/tests/daemons/test_workers.py
@@ -1,6 +1,7 @@
 """Tests the calls to one worker, with a client that the tests control."""
 
 import anyio
+from logbook import Logger
 import pytest
 
 from sassafrasgate.core.errors import WorkerUnavailableError
@@ -24,6 +25,8 @@
 from sassafrasgate.dispatch.events import WorkerSilent
 from sassafrasgate.dispatch.state import RunKey
 from sassafrasgate.observability.clocks import now_ms
+from sassafrasgate.observability.failures import FailureRecorder
+from sassafrasgate.observability.metrics import Metrics
 from sassafrasgate.shards.ownership import OwnerLease
 
 pytestmark = pytest.mark.anyio
@@ -88,7 +91,12 @@
         self.commands, inbox = anyio.create_memory_object_stream(100)
         sender, self.events = anyio.create_memory_object_stream(100)
         lease = OwnerLease(now_ms(), ttl_ms=60_000)
-        task = WorkerTask('w', 1, self.client, inbox, sender, lease, 2_000)
+        self.failures = FailureRecorder(Logger('test'), Metrics())
+        task = WorkerTask(
+            *('w', 1, self.client, inbox, sender, lease),
+            self.failures,
+            2_000,
+        )
         group.start_soon(task.run)
 
     async def wait_for(self, kind):
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -16,9 +16,9 @@
 from sassafrasgate.core.workflows import WorkflowState
 from sassafrasgate.observability.metrics import Metrics
 from sassafrasgate.platform.callers import CallerApplication
-from sassafrasgate.platform.callers import MAX_BODY_BYTES
-from sassafrasgate.platform.callers import read_workflow
 from sassafrasgate.platform.callers import ReadyApplication
+from sassafrasgate.platform.jobs import MAX_BODY_BYTES
+from sassafrasgate.platform.jobs import read_workflow
 from sassafrasgate.protocol.workflows import PendingCount
 from sassafrasgate.protocol.workflows import WorkflowView
 
@@ -263,3 +263,39 @@
     assert 'route="callers GET",status="200"' in text
     assert 'route="callers POST",status="400"' in text
     assert 'http_request_seconds_count' in text
+
+
+@pytest.mark.parametrize(
+    ('name', 'value'),
+    [
+        ('request-deadline', '9' * 5_000),
+        ('request-deadline', '1e3'),
+        ('request-deadline', '-5'),
+        ('request-deadline', '٣'.encode()),
+    ],
+)
+async def test_odd_deadline_is_replaced_by_the_default(
+    client, gateway, name, value
+):
+    # Guards against a request that fails by its headers.
+    response = await client.get(f'/q/{JOB}', headers={name: value})
+
+    assert response.status_code == 200
+    assert gateway.calls[0][2] > 0
+
+
+@pytest.mark.parametrize('host', ['[::1', ':::', 'a b', '\x7f'])
+async def test_odd_host_has_no_queue(client, host):
+    # Guards against an error of the parser of URLs.
+    response = await client.get(f'/q/{JOB}', headers={'host': host})
+
+    assert response.status_code == 404
+
+
+async def test_unexpected_error_leaves_the_effect_unknown(client, gateway):
+    # Guards against a status that tells the caller that its job did not run.
+    gateway.submit = None
+
+    response = await client.post(f'/q/{JOB}', content=dumps(BODY))
+
+    assert response.status_code == 504
--- a/tests/platform/test_routing.py
+++ b/tests/platform/test_routing.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from sassafrasgate.core.errors import InputError
 from sassafrasgate.core.routing import AdviceTiming
 from sassafrasgate.core.routing import Pool
 from sassafrasgate.core.routing import Queue
@@ -36,7 +37,6 @@
         ).encode()
     )
 
-    assert table is not None
     assert table.version == 4
     assert table.pools == (Pool('pool', enforces_capacity=True),)
     assert table.queues == (
@@ -57,8 +57,16 @@
 
 @pytest.mark.parametrize(
     'value',
-    [b'', b'{}', b'\xff', b'{"version": "x", "routes": [], "services": []}'],
+    [
+        *(b'', b'{}', b'\xff'),
+        b'{"version": "x", "routes": [], "services": []}',
+        b'{"version": 1%s, "routes": [], "services": []}' % (b'0' * 30),
+        b'{"version": 1, "routes": [], "services": [], "limits": %s}'
+        % (b'[' * 1_500 + b']' * 1_500),
+    ],
+    ids=range(6),
 )
 def test_invalid_configuration_is_ignored(value):
     # A partially decoded table must not replace the last valid one.
-    assert read_routing_table(value) is None
+    with pytest.raises(InputError):
+        read_routing_table(value)
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -25,6 +25,7 @@
     def __init__(self):
         self.status = 200
         self.body = {'clockMs': 1}
+        self.text = ''
         self.delay_s = 0.0
         self.requests = []
 
@@ -37,6 +38,8 @@
             )
         )
         await sleep(self.delay_s)
+        if self.text:
+            return web.Response(text=self.text, status=self.status)
         return web.json_response(self.body, status=self.status)
 
 
@@ -156,7 +159,15 @@
     'body',
     [
         {},
+        {'clockMs': 10**30, 'running': [], 'ended': []},
+        {'clockMs': 1, 'running': [], 'ended': [], 'born': 10**30},
         {'clockMs': 1, 'running': [[]], 'ended': []},
+        {'clockMs': 1, 'running': [['t', 'x', '', 1]], 'ended': []},
+        {'clockMs': 1, 'running': [['t', 1, None, 1]], 'ended': []},
+        {'clockMs': 1, 'running': [['t', 1, '', '1']], 'ended': []},
+        {'clockMs': 1, 'running': [['t', 1, '', 1, 'x']], 'ended': []},
+        {'clockMs': 1, 'running': [], 'ended': [['a', 1, 2, 3, 4]]},
+        {'clockMs': 1, 'running': [], 'ended': [[2**64, 't', 1, 'done', '']]},
         {'clockMs': 1, 'running': [], 'ended': [[1, 't', 1, 'vanished', '']]},
     ],
 )
@@ -168,6 +179,34 @@
         await client.hold(HoldRequest(4_000, 11, 9_000, 0))
 
 
+async def test_deeply_nested_response_raises(worker, client):
+    # Guards against an error that ends the whole process.
+    nested = '[' * 1_500 + ']' * 1_500
+    worker.text = f'{{"clockMs": 1, "running": [], "x": {nested}}}'
+
+    with pytest.raises(WorkerUnavailableError, match='cannot decode'):
+        await client.hold(HoldRequest(4_000, 11, 9_000, 0))
+
+
+@pytest.mark.parametrize(
+    'address', ['127.0.0.1:99999', '127.0.0.1:-1', '127.0.0.1:x', '[::1']
+)
+async def test_call_to_an_invalid_address_was_not_sent(address):
+    # Guards against an error that ends the whole process.
+    async with PlatformWorkerClient('i-1', address, 0.5) as client:
+        with pytest.raises(WorkerUnavailableError) as caught:
+            await client.start(START)
+
+    assert not caught.value.sent
+
+
+async def test_id_that_no_header_can_hold_raises(worker):
+    # Guards against an error that ends the whole process.
+    async with PlatformWorkerClient('i\n1', worker.address, 0.5) as client:
+        with pytest.raises(WorkerUnavailableError):
+            await client.start(START)
+
+
 async def test_hold_with_a_stale_fencing_token_is_refused(worker, client):
     worker.status = 409
     worker.body = {'clockMs': 1, 'reason': 'fence'}
--- a/tests/protocol/test_links.py
+++ b/tests/protocol/test_links.py
@@ -32,7 +32,11 @@
         )
 
     server = LinkServer(
-        address, handle, lambda: Heartbeat('server'), lambda heartbeat: None
+        address,
+        handle,
+        lambda: Heartbeat('server'),
+        lambda heartbeat: None,
+        lambda error: None,
     )
     context = zmq.asyncio.Context()
     async with anyio.create_task_group() as group:
