Don't give up runs on a silent worker by an old rate

Cause: the check for overdue runs used the last rate of a run however old it was. A run with little progress in its first second, on a worker that then did not respond for two seconds, was stopped as soon as the worker came back, though it was nearly done; its gang as well.

Measured: test_a_run_on_a_silent_worker_is_not_judged_by_an_old_rate fails before, for a single task and for a gang, and passes now.

--- a/sassafrasgate/dispatch/stragglers.py
+++ b/sassafrasgate/dispatch/stragglers.py
@@ -164,7 +164,7 @@
 def _is_comparable(state: DispatchState, run: RunEntry) -> bool:
     if run.phase is not RunPhase.PRESENT or run.stopping or run.fills:
         return False
-    if run.rate < 0 or state.now - run.rate_at > MAX_RATE_AGE_MS:
+    if run.rate < 0 or not _has_fresh_rate(state, run):
         return False
     if run.step not in state.steps:
         return False
@@ -172,6 +172,17 @@
     return not step.gang and not step.long_running
 
 
+def _has_fresh_rate(state: DispatchState, run: RunEntry) -> bool:
+    """Return whether a run's rate tells how it advances now.
+
+    That of a run on a worker that does not respond is not known.
+    """
+    worker = state.workers.get(run.worker)
+    if worker is None or worker.silent_since:
+        return False
+    return state.now - run.rate_at <= MAX_RATE_AGE_MS
+
+
 def _find_usual_rate(state: DispatchState, run: RunEntry) -> float | None:
     """Return the usual rate of a step's tasks, or None if unknown.
 
@@ -209,7 +220,7 @@
 def _is_overdue(state: DispatchState, run: RunEntry) -> bool:
     if state.now - run.started_at < run.expected_ms + OVERDUE_MARGIN_MS:
         return False
-    if run.fills:
+    if run.fills or not _has_fresh_rate(state, run):
         return False
     if run.stopping or run.phase is not RunPhase.PRESENT or run.rate < 0:
         return False
--- a/tests/dispatch/test_guards.py
+++ b/tests/dispatch/test_guards.py
@@ -136,9 +136,9 @@
     """The number of attempts of a task is limited."""
     apply_run_end = recovery.apply_run_end
 
-    def patched(state, record, key):
+    def patched(state, record, key, index):
         if record.how is not EndKind.FAILED:
-            apply_run_end(state, record, key)
+            apply_run_end(state, record, key, index)
 
     patch.setattr(recovery, 'apply_run_end', patched)
 
--- a/tests/dispatch/test_stragglers.py
+++ b/tests/dispatch/test_stragglers.py
@@ -1,7 +1,10 @@
 """Tests of runs on workers that become slow or stall."""
 
+import pytest
+
 from sassafrasgate.core.workflows import EndKind
 from sassafrasgate.dispatch.actions import StopRun
+from sassafrasgate.dispatch.events import WorkerSilent
 from sassafrasgate.dispatch.stragglers import INITIAL_PAUSE_MS
 from sassafrasgate.dispatch.stragglers import RATE_WINDOW_MS
 from sassafrasgate.dispatch.stragglers import STALL_MS
@@ -123,3 +126,22 @@
     driver = Driver(workers=2)
     (start,) = driver.confirm(driver.submit(JOB, make_step(1, 1_000)))
     assert not select_actions(run_slowly(driver, [start], 20, 4), StopRun)
+
+
+@pytest.mark.parametrize('gang', [False, True])
+def test_a_run_on_a_silent_worker_is_not_judged_by_an_old_rate(gang):
+    # Guards against work that is given up because its worker was silent for a
+    # while: the run made little progress before and much of it since.
+    driver = Driver(workers=2)
+    step = make_step(2 if gang else 1, 1_000, gang=gang, max_per_worker=1)
+    starts = driver.confirm(driver.submit(JOB, step))
+    silent = starts[0].worker
+    actions = advance(driver, RATE_WINDOW_MS, {silent: 1})
+    for _ in range(7):
+        actions += driver.feed(WorkerSilent(silent, driver.now + 5_000))
+        actions += driver.wait(500)
+    for start in starts:
+        driver.running[start.worker][start.run] = 90
+        actions += driver.report(start.worker)
+    actions += driver.wait(500)
+    assert not select_actions(actions, StopRun)
