Don't take leases for expired while reports wait in the inbox

Cause: the timer of an owner looks for expired leases at the time at which its event is handled. In an overloaded owner that is seconds after the event was queued, while the task of a worker goes on renewing the lease; the reports that tell so wait behind the event. A worker that had missed one poll lost its runs, which started again elsewhere while they still ran: a task in two places. A shard of the project's own interface needs no missed poll for the same.

Change: the event carries the time at which the timer fired, and only leases that had expired by then count. All reports of that time have been handled before it. The same holds for the leases of previous owners.

--- a/sassafrasgate/daemons/dispatcher.py
+++ b/sassafrasgate/daemons/dispatcher.py
@@ -306,7 +306,7 @@
     async def _tick(self) -> None:
         while True:
             await anyio.sleep(TICK_INTERVAL_S)
-            await self.events.send(Ticked(wall_ms()))
+            await self.events.send(Ticked(wall_ms(), now_ms()))
 
     async def _serve(self) -> None:
         """Handle events and run a scheduling pass whenever one is due.
--- a/sassafrasgate/daemons/shards.py
+++ b/sassafrasgate/daemons/shards.py
@@ -265,7 +265,7 @@
     async def _tick(self) -> None:
         while True:
             await anyio.sleep(TICK_INTERVAL_S)
-            await self.events.send(Ticked(wall_ms()))
+            await self.events.send(Ticked(wall_ms(), now_ms()))
 
     async def _serve(self) -> None:
         async for event in self._inbox:
--- a/sassafrasgate/dispatch/reports.py
+++ b/sassafrasgate/dispatch/reports.py
@@ -443,24 +443,31 @@
     )
 
 
-def expire_leases(state: DispatchState) -> Actions:
+def expire_leases(state: DispatchState, known_until: int) -> Actions:
     """Handle leases that have expired without a report.
 
     Runs on silent workers are lost once all leases there have expired.
     Workers that previous owners may have used count as reconciled once the
     leases of those owners have expired.
+
+    Parameters
+    ----------
+    known_until : int
+        Owner's clock, in ms, up to which all reports have been handled.
+        Later ones, which may still wait in the inbox, may show that a lease
+        has been renewed.
     """
     for worker, entry in list(state.workers.items()):
         if not entry.silent_since or entry.leases_expired:
             continue
-        if not entry.leases_expire_at or state.now < entry.leases_expire_at:
+        if not entry.leases_expire_at or known_until < entry.leases_expire_at:
             continue
         state.update_worker(worker, leases_expired=True)
         yield from lose_worker_runs(
             state, worker, 'the lease of the silent worker has expired'
         )
     for worker, expires_at in list(state.unreconciled_workers.items()):
-        if state.now < expires_at:
+        if known_until < expires_at:
             continue
         del state.unreconciled_workers[worker]
         state.needs_pass = True
--- a/sassafrasgate/dispatch/timers.py
+++ b/sassafrasgate/dispatch/timers.py
@@ -30,7 +30,7 @@
 @EVENT_HANDLERS.register(Ticked)
 def handle_tick(state: DispatchState, event: Ticked) -> Actions:
     """Do the periodic work and request a scheduling pass if needed."""
-    yield from expire_leases(state)
+    yield from expire_leases(state, event.fired_at or state.now)
     yield from repeat_stops(state)
     yield from stop_incomplete_gangs(state)
     yield from handle_stragglers(state)
--- a/sassafrasgate/shards/events.py
+++ b/sassafrasgate/shards/events.py
@@ -193,9 +193,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Ticked:
-    """The periodic timer has fired."""
+    """The periodic timer has fired.
+
+    Parameters
+    ----------
+    fired_at : int
+        Owner's clock, in ms, when it fired; 0 for the time of the decision.
+        The event may wait in the inbox before reports of workers that arrived
+        meanwhile, so only leases that had expired by then are known to have
+        no later renewal.
+    """
 
     wall_ms: int = 0
+    fired_at: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/sassafrasgate/shards/timers.py
+++ b/sassafrasgate/shards/timers.py
@@ -48,7 +48,7 @@
     yield from expire_submits(state, now)
     yield from expire_quick_requests(state, now)
     yield from expire_waiters(state, now)
-    yield from expire_host_leases(state, now)
+    yield from expire_host_leases(state, event.fired_at or now)
     yield from _repeat_stops(state)
     yield from resend_unanswered(state, now)
     yield from publish_summary(state, now)
