Look at the workers once in a scheduling pass

Change: one loop checks the workers, health is looked up only for workers that have failed runs, the maxima come from the interpreter's own loops, and the sums are computed at the first gang of a pass. Links complete requests in one place, also those that cannot be encoded and whose caller no longer waits.

--- a/sassafrasgate/dispatch/gangs.py
+++ b/sassafrasgate/dispatch/gangs.py
@@ -11,6 +11,7 @@
 from sassafrasgate.dispatch.advice import request_advice
 from sassafrasgate.dispatch.launches import start_run
 from sassafrasgate.dispatch.plans import estimate_run_ms
+from sassafrasgate.dispatch.plans import find_total_free
 from sassafrasgate.dispatch.plans import GangReservation
 from sassafrasgate.dispatch.plans import list_run_ends
 from sassafrasgate.dispatch.plans import list_unasked_workers
@@ -76,7 +77,8 @@
     demand = compute_reservation(step)
     chosen: dict[str, int] = {}
     admitted = [*startable, *unticketed]
-    if demand.scale(step.tasks).fits_in(plan.total_free[queue.pool]):
+    total_free = find_total_free(state, plan, queue.pool)
+    if demand.scale(step.tasks).fits_in(total_free):
         chosen = _assign_gang(state, plan, step, demand, startable)
         if chosen:
             yield from _start_gang(state, plan, key, step, job, chosen, demand)
--- a/sassafrasgate/dispatch/plans.py
+++ b/sassafrasgate/dispatch/plans.py
@@ -4,8 +4,10 @@
 
 from dataclasses import dataclass
 from dataclasses import field
+from operator import attrgetter
 from typing import TYPE_CHECKING
 
+from sassafrasgate.core.resources import NO_RESOURCES
 from sassafrasgate.core.resources import Resources
 from sassafrasgate.dispatch.advice import is_ticket_valid
 from sassafrasgate.dispatch.health import find_run_allowance
@@ -16,11 +18,14 @@
 from sassafrasgate.dispatch.stragglers import is_paused_as_slow
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Iterable
 
     from sassafrasgate.core.workflows import Step
 
 NO_ADVICE = StepAdvice()
+_GET_MILLICORES = attrgetter('millicores')
+_GET_MEMORY = attrgetter('memory_mb')
+_GET_ACCELERATORS = attrgetter('accelerators')
 # Progress below this percentage says little about the speed of a run.
 MIN_PROGRESS_PERCENT = 10
 # A run past its expected end is assumed to need this fraction of its expected
@@ -58,10 +63,11 @@
         Workers that may get new runs, by pool and id.
     allowances : dict
         Maximum number of further runs on each worker in probation.
-    max_free, total_free : dict
+    max_free : dict
         By pool, the largest amount of each resource that is free on one
-        usable worker, and the sum over all usable workers, when the pass
-        began. A larger demand cannot be placed.
+        usable worker when the pass began. A larger demand cannot be placed.
+    total_free : dict
+        By pool, the sums that `find_total_free` has computed.
     reservations : dict
         Capacity that is reserved for gangs, by worker.
     reserved_gangs : int
@@ -74,7 +80,7 @@
     usable: dict[str, dict[str, WorkerEntry]]
     allowances: dict[str, int]
     max_free: dict[str, Resources]
-    total_free: dict[str, Resources]
+    total_free: dict[str, Resources] = field(default_factory=dict)
     reservations: dict[str, GangReservation] = field(default_factory=dict)
     reserved_gangs: int = 0
     run_ends: dict[str, list[tuple[int, Resources]]] = field(
@@ -84,56 +90,91 @@
 
 def make_plan(state: DispatchState) -> PassPlan:
     """Return the plan for a scheduling pass that begins now."""
-    usable: dict[str, dict[str, WorkerEntry]] = {}
+    usable = _list_usable_workers(state)
     allowances: dict[str, int] = {}
-    for worker, entry in state.workers.items():
-        if not _is_usable(state, entry):
-            continue
+    for worker in state.health:
         allowance = find_run_allowance(state, worker)
-        if allowance == 0:
+        if allowance is None:
             continue
-        if allowance is not None:
-            allowances[worker] = allowance
-        usable.setdefault(entry.registration.pool, {})[worker] = entry
-    free_by_pool = {
-        pool: [state.free_resources[worker] for worker in workers]
-        for pool, workers in usable.items()
-    }
+        allowances[worker] = allowance
+        if allowance == 0:
+            for workers in usable.values():
+                workers.pop(worker, None)
     return PassPlan(
         usable,
         allowances,
         {
-            pool: _combine_free(max, found)
-            for pool, found in free_by_pool.items()
-        },
-        {
-            pool: _combine_free(sum, found)
-            for pool, found in free_by_pool.items()
+            pool: _find_max_free(state, workers)
+            for pool, workers in usable.items()
         },
     )
 
 
-def _combine_free(
-    combine: Callable[[list[int]], int], amounts: list[Resources]
+def _list_usable_workers(
+    state: DispatchState,
+) -> dict[str, dict[str, WorkerEntry]]:
+    """Return the workers that may get runs but for their health, by pool.
+
+    Each pass looks at every worker, so that the checks are in one place
+    without a call for each of them.
+    """
+    usable: dict[str, dict[str, WorkerEntry]] = {}
+    slow = {
+        name for name in state.slow_workers if is_paused_as_slow(state, name)
+    }
+    now = state.now
+    for worker, entry in state.workers.items():
+        registration = entry.registration
+        if (
+            entry.silent_since
+            or registration.leaving
+            or not entry.registered
+            or not entry.epoch_acknowledged
+            or not entry.recorded
+            or entry.unknown_runs
+            or entry.avoid_until > now
+            or worker in slow
+        ):
+            continue
+        workers = usable.get(registration.pool)
+        if workers is None:
+            workers = usable[registration.pool] = {}
+        workers[worker] = entry
+    return usable
+
+
+def _find_max_free(
+    state: DispatchState, workers: dict[str, WorkerEntry]
 ) -> Resources:
-    """Combine free amounts by resource; a negative amount counts as 0."""
+    free = [state.free_resources[worker] for worker in workers]
     return Resources(
-        combine([max(0, amount.millicores) for amount in amounts]),
-        combine([max(0, amount.memory_mb) for amount in amounts]),
-        combine([max(0, amount.accelerators) for amount in amounts]),
-    )
+        max(map(_GET_MILLICORES, free), default=0),
+        max(map(_GET_MEMORY, free), default=0),
+        max(map(_GET_ACCELERATORS, free), default=0),
+    ).take_maximum(NO_RESOURCES)
 
 
-def _is_usable(state: DispatchState, entry: WorkerEntry) -> bool:
-    return (
-        entry.epoch_acknowledged
-        and entry.takes_starts
-        and entry.recorded
-        and not entry.silent_since
-        and not entry.unknown_runs
-        and entry.avoid_until <= state.now
-        and not is_paused_as_slow(state, entry.registration.worker)
-    )
+def find_total_free(
+    state: DispatchState, plan: PassPlan, pool: str
+) -> Resources:
+    """Return the free amount of each resource on a pool's usable workers.
+
+    A gang that needs more cannot start now. The sum is computed at the first
+    gang of a pass; later starts of the pass are not subtracted.
+    """
+    total = plan.total_free.get(pool)
+    if total is None:
+        free = [state.free_resources[worker] for worker in plan.usable[pool]]
+        total = plan.total_free[pool] = Resources(
+            _add_positive(map(_GET_MILLICORES, free)),
+            _add_positive(map(_GET_MEMORY, free)),
+            _add_positive(map(_GET_ACCELERATORS, free)),
+        )
+    return total
+
+
+def _add_positive(amounts: Iterable[int]) -> int:
+    return sum(amount for amount in amounts if amount > 0)
 
 
 def match_workers(
--- a/sassafrasgate/protocol/links.py
+++ b/sassafrasgate/protocol/links.py
@@ -264,10 +264,10 @@
         self._counts.bad_frames += 1
         if outgoing.reply_to is None:
             return
-        outgoing.reply_to.send_nowait(
-            NoReply(f'cannot encode a {outgoing.message.kind!r}: {error}')
+        _complete_request(
+            outgoing.reply_to,
+            NoReply(f'cannot encode a {outgoing.message.kind!r}: {error}'),
         )
-        outgoing.reply_to.close()
 
     async def _receive_replies(self, socket: zmq.asyncio.Socket) -> None:
         while True:
@@ -285,21 +285,13 @@
         reply = envelope.body
         if isinstance(reply, OutcomeUnknown):
             reply = reply.to_no_reply()
-        try:
-            reply_to.send_nowait(reply)
-        except (anyio.BrokenResourceError, anyio.WouldBlock):
+        if not _complete_request(reply_to, reply):
             self._counts.dropped_answers += 1
-        reply_to.close()
 
     def _fail_open_requests(self, reason: str) -> None:
         """Complete open requests, whose replies can no longer arrive."""
         for reply_to in self._open_requests.values():
-            try:
-                reply_to.send_nowait(NoReply(reason))
-            except (anyio.BrokenResourceError, anyio.WouldBlock):
-                continue
-            finally:
-                reply_to.close()
+            _complete_request(reply_to, NoReply(reason))
         self._open_requests.clear()
 
 
@@ -438,6 +430,19 @@
         return LinkCounts(**vars(self))
 
 
+def _complete_request(
+    reply_to: MemoryObjectSendStream[Any], reply: Any
+) -> bool:
+    """Pass a reply on; return False if its caller no longer waits."""
+    try:
+        reply_to.send_nowait(reply)
+    except (anyio.BrokenResourceError, anyio.WouldBlock):
+        return False
+    finally:
+        reply_to.close()
+    return True
+
+
 def _read_frame(
     frame: bytes,
     counts: _LinkCounter,
