--- a/sassafrasgate/daemons/leases.py
+++ b/sassafrasgate/daemons/leases.py
@@ -15,6 +15,8 @@
 from sassafrasgate.core.errors import StoreError
 from sassafrasgate.core.errors import StoreLeaseLostError
 from sassafrasgate.core.errors import StoreUnavailableError
+from sassafrasgate.core.inputs import Amount
+from sassafrasgate.core.inputs import Natural
 from sassafrasgate.journal.rate_limits import CallPriority
 from sassafrasgate.observability.clocks import now_ms
 from sassafrasgate.shards.ownership import OUTAGE_GRACE_MS
@@ -58,8 +60,8 @@
     role: str
     link_address: str
     failure_domain: str
-    weight: float = 0.0
-    started_ms: int = 0
+    weight: Amount = 0.0
+    started_ms: Natural = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/sassafrasgate/journal/records.py
+++ b/sassafrasgate/journal/records.py
@@ -204,6 +204,8 @@
 
 
 _ENCODER = Encoder()
+# Writer, epoch, sequence and records of an encoded entry.
+_EntryFields = tuple[str, int, int, bytes]
 
 
 def encode_records(records: Iterable[Any]) -> bytes:
@@ -252,7 +254,7 @@
         When the value is damaged.
     """
     try:
-        writer, epoch, sequence, records = decode(data)
+        writer, epoch, sequence, records = convert(decode(data), _EntryFields)
     except DECODE_ERRORS as error:
         raise MessageError(
             f'cannot decode a journal entry of {len(data)} bytes: {error}; '
--- a/sassafrasgate/platform/store.py
+++ b/sassafrasgate/platform/store.py
@@ -4,7 +4,6 @@
 
 from base64 import b64decode
 from base64 import b64encode
-import binascii
 from typing import Any
 from typing import TYPE_CHECKING
 from typing import TypeVar
@@ -310,6 +309,6 @@
         return Item(item.key, None, item.revision)
     try:
         value = b64decode(item.value)
-    except binascii.Error:
+    except ValueError:
         value = b''
     return Item(item.key, value, item.revision)
--- a/tests/platform/test_odd_inputs.py
+++ b/tests/platform/test_odd_inputs.py
@@ -200,6 +200,7 @@
 @example(content=b'"\\ud800"')
 @example(content=b'\x91' * 1_500 + b'\xc0')
 @example(content=b'\x94\xa1w\x01\x02\xc4\x03\x91\xc0\xc0')
+@example(content=b'\x94\x00\x00\x00\x00')
 def test_odd_bytes(name, content):
     # Guards against errors of the parsers other than their own.
     decode = MESSAGEPACK_DECODERS.get(name)
@@ -239,3 +240,17 @@
     refusal = read_workflow(dumps({**JOB, 'steps': steps, **series}).encode())
 
     assert getattr(refusal, 'kind', '') == 'invalid'
+
+
+@pytest.mark.parametrize(
+    ('name', 'path', 'odd'),
+    [
+        ('member', ('started_ms',), 10**30),
+        ('store events', ('events', 0, 'value'), 'é'),
+    ],
+)
+def test_values_that_a_longer_search_has_found(name, path, odd):
+    # Guards against a number beyond 64 bits, and against text that is not
+    # ASCII in place of Base64.
+    decode, document = JSON_DECODERS[name]
+    check(decode, dumps(replace_at(document, path, odd)).encode())
