--- a/tests/soak/cells.py
+++ b/tests/soak/cells.py
@@ -252,12 +252,16 @@
         async with self._session.post(url, json=body) as response:
             response.raise_for_status()
 
-    async def run_job(self, entry: EntryHost, job_id: str) -> str:
-        """Submit a job of one short task and return its last state.
+    async def run_job(
+        self, entry: EntryHost, job_id: str, estimate_ms: int = 50
+    ) -> str:
+        """Submit a job of one task and return its last state.
 
         The job counts as unfinished after `JOB_TIMEOUT_S`.
         """
-        steps = [{'count': 1, 'cpu': 500, 'memMb': 500, 'estimateMs': 50}]
+        steps = [
+            {'count': 1, 'cpu': 500, 'memMb': 500, 'estimateMs': estimate_ms}
+        ]
         job = {'spec': dumps(steps), 'steps': steps}
         url = f'http://{entry.caller_address}/{QUEUES[0]}/{job_id}'
         state = 'not accepted'
--- a/tests/standins/platform_workers.py
+++ b/tests/standins/platform_workers.py
@@ -311,6 +311,8 @@
                 'starts_while_leaving': self._starts_while_leaving,
                 'finished': sorted(rules.finished),
                 'started': sorted(rules.started),
+                'starts': rules.starts,
+                'failures': sum(rules.failures.values()),
                 'running': sum(
                     len(worker.runs)
                     for worker in self._cluster.workers.values()
