--- a/review/3/case.py
+++ b/review/3/case.py
@@ -14,7 +14,7 @@
 from harness import main
 
 # The largest `for_s` of `srv_crash` on the site is 4.7 s.
-DOWN_S = 0.15
+DOWN_S = 0.05
 # finish_s of the site, and several seconds more.
 WATCH_S = 25.0
 
