Read on when a previous owner writes before the takeover record

If the previous owner lives and writes its next entry in between, the compare-and-swap fails, but the conflict was resolved by epoch alone: every entry of a lower epoch counted as an outdated one behind a gap, and was overwritten with the revision just read. The previous owner had acknowledged what was in it.

The owner of such an entry has sent it concurrently with one that it could not write, and replies wait for all earlier entries, so nobody has an answer that rests on it. An entry with the takeover record's own number belongs to the log; the new owner reads it and tries the next number while its lease is valid.

The takeover line has the number of conflicts; its fields read_ms and replayed_ms are now opened_ms, since the records are replayed after the takeover record is written.

--- a/models/ownership.py
+++ b/models/ownership.py
@@ -14,10 +14,10 @@
 
 from models.specifications import register_specification
 from models.specifications import StateMachine
-from sassafrasgate.journal.ring_buffer import classify_slot
-from sassafrasgate.journal.ring_buffer import is_slot_covered
-from sassafrasgate.journal.ring_buffer import is_successor_pointer
-from sassafrasgate.journal.ring_buffer import SlotState
+from sassafrasgate.journal.slots import classify_slot
+from sassafrasgate.journal.slots import is_slot_covered
+from sassafrasgate.journal.slots import is_successor_pointer
+from sassafrasgate.journal.slots import SlotState
 
 if TYPE_CHECKING:
     from models.specifications import Predicate
--- a/models/run.py
+++ b/models/run.py
@@ -20,6 +20,7 @@
 
 MODULES = (
     'ownership',
+    'pipelines',
     'trimming',
     'fencing',
     'attempts',
--- a/sassafrasgate/core/errors.py
+++ b/sassafrasgate/core/errors.py
@@ -179,3 +179,11 @@
 
 class ShardLostError(SassafrasgateError):
     """Another process has taken over a shard's journal."""
+
+
+class TakeoverConflictError(ShardLostError):
+    """A previous owner has written the entry of a takeover record's number.
+
+    That entry belongs to the log. The new owner has to read it before it
+    takes the shard over behind it.
+    """
--- a/sassafrasgate/daemons/shards.py
+++ b/sassafrasgate/daemons/shards.py
@@ -16,12 +16,10 @@
 
 from sassafrasgate.adapters.schemes import open_worker
 from sassafrasgate.adapters.store import Store
-from sassafrasgate.core.errors import MessageError
 from sassafrasgate.core.errors import NoReply
 from sassafrasgate.core.errors import Refusal
 from sassafrasgate.core.errors import RefusalKind
 from sassafrasgate.core.errors import ShardLostError
-from sassafrasgate.core.errors import StoreUnavailableError
 from sassafrasgate.core.jobs import JobState
 from sassafrasgate.daemons.hosts import HostTask
 from sassafrasgate.daemons.inboxes import InboxTable
@@ -39,9 +37,7 @@
 from sassafrasgate.daemons.replies import ReplyTable
 from sassafrasgate.daemons.shard_actions import SHARD_ACTION_HANDLERS
 from sassafrasgate.daemons.snapshots import SnapshotSchedule
-from sassafrasgate.journal.records import Takeover
-from sassafrasgate.journal.ring_buffer import Journal
-from sassafrasgate.journal.ring_buffer import load_journal
+from sassafrasgate.journal.takeovers import JournalOpener
 from sassafrasgate.observability.clocks import now_ms
 from sassafrasgate.observability.clocks import wall_ms
 from sassafrasgate.observability.failures import FailureRecorder
@@ -81,10 +77,10 @@
     from anyio.abc import TaskGroup
 
     from sassafrasgate.core.cells import Configuration
+    from sassafrasgate.journal.ring_buffer import Journal
     from sassafrasgate.protocol.links import IncomingRequest
 
 TICK_INTERVAL_S = 0.2
-LOAD_RETRY_DELAY_S = 0.3
 PEER_TIMEOUT_S = 2.0
 JOB_COUNT_INTERVAL_MS = 5_000
 # Kinds of decisions whose reason begins with the status of the attempt.
@@ -215,35 +211,23 @@
         # ends and for deadlines.
         self.state.wall_ms = wall_ms()
         await self._process_event(ConfigurationChanged(self._configuration))
-        while True:
-            try:
-                loaded = await load_journal(self.services.store, self.shard)
-                break
-            except StoreUnavailableError:
-                await anyio.sleep(LOAD_RETRY_DELAY_S)
-            except MessageError as error:
-                self._loss_reason = str(error)
-                return None
-        replay_records(self.state, loaded.records)
-        for entry in list(self.state.jobs.values()):
-            self.state.update_job(entry.job_id, durable=True)
-        takeover = Takeover(
-            self.state.epoch + 1,
+        opener = JournalOpener(
+            self.services.store,
+            self.shard,
             self.services.owner,
-            self._lease.grace_ms,
-            self._lease.ttl_ms,
-        )
-        journal = Journal(
-            self.services.store, self.shard, self.services.owner, loaded
+            lambda: self._lease,
         )
-        journal.epoch = takeover.epoch
         try:
-            await journal.append((takeover,))
+            opened = await opener.open(await opener.load())
         except ShardLostError as error:
             self._loss_reason = str(error)
             return None
-        self._snapshots = SnapshotSchedule(journal.uncovered_entries)
-        replay_records(self.state, (takeover,))
+        records = opened.loaded.records
+        replay_records(self.state, records)
+        for entry in list(self.state.jobs.values()):
+            self.state.update_job(entry.job_id, durable=True)
+        self._snapshots = SnapshotSchedule(opened.journal.uncovered_entries)
+        replay_records(self.state, (opened.takeover,))
         begin_ownership(self.state, now_ms())
         self._request_snapshot()
         resume_transfers(self.state)
@@ -252,10 +236,11 @@
                 'takeover',
                 '',
                 reason=f'{len(self.state.jobs)} jobs, '
-                f'{len(loaded.records)} records',
+                f'{len(records)} records, '
+                f'{opened.conflicts} conflicts',
             )
         )
-        return journal
+        return opened.journal
 
     async def _run_journal(self, writer: JournalTask) -> None:
         reason = await run_journal(writer)
--- a/sassafrasgate/daemons/takeovers.py
+++ b/sassafrasgate/daemons/takeovers.py
@@ -2,33 +2,29 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from dataclasses import dataclass
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
-import anyio
-
-from sassafrasgate.core.errors import MessageError
 from sassafrasgate.core.errors import ShardLostError
-from sassafrasgate.core.errors import StoreError
 from sassafrasgate.dispatch.actions import LogEvent
 from sassafrasgate.dispatch.recovery import begin_ownership
 from sassafrasgate.dispatch.recovery import replay_records
-from sassafrasgate.journal.records import Takeover
 from sassafrasgate.journal.ring_buffer import Journal
-from sassafrasgate.journal.ring_buffer import load_journal
+from sassafrasgate.journal.takeovers import JournalOpener
 from sassafrasgate.observability.clocks import now_ms
 from sassafrasgate.observability.clocks import wall_ms
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from sassafrasgate.core.stores import KeyStore
     from sassafrasgate.dispatch.state import DispatchState
     from sassafrasgate.journal.ring_buffer import LoadedJournal
+    from sassafrasgate.journal.takeovers import OpenedJournal
     from sassafrasgate.shards.ownership import OwnerLease
 
-LOAD_RETRY_DELAY_S = 0.1
-
-ReadLease = Callable[[], 'OwnerLease']
+    ReadLease = Callable[[], OwnerLease]
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,56 +64,58 @@
         When the lease expires first, another process has taken the shard
         over, or the journal can't be read.
     """
+
+    def read_valid_lease() -> OwnerLease:
+        lease = read_lease()
+        _check_lease(lease)
+        return lease
+
     began = now_ms()
-    loaded = handed_over_journal or await _load_journal(
-        store, state.shard, read_lease
+    opener = JournalOpener(
+        store,
+        state.shard,
+        state.owner,
+        read_valid_lease,
+        record_failed_append,
     )
-    read_ms = now_ms() - began
-    lease = read_lease()
-    _check_lease(lease)
-    replay_records(state, loaded.records)
-    replayed_ms = now_ms() - began
-    takeover = Takeover(
-        state.epoch + 1, state.owner, lease.grace_ms, lease.ttl_ms
-    )
-    journal = Journal(
-        store, state.shard, state.owner, loaded, record_failed_append
-    )
-    journal.epoch = takeover.epoch
-    await journal.append((takeover,))
-    replay_records(state, (takeover,))
+    if handed_over_journal is not None:
+        opened = await _open_handed_over(state, opener, handed_over_journal)
+    else:
+        opened = await opener.open(await opener.load())
+        replay_records(state, opened.loaded.records)
+    opened_ms = now_ms() - began
+    replay_records(state, (opened.takeover,))
     state.now, state.wall_ms = now_ms(), wall_ms()
     begin_ownership(state)
     return CompletedTakeover(
-        journal,
+        opened.journal,
         LogEvent(
             'takeover',
             '',
             (
                 ('jobs', len(state.jobs)),
-                ('records', len(loaded.records)),
+                ('records', len(opened.loaded.records)),
                 ('workers', len(state.recorded_workers)),
                 ('unreconciled', len(state.unreconciled_workers)),
                 ('released', state.handover_lease_ms >= 0),
-                ('read_ms', read_ms),
-                ('replayed_ms', replayed_ms),
+                ('conflicts', opened.conflicts),
+                ('opened_ms', opened_ms),
                 ('took_ms', now_ms() - began),
             ),
         ),
     )
 
 
-async def _load_journal(
-    store: KeyStore, shard: str, read_lease: ReadLease
-) -> LoadedJournal:
-    while True:
-        _check_lease(read_lease())
-        try:
-            return await load_journal(store, shard)
-        except StoreError:
-            await anyio.sleep(LOAD_RETRY_DELAY_S)
-        except MessageError as error:
-            raise ShardLostError(str(error)) from error
+async def _open_handed_over(
+    state: DispatchState, opener: JournalOpener, journal: LoadedJournal
+) -> OpenedJournal:
+    """Continue a journal whose records the previous owner has sent.
+
+    If an entry has been written behind them, the previous owner has taken
+    the offer back, and the shard is claimed like any other.
+    """
+    replay_records(state, journal.records)
+    return await opener.append_takeover(replace(journal, epoch=state.epoch))
 
 
 def _check_lease(lease: OwnerLease) -> None:
--- a/sassafrasgate/journal/ring_buffer.py
+++ b/sassafrasgate/journal/ring_buffer.py
@@ -8,15 +8,16 @@
 would cost a second write for each entry.
 
 An owner may write several entries concurrently. An entry takes effect only
-once all entries before it are in their slots. A successor may find a later
-entry behind a gap. That entry has a lower epoch than the successor, which
-overwrites it.
+once all entries before it are in their slots. A successor fills the first gap
+with its takeover record. It may find entries behind the gap, of a lower epoch,
+and overwrites them. If the previous owner fills the gap first, its entry
+belongs to the log, and the successor reads on. `slots` has these rules.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass
-from enum import StrEnum
+from dataclasses import replace
 from time import monotonic
 from typing import Any
 from typing import TYPE_CHECKING
@@ -29,14 +30,22 @@
 from sassafrasgate.core.errors import StoreConflictError
 from sassafrasgate.core.errors import StoreError
 from sassafrasgate.core.errors import StoreUnavailableError
+from sassafrasgate.core.errors import TakeoverConflictError
 from sassafrasgate.journal.rate_limits import CallPriority
 from sassafrasgate.journal.records import decode_entry
 from sassafrasgate.journal.records import decode_records
 from sassafrasgate.journal.records import encode_entry
 from sassafrasgate.journal.records import encode_records
 from sassafrasgate.journal.records import JournalEntry
+from sassafrasgate.journal.slots import classify_slot
+from sassafrasgate.journal.slots import ends_log
+from sassafrasgate.journal.slots import is_slot_covered
+from sassafrasgate.journal.slots import is_successor_pointer
+from sassafrasgate.journal.slots import may_replace_entry
+from sassafrasgate.journal.slots import SlotState
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable
     from collections.abc import Callable
     from collections.abc import Iterable
 
@@ -83,6 +92,8 @@
         snapshot.
     snapshot_chunks, snapshot_revision : int
         Number of chunks of the snapshot, and revision of its pointer key.
+    epoch : int
+        Epoch of the last owner that has written to the journal.
     """
 
     records: tuple[Any, ...]
@@ -91,6 +102,7 @@
     snapshot_sequence: int
     snapshot_chunks: int
     snapshot_revision: int
+    epoch: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,8 +120,9 @@
     entry: JournalEntry | None
     revision: int
 
-    def classify(self, expected: int, epoch: int) -> SlotState:
-        if self.entry is None or self.entry.epoch < epoch:
+    def classify(self, expected: int, log_epoch: int) -> SlotState:
+        """Compare the slot with an entry of the log, for a reader."""
+        if self.entry is None or ends_log(self.entry.epoch, log_epoch):
             return SlotState.FREE
         return classify_slot(self.entry.sequence, expected)
 
@@ -133,70 +146,6 @@
     value: bytes
 
 
-class SlotState(StrEnum):
-    """Content of a ring slot relative to an expected entry number."""
-
-    FREE = 'free'
-    PRESENT = 'present'
-    NEWER = 'newer'
-
-
-def classify_slot(found: int | None, expected: int) -> SlotState:
-    """Compare the entry of a slot with an expected entry.
-
-    Parameters
-    ----------
-    found : int or None
-        Number of the entry in the slot; None when the slot is empty.
-    expected : int
-        Number of an entry that belongs in the slot.
-
-    Returns
-    -------
-    SlotState
-        ``FREE`` when the slot is empty or holds an earlier entry.
-
-    Examples
-    --------
-    >>> classify_slot(7, 7 + RING_SLOTS)
-    <SlotState.FREE: 'free'>
-    """
-    if found is None or found < expected:
-        return SlotState.FREE
-    return SlotState.PRESENT if found == expected else SlotState.NEWER
-
-
-def is_slot_covered(sequence: int, snapshot_sequence: int, slots: int) -> bool:
-    """Return whether an entry would overwrite only entries in the snapshot.
-
-    Parameters
-    ----------
-    sequence, snapshot_sequence : int
-        Number of the entry, and of the last one that the snapshot covers.
-    slots : int
-        Number of slots in the ring.
-    """
-    return sequence - snapshot_sequence <= slots
-
-
-def is_successor_pointer(sequence: int, next_sequence: int) -> bool:
-    """Return whether a snapshot was written by a successor of this owner.
-
-    A successor's snapshots cover its takeover record, which has this owner's
-    next number or a later one. A pointer below that number was written by
-    this owner in a write whose reply was lost, or by a delayed write of a
-    previous owner.
-
-    Parameters
-    ----------
-    sequence : int
-        Number of the last entry that the found snapshot covers.
-    next_sequence : int
-        Number of the next entry of this owner.
-    """
-    return sequence >= next_sequence
-
-
 def make_entry_key(shard: str, sequence: int) -> str:
     """Return the key of the slot for a journal entry."""
     return f'{make_ring_prefix(shard)}{sequence % RING_SLOTS:04d}'
@@ -246,27 +195,72 @@
     if reader.chunks:
         data = b''.join(reader.chunks[n] for n in range(pointer.chunks))
         records.extend(decode_records(data))
-    epoch = pointer.epoch
+
+    async def read_slot(number: int) -> _Slot:
+        await reader.read_block(_find_block(number))
+        return reader.slots.get(number % RING_SLOTS, _Slot(None, 0))
+
+    start = LoadedJournal(
+        tuple(records),
+        sequence,
+        0,
+        pointer.sequence,
+        pointer.chunks,
+        pointer.revision,
+        pointer.epoch,
+    )
+    loaded = await _read_log(start, read_slot)
+    # Without a result, the owner has wrapped around the ring during the
+    # read, and has written a newer snapshot.
+    return loaded or await load_journal(store, shard)
+
+
+async def read_new_entries(
+    store: KeyStore, shard: str, loaded: LoadedJournal
+) -> LoadedJournal:
+    """Read the entries that were written after a journal was loaded.
+
+    Raises
+    ------
+    StoreUnavailableError
+        When a read gets no reply.
+    """
+
+    async def read_slot(number: int) -> _Slot:
+        return await _read_slot(store, shard, number)
+
+    return await _read_log(loaded, read_slot) or await load_journal(
+        store, shard
+    )
+
+
+async def _read_log(
+    loaded: LoadedJournal, read_slot: Callable[[int], Awaitable[_Slot]]
+) -> LoadedJournal | None:
+    """Append the entries from ``next_sequence`` on to a loaded journal.
+
+    Returns
+    -------
+    LoadedJournal or None
+        None when a slot holds an entry of a later lap around the ring.
+    """
+    records = list(loaded.records)
+    sequence, epoch = loaded.next_sequence, loaded.epoch
     while True:
-        await reader.read_block(_find_block(sequence))
-        slot = reader.slots.get(sequence % RING_SLOTS, _Slot(None, 0))
-        entry = slot.entry
+        slot = await read_slot(sequence)
         found = slot.classify(sequence, epoch)
         if found is SlotState.NEWER:
-            # The owner has wrapped around the ring during the read, and has
-            # written a newer snapshot.
-            return await load_journal(store, shard)
-        if entry is None or found is SlotState.FREE:
-            return LoadedJournal(
-                tuple(records),
-                sequence,
-                slot.revision,
-                pointer.sequence,
-                pointer.chunks,
-                pointer.revision,
+            return None
+        if slot.entry is None or found is SlotState.FREE:
+            return replace(
+                loaded,
+                records=tuple(records),
+                next_sequence=sequence,
+                slot_revision=slot.revision,
+                epoch=epoch,
             )
-        records.extend(entry.records)
-        epoch = entry.epoch
+        records.extend(slot.entry.records)
+        epoch = slot.entry.epoch
         sequence += 1
 
 
@@ -287,7 +281,7 @@
     many seconds, and one call for the entire ring is limited by the throughput
     of one connection. Slots that are written during the read get another
     revision, so that writing the takeover record fails and the new owner
-    reads the journal again.
+    reads on.
     """
 
     def __init__(self, store: KeyStore, shard: str) -> None:
@@ -374,6 +368,7 @@
             loaded.next_sequence % RING_SLOTS: loaded.slot_revision
         }
         self._latency_s = 0.0
+        self._takeover_sequence = loaded.next_sequence
         self.next_sequence = loaded.next_sequence
         self.epoch = 0
 
@@ -400,6 +395,7 @@
             self._snapshot_sequence,
             self._snapshot_chunks,
             self._snapshot_revision,
+            self.epoch,
         )
 
     @property
@@ -554,25 +550,41 @@
         self._revisions[slot_index] = item.revision
         if item.value == entry.value:
             return True
-        slot = _Slot(decode_entry(item.value), item.revision)
-        if slot.classify(entry.sequence, self.epoch) is SlotState.FREE:
-            # An entry from before the ring wrapped around, or a late write of
-            # a previous owner behind a gap in its log.
+        found = decode_entry(item.value)
+        if self._may_replace(found, entry.sequence):
             return False
-        raise ShardLostError(
-            f'journal key {key!r} was written by another owner; this '
-            'process stops serving the shard'
+        raise self._make_conflict_error(found, entry.sequence)
+
+    def _may_replace(self, found: JournalEntry, sequence: int) -> bool:
+        return may_replace_entry(
+            found.sequence,
+            found.epoch,
+            sequence,
+            self.epoch,
+            self._takeover_sequence,
+        )
+
+    def _make_conflict_error(
+        self, found: JournalEntry, sequence: int
+    ) -> ShardLostError:
+        """Return the error for a slot that holds an entry of another owner."""
+        if sequence == self._takeover_sequence and found.epoch < self.epoch:
+            return TakeoverConflictError(
+                f'{found.writer!r} has written entry {sequence} of the '
+                f'journal of shard {self._shard!r} before the takeover; read '
+                'the new entries and take over behind them'
+            )
+        return ShardLostError(
+            f'entry {sequence} of the journal of shard {self._shard!r} was '
+            f'written by another owner, {found.writer!r}; this process stops '
+            'serving the shard'
         )
 
     async def _read_revision(self, sequence: int) -> None:
         """Read the revision of a slot that a previous owner wrote last."""
         slot = await _read_slot(self._store, self._shard, sequence)
-        if slot.classify(sequence, self.epoch) is not SlotState.FREE:
-            raise ShardLostError(
-                f'journal entry {sequence!r} of shard {self._shard!r} was '
-                'written by another owner; this process stops serving the '
-                'shard'
-            )
+        if slot.entry and not self._may_replace(slot.entry, sequence):
+            raise self._make_conflict_error(slot.entry, sequence)
         self._revisions[sequence % RING_SLOTS] = slot.revision
 
     async def _write_key(
