--- a/models/ownership.py
+++ b/models/ownership.py
@@ -417,7 +417,10 @@
             and old.revision != process.known_pointer
         ):
             is_own_pointer = not is_successor_pointer(
-                old.sequence, process.next_sequence
+                old.sequence,
+                old.epoch,
+                process.next_sequence,
+                process.epoch,
             )
             if is_own_pointer and POINTER_COMPARED in self.guards:
                 known = process._replace(known_pointer=old.revision)
--- a/sassafrasgate/journal/ring_buffer.py
+++ b/sassafrasgate/journal/ring_buffer.py
@@ -651,7 +651,9 @@
     async def _find_own_pointer(self) -> SnapshotPointer:
         """Read a pointer that was changed, unless by a successor."""
         pointer = await _read_pointer(self._store, self._shard)
-        if is_successor_pointer(pointer.sequence, self.next_sequence):
+        if is_successor_pointer(
+            pointer.sequence, pointer.epoch, self.next_sequence, self.epoch
+        ):
             raise ShardLostError(
                 f'the snapshot of shard {self._shard!r} was written by '
                 'another owner; this process stops serving the shard'
--- a/sassafrasgate/journal/slots.py
+++ b/sassafrasgate/journal/slots.py
@@ -109,19 +109,22 @@
     return sequence - snapshot_sequence <= slots
 
 
-def is_successor_pointer(sequence: int, next_sequence: int) -> bool:
+def is_successor_pointer(
+    sequence: int, pointer_epoch: int, next_sequence: int, epoch: int
+) -> bool:
     """Return whether a snapshot was written by a successor of this owner.
 
-    A successor's snapshots cover its takeover record, which has this owner's
-    next number or a later one. A pointer below that number was written by
-    this owner in a write whose reply was lost, or by a delayed write of a
-    previous owner.
+    A successor has a higher epoch. Its snapshot may cover fewer entries than
+    this owner has numbered, since some of those may still be in flight. A
+    pointer of this epoch, or of a lower one, was written by this owner in a
+    write whose reply was lost, or by a delayed write of a previous owner.
 
     Parameters
     ----------
-    sequence : int
-        Number of the last entry that the found snapshot covers.
-    next_sequence : int
-        Number of the next entry of this owner.
+    sequence, pointer_epoch : int
+        Number of the last entry that the found snapshot covers, and epoch of
+        its writer.
+    next_sequence, epoch : int
+        Number of the next entry of this owner, and its epoch.
     """
-    return sequence >= next_sequence
+    return pointer_epoch > epoch or sequence >= next_sequence
--- a/tests/daemons/test_takeover_races.py
+++ b/tests/daemons/test_takeover_races.py
@@ -228,6 +228,26 @@
     assert (await load_journal(store, 'cell')).epoch == new.state.epoch
 
 
+async def test_snapshot_of_a_successor_with_entries_in_flight_is_kept():
+    # Guards against a previous owner that replaces its successor's snapshot
+    # and deletes its chunks: entries in flight gave it a higher next number
+    # than the successor's snapshot covers.
+    store = RacingStore()
+    old = await make_owner(store, 'e1/1')
+    await old.accept('before')
+    snapshot_sequence = old.journal.next_sequence - 1
+    data = encode_records(list_snapshot_records(old.state))
+    for number in range(3):
+        old.prepare(f'in-flight-{number}')
+    new = await make_owner(store, 'e2/1')
+    await new.write_snapshot()
+    with pytest.raises(ShardLostError):
+        await old.journal.write_snapshot(snapshot_sequence, data)
+    loaded = await load_journal(store, 'cell')
+    assert loaded.epoch == new.state.epoch
+    assert loaded.snapshot_sequence == new.journal.next_sequence - 1
+
+
 async def test_takeover_ends_when_the_lease_expires_during_a_conflict():
     # Guards against a process that takes a shard over without a lease, after
     # a previous owner has been faster.
