--- a/sassafrasgate/journal/ring_buffer.py
+++ b/sassafrasgate/journal/ring_buffer.py
@@ -607,7 +607,7 @@
         chunks = max(1, -(-len(data) // CHUNK_BYTES))
         for chunk in range(chunks):
             part = data[chunk * CHUNK_BYTES : (chunk + 1) * CHUNK_BYTES]
-            await self._create_chunk(sequence, chunk, part)
+            await self._write_chunk(sequence, chunk, part)
         replaced = {self._snapshot_sequence: self._snapshot_chunks}
         while not await self._swap_pointer(sequence, chunks):
             pointer = await self._find_own_pointer()
@@ -625,16 +625,23 @@
                     priority=CallPriority.LOW,
                 )
 
-    async def _create_chunk(
+    async def _write_chunk(
         self, sequence: int, chunk: int, part: bytes
     ) -> None:
         key = make_chunk_key(self._shard, sequence, chunk)
-        try:
-            await self._store.create(key, part, priority=CallPriority.LOW)
-        except StoreConflictError:
-            # The chunk is from an attempt whose reply was lost. Its key has
-            # the sequence, whose content only one owner could have written.
-            return
+        revision = 0
+        while True:
+            try:
+                await self._write_key(key, part, revision, CallPriority.LOW)
+                return
+            except StoreConflictError:
+                item = await self._store.get(key, priority=CallPriority.LOW)
+            if item is not None and item.value == part:
+                # An earlier attempt of this owner, whose reply was lost.
+                return
+            # Other content under this number can't be of a snapshot of this
+            # log, in which this owner has written the entry of the number.
+            revision = item.revision if item is not None else 0
 
     async def _swap_pointer(self, sequence: int, chunks: int) -> bool:
         """Write the snapshot pointer; False when it has another revision."""
--- a/tests/daemons/test_takeover_races.py
+++ b/tests/daemons/test_takeover_races.py
@@ -228,6 +228,29 @@
     assert (await load_journal(store, 'cell')).epoch == new.state.epoch
 
 
+async def test_leftover_chunk_of_the_same_number_is_replaced():
+    # Guards against a pointer to another owner's chunks, such as those that an
+    # earlier release has left under a number that it then lost.
+    store = RacingStore()
+    owner = await make_owner(store, 'e1/1')
+    store.items.update(await _make_leftover_chunk(owner))
+    await owner.accept('job')
+    await owner.write_snapshot()
+    assert await list_stored_jobs(store) == {'job'}
+
+
+async def _make_leftover_chunk(owner):
+    other = MemoryStore()
+    writer = await make_owner(other, 'e0/1')
+    await writer.accept('never-accepted')
+    await writer.write_snapshot()
+    return {
+        key: replace(item, revision=900)
+        for key, item in other.items.items()
+        if key.startswith('snapshot-chunk')
+    }
+
+
 async def test_snapshot_of_a_successor_with_entries_in_flight_is_kept():
     # Guards against a previous owner that replaces its successor's snapshot
     # and deletes its chunks: entries in flight gave it a higher next number
