Take evidence of an owner's end back, and let another host confirm it

Cause: one refused connection counted as proof that the owner's process had ended, and nothing cleared it. A cut that resets connections refuses new ones at both of its ends, so a host that had been cut off, or the owner's peers, kept the mark and claimed the shard whenever that process owned it. Marks that form a cycle replace owners without end.

A host gathers it only if another host, which it reaches and which has the same owner in view, has no connection to the owner either (FindOwner names the incarnation, OwnerFound says whether there is a connection; both fields have defaults, and a reply without them counts as before).

Same cause elsewhere: has_ended shortens the wait for silent workers and compared incarnations with a view of the members that could be older than the process in question. It now needs a view at least as new as this host's own claim. A newer incarnation of the owner's name also ends an ownership.

The other tests use names of the new code. tests/daemons, tests/http and tests/observability pass.

--- a/sassafrasgate/daemons/directory.py
+++ b/sassafrasgate/daemons/directory.py
@@ -75,6 +75,8 @@
         self._handle_disconnect = handle_disconnect
         self.members: dict[str, Member] = {}
         self.owners: dict[str, tuple[Member, int]] = {}
+        # Revision of the store up to which changes of the keys are known.
+        self.revision = 0
         self._links: dict[str, Link] = {}
         self._peers = peers
 
@@ -86,6 +88,7 @@
     def apply_control_event(self, message: Any) -> None:
         """Apply a message of the control watch; ignore other messages."""
         if isinstance(message, ControlListed):
+            self._advance(message.revision)
             self.members.clear()
             self.owners = {
                 shard: owner
@@ -95,8 +98,16 @@
         if not isinstance(message, ControlListed | ControlChanged):
             return
         for item in message.items:
+            self._advance(item.revision)
             self._apply_item(item)
 
+    def apply_owner_item(self, item: Item) -> None:
+        """Apply an owner key that was learned other than by the watch."""
+        self._apply_item(item)
+
+    def _advance(self, revision: int) -> None:
+        self.revision = max(self.revision, revision)
+
     def _apply_item(self, item: Item) -> None:
         if item.key.startswith(MEMBER_PREFIX):
             self._apply_member(item.key.removeprefix(MEMBER_PREFIX), item)
--- a/sassafrasgate/daemons/election.py
+++ b/sassafrasgate/daemons/election.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from random import sample
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -18,8 +19,12 @@
 from sassafrasgate.core.errors import StoreError
 from sassafrasgate.core.identifiers import rank_names
 from sassafrasgate.core.items import Item
-from sassafrasgate.daemons.control import ControlChanged
+from sassafrasgate.daemons.control import ControlListed
+from sassafrasgate.daemons.directory import decode_member
 from sassafrasgate.daemons.directory import make_owner_key
+from sassafrasgate.daemons.directory import MEMBER_PREFIX
+from sassafrasgate.daemons.owner_ends import EndEvidence
+from sassafrasgate.daemons.owner_ends import OwnerEndRecord
 from sassafrasgate.journal.rate_limits import CallPriority
 from sassafrasgate.observability.clocks import now_ms
 from sassafrasgate.observability.logs import log_event
@@ -33,6 +38,7 @@
     from logbook import Logger
 
     from sassafrasgate.core.stores import KeyStore
+    from sassafrasgate.daemons.control import ControlChanged
     from sassafrasgate.daemons.directory import Directory
     from sassafrasgate.daemons.leases import LeaseChanged
     from sassafrasgate.daemons.leases import Member
@@ -51,6 +57,13 @@
 # Time limit for the reply of a host that may be down. A round trip between
 # zones takes about 8 ms.
 REACHABILITY_TIMEOUT_S = 0.15
+# Hosts that are asked whether the owner is connected to them, and how long the
+# others may take once one has replied.
+MAX_WITNESSES = 5
+WITNESS_GRACE_S = 0.04
+# Two heartbeats; a connection that is silent for longer shows no living
+# process.
+MAX_HEARTBEAT_AGE_MS = 1_000
 
 
 class OwnerElection:
@@ -81,7 +94,8 @@
         self._logger = logger
         self._lease_id = ''
         self._ownerless_since = 0
-        self._ended_incarnation = ''
+        self._owner_end = OwnerEndRecord()
+        self._is_probing = False
         # Revision of the owner key that this process is replacing.
         self._replaced_revision = 0
         self.lease: OwnerLease | None = None
@@ -123,9 +137,22 @@
         self._log('lease-lost', (('lease', self._lease_id),))
         self._lease_id = ''
 
-    def mark_ended(self, incarnation: str) -> None:
-        """Record that an owner's process has ended."""
-        self._ended_incarnation = incarnation
+    def record_end(self, evidence: EndEvidence) -> None:
+        """Record evidence that the owner's process has ended."""
+        self._owner_end.record_end(evidence)
+
+    def record_members(self, message: ControlListed | ControlChanged) -> None:
+        """Record the processes that have written their member keys.
+
+        A list of all keys may contain those of processes that have ended and
+        whose leases have not expired.
+        """
+        if isinstance(message, ControlListed):
+            return
+        for item in message.items:
+            member = decode_member(item)
+            if item.key.startswith(MEMBER_PREFIX) and member is not None:
+                self._owner_end.record_sign(member.incarnation)
 
     def has_fresh_lease(self) -> bool:
         """Return whether the lease is valid without the outage grace."""
@@ -145,7 +172,7 @@
             None if no claim is due; 0 if there is no owner key to replace.
         """
         owner = self.owner
-        if owner is not None and not self._is_ended(owner[0]):
+        if owner is not None and not self._is_ended(*owner):
             self._ownerless_since = 0
             return None
         self._ownerless_since = self._ownerless_since or now_ms()
@@ -154,15 +181,45 @@
             return None
         return owner[1] if owner else 0
 
-    def _is_ended(self, member: Member) -> bool:
+    def _is_ended(self, member: Member, revision: int) -> bool:
         """Return whether an owner's process is known to have ended.
 
         An owner of this process's own name is a previous incarnation: the
         platform starts a process only after the previous one has ended.
+
+        Parameters
+        ----------
+        member : Member
+            The owner.
+        revision : int
+            Revision of the owner key.
         """
+        if member.name == self._member.name:
+            return True
+        if self._is_replaced(member.name, member.incarnation, revision):
+            return True
+        link = self._directory.find_link(member.link_address)
+        if link.unconnected_ms == 0:
+            return False
+        return self._owner_end.has_ended(member, revision, link.received_at)
+
+    def _is_replaced(self, name: str, incarnation: str, revision: int) -> bool:
+        """Return whether a process has been started again.
+
+        Parameters
+        ----------
+        name, incarnation : str
+            The process.
+        revision : int
+            Revision of a key that was written after the process had written
+            its member key. Members that are known as of an earlier revision
+            may precede the process.
+        """
+        member = self._directory.members.get(name)
         return (
-            member.incarnation == self._ended_incarnation
-            or member.name == self._member.name
+            member is not None
+            and member.incarnation != incarnation
+            and self._directory.revision >= revision
         )
 
     def _compute_rank(self) -> int:
@@ -180,21 +237,25 @@
         return ranked.index(self._member.name)
 
     def has_ended(self, owner: str) -> bool:
-        """Return whether a process is known to have ended.
+        """Return whether a previous owner's process is known to have ended.
 
         The platform starts a process only after the previous one of the same
-        name has ended.
+        name has ended. A refused connection is no evidence here: workers
+        would get tasks whose leases a living owner still renews.
 
         Parameters
         ----------
         owner : str
-            Process name and incarnation, separated by a slash.
+            Process name and incarnation, separated by a slash. It has owned
+            the shard before this process.
         """
         name, _, incarnation = owner.rpartition('/')
         if name == self._member.name:
             return incarnation != self._member.incarnation
-        member = self._directory.members.get(name)
-        return member is not None and member.incarnation != incarnation
+        current = self.owner
+        if current is None or not self.is_self(current[0]):
+            return False
+        return self._is_replaced(name, incarnation, current[1])
 
     def begin_takeover(self, revision: int) -> None:
         """Record the revision of the owner key that is to be replaced."""
@@ -258,7 +319,7 @@
             self._log('claim-failed', (('reason', str(error)),))
             return
         if item is not None:
-            self._directory.apply_control_event(ControlChanged((item,)))
+            self._directory.apply_owner_item(item)
 
     async def delete_key(self) -> None:
         """Delete the owner key if it names this process.
@@ -367,48 +428,136 @@
         if known is not None and known[1] >= reply.revision:
             return
         item = Item(make_owner_key(SHARD), reply.member, reply.revision)
-        self._directory.apply_control_event(ControlChanged((item,)))
+        self._directory.apply_owner_item(item)
         self._log(
             'owner-found',
             (('reported_by', member.name), ('revision', reply.revision)),
         )
 
-    def describe_owner(self) -> OwnerFound:
+    def describe_owner(self, question: FindOwner) -> OwnerFound:
         """Return the owner for a host that asks.
 
         The reply names no owner if this host's own lease is not valid, since
         its view may then be outdated.
         """
+        connected = self._is_connected(question.incarnation)
         owner = self.owner
         if owner is None or not self.has_fresh_lease():
-            return OwnerFound(SHARD, b'', 0)
-        return OwnerFound(SHARD, encode(owner[0]), owner[1])
+            return OwnerFound(SHARD, b'', 0, connected)
+        return OwnerFound(SHARD, encode(owner[0]), owner[1], connected)
 
-    async def probe_owner(self) -> str:
-        """Check by a connection whether the owner's process has ended.
+    def _is_connected(self, incarnation: str) -> bool:
+        """Return whether this host has a connection to a process."""
+        if incarnation == self._member.incarnation:
+            return True
+        owner = self.owner
+        if owner is None or owner[0].incarnation != incarnation:
+            return False
+        link = self._directory.find_link(owner[0].link_address)
+        return (
+            link.unconnected_ms == 0 and link.silent_ms < MAX_HEARTBEAT_AGE_MS
+        )
 
-        Only a refused connection shows that it has. If there is no response,
-        the owner's lease has to expire first.
+    def is_probe_due(self) -> bool:
+        """Return whether the owner has been out of reach and not probed."""
+        owner = self.owner
+        if self._is_probing or owner is None or self.is_self(owner[0]):
+            return False
+        link = self._directory.find_link(owner[0].link_address)
+        return self._owner_end.is_probe_due(link.unconnected_ms)
+
+    async def probe_owner(self) -> EndEvidence | None:
+        """Check whether the owner's process has ended.
+
+        A connection that gets no response shows nothing; the owner's lease
+        has to expire first. A refused one counts if another host, which this
+        one reaches and which knows the same owner, has no connection to the
+        owner either.
 
         Returns
         -------
-        str
-            The incarnation that has ended, or empty.
+        EndEvidence or None
+            None if nothing shows that the process has ended.
         """
         owner = self.owner
-        if owner is None:
-            return ''
-        host, _, port = owner[0].link_address.rpartition(':')
+        if self._is_probing or owner is None or self.is_self(owner[0]):
+            return None
+        self._is_probing = True
         try:
-            with anyio.fail_after(PROBE_TIMEOUT_S):
-                stream = await anyio.connect_tcp(host, int(port))
-                await stream.aclose()
-        except (OSError, TimeoutError) as error:
-            if not isinstance(error.__cause__, ConnectionRefusedError):
-                return ''
-            self._log('owner-ended', (('owner', owner[0].name),))
-            return owner[0].incarnation
-        return ''
+            return await self._probe(*owner)
+        finally:
+            self._is_probing = False
+
+    async def _probe(
+        self, member: Member, revision: int
+    ) -> EndEvidence | None:
+        self._owner_end.begin_probe()
+        evidence = EndEvidence(
+            member.name, member.incarnation, revision, now_ms()
+        )
+        if not await _is_connection_refused(member.link_address):
+            return None
+        witnesses = [
+            other for other in self._list_others() if other.name != member.name
+        ]
+        replies = await self._ask_witnesses(witnesses, member.incarnation)
+        connected = [name for name, reply in replies if reply.connected]
+        agreeing = [
+            name for name, reply in replies if reply.revision == revision
+        ]
+        confirmed = not connected and (bool(agreeing) or not witnesses)
+        evidence = replace(evidence, witnesses=tuple(agreeing))
+        self._log(
+            'owner-ended' if confirmed else 'owner-refuses',
+            (
+                ('owner', member.name),
+                ('incarnation', member.incarnation),
+                ('witnesses', ','.join(evidence.witnesses)),
+                ('connected', ','.join(connected)),
+            ),
+        )
+        return evidence if confirmed else None
+
+    async def _ask_witnesses(
+        self, members: list[Member], incarnation: str
+    ) -> list[tuple[str, OwnerFound]]:
+        """Ask some hosts whether they have a connection to the owner.
+
+        Returns
+        -------
+        list of (str, OwnerFound)
+            Name and reply of each host that has replied in time. Hosts that
+            are down are not waited for once another one has replied.
+        """
+        asked = sample(members, min(MAX_WITNESSES, len(members)))
+        replies: list[tuple[str, OwnerFound]] = []
+
+        async def ask(member: Member, first_reply: anyio.Event) -> None:
+            link = self._directory.find_link(member.link_address)
+            reply = await link.request(
+                FindOwner(SHARD, incarnation), REACHABILITY_TIMEOUT_S
+            )
+            if isinstance(reply, OwnerFound):
+                replies.append((member.name, reply))
+                first_reply.set()
+
+        async def end_after_first_reply(
+            first_reply: anyio.Event, scope: anyio.CancelScope
+        ) -> None:
+            await first_reply.wait()
+            await anyio.sleep(WITNESS_GRACE_S)
+            scope.cancel()
+
+        async with anyio.create_task_group() as group:
+            first_reply = anyio.Event()
+            group.start_soon(
+                end_after_first_reply, first_reply, group.cancel_scope
+            )
+            async with anyio.create_task_group() as questions:
+                for member in asked:
+                    questions.start_soon(ask, member, first_reply)
+            group.cancel_scope.cancel()
+        return replies
 
     def _log(self, kind: str, fields: tuple[tuple[str, object], ...]) -> None:
         log_event(self._logger, kind, fields)
@@ -416,3 +565,14 @@
     async def send_request(self, message: Any, timeout_s: float) -> Any:
         """Send a message to the owner; see `Directory.send_request`."""
         return await self._directory.send_request(SHARD, message, timeout_s)
+
+
+async def _is_connection_refused(address: str) -> bool:
+    host, _, port = address.rpartition(':')
+    try:
+        with anyio.fail_after(PROBE_TIMEOUT_S):
+            stream = await anyio.connect_tcp(host, int(port))
+            await stream.aclose()
+    except (OSError, TimeoutError) as error:
+        return isinstance(error.__cause__, ConnectionRefusedError)
+    return False
--- a/sassafrasgate/daemons/entry.py
+++ b/sassafrasgate/daemons/entry.py
@@ -17,7 +17,7 @@
 from sassafrasgate.daemons.election import SHARD
 from sassafrasgate.daemons.entry_messages import ENTRY_MESSAGES
 from sassafrasgate.daemons.entry_messages import ENTRY_REQUESTS
-from sassafrasgate.daemons.entry_messages import ProcessEnded
+from sassafrasgate.daemons.entry_messages import OwnerEnded
 from sassafrasgate.daemons.entry_messages import RelayRequested
 from sassafrasgate.daemons.entry_messages import ShardOffered
 from sassafrasgate.daemons.messages import ClaimDue
@@ -154,6 +154,8 @@
     async def handle(self, message: Any, group: TaskGroup) -> None:
         """Handle one message, then claim the shard if that is due."""
         ENTRY_MESSAGES.find(type(message))(self, message, group)
+        if self.election.is_probe_due():
+            self.start_unit(group, self.probe_owner)
         await self._claim(group)
 
     def start_unit(
@@ -315,9 +317,9 @@
 
     async def probe_owner(self) -> None:
         """Check whether the owner's process has ended."""
-        incarnation = await self.election.probe_owner()
-        if incarnation:
-            await self.send_to_self(ProcessEnded(incarnation))
+        evidence = await self.election.probe_owner()
+        if evidence is not None:
+            await self.send_to_self(OwnerEnded(evidence))
 
     async def relay_call(self, message: RelayRequested) -> None:
         """Make a store call for another host that cannot reach the store."""
--- a/sassafrasgate/daemons/entry_messages.py
+++ b/sassafrasgate/daemons/entry_messages.py
@@ -18,6 +18,7 @@
 from sassafrasgate.daemons.messages import LeaseUpdated
 from sassafrasgate.daemons.messages import OwnershipLost
 from sassafrasgate.daemons.messages import StopProcess
+from sassafrasgate.daemons.owner_ends import EndEvidence
 from sassafrasgate.dispatch.events import TableChanged
 from sassafrasgate.observability.metrics import CONFIGURATION_VERSION
 from sassafrasgate.protocol.relays import RelayCall
@@ -41,10 +42,10 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ProcessEnded:
-    """A process has ended: its link address refuses connections."""
+class OwnerEnded:
+    """There is evidence that the owner's process has ended."""
 
-    incarnation: str
+    evidence: EndEvidence
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,6 +105,7 @@
     task: EntryTask, message: Any, group: TaskGroup
 ) -> None:
     task.directory.apply_control_event(message)
+    task.election.record_members(message)
     owner = task.election.owner
     if owner is not None and not task.election.is_self(owner[0]):
         # An open link detects when the owner's process ends.
@@ -169,11 +171,11 @@
         task.start_unit(group, task.probe_owner)
 
 
-@ENTRY_MESSAGES.register(ProcessEnded)
-def _handle_process_end(
-    task: EntryTask, message: ProcessEnded, group: TaskGroup
+@ENTRY_MESSAGES.register(OwnerEnded)
+def _handle_owner_end(
+    task: EntryTask, message: OwnerEnded, group: TaskGroup
 ) -> None:
-    task.election.mark_ended(message.incarnation)
+    task.election.record_end(message.evidence)
 
 
 @ENTRY_MESSAGES.register(RelayRequested)
@@ -208,7 +210,7 @@
 async def _reply_with_owner(
     task: EntryTask, message: FindOwner, reply: SendReply
 ) -> None:
-    await reply(task.election.describe_owner())
+    await reply(task.election.describe_owner(message))
 
 
 @ENTRY_REQUESTS.register(SeekAdvice)
--- a/sassafrasgate/protocol/links.py
+++ b/sassafrasgate/protocol/links.py
@@ -129,6 +129,7 @@
         self._next_request_id = 1
         self._alive_at = 0
         self._received_at = now_ms()
+        self._unconnected_since = now_ms()
         self._sent_at = 0
         self._counts = _LinkCounter()
 
@@ -145,11 +146,23 @@
         """
         return now_ms() - self._alive_at < PEER_TIMEOUT_S * 1000
 
+    @property
+    def received_at(self) -> int:
+        """Steady clock in ms when data arrived, or the link was created."""
+        return self._received_at
+
     @property
     def silent_ms(self) -> int:
         """Milliseconds since data was received, or the link was created."""
         return now_ms() - self._received_at
 
+    @property
+    def unconnected_ms(self) -> int:
+        """Milliseconds without a connection; 0 while there is one."""
+        if not self._unconnected_since:
+            return 0
+        return now_ms() - self._unconnected_since
+
     async def request(
         self, message: Any, timeout_s: float, attempt: int = 1
     ) -> Any:
@@ -192,7 +205,9 @@
             socket = context.socket(zmq.DEALER)
             socket.set(zmq.LINGER, 0)
             socket.set(zmq.SNDHWM, HIGH_WATER_MARK)
-            monitor = socket.get_monitor_socket(zmq.EVENT_DISCONNECTED)
+            monitor = socket.get_monitor_socket(
+                zmq.EVENT_DISCONNECTED | zmq.EVENT_HANDSHAKE_SUCCEEDED
+            )
             socket.connect(f'tcp://{self.address}')
             self._alive_at = now_ms()
             try:
@@ -202,6 +217,7 @@
                 monitor.close()
                 socket.close()
             self._counts.reopened += 1
+            self._unconnected_since = self._unconnected_since or now_ms()
             self._fail_open_requests(
                 f'the link to {self.address} timed out: no data received'
             )
@@ -227,7 +243,11 @@
         zmq reconnects automatically.
         """
         while True:
-            await recv_monitor_message(monitor)
+            event = await recv_monitor_message(monitor)
+            if event['event'] == zmq.EVENT_HANDSHAKE_SUCCEEDED:
+                self._unconnected_since = 0
+                continue
+            self._unconnected_since = now_ms()
             self._fail_open_requests(f'{self.address} closed the connection')
             if self._handle_disconnect is not None:
                 self._handle_disconnect(self.address)
--- a/sassafrasgate/protocol/workflows.py
+++ b/sassafrasgate/protocol/workflows.py
@@ -104,9 +104,17 @@
 
 @register_message('find-owner')
 class FindOwner:
-    """Asks an entry host for the owner; the reply is an `OwnerFound`."""
+    """Asks an entry host for the owner; the reply is an `OwnerFound`.
+
+    Parameters
+    ----------
+    incarnation : str
+        The process to which the host is asked to say whether it has a
+        connection; empty for none. Earlier releases ignore it.
+    """
 
     shard: str
+    incarnation: str = ''
 
 
 @register_message('owner-found')
@@ -119,11 +127,15 @@
         Value of the owner key in the store; empty when there is no owner.
     revision : int
         Revision of that key.
+    connected : bool
+        Whether the replying host has a connection to the process in the
+        question, or is that process. Earlier releases do not say.
     """
 
     shard: str
     member: bytes
     revision: int
+    connected: bool = False
 
 
 @register_message('hand-over')
--- a/tests/daemons/test_entry.py
+++ b/tests/daemons/test_entry.py
@@ -104,6 +104,8 @@
     def __init__(self, replies, silent_ms=0):
         self.replies = replies
         self.silent_ms = silent_ms
+        self.received_at = now_ms() - silent_ms
+        self.unconnected_ms = 0
         self.requested = []
 
     async def request(self, message, timeout_s, _attempt=1):
