--- a/sassafrasgate/daemons/election.py
+++ b/sassafrasgate/daemons/election.py
@@ -96,6 +96,9 @@
         self._ownerless_since = 0
         self._owner_end = OwnerEndRecord()
         self._is_probing = False
+        # Kind, revision of the owner key and result of the last probe that
+        # was logged.
+        self._logged_probe: tuple[str, int, bool] = ('', 0, False)
         # Revision of the owner key that this process is replacing.
         self._replaced_revision = 0
         self.lease: OwnerLease | None = None
@@ -507,16 +510,28 @@
         ]
         confirmed = not connected and (bool(agreeing) or not witnesses)
         evidence = replace(evidence, witnesses=tuple(agreeing))
+        self._log_probe(evidence, confirmed, connected)
+        return evidence if confirmed else None
+
+    def _log_probe(
+        self, evidence: EndEvidence, confirmed: bool, connected: list[str]
+    ) -> None:
+        """Log a refused probe unless it repeats the last result."""
+        kind = 'owner-ended' if confirmed else 'owner-refuses'
+        result = (kind, evidence.revision, bool(connected))
+        if result == self._logged_probe:
+            return
+        self._logged_probe = result
         self._log(
-            'owner-ended' if confirmed else 'owner-refuses',
+            kind,
             (
-                ('owner', member.name),
-                ('incarnation', member.incarnation),
+                ('owner', evidence.owner),
+                ('incarnation', evidence.incarnation),
+                ('revision', evidence.revision),
                 ('witnesses', ','.join(evidence.witnesses)),
                 ('connected', ','.join(connected)),
             ),
         )
-        return evidence if confirmed else None
 
     async def _ask_witnesses(
         self, members: list[Member], incarnation: str
--- a/sassafrasgate/daemons/owner_ends.py
+++ b/sassafrasgate/daemons/owner_ends.py
@@ -20,7 +20,7 @@
 # Several probes fall into this time, so that evidence is renewed for as long
 # as connections are refused.
 EVIDENCE_TTL_MS = 500
-PROBE_INTERVAL_MS = 200
+PROBE_INTERVAL_MS = 100
 
 
 @dataclass(frozen=True, slots=True)
