Tell runs of one number under two owners apart

A task ran as run 1 on a worker that hung until its lease lapsed. The next owner started it as run 1 elsewhere.

Cause: starts are not journaled, so the number of a run is unique only within one owner's term, but runs were known by task and number.

Runs are now keyed by worker, task and number; ends by number, worker and the worker's life; the end of a job by its number in the worker's list; a gang's failures by number and the epoch of the owner that started it. A `done` of a previous owner's run also stops what else runs of the task.

Records have new fields with defaults (run-ended: epoch; step-progress: ended_runs, failed_gang_runs), and the numbers are still written.

--- a/sassafrasgate/dispatch/launches.py
+++ b/sassafrasgate/dispatch/launches.py
@@ -66,6 +66,7 @@
             fills=step.fills,
             pace=choose_initial_pace(state, name, step.fills),
             paced_at=state.now,
+            epoch=state.epoch,
         )
     )
     advice = state.advice.get(key, StepAdvice())
--- a/sassafrasgate/dispatch/pacing.py
+++ b/sassafrasgate/dispatch/pacing.py
@@ -90,8 +90,8 @@
 ) -> Actions:
     changed = [run for run in best_effort if run.pace != pace]
     for run in changed:
-        state.update_run(run.key, pace=pace, paced_at=state.now)
-        state.paced_runs.add(run.key)
+        state.update_run(run.place, pace=pace, paced_at=state.now)
+        state.paced_runs.add(run.place)
     if changed:
         yield LogEvent(
             'pace',
@@ -114,8 +114,8 @@
 
 def _restore_paces(state: DispatchState) -> Actions:
     """Set full pace where no latency-critical task is left."""
-    for key in state.paced_runs:
-        run = state.runs.get(key)
+    for place in state.paced_runs:
+        run = state.runs.get(place)
         if run is None or run.worker in state.latency_critical_runs:
             continue
         if run.pace != FULL_PACE_PERCENT:
@@ -124,28 +124,29 @@
 
 def _send_paces(state: DispatchState) -> Actions:
     """Send paces that the worker has not confirmed."""
-    for key in list(state.paced_runs):
-        run = state.runs.get(key)
+    for place in list(state.paced_runs):
+        run = state.runs.get(place)
         if run is None or run.stopping:
-            state.paced_runs.discard(key)
+            state.paced_runs.discard(place)
             continue
         if run.pace == run.confirmed_pace:
             if run.pace == FULL_PACE_PERCENT:
-                state.paced_runs.discard(key)
+                state.paced_runs.discard(place)
             continue
         if run.phase is not RunPhase.PRESENT:
             continue
         if state.now - run.pace_sent_at < PACE_RETRY_MS:
             continue
-        state.update_run(key, pace_sent_at=state.now)
-        yield PaceRun(run.worker, key, run.pace)
+        state.update_run(place, pace_sent_at=state.now)
+        yield PaceRun(run.worker, run.key, run.pace)
 
 
 @EVENT_HANDLERS.register(PaceAnswered)
 def handle_pace_reply(state: DispatchState, event: PaceAnswered) -> Actions:
     """Record the pace that a worker has applied."""
-    if event.run in state.runs:
+    run = state.find_run(event.worker, event.run)
+    if run is not None:
         state.update_run(
-            event.run, confirmed_pace=event.percent, pace_sent_at=0
+            run.place, confirmed_pace=event.percent, pace_sent_at=0
         )
     yield from ()
--- a/sassafrasgate/dispatch/progress.py
+++ b/sassafrasgate/dispatch/progress.py
@@ -6,15 +6,17 @@
 
 from sassafrasgate.core.workflows import EndKind
 from sassafrasgate.core.workflows import WorkflowState
+from sassafrasgate.dispatch.state import GangRun
 from sassafrasgate.dispatch.state import make_task_id
+from sassafrasgate.dispatch.state import RunIdentity
 from sassafrasgate.dispatch.state import StepEntry
 from sassafrasgate.dispatch.state import StepKey
 
 if TYPE_CHECKING:
     from sassafrasgate.core.workflows import Workflow
     from sassafrasgate.dispatch.state import DispatchState
+    from sassafrasgate.dispatch.state import EndNumber
     from sassafrasgate.dispatch.state import JobEntry
-    from sassafrasgate.dispatch.state import RunKey
     from sassafrasgate.journal.workflows import RunEnded
 
 # A job earns nothing if it takes more than this multiple of its objective.
@@ -156,11 +158,19 @@
     if key not in state.steps or index >= state.find_step(key).tasks:
         return
     task = state.find_task(record.task)
-    if record.run in task.ended_runs:
+    ended = RunIdentity(record.run, record.worker, record.born_ms)
+    if ended in task.ended_runs:
+        return
+    if (
+        RunIdentity(record.run) in task.ended_runs
+        and record.how is not EndKind.FINISHED
+    ):
+        # An earlier release has recorded the end of a run with this number,
+        # most likely of this one. Only a success must not be missed.
         return
     state.update_task(
         record.task,
-        ended_runs=(*task.ended_runs, record.run),
+        ended_runs=(*task.ended_runs, ended),
         next_run=max(task.next_run, record.run + 1),
         checkpoint=record.checkpoint or task.checkpoint,
         failed_on=(*task.failed_on, record.worker)
@@ -233,13 +243,14 @@
     failures = task.failures
     if step.gang:
         entry = state.steps[key]
-        if record.run in entry.failed_gang_runs:
+        gang_run = GangRun(record.run, record.epoch)
+        if _is_counted(entry.failed_gang_runs, gang_run, state.epoch):
             return
         failures = entry.gang_failures + 1
         state.update_step(
             key,
             gang_failures=failures,
-            failed_gang_runs=(*entry.failed_gang_runs, record.run),
+            failed_gang_runs=(*entry.failed_gang_runs, gang_run),
         )
     if step.long_running:
         return
@@ -247,6 +258,30 @@
         end_job(state, key.job_id, WorkflowState.FAILED)
 
 
+def _is_counted(
+    failed: tuple[GangRun, ...], gang_run: GangRun, epoch: int
+) -> bool:
+    """Return whether the failure of a gang's run has been counted.
+
+    Several members of one run may fail.
+
+    Parameters
+    ----------
+    failed : tuple of GangRun
+        Runs that have been counted.
+    gang_run : GangRun
+        Run of the member that has failed.
+    epoch : int
+        Epoch of the owner that records the failure. A run of an unknown
+        epoch is not one of its own.
+    """
+    if gang_run.epoch:
+        return gang_run in failed
+    return any(
+        other.run == gang_run.run and other.epoch != epoch for other in failed
+    )
+
+
 def end_job(state: DispatchState, job_id: str, outcome: WorkflowState) -> None:
     """Put a job into a final state.
 
@@ -259,11 +294,13 @@
         state.advice.pop(key, None)
 
 
-def record_ending_run(state: DispatchState, job_id: str, run: RunKey) -> None:
-    """Record the run whose end ended a job."""
+def record_ending_run(
+    state: DispatchState, job_id: str, end: EndNumber
+) -> None:
+    """Record the end of a run if it has ended a job."""
     entry = state.jobs[job_id]
     if entry.has_ended and entry.ended_by is None:
-        state.update_job(job_id, ended_by=run)
+        state.update_job(job_id, ended_by=end)
 
 
 def requeue_task(state: DispatchState, key: StepKey, index: int) -> None:
--- a/sassafrasgate/dispatch/recovery.py
+++ b/sassafrasgate/dispatch/recovery.py
@@ -19,10 +19,12 @@
 from sassafrasgate.dispatch.progress import open_due_occurrences
 from sassafrasgate.dispatch.progress import open_job
 from sassafrasgate.dispatch.progress import record_ending_run
+from sassafrasgate.dispatch.state import EndNumber
+from sassafrasgate.dispatch.state import GangRun
 from sassafrasgate.dispatch.state import JobEntry
 from sassafrasgate.dispatch.state import make_task_id
 from sassafrasgate.dispatch.state import NEW_TASK
-from sassafrasgate.dispatch.state import RunKey
+from sassafrasgate.dispatch.state import RunIdentity
 from sassafrasgate.dispatch.state import StepKey
 from sassafrasgate.dispatch.task_ids import parse_task_id
 from sassafrasgate.journal.records import Takeover
@@ -151,13 +153,18 @@
     checkpoints = [
         (index, task.checkpoint) for index, task in tasks if task.checkpoint
     ]
-    ended = [
+    ended_runs = [
         (index, task.ended_runs) for index, task in tasks if task.ended_runs
     ]
+    ended_numbers = [
+        (index, _list_numbers(runs)) for index, runs in ended_runs
+    ]
     if step.gang:
         failures = [(GANG_INDEX, entry.gang_failures)]
         checkpoints = [(GANG_INDEX, entry.checkpoint)]
-        ended.append((GANG_INDEX, entry.failed_gang_runs))
+        ended_numbers.append(
+            (GANG_INDEX, _list_numbers(entry.failed_gang_runs))
+        )
     yield StepProgress(
         key.job_id,
         key.occurrence,
@@ -170,10 +177,19 @@
             if task.next_run > 1
         ),
         tuple(checkpoints),
-        tuple(ended),
+        tuple(ended_numbers),
+        tuple(ended_runs),
+        entry.failed_gang_runs,
     )
 
 
+def _list_numbers(
+    runs: tuple[RunIdentity, ...] | tuple[GangRun, ...],
+) -> tuple[int, ...]:
+    """Return the numbers of some runs, each once."""
+    return tuple(dict.fromkeys(run.run for run in runs))
+
+
 @RECORD_APPLIERS.register('takeover')
 def _apply_takeover(state: DispatchState, record: Takeover) -> None:
     state.previous_ttl_ms = state.ttl_ms
@@ -236,7 +252,11 @@
     if key.occurrence >= entry.occurrences:
         open_due_occurrences(state, key.job_id)
     apply_run_end(state, record, key, index)
-    record_ending_run(state, key.job_id, RunKey(record.task, record.run))
+    record_ending_run(
+        state,
+        key.job_id,
+        EndNumber(record.worker, record.born_ms, record.number),
+    )
 
 
 @RECORD_APPLIERS.register('step-progress')
@@ -258,11 +278,24 @@
             state.update_step(key, checkpoint=checkpoint)
         else:
             state.update_task(make_task_id(key, index), checkpoint=checkpoint)
-    for index, runs in record.ended:
+    for index, numbers in record.ended:
+        # A snapshot of an earlier release has the numbers only.
         if index == GANG_INDEX:
-            state.update_step(key, failed_gang_runs=runs)
+            gang_runs = tuple(GangRun(number) for number in numbers)
+            state.update_step(key, failed_gang_runs=gang_runs)
         else:
-            state.update_task(make_task_id(key, index), ended_runs=runs)
+            ended_runs = tuple(RunIdentity(number) for number in numbers)
+            state.update_task(make_task_id(key, index), ended_runs=ended_runs)
+    for index, runs in record.ended_runs:
+        identities = tuple(RunIdentity(*run) for run in runs)
+        state.update_task(make_task_id(key, index), ended_runs=identities)
+    if record.failed_gang_runs:
+        state.update_step(
+            key,
+            failed_gang_runs=tuple(
+                GangRun(*run) for run in record.failed_gang_runs
+            ),
+        )
     for index in record.finished:
         finish_task(state, key, index)
     advance_job(state, key)
--- a/sassafrasgate/dispatch/reports.py
+++ b/sassafrasgate/dispatch/reports.py
@@ -22,12 +22,14 @@
 from sassafrasgate.dispatch.pacing import UNKNOWN_PACE_PERCENT
 from sassafrasgate.dispatch.progress import requeue_task
 from sassafrasgate.dispatch.requests import publish_end
+from sassafrasgate.dispatch.state import EndNumber
 from sassafrasgate.dispatch.state import RunEntry
 from sassafrasgate.dispatch.state import RunKey
 from sassafrasgate.dispatch.state import RunPhase
 from sassafrasgate.dispatch.state import StepKey
 from sassafrasgate.dispatch.stops import is_gone
 from sassafrasgate.dispatch.stops import stop_job_runs
+from sassafrasgate.dispatch.stops import stop_run
 from sassafrasgate.dispatch.stops import stop_step_runs
 from sassafrasgate.dispatch.stragglers import measure_progress
 from sassafrasgate.dispatch.stragglers import record_finished_run
@@ -100,13 +102,13 @@
     has started there.
     """
     for run in state.list_runs_on(event.worker):
-        if run.key not in state.runs:
+        if run.place not in state.runs:
             continue
         if run.listed and not run.uncertain:
             yield from lose_run(state, run, 'the worker restarted')
             continue
         state.update_run(
-            run.key,
+            run.place,
             incarnation_ms=event.report.incarnation_ms,
             phase=RunPhase.PRESENT,
             confirmed_clock_ms=event.report.clock_ms,
@@ -148,6 +150,7 @@
             event.worker, unknown_runs=entry.unknown_runs - {key}
         )
         state.needs_pass = True
+    run = state.find_run(event.worker, key)
     yield from write_record(
         state,
         RunEnded(
@@ -159,19 +162,34 @@
             event.report.incarnation_ms,
             ended.number,
             state.wall_ms,
+            run.epoch if run is not None else 0,
         ),
     )
-    run = state.runs.get(key)
     yield _describe_end(state, event, ended, run)
-    if run is None or run.worker != event.worker:
+    if run is None:
+        yield from _stop_if_finished(state, ended.task)
         return
     record_run_end(state, run, ended.how)
     if ended.how is EndKind.FINISHED:
         record_finished_run(state, run)
-    state.remove_run(key)
+    state.remove_run(run.place)
     yield from reschedule_step(state, run)
 
 
+def _stop_if_finished(state: DispatchState, task: str) -> Actions:
+    """Stop the runs of a task that a run of a previous owner has finished."""
+    named = _find_named_task(state, task)
+    if named is None or not state.find_task(task).finished:
+        return
+    key, index = named
+    is_gang = state.find_step(key).gang
+    for run in state.list_runs_of(key):
+        if is_gang or run.index == index:
+            yield from stop_run(
+                state, run, 'a run of a previous owner has finished the task'
+            )
+
+
 def _describe_end(
     state: DispatchState,
     event: WorkerReported,
@@ -226,11 +244,11 @@
     for running in event.report.running:
         key = RunKey(running.task, running.run)
         listed.add(key)
-        run = state.runs.get(key)
-        if run is None or run.worker != event.worker:
+        run = state.find_run(event.worker, key)
+        if run is None:
             yield from _adopt_run(state, event, running)
             continue
-        state.runs[key] = replace(
+        state.runs[run.place] = replace(
             run,
             phase=RunPhase.PRESENT,
             confirmed_clock_ms=run.confirmed_clock_ms or event.report.clock_ms,
@@ -352,7 +370,7 @@
 
 
 def _stop_adopted(state: DispatchState, run: RunEntry) -> Actions:
-    state.update_run(run.key, stopping=True, stop_sent_at=state.now)
+    state.update_run(run.place, stopping=True, stop_sent_at=state.now)
     yield LogEvent(
         'stop',
         run.key.task,
@@ -384,7 +402,7 @@
 
 def lose_run(state: DispatchState, run: RunEntry, reason: str) -> Actions:
     """Remove a run that is certainly gone and whose end no report lists."""
-    state.remove_run(run.key)
+    state.remove_run(run.place)
     task = state.find_task(run.key.task)
     state.update_task(
         run.key.task,
@@ -412,7 +430,7 @@
 ) -> Actions:
     """Remove all runs of a worker, which are certainly gone."""
     for run in state.list_runs_on(worker):
-        if run.key in state.runs:
+        if run.place in state.runs:
             yield from lose_run(state, run, reason)
     state.update_worker(worker, unknown_runs=frozenset())
 
@@ -495,7 +513,8 @@
     """Acknowledge the durable end of a run, and publish the job's end."""
     job_id = record.task.split('.', 1)[0]
     entry = state.jobs.get(job_id)
-    if entry is not None and entry.ended_by == RunKey(record.task, record.run):
+    end = EndNumber(record.worker, record.born_ms, record.number)
+    if entry is not None and entry.ended_by == end:
         yield from publish_end(state, job_id)
     yield AcknowledgeEnds(record.worker, record.born_ms, record.number)
 
--- a/sassafrasgate/dispatch/start_replies.py
+++ b/sassafrasgate/dispatch/start_replies.py
@@ -37,8 +37,8 @@
 @EVENT_HANDLERS.register(RunAnswered)
 def handle_start_reply(state: DispatchState, event: RunAnswered) -> Actions:
     """Confirm a run, or remove it if the worker refused to start it."""
-    run = state.runs.get(event.run)
-    if run is None or run.worker != event.worker:
+    run = state.find_run(event.worker, event.run)
+    if run is None:
         return
     refusal = event.reply.refusal
     if refusal is None:
@@ -66,10 +66,10 @@
         return
     if run.uncertain:
         # The worker may still carry out another call for the same run.
-        state.update_run(run.key, phase=RunPhase.UNSURE)
+        unsure = state.update_run(run.place, phase=RunPhase.UNSURE)
         yield from stop_run(
             state,
-            state.runs[run.key],
+            unsure,
             'another start call for the run is unanswered',
         )
         return
@@ -78,7 +78,7 @@
 
 def _confirm_run(state: DispatchState, run: RunEntry, clock_ms: int) -> None:
     state.update_run(
-        run.key,
+        run.place,
         phase=RunPhase.PRESENT,
         confirmed_clock_ms=max(run.confirmed_clock_ms, clock_ms),
     )
@@ -111,10 +111,10 @@
     The run may still start, so its reservation is kept.
     """
     record_unanswered_call(state)
-    run = state.runs.get(event.run)
-    if run is None or run.worker != event.worker:
+    run = state.find_run(event.worker, event.run)
+    if run is None:
         return
-    state.update_run(event.run, uncertain=True)
+    state.update_run(run.place, uncertain=True)
     yield LogEvent(
         'start-unanswered',
         run.key.task,
@@ -130,17 +130,15 @@
     _avoid_worker(state, run.worker)
     if run.phase is RunPhase.PRESENT:
         return
-    state.update_run(event.run, phase=RunPhase.UNSURE)
-    yield from stop_run(
-        state, state.runs[event.run], 'the start call got no reply'
-    )
+    unsure = state.update_run(run.place, phase=RunPhase.UNSURE)
+    yield from stop_run(state, unsure, 'the start call got no reply')
 
 
 @EVENT_HANDLERS.register(RunNotSent)
 def handle_unsent_start(state: DispatchState, event: RunNotSent) -> Actions:
     """Remove a run whose start call was never sent."""
-    run = state.runs.get(event.run)
-    if run is None or run.worker != event.worker:
+    run = state.find_run(event.worker, event.run)
+    if run is None:
         return
     _avoid_worker(state, run.worker)
     yield from lose_run(state, run, event.reason)
--- a/sassafrasgate/dispatch/state.py
+++ b/sassafrasgate/dispatch/state.py
@@ -41,12 +41,66 @@
 
 
 class RunKey(NamedTuple):
-    """Identifies a run of a task."""
+    """Names a run of a task on one worker.
+
+    Each owner numbers the runs of a task from the lowest number that it does
+    not know to be used, so two owners may give one number on two workers.
+    """
 
     task: str
     run: int
 
 
+class RunPlace(NamedTuple):
+    """Identifies a run that may be present on a worker."""
+
+    worker: str
+    key: RunKey
+
+
+class RunIdentity(NamedTuple):
+    """Identifies a run that has ended among all runs of its task.
+
+    Parameters
+    ----------
+    run : int
+        Number of the run.
+    worker : str
+        Worker that has reported the end; empty if only the number is known,
+        from a snapshot of an earlier release.
+    born_ms : int
+        Start of the worker's incarnation, in Unix ms.
+    """
+
+    run: int
+    worker: str = ''
+    born_ms: int = 0
+
+
+class GangRun(NamedTuple):
+    """Identifies a run of a gang.
+
+    Parameters
+    ----------
+    run : int
+        Number of the run, which all members have.
+    epoch : int
+        Epoch of the owner that started it, if that owner has recorded an
+        end; otherwise 0.
+    """
+
+    run: int
+    epoch: int = 0
+
+
+class EndNumber(NamedTuple):
+    """Identifies an end in the list of a worker's incarnation."""
+
+    worker: str
+    born_ms: int
+    number: int
+
+
 class RunPhase(StrEnum):
     """How far the start of a run is confirmed.
 
@@ -127,6 +181,9 @@
     pace_sent_at : int
         Owner's clock, in ms, when the unanswered pace call was sent; 0 if no
         call is unanswered.
+    epoch : int
+        Epoch of this owner if it has started the run; 0 if a previous one
+        has.
     """
 
     key: RunKey
@@ -159,6 +216,12 @@
     paced_at: int = 0
     confirmed_pace: int = 100
     pace_sent_at: int = 0
+    epoch: int = 0
+
+    @property
+    def place(self) -> RunPlace:
+        """Key of the run in the state."""
+        return RunPlace(self.worker, self.key)
 
 
 @dataclass(frozen=True, slots=True)
@@ -175,8 +238,8 @@
         Lowest number that the next run may have.
     checkpoint : str
         Newest checkpoint of the task; empty for none.
-    ended_runs : tuple of int
-        Numbers of the runs whose end has been applied.
+    ended_runs : tuple of RunIdentity
+        Runs whose end has been applied.
     failed_on : tuple of str
         Workers on which runs have failed.
     moved : bool
@@ -188,7 +251,7 @@
     failures: int = 0
     next_run: int = 1
     checkpoint: str = ''
-    ended_runs: tuple[int, ...] = ()
+    ended_runs: tuple[RunIdentity, ...] = ()
     failed_on: tuple[str, ...] = ()
     moved: bool = False
 
@@ -213,8 +276,8 @@
         Whether the step has finished and its successors were made ready.
     gang_failures : int
         Number of runs of the gang that have failed.
-    failed_gang_runs : tuple of int
-        Numbers of the runs of the gang that have failed.
+    failed_gang_runs : tuple of GangRun
+        Runs of the gang that have failed.
     checkpoint : str
         Newest checkpoint of a gang, which is valid for all members.
     ready_at : int
@@ -230,7 +293,7 @@
     ready: bool = False
     closed: bool = False
     gang_failures: int = 0
-    failed_gang_runs: tuple[int, ...] = ()
+    failed_gang_runs: tuple[GangRun, ...] = ()
     checkpoint: str = ''
     ready_at: int = 0
     moved: bool = False
@@ -263,8 +326,8 @@
         Number of occurrences that have been opened.
     open_steps : int
         Number of steps of opened occurrences that have not finished.
-    ended_by : RunKey or None
-        Run whose end ended the job.
+    ended_by : EndNumber or None
+        End of a run that ended the job.
     ended_at_ms : int
         Wall clock when the job ended.
     """
@@ -282,7 +345,7 @@
     critical_paths_ms: tuple[int, ...] = ()
     occurrences: int = 0
     open_steps: int = 0
-    ended_by: RunKey | None = None
+    ended_by: EndNumber | None = None
     ended_at_ms: int = 0
 
     @property
@@ -464,7 +527,7 @@
         Keys of the runs on each worker and of each step.
     latency_critical_runs : dict
         Keys of the runs of latency-critical tasks, by worker.
-    paced_runs : set of RunKey
+    paced_runs : set of RunPlace
         Runs of best-effort tasks whose pace is not confirmed or below full
         pace.
     waiting_steps : dict
@@ -526,11 +589,13 @@
     jobs: dict[str, JobEntry] = field(default_factory=dict)
     steps: dict[StepKey, StepEntry] = field(default_factory=dict)
     tasks: dict[str, TaskEntry] = field(default_factory=dict)
-    runs: dict[RunKey, RunEntry] = field(default_factory=dict)
-    runs_by_worker: dict[str, set[RunKey]] = field(default_factory=dict)
-    runs_by_step: dict[StepKey, set[RunKey]] = field(default_factory=dict)
-    latency_critical_runs: dict[str, set[RunKey]] = field(default_factory=dict)
-    paced_runs: set[RunKey] = field(default_factory=set)
+    runs: dict[RunPlace, RunEntry] = field(default_factory=dict)
+    runs_by_worker: dict[str, set[RunPlace]] = field(default_factory=dict)
+    runs_by_step: dict[StepKey, set[RunPlace]] = field(default_factory=dict)
+    latency_critical_runs: dict[str, set[RunPlace]] = field(
+        default_factory=dict
+    )
+    paced_runs: set[RunPlace] = field(default_factory=set)
     waiting_steps: dict[StepKey, None] = field(default_factory=dict)
     workers: dict[str, WorkerEntry] = field(default_factory=dict)
     free_resources: dict[str, Resources] = field(default_factory=dict)
@@ -577,10 +642,14 @@
         self.tasks[task] = entry
         return entry
 
-    def update_run(self, key: RunKey, **changes: Any) -> RunEntry:
+    def find_run(self, worker: str, key: RunKey) -> RunEntry | None:
+        """Return a run on a worker, or None."""
+        return self.runs.get(RunPlace(worker, key))
+
+    def update_run(self, place: RunPlace, **changes: Any) -> RunEntry:
         """Replace fields of a run and return the new entry."""
-        entry = replace(self.runs[key], **changes)
-        self.runs[key] = entry
+        entry = replace(self.runs[place], **changes)
+        self.runs[place] = entry
         return entry
 
     def update_worker(self, worker: str, **changes: Any) -> WorkerEntry:
@@ -609,33 +678,34 @@
 
     def add_run(self, entry: RunEntry) -> None:
         """Add a run and reserve its demand on its worker."""
-        self.runs[entry.key] = entry
-        self.runs_by_worker.setdefault(entry.worker, set()).add(entry.key)
-        self.runs_by_step.setdefault(entry.step, set()).add(entry.key)
+        place = entry.place
+        self.runs[place] = entry
+        self.runs_by_worker.setdefault(entry.worker, set()).add(place)
+        self.runs_by_step.setdefault(entry.step, set()).add(place)
         if entry.target_ms:
             self.latency_critical_runs.setdefault(entry.worker, set()).add(
-                entry.key
+                place
             )
         if entry.fills:
-            self.paced_runs.add(entry.key)
+            self.paced_runs.add(place)
         if entry.worker in self.free_resources:
             self.free_resources[entry.worker] = (
                 self.free_resources[entry.worker] - entry.demand
             )
 
-    def remove_run(self, key: RunKey) -> RunEntry | None:
+    def remove_run(self, place: RunPlace) -> RunEntry | None:
         """Remove a run that is certainly gone and release its demand."""
-        entry = self.runs.pop(key, None)
+        entry = self.runs.pop(place, None)
         if entry is None:
             return None
-        self.runs_by_worker.get(entry.worker, set()).discard(key)
+        self.runs_by_worker.get(entry.worker, set()).discard(place)
         siblings = self.runs_by_step.get(entry.step, set())
-        siblings.discard(key)
+        siblings.discard(place)
         if not siblings:
             self.runs_by_step.pop(entry.step, None)
-        self.paced_runs.discard(key)
+        self.paced_runs.discard(place)
         if entry.target_ms:
-            self.latency_critical_runs[entry.worker].discard(key)
+            self.latency_critical_runs[entry.worker].discard(place)
             if not self.latency_critical_runs[entry.worker]:
                 del self.latency_critical_runs[entry.worker]
         if entry.worker in self.free_resources:
@@ -647,11 +717,12 @@
 
     def list_runs_on(self, worker: str) -> list[RunEntry]:
         """Return the runs that may be present on a worker."""
-        return [self.runs[key] for key in self.runs_by_worker.get(worker, ())]
+        places = self.runs_by_worker.get(worker, ())
+        return [self.runs[place] for place in places]
 
     def list_runs_of(self, key: StepKey) -> list[RunEntry]:
         """Return the runs of a step that may be present on any worker."""
-        return [self.runs[run] for run in self.runs_by_step.get(key, ())]
+        return [self.runs[place] for place in self.runs_by_step.get(key, ())]
 
     def list_steps_of(self, job: JobEntry) -> Iterable[StepKey]:
         """Yield the keys of a job's opened steps."""
--- a/sassafrasgate/dispatch/stops.py
+++ b/sassafrasgate/dispatch/stops.py
@@ -25,7 +25,7 @@
     """Stop a run; its reservation is kept until the run is certainly gone."""
     if run.stopping:
         return
-    state.update_run(run.key, stopping=True, stop_sent_at=state.now)
+    state.update_run(run.place, stopping=True, stop_sent_at=state.now)
     yield LogEvent(
         'stop',
         run.key.task,
@@ -63,7 +63,7 @@
         worker = state.workers.get(run.worker)
         if worker is None or worker.silent_since:
             continue
-        state.update_run(run.key, stop_sent_at=state.now)
+        state.update_run(run.place, stop_sent_at=state.now)
         yield StopRun(run.worker, run.key)
 
 
@@ -74,10 +74,10 @@
     The next report shows whether the run is present and about to end, or was
     never started.
     """
-    run = state.runs.get(event.run)
-    if run is None or run.worker != event.worker:
+    run = state.find_run(event.worker, event.run)
+    if run is None:
         return
-    state.update_run(event.run, stop_confirmed_clock_ms=max(1, event.clock_ms))
+    state.update_run(run.place, stop_confirmed_clock_ms=max(1, event.clock_ms))
     yield from ()
 
 
--- a/sassafrasgate/journal/workflows.py
+++ b/sassafrasgate/journal/workflows.py
@@ -48,6 +48,10 @@
         identifies it.
     at_ms : int
         Time of the record in Unix milliseconds.
+    epoch : int
+        Epoch of the owner that has started the run if it has written this
+        record; 0 if a previous owner has started the run. Earlier releases
+        neither write nor read it.
     """
 
     task: str
@@ -58,6 +62,7 @@
     born_ms: int
     number: int
     at_ms: int
+    epoch: int = 0
 
 
 @register_record('step-progress')
@@ -75,9 +80,14 @@
     checkpoints : tuple of (int, str)
         Task index and latest checkpoint; index -1 for a gang.
     ended : tuple of (int, tuple of int)
-        Task index and the runs whose end is recorded; for a gang, index -1
-        and its failed runs. Workers report an ended run again until it is
-        acknowledged.
+        Task index and the numbers of the runs whose end is recorded; for a
+        gang, index -1 and its failed runs. Workers report an ended run again
+        until it is acknowledged. Only earlier releases rely on it.
+    ended_runs : tuple of (int, tuple of (int, str, int))
+        Task index, and number, worker and start of the worker's incarnation
+        of each run whose end is recorded.
+    failed_gang_runs : tuple of (int, int)
+        Number and epoch of each failed run of a gang.
     """
 
     job_id: str
@@ -88,6 +98,8 @@
     next_runs: tuple[tuple[int, int], ...]
     checkpoints: tuple[tuple[int, str], ...]
     ended: tuple[tuple[int, tuple[int, ...]], ...] = ()
+    ended_runs: tuple[tuple[int, tuple[tuple[int, str, int], ...]], ...] = ()
+    failed_gang_runs: tuple[tuple[int, int], ...] = ()
 
 
 @register_record('workflow-closed')
--- a/tests/dispatch/test_guards.py
+++ b/tests/dispatch/test_guards.py
@@ -54,7 +54,7 @@
     """A worker may still carry out a start call without a reply."""
 
     def forget(state, event):
-        run = state.runs.get(event.run)
+        run = state.find_run(event.worker, event.run)
         if run is not None:
             yield from reports.lose_run(state, run, 'no reply')
 
