Keep a worker that refuses a ticket in its step, and ask about it again

Cause: a refused ticket was dropped, while the worker stayed among those that the service had been asked about. The step asks for new tickets of workers with an outdated one and about workers not asked about; this one was neither. A worker that the service did not name because it was away had the same fate.

A refused ticket is kept as an invalid one, so that the step asks for another one. A ticket counts for the incarnation that the call asked about, not for the one that the reply finds. A worker without a ticket that has restarted since the call is asked about again where no admitted worker is left, and a gang's renewal includes tickets of earlier incarnations. Tickets for workers whose entry is missing at the reply are kept.

--- a/sassafrasgate/dispatch/advice.py
+++ b/sassafrasgate/dispatch/advice.py
@@ -102,7 +102,10 @@
     state.advice[key] = replace(
         advice,
         pending_workers=frozenset(asked),
-        asked_workers=advice.asked_workers | frozenset(asked),
+        asked_incarnations={
+            **advice.asked_incarnations,
+            **{name: state.workers[name].incarnation_ms for name in asked},
+        },
         requested_at=state.now,
     )
     yield AskAdvice(key, asked, channel.entry_host, ready_at - state.now)
@@ -159,7 +162,8 @@
     """Store the tickets of a reply.
 
     Workers that the call asked about and that got no ticket are not
-    admissible.
+    admissible. A ticket is valid for the incarnation of its worker that the
+    call asked about; a worker that has restarted since needs a new one.
     """
     advice = state.advice.get(event.step)
     if advice is None or event.step not in state.steps:
@@ -169,9 +173,9 @@
     for worker in event.workers:
         tickets.pop(worker, None)
     for worker, ticket in event.advice.tickets:
-        entry = state.workers.get(worker)
-        if entry is not None:
-            tickets[worker] = Ticket(ticket, expires_at, entry.incarnation_ms)
+        incarnation_ms = advice.asked_incarnations.get(worker)
+        if incarnation_ms is not None:
+            tickets[worker] = Ticket(ticket, expires_at, incarnation_ms)
     state.advice[event.step] = replace(
         advice, tickets=tickets, pending_workers=frozenset(), failures=0
     )
@@ -189,6 +193,17 @@
     )
 
 
+def invalidate_ticket(state: DispatchState, key: StepKey, worker: str) -> None:
+    """Keep a worker that has refused its ticket, without a valid ticket.
+
+    The step asks for a new ticket in its next pass.
+    """
+    advice = state.advice.get(key)
+    if advice is not None and worker in advice.tickets:
+        ticket = advice.tickets[worker]
+        advice.tickets[worker] = replace(ticket, expires_at=0)
+
+
 @EVENT_HANDLERS.register(AdviceFailed)
 def handle_advice_failure(
     state: DispatchState, event: AdviceFailed
@@ -201,7 +216,11 @@
     state.advice[event.step] = replace(
         advice,
         pending_workers=frozenset(),
-        asked_workers=advice.asked_workers - asked,
+        asked_incarnations={
+            name: incarnation_ms
+            for name, incarnation_ms in advice.asked_incarnations.items()
+            if name not in asked
+        },
         failures=advice.failures + 1,
     )
     state.needs_pass = True
--- a/sassafrasgate/dispatch/gangs.py
+++ b/sassafrasgate/dispatch/gangs.py
@@ -13,6 +13,7 @@
 from sassafrasgate.dispatch.plans import estimate_run_ms
 from sassafrasgate.dispatch.plans import find_total_free
 from sassafrasgate.dispatch.plans import GangReservation
+from sassafrasgate.dispatch.plans import list_restarted_workers
 from sassafrasgate.dispatch.plans import list_run_ends
 from sassafrasgate.dispatch.plans import list_unasked_workers
 from sassafrasgate.dispatch.plans import match_workers
@@ -92,6 +93,7 @@
         # admitted too.
         if queue.advice is not None and may_request_advice(state, key):
             names = list_unasked_workers(state, advice, workers)
+            names += list_restarted_workers(advice, workers)
             yield from request_advice(state, key, queue.advice, names)
         return
     _reserve_capacity(state, plan, demand, chosen, at)
@@ -118,11 +120,16 @@
     meantime.
     """
     tickets = state.advice[key].tickets
-    answered_at = state.now + estimate_call_ms(timing, len(chosen))
+    needed_until = (
+        state.now
+        + estimate_call_ms(timing, len(chosen))
+        + TICKET_RENEWAL_MARGIN_MS
+    )
     expired = [
         name
         for name in chosen
-        if tickets[name].expires_at <= answered_at + TICKET_RENEWAL_MARGIN_MS
+        if tickets[name].expires_at <= needed_until
+        or tickets[name].incarnation_ms != state.workers[name].incarnation_ms
     ]
     if not expired:
         return []
--- a/sassafrasgate/dispatch/plans.py
+++ b/sassafrasgate/dispatch/plans.py
@@ -211,11 +211,28 @@
 
     Those with the most free processor capacity come first.
     """
-    unasked = [name for name in workers if name not in advice.asked_workers]
+    asked = advice.asked_incarnations
+    unasked = [name for name in workers if name not in asked]
     unasked.sort(key=lambda name: -state.free_resources[name].millicores)
     return unasked
 
 
+def list_restarted_workers(
+    advice: StepAdvice, workers: dict[str, WorkerEntry]
+) -> list[str]:
+    """Return workers without a ticket that have restarted since the call.
+
+    The service may have left them out because they were away.
+    """
+    return [
+        name
+        for name, incarnation_ms in advice.asked_incarnations.items()
+        if name in workers
+        and name not in advice.tickets
+        and workers[name].incarnation_ms != incarnation_ms
+    ]
+
+
 def estimate_run_ms(step: Step, worker: WorkerEntry) -> int:
     """Return the expected duration of a run of a step on a worker, in ms."""
     if step.rack and worker.registration.rack != step.rack:
--- a/sassafrasgate/dispatch/scheduling_passes.py
+++ b/sassafrasgate/dispatch/scheduling_passes.py
@@ -12,6 +12,7 @@
 from sassafrasgate.dispatch.handlers import EVENT_HANDLERS
 from sassafrasgate.dispatch.launches import start_run
 from sassafrasgate.dispatch.ordering import rank_step
+from sassafrasgate.dispatch.plans import list_restarted_workers
 from sassafrasgate.dispatch.plans import list_unasked_workers
 from sassafrasgate.dispatch.plans import make_plan
 from sassafrasgate.dispatch.plans import match_workers
@@ -91,6 +92,8 @@
         return
     names = [worker.registration.worker for worker in unticketed]
     names += list_unasked_workers(state, advice, workers)
+    if not startable and not unticketed:
+        names += list_restarted_workers(advice, workers)
     with_capacity = [
         name for name in names if demand.fits_in(state.free_resources[name])
     ]
--- a/sassafrasgate/dispatch/start_replies.py
+++ b/sassafrasgate/dispatch/start_replies.py
@@ -6,6 +6,7 @@
 
 from sassafrasgate.core.workflows import StartRefusal
 from sassafrasgate.dispatch.actions import LogEvent
+from sassafrasgate.dispatch.advice import invalidate_ticket
 from sassafrasgate.dispatch.events import RunAnswered
 from sassafrasgate.dispatch.events import RunNotSent
 from sassafrasgate.dispatch.events import RunUnanswered
@@ -90,9 +91,7 @@
     state: DispatchState, run: RunEntry, refusal: StartRefusal
 ) -> None:
     if refusal is StartRefusal.NO_TICKET:
-        advice = state.advice.get(run.step)
-        if advice is not None:
-            advice.tickets.pop(run.worker, None)
+        invalidate_ticket(state, run.step, run.worker)
     if refusal in PAUSING_REFUSALS:
         _avoid_worker(state, run.worker)
 
--- a/sassafrasgate/dispatch/state.py
+++ b/sassafrasgate/dispatch/state.py
@@ -458,10 +458,13 @@
     Parameters
     ----------
     tickets : dict
-        Newest ticket by worker. Expired tickets are kept because their
-        workers remain admissible.
-    asked_workers : frozenset of str
-        Workers that the service has been asked about.
+        Newest ticket by worker. Tickets that have expired, were refused or
+        are for another incarnation are kept because their workers remain
+        admissible; the service is asked for new ones.
+    asked_incarnations : dict
+        Workers that the service has been asked about, each with its
+        incarnation when the call was made. A worker without a ticket may
+        have been away; its next incarnation may be admissible.
     pending_workers : frozenset of str
         Workers named in the pending call; empty if no call is pending.
     requested_at : int
@@ -471,7 +474,7 @@
     """
 
     tickets: dict[str, Ticket] = field(default_factory=dict)
-    asked_workers: frozenset[str] = frozenset()
+    asked_incarnations: dict[str, int] = field(default_factory=dict)
     pending_workers: frozenset[str] = frozenset()
     requested_at: int = 0
     failures: int = 0
