Leave a gang alone when a duplicate of a member ends

A late run of a previous owner, adopted as a duplicate and stopped, counted as a lost member when it ended, so that the running gang was stopped and started again.

The end of a run changes nothing while the same task has another run. The test test_end_of_a_duplicate_member_does_not_stop_the_gang failed before: both members were stopped.

--- a/sassafrasgate/dispatch/reports.py
+++ b/sassafrasgate/dispatch/reports.py
@@ -222,9 +222,11 @@
         if not (step.gang and not entry.open_tasks):
             yield from stop_job_runs(state, job.job_id)
         return
+    if _has_run(state, run.step, run.index):
+        # The run was a duplicate, such as one of a previous owner.
+        return
     if not step.gang:
-        if not _has_run(state, run.step, run.index):
-            requeue_task(state, run.step, run.index)
+        requeue_task(state, run.step, run.index)
         return
     if entry.open_tasks and run.step in state.runs_by_step:
         yield from stop_step_runs(
--- a/tests/dispatch/test_run_numbers.py
+++ b/tests/dispatch/test_run_numbers.py
@@ -18,6 +18,7 @@
 from msgspec.msgpack import encode
 import pytest
 
+from sassafrasgate.core.resources import Resources
 from sassafrasgate.core.workflows import EndKind
 from sassafrasgate.core.workflows import RunReply
 from sassafrasgate.core.workflows import StartRefusal
@@ -111,6 +112,23 @@
     assert not select_actions(actions, StartRun)
 
 
+def test_end_of_a_duplicate_member_does_not_stop_the_gang():
+    # Guards against a gang that starts again, and loses its work, because a
+    # member of a previous owner's run has ended.
+    driver = Driver(3)
+    gang = make_step(2, gang=True, demand=Resources(6_000, 500))
+    starts = driver.confirm(driver.submit(JOB, gang))
+    (other,) = {'w0', 'w1', 'w2'} - {start.worker for start in starts}
+    driver.running[other][RUN] = 10
+    stops = select_actions(driver.report(other), StopRun)
+    assert [(stop.worker, stop.run) for stop in stops] == [(other, RUN)]
+    actions = driver.report(other, ended=((RUN, EndKind.STOPPED),))
+    assert not select_actions(actions, StopRun)
+    for start in starts:
+        driver.finish(start)
+    assert driver.state.jobs[JOB].durable_state is WorkflowState.COMPLETED
+
+
 @pytest.mark.parametrize(
     'make_reply',
     [
