--- a/tests/daemons/test_takeover_races.py
+++ b/tests/daemons/test_takeover_races.py
@@ -13,11 +13,14 @@
 from sassafrasgate.dispatch.recovery import list_snapshot_records
 from sassafrasgate.dispatch.recovery import replay_records
 from sassafrasgate.dispatch.state import DispatchState
+from sassafrasgate.dispatch.transitions import decide
 from sassafrasgate.journal.records import encode_records
 from sassafrasgate.journal.ring_buffer import load_journal
 from sassafrasgate.journal.ring_buffer import make_entry_key
 from sassafrasgate.journal.workflows import WorkflowAccepted
 from sassafrasgate.observability.clocks import now_ms
+from sassafrasgate.protocol.workflows import CountPending
+from sassafrasgate.shards.events import RequestReceived
 from sassafrasgate.shards.ownership import OwnerLease
 from tests.dispatch.simulation import QUEUE
 from tests.journal.test_ring_buffer import MemoryStore
@@ -127,6 +130,19 @@
     assert new.state.epoch == old.state.epoch + 1
 
 
+async def test_count_after_a_takeover_has_what_was_accepted_during_it():
+    # Guards against a queue that is said to be empty while jobs wait: those
+    # whose entries the takeover had overwritten were not counted.
+    store = RacingStore()
+    old = await make_owner(store, 'e1/1')
+    await old.accept('before')
+    store.race(make_entry_key('cell', 3), lambda: old.accept('during'))
+    new = await make_owner(store, 'e2/1')
+    question = RequestReceived(7, CountPending(QUEUE.name), 0)
+    (reply,) = decide(new.state, question, now_ms(), 0)
+    assert reply.message.count == 2
+
+
 async def test_each_entry_of_a_fast_previous_owner_is_kept():
     # Guards against a new owner that reads the new entries only once: the
     # previous owner may be faster several times.
