Move the probes of the owner out of the election

The probe, its witnesses and the record of evidence are owner_probes and owner_ends now; no behaviour changes. tests/daemons/test_owner_ends.py, test_entry.py and test_failures.py pass, with the new names.

--- a/sassafrasgate/daemons/election.py
+++ b/sassafrasgate/daemons/election.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 from dataclasses import replace
-from random import sample
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -19,12 +18,10 @@
 from sassafrasgate.core.errors import StoreError
 from sassafrasgate.core.identifiers import rank_names
 from sassafrasgate.core.items import Item
-from sassafrasgate.daemons.control import ControlListed
-from sassafrasgate.daemons.directory import decode_member
 from sassafrasgate.daemons.directory import make_owner_key
-from sassafrasgate.daemons.directory import MEMBER_PREFIX
-from sassafrasgate.daemons.owner_ends import EndEvidence
-from sassafrasgate.daemons.owner_ends import OwnerEndRecord
+from sassafrasgate.daemons.owner_probes import OwnerProbe
+from sassafrasgate.daemons.owner_probes import REACHABILITY_TIMEOUT_S
+from sassafrasgate.daemons.owner_probes import SHARD
 from sassafrasgate.journal.rate_limits import CallPriority
 from sassafrasgate.observability.clocks import now_ms
 from sassafrasgate.observability.logs import log_event
@@ -38,32 +35,19 @@
     from logbook import Logger
 
     from sassafrasgate.core.stores import KeyStore
-    from sassafrasgate.daemons.control import ControlChanged
     from sassafrasgate.daemons.directory import Directory
     from sassafrasgate.daemons.leases import LeaseChanged
     from sassafrasgate.daemons.leases import Member
     from sassafrasgate.protocol.workflows import HandOver
     from sassafrasgate.shards.ownership import OwnerLease
 
-SHARD = 'cell'
 # Additional delay, for each place in the ranking, before a host claims a shard
 # without an owner.
 CLAIM_RANK_DELAY_MS = 120
-PROBE_TIMEOUT_S = 0.3
 FIND_OWNER_TIMEOUT_S = 0.2
 # Long enough for a successor to write its takeover record to a slow store.
 OFFER_TIMEOUT_S = 1.5
 MAX_OFFERS = 2
-# Time limit for the reply of a host that may be down. A round trip between
-# zones takes about 8 ms.
-REACHABILITY_TIMEOUT_S = 0.15
-# Hosts that are asked whether the owner is connected to them, and how long the
-# others may take once one has replied.
-MAX_WITNESSES = 5
-WITNESS_GRACE_S = 0.04
-# Two heartbeats; a connection that is silent for longer shows no living
-# process.
-MAX_HEARTBEAT_AGE_MS = 1_000
 
 
 class OwnerElection:
@@ -79,6 +63,11 @@
         Updated by the entry task with control events.
     logger : Logger
         Logger for changes of the lease and of the owner.
+
+    Attributes
+    ----------
+    probe : OwnerProbe
+        Finds out whether the owner's process has ended.
     """
 
     def __init__(
@@ -94,11 +83,7 @@
         self._logger = logger
         self._lease_id = ''
         self._ownerless_since = 0
-        self._owner_end = OwnerEndRecord()
-        self._is_probing = False
-        # Kind, revision of the owner key and result of the last probe that
-        # was logged.
-        self._logged_probe: tuple[str, int, bool] = ('', 0, False)
+        self.probe = OwnerProbe(member, directory, logger)
         # Revision of the owner key that this process is replacing.
         self._replaced_revision = 0
         self.lease: OwnerLease | None = None
@@ -140,23 +125,6 @@
         self._log('lease-lost', (('lease', self._lease_id),))
         self._lease_id = ''
 
-    def record_end(self, evidence: EndEvidence) -> None:
-        """Record evidence that the owner's process has ended."""
-        self._owner_end.record_end(evidence)
-
-    def record_members(self, message: ControlListed | ControlChanged) -> None:
-        """Record the processes that have written their member keys.
-
-        A list of all keys may contain those of processes that have ended and
-        whose leases have not expired.
-        """
-        if isinstance(message, ControlListed):
-            return
-        for item in message.items:
-            member = decode_member(item)
-            if item.key.startswith(MEMBER_PREFIX) and member is not None:
-                self._owner_end.record_sign(member.incarnation)
-
     def has_fresh_lease(self) -> bool:
         """Return whether the lease is valid without the outage grace."""
         lease = self.lease
@@ -201,10 +169,7 @@
             return True
         if self._is_replaced(member.name, member.incarnation, revision):
             return True
-        link = self._directory.find_link(member.link_address)
-        if link.unconnected_ms == 0:
-            return False
-        return self._owner_end.has_ended(member, revision, link.received_at)
+        return self.probe.has_ended(member, revision)
 
     def _is_replaced(self, name: str, incarnation: str, revision: int) -> bool:
         """Return whether a process has been started again.
@@ -443,151 +408,15 @@
         The reply names no owner if this host's own lease is not valid, since
         its view may then be outdated.
         """
-        connected = self._is_connected(question.incarnation)
+        connected = self.probe.is_connected(question.incarnation)
         owner = self.owner
         if owner is None or not self.has_fresh_lease():
             return OwnerFound(SHARD, b'', 0, connected)
         return OwnerFound(SHARD, encode(owner[0]), owner[1], connected)
 
-    def _is_connected(self, incarnation: str) -> bool:
-        """Return whether this host has a connection to a process."""
-        if incarnation == self._member.incarnation:
-            return True
-        owner = self.owner
-        if owner is None or owner[0].incarnation != incarnation:
-            return False
-        link = self._directory.find_link(owner[0].link_address)
-        return (
-            link.unconnected_ms == 0 and link.silent_ms < MAX_HEARTBEAT_AGE_MS
-        )
-
-    def is_probe_due(self) -> bool:
-        """Return whether the owner has been out of reach and not probed."""
-        owner = self.owner
-        if self._is_probing or owner is None or self.is_self(owner[0]):
-            return False
-        link = self._directory.find_link(owner[0].link_address)
-        return self._owner_end.is_probe_due(link.unconnected_ms)
-
-    async def probe_owner(self) -> EndEvidence | None:
-        """Check whether the owner's process has ended.
-
-        A connection that gets no response shows nothing; the owner's lease
-        has to expire first. A refused one counts if another host, which this
-        one reaches and which knows the same owner, has no connection to the
-        owner either.
-
-        Returns
-        -------
-        EndEvidence or None
-            None if nothing shows that the process has ended.
-        """
-        owner = self.owner
-        if self._is_probing or owner is None or self.is_self(owner[0]):
-            return None
-        self._is_probing = True
-        try:
-            return await self._probe(*owner)
-        finally:
-            self._is_probing = False
-
-    async def _probe(
-        self, member: Member, revision: int
-    ) -> EndEvidence | None:
-        self._owner_end.begin_probe()
-        evidence = EndEvidence(
-            member.name, member.incarnation, revision, now_ms()
-        )
-        if not await _is_connection_refused(member.link_address):
-            return None
-        witnesses = [
-            other for other in self._list_others() if other.name != member.name
-        ]
-        replies = await self._ask_witnesses(witnesses, member.incarnation)
-        connected = [name for name, reply in replies if reply.connected]
-        agreeing = [
-            name for name, reply in replies if reply.revision == revision
-        ]
-        confirmed = not connected and (bool(agreeing) or not witnesses)
-        evidence = replace(evidence, witnesses=tuple(agreeing))
-        self._log_probe(evidence, confirmed, connected)
-        return evidence if confirmed else None
-
-    def _log_probe(
-        self, evidence: EndEvidence, confirmed: bool, connected: list[str]
-    ) -> None:
-        """Log a refused probe unless it repeats the last result."""
-        kind = 'owner-ended' if confirmed else 'owner-refuses'
-        result = (kind, evidence.revision, bool(connected))
-        if result == self._logged_probe:
-            return
-        self._logged_probe = result
-        self._log(
-            kind,
-            (
-                ('owner', evidence.owner),
-                ('incarnation', evidence.incarnation),
-                ('revision', evidence.revision),
-                ('witnesses', ','.join(evidence.witnesses)),
-                ('connected', ','.join(connected)),
-            ),
-        )
-
-    async def _ask_witnesses(
-        self, members: list[Member], incarnation: str
-    ) -> list[tuple[str, OwnerFound]]:
-        """Ask some hosts whether they have a connection to the owner.
-
-        Returns
-        -------
-        list of (str, OwnerFound)
-            Name and reply of each host that has replied in time. Hosts that
-            are down are not waited for once another one has replied.
-        """
-        asked = sample(members, min(MAX_WITNESSES, len(members)))
-        replies: list[tuple[str, OwnerFound]] = []
-
-        async def ask(member: Member, first_reply: anyio.Event) -> None:
-            link = self._directory.find_link(member.link_address)
-            reply = await link.request(
-                FindOwner(SHARD, incarnation), REACHABILITY_TIMEOUT_S
-            )
-            if isinstance(reply, OwnerFound):
-                replies.append((member.name, reply))
-                first_reply.set()
-
-        async def end_after_first_reply(
-            first_reply: anyio.Event, scope: anyio.CancelScope
-        ) -> None:
-            await first_reply.wait()
-            await anyio.sleep(WITNESS_GRACE_S)
-            scope.cancel()
-
-        async with anyio.create_task_group() as group:
-            first_reply = anyio.Event()
-            group.start_soon(
-                end_after_first_reply, first_reply, group.cancel_scope
-            )
-            async with anyio.create_task_group() as questions:
-                for member in asked:
-                    questions.start_soon(ask, member, first_reply)
-            group.cancel_scope.cancel()
-        return replies
-
     def _log(self, kind: str, fields: tuple[tuple[str, object], ...]) -> None:
         log_event(self._logger, kind, fields)
 
     async def send_request(self, message: Any, timeout_s: float) -> Any:
         """Send a message to the owner; see `Directory.send_request`."""
         return await self._directory.send_request(SHARD, message, timeout_s)
-
-
-async def _is_connection_refused(address: str) -> bool:
-    host, _, port = address.rpartition(':')
-    try:
-        with anyio.fail_after(PROBE_TIMEOUT_S):
-            stream = await anyio.connect_tcp(host, int(port))
-            await stream.aclose()
-    except (OSError, TimeoutError) as error:
-        return isinstance(error.__cause__, ConnectionRefusedError)
-    return False
--- a/sassafrasgate/daemons/entry.py
+++ b/sassafrasgate/daemons/entry.py
@@ -14,7 +14,6 @@
 from sassafrasgate.daemons.dispatcher import DispatcherTask
 from sassafrasgate.daemons.dispatcher import refuse_not_owner
 from sassafrasgate.daemons.election import FIND_OWNER_TIMEOUT_S
-from sassafrasgate.daemons.election import SHARD
 from sassafrasgate.daemons.entry_messages import ENTRY_MESSAGES
 from sassafrasgate.daemons.entry_messages import ENTRY_REQUESTS
 from sassafrasgate.daemons.entry_messages import OwnerEnded
@@ -22,6 +21,7 @@
 from sassafrasgate.daemons.entry_messages import ShardOffered
 from sassafrasgate.daemons.messages import ClaimDue
 from sassafrasgate.daemons.messages import OwnershipLost
+from sassafrasgate.daemons.owner_probes import SHARD
 from sassafrasgate.daemons.relays import execute_relayed_call
 from sassafrasgate.journal.records import decode_records
 from sassafrasgate.journal.ring_buffer import LoadedJournal
@@ -154,7 +154,7 @@
     async def handle(self, message: Any, group: TaskGroup) -> None:
         """Handle one message, then claim the shard if that is due."""
         ENTRY_MESSAGES.find(type(message))(self, message, group)
-        if self.election.is_probe_due():
+        if self.election.probe.is_due():
             self.start_unit(group, self.probe_owner)
         await self._claim(group)
 
@@ -317,7 +317,7 @@
 
     async def probe_owner(self) -> None:
         """Check whether the owner's process has ended."""
-        evidence = await self.election.probe_owner()
+        evidence = await self.election.probe.run()
         if evidence is not None:
             await self.send_to_self(OwnerEnded(evidence))
 
--- a/sassafrasgate/daemons/entry_messages.py
+++ b/sassafrasgate/daemons/entry_messages.py
@@ -105,7 +105,7 @@
     task: EntryTask, message: Any, group: TaskGroup
 ) -> None:
     task.directory.apply_control_event(message)
-    task.election.record_members(message)
+    task.election.probe.record_members(message)
     owner = task.election.owner
     if owner is not None and not task.election.is_self(owner[0]):
         # An open link detects when the owner's process ends.
@@ -175,7 +175,7 @@
 def _handle_owner_end(
     task: EntryTask, message: OwnerEnded, group: TaskGroup
 ) -> None:
-    task.election.record_end(message.evidence)
+    task.election.probe.record_end(message.evidence)
 
 
 @ENTRY_MESSAGES.register(RelayRequested)
--- a/tests/daemons/test_owner_ends.py
+++ b/tests/daemons/test_owner_ends.py
@@ -21,8 +21,8 @@
 
 from sassafrasgate.core.items import Item
 from sassafrasgate.core.routing import RoutingTable
-from sassafrasgate.daemons import election as election_module
 from sassafrasgate.daemons import entry
+from sassafrasgate.daemons import owner_probes
 from sassafrasgate.daemons.control import ControlChanged
 from sassafrasgate.daemons.control import ControlListed
 from sassafrasgate.daemons.directory import Directory
@@ -126,9 +126,9 @@
         self.election.lease = make_lease()
 
     async def probe(self):
-        evidence = await self.election.probe_owner()
+        evidence = await self.election.probe.run()
         if evidence is not None:
-            self.election.record_end(evidence)
+            self.election.probe.record_end(evidence)
         return evidence
 
     @property
@@ -143,7 +143,7 @@
     async def refuse(_):
         return True
 
-    monkeypatch.setattr(election_module, '_is_connection_refused', refuse)
+    monkeypatch.setattr(owner_probes, '_is_connection_refused', refuse)
 
 
 @pytest.mark.parametrize(
@@ -207,7 +207,7 @@
 
 
 async def see_member_key(host):
-    host.election.record_members(
+    host.election.probe.record_members(
         ControlChanged((make_member_item(OWNER, 12),))
     )
 
@@ -252,7 +252,7 @@
     # listed until its lease expires.
     host = Host({'e3': False, 'e4': False})
     await host.probe()
-    host.election.record_members(
+    host.election.probe.record_members(
         ControlListed((make_member_item(OWNER, 5),), 20)
     )
     assert host.may_claim
