--- a/sassafrasgate/daemons/dispatcher.py
+++ b/sassafrasgate/daemons/dispatcher.py
@@ -84,8 +84,8 @@
     from sassafrasgate.dispatch.actions import ChangeHoldWait
     from sassafrasgate.dispatch.actions import LogEvent
     from sassafrasgate.dispatch.actions import WatchWorker
+    from sassafrasgate.journal.loading import LoadedJournal
     from sassafrasgate.journal.ring_buffer import Journal
-    from sassafrasgate.journal.ring_buffer import LoadedJournal
     from sassafrasgate.protocol.links import IncomingRequest
 
 TICK_INTERVAL_S = 0.1
--- a/sassafrasgate/daemons/entry.py
+++ b/sassafrasgate/daemons/entry.py
@@ -23,8 +23,8 @@
 from sassafrasgate.daemons.messages import OwnershipLost
 from sassafrasgate.daemons.owner_probes import SHARD
 from sassafrasgate.daemons.relays import execute_relayed_call
+from sassafrasgate.journal.loading import LoadedJournal
 from sassafrasgate.journal.records import decode_records
-from sassafrasgate.journal.ring_buffer import LoadedJournal
 from sassafrasgate.observability.failures import FailureRecorder
 from sassafrasgate.observability.logs import log_event
 from sassafrasgate.observability.metrics import OWNED_SHARDS
--- a/sassafrasgate/daemons/takeovers.py
+++ b/sassafrasgate/daemons/takeovers.py
@@ -20,7 +20,7 @@
 
     from sassafrasgate.core.stores import KeyStore
     from sassafrasgate.dispatch.state import DispatchState
-    from sassafrasgate.journal.ring_buffer import LoadedJournal
+    from sassafrasgate.journal.loading import LoadedJournal
     from sassafrasgate.journal.takeovers import OpenedJournal
     from sassafrasgate.shards.ownership import OwnerLease
 
--- a/sassafrasgate/journal/takeovers.py
+++ b/sassafrasgate/journal/takeovers.py
@@ -11,11 +11,11 @@
 from sassafrasgate.core.errors import ShardLostError
 from sassafrasgate.core.errors import StoreError
 from sassafrasgate.core.errors import TakeoverConflictError
+from sassafrasgate.journal.loading import load_journal
+from sassafrasgate.journal.loading import LoadedJournal
+from sassafrasgate.journal.loading import read_new_entries
 from sassafrasgate.journal.records import Takeover
 from sassafrasgate.journal.ring_buffer import Journal
-from sassafrasgate.journal.ring_buffer import load_journal
-from sassafrasgate.journal.ring_buffer import LoadedJournal
-from sassafrasgate.journal.ring_buffer import read_new_entries
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
--- a/tests/daemons/test_failures.py
+++ b/tests/daemons/test_failures.py
@@ -30,7 +30,7 @@
 from sassafrasgate.dispatch.events import TableChanged
 from sassafrasgate.dispatch.events import WorkerReported
 from sassafrasgate.dispatch.events import WorkerSilent
-from sassafrasgate.journal.ring_buffer import load_journal
+from sassafrasgate.journal.loading import load_journal
 from sassafrasgate.observability.clocks import now_ms
 from sassafrasgate.observability.failures import FailureRecorder
 from sassafrasgate.observability.failures import InvalidEntryLog
--- a/tests/daemons/test_lost_ownership.py
+++ b/tests/daemons/test_lost_ownership.py
@@ -18,7 +18,7 @@
 from sassafrasgate.daemons.messages import OwnershipLost
 from sassafrasgate.daemons.shards import ShardServices
 from sassafrasgate.daemons.shards import ShardTask
-from sassafrasgate.journal.ring_buffer import load_journal
+from sassafrasgate.journal.loading import load_journal
 from sassafrasgate.observability.clocks import now_ms
 from sassafrasgate.observability.metrics import Metrics
 from sassafrasgate.protocol.links import IncomingRequest
--- a/tests/daemons/test_takeover_races.py
+++ b/tests/daemons/test_takeover_races.py
@@ -14,9 +14,9 @@
 from sassafrasgate.dispatch.recovery import replay_records
 from sassafrasgate.dispatch.state import DispatchState
 from sassafrasgate.dispatch.transitions import decide
+from sassafrasgate.journal.keys import make_entry_key
+from sassafrasgate.journal.loading import load_journal
 from sassafrasgate.journal.records import encode_records
-from sassafrasgate.journal.ring_buffer import load_journal
-from sassafrasgate.journal.ring_buffer import make_entry_key
 from sassafrasgate.journal.workflows import WorkflowAccepted
 from sassafrasgate.observability.clocks import now_ms
 from sassafrasgate.protocol.workflows import CountPending
--- a/tests/journal/test_ring_buffer.py
+++ b/tests/journal/test_ring_buffer.py
@@ -8,11 +8,13 @@
 from sassafrasgate.core.errors import StoreUnavailableError
 from sassafrasgate.core.items import Changes
 from sassafrasgate.core.items import Item
+from sassafrasgate.journal import keys
+from sassafrasgate.journal import loading
 from sassafrasgate.journal import ring_buffer
+from sassafrasgate.journal.loading import load_journal
 from sassafrasgate.journal.records import Takeover
 from sassafrasgate.journal.ring_buffer import encode_snapshot
 from sassafrasgate.journal.ring_buffer import Journal
-from sassafrasgate.journal.ring_buffer import load_journal
 
 pytestmark = pytest.mark.anyio
 
@@ -106,7 +108,8 @@
 ):
     # Guards against lost entries when successive owners end before their
     # first snapshot, so that their entries fill the ring.
-    monkeypatch.setattr(ring_buffer, 'RING_SLOTS', 8)
+    for module in (keys, loading, ring_buffer):
+        monkeypatch.setattr(module, 'RING_SLOTS', 8)
     monkeypatch.setattr(ring_buffer, 'TAKEOVER_SLOTS', 2)
     store = MemoryStore()
     journal = await take_over(store, 1)
