Split the dispatcher's state into identities, entries and containers

What identifies steps, runs and ends, and the immutable entries, are modules of their own now; no behaviour changes. Only imports change elsewhere. tests/dispatch, tests/soak and tests/platform pass.

--- a/sassafrasgate/daemons/workers.py
+++ b/sassafrasgate/daemons/workers.py
@@ -38,10 +38,10 @@
 from sassafrasgate.dispatch.events import StopAnswered
 from sassafrasgate.dispatch.events import WorkerReported
 from sassafrasgate.dispatch.events import WorkerSilent
+from sassafrasgate.dispatch.identities import RunKey
 from sassafrasgate.dispatch.leases import compute_worker_lease_deadline
 from sassafrasgate.dispatch.leases import compute_worker_lease_expiry
 from sassafrasgate.dispatch.leases import make_fencing_token
-from sassafrasgate.dispatch.state import RunKey
 from sassafrasgate.observability.clocks import now_ms
 from sassafrasgate.shards.attempts import ClockReading
 from sassafrasgate.shards.ownership import may_send_commands
--- a/sassafrasgate/dispatch/actions.py
+++ b/sassafrasgate/dispatch/actions.py
@@ -9,8 +9,8 @@
 from dataclasses import dataclass
 
 from sassafrasgate.core.workers import Registration
-from sassafrasgate.dispatch.state import RunKey
-from sassafrasgate.dispatch.state import StepKey
+from sassafrasgate.dispatch.identities import RunKey
+from sassafrasgate.dispatch.identities import StepKey
 
 
 @dataclass(frozen=True, slots=True)
--- a/sassafrasgate/dispatch/advice.py
+++ b/sassafrasgate/dispatch/advice.py
@@ -12,21 +12,21 @@
 
 from sassafrasgate.dispatch.actions import AskAdvice
 from sassafrasgate.dispatch.actions import LogEvent
+from sassafrasgate.dispatch.entries import AdviceChannel
+from sassafrasgate.dispatch.entries import StepAdvice
+from sassafrasgate.dispatch.entries import Ticket
 from sassafrasgate.dispatch.events import AdviceAnswered
 from sassafrasgate.dispatch.events import AdviceFailed
 from sassafrasgate.dispatch.events import PeersChanged
 from sassafrasgate.dispatch.handlers import EVENT_HANDLERS
-from sassafrasgate.dispatch.state import AdviceChannel
-from sassafrasgate.dispatch.state import StepAdvice
-from sassafrasgate.dispatch.state import Ticket
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from sassafrasgate.core.routing import AdviceTiming
     from sassafrasgate.dispatch.handlers import Actions
+    from sassafrasgate.dispatch.identities import StepKey
     from sassafrasgate.dispatch.state import DispatchState
-    from sassafrasgate.dispatch.state import StepKey
 
 MAX_WORKERS_PER_CALL = 100
 # A longer call is not made by the owner's host if there are other entry hosts.
--- /dev/null
+++ b/sassafrasgate/dispatch/entries.py
@@ -0,0 +1,419 @@
+"""Entries of the dispatcher's state; all are immutable."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from enum import StrEnum
+
+from sassafrasgate.core.resources import Resources
+from sassafrasgate.core.routing import Queue
+from sassafrasgate.core.workers import Registration
+from sassafrasgate.core.workflows import FINAL_WORKFLOW_STATES
+from sassafrasgate.core.workflows import Workflow
+from sassafrasgate.core.workflows import WorkflowState
+from sassafrasgate.dispatch.identities import EndNumber
+from sassafrasgate.dispatch.identities import GangRun
+from sassafrasgate.dispatch.identities import RunIdentity
+from sassafrasgate.dispatch.identities import RunKey
+from sassafrasgate.dispatch.identities import RunPlace
+from sassafrasgate.dispatch.identities import StepKey
+from sassafrasgate.shards.attempts import ClockReading
+
+
+class RunPhase(StrEnum):
+    """How far the start of a run is confirmed.
+
+    Attributes
+    ----------
+    SENT
+        The start call was sent and has got no reply yet.
+    PRESENT
+        The worker has confirmed the run in a reply or a report.
+    UNSURE
+        It is open whether the worker will start the run: a start call got
+        no reply, and the worker may still carry it out. Only the reply to
+        a stop call makes sure that the run cannot start any more.
+    """
+
+    SENT = 'sent'
+    PRESENT = 'present'
+    UNSURE = 'unsure'
+
+
+@dataclass(frozen=True, slots=True)
+class RunEntry:
+    """A run that may be present on a worker.
+
+    Its demand is reserved on the worker until the run is certainly gone.
+
+    Parameters
+    ----------
+    index : int
+        Index of the task within its step.
+    incarnation_ms : int
+        Incarnation of the worker on which the run was started.
+    started_at : int
+        Owner's clock, in ms, when the start was decided.
+    expected_ms : int
+        Expected duration of the run.
+    uncertain : bool
+        Whether a start call for the run got no reply.
+    confirmed_clock_ms : int
+        Worker's clock, in ms, when it confirmed the run. The run is gone if
+        a later report does not list it.
+    listed : bool
+        Whether a report of the worker's current incarnation has listed the
+        run.
+    stopping : bool
+        Whether the owner has decided to stop the run.
+    stop_sent_at : int
+        Owner's clock, in ms, when the last stop call was sent.
+    stop_confirmed_clock_ms : int
+        Worker's clock, in ms, when it replied to a stop call; 0 before that.
+    percent, percent_at : int
+        Last reported progress in percent, and the owner's clock, in ms, when
+        the report arrived.
+    checkpoint : str
+        Newest checkpoint that the worker has reported; empty for none.
+    base_percent, base_at : int
+        Progress in percent and owner's clock, in ms, from which the next
+        rate is measured.
+    rate : float
+        Progress in percent per second between two reports; negative until
+        two reports have arrived.
+    rate_at : int
+        Owner's clock, in ms, of the report that completed ``rate``.
+    target_ms : int
+        Target for the tail latency of a latency-critical task; 0 for other
+        tasks.
+    fills : bool
+        Whether the task is best-effort: it uses only processor time that
+        other tasks leave.
+    load, load_at : int
+        Last reported load, see `RunningRun`, and the owner's clock, in ms,
+        when the report arrived.
+    pace, paced_at : int
+        Percent of full speed at which a best-effort task should work, and
+        the owner's clock, in ms, when that was decided.
+    confirmed_pace : int
+        Pace, in percent, that the worker has confirmed.
+    pace_sent_at : int
+        Owner's clock, in ms, when the unanswered pace call was sent; 0 if no
+        call is unanswered.
+    epoch : int
+        Epoch of this owner if it has started the run; 0 if a previous one
+        has.
+    """
+
+    key: RunKey
+    step: StepKey
+    index: int
+    worker: str
+    incarnation_ms: int
+    demand: Resources
+    phase: RunPhase = RunPhase.SENT
+    started_at: int = 0
+    expected_ms: int = 0
+    uncertain: bool = False
+    confirmed_clock_ms: int = 0
+    listed: bool = False
+    stopping: bool = False
+    stop_sent_at: int = 0
+    stop_confirmed_clock_ms: int = 0
+    percent: int = 0
+    percent_at: int = 0
+    checkpoint: str = ''
+    base_percent: int = 0
+    base_at: int = 0
+    rate: float = -1.0
+    rate_at: int = 0
+    target_ms: int = 0
+    fills: bool = False
+    load: int = 0
+    load_at: int = 0
+    pace: int = 100
+    paced_at: int = 0
+    confirmed_pace: int = 100
+    pace_sent_at: int = 0
+    epoch: int = 0
+
+    @property
+    def place(self) -> RunPlace:
+        """Key of the run in the state."""
+        return RunPlace(self.worker, self.key)
+
+
+@dataclass(frozen=True, slots=True)
+class TaskEntry:
+    """Progress of one task, without its current runs.
+
+    Parameters
+    ----------
+    finished : bool
+        Whether the task has finished successfully.
+    failures : int
+        Number of runs that have failed.
+    next_run : int
+        Lowest number that the next run may have.
+    checkpoint : str
+        Newest checkpoint of the task; empty for none.
+    ended_runs : tuple of RunIdentity
+        Runs whose end has been applied.
+    failed_on : tuple of str
+        Workers on which runs have failed.
+    moved : bool
+        Whether a run has been moved because it took far longer than
+        estimated.
+    """
+
+    finished: bool = False
+    failures: int = 0
+    next_run: int = 1
+    checkpoint: str = ''
+    ended_runs: tuple[RunIdentity, ...] = ()
+    failed_on: tuple[str, ...] = ()
+    moved: bool = False
+
+
+NEW_TASK = TaskEntry()
+
+
+@dataclass(frozen=True, slots=True)
+class StepEntry:
+    """Progress of one step of one occurrence of a job.
+
+    Parameters
+    ----------
+    pending_tasks : frozenset of int
+        Indexes of the tasks that need a run and have none.
+    open_tasks : int
+        Number of tasks that have not finished.
+    ready : bool
+        Whether the step may run: its predecessors have finished and its
+        start time has passed.
+    closed : bool
+        Whether the step has finished and its successors were made ready.
+    gang_failures : int
+        Number of runs of the gang that have failed.
+    failed_gang_runs : tuple of GangRun
+        Runs of the gang that have failed.
+    checkpoint : str
+        Newest checkpoint of a gang, which is valid for all members.
+    ready_at : int
+        Owner's clock, in ms, when the step became ready.
+    moved : bool
+        Whether the gang has been moved because it took far longer than
+        estimated.
+    """
+
+    key: StepKey
+    pending_tasks: frozenset[int]
+    open_tasks: int
+    ready: bool = False
+    closed: bool = False
+    gang_failures: int = 0
+    failed_gang_runs: tuple[GangRun, ...] = ()
+    checkpoint: str = ''
+    ready_at: int = 0
+    moved: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class JobEntry:
+    """An accepted workflow.
+
+    Parameters
+    ----------
+    queue : Queue
+        Settings of the job's queue when the job was accepted.
+    state : WorkflowState
+        State that has been decided; callers see ``durable_state`` instead.
+    durable_state : WorkflowState
+        Latest state whose record is durable.
+    durable : bool
+        Whether the journal contains the record of the acceptance.
+    from_previous_owner : bool
+        Whether a previous owner may have started tasks of the job.
+    due_at : int
+        Owner's clock, in ms, by which the job should complete.
+    value_ends_at : int
+        Owner's clock, in ms, after which completing the job earns nothing.
+    critical_paths_ms : tuple of int
+        For each step, the critical path from its start to the end of the
+        job: the longest chain of estimated work, in ms.
+    occurrences : int
+        Number of occurrences that have been opened.
+    open_steps : int
+        Number of steps of opened occurrences that have not finished.
+    ended_by : EndNumber or None
+        End of a run that ended the job.
+    ended_at_ms : int
+        Wall clock when the job ended.
+    """
+
+    job_id: str
+    queue: Queue
+    workflow: Workflow
+    accepted_at_ms: int
+    state: WorkflowState = WorkflowState.QUEUED
+    durable_state: WorkflowState = WorkflowState.QUEUED
+    durable: bool = False
+    from_previous_owner: bool = False
+    due_at: int = 0
+    value_ends_at: int = 0
+    critical_paths_ms: tuple[int, ...] = ()
+    occurrences: int = 0
+    open_steps: int = 0
+    ended_by: EndNumber | None = None
+    ended_at_ms: int = 0
+
+    @property
+    def has_ended(self) -> bool:
+        """Whether the job has reached a final state."""
+        return self.state in FINAL_WORKFLOW_STATES
+
+
+@dataclass(frozen=True, slots=True)
+class WorkerEntry:
+    """State of a worker, as far as the owner has learned it.
+
+    Parameters
+    ----------
+    registration : Registration
+        Newest entry of the worker in the store.
+    registered : bool
+        Whether the store still has an entry for the worker.
+    recorded : bool
+        Whether a durable record names the worker, so that a successor
+        contacts it.
+    epoch_acknowledged : bool
+        Whether the worker has replied to a call with this owner's epoch.
+    incarnation_ms : int
+        Incarnation of the worker in its newest report; 0 before the first
+        report.
+    reading : ClockReading or None
+        The worker's clock in its newest report.
+    last_end_number : int
+        Highest number in the worker's list of ended runs that has been
+        handled.
+    silent_since : int
+        Owner's clock, in ms, of the first unanswered call since the worker
+        last replied; 0 while the worker replies.
+    leases_expire_at : int
+        Owner's clock, in ms, from which every lease granted to the worker
+        has expired.
+    leases_expired : bool
+        Whether the worker's runs were recorded as lost because its leases
+        had expired.
+    unknown_runs : frozenset of RunKey
+        Runs on the worker whose task is unknown to the owner. They are
+        being stopped, and their demand is unknown until then.
+    avoid_until : int
+        Owner's clock, in ms, until which the worker gets no new runs.
+    """
+
+    registration: Registration
+    registered: bool = True
+    recorded: bool = False
+    epoch_acknowledged: bool = False
+    incarnation_ms: int = 0
+    reading: ClockReading | None = None
+    last_end_number: int = 0
+    silent_since: int = 0
+    leases_expire_at: int = 0
+    leases_expired: bool = False
+    unknown_runs: frozenset[RunKey] = frozenset()
+    avoid_until: int = 0
+
+    @property
+    def takes_starts(self) -> bool:
+        """Whether runs may start on the worker, as its entry says."""
+        return self.registered and not self.registration.leaving
+
+
+@dataclass(frozen=True, slots=True)
+class SlowPeriod:
+    """Period in which a slow worker gets no new runs.
+
+    Parameters
+    ----------
+    speed_share : float
+        Speed of the worker as a fraction of the usual speed; 0 if its runs
+        make no progress.
+    ends_at : int
+        Owner's clock, in ms, when the period ends.
+    duration_ms : int
+        Length of the period.
+    """
+
+    speed_share: float
+    ends_at: int
+    duration_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class Ticket:
+    """Permission to run a step on one incarnation of a worker.
+
+    Parameters
+    ----------
+    ticket : str
+        Token from the advice service, which the start call presents.
+    expires_at : int
+        Owner's clock, in ms, when the ticket expires.
+    incarnation_ms : int
+        Incarnation of the worker that the ticket is valid for.
+    """
+
+    ticket: str
+    expires_at: int
+    incarnation_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class StepAdvice:
+    """Replies of the advice service about a step.
+
+    Parameters
+    ----------
+    tickets : dict
+        Newest ticket by worker. Tickets that have expired, were refused or
+        are for another incarnation are kept because their workers remain
+        admissible; the service is asked for new ones.
+    asked_incarnations : dict
+        Workers that the service has been asked about, each with its
+        incarnation when the call was made. A worker without a ticket may
+        have been away; its next incarnation may be admissible.
+    pending_workers : frozenset of str
+        Workers named in the pending call; empty if no call is pending.
+    requested_at : int
+        Owner's clock, in ms, when the newest call was made.
+    failures : int
+        Number of calls that have failed since the last successful one.
+    """
+
+    tickets: dict[str, Ticket] = field(default_factory=dict)
+    asked_incarnations: dict[str, int] = field(default_factory=dict)
+    pending_workers: frozenset[str] = frozenset()
+    requested_at: int = 0
+    failures: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class AdviceChannel:
+    """Calls of one entry host to the advice service.
+
+    The service handles the calls of one host one at a time.
+
+    Parameters
+    ----------
+    entry_host : str
+        Name of the host.
+    busy_until : int
+        Owner's clock, in ms, when all calls made so far are expected to
+        have got a reply.
+    """
+
+    entry_host: str
+    busy_until: int = 0
--- a/sassafrasgate/dispatch/events.py
+++ b/sassafrasgate/dispatch/events.py
@@ -15,8 +15,8 @@
 from sassafrasgate.core.workflows import Advice
 from sassafrasgate.core.workflows import RunReply
 from sassafrasgate.core.workflows import WorkerReport
-from sassafrasgate.dispatch.state import RunKey
-from sassafrasgate.dispatch.state import StepKey
+from sassafrasgate.dispatch.identities import RunKey
+from sassafrasgate.dispatch.identities import StepKey
 
 
 @dataclass(frozen=True, slots=True)
--- a/sassafrasgate/dispatch/gangs.py
+++ b/sassafrasgate/dispatch/gangs.py
@@ -31,11 +31,11 @@
     from sassafrasgate.core.routing import AdviceTiming
     from sassafrasgate.core.routing import Queue
     from sassafrasgate.core.workflows import Step
+    from sassafrasgate.dispatch.entries import JobEntry
+    from sassafrasgate.dispatch.entries import WorkerEntry
     from sassafrasgate.dispatch.handlers import Actions
+    from sassafrasgate.dispatch.identities import StepKey
     from sassafrasgate.dispatch.state import DispatchState
-    from sassafrasgate.dispatch.state import JobEntry
-    from sassafrasgate.dispatch.state import StepKey
-    from sassafrasgate.dispatch.state import WorkerEntry
 
 # Number of gangs that may have capacity reserved at once. More reservations
 # would keep too much capacity idle.
--- a/sassafrasgate/dispatch/health.py
+++ b/sassafrasgate/dispatch/health.py
@@ -9,8 +9,8 @@
 from sassafrasgate.core.workflows import EndKind
 
 if TYPE_CHECKING:
+    from sassafrasgate.dispatch.entries import RunEntry
     from sassafrasgate.dispatch.state import DispatchState
-    from sassafrasgate.dispatch.state import RunEntry
 
 # Up to 5% of the runs fail because of their task, so two consecutive failures
 # on one worker are more likely caused by the worker.
--- a/sassafrasgate/dispatch/launches.py
+++ b/sassafrasgate/dispatch/launches.py
@@ -6,22 +6,22 @@
 
 from sassafrasgate.dispatch.actions import LogEvent
 from sassafrasgate.dispatch.actions import StartRun
+from sassafrasgate.dispatch.entries import JobEntry
+from sassafrasgate.dispatch.entries import RunEntry
+from sassafrasgate.dispatch.entries import StepAdvice
+from sassafrasgate.dispatch.entries import WorkerEntry
+from sassafrasgate.dispatch.identities import make_task_id
+from sassafrasgate.dispatch.identities import RunKey
+from sassafrasgate.dispatch.identities import StepKey
 from sassafrasgate.dispatch.ordering import compute_slack
 from sassafrasgate.dispatch.pacing import choose_initial_pace
 from sassafrasgate.dispatch.plans import estimate_run_ms
-from sassafrasgate.dispatch.state import DispatchState
-from sassafrasgate.dispatch.state import JobEntry
-from sassafrasgate.dispatch.state import make_task_id
-from sassafrasgate.dispatch.state import RunEntry
-from sassafrasgate.dispatch.state import RunKey
-from sassafrasgate.dispatch.state import StepAdvice
-from sassafrasgate.dispatch.state import StepKey
-from sassafrasgate.dispatch.state import WorkerEntry
 
 if TYPE_CHECKING:
     from sassafrasgate.core.resources import Resources
     from sassafrasgate.core.workflows import Step
     from sassafrasgate.dispatch.handlers import Actions
+    from sassafrasgate.dispatch.state import DispatchState
 
 
 def start_run(
--- a/sassafrasgate/dispatch/ordering.py
+++ b/sassafrasgate/dispatch/ordering.py
@@ -5,9 +5,9 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from sassafrasgate.dispatch.entries import JobEntry
+    from sassafrasgate.dispatch.identities import StepKey
     from sassafrasgate.dispatch.state import DispatchState
-    from sassafrasgate.dispatch.state import JobEntry
-    from sassafrasgate.dispatch.state import StepKey
 
 # Estimates are rough. Work that is expected to miss its objective by less than
 # this fraction of its critical path may still meet it.
--- a/sassafrasgate/dispatch/pacing.py
+++ b/sassafrasgate/dispatch/pacing.py
@@ -11,14 +11,14 @@
 
 from sassafrasgate.dispatch.actions import LogEvent
 from sassafrasgate.dispatch.actions import PaceRun
+from sassafrasgate.dispatch.entries import RunPhase
 from sassafrasgate.dispatch.events import PaceAnswered
 from sassafrasgate.dispatch.handlers import EVENT_HANDLERS
-from sassafrasgate.dispatch.state import RunPhase
 
 if TYPE_CHECKING:
+    from sassafrasgate.dispatch.entries import RunEntry
     from sassafrasgate.dispatch.handlers import Actions
     from sassafrasgate.dispatch.state import DispatchState
-    from sassafrasgate.dispatch.state import RunEntry
 
 FULL_PACE_PERCENT = 100
 UNKNOWN_PACE_PERCENT = -1
--- a/sassafrasgate/dispatch/plans.py
+++ b/sassafrasgate/dispatch/plans.py
@@ -10,17 +10,17 @@
 from sassafrasgate.core.resources import NO_RESOURCES
 from sassafrasgate.core.resources import Resources
 from sassafrasgate.dispatch.advice import is_ticket_valid
+from sassafrasgate.dispatch.entries import RunEntry
+from sassafrasgate.dispatch.entries import StepAdvice
+from sassafrasgate.dispatch.entries import WorkerEntry
 from sassafrasgate.dispatch.health import find_run_allowance
-from sassafrasgate.dispatch.state import DispatchState
-from sassafrasgate.dispatch.state import RunEntry
-from sassafrasgate.dispatch.state import StepAdvice
-from sassafrasgate.dispatch.state import WorkerEntry
 from sassafrasgate.dispatch.stragglers import is_paused_as_slow
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from sassafrasgate.core.workflows import Step
+    from sassafrasgate.dispatch.state import DispatchState
 
 NO_ADVICE = StepAdvice()
 _GET_MILLICORES = attrgetter('millicores')
--- a/sassafrasgate/dispatch/progress.py
+++ b/sassafrasgate/dispatch/progress.py
@@ -6,17 +6,17 @@
 
 from sassafrasgate.core.workflows import EndKind
 from sassafrasgate.core.workflows import WorkflowState
-from sassafrasgate.dispatch.state import GangRun
-from sassafrasgate.dispatch.state import make_task_id
-from sassafrasgate.dispatch.state import RunIdentity
-from sassafrasgate.dispatch.state import StepEntry
-from sassafrasgate.dispatch.state import StepKey
+from sassafrasgate.dispatch.entries import StepEntry
+from sassafrasgate.dispatch.identities import GangRun
+from sassafrasgate.dispatch.identities import make_task_id
+from sassafrasgate.dispatch.identities import RunIdentity
+from sassafrasgate.dispatch.identities import StepKey
 
 if TYPE_CHECKING:
     from sassafrasgate.core.workflows import Workflow
+    from sassafrasgate.dispatch.entries import JobEntry
+    from sassafrasgate.dispatch.identities import EndNumber
     from sassafrasgate.dispatch.state import DispatchState
-    from sassafrasgate.dispatch.state import EndNumber
-    from sassafrasgate.dispatch.state import JobEntry
     from sassafrasgate.journal.workflows import RunEnded
 
 # A job earns nothing if it takes more than this multiple of its objective.
--- a/sassafrasgate/dispatch/registrations.py
+++ b/sassafrasgate/dispatch/registrations.py
@@ -11,6 +11,7 @@
 from sassafrasgate.dispatch.actions import ForgetWorker
 from sassafrasgate.dispatch.actions import LogEvent
 from sassafrasgate.dispatch.actions import WatchWorker
+from sassafrasgate.dispatch.entries import WorkerEntry
 from sassafrasgate.dispatch.events import RegistrationsConfirmed
 from sassafrasgate.dispatch.events import TableChanged
 from sassafrasgate.dispatch.events import WorkerRegistered
@@ -22,7 +23,6 @@
 from sassafrasgate.dispatch.hold_waits import NORMAL_HOLD_WAIT_MS
 from sassafrasgate.dispatch.leases import compute_worker_lease_expiry
 from sassafrasgate.dispatch.leases import RESTARTS_PER_WATCH
-from sassafrasgate.dispatch.state import WorkerEntry
 from sassafrasgate.journal.workflows import WorkerForgotten
 from sassafrasgate.journal.workflows import WorkerSeen
 
--- a/sassafrasgate/dispatch/requests.py
+++ b/sassafrasgate/dispatch/requests.py
@@ -27,9 +27,9 @@
 from sassafrasgate.shards.handlers import reply_refusal
 
 if TYPE_CHECKING:
+    from sassafrasgate.dispatch.entries import JobEntry
     from sassafrasgate.dispatch.handlers import Actions
     from sassafrasgate.dispatch.state import DispatchState
-    from sassafrasgate.dispatch.state import JobEntry
 
 
 @EVENT_HANDLERS.register(RequestReceived)
--- a/sassafrasgate/dispatch/scheduling_passes.py
+++ b/sassafrasgate/dispatch/scheduling_passes.py
@@ -10,6 +10,8 @@
 from sassafrasgate.dispatch.gangs import place_gang
 from sassafrasgate.dispatch.handlers import Actions
 from sassafrasgate.dispatch.handlers import EVENT_HANDLERS
+from sassafrasgate.dispatch.identities import make_task_id
+from sassafrasgate.dispatch.identities import StepKey
 from sassafrasgate.dispatch.launches import start_run
 from sassafrasgate.dispatch.ordering import rank_step
 from sassafrasgate.dispatch.plans import list_restarted_workers
@@ -22,16 +24,14 @@
 from sassafrasgate.dispatch.plans import respects_reservation
 from sassafrasgate.dispatch.plans import split_admitted_workers
 from sassafrasgate.dispatch.reports import compute_reservation
-from sassafrasgate.dispatch.state import DispatchState
-from sassafrasgate.dispatch.state import JobEntry
-from sassafrasgate.dispatch.state import make_task_id
-from sassafrasgate.dispatch.state import StepKey
-from sassafrasgate.dispatch.state import WorkerEntry
 
 if TYPE_CHECKING:
     from sassafrasgate.core.resources import Resources
     from sassafrasgate.core.routing import Queue
     from sassafrasgate.core.workflows import Step
+    from sassafrasgate.dispatch.entries import JobEntry
+    from sassafrasgate.dispatch.entries import WorkerEntry
+    from sassafrasgate.dispatch.state import DispatchState
 
 
 @EVENT_HANDLERS.register(PassDue)
--- a/sassafrasgate/dispatch/start_replies.py
+++ b/sassafrasgate/dispatch/start_replies.py
@@ -7,6 +7,7 @@
 from sassafrasgate.core.workflows import StartRefusal
 from sassafrasgate.dispatch.actions import LogEvent
 from sassafrasgate.dispatch.advice import invalidate_ticket
+from sassafrasgate.dispatch.entries import RunPhase
 from sassafrasgate.dispatch.events import RunAnswered
 from sassafrasgate.dispatch.events import RunNotSent
 from sassafrasgate.dispatch.events import RunUnanswered
@@ -14,14 +15,13 @@
 from sassafrasgate.dispatch.hold_waits import record_unanswered_call
 from sassafrasgate.dispatch.reports import lose_run
 from sassafrasgate.dispatch.reports import mark_running
-from sassafrasgate.dispatch.state import RunPhase
 from sassafrasgate.dispatch.stops import stop_run
 from sassafrasgate.shards.actions import StepDown
 
 if TYPE_CHECKING:
+    from sassafrasgate.dispatch.entries import RunEntry
     from sassafrasgate.dispatch.handlers import Actions
     from sassafrasgate.dispatch.state import DispatchState
-    from sassafrasgate.dispatch.state import RunEntry
 
 # Time for which a worker gets no new run after it refused one for a reason
 # that would also apply to an immediate retry.
--- a/sassafrasgate/dispatch/stops.py
+++ b/sassafrasgate/dispatch/stops.py
@@ -6,15 +6,15 @@
 
 from sassafrasgate.dispatch.actions import LogEvent
 from sassafrasgate.dispatch.actions import StopRun
+from sassafrasgate.dispatch.entries import RunPhase
 from sassafrasgate.dispatch.events import StopAnswered
 from sassafrasgate.dispatch.handlers import EVENT_HANDLERS
-from sassafrasgate.dispatch.state import RunPhase
 
 if TYPE_CHECKING:
+    from sassafrasgate.dispatch.entries import RunEntry
     from sassafrasgate.dispatch.handlers import Actions
+    from sassafrasgate.dispatch.identities import StepKey
     from sassafrasgate.dispatch.state import DispatchState
-    from sassafrasgate.dispatch.state import RunEntry
-    from sassafrasgate.dispatch.state import StepKey
 
 # A worker takes up to 900 ms to stop a run. A stop call without effect is
 # repeated after this time.
--- a/sassafrasgate/dispatch/stragglers.py
+++ b/sassafrasgate/dispatch/stragglers.py
@@ -15,17 +15,17 @@
 from typing import TYPE_CHECKING
 
 from sassafrasgate.dispatch.actions import LogEvent
-from sassafrasgate.dispatch.state import RunPhase
-from sassafrasgate.dispatch.state import SlowPeriod
+from sassafrasgate.dispatch.entries import RunPhase
+from sassafrasgate.dispatch.entries import SlowPeriod
 from sassafrasgate.dispatch.stops import stop_run
 from sassafrasgate.dispatch.stops import stop_step_runs
 
 if TYPE_CHECKING:
     from sassafrasgate.core.workflows import Step
+    from sassafrasgate.dispatch.entries import RunEntry
     from sassafrasgate.dispatch.handlers import Actions
+    from sassafrasgate.dispatch.identities import StepKey
     from sassafrasgate.dispatch.state import DispatchState
-    from sassafrasgate.dispatch.state import RunEntry
-    from sassafrasgate.dispatch.state import StepKey
 
 # Minimum time between two reports from which a rate is computed, and the time
 # without progress after which a run counts as stalled. One percent of the
--- a/sassafrasgate/dispatch/task_ids.py
+++ b/sassafrasgate/dispatch/task_ids.py
@@ -4,7 +4,7 @@
 
 from sassafrasgate.core.workflows import make_step_task_id
 from sassafrasgate.core.workflows import split_step_task_id
-from sassafrasgate.dispatch.state import StepKey
+from sassafrasgate.dispatch.identities import StepKey
 
 
 def parse_task_id(task: str) -> tuple[StepKey, int] | None:
--- a/sassafrasgate/dispatch/timers.py
+++ b/sassafrasgate/dispatch/timers.py
@@ -19,9 +19,9 @@
 from sassafrasgate.shards.events import Ticked
 
 if TYPE_CHECKING:
+    from sassafrasgate.dispatch.entries import JobEntry
     from sassafrasgate.dispatch.handlers import Actions
     from sassafrasgate.dispatch.state import DispatchState
-    from sassafrasgate.dispatch.state import JobEntry
 
 # Callers may query a job for two minutes after its end.
 JOB_RETENTION_MS = 150_000
--- a/tests/daemons/test_workers.py
+++ b/tests/daemons/test_workers.py
@@ -23,7 +23,7 @@
 from sassafrasgate.dispatch.events import RunUnanswered
 from sassafrasgate.dispatch.events import WorkerReported
 from sassafrasgate.dispatch.events import WorkerSilent
-from sassafrasgate.dispatch.state import RunKey
+from sassafrasgate.dispatch.identities import RunKey
 from sassafrasgate.observability.clocks import now_ms
 from sassafrasgate.observability.failures import FailureRecorder
 from sassafrasgate.observability.metrics import Metrics
--- a/tests/dispatch/test_advice.py
+++ b/tests/dispatch/test_advice.py
@@ -8,7 +8,7 @@
 from sassafrasgate.dispatch.actions import StartRun
 from sassafrasgate.dispatch.events import AdviceAnswered
 from sassafrasgate.dispatch.events import PassDue
-from sassafrasgate.dispatch.state import StepKey
+from sassafrasgate.dispatch.identities import StepKey
 from sassafrasgate.dispatch.transitions import decide
 from sassafrasgate.journal.workflows import WorkflowAccepted
 from sassafrasgate.protocol.workflows import SubmitWorkflow
--- a/tests/dispatch/test_odd_reports.py
+++ b/tests/dispatch/test_odd_reports.py
@@ -10,7 +10,7 @@
 from sassafrasgate.dispatch.events import WorkerRegistered
 from sassafrasgate.dispatch.events import WorkersListed
 from sassafrasgate.dispatch.events import WorkerUnregistered
-from sassafrasgate.dispatch.state import RunKey
+from sassafrasgate.dispatch.identities import RunKey
 from tests.dispatch.drivers import Driver
 from tests.dispatch.drivers import select_actions
 from tests.dispatch.simulation import make_step
--- a/tests/dispatch/test_plans.py
+++ b/tests/dispatch/test_plans.py
@@ -5,13 +5,13 @@
 import pytest
 
 from sassafrasgate.core.resources import Resources
+from sassafrasgate.dispatch.entries import SlowPeriod
 from sassafrasgate.dispatch.health import INITIAL_PAUSE_MS
 from sassafrasgate.dispatch.health import SUSPECT_FAILURE_COUNT
 from sassafrasgate.dispatch.health import WorkerHealth
+from sassafrasgate.dispatch.identities import RunKey
 from sassafrasgate.dispatch.plans import find_total_free
 from sassafrasgate.dispatch.plans import make_plan
-from sassafrasgate.dispatch.state import RunKey
-from sassafrasgate.dispatch.state import SlowPeriod
 from tests.dispatch.drivers import CAPACITY
 from tests.dispatch.drivers import Driver
 
--- a/tests/dispatch/test_run_numbers.py
+++ b/tests/dispatch/test_run_numbers.py
@@ -31,10 +31,10 @@
 from sassafrasgate.dispatch.events import RunUnanswered
 from sassafrasgate.dispatch.events import StopAnswered
 from sassafrasgate.dispatch.events import WorkerReported
+from sassafrasgate.dispatch.identities import RunKey
 from sassafrasgate.dispatch.recovery import list_snapshot_records
 from sassafrasgate.dispatch.recovery import replay_records
 from sassafrasgate.dispatch.state import DispatchState
-from sassafrasgate.dispatch.state import RunKey
 from sassafrasgate.dispatch.transitions import decide
 from sassafrasgate.journal.records import decode_records
 from sassafrasgate.journal.records import encode_records
--- a/tests/standins/platform_workers.py
+++ b/tests/standins/platform_workers.py
@@ -25,7 +25,7 @@
 from sassafrasgate.core.workflows import Workflow
 from sassafrasgate.dispatch.actions import StartRun
 from sassafrasgate.dispatch.actions import StopRun
-from sassafrasgate.dispatch.state import RunKey
+from sassafrasgate.dispatch.identities import RunKey
 from tests.dispatch.simulation import RuleViolation
 from tests.dispatch.simulation import SimCluster
 from tests.dispatch.simulation import SimWorker
