Keep the sign of each process that contradicts evidence of its end

Found in reading the change: only the last member key that was seen counted as a sign, so that another host's key hid the owner's. Signs are kept by incarnation for as long as evidence holds. The case see_member_keys_of_several_hosts of tests/daemons/test_owner_ends.py failed before.

--- a/sassafrasgate/daemons/owner_ends.py
+++ b/sassafrasgate/daemons/owner_ends.py
@@ -87,7 +87,8 @@
 
     def __init__(self) -> None:
         self._evidence: EndEvidence | None = None
-        self._signs: tuple[str, int] = ('', 0)
+        # Steady clock in ms at the last sign, by incarnation.
+        self._signs: dict[str, int] = {}
         self._probed_at = 0
 
     def record_end(self, evidence: EndEvidence) -> None:
@@ -96,7 +97,13 @@
 
     def record_sign(self, incarnation: str) -> None:
         """Record a sign of a process other than a message on its link."""
-        self._signs = (incarnation, now_ms())
+        now = now_ms()
+        self._signs = {
+            name: seen_at
+            for name, seen_at in self._signs.items()
+            if now < seen_at + EVIDENCE_TTL_MS
+        }
+        self._signs[incarnation] = now
 
     def begin_probe(self) -> None:
         """Record the time of a probe."""
@@ -130,9 +137,7 @@
         evidence = self._evidence
         if evidence is None:
             return False
-        incarnation, seen_at = self._signs
-        if incarnation == owner.incarnation:
-            heard_at = max(heard_at, seen_at)
+        seen_at = self._signs.get(owner.incarnation, 0)
         return does_evidence_hold(
-            evidence, owner, revision, heard_at, now_ms()
+            evidence, owner, revision, max(heard_at, seen_at), now_ms()
         )
--- a/tests/daemons/test_owner_ends.py
+++ b/tests/daemons/test_owner_ends.py
@@ -212,6 +212,12 @@
     )
 
 
+async def see_member_keys_of_several_hosts(host):
+    host.election.probe.record_members(
+        ControlChanged(tuple(make_member_item(m, 12) for m in (OWNER, *PEERS)))
+    )
+
+
 async def see_owner_key(host):
     host.directory.apply_control_event(
         ControlChanged((make_owner_item(OWNER, REVISION + 1),))
@@ -229,6 +235,7 @@
         see_message,
         see_connection,
         see_member_key,
+        see_member_keys_of_several_hosts,
         see_owner_key,
         see_renewed_lease,
     ],
