Give the direct path to the store a head start when it is tried again

Cause: after a failure of the direct path calls are relayed for 2 s, then made on both paths at once until the direct one replies first.

The direct path now has a head start of 60 ms when it is tried again. The test test_direct_path_that_works_is_used_again_though_it_is_slower failed before ("assert 0").

--- a/sassafrasgate/daemons/relays.py
+++ b/sassafrasgate/daemons/relays.py
@@ -79,6 +79,10 @@
 # How long the relay path is preferred after a failure of the direct path.
 RELAY_PREFERENCE_MS = 2_000
 RELAY_TIMEOUT_S = 1.0
+# When the preference ends, the direct path gets this head start, in which it
+# can open a connection. Without it, the relay path could reply first again and
+# again although the direct path works.
+DIRECT_HEAD_START_S = 0.06
 
 SendRelayCall = Callable[[RelayCall, float], Awaitable[RelayReply | None]]
 
@@ -199,8 +203,9 @@
 
         The relay path is used when the direct path has failed or has not
         replied within `RELAY_DELAY_S`, and alone while it is preferred. When
-        the preference ends, calls are made on both paths at once until the
-        direct one replies first. The first reply is the result.
+        the preference ends, calls are made on both paths, with a head start
+        for the direct one, until it replies first. The first reply is the
+        result.
 
         Parameters
         ----------
@@ -227,7 +232,7 @@
                 tasks.start_soon(
                     hedged_call.run, DIRECT, HEDGE_DELAY_S, direct, tasks
                 )
-            delay_s = 0.0 if self._is_relaying else RELAY_DELAY_S + wait_s
+            delay_s = self._compute_relay_delay_s(prefers_relay, wait_s)
             tasks.start_soon(hedged_call.run, RELAY, delay_s, relay, tasks)
         if hedged_call.first_reply is None:
             self._prefer_relay_until = 0
@@ -238,6 +243,16 @@
             raise hedged_call.first_reply.result
         return hedged_call.first_reply.result
 
+    def _compute_relay_delay_s(
+        self, prefers_relay: bool, wait_s: float
+    ) -> float:
+        """Return how long a call waits before it is relayed, in seconds."""
+        if prefers_relay:
+            return 0.0
+        if self._is_relaying:
+            return DIRECT_HEAD_START_S
+        return RELAY_DELAY_S + wait_s
+
     def _record_path(self, hedged_call: _HedgedCall, method: str) -> None:
         assert hedged_call.first_reply is not None
         if hedged_call.first_reply.path == DIRECT:
--- a/tests/daemons/test_relays.py
+++ b/tests/daemons/test_relays.py
@@ -172,3 +172,33 @@
     call = send(RelayCall('__class__', ()))
     reply = await execute_relayed_call(PathStore(), call)
     assert reply.failure == 'refused'
+
+
+class SlowerStore(PathStore):
+    """A store path that works, and takes longer than the other one."""
+
+    async def renew_lease(self, lease, priority=0):
+        self._check()
+        await anyio.sleep(0.02)
+        return True
+
+
+class FasterStore(PathStore):
+    """A store path that replies at once."""
+
+    async def renew_lease(self, lease, priority=0):
+        return True
+
+
+async def test_direct_path_that_works_is_used_again_though_it_is_slower(clock):
+    # Guards against a host that makes its calls through another one for as
+    # long as that one replies first, and loses its lease with it: a new
+    # connection on the direct path takes longer than a relayed call.
+    own = SlowerStore()
+    store = await make_relaying_store(own, FasterStore())
+    own.unavailable = False
+    clock.advance(relays.RELAY_PREFERENCE_MS)
+    assert await store.renew_lease('1')
+    own.attempts = 0
+    assert await store.renew_lease('1')
+    assert own.attempts
