Don't wait for a relay host that has been cut off until the lease ends

A call that is relayed waited 1.0 s for each host, also for one without a connection; a lease of 1 s ended meanwhile, although another host would have renewed it.

Hosts with a connection are asked first, among four candidates, and each host gets 0.4 s for calls that may be repeated, such as renewals. The tests test_relay_host_without_a_connection_is_not_waited_for and test_renewal_reaches_a_second_relay_host_before_the_lease_ends failed before (time limits of 0.2 and 0.8 s).

--- a/sassafrasgate/daemons/relays.py
+++ b/sassafrasgate/daemons/relays.py
@@ -44,6 +44,8 @@
 
 # Maximum number of hosts that are asked to relay a call, one after the other.
 MAX_RELAY_HOSTS = 2
+# Hosts among which those with a connection are preferred.
+RELAY_CANDIDATES = 4
 # Result types of the store methods that can be relayed.
 RESULT_TYPES: Registry[str, Any] = Registry('relayed store method')
 ERROR_TYPES: Registry[str, type[StoreError]] = Registry('store failure')
@@ -79,6 +81,9 @@
 # How long the relay path is preferred after a failure of the direct path.
 RELAY_PREFERENCE_MS = 2_000
 RELAY_TIMEOUT_S = 1.0
+# A host that relays an idempotent call is given up sooner, so that a lease is
+# renewed through the next one before it ends.
+HEDGED_RELAY_TIMEOUT_S = 0.4
 # When the preference ends, the direct path gets this head start, in which it
 # can open a connection. Without it, the relay path could reply first again and
 # again although the direct path works.
@@ -286,9 +291,10 @@
     async def _call_relay(
         self, method: str, arguments: tuple[Any, ...], wait_s: float
     ) -> Any:
-        reply = await self._relay(
-            RelayCall(method, arguments), RELAY_TIMEOUT_S + wait_s
-        )
+        timeout_s = RELAY_TIMEOUT_S + wait_s
+        if method in HEDGED_METHODS:
+            timeout_s = HEDGED_RELAY_TIMEOUT_S
+        reply = await self._relay(RelayCall(method, arguments), timeout_s)
         if reply is None:
             raise StoreUnavailableError(
                 f'no entry host has relayed {method!r} to the store; read '
@@ -385,6 +391,8 @@
 ) -> RelayReply | None:
     """Have other entry hosts make a store call, until one reaches the store.
 
+    Hosts to which there is no connection come last.
+
     Parameters
     ----------
     directory : Directory
@@ -404,13 +412,13 @@
         reports the store unavailable, or None if no host has replied.
     """
     best: RelayReply | None = None
-    names = rank_names(name, directory.members)
-    for other in [n for n in names if n != name][:MAX_RELAY_HOSTS]:
-        member = directory.members.get(other)
-        if member is None:
-            # The host has left while another one was asked.
-            continue
-        link = directory.find_link(member.link_address)
+    others = [n for n in rank_names(name, directory.members) if n != name]
+    links = [
+        directory.find_link(directory.members[other].link_address)
+        for other in others[:RELAY_CANDIDATES]
+    ]
+    links.sort(key=lambda link: link.unconnected_ms > 0)
+    for link in links[:MAX_RELAY_HOSTS]:
         reply = await link.request(call, timeout_s)
         if not isinstance(reply, RelayReply):
             continue
--- a/tests/daemons/test_relays.py
+++ b/tests/daemons/test_relays.py
@@ -4,17 +4,23 @@
 from logbook import Logger
 import pytest
 
+from sassafrasgate.core.errors import NoReply
 from sassafrasgate.core.errors import StoreConflictError
 from sassafrasgate.core.errors import StoreUnavailableError
+from sassafrasgate.core.identifiers import rank_names
 from sassafrasgate.core.items import Changes
 from sassafrasgate.core.items import Item
 from sassafrasgate.daemons import relays
+from sassafrasgate.daemons.directory import Directory
+from sassafrasgate.daemons.leases import Member
 from sassafrasgate.daemons.relays import execute_relayed_call
+from sassafrasgate.daemons.relays import relay_through_peers
 from sassafrasgate.daemons.relays import RelayedStore
 from sassafrasgate.protocol.codec import decode_envelope
 from sassafrasgate.protocol.codec import encode_envelope
 from sassafrasgate.protocol.codec import Envelope
 from sassafrasgate.protocol.relays import RelayCall
+from sassafrasgate.protocol.relays import RelayReply
 from tests.journal.test_ring_buffer import MemoryStore
 
 pytestmark = pytest.mark.anyio
@@ -202,3 +208,55 @@
     own.attempts = 0
     assert await store.renew_lease('1')
     assert own.attempts
+
+
+class RelayHost:
+    """A link to another entry host that replies, or never does."""
+
+    def __init__(self, unconnected_ms=0, replies=True):
+        self.unconnected_ms = unconnected_ms
+        self.replies = replies
+
+    async def request(self, call, timeout_s):
+        if not self.replies:
+            await anyio.sleep(timeout_s)
+            return NoReply('no reply')
+        return RelayReply(result=True)
+
+
+def make_relay_directory(*links):
+    """Return a directory whose hosts are asked in the order of the links."""
+    directory = Directory(None, (), lambda: None, lambda _: None)
+    names = [f'e{number}' for number in range(len(links))]
+    for name in names:
+        directory.members[name] = Member(name, name, 'entry', name, 'z1')
+    by_rank = dict(zip(rank_names('own', names), links, strict=True))
+    directory.find_link = by_rank.__getitem__
+    return directory
+
+
+async def test_relay_host_without_a_connection_is_not_waited_for():
+    # Guards against a lease that ends while its renewal waits for a host that
+    # has been cut off, although another host would relay it.
+    directory = make_relay_directory(
+        RelayHost(unconnected_ms=30, replies=False), RelayHost()
+    )
+    call = RelayCall('renew_lease', ('1',))
+    with anyio.fail_after(0.2):
+        reply = await relay_through_peers(directory, 'own', call, 1.0)
+    assert reply.result is True
+
+
+async def test_renewal_reaches_a_second_relay_host_before_the_lease_ends():
+    # Guards against a lease of a second that ends while the first relay host,
+    # which is silent, is waited for.
+    directory = make_relay_directory(RelayHost(replies=False), RelayHost())
+    own = SlowerStore()
+    own.unavailable = True
+
+    async def relay(call, timeout_s):
+        return await relay_through_peers(directory, 'own', call, timeout_s)
+
+    store = RelayedStore(own, relay, Logger('test'))
+    with anyio.fail_after(0.8):
+        assert await store.renew_lease('1')
