Repeat the stop of each run until it is gone, also of unknown tasks

The owner sent one stop for such a run. The worker's task gave up a refused or lost call without an event, and only entries of known runs had their stops repeated. Change: every run that has to be stopped is in pending_stops until a report leaves it out or lists its end, the worker's life has ended, or every lease there has expired. A worker gets one repeated call at a time, one a second while they fail. A failed call is an event and a log line, stop-failed. An unknown run that is no longer listed does not keep its worker out of use. The guard repeat_stops_of_unknown_runs is exposed by the simulations.

--- a/sassafrasgate/daemons/workers.py
+++ b/sassafrasgate/daemons/workers.py
@@ -36,6 +36,7 @@
 from sassafrasgate.dispatch.events import RunNotSent
 from sassafrasgate.dispatch.events import RunUnanswered
 from sassafrasgate.dispatch.events import StopAnswered
+from sassafrasgate.dispatch.events import StopFailed
 from sassafrasgate.dispatch.events import WorkerReported
 from sassafrasgate.dispatch.events import WorkerSilent
 from sassafrasgate.dispatch.identities import RunKey
@@ -169,6 +170,10 @@
                     ('command', type(command).__name__),
                 ),
             )
+            if isinstance(command, StopRun):
+                await self._events.send(
+                    StopFailed(self.worker, command.run, reason=repr(error))
+                )
             if isinstance(command, StartRun):
                 self._unconfirmed_starts.discard(command.run)
                 await self._events.send(
@@ -418,13 +423,17 @@
         return ''
 
     async def stop_run(self, command: StopRun) -> None:
-        """Stop a run; the dispatcher repeats the command if it gets no event.
+        """Stop a run; the dispatcher repeats the command until it is gone.
 
         The call itself is repeated when the worker does not reply.
         """
+        failure = StopFailed(self.worker, command.run, reason='no reply')
         for _ in range(MAX_STOP_ATTEMPTS):
             if not self.may_send():
-                return
+                failure = replace(
+                    failure, reason='the owner lease has expired'
+                )
+                break
             fencing_token = self._fencing_token
             try:
                 reply: RunReply = await self._client.stop(
@@ -441,7 +450,10 @@
                 await self._events.send(
                     StopAnswered(self.worker, command.run, reply.clock_ms)
                 )
-            return
+                return
+            failure = replace(failure, refusal=reply.refusal)
+            break
+        await self._events.send(failure)
 
     async def pace_run(self, command: PaceRun) -> None:
         """Set a run's pace.
--- a/sassafrasgate/dispatch/entries.py
+++ b/sassafrasgate/dispatch/entries.py
@@ -67,8 +67,6 @@
         run.
     stopping : bool
         Whether the owner has decided to stop the run.
-    stop_sent_at : int
-        Owner's clock, in ms, when the last stop call was sent.
     stop_confirmed_clock_ms : int
         Worker's clock, in ms, when it replied to a stop call; 0 before that.
     percent, percent_at : int
@@ -119,7 +117,6 @@
     confirmed_clock_ms: int = 0
     listed: bool = False
     stopping: bool = False
-    stop_sent_at: int = 0
     stop_confirmed_clock_ms: int = 0
     percent: int = 0
     percent_at: int = 0
@@ -306,9 +303,13 @@
     leases_expired : bool
         Whether the worker's runs were recorded as lost because its leases
         had expired.
+    acknowledged_end : int
+        Highest number in that list whose record is durable.
     unknown_runs : frozenset of RunKey
         Runs on the worker whose task is unknown to the owner. They are
         being stopped, and their demand is unknown until then.
+    stop_retry_at : int
+        Owner's clock, in ms, from which a stop call may be repeated.
     avoid_until : int
         Owner's clock, in ms, until which the worker gets no new runs.
     """
@@ -323,7 +324,9 @@
     silent_since: int = 0
     leases_expire_at: int = 0
     leases_expired: bool = False
+    acknowledged_end: int = 0
     unknown_runs: frozenset[RunKey] = frozenset()
+    stop_retry_at: int = 0
     avoid_until: int = 0
 
     @property
@@ -332,6 +335,22 @@
         return self.registered and not self.registration.leaving
 
 
+@dataclass(frozen=True, slots=True)
+class PendingStop:
+    """A run that has to be stopped and may still be present.
+
+    Parameters
+    ----------
+    sent_at : int
+        Owner's clock, in ms, when the last stop call was sent.
+    calls : int
+        Number of stop calls that were sent.
+    """
+
+    sent_at: int = 0
+    calls: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class SlowPeriod:
     """Period in which a slow worker gets no new runs.
--- a/sassafrasgate/dispatch/events.py
+++ b/sassafrasgate/dispatch/events.py
@@ -14,6 +14,7 @@
 from sassafrasgate.core.workers import Registration
 from sassafrasgate.core.workflows import Advice
 from sassafrasgate.core.workflows import RunReply
+from sassafrasgate.core.workflows import StartRefusal
 from sassafrasgate.core.workflows import WorkerReport
 from sassafrasgate.dispatch.identities import RunKey
 from sassafrasgate.dispatch.identities import StepKey
@@ -175,6 +176,24 @@
     clock_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class StopFailed:
+    """A stop call has had no effect, or its effect is unknown.
+
+    Parameters
+    ----------
+    refusal : StartRefusal or None
+        Why the worker refused the call; None if it did not reply.
+    reason : str
+        Why the call failed, for the log.
+    """
+
+    worker: str
+    run: RunKey
+    refusal: StartRefusal | None = None
+    reason: str = ''
+
+
 @dataclass(frozen=True, slots=True)
 class AdviceAnswered:
     """The advice service has replied to a call about a step.
--- a/sassafrasgate/dispatch/reports.py
+++ b/sassafrasgate/dispatch/reports.py
@@ -8,7 +8,6 @@
 from sassafrasgate.core.workflows import EndKind
 from sassafrasgate.dispatch.actions import AcknowledgeEnds
 from sassafrasgate.dispatch.actions import LogEvent
-from sassafrasgate.dispatch.actions import StopRun
 from sassafrasgate.dispatch.entries import RunEntry
 from sassafrasgate.dispatch.entries import RunPhase
 from sassafrasgate.dispatch.events import EpochRefused
@@ -27,10 +26,12 @@
 from sassafrasgate.dispatch.pacing import UNKNOWN_PACE_PERCENT
 from sassafrasgate.dispatch.progress import requeue_task
 from sassafrasgate.dispatch.requests import publish_end
+from sassafrasgate.dispatch.stops import forget_unknown_runs
 from sassafrasgate.dispatch.stops import is_gone
 from sassafrasgate.dispatch.stops import stop_job_runs
 from sassafrasgate.dispatch.stops import stop_run
 from sassafrasgate.dispatch.stops import stop_step_runs
+from sassafrasgate.dispatch.stops import stop_unknown_run
 from sassafrasgate.dispatch.stragglers import measure_progress
 from sassafrasgate.dispatch.stragglers import record_finished_run
 from sassafrasgate.dispatch.task_ids import parse_task_id
@@ -115,7 +116,7 @@
             stop_confirmed_clock_ms=0,
             listed=False,
         )
-    state.update_worker(event.worker, unknown_runs=frozenset())
+    _forget_all_unknown_runs(state, event.worker)
 
 
 def _describe_return(
@@ -145,11 +146,7 @@
         return
     state.update_worker(event.worker, last_end_number=ended.number)
     key = RunKey(ended.task, ended.run)
-    if key in entry.unknown_runs:
-        state.update_worker(
-            event.worker, unknown_runs=entry.unknown_runs - {key}
-        )
-        state.needs_pass = True
+    forget_unknown_runs(state, event.worker, frozenset({key}))
     run = state.find_run(event.worker, key)
     yield from write_record(
         state,
@@ -261,6 +258,8 @@
             **measure_progress(run, running.percent, event.received_at),
         )
     clock_ms = event.report.clock_ms
+    unknown = state.workers[event.worker].unknown_runs
+    forget_unknown_runs(state, event.worker, unknown - listed)
     for run in state.list_runs_on(event.worker):
         if run.key in listed or not is_gone(run, clock_ms):
             continue
@@ -272,24 +271,9 @@
 ) -> Actions:
     """Adopt a run that a previous owner has started, or stop it."""
     key = RunKey(running.task, running.run)
-    entry = state.workers[event.worker]
     named = _find_named_task(state, running.task)
     if named is None:
-        if key in entry.unknown_runs:
-            return
-        state.update_worker(
-            event.worker, unknown_runs=entry.unknown_runs | {key}
-        )
-        yield LogEvent(
-            'stop',
-            running.task,
-            (
-                ('run', running.run),
-                ('worker', event.worker),
-                ('reason', 'no task with this id was accepted'),
-            ),
-        )
-        yield StopRun(event.worker, key)
+        yield from stop_unknown_run(state, event.worker, key)
         return
     step_key, index = named
     step = state.find_step(step_key)
@@ -329,7 +313,9 @@
         running.task, next_run=max(task.next_run, running.run + 1)
     )
     if not _wants_adopted(state, run, duplicate):
-        yield from _stop_adopted(state, run)
+        yield from stop_run(
+            state, run, 'the task has finished or has another run'
+        )
         return
     entry_step = state.steps[step_key]
     state.update_step(
@@ -338,6 +324,13 @@
     if not state.steps[step_key].pending_tasks:
         state.waiting_steps.pop(step_key, None)
     mark_running(state, step_key.job_id)
+    unknown = state.workers[event.worker].unknown_runs
+    if key in unknown:
+        # A stop call that was sent before the task became known may still
+        # take effect.
+        state.update_worker(event.worker, unknown_runs=unknown - {key})
+        yield from stop_run(state, run, 'its task was unknown before')
+        return
     yield LogEvent(
         'adopt',
         running.task,
@@ -371,20 +364,6 @@
     return not duplicate or state.find_step(run.step).speculative
 
 
-def _stop_adopted(state: DispatchState, run: RunEntry) -> Actions:
-    state.update_run(run.place, stopping=True, stop_sent_at=state.now)
-    yield LogEvent(
-        'stop',
-        run.key.task,
-        (
-            ('run', run.key.run),
-            ('worker', run.worker),
-            ('reason', 'the task has finished or has another run'),
-        ),
-    )
-    yield StopRun(run.worker, run.key)
-
-
 def mark_running(state: DispatchState, job_id: str) -> None:
     """Mark a job as running once one of its runs is confirmed."""
     entry = state.jobs[job_id]
@@ -434,7 +413,12 @@
     for run in state.list_runs_on(worker):
         if run.place in state.runs:
             yield from lose_run(state, run, reason)
-    state.update_worker(worker, unknown_runs=frozenset())
+    _forget_all_unknown_runs(state, worker)
+
+
+def _forget_all_unknown_runs(state: DispatchState, worker: str) -> None:
+    unknown = state.workers[worker].unknown_runs
+    forget_unknown_runs(state, worker, unknown)
 
 
 @EVENT_HANDLERS.register(WorkerSilent)
--- a/sassafrasgate/dispatch/state.py
+++ b/sassafrasgate/dispatch/state.py
@@ -19,6 +19,7 @@
 from sassafrasgate.dispatch.entries import AdviceChannel
 from sassafrasgate.dispatch.entries import JobEntry
 from sassafrasgate.dispatch.entries import NEW_TASK
+from sassafrasgate.dispatch.entries import PendingStop
 from sassafrasgate.dispatch.entries import RunEntry
 from sassafrasgate.dispatch.entries import SlowPeriod
 from sassafrasgate.dispatch.entries import StepAdvice
@@ -70,6 +71,8 @@
     paced_runs : set of RunPlace
         Runs of best-effort tasks whose pace is not confirmed or below full
         pace.
+    pending_stops : dict
+        Runs that have to be stopped, in the order of their last stop calls.
     waiting_steps : dict
         Ready steps with pending tasks; used as an ordered set.
     free_resources : dict
@@ -136,6 +139,7 @@
         default_factory=dict
     )
     paced_runs: set[RunPlace] = field(default_factory=set)
+    pending_stops: dict[RunPlace, PendingStop] = field(default_factory=dict)
     waiting_steps: dict[StepKey, None] = field(default_factory=dict)
     workers: dict[str, WorkerEntry] = field(default_factory=dict)
     free_resources: dict[str, Resources] = field(default_factory=dict)
@@ -244,6 +248,7 @@
         if not siblings:
             self.runs_by_step.pop(entry.step, None)
         self.paced_runs.discard(place)
+        self.pending_stops.pop(place, None)
         if entry.target_ms:
             self.latency_critical_runs[entry.worker].discard(place)
             if not self.latency_critical_runs[entry.worker]:
--- a/tests/daemons/test_workers.py
+++ b/tests/daemons/test_workers.py
@@ -10,6 +10,7 @@
 from sassafrasgate.core.workflows import RunReply
 from sassafrasgate.core.workflows import StartRefusal
 from sassafrasgate.core.workflows import WorkerReport
+from sassafrasgate.daemons.workers import MAX_STOP_ATTEMPTS
 from sassafrasgate.daemons.workers import WorkerTask
 from sassafrasgate.dispatch.actions import AcknowledgeEnds
 from sassafrasgate.dispatch.actions import AllowStarts
@@ -21,6 +22,7 @@
 from sassafrasgate.dispatch.events import RunAnswered
 from sassafrasgate.dispatch.events import RunNotSent
 from sassafrasgate.dispatch.events import RunUnanswered
+from sassafrasgate.dispatch.events import StopFailed
 from sassafrasgate.dispatch.events import WorkerReported
 from sassafrasgate.dispatch.events import WorkerSilent
 from sassafrasgate.dispatch.identities import RunKey
@@ -241,6 +243,38 @@
     assert EpochRefused not in kinds
 
 
+async def refuse_as_unhealthy():
+    return RunReply(0, StartRefusal.UNHEALTHY)
+
+
+async def lose_reply():
+    raise WorkerUnavailableError('no reply')
+
+
+async def fail_unexpectedly():
+    raise ValueError('unexpected')
+
+
+@pytest.mark.parametrize(
+    ('replies', 'refusal'),
+    [
+        ([refuse_as_unhealthy], StartRefusal.UNHEALTHY),
+        ([lose_reply] * MAX_STOP_ATTEMPTS, None),
+        ([lose_reply, refuse_as_unhealthy], StartRefusal.UNHEALTHY),
+        ([fail_unexpectedly], None),
+    ],
+)
+async def test_a_stop_without_effect_is_reported(harness, replies, refusal):
+    # Guards against a stop call whose failure leaves no trace.
+    harness.client.stop_replies = list(replies)
+    harness.commands.send_nowait(StopRun('w', RUN))
+
+    event = await harness.wait_for(StopFailed)
+
+    assert (event.worker, event.run, event.refusal) == ('w', RUN, refusal)
+    assert not harness.client.stop_replies
+
+
 async def test_the_poll_after_a_restart_does_not_wait(harness):
     # Guards against a delay of 2 s before the owner knows which starts have
     # reached the new incarnation.
--- a/tests/dispatch/drivers.py
+++ b/tests/dispatch/drivers.py
@@ -15,8 +15,13 @@
 from sassafrasgate.dispatch.events import TableChanged
 from sassafrasgate.dispatch.events import WorkerReported
 from sassafrasgate.dispatch.events import WorkersListed
+from sassafrasgate.dispatch.recovery import begin_ownership
+from sassafrasgate.dispatch.recovery import list_snapshot_records
+from sassafrasgate.dispatch.recovery import replay_records
 from sassafrasgate.dispatch.state import DispatchState
 from sassafrasgate.dispatch.transitions import decide
+from sassafrasgate.journal.records import Takeover
+from sassafrasgate.protocol.workflows import CancelWorkflow
 from sassafrasgate.protocol.workflows import SubmitWorkflow
 from sassafrasgate.shards.actions import AppendRecord
 from sassafrasgate.shards.actions import Reply
@@ -39,10 +44,9 @@
         self.actions = []
         self.ends = {}
         self.running = {}
-        self.feed(TableChanged(TABLE))
-        names = tuple(f'host-{number}' for number in range(peers))
-        self.feed(PeersChanged(names))
-        entries = tuple(
+        self.journal = []
+        self.peers = tuple(f'host-{number}' for number in range(peers))
+        self.entries = tuple(
             Registration(
                 f'w{number}',
                 'p',
@@ -54,11 +58,34 @@
             )
             for number in range(workers)
         )
-        self.feed(WorkersListed(entries))
-        for entry in entries:
+        self._learn_settings()
+        for entry in self.entries:
             self.running[entry.worker] = {}
             self.report(entry.worker)
 
+    def _learn_settings(self):
+        self.feed(TableChanged(TABLE))
+        self.feed(PeersChanged(self.peers))
+        self.feed(WorkersListed(self.entries))
+
+    def replace_owner(self, snapshot=True):
+        """Let another owner take over, without a report so far.
+
+        It reads a snapshot of the state, as after a planned stop, or all
+        records of the journal.
+        """
+        records = list(list_snapshot_records(self.state))
+        if not snapshot:
+            records = self.journal
+        epoch = self.state.epoch + 1
+        takeover = Takeover(epoch, f'b/{epoch}', 0, 0)
+        self.journal = [*records, takeover]
+        self.state = DispatchState('cell', takeover.owner)
+        self.state.now, self.state.wall_ms = self.now, WALL_MS + self.now
+        replay_records(self.state, self.journal)
+        begin_ownership(self.state)
+        self._learn_settings()
+
     def feed(self, event):
         """Handle an event and those that follow from it; return actions."""
         actions = list(self._decide(event))
@@ -73,6 +100,7 @@
         records = tuple(
             a.record for a in actions if isinstance(a, AppendRecord)
         )
+        self.journal.extend(records)
         if records:
             yield from self._decide(RecordsDurable(records))
 
@@ -86,6 +114,11 @@
         message = SubmitWorkflow(job_id, queue, 1, Workflow('payload', steps))
         return self.feed(RequestReceived(1, message, WALL_MS + self.now))
 
+    def cancel(self, job_id):
+        """Cancel a job; return the actions."""
+        message = CancelWorkflow(job_id)
+        return self.feed(RequestReceived(1, message, WALL_MS + self.now))
+
     def confirm(self, actions):
         """Let the workers confirm the starts among the actions."""
         starts = [a for a in actions if isinstance(a, StartRun)]
--- a/tests/dispatch/simulation.py
+++ b/tests/dispatch/simulation.py
@@ -49,6 +49,7 @@
 from sassafrasgate.dispatch.events import RunAnswered
 from sassafrasgate.dispatch.events import RunUnanswered
 from sassafrasgate.dispatch.events import StopAnswered
+from sassafrasgate.dispatch.events import StopFailed
 from sassafrasgate.dispatch.events import TableChanged
 from sassafrasgate.dispatch.events import WorkerRegistered
 from sassafrasgate.dispatch.events import WorkerReported
@@ -200,6 +201,7 @@
         self.capacity = capacity
         self.clock_rate = random.uniform(0.98, 1.0)
         self.failure_rate = 0.03
+        self.refuses_commands = False
         self.restart(0)
 
     def restart(self, now: int) -> None:
@@ -286,6 +288,8 @@
     ) -> RunReply:
         """Carry out a start call."""
         self.advance(now)
+        if self.refuses_commands:
+            return RunReply(0, StartRefusal.UNHEALTHY)
         clock = self.clock(now)
         if epoch < self.epoch:
             return RunReply(clock, StartRefusal.STALE_EPOCH)
@@ -324,6 +328,8 @@
     def stop(self, now: int, epoch: int, command: StopRun) -> RunReply:
         """Carry out a stop call."""
         self.advance(now)
+        if self.refuses_commands:
+            return RunReply(0, StartRefusal.UNHEALTHY)
         clock = self.clock(now)
         if epoch < self.epoch:
             return RunReply(clock, StartRefusal.STALE_EPOCH)
@@ -638,18 +644,22 @@
 
         def carry_out(late: bool) -> None:
             reply = sim.stop(cluster.now, epoch, command)
-            if late or reply.refusal is not None:
+            if late:
                 return
-            cluster.reply(
-                command.worker,
-                lambda: self.feed(
-                    StopAnswered(command.worker, command.run, reply.clock_ms)
-                ),
-                lambda: None,
+            event: Any = StopAnswered(
+                command.worker, command.run, reply.clock_ms
+            )
+            if reply.refusal is not None:
+                event = StopFailed(command.worker, command.run, reply.refusal)
+            cluster.reply(command.worker, lambda: self.feed(event), time_out)
+
+        def time_out() -> None:
+            self.feed(
+                StopFailed(command.worker, command.run, reason='no reply')
             )
 
         if self.may_send():
-            cluster.call(command.worker, carry_out, lambda: None)
+            cluster.call(command.worker, carry_out, time_out)
 
     def request_advice(self, action: AskAdvice) -> None:
         """Let the advice service reply or fail."""
--- a/tests/dispatch/test_guards.py
+++ b/tests/dispatch/test_guards.py
@@ -15,12 +15,16 @@
 from sassafrasgate.dispatch.actions import AcknowledgeEnds
 from sassafrasgate.dispatch.actions import AllowStarts
 from sassafrasgate.dispatch.handlers import EVENT_HANDLERS
+from sassafrasgate.dispatch.identities import RunPlace
 from sassafrasgate.dispatch.state import DispatchState
 from tests.dispatch import simulation
 from tests.dispatch.simulation import RuleViolation
 from tests.dispatch.test_random_faults import check_outcome
+from tests.dispatch.test_random_faults import FAULT_PERIOD_MS
+from tests.dispatch.test_random_faults import LASTING_JOBS
 from tests.dispatch.test_random_faults import PLACED_JOBS
 from tests.dispatch.test_random_faults import simulate_faults
+from tests.dispatch.test_random_faults import STOP_FAULTS
 
 SEEDS = range(150)
 FAULTS = 12
@@ -29,10 +33,15 @@
 KINDS = {
     'fence_each_incarnation': ('restart_worker', 'lose_calls'),
     'keep_starts_over_restarts': ('restart_worker', 'lose_calls'),
+    'repeat_stops_of_unknown_runs': STOP_FAULTS,
 }
 # Jobs for safeguards that most jobs don't need.
 JOBS = {
     'match_labels': PLACED_JOBS,
+    'repeat_stops_of_unknown_runs': {
+        **LASTING_JOBS,
+        'cancel_at': FAULT_PERIOD_MS,
+    },
     'limit_tasks_per_worker': PLACED_JOBS,
 }
 
@@ -172,6 +181,21 @@
     patch.setattr(scheduling_passes, '_count_on_workers', lambda *_: {})
 
 
+@guard
+def repeat_stops_of_unknown_runs(patch):
+    """A run whose task this owner does not know is stopped until it is gone.
+
+    Its first stop call may be refused or lost.
+    """
+    stop_unknown_run = reports.stop_unknown_run
+
+    def stop_once(state, worker, key):
+        yield from stop_unknown_run(state, worker, key)
+        state.pending_stops.pop(RunPlace(worker, key), None)
+
+    patch.setattr(reports, 'stop_unknown_run', stop_once)
+
+
 @pytest.mark.parametrize('name', GUARDS)
 def test_random_faults_expose_a_removed_guard(name, monkeypatch):
     GUARDS[name](monkeypatch)
--- a/tests/dispatch/test_random_faults.py
+++ b/tests/dispatch/test_random_faults.py
@@ -133,6 +133,18 @@
     cluster.call_later(3_000, recover)
 
 
+@fault
+def refuse_commands(cluster, random):
+    """A worker refuses starts and stops for a while; its polls succeed."""
+    worker = cluster.workers[random.choice(sorted(cluster.workers))]
+    worker.refuses_commands = True
+
+    def recover():
+        worker.refuses_commands = False
+
+    cluster.call_later(random.choice((500, 4_000, 12_000)), recover)
+
+
 @fault
 def drain_worker(cluster, random):
     """A worker is drained for a while."""
@@ -173,9 +185,17 @@
 
 
 def simulate_faults(
-    seed, faults, kinds=None, make_job=make_workflow, queues=('q', 'advised')
+    seed,
+    faults,
+    kinds=None,
+    make_job=make_workflow,
+    queues=('q', 'advised'),
+    cancel_at=None,
 ):
-    """Submit jobs and inject faults, then run until all jobs should end."""
+    """Submit jobs and inject faults, then run until all jobs should end.
+
+    Jobs that last are cancelled at ``cancel_at`` at the latest.
+    """
     kinds = sorted(kinds or FAULTS)
     random = Random(seed)
     cluster = RandomFaultCluster(seed)
@@ -201,6 +221,10 @@
             random.randint(0, FAULT_PERIOD_MS),
             lambda make=make: make(cluster, random),
         )
+    if cancel_at is not None:
+        cluster.run(cancel_at)
+        for caller in cluster.callers.values():
+            cancel_until_confirmed(cluster, caller)
     cluster.run(END_MS)
     return cluster
 
@@ -217,6 +241,46 @@
     check_outcome(simulate_faults(seed, faults=12, **PLACED_JOBS))
 
 
+def cancel_until_confirmed(cluster, caller):
+    """Cancel a job, and repeat the request until it is confirmed."""
+    if caller.cancelled:
+        return
+    cluster.cancel(caller.job_id)
+    cluster.call_later(300, lambda: cancel_until_confirmed(cluster, caller))
+
+
+def make_lasting_workflow(random):
+    """Return a job whose tasks run until it is cancelled."""
+    step = make_step(random.randint(1, 4), 10_000_000, long_running=True)
+    return Workflow('payload', (step,))
+
+
+# Faults that may keep a stop call from having an effect.
+STOP_FAULTS = (
+    'cancel_job',
+    'depose_owner',
+    'kill_owner',
+    'lose_calls',
+    'refuse_commands',
+    'take_snapshot',
+)
+LASTING_JOBS = {'make_job': make_lasting_workflow, 'queues': ('q',)}
+
+
+def simulate_cancellations(seed):
+    """Cancel all jobs, whose tasks last, while stop calls may fail."""
+    cluster = simulate_faults(
+        seed, 24, STOP_FAULTS, cancel_at=FAULT_PERIOD_MS, **LASTING_JOBS
+    )
+    check_outcome(cluster)
+
+
+@pytest.mark.parametrize('seed', PLACED_SEEDS)
+def test_tasks_of_cancelled_jobs_end_whatever_fails(seed):
+    # Guards against a task that runs on because nobody repeats its stop.
+    simulate_cancellations(seed)
+
+
 def check_outcome(cluster):
     """Check the final states of all jobs after a run."""
     for caller in cluster.callers.values():
