Acknowledge durable ends again that a worker still lists

What callers saw: none reported; found by the table of orders. Cause: the task for a worker's new address doesn't know what the one before it has acknowledged, and the owner skipped ends that it had handled, so that nobody acknowledged them until the next owner. The worker kept listing them, and each poll waited up to a second for the acknowledgement. Change: the owner keeps the highest end whose record is durable, and acknowledges it again when a report lists it or an earlier one.

--- a/sassafrasgate/dispatch/reports.py
+++ b/sassafrasgate/dispatch/reports.py
@@ -79,12 +79,14 @@
         incarnation_ms=report.incarnation_ms,
         reading=ClockReading(report.clock_ms, event.received_at),
         last_end_number=0 if restarted else entry.last_end_number,
+        acknowledged_end=0 if restarted else entry.acknowledged_end,
         silent_since=0,
         leases_expire_at=event.leases_expire_at,
         leases_expired=False,
     )
     for ended in report.ended:
         yield from _process_ended(state, event, ended)
+    yield from _repeat_acknowledgement(state, event)
     yield from _process_running(state, event)
     if state.unreconciled_workers.pop(event.worker, None) is not None:
         state.needs_pass = True
@@ -173,6 +175,20 @@
     yield from reschedule_step(state, run)
 
 
+def _repeat_acknowledgement(
+    state: DispatchState, event: WorkerReported
+) -> Actions:
+    """Acknowledge durable ends again that the worker still lists.
+
+    The task for a worker's new address does not know what was acknowledged.
+    """
+    acknowledged = state.workers[event.worker].acknowledged_end
+    if any(end.number <= acknowledged for end in event.report.ended):
+        yield AcknowledgeEnds(
+            event.worker, event.report.incarnation_ms, acknowledged
+        )
+
+
 def _stop_if_finished(state: DispatchState, task: str) -> Actions:
     """Stop the runs of a task that a run of a previous owner has finished."""
     named = _find_named_task(state, task)
@@ -502,6 +518,10 @@
     end = EndNumber(record.worker, record.born_ms, record.number)
     if entry is not None and entry.ended_by == end:
         yield from publish_end(state, job_id)
+    worker = state.workers.get(record.worker)
+    if worker is not None and worker.incarnation_ms == record.born_ms:
+        number = max(worker.acknowledged_end, record.number)
+        state.update_worker(record.worker, acknowledged_end=number)
     yield AcknowledgeEnds(record.worker, record.born_ms, record.number)
 
 
--- a/tests/dispatch/test_registrations.py
+++ b/tests/dispatch/test_registrations.py
@@ -2,18 +2,29 @@
 
 from dataclasses import replace
 
+from sassafrasgate.core.workflows import EndedRun
+from sassafrasgate.core.workflows import EndKind
+from sassafrasgate.core.workflows import WorkerReport
+from sassafrasgate.dispatch.actions import AcknowledgeEnds
 from sassafrasgate.dispatch.actions import AllowStarts
 from sassafrasgate.dispatch.actions import LogEvent
+from sassafrasgate.dispatch.actions import StartRun
 from sassafrasgate.dispatch.actions import WatchWorker
 from sassafrasgate.dispatch.events import RegistrationsConfirmed
 from sassafrasgate.dispatch.events import WorkerRegistered
+from sassafrasgate.dispatch.events import WorkerReported
 from sassafrasgate.dispatch.events import WorkersListed
 from sassafrasgate.dispatch.events import WorkerUnregistered
 from sassafrasgate.dispatch.leases import make_fencing_token
 from sassafrasgate.dispatch.leases import RESTARTS_PER_WATCH
+from sassafrasgate.dispatch.transitions import decide
 from tests.dispatch.drivers import Driver
+from tests.dispatch.drivers import INCARNATION_MS
 from tests.dispatch.drivers import select_actions
 from tests.dispatch.simulation import make_step
+from tests.dispatch.simulation import WALL_MS
+
+JOB = '00000000000000aa'
 
 
 def test_a_worker_at_a_new_address_gets_higher_fencing_tokens():
@@ -49,6 +60,49 @@
     assert after > max(before, driver.now)
 
 
+def move(driver, worker='w0'):
+    """Change a worker's address; return the actions."""
+    entry = driver.state.workers[worker].registration
+    return driver.feed(WorkerRegistered(replace(entry, address='10.0.1.9:1')))
+
+
+def test_ends_are_acknowledged_again_at_a_new_address():
+    # Guards against ends that the worker lists for as long as the owner lives:
+    # the task for the new address doesn't know what was acknowledged.
+    driver = Driver(workers=1)
+    driver.confirm(driver.submit(JOB, make_step(1, 500)))
+    (start,) = select_actions(driver.actions, StartRun)
+    driver.finish(start)
+    move(driver)
+    driver.now += 10
+    end = EndedRun(1, *start.run, EndKind.FINISHED, '')
+    report = WorkerReport(driver.now, INCARNATION_MS, (), (end,))
+
+    actions = driver.feed(
+        WorkerReported('w0', report, driver.now, driver.now + 5_000)
+    )
+
+    assert select_actions(actions, AcknowledgeEnds) == [
+        AcknowledgeEnds('w0', INCARNATION_MS, 1)
+    ]
+
+
+def test_an_end_is_not_acknowledged_before_its_record_is_durable():
+    # Guards against a task that starts again after its end was acknowledged.
+    driver = Driver(workers=1)
+    (start,) = driver.confirm(driver.submit(JOB, make_step(1, 500)))
+    end = EndedRun(1, *start.run, EndKind.FINISHED, '')
+    report = WorkerReport(driver.now, INCARNATION_MS, (), (end,))
+    event = WorkerReported('w0', report, driver.now, driver.now + 5_000)
+    actions = []
+    for _ in range(2):
+        actions += decide(
+            driver.state, event, driver.now, WALL_MS + driver.now
+        )
+
+    assert not select_actions(actions, AcknowledgeEnds)
+
+
 def test_starts_are_forbidden_once_a_worker_is_leaving_or_has_no_entry():
     # Guards against starts that were decided before the entry changed.
     driver = Driver(workers=1)
