Stop runs whose start calls a change of address cut short

The task of such a run would not have run until the next owner. Cause: the task for a worker's new address replaces the one before it, with its calls. A start call in flight got no event, and a run whose start is not confirmed stays until it is. Change: such a run is treated like one whose start call got no reply: it is stopped, and starts again once it is certain that it can't run. Result: test_an_unanswered_start_is_settled_at_a_new_address failed before, for a call that arrived and for one that did not.

--- a/sassafrasgate/dispatch/registrations.py
+++ b/sassafrasgate/dispatch/registrations.py
@@ -23,6 +23,7 @@
 from sassafrasgate.dispatch.hold_waits import NORMAL_HOLD_WAIT_MS
 from sassafrasgate.dispatch.leases import compute_worker_lease_expiry
 from sassafrasgate.dispatch.leases import RESTARTS_PER_WATCH
+from sassafrasgate.dispatch.start_replies import stop_unanswered_starts
 from sassafrasgate.journal.workflows import WorkerForgotten
 from sassafrasgate.journal.workflows import WorkerSeen
 
@@ -94,6 +95,7 @@
     if previous.address != registration.address:
         yield from _record_worker(state, registration)
         yield _watch_worker(state, registration)
+        yield from stop_unanswered_starts(state, worker)
     takes_starts = state.workers[worker].takes_starts
     if takes_starts != took_starts:
         yield AllowStarts(worker, takes_starts)
--- a/sassafrasgate/dispatch/start_replies.py
+++ b/sassafrasgate/dispatch/start_replies.py
@@ -127,10 +127,29 @@
     if not event.last:
         return
     _avoid_worker(state, run.worker)
+    yield from _stop_unconfirmed(state, run, 'the start call got no reply')
+
+
+def stop_unanswered_starts(state: DispatchState, worker: str) -> Actions:
+    """Stop runs whose start calls to a worker were cut short.
+
+    No reply to these calls will arrive, and they may still be carried out.
+    """
+    for run in state.list_runs_on(worker):
+        if run.phase is RunPhase.SENT:
+            state.update_run(run.place, uncertain=True)
+            yield from _stop_unconfirmed(
+                state, run, 'the start call was cut short'
+            )
+
+
+def _stop_unconfirmed(
+    state: DispatchState, run: RunEntry, reason: str
+) -> Actions:
     if run.phase is RunPhase.PRESENT:
         return
     unsure = state.update_run(run.place, phase=RunPhase.UNSURE)
-    yield from stop_run(state, unsure, 'the start call got no reply')
+    yield from stop_run(state, unsure, reason)
 
 
 @EVENT_HANDLERS.register(RunNotSent)
--- a/tests/dispatch/test_registrations.py
+++ b/tests/dispatch/test_registrations.py
@@ -2,6 +2,8 @@
 
 from dataclasses import replace
 
+import pytest
+
 from sassafrasgate.core.workflows import EndedRun
 from sassafrasgate.core.workflows import EndKind
 from sassafrasgate.core.workflows import WorkerReport
@@ -9,8 +11,10 @@
 from sassafrasgate.dispatch.actions import AllowStarts
 from sassafrasgate.dispatch.actions import LogEvent
 from sassafrasgate.dispatch.actions import StartRun
+from sassafrasgate.dispatch.actions import StopRun
 from sassafrasgate.dispatch.actions import WatchWorker
 from sassafrasgate.dispatch.events import RegistrationsConfirmed
+from sassafrasgate.dispatch.events import StopAnswered
 from sassafrasgate.dispatch.events import WorkerRegistered
 from sassafrasgate.dispatch.events import WorkerReported
 from sassafrasgate.dispatch.events import WorkersListed
@@ -103,6 +107,28 @@
     assert not select_actions(actions, AcknowledgeEnds)
 
 
+@pytest.mark.parametrize('arrived', [False, True])
+def test_an_unanswered_start_is_settled_at_a_new_address(arrived):
+    # Guards against a task that never runs: its start call was cut short when
+    # the task for the new address replaced the one that made the call.
+    driver = Driver(workers=1)
+    (start,) = select_actions(driver.submit(JOB, make_step(1, 500)), StartRun)
+    actions = list(move(driver))
+    if arrived:
+        driver.running['w0'][start.run] = 0
+    driver.now += 10
+    actions += driver.report('w0')
+    (stop,) = select_actions(actions, StopRun)
+    driver.feed(StopAnswered('w0', stop.run, driver.now))
+    driver.now += 10
+    ended = ((start.run, EndKind.STOPPED),) if arrived else ()
+    actions = list(driver.report('w0', ended=ended))
+
+    assert stop.run == start.run
+    (again,) = select_actions(actions, StartRun)
+    assert again.run.task == start.run.task
+
+
 def test_starts_are_forbidden_once_a_worker_is_leaving_or_has_no_entry():
     # Guards against starts that were decided before the entry changed.
     driver = Driver(workers=1)
