Repeat the stop of an adopted task whose attempt has ended

Cause: a worker's task that belongs to an ended attempt was adopted without the mark that makes the shard repeat its stop. A lost call left it running for as long as its owner lived. Change: the task is adopted as one that is being stopped. Result: test_a_lost_stop_of_a_task_of_an_ended_job_is_repeated failed before.

--- a/sassafrasgate/shards/workers.py
+++ b/sassafrasgate/shards/workers.py
@@ -166,6 +166,7 @@
     for report in reply.running:
         if report.task in state.tasks:
             continue
+        must_stop = state.must_stop(report)
         state.add_task(
             TaskEntry(
                 report.task,
@@ -175,6 +176,7 @@
                 reply.incarnation,
                 TaskPhase.RUNNING,
                 started_clock=reply.clock,
+                stopping=must_stop,
             )
         )
         yield LogDecision(
@@ -183,7 +185,7 @@
             host=host,
             reason='running task unknown to this owner',
         )
-        if state.must_stop(report):
+        if must_stop:
             yield StopTask(host, report.task)
 
 
--- a/tests/shards/test_takeovers.py
+++ b/tests/shards/test_takeovers.py
@@ -1,5 +1,7 @@
 """Tests what a new owner may conclude about the previous owner's tasks."""
 
+from dataclasses import replace
+
 from sassafrasgate.core.jobs import JobClass
 from sassafrasgate.core.jobs import JobState
 from sassafrasgate.core.tasks import TaskOutcome
@@ -112,3 +114,32 @@
         shard.sync(host)
     ended = [t for t in shard.workers[host].tasks.values() if t.ended]
     assert not ended
+
+
+class LossyShard(SimulatedShard):
+    """A shard whose stop calls can be lost."""
+
+    loses_stops = False
+
+    def _stop(self, owner, action):
+        if not self.loses_stops:
+            super()._stop(owner, action)
+
+
+def test_a_lost_stop_of_a_task_of_an_ended_job_is_repeated():
+    # Guards against a task that runs on for as long as its owner lives: the
+    # owner has ended the task's attempt, and the only stop call was lost.
+    shard = LossyShard()
+    for host in shard.workers:
+        shard.sync(host)
+    run_job(shard, 'k')
+    worker = shard.workers[find_busy_host(shard)]
+    (task,) = worker.list_running()
+    running = replace(task, lease_clock=1_000_000)
+    shard.run_to_completion()
+    worker.tasks[task.request.task] = running
+    shard.loses_stops = True
+    shard.sync(worker.name)
+    shard.loses_stops = False
+    shard.advance(1_000)
+    assert not worker.list_running()
