Start nothing on a worker whose entry describes another life of it

Cause: a worker that starts again under its id reports its new life before the watch delivers its new entry. It got work with the labels and the capacity of its previous life. Change: a worker gets runs only while its entry and its newest report name the same life.

--- a/sassafrasgate/dispatch/entries.py
+++ b/sassafrasgate/dispatch/entries.py
@@ -329,6 +329,17 @@
     stop_retry_at: int = 0
     avoid_until: int = 0
 
+    @property
+    def is_described(self) -> bool:
+        """Whether the entry in the store describes the current incarnation.
+
+        A restarted worker may have other labels and another capacity. An
+        entry or a report without an incarnation is taken to describe it.
+        """
+        described = self.registration.incarnation_ms
+        reported = self.incarnation_ms
+        return not described or not reported or described == reported
+
     @property
     def takes_starts(self) -> bool:
         """Whether runs may start on the worker, as its entry says."""
--- a/sassafrasgate/dispatch/plans.py
+++ b/sassafrasgate/dispatch/plans.py
@@ -134,6 +134,7 @@
             or entry.unknown_runs
             or entry.avoid_until > now
             or worker in slow
+            or not entry.is_described
         ):
             continue
         workers = usable.get(registration.pool)
