Move the adoption of runs out of the handling of reports

Change: adoptions.py has what an owner does with a run that it has not started; nothing else changes.

--- a/sassafrasgate/dispatch/gangs.py
+++ b/sassafrasgate/dispatch/gangs.py
@@ -6,6 +6,7 @@
 
 from sassafrasgate.core.resources import NO_RESOURCES
 from sassafrasgate.core.resources import Resources
+from sassafrasgate.dispatch.adoptions import compute_reservation
 from sassafrasgate.dispatch.advice import estimate_call_ms
 from sassafrasgate.dispatch.advice import may_request_advice
 from sassafrasgate.dispatch.advice import request_advice
@@ -23,7 +24,6 @@
 from sassafrasgate.dispatch.plans import respects_reservation
 from sassafrasgate.dispatch.plans import split_admitted_workers
 from sassafrasgate.dispatch.recovery import find_next_run
-from sassafrasgate.dispatch.reports import compute_reservation
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
--- a/sassafrasgate/dispatch/reports.py
+++ b/sassafrasgate/dispatch/reports.py
@@ -8,6 +8,8 @@
 from sassafrasgate.core.workflows import EndKind
 from sassafrasgate.dispatch.actions import AcknowledgeEnds
 from sassafrasgate.dispatch.actions import LogEvent
+from sassafrasgate.dispatch.adoptions import adopt_run
+from sassafrasgate.dispatch.adoptions import find_named_task
 from sassafrasgate.dispatch.entries import RunEntry
 from sassafrasgate.dispatch.entries import RunPhase
 from sassafrasgate.dispatch.events import EpochRefused
@@ -21,9 +23,6 @@
 from sassafrasgate.dispatch.identities import EndNumber
 from sassafrasgate.dispatch.identities import RunKey
 from sassafrasgate.dispatch.identities import StepKey
-from sassafrasgate.dispatch.pacing import choose_initial_pace
-from sassafrasgate.dispatch.pacing import FULL_PACE_PERCENT
-from sassafrasgate.dispatch.pacing import UNKNOWN_PACE_PERCENT
 from sassafrasgate.dispatch.progress import requeue_task
 from sassafrasgate.dispatch.requests import publish_end
 from sassafrasgate.dispatch.stops import forget_unknown_runs
@@ -31,19 +30,14 @@
 from sassafrasgate.dispatch.stops import stop_job_runs
 from sassafrasgate.dispatch.stops import stop_run
 from sassafrasgate.dispatch.stops import stop_step_runs
-from sassafrasgate.dispatch.stops import stop_unknown_run
 from sassafrasgate.dispatch.stragglers import measure_progress
 from sassafrasgate.dispatch.stragglers import record_finished_run
-from sassafrasgate.dispatch.task_ids import parse_task_id
 from sassafrasgate.journal.workflows import RunEnded
 from sassafrasgate.shards.actions import StepDown
 from sassafrasgate.shards.attempts import ClockReading
 
 if TYPE_CHECKING:
-    from sassafrasgate.core.resources import Resources
     from sassafrasgate.core.workflows import EndedRun
-    from sassafrasgate.core.workflows import RunningRun
-    from sassafrasgate.core.workflows import Step
     from sassafrasgate.dispatch.handlers import Actions
     from sassafrasgate.dispatch.state import DispatchState
 
@@ -191,7 +185,7 @@
 
 def _stop_if_finished(state: DispatchState, task: str) -> Actions:
     """Stop the runs of a task that a run of a previous owner has finished."""
-    named = _find_named_task(state, task)
+    named = find_named_task(state, task)
     if named is None or not state.find_task(task).finished:
         return
     key, index = named
@@ -261,7 +255,7 @@
         listed.add(key)
         run = state.find_run(event.worker, key)
         if run is None:
-            yield from _adopt_run(state, event, running)
+            yield from adopt_run(state, event, running)
             continue
         state.runs[run.place] = replace(
             run,
@@ -282,121 +276,6 @@
         yield from lose_run(state, run, 'the worker does not list it')
 
 
-def _adopt_run(
-    state: DispatchState, event: WorkerReported, running: RunningRun
-) -> Actions:
-    """Adopt a run that a previous owner has started, or stop it."""
-    key = RunKey(running.task, running.run)
-    named = _find_named_task(state, running.task)
-    if named is None:
-        yield from stop_unknown_run(state, event.worker, key)
-        return
-    step_key, index = named
-    step = state.find_step(step_key)
-    task = state.find_task(running.task)
-    percent = max(1, running.percent)
-    run = RunEntry(
-        key,
-        step_key,
-        index,
-        event.worker,
-        event.report.incarnation_ms,
-        compute_reservation(step),
-        RunPhase.PRESENT,
-        started_at=state.now - step.estimate_ms * percent // 100,
-        expected_ms=step.estimate_ms,
-        confirmed_clock_ms=event.report.clock_ms,
-        listed=True,
-        percent=running.percent,
-        percent_at=event.received_at,
-        checkpoint=running.checkpoint,
-        target_ms=step.target_ms,
-        fills=step.fills,
-        load=running.load,
-        load_at=event.received_at,
-        pace=choose_initial_pace(state, event.worker, step.fills),
-        paced_at=state.now,
-        # The previous owner may have set any pace.
-        confirmed_pace=UNKNOWN_PACE_PERCENT
-        if step.fills
-        else FULL_PACE_PERCENT,
-    )
-    duplicate = any(
-        other.index == index for other in state.list_runs_of(step_key)
-    )
-    state.add_run(run)
-    state.update_task(
-        running.task, next_run=max(task.next_run, running.run + 1)
-    )
-    if not _wants_adopted(state, run, duplicate):
-        yield from stop_run(
-            state, run, 'the task has finished or has another run'
-        )
-        return
-    entry_step = state.steps[step_key]
-    state.update_step(
-        step_key, pending_tasks=entry_step.pending_tasks - {index}
-    )
-    if not state.steps[step_key].pending_tasks:
-        state.waiting_steps.pop(step_key, None)
-    mark_running(state, step_key.job_id)
-    unknown = state.workers[event.worker].unknown_runs
-    if key in unknown:
-        # A stop call that was sent before the task became known may still
-        # take effect.
-        state.update_worker(event.worker, unknown_runs=unknown - {key})
-        yield from stop_run(state, run, 'its task was unknown before')
-        return
-    yield LogEvent(
-        'adopt',
-        running.task,
-        (
-            ('run', running.run),
-            ('worker', event.worker),
-            ('percent', running.percent),
-        ),
-    )
-
-
-def _find_named_task(
-    state: DispatchState, task: str
-) -> tuple[StepKey, int] | None:
-    """Return the step and index of a reported task; None if there is none."""
-    named = parse_task_id(task)
-    if named is None:
-        return None
-    key, index = named
-    if key.job_id not in state.jobs or key not in state.steps:
-        return None
-    return named if index < state.find_step(key).tasks else None
-
-
-def _wants_adopted(
-    state: DispatchState, run: RunEntry, duplicate: bool
-) -> bool:
-    job = state.jobs[run.step.job_id]
-    if job.has_ended or state.find_task(run.key.task).finished:
-        return False
-    return not duplicate or state.find_step(run.step).speculative
-
-
-def mark_running(state: DispatchState, job_id: str) -> None:
-    """Mark a job as running once one of its runs is confirmed."""
-    entry = state.jobs[job_id]
-    if entry.state is entry.state.QUEUED:
-        state.update_job(job_id, state=entry.state.RUNNING)
-
-
-def compute_reservation(step: Step) -> Resources:
-    """Return the capacity to reserve on a worker for a run of a step.
-
-    A best-effort task reserves no processor time.
-    """
-    if step.fills:
-        return replace(step.demand, millicores=0)
-    return step.demand
-
-
 def lose_run(state: DispatchState, run: RunEntry, reason: str) -> Actions:
     """Remove a run that is certainly gone and whose end no report lists."""
     state.remove_run(run.place)
--- a/sassafrasgate/dispatch/scheduling_passes.py
+++ b/sassafrasgate/dispatch/scheduling_passes.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from sassafrasgate.dispatch.adoptions import compute_reservation
 from sassafrasgate.dispatch.advice import may_request_advice
 from sassafrasgate.dispatch.advice import request_advice
 from sassafrasgate.dispatch.events import PassDue
@@ -23,7 +24,6 @@
 from sassafrasgate.dispatch.plans import record_planned_run
 from sassafrasgate.dispatch.plans import respects_reservation
 from sassafrasgate.dispatch.plans import split_admitted_workers
-from sassafrasgate.dispatch.reports import compute_reservation
 
 if TYPE_CHECKING:
     from sassafrasgate.core.resources import Resources
--- a/sassafrasgate/dispatch/start_replies.py
+++ b/sassafrasgate/dispatch/start_replies.py
@@ -6,6 +6,7 @@
 
 from sassafrasgate.core.workflows import StartRefusal
 from sassafrasgate.dispatch.actions import LogEvent
+from sassafrasgate.dispatch.adoptions import mark_running
 from sassafrasgate.dispatch.advice import invalidate_ticket
 from sassafrasgate.dispatch.entries import RunPhase
 from sassafrasgate.dispatch.events import RunAnswered
@@ -14,7 +15,6 @@
 from sassafrasgate.dispatch.handlers import EVENT_HANDLERS
 from sassafrasgate.dispatch.hold_waits import record_unanswered_call
 from sassafrasgate.dispatch.reports import lose_run
-from sassafrasgate.dispatch.reports import mark_running
 from sassafrasgate.dispatch.stops import stop_run
 from sassafrasgate.shards.actions import StepDown
 
--- a/tests/dispatch/test_guards.py
+++ b/tests/dispatch/test_guards.py
@@ -6,6 +6,7 @@
 import pytest
 
 from sassafrasgate.core.workflows import EndKind
+from sassafrasgate.dispatch import adoptions
 from sassafrasgate.dispatch import gangs
 from sassafrasgate.dispatch import recovery
 from sassafrasgate.dispatch import registrations
@@ -187,13 +188,13 @@
 
     Its first stop call may be refused or lost.
     """
-    stop_unknown_run = reports.stop_unknown_run
+    stop_unknown_run = adoptions.stop_unknown_run
 
     def stop_once(state, worker, key):
         yield from stop_unknown_run(state, worker, key)
         state.pending_stops.pop(RunPlace(worker, key), None)
 
-    patch.setattr(reports, 'stop_unknown_run', stop_once)
+    patch.setattr(adoptions, 'stop_unknown_run', stop_once)
 
 
 @pytest.mark.parametrize('name', GUARDS)
