Adopt a run of an unknown task once its occurrence has opened

Cause: a previous owner whose clock is ahead opens an occurrence earlier. Its run is one of an unknown task for the successor, whose own occurrence then opened with all tasks pending, so that the task started a second time beside its run. Change: when an occurrence opens, unknown runs of its tasks become entries that are being stopped. The task starts again once such a run is gone.

--- a/sassafrasgate/dispatch/adoptions.py
+++ b/sassafrasgate/dispatch/adoptions.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
+from sassafrasgate.core.workflows import RunningRun
 from sassafrasgate.dispatch.actions import LogEvent
 from sassafrasgate.dispatch.entries import RunEntry
 from sassafrasgate.dispatch.entries import RunPhase
@@ -19,56 +20,29 @@
 
 if TYPE_CHECKING:
     from sassafrasgate.core.resources import Resources
-    from sassafrasgate.core.workflows import RunningRun
     from sassafrasgate.core.workflows import Step
-    from sassafrasgate.dispatch.events import WorkerReported
     from sassafrasgate.dispatch.handlers import Actions
     from sassafrasgate.dispatch.state import DispatchState
 
 
 def adopt_run(
-    state: DispatchState, event: WorkerReported, running: RunningRun
+    state: DispatchState, worker: str, running: RunningRun
 ) -> Actions:
     """Adopt a run that a previous owner has started, or stop it."""
     key = RunKey(running.task, running.run)
     named = find_named_task(state, running.task)
     if named is None:
-        yield from stop_unknown_run(state, event.worker, key)
+        yield from stop_unknown_run(state, worker, key)
         return
     step_key, index = named
-    step = state.find_step(step_key)
-    task = state.find_task(running.task)
-    percent = max(1, running.percent)
-    run = RunEntry(
-        key,
-        step_key,
-        index,
-        event.worker,
-        event.report.incarnation_ms,
-        compute_reservation(step),
-        RunPhase.PRESENT,
-        started_at=state.now - step.estimate_ms * percent // 100,
-        expected_ms=step.estimate_ms,
-        confirmed_clock_ms=event.report.clock_ms,
-        listed=True,
-        percent=running.percent,
-        percent_at=event.received_at,
-        checkpoint=running.checkpoint,
-        target_ms=step.target_ms,
-        fills=step.fills,
-        load=running.load,
-        load_at=event.received_at,
-        pace=choose_initial_pace(state, event.worker, step.fills),
-        paced_at=state.now,
-        # The previous owner may have set any pace.
-        confirmed_pace=UNKNOWN_PACE_PERCENT
-        if step.fills
-        else FULL_PACE_PERCENT,
-    )
     duplicate = any(
         other.index == index for other in state.list_runs_of(step_key)
     )
+    run = _make_entry(state, worker, running, step_key, index)
+    unknown = state.workers[worker].unknown_runs
+    state.update_worker(worker, unknown_runs=unknown - {key})
     state.add_run(run)
+    task = state.find_task(running.task)
     state.update_task(
         running.task, next_run=max(task.next_run, running.run + 1)
     )
@@ -77,31 +51,84 @@
             state, run, 'the task has finished or has another run'
         )
         return
-    entry_step = state.steps[step_key]
-    state.update_step(
-        step_key, pending_tasks=entry_step.pending_tasks - {index}
-    )
-    if not state.steps[step_key].pending_tasks:
-        state.waiting_steps.pop(step_key, None)
+    _take_from_pending(state, step_key, index)
     mark_running(state, step_key.job_id)
-    unknown = state.workers[event.worker].unknown_runs
     if key in unknown:
-        # A stop call that was sent before the task became known may still
+        # The stop call that was sent before the task became known may still
         # take effect.
-        state.update_worker(event.worker, unknown_runs=unknown - {key})
-        yield from stop_run(state, run, 'its task was unknown before')
+        yield from stop_run(state, run, 'the task was unknown before')
         return
     yield LogEvent(
         'adopt',
         running.task,
         (
             ('run', running.run),
-            ('worker', event.worker),
+            ('worker', worker),
             ('percent', running.percent),
         ),
     )
 
 
+def adopt_opened_runs(state: DispatchState) -> Actions:
+    """Adopt unknown runs whose task has become known.
+
+    A previous owner, whose clock is ahead, may have opened an occurrence
+    earlier. The task must not start again while its run is present.
+    """
+    for worker, entry in list(state.workers.items()):
+        for key in entry.unknown_runs:
+            if find_named_task(state, key.task) is not None:
+                running = RunningRun(key.task, key.run, '', 0)
+                yield from adopt_run(state, worker, running)
+
+
+def _make_entry(
+    state: DispatchState,
+    worker: str,
+    running: RunningRun,
+    step_key: StepKey,
+    index: int,
+) -> RunEntry:
+    entry = state.workers[worker]
+    assert entry.reading is not None
+    step = state.find_step(step_key)
+    reported_at = entry.reading.received_at
+    percent = max(1, running.percent)
+    return RunEntry(
+        RunKey(running.task, running.run),
+        step_key,
+        index,
+        worker,
+        entry.incarnation_ms,
+        compute_reservation(step),
+        RunPhase.PRESENT,
+        started_at=state.now - step.estimate_ms * percent // 100,
+        expected_ms=step.estimate_ms,
+        confirmed_clock_ms=entry.reading.clock,
+        listed=True,
+        percent=running.percent,
+        percent_at=reported_at,
+        checkpoint=running.checkpoint,
+        target_ms=step.target_ms,
+        fills=step.fills,
+        load=running.load,
+        load_at=reported_at,
+        pace=choose_initial_pace(state, worker, step.fills),
+        paced_at=state.now,
+        # The previous owner may have set any pace.
+        confirmed_pace=UNKNOWN_PACE_PERCENT
+        if step.fills
+        else FULL_PACE_PERCENT,
+    )
+
+
+def _take_from_pending(state: DispatchState, key: StepKey, index: int) -> None:
+    entry = state.steps[key]
+    state.update_step(key, pending_tasks=entry.pending_tasks - {index})
+    if not state.steps[key].pending_tasks:
+        state.waiting_steps.pop(key, None)
+
+
 def find_named_task(
     state: DispatchState, task: str
 ) -> tuple[StepKey, int] | None:
--- a/sassafrasgate/dispatch/reports.py
+++ b/sassafrasgate/dispatch/reports.py
@@ -8,6 +8,7 @@
 from sassafrasgate.core.workflows import EndKind
 from sassafrasgate.dispatch.actions import AcknowledgeEnds
 from sassafrasgate.dispatch.actions import LogEvent
+from sassafrasgate.dispatch.adoptions import adopt_opened_runs
 from sassafrasgate.dispatch.adoptions import adopt_run
 from sassafrasgate.dispatch.adoptions import find_named_task
 from sassafrasgate.dispatch.entries import RunEntry
@@ -82,6 +83,7 @@
         yield from _process_ended(state, event, ended)
     yield from _repeat_acknowledgement(state, event)
     yield from _process_running(state, event)
+    yield from adopt_opened_runs(state)
     if state.unreconciled_workers.pop(event.worker, None) is not None:
         state.needs_pass = True
     if restarted or not entry.epoch_acknowledged or entry.silent_since:
@@ -255,7 +257,7 @@
         listed.add(key)
         run = state.find_run(event.worker, key)
         if run is None:
-            yield from adopt_run(state, event, running)
+            yield from adopt_run(state, event.worker, running)
             continue
         state.runs[run.place] = replace(
             run,
--- a/sassafrasgate/dispatch/timers.py
+++ b/sassafrasgate/dispatch/timers.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from sassafrasgate.dispatch.adoptions import adopt_opened_runs
 from sassafrasgate.dispatch.handlers import EVENT_HANDLERS
 from sassafrasgate.dispatch.hold_waits import adjust_hold_wait
 from sassafrasgate.dispatch.pacing import adjust_paces
@@ -43,6 +44,7 @@
             entry.occurrences < entry.workflow.occurrences
         ):
             open_due_occurrences(state, job_id)
+    yield from adopt_opened_runs(state)
     _forget_jobs(state)
     # No event reports that a ticket expires or that a worker's pause ends, so
     # waiting steps are reconsidered at every tick.
