Look at runs to be stopped only where unknown runs are handled

Cause: each report of a worker went through all workers and copied its own entry, which grows with the square of the fleet. Change: unknown runs are found among the pending stops, of which there are few, and nothing is copied where no unknown run has ended. Result: the tests of adoptions, orders and stops and the random simulations pass; the cost was not measured.

--- a/sassafrasgate/dispatch/adoptions.py
+++ b/sassafrasgate/dispatch/adoptions.py
@@ -75,11 +75,13 @@
     A previous owner, whose clock is ahead, may have opened an occurrence
     earlier. The task must not start again while its run is present.
     """
-    for worker, entry in list(state.workers.items()):
-        for key in entry.unknown_runs:
-            if find_named_task(state, key.task) is not None:
-                running = RunningRun(key.task, key.run, '', 0)
-                yield from adopt_run(state, worker, running)
+    for place in list(state.pending_stops):
+        if place in state.runs:
+            continue
+        key = place.key
+        if find_named_task(state, key.task) is not None:
+            running = RunningRun(key.task, key.run, '', 0)
+            yield from adopt_run(state, place.worker, running)
 
 
 def _make_entry(
--- a/sassafrasgate/dispatch/stops.py
+++ b/sassafrasgate/dispatch/stops.py
@@ -80,10 +80,12 @@
 ) -> None:
     """Remove unknown runs of a worker that are certainly gone."""
     unknown = state.workers[worker].unknown_runs
+    if unknown.isdisjoint(gone):
+        return
     for key in unknown & gone:
         state.pending_stops.pop(RunPlace(worker, key), None)
-        state.needs_pass = True
     state.update_worker(worker, unknown_runs=unknown - gone)
+    state.needs_pass = True
 
 
 def stop_job_runs(state: DispatchState, job_id: str) -> Actions:
