Tests: register each order with the function that gives it

Cause: the table of orders was filled by calls, with a second table for the order that is observed in another way. Change: a decorator registers a row with its function, and the row says how it is observed.

--- a/tests/dispatch/test_orders.py
+++ b/tests/dispatch/test_orders.py
@@ -39,6 +39,8 @@
 from tests.dispatch.simulation import make_step
 
 JOB = '00000000000000aa'
+RUN = RunKey(f'{JOB}.0.0.0', 1)
+END = EndedRun(1, *RUN, EndKind.FINISHED, '')
 SERVICE_JOB = '00000000000000bb'
 # Longer than any pause between two calls for one order.
 PERIOD_MS = 1_100
@@ -47,6 +49,14 @@
 LOCAL_UPDATES = {AllowStarts, ChangeHoldWait, OwnerLeaseChanged}
 
 
+def observe(driver):
+    """Let a report arrive and time pass; return the actions."""
+    actions = list(driver.report('w0'))
+    for _ in range(PERIOD_MS // 100):
+        actions += driver.wait(100)
+    return actions
+
+
 @dataclass(frozen=True)
 class Order:
     """A row of the table.
@@ -60,50 +70,38 @@
     ends_when : str
         What ends the repetition.
     learned_from : str
-        How an owner after the next one learns of it.
-    give : callable
-        Brings the order about on worker ``w0``, and loses its call.
+        What a later owner learns it from.
     end : callable
         Lets the condition occur that ends the repetition.
-    repeated_as : type
-        Action that settles the order; by default the same as ``kind``.
+    repeated_as : type or None
+        Action that settles the order; None if it is ``kind``.
+    observe : callable
+        Returns the actions of a period in which the order is repeated.
+    give : callable or None
+        Brings the order about on worker ``w0``, and returns the actions.
     """
 
     kind: type[Any]
     repeated_by: str
     ends_when: str
     learned_from: str
-    give: Callable[[Driver], list[Any]]
     end: Callable[[Driver], None]
     repeated_as: type[Any] | None = None
+    observe: Callable[[Driver], list[Any]] = observe
+    give: Callable[[Driver], list[Any]] | None = None
 
 
 ORDERS: Registry[str, Order] = Registry('order')
 
 
-def observe(driver):
-    """Let a report arrive and time pass; return the actions."""
-    actions = list(driver.report('w0'))
-    for _ in range(PERIOD_MS // 100):
-        actions += driver.wait(100)
-    return actions
-
-
-def start_service(driver):
-    step = make_step(1, 1_000, long_running=True)
-    (start,) = driver.confirm(driver.submit(JOB, step))
-    driver.report('w0')
-    return start.run
+def order(name, row):
+    """Register a row with the decorated function, which gives the order."""
 
+    def add(give):
+        ORDERS.register(name)(replace(row, give=give))
+        return give
 
-def stop_known_run(driver):
-    start_service(driver)
-    return driver.cancel(JOB)
-
-
-def stop_unknown_run(driver):
-    driver.running['w0'][RunKey(f'{JOB}.0.0.0', 1)] = 0
-    return driver.report('w0')
+    return add
 
 
 def end_all_runs(driver):
@@ -111,113 +109,120 @@
     driver.report('w0', ended=ended)
 
 
-def lose_start(driver):
-    return driver.submit(JOB, make_step(1, 900_000))
+def end_jobs(driver):
+    driver.cancel(JOB)
+    driver.cancel(SERVICE_JOB)
+    end_all_runs(driver)
 
 
 def settle_start(driver):
     """The worker replies to the stop, so that the start has no effect."""
-    driver.feed(RunUnanswered('w0', RunKey(f'{JOB}.0.0.0', 1), True))
-    driver.feed(StopAnswered('w0', RunKey(f'{JOB}.0.0.0', 1), driver.now))
+    driver.feed(RunUnanswered('w0', RUN, True))
+    driver.feed(StopAnswered('w0', RUN, driver.now))
     driver.now += 10
     driver.confirm(driver.report('w0'))
 
 
-def slow_best_effort_run(driver):
-    service = make_step(1, 1_000, long_running=True, target_ms=100, may_miss=1)
-    driver.confirm(driver.submit(SERVICE_JOB, service))
-    step = make_step(1, 900_000, fills=True)
-    driver.confirm(driver.submit(JOB, step))
-    return observe(driver)
-
-
-def end_job(driver):
-    driver.cancel(JOB)
-    driver.cancel(SERVICE_JOB)
-    end_all_runs(driver)
-
-
-def acknowledge_end(driver):
-    """The worker lists an end again, as its task at a new address sees it."""
-    run = RunKey(f'{JOB}.0.0.0', 1)
-    (start,) = driver.confirm(driver.submit(JOB, make_step(1, 500)))
-    assert start.run == run
-    actions = list(driver.finish(start))
-    entry = driver.state.workers['w0'].registration
-    driver.feed(WorkerRegistered(replace(entry, address='10.0.1.9:1')))
-    driver.listed = (EndedRun(1, *run, EndKind.FINISHED, ''),)
-    return actions
-
-
-def drop_ends(driver):
-    driver.listed = ()
-
-
-def report_again(driver):
-    """Let a report arrive that lists ends again; return the actions."""
+def list_end(driver):
+    """Let a report arrive that lists an end again; return the actions."""
     driver.now += PERIOD_MS
-    report = WorkerReport(driver.now, INCARNATION_MS, (), driver.listed)
+    report = WorkerReport(driver.now, INCARNATION_MS, (), (END,))
     return driver.feed(
         WorkerReported('w0', report, driver.now, driver.now + 5_000)
     )
 
 
-OBSERVE = {'acknowledgement': report_again}
+def start_service(driver):
+    step = make_step(1, 1_000, long_running=True)
+    (start,) = driver.confirm(driver.submit(JOB, step))
+    driver.report('w0')
+    return start.run
+
 
-ORDERS.register('stop of a known run')(
+@order(
+    'stop of a known run',
     Order(
         StopRun,
         'the owner, from its pending stops',
-        'the run is gone: not listed any more, the life of the worker has '
-        'ended, or every lease there has expired',
+        'the run is gone: not listed any more, the incarnation of the worker '
+        'has ended, or every lease there has expired',
         "the worker's list of runs",
-        stop_known_run,
         end_all_runs,
-    )
+    ),
 )
-ORDERS.register('stop of an unknown run')(
+def stop_known_run(driver):
+    start_service(driver)
+    return driver.cancel(JOB)
+
+
+@order(
+    'stop of an unknown run',
     Order(
         StopRun,
         'the owner, from its pending stops',
         'as for a known run',
         "the worker's list of runs",
-        stop_unknown_run,
         end_all_runs,
-    )
+    ),
 )
-ORDERS.register('start')(
+def stop_unknown_run(driver):
+    driver.running['w0'][RUN] = 0
+    return driver.report('w0')
+
+
+@order(
+    'start',
     Order(
         StartRun,
         "the worker's task, up to four times; then the owner stops the run, "
         'and starts another one',
         'a reply, a report of the run, or the reply to its stop',
         "the worker's list of runs; the task is queued once it cannot run",
-        lose_start,
         settle_start,
-        StopRun,
-    )
+        repeated_as=StopRun,
+    ),
 )
-ORDERS.register('pace')(
+def start_task(driver):
+    return driver.submit(JOB, make_step(1, 900_000))
+
+
+@order(
+    'pace',
     Order(
         PaceRun,
         'the owner, until the worker has confirmed the pace',
         'the confirmation, or the run is gone',
         "the worker's list of runs; any pace may be in force there",
-        slow_best_effort_run,
-        end_job,
-    )
+        end_jobs,
+    ),
 )
-ORDERS.register('acknowledgement')(
+def slow_best_effort_run(driver):
+    service = make_step(1, 1_000, long_running=True, target_ms=100, may_miss=1)
+    driver.confirm(driver.submit(SERVICE_JOB, service))
+    step = make_step(1, 900_000, fills=True)
+    driver.confirm(driver.submit(JOB, step))
+    return observe(driver)
+
+
+@order(
+    'acknowledgement',
     Order(
         AcknowledgeEnds,
         "the worker's task with each poll; the owner, when a worker lists an "
         'acknowledged end again',
         'the worker does not list the end any more',
         "the worker's list of ends",
-        acknowledge_end,
-        drop_ends,
-    )
+        end_all_runs,
+        observe=list_end,
+    ),
 )
+def acknowledge_end(driver):
+    """The acknowledgement is lost with the task for the old address."""
+    (start,) = driver.confirm(driver.submit(JOB, make_step(1, 500)))
+    actions = list(driver.finish(start))
+    entry = driver.state.workers['w0'].registration
+    driver.feed(WorkerRegistered(replace(entry, address='10.0.1.9:1')))
+    return actions
 
 
 def test_each_order_to_a_worker_is_in_the_table():
@@ -226,27 +231,28 @@
     assert kinds | LOCAL_UPDATES == {*COMMAND_HANDLERS, *UPDATE_HANDLERS}
 
 
-def lose(driver, order, actions):
-    """Lose the calls for an order, and tell the owner what it learns."""
-    assert select_actions(actions, order.kind)
-    if order.kind is StartRun:
-        for start in select_actions(actions, StartRun):
+def give_and_lose(driver, row):
+    """Give an order, and lose its call."""
+    actions = list(row.give(driver))
+    assert select_actions(actions, row.kind)
+    for start in select_actions(actions, StartRun):
+        if row.kind is StartRun:
             driver.feed(RunUnanswered(start.worker, start.run, True))
 
 
 @pytest.mark.parametrize('name', list(ORDERS))
 def test_a_lost_order_is_repeated_until_it_has_ended(name):
-    order = ORDERS.find(name)
-    observe_order = OBSERVE.get(name, observe)
-    repeated = order.repeated_as or order.kind
+    # Guards against an order that has no effect because its call was lost.
+    row = ORDERS.find(name)
+    repeated = row.repeated_as or row.kind
     driver = Driver(workers=1)
-    lose(driver, order, list(order.give(driver)))
+    give_and_lose(driver, row)
 
-    assert select_actions(observe_order(driver), repeated)
-    assert select_actions(observe_order(driver), repeated)
-    order.end(driver)
-    observe_order(driver)
-    assert not select_actions(observe_order(driver), repeated)
+    assert select_actions(row.observe(driver), repeated)
+    assert select_actions(row.observe(driver), repeated)
+    row.end(driver)
+    observe(driver)
+    assert not select_actions(observe(driver), repeated)
 
 
 @pytest.mark.parametrize('snapshot', [True, False])
@@ -256,15 +262,14 @@
     name, successors, snapshot
 ):
     # Guards against an order that only the owner which gave it knows of.
-    order = ORDERS.find(name)
-    observe_order = OBSERVE.get(name, observe)
+    row = ORDERS.find(name)
     driver = Driver(workers=1)
-    lose(driver, order, list(order.give(driver)))
+    give_and_lose(driver, row)
     for _ in range(successors):
         driver.replace_owner(snapshot)
 
-    assert select_actions(observe_order(driver), order.kind)
-    assert select_actions(observe_order(driver), order.kind)
+    assert select_actions(row.observe(driver), row.kind)
+    assert select_actions(row.observe(driver), row.kind)
 
 
 @pytest.mark.parametrize('snapshot', [True, False])
