Compare incarnations in the pass before asking what they mean

Cause: the list of usable workers made a call for each worker of each pass. Change: the call is made only where the two incarnations differ.

--- a/sassafrasgate/dispatch/plans.py
+++ b/sassafrasgate/dispatch/plans.py
@@ -134,7 +134,8 @@
             or entry.unknown_runs
             or entry.avoid_until > now
             or worker in slow
-            or not entry.is_described
+            or registration.incarnation_ms != entry.incarnation_ms
+            and not entry.is_described
         ):
             continue
         workers = usable.get(registration.pool)
