Measure how late an owner handles its events, and why

A saturated owner looked like a silent one: nothing showed the age of its inbox, how long its loop stood still, how long a pass took, or what its time was spent on.

A probe passes the inbox with each tick.

The logic of decisions is unchanged.

--- a/sassafrasgate/daemons/dispatcher.py
+++ b/sassafrasgate/daemons/dispatcher.py
@@ -33,6 +33,8 @@
 from sassafrasgate.daemons.messages import OwnerLeaseChanged
 from sassafrasgate.daemons.messages import OwnershipLost
 from sassafrasgate.daemons.messages import StopPolling
+from sassafrasgate.daemons.owner_loads import DelayProbe
+from sassafrasgate.daemons.owner_loads import OwnerLoad
 from sassafrasgate.daemons.replies import ReplyTable
 from sassafrasgate.daemons.replies import wait_for_reply
 from sassafrasgate.daemons.snapshots import SnapshotSchedule
@@ -202,6 +204,7 @@
         self._loss_reason = ''
         self._group: TaskGroup | None = None
         self._failures = FailureRecorder(services.logger, services.metrics)
+        self._load = OwnerLoad(services.logger, services.metrics)
         # Events of this process that found the inbox full.
         self._overflow: deque[Any] = deque()
         self.taken_over = anyio.Event()
@@ -305,7 +308,9 @@
 
     async def _tick(self) -> None:
         while True:
+            due_at = now_ms() + int(TICK_INTERVAL_S * 1000)
             await anyio.sleep(TICK_INTERVAL_S)
+            await self.events.send(DelayProbe(due_at, now_ms()))
             await self.events.send(Ticked(wall_ms(), now_ms()))
 
     async def _serve(self) -> None:
@@ -329,10 +334,15 @@
                     break
                 await self._process_event(event)
             if self._compute_pass_delay() == 0:
-                began = perf_counter()
-                await self._process_event(PassDue())
-                ended = perf_counter()
-                self._next_pass = ended + (ended - began) * PASS_PAUSE_FACTOR
+                await self._run_pass()
+
+    async def _run_pass(self) -> None:
+        steps = len(self.state.waiting_steps)
+        began = perf_counter()
+        await self._process_event(PassDue())
+        ended = perf_counter()
+        self._load.record_pass(ended - began, steps)
+        self._next_pass = ended + (ended - began) * PASS_PAUSE_FACTOR
 
     async def _receive(self) -> Any:
         """Return the next event, or None once a scheduling pass is due."""
@@ -357,10 +367,12 @@
             self._replies.record_handled(event.reply_to)
         started = perf_counter()
         actions = decide(self.state, event, now_ms(), wall_ms())
+        kind = type(event).__name__
         self.services.metrics.observe(
-            DECISION_SECONDS, perf_counter() - started, type(event).__name__
+            DECISION_SECONDS, perf_counter() - started, kind
         )
         await self._execute_actions(actions)
+        self._load.record_event(kind, perf_counter() - started)
 
     async def _execute_actions(self, actions: Any) -> None:
         for action in actions:
@@ -385,6 +397,10 @@
         if isinstance(event, OwnershipLost):
             self._loss_reason = event.reason
             return True
+        if isinstance(event, DelayProbe):
+            waiting = self._inbox.statistics().current_buffer_used
+            self._load.record_probe(event, now_ms(), waiting)
+            return True
         if isinstance(event, SnapshotEnded):
             self._snapshots.mark_written()
             self._request_snapshot()
--- a/sassafrasgate/observability/metrics.py
+++ b/sassafrasgate/observability/metrics.py
@@ -176,6 +176,26 @@
     'Time to take one decision.',
     'kind',
 )
+EVENT_DELAY = define_metric(
+    MetricKind.GAUGE,
+    'owner_event_delay_seconds',
+    'Time by which the owner last handled an event later than it was due.',
+)
+INBOX_EVENTS = define_metric(
+    MetricKind.GAUGE,
+    'owner_inbox_events',
+    'Events that wait for the owner to handle them.',
+)
+PASS_SECONDS = define_metric(
+    MetricKind.HISTOGRAM,
+    'scheduling_pass_seconds',
+    'Time that a scheduling pass takes.',
+)
+PASS_STEPS = define_metric(
+    MetricKind.GAUGE,
+    'scheduling_pass_steps',
+    'Waiting steps at the start of the latest scheduling pass.',
+)
 APPEND_SECONDS = define_metric(
     MetricKind.HISTOGRAM,
     'journal_append_seconds',
