Refuse work that a late owner can't do in time

Callers saw 504 for seconds after a burst on the large deployment: their attempts waited in the owner's inbox for longer than 0.7 s, were repeated, handled although nobody waited, and accepted, which added work that earned nothing.

The owner measures by how much each tick is handled late. While the least of the latest three delays is above 150 ms, it lowers the rate at which it admits tasks; above 500 ms it admits nothing. Refusals come before the record is written, with the time after which there will be room, which callers get as Retry-After. Attempts whose sender has given up are refused unhandled, but for cancellations.

--- a/sassafrasgate/core/errors.py
+++ b/sassafrasgate/core/errors.py
@@ -39,11 +39,15 @@
         What was wrong, including the invalid value.
     remedy : str
         What the caller can do about it.
+    retry_after_ms : int
+        Time in ms after which the request is likely to be served; 0 if that
+        is not known.
     """
 
     kind: RefusalKind
     reason: str
     remedy: str
+    retry_after_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/sassafrasgate/daemons/dispatcher.py
+++ b/sassafrasgate/daemons/dispatcher.py
@@ -33,7 +33,6 @@
 from sassafrasgate.daemons.messages import OwnerLeaseChanged
 from sassafrasgate.daemons.messages import OwnershipLost
 from sassafrasgate.daemons.messages import StopPolling
-from sassafrasgate.daemons.owner_loads import DelayProbe
 from sassafrasgate.daemons.owner_loads import OwnerLoad
 from sassafrasgate.daemons.replies import ReplyTable
 from sassafrasgate.daemons.replies import wait_for_reply
@@ -310,8 +309,7 @@
         while True:
             due_at = now_ms() + int(TICK_INTERVAL_S * 1000)
             await anyio.sleep(TICK_INTERVAL_S)
-            await self.events.send(DelayProbe(due_at, now_ms()))
-            await self.events.send(Ticked(wall_ms(), now_ms()))
+            await self.events.send(Ticked(wall_ms(), now_ms(), due_at))
 
     async def _serve(self) -> None:
         """Handle events and run a scheduling pass whenever one is due.
@@ -397,10 +395,6 @@
         if isinstance(event, OwnershipLost):
             self._loss_reason = event.reason
             return True
-        if isinstance(event, DelayProbe):
-            waiting = self._inbox.statistics().current_buffer_used
-            self._load.record_probe(event, now_ms(), waiting)
-            return True
         if isinstance(event, SnapshotEnded):
             self._snapshots.mark_written()
             self._request_snapshot()
@@ -414,6 +408,8 @@
             for _ in range(event.records):
                 self._unwritten_since.pop()
         if isinstance(event, Ticked):
+            waiting = self._inbox.statistics().current_buffer_used
+            self._load.record_tick(event, now_ms(), waiting)
             await self._update_stall()
             await self._check_previous_owners()
         if isinstance(event, StopRequested):
@@ -519,27 +515,30 @@
 
     async def handle_request(self, request: IncomingRequest) -> None:
         """Queue a request that the link server has received."""
-        await self._queue_request(
-            self._replies.add_request(request), request.message
-        )
+        token = self._replies.add_request(request)
+        if not self._try_queue_request(
+            token, request.message, request.timeout_ms
+        ):
+            await self.send_reply(token, self._make_overload_refusal())
 
     async def request(self, message: Any, timeout_s: float) -> Any:
         """Queue a request of this process and return its reply."""
 
         def add(caller: MemoryObjectSendStream[Any]) -> int:
             token = self._replies.add_local_request(caller)
-            self._try_queue_request(token, message)
+            self._try_queue_request(token, message, int(timeout_s * 1000))
             return token
 
         return await wait_for_reply(add, self._replies.discard, timeout_s)
 
-    async def _queue_request(self, token: int, message: Any) -> None:
-        if not self._try_queue_request(token, message):
-            await self.send_reply(token, self._make_overload_refusal())
-
-    def _try_queue_request(self, token: int, message: Any) -> bool:
+    def _try_queue_request(
+        self, token: int, message: Any, timeout_ms: int
+    ) -> bool:
+        expires_at = now_ms() + timeout_ms if timeout_ms else 0
         try:
-            self.events.send_nowait(RequestReceived(token, message, wall_ms()))
+            self.events.send_nowait(
+                RequestReceived(token, message, wall_ms(), expires_at)
+            )
         except anyio.WouldBlock:
             return False
         return True
--- a/sassafrasgate/daemons/entry.py
+++ b/sassafrasgate/daemons/entry.py
@@ -354,7 +354,12 @@
 
         async def send_reply(reply: Any) -> None:
             if isinstance(reply, Refusal):
-                reply = Refused(reply.kind, reply.reason, reply.remedy)
+                reply = Refused(
+                    reply.kind,
+                    reply.reason,
+                    reply.remedy,
+                    reply.retry_after_ms,
+                )
             await self.services.reply(
                 OutgoingReply(request.client, request.request_id, reply)
             )
--- a/sassafrasgate/daemons/gateways.py
+++ b/sassafrasgate/daemons/gateways.py
@@ -126,7 +126,12 @@
                 message, min(remaining_s, ATTEMPT_TIMEOUT_S)
             )
             if isinstance(reply, Refused):
-                reply = Refusal(reply.refusal, reply.reason, reply.remedy)
+                reply = Refusal(
+                    reply.refusal,
+                    reply.reason,
+                    reply.remedy,
+                    reply.retry_after_ms,
+                )
             if isinstance(reply, NoReply):
                 unknown = reply
             elif not isinstance(reply, Refusal):
--- a/sassafrasgate/daemons/owner_loads.py
+++ b/sassafrasgate/daemons/owner_loads.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 from collections import Counter
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from sassafrasgate.observability.logs import log_event
@@ -20,6 +19,7 @@
     from logbook import Logger
 
     from sassafrasgate.observability.metrics import Metrics
+    from sassafrasgate.shards.events import Ticked
 
 REPORT_INTERVAL_MS = 1_000
 # Intervals in which no event was later than this are not logged.
@@ -28,23 +28,6 @@
 REPORTED_KINDS = 4
 
 
-@dataclass(frozen=True, slots=True)
-class DelayProbe:
-    """Measures the delay of the dispatcher's events; it passes its inbox.
-
-    Parameters
-    ----------
-    due_at : int
-        Owner's clock, in ms, when a timer was to send it. The delay includes
-        the time for which the event loop stood still.
-    sent_at : int
-        Owner's clock, in ms, when it was sent.
-    """
-
-    due_at: int
-    sent_at: int
-
-
 class OwnerLoad:
     """Collects the figures of one interval, and publishes them at its end.
 
@@ -83,33 +66,27 @@
         self._metrics.observe(PASS_SECONDS, seconds)
         self._metrics.set_gauge(PASS_STEPS, steps)
 
-    def record_probe(self, probe: DelayProbe, now: int, waiting: int) -> int:
-        """Add a measurement of the delay, and publish a complete interval.
+    def record_tick(self, tick: Ticked, now: int, waiting: int) -> None:
+        """Add the delay of a tick, and publish a complete interval.
 
         Parameters
         ----------
         now : int
-            Owner's clock, in ms.
+            Owner's clock, in ms, when the tick is handled.
         waiting : int
             Number of events in the inbox.
-
-        Returns
-        -------
-        int
-            The delay in ms.
         """
         self._began_at = self._began_at or now
-        delay_ms = max(0, now - probe.due_at)
+        delay_ms = max(0, now - tick.due_at)
         self._delay_ms = max(self._delay_ms, delay_ms)
         self._loop_delay_ms = max(
-            self._loop_delay_ms, probe.sent_at - probe.due_at
+            self._loop_delay_ms, tick.fired_at - tick.due_at
         )
         self._metrics.set_gauge(EVENT_DELAY, delay_ms / 1000)
         self._metrics.set_gauge(INBOX_EVENTS, waiting)
         if now - self._began_at >= REPORT_INTERVAL_MS:
             self._report(now, waiting)
             self._reset(now)
-        return delay_ms
 
     def _report(self, now: int, waiting: int) -> None:
         if self._delay_ms < REPORTED_DELAY_MS:
--- /dev/null
+++ b/sassafrasgate/dispatch/admission.py
@@ -0,0 +1,241 @@
+"""Admission of workflows by the delay of the owner's events.
+
+What is accepted is owed, so an owner that is late refuses work before its
+record is written. The delay that counts is the least of the latest samples: a
+single late sample, as after a pause of the process, leaves no queue behind.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import replace
+from math import inf
+from typing import TYPE_CHECKING
+
+from sassafrasgate.core.errors import Refusal
+from sassafrasgate.core.errors import RefusalKind
+
+if TYPE_CHECKING:
+    from sassafrasgate.core.workflows import Workflow
+    from sassafrasgate.dispatch.state import DispatchState
+    from sassafrasgate.shards.events import RequestReceived
+    from sassafrasgate.shards.events import Ticked
+
+DELAY_SAMPLES = 3
+# A longer delay lowers the rate at which tasks are admitted. It is well below
+# the time for which other hosts wait for a reply.
+MAX_DELAY_MS = 150
+# The rate is raised only while the delay is shorter than this.
+RAISE_DELAY_MS = 50
+# With a longer delay nothing is admitted: the time in which a quick job earns
+# most would be over before its start.
+REFUSAL_DELAY_MS = 500
+# The effect of a lower rate shows once tasks that were admitted before have
+# been started.
+DECREASE_INTERVAL_MS = 500
+DECREASE_FACTOR = 0.85
+# A queue that was there before the rate was lowered takes this time at most
+# to become shorter.
+EPISODE_MS = 2_000
+INCREASE_PER_S = 0.2
+# The rate rises slowly from this share of the one that was last too high.
+SLOW_INCREASE_SHARE = 0.75
+SLOW_INCREASE_PER_S = 0.03
+MIN_TASKS_PER_S = 5.0
+# The limit ends once nothing has been refused for this time.
+RELEASE_MS = 3_000
+RATE_WINDOW_MS = 1_000
+# Longest time for which unused allowance is kept.
+BURST_MS = 250
+# Work of a submission besides its tasks, as a number of tasks.
+SUBMISSION_TASKS = 1
+MAX_RETRY_AFTER_MS = 5_000
+
+
+@dataclass(frozen=True, slots=True)
+class Admission:
+    """How much work the owner admits.
+
+    Parameters
+    ----------
+    delays_ms : tuple of int
+        Latest delays of events.
+    limit_per_s : float
+        Tasks that may be admitted in a second.
+    excessive_per_s : float
+        Tasks that were admitted in a second when the limit was last lowered.
+    allowance : float
+        Tasks that may be admitted now. It is negative after a large job.
+    rate_per_s : float
+        Tasks that were admitted in a second of late.
+    admitted : int
+        Tasks that were admitted since the latest sample.
+    measured_at : int
+        Owner's clock, in ms, of the latest sample.
+    delay_at_decrease_ms : int
+        Delay when the limit was last lowered.
+    decreased_at : int
+        Owner's clock, in ms, when the limit was last lowered.
+    refused_at : int
+        Owner's clock, in ms, when a workflow was last refused or the limit
+        lowered.
+    promised_until : int
+        Owner's clock, in ms, when the work of all refused callers can have
+        been admitted.
+    """
+
+    delays_ms: tuple[int, ...] = ()
+    limit_per_s: float = inf
+    excessive_per_s: float = 0.0
+    allowance: float = 0.0
+    rate_per_s: float = 0.0
+    admitted: int = 0
+    measured_at: int = 0
+    delay_at_decrease_ms: int = 0
+    decreased_at: int = 0
+    refused_at: int = 0
+    promised_until: int = 0
+
+    @property
+    def standing_delay_ms(self) -> int:
+        """The delay that each of the latest samples has had at least."""
+        if len(self.delays_ms) < DELAY_SAMPLES:
+            return 0
+        return min(self.delays_ms)
+
+
+def measure_delay(state: DispatchState, event: Ticked) -> None:
+    """Adapt the rate of admissions to the delay of a tick."""
+    due_at = event.due_at or event.fired_at
+    if not due_at:
+        return
+    admission = state.admission
+    delay_ms = max(0, state.now - due_at)
+    admission = replace(
+        _measure_rate(admission, state.now),
+        delays_ms=(*admission.delays_ms, delay_ms)[-DELAY_SAMPLES:],
+    )
+    elapsed_ms = min(state.now - state.admission.measured_at, RATE_WINDOW_MS)
+    state.admission = _adapt_limit(admission, state.now, elapsed_ms / 1_000)
+
+
+def _measure_rate(admission: Admission, now: int) -> Admission:
+    elapsed_ms = max(1, now - admission.measured_at)
+    share = min(1.0, elapsed_ms / RATE_WINDOW_MS)
+    rate_per_s = admission.admitted * 1_000 / elapsed_ms
+    change = (rate_per_s - admission.rate_per_s) * share
+    limit_per_s = admission.limit_per_s
+    allowance = admission.allowance
+    if limit_per_s != inf:
+        allowance += limit_per_s * min(elapsed_ms, RATE_WINDOW_MS) / 1_000
+        allowance = min(allowance, limit_per_s * BURST_MS / 1_000)
+    return replace(
+        admission,
+        rate_per_s=admission.rate_per_s + change,
+        admitted=0,
+        allowance=allowance,
+        measured_at=now,
+    )
+
+
+def _adapt_limit(
+    admission: Admission, now: int, elapsed_s: float
+) -> Admission:
+    delay_ms = admission.standing_delay_ms
+    limit_per_s = admission.limit_per_s
+    if delay_ms > MAX_DELAY_MS:
+        since_ms = now - admission.decreased_at
+        falling = admission.delays_ms[-1] < admission.delay_at_decrease_ms
+        if since_ms < DECREASE_INTERVAL_MS or (
+            falling and since_ms < EPISODE_MS
+        ):
+            return admission
+        limit_per_s = min(limit_per_s, admission.rate_per_s)
+        excessive_per_s = admission.excessive_per_s
+        if since_ms >= EPISODE_MS:
+            excessive_per_s = limit_per_s
+        return replace(
+            admission,
+            limit_per_s=max(MIN_TASKS_PER_S, limit_per_s * DECREASE_FACTOR),
+            delay_at_decrease_ms=delay_ms,
+            excessive_per_s=excessive_per_s,
+            decreased_at=now,
+            refused_at=now,
+        )
+    if limit_per_s == inf or delay_ms > RAISE_DELAY_MS:
+        return admission
+    if now - admission.refused_at > RELEASE_MS:
+        return replace(
+            admission, limit_per_s=inf, allowance=0.0, promised_until=0
+        )
+    slow = limit_per_s > admission.excessive_per_s * SLOW_INCREASE_SHARE
+    increase_per_s = SLOW_INCREASE_PER_S if slow else INCREASE_PER_S
+    return replace(
+        admission, limit_per_s=limit_per_s * (1 + increase_per_s * elapsed_s)
+    )
+
+
+def admit_workflow(state: DispatchState, workflow: Workflow) -> Refusal | None:
+    """Count a workflow as admitted, or return a refusal."""
+    admission = state.admission
+    tasks = SUBMISSION_TASKS + sum(step.tasks for step in workflow.steps)
+    late = admission.standing_delay_ms > REFUSAL_DELAY_MS
+    if not late and (admission.limit_per_s == inf or admission.allowance > 0):
+        allowance = admission.allowance
+        if admission.limit_per_s != inf:
+            allowance -= tasks
+        state.admission = replace(
+            admission,
+            allowance=allowance,
+            admitted=admission.admitted + tasks,
+        )
+        return None
+    return _refuse(state, admission, tasks)
+
+
+def _refuse(state: DispatchState, admission: Admission, tasks: int) -> Refusal:
+    """Refuse a workflow, and tell when there will be room for it.
+
+    The refused callers return one after the other.
+    """
+    limit_per_s = admission.limit_per_s
+    if limit_per_s == inf:
+        limit_per_s = max(admission.rate_per_s, MIN_TASKS_PER_S)
+    missing = max(0.0, -admission.allowance)
+    earliest = (
+        state.now
+        + admission.standing_delay_ms
+        + int(missing * 1_000 / limit_per_s)
+    )
+    promised_until = min(
+        max(earliest, admission.promised_until)
+        + int(tasks * 1_000 / limit_per_s),
+        state.now + MAX_RETRY_AFTER_MS,
+    )
+    state.admission = replace(
+        admission, promised_until=promised_until, refused_at=state.now
+    )
+    retry_after_ms = promised_until - state.now
+    return Refusal(
+        RefusalKind.OVERLOADED,
+        f'the owner is {admission.standing_delay_ms} ms late and admits '
+        f'{limit_per_s:.0f} tasks a second',
+        f'send the request again after {retry_after_ms} ms',
+        retry_after_ms,
+    )
+
+
+def has_expired(state: DispatchState, event: RequestReceived) -> bool:
+    """Return whether the sender of a request no longer waits for it."""
+    return bool(event.expires_at) and state.now > event.expires_at
+
+
+def make_expiry_refusal(event: RequestReceived) -> Refusal:
+    """Return the refusal of a request that has waited for too long."""
+    return Refusal(
+        RefusalKind.OVERLOADED,
+        f'a request of kind {event.message.kind!r} has waited for longer than '
+        'its sender does',
+        'send the request again after a second',
+        1_000,
+    )
--- a/sassafrasgate/dispatch/requests.py
+++ b/sassafrasgate/dispatch/requests.py
@@ -8,6 +8,9 @@
 from sassafrasgate.core.errors import RefusalKind
 from sassafrasgate.core.workflows import WorkflowState
 from sassafrasgate.dispatch.actions import LogEvent
+from sassafrasgate.dispatch.admission import admit_workflow
+from sassafrasgate.dispatch.admission import has_expired
+from sassafrasgate.dispatch.admission import make_expiry_refusal
 from sassafrasgate.dispatch.events import JournalStalled
 from sassafrasgate.dispatch.handlers import DURABLE_HANDLERS
 from sassafrasgate.dispatch.handlers import EVENT_HANDLERS
@@ -31,11 +34,17 @@
     from sassafrasgate.dispatch.handlers import Actions
     from sassafrasgate.dispatch.state import DispatchState
 
+# Requests that take effect although their sender no longer waits.
+UNEXPIRED_REQUESTS = frozenset({'cancel-workflow'})
+
 
 @EVENT_HANDLERS.register(RequestReceived)
 def dispatch_request(state: DispatchState, event: RequestReceived) -> Actions:
     """Pass a request to the handler for its kind."""
     kind = event.message.kind
+    if has_expired(state, event) and kind not in UNEXPIRED_REQUESTS:
+        yield reply_refusal(event.reply_to, make_expiry_refusal(event))
+        return
     if kind not in REQUEST_HANDLERS:
         yield reply_refusal(
             event.reply_to,
@@ -123,7 +132,7 @@
         )
     if state.stalled_since:
         return _refuse_stalled(state)
-    return None
+    return admit_workflow(state, message.workflow)
 
 
 @EVENT_HANDLERS.register(JournalStalled)
--- a/sassafrasgate/dispatch/state.py
+++ b/sassafrasgate/dispatch/state.py
@@ -16,6 +16,7 @@
 from sassafrasgate.core.resources import Resources
 from sassafrasgate.core.routing import Queue
 from sassafrasgate.core.routing import RoutingTable
+from sassafrasgate.dispatch.admission import Admission
 from sassafrasgate.dispatch.entries import AdviceChannel
 from sassafrasgate.dispatch.entries import JobEntry
 from sassafrasgate.dispatch.entries import NEW_TASK
@@ -108,6 +109,8 @@
     stalled_since : int
         Owner's clock, in ms, when writes of the journal began to fail; 0
         while they succeed.
+    admission : Admission
+        How much work is admitted.
     stopping : bool
         Whether a planned stop has begun.
     needs_pass : bool
@@ -160,6 +163,7 @@
     registrations_confirmed_at: int = 0
     stragglers_checked_at: int = 0
     stalled_since: int = 0
+    admission: Admission = Admission()
     stopping: bool = False
     needs_pass: bool = False
     now: int = 0
--- a/sassafrasgate/dispatch/timers.py
+++ b/sassafrasgate/dispatch/timers.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from sassafrasgate.dispatch.admission import measure_delay
 from sassafrasgate.dispatch.adoptions import adopt_opened_runs
 from sassafrasgate.dispatch.handlers import EVENT_HANDLERS
 from sassafrasgate.dispatch.hold_waits import adjust_hold_wait
@@ -31,6 +32,7 @@
 @EVENT_HANDLERS.register(Ticked)
 def handle_tick(state: DispatchState, event: Ticked) -> Actions:
     """Do the periodic work and request a scheduling pass if needed."""
+    measure_delay(state, event)
     yield from expire_leases(state, event.fired_at or state.now)
     yield from repeat_stops(state)
     yield from stop_incomplete_gangs(state)
--- a/sassafrasgate/platform/callers.py
+++ b/sassafrasgate/platform/callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from math import ceil
 import re
 from typing import Any
 from typing import Protocol
@@ -44,7 +45,8 @@
 DEFAULT_DEADLINE_MS = 3_000
 # Time reserved for the response to reach the caller before the deadline.
 RESPONSE_MARGIN_MS = 60
-# Sent with the statuses below, which tell the caller that nothing has run.
+# Shortest time that is sent with the statuses below, which tell the caller
+# that nothing has run.
 RETRY_AFTER_S = 1
 RETRIED_STATUSES = frozenset({429, 503})
 
@@ -95,11 +97,15 @@
         Sent as a JSON document.
     reason : str
         Why the request failed; empty if it succeeded.
+    retry_after_s : int
+        Seconds after which the caller may return, if the status tells that
+        nothing has run.
     """
 
     status: int
     body: dict[str, object]
     reason: str = ''
+    retry_after_s: int = RETRY_AFTER_S
 
     def render(self) -> Response:
         """Return the HTTP response to send."""
@@ -109,7 +115,7 @@
             media_type='application/json',
         )
         if self.status in RETRIED_STATUSES:
-            response.headers['Retry-After'] = str(RETRY_AFTER_S)
+            response.headers['Retry-After'] = str(self.retry_after_s)
         return response
 
 
@@ -319,8 +325,14 @@
 
 def _make_refusal_response(refusal: Refusal) -> CallerResponse:
     status = STATUS_BY_REFUSAL.get(refusal.kind, 503)
-    return _make_error_response(status, f'{refusal.reason}; {refusal.remedy}')
+    return _make_error_response(
+        status,
+        f'{refusal.reason}; {refusal.remedy}',
+        max(RETRY_AFTER_S, ceil(refusal.retry_after_ms / 1000)),
+    )
 
 
-def _make_error_response(status: int, reason: str) -> CallerResponse:
-    return CallerResponse(status, {'error': reason}, reason)
+def _make_error_response(
+    status: int, reason: str, retry_after_s: int = RETRY_AFTER_S
+) -> CallerResponse:
+    return CallerResponse(status, {'error': reason}, reason, retry_after_s)
--- a/sassafrasgate/protocol/messages.py
+++ b/sassafrasgate/protocol/messages.py
@@ -72,6 +72,7 @@
     refusal: RefusalKind
     reason: str
     remedy: str
+    retry_after_ms: int = 0
 
 
 @register_message('outcome-unknown')
--- a/sassafrasgate/shards/events.py
+++ b/sassafrasgate/shards/events.py
@@ -26,11 +26,15 @@
         A registered message of the inner protocol.
     wall_ms : int
         Wall clock in ms, used for retention only.
+    expires_at : int
+        Owner's clock, in ms, until which the sender waits for the reply; 0
+        if that is not known.
     """
 
     reply_to: int
     message: Any
     wall_ms: int = 0
+    expires_at: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -202,10 +206,14 @@
         The event may wait in the inbox before reports of workers that arrived
         meanwhile, so only leases that had expired by then are known to have
         no later renewal.
+    due_at : int
+        Owner's clock, in ms, when it was to fire; 0 if that is not known. The
+        event loop may have stood still since.
     """
 
     wall_ms: int = 0
     fired_at: int = 0
+    due_at: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/sassafrasgate/shards/handlers.py
+++ b/sassafrasgate/shards/handlers.py
@@ -41,5 +41,11 @@
 def reply_refusal(reply_to: int, refusal: Refusal) -> Reply:
     """Return the action that replies to a request with a refusal."""
     return Reply(
-        reply_to, Refused(refusal.kind, refusal.reason, refusal.remedy)
+        reply_to,
+        Refused(
+            refusal.kind,
+            refusal.reason,
+            refusal.remedy,
+            refusal.retry_after_ms,
+        ),
     )
--- a/tests/daemons/test_owner_loads.py
+++ b/tests/daemons/test_owner_loads.py
@@ -3,9 +3,9 @@
 from logbook import Logger
 from logbook import TestHandler as LogCollector
 
-from sassafrasgate.daemons.owner_loads import DelayProbe
 from sassafrasgate.daemons.owner_loads import OwnerLoad
 from sassafrasgate.observability.metrics import Metrics
+from sassafrasgate.shards.events import Ticked
 
 
 def collect_lines(feed):
@@ -22,11 +22,11 @@
 def test_late_owner_names_its_delay_and_what_took_its_time():
     # Guards against an owner that is saturated without a trace.
     def feed(load):
-        load.record_probe(DelayProbe(100, 100), 100, 0)
+        load.record_tick(Ticked(0, 100, 100), 100, 0)
         load.record_event('PassDue', 0.4)
         load.record_event('WorkerReported', 0.2)
         load.record_pass(0.4, 55)
-        load.record_probe(DelayProbe(900, 1_150), 1_600, 7)
+        load.record_tick(Ticked(0, 1_150, 900), 1_600, 7)
 
     lines, metrics = collect_lines(feed)
 
@@ -48,7 +48,7 @@
     def feed(load):
         for second in range(1, 6):
             due_at = second * 1_000
-            load.record_probe(DelayProbe(due_at, due_at), due_at + 5, 1)
+            load.record_tick(Ticked(0, due_at, due_at), due_at + 5, 1)
 
     lines, metrics = collect_lines(feed)
 
--- a/tests/dispatch/overload.py
+++ b/tests/dispatch/overload.py
@@ -40,7 +40,7 @@
 from tests.dispatch.simulation import TABLE
 from tests.dispatch.simulation import WALL_MS
 
-# Processor time in ms. A job of three tasks takes about 16 ms, so that the owner
+# Processor time in ms. A job of three tasks takes about 16 ms, so the owner
 # can serve about 60 jobs a second.
 EVENT_COST_MS = 0.3
 START_COST_MS = 3.0
@@ -159,7 +159,8 @@
         self._at(self.now + ATTEMPT_MS, self._repeat, token)
 
     def _make_request(self, token, message):
-        return RequestReceived(token, message, WALL_MS + int(self.now))
+        now = int(self.now)
+        return RequestReceived(token, message, WALL_MS + now, now + ATTEMPT_MS)
 
     def _repeat(self, token):
         if token in self.tokens:
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -106,6 +106,16 @@
     assert 'ask again' in response.json()['error']
 
 
+async def test_retry_after_is_the_time_until_the_owner_can_serve(
+    client, gateway
+):
+    # Guards against callers that return while there is no room for them yet.
+    gateway.reply = Refusal(RefusalKind.OVERLOADED, 'late', 'wait', 2_300)
+    response = await client.post(f'/q/{JOB}', json=BODY)
+
+    assert response.headers['Retry-After'] == '3'
+
+
 @pytest.mark.parametrize('method', ['POST', 'GET', 'DELETE'])
 async def test_unknown_effect_returns_504(client, gateway, method):
     # A refusal would say "not run" of a job that may have been accepted.
