Let changes of the ownership overtake all other events of an owner

The renewals of the owner's lease waited in its inbox behind requests. Once the queue was longer than the lease of 1 s, the owner took its renewed lease for expired: it made no pass, and refused all callers as no longer the owner. Other hosts repeat such a refusal after 50 ms, so the queue stayed.

Both kinds of owners, of workflows and of jobs, have an inbox in which changes of the ownership overtake the rest.

--- a/sassafrasgate/daemons/dispatcher.py
+++ b/sassafrasgate/daemons/dispatcher.py
@@ -23,6 +23,7 @@
 from sassafrasgate.daemons.dispatcher_actions import DISPATCHER_ACTION_HANDLERS
 from sassafrasgate.daemons.inboxes import InboxTable
 from sassafrasgate.daemons.inboxes import make_task_inbox
+from sassafrasgate.daemons.inboxes import OwnerInbox
 from sassafrasgate.daemons.journals import JournalTask
 from sassafrasgate.daemons.journals import run_journal
 from sassafrasgate.daemons.journals import SnapshotEnded
@@ -188,7 +189,7 @@
         self.shard = shard
         self.services = services
         self.state = DispatchState(shard, services.owner)
-        self.events, self._inbox = make_task_inbox()
+        self.events = self._inbox = OwnerInbox()
         self._table = table
         self._lease = lease
         self._handed_over_journal = handed_over_journal
@@ -408,8 +409,7 @@
             for _ in range(event.records):
                 self._unwritten_since.pop()
         if isinstance(event, Ticked):
-            waiting = self._inbox.statistics().current_buffer_used
-            self._load.record_tick(event, now_ms(), waiting)
+            self._load.record_tick(event, now_ms(), self._inbox.waiting)
             await self._update_stall()
             await self._check_previous_owners()
         if isinstance(event, StopRequested):
--- a/sassafrasgate/daemons/hosts.py
+++ b/sassafrasgate/daemons/hosts.py
@@ -47,10 +47,10 @@
 
 if TYPE_CHECKING:
     from anyio.streams.memory import MemoryObjectReceiveStream
-    from anyio.streams.memory import MemoryObjectSendStream
 
     from sassafrasgate.adapters.store import Store
     from sassafrasgate.adapters.workers import WorkerClient
+    from sassafrasgate.daemons.inboxes import EventSender
     from sassafrasgate.observability.failures import FailureRecorder
 
 SYNC_WAIT_MS = 2_000
@@ -84,7 +84,7 @@
     inbox : MemoryObjectReceiveStream
         Delivers commands: host actions of `sassafrasgate.shards.actions`,
         `OwnerLeaseChanged` and `StopPolling`.
-    events : MemoryObjectSendStream
+    events : EventSender
         The shard task's inbox.
     lease : OwnerLease
         The owner's lease when the task starts.
@@ -100,7 +100,7 @@
         client: WorkerClient,
         store: Store,
         inbox: MemoryObjectReceiveStream[Any],
-        events: MemoryObjectSendStream[Any],
+        events: EventSender,
         lease: OwnerLease,
         failures: FailureRecorder,
     ) -> None:
--- a/sassafrasgate/daemons/journals.py
+++ b/sassafrasgate/daemons/journals.py
@@ -27,8 +27,8 @@
     from collections.abc import Callable
 
     from anyio.streams.memory import MemoryObjectReceiveStream
-    from anyio.streams.memory import MemoryObjectSendStream
 
+    from sassafrasgate.daemons.inboxes import EventSender
     from sassafrasgate.journal.ring_buffer import Journal
     from sassafrasgate.journal.ring_buffer import PendingEntry
 
@@ -81,7 +81,7 @@
         Positioned after this owner's takeover record.
     inbox : MemoryObjectReceiveStream
         Delivers `WriteRecord`, `WithdrawJob` and `WriteSnapshot`.
-    events : MemoryObjectSendStream
+    events : EventSender
         The shard task's inbox.
     observe : callable
         Receives the duration of each append in seconds.
@@ -95,7 +95,7 @@
         self,
         journal: Journal,
         inbox: MemoryObjectReceiveStream[Any],
-        events: MemoryObjectSendStream[Any],
+        events: EventSender,
         observe: Callable[[float], None],
         batch_delay_s: float = 0.0,
         max_in_flight: int = 1,
--- a/sassafrasgate/daemons/owner_loads.py
+++ b/sassafrasgate/daemons/owner_loads.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections import Counter
+from heapq import nlargest
 from typing import TYPE_CHECKING
 
 from sassafrasgate.observability.logs import log_event
@@ -52,11 +52,12 @@
         self._passes = 0
         self._longest_pass_s = 0.0
         self._most_steps = 0
-        self._seconds_by_kind: Counter[str] = Counter()
+        self._seconds_by_kind: dict[str, float] = {}
 
     def record_event(self, kind: str, seconds: float) -> None:
         """Add the time that was spent on an event of a kind."""
-        self._seconds_by_kind[kind] += seconds
+        spent = self._seconds_by_kind.get(kind, 0.0)
+        self._seconds_by_kind[kind] = spent + seconds
 
     def record_pass(self, seconds: float, steps: int) -> None:
         """Add a scheduling pass over a number of waiting steps."""
@@ -93,8 +94,10 @@
             return
         kinds = ','.join(
             f'{kind}:{round(seconds * 1000)}'
-            for kind, seconds in self._seconds_by_kind.most_common(
-                REPORTED_KINDS
+            for kind, seconds in nlargest(
+                REPORTED_KINDS,
+                self._seconds_by_kind.items(),
+                key=lambda item: item[1],
             )
         )
         log_event(
--- a/sassafrasgate/daemons/shards.py
+++ b/sassafrasgate/daemons/shards.py
@@ -24,6 +24,7 @@
 from sassafrasgate.daemons.hosts import HostTask
 from sassafrasgate.daemons.inboxes import InboxTable
 from sassafrasgate.daemons.inboxes import make_task_inbox
+from sassafrasgate.daemons.inboxes import OwnerInbox
 from sassafrasgate.daemons.journals import JournalTask
 from sassafrasgate.daemons.journals import run_journal
 from sassafrasgate.daemons.journals import SnapshotEnded
@@ -144,7 +145,7 @@
         self.shard = shard
         self.services = services
         self.state = ShardState(shard, services.owner)
-        self.events, self._inbox = make_task_inbox()
+        self.events = self._inbox = OwnerInbox()
         self._configuration = configuration
         self._lease = lease
         self._replies = ReplyTable(services.reply)
@@ -253,10 +254,8 @@
             await self.events.send(Ticked(wall_ms(), now_ms()))
 
     async def _serve(self) -> None:
-        async for event in self._inbox:
-            await self._process_event(event)
-            if self._loss_reason or self._is_drained():
-                return
+        while not self._loss_reason and not self._is_drained():
+            await self._process_event(await self._inbox.receive())
 
     async def _hand_over(self, release: Callable[[], Awaitable[None]]) -> None:
         """Release the shard, then finish the open quick requests.
--- a/sassafrasgate/daemons/workers.py
+++ b/sassafrasgate/daemons/workers.py
@@ -49,9 +49,9 @@
 
 if TYPE_CHECKING:
     from anyio.streams.memory import MemoryObjectReceiveStream
-    from anyio.streams.memory import MemoryObjectSendStream
 
     from sassafrasgate.core.workflows import RunReply
+    from sassafrasgate.daemons.inboxes import EventSender
     from sassafrasgate.observability.failures import FailureRecorder
     from sassafrasgate.shards.ownership import OwnerLease
 
@@ -92,7 +92,7 @@
     inbox : MemoryObjectReceiveStream
         Delivers commands: actions of `sassafrasgate.dispatch.actions`,
         `OwnerLeaseChanged` and `StopPolling`.
-    events : MemoryObjectSendStream
+    events : EventSender
         The dispatcher's inbox.
     lease : OwnerLease
         The owner's lease when the task starts.
@@ -112,7 +112,7 @@
         epoch: int,
         client: Any,
         inbox: MemoryObjectReceiveStream[Any],
-        events: MemoryObjectSendStream[Any],
+        events: EventSender,
         lease: OwnerLease,
         failures: FailureRecorder,
         wait_ms: int,
