Extend the time limit of a call while the event loop is late

On a saturated owner, start calls counted as unanswered 0.7 to 1.0 s after their decision, with a limit of 0.3 s, although the workers had replied and listed 57 of 58 runs. Each expiry retired the connections to the worker, repeated the call, and after four of them stopped a run that was going well, which added work to an owner that was late.

The timer of a limit that fires late shows that the loop stood still, so that a reply may not have been read. A silent peer ends a call as before.

--- a/sassafrasgate/adapters/connections.py
+++ b/sassafrasgate/adapters/connections.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
+from typing import Any
 from urllib.parse import urlencode
 
 from aiohttp import ClientConnectorError
@@ -17,6 +18,7 @@
 from anyio import sleep
 from yarl import URL
 
+from sassafrasgate.adapters.time_limits import TimeLimit
 from sassafrasgate.core.errors import SassafrasgateError
 
 CONNECT_TIMEOUT_S = 1.0
@@ -139,7 +141,8 @@
         method, path : str
             HTTP method, and path relative to the base URL.
         timeout_s : float
-            Maximum duration of the whole call in seconds.
+            Maximum duration of the whole call in seconds, but for time in
+            which the event loop of this process is late.
 
         Raises
         ------
@@ -152,19 +155,16 @@
         pool = self._get_pool()
         pool.calls += 1
         try:
-            async with pool.session.request(
-                method,
-                url,
-                data=content,
-                headers=headers,
-                timeout=ClientTimeout(
-                    total=timeout_s, sock_connect=CONNECT_TIMEOUT_S
-                ),
-                allow_redirects=False,
-            ) as response:
-                body = await response.read()
-                return HttpResponse(
-                    f'{method} {path}', response.status, body, response.headers
+            with TimeLimit(timeout_s):
+                return await self._exchange(
+                    pool.session,
+                    method,
+                    url,
+                    data=content,
+                    headers=headers,
+                    timeout=ClientTimeout(
+                        total=None, sock_connect=CONNECT_TIMEOUT_S
+                    ),
                 )
         except (ClientConnectorError, ConnectionTimeoutError) as error:
             raise NoResponseError(
@@ -186,6 +186,17 @@
             pool.calls -= 1
             await _close_if_unused(pool)
 
+    async def _exchange(
+        self, session: ClientSession, method: str, url: URL, **options: Any
+    ) -> HttpResponse:
+        async with session.request(
+            method, url, allow_redirects=False, **options
+        ) as response:
+            body = await response.read()
+            return HttpResponse(
+                f'{method} {url.path}', response.status, body, response.headers
+            )
+
     def _make_url(self, path: str, params: Mapping[str, str] | None) -> URL:
         query = f'?{urlencode(params)}' if params else ''
         reason: object = 'it has no host or port'
