Reply without waiting for the event loop

Each reply was put into the queue of the link server by a call that lets all other tasks of the process run first. An owner could send only one reply in each iteration of its event loop, and a busy process makes few of them, so that replies waited behind each other for seconds.

The queue takes a reply at once unless it is full, and so does the owner's inbox with events. The test handles 50 queries one after the other; the first one waited before.

--- a/sassafrasgate/daemons/inboxes.py
+++ b/sassafrasgate/daemons/inboxes.py
@@ -61,10 +61,10 @@
 
     async def send(self, item: Any) -> None:
         """Send an event; wait while the inbox is full."""
-        if isinstance(item, URGENT_EVENTS):
+        try:
             self.send_nowait(item)
-            return
-        await self._sender.send(item)
+        except anyio.WouldBlock:
+            await self._sender.send(item)
 
     def send_nowait(self, item: Any) -> None:
         """Send an event; raise `anyio.WouldBlock` if the inbox is full.
--- a/sassafrasgate/protocol/links.py
+++ b/sassafrasgate/protocol/links.py
@@ -357,8 +357,16 @@
         return self._counts.freeze()
 
     async def reply(self, reply: OutgoingReply) -> None:
-        """Queue a reply; it is dropped if its client has disconnected."""
-        await self._replies.send(reply)
+        """Queue a reply; it is dropped if its client has disconnected.
+
+        The caller goes on at once unless the queue is full. An owner that
+        waited for the event loop with each reply could send only one in each
+        iteration, of which a busy process makes few.
+        """
+        try:
+            self._replies.send_nowait(reply)
+        except anyio.WouldBlock:
+            await self._replies.send(reply)
 
     async def run(self) -> None:
         """Own the socket until cancelled."""
--- a/tests/daemons/test_owner_inboxes.py
+++ b/tests/daemons/test_owner_inboxes.py
@@ -8,7 +8,9 @@
 from sassafrasgate.daemons.messages import LeaseUpdated
 from sassafrasgate.daemons.messages import OwnershipLost
 from sassafrasgate.protocol.links import IncomingRequest
+from sassafrasgate.protocol.links import LinkServer
 from sassafrasgate.protocol.messages import Refused
+from sassafrasgate.protocol.workflows import QueryWorkflow
 from sassafrasgate.shards.ownership import OwnerLease
 from tests.daemons.test_lost_ownership import Owner
 
@@ -16,6 +18,7 @@
 
 QUEUED = 2_000
 TIMEOUT_S = 10.0
+REPLIES = 50
 
 
 @pytest.fixture
@@ -85,3 +88,25 @@
         and reply.refusal is RefusalKind.NOT_OWNER
     ]
     assert refused == []
+
+
+async def test_owner_replies_without_waiting_for_the_event_loop():
+    # Guards against an owner that waits for all other tasks of its process
+    # with each reply: replies then wait behind each other for seconds.
+    server = LinkServer(
+        '127.0.0.1:0', None, None, lambda heartbeat: None, lambda error: None
+    )
+    owner = Owner()
+    owner.add_reply = server.reply
+    task, _ = owner.make_dispatcher()
+    query = QueryWorkflow('job-1')
+    for number in range(REPLIES):
+        await task.handle_request(
+            IncomingRequest(b'caller', number + 1, 60_000, query)
+        )
+    for _ in range(REPLIES):
+        handling = task._process_event(task.events.receive_nowait())
+        with pytest.raises(StopIteration):
+            handling.send(None)
+
+    assert server._outbox.statistics().current_buffer_used == REPLIES
