Look at a waiting gang again only when something has changed for it

Each pass looked at all admitted workers and all expected ends of runs for each gang that did not fit, and sorted all workers for each step that asked for advice.

A gang that did not fit is looked at again once there is room for it on its admitted workers, its advice has changed, or 50 ms have passed; its reservation is kept meanwhile. The order of workers by free capacity is computed once a pass.

The new test of the looks can't run before, since it uses the interval.

--- a/benchmarks/run.py
+++ b/benchmarks/run.py
@@ -22,7 +22,12 @@
 
 RESULTS_PATH = Path(__file__).parent / 'results.json'
 # Importing these modules registers their measurements.
-MODULES = ('benchmarks.placement', 'benchmarks.capacity', 'benchmarks.cells')
+MODULES = (
+    'benchmarks.placement',
+    'benchmarks.passes',
+    'benchmarks.capacity',
+    'benchmarks.cells',
+)
 
 
 def run_measurements(names: list[str]) -> dict[str, object]:
--- a/sassafrasgate/dispatch/advice.py
+++ b/sassafrasgate/dispatch/advice.py
@@ -201,6 +201,7 @@
     advice = state.advice.get(key)
     if advice is not None and worker in advice.tickets:
         ticket = advice.tickets[worker]
+        state.gang_looks.pop(key, None)
         advice.tickets[worker] = replace(ticket, expires_at=0)
 
 
--- a/sassafrasgate/dispatch/entries.py
+++ b/sassafrasgate/dispatch/entries.py
@@ -216,6 +216,33 @@
     moved: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class GangLook:
+    """Result of the latest look at a gang that could not start.
+
+    Parameters
+    ----------
+    advice : StepAdvice
+        Advice about the step at that time.
+    had_room : bool
+        Whether the gang fitted into what was free on its admitted workers,
+        regardless of reservations and tickets.
+    next_at : int
+        Owner's clock, in ms, of the next look if nothing changes.
+    start_at : int
+        Owner's clock, in ms, when the gang is expected to start.
+    chosen : dict
+        Number of tasks by worker for which capacity is reserved; empty for
+        no reservation.
+    """
+
+    advice: StepAdvice
+    had_room: bool
+    next_at: int
+    start_at: int
+    chosen: dict[str, int]
+
+
 @dataclass(frozen=True, slots=True)
 class JobEntry:
     """An accepted workflow.
--- a/sassafrasgate/dispatch/gangs.py
+++ b/sassafrasgate/dispatch/gangs.py
@@ -10,6 +10,7 @@
 from sassafrasgate.dispatch.advice import estimate_call_ms
 from sassafrasgate.dispatch.advice import may_request_advice
 from sassafrasgate.dispatch.advice import request_advice
+from sassafrasgate.dispatch.entries import GangLook
 from sassafrasgate.dispatch.launches import start_run
 from sassafrasgate.dispatch.plans import estimate_run_ms
 from sassafrasgate.dispatch.plans import find_total_free
@@ -26,12 +27,14 @@
 from sassafrasgate.dispatch.recovery import find_next_run
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
     from collections.abc import Iterator
 
     from sassafrasgate.core.routing import AdviceTiming
     from sassafrasgate.core.routing import Queue
     from sassafrasgate.core.workflows import Step
     from sassafrasgate.dispatch.entries import JobEntry
+    from sassafrasgate.dispatch.entries import StepAdvice
     from sassafrasgate.dispatch.entries import WorkerEntry
     from sassafrasgate.dispatch.handlers import Actions
     from sassafrasgate.dispatch.identities import StepKey
@@ -42,6 +45,9 @@
 MAX_GANG_RESERVATIONS = 4
 # No capacity is reserved for a gang that can only start later than this.
 RESERVATION_HORIZON_MS = 8_000
+# A gang that does not fit is looked at again after this time, or once there is
+# room for it or its advice has changed.
+LOOK_INTERVAL_MS = 50
 # A ticket is renewed unless it outlasts the call for the other tickets by this
 # time.
 TICKET_RENEWAL_MARGIN_MS = 250
@@ -64,18 +70,26 @@
     workers = match_workers(step, workers)
     advice = state.advice.get(key, NO_ADVICE)
     if queue.advice is not None and advice is NO_ADVICE:
-        names = list_unasked_workers(state, advice, workers)
+        names = list_unasked_workers(state, plan, queue.pool, advice, workers)
         yield from request_advice(state, key, queue.advice, names)
         return
     job = state.jobs[key.job_id]
     if not job.durable:
         # No capacity is reserved either, as for single tasks.
         return
+    demand = compute_reservation(step)
+    admissible: Iterable[str] = workers
+    if queue.advice is not None:
+        admissible = advice.tickets
+    has_room = _has_room(state, step, demand, admissible, workers)
+    look = state.gang_looks.get(key)
+    if look is not None and not _is_look_due(state, look, advice, has_room):
+        _repeat_reservation(state, plan, demand, look, workers)
+        return
     startable: list[WorkerEntry] = list(workers.values())
     unticketed: list[WorkerEntry] = []
     if queue.advice is not None:
         startable, unticketed = split_admitted_workers(state, advice, workers)
-    demand = compute_reservation(step)
     chosen: dict[str, int] = {}
     admitted = [*startable, *unticketed]
     total_free = find_total_free(state, plan, queue.pool)
@@ -88,11 +102,16 @@
     at = state.now
     if not chosen:
         at, chosen = _find_earliest_start(state, plan, step, demand, admitted)
+    state.gang_looks[key] = GangLook(
+        advice, has_room, state.now + LOOK_INTERVAL_MS, at, chosen
+    )
     if not chosen:
         # The gang cannot fit on the admitted workers, but others may be
         # admitted too.
         if queue.advice is not None and may_request_advice(state, key):
-            names = list_unasked_workers(state, advice, workers)
+            names = list_unasked_workers(
+                state, plan, queue.pool, advice, workers
+            )
             names += list_restarted_workers(advice, workers)
             yield from request_advice(state, key, queue.advice, names)
         return
@@ -105,6 +124,59 @@
         yield from request_advice(state, key, queue.advice, names)
 
 
+def _has_room(
+    state: DispatchState,
+    step: Step,
+    demand: Resources,
+    names: Iterable[str],
+    workers: dict[str, WorkerEntry],
+) -> bool:
+    """Return whether a gang fits into what is free on some workers.
+
+    Parameters
+    ----------
+    names : iterable of str
+        The workers; those that are not usable are left out.
+    """
+    missing = step.tasks
+    for name in names:
+        free = state.free_resources[name] if name in workers else NO_RESOURCES
+        if free.millicores < demand.millicores:
+            continue
+        missing -= _count_slots(
+            free, demand, step.max_per_worker or step.tasks
+        )
+        if missing <= 0:
+            return True
+    return False
+
+
+def _is_look_due(
+    state: DispatchState, look: GangLook, advice: StepAdvice, has_room: bool
+) -> bool:
+    """Return whether a gang may be able to start since the latest look."""
+    return (
+        advice is not look.advice
+        or state.now >= look.next_at
+        or (has_room and not look.had_room)
+    )
+
+
+def _repeat_reservation(
+    state: DispatchState,
+    plan: PassPlan,
+    demand: Resources,
+    look: GangLook,
+    workers: dict[str, WorkerEntry],
+) -> None:
+    """Reserve what the latest look at a gang has reserved for it."""
+    chosen = {
+        name: count for name, count in look.chosen.items() if name in workers
+    }
+    if chosen:
+        _reserve_capacity(state, plan, demand, chosen, look.start_at)
+
+
 def _list_renewals(
     state: DispatchState,
     key: StepKey,
@@ -226,6 +298,7 @@
     chosen: dict[str, int],
     demand: Resources,
 ) -> Actions:
+    state.gang_looks.pop(key, None)
     number = find_next_run(state, key)
     indexes = iter(range(step.tasks))
     for name, count in chosen.items():
--- a/sassafrasgate/dispatch/plans.py
+++ b/sassafrasgate/dispatch/plans.py
@@ -72,6 +72,9 @@
         Capacity that is reserved for gangs, by worker.
     reserved_gangs : int
         Number of gangs for which capacity is reserved.
+    by_free : dict
+        By pool, the usable workers in the order that `list_by_free` has
+        computed.
     run_ends : dict
         Expected ends of the runs on a worker, with the resources that they
         release.
@@ -83,6 +86,7 @@
     total_free: dict[str, Resources] = field(default_factory=dict)
     reservations: dict[str, GangReservation] = field(default_factory=dict)
     reserved_gangs: int = 0
+    by_free: dict[str, list[str]] = field(default_factory=dict)
     run_ends: dict[str, list[tuple[int, Resources]]] = field(
         default_factory=dict
     )
@@ -206,17 +210,38 @@
     return startable, unticketed
 
 
+def list_by_free(state: DispatchState, plan: PassPlan, pool: str) -> list[str]:
+    """Return a pool's usable workers, those with the most free cores first.
+
+    The order is computed at the first use in a pass; later starts of the pass
+    don't change it.
+    """
+    names = plan.by_free.get(pool)
+    if names is None:
+        names = plan.by_free[pool] = sorted(
+            plan.usable[pool],
+            key=lambda name: -state.free_resources[name].millicores,
+        )
+    return names
+
+
 def list_unasked_workers(
-    state: DispatchState, advice: StepAdvice, workers: dict[str, WorkerEntry]
+    state: DispatchState,
+    plan: PassPlan,
+    pool: str,
+    advice: StepAdvice,
+    workers: dict[str, WorkerEntry],
 ) -> list[str]:
     """Return the workers that the advice service was not asked about.
 
     Those with the most free processor capacity come first.
     """
     asked = advice.asked_incarnations
-    unasked = [name for name in workers if name not in asked]
-    unasked.sort(key=lambda name: -state.free_resources[name].millicores)
-    return unasked
+    return [
+        name
+        for name in list_by_free(state, plan, pool)
+        if name in workers and name not in asked
+    ]
 
 
 def list_restarted_workers(
--- a/sassafrasgate/dispatch/scheduling_passes.py
+++ b/sassafrasgate/dispatch/scheduling_passes.py
@@ -71,7 +71,7 @@
     demand = compute_reservation(step)
     if queue.advice is not None and advice is NO_ADVICE:
         workers = match_workers(step, workers)
-        names = list_unasked_workers(state, advice, workers)
+        names = list_unasked_workers(state, plan, queue.pool, advice, workers)
         yield from request_advice(state, key, queue.advice, names)
         return
     if not state.jobs[key.job_id].durable:
@@ -91,7 +91,7 @@
     if not may_request_advice(state, key):
         return
     names = [worker.registration.worker for worker in unticketed]
-    names += list_unasked_workers(state, advice, workers)
+    names += list_unasked_workers(state, plan, queue.pool, advice, workers)
     if not startable and not unticketed:
         names += list_restarted_workers(advice, workers)
     with_capacity = [
--- a/sassafrasgate/dispatch/state.py
+++ b/sassafrasgate/dispatch/state.py
@@ -18,6 +18,7 @@
 from sassafrasgate.core.routing import RoutingTable
 from sassafrasgate.dispatch.admission import Admission
 from sassafrasgate.dispatch.entries import AdviceChannel
+from sassafrasgate.dispatch.entries import GangLook
 from sassafrasgate.dispatch.entries import JobEntry
 from sassafrasgate.dispatch.entries import NEW_TASK
 from sassafrasgate.dispatch.entries import PendingStop
@@ -83,6 +84,8 @@
     unreconciled_workers : dict
         Workers that may have runs of a previous owner, with the owner's
         clock, in ms, when every lease on that worker has expired.
+    gang_looks : dict
+        Latest look at each gang that waits for capacity.
     health : dict
         Recent failures of runs, by worker; healthy workers are left out.
     step_rates : dict
@@ -149,6 +152,7 @@
     recorded_workers: dict[str, tuple[str, str]] = field(default_factory=dict)
     unreconciled_workers: dict[str, int] = field(default_factory=dict)
     advice: dict[StepKey, StepAdvice] = field(default_factory=dict)
+    gang_looks: dict[StepKey, GangLook] = field(default_factory=dict)
     advice_channels: dict[str, AdviceChannel] = field(default_factory=dict)
     health: dict[str, WorkerHealth] = field(default_factory=dict)
     slow_workers: dict[str, SlowPeriod] = field(default_factory=dict)
--- a/tests/dispatch/test_gangs.py
+++ b/tests/dispatch/test_gangs.py
@@ -9,10 +9,12 @@
 from sassafrasgate.core.workflows import EndKind
 from sassafrasgate.core.workflows import RunReply
 from sassafrasgate.core.workflows import StartRefusal
+from sassafrasgate.dispatch import gangs
 from sassafrasgate.dispatch.actions import AskAdvice
 from sassafrasgate.dispatch.actions import StartRun
 from sassafrasgate.dispatch.actions import StopRun
 from sassafrasgate.dispatch.events import AdviceAnswered
+from sassafrasgate.dispatch.events import PeersChanged
 from sassafrasgate.dispatch.events import RunAnswered
 from sassafrasgate.dispatch.events import TableChanged
 from tests.dispatch.drivers import Driver
@@ -23,6 +25,7 @@
 from tests.dispatch.simulation import TABLE
 
 JOB = '00000000000000aa'
+GANG_JOB = '00000000000000ab'
 BIG = Resources(7_000, 1_000)
 VALID_MS = 1_500
 SLOW_ADVICE = replace(ADVISED, advice=AdviceTiming(700.0, 10.0, VALID_MS))
@@ -99,3 +102,44 @@
     )
     assert {start.run.run for start in again} == {2}
     assert len(again) == 2
+
+
+def test_waiting_gang_is_not_looked_at_again_in_each_pass(monkeypatch):
+    # Guards against passes whose cost grows with the gangs that wait, the
+    # workers and the runs, although nothing has changed for a gang.
+    looks = []
+    find = gangs._find_earliest_start
+
+    def find_and_count(*arguments):
+        looks.append(arguments)
+        return find(*arguments)
+
+    monkeypatch.setattr(gangs, '_find_earliest_start', find_and_count)
+    driver = Driver(workers=2)
+    driver.confirm(driver.submit(JOB, make_step(16, 5_000)))
+    driver.submit(GANG_JOB, make_step(16, 5_000, gang=True))
+    assert len(looks) == 1
+    for _ in range(gangs.LOOK_INTERVAL_MS - 1):
+        driver.now += 1
+        driver.state.needs_pass = True
+        driver.feed(PeersChanged(driver.peers))
+
+    assert len(looks) == 1
+
+
+def test_gang_starts_in_the_pass_in_which_there_is_room_for_it():
+    # Guards against a gang that waits for its next look.
+    driver = Driver(workers=2)
+    starts = driver.confirm(driver.submit(JOB, make_step(16, 5_000)))
+    driver.submit(GANG_JOB, make_step(16, 5_000, gang=True))
+    driver.now += 1
+    actions = []
+    for worker in ('w0', 'w1'):
+        ended = [
+            (start.run, EndKind.FINISHED)
+            for start in starts
+            if start.worker == worker
+        ]
+        actions += driver.report(worker, ended)
+
+    assert len(select_actions(actions, StartRun)) == 16
