Lengthen the pause between refused attempts of an entry host

An owner that refused its callers as no longer the owner got each request again after 50 ms, from every host, which kept it too busy to serve them.

The pause doubles from 50 ms to 200 ms, and is drawn from the upper half of that time. A request of 2 s made 40 attempts before, and 25 at most now; the test failed before.

--- a/sassafrasgate/daemons/gateways.py
+++ b/sassafrasgate/daemons/gateways.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from random import uniform
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -27,6 +28,9 @@
 # may reach its successor, and every request can be repeated.
 ATTEMPT_TIMEOUT_S = 0.7
 RETRY_DELAY_S = 0.05
+# The pause doubles with each refusal, so that many callers don't keep busy a
+# host that can't serve them yet.
+MAX_RETRY_DELAY_S = 0.2
 # Refusals of a process that has not acted on the request.
 RETRIED_REFUSALS = frozenset(
     {RefusalKind.NOT_OWNER, RefusalKind.NOT_READY, RefusalKind.STOPPING}
@@ -120,6 +124,7 @@
         """
         deadline = now_ms() + int(timeout_s * 1000)
         unknown: NoReply | None = None
+        delay_s = RETRY_DELAY_S
         while True:
             remaining_s = (deadline - now_ms()) / 1000
             reply = await self._task.request_once(
@@ -139,10 +144,11 @@
             elif reply.kind not in RETRIED_REFUSALS:
                 # An earlier attempt without a reply may still take effect.
                 return unknown or reply
-            if now_ms() + RETRY_DELAY_S * 1000 >= deadline:
+            if now_ms() + delay_s * 1000 >= deadline:
                 return unknown or reply
             cut_off = self._task.check_readiness()
             if cut_off is not None and unknown is None:
                 return cut_off
             await self._task.refresh_owner()
-            await anyio.sleep(RETRY_DELAY_S)
+            await anyio.sleep(uniform(delay_s / 2, delay_s))
+            delay_s = min(delay_s * 2, MAX_RETRY_DELAY_S)
--- a/tests/daemons/test_forwarding.py
+++ b/tests/daemons/test_forwarding.py
@@ -90,3 +90,12 @@
     for _ in range(20):
         owner.replies = [reply, reply, accepted]
         assert await submit_to_front_end(owner, front_end) == accepted
+
+
+async def test_pause_between_refused_attempts_grows():
+    # Guards against callers that keep busy an owner which can't serve them,
+    # with a new attempt every 50 ms.
+    owner = StubOwner(*[STOPPING] * 100)
+    await submit_to_entry_host(owner)
+
+    assert 100 - len(owner.replies) <= TIMEOUT_S / 0.1 + 5
