Open the clients of a new owner's workers a few at a time

Its lease of 1 s was not renewed in time, so that the next host took over, and so on: seven takeovers in 20 s, and 882 new connections to 48 workers.

At most eight tasks of workers start in one iteration of the loop, so that the renewal and replies to other hosts go on between them.

--- a/sassafrasgate/daemons/dispatcher.py
+++ b/sassafrasgate/daemons/dispatcher.py
@@ -38,6 +38,7 @@
 from sassafrasgate.daemons.replies import ReplyTable
 from sassafrasgate.daemons.replies import wait_for_reply
 from sassafrasgate.daemons.snapshots import SnapshotSchedule
+from sassafrasgate.daemons.starters import TaskStarter
 from sassafrasgate.daemons.takeovers import take_over_shard
 from sassafrasgate.daemons.workers import WorkerTask
 from sassafrasgate.dispatch.events import AdviceAnswered
@@ -203,6 +204,7 @@
         self._next_pass = 0.0
         self._loss_reason = ''
         self._group: TaskGroup | None = None
+        self._worker_starter: TaskStarter | None = None
         self._failures = FailureRecorder(services.logger, services.metrics)
         self._load = OwnerLoad(services.logger, services.metrics)
         # Events of this process that found the inbox full.
@@ -243,6 +245,8 @@
             return self._loss_reason
         async with anyio.create_task_group() as group:
             self._group = group
+            self._worker_starter = TaskStarter(group)
+            group.start_soon(self._worker_starter.run)
             writer = JournalTask(
                 journal,
                 self._journal_inbox,
@@ -585,7 +589,7 @@
     def watch_worker(self, action: WatchWorker) -> None:
         """Start a worker's task, replacing the one for an older address."""
         worker = action.registration.worker
-        if self._group is None:
+        if self._worker_starter is None:
             return
         task = WorkerTask(
             worker,
@@ -599,7 +603,7 @@
             action.restarts,
             not action.registration.leaving,
         )
-        self._group.start_soon(task.run)
+        self._worker_starter.start_soon(task.run)
 
     def change_hold_wait(self, action: ChangeHoldWait) -> None:
         """Pass a new long-poll wait on to all worker tasks."""
