Admit at the rate that the owner has served, also after a takeover

A successor that took over in a burst refused callers for over 9 s after the load had fallen: its limit came from the rate of its first admissions.

The limit is set to a share of the tasks that the owner has started in a second, and only after one second.

--- a/sassafrasgate/dispatch/admission.py
+++ b/sassafrasgate/dispatch/admission.py
@@ -37,18 +37,17 @@
 # A queue that was there before the rate was lowered takes this time at most
 # to become shorter.
 EPISODE_MS = 2_000
-INCREASE_PER_S = 0.2
-# The rate rises slowly from this share of the one that was last too high.
+INCREASE_PER_S = 0.3
+# The rate rises slowly from this share of the one that was last served: the
+# work of what is admitted lasts for about a second.
 SLOW_INCREASE_SHARE = 0.75
-SLOW_INCREASE_PER_S = 0.03
+SLOW_INCREASE_PER_S = 0.05
 MIN_TASKS_PER_S = 5.0
 # The limit ends once nothing has been refused for this time.
 RELEASE_MS = 3_000
 RATE_WINDOW_MS = 1_000
 # Longest time for which unused allowance is kept.
 BURST_MS = 250
-# Work of a submission besides its tasks, as a number of tasks.
-SUBMISSION_TASKS = 1
 MAX_RETRY_AFTER_MS = 5_000
 
 
@@ -62,14 +61,16 @@
         Latest delays of events.
     limit_per_s : float
         Tasks that may be admitted in a second.
-    excessive_per_s : float
-        Tasks that were admitted in a second when the limit was last lowered.
+    served_per_s : float
+        Tasks that were started in a second when the limit was last lowered.
     allowance : float
         Tasks that may be admitted now. It is negative after a large job.
     rate_per_s : float
-        Tasks that were admitted in a second of late.
-    admitted : int
-        Tasks that were admitted since the latest sample.
+        Tasks that were started in a second of late.
+    started_tasks : int
+        Tasks that this owner had started at the latest sample.
+    began_at : int
+        Owner's clock, in ms, of the first sample.
     measured_at : int
         Owner's clock, in ms, of the latest sample.
     delay_at_decrease_ms : int
@@ -86,10 +87,11 @@
 
     delays_ms: tuple[int, ...] = ()
     limit_per_s: float = inf
-    excessive_per_s: float = 0.0
+    served_per_s: float = 0.0
     allowance: float = 0.0
     rate_per_s: float = 0.0
-    admitted: int = 0
+    started_tasks: int = 0
+    began_at: int = 0
     measured_at: int = 0
     delay_at_decrease_ms: int = 0
     decreased_at: int = 0
@@ -112,17 +114,28 @@
     admission = state.admission
     delay_ms = max(0, state.now - due_at)
     admission = replace(
-        _measure_rate(admission, state.now),
+        _measure_rate(admission, state.now, state.started_tasks),
         delays_ms=(*admission.delays_ms, delay_ms)[-DELAY_SAMPLES:],
     )
     elapsed_ms = min(state.now - state.admission.measured_at, RATE_WINDOW_MS)
     state.admission = _adapt_limit(admission, state.now, elapsed_ms / 1_000)
 
 
-def _measure_rate(admission: Admission, now: int) -> Admission:
+def _measure_rate(
+    admission: Admission, now: int, started_tasks: int
+) -> Admission:
+    if not admission.measured_at:
+        return replace(
+            admission,
+            began_at=now,
+            measured_at=now,
+            started_tasks=started_tasks,
+        )
     elapsed_ms = max(1, now - admission.measured_at)
-    share = min(1.0, elapsed_ms / RATE_WINDOW_MS)
-    rate_per_s = admission.admitted * 1_000 / elapsed_ms
+    known_ms = max(1, min(RATE_WINDOW_MS, now - admission.began_at))
+    share = min(1.0, elapsed_ms / known_ms)
+    started = started_tasks - admission.started_tasks
+    rate_per_s = started * 1_000 / elapsed_ms
     change = (rate_per_s - admission.rate_per_s) * share
     limit_per_s = admission.limit_per_s
     allowance = admission.allowance
@@ -132,7 +145,7 @@
     return replace(
         admission,
         rate_per_s=admission.rate_per_s + change,
-        admitted=0,
+        started_tasks=started_tasks,
         allowance=allowance,
         measured_at=now,
     )
@@ -150,15 +163,14 @@
             falling and since_ms < EPISODE_MS
         ):
             return admission
+        if now - admission.began_at < RATE_WINDOW_MS:
+            return admission
         limit_per_s = min(limit_per_s, admission.rate_per_s)
-        excessive_per_s = admission.excessive_per_s
-        if since_ms >= EPISODE_MS:
-            excessive_per_s = limit_per_s
         return replace(
             admission,
             limit_per_s=max(MIN_TASKS_PER_S, limit_per_s * DECREASE_FACTOR),
             delay_at_decrease_ms=delay_ms,
-            excessive_per_s=excessive_per_s,
+            served_per_s=admission.rate_per_s,
             decreased_at=now,
             refused_at=now,
         )
@@ -168,7 +180,7 @@
         return replace(
             admission, limit_per_s=inf, allowance=0.0, promised_until=0
         )
-    slow = limit_per_s > admission.excessive_per_s * SLOW_INCREASE_SHARE
+    slow = limit_per_s > admission.served_per_s * SLOW_INCREASE_SHARE
     increase_per_s = SLOW_INCREASE_PER_S if slow else INCREASE_PER_S
     return replace(
         admission, limit_per_s=limit_per_s * (1 + increase_per_s * elapsed_s)
@@ -178,17 +190,13 @@
 def admit_workflow(state: DispatchState, workflow: Workflow) -> Refusal | None:
     """Count a workflow as admitted, or return a refusal."""
     admission = state.admission
-    tasks = SUBMISSION_TASKS + sum(step.tasks for step in workflow.steps)
+    tasks = sum(step.tasks for step in workflow.steps)
     late = admission.standing_delay_ms > REFUSAL_DELAY_MS
     if not late and (admission.limit_per_s == inf or admission.allowance > 0):
         allowance = admission.allowance
         if admission.limit_per_s != inf:
             allowance -= tasks
-        state.admission = replace(
-            admission,
-            allowance=allowance,
-            admitted=admission.admitted + tasks,
-        )
+        state.admission = replace(admission, allowance=allowance)
         return None
     return _refuse(state, admission, tasks)
 
--- a/sassafrasgate/dispatch/launches.py
+++ b/sassafrasgate/dispatch/launches.py
@@ -52,6 +52,7 @@
     state.update_step(key, pending_tasks=entry.pending_tasks - {index})
     if not state.steps[key].pending_tasks:
         state.waiting_steps.pop(key, None)
+    state.started_tasks += 1
     state.add_run(
         RunEntry(
             run,
--- a/sassafrasgate/dispatch/state.py
+++ b/sassafrasgate/dispatch/state.py
@@ -114,6 +114,8 @@
         while they succeed.
     admission : Admission
         How much work is admitted.
+    started_tasks : int
+        Number of runs that this owner has started.
     stopping : bool
         Whether a planned stop has begun.
     needs_pass : bool
@@ -168,6 +170,7 @@
     stragglers_checked_at: int = 0
     stalled_since: int = 0
     admission: Admission = Admission()
+    started_tasks: int = 0
     stopping: bool = False
     needs_pass: bool = False
     now: int = 0
--- a/tests/dispatch/overload.py
+++ b/tests/dispatch/overload.py
@@ -27,8 +27,11 @@
 from sassafrasgate.dispatch.events import TableChanged
 from sassafrasgate.dispatch.events import WorkerReported
 from sassafrasgate.dispatch.events import WorkersListed
+from sassafrasgate.dispatch.recovery import begin_ownership
+from sassafrasgate.dispatch.recovery import replay_records
 from sassafrasgate.dispatch.state import DispatchState
 from sassafrasgate.dispatch.transitions import decide
+from sassafrasgate.journal.records import Takeover
 from sassafrasgate.protocol.messages import Refused
 from sassafrasgate.protocol.workflows import SubmitWorkflow
 from sassafrasgate.shards.actions import AppendRecord
@@ -51,6 +54,7 @@
 TASK_MS = 640
 LATENCY_MS = 5
 DURABLE_MS = 30
+TAKEOVER_MS = 500
 ATTEMPT_MS = 700
 DEADLINE_MS = 3_000
 # A caller repeats a refused request at most this often.
@@ -88,6 +92,7 @@
 
     def __init__(self, rates, workers=40):
         self.now = 1_000.0
+        self.journal = []
         self.state = DispatchState('cell', 'a/1', epoch=1)
         self.inbox = deque()
         self.calls = {}
@@ -115,15 +120,39 @@
             )
             for number in range(workers)
         )
+        self.entries = entries
+        self._learn_settings()
+
+    def _learn_settings(self):
         for event in (
             TableChanged(TABLE),
             PeersChanged(('a',)),
-            WorkersListed(entries),
+            WorkersListed(self.entries),
         ):
             self._handle(event)
-        for entry in entries:
+        for entry in self.entries:
             self._deliver(self._make_report(entry.worker))
 
+    def replace_owner(self, second):
+        """Let another owner take over at a time in seconds."""
+        self._at(1_000.0 + second * 1_000, self._take_over)
+
+    def _take_over(self):
+        """Begin as a new owner, without the requests of the previous one.
+
+        Its callers get no reply, and those of the time of the takeover wait.
+        """
+        epoch = self.state.epoch + 1
+        takeover = Takeover(epoch, f'b/{epoch}', 0, 0)
+        self.journal.append(takeover)
+        self.inbox.clear()
+        self.state = DispatchState('cell', takeover.owner)
+        self.state.now, self.state.wall_ms = int(self.now), WALL_MS
+        replay_records(self.state, self.journal)
+        begin_ownership(self.state)
+        self._spend(TAKEOVER_MS)
+        self._learn_settings()
+
     def _plan(self, rates):
         for second, rate in enumerate(rates):
             jobs = round(JOBS_PER_S * rate)
@@ -206,6 +235,7 @@
 
     def _carry_out(self, action):
         if isinstance(action, AppendRecord):
+            self.journal.append(action.record)
             event = RecordsDurable((action.record,))
             self._at(self.now + DURABLE_MS, self._deliver, event)
         if isinstance(action, StartRun):
--- a/tests/dispatch/test_overload.py
+++ b/tests/dispatch/test_overload.py
@@ -33,3 +33,14 @@
     owner.run()
 
     assert owner.most_delay_ms <= MAX_DELAY_MS
+
+
+def test_successor_in_a_burst_serves_in_time_within_seconds():
+    # Guards against a successor that accepts all that has waited for it.
+    owner = SaturatedOwner([0.5] * 2 + [1.3] * 5 + [0.5] * 8)
+    owner.replace_owner(5)
+    owner.run()
+
+    offered, in_time = owner.count(10, 14)
+    assert owner.state.epoch == 2
+    assert in_time >= 0.95 * offered
