Split the adaptation of the admission limit into short functions

measure_delay measured the rate, refilled the allowance and moved the limit in two long functions. Two plays of the overloaded owner, 15 s each, print the same samples and counts before and after.

--- a/sassafrasgate/dispatch/admission.py
+++ b/sassafrasgate/dispatch/admission.py
@@ -111,70 +111,80 @@
     due_at = event.due_at or event.fired_at
     if not due_at:
         return
+    now = state.now
     admission = state.admission
-    delay_ms = max(0, state.now - due_at)
+    if not admission.measured_at:
+        admission = replace(
+            admission,
+            began_at=now,
+            measured_at=now,
+            started_tasks=state.started_tasks,
+        )
+    elapsed_ms = now - admission.measured_at
+    admission = _measure_rate(admission, now, state.started_tasks, elapsed_ms)
+    admission = _refill(admission, elapsed_ms)
+    delays_ms = (*admission.delays_ms, max(0, now - due_at))
     admission = replace(
-        _measure_rate(admission, state.now, state.started_tasks),
-        delays_ms=(*admission.delays_ms, delay_ms)[-DELAY_SAMPLES:],
+        admission, delays_ms=delays_ms[-DELAY_SAMPLES:], measured_at=now
     )
-    elapsed_ms = min(state.now - state.admission.measured_at, RATE_WINDOW_MS)
-    state.admission = _adapt_limit(admission, state.now, elapsed_ms / 1_000)
+    if admission.standing_delay_ms > MAX_DELAY_MS:
+        admission = _lower_limit(admission, now)
+    elif admission.standing_delay_ms <= RAISE_DELAY_MS:
+        admission = _raise_limit(admission, now, elapsed_ms)
+    state.admission = admission
 
 
 def _measure_rate(
-    admission: Admission, now: int, started_tasks: int
+    admission: Admission, now: int, started_tasks: int, elapsed_ms: int
 ) -> Admission:
-    if not admission.measured_at:
-        return replace(
-            admission,
-            began_at=now,
-            measured_at=now,
-            started_tasks=started_tasks,
-        )
-    elapsed_ms = max(1, now - admission.measured_at)
+    """Add a sample to the moving average of the tasks that were started."""
+    if not elapsed_ms:
+        return admission
     known_ms = max(1, min(RATE_WINDOW_MS, now - admission.began_at))
     share = min(1.0, elapsed_ms / known_ms)
     started = started_tasks - admission.started_tasks
-    rate_per_s = started * 1_000 / elapsed_ms
-    change = (rate_per_s - admission.rate_per_s) * share
-    limit_per_s = admission.limit_per_s
-    allowance = admission.allowance
-    if limit_per_s != inf:
-        allowance += limit_per_s * min(elapsed_ms, RATE_WINDOW_MS) / 1_000
-        allowance = min(allowance, limit_per_s * BURST_MS / 1_000)
+    change = started * 1_000 / elapsed_ms - admission.rate_per_s
     return replace(
         admission,
-        rate_per_s=admission.rate_per_s + change,
+        rate_per_s=admission.rate_per_s + change * share,
         started_tasks=started_tasks,
-        allowance=allowance,
-        measured_at=now,
     )
 
 
-def _adapt_limit(
-    admission: Admission, now: int, elapsed_s: float
-) -> Admission:
-    delay_ms = admission.standing_delay_ms
+def _refill(admission: Admission, elapsed_ms: int) -> Admission:
+    """Add the allowance of the time since the previous sample."""
     limit_per_s = admission.limit_per_s
-    if delay_ms > MAX_DELAY_MS:
-        since_ms = now - admission.decreased_at
-        falling = admission.delays_ms[-1] < admission.delay_at_decrease_ms
-        if since_ms < DECREASE_INTERVAL_MS or (
-            falling and since_ms < EPISODE_MS
-        ):
-            return admission
-        if now - admission.began_at < RATE_WINDOW_MS:
-            return admission
-        limit_per_s = min(limit_per_s, admission.rate_per_s)
-        return replace(
-            admission,
-            limit_per_s=max(MIN_TASKS_PER_S, limit_per_s * DECREASE_FACTOR),
-            delay_at_decrease_ms=delay_ms,
-            served_per_s=admission.rate_per_s,
-            decreased_at=now,
-            refused_at=now,
-        )
-    if limit_per_s == inf or delay_ms > RAISE_DELAY_MS:
+    if limit_per_s == inf:
+        return admission
+    added = limit_per_s * min(elapsed_ms, RATE_WINDOW_MS) / 1_000
+    allowance = min(
+        admission.allowance + added, limit_per_s * BURST_MS / 1_000
+    )
+    return replace(admission, allowance=allowance)
+
+
+def _lower_limit(admission: Admission, now: int) -> Admission:
+    since_ms = now - admission.decreased_at
+    falling = admission.delays_ms[-1] < admission.delay_at_decrease_ms
+    if since_ms < DECREASE_INTERVAL_MS or falling and since_ms < EPISODE_MS:
+        return admission
+    if now - admission.began_at < RATE_WINDOW_MS:
+        # The rate of a new owner is not known yet.
+        return admission
+    limit_per_s = min(admission.limit_per_s, admission.rate_per_s)
+    return replace(
+        admission,
+        limit_per_s=max(MIN_TASKS_PER_S, limit_per_s * DECREASE_FACTOR),
+        served_per_s=admission.rate_per_s,
+        delay_at_decrease_ms=admission.standing_delay_ms,
+        decreased_at=now,
+        refused_at=now,
+    )
+
+
+def _raise_limit(admission: Admission, now: int, elapsed_ms: int) -> Admission:
+    limit_per_s = admission.limit_per_s
+    if limit_per_s == inf:
         return admission
     if now - admission.refused_at > RELEASE_MS:
         return replace(
@@ -182,6 +192,7 @@
         )
     slow = limit_per_s > admission.served_per_s * SLOW_INCREASE_SHARE
     increase_per_s = SLOW_INCREASE_PER_S if slow else INCREASE_PER_S
+    elapsed_s = min(elapsed_ms, RATE_WINDOW_MS) / 1_000
     return replace(
         admission, limit_per_s=limit_per_s * (1 + increase_per_s * elapsed_s)
     )
