Send all waiting replies in one iteration of the event loop

The owner of 270 workers has to send hundreds of replies and heartbeats a second, and its loop makes fewer iterations than that when it is busy, so that the queue grew where no delay was measured.

--- a/sassafrasgate/daemons/journals.py
+++ b/sassafrasgate/daemons/journals.py
@@ -17,6 +17,7 @@
 
 from sassafrasgate.core.errors import ShardLostError
 from sassafrasgate.core.errors import StoreUnavailableError
+from sassafrasgate.core.streams import receive_batches
 from sassafrasgate.journal.records import AttemptRefused
 from sassafrasgate.journal.ring_buffer import encode_snapshot
 from sassafrasgate.observability.clocks import wall_ms
@@ -126,8 +127,9 @@
         """
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._write_entries, tasks)
-            async for message in self._inbox:
-                await self._handle_message(message)
+            async for batch in receive_batches(self._inbox):
+                for message in batch:
+                    await self._handle_message(message)
             self._waiting.append(None)
             self._wakeup.set()
 
--- a/sassafrasgate/daemons/starters.py
+++ b/sassafrasgate/daemons/starters.py
@@ -6,8 +6,7 @@
 from typing import Any
 from typing import TYPE_CHECKING
 
-import anyio
-
+from sassafrasgate.core.streams import receive_batches
 from sassafrasgate.daemons.inboxes import make_task_inbox
 
 if TYPE_CHECKING:
@@ -41,11 +40,6 @@
 
     async def run(self) -> None:
         """Start tasks until cancelled."""
-        while True:
-            self._group.start_soon(await self._inbox.receive())
-            for _ in range(TASKS_PER_ITERATION - 1):
-                try:
-                    function = self._inbox.receive_nowait()
-                except anyio.WouldBlock:
-                    break
+        async for batch in receive_batches(self._inbox, TASKS_PER_ITERATION):
+            for function in batch:
                 self._group.start_soon(function)
--- a/sassafrasgate/protocol/links.py
+++ b/sassafrasgate/protocol/links.py
@@ -19,6 +19,7 @@
 
 from sassafrasgate.core.errors import MessageError
 from sassafrasgate.core.errors import NoReply
+from sassafrasgate.core.streams import receive_batches
 from sassafrasgate.observability.clocks import now_ms
 from sassafrasgate.protocol.codec import decode_envelope
 from sassafrasgate.protocol.codec import encode_envelope
@@ -253,29 +254,35 @@
                 self._handle_disconnect(self.address)
 
     async def _send_messages(self, socket: zmq.asyncio.Socket) -> None:
-        async for outgoing in self._inbox:
-            request_id = 0
-            if outgoing.reply_to is not None:
-                request_id = self._next_request_id
-                self._next_request_id += 1
-            try:
-                frame = encode_envelope(
-                    Envelope(
-                        request_id,
-                        False,
-                        outgoing.attempt,
-                        outgoing.timeout_ms,
-                        outgoing.message,
-                    )
+        async for batch in receive_batches(self._inbox):
+            for outgoing in batch:
+                await self._send_message(socket, outgoing)
+
+    async def _send_message(
+        self, socket: zmq.asyncio.Socket, outgoing: _OutgoingMessage
+    ) -> None:
+        request_id = 0
+        if outgoing.reply_to is not None:
+            request_id = self._next_request_id
+            self._next_request_id += 1
+        try:
+            frame = encode_envelope(
+                Envelope(
+                    request_id,
+                    False,
+                    outgoing.attempt,
+                    outgoing.timeout_ms,
+                    outgoing.message,
                 )
-            except (OverflowError, TypeError, ValueError) as error:
-                self._reject_message(outgoing, error)
-                continue
-            if outgoing.reply_to is not None:
-                self._open_requests[request_id] = outgoing.reply_to
-            self._sent_at = now_ms()
-            self._counts.record_sent(frame)
-            await socket.send(frame)
+            )
+        except (OverflowError, TypeError, ValueError) as error:
+            self._reject_message(outgoing, error)
+            return
+        if outgoing.reply_to is not None:
+            self._open_requests[request_id] = outgoing.reply_to
+        self._sent_at = now_ms()
+        self._counts.record_sent(frame)
+        await socket.send(frame)
 
     def _reject_message(
         self, outgoing: _OutgoingMessage, error: Exception
@@ -410,16 +417,22 @@
         )
 
     async def _send_replies(self, socket: zmq.asyncio.Socket) -> None:
-        async for reply in self._outbox:
-            try:
-                frame = encode_envelope(
-                    Envelope(reply.request_id, True, 1, 0, reply.message)
-                )
-            except Exception as error:
-                self._handle_error(error)
-                continue
-            self._counts.record_sent(frame)
-            await socket.send_multipart([reply.client, frame])
+        async for batch in receive_batches(self._outbox):
+            for reply in batch:
+                await self._send_reply(socket, reply)
+
+    async def _send_reply(
+        self, socket: zmq.asyncio.Socket, reply: OutgoingReply
+    ) -> None:
+        try:
+            frame = encode_envelope(
+                Envelope(reply.request_id, True, 1, 0, reply.message)
+            )
+        except Exception as error:
+            self._handle_error(error)
+            return
+        self._counts.record_sent(frame)
+        await socket.send_multipart([reply.client, frame])
 
     async def _send_heartbeats(self) -> None:
         while True:
