Log the evidence for each run that counts as gone

A 'lose' line had a reason, but neither the age of the evidence, nor the epoch of the start, nor whose grant had been waited for; 'worker-settled' did not name the owners. Each line has these fields now.

--- a/sassafrasgate/dispatch/reports.py
+++ b/sassafrasgate/dispatch/reports.py
@@ -16,6 +16,8 @@
 from sassafrasgate.dispatch.events import EpochRefused
 from sassafrasgate.dispatch.events import WorkerReported
 from sassafrasgate.dispatch.events import WorkerSilent
+from sassafrasgate.dispatch.evidence import Evidence
+from sassafrasgate.dispatch.evidence import EvidenceKind
 from sassafrasgate.dispatch.handlers import DURABLE_HANDLERS
 from sassafrasgate.dispatch.handlers import EVENT_HANDLERS
 from sassafrasgate.dispatch.handlers import write_record
@@ -100,11 +102,14 @@
     carry a higher fencing token, so the next report shows whether the run
     has started there.
     """
+    evidence = Evidence(
+        EvidenceKind.REPORT, 'the worker restarted', event.received_at
+    )
     for run in state.list_runs_on(event.worker):
         if run.place not in state.runs:
             continue
         if run.listed and not run.uncertain:
-            yield from lose_run(state, run, 'the worker restarted')
+            yield from lose_run(state, run, evidence)
             continue
         state.update_run(
             run.place,
@@ -272,13 +277,18 @@
     clock_ms = event.report.clock_ms
     unknown = state.workers[event.worker].unknown_runs
     forget_unknown_runs(state, event.worker, unknown - listed)
+    evidence = Evidence(
+        EvidenceKind.REPORT, 'the worker does not list it', event.received_at
+    )
     for run in state.list_runs_on(event.worker):
         if run.key in listed or not is_gone(run, clock_ms):
             continue
-        yield from lose_run(state, run, 'the worker does not list it')
+        yield from lose_run(state, run, evidence)
 
 
-def lose_run(state: DispatchState, run: RunEntry, reason: str) -> Actions:
+def lose_run(
+    state: DispatchState, run: RunEntry, evidence: Evidence
+) -> Actions:
     """Remove a run that is certainly gone and whose end no report lists."""
     state.remove_run(run.place)
     task = state.find_task(run.key.task)
@@ -297,19 +307,22 @@
             ('worker', run.worker),
             ('ran_ms', state.now - run.started_at),
             ('percent', run.percent),
-            ('reason', reason),
+            ('reason', evidence.reason),
+            *evidence.describe(
+                run, state.workers.get(run.worker), state.now, state.epoch
+            ),
         ),
     )
     yield from reschedule_step(state, run)
 
 
 def lose_worker_runs(
-    state: DispatchState, worker: str, reason: str
+    state: DispatchState, worker: str, evidence: Evidence
 ) -> Actions:
     """Remove all runs of a worker, which are certainly gone."""
     for run in state.list_runs_on(worker):
         if run.place in state.runs:
-            yield from lose_run(state, run, reason)
+            yield from lose_run(state, run, evidence)
     _forget_all_unknown_runs(state, worker)
 
 
@@ -364,9 +377,12 @@
         if not entry.leases_expire_at or known_until < entry.leases_expire_at:
             continue
         state.update_worker(worker, leases_expired=True)
-        yield from lose_worker_runs(
-            state, worker, 'the lease of the silent worker has expired'
+        evidence = Evidence(
+            EvidenceKind.LEASE_EXPIRED,
+            'the lease of the silent worker has expired',
+            entry.leases_expire_at,
         )
+        yield from lose_worker_runs(state, worker, evidence)
     for worker, expires_at in list(state.unreconciled_workers.items()):
         if known_until < expires_at:
             continue
@@ -378,6 +394,9 @@
             (
                 ('worker', worker),
                 ('reason', 'leases of previous owners have expired'),
+                ('owners', ','.join(owner for owner in state.owners)),
+                ('released_in_ms', state.handover_lease_ms),
+                ('evidence_age_ms', state.now - expires_at),
             ),
         )
 
--- a/sassafrasgate/dispatch/start_replies.py
+++ b/sassafrasgate/dispatch/start_replies.py
@@ -12,6 +12,8 @@
 from sassafrasgate.dispatch.events import RunAnswered
 from sassafrasgate.dispatch.events import RunNotSent
 from sassafrasgate.dispatch.events import RunUnanswered
+from sassafrasgate.dispatch.evidence import Evidence
+from sassafrasgate.dispatch.evidence import EvidenceKind
 from sassafrasgate.dispatch.handlers import EVENT_HANDLERS
 from sassafrasgate.dispatch.hold_waits import record_unanswered_call
 from sassafrasgate.dispatch.reports import lose_run
@@ -74,7 +76,11 @@
             'another start call for the run is unanswered',
         )
         return
-    yield from lose_run(state, run, f'refused: {refusal}')
+    yield from lose_run(
+        state,
+        run,
+        Evidence(EvidenceKind.REFUSED, f'refused: {refusal}', state.now),
+    )
 
 
 def _confirm_run(state: DispatchState, run: RunEntry, clock_ms: int) -> None:
@@ -159,4 +165,6 @@
     if run is None:
         return
     _avoid_worker(state, run.worker)
-    yield from lose_run(state, run, event.reason)
+    yield from lose_run(
+        state, run, Evidence(EvidenceKind.NOT_SENT, event.reason, state.now)
+    )
--- a/tests/dispatch/test_guards.py
+++ b/tests/dispatch/test_guards.py
@@ -15,6 +15,8 @@
 from sassafrasgate.dispatch import start_replies
 from sassafrasgate.dispatch.actions import AcknowledgeEnds
 from sassafrasgate.dispatch.actions import AllowStarts
+from sassafrasgate.dispatch.evidence import Evidence
+from sassafrasgate.dispatch.evidence import EvidenceKind
 from sassafrasgate.dispatch.handlers import EVENT_HANDLERS
 from sassafrasgate.dispatch.identities import RunPlace
 from sassafrasgate.dispatch.state import DispatchState
@@ -27,6 +29,8 @@
 from tests.dispatch.test_random_faults import simulate_faults
 from tests.dispatch.test_random_faults import STOP_FAULTS
 
+# Evidence of a run's end that proves nothing.
+UNPROVED = Evidence(EvidenceKind.REPORT, 'no reply', 0)
 SEEDS = range(150)
 FAULTS = 12
 GUARDS = {}
@@ -66,7 +70,7 @@
     def forget(state, event):
         run = state.find_run(event.worker, event.run)
         if run is not None:
-            yield from reports.lose_run(state, run, 'no reply')
+            yield from reports.lose_run(state, run, UNPROVED)
 
     patch.setitem(EVENT_HANDLERS._items, start_replies.RunUnanswered, forget)
 
@@ -87,7 +91,7 @@
     """A start call may reach the new incarnation of a restarted worker."""
 
     def drop(state, event):
-        yield from reports.lose_worker_runs(state, event.worker, 'restarted')
+        yield from reports.lose_worker_runs(state, event.worker, UNPROVED)
 
     patch.setattr(reports, '_process_restart', drop)
 
@@ -112,7 +116,7 @@
     def lose(state, event):
         entry = state.workers.get(event.worker)
         if entry is not None:
-            yield from reports.lose_worker_runs(state, event.worker, 'silent')
+            yield from reports.lose_worker_runs(state, event.worker, UNPROVED)
 
     patch.setitem(EVENT_HANDLERS._items, reports.WorkerSilent, lose)
 
--- a/tests/soak/unguarded.py
+++ b/tests/soak/unguarded.py
@@ -12,6 +12,8 @@
 
 from sassafrasgate.commands.main import run_command_line
 from sassafrasgate.dispatch.events import WorkerSilent
+from sassafrasgate.dispatch.evidence import Evidence
+from sassafrasgate.dispatch.evidence import EvidenceKind
 from sassafrasgate.dispatch.handlers import EVENT_HANDLERS
 from sassafrasgate.dispatch.reports import lose_worker_runs
 
@@ -22,7 +24,8 @@
 
 def _lose_runs_at_once(state: DispatchState, event: WorkerSilent) -> Actions:
     if event.worker in state.workers:
-        yield from lose_worker_runs(state, event.worker, 'silent')
+        evidence = Evidence(EvidenceKind.REPORT, 'silent', state.now)
+        yield from lose_worker_runs(state, event.worker, evidence)
 
 
 EVENT_HANDLERS._items[WorkerSilent] = _lose_runs_at_once
