Send grants only on connections of the incarnation they are for

The id that a call names does not tell the incarnations apart. Repeated starts were known for it; polls do the same when the worker restarts between two of them, as their idle connection is replaced, and acknowledge ends of the new list by numbers of the old one.

A process takes its connections with it. So each connection to a worker now carries grants only for the incarnation that has replied on it before; a new one begins with a poll that renews and acknowledges nothing.

--- a/sassafrasgate/adapters/connections.py
+++ b/sassafrasgate/adapters/connections.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
+from typing import TYPE_CHECKING
 from urllib.parse import urlencode
 
 from aiohttp import ClientConnectorError
@@ -21,6 +23,9 @@
 from sassafrasgate.adapters.time_limits import TimeLimit
 from sassafrasgate.core.errors import SassafrasgateError
 
+if TYPE_CHECKING:
+    from socket import socket
+
 CONNECT_TIMEOUT_S = 1.0
 KEEP_ALIVE_S = 60.0
 # When the peer has closed an idle connection, the event loop reads its end
@@ -46,6 +51,10 @@
         self.sent = sent
 
 
+class ResponseTimeoutError(NoResponseError):
+    """A response did not arrive within the call's time limit."""
+
+
 @dataclass(frozen=True, slots=True)
 class HttpResponse:
     """An HTTP response whose body has been read completely.
@@ -93,6 +102,9 @@
         URL that all paths are relative to.
     connections : int
         Maximum number of open connections of a pool.
+    open_socket : callable, optional
+        Returns the socket for a new connection; raises `OSError` if none may
+        be opened.
 
     Notes
     -----
@@ -100,9 +112,15 @@
     through httpx; `docs/design.md` has the measurement.
     """
 
-    def __init__(self, base_url: str, connections: int) -> None:
+    def __init__(
+        self,
+        base_url: str,
+        connections: int,
+        open_socket: Callable[[Any], socket] | None = None,
+    ) -> None:
         self._base_url = base_url.rstrip('/')
         self._connections = connections
+        self._open_socket = open_socket
         self._pool: _Pool | None = None
 
     def _get_pool(self) -> _Pool:
@@ -113,6 +131,7 @@
                     limit=self._connections,
                     keepalive_timeout=KEEP_ALIVE_S,
                     use_dns_cache=False,
+                    socket_factory=self._open_socket,
                 ),
                 cookie_jar=DummyCookieJar(),
                 auto_decompress=False,
@@ -172,7 +191,7 @@
             ) from error
         except TimeoutError as error:
             self._retire(pool)
-            raise NoResponseError(
+            raise ResponseTimeoutError(
                 f'{method} {self._base_url}{path} received no response '
                 f'within {timeout_s:g} s',
                 sent=True,
--- a/sassafrasgate/core/workflows.py
+++ b/sassafrasgate/core/workflows.py
@@ -226,12 +226,16 @@
     wait_ms : int
         How long the worker may hold back the reply while no run ends, in
         milliseconds.
+    incarnation_ms : int
+        Incarnation whose clock and list of ends the request refers to; 0 if
+        it refers to none.
     """
 
     fencing_token: int
     acknowledged: int = 0
     deadline_ms: int = 0
     wait_ms: int = 0
+    incarnation_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -249,6 +253,9 @@
     ticket : str
         Ticket from the advice service that admits the worker; empty when
         the queue needs none.
+    incarnation_ms : int
+        Incarnation whose clock the deadline refers to; 0 if the worker names
+        none.
     """
 
     task: str
@@ -258,6 +265,7 @@
     fencing_token: int
     checkpoint: str = ''
     ticket: str = ''
+    incarnation_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/sassafrasgate/daemons/workers.py
+++ b/sassafrasgate/daemons/workers.py
@@ -264,6 +264,7 @@
                 self._last_acknowledged_end,
                 self._grant_lease(),
                 self._choose_poll_wait(),
+                self._incarnation_ms,
             )
         try:
             report = await self._client.hold(request)
@@ -371,6 +372,7 @@
                         fencing_token,
                         command.checkpoint,
                         command.ticket,
+                        self._incarnation_ms,
                     )
                 )
             except WorkerUnavailableError as error:
--- a/sassafrasgate/platform/workers.py
+++ b/sassafrasgate/platform/workers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import Annotated
 from typing import TYPE_CHECKING
 
@@ -10,7 +11,8 @@
 from msgspec.json import Decoder
 from msgspec.json import Encoder
 
-from sassafrasgate.adapters.connections import HttpConnections
+from sassafrasgate.adapters.channels import Channel
+from sassafrasgate.adapters.channels import ChannelPool
 from sassafrasgate.adapters.connections import NoResponseError
 from sassafrasgate.core.errors import InputError
 from sassafrasgate.core.errors import WorkerUnavailableError
@@ -52,6 +54,7 @@
     'ticket': StartRefusal.NO_TICKET,
 }
 MAX_CHECKPOINT_LENGTH = 4_096
+HOLD_PATH = '/api/hold'
 OK = 200
 BAD_REQUEST = 400
 CONFLICT = 409
@@ -118,14 +121,12 @@
     """
 
     def __init__(self, worker: str, address: str, timeout_s: float) -> None:
-        self._connections = HttpConnections(
-            f'http://{address}', MAX_CONNECTIONS
+        self._channels = ChannelPool(
+            f'http://{address}',
+            MAX_CONNECTIONS,
+            {'Content-Type': 'application/json', 'Expected-Instance': worker},
         )
         self._timeout_s = timeout_s
-        self._headers = {
-            'Content-Type': 'application/json',
-            'Expected-Instance': worker,
-        }
 
     async def __aenter__(self) -> Self:
         return self
@@ -136,11 +137,14 @@
         error: BaseException | None,
         traceback: TracebackType | None,
     ) -> None:
-        await self._connections.close()
+        await self._channels.close_idle()
 
     async def hold(self, request: HoldRequest) -> WorkerReport | StartRefusal:
         """Renew the worker's lease and return its running and ended runs.
 
+        A call that renews the lease or acknowledges ends reaches only the
+        incarnation that it names.
+
         Returns
         -------
         WorkerReport or StartRefusal
@@ -155,13 +159,18 @@
             body['deadlineMs'] = request.deadline_ms
         if request.wait_ms:
             body['waitMs'] = request.wait_ms
-        response = await self._post('/api/hold', body, request.wait_ms)
+        response = await self._post(
+            HOLD_PATH, body, request.incarnation_ms, request.wait_ms
+        )
         if response.status != OK:
             return read_run_reply(response).refusal or StartRefusal.INVALID
         return read_report(response)
 
     async def start(self, request: RunRequest) -> RunReply:
-        """Start a run; a refusal means that this call has no effect."""
+        """Start a run; a refusal means that this call has no effect.
+
+        The call reaches only the incarnation that the request names.
+        """
         body: dict[str, object] = {
             'task': request.task,
             'run': request.run,
@@ -173,7 +182,9 @@
             body['checkpoint'] = request.checkpoint
         if request.ticket:
             body['ticket'] = request.ticket
-        return read_run_reply(await self._post('/api/run-start', body))
+        return read_run_reply(
+            await self._post('/api/run-start', body, request.incarnation_ms)
+        )
 
     async def stop(self, task: str, run: int, fencing_token: int) -> RunReply:
         """Stop a run, or prevent it from starting."""
@@ -193,16 +204,30 @@
         return read_run_reply(await self._post('/api/pace', body))
 
     async def _post(
-        self, path: str, body: dict[str, object], wait_ms: int = 0
+        self,
+        path: str,
+        body: dict[str, object],
+        incarnation_ms: int = 0,
+        wait_ms: int = 0,
     ) -> HttpResponse:
+        """Make one call; 0 leaves open which incarnation it reaches."""
+        timeout_s = self._timeout_s + wait_ms / 1000
+        content = _ENCODER.encode(body)
         try:
-            return await self._connections.call(
-                'POST',
-                path,
-                self._timeout_s + wait_ms / 1000,
-                content=_ENCODER.encode(body),
-                headers=self._headers,
+            if incarnation_ms:
+                return await self._channels.call_incarnation(
+                    path,
+                    timeout_s,
+                    content,
+                    incarnation_ms,
+                    partial(self._identify, body['fencingToken']),
+                )
+            response, channel = await self._channels.call(
+                path, timeout_s, content
             )
+            if path == HOLD_PATH:
+                _learn_incarnation(channel, response)
+            return response
         except NoResponseError as error:
             raise WorkerUnavailableError(
                 f'the worker did not respond: {error}; poll it to learn what '
@@ -210,6 +235,27 @@
                 sent=error.sent,
             ) from error
 
+    async def _identify(
+        self, fencing_token: object, channel: Channel
+    ) -> HttpResponse:
+        """Learn which incarnation a new connection leads to.
+
+        The poll renews no lease and acknowledges no ends, so that it has no
+        effect on an incarnation that this owner does not know.
+        """
+        content = _ENCODER.encode(
+            {'fencingToken': fencing_token, 'ackCursor': 0}
+        )
+        response = await channel.call(HOLD_PATH, self._timeout_s, content)
+        _learn_incarnation(channel, response)
+        return response
+
+
+def _learn_incarnation(channel: Channel, response: HttpResponse) -> None:
+    """Store which incarnation has sent a response to a hold call."""
+    if response.status == OK:
+        channel.incarnation_ms = read_report(response).incarnation_ms
+
 
 def read_run_reply(response: HttpResponse) -> RunReply:
     """Return the reply in a worker's response to a start, stop or pace.
--- a/tests/dispatch/test_prior_leases.py
+++ b/tests/dispatch/test_prior_leases.py
@@ -75,9 +75,7 @@
     driver = make_replaced_driver()
     for _ in range(takeovers):
         driver.wait(1_000)
-        driver.replace_owner(
-            snapshot=False, ttl_ms=TTL_MS, grace_ms=GRACE_MS
-        )
+        driver.replace_owner(snapshot=False, ttl_ms=TTL_MS, grace_ms=GRACE_MS)
     owners = [term.owner for term in list_prior_terms(driver.state)]
     assert 'b/2' in owners
 
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -1,6 +1,9 @@
 """Tests the decoding of workers' responses, which decides on repeated runs."""
 
+from dataclasses import replace
+
 from aiohttp import web
+from anyio import create_task_group
 from anyio import sleep
 import pytest
 
@@ -28,6 +31,7 @@
         self.text = ''
         self.delay_s = 0.0
         self.requests = []
+        self.address = find_free_address()
 
     async def serve(self, request):
         self.requests.append(
@@ -42,20 +46,28 @@
             return web.Response(text=self.text, status=self.status)
         return web.json_response(self.body, status=self.status)
 
+    async def start(self):
+        """Listen on the worker's address."""
+        application = web.Application()
+        application.add_routes([web.post('/api/{call}', self.serve)])
+        self.runner = web.AppRunner(application)
+        await self.runner.setup()
+        host, _, port = self.address.rpartition(':')
+        await web.TCPSite(
+            self.runner, host, int(port), reuse_address=True
+        ).start()
+
+    async def stop(self):
+        """Close the listening socket and all connections."""
+        await self.runner.cleanup()
+
 
 @pytest.fixture
 async def worker():
     standin = FakeWorker()
-    application = web.Application()
-    application.add_routes([web.post('/api/{call}', standin.serve)])
-    runner = web.AppRunner(application)
-    await runner.setup()
-    address = find_free_address()
-    host, _, port = address.rpartition(':')
-    await web.TCPSite(runner, host, int(port)).start()
-    standin.address = address
+    await standin.start()
     yield standin
-    await runner.cleanup()
+    await standin.stop()
 
 
 @pytest.fixture
@@ -214,3 +226,83 @@
     reply = await client.hold(HoldRequest(4_000, 0, 9_000, 0))
 
     assert reply is StartRefusal.STALE_EPOCH
+
+
+REPORT = {'clockMs': 484_551, 'born': 1, 'running': [], 'ended': []}
+GRANT = replace(START, deadline_ms=489_051, incarnation_ms=1)
+RENEWAL = HoldRequest(4_000, 57, 489_051, 0, incarnation_ms=1)
+
+
+async def serve_next_incarnation(worker):
+    """End the worker's process and start it again at its address."""
+    await worker.stop()
+    worker.body = {**REPORT, 'clockMs': 10, 'born': 2}
+    worker.requests.clear()
+    await worker.start()
+
+
+def list_grants(worker):
+    """Return the requests that renew a lease or acknowledge ends."""
+    return [
+        (path, body)
+        for path, _, body in worker.requests
+        if body.get('deadlineMs') or body.get('ackCursor')
+    ]
+
+
+@pytest.mark.parametrize(
+    ('method', 'request_'), [('start', GRANT), ('hold', RENEWAL)]
+)
+@pytest.mark.parametrize('connections', [0, 1, 4])
+async def test_grant_never_reaches_the_next_incarnation(
+    worker, client, method, request_, connections
+):
+    # Guards against a deadline on the clock of an ended incarnation, which
+    # the next one takes as a lease of its full length, and against its ends
+    # being acknowledged by numbers of the earlier list.
+    worker.body = REPORT
+    worker.delay_s = 0.05
+    async with create_task_group() as group:
+        for _ in range(connections):
+            group.start_soon(client.hold, HoldRequest(4_000))
+    worker.delay_s = 0.0
+    await serve_next_incarnation(worker)
+
+    with pytest.raises(WorkerUnavailableError) as caught:
+        await getattr(client, method)(request_)
+
+    assert not caught.value.sent
+    assert list_grants(worker) == []
+
+
+async def test_grant_is_sent_on_connections_of_its_incarnation(worker, client):
+    # Guards against starts that wait behind a long poll, and against a look
+    # at the worker before each of them.
+    worker.body = REPORT
+    await client.hold(HoldRequest(4_000))
+    for _ in range(5):
+        await client.start(GRANT)
+    assert [path for path, _, _ in worker.requests] == [
+        '/api/hold',
+        *(['/api/run-start'] * 5),
+    ]
+
+
+async def test_grant_on_a_new_connection_first_identifies_the_worker(
+    worker, client
+):
+    worker.body = REPORT
+    assert await client.start(GRANT) == RunReply(484_551)
+    paths = [path for path, _, _ in worker.requests]
+    assert paths == ['/api/hold', '/api/run-start']
+    assert worker.requests[0][2] == {'fencingToken': 4_000, 'ackCursor': 0}
+
+
+async def test_refused_identification_refuses_the_start(worker, client):
+    # Guards against a start that is sent to a worker which obeys a newer
+    # owner, or that counts as unanswered though it was never sent.
+    worker.status = 409
+    worker.body = {'clockMs': 8, 'reason': 'fence'}
+    reply = await client.start(GRANT)
+    assert reply.refusal is StartRefusal.STALE_EPOCH
+    assert list_grants(worker) == []
