Start nothing on an incarnation first met during an outage

An owner that acts on without the store may have been replaced. A worker that its successor has fenced off forgets the token when it restarts, and then obeys the old owner, which starts tasks there that the successor has started elsewhere. An owner without a valid lease now starts runs only on incarnations that have obeyed it while the lease was valid.

--- a/sassafrasgate/daemons/workers.py
+++ b/sassafrasgate/daemons/workers.py
@@ -129,6 +129,8 @@
         self._wait_ms = wait_ms
         self._clock_reading: ClockReading | None = None
         self._incarnation_ms = 0
+        # Incarnation that has obeyed this owner while its lease was valid.
+        self._fenced_incarnation_ms = 0
         self._restarts = restarts
         self._takes_starts = takes_starts
         self._leases_expire_at = 0
@@ -185,6 +187,10 @@
         lease = self._lease
         return may_send_commands(lease, now_ms(), lease.ttl_ms, lease.grace_ms)
 
+    def _has_valid_lease(self) -> bool:
+        """Return whether no other process can own the shard yet."""
+        return now_ms() < self._lease.renewed_at + self._lease.ttl_ms
+
     @property
     def _fencing_token(self) -> int:
         return make_fencing_token(self.epoch, self._restarts)
@@ -258,6 +264,7 @@
         not been received.
         """
         request = HoldRequest(self._fencing_token)
+        had_valid_lease = self._has_valid_lease()
         if not was_silent and self._clock_reading is not None:
             request = HoldRequest(
                 self._fencing_token,
@@ -286,6 +293,8 @@
             self._incarnation_ms = report.incarnation_ms
             self._last_reported_end = 0
             self._last_acknowledged_end = 0
+        if had_valid_lease and self._has_valid_lease():
+            self._fenced_incarnation_ms = report.incarnation_ms
         self._clock_reading = ClockReading(report.clock_ms, received_at)
         self._last_reported_end = max(
             self._last_reported_end,
@@ -422,6 +431,13 @@
             return 'the worker has not replied yet'
         if self._incarnation_ms != incarnation_ms:
             return 'the worker has restarted'
+        if (
+            not self._has_valid_lease()
+            and self._fenced_incarnation_ms != incarnation_ms
+        ):
+            # A successor may have fenced off the previous incarnation, and
+            # this one obeys any owner.
+            return 'the worker has restarted during an outage of the store'
         return ''
 
     async def stop_run(self, command: StopRun) -> None:
--- a/tests/daemons/test_workers.py
+++ b/tests/daemons/test_workers.py
@@ -1,5 +1,7 @@
 """Tests the calls to one worker, with a client that the tests control."""
 
+from dataclasses import replace
+
 import anyio
 from logbook import Logger
 import pytest
@@ -10,6 +12,7 @@
 from sassafrasgate.core.workflows import RunReply
 from sassafrasgate.core.workflows import StartRefusal
 from sassafrasgate.core.workflows import WorkerReport
+from sassafrasgate.daemons.messages import OwnerLeaseChanged
 from sassafrasgate.daemons.workers import MAX_STOP_ATTEMPTS
 from sassafrasgate.daemons.workers import WorkerTask
 from sassafrasgate.dispatch.actions import AcknowledgeEnds
@@ -304,3 +307,39 @@
     while harness.events.statistics().current_buffer_used:
         kinds.append(type(harness.events.receive_nowait()))
     assert PaceAnswered not in kinds
+
+
+def make_outage_lease():
+    """Return the lease of an owner that acts on during an outage."""
+    now = now_ms()
+    return OwnerLease(now - 2_000, now - 1_500, now, 1_000, 60_000)
+
+
+async def test_no_start_on_an_incarnation_first_met_in_an_outage(harness):
+    # Guards against an owner that has been replaced unnoticed: a restarted
+    # worker has not seen the successor's epoch and obeys the old owner.
+    harness.commands.send_nowait(OwnerLeaseChanged(make_outage_lease()))
+    await anyio.wait_all_tasks_blocked()
+    report = await harness.restart()
+    harness.commands.send_nowait(
+        replace(START, incarnation_ms=report.report.incarnation_ms)
+    )
+
+    unsent = await harness.wait_for(RunNotSent)
+
+    assert 'outage' in unsent.reason
+    assert not harness.client.starts
+
+
+async def test_starts_go_on_in_an_outage_on_known_incarnations(harness):
+    # Guards against an outage of the store that stops all work.
+    async def accept():
+        return RunReply(6)
+
+    harness.client.start_reply = accept
+    harness.commands.send_nowait(OwnerLeaseChanged(make_outage_lease()))
+    await anyio.wait_all_tasks_blocked()
+    harness.commands.send_nowait(START)
+
+    answered = await harness.wait_for(RunAnswered)
+    assert answered.reply.refusal is None
