Apply recorded ends of occurrences that are not due here

A record of an occurrence is a fact; it now opens the occurrence, whose other tasks start when it is due by this owner's clock.

--- a/sassafrasgate/dispatch/entries.py
+++ b/sassafrasgate/dispatch/entries.py
@@ -268,12 +268,14 @@
         job: the longest chain of estimated work, in ms.
     occurrences : int
         Number of occurrences that have been opened.
+    due_occurrences : int
+        Number of occurrences whose start time has passed.
     open_steps : int
         Number of steps of opened occurrences that have not finished.
     ended_by : EndNumber or None
         End of a run that ended the job.
     ended_at_ms : int
-        Wall clock when the job ended.
+        Wall clock of the owner that ended the job.
     """
 
     job_id: str
@@ -288,6 +290,7 @@
     value_ends_at: int = 0
     critical_paths_ms: tuple[int, ...] = ()
     occurrences: int = 0
+    due_occurrences: int = 0
     open_steps: int = 0
     ended_by: EndNumber | None = None
     ended_at_ms: int = 0
@@ -316,6 +319,8 @@
     incarnation_ms : int
         Incarnation of the worker in its newest report; 0 before the first
         report.
+    past_incarnations : frozenset of int
+        Incarnations that a report has shown to have ended.
     reading : ClockReading or None
         The worker's clock in its newest report.
     last_end_number : int
@@ -346,6 +351,7 @@
     recorded: bool = False
     epoch_acknowledged: bool = False
     incarnation_ms: int = 0
+    past_incarnations: frozenset[int] = frozenset()
     reading: ClockReading | None = None
     last_end_number: int = 0
     silent_since: int = 0
--- a/sassafrasgate/dispatch/progress.py
+++ b/sassafrasgate/dispatch/progress.py
@@ -93,35 +93,46 @@
 def open_due_occurrences(state: DispatchState, job_id: str) -> None:
     """Open the occurrences of a job whose start time has passed."""
     entry = state.jobs[job_id]
-    while (
-        entry.occurrences < entry.workflow.occurrences and not entry.has_ended
+    while not entry.has_ended and (
+        entry.due_occurrences < entry.workflow.occurrences
     ):
-        if find_occurrence_start(entry, entry.occurrences) > state.wall_ms:
+        occurrence = entry.due_occurrences
+        if find_occurrence_start(entry, occurrence) > state.wall_ms:
             return
-        entry = _open_occurrence(state, entry)
+        open_occurrences_until(state, job_id, occurrence)
+        state.update_job(job_id, due_occurrences=occurrence + 1)
+        for step in range(len(entry.workflow.steps)):
+            mark_ready_if_unblocked(state, StepKey(job_id, occurrence, step))
+        entry = state.jobs[job_id]
 
 
-def _open_occurrence(state: DispatchState, entry: JobEntry) -> JobEntry:
-    occurrence = entry.occurrences
-    for number, step in enumerate(entry.workflow.steps):
-        key = StepKey(entry.job_id, occurrence, number)
-        state.steps[key] = StepEntry(
-            key, frozenset(range(step.tasks)), step.tasks
-        )
-    entry = state.update_job(
-        entry.job_id,
-        occurrences=occurrence + 1,
-        open_steps=entry.open_steps + len(entry.workflow.steps),
+def open_occurrences_until(
+    state: DispatchState, job_id: str, occurrence: int
+) -> None:
+    """Add the steps of a job's occurrences up to the given one.
+
+    A record about a later occurrence shows that an owner has opened it. Its
+    tasks still start only when it is due by the clock of this owner.
+    """
+    entry = state.jobs[job_id]
+    if entry.has_ended or occurrence >= entry.workflow.occurrences:
+        return
+    for number in range(entry.occurrences, occurrence + 1):
+        for index, step in enumerate(entry.workflow.steps):
+            key = StepKey(job_id, number, index)
+            state.steps[key] = StepEntry(
+                key, frozenset(range(step.tasks)), step.tasks
+            )
+    added = max(0, occurrence + 1 - entry.occurrences)
+    state.update_job(
+        job_id,
+        occurrences=entry.occurrences + added,
+        open_steps=entry.open_steps + added * len(entry.workflow.steps),
     )
-    for number in range(len(entry.workflow.steps)):
-        mark_ready_if_unblocked(
-            state, StepKey(entry.job_id, occurrence, number)
-        )
-    return entry
 
 
 def mark_ready_if_unblocked(state: DispatchState, key: StepKey) -> None:
-    """Mark a step ready if all its predecessors have finished.
+    """Mark a step ready if it is due and its predecessors have finished.
 
     A new owner may learn that a step has finished before it learns the same
     of the step's predecessors. Such a step is closed here.
@@ -130,6 +141,8 @@
     entry = state.steps[key]
     if entry.ready or entry.closed:
         return
+    if key.occurrence >= state.jobs[key.job_id].due_occurrences:
+        return
     for number in step.after:
         if state.steps[key._replace(step=number)].open_tasks:
             return
@@ -287,7 +300,11 @@
 
     The calling function has to stop the remaining runs.
     """
-    entry = state.update_job(job_id, state=outcome, ended_at_ms=state.wall_ms)
+    entry = state.update_job(
+        job_id,
+        state=outcome,
+        ended_at_ms=state.wall_ms,
+    )
     state.ended_jobs[job_id] = None
     for key in state.list_steps_of(entry):
         state.waiting_steps.pop(key, None)
--- a/sassafrasgate/dispatch/recovery.py
+++ b/sassafrasgate/dispatch/recovery.py
@@ -28,8 +28,8 @@
 from sassafrasgate.dispatch.progress import apply_run_end
 from sassafrasgate.dispatch.progress import end_job
 from sassafrasgate.dispatch.progress import finish_task
-from sassafrasgate.dispatch.progress import open_due_occurrences
 from sassafrasgate.dispatch.progress import open_job
+from sassafrasgate.dispatch.progress import open_occurrences_until
 from sassafrasgate.dispatch.progress import record_ending_run
 from sassafrasgate.dispatch.task_ids import parse_task_id
 from sassafrasgate.journal.records import Takeover
@@ -289,10 +289,7 @@
         # A worker may report anything; such an end is only acknowledged.
         return
     key, index = named
-    # A previous owner opened this occurrence, so its start time has passed.
-    entry = state.jobs[key.job_id]
-    if key.occurrence >= entry.occurrences:
-        open_due_occurrences(state, key.job_id)
+    open_occurrences_until(state, key.job_id, key.occurrence)
     apply_run_end(state, record, key, index)
     record_ending_run(
         state,
@@ -304,8 +301,7 @@
 @RECORD_APPLIERS.register('step-progress')
 def _apply_progress(state: DispatchState, record: StepProgress) -> None:
     key = StepKey(record.job_id, record.occurrence, record.step)
-    if key not in state.steps:
-        open_due_occurrences(state, record.job_id)
+    open_occurrences_until(state, record.job_id, record.occurrence)
     if key not in state.steps:
         return
     for index, next_run in record.next_runs:
--- a/sassafrasgate/dispatch/timers.py
+++ b/sassafrasgate/dispatch/timers.py
@@ -43,7 +43,7 @@
     yield from record_workers_in_use(state)
     for job_id, entry in list(state.jobs.items()):
         if not entry.has_ended and (
-            entry.occurrences < entry.workflow.occurrences
+            entry.due_occurrences < entry.workflow.occurrences
         ):
             open_due_occurrences(state, job_id)
     yield from adopt_opened_runs(state)
--- a/tests/dispatch/drivers.py
+++ b/tests/dispatch/drivers.py
@@ -190,3 +190,8 @@
 def list_reply_messages(actions):
     """Return the messages of all replies."""
     return [action.message for action in select_actions(actions, Reply)]
+
+
+def decide_all(state, event, now, wall_ms):
+    """Make all decisions on an event and return their actions."""
+    return list(decide(state, event, now, wall_ms))
