Keep ended jobs by the clock of the owner that knows them

Callers may get 410 for a job that has ended, and a submission that is repeated runs the job again: how long an ended job is kept was judged by its end on another host's time of day. An owner that is 150 s ahead, or whose clock is set, forgot all ended jobs at its first tick. The time now counts on the owner's steady clock from when it learned of the end.

--- a/sassafrasgate/dispatch/entries.py
+++ b/sassafrasgate/dispatch/entries.py
@@ -276,6 +276,8 @@
         End of a run that ended the job.
     ended_at_ms : int
         Wall clock of the owner that ended the job.
+    ended_known_at : int
+        Owner's clock, in ms, when this owner learned that the job had ended.
     """
 
     job_id: str
@@ -294,6 +296,7 @@
     open_steps: int = 0
     ended_by: EndNumber | None = None
     ended_at_ms: int = 0
+    ended_known_at: int = 0
 
     @property
     def has_ended(self) -> bool:
--- a/sassafrasgate/dispatch/progress.py
+++ b/sassafrasgate/dispatch/progress.py
@@ -304,6 +304,7 @@
         job_id,
         state=outcome,
         ended_at_ms=state.wall_ms,
+        ended_known_at=state.now,
     )
     state.ended_jobs[job_id] = None
     for key in state.list_steps_of(entry):
--- a/sassafrasgate/dispatch/recovery.py
+++ b/sassafrasgate/dispatch/recovery.py
@@ -73,6 +73,7 @@
             durable=True,
             from_previous_owner=True,
             durable_state=entry.state,
+            ended_known_at=state.now,
         )
     state.took_over_at = state.now
     if state.release is not None and state.release.epoch != state.epoch - 1:
--- a/sassafrasgate/dispatch/timers.py
+++ b/sassafrasgate/dispatch/timers.py
@@ -60,7 +60,7 @@
         entry = state.jobs[job_id]
         if entry.durable_state is entry.state:
             _forget_steps(state, entry)
-        if state.wall_ms - entry.ended_at_ms < JOB_RETENTION_MS:
+        if state.now - entry.ended_known_at < JOB_RETENTION_MS:
             continue
         if entry.durable_state is not entry.state or entry.occurrences:
             continue
--- a/tests/dispatch/test_replay.py
+++ b/tests/dispatch/test_replay.py
@@ -5,11 +5,14 @@
 from sassafrasgate.core.workflows import EndKind
 from sassafrasgate.core.workflows import Workflow
 from sassafrasgate.core.workflows import WorkflowState
+from sassafrasgate.dispatch.recovery import begin_ownership
 from sassafrasgate.dispatch.recovery import list_snapshot_records
 from sassafrasgate.dispatch.recovery import replay_records
 from sassafrasgate.dispatch.state import DispatchState
+from sassafrasgate.journal.records import Takeover
 from sassafrasgate.journal.workflows import RunEnded
 from sassafrasgate.journal.workflows import WorkflowAccepted
+from sassafrasgate.journal.workflows import WorkflowClosed
 from sassafrasgate.shards.events import Ticked
 from tests.dispatch.drivers import decide_all
 from tests.dispatch.simulation import make_step
@@ -86,3 +89,28 @@
     state = replay(list_records(False), START_AT_MS - 1)
     decide_all(state, Ticked(0), 9_000, START_AT_MS + INTERVAL_MS)
     assert state.jobs[JOB].state is WorkflowState.COMPLETED
+
+
+@pytest.mark.parametrize('ahead_ms', [0, 200_000, 86_400_000])
+def test_ended_job_is_kept_by_an_owner_whose_time_of_day_is_ahead(ahead_ms):
+    # Guards against a job that is forgotten as soon as another host takes
+    # over: its caller gets 410, and a repeated submission runs it again.
+    closed = WorkflowClosed(JOB, QUEUE, WorkflowState.COMPLETED, WALL_MS)
+    wall_ms = WALL_MS + ahead_ms
+    state = replay((closed, Takeover(2, 'second')), wall_ms)
+    begin_ownership(state)
+    decide_all(state, Ticked(0), 121_000, wall_ms + 120_000)
+    assert JOB in state.jobs
+    decide_all(state, Ticked(0), 152_000, wall_ms + 151_000)
+    assert JOB not in state.jobs
+
+
+def test_ended_job_is_kept_when_the_time_of_day_steps_forward():
+    # Guards against the same on one host whose clock is set.
+    state = replay((WorkflowAccepted(JOB, QUEUE, SERIES, WALL_MS),), WALL_MS)
+    replay_records(
+        state, (WorkflowClosed(JOB, QUEUE, WorkflowState.CANCELLED, WALL_MS),)
+    )
+    begin_ownership(state)
+    decide_all(state, Ticked(0), 2_000, WALL_MS + 3_600_000)
+    assert JOB in state.jobs
