Take only complete reports of the current incarnation as evidence

Callers may see a task run twice, since a report counts as evidence that a run is gone though it isn't: one of an incarnation that has ended, which was taken for another restart, and one page of a list of ends of which the worker returns 500 at a time. Such reports lose no runs any more. A report does not take back the bound of leases granted before either, which the first report from a worker's new address set to 0.

Not seen in the users' record.

--- a/sassafrasgate/core/workflows.py
+++ b/sassafrasgate/core/workflows.py
@@ -200,12 +200,16 @@
     incarnation_ms : int
         Start of the worker's incarnation in Unix milliseconds, which
         identifies it.
+    lists_all_ends : bool
+        Whether ``ended`` has all runs that have ended and are not
+        acknowledged; otherwise later reports list the others.
     """
 
     clock_ms: int
     incarnation_ms: int
     running: tuple[RunningRun, ...]
     ended: tuple[EndedRun, ...]
+    lists_all_ends: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/sassafrasgate/dispatch/reports.py
+++ b/sassafrasgate/dispatch/reports.py
@@ -42,6 +42,7 @@
 
 if TYPE_CHECKING:
     from sassafrasgate.core.workflows import EndedRun
+    from sassafrasgate.dispatch.entries import WorkerEntry
     from sassafrasgate.dispatch.handlers import Actions
     from sassafrasgate.dispatch.state import DispatchState
 
@@ -51,12 +52,16 @@
     """Update the runs of a worker from its report.
 
     A run that the report does not list is gone, unless its start call may
-    still be carried out.
+    still be carried out. A report of an incarnation that has ended says
+    nothing about the current one.
     """
     entry = state.workers.get(event.worker)
     if entry is None:
         return
     report = event.report
+    if report.incarnation_ms in entry.past_incarnations:
+        yield _describe_past_report(event, entry)
+        return
     restarted = (
         bool(entry.incarnation_ms)
         and report.incarnation_ms != entry.incarnation_ms
@@ -79,7 +84,7 @@
         last_end_number=0 if restarted else entry.last_end_number,
         acknowledged_end=0 if restarted else entry.acknowledged_end,
         silent_since=0,
-        leases_expire_at=event.leases_expire_at,
+        leases_expire_at=max(entry.leases_expire_at, event.leases_expire_at),
         leases_expired=False,
     )
     for ended in report.ended:
@@ -121,6 +126,27 @@
             listed=False,
         )
     _forget_all_unknown_runs(state, event.worker)
+    entry = state.workers[event.worker]
+    state.update_worker(
+        event.worker,
+        past_incarnations=entry.past_incarnations | {entry.incarnation_ms},
+    )
+
+
+def _describe_past_report(
+    event: WorkerReported, entry: WorkerEntry
+) -> LogEvent:
+    return LogEvent(
+        'past-report',
+        '',
+        (
+            ('worker', event.worker),
+            ('reported_incarnation_ms', event.report.incarnation_ms),
+            ('incarnation_ms', entry.incarnation_ms),
+            ('running', len(event.report.running)),
+            ('ended', len(event.report.ended)),
+        ),
+    )
 
 
 def _describe_return(
@@ -275,6 +301,9 @@
             load_at=event.received_at,
             **measure_progress(run, running.percent, event.received_at),
         )
+    if not event.report.lists_all_ends:
+        # A run that has ended may be on a later page.
+        return
     clock_ms = event.report.clock_ms
     unknown = state.workers[event.worker].unknown_runs
     forget_unknown_runs(state, event.worker, unknown - listed)
--- a/sassafrasgate/platform/workers.py
+++ b/sassafrasgate/platform/workers.py
@@ -54,6 +54,8 @@
     'ticket': StartRefusal.NO_TICKET,
 }
 MAX_CHECKPOINT_LENGTH = 4_096
+# A response has at most this number of ended runs; later ones have the others.
+MAX_LISTED_ENDS = 500
 HOLD_PATH = '/api/hold'
 OK = 200
 BAD_REQUEST = 400
@@ -302,6 +304,7 @@
             body.born,
             tuple(_read_running(row) for row in body.running),
             tuple(_read_ended(row) for row in body.ended),
+            len(body.ended) < MAX_LISTED_ENDS,
         )
     except InputError as error:
         raise _make_decode_error(error) from error
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -250,6 +250,18 @@
     ]
 
 
+@pytest.mark.parametrize(('ends', 'complete'), [(499, True), (500, False)])
+async def test_full_page_of_ends_may_not_be_all_of_them(
+    worker, client, ends, complete
+):
+    # Guards against runs that count as gone because their ends are on a
+    # later page.
+    rows = [[n, 'j.0.0.0', n, 'done', ''] for n in range(1, ends + 1)]
+    worker.body = {**REPORT, 'ended': rows}
+    report = await client.hold(HoldRequest(4_000))
+    assert report.lists_all_ends is complete
+
+
 @pytest.mark.parametrize(
     ('method', 'request_'), [('start', GRANT), ('hold', RENEWAL)]
 )
