Model handovers beside an owner that lives on, with the real rules

attempts.takeover has no clock and no hand-over, so it could not find the wait that a hand-over cuts short. attempts.handover has a first owner in its grace, up to three successors that hand over or are killed, and a worker that may restart; it calls the functions of prior_leases.

All guards: holds, 56,470 states, 1.6 s.

--- a/models/run.py
+++ b/models/run.py
@@ -25,6 +25,7 @@
     'fencing',
     'attempts',
     'takeovers',
+    'handovers',
     'capacity',
     'configurations',
     'transfers',
--- a/sassafrasgate/dispatch/prior_leases.py
+++ b/sassafrasgate/dispatch/prior_leases.py
@@ -53,16 +53,16 @@
         Process name and incarnation of that owner.
     lapse_ms : int
         Time, in ms, until the leases that it has granted have expired.
-    waits_ms : dict of str to int, or None
-        For each worker that has never replied to it, the time in ms until
-        the leases of owners before it have expired there. None if an earlier
-        release wrote the record, which does not name these workers.
+    waits_ms : tuple of (str, int), or None
+        Workers that have never replied to it, and the time in ms until the
+        leases of owners before it have expired there. None if an earlier
+        release of the program wrote the record, which names no workers.
     """
 
     epoch: int
     owner: str
     lapse_ms: int
-    waits_ms: dict[str, int] | None
+    waits_ms: tuple[tuple[str, int], ...] | None
 
 
 @dataclass(frozen=True, slots=True)
@@ -83,9 +83,9 @@
 
 def compute_lease_bound(
     now: int,
-    worker: str,
     terms: Iterable[OwnerTerm],
     release: Release | None,
+    wait_ms: int | None,
 ) -> LeaseBound:
     """Return until when leases of other owners last on a worker.
 
@@ -96,13 +96,14 @@
     ----------
     now : int
         Owner's clock, in ms, at the takeover.
-    worker : str
-        The worker.
     terms : iterable of OwnerTerm
         Owners that may still act.
     release : Release or None
         What the latest owner stated when it handed the shard over; None if
         it did not.
+    wait_ms : int or None
+        The wait in ms that the release names for the worker, 0 if it names
+        others only; None if it names no workers.
     """
     bounds = [bound_term(term, now) for term in terms]
     if release is None:
@@ -110,10 +111,9 @@
         own = LeaseBound(compute_takeover_expiry(now, 0, 0), '')
         return max(bounds, key=_get_expiry, default=own)
     lapse = LeaseBound(now + release.lapse_ms, release.owner)
-    if release.waits_ms is not None:
-        wait_ms = _stretch(release.waits_ms.get(worker, 0))
+    if wait_ms is not None:
         earlier = max(bounds, key=_get_expiry, default=lapse)
-        bounds = [LeaseBound(now + wait_ms, earlier.grantor)]
+        bounds = [LeaseBound(now + _stretch(wait_ms), earlier.grantor)]
     return max((*bounds, lapse), key=_get_expiry)
 
 
--- a/sassafrasgate/dispatch/recovery.py
+++ b/sassafrasgate/dispatch/recovery.py
@@ -79,13 +79,21 @@
     if state.release is not None and state.release.epoch != state.epoch - 1:
         state.release = None
     terms = list_prior_terms(state)
+    waits_ms = _find_released_waits(state.release)
     for worker in state.recorded_workers:
+        wait_ms = None if waits_ms is None else waits_ms.get(worker, 0)
         state.unreconciled_workers[worker] = compute_lease_bound(
-            state.now, worker, terms, state.release
+            state.now, terms, state.release, wait_ms
         )
     state.needs_pass = True
 
 
+def _find_released_waits(release: Release | None) -> dict[str, int] | None:
+    if release is None or release.waits_ms is None:
+        return None
+    return dict(release.waits_ms)
+
+
 def list_prior_terms(state: DispatchState) -> tuple[OwnerTerm, ...]:
     """Return previous owners that may not know yet that they were replaced."""
     return tuple(term for term in state.terms if term.owner != state.owner)
@@ -244,10 +252,7 @@
 def _apply_released(state: DispatchState, record: ShardReleased) -> None:
     releaser = state.terms[-1].owner if state.terms else ''
     state.release = Release(
-        state.epoch,
-        releaser,
-        record.lapse_ms,
-        None if record.waits_ms is None else dict(record.waits_ms),
+        state.epoch, releaser, record.lapse_ms, record.waits_ms
     )
     state.terms = state.terms[:-1]
 
