--- a/models/handovers.py
+++ b/models/handovers.py
@@ -17,9 +17,9 @@
 from sassafrasgate.dispatch.prior_leases import compute_lease_bound
 from sassafrasgate.dispatch.prior_leases import LeaseBound
 from sassafrasgate.dispatch.prior_leases import list_remaining_waits
-from sassafrasgate.dispatch.prior_leases import OwnerTerm
 from sassafrasgate.dispatch.prior_leases import Release
 from sassafrasgate.dispatch.prior_leases import shorten_lease_bound
+from sassafrasgate.shards.ownership import OwnerTerm
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
--- a/sassafrasgate/dispatch/prior_leases.py
+++ b/sassafrasgate/dispatch/prior_leases.py
@@ -19,26 +19,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-
-@dataclass(frozen=True, slots=True)
-class OwnerTerm:
-    """An owner that may still act, because nothing shows that it can't.
-
-    Parameters
-    ----------
-    owner : str
-        Process name and incarnation, separated by a slash.
-    epoch : int
-        Epoch of its takeover.
-    ttl_ms, grace_ms : int
-        Duration of its lease, and the time for which it may act after its
-        lease during an outage of the store.
-    """
-
-    owner: str
-    epoch: int
-    ttl_ms: int
-    grace_ms: int
+    from sassafrasgate.shards.ownership import OwnerTerm
 
 
 @dataclass(frozen=True, slots=True)
--- a/sassafrasgate/dispatch/recovery.py
+++ b/sassafrasgate/dispatch/recovery.py
@@ -21,7 +21,6 @@
 from sassafrasgate.dispatch.prior_leases import bound_term
 from sassafrasgate.dispatch.prior_leases import compute_lease_bound
 from sassafrasgate.dispatch.prior_leases import list_remaining_waits
-from sassafrasgate.dispatch.prior_leases import OwnerTerm
 from sassafrasgate.dispatch.prior_leases import Release
 from sassafrasgate.dispatch.prior_leases import shorten_lease_bound
 from sassafrasgate.dispatch.progress import advance_job
@@ -41,6 +40,7 @@
 from sassafrasgate.journal.workflows import WorkflowAccepted
 from sassafrasgate.journal.workflows import WorkflowCancelled
 from sassafrasgate.journal.workflows import WorkflowClosed
+from sassafrasgate.shards.ownership import OwnerTerm
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/sassafrasgate/dispatch/state.py
+++ b/sassafrasgate/dispatch/state.py
@@ -33,8 +33,8 @@
 from sassafrasgate.dispatch.identities import RunPlace
 from sassafrasgate.dispatch.identities import StepKey
 from sassafrasgate.dispatch.prior_leases import LeaseBound
-from sassafrasgate.dispatch.prior_leases import OwnerTerm
 from sassafrasgate.dispatch.prior_leases import Release
+from sassafrasgate.shards.ownership import OwnerTerm
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/sassafrasgate/shards/ownership.py
+++ b/sassafrasgate/shards/ownership.py
@@ -39,6 +39,27 @@
     grace_ms: int = OUTAGE_GRACE_MS
 
 
+@dataclass(frozen=True, slots=True)
+class OwnerTerm:
+    """An owner that may still act, because nothing shows that it can't.
+
+    Parameters
+    ----------
+    owner : str
+        Process name and incarnation, separated by a slash.
+    epoch : int
+        Epoch of its takeover.
+    ttl_ms, grace_ms : int
+        Duration of its lease, and the time for which it may act after its
+        lease during an outage of the store.
+    """
+
+    owner: str
+    epoch: int
+    ttl_ms: int
+    grace_ms: int
+
+
 def may_send_commands(
     lease: OwnerLease,
     now: int,
--- a/sassafrasgate/shards/recovery.py
+++ b/sassafrasgate/shards/recovery.py
@@ -21,6 +21,7 @@
 from sassafrasgate.journal.records import Takeover
 from sassafrasgate.shards.attempts import compute_takeover_lease_expiry
 from sassafrasgate.shards.handlers import RECORD_APPLIERS
+from sassafrasgate.shards.ownership import OwnerTerm
 from sassafrasgate.shards.state import HostEntry
 from sassafrasgate.shards.state import JobEntry
 from sassafrasgate.shards.state import TaskEntry
@@ -48,8 +49,14 @@
 
     Call this once the takeover record is durable.
     """
-    leases_expire_at = compute_takeover_lease_expiry(
-        now, state.previous_grace_ms, ttl_ms=state.previous_ttl_ms
+    state.took_over_at = now
+    leases_expire_at = max(
+        (
+            _compute_term_expiry(term, now)
+            for term in state.terms
+            if term.epoch != state.epoch
+        ),
+        default=compute_takeover_lease_expiry(now, 0, ttl_ms=0),
     )
     for name in state.hosts:
         state.update_host(name, leases_expire_at=leases_expire_at)
@@ -58,8 +65,19 @@
             state.update_job(entry.job_id, end_durable=True)
 
 
+def _compute_term_expiry(term: OwnerTerm, replaced_at: int) -> int:
+    """Return when the leases of an owner that was replaced have expired."""
+    return compute_takeover_lease_expiry(
+        replaced_at, term.grace_ms, ttl_ms=term.ttl_ms
+    )
+
+
 def list_snapshot_records(state: ShardState) -> Iterator[Any]:
     """Yield records for a snapshot of the durable state."""
+    for term in state.terms:
+        expires_at = _compute_term_expiry(term, state.took_over_at)
+        if term.epoch != state.epoch and state.now < expires_at:
+            yield Takeover(term.epoch, term.owner, term.grace_ms, term.ttl_ms)
     yield Takeover(state.epoch, state.owner, state.grace_ms, state.ttl_ms)
     for entry in state.jobs.values():
         yield from _list_job_snapshot_records(entry)
@@ -130,9 +148,11 @@
 
 @RECORD_APPLIERS.register('takeover')
 def apply_takeover(state: ShardState, record: Takeover) -> None:
-    """Set the epoch; keep the lease and grace of the previous owner."""
-    state.previous_grace_ms = state.grace_ms
-    state.previous_ttl_ms = state.ttl_ms
+    """Set the epoch; keep the terms of earlier owners."""
+    term = OwnerTerm(
+        record.owner, record.epoch, record.ttl_ms, record.grace_ms
+    )
+    state.terms = (*state.terms, term)
     state.epoch = record.epoch
     state.grace_ms = record.grace_ms
     state.ttl_ms = record.ttl_ms
--- a/sassafrasgate/shards/state.py
+++ b/sassafrasgate/shards/state.py
@@ -40,6 +40,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from sassafrasgate.shards.ownership import OwnerTerm
+
 
 MAX_FAILED_ATTEMPTS = 3
 MAX_EXPLANATION_LINES = 12
@@ -300,8 +302,11 @@
         Shard name.
     owner : str
         Process name and incarnation of the owner.
-    previous_grace_ms, previous_ttl_ms : int
-        Grace period and store lease duration of the previous owner, in ms.
+    terms : tuple of OwnerTerm
+        Owners that may still act, in the order of their takeovers, and this
+        owner as the last one.
+    took_over_at : int
+        Owner's clock, in ms, at the takeover.
     waiters : dict of str to tuple of JobWaiter
         Callers that wait for the end of each job.
     quick_requests : dict of str to QuickRequest
@@ -356,8 +361,8 @@
     epoch: int = 0
     grace_ms: int = 0
     ttl_ms: int = 0
-    previous_grace_ms: int = 0
-    previous_ttl_ms: int = 0
+    terms: tuple[OwnerTerm, ...] = ()
+    took_over_at: int = 0
     configuration: Configuration = field(default_factory=Configuration)
     failure_domain: str = ''
     index: HostIndex = field(default_factory=HostIndex)
--- a/tests/shards/test_takeovers.py
+++ b/tests/shards/test_takeovers.py
@@ -2,10 +2,19 @@
 
 from dataclasses import replace
 
+import pytest
+
 from sassafrasgate.core.jobs import JobClass
 from sassafrasgate.core.jobs import JobState
 from sassafrasgate.core.tasks import TaskOutcome
+from sassafrasgate.journal.records import Takeover
+from sassafrasgate.shards.events import ConfigurationChanged
 from sassafrasgate.shards.ownership import OUTAGE_GRACE_MS
+from sassafrasgate.shards.recovery import begin_ownership
+from sassafrasgate.shards.recovery import list_snapshot_records
+from sassafrasgate.shards.recovery import replay_records
+from sassafrasgate.shards.state import ShardState
+from sassafrasgate.shards.transitions import decide
 from tests.shards.simulation import DEMAND
 from tests.shards.simulation import GRACE_MS
 from tests.shards.simulation import SimulatedShard
@@ -143,3 +152,30 @@
     shard.loses_stops = False
     shard.advance(1_000)
     assert not worker.list_running()
+
+
+@pytest.mark.parametrize('by_snapshot', [False, True])
+def test_wait_covers_the_longest_grace_of_all_earlier_owners(by_snapshot):
+    # Guards against a successor with a shorter grace that hides an owner
+    # with a longer one, which still renews leases.
+    records = [
+        Takeover(1, 'first', 120_000, 3_000),
+        Takeover(2, 'second', 0, 1_000),
+    ]
+    if by_snapshot:
+        records = list(list_snapshot_records(take_over(records, 'second')))
+    third = take_over([*records, Takeover(3, 'third', 0, 1_000)], 'third')
+    waits_ms = [
+        host.leases_expire_at - third.now for host in third.hosts.values()
+    ]
+    assert min(waits_ms) > 123_000
+
+
+def take_over(records, owner):
+    """Return the state of an owner that has replayed its takeover record."""
+    shard = start_shard()
+    state = ShardState(shard.name, owner)
+    decide(state, ConfigurationChanged(shard.configuration), shard.now)
+    replay_records(state, records)
+    begin_ownership(state, shard.now)
+    return state
