--- a/sassafrasgate/shards/state.py
+++ b/sassafrasgate/shards/state.py
@@ -36,12 +36,11 @@
 from sassafrasgate.protocol.messages import TransferEnded
 from sassafrasgate.shards.attempts import AttemptStatus
 from sassafrasgate.shards.attempts import ClockReading
+from sassafrasgate.shards.ownership import OwnerTerm
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from sassafrasgate.shards.ownership import OwnerTerm
-
 
 MAX_FAILED_ATTEMPTS = 3
 MAX_EXPLANATION_LINES = 12
