Conclude nothing from time while another owner may act

Callers see tasks run twice: an owner on the small side of a partition loses a worker and the store, acts on for its outage grace, and counts the worker's leases, of which it knows only its own grants, as expired. Its successor on the other side renews them. The first owner starts all tasks of these workers again in one pass on the workers that it still reaches, whose epoch nobody has raised. This fits the users' record best: both runs from one host, many at once on one worker, the first runs' leases kept, and their ends taken note of by another process. Found in the review.

An owner whose lease in the store is over now loses no run by time, counts no worker as settled, and ignores restarts of workers until the store has confirmed its lease again. It goes on with all that reports show, and with starts that no run precedes.

A scheduler of the project's own interface needs a durable record for each new start, so it is not affected.

--- a/sassafrasgate/daemons/dispatcher.py
+++ b/sassafrasgate/daemons/dispatcher.py
@@ -44,6 +44,7 @@
 from sassafrasgate.dispatch.events import AdviceAnswered
 from sassafrasgate.dispatch.events import AdviceFailed
 from sassafrasgate.dispatch.events import JournalStalled
+from sassafrasgate.dispatch.events import LeaseConfirmed
 from sassafrasgate.dispatch.events import OwnersEnded
 from sassafrasgate.dispatch.events import PassDue
 from sassafrasgate.dispatch.events import PeersChanged
@@ -280,6 +281,7 @@
         except ShardLostError as error:
             self._loss_reason = str(error)
             return None
+        await self._update_lease(self._lease)
         journal = takeover.journal
         self._snapshots = SnapshotSchedule(journal.uncovered_entries)
         self._request_snapshot()
@@ -394,8 +396,7 @@
             await self.send_reply(event.reply_to, self._make_loss_refusal())
             return True
         if isinstance(event, LeaseUpdated):
-            self._lease = event.lease
-            self._workers.send_to_all(OwnerLeaseChanged(event.lease))
+            await self._update_lease(event.lease)
             return True
         if isinstance(event, OwnershipLost):
             self._loss_reason = event.reason
@@ -422,6 +423,13 @@
             self._stop_workers()
         return False
 
+    async def _update_lease(self, lease: OwnerLease) -> None:
+        self._lease = lease
+        self._workers.send_to_all(OwnerLeaseChanged(lease))
+        await self._process_event(
+            LeaseConfirmed(lease.renewed_at + lease.ttl_ms)
+        )
+
     def _record_failed_append(self) -> None:
         self._failing_since = self._failing_since or now_ms()
 
--- a/sassafrasgate/dispatch/events.py
+++ b/sassafrasgate/dispatch/events.py
@@ -226,6 +226,20 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class LeaseConfirmed:
+    """The store has confirmed this owner's lease.
+
+    Parameters
+    ----------
+    expires_at : int
+        Owner's clock, in ms, until which no other process can replace this
+        owner because the lease has expired.
+    """
+
+    expires_at: int
+
+
 @dataclass(frozen=True, slots=True)
 class OwnersEnded:
     """The processes of all previous owners have ended."""
--- a/sassafrasgate/dispatch/recovery.py
+++ b/sassafrasgate/dispatch/recovery.py
@@ -10,6 +10,7 @@
 from sassafrasgate.dispatch.actions import LogEvent
 from sassafrasgate.dispatch.entries import JobEntry
 from sassafrasgate.dispatch.entries import NEW_TASK
+from sassafrasgate.dispatch.events import LeaseConfirmed
 from sassafrasgate.dispatch.events import OwnersEnded
 from sassafrasgate.dispatch.handlers import EVENT_HANDLERS
 from sassafrasgate.dispatch.handlers import RECORD_APPLIERS
@@ -123,6 +124,15 @@
     )
 
 
+@EVENT_HANDLERS.register(LeaseConfirmed)
+def handle_confirmed_lease(
+    state: DispatchState, event: LeaseConfirmed
+) -> Actions:
+    """Store until when this owner is certainly the only one."""
+    state.lease_expires_at = event.expires_at
+    yield from ()
+
+
 @EVENT_HANDLERS.register(OwnersEnded)
 def handle_owners_ended(state: DispatchState, event: OwnersEnded) -> Actions:
     """Shorten the wait for workers to the leases that are already granted.
--- a/sassafrasgate/dispatch/reports.py
+++ b/sassafrasgate/dispatch/reports.py
@@ -66,6 +66,9 @@
         bool(entry.incarnation_ms)
         and report.incarnation_ms != entry.incarnation_ms
     )
+    if restarted and state.may_be_replaced:
+        # A successor may have learned of ends on the previous incarnation.
+        return
     if (
         not restarted
         and entry.reading
@@ -392,7 +395,8 @@
 
     Runs on silent workers are lost once all leases there have expired.
     Workers that previous owners may have used count as reconciled once the
-    leases of those owners have expired.
+    leases of those owners have expired. An owner that may have been replaced
+    concludes nothing from time: its successor may renew the leases.
 
     Parameters
     ----------
@@ -401,6 +405,8 @@
         Later ones, which may still wait in the inbox, may show that a lease
         has been renewed.
     """
+    if state.may_be_replaced:
+        return
     for worker, entry in list(state.workers.items()):
         if not entry.silent_since or entry.leases_expired:
             continue
--- a/sassafrasgate/dispatch/state.py
+++ b/sassafrasgate/dispatch/state.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 from dataclasses import replace
+from math import inf
 from typing import Any
 from typing import TYPE_CHECKING
 
@@ -59,6 +60,10 @@
         after its lease during an outage of the store.
     took_over_at : int
         Owner's clock, in ms, at the takeover.
+    lease_expires_at : float
+        Owner's clock, in ms, when its lease in the store expires unless it is
+        renewed. From then on another owner may act; infinite until the first
+        `LeaseConfirmed`.
     terms : tuple of OwnerTerm
         Owners that may still act, in the order of their takeovers, and this
         owner as the last one. One whose process has not ended may continue
@@ -134,6 +139,7 @@
     ttl_ms: int = 0
     grace_ms: int = 0
     took_over_at: int = 0
+    lease_expires_at: float = inf
     terms: tuple[OwnerTerm, ...] = ()
     release: Release | None = None
     previous_owners_ended: bool = False
@@ -177,6 +183,11 @@
     now: int = 0
     wall_ms: int = 0
 
+    @property
+    def may_be_replaced(self) -> bool:
+        """Whether another owner may act because this one's lease is over."""
+        return self.now >= self.lease_expires_at
+
     def update_job(self, job_id: str, **changes: Any) -> JobEntry:
         """Replace fields of a job and return the new entry."""
         entry = replace(self.jobs[job_id], **changes)
