Wait after a takeover for all pages of a worker's ends

Callers may see a task run twice: the first page of a long list of ends counted as the worker's report after a takeover, so that a task whose end is on the second page started again. A worker now counts as reconciled with a complete report only, and its time does not end while it replies.

test_page_of_ends_does_not_reconcile_a_worker fails before the fix.

--- a/sassafrasgate/dispatch/reports.py
+++ b/sassafrasgate/dispatch/reports.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from math import inf
 from typing import TYPE_CHECKING
 
 from sassafrasgate.core.workflows import EndKind
@@ -44,6 +45,7 @@
     from sassafrasgate.core.workflows import EndedRun
     from sassafrasgate.dispatch.entries import WorkerEntry
     from sassafrasgate.dispatch.handlers import Actions
+    from sassafrasgate.dispatch.prior_leases import LeaseBound
     from sassafrasgate.dispatch.state import DispatchState
 
 
@@ -95,7 +97,8 @@
     yield from _repeat_acknowledgement(state, event)
     yield from _process_running(state, event)
     yield from adopt_opened_runs(state)
-    if state.unreconciled_workers.pop(event.worker, None) is not None:
+    if report.lists_all_ends and event.worker in state.unreconciled_workers:
+        del state.unreconciled_workers[event.worker]
         state.needs_pass = True
     if restarted or not entry.epoch_acknowledged or entry.silent_since:
         state.update_free_resources(event.worker)
@@ -421,7 +424,7 @@
         yield from lose_worker_runs(state, worker, evidence)
     forget_expired_terms(state, known_until)
     for worker, bound in list(state.unreconciled_workers.items()):
-        if known_until < bound.expires_at:
+        if known_until < _find_settling_time(state, worker, bound):
             continue
         del state.unreconciled_workers[worker]
         state.needs_pass = True
@@ -438,6 +441,21 @@
         )
 
 
+def _find_settling_time(
+    state: DispatchState, worker: str, bound: LeaseBound
+) -> float:
+    """Return when a worker counts as reconciled without a complete report.
+
+    One that replies will list the rest of its ends.
+    """
+    entry = state.workers.get(worker)
+    if entry is None or not entry.epoch_acknowledged:
+        return bound.expires_at
+    if not entry.silent_since:
+        return inf
+    return max(bound.expires_at, entry.leases_expire_at)
+
+
 @EVENT_HANDLERS.register(EpochRefused)
 def handle_epoch_refusal(state: DispatchState, event: EpochRefused) -> Actions:
     """Step down because a worker obeys a later owner."""
--- a/tests/dispatch/test_report_evidence.py
+++ b/tests/dispatch/test_report_evidence.py
@@ -76,3 +76,20 @@
     report = WorkerReport(driver.now, INCARNATION_MS, (), ())
     driver.feed(WorkerReported(start.worker, report, driver.now, 0))
     assert driver.state.workers[start.worker].leases_expire_at == expires_at
+
+
+def test_page_of_ends_does_not_reconcile_a_worker():
+    # Guards against a task whose end is on a later page, and which the
+    # successor of its owner starts again after the first one.
+    driver, start = make_running_driver()
+    driver.report(start.worker)
+    driver.replace_owner()
+    other = next(name for name in driver.running if name != start.worker)
+    driver.report(other)
+    page = make_page(driver, (), lists_all_ends=False)
+    event = WorkerReported(start.worker, page, driver.now, driver.now + 5_000)
+    assert not select_actions(driver.feed(event), StartRun)
+    assert not select_actions(driver.wait(20_000), StartRun)
+    rest = replace(page, clock_ms=driver.now, lists_all_ends=True)
+    actions = driver.feed(replace(event, report=rest))
+    assert select_actions(actions, StartRun)
