Confirm no run by a reply of an ended incarnation

A task could wait for as long as its worker had been up before a restart: the reply to its start came from the ended incarnation after the report of the next one, and its large clock counted as that of the confirmation. The event names the incarnation now. Found in the review.

--- a/sassafrasgate/daemons/workers.py
+++ b/sassafrasgate/daemons/workers.py
@@ -371,6 +371,7 @@
                 await self._report_unsent(command, number, reason)
                 return
             fencing_token = self._fencing_token
+            incarnation_ms = self._incarnation_ms
             try:
                 reply: RunReply = await self._client.start(
                     RunRequest(
@@ -381,7 +382,7 @@
                         fencing_token,
                         command.checkpoint,
                         command.ticket,
-                        self._incarnation_ms,
+                        incarnation_ms,
                     )
                 )
             except WorkerUnavailableError as error:
@@ -397,7 +398,7 @@
             if self._was_overtaken_by_restart(reply, fencing_token):
                 reply = replace(reply, refusal=StartRefusal.OTHER_INCARNATION)
             await self._events.send(
-                RunAnswered(self.worker, command.run, reply)
+                RunAnswered(self.worker, command.run, reply, incarnation_ms)
             )
             return
 
--- a/sassafrasgate/dispatch/events.py
+++ b/sassafrasgate/dispatch/events.py
@@ -120,11 +120,18 @@
 
 @dataclass(frozen=True, slots=True)
 class RunAnswered:
-    """A worker has replied to a start call."""
+    """A worker has replied to a start call.
+
+    Parameters
+    ----------
+    incarnation_ms : int
+        Incarnation that has replied; 0 if it is not known.
+    """
 
     worker: str
     run: RunKey
     reply: RunReply
+    incarnation_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/sassafrasgate/dispatch/start_replies.py
+++ b/sassafrasgate/dispatch/start_replies.py
@@ -45,7 +45,8 @@
         return
     refusal = event.reply.refusal
     if refusal is None:
-        _confirm_run(state, run, event.reply.clock_ms)
+        if event.incarnation_ms in (0, run.incarnation_ms):
+            _confirm_run(state, run, event.reply.clock_ms)
         return
     yield LogEvent(
         'start-refused',
--- a/tests/dispatch/test_report_evidence.py
+++ b/tests/dispatch/test_report_evidence.py
@@ -5,8 +5,10 @@
 from sassafrasgate.core.workflows import EndedRun
 from sassafrasgate.core.workflows import EndKind
 from sassafrasgate.core.workflows import RunningRun
+from sassafrasgate.core.workflows import RunReply
 from sassafrasgate.core.workflows import WorkerReport
 from sassafrasgate.dispatch.actions import StartRun
+from sassafrasgate.dispatch.events import RunAnswered
 from sassafrasgate.dispatch.events import WorkerReported
 from sassafrasgate.dispatch.events import WorkerSilent
 from tests.dispatch.drivers import Driver
@@ -93,3 +95,19 @@
     rest = replace(page, clock_ms=driver.now, lists_all_ends=True)
     actions = driver.feed(replace(event, report=rest))
     assert select_actions(actions, StartRun)
+
+
+def test_reply_of_an_ended_incarnation_does_not_confirm_a_run():
+    # Guards against a task that waits for as long as its worker's previous
+    # incarnation had been up, since the clock of that incarnation counts.
+    driver = Driver(workers=1)
+    (start,) = select_actions(driver.submit(JOB, make_step(1)), StartRun)
+    driver.now += 100
+    driver.running[start.worker].clear()
+    driver.report(start.worker, incarnation_ms=INCARNATION_MS + 1)
+    driver.feed(
+        RunAnswered(start.worker, start.run, RunReply(482_113), INCARNATION_MS)
+    )
+    driver.now += 100
+    actions = driver.report(start.worker, incarnation_ms=INCARNATION_MS + 1)
+    assert select_actions(actions, StartRun)
