Bound the channels of a worker, and the wait for one

A poll whose reply names another incarnation now also corrects its channel.

Four new tests in tests/platform/test_workers.py; they need code that was not there before.

--- a/sassafrasgate/adapters/channels.py
+++ b/sassafrasgate/adapters/channels.py
@@ -19,6 +19,10 @@
 from sassafrasgate.adapters.connections import HttpResponse
 from sassafrasgate.adapters.connections import NoResponseError
 from sassafrasgate.adapters.connections import ResponseTimeoutError
+from sassafrasgate.adapters.time_limits import TimeLimit
+
+# Longest wait for one of the calls that a peer may get at the same time.
+MAX_QUEUE_TIME_S = 0.3
 
 MakeCall = Callable[['Channel'], Awaitable[HttpResponse]]
 
@@ -58,6 +62,9 @@
     incarnation_ms : int or None
         Incarnation that has replied on the connection; None until a reply
         has named one.
+    is_open : bool
+        Whether the connection has been opened and the peer has not announced
+        its end.
     """
 
     def __init__(
@@ -65,14 +72,14 @@
     ) -> None:
         self._connections = HttpConnections(base_url, 1, self._open_socket)
         self._headers = headers
-        self._is_open = False
+        self.is_open = False
         self.generation = generation
         self.incarnation_ms: int | None = None
 
     def _open_socket(self, address_info: tuple[Any, ...]) -> socket:
-        if self._is_open:
+        if self.is_open:
             raise ConnectionAbortedError('the connection has ended')
-        self._is_open = True
+        self.is_open = True
         family, kind, protocol, _, _ = address_info
         return socket(family, kind, protocol)
 
@@ -80,9 +87,12 @@
         self, path: str, timeout_s: float, content: bytes
     ) -> HttpResponse:
         """Make one POST call; see `HttpConnections.call`."""
-        return await self._connections.call(
+        response = await self._connections.call(
             'POST', path, timeout_s, content=content, headers=self._headers
         )
+        if response.headers.get('Connection', '').lower() == 'close':
+            self.is_open = False
+        return response
 
     async def close(self) -> None:
         """Close the connection."""
@@ -101,9 +111,15 @@
     base_url : str
         URL that all paths are relative to.
     channels : int
-        Maximum number of open channels.
+        Maximum number of calls at the same time.
     headers : mapping
         Headers of all calls.
+
+    Notes
+    -----
+    A peer that closes the connection after each response is identified again
+    before each call that is for one incarnation. A restart between the two
+    then goes unnoticed.
     """
 
     def __init__(
@@ -115,6 +131,11 @@
         self._idle: list[Channel] = []
         self._generation = 0
 
+    @property
+    def idle_count(self) -> int:
+        """Number of channels without a call."""
+        return len(self._idle)
+
     async def call(
         self, path: str, timeout_s: float, content: bytes
     ) -> tuple[HttpResponse, Channel]:
@@ -144,7 +165,7 @@
         content: bytes,
         incarnation_ms: int,
         identify: MakeCall,
-    ) -> HttpResponse:
+    ) -> tuple[HttpResponse, Channel]:
         """Make one call that reaches the given incarnation or no process.
 
         Parameters
@@ -165,16 +186,15 @@
         """
 
         async def make_call(channel: Channel) -> HttpResponse:
-            if channel.incarnation_ms is None:
-                response = await identify(channel)
+            if channel.incarnation_ms is None or not channel.is_open:
+                response = await _identify(channel, identify)
                 if channel.incarnation_ms is None:
                     return response
             if channel.incarnation_ms != incarnation_ms:
                 raise IncarnationError(incarnation_ms, channel.incarnation_ms)
             return await channel.call(path, timeout_s, content)
 
-        response, _ = await self._use_channel(make_call, incarnation_ms)
-        return response
+        return await self._use_channel(make_call, incarnation_ms)
 
     async def _use_channel(
         self, make_call: MakeCall, incarnation_ms: int | None
@@ -184,7 +204,8 @@
         An idle channel may have ended unnoticed; a call on it is not sent
         then, and is made on a new channel.
         """
-        async with self._limit:
+        await self._acquire()
+        try:
             idle = self._take_idle(incarnation_ms)
             if idle is not None:
                 try:
@@ -196,6 +217,20 @@
                         raise
             channel = Channel(self._base_url, self._headers, self._generation)
             return await self._call_on(channel, make_call)
+        finally:
+            self._limit.release()
+
+    async def _acquire(self) -> None:
+        """Wait until a call may be made, within a time limit."""
+        try:
+            with TimeLimit(MAX_QUEUE_TIME_S):
+                await self._limit.acquire()
+        except TimeoutError as error:
+            raise NoResponseError(
+                f'the calls to {self._base_url!r} have been waiting for '
+                f'responses for {MAX_QUEUE_TIME_S:g} s',
+                sent=False,
+            ) from error
 
     async def _call_on(
         self, channel: Channel, make_call: MakeCall
@@ -208,11 +243,22 @@
                 await self.close_idle()
             raise
         if channel.generation == self._generation:
+            await self._close_replaced(channel)
             self._idle.append(channel)
         else:
             await channel.close()
         return response, channel
 
+    async def _close_replaced(self, channel: Channel) -> None:
+        """Close idle channels to incarnations other than that of a channel."""
+        known = (None, channel.incarnation_ms)
+        if channel.incarnation_ms is None:
+            return
+        replaced = [c for c in self._idle if c.incarnation_ms not in known]
+        self._idle = [c for c in self._idle if c.incarnation_ms in known]
+        for other in replaced:
+            await other.close()
+
     def _take_idle(self, incarnation_ms: int | None) -> Channel | None:
         """Return the idle channel that was used last, or None.
 
@@ -230,3 +276,12 @@
         idle, self._idle = self._idle, []
         for channel in idle:
             await channel.close()
+
+
+async def _identify(channel: Channel, identify: MakeCall) -> HttpResponse:
+    """Identify a channel's peer; a failure leaves the call itself unsent."""
+    try:
+        return await identify(channel)
+    except NoResponseError as error:
+        error.sent = False
+        raise
--- a/sassafrasgate/platform/workers.py
+++ b/sassafrasgate/platform/workers.py
@@ -141,6 +141,11 @@
     ) -> None:
         await self._channels.close_idle()
 
+    @property
+    def idle_connections(self) -> int:
+        """Number of open connections without a call."""
+        return self._channels.idle_count
+
     async def hold(self, request: HoldRequest) -> WorkerReport | StartRefusal:
         """Renew the worker's lease and return its running and ended runs.
 
@@ -217,16 +222,17 @@
         content = _ENCODER.encode(body)
         try:
             if incarnation_ms:
-                return await self._channels.call_incarnation(
+                response, channel = await self._channels.call_incarnation(
                     path,
                     timeout_s,
                     content,
                     incarnation_ms,
                     partial(self._identify, body['fencingToken']),
                 )
-            response, channel = await self._channels.call(
-                path, timeout_s, content
-            )
+            else:
+                response, channel = await self._channels.call(
+                    path, timeout_s, content
+                )
             if path == HOLD_PATH:
                 _learn_incarnation(channel, response)
             return response
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -4,6 +4,7 @@
 
 from aiohttp import web
 from anyio import create_task_group
+from anyio import current_time
 from anyio import sleep
 import pytest
 
@@ -30,6 +31,7 @@
         self.body = {'clockMs': 1}
         self.text = ''
         self.delay_s = 0.0
+        self.closes = False
         self.requests = []
         self.address = find_free_address()
 
@@ -42,9 +44,12 @@
             )
         )
         await sleep(self.delay_s)
+        response = web.json_response(self.body, status=self.status)
         if self.text:
-            return web.Response(text=self.text, status=self.status)
-        return web.json_response(self.body, status=self.status)
+            response = web.Response(text=self.text, status=self.status)
+        if self.closes:
+            response.force_close()
+        return response
 
     async def start(self):
         """Listen on the worker's address."""
@@ -318,3 +323,63 @@
     reply = await client.start(GRANT)
     assert reply.refusal is StartRefusal.STALE_EPOCH
     assert list_grants(worker) == []
+
+
+async def test_grants_reach_a_worker_that_closes_each_connection(
+    worker, client
+):
+    # Guards against a worker that gets no starts and no renewals because no
+    # connection to it outlives the response that identifies it.
+    worker.body = REPORT
+    worker.closes = True
+    for _ in range(3):
+        assert (await client.start(GRANT)).refusal is None
+    await client.hold(RENEWAL)
+    paths = [path for path, _, _ in worker.requests]
+    assert paths == ['/api/hold', '/api/run-start'] * 3 + ['/api/hold'] * 2
+
+
+async def test_connections_of_ended_incarnations_are_closed(worker, client):
+    # Guards against memory that grows with each restart of a worker.
+    for born in range(1, 6):
+        worker.body = {**REPORT, 'born': born}
+        grant = replace(GRANT, incarnation_ms=born)
+        async with create_task_group() as group:
+            for _ in range(4):
+                group.start_soon(client.start, grant)
+        await worker.stop()
+        await worker.start()
+    assert client.idle_connections <= 4
+
+
+async def test_identification_without_reply_leaves_the_start_unsent(
+    worker, client
+):
+    # Guards against a run that is stopped at length though its start was
+    # never sent.
+    worker.delay_s = 1.0
+    with pytest.raises(WorkerUnavailableError) as caught:
+        await client.start(GRANT)
+    assert not caught.value.sent
+    assert list_grants(worker) == []
+
+
+async def test_call_does_not_wait_for_long_behind_calls_without_reply(
+    worker, client
+):
+    # Guards against polls that come late, and leases that run out, behind
+    # many starts that a worker does not answer.
+    worker.body = REPORT
+    worker.delay_s = 1.0
+    waits_s = []
+
+    async def call():
+        began = current_time()
+        with pytest.raises(WorkerUnavailableError):
+            await client.start(GRANT)
+        waits_s.append(current_time() - began)
+
+    async with create_task_group() as group:
+        for _ in range(64):
+            group.start_soon(call)
+    assert max(waits_s) < 1.5
