Count the time for which an ended job is kept through takeovers

Since each new owner began to count anew, so that owners which change more often than every 150 s kept all ended jobs (10 of 10 after 2,000 s with takeovers 100 s apart, found in the review).

--- a/sassafrasgate/dispatch/entries.py
+++ b/sassafrasgate/dispatch/entries.py
@@ -277,7 +277,8 @@
     ended_at_ms : int
         Wall clock of the owner that ended the job.
     ended_known_at : int
-        Owner's clock, in ms, when this owner learned that the job had ended.
+        Owner's clock, in ms, when this owner learned that the job had ended,
+        less the time for which earlier owners had kept it.
     """
 
     job_id: str
--- a/sassafrasgate/dispatch/recovery.py
+++ b/sassafrasgate/dispatch/recovery.py
@@ -74,7 +74,6 @@
             durable=True,
             from_previous_owner=True,
             durable_state=entry.state,
-            ended_known_at=state.now,
         )
     state.took_over_at = state.now
     if state.release is not None and state.release.epoch != state.epoch - 1:
@@ -181,7 +180,11 @@
     for entry in state.jobs.values():
         if entry.has_ended:
             yield WorkflowClosed(
-                entry.job_id, entry.queue, entry.state, entry.ended_at_ms
+                entry.job_id,
+                entry.queue,
+                entry.state,
+                entry.ended_at_ms,
+                max(0, state.now - entry.ended_known_at),
             )
             continue
         yield WorkflowAccepted(
@@ -366,6 +369,7 @@
         durable_state=record.state,
         durable=True,
         ended_at_ms=record.ended_at_ms,
+        ended_known_at=state.now - record.kept_ms,
     )
     state.ended_jobs[record.job_id] = None
 
--- a/sassafrasgate/journal/workflows.py
+++ b/sassafrasgate/journal/workflows.py
@@ -104,12 +104,20 @@
 
 @register_record('workflow-closed')
 class WorkflowClosed:
-    """In snapshots: a workflow that has ended, kept for callers' queries."""
+    """In snapshots: a workflow that has ended, kept for callers' queries.
+
+    Parameters
+    ----------
+    kept_ms : int
+        For how long, in ms, owners have kept it since they learned of its
+        end; 0 in records of earlier releases.
+    """
 
     job_id: str
     queue: Queue
     state: WorkflowState
     ended_at_ms: int
+    kept_ms: int = 0
 
 
 @register_record('worker-seen')
--- a/tests/dispatch/test_replay.py
+++ b/tests/dispatch/test_replay.py
@@ -114,3 +114,17 @@
     begin_ownership(state)
     decide_all(state, Ticked(0), 2_000, WALL_MS + 3_600_000)
     assert JOB in state.jobs
+
+
+def test_time_for_which_an_ended_job_is_kept_passes_through_takeovers():
+    # Guards against ended jobs that are kept for ever, since each new owner
+    # begins to count anew.
+    records = [WorkflowClosed(JOB, QUEUE, WorkflowState.COMPLETED, WALL_MS)]
+    for number in range(2, 5):
+        owner = f'owner-{number}'
+        takeover = Takeover(number, owner)
+        state = replay((*records, takeover), WALL_MS, owner)
+        begin_ownership(state)
+        decide_all(state, Ticked(0), 61_000, WALL_MS)
+        records = list(list_snapshot_records(state))
+    assert JOB not in state.jobs
