--- a/models/handovers.py
+++ b/models/handovers.py
@@ -13,6 +13,7 @@
 
 from models.specifications import register_specification
 from models.specifications import StateMachine
+from sassafrasgate.dispatch.leases import compute_worker_lease_expiry
 from sassafrasgate.dispatch.leases import WORKER_LEASE_MS
 from sassafrasgate.dispatch.prior_leases import compute_lease_bound
 from sassafrasgate.dispatch.prior_leases import LeaseBound
@@ -40,6 +41,7 @@
 RELEASE_NAMES_WAITS = 'the record of a hand-over names the waits'
 ALL_TERMS = 'every owner that may act counts'
 GRANTED_LEASES = 'owners that have ended leave granted leases'
+CONFIRMED_OWNER = 'no expiry for an owner that may be replaced'
 FENCED_INCARNATION = 'no start in an outage on an unfenced incarnation'
 
 
@@ -52,6 +54,8 @@
         Time.
     first_alive : bool
         Whether the process of the first owner runs.
+    granted_at : int
+        Time of the first owner's latest grant to worker A.
     deadline : int
         Time until which the run of the first owner goes on on worker A; 0
         if there is none.
@@ -74,6 +78,7 @@
 
     now: int = 0
     first_alive: bool = True
+    granted_at: int = 0
     deadline: int = LEASE_UNITS
     restarted: bool = False
     fence: int = 1
@@ -124,6 +129,7 @@
         if not state.first_alive or state.now >= LAST_CALL:
             return
         yield 'owner-1 is killed', state._replace(first_alive=False)
+        yield from self._list_expiry(state)
         if state.fence > 1:
             return
         may_start = (
@@ -132,7 +138,23 @@
         if state.is_running or may_start:
             yield (
                 'owner-1 starts the task or renews its lease',
-                state._replace(fence=1, deadline=state.now + LEASE_UNITS),
+                state._replace(
+                    fence=1,
+                    granted_at=state.now,
+                    deadline=state.now + LEASE_UNITS,
+                ),
+            )
+
+    def _list_expiry(self, state: HandoverState) -> Iterator[Transition]:
+        """List the first owner's start of the task after its own lease."""
+        expires_at = compute_worker_lease_expiry(state.granted_at * UNIT_MS, 0)
+        may_be_replaced = state.now * UNIT_MS >= TTL_MS
+        if may_be_replaced and CONFIRMED_OWNER in self.guards:
+            return
+        if state.now * UNIT_MS >= expires_at:
+            yield (
+                'owner-1 counts its lease as expired, the task starts again',
+                state._replace(second_run=True),
             )
 
     def _list_current_owner(
@@ -150,6 +172,11 @@
         if state.wait_until_ms < 0:
             if not state.is_running:
                 yield 'the task starts again', state._replace(second_run=True)
+            elif state.fence == state.epoch:
+                yield (
+                    f'owner-{state.epoch} renews the lease',
+                    state._replace(deadline=state.now + LEASE_UNITS),
+                )
             return
         yield (
             f'worker A replies to owner-{state.epoch}',
@@ -208,6 +235,7 @@
         RELEASE_NAMES_WAITS,
         ALL_TERMS,
         GRANTED_LEASES,
+        CONFIRMED_OWNER,
         FENCED_INCARNATION,
     ),
 )
