Record the number of attempts by which a failure was judged

A job that was shown as failed could be queued for the next owner, and the reverse: replay compared the failures with the routing table of the reader, which may be newer. The record of the end now names the number by which its writer has judged. Found in the review.

Both cases of test_outcome_of_a_job_does_not_depend_on_the_readers_table fail without the change.

--- a/sassafrasgate/dispatch/progress.py
+++ b/sassafrasgate/dispatch/progress.py
@@ -267,7 +267,10 @@
         )
     if step.long_running:
         return
-    if failures >= state.find_queue_of(job).max_attempts:
+    max_attempts = record.max_attempts
+    if not max_attempts:
+        max_attempts = state.find_queue_of(job).max_attempts
+    if failures >= max_attempts:
         end_job(state, key.job_id, WorkflowState.FAILED)
 
 
--- a/sassafrasgate/dispatch/reports.py
+++ b/sassafrasgate/dispatch/reports.py
@@ -196,6 +196,7 @@
             ended.number,
             state.wall_ms,
             run.epoch if run is not None else 0,
+            _find_max_attempts(state, ended),
         ),
     )
     yield _describe_end(state, event, ended, run)
@@ -209,6 +210,14 @@
     yield from reschedule_step(state, run)
 
 
+def _find_max_attempts(state: DispatchState, ended: EndedRun) -> int:
+    """Return the number of failures that end the job; 0 without a failure."""
+    named = find_named_task(state, ended.task)
+    if named is None or ended.how is not EndKind.FAILED:
+        return 0
+    return state.find_queue_of(state.jobs[named[0].job_id]).max_attempts
+
+
 def _repeat_acknowledgement(
     state: DispatchState, event: WorkerReported
 ) -> Actions:
--- a/sassafrasgate/journal/workflows.py
+++ b/sassafrasgate/journal/workflows.py
@@ -52,6 +52,10 @@
         Epoch of the owner that has started the run if it has written this
         record; 0 if a previous owner has started the run. Earlier releases
         neither write nor read it.
+    max_attempts : int
+        Number of failures that end the job, by the routing table of the owner
+        that has written this record; 0 if the table of the reader decides, as
+        for records of earlier releases.
     """
 
     task: str
@@ -63,6 +67,7 @@
     number: int
     at_ms: int
     epoch: int = 0
+    max_attempts: int = 0
 
 
 @register_record('step-progress')
--- a/tests/dispatch/test_replay.py
+++ b/tests/dispatch/test_replay.py
@@ -1,5 +1,7 @@
 """Tests that a new owner applies each record, whatever its clock says."""
 
+from dataclasses import replace
+
 import pytest
 
 from sassafrasgate.core.workflows import EndKind
@@ -15,8 +17,10 @@
 from sassafrasgate.journal.workflows import WorkflowClosed
 from sassafrasgate.shards.events import Ticked
 from tests.dispatch.drivers import decide_all
+from tests.dispatch.drivers import Driver
 from tests.dispatch.simulation import make_step
 from tests.dispatch.simulation import QUEUE
+from tests.dispatch.simulation import TABLE
 from tests.dispatch.simulation import WALL_MS
 
 JOB = '00000000000000aa'
@@ -128,3 +132,28 @@
         decide_all(state, Ticked(0), 61_000, WALL_MS)
         records = list(list_snapshot_records(state))
     assert JOB not in state.jobs
+
+
+@pytest.mark.parametrize('change', [1, -1])
+def test_outcome_of_a_job_does_not_depend_on_the_readers_table(change):
+    # Guards against a job that was shown as failed and is queued for the next
+    # owner, or the reverse, since that owner has a newer routing table.
+    driver = Driver()
+    (start,) = driver.confirm(driver.submit(JOB, make_step(1)))
+    for _ in range(QUEUE.max_attempts + min(change, 0)):
+        driver.now += 600
+        failed = ((start.run, EndKind.FAILED),)
+        starts = driver.confirm(driver.report(start.worker, ended=failed))
+        start = starts[0] if starts else start
+    outcome = driver.state.jobs[JOB].state
+    limit = QUEUE.max_attempts + change
+    queues = tuple(
+        replace(queue, max_attempts=limit) for queue in TABLE.queues
+    )
+    state = DispatchState('cell', 'b/2')
+    state.now, state.wall_ms = driver.now, WALL_MS + driver.now
+    state.routing_table = replace(TABLE, version=2, queues=queues)
+    replay_records(state, (*driver.journal, Takeover(2, 'b/2')))
+    assert (state.jobs[JOB].state is WorkflowState.FAILED) is (
+        outcome is WorkflowState.FAILED
+    )
