Simulate owners that live on beside hand-overs and cut workers

Tasks ran twice on real processes, and no simulated run had shown it: every worker was reachable for all owners or for none, no owner handed over, and an owner without the store did not act on beside its successor.

The simulation now has processes with incarnations, cuts between one process and one worker, owners that lose the store and act until their grace ends, hand-overs in a row, and OwnersEnded. Calls with a deadline or an acknowledgement reach only the incarnation that they name, as in the product; a worker shortens a lease to 6 s. Workers also report a start after an end that is acknowledged only later. The guards that are needed only without this rule run with the rule removed, and a guard counts as found only by a seed that passes with the guard in place.

--- a/tests/dispatch/simulation.py
+++ b/tests/dispatch/simulation.py
@@ -44,9 +44,11 @@
 from sassafrasgate.dispatch.events import AdviceAnswered
 from sassafrasgate.dispatch.events import AdviceFailed
 from sassafrasgate.dispatch.events import EpochRefused
+from sassafrasgate.dispatch.events import OwnersEnded
 from sassafrasgate.dispatch.events import PassDue
 from sassafrasgate.dispatch.events import PeersChanged
 from sassafrasgate.dispatch.events import RunAnswered
+from sassafrasgate.dispatch.events import RunNotSent
 from sassafrasgate.dispatch.events import RunUnanswered
 from sassafrasgate.dispatch.events import StopAnswered
 from sassafrasgate.dispatch.events import StopFailed
@@ -60,6 +62,7 @@
 from sassafrasgate.dispatch.leases import compute_worker_lease_expiry
 from sassafrasgate.dispatch.leases import make_fencing_token
 from sassafrasgate.dispatch.recovery import begin_ownership
+from sassafrasgate.dispatch.recovery import list_prior_terms
 from sassafrasgate.dispatch.recovery import list_snapshot_records
 from sassafrasgate.dispatch.recovery import replay_records
 from sassafrasgate.dispatch.registrations import watch_recorded_workers
@@ -75,12 +78,17 @@
 from sassafrasgate.shards.events import RecordsDurable
 from sassafrasgate.shards.events import RequestReceived
 from sassafrasgate.shards.events import Ticked
+from tests.dispatch.ends import UnacknowledgedEnds
+from tests.dispatch.processes import ProcessTable
+from tests.dispatch.violations import RuleViolation
 
 WALL_MS = 1_700_000_000_000
 TTL_MS = 1_000
 GRACE_MS = 2_000
 CALL_MS = 300
 HOLD_WAIT_MS = 1_500
+# A worker shortens any lease to this time.
+HOLD_MAX_MS = 6_000
 STOP_MS = 400
 GANG_MS = 3_000
 
@@ -100,10 +108,6 @@
 TABLE = RoutingTable(1, (QUEUE, ADVISED), (Pool('p'),))
 
 
-class RuleViolation(AssertionError):
-    """A worker has observed a violation of the rules."""
-
-
 @dataclass
 class SimRun:
     """A run on a simulated worker."""
@@ -136,6 +140,7 @@
         self.present_on: dict[str, list[str]] = {}
         self.started: set[str] = set()
         self.starts = 0
+        self.ends = UnacknowledgedEnds()
 
     def has_failed(self, job_id: str) -> bool:
         """Return whether a task or gang of a job has used its attempts."""
@@ -158,6 +163,7 @@
             raise RuleViolation(
                 f'{task} started after its end was acknowledged'
             )
+        self.ends.record_start(task, worker)
         others = self.present_on.get(task, [])
         if others:
             raise RuleViolation(
@@ -212,6 +218,7 @@
                 self.rules.failures[end.task] -= 1
         for run in list(getattr(self, 'runs', {}).values()):
             self.rules.present_on[run.task].remove(self.name)
+        self.rules.ends.forget(self.name)
         self.incarnation_ms = WALL_MS + now
         self.restarted_at = now
         self.epoch = 0
@@ -228,7 +235,8 @@
     def advance(self, now: int) -> bool:
         """End runs that are due; return whether any has ended."""
         before = self.last_end_number
-        if self.runs and self.clock(now) >= self.deadline:
+        if self.clock(now) >= self.deadline:
+            self.rules.ends.forget(self.name)
             for run in list(self.runs.values()):
                 self._end(run, EndKind.LAPSED)
         for run in list(self.runs.values()):
@@ -248,6 +256,13 @@
         )
         if how is EndKind.FINISHED:
             self.rules.finished.add(run.task)
+            self.rules.ends.record_end(
+                self.name, self.last_end_number, run.task
+            )
+
+    def _extend_lease(self, now: int, deadline: int) -> None:
+        longest = self.clock(now) + HOLD_MAX_MS
+        self.deadline = max(self.deadline, min(deadline, longest))
 
     def finish(self, run: SimRun, how: EndKind) -> None:
         """End a run that has finished or failed."""
@@ -264,7 +279,8 @@
         if epoch < self.epoch:
             return StartRefusal.STALE_EPOCH
         self.epoch = epoch
-        self.deadline = max(self.deadline, deadline)
+        self._extend_lease(now, deadline)
+        self.rules.ends.acknowledge(self.name, acknowledged)
         for end in self.ended:
             if end.number <= acknowledged and end.how is EndKind.FINISHED:
                 self.rules.acknowledged.add(end.task)
@@ -301,7 +317,7 @@
             return RunReply(clock, StartRefusal.OLD_RUN)
         if clock >= deadline:
             return RunReply(clock, StartRefusal.DEADLINE_PASSED)
-        self.deadline = max(self.deadline, deadline)
+        self._extend_lease(now, deadline)
         self.rules.check_start(command.run.task, self.name)
         job_id, _, number, _ = split_step_task_id(command.run.task)
         step = self.rules.workflows[job_id].steps[number]
@@ -349,6 +365,8 @@
     clock: int = 0
     read_at: int = 0
     incarnation_ms: int = 0
+    # Incarnation that has obeyed this owner while its lease was valid.
+    fenced_incarnation_ms: int = 0
     restarts: int = 0
     acknowledged: int = 0
     last_end_number: int = 0
@@ -360,6 +378,14 @@
     unconfirmed: set[Any] = field(default_factory=set)
 
 
+def reaches_incarnation(sim: SimWorker, incarnation_ms: int) -> bool:
+    """Return whether a call for an incarnation reaches the current one.
+
+    It is sent only on a connection of the incarnation that it names.
+    """
+    return sim.incarnation_ms == incarnation_ms
+
+
 class SimOwner:
     """An owner: its state, and a simplified version of its tasks."""
 
@@ -371,19 +397,26 @@
         self.unwritten_records: list[Any] = []
         self.writing = False
         self.dead = False
-        self.valid_until = 0
+        self.stopping = False
+        self.renewed_at = 0
+        self.grace_ms = cluster.grace_ms
+
+    @property
+    def process(self) -> str:
+        """Name of the owner's process."""
+        return self.name.partition('/')[0]
 
     def take_over(self) -> None:
         """Replay the journal and write the takeover record."""
         cluster, state = self.cluster, self.state
         state.now, state.wall_ms = cluster.now, WALL_MS + cluster.now
         replay_records(state, cluster.journal)
-        takeover = Takeover(state.epoch + 1, self.name, GRACE_MS, TTL_MS)
+        takeover = Takeover(state.epoch + 1, self.name, self.grace_ms, TTL_MS)
         cluster.journal.append(takeover)
         cluster.writer = self
         replay_records(state, (takeover,))
         begin_ownership(state)
-        self.valid_until = cluster.now + TTL_MS + GRACE_MS
+        self.renewed_at = cluster.now
         self.carry_out(watch_recorded_workers(state))
         self.feed(TableChanged(TABLE))
         self.feed(PeersChanged(('own', 'other')))
@@ -400,18 +433,37 @@
 
     def may_send(self) -> bool:
         """Return whether this owner may still act."""
-        return not self.dead and self.cluster.now < self.valid_until
+        ends_at = self.renewed_at + TTL_MS + self.grace_ms
+        return not (self.dead or self.stopping) and self.cluster.now < ends_at
+
+    def has_valid_lease(self) -> bool:
+        """Return whether no other process can own the shard yet."""
+        return self.cluster.now < self.renewed_at + TTL_MS
+
+    def reaches_store(self) -> bool:
+        """Return whether the owner's calls to the store succeed."""
+        return self.process not in self.cluster.cut_from_store
 
     def tick(self) -> None:
         """Send a tick and schedule the next one."""
         if self.dead:
             return
-        if self.cluster.writer is self:
-            # The store only renews the lease of the current owner.
-            self.valid_until = self.cluster.now + TTL_MS + GRACE_MS
+        if self.reaches_store():
+            if self.cluster.writer is self:
+                # The store only renews the lease of the current owner.
+                self.renewed_at = self.cluster.now
+            self._check_previous_owners()
         self.feed(Ticked(0))
         self.cluster.call_later(100, self.tick)
 
+    def _check_previous_owners(self) -> None:
+        state = self.state
+        if not state.unreconciled_workers or state.previous_owners_ended:
+            return
+        has_ended = self.cluster.processes.has_ended
+        if all(has_ended(term.owner) for term in list_prior_terms(state)):
+            self.feed(OwnersEnded())
+
     def feed(self, event: Any) -> None:
         """Handle an event, then run a scheduling pass if it is needed."""
         if self.dead:
@@ -470,6 +522,9 @@
 
     def complete_write(self, batch: tuple[Any, ...]) -> None:
         """Complete a write; the store refuses those of previous owners."""
+        if not self.reaches_store():
+            self.cluster.call_later(20, lambda: self.complete_write(batch))
+            return
         if self.cluster.writer is not self:
             self.dead = True
             return
@@ -498,7 +553,10 @@
         cluster = self.cluster
         if not self.may_send():
             contact.poll_in_flight = False
+            contact.silent = True
+            cluster.call_later(100, lambda: self.poll(worker))
             return
+        had_valid_lease = self.has_valid_lease()
         deadline = acknowledged = 0
         if not contact.silent:
             deadline = self.grant_lease(contact)
@@ -517,6 +575,8 @@
                 contact.restarts += 1 if contact.incarnation_ms else 0
                 contact.incarnation_ms = report.incarnation_ms
                 contact.last_end_number = contact.acknowledged = 0
+            if had_valid_lease and self.has_valid_lease():
+                contact.fenced_incarnation_ms = report.incarnation_ms
             contact.clock, contact.read_at = report.clock_ms, cluster.now
             contact.silent = False
             contact.last_end_number = max(
@@ -542,24 +602,42 @@
             )
             cluster.call_later(100, lambda: self.poll(worker))
 
+        incarnation_ms = contact.incarnation_ms
+
         def carry_out(late: bool) -> None:
+            if deadline and not reaches_incarnation(sim, incarnation_ms):
+                self._identify(worker, request[0], late, time_out)
+                return
             if late or not deadline:
                 result = sim.hold(cluster.now, *request)
                 if not late:
                     cluster.reply(
-                        worker, lambda: handle_report(result), time_out
+                        self, worker, lambda: handle_report(result), time_out
                     )
                 return
             cluster.wait_for_results(
                 sim,
                 request,
                 lambda result: cluster.reply(
-                    worker, lambda: handle_report(result), time_out
+                    self, worker, lambda: handle_report(result), time_out
                 ),
                 time_out,
             )
 
-        cluster.call(worker, carry_out, time_out)
+        cluster.call(self, worker, carry_out, time_out)
+
+    def _identify(
+        self, worker: str, epoch: int, late: bool, fail: Any
+    ) -> None:
+        """Poll the new incarnation of a worker in place of a call.
+
+        The poll renews no lease and acknowledges no ends. A late call is
+        lost with the connection of the incarnation that it was for.
+        """
+        if late:
+            return
+        self.cluster.workers[worker].hold(self.cluster.now, epoch, 0, 0)
+        self.cluster.reply(self, worker, fail, fail)
 
     def make_fencing_token(self, contact: WorkerContact) -> int:
         """Return the fencing token for a worker's current incarnation."""
@@ -580,18 +658,8 @@
         cluster = self.cluster
         if contact is not None and not sent:
             contact.unconfirmed.add(command.run)
-        if (
-            contact is None
-            or not self.may_send()
-            or not contact.takes_starts
-            or (contact.incarnation_ms != command.incarnation_ms)
-        ):
-            cluster.call_later(
-                0,
-                lambda: self.feed(
-                    RunUnanswered(command.worker, command.run, True)
-                ),
-            )
+        if contact is None or not self._may_start(contact, command):
+            cluster.call_later(0, lambda: self._report_unsent(command, number))
             return
         if not self.state.workers[command.worker].takes_starts:
             raise RuleViolation(
@@ -603,17 +671,19 @@
         sim = cluster.workers[command.worker]
 
         def carry_out(late: bool) -> None:
-            # A call that a worker has delayed is lost when the worker
-            # restarts. A call that was just sent reaches the current
-            # incarnation.
-            if late and sim.incarnation_ms != command.incarnation_ms:
+            if not reaches_incarnation(sim, command.incarnation_ms):
+                self._identify(command.worker, epoch, late, refuse)
                 return
             reply = sim.start(cluster.now, epoch, command, deadline)
             if not late:
                 cluster.reply(
-                    command.worker, lambda: handle_reply(reply), time_out
+                    self, command.worker, lambda: handle_reply(reply), time_out
                 )
 
+        def refuse() -> None:
+            contact.unconfirmed.discard(command.run)
+            self._report_unsent(command, number)
+
         def handle_reply(reply: RunReply) -> None:
             if self.dead:
                 return
@@ -631,7 +701,35 @@
             if not last:
                 self.start(command, number + 1, True)
 
-        cluster.call(command.worker, carry_out, time_out)
+        cluster.call(self, command.worker, carry_out, time_out)
+
+    def _may_start(self, contact: WorkerContact, command: StartRun) -> bool:
+        """Return whether a start call may be sent now.
+
+        A successor may have fenced off the previous incarnation of a worker,
+        and a new one obeys any owner. Without a valid lease only an
+        incarnation gets starts that obeyed this owner during its lease.
+        """
+        incarnation_ms = command.incarnation_ms
+        return (
+            self.may_send()
+            and contact.takes_starts
+            and contact.incarnation_ms == incarnation_ms
+            and self.has_fenced(contact)
+        )
+
+    def has_fenced(self, contact: WorkerContact) -> bool:
+        """Return whether a worker certainly obeys no successor yet."""
+        return (
+            self.has_valid_lease()
+            or contact.fenced_incarnation_ms == contact.incarnation_ms
+        )
+
+    def _report_unsent(self, command: StartRun, number: int) -> None:
+        if number == 1:
+            self.feed(RunNotSent(command.worker, command.run, 'not sent'))
+            return
+        self.feed(RunUnanswered(command.worker, command.run, True))
 
     def stop(self, command: StopRun) -> None:
         """Send a stop call once; the dispatcher repeats it."""
@@ -651,7 +749,9 @@
             )
             if reply.refusal is not None:
                 event = StopFailed(command.worker, command.run, reply.refusal)
-            cluster.reply(command.worker, lambda: self.feed(event), time_out)
+            cluster.reply(
+                self, command.worker, lambda: self.feed(event), time_out
+            )
 
         def time_out() -> None:
             self.feed(
@@ -659,7 +759,7 @@
             )
 
         if self.may_send():
-            cluster.call(command.worker, carry_out, time_out)
+            cluster.call(self, command.worker, carry_out, time_out)
 
     def request_advice(self, action: AskAdvice) -> None:
         """Let the advice service reply or fail."""
@@ -716,6 +816,12 @@
         self.owner: SimOwner | None = None
         self.workers: dict[str, SimWorker] = {}
         self.partitioned: set[str] = set()
+        # Pairs of a process and a worker without a connection.
+        self.cut_pairs: set[tuple[str, str]] = set()
+        # Processes that can't reach the store.
+        self.cut_from_store: set[str] = set()
+        self.processes = ProcessTable()
+        self.grace_ms = GRACE_MS
         self.leaving: set[str] = set()
         self.unregistered: set[str] = set()
         self.callers: dict[str, Caller] = {}
@@ -723,7 +829,6 @@
         self.loss_rate = 0.0
         self._events: list[tuple[int, int, Any]] = []
         self._numbers = count()
-        self._owners = count(1)
         self._open_polls: dict[str, list[Any]] = {}
         for number in range(workers):
             name = f'w{number}'
@@ -833,10 +938,17 @@
                 report = sim.report(self.now)
                 self.call_later(0, lambda e=entry, r=report: e[2](r))
 
-    def call(self, worker: str, carry_out: Any, time_out: Any) -> None:
+    def is_connected(self, owner: SimOwner, worker: str) -> bool:
+        """Return whether calls of an owner reach a worker."""
+        pair = (owner.process, worker)
+        return worker not in self.partitioned and pair not in self.cut_pairs
+
+    def call(
+        self, owner: SimOwner, worker: str, carry_out: Any, time_out: Any
+    ) -> None:
         """Send a call; it may be lost, or carried out late."""
         delay = self.random.randint(1, 5)
-        if worker in self.partitioned:
+        if not self.is_connected(owner, worker):
             self.call_later(CALL_MS, time_out)
             return
         if self.random.random() < self.loss_rate:
@@ -847,9 +959,12 @@
             return
         self.call_later(delay, lambda: carry_out(False))
 
-    def reply(self, worker: str, deliver: Any, time_out: Any) -> None:
+    def reply(
+        self, owner: SimOwner, worker: str, deliver: Any, time_out: Any
+    ) -> None:
         """Deliver a reply; it may be lost."""
-        if worker in self.partitioned or self.random.random() < self.loss_rate:
+        lost = not self.is_connected(owner, worker)
+        if lost or self.random.random() < self.loss_rate:
             self.call_later(CALL_MS, time_out)
             return
         self.call_later(self.random.randint(1, 5), deliver)
@@ -883,11 +998,30 @@
         if self.random.random() < 0.5:
             self.take_snapshot()
         if self.owner is not None and kill:
-            self.owner.dead = True
-        self.owner = SimOwner(self, f'owner-{next(self._owners)}')
+            self.kill(self.owner)
+        process = self.choose_process()
+        self.owner = SimOwner(self, self.processes.get_name(process))
+        self.processes.owners[process] = self.owner
         self.owner.take_over()
         return self.owner
 
+    def choose_process(self) -> str:
+        """Return the process that takes over next.
+
+        If the processes are all in use, one is killed and starts again.
+        """
+        process = self.processes.find_idle(self.cut_from_store)
+        if process:
+            return process
+        process = self.processes.find_next(self.cut_from_store)
+        self.kill(self.processes.owners[process])
+        return process
+
+    def kill(self, owner: SimOwner) -> None:
+        """Kill the process of an owner, which starts again at once."""
+        owner.dead = True
+        self.processes.restart(owner.name)
+
     def restart_worker(self, name: str) -> None:
         """Let a worker crash and restart at once under the same id."""
         worker = self.workers[name]
@@ -902,6 +1036,9 @@
         if (
             owner is None
             or owner.dead
+            or owner.stopping
+            or self.writer is not owner
+            or not owner.reaches_store()
             or owner.unwritten_records
             or owner.writing
         ):
--- a/tests/dispatch/test_guards.py
+++ b/tests/dispatch/test_guards.py
@@ -21,26 +21,59 @@
 from sassafrasgate.dispatch.identities import RunPlace
 from sassafrasgate.dispatch.prior_leases import LeaseBound
 from sassafrasgate.dispatch.state import DispatchState
+from sassafrasgate.journal.workflows import ShardReleased
+from tests.dispatch import owner_faults
 from tests.dispatch import simulation
-from tests.dispatch.simulation import RuleViolation
+from tests.dispatch.simulation import SimOwner
 from tests.dispatch.test_random_faults import check_outcome
 from tests.dispatch.test_random_faults import FAULT_PERIOD_MS
 from tests.dispatch.test_random_faults import LASTING_JOBS
+from tests.dispatch.test_random_faults import make_long_workflow
 from tests.dispatch.test_random_faults import PLACED_JOBS
 from tests.dispatch.test_random_faults import simulate_faults
 from tests.dispatch.test_random_faults import STOP_FAULTS
+from tests.dispatch.violations import RuleViolation
 
 # Evidence of a run's end that proves nothing.
 UNPROVED = Evidence(EvidenceKind.REPORT, 'no reply', 0)
 SEEDS = range(150)
 FAULTS = 12
+# Numbers of faults for safeguards that need owners to live for some seconds.
+FAULT_COUNTS = {
+    'name_waits_in_releases': 4,
+    'count_all_owners': 6,
+    'fence_incarnations_before_outages': 8,
+}
 GUARDS = {}
+# Safeguards that are needed only if another one is missing as well.
+MISSING = {
+    'fence_each_incarnation': 'name_incarnations_in_calls',
+    'keep_starts_over_restarts': 'name_incarnations_in_calls',
+}
 # Faults to choose from, for safeguards that few random runs need.
 KINDS = {
+    'check_starts_when_sent': (
+        'drain_worker',
+        'lose_calls',
+        'unregister_worker',
+    ),
     'fence_each_incarnation': ('restart_worker', 'lose_calls'),
     'keep_starts_over_restarts': ('restart_worker', 'lose_calls'),
+    'name_waits_in_releases': ('isolate_owner_with_all_runs',),
+    'count_all_owners': ('isolate_owner_with_all_runs', 'kill_owner'),
+    'name_incarnations_in_calls': (
+        'restart_worker',
+        'lose_calls',
+        'cut_worker',
+    ),
+    'fence_incarnations_before_outages': (
+        'isolate_owner',
+        'restart_worker_for_earlier_owner',
+    ),
+    'wait_for_granted_leases': ('kill_owner', 'cut_worker'),
     'repeat_stops_of_unknown_runs': STOP_FAULTS,
 }
+LONG_JOBS = {'grace_ms': 15_000, 'make_job': make_long_workflow}
 # Jobs for safeguards that most jobs don't need.
 JOBS = {
     'match_labels': PLACED_JOBS,
@@ -49,6 +82,9 @@
         'cancel_at': FAULT_PERIOD_MS,
     },
     'limit_tasks_per_worker': PLACED_JOBS,
+    'name_waits_in_releases': LONG_JOBS,
+    'count_all_owners': LONG_JOBS,
+    'fence_incarnations_before_outages': LONG_JOBS,
 }
 
 
@@ -204,16 +240,71 @@
     patch.setattr(adoptions, 'stop_unknown_run', stop_once)
 
 
+@guard
+def name_waits_in_releases(patch):
+    """An owner that hands over may not have reached every worker."""
+    patch.setattr(
+        owner_faults,
+        'describe_release',
+        lambda _, lapse_ms: ShardReleased(lapse_ms, ()),
+    )
+
+
+@guard
+def count_all_owners(patch):
+    """Each earlier owner may live on, not only the latest one."""
+    for module in (recovery, simulation):
+        patch.setattr(
+            module, 'list_prior_terms', lambda state: state.terms[-2:-1]
+        )
+
+
+@guard
+def name_incarnations_in_calls(patch):
+    """A deadline is on the clock of one incarnation of a worker."""
+    patch.setattr(simulation, 'reaches_incarnation', lambda *_: True)
+
+
+@guard
+def fence_incarnations_before_outages(patch):
+    """An incarnation that is new during an outage obeys any owner."""
+    patch.setattr(SimOwner, 'has_fenced', lambda *_: True)
+
+
+@guard
+def wait_for_granted_leases(patch):
+    """Leases of owners whose processes have ended last until they expire."""
+    patch.setattr(
+        recovery,
+        'shorten_lease_bound',
+        lambda bound, now: LeaseBound(now, bound.grantor),
+    )
+
+
 @pytest.mark.parametrize('name', GUARDS)
 def test_random_faults_expose_a_removed_guard(name, monkeypatch):
-    GUARDS[name](monkeypatch)
     for seed in SEEDS:
-        try:
-            check_outcome(
-                simulate_faults(
-                    seed, FAULTS, KINDS.get(name), **JOBS.get(name, {})
-                )
-            )
-        except (RuleViolation, AssertionError, KeyError):
-            return
+        with monkeypatch.context() as patch:
+            if name in MISSING:
+                GUARDS[MISSING[name]](patch)
+            fails_with_guard = find_failure(name, seed)
+            GUARDS[name](patch)
+            if not fails_with_guard and find_failure(name, seed):
+                return
     pytest.fail(f'no simulation fails without the safeguard {name!r}')
+
+
+def find_failure(name, seed):
+    """Return whether the simulation for a safeguard fails with a seed."""
+    try:
+        check_outcome(
+            simulate_faults(
+                seed,
+                FAULT_COUNTS.get(name, FAULTS),
+                KINDS.get(name),
+                **JOBS.get(name, {}),
+            )
+        )
+    except (RuleViolation, AssertionError, KeyError):
+        return True
+    return False
--- a/tests/dispatch/test_random_faults.py
+++ b/tests/dispatch/test_random_faults.py
@@ -14,6 +14,8 @@
 from sassafrasgate.core.workflows import FINAL_WORKFLOW_STATES
 from sassafrasgate.core.workflows import Workflow
 from sassafrasgate.core.workflows import WorkflowState
+from tests.dispatch.owner_faults import OWNER_FAULTS
+from tests.dispatch.simulation import GRACE_MS
 from tests.dispatch.simulation import make_step
 from tests.dispatch.simulation import SimCluster
 
@@ -22,6 +24,7 @@
 END_MS = 120_000
 SEEDS = range(60)
 PLACED_SEEDS = range(30)
+REPLACEMENT_SEEDS = range(30)
 
 
 def make_workflow(random):
@@ -191,14 +194,17 @@
     make_job=make_workflow,
     queues=('q', 'advised'),
     cancel_at=None,
+    grace_ms=GRACE_MS,
 ):
     """Submit jobs and inject faults, then run until all jobs should end.
 
     Jobs that last are cancelled at ``cancel_at`` at the latest.
     """
     kinds = sorted(kinds or FAULTS)
+    known = {**FAULTS, **OWNER_FAULTS}
     random = Random(seed)
     cluster = RandomFaultCluster(seed)
+    cluster.grace_ms = grace_ms
     cluster.start_owner()
     for number in range(JOBS):
         at = random.randint(0, FAULT_PERIOD_MS)
@@ -216,7 +222,7 @@
 
         cluster.call_later(at, submit)
     for _ in range(faults):
-        make = FAULTS[random.choice(kinds)]
+        make = known[random.choice(kinds)]
         cluster.call_later(
             random.randint(0, FAULT_PERIOD_MS),
             lambda make=make: make(cluster, random),
@@ -241,6 +247,44 @@
     check_outcome(simulate_faults(seed, faults=12, **PLACED_JOBS))
 
 
+def make_long_workflow(random):
+    """Return a random job of which some tasks outlast a worker's lease."""
+    tasks = random.randint(1, 4)
+    step = make_step(tasks, random.choice((600, 6_000, 15_000, 25_000)))
+    return Workflow('payload', (step,))
+
+
+# Faults that leave owners beside each other which reach different workers.
+REPLACEMENTS = {
+    'kinds': (
+        *OWNER_FAULTS,
+        'cut_worker',
+        'kill_owner',
+        'lose_calls',
+        'restart_worker',
+        'take_snapshot',
+    ),
+    'grace_ms': 8_000,
+    'make_job': make_long_workflow,
+}
+
+
+def test_no_task_runs_twice_beside_owners_that_live_on():
+    # Guards against a successor that waits too short a time for workers which
+    # an earlier owner still reaches, also after planned hand-overs, and
+    # against an earlier owner that starts tasks of its successor again.
+    assert [s for s in REPLACEMENT_SEEDS if fails_beside_owners(s)] == []
+
+
+def fails_beside_owners(seed):
+    """Return whether a run with owners beside each other breaks a rule."""
+    try:
+        check_outcome(simulate_faults(seed, faults=16, **REPLACEMENTS))
+    except AssertionError:
+        return True
+    return False
+
+
 def cancel_until_confirmed(cluster, caller):
     """Cancel a job, and repeat the request until it is confirmed."""
     if caller.cancelled:
--- a/tests/standins/platform_workers.py
+++ b/tests/standins/platform_workers.py
@@ -26,9 +26,9 @@
 from sassafrasgate.dispatch.actions import StartRun
 from sassafrasgate.dispatch.actions import StopRun
 from sassafrasgate.dispatch.identities import RunKey
-from tests.dispatch.simulation import RuleViolation
 from tests.dispatch.simulation import SimCluster
 from tests.dispatch.simulation import SimWorker
+from tests.dispatch.violations import RuleViolation
 from tests.standins.store import read_clock_ms
 
 ADVANCE_INTERVAL_S = 0.005
