Soak: give each pair of processes a proxy of its own

One proxy stood before each worker for all entry hosts, and none between entry hosts, so that no worker was ever reachable for one owner and not for its successor, and no owner was alone while it lived.

The stand-in for the store shows each entry host the addresses of its own proxies, and restores the real ones when the host writes them. Hosts that tell each other addresses over their links keep their own as well. All addresses have the same length, so that encoded records stay valid. A cut can now also hold bytes back and deliver them afterwards, as TCP does.

--- a/tests/soak/proxies.py
+++ b/tests/soak/proxies.py
@@ -11,9 +11,14 @@
 from tests.processes import find_free_address
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from anyio.abc import SocketStream
 
+    Translation = Callable[[bytes], bytes]
+
 CHUNK_BYTES = 65_536
+HOLD_POLL_INTERVAL_S = 0.02
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,6 +31,9 @@
         Time in seconds before bytes are forwarded.
     drop_to_target, drop_from_target : bool
         Whether bytes to, and from, the target are dropped.
+    hold_to_target, hold_from_target : bool
+        Whether bytes to, and from, the target are held back until the fault
+        ends, as TCP does when it repeats lost packets.
     refuse : bool
         Whether new connections are closed at once.
     """
@@ -33,6 +41,8 @@
     delay_s: float = 0.0
     drop_to_target: bool = False
     drop_from_target: bool = False
+    hold_to_target: bool = False
+    hold_from_target: bool = False
     refuse: bool = False
 
 
@@ -46,10 +56,20 @@
     ----------
     target : str
         IP number and port to connect to.
+    translate_to_target, translate_from_target : callable, optional
+        Change the bytes to, and from, the target, and keep their number. A
+        text that two reads share is not found.
     """
 
-    def __init__(self, target: str) -> None:
+    def __init__(
+        self,
+        target: str,
+        translate_to_target: Translation = bytes,
+        translate_from_target: Translation = bytes,
+    ) -> None:
         self._target = target
+        self.translate_to_target = translate_to_target
+        self.translate_from_target = translate_from_target
         self._open_streams: set[SocketStream] = set()
         self._silenced_streams: set[SocketStream] = set()
         self.fault = NO_FAULT
@@ -105,6 +125,11 @@
         to_target: bool,
         group: anyio.abc.TaskGroup,
     ) -> None:
+        translate = (
+            self.translate_to_target
+            if to_target
+            else self.translate_from_target
+        )
         with suppress(
             anyio.EndOfStream,
             anyio.BrokenResourceError,
@@ -112,9 +137,12 @@
         ):
             while True:
                 data = await source.receive(CHUNK_BYTES)
+                data = translate(data)
+                if self.fault.delay_s:
+                    await anyio.sleep(self.fault.delay_s)
+                while self._holds(to_target):
+                    await anyio.sleep(HOLD_POLL_INTERVAL_S)
                 fault = self.fault
-                if fault.delay_s:
-                    await anyio.sleep(fault.delay_s)
                 dropped = (
                     fault.drop_to_target
                     if to_target
@@ -123,3 +151,40 @@
                 if not dropped and source not in self._silenced_streams:
                     await sink.send(data)
         group.cancel_scope.cancel()
+
+    def _holds(self, to_target: bool) -> bool:
+        fault = self.fault
+        return fault.hold_to_target if to_target else fault.hold_from_target
+
+
+class ProxyGroup:
+    """Several proxies that have their faults in common.
+
+    Parameters
+    ----------
+    proxies : list of Proxy
+        The proxies.
+    """
+
+    def __init__(self, proxies: list[Proxy]) -> None:
+        self.proxies = proxies
+
+    @property
+    def fault(self) -> NetworkFault:
+        """Fault of the first proxy; setting it sets that of all."""
+        return self.proxies[0].fault
+
+    @fault.setter
+    def fault(self, fault: NetworkFault) -> None:
+        for proxy in self.proxies:
+            proxy.fault = fault
+
+    def silence(self) -> None:
+        """Drop all further bytes on the connections that are open now."""
+        for proxy in self.proxies:
+            proxy.silence()
+
+    async def reset(self) -> None:
+        """Close all open connections."""
+        for proxy in self.proxies:
+            await proxy.reset()
--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -10,14 +10,17 @@
 from argparse import ArgumentParser
 from base64 import b64decode
 from base64 import b64encode
+from copy import copy
 from json import dumps
 from json import loads
+from pathlib import Path
 from typing import Any
 from typing import TYPE_CHECKING
 
 from aiohttp import web
 import anyio
 
+from tests.standins.addresses import AddressMap
 from tests.standins.store import read_clock_ms
 from tests.standins.store import RevisionMismatch
 from tests.standins.store import StoreState
@@ -37,6 +40,18 @@
         self._state = StoreState()
         self._numbers: dict[str, int] = {}
         self._leases: dict[int, str] = {}
+        self._addresses = AddressMap({})
+        self._caller = ''
+
+    def make_view(self, addresses: AddressMap, caller: str) -> StoreProgram:
+        """Return the same store as one entry host sees it.
+
+        Values that the host reads name the addresses of its own proxies.
+        """
+        view = copy(self)
+        view._addresses = addresses
+        view._caller = caller
+        return view
 
     def build(self) -> web.Application:
         """Return the HTTP application."""
@@ -70,7 +85,9 @@
             }
         return {
             'key': item.key,
-            'value': b64encode(item.value).decode(),
+            'value': b64encode(
+                self._addresses.localize(self._caller, item.value)
+            ).decode(),
             'revision': item.revision,
             'createdRev': item.revision,
             'lease': 0,
@@ -130,9 +147,8 @@
                 lease = self._leases.get(put.get('lease', 0), '')
                 if put.get('lease') and not lease:
                     return web.Response(status=404)
-                self._state.put(
-                    put['key'], b64decode(put['value']), None, lease
-                )
+                value = self._addresses.restore(b64decode(put['value']))
+                self._state.put(put['key'], value, None, lease)
         except UnknownLease:
             return web.Response(status=404)
         for key in body['deletes']:
@@ -187,13 +203,31 @@
     return web.json_response(body, status=status)
 
 
-async def serve(address: str) -> None:
-    """Serve until cancelled."""
-    program = StoreProgram()
+async def _listen(program: StoreProgram, address: str) -> None:
     runner = web.AppRunner(program.build(), access_log=None)
     await runner.setup()
     host, _, port = address.rpartition(':')
     await web.TCPSite(runner, host, int(port)).start()
+
+
+async def serve(address: str, views: Path | None) -> None:
+    """Serve until cancelled.
+
+    Parameters
+    ----------
+    address : str
+        IP number and port.
+    views : Path, optional
+        File with the address at which each entry host finds its view of the
+        store, and the addresses of its proxies.
+    """
+    program = StoreProgram()
+    if views is not None:
+        document = loads(views.read_bytes())
+        addresses = AddressMap(document['paths'])
+        for caller, view_address in document['views'].items():
+            await _listen(program.make_view(addresses, caller), view_address)
+    await _listen(program, address)
     print(f'serving {address}', flush=True)
     await program.expire()
 
@@ -201,4 +235,6 @@
 if __name__ == '__main__':
     parser = ArgumentParser()
     parser.add_argument('--address', required=True)
-    anyio.run(serve, parser.parse_args().address)
+    parser.add_argument('--views', type=Path)
+    arguments = parser.parse_args()
+    anyio.run(serve, arguments.address, arguments.views)
