Soak: run workers as processes and shift the time of day

All workers were one process that never refused a connection, a pause ended after 4 s, and all entry hosts had one time of day.

A supervisor forks one process per worker, and starts it again under its id and address when it was killed, at once or up to 1 s later. Its clock and its birth are new, and requests of an old connection meet no process. A worker can be suspended. Entry hosts can run with a time of day that differs from the machine's: a module that runs in place of the program patches `wall_ms` before the composition is imported. The cell has the proxies for each pair of processes, and reads the workers' records.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -12,8 +12,8 @@
 from aiohttp import ClientTimeout
 import anyio
 
-from tests.soak.cells import QUEUES
-from tests.soak.cells import ROUTE_HOST
+from tests.soak.configurations import QUEUES
+from tests.soak.configurations import ROUTE_HOST
 
 if TYPE_CHECKING:
     from random import Random
--- a/tests/soak/cells.py
+++ b/tests/soak/cells.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+from base64 import b64decode
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
 from json import dumps
-from pathlib import Path
+from json import loads
+from random import Random
 from signal import SIGTERM
 from typing import Any
 from typing import TYPE_CHECKING
@@ -19,11 +20,19 @@
 from tests.processes import find_free_address
 from tests.processes import ManagedProcess
 from tests.processes import Processes
+from tests.soak.configurations import make_configuration
+from tests.soak.configurations import QUEUES
+from tests.soak.configurations import ROUTE_HOST
+from tests.soak.entry_hosts import EntryHost
 from tests.soak.proxies import Proxy
+from tests.soak.proxies import ProxyGroup
+from tests.soak.topology import Topology
+from tests.soak.worker_processes import WorkerProcesses
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
     from collections.abc import Mapping
+    from pathlib import Path
 
     from anyio.abc import TaskGroup
 
@@ -32,34 +41,10 @@
 JOB_TIMEOUT_S = 15.0
 POLL_INTERVAL_S = 0.05
 RESTART_DELAY_S = 0.3
-QUEUES = ('plain', 'advised')
-ROUTE_HOST = 'soak.example'
 STOP_TIMEOUT_S = 6.0
 PROGRAM = 'sassafrasgate'
-
-
-@dataclass(slots=True)
-class EntryHost:
-    """An entry host with its process and proxies.
-
-    Parameters
-    ----------
-    restarting : bool
-        Set from a kill or a stop of the process until the next one starts.
-    suspend_count : int
-        Number of faults that keep the process suspended; a suspended
-        process cannot stop.
-    """
-
-    name: str
-    settings: Path
-    caller_address: str
-    ready_address: str
-    store_proxy: Proxy
-    caller_proxy: Proxy
-    process: ManagedProcess
-    restarting: bool = False
-    suspend_count: int = 0
+SHIFTING_PROGRAM = 'tests.soak.shifted_clocks'
+OWNER_PREFIX = 'control/owners/'
 
 
 class Cell:
@@ -75,6 +60,11 @@
         Task group in which the proxies run.
     program : str
         Module that the processes of the entry hosts run.
+    seed : int
+        Seed for the times of day and for the runs of the workers.
+    max_shift_s : float
+        Limit for the difference between the time of day of an entry host
+        and that of the machine, in seconds.
     """
 
     def __init__(
@@ -83,18 +73,25 @@
         processes: Processes,
         group: TaskGroup,
         program: str = PROGRAM,
+        seed: int = 1,
+        max_shift_s: float = 0.0,
     ) -> None:
         self.directory = directory
         self.entries: dict[str, EntryHost] = {}
-        self.worker_proxies: dict[str, Proxy] = {}
+        self.worker_proxies: dict[str, ProxyGroup] = {}
         self.unexpected_exits: list[str] = []
         self._processes = processes
         self._group = group
         self._program = program
+        self._seed = seed
+        self._random = Random(seed)
+        self._max_shift_s = max_shift_s
         self._version = 0
         self._session = ClientSession(timeout=ClientTimeout(total=5.0))
         self._store_address = find_free_address()
-        self._control_address = find_free_address()
+        self._advice_address = find_free_address()
+        self.topology: Topology
+        self.workers: WorkerProcesses
         self.store_process: ManagedProcess
 
     async def start(
@@ -112,76 +109,99 @@
         written : mapping of str to str, optional
             Texts that the store holds before the entry hosts start, by key.
         """
+        names = [f'entry-{number}' for number in range(entries)]
+        self.topology = Topology(
+            names, [f'i-{number:04d}' for number in range(workers)]
+        )
+        self.worker_proxies = self.topology.group_by_worker()
+        await self.topology.run(self._group)
+        self._start_store()
+        await self.change_configuration()
+        for key, text in (written or {}).items():
+            await self.write_raw(key, text)
+        self._start_workers()
+        for name in names:
+            await self._start_entry(name)
+        for entry in self.entries.values():
+            await self._wait_until_ready(entry)
+
+    def _start_store(self) -> None:
+        views = self.directory / 'views.json'
+        self.topology.write_views(views)
         self.store_process = self._processes.start(
             'store',
             'tests.standins.platform_store',
             '--address',
             self._store_address,
+            '--views',
+            str(views),
         )
         self.store_process.wait_for_log('serving')
-        await self.change_configuration()
-        for key, text in (written or {}).items():
-            await self.write_raw(key, text)
-        await self._start_workers(workers)
-        for number in range(entries):
-            await self._start_entry(f'entry-{number}')
-        for entry in self.entries.values():
-            await self._wait_until_ready(entry)
 
-    async def _start_workers(self, count: int) -> None:
+    def _start_workers(self) -> None:
+        addresses = self.topology.worker_addresses
+        records = self.directory / 'workers'
+        self.workers = WorkerProcesses(records, addresses, self._session)
         arguments = []
-        for number in range(count):
-            name = f'i-{number:04d}'
-            address = find_free_address()
-            proxy = Proxy(address)
-            await self._group.start(proxy.run)
-            self.worker_proxies[name] = proxy
-            arguments += ['--worker', f'{name}={address}={proxy.address}']
+        for name, address in addresses.items():
+            arguments += ['--worker', f'{name}={address}']
         process = self._processes.start(
             'workers',
-            'tests.standins.platform_workers',
-            '--control',
-            self._control_address,
+            'tests.standins.worker_processes',
+            '--advice',
+            self._advice_address,
             '--store',
             self._store_address,
+            '--directory',
+            str(records),
+            '--seed',
+            str(self._seed),
             *arguments,
         )
-        process.wait_for_log('serving')
+        for name in ('advice', *addresses):
+            process.wait_for_log(f'serving {name}')
 
     async def _start_entry(self, name: str) -> None:
-        store_proxy = Proxy(self._store_address)
-        await self._group.start(store_proxy.run)
         caller_address = find_free_address()
         caller_proxy = Proxy(caller_address)
         await self._group.start(caller_proxy.run)
+        store_proxy = self.topology.to_store[name]
         settings = {
             'name': name,
             'failure_domain': 'z1',
             'caller_address': caller_address,
             'ready_address': find_free_address(),
             'metrics_address': find_free_address(),
-            'link_address': find_free_address(),
+            'link_address': self.topology.link_addresses[name],
             'store_address': store_proxy.address,
-            'advice_address': self._control_address,
+            'advice_address': self._advice_address,
             'owner_ttl_s': 1.0,
             'outage_grace_s': 4.0,
             'stop_s': STOP_TIMEOUT_S,
         }
         path = self.directory / f'{name}.yaml'
         path.write_text(safe_dump(settings))
+        shift_s = self._random.uniform(-self._max_shift_s, self._max_shift_s)
+        shift_ms = int(1000 * shift_s)
         self.entries[name] = EntryHost(
             name,
             path,
+            shift_ms,
             caller_address,
             settings['ready_address'],
             store_proxy,
             caller_proxy,
-            self._run_entry(name, path),
+            self._run_entry(name, path, shift_ms),
         )
 
-    def _run_entry(self, name: str, path: Path) -> ManagedProcess:
+    def _run_entry(
+        self, name: str, path: Path, shift_ms: int
+    ) -> ManagedProcess:
+        program = [self._program]
+        if shift_ms:
+            program = [SHIFTING_PROGRAM, str(shift_ms), self._program]
         return self._processes.start(
-            name, self._program, 'serve', 'entry', '--settings', str(path)
+            name, *program, 'serve', 'entry', '--settings', str(path)
         )
 
     async def _wait_until_ready(self, entry: EntryHost) -> None:
@@ -217,28 +237,7 @@
             The version.
         """
         self._version += 3
-        routes = [
-            {
-                'name': queue,
-                'host': ROUTE_HOST,
-                'prefix': f'/{queue}/',
-                'kind': 'non_idempotent',
-                'timeoutMs': 3000 + self._version,
-                'targetLatencyMs': 300,
-                'priority': number,
-                'service': 'pool',
-                'maxAttempts': 3,
-                'stretch': 3.0,
-            }
-            for number, queue in enumerate(QUEUES)
-        ]
-        routes[1]['advice'] = {'decideMs': 20, 'eachMs': 1, 'validMs': 2000}
-        value = {
-            'version': self._version,
-            'routes': routes,
-            'services': [{'name': 'pool', 'enforcesCapacity': False}],
-            'limits': {},
-        }
+        value = make_configuration(self._version)
         body = {'key': 'op/config', 'value': value}
         url = f'http://{self._store_address}/control/put'
         async with self._session.post(url, json=body) as response:
@@ -287,21 +286,25 @@
         except (ClientError, TimeoutError):
             return state
 
-    async def set_worker_fault(
-        self, name: str, kind: str, **fault: Any
-    ) -> None:
-        """Set a fault of a worker; see `tests.standins.platform_workers`."""
-        url = f'http://{self._control_address}/control/fault'
-        body = {'worker': name, 'kind': kind, **fault}
-        async with self._session.post(url, json=body) as response:
-            response.raise_for_status()
+    async def find_owner(self) -> tuple[EntryHost, str] | None:
+        """Return the owner and its incarnation, None if it isn't known."""
+        url = f'http://{self._store_address}/api/kv-range'
+        try:
+            async with self._session.get(
+                url, params={'prefix': OWNER_PREFIX}
+            ) as response:
+                items = (await response.json())['items']
+        except (ClientError, TimeoutError):
+            return None
+        for item in items:
+            member = loads(b64decode(item['value']))
+            if member['name'] in self.entries:
+                return self.entries[member['name']], member['incarnation']
+        return None
 
     async def read_record(self) -> dict[str, Any]:
         """Return the tasks and rule violations that the workers recorded."""
-        url = f'http://{self._control_address}/control/record'
-        async with self._session.get(url) as response:
-            found: dict[str, Any] = await response.json()
-            return found
+        return self.workers.read_record()
 
     async def kill(self, entry: EntryHost) -> None:
         """Kill an entry host's process and restart it like the platform."""
@@ -335,9 +338,20 @@
             await anyio.to_thread.run_sync(entry.process.kill)
         await self._restart(entry)
 
+    async def pause(self, entry: EntryHost, seconds: float) -> None:
+        """Suspend an entry host's process for some time."""
+        process = entry.process
+        entry.suspend_count += 1
+        process.freeze()
+        await anyio.sleep(seconds)
+        process.resume()
+        entry.suspend_count -= 1
+
     async def _restart(self, entry: EntryHost) -> None:
         await anyio.sleep(RESTART_DELAY_S)
-        entry.process = self._run_entry(entry.name, entry.settings)
+        entry.process = self._run_entry(
+            entry.name, entry.settings, entry.shift_ms
+        )
         entry.restarting = False
 
     async def restart_ended_processes(self) -> None:
@@ -365,11 +379,15 @@
     workers: int,
     program: str = PROGRAM,
     written: Mapping[str, str] | None = None,
+    seed: int = 1,
+    max_shift_s: float = 0.0,
 ) -> AsyncIterator[Cell]:
     """Run a cell of real processes, all of which end with the context."""
     with Processes(directory) as processes:
         async with anyio.create_task_group() as group:
-            cell = Cell(directory, processes, group, program)
+            cell = Cell(
+                directory, processes, group, program, seed, max_shift_s
+            )
             await cell.start(entries, workers, written)
             yield cell
             await cell.close()
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -14,29 +14,36 @@
 from tests.soak.proxies import NO_FAULT
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
     from random import Random
 
     from tests.soak.cells import Cell
-    from tests.soak.cells import EntryHost
+    from tests.soak.entry_hosts import EntryHost
     from tests.soak.proxies import Proxy
+    from tests.soak.proxies import ProxyGroup
 
 FaultInjector = Callable[['Cell', 'Random'], Awaitable[None]]
 
 FAULTS: Registry[str, FaultInjector] = Registry('fault')
 
 
-def _pick_entry(cell: Cell, random: Random) -> EntryHost:
+def pick_entry(cell: Cell, random: Random) -> EntryHost:
+    """Return a random entry host whose process runs, if there is one."""
     running = [e for e in cell.entries.values() if not e.restarting]
     return random.choice(running or list(cell.entries.values()))
 
 
-def _pick_worker(cell: Cell, random: Random) -> str:
+def pick_worker(cell: Cell, random: Random) -> str:
+    """Return the id of a random worker."""
     return random.choice(sorted(cell.worker_proxies))
 
 
-async def _apply_network_fault(
-    proxies: list[Proxy], fault: NetworkFault, seconds: float
+async def apply_network_fault(
+    proxies: Sequence[Proxy | ProxyGroup],
+    fault: NetworkFault,
+    seconds: float,
 ) -> None:
+    """Apply a fault to some proxies for some time."""
     for proxy in proxies:
         proxy.fault = fault
     await anyio.sleep(seconds)
@@ -47,7 +54,7 @@
 @FAULTS.register('kill-entry')
 async def kill_entry(cell: Cell, random: Random) -> None:
     """Kill an entry host's process and start it again."""
-    await cell.kill(_pick_entry(cell, random))
+    await cell.kill(pick_entry(cell, random))
 
 
 @FAULTS.register('kill-all')
@@ -61,7 +68,7 @@
 @FAULTS.register('stop-entry')
 async def stop_entry(cell: Cell, random: Random) -> None:
     """Stop an entry host's process with SIGTERM and start it again."""
-    await cell.stop(_pick_entry(cell, random))
+    await cell.stop(pick_entry(cell, random))
 
 
 @FAULTS.register('stop-in-turn')
@@ -76,19 +83,14 @@
 @FAULTS.register('pause-entry')
 async def pause_entry(cell: Cell, random: Random) -> None:
     """Suspend a process, for less or more time than its lease lasts."""
-    entry = _pick_entry(cell, random)
-    process = entry.process
-    entry.suspend_count += 1
-    process.freeze()
-    await anyio.sleep(random.choice((0.3, 1.5, 4.0)))
-    process.resume()
-    entry.suspend_count -= 1
+    entry = pick_entry(cell, random)
+    await cell.pause(entry, random.choice((0.3, 1.5, 4.0)))
 
 
 @FAULTS.register('hup-entry')
 async def hup_entry(cell: Cell, random: Random) -> None:
     """Make an entry host reload its settings with SIGHUP."""
-    entry = _pick_entry(cell, random)
+    entry = pick_entry(cell, random)
     # SIGHUP ends the process until its handler is installed; a log shows
     # that the program runs.
     if not entry.restarting and entry.process.read_log():
@@ -109,10 +111,10 @@
             NetworkFault(refuse=True),
         )
     )
-    proxy = _pick_entry(cell, random).store_proxy
+    proxy = pick_entry(cell, random).store_proxy
     if fault.refuse:
         await proxy.reset()
-    await _apply_network_fault([proxy], fault, random.uniform(0.5, 5))
+    await apply_network_fault([proxy], fault, random.uniform(0.5, 5))
 
 
 @FAULTS.register('lose-store')
@@ -128,7 +130,7 @@
     """Delay the calls to the store and its responses."""
     proxies = [entry.store_proxy for entry in cell.entries.values()]
     delay_s = random.choice((0.05, 0.12))
-    await _apply_network_fault(
+    await apply_network_fault(
         proxies, NetworkFault(delay_s=delay_s), random.uniform(1, 5)
     )
 
@@ -150,8 +152,8 @@
             NetworkFault(drop_to_target=True),
         )
     )
-    proxy = cell.worker_proxies[_pick_worker(cell, random)]
-    await _apply_network_fault([proxy], fault, random.uniform(0.3, 8))
+    proxy = cell.worker_proxies[pick_worker(cell, random)]
+    await apply_network_fault([proxy], fault, random.uniform(0.3, 8))
 
 
 @FAULTS.register('silence-workers')
@@ -171,40 +173,40 @@
 @FAULTS.register('restart-worker')
 async def restart_worker(cell: Cell, random: Random) -> None:
     """Restart a worker under its id, with the loss of all its tasks."""
-    await cell.set_worker_fault(_pick_worker(cell, random), 'restart')
+    await cell.workers.set_fault(pick_worker(cell, random), 'restart')
 
 
 @FAULTS.register('fail-worker')
 async def fail_worker(cell: Cell, random: Random) -> None:
     """Let most tasks that a worker starts fail."""
-    worker = _pick_worker(cell, random)
-    await cell.set_worker_fault(worker, 'fail', share=0.9)
+    worker = pick_worker(cell, random)
+    await cell.workers.set_fault(worker, 'fail', share=0.9)
     await anyio.sleep(random.uniform(1, 5))
-    await cell.set_worker_fault(worker, 'fail', share=0.02)
+    await cell.workers.set_fault(worker, 'fail', share=0.02)
 
 
 @FAULTS.register('hang-worker')
 async def hang_worker(cell: Cell, random: Random) -> None:
     """Let the tasks that a worker starts make no progress for a minute."""
-    worker = _pick_worker(cell, random)
-    await cell.set_worker_fault(worker, 'hang', on=True)
+    worker = pick_worker(cell, random)
+    await cell.workers.set_fault(worker, 'hang', on=True)
     await anyio.sleep(random.uniform(0.5, 3))
-    await cell.set_worker_fault(worker, 'hang', on=False)
+    await cell.workers.set_fault(worker, 'hang', on=False)
 
 
 @FAULTS.register('drain-worker')
 async def drain_worker(cell: Cell, random: Random) -> None:
     """Mark a worker as draining for a while."""
-    worker = _pick_worker(cell, random)
-    await cell.set_worker_fault(worker, 'drain', on=True)
+    worker = pick_worker(cell, random)
+    await cell.workers.set_fault(worker, 'drain', on=True)
     await anyio.sleep(random.uniform(1, 5))
-    await cell.set_worker_fault(worker, 'drain', on=False)
+    await cell.workers.set_fault(worker, 'drain', on=False)
 
 
 @FAULTS.register('reset-callers')
 async def reset_callers(cell: Cell, random: Random) -> None:
     """Close all open connections of callers to one entry host."""
-    await _pick_entry(cell, random).caller_proxy.reset()
+    await pick_entry(cell, random).caller_proxy.reset()
 
 
 @FAULTS.register('change-configuration')
