Soak: cut single pairs, kill workers and stop new owners

The soak had no faults between single pairs of processes, no pause or cut beyond the waits after a takeover, and no stop of an owner that had just taken over.

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -23,6 +23,7 @@
 from tests.soak.faults import FAULTS
 from tests.soak.leaving import find_late_starts
 from tests.soak.leaving import InjectedFault
+import tests.soak.pair_faults  # noqa: F401
 from tests.standins.store import read_clock_ms
 
 if TYPE_CHECKING:
@@ -33,6 +34,9 @@
 POLL_INTERVAL_S = 0.5
 # Short enough for several faults to overlap.
 MEAN_FAULT_INTERVAL_S = 1.0
+ENTRIES = 4
+WORKERS = 6
+MAX_SHIFT_S = 300.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,8 +67,8 @@
     directory: Path,
     seed: int,
     seconds: float,
-    entries: int = 3,
-    workers: int = 5,
+    entries: int = ENTRIES,
+    workers: int = WORKERS,
     per_s: float = 4.0,
     fault_names: tuple[str, ...] = (),
     program: str = PROGRAM,
@@ -91,7 +95,14 @@
     random = Random(seed)
     injected: list[str] = []
     ended_faults: list[InjectedFault] = []
-    async with open_cell(directory, entries, workers, program) as cell:
+    async with open_cell(
+        directory,
+        entries,
+        workers,
+        program,
+        seed=seed,
+        max_shift_s=MAX_SHIFT_S,
+    ) as cell:
         callers = Callers(cell, Random(seed))
         async with anyio.create_task_group() as group:
             group.start_soon(cell.restart_ended_processes)
@@ -218,8 +229,8 @@
     parser.add_argument('--seed', type=int, default=1, help='first seed')
     parser.add_argument('--seeds', type=int, default=1, help='number of seeds')
     parser.add_argument('--seconds', type=float, default=30.0)
-    parser.add_argument('--entries', type=int, default=3)
-    parser.add_argument('--workers', type=int, default=5)
+    parser.add_argument('--entries', type=int, default=ENTRIES)
+    parser.add_argument('--workers', type=int, default=WORKERS)
     parser.add_argument('--per-s', type=float, default=4.0)
     parser.add_argument(
         '--fault',
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -93,6 +93,27 @@
     assert any('that it was leaving' in line for line in report.violations)
 
 
+# Owners change while single pairs of processes are cut and workers restart.
+PAIR_FAULTS = (
+    'isolate-owner',
+    'isolate-worker-from-owner',
+    'cut-worker-pairs',
+    'replace-owner',
+    'stop-new-owner',
+    'kill-worker',
+    'pause-worker',
+)
+
+
+def test_no_task_runs_twice_between_owners(tmp_path):
+    # Guards against incident TWICE: tasks started again although their runs
+    # on workers that the new owner did not reach had not ended.
+    report = run(tmp_path, 9207, PAIR_FAULTS)
+
+    assert report.violations == ()
+    assert report.completed
+
+
 def test_unknown_fault_is_reported(capsys):
     # Guards against a misspelt name with which the soak test would inject
     # no faults.
