Soak: end only the members that a gang had at its end

A gang's outcome was found by its step and run. When a worker was killed with an end that no owner had acknowledged, the next owner started the run of the same number again, and the new incarnation ended it at once, before its own birth.

--- a/tests/standins/gangs.py
+++ b/tests/standins/gangs.py
@@ -33,10 +33,14 @@
         Task whose failure has ended the gang; empty if the gang is done.
     at_ms : float
         When the gang ended, by the clock that all processes share.
+    members : tuple of str
+        The members that it ends. A run that a new incarnation of a worker
+        starts under the same number is none of them.
     """
 
     failed_task: str
     at_ms: float
+    members: tuple[str, ...] = ()
 
 
 class GangDirectory:
@@ -61,10 +65,11 @@
         path.mkdir(parents=True, exist_ok=True)
         self._lock = (path / 'lock').open('w')
         with self.lock():
-            for member in path.glob(f'member~*~{worker}'):
+            for member in path.glob(f'member~*~{worker}~*'):
                 member.unlink()
             self._alive = (path / f'alive~{worker}').open('w')
             flock(self._alive, LOCK_EX)
+        self._members: dict[tuple[str, int], str] = {}
 
     @contextmanager
     def lock(self) -> Iterator[None]:
@@ -75,19 +80,31 @@
         finally:
             flock(self._lock, LOCK_UN)
 
-    def add(self, task: str, run: int) -> None:
+    def add(self, task: str, run: int, incarnation_ms: int) -> None:
         """Add a member."""
-        self._find_member(task, run).touch()
+        name = f'member~{task}~{run}~{self._worker}~{incarnation_ms}'
+        self._members[task, run] = name
+        (self._path / name).touch()
 
     def discard(self, task: str, run: int) -> None:
         """Remove a member of this worker if it is present."""
-        self._find_member(task, run).unlink(missing_ok=True)
+        name = self._members.pop((task, run), '')
+        if name:
+            (self._path / name).unlink(missing_ok=True)
 
     def find_outcome(self, task: str, run: int) -> GangOutcome | None:
-        """Return the outcome of a member's gang, None while it runs."""
+        """Return the outcome for a member, None while its gang runs."""
+        outcome = self._read_outcome(task, run)
+        if outcome and self._members.get((task, run)) in outcome.members:
+            return outcome
+        return None
+
+    def _read_outcome(self, task: str, run: int) -> GangOutcome | None:
         with suppress(FileNotFoundError):
-            text = self._find_outcome_path(task, run).read_text()
-            return GangOutcome(**loads(text))
+            found = loads(self._find_outcome_path(task, run).read_text())
+            return GangOutcome(
+                found['failed_task'], found['at_ms'], tuple(found['members'])
+            )
         return None
 
     def end(
@@ -95,29 +112,31 @@
     ) -> None:
         """End a member's gang if it is complete and has no outcome yet."""
         with self.lock():
-            if self.find_outcome(task, run) or not self._is_complete(
-                task, run, size
-            ):
+            members = self._list_members(task, run)
+            if len(members) != size or self.find_outcome(task, run):
                 return
             path = self._find_outcome_path(task, run)
-            written = path.with_suffix('.new')
+            written = path.with_name(f'new~{path.name}')
             written.write_text(
                 dumps(
                     {
                         'failed_task': outcome.failed_task,
                         'at_ms': outcome.at_ms,
+                        'members': members,
                     }
                 )
             )
             written.rename(path)
 
-    def _is_complete(self, task: str, run: int, size: int) -> bool:
+    def _list_members(self, task: str, run: int) -> list[str]:
+        """Return the members whose workers' processes have not ended."""
         step = task.rpartition('.')[0]
         members = self._path.glob(f'member~{step}.*~{run}~*')
-        workers = [member.name.rpartition('~')[2] for member in members]
-        return len(workers) == size and all(
-            self._is_alive(worker) for worker in set(workers)
-        )
+        return [
+            member.name
+            for member in members
+            if self._is_alive(member.name.split('~')[3])
+        ]
 
     def _is_alive(self, worker: str) -> bool:
         if worker == self._worker:
@@ -129,9 +148,6 @@
                 return True
         return False
 
-    def _find_member(self, task: str, run: int) -> Path:
-        return self._path / f'member~{task}~{run}~{self._worker}'
-
     def _find_outcome_path(self, task: str, run: int) -> Path:
         step = task.rpartition('.')[0]
         return self._path / f'outcome~{step}~{run}'
--- a/tests/standins/recorded_workers.py
+++ b/tests/standins/recorded_workers.py
@@ -172,7 +172,7 @@
             return reply
         if self.runs[key].gang_size:
             with self._gangs.lock():
-                self._gangs.add(*key)
+                self._gangs.add(*key, self.incarnation_ms)
         self.write(
             'start',
             now,
