--- a/tests/soak/worker_processes.py
+++ b/tests/soak/worker_processes.py
@@ -4,6 +4,7 @@
 
 from contextlib import suppress
 from os import kill
+from shutil import rmtree
 from signal import SIGCONT
 from signal import SIGKILL
 from signal import SIGSTOP
@@ -49,7 +50,9 @@
         addresses: Mapping[str, str],
         session: ClientSession,
     ) -> None:
-        directory.mkdir(parents=True, exist_ok=True)
+        # Records of an earlier run in the same directory name the same jobs.
+        rmtree(directory, ignore_errors=True)
+        directory.mkdir(parents=True)
         self._directory = directory
         self._addresses = addresses
         self._session = session
