--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -12,21 +12,28 @@
 from aiohttp import ClientTimeout
 import anyio
 
-from tests.soak.cells import QUEUES
-from tests.soak.cells import ROUTE_HOST
+from tests.soak.configurations import QUEUES
+from tests.soak.configurations import ROUTE_HOST
 
 if TYPE_CHECKING:
     from random import Random
 
     from tests.soak.cells import Cell
+    from tests.soak.entry_hosts import EntryHost
 
 REQUEST_TIMEOUT_S = 3.0
 MAX_ATTEMPTS = 5
 POLL_INTERVAL_S = 0.7
+# Ended jobs that are polled once more, and from how many they are drawn.
+ENDED_JOBS_PER_POLL = 4
+RECENT_JOBS = 20
 REFUSED_STATUSES = frozenset({429, 503})
 FINAL_STATES = frozenset({'completed', 'failed', 'cancelled'})
 CANCELLED_SHARE = 0.08
 RESUBMITTED_SHARE = 0.15
+ESTIMATES_MS = (200, 600, 1200)
+# Tasks that outlast the waits after a takeover.
+LONG_ESTIMATES_MS = (4000, 8000)
 
 
 @dataclass(slots=True)
@@ -39,7 +46,9 @@
         Whether an attempt to submit the job ended without a definite
         response, so that the job may have been accepted.
     states : list of str
-        The states that polls returned, in order.
+        The states that polls returned, in order, up to a final one.
+    ended_at_s : float
+        When the last of these states arrived.
     violations : list of str
         Responses that violate a guarantee, with the evidence.
     """
@@ -51,6 +60,7 @@
     unknown: bool = False
     cancelled: bool = False
     states: list[str] = field(default_factory=list)
+    ended_at_s: float = 0.0
     violations: list[str] = field(default_factory=list)
 
     @property
@@ -71,12 +81,38 @@
             for index in range(int(str(step['count'])))
         ]
 
-    def record_state(self, state: str) -> None:
-        """Record a polled state; a final state must never change."""
-        previous = self.states[-1] if self.states else ''
-        if previous in FINAL_STATES and state != previous:
-            self.violations.append(f'{self.job_id}: {state} after {previous}')
-        self.states.append(state)
+    def record_violation(self, text: str) -> None:
+        """Record a violation once, however often polls meet it."""
+        violation = f'{self.job_id}: {text}'
+        if violation not in self.violations:
+            self.violations.append(violation)
+
+    def record_state(
+        self, state: str, asked_at_s: float, entry: str = ''
+    ) -> None:
+        """Record a polled state; a final state must never change.
+
+        Polls overlap, so that the response to an earlier poll may arrive
+        after a final state. It shows the state of an earlier time.
+
+        Parameters
+        ----------
+        state : str
+            The state.
+        asked_at_s : float
+            When the poll was sent.
+        entry : str
+            Entry host that was asked.
+        """
+        if not self.has_ended:
+            self.states.append(state)
+            self.ended_at_s = anyio.current_time()
+            return
+        if state != self.states[-1] and asked_at_s >= self.ended_at_s:
+            self.record_violation(
+                f'{state} after {self.states[-1]} from {entry}, '
+                f'{asked_at_s - self.ended_at_s:.1f} s later'
+            )
 
 
 class Callers:
@@ -88,11 +124,16 @@
         The cell with the entry hosts.
     random : Random
         Source for the choice of jobs, entry hosts and cancellations.
+    long_share : float
+        Share of steps whose tasks take 4 s or 8 s instead of up to 1.2 s.
     """
 
-    def __init__(self, cell: Cell, random: Random) -> None:
+    def __init__(
+        self, cell: Cell, random: Random, long_share: float = 0.0
+    ) -> None:
         self._cell = cell
         self._random = random
+        self._long_share = long_share
         self._session = ClientSession(
             timeout=ClientTimeout(total=REQUEST_TIMEOUT_S),
             headers={'Host': ROUTE_HOST},
@@ -127,7 +168,7 @@
                 'count': random.randint(1, 4),
                 'cpu': random.choice((500, 1500, 3000)),
                 'memMb': 500,
-                'estimateMs': random.choice((200, 600, 1200)),
+                'estimateMs': self._choose_estimate(),
             }
             if number:
                 step['after'] = [number - 1]
@@ -140,6 +181,11 @@
         self.jobs.append(job)
         return job
 
+    def _choose_estimate(self) -> int:
+        if self._long_share and self._random.random() < self._long_share:
+            return self._random.choice(LONG_ESTIMATES_MS)
+        return self._random.choice(ESTIMATES_MS)
+
     async def _run_caller(self, job: Job) -> None:
         await self._submit(job)
         if not job.accepted:
@@ -168,28 +214,38 @@
                 job.cancelled = state == 'cancelled'
                 return
             if status == 410:
-                job.violations.append(
-                    f'{job.job_id}: status 410 to a cancellation'
-                )
+                job.record_violation('status 410 to a cancellation')
                 return
             await anyio.sleep(0.3)
 
     async def poll(self, job: Job) -> None:
         """Ask a random entry host once for a job's state."""
-        status, state = await self._call('GET', job)
+        entry = self._random.choice(list(self._cell.entries.values()))
+        asked_at_s = anyio.current_time()
+        status, state = await self._call('GET', job, entry=entry)
         if status == 200:
-            job.record_state(state)
+            job.record_state(state, asked_at_s, entry.name)
         if status == 410 and job.accepted:
-            job.violations.append(
-                f'{job.job_id}: status 410 for an accepted job'
-            )
+            job.record_violation('status 410 for an accepted job')
 
     async def poll_until_cancelled(self) -> None:
-        """Poll the open jobs at a fixed interval, until cancelled."""
+        """Poll open jobs and some ended ones, until cancelled."""
         while True:
             await anyio.sleep(POLL_INTERVAL_S)
+            await self._poll_ended_jobs()
             await self.poll_open_jobs()
 
+    async def _poll_ended_jobs(self) -> None:
+        """Ask for the states of some jobs that have ended once more."""
+        ended = [job for job in self.jobs if job.has_ended]
+        recent = ended[-RECENT_JOBS:]
+        chosen = self._random.sample(
+            recent, min(ENDED_JOBS_PER_POLL, len(recent))
+        )
+        async with anyio.create_task_group() as group:
+            for job in chosen:
+                group.start_soon(self.poll, job)
+
     async def poll_open_jobs(self) -> int:
         """Poll every open job; return how many are still open."""
         open_jobs = [
@@ -201,10 +257,15 @@
         return sum(1 for job in open_jobs if not job.has_ended)
 
     async def _call(
-        self, method: str, job: Job, body: str | None = None
+        self,
+        method: str,
+        job: Job,
+        body: str | None = None,
+        entry: EntryHost | None = None,
     ) -> tuple[int, str]:
         """Make one call; the status is 0 when there was no valid response."""
-        entry = self._random.choice(list(self._cell.entries.values()))
+        if entry is None:
+            entry = self._random.choice(list(self._cell.entries.values()))
         url = f'http://{entry.caller_proxy.address}/{job.queue}/{job.job_id}'
         try:
             async with self._session.request(
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -23,6 +23,7 @@
 from tests.soak.faults import FAULTS
 from tests.soak.leaving import find_late_starts
 from tests.soak.leaving import InjectedFault
+import tests.soak.pair_faults  # noqa: F401
 from tests.standins.store import read_clock_ms
 
 if TYPE_CHECKING:
@@ -30,9 +31,15 @@
     from tests.soak.cells import Cell
 
 SETTLE_TIMEOUT_S = 40.0
+# Several attempts of a long task may follow each other.
+LONG_SETTLE_TIMEOUT_S = 90.0
 POLL_INTERVAL_S = 0.5
 # Short enough for several faults to overlap.
 MEAN_FAULT_INTERVAL_S = 1.0
+ENTRIES = 4
+WORKERS = 6
+MAX_SHIFT_S = 300.0
+LONG_SHARE = 0.15
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,11 +70,12 @@
     directory: Path,
     seed: int,
     seconds: float,
-    entries: int = 3,
-    workers: int = 5,
+    entries: int = ENTRIES,
+    workers: int = WORKERS,
     per_s: float = 4.0,
     fault_names: tuple[str, ...] = (),
     program: str = PROGRAM,
+    long_share: float = 0.0,
 ) -> SoakReport:
     """Run a cell under faults, then wait until its jobs have ended.
 
@@ -87,12 +95,21 @@
         Names of the faults to draw from; all by default.
     program : str
         Module that the processes of the entry hosts run.
+    long_share : float
+        Share of steps with long tasks.
     """
     random = Random(seed)
     injected: list[str] = []
     ended_faults: list[InjectedFault] = []
-    async with open_cell(directory, entries, workers, program) as cell:
-        callers = Callers(cell, Random(seed))
+    async with open_cell(
+        directory,
+        entries,
+        workers,
+        program,
+        seed=seed,
+        max_shift_s=MAX_SHIFT_S,
+    ) as cell:
+        callers = Callers(cell, Random(seed), long_share)
         async with anyio.create_task_group() as group:
             group.start_soon(cell.restart_ended_processes)
             group.start_soon(callers.poll_until_cancelled)
@@ -107,7 +124,10 @@
                     injected,
                     ended_faults,
                 )
-            violations = await _wait_until_jobs_end(cell, callers)
+            settle_s = (
+                LONG_SETTLE_TIMEOUT_S if long_share else SETTLE_TIMEOUT_S
+            )
+            violations = await _wait_until_jobs_end(callers, settle_s)
             group.cancel_scope.cancel()
         violations += await _check_guarantees(cell, callers, ended_faults)
         await callers.close()
@@ -140,9 +160,11 @@
             group.start_soon(inject, name, Random(random.random()))
 
 
-async def _wait_until_jobs_end(cell: Cell, callers: Callers) -> list[str]:
+async def _wait_until_jobs_end(
+    callers: Callers, timeout_s: float
+) -> list[str]:
     """Wait until every accepted job has ended; return those that have not."""
-    until = anyio.current_time() + SETTLE_TIMEOUT_S
+    until = anyio.current_time() + timeout_s
     while await callers.poll_open_jobs():
         if anyio.current_time() > until:
             return [
@@ -218,9 +240,10 @@
     parser.add_argument('--seed', type=int, default=1, help='first seed')
     parser.add_argument('--seeds', type=int, default=1, help='number of seeds')
     parser.add_argument('--seconds', type=float, default=30.0)
-    parser.add_argument('--entries', type=int, default=3)
-    parser.add_argument('--workers', type=int, default=5)
+    parser.add_argument('--entries', type=int, default=ENTRIES)
+    parser.add_argument('--workers', type=int, default=WORKERS)
     parser.add_argument('--per-s', type=float, default=4.0)
+    parser.add_argument('--long-share', type=float, default=LONG_SHARE)
     parser.add_argument(
         '--fault',
         action='append',
@@ -244,6 +267,8 @@
             arguments.workers,
             arguments.per_s,
             tuple(arguments.fault),
+            PROGRAM,
+            arguments.long_share,
         )
         print_report(seed, report, directory)
         status = 1 if report.violations else status
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -15,6 +15,7 @@
 from tests.soak.run import SoakReport
 
 DURATION_S = 8.0
+PAIR_DURATION_S = 5.0
 # Seeds that have failed, with the injected fault and the cause.
 REGRESSIONS = {
     2026120403: (
@@ -30,12 +31,13 @@
     seed: int,
     fault_names: tuple[str, ...] = (),
     program: str = PROGRAM,
+    seconds: float = DURATION_S,
 ) -> SoakReport:
     async def soak() -> SoakReport:
         return await run_soak(
             directory,
             seed,
-            DURATION_S,
+            seconds,
             fault_names=fault_names,
             program=program,
         )
@@ -93,6 +95,24 @@
     assert any('that it was leaving' in line for line in report.violations)
 
 
+# Owners change while single pairs of processes are cut and workers restart.
+PAIR_FAULTS = (
+    'isolate-worker-from-owner',
+    'replace-owner',
+    'kill-worker',
+    'pause-worker',
+)
+
+
+def test_no_task_runs_twice_between_owners(tmp_path):
+    # Guards against incident TWICE: tasks started again although their runs
+    # on workers that the new owner did not reach had not ended.
+    report = run(tmp_path, 9214, PAIR_FAULTS, seconds=PAIR_DURATION_S)
+
+    assert report.violations == ()
+    assert report.completed
+
+
 def test_unknown_fault_is_reported(capsys):
     # Guards against a misspelt name with which the soak test would inject
     # no faults.
