--- a/tests/dispatch/test_guards.py
+++ b/tests/dispatch/test_guards.py
@@ -30,6 +30,7 @@
 from tests.dispatch.test_random_faults import LASTING_JOBS
 from tests.dispatch.test_random_faults import make_long_workflow
 from tests.dispatch.test_random_faults import PLACED_JOBS
+from tests.dispatch.test_random_faults import REPLACEMENTS
 from tests.dispatch.test_random_faults import simulate_faults
 from tests.dispatch.test_random_faults import STOP_FAULTS
 from tests.dispatch.violations import RuleViolation
@@ -43,12 +44,14 @@
     'name_waits_in_releases': 4,
     'count_all_owners': 6,
     'fence_incarnations_before_outages': 8,
+    'conclude_nothing_when_replaced': 16,
 }
 GUARDS = {}
 # Safeguards that are needed only if another one is missing as well.
 MISSING = {
     'fence_each_incarnation': 'name_incarnations_in_calls',
     'keep_starts_over_restarts': 'name_incarnations_in_calls',
+    'fence_incarnations_before_outages': 'conclude_nothing_when_replaced',
 }
 # Faults to choose from, for safeguards that few random runs need.
 KINDS = {
@@ -70,6 +73,7 @@
         'isolate_owner',
         'restart_worker_for_earlier_owner',
     ),
+    'conclude_nothing_when_replaced': REPLACEMENTS['kinds'],
     'wait_for_granted_leases': ('kill_owner', 'cut_worker'),
     'repeat_stops_of_unknown_runs': STOP_FAULTS,
 }
@@ -84,6 +88,9 @@
     'limit_tasks_per_worker': PLACED_JOBS,
     'name_waits_in_releases': LONG_JOBS,
     'count_all_owners': LONG_JOBS,
+    'conclude_nothing_when_replaced': {
+        name: value for name, value in REPLACEMENTS.items() if name != 'kinds'
+    },
     'fence_incarnations_before_outages': LONG_JOBS,
 }
 
@@ -271,6 +278,16 @@
     patch.setattr(SimOwner, 'has_fenced', lambda *_: True)
 
 
+@guard
+def conclude_nothing_when_replaced(patch):
+    """A successor may renew leases and learn of ends.
+
+    An owner whose lease is over takes neither time nor a worker's restart
+    for evidence that a run is gone.
+    """
+    patch.setattr(DispatchState, 'may_be_replaced', False)
+
+
 @guard
 def wait_for_granted_leases(patch):
     """Leases of owners whose processes have ended last until they expire."""
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -32,6 +32,7 @@
     fault_names: tuple[str, ...] = (),
     program: str = PROGRAM,
     seconds: float = DURATION_S,
+    long_share: float = 0.0,
 ) -> SoakReport:
     async def soak() -> SoakReport:
         return await run_soak(
@@ -40,6 +41,7 @@
             seconds,
             fault_names=fault_names,
             program=program,
+            long_share=long_share,
         )
 
     return anyio.run(soak)
@@ -68,8 +70,15 @@
 
 def test_soak_notices_a_missing_guard(tmp_path):
     # Guards against a soak test whose checks pass although tasks run twice:
-    # the program that it runs restarts tasks before their leases expire.
-    report = run(tmp_path, 5, ('cut-worker',), program='tests.soak.unguarded')
+    # the program that it runs restarts tasks before their leases expire. All
+    # tasks are long, so that some outlast the time until a cut is noticed.
+    report = run(
+        tmp_path,
+        5,
+        ('cut-worker',),
+        program='tests.soak.unguarded',
+        long_share=1.0,
+    )
 
     assert any(' while present on [' in line for line in report.violations)
 
