--- a/review/platform_2.py
+++ b/review/platform_2.py
@@ -421,6 +421,10 @@
             self._close_span(key, 'gone')
         assert self._task is not None
         self._task.cancel()
+        # The platform removes an entry after three heartbeats of silence.
+        asyncio.get_running_loop().call_later(
+            3 * HEARTBEAT_S, self._store.delete, f'servers/{self.name}'
+        )
         await asyncio.wait([self._task])
 
     async def _serve(self) -> None:
