--- a/review/platform_2.py
+++ b/review/platform_2.py
@@ -62,6 +62,9 @@
 
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
+# Addresses that a view of the store replaces, and those of the proxies.
+PROXIES: web.AppKey[dict[str, str]] = web.AppKey('proxies', dict)
+
 _ports: set[int] = set()
 
 
@@ -115,6 +118,58 @@
         self._file.flush()
 
 
+class Proxy:
+    """Forwards connections to an address, and holds bytes during a cut.
+
+    A cut is silent: bytes and new connections are held back until it ends,
+    as TCP does.
+    """
+
+    def __init__(self, target: str) -> None:
+        self.address = find_free_address()
+        self.is_cut = False
+        self._target = target
+
+    async def run(self) -> None:
+        """Begin to serve."""
+        host, _, port = self.address.rpartition(':')
+        await asyncio.start_server(self._forward, host, int(port))
+
+    async def _forward(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await self._wait()
+        host, _, port = self._target.rpartition(':')
+        try:
+            upstream = await asyncio.open_connection(host, int(port))
+        except OSError:
+            writer.close()
+            return
+        await asyncio.wait(
+            [
+                asyncio.create_task(self._copy(reader, upstream[1])),
+                asyncio.create_task(self._copy(upstream[0], writer)),
+            ],
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        for end in (writer, upstream[1]):
+            end.close()
+
+    async def _wait(self) -> None:
+        while self.is_cut:
+            await asyncio.sleep(0.02)
+
+    async def _copy(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with suppress(OSError):
+            while data := await reader.read(65_536):
+                await self._wait()
+                writer.write(data)
+                await writer.drain()
+            await self._wait()
+
+
 @dataclass
 class _Item:
     value: bytes
@@ -146,9 +201,39 @@
 
     async def run(self) -> None:
         """Serve until cancelled."""
+        runner = await listen(self._build({}), self.address)
+        try:
+            while True:
+                await asyncio.sleep(0.02)
+                # Leases pause while the store is down.
+                if not self.is_down:
+                    self._expire()
+        finally:
+            await runner.cleanup()
+
+    async def add_view(self, proxies: dict[str, str]) -> str:
+        """Serve the store as a host sees it that is reached by proxies.
+
+        Parameters
+        ----------
+        proxies : dict of str to str
+            Address of a proxy for each address behind one. All addresses
+            have the same length.
+
+        Returns
+        -------
+        str
+            Address of the view.
+        """
+        address = find_free_address()
+        await listen(self._build(proxies), address)
+        return address
+
+    def _build(self, proxies: dict[str, str]) -> web.Application:
         application = web.Application(
             client_max_size=4 << 20, middlewares=[self._limit]
         )
+        application[PROXIES] = proxies
         application.add_routes(
             [
                 web.get('/api/kv-key', self._get),
@@ -160,15 +245,7 @@
                 web.delete('/api/kv-lease-end/{lease}', self._end),
             ]
         )
-        runner = await listen(application, self.address)
-        try:
-            while True:
-                await asyncio.sleep(0.02)
-                # Leases pause while the store is down.
-                if not self.is_down:
-                    self._expire()
-        finally:
-            await runner.cleanup()
+        return application
 
     def set_down(self, down: bool) -> None:
         """Begin or end an outage; leases pause during it."""
@@ -239,10 +316,15 @@
             return web.Response(status=503)
         return await handler(request)
 
-    def _describe(self, key: str, item: _Item) -> dict[str, Any]:
+    def _describe(
+        self, request: web.Request, key: str, item: _Item
+    ) -> dict[str, Any]:
+        value = item.value
+        for real, proxy in request.app[PROXIES].items():
+            value = value.replace(real.encode(), proxy.encode())
         return {
             'key': key,
-            'value': b64encode(item.value).decode(),
+            'value': b64encode(value).decode(),
             'revision': item.revision,
             'createdRev': item.created,
             'lease': item.lease,
@@ -254,7 +336,10 @@
         if item is None:
             return web.Response(status=404)
         return web.json_response(
-            {**self._describe(key, item), 'currentRev': self._revision}
+            {
+                **self._describe(request, key, item),
+                'currentRev': self._revision,
+            }
         )
 
     async def _list(self, request: web.Request) -> web.Response:
@@ -268,7 +353,9 @@
         page = keys[:MAX_PAGE_ITEMS]
         return web.json_response(
             {
-                'items': [self._describe(k, self._items[k]) for k in page],
+                'items': [
+                    self._describe(request, k, self._items[k]) for k in page
+                ],
                 'truncated': len(keys) > len(page),
                 'currentRev': self._revision,
             }
@@ -283,7 +370,7 @@
             if after < self._trimmed:
                 return web.Response(status=410)
             events = [
-                self._describe(key, item)
+                self._describe(request, key, item)
                 if item
                 else {'key': key, 'revision': revision, 'deleted': True}
                 for _, revision, key, item in self._log
@@ -307,7 +394,7 @@
             item = found[row['key']]
             if (item.revision if item else 0) != row['revision']:
                 items = [
-                    self._describe(key, known)
+                    self._describe(request, key, known)
                     for key, known in found.items()
                     if known
                 ]
@@ -684,9 +771,11 @@
     session: ClientSession | None = None
     _next_host: int = 0
 
-    def add_host(self, name: str) -> EntryHost:
+    def add_host(
+        self, name: str, link_port: int = 0, store_address: str = ''
+    ) -> EntryHost:
         """Add an entry host and start its process."""
-        ports = [find_free_port(), find_free_port()]
+        ports = [link_port or find_free_port(), find_free_port()]
         host = EntryHost(
             name,
             self.directory / f'{name}.yaml',
@@ -704,7 +793,7 @@
             },
             'internalPorts': ports,
             'platform': {
-                'address': self.store.address,
+                'address': store_address or self.store.address,
                 'writesPerS': 400,
                 'readsPerS': 2000,
             },
