--- a/review/platform_2.py
+++ b/review/platform_2.py
@@ -978,6 +978,10 @@
     play : callable
         Plays the case; returns how the rule was broken, or ''.
     """
+    playing = asyncio.current_task()
+    assert playing is not None
+    # The processes are ended as well when the script is told to stop.
+    asyncio.get_running_loop().add_signal_handler(SIGTERM, playing.cancel)
     record = Record(folder / 'record.txt')
     record.write('case', folder=folder.name, trouble=has_trouble())
     with TemporaryDirectory() as temporary:
