Cancel a job before any of its steps is open

Cause: end_job used the loop's variable behind the loop over the job's open steps. A job that isn't due has none, so the decision raised UnboundLocalError and the record of the cancel was never written. A job with several steps kept the looks at its gangs but for the last step.

Change: the look at a gang is removed for each step, inside the loop.

--- a/sassafrasgate/dispatch/progress.py
+++ b/sassafrasgate/dispatch/progress.py
@@ -313,7 +313,7 @@
     for key in state.list_steps_of(entry):
         state.waiting_steps.pop(key, None)
         state.advice.pop(key, None)
-    state.gang_looks.pop(key, None)
+        state.gang_looks.pop(key, None)
 
 
 def record_ending_run(
--- a/tests/dispatch/drivers.py
+++ b/tests/dispatch/drivers.py
@@ -4,13 +4,16 @@
 
 from sassafrasgate.core.resources import Resources
 from sassafrasgate.core.workers import Registration
+from sassafrasgate.core.workflows import Advice
 from sassafrasgate.core.workflows import EndedRun
 from sassafrasgate.core.workflows import EndKind
 from sassafrasgate.core.workflows import RunningRun
 from sassafrasgate.core.workflows import RunReply
 from sassafrasgate.core.workflows import WorkerReport
 from sassafrasgate.core.workflows import Workflow
+from sassafrasgate.dispatch.actions import AskAdvice
 from sassafrasgate.dispatch.actions import StartRun
+from sassafrasgate.dispatch.events import AdviceAnswered
 from sassafrasgate.dispatch.events import PassDue
 from sassafrasgate.dispatch.events import PeersChanged
 from sassafrasgate.dispatch.events import RunAnswered
@@ -51,6 +54,10 @@
         self.ends = {}
         self.running = {}
         self.journal = []
+        # Records stay unwritten while this is False.
+        self.is_durable = True
+        self.unwritten_records = []
+        self._advised_calls = 0
         self.peers = tuple(f'host-{number}' for number in range(peers))
         self.entries = tuple(
             Registration(
@@ -122,9 +129,20 @@
         records = tuple(
             a.record for a in actions if isinstance(a, AppendRecord)
         )
+        if not self.is_durable:
+            self.unwritten_records.extend(records)
+        elif records:
+            self.journal.extend(records)
+            yield from self._decide(RecordsDurable(records))
+
+    def write_records(self):
+        """Let all records become durable, and those of later decisions."""
+        self.is_durable = True
+        records = tuple(self.unwritten_records)
+        self.unwritten_records.clear()
         self.journal.extend(records)
         if records:
-            yield from self._decide(RecordsDurable(records))
+            self.feed(RecordsDurable(records))
 
     def wait(self, milliseconds):
         """Advance the clock and send a tick."""
@@ -133,7 +151,11 @@
 
     def submit(self, job_id, *steps, queue='q'):
         """Submit a job; return the actions."""
-        message = SubmitWorkflow(job_id, queue, 1, Workflow('payload', steps))
+        return self.submit_workflow(job_id, Workflow('payload', steps), queue)
+
+    def submit_workflow(self, job_id, workflow, queue='q'):
+        """Submit a job with a schedule of its own; return the actions."""
+        message = SubmitWorkflow(job_id, queue, 1, workflow)
         return self.feed(RequestReceived(1, message, WALL_MS + self.now))
 
     def cancel(self, job_id):
@@ -144,11 +166,31 @@
     def confirm(self, actions):
         """Let the workers confirm the starts among the actions."""
         starts = [a for a in actions if isinstance(a, StartRun)]
-        for start in starts:
-            self.running[start.worker][start.run] = 0
-            self.feed(RunAnswered(start.worker, start.run, self.make_reply()))
+        self.confirm_runs((start.worker, start.run) for start in starts)
         return starts
 
+    def confirm_runs(self, runs):
+        """Let the workers confirm runs, given as pairs of worker and run."""
+        for worker, run in runs:
+            self.running[worker][run] = 0
+            self.feed(RunAnswered(worker, run, self.make_reply()))
+
+    def answer_advice(self):
+        """Admit all workers that open calls for advice ask about."""
+        calls = select_actions(self.actions, AskAdvice)
+        for call in calls[self._advised_calls :]:
+            tickets = tuple((worker, 'ticket') for worker in call.workers)
+            self.feed(
+                AdviceAnswered(
+                    call.step,
+                    call.entry_host,
+                    call.workers,
+                    Advice(tickets, 2_000),
+                    self.now,
+                )
+            )
+        self._advised_calls = len(calls)
+
     def make_reply(self, refusal=None):
         """Return a worker's reply to a start call."""
         return RunReply(self.now, refusal)
