--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,7 @@
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
 	$(BIN)/flake8 sassafrasgate tests benchmarks models
+	$(BIN)/pylint -j 4 sassafrasgate tests benchmarks models
 	$(BIN)/mypy
 
 test: lint model
