Pass a request that has ended an ownership on no more

Callers saw: one cancel that met an unexpected error ended 35 to 100 ownerships of the cell, and all other callers waited for each takeover.

Cause: the error ends the ownership, the gateway takes the reply for that of a lost owner and repeats the request, and the next owner fails as well.

Change: the owner tells the other entry hosts which request has failed before it replies and gives up the owner key. For a minute they refuse this request with 503 and Retry-After, or 504 for a submission, which may have been stored. The log line of the error names the request.

--- a/sassafrasgate/core/errors.py
+++ b/sassafrasgate/core/errors.py
@@ -25,6 +25,7 @@
     STORE_UNAVAILABLE = 'store-unavailable'
     CONFLICT = 'conflict'
     STOPPING = 'stopping'
+    FAILED = 'failed'
 
 
 @dataclass(frozen=True, slots=True)
--- a/sassafrasgate/daemons/directory.py
+++ b/sassafrasgate/daemons/directory.py
@@ -180,6 +180,27 @@
         link = self.find_link(owner[0].link_address)
         return await link.request(message, timeout_s, attempt)
 
+    async def request_from_members(
+        self, message: Any, timeout_s: float, sender: str
+    ) -> None:
+        """Send a message to all members but the sender; ignore the replies.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Time limit for each reply, in seconds.
+        sender : str
+            Name of this process.
+        """
+        links = [
+            self.find_link(member.link_address)
+            for name, member in self.members.items()
+            if name != sender
+        ]
+        async with anyio.create_task_group() as group:
+            for link in links:
+                group.start_soon(link.request, message, timeout_s)
+
     async def broadcast_request(
         self, message: Any, timeout_s: float
     ) -> tuple[Any, ...]:
--- a/sassafrasgate/daemons/dispatcher.py
+++ b/sassafrasgate/daemons/dispatcher.py
@@ -21,6 +21,7 @@
 from sassafrasgate.core.errors import StoreError
 from sassafrasgate.core.workflows import Advice
 from sassafrasgate.daemons.dispatcher_actions import DISPATCHER_ACTION_HANDLERS
+from sassafrasgate.daemons.failed_requests import describe_failed_request
 from sassafrasgate.daemons.inboxes import InboxTable
 from sassafrasgate.daemons.inboxes import make_task_inbox
 from sassafrasgate.daemons.inboxes import OwnerInbox
@@ -70,6 +71,7 @@
 from sassafrasgate.protocol.messages import Refused
 from sassafrasgate.protocol.workflows import AdviceGiven
 from sassafrasgate.protocol.workflows import HandOver
+from sassafrasgate.protocol.workflows import RequestFailed
 from sassafrasgate.protocol.workflows import SeekAdvice
 from sassafrasgate.shards.events import RecordsDurable
 from sassafrasgate.shards.events import RequestReceived
@@ -92,6 +94,8 @@
     from sassafrasgate.journal.ring_buffer import Journal
     from sassafrasgate.protocol.links import IncomingRequest
 
+ReportFailedRequest = Callable[[RequestFailed], Awaitable[None]]
+
 TICK_INTERVAL_S = 0.1
 # Records are collected into shared entries, because each store call is
 # charged for. The delay is short, because a quick job has only 0.6 s beyond
@@ -178,6 +182,9 @@
     handed_over_journal : LoadedJournal, optional
         State that the previous owner has handed over. Without it the
         journal is read from the store.
+    report_failed_request : callable, optional
+        Awaited with the `RequestFailed` of a request that has ended the
+        ownership by an unexpected error.
     """
 
     def __init__(
@@ -187,6 +194,7 @@
         lease: OwnerLease,
         services: DispatcherServices,
         handed_over_journal: LoadedJournal | None = None,
+        report_failed_request: ReportFailedRequest | None = None,
     ) -> None:
         self.shard = shard
         self.services = services
@@ -195,6 +203,8 @@
         self._table = table
         self._lease = lease
         self._handed_over_journal = handed_over_journal
+        self._report_failed_request = report_failed_request
+        self._failed_request: RequestFailed | None = None
         self._replies = ReplyTable(services.reply)
         self._workers = InboxTable()
         self._journal_sender, self._journal_inbox = make_task_inbox(inf)
@@ -232,12 +242,27 @@
         except Exception as error:
             # The state may be inconsistent. Nothing is decided from it any
             # more, and a successor builds its own from the journal.
-            self._failures.record('ownership', error, (('shard', self.shard),))
+            self._failures.record('ownership', error, self._describe_failure())
             self._loss_reason = f'unexpected error: {error!r}'
         self.taken_over.set()
+        # The other hosts are told before the caller, or the successor, can
+        # repeat the request.
+        if self._failed_request is not None and self._report_failed_request:
+            await self._report_failed_request(self._failed_request)
         await self._end_requests()
         return self._loss_reason
 
+    def _describe_failure(self) -> tuple[tuple[str, object], ...]:
+        """Return the fields of the log line for an unexpected error."""
+        fields: tuple[tuple[str, object], ...] = (('shard', self.shard),)
+        failed = self._failed_request
+        if failed is not None:
+            fields += (
+                ('request', failed.request_kind),
+                ('subject', failed.subject),
+            )
+        return fields
+
     async def _run(self, release: Callable[[], Awaitable[None]]) -> str:
         journal = await self._take_over()
         self.taken_over.set()
@@ -369,7 +394,19 @@
         if await self._handle_internal_event(event):
             return
         if isinstance(event, RequestReceived):
-            self._replies.record_handled(event.reply_to)
+            await self._process_request(event)
+            return
+        await self._decide_event(event)
+
+    async def _process_request(self, event: RequestReceived) -> None:
+        self._replies.record_handled(event.reply_to)
+        try:
+            await self._decide_event(event)
+        except Exception:
+            self._failed_request = describe_failed_request(event.message)
+            raise
+
+    async def _decide_event(self, event: Any) -> None:
         started = perf_counter()
         actions = decide(self.state, event, now_ms(), wall_ms())
         kind = type(event).__name__
--- a/sassafrasgate/daemons/entry.py
+++ b/sassafrasgate/daemons/entry.py
@@ -19,6 +19,7 @@
 from sassafrasgate.daemons.entry_messages import OwnerEnded
 from sassafrasgate.daemons.entry_messages import RelayRequested
 from sassafrasgate.daemons.entry_messages import ShardOffered
+from sassafrasgate.daemons.failed_requests import FailedRequests
 from sassafrasgate.daemons.messages import ClaimDue
 from sassafrasgate.daemons.messages import OwnershipLost
 from sassafrasgate.daemons.owner_probes import SHARD
@@ -45,6 +46,7 @@
     from sassafrasgate.daemons.election import OwnerElection
     from sassafrasgate.daemons.leases import Member
     from sassafrasgate.protocol.links import IncomingRequest
+    from sassafrasgate.protocol.workflows import RequestFailed
 
     SendReply = Callable[[Any], Awaitable[None]]
 
@@ -56,6 +58,8 @@
 # The effect of a request that was sent to a lost owner is unknown. After this
 # time without a heartbeat, requests are held back; they can still be refused.
 OWNER_SUSPECT_MS = 700
+# Callers of the lost owner wait while the other hosts are told why.
+REPORT_TIMEOUT_S = 0.3
 
 
 class EntryTask:
@@ -103,6 +107,7 @@
         self._is_querying_owner = False
         self._peers: tuple[str, ...] = ()
         self._failures = FailureRecorder(services.logger, services.metrics)
+        self._failed_requests = FailedRequests()
 
     @property
     def version(self) -> int:
@@ -249,7 +254,12 @@
         self.election.begin_takeover(revision)
         self._peers = ()
         dispatcher = DispatcherTask(
-            SHARD, self.table, lease, self.services, handed_over_journal
+            SHARD,
+            self.table,
+            lease,
+            self.services,
+            handed_over_journal,
+            self.report_failed_request,
         )
         self.dispatcher = dispatcher
         self.services.metrics.set_gauge(OWNED_SHARDS, 1)
@@ -327,8 +337,27 @@
             await execute_relayed_call(self.services.relay_store, message.call)
         )
 
+    def record_failed_request(self, failed: RequestFailed) -> None:
+        """Pass a request that has ended an ownership on no more."""
+        self._failed_requests.record(failed)
+
+    async def report_failed_request(self, failed: RequestFailed) -> None:
+        """Tell all entry hosts of a request that has ended the ownership.
+
+        One of them is the successor. It has not begun to serve, because the
+        owner key is deleted later.
+        """
+        self.record_failed_request(failed)
+        with anyio.move_on_after(REPORT_TIMEOUT_S):
+            await self.directory.request_from_members(
+                failed, REPORT_TIMEOUT_S, self.member.name
+            )
+
     async def request_once(self, message: Any, timeout_s: float) -> Any:
         """Send a request to the owner, which may be this process, once."""
+        refusal = self._failed_requests.find_refusal(message)
+        if refusal is not None:
+            return refusal
         dispatcher = self.dispatcher
         if dispatcher is not None:
             return await dispatcher.request(message, timeout_s)
@@ -367,6 +396,11 @@
         if type(message) in ENTRY_REQUESTS:
             await ENTRY_REQUESTS.find(type(message))(self, message, send_reply)
             return
+        refusal = self._failed_requests.find_refusal(message)
+        if refusal is not None:
+            # A host that has not learned of the failure has passed it on.
+            await send_reply(refusal)
+            return
         if self.dispatcher is not None:
             await self.dispatcher.handle_request(request)
             return
--- a/sassafrasgate/daemons/entry_messages.py
+++ b/sassafrasgate/daemons/entry_messages.py
@@ -21,9 +21,11 @@
 from sassafrasgate.daemons.owner_ends import EndEvidence
 from sassafrasgate.dispatch.events import TableChanged
 from sassafrasgate.observability.metrics import CONFIGURATION_VERSION
+from sassafrasgate.protocol.messages import Acknowledged
 from sassafrasgate.protocol.relays import RelayCall
 from sassafrasgate.protocol.workflows import FindOwner
 from sassafrasgate.protocol.workflows import HandOver
+from sassafrasgate.protocol.workflows import RequestFailed
 from sassafrasgate.protocol.workflows import SeekAdvice
 
 if TYPE_CHECKING:
@@ -213,6 +215,14 @@
     await reply(task.election.describe_owner(message))
 
 
+@ENTRY_REQUESTS.register(RequestFailed)
+async def _refuse_failed_request(
+    task: EntryTask, message: RequestFailed, reply: SendReply
+) -> None:
+    task.record_failed_request(message)
+    await reply(Acknowledged())
+
+
 @ENTRY_REQUESTS.register(SeekAdvice)
 async def _forward_advice_request(
     task: EntryTask, message: SeekAdvice, reply: SendReply
--- a/sassafrasgate/daemons/gateways.py
+++ b/sassafrasgate/daemons/gateways.py
@@ -90,10 +90,14 @@
         self, queue: Queue, job_id: str, workflow: Workflow, timeout_s: float
     ) -> Any:
         """Submit a workflow to the owner."""
-        return await self._request_from_owner(
+        reply = await self._request_from_owner(
             SubmitWorkflow(job_id, queue.name, self.version, workflow),
             timeout_s,
         )
+        if isinstance(reply, Refusal) and reply.kind is RefusalKind.FAILED:
+            # The attempt that has failed may have been recorded before.
+            return NoReply(reply.reason)
+        return reply
 
     async def query(self, job_id: str, timeout_s: float) -> Any:
         """Ask the owner for a workflow's state."""
--- a/sassafrasgate/http/problems.py
+++ b/sassafrasgate/http/problems.py
@@ -182,6 +182,13 @@
     retry_after_s = 1
 
 
+@register_problem_type(RefusalKind.FAILED)
+class _Failed:
+    status = 503
+    title = 'Request has failed unexpectedly'
+    retry_after_s = 60
+
+
 @register_problem_type('not-run')
 class _NotRun:
     status = 503
--- a/sassafrasgate/protocol/workflows.py
+++ b/sassafrasgate/protocol/workflows.py
@@ -70,6 +70,24 @@
     count: int
 
 
+@register_message('request-failed')
+class RequestFailed:
+    """Tells an entry host that a request has ended an ownership.
+
+    The reply is an `Acknowledged`. The host does not pass the request on.
+
+    Parameters
+    ----------
+    request_kind : str
+        Kind of the request's message.
+    subject : str
+        The job's id, or the queue's name if the request is about no job.
+    """
+
+    request_kind: str
+    subject: str
+
+
 @register_message('seek-advice')
 class SeekAdvice:
     """Asks an entry host to call the advice service about a step.
