Compute the accuracy of estimates once for a check of many workers

Cause: each worker without comparable runs looked at the runs of all others, which grows with the square of the number of workers.

Change: the medians of the workers are computed once a check, and with more than 16 of them the overall one is used.

--- a/sassafrasgate/dispatch/stragglers.py
+++ b/sassafrasgate/dispatch/stragglers.py
@@ -41,6 +41,9 @@
 MIN_JOBS = 2
 # Evidence of one job is kept for this time, until that of another joins it.
 SUSPICION_MS = 10_000
+# With more workers than this, the speed of a single one hardly changes that of
+# all others, which is then computed once.
+MAX_COMPARED_WORKERS = 16
 # Number of finished runs that tell how accurate estimates are.
 MAX_FINISHED_SPEEDS = 32
 INITIAL_PAUSE_MS = 2_500
@@ -96,6 +99,71 @@
     is_compared: bool
 
 
+class EstimateAccuracy:
+    """Shares of their expected speed that runs have on other workers.
+
+    Without comparison, tasks whose estimates are all too low would show each
+    of their workers as slow.
+
+    Parameters
+    ----------
+    finished : list of FinishedSpeed
+        Speeds of the runs that finished last.
+    samples : dict
+        Speeds of the runs on each worker.
+    """
+
+    def __init__(
+        self,
+        finished: list[FinishedSpeed],
+        samples: dict[str, list[SpeedSample]],
+    ) -> None:
+        self._finished = finished
+        self._samples = samples
+        # Median of the shares on each worker.
+        self._shares: dict[str, float] | None = None
+        self._overall: float | None = None
+
+    def find(self, worker: str) -> float | None:
+        """Return the usual share on other workers; None if it is not known.
+
+        It is 1 at the most: runs that are faster than expected elsewhere
+        don't show that a worker is slow.
+        """
+        if self._shares is None:
+            self._shares = self._compute_shares()
+            self._overall = self._compute_accuracy('')
+        if len(self._shares) > MAX_COMPARED_WORKERS:
+            return self._overall
+        return self._compute_accuracy(worker)
+
+    def _compute_shares(self) -> dict[str, float]:
+        shares = {}
+        for worker, found in self._samples.items():
+            known = [
+                sample.share
+                for sample in found
+                if sample.share > 0 and not sample.is_stalled
+            ]
+            if known:
+                shares[worker] = median(known)
+        return shares
+
+    def _compute_accuracy(self, left_out: str) -> float | None:
+        assert self._shares is not None
+        shares = [
+            share
+            for worker, share in self._shares.items()
+            if worker != left_out
+        ]
+        shares += [
+            finished.share
+            for finished in self._finished
+            if finished.worker != left_out
+        ]
+        return min(1.0, median(shares)) if shares else None
+
+
 def record_finished_run(state: DispatchState, run: RunEntry) -> None:
     """Record the speed of a finished run, to compare other runs with it."""
     ran_ms = max(1, state.now - run.started_at)
@@ -121,8 +189,9 @@
         for worker in state.runs_by_worker
         if (found := _measure_runs(state, worker))
     }
+    accuracies = EstimateAccuracy(state.finished_speeds, samples)
     for worker, found in samples.items():
-        speed = _judge_worker(state, worker, samples)
+        speed = _judge_worker(found, accuracies, worker)
         if speed is None or speed.share >= SLOW_SHARE:
             continue
         jobs = frozenset(sample.run.step.job_id for sample in found)
@@ -232,23 +301,22 @@
 
 
 def _judge_worker(
-    state: DispatchState, worker: str, samples: dict[str, list[SpeedSample]]
+    found: list[SpeedSample], accuracies: EstimateAccuracy, worker: str
 ) -> WorkerSpeed | None:
     """Return a worker's speed, or None if its runs don't tell.
 
     Parameters
     ----------
-    samples : dict
-        Speeds of the runs on all workers.
+    found : list of SpeedSample
+        Speeds of the runs on the worker.
     """
-    found = samples[worker]
     jobs = {sample.run.step.job_id for sample in found}
     is_compared = len(jobs) >= MIN_JOBS or any(
         sample.usual_rate is not None for sample in found
     )
     accuracy = None
     if any(sample.usual_rate is None for sample in found):
-        accuracy = _find_accuracy(state, worker, samples)
+        accuracy = accuracies.find(worker)
     if all(sample.is_stalled for sample in found):
         return WorkerSpeed(0.0, accuracy, is_compared)
     if not is_compared:
@@ -265,35 +333,6 @@
     return WorkerSpeed(median(shares), accuracy, True)
 
 
-def _find_accuracy(
-    state: DispatchState, worker: str, samples: dict[str, list[SpeedSample]]
-) -> float | None:
-    """Return what share of its expected speed a run has on other workers.
-
-    Without comparison, tasks whose estimates are all too low would show each
-    of their workers as slow. It is 1 at the most: runs that are faster than
-    expected elsewhere don't show that a worker is slow.
-    """
-    shares = [
-        median(known)
-        for other, found in samples.items()
-        if other != worker
-        and (
-            known := [
-                sample.share
-                for sample in found
-                if sample.share > 0 and not sample.is_stalled
-            ]
-        )
-    ]
-    shares += [
-        finished.share
-        for finished in state.finished_speeds
-        if finished.worker != worker
-    ]
-    return min(1.0, median(shares)) if shares else None
-
-
 def _move_runs(
     state: DispatchState, worker: str, speed: WorkerSpeed
 ) -> Actions:
