Judge a worker by runs that have finished there, too, and avoid all old ones

Cause: the accuracy of estimates left out the runs that had finished on the worker itself, before it became slow. A task avoided only the worker from which it was last moved.

Change: finished runs count whatever their worker, and a task avoids each worker from which it was moved. The simulated workers have a speed.

--- a/sassafrasgate/dispatch/entries.py
+++ b/sassafrasgate/dispatch/entries.py
@@ -147,14 +147,14 @@
     shown_ms : int
         Duration of a whole run at the speed that the last moved run has
         shown, in ms; 0 if it has shown none.
-    workers : tuple of str
-        Workers from which it was last moved.
+    workers : frozenset of str
+        Workers from which it was moved.
     """
 
     count: int = 0
     ran_ms: int = 0
     shown_ms: int = 0
-    workers: tuple[str, ...] = ()
+    workers: frozenset[str] = frozenset()
 
 
 NO_MOVES = MoveHistory()
@@ -416,14 +416,6 @@
     calls: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class FinishedSpeed:
-    """Speed of a finished run, as a multiple of its expected speed."""
-
-    worker: str
-    share: float
-
-
 @dataclass(frozen=True, slots=True)
 class Suspicion:
     """Evidence that a worker may be slow.
--- a/sassafrasgate/dispatch/moves.py
+++ b/sassafrasgate/dispatch/moves.py
@@ -98,12 +98,11 @@
         return
     gang = state.find_step(run.step).gang
     runs = state.list_runs_of(run.step) if gang else [run]
-    workers = tuple(sorted({entry.worker for entry in runs}))
     moves = MoveHistory(
         history.count + 1,
         ran_ms,
         run.speed.find_work_ms() or history.shown_ms,
-        workers,
+        history.workers | {entry.worker for entry in runs},
     )
     if gang:
         state.update_step(run.step, moves=moves)
--- a/sassafrasgate/dispatch/state.py
+++ b/sassafrasgate/dispatch/state.py
@@ -19,7 +19,6 @@
 from sassafrasgate.core.routing import RoutingTable
 from sassafrasgate.dispatch.admission import Admission
 from sassafrasgate.dispatch.entries import AdviceChannel
-from sassafrasgate.dispatch.entries import FinishedSpeed
 from sassafrasgate.dispatch.entries import GangLook
 from sassafrasgate.dispatch.entries import JobEntry
 from sassafrasgate.dispatch.entries import NEW_TASK
@@ -102,8 +101,9 @@
         last.
     watch_counts : dict
         Number of times that this owner has begun to poll each worker.
-    finished_speeds : list of FinishedSpeed
-        Speeds of the runs that finished last, the newest at the end.
+    finished_shares : list of float
+        Speeds of the runs that finished last, as multiples of their expected
+        speeds; the newest at the end.
     suspected_workers : dict
         Recent evidence against workers on which no run has finished since.
     submit_callers, cancel_callers : dict
@@ -171,7 +171,7 @@
     slow_workers: dict[str, SlowPeriod] = field(default_factory=dict)
     step_rates: dict[StepKey, float] = field(default_factory=dict)
     watch_counts: dict[str, int] = field(default_factory=dict)
-    finished_speeds: list[FinishedSpeed] = field(default_factory=list)
+    finished_shares: list[float] = field(default_factory=list)
     suspected_workers: dict[str, Suspicion] = field(default_factory=dict)
     submit_callers: dict[str, list[int]] = field(default_factory=dict)
     cancel_callers: dict[str, list[int]] = field(default_factory=dict)
--- a/sassafrasgate/dispatch/stragglers.py
+++ b/sassafrasgate/dispatch/stragglers.py
@@ -15,7 +15,6 @@
 from typing import TYPE_CHECKING
 
 from sassafrasgate.dispatch.actions import LogEvent
-from sassafrasgate.dispatch.entries import FinishedSpeed
 from sassafrasgate.dispatch.entries import RunEntry
 from sassafrasgate.dispatch.entries import SlowPeriod
 from sassafrasgate.dispatch.entries import Suspicion
@@ -45,7 +44,7 @@
 # all others, which is then computed once.
 MAX_COMPARED_WORKERS = 16
 # Number of finished runs that tell how accurate estimates are.
-MAX_FINISHED_SPEEDS = 32
+MAX_FINISHED_SHARES = 32
 INITIAL_PAUSE_MS = 2_500
 MAX_PAUSE_MS = 10_000
 # A run is moved, without any comparison, if it has run for longer than its
@@ -100,22 +99,23 @@
 
 
 class EstimateAccuracy:
-    """Shares of their expected speed that runs have on other workers.
+    """Shares of their expected speed that runs usually have.
 
     Without comparison, tasks whose estimates are all too low would show each
     of their workers as slow.
 
     Parameters
     ----------
-    finished : list of FinishedSpeed
-        Speeds of the runs that finished last.
+    finished : list of float
+        Shares of the runs that finished last, on any worker. Those on a
+        worker that has become slow since then tell as much as others.
     samples : dict
         Speeds of the runs on each worker.
     """
 
     def __init__(
         self,
-        finished: list[FinishedSpeed],
+        finished: list[float],
         samples: dict[str, list[SpeedSample]],
     ) -> None:
         self._finished = finished
@@ -125,10 +125,11 @@
         self._overall: float | None = None
 
     def find(self, worker: str) -> float | None:
-        """Return the usual share on other workers; None if it is not known.
+        """Return the usual share, to judge a worker; None if it is not known.
 
-        It is 1 at the most: runs that are faster than expected elsewhere
-        don't show that a worker is slow.
+        The runs that are on the worker now are left out. The share is 1 at
+        the most: runs that are faster than expected elsewhere don't show that
+        a worker is slow.
         """
         if self._shares is None:
             self._shares = self._compute_shares()
@@ -156,11 +157,7 @@
             for worker, share in self._shares.items()
             if worker != left_out
         ]
-        shares += [
-            finished.share
-            for finished in self._finished
-            if finished.worker != left_out
-        ]
+        shares += self._finished
         return min(1.0, median(shares)) if shares else None
 
 
@@ -173,10 +170,8 @@
         return
     if state.find_step(run.step).long_running or run.fills:
         return
-    state.finished_speeds.append(
-        FinishedSpeed(run.worker, run.expected_ms / ran_ms)
-    )
-    del state.finished_speeds[:-MAX_FINISHED_SPEEDS]
+    state.finished_shares.append(run.expected_ms / ran_ms)
+    del state.finished_shares[:-MAX_FINISHED_SHARES]
 
 
 def handle_stragglers(state: DispatchState) -> Actions:
@@ -189,7 +184,7 @@
         for worker in state.runs_by_worker
         if (found := _measure_runs(state, worker))
     }
-    accuracies = EstimateAccuracy(state.finished_speeds, samples)
+    accuracies = EstimateAccuracy(state.finished_shares, samples)
     for worker, found in samples.items():
         speed = _judge_worker(found, accuracies, worker)
         if speed is None or speed.share >= SLOW_SHARE:
@@ -371,7 +366,10 @@
         if not state.runs[run.place].stopping:
             continue
         jobs = frozenset({run.step.job_id})
-        for worker in find_history(state, run).workers:
+        runs = [run]
+        if state.find_step(run.step).gang:
+            runs = state.list_runs_of(run.step)
+        for worker in sorted({entry.worker for entry in runs}):
             if _is_suspected(state, worker, jobs):
                 yield from _pause_worker(state, worker, 0.0)
 
--- a/tests/dispatch/simulation.py
+++ b/tests/dispatch/simulation.py
@@ -13,6 +13,8 @@
 from heapq import heappop
 from heapq import heappush
 from itertools import count
+from math import ceil
+from math import inf
 from random import Random
 from typing import Any
 
@@ -113,24 +115,53 @@
 
 @dataclass
 class SimRun:
-    """A run on a simulated worker."""
+    """A run on a simulated worker.
+
+    Parameters
+    ----------
+    work_ms : int
+        Duration of the whole work at full speed.
+    since : int
+        Virtual time in ms from which the run has its present speed.
+    left_ms : float
+        Work that was left then, in ms at full speed.
+    speed : float
+        Fraction of the full speed.
+    """
 
     task: str
     run: int
-    started_at: int
-    ends_at: int
+    work_ms: int
+    since: int
+    left_ms: float
+    speed: float
     fails: bool
     demand: Resources
     gang_size: int
     stop_at: int = 0
     lasts: bool = False
 
+    @property
+    def ends_at(self) -> float:
+        """Virtual time in ms when the run ends at its present speed."""
+        return self.since + self.left_ms / self.speed if self.speed else inf
+
+    def find_left_ms(self, now: int) -> float:
+        """Return how much work is left, in ms at full speed."""
+        return max(0.0, self.left_ms - (now - self.since) * self.speed)
+
+    def change_speed(self, now: int, speed: float) -> None:
+        """Let the run go on at another speed."""
+        self.left_ms = self.find_left_ms(now)
+        self.since = now
+        self.speed = speed
+
     def find_percent(self, now: int) -> int:
         """Return the progress in percent that a worker reports."""
         if self.lasts:
             return 100
-        whole = max(1, self.ends_at - self.started_at)
-        return max(0, min(99, (now - self.started_at) * 100 // whole))
+        done_ms = self.work_ms - self.find_left_ms(now)
+        return max(0, min(99, int(done_ms * 100 / max(1, self.work_ms))))
 
 
 class Rules:
@@ -223,6 +254,8 @@
         self.capacity = capacity
         self.clock_rate = random.uniform(0.98, 1.0)
         self.failure_rate = 0.03
+        # Fraction of the full speed at which its runs advance.
+        self.speed = 1.0
         self.refuses_commands = False
         self.restart(0)
 
@@ -276,6 +309,12 @@
                 self.name, self.last_end_number, run.task
             )
 
+    def change_speed(self, now: int, speed: float) -> None:
+        """Let all runs, and those that start later, have another speed."""
+        self.speed = speed
+        for run in self.runs.values():
+            run.change_speed(now, speed)
+
     def _extend_lease(self, now: int, deadline: int) -> None:
         longest = self.clock(now) + HOLD_MAX_MS
         self.deadline = max(self.deadline, min(deadline, longest))
@@ -348,8 +387,10 @@
         self.runs[key] = SimRun(
             command.run.task,
             command.run.run,
+            work_ms,
             now,
-            now + work_ms,
+            work_ms,
+            self.speed,
             self.random.random() < self.failure_rate,
             step.demand,
             step.tasks if step.gang else 0,
@@ -876,7 +917,7 @@
             next_event = self._events[0][0] if self._events else until
             due = self._find_next_end()
             if due is not None and due[0] <= min(next_event, until):
-                self._advance_to(due[0])
+                self._advance_to(ceil(due[0]))
                 _, worker, run = due
                 present = (run.task, run.run) in worker.runs
                 if present and self._is_progressing(worker, run):
@@ -890,7 +931,7 @@
             action()
         self._advance_to(until)
 
-    def _find_next_end(self) -> tuple[int, SimWorker, SimRun] | None:
+    def _find_next_end(self) -> tuple[float, SimWorker, SimRun] | None:
         due = [
             (max(run.ends_at, self.now), worker, run)
             for worker in self.workers.values()
--- a/tests/dispatch/test_long_tasks.py
+++ b/tests/dispatch/test_long_tasks.py
@@ -94,3 +94,54 @@
         assert tasks <= cluster.rules.finished, job_id
     for task, starts in cluster.rules.starts_by_task.items():
         assert starts <= case.max_starts, task
+
+
+# Workers that are slow or stalled from 0.5 s on, jobs, work and estimate, and
+# the bound for the end of all jobs. Speeds are fractions of the full speed.
+SLOW_CASES = {
+    'a stalled worker, one job': ({'w0': 0.0}, 1, 5_000, 5_000, 14_000),
+    'a stalled worker, several jobs': ({'w0': 0.0}, 4, 5_000, 5_000, 14_000),
+    'a stalled worker, low estimates': ({'w0': 0.0}, 4, 5_000, 1_500, 14_000),
+    'two stalled workers': (
+        {'w0': 0.0, 'w1': 0.0},
+        12,
+        5_000,
+        5_000,
+        25_000,
+    ),
+    'a stalled worker, minutes': (
+        {'w0': 0.0},
+        4,
+        120_000,
+        120_000,
+        260_000,
+    ),
+    'a slow worker, several jobs': ({'w0': 0.12}, 4, 5_000, 5_000, 20_000),
+    'a slow worker, minutes': ({'w0': 0.12}, 4, 60_000, 60_000, 150_000),
+}
+
+
+@pytest.mark.parametrize('name', SLOW_CASES)
+def test_jobs_end_soon_beside_workers_that_stay_slow(name):
+    # Guards against runs that are left on a slow or stalled worker because
+    # moves are bounded or estimates count less than before.
+    speeds, jobs, work_ms, estimate_ms, end_ms = SLOW_CASES[name]
+    cluster = RandomFaultCluster(1, 4)
+    for worker in cluster.workers.values():
+        worker.failure_rate = 0.0
+    cluster.start_owner()
+    # Jobs of the same work have shown what the usual speed is.
+    for number in range(2):
+        workflow = Workflow('payload', (make_step(1, 500),))
+        cluster.submit(f'd{number:015x}', workflow, 'q', (500,))
+    cluster.run(2_000)
+    step = make_step(1, estimate_ms)
+    ids = [f'c{number:015x}' for number in range(jobs)]
+    for job_id in ids:
+        cluster.submit(job_id, Workflow('payload', (step,)), 'q', (work_ms,))
+    cluster.run(2_500)
+    for worker, speed in speeds.items():
+        cluster.workers[worker].change_speed(cluster.now, speed)
+    cluster.run(2_000 + end_ms)
+    unfinished = {f'{job_id}.0.0.0' for job_id in ids} - cluster.rules.finished
+    assert not unfinished
