Soak: let estimates be wrong or missing, and cancel jobs before they are due

Change: callers give estimates that are missing, five times too high or up to five times too low, and 6 % of the jobs are due 15 minutes later and cancelled within 3 s. None of these may start. The source of these choices is apart, so that the course of earlier seeds stays the same.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from dataclasses import field
 from json import dumps
+from random import Random
+from time import time
 from typing import TYPE_CHECKING
 
 from aiohttp import ClientError
@@ -16,8 +18,6 @@
 from tests.soak.configurations import ROUTE_HOST
 
 if TYPE_CHECKING:
-    from random import Random
-
     from tests.soak.cells import Cell
     from tests.soak.entry_hosts import EntryHost
 
@@ -34,6 +34,16 @@
 ESTIMATES_MS = (200, 600, 1200)
 # Tasks that outlast the waits after a takeover.
 LONG_ESTIMATES_MS = (4000, 8000)
+# Work as a multiple of the estimate that the caller gives; None for a job
+# without estimates.
+WORK_FACTORS = (None, 0.2, 1.0, 1.0, 1.0, 1.0, 1.0, 3.4, 5.0)
+# Share of jobs that are due late and cancelled before that. The clocks of the
+# entry hosts differ by several minutes.
+TIMED_SHARE = 0.06
+DUE_IN_S = 900.0
+MAX_CANCEL_DELAY_S = 3.0
+# A cancel is repeated until it is confirmed, beyond the longest outage.
+MAX_CANCEL_ATTEMPTS = 60
 
 
 @dataclass(slots=True)
@@ -42,6 +52,10 @@
 
     Parameters
     ----------
+    work_ms : tuple of int
+        Duration of a task of each step, in ms.
+    start_at_ms : int
+        When the job is due, in Unix milliseconds; 0 for at once.
     unknown : bool
         Whether an attempt to submit the job ended without a definite
         response, so that the job may have been accepted.
@@ -56,6 +70,8 @@
     job_id: str
     queue: str
     steps: list[dict[str, object]]
+    work_ms: tuple[int, ...] = ()
+    start_at_ms: int = 0
     accepted: bool = False
     unknown: bool = False
     cancelled: bool = False
@@ -81,6 +97,21 @@
             for index in range(int(str(step['count'])))
         ]
 
+    def make_body(self) -> str:
+        """Return the body that submits the job.
+
+        The workers read from ``spec`` how long the tasks take.
+        """
+        works = self.work_ms or [step['estimateMs'] for step in self.steps]
+        spec = [
+            {**step, 'estimateMs': work}
+            for step, work in zip(self.steps, works, strict=True)
+        ]
+        body: dict[str, object] = {'spec': dumps(spec), 'steps': self.steps}
+        if self.start_at_ms:
+            body |= {'repeats': 1, 'startAtMs': self.start_at_ms}
+        return dumps(body)
+
     def record_violation(self, text: str) -> None:
         """Record a violation once, however often polls meet it."""
         violation = f'{self.job_id}: {text}'
@@ -133,6 +164,10 @@
     ) -> None:
         self._cell = cell
         self._random = random
+        # The shapes of jobs have a source of their own, so that the course of
+        # a seed stays as it was before them.
+        self._shape_random = Random()
+        self._shape_random.setstate(random.getstate())
         self._long_share = long_share
         self._session = ClientSession(
             timeout=ClientTimeout(total=REQUEST_TIMEOUT_S),
@@ -178,9 +213,19 @@
         job = Job(
             f'{random.getrandbits(64):016x}', random.choice(QUEUES), steps
         )
+        self._choose_shape(job)
         self.jobs.append(job)
         return job
 
+    def _choose_shape(self, job: Job) -> None:
+        """Let estimates be wrong, and some jobs be due later."""
+        job.work_ms = tuple(int(str(step['estimateMs'])) for step in job.steps)
+        for step, work_ms in zip(job.steps, job.work_ms, strict=True):
+            factor = self._shape_random.choice(WORK_FACTORS)
+            step['estimateMs'] = int(work_ms / factor) if factor else 0
+        if self._shape_random.random() < TIMED_SHARE:
+            job.start_at_ms = int((time() + DUE_IN_S) * 1000)
+
     def _choose_estimate(self) -> int:
         if self._long_share and self._random.random() < self._long_share:
             return self._random.choice(LONG_ESTIMATES_MS)
@@ -190,6 +235,11 @@
         await self._submit(job)
         if not job.accepted:
             return
+        if job.start_at_ms:
+            delay_s = self._shape_random.uniform(0, MAX_CANCEL_DELAY_S)
+            await anyio.sleep(delay_s)
+            await self._cancel(job, MAX_CANCEL_ATTEMPTS)
+            return
         if self._random.random() < RESUBMITTED_SHARE:
             await anyio.sleep(self._random.uniform(0, 3))
             await self._submit(job)
@@ -197,7 +247,7 @@
             await self._cancel(job)
 
     async def _submit(self, job: Job) -> None:
-        body = dumps({'spec': dumps(job.steps), 'steps': job.steps})
+        body = job.make_body()
         for _ in range(MAX_ATTEMPTS):
             status, _ = await self._call('POST', job, body)
             if status == 200:
@@ -207,8 +257,8 @@
                 job.unknown = True
             await anyio.sleep(self._random.uniform(0.1, 0.6))
 
-    async def _cancel(self, job: Job) -> None:
-        for _ in range(MAX_ATTEMPTS):
+    async def _cancel(self, job: Job, attempts: int = MAX_ATTEMPTS) -> None:
+        for _ in range(attempts):
             status, state = await self._call('DELETE', job)
             if status == 200:
                 job.cancelled = state == 'cancelled'
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -189,6 +189,8 @@
         violations.extend(job.violations)
         if job.refused and job.job_id in started:
             violations.append(f'{job.job_id} was refused but has started')
+        if job.start_at_ms and job.job_id in started:
+            violations.append(f'{job.job_id} has started before it was due')
         if job.states[-1:] == ['completed']:
             violations.extend(
                 f'{task} has not finished, but its job has completed'
--- a/tests/soak/test_callers.py
+++ b/tests/soak/test_callers.py
@@ -1,5 +1,7 @@
 """Tests of the responses that callers check."""
 
+from json import loads
+
 import anyio
 import pytest
 
@@ -33,3 +35,15 @@
 
     assert not job.violations
     assert job.states == ['completed']
+
+
+def test_a_job_tells_workers_more_than_its_estimates():
+    # Guards against a soak whose tasks always take as long as estimated, and
+    # against one without jobs that are due later.
+    step = {'count': 1, 'cpu': 500, 'memMb': 500, 'estimateMs': 100}
+    job = Job('j', 'plain', [step], work_ms=(500,), start_at_ms=7)
+    body = loads(job.make_body())
+
+    assert loads(body['spec'])[0]['estimateMs'] == 500
+    assert body['steps'][0]['estimateMs'] == 100
+    assert body['startAtMs'] == 7
