Draw all fields of jobs and steps, and slow workers, in the random runs

Cause: the random runs drew no checkpoints, racks, limits per worker, tasks that fill, or images, and no worker became slow.

Change: the generator draws each field, and a test fails for one that stays constant. The simulated workers save and resume checkpoints, count tasks that fill without processor time, and are slow or stalled for a while.

--- a/tests/dispatch/random_jobs.py
+++ b/tests/dispatch/random_jobs.py
@@ -20,6 +20,9 @@
 MAX_DELAY_MS = 30_000
 INTERVALS_MS = (500, 5_000, 20_000)
 LABELS = ('', '', '', 'a', 'b', 'w0')
+RACKS = ('', '', 'r1', 'r2')
+MAX_PER_WORKER = (0, 0, 0, 1, 2)
+CHECKPOINTING_SHARE = 0.3
 JOB_SHAPES: Registry[str, Callable] = Registry('shape of a job')
 
 
@@ -61,6 +64,10 @@
                 choose_estimate(random, work_ms),
                 after=(number - 1,) if number else (),
                 label=random.choice(LABELS),
+                rack=random.choice(RACKS),
+                max_per_worker=random.choice(MAX_PER_WORKER),
+                checkpointing=random.random() < CHECKPOINTING_SHARE,
+                image=random.choice(('', 'image-1')),
                 demand=Resources(random.choice((500, 1500, 3000)), 500),
                 **fields,
             )
@@ -79,10 +86,16 @@
 @JOB_SHAPES.register('gang')
 def make_gang_job(random):
     """Return a job whose tasks run at the same time."""
-    steps, works = make_steps(random, 2, gang=True)
-    # The worker with a label of its own has no room for a whole gang.
+    steps, works = make_steps(
+        random, 2, gang=True, same_rack=random.random() < 0.5
+    )
+    # Few workers with a label have no room for a whole gang.
     steps = tuple(
-        replace(step, label=step.label if step.label != 'w0' else '')
+        replace(
+            step,
+            label=step.label if step.label != 'w0' else '',
+            max_per_worker=step.max_per_worker and 2,
+        )
         for step in steps
     )
     return RandomJob(Workflow('payload', steps), works)
@@ -119,10 +132,23 @@
 @JOB_SHAPES.register('lasting')
 def make_lasting_job(random):
     """Return a job whose tasks run until it is cancelled."""
-    steps, _ = make_steps(random, 1, long_running=True)
+    steps, _ = make_steps(
+        random,
+        1,
+        long_running=True,
+        target_ms=random.choice((0, 50)),
+        may_miss=random.choice((0, 1)),
+    )
     return RandomJob(Workflow('payload', steps), (10**9,))
 
 
+@JOB_SHAPES.register('filling')
+def make_filling_job(random):
+    """Return a job whose tasks use what other tasks leave."""
+    steps, works = make_steps(random, 1, fills=True)
+    return RandomJob(Workflow('payload', steps), works)
+
+
 def make_random_job(random):
     """Return a job of a random shape."""
     shape = random.choice(sorted(JOB_SHAPES))
--- a/tests/dispatch/simulation.py
+++ b/tests/dispatch/simulation.py
@@ -43,6 +43,7 @@
 from sassafrasgate.dispatch.actions import StartRun
 from sassafrasgate.dispatch.actions import StopRun
 from sassafrasgate.dispatch.actions import WatchWorker
+from sassafrasgate.dispatch.adoptions import compute_reservation
 from sassafrasgate.dispatch.events import AdviceAnswered
 from sassafrasgate.dispatch.events import AdviceFailed
 from sassafrasgate.dispatch.events import EpochRefused
@@ -94,6 +95,8 @@
 HOLD_MAX_MS = 6_000
 STOP_MS = 400
 GANG_MS = 3_000
+# Interval at which a checkpointing task saves its progress.
+SAVE_MS = 500
 # Time after the confirmation of a cancel from which nothing may be started.
 CANCEL_MS = 3_000
 
@@ -127,6 +130,10 @@
         Work that was left then, in ms at full speed.
     speed : float
         Fraction of the full speed.
+    saves : str
+        Name under which the run saves its progress; empty if it doesn't.
+    resumed_ms : int
+        Work that was done when the run started, in ms at full speed.
     """
 
     task: str
@@ -140,6 +147,16 @@
     gang_size: int
     stop_at: int = 0
     lasts: bool = False
+    saves: str = ''
+    resumed_ms: int = 0
+
+    def find_checkpoint(self, now: int) -> str:
+        """Return the newest checkpoint; empty if there is none."""
+        done_ms = self.work_ms - self.find_left_ms(now)
+        saved_ms = int(done_ms) // SAVE_MS * SAVE_MS
+        if not self.saves or saved_ms <= self.resumed_ms:
+            return ''
+        return f'{self.saves}/{saved_ms}'
 
     @property
     def ends_at(self) -> float:
@@ -179,6 +196,8 @@
         # varies around its estimate.
         self.work_ms: dict[str, tuple[int, ...]] = {}
         self.starts_by_task: dict[str, int] = {}
+        # Checkpoints that workers have reported.
+        self.checkpoints: set[str] = set()
         # Virtual time in ms when the cancel of each job was confirmed.
         self.cancelled_at: dict[str, int] = {}
         self.finished: set[str] = set()
@@ -207,6 +226,13 @@
         if due_ms > WALL_MS + now:
             raise RuleViolation(f'{task} started before it was due')
 
+    def check_checkpoint(self, name: str, checkpoint: str) -> None:
+        """Check that a run resumes only from its own task's checkpoint."""
+        if checkpoint and not checkpoint.startswith(f'{name}/'):
+            raise RuleViolation(f'{name} resumes from {checkpoint!r}')
+        if checkpoint and checkpoint not in self.checkpoints:
+            raise RuleViolation(f'no run has reported {checkpoint!r}')
+
     def check_start(self, task: str, worker: str) -> None:
         """Check a start call that a worker is about to carry out."""
         self.starts += 1
@@ -300,10 +326,16 @@
                 self._end(run, EndKind.LAPSED)
         for run in list(self.runs.values()):
             if run.stop_at and now >= run.stop_at:
-                self._end(run, EndKind.STOPPED)
+                checkpoint = self._save(run, now)
+                self._end(run, EndKind.STOPPED, checkpoint)
         return self.last_end_number > before
 
-    def _end(self, run: SimRun, how: EndKind) -> None:
+    def _save(self, run: SimRun, now: int) -> str:
+        checkpoint = run.find_checkpoint(now)
+        self.rules.checkpoints.add(checkpoint)
+        return checkpoint
+
+    def _end(self, run: SimRun, how: EndKind, checkpoint: str = '') -> None:
         del self.runs[run.task, run.run]
         self.rules.present_on[run.task].remove(self.name)
         self.last_runs[run.task] = max(
@@ -311,7 +343,7 @@
         )
         self.last_end_number += 1
         self.ended.append(
-            EndedRun(self.last_end_number, run.task, run.run, how, '')
+            EndedRun(self.last_end_number, run.task, run.run, how, checkpoint)
         )
         if how is EndKind.FINISHED:
             self.rules.finished.add(run.task)
@@ -358,7 +390,12 @@
             self.clock(now),
             self.incarnation_ms,
             tuple(
-                RunningRun(run.task, run.run, '', run.find_percent(now))
+                RunningRun(
+                    run.task,
+                    run.run,
+                    self._save(run, now),
+                    run.find_percent(now),
+                )
                 for run in self.runs.values()
             ),
             tuple(self.ended),
@@ -387,7 +424,8 @@
         self.rules.check_due(command.run.task, now)
         job_id, _, number, _ = split_step_task_id(command.run.task)
         step = self.rules.workflows[job_id].steps[number]
-        used = step.demand
+        demand = compute_reservation(step)
+        used = demand
         for run in self.runs.values():
             used = used + run.demand
         if not used.fits_in(self.capacity):
@@ -395,17 +433,26 @@
         work_ms = int(step.estimate_ms * self.random.uniform(0.5, 1.6))
         if job_id in self.rules.work_ms:
             work_ms = self.rules.work_ms[job_id][number]
+        saves = ''
+        if step.checkpointing:
+            saves = command.run.task
+            if step.gang:
+                saves = saves.rpartition('.')[0]
+        self.rules.check_checkpoint(saves, command.checkpoint)
+        resumed_ms = int(command.checkpoint.rpartition('/')[2] or 0)
         self.runs[key] = SimRun(
             command.run.task,
             command.run.run,
             work_ms,
             now,
-            work_ms,
+            max(0, work_ms - resumed_ms),
             self.speed,
             self.random.random() < self.failure_rate,
-            step.demand,
+            demand,
             step.tasks if step.gang else 0,
             lasts=step.long_running,
+            saves=saves,
+            resumed_ms=resumed_ms,
         )
         self.rules.present_on.setdefault(command.run.task, []).append(
             self.name
--- a/tests/dispatch/test_random_jobs.py
+++ b/tests/dispatch/test_random_jobs.py
@@ -1,11 +1,15 @@
 """Tests of jobs of every shape under random faults, in virtual time."""
 
+from collections import defaultdict
+from dataclasses import fields
 from math import log2
 from random import Random
 
 import pytest
 
 from sassafrasgate.core.workflows import FINAL_WORKFLOW_STATES
+from sassafrasgate.core.workflows import Step
+from sassafrasgate.core.workflows import Workflow
 from sassafrasgate.core.workflows import WorkflowState
 from sassafrasgate.dispatch.speeds import STALL_MS
 from tests.dispatch.random_jobs import make_random_job
@@ -26,6 +30,22 @@
 SEEDS = range(24)
 
 
+def change_speed(cluster, random):
+    """The tasks on a worker are slow or stand still for a while."""
+    worker = cluster.workers[random.choice(sorted(cluster.workers))]
+    worker.change_speed(cluster.now, random.choice((0.0, 0.12, 0.5)))
+
+    def recover():
+        worker.change_speed(cluster.now, 1.0)
+
+    cluster.call_later(random.choice((2_000, 7_000, 40_000)), recover)
+
+
+# Apart from the other faults, because the course of their seeds depends on
+# their number.
+JOB_FAULTS = {**FAULTS, 'change_speed': change_speed}
+
+
 class JobRun:
     """A cluster with random jobs.
 
@@ -47,9 +67,9 @@
         self.cluster.start_owner()
         for number in range(JOBS):
             self._add_job(f'{number:016x}')
-        kinds = sorted(FAULTS)
+        kinds = sorted(JOB_FAULTS)
         for _ in range(faults):
-            make = FAULTS[self.random.choice(kinds)]
+            make = JOB_FAULTS[self.random.choice(kinds)]
             self.cluster.call_later(
                 self.random.randint(0, SUBMIT_PERIOD_MS),
                 lambda make=make: make(self.cluster, self.random),
@@ -133,6 +153,26 @@
         return 2 + int(log2(work_ms / STALL_MS))
 
 
+def test_jobs_differ_in_each_field_of_job_and_step():
+    # Guards against a field that random runs leave at its default, so that
+    # nothing tries it together with others.
+    random = Random(1)
+    drawn = {Workflow: defaultdict(set), Step: defaultdict(set)}
+    for _ in range(1_000):
+        workflow = make_random_job(random).workflow
+        for item in (workflow, *workflow.steps):
+            for field in fields(item):
+                drawn[type(item)][field.name].add(getattr(item, field.name))
+    constant = {
+        name
+        for kind in drawn.values()
+        for name, values in kind.items()
+        if len(values) < 2
+    }
+    # Workers get the payload as it is.
+    assert constant == {'payload'}
+
+
 @pytest.mark.parametrize('seed', SEEDS)
 def test_every_job_ends_whatever_its_estimate_says(seed):
     # Guards against work that is moved for ever because its estimate is
