--- a/tests/dispatch/test_random_faults.py
+++ b/tests/dispatch/test_random_faults.py
@@ -14,6 +14,8 @@
 from sassafrasgate.core.workflows import FINAL_WORKFLOW_STATES
 from sassafrasgate.core.workflows import Workflow
 from sassafrasgate.core.workflows import WorkflowState
+from sassafrasgate.dispatch.actions import AllowStarts
+from sassafrasgate.dispatch.actions import ForgetWorker
 from tests.dispatch.owner_faults import OWNER_FAULTS
 from tests.dispatch.simulation import GRACE_MS
 from tests.dispatch.simulation import make_step
@@ -367,3 +369,12 @@
         assert (
             cluster.find_shown_state(caller.job_id) is WorkflowState.COMPLETED
         )
+
+
+def test_a_late_change_for_a_forgotten_worker_is_ignored():
+    # Guards against a simulation that ends with an error of its own: an owner
+    # may allow starts on a worker that it has just forgotten.
+    cluster = RandomFaultCluster(1)
+    owner = cluster.start_owner()
+    owner.carry_out([ForgetWorker('w0'), AllowStarts('w0', True)])
+    assert 'w0' not in owner.contacts
--- a/tests/soak/test_histories.py
+++ b/tests/soak/test_histories.py
@@ -307,3 +307,49 @@
     assert summary['started'] == [TASK, 'j.0.0.1']
     assert summary['finished'] == [TASK]
     assert (summary['starts'], summary['running']) == (2, 1)
+
+
+GANG = dumps(
+    [
+        {'count': 2, 'cpu': 1, 'memMb': 1, 'estimateMs': 2, 'gang': True},
+        {'count': 1, 'cpu': 1, 'memMb': 1, 'estimateMs': 2, 'after': [0]},
+    ]
+)
+OTHER_MEMBER = 'j.0.0.1'
+
+
+def play_gang(*events):
+    """Let a gang start on two workers, of which one is killed at its end."""
+    history = History(
+        [
+            born(0),
+            born(0, 'b', 2),
+            start(10, spec=GANG),
+            start(10, 'b', task=OTHER_MEMBER, life=2, spec=GANG),
+            kill(20, 'b', 2),
+            *events,
+        ]
+    )
+    return summarize(history)
+
+
+def test_the_end_of_one_member_stands_for_the_gang():
+    # Guards against a report of work that is not done, or of a step that
+    # starts too early, because the worker of another member was killed with
+    # its records (soak seed 43002).
+    found = play_gang(
+        end(21, 'done'), start(30, task=NEXT_TASK, run=1, spec=GANG)
+    )
+
+    assert found['violations'] == []
+    assert {TASK, OTHER_MEMBER} <= set(found['finished'])
+
+
+def test_a_gang_without_an_end_is_not_done():
+    # Guards against a check that takes a gang for done that has failed.
+    found = play_gang(
+        end(21, 'failed'), start(30, task=NEXT_TASK, run=1, spec=GANG)
+    )
+
+    assert len(found['violations']) == 2
+    assert found['finished'] == []
