Let the workers of the soak end a run with a checkpoint

Found by the soak: workers ended unexpectedly when a run was stopped.

Cause: the simulated worker passes the newest checkpoint to the function that ends a run, which the stand-in overrides.

Change: the stand-in takes it, too. Its own tasks don't save any.

--- a/tests/standins/recorded_workers.py
+++ b/tests/standins/recorded_workers.py
@@ -123,7 +123,7 @@
         since_ms = (self.deadline - FIRST_CLOCK_MS) / self.clock_rate
         return self.restarted_at + since_ms
 
-    def _end(self, run: SimRun, how: EndKind) -> None:
+    def _end(self, run: SimRun, how: EndKind, checkpoint: str = '') -> None:
         at_ms = float(self._now)
         if how is EndKind.LAPSED:
             at_ms = min(at_ms, self._find_lapse_time())
@@ -134,7 +134,7 @@
             if outcome is not None:
                 how = _find_member_end(run, outcome)
                 at_ms = outcome.at_ms - self._began_ms
-        super()._end(run, how)
+        super()._end(run, how, checkpoint)
         self.write(
             'end',
             at_ms,
