--- a/sassafrasgate/dispatch/entries.py
+++ b/sassafrasgate/dispatch/entries.py
@@ -143,7 +143,7 @@
     count : int
         Number of moves.
     ran_ms : int
-        How long the run had been away when it was last moved, in ms.
+        How long the task's run had lasted when it was last moved, in ms.
     shown_ms : int
         Duration of a whole run at the speed that the last moved run has
         shown, in ms; 0 if it has shown none.
--- a/sassafrasgate/dispatch/moves.py
+++ b/sassafrasgate/dispatch/moves.py
@@ -20,8 +20,8 @@
     from sassafrasgate.dispatch.handlers import Actions
     from sassafrasgate.dispatch.state import DispatchState
 
-# A run may be moved after this multiple of the time for which the task's last
-# run had been away when it was moved.
+# A run may be moved after this multiple of the time that the task's last run
+# had lasted when it was moved.
 MOVE_SPACING_FACTOR = 2
 # A run is moved if it needs more than this multiple of the time on another
 # worker, plus the margin, to finish where it is.
@@ -81,8 +81,8 @@
     elsewhere_ms : float
         Expected duration of a whole run on another worker.
     is_compared : bool
-        Whether other runs show that this one is too slow. Its estimate alone
-        moves each task only once.
+        Whether other runs, or its own earlier progress, show that it is too
+        slow. Its estimate alone moves each task only once.
     reason : str
         Why the run is too slow, for the log.
     """
