Identify tenants by their keys, and keep jobs apart by tenant

Cause: no module knew a tenant. Calls with unknown or removed keys were served on cells whose configuration has tenants, and any caller could query and cancel any job.

Change: the routing table has tenants, with digests in place of keys, and public queues. Entry hosts identify the tenant of each call before its body is read; unknown keys get 401, or 503 while the host cannot confirm its table. The owner keeps a job's tenant in its record and refuses queries, cancellations and repeats of other tenants with 403. New setting `max_key_age_ms`, for platforms that ask for strict revocation. The message and record fields have defaults, so that releases can run side by side.

Result: the tests of keys and access fail without the change, since the types did not exist. Lint and types are clean; tests of platform, http, core and the entry daemons pass.

--- a/sassafrasgate/composition/entry.py
+++ b/sassafrasgate/composition/entry.py
@@ -277,7 +277,12 @@
             advice_inbox.send,
             main_inbox.send.send,
         )
-        gateway = EntryGateway(member.name, task)
+        gateway = EntryGateway(
+            member.name,
+            task,
+            lambda: table_watch.freshness.age_ms,
+            settings.max_key_age_ms,
+        )
         lease_task = LeaseTask(
             lease_store,
             member,
--- a/sassafrasgate/core/errors.py
+++ b/sassafrasgate/core/errors.py
@@ -22,6 +22,8 @@
     NOT_OWNER = 'not-owner'
     NOT_READY = 'not-ready'
     NOT_FOUND = 'not-found'
+    UNAUTHENTICATED = 'unauthenticated'
+    FORBIDDEN = 'forbidden'
     STORE_UNAVAILABLE = 'store-unavailable'
     CONFLICT = 'conflict'
     STOPPING = 'stopping'
--- a/sassafrasgate/core/routing.py
+++ b/sassafrasgate/core/routing.py
@@ -5,6 +5,10 @@
 from dataclasses import dataclass
 from functools import cached_property
 
+from sassafrasgate.core.tenants import digest_key
+from sassafrasgate.core.tenants import match_digest
+from sassafrasgate.core.tenants import Tenant
+
 
 @dataclass(frozen=True, slots=True)
 class AdviceTiming:
@@ -50,6 +54,8 @@
         Maximum time until the reply to a request, in milliseconds.
     advice : AdviceTiming or None
         None when any worker of the pool may run its tasks without a ticket.
+    public : bool
+        Whether calls need no key of a tenant.
     """
 
     name: str
@@ -62,6 +68,7 @@
     target_latency_ms: int = 0
     timeout_ms: int = 0
     advice: AdviceTiming | None = None
+    public: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,6 +97,8 @@
     ----------
     version : int
         Only increases; 0 when no table has been read yet.
+    tenants : tuple of Tenant, or None
+        None when the cell has no tenants and calls need no key.
 
     Notes
     -----
@@ -100,6 +109,7 @@
     version: int = 0
     queues: tuple[Queue, ...] = ()
     pools: tuple[Pool, ...] = ()
+    tenants: tuple[Tenant, ...] | None = None
 
     def find_queue(self, host: str, path: str) -> Queue | None:
         """Return the host's queue with the longest matching path prefix."""
@@ -114,6 +124,28 @@
         """Return the queue with the given name, or None."""
         return self._by_name.get(name)
 
+    def find_tenant(self, name: str) -> Tenant | None:
+        """Return the tenant with the given name, or None."""
+        return self._tenants_by_name.get(name)
+
+    def find_tenant_by_key(self, key: str) -> Tenant | None:
+        """Return the tenant that holds an API key, or None."""
+        digest = digest_key(key)
+        known, tenant = self._tenants_by_digest.get(digest, (b'', None))
+        return tenant if match_digest(digest, known) else None
+
+    @cached_property
+    def _tenants_by_name(self) -> dict[str, Tenant]:
+        return {tenant.name: tenant for tenant in self.tenants or ()}
+
+    @cached_property
+    def _tenants_by_digest(self) -> dict[bytes, tuple[bytes, Tenant]]:
+        return {
+            digest: (digest, tenant)
+            for tenant in self.tenants or ()
+            for digest in tenant.key_digests
+        }
+
     @cached_property
     def _by_name(self) -> dict[str, Queue]:
         return {queue.name: queue for queue in reversed(self.queues)}
--- a/sassafrasgate/daemons/gateways.py
+++ b/sassafrasgate/daemons/gateways.py
@@ -11,6 +11,7 @@
 from sassafrasgate.core.errors import NoReply
 from sassafrasgate.core.errors import Refusal
 from sassafrasgate.core.errors import RefusalKind
+from sassafrasgate.core.tenants import NO_TENANT
 from sassafrasgate.observability.clocks import now_ms
 from sassafrasgate.protocol.messages import Refused
 from sassafrasgate.protocol.workflows import CancelWorkflow
@@ -19,6 +20,8 @@
 from sassafrasgate.protocol.workflows import SubmitWorkflow
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from sassafrasgate.core.routing import Queue
     from sassafrasgate.core.routing import RoutingTable
     from sassafrasgate.core.workflows import Workflow
@@ -31,6 +34,9 @@
 # The pause doubles with each refusal, so that many callers don't keep busy a
 # host that can't serve them yet.
 MAX_RETRY_DELAY_S = 0.2
+# The store confirms the routing table every 1.5 s, or it is listed again
+# within 2.4 s.
+MAX_DENIAL_AGE_MS = 3_000
 # Refusals of a process that has not acted on the request.
 RETRIED_REFUSALS = frozenset(
     {RefusalKind.NOT_OWNER, RefusalKind.NOT_READY, RefusalKind.STOPPING}
@@ -47,11 +53,25 @@
     task : EntryTask
         Main task of this host, which holds the routing table and finds the
         owner.
+    get_table_age_ms : callable
+        Returns the time in ms since the store last confirmed the routing
+        table.
+    max_key_age_ms : int
+        Age of the routing table from which on no key is accepted; 0 for no
+        limit.
     """
 
-    def __init__(self, name: str, task: EntryTask) -> None:
+    def __init__(
+        self,
+        name: str,
+        task: EntryTask,
+        get_table_age_ms: Callable[[], int],
+        max_key_age_ms: int = 0,
+    ) -> None:
         self._name = name
         self._task = task
+        self._get_table_age_ms = get_table_age_ms
+        self._max_key_age_ms = max_key_age_ms
 
     @property
     def version(self) -> int:
@@ -86,12 +106,50 @@
             )
         return queue
 
+    def identify_tenant(self, queue: Queue, key: str | None) -> str | Refusal:
+        """Return the tenant that calls a queue, empty for none.
+
+        A call with an unknown key is refused on public queues, too. A host
+        that cannot confirm its routing table doesn't deny a key, which a
+        newer table may have, but refuses the call for the time being.
+        """
+        table = self._task.table
+        if table.tenants is None or (queue.public and key is None):
+            return NO_TENANT
+        age_ms = self._get_table_age_ms()
+        if 0 < self._max_key_age_ms <= age_ms:
+            return self._make_late_table_refusal(age_ms)
+        tenant = None if key is None else table.find_tenant_by_key(key)
+        if tenant is not None:
+            return tenant.name
+        if key is not None and age_ms > MAX_DENIAL_AGE_MS:
+            return self._make_late_table_refusal(age_ms)
+        return Refusal(
+            RefusalKind.UNAUTHENTICATED,
+            f'the call carries no key that version {table.version!r} of the '
+            'routing table has',
+            'send a key of the tenant in the Authorization header',
+        )
+
+    def _make_late_table_refusal(self, age_ms: int) -> Refusal:
+        return Refusal(
+            RefusalKind.NOT_READY,
+            f'entry host {self._name!r} has not confirmed the keys of its '
+            f'routing table for {age_ms} ms',
+            'use another entry host',
+        )
+
     async def submit(
-        self, queue: Queue, job_id: str, workflow: Workflow, timeout_s: float
+        self,
+        queue: Queue,
+        tenant: str,
+        job_id: str,
+        workflow: Workflow,
+        timeout_s: float,
     ) -> Any:
         """Submit a workflow to the owner."""
         reply = await self._request_from_owner(
-            SubmitWorkflow(job_id, queue.name, self.version, workflow),
+            SubmitWorkflow(job_id, queue.name, self.version, workflow, tenant),
             timeout_s,
         )
         if isinstance(reply, Refusal) and reply.kind is RefusalKind.FAILED:
@@ -99,14 +157,16 @@
             return NoReply(reply.reason)
         return reply
 
-    async def query(self, job_id: str, timeout_s: float) -> Any:
+    async def query(self, tenant: str, job_id: str, timeout_s: float) -> Any:
         """Ask the owner for a workflow's state."""
-        return await self._request_from_owner(QueryWorkflow(job_id), timeout_s)
+        return await self._request_from_owner(
+            QueryWorkflow(job_id, tenant), timeout_s
+        )
 
-    async def cancel(self, job_id: str, timeout_s: float) -> Any:
+    async def cancel(self, tenant: str, job_id: str, timeout_s: float) -> Any:
         """Ask the owner to cancel a workflow."""
         return await self._request_from_owner(
-            CancelWorkflow(job_id), timeout_s
+            CancelWorkflow(job_id, tenant), timeout_s
         )
 
     async def count(self, queue: Queue, timeout_s: float) -> Any:
--- a/sassafrasgate/dispatch/entries.py
+++ b/sassafrasgate/dispatch/entries.py
@@ -8,6 +8,7 @@
 
 from sassafrasgate.core.resources import Resources
 from sassafrasgate.core.routing import Queue
+from sassafrasgate.core.tenants import NO_TENANT
 from sassafrasgate.core.workers import Registration
 from sassafrasgate.core.workflows import FINAL_WORKFLOW_STATES
 from sassafrasgate.core.workflows import Workflow
@@ -268,6 +269,8 @@
     ----------
     queue : Queue
         Settings of the job's queue when the job was accepted.
+    tenant : str
+        Tenant to which the job belongs; empty for none.
     state : WorkflowState
         State that has been decided; callers see ``durable_state`` instead.
     durable_state : WorkflowState
@@ -302,6 +305,7 @@
     queue: Queue
     workflow: Workflow
     accepted_at_ms: int
+    tenant: str = NO_TENANT
     state: WorkflowState = WorkflowState.QUEUED
     durable_state: WorkflowState = WorkflowState.QUEUED
     durable: bool = False
--- a/sassafrasgate/dispatch/recovery.py
+++ b/sassafrasgate/dispatch/recovery.py
@@ -185,10 +185,15 @@
                 entry.state,
                 entry.ended_at_ms,
                 max(0, state.now - entry.ended_known_at),
+                entry.tenant,
             )
             continue
         yield WorkflowAccepted(
-            entry.job_id, entry.queue, entry.workflow, entry.accepted_at_ms
+            entry.job_id,
+            entry.queue,
+            entry.workflow,
+            entry.accepted_at_ms,
+            entry.tenant,
         )
         for key in state.list_steps_of(entry):
             yield from _list_progress(state, key)
@@ -287,7 +292,11 @@
     if record.job_id in state.jobs:
         return
     entry = JobEntry(
-        record.job_id, record.queue, record.workflow, record.accepted_at_ms
+        record.job_id,
+        record.queue,
+        record.workflow,
+        record.accepted_at_ms,
+        record.tenant,
     )
     state.jobs[record.job_id] = entry
     open_job(state, entry)
@@ -365,6 +374,7 @@
         record.queue,
         Workflow('', ()),
         0,
+        record.tenant,
         state=record.state,
         durable_state=record.state,
         durable=True,
--- a/sassafrasgate/dispatch/requests.py
+++ b/sassafrasgate/dispatch/requests.py
@@ -11,6 +11,9 @@
 from sassafrasgate.dispatch.admission import admit_workflow
 from sassafrasgate.dispatch.admission import has_expired
 from sassafrasgate.dispatch.admission import make_expiry_refusal
+from sassafrasgate.dispatch.authorization import check_access
+from sassafrasgate.dispatch.authorization import check_tenant
+from sassafrasgate.dispatch.authorization import list_tenant_fields
 from sassafrasgate.dispatch.events import JournalStalled
 from sassafrasgate.dispatch.handlers import DURABLE_HANDLERS
 from sassafrasgate.dispatch.handlers import EVENT_HANDLERS
@@ -76,6 +79,7 @@
             message.job_id,
             (
                 ('queue', message.queue),
+                *list_tenant_fields(message.tenant),
                 ('refusal', refusal.kind),
                 ('reason', refusal.reason),
             ),
@@ -88,7 +92,11 @@
     yield from write_record(
         state,
         WorkflowAccepted(
-            message.job_id, queue, message.workflow, event.wall_ms
+            message.job_id,
+            queue,
+            message.workflow,
+            event.wall_ms,
+            message.tenant,
         ),
     )
     yield LogEvent(
@@ -96,6 +104,7 @@
         message.job_id,
         (
             ('queue', queue.name),
+            *list_tenant_fields(message.tenant),
             ('steps', len(message.workflow.steps)),
             ('tasks', sum(step.tasks for step in message.workflow.steps)),
             ('table', state.routing_table.version),
@@ -107,6 +116,10 @@
 def _reply_to_repeat(
     state: DispatchState, event: RequestReceived, entry: JobEntry
 ) -> Actions:
+    refusal = check_access(state, entry, event.message.tenant)
+    if refusal is not None:
+        yield reply_refusal(event.reply_to, refusal)
+        return
     if entry.durable:
         yield Reply(event.reply_to, make_view(state, entry))
         return
@@ -130,6 +143,9 @@
             f'{state.routing_table.version!r} of the routing table',
             'send the request again once the owner has the newest version',
         )
+    refusal = check_tenant(state, message)
+    if refusal is not None:
+        return refusal
     if state.stalled_since:
         return _refuse_stalled(state)
     return admit_workflow(state, message.workflow)
@@ -203,6 +219,10 @@
             WorkflowView(event.message.job_id, None, state.epoch),
         )
         return
+    refusal = check_access(state, entry, event.message.tenant)
+    if refusal is not None:
+        yield reply_refusal(event.reply_to, refusal)
+        return
     yield Reply(event.reply_to, make_view(state, entry))
 
 
@@ -216,6 +236,10 @@
     if entry is None:
         yield Reply(event.reply_to, WorkflowView(job_id, None, state.epoch))
         return
+    refusal = check_access(state, entry, event.message.tenant)
+    if refusal is not None:
+        yield reply_refusal(event.reply_to, refusal)
+        return
     if entry.durable_state is entry.state and entry.has_ended:
         yield Reply(event.reply_to, make_view(state, entry))
         return
--- a/sassafrasgate/http/problems.py
+++ b/sassafrasgate/http/problems.py
@@ -162,6 +162,18 @@
     title = 'Not found'
 
 
+@register_problem_type(RefusalKind.UNAUTHENTICATED)
+class _Unauthenticated:
+    status = 401
+    title = 'Request has no known key'
+
+
+@register_problem_type(RefusalKind.FORBIDDEN)
+class _Forbidden:
+    status = 403
+    title = 'Resource belongs to another account'
+
+
 @register_problem_type(RefusalKind.STORE_UNAVAILABLE)
 class _StoreUnavailable:
     status = 503
--- a/sassafrasgate/journal/workflows.py
+++ b/sassafrasgate/journal/workflows.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from sassafrasgate.core.routing import Queue
+from sassafrasgate.core.tenants import NO_TENANT
 from sassafrasgate.core.workflows import EndKind
 from sassafrasgate.core.workflows import Workflow
 from sassafrasgate.core.workflows import WorkflowState
@@ -19,12 +20,16 @@
         Queue as configured at acceptance, in case it is removed later.
     accepted_at_ms : int
         Time of acceptance in Unix milliseconds.
+    tenant : str
+        Tenant to which the workflow belongs; empty for none and in records
+        of earlier releases.
     """
 
     job_id: str
     queue: Queue
     workflow: Workflow
     accepted_at_ms: int
+    tenant: str = NO_TENANT
 
 
 @register_record('workflow-cancelled')
@@ -116,6 +121,8 @@
     kept_ms : int
         For how long, in ms, owners have kept it since they learned of its
         end; 0 in records of earlier releases.
+    tenant : str
+        As in `WorkflowAccepted`.
     """
 
     job_id: str
@@ -123,6 +130,7 @@
     state: WorkflowState
     ended_at_ms: int
     kept_ms: int = 0
+    tenant: str = NO_TENANT
 
 
 @register_record('worker-seen')
--- a/sassafrasgate/platform/callers.py
+++ b/sassafrasgate/platform/callers.py
@@ -40,6 +40,8 @@
 READY_PATH = '/api/readyz'
 JOB_ID_PATTERN = re.compile(r'[0-9a-fA-F]{16}')
 DEADLINE_HEADER = 'request-deadline'
+KEY_HEADER = 'authorization'
+KEY_SCHEME = 'bearer'
 # A longer number of milliseconds would be more than three years.
 DEADLINE_PATTERN = re.compile(r'[0-9]{1,11}')
 DEFAULT_DEADLINE_MS = 3_000
@@ -64,18 +66,32 @@
     def find_queue(self, host: str, path: str) -> Queue | Refusal:
         """Return the queue for a host name and path."""
 
+    def identify_tenant(self, queue: Queue, key: str | None) -> str | Refusal:
+        """Return the tenant that calls a queue, empty for none.
+
+        Parameters
+        ----------
+        key : str or None
+            The API key that the call carries; None if it carries none.
+        """
+
     async def submit(
-        self, queue: Queue, job_id: str, workflow: Workflow, timeout_s: float
+        self,
+        queue: Queue,
+        tenant: str,
+        job_id: str,
+        workflow: Workflow,
+        timeout_s: float,
     ) -> WorkflowView | Refusal | NoReply:
         """Submit a workflow and return its state once it is accepted."""
 
     async def query(
-        self, job_id: str, timeout_s: float
+        self, tenant: str, job_id: str, timeout_s: float
     ) -> WorkflowView | Refusal | NoReply:
         """Return a workflow's state."""
 
     async def cancel(
-        self, job_id: str, timeout_s: float
+        self, tenant: str, job_id: str, timeout_s: float
     ) -> WorkflowView | Refusal | NoReply:
         """Cancel a workflow and return its state."""
 
@@ -116,6 +132,8 @@
         )
         if self.status in RETRIED_STATUSES:
             response.headers['Retry-After'] = str(self.retry_after_s)
+        if self.status == 401:
+            response.headers['WWW-Authenticate'] = KEY_SCHEME.capitalize()
         return response
 
 
@@ -184,9 +202,12 @@
         queue = self._gateway.find_queue(host, path)
         if isinstance(queue, Refusal):
             return _make_refusal_response(queue)
+        tenant = self._gateway.identify_tenant(queue, _find_key(request))
+        if isinstance(tenant, Refusal):
+            return _make_refusal_response(tenant)
         job_id = path.removeprefix(queue.prefix)
         response: CallerResponse = await METHODS.find(request.method)(
-            self._gateway, request, queue, job_id
+            self._gateway, request, queue, tenant, job_id
         )
         return response
 
@@ -239,7 +260,11 @@
 
 @METHODS.register('POST')
 async def submit_job(
-    gateway: WorkflowGateway, request: Request, queue: Queue, job_id: str
+    gateway: WorkflowGateway,
+    request: Request,
+    queue: Queue,
+    tenant: str,
+    job_id: str,
 ) -> CallerResponse:
     """Submit a job."""
     if not JOB_ID_PATTERN.fullmatch(job_id):
@@ -251,7 +276,7 @@
     if isinstance(workflow, Refusal):
         return _make_refusal_response(workflow)
     reply = await gateway.submit(
-        queue, job_id, workflow, _compute_timeout_s(request)
+        queue, tenant, job_id, workflow, _compute_timeout_s(request)
     )
     if isinstance(reply, Refusal):
         return _make_refusal_response(reply)
@@ -264,7 +289,11 @@
 
 @METHODS.register('GET')
 async def show_job(
-    gateway: WorkflowGateway, request: Request, queue: Queue, job_id: str
+    gateway: WorkflowGateway,
+    request: Request,
+    queue: Queue,
+    tenant: str,
+    job_id: str,
 ) -> CallerResponse:
     """Return a job's state, or how many jobs of a queue have not started."""
     timeout_s = _compute_timeout_s(request)
@@ -275,19 +304,31 @@
         if isinstance(count, NoReply):
             return _make_error_response(504, count.reason)
         return CallerResponse(200, {'pending': count.count})
-    return _render_view(await gateway.query(job_id, timeout_s))
+    return _render_view(await gateway.query(tenant, job_id, timeout_s))
 
 
 @METHODS.register('DELETE')
 async def cancel_job(
-    gateway: WorkflowGateway, request: Request, queue: Queue, job_id: str
+    gateway: WorkflowGateway,
+    request: Request,
+    queue: Queue,
+    tenant: str,
+    job_id: str,
 ) -> CallerResponse:
     """Cancel a job."""
     return _render_view(
-        await gateway.cancel(job_id, _compute_timeout_s(request))
+        await gateway.cancel(tenant, job_id, _compute_timeout_s(request))
     )
 
 
+def _find_key(request: Request) -> str | None:
+    """Return the API key in a request's head, or None."""
+    scheme, _, key = request.headers.get(KEY_HEADER, '').partition(' ')
+    if scheme.lower() != KEY_SCHEME:
+        return None
+    return key.strip()
+
+
 def _get_path(request: Request) -> str:
     """Return a request's path.
 
@@ -318,6 +359,8 @@
 
 STATUS_BY_REFUSAL = {
     RefusalKind.NOT_FOUND: 404,
+    RefusalKind.UNAUTHENTICATED: 401,
+    RefusalKind.FORBIDDEN: 403,
     RefusalKind.INVALID: 400,
     RefusalKind.OVERLOADED: 429,
 }
--- a/sassafrasgate/platform/routing.py
+++ b/sassafrasgate/platform/routing.py
@@ -9,10 +9,13 @@
 from sassafrasgate.core.inputs import decode_input
 from sassafrasgate.core.inputs import Integer
 from sassafrasgate.core.inputs import Natural
+from sassafrasgate.core.resources import Resources
 from sassafrasgate.core.routing import AdviceTiming
 from sassafrasgate.core.routing import Pool
 from sassafrasgate.core.routing import Queue
 from sassafrasgate.core.routing import RoutingTable
+from sassafrasgate.core.tenants import digest_key
+from sassafrasgate.core.tenants import Tenant
 
 OPERATOR_PREFIX = 'op/'
 TABLE_KEY = 'op/config'
@@ -35,6 +38,7 @@
     max_attempts: Natural = 1
     stretch: Amount = 1.0
     advice: _Advice | None = None
+    public: bool = False
 
 
 class _Service(Struct, frozen=True, rename='camel'):
@@ -43,10 +47,25 @@
     spare: bool = False
 
 
+class _Cap(Struct, frozen=True, rename='camel'):
+    cpu: Natural = 0
+    mem_mb: Natural = 0
+    gpu: Natural = 0
+
+
+class _Tenant(Struct, frozen=True, rename='camel'):
+    name: str
+    api_keys: list[str] = []
+    weight: Amount = 1.0
+    cap: _Cap = _Cap()
+    priority: Integer = 0
+
+
 class _Configuration(Struct, frozen=True, rename='camel'):
     version: Natural
     routes: list[_Route]
     services: list[_Service]
+    tenants: list[_Tenant] | None = None
 
 
 _DECODER = Decoder(_Configuration)
@@ -68,6 +87,22 @@
             Pool(service.name, service.enforces_capacity, service.spare)
             for service in configuration.services
         ),
+        _make_tenants(configuration.tenants),
+    )
+
+
+def _make_tenants(rows: list[_Tenant] | None) -> tuple[Tenant, ...] | None:
+    if rows is None:
+        return None
+    return tuple(
+        Tenant(
+            row.name,
+            tuple(digest_key(key) for key in row.api_keys),
+            row.weight,
+            Resources(row.cap.cpu, row.cap.mem_mb, row.cap.gpu),
+            row.priority,
+        )
+        for row in rows
     )
 
 
@@ -88,4 +123,5 @@
         int(route.target_latency_ms),
         route.timeout_ms,
         advice,
+        route.public,
     )
--- a/sassafrasgate/protocol/workflows.py
+++ b/sassafrasgate/protocol/workflows.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from sassafrasgate.core.tenants import NO_TENANT
 from sassafrasgate.core.workflows import Workflow
 from sassafrasgate.core.workflows import WorkflowState
 from sassafrasgate.protocol.messages import register_message
@@ -15,26 +16,44 @@
     ----------
     version : int
         Version of the sender's routing table.
+    tenant : str
+        Tenant whose key the call carried; empty for none. Earlier releases
+        neither write nor read it.
     """
 
     job_id: str
     queue: str
     version: int
     workflow: Workflow
+    tenant: str = NO_TENANT
 
 
 @register_message('query-workflow')
 class QueryWorkflow:
-    """Asks for a workflow's state."""
+    """Asks for a workflow's state.
+
+    Parameters
+    ----------
+    tenant : str
+        As in `SubmitWorkflow`.
+    """
 
     job_id: str
+    tenant: str = NO_TENANT
 
 
 @register_message('cancel-workflow')
 class CancelWorkflow:
-    """Cancels a workflow; the reply follows once this is durable."""
+    """Cancels a workflow; the reply follows once this is durable.
+
+    Parameters
+    ----------
+    tenant : str
+        As in `SubmitWorkflow`.
+    """
 
     job_id: str
+    tenant: str = NO_TENANT
 
 
 @register_message('workflow-view')
--- a/tests/daemons/test_entry.py
+++ b/tests/daemons/test_entry.py
@@ -219,7 +219,7 @@
     directory.find_link = links.__getitem__
     task = make_task(MemoryStore(), directory)
     task.table = RoutingTable(1)
-    return EntryGateway(ME.name, task), directory
+    return EntryGateway(ME.name, task, lambda: 0), directory
 
 
 async def test_a_host_that_is_cut_off_refuses_at_once_and_is_not_ready():
@@ -229,7 +229,7 @@
     gateway, _ = make_gateway({OWNER.link_address: link}, OWNER)
 
     with anyio.fail_after(0.3):
-        reply = await gateway.query('0123456789abcdef', 3.0)
+        reply = await gateway.query('', '0123456789abcdef', 3.0)
 
     assert isinstance(reply, Refusal)
     assert reply.kind is RefusalKind.NOT_READY
@@ -255,7 +255,7 @@
 
     async with anyio.create_task_group() as group:
         group.start_soon(change_owner)
-        reply = await gateway.query('0123456789abcdef', 3.0)
+        reply = await gateway.query('', '0123456789abcdef', 3.0)
 
     assert reply == view
     assert QueryWorkflow not in links[OWNER.link_address].requested
--- a/tests/daemons/test_failed_requests.py
+++ b/tests/daemons/test_failed_requests.py
@@ -119,7 +119,7 @@
         )
         self.task = make_task(SlowStore(), directory)
         self.task.table = RoutingTable(1, (QUEUE,))
-        self.gateway = EntryGateway(ME.name, self.task)
+        self.gateway = EntryGateway(ME.name, self.task, lambda: 0)
         self.sent = []
         services = replace(self.task.services, reply=self._add_reply)
         self.task.services = services
@@ -146,7 +146,7 @@
     assert await host.receive(CANCEL_FAILED) == Acknowledged()
 
     with anyio.fail_after(0.5):
-        reply = await host.gateway.cancel(JOB, 3.0)
+        reply = await host.gateway.cancel('', JOB, 3.0)
     assert isinstance(reply, Refusal)
     assert reply.kind is RefusalKind.FAILED
     assert 0 < reply.retry_after_ms <= FAILED_REQUEST_TTL_MS
@@ -156,8 +156,8 @@
     assert not host.count_requests(CancelWorkflow)
 
     # Other requests for the job, and for other jobs, are served.
-    assert await host.gateway.query(JOB, 3.0) == view
-    assert await host.gateway.cancel('f' * 16, 3.0) == view
+    assert await host.gateway.query('', JOB, 3.0) == view
+    assert await host.gateway.cancel('', 'f' * 16, 3.0) == view
 
 
 async def test_a_failed_submission_is_not_refused():
@@ -165,7 +165,7 @@
     # attempt that has failed may have stored it.
     host = Host({SubmitWorkflow: WorkflowView(JOB, WorkflowState.QUEUED, 1)})
     await host.receive(RequestFailed('submit-workflow', JOB))
-    reply = await host.gateway.submit(QUEUE, JOB, WORKFLOW, 3.0)
+    reply = await host.gateway.submit(QUEUE, '', JOB, WORKFLOW, 3.0)
     assert isinstance(reply, NoReply)
     assert not host.count_requests(SubmitWorkflow)
 
@@ -176,7 +176,7 @@
     await host.task.report_failed_request(CANCEL_FAILED)
     for link in host.links.values():
         assert link.requested == [RequestFailed]
-    assert isinstance(await host.gateway.cancel(JOB, 3.0), Refusal)
+    assert isinstance(await host.gateway.cancel('', JOB, 3.0), Refusal)
 
 
 async def test_a_failed_request_may_be_sent_again_later(monkeypatch):
@@ -189,4 +189,4 @@
     monkeypatch.setattr(
         failed_requests, 'now_ms', lambda: now_ms() + FAILED_REQUEST_TTL_MS
     )
-    assert await host.gateway.cancel(JOB, 3.0) == view
+    assert await host.gateway.cancel('', JOB, 3.0) == view
--- a/tests/daemons/test_forwarding.py
+++ b/tests/daemons/test_forwarding.py
@@ -53,9 +53,9 @@
 
 
 async def submit_to_entry_host(owner):
-    gateway = EntryGateway('e1', owner)
+    gateway = EntryGateway('e1', owner, lambda: 0)
     return await gateway.submit(
-        QUEUE, 'job-1', Workflow('payload', ()), TIMEOUT_S
+        QUEUE, '', 'job-1', Workflow('payload', ()), TIMEOUT_S
     )
 
 
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -37,6 +37,8 @@
         self.reply = WorkflowView(JOB, WorkflowState.QUEUED, 1)
         self.ready = None
         self.calls = []
+        self.tenant = ''
+        self.keys = []
 
     def check_readiness(self):
         return self.ready
@@ -46,15 +48,19 @@
             return Refusal(RefusalKind.NOT_FOUND, 'no queue', 'check it')
         return QUEUE
 
-    async def submit(self, queue, job_id, workflow, timeout_s):
+    def identify_tenant(self, queue, key):
+        self.keys.append(key)
+        return self.tenant
+
+    async def submit(self, queue, tenant, job_id, workflow, timeout_s):
         self.calls.append(('submit', job_id, workflow, timeout_s))
         return self.reply
 
-    async def query(self, job_id, timeout_s):
+    async def query(self, tenant, job_id, timeout_s):
         self.calls.append(('query', job_id, timeout_s))
         return self.reply
 
-    async def cancel(self, job_id, timeout_s):
+    async def cancel(self, tenant, job_id, timeout_s):
         self.calls.append(('cancel', job_id, timeout_s))
         return self.reply
 
@@ -309,3 +315,43 @@
     response = await client.post(f'/q/{JOB}', content=dumps(BODY))
 
     assert response.status_code == 504
+
+
+@pytest.mark.parametrize(
+    ('header', 'key'),
+    [
+        ('Bearer key-1', 'key-1'),
+        ('bearer  key-1 ', 'key-1'),
+        ('Basic key-1', None),
+        ('key-1', None),
+        ('', None),
+    ],
+)
+async def test_key_is_read_from_the_head(client, gateway, header, key):
+    await client.get(f'/q/{JOB}', headers={'Authorization': header})
+
+    assert gateway.keys == [key]
+
+
+async def test_call_without_a_known_key_is_denied_before_its_body(
+    client, gateway
+):
+    # Guards against reading the bodies of callers that have no account.
+    gateway.tenant = Refusal(RefusalKind.UNAUTHENTICATED, 'no key', 'send one')
+
+    async def send_body():
+        yield b'{'
+        raise AssertionError('the body was read')
+
+    response = await client.post(f'/q/{JOB}', content=send_body())
+
+    assert response.status_code == 401
+    assert response.headers['WWW-Authenticate'] == 'Bearer'
+    assert not gateway.calls
+
+
+async def test_workflow_of_another_tenant_returns_403(client, gateway):
+    gateway.reply = Refusal(RefusalKind.FORBIDDEN, 'other', 'use its key')
+
+    assert (await client.get(f'/q/{JOB}')).status_code == 403
+    assert (await client.delete(f'/q/{JOB}')).status_code == 403
--- a/tests/platform/test_odd_inputs.py
+++ b/tests/platform/test_odd_inputs.py
@@ -65,7 +65,19 @@
     'stretch': 2.5,
     'advice': {'decideMs': 20, 'eachMs': 0.5, 'validMs': 2000},
 }
-TABLE = {'version': 4, 'routes': [ROUTE], 'services': [{'name': 'pool'}]}
+TENANT = {
+    'name': 'bakers',
+    'apiKeys': ['k1'],
+    'priority': 1,
+    'weight': 2.5,
+    'cap': {'cpu': 4000, 'memMb': 8000, 'gpu': 0},
+}
+TABLE = {
+    'version': 4,
+    'routes': [{**ROUTE, 'public': False}],
+    'services': [{'name': 'pool'}],
+    'tenants': [TENANT],
+}
 REPORT = {
     'clockMs': 50,
     'born': 7,
--- a/tests/platform/test_routing.py
+++ b/tests/platform/test_routing.py
@@ -5,9 +5,12 @@
 import pytest
 
 from sassafrasgate.core.errors import InputError
+from sassafrasgate.core.resources import Resources
 from sassafrasgate.core.routing import AdviceTiming
 from sassafrasgate.core.routing import Pool
 from sassafrasgate.core.routing import Queue
+from sassafrasgate.core.tenants import digest_key
+from sassafrasgate.core.tenants import Tenant
 from sassafrasgate.platform.routing import read_routing_table
 
 ROUTE = {
@@ -70,3 +73,43 @@
     # A partially decoded table must not replace the last valid one.
     with pytest.raises(InputError):
         read_routing_table(value)
+
+
+def test_tenants_are_decoded():
+    tenant = {
+        'name': 'bakers',
+        'apiKeys': ['k1', 'k2'],
+        'priority': 1,
+        'weight': 2.5,
+        'cap': {'cpu': 4000, 'memMb': 8000, 'gpu': 0},
+    }
+    table = read_routing_table(
+        dumps(
+            {
+                'version': 4,
+                'routes': [{**ROUTE, 'public': True}],
+                'services': [],
+                'tenants': [tenant],
+            }
+        ).encode()
+    )
+
+    assert table.queues[0].public
+    assert table.tenants == (
+        Tenant(
+            'bakers',
+            (digest_key('k1'), digest_key('k2')),
+            2.5,
+            Resources(4000, 8000),
+            1,
+        ),
+    )
+    found = table.find_tenant_by_key('k2')
+    assert found is not None and found.name == 'bakers'
+
+
+def test_configuration_without_tenants_needs_no_keys():
+    # Guards against refusing all calls of a cell that has no tenants.
+    table = read_routing_table(b'{"version":4,"routes":[],"services":[]}')
+
+    assert table.tenants is None
