Account for what the runs of each tenant are charged

Cause: caps and shares need what a tenant has running over all workers, and nothing added it up.

Change: runs have their tenant and what they are charged, which is the whole demand of the step; the state keeps the sum by tenant as runs are added and removed. Nothing uses it yet.

Result: tests/dispatch pass, lint and types are clean.

--- a/sassafrasgate/dispatch/adoptions.py
+++ b/sassafrasgate/dispatch/adoptions.py
@@ -121,6 +121,8 @@
         confirmed_pace=UNKNOWN_PACE_PERCENT
         if step.fills
         else FULL_PACE_PERCENT,
+        tenant=state.jobs[step_key.job_id].tenant,
+        charged=step.demand,
     )
 
 
--- a/sassafrasgate/dispatch/entries.py
+++ b/sassafrasgate/dispatch/entries.py
@@ -6,6 +6,7 @@
 from dataclasses import field
 from enum import StrEnum
 
+from sassafrasgate.core.resources import NO_RESOURCES
 from sassafrasgate.core.resources import Resources
 from sassafrasgate.core.routing import Queue
 from sassafrasgate.core.tenants import NO_TENANT
@@ -99,6 +100,11 @@
     epoch : int
         Epoch of this owner if it has started the run; 0 if a previous one
         has.
+    tenant : str
+        Tenant of the run's job; empty for none.
+    charged : Resources
+        What counts against the tenant's cap: the step's whole demand, also
+        where ``demand``, the reservation, leaves a part out.
     """
 
     key: RunKey
@@ -128,6 +134,8 @@
     confirmed_pace: int = 100
     pace_sent_at: int = 0
     epoch: int = 0
+    tenant: str = NO_TENANT
+    charged: Resources = NO_RESOURCES
 
     @property
     def place(self) -> RunPlace:
--- a/sassafrasgate/dispatch/launches.py
+++ b/sassafrasgate/dispatch/launches.py
@@ -68,6 +68,8 @@
             pace=choose_initial_pace(state, name, step.fills),
             paced_at=state.now,
             epoch=state.epoch,
+            tenant=job.tenant,
+            charged=step.demand,
         )
     )
     advice = state.advice.get(key, StepAdvice())
--- a/sassafrasgate/dispatch/state.py
+++ b/sassafrasgate/dispatch/state.py
@@ -78,6 +78,9 @@
         Keys of the runs on each worker and of each step.
     latency_critical_runs : dict
         Keys of the runs of latency-critical tasks, by worker.
+    tenant_usage : dict
+        What the runs of each tenant are charged for; tenants without runs
+        are left out.
     paced_runs : set of RunPlace
         Runs of best-effort tasks whose pace is not confirmed or below full
         pace.
@@ -157,6 +160,7 @@
     latency_critical_runs: dict[str, set[RunPlace]] = field(
         default_factory=dict
     )
+    tenant_usage: dict[str, Resources] = field(default_factory=dict)
     paced_runs: set[RunPlace] = field(default_factory=set)
     pending_stops: dict[RunPlace, PendingStop] = field(default_factory=dict)
     waiting_steps: dict[StepKey, None] = field(default_factory=dict)
@@ -260,6 +264,10 @@
             )
         if entry.fills:
             self.paced_runs.add(place)
+        if entry.tenant:
+            self.tenant_usage[entry.tenant] = (
+                self.get_tenant_usage(entry.tenant) + entry.charged
+            )
         if entry.worker in self.free_resources:
             self.free_resources[entry.worker] = (
                 self.free_resources[entry.worker] - entry.demand
@@ -277,6 +285,8 @@
             self.runs_by_step.pop(entry.step, None)
         self.paced_runs.discard(place)
         self.pending_stops.pop(place, None)
+        if entry.tenant:
+            self._release_usage(entry)
         if entry.target_ms:
             self.latency_critical_runs[entry.worker].discard(place)
             if not self.latency_critical_runs[entry.worker]:
@@ -288,6 +298,16 @@
         self.needs_pass = True
         return entry
 
+    def get_tenant_usage(self, tenant: str) -> Resources:
+        """Return what the runs of a tenant are charged for."""
+        return self.tenant_usage.get(tenant, NO_RESOURCES)
+
+    def _release_usage(self, entry: RunEntry) -> None:
+        left = self.get_tenant_usage(entry.tenant) - entry.charged
+        self.tenant_usage[entry.tenant] = left
+        if left == NO_RESOURCES:
+            del self.tenant_usage[entry.tenant]
+
     def list_runs_on(self, worker: str) -> list[RunEntry]:
         """Return the runs that may be present on a worker."""
         places = self.runs_by_worker.get(worker, ())
