Move the arithmetic of fair shares to core

The queue of teams and the dispatcher's tenants need the same: the dominant share of an amount and the same by weight. The order of the queue of teams is unchanged; its tests pass unchanged.

--- a/benchmarks/baselines.py
+++ b/benchmarks/baselines.py
@@ -11,7 +11,6 @@
 from sassafrasgate.placement.policies import compute_demand
 from sassafrasgate.placement.policies import is_allowed
 from sassafrasgate.placement.queues import QueuedJob
-from sassafrasgate.placement.scores import RESOURCE_NAMES
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -23,6 +22,14 @@
     from sassafrasgate.placement.index import HostIndex
     from sassafrasgate.placement.policies import PlacementRequest
 
+RESOURCE_NAMES = (
+    'millicores',
+    'memory_mb',
+    'accelerators',
+    'slots',
+    'connections',
+)
+
 
 class FifoQueue:
     """A first-come, first-served queue, shared by all teams.
--- a/sassafrasgate/placement/queues.py
+++ b/sassafrasgate/placement/queues.py
@@ -17,7 +17,7 @@
 from sassafrasgate.core.jobs import JobSpec
 from sassafrasgate.core.resources import NO_RESOURCES
 from sassafrasgate.core.resources import Resources
-from sassafrasgate.placement.scores import compute_dominant_share
+from sassafrasgate.core.shares import compute_weighted_share
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -419,8 +419,9 @@
     def _account_start(self, spec: JobSpec) -> float:
         """Account a started job; return its dominant share by weight."""
         amount = spec.demand.scale(spec.tasks)
-        share = compute_dominant_share(amount, self._capacity)
-        share /= self._get_weight(spec.team)
+        share = compute_weighted_share(
+            amount, self._capacity, self._get_weight(spec.team)
+        )
         virtual = self._virtual_times.get(spec.team, 0.0)
         self._system_virtual_time = max(self._system_virtual_time, virtual)
         self._virtual_times[spec.team] = virtual + share
@@ -436,10 +437,11 @@
         self._queue = queue
         self._now = now
         self._shares = {
-            team: compute_dominant_share(
-                reserved.get(team, NO_RESOURCES), queue._capacity
+            team: compute_weighted_share(
+                reserved.get(team, NO_RESOURCES),
+                queue._capacity,
+                queue._get_weight(team),
             )
-            / queue._get_weight(team)
             for team in queue._team_counts
         }
         self._refused_shapes: dict[Hashable, list[_JobShape]] = {}
--- a/sassafrasgate/placement/scores.py
+++ b/sassafrasgate/placement/scores.py
@@ -1,4 +1,4 @@
-"""Shares of resources and cost weights for placement scores."""
+"""Mean shares of resources and cost weights for placement scores."""
 
 from __future__ import annotations
 
@@ -8,14 +8,6 @@
 if TYPE_CHECKING:
     from sassafrasgate.core.resources import Resources
 
-RESOURCE_NAMES = (
-    'millicores',
-    'memory_mb',
-    'accelerators',
-    'slots',
-    'connections',
-)
-
 
 @dataclass(frozen=True, slots=True)
 class ScoreWeights:
@@ -75,16 +67,3 @@
         total += amount.slots / unit.slots
         count += 1
     return total / (count or 1)
-
-
-def compute_dominant_share(amount: Resources, total: Resources) -> float:
-    """Return the largest fraction of a resource that an amount uses.
-
-    When ``total`` is zero, the number of task slots is returned instead.
-    """
-    shares = [
-        getattr(amount, name) / whole
-        for name in RESOURCE_NAMES
-        if (whole := getattr(total, name)) > 0
-    ]
-    return max(shares, default=float(amount.slots))
