Order the waiting steps of tenants by entitlement and share

Cause: the order by slack knows no tenant, so one that sends eight times its usual delays all others, and in overload everything becomes a little late.

Change: jobs beyond a tenant's weight in jobs a second are marked as surplus, also by a successor. When a pool is full, surplus follows entitled work, and what exceeds a tenant's weighted max-min share follows the rest. A pool that can't start all in time is ordered by priority and least work. Workers are kept for small steps that fit on none, and a step that has waited for 30 s goes first.

--- a/sassafrasgate/dispatch/entries.py
+++ b/sassafrasgate/dispatch/entries.py
@@ -279,6 +279,9 @@
         Settings of the job's queue when the job was accepted.
     tenant : str
         Tenant to which the job belongs; empty for none.
+    surplus : bool
+        Whether the tenant had submitted more jobs than it is entitled to when
+        the job was accepted.
     state : WorkflowState
         State that has been decided; callers see ``durable_state`` instead.
     durable_state : WorkflowState
@@ -314,6 +317,7 @@
     workflow: Workflow
     accepted_at_ms: int
     tenant: str = NO_TENANT
+    surplus: bool = False
     state: WorkflowState = WorkflowState.QUEUED
     durable_state: WorkflowState = WorkflowState.QUEUED
     durable: bool = False
@@ -334,6 +338,22 @@
         return self.state in FINAL_WORKFLOW_STATES
 
 
+@dataclass(frozen=True, slots=True)
+class JobAllowance:
+    """Jobs that a tenant may submit at once within its entitlement.
+
+    Parameters
+    ----------
+    jobs : float
+        Number of jobs; it grows by the tenant's weight each second.
+    at_ms : int
+        Unix time, in ms, at which ``jobs`` was computed.
+    """
+
+    jobs: float
+    at_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class WorkerEntry:
     """State of a worker, as far as the owner has learned it.
--- a/sassafrasgate/dispatch/identities.py
+++ b/sassafrasgate/dispatch/identities.py
@@ -76,6 +76,13 @@
     number: int
 
 
+class ShareKey(NamedTuple):
+    """Key of what a tenant has of a pool."""
+
+    pool: str
+    tenant: str
+
+
 def make_task_id(key: StepKey, index: int) -> str:
     """Return the id of one task of a step."""
     return make_step_task_id(key.job_id, key.occurrence, key.step, index)
--- /dev/null
+++ b/sassafrasgate/dispatch/kept_room.py
@@ -0,0 +1,78 @@
+"""Room that is kept for small steps in pools that are full.
+
+A task that needs more than what single runs release never finds room while
+smaller tasks of others take each released part. Workers are therefore kept for
+the tasks of a small step that comes first and fits on none of them.
+"""
+
+from __future__ import annotations
+
+from heapq import nlargest
+from typing import TYPE_CHECKING
+
+from sassafrasgate.core.resources import NO_RESOURCES
+from sassafrasgate.dispatch.ordering import classify_step
+from sassafrasgate.dispatch.ordering import compute_slack
+from sassafrasgate.dispatch.ordering import IN_TIME
+from sassafrasgate.dispatch.plans import GangReservation
+from sassafrasgate.dispatch.plans import sum_capacity
+from sassafrasgate.dispatch.shares import SMALL_WORK_MS
+
+if TYPE_CHECKING:
+    from sassafrasgate.core.resources import Resources
+    from sassafrasgate.dispatch.entries import WorkerEntry
+    from sassafrasgate.dispatch.identities import StepKey
+    from sassafrasgate.dispatch.plans import PassPlan
+    from sassafrasgate.dispatch.state import DispatchState
+
+# One of this many workers is kept at most, so that little capacity is idle.
+WORKERS_PER_KEPT = 10
+
+
+def may_keep_room(state: DispatchState, plan: PassPlan, key: StepKey) -> bool:
+    """Return whether workers may be kept for a step that finds no room."""
+    job = state.jobs[key.job_id]
+    pool = job.queue.pool
+    if not plan.keeps_room or job.surplus:
+        return False
+    if len(plan.kept_workers) * WORKERS_PER_KEPT >= len(plan.usable[pool]):
+        return False
+    slack = compute_slack(job, key, state.now)
+    if classify_step(state, job, key, slack) != IN_TIME:
+        return False
+    step = state.find_step(key)
+    work = step.tasks * step.demand.millicores * step.estimate_ms
+    return work < SMALL_WORK_MS * sum_capacity(plan, pool).millicores
+
+
+def keep_room(
+    state: DispatchState,
+    plan: PassPlan,
+    key: StepKey,
+    demand: Resources,
+    workers: list[WorkerEntry],
+) -> None:
+    """Keep a worker for each pending task of a step for this pass.
+
+    Those with the most free cores are kept. Steps that are placed later get
+    only what the task will leave.
+
+    Parameters
+    ----------
+    workers : list of WorkerEntry
+        Workers on which the step may run.
+    """
+    names = [
+        worker.registration.worker
+        for worker in workers
+        if worker.registration.worker not in plan.reservations
+    ]
+    tasks = len(state.steps[key].pending_tasks)
+    for name in nlargest(
+        tasks, names, key=lambda name: state.free_resources[name].millicores
+    ):
+        spare = state.free_resources[name] - demand
+        plan.reservations[name] = GangReservation(
+            state.now, spare.take_maximum(NO_RESOURCES)
+        )
+        plan.kept_workers.add(name)
--- a/sassafrasgate/dispatch/ordering.py
+++ b/sassafrasgate/dispatch/ordering.py
@@ -13,7 +13,12 @@
 # this fraction of its critical path may still meet it.
 LATENESS_TOLERANCE = 0.25
 
-Rank = tuple[int, int, int]
+# How a job that completes as soon as possible serves its caller.
+IN_TIME = 0
+LATE = 1
+WORTHLESS = 2
+
+Rank = tuple[int, int, int, int]
 
 
 def compute_due_time(entry: JobEntry, key: StepKey) -> int:
@@ -46,8 +51,43 @@
     entry = state.jobs[key.job_id]
     slack = compute_slack(entry, key, state.now)
     priority = state.find_queue_of(entry).priority
-    if slack >= -LATENESS_TOLERANCE * entry.critical_paths_ms[key.step]:
-        return (0, slack, priority)
-    if state.now + entry.critical_paths_ms[key.step] <= entry.value_ends_at:
-        return (1, priority, compute_due_time(entry, key))
-    return (2, priority, compute_due_time(entry, key))
+    usefulness = classify_step(state, entry, key, slack)
+    if usefulness == IN_TIME:
+        return (IN_TIME, slack, priority, 0)
+    return (usefulness, priority, compute_due_time(entry, key), 0)
+
+
+def rank_step_by_work(state: DispatchState, key: StepKey) -> Rank:
+    """Return the sort key of a step for a pool that lacks capacity.
+
+    By slack alone, everything becomes a little late when more is offered
+    than can be done. Here a higher priority comes first, and within it the
+    step with less work, so that as many as possible are in time. Steps with
+    about the same work are ordered by slack.
+    """
+    entry = state.jobs[key.job_id]
+    slack = compute_slack(entry, key, state.now)
+    priority = state.find_queue_of(entry).priority
+    usefulness = classify_step(state, entry, key, slack)
+    if usefulness != IN_TIME:
+        return (usefulness, priority, compute_due_time(entry, key), 0)
+    step = entry.workflow.steps[key.step]
+    work = (
+        len(state.steps[key].pending_tasks)
+        * step.demand.millicores
+        * step.estimate_ms
+    )
+    # The number of bits puts amounts within a factor of two together.
+    return (IN_TIME, priority, work.bit_length(), slack)
+
+
+def classify_step(
+    state: DispatchState, entry: JobEntry, key: StepKey, slack: int
+) -> int:
+    """Return `IN_TIME`, `LATE` or `WORTHLESS` for a step that starts now."""
+    critical_path_ms = entry.critical_paths_ms[key.step]
+    if slack >= -LATENESS_TOLERANCE * critical_path_ms:
+        return IN_TIME
+    if state.now + critical_path_ms <= entry.value_ends_at:
+        return LATE
+    return WORTHLESS
--- a/sassafrasgate/dispatch/plans.py
+++ b/sassafrasgate/dispatch/plans.py
@@ -71,10 +71,18 @@
         usable worker when the pass began. A larger demand cannot be placed.
     total_free : dict
         By pool, the sums that `find_total_free` has computed.
+    capacity : dict
+        By pool, the sums that `sum_capacity` has computed.
     reservations : dict
         Capacity that is reserved for gangs, by worker.
     reserved_gangs : int
         Number of gangs for which capacity is reserved.
+    over_share : dict
+        Tenants with waiting steps beyond their shares, by pool.
+    keeps_room : bool
+        Whether room is kept for small steps that fit on no worker.
+    kept_workers : set of str
+        Workers with room that is kept for small steps.
     by_free : dict
         By pool, the usable workers in the order that `list_by_free` has
         computed.
@@ -88,8 +96,12 @@
     allowances: dict[str, int]
     max_free: dict[str, Resources]
     total_free: dict[str, Resources] = field(default_factory=dict)
+    capacity: dict[str, Resources] = field(default_factory=dict)
     reservations: dict[str, GangReservation] = field(default_factory=dict)
     reserved_gangs: int = 0
+    over_share: dict[str, set[str]] = field(default_factory=dict)
+    keeps_room: bool = False
+    kept_workers: set[str] = field(default_factory=set)
     by_free: dict[str, list[str]] = field(default_factory=dict)
     run_ends: dict[str, list[tuple[int, Resources]]] = field(
         default_factory=dict
@@ -191,6 +203,26 @@
     return total
 
 
+def sum_capacity(plan: PassPlan, pool: str) -> Resources:
+    """Return the capacity of a pool's usable workers.
+
+    The sum is computed at the first use in a pass.
+    """
+    total = plan.capacity.get(pool)
+    if total is None:
+        workers = [
+            *plan.usable.get(pool, {}).values(),
+            *plan.paused.get(pool, {}).values(),
+        ]
+        capacities = [worker.registration.capacity for worker in workers]
+        total = plan.capacity[pool] = Resources(
+            sum(map(_GET_MILLICORES, capacities)),
+            sum(map(_GET_MEMORY, capacities)),
+            sum(map(_GET_ACCELERATORS, capacities)),
+        )
+    return total
+
+
 def _add_positive(amounts: Iterable[int]) -> int:
     return sum(amount for amount in amounts if amount > 0)
 
--- a/sassafrasgate/dispatch/recovery.py
+++ b/sassafrasgate/dispatch/recovery.py
@@ -8,6 +8,7 @@
 from sassafrasgate.core.workflows import Workflow
 from sassafrasgate.core.workflows import WorkflowState
 from sassafrasgate.dispatch.actions import LogEvent
+from sassafrasgate.dispatch.entitlements import count_job
 from sassafrasgate.dispatch.entries import JobEntry
 from sassafrasgate.dispatch.entries import NEW_TASK
 from sassafrasgate.dispatch.events import LeaseConfirmed
@@ -299,7 +300,7 @@
         record.tenant,
     )
     state.jobs[record.job_id] = entry
-    open_job(state, entry)
+    open_job(state, count_job(state, entry))
 
 
 @RECORD_APPLIERS.register('workflow-cancelled')
--- a/sassafrasgate/dispatch/registrations.py
+++ b/sassafrasgate/dispatch/registrations.py
@@ -11,6 +11,7 @@
 from sassafrasgate.dispatch.actions import ForgetWorker
 from sassafrasgate.dispatch.actions import LogEvent
 from sassafrasgate.dispatch.actions import WatchWorker
+from sassafrasgate.dispatch.entitlements import rebuild_entitlements
 from sassafrasgate.dispatch.entries import WorkerEntry
 from sassafrasgate.dispatch.events import RegistrationsConfirmed
 from sassafrasgate.dispatch.events import TableChanged
@@ -39,6 +40,8 @@
         return
     previous = state.routing_table.version
     state.routing_table = event.table
+    if not previous:
+        rebuild_entitlements(state)
     state.needs_pass = True
     yield LogEvent(
         'table',
--- a/sassafrasgate/dispatch/requests.py
+++ b/sassafrasgate/dispatch/requests.py
@@ -105,6 +105,7 @@
         (
             ('queue', queue.name),
             *list_tenant_fields(message.tenant),
+            ('surplus', state.jobs[message.job_id].surplus),
             ('steps', len(message.workflow.steps)),
             ('tasks', sum(step.tasks for step in message.workflow.steps)),
             ('table', state.routing_table.version),
--- a/sassafrasgate/dispatch/scheduling_passes.py
+++ b/sassafrasgate/dispatch/scheduling_passes.py
@@ -13,8 +13,9 @@
 from sassafrasgate.dispatch.handlers import EVENT_HANDLERS
 from sassafrasgate.dispatch.identities import make_task_id
 from sassafrasgate.dispatch.identities import StepKey
+from sassafrasgate.dispatch.kept_room import keep_room
+from sassafrasgate.dispatch.kept_room import may_keep_room
 from sassafrasgate.dispatch.launches import start_run
-from sassafrasgate.dispatch.ordering import rank_step
 from sassafrasgate.dispatch.plans import list_restarted_workers
 from sassafrasgate.dispatch.plans import list_unasked_workers
 from sassafrasgate.dispatch.plans import make_plan
@@ -24,6 +25,8 @@
 from sassafrasgate.dispatch.plans import record_planned_run
 from sassafrasgate.dispatch.plans import respects_reservation
 from sassafrasgate.dispatch.plans import split_admitted_workers
+from sassafrasgate.dispatch.policies import order_steps
+from sassafrasgate.dispatch.shares import log_shares
 
 if TYPE_CHECKING:
     from sassafrasgate.core.resources import Resources
@@ -41,9 +44,9 @@
     if state.stopping or not state.waiting_steps:
         return
     plan = make_plan(state)
-    for key in sorted(
-        state.waiting_steps, key=lambda key: rank_step(state, key)
-    ):
+    keys = order_steps(state, plan)
+    yield from log_shares(state, plan)
+    for key in keys:
         job = state.jobs[key.job_id]
         if job.from_previous_owner and state.unreconciled_workers:
             continue
@@ -84,7 +87,8 @@
     if not state.jobs[key.job_id].durable:
         # While the store is unavailable, further tickets would expire unused.
         return
-    if not demand.fits_in(plan.max_free[queue.pool]):
+    keeps_room = may_keep_room(state, plan, key)
+    if not keeps_room and not demand.fits_in(plan.max_free[queue.pool]):
         return
     startable: list[WorkerEntry] = list(workers.values())
     unticketed: list[WorkerEntry] = []
@@ -92,6 +96,8 @@
         startable, unticketed = split_admitted_workers(state, advice, workers)
     job = state.jobs[key.job_id]
     yield from _start_tasks(state, plan, key, step, job, startable)
+    if keeps_room and state.steps[key].pending_tasks:
+        keep_room(state, plan, key, demand, [*startable, *unticketed])
     if queue.advice is None or not state.steps[key].pending_tasks:
         return
     if not may_request_advice(state, key):
--- a/sassafrasgate/dispatch/state.py
+++ b/sassafrasgate/dispatch/state.py
@@ -20,6 +20,7 @@
 from sassafrasgate.dispatch.admission import Admission
 from sassafrasgate.dispatch.entries import AdviceChannel
 from sassafrasgate.dispatch.entries import GangLook
+from sassafrasgate.dispatch.entries import JobAllowance
 from sassafrasgate.dispatch.entries import JobEntry
 from sassafrasgate.dispatch.entries import NEW_TASK
 from sassafrasgate.dispatch.entries import PendingStop
@@ -33,6 +34,7 @@
 from sassafrasgate.dispatch.health import WorkerHealth
 from sassafrasgate.dispatch.identities import RunKey
 from sassafrasgate.dispatch.identities import RunPlace
+from sassafrasgate.dispatch.identities import ShareKey
 from sassafrasgate.dispatch.identities import StepKey
 from sassafrasgate.dispatch.prior_leases import LeaseBound
 from sassafrasgate.dispatch.prior_leases import Release
@@ -81,6 +83,21 @@
     tenant_usage : dict
         What the runs of each tenant are charged for; tenants without runs
         are left out.
+    pool_usage : dict
+        The same by pool and tenant.
+    recent_shares : dict
+        Dominant share of each tenant in each pool, averaged over what has run
+        lately.
+    shares_measured_at : int
+        Owner's clock, in ms, when ``recent_shares`` were last updated.
+    shares_logged_at : int
+        Owner's clock, in ms, of the latest log lines about shares.
+    job_allowances : dict
+        Jobs that each tenant may still submit within its entitlement.
+    promoted_step : StepKey or None
+        Step that is placed first because it has waited for long.
+    promoted_at : int
+        Owner's clock, in ms, when that step was chosen.
     paced_runs : set of RunPlace
         Runs of best-effort tasks whose pace is not confirmed or below full
         pace.
@@ -161,6 +178,13 @@
         default_factory=dict
     )
     tenant_usage: dict[str, Resources] = field(default_factory=dict)
+    pool_usage: dict[ShareKey, Resources] = field(default_factory=dict)
+    recent_shares: dict[ShareKey, float] = field(default_factory=dict)
+    shares_measured_at: int = 0
+    shares_logged_at: int = 0
+    job_allowances: dict[str, JobAllowance] = field(default_factory=dict)
+    promoted_step: StepKey | None = None
+    promoted_at: int = 0
     paced_runs: set[RunPlace] = field(default_factory=set)
     pending_stops: dict[RunPlace, PendingStop] = field(default_factory=dict)
     waiting_steps: dict[StepKey, None] = field(default_factory=dict)
@@ -268,6 +292,10 @@
             self.tenant_usage[entry.tenant] = (
                 self.get_tenant_usage(entry.tenant) + entry.charged
             )
+            share_key = self._make_share_key(entry)
+            self.pool_usage[share_key] = (
+                self.pool_usage.get(share_key, NO_RESOURCES) + entry.charged
+            )
         if entry.worker in self.free_resources:
             self.free_resources[entry.worker] = (
                 self.free_resources[entry.worker] - entry.demand
@@ -307,6 +335,15 @@
         self.tenant_usage[entry.tenant] = left
         if left == NO_RESOURCES:
             del self.tenant_usage[entry.tenant]
+        share_key = self._make_share_key(entry)
+        left = self.pool_usage[share_key] - entry.charged
+        self.pool_usage[share_key] = left
+        if left == NO_RESOURCES:
+            del self.pool_usage[share_key]
+
+    def _make_share_key(self, entry: RunEntry) -> ShareKey:
+        pool = self.jobs[entry.step.job_id].queue.pool
+        return ShareKey(pool, entry.tenant)
 
     def list_runs_on(self, worker: str) -> list[RunEntry]:
         """Return the runs that may be present on a worker."""
