Refuse jobs that a full pool can't complete in time

Cause: every submission was accepted, whatever waited, unless the owner itself was late. Under a burst, jobs that came too late for their callers took the room of jobs that could still have been in time.

Change: each tick, at most every 250 ms, builds a virtual schedule of what waits in each pool: running work ends as expected, and its room goes to the waiting steps in their order. A new job whose start is predicted too late for its objective, by a margin of a quarter, is refused before its record is written, with the time at which there is room. The prediction is corrected by what earlier ones were worth. Who was told a time and returns at it is admitted. Callers that are refused during an outage of the store return at the rate of before it, urgent queues first.

--- a/sassafrasgate/core/errors.py
+++ b/sassafrasgate/core/errors.py
@@ -45,12 +45,16 @@
     retry_after_ms : int
         Time in ms after which the request is likely to be served; 0 if that
         is not known.
+    cause : str
+        What is full or missing, as a label of metrics and log lines; empty
+        if ``kind`` says all.
     """
 
     kind: RefusalKind
     reason: str
     remedy: str
     retry_after_ms: int = 0
+    cause: str = ''
 
 
 @dataclass(frozen=True, slots=True)
--- a/sassafrasgate/daemons/dispatcher.py
+++ b/sassafrasgate/daemons/dispatcher.py
@@ -67,6 +67,7 @@
 from sassafrasgate.observability.metrics import DECISION_SECONDS
 from sassafrasgate.observability.metrics import DECISIONS
 from sassafrasgate.observability.metrics import Metrics
+from sassafrasgate.observability.metrics import REFUSALS
 from sassafrasgate.protocol.links import OutgoingReply
 from sassafrasgate.protocol.messages import Refused
 from sassafrasgate.protocol.workflows import AdviceGiven
@@ -708,6 +709,9 @@
     def log(self, action: LogEvent) -> None:
         """Log a decision and count it."""
         self.services.metrics.count(DECISIONS, action.kind)
+        if action.kind == 'refuse':
+            cause = str(dict(action.fields).get('cause', ''))
+            self.services.metrics.count(REFUSALS, cause)
         log_event(
             self.services.logger,
             action.kind,
--- /dev/null
+++ b/sassafrasgate/dispatch/load_refusals.py
@@ -0,0 +1,303 @@
+"""Refusal of workflows that a full pool can't complete in time.
+
+A job is refused only if its pool is full, or its tenant at its cap, and its
+predicted completion misses the objective by a margin. It would take the same
+room as a job that can still be on time, and be worth little. Whoever is
+refused is told when there will be room. A prediction that rests on a guess
+refuses nothing: jobs with a start time, long-running ones and those without an
+estimate are admitted.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import replace
+from math import inf
+from typing import TYPE_CHECKING
+
+from sassafrasgate.core.errors import Refusal
+from sassafrasgate.core.errors import RefusalKind
+from sassafrasgate.core.registries import Registry
+from sassafrasgate.dispatch.adoptions import compute_reservation
+from sassafrasgate.dispatch.backlogs import add_work
+from sassafrasgate.dispatch.backlogs import Backlog
+from sassafrasgate.dispatch.backlogs import ERROR_SHARE
+from sassafrasgate.dispatch.backlogs import predict_start
+from sassafrasgate.dispatch.backlogs import WaitingWork
+from sassafrasgate.dispatch.ordering import LATENESS_TOLERANCE
+from sassafrasgate.dispatch.progress import compute_advice_ms
+from sassafrasgate.dispatch.progress import compute_critical_paths
+from sassafrasgate.dispatch.progress import compute_objective_ms
+from sassafrasgate.dispatch.progress import VALUE_LIMIT_FACTOR
+from sassafrasgate.dispatch.promises import is_due
+from sassafrasgate.dispatch.promises import keep_promise
+from sassafrasgate.dispatch.promises import Promise
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sassafrasgate.core.routing import Queue
+    from sassafrasgate.core.workflows import Workflow
+    from sassafrasgate.dispatch.state import DispatchState
+    from sassafrasgate.protocol.workflows import SubmitWorkflow
+
+# Returning callers get this share of the room; the rest is for new ones.
+RETURN_SHARE = 0.5
+# A later time says little: what will be running then has not been submitted.
+MAX_RETURN_MS = 15_000
+MIN_RETURN_MS = 1_000
+# Tasks in a second at which callers return whose owner has no measured rate.
+MIN_RETURN_TASKS_PER_S = 20.0
+# An older measurement refuses nothing: what waited then may have started.
+MAX_BACKLOG_AGE_MS = 1_000
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """Why a job is refused.
+
+    Parameters
+    ----------
+    cause : str
+        Label of the metric and of the log line: what is full.
+    reason : str
+        Full sentence with the figures that have decided.
+    return_at : float
+        Owner's clock, in ms, from which on there is room.
+    """
+
+    cause: str
+    reason: str
+    return_at: float
+
+
+JUDGES: Registry[str, Callable[..., Verdict | None]] = Registry('judge')
+
+
+def check_load(
+    state: DispatchState, message: SubmitWorkflow
+) -> Refusal | None:
+    """Return a refusal if a job would miss its objective for want of room."""
+    queue = state.routing_table.find_queue_by_name(message.queue)
+    assert queue is not None
+    backlog = state.backlogs.get(queue.pool)
+    if (
+        backlog is None
+        or not backlog.waiting
+        or state.now - backlog.measured_at > MAX_BACKLOG_AGE_MS
+        or not _is_predictable(message.workflow)
+        or is_due(state, message.job_id)
+    ):
+        return None
+    work = make_candidate(state, message, queue, backlog.resource)
+    for name in JUDGES:
+        judge = JUDGES.find(name)
+        verdict = judge(state, backlog, work)
+        if verdict is not None:
+            return _refuse(state, message.job_id, queue, work, verdict)
+    return None
+
+
+def record_admission(state: DispatchState, message: SubmitWorkflow) -> None:
+    """Count a job that is about to be accepted as waiting work."""
+    queue = state.routing_table.find_queue_by_name(message.queue)
+    assert queue is not None
+    backlog = state.backlogs.get(queue.pool)
+    if backlog is not None and backlog.is_contended:
+        work = make_candidate(state, message, queue, backlog.resource)
+        state.backlogs[queue.pool] = add_work(backlog, work)
+    state.promises.pop(message.job_id, None)
+
+
+def _is_predictable(workflow: Workflow) -> bool:
+    if workflow.start_at_ms or workflow.occurrences > 1:
+        return False
+    return all(
+        step.estimate_ms and not step.long_running for step in workflow.steps
+    )
+
+
+def make_candidate(
+    state: DispatchState,
+    message: SubmitWorkflow,
+    queue: Queue,
+    resource: str,
+) -> WaitingWork:
+    """Describe a job as it would wait if it were accepted.
+
+    The time in which a job is of use begins when its caller was first
+    refused.
+    """
+    promise = state.promises.get(message.job_id)
+    sent_at = promise.refused_at if promise is not None else state.now
+    work = describe_work(queue, message.workflow, sent_at, resource)
+    return replace(work, tenant=message.tenant)
+
+
+def describe_work(
+    queue: Queue, workflow: Workflow, sent_at: int, resource: str
+) -> WaitingWork:
+    """Describe the steps of a job that can start at once.
+
+    Parameters
+    ----------
+    sent_at : int
+        Owner's clock, in ms, when the job's objective begins.
+    resource : str
+        Resource to which the amount refers.
+    """
+    path_ms = max(compute_critical_paths(workflow, compute_advice_ms(queue)))
+    objective_ms = compute_objective_ms(queue, path_ms)
+    latest_start = sent_at + objective_ms - path_ms
+    ready = [step for step in workflow.steps if not step.after]
+    amounts = [getattr(compute_reservation(step), resource) for step in ready]
+    return WaitingWork(
+        latest_start,
+        latest_start + int(LATENESS_TOLERANCE * path_ms),
+        sent_at + VALUE_LIMIT_FACTOR * objective_ms - path_ms,
+        queue.priority,
+        sent_at + objective_ms,
+        sum(
+            amount * step.tasks
+            for amount, step in zip(amounts, ready, strict=True)
+        ),
+        max(step.estimate_ms for step in ready),
+        min(amounts),
+    )
+
+
+@JUDGES.register('pool-full')
+def judge_pool(
+    state: DispatchState, backlog: Backlog, work: WaitingWork
+) -> Verdict | None:
+    """Judge a job by the work that starts before its own."""
+    if not backlog.is_contended:
+        return None
+    start = predict_start(backlog, work)
+    if not _is_too_late(work, state.now, start):
+        return None
+    return Verdict(
+        'pool-full',
+        f'its tasks would start in {_format_wait(state, start)}, behind '
+        f'{len(backlog.starts) + len(backlog.late_starts)} steps, and the job '
+        f'is in time if they start within '
+        f'{max(0, work.latest_start - state.now)} ms; measured '
+        f'{state.now - backlog.measured_at} ms ago',
+        _predict_drain(backlog),
+    )
+
+
+def _predict_drain(backlog: Backlog) -> float:
+    """Return when there is room that nothing waits for.
+
+    Work that arrives until then takes its share of the room.
+    """
+    wait_ms = (backlog.drained_at - backlog.measured_at) * backlog.correction
+    return backlog.measured_at + wait_ms / backlog.late_share
+
+
+def _is_too_late(work: WaitingWork, now: int, start: float) -> bool:
+    wait_ms = start - now
+    return now + wait_ms * (1 - ERROR_SHARE) > work.latest_start
+
+
+def _format_wait(state: DispatchState, start: float) -> str:
+    return 'no known time' if start == inf else f'{start - state.now:.0f} ms'
+
+
+def _refuse(
+    state: DispatchState,
+    job_id: str,
+    queue: Queue,
+    work: WaitingWork,
+    verdict: Verdict,
+) -> Refusal:
+    """Promise the time from which on there is room, unless that was done."""
+    promise = state.promises.get(job_id)
+    if promise is None:
+        promise = Promise(
+            _choose_return(state, queue.pool, work, verdict),
+            state.now,
+            queue.pool,
+            state.backlogs[queue.pool].resource,
+            work,
+        )
+        keep_promise(state, job_id, promise)
+    retry_after_ms = promise.at - state.now
+    return Refusal(
+        RefusalKind.OVERLOADED,
+        verdict.reason,
+        f'send the request again after {retry_after_ms} ms',
+        retry_after_ms,
+        verdict.cause,
+    )
+
+
+def _choose_return(
+    state: DispatchState, pool: str, work: WaitingWork, verdict: Verdict
+) -> int:
+    """Return when a caller is to come back, and reserve room for it.
+
+    Callers come back one after the other, at the rate at which the pool does
+    their work.
+    """
+    backlog = state.backlogs[pool]
+    capacity = max(1, backlog.capacity)
+    takes_ms = work.work / (capacity * RETURN_SHARE)
+    earliest = max(
+        verdict.return_at,
+        state.promised_until.get(pool, 0),
+        state.now + MIN_RETURN_MS,
+    )
+    latest = state.now + MAX_RETURN_MS
+    state.promised_until[pool] = int(min(earliest + takes_ms, latest))
+    return int(min(earliest, latest))
+
+
+def refuse_stalled(
+    state: DispatchState, job_id: str, queue: Queue, workflow: Workflow
+) -> Refusal:
+    """Refuse a job while the store confirms no records.
+
+    Nobody knows when the store returns. What comes back then should be what
+    the owner can start, so callers return at the rate of the time before,
+    those of urgent queues first, and then those that were refused first.
+    """
+    promise = state.promises.get(job_id)
+    if promise is None or promise.at <= state.now:
+        promise = _promise_after_stall(state, job_id, queue, workflow)
+        keep_promise(state, job_id, promise)
+    retry_after_ms = promise.at - state.now
+    return Refusal(
+        RefusalKind.STORE_UNAVAILABLE,
+        f'the store has confirmed no record for '
+        f'{state.now - state.stalled_since} ms',
+        f'send the request again after {retry_after_ms} ms',
+        retry_after_ms,
+    )
+
+
+def _promise_after_stall(
+    state: DispatchState, job_id: str, queue: Queue, workflow: Workflow
+) -> Promise:
+    previous = state.promises.get(job_id)
+    refused_at = previous.refused_at if previous is not None else state.now
+    tasks = sum(step.tasks for step in workflow.steps)
+    ahead = sum(
+        other.tasks
+        for name, other in state.promises.items()
+        if name != job_id
+        and other.at > state.now
+        and (other.work.priority, other.refused_at)
+        <= (queue.priority, refused_at)
+    )
+    rate_per_s = max(state.rate_before_stall, MIN_RETURN_TASKS_PER_S)
+    wait_ms = MIN_RETURN_MS + int(ahead * 1_000 / rate_per_s)
+    return Promise(
+        state.now + min(wait_ms, MAX_RETURN_MS),
+        refused_at,
+        queue.pool,
+        'millicores',
+        describe_work(queue, workflow, refused_at, 'millicores'),
+        tasks,
+    )
--- a/sassafrasgate/dispatch/progress.py
+++ b/sassafrasgate/dispatch/progress.py
@@ -13,6 +13,7 @@
 from sassafrasgate.dispatch.identities import StepKey
 
 if TYPE_CHECKING:
+    from sassafrasgate.core.routing import Queue
     from sassafrasgate.core.workflows import Workflow
     from sassafrasgate.dispatch.entries import JobEntry
     from sassafrasgate.dispatch.identities import EndNumber
@@ -49,16 +50,30 @@
     return tuple(paths_ms)
 
 
+def compute_advice_ms(queue: Queue) -> int:
+    """Return the time that the objective grants for a call, in ms."""
+    if queue.advice is None:
+        return 0
+    return int(queue.advice.decide_ms + queue.advice.each_ms * ADVISED_WORKERS)
+
+
+def compute_objective_ms(queue: Queue, path_ms: int) -> int:
+    """Return the time in which a job should complete, in ms.
+
+    Parameters
+    ----------
+    path_ms : int
+        Critical path of the job, in ms.
+    """
+    return int(queue.stretch * path_ms) + queue.target_latency_ms
+
+
 def open_job(state: DispatchState, entry: JobEntry) -> None:
     """Set the objective of a new job and open its first occurrence."""
-    queue = entry.queue
-    advice_ms = 0
-    if queue.advice is not None:
-        advice_ms = int(
-            queue.advice.decide_ms + queue.advice.each_ms * ADVISED_WORKERS
-        )
-    paths_ms = compute_critical_paths(entry.workflow, advice_ms)
-    objective = int(queue.stretch * max(paths_ms)) + queue.target_latency_ms
+    paths_ms = compute_critical_paths(
+        entry.workflow, compute_advice_ms(entry.queue)
+    )
+    objective = compute_objective_ms(entry.queue, max(paths_ms))
     accepted = convert_to_owner_clock(state, entry.accepted_at_ms)
     start = accepted
     if entry.workflow.start_at_ms:
--- a/sassafrasgate/dispatch/requests.py
+++ b/sassafrasgate/dispatch/requests.py
@@ -19,6 +19,9 @@
 from sassafrasgate.dispatch.handlers import EVENT_HANDLERS
 from sassafrasgate.dispatch.handlers import REQUEST_HANDLERS
 from sassafrasgate.dispatch.handlers import write_record
+from sassafrasgate.dispatch.load_refusals import check_load
+from sassafrasgate.dispatch.load_refusals import record_admission
+from sassafrasgate.dispatch.load_refusals import refuse_stalled
 from sassafrasgate.dispatch.progress import forget_job
 from sassafrasgate.dispatch.stops import stop_job_runs
 from sassafrasgate.journal.workflows import WorkflowAccepted
@@ -81,6 +84,8 @@
                 ('queue', message.queue),
                 *list_tenant_fields(message.tenant),
                 ('refusal', refusal.kind),
+                ('cause', refusal.cause or refusal.kind),
+                ('retry_after_ms', refusal.retry_after_ms),
                 ('reason', refusal.reason),
             ),
         )
@@ -88,6 +93,7 @@
         return
     queue = state.routing_table.find_queue_by_name(message.queue)
     assert queue is not None
+    record_admission(state, message)
     state.submit_callers[message.job_id] = [event.reply_to]
     yield from write_record(
         state,
@@ -147,8 +153,12 @@
     if refusal is not None:
         return refusal
     if state.stalled_since:
-        return _refuse_stalled(state)
-    return admit_workflow(state, message.workflow)
+        queue = state.routing_table.find_queue_by_name(message.queue)
+        assert queue is not None
+        return refuse_stalled(state, message.job_id, queue, message.workflow)
+    return check_load(state, message) or admit_workflow(
+        state, message.workflow
+    )
 
 
 @EVENT_HANDLERS.register(JournalStalled)
@@ -160,6 +170,8 @@
     Records that were sent may still take effect, so their callers have to
     wait.
     """
+    if event.since and not state.stalled_since:
+        state.rate_before_stall = state.admission.rate_per_s
     state.stalled_since = event.since
     if not event.since:
         return
@@ -174,8 +186,9 @@
     """Refuse a job whose records were withdrawn."""
     if not event.withdrawn or event.job_id not in state.jobs:
         return
+    job = state.jobs[event.job_id]
     forget_job(state, event.job_id)
-    refusal = _refuse_stalled(state)
+    refusal = refuse_stalled(state, job.job_id, job.queue, job.workflow)
     yield LogEvent('withdraw', event.job_id, (('reason', refusal.reason),))
     for caller in state.submit_callers.pop(event.job_id, ()):
         yield reply_refusal(caller, refusal)
@@ -183,15 +196,6 @@
         yield Reply(caller, WorkflowView(event.job_id, None, state.epoch))
 
 
-def _refuse_stalled(state: DispatchState) -> Refusal:
-    return Refusal(
-        RefusalKind.STORE_UNAVAILABLE,
-        f'the store has confirmed no record for '
-        f'{state.now - state.stalled_since} ms',
-        'send the request again after the time in Retry-After',
-    )
-
-
 def make_view(state: DispatchState, entry: JobEntry) -> WorkflowView:
     """Return the state of a workflow that callers may see."""
     shown = entry.durable_state
--- a/sassafrasgate/dispatch/state.py
+++ b/sassafrasgate/dispatch/state.py
@@ -18,6 +18,7 @@
 from sassafrasgate.core.routing import Queue
 from sassafrasgate.core.routing import RoutingTable
 from sassafrasgate.dispatch.admission import Admission
+from sassafrasgate.dispatch.backlogs import Backlog
 from sassafrasgate.dispatch.entries import AdviceChannel
 from sassafrasgate.dispatch.entries import GangLook
 from sassafrasgate.dispatch.entries import JobEntry
@@ -36,6 +37,7 @@
 from sassafrasgate.dispatch.identities import StepKey
 from sassafrasgate.dispatch.prior_leases import LeaseBound
 from sassafrasgate.dispatch.prior_leases import Release
+from sassafrasgate.dispatch.promises import Promise
 from sassafrasgate.shards.ownership import OwnerTerm
 
 if TYPE_CHECKING:
@@ -128,6 +130,19 @@
         while they succeed.
     admission : Admission
         How much work is admitted.
+    backlogs : dict
+        What waits in each pool, by pool.
+    backlogs_measured_at, backlogs_logged_at : int
+        Owner's clock, in ms, when the backlogs were last measured, and when
+        they were last logged.
+    promises : dict
+        What refused callers have been told, by job.
+    promised_until : dict
+        By pool, the owner's clock, in ms, when the work of all refused
+        callers can have been admitted.
+    rate_before_stall : float
+        Tasks that were started in a second before writes of the journal
+        began to fail.
     started_tasks : int
         Number of runs that this owner has started.
     stopping : bool
@@ -186,6 +201,12 @@
     stragglers_checked_at: int = 0
     stalled_since: int = 0
     admission: Admission = Admission()
+    backlogs: dict[str, Backlog] = field(default_factory=dict)
+    backlogs_measured_at: int = 0
+    backlogs_logged_at: int = 0
+    promises: dict[str, Promise] = field(default_factory=dict)
+    promised_until: dict[str, int] = field(default_factory=dict)
+    rate_before_stall: float = 0.0
     started_tasks: int = 0
     stopping: bool = False
     needs_pass: bool = False
--- a/sassafrasgate/dispatch/timers.py
+++ b/sassafrasgate/dispatch/timers.py
@@ -6,11 +6,13 @@
 
 from sassafrasgate.dispatch.admission import measure_delay
 from sassafrasgate.dispatch.adoptions import adopt_opened_runs
+from sassafrasgate.dispatch.backlog_measurements import measure_backlogs
 from sassafrasgate.dispatch.handlers import EVENT_HANDLERS
 from sassafrasgate.dispatch.hold_waits import adjust_hold_wait
 from sassafrasgate.dispatch.pacing import adjust_paces
 from sassafrasgate.dispatch.progress import forget_step
 from sassafrasgate.dispatch.progress import open_due_occurrences
+from sassafrasgate.dispatch.promises import forget_promises
 from sassafrasgate.dispatch.registrations import forget_gone_workers
 from sassafrasgate.dispatch.registrations import record_workers_in_use
 from sassafrasgate.dispatch.reports import expire_leases
@@ -48,6 +50,8 @@
             open_due_occurrences(state, job_id)
     yield from adopt_opened_runs(state)
     _forget_jobs(state)
+    forget_promises(state)
+    yield from measure_backlogs(state)
     # No event reports that a ticket expires or that a worker's pause ends, so
     # waiting steps are reconsidered at every tick.
     if state.waiting_steps:
