Refuse a tenant's surplus before it fills the room of others

Cause: the backlog was that of the pool, so a tenant with many times its usual rate made the jobs of all others late.

Change: in a contended pool a job is also judged by what its tenant has waiting against its share by weight of the room, among the tenants that wait; and at any time by what waits behind a cap that has been reached.

--- a/sassafrasgate/dispatch/load_refusals.py
+++ b/sassafrasgate/dispatch/load_refusals.py
@@ -50,6 +50,8 @@
 MIN_RETURN_TASKS_PER_S = 20.0
 # An older measurement refuses nothing: what waited then may have started.
 MAX_BACKLOG_AGE_MS = 1_000
+# A task that doesn't fit below the cap leaves this share of it in use.
+CAP_REACHED_SHARE = 0.8
 
 
 @dataclass(frozen=True, slots=True)
@@ -196,6 +198,76 @@
     return backlog.measured_at + wait_ms / backlog.late_share
 
 
+@JUDGES.register('tenant-share')
+def judge_tenant_share(
+    state: DispatchState, backlog: Backlog, work: WaitingWork
+) -> Verdict | None:
+    """Judge a job by what its tenant has waiting and is entitled to.
+
+    A tenant that alone waits for room is entitled to all of it.
+    """
+    if not backlog.is_contended:
+        return None
+    tenant = work.tenant
+    waiting = backlog.tenant_work.get(tenant, 0)
+    others = [name for name in backlog.tenant_work if name != tenant]
+    if not tenant or not waiting or not others:
+        return None
+    share = find_weight_share(state, tenant, others)
+    wait_ms = waiting * backlog.correction / (share * max(1, backlog.capacity))
+    if not _is_too_late(work, state.now, state.now + wait_ms):
+        return None
+    return Verdict(
+        'tenant-share',
+        f'tenant {tenant!r} has work waiting for {wait_ms:.0f} ms of its '
+        f'share of {share:.0%}',
+        state.now + wait_ms,
+    )
+
+
+@JUDGES.register('tenant-cap')
+def judge_tenant_cap(
+    state: DispatchState, backlog: Backlog, work: WaitingWork
+) -> Verdict | None:
+    """Judge a job by what waits behind its tenant's cap.
+
+    A cap binds however much room the pool has.
+    """
+    tenant = state.routing_table.find_tenant(work.tenant)
+    if tenant is None or not tenant.has_cap:
+        return None
+    cap = getattr(tenant.cap, backlog.resource)
+    usage = getattr(state.get_tenant_usage(tenant.name), backlog.resource)
+    if not cap or usage < cap * CAP_REACHED_SHARE:
+        return None
+    wait_ms = (
+        backlog.tenant_work.get(tenant.name, 0) * backlog.correction / cap
+    )
+    if not _is_too_late(work, state.now, state.now + wait_ms):
+        return None
+    return Verdict(
+        'tenant-cap',
+        f'tenant {tenant.name!r} is at its cap, with work waiting for '
+        f'{wait_ms:.0f} ms',
+        state.now + wait_ms,
+    )
+
+
+def find_weight_share(
+    state: DispatchState, tenant: str, others: list[str]
+) -> float:
+    """Return a tenant's share of a pool among those with waiting work."""
+    weights = [_find_weight(state, name) for name in others]
+    weight = _find_weight(state, tenant)
+    total = weight + sum(weights)
+    return weight / total if total > 0 else 1.0
+
+
+def _find_weight(state: DispatchState, name: str) -> float:
+    tenant = state.routing_table.find_tenant(name)
+    return tenant.weight if tenant is not None else 1.0
+
+
 def _is_too_late(work: WaitingWork, now: int, start: float) -> bool:
     wait_ms = start - now
     return now + wait_ms * (1 - ERROR_SHARE) > work.latest_start
--- a/tests/dispatch/test_load_refusals.py
+++ b/tests/dispatch/test_load_refusals.py
@@ -7,6 +7,7 @@
 from tests.dispatch.load_replays import CLASSES
 from tests.dispatch.load_replays import LoadReplay
 from tests.dispatch.load_replays import QUICK
+from tests.dispatch.load_replays import TENANTS
 
 SEEDS = range(1, 5)
 # Quick jobs at many times their rate for four seconds, beside others.
@@ -103,6 +104,25 @@
     assert not refused & replay.driver.state.jobs.keys()
 
 
+def test_surplus_of_one_tenant_does_not_fill_the_room_of_others():
+    # Guards against a tenant with many times its usual rate whose waiting
+    # work makes the jobs of all other tenants late.
+    replays, baseline = play_pairs(
+        [0.8] * 3 + [4.0] * 4 + [0.8] * 7, hot_tenant=8.0
+    )
+    for tenant in TENANTS[1:]:
+        shares = [
+            find_mean(plays, tenant=tenant.name)
+            for plays in (replays, baseline)
+        ]
+        assert shares[0] >= shares[1] - 0.05
+    others = [
+        sum(find_mean(plays, tenant=tenant.name) for tenant in TENANTS[1:])
+        for plays in (replays, baseline)
+    ]
+    assert others[0] > others[1]
+
+
 def test_takeover_in_an_overload_keeps_accepted_jobs_and_refuses_again():
     # Guards against a successor that accepts all since it knows no backlog.
     replay = LoadReplay([0.9] * 16, OVERLOAD)
