Spread callers after an outage of the store only where a pool was full

Cause: the rate of starts before an outage is what was asked for, unless a pool was full, so a spread by it kept callers away from free room.

Change: callers of a cell that was not full are told one second, as before.

--- a/benchmarks/run.py
+++ b/benchmarks/run.py
@@ -25,6 +25,7 @@
 MODULES = (
     'benchmarks.placement',
     'benchmarks.passes',
+    'benchmarks.admission',
     'benchmarks.capacity',
     'benchmarks.cells',
 )
--- a/sassafrasgate/dispatch/load_refusals.py
+++ b/sassafrasgate/dispatch/load_refusals.py
@@ -46,6 +46,8 @@
 # A later time says little: what will be running then has not been submitted.
 MAX_RETURN_MS = 15_000
 MIN_RETURN_MS = 1_000
+# An outage of the store may end at any time.
+MAX_STALL_RETURN_MS = 5_000
 # Tasks in a second at which callers return whose owner has no measured rate.
 MIN_RETURN_TASKS_PER_S = 20.0
 # An older measurement refuses nothing: what waited then may have started.
@@ -326,6 +328,20 @@
     return int(min(earliest, latest))
 
 
+def note_rate_before_stall(state: DispatchState) -> None:
+    """Remember how much was started in a second, if that was all there is.
+
+    Where no pool was full the rate says what was asked for, not what can be
+    served, so callers need no spread.
+    """
+    is_full = any(backlog.is_contended for backlog in state.backlogs.values())
+    state.rate_before_stall = 0.0
+    if is_full:
+        state.rate_before_stall = max(
+            state.admission.rate_per_s, MIN_RETURN_TASKS_PER_S
+        )
+
+
 def refuse_stalled(
     state: DispatchState, job_id: str, queue: Queue, workflow: Workflow
 ) -> Refusal:
@@ -363,10 +379,12 @@
         and (other.work.priority, other.refused_at)
         <= (queue.priority, refused_at)
     )
-    rate_per_s = max(state.rate_before_stall, MIN_RETURN_TASKS_PER_S)
-    wait_ms = MIN_RETURN_MS + int(ahead * 1_000 / rate_per_s)
+    wait_ms = MIN_RETURN_MS
+    if state.rate_before_stall:
+        spread_ms = int(ahead * 1_000 / state.rate_before_stall)
+        wait_ms = max(wait_ms, min(spread_ms, MAX_STALL_RETURN_MS))
     return Promise(
-        state.now + min(wait_ms, MAX_RETURN_MS),
+        state.now + wait_ms,
         refused_at,
         queue.pool,
         'millicores',
--- a/sassafrasgate/dispatch/requests.py
+++ b/sassafrasgate/dispatch/requests.py
@@ -20,6 +20,7 @@
 from sassafrasgate.dispatch.handlers import REQUEST_HANDLERS
 from sassafrasgate.dispatch.handlers import write_record
 from sassafrasgate.dispatch.load_refusals import check_load
+from sassafrasgate.dispatch.load_refusals import note_rate_before_stall
 from sassafrasgate.dispatch.load_refusals import record_admission
 from sassafrasgate.dispatch.load_refusals import refuse_stalled
 from sassafrasgate.dispatch.progress import forget_job
@@ -171,7 +172,7 @@
     wait.
     """
     if event.since and not state.stalled_since:
-        state.rate_before_stall = state.admission.rate_per_s
+        note_rate_before_stall(state)
     state.stalled_since = event.since
     if not event.since:
         return
--- a/sassafrasgate/dispatch/state.py
+++ b/sassafrasgate/dispatch/state.py
@@ -142,7 +142,7 @@
         callers can have been admitted.
     rate_before_stall : float
         Tasks that were started in a second before writes of the journal
-        began to fail.
+        began to fail; 0 if no pool was full then.
     started_tasks : int
         Number of runs that this owner has started.
     stopping : bool
