--- /dev/null
+++ b/sassafrasgate/dispatch/load_refusals.py
@@ -0,0 +1,393 @@
+"""Refusal of workflows that a full pool can't complete in time.
+
+A job is refused only if its pool is full, or its tenant at its cap, and its
+predicted completion misses the objective by a margin. It would take the same
+room as a job that can still be on time, and be worth little. Whoever is
+refused is told when there will be room. A prediction that rests on a guess
+refuses nothing: jobs with a start time, long-running ones and those without an
+estimate are admitted.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import replace
+from math import inf
+from typing import TYPE_CHECKING
+
+from sassafrasgate.core.errors import Refusal
+from sassafrasgate.core.errors import RefusalKind
+from sassafrasgate.core.registries import Registry
+from sassafrasgate.dispatch.adoptions import compute_reservation
+from sassafrasgate.dispatch.backlogs import add_work
+from sassafrasgate.dispatch.backlogs import Backlog
+from sassafrasgate.dispatch.backlogs import ERROR_SHARE
+from sassafrasgate.dispatch.backlogs import predict_start
+from sassafrasgate.dispatch.backlogs import WaitingWork
+from sassafrasgate.dispatch.ordering import LATENESS_TOLERANCE
+from sassafrasgate.dispatch.progress import compute_advice_ms
+from sassafrasgate.dispatch.progress import compute_critical_paths
+from sassafrasgate.dispatch.progress import compute_objective_ms
+from sassafrasgate.dispatch.progress import VALUE_LIMIT_FACTOR
+from sassafrasgate.dispatch.promises import is_due
+from sassafrasgate.dispatch.promises import keep_promise
+from sassafrasgate.dispatch.promises import Promise
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from sassafrasgate.core.routing import Queue
+    from sassafrasgate.core.workflows import Workflow
+    from sassafrasgate.dispatch.state import DispatchState
+    from sassafrasgate.protocol.workflows import SubmitWorkflow
+
+# Returning callers get this share of the room; the rest is for new ones.
+RETURN_SHARE = 0.5
+# A later time says little: what will be running then has not been submitted.
+MAX_RETURN_MS = 15_000
+MIN_RETURN_MS = 1_000
+# An outage of the store may end at any time.
+MAX_STALL_RETURN_MS = 5_000
+# Tasks in a second at which callers return whose owner has no measured rate.
+MIN_RETURN_TASKS_PER_S = 20.0
+# An older measurement refuses nothing: what waited then may have started.
+MAX_BACKLOG_AGE_MS = 1_000
+# A task that doesn't fit below the cap leaves this share of it in use.
+CAP_REACHED_SHARE = 0.8
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """Why a job is refused.
+
+    Parameters
+    ----------
+    cause : str
+        Label of the metric and of the log line: what is full.
+    reason : str
+        Full sentence with the figures that have decided.
+    return_at : float
+        Owner's clock, in ms, from which on there is room.
+    """
+
+    cause: str
+    reason: str
+    return_at: float
+
+
+JUDGES: Registry[str, Callable[..., Verdict | None]] = Registry('judge')
+
+
+def check_load(
+    state: DispatchState, message: SubmitWorkflow
+) -> Refusal | None:
+    """Return a refusal if a job would miss its objective for want of room."""
+    queue = state.routing_table.find_queue_by_name(message.queue)
+    assert queue is not None
+    backlog = state.backlogs.get(queue.pool)
+    if (
+        backlog is None
+        or not backlog.waiting
+        or state.now - backlog.measured_at > MAX_BACKLOG_AGE_MS
+        or not _is_predictable(message.workflow)
+        or is_due(state, message.job_id)
+    ):
+        return None
+    work = make_candidate(state, message, queue, backlog.resource)
+    for name in JUDGES:
+        judge = JUDGES.find(name)
+        verdict = judge(state, backlog, work)
+        if verdict is not None:
+            return _refuse(state, message.job_id, queue, work, verdict)
+    return None
+
+
+def record_admission(state: DispatchState, message: SubmitWorkflow) -> None:
+    """Count a job that is about to be accepted as waiting work."""
+    queue = state.routing_table.find_queue_by_name(message.queue)
+    assert queue is not None
+    backlog = state.backlogs.get(queue.pool)
+    if backlog is not None and backlog.is_contended:
+        work = make_candidate(state, message, queue, backlog.resource)
+        state.backlogs[queue.pool] = add_work(backlog, work)
+    state.promises.pop(message.job_id, None)
+
+
+def _is_predictable(workflow: Workflow) -> bool:
+    if workflow.start_at_ms or workflow.occurrences > 1:
+        return False
+    return all(
+        step.estimate_ms and not step.long_running for step in workflow.steps
+    )
+
+
+def make_candidate(
+    state: DispatchState,
+    message: SubmitWorkflow,
+    queue: Queue,
+    resource: str,
+) -> WaitingWork:
+    """Describe a job as it would wait if it were accepted.
+
+    The time in which a job is of use begins when its caller was first
+    refused.
+    """
+    promise = state.promises.get(message.job_id)
+    sent_at = promise.refused_at if promise is not None else state.now
+    work = describe_work(queue, message.workflow, sent_at, resource)
+    return replace(work, tenant=message.tenant)
+
+
+def describe_work(
+    queue: Queue, workflow: Workflow, sent_at: int, resource: str
+) -> WaitingWork:
+    """Describe the steps of a job that can start at once.
+
+    Parameters
+    ----------
+    sent_at : int
+        Owner's clock, in ms, when the job's objective begins.
+    resource : str
+        Resource to which the amount refers.
+    """
+    path_ms = max(compute_critical_paths(workflow, compute_advice_ms(queue)))
+    objective_ms = compute_objective_ms(queue, path_ms)
+    latest_start = sent_at + objective_ms - path_ms
+    ready = [step for step in workflow.steps if not step.after]
+    amounts = [getattr(compute_reservation(step), resource) for step in ready]
+    return WaitingWork(
+        latest_start,
+        latest_start + int(LATENESS_TOLERANCE * path_ms),
+        sent_at + VALUE_LIMIT_FACTOR * objective_ms - path_ms,
+        queue.priority,
+        sent_at + objective_ms,
+        sum(
+            amount * step.tasks
+            for amount, step in zip(amounts, ready, strict=True)
+        ),
+        max(step.estimate_ms for step in ready),
+        min(amounts),
+    )
+
+
+@JUDGES.register('pool-full')
+def judge_pool(
+    state: DispatchState, backlog: Backlog, work: WaitingWork
+) -> Verdict | None:
+    """Judge a job by the work that starts before its own."""
+    if not backlog.is_contended:
+        return None
+    start = predict_start(backlog, work)
+    if not _is_too_late(work, state.now, start):
+        return None
+    return Verdict(
+        'pool-full',
+        f'its tasks would start in {_format_wait(state, start)}, behind '
+        f'{len(backlog.starts) + len(backlog.late_starts)} steps, and the job '
+        f'is in time if they start within '
+        f'{max(0, work.latest_start - state.now)} ms; measured '
+        f'{state.now - backlog.measured_at} ms ago',
+        _predict_drain(backlog),
+    )
+
+
+def _predict_drain(backlog: Backlog) -> float:
+    """Return when there is room that nothing waits for.
+
+    Work that arrives until then takes its share of the room.
+    """
+    wait_ms = (backlog.drained_at - backlog.measured_at) * backlog.correction
+    return backlog.measured_at + wait_ms / backlog.late_share
+
+
+@JUDGES.register('tenant-share')
+def judge_tenant_share(
+    state: DispatchState, backlog: Backlog, work: WaitingWork
+) -> Verdict | None:
+    """Judge a job by what its tenant has waiting and is entitled to.
+
+    A tenant that alone waits for room is entitled to all of it.
+    """
+    if not backlog.is_contended:
+        return None
+    tenant = work.tenant
+    waiting = backlog.tenant_work.get(tenant, 0)
+    others = [name for name in backlog.tenant_work if name != tenant]
+    if not tenant or not waiting or not others:
+        return None
+    share = find_weight_share(state, tenant, others)
+    wait_ms = waiting * backlog.correction / (share * max(1, backlog.capacity))
+    if not _is_too_late(work, state.now, state.now + wait_ms):
+        return None
+    return Verdict(
+        'tenant-share',
+        f'tenant {tenant!r} has work waiting for {wait_ms:.0f} ms of its '
+        f'share of {share:.0%}',
+        state.now + wait_ms,
+    )
+
+
+@JUDGES.register('tenant-cap')
+def judge_tenant_cap(
+    state: DispatchState, backlog: Backlog, work: WaitingWork
+) -> Verdict | None:
+    """Judge a job by what waits behind its tenant's cap.
+
+    A cap binds however much room the pool has.
+    """
+    tenant = state.routing_table.find_tenant(work.tenant)
+    if tenant is None or not tenant.has_cap:
+        return None
+    cap = getattr(tenant.cap, backlog.resource)
+    usage = getattr(state.get_tenant_usage(tenant.name), backlog.resource)
+    if not cap or usage < cap * CAP_REACHED_SHARE:
+        return None
+    wait_ms = (
+        backlog.tenant_work.get(tenant.name, 0) * backlog.correction / cap
+    )
+    if not _is_too_late(work, state.now, state.now + wait_ms):
+        return None
+    return Verdict(
+        'tenant-cap',
+        f'tenant {tenant.name!r} is at its cap, with work waiting for '
+        f'{wait_ms:.0f} ms',
+        state.now + wait_ms,
+    )
+
+
+def find_weight_share(
+    state: DispatchState, tenant: str, others: list[str]
+) -> float:
+    """Return a tenant's share of a pool among those with waiting work."""
+    weights = [_find_weight(state, name) for name in others]
+    weight = _find_weight(state, tenant)
+    total = weight + sum(weights)
+    return weight / total if total > 0 else 1.0
+
+
+def _find_weight(state: DispatchState, name: str) -> float:
+    tenant = state.routing_table.find_tenant(name)
+    return tenant.weight if tenant is not None else 1.0
+
+
+def _is_too_late(work: WaitingWork, now: int, start: float) -> bool:
+    wait_ms = start - now
+    return now + wait_ms * (1 - ERROR_SHARE) > work.latest_start
+
+
+def _format_wait(state: DispatchState, start: float) -> str:
+    return 'no known time' if start == inf else f'{start - state.now:.0f} ms'
+
+
+def _refuse(
+    state: DispatchState,
+    job_id: str,
+    queue: Queue,
+    work: WaitingWork,
+    verdict: Verdict,
+) -> Refusal:
+    """Promise the time from which on there is room, unless that was done."""
+    promise = state.promises.get(job_id)
+    if promise is None:
+        promise = Promise(
+            _choose_return(state, queue.pool, work, verdict),
+            state.now,
+            queue.pool,
+            state.backlogs[queue.pool].resource,
+            work,
+        )
+        keep_promise(state, job_id, promise)
+    retry_after_ms = promise.at - state.now
+    return Refusal(
+        RefusalKind.OVERLOADED,
+        verdict.reason,
+        f'send the request again after {retry_after_ms} ms',
+        retry_after_ms,
+        verdict.cause,
+    )
+
+
+def _choose_return(
+    state: DispatchState, pool: str, work: WaitingWork, verdict: Verdict
+) -> int:
+    """Return when a caller is to come back, and reserve room for it.
+
+    Callers come back one after the other, at the rate at which the pool does
+    their work.
+    """
+    backlog = state.backlogs[pool]
+    capacity = max(1, backlog.capacity)
+    takes_ms = work.work / (capacity * RETURN_SHARE)
+    earliest = max(
+        verdict.return_at,
+        state.promised_until.get(pool, 0),
+        state.now + MIN_RETURN_MS,
+    )
+    latest = state.now + MAX_RETURN_MS
+    state.promised_until[pool] = int(min(earliest + takes_ms, latest))
+    return int(min(earliest, latest))
+
+
+def note_rate_before_stall(state: DispatchState) -> None:
+    """Remember how much was started in a second, if that was all there is.
+
+    Where no pool was full the rate says what was asked for, not what can be
+    served, so callers need no spread.
+    """
+    is_full = any(backlog.is_contended for backlog in state.backlogs.values())
+    state.rate_before_stall = 0.0
+    if is_full:
+        state.rate_before_stall = max(
+            state.admission.rate_per_s, MIN_RETURN_TASKS_PER_S
+        )
+
+
+def refuse_stalled(
+    state: DispatchState, job_id: str, queue: Queue, workflow: Workflow
+) -> Refusal:
+    """Refuse a job while the store confirms no records.
+
+    Nobody knows when the store returns. What comes back then should be what
+    the owner can start, so callers return at the rate of the time before,
+    those of urgent queues first, and then those that were refused first.
+    """
+    promise = state.promises.get(job_id)
+    if promise is None or promise.at <= state.now:
+        promise = _promise_after_stall(state, job_id, queue, workflow)
+        keep_promise(state, job_id, promise)
+    retry_after_ms = promise.at - state.now
+    return Refusal(
+        RefusalKind.STORE_UNAVAILABLE,
+        f'the store has confirmed no record for '
+        f'{state.now - state.stalled_since} ms',
+        f'send the request again after {retry_after_ms} ms',
+        retry_after_ms,
+    )
+
+
+def _promise_after_stall(
+    state: DispatchState, job_id: str, queue: Queue, workflow: Workflow
+) -> Promise:
+    previous = state.promises.get(job_id)
+    refused_at = previous.refused_at if previous is not None else state.now
+    tasks = sum(step.tasks for step in workflow.steps)
+    ahead = sum(
+        other.tasks
+        for name, other in state.promises.items()
+        if name != job_id
+        and other.at > state.now
+        and (other.work.priority, other.refused_at)
+        <= (queue.priority, refused_at)
+    )
+    wait_ms = MIN_RETURN_MS
+    if state.rate_before_stall:
+        spread_ms = int(ahead * 1_000 / state.rate_before_stall)
+        wait_ms = max(wait_ms, min(spread_ms, MAX_STALL_RETURN_MS))
+    return Promise(
+        state.now + wait_ms,
+        refused_at,
+        queue.pool,
+        'millicores',
+        describe_work(queue, workflow, refused_at, 'millicores'),
+        tasks,
+    )
