Keep what each tenant runs under its cap, also through takeovers

Cause: nothing compared what a tenant has running with its cap, and a new owner knew only the runs that workers had reported to it.

Change: a start is decided only if the cap of the table in force has room for the task, or for the whole gang, beside all runs that are not certainly gone. What previous owners may have running on workers that have not replied counts as well: the tasks that may run there, at most the capacity of these workers.

A step that lacks room holds back later ones of its tenant if enough ends soon; others go on. Gangs that can never run under the cap are refused. Log lines `tenant-capped`, `tenant-uncapped` and `tenants`, gauge `capped_tenants`.

--- a/sassafrasgate/daemons/dispatcher.py
+++ b/sassafrasgate/daemons/dispatcher.py
@@ -64,6 +64,7 @@
 from sassafrasgate.observability.failures import FailureRecorder
 from sassafrasgate.observability.logs import log_event
 from sassafrasgate.observability.metrics import APPEND_SECONDS
+from sassafrasgate.observability.metrics import CAPPED_TENANTS
 from sassafrasgate.observability.metrics import DECISION_SECONDS
 from sassafrasgate.observability.metrics import DECISIONS
 from sassafrasgate.observability.metrics import Metrics
@@ -452,6 +453,9 @@
                 self._unwritten_since.pop()
         if isinstance(event, Ticked):
             self._load.record_tick(event, now_ms(), self._inbox.waiting)
+            self.services.metrics.set_gauge(
+                CAPPED_TENANTS, len(self.state.capped_tenants)
+            )
             await self._update_stall()
             await self._check_previous_owners()
         if isinstance(event, StopRequested):
--- a/sassafrasgate/dispatch/adoptions.py
+++ b/sassafrasgate/dispatch/adoptions.py
@@ -30,6 +30,7 @@
 ) -> Actions:
     """Adopt a run that a previous owner has started, or stop it."""
     key = RunKey(running.task, running.run)
+    state.prior_runs.settle(running.task)
     named = find_named_task(state, running.task)
     if named is None:
         yield from stop_unknown_run(state, worker, key)
--- a/sassafrasgate/dispatch/entries.py
+++ b/sassafrasgate/dispatch/entries.py
@@ -279,6 +279,11 @@
         Settings of the job's queue when the job was accepted.
     tenant : str
         Tenant to which the job belongs; empty for none.
+    cap : Resources
+        Cap of the tenant when the job was accepted.
+    held : Resources
+        What runs of the job may hold if it had ended before the snapshot
+        that the owner has read.
     state : WorkflowState
         State that has been decided; callers see ``durable_state`` instead.
     durable_state : WorkflowState
@@ -314,6 +319,8 @@
     workflow: Workflow
     accepted_at_ms: int
     tenant: str = NO_TENANT
+    cap: Resources = NO_RESOURCES
+    held: Resources = NO_RESOURCES
     state: WorkflowState = WorkflowState.QUEUED
     durable_state: WorkflowState = WorkflowState.QUEUED
     durable: bool = False
--- a/sassafrasgate/dispatch/gangs.py
+++ b/sassafrasgate/dispatch/gangs.py
@@ -10,6 +10,7 @@
 from sassafrasgate.dispatch.advice import estimate_call_ms
 from sassafrasgate.dispatch.advice import may_request_advice
 from sassafrasgate.dispatch.advice import request_advice
+from sassafrasgate.dispatch.caps import allows_start
 from sassafrasgate.dispatch.entries import GangLook
 from sassafrasgate.dispatch.launches import start_run
 from sassafrasgate.dispatch.plans import estimate_run_ms
@@ -72,12 +73,15 @@
     if key in state.runs_by_step:
         # Members of a previous run may still be present.
         return
+    job = state.jobs[key.job_id]
+    if not allows_start(state, plan.caps, job, step):
+        # Neither is capacity reserved, which others can use meanwhile.
+        return
     advice = state.advice.get(key, NO_ADVICE)
     if queue.advice is not None and advice is NO_ADVICE:
         names = list_unasked_workers(state, plan, queue.pool, advice, workers)
         yield from request_advice(state, key, queue.advice, names)
         return
-    job = state.jobs[key.job_id]
     if not job.durable:
         # No capacity is reserved either, as for single tasks.
         return
--- a/sassafrasgate/dispatch/plans.py
+++ b/sassafrasgate/dispatch/plans.py
@@ -15,6 +15,7 @@
 from sassafrasgate.dispatch.entries import WorkerEntry
 from sassafrasgate.dispatch.health import find_run_allowance
 from sassafrasgate.dispatch.moves import is_paused_as_slow
+from sassafrasgate.dispatch.tenant_accounts import PassCaps
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -81,6 +82,8 @@
     run_ends : dict
         Expected ends of the runs on a worker, with the resources that they
         release.
+    caps : PassCaps
+        What the pass has found about the caps of tenants.
     """
 
     usable: dict[str, dict[str, WorkerEntry]]
@@ -94,6 +97,7 @@
     run_ends: dict[str, list[tuple[int, Resources]]] = field(
         default_factory=dict
     )
+    caps: PassCaps = field(default_factory=PassCaps)
 
 
 def make_plan(state: DispatchState) -> PassPlan:
--- /dev/null
+++ b/sassafrasgate/dispatch/prior_runs.py
@@ -0,0 +1,155 @@
+"""Tasks of tenants that previous owners may have running unseen.
+
+A worker that has not replied to this owner may run tasks that previous owners
+have started, or go on starting. Until all workers have replied or their leases
+have expired, each task that may run unseen counts against the cap of its
+tenant. The sum is bounded by the capacity of the workers that have not
+replied, so that a single silent worker doesn't stop a tenant.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from sassafrasgate.core.resources import NO_RESOURCES
+from sassafrasgate.dispatch.adoptions import compute_reservation
+from sassafrasgate.dispatch.identities import make_task_id
+from sassafrasgate.dispatch.identities import StepKey
+from sassafrasgate.dispatch.task_ids import parse_task_id
+from sassafrasgate.dispatch.tenant_accounts import PriorUsage
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from sassafrasgate.core.resources import Resources
+    from sassafrasgate.dispatch.entries import JobEntry
+    from sassafrasgate.dispatch.state import DispatchState
+
+
+def add_prior_runs(state: DispatchState) -> None:
+    """Add what previous owners may have started, at a takeover."""
+    if not state.unreconciled_workers:
+        return
+    for job in state.jobs.values():
+        if not job.tenant:
+            continue
+        if job.held != NO_RESOURCES:
+            usage = PriorUsage(unreserved=job.held)
+            state.prior_runs.add(job.job_id, job.tenant, usage)
+        for task, usage in _list_unseen_tasks(state, job):
+            state.prior_runs.add(task, job.tenant, usage)
+
+
+def _list_unseen_tasks(
+    state: DispatchState, job: JobEntry
+) -> Iterator[tuple[str, PriorUsage]]:
+    """Yield the tasks of a job that may run.
+
+    A previous owner may have started tasks of a step before the ends of its
+    predecessors were durable, and, by a clock that is ahead, those of the next
+    occurrence.
+    """
+    opened = job.occurrences
+    if not job.has_ended:
+        opened = min(opened + 1, job.workflow.occurrences)
+    for occurrence in range(opened):
+        for number, step in enumerate(job.workflow.steps):
+            key = StepKey(job.job_id, occurrence, number)
+            reserved = compute_reservation(step)
+            usage = PriorUsage(reserved, step.demand - reserved)
+            for index in _list_unseen_indexes(state, key, step.tasks):
+                yield make_task_id(key, index), usage
+
+
+def _list_unseen_indexes(
+    state: DispatchState, key: StepKey, tasks: int
+) -> list[int]:
+    entries = [
+        state.find_task(make_task_id(key, index)) for index in range(tasks)
+    ]
+    if not state.find_step(key).gang:
+        return [
+            index for index, entry in enumerate(entries) if not entry.finished
+        ]
+    # The end of one member finishes a gang. The ends of the others show that
+    # they are gone.
+    last = max(
+        (end.run for entry in entries for end in entry.ended_runs), default=0
+    )
+    return [
+        index
+        for index, entry in enumerate(entries)
+        if not entry.finished
+        or all(end.run != last for end in entry.ended_runs)
+    ]
+
+
+def bound_prior_usage(state: DispatchState, tenant: str) -> Resources:
+    """Return what a tenant may have running unseen at most."""
+    usage = state.prior_runs.find_total(tenant)
+    if usage.charged == NO_RESOURCES:
+        return NO_RESOURCES
+    capacity = _find_unseen_capacity(state)
+    reserved = usage.reserved
+    if capacity is not None:
+        reserved = reserved.take_minimum(capacity)
+    return reserved + usage.unreserved
+
+
+def _find_unseen_capacity(state: DispatchState) -> Resources | None:
+    """Return the capacity of the workers that have not replied.
+
+    None if it is unknown for one of them, because only the journal names it.
+    """
+    total = NO_RESOURCES
+    for worker in state.unreconciled_workers:
+        entry = state.workers.get(worker)
+        if entry is None or entry.registration.capacity == NO_RESOURCES:
+            return None
+        total = total + entry.registration.capacity
+    return total
+
+
+def list_stray_usage(
+    state: DispatchState,
+) -> Iterator[tuple[JobEntry, Resources]]:
+    """Yield what runs of unknown tasks are charged for, with their jobs.
+
+    They are being stopped. A run of a job that is unknown too belongs to no
+    tenant: jobs are kept for longer than any lease after their end.
+    """
+    held: set[str] = set()
+    for place in state.pending_stops:
+        if place in state.runs:
+            continue
+        named = parse_task_id(place.key.task)
+        job = state.jobs.get(named[0].job_id) if named else None
+        if named is None or job is None or not job.tenant:
+            continue
+        if named[0].step < len(job.workflow.steps):
+            yield job, job.workflow.steps[named[0].step].demand
+        elif job.job_id not in state.prior_runs and job.job_id not in held:
+            held.add(job.job_id)
+            yield job, job.held
+
+
+def compute_held(state: DispatchState) -> dict[str, Resources]:
+    """Return what runs of ended jobs may still hold, by job, for a snapshot.
+
+    Jobs of tenants only; those without such runs are left out.
+    """
+    held: dict[str, Resources] = {}
+
+    def add(job_id: str, charged: Resources) -> None:
+        if state.jobs[job_id].has_ended:
+            held[job_id] = held.get(job_id, NO_RESOURCES) + charged
+
+    for run in state.runs.values():
+        if run.tenant:
+            add(run.step.job_id, run.charged)
+    for job, charged in list_stray_usage(state):
+        add(job.job_id, charged)
+    for job_id, charged in state.prior_runs.list_by_job():
+        if job_id in state.jobs:
+            add(job_id, charged)
+    return held
--- a/sassafrasgate/dispatch/recovery.py
+++ b/sassafrasgate/dispatch/recovery.py
@@ -5,6 +5,7 @@
 from typing import Any
 from typing import TYPE_CHECKING
 
+from sassafrasgate.core.resources import NO_RESOURCES
 from sassafrasgate.core.workflows import Workflow
 from sassafrasgate.core.workflows import WorkflowState
 from sassafrasgate.dispatch.actions import LogEvent
@@ -24,6 +25,8 @@
 from sassafrasgate.dispatch.prior_leases import list_remaining_waits
 from sassafrasgate.dispatch.prior_leases import Release
 from sassafrasgate.dispatch.prior_leases import shorten_lease_bound
+from sassafrasgate.dispatch.prior_runs import add_prior_runs
+from sassafrasgate.dispatch.prior_runs import compute_held
 from sassafrasgate.dispatch.progress import advance_job
 from sassafrasgate.dispatch.progress import apply_run_end
 from sassafrasgate.dispatch.progress import end_job
@@ -85,6 +88,7 @@
         state.unreconciled_workers[worker] = compute_lease_bound(
             state.now, terms, state.release, wait_ms
         )
+    add_prior_runs(state)
     state.needs_pass = True
 
 
@@ -177,6 +181,7 @@
     yield Takeover(state.epoch, state.owner, state.grace_ms, state.ttl_ms)
     for worker, (pool, address) in state.recorded_workers.items():
         yield WorkerSeen(worker, pool, address)
+    held = compute_held(state)
     for entry in state.jobs.values():
         if entry.has_ended:
             yield WorkflowClosed(
@@ -186,6 +191,7 @@
                 entry.ended_at_ms,
                 max(0, state.now - entry.ended_known_at),
                 entry.tenant,
+                held.get(entry.job_id, NO_RESOURCES),
             )
             continue
         yield WorkflowAccepted(
@@ -194,6 +200,7 @@
             entry.workflow,
             entry.accepted_at_ms,
             entry.tenant,
+            entry.cap,
         )
         for key in state.list_steps_of(entry):
             yield from _list_progress(state, key)
@@ -297,6 +304,7 @@
         record.workflow,
         record.accepted_at_ms,
         record.tenant,
+        record.cap,
     )
     state.jobs[record.job_id] = entry
     open_job(state, entry)
@@ -375,6 +383,7 @@
         Workflow('', ()),
         0,
         record.tenant,
+        held=record.held,
         state=record.state,
         durable_state=record.state,
         durable=True,
--- a/sassafrasgate/dispatch/reports.py
+++ b/sassafrasgate/dispatch/reports.py
@@ -98,8 +98,7 @@
     yield from _process_running(state, event)
     yield from adopt_opened_runs(state)
     if report.lists_all_ends and event.worker in state.unreconciled_workers:
-        del state.unreconciled_workers[event.worker]
-        state.needs_pass = True
+        state.settle_worker(event.worker)
     if restarted or not entry.epoch_acknowledged or entry.silent_since:
         state.update_free_resources(event.worker)
         state.needs_pass = True
@@ -183,6 +182,9 @@
     state.update_worker(event.worker, last_end_number=ended.number)
     key = RunKey(ended.task, ended.run)
     forget_unknown_runs(state, event.worker, frozenset({key}))
+    if ended.how is EndKind.FINISHED:
+        # After another end, a previous owner may have started it again.
+        state.prior_runs.settle(ended.task)
     run = state.find_run(event.worker, key)
     yield from write_record(
         state,
@@ -439,8 +441,7 @@
     for worker, bound in list(state.unreconciled_workers.items()):
         if known_until < _find_settling_time(state, worker, bound):
             continue
-        del state.unreconciled_workers[worker]
-        state.needs_pass = True
+        state.settle_worker(worker)
         yield LogEvent(
             'worker-settled',
             '',
--- a/sassafrasgate/dispatch/requests.py
+++ b/sassafrasgate/dispatch/requests.py
@@ -6,6 +6,7 @@
 
 from sassafrasgate.core.errors import Refusal
 from sassafrasgate.core.errors import RefusalKind
+from sassafrasgate.core.resources import NO_RESOURCES
 from sassafrasgate.core.workflows import WorkflowState
 from sassafrasgate.dispatch.actions import LogEvent
 from sassafrasgate.dispatch.admission import admit_workflow
@@ -14,6 +15,7 @@
 from sassafrasgate.dispatch.authorization import check_access
 from sassafrasgate.dispatch.authorization import check_tenant
 from sassafrasgate.dispatch.authorization import list_tenant_fields
+from sassafrasgate.dispatch.caps import check_caps
 from sassafrasgate.dispatch.events import JournalStalled
 from sassafrasgate.dispatch.handlers import DURABLE_HANDLERS
 from sassafrasgate.dispatch.handlers import EVENT_HANDLERS
@@ -33,6 +35,7 @@
 from sassafrasgate.shards.handlers import reply_refusal
 
 if TYPE_CHECKING:
+    from sassafrasgate.core.resources import Resources
     from sassafrasgate.dispatch.entries import JobEntry
     from sassafrasgate.dispatch.handlers import Actions
     from sassafrasgate.dispatch.state import DispatchState
@@ -97,6 +100,7 @@
             message.workflow,
             event.wall_ms,
             message.tenant,
+            _find_accepted_cap(state, message),
         ),
     )
     yield LogEvent(
@@ -113,6 +117,13 @@
     )
 
 
+def _find_accepted_cap(
+    state: DispatchState, message: SubmitWorkflow
+) -> Resources:
+    tenant = state.routing_table.find_tenant(message.tenant)
+    return NO_RESOURCES if tenant is None else tenant.cap
+
+
 def _reply_to_repeat(
     state: DispatchState, event: RequestReceived, entry: JobEntry
 ) -> Actions:
@@ -143,7 +154,7 @@
             f'{state.routing_table.version!r} of the routing table',
             'send the request again once the owner has the newest version',
         )
-    refusal = check_tenant(state, message)
+    refusal = check_tenant(state, message) or check_caps(state, message)
     if refusal is not None:
         return refusal
     if state.stalled_since:
--- a/sassafrasgate/dispatch/scheduling_passes.py
+++ b/sassafrasgate/dispatch/scheduling_passes.py
@@ -7,6 +7,10 @@
 from sassafrasgate.dispatch.adoptions import compute_reservation
 from sassafrasgate.dispatch.advice import may_request_advice
 from sassafrasgate.dispatch.advice import request_advice
+from sassafrasgate.dispatch.capped_tenants import record_capped_tenants
+from sassafrasgate.dispatch.caps import allows_start
+from sassafrasgate.dispatch.caps import is_exhausted
+from sassafrasgate.dispatch.caps import promise_room
 from sassafrasgate.dispatch.events import PassDue
 from sassafrasgate.dispatch.gangs import place_gang
 from sassafrasgate.dispatch.handlers import Actions
@@ -47,17 +51,21 @@
         job = state.jobs[key.job_id]
         if job.from_previous_owner and state.unreconciled_workers:
             continue
+        step = state.find_step(key)
+        if is_exhausted(plan.caps, job, step):
+            continue
         queue = state.find_queue_of(job)
         if queue.pool not in plan.usable:
             continue
-        step = state.find_step(key)
         workers = match_workers(step, plan, queue.pool)
         if not workers:
             continue
         if step.gang:
             yield from place_gang(state, plan, key, step, queue, workers)
-        else:
+        elif allows_start(state, plan.caps, job, step):
             yield from _place_tasks(state, plan, key, step, queue, workers)
+        promise_room(state, plan.caps, key, step, job)
+    yield from record_capped_tenants(state, plan.caps.reached)
 
 
 def _place_tasks(
@@ -94,6 +102,8 @@
     yield from _start_tasks(state, plan, key, step, job, startable)
     if queue.advice is None or not state.steps[key].pending_tasks:
         return
+    if not allows_start(state, plan.caps, job, step):
+        return
     if not may_request_advice(state, key):
         return
     names = [worker.registration.worker for worker in unticketed]
@@ -124,6 +134,8 @@
         return
     on_worker = _count_on_workers(state, key) if step.max_per_worker else {}
     for index in sorted(state.steps[key].pending_tasks):
+        if not allows_start(state, plan.caps, job, step):
+            return
         task = state.find_task(make_task_id(key, index))
         best = _choose_worker(
             state,
--- a/sassafrasgate/dispatch/state.py
+++ b/sassafrasgate/dispatch/state.py
@@ -36,6 +36,9 @@
 from sassafrasgate.dispatch.identities import StepKey
 from sassafrasgate.dispatch.prior_leases import LeaseBound
 from sassafrasgate.dispatch.prior_leases import Release
+from sassafrasgate.dispatch.tenant_accounts import CapOutlook
+from sassafrasgate.dispatch.tenant_accounts import CappedPeriod
+from sassafrasgate.dispatch.tenant_accounts import PriorRuns
 from sassafrasgate.shards.ownership import OwnerTerm
 
 if TYPE_CHECKING:
@@ -81,6 +84,16 @@
     tenant_usage : dict
         What the runs of each tenant are charged for; tenants without runs
         are left out.
+    runs_by_tenant : dict
+        Keys of the runs of each tenant.
+    prior_runs : PriorRuns
+        Tasks of tenants that previous owners may have running unseen.
+    cap_outlooks : dict
+        What runs of capped tenants are expected to release soon.
+    capped_tenants : dict
+        Tenants of which steps wait because of the cap.
+    tenants_logged_at : int
+        Owner's clock, in ms, of the latest log line about all tenants.
     paced_runs : set of RunPlace
         Runs of best-effort tasks whose pace is not confirmed or below full
         pace.
@@ -161,6 +174,11 @@
         default_factory=dict
     )
     tenant_usage: dict[str, Resources] = field(default_factory=dict)
+    runs_by_tenant: dict[str, set[RunPlace]] = field(default_factory=dict)
+    prior_runs: PriorRuns = field(default_factory=PriorRuns)
+    cap_outlooks: dict[str, CapOutlook] = field(default_factory=dict)
+    capped_tenants: dict[str, CappedPeriod] = field(default_factory=dict)
+    tenants_logged_at: int = 0
     paced_runs: set[RunPlace] = field(default_factory=set)
     pending_stops: dict[RunPlace, PendingStop] = field(default_factory=dict)
     waiting_steps: dict[StepKey, None] = field(default_factory=dict)
@@ -265,9 +283,7 @@
         if entry.fills:
             self.paced_runs.add(place)
         if entry.tenant:
-            self.tenant_usage[entry.tenant] = (
-                self.get_tenant_usage(entry.tenant) + entry.charged
-            )
+            self._charge_tenant(entry)
         if entry.worker in self.free_resources:
             self.free_resources[entry.worker] = (
                 self.free_resources[entry.worker] - entry.demand
@@ -286,7 +302,7 @@
         self.paced_runs.discard(place)
         self.pending_stops.pop(place, None)
         if entry.tenant:
-            self._release_usage(entry)
+            self._release_tenant(entry)
         if entry.target_ms:
             self.latency_critical_runs[entry.worker].discard(place)
             if not self.latency_critical_runs[entry.worker]:
@@ -302,11 +318,29 @@
         """Return what the runs of a tenant are charged for."""
         return self.tenant_usage.get(tenant, NO_RESOURCES)
 
-    def _release_usage(self, entry: RunEntry) -> None:
-        left = self.get_tenant_usage(entry.tenant) - entry.charged
-        self.tenant_usage[entry.tenant] = left
-        if left == NO_RESOURCES:
-            del self.tenant_usage[entry.tenant]
+    def _charge_tenant(self, entry: RunEntry) -> None:
+        tenant = entry.tenant
+        self.runs_by_tenant.setdefault(tenant, set()).add(entry.place)
+        self.tenant_usage[tenant] = (
+            self.get_tenant_usage(tenant) + entry.charged
+        )
+
+    def _release_tenant(self, entry: RunEntry) -> None:
+        tenant = entry.tenant
+        self.runs_by_tenant[tenant].discard(entry.place)
+        self.tenant_usage[tenant] = (
+            self.get_tenant_usage(tenant) - entry.charged
+        )
+        if not self.runs_by_tenant[tenant]:
+            del self.runs_by_tenant[tenant]
+            del self.tenant_usage[tenant]
+
+    def settle_worker(self, worker: str) -> None:
+        """Count a worker as one without unseen runs of previous owners."""
+        del self.unreconciled_workers[worker]
+        if not self.unreconciled_workers:
+            self.prior_runs.clear()
+        self.needs_pass = True
 
     def list_runs_on(self, worker: str) -> list[RunEntry]:
         """Return the runs that may be present on a worker."""
--- a/sassafrasgate/dispatch/timers.py
+++ b/sassafrasgate/dispatch/timers.py
@@ -6,6 +6,8 @@
 
 from sassafrasgate.dispatch.admission import measure_delay
 from sassafrasgate.dispatch.adoptions import adopt_opened_runs
+from sassafrasgate.dispatch.capped_tenants import end_capped_periods
+from sassafrasgate.dispatch.capped_tenants import log_tenants
 from sassafrasgate.dispatch.handlers import EVENT_HANDLERS
 from sassafrasgate.dispatch.hold_waits import adjust_hold_wait
 from sassafrasgate.dispatch.pacing import adjust_paces
@@ -41,6 +43,8 @@
     yield from adjust_hold_wait(state)
     yield from forget_gone_workers(state)
     yield from record_workers_in_use(state)
+    yield from end_capped_periods(state)
+    yield from log_tenants(state)
     for job_id, entry in list(state.jobs.items()):
         if not entry.has_ended and (
             entry.due_occurrences < entry.workflow.occurrences
--- a/sassafrasgate/journal/workflows.py
+++ b/sassafrasgate/journal/workflows.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from sassafrasgate.core.resources import NO_RESOURCES
+from sassafrasgate.core.resources import Resources
 from sassafrasgate.core.routing import Queue
 from sassafrasgate.core.tenants import NO_TENANT
 from sassafrasgate.core.workflows import EndKind
@@ -23,6 +25,8 @@
     tenant : str
         Tenant to which the workflow belongs; empty for none and in records
         of earlier releases.
+    cap : Resources
+        Cap of the tenant at acceptance, in case the tenant is removed later.
     """
 
     job_id: str
@@ -30,6 +34,7 @@
     workflow: Workflow
     accepted_at_ms: int
     tenant: str = NO_TENANT
+    cap: Resources = NO_RESOURCES
 
 
 @register_record('workflow-cancelled')
@@ -123,6 +128,8 @@
         end; 0 in records of earlier releases.
     tenant : str
         As in `WorkflowAccepted`.
+    held : Resources
+        What its runs may still hold on workers, if it has a tenant.
     """
 
     job_id: str
@@ -131,6 +138,7 @@
     ended_at_ms: int
     kept_ms: int = 0
     tenant: str = NO_TENANT
+    held: Resources = NO_RESOURCES
 
 
 @register_record('worker-seen')
--- a/sassafrasgate/observability/metrics.py
+++ b/sassafrasgate/observability/metrics.py
@@ -201,6 +201,11 @@
     'journal_append_seconds',
     'Time from a record being handed over to its append being confirmed.',
 )
+CAPPED_TENANTS = define_metric(
+    MetricKind.GAUGE,
+    'capped_tenants',
+    'Tenants of which steps wait because of their caps.',
+)
 QUEUE_LENGTH = define_metric(
     MetricKind.GAUGE, 'queue_length', 'Queued jobs by shard.', 'shard'
 )
--- a/tests/dispatch/simulation.py
+++ b/tests/dispatch/simulation.py
@@ -536,7 +536,7 @@
         begin_ownership(state)
         self._confirm_lease()
         self.carry_out(watch_recorded_workers(state))
-        self.feed(TableChanged(TABLE))
+        self.feed(TableChanged(cluster.table))
         self.feed(PeersChanged(('own', 'other')))
         self.feed(
             WorkersListed(
@@ -940,6 +940,7 @@
         self.random = Random(seed)
         self.now = 0
         self.rules = Rules()
+        self.table = TABLE
         self.journal: list[Any] = []
         self.writer: SimOwner | None = None
         self.owner: SimOwner | None = None
--- a/tests/dispatch/test_random_faults.py
+++ b/tests/dispatch/test_random_faults.py
@@ -197,6 +197,7 @@
     queues=('q', 'advised'),
     cancel_at=None,
     grace_ms=GRACE_MS,
+    make_cluster=RandomFaultCluster,
 ):
     """Submit jobs and inject faults, then run until all jobs should end.
 
@@ -205,7 +206,7 @@
     kinds = sorted(kinds or FAULTS)
     known = {**FAULTS, **OWNER_FAULTS}
     random = Random(seed)
-    cluster = RandomFaultCluster(seed)
+    cluster = make_cluster(seed)
     cluster.grace_ms = grace_ms
     cluster.start_owner()
     for number in range(JOBS):
