--- a/sassafrasgate/dispatch/capped_tenants.py
+++ b/sassafrasgate/dispatch/capped_tenants.py
@@ -8,7 +8,7 @@
 
 from sassafrasgate.core.resources import NO_RESOURCES
 from sassafrasgate.dispatch.actions import LogEvent
-from sassafrasgate.dispatch.caps import compute_unseen_usage
+from sassafrasgate.dispatch.prior_runs import compute_unseen_usage
 from sassafrasgate.dispatch.tenant_accounts import CappedPeriod
 
 if TYPE_CHECKING:
@@ -55,7 +55,7 @@
     state: DispatchState, tenant: str
 ) -> tuple[tuple[str, object], ...]:
     used = state.get_tenant_usage(tenant)
-    unseen = compute_unseen_usage(state, tenant)
+    unseen = compute_unseen_usage(state).get(tenant, NO_RESOURCES)
     cap = _find_cap(state, tenant)
     return (
         ('tenant', tenant),
--- a/sassafrasgate/dispatch/caps.py
+++ b/sassafrasgate/dispatch/caps.py
@@ -19,8 +19,7 @@
 from sassafrasgate.core.resources import Resources
 from sassafrasgate.dispatch.entries import RunPhase
 from sassafrasgate.dispatch.plans import estimate_run_end
-from sassafrasgate.dispatch.prior_runs import bound_prior_usage
-from sassafrasgate.dispatch.prior_runs import list_stray_usage
+from sassafrasgate.dispatch.prior_runs import compute_unseen_usage
 from sassafrasgate.dispatch.tenant_accounts import CapOutlook
 
 if TYPE_CHECKING:
@@ -112,20 +111,11 @@
     state: DispatchState, caps: PassCaps, tenant: str
 ) -> Resources:
     """Return what counts against the cap of a tenant."""
+    if caps.unseen is None:
+        caps.unseen = compute_unseen_usage(state)
     usage = state.get_tenant_usage(tenant)
     unseen = caps.unseen.get(tenant)
-    if unseen is None:
-        unseen = caps.unseen[tenant] = compute_unseen_usage(state, tenant)
-    return usage if unseen is NO_RESOURCES else usage + unseen
-
-
-def compute_unseen_usage(state: DispatchState, tenant: str) -> Resources:
-    """Return what a tenant may have running without an entry, at most."""
-    total = bound_prior_usage(state, tenant)
-    for job, charged in list_stray_usage(state):
-        if job.tenant == tenant:
-            total = total + charged
-    return total
+    return usage if unseen is None else usage + unseen
 
 
 def is_exhausted(caps: PassCaps, job: JobEntry, step: Step) -> bool:
@@ -183,7 +173,7 @@
     Otherwise a smaller task, whose start call is overtaken, could start beside
     one that exceeds the cap.
     """
-    if caps.unseen[tenant] != NO_RESOURCES:
+    if caps.unseen and tenant in caps.unseen:
         return False
     return all(
         state.runs[place].phase is RunPhase.PRESENT
--- a/sassafrasgate/dispatch/prior_runs.py
+++ b/sassafrasgate/dispatch/prior_runs.py
@@ -9,9 +9,11 @@
 
 from __future__ import annotations
 
+from sys import maxsize
 from typing import TYPE_CHECKING
 
 from sassafrasgate.core.resources import NO_RESOURCES
+from sassafrasgate.core.resources import Resources
 from sassafrasgate.dispatch.adoptions import compute_reservation
 from sassafrasgate.dispatch.identities import make_task_id
 from sassafrasgate.dispatch.identities import StepKey
@@ -21,10 +23,11 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from sassafrasgate.core.resources import Resources
     from sassafrasgate.dispatch.entries import JobEntry
     from sassafrasgate.dispatch.state import DispatchState
 
+UNLIMITED = Resources(maxsize, maxsize, maxsize, maxsize, maxsize)
+
 
 def add_prior_runs(state: DispatchState) -> None:
     """Add what previous owners may have started, at a takeover."""
@@ -35,30 +38,34 @@
             continue
         if job.held != NO_RESOURCES:
             usage = PriorUsage(unreserved=job.held)
-            state.prior_runs.add(job.job_id, job.tenant, usage)
-        for task, usage in _list_unseen_tasks(state, job):
-            state.prior_runs.add(task, job.tenant, usage)
+            state.prior_runs.add([job.job_id], job.tenant, usage)
+        for key in _list_prior_steps(job):
+            _add_step(state, key, job)
 
 
-def _list_unseen_tasks(
-    state: DispatchState, job: JobEntry
-) -> Iterator[tuple[str, PriorUsage]]:
-    """Yield the tasks of a job that may run.
+def _list_prior_steps(job: JobEntry) -> Iterator[StepKey]:
+    """Yield the steps of a job of which previous owners may have run tasks.
 
-    A previous owner may have started tasks of a step before the ends of its
-    predecessors were durable, and, by a clock that is ahead, those of the next
-    occurrence.
+    They may have started tasks of a step before the ends of its predecessors
+    were durable, and, by a clock that is ahead, those of the next occurrence.
     """
     opened = job.occurrences
     if not job.has_ended:
         opened = min(opened + 1, job.workflow.occurrences)
     for occurrence in range(opened):
-        for number, step in enumerate(job.workflow.steps):
-            key = StepKey(job.job_id, occurrence, number)
-            reserved = compute_reservation(step)
-            usage = PriorUsage(reserved, step.demand - reserved)
-            for index in _list_unseen_indexes(state, key, step.tasks):
-                yield make_task_id(key, index), usage
+        for number in range(len(job.workflow.steps)):
+            yield StepKey(job.job_id, occurrence, number)
+
+
+def _add_step(state: DispatchState, key: StepKey, job: JobEntry) -> None:
+    step = state.find_step(key)
+    indexes = _list_unseen_indexes(state, key, step.tasks)
+    if not indexes:
+        return
+    reserved = compute_reservation(step)
+    usage = PriorUsage(reserved, step.demand - reserved)
+    names = [make_task_id(key, index) for index in indexes]
+    state.prior_runs.add(names, job.tenant, usage)
 
 
 def _list_unseen_indexes(
@@ -84,33 +91,40 @@
     ]
 
 
-def bound_prior_usage(state: DispatchState, tenant: str) -> Resources:
-    """Return what a tenant may have running unseen at most."""
-    usage = state.prior_runs.find_total(tenant)
-    if usage.charged == NO_RESOURCES:
-        return NO_RESOURCES
-    capacity = _find_unseen_capacity(state)
-    reserved = usage.reserved
-    if capacity is not None:
-        reserved = reserved.take_minimum(capacity)
-    return reserved + usage.unreserved
-
+def compute_unseen_usage(state: DispatchState) -> dict[str, Resources]:
+    """Return what tenants may have running without an entry, at most.
 
-def _find_unseen_capacity(state: DispatchState) -> Resources | None:
+    Tenants without such runs are left out.
+    """
+    unseen: dict[str, Resources] = {}
+    if state.unreconciled_workers:
+        capacity = _find_unseen_capacity(state)
+        for tenant, usage in state.prior_runs.list_totals():
+            charged = usage.unreserved + usage.reserved.take_minimum(capacity)
+            if charged != NO_RESOURCES:
+                unseen[tenant] = charged
+    for job, charged in list_unknown_usage(state):
+        before = unseen.get(job.tenant, NO_RESOURCES)
+        unseen[job.tenant] = before + charged
+    return unseen
+
+
+def _find_unseen_capacity(state: DispatchState) -> Resources:
     """Return the capacity of the workers that have not replied.
 
-    None if it is unknown for one of them, because only the journal names it.
+    It is without limit if it is unknown for one of them, because only the
+    journal names it.
     """
     total = NO_RESOURCES
     for worker in state.unreconciled_workers:
         entry = state.workers.get(worker)
         if entry is None or entry.registration.capacity == NO_RESOURCES:
-            return None
+            return UNLIMITED
         total = total + entry.registration.capacity
     return total
 
 
-def list_stray_usage(
+def list_unknown_usage(
     state: DispatchState,
 ) -> Iterator[tuple[JobEntry, Resources]]:
     """Yield what runs of unknown tasks are charged for, with their jobs.
@@ -147,7 +161,7 @@
     for run in state.runs.values():
         if run.tenant:
             add(run.step.job_id, run.charged)
-    for job, charged in list_stray_usage(state):
+    for job, charged in list_unknown_usage(state):
         add(job.job_id, charged)
     for job_id, charged in state.prior_runs.list_by_job():
         if job_id in state.jobs:
--- a/sassafrasgate/dispatch/tenant_accounts.py
+++ b/sassafrasgate/dispatch/tenant_accounts.py
@@ -52,8 +52,8 @@
 
     Parameters
     ----------
-    unseen : dict
-        What may run without an entry, by tenant.
+    unseen : dict or None
+        What `compute_unseen_usage` returns; None before the first use.
     promised : dict
         Demand of tasks whose step waits for advice, by tenant.
     exhausted : dict
@@ -64,7 +64,7 @@
         Tenants of which a step lacked room.
     """
 
-    unseen: dict[str, Resources] = field(default_factory=dict)
+    unseen: dict[str, Resources] | None = None
     promised: dict[str, Resources] = field(default_factory=dict)
     exhausted: dict[str, frozenset[str]] = field(default_factory=dict)
     rejected_millicores: dict[str, int] = field(default_factory=dict)
@@ -97,6 +97,12 @@
             self.reserved + other.reserved, self.unreserved + other.unreserved
         )
 
+    def scale(self, count: int) -> PriorUsage:
+        """Return ``count`` times this usage."""
+        return PriorUsage(
+            self.reserved.scale(count), self.unreserved.scale(count)
+        )
+
     def __sub__(self, other: PriorUsage) -> PriorUsage:
         return PriorUsage(
             self.reserved - other.reserved, self.unreserved - other.unreserved
@@ -119,10 +125,11 @@
     def __contains__(self, name: str) -> bool:
         return name in self._usages
 
-    def add(self, name: str, tenant: str, usage: PriorUsage) -> None:
-        """Add a task, or a job, that may run unseen."""
-        self._usages[name] = (tenant, usage)
-        self._totals[tenant] = self.find_total(tenant) + usage
+    def add(self, names: list[str], tenant: str, usage: PriorUsage) -> None:
+        """Add tasks with the same demand, or a job, that may run unseen."""
+        self._usages.update(dict.fromkeys(names, (tenant, usage)))
+        total = self._totals.get(tenant, NO_USAGE)
+        self._totals[tenant] = total + usage.scale(len(names))
 
     def settle(self, name: str) -> None:
         """Remove a task that has been seen, or certainly runs nowhere."""
@@ -135,9 +142,9 @@
         self._usages.clear()
         self._totals.clear()
 
-    def find_total(self, tenant: str) -> PriorUsage:
-        """Return the sum over the tasks of a tenant."""
-        return self._totals.get(tenant, NO_USAGE)
+    def list_totals(self) -> Iterator[tuple[str, PriorUsage]]:
+        """Yield each tenant with the sum over its tasks."""
+        yield from self._totals.items()
 
     def list_by_job(self) -> Iterator[tuple[str, Resources]]:
         """Yield the job of each entry, and what the entry is charged for."""
--- a/tests/dispatch/test_caps.py
+++ b/tests/dispatch/test_caps.py
@@ -14,12 +14,12 @@
 from sassafrasgate.dispatch.actions import LogEvent
 from sassafrasgate.dispatch.actions import StartRun
 from sassafrasgate.dispatch.actions import StopRun
-from sassafrasgate.dispatch.caps import compute_unseen_usage
 from sassafrasgate.dispatch.caps import list_missing
 from sassafrasgate.dispatch.events import PassDue
 from sassafrasgate.dispatch.events import RunUnanswered
 from sassafrasgate.dispatch.events import StopAnswered
 from sassafrasgate.dispatch.events import TableChanged
+from sassafrasgate.dispatch.prior_runs import compute_unseen_usage
 from sassafrasgate.protocol.messages import Refused
 from sassafrasgate.protocol.workflows import SubmitWorkflow
 from sassafrasgate.shards.events import RequestReceived
@@ -286,7 +286,7 @@
     driver.report(worker)
     assert not select_starts(driver.feed(PassDue()))
     assert driver.state.get_tenant_usage('a').millicores == 4_000
-    assert compute_unseen_usage(driver.state, 'a') == NO_RESOURCES
+    assert not compute_unseen_usage(driver.state)
 
 
 @pytest.mark.parametrize('snapshot', [False, True])
@@ -319,7 +319,7 @@
     driver.replace_owner()
     for worker in ('w0', 'w1', 'w2'):
         driver.report(worker)
-    assert compute_unseen_usage(driver.state, 'a').millicores == 8_000
+    assert compute_unseen_usage(driver.state)['a'].millicores == 8_000
     assert len(driver.send(OTHER_JOB, make_step(9))) == 4
 
 
@@ -332,7 +332,7 @@
     first = next(start for start in starts if start.worker == 'w0')
     driver.finish(first)
     driver.replace_owner(snapshot=False)
-    assert compute_unseen_usage(driver.state, 'a').millicores == 9_000
+    assert compute_unseen_usage(driver.state)['a'].millicores == 9_000
 
 
 def test_best_effort_tasks_are_charged_in_full():
@@ -342,4 +342,4 @@
     starts = driver.send(JOB, make_step(30, fills=True))
     assert len(starts) == 4
     driver.replace_owner(snapshot=False)
-    assert compute_unseen_usage(driver.state, 'a').millicores == 30_000
+    assert compute_unseen_usage(driver.state)['a'].millicores == 30_000
--- a/tests/dispatch/test_random_caps.py
+++ b/tests/dispatch/test_random_caps.py
@@ -9,7 +9,6 @@
 
 import pytest
 
-from sassafrasgate.core.resources import NO_RESOURCES
 from sassafrasgate.core.resources import Resources
 from sassafrasgate.core.tenants import Tenant
 from sassafrasgate.core.workflows import split_step_task_id
@@ -155,7 +154,7 @@
 
 def ignore_unseen_runs(patch):
     """A new owner counts what may run on workers that have not replied."""
-    patch.setattr(caps, 'compute_unseen_usage', lambda *_: NO_RESOURCES)
+    patch.setattr(caps, 'compute_unseen_usage', lambda _: {})
 
 
 def forget_ended_jobs(patch):
