Cancel jobs with their tenant's key in the tests of caps

Cause: 17 small changes of the code, each of which takes one safeguard out, were tried on a copy. Three left test_caps.py green: its jobs were not cancelled at all, because the request had no tenant, and no test had a worker that stays silent while others report the tenant's runs.

Change: the driver of these tests cancels as the tenant and checks that it took effect; one more test. A takeover makes the id of each task once.

--- a/sassafrasgate/dispatch/prior_runs.py
+++ b/sassafrasgate/dispatch/prior_runs.py
@@ -59,33 +59,33 @@
 
 def _add_step(state: DispatchState, key: StepKey, job: JobEntry) -> None:
     step = state.find_step(key)
-    indexes = _list_unseen_indexes(state, key, step.tasks)
-    if not indexes:
+    names = [make_task_id(key, index) for index in range(step.tasks)]
+    names = _select_unseen(state, names, step.gang)
+    if not names:
         return
     reserved = compute_reservation(step)
     usage = PriorUsage(reserved, step.demand - reserved)
-    names = [make_task_id(key, index) for index in indexes]
     state.prior_runs.add(names, job.tenant, usage)
 
 
-def _list_unseen_indexes(
-    state: DispatchState, key: StepKey, tasks: int
-) -> list[int]:
-    entries = [
-        state.find_task(make_task_id(key, index)) for index in range(tasks)
-    ]
-    if not state.find_step(key).gang:
-        return [
-            index for index, entry in enumerate(entries) if not entry.finished
-        ]
-    # The end of one member finishes a gang. The ends of the others show that
-    # they are gone.
+def _select_unseen(
+    state: DispatchState, names: list[str], gang: bool
+) -> list[str]:
+    """Return the tasks of a step that may run.
+
+    The end of one member finishes a gang; the others may run until their own
+    ends are known.
+    """
+    if not gang:
+        return [name for name in names if not state.find_task(name).finished]
+    entries = {name: state.find_task(name) for name in names}
     last = max(
-        (end.run for entry in entries for end in entry.ended_runs), default=0
+        (end.run for entry in entries.values() for end in entry.ended_runs),
+        default=0,
     )
     return [
-        index
-        for index, entry in enumerate(entries)
+        name
+        for name, entry in entries.items()
         if not entry.finished
         or all(end.run != last for end in entry.ended_runs)
     ]
--- a/tests/dispatch/test_caps.py
+++ b/tests/dispatch/test_caps.py
@@ -21,6 +21,7 @@
 from sassafrasgate.dispatch.events import TableChanged
 from sassafrasgate.dispatch.prior_runs import compute_unseen_usage
 from sassafrasgate.protocol.messages import Refused
+from sassafrasgate.protocol.workflows import CancelWorkflow
 from sassafrasgate.protocol.workflows import SubmitWorkflow
 from sassafrasgate.shards.events import RequestReceived
 from tests.dispatch.drivers import Driver
@@ -67,6 +68,12 @@
         )
         return self.feed(RequestReceived(1, message, WALL_MS + self.now))
 
+    def cancel(self, job_id):
+        message = CancelWorkflow(job_id, 'a')
+        actions = self.feed(RequestReceived(1, message, WALL_MS + self.now))
+        assert self.state.jobs[job_id].has_ended
+        return actions
+
     def list_kinds(self):
         """Return the kinds of all log lines so far."""
         return [line.kind for line in select_actions(self.actions, LogEvent)]
@@ -310,6 +317,21 @@
     assert len(select_starts(driver.report(worker, ended))) == 3
 
 
+def test_runs_that_a_report_lists_count_once():
+    # Guards against a tenant that waits for a silent worker although all its
+    # tasks have been seen elsewhere.
+    driver = CappedDriver(workers=3)
+    starts = driver.confirm(driver.send(JOB, make_step(2)))
+    silent = next(
+        iter({'w0', 'w1', 'w2'} - {start.worker for start in starts})
+    )
+    driver.replace_owner()
+    for worker in {'w0', 'w1', 'w2'} - {silent}:
+        driver.report(worker)
+    assert driver.state.unreconciled_workers
+    assert len(driver.send(OTHER_JOB, make_step(4))) == 2
+
+
 def test_one_silent_worker_does_not_stop_a_tenant():
     # Guards against a tenant that stands still after a takeover because one
     # worker is cut off: no more can run there than the worker has room for.
