--- a/sassafrasgate/dispatch/adoptions.py
+++ b/sassafrasgate/dispatch/adoptions.py
@@ -30,6 +30,7 @@
 ) -> Actions:
     """Adopt a run that a previous owner has started, or stop it."""
     key = RunKey(running.task, running.run)
+    state.prior_runs.settle(running.task)
     named = find_named_task(state, running.task)
     if named is None:
         yield from stop_unknown_run(state, worker, key)
@@ -93,6 +94,7 @@
 ) -> RunEntry:
     entry = state.workers[worker]
     assert entry.reading is not None
+    job = state.jobs[step_key.job_id]
     step = state.find_step(step_key)
     reported_at = entry.reading.received_at
     percent = max(1, running.percent)
@@ -121,7 +123,8 @@
         confirmed_pace=UNKNOWN_PACE_PERCENT
         if step.fills
         else FULL_PACE_PERCENT,
-        tenant=state.jobs[step_key.job_id].tenant,
+        tenant=job.tenant,
+        pool=job.queue.pool,
         charged=step.demand,
     )
 
--- a/sassafrasgate/dispatch/entries.py
+++ b/sassafrasgate/dispatch/entries.py
@@ -102,6 +102,8 @@
         has.
     tenant : str
         Tenant of the run's job; empty for none.
+    pool : str
+        Pool of the job's queue.
     charged : Resources
         What counts against the tenant's cap: the step's whole demand, also
         where ``demand``, the reservation, leaves a part out.
@@ -135,6 +137,7 @@
     pace_sent_at: int = 0
     epoch: int = 0
     tenant: str = NO_TENANT
+    pool: str = ''
     charged: Resources = NO_RESOURCES
 
     @property
@@ -282,6 +285,11 @@
     surplus : bool
         Whether the tenant had submitted more jobs than it is entitled to when
         the job was accepted.
+    cap : Resources
+        Cap of the tenant when the job was accepted.
+    held : Resources
+        What runs of the job may hold if it had ended before the snapshot
+        that the owner has read.
     state : WorkflowState
         State that has been decided; callers see ``durable_state`` instead.
     durable_state : WorkflowState
@@ -318,6 +326,8 @@
     accepted_at_ms: int
     tenant: str = NO_TENANT
     surplus: bool = False
+    cap: Resources = NO_RESOURCES
+    held: Resources = NO_RESOURCES
     state: WorkflowState = WorkflowState.QUEUED
     durable_state: WorkflowState = WorkflowState.QUEUED
     durable: bool = False
--- a/sassafrasgate/dispatch/launches.py
+++ b/sassafrasgate/dispatch/launches.py
@@ -69,6 +69,7 @@
             paced_at=state.now,
             epoch=state.epoch,
             tenant=job.tenant,
+            pool=job.queue.pool,
             charged=step.demand,
         )
     )
--- a/sassafrasgate/dispatch/state.py
+++ b/sassafrasgate/dispatch/state.py
@@ -40,6 +40,9 @@
 from sassafrasgate.dispatch.prior_leases import LeaseBound
 from sassafrasgate.dispatch.prior_leases import Release
 from sassafrasgate.dispatch.promises import Promise
+from sassafrasgate.dispatch.tenant_accounts import CapOutlook
+from sassafrasgate.dispatch.tenant_accounts import CappedPeriod
+from sassafrasgate.dispatch.tenant_accounts import PriorRuns
 from sassafrasgate.shards.ownership import OwnerTerm
 
 if TYPE_CHECKING:
@@ -100,6 +103,16 @@
         Step that is placed first because it has waited for long.
     promoted_at : int
         Owner's clock, in ms, when that step was chosen.
+    runs_by_tenant : dict
+        Keys of the runs of each tenant.
+    prior_runs : PriorRuns
+        Tasks of tenants that previous owners may have running unseen.
+    cap_outlooks : dict
+        What runs of capped tenants are expected to release soon.
+    capped_tenants : dict
+        Tenants of which steps wait because of the cap.
+    tenants_logged_at : int
+        Owner's clock, in ms, of the latest log line about all tenants.
     paced_runs : set of RunPlace
         Runs of best-effort tasks whose pace is not confirmed or below full
         pace.
@@ -200,6 +213,11 @@
     job_allowances: dict[str, JobAllowance] = field(default_factory=dict)
     promoted_step: StepKey | None = None
     promoted_at: int = 0
+    runs_by_tenant: dict[str, set[RunPlace]] = field(default_factory=dict)
+    prior_runs: PriorRuns = field(default_factory=PriorRuns)
+    cap_outlooks: dict[str, CapOutlook] = field(default_factory=dict)
+    capped_tenants: dict[str, CappedPeriod] = field(default_factory=dict)
+    tenants_logged_at: int = 0
     paced_runs: set[RunPlace] = field(default_factory=set)
     pending_stops: dict[RunPlace, PendingStop] = field(default_factory=dict)
     waiting_steps: dict[StepKey, None] = field(default_factory=dict)
@@ -310,13 +328,7 @@
         if entry.fills:
             self.paced_runs.add(place)
         if entry.tenant:
-            self.tenant_usage[entry.tenant] = (
-                self.get_tenant_usage(entry.tenant) + entry.charged
-            )
-            share_key = self._make_share_key(entry)
-            self.pool_usage[share_key] = (
-                self.pool_usage.get(share_key, NO_RESOURCES) + entry.charged
-            )
+            self._charge_tenant(entry)
         if entry.worker in self.free_resources:
             self.free_resources[entry.worker] = (
                 self.free_resources[entry.worker] - entry.demand
@@ -335,7 +347,7 @@
         self.paced_runs.discard(place)
         self.pending_stops.pop(place, None)
         if entry.tenant:
-            self._release_usage(entry)
+            self._release_tenant(entry)
         if entry.target_ms:
             self.latency_critical_runs[entry.worker].discard(place)
             if not self.latency_critical_runs[entry.worker]:
@@ -351,20 +363,37 @@
         """Return what the runs of a tenant are charged for."""
         return self.tenant_usage.get(tenant, NO_RESOURCES)
 
-    def _release_usage(self, entry: RunEntry) -> None:
-        left = self.get_tenant_usage(entry.tenant) - entry.charged
-        self.tenant_usage[entry.tenant] = left
-        if left == NO_RESOURCES:
-            del self.tenant_usage[entry.tenant]
-        share_key = self._make_share_key(entry)
-        left = self.pool_usage[share_key] - entry.charged
-        self.pool_usage[share_key] = left
-        if left == NO_RESOURCES:
-            del self.pool_usage[share_key]
-
-    def _make_share_key(self, entry: RunEntry) -> ShareKey:
-        pool = self.jobs[entry.step.job_id].queue.pool
-        return ShareKey(pool, entry.tenant)
+    def _charge_tenant(self, entry: RunEntry) -> None:
+        tenant = entry.tenant
+        self.runs_by_tenant.setdefault(tenant, set()).add(entry.place)
+        self.tenant_usage[tenant] = (
+            self.get_tenant_usage(tenant) + entry.charged
+        )
+        share_key = ShareKey(entry.pool, tenant)
+        self.pool_usage[share_key] = (
+            self.pool_usage.get(share_key, NO_RESOURCES) + entry.charged
+        )
+
+    def _release_tenant(self, entry: RunEntry) -> None:
+        tenant = entry.tenant
+        self.runs_by_tenant[tenant].discard(entry.place)
+        self.tenant_usage[tenant] = (
+            self.get_tenant_usage(tenant) - entry.charged
+        )
+        if not self.runs_by_tenant[tenant]:
+            del self.runs_by_tenant[tenant]
+            del self.tenant_usage[tenant]
+        share_key = ShareKey(entry.pool, tenant)
+        left = self.pool_usage.pop(share_key, NO_RESOURCES) - entry.charged
+        if left != NO_RESOURCES:
+            self.pool_usage[share_key] = left
+
+    def settle_worker(self, worker: str) -> None:
+        """Count a worker as one without unseen runs of previous owners."""
+        del self.unreconciled_workers[worker]
+        if not self.unreconciled_workers:
+            self.prior_runs.clear()
+        self.needs_pass = True
 
     def list_runs_on(self, worker: str) -> list[RunEntry]:
         """Return the runs that may be present on a worker."""
