Join caps, shares and admission: what waits for a cap or as surplus takes no room

Cause: the prediction counted steps that wait for their tenant's cap, and surplus, as ahead of work that the pool can start.

--- a/sassafrasgate/dispatch/backlog_measurements.py
+++ b/sassafrasgate/dispatch/backlog_measurements.py
@@ -77,6 +77,8 @@
     keys: list[StepKey],
 ) -> Backlog:
     previous = state.backlogs.get(pool, Backlog(state.now))
+    deferred_keys = [key for key in keys if _is_deferred(state, key)]
+    keys = [key for key in keys if not _is_deferred(state, key)]
     resource, capacity, free = _find_scarcest(state, workers, keys)
     waiting = [_describe_step(state, key, resource) for key in keys]
     waiting += list_due_work(state, pool, resource)
@@ -90,6 +92,7 @@
         waiting,
         late_share,
         any(_is_blocked(state, key) for key in keys),
+        [_describe_step(state, key, resource) for key in deferred_keys],
     )
     expectations = dict(backlog.expectations)
     for key, expectation in previous.expectations.items():
@@ -102,6 +105,16 @@
     )
 
 
+def _is_deferred(state: DispatchState, key: StepKey) -> bool:
+    """Return whether a step takes no room from what its pool admits.
+
+    Steps of a tenant at its cap wait for room under the cap, however much the
+    pool has, and surplus waits behind what tenants are entitled to.
+    """
+    job = state.jobs[key.job_id]
+    return job.surplus or job.tenant in state.capped_tenants
+
+
 def _is_blocked(state: DispatchState, key: StepKey) -> bool:
     """Return whether only room is missing for the start of a step."""
     job = state.jobs[key.job_id]
--- a/sassafrasgate/dispatch/backlogs.py
+++ b/sassafrasgate/dispatch/backlogs.py
@@ -187,6 +187,7 @@
     waiting: Sequence[WaitingWork],
     late_share: float = 1.0,
     is_blocked: bool = True,
+    deferred: Sequence[WaitingWork] = (),
 ) -> Backlog:
     """Return the virtual schedule of what waits.
 
@@ -196,6 +197,9 @@
         Expected ends of running work, and the amounts that they release.
     is_blocked : bool
         Whether some of what waits could start if there were room for it.
+    deferred : sequence of WaitingWork
+        Work that waits without taking room from other work. It counts for
+        its tenants only.
     """
     usable_free = 0 if is_blocked else free
     schedule = _Schedule(now, usable_free, ends)
@@ -208,7 +212,7 @@
         schedule.compute_release_rate(),
         late_share=late_share,
         waiting=sum(work.work for work in waiting),
-        tenant_work=_sum_by_tenant(waiting),
+        tenant_work=_sum_by_tenant((*waiting, *deferred)),
     )
     expectations: dict[StepKey, Expectation] = {}
     latest_starts: list[int] = []
--- a/sassafrasgate/dispatch/entitlements.py
+++ b/sassafrasgate/dispatch/entitlements.py
@@ -79,3 +79,8 @@
     elapsed_ms = max(0, at_ms - allowance.at_ms)
     jobs = allowance.jobs + configured.weight * elapsed_ms / 1_000
     return JobAllowance(min(limit, jobs), max(at_ms, allowance.at_ms))
+
+
+def list_surplus_fields(entry: JobEntry) -> tuple[tuple[str, object], ...]:
+    """Return the field of a log line that marks surplus, for tenants only."""
+    return (('surplus', entry.surplus),) if entry.tenant else ()
--- a/sassafrasgate/dispatch/entries.py
+++ b/sassafrasgate/dispatch/entries.py
@@ -282,14 +282,14 @@
         Settings of the job's queue when the job was accepted.
     tenant : str
         Tenant to which the job belongs; empty for none.
-    surplus : bool
-        Whether the tenant had submitted more jobs than it is entitled to when
-        the job was accepted.
     cap : Resources
         Cap of the tenant when the job was accepted.
     held : Resources
         What runs of the job may hold if it had ended before the snapshot
         that the owner has read.
+    surplus : bool
+        Whether the tenant had submitted more jobs than it is entitled to when
+        the job was accepted.
     state : WorkflowState
         State that has been decided; callers see ``durable_state`` instead.
     durable_state : WorkflowState
@@ -325,9 +325,9 @@
     workflow: Workflow
     accepted_at_ms: int
     tenant: str = NO_TENANT
-    surplus: bool = False
     cap: Resources = NO_RESOURCES
     held: Resources = NO_RESOURCES
+    surplus: bool = False
     state: WorkflowState = WorkflowState.QUEUED
     durable_state: WorkflowState = WorkflowState.QUEUED
     durable: bool = False
--- a/sassafrasgate/dispatch/load_refusals.py
+++ b/sassafrasgate/dispatch/load_refusals.py
@@ -87,7 +87,7 @@
     backlog = state.backlogs.get(queue.pool)
     if (
         backlog is None
-        or not backlog.waiting
+        or not backlog.tenant_work
         or state.now - backlog.measured_at > MAX_BACKLOG_AGE_MS
         or not _is_predictable(message.workflow)
         or is_due(state, message.job_id)
--- a/sassafrasgate/dispatch/policies.py
+++ b/sassafrasgate/dispatch/policies.py
@@ -65,6 +65,7 @@
         key
         for key in state.waiting_steps
         if not state.jobs[key.job_id].surplus
+        and state.jobs[key.job_id].tenant not in state.capped_tenants
     ]
     overloaded = list_overloaded_pools(state, plan, entitled)
     plan.keeps_room = True
--- a/sassafrasgate/dispatch/requests.py
+++ b/sassafrasgate/dispatch/requests.py
@@ -16,6 +16,7 @@
 from sassafrasgate.dispatch.authorization import check_tenant
 from sassafrasgate.dispatch.authorization import list_tenant_fields
 from sassafrasgate.dispatch.caps import check_caps
+from sassafrasgate.dispatch.entitlements import list_surplus_fields
 from sassafrasgate.dispatch.events import JournalStalled
 from sassafrasgate.dispatch.handlers import DURABLE_HANDLERS
 from sassafrasgate.dispatch.handlers import EVENT_HANDLERS
@@ -116,7 +117,7 @@
         (
             ('queue', queue.name),
             *list_tenant_fields(message.tenant),
-            ('surplus', state.jobs[message.job_id].surplus),
+            *list_surplus_fields(state.jobs[message.job_id]),
             ('steps', len(message.workflow.steps)),
             ('tasks', sum(step.tasks for step in message.workflow.steps)),
             ('table', state.routing_table.version),
