--- a/sassafrasgate/dispatch/backlogs.py
+++ b/sassafrasgate/dispatch/backlogs.py
@@ -135,7 +135,7 @@
     waiting : int
         Work that waits, in units of the resource times milliseconds.
     tenant_work : dict
-        The same for each tenant.
+        What waits, by tenant.
     added : tuple of WaitingWork
         Work that was accepted after the measurement.
     correction : float
@@ -158,7 +158,9 @@
     drained_at: int = 0
     late_share: float = 1.0
     waiting: int = 0
-    tenant_work: Mapping[str, int] = field(default_factory=dict)
+    tenant_work: Mapping[str, tuple[WaitingWork, ...]] = field(
+        default_factory=dict
+    )
     added: tuple[WaitingWork, ...] = ()
     correction: float = 1.0
     expectations: Mapping[StepKey, Expectation] = field(default_factory=dict)
@@ -208,7 +210,7 @@
         schedule.compute_release_rate(),
         late_share=late_share,
         waiting=sum(work.work for work in waiting),
-        tenant_work=_sum_by_tenant(waiting),
+        tenant_work=_group_by_tenant(waiting),
     )
     expectations: dict[StepKey, Expectation] = {}
     latest_starts: list[int] = []
@@ -250,11 +252,25 @@
     return work.priority, work.due_at
 
 
-def _sum_by_tenant(waiting: Iterable[WaitingWork]) -> dict[str, int]:
-    sums: dict[str, int] = {}
+def _group_by_tenant(
+    waiting: Iterable[WaitingWork],
+) -> dict[str, tuple[WaitingWork, ...]]:
+    groups: dict[str, list[WaitingWork]] = {}
     for work in waiting:
-        sums[work.tenant] = sums.get(work.tenant, 0) + work.work
-    return sums
+        groups.setdefault(work.tenant, []).append(work)
+    return {tenant: tuple(group) for tenant, group in groups.items()}
+
+
+def find_tenant_work_ahead(backlog: Backlog, work: WaitingWork) -> int:
+    """Return the work of the same tenant that starts before new work.
+
+    It is an amount of the resource times milliseconds.
+    """
+    return sum(
+        other.work
+        for other in backlog.tenant_work.get(work.tenant, ())
+        if other.latest_start <= work.latest_start
+    )
 
 
 class _Schedule:
@@ -361,7 +377,7 @@
 def add_work(backlog: Backlog, work: WaitingWork) -> Backlog:
     """Return a backlog with work that was accepted after the measurement."""
     tenant_work = dict(backlog.tenant_work)
-    tenant_work[work.tenant] = tenant_work.get(work.tenant, 0) + work.work
+    tenant_work[work.tenant] = (*tenant_work.get(work.tenant, ()), work)
     return replace(
         backlog, added=(*backlog.added, work), tenant_work=tenant_work
     )
--- a/sassafrasgate/dispatch/load_refusals.py
+++ b/sassafrasgate/dispatch/load_refusals.py
@@ -22,6 +22,7 @@
 from sassafrasgate.dispatch.backlogs import add_work
 from sassafrasgate.dispatch.backlogs import Backlog
 from sassafrasgate.dispatch.backlogs import ERROR_SHARE
+from sassafrasgate.dispatch.backlogs import find_tenant_work_ahead
 from sassafrasgate.dispatch.backlogs import predict_start
 from sassafrasgate.dispatch.backlogs import WaitingWork
 from sassafrasgate.dispatch.ordering import LATENESS_TOLERANCE
@@ -41,6 +42,9 @@
     from sassafrasgate.dispatch.state import DispatchState
     from sassafrasgate.protocol.workflows import SubmitWorkflow
 
+# A job that would only be late is refused if it is still late when its wait is
+# shorter than predicted by this fraction.
+LATE_MARGIN = 0.35
 # Returning callers get this share of the room; the rest is for new ones.
 RETURN_SHARE = 0.5
 # A later time says little: what will be running then has not been submitted.
@@ -211,7 +215,7 @@
     if not backlog.is_contended:
         return None
     tenant = work.tenant
-    waiting = backlog.tenant_work.get(tenant, 0)
+    waiting = find_tenant_work_ahead(backlog, work)
     others = [name for name in backlog.tenant_work if name != tenant]
     if not tenant or not waiting or not others:
         return None
@@ -242,9 +246,7 @@
     usage = getattr(state.get_tenant_usage(tenant.name), backlog.resource)
     if not cap or usage < cap * CAP_REACHED_SHARE:
         return None
-    wait_ms = (
-        backlog.tenant_work.get(tenant.name, 0) * backlog.correction / cap
-    )
+    wait_ms = find_tenant_work_ahead(backlog, work) * backlog.correction / cap
     if not _is_too_late(work, state.now, state.now + wait_ms):
         return None
     return Verdict(
@@ -272,7 +274,9 @@
 
 def _is_too_late(work: WaitingWork, now: int, start: float) -> bool:
     wait_ms = start - now
-    return now + wait_ms * (1 - ERROR_SHARE) > work.latest_start
+    if now + wait_ms * (1 - ERROR_SHARE) > work.last_start:
+        return True
+    return now + wait_ms * (1 - LATE_MARGIN) > work.latest_start
 
 
 def _format_wait(state: DispatchState, start: float) -> str:
