Order the steps of cells without tenants by work in overload

Cause: the order by slack makes everything a little late once more is offered than can be done, and small steps find no room while smaller tasks of others take each released part of a worker.

Change: cells without tenants use the order 'work': by slack as before, and in a pool whose waiting steps can't all start in their slack by priority and least work; room is kept for small steps that fit on no worker.

--- a/sassafrasgate/dispatch/policies.py
+++ b/sassafrasgate/dispatch/policies.py
@@ -32,7 +32,7 @@
 def order_steps(state: DispatchState, plan: PassPlan) -> list[StepKey]:
     """Return the waiting steps, in the order in which they are placed."""
     has_tenants = state.routing_table.tenants is not None
-    order = ORDERS.find('shares' if has_tenants else 'deadline')
+    order = ORDERS.find('shares' if has_tenants else 'work')
     return order(state, plan)
 
 
