Rotate the steps that go first after a long wait

A step that never fits stayed first for ever and kept the others that had waited for long from it. A step now goes first for 5 s at most, and the next one is the oldest after it. The averages of a pool's shares are decayed by the time since that pool was measured, not any pool.

The test fails on the previous commit: one of three steps went first.

--- a/sassafrasgate/dispatch/policies.py
+++ b/sassafrasgate/dispatch/policies.py
@@ -27,6 +27,7 @@
 # Only one such step is chosen in this time, so that old work of no use does
 # not take the place of new work.
 PROMOTION_INTERVAL_MS = 1_000
+MAX_PROMOTION_MS = 5_000
 
 
 def order_steps(state: DispatchState, plan: PassPlan) -> list[StepKey]:
@@ -96,18 +97,26 @@
 def _find_promoted_step(state: DispatchState) -> StepKey | None:
     """Return the step that is placed first since it has waited for long.
 
-    A step stays promoted until all its tasks have been started.
+    A step stays promoted until all its tasks have been started, but not for
+    long, as it may never fit. The next one is the oldest of those that have
+    become ready after it; after the newest, the oldest of all follows.
     """
-    if state.promoted_step in state.waiting_steps:
+    promoted_ms = state.now - state.promoted_at
+    if state.promoted_step in state.waiting_steps and (
+        promoted_ms < MAX_PROMOTION_MS
+    ):
         return state.promoted_step
-    state.promoted_step = None
-    if state.now - state.promoted_at < PROMOTION_INTERVAL_MS:
+    if promoted_ms < PROMOTION_INTERVAL_MS:
         return None
-    oldest = min(
-        state.waiting_steps, key=lambda key: state.steps[key].ready_at
-    )
-    if state.now - state.steps[oldest].ready_at < PATIENCE_MS:
+    waiting = [(state.steps[key].ready_at, key) for key in state.waiting_steps]
+    old = [item for item in waiting if state.now - item[0] >= PATIENCE_MS]
+    if not old:
         return None
-    state.promoted_step = oldest
+    previous = (
+        state.promoted_ready_at,
+        state.promoted_step or StepKey('', 0, 0),
+    )
+    later = [item for item in old if item > previous]
+    state.promoted_ready_at, state.promoted_step = min(later or old)
     state.promoted_at = state.now
-    return oldest
+    return state.promoted_step
--- a/sassafrasgate/dispatch/shares.py
+++ b/sassafrasgate/dispatch/shares.py
@@ -184,21 +184,25 @@
 def _update_recent_shares(
     state: DispatchState, pools: dict[str, PoolShares]
 ) -> None:
-    """Move the averages towards what runs now.
+    """Move the averages of some pools towards what runs now.
 
-    What runs now is taken to have run since the previous pass.
+    What runs now is taken to have run since the previous measurement.
     """
-    elapsed_ms = max(0, state.now - state.shares_measured_at)
-    state.shares_measured_at = state.now
-    kept = exp(-elapsed_ms / MEMORY_MS)
-    for key in {*state.recent_shares, *state.pool_usage}:
-        if key.pool not in pools:
-            continue
-        running = compute_dominant_share(
-            state.pool_usage.get(key, NO_RESOURCES), pools[key.pool].capacity
-        )
-        recent = state.recent_shares.get(key, 0.0)
-        recent = running + (recent - running) * kept
-        state.recent_shares[key] = recent
-        if key not in state.pool_usage and recent < MIN_WEIGHT:
-            del state.recent_shares[key]
+    for pool, shares in pools.items():
+        elapsed_ms = state.now - state.shares_measured_at.get(pool, 0)
+        state.shares_measured_at[pool] = state.now
+        kept = exp(-max(0, elapsed_ms) / MEMORY_MS)
+        for key in {*state.recent_shares, *state.pool_usage}:
+            if key.pool == pool:
+                _update_recent_share(state, key, shares.capacity, kept)
+
+
+def _update_recent_share(
+    state: DispatchState, key: ShareKey, capacity: Resources, kept: float
+) -> None:
+    usage = state.pool_usage.get(key, NO_RESOURCES)
+    running = compute_dominant_share(usage, capacity)
+    recent = running + (state.recent_shares.get(key, 0.0) - running) * kept
+    state.recent_shares[key] = recent
+    if key not in state.pool_usage and recent < MIN_WEIGHT:
+        del state.recent_shares[key]
--- a/sassafrasgate/dispatch/state.py
+++ b/sassafrasgate/dispatch/state.py
@@ -88,8 +88,9 @@
     recent_shares : dict
         Dominant share of each tenant in each pool, averaged over what has run
         lately.
-    shares_measured_at : int
-        Owner's clock, in ms, when ``recent_shares`` were last updated.
+    shares_measured_at : dict
+        Owner's clock, in ms, when the ``recent_shares`` of each pool were
+        last updated.
     shares_logged_at : int
         Owner's clock, in ms, of the latest log lines about shares.
     job_allowances : dict
@@ -98,6 +99,8 @@
         Step that is placed first because it has waited for long.
     promoted_at : int
         Owner's clock, in ms, when that step was chosen.
+    promoted_ready_at : int
+        Owner's clock, in ms, when that step had become ready.
     paced_runs : set of RunPlace
         Runs of best-effort tasks whose pace is not confirmed or below full
         pace.
@@ -180,11 +183,12 @@
     tenant_usage: dict[str, Resources] = field(default_factory=dict)
     pool_usage: dict[ShareKey, Resources] = field(default_factory=dict)
     recent_shares: dict[ShareKey, float] = field(default_factory=dict)
-    shares_measured_at: int = 0
+    shares_measured_at: dict[str, int] = field(default_factory=dict)
     shares_logged_at: int = 0
     job_allowances: dict[str, JobAllowance] = field(default_factory=dict)
     promoted_step: StepKey | None = None
     promoted_at: int = 0
+    promoted_ready_at: int = 0
     paced_runs: set[RunPlace] = field(default_factory=set)
     pending_stops: dict[RunPlace, PendingStop] = field(default_factory=dict)
     waiting_steps: dict[StepKey, None] = field(default_factory=dict)
--- a/tests/dispatch/test_entitlements.py
+++ b/tests/dispatch/test_entitlements.py
@@ -2,11 +2,14 @@
 
 from dataclasses import replace
 
+from sassafrasgate.core.resources import Resources
 from sassafrasgate.core.tenants import Tenant
 from sassafrasgate.core.workflows import Workflow
 from sassafrasgate.dispatch.entitlements import BURST_S
 from sassafrasgate.dispatch.entitlements import is_surplus
 from sassafrasgate.dispatch.events import TableChanged
+from sassafrasgate.dispatch.policies import MAX_PROMOTION_MS
+from sassafrasgate.dispatch.policies import PATIENCE_MS
 from sassafrasgate.protocol.workflows import SubmitWorkflow
 from sassafrasgate.shards.events import RequestReceived
 from tests.dispatch.drivers import Driver
@@ -15,6 +18,7 @@
 from tests.dispatch.simulation import WALL_MS
 
 WEIGHT = 2.0
+STEP = make_step()
 
 
 class TenantDriver(Driver):
@@ -25,12 +29,12 @@
         tenants = (Tenant('t', (), WEIGHT),)
         self.feed(TableChanged(replace(TABLE, version=2, tenants=tenants)))
 
-    def submit_at_rate(self, jobs, interval_ms):
+    def submit_at_rate(self, jobs, interval_ms, step=STEP):
         """Submit jobs at a fixed interval; return how many are surplus."""
         begin = len(self.state.jobs)
         for number in range(begin, begin + jobs):
             self.now += interval_ms
-            workflow = Workflow('', (make_step(),))
+            workflow = Workflow('', (step,))
             message = SubmitWorkflow(f'{number:016x}', 'q', 1, workflow, 't')
             self.feed(RequestReceived(1, message, WALL_MS + self.now))
         entries = list(self.state.jobs.values())[begin:]
@@ -64,3 +68,17 @@
     for number in range(100):
         driver.submit(f'{number:016x}', make_step())
     assert not any(job.surplus for job in driver.state.jobs.values())
+
+
+def test_steps_that_never_fit_do_not_stay_first():
+    # Guards against a step that is placed first for ever, and so keeps others
+    # that have waited for long from it.
+    driver = TenantDriver()
+    too_large = make_step(demand=Resources(10**6, 0))
+    driver.submit_at_rate(3, 0, too_large)
+    driver.wait(PATIENCE_MS)
+    promoted = set()
+    for _ in range(3):
+        promoted.add(driver.state.promoted_step)
+        driver.wait(MAX_PROMOTION_MS)
+    assert len(promoted) == 3
