Predict by the order in which an overloaded pool is served

Cause: the prediction of admission followed the order by slack, while an overloaded pool is served by priority and least work. It refused quick jobs that would have been first.

Change: the backlog of an overloaded pool is built, and asked, in that order.

--- a/sassafrasgate/dispatch/backlog_measurements.py
+++ b/sassafrasgate/dispatch/backlog_measurements.py
@@ -18,6 +18,7 @@
 from sassafrasgate.dispatch.backlogs import WaitingWork
 from sassafrasgate.dispatch.ordering import compute_due_time
 from sassafrasgate.dispatch.ordering import LATENESS_TOLERANCE
+from sassafrasgate.dispatch.overloads import list_overloaded_pools
 from sassafrasgate.dispatch.plans import estimate_run_end
 from sassafrasgate.dispatch.plans import make_plan
 from sassafrasgate.dispatch.promises import list_due_work
@@ -50,9 +51,14 @@
         return
     plan = make_plan(state)
     waiting = _group_by_pool(state)
+    overloaded = list_overloaded_pools(
+        state,
+        plan,
+        [key for key in state.waiting_steps if not _is_deferred(state, key)],
+    )
     for pool, workers in plan.usable.items():
         state.backlogs[pool] = _measure_pool(
-            state, pool, workers, waiting.get(pool, [])
+            state, pool, workers, waiting.get(pool, []), pool in overloaded
         )
     yield from _log_backlogs(state)
 
@@ -75,6 +81,7 @@
     pool: str,
     workers: dict[str, WorkerEntry],
     keys: list[StepKey],
+    by_work: bool,
 ) -> Backlog:
     previous = state.backlogs.get(pool, Backlog(state.now))
     deferred_keys = [key for key in keys if _is_deferred(state, key)]
@@ -93,6 +100,7 @@
         late_share,
         any(_is_blocked(state, key) for key in keys),
         [_describe_step(state, key, resource) for key in deferred_keys],
+        by_work,
     )
     expectations = dict(backlog.expectations)
     for key, expectation in previous.expectations.items():
--- a/sassafrasgate/dispatch/backlogs.py
+++ b/sassafrasgate/dispatch/backlogs.py
@@ -42,6 +42,9 @@
 SAMPLE_ERROR_MS = 250
 
 
+Rank = tuple[int, int, int]
+
+
 @dataclass(frozen=True, slots=True)
 class WaitingWork:
     """Work that waits for room.
@@ -85,6 +88,19 @@
         """Amount of the resource times the time for which it is needed."""
         return self.amount * self.duration_ms
 
+    def rank(self, by_work: bool) -> Rank:
+        """Return the sort key among work that can be on time.
+
+        Parameters
+        ----------
+        by_work : bool
+            Whether the pool is overloaded, so that little work comes first,
+            see `sassafrasgate.dispatch.ordering.rank_step_by_work`.
+        """
+        if by_work:
+            return (self.priority, self.work.bit_length(), self.latest_start)
+        return (0, 0, self.latest_start)
+
 
 @dataclass(frozen=True, slots=True)
 class Expectation:
@@ -118,11 +134,15 @@
         room, what is free lies in pieces that are too small.
     release_per_ms : float
         Amount that becomes free in a millisecond.
-    latest_starts, starts : tuple of int
-        For work that can be on time, in its order: latest starts, and when
-        all work up to it is expected to have started.
-    wide : tuple of (int, int, int)
-        For the same work: latest start, what a task needs, and what all of
+    by_work : bool
+        Whether the pool is overloaded, see `WaitingWork.rank`.
+    ranks : tuple of (int, int, int)
+        For work that can be on time, its sort keys in their order.
+    starts : tuple of int
+        When all of that work up to the same place is expected to have
+        started.
+    wide : tuple of (tuple, int, int)
+        For the same work: its sort key, what a task needs, and what all of
         its tasks need.
     late_ranks : tuple of (int, int)
         For late work, in its order: priority and due time.
@@ -150,9 +170,10 @@
     free: int = 0
     usable_free: int = 0
     release_per_ms: float = 0.0
-    latest_starts: tuple[int, ...] = ()
+    by_work: bool = False
+    ranks: tuple[Rank, ...] = ()
     starts: tuple[int, ...] = ()
-    wide: tuple[tuple[int, int, int], ...] = ()
+    wide: tuple[tuple[Rank, int, int], ...] = ()
     late_ranks: tuple[tuple[int, int], ...] = ()
     late_starts: tuple[int, ...] = ()
     drained_at: int = 0
@@ -190,6 +211,7 @@
     late_share: float = 1.0,
     is_blocked: bool = True,
     deferred: Sequence[WaitingWork] = (),
+    by_work: bool = False,
 ) -> Backlog:
     """Return the virtual schedule of what waits.
 
@@ -202,6 +224,8 @@
     deferred : sequence of WaitingWork
         Work that waits without taking room from other work. It counts for
         its tenants only.
+    by_work : bool
+        As in `WaitingWork.rank`.
     """
     usable_free = 0 if is_blocked else free
     schedule = _Schedule(now, usable_free, ends)
@@ -215,19 +239,20 @@
         late_share=late_share,
         waiting=sum(work.work for work in waiting),
         tenant_work=_group_by_tenant((*waiting, *deferred)),
+        by_work=by_work,
     )
     expectations: dict[StepKey, Expectation] = {}
-    latest_starts: list[int] = []
+    ranks: list[Rank] = []
     starts: list[int] = []
-    wide: list[tuple[int, int, int]] = []
+    wide: list[tuple[Rank, int, int]] = []
     late: list[WaitingWork] = []
-    for work in sorted(waiting, key=lambda work: work.latest_start):
+    for work in sorted(waiting, key=lambda work: work.rank(by_work)):
         if schedule.now > work.late_from:
             late.append(work)
             continue
-        latest_starts.append(work.latest_start)
+        ranks.append(work.rank(by_work))
         starts.append(schedule.place(work))
-        wide.append((work.latest_start, work.task_amount, work.amount))
+        wide.append((ranks[-1], work.task_amount, work.amount))
         if work.key is not None:
             expectations[work.key] = Expectation(now, starts[-1])
     began = schedule.now
@@ -241,7 +266,7 @@
         late_starts.append(int(began + (placed - began) / late_share))
     return replace(
         backlog,
-        latest_starts=tuple(latest_starts),
+        ranks=tuple(ranks),
         starts=tuple(starts),
         wide=tuple(wide),
         late_ranks=tuple(late_ranks),
@@ -270,10 +295,11 @@
 
     It is an amount of the resource times milliseconds.
     """
+    rank = work.rank(backlog.by_work)
     return sum(
         other.work
         for other in backlog.tenant_work.get(work.tenant, ())
-        if other.latest_start <= work.latest_start
+        if other.rank(backlog.by_work) <= rank
     )
 
 
@@ -329,12 +355,13 @@
 
 
 def _predict_timely_start(backlog: Backlog, work: WaitingWork) -> float:
-    place = bisect_right(backlog.latest_starts, work.latest_start)
+    rank = work.rank(backlog.by_work)
+    place = bisect_right(backlog.ranks, rank)
     before = backlog.starts[place - 1] if place else backlog.measured_at
     added = sum(
         other.amount
         for other in backlog.added
-        if other.latest_start <= work.latest_start
+        if other.rank(backlog.by_work) <= rank
     )
     missing = added + work.amount - _find_overtaken(backlog, work)
     if before <= backlog.measured_at:
@@ -347,10 +374,11 @@
 
     A smaller task starts in room that is too small for a larger one.
     """
+    rank = work.rank(backlog.by_work)
     return sum(
         amount
-        for latest_start, task_amount, amount in backlog.wide
-        if latest_start <= work.latest_start and task_amount > work.task_amount
+        for wide_rank, task_amount, amount in backlog.wide
+        if wide_rank <= rank and task_amount > work.task_amount
     )
 
 
