Bound messages between hosts, and what is queued for one of them

A frame of any announced size was received, a process that was busy kept a thousand messages for each connection, and a link kept 4,096 messages of any size, and as many in its socket, for a host that reads nothing.

Frames are at most 32 MiB on both ends; what is larger is not sent. A message is encoded when it is queued, so that a link can bound what waits by bytes (16 MiB); the marks of the sockets are 64 messages, but for replies, which zmq drops beyond the mark. A client gets at most 64 MiB of large replies in 2 s. A request whose sender no longer waits is not sent. A connection has 5 s for its handshake. Unsent messages are counted by reason.

--- a/sassafrasgate/daemons/counters.py
+++ b/sassafrasgate/daemons/counters.py
@@ -13,6 +13,7 @@
 from sassafrasgate.observability.metrics import LINK_MESSAGES
 from sassafrasgate.observability.metrics import STORE_CALLS
 from sassafrasgate.observability.metrics import STORE_VIEW_AGE
+from sassafrasgate.observability.metrics import UNSENT_MESSAGES
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -76,6 +77,8 @@
             totals['bytes', 'received'] += counts.received_bytes
             totals['dropped', ''] += counts.dropped_answers
             totals['invalid', ''] += counts.bad_frames
+            totals['unsent', 'too-large'] += counts.too_large
+            totals['unsent', 'queue-full'] += counts.queue_full
         return totals
 
     def _publish(self, totals: Counter[tuple[str, str]]) -> None:
@@ -90,6 +93,8 @@
                 self._metrics.count(LINK_MESSAGES, name, 'any', amount=new)
             if group == 'bytes':
                 self._metrics.count(LINK_BYTES, name, amount=new)
+            if group == 'unsent':
+                self._metrics.count(UNSENT_MESSAGES, name, amount=new)
             if group == 'dropped':
                 self._metrics.count(DROPPED_REPLIES, amount=new)
             if group == 'invalid':
--- a/sassafrasgate/observability/metrics.py
+++ b/sassafrasgate/observability/metrics.py
@@ -148,6 +148,18 @@
     'Values of other programs that could not be used, by source.',
     'source',
 )
+CUT_OFF_RESPONSES = define_metric(
+    MetricKind.COUNTER,
+    'responses_cut_off_total',
+    'Responses of peers that were not read to their end, by reason.',
+    'reason',
+)
+UNSENT_MESSAGES = define_metric(
+    MetricKind.COUNTER,
+    'link_messages_unsent_total',
+    'Messages on links that exceeded a limit, by reason.',
+    'reason',
+)
 UNEXPECTED_ERRORS = define_metric(
     MetricKind.COUNTER,
     'unexpected_errors_total',
--- a/sassafrasgate/protocol/links.py
+++ b/sassafrasgate/protocol/links.py
@@ -26,6 +26,7 @@
 from sassafrasgate.protocol.codec import Envelope
 from sassafrasgate.protocol.messages import Heartbeat
 from sassafrasgate.protocol.messages import OutcomeUnknown
+from sassafrasgate.protocol.reply_windows import ReplyWindow
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -36,7 +37,25 @@
 HEARTBEAT_INTERVAL_S = 0.5
 PEER_TIMEOUT_S = 2.0
 MAX_QUEUED_MESSAGES = 4096
-HIGH_WATER_MARK = 4096
+MIB = 1024 * 1024
+# Far above a submission and a value of the store. The state of a shard whose
+# planned stop would exceed it is read from the journal instead.
+MAX_MESSAGE_BYTES = 32 * MIB
+# Frames that wait for a peer that does not read. The rest stays with the
+# callers, which get no reply.
+MAX_QUEUED_BYTES = 16 * MIB
+# Messages between a socket and the thread of zmq. They bound what a process
+# that is busy has received, and what waits for a peer that does not read.
+HIGH_WATER_MARK = 64
+# A reply to a client whose queue is full would be dropped.
+REPLY_HIGH_WATER_MARK = 4096
+# Limit for the replies of more than `LARGE_REPLY_BYTES` that one client gets
+# within `PEER_TIMEOUT_S`; the others are too small to matter.
+MAX_LARGE_REPLIES_BYTES = 2 * MAX_MESSAGE_BYTES
+LARGE_REPLY_BYTES = MIB // 16
+# A connection that has not shown by then that it speaks the protocol is
+# closed.
+HANDSHAKE_TIMEOUT_MS = 5_000
 # A request consists of the identity of the connection and one frame.
 REQUEST_PARTS = 2
 
@@ -81,14 +100,22 @@
     dropped_answers: int = 0
     bad_frames: int = 0
     reopened: int = 0
+    too_large: int = 0
+    queue_full: int = 0
 
 
 @dataclass(frozen=True, slots=True)
-class _OutgoingMessage:
-    message: Any
-    timeout_ms: int
-    reply_to: MemoryObjectSendStream[Any] | None
-    attempt: int
+class _OutgoingFrame:
+    frame: bytes
+    request_id: int = 0
+    reply_to: MemoryObjectSendStream[Any] | None = None
+
+    @property
+    def is_abandoned(self) -> bool:
+        """Whether nobody waits for the reply any more."""
+        if self.reply_to is None:
+            return False
+        return not self.reply_to.statistics().open_receive_streams
 
 
 class Link:
@@ -126,6 +153,7 @@
         self._handle_heartbeat = handle_heartbeat
         self._handle_disconnect = handle_disconnect
         self._messages, self._inbox = _make_message_stream()
+        self._queued_bytes = 0
         self._open_requests: dict[int, MemoryObjectSendStream[Any]] = {}
         self._next_request_id = 1
         self._alive_at = 0
@@ -175,16 +203,12 @@
             A registered message, or `NoReply` when none arrived in time.
         """
         reply_to, replies = anyio.create_memory_object_stream[Any](1)
-        outgoing = _OutgoingMessage(
-            message, int(timeout_s * 1000), reply_to, attempt
-        )
         with replies:
-            try:
-                self._messages.send_nowait(outgoing)
-            except anyio.WouldBlock:
-                return NoReply(
-                    f'the send queue of the link to {self.address} is full'
-                )
+            failure = self._enqueue(
+                message, int(timeout_s * 1000), reply_to, attempt
+            )
+            if failure is not None:
+                return failure
             with anyio.move_on_after(timeout_s):
                 return await replies.receive()
         return NoReply(
@@ -192,11 +216,51 @@
         )
 
     def send(self, message: Any) -> bool:
-        """Queue a one-way message; False when the send queue is full."""
+        """Queue a one-way message; return whether it was queued."""
+        return self._enqueue(message, 0, None, 1) is None
+
+    def _enqueue(
+        self,
+        message: Any,
+        timeout_ms: int,
+        reply_to: MemoryObjectSendStream[Any] | None,
+        attempt: int,
+    ) -> NoReply | None:
+        """Queue a message; return why it was not queued.
+
+        A message is encoded here, so that its size is known while it waits.
+        """
+        request_id = self._next_request_id if reply_to else 0
+        try:
+            frame = encode_envelope(
+                Envelope(request_id, False, attempt, timeout_ms, message)
+            )
+        except (OverflowError, TypeError, ValueError) as error:
+            self._counts.bad_frames += 1
+            return NoReply(f'cannot encode a {message.kind!r}: {error}')
+        if len(frame) > MAX_MESSAGE_BYTES:
+            self._counts.too_large += 1
+            return NoReply(
+                f'a {message.kind!r} of {len(frame)} bytes exceeds the limit '
+                f'of {MAX_MESSAGE_BYTES}'
+            )
+        if not self._queue_frame(_OutgoingFrame(frame, request_id, reply_to)):
+            self._counts.queue_full += 1
+            return NoReply(
+                f'the send queue of the link to {self.address} is full'
+            )
+        self._next_request_id += 1
+        return None
+
+    def _queue_frame(self, outgoing: _OutgoingFrame) -> bool:
+        size = len(outgoing.frame)
+        if self._queued_bytes and self._queued_bytes + size > MAX_QUEUED_BYTES:
+            return False
         try:
-            self._messages.send_nowait(_OutgoingMessage(message, 0, None, 1))
+            self._messages.send_nowait(outgoing)
         except anyio.WouldBlock:
             return False
+        self._queued_bytes += size
         return True
 
     async def run(self) -> None:
@@ -206,6 +270,8 @@
             socket = context.socket(zmq.DEALER)
             socket.set(zmq.LINGER, 0)
             socket.set(zmq.SNDHWM, HIGH_WATER_MARK)
+            socket.set(zmq.RCVHWM, HIGH_WATER_MARK)
+            socket.set(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
             monitor = socket.get_monitor_socket(
                 zmq.EVENT_DISCONNECTED | zmq.EVENT_HANDSHAKE_SUCCEEDED
             )
@@ -256,45 +322,19 @@
     async def _send_messages(self, socket: zmq.asyncio.Socket) -> None:
         async for batch in receive_batches(self._inbox):
             for outgoing in batch:
-                await self._send_message(socket, outgoing)
+                await self._send_frame(socket, outgoing)
 
-    async def _send_message(
-        self, socket: zmq.asyncio.Socket, outgoing: _OutgoingMessage
+    async def _send_frame(
+        self, socket: zmq.asyncio.Socket, outgoing: _OutgoingFrame
     ) -> None:
-        request_id = 0
-        if outgoing.reply_to is not None:
-            request_id = self._next_request_id
-            self._next_request_id += 1
-        try:
-            frame = encode_envelope(
-                Envelope(
-                    request_id,
-                    False,
-                    outgoing.attempt,
-                    outgoing.timeout_ms,
-                    outgoing.message,
-                )
-            )
-        except (OverflowError, TypeError, ValueError) as error:
-            self._reject_message(outgoing, error)
+        self._queued_bytes -= len(outgoing.frame)
+        if outgoing.is_abandoned:
             return
         if outgoing.reply_to is not None:
-            self._open_requests[request_id] = outgoing.reply_to
+            self._open_requests[outgoing.request_id] = outgoing.reply_to
         self._sent_at = now_ms()
-        self._counts.record_sent(frame)
-        await socket.send(frame)
-
-    def _reject_message(
-        self, outgoing: _OutgoingMessage, error: Exception
-    ) -> None:
-        """Complete a request that cannot be encoded."""
-        self._counts.bad_frames += 1
-        if outgoing.reply_to is None:
-            return
-        _complete_request(
-            outgoing.reply_to,
-            NoReply(f'cannot encode a {outgoing.message.kind!r}: {error}'),
-        )
+        self._counts.record_sent(outgoing.frame)
+        await socket.send(outgoing.frame)
 
     async def _receive_replies(self, socket: zmq.asyncio.Socket) -> None:
         while True:
@@ -356,6 +396,9 @@
         self._handle_error = handle_error
         self._replies, self._outbox = _make_reply_stream()
         self._clients: dict[bytes, int] = {}
+        self._large_replies = ReplyWindow(
+            MAX_LARGE_REPLIES_BYTES, int(PEER_TIMEOUT_S * 1000)
+        )
         self._counts = _LinkCounter()
 
     @property
@@ -380,7 +423,10 @@
         context = zmq.asyncio.Context.instance()
         socket = context.socket(zmq.ROUTER)
         socket.set(zmq.LINGER, 200)
-        socket.set(zmq.SNDHWM, HIGH_WATER_MARK)
+        socket.set(zmq.SNDHWM, REPLY_HIGH_WATER_MARK)
+        socket.set(zmq.RCVHWM, HIGH_WATER_MARK)
+        socket.set(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
+        socket.set(zmq.HANDSHAKE_IVL, HANDSHAKE_TIMEOUT_MS)
         socket.bind(f'tcp://{self.address}')
         try:
             async with anyio.create_task_group() as tasks:
@@ -431,9 +477,23 @@
         except Exception as error:
             self._handle_error(error)
             return
+        if not self._may_send(reply.client, len(frame)):
+            return
         self._counts.record_sent(frame)
         await socket.send_multipart([reply.client, frame])
 
+    def _may_send(self, client: bytes, size: int) -> bool:
+        """Return whether a reply may wait for its client to read it."""
+        if size > MAX_MESSAGE_BYTES:
+            self._counts.too_large += 1
+            return False
+        if size <= LARGE_REPLY_BYTES:
+            return True
+        if not self._large_replies.add(client, size, now_ms()):
+            self._counts.queue_full += 1
+            return False
+        return True
+
     async def _send_heartbeats(self) -> None:
         while True:
             await anyio.sleep(HEARTBEAT_INTERVAL_S)
@@ -441,6 +501,7 @@
             for client, received_at in list(self._clients.items()):
                 if received_at < oldest:
                     del self._clients[client]
+                    self._large_replies.forget(client)
                     continue
                 await self._replies.send(
                     OutgoingReply(client, 0, self._make_heartbeat())
@@ -458,6 +519,8 @@
         self.dropped_answers = 0
         self.bad_frames = 0
         self.reopened = 0
+        self.too_large = 0
+        self.queue_full = 0
 
     def record_sent(self, frame: bytes) -> None:
         self.sent_messages += 1
@@ -503,10 +566,10 @@
 
 
 def _make_message_stream() -> tuple[
-    MemoryObjectSendStream[_OutgoingMessage],
-    MemoryObjectReceiveStream[_OutgoingMessage],
+    MemoryObjectSendStream[_OutgoingFrame],
+    MemoryObjectReceiveStream[_OutgoingFrame],
 ]:
-    return anyio.create_memory_object_stream[_OutgoingMessage](
+    return anyio.create_memory_object_stream[_OutgoingFrame](
         MAX_QUEUED_MESSAGES
     )
 
