Bound the responses that clients read, and share memory among them

A response was read whole, whatever its size; what arrived on an idle connection was kept, and a list whose pages repeat never ended.

Each call has a limit for its body, which is counted as it arrives. A body of more than one piece reserves what it may need from a budget of the process (response_memory_mib), and waits for others. A response that exceeds its limit or whose head is malformed is cut off: its connection is closed, the call ends with ResponseCutOffError, a NoResponseError whose effect is unknown, and is logged and counted by reason. Data on an idle connection closes it. A list ends with an error when a page does not advance, also the first one if it is empty but truncated, or at 64 MiB.

--- a/sassafrasgate/adapters/base_client.py
+++ b/sassafrasgate/adapters/base_client.py
@@ -8,20 +8,35 @@
 from typing import Protocol
 from typing import TYPE_CHECKING
 
+from sassafrasgate.adapters.call_errors import NoResponseError
 from sassafrasgate.adapters.connections import HttpConnections
-from sassafrasgate.adapters.connections import NoResponseError
+from sassafrasgate.adapters.response_limits import MIB
 from sassafrasgate.core.errors import StoreConflictError
 from sassafrasgate.core.errors import StoreUnavailableError
 from sassafrasgate.journal.rate_limits import CallKind
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
     from types import TracebackType
     from typing import Self
 
     from sassafrasgate.adapters.connections import HttpResponse
+    from sassafrasgate.adapters.response_limits import ResponseBudget
+    from sassafrasgate.core.items import Item
 
 TIMEOUT_S = 1.0
 MAX_CONNECTIONS = 16
+# A value has at most 1 MiB, which Base64 makes longer by a third. A conflict
+# of a write, too, may return the item.
+MAX_ITEM_BYTES = 2 * MIB
+# A page ends with the item that exceeds a megabyte of values, or with about
+# its 500th.
+MAX_PAGE_BYTES = 4 * MIB
+# A watch returns all changes at once. When there are more, its prefix is
+# listed again in pages.
+MAX_CHANGES_BYTES = 8 * MIB
+# Values under one prefix, in all pages together.
+MAX_LIST_BYTES = 64 * MIB
 
 
 class CallRateLimiter(Protocol):
@@ -49,6 +64,8 @@
     rate_limiter : CallRateLimiter, optional
         Delays each call until the rate allows it; by default the rate is
         unlimited.
+    budget : ResponseBudget, optional
+        Budget for responses that all clients of the process share.
 
     Attributes
     ----------
@@ -64,8 +81,11 @@
         base_url: str,
         timeout_s: float = TIMEOUT_S,
         rate_limiter: CallRateLimiter | None = None,
+        budget: ResponseBudget | None = None,
     ) -> None:
-        self._connections = HttpConnections(base_url, MAX_CONNECTIONS)
+        self._connections = HttpConnections(
+            base_url, MAX_CONNECTIONS, budget=budget
+        )
         self._timeout_s = timeout_s
         self._rate_limiter = rate_limiter or _NoRateLimit()
         self.calls: Counter[str] = Counter()
@@ -92,10 +112,16 @@
         priority: int,
         params: dict[str, str] | None = None,
         wait_s: float = 0.0,
+        max_bytes: int = MAX_ITEM_BYTES,
     ) -> HttpResponse:
         await self._rate_limiter.acquire(CallKind.READ, priority)
         return await self._call(
-            name, 'GET', path, params=params, wait_s=wait_s
+            name,
+            'GET',
+            path,
+            params=params,
+            wait_s=wait_s,
+            max_bytes=max_bytes,
         )
 
     async def _write(
@@ -109,7 +135,12 @@
     ) -> HttpResponse:
         await self._rate_limiter.acquire(CallKind.WRITE, priority)
         return await self._call(
-            name, method, path, content=content, headers=headers
+            name,
+            method,
+            path,
+            content=content,
+            headers=headers,
+            max_bytes=MAX_ITEM_BYTES,
         )
 
     async def _call(
@@ -148,3 +179,52 @@
                 f'{path!r} is not at the expected revision; read it again'
             )
         return response
+
+
+class ListedItems:
+    """The items of a list that is read in pages, up to a limit.
+
+    Parameters
+    ----------
+    prefix : str
+        Prefix of the keys, for error messages.
+    """
+
+    def __init__(self, prefix: str) -> None:
+        self._prefix = prefix
+        self._size = 0
+        self.items: list[Item] = []
+
+    @property
+    def last_key(self) -> str:
+        """The key after which the next page begins."""
+        return self.items[-1].key if self.items else ''
+
+    def add_page(self, items: Iterable[Item], more: bool) -> None:
+        """Add the items of a page.
+
+        Parameters
+        ----------
+        more : bool
+            Whether the store announces another page.
+
+        Raises
+        ------
+        StoreUnavailableError
+            When another page would be the same one, or the list exceeds
+            `MAX_LIST_BYTES`.
+        """
+        last_key = self.last_key
+        for item in items:
+            self.items.append(item)
+            self._size += len(item.key) + len(item.value or b'')
+        if more and self.last_key <= last_key:
+            raise StoreUnavailableError(
+                f'a page of the list of {self._prefix!r} ends with '
+                f'{self.last_key!r} like one before it; read the list again'
+            )
+        if self._size > MAX_LIST_BYTES:
+            raise StoreUnavailableError(
+                f'the list of {self._prefix!r} exceeds {MAX_LIST_BYTES} '
+                'bytes, which is the limit; remove keys that are not needed'
+            )
--- a/sassafrasgate/adapters/channels.py
+++ b/sassafrasgate/adapters/channels.py
@@ -12,15 +12,19 @@
 from collections.abc import Mapping
 from socket import socket
 from typing import Any
+from typing import TYPE_CHECKING
 
 import anyio
 
+from sassafrasgate.adapters.call_errors import NoResponseError
+from sassafrasgate.adapters.call_errors import ResponseTimeoutError
 from sassafrasgate.adapters.connections import HttpConnections
 from sassafrasgate.adapters.connections import HttpResponse
-from sassafrasgate.adapters.connections import NoResponseError
-from sassafrasgate.adapters.connections import ResponseTimeoutError
 from sassafrasgate.adapters.time_limits import TimeLimit
 
+if TYPE_CHECKING:
+    from sassafrasgate.adapters.response_limits import ResponseBudget
+
 # Longest wait for one of the calls that a peer may get at the same time.
 MAX_QUEUE_TIME_S = 0.3
 
@@ -56,6 +60,8 @@
         Headers of all calls.
     generation : int
         Generation of the `ChannelPool` that opens the channel.
+    budget : ResponseBudget or None
+        Budget for responses that all clients of the process share.
 
     Attributes
     ----------
@@ -68,9 +74,15 @@
     """
 
     def __init__(
-        self, base_url: str, headers: Mapping[str, str], generation: int
+        self,
+        base_url: str,
+        headers: Mapping[str, str],
+        generation: int,
+        budget: ResponseBudget | None = None,
     ) -> None:
-        self._connections = HttpConnections(base_url, 1, self._open_socket)
+        self._connections = HttpConnections(
+            base_url, 1, self._open_socket, budget
+        )
         self._headers = headers
         self.is_open = False
         self.generation = generation
@@ -84,11 +96,16 @@
         return socket(family, kind, protocol)
 
     async def call(
-        self, path: str, timeout_s: float, content: bytes
+        self, path: str, timeout_s: float, content: bytes, max_bytes: int
     ) -> HttpResponse:
         """Make one POST call; see `HttpConnections.call`."""
         response = await self._connections.call(
-            'POST', path, timeout_s, content=content, headers=self._headers
+            'POST',
+            path,
+            timeout_s,
+            content=content,
+            headers=self._headers,
+            max_bytes=max_bytes,
         )
         if response.headers.get('Connection', '').lower() == 'close':
             self.is_open = False
@@ -114,6 +131,8 @@
         Maximum number of calls at the same time.
     headers : mapping
         Headers of all calls.
+    budget : ResponseBudget, optional
+        Budget for responses that all clients of the process share.
 
     Notes
     -----
@@ -123,8 +142,13 @@
     """
 
     def __init__(
-        self, base_url: str, channels: int, headers: Mapping[str, str]
+        self,
+        base_url: str,
+        channels: int,
+        headers: Mapping[str, str],
+        budget: ResponseBudget | None = None,
     ) -> None:
+        self._budget = budget
         self._base_url = base_url
         self._headers = dict(headers)
         self._limit = anyio.Semaphore(channels)
@@ -137,7 +161,7 @@
         return len(self._idle)
 
     async def call(
-        self, path: str, timeout_s: float, content: bytes
+        self, path: str, timeout_s: float, content: bytes, max_bytes: int
     ) -> tuple[HttpResponse, Channel]:
         """Make one call on any channel.
 
@@ -154,7 +178,7 @@
         """
 
         async def make_call(channel: Channel) -> HttpResponse:
-            return await channel.call(path, timeout_s, content)
+            return await channel.call(path, timeout_s, content, max_bytes)
 
         return await self._use_channel(make_call, None)
 
@@ -163,6 +187,7 @@
         path: str,
         timeout_s: float,
         content: bytes,
+        max_bytes: int,
         incarnation_ms: int,
         identify: MakeCall,
     ) -> tuple[HttpResponse, Channel]:
@@ -192,7 +217,7 @@
                     return response
             if channel.incarnation_ms != incarnation_ms:
                 raise IncarnationError(incarnation_ms, channel.incarnation_ms)
-            return await channel.call(path, timeout_s, content)
+            return await channel.call(path, timeout_s, content, max_bytes)
 
         return await self._use_channel(make_call, incarnation_ms)
 
@@ -215,7 +240,9 @@
                 except NoResponseError as error:
                     if error.sent:
                         raise
-            channel = Channel(self._base_url, self._headers, self._generation)
+            channel = Channel(
+                self._base_url, self._headers, self._generation, self._budget
+            )
             return await self._call_on(channel, make_call)
         finally:
             self._limit.release()
--- a/sassafrasgate/adapters/connections.py
+++ b/sassafrasgate/adapters/connections.py
@@ -11,6 +11,7 @@
 
 from aiohttp import ClientConnectorError
 from aiohttp import ClientError
+from aiohttp import ClientResponseError
 from aiohttp import ClientSession
 from aiohttp import ClientTimeout
 from aiohttp import ConnectionTimeoutError
@@ -20,13 +21,21 @@
 from anyio import sleep
 from yarl import URL
 
+from sassafrasgate.adapters.call_errors import CutOffReason
+from sassafrasgate.adapters.call_errors import NoResponseError
+from sassafrasgate.adapters.call_errors import ResponseCutOffError
+from sassafrasgate.adapters.call_errors import ResponseTimeoutError
+from sassafrasgate.adapters.idle_connections import close_on_unrequested_data
+from sassafrasgate.adapters.response_limits import read_body
+from sassafrasgate.adapters.response_limits import ResponseBudget
+from sassafrasgate.adapters.response_limits import SMALL_RESPONSE_BYTES
 from sassafrasgate.adapters.time_limits import TimeLimit
-from sassafrasgate.core.errors import SassafrasgateError
 
 if TYPE_CHECKING:
     from socket import socket
 
 CONNECT_TIMEOUT_S = 1.0
+MAX_CAUSE_LENGTH = 200
 KEEP_ALIVE_S = 60.0
 # When the peer has closed an idle connection, the event loop reads its end
 # in one iteration and closes it in the next. Each call lets both pass first,
@@ -34,27 +43,6 @@
 CLOSE_LOOP_ITERATIONS = 2
 
 
-class NoResponseError(SassafrasgateError):
-    """An HTTP call received no complete response.
-
-    Parameters
-    ----------
-    message : str
-        What failed.
-    sent : bool
-        False when no connection was established, so that the call had no
-        effect.
-    """
-
-    def __init__(self, message: str, sent: bool) -> None:
-        super().__init__(message)
-        self.sent = sent
-
-
-class ResponseTimeoutError(NoResponseError):
-    """A response did not arrive within the call's time limit."""
-
-
 @dataclass(frozen=True, slots=True)
 class HttpResponse:
     """An HTTP response whose body has been read completely.
@@ -105,6 +93,9 @@
     open_socket : callable, optional
         Returns the socket for a new connection; raises `OSError` if none may
         be opened.
+    budget : ResponseBudget, optional
+        Budget that all clients of the process share; by default one of this
+        pool's own.
 
     Notes
     -----
@@ -117,7 +108,9 @@
         base_url: str,
         connections: int,
         open_socket: Callable[[Any], socket] | None = None,
+        budget: ResponseBudget | None = None,
     ) -> None:
+        self._budget = budget or ResponseBudget()
         self._base_url = base_url.rstrip('/')
         self._connections = connections
         self._open_socket = open_socket
@@ -140,6 +133,7 @@
             # aiohttp would send a PUT again whose response was lost; it has
             # no public option that turns these retries off.
             session._retry_connection = False
+            close_on_unrequested_data(session)
             self._pool = _Pool(session)
         return self._pool
 
@@ -152,6 +146,7 @@
         content: bytes | None = None,
         headers: Mapping[str, str] | None = None,
         params: Mapping[str, str] | None = None,
+        max_bytes: int = SMALL_RESPONSE_BYTES,
     ) -> HttpResponse:
         """Make one call, without retries.
 
@@ -162,9 +157,13 @@
         timeout_s : float
             Maximum duration of the whole call in seconds, but for time in
             which the event loop of this process is late.
+        max_bytes : int
+            Maximum size of the response's body in bytes.
 
         Raises
         ------
+        ResponseCutOffError
+            When the response is too large or malformed.
         NoResponseError
             When no complete response was received.
         """
@@ -179,6 +178,7 @@
                     pool.session,
                     method,
                     url,
+                    max_bytes,
                     data=content,
                     headers=headers,
                     timeout=ClientTimeout(
@@ -196,6 +196,15 @@
                 f'within {timeout_s:g} s',
                 sent=True,
             ) from error
+        except ResponseCutOffError as error:
+            raise self._record_cut_off(
+                method, path, error.reason, error
+            ) from error
+        except ClientResponseError as error:
+            # aiohttp limits the size and the number of header lines.
+            raise self._record_cut_off(
+                method, path, CutOffReason.MALFORMED, error
+            ) from error
         except (ClientError, OSError, ValueError) as error:
             # aiohttp raises ValueError for what it cannot send or parse.
             raise NoResponseError(
@@ -206,16 +215,34 @@
             await _close_if_unused(pool)
 
     async def _exchange(
-        self, session: ClientSession, method: str, url: URL, **options: Any
+        self,
+        session: ClientSession,
+        method: str,
+        url: URL,
+        max_bytes: int,
+        **options: Any,
     ) -> HttpResponse:
+        # The context closes the connection of a body that was not read whole.
         async with session.request(
             method, url, allow_redirects=False, **options
         ) as response:
-            body = await response.read()
+            body = await read_body(response, max_bytes, self._budget)
             return HttpResponse(
                 f'{method} {url.path}', response.status, body, response.headers
             )
 
+    def _record_cut_off(
+        self, method: str, path: str, reason: CutOffReason, cause: Exception
+    ) -> ResponseCutOffError:
+        error = ResponseCutOffError(
+            reason,
+            f'the response to {method} {self._base_url}{path} was cut off: '
+            f'{str(cause)[:MAX_CAUSE_LENGTH]}; check that the address '
+            'leads to the right peer',
+        )
+        self._budget.handle_cut_off(reason, error)
+        return error
+
     def _make_url(self, path: str, params: Mapping[str, str] | None) -> URL:
         query = f'?{urlencode(params)}' if params else ''
         reason: object = 'it has no host or port'
--- a/sassafrasgate/adapters/entry.py
+++ b/sassafrasgate/adapters/entry.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from sassafrasgate.adapters.response_limits import ResponseBudget
 from sassafrasgate.core.registries import Registry
 from sassafrasgate.daemons.watches import RegistrationSource
 from sassafrasgate.daemons.watches import RoutingTableSource
@@ -21,10 +22,11 @@
         Returns a client of the store, from its address and the keyword
         arguments of `sassafrasgate.adapters.base_client.BaseStoreClient`.
     open_worker : callable
-        Returns a client of a worker, from its id, its address and the
-        maximum duration of a call in seconds.
+        Returns a client of a worker, from its id, its address, the maximum
+        duration of a call in seconds and the `ResponseBudget`.
     open_advice_client : callable
-        Returns a client of the advice service, from its address.
+        Returns a client of the advice service, from its address and the
+        `ResponseBudget`.
     routing_table : RoutingTableSource
         Store key and decoder of the operators' routing table.
     registrations : RegistrationSource
@@ -38,8 +40,8 @@
     """
 
     open_store: Callable[..., Any]
-    open_worker: Callable[[str, str, float], Any]
-    open_advice_client: Callable[[str], Any]
+    open_worker: Callable[[str, str, float, ResponseBudget], Any]
+    open_advice_client: Callable[[str, ResponseBudget], Any]
     routing_table: RoutingTableSource
     registrations: RegistrationSource
     build_caller_application: Callable[..., Any]
--- a/sassafrasgate/adapters/store.py
+++ b/sassafrasgate/adapters/store.py
@@ -11,6 +11,9 @@
 from msgspec.json import encode
 
 from sassafrasgate.adapters.base_client import BaseStoreClient
+from sassafrasgate.adapters.base_client import ListedItems
+from sassafrasgate.adapters.base_client import MAX_CHANGES_BYTES
+from sassafrasgate.adapters.base_client import MAX_PAGE_BYTES
 from sassafrasgate.core.errors import InputError
 from sassafrasgate.core.errors import StoreError
 from sassafrasgate.core.errors import StoreLeaseLostError
@@ -54,6 +57,8 @@
     rate_limiter : CallRateLimiter, optional
         Delays each call until the rate allows it; by default the rate is
         unlimited.
+    budget : ResponseBudget, optional
+        Budget for responses that all clients of the process share.
 
     Attributes
     ----------
@@ -175,19 +180,23 @@
         values : bool
             Whether to read the values; if false, each value is None.
         """
-        items: list[Item] = []
+        listed = ListedItems(prefix)
         revision = 0
         params = {'prefix': prefix, 'values': 'true' if values else 'false'}
         while True:
             response = await self._read(
-                'list', '/v1/keys', params=params, priority=priority
+                'list',
+                '/v1/keys',
+                params=params,
+                priority=priority,
+                max_bytes=MAX_PAGE_BYTES,
             )
             page = _decode_body(_check_status(response, 200), _Page)
             revision = revision or page.revision
-            items.extend(page.items)
+            listed.add_page(page.items, page.more)
             if not page.more:
-                return Changes(revision, tuple(items))
-            params = {**params, 'after': items[-1].key}
+                return Changes(revision, tuple(listed.items))
+            params = {**params, 'after': listed.last_key}
 
     async def watch(
         self,
@@ -224,6 +233,7 @@
             },
             priority=priority,
             wait_s=wait_s,
+            max_bytes=MAX_CHANGES_BYTES,
         )
         if response.status == 410:
             raise StoreLogTrimmedError(
@@ -277,7 +287,10 @@
     ) -> tuple[HostStatus, ...]:
         """Return the platform's host list, which lags behind the hosts."""
         response = await self._read(
-            'list_hosts', '/v1/hosts', priority=priority
+            'list_hosts',
+            '/v1/hosts',
+            priority=priority,
+            max_bytes=MAX_PAGE_BYTES,
         )
         return _decode_body(
             _check_status(response, 200), tuple[HostStatus, ...]
--- a/sassafrasgate/adapters/workers.py
+++ b/sassafrasgate/adapters/workers.py
@@ -10,8 +10,9 @@
 from msgspec.json import Encoder
 from xxhash import xxh3_128_hexdigest
 
+from sassafrasgate.adapters.call_errors import NoResponseError
 from sassafrasgate.adapters.connections import HttpConnections
-from sassafrasgate.adapters.connections import NoResponseError
+from sassafrasgate.adapters.response_limits import MIB
 from sassafrasgate.core.errors import InputError
 from sassafrasgate.core.errors import WorkerOutputError
 from sassafrasgate.core.errors import WorkerUnavailableError
@@ -27,11 +28,16 @@
     from typing import Self
 
     from sassafrasgate.adapters.connections import HttpResponse
+    from sassafrasgate.adapters.response_limits import ResponseBudget
     from sassafrasgate.core.tasks import StartRequest
     from sassafrasgate.core.tasks import SyncRequest
 
 TIMEOUT_S = 2.0
 MAX_CONNECTIONS = 64
+# A report lists the tasks of one host; small outputs are part of it.
+MAX_REPLY_BYTES = 8 * MIB
+# The worker itself reports the size of an output.
+MAX_OUTPUT_BYTES = 64 * MIB
 
 Reply = TypeVar('Reply')
 
@@ -53,6 +59,8 @@
     timeout_s : float
         Maximum duration of a call in seconds, in addition to its
         ``wait_ms``.
+    budget : ResponseBudget, optional
+        Budget for responses that all clients of the process share.
 
     Notes
     -----
@@ -70,8 +78,9 @@
         url: str,
         connections: int = MAX_CONNECTIONS,
         timeout_s: float = TIMEOUT_S,
+        budget: ResponseBudget | None = None,
     ) -> None:
-        self._connections = HttpConnections(url, connections)
+        self._connections = HttpConnections(url, connections, budget=budget)
         self._timeout_s = timeout_s
 
     async def __aenter__(self) -> Self:
@@ -119,7 +128,11 @@
             When the worker no longer has the output, or its length or digest
             differs from the expected one.
         """
-        response = await self._call('GET', _make_task_path(task, 'output'))
+        response = await self._call(
+            'GET',
+            _make_task_path(task, 'output'),
+            max_bytes=max(MAX_REPLY_BYTES, min(size or 0, MAX_OUTPUT_BYTES)),
+        )
         if response.status != 200:
             raise WorkerOutputError(
                 f'the worker has no output of task {task!r} '
@@ -181,10 +194,15 @@
         path: str,
         content: bytes | None = None,
         wait_ms: int = 0,
+        max_bytes: int = MAX_REPLY_BYTES,
     ) -> HttpResponse:
         try:
             return await self._connections.call(
-                method, path, self._timeout_s + wait_ms / 1000, content=content
+                method,
+                path,
+                self._timeout_s + wait_ms / 1000,
+                content=content,
+                max_bytes=max_bytes,
             )
         except NoResponseError as error:
             raise WorkerUnavailableError(
--- a/sassafrasgate/composition/daemons.py
+++ b/sassafrasgate/composition/daemons.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import Any
 from typing import cast
 from typing import TYPE_CHECKING
@@ -238,6 +239,7 @@
 
 async def serve_scheduler(settings: Settings) -> None:
     """Run a scheduler until the process gets a stop signal."""
+    from sassafrasgate.adapters.schemes import open_worker
     from sassafrasgate.daemons.host_lists import HostListTask
     from sassafrasgate.daemons.messages import StopProcess
     from sassafrasgate.daemons.scheduler import SchedulerTask
@@ -285,6 +287,7 @@
             lambda summary: task.update_summary(summary),
             process.logger,
             process.metrics,
+            partial(open_worker, budget=process.budget),
         )
         task = SchedulerTask(
             process.member,
--- a/sassafrasgate/composition/entry.py
+++ b/sassafrasgate/composition/entry.py
@@ -13,6 +13,8 @@
 from logbook import Logger
 
 from sassafrasgate.adapters.entry import ENTRY_ADAPTERS
+from sassafrasgate.adapters.response_limits import MIB
+from sassafrasgate.adapters.response_limits import ResponseBudget
 from sassafrasgate.composition.runtime import make_inbox
 from sassafrasgate.composition.runtime import wait_for_stop
 from sassafrasgate.configuration.entry_settings import load_entry_settings
@@ -144,6 +146,9 @@
     adapters = ENTRY_ADAPTERS.find(settings.platform)
     metrics = Metrics()
     failures = FailureRecorder(logger, metrics)
+    budget = ResponseBudget(
+        settings.response_memory_mib * MIB, failures.record_cut_off
+    )
     member = Member(
         settings.name,
         make_incarnation(),
@@ -167,7 +172,10 @@
 
     def open_store(**options: Any) -> Any:
         return adapters.open_store(
-            settings.store_address, rate_limiter=rate_limiter, **options
+            settings.store_address,
+            rate_limiter=rate_limiter,
+            budget=budget,
+            **options,
         )
 
     async with (
@@ -259,7 +267,7 @@
             direct_store,
             server.reply,
             lambda worker, address: adapters.open_worker(
-                worker, address, CALL_TIMEOUT_S
+                worker, address, CALL_TIMEOUT_S, budget
             ),
             advice_router.request_advice,
             watch_registrations,
@@ -294,7 +302,10 @@
         counter_task = CounterTask(
             (store, watch_store, table_store, registration_store, lease_store),
             lambda: views,
-            lambda: (link.counts for link in directory.list_links()),
+            lambda: (
+                *(link.counts for link in directory.list_links()),
+                server.counts,
+            ),
             metrics,
         )
         group.start_soon(rate_limiter.run)
@@ -306,7 +317,7 @@
         group.start_soon(counter_task.run)
         group.start_soon(
             AdviceTask(
-                adapters.open_advice_client(settings.advice_address),
+                adapters.open_advice_client(settings.advice_address, budget),
                 advice_inbox.receive,
                 failures,
             ).run
--- a/sassafrasgate/composition/processes.py
+++ b/sassafrasgate/composition/processes.py
@@ -4,16 +4,20 @@
 
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
+from functools import partial
 from typing import Any
 from typing import TYPE_CHECKING
 
 from logbook import Logger
 
+from sassafrasgate.adapters.response_limits import MIB
+from sassafrasgate.adapters.response_limits import ResponseBudget
 from sassafrasgate.adapters.schemes import open_store
 from sassafrasgate.configuration.settings import Settings
 from sassafrasgate.core.identifiers import make_incarnation
 from sassafrasgate.daemons.leases import Member
 from sassafrasgate.journal.rate_limits import StoreRateLimiter
+from sassafrasgate.observability.failures import FailureRecorder
 from sassafrasgate.observability.logs import configure_logging
 from sassafrasgate.observability.metrics import Metrics
 
@@ -51,6 +55,8 @@
         Metrics of this process.
     logger : Logger
         Logger of this process, named after its role.
+    budget : ResponseBudget
+        Budget for responses that all clients of this process share.
     """
 
     settings: Settings
@@ -61,6 +67,7 @@
     lease_store: Any
     metrics: Metrics
     logger: Logger
+    budget: ResponseBudget
 
 
 @asynccontextmanager
@@ -83,16 +90,22 @@
     rate_limiter = StoreRateLimiter(
         settings.writes_per_s / processes, settings.reads_per_s / processes
     )
+    logger = Logger(f'sassafrasgate.{role}')
+    metrics = Metrics()
+    budget = ResponseBudget(
+        settings.response_memory_mib * MIB,
+        FailureRecorder(logger, metrics).record_cut_off,
+    )
+    open_client = partial(
+        open_store,
+        settings.store_url,
+        rate_limiter=rate_limiter,
+        budget=budget,
+    )
     async with (
-        open_store(settings.store_url, rate_limiter=rate_limiter) as store,
-        open_store(
-            settings.store_url, rate_limiter=rate_limiter
-        ) as watch_store,
-        open_store(
-            settings.store_url,
-            timeout_s=LEASE_CALL_TIMEOUT_S,
-            rate_limiter=rate_limiter,
-        ) as lease_store,
+        open_client() as store,
+        open_client() as watch_store,
+        open_client(timeout_s=LEASE_CALL_TIMEOUT_S) as lease_store,
     ):
         yield Process(
             settings,
@@ -101,6 +114,7 @@
             store,
             watch_store,
             lease_store,
-            Metrics(),
-            Logger(f'sassafrasgate.{role}'),
+            metrics,
+            logger,
+            budget,
         )
--- a/sassafrasgate/configuration/entry_settings.py
+++ b/sassafrasgate/configuration/entry_settings.py
@@ -7,6 +7,7 @@
 
 from sassafrasgate.configuration.settings import load_document
 from sassafrasgate.configuration.values import Address
+from sassafrasgate.configuration.values import Count
 from sassafrasgate.configuration.values import ListenAddress
 from sassafrasgate.configuration.values import LogLevel
 from sassafrasgate.configuration.values import Name
@@ -50,6 +51,9 @@
     stop_s : float
         Maximum time from a request to stop to the end of the process, in
         seconds.
+    response_memory_mib : int
+        Memory for the bodies of large responses that are read at the same
+        time, in MiB.
     platform : str
         Registered name of the adapters for the store, the workers and the
         callers.
@@ -72,6 +76,7 @@
     owner_ttl_s: Positive = 1.5
     outage_grace_s: NotNegative = 8.0
     stop_s: Positive = 6.0
+    response_memory_mib: Count = 32
     platform: str = 'kv'
     log_level: LogLevel = 'INFO'
 
--- a/sassafrasgate/configuration/settings.py
+++ b/sassafrasgate/configuration/settings.py
@@ -13,6 +13,7 @@
 from sassafrasgate.configuration.documents import read_documents
 from sassafrasgate.configuration.faults import Fault
 from sassafrasgate.configuration.values import Address
+from sassafrasgate.configuration.values import Count
 from sassafrasgate.configuration.values import ListenAddress
 from sassafrasgate.configuration.values import LogLevel
 from sassafrasgate.configuration.values import Name
@@ -70,6 +71,9 @@
         Seconds after the expiry of its lease for which an owner may still
         send commands to workers while the store is down. A new owner waits
         as long before it declares work lost on a host that does not respond.
+    response_memory_mib : int
+        Memory for the bodies of large responses that are read at the same
+        time, in MiB.
     log_level : str
         Lowest level of the log, as logbook names it.
     """
@@ -85,6 +89,7 @@
     drain_s: NotNegative = 20.0
     owner_ttl_s: Positive = 3.0
     outage_grace_s: NotNegative = 120.0
+    response_memory_mib: Count = 32
     log_level: LogLevel = 'INFO'
 
 
--- a/sassafrasgate/daemons/shards.py
+++ b/sassafrasgate/daemons/shards.py
@@ -16,6 +16,7 @@
 
 from sassafrasgate.adapters.schemes import open_worker
 from sassafrasgate.adapters.store import Store
+from sassafrasgate.adapters.workers import WorkerClient
 from sassafrasgate.core.errors import NoReply
 from sassafrasgate.core.errors import Refusal
 from sassafrasgate.core.errors import RefusalKind
@@ -109,6 +110,8 @@
         Logger for decisions.
     metrics : Metrics
         Metrics of the process.
+    open_worker : callable
+        Returns a client of a worker, from its URL.
     """
 
     owner: str
@@ -118,6 +121,7 @@
     publish: Callable[[Any], None]
     logger: Logger
     metrics: Metrics
+    open_worker: Callable[[str], WorkerClient] = open_worker
 
 
 class ShardTask:
@@ -429,7 +433,7 @@
             name,
             self.shard,
             self.state.epoch,
-            open_worker(self.state.index.hosts[name].url),
+            self.services.open_worker(self.state.index.hosts[name].url),
             self.services.store,
             self._host_tasks.open(name),
             self.events,
--- a/sassafrasgate/observability/failures.py
+++ b/sassafrasgate/observability/failures.py
@@ -10,6 +10,7 @@
 from logbook import Logger
 
 from sassafrasgate.observability.logs import log_event
+from sassafrasgate.observability.metrics import CUT_OFF_RESPONSES
 from sassafrasgate.observability.metrics import INVALID_INPUTS
 from sassafrasgate.observability.metrics import Metrics
 from sassafrasgate.observability.metrics import UNEXPECTED_ERRORS
@@ -70,6 +71,23 @@
             ),
         )
 
+    def record_cut_off(self, reason: str, error: Exception) -> None:
+        """Record a response that was not read to its end.
+
+        Parameters
+        ----------
+        reason : str
+            Kind of the limit that it has exceeded.
+        error : Exception
+            Names the call and the limit.
+        """
+        self.metrics.count(CUT_OFF_RESPONSES, reason)
+        log_event(
+            self.logger,
+            'response-cut-off',
+            (('reason', reason), ('error', str(error)[:MAX_ERROR_LENGTH])),
+        )
+
 
 class InvalidEntryLog:
     """Logs each key with an unusable value once, and counts every one.
--- a/sassafrasgate/platform/advice.py
+++ b/sassafrasgate/platform/advice.py
@@ -8,8 +8,9 @@
 from msgspec.json import Decoder
 from msgspec.json import encode
 
+from sassafrasgate.adapters.call_errors import NoResponseError
 from sassafrasgate.adapters.connections import HttpConnections
-from sassafrasgate.adapters.connections import NoResponseError
+from sassafrasgate.adapters.response_limits import MIB
 from sassafrasgate.core.errors import AdviceUnavailableError
 from sassafrasgate.core.errors import InputError
 from sassafrasgate.core.inputs import Amount
@@ -20,9 +21,13 @@
     from types import TracebackType
     from typing import Self
 
+    from sassafrasgate.adapters.response_limits import ResponseBudget
+
 MAX_CONNECTIONS = 8
 HEADERS = {'Content-Type': 'application/json'}
 OK = 200
+# At most 100 workers with a ticket each.
+MAX_ADVICE_BYTES = MIB
 
 
 class _AdviceResponse(Struct, frozen=True, rename='camel'):
@@ -41,11 +46,15 @@
     ----------
     address : str
         IP address and port.
+    budget : ResponseBudget, optional
+        Budget for responses that all clients of the process share.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(
+        self, address: str, budget: ResponseBudget | None = None
+    ) -> None:
         self._connections = HttpConnections(
-            f'http://{address}', MAX_CONNECTIONS
+            f'http://{address}', MAX_CONNECTIONS, budget=budget
         )
 
     async def __aenter__(self) -> Self:
@@ -76,6 +85,7 @@
                 timeout_s,
                 content=encode({'step': step, 'workers': workers}),
                 headers=HEADERS,
+                max_bytes=MAX_ADVICE_BYTES,
             )
         except NoResponseError as error:
             raise AdviceUnavailableError(
--- a/sassafrasgate/platform/store.py
+++ b/sassafrasgate/platform/store.py
@@ -13,6 +13,9 @@
 from msgspec.json import encode
 
 from sassafrasgate.adapters.base_client import BaseStoreClient
+from sassafrasgate.adapters.base_client import ListedItems
+from sassafrasgate.adapters.base_client import MAX_CHANGES_BYTES
+from sassafrasgate.adapters.base_client import MAX_PAGE_BYTES
 from sassafrasgate.core.errors import InputError
 from sassafrasgate.core.errors import StoreError
 from sassafrasgate.core.errors import StoreLeaseLostError
@@ -83,6 +86,8 @@
     rate_limiter : CallRateLimiter, optional
         Delays each call until the rate allows it; by default the rate is
         unlimited.
+    budget : ResponseBudget, optional
+        Budget for responses that all clients of the process share.
     """
 
     # The store sends these when it is busy or its rate limits are exceeded;
@@ -143,19 +148,25 @@
         values: bool = True,
     ) -> Changes:
         """Return the items under a prefix and the revision to watch from."""
-        items: list[Item] = []
+        listed = ListedItems(prefix)
         revision = 0
         params = {'prefix': prefix}
         while True:
             response = await self._read(
-                'list', '/api/kv-range', priority, params=params
+                'list',
+                '/api/kv-range',
+                priority,
+                params=params,
+                max_bytes=MAX_PAGE_BYTES,
             )
             page = _read_body(response, _RangePage)
             revision = revision or page.current_rev
-            items.extend(_make_item(item) for item in page.items)
-            if not page.truncated or not items:
-                return Changes(revision, tuple(items))
-            params = {'prefix': prefix, 'after': items[-1].key}
+            listed.add_page(
+                (_make_item(item) for item in page.items), page.truncated
+            )
+            if not page.truncated:
+                return Changes(revision, tuple(listed.items))
+            params = {'prefix': prefix, 'after': listed.last_key}
 
     async def watch(
         self,
@@ -175,6 +186,7 @@
                 'waitMs': str(int(wait_s * 1000)),
             },
             wait_s=wait_s,
+            max_bytes=MAX_CHANGES_BYTES,
         )
         if response.status == LOG_TRIMMED:
             raise StoreLogTrimmedError(
--- a/sassafrasgate/platform/workers.py
+++ b/sassafrasgate/platform/workers.py
@@ -11,9 +11,11 @@
 from msgspec.json import Decoder
 from msgspec.json import Encoder
 
+from sassafrasgate.adapters.call_errors import NoResponseError
 from sassafrasgate.adapters.channels import Channel
 from sassafrasgate.adapters.channels import ChannelPool
-from sassafrasgate.adapters.connections import NoResponseError
+from sassafrasgate.adapters.response_limits import MIB
+from sassafrasgate.adapters.response_limits import SMALL_RESPONSE_BYTES
 from sassafrasgate.core.errors import InputError
 from sassafrasgate.core.errors import WorkerUnavailableError
 from sassafrasgate.core.inputs import Amount
@@ -32,6 +34,7 @@
     from typing import Self
 
     from sassafrasgate.adapters.connections import HttpResponse
+    from sassafrasgate.adapters.response_limits import ResponseBudget
     from sassafrasgate.core.workflows import HoldRequest
     from sassafrasgate.core.workflows import RunRequest
 
@@ -56,6 +59,8 @@
 MAX_CHECKPOINT_LENGTH = 4_096
 # A response has at most this number of ended runs; later ones have the others.
 MAX_LISTED_ENDS = 500
+# Hundreds of runs and `MAX_LISTED_ENDS` ends with the longest checkpoints.
+MAX_REPORT_BYTES = 8 * MIB
 HOLD_PATH = '/api/hold'
 OK = 200
 BAD_REQUEST = 400
@@ -115,6 +120,8 @@
     timeout_s : float
         Maximum duration of a call in seconds, in addition to the time that
         it allows the worker to wait.
+    budget : ResponseBudget, optional
+        Budget for responses that all clients of the process share.
 
     Notes
     -----
@@ -122,11 +129,18 @@
     received, with ``sent`` false if the call certainly had no effect.
     """
 
-    def __init__(self, worker: str, address: str, timeout_s: float) -> None:
+    def __init__(
+        self,
+        worker: str,
+        address: str,
+        timeout_s: float,
+        budget: ResponseBudget | None = None,
+    ) -> None:
         self._channels = ChannelPool(
             f'http://{address}',
             MAX_CONNECTIONS,
             {'Content-Type': 'application/json', 'Expected-Instance': worker},
+            budget,
         )
         self._timeout_s = timeout_s
 
@@ -220,18 +234,22 @@
         """Make one call; 0 leaves open which incarnation it reaches."""
         timeout_s = self._timeout_s + wait_ms / 1000
         content = _ENCODER.encode(body)
+        max_bytes = (
+            MAX_REPORT_BYTES if path == HOLD_PATH else SMALL_RESPONSE_BYTES
+        )
         try:
             if incarnation_ms:
                 response, channel = await self._channels.call_incarnation(
                     path,
                     timeout_s,
                     content,
+                    max_bytes,
                     incarnation_ms,
                     partial(self._identify, body['fencingToken']),
                 )
             else:
                 response, channel = await self._channels.call(
-                    path, timeout_s, content
+                    path, timeout_s, content, max_bytes
                 )
             if path == HOLD_PATH:
                 _learn_incarnation(channel, response)
@@ -254,7 +272,9 @@
         content = _ENCODER.encode(
             {'fencingToken': fencing_token, 'ackCursor': 0}
         )
-        response = await channel.call(HOLD_PATH, self._timeout_s, content)
+        response = await channel.call(
+            HOLD_PATH, self._timeout_s, content, MAX_REPORT_BYTES
+        )
         _learn_incarnation(channel, response)
         return response
 
--- a/tests/adapters/test_time_limits.py
+++ b/tests/adapters/test_time_limits.py
@@ -7,8 +7,8 @@
 import anyio
 import pytest
 
+from sassafrasgate.adapters.call_errors import NoResponseError
 from sassafrasgate.adapters.connections import HttpConnections
-from sassafrasgate.adapters.connections import NoResponseError
 from sassafrasgate.adapters.time_limits import TimeLimit
 
 pytestmark = pytest.mark.anyio
