Fail what a closed socket of a link had not taken, and count pages by their ends

Frames that were taken from the queue when their socket was closed still counted as queued, so that a link to a peer that reads nothing would have stayed full for good. Their requests now get no reply at once. The test of such a peer sends a request after the link has been opened again.

The window for large replies is 30 s: with 2 s, a machine under load took more than one window for the replies of the test, whose memory then exceeded the bound. A page counts as repeated when it ends like one before it, whatever the order in which the store lists its keys.

--- a/sassafrasgate/adapters/base_client.py
+++ b/sassafrasgate/adapters/base_client.py
@@ -193,6 +193,8 @@
     def __init__(self, prefix: str) -> None:
         self._prefix = prefix
         self._size = 0
+        # An empty first page would end where the list begins.
+        self._page_ends = {''}
         self.items: list[Item] = []
 
     @property
@@ -214,15 +216,15 @@
             When another page would be the same one, or the list exceeds
             `MAX_LIST_BYTES`.
         """
-        last_key = self.last_key
         for item in items:
             self.items.append(item)
             self._size += len(item.key) + len(item.value or b'')
-        if more and self.last_key <= last_key:
+        if more and self.last_key in self._page_ends:
             raise StoreUnavailableError(
                 f'a page of the list of {self._prefix!r} ends with '
                 f'{self.last_key!r} like one before it; read the list again'
             )
+        self._page_ends.add(self.last_key)
         if self._size > MAX_LIST_BYTES:
             raise StoreUnavailableError(
                 f'the list of {self._prefix!r} exceeds {MAX_LIST_BYTES} '
--- a/sassafrasgate/protocol/links.py
+++ b/sassafrasgate/protocol/links.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass
 from typing import Any
 from typing import TYPE_CHECKING
@@ -31,6 +32,7 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable
     from collections.abc import Callable
+    from collections.abc import Iterable
 
     from anyio.streams.memory import MemoryObjectReceiveStream
 
@@ -50,8 +52,10 @@
 # A reply to a client whose queue is full would be dropped.
 REPLY_HIGH_WATER_MARK = 4096
 # Limit for the replies of more than `LARGE_REPLY_BYTES` that one client gets
-# within `PEER_TIMEOUT_S`; the others are too small to matter.
+# in a window; the others are too small to matter. A client that takes a shard
+# over reads the journal through one host within it.
 MAX_LARGE_REPLIES_BYTES = 2 * MAX_MESSAGE_BYTES
+LARGE_REPLIES_WINDOW_MS = 30_000
 LARGE_REPLY_BYTES = MIB // 16
 # A connection that has not shown by then that it speaks the protocol is
 # closed.
@@ -321,8 +325,22 @@
 
     async def _send_messages(self, socket: zmq.asyncio.Socket) -> None:
         async for batch in receive_batches(self._inbox):
-            for outgoing in batch:
-                await self._send_frame(socket, outgoing)
+            waiting = deque(batch)
+            try:
+                while waiting:
+                    await self._send_frame(socket, waiting.popleft())
+            finally:
+                # The socket was closed before it took the others.
+                self._fail_waiting(waiting)
+
+    def _fail_waiting(self, waiting: Iterable[_OutgoingFrame]) -> None:
+        for outgoing in waiting:
+            self._queued_bytes -= len(outgoing.frame)
+            if outgoing.reply_to is not None:
+                _complete_request(
+                    outgoing.reply_to,
+                    NoReply(f'{self.address} has read nothing for too long'),
+                )
 
     async def _send_frame(
         self, socket: zmq.asyncio.Socket, outgoing: _OutgoingFrame
@@ -397,7 +415,7 @@
         self._replies, self._outbox = _make_reply_stream()
         self._clients: dict[bytes, int] = {}
         self._large_replies = ReplyWindow(
-            MAX_LARGE_REPLIES_BYTES, int(PEER_TIMEOUT_S * 1000)
+            MAX_LARGE_REPLIES_BYTES, LARGE_REPLIES_WINDOW_MS
         )
         self._counts = _LinkCounter()
 
--- a/tests/protocol/test_link_limits.py
+++ b/tests/protocol/test_link_limits.py
@@ -187,14 +187,20 @@
             async with anyio.create_task_group() as requests:
                 for _ in range(SENT_BYTES // len(PIECE)):
                     requests.start_soon(request_one)
+            # Once the link has been opened again, nothing waits any longer.
+            with anyio.fail_after(HANG_S):
+                while not link.counts.reopened:
+                    await anyio.sleep(0.1)
+            late_reply = await link.request(RelayCall('get', (PIECE,)), 0.2)
             group.cancel_scope.cancel()
-        return replies
+        return replies, late_reply
 
     with create_server((host, int(port))):
         link = Link(f'{host}:{port}', lambda: Heartbeat('test'), ignore)
-        replies = anyio.run(request)
+        replies, late_reply = anyio.run(request)
 
     assert all(isinstance(reply, NoReply) for reply in replies)
+    assert 'is full' not in late_reply.reason
     assert sum('is full' in reply.reason for reply in replies) > len(
         replies
     ) - MEMORY_BOUND_BYTES // len(PIECE)
