Bound the rows of a worker's report, and lower the limits of reports and watches

A decoded row takes many times the memory of its text: a report of 8 MiB of the smallest rows took 124 MiB, and changes of 8 MiB took 45 MiB, more than a small machine has left.

--- a/sassafrasgate/adapters/base_client.py
+++ b/sassafrasgate/adapters/base_client.py
@@ -34,7 +34,7 @@
 MAX_PAGE_BYTES = 4 * MIB
 # A watch returns all changes at once. When there are more, its prefix is
 # listed again in pages.
-MAX_CHANGES_BYTES = 8 * MIB
+MAX_CHANGES_BYTES = 4 * MIB
 # Values under one prefix, in all pages together.
 MAX_LIST_BYTES = 64 * MIB
 
--- a/sassafrasgate/platform/workers.py
+++ b/sassafrasgate/platform/workers.py
@@ -59,8 +59,10 @@
 MAX_CHECKPOINT_LENGTH = 4_096
 # A response has at most this number of ended runs; later ones have the others.
 MAX_LISTED_ENDS = 500
-# Hundreds of runs and `MAX_LISTED_ENDS` ends with the longest checkpoints.
-MAX_REPORT_BYTES = 8 * MIB
+# Hundreds of runs and `MAX_LISTED_ENDS` ends, most with long checkpoints.
+MAX_REPORT_BYTES = 4 * MIB
+# A row takes many times the memory of its text.
+MAX_REPORT_ROWS = 10_000
 HOLD_PATH = '/api/hold'
 OK = 200
 BAD_REQUEST = 400
@@ -96,8 +98,8 @@
 
 class _HoldResponse(Struct, frozen=True, rename='camel'):
     clock_ms: Natural
-    running: list[_RunningRow]
-    ended: list[_EndedRow]
+    running: Annotated[list[_RunningRow], Meta(max_length=MAX_REPORT_ROWS)]
+    ended: Annotated[list[_EndedRow], Meta(max_length=MAX_REPORT_ROWS)]
     # Start of the worker's incarnation, which identifies it.
     born: Natural = 0
 
