--- a/sassafrasgate/configuration/entry_settings.py
+++ b/sassafrasgate/configuration/entry_settings.py
@@ -54,6 +54,9 @@
     max_key_age_ms : int
         Age of the routing table, in ms, from which on a host that cannot
         confirm it accepts no key of a tenant; 0 for no limit.
+    response_memory_mib : int
+        Memory for the bodies of large responses that are read at the same
+        time, in MiB.
     platform : str
         Registered name of the adapters for the store, the workers and the
         callers.
@@ -77,6 +80,7 @@
     outage_grace_s: NotNegative = 8.0
     stop_s: Positive = 6.0
     max_key_age_ms: Count = 0
+    response_memory_mib: Count = 32
     platform: str = 'kv'
     log_level: LogLevel = 'INFO'
 
