--- a/sassafrasgate/configuration/entry_settings.py
+++ b/sassafrasgate/configuration/entry_settings.py
@@ -7,6 +7,7 @@
 
 from sassafrasgate.configuration.settings import load_document
 from sassafrasgate.configuration.values import Address
+from sassafrasgate.configuration.values import Count
 from sassafrasgate.configuration.values import ListenAddress
 from sassafrasgate.configuration.values import LogLevel
 from sassafrasgate.configuration.values import Name
@@ -50,6 +51,10 @@
     stop_s : float
         Maximum time from a request to stop to the end of the process, in
         seconds.
+    memory_mb : float
+        Memory that the process may use, in MiB.
+    max_descriptors : int
+        Number of file descriptors that the process may have open.
     platform : str
         Registered name of the adapters for the store, the workers and the
         callers.
@@ -72,6 +77,8 @@
     owner_ttl_s: Positive = 1.5
     outage_grace_s: NotNegative = 8.0
     stop_s: Positive = 6.0
+    memory_mb: Positive = 512.0
+    max_descriptors: Count = 4096
     platform: str = 'kv'
     log_level: LogLevel = 'INFO'
 
