Bound the memory and descriptors that callers' connections use

Cause: hypercorn's server buffers up to 400 KiB for each connection and reads and waits without limits, and the callers' interface read each body whole before it looked at its size. Nothing knew the memory and the descriptors of the machine.

Change: http/admission.py decides, without sockets, which connections may stay open: a budget of bytes and connections from memory_mb and max_descriptors, which deploy/settings.yaml fills in; when it is used up, those go first that hold most for longest without finishing. http/connections.py takes the place of hypercorn's TCP server below its HTTP/1.1 protocol: it reads 16 KiB at a time, stops while a request is served, counts bytes as they arrive, and refuses with 413, 431, 408 or 503 only what has not arrived whole. http/body_buffers.py receives a whole body before the callers' application sees the request, so that nothing of a refused request can have run. http/time_limits.py limits heads, bodies (by a lowest rate), unread responses and idle connections; time in which the process was suspended or late does not count. The kernel's buffers of callers' connections are 16 KiB each.

The operators' limits are decoded by themselves, so that odd values leave the routes in force.

--- a/sassafrasgate/composition/daemons.py
+++ b/sassafrasgate/composition/daemons.py
@@ -183,8 +183,11 @@
     # The HTTP modules are imported here because schedulers do not serve
     # callers over HTTP.
     from sassafrasgate.daemons.frontend import FrontendTask
+    from sassafrasgate.http.admission import compute_budget
     from sassafrasgate.http.application import build_application
+    from sassafrasgate.http.guards import ConnectionGuard
     from sassafrasgate.http.limits import Limits
+    from sassafrasgate.http.limits import MAX_OPEN_BODY_BYTES
     from sassafrasgate.http.server import serve_http
 
     stop = anyio.Event()
@@ -209,7 +212,13 @@
             process.logger,
             process.metrics,
         )
-        application = build_application(task, process.metrics, Limits())
+        budget = compute_budget(settings.memory_mb, settings.max_descriptors)
+        guard = ConnectionGuard(budget, process.logger, process.metrics)
+        limits = Limits(
+            max_open_body_bytes=min(MAX_OPEN_BODY_BYTES, budget.max_body_bytes)
+        )
+        application = build_application(task, process.metrics, limits)
+        group.start_soon(guard.run)
         start_common_tasks(
             process,
             directory,
@@ -231,7 +240,11 @@
 
         group.start_soon(close_after_stop)
         await serve_http(
-            application, settings.http_address, closed, settings.drain_s
+            application,
+            settings.http_address,
+            closed,
+            settings.drain_s,
+            guard=guard,
         )
         group.cancel_scope.cancel()
 
--- a/sassafrasgate/composition/entry.py
+++ b/sassafrasgate/composition/entry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import fields
+from functools import partial
 from signal import SIGHUP
 from signal import Signals
 from typing import Any
@@ -38,7 +39,10 @@
 from sassafrasgate.daemons.watches import RegistrationTask
 from sassafrasgate.daemons.watches import RoutingTableTask
 from sassafrasgate.daemons.workers import CALL_TIMEOUT_S
+from sassafrasgate.http.admission import compute_budget
 from sassafrasgate.http.application import build_application
+from sassafrasgate.http.body_buffers import BodyBuffer
+from sassafrasgate.http.guards import ConnectionGuard
 from sassafrasgate.http.limits import Limits
 from sassafrasgate.http.routes import RouteGroup
 from sassafrasgate.http.server import serve_http
@@ -278,6 +282,11 @@
             main_inbox.send.send,
         )
         gateway = EntryGateway(member.name, task)
+        guard = ConnectionGuard(
+            compute_budget(settings.memory_mb, settings.max_descriptors),
+            logger,
+            metrics,
+        )
         lease_task = LeaseTask(
             lease_store,
             member,
@@ -298,6 +307,7 @@
             metrics,
         )
         group.start_soon(rate_limiter.run)
+        group.start_soon(guard.run)
         group.start_soon(lease_task.run)
         group.start_soon(
             ControlWatchTask(control_watch, (main_inbox.send,)).run
@@ -322,8 +332,9 @@
             rate_limiter,
             logger,
         )
+        serve_guarded = partial(serve_http, guard=guard)
         group.start_soon(
-            serve_http,
+            serve_guarded,
             build_application(
                 cast('Gateway', gateway),
                 metrics,
@@ -335,7 +346,7 @@
             0.0,
         )
         group.start_soon(
-            serve_http,
+            serve_guarded,
             adapters.build_ready_application(gateway),
             settings.ready_address,
             closed,
@@ -352,12 +363,15 @@
         with anyio.move_on_after(ROUTING_TABLE_TIMEOUT_S):
             # Without a routing table, every request would be refused.
             await task.has_table.wait()
-        await serve_http(
-            adapters.build_caller_application(gateway, logger, metrics),
+        await serve_guarded(
+            BodyBuffer(
+                adapters.build_caller_application(gateway, logger, metrics)
+            ),
             settings.caller_address,
             closed,
             max(0.0, settings.stop_s - SHUTDOWN_DELAY_S - STOP_MARGIN_S),
             listener=listener,
+            get_limits=lambda: gateway.get_configuration().limits,
         )
         log_event(logger, 'stopped', (('incarnation', member.incarnation),))
         group.cancel_scope.cancel()
--- a/sassafrasgate/configuration/settings.py
+++ b/sassafrasgate/configuration/settings.py
@@ -13,6 +13,7 @@
 from sassafrasgate.configuration.documents import read_documents
 from sassafrasgate.configuration.faults import Fault
 from sassafrasgate.configuration.values import Address
+from sassafrasgate.configuration.values import Count
 from sassafrasgate.configuration.values import ListenAddress
 from sassafrasgate.configuration.values import LogLevel
 from sassafrasgate.configuration.values import Name
@@ -70,6 +71,10 @@
         Seconds after the expiry of its lease for which an owner may still
         send commands to workers while the store is down. A new owner waits
         as long before it declares work lost on a host that does not respond.
+    memory_mb : float
+        Memory that the process may use, in MiB.
+    max_descriptors : int
+        Number of file descriptors that the process may have open.
     log_level : str
         Lowest level of the log, as logbook names it.
     """
@@ -85,6 +90,8 @@
     drain_s: NotNegative = 20.0
     owner_ttl_s: Positive = 3.0
     outage_grace_s: NotNegative = 120.0
+    memory_mb: Positive = 512.0
+    max_descriptors: Count = 4096
     log_level: LogLevel = 'INFO'
 
 
--- a/sassafrasgate/core/routing.py
+++ b/sassafrasgate/core/routing.py
@@ -5,6 +5,9 @@
 from dataclasses import dataclass
 from functools import cached_property
 
+from sassafrasgate.core.caller_limits import CallerLimits
+from sassafrasgate.core.caller_limits import DEFAULT_LIMITS
+
 
 @dataclass(frozen=True, slots=True)
 class AdviceTiming:
@@ -90,6 +93,8 @@
     ----------
     version : int
         Only increases; 0 when no table has been read yet.
+    limits : CallerLimits
+        Limits of what callers may send.
 
     Notes
     -----
@@ -100,6 +105,7 @@
     version: int = 0
     queues: tuple[Queue, ...] = ()
     pools: tuple[Pool, ...] = ()
+    limits: CallerLimits = DEFAULT_LIMITS
 
     def find_queue(self, host: str, path: str) -> Queue | None:
         """Return the host's queue with the longest matching path prefix."""
--- a/sassafrasgate/entry.py
+++ b/sassafrasgate/entry.py
@@ -30,6 +30,7 @@
 from sassafrasgate.configuration.settings import SettingsError  # noqa: E402
 from sassafrasgate.http.listeners import AddressError  # noqa: E402
 from sassafrasgate.http.listeners import open_listener  # noqa: E402
+from sassafrasgate.http.listeners import SMALL_BUFFER_BYTES  # noqa: E402
 
 USAGE = 'usage: python -m sassafrasgate.entry SETTINGS'
 
@@ -55,7 +56,7 @@
         settings = load_entry_settings(path)
         # The import that follows takes most of the start-up time. Callers
         # that connect during it wait instead of being refused.
-        listener = open_listener(settings.caller_address)
+        listener = open_listener(settings.caller_address, SMALL_BUFFER_BYTES)
         # Importing the adapters registers them.
         import_module('sassafrasgate.platform.adapters')
         composition = import_module('sassafrasgate.composition.entry')
--- a/sassafrasgate/http/listeners.py
+++ b/sassafrasgate/http/listeners.py
@@ -5,7 +5,9 @@
 from ipaddress import ip_address
 from socket import AF_INET
 from socket import AF_INET6
+from socket import SO_RCVBUF
 from socket import SO_REUSEADDR
+from socket import SO_SNDBUF
 from socket import socket
 from socket import SOL_SOCKET
 
@@ -13,6 +15,10 @@
 
 IPV6 = 6
 BACKLOG = 1024
+# Enough for large bodies from far away; Linux doubles each size.
+BUFFER_BYTES = 64 * 1024
+# Enough for the small requests and responses of many callers.
+SMALL_BUFFER_BYTES = 16 * 1024
 
 
 class AddressError(SassafrasgateError):
@@ -25,13 +31,17 @@
         )
 
 
-def open_listener(address: str) -> socket:
+def open_listener(address: str, buffer_bytes: int = BUFFER_BYTES) -> socket:
     """Return a listening socket, which queues connections for the server.
 
     Parameters
     ----------
     address : str
         IP number and port; with port 0 the system chooses a free port.
+    buffer_bytes : int
+        Size of the kernel's receive buffer and send buffer of each
+        connection, which bound what it holds for a client that sends or
+        reads nothing further.
 
     Raises
     ------
@@ -47,6 +57,8 @@
         raise AddressError(address, str(error)) from error
     try:
         listener.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
+        listener.setsockopt(SOL_SOCKET, SO_RCVBUF, buffer_bytes)
+        listener.setsockopt(SOL_SOCKET, SO_SNDBUF, buffer_bytes)
         listener.bind((host, int(port)))
         listener.listen(BACKLOG)
     except (OSError, OverflowError, ValueError) as error:
--- a/sassafrasgate/observability/metrics.py
+++ b/sassafrasgate/observability/metrics.py
@@ -170,6 +170,22 @@
 OPEN_REQUESTS = define_metric(
     MetricKind.GAUGE, 'http_open_requests', 'Open requests by group.', 'group'
 )
+OPEN_CONNECTIONS = define_metric(
+    MetricKind.GAUGE,
+    'http_open_connections',
+    'Open connections of callers.',
+)
+CONNECTION_BYTES = define_metric(
+    MetricKind.GAUGE,
+    'http_connection_bytes',
+    'Memory that the connections of callers and their bodies hold.',
+)
+CLOSED_CONNECTIONS = define_metric(
+    MetricKind.COUNTER,
+    'http_closed_connections_total',
+    'Connections that the server closed or refused, by reason.',
+    'reason',
+)
 DECISION_SECONDS = define_metric(
     MetricKind.HISTOGRAM,
     'decision_seconds',
--- a/sassafrasgate/platform/callers.py
+++ b/sassafrasgate/platform/callers.py
@@ -43,6 +43,8 @@
 # A longer number of milliseconds would be more than three years.
 DEADLINE_PATTERN = re.compile(r'[0-9]{1,11}')
 DEFAULT_DEADLINE_MS = 3_000
+# Longer than any caller waits; it bounds how long a request stays open.
+MAX_DEADLINE_MS = 120_000
 # Time reserved for the response to reach the caller before the deadline.
 RESPONSE_MARGIN_MS = 60
 # Shortest time that is sent with the statuses below, which tell the caller
@@ -302,7 +304,7 @@
     text = request.headers.get(DEADLINE_HEADER, '')
     wait_ms = DEFAULT_DEADLINE_MS
     if DEADLINE_PATTERN.fullmatch(text):
-        wait_ms = int(text)
+        wait_ms = min(int(text), MAX_DEADLINE_MS)
     return max(RESPONSE_MARGIN_MS, wait_ms - RESPONSE_MARGIN_MS) / 1000
 
 
--- a/sassafrasgate/platform/jobs.py
+++ b/sassafrasgate/platform/jobs.py
@@ -8,6 +8,7 @@
 from msgspec import Struct
 from msgspec.json import Decoder
 
+from sassafrasgate.core.caller_limits import MAX_BODY_BYTES
 from sassafrasgate.core.errors import InputError
 from sassafrasgate.core.errors import Refusal
 from sassafrasgate.core.errors import RefusalKind
@@ -21,8 +22,6 @@
 from sassafrasgate.core.workflows import Workflow
 from sassafrasgate.observability.clocks import wall_ms
 
-# A job's record has to fit into one value of the store, in Base64.
-MAX_BODY_BYTES = 262_144
 MAX_PAYLOAD_LENGTH = 65_536
 MAX_STEPS = 256
 MAX_TASKS = 100_000
--- a/sassafrasgate/platform/routing.py
+++ b/sassafrasgate/platform/routing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from msgspec import Raw
 from msgspec import Struct
 from msgspec.json import Decoder
 
@@ -13,6 +14,7 @@
 from sassafrasgate.core.routing import Pool
 from sassafrasgate.core.routing import Queue
 from sassafrasgate.core.routing import RoutingTable
+from sassafrasgate.platform.limits import read_caller_limits
 
 OPERATOR_PREFIX = 'op/'
 TABLE_KEY = 'op/config'
@@ -47,6 +49,8 @@
     version: Natural
     routes: list[_Route]
     services: list[_Service]
+    # Decoded by itself, so that odd limits leave the routes in force.
+    limits: Raw = Raw()
 
 
 _DECODER = Decoder(_Configuration)
@@ -68,6 +72,7 @@
             Pool(service.name, service.enforces_capacity, service.spare)
             for service in configuration.services
         ),
+        read_caller_limits(configuration.limits),
     )
 
 
