Send small responses at once on accepted connections

asyncio switches Nagle's algorithm off only for sockets whose protocol number is set, which is 0 on an accepted socket of this listener.

--- a/sassafrasgate/http/server.py
+++ b/sassafrasgate/http/server.py
@@ -8,8 +8,10 @@
 from asyncio import Task
 from asyncio import wait
 from logging import getLogger
+from socket import IPPROTO_TCP
 from socket import SO_RCVBUF
 from socket import SOL_SOCKET
+from socket import TCP_NODELAY
 from typing import Any
 from typing import cast
 from typing import TYPE_CHECKING
@@ -189,6 +191,8 @@
 
     def _open(self, accepted: socket) -> None:
         accepted.setblocking(False)
+        # asyncio does so only for sockets whose protocol number is set.
+        accepted.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
         connection = Connection(
             self._application,
             self._config,
