--- a/sassafrasgate/http/connections.py
+++ b/sassafrasgate/http/connections.py
@@ -67,6 +67,9 @@
     ConnectionState.UNREAD: CloseReason.UNREAD_RESPONSE,
     ConnectionState.CLOSING: CloseReason.LATE_CLOSE,
 }
+IDLE_STATES = frozenset(
+    {ConnectionState.IDLE, ConnectionState.HEAD, ConnectionState.CLOSING}
+)
 # States in which no part of a request can have run and no response has begun.
 REFUSABLE_STATES = frozenset({ConnectionState.HEAD, ConnectionState.BODY})
 
@@ -354,13 +357,9 @@
 
     def close_if_idle(self) -> None:
         """Close the connection if it has no request."""
-        if self.usage.state in (ConnectionState.IDLE, ConnectionState.HEAD):
+        if self.usage.state in IDLE_STATES:
             self._transport.close()
 
-    def abort(self) -> None:
-        """Close the connection at once."""
-        self._transport.abort()
-
     def _close(self) -> None:
         """Close the connection once its client has read the response.
 
--- a/sassafrasgate/http/time_limits.py
+++ b/sassafrasgate/http/time_limits.py
@@ -13,6 +13,8 @@
     from sassafrasgate.core.caller_limits import CallerLimits
     from sassafrasgate.http.admission import ConnectionUsage
 
+# A client that keeps a limit by its own clock must not meet it here.
+MARGIN_MS = 2_000
 # Added to the time in which a body arrives at the lowest rate.
 BODY_TIMEOUT_MS = 15_000
 MIN_BODY_BYTES_PER_S = 4_096
@@ -46,13 +48,13 @@
 @TIME_LIMITS.register(ConnectionState.IDLE)
 def compute_idle_limit(usage: ConnectionUsage, limits: CallerLimits) -> float:
     """Return how long a connection may have no request."""
-    return limits.idle_timeout_ms
+    return limits.idle_timeout_ms + MARGIN_MS
 
 
 @TIME_LIMITS.register(ConnectionState.HEAD)
 def compute_head_limit(usage: ConnectionUsage, limits: CallerLimits) -> float:
     """Return how long a head may take."""
-    return limits.header_timeout_ms
+    return limits.header_timeout_ms + MARGIN_MS
 
 
 @TIME_LIMITS.register(ConnectionState.BODY)
--- a/sassafrasgate/platform/callers.py
+++ b/sassafrasgate/platform/callers.py
@@ -20,6 +20,7 @@
 from sassafrasgate.core.registries import Registry
 from sassafrasgate.observability.clocks import now_ms
 from sassafrasgate.observability.failures import FailureRecorder
+from sassafrasgate.observability.line_limits import LineLimiter
 from sassafrasgate.observability.logs import log_event
 from sassafrasgate.observability.metrics import REQUEST_SECONDS
 from sassafrasgate.observability.metrics import REQUESTS
@@ -45,6 +46,7 @@
 DEFAULT_DEADLINE_MS = 3_000
 # Longer than any caller waits; it bounds how long a request stays open.
 MAX_DEADLINE_MS = 120_000
+MAX_LOGGED_LENGTH = 256
 # Time reserved for the response to reach the caller before the deadline.
 RESPONSE_MARGIN_MS = 60
 # Shortest time that is sent with the statuses below, which tell the caller
@@ -144,6 +146,7 @@
         self._logger = logger
         self._metrics = metrics
         self._failures = FailureRecorder(logger, metrics)
+        self._lines = LineLimiter(now_ms)
 
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
@@ -203,16 +206,21 @@
 
         The last part of the path is logged as the job's id.
         """
+        omitted = self._lines.count(kind)
+        if omitted is None:
+            return
+        path = _get_path(request)[:MAX_LOGGED_LENGTH]
         log_event(
             self._logger,
             kind,
             (
-                ('job', _get_path(request).rpartition('/')[2]),
+                ('job', path.rpartition('/')[2]),
                 ('method', request.method),
-                ('path', _get_path(request)),
+                ('path', path),
                 ('table_version', self._gateway.version),
                 ('deadline_ms', request.headers.get(DEADLINE_HEADER, '')),
                 ('took_ms', now_ms() - began),
+                ('lines_omitted', omitted or ''),
                 *fields,
             ),
         )
--- a/tests/platform/test_odd_inputs.py
+++ b/tests/platform/test_odd_inputs.py
@@ -65,7 +65,18 @@
     'stretch': 2.5,
     'advice': {'decideMs': 20, 'eachMs': 0.5, 'validMs': 2000},
 }
-TABLE = {'version': 4, 'routes': [ROUTE], 'services': [{'name': 'pool'}]}
+LIMITS = {
+    'maxHeaderBytes': 16384,
+    'maxBodyBytes': 262144,
+    'headerTimeoutMs': 3000,
+    'idleTimeoutMs': 15000,
+}
+TABLE = {
+    'version': 4,
+    'routes': [ROUTE],
+    'services': [{'name': 'pool'}],
+    'limits': LIMITS,
+}
 REPORT = {
     'clockMs': 50,
     'born': 7,
--- a/tests/platform/test_routing.py
+++ b/tests/platform/test_routing.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from sassafrasgate.core.caller_limits import CallerLimits
 from sassafrasgate.core.errors import InputError
 from sassafrasgate.core.routing import AdviceTiming
 from sassafrasgate.core.routing import Pool
@@ -70,3 +71,39 @@
     # A partially decoded table must not replace the last valid one.
     with pytest.raises(InputError):
         read_routing_table(value)
+
+
+@pytest.mark.parametrize(
+    ('limits', 'expected'),
+    [
+        (
+            {
+                'maxHeaderBytes': 8_192,
+                'maxBodyBytes': 100_000,
+                'headerTimeoutMs': 3_000,
+                'idleTimeoutMs': 15_000,
+            },
+            CallerLimits(8_192, 100_000, 3_000, 15_000),
+        ),
+        (
+            {'maxBodyBytes': 10**9, 'headerTimeoutMs': 2_000},
+            CallerLimits(header_timeout_ms=2_000),
+        ),
+        (
+            {'maxBodyBytes': 0, 'headerTimeoutMs': 'x', 'idleTimeoutMs': None},
+            CallerLimits(),
+        ),
+        ([1], CallerLimits()),
+        (None, CallerLimits()),
+    ],
+)
+def test_odd_limits_have_defaults(limits, expected):
+    """Guards against a table without routes because of its limits."""
+    table = {'version': 1, 'routes': [], 'services': [], 'limits': limits}
+    assert read_routing_table(dumps(table).encode()).limits == expected
+
+
+def test_table_without_limits_has_defaults():
+    """Guards against limits of zero."""
+    table = {'version': 1, 'routes': [], 'services': []}
+    assert read_routing_table(dumps(table).encode()).limits == CallerLimits()
