--- a/sassafrasgate/http/connections.py
+++ b/sassafrasgate/http/connections.py
@@ -367,7 +367,8 @@
         client may then lose the response. What arrives is therefore
         discarded until the client closes its end.
         """
-        if self._transport.is_closing():
+        is_closing = self._transport.is_closing()
+        if is_closing or self.usage.state is ConnectionState.CLOSING:
             return
         self._reading.cancel()
         if self._at_eof or self._context.terminated.is_set():
--- a/tests/http/test_connections.py
+++ b/tests/http/test_connections.py
@@ -145,6 +145,15 @@
         assert server.application.bodies == []
 
 
+async def test_refusal_arrives_although_the_client_still_sends():
+    """Guards against a reset before the client has read the refusal."""
+    async with run_server() as server:
+        parts = [bytes(10_000)] * 11
+        received = await server.exchange(make_post(110_000), *parts)
+        assert received.startswith(b'HTTP/1.1 413 ')
+        assert received.count(b'HTTP/1.1') == 1
+
+
 async def test_head_over_the_limit_is_refused():
     """Guards against heads that grow without a limit."""
     async with run_server() as server:
