--- a/sassafrasgate/http/admission.py
+++ b/sassafrasgate/http/admission.py
@@ -24,7 +24,7 @@
 MIN_BUDGET_BYTES = 4 * MIB
 # Part of the remaining memory that connections and bodies may use; the rest
 # is for the jobs and workers of an owner.
-MEMORY_SHARE = 0.5
+MEMORY_SHARE = 0.4
 # Part of the budget that connections without requests may use.
 CONNECTIONS_SHARE = 2 / 3
 # Part of the budget that large requests may use; the rest is for small ones.
