--- a/sassafrasgate/http/guards.py
+++ b/sassafrasgate/http/guards.py
@@ -111,7 +111,10 @@
         """Apply the time limits periodically, until cancelled."""
         while True:
             await sleep(SWEEP_INTERVAL_S)
-            self.sweep()
+            try:
+                self.sweep()
+            except Exception as error:
+                self._failures.record('connection-sweep', error)
 
     def sweep(self) -> None:
         """Close connections that are overdue, and report."""
--- a/tests/http/test_connections.py
+++ b/tests/http/test_connections.py
@@ -11,6 +11,7 @@
 from starlette.responses import Response
 
 from sassafrasgate.core.caller_limits import CallerLimits
+from sassafrasgate.http import guards
 from sassafrasgate.http import time_limits
 from sassafrasgate.http.admission import AdmissionBudget
 from sassafrasgate.http.admission import SMALL_BYTES
@@ -220,6 +221,27 @@
         assert b'reason="idle"} 1' in metrics
 
 
+async def test_failing_sweep_is_recorded_and_repeated(monkeypatch):
+    """Guards against a process that one odd connection ends."""
+    monkeypatch.setattr(guards, 'SWEEP_INTERVAL_S', 0.001)
+    guard = ConnectionGuard(
+        AdmissionBudget(MIB, 100), Logger('test'), Metrics()
+    )
+    swept = []
+
+    def fail():
+        swept.append(1)
+        raise ValueError('odd')
+
+    monkeypatch.setattr(guard, 'sweep', fail)
+    with anyio.fail_after(30):
+        async with anyio.create_task_group() as group:
+            group.start_soon(guard.run)
+            while len(swept) < 2:
+                await anyio.sleep(0.001)
+            group.cancel_scope.cancel()
+
+
 async def test_request_of_a_client_that_has_left_is_served():
     """Guards against a submission that ends because its client does."""
     async with run_server() as server:
