--- a/sassafrasgate/configuration/entry_settings.py
+++ b/sassafrasgate/configuration/entry_settings.py
@@ -57,6 +57,10 @@
     response_memory_mib : int
         Memory for the bodies of large responses that are read at the same
         time, in MiB.
+    memory_mb : float
+        Memory that the process may use, in MiB.
+    max_descriptors : int
+        Number of file descriptors that the process may have open.
     platform : str
         Registered name of the adapters for the store, the workers and the
         callers.
@@ -81,6 +85,8 @@
     stop_s: Positive = 6.0
     max_key_age_ms: Count = 0
     response_memory_mib: Count = 32
+    memory_mb: Positive = 512.0
+    max_descriptors: Count = 4096
     platform: str = 'kv'
     log_level: LogLevel = 'INFO'
 
--- a/sassafrasgate/configuration/settings.py
+++ b/sassafrasgate/configuration/settings.py
@@ -74,6 +74,10 @@
     response_memory_mib : int
         Memory for the bodies of large responses that are read at the same
         time, in MiB.
+    memory_mb : float
+        Memory that the process may use, in MiB.
+    max_descriptors : int
+        Number of file descriptors that the process may have open.
     log_level : str
         Lowest level of the log, as logbook names it.
     """
@@ -90,6 +94,8 @@
     owner_ttl_s: Positive = 3.0
     outage_grace_s: NotNegative = 120.0
     response_memory_mib: Count = 32
+    memory_mb: Positive = 512.0
+    max_descriptors: Count = 4096
     log_level: LogLevel = 'INFO'
 
 
--- a/sassafrasgate/core/routing.py
+++ b/sassafrasgate/core/routing.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from functools import cached_property
 
+from sassafrasgate.core.caller_limits import CallerLimits
+from sassafrasgate.core.caller_limits import DEFAULT_LIMITS
 from sassafrasgate.core.tenants import digest_key
 from sassafrasgate.core.tenants import match_digest
 from sassafrasgate.core.tenants import Tenant
@@ -99,6 +101,8 @@
         Only increases; 0 when no table has been read yet.
     tenants : tuple of Tenant, or None
         None when the cell has no tenants and calls need no key.
+    limits : CallerLimits
+        Limits of what callers may send.
 
     Notes
     -----
@@ -110,6 +114,7 @@
     queues: tuple[Queue, ...] = ()
     pools: tuple[Pool, ...] = ()
     tenants: tuple[Tenant, ...] | None = None
+    limits: CallerLimits = DEFAULT_LIMITS
 
     def find_queue(self, host: str, path: str) -> Queue | None:
         """Return the host's queue with the longest matching path prefix."""
--- a/sassafrasgate/platform/routing.py
+++ b/sassafrasgate/platform/routing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from msgspec import Raw
 from msgspec import Struct
 from msgspec.json import Decoder
 
@@ -16,6 +17,7 @@
 from sassafrasgate.core.routing import RoutingTable
 from sassafrasgate.core.tenants import digest_key
 from sassafrasgate.core.tenants import Tenant
+from sassafrasgate.platform.limits import read_caller_limits
 
 OPERATOR_PREFIX = 'op/'
 TABLE_KEY = 'op/config'
@@ -66,6 +68,8 @@
     routes: list[_Route]
     services: list[_Service]
     tenants: list[_Tenant] | None = None
+    # Decoded by itself, so that odd limits leave the routes in force.
+    limits: Raw = Raw()
 
 
 _DECODER = Decoder(_Configuration)
@@ -88,6 +92,7 @@
             for service in configuration.services
         ),
         _make_tenants(configuration.tenants),
+        read_caller_limits(configuration.limits),
     )
 
 
--- a/tests/platform/test_odd_inputs.py
+++ b/tests/platform/test_odd_inputs.py
@@ -72,10 +72,17 @@
     'weight': 2.5,
     'cap': {'cpu': 4000, 'memMb': 8000, 'gpu': 0},
 }
+LIMITS = {
+    'maxHeaderBytes': 16384,
+    'maxBodyBytes': 262144,
+    'headerTimeoutMs': 3000,
+    'idleTimeoutMs': 15000,
+}
 TABLE = {
     'version': 4,
     'routes': [{**ROUTE, 'public': False}],
     'services': [{'name': 'pool'}],
+    'limits': LIMITS,
     'tenants': [TENANT],
 }
 REPORT = {
--- a/tests/platform/test_routing.py
+++ b/tests/platform/test_routing.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from sassafrasgate.core.caller_limits import CallerLimits
 from sassafrasgate.core.errors import InputError
 from sassafrasgate.core.resources import Resources
 from sassafrasgate.core.routing import AdviceTiming
@@ -113,3 +114,39 @@
     table = read_routing_table(b'{"version":4,"routes":[],"services":[]}')
 
     assert table.tenants is None
+
+
+@pytest.mark.parametrize(
+    ('limits', 'expected'),
+    [
+        (
+            {
+                'maxHeaderBytes': 8_192,
+                'maxBodyBytes': 100_000,
+                'headerTimeoutMs': 3_000,
+                'idleTimeoutMs': 15_000,
+            },
+            CallerLimits(8_192, 100_000, 3_000, 15_000),
+        ),
+        (
+            {'maxBodyBytes': 10**9, 'headerTimeoutMs': 2_000},
+            CallerLimits(header_timeout_ms=2_000),
+        ),
+        (
+            {'maxBodyBytes': 0, 'headerTimeoutMs': 'x', 'idleTimeoutMs': None},
+            CallerLimits(),
+        ),
+        ([1], CallerLimits()),
+        (None, CallerLimits()),
+    ],
+)
+def test_odd_limits_have_defaults(limits, expected):
+    """Guards against a table without routes because of its limits."""
+    table = {'version': 1, 'routes': [], 'services': [], 'limits': limits}
+    assert read_routing_table(dumps(table).encode()).limits == expected
+
+
+def test_table_without_limits_has_defaults():
+    """Guards against limits of zero."""
+    table = {'version': 1, 'routes': [], 'services': []}
+    assert read_routing_table(dumps(table).encode()).limits == CallerLimits()
