Let the soak have tenants with caps

Cause: caps were checked in virtual time only, not with real processes.

Change: with `--tenants`, callers of a soak send the keys of two tenants, and the workers' records are checked for starts that bring one of them over its cap and one task. Caps don't change during a soak. Two tests: owners are killed and replaced while workers are cut off, and a program without the check of caps is noticed. Runs without the option are as before.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -16,6 +16,7 @@
 
 from tests.soak.configurations import QUEUES
 from tests.soak.configurations import ROUTE_HOST
+from tests.soak.tenants import make_headers
 
 if TYPE_CHECKING:
     from tests.soak.cells import Cell
@@ -317,9 +318,10 @@
         if entry is None:
             entry = self._random.choice(list(self._cell.entries.values()))
         url = f'http://{entry.caller_proxy.address}/{job.queue}/{job.job_id}'
+        headers = make_headers(job.job_id) if self._cell.has_tenants else {}
         try:
             async with self._session.request(
-                method, url, data=body
+                method, url, data=body, headers=headers
             ) as response:
                 found = await response.json(content_type=None)
                 state = found.get('state', '') if found else ''
--- a/tests/soak/cells.py
+++ b/tests/soak/cells.py
@@ -65,6 +65,8 @@
     max_shift_s : float
         Limit for the difference between the time of day of an entry host
         and that of the machine, in seconds.
+    has_tenants : bool
+        Whether the configuration has tenants with caps.
     """
 
     def __init__(
@@ -75,8 +77,10 @@
         program: str = PROGRAM,
         seed: int = 1,
         max_shift_s: float = 0.0,
+        has_tenants: bool = False,
     ) -> None:
         self.directory = directory
+        self.has_tenants = has_tenants
         self.entries: dict[str, EntryHost] = {}
         self.worker_proxies: dict[str, ProxyGroup] = {}
         self.unexpected_exits: list[str] = []
@@ -237,7 +241,7 @@
             The version.
         """
         self._version += 3
-        value = make_configuration(self._version)
+        value = make_configuration(self._version, self.has_tenants)
         body = {'key': 'op/config', 'value': value}
         url = f'http://{self._store_address}/control/put'
         async with self._session.post(url, json=body) as response:
@@ -381,12 +385,19 @@
     written: Mapping[str, str] | None = None,
     seed: int = 1,
     max_shift_s: float = 0.0,
+    has_tenants: bool = False,
 ) -> AsyncIterator[Cell]:
     """Run a cell of real processes, all of which end with the context."""
     with Processes(directory) as processes:
         async with anyio.create_task_group() as group:
             cell = Cell(
-                directory, processes, group, program, seed, max_shift_s
+                directory,
+                processes,
+                group,
+                program,
+                seed,
+                max_shift_s,
+                has_tenants,
             )
             await cell.start(entries, workers, written)
             yield cell
--- a/tests/soak/configurations.py
+++ b/tests/soak/configurations.py
@@ -4,11 +4,15 @@
 
 from typing import Any
 
+from tests.soak.tenants import make_tenants
+
 QUEUES = ('plain', 'advised')
 ROUTE_HOST = 'soak.example'
 
 
-def make_configuration(version: int) -> dict[str, Any]:
+def make_configuration(
+    version: int, has_tenants: bool = False
+) -> dict[str, Any]:
     """Return a configuration with one route for each queue."""
     routes: list[dict[str, Any]] = [
         {
@@ -26,7 +30,9 @@
         for number, queue in enumerate(QUEUES)
     ]
     routes[1]['advice'] = {'decideMs': 20, 'eachMs': 1, 'validMs': 2000}
+    tenants = {'tenants': make_tenants()} if has_tenants else {}
     return {
+        **tenants,
         'version': version,
         'routes': routes,
         'services': [{'name': 'pool', 'enforcesCapacity': False}],
--- a/tests/soak/histories.py
+++ b/tests/soak/histories.py
@@ -33,6 +33,7 @@
 
 from sassafrasgate.core.registries import Registry
 from sassafrasgate.core.workflows import split_step_task_id
+from tests.soak.tenants import find_starts_over_cap
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -366,6 +367,7 @@
     return {
         'violations': find_violations(history),
         'starts_while_leaving': history.starts_while_leaving,
+        'starts_over_cap': find_starts_over_cap(runs),
         'finished': sorted(find_done_times(runs)),
         'started': sorted({run.task for run in runs}),
         'starts': len(runs),
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -76,6 +76,7 @@
     fault_names: tuple[str, ...] = (),
     program: str = PROGRAM,
     long_share: float = 0.0,
+    has_tenants: bool = False,
 ) -> SoakReport:
     """Run a cell under faults, then wait until its jobs have ended.
 
@@ -97,6 +98,8 @@
         Module that the processes of the entry hosts run.
     long_share : float
         Share of steps with long tasks.
+    has_tenants : bool
+        Whether callers are tenants with caps.
     """
     random = Random(seed)
     injected: list[str] = []
@@ -108,6 +111,7 @@
         program,
         seed=seed,
         max_shift_s=MAX_SHIFT_S,
+        has_tenants=has_tenants,
     ) as cell:
         callers = Callers(cell, Random(seed), long_share)
         async with anyio.create_task_group() as group:
@@ -185,6 +189,8 @@
     finished = set(record['finished'])
     violations = [*record['violations'], *cell.unexpected_exits]
     violations += find_late_starts(record['starts_while_leaving'], faults)
+    if cell.has_tenants:
+        violations += record['starts_over_cap']
     for job in callers.jobs:
         violations.extend(job.violations)
         if job.refused and job.job_id in started:
@@ -253,6 +259,9 @@
         choices=sorted(FAULTS),
         help='a fault to draw from; repeatable; all by default',
     )
+    parser.add_argument(
+        '--tenants', action='store_true', help='callers are capped tenants'
+    )
     parser.add_argument('--directory', type=Path)
     arguments = parser.parse_args(argv)
     root = arguments.directory or Path(mkdtemp(prefix='soak-'))
@@ -271,6 +280,7 @@
             tuple(arguments.fault),
             PROGRAM,
             arguments.long_share,
+            arguments.tenants,
         )
         print_report(seed, report, directory)
         status = 1 if report.violations else status
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -33,6 +33,7 @@
     program: str = PROGRAM,
     seconds: float = DURATION_S,
     long_share: float = 0.0,
+    has_tenants: bool = False,
 ) -> SoakReport:
     async def soak() -> SoakReport:
         return await run_soak(
@@ -42,6 +43,7 @@
             fault_names=fault_names,
             program=program,
             long_share=long_share,
+            has_tenants=has_tenants,
         )
 
     return anyio.run(soak)
@@ -122,6 +124,29 @@
     assert report.completed
 
 
+# Owners are replaced while a worker can't be reached, so that they can't know
+# what runs there.
+CAP_FAULTS = ('cut-worker', 'kill-entry', 'replace-owner')
+
+
+def test_tenants_keep_to_their_caps(tmp_path):
+    # Guards against starts above a cap while owners change.
+    report = run(tmp_path, 51, CAP_FAULTS, has_tenants=True)
+
+    assert report.violations == ()
+    assert report.completed
+
+
+def test_soak_notices_a_missing_cap(tmp_path):
+    # Guards against a soak test that does not see starts above a cap.
+    program = 'tests.soak.uncapped'
+    report = run(
+        tmp_path, 51, CAP_FAULTS, program, long_share=1.0, has_tenants=True
+    )
+
+    assert any(' millicores' in line for line in report.violations)
+
+
 def test_unknown_fault_is_reported(capsys):
     # Guards against a misspelt name with which the soak test would inject
     # no faults.
