--- a/sassafrasgate/dispatch/requests.py
+++ b/sassafrasgate/dispatch/requests.py
@@ -20,9 +20,9 @@
 from sassafrasgate.dispatch.handlers import REQUEST_HANDLERS
 from sassafrasgate.dispatch.handlers import write_record
 from sassafrasgate.dispatch.load_refusals import check_load
-from sassafrasgate.dispatch.load_refusals import note_rate_before_stall
 from sassafrasgate.dispatch.load_refusals import record_admission
-from sassafrasgate.dispatch.load_refusals import refuse_stalled
+from sassafrasgate.dispatch.outage_refusals import note_rate_before_stall
+from sassafrasgate.dispatch.outage_refusals import refuse_stalled
 from sassafrasgate.dispatch.progress import forget_job
 from sassafrasgate.dispatch.stops import stop_job_runs
 from sassafrasgate.journal.workflows import WorkflowAccepted
