Count closing connections until their sockets are closed; hold bodies in one buffer

A body in pieces of two bytes took four times what was counted.

Change: a connection counts, with a time limit, until its socket is closed, and a body is collected in one buffer.

Tests of http and of the callers' interface pass.

--- a/sassafrasgate/http/admission.py
+++ b/sassafrasgate/http/admission.py
@@ -176,7 +176,8 @@
     """Decides which connections of a process may stay open.
 
     Those that hold most for longest without finishing are closed first. A
-    request that is being served is never chosen.
+    request that is being served is chosen only if its client sends so much
+    ahead that its connection is not read; it is served to its end.
 
     Parameters
     ----------
--- a/sassafrasgate/http/body_buffers.py
+++ b/sassafrasgate/http/body_buffers.py
@@ -49,38 +49,37 @@
         if length > connection.get_limits().max_body_bytes:
             connection.refuse(CloseReason.BODY_TOO_LARGE)
             return
-        parts: list[bytes] = []
+        # One buffer: a list of the pieces of a body that arrives in pieces of
+        # a few bytes takes many times the size of the body.
+        body = bytearray()
         try:
-            if await _receive_body(connection, receive, parts):
-                message = _join(parts)
+            if await _receive_body(connection, receive, body):
+                message = _make_message(body)
                 await self._app(scope, _replay(message, receive), send)
         finally:
             connection.release_body()
 
 
 async def _receive_body(
-    connection: Connection, receive: Receive, parts: list[bytes]
+    connection: Connection, receive: Receive, body: bytearray
 ) -> bool:
-    """Collect the parts of a body; return whether it is complete."""
-    size = 0
+    """Collect a body as it arrives; return whether it is complete."""
     while True:
         message = await receive()
         if message['type'] != 'http.request':
             return False
-        part = message.get('body', b'')
-        size += len(part)
-        if size > connection.get_limits().max_body_bytes:
+        body += message.get('body', b'')
+        if len(body) > connection.get_limits().max_body_bytes:
             connection.refuse(CloseReason.BODY_TOO_LARGE)
             return False
-        parts.append(part)
         if not message.get('more_body', False):
             return connection.end_body()
 
 
-def _join(parts: list[bytes]) -> Message:
-    body = b''.join(parts)
-    parts.clear()
-    return {'type': 'http.request', 'body': body, 'more_body': False}
+def _make_message(body: bytearray) -> Message:
+    content = bytes(body)
+    body.clear()
+    return {'type': 'http.request', 'body': content, 'more_body': False}
 
 
 def _replay(first: Message, receive: Receive) -> Receive:
--- a/sassafrasgate/http/connections.py
+++ b/sassafrasgate/http/connections.py
@@ -199,8 +199,9 @@
                 with self._reading:
                     await self._read_requests()
                 await self._protocol.handle(Closed())
-            if self.usage.state is ConnectionState.CLOSING:
-                await self._lost.wait()
+            self._close()
+            # The connection counts until its socket is closed.
+            await self._lost.wait()
         finally:
             self._transport.close()
 
@@ -342,7 +343,8 @@
     def refuse(self, reason: CloseReason) -> None:
         """Close the connection, with a response if that can be true."""
         state = self.usage.state
-        if self._transport.is_closing():
+        is_closing = state is ConnectionState.CLOSING
+        if self._transport.is_closing() and not is_closing:
             return
         self._guard.count(reason)
         if state in REFUSABLE_STATES:
@@ -350,7 +352,11 @@
             self._close()
             return
         self._guard.disconnect(self.usage)
-        if state is ConnectionState.IDLE:
+        # A transport with unread output would stay open until it is read.
+        if (
+            state is ConnectionState.IDLE
+            and not self._transport.get_write_buffer_size()
+        ):
             self._transport.close()
         else:
             self._transport.abort()
@@ -371,15 +377,15 @@
         if is_closing or self.usage.state is ConnectionState.CLOSING:
             return
         self._reading.cancel()
-        if self._at_eof or self._context.terminated.is_set():
-            self._guard.disconnect(self.usage)
-            self._transport.close()
-            return
         self._resume_reading()
         self._guard.hold(self.usage, -len(self._unparsed) - self._head_bytes)
         self._unparsed.clear()
         self._head_bytes = 0
         self._guard.enter(self.usage, ConnectionState.CLOSING)
+        if self._at_eof or self._context.terminated.is_set():
+            # It counts as open until the client has read what was written.
+            self._transport.close()
+            return
         self._transport.write_eof()
 
     def _discard(self, nbytes: int) -> None:
