--- a/benchmarks/run.py
+++ b/benchmarks/run.py
@@ -24,6 +24,7 @@
 # Importing these modules registers their measurements.
 MODULES = (
     'benchmarks.placement',
+    'benchmarks.orders',
     'benchmarks.passes',
     'benchmarks.capacity',
     'benchmarks.cells',
