Serve cells without tenants as before, and deny callers before their bodies

Cause: the order by work and the refusals by prediction held for every cell, while cells that do not ask for them are to be served as before; bodies of callers without a known key were received before they were denied; and probes shared the connections of callers.

Change: the setting `manages_overload`, off by default, asks for both in a cell without tenants; cells with tenants have them. A body is received only if the head names a queue and a known key. Probes and metrics have a budget of their own.

--- a/sassafrasgate/composition/entry.py
+++ b/sassafrasgate/composition/entry.py
@@ -42,6 +42,7 @@
 from sassafrasgate.daemons.watches import RoutingTableTask
 from sassafrasgate.daemons.workers import CALL_TIMEOUT_S
 from sassafrasgate.http.admission import compute_budget
+from sassafrasgate.http.admission import PROBE_BUDGET
 from sassafrasgate.http.application import build_application
 from sassafrasgate.http.body_buffers import BodyBuffer
 from sassafrasgate.http.guards import ConnectionGuard
@@ -279,6 +280,7 @@
             election.hand_over,
             logger,
             metrics,
+            settings.manages_overload,
         )
         task = EntryTask(
             member,
@@ -349,8 +351,15 @@
             logger,
         )
         serve_guarded = partial(serve_http, guard=guard)
+        # Callers that use all of their connections leave the load balancer's
+        # probes and the metrics alone.
+        probe_guard = ConnectionGuard(
+            PROBE_BUDGET, logger, metrics, publishes=False
+        )
+        group.start_soon(probe_guard.run)
+        serve_probes = partial(serve_http, guard=probe_guard)
         group.start_soon(
-            serve_guarded,
+            serve_probes,
             build_application(
                 cast('Gateway', gateway),
                 metrics,
@@ -362,7 +371,7 @@
             0.0,
         )
         group.start_soon(
-            serve_guarded,
+            serve_probes,
             adapters.build_ready_application(gateway),
             settings.ready_address,
             closed,
@@ -379,10 +388,11 @@
         with anyio.move_on_after(ROUTING_TABLE_TIMEOUT_S):
             # Without a routing table, every request would be refused.
             await task.has_table.wait()
+        application = adapters.build_caller_application(
+            gateway, logger, metrics
+        )
         await serve_guarded(
-            BodyBuffer(
-                adapters.build_caller_application(gateway, logger, metrics)
-            ),
+            BodyBuffer(application, application.reads_body),
             settings.caller_address,
             closed,
             max(0.0, settings.stop_s - SHUTDOWN_DELAY_S - STOP_MARGIN_S),
--- a/sassafrasgate/configuration/entry_settings.py
+++ b/sassafrasgate/configuration/entry_settings.py
@@ -51,6 +51,9 @@
     stop_s : float
         Maximum time from a request to stop to the end of the process, in
         seconds.
+    manages_overload : bool
+        Whether an overloaded pool is served by priority and least work, and
+        refuses what would be late, also in a cell without tenants.
     max_key_age_ms : int
         Age of the routing table, in ms, from which on a host that cannot
         confirm it accepts no key of a tenant; 0 for no limit.
@@ -83,6 +86,7 @@
     owner_ttl_s: Positive = 1.5
     outage_grace_s: NotNegative = 8.0
     stop_s: Positive = 6.0
+    manages_overload: bool = False
     max_key_age_ms: Count = 0
     response_memory_mib: Count = 32
     memory_mb: Positive = 512.0
--- a/sassafrasgate/daemons/dispatcher.py
+++ b/sassafrasgate/daemons/dispatcher.py
@@ -152,6 +152,8 @@
         Logger for decisions.
     metrics : Metrics
         Metrics of the process.
+    manages_overload : bool
+        As in `DispatchState`.
     """
 
     owner: str
@@ -166,6 +168,7 @@
     hand_over: Callable[[HandOver], Awaitable[bool]]
     logger: Logger
     metrics: Metrics
+    manages_overload: bool = False
 
 
 class DispatcherTask:
@@ -200,7 +203,9 @@
     ) -> None:
         self.shard = shard
         self.services = services
-        self.state = DispatchState(shard, services.owner)
+        self.state = DispatchState(
+            shard, services.owner, manages_overload=services.manages_overload
+        )
         self.events = self._inbox = OwnerInbox()
         self._table = table
         self._lease = lease
--- a/sassafrasgate/dispatch/backlog_measurements.py
+++ b/sassafrasgate/dispatch/backlog_measurements.py
@@ -42,6 +42,8 @@
 
 def measure_backlogs(state: DispatchState) -> Actions:
     """Measure what waits in each pool, unless that was done just before."""
+    if not state.is_overload_managed:
+        return
     if state.now - state.backlogs_measured_at < MEASURE_INTERVAL_MS:
         return
     state.backlogs_measured_at = state.now
--- a/sassafrasgate/dispatch/policies.py
+++ b/sassafrasgate/dispatch/policies.py
@@ -32,9 +32,13 @@
 
 def order_steps(state: DispatchState, plan: PassPlan) -> list[StepKey]:
     """Return the waiting steps, in the order in which they are placed."""
-    has_tenants = state.routing_table.tenants is not None
-    order = ORDERS.find('shares' if has_tenants else 'work')
-    return order(state, plan)
+    return ORDERS.find(_choose_order(state))(state, plan)
+
+
+def _choose_order(state: DispatchState) -> str:
+    if state.routing_table.tenants is not None:
+        return 'shares'
+    return 'work' if state.manages_overload else 'deadline'
 
 
 @ORDERS.register('deadline')
--- a/sassafrasgate/dispatch/state.py
+++ b/sassafrasgate/dispatch/state.py
@@ -163,6 +163,9 @@
         while they succeed.
     admission : Admission
         How much work is admitted.
+    manages_overload : bool
+        Whether the order of an overloaded pool and refusals by prediction
+        hold also in a cell without tenants.
     backlogs : dict
         What waits in each pool, by pool.
     backlogs_measured_at, backlogs_logged_at : int
@@ -247,6 +250,7 @@
     stragglers_checked_at: int = 0
     stalled_since: int = 0
     admission: Admission = Admission()
+    manages_overload: bool = False
     backlogs: dict[str, Backlog] = field(default_factory=dict)
     backlogs_measured_at: int = 0
     backlogs_logged_at: int = 0
@@ -264,6 +268,11 @@
         """Whether another owner may act because this one's lease is over."""
         return self.now >= self.lease_expires_at
 
+    @property
+    def is_overload_managed(self) -> bool:
+        """Whether overload changes the order of work and is refused."""
+        return self.manages_overload or self.routing_table.tenants is not None
+
     def update_job(self, job_id: str, **changes: Any) -> JobEntry:
         """Replace fields of a job and return the new entry."""
         entry = replace(self.jobs[job_id], **changes)
--- a/sassafrasgate/http/admission.py
+++ b/sassafrasgate/http/admission.py
@@ -108,6 +108,10 @@
     )
 
 
+# For probes of readiness and metrics, which have listeners of their own.
+PROBE_BUDGET = AdmissionBudget(1 * MIB, 32)
+
+
 @dataclass(slots=True, eq=False)
 class ConnectionUsage:
     """What one connection holds; owned by its `AdmissionControl`.
--- a/sassafrasgate/http/body_buffers.py
+++ b/sassafrasgate/http/body_buffers.py
@@ -8,6 +8,8 @@
 from sassafrasgate.http.refusals import CloseReason
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from starlette.types import ASGIApp
     from starlette.types import Message
     from starlette.types import Receive
@@ -31,17 +33,23 @@
     ----------
     app : ASGI application
         Application that handles the requests.
+    reads_body : callable
+        Returns whether the application will read the body of a request with
+        this scope. If not, the body is left unread.
     """
 
-    def __init__(self, app: ASGIApp) -> None:
+    def __init__(
+        self, app: ASGIApp, reads_body: Callable[[Scope], bool]
+    ) -> None:
         self._app = app
+        self._reads_body = reads_body
 
     async def __call__(
         self, scope: Scope, receive: Receive, send: Send
     ) -> None:
         """Serve one request."""
         length = _read_length(scope)
-        if not length:
+        if not length or not self._reads_body(scope):
             await self._app(scope, receive, send)
             return
         connection: Connection = scope['state'][CONNECTION_KEY]
--- a/sassafrasgate/http/guards.py
+++ b/sassafrasgate/http/guards.py
@@ -45,11 +45,18 @@
         Logger of the process.
     metrics : Metrics
         Metrics of the process.
+    publishes : bool
+        Whether its gauges are those of the process.
     """
 
     def __init__(
-        self, budget: AdmissionBudget, logger: Logger, metrics: Metrics
+        self,
+        budget: AdmissionBudget,
+        logger: Logger,
+        metrics: Metrics,
+        publishes: bool = True,
     ) -> None:
+        self._publishes = publishes
         self._clock = ServiceClock(now_ms, MAX_CLOCK_STEP_MS)
         self._control = AdmissionControl(budget, self._clock)
         self._connections: dict[ConnectionUsage, Connection] = {}
@@ -123,8 +130,7 @@
             connection.check_unread()
             if is_overdue(usage, connection.get_limits(), now):
                 connection.refuse(TIMEOUT_REASONS[usage.state])
-        self._metrics.set_gauge(OPEN_CONNECTIONS, self._control.connections)
-        self._metrics.set_gauge(CONNECTION_BYTES, self._control.used_bytes)
+        self._publish()
         counts = tuple(
             (reason.replace('-', '_'), count)
             for reason, count in self._closed.items()
@@ -143,6 +149,12 @@
             ),
         )
 
+    def _publish(self) -> None:
+        if not self._publishes:
+            return
+        self._metrics.set_gauge(OPEN_CONNECTIONS, self._control.connections)
+        self._metrics.set_gauge(CONNECTION_BYTES, self._control.used_bytes)
+
     def _refuse(self, victims: list[ConnectionUsage]) -> None:
         for usage in victims:
             self._connections[usage].refuse(CloseReason.OVERLOADED)
--- a/sassafrasgate/platform/callers.py
+++ b/sassafrasgate/platform/callers.py
@@ -197,20 +197,38 @@
             REQUEST_SECONDS, (now_ms() - began) / 1000, route
         )
 
-    async def _handle(self, request: Request) -> CallerResponse:
+    def reads_body(self, scope: Scope) -> bool:
+        """Return whether the body of a request with this head is read.
+
+        Bodies of callers without a known key, for example, are not.
+        """
+        if scope['type'] != 'http' or scope['method'] != 'POST':
+            return False
+        return not isinstance(self._check_head(Request(scope)), CallerResponse)
+
+    def _check_head(
+        self, request: Request
+    ) -> tuple[Queue, str] | CallerResponse:
+        """Return the queue and the tenant of a request, or its refusal."""
         if request.method not in METHODS:
             return _make_error_response(
                 405, f'method {request.method!r} is not supported'
             )
         host = request.headers.get('host', '').partition(':')[0]
-        path = _get_path(request)
-        queue = self._gateway.find_queue(host, path)
+        queue = self._gateway.find_queue(host, _get_path(request))
         if isinstance(queue, Refusal):
             return _make_refusal_response(queue)
         tenant = self._gateway.identify_tenant(queue, _find_key(request))
         if isinstance(tenant, Refusal):
             return _make_refusal_response(tenant)
-        job_id = path.removeprefix(queue.prefix)
+        return queue, tenant
+
+    async def _handle(self, request: Request) -> CallerResponse:
+        found = self._check_head(request)
+        if isinstance(found, CallerResponse):
+            return found
+        queue, tenant = found
+        job_id = _get_path(request).removeprefix(queue.prefix)
         response: CallerResponse = await METHODS.find(request.method)(
             self._gateway, request, queue, tenant, job_id
         )
--- a/tests/dispatch/drivers.py
+++ b/tests/dispatch/drivers.py
@@ -105,7 +105,11 @@
         epoch = self.state.epoch + 1
         takeover = Takeover(epoch, f'b/{epoch}', grace_ms, ttl_ms)
         self.journal = [*records, takeover]
-        self.state = DispatchState('cell', takeover.owner)
+        self.state = DispatchState(
+            'cell',
+            takeover.owner,
+            manages_overload=self.state.manages_overload,
+        )
         self.state.now, self.state.wall_ms = self.now, WALL_MS + self.now
         replay_records(self.state, self.journal)
         begin_ownership(self.state)
--- a/tests/dispatch/load_replays.py
+++ b/tests/dispatch/load_replays.py
@@ -143,6 +143,7 @@
         self.random = Random(seed)
         self.admits_all = admits_all
         self.driver = Driver(workers, CAPACITY)
+        self.driver.state.manages_overload = True
         self.hot_tenant = hot_tenant
         self.table = RoutingTable(
             2,
--- a/tests/http/test_connections.py
+++ b/tests/http/test_connections.py
@@ -51,6 +51,15 @@
         self.limits = limits
         self.address = ''
 
+    async def __call__(self, scope, receive, send):
+        if self.reads_body(scope):
+            await self.application(scope, receive, send)
+            return
+        await Response('denied', status_code=401)(scope, receive, send)
+
+    def reads_body(self, scope):
+        return scope['path'] != '/denied'
+
     async def connect(self):
         host, _, port = self.address.partition(':')
         return await anyio.connect_tcp(host, int(port))
@@ -70,7 +79,7 @@
 
     async def serve(*, task_status):
         await serve_http(
-            BodyBuffer(server.application),
+            BodyBuffer(server, server.reads_body),
             '127.0.0.1:0',
             stop,
             1.0,
@@ -117,6 +126,16 @@
         )
 
 
+async def test_body_of_a_denied_request_is_not_waited_for():
+    """Guards against holding the bodies of clients without an account."""
+    async with run_server() as server:
+        head = make_post(90_000).replace(b'/q', b'/denied')
+        received = await server.exchange(head, b'x' * 10)
+        assert received.startswith(b'HTTP/1.1 401')
+        assert received.endswith(b'denied')
+        assert not server.application.scopes
+
+
 async def test_body_in_pieces_inside_the_limits_is_served():
     """Guards against limits that a single slow client meets."""
     async with run_server() as server:
