--- a/sassafrasgate/core/shares.py
+++ b/sassafrasgate/core/shares.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from itertools import accumulate
 from math import inf
 from typing import TYPE_CHECKING
 
@@ -21,7 +22,7 @@
 
     When ``total`` is zero, the number of task slots is returned instead.
     """
-    # Written out, as a pass computes the share of each waiting step.
+    # The fields are read one by one, since this runs for each waiting step.
     shares = []
     if total.millicores > 0:
         shares.append(amount.millicores / total.millicores)
@@ -73,12 +74,13 @@
     >>> find_fair_level({'a': 0.2, 'b': 0.5}, {'a': 1.0, 'b': 1.0})
     inf
     """
+    names = sorted(wanted, key=lambda name: wanted[name] / weights[name])
+    # Added up from the end: differences of weights of unlike size cancel.
+    weights_left = list(accumulate(weights[name] for name in reversed(names)))
     left = 1.0
-    weight_left = sum(weights[name] for name in wanted)
-    for name in sorted(wanted, key=lambda name: wanted[name] / weights[name]):
+    for name, weight_left in zip(names, reversed(weights_left), strict=True):
         level = left / weight_left
         if wanted[name] > weights[name] * level:
             return level
         left -= wanted[name]
-        weight_left -= weights[name]
     return inf
--- a/sassafrasgate/core/tenants.py
+++ b/sassafrasgate/core/tenants.py
@@ -45,18 +45,6 @@
         """Whether any resource of the tenant is limited."""
         return self.cap != NO_RESOURCES
 
-    def allows(self, running: Resources) -> bool:
-        """Return whether the cap covers an amount that would be running."""
-        cap = self.cap
-        return (
-            (not cap.millicores or running.millicores <= cap.millicores)
-            and (not cap.memory_mb or running.memory_mb <= cap.memory_mb)
-            and (
-                not cap.accelerators
-                or running.accelerators <= cap.accelerators
-            )
-        )
-
 
 def digest_key(key: str) -> bytes:
     """Return the digest by which an API key is known to the processes.
--- a/sassafrasgate/dispatch/adoptions.py
+++ b/sassafrasgate/dispatch/adoptions.py
@@ -124,7 +124,7 @@
         if step.fills
         else FULL_PACE_PERCENT,
         tenant=job.tenant,
-        pool=job.queue.pool,
+        pool=state.find_pool_of(job),
         charged=step.demand,
     )
 
--- a/sassafrasgate/dispatch/backlog_measurements.py
+++ b/sassafrasgate/dispatch/backlog_measurements.py
@@ -43,6 +43,7 @@
 def measure_backlogs(state: DispatchState) -> Actions:
     """Measure what waits in each pool, unless that was done just before."""
     if not state.is_overload_managed:
+        state.backlogs.clear()
         return
     if state.now - state.backlogs_measured_at < MEASURE_INTERVAL_MS:
         return
@@ -58,6 +59,8 @@
         plan,
         [key for key in state.waiting_steps if not _is_deferred(state, key)],
     )
+    for pool in state.backlogs.keys() - plan.usable.keys():
+        del state.backlogs[pool]
     for pool, workers in plan.usable.items():
         state.backlogs[pool] = _measure_pool(
             state, pool, workers, waiting.get(pool, []), pool in overloaded
@@ -262,7 +265,6 @@
                 ('resource', backlog.resource),
                 ('capacity', backlog.capacity),
                 ('used_percent', round(backlog.used_share * 100)),
-                ('waiting_steps', len(state.waiting_steps)),
                 ('timely_steps', len(backlog.starts)),
                 ('late_steps', len(backlog.late_starts)),
                 ('drained_ms', backlog.drained_at - state.now),
--- a/sassafrasgate/dispatch/backlogs.py
+++ b/sassafrasgate/dispatch/backlogs.py
@@ -313,6 +313,7 @@
         self.free = max(0, free)
         self.ends = list(ends)
         heapify(self.ends)
+        self.total = self.free + sum(amount for _, amount in self.ends)
 
     def compute_release_rate(self) -> float:
         """Return the amount that running work releases in a millisecond.
@@ -327,6 +328,13 @@
     def place(self, work: WaitingWork) -> int:
         """Start work as room becomes free; return when it all has started."""
         missing = work.amount
+        if self.total and missing > self.total:
+            # A job may have any number of tasks of any size. The whole room is
+            # used as often as possible in one step, so that the time of a
+            # measurement does not depend on it.
+            rounds = (missing - 1) // self.total
+            self.now += rounds * work.duration_ms
+            missing -= rounds * self.total
         while missing > 0:
             if not self.free and not self.ends:
                 return self.now
--- a/sassafrasgate/dispatch/caps.py
+++ b/sassafrasgate/dispatch/caps.py
@@ -1,8 +1,7 @@
 """Caps: how much the tasks of a tenant may hold over all workers.
 
-The load that this answers: a tenant sends far more than it may run. Its steps
-run in waves, those of other tenants go on, and its waiting steps cost a pass
-next to nothing.
+A tenant with more work than its cap runs it in parts, without delaying other
+tenants; its waiting steps add little to the cost of a pass.
 
 Runs count from the decision to start them until they are certainly gone, also
 those that are being stopped or whose start got no reply. What previous owners
@@ -35,7 +34,7 @@
 NOTHING_MISSING: frozenset[str] = frozenset()
 # A step that lacks room under the cap holds back later steps of its tenant if
 # enough is expected to end within this time. Otherwise small tasks would take
-# the room of wide ones for ever, or a gang would keep a tenant idle for long.
+# the room of wide ones indefinitely, or a gang would keep a tenant idle for long.
 ROOM_HORIZON_MS = 8_000
 # The same for a gang while its tenant uses less than half of the cap: callers
 # expect the tenant's other steps to start soon.
--- a/sassafrasgate/dispatch/kept_room.py
+++ b/sassafrasgate/dispatch/kept_room.py
@@ -25,17 +25,18 @@
     from sassafrasgate.dispatch.plans import PassPlan
     from sassafrasgate.dispatch.state import DispatchState
 
-# One of this many workers is kept at most, so that little capacity is idle.
+# Once one of this many workers of a pool is kept, no further step keeps any,
+# so that little capacity is idle.
 WORKERS_PER_KEPT = 10
 
 
 def may_keep_room(state: DispatchState, plan: PassPlan, key: StepKey) -> bool:
     """Return whether workers may be kept for a step that finds no room."""
     job = state.jobs[key.job_id]
-    pool = job.queue.pool
+    pool = state.find_pool_of(job)
     if not plan.keeps_room or job.surplus:
         return False
-    if len(plan.kept_workers) * WORKERS_PER_KEPT >= len(plan.usable[pool]):
+    if not _may_keep_more(plan, pool):
         return False
     slack = compute_slack(job, key, state.now)
     if classify_step(state, job, key, slack) != IN_TIME:
@@ -45,6 +46,13 @@
     return work < SMALL_WORK_MS * sum_capacity(plan, pool).millicores
 
 
+def _may_keep_more(plan: PassPlan, pool: str) -> bool:
+    """Return whether another step may keep workers of a pool in this pass."""
+    usable = plan.usable.get(pool, {})
+    kept = sum(1 for name in plan.kept_workers if name in usable)
+    return kept * WORKERS_PER_KEPT < len(usable)
+
+
 def keep_room(
     state: DispatchState,
     plan: PassPlan,
@@ -52,7 +60,7 @@
     demand: Resources,
     workers: list[WorkerEntry],
 ) -> None:
-    """Keep a worker for each pending task of a step for this pass.
+    """Keep workers for the pending tasks of a step for this pass.
 
     Those with the most free cores are kept. Steps that are placed later get
     only what the task will leave.
--- a/sassafrasgate/dispatch/launches.py
+++ b/sassafrasgate/dispatch/launches.py
@@ -69,7 +69,7 @@
             paced_at=state.now,
             epoch=state.epoch,
             tenant=job.tenant,
-            pool=job.queue.pool,
+            pool=state.find_pool_of(job),
             charged=step.demand,
         )
     )
--- a/sassafrasgate/dispatch/load_refusals.py
+++ b/sassafrasgate/dispatch/load_refusals.py
@@ -33,6 +33,7 @@
 from sassafrasgate.dispatch.promises import is_due
 from sassafrasgate.dispatch.promises import keep_promise
 from sassafrasgate.dispatch.promises import Promise
+from sassafrasgate.dispatch.shares import MIN_WEIGHT
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -47,7 +48,8 @@
 LATE_MARGIN = 0.35
 # Returning callers get this share of the room; the rest is for new ones.
 RETURN_SHARE = 0.5
-# A later time says little: what will be running then has not been submitted.
+# Predictions beyond this are unreliable: what will run then has not been
+# submitted.
 MAX_RETURN_MS = 15_000
 MIN_RETURN_MS = 1_000
 # An older measurement refuses nothing: what waited then may have started.
@@ -88,7 +90,7 @@
     if (
         backlog is None
         or not backlog.tenant_work
-        or state.now - backlog.measured_at > MAX_BACKLOG_AGE_MS
+        or not _is_fresh(state, backlog)
         or not _is_predictable(message.workflow)
         or is_due(state, message.job_id)
     ):
@@ -107,12 +109,20 @@
     queue = state.routing_table.find_queue_by_name(message.queue)
     assert queue is not None
     backlog = state.backlogs.get(queue.pool)
-    if backlog is not None and backlog.is_contended:
+    if backlog is not None and _is_current(state, backlog):
         work = make_candidate(state, message, queue, backlog.resource)
         state.backlogs[queue.pool] = add_work(backlog, work)
     state.promises.pop(message.job_id, None)
 
 
+def _is_current(state: DispatchState, backlog: Backlog) -> bool:
+    return backlog.is_contended and _is_fresh(state, backlog)
+
+
+def _is_fresh(state: DispatchState, backlog: Backlog) -> bool:
+    return state.now - backlog.measured_at <= MAX_BACKLOG_AGE_MS
+
+
 def _is_predictable(workflow: Workflow) -> bool:
     if workflow.start_at_ms or workflow.occurrences > 1:
         return False
@@ -182,8 +192,8 @@
         return None
     return Verdict(
         'pool-full',
-        f'its tasks would start in {_format_wait(state, start)}, behind '
-        f'{len(backlog.starts) + len(backlog.late_starts)} steps, and the job '
+        f'its tasks would start in {_format_wait(state, start)}, while '
+        f'{len(backlog.starts) + len(backlog.late_starts)} steps wait, and it '
         f'is in time if they start within '
         f'{max(0, work.latest_start - state.now)} ms; measured '
         f'{state.now - backlog.measured_at} ms ago',
@@ -265,7 +275,7 @@
 
 def _find_weight(state: DispatchState, name: str) -> float:
     tenant = state.routing_table.find_tenant(name)
-    return tenant.weight if tenant is not None else 1.0
+    return max(MIN_WEIGHT, tenant.weight) if tenant is not None else 1.0
 
 
 def _is_too_late(work: WaitingWork, now: int, start: float) -> bool:
--- a/sassafrasgate/dispatch/outage_refusals.py
+++ b/sassafrasgate/dispatch/outage_refusals.py
@@ -23,7 +23,7 @@
 
 
 def note_rate_before_stall(state: DispatchState) -> None:
-    """Remember how much was started in a second, if that was all there is.
+    """Record the rate of starts before the outage, if a pool was full.
 
     Where no pool was full the rate says what was asked for, not what can be
     served, so callers need no spread.
--- a/sassafrasgate/dispatch/overloads.py
+++ b/sassafrasgate/dispatch/overloads.py
@@ -27,7 +27,9 @@
         job = state.jobs[key.job_id]
         slack = compute_slack(job, key, state.now)
         if classify_step(state, job, key, slack) == IN_TIME:
-            by_pool.setdefault(job.queue.pool, []).append((slack, key))
+            by_pool.setdefault(state.find_pool_of(job), []).append(
+                (slack, key)
+            )
     return {
         pool
         for pool, steps in by_pool.items()
--- a/sassafrasgate/dispatch/policies.py
+++ b/sassafrasgate/dispatch/policies.py
@@ -94,7 +94,7 @@
 def _rank_in_pool(
     state: DispatchState, key: StepKey, overloaded: set[str]
 ) -> Rank:
-    if state.jobs[key.job_id].queue.pool in overloaded:
+    if state.find_pool_of(state.jobs[key.job_id]) in overloaded:
         return rank_step_by_work(state, key)
     return rank_step(state, key)
 
--- a/sassafrasgate/dispatch/shares.py
+++ b/sassafrasgate/dispatch/shares.py
@@ -30,9 +30,8 @@
     from sassafrasgate.dispatch.plans import PassPlan
     from sassafrasgate.dispatch.state import DispatchState
 
-# What has run this long ago still counts for a third. It is about as long as
-# a large task, so that a tenant with wide steps does not get its next one as
-# soon as the previous one has ended.
+# Time constant of the averages, about as long as a large task: a tenant with
+# wide steps does not get its next one as soon as the previous one has ended.
 MEMORY_MS = 10_000
 # A tenant of weight 0 is entitled to nothing but what is left.
 MIN_WEIGHT = 1e-6
@@ -86,14 +85,16 @@
     over: set[StepKey] = set()
     for key in keys:
         job = state.jobs[key.job_id]
-        shares = pools[job.queue.pool]
+        shares = pools[state.find_pool_of(job)]
         if shares.level == inf:
             continue
         tenant = job.tenant
         exceeds = shares.used[tenant] >= shares.weights[tenant] * shares.level
         if exceeds and not _is_small(state, key, shares):
             over.add(key)
-            plan.over_share.setdefault(job.queue.pool, set()).add(tenant)
+            plan.over_share.setdefault(state.find_pool_of(job), set()).add(
+                tenant
+            )
         shares.used[tenant] += shares.waiting[key]
     return over
 
@@ -138,7 +139,7 @@
     wanted: dict[ShareKey, float] = {}
     for key in keys:
         job = state.jobs[key.job_id]
-        pool = job.queue.pool
+        pool = state.find_pool_of(job)
         if pool not in pools:
             pools[pool] = PoolShares(sum_capacity(plan, pool))
         shares = pools[pool]
--- a/sassafrasgate/dispatch/state.py
+++ b/sassafrasgate/dispatch/state.py
@@ -328,6 +328,10 @@
             or entry.queue
         )
 
+    def find_pool_of(self, entry: JobEntry) -> str:
+        """Return the pool that currently runs a job's tasks."""
+        return self.find_queue_of(entry).pool
+
     def add_run(self, entry: RunEntry) -> None:
         """Add a run and reserve its demand on its worker."""
         place = entry.place
--- a/sassafrasgate/http/admission.py
+++ b/sassafrasgate/http/admission.py
@@ -1,7 +1,7 @@
 """Decisions about connections and the bytes that they hold.
 
-They answer a crowd of clients that keep no limit: many connections, large
-bodies side by side, and requests that never end. Nothing here knows sockets;
+They bound memory and descriptors when clients open many connections, send large
+bodies at the same time, or never complete a request. Nothing here knows sockets;
 `sassafrasgate.http.connections` carries the decisions out.
 """
 
--- a/sassafrasgate/http/guards.py
+++ b/sassafrasgate/http/guards.py
@@ -127,9 +127,13 @@
         """Close connections that are overdue, and report."""
         now = self._clock.read()
         for usage, connection in tuple(self._connections.items()):
-            connection.check_unread()
-            if is_overdue(usage, connection.get_limits(), now):
-                connection.refuse(TIMEOUT_REASONS[usage.state])
+            try:
+                connection.check_unread()
+                if is_overdue(usage, connection.get_limits(), now):
+                    connection.refuse(TIMEOUT_REASONS[usage.state])
+            except Exception as error:
+                # The time limits of the other connections still hold.
+                self._failures.record('connection-sweep', error)
         self._publish()
         counts = tuple(
             (reason.replace('-', '_'), count)
--- a/sassafrasgate/platform/callers.py
+++ b/sassafrasgate/platform/callers.py
@@ -188,10 +188,15 @@
                 'request-failed',
                 request,
                 began,
-                (('status', response.status), ('reason', response.reason)),
+                (
+                    ('status', response.status),
+                    ('reason', response.reason[:MAX_LOGGED_LENGTH]),
+                ),
             )
         await response.render()(scope, receive, send)
-        route = f'callers {request.method}'
+        # Each label value is kept for ever, and callers may send any method.
+        method = request.method if request.method in METHODS else 'other'
+        route = f'callers {method}'
         self._metrics.count(REQUESTS, route, str(response.status))
         self._metrics.observe(
             REQUEST_SECONDS, (now_ms() - began) / 1000, route
@@ -249,15 +254,16 @@
         if omitted is None:
             return
         path = _get_path(request)[:MAX_LOGGED_LENGTH]
+        deadline = request.headers.get(DEADLINE_HEADER, '')
         log_event(
             self._logger,
             kind,
             (
                 ('job', path.rpartition('/')[2]),
-                ('method', request.method),
+                ('method', request.method[:MAX_LOGGED_LENGTH]),
                 ('path', path),
                 ('table_version', self._gateway.version),
-                ('deadline_ms', request.headers.get(DEADLINE_HEADER, '')),
+                ('deadline_ms', deadline[:MAX_LOGGED_LENGTH]),
                 ('took_ms', now_ms() - began),
                 ('lines_omitted', omitted or ''),
                 *fields,
--- a/sassafrasgate/protocol/links.py
+++ b/sassafrasgate/protocol/links.py
@@ -505,7 +505,7 @@
         if size > MAX_MESSAGE_BYTES:
             self._counts.too_large += 1
             return False
-        if size <= LARGE_REPLY_BYTES:
+        if size <= LARGE_REPLY_BYTES or client not in self._clients:
             return True
         if not self._large_replies.add(client, size, now_ms()):
             self._counts.queue_full += 1
--- a/tests/dispatch/test_refusal_rules.py
+++ b/tests/dispatch/test_refusal_rules.py
@@ -37,6 +37,7 @@
 def fill_workers():
     """Return a driver with 16 cores in use, for which further work waits."""
     driver = Driver()
+    driver.state.manages_overload = True
     for number in range(3):
         submit(driver, number, Workflow('', (make_step(8, LONG_MS),)))
     report_later(driver, 1_000)
@@ -46,6 +47,7 @@
 def reach_cap():
     """Return a driver with idle workers and a tenant that is at its cap."""
     driver = Driver(5, labels={'w0': ('big',)})
+    driver.state.manages_overload = True
     tenants = (Tenant('capped', cap=Resources(8_000)), Tenant('other'))
     driver.feed(TableChanged(replace(TABLE, version=2, tenants=tenants)))
     step = make_step(8, LONG_MS, label='big')
