--- a/sassafrasgate/dispatch/caps.py
+++ b/sassafrasgate/dispatch/caps.py
@@ -34,7 +34,8 @@
 NOTHING_MISSING: frozenset[str] = frozenset()
 # A step that lacks room under the cap holds back later steps of its tenant if
 # enough is expected to end within this time. Otherwise small tasks would take
-# the room of wide ones indefinitely, or a gang would keep a tenant idle for long.
+# the room of wide ones indefinitely, or a gang would keep a tenant idle for
+# long.
 ROOM_HORIZON_MS = 8_000
 # The same for a gang while its tenant uses less than half of the cap: callers
 # expect the tenant's other steps to start soon.
--- a/sassafrasgate/http/admission.py
+++ b/sassafrasgate/http/admission.py
@@ -1,8 +1,8 @@
 """Decisions about connections and the bytes that they hold.
 
-They bound memory and descriptors when clients open many connections, send large
-bodies at the same time, or never complete a request. Nothing here knows sockets;
-`sassafrasgate.http.connections` carries the decisions out.
+They bound memory and descriptors when clients open many connections, send
+large bodies at the same time, or never complete a request. Nothing here knows
+sockets; `sassafrasgate.http.connections` carries the decisions out.
 """
 
 from __future__ import annotations
