Send no large reply to a client that is gone

Cause: let large replies pass uncounted to clients whose entry had been removed after 4 s of silence. Both whole runs of the tests on failed in test_replies_that_a_peer_does_not_read_are_bounded, in which the peer is silent for longer under load.

Change: such replies are dropped and counted as not sent.

--- a/sassafrasgate/protocol/links.py
+++ b/sassafrasgate/protocol/links.py
@@ -505,9 +505,12 @@
         if size > MAX_MESSAGE_BYTES:
             self._counts.too_large += 1
             return False
-        if size <= LARGE_REPLY_BYTES or client not in self._clients:
+        if size <= LARGE_REPLY_BYTES:
             return True
-        if not self._large_replies.add(client, size, now_ms()):
+        # A client that has sent nothing for a while is gone, and what it holds
+        # is no longer counted.
+        is_known = client in self._clients
+        if not is_known or not self._large_replies.add(client, size, now_ms()):
             self._counts.queue_full += 1
             return False
         return True
